--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,916 @@
+//! Every decision of a node, with its tables and tuned values.
+//!
+//! How it is called: [`Node::arrived`] when a ticket was read, [`Node::ended`] when a run or reuse is
+//! over, [`Node::at_call`] and [`Node::call_ended`] round a call below, [`Node::gone`] when a caller
+//! left, [`Node::woken`] when a wake-up asked for is due, [`Node::leaving`] on the notice to leave.
+//! Orders go out through the trait `Host`; it and the types at the edge stand in `ticket.rs`.
+//!
+//! The design (docs/design.md): each tenant is charged its run time per window; while the node is
+//! pressed an overspender's later tickets are dismissed with the delay left; a learned limit bounds
+//! what runs. Beside it stand six mechanisms:
+//! 1. the hold: a line for each traffic type, taking turns by weight, tenants within their share first;
+//! 2. the alarm: every ticket in hand has one time at which it is answered, come what may;
+//! 3. the crowd and memory bounds, from the figures told at start;
+//! 4. the pace: calls below go at a rate that follows their recent time;
+//! 5. health: a node whose runs fail or do not end keeps tickets away, but for a trickle;
+//! 6. leaving: what arrives past the grace is not run, all else is answered before the kill.
+
+use crate::decay::{Decaying, Mean};
+use crate::ticket::{Arrival, Gauges, Host, Outcome, Repeat, Repeats, Say, TrafficType};
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// W, s: long enough for a tenant of one ticket a second to show its rate, short beside a surge.
+const WINDOW: Duration = ms(4_000);
+/// Span of the mean charge and mean times, s: some hundred runs, yet it follows a slowed machine.
+const MEAN_SPAN: Duration = ms(10_000);
+/// Completions before the mean charge counts as known: below it one odd run decides.
+const KNOWN: f64 = 5.0;
+/// Between wake-ups, ms: half the room kept before an answer is due, and cheap.
+const BEAT: Duration = ms(20);
+/// Kept between an answer and its due time, ms: two beats.
+const MARGIN: Duration = ms(40);
+/// An entry outlives its window by this, ms: covers a beat and the rounding of times.
+const KEEP_MORE: Duration = ms(50);
+/// Share of the goal time held work may take to clear before the node counts as pressed.
+const PRESSED: f64 = 0.12;
+/// Share of the goal time after which a held ticket is sent on: the rest is for its run.
+const HOLD: f64 = 0.5;
+/// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
+const BUSY: f64 = 0.9;
+/// Limit steps, in tickets a core: the learner's arms. Past 3 no core is left to fill, even with waits.
+const STEPS: [f64; 6] = [1.0, 1.25, 1.5, 2.0, 2.5, 3.0];
+/// A learner's round, s: some ten completions, else the pay is mostly chance.
+const ROUND: Duration = ms(1_000);
+/// Pay fades over this, s: twenty rounds, so that a changed machine is learned anew.
+const PAY_SPAN: Duration = ms(20_000);
+/// One round in so many tries a neighbouring step.
+const TRY_ONE_IN: u32 = 8;
+/// A higher step must pay this much more to be preferred: less crowd for the same work.
+const WORTH_MORE: f64 = 1.05;
+/// Between two quick climbs, ms: the gauge needs most of its half second to show the last one.
+const CLIMB_EVERY: Duration = ms(250);
+/// Share of the survived crowd and of the memory that is used: the rest is for reading and surprise.
+const SAFE: f64 = 0.8;
+/// Calls a second to start from, and the least: one call always tells how things stand.
+const PACE_FLOOR: f64 = 4.0;
+/// Calls slower than this many times their usual lower the pace; else it rises.
+const SLOWED: f64 = 2.0;
+/// What the pace is multiplied by for each call: fast down, slow up.
+const PACE_DOWN: f64 = 0.93;
+const PACE_UP: f64 = 1.03;
+/// Span of recent call times and of health, s: a few tens of ends.
+const RECENT: Duration = ms(2_000);
+/// Share of a type's usual run still needed after a call.
+const AFTER_CALL: f64 = 0.6;
+/// Tries of one call: a second goes to another node, a fourth would be hammering.
+const CALL_TRIES: u32 = 3;
+/// Share of recent runs that failed from which the node counts as sick, and well again.
+const SICK: f64 = 0.3;
+const WELL: f64 = 0.1;
+/// Recent ends needed for a verdict: two failures alone are chance.
+const VERDICT: f64 = 3.0;
+/// No end for so many usual runs, and at least this long, ms: work hangs.
+const HUNG_RUNS: f64 = 5.0;
+const HUNG_LEAST: Duration = ms(1_500);
+/// A sick node lets one ticket through this often, ms.
+const TRICKLE: Duration = ms(500);
+
+type Next = Box<dyn FnOnce(&mut Node, Duration, &mut dyn Host, usize, Outcome)>;
+
+/// What each tenant spent, and what it may: the design's quota.
+pub struct Ledger {
+    quotas: Vec<f64>,
+    spent: Vec<Decaying>,
+    until: Vec<Duration>,
+    charge: Mean,
+}
+
+impl Ledger {
+    /// `quotas` in tickets a second over the fleet; the last account is for tickets of no tenant.
+    pub fn new(quotas: &[f64], servers: usize) -> Self {
+        let n = quotas.len() + 1;
+        let quotas = quotas.iter().map(|q| q / servers.max(1) as f64).collect();
+        let (spent, until) = (vec![Decaying::default(); n], vec![Duration::ZERO; n]);
+        Self { quotas, spent, until, charge: Mean::default() }
+    }
+
+    fn account(&self, tenant: Option<usize>) -> usize {
+        tenant.unwrap_or(self.quotas.len()).min(self.quotas.len())
+    }
+
+    /// O over T. T is the quota times the mean charge; while the tenants together spend more than their
+    /// quotas, the room they share is lent in proportion, so that T never binds below what is there.
+    fn over(&self, now: Duration, account: usize) -> f64 {
+        let (Some(quota), Some(mean)) = (self.quotas.get(account), self.charge.read()) else {
+            return 0.0;
+        };
+        if self.charge.weight(now, MEAN_SPAN) < KNOWN {
+            return 0.0;
+        }
+        let all: f64 = self.spent.iter().map(|s| s.read(now, WINDOW)).sum();
+        let quotas: f64 = self.quotas.iter().sum();
+        let unit = mean * WINDOW.as_secs_f64();
+        let target = quota * unit * (all / (quotas * unit).max(f64::MIN_POSITIVE)).max(1.0);
+        self.spent[account].read(now, WINDOW) / target.max(f64::MIN_POSITIVE)
+    }
+
+    /// At the end of a run: X = (O - T) / T * W, at most W.
+    fn bill(&mut self, now: Duration, account: usize, charge: f64) {
+        self.charge.add(now, charge, MEAN_SPAN);
+        self.spent[account].add(now, charge, WINDOW);
+        let x = (self.over(now, account) - 1.0).clamp(0.0, 1.0);
+        self.until[account] = now + WINDOW.mul_f64(x);
+    }
+
+    fn delay_left(&self, now: Duration, account: usize) -> Duration {
+        self.until[account].saturating_sub(now)
+    }
+
+    fn mean(&self) -> f64 {
+        self.charge.read().unwrap_or(0.0)
+    }
+}
+
+/// How many may run at once: the learned limit under the crowd that a node survives.
+pub struct Limit {
+    cores: usize,
+    factor: f64,
+    cold: Option<(Duration, f64, Duration)>,
+    arm: usize,
+    survived: usize,
+    pay: [Mean; STEPS.len()],
+    round: Duration,
+    ends: u32,
+    whole_round: bool,
+    climbed: Duration,
+    chance: WyRand,
+}
+
+impl Limit {
+    /// `factor`: survived tickets a core when warm; `cold`: born at, share of speed then, full after.
+    pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
+        let (pay, chance) = ([Mean::default(); STEPS.len()], WyRand::new_seed(seed));
+        let (round, climbed) = (Duration::ZERO, Duration::ZERO);
+        let (ends, whole_round) = (0, false);
+        Self { cores, factor, cold, arm: 0, survived: 0, pay, round, ends, whole_round, climbed, chance }
+    }
+
+    /// Guards against dying of the crowd; while cold the slowest warming allowed is assumed.
+    fn ceiling(&self, now: Duration) -> usize {
+        let warm = self.cold.map_or(1.0, |(born, start, full)| {
+            let age = now.saturating_sub(born).as_secs_f64() / full.as_secs_f64().max(1e-9);
+            (start + (1.0 - start) * age).clamp(0.0, 1.0)
+        });
+        ((self.cores as f64 * (1.0 + (self.factor - 1.0) * warm) * SAFE) as usize).max(1)
+    }
+
+    fn allowed(&self, now: Duration) -> usize {
+        ((self.cores as f64 * STEPS[self.arm]).round() as usize).min(self.ceiling(now))
+    }
+
+    fn beat(&mut self, now: Duration, gauges: Gauges, full: bool, holding: bool) {
+        self.whole_round &= full && holding;
+        let idle = gauges.cores_busy.is_some_and(|busy| busy < BUSY);
+        let highest = (self.survived + 1).min(STEPS.len() - 1);
+        if idle && full && holding && self.arm < highest && now >= self.climbed + CLIMB_EVERY {
+            self.arm += 1;
+            self.climbed = now;
+            self.start_round(now);
+        } else if now >= self.round + ROUND {
+            if self.whole_round {
+                let span = now.saturating_sub(self.round).as_secs_f64();
+                self.pay[self.arm].add(now, f64::from(self.ends) / span, PAY_SPAN);
+                self.survived = self.survived.max(self.arm);
+                self.choose(now, highest);
+            }
+            self.start_round(now);
+        }
+    }
+
+    fn start_round(&mut self, now: Duration) {
+        (self.round, self.ends, self.whole_round) = (now, 0, true);
+    }
+
+    fn choose(&mut self, now: Duration, highest: usize) {
+        if self.chance.generate_range(0..TRY_ONE_IN) == 0 {
+            let up = self.chance.generate_range(0..2u32) == 1;
+            self.arm = if up { (self.arm + 1).min(highest) } else { self.arm.saturating_sub(1) };
+            return;
+        }
+        let mut best = (self.arm, 0.0);
+        for (arm, pay) in self.pay.iter().enumerate().take(highest + 1) {
+            if let Some(paid) = pay.read().filter(|_| pay.weight(now, PAY_SPAN) >= 0.5) {
+                if paid > best.1 * WORTH_MORE {
+                    best = (arm, paid);
+                }
+            }
+        }
+        self.arm = best.0;
+    }
+}
+
+/// The memory that held and running tickets and kept entries share.
+pub struct Room {
+    memory_kb: f64,
+    run_factor: f64,
+    entry_kb: f64,
+    used: f64,
+    entries: BTreeSet<(Duration, usize)>,
+}
+
+impl Room {
+    pub fn new(memory_kb: f64, run_factor: f64, entry_kb: f64) -> Self {
+        Self { memory_kb, run_factor, entry_kb, used: 0.0, entries: BTreeSet::new() }
+    }
+
+    fn takes(&mut self, now: Duration, more_kb: f64) -> bool {
+        while self.entries.first().is_some_and(|e| e.0 < now) {
+            self.entries.pop_first();
+        }
+        let kept = self.entries.len() as f64 * self.entry_kb;
+        self.used + kept + more_kb <= self.memory_kb * SAFE
+    }
+}
+
+/// The pace of calls below, and this node's part of what they all may load there.
+pub struct Below {
+    share: Option<(f64, Duration, Duration)>,
+    rate: f64,
+    saved: f64,
+    at: Duration,
+    recent: Mean,
+    usual: Mean,
+    out: usize,
+    abandoned: VecDeque<Duration>,
+    busy: Decaying,
+}
+
+impl Below {
+    /// `share`: where all nodes share what lies below, this node's calls at once, the window of that
+    /// mean, and how long a call given up stays there.
+    pub fn new(share: Option<(f64, Duration, Duration)>) -> Self {
+        let (recent, usual) = (Mean::default(), Mean::default());
+        let (rate, saved, at) = (PACE_FLOOR * 4.0, PACE_FLOOR, Duration::ZERO);
+        let (out, abandoned, busy) = (0, VecDeque::new(), Decaying::default());
+        Self { share, rate, saved, at, recent, usual, out, abandoned, busy }
+    }
+
+    fn may(&mut self, now: Duration) -> bool {
+        let since = now.saturating_sub(self.at).as_secs_f64();
+        self.saved = (self.saved + since * self.rate).min((self.rate * 0.25).max(2.0));
+        self.at = now;
+        while self.abandoned.front().is_some_and(|&gone| gone <= now) {
+            self.abandoned.pop_front();
+        }
+        let room = self.share.is_none_or(|(share, over, _)| {
+            let held = self.out + self.abandoned.len();
+            let mean = self.busy.read(now, over) / over.as_secs_f64();
+            (held as f64 + 1.0 <= share * SAFE) || (held == 0 && mean < share * SAFE / 2.0)
+        });
+        room && self.saved >= 1.0
+    }
+
+    fn made(&mut self) {
+        self.out += 1;
+        self.saved -= 1.0;
+    }
+
+    /// A call came back, or was given up and may linger below.
+    fn ended(&mut self, now: Duration, took: Duration, outcome: Outcome) {
+        self.out -= 1;
+        let took = took.as_secs_f64();
+        if let Some((_, over, lingers)) = self.share {
+            self.busy.add(now, took, over);
+            if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
+                self.abandoned.push_back(now + lingers);
+            }
+        }
+        if outcome == Outcome::Done {
+            self.recent.add(now, took, RECENT);
+            self.usual.add(now, took, MEAN_SPAN);
+        }
+        let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
+        let bad = outcome != Outcome::Done && outcome != Outcome::Stopped;
+        self.rate = (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE_FLOOR, 1e3);
+    }
+}
+
+/// What callers are told: advice, level, checks; and the notice to leave.
+pub struct Voice {
+    say: Say,
+    longest: Duration,
+    grace: Duration,
+    leaving: Option<(Duration, Duration)>,
+    away: bool,
+}
+
+impl Voice {
+    /// `longest`: the longest advice that is heeded; `grace`: arrivals later than this after the notice
+    /// are not run.
+    pub fn new(say: Say, longest: Duration, grace: Duration) -> Self {
+        Self { say, longest, grace, leaving: None, away: false }
+    }
+
+    fn keep_away(&mut self, host: &mut dyn Host, away: bool) {
+        if away == self.away {
+            return;
+        }
+        self.away = away;
+        host.checks(!away);
+        match (self.say, away) {
+            (Say::Nothing, _) => {}
+            (Say::Level, _) => host.say(if away { 1.0 } else { 0.0 }),
+            (Say::Weight, _) => host.say(if away { 0.0 } else { 1.0 }),
+            (Say::Credit, _) => host.say(if away { 0.0 } else { 1e6 }),
+        }
+    }
+}
+
+/// Whether runs end, and end well.
+#[derive(Default)]
+struct Health {
+    failed: Mean,
+    last_end: Duration,
+    sick: bool,
+    let_through: Duration,
+}
+
+impl Health {
+    fn ended(&mut self, now: Duration, failed: bool) {
+        self.failed.add(now, if failed { 1.0 } else { 0.0 }, RECENT);
+        self.last_end = now;
+    }
+
+    fn look(&mut self, now: Duration, working: bool, usual_run: Duration) {
+        if !working {
+            self.last_end = now;
+        }
+        let hung = now.saturating_sub(self.last_end) > usual_run.mul_f64(HUNG_RUNS).max(HUNG_LEAST);
+        let failing = self.failed.read().unwrap_or(0.0);
+        let verdict = self.failed.weight(now, RECENT) >= VERDICT;
+        self.sick = hung || if self.sick { failing > WELL } else { verdict && failing > SICK };
+    }
+
+    fn lets_through(&mut self, now: Duration) -> bool {
+        if self.sick && now < self.let_through + TRICKLE {
+            return false;
+        }
+        self.let_through = now;
+        true
+    }
+}
+
+/// One traffic type's line, a queue for each account.
+struct Line {
+    queues: Vec<VecDeque<usize>>,
+    passed: f64,
+    run: Mean,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    Reusing,
+    Running,
+    Standing,
+    Calling,
+}
+
+struct Ticket {
+    traffic: usize,
+    account: usize,
+    arrived: Duration,
+    due: Duration,
+    kb: f64,
+    hint: Option<Duration>,
+    again: bool,
+    stage: Stage,
+    ran: bool,
+    answered: bool,
+    alarm: Duration,
+    kept: Option<Duration>,
+    call_since: Duration,
+    call_waits: Duration,
+    call_tries: u32,
+    after_run: Option<Next>,
+    after_call: Option<Next>,
+}
+
+/// The decisions of one node.
+pub struct Node {
+    types: Vec<TrafficType>,
+    by_work: bool,
+    ledger: Ledger,
+    limit: Limit,
+    room: Room,
+    below: Below,
+    voice: Voice,
+    health: Health,
+    lines: Vec<Line>,
+    tickets: Vec<Option<Ticket>>,
+    alarms: BTreeSet<(Duration, usize)>,
+    standing: VecDeque<usize>,
+    held: usize,
+    running: usize,
+    at_calls: usize,
+    busy: bool,
+    stalled: Duration,
+    next_beat: Option<Duration>,
+}
+
+impl Node {
+    pub fn new(
+        (types, by_work): (Vec<TrafficType>, bool),
+        ledger: Ledger,
+        limit: Limit,
+        room: Room,
+        below: Below,
+        voice: Voice,
+    ) -> Self {
+        let line = || {
+            let queues = vec![VecDeque::new(); ledger.spent.len()];
+            Line { queues, passed: 0.0, run: Mean::default() }
+        };
+        let lines = types.iter().map(|_| line()).collect();
+        let (tickets, alarms, standing) = (Vec::new(), BTreeSet::new(), VecDeque::new());
+        let (held, running, at_calls, busy) = (0, 0, 0, false);
+        let (health, stalled, next_beat) = (Health::default(), Duration::ZERO, None);
+        Self {
+            types,
+            by_work,
+            ledger,
+            limit,
+            room,
+            below,
+            voice,
+            health,
+            lines,
+            tickets,
+            alarms,
+            standing,
+            held,
+            running,
+            at_calls,
+            busy,
+            stalled,
+            next_beat,
+        }
+    }
+
+    /// The first call: asks for the first wake-up and has checks answered from store.
+    pub fn begin(&mut self, now: Duration, host: &mut dyn Host) {
+        host.checks(true);
+        host.wake(BEAT);
+        self.next_beat = Some(now + BEAT);
+        self.limit.start_round(now);
+    }
+
+    pub fn arrived(&mut self, now: Duration, host: &mut dyn Host, ix: usize, a: Arrival) {
+        let kind = &self.types[a.traffic];
+        let (repeats, goal) = (kind.repeats, kind.goal_time);
+        let arrived = now.saturating_sub(a.waited);
+        let mut due = a.patience.map_or(arrived + kind.outer_limit, |p| now + p);
+        if let Some((_, kill)) = self.voice.leaving {
+            due = due.min(kill);
+        }
+        let account = self.ledger.account(a.tenant);
+        let t = Ticket {
+            traffic: a.traffic,
+            account,
+            arrived,
+            due,
+            kb: a.held_kb,
+            hint: a.hint,
+            again: a.again,
+            stage: Stage::Held,
+            ran: false,
+            answered: false,
+            alarm: Duration::MAX,
+            kept: None,
+            call_since: now,
+            call_waits: Duration::ZERO,
+            call_tries: 0,
+            after_run: None,
+            after_call: None,
+        };
+        if self.tickets.len() <= ix {
+            self.tickets.resize_with(ix + 1, || None);
+        }
+        self.room.used += t.kb;
+        self.tickets[ix] = Some(t);
+        if let Repeats::Ticketed(window) = repeats {
+            if a.repeat != Repeat::No {
+                // Guards against a second effect: a repeat takes the first try's result, never a run.
+                let t = self.ticket(ix);
+                t.stage = Stage::Reusing;
+                t.after_run = Some(Box::new(Node::reuse_ended));
+                host.reuse(ix);
+                self.set_alarm(ix, due.saturating_sub(MARGIN));
+                self.sound(now, host);
+                return;
+            }
+            let span = (window + KEEP_MORE).saturating_sub(a.waited);
+            host.keep(ix, span);
+            self.ticket(ix).kept = Some(now + span);
+            self.room.entries.insert((now + span, ix));
+        }
+        self.held += 1;
+        let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
+        let longest = self.voice.longest;
+        if due <= now + MARGIN || too_late || !self.health.lets_through(now) {
+            return self.dismiss(now, host, ix, longest);
+        }
+        let delay = self.ledger.delay_left(now, account);
+        if delay > Duration::ZERO && self.pressed(goal) {
+            return self.dismiss(now, host, ix, delay);
+        }
+        self.lines[a.traffic].queues[account].push_back(ix);
+        self.set_alarm(ix, (arrived + goal.mul_f64(HOLD)).min(due.saturating_sub(MARGIN)));
+        self.shed(now, host);
+        self.fill(now, host);
+    }
+
+    pub fn ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, outcome: Outcome) {
+        if let Some(next) = self.tickets[ix].as_mut().and_then(|t| t.after_run.take()) {
+            next(self, now, host, ix, outcome);
+        }
+        self.fill(now, host);
+    }
+
+    pub fn at_call(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
+        if self.tickets[ix].as_ref().is_none_or(|t| t.stage != Stage::Running) {
+            return;
+        }
+        self.running -= 1;
+        self.at_calls += 1;
+        let t = self.ticket(ix);
+        t.stage = Stage::Standing;
+        t.call_since = now;
+        t.call_tries = 0;
+        self.standing.push_back(ix);
+        let standing_until = self.call_until(ix);
+        self.set_alarm(ix, standing_until);
+        self.fill(now, host);
+    }
+
+    pub fn call_ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, outcome: Outcome) {
+        if let Some(next) = self.tickets[ix].as_mut().and_then(|t| t.after_call.take()) {
+            next(self, now, host, ix, outcome);
+        }
+        self.fill(now, host);
+    }
+
+    pub fn gone(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
+        let Some(t) = self.tickets[ix].as_mut() else { return };
+        t.answered = true;
+        match t.stage {
+            Stage::Held | Stage::Reusing => self.close(host, ix),
+            Stage::Running => host.take_off(ix),
+            Stage::Standing | Stage::Calling => {}
+        }
+        if self.tickets[ix].is_some() {
+            self.set_alarm(ix, Duration::MAX);
+        }
+        self.fill(now, host);
+    }
+
+    pub fn leaving(&mut self, now: Duration, host: &mut dyn Host, kill_in: Duration) {
+        let kill = now + kill_in.saturating_sub(MARGIN);
+        self.voice.leaving = Some((now, kill));
+        self.voice.keep_away(host, true);
+        for ix in 0..self.tickets.len() {
+            let Some(t) = self.tickets[ix].as_mut() else { continue };
+            t.due = t.due.min(kill);
+            let alarm = t.alarm.min(kill.saturating_sub(MARGIN));
+            if !t.answered {
+                self.set_alarm(ix, alarm);
+            }
+        }
+    }
+
+    pub fn woken(&mut self, now: Duration, host: &mut dyn Host, gauges: Gauges) {
+        // A whole-process stall shows as a late wake-up; no run is charged for it.
+        let late = now.saturating_sub(self.next_beat.unwrap_or(now));
+        if late > BEAT {
+            self.stalled += late;
+            self.health.last_end += late;
+        }
+        self.next_beat = Some(now + BEAT);
+        host.wake(BEAT);
+        self.busy = gauges.cores_busy.is_none_or(|busy| busy >= BUSY);
+        let full = self.running >= self.limit.allowed(now);
+        self.limit.beat(now, gauges, full, self.held > 0);
+        let usual =
+            Duration::from_secs_f64((0..self.lines.len()).map(|k| self.usual_run(k)).fold(0.0, f64::max));
+        self.health.look(now, self.running > 0, usual);
+        self.voice.keep_away(host, self.health.sick || self.voice.leaving.is_some());
+        self.sound(now, host);
+        self.fill(now, host);
+    }
+
+    fn ticket(&mut self, ix: usize) -> &mut Ticket {
+        self.tickets[ix].as_mut().expect("a ticket in hand")
+    }
+
+    fn set_alarm(&mut self, ix: usize, at: Duration) {
+        let t = self.tickets[ix].as_mut().expect("a ticket in hand");
+        self.alarms.remove(&(t.alarm, ix));
+        t.alarm = at;
+        if at < Duration::MAX {
+            self.alarms.insert((at, ix));
+        }
+    }
+
+    /// Seconds a run of this type usually takes, all waits included.
+    fn usual_run(&self, traffic: usize) -> f64 {
+        self.lines[traffic].run.read().unwrap_or(0.0)
+    }
+
+    /// Seconds until the cores have worked off what is held.
+    fn wait(&self) -> f64 {
+        self.held as f64 * self.ledger.mean() / self.limit.cores.max(1) as f64
+    }
+
+    fn pressed(&self, goal: Duration) -> bool {
+        self.busy && self.held > 0 && self.wait() > goal.as_secs_f64() * PRESSED
+    }
+
+    /// Rings every alarm that is due: no ticket is lost, whatever keeps it.
+    fn sound(&mut self, now: Duration, host: &mut dyn Host) {
+        while let Some(&(at, ix)) = self.alarms.first().filter(|(at, _)| *at <= now) {
+            self.alarms.remove(&(at, ix));
+            let poorer = self.poorer(ix);
+            let t = self.ticket(ix);
+            t.alarm = Duration::MAX;
+            let due = t.due.saturating_sub(MARGIN);
+            match t.stage {
+                Stage::Held => {
+                    let wait = Duration::from_secs_f64(self.wait());
+                    self.dismiss(now, host, ix, wait);
+                }
+                Stage::Standing if now < due && poorer > 0.0 => {
+                    self.leave_call_out(now, host, ix);
+                }
+                Stage::Standing | Stage::Calling if now < due => self.set_alarm(ix, due),
+                stage => {
+                    t.answered = true;
+                    host.give_up(ix);
+                    match stage {
+                        Stage::Reusing => self.close(host, ix),
+                        Stage::Running => host.take_off(ix),
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// The final answer to a ticket that never ran.
+    fn dismiss(&mut self, now: Duration, host: &mut dyn Host, ix: usize, come_back: Duration) {
+        let t = self.tickets[ix].as_mut().expect("a ticket in hand");
+        let nowhere_else = t.again && !self.health.sick && self.voice.leaving.is_none();
+        if t.kept.is_some_and(|until| until > now) {
+            host.forget(ix);
+        }
+        if let Some(until) = t.kept.take() {
+            self.room.entries.remove(&(until, ix));
+        }
+        host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
+        self.close(host, ix);
+    }
+
+    /// Takes a ticket out of all books; its index goes back.
+    fn close(&mut self, host: &mut dyn Host, ix: usize) {
+        self.set_alarm(ix, Duration::MAX);
+        let t = self.tickets[ix].take().expect("a ticket in hand");
+        match t.stage {
+            Stage::Held => {
+                self.held -= 1;
+                self.lines[t.traffic].queues[t.account].retain(|&other| other != ix);
+            }
+            Stage::Reusing => {}
+            Stage::Running => self.running -= 1,
+            Stage::Standing => {
+                self.at_calls -= 1;
+                self.standing.retain(|&other| other != ix);
+            }
+            Stage::Calling => self.at_calls -= 1,
+        }
+        self.room.used -= t.kb * if t.ran { self.room.run_factor } else { 1.0 };
+        host.over(ix);
+    }
+
+    /// Sends away the newest of the worst overspender while the hold is over its bounds.
+    fn shed(&mut self, now: Duration, host: &mut dyn Host) {
+        loop {
+            let short = !self.room.takes(now, 0.0);
+            let goal = self.types.iter().map(|k| k.goal_time).min().unwrap_or_default();
+            let long = self.busy && self.wait() > goal.as_secs_f64() * HOLD;
+            let waiting = |n: &Self, a: usize| n.lines.iter().any(|l| !l.queues[a].is_empty());
+            let worst = (0..self.ledger.spent.len())
+                .filter(|&a| waiting(self, a))
+                .map(|a| (self.ledger.over(now, a), a))
+                .max_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((over, account)) = worst.filter(|w| short || (long && w.0 > 1.0)) else { return };
+            let queue = |l: &Line| l.queues[account].back().copied();
+            let newest = self
+                .lines
+                .iter()
+                .filter_map(queue)
+                .max_by_key(|&ix| self.tickets[ix].as_ref().map(|t| t.arrived));
+            let delay = self.ledger.delay_left(now, account);
+            let Some(ix) = newest else { return };
+            self.dismiss(now, host, ix, if over > 1.0 { delay } else { self.voice.longest });
+        }
+    }
+
+    /// Starts what may start: tenants within their share first, lines by turns.
+    fn fill(&mut self, now: Duration, host: &mut dyn Host) {
+        self.make_calls(now, host);
+        while self.held > 0 && self.running < self.limit.allowed(now) {
+            if self.running + self.at_calls >= self.limit.ceiling(now) {
+                return;
+            }
+            let overs: Vec<f64> = (0..self.ledger.spent.len()).map(|a| self.ledger.over(now, a)).collect();
+            let mut best: Option<(bool, f64, usize, usize)> = None;
+            for (k, line) in self.lines.iter().enumerate() {
+                let waiting = (0..overs.len()).filter(|&a| !line.queues[a].is_empty());
+                let Some(a) = waiting.min_by(|&a, &b| overs[a].total_cmp(&overs[b])) else { continue };
+                let key = (overs[a] > 1.0, line.passed, k, a);
+                if best.is_none_or(|b| (key.0, key.1) < (b.0, b.1)) {
+                    best = Some(key);
+                }
+            }
+            let Some((_, passed, k, a)) = best else { return };
+            let Some(&ix) = self.lines[k].queues[a].front() else { return };
+            let kb = self.ticket(ix).kb;
+            if !self.room.takes(now, kb * (self.room.run_factor - 1.0)) {
+                return;
+            }
+            let behind = passed - 1.0;
+            for line in &mut self.lines {
+                line.passed = line.passed.max(behind);
+            }
+            self.start(now, host, ix);
+        }
+    }
+
+    fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
+        let factor = self.room.run_factor;
+        let stalled = self.stalled;
+        let t = self.tickets[ix].as_mut().expect("a ticket in hand");
+        let line = &mut self.lines[t.traffic];
+        line.queues[t.account].retain(|&other| other != ix);
+        let mean = line.run.read().unwrap_or(1.0);
+        let size = t.hint.map_or(mean, |h| h.as_secs_f64());
+        line.passed += if self.by_work { size } else { 1.0 } / self.types[t.traffic].benefit.max(1e-9);
+        self.room.used += t.kb * (factor - 1.0);
+        t.stage = Stage::Running;
+        t.ran = true;
+        t.after_run = Some(Box::new(move |node, at, host, ix, outcome| {
+            node.run_ended(at, host, ix, outcome, (now, stalled));
+        }));
+        let due = t.due.saturating_sub(MARGIN);
+        self.held -= 1;
+        self.running += 1;
+        self.set_alarm(ix, due);
+        host.run(ix);
+    }
+
+    fn run_ended(
+        &mut self,
+        now: Duration,
+        host: &mut dyn Host,
+        ix: usize,
+        outcome: Outcome,
+        (begun, stalled): (Duration, Duration),
+    ) {
+        let t = self.tickets[ix].as_ref().expect("a ticket in hand");
+        let standing = matches!(t.stage, Stage::Standing | Stage::Calling);
+        let calls = t.call_waits + if standing { now.saturating_sub(t.call_since) } else { Duration::ZERO };
+        let (traffic, account, calling) = (t.traffic, t.account, t.stage == Stage::Calling);
+        if !t.answered && outcome == Outcome::Stopped {
+            // Taken off by no order of ours: it ran, so only an error is left.
+            host.give_up(ix);
+        }
+        if calling {
+            self.below.ended(now, calls, Outcome::Stopped);
+        }
+        if outcome != Outcome::Moot {
+            let run = now.saturating_sub(begun + calls + (self.stalled - stalled)).as_secs_f64();
+            let part = (self.limit.cores as f64 / self.running.max(1) as f64).min(1.0);
+            self.ledger.bill(now, account, run * part);
+        }
+        if matches!(outcome, Outcome::Done | Outcome::Erred) {
+            self.health.ended(now, outcome == Outcome::Erred);
+        }
+        if outcome == Outcome::Done {
+            self.limit.ends += 1;
+            self.lines[traffic].run.add(now, now.saturating_sub(begun).as_secs_f64(), MEAN_SPAN);
+        }
+        self.close(host, ix);
+    }
+
+    fn reuse_ended(&mut self, _: Duration, host: &mut dyn Host, ix: usize, _: Outcome) {
+        self.close(host, ix);
+    }
+
+    fn poorer(&mut self, ix: usize) -> f64 {
+        let traffic = self.ticket(ix).traffic;
+        self.types[traffic].poorer
+    }
+
+    /// The latest a call may take: where a poorer answer is worth something, in time for the goal time.
+    fn call_until(&mut self, ix: usize) -> Duration {
+        let poorer = self.poorer(ix) > 0.0;
+        let t = self.tickets[ix].as_ref().expect("a ticket in hand");
+        let rest = Duration::from_secs_f64(self.usual_run(t.traffic) * AFTER_CALL);
+        let goal = (t.arrived + self.types[t.traffic].goal_time).saturating_sub(rest);
+        let due = t.due.saturating_sub(MARGIN);
+        if poorer {
+            goal.min(due)
+        } else {
+            due
+        }
+    }
+
+    fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
+        while let Some(&ix) = self.standing.front() {
+            if !self.below.may(now) {
+                return;
+            }
+            self.standing.pop_front();
+            let until = self.call_until(ix);
+            let t = self.ticket(ix);
+            if t.answered {
+                continue;
+            }
+            let due = t.due.saturating_sub(MARGIN);
+            t.stage = Stage::Calling;
+            t.call_tries += 1;
+            t.after_call = Some(Box::new(move |node, at, host, ix, outcome| {
+                node.call_came_back(at, host, ix, outcome, now);
+            }));
+            self.set_alarm(ix, due);
+            self.below.made();
+            host.call(ix, until.max(now + BEAT).min(due));
+        }
+    }
+
+    fn call_came_back(
+        &mut self,
+        now: Duration,
+        host: &mut dyn Host,
+        ix: usize,
+        outcome: Outcome,
+        made: Duration,
+    ) {
+        self.below.ended(now, now.saturating_sub(made), outcome);
+        let until = self.call_until(ix);
+        let poorer = self.poorer(ix) > 0.0;
+        let traffic = self.ticket(ix).traffic;
+        let repeats = self.types[traffic].repeats;
+        let t = self.ticket(ix);
+        if outcome == Outcome::Done {
+            t.stage = Stage::Running;
+            t.call_waits += now.saturating_sub(t.call_since);
+            self.at_calls -= 1;
+            self.running += 1;
+            return;
+        }
+        t.stage = Stage::Standing;
+        if t.answered {
+            return;
+        }
+        // Guards against a second effect below: only a call proved not run is made again.
+        let again = outcome.never_ran() || repeats == Repeats::Rerunnable;
+        if again && t.call_tries < CALL_TRIES && now < until {
+            self.standing.push_back(ix);
+            self.set_alarm(ix, until);
+        } else if poorer {
+            self.leave_call_out(now, host, ix);
+        } else {
+            t.answered = true;
+            self.set_alarm(ix, Duration::MAX);
+            host.give_up(ix);
+        }
+    }
+
+    fn leave_call_out(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
+        self.standing.retain(|&other| other != ix);
+        let t = self.ticket(ix);
+        t.stage = Stage::Running;
+        t.call_waits += now.saturating_sub(t.call_since);
+        let due = t.due.saturating_sub(MARGIN);
+        self.at_calls -= 1;
+        self.running += 1;
+        self.set_alarm(ix, due);
+        host.answer_poorer(ix);
+    }
+}
--- /dev/null
+++ b/src/ticket.rs
@@ -0,0 +1,121 @@
+//! What crosses the edge of the decision module: calls in, orders out.
+
+use std::time::Duration;
+
+/// Whether work of a traffic type may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    /// May run any number of times.
+    Rerunnable,
+    /// Carries a mark that tells a repeat apart, for this long after arrival.
+    Ticketed(Duration),
+    /// Must never run twice.
+    Exclusive,
+}
+
+/// What is known at start of one traffic type.
+#[derive(Clone, Debug)]
+pub struct TrafficType {
+    pub goal_time: Duration,
+    pub outer_limit: Duration,
+    pub benefit: f64,
+    /// Share of the benefit that an answer past the goal time still earns.
+    pub late: f64,
+    /// Share of the benefit that an answer without its call still earns.
+    pub poorer: f64,
+    pub repeats: Repeats,
+}
+
+/// Which earlier ticket an arrival repeats, where a mark tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    #[default]
+    No,
+    /// One still in hand here.
+    Of(usize),
+    /// One no longer in hand.
+    Past,
+}
+
+/// A ticket as it is read.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    pub traffic: usize,
+    pub tenant: Option<usize>,
+    /// Time since it reached the machine.
+    pub waited: Duration,
+    /// How long its caller still waits, where that is told.
+    pub patience: Option<Duration>,
+    pub repeat: Repeat,
+    /// A guess of its core time.
+    pub hint: Option<Duration>,
+    pub held_kb: f64,
+    /// Marked as a further try.
+    pub again: bool,
+}
+
+/// How a run, a reuse or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    Erred,
+    Bounced,
+    TimedOut,
+    Unreachable,
+    CutOff,
+    Stopped,
+    Moot,
+}
+
+impl Outcome {
+    /// Whether it is proved that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Bounced | Self::Unreachable | Self::Moot)
+    }
+}
+
+/// The machine's own gauges; `None` where it has no such gauge.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    /// Share of the cores busy.
+    pub cores_busy: Option<f64>,
+    /// How many want a core just now.
+    pub on_cores: Option<f64>,
+    /// Share of the memory in use.
+    pub memory: Option<f64>,
+    /// Open connections.
+    pub links: Option<f64>,
+}
+
+/// What callers make of the value that rides on answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Say {
+    Nothing,
+    Level,
+    Credit,
+    Weight,
+}
+
+/// Orders to the program around the module. Indices are those that
+/// `Node::arrived` returned; [`Host::over`] hands an index back for reuse.
+pub trait Host {
+    fn run(&mut self, ticket: usize);
+    fn take_off(&mut self, ticket: usize);
+    fn reuse(&mut self, ticket: usize);
+    fn keep(&mut self, ticket: usize, span: Duration);
+    fn forget(&mut self, ticket: usize);
+    /// Turn away for good, unrun: when to come back, and whether to try nowhere else.
+    fn dismiss(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool);
+    /// A final error, with no promise that nothing ran.
+    fn give_up(&mut self, ticket: usize);
+    fn call(&mut self, ticket: usize, until: Duration);
+    fn answer_poorer(&mut self, ticket: usize);
+    fn say(&mut self, amount: f64);
+    /// How health checks are answered from now on, from store.
+    fn checks(&mut self, good: bool);
+    fn close_idle_after(&mut self, span: Duration);
+    /// Ask for one `Node::woken` this far from now.
+    fn wake(&mut self, span: Duration);
+    /// Nothing more comes of this ticket; its index may serve again.
+    fn over(&mut self, ticket: usize);
+}
