--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,7 +38,7 @@
 /// An entry outlives its window by this, ms: covers a beat and the rounding of times.
 const KEEP_MORE: Duration = ms(50);
 /// Share of the goal time held work may take to clear before the node counts as pressed.
-const PRESSED: f64 = 0.12;
+const PRESSED: f64 = 0.15;
 /// Share of the goal time after which a held ticket is sent on: the rest is for its run.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
@@ -526,8 +526,13 @@
         if due <= now + MARGIN || too_late || !self.health.lets_through(now) {
             return self.dismiss(now, host, ix, longest);
         }
+        // Guards against working off a backlog that piled up unread: answers would all be late.
+        let run = Duration::from_secs_f64(self.usual_run(a.traffic));
+        if self.busy && now + run > arrived + goal {
+            return self.dismiss(now, host, ix, a.waited);
+        }
         let delay = self.ledger.delay_left(now, account);
-        if delay > Duration::ZERO && self.pressed(goal) {
+        if delay > Duration::ZERO && self.pressed(goal, a.waited) {
             return self.dismiss(now, host, ix, delay);
         }
         self.lines[a.traffic].queues[account].push_back(ix);
@@ -637,8 +642,9 @@
         self.held as f64 * self.ledger.mean() / self.limit.cores.max(1) as f64
     }
 
-    fn pressed(&self, goal: Duration) -> bool {
-        self.busy && self.held > 0 && self.wait() > goal.as_secs_f64() * PRESSED
+    /// Work is held, here or still unread, and the cores gauge reads busy.
+    fn pressed(&self, goal: Duration, unread: Duration) -> bool {
+        self.busy && self.wait() + unread.as_secs_f64() > goal.as_secs_f64() * PRESSED
     }
 
     /// Rings every alarm that is due: no ticket is lost, whatever keeps it.
