--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -135,6 +135,8 @@
         };
         let longest =
             if flag(permits, "retryAfter") { span(permits, "maxRetryAfterS")? } else { Duration::ZERO };
+        let clients = object(facts, "clients")?;
+        let marked = flag(clients, "marksRetry");
         let cores = whole(family, "cores")? as usize;
         let factor = number(duties, "overloadFactor")?;
         let by_work = facts.get("countedBy").and_then(Value::as_str) == Some("work");
@@ -148,7 +150,7 @@
                 optional(family, "entryKb")?.unwrap_or(0.0),
             ),
             Below::new(share),
-            Voice::new(say, longest, span(duties, "drainGraceS")?),
+            Voice::new(say, longest, span(duties, "drainGraceS")?, marked),
         );
         let door = Door {
             name,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -78,6 +78,8 @@
 /// No end for so many usual runs, and at least this long, ms: work hangs.
 const HUNG_RUNS: f64 = 5.0;
 const HUNG_LEAST: Duration = ms(1_500);
+/// Share of further tries among arrivals from which other nodes are taken to be full too.
+const AGAIN: f64 = 0.25;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = ms(500);
 
@@ -306,15 +308,22 @@
     say: Say,
     longest: Duration,
     grace: Duration,
+    marked: bool,
+    again: Mean,
     leaving: Option<(Duration, Duration)>,
     away: bool,
 }
 
 impl Voice {
     /// `longest`: the longest advice that is heeded; `grace`: arrivals later than this after the notice
-    /// are not run.
-    pub fn new(say: Say, longest: Duration, grace: Duration) -> Self {
-        Self { say, longest, grace, leaving: None, away: false }
+    /// are not run; `marked`: further tries are marked as such.
+    pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool) -> Self {
+        Self { say, longest, grace, marked, again: Mean::default(), leaving: None, away: false }
+    }
+
+    /// Many arrivals were turned away elsewhere; where tries are not marked, a busy node must assume it.
+    fn fleet_full(&self) -> bool {
+        !self.marked || self.again.read().unwrap_or(0.0) > AGAIN
     }
 
     fn keep_away(&mut self, host: &mut dyn Host, away: bool) {
@@ -479,6 +488,7 @@
         if let Some((_, kill)) = self.voice.leaving {
             due = due.min(kill);
         }
+        self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
         let account = self.ledger.account(a.tenant);
         let t = Ticket {
             traffic: a.traffic,
@@ -529,7 +539,7 @@
         // Guards against working off a backlog that piled up unread: answers would all be late.
         let run = Duration::from_secs_f64(self.usual_run(a.traffic));
         if self.busy && now + run > arrived + goal {
-            return self.dismiss(now, host, ix, a.waited);
+            return self.dismiss(now, host, ix, longest);
         }
         let delay = self.ledger.delay_left(now, account);
         if delay > Duration::ZERO && self.pressed(goal, a.waited) {
@@ -680,7 +690,8 @@
     /// The final answer to a ticket that never ran.
     fn dismiss(&mut self, now: Duration, host: &mut dyn Host, ix: usize, come_back: Duration) {
         let t = self.tickets[ix].as_mut().expect("a ticket in hand");
-        let nowhere_else = t.again && !self.health.sick && self.voice.leaving.is_none();
+        let full = t.again || (self.busy && self.voice.fleet_full());
+        let nowhere_else = full && !self.health.sick && self.voice.leaving.is_none();
         if t.kept.is_some_and(|until| until > now) {
             host.forget(ix);
         }
