--- a/src/choice.rs
+++ b/src/choice.rs
@@ -79,7 +79,7 @@
 const HUNG_RUNS: f64 = 5.0;
 const HUNG_LEAST: Duration = ms(1_500);
 /// Share of further tries among arrivals from which other nodes are taken to be full too.
-const AGAIN: f64 = 0.25;
+const AGAIN: f64 = 0.12;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = ms(500);
 
