--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,7 +1,7 @@
 //! One message at a time: events into calls, orders into actions.
 
 use rainstand::{
-    Arrival, Below, Gauges, Host, Ledger, Limit, Node, Outcome, Repeat, Repeats, Room, Say, TrafficType,
+    Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node, Outcome, Repeat, Repeats, Say, TrafficType,
     Voice,
 };
 use serde_json::{Map, Value};
@@ -140,18 +140,19 @@
         let cores = whole(family, "cores")? as usize;
         let factor = number(duties, "overloadFactor")?;
         let by_work = facts.get("countedBy").and_then(Value::as_str) == Some("work");
-        let node = Node::new(
-            (types, by_work),
+        let hand = Hand::new(
+            number(family, "ramKb")?,
+            number(family, "runMemFactor")?,
+            optional(family, "entryKb")?.unwrap_or(0.0),
+        );
+        let parts = (
             Ledger::new(&quotas, servers),
             Limit::new(seed, cores, factor, cold),
-            Room::new(
-                number(family, "ramKb")?,
-                number(family, "runMemFactor")?,
-                optional(family, "entryKb")?.unwrap_or(0.0),
-            ),
+            hand,
             Below::new(share),
             Voice::new(say, longest, span(duties, "drainGraceS")?, marked),
         );
+        let node = Node::new(types, by_work, parts);
         let door = Door {
             name,
             can_stop: family.get("halt").and_then(Value::as_str) != Some("off"),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,9 +16,10 @@
 //! 6. leaving: what arrives past the grace is not run, all else is answered before the kill.
 
 use crate::decay::{Decaying, Mean};
+use crate::hand::{Hand, Stage, Ticket};
 use crate::ticket::{Arrival, Gauges, Host, Outcome, Repeat, Repeats, Say, TrafficType};
 use nanorand::{Rng, WyRand};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 const fn ms(n: u64) -> Duration {
@@ -83,8 +84,6 @@
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = ms(500);
 
-type Next = Box<dyn FnOnce(&mut Node, Duration, &mut dyn Host, usize, Outcome)>;
-
 /// What each tenant spent, and what it may: the design's quota.
 pub struct Ledger {
     quotas: Vec<f64>,
@@ -133,10 +132,6 @@
     fn delay_left(&self, now: Duration, account: usize) -> Duration {
         self.until[account].saturating_sub(now)
     }
-
-    fn mean(&self) -> f64 {
-        self.charge.read().unwrap_or(0.0)
-    }
 }
 
 /// How many may run at once: the learned limit under the crowd that a node survives.
@@ -157,10 +152,9 @@
 impl Limit {
     /// `factor`: survived tickets a core when warm; `cold`: born at, share of speed then, full after.
     pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
-        let (pay, chance) = ([Mean::default(); STEPS.len()], WyRand::new_seed(seed));
-        let (round, climbed) = (Duration::ZERO, Duration::ZERO);
-        let (ends, whole_round) = (0, false);
-        Self { cores, factor, cold, arm: 0, survived: 0, pay, round, ends, whole_round, climbed, chance }
+        let (chance, pay, zero) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()], Duration::ZERO);
+        let (arm, survived, ends, whole_round, round, climbed) = (0, 0, 0, false, zero, zero);
+        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, climbed, chance }
     }
 
     /// Guards against dying of the crowd; while cold the slowest warming allowed is assumed.
@@ -176,7 +170,8 @@
         ((self.cores as f64 * STEPS[self.arm]).round() as usize).min(self.ceiling(now))
     }
 
-    fn beat(&mut self, now: Duration, gauges: Gauges, full: bool, holding: bool) {
+    fn beat(&mut self, now: Duration, gauges: Gauges, running: usize, holding: bool) {
+        let full = running >= self.allowed(now);
         self.whole_round &= full && holding;
         let idle = gauges.cores_busy.is_some_and(|busy| busy < BUSY);
         let highest = (self.survived + 1).min(STEPS.len() - 1);
@@ -217,30 +212,8 @@
     }
 }
 
-/// The memory that held and running tickets and kept entries share.
-pub struct Room {
-    memory_kb: f64,
-    run_factor: f64,
-    entry_kb: f64,
-    used: f64,
-    entries: BTreeSet<(Duration, usize)>,
-}
-
-impl Room {
-    pub fn new(memory_kb: f64, run_factor: f64, entry_kb: f64) -> Self {
-        Self { memory_kb, run_factor, entry_kb, used: 0.0, entries: BTreeSet::new() }
-    }
-
-    fn takes(&mut self, now: Duration, more_kb: f64) -> bool {
-        while self.entries.first().is_some_and(|e| e.0 < now) {
-            self.entries.pop_first();
-        }
-        let kept = self.entries.len() as f64 * self.entry_kb;
-        self.used + kept + more_kb <= self.memory_kb * SAFE
-    }
-}
-
 /// The pace of calls below, and this node's part of what they all may load there.
+#[derive(Default)]
 pub struct Below {
     share: Option<(f64, Duration, Duration)>,
     rate: f64,
@@ -257,10 +230,7 @@
     /// `share`: where all nodes share what lies below, this node's calls at once, the window of that
     /// mean, and how long a call given up stays there.
     pub fn new(share: Option<(f64, Duration, Duration)>) -> Self {
-        let (recent, usual) = (Mean::default(), Mean::default());
-        let (rate, saved, at) = (PACE_FLOOR * 4.0, PACE_FLOOR, Duration::ZERO);
-        let (out, abandoned, busy) = (0, VecDeque::new(), Decaying::default());
-        Self { share, rate, saved, at, recent, usual, out, abandoned, busy }
+        Self { share, rate: PACE_FLOOR * 4.0, saved: PACE_FLOOR, ..Self::default() }
     }
 
     fn may(&mut self, now: Duration) -> bool {
@@ -376,40 +346,15 @@
 }
 
 /// One traffic type's line, a queue for each account.
+#[derive(Clone)]
 struct Line {
     queues: Vec<VecDeque<usize>>,
     passed: f64,
     run: Mean,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    Held,
-    Reusing,
-    Running,
-    Standing,
-    Calling,
-}
-
-struct Ticket {
-    traffic: usize,
-    account: usize,
-    arrived: Duration,
-    due: Duration,
-    kb: f64,
-    hint: Option<Duration>,
-    again: bool,
-    stage: Stage,
-    ran: bool,
-    answered: bool,
-    alarm: Duration,
-    kept: Option<Duration>,
-    call_since: Duration,
-    call_waits: Duration,
-    call_tries: u32,
-    after_run: Option<Next>,
-    after_call: Option<Next>,
-}
+/// What a node is made of, each part from its own few settings.
+pub type Parts = (Ledger, Limit, Hand<Node>, Below, Voice);
 
 /// The decisions of one node.
 pub struct Node {
@@ -417,66 +362,36 @@
     by_work: bool,
     ledger: Ledger,
     limit: Limit,
-    room: Room,
+    hand: Hand<Node>,
     below: Below,
     voice: Voice,
     health: Health,
     lines: Vec<Line>,
-    tickets: Vec<Option<Ticket>>,
-    alarms: BTreeSet<(Duration, usize)>,
     standing: VecDeque<usize>,
-    held: usize,
-    running: usize,
-    at_calls: usize,
     busy: bool,
     stalled: Duration,
-    next_beat: Option<Duration>,
+    next_beat: Duration,
 }
 
 impl Node {
-    pub fn new(
-        (types, by_work): (Vec<TrafficType>, bool),
-        ledger: Ledger,
-        limit: Limit,
-        room: Room,
-        below: Below,
-        voice: Voice,
-    ) -> Self {
-        let line = || {
-            let queues = vec![VecDeque::new(); ledger.spent.len()];
-            Line { queues, passed: 0.0, run: Mean::default() }
+    /// `by_work`: benefit is counted for each unit of work.
+    pub fn new(types: Vec<TrafficType>, by_work: bool, parts: Parts) -> Self {
+        let (ledger, limit, hand, below, voice) = parts;
+        let queues = vec![VecDeque::new(); ledger.spent.len()];
+        let lines = vec![Line { queues, passed: 0.0, run: Mean::default() }; types.len()];
+        let (health, standing, busy) = (Health::default(), VecDeque::new(), false);
+        let (stalled, next_beat) = (Duration::ZERO, Duration::MAX);
+        #[rustfmt::skip]
+        return Self {
+            types, by_work, ledger, limit, hand, below, voice, health, lines, standing, busy, stalled, next_beat,
         };
-        let lines = types.iter().map(|_| line()).collect();
-        let (tickets, alarms, standing) = (Vec::new(), BTreeSet::new(), VecDeque::new());
-        let (held, running, at_calls, busy) = (0, 0, 0, false);
-        let (health, stalled, next_beat) = (Health::default(), Duration::ZERO, None);
-        Self {
-            types,
-            by_work,
-            ledger,
-            limit,
-            room,
-            below,
-            voice,
-            health,
-            lines,
-            tickets,
-            alarms,
-            standing,
-            held,
-            running,
-            at_calls,
-            busy,
-            stalled,
-            next_beat,
-        }
-    }
-
-    /// The first call: asks for the first wake-up and has checks answered from store.
+    }
+
+    /// The first call: checks are answered from store, and the first wake-up is asked for.
     pub fn begin(&mut self, now: Duration, host: &mut dyn Host) {
         host.checks(true);
         host.wake(BEAT);
-        self.next_beat = Some(now + BEAT);
+        self.next_beat = now + BEAT;
         self.limit.start_round(now);
     }
 
@@ -484,61 +399,33 @@
         let kind = &self.types[a.traffic];
         let (repeats, goal) = (kind.repeats, kind.goal_time);
         let arrived = now.saturating_sub(a.waited);
-        let mut due = a.patience.map_or(arrived + kind.outer_limit, |p| now + p);
-        if let Some((_, kill)) = self.voice.leaving {
-            due = due.min(kill);
-        }
-        self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
+        let due = a.patience.map_or((arrived + kind.outer_limit).max(now), |left| now + left);
+        let due = self.voice.leaving.map_or(due, |(_, kill)| due.min(kill));
         let account = self.ledger.account(a.tenant);
-        let t = Ticket {
-            traffic: a.traffic,
-            account,
-            arrived,
-            due,
-            kb: a.held_kb,
-            hint: a.hint,
-            again: a.again,
-            stage: Stage::Held,
-            ran: false,
-            answered: false,
-            alarm: Duration::MAX,
-            kept: None,
-            call_since: now,
-            call_waits: Duration::ZERO,
-            call_tries: 0,
-            after_run: None,
-            after_call: None,
-        };
-        if self.tickets.len() <= ix {
-            self.tickets.resize_with(ix + 1, || None);
-        }
-        self.room.used += t.kb;
-        self.tickets[ix] = Some(t);
+        self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
+        let mut t = Ticket::new(a.traffic, account, arrived, due, a.held_kb);
+        (t.hint, t.again) = (a.hint, a.again);
+        self.hand.put(ix, t);
         if let Repeats::Ticketed(window) = repeats {
             if a.repeat != Repeat::No {
                 // Guards against a second effect: a repeat takes the first try's result, never a run.
-                let t = self.ticket(ix);
-                t.stage = Stage::Reusing;
-                t.after_run = Some(Box::new(Node::reuse_ended));
+                self.hand.move_to(ix, Stage::Reusing);
+                self.hand.at(ix).after_run = Some(Box::new(|node, _, host, ix, _| node.close(host, ix)));
                 host.reuse(ix);
-                self.set_alarm(ix, due.saturating_sub(MARGIN));
-                self.sound(now, host);
-                return;
+                self.hand.set_alarm(ix, Some(due.saturating_sub(MARGIN)));
+                return self.sound(now, host);
             }
             let span = (window + KEEP_MORE).saturating_sub(a.waited);
             host.keep(ix, span);
-            self.ticket(ix).kept = Some(now + span);
-            self.room.entries.insert((now + span, ix));
+            self.hand.keep(ix, now + span);
         }
-        self.held += 1;
-        let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
         let longest = self.voice.longest;
+        let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
         if due <= now + MARGIN || too_late || !self.health.lets_through(now) {
             return self.dismiss(now, host, ix, longest);
         }
         // Guards against working off a backlog that piled up unread: answers would all be late.
-        let run = Duration::from_secs_f64(self.usual_run(a.traffic));
-        if self.busy && now + run > arrived + goal {
+        if self.busy && now + self.usual_run(a.traffic) > arrived + goal {
             return self.dismiss(now, host, ix, longest);
         }
         let delay = self.ledger.delay_left(now, account);
@@ -546,51 +433,41 @@
             return self.dismiss(now, host, ix, delay);
         }
         self.lines[a.traffic].queues[account].push_back(ix);
-        self.set_alarm(ix, (arrived + goal.mul_f64(HOLD)).min(due.saturating_sub(MARGIN)));
+        self.hand.set_alarm(ix, Some((arrived + goal.mul_f64(HOLD)).min(due.saturating_sub(MARGIN))));
         self.shed(now, host);
         self.fill(now, host);
     }
 
+    /// A run or a reuse is over.
     pub fn ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, outcome: Outcome) {
-        if let Some(next) = self.tickets[ix].as_mut().and_then(|t| t.after_run.take()) {
+        if let Some(next) = self.hand.get(ix).and_then(|t| t.after_run.take()) {
             next(self, now, host, ix, outcome);
         }
         self.fill(now, host);
     }
 
     pub fn at_call(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
-        if self.tickets[ix].as_ref().is_none_or(|t| t.stage != Stage::Running) {
-            return;
+        if let Some(t) = self.hand.get(ix).filter(|t| t.stage == Stage::Running && !t.answered) {
+            (t.call_since, t.call_tries) = (now, 0);
+            self.hand.move_to(ix, Stage::Standing);
+            self.standing.push_back(ix);
+            let until = self.call_until(ix);
+            self.hand.set_alarm(ix, Some(until));
         }
-        self.running -= 1;
-        self.at_calls += 1;
-        let t = self.ticket(ix);
-        t.stage = Stage::Standing;
-        t.call_since = now;
-        t.call_tries = 0;
-        self.standing.push_back(ix);
-        let standing_until = self.call_until(ix);
-        self.set_alarm(ix, standing_until);
         self.fill(now, host);
     }
 
     pub fn call_ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, outcome: Outcome) {
-        if let Some(next) = self.tickets[ix].as_mut().and_then(|t| t.after_call.take()) {
+        if let Some(next) = self.hand.get(ix).and_then(|t| t.after_call.take()) {
             next(self, now, host, ix, outcome);
         }
         self.fill(now, host);
     }
 
+    /// The caller has left: nothing is owed.
     pub fn gone(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
-        let Some(t) = self.tickets[ix].as_mut() else { return };
-        t.answered = true;
-        match t.stage {
-            Stage::Held | Stage::Reusing => self.close(host, ix),
-            Stage::Running => host.take_off(ix),
-            Stage::Standing | Stage::Calling => {}
-        }
-        if self.tickets[ix].is_some() {
-            self.set_alarm(ix, Duration::MAX);
+        if self.hand.get(ix).is_some() {
+            self.done_with(host, ix);
         }
         self.fill(now, host);
     }
@@ -599,150 +476,119 @@
         let kill = now + kill_in.saturating_sub(MARGIN);
         self.voice.leaving = Some((now, kill));
         self.voice.keep_away(host, true);
-        for ix in 0..self.tickets.len() {
-            let Some(t) = self.tickets[ix].as_mut() else { continue };
-            t.due = t.due.min(kill);
-            let alarm = t.alarm.min(kill.saturating_sub(MARGIN));
-            if !t.answered {
-                self.set_alarm(ix, alarm);
-            }
-        }
+        self.hand.none_later(kill, kill.saturating_sub(MARGIN));
+        self.sound(now, host);
     }
 
     pub fn woken(&mut self, now: Duration, host: &mut dyn Host, gauges: Gauges) {
-        // A whole-process stall shows as a late wake-up; no run is charged for it.
-        let late = now.saturating_sub(self.next_beat.unwrap_or(now));
+        // Guards against charging, or taking for hung, runs that stood still with the whole process.
+        let late = now.saturating_sub(self.next_beat);
         if late > BEAT {
             self.stalled += late;
             self.health.last_end += late;
         }
-        self.next_beat = Some(now + BEAT);
+        self.next_beat = now + BEAT;
         host.wake(BEAT);
         self.busy = gauges.cores_busy.is_none_or(|busy| busy >= BUSY);
-        let full = self.running >= self.limit.allowed(now);
-        self.limit.beat(now, gauges, full, self.held > 0);
-        let usual =
-            Duration::from_secs_f64((0..self.lines.len()).map(|k| self.usual_run(k)).fold(0.0, f64::max));
-        self.health.look(now, self.running > 0, usual);
+        let (held, running) = (self.hand.count(Stage::Held), self.hand.count(Stage::Running));
+        self.limit.beat(now, gauges, running, held > 0);
+        let usual = (0..self.lines.len()).map(|k| self.usual_run(k)).max().unwrap_or_default();
+        self.health.look(now, running > 0, usual);
         self.voice.keep_away(host, self.health.sick || self.voice.leaving.is_some());
         self.sound(now, host);
         self.fill(now, host);
     }
 
-    fn ticket(&mut self, ix: usize) -> &mut Ticket {
-        self.tickets[ix].as_mut().expect("a ticket in hand")
-    }
-
-    fn set_alarm(&mut self, ix: usize, at: Duration) {
-        let t = self.tickets[ix].as_mut().expect("a ticket in hand");
-        self.alarms.remove(&(t.alarm, ix));
-        t.alarm = at;
-        if at < Duration::MAX {
-            self.alarms.insert((at, ix));
-        }
-    }
-
-    /// Seconds a run of this type usually takes, all waits included.
-    fn usual_run(&self, traffic: usize) -> f64 {
-        self.lines[traffic].run.read().unwrap_or(0.0)
+    /// How long a run of this type usually takes, all waits included.
+    fn usual_run(&self, traffic: usize) -> Duration {
+        Duration::from_secs_f64(self.lines[traffic].run.read().unwrap_or(0.0))
     }
 
-    /// Seconds until the cores have worked off what is held.
-    fn wait(&self) -> f64 {
-        self.held as f64 * self.ledger.mean() / self.limit.cores.max(1) as f64
+    /// How long until the cores have worked off what is held.
+    fn wait(&self) -> Duration {
+        let charge = self.ledger.charge.read().unwrap_or(0.0);
+        let held = self.hand.count(Stage::Held) as f64;
+        Duration::from_secs_f64(held * charge / self.limit.cores.max(1) as f64)
     }
 
     /// Work is held, here or still unread, and the cores gauge reads busy.
     fn pressed(&self, goal: Duration, unread: Duration) -> bool {
-        self.busy && self.wait() + unread.as_secs_f64() > goal.as_secs_f64() * PRESSED
+        self.busy && self.wait() + unread > goal.mul_f64(PRESSED)
     }
 
     /// Rings every alarm that is due: no ticket is lost, whatever keeps it.
     fn sound(&mut self, now: Duration, host: &mut dyn Host) {
-        while let Some(&(at, ix)) = self.alarms.first().filter(|(at, _)| *at <= now) {
-            self.alarms.remove(&(at, ix));
-            let poorer = self.poorer(ix);
-            let t = self.ticket(ix);
-            t.alarm = Duration::MAX;
-            let due = t.due.saturating_sub(MARGIN);
-            match t.stage {
+        while let Some(ix) = self.hand.ring(now) {
+            let t = self.hand.at(ix);
+            let (stage, due) = (t.stage, t.due.saturating_sub(MARGIN));
+            let poorer = self.types[t.traffic].poorer > 0.0;
+            match stage {
                 Stage::Held => {
-                    let wait = Duration::from_secs_f64(self.wait());
+                    let wait = self.wait();
                     self.dismiss(now, host, ix, wait);
                 }
-                Stage::Standing if now < due && poorer > 0.0 => {
-                    self.leave_call_out(now, host, ix);
-                }
-                Stage::Standing | Stage::Calling if now < due => self.set_alarm(ix, due),
-                stage => {
-                    t.answered = true;
-                    host.give_up(ix);
-                    match stage {
-                        Stage::Reusing => self.close(host, ix),
-                        Stage::Running => host.take_off(ix),
-                        _ => {}
-                    }
-                }
+                Stage::Standing if now < due && poorer => self.leave_call_out(now, host, ix),
+                Stage::Standing | Stage::Calling if now < due => self.hand.set_alarm(ix, Some(due)),
+                _ => self.give_up(host, ix),
             }
         }
     }
 
+    /// The final error to a ticket that may have run.
+    fn give_up(&mut self, host: &mut dyn Host, ix: usize) {
+        host.give_up(ix);
+        self.done_with(host, ix);
+    }
+
+    /// Nothing is owed any more: frees what can be freed now, the rest when its end comes.
+    fn done_with(&mut self, host: &mut dyn Host, ix: usize) {
+        self.hand.set_alarm(ix, None);
+        self.hand.at(ix).answered = true;
+        match self.hand.at(ix).stage {
+            Stage::Held | Stage::Reusing => self.close(host, ix),
+            Stage::Running => host.take_off(ix),
+            Stage::Standing => self.standing.retain(|&other| other != ix),
+            Stage::Calling => {}
+        }
+    }
+
     /// The final answer to a ticket that never ran.
     fn dismiss(&mut self, now: Duration, host: &mut dyn Host, ix: usize, come_back: Duration) {
-        let t = self.tickets[ix].as_mut().expect("a ticket in hand");
-        let full = t.again || (self.busy && self.voice.fleet_full());
+        let full = self.hand.at(ix).again || (self.busy && self.voice.fleet_full());
         let nowhere_else = full && !self.health.sick && self.voice.leaving.is_none();
-        if t.kept.is_some_and(|until| until > now) {
+        if self.hand.forget(now, ix) {
             host.forget(ix);
         }
-        if let Some(until) = t.kept.take() {
-            self.room.entries.remove(&(until, ix));
-        }
         host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
         self.close(host, ix);
     }
 
     /// Takes a ticket out of all books; its index goes back.
     fn close(&mut self, host: &mut dyn Host, ix: usize) {
-        self.set_alarm(ix, Duration::MAX);
-        let t = self.tickets[ix].take().expect("a ticket in hand");
-        match t.stage {
-            Stage::Held => {
-                self.held -= 1;
-                self.lines[t.traffic].queues[t.account].retain(|&other| other != ix);
-            }
-            Stage::Reusing => {}
-            Stage::Running => self.running -= 1,
-            Stage::Standing => {
-                self.at_calls -= 1;
-                self.standing.retain(|&other| other != ix);
+        if let Some(t) = self.hand.take(ix) {
+            match t.stage {
+                Stage::Held => self.lines[t.traffic].queues[t.account].retain(|&other| other != ix),
+                Stage::Standing => self.standing.retain(|&other| other != ix),
+                _ => {}
             }
-            Stage::Calling => self.at_calls -= 1,
+            host.over(ix);
         }
-        self.room.used -= t.kb * if t.ran { self.room.run_factor } else { 1.0 };
-        host.over(ix);
     }
 
     /// Sends away the newest of the worst overspender while the hold is over its bounds.
     fn shed(&mut self, now: Duration, host: &mut dyn Host) {
+        let goal = self.types.iter().map(|k| k.goal_time).min().unwrap_or_default();
         loop {
-            let short = !self.room.takes(now, 0.0);
-            let goal = self.types.iter().map(|k| k.goal_time).min().unwrap_or_default();
-            let long = self.busy && self.wait() > goal.as_secs_f64() * HOLD;
-            let waiting = |n: &Self, a: usize| n.lines.iter().any(|l| !l.queues[a].is_empty());
-            let worst = (0..self.ledger.spent.len())
-                .filter(|&a| waiting(self, a))
-                .map(|a| (self.ledger.over(now, a), a))
-                .max_by(|a, b| a.0.total_cmp(&b.0));
+            let short = self.hand.memory_with(now, None) > SAFE;
+            let long = self.busy && self.wait() > goal.mul_f64(HOLD);
+            let accounts = 0..self.ledger.spent.len();
+            let waiting = accounts.filter(|&a| self.lines.iter().any(|l| !l.queues[a].is_empty()));
+            let overs = waiting.map(|a| (self.ledger.over(now, a), a));
+            let worst = overs.max_by(|a, b| a.0.total_cmp(&b.0));
             let Some((over, account)) = worst.filter(|w| short || (long && w.0 > 1.0)) else { return };
-            let queue = |l: &Line| l.queues[account].back().copied();
-            let newest = self
-                .lines
-                .iter()
-                .filter_map(queue)
-                .max_by_key(|&ix| self.tickets[ix].as_ref().map(|t| t.arrived));
+            let newest = self.lines.iter().filter_map(|l| l.queues[account].back().copied());
+            let Some(ix) = newest.max_by_key(|&ix| self.hand.at(ix).arrived) else { return };
             let delay = self.ledger.delay_left(now, account);
-            let Some(ix) = newest else { return };
             self.dismiss(now, host, ix, if over > 1.0 { delay } else { self.voice.longest });
         }
     }
@@ -750,53 +596,44 @@
     /// Starts what may start: tenants within their share first, lines by turns.
     fn fill(&mut self, now: Duration, host: &mut dyn Host) {
         self.make_calls(now, host);
-        while self.held > 0 && self.running < self.limit.allowed(now) {
-            if self.running + self.at_calls >= self.limit.ceiling(now) {
+        while self.hand.count(Stage::Held) > 0 && self.hand.count(Stage::Running) < self.limit.allowed(now) {
+            let out = self.hand.count(Stage::Standing) + self.hand.count(Stage::Calling);
+            if self.hand.count(Stage::Running) + out >= self.limit.ceiling(now) {
                 return;
             }
             let overs: Vec<f64> = (0..self.ledger.spent.len()).map(|a| self.ledger.over(now, a)).collect();
-            let mut best: Option<(bool, f64, usize, usize)> = None;
-            for (k, line) in self.lines.iter().enumerate() {
+            let heads = self.lines.iter().enumerate().filter_map(|(k, line)| {
                 let waiting = (0..overs.len()).filter(|&a| !line.queues[a].is_empty());
-                let Some(a) = waiting.min_by(|&a, &b| overs[a].total_cmp(&overs[b])) else { continue };
-                let key = (overs[a] > 1.0, line.passed, k, a);
-                if best.is_none_or(|b| (key.0, key.1) < (b.0, b.1)) {
-                    best = Some(key);
-                }
-            }
-            let Some((_, passed, k, a)) = best else { return };
+                let a = waiting.min_by(|&a, &b| overs[a].total_cmp(&overs[b]))?;
+                Some((overs[a] > 1.0, line.passed, k, a))
+            });
+            let next = heads.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let Some((_, passed, k, a)) = next else { return };
             let Some(&ix) = self.lines[k].queues[a].front() else { return };
-            let kb = self.ticket(ix).kb;
-            if !self.room.takes(now, kb * (self.room.run_factor - 1.0)) {
+            if self.hand.memory_with(now, Some(ix)) > SAFE {
                 return;
             }
-            let behind = passed - 1.0;
             for line in &mut self.lines {
-                line.passed = line.passed.max(behind);
+                line.passed = line.passed.max(passed - 1.0);
             }
             self.start(now, host, ix);
         }
     }
 
     fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
-        let factor = self.room.run_factor;
         let stalled = self.stalled;
-        let t = self.tickets[ix].as_mut().expect("a ticket in hand");
+        self.hand.move_to(ix, Stage::Running);
+        let t = self.hand.at(ix);
+        t.after_run = Some(Box::new(move |node, at, host, ix, end| {
+            node.run_ended(at, host, ix, end, [now, stalled]);
+        }));
         let line = &mut self.lines[t.traffic];
         line.queues[t.account].retain(|&other| other != ix);
-        let mean = line.run.read().unwrap_or(1.0);
-        let size = t.hint.map_or(mean, |h| h.as_secs_f64());
-        line.passed += if self.by_work { size } else { 1.0 } / self.types[t.traffic].benefit.max(1e-9);
-        self.room.used += t.kb * (factor - 1.0);
-        t.stage = Stage::Running;
-        t.ran = true;
-        t.after_run = Some(Box::new(move |node, at, host, ix, outcome| {
-            node.run_ended(at, host, ix, outcome, (now, stalled));
-        }));
+        let size = t.hint.map_or(line.run.read().unwrap_or(1.0), |hint| hint.as_secs_f64());
+        let turn = if self.by_work { size } else { 1.0 };
+        line.passed += turn / self.types[t.traffic].benefit.max(f64::MIN_POSITIVE);
         let due = t.due.saturating_sub(MARGIN);
-        self.held -= 1;
-        self.running += 1;
-        self.set_alarm(ix, due);
+        self.hand.set_alarm(ix, Some(due));
         host.run(ix);
     }
 
@@ -805,129 +642,99 @@
         now: Duration,
         host: &mut dyn Host,
         ix: usize,
-        outcome: Outcome,
-        (begun, stalled): (Duration, Duration),
+        end: Outcome,
+        since: [Duration; 2],
     ) {
-        let t = self.tickets[ix].as_ref().expect("a ticket in hand");
-        let standing = matches!(t.stage, Stage::Standing | Stage::Calling);
-        let calls = t.call_waits + if standing { now.saturating_sub(t.call_since) } else { Duration::ZERO };
-        let (traffic, account, calling) = (t.traffic, t.account, t.stage == Stage::Calling);
-        if !t.answered && outcome == Outcome::Stopped {
+        let [begun, stalled] = since;
+        let running = self.hand.count(Stage::Running).max(1);
+        let t = self.hand.at(ix);
+        let call = now.saturating_sub(t.call_since);
+        let calls = match t.stage {
+            Stage::Standing | Stage::Calling => t.call_waits + call,
+            _ => t.call_waits,
+        };
+        if end == Outcome::Stopped && !t.answered {
             // Taken off by no order of ours: it ran, so only an error is left.
             host.give_up(ix);
         }
-        if calling {
-            self.below.ended(now, calls, Outcome::Stopped);
+        if t.stage == Stage::Calling {
+            self.below.ended(now, call, Outcome::Stopped);
         }
-        if outcome != Outcome::Moot {
+        if end != Outcome::Moot {
             let run = now.saturating_sub(begun + calls + (self.stalled - stalled)).as_secs_f64();
-            let part = (self.limit.cores as f64 / self.running.max(1) as f64).min(1.0);
-            self.ledger.bill(now, account, run * part);
+            let part = (self.limit.cores as f64 / running as f64).min(1.0);
+            self.ledger.bill(now, t.account, run * part);
         }
-        if matches!(outcome, Outcome::Done | Outcome::Erred) {
-            self.health.ended(now, outcome == Outcome::Erred);
+        if matches!(end, Outcome::Done | Outcome::Erred) {
+            self.health.ended(now, end == Outcome::Erred);
         }
-        if outcome == Outcome::Done {
+        if end == Outcome::Done {
             self.limit.ends += 1;
-            self.lines[traffic].run.add(now, now.saturating_sub(begun).as_secs_f64(), MEAN_SPAN);
+            let run = now.saturating_sub(begun).as_secs_f64();
+            self.lines[t.traffic].run.add(now, run, MEAN_SPAN);
         }
         self.close(host, ix);
     }
 
-    fn reuse_ended(&mut self, _: Duration, host: &mut dyn Host, ix: usize, _: Outcome) {
-        self.close(host, ix);
-    }
-
-    fn poorer(&mut self, ix: usize) -> f64 {
-        let traffic = self.ticket(ix).traffic;
-        self.types[traffic].poorer
-    }
-
     /// The latest a call may take: where a poorer answer is worth something, in time for the goal time.
     fn call_until(&mut self, ix: usize) -> Duration {
-        let poorer = self.poorer(ix) > 0.0;
-        let t = self.tickets[ix].as_ref().expect("a ticket in hand");
-        let rest = Duration::from_secs_f64(self.usual_run(t.traffic) * AFTER_CALL);
-        let goal = (t.arrived + self.types[t.traffic].goal_time).saturating_sub(rest);
-        let due = t.due.saturating_sub(MARGIN);
-        if poorer {
-            goal.min(due)
-        } else {
-            due
+        let t = self.hand.at(ix);
+        let (arrived, due, kind) = (t.arrived, t.due.saturating_sub(MARGIN), t.traffic);
+        if self.types[kind].poorer == 0.0 {
+            return due;
         }
+        let rest = self.usual_run(kind).mul_f64(AFTER_CALL);
+        (arrived + self.types[kind].goal_time).saturating_sub(rest).min(due)
     }
 
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
-        while let Some(&ix) = self.standing.front() {
-            if !self.below.may(now) {
-                return;
-            }
-            self.standing.pop_front();
+        while !self.standing.is_empty() && self.below.may(now) {
+            let Some(ix) = self.standing.pop_front() else { return };
             let until = self.call_until(ix);
-            let t = self.ticket(ix);
-            if t.answered {
-                continue;
-            }
+            self.hand.move_to(ix, Stage::Calling);
+            let t = self.hand.at(ix);
             let due = t.due.saturating_sub(MARGIN);
-            t.stage = Stage::Calling;
             t.call_tries += 1;
-            t.after_call = Some(Box::new(move |node, at, host, ix, outcome| {
-                node.call_came_back(at, host, ix, outcome, now);
+            t.after_call = Some(Box::new(move |node, at, host, ix, end| {
+                node.call_back(at, host, ix, end, now);
             }));
-            self.set_alarm(ix, due);
+            self.hand.set_alarm(ix, Some(due));
             self.below.made();
             host.call(ix, until.max(now + BEAT).min(due));
         }
     }
 
-    fn call_came_back(
-        &mut self,
-        now: Duration,
-        host: &mut dyn Host,
-        ix: usize,
-        outcome: Outcome,
-        made: Duration,
-    ) {
-        self.below.ended(now, now.saturating_sub(made), outcome);
+    fn call_back(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome, made: Duration) {
+        self.below.ended(now, now.saturating_sub(made), end);
         let until = self.call_until(ix);
-        let poorer = self.poorer(ix) > 0.0;
-        let traffic = self.ticket(ix).traffic;
-        let repeats = self.types[traffic].repeats;
-        let t = self.ticket(ix);
-        if outcome == Outcome::Done {
-            t.stage = Stage::Running;
+        let t = self.hand.at(ix);
+        let kind = &self.types[t.traffic];
+        // Guards against a second effect below: only a call proved not run is made again.
+        let again = end.never_ran() || kind.repeats == Repeats::Rerunnable;
+        let (again, poorer) = (again && t.call_tries < CALL_TRIES && now < until, kind.poorer > 0.0);
+        if end == Outcome::Done {
             t.call_waits += now.saturating_sub(t.call_since);
-            self.at_calls -= 1;
-            self.running += 1;
-            return;
-        }
-        t.stage = Stage::Standing;
-        if t.answered {
-            return;
+            return self.hand.move_to(ix, Stage::Running);
         }
-        // Guards against a second effect below: only a call proved not run is made again.
-        let again = outcome.never_ran() || repeats == Repeats::Rerunnable;
-        if again && t.call_tries < CALL_TRIES && now < until {
+        self.hand.move_to(ix, Stage::Standing);
+        if self.hand.at(ix).answered {
+        } else if again {
             self.standing.push_back(ix);
-            self.set_alarm(ix, until);
+            self.hand.set_alarm(ix, Some(until));
         } else if poorer {
             self.leave_call_out(now, host, ix);
         } else {
-            t.answered = true;
-            self.set_alarm(ix, Duration::MAX);
-            host.give_up(ix);
+            self.give_up(host, ix);
         }
     }
 
     fn leave_call_out(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         self.standing.retain(|&other| other != ix);
-        let t = self.ticket(ix);
-        t.stage = Stage::Running;
+        self.hand.move_to(ix, Stage::Running);
+        let t = self.hand.at(ix);
         t.call_waits += now.saturating_sub(t.call_since);
         let due = t.due.saturating_sub(MARGIN);
-        self.at_calls -= 1;
-        self.running += 1;
-        self.set_alarm(ix, due);
+        self.hand.set_alarm(ix, Some(due));
         host.answer_poorer(ix);
     }
 }
--- /dev/null
+++ b/src/hand.rs
@@ -0,0 +1,179 @@
+//! The tickets in hand: their stages, their alarms and the memory they take.
+
+use crate::ticket::{Host, Outcome};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// What a step leaves behind: what to do with its result.
+pub type Next<N> = Box<dyn FnOnce(&mut N, Duration, &mut dyn Host, usize, Outcome)>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// In a line, not started.
+    Held,
+    /// Waits on the result of the ticket that it repeats.
+    Reusing,
+    /// On the cores, or at a disk wait nobody tells of.
+    Running,
+    /// At a call that is not made yet.
+    Standing,
+    /// At a call that is out.
+    Calling,
+}
+
+pub struct Ticket<N> {
+    pub traffic: usize,
+    pub account: usize,
+    pub arrived: Duration,
+    pub due: Duration,
+    pub kb: f64,
+    pub hint: Option<Duration>,
+    pub again: bool,
+    pub stage: Stage,
+    pub ran: bool,
+    pub answered: bool,
+    pub kept: Option<Duration>,
+    pub call_since: Duration,
+    pub call_waits: Duration,
+    pub call_tries: u32,
+    pub after_run: Option<Next<N>>,
+    pub after_call: Option<Next<N>>,
+    alarm: Option<Duration>,
+}
+
+impl<N> Ticket<N> {
+    pub fn new(traffic: usize, account: usize, arrived: Duration, due: Duration, kb: f64) -> Self {
+        Self {
+            traffic,
+            account,
+            arrived,
+            due,
+            kb,
+            hint: None,
+            again: false,
+            stage: Stage::Held,
+            ran: false,
+            answered: false,
+            kept: None,
+            call_since: arrived,
+            call_waits: Duration::ZERO,
+            call_tries: 0,
+            after_run: None,
+            after_call: None,
+            alarm: None,
+        }
+    }
+}
+
+/// All tickets in hand, by their small indices.
+pub struct Hand<N> {
+    tickets: Vec<Option<Ticket<N>>>,
+    alarms: BTreeSet<(Duration, usize)>,
+    entries: BTreeSet<(Duration, usize)>,
+    counts: [usize; 5],
+    used_kb: f64,
+    memory_kb: f64,
+    run_factor: f64,
+    entry_kb: f64,
+}
+
+impl<N> Hand<N> {
+    /// The memory all share, what running takes over holding, what a kept entry takes.
+    pub fn new(memory_kb: f64, run_factor: f64, entry_kb: f64) -> Self {
+        let (tickets, alarms, entries) = (Vec::new(), BTreeSet::new(), BTreeSet::new());
+        Self { tickets, alarms, entries, counts: [0; 5], used_kb: 0.0, memory_kb, run_factor, entry_kb }
+    }
+
+    pub fn put(&mut self, ix: usize, ticket: Ticket<N>) {
+        if self.tickets.len() <= ix {
+            self.tickets.resize_with(ix + 1, || None);
+        }
+        self.used_kb += ticket.kb;
+        self.counts[ticket.stage as usize] += 1;
+        self.tickets[ix] = Some(ticket);
+    }
+
+    pub fn get(&mut self, ix: usize) -> Option<&mut Ticket<N>> {
+        self.tickets.get_mut(ix).and_then(Option::as_mut)
+    }
+
+    /// A ticket known to be in hand.
+    pub fn at(&mut self, ix: usize) -> &mut Ticket<N> {
+        self.get(ix).expect("a ticket in hand")
+    }
+
+    pub fn count(&self, stage: Stage) -> usize {
+        self.counts[stage as usize]
+    }
+
+    pub fn move_to(&mut self, ix: usize, stage: Stage) {
+        let factor = self.run_factor;
+        let t = self.at(ix);
+        let (was, kb) = (t.stage, t.kb);
+        t.stage = stage;
+        if stage == Stage::Running && !t.ran {
+            t.ran = true;
+            self.used_kb += kb * (factor - 1.0);
+        }
+        self.counts[was as usize] -= 1;
+        self.counts[stage as usize] += 1;
+    }
+
+    pub fn take(&mut self, ix: usize) -> Option<Ticket<N>> {
+        self.set_alarm(ix, None);
+        let ticket = self.tickets.get_mut(ix)?.take()?;
+        self.counts[ticket.stage as usize] -= 1;
+        self.used_kb -= ticket.kb * if ticket.ran { self.run_factor } else { 1.0 };
+        Some(ticket)
+    }
+
+    /// One alarm a ticket; a new one replaces it.
+    pub fn set_alarm(&mut self, ix: usize, at: Option<Duration>) {
+        let Some(ticket) = self.get(ix) else { return };
+        let before = std::mem::replace(&mut ticket.alarm, at);
+        if let Some(before) = before {
+            self.alarms.remove(&(before, ix));
+        }
+        if let Some(at) = at {
+            self.alarms.insert((at, ix));
+        }
+    }
+
+    /// No alarm of an unanswered ticket rings later than this.
+    pub fn none_later(&mut self, due: Duration, alarm: Duration) {
+        for ix in 0..self.tickets.len() {
+            let Some(t) = self.get(ix).filter(|t| !t.answered) else { continue };
+            t.due = t.due.min(due);
+            if t.alarm.is_none_or(|at| at > alarm) {
+                self.set_alarm(ix, Some(alarm));
+            }
+        }
+    }
+
+    /// The next ticket whose alarm is due; the alarm is spent.
+    pub fn ring(&mut self, now: Duration) -> Option<usize> {
+        let ix = self.alarms.first().filter(|alarm| alarm.0 <= now)?.1;
+        self.set_alarm(ix, None);
+        Some(ix)
+    }
+
+    pub fn keep(&mut self, ix: usize, until: Duration) {
+        self.at(ix).kept = Some(until);
+        self.entries.insert((until, ix));
+    }
+
+    /// Whether an entry was still kept, which it no longer is.
+    pub fn forget(&mut self, now: Duration, ix: usize) -> bool {
+        let kept = self.at(ix).kept.take();
+        kept.is_some_and(|until| self.entries.remove(&(until, ix)) && until > now)
+    }
+
+    /// Share of the memory in use, were this ticket to run too.
+    pub fn memory_with(&mut self, now: Duration, running: Option<usize>) -> f64 {
+        while self.entries.first().is_some_and(|entry| entry.0 < now) {
+            self.entries.pop_first();
+        }
+        let more = running.map_or(0.0, |ix| self.at(ix).kb) * (self.run_factor - 1.0);
+        (self.used_kb + more + self.entries.len() as f64 * self.entry_kb) / self.memory_kb
+    }
+}
