--- a/src/choice.rs
+++ b/src/choice.rs
@@ -108,12 +108,8 @@
     /// O over T. T is the quota times the mean charge; while the tenants together spend more than their
     /// quotas, the room they share is lent in proportion, so that T never binds below what is there.
     fn over(&self, now: Duration, account: usize) -> f64 {
-        let (Some(quota), Some(mean)) = (self.quotas.get(account), self.charge.read()) else {
-            return 0.0;
-        };
-        if self.charge.weight(now, MEAN_SPAN) < KNOWN {
-            return 0.0;
-        }
+        let mean = self.charge.read().filter(|_| self.charge.weight(now, MEAN_SPAN) >= KNOWN);
+        let (Some(quota), Some(mean)) = (self.quotas.get(account), mean) else { return 0.0 };
         let all: f64 = self.spent.iter().map(|s| s.read(now, WINDOW)).sum();
         let quotas: f64 = self.quotas.iter().sum();
         let unit = mean * WINDOW.as_secs_f64();
@@ -145,16 +141,15 @@
     round: Duration,
     ends: u32,
     whole_round: bool,
-    climbed: Duration,
     chance: WyRand,
 }
 
 impl Limit {
     /// `factor`: survived tickets a core when warm; `cold`: born at, share of speed then, full after.
     pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
-        let (chance, pay, zero) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()], Duration::ZERO);
-        let (arm, survived, ends, whole_round, round, climbed) = (0, 0, 0, false, zero, zero);
-        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, climbed, chance }
+        let (chance, pay) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()]);
+        let (arm, survived, ends, whole_round, round) = (0, 0, 0, false, Duration::ZERO);
+        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, chance }
     }
 
     /// Guards against dying of the crowd; while cold the slowest warming allowed is assumed.
@@ -175,9 +170,8 @@
         self.whole_round &= full && holding;
         let idle = gauges.cores_busy.is_some_and(|busy| busy < BUSY);
         let highest = (self.survived + 1).min(STEPS.len() - 1);
-        if idle && full && holding && self.arm < highest && now >= self.climbed + CLIMB_EVERY {
+        if idle && full && holding && self.arm < highest && now >= self.round + CLIMB_EVERY {
             self.arm += 1;
-            self.climbed = now;
             self.start_round(now);
         } else if now >= self.round + ROUND {
             if self.whole_round {
@@ -392,6 +386,7 @@
         host.checks(true);
         host.wake(BEAT);
         self.next_beat = now + BEAT;
+        self.health.last_end = now;
         self.limit.start_round(now);
     }
 
--- /dev/null
+++ b/tests/design.rs
@@ -0,0 +1,149 @@
+//! The design: what a run is charged, who is dismissed and told what, how many run.
+
+mod common;
+
+use common::{ms, Rig, Settings};
+use rainstand::{Arrival, Outcome};
+
+type Case<'a> = (&'a [(usize, u64)], bool, u64, usize, bool);
+
+/// Runs of so many ms by tenants in turn, one at a time, until both are well known.
+fn spend(rig: &mut Rig, runs: &[(usize, u64)]) {
+    rig.busy = 0.0;
+    for _ in 0..6 {
+        for &(tenant, span) in runs {
+            rig.tenant(0, tenant);
+            rig.pass(ms(span));
+            rig.end(0, Outcome::Done);
+        }
+    }
+    rig.busy = 1.0;
+    rig.pass(ms(20));
+    rig.take();
+}
+
+#[test]
+fn only_an_overspender_is_dismissed_and_only_while_pressed() {
+    // (what was spent by tenant, busy, waited unread, tenant, dismissed)
+    let cases: [Case; 5] = [
+        (&[(0, 900), (1, 100)], true, 400, 0, true),
+        (&[(0, 900), (1, 100)], true, 400, 1, false),
+        (&[(0, 900), (1, 100)], true, 0, 0, false),
+        (&[(0, 900), (1, 100)], false, 400, 0, false),
+        (&[(1, 500), (0, 500)], true, 400, 1, false),
+    ];
+    for (spent, busy, waited, tenant, dismissed) in cases {
+        let mut rig = Rig::new(Settings::default());
+        spend(&mut rig, spent);
+        if !busy {
+            rig.busy = 0.0;
+            rig.pass(ms(20));
+            rig.take();
+        }
+        let a = Arrival { waited: ms(waited), tenant: Some(tenant), ..Arrival::default() };
+        rig.arrive(5, a);
+        let orders = rig.take();
+        let was = orders.iter().any(|o| o.starts_with("dismiss 5"));
+        assert_eq!(was, dismissed, "{spent:?} {busy} {waited} {tenant}: {orders:?}");
+    }
+}
+
+#[test]
+fn the_delay_told_is_what_is_left_of_x() {
+    // Nine tenths of all was spent by a tenant of half the quota: X = (0.9 / 0.5 - 1) W, 3.2 s at
+    // most and fading with its runs; 1 s is the longest that is heeded.
+    let mut rig = Rig::new(Settings::default());
+    spend(&mut rig, &[(1, 100), (0, 900)]);
+    let (mut told, mut last) = (Vec::new(), 0);
+    for ix in 0..11 {
+        rig.arrive(ix, Arrival { waited: ms(400), tenant: Some(0), ..Arrival::default() });
+        let orders = rig.take();
+        let dismissed =
+            orders.iter().find_map(|o| o.strip_prefix(&format!("dismiss {ix} ")).map(str::to_owned));
+        last = dismissed.map_or(0, |d| d.split(' ').next().unwrap().parse().unwrap());
+        told.push(last);
+        rig.pass(ms(400));
+    }
+    assert_eq!(told[0], 1_000, "{told:?}");
+    assert!(told.windows(2).all(|w| w[1] <= w[0]) && last == 0, "{told:?}");
+    assert!(told.iter().any(|&d| d > 0 && d < 1_000), "{told:?}");
+}
+
+#[test]
+fn before_the_charge_is_known_and_without_tenants_nobody_is_dismissed_for_it() {
+    let mut rig = Rig::new(Settings::default());
+    rig.tenant(0, 0);
+    rig.pass(ms(500));
+    rig.end(0, Outcome::Done);
+    rig.arrive(1, Arrival { waited: ms(400), tenant: Some(0), ..Arrival::default() });
+    assert_eq!(rig.count("dismiss"), 0);
+    let mut rig = Rig::new(Settings::default());
+    for _ in 0..9 {
+        rig.arrive(0, Arrival::default());
+        rig.pass(ms(500));
+        rig.end(0, Outcome::Done);
+    }
+    rig.take();
+    rig.arrive(0, Arrival { waited: ms(400), ..Arrival::default() });
+    assert_eq!(rig.count("dismiss"), 0);
+}
+
+#[test]
+fn call_waits_and_stalls_are_not_charged() {
+    // Tenant 0 runs as long as tenant 1 but for a wait that is not its own doing.
+    for stall in [false, true] {
+        let mut rig = Rig::new(Settings::default());
+        rig.busy = 0.0;
+        for turn in 0..8 {
+            let tenant = turn % 2;
+            rig.tenant(0, tenant);
+            rig.pass(ms(200));
+            if tenant == 0 && stall {
+                // The whole process stands still: the next wake-up comes late.
+                rig.now += ms(1_000);
+                rig.pass(ms(20));
+            } else if tenant == 0 {
+                rig.at_call(0);
+                rig.pass(ms(1_000));
+                rig.call_ended(0, Outcome::Done);
+            }
+            rig.end(0, Outcome::Done);
+        }
+        // Even spenders in turn overshoot by a quarter at most; a second of waits each would show.
+        rig.busy = 1.0;
+        rig.pass(ms(1_200));
+        rig.take();
+        rig.arrive(5, Arrival { waited: ms(400), tenant: Some(0), ..Arrival::default() });
+        assert_eq!(rig.count("dismiss"), 0, "stall: {stall}");
+    }
+}
+
+#[test]
+fn the_limit_starts_at_the_cores_and_climbs_while_they_sit_free() {
+    // (gauge, how many of twenty run at first, whether more do after two seconds)
+    for (busy, more) in [(1.0, false), (0.5, true)] {
+        let mut rig = Rig::new(Settings::default());
+        rig.busy = busy;
+        for ix in 0..20 {
+            rig.arrive(ix, Arrival { tenant: Some(ix % 2), ..Arrival::default() });
+        }
+        assert_eq!(rig.count("run"), 2);
+        rig.pass(ms(900));
+        let ran = rig.count("run");
+        assert_eq!(ran > 0, more, "{busy}: {ran} more");
+    }
+}
+
+#[test]
+fn a_tenant_within_its_share_goes_first() {
+    let mut rig = Rig::new(Settings::default());
+    spend(&mut rig, &[(0, 900), (1, 100)]);
+    for ix in 0..2 {
+        rig.tenant(ix, 0);
+    }
+    rig.tenant(2, 0);
+    rig.tenant(3, 1);
+    rig.take();
+    rig.end(0, Outcome::Done);
+    assert_eq!(rig.take(), ["over 0", "run 3"]);
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,127 @@
+//! Failures met on the bench, each as the node sees it.
+
+mod common;
+
+use common::{ms, Rig, Settings};
+use rainstand::{Arrival, Outcome};
+
+#[test]
+fn a_node_whose_runs_fail_keeps_tickets_away_but_for_a_trickle() {
+    let mut rig = Rig::new(Settings::default());
+    rig.busy = 0.2;
+    for _ in 0..6 {
+        rig.tenant(0, 0);
+        rig.pass(ms(20));
+        rig.end(0, Outcome::Erred);
+    }
+    rig.pass(ms(20));
+    let orders = rig.take();
+    assert!(orders.contains(&"checks false".to_string()) && orders.contains(&"say 1".to_string()));
+    // Two seconds of a ticket each 100 ms: about one in five is let through.
+    let mut through = 0;
+    for _ in 0..20 {
+        rig.tenant(0, 0);
+        if rig.count("run") == 1 {
+            through += 1;
+            rig.end(0, Outcome::Done);
+        }
+        rig.pass(ms(100));
+    }
+    assert!((3..=6).contains(&through), "{through}");
+    // Well again once those end well.
+    for _ in 0..40 {
+        rig.tenant(0, 0);
+        rig.pass(ms(100));
+        rig.end(0, Outcome::Done);
+    }
+    let orders = rig.take();
+    assert!(orders.contains(&"checks true".to_string()) && orders.contains(&"say 0".to_string()));
+}
+
+#[test]
+fn a_node_whose_work_hangs_sends_tickets_on() {
+    let mut rig = Rig::new(Settings::default());
+    rig.tenant(0, 0);
+    rig.pass(ms(1_400));
+    rig.take();
+    rig.tenant(1, 0);
+    assert_eq!(rig.count("dismiss 1"), 0, "not yet");
+    rig.pass(ms(300));
+    rig.take();
+    rig.tenant(2, 0);
+    rig.tenant(3, 0);
+    assert!(rig.count("dismiss") >= 1);
+}
+
+#[test]
+fn a_standstill_of_the_process_is_no_hang() {
+    let mut rig = Rig::new(Settings::default());
+    rig.tenant(0, 0);
+    rig.pass(ms(1_000));
+    rig.now += ms(2_000);
+    rig.pass(ms(100));
+    assert_eq!(rig.count("checks false"), 0);
+}
+
+#[test]
+fn what_was_read_too_old_for_its_goal_time_yields_on_a_busy_node() {
+    // (gauge, waited unread, dismissed); runs take 500 ms of a goal time of 2 s
+    for (busy, waited, dismissed) in [(1.0, 1_600, 1), (1.0, 200, 0), (0.3, 1_600, 0)] {
+        let mut rig = Rig::new(Settings::default());
+        rig.busy = 0.3;
+        for _ in 0..3 {
+            rig.arrive(0, Arrival::default());
+            rig.pass(ms(500));
+            rig.end(0, Outcome::Done);
+        }
+        rig.busy = busy;
+        rig.pass(ms(20));
+        rig.take();
+        rig.arrive(0, Arrival { waited: ms(waited), ..Arrival::default() });
+        assert_eq!(rig.count("dismiss"), dismissed, "{busy} {waited}");
+    }
+}
+
+#[test]
+fn a_ticket_is_asked_to_go_nowhere_else_only_where_the_fleet_seems_full() {
+    // (tries are marked, this one is a further try, many before were, nowhere else)
+    let cases = [
+        (true, false, false, false),
+        (true, true, false, true),
+        (true, false, true, true),
+        (false, false, false, true),
+    ];
+    for (marked, again, many, nowhere_else) in cases {
+        let mut rig = Rig::new(Settings { marked, ..Settings::default() });
+        rig.pass(ms(20));
+        for ix in 0..8 {
+            rig.arrive(ix, Arrival { again: many && ix % 2 == 0, ..Arrival::default() });
+        }
+        rig.take();
+        rig.arrive(8, Arrival { again, patience: Some(ms(10)), ..Arrival::default() });
+        let orders = rig.take();
+        assert_eq!(orders[0].ends_with("nowhere_else"), nowhere_else, "{marked} {again} {many}: {orders:?}");
+    }
+}
+
+#[test]
+fn a_call_below_that_slows_is_paced_and_left_out_in_time() {
+    let mut rig = Rig::new(Settings { poorer: 0.5, ..Settings::default() });
+    rig.busy = 0.0;
+    for _ in 0..10 {
+        rig.tenant(0, 0);
+        rig.at_call(0);
+        rig.pass(ms(40));
+        rig.call_ended(0, Outcome::Done);
+        rig.end(0, Outcome::Done);
+    }
+    rig.take();
+    rig.tenant(0, 0);
+    rig.at_call(0);
+    let orders = rig.take();
+    let until: u64 = orders[1].strip_prefix("call 0 ").unwrap().parse().unwrap();
+    assert!(until < rig.now.as_millis() as u64 + 2_000, "in time for the goal time");
+    rig.pass(ms(1_990));
+    rig.call_ended(0, Outcome::TimedOut);
+    assert_eq!(rig.count("answer_poorer 0"), 1);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,196 @@
+//! The four rules, each by a table of cases.
+
+mod common;
+
+use common::{ms, Rig, Settings};
+use rainstand::{Arrival, Outcome, Repeat, Repeats};
+
+fn tries(patience: Option<u64>, waited: u64) -> Arrival {
+    Arrival { patience: patience.map(ms), waited: ms(waited), ..Arrival::default() }
+}
+
+#[test]
+fn each_ticket_is_answered_before_it_is_due() {
+    // (patience, waited unread, due this long after its reading)
+    for (patience, waited, due) in [(Some(900), 0, 900), (Some(300), 4_000, 300), (None, 1_000, 4_000)] {
+        // Held: the cores are taken by two runs that never end.
+        let mut rig = Rig::new(Settings::default());
+        rig.pass(ms(40));
+        rig.tenant(0, 0);
+        rig.tenant(1, 0);
+        rig.take();
+        rig.arrive(2, tries(patience, waited));
+        rig.pass(ms(due - 20));
+        assert_eq!(rig.count("dismiss 2"), 1, "held: {patience:?} {waited}");
+        // Running, and at a call that was made or still stands.
+        for at_call in [false, true] {
+            let mut rig = Rig::new(Settings::default());
+            rig.busy = 0.0;
+            rig.pass(ms(40));
+            rig.arrive(0, tries(patience, waited));
+            assert_eq!(rig.count("run 0"), 1, "{patience:?} {waited}");
+            if at_call {
+                rig.at_call(0);
+                assert_eq!(rig.count("call 0"), 1);
+            }
+            rig.pass(ms(due - 80));
+            assert_eq!(rig.count("give_up 0"), 0, "not before it must: {patience:?} {waited}");
+            rig.pass(ms(60));
+            assert_eq!(rig.count("give_up 0"), 1, "{patience:?} {waited} at a call: {at_call}");
+        }
+    }
+}
+
+#[test]
+fn a_ticket_due_when_read_is_dismissed_at_once() {
+    for a in [tries(Some(20), 0), tries(None, 4_990), tries(None, 9_000)] {
+        let mut rig = Rig::new(Settings::default());
+        rig.arrive(0, a);
+        let orders = rig.take();
+        assert!(orders.contains(&"dismiss 0 1000".to_string()), "{orders:?}");
+        assert!(orders.contains(&"over 0".to_string()), "{orders:?}");
+    }
+}
+
+#[test]
+fn a_repeat_of_a_ticketed_ticket_never_runs_and_is_never_dismissed() {
+    let window = Repeats::Ticketed(ms(3_000));
+    for repeat in [Repeat::Of(0), Repeat::Past] {
+        let mut rig = Rig::new(Settings { repeats: window, ..Settings::default() });
+        rig.busy = 0.0;
+        rig.arrive(0, tries(None, 500));
+        // Kept for what is left of the window, counted from its arrival.
+        assert_eq!(rig.take()[1..], ["keep 0 2550", "run 0"]);
+        if repeat == Repeat::Past {
+            rig.end(0, Outcome::Done);
+            rig.take();
+        }
+        rig.arrive(1, Arrival { repeat, ..Arrival::default() });
+        assert_eq!(rig.take(), ["reuse 1"]);
+        rig.pass(ms(4_980));
+        let orders = rig.take();
+        assert!(orders.contains(&"give_up 1".to_string()), "{orders:?}");
+        assert!(!orders.iter().any(|o| o == "run 1" || o.starts_with("dismiss 1")), "{orders:?}");
+    }
+}
+
+#[test]
+fn a_ticketed_ticket_dismissed_unrun_is_forgotten() {
+    let mut rig = Rig::new(Settings { repeats: Repeats::Ticketed(ms(3_000)), ..Settings::default() });
+    rig.arrive(0, tries(Some(10), 0));
+    assert_eq!(rig.take()[1..], ["keep 0 3050", "forget 0", "dismiss 0 1000", "over 0"]);
+}
+
+#[test]
+fn what_ran_and_may_not_run_again_is_given_up_and_never_dismissed() {
+    for repeats in [Repeats::Exclusive, Repeats::Ticketed(ms(3_000))] {
+        let mut rig = Rig::new(Settings { repeats, ..Settings::default() });
+        rig.tenant(0, 0);
+        rig.pass(ms(5_000));
+        let orders = rig.take();
+        let about: Vec<_> = orders.iter().filter(|o| o.ends_with(" 0")).collect();
+        assert_eq!(about, ["run 0", "give_up 0", "take_off 0"]);
+        rig.end(0, Outcome::Stopped);
+        assert_eq!(rig.take(), ["over 0"]);
+    }
+}
+
+#[test]
+fn a_call_is_repeated_only_where_that_is_safe() {
+    // (repeats, poorer, outcome, next order)
+    let cases = [
+        (Repeats::Exclusive, 0.0, Outcome::Bounced, "call 0"),
+        (Repeats::Exclusive, 0.0, Outcome::Unreachable, "call 0"),
+        (Repeats::Exclusive, 0.0, Outcome::Erred, "give_up 0"),
+        (Repeats::Exclusive, 0.0, Outcome::TimedOut, "give_up 0"),
+        (Repeats::Ticketed(ms(3_000)), 0.0, Outcome::CutOff, "give_up 0"),
+        (Repeats::Ticketed(ms(3_000)), 0.5, Outcome::CutOff, "answer_poorer 0"),
+        (Repeats::Rerunnable, 0.0, Outcome::TimedOut, "call 0"),
+        (Repeats::Rerunnable, 0.5, Outcome::Erred, "call 0"),
+    ];
+    for (repeats, poorer, outcome, next) in cases {
+        let mut rig = Rig::new(Settings { repeats, poorer, ..Settings::default() });
+        rig.tenant(0, 0);
+        rig.at_call(0);
+        rig.take();
+        rig.call_ended(0, outcome);
+        assert_eq!(rig.count(next), 1, "{repeats:?} {poorer} {outcome:?}");
+    }
+}
+
+#[test]
+fn a_leaving_node_runs_nothing_past_the_grace_and_answers_all() {
+    // (reached the machine so long after the notice, runs)
+    for (after, runs) in [(1_900u64, 1), (2_020, 0)] {
+        let mut rig = Rig::new(Settings::default());
+        rig.tenant(9, 0);
+        rig.take();
+        rig.node.leaving(rig.now, &mut rig.orders, ms(4_000));
+        assert_eq!(rig.take(), ["checks false", "say 1"]);
+        rig.pass(ms(2_500));
+        rig.take();
+        rig.arrive(0, tries(None, 2_500 - after));
+        assert_eq!(rig.count("run 0"), runs, "{after}");
+        rig.pass(ms(1_440));
+        let orders = rig.take();
+        assert!(orders.contains(&"give_up 9".to_string()), "{orders:?}");
+        assert_eq!(orders.contains(&"give_up 0".to_string()), runs == 1, "{orders:?}");
+    }
+}
+
+#[test]
+fn the_crowd_stays_under_what_is_survived() {
+    // (factor, born cold, most that run with the gauge idle all along)
+    let cases = [(6.0, None, 6), (1.5, None, 2), (6.0, Some((ms(1_000), 0.2, ms(1_000_000))), 3)];
+    for (factor, cold, most) in cases {
+        let mut rig = Rig::new(Settings { factor, cold, ..Settings::default() });
+        rig.busy = 0.0;
+        let mut running = 0;
+        for ix in 0..60 {
+            rig.tenant(ix, 0);
+            rig.pass(ms(100));
+            running += rig.take().iter().filter(|o| o.starts_with("run")).count();
+        }
+        assert!(running >= 2 && running <= most + 2, "{factor} {cold:?}: {running}");
+        let mut rig = Rig::new(Settings { factor, cold, ..Settings::default() });
+        rig.busy = 0.0;
+        for ix in 0..60 {
+            rig.tenant(ix, 0);
+        }
+        rig.pass(ms(900));
+        assert!(rig.count("run") <= most, "{factor} {cold:?}");
+    }
+}
+
+#[test]
+fn memory_is_never_overdrawn() {
+    // 20 kB a ticket held, 80 kB running, of 200 kB; four fifths are used.
+    let mut rig = Rig::new(Settings { memory_kb: 200.0, ..Settings::default() });
+    rig.busy = 0.0;
+    let (mut held, mut ran) = (0usize, 0usize);
+    for ix in 0..20 {
+        rig.tenant(ix, 0);
+        let orders = rig.take();
+        let count = |order: &str| orders.iter().filter(|o| o.starts_with(order)).count();
+        held = held + 1 - count("dismiss") - count("run");
+        ran += count("run");
+        assert!(held * 20 + ran * 80 <= 200, "{held} held, {ran} running");
+    }
+    assert_eq!(ran, 2);
+}
+
+#[test]
+fn shared_calls_stay_under_the_own_share() {
+    // (share, calls out at once)
+    for (share, most) in [(4.0, 3), (2.6, 2), (0.5, 1)] {
+        let lingers = Some((share, ms(5_000), ms(200)));
+        let mut rig = Rig::new(Settings { share: lingers, ..Settings::default() });
+        rig.busy = 0.0;
+        for ix in 0..12 {
+            rig.tenant(ix, 0);
+            rig.at_call(ix);
+        }
+        rig.pass(ms(500));
+        assert_eq!(rig.count("call"), most, "{share}");
+    }
+}
