--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,7 +40,9 @@
 const KEEP_MORE: Duration = ms(50);
 /// Share of the goal time held work may take to clear before the node counts as pressed.
 const PRESSED: f64 = 0.15;
-/// Share of the goal time after which a held ticket is sent on: the rest is for its run.
+/// Usual runs that must fit before the goal time for a start to be worth it: most runs are shorter.
+const RUN_ROOM: f64 = 2.0;
+/// Share of the goal time that held work may take to clear before overspenders' tickets go.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
 const BUSY: f64 = 0.9;
@@ -420,7 +422,8 @@
             return self.dismiss(now, host, ix, longest);
         }
         // Guards against working off a backlog that piled up unread: answers would all be late.
-        if self.busy && now + self.usual_run(a.traffic) > arrived + goal {
+        let start_by = (arrived + goal).saturating_sub(self.usual_run(a.traffic).mul_f64(RUN_ROOM));
+        if self.busy && now > start_by {
             return self.dismiss(now, host, ix, longest);
         }
         let delay = self.ledger.delay_left(now, account);
@@ -428,7 +431,7 @@
             return self.dismiss(now, host, ix, delay);
         }
         self.lines[a.traffic].queues[account].push_back(ix);
-        self.hand.set_alarm(ix, Some((arrived + goal.mul_f64(HOLD)).min(due.saturating_sub(MARGIN))));
+        self.hand.set_alarm(ix, Some(start_by.max(now + BEAT).min(due.saturating_sub(MARGIN))));
         self.shed(now, host);
         self.fill(now, host);
     }
