--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,7 +42,7 @@
 const PRESSED: f64 = 0.15;
 /// Usual runs that must fit before the goal time for a start to be worth it: most runs are shorter.
 const RUN_ROOM: f64 = 2.0;
-/// Share of the goal time that held work may take to clear before overspenders' tickets go.
+/// Share of the goal time that a ticket may wait all the same, and that what is held may take to clear.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
 const BUSY: f64 = 0.9;
@@ -422,7 +422,8 @@
             return self.dismiss(now, host, ix, longest);
         }
         // Guards against working off a backlog that piled up unread: answers would all be late.
-        let start_by = (arrived + goal).saturating_sub(self.usual_run(a.traffic).mul_f64(RUN_ROOM));
+        let room = goal.saturating_sub(self.usual_run(a.traffic).mul_f64(RUN_ROOM)).max(goal.mul_f64(HOLD));
+        let start_by = arrived + room;
         if self.busy && now > start_by {
             return self.dismiss(now, host, ix, longest);
         }
