--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,7 +55,7 @@
 /// One round in so many tries a neighbouring step.
 const TRY_ONE_IN: u32 = 8;
 /// A higher step must pay this much more to be preferred: less crowd for the same work.
-const WORTH_MORE: f64 = 1.05;
+const WORTH_MORE: f64 = 1.15;
 /// Between two quick climbs, ms: the gauge needs most of its half second to show the last one.
 const CLIMB_EVERY: Duration = ms(250);
 /// Share of the survived crowd and of the memory that is used: the rest is for reading and surprise.
