What is being read counts against the limit; half the cores at least run

Guards against any crowd the module did not start; may harm where the on-cores gauge counts work that is not slowing runs.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -143,6 +143,7 @@
     round: Duration,
     ends: u32,
     whole_round: bool,
+    reading: usize,
     chance: WyRand,
 }
 
@@ -150,8 +151,8 @@
     /// `factor`: survived tickets a core when warm; `cold`: born at, share of speed then, full after.
     pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
         let (chance, pay) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()]);
-        let (arm, survived, ends, whole_round, round) = (0, 0, 0, false, Duration::ZERO);
-        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, chance }
+        let (arm, survived, ends, whole_round, reading, round) = (0, 0, 0, false, 0, Duration::ZERO);
+        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, reading, chance }
     }
 
     /// Guards against dying of the crowd; while cold the slowest warming allowed is assumed.
@@ -164,10 +165,12 @@
     }
 
     fn allowed(&self, now: Duration) -> usize {
-        ((self.cores as f64 * STEPS[self.arm]).round() as usize).min(self.ceiling(now))
+        let limit = (self.cores as f64 * STEPS[self.arm]).round() as usize;
+        limit.saturating_sub(self.reading).max(self.cores.div_ceil(2)).min(self.ceiling(now))
     }
 
     fn beat(&mut self, now: Duration, gauges: Gauges, running: usize, holding: bool) {
+        self.reading = (gauges.on_cores.unwrap_or(0.0) as usize).saturating_sub(running);
         let full = running >= self.allowed(now);
         self.whole_round &= full && holding;
         let idle = gauges.cores_busy.is_some_and(|busy| busy < BUSY);
