--- a/src/choice.rs
+++ b/src/choice.rs
@@ -83,6 +83,11 @@
 const HUNG_LEAST: Duration = ms(1_500);
 /// Share of further tries among arrivals from which other nodes are taken to be full too.
 const AGAIN: f64 = 0.12;
+/// Share of what is read that is turned away from which the lowest ranks are asked to stay away.
+const FLOOD: f64 = 0.75;
+/// How far the level moves at a beat, and at most: a fifth of the ranks in a second, a third in all.
+const LEVEL_STEP: f64 = 0.004;
+const LEVEL_MOST: f64 = 0.33;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = ms(500);
 
@@ -273,12 +278,16 @@
 }
 
 /// What callers are told: advice, level, checks; and the notice to leave.
+#[derive(Default)]
 pub struct Voice {
     say: Say,
     longest: Duration,
     grace: Duration,
     marked: bool,
     again: Mean,
+    turned: Mean,
+    level: f64,
+    said: f64,
     leaving: Option<(Duration, Duration)>,
     away: bool,
 }
@@ -287,7 +296,7 @@
     /// `longest`: the longest advice that is heeded; `grace`: arrivals later than this after the notice
     /// are not run; `marked`: further tries are marked as such.
     pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool) -> Self {
-        Self { say, longest, grace, marked, again: Mean::default(), leaving: None, away: false }
+        Self { say, longest, grace, marked, ..Self::default() }
     }
 
     /// Many arrivals were turned away elsewhere; where tries are not marked, a busy node must assume it.
@@ -295,17 +304,24 @@
         !self.marked || self.again.read().unwrap_or(0.0) > AGAIN
     }
 
-    fn keep_away(&mut self, host: &mut dyn Host, away: bool) {
-        if away == self.away {
+    /// Away altogether, or, while far more is read than run, for the lowest ranks.
+    fn speak(&mut self, now: Duration, host: &mut dyn Host, away: bool, busy: bool) {
+        let flooded = busy && self.turned.weight(now, RECENT) > 1.0 && self.turned.read() > Some(FLOOD);
+        let step = if flooded { LEVEL_STEP } else { -LEVEL_STEP };
+        self.level = if away { 1.0 } else { (self.level + step).clamp(0.0, LEVEL_MOST) };
+        if away != self.away {
+            self.away = away;
+            host.checks(!away);
+        } else if (self.level - self.said).abs() < LEVEL_STEP * 5.0 && (self.level > 0.0 || self.said == 0.0)
+        {
             return;
         }
-        self.away = away;
-        host.checks(!away);
-        match (self.say, away) {
-            (Say::Nothing, _) => {}
-            (Say::Level, _) => host.say(if away { 1.0 } else { 0.0 }),
-            (Say::Weight, _) => host.say(if away { 0.0 } else { 1.0 }),
-            (Say::Credit, _) => host.say(if away { 0.0 } else { 1e6 }),
+        self.said = self.level;
+        match self.say {
+            Say::Nothing => {}
+            Say::Level => host.say(self.level),
+            Say::Weight => host.say(1.0 - self.level),
+            Say::Credit => host.say(if away { 0.0 } else { 1e6 }),
         }
     }
 }
@@ -477,7 +493,7 @@
     pub fn leaving(&mut self, now: Duration, host: &mut dyn Host, kill_in: Duration) {
         let kill = now + kill_in.saturating_sub(MARGIN);
         self.voice.leaving = Some((now, kill));
-        self.voice.keep_away(host, true);
+        self.voice.speak(now, host, true, false);
         self.hand.none_later(kill, kill.saturating_sub(MARGIN));
         self.sound(now, host);
     }
@@ -496,7 +512,8 @@
         self.limit.beat(now, gauges, running, held > 0);
         let usual = (0..self.lines.len()).map(|k| self.usual_run(k)).max().unwrap_or_default();
         self.health.look(now, running > 0, usual);
-        self.voice.keep_away(host, self.health.sick || self.voice.leaving.is_some());
+        let away = self.health.sick || self.voice.leaving.is_some();
+        self.voice.speak(now, host, away, self.busy);
         self.sound(now, host);
         self.fill(now, host);
     }
@@ -561,6 +578,7 @@
         if self.hand.forget(now, ix) {
             host.forget(ix);
         }
+        self.voice.turned.add(now, 1.0, RECENT);
         host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
         self.close(host, ix);
     }
@@ -624,6 +642,7 @@
 
     fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         let stalled = self.stalled;
+        self.voice.turned.add(now, 0.0, RECENT);
         self.hand.move_to(ix, Stage::Running);
         let t = self.hand.at(ix);
         t.after_run = Some(Box::new(move |node, at, host, ix, end| {
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -88,8 +88,9 @@
 }
 
 /// What callers make of the value that rides on answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Say {
+    #[default]
     Nothing,
     Level,
     Credit,
