--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,10 +40,8 @@
 const PRESSED: f64 = 0.15;
 /// Usual runs that must fit before the goal time for a start to be worth it: most runs are shorter.
 const RUN_ROOM: f64 = 2.0;
-/// Share of the goal time that a ticket may wait all the same: slow nodes would hold nothing else.
+/// Share of the goal time that a ticket may wait all the same, and what is held may take to clear.
 const HOLD: f64 = 0.5;
-/// Share of the shortest goal time that what is held may take to clear before overspenders go.
-const LONG: f64 = 0.3;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
 const BUSY: f64 = 0.9;
 /// Limit steps, in tickets a core: the learner's arms. Past 3 no core is left to fill, even with waits.
@@ -83,11 +81,8 @@
 const HUNG_LEAST: Duration = ms(1_500);
 /// Share of further tries among arrivals from which other nodes are taken to be full too.
 const AGAIN: f64 = 0.12;
-/// Share of what is read that is turned away from which the lowest ranks are asked to stay away.
-const FLOOD: f64 = 0.75;
-/// How far the level moves at a beat, and at most: a fifth of the ranks in a second, a third in all.
-const LEVEL_STEP: f64 = 0.004;
-const LEVEL_MOST: f64 = 0.33;
+/// A credit that binds no caller, in tickets: the hold has bounds of its own.
+const MANY: f64 = 1e6;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = ms(500);
 
@@ -280,10 +275,8 @@
     grace: Duration,
     marked: bool,
     again: Mean,
-    turned: Mean,
-    level: f64,
-    told: f64,
     leaving: Option<(Duration, Duration)>,
+    away: bool,
 }
 
 impl Voice {
@@ -298,22 +291,17 @@
         !self.marked || self.again.read().unwrap_or(0.0) > AGAIN
     }
 
-    /// Away altogether, or, while far more is read than run, for the lowest ranks.
-    fn speak(&mut self, now: Duration, host: &mut dyn Host, away: bool, busy: bool) {
-        let flooded = busy && self.turned.weight(now, RECENT) > 1.0 && self.turned.read() > Some(FLOOD);
-        let step = if flooded { LEVEL_STEP } else { -LEVEL_STEP };
-        self.level = (self.level + step).clamp(0.0, LEVEL_MOST);
-        let now_told = if away { 1.0 } else { (self.level * 50.0).round() / 50.0 };
-        let before = std::mem::replace(&mut self.told, now_told);
-        if (before < 1.0) == away {
-            host.checks(!away);
+    /// Asks callers to keep away, or to come again.
+    fn keep_away(&mut self, host: &mut dyn Host, away: bool) {
+        if std::mem::replace(&mut self.away, away) == away {
+            return;
         }
+        host.checks(!away);
         match self.say {
-            _ if before == self.told => {}
             Say::Nothing => {}
-            Say::Level => host.say(self.told),
-            Say::Weight => host.say(1.0 - self.told),
-            Say::Credit => host.say(if away { 0.0 } else { 1e6 }),
+            Say::Level => host.say(if away { 1.0 } else { 0.0 }),
+            Say::Weight => host.say(if away { 0.0 } else { 1.0 }),
+            Say::Credit => host.say(if away { 0.0 } else { MANY }),
         }
     }
 }
@@ -480,7 +468,7 @@
     pub fn leaving(&mut self, now: Duration, host: &mut dyn Host, kill_in: Duration) {
         let kill = now + kill_in.saturating_sub(MARGIN);
         self.voice.leaving = Some((now, kill));
-        self.voice.speak(now, host, true, false);
+        self.voice.keep_away(host, true);
         self.hand.none_later(kill, kill.saturating_sub(MARGIN));
         self.sound(now, host);
     }
@@ -500,7 +488,7 @@
         let usual = (0..self.lines.len()).map(|k| self.usual_run(k)).max().unwrap_or_default();
         self.health.look(now, running > 0, usual);
         let away = self.health.sick || self.voice.leaving.is_some();
-        self.voice.speak(now, host, away, self.busy);
+        self.voice.keep_away(host, away);
         self.sound(now, host);
         self.fill(now, host);
     }
@@ -565,7 +553,6 @@
         if self.hand.forget(now, ix) {
             host.forget(ix);
         }
-        self.voice.turned.add(now, 1.0, RECENT);
         host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
         self.close(host, ix);
     }
@@ -588,7 +575,7 @@
         let goal = self.types.iter().map(|kind| kind.goal_time).min().unwrap_or_default();
         loop {
             let short = self.hand.memory_with(now, None) > SAFE;
-            let long = self.busy && self.wait() > goal.mul_f64(LONG);
+            let long = self.busy && self.wait() > goal.mul_f64(HOLD);
             let queues = self.lines.iter().flat_map(|line| line.queues.iter().enumerate());
             let newest = queues.filter_map(|(a, queue)| Some((self.ledger.over(now, a), a, *queue.back()?)));
             let worst = newest.max_by(|a, b| a.0.total_cmp(&b.0));
@@ -627,7 +614,6 @@
 
     fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         let stalled = self.stalled;
-        self.voice.turned.add(now, 0.0, RECENT);
         self.hand.move_to(ix, Stage::Running);
         let t = self.hand.at(ix);
         t.after_run = Some(Box::new(move |node, at, host, ix, end| {
