--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const PRESSED: f64 = 0.15;
 /// Usual runs that must fit before the goal time for a start to be worth it: most runs are shorter.
 const RUN_ROOM: f64 = 2.0;
+/// A hint counts for this many usual sizes at most: a rough guess should not rule alone.
+const MOST_SIZE: f64 = 8.0;
 /// Share of the goal time that a ticket may wait all the same, and what is held may take to clear.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
@@ -341,6 +343,7 @@
     queues: Vec<VecDeque<usize>>,
     passed: f64,
     run: Mean,
+    hint: Mean,
 }
 
 /// What a node is made of, each part from its own few settings.
@@ -368,7 +371,8 @@
     pub fn new(types: Vec<TrafficType>, by_work: bool, parts: Parts) -> Self {
         let (ledger, limit, hand, below, voice) = parts;
         let queues = vec![VecDeque::new(); ledger.spent.len()];
-        let lines = vec![Line { queues, passed: 0.0, run: Mean::default() }; types.len()];
+        let lines =
+            vec![Line { queues, passed: 0.0, run: Mean::default(), hint: Mean::default() }; types.len()];
         let (health, standing, busy) = (Health::default(), VecDeque::new(), false);
         let (stalled, next_beat) = (Duration::ZERO, Duration::MAX);
         #[rustfmt::skip]
@@ -416,8 +420,11 @@
             return self.dismiss(now, host, ix, longest);
         }
         // Guards against working off a backlog that piled up unread: answers would all be late.
-        let room = goal.saturating_sub(self.usual_run(a.traffic).mul_f64(RUN_ROOM)).max(goal.mul_f64(HOLD));
-        let start_by = arrived + room;
+        let room =
+            goal.saturating_sub(self.usual_run(a.traffic, None).mul_f64(RUN_ROOM)).max(goal.mul_f64(HOLD));
+        // Guards against runs cut off undone: a big one in a short patience is not begun on full cores.
+        let last = due.min(arrived + goal).saturating_sub(self.usual_run(a.traffic, a.hint));
+        let start_by = (arrived + room).min(last);
         if self.busy && now > start_by {
             return self.dismiss(now, host, ix, longest);
         }
@@ -485,7 +492,7 @@
         self.busy = gauges.cores_busy.is_none_or(|busy| busy >= BUSY);
         let (held, running) = (self.hand.count(Stage::Held), self.hand.count(Stage::Running));
         self.limit.beat(now, gauges, running, held > 0);
-        let usual = (0..self.lines.len()).map(|k| self.usual_run(k)).max().unwrap_or_default();
+        let usual = (0..self.lines.len()).map(|k| self.usual_run(k, None)).max().unwrap_or_default();
         self.health.look(now, running > 0, usual);
         let away = self.health.sick || self.voice.leaving.is_some();
         self.voice.keep_away(host, away);
@@ -493,9 +500,11 @@
         self.fill(now, host);
     }
 
-    /// How long a run of this type usually takes, all waits included.
-    fn usual_run(&self, traffic: usize) -> Duration {
-        Duration::from_secs_f64(self.lines[traffic].run.read().unwrap_or(0.0))
+    /// How long a run of this type, and of this hint of its size, usually takes, all waits included.
+    fn usual_run(&self, traffic: usize, hint: Option<Duration>) -> Duration {
+        let line = &self.lines[traffic];
+        let size = hint.zip(line.hint.read()).map_or(1.0, |(hint, mean)| hint.as_secs_f64() / mean);
+        Duration::from_secs_f64(line.run.read().unwrap_or(0.0) * size.min(MOST_SIZE))
     }
 
     /// How long until the cores have worked off what is held.
@@ -661,10 +670,14 @@
             self.health.last_end = now;
             self.health.failed.add(now, if end == Outcome::Erred { 1.0 } else { 0.0 }, RECENT);
         }
-        if end == Outcome::Done {
-            self.limit.ends += 1;
-            let run = now.saturating_sub(begun).as_secs_f64();
-            self.lines[t.traffic].run.add(now, run, MEAN_SPAN);
+        let (line, run) = (&mut self.lines[t.traffic], now.saturating_sub(begun).as_secs_f64());
+        self.limit.ends += u32::from(end == Outcome::Done);
+        // A run cut off counts where it already took longer than usual, else only short ones would.
+        if end == Outcome::Done || Some(run) > line.run.read() {
+            line.run.add(now, run, MEAN_SPAN);
+            if let Some(hint) = t.hint {
+                line.hint.add(now, hint.as_secs_f64().max(f64::MIN_POSITIVE), MEAN_SPAN);
+            }
         }
         self.close(host, ix);
     }
@@ -676,7 +689,7 @@
         if self.types[kind].poorer == 0.0 {
             return due;
         }
-        let rest = self.usual_run(kind).mul_f64(AFTER_CALL);
+        let rest = self.usual_run(kind, None).mul_f64(AFTER_CALL);
         (arrived + self.types[kind].goal_time).saturating_sub(rest).min(due)
     }
 
