--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,26 +22,20 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-const fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 /// W, s: long enough for a tenant of one ticket a second to show its rate, short beside a surge.
-const WINDOW: Duration = ms(4_000);
+const WINDOW: Duration = Duration::from_millis(4_000);
 /// Span of the mean charge and mean times, s: some hundred runs, yet it follows a slowed machine.
-const MEAN_SPAN: Duration = ms(10_000);
-/// Completions before the mean charge counts as known: below it one odd run decides.
-const KNOWN: f64 = 5.0;
+const MEAN_SPAN: Duration = Duration::from_millis(10_000);
+/// Samples before a mean counts as known, be it of charges or failures: below it one odd run decides.
+const KNOWN: f64 = 4.0;
 /// Between wake-ups, ms: half the room kept before an answer is due, and cheap.
-const BEAT: Duration = ms(20);
+const BEAT: Duration = Duration::from_millis(20);
 /// Kept between an answer and its due time, or a window and its entry's end, ms: two beats.
-const MARGIN: Duration = ms(40);
+const MARGIN: Duration = Duration::from_millis(40);
 /// Share of the goal time held work may take to clear before the node counts as pressed.
 const PRESSED: f64 = 0.15;
 /// Usual runs that must fit before the goal time for a start to be worth it: most runs are shorter.
 const RUN_ROOM: f64 = 2.0;
-/// A hint counts for this many usual sizes at most: a rough guess should not rule alone.
-const MOST_SIZE: f64 = 8.0;
 /// Share of the goal time that a ticket may wait all the same, and what is held may take to clear.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
@@ -49,15 +43,15 @@
 /// Limit steps, in tickets a core: the learner's arms. Past 3 no core is left to fill, even with waits.
 const STEPS: [f64; 6] = [1.0, 1.25, 1.5, 2.0, 2.5, 3.0];
 /// A learner's round, s: some ten completions, else the pay is mostly chance.
-const ROUND: Duration = ms(1_000);
+const ROUND: Duration = Duration::from_millis(1_000);
 /// Pay fades over this, s: twenty rounds, so that a changed machine is learned anew.
-const PAY_SPAN: Duration = ms(20_000);
+const PAY_SPAN: Duration = Duration::from_millis(20_000);
 /// One round in so many tries a neighbouring step.
 const TRY_ONE_IN: u32 = 8;
 /// A higher step must pay this much more to be preferred: less crowd for the same work.
 const WORTH_MORE: f64 = 1.15;
 /// Between two quick climbs, ms: the gauge needs most of its half second to show the last one.
-const CLIMB_EVERY: Duration = ms(250);
+const CLIMB_EVERY: Duration = Duration::from_millis(250);
 /// Share of the survived crowd and of the memory that is used: the rest is for reading and surprise.
 const SAFE: f64 = 0.8;
 /// Calls a second to start from, and the least: one call always tells how things stand.
@@ -68,7 +62,7 @@
 const PACE_DOWN: f64 = 0.93;
 const PACE_UP: f64 = 1.03;
 /// Span of recent call times and of health, s: a few tens of ends.
-const RECENT: Duration = ms(2_000);
+const RECENT: Duration = Duration::from_millis(2_000);
 /// Share of a type's usual run still needed after a call.
 const AFTER_CALL: f64 = 0.6;
 /// Tries of one call: a second goes to another node, a fourth would be hammering.
@@ -76,17 +70,15 @@
 /// Share of recent runs that failed from which the node counts as sick, and well again.
 const SICK: f64 = 0.3;
 const WELL: f64 = 0.1;
-/// Recent ends needed for a verdict: two failures alone are chance.
-const VERDICT: f64 = 3.0;
 /// No end for so many usual runs, and at least this long, ms: work hangs.
 const HUNG_RUNS: f64 = 5.0;
-const HUNG_LEAST: Duration = ms(1_500);
+const HUNG_LEAST: Duration = Duration::from_millis(1_500);
 /// Share of further tries among arrivals from which other nodes are taken to be full too.
 const AGAIN: f64 = 0.12;
 /// A credit that binds no caller, in tickets: the hold has bounds of its own.
 const MANY: f64 = 1e6;
 /// A sick node lets one ticket through this often, ms.
-const TRICKLE: Duration = ms(500);
+const TRICKLE: Duration = Duration::from_millis(500);
 
 /// What each tenant spent, and what it may: the design's quota.
 pub struct Ledger {
@@ -105,10 +97,6 @@
         Self { quotas, spent, until, charge: Mean::default() }
     }
 
-    fn account(&self, tenant: Option<usize>) -> usize {
-        tenant.unwrap_or(self.quotas.len()).min(self.quotas.len())
-    }
-
     /// O over T. T is the quota times the mean charge; while the tenants together spend more than their
     /// quotas, the room they share is lent in proportion, so that T never binds below what is there.
     fn over(&self, now: Duration, account: usize) -> f64 {
@@ -203,10 +191,9 @@
         }
         let mut best = (self.arm, 0.0);
         for (arm, pay) in self.pay.iter().enumerate().take(highest + 1) {
-            if let Some(paid) = pay.read().filter(|_| pay.weight(now, PAY_SPAN) >= 0.5) {
-                if paid > best.1 * WORTH_MORE {
-                    best = (arm, paid);
-                }
+            let paid = pay.read().filter(|_| pay.weight(now, PAY_SPAN) >= 0.5).unwrap_or(0.0);
+            if paid > best.1 * WORTH_MORE {
+                best = (arm, paid);
             }
         }
         self.arm = best.0;
@@ -324,7 +311,7 @@
         }
         let hung = now.saturating_sub(self.last_end) > usual_run.mul_f64(HUNG_RUNS).max(HUNG_LEAST);
         let failing = self.failed.read().unwrap_or(0.0);
-        let verdict = self.failed.weight(now, RECENT) >= VERDICT;
+        let verdict = self.failed.weight(now, RECENT) >= KNOWN;
         self.sick = hung || if self.sick { failing > WELL } else { verdict && failing > SICK };
     }
 
@@ -396,7 +383,7 @@
         let arrived = now.saturating_sub(a.waited);
         let due = a.patience.map_or((arrived + kind.outer_limit).max(now), |left| now + left);
         let due = self.voice.leaving.map_or(due, |(_, kill)| due.min(kill));
-        let account = self.ledger.account(a.tenant);
+        let account = a.tenant.unwrap_or(usize::MAX).min(self.ledger.quotas.len());
         self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
         let mut t = Ticket::new(a.traffic, account, arrived, due, a.held_kb);
         (t.hint, t.again) = (a.hint, a.again);
@@ -504,7 +491,7 @@
     fn usual_run(&self, traffic: usize, hint: Option<Duration>) -> Duration {
         let line = &self.lines[traffic];
         let size = hint.zip(line.hint.read()).map_or(1.0, |(hint, mean)| hint.as_secs_f64() / mean);
-        Duration::from_secs_f64(line.run.read().unwrap_or(0.0) * size.min(MOST_SIZE))
+        Duration::from_secs_f64(line.run.read().unwrap_or(0.0) * size)
     }
 
     /// How long until the cores have worked off what is held.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{ms, Rig, Settings};
-use rainstand::{Arrival, Outcome};
+use rainstand::{Arrival, Gauges, Outcome};
 
 #[test]
 fn a_node_whose_runs_fail_keeps_tickets_away_but_for_a_trickle() {
@@ -85,6 +85,28 @@
     }
 }
 
+#[test]
+fn what_would_be_cut_off_undone_is_not_begun_on_full_cores() {
+    // (gauge, hint of the size, patience, begun); a hint of 100 ms runs 400 ms
+    let cases =
+        [(1.0, 100, 1_000, true), (1.0, 300, 1_000, false), (1.0, 300, 1_700, true), (0.3, 300, 1_000, true)];
+    for (busy, hint, patience, begun) in cases {
+        let hinted = |hint| Arrival { hint: Some(ms(hint)), ..Arrival::default() };
+        let mut rig = Rig::new(Settings::default());
+        rig.busy = 0.3;
+        for _ in 0..4 {
+            rig.arrive(0, hinted(100));
+            rig.pass(ms(400));
+            rig.end(0, Outcome::Done);
+        }
+        rig.busy = busy;
+        rig.pass(ms(20));
+        rig.take();
+        rig.arrive(0, Arrival { patience: Some(ms(patience)), ..hinted(hint) });
+        assert_eq!(rig.count("run") == 1, begun, "{busy} {hint} {patience}");
+    }
+}
+
 #[test]
 fn a_ticket_is_asked_to_go_nowhere_else_only_where_the_fleet_seems_full() {
     // (tries are marked, this one is a further try, many before were, nowhere else)
@@ -107,6 +129,20 @@
     }
 }
 
+#[test]
+fn what_is_being_read_counts_against_the_limit() {
+    // (wanting a core beside the runs, how many of five run on two cores)
+    for (reading, runs) in [(0.0, 2), (1.0, 1), (9.0, 1)] {
+        let mut rig = Rig::new(Settings::default());
+        let gauges = Gauges { cores_busy: Some(1.0), on_cores: Some(reading), ..Gauges::default() };
+        rig.node.woken(rig.now, &mut rig.orders, gauges);
+        for ix in 0..5 {
+            rig.arrive(ix, Arrival::default());
+        }
+        assert_eq!(rig.count("run"), runs, "{reading}");
+    }
+}
+
 #[test]
 fn a_call_below_that_slows_is_paced_and_left_out_in_time() {
     let mut rig = Rig::new(Settings { poorer: 0.5, ..Settings::default() });
