--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,6 +54,8 @@
 const CLIMB_EVERY: Duration = Duration::from_millis(250);
 /// Share of the survived crowd and of the memory that is used: the rest is for reading and surprise.
 const SAFE: f64 = 0.8;
+/// Tickets running or at calls, in crowds that may run: those at calls rarely return at once.
+const OUT_MORE: usize = 3;
 /// Calls a second to start from, and the least: one call always tells how things stand.
 const PACE_FLOOR: f64 = 4.0;
 /// Calls slower than this many times their usual lower the pace; else it rises.
@@ -586,7 +588,8 @@
         self.make_calls(now, host);
         while self.hand.count(Stage::Held) > 0 && self.hand.count(Stage::Running) < self.limit.allowed(now) {
             let out = self.hand.count(Stage::Standing) + self.hand.count(Stage::Calling);
-            if self.hand.count(Stage::Running) + out >= self.limit.ceiling(now) {
+            // Guards against calls that hang: they take no core, but might all come back at once.
+            if self.hand.count(Stage::Running) + out >= self.limit.ceiling(now) * OUT_MORE {
                 return;
             }
             let overs: Vec<f64> = (0..self.ledger.spent.len()).map(|a| self.ledger.over(now, a)).collect();
