--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,9 +60,10 @@
 const PACE_FLOOR: f64 = 4.0;
 /// Calls slower than this many times their usual lower the pace; else it rises.
 const SLOWED: f64 = 2.0;
-/// What the pace is multiplied by for each call: fast down, slow up.
-const PACE_DOWN: f64 = 0.93;
-const PACE_UP: f64 = 1.03;
+/// What the pace is multiplied by for each call: it falls where more than four in ten go badly, so that
+/// a third of the nodes below standing still does not stop the calls to the rest.
+const PACE_DOWN: f64 = 0.84;
+const PACE_UP: f64 = 1.15;
 /// Span of recent call times and of health, s: a few tens of ends.
 const RECENT: Duration = Duration::from_millis(2_000);
 /// Share of a type's usual run still needed after a call.
@@ -252,8 +253,13 @@
             self.recent.add(now, took, RECENT);
             self.usual.add(now, took, MEAN_SPAN);
         }
-        let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
-        let bad = outcome != Outcome::Done && outcome != Outcome::Stopped;
+        let usual = self.usual.read().unwrap_or(f64::MAX);
+        let bad = match outcome {
+            Outcome::Done | Outcome::Stopped => false,
+            Outcome::TimedOut => took > SLOWED * usual,
+            _ => true,
+        };
+        let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * usual;
         self.rate = (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE_FLOOR, 1e3);
     }
 }
@@ -687,6 +693,12 @@
         while !self.standing.is_empty() && self.below.may(now) {
             let Some(ix) = self.standing.pop_front() else { return };
             let until = self.call_until(ix);
+            let usual = Duration::from_secs_f64(self.below.usual.read().unwrap_or(0.0));
+            // Guards against a pace that feeds on itself: a call with too little time left only fails.
+            if now + usual > until && self.types[self.hand.at(ix).traffic].poorer > 0.0 {
+                self.leave_call_out(now, host, ix);
+                continue;
+            }
             self.hand.move_to(ix, Stage::Calling);
             let t = self.hand.at(ix);
             let due = t.due.saturating_sub(MARGIN);
