--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,7 +67,7 @@
 const RECENT: Duration = Duration::from_millis(2_000);
 /// Share of a type's usual run still needed after a call.
 const AFTER_CALL: f64 = 0.6;
-/// Tries of one call: a second goes to another node, a fourth would be hammering.
+/// Tries of one call, but for one that must be had and was bounced: a fourth would be hammering.
 const CALL_TRIES: u32 = 3;
 /// Share of recent runs that failed from which the node counts as sick, and well again.
 const SICK: f64 = 0.3;
@@ -682,8 +682,15 @@
     }
 
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
-        while !self.standing.is_empty() && self.below.may(now) {
-            let Some(ix) = self.standing.pop_front() else { return };
+        while self.below.may(now) {
+            // Guards against a tier below that drowns: calls go first where most is lost without them.
+            let stake = |ix: usize| {
+                let kind = &self.types[self.hand.at(ix).traffic];
+                kind.benefit * (1.0 - kind.poorer)
+            };
+            let stakes = self.standing.iter().copied().map(stake).enumerate();
+            let best = stakes.min_by(|a, b| b.1.total_cmp(&a.1));
+            let Some(ix) = best.and_then(|(at, _)| self.standing.remove(at)) else { return };
             let until = self.call_until(ix);
             self.hand.move_to(ix, Stage::Calling);
             let t = self.hand.at(ix);
@@ -704,8 +711,9 @@
         let t = self.hand.at(ix);
         let kind = &self.types[t.traffic];
         // Guards against a second effect below: only a call proved not run is made again.
+        let poorer = kind.poorer > 0.0;
         let again = end.never_ran() || kind.repeats == Repeats::Rerunnable;
-        let (again, poorer) = (again && t.call_tries < CALL_TRIES && now < until, kind.poorer > 0.0);
+        let again = again && now < until && (t.call_tries < CALL_TRIES || (end.never_ran() && !poorer));
         if end == Outcome::Done {
             t.call_waits += now.saturating_sub(t.call_since);
             return self.hand.move_to(ix, Stage::Running);
