--- a/src/choice.rs
+++ b/src/choice.rs
@@ -56,8 +56,10 @@
 const SAFE: f64 = 0.8;
 /// Tickets running or at calls, in survived crowds: hung calls take no core, yet might all come back.
 const OUT_MORE: usize = 3;
-/// Calls a second to start from, and the least: one call always tells how things stand.
-const PACE_FLOOR: f64 = 4.0;
+/// The least calls a second: one tells how things stand below, and many nodes may share it.
+const PACE_FLOOR: f64 = 1.0;
+/// Calls a second to start from: what a node of some cores makes.
+const PACE_START: f64 = 16.0;
 /// Calls slower than this many times their usual lower the pace; else it rises.
 const SLOWED: f64 = 2.0;
 /// What the pace is multiplied by for each call: above four bad in ten it falls, a lost site is less.
@@ -218,7 +220,7 @@
     /// `share`: where all nodes share what lies below, this node's calls at once, the window of that
     /// mean, and how long a call given up stays there.
     pub fn new(share: Option<(f64, Duration, Duration)>) -> Self {
-        Self { share, rate: PACE_FLOOR * 4.0, saved: PACE_FLOOR, ..Self::default() }
+        Self { share, rate: PACE_START, saved: PACE_START, ..Self::default() }
     }
 
     fn may(&mut self, now: Duration) -> bool {
@@ -251,8 +253,7 @@
             self.usual.add(now, took, MEAN_SPAN);
         }
         let usual = self.usual.read().unwrap_or(f64::MAX);
-        let short = outcome == Outcome::TimedOut && took <= SLOWED * usual;
-        let bad = !short && !matches!(outcome, Outcome::Done | Outcome::Stopped);
+        let bad = !matches!(outcome, Outcome::Done | Outcome::Stopped);
         let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * usual;
         self.rate = (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE_FLOOR, 1e3);
     }
