--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,9 +34,7 @@
 const MARGIN: Duration = Duration::from_millis(40);
 /// Share of the goal time held work may take to clear before the node counts as pressed.
 const PRESSED: f64 = 0.15;
-/// Usual runs that must fit before the goal time for a start to be worth it: most runs are shorter.
-const RUN_ROOM: f64 = 2.0;
-/// Share of the goal time that a ticket may wait all the same, and what is held may take to clear.
+/// Share of the goal time that a ticket may wait, read or unread, and that what is held may take to clear.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
 const BUSY: f64 = 0.9;
@@ -58,13 +56,13 @@
 const OUT_MORE: usize = 3;
 /// The least calls a second: one tells how things stand below, and many nodes may share it.
 const PACE_FLOOR: f64 = 1.0;
-/// Calls a second to start from: what a node of some cores makes.
-const PACE_START: f64 = 16.0;
+/// The most, and what a node starts from: more than its cores can ask for.
+const PACE_MOST: f64 = 32.0;
 /// Calls slower than this many times their usual lower the pace; else it rises.
 const SLOWED: f64 = 2.0;
-/// What the pace is multiplied by for each call: above four bad in ten it falls, a lost site is less.
+/// What the pace is multiplied by for each call: above half bad it falls, a lost site is less.
 const PACE_DOWN: f64 = 0.84;
-const PACE_UP: f64 = 1.15;
+const PACE_UP: f64 = 1.2;
 /// Span of recent call times and of health, s: a few tens of ends.
 const RECENT: Duration = Duration::from_millis(2_000);
 /// Share of a type's usual run still needed after a call.
@@ -220,12 +218,12 @@
     /// `share`: where all nodes share what lies below, this node's calls at once, the window of that
     /// mean, and how long a call given up stays there.
     pub fn new(share: Option<(f64, Duration, Duration)>) -> Self {
-        Self { share, rate: PACE_START, saved: PACE_START, ..Self::default() }
+        Self { share, rate: PACE_MOST, saved: PACE_FLOOR, ..Self::default() }
     }
 
     fn may(&mut self, now: Duration) -> bool {
         let since = now.saturating_sub(self.at).as_secs_f64();
-        self.saved = (self.saved + since * self.rate).min((self.rate * 0.25).max(2.0));
+        self.saved = (self.saved + since * self.rate).min(self.rate);
         self.at = now;
         while self.abandoned.front().is_some_and(|&gone| gone <= now) {
             self.abandoned.pop_front();
@@ -252,10 +250,10 @@
             self.recent.add(now, took, RECENT);
             self.usual.add(now, took, MEAN_SPAN);
         }
-        let usual = self.usual.read().unwrap_or(f64::MAX);
         let bad = !matches!(outcome, Outcome::Done | Outcome::Stopped);
-        let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * usual;
-        self.rate = (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE_FLOOR, 1e3);
+        let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
+        self.rate =
+            (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE_FLOOR, PACE_MOST);
     }
 }
 
@@ -401,16 +399,12 @@
         }
         let longest = self.voice.longest;
         let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
-        if due <= now + MARGIN || too_late || !self.health.lets_through(now) {
-            return self.dismiss(now, host, ix, longest);
-        }
-        // Guards against working off a backlog that piled up unread: answers would all be late.
-        let room =
-            goal.saturating_sub(self.usual_run(a.traffic, None).mul_f64(RUN_ROOM)).max(goal.mul_f64(HOLD));
-        // Guards against runs cut off undone: a big one in a short patience is not begun on full cores.
+        // Guards against runs cut off undone, and against working off a backlog that piled up unread: on
+        // full cores nothing is begun that has no time for its usual run, or waited half its goal time.
         let last = due.min(arrived + goal).saturating_sub(self.usual_run(a.traffic, a.hint));
-        let start_by = (arrived + room).min(last);
-        if self.busy && now > start_by {
+        let start_by = last.min(arrived + goal.mul_f64(HOLD));
+        let hopeless = due <= now + MARGIN || too_late || (self.busy && now > start_by);
+        if hopeless || !self.health.lets_through(now) {
             return self.dismiss(now, host, ix, longest);
         }
         let delay = self.ledger.delay_left(now, account);
@@ -685,12 +679,8 @@
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
         while self.below.may(now) {
             // Guards against a tier below that drowns: calls go first where most is lost without them.
-            let stake = |ix: usize| {
-                let kind = &self.types[self.hand.at(ix).traffic];
-                kind.benefit * (1.0 - kind.poorer)
-            };
-            let stakes = self.standing.iter().copied().map(stake).enumerate();
-            let best = stakes.min_by(|a, b| b.1.total_cmp(&a.1));
+            let stakes = self.standing.iter().map(|&ix| self.types[self.hand.at(ix).traffic].call_worth());
+            let best = stakes.enumerate().min_by(|a, b| b.1.total_cmp(&a.1));
             let Some(ix) = best.and_then(|(at, _)| self.standing.remove(at)) else { return };
             let until = self.call_until(ix);
             self.hand.move_to(ix, Stage::Calling);
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -26,6 +26,13 @@
     pub repeats: Repeats,
 }
 
+impl TrafficType {
+    /// What is lost of the benefit when the call is left out.
+    pub fn call_worth(&self) -> f64 {
+        self.benefit * (1.0 - self.poorer)
+    }
+}
+
 /// Which earlier ticket an arrival repeats, where a mark tells.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
