--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,10 +54,10 @@
 const SAFE: f64 = 0.8;
 /// Tickets running or at calls, in survived crowds: hung calls take no core, yet might all come back.
 const OUT_MORE: usize = 3;
-/// The least calls a second: one tells how things stand below, and many nodes may share it.
-const PACE_FLOOR: f64 = 1.0;
-/// The most, and what a node starts from: more than its cores can ask for.
-const PACE_MOST: f64 = 32.0;
+/// Calls a second: the least (one tells how things stand), what a node starts from, and the most.
+const PACE: [f64; 3] = [1.0, 16.0, 1_000.0];
+/// Span for which unused calls are saved up, s: enough for a few tickets that come together.
+const SAVED: f64 = 0.25;
 /// Calls slower than this many times their usual lower the pace; else it rises.
 const SLOWED: f64 = 2.0;
 /// What the pace is multiplied by for each call: above half bad it falls, a lost site is less.
@@ -218,12 +218,12 @@
     /// `share`: where all nodes share what lies below, this node's calls at once, the window of that
     /// mean, and how long a call given up stays there.
     pub fn new(share: Option<(f64, Duration, Duration)>) -> Self {
-        Self { share, rate: PACE_MOST, saved: PACE_FLOOR, ..Self::default() }
+        Self { share, rate: PACE[1], saved: PACE[0], ..Self::default() }
     }
 
     fn may(&mut self, now: Duration) -> bool {
         let since = now.saturating_sub(self.at).as_secs_f64();
-        self.saved = (self.saved + since * self.rate).min(self.rate);
+        self.saved = (self.saved + since * self.rate).min((self.rate * SAVED).max(1.0));
         self.at = now;
         while self.abandoned.front().is_some_and(|&gone| gone <= now) {
             self.abandoned.pop_front();
@@ -252,8 +252,7 @@
         }
         let bad = !matches!(outcome, Outcome::Done | Outcome::Stopped);
         let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
-        self.rate =
-            (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE_FLOOR, PACE_MOST);
+        self.rate = (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE[0], PACE[2]);
     }
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -181,6 +181,7 @@
                 let well = calls % answered.1 < answered.0;
                 rig.call_ended(0, if well { Outcome::Done } else { Outcome::TimedOut });
             }
+            rig.pass(ms(200));
             rig.end(0, Outcome::Done);
         }
         rig.take();
