--- a/src/choice.rs
+++ b/src/choice.rs
@@ -250,9 +250,10 @@
             self.recent.add(now, took, RECENT);
             self.usual.add(now, took, MEAN_SPAN);
         }
-        let bad = !matches!(outcome, Outcome::Done | Outcome::Stopped);
         let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
-        self.rate = (self.rate * if bad || slowed { PACE_DOWN } else { PACE_UP }).clamp(PACE[0], PACE[2]);
+        let by = if outcome == Outcome::Done && !slowed { PACE_UP } else { PACE_DOWN };
+        let by = if outcome == Outcome::Stopped { 1.0 } else { by };
+        self.rate = (self.rate * by).clamp(PACE[0], PACE[2]);
     }
 }
 
