--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,10 +75,8 @@
 /// No end for so many usual runs, and at least this long, ms: work hangs.
 const HUNG_RUNS: f64 = 5.0;
 const HUNG_LEAST: Duration = Duration::from_millis(1_500);
-/// Runs so many times longer than at best: this machine is slow, a crowd alone makes less of it.
-const SLOW: f64 = 4.0;
 /// Share of further tries among arrivals from which other nodes are taken to be full too.
-const AGAIN: f64 = 0.06;
+const AGAIN: f64 = 0.12;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = Duration::from_millis(500);
 
@@ -118,6 +116,10 @@
         let x = (self.over(now, account) - 1.0).clamp(0.0, 1.0);
         self.until[account] = now + WINDOW.mul_f64(x);
     }
+
+    fn delay_left(&self, now: Duration, account: usize) -> Duration {
+        self.until[account].saturating_sub(now)
+    }
 }
 
 /// How many may run at once: the learned limit under the crowd that a node survives.
@@ -295,8 +297,6 @@
     failed: Mean,
     last_end: Duration,
     sick: bool,
-    slow: bool,
-    least_run: Option<Duration>,
     let_through: Duration,
 }
 
@@ -306,9 +306,6 @@
             self.last_end = now;
         }
         let hung = now.saturating_sub(self.last_end) > usual_run.mul_f64(HUNG_RUNS).max(HUNG_LEAST);
-        let least = self.least_run.unwrap_or(usual_run).min(usual_run);
-        self.least_run = Some(least).filter(|least| *least > Duration::ZERO);
-        self.slow = usual_run > least.mul_f64(SLOW);
         let failing = self.failed.read().unwrap_or(0.0);
         let verdict = self.failed.weight(now, RECENT) >= KNOWN;
         self.sick = hung || if self.sick { failing > WELL } else { verdict && failing > SICK };
@@ -410,7 +407,7 @@
         if hopeless || !self.health.lets_through(now) {
             return self.dismiss(now, host, ix, longest);
         }
-        let delay = self.ledger.until[account].saturating_sub(now);
+        let delay = self.ledger.delay_left(now, account);
         if delay > Duration::ZERO && self.pressed(goal, a.waited) {
             return self.dismiss(now, host, ix, delay);
         }
@@ -538,7 +535,7 @@
     fn dismiss(&mut self, now: Duration, host: &mut dyn Host, ix: usize, come_back: Duration) {
         // Many further tries say that other nodes are full too; where none are marked, assume it.
         let fleet = !self.voice.marked || self.voice.again.read() > Some(AGAIN);
-        let full = self.hand.at(ix).again || (self.busy && fleet && !self.health.slow);
+        let full = self.hand.at(ix).again || (self.busy && fleet);
         let nowhere_else = full && !self.health.sick && self.voice.leaving.is_none();
         if self.hand.forget(now, ix) {
             host.forget(ix);
@@ -570,7 +567,7 @@
             let newest = queues.filter_map(|(a, queue)| Some((self.ledger.over(now, a), a, *queue.back()?)));
             let worst = newest.max_by(|a, b| a.0.total_cmp(&b.0));
             let Some((over, a, ix)) = worst.filter(|w| short || (long && w.0 > 1.0)) else { return };
-            let delay = self.ledger.until[a].saturating_sub(now);
+            let delay = self.ledger.delay_left(now, a);
             self.dismiss(now, host, ix, if over > 1.0 { delay } else { self.voice.longest });
         }
     }
