--- a/src/choice.rs
+++ b/src/choice.rs
@@ -156,12 +156,7 @@
 
     fn allowed(&self, now: Duration) -> usize {
         let limit = (self.cores as f64 * STEPS[self.arm]).round() as usize;
-        limit.saturating_sub(self.reading).max(self.least()).min(self.ceiling(now))
-    }
-
-    /// Half the cores run whatever crowds them.
-    fn least(&self) -> usize {
-        self.cores.div_ceil(2)
+        limit.saturating_sub(self.reading).max(self.cores.div_ceil(2)).min(self.ceiling(now))
     }
 
     fn beat(&mut self, now: Duration, gauges: Gauges, running: usize, holding: bool) {
@@ -404,15 +399,11 @@
         }
         let longest = self.voice.longest;
         let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
-        // Guards against runs cut off undone and against working off what piled up unread: on full cores
-        // nothing begins without time for its usual run or past half its goal time. While few run any may
-        // that can be in time, else a node could go on reading and dismissing and run nothing.
-        let last = due.min(arrived + goal);
-        let start_by =
-            last.saturating_sub(self.usual_run(a.traffic, a.hint)).min(arrived + goal.mul_f64(HOLD));
-        let few = self.hand.count(Stage::Running) < self.limit.least();
-        let hopeless =
-            due <= now + MARGIN || too_late || (self.busy && now > if few { last } else { start_by });
+        // Guards against runs cut off undone, and against working off a backlog that piled up unread: on
+        // full cores nothing is begun that has no time for its usual run, or waited half its goal time.
+        let last = due.min(arrived + goal).saturating_sub(self.usual_run(a.traffic, a.hint));
+        let start_by = last.min(arrived + goal.mul_f64(HOLD));
+        let hopeless = due <= now + MARGIN || too_late || (self.busy && now > start_by);
         if hopeless || !self.health.lets_through(now) {
             return self.dismiss(now, host, ix, longest);
         }
