--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,10 +40,14 @@
 const BUSY: f64 = 0.9;
 /// Limit steps, in tickets a core: the learner's arms. Past 3 no core is left to fill, even with waits.
 const STEPS: [f64; 6] = [1.0, 1.25, 1.5, 2.0, 2.5, 3.0];
+/// One run for so many cores goes on whatever crowds them: reads alone would serve nobody.
+const LEAST: usize = 2;
 /// A learner's round, s: some ten completions, else the pay is mostly chance.
 const ROUND: Duration = Duration::from_millis(1_000);
 /// Pay fades over this, s: twenty rounds, so that a changed machine is learned anew.
 const PAY_SPAN: Duration = Duration::from_millis(20_000);
+/// Weight under which a step's pay is forgotten: a single round, two thirds of the span ago.
+const STALE: f64 = 0.5;
 /// One round in so many tries a neighbouring step.
 const TRY_ONE_IN: u32 = 8;
 /// A higher step must pay this much more to be preferred: less crowd for the same work.
@@ -61,8 +65,7 @@
 /// Calls slower than this many times their usual lower the pace; else it rises.
 const SLOWED: f64 = 2.0;
 /// What the pace is multiplied by for each call: above half bad it falls, a lost site is less.
-const PACE_DOWN: f64 = 0.84;
-const PACE_UP: f64 = 1.2;
+const PACE_STEPS: [f64; 2] = [0.84, 1.2];
 /// Span of recent call times and of health, s: a few tens of ends.
 const RECENT: Duration = Duration::from_millis(2_000);
 /// Share of a type's usual run still needed after a call.
@@ -70,8 +73,7 @@
 /// Tries of one call, but for one that must be had and was bounced: a fourth would be hammering.
 const CALL_TRIES: u32 = 3;
 /// Share of recent runs that failed from which the node counts as sick, and well again.
-const SICK: f64 = 0.3;
-const WELL: f64 = 0.1;
+const SICK: [f64; 2] = [0.3, 0.1];
 /// No end for so many usual runs, and at least this long, ms: work hangs.
 const HUNG_RUNS: f64 = 5.0;
 const HUNG_LEAST: Duration = Duration::from_millis(1_500);
@@ -156,7 +158,7 @@
 
     fn allowed(&self, now: Duration) -> usize {
         let limit = (self.cores as f64 * STEPS[self.arm]).round() as usize;
-        limit.saturating_sub(self.reading).max(self.cores.div_ceil(2)).min(self.ceiling(now))
+        limit.saturating_sub(self.reading).max(self.cores.div_ceil(LEAST)).min(self.ceiling(now))
     }
 
     fn beat(&mut self, now: Duration, gauges: Gauges, running: usize, holding: bool) {
@@ -191,7 +193,7 @@
         }
         let mut best = (self.arm, 0.0);
         for (arm, pay) in self.pay.iter().enumerate().take(highest + 1) {
-            let paid = pay.read().filter(|_| pay.weight(now, PAY_SPAN) >= 0.5).unwrap_or(0.0);
+            let paid = pay.read().filter(|_| pay.weight(now, PAY_SPAN) >= STALE).unwrap_or(0.0);
             if paid > best.1 * WORTH_MORE {
                 best = (arm, paid);
             }
@@ -231,7 +233,7 @@
         let room = self.share.is_none_or(|(share, over, _)| {
             let held = self.out + self.abandoned.len();
             let mean = self.busy.read(now, over) / over.as_secs_f64();
-            (held as f64 + 1.0 <= share * SAFE) || (held == 0 && mean < share * SAFE / 2.0)
+            (held as f64 + 1.0 <= share * SAFE) || (held == 0 && mean < share * SAFE)
         });
         room && self.saved >= 1.0
     }
@@ -251,7 +253,7 @@
             self.usual.add(now, took, MEAN_SPAN);
         }
         let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
-        let by = if outcome == Outcome::Done && !slowed { PACE_UP } else { PACE_DOWN };
+        let by = if outcome == Outcome::Done && !slowed { PACE_STEPS[1] } else { PACE_STEPS[0] };
         let by = if outcome == Outcome::Stopped { 1.0 } else { by };
         self.rate = (self.rate * by).clamp(PACE[0], PACE[2]);
     }
@@ -308,15 +310,13 @@
         let hung = now.saturating_sub(self.last_end) > usual_run.mul_f64(HUNG_RUNS).max(HUNG_LEAST);
         let failing = self.failed.read().unwrap_or(0.0);
         let verdict = self.failed.weight(now, RECENT) >= KNOWN;
-        self.sick = hung || if self.sick { failing > WELL } else { verdict && failing > SICK };
+        self.sick = hung || if self.sick { failing > SICK[1] } else { verdict && failing > SICK[0] };
     }
 
     fn lets_through(&mut self, now: Duration) -> bool {
-        if self.sick && now < self.let_through + TRICKLE {
-            return false;
-        }
-        self.let_through = now;
-        true
+        let through = !self.sick || now >= self.let_through + TRICKLE;
+        self.let_through = if through { now } else { self.let_through };
+        through
     }
 }
 
@@ -479,7 +479,7 @@
     fn usual_run(&self, traffic: usize, hint: Option<Duration>) -> Duration {
         let line = &self.lines[traffic];
         let size = hint.zip(line.hint.read()).map_or(1.0, |(hint, mean)| hint.as_secs_f64() / mean);
-        Duration::from_secs_f64(line.run.read().unwrap_or(0.0) * size)
+        Duration::try_from_secs_f64(line.run.read().unwrap_or(0.0) * size).unwrap_or(Duration::MAX)
     }
 
     /// How long until the cores have worked off what is held.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -107,6 +107,18 @@
     }
 }
 
+#[test]
+fn a_size_hint_of_nothing_does_no_harm() {
+    let hinted = |n| Arrival { hint: Some(ms(n)), ..Arrival::default() };
+    let mut rig = Rig::new(Settings::default());
+    rig.arrive(0, hinted(0));
+    rig.pass(ms(100));
+    rig.end(0, Outcome::Done);
+    rig.take();
+    rig.arrive(0, hinted(100));
+    assert_eq!(rig.count("dismiss 0"), 1, "endlessly larger than usual, on full cores");
+}
+
 #[test]
 fn a_ticket_is_asked_to_go_nowhere_else_only_where_the_fleet_seems_full() {
     // (tries are marked, this one is a further try, many before were, nowhere else)
