Idle connections close sooner while many are open and little is dismissed; lines folded

Guards also against callers that come and go; may harm where opening costs more than a run. Mechanism 6 is new: leaving and health are one now. The adapter keeps its maps in order.

--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -5,7 +5,7 @@
     Voice,
 };
 use serde_json::{Map, Value};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::time::Duration;
 
@@ -15,21 +15,21 @@
 #[derive(Default)]
 pub struct Fleet {
     now: Duration,
-    instances: HashMap<String, Instance>,
+    instances: BTreeMap<String, Instance>,
 }
 
 struct Instance {
     node: Node,
     door: Door,
-    types: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
+    types: BTreeMap<String, usize>,
+    tenants: BTreeMap<String, usize>,
 }
 
 /// Maps the wire's ticket ids to small indices and back, and writes the actions.
 struct Door {
     name: String,
     can_stop: bool,
-    index: HashMap<u64, usize>,
+    index: BTreeMap<u64, usize>,
     ids: Vec<u64>,
     free: Vec<usize>,
     now: Duration,
@@ -86,7 +86,7 @@
         let permits = object(facts, "permissions")?;
         let calls = list(family, "classCalls");
         let skips = list(family, "classSkipWorth");
-        let mut names = HashMap::new();
+        let mut names = BTreeMap::new();
         let mut types = Vec::new();
         for (k, class) in list(facts, "requestClasses").iter().enumerate() {
             let class = class.as_object().ok_or("requestClasses: an entry is no object")?;
@@ -107,7 +107,7 @@
                 },
             });
         }
-        let mut tenants = HashMap::new();
+        let mut tenants = BTreeMap::new();
         let mut quotas = Vec::new();
         for (k, party) in list(facts, "parties").iter().enumerate() {
             let party = party.as_object().ok_or("parties: an entry is no object")?;
@@ -150,13 +150,13 @@
             Limit::new(seed, cores, factor, cold),
             hand,
             Below::new(share),
-            Voice::new(say, longest, span(duties, "drainGraceS")?, marked),
+            Voice::new(say, longest, span(duties, "drainGraceS")?, marked, span(family, "idleS")?),
         );
         let node = Node::new(types, by_work, parts);
         let door = Door {
             name,
             can_stop: family.get("halt").and_then(Value::as_str) != Some("off"),
-            index: HashMap::new(),
+            index: BTreeMap::new(),
             ids: Vec::new(),
             free: Vec::new(),
             now,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,8 +12,8 @@
 //! 2. the alarm: every ticket in hand has one time at which it is answered, come what may;
 //! 3. the crowd and memory bounds, from the figures told at start;
 //! 4. the pace: calls below go at a rate that follows their recent time;
-//! 5. health: a node whose runs fail or do not end keeps tickets away, but for a trickle;
-//! 6. leaving: what arrives past the grace is not run, all else is answered before the kill.
+//! 5. the door: a node that is sick or leaves keeps tickets away, but for a trickle while sick;
+//! 6. connections: the more stand open, the sooner idle ones close.
 
 use crate::decay::{Decaying, Mean};
 use crate::hand::{Hand, Stage, Ticket};
@@ -81,6 +81,10 @@
 const AGAIN: f64 = 0.12;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = Duration::from_millis(500);
+/// Open connections a core past which idle ones close sooner: a core seldom has more tickets in hand.
+const LINKS: f64 = 10.0;
+/// Share of tickets dismissed from which connections are kept longer: new ones would bring more of them.
+const TURNED: f64 = 0.5;
 
 /// What each tenant spent, and what it may: the design's quota.
 pub struct Ledger {
@@ -102,7 +106,7 @@
     /// O over T. T is the quota times the mean charge; while the tenants together spend more than their
     /// quotas, the room they share is lent in proportion, so that T never binds below what is there.
     fn over(&self, now: Duration, account: usize) -> f64 {
-        let mean = self.charge.read().filter(|_| self.charge.weight(now, MEAN_SPAN) >= KNOWN);
+        let mean = self.charge.known(now, MEAN_SPAN, KNOWN);
         let (Some(quota), Some(mean)) = (self.quotas.get(account), mean) else { return 0.0 };
         let all: f64 = self.spent.iter().map(|s| s.read(now, WINDOW)).sum();
         let quotas: f64 = self.quotas.iter().sum();
@@ -118,10 +122,6 @@
         let x = (self.over(now, account) - 1.0).clamp(0.0, 1.0);
         self.until[account] = now + WINDOW.mul_f64(x);
     }
-
-    fn delay_left(&self, now: Duration, account: usize) -> Duration {
-        self.until[account].saturating_sub(now)
-    }
 }
 
 /// How many may run at once: the learned limit under the crowd that a node survives.
@@ -193,7 +193,7 @@
         }
         let mut best = (self.arm, 0.0);
         for (arm, pay) in self.pay.iter().enumerate().take(highest + 1) {
-            let paid = pay.read().filter(|_| pay.weight(now, PAY_SPAN) >= STALE).unwrap_or(0.0);
+            let paid = pay.known(now, PAY_SPAN, STALE).unwrap_or(0.0);
             if paid > best.1 * WORTH_MORE {
                 best = (arm, paid);
             }
@@ -212,7 +212,7 @@
     recent: Mean,
     usual: Mean,
     out: usize,
-    abandoned: VecDeque<Duration>,
+    abandoned: Vec<Duration>,
     busy: Decaying,
 }
 
@@ -227,9 +227,7 @@
         let since = now.saturating_sub(self.at).as_secs_f64();
         self.saved = (self.saved + since * self.rate).min((self.rate * SAVED).max(1.0));
         self.at = now;
-        while self.abandoned.front().is_some_and(|&gone| gone <= now) {
-            self.abandoned.pop_front();
-        }
+        self.abandoned.retain(|&gone| gone > now);
         let room = self.share.is_none_or(|(share, over, _)| {
             let held = self.out + self.abandoned.len();
             let mean = self.busy.read(now, over) / over.as_secs_f64();
@@ -245,7 +243,7 @@
         if let Some((_, over, lingers)) = self.share {
             self.busy.add(now, took, over);
             if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
-                self.abandoned.push_back(now + lingers);
+                self.abandoned.push(now + lingers);
             }
         }
         if outcome == Outcome::Done {
@@ -253,9 +251,10 @@
             self.usual.add(now, took, MEAN_SPAN);
         }
         let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * self.usual.read().unwrap_or(f64::MAX);
-        let by = if outcome == Outcome::Done && !slowed { PACE_STEPS[1] } else { PACE_STEPS[0] };
-        let by = if outcome == Outcome::Stopped { 1.0 } else { by };
-        self.rate = (self.rate * by).clamp(PACE[0], PACE[2]);
+        if outcome != Outcome::Stopped {
+            let by = PACE_STEPS[usize::from(outcome == Outcome::Done && !slowed)];
+            self.rate = (self.rate * by).clamp(PACE[0], PACE[2]);
+        }
     }
 }
 
@@ -267,15 +266,35 @@
     grace: Duration,
     marked: bool,
     again: Mean,
+    turned: Mean,
     leaving: Option<(Duration, Duration)>,
     away: bool,
+    idle: Duration,
+    stay: Duration,
+    looked: Duration,
 }
 
 impl Voice {
     /// `longest`: the longest advice that is heeded; `grace`: arrivals later than this after the notice
-    /// are not run; `marked`: further tries are marked as such.
-    pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool) -> Self {
-        Self { say, longest, grace, marked, ..Self::default() }
+    /// are not run; `marked`: further tries are marked as such; `idle`: callers close a connection unused
+    /// for so long.
+    pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool, idle: Duration) -> Self {
+        Self { say, longest, grace, marked, idle, stay: idle, ..Self::default() }
+    }
+
+    /// Guards against a table full of connections that nobody comes back to: it slows all work, and turns
+    /// callers away unseen. While much is dismissed a full table is the cheapest way to say no, and stays.
+    fn trim(&mut self, now: Duration, host: &mut dyn Host, open: f64, cores: usize, busy: bool) {
+        if now < self.looked + ROUND {
+            return;
+        }
+        let turned = self.turned.read().filter(|_| busy).unwrap_or(0.0) / TURNED;
+        let room = if open < LINKS * cores as f64 { 2.0 } else { turned.clamp(0.5, 2.0) };
+        let stay = self.stay.mul_f64(room).max(BEAT).min(self.idle);
+        self.looked = now;
+        if std::mem::replace(&mut self.stay, stay) != stay {
+            host.close_idle_after(stay);
+        }
     }
 
     /// Asks callers to keep away, or to come again.
@@ -284,11 +303,8 @@
             return;
         }
         host.checks(!away);
-        match self.say {
-            Say::Nothing => {}
-            Say::Level => host.say(if away { 1.0 } else { 0.0 }),
-            Say::Weight => host.say(if away { 0.0 } else { 1.0 }),
-            Say::Credit => host.say(if away { 0.0 } else { f64::from(u32::MAX) }),
+        if let Some(value) = self.say.to_all(away) {
+            host.say(value);
         }
     }
 }
@@ -308,9 +324,8 @@
             self.last_end = now;
         }
         let hung = now.saturating_sub(self.last_end) > usual_run.mul_f64(HUNG_RUNS).max(HUNG_LEAST);
-        let failing = self.failed.read().unwrap_or(0.0);
-        let verdict = self.failed.weight(now, RECENT) >= KNOWN;
-        self.sick = hung || if self.sick { failing > SICK[1] } else { verdict && failing > SICK[0] };
+        let verdict = self.failed.known(now, RECENT, if self.sick { 0.0 } else { KNOWN });
+        self.sick = hung || verdict > Some(SICK[usize::from(self.sick)]);
     }
 
     fn lets_through(&mut self, now: Duration) -> bool {
@@ -321,7 +336,7 @@
 }
 
 /// One traffic type's line, a queue for each account.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 struct Line {
     queues: Vec<VecDeque<usize>>,
     passed: f64,
@@ -329,6 +344,9 @@
     hint: Mean,
 }
 
+/// When a run began, and how long the process had stood still by then.
+type Since = [Duration; 2];
+
 /// What a node is made of, each part from its own few settings.
 pub type Parts = (Ledger, Limit, Hand<Node>, Below, Voice);
 
@@ -353,9 +371,8 @@
     /// `by_work`: benefit is counted for each unit of work.
     pub fn new(types: Vec<TrafficType>, by_work: bool, parts: Parts) -> Self {
         let (ledger, limit, hand, below, voice) = parts;
-        let queues = vec![VecDeque::new(); ledger.spent.len()];
-        let lines =
-            vec![Line { queues, passed: 0.0, run: Mean::default(), hint: Mean::default() }; types.len()];
+        let line = Line { queues: vec![VecDeque::new(); ledger.spent.len()], ..Line::default() };
+        let lines = vec![line; types.len()];
         let (health, standing, busy) = (Health::default(), VecDeque::new(), false);
         let (stalled, beat) = (Duration::ZERO, Duration::MAX);
         #[rustfmt::skip]
@@ -378,41 +395,37 @@
         let (repeats, goal) = (kind.repeats, kind.goal_time);
         let arrived = now.saturating_sub(a.waited);
         let due = a.patience.map_or((arrived + kind.outer_limit).max(now), |left| now + left);
-        let due = self.voice.leaving.map_or(due, |(_, kill)| due.min(kill));
+        let due = self.voice.leaving.map_or(due, |(_, kill)| due.min(kill)).saturating_sub(MARGIN);
         let account = a.tenant.unwrap_or(usize::MAX).min(self.ledger.quotas.len());
         self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
-        let mut t = Ticket::new(a.traffic, account, arrived, due, a.held_kb);
-        (t.hint, t.again) = (a.hint, a.again);
-        self.hand.put(ix, t);
+        self.hand.put(ix, Ticket::new(&a, account, arrived, due));
         if let Repeats::Ticketed(window) = repeats {
             if a.repeat != Repeat::No {
                 // Guards against a second effect: a repeat takes the first try's result, never a run.
                 self.hand.move_to(ix, Stage::Reusing);
                 self.hand.at(ix).after_run = Some(Box::new(|node, _, host, ix, _| node.close(host, ix)));
                 host.reuse(ix);
-                self.hand.set_alarm(ix, Some(due.saturating_sub(MARGIN)));
                 return self.sound(now, host);
             }
             let span = (window + MARGIN).saturating_sub(a.waited);
             host.keep(ix, span);
             self.hand.keep(ix, now + span);
         }
-        let longest = self.voice.longest;
         let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
         // Guards against runs cut off undone, and against working off a backlog that piled up unread: on
         // full cores nothing is begun that has no time for its usual run, or waited half its goal time.
         let last = due.min(arrived + goal).saturating_sub(self.usual_run(a.traffic, a.hint));
         let start_by = last.min(arrived + goal.mul_f64(HOLD));
-        let hopeless = due <= now + MARGIN || too_late || (self.busy && now > start_by);
+        let hopeless = due <= now || too_late || (self.busy && now > start_by);
         if hopeless || !self.health.lets_through(now) {
-            return self.dismiss(now, host, ix, longest);
+            return self.dismiss(now, host, ix, self.voice.longest);
         }
-        let delay = self.ledger.delay_left(now, account);
+        let delay = self.ledger.until[account].saturating_sub(now);
         if delay > Duration::ZERO && self.pressed(goal, a.waited) {
             return self.dismiss(now, host, ix, delay);
         }
         self.lines[a.traffic].queues[account].push_back(ix);
-        self.hand.set_alarm(ix, Some(start_by.max(now + BEAT).min(due.saturating_sub(MARGIN))));
+        self.hand.set_alarm(ix, Some(start_by.max(now + BEAT).min(due)));
         self.shed(now, host);
         self.fill(now, host);
     }
@@ -451,7 +464,7 @@
         let kill = now + kill_in.saturating_sub(MARGIN);
         self.voice.leaving = Some((now, kill));
         self.voice.keep_away(host, true);
-        self.hand.none_later(kill, kill.saturating_sub(MARGIN));
+        self.hand.none_later(kill.saturating_sub(MARGIN));
         self.sound(now, host);
     }
 
@@ -469,8 +482,8 @@
         self.limit.beat(now, gauges, running, held > 0);
         let usual = (0..self.lines.len()).map(|k| self.usual_run(k, None)).max().unwrap_or_default();
         self.health.look(now, running > 0, usual);
-        let away = self.health.sick || self.voice.leaving.is_some();
-        self.voice.keep_away(host, away);
+        self.voice.trim(now, host, gauges.links.unwrap_or(0.0), self.limit.cores, self.busy);
+        self.voice.keep_away(host, self.health.sick || self.voice.leaving.is_some());
         self.sound(now, host);
         self.fill(now, host);
     }
@@ -498,15 +511,11 @@
     fn sound(&mut self, now: Duration, host: &mut dyn Host) {
         while let Some(ix) = self.hand.ring(now) {
             let t = self.hand.at(ix);
-            let (stage, due) = (t.stage, t.due.saturating_sub(MARGIN));
-            let poorer = self.types[t.traffic].poorer > 0.0;
+            let (stage, due, poorer) = (t.stage, t.due, self.types[t.traffic].poorer > 0.0);
             match stage {
-                Stage::Held => {
-                    let wait = self.wait();
-                    self.dismiss(now, host, ix, wait);
-                }
+                Stage::Held => self.dismiss(now, host, ix, self.wait()),
                 Stage::Standing if now < due && poorer => self.leave_call_out(now, host, ix),
-                Stage::Standing | Stage::Calling if now < due => self.hand.set_alarm(ix, Some(due)),
+                Stage::Standing | Stage::Calling if now < due => self.hand.alarm_when_due(ix),
                 _ => self.give_up(host, ix),
             }
         }
@@ -535,11 +544,11 @@
     fn dismiss(&mut self, now: Duration, host: &mut dyn Host, ix: usize, come_back: Duration) {
         // Many further tries say that other nodes are full too; where none are marked, assume it.
         let fleet = !self.voice.marked || self.voice.again.read() > Some(AGAIN);
-        let full = self.hand.at(ix).again || (self.busy && fleet);
-        let nowhere_else = full && !self.health.sick && self.voice.leaving.is_none();
+        let nowhere_else = (self.hand.at(ix).again || (self.busy && fleet)) && !self.voice.away;
         if self.hand.forget(now, ix) {
             host.forget(ix);
         }
+        self.voice.turned.add(now, 1.0, RECENT);
         host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
         self.close(host, ix);
     }
@@ -567,7 +576,7 @@
             let newest = queues.filter_map(|(a, queue)| Some((self.ledger.over(now, a), a, *queue.back()?)));
             let worst = newest.max_by(|a, b| a.0.total_cmp(&b.0));
             let Some((over, a, ix)) = worst.filter(|w| short || (long && w.0 > 1.0)) else { return };
-            let delay = self.ledger.delay_left(now, a);
+            let delay = self.ledger.until[a].saturating_sub(now);
             self.dismiss(now, host, ix, if over > 1.0 { delay } else { self.voice.longest });
         }
     }
@@ -592,15 +601,14 @@
             if self.hand.memory_with(now, Some(ix)) > SAFE {
                 return;
             }
-            for line in &mut self.lines {
-                line.passed = line.passed.max(passed - 1.0);
-            }
+            self.lines.iter_mut().for_each(|line| line.passed = line.passed.max(passed - 1.0));
             self.start(now, host, ix);
         }
     }
 
     fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         let stalled = self.stalled;
+        self.voice.turned.add(now, 0.0, RECENT);
         self.hand.move_to(ix, Stage::Running);
         let t = self.hand.at(ix);
         t.after_run = Some(Box::new(move |node, at, host, ix, end| {
@@ -611,19 +619,11 @@
         let size = t.hint.map_or(line.run.read().unwrap_or(1.0), |hint| hint.as_secs_f64());
         let turn = if self.by_work { size } else { 1.0 };
         line.passed += turn / self.types[t.traffic].benefit.max(f64::MIN_POSITIVE);
-        let due = t.due.saturating_sub(MARGIN);
-        self.hand.set_alarm(ix, Some(due));
+        self.hand.alarm_when_due(ix);
         host.run(ix);
     }
 
-    fn run_ended(
-        &mut self,
-        now: Duration,
-        host: &mut dyn Host,
-        ix: usize,
-        end: Outcome,
-        since: [Duration; 2],
-    ) {
+    fn run_ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome, since: Since) {
         let [begun, stalled] = since;
         let running = self.hand.count(Stage::Running).max(1);
         let t = self.hand.at(ix);
@@ -660,7 +660,7 @@
     /// The latest a call may take: where a poorer answer is worth something, in time for the goal time.
     fn call_until(&mut self, ix: usize) -> Duration {
         let t = self.hand.at(ix);
-        let (arrived, due, kind) = (t.arrived, t.due.saturating_sub(MARGIN), t.traffic);
+        let (arrived, due, kind) = (t.arrived, t.due, t.traffic);
         if self.types[kind].poorer == 0.0 {
             return due;
         }
@@ -685,12 +685,12 @@
             let until = self.call_until(ix);
             self.hand.move_to(ix, Stage::Calling);
             let t = self.hand.at(ix);
-            let due = t.due.saturating_sub(MARGIN);
+            let due = t.due;
             t.call_tries += 1;
             t.after_call = Some(Box::new(move |node, at, host, ix, end| {
                 node.call_back(at, host, ix, end, now);
             }));
-            self.hand.set_alarm(ix, Some(due));
+            self.hand.alarm_when_due(ix);
             (self.below.out, self.below.saved) = (self.below.out + 1, self.below.saved - 1.0);
             host.call(ix, until.max(now + BEAT).min(due));
         }
@@ -725,8 +725,7 @@
         self.hand.move_to(ix, Stage::Running);
         let t = self.hand.at(ix);
         t.call_waits += now.saturating_sub(t.call_since);
-        let due = t.due.saturating_sub(MARGIN);
-        self.hand.set_alarm(ix, Some(due));
+        self.hand.alarm_when_due(ix);
         host.answer_poorer(ix);
     }
 }
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -1,6 +1,6 @@
 //! The tickets in hand: their stages, their alarms and the memory they take.
 
-use crate::ticket::{Host, Outcome};
+use crate::ticket::{Arrival, Host, Outcome};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -25,6 +25,7 @@
     pub traffic: usize,
     pub account: usize,
     pub arrived: Duration,
+    /// The last moment for its answer.
     pub due: Duration,
     pub kb: f64,
     pub hint: Option<Duration>,
@@ -42,15 +43,15 @@
 }
 
 impl<N> Ticket<N> {
-    pub fn new(traffic: usize, account: usize, arrived: Duration, due: Duration, kb: f64) -> Self {
+    pub fn new(a: &Arrival, account: usize, arrived: Duration, due: Duration) -> Self {
         Self {
-            traffic,
+            traffic: a.traffic,
             account,
             arrived,
             due,
-            kb,
-            hint: None,
-            again: false,
+            kb: a.held_kb,
+            hint: a.hint,
+            again: a.again,
             stage: Stage::Held,
             ran: false,
             answered: false,
@@ -91,6 +92,7 @@
         self.used_kb += ticket.kb;
         self.counts[ticket.stage as usize] += 1;
         self.tickets[ix] = Some(ticket);
+        self.alarm_when_due(ix);
     }
 
     pub fn get(&mut self, ix: usize) -> Option<&mut Ticket<N>> {
@@ -139,13 +141,18 @@
         }
     }
 
-    /// No alarm of an unanswered ticket rings later than this.
-    pub fn none_later(&mut self, due: Duration, alarm: Duration) {
+    pub fn alarm_when_due(&mut self, ix: usize) {
+        let due = self.get(ix).map(|t| t.due);
+        self.set_alarm(ix, due);
+    }
+
+    /// No unanswered ticket is due, nor its alarm rings, later than this.
+    pub fn none_later(&mut self, due: Duration) {
         for ix in 0..self.tickets.len() {
             let Some(t) = self.get(ix).filter(|t| !t.answered) else { continue };
             t.due = t.due.min(due);
-            if t.alarm.is_none_or(|at| at > alarm) {
-                self.set_alarm(ix, Some(alarm));
+            if t.alarm.is_none_or(|at| at > due) {
+                self.set_alarm(ix, Some(due));
             }
         }
     }
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -104,6 +104,18 @@
     Weight,
 }
 
+impl Say {
+    /// The value that keeps all callers away, or none of them.
+    pub fn to_all(self, away: bool) -> Option<f64> {
+        match self {
+            Self::Nothing => None,
+            Self::Level => Some(if away { 1.0 } else { 0.0 }),
+            Self::Weight => Some(if away { 0.0 } else { 1.0 }),
+            Self::Credit => Some(if away { 0.0 } else { f64::from(u32::MAX) }),
+        }
+    }
+}
+
 /// Orders to the program around the module. Indices are those that
 /// `Node::arrived` returned; [`Host::over`] hands an index back for reuse.
 pub trait Host {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,50 +11,33 @@
 #[derive(Default)]
 pub struct Orders(pub Vec<String>);
 
-impl Host for Orders {
-    fn run(&mut self, ticket: usize) {
-        self.0.push(format!("run {ticket}"));
-    }
-    fn take_off(&mut self, ticket: usize) {
-        self.0.push(format!("take_off {ticket}"));
-    }
-    fn reuse(&mut self, ticket: usize) {
-        self.0.push(format!("reuse {ticket}"));
-    }
-    fn keep(&mut self, ticket: usize, span: Duration) {
-        self.0.push(format!("keep {ticket} {}", span.as_millis()));
-    }
-    fn forget(&mut self, ticket: usize) {
-        self.0.push(format!("forget {ticket}"));
-    }
-    fn dismiss(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool) {
-        let word = if nowhere_else { " nowhere_else" } else { "" };
-        self.0.push(format!("dismiss {ticket} {}{word}", come_back.as_millis()));
-    }
-    fn give_up(&mut self, ticket: usize) {
-        self.0.push(format!("give_up {ticket}"));
-    }
-    fn call(&mut self, ticket: usize, until: Duration) {
-        self.0.push(format!("call {ticket} {}", until.as_millis()));
-    }
-    fn answer_poorer(&mut self, ticket: usize) {
-        self.0.push(format!("answer_poorer {ticket}"));
-    }
-    fn say(&mut self, amount: f64) {
-        self.0.push(format!("say {amount}"));
-    }
-    fn checks(&mut self, good: bool) {
-        self.0.push(format!("checks {good}"));
-    }
-    fn close_idle_after(&mut self, span: Duration) {
-        self.0.push(format!("close_idle_after {}", span.as_millis()));
-    }
-    fn wake(&mut self, _: Duration) {}
-    fn over(&mut self, ticket: usize) {
-        self.0.push(format!("over {ticket}"));
-    }
+macro_rules! notes {
+    ($($order:ident($($arg:ident: $kind:ty),*) $text:literal $(($($value:expr),*))?;)*) => {
+        impl Host for Orders {
+            $(fn $order(&mut self, $($arg: $kind),*) { self.0.push(format!($text $(, $($value),*)?)); })*
+            fn wake(&mut self, _: Duration) {}
+        }
+    };
+}
+
+notes! {
+    run(t: usize) "run {t}";
+    take_off(t: usize) "take_off {t}";
+    reuse(t: usize) "reuse {t}";
+    keep(t: usize, span: Duration) "keep {t} {}" (span.as_millis());
+    forget(t: usize) "forget {t}";
+    dismiss(t: usize, back: Duration, not: bool) "dismiss {t} {}{}" (back.as_millis(), NOWHERE[usize::from(not)]);
+    give_up(t: usize) "give_up {t}";
+    call(t: usize, until: Duration) "call {t} {}" (until.as_millis());
+    answer_poorer(t: usize) "answer_poorer {t}";
+    say(amount: f64) "say {amount}";
+    checks(good: bool) "checks {good}";
+    close_idle_after(span: Duration) "close_idle_after {}" (span.as_millis());
+    over(t: usize) "over {t}";
 }
 
+const NOWHERE: [&str; 2] = ["", " nowhere_else"];
+
 /// Two cores, two tenants of one ticket a second over two servers, types by `Repeats`.
 pub struct Rig {
     pub node: Node,
@@ -95,7 +78,7 @@
             Limit::new(7, 2, s.factor, s.cold),
             Hand::new(s.memory_kb, 4.0, 10.0),
             Below::new(s.share),
-            Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked),
+            Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked, ms(30_000)),
         );
         let node = Node::new(vec![kind], false, parts);
         let mut rig = Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0 };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -221,3 +221,33 @@
     rig.pass(ms(40));
     assert_eq!(rig.count("call 1"), 0);
 }
+
+#[test]
+fn idle_connections_close_sooner_while_many_are_open_unless_much_is_dismissed() {
+    // (cores gauge, open connections, dismissed of four, the span asked for last, ms)
+    let cases = [
+        (0.95, 19.0, 0, None),
+        (0.95, 80.0, 0, Some(1_875)),
+        (0.95, 80.0, 4, Some(30_000)),
+        (0.3, 80.0, 4, Some(1_875)),
+    ];
+    for (busy, open, dismissed, span) in cases {
+        let mut rig = Rig::new(Settings::default());
+        let mut last = None;
+        for turn in 0..160 {
+            rig.now += ms(20);
+            let gauges = Gauges { cores_busy: Some(busy), links: Some(open), ..Gauges::default() };
+            rig.node.woken(rig.now, &mut rig.orders, gauges);
+            if turn % 10 == 0 {
+                // Without any patience left a ticket can only be dismissed.
+                let hopeless = turn / 10 % 4 < dismissed;
+                let patience = Some(ms(if hopeless { 0 } else { 2_000 }));
+                rig.arrive(0, Arrival { patience, ..Arrival::default() });
+                rig.end(0, Outcome::Done);
+            }
+            let asked = rig.take().iter().find_map(|o| o.strip_prefix("close_idle_after ")?.parse().ok());
+            last = asked.or(last);
+        }
+        assert_eq!(last, span, "{busy} {open} {dismissed}");
+    }
+}
