--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,8 +37,8 @@
 /// Share of the goal time held work may take to clear before the node counts as pressed.
 const PRESSED: f64 = 0.15;
 /// Tickets asked for over T from which a tenant's are shed first: far more than a swing of the load.
-const GROSS: f64 = 2.0;
-/// Share of the goal time that a ticket may wait, read or unread, and that what is held may take to clear.
+const GROSS: f64 = 3.0;
+/// Share of the goal time that a ticket may wait, read or unread.
 const HOLD: f64 = 0.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
 const BUSY: f64 = 0.9;
@@ -563,18 +563,18 @@
         }
     }
 
-    /// Guards against dying of memory, and against a line that outgrows what its tickets can wait: the
-    /// newest goes of who asks for most over T, as its share is met where nodes are faster than this one.
+    /// Guards against dying of memory, and against a flood that takes the room of the others: the newest
+    /// goes of who asks for most over T, as its share is met where nodes are faster than this one.
     fn shed(&mut self, now: Duration, host: &mut dyn Host) {
         let goal = self.types.iter().map(|kind| kind.goal_time).min().unwrap_or_default();
         loop {
             let short = self.hand.memory_with(now, None) > SAFE;
-            let long = self.busy && self.wait() > goal.mul_f64(HOLD);
+            let pressed = self.busy && self.wait() > goal.mul_f64(PRESSED);
             let queues = self.lines.iter().flat_map(|line| line.queues.iter().enumerate());
             let asks = |a| self.ledger.over(now, a)[1];
             let newest = queues.filter_map(|(a, queue)| Some((asks(a), *queue.back()?)));
             let worst = newest.max_by(|a, b| a.0.total_cmp(&b.0));
-            let Some((_, ix)) = worst.filter(|w| short || (long && w.0 > GROSS)) else { return };
+            let Some((_, ix)) = worst.filter(|w| short || (pressed && w.0 > GROSS)) else { return };
             self.dismiss(now, host, ix, self.wait());
         }
     }
