Six connections a core before idle ones close, none up to ten callers a core

Cause: at full size no connection is used again, so fewer are better; with few callers all are. The number of callers comes with the start settings; factors of the trimming stand in the block of constants. Guards as before; may harm where a hundred callers a node all come back within seconds.

--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -138,6 +138,7 @@
         let clients = object(facts, "clients")?;
         let marked = flag(clients, "marksRetry");
         let cores = whole(family, "cores")? as usize;
+        let callers = (whole(family, "callers")? as usize, span(family, "idleS")?);
         let factor = number(duties, "overloadFactor")?;
         let by_work = facts.get("countedBy").and_then(Value::as_str) == Some("work");
         let hand = Hand::new(
@@ -150,7 +151,7 @@
             Limit::new(seed, cores, factor, cold),
             hand,
             Below::new(share),
-            Voice::new(say, longest, span(duties, "drainGraceS")?, marked, span(family, "idleS")?),
+            Voice::new(say, longest, span(duties, "drainGraceS")?, marked, callers),
         );
         let node = Node::new(types, by_work, parts);
         let door = Door {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,8 +85,10 @@
 const AGAIN: f64 = 0.12;
 /// A sick node lets one ticket through this often, ms.
 const TRICKLE: Duration = Duration::from_millis(500);
-/// Open connections a core past which idle ones close sooner: a core seldom has more tickets in hand.
-const LINKS: f64 = 10.0;
+/// Open connections a core past which idle ones close sooner, and callers a core up to which none do.
+const LINKS: [f64; 2] = [6.0, 10.0];
+/// What the stay of an idle connection is multiplied by at a look, once a round, at the least and most.
+const TRIM: [f64; 2] = [0.5, 2.0];
 /// Share of tickets dismissed from which connections are kept longer: new ones would bring more of them.
 const TURNED: f64 = 0.5;
 
@@ -270,17 +272,17 @@
     turned: Mean,
     leaving: Option<(Duration, Duration)>,
     away: bool,
-    idle: Duration,
+    links: (usize, Duration),
     stay: Duration,
     looked: Duration,
 }
 
 impl Voice {
     /// `longest`: the longest advice that is heeded; `grace`: arrivals later than this after the notice
-    /// are not run; `marked`: further tries are marked as such; `idle`: callers close a connection unused
-    /// for so long.
-    pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool, idle: Duration) -> Self {
-        Self { say, longest, grace, marked, idle, stay: idle, ..Self::default() }
+    /// are not run; `marked`: further tries are marked as such; `links`: callers, and how long each keeps
+    /// an unused connection.
+    pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool, links: (usize, Duration)) -> Self {
+        Self { say, longest, grace, marked, links, stay: links.1, ..Self::default() }
     }
 
     /// Guards against a table full of connections that nobody comes back to: it slows all work, and turns
@@ -290,8 +292,9 @@
             return;
         }
         let turned = self.turned.read().filter(|_| busy).unwrap_or(0.0) / TURNED;
-        let room = if open < LINKS * cores as f64 { 2.0 } else { turned.clamp(0.5, 2.0) };
-        let stay = self.stay.mul_f64(room).max(BEAT).min(self.idle);
+        let few = open < LINKS[0] * cores as f64 || self.links.0 as f64 <= LINKS[1] * cores as f64;
+        let by = if few { TRIM[1] } else { turned.clamp(TRIM[0], TRIM[1]) };
+        let stay = self.stay.mul_f64(by).max(BEAT).min(self.links.1);
         self.looked = now;
         if std::mem::replace(&mut self.stay, stay) != stay {
             host.close_idle_after(stay);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -59,13 +59,14 @@
     pub memory_kb: f64,
     pub share: Option<(f64, Duration, Duration)>,
     pub marked: bool,
+    pub callers: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         let (quotas, servers, cores, repeats) = (&[1.0, 1.0], 2, 2, Repeats::Rerunnable);
-        let (poorer, factor, cold, memory_kb, share) = (0.0, 6.0, None, 10_000.0, None);
-        Self { quotas, servers, cores, repeats, poorer, factor, cold, memory_kb, share, marked: true }
+        let (poorer, factor, cold, memory_kb, share, marked) = (0.0, 6.0, None, 10_000.0, None, true);
+        Self { quotas, servers, cores, repeats, poorer, factor, cold, memory_kb, share, marked, callers: 900 }
     }
 }
 
@@ -78,7 +79,7 @@
             Limit::new(7, s.cores, s.factor, s.cold),
             Hand::new(s.memory_kb, 4.0, 10.0),
             Below::new(s.share),
-            Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked, ms(30_000)),
+            Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked, (s.callers, ms(30_000))),
         );
         let node = Node::new(vec![kind], false, parts);
         let mut rig = Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0, links: 0.0 };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -190,15 +190,16 @@
 
 #[test]
 fn idle_connections_close_sooner_while_many_are_open_unless_much_is_dismissed() {
-    // (cores gauge, open connections, dismissed of four, the span asked for last, ms)
+    // (callers, cores gauge, open connections, dismissed of four, the span asked for last, ms)
     let cases = [
-        (0.95, 19.0, 0, None),
-        (0.95, 80.0, 0, Some(1_875)),
-        (0.95, 80.0, 4, Some(30_000)),
-        (0.3, 80.0, 4, Some(1_875)),
+        (900, 0.95, 11.0, 0, None),
+        (20, 0.95, 80.0, 0, None),
+        (900, 0.95, 80.0, 0, Some(1_875)),
+        (900, 0.95, 80.0, 4, Some(30_000)),
+        (900, 0.3, 80.0, 4, Some(1_875)),
     ];
-    for (busy, open, dismissed, span) in cases {
-        let mut rig = Rig::new(Settings::default()).at(busy);
+    for (callers, busy, open, dismissed, span) in cases {
+        let mut rig = Rig::new(Settings { callers, ..Settings::default() }).at(busy);
         (rig.links, rig.now) = (open, rig.now - ms(20));
         let mut last = None;
         for turn in 0..16 {
@@ -210,7 +211,7 @@
             let asked = rig.take().iter().find_map(|o| o.strip_prefix("close_idle_after ")?.parse().ok());
             last = asked.or(last);
         }
-        assert_eq!(last, span, "{busy} {open} {dismissed}");
+        assert_eq!(last, span, "{callers} {busy} {open} {dismissed}");
     }
 }
 
