--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,7 +111,6 @@
         self.take();
     }
 
-    /// A ticket of this tenant that comes and stands at its call.
     pub fn calling(&mut self, ix: usize, tenant: usize) {
         self.tenant(ix, tenant);
         self.at_call(ix);
@@ -148,7 +147,6 @@
         std::mem::take(&mut self.orders.0)
     }
 
-    /// How many orders since the last look begin so.
     pub fn count(&mut self, order: &str) -> usize {
         let orders = self.take();
         orders.iter().filter(|o| o.starts_with(order)).count()
