--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep_until, timeout};
 
 /// The longest line taken, in bytes: a result of 4 KiB in base64, ten times over.
 const LINE_MOST: usize = 64 * 1024;
@@ -23,8 +23,9 @@
 /// No gauges for so long on a link that was greeted: it is dead, however open it looks.
 const SILENT: Duration = Duration::from_secs(3);
 
-/// Reason code where there was nothing to connect to.
+/// Reason codes where there was nothing to connect to, and where a new configuration names another address.
 const UNREACHABLE: &str = "agent_unreachable";
+const MOVED: &str = "agent_moved";
 
 /// What the rest of the node sees of the link.
 #[derive(Default)]
@@ -40,6 +41,8 @@
     waiting: Cell<Option<Instant>>,
     /// Tells who waits just then that gauges came in.
     pub sampled: Notify,
+    /// The agent has another address: the link is opened anew there.
+    pub moved: Notify,
 }
 
 impl Link {
@@ -77,15 +80,21 @@
     loop {
         let link = hub.link.clone();
         let opened = Instant::now();
-        let why = match timeout(SILENT, TcpStream::connect(hub.config.agent)).await {
-            Ok(Ok(stream)) => {
+        let opening = timeout(SILENT, TcpStream::connect(hub.peers.get().agent));
+        let opening = tokio::select! {
+            opening = opening => Some(opening),
+            () = link.moved.notified() => None,
+        };
+        let why = match opening {
+            None => MOVED,
+            Some(Ok(Ok(stream))) => {
                 count(&hub.counts.agent_links);
                 let _ = stream.set_nodelay(true);
                 link.out.borrow_mut().clear();
                 link.write(format_args!("{{\"cmd\":\"subscribe\",\"offset\":{}}}\n", link.last.get()));
                 serve(&hub, &link, &stream).await
             }
-            Ok(Err(_)) | Err(_) => UNREACHABLE,
+            Some(Ok(Err(_)) | Err(_)) => UNREACHABLE,
         };
         link.ready.set(false);
         link.waiting.set(None);
@@ -96,8 +105,10 @@
         before = why;
         // Guards against a link that breaks as often as it is opened: only one that held starts afresh.
         pause = if opened.elapsed() > AGAIN[1] { AGAIN[0] } else { pause };
-        sleep(pause).await;
-        pause = (pause * 2).min(AGAIN[1]);
+        if why != MOVED {
+            let moved = timeout(pause, link.moved.notified()).await.is_ok();
+            pause = if moved { AGAIN[0] } else { (pause * 2).min(AGAIN[1]) };
+        }
     }
 }
 
@@ -126,6 +137,7 @@
             }
             _ = stream.writable(), if blocked => {}
             () = link.stir.notified() => {}
+            () = link.moved.notified() => return MOVED,
             () = sleep_until(dead.unwrap_or_else(Instant::now).into()), if dead.is_some() => return "agent_silent",
         }
     }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -18,9 +18,17 @@
 /// Reports until the node leaves, and then falls silent, so that it is struck off. Where the list follows
 /// the state, it says `false` once before; elsewhere that would only keep it on the list for longer.
 pub async fn keep_reporting(hub: Rc<Hub>) {
-    let Some(addr) = hub.config.announce else { return };
-    let (mut stream, mut down) = (None, false);
+    let (mut stream, mut down, mut last) = (None, false, None);
     loop {
+        let peer = hub.peers.get().announce;
+        // A connection to where the service no longer is would still be answered for a while.
+        if std::mem::replace(&mut last, peer) != peer {
+            stream = None;
+        }
+        let Some(addr) = peer else {
+            hub.report_now.notified().await;
+            continue;
+        };
         let leaving = hub.leaving.get();
         if leaving && !hub.listed_by_state {
             return;
@@ -58,7 +66,7 @@
         }
         tokio::select! {
             () = sleep(if down { AGAIN } else { EVERY }) => {}
-            () = hub.leave.notified() => {}
+            () = hub.report_now.notified() => {}
         }
     }
 }
--- a/crates/node/src/below.rs
+++ b/crates/node/src/below.rs
@@ -21,7 +21,7 @@
 const LAST_WORD: Duration = Duration::from_millis(15);
 
 pub struct Pool {
-    addr: Option<SocketAddr>,
+    addr: Cell<Option<SocketAddr>>,
     idle: RefCell<Vec<(TcpStream, Instant)>>,
     out: Cell<usize>,
 }
@@ -37,13 +37,19 @@
 
 impl Pool {
     pub fn new(addr: Option<SocketAddr>) -> Self {
-        Self { addr, idle: RefCell::default(), out: Cell::new(0) }
+        Self { addr: Cell::new(addr), idle: RefCell::default(), out: Cell::new(0) }
+    }
+
+    /// From now on calls go there; those that are out end where they are.
+    pub fn move_to(&self, addr: Option<SocketAddr>) {
+        self.addr.set(addr);
+        self.idle.borrow_mut().clear();
     }
 
     /// One call, with what it proves: whoever drops this future closes the connection, which gives
     /// the call up.
     pub async fn call(&self, trace: &[u8], left: Duration, body: &[u8]) -> (Outcome, Vec<u8>) {
-        let Some(addr) = self.addr.filter(|_| self.out.get() < CALLS_MOST) else {
+        let Some(addr) = self.addr.get().filter(|_| self.out.get() < CALLS_MOST) else {
             return (Outcome::Unreachable, Vec::new());
         };
         self.out.set(self.out.get() + 1);
@@ -63,7 +69,7 @@
             Err(_) => (Outcome::TimedOut, Vec::new()),
             Ok(Err(_)) => (Outcome::CutOff, Vec::new()),
             Ok(Ok((reply, body))) => {
-                if !reply.closes {
+                if !reply.closes && self.addr.get() == Some(addr) {
                     self.put_back(stream);
                 }
                 (outcome(&reply), body)
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,4 +1,4 @@
-//! The configuration of one node, read once; what is wrong with it is said in one line.
+//! The configuration of one node; what is wrong with it is said in one line.
 
 use rainstand_settings::fields::{list, number, object, text_of, whole, Fields};
 use rainstand_settings::Start;
@@ -6,14 +6,20 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-#[derive(Clone)]
-pub struct Config {
-    pub name: String,
-    pub listen: SocketAddr,
+/// Whom the node talks to by itself: all that a new file changes while it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peers {
     pub agent: SocketAddr,
     pub announce: Option<SocketAddr>,
     /// The tier below; the last tier has none.
     pub below: Option<SocketAddr>,
+}
+
+#[derive(Clone)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub peers: Peers,
     pub seed: u64,
     pub stop: Duration,
     pub sockets: usize,
@@ -36,9 +42,11 @@
         }
         let config = Self {
             listen: address(all, "listen")?,
-            agent: address(all, "agent")?,
-            announce: optional_address(all, "announce")?,
-            below: optional_address(all, "db")?,
+            peers: Peers {
+                agent: address(all, "agent")?,
+                announce: optional_address(all, "announce")?,
+                below: optional_address(all, "db")?,
+            },
             seed: u64::from_str_radix(seed, 16).map_err(|e| format!("seed: {e}"))?,
             stop: Duration::try_from_secs_f64(number(all, "stop_ms")? / 1e3)
                 .map_err(|e| format!("stop_ms: {e}"))?,
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -18,7 +18,7 @@
     let (noticed, stop) = (Instant::now(), hub.config.stop);
     let ends = noticed + stop.saturating_sub(BEFORE_KILL[1]);
     hub.leaving.set(true);
-    hub.leave.notify_one();
+    hub.report_now.notify_one();
     let owing = hub.core.borrow().desk.owing();
     note!("drain begins owing={owing} conns={} stop_ms={}", hub.conns.borrow().len(), stop.as_millis());
     hub.conns.borrow().values().for_each(|conn| conn.tell_shutdown());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod log;
 pub mod relay;
+pub mod reload;
 pub mod ring;
 pub mod route;
 pub mod send;
@@ -22,7 +23,7 @@
 pub mod thrift;
 
 use book::{count, Conn, Counts, Desk};
-use config::Config;
+use config::{Config, Peers};
 use rainstand::{Gauges, Node};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -54,6 +55,8 @@
 /// What the tasks of one node share.
 pub struct Hub {
     pub config: Config,
+    /// Those of the newest configuration file.
+    pub peers: Cell<Peers>,
     pub core: RefCell<Core>,
     pub conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     pub counts: Rc<Counts>,
@@ -64,8 +67,8 @@
     /// The list of nodes follows what is reported, not only that something is.
     pub listed_by_state: bool,
     pub leaving: Cell<bool>,
-    /// Wakes the reports at the notice to leave.
-    pub leave: Notify,
+    /// Wakes the reports: at the notice to leave, and when the announce service moved.
+    pub report_now: Notify,
     /// Ends the listening.
     pub deaf: Notify,
 }
@@ -74,7 +77,7 @@
     pub fn new(config: Config) -> Result<Rc<Self>, String> {
         let start = config.start(Duration::ZERO, false)?;
         let (counts, link) = (Rc::new(Counts::default()), Rc::new(agent::Link::default()));
-        let pool = Rc::new(below::Pool::new(config.below));
+        let pool = Rc::new(below::Pool::new(config.peers.below));
         let mut names: Vec<(&String, &usize)> = start.types.iter().collect();
         names.sort_by_key(|name| name.1);
         let type_names =
@@ -85,6 +88,7 @@
             (desk.types, desk.tenants) = (start.types, start.tenants);
             (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
             Self {
+                peers: Cell::new(config.peers),
                 config,
                 core: RefCell::new(Core { node: None, desk }),
                 conns: RefCell::default(),
@@ -95,7 +99,7 @@
                 grace: start.grace,
                 listed_by_state: start.listed_by_state,
                 leaving: Cell::new(false),
-                leave: Notify::new(),
+                report_now: Notify::new(),
                 deaf: Notify::new(),
             }
         }))
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,6 @@
 //! `rainstand-node`: one node, told by `ROUTER_CONFIG` where its configuration lies.
 
-use rainstand_node::{config::Config, run, Hub};
+use rainstand_node::{config::Config, reload, run, Hub};
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -26,10 +26,12 @@
     LocalSet::new().block_on(&runtime, async move {
         let listen = hub.config.listen;
         let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen {listen}: {e}"))?;
-        let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::user_defined1()];
-        let [term, int, usr1] = signals.map(|kind| signal(kind).map_err(|e| format!("signals: {e}")));
+        let [usr1, hup] = [SignalKind::user_defined1(), SignalKind::hangup()];
+        let signals = [SignalKind::terminate(), SignalKind::interrupt(), usr1, hup];
+        let [term, int, usr1, hup] = signals.map(|kind| signal(kind).map_err(|e| format!("signals: {e}")));
         let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
-        eprintln!("start name={} listen={listen} agent={}", hub.config.name, hub.config.agent);
+        eprintln!("start name={} listen={listen} agent={}", hub.config.name, hub.config.peers.agent);
+        spawn_local(reload::keep_reloading(hub.clone(), path.into(), hup?));
         let asked = hub.clone();
         spawn_local(async move {
             while usr1.recv().await.is_some() {
--- /dev/null
+++ b/crates/node/src/reload.rs
@@ -0,0 +1,37 @@
+//! A new configuration file under load: at SIGHUP the node reads it anew and takes its addresses.
+//!
+//! All else in it holds until the next start. Runs and notice numbers go on over the move; what cannot be
+//! read leaves the old addresses in force.
+
+use crate::config::{Config, Peers};
+use crate::{note, Hub};
+use std::path::PathBuf;
+use std::rc::Rc;
+use tokio::signal::unix::Signal;
+
+/// Reads the file again at each signal, also while draining.
+pub async fn keep_reloading(hub: Rc<Hub>, path: PathBuf, mut signals: Signal) {
+    while signals.recv().await.is_some() {
+        let read = std::fs::read(&path).map_err(|e| e.to_string()).and_then(|bytes| Config::read(&bytes));
+        match read {
+            Ok(config) => take(&hub, config.peers),
+            // One line whatever is in the file: it may hold line ends.
+            Err(why) => note!("reload refused, the old addresses stay: {}", why.escape_debug()),
+        }
+    }
+}
+
+/// Whoever talks to an address that is no longer named turns to the new one at once.
+pub fn take(hub: &Hub, new: Peers) {
+    let old = hub.peers.replace(new);
+    note!("reload agent={} db={:?} announce={:?}", new.agent, new.below, new.announce);
+    if old.agent != new.agent {
+        hub.link.moved.notify_one();
+    }
+    if old.below != new.below {
+        hub.core.borrow().desk.pool.move_to(new.below);
+    }
+    if old.announce != new.announce {
+        hub.report_now.notify_one();
+    }
+}
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -5,7 +5,7 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand::Host;
-use rainstand_node::{book::Desk, config::Config, http, run, thrift, Hub};
+use rainstand_node::{book::Desk, config::Config, config::Peers, http, reload, run, thrift, Hub};
 use serde_json::{json, Value};
 use stand_ins::{Agent, Caller, Http, Said};
 use std::cell::Cell;
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
@@ -738,6 +738,83 @@
     );
 }
 
+#[test]
+fn new_addresses_are_taken_with_all_that_is_in_hand() {
+    play(
+        |_| {},
+        |w| async move {
+            let (mut agent, mut caller) = w.up().await;
+            let mut report = Http::accept(&w.announce).await;
+            report.request().await.unwrap();
+            report.reply("204 No Content", b"").await;
+            let first = w.ask(&mut caller, "register", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            agent.asks_call(1, &req, b"c").await;
+            let mut old = Http::accept(&w.below).await;
+            old.request().await.unwrap();
+            let listen = || async { TcpListener::bind("127.0.0.1:0").await.unwrap() };
+            let (agents, below, announce) = (listen().await, listen().await, listen().await);
+            let addr = |of: &TcpListener| of.local_addr().unwrap();
+            let (db, announced) = (Some(addr(&below)), Some(addr(&announce)));
+            reload::take(&w.hub, Peers { agent: addr(&agents), below: db, announce: announced });
+            // The replay goes on where the old link ended; the call that is out ends where it was made.
+            let mut agent = Agent::accept(&agents).await;
+            assert_eq!(agent.greet().await, 1);
+            old.reply("200 OK", b"row").await;
+            assert_eq!(w.expect(&mut agent, "deliver").await, req);
+            agent.outcome(2, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(first, "honoured", "r"));
+            assert!(old.request().await.is_none(), "an idle connection to the old address stays open");
+            w.ask(&mut caller, "register", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            agent.asks_call(3, &req, b"c").await;
+            assert!(Http::accept(&below).await.request().await.is_some());
+            assert!(Http::accept(&announce).await.request().await.is_some());
+        },
+    );
+}
+
+#[test]
+fn a_hangup_reads_the_file_anew_and_a_bad_file_leaves_the_old_addresses() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let all = async {
+        let (first, second) = (
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        );
+        let path = std::env::temp_dir().join(format!("rainstand-reload-{}.json", std::process::id()));
+        let file = |agent: &TcpListener| {
+            let mut config = example();
+            (config["listen"], config["db"], config["announce"]) =
+                (json!("127.0.0.1:0"), Value::Null, Value::Null);
+            config["agent"] = json!(agent.local_addr().unwrap().to_string());
+            std::fs::write(&path, config.to_string()).unwrap();
+        };
+        file(&first);
+        let mut node = tokio::process::Command::new(env!("CARGO_BIN_EXE_rainstand-node"))
+            .env("ROUTER_CONFIG", &path)
+            .stderr(std::process::Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let pid = node.id().unwrap().to_string();
+        let hang_up = || std::process::Command::new("kill").args(["-HUP", &pid]).status().unwrap();
+        let mut log = tokio::io::BufReader::new(node.stderr.take().unwrap()).lines();
+        let mut agent = Agent::accept(&first).await;
+        assert_eq!(agent.greet().await, 0);
+        std::fs::write(&path, "{\n\n").unwrap();
+        hang_up();
+        while !log.next_line().await.unwrap().expect("a node that lives").starts_with("reload refused") {}
+        file(&second);
+        hang_up();
+        assert_eq!(Agent::accept(&second).await.greet().await, 0);
+        node.kill().await.unwrap();
+        std::fs::remove_file(&path).unwrap();
+    };
+    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, all).await });
+    done.expect("a test that ends");
+}
+
 #[test]
 fn a_bad_configuration_is_named_in_one_line() {
     type Change = fn(&mut Value);
