Bad clients told within 3 s, checks before the module, one connection a call, odd notices passed over

On reused connections a reset could not be told from a call that ran.

Never-used connections make room before dispatchers'. Room follows the calls that are out. - All fields checked before the module hears of a ticket; a refused launch is no run (choice.rs run_ended: not asked for, not billed, no run time), answered at once. - A call has a connection of its own: late copies and stale resets are gone. Unanswered reports count, no flapping log. - Kept results, bodies in hand and unread answers bounded by parts of memory_mb; frames by 8 KiB. - Tickets before the agent is up are told the longest pause instead of 0.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -2,7 +2,7 @@
 
 use crate::book::{count, Conn, Key, Owed, Run, Ticket};
 use crate::{thrift, Hub};
-use rainstand::{Arrival, Repeat};
+use rainstand::{Arrival, Host, Repeat};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -13,10 +13,14 @@
 const BODY_MOST: usize = 2 * 1024;
 /// The longest name of what a read is about, in bytes: past any id, and cheap to keep.
 const ENTITY_MOST: usize = 256;
+/// Bodies of tickets in hand may take this part of the memory: an eighth.
+const BODIES_PART: usize = 8;
 /// Memory booked for a held ticket, in KB, by the protocol.
 const SIZE_MOST: f64 = 2_000.0;
-/// The longest wait before reading that is believed; a clock that is off must not make spans endless.
+/// The longest wait before reading that is believed: far past any standstill and any outer limit.
 const WAITED_MOST: Duration = Duration::from_secs(600);
+/// How far ahead of ours the caller's clock may be: the same machine's, read a moment apart.
+const AHEAD_MOST: Duration = Duration::from_secs(1);
 
 /// One frame. An error is the reason code for which the connection is to end.
 pub fn frame(hub: &Hub, conn: &Rc<Conn>, frame: &[u8]) -> Result<(), thrift::Flaw> {
@@ -72,6 +76,17 @@
     });
 }
 
+/// Gives up all that is open on a connection that is to end: its caller sent what cannot be read.
+pub fn cut_short(hub: &Hub, conn: &Conn) {
+    let first = || conn.open.borrow_mut().pop_first();
+    while let Some((_, ix)) = first() {
+        hub.act(|node, now, desk| {
+            desk.give_up(ix);
+            node.gone(now, desk, ix);
+        });
+    }
+}
+
 fn ticket(
     hub: &Hub,
     conn: &Rc<Conn>,
@@ -89,11 +104,21 @@
     let trace = text("trace").filter(|text| hex(text)).and_then(|text| text.as_bytes().try_into().ok());
     let trace: [u8; 16] = trace.ok_or("trace: no 16 hex digits")?;
     let born: u64 = text("born").and_then(|ms| ms.parse().ok()).ok_or("born: no milliseconds")?;
-    let size: Option<f64> = text("size").and_then(|kb| kb.parse().ok());
-    let held_kb = size.filter(|kb| *kb >= 0.0 && *kb < SIZE_MOST).ok_or("size: no kilobytes")?;
+    let waited = since(born).ok_or("born: not within minutes of now")?;
+    let number = |name: &str| text(name).and_then(|text| text.parse::<f64>().ok());
+    let held_kb = number("size").filter(|kb| *kb > 0.0 && *kb < SIZE_MOST).ok_or("size: no kilobytes")?;
+    number("order").filter(|rank| (0.0..1.0).contains(rank)).ok_or("order: no rank")?;
+    text("client").and_then(|text| text.parse::<u32>().ok()).ok_or("client: no number")?;
     let route = text("route").ok_or("route: missing")?;
-    let entity = text("entity").filter(|entity| entity.len() <= ENTITY_MOST);
-    let again = text("redo").is_some();
+    let given = |name: &str| fields.iter().any(|field| field.0 == name.as_bytes());
+    let entity = text("entity").filter(|entity| !entity.is_empty() && entity.len() <= ENTITY_MOST);
+    if given("entity") && entity.is_none() {
+        return Err("entity: empty or too long");
+    }
+    let again = given("redo");
+    if again && text("redo") != Some("1") {
+        return Err("redo: neither 1 nor absent");
+    }
     if conn.open.borrow().len() >= OPEN_MOST {
         return Err("too many open tickets on this connection");
     }
@@ -104,6 +129,9 @@
     let known = |names: &BTreeMap<String, usize>, name: &str| names.get(name).copied();
     let traffic = known(&desk.types, route).ok_or("route: no such traffic type")?;
     let tenant = text("customer").and_then(|name| known(&desk.tenants, name));
+    if tenant.is_none() && (given("customer") || !desk.tenants.is_empty()) {
+        return Err("customer: no such tenant");
+    }
     if desk.by_trace.contains_key(&trace) {
         return Err("trace: in hand already");
     }
@@ -116,9 +144,9 @@
         count(&hub.counts.repeats);
     }
     let owed = Owed { conn: conn.clone(), seq };
-    if !begun {
-        // The agent is not up: nothing could be run, and nothing was.
-        owed.dismiss(&hub.counts, Duration::ZERO, false);
+    // The agent is not up, or the bodies in hand fill their part of the memory: nothing of it was run.
+    if !begun || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART {
+        owed.dismiss(&hub.counts, hub.longest_pause, false);
         return Ok(());
     }
     let ix = desk.put(Ticket {
@@ -136,14 +164,15 @@
     });
     conn.open.borrow_mut().insert(seq, ix);
     drop(core);
-    let arrival =
-        Arrival { traffic, tenant, waited: since(born), patience: None, repeat, hint: None, held_kb, again };
+    let arrival = Arrival { traffic, tenant, waited, patience: None, repeat, hint: None, held_kb, again };
     hub.act(|node, now, desk| node.arrived(now, desk, ix, arrival));
     Ok(())
 }
 
-/// How long ago a Unix time was, by the system's clock; never negative, never absurd.
-fn since(born_ms: u64) -> Duration {
+/// How long ago a Unix time was, by the system's clock; none where that cannot be.
+fn since(born_ms: u64) -> Option<Duration> {
     let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    unix.saturating_sub(Duration::from_millis(born_ms)).min(WAITED_MOST)
+    let born = Duration::from_millis(born_ms);
+    let ahead = born.saturating_sub(unix);
+    Some(unix.saturating_sub(born)).filter(|waited| *waited <= WAITED_MOST && ahead <= AHEAD_MOST)
 }
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -34,8 +34,9 @@
     stir: Notify,
     /// The replay was read: commands go out as they come. Before, they are only noted in the books.
     ready: Cell<bool>,
-    /// The number of the last notice that was read.
+    /// The number of the last notice that was read, and that behind which a line could not be read.
     last: Cell<u64>,
+    odd: Cell<Option<u64>>,
     /// Samples asked for, and when the one that is out was; the first of a link marks the replay's end.
     asked: Cell<u64>,
     waiting: Cell<Option<Instant>>,
@@ -151,8 +152,17 @@
         let line = &bytes[used..used + len];
         used += len + 1;
         if !line.trim_ascii().is_empty() {
-            let value: Value = serde_json::from_slice(line).map_err(|_| "agent_nonsense")?;
-            take(hub, link, &value)?;
+            let value = serde_json::from_slice(line).map_err(|_| "agent_nonsense");
+            if let Err(code) = value.and_then(|value| take(hub, link, &value)) {
+                // Guards against a link that one odd notice breaks for ever: asked for once more, it is
+                // passed over when it comes as odd again.
+                let at = Some(link.last.get());
+                if link.odd.replace(at) != at {
+                    return Err(code);
+                }
+                count(&hub.counts.agent_odd);
+                note!("agent line passed over behind notice {}", link.last.get());
+            }
         }
     }
     let rest = bytes.len() - used;
@@ -190,13 +200,14 @@
             count(&hub.counts.notices);
             // What was read on an earlier link is not taken twice.
             if offset > link.last.get() {
-                relay::notice(hub, cmd, offset, message)?;
+                let again = link.odd.get() == Some(link.last.get());
+                relay::notice(hub, cmd, offset, message, again)?;
                 link.last.set(offset);
             }
         }
         "refusal" => {
             count(&hub.counts.refusals);
-            relay::notice(hub, cmd, 0, message)?;
+            relay::notice(hub, cmd, 0, message, true)?;
         }
         _ => {}
     }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -4,7 +4,7 @@
 use crate::{below, note, Hub};
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -14,11 +14,14 @@
 const AGAIN: Duration = Duration::from_millis(200);
 /// For one report, with its connection.
 const PATIENCE: Duration = Duration::from_millis(600);
+/// Without any answer for so long, the service counts as down: then a silent node is struck off.
+const DOWN_AFTER: Duration = Duration::from_secs(3);
 
 /// Reports until the node leaves, and then falls silent, so that it is struck off. Where the list follows
 /// the state, it says `false` once before; elsewhere that would only keep it on the list for longer.
 pub async fn keep_reporting(hub: Rc<Hub>) {
     let (mut stream, mut down, mut last) = (None, false, None);
+    let mut answered = Instant::now();
     loop {
         let peer = hub.peers.get().announce;
         // A connection to where the service no longer is would still be answered for a while.
@@ -54,18 +57,36 @@
         };
         let done: io::Result<_> =
             timeout(PATIENCE, report).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
-        let failed = done.as_ref().err().map(ToString::to_string);
-        if failed.is_some() != down {
-            down = failed.is_some();
-            note!("announce {}", failed.map_or("up".to_owned(), |why| format!("down: {why}")));
+        // Guards against taking lost answers for lost reports: what was sent and not answered counts.
+        let unanswered = done.as_ref().is_err_and(|why| why.kind() == io::ErrorKind::TimedOut);
+        let counts = &hub.counts;
+        count(match (&done, unanswered) {
+            (Ok(_), _) => &counts.announced,
+            (_, true) => &counts.announce_unanswered,
+            _ => &counts.announce_errors,
+        });
+        match &done {
+            Ok(_) => {
+                answered = Instant::now();
+                if std::mem::take(&mut down) {
+                    note!("announce up");
+                }
+            }
+            // One line tells of a service that is down, none of an answer now and then that is missing.
+            Err(why) if !down && answered.elapsed() > DOWN_AFTER => {
+                down = true;
+                note!("announce down: {why}");
+            }
+            Err(_) => {}
         }
-        count(if down { &hub.counts.announce_errors } else { &hub.counts.announced });
+        let sent = done.is_ok();
         stream = done.unwrap_or(None);
-        if leaving && !down {
+        if leaving && sent {
             return;
         }
+        let pause = if unanswered { EVERY.saturating_sub(PATIENCE) } else { AGAIN };
         tokio::select! {
-            () = sleep(if down { AGAIN } else { EVERY }) => {}
+            () = sleep(if sent { EVERY } else { pause }) => {}
             () = hub.report_now.notified() => {}
         }
     }
--- a/crates/node/src/below.rs
+++ b/crates/node/src/below.rs
@@ -1,20 +1,18 @@
-//! Calls to the tier below: a pool of HTTP/1.1 connections, one call at a time on each.
+//! Calls to the tier below over HTTP/1.1, each on a connection of its own.
+//!
+//! On a connection that served before, a reset does not tell whether the call ran, and what came too
+//! much behind the last reply would answer this one. Opening one costs a call less than 0.1 ms here.
 
 use crate::http;
 use crate::ring::{Filled, Ring};
 use rainstand::Outcome;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Idle connections are closed by the other side after 10 s; one near that is not used again, since a
-/// call on it could break and would prove nothing.
-const REUSE_WITHIN: Duration = Duration::from_secs(7);
-/// Connections kept idle: calls come in bunches of a few.
-const IDLE_MOST: usize = 32;
 /// Calls out at once, by the descriptors that are put by for them.
 pub const CALLS_MOST: usize = 192;
 /// How much longer than stated an answer is waited for: the way back of one that just made it.
@@ -22,8 +20,8 @@
 
 pub struct Pool {
     addr: Cell<Option<SocketAddr>>,
-    idle: RefCell<Vec<(TcpStream, Instant)>>,
-    out: Cell<usize>,
+    /// Calls that are out, each with its descriptor.
+    pub out: Cell<usize>,
 }
 
 /// One call out; gives its place back however the call ends.
@@ -37,13 +35,12 @@
 
 impl Pool {
     pub fn new(addr: Option<SocketAddr>) -> Self {
-        Self { addr: Cell::new(addr), idle: RefCell::default(), out: Cell::new(0) }
+        Self { addr: Cell::new(addr), out: Cell::new(0) }
     }
 
     /// From now on calls go there; those that are out end where they are.
     pub fn move_to(&self, addr: Option<SocketAddr>) {
         self.addr.set(addr);
-        self.idle.borrow_mut().clear();
     }
 
     /// One call, with what it proves: whoever drops this future closes the connection, which gives
@@ -55,45 +52,16 @@
         self.out.set(self.out.get() + 1);
         let _place = Place(&self.out);
         let ends = Instant::now() + left;
-        let stream = match self.idle_one() {
-            Some(stream) => stream,
-            // Nothing was written yet, so whatever went wrong nothing ran.
-            None => match timeout(left, TcpStream::connect(addr)).await {
-                Ok(Ok(stream)) => stream,
-                _ => return (Outcome::Unreachable, Vec::new()),
-            },
+        // Nothing was written yet, so whatever goes wrong here nothing ran.
+        let Ok(Ok(stream)) = timeout(left, TcpStream::connect(addr)).await else {
+            return (Outcome::Unreachable, Vec::new());
         };
         let _ = stream.set_nodelay(true);
         let left = ends.saturating_duration_since(Instant::now());
         match timeout(left + LAST_WORD, exchange(&stream, &request(trace, left, addr, body))).await {
             Err(_) => (Outcome::TimedOut, Vec::new()),
             Ok(Err(_)) => (Outcome::CutOff, Vec::new()),
-            Ok(Ok((reply, body))) => {
-                if !reply.closes && self.addr.get() == Some(addr) {
-                    self.put_back(stream);
-                }
-                (outcome(&reply), body)
-            }
-        }
-    }
-
-    /// An idle connection that is young, open, and silent as it should be.
-    fn idle_one(&self) -> Option<TcpStream> {
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|(_, since)| since.elapsed() < REUSE_WITHIN);
-        loop {
-            let (stream, _) = idle.pop()?;
-            let silent = stream.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
-            if silent {
-                return Some(stream);
-            }
-        }
-    }
-
-    fn put_back(&self, stream: TcpStream) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < IDLE_MOST {
-            idle.push((stream, Instant::now()));
+            Ok(Ok((reply, body))) => (outcome(&reply), body),
         }
     }
 }
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -14,8 +14,9 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
-/// Results kept for repeats at the most: with 4 KiB each, a sixth of the memory.
-const KEPT_MOST: usize = 8 * 1024;
+/// Results kept for repeats may take this part of the memory, and each takes so many bytes beside its own.
+const KEPT_PART: usize = 6;
+const KEPT_EACH: usize = 256;
 
 /// The 16 hex digits that name one try.
 pub type Trace = [u8; 16];
@@ -41,7 +42,7 @@
     accepted accept_errors closed frames tickets repeats probes left exceptions
     launched resent frozen thawed delivered forgone notices refusals calls
     honoured dismissed given_up unsettled
-    agent_links announced announce_errors beats late_beats stale_gauges panics
+    agent_links agent_odd announced announce_unanswered announce_errors beats late_beats stale_gauges panics
 }
 
 /// One more of something.
@@ -59,6 +60,8 @@
     pub stir: Notify,
     /// Tickets that wait for an answer on it, by sequence number.
     pub open: RefCell<BTreeMap<i32, usize>>,
+    /// A whole frame came on it, so it is no stranger's.
+    pub used: Cell<bool>,
     /// When bytes last moved on it.
     pub moved: Cell<Instant>,
     /// Told that nothing new is wanted on it, and when.
@@ -76,6 +79,7 @@
             out: RefCell::default(),
             stir: Notify::new(),
             open: RefCell::default(),
+            used: Cell::new(false),
             moved: Cell::new(Instant::now()),
             told: Cell::new(None),
             close: Cell::new(None),
@@ -174,26 +178,55 @@
     pub keep_until: Option<Instant>,
 }
 
-/// Results that serve repeats for a while.
+/// Results that serve repeats for a while, in a part of the memory.
 #[derive(Default)]
-pub struct Kept(HashMap<Key, (Instant, Rc<[u8]>)>);
+pub struct Kept {
+    entries: HashMap<Key, (Instant, Rc<[u8]>)>,
+    bytes: usize,
+    most: usize,
+}
+
+fn entry_bytes(key: &Key, result: &[u8]) -> usize {
+    KEPT_EACH + key.1.len() + result.len()
+}
 
 impl Kept {
+    /// ```
+    /// use rainstand_node::book::Kept;
+    /// use std::time::{Duration, Instant};
+    /// let (now, later) = (Instant::now(), Instant::now() + Duration::from_secs(5));
+    /// let (mut kept, key) = (Kept::within(6 * 1024), |n| (n, Box::from(&b"entity"[..])));
+    /// kept.put(now, key(1), later, &[0; 500]);
+    /// kept.put(now, key(2), later, &[0; 500]);
+    /// assert!(kept.get(now, &key(1)).is_some() && kept.get(now, &key(2)).is_none());
+    /// kept.put(later, key(2), later, &[0; 500]);
+    /// assert!(kept.get(now, &key(1)).is_none() && kept.get(now, &key(2)).is_some());
+    /// ```
+    pub fn within(memory: usize) -> Self {
+        Self { most: memory / KEPT_PART, ..Self::default() }
+    }
+
     pub fn put(&mut self, now: Instant, key: Key, until: Instant, result: &[u8]) {
-        if self.0.len() >= KEPT_MOST {
-            self.0.retain(|_, entry| entry.0 > now);
+        self.drop(&key);
+        let more = entry_bytes(&key, result);
+        if self.bytes + more > self.most {
+            self.entries.retain(|_, entry| entry.0 > now);
+            self.bytes = self.entries.iter().map(|(key, entry)| entry_bytes(key, &entry.1)).sum();
         }
-        if self.0.len() < KEPT_MOST {
-            self.0.insert(key, (until, result.into()));
+        if self.bytes + more <= self.most {
+            self.bytes += more;
+            self.entries.insert(key, (until, result.into()));
         }
     }
 
     pub fn get(&self, now: Instant, key: &Key) -> Option<Rc<[u8]>> {
-        self.0.get(key).filter(|entry| entry.0 > now).map(|entry| entry.1.clone())
+        self.entries.get(key).filter(|entry| entry.0 > now).map(|entry| entry.1.clone())
     }
 
     pub fn drop(&mut self, key: &Key) {
-        self.0.remove(key);
+        if let Some((_, result)) = self.entries.remove(key) {
+            self.bytes -= entry_bytes(key, &result);
+        }
     }
 }
 
@@ -208,6 +241,8 @@
     /// Reads in hand by what they are about.
     pub reads: HashMap<Key, usize>,
     pub kept: Kept,
+    /// What the bodies of all tickets in hand take.
+    pub body_bytes: usize,
     /// Ends that the node itself brought about, still to be told to the decision module.
     pub ends: VecDeque<(usize, Outcome)>,
     pub counts: Rc<Counts>,
@@ -240,6 +275,7 @@
             by_trace: HashMap::new(),
             reads: HashMap::new(),
             kept: Kept::default(),
+            body_bytes: 0,
             ends: VecDeque::new(),
             counts,
             agent,
@@ -269,6 +305,7 @@
         if ix == self.tickets.len() {
             self.tickets.push(None);
         }
+        self.body_bytes += ticket.body.len();
         self.by_trace.insert(ticket.trace, ix);
         if let Some(key) = &ticket.key {
             self.reads.entry(key.clone()).or_insert(ix);
@@ -284,6 +321,7 @@
     /// Takes a ticket out of the books for good; its index may serve again.
     pub fn take(&mut self, ix: usize) -> Option<Ticket> {
         let ticket = self.tickets.get_mut(ix)?.take()?;
+        self.body_bytes -= ticket.body.len();
         self.by_trace.remove(&ticket.trace);
         if let Some(key) = ticket.key.as_ref().filter(|key| self.reads.get(*key) == Some(&ix)) {
             self.reads.remove(key);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of one node; what is wrong with it is said in one line.
 
-use rainstand_settings::fields::{list, number, object, text_of, whole, Fields};
+use rainstand_settings::fields::{list, number, object, text_of, Fields};
 use rainstand_settings::Start;
 use serde_json::Value;
 use std::net::{IpAddr, SocketAddr};
@@ -23,6 +23,8 @@
     pub seed: u64,
     pub stop: Duration,
     pub sockets: usize,
+    /// In bytes; what the books keep stays within parts of it.
+    pub memory: usize,
     pub settings: Fields,
 }
 
@@ -40,6 +42,8 @@
         if name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b)) {
             return Err("name: letters, digits, '-', '_' and '.' only".into());
         }
+        let limits = object(all, "limits").map_err(|e| format!("limits: {e}"))?;
+        let limit = |key| number(limits, key).map_err(|e| format!("limits: {e}"));
         let config = Self {
             listen: address(all, "listen")?,
             peers: Peers {
@@ -50,8 +54,8 @@
             seed: u64::from_str_radix(seed, 16).map_err(|e| format!("seed: {e}"))?,
             stop: Duration::try_from_secs_f64(number(all, "stop_ms")? / 1e3)
                 .map_err(|e| format!("stop_ms: {e}"))?,
-            sockets: whole(object(all, "limits").map_err(|e| format!("limits: {e}"))?, "sockets")
-                .map_err(|e| format!("limits: {e}"))? as usize,
+            sockets: limit("sockets")? as usize,
+            memory: (limit("memory_mb")? * f64::from(1 << 20)) as usize,
             settings: object(all, "settings")?.clone(),
             name,
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,6 +64,8 @@
     gauge_names: Vec<String>,
     pub idle: Duration,
     pub grace: Duration,
+    /// The longest wait that callers are asked for.
+    pub longest_pause: Duration,
     /// The list of nodes follows what is reported, not only that something is.
     pub listed_by_state: bool,
     pub leaving: Cell<bool>,
@@ -85,6 +87,7 @@
         Ok(Rc::new_cyclic(|hub| {
             let mut desk = Desk::new(hub.clone(), counts.clone(), link.clone(), pool);
             desk.type_names = type_names;
+            desk.kept = book::Kept::within(config.memory);
             (desk.types, desk.tenants) = (start.types, start.tenants);
             (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
             Self {
@@ -97,6 +100,7 @@
                 gauge_names: start.gauges,
                 idle: start.idle,
                 grace: start.grace,
+                longest_pause: start.longest_pause,
                 listed_by_state: start.listed_by_state,
                 leaving: Cell::new(false),
                 report_now: Notify::new(),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::book::{count, Call, Desk, Run};
 use crate::{note, send, Hub};
 use base64::prelude::{Engine, BASE64_STANDARD};
-use rainstand::Outcome;
+use rainstand::{Host, Outcome};
 use serde_json::Value;
 use std::time::Instant;
 
@@ -37,8 +37,9 @@
     }
 }
 
-/// A notice that names a ticket. What it names and is no longer in the books is passed over.
-pub fn notice(hub: &Hub, cmd: &str, offset: u64, notice: &Value) -> Result<(), &'static str> {
+/// A notice that names a ticket. What it names and is no longer in the books is passed over; `again`: it
+/// could not be read before, and is not asked for once more.
+pub fn notice(hub: &Hub, cmd: &str, offset: u64, notice: &Value, again: bool) -> Result<(), &'static str> {
     let text = |key: &str| notice.get(key).and_then(Value::as_str).unwrap_or_default();
     let ix = {
         let core = hub.core.borrow();
@@ -51,13 +52,22 @@
     let Some(ix) = ix else { return Ok(()) };
     let payload = notice.get("payload").and_then(Value::as_str).and_then(|p| BASE64_STANDARD.decode(p).ok());
     match (cmd, text("result"), payload) {
-        // Guards against a call with another body than the run gave: the notice is asked for again.
-        ("request", _, payload) => at_call(hub, ix, offset, payload.ok_or("agent_nonsense")?),
+        // Guards against a call with another body than the run gave: the notice is asked for again, and
+        // the run given up if it is no better then.
+        ("request", _, Some(body)) => at_call(hub, ix, offset, body),
+        ("request", ..) | ("outcome", "fine", None) if !again => return Err("agent_nonsense"),
+        ("request", ..) => {
+            hub.act(|node, now, desk| {
+                desk.give_up(ix);
+                node.gone(now, desk, ix);
+            });
+        }
         ("outcome", "fine", Some(result)) => run_ended(hub, ix, Outcome::Done, &result),
         ("outcome", "broken_off", _) => run_ended(hub, ix, Outcome::Stopped, &[]),
         ("outcome", "late", _) => run_ended(hub, ix, Outcome::Moot, &[]),
         ("outcome", ..) => run_ended(hub, ix, Outcome::Erred, &[]),
         ("refusal", "launch", _) => {
+            // Nothing ran: no run failed, and no tenant is charged.
             note!("agent refused launch req={}", text("req"));
             run_ended(hub, ix, Outcome::Moot, &[]);
         }
@@ -75,7 +85,7 @@
         if let Some((_, _, Call::Out(task))) = t.call.take() {
             task.abort();
         }
-        if matches!(end, Outcome::Done | Outcome::Erred) {
+        if end != Outcome::Stopped {
             desk.finish(ix, end, result);
         }
         node.ended(now, desk, ix, end);
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -2,17 +2,19 @@
 
 use crate::book::{count, Conn};
 use crate::ring::{Filled, Ring};
-use crate::{admit, below, note, thrift, Hub};
+use crate::{admit, note, thrift, Hub};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
-/// Descriptors put by for idle calls' connections, the agent, the announce service, the listener, the
-/// runtime's own, standard streams, and some to accept connections that are turned away.
-const OWN: usize = 64;
+/// Descriptors put by for the agent, the announce service, the listener, the runtime's own, standard
+/// streams, and connections that are on their way out.
+const OWN: usize = 48;
+/// Descriptors put by for calls below even while few are out: a bunch of them comes at once.
+const CALLS_LEAST: usize = 48;
 /// Unread answers on a connection, in bytes, past which no more is read from it: a full set of answers.
 const UNREAD_MOST: usize = 128 * 1024;
 /// Bytes that came at once, past which the others get a turn: some ten tickets.
@@ -21,12 +23,19 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// Between looks for connections to end.
 const LOOK: Duration = Duration::from_millis(100);
+/// From its opening, for the first whole frame; and for each later one from its first bytes on. What sends
+/// bad input must be told so within 3 s of connecting; a caller's frame comes in one piece.
+const FRAME_WITHIN: Duration = Duration::from_millis(2_000);
+/// After bytes that cannot be read, for the answers that are still owed on the connection.
+const LAST_ANSWERS: Duration = Duration::from_millis(800);
 /// After `shutdown`, for the dispatcher to close by itself.
 const TOLD_MOST: Duration = Duration::from_secs(2);
 /// No byte moved though answers wait to be read.
 const STUCK: Duration = Duration::from_secs(30);
-/// No byte moved and none expected, past what callers keep an unused connection.
-const FORSAKEN: Duration = Duration::from_secs(60);
+/// No byte moved and none expected, past what callers keep an unused connection: they forgot it.
+const FORSAKEN: Duration = Duration::from_secs(2);
+/// Unread answers on all connections together may take this part of the memory: an eighth.
+const UNREAD_PART: usize = 8;
 /// For the last bytes of the other side, so that a close does not cut off answers on their way.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -35,9 +44,14 @@
 /// Reason codes for which a connection ends whatever is still owed on it.
 const CUTS: [&str; 2] = ["unread", "drain"];
 
-/// How many connections of dispatchers may stand, of all descriptors.
-pub fn room(sockets: usize) -> usize {
-    sockets.saturating_sub(OWN + below::CALLS_MOST).max(sockets / 2)
+/// How many connections of dispatchers may stand beside so many calls below, of all descriptors.
+///
+/// ```
+/// use rainstand_node::take_in::room;
+/// assert_eq!([room(384, 0), room(384, 100), room(384, 300)], [288, 236, 192]);
+/// ```
+pub fn room(sockets: usize, calls: usize) -> usize {
+    sockets.saturating_sub(OWN + calls.max(CALLS_LEAST)).max(sockets / 2)
 }
 
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
@@ -49,6 +63,8 @@
                 Ok((stream, peer)) => {
                     failing = false;
                     take(&hub, stream, peer);
+                    // Guards against a crowd that comes at once: what made room for it lets go first.
+                    tokio::task::yield_now().await;
                 }
                 Err(why) => {
                     count(&hub.counts.accept_errors);
@@ -70,8 +86,7 @@
     count(&hub.counts.accepted);
     let _ = stream.set_nodelay(true);
     let id = hub.counts.accepted.get();
-    let full = hub.conns.borrow().len() >= room(hub.config.sockets);
-    if full && !make_room(hub) {
+    if room_left(hub) <= 0 && !make_room(hub) {
         count(&hub.counts.closed);
         note!("end conn={id} peer={peer} code=full");
         return;
@@ -81,11 +96,18 @@
     tokio::task::spawn_local(serve(hub.clone(), conn));
 }
 
-/// Ends the connection that was unused for longest; false if all are in use.
+/// Connections that may still be opened; below 0, so many too many stand.
+fn room_left(hub: &Hub) -> isize {
+    let calls = hub.core.borrow().desk.pool.out.get();
+    room(hub.config.sockets, calls) as isize - hub.conns.borrow().len() as isize
+}
+
+/// Ends the connection that was unused for longest, if need be; false if all are in use. Guards against a
+/// crowd that says nothing: whoever never said a word goes before all dispatchers.
 fn make_room(hub: &Hub) -> bool {
     let conns = hub.conns.borrow();
     let unused = conns.values().filter(|conn| conn.settled() && conn.close.get().is_none());
-    let Some(conn) = unused.min_by_key(|conn| conn.moved.get()) else { return false };
+    let Some(conn) = unused.min_by_key(|conn| (conn.used.get(), conn.moved.get())) else { return false };
     conn.end(ROOM);
     true
 }
@@ -109,6 +131,8 @@
 /// Serves until the connection's end; the reason code, and whether it is past saying good-bye.
 async fn talk(hub: &Rc<Hub>, conn: &Rc<Conn>) -> (&'static str, bool) {
     let mut back = Ring::default();
+    // By when the frame that is awaited must be whole.
+    let mut by = Some(Instant::now() + FRAME_WITHIN);
     // Set once nothing more is read: by the other side's end, or by a frame that cannot be read.
     let mut last: Option<&'static str> = None;
     loop {
@@ -133,8 +157,11 @@
             // Guards against a ticket cut off by a close that it crossed: it came into use again.
         }
         let unread = conn.out.borrow().len();
+        let reading = last.is_none() && unread < UNREAD_MOST;
+        // What was read counts before the clock: a process that stood still finds both.
         tokio::select! {
-            ready = conn.stream.readable(), if last.is_none() && unread < UNREAD_MOST => {
+            biased;
+            ready = conn.stream.readable(), if reading => {
                 match ready.and_then(|()| back.fill(&conn.stream)) {
                     Ok(Filled::Some) => conn.moved.set(Instant::now()),
                     Ok(Filled::Nothing) => {}
@@ -142,8 +169,11 @@
                     Err(_) => return ("reset", true),
                 }
                 let flood = back.len() > FLOOD;
-                if let Err(code) = frames(hub, conn, &mut back) {
-                    last = Some(code);
+                match frames(hub, conn, &mut back) {
+                    Err(code) => (last, by) = (Some(code), Some(Instant::now() + LAST_ANSWERS)),
+                    Ok(_) if last.is_some() || (back.is_empty() && conn.used.get()) => by = None,
+                    Ok(whole) if whole > 0 || by.is_none() => by = Some(Instant::now() + FRAME_WITHIN),
+                    Ok(_) => {}
                 }
                 if flood {
                     tokio::task::yield_now().await;
@@ -151,19 +181,31 @@
             }
             _ = conn.stream.writable(), if unread > 0 => {}
             () = conn.stir.notified() => {}
+            () = sleep_until(by.unwrap_or_else(Instant::now).into()), if by.is_some() && (reading || last.is_some()) => {
+                if last.is_some() {
+                    admit::cut_short(hub, conn);
+                    by = None;
+                } else {
+                    let code = if back.is_empty() { "silent" } else { "half_a_frame" };
+                    (last, by) = (Some(code), Some(Instant::now() + LAST_ANSWERS));
+                }
+            }
         }
     }
 }
 
-/// Takes all whole frames.
-fn frames(hub: &Hub, conn: &Rc<Conn>, back: &mut Ring) -> Result<(), thrift::Flaw> {
+/// Takes all whole frames; how many there were.
+fn frames(hub: &Hub, conn: &Rc<Conn>, back: &mut Ring) -> Result<usize, thrift::Flaw> {
+    let mut whole = 0;
     while let Some(len) = thrift::frame(back.bytes())? {
         count(&hub.counts.frames);
+        whole += 1;
         let taken = admit::frame(hub, conn, &back.bytes()[4..4 + len]);
         back.drop_front(4 + len);
         taken?;
+        conn.used.set(true);
     }
-    Ok(())
+    Ok(whole)
 }
 
 /// Ends our side and reads on to the other's end, so that nothing on its way is cut off by a reset.
@@ -191,10 +233,20 @@
                 }
             } else if conn.told.get().is_some_and(|told| now.duration_since(told) > TOLD_MOST) {
                 conn.end("idle");
-            } else if quiet > stay && stay < idle {
+            } else if quiet > stay.min(idle + FORSAKEN) && (stay < idle || quiet > idle + FORSAKEN) {
                 conn.tell_shutdown();
-            } else if quiet > idle + FORSAKEN {
-                conn.end("forsaken");
+            }
+        }
+        // Calls below came into the room that connections took while there were none.
+        for _ in room_left(&hub)..0 {
+            make_room(&hub);
+        }
+        // Guards against many that ask and do not read: the one that is furthest behind goes.
+        let conns = hub.conns.borrow();
+        let unread = |conn: &Rc<Conn>| conn.out.borrow().len();
+        if conns.values().map(unread).sum::<usize>() > hub.config.memory / UNREAD_PART {
+            if let Some(conn) = conns.values().max_by_key(|&conn| unread(conn)) {
+                conn.end("unread");
             }
         }
     }
--- a/crates/node/src/thrift.rs
+++ b/crates/node/src/thrift.rs
@@ -1,7 +1,7 @@
 //! Framed Thrift with the strict binary protocol: pure over bytes, bounded, nothing kept.
 
-/// The longest frame taken, in bytes: a body of 2 KiB and its fields, four times over.
-pub const FRAME_MOST: usize = 16 * 1024;
+/// The longest frame taken, in bytes: a body of 2 KiB and its fields, twice over.
+pub const FRAME_MOST: usize = 8 * 1024;
 /// How deep a value that is skipped may nest: far past any real one, far under the stack.
 const DEEPEST: u32 = 16;
 const VERSION: u32 = 0x8001_0000;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -27,6 +27,8 @@
     pub listed_by_state: bool,
     /// What arrives later than this after the notice to leave is not run.
     pub grace: Duration,
+    /// The longest wait that callers may be asked for; none where they may not be asked.
+    pub longest_pause: Duration,
 }
 
 impl Start {
@@ -115,6 +117,7 @@
             idle: callers.1,
             listed_by_state: flag(family, "readiness"),
             grace: span(duties, "drainGraceS")?,
+            longest_pause: longest,
         })
     }
 }
--- a/examples/toy/stand_ins.rs
+++ b/examples/toy/stand_ins.rs
@@ -127,6 +127,10 @@
         Some((head, body))
     }
 
+    pub async fn raw(&mut self, bytes: &[u8]) {
+        let _ = self.0.write_all(bytes).await;
+    }
+
     /// `status` may carry further headers behind its line.
     pub async fn reply(&mut self, status: &str, body: &[u8]) {
         let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -628,8 +628,7 @@
 
     fn run_ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome, since: Since) {
         let [begun, stalled] = since;
-        let running = self.hand.count(Stage::Running).max(1);
-        let t = self.hand.at(ix);
+        let (running, t) = (self.hand.count(Stage::Running).max(1), self.hand.at(ix));
         let call = now.saturating_sub(t.call_since);
         let calls = t.call_waits + call * u32::from(t.stage != Stage::Running);
         if end == Outcome::Stopped && !t.answered {
@@ -639,11 +638,14 @@
         if t.stage == Stage::Calling {
             self.below.ended(now, call, Outcome::Stopped);
         }
-        if end != Outcome::Moot {
-            let run = now.saturating_sub(begun + calls + (self.stalled - stalled)).as_secs_f64();
-            let part = (self.limit.cores as f64 / running as f64).min(1.0);
-            self.ledger.bill(now, t.account, run * part);
+        if end == Outcome::Moot {
+            // Guards against made-up tickets: what could not run is asked for by no tenant, and tells no time.
+            self.ledger.asked[t.account].add(now, -1.0, WINDOW);
+            return self.close(host, ix);
         }
+        let spent = now.saturating_sub(begun + calls + (self.stalled - stalled)).as_secs_f64();
+        let part = (self.limit.cores as f64 / running as f64).min(1.0);
+        self.ledger.bill(now, t.account, spent * part);
         if matches!(end, Outcome::Done | Outcome::Erred) {
             self.health.last_end = now;
             self.health.failed.add(now, if end == Outcome::Erred { 1.0 } else { 0.0 }, RECENT);
@@ -653,9 +655,7 @@
         // A run cut off counts where it already took longer than usual, else only short ones would.
         if end == Outcome::Done || Some(run) > line.run.read() {
             line.run.add(now, run, MEAN_SPAN);
-            if let Some(hint) = t.hint {
-                line.hint.add(now, hint.as_secs_f64().max(f64::MIN_POSITIVE), MEAN_SPAN);
-            }
+            t.hint.iter().for_each(|h| line.hint.add(now, h.as_secs_f64().max(f64::MIN_POSITIVE), MEAN_SPAN));
         }
         self.close(host, ix);
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -32,6 +32,21 @@
     assert!(orders.contains("checks true, say 0"), "{orders}");
 }
 
+#[test]
+fn made_up_tickets_take_no_tenants_room_and_teach_no_run_time() {
+    // The flood would make an overspender many times over of the tenant whose name it bears.
+    let mut rig = Rig::new(Settings::default());
+    for _ in 0..30 {
+        rig.tenant(0, 0);
+        rig.end(0, Outcome::Moot);
+    }
+    (0..6).for_each(|_| rig.serve(Arrival { tenant: Some(1), ..Arrival::default() }, 400));
+    rig.gauge(1.0);
+    (0..6).for_each(|ix| rig.tenant(ix, 0));
+    rig.pass(ms(40));
+    assert_eq!(rig.count("dismiss"), 0);
+}
+
 #[test]
 fn a_node_whose_work_hangs_sends_tickets_on() {
     let mut rig = Rig::new(Settings::default());
