A connection counts as used once it was of use; repeated nonsense ends it; ends by code

Seen by reading take_in.rs frames: any whole frame, even a oneway giveUp or one that got an exception, freed a connection from the limit on its first frame, so that a client that only takes back was told nothing, and in make_room it outlived dispatchers' idle connections. The same frame again and again was answered without end, and 60 MB of a frame that is refused were read for half a second.

Now a connection is used once a probe or ticket on it got more than an error; 64 exceptions on an unused one end it (bad_input); the good-bye reads 256 KiB at most; lines about one connection leave 20 for the node; ends are counted by code.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -13,6 +13,8 @@
 const BODY_MOST: usize = 2 * 1024;
 /// The longest name of what a read is about, in bytes: past any id, and cheap to keep.
 const ENTITY_MOST: usize = 256;
+/// Exceptions on a connection that was of no use yet, past which it ends: two full sets of open tickets.
+const EXCEPTIONS_MOST: u64 = 64;
 /// Bodies of tickets in hand may take this part of the memory: an eighth.
 const BODIES_PART: usize = 8;
 /// Memory booked for a held ticket, in KB, by the protocol.
@@ -28,6 +30,7 @@
     let (name, seq) = (message.name, message.seq);
     let except = |code, why: &str| {
         count(&hub.counts.exceptions);
+        count(&conn.exceptions);
         if !message.oneway {
             conn.send(&thrift::exception(name, seq, code, why));
         }
@@ -54,6 +57,7 @@
         b"probe" => {
             thrift::probe_args(message.args).map_err(unreadable)?;
             count(&hub.counts.probes);
+            conn.used.set(true);
             let good = hub.core.borrow().desk.good;
             if !message.oneway {
                 conn.send(&thrift::answer(b"probe", seq, &[], good));
@@ -61,6 +65,10 @@
         }
         _ => except(thrift::UNKNOWN_METHOD, "no such method"),
     }
+    // Guards against one that sends the same nonsense again as soon as it is told so.
+    if !conn.used.get() && conn.exceptions.get() >= EXCEPTIONS_MOST {
+        return Err("bad_input");
+    }
     Ok(())
 }
 
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -60,8 +60,10 @@
     pub stir: Notify,
     /// Tickets that wait for an answer on it, by sequence number.
     pub open: RefCell<BTreeMap<i32, usize>>,
-    /// A whole frame came on it, so it is no stranger's.
+    /// A probe or a ticket on it got more than an error, so it is no stranger's.
     pub used: Cell<bool>,
+    /// Messages on it that got an exception.
+    pub exceptions: Cell<u64>,
     /// When bytes last moved on it.
     pub moved: Cell<Instant>,
     /// Told that nothing new is wanted on it, and when.
@@ -80,6 +82,7 @@
             stir: Notify::new(),
             open: RefCell::default(),
             used: Cell::new(false),
+            exceptions: Cell::new(0),
             moved: Cell::new(Instant::now()),
             told: Cell::new(None),
             close: Cell::new(None),
@@ -119,12 +122,14 @@
 impl Owed {
     pub fn honour(self, counts: &Counts, body: &[u8]) {
         count(&counts.honoured);
+        self.conn.used.set(true);
         let frame = thrift::answer(b"process", self.seq, body, true);
         self.settle(&frame);
     }
 
     pub fn dismiss(self, counts: &Counts, come_back: Duration, nowhere_else: bool) {
         count(&counts.dismissed);
+        self.conn.used.set(true);
         let pause = come_back.as_millis().to_string();
         let mut texts = vec![("pause", pause.as_str())];
         texts.extend(nowhere_else.then_some(("terminal", "1")));
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -8,6 +8,8 @@
 /// Kept free before the kill, by which the process must be gone: the module is told the kill comes this
 /// much sooner and answers all before, and at the second of these the process ends, come what may.
 const BEFORE_KILL: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(50)];
+/// Share of the time until the kill in which the node still listens: what comes last must also end.
+const LISTENING: f64 = 0.6;
 /// After the socket stops listening, for what crossed it: the protocol speaks of 50 ms.
 const CROSSING: Duration = Duration::from_millis(200);
 /// Between looks at what is still owed.
@@ -25,7 +27,7 @@
     hub.act(|node, now, desk| node.leaving(now, desk, stop.saturating_sub(BEFORE_KILL[0])));
     // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
     let begun = hub.core.borrow().node.is_some();
-    let deaf_at = noticed + if begun { hub.grace.min(stop / 2) } else { Duration::ZERO };
+    let deaf_at = noticed + if begun { hub.grace.min(stop.mul_f64(LISTENING)) } else { Duration::ZERO };
     sleep(deaf_at.saturating_duration_since(Instant::now())).await;
     hub.deaf.notify_one();
     sleep(LOOK).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -60,6 +60,8 @@
     pub core: RefCell<Core>,
     pub conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     pub counts: Rc<Counts>,
+    /// How many connections of dispatchers ended, by reason code.
+    pub ends: RefCell<BTreeMap<&'static str, u64>>,
     pub link: Rc<agent::Link>,
     gauge_names: Vec<String>,
     pub idle: Duration,
@@ -96,6 +98,7 @@
                 core: RefCell::new(Core { node: None, desk }),
                 conns: RefCell::default(),
                 counts,
+                ends: RefCell::default(),
                 link,
                 gauge_names: start.gauges,
                 idle: start.idle,
@@ -157,7 +160,14 @@
         let core = self.core.borrow();
         let (owing, conns) = (core.desk.owing(), self.conns.borrow().len());
         let agent = agent::state(&self.link, &self.counts);
-        log::unheard(|| eprintln!("counts owing={owing} conns={conns} agent[{agent}]{}", self.counts));
+        let ends: String = self.ends.borrow().iter().map(|(code, n)| format!(" {code}={n}")).collect();
+        log::unheard(|| {
+            eprintln!(
+                "counts owing={owing} conns={conns} agent[{agent}] ends[{}]{}",
+                ends.trim(),
+                self.counts
+            );
+        });
     }
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,7 +1,7 @@
 //! Outcomes: of runs to the one answer, of calls back to the run that waits.
 
 use crate::book::{count, Call, Desk, Run};
-use crate::{note, send, Hub};
+use crate::{often, send, Hub};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::{Host, Outcome};
 use serde_json::Value;
@@ -68,11 +68,11 @@
         ("outcome", ..) => run_ended(hub, ix, Outcome::Erred, &[]),
         ("refusal", "launch", _) => {
             // Nothing ran: no run failed, and no tenant is charged.
-            note!("agent refused launch req={}", text("req"));
+            often!("agent refused launch req={}", text("req"));
             run_ended(hub, ix, Outcome::Moot, &[]);
         }
         ("refusal", what, _) => {
-            note!("agent refused {what:.20} req={}", text("req"));
+            often!("agent refused {what:.20} req={}", text("req"));
         }
         _ => {}
     }
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -2,7 +2,7 @@
 
 use crate::book::{count, Conn};
 use crate::ring::{Filled, Ring};
-use crate::{admit, note, thrift, Hub};
+use crate::{admit, note, often, thrift, Hub};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +38,8 @@
 const UNREAD_PART: usize = 8;
 /// For the last bytes of the other side, so that a close does not cut off answers on their way.
 const LINGER: Duration = Duration::from_millis(500);
+/// Bytes read in that time at the most: all tickets that can be on their way, twice over.
+const LINGER_BYTES: usize = 256 * 1024;
 
 /// Reason code of one that made room for another.
 const ROOM: &str = "room";
@@ -88,7 +90,8 @@
     let id = hub.counts.accepted.get();
     if room_left(hub) <= 0 && !make_room(hub) {
         count(&hub.counts.closed);
-        note!("end conn={id} peer={peer} code=full");
+        *hub.ends.borrow_mut().entry("full").or_default() += 1;
+        often!("end conn={id} peer={peer} code=full");
         return;
     }
     let conn = Rc::new(Conn::new(id, peer, stream));
@@ -124,17 +127,19 @@
     }
     hub.conns.borrow_mut().remove(&conn.id);
     count(&hub.counts.closed);
+    *hub.ends.borrow_mut().entry(code).or_default() += 1;
     let (id, peer, ms) = (conn.id, conn.peer, opened.elapsed().as_millis());
-    note!("end conn={id} peer={peer} code={code} open={} after_ms={ms}", open.len());
+    often!("end conn={id} peer={peer} code={code} open={} after_ms={ms}", open.len());
 }
 
 /// Serves until the connection's end; the reason code, and whether it is past saying good-bye.
 async fn talk(hub: &Rc<Hub>, conn: &Rc<Conn>) -> (&'static str, bool) {
     let mut back = Ring::default();
-    // By when the frame that is awaited must be whole.
-    let mut by = Some(Instant::now() + FRAME_WITHIN);
-    // Set once nothing more is read: by the other side's end, or by a frame that cannot be read.
-    let mut last: Option<&'static str> = None;
+    // Set once nothing more is read: by the other side's end, or by a frame that cannot be read; in the
+    // latter case with the time by which the last answers go out.
+    let (mut last, mut ends): (Option<&'static str>, Option<Instant>) = (None, None);
+    // Until the connection was of any use, its opening; since when a frame is begun and not whole.
+    let (mut strange_since, mut begun) = (Instant::now(), None);
     loop {
         let before = conn.out.borrow().len();
         if before > 0 {
@@ -158,10 +163,13 @@
         }
         let unread = conn.out.borrow().len();
         let reading = last.is_none() && unread < UNREAD_MOST;
+        let since = if conn.used.get() { begun } else { Some(strange_since) };
+        let by = if last.is_some() { ends } else { since.filter(|_| reading).map(|at| at + FRAME_WITHIN) };
         // What was read counts before the clock: a process that stood still finds both.
         tokio::select! {
             biased;
             ready = conn.stream.readable(), if reading => {
+                let was_empty = back.is_empty();
                 match ready.and_then(|()| back.fill(&conn.stream)) {
                     Ok(Filled::Some) => conn.moved.set(Instant::now()),
                     Ok(Filled::Nothing) => {}
@@ -170,9 +178,9 @@
                 }
                 let flood = back.len() > FLOOD;
                 match frames(hub, conn, &mut back) {
-                    Err(code) => (last, by) = (Some(code), Some(Instant::now() + LAST_ANSWERS)),
-                    Ok(_) if last.is_some() || (back.is_empty() && conn.used.get()) => by = None,
-                    Ok(whole) if whole > 0 || by.is_none() => by = Some(Instant::now() + FRAME_WITHIN),
+                    Err(code) => (last, ends) = (Some(code), Some(Instant::now() + LAST_ANSWERS)),
+                    Ok(_) if back.is_empty() => begun = None,
+                    Ok(whole) if was_empty || whole > 0 => begun = Some(Instant::now()),
                     Ok(_) => {}
                 }
                 if flood {
@@ -181,13 +189,16 @@
             }
             _ = conn.stream.writable(), if unread > 0 => {}
             () = conn.stir.notified() => {}
-            () = sleep_until(by.unwrap_or_else(Instant::now).into()), if by.is_some() && (reading || last.is_some()) => {
+            () = sleep_until(by.unwrap_or_else(Instant::now).into()), if by.is_some() => {
                 if last.is_some() {
                     admit::cut_short(hub, conn);
-                    by = None;
+                    ends = None;
+                } else if back.is_empty() && !conn.open.borrow().is_empty() {
+                    // Its first ticket is still in hand.
+                    strange_since = Instant::now();
                 } else {
-                    let code = if back.is_empty() { "silent" } else { "half_a_frame" };
-                    (last, by) = (Some(code), Some(Instant::now() + LAST_ANSWERS));
+                    last = Some(if back.is_empty() { "silent" } else { "half_a_frame" });
+                    ends = Some(Instant::now() + LAST_ANSWERS);
                 }
             }
         }
@@ -203,7 +214,6 @@
         let taken = admit::frame(hub, conn, &back.bytes()[4..4 + len]);
         back.drop_front(4 + len);
         taken?;
-        conn.used.set(true);
     }
     Ok(whole)
 }
@@ -213,8 +223,13 @@
     if SockRef::from(stream).shutdown(std::net::Shutdown::Write).is_err() {
         return;
     }
-    let mut rest = Ring::default();
-    while stream.readable().await.is_ok() && matches!(rest.fill(stream), Ok(Filled::Some | Filled::Nothing)) {
+    let (mut rest, mut seen) = (Ring::default(), 0);
+    // Guards against spending the node's time on a message of many megabytes that nobody takes.
+    while seen < LINGER_BYTES
+        && stream.readable().await.is_ok()
+        && matches!(rest.fill(stream), Ok(Filled::Some | Filled::Nothing))
+    {
+        seen += rest.len();
         rest.clear();
     }
 }
