--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -19,10 +19,9 @@
 const BODIES_PART: usize = 8;
 /// Memory booked for a held ticket, in KB, by the protocol.
 const SIZE_MOST: f64 = 2_000.0;
-/// The longest wait before reading that is believed: far past any standstill and any outer limit.
-const WAITED_MOST: Duration = Duration::from_secs(600);
-/// How far ahead of ours the caller's clock may be: the same machine's, read a moment apart.
-const AHEAD_MOST: Duration = Duration::from_secs(1);
+/// How far from now a ticket may be born, either way: past any standstill and outer limit, and past what
+/// clocks of two machines are apart, so that one that is off does not turn every ticket away.
+const BORN_WITHIN: Duration = Duration::from_secs(600);
 
 /// One frame. An error is the reason code for which the connection is to end.
 pub fn frame(hub: &Hub, conn: &Rc<Conn>, frame: &[u8]) -> Result<(), thrift::Flaw> {
@@ -181,6 +180,5 @@
 fn since(born_ms: u64) -> Option<Duration> {
     let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let born = Duration::from_millis(born_ms);
-    let ahead = born.saturating_sub(unix);
-    Some(unix.saturating_sub(born)).filter(|waited| *waited <= WAITED_MOST && ahead <= AHEAD_MOST)
+    (unix.abs_diff(born) <= BORN_WITHIN).then(|| unix.saturating_sub(born))
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -5,6 +5,7 @@
 
 use crate::config::{Config, Peers};
 use crate::{note, Hub};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
@@ -24,7 +25,8 @@
 /// Whoever talks to an address that is no longer named turns to the new one at once.
 pub fn take(hub: &Hub, new: Peers) {
     let old = hub.peers.replace(new);
-    note!("reload agent={} db={:?} announce={:?}", new.agent, new.below, new.announce);
+    let shown = |peer: Option<SocketAddr>| peer.map_or("none".to_owned(), |addr| addr.to_string());
+    note!("reload agent={} db={} announce={}", new.agent, shown(new.below), shown(new.announce));
     if old.agent != new.agent {
         hub.link.moved.notify_one();
     }
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -12,7 +12,7 @@
 
 /// Descriptors put by for the agent, the announce service, the listener, the runtime's own, standard
 /// streams, and connections that are on their way out.
-const OWN: usize = 48;
+const OWN: usize = 64;
 /// Descriptors put by for calls below even while few are out: a bunch of them comes at once.
 const CALLS_LEAST: usize = 48;
 /// Unread answers on a connection, in bytes, past which no more is read from it: a full set of answers.
@@ -50,7 +50,7 @@
 ///
 /// ```
 /// use rainstand_node::take_in::room;
-/// assert_eq!([room(384, 0), room(384, 100), room(384, 300)], [288, 236, 192]);
+/// assert_eq!([room(384, 0), room(384, 100), room(384, 300)], [272, 220, 192]);
 /// ```
 pub fn room(sockets: usize, calls: usize) -> usize {
     sockets.saturating_sub(OWN + calls.max(CALLS_LEAST)).max(sockets / 2)
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -573,6 +573,44 @@
     );
 }
 
+#[test]
+fn nothing_is_left_in_the_books_of_tickets_and_connections_that_are_over() {
+    play(
+        |_| {},
+        |w| async move {
+            let (mut agent, _caller) = w.up().await;
+            for round in 0..200u64 {
+                let mut caller = Caller::connect(w.addr).await;
+                let entity = format!("entity {round}");
+                let seq = w.ask_about(&mut caller, "check", &entity, b"b").await;
+                let req = w.expect(&mut agent, "launch").await;
+                match round % 4 {
+                    0 => {
+                        socket2::SockRef::from(&caller.stream).set_linger(Some(Duration::ZERO)).unwrap();
+                        drop(caller);
+                    }
+                    1 => caller.give_up(seq).await,
+                    _ => {}
+                }
+                if round % 4 < 2 {
+                    assert_eq!(w.expect(&mut agent, "freeze").await, req);
+                }
+                let end = ["broken_off", "broken_off", "fine", "late"][round as usize % 4];
+                agent.outcome(round + 1, &req, end, b"r").await;
+            }
+            let desk = || std::cell::Ref::map(w.hub.core.borrow(), |core| &core.desk);
+            while desk().tickets.iter().flatten().count() > 0 || w.hub.conns.borrow().len() > 1 {
+                tokio::task::yield_now().await;
+            }
+            let desk = desk();
+            assert!(desk.by_trace.is_empty() && desk.reads.is_empty() && desk.ends.is_empty());
+            assert!(desk.tickets.len() < 50, "{}", desk.tickets.len());
+            assert_eq!((desk.body_bytes, desk.pool.out.get()), (0, 0));
+            assert_eq!(w.hub.ends.borrow().values().sum::<u64>(), 200);
+        },
+    );
+}
+
 #[test]
 fn a_crowd_that_says_nothing_takes_no_used_connection() {
     play(
