Runs without an end leave the books after a minute; the counts line tells what the books hold

Seen by reading: a run whose end no notice tells (a long time without a link, the agent keeps only the last 4,000 notices) stayed in the books for good and held a place under the limit. It is taken out a minute after its ticket was answered, as if it had never run: no charge, no run time (relay.rs end_orphans).

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -168,6 +168,7 @@
         prior: open,
         waiters: Vec::new(),
         keep_until: None,
+        orphan_since: None,
     });
     conn.open.borrow_mut().insert(seq, ix);
     drop(core);
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -18,6 +18,10 @@
 const KEPT_PART: usize = 6;
 const KEPT_EACH: usize = 256;
 
+/// An answered ticket's run that was told to stop has ended by then, if its end is ever told: several times
+/// the longest outer limit.
+const ORPHANED: Duration = Duration::from_secs(60);
+
 /// The 16 hex digits that name one try.
 pub type Trace = [u8; 16];
 /// What a read is about, and its traffic type.
@@ -41,7 +45,7 @@
 counts! {
     accepted accept_errors closed frames tickets repeats probes left exceptions
     launched resent frozen thawed delivered forgone notices refusals calls
-    honoured dismissed given_up unsettled
+    honoured dismissed given_up unsettled orphans
     agent_links agent_odd announced announce_unanswered announce_errors beats late_beats stale_gauges panics
 }
 
@@ -181,6 +185,15 @@
     /// Tickets that wait for this one's result, by index and serial number.
     pub waiters: Vec<(usize, u64)>,
     pub keep_until: Option<Instant>,
+    /// When a look first found it answered, with a run of which no end was told.
+    pub orphan_since: Option<Instant>,
+}
+
+impl Ticket {
+    /// Whether its run waits for a call, made or not.
+    fn at_call(&self) -> bool {
+        matches!(self.call, Some((_, _, Call::Waits | Call::Out(_))))
+    }
 }
 
 /// Results that serve repeats for a while, in a part of the memory.
@@ -346,6 +359,37 @@
         left
     }
 
+    /// Runs whose end no notice will tell any more, of tickets answered long ago. Guards against runs that stay
+    /// in the books for good: of a long time without a link the agent keeps only the last notices.
+    pub fn orphans(&mut self, now: Instant) -> Vec<usize> {
+        let answered = |t: &Ticket| t.owed.is_none() && t.run != Run::Held;
+        let mut found = Vec::new();
+        for (ix, t) in self.tickets.iter_mut().enumerate() {
+            let Some(t) = t.as_mut().filter(|t| answered(t)) else { continue };
+            if now.duration_since(*t.orphan_since.get_or_insert(now)) > ORPHANED {
+                found.push(ix);
+            }
+        }
+        found
+    }
+
+    /// What the books hold just now, to be set beside what passes on the sockets.
+    pub fn state(&self) -> String {
+        let count = |which: fn(&Ticket) -> bool| self.tickets.iter().flatten().filter(|t| which(t)).count();
+        format!(
+            "owing={} held={} running={} frozen={} at_call={} calls_out={} body_bytes={} gauges_ms={} on_cores={}",
+            self.owing(),
+            count(|t| t.run == Run::Held),
+            count(|t| t.run == Run::Launched && !t.at_call()),
+            count(|t| t.run == Run::Frozen),
+            count(Ticket::at_call),
+            self.pool.out.get(),
+            self.body_bytes,
+            self.gauges_at.map_or(-1, |at| at.elapsed().as_millis() as i64),
+            self.gauges.on_cores.unwrap_or(-1.0),
+        )
+    }
+
     /// Tickets whose answer is still owed.
     pub fn owing(&self) -> usize {
         self.tickets.iter().flatten().filter(|t| t.owed.is_some()).count()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -158,15 +158,11 @@
     /// One line of all counters.
     pub fn print_counts(&self) {
         let core = self.core.borrow();
-        let (owing, conns) = (core.desk.owing(), self.conns.borrow().len());
+        let (books, conns) = (core.desk.state(), self.conns.borrow().len());
         let agent = agent::state(&self.link, &self.counts);
         let ends: String = self.ends.borrow().iter().map(|(code, n)| format!(" {code}={n}")).collect();
         log::unheard(|| {
-            eprintln!(
-                "counts owing={owing} conns={conns} agent[{agent}] ends[{}]{}",
-                ends.trim(),
-                self.counts
-            );
+            eprintln!("counts {books} conns={conns} agent[{agent}] ends[{}]{}", ends.trim(), self.counts);
         });
     }
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,7 +1,7 @@
 //! Outcomes: of runs to the one answer, of calls back to the run that waits.
 
 use crate::book::{count, Call, Desk, Run};
-use crate::{often, send, Hub};
+use crate::{note, often, send, Hub};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::{Host, Outcome};
 use serde_json::Value;
@@ -79,6 +79,17 @@
     Ok(())
 }
 
+/// Ends in the books what nothing will tell the end of.
+pub fn end_orphans(hub: &Hub, now: Instant) {
+    let orphans = hub.core.borrow_mut().desk.orphans(now);
+    for ix in orphans {
+        count(&hub.counts.orphans);
+        note!("run without an end taken out of the books ticket={ix}");
+        // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
+        run_ended(hub, ix, Outcome::Moot, &[]);
+    }
+}
+
 fn run_ended(hub: &Hub, ix: usize, end: Outcome, result: &[u8]) {
     hub.act(|node, now, desk| {
         let Some(t) = desk.ticket(ix).filter(|t| t.run != Run::Held) else { return };
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -2,7 +2,7 @@
 
 use crate::book::{count, Conn};
 use crate::ring::{Filled, Ring};
-use crate::{admit, note, often, thrift, Hub};
+use crate::{admit, note, often, relay, thrift, Hub};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -266,6 +266,7 @@
 pub async fn look_after(hub: Rc<Hub>) {
     loop {
         sleep(LOOK).await;
+        relay::end_orphans(&hub, Instant::now());
         let (stay, idle) = (hub.core.borrow().desk.stay, hub.idle);
         let now = Instant::now();
         for conn in hub.conns.borrow().values() {
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -5,7 +5,7 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand::Host;
-use rainstand_node::{book::Desk, config::Config, config::Peers, http, reload, run, thrift, Hub};
+use rainstand_node::{book::Desk, config::Config, config::Peers, http, relay, reload, run, thrift, Hub};
 use serde_json::{json, Value};
 use stand_ins::{Agent, Caller, Http, Said};
 use std::cell::Cell;
@@ -611,6 +611,32 @@
     );
 }
 
+#[test]
+fn a_run_whose_end_is_never_told_leaves_the_books_in_the_end() {
+    play(
+        |_| {},
+        |w| async move {
+            let (mut agent, mut caller) = w.up().await;
+            let seq = w.ask(&mut caller, "check", b"b").await;
+            w.expect(&mut agent, "launch").await;
+            let waits = w.ask(&mut caller, "check", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            caller.give_up(seq).await;
+            w.expect(&mut agent, "freeze").await;
+            let (now, later) = (std::time::Instant::now(), Duration::from_secs(61));
+            let left = || w.hub.core.borrow().desk.tickets.iter().flatten().count();
+            relay::end_orphans(&w.hub, now);
+            assert_eq!(left(), 2);
+            // The one that is still waited for stays, however long it takes.
+            relay::end_orphans(&w.hub, now + later);
+            relay::end_orphans(&w.hub, now + later * 3);
+            assert_eq!((left(), w.hub.counts.orphans.get()), (1, 1));
+            agent.outcome(1, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(waits, "honoured", "r"));
+        },
+    );
+}
+
 #[test]
 fn a_crowd_that_says_nothing_takes_no_used_connection() {
     play(
