--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -20,7 +20,8 @@
 const OUT_MOST: usize = 1024 * 1024;
 /// Pause before the next try to connect, at first and at most.
 const AGAIN: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(500)];
-/// No gauges for so long on a link that was greeted: it is dead, however open it looks.
+/// No gauges for so long on a link that was greeted, or no greeting by an agent known to be up: it is dead,
+/// however open it looks.
 const SILENT: Duration = Duration::from_secs(3);
 
 /// Reason codes where there was nothing to connect to, and where a new configuration names another address.
@@ -93,6 +94,9 @@
                 let _ = stream.set_nodelay(true);
                 link.out.borrow_mut().clear();
                 link.write(format_args!("{{\"cmd\":\"subscribe\",\"offset\":{}}}\n", link.last.get()));
+                // Only the first greeting may take as long as the agent takes to start.
+                let begun = hub.core.borrow().node.is_some();
+                link.waiting.set(begun.then(Instant::now));
                 serve(&hub, &link, &stream).await
             }
             Some(Ok(Err(_)) | Err(_)) => UNREACHABLE,
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -360,7 +360,7 @@
     }
 
     /// Runs whose end no notice will tell any more, of tickets answered long ago. Guards against runs that stay
-    /// in the books for good: of a long time without a link the agent keeps only the last notices.
+    /// in the books for good, and take the place of others: their last notice was passed over as odd.
     pub fn orphans(&mut self, now: Instant) -> Vec<usize> {
         let answered = |t: &Ticket| t.owed.is_none() && t.run != Run::Held;
         let mut found = Vec::new();
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -314,6 +314,24 @@
     );
 }
 
+#[test]
+fn an_agent_that_was_up_and_does_not_greet_is_connected_to_anew() {
+    play(
+        |_| {},
+        |w| async move {
+            let (agent, mut caller) = w.up().await;
+            agent.hang_up();
+            let _silent = Agent::accept(&w.agents).await;
+            let mut agent = Agent::accept(&w.agents).await;
+            assert_eq!(agent.greet().await, 0);
+            let seq = w.ask(&mut caller, "check", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            agent.outcome(1, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(seq, "honoured", "r"));
+        },
+    );
+}
+
 #[test]
 fn what_was_launched_and_left_without_a_link_does_not_stay_in_hand() {
     play(
