--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -1075,6 +1075,29 @@
     );
 }
 
+#[test]
+fn new_addresses_are_taken_by_a_node_that_leaves_too() {
+    play(
+        |config| config["stop_ms"] = json!(600_000),
+        |w| async move {
+            let (mut agent, mut caller) = w.up().await;
+            let seq = w.ask(&mut caller, "check", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            w.leave.notify_one();
+            assert_eq!(caller.next().await, said(0, "shutdown", ""));
+            let agents = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            reload::take(&w.hub, Peers { agent: agents.local_addr().unwrap(), ..w.hub.peers.get() });
+            let mut agent = Agent::accept(&agents).await;
+            assert_eq!(agent.greet().await, 0);
+            agent.outcome(1, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(seq, "honoured", "r"));
+            drop(caller);
+            w.node.await.unwrap();
+            assert_eq!(w.hub.counts.unsettled.get(), 0);
+        },
+    );
+}
+
 #[test]
 fn a_hangup_reads_the_file_anew_and_a_bad_file_leaves_the_old_addresses() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
