--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -858,6 +858,32 @@
     );
 }
 
+#[test]
+fn unread_answers_stay_within_their_part_of_the_memory() {
+    play(
+        |config| config["limits"]["memory_mb"] = json!(0.5),
+        |w| async move {
+            let (mut agent, _) = w.up().await;
+            let mut deaf = Caller::connect(w.addr).await;
+            socket2::SockRef::from(&deaf.stream).set_recv_buffer_size(4096).unwrap();
+            let probes: Vec<u8> = b"\0\0\0\x12\x80\x01\0\x01\0\0\0\x05probe\0\0\0\x07\0".repeat(4_000);
+            let flood = spawn_local(async move {
+                deaf.send(&probes.repeat(100)).await;
+                deaf
+            });
+            while !w.hub.ends.borrow().contains_key("unread") {
+                tokio::task::yield_now().await;
+            }
+            let mut caller = Caller::connect(w.addr).await;
+            let seq = w.ask(&mut caller, "check", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            agent.outcome(1, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(seq, "honoured", "r"));
+            flood.abort();
+        },
+    );
+}
+
 #[test]
 fn connections_past_the_room_take_the_place_of_unused_ones() {
     play(
