A configuration language: lexer, lossless tree, parser, units, names, checks, schema

Routes, pools and policies are hard to review. crates/config reads .rain files into one protobuf schema: every byte is in the tree, one run tells the errors of all files, amounts are exact or refused, includes are bounded, and the checker knows the four rules. Formatter and diff by meaning are begun.

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,120 @@
+//! The `.rain` language: what an operator writes about traffic types, tenants, pools, routes and policies.
+//!
+//! A configuration passes these layers, each of which can be read alone:
+//!
+//! | layer | job |
+//! | --- | --- |
+//! | [`source`] | files, includes, places |
+//! | [`lex`] | bytes to tokens |
+//! | [`tree`] | the lossless tree: every byte is in it |
+//! | [`parse`] | tokens to the tree; goes on after an error |
+//! | [`ast`] | the tree without what means nothing |
+//! | [`units`] | exact amounts with their units |
+//! | [`resolve`] | names, defaults, one policy built on another: the message of [`schema`] |
+//! | [`check`] | what the four rules and plain sense ask of it |
+//! | [`space`] | which tickets a route can match, decided exactly |
+//! | [`form`] | the one way to write a file |
+//! | [`diff`] | what changed in meaning |
+//! | [`report`] | findings as a person or a program reads them; [`codes`] explains each |
+//!
+//! Nothing here decides about a ticket: that is `rainstand-route`, from the compiled message.
+//!
+//! ```
+//! use rainstand_config::{load, source::Memory};
+//! let files = Memory::new([("a.rain", "rain 1\ntype check {\n  repeat: rerunnable\n  goal: 40 tickets/s\n}\n")]);
+//! let outcome = load(&files, "a.rain");
+//! let first = &outcome.findings[0];
+//! assert_eq!(first.code.id(), "U202");
+//! assert_eq!(first.message, "`goal` wants a time such as `250 ms`; `40 tickets/s` is a rate");
+//! ```
+
+pub mod ast;
+pub mod check;
+pub mod codes;
+pub mod diff;
+pub mod form;
+pub mod lex;
+pub mod parse;
+pub mod report;
+pub mod resolve;
+pub mod schema;
+pub mod source;
+pub mod space;
+pub mod tree;
+pub mod units;
+
+use codes::{Code, Severity};
+use source::{Files, Sources, Span};
+
+/// One thing that is wrong, where, and what else belongs to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    pub code: Code,
+    pub at: Span,
+    pub message: String,
+    /// The other half of a conflict, each with its own words.
+    pub also: Vec<(Span, String)>,
+    /// What to do about it, where that can be said.
+    pub help: Option<String>,
+}
+
+impl Finding {
+    pub fn new(code: Code, at: Span, message: impl Into<String>) -> Self {
+        Self { code, at, message: message.into(), also: Vec::new(), help: None }
+    }
+
+    pub fn also(mut self, at: Span, words: impl Into<String>) -> Self {
+        self.also.push((at, words.into()));
+        self
+    }
+
+    pub fn help(mut self, words: impl Into<String>) -> Self {
+        self.help = Some(words.into());
+        self
+    }
+
+    pub fn is_error(&self) -> bool {
+        self.code.severity() == Severity::Error
+    }
+}
+
+/// What reading a configuration came to.
+pub struct Outcome {
+    pub sources: Sources,
+    /// In order of file, place and code; none twice.
+    pub findings: Vec<Finding>,
+    /// There only if no finding is an error.
+    pub configuration: Option<schema::Configuration>,
+}
+
+impl Outcome {
+    pub fn has_errors(&self) -> bool {
+        self.findings.iter().any(Finding::is_error)
+    }
+}
+
+/// Reads a configuration from its first file on, with all that it includes, and checks it.
+///
+/// One run reports the findings of all files. Meaning is checked even where a file has errors, so that
+/// they need not be mended one at a time, but never on names or values that could not be read.
+pub fn load(files: &dyn Files, first: &str) -> Outcome {
+    let mut findings = Vec::new();
+    let (sources, parsed) = source::gather(files, first, &mut findings);
+    let blocks: Vec<_> = parsed.iter().flat_map(|file| ast::read(&sources, file, &mut findings)).collect();
+    let mut resolved = resolve::resolve(&sources, &blocks, &mut findings);
+    check::check(&resolved, &mut findings);
+    tidy(&mut findings);
+    let configuration = (!findings.iter().any(Finding::is_error)).then(|| {
+        resolved.configuration.put_in_order();
+        resolved.configuration
+    });
+    Outcome { sources, findings, configuration }
+}
+
+fn tidy(findings: &mut Vec<Finding>) {
+    findings.sort_by(|a, b| {
+        let key = |f: &Finding| (f.at.file, f.at.start, f.code);
+        key(a).cmp(&key(b)).then_with(|| a.message.cmp(&b.message))
+    });
+    findings.dedup_by(|a, b| a.at == b.at && a.code == b.code && a.message == b.message);
+}
--- /dev/null
+++ b/crates/config/src/schema.rs
@@ -0,0 +1,195 @@
+//! The one schema and its three forms: the `.rain` file (read by [`crate::load`]), the protobuf text format
+//! in which programs are given their settings, and the binary format for transport.
+//!
+//! ```
+//! use rainstand_config::schema::{from_text, to_text};
+//! let message = from_text("version: 1 tenants { name: \"acme\" share: 600000 }").unwrap();
+//! assert_eq!(message.tenants[0].share, 600_000);
+//! assert_eq!(from_text(&to_text(&message)).unwrap(), message);
+//! let refused = from_text("version: 1\ntenants {\n  shar: 5\n}").unwrap_err();
+//! assert_eq!((refused.line, refused.column), (3, 3));
+//! ```
+
+use miette::Diagnostic;
+use prost::Message;
+use prost_reflect::text_format::FormatOptions;
+use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor, Value};
+use std::fmt;
+use std::sync::OnceLock;
+
+#[allow(missing_docs)]
+mod generated {
+    include!(concat!(env!("OUT_DIR"), "/rainstand.config.v1.rs"));
+}
+
+pub use generated::*;
+
+/// The version of the schema that this program writes and reads.
+pub const VERSION: u32 = 1;
+/// The schema itself, for those who want to compile it.
+pub const PROTO: &str = include_str!("../proto/rainstand.proto");
+
+const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/descriptors.bin"));
+
+/// Why a text or binary form was refused. Line and column count from 1; both are 0 for the binary form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused {
+    pub line: usize,
+    pub column: usize,
+    pub why: String,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(out, "{}:{}: ", self.line, self.column)?;
+        }
+        out.write_str(&self.why)
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// The descriptor of [`Configuration`].
+///
+/// # Panics
+/// Never: the descriptors are compiled in, and a test reads them.
+pub fn descriptor() -> MessageDescriptor {
+    static POOL: OnceLock<DescriptorPool> = OnceLock::new();
+    let pool = POOL.get_or_init(|| DescriptorPool::decode(DESCRIPTORS).expect("compiled-in descriptors"));
+    pool.get_message_by_name("rainstand.config.v1.Configuration").expect("compiled-in message")
+}
+
+/// The message as a tree of fields, for those who go over all of them.
+pub fn dynamic(configuration: &Configuration) -> DynamicMessage {
+    let mut message = DynamicMessage::new(descriptor());
+    // Cannot fail: both sides come from the one schema.
+    let _ = message.transcode_from(configuration);
+    message
+}
+
+/// The protobuf text format, indented, with a line that names the schema.
+pub fn to_text(configuration: &Configuration) -> String {
+    let options = FormatOptions::new().pretty(true);
+    let mut text =
+        String::from("# proto-file: rainstand.proto\n# proto-message: rainstand.config.v1.Configuration\n");
+    text.push_str(&dynamic(configuration).to_text_format_with_options(&options));
+    text.push('\n');
+    text
+}
+
+/// # Errors
+/// An unknown field, a value of the wrong kind or another version, with its place.
+pub fn from_text(text: &str) -> Result<Configuration, Refused> {
+    let message = DynamicMessage::parse_text_format(descriptor(), text).map_err(|error| {
+        let mut labels = error.labels().into_iter().flatten();
+        // An end that comes too early has no label.
+        let place = labels.next().map_or(text.len(), |label| label.offset());
+        let before = text.get(..place).unwrap_or(text);
+        let line = before.matches('\n').count() + 1;
+        let column = before.rsplit('\n').next().map_or(0, |l| l.chars().count()) + 1;
+        Refused { line, column, why: error.to_string() }
+    })?;
+    let configuration: Configuration =
+        message.transcode_to().map_err(|e| Refused { line: 1, column: 1, why: e.to_string() })?;
+    of_this_version(configuration, 1)
+}
+
+pub fn to_binary(configuration: &Configuration) -> Vec<u8> {
+    configuration.encode_to_vec()
+}
+
+/// # Errors
+/// Bytes that are no such message, a field that this version does not know, or another version.
+pub fn from_binary(bytes: &[u8]) -> Result<Configuration, Refused> {
+    let refused = |why: String| Refused { line: 0, column: 0, why };
+    let message = DynamicMessage::decode(descriptor(), bytes).map_err(|e| refused(e.to_string()))?;
+    if let Some(place) = unknown_in(&message, "") {
+        return Err(refused(format!("unknown field {place}")));
+    }
+    let configuration = Configuration::decode(bytes).map_err(|e| refused(e.to_string()))?;
+    of_this_version(configuration, 0)
+}
+
+fn of_this_version(configuration: Configuration, at: usize) -> Result<Configuration, Refused> {
+    match configuration.version {
+        VERSION => Ok(configuration),
+        other => Err(Refused {
+            line: at,
+            column: at,
+            why: format!("version {other} of the schema; this program knows version {VERSION}"),
+        }),
+    }
+}
+
+/// The first field that the schema does not know, with the path to it. Depth is that of the schema.
+fn unknown_in(message: &DynamicMessage, path: &str) -> Option<String> {
+    if let Some(field) = message.unknown_fields().next() {
+        return Some(format!("{path}{}", field.number()));
+    }
+    message.fields().find_map(|(field, value)| match value {
+        Value::Message(inner) => unknown_in(inner, &format!("{path}{}.", field.name())),
+        Value::List(items) => items.iter().enumerate().find_map(|(k, item)| match item {
+            Value::Message(inner) => unknown_in(inner, &format!("{path}{}[{k}].", field.name())),
+            _ => None,
+        }),
+        _ => None,
+    })
+}
+
+impl Configuration {
+    /// Brings lists whose order means nothing into the order of their names, so that like configurations
+    /// are like messages. Routes and fall-backs keep their order.
+    pub fn put_in_order(&mut self) {
+        self.types.sort_by(|a, b| a.name.cmp(&b.name));
+        self.tenants.sort_by(|a, b| a.name.cmp(&b.name));
+        self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+        self.dependencies.sort_by(|a, b| a.name.cmp(&b.name));
+        self.limits.sort_by(|a, b| a.name.cmp(&b.name));
+        self.attempts.sort_by(|a, b| a.name.cmp(&b.name));
+        self.budgets.sort_by(|a, b| a.name.cmp(&b.name));
+        self.health.sort_by(|a, b| a.name.cmp(&b.name));
+        self.retry_after.sort_by(|a, b| a.name.cmp(&b.name));
+        for pool in &mut self.pools {
+            pool.members.sort_by(|a, b| a.name.cmp(&b.name));
+        }
+        for dependency in &mut self.dependencies {
+            dependency.types.sort();
+        }
+        for route in &mut self.routes {
+            route.to.sort_by(|a, b| a.pool.cmp(&b.pool));
+            if let Some(matched) = &mut route.r#match {
+                matched.types.sort();
+                matched.tenants.sort();
+                matched.entities.sort();
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unknown_fields_are_refused_in_each_form() {
+        let refused =
+            from_text("version: 1\npools {\n  name: \"p\"\n  members { weigth: 3 }\n}\n").unwrap_err();
+        assert_eq!((refused.line, refused.column), (4, 13), "{refused}");
+        assert!(refused.why.contains("weigth"), "{refused}");
+        let pool = Pool { name: "p".into(), members: vec![Member::default()], ..Pool::default() };
+        let whole = Configuration { version: 1, pools: vec![pool], ..Configuration::default() };
+        let mut bytes = to_binary(&whole);
+        assert_eq!(from_binary(&bytes), Ok(whole));
+        bytes.extend([0xf8, 0x07, 5]);
+        assert_eq!(from_binary(&bytes).unwrap_err().why, "unknown field 127");
+    }
+
+    #[test]
+    fn another_version_is_refused() {
+        for text in ["", "version: 2"] {
+            assert!(from_text(text).unwrap_err().why.contains("knows version 1"), "{text}");
+        }
+        assert!(from_binary(&[]).unwrap_err().why.starts_with("version 0"));
+    }
+}
--- /dev/null
+++ b/crates/config/src/space.rs
@@ -0,0 +1,334 @@
+//! Which tickets a match takes, decided exactly: what matching means, for the checker, the diff and the
+//! tests of everything faster.
+//!
+//! A ticket is a point: its traffic type, tenant, entity (empty if it has none), whether it is a further
+//! try, its size. Types and tenants are finite sets, patterns are whole texts or beginnings, sizes are
+//! intervals: so a few chosen points stand for all ([`Points`]).
+
+use crate::schema::{Again, Configuration, Match, Route};
+use foldhash::{HashMap, HashMapExt};
+
+/// A ticket as far as routes can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Point<'p> {
+    pub traffic: &'p str,
+    pub tenant: &'p str,
+    pub entity: &'p str,
+    pub again: bool,
+    pub size: u64,
+}
+
+/// The part of a match that a ticket does not meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    Type,
+    Tenant,
+    Entity,
+    Again,
+    Size,
+}
+
+impl Miss {
+    /// The key of the match that says it.
+    pub fn key(self) -> &'static str {
+        match self {
+            Miss::Type => "type",
+            Miss::Tenant => "tenant",
+            Miss::Entity => "entity",
+            Miss::Again => "again",
+            Miss::Size => "size",
+        }
+    }
+}
+
+/// Whether a pattern takes an entity.
+pub fn pattern_takes(pattern: &str, entity: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(beginning) => entity.starts_with(beginning),
+        None => pattern == entity,
+    }
+}
+
+/// The first part of the match that the ticket does not meet, if any.
+pub fn miss(matched: Option<&Match>, point: &Point<'_>) -> Option<Miss> {
+    let matched = matched?;
+    let has = |list: &[String], one: &str| list.is_empty() || list.iter().any(|item| item == one);
+    if !has(&matched.types, point.traffic) {
+        return Some(Miss::Type);
+    }
+    if !has(&matched.tenants, point.tenant) {
+        return Some(Miss::Tenant);
+    }
+    match matched.again() {
+        Again::FirstTries if point.again => return Some(Miss::Again),
+        Again::FurtherTries if !point.again => return Some(Miss::Again),
+        _ => {}
+    }
+    if point.size < matched.size_least || (matched.size_most > 0 && point.size > matched.size_most) {
+        return Some(Miss::Size);
+    }
+    let taken = matched.entities.is_empty()
+        || matched.entities.iter().any(|pattern| pattern_takes(pattern, point.entity));
+    (!taken).then_some(Miss::Entity)
+}
+
+/// Every ticket that `inner` takes is taken by `outer` too. Lists that name all there is count as all.
+pub fn covers(outer: Option<&Match>, inner: Option<&Match>, types: usize, tenants: usize) -> bool {
+    let Some(outer) = outer else { return true };
+    let all = Match::default();
+    let inner = inner.unwrap_or(&all);
+    let lists = |outer: &[String], inner: &[String], known: usize| {
+        outer.is_empty()
+            || outer.len() == known
+            || (!inner.is_empty() && inner.iter().all(|item| outer.contains(item)))
+    };
+    let again = outer.again == Again::Unspecified as i32 || outer.again == inner.again;
+    let size = outer.size_least <= inner.size_least
+        && (outer.size_most == 0 || (inner.size_most > 0 && inner.size_most <= outer.size_most));
+    let takes_all = |pattern: &String| pattern == "*";
+    let entities = outer.entities.is_empty()
+        || outer.entities.iter().any(takes_all)
+        || (!inner.entities.is_empty()
+            && inner.entities.iter().all(|one| outer.entities.iter().any(|by| pattern_covers(by, one))));
+    again
+        && size
+        && lists(&outer.types, &inner.types, types)
+        && lists(&outer.tenants, &inner.tenants, tenants)
+        && entities
+}
+
+fn pattern_covers(outer: &str, inner: &str) -> bool {
+    match (outer.strip_suffix('*'), inner.strip_suffix('*')) {
+        (Some(outer), Some(inner)) => inner.starts_with(outer),
+        (Some(outer), None) => inner.starts_with(outer),
+        (None, Some(_)) => false,
+        (None, None) => outer == inner,
+    }
+}
+
+/// No entity begins with this: a text behind a beginning that no longer pattern can mean.
+const NOWHERE: char = '\u{10ffff}';
+
+/// Chosen tickets that stand for all: any two tickets that some match tells apart have different ones.
+pub struct Points {
+    types: Vec<String>,
+    tenants: Vec<String>,
+    entities: Vec<String>,
+    sizes: Vec<u64>,
+}
+
+impl Points {
+    /// For the routes of some configurations together, and the types and tenants they define.
+    pub fn of(configurations: &[&Configuration]) -> Self {
+        let mut points =
+            Self { types: vec![], tenants: vec![], entities: vec![String::new()], sizes: vec![0] };
+        points.entities.push(NOWHERE.to_string());
+        for configuration in configurations {
+            points.types.extend(configuration.types.iter().map(|one| one.name.clone()));
+            points.tenants.extend(configuration.tenants.iter().map(|one| one.name.clone()));
+            for matched in configuration.routes.iter().filter_map(|route| route.r#match.as_ref()) {
+                points.entities.extend(matched.entities.iter().map(|pattern| representative(pattern)));
+                points.sizes.push(matched.size_least);
+                if matched.size_most > 0 {
+                    points.sizes.extend([matched.size_most, matched.size_most + 1]);
+                }
+            }
+        }
+        if points.types.is_empty() {
+            points.types.push(String::new());
+        }
+        if points.tenants.is_empty() {
+            points.tenants.push(String::new());
+        }
+        for list in [&mut points.types, &mut points.tenants, &mut points.entities] {
+            list.sort();
+            list.dedup();
+        }
+        points.sizes.sort_unstable();
+        points.sizes.dedup();
+        points
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        let parts = [self.types.len(), self.tenants.len(), self.entities.len(), self.sizes.len(), 2];
+        parts.into_iter().fold(1, usize::saturating_mul)
+    }
+
+    pub fn each(&self) -> impl Iterator<Item = Point<'_>> {
+        let of_type =
+            move |traffic| self.tenants.iter().flat_map(move |tenant| self.of_pair(traffic, tenant));
+        self.types.iter().flat_map(move |traffic| of_type(traffic))
+    }
+
+    /// Those of one type and tenant.
+    pub fn of_pair<'p>(&'p self, traffic: &str, tenant: &str) -> impl Iterator<Item = Point<'p>> {
+        let traffic = self.types.iter().find(|one| *one == traffic).map_or("", String::as_str);
+        let tenant = self.tenants.iter().find(|one| *one == tenant).map_or("", String::as_str);
+        self.entities.iter().flat_map(move |entity| {
+            let sizes = self.sizes.iter().flat_map(|size| [(*size, false), (*size, true)]);
+            sizes.map(move |(size, again)| Point { traffic, tenant, entity, again, size })
+        })
+    }
+
+    pub fn types(&self) -> &[String] {
+        &self.types
+    }
+
+    pub fn tenants(&self) -> &[String] {
+        &self.tenants
+    }
+
+    /// Those of one type and tenant are this many.
+    pub fn inner(&self) -> usize {
+        self.entities.len() * self.sizes.len() * 2
+    }
+}
+
+/// An entity that the pattern takes and no longer pattern does.
+pub fn representative(pattern: &str) -> String {
+    match pattern.strip_suffix('*') {
+        Some(beginning) => format!("{beginning}{NOWHERE}"),
+        None => pattern.to_owned(),
+    }
+}
+
+/// Which route takes a ticket.
+pub fn first_match(routes: &[Route], point: &Point<'_>) -> Option<usize> {
+    routes.iter().position(|route| miss(route.r#match.as_ref(), point).is_none())
+}
+
+/// Finds, for a route, the earlier ones that could hide it, without looking at all of them: by one type
+/// and tenant that both must take.
+pub struct Earlier<'c> {
+    /// Routes that name few types and tenants, by each pair; the empty text stands for all.
+    by_pair: HashMap<(&'c str, &'c str), Vec<u32>>,
+    /// Those that name many.
+    wide: Vec<u32>,
+    /// Comparisons left.
+    pub budget: usize,
+}
+
+/// Pairs of one route that are listed singly; past it the route is compared with every other.
+const MOST_PAIRS: usize = 64;
+/// Comparisons of two matches in one check: some tenths of a second.
+const MOST_COMPARISONS: usize = 8_000_000;
+
+impl<'c> Earlier<'c> {
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Self {
+        Self { by_pair: HashMap::new(), wide: Vec::new(), budget: MOST_COMPARISONS }
+    }
+
+    pub fn add(&mut self, at: usize, matched: Option<&'c Match>) {
+        let (types, tenants) = lists(matched);
+        if types.len() * tenants.len() > MOST_PAIRS {
+            self.wide.push(at as u32);
+            return;
+        }
+        for traffic in &types {
+            for tenant in &tenants {
+                self.by_pair.entry((traffic, tenant)).or_default().push(at as u32);
+            }
+        }
+    }
+
+    /// Earlier routes that take the first type and tenant of this match, so perhaps all of it.
+    pub fn candidates<'a>(&'a mut self, matched: Option<&'c Match>) -> impl Iterator<Item = usize> + 'a {
+        let (types, tenants) = lists(matched);
+        let (traffic, tenant) = (types[0], tenants[0]);
+        let mut keys = vec![("", ""), (traffic, ""), ("", tenant), (traffic, tenant)];
+        keys.sort_unstable();
+        keys.dedup();
+        let Self { by_pair, wide, budget } = self;
+        let listed = keys.into_iter().filter_map(|key| by_pair.get(&key)).flatten().copied();
+        let all = listed.chain(wide.iter().copied());
+        all.map(|at| at as usize).take_while(move |_| {
+            *budget = budget.saturating_sub(1);
+            *budget > 0
+        })
+    }
+}
+
+fn lists(matched: Option<&Match>) -> (Vec<&str>, Vec<&str>) {
+    (all_or(matched.map(|m| &m.types)), all_or(matched.map(|m| &m.tenants)))
+}
+
+/// The list, or one empty text for "all".
+fn all_or(list: Option<&Vec<String>>) -> Vec<&str> {
+    match list {
+        Some(list) if !list.is_empty() => list.iter().map(String::as_str).collect(),
+        _ => vec![""],
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    fn any_match() -> impl Strategy<Value = Match> {
+        let names = |letters: &'static [&'static str]| {
+            proptest::collection::vec(proptest::sample::select(letters), 0..3).prop_map(|mut list| {
+                list.sort_unstable();
+                list.dedup();
+                list.into_iter().map(str::to_owned).collect::<Vec<_>>()
+            })
+        };
+        let size = (0u64..4, 0u64..6).prop_map(|(a, b)| if b == 0 { (a, 0) } else { (a.min(b), b) });
+        (names(&["t", "u"]), names(&["a", "b", "c"]), names(&["x*", "xy*", "xyz", "*", "q"]), 0i32..3, size)
+            .prop_map(|(types, tenants, entities, again, (size_least, size_most))| Match {
+                types,
+                tenants,
+                entities,
+                again,
+                size_least,
+                size_most,
+            })
+    }
+
+    fn with(routes: Vec<Match>) -> Configuration {
+        let mut all = Configuration { version: 1, ..Configuration::default() };
+        for name in ["t", "u"] {
+            all.types.push(crate::schema::TrafficType { name: name.into(), ..Default::default() });
+        }
+        for name in ["a", "b", "c"] {
+            all.tenants.push(crate::schema::Tenant { name: name.into(), ..Default::default() });
+        }
+        all.routes = routes.into_iter().map(|m| Route { r#match: Some(m), ..Default::default() }).collect();
+        all
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(16), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Against trying every point: the points stand for all, so both ways hold.
+        #[test]
+        fn covering_is_taking_all_its_points(outer in any_match(), inner in any_match()) {
+            let all = with(vec![outer.clone(), inner.clone()]);
+            let points = Points::of(&[&all]);
+            let every = points.each().all(|p| miss(Some(&inner), &p).is_some() || miss(Some(&outer), &p).is_none());
+            // Patterns are compared one by one, so a covering by several of them together is not seen: the
+            // prefixes here never add up to a longer one, but "any" is only covered by "*" or no list.
+            let covered = covers(Some(&outer), Some(&inner), 2, 3);
+            prop_assert!(!covered || every);
+            let inner_takes_something = points.each().any(|p| miss(Some(&inner), &p).is_none());
+            prop_assert!(covered || !every || !inner_takes_something);
+        }
+
+        /// The points tell apart whatever tickets near the borders do.
+        #[test]
+        fn points_stand_for_all_tickets(
+            routes in proptest::collection::vec(any_match(), 1..4),
+            entity in proptest::sample::select(vec!["", "x", "xy", "xyz", "xyzz", "xq", "q", "qq", "é"]),
+            size in 0u64..8,
+        ) {
+            let all = with(routes);
+            let points = Points::of(&[&all]);
+            let wanted = Point { traffic: "t", tenant: "b", entity, again: true, size };
+            let pattern = |p: &Point<'_>| all.routes.iter().map(|r| miss(r.r#match.as_ref(), p)).collect::<Vec<_>>();
+            prop_assert!(points.each().any(|p| pattern(&p) == pattern(&wanted)));
+        }
+    }
+}
