--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -137,7 +137,7 @@
 
     NoUnit "U201" "a number without its unit"
         "Units are written out: `250` could be seconds, milliseconds or tickets."
-        wrong "limits l { burst: 12 }\n", right whole!("limits l { burst: 12 tickets }" "route r { to: hall; limits: l }");
+        wrong "limits l { burst: 12 }\n", right whole!("limits l { rate: 9 tickets/s; burst: 12 tickets }" "route r { to: hall; limits: l }");
     WrongUnit "U202" "another kind of amount"
         "A rate stands where a time belongs, or the like. Nothing is converted."
         wrong "type t { repeat: rerunnable; goal: 40 tickets/s; outer-limit: 7 s }\n", right whole!("route r { to: hall }");
@@ -152,10 +152,10 @@
         wrong "limits l { at-once: -5 tickets }\n", right whole!("limits l { at-once: 5 tickets }" "route r { to: hall; limits: l }");
     Overflow "U206" "more than can be counted"
         "Times reach 584 years in nanoseconds; everything else fits 64 bits too."
-        wrong "limits l { burst: 99999999999999999999 tickets }\n", right whole!("limits l { burst: 9999 tickets }" "route r { to: hall; limits: l }");
+        wrong "limits l { burst: 99999999999999999999 tickets }\n", right whole!("limits l { rate: 9 tickets/s; burst: 9999 tickets }" "route r { to: hall; limits: l }");
     Digits "U207" "digits would be lost"
         "The amount is finer than the smallest step in which it is kept. It is refused, not rounded."
-        wrong "limits l { burst: 1.5 tickets }\n", right whole!("limits l { burst: 2 tickets }" "route r { to: hall; limits: l }");
+        wrong "limits l { burst: 1.5 tickets }\n", right whole!("limits l { rate: 9 tickets/s; burst: 2 tickets }" "route r { to: hall; limits: l }");
     Sum "U208" "a sum"
         "An amount is one number and one unit, so that two files can be compared line by line."
         wrong "type t { repeat: rerunnable; goal: 2 s + 300 ms; outer-limit: 7 s }\n", right whole!("route r { to: hall }");
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -126,10 +126,20 @@
     }
 
     fn expected(&mut self, code: Code, what: &str) {
+        if self.peek() == Some(Token::Unknown) {
+            self.odd_character();
+            return;
+        }
         let finding = Finding::new(code, self.span(), format!("expected {what}, found {}", self.found()));
         self.tell(finding);
     }
 
+    fn odd_character(&mut self) {
+        let words = format!("`{}` means nothing here", shorten(self.next_text()));
+        let help = "outside texts and comments only ASCII letters, digits and `{}:,;.+-/%_` are read";
+        self.tell(Finding::new(Code::Character, self.span(), words).help(help));
+    }
+
     fn file(&mut self) {
         self.open(Kind::File);
         self.trivia(true);
@@ -192,12 +202,6 @@
 
     fn odd_start(&mut self) {
         match self.peek() {
-            Some(Token::Unknown) => {
-                let (at, words) =
-                    (self.span(), format!("`{}` means nothing here", shorten(self.next_text())));
-                let help = "outside texts and comments only ASCII letters, digits and `{}:,;.+-/%_` are read";
-                self.tell(Finding::new(Code::Character, at, words).help(help));
-            }
             Some(Token::Semicolon) => {
                 self.bump();
                 return;
@@ -261,6 +265,10 @@
                 }
                 self.close();
             }
+            Some(Token::Unknown) => {
+                self.odd_character();
+                self.skip_line();
+            }
             _ => {
                 let words = format!("`{}` is followed by {}", self.word_at(word), self.found());
                 let finding = Finding::new(Code::NoColon, word, words);
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -374,7 +374,7 @@
         let wide =
             Bounds { default: bounds.default.map(|d| d * ONE), zero: bounds.zero, most: bounds.most * ONE };
         let found = self.amount(key, Dimension::Factor, wide);
-        if let (Some(at), true) = (place, found % ONE != 0) {
+        if let (Some(at), true) = (place, !found.is_multiple_of(ONE)) {
             self.tell(Finding::new(Code::Digits, at, format!("`{key}` is a whole number")));
         }
         found / ONE
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -105,8 +105,8 @@
         _ => None,
     };
     by_habit.or(exact.map(|known| known.0)).or_else(|| {
-        let names = UNITS.iter().map(|known| known.0);
-        names.filter(|known| strsim::damerau_levenshtein(known, name) == 1 && name.len() > 2).next()
+        let mut names = UNITS.iter().map(|known| known.0);
+        names.find(|known| strsim::damerau_levenshtein(known, name) == 1 && name.len() > 2)
     })
 }
 
@@ -222,7 +222,7 @@
 /// Nanoseconds as this language writes them, in the largest unit that needs no fraction.
 pub fn time(ns: u64) -> String {
     let units = UNITS.iter().rev().filter(|known| known.1 == Dimension::Time);
-    let whole = units.clone().find(|known| ns % known.2 == 0 && (ns > 0 || known.0 == "s"));
+    let whole = units.clone().find(|known| ns.is_multiple_of(known.2) && (ns > 0 || known.0 == "s"));
     whole.map_or_else(|| format!("{ns} ns"), |known| format!("{} {}", ns / known.2, known.0))
 }
 
@@ -252,7 +252,7 @@
 /// Bytes in the largest unit that needs no fraction.
 pub fn size(bytes: u64) -> String {
     let units = UNITS.iter().rev().filter(|known| known.1 == Dimension::Size);
-    let whole = units.clone().find(|known| bytes % known.2 == 0 && (bytes > 0 || known.0 == "B"));
+    let whole = units.clone().find(|known| bytes.is_multiple_of(known.2) && (bytes > 0 || known.0 == "B"));
     whole.map_or_else(|| format!("{bytes} B"), |known| format!("{} {}", bytes / known.2, known.0))
 }
 
