--- /dev/null
+++ b/crates/cli/src/config.rs
@@ -0,0 +1,439 @@
+//! `rainstand config …`: each subcommand reads files, asks the libraries, and prints.
+
+use crate::out::{self, Code};
+use clap::{Args, Subcommand};
+use rainstand_config::codes::Code as Finds;
+use rainstand_config::diff::{diff, Change};
+use rainstand_config::schema::{self, Configuration};
+use rainstand_config::source::{Disk, FileId, Files, Sources, Trouble};
+use rainstand_config::{form::form, load};
+use rainstand_route::explain::{explain, Explanation};
+use rainstand_route::table::{By, NoWay, Table, Ticket};
+use serde_json::json;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Read configurations and tell all that is wrong with them
+    #[command(
+        after_help = "Examples:\n  rainstand config check main.rain\n  rainstand config check --json main.rain | jq .code"
+    )]
+    Check {
+        /// First files of configurations; `-` is standard input
+        #[arg(required = true)]
+        files: Vec<String>,
+        /// One JSON object a finding, on standard output
+        #[arg(long)]
+        json: bool,
+        /// Warnings count as errors
+        #[arg(long)]
+        strict: bool,
+    },
+    /// Write files in their one form
+    #[command(
+        after_help = "Examples:\n  rainstand config fmt deploy/*.rain\n  rainstand config fmt --check deploy/*.rain\n  rainstand config fmt - < draft.rain"
+    )]
+    Fmt {
+        /// Files to write anew; `-` reads standard input and prints the result
+        #[arg(required = true)]
+        files: Vec<String>,
+        /// Change nothing; tell which files are not in their form
+        #[arg(long)]
+        check: bool,
+    },
+    /// Compile a configuration to the form that programs are given
+    #[command(
+        after_help = "Examples:\n  rainstand config build main.rain > forwarder.txtpb\n  rainstand config build main.rain --binary --out main.pb"
+    )]
+    Build {
+        file: String,
+        /// Protobuf text format (what is written if nothing is said)
+        #[arg(long, conflicts_with = "binary")]
+        text: bool,
+        /// Protobuf binary format
+        #[arg(long)]
+        binary: bool,
+        /// Where to write it, in one step; standard output if not said
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Tell what changed in meaning between two configurations
+    #[command(
+        after_help = "Examples:\n  rainstand config diff old/main.rain new/main.rain\n  rainstand config diff running.txtpb main.rain --json"
+    )]
+    Diff {
+        /// A `.rain` file, or a compiled one: `.pb` is binary, all else the text format
+        old: String,
+        new: String,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tell which way a ticket goes, and why not another
+    #[command(
+        after_help = "Example:\n  rainstand config explain main.rain --type register --tenant acme --entity NO-1138 --members-out n1,n2"
+    )]
+    Explain(Explain),
+    /// Explain the code of a finding, with a wrong and a right example
+    #[command(after_help = "Examples:\n  rainstand config why U202\n  rainstand config why --all")]
+    Why {
+        #[arg(required_unless_present = "all")]
+        code: Option<String>,
+        /// All codes, a line each
+        #[arg(long)]
+        all: bool,
+    },
+    /// Print the protobuf schema of compiled configurations
+    Schema,
+}
+
+#[derive(Args)]
+pub struct Explain {
+    file: String,
+    /// Traffic type
+    #[arg(long = "type")]
+    traffic: String,
+    /// Tenant; one that the configuration does not name is asked for by leaving it out
+    #[arg(long)]
+    tenant: Option<String>,
+    /// What the ticket is about
+    #[arg(long, default_value = "")]
+    entity: String,
+    /// A further try
+    #[arg(long)]
+    again: bool,
+    /// Bytes
+    #[arg(long, default_value_t = 0)]
+    size: u64,
+    /// Members that cannot be used, by name
+    #[arg(long, value_delimiter = ',')]
+    members_out: Vec<String>,
+    /// Pools that cannot be used, by name
+    #[arg(long, value_delimiter = ',')]
+    pools_out: Vec<String>,
+    /// For splits by chance
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long)]
+    json: bool,
+}
+
+pub fn run(command: Command) -> io::Result<Code> {
+    match command {
+        Command::Check { files, json, strict } => each(&files, |file| check(file, json, strict)),
+        Command::Fmt { files, check } => each(&files, |file| write_form(file, check)),
+        Command::Build { file, text: _, binary, out } => build(&file, binary, out.as_deref()),
+        Command::Diff { old, new, json } => compare(&old, &new, json),
+        Command::Explain(asked) => tell_way(&asked),
+        Command::Why { code, all: _ } => why(code.as_deref()),
+        Command::Schema => out::bytes(schema::PROTO.as_bytes()),
+    }
+}
+
+/// Goes on after a bad file; the worst code counts.
+fn each(files: &[String], mut one: impl FnMut(&str) -> io::Result<Code>) -> io::Result<Code> {
+    files.iter().try_fold(Code::Good, |worst, file| Ok(worst.max(one(file)?)))
+}
+
+fn unreadable(path: &str, why: impl std::fmt::Display) -> Code {
+    eprintln!("rainstand: {path}: {why}");
+    Code::Use
+}
+
+fn check(file: &str, json: bool, strict: bool) -> io::Result<Code> {
+    match read(file, json)? {
+        Ok((_, sources, warnings)) => {
+            if !json {
+                let plural = |n: usize, what: &str| format!("{n} {what}{}", if n == 1 { "" } else { "s" });
+                let all = format!("{}, {}", plural(sources.len(), "file"), plural(sources.lines(), "line"));
+                eprintln!("{file}: good: {all}, {}", plural(warnings, "warning"));
+            }
+            Ok(if strict && warnings > 0 { Code::Found } else { Code::Good })
+        }
+        Err(code) => Ok(code),
+    }
+}
+
+type Read = Result<(Configuration, Sources, usize), Code>;
+
+/// A configuration in any of its three forms, with its sources and the number of warnings. What is wrong
+/// is told here.
+fn read(file: &str, json: bool) -> io::Result<Read> {
+    let ending = Path::new(file).extension().and_then(|e| e.to_str());
+    if file != "-" && ending != Some("rain") {
+        return Ok(read_compiled(file, ending == Some("pb")).map(|made| (made, Sources::default(), 0)));
+    }
+    let outcome = load(&Disk, file);
+    out::findings(&outcome.sources, &outcome.findings, json)?;
+    let cannot_be_read = outcome.findings.iter().any(|finding| {
+        matches!(finding.code, Finds::Missing | Finds::Unreadable | Finds::TooLarge | Finds::NotUtf8)
+            && finding.at.file == FileId(0)
+            && finding.at.end == 0
+    });
+    if cannot_be_read {
+        return Ok(Err(Code::Use));
+    }
+    match outcome.configuration {
+        Some(configuration) => Ok(Ok((configuration, outcome.sources, outcome.findings.len()))),
+        None => {
+            let errors = outcome.findings.iter().filter(|finding| finding.is_error()).count();
+            if !json {
+                eprintln!("{file}: {errors} error{}", if errors == 1 { "" } else { "s" });
+            }
+            Ok(Err(Code::Found))
+        }
+    }
+}
+
+fn read_compiled(file: &str, binary: bool) -> Result<Configuration, Code> {
+    let bytes = std::fs::read(file).map_err(|e| unreadable(file, e))?;
+    let made = if binary {
+        schema::from_binary(&bytes)
+    } else {
+        let text = std::str::from_utf8(&bytes).map_err(|e| unreadable(file, e))?;
+        schema::from_text(text)
+    };
+    let made = made.and_then(|made| match Table::new(&made) {
+        Ok(_) => Ok(made),
+        Err(refused) => Err(schema::Refused { line: 0, column: 0, why: refused.to_string() }),
+    });
+    made.map_err(|refused| {
+        eprintln!("rainstand: {file}:{refused}");
+        Code::Found
+    })
+}
+
+fn write_form(file: &str, check_only: bool) -> io::Result<Code> {
+    let text = match Disk.read(Path::new(file)) {
+        Ok(text) => text,
+        Err(trouble) => {
+            let why = match trouble {
+                Trouble::Missing => "there is no such file".to_owned(),
+                Trouble::Unreadable(why) => why,
+                Trouble::TooLarge(size) => format!("{size} bytes are too many"),
+                Trouble::NotUtf8(byte) => format!("not UTF-8: byte {byte} belongs to no character"),
+            };
+            return Ok(unreadable(file, why));
+        }
+    };
+    let formed = match form(&text) {
+        Ok(formed) => formed,
+        Err(findings) => {
+            let sources = Sources::of_one(file, text);
+            out::findings(&sources, &findings, false)?;
+            eprintln!("{file}: left as it is");
+            return Ok(Code::Found);
+        }
+    };
+    if check_only {
+        if formed != text {
+            out::line(&format!("{file}: not in its form"))?;
+            return Ok(Code::Found);
+        }
+    } else if file == "-" {
+        return out::bytes(formed.as_bytes());
+    } else if formed != text {
+        if let Err(error) = replace(Path::new(file), formed.as_bytes()) {
+            return Ok(unreadable(file, error));
+        }
+    }
+    Ok(Code::Good)
+}
+
+/// Writes a file in one step: a reader sees the old one or the new one, whole. Links stay links, and the
+/// permissions stay.
+fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let path = std::fs::canonicalize(path).unwrap_or_else(|_| path.to_owned());
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let mut fresh = tempfile::NamedTempFile::new_in(folder)?;
+    fresh.write_all(bytes)?;
+    match std::fs::metadata(&path) {
+        Ok(before) => fresh.as_file().set_permissions(before.permissions())?,
+        Err(_) => {
+            // A new file is for whoever may read the folder, not for its writer alone.
+            use std::os::unix::fs::PermissionsExt;
+            fresh.as_file().set_permissions(std::fs::Permissions::from_mode(0o644))?;
+        }
+    }
+    fresh.as_file().sync_all()?;
+    fresh.persist(&path).map_err(|e| e.error)?;
+    Ok(())
+}
+
+fn build(file: &str, binary: bool, to: Option<&Path>) -> io::Result<Code> {
+    let made = match read(file, false)? {
+        Ok((made, ..)) => made,
+        Err(code) => return Ok(code),
+    };
+    let bytes = if binary { schema::to_binary(&made) } else { schema::to_text(&made).into_bytes() };
+    match to {
+        None => out::bytes(&bytes),
+        Some(path) => Ok(match replace(path, &bytes) {
+            Ok(()) => Code::Good,
+            Err(error) => unreadable(&path.to_string_lossy(), error),
+        }),
+    }
+}
+
+fn compare(old: &str, new: &str, json: bool) -> io::Result<Code> {
+    // Both are read before either's trouble ends it.
+    let (old, new) = (read(old, json)?, read(new, json)?);
+    let (old, new) = match (old, new) {
+        (Ok((old, ..)), Ok((new, ..))) => (old, new),
+        // An unreadable one or errors: no comparison, so never the 1 that means "differs".
+        _ => return Ok(Code::Use),
+    };
+    let changes = diff(&old, &new);
+    for change in &changes {
+        if !json {
+            out::line(&change.to_string())?;
+            continue;
+        }
+        out::json(&match change {
+            Change::Added { what } => json!({"change": "added", "what": what}),
+            Change::Removed { what } => json!({"change": "removed", "what": what}),
+            Change::Otherwise { what, key, before, after } => {
+                json!({"change": "otherwise", "what": what, "key": key, "before": before, "after": after})
+            }
+            Change::Elsewhere { tickets, before, after, pools } => json!({
+                "change": "elsewhere", "tickets": tickets, "before": before, "after": after,
+                "pools_before": pools.0, "pools_after": pools.1,
+            }),
+            Change::Order { before, after } => json!({"change": "order", "before": before, "after": after}),
+        })?;
+    }
+    Ok(if changes.is_empty() { Code::Good } else { Code::Found })
+}
+
+fn tell_way(asked: &Explain) -> io::Result<Code> {
+    let (made, ..) = match read(&asked.file, asked.json)? {
+        Ok(made) => made,
+        Err(code) => return Ok(code),
+    };
+    let table = match Table::new(&made) {
+        Ok(table) => table,
+        Err(refused) => return Ok(unreadable(&asked.file, refused)),
+    };
+    let unknown = |what: &str, name: &str, all: Vec<&str>| {
+        let known = if all.is_empty() { "none".to_owned() } else { all.join(", ") };
+        unreadable(&asked.file, format!("there is no {what} `{name}`; there are: {known}"))
+    };
+    let Some(traffic) = table.traffic(&asked.traffic) else {
+        return Ok(unknown("type", &asked.traffic, made.types.iter().map(|one| &*one.name).collect()));
+    };
+    let tenant = match &asked.tenant {
+        None => None,
+        Some(name) => match table.tenant(name) {
+            Some(tenant) => Some(tenant),
+            None => return Ok(unknown("tenant", name, made.tenants.iter().map(|one| &*one.name).collect())),
+        },
+    };
+    for name in &asked.pools_out {
+        if table.pool(name).is_none() {
+            return Ok(unknown("pool", name, made.pools.iter().map(|one| &*one.name).collect()));
+        }
+    }
+    let members = || made.pools.iter().flat_map(|pool| &pool.members).map(|member| &*member.name);
+    for name in &asked.members_out {
+        if !members().any(|known| known == name) {
+            return Ok(unknown("member", name, members().collect()));
+        }
+    }
+    let ticket = Ticket { traffic, tenant, entity: &asked.entity, again: asked.again, size: asked.size };
+    let has = |list: &[String], name: &str| list.iter().any(|one| one == name);
+    let pool_out = |name: &str| has(&asked.pools_out, name);
+    let told = explain(&table, &ticket, asked.seed, pool_out, |name| has(&asked.members_out, name));
+    let times = told.goes.as_ref().ok().and_then(|_| {
+        let route = told.steps.len() as u16 - 1;
+        let pick = table.times(route, traffic);
+        (made.routes[usize::from(route)].budget != *"").then_some(pick)
+    });
+    if asked.json {
+        way_as_json(&told)?;
+    } else {
+        way_in_words(&told)?;
+        if let Some(times) = times {
+            use rainstand_route::budget::Stage;
+            let stages = [Stage::Forward, Stage::Queue, Stage::Run, Stage::Call, Stage::Answer];
+            let ends = stages.map(|stage| {
+                let left = times.left(stage, std::time::Duration::ZERO);
+                format!("{} by {left:?}", format!("{stage:?}").to_lowercase())
+            });
+            out::line(&format!("  stages over: {}", ends.join(", ")))?;
+        }
+    }
+    Ok(if told.goes.is_ok() { Code::Good } else { Code::Found })
+}
+
+fn by_words(by: By) -> String {
+    match by {
+        By::Share => "its share".into(),
+        By::OtherShare => "the pool of its share is out; another of the split takes it".into(),
+        By::FallBack(k) => format!("fall-back {} of the route", k + 1),
+        By::PoolFallBack => "what a pool of the route falls back on".into(),
+    }
+}
+
+fn way_in_words(told: &Explanation) -> io::Result<()> {
+    for step in &told.steps {
+        out::line(&match step.miss {
+            Some(miss) => format!("- {}: `{}` wants {}", step.route, miss.key(), step.wants),
+            None => format!("* {}: takes it", step.route),
+        })?;
+    }
+    match &told.goes {
+        Ok((pool, by)) => {
+            out::line(&format!("  goes to the pool {pool} ({})", by_words(*by)))?;
+            if let Some(member) = &told.member {
+                out::line(&format!("  its entity belongs to the member {member}"))?;
+            }
+            for (at, limits) in &told.limits {
+                out::line(&format!("  counted by the limits {limits} of {at}"))?;
+            }
+            Ok(())
+        }
+        Err(NoWay::NoRoute) => out::line("  no route takes it: dismissed"),
+        Err(NoWay::NoPool(_)) => out::line("  none of the route's pools can be used: dismissed"),
+    }
+}
+
+fn way_as_json(told: &Explanation) -> io::Result<()> {
+    for step in &told.steps {
+        let missed = step.miss.map(|miss| miss.key());
+        out::json(
+            &json!({"route": step.route, "takes": missed.is_none(), "missed": missed, "wants": step.wants}),
+        )?;
+    }
+    let limits: Vec<_> = told.limits.iter().map(|(at, name)| json!({"at": at, "limits": name})).collect();
+    out::json(&match &told.goes {
+        Ok((pool, by)) => {
+            json!({"goes": true, "pool": pool, "by": by_words(*by), "member": told.member, "limits": limits})
+        }
+        Err(NoWay::NoRoute) => json!({"goes": false, "why": "no route"}),
+        Err(NoWay::NoPool(_)) => json!({"goes": false, "why": "no pool can be used"}),
+    })
+}
+
+fn why(code: Option<&str>) -> io::Result<Code> {
+    let Some(asked) = code else {
+        for code in Finds::ALL {
+            out::line(&format!("{}  {}", code.id(), code.title()))?;
+        }
+        return Ok(Code::Good);
+    };
+    let Some(code) = Finds::find(asked) else {
+        return Ok(unreadable(asked, "no such code; `rainstand config why --all` lists them"));
+    };
+    let mut text = format!("{}: {}\n\n{}\n", code.id(), code.title(), code.why());
+    let (wrong, right) = code.examples();
+    for (name, lines) in [("Wrong", wrong), ("Right", right)] {
+        if !lines.is_empty() {
+            text.push_str(&format!("\n{name}:\n"));
+            // In the form that people write.
+            let formed = form(&format!("rain 1\n{lines}"));
+            let shown = formed.as_deref().map_or(lines, |formed| formed.trim_start_matches("rain 1\n"));
+            shown.lines().for_each(|line| text.push_str(&format!("    {line}\n")));
+        }
+    }
+    out::bytes(text.as_bytes())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,58 @@
-fn main(){}
+//! `rainstand`, the operators' command line.
+
+mod config;
+mod out;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use out::Code;
+use std::process::ExitCode;
+
+const EXAMPLES: &str = "\
+Examples:
+  rainstand config check deploy/main.rain
+  rainstand config explain deploy/main.rain --type register --tenant acme --entity NO-1138
+  rainstand config why M402
+
+Exit codes: 0 good, 1 something was found, 2 wrong use or a file that cannot be read.";
+
+#[derive(Parser)]
+#[command(
+    name = "rainstand",
+    version,
+    about = "Admission and routing for the servers behind other people's balancers"
+)]
+#[command(after_help = EXAMPLES)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check, format, compile, compare and explain configurations
+    #[command(subcommand)]
+    Config(config::Command),
+    /// Print completions for a shell
+    #[command(after_help = "Example:\n  rainstand completions bash > /etc/bash_completion.d/rainstand")]
+    Completions { shell: clap_complete::Shell },
+}
+
+fn main() -> ExitCode {
+    let code = match Arguments::parse().command {
+        Command::Config(command) => config::run(command),
+        Command::Completions { shell } => {
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut Arguments::command(), "rainstand", &mut script);
+            out::bytes(&script)
+        }
+    };
+    code.unwrap_or_else(|error| {
+        // Somebody closed our output, such as `head`: they have what they wanted.
+        if error.kind() == std::io::ErrorKind::BrokenPipe {
+            return Code::Good;
+        }
+        eprintln!("rainstand: {error}");
+        Code::Use
+    })
+    .into()
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -7,7 +7,7 @@
 use crate::codes::Code;
 use crate::parse::shorten;
 use crate::resolve::{Resolved, Sort};
-use crate::schema::{Attempts, Configuration, OnFailure, Proof, Rate, RepeatKind, Route, TrafficType};
+use crate::schema::{Attempts, Configuration, Match, OnFailure, Proof, Rate, RepeatKind, Route, TrafficType};
 use crate::source::Span;
 use crate::space::{covers, first_match, miss, Earlier, Point, Points};
 use crate::units::{self, ONE};
@@ -29,6 +29,7 @@
         attempts: by_name(all.attempts.iter().map(|one| &one.name)),
         budgets: by_name(all.budgets.iter().map(|one| &one.name)),
         limits: by_name(all.limits.iter().map(|one| &one.name)),
+        taken: vec![false; all.types.len()],
         findings,
     };
     checker.types();
@@ -38,6 +39,7 @@
     checker.pools();
     for at in 0..all.routes.len() {
         checker.route(at);
+        checker.taken_by(at);
     }
     checker.quotas();
     checker.hidden_routes();
@@ -59,6 +61,8 @@
     attempts: HashMap<&'k str, usize>,
     budgets: HashMap<&'k str, usize>,
     limits: HashMap<&'k str, usize>,
+    /// Types of which the routes looked at so far leave no ticket.
+    taken: Vec<bool>,
     findings: &'k mut Vec<Finding>,
 }
 
@@ -252,13 +256,28 @@
         }
     }
 
-    /// The types that a route may take.
+    /// The types of which a ticket may come to a route.
     fn types_of(&self, route: &'k Route) -> Vec<usize> {
-        match &route.r#match {
+        let named = match &route.r#match {
             Some(matched) if !matched.types.is_empty() => {
                 matched.types.iter().filter_map(|name| self.types.get(&**name)).copied().collect()
             }
-            _ => (0..self.all.types.len()).collect(),
+            _ => (0..self.all.types.len()).collect::<Vec<_>>(),
+        };
+        named.into_iter().filter(|at| !self.taken[*at]).collect()
+    }
+
+    /// A route that asks for nothing but the type leaves none of it to later ones.
+    fn taken_by(&mut self, k: usize) {
+        let route = &self.all.routes[k];
+        let by_type_alone = route.r#match.as_ref().is_none_or(|matched| {
+            let types = matched.types.clone();
+            *matched == Match { types, ..Match::default() }
+        });
+        if by_type_alone {
+            for at in self.types_of(route) {
+                self.taken[at] = true;
+            }
         }
     }
 
@@ -459,7 +478,7 @@
 
     fn hidden_routes(&mut self) {
         let all = self.all;
-        let (types, tenants) = (all.types.len(), all.tenants.len());
+        let types = all.types.len();
         let points = Points::of(&[all]);
         let few = points.count() <= MOST_POINTS && all.routes.len() <= 200;
         let mut earlier = Earlier::new();
@@ -468,7 +487,7 @@
             let matched = route.r#match.as_ref();
             let by = earlier
                 .candidates(matched)
-                .filter(|before| covers(all.routes[*before].r#match.as_ref(), matched, types, tenants))
+                .filter(|before| covers(all.routes[*before].r#match.as_ref(), matched, types))
                 .min();
             if let Some(by) = by {
                 hidden.insert(k);
@@ -532,7 +551,9 @@
         }
         let mut left: Vec<(usize, Point<'_>)> = Vec::new();
         for (k, one) in all.types.iter().enumerate() {
-            let mut tickets = points.tenants().iter().flat_map(|tenant| points.of_pair(&one.name, tenant));
+            // Tenants that are not named may be meant to have no route.
+            let named = points.tenants().iter().filter(|name| !name.is_empty() || all.tenants.is_empty());
+            let mut tickets = named.flat_map(|tenant| points.of_pair(&one.name, tenant));
             left.extend(
                 tickets.find(|point| first_match(&all.routes, point).is_none()).map(|point| (k, point)),
             );
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -282,7 +282,11 @@
         let mut words = vec![if product == self.points { "tickets" } else { "some tickets" }.to_owned()];
         let list = |names: &BTreeSet<&str>| {
             const MOST: usize = 6;
-            let shown: Vec<_> = names.iter().take(MOST).copied().collect();
+            let shown: Vec<_> = names
+                .iter()
+                .take(MOST)
+                .map(|name| if name.is_empty() { "(not named)" } else { name })
+                .collect();
             let more = names.len().saturating_sub(MOST);
             if more > 0 {
                 format!("{} and {more} more", shown.join(", "))
--- a/crates/config/src/report.rs
+++ b/crates/config/src/report.rs
@@ -43,12 +43,13 @@
     let config = Config { before_label_lines: 0, after_label_lines: 0, ..Config::default() };
     for finding in findings {
         let places = std::iter::once(&finding.at).chain(finding.also.iter().map(|(at, _)| at));
-        let wide = places.clone().any(|at| {
-            let line = sources.line_of(at.file, at.start as usize);
-            sources.line_bytes(at.file, line).is_some_and(|range| range.len() > WIDEST)
-        });
+        let wide = sources.text(finding.at.file).is_empty()
+            || places.clone().any(|at| {
+                let line = sources.line_of(at.file, at.start as usize);
+                sources.line_bytes(at.file, line).is_some_and(|range| range.len() > WIDEST)
+            });
         if wide {
-            // The line itself would fill the screen.
+            // There is no line to show, or it would fill the screen.
             writeln!(out, "{}", plain(sources, finding))?;
             continue;
         }
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -134,6 +134,13 @@
         FileId(self.0.len() as u32 - 1)
     }
 
+    /// One file, for a tool that looks at it alone.
+    pub fn of_one(path: &str, text: String) -> Self {
+        let mut sources = Self::default();
+        sources.add(path.to_owned(), text);
+        sources
+    }
+
     pub fn len(&self) -> usize {
         self.0.len()
     }
--- a/crates/config/src/space.rs
+++ b/crates/config/src/space.rs
@@ -1,7 +1,7 @@
 //! Which tickets a match takes, decided exactly: what matching means, for the checker, the diff and the
 //! tests of everything faster.
 //!
-//! A ticket is a point: its traffic type, tenant, entity (empty if it has none), whether it is a further
+//! A ticket is a point: its traffic type, tenant (empty if it is not named), entity (empty if it has none), whether it is a further
 //! try, its size. Types and tenants are finite sets, patterns are whole texts or beginnings, sizes are
 //! intervals: so a few chosen points stand for all ([`Points`]).
 
@@ -72,8 +72,9 @@
     (!taken).then_some(Miss::Entity)
 }
 
-/// Every ticket that `inner` takes is taken by `outer` too. Lists that name all there is count as all.
-pub fn covers(outer: Option<&Match>, inner: Option<&Match>, types: usize, tenants: usize) -> bool {
+/// Every ticket that `inner` takes is taken by `outer` too. A list that names all `types` there are counts
+/// as all; one of tenants never does, since tickets come from tenants that nobody named.
+pub fn covers(outer: Option<&Match>, inner: Option<&Match>, types: usize) -> bool {
     let Some(outer) = outer else { return true };
     let all = Match::default();
     let inner = inner.unwrap_or(&all);
@@ -93,7 +94,7 @@
     again
         && size
         && lists(&outer.types, &inner.types, types)
-        && lists(&outer.tenants, &inner.tenants, tenants)
+        && lists(&outer.tenants, &inner.tenants, usize::MAX)
         && entities
 }
 
@@ -137,9 +138,8 @@
         if points.types.is_empty() {
             points.types.push(String::new());
         }
-        if points.tenants.is_empty() {
-            points.tenants.push(String::new());
-        }
+        // Somebody whom the configuration does not name.
+        points.tenants.push(String::new());
         for list in [&mut points.types, &mut points.tenants, &mut points.entities] {
             list.sort();
             list.dedup();
@@ -311,7 +311,7 @@
             let every = points.each().all(|p| miss(Some(&inner), &p).is_some() || miss(Some(&outer), &p).is_none());
             // Patterns are compared one by one, so a covering by several of them together is not seen: the
             // prefixes here never add up to a longer one, but "any" is only covered by "*" or no list.
-            let covered = covers(Some(&outer), Some(&inner), 2, 3);
+            let covered = covers(Some(&outer), Some(&inner), 2);
             prop_assert!(!covered || every);
             let inner_takes_something = points.each().any(|p| miss(Some(&inner), &p).is_none());
             prop_assert!(covered || !every || !inner_takes_something);
--- a/crates/route/benches/pick.rs
+++ b/crates/route/benches/pick.rs
@@ -1,1 +1,1 @@
-fn main(){}
+fn main() {}
--- a/crates/route/src/explain.rs
+++ b/crates/route/src/explain.rs
@@ -92,7 +92,8 @@
             _ => "no".into(),
         },
         Some(Miss::Size) => {
-            let shown = |bytes: u64| if bytes == 0 { String::new() } else { rainstand_config::units::size(bytes) };
+            let shown =
+                |bytes: u64| if bytes == 0 { String::new() } else { rainstand_config::units::size(bytes) };
             format!("{} .. {}", shown(matched.size_least), shown(matched.size_most)).trim().to_owned()
         }
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -180,7 +180,8 @@
         });
         let compiled_pools: Box<[Pool]> = compiled_pools.collect::<Result<_, Refused>>()?;
         for start in 0..compiled_pools.len() {
-            let chain = std::iter::successors(Some(start), |at| compiled_pools[*at].fall_back.map(usize::from));
+            let chain =
+                std::iter::successors(Some(start), |at| compiled_pools[*at].fall_back.map(usize::from));
             if chain.take(compiled_pools.len() + 1).count() > compiled_pools.len() {
                 let name = &compiled_pools[start].name;
                 return Err(Refused(format!("pool `{name}` falls back in a ring")));
--- a/crates/route/src/versions.rs
+++ b/crates/route/src/versions.rs
@@ -137,11 +137,8 @@
 
 fn rule(limits: &Limits) -> Rule {
     let pace = limits.rate.filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0);
-    let pace = pace.map(|rate| Pace {
-        micro: rate.micro_tickets,
-        per: rate.per_ns,
-        burst: limits.burst.max(1),
-    });
+    let pace =
+        pace.map(|rate| Pace { micro: rate.micro_tickets, per: rate.per_ns, burst: limits.burst.max(1) });
     Rule { pace, at_once: limits.at_once }
 }
 
@@ -183,7 +180,9 @@
     for (place, at) in ALL_PLACES.into_iter().enumerate() {
         for ((name, _), limit) in limited(table, at).into_iter().zip(&layout.by_place[place]) {
             let Some(limit) = limit else { continue };
-            all.extend(keys(table, limit.per).into_iter().map(|key| ((at, name, limit.per, key), limit.rule)));
+            all.extend(
+                keys(table, limit.per).into_iter().map(|key| ((at, name, limit.per, key), limit.rule)),
+            );
         }
     }
     all
@@ -250,7 +249,9 @@
             layout.by_place[place] = limits.collect();
         }
         if all > MOST_BUCKETS {
-            return Err(Refused(format!("limits by tenant, type and pool come to {all}; {MOST_BUCKETS} fit")));
+            return Err(Refused(format!(
+                "limits by tenant, type and pool come to {all}; {MOST_BUCKETS} fit"
+            )));
         }
         // Room for the slots; which they are is settled when nothing can fail any more.
         layout.slots = vec![NONE; all];
@@ -335,7 +336,9 @@
         let last = versions.len() - 1;
         let Version { number, table, layout, open } = &mut versions[last];
         let look = |at: At, of: usize, pool: u16| -> Result<u32, (u32, Full)> {
-            let Some(limit) = layout.by_place[at as usize].get(of).copied().flatten() else { return Ok(NONE) };
+            let Some(limit) = layout.by_place[at as usize].get(of).copied().flatten() else {
+                return Ok(NONE);
+            };
             let slot = layout.slots[limit.first as usize + key(table, limit.per, ticket, pool)];
             match slots[slot as usize].bucket.look(&limit.rule, now) {
                 Ok(()) => Ok(slot),
--- a/crates/route/tests/ways.rs
+++ b/crates/route/tests/ways.rs
@@ -106,7 +106,10 @@
         (|c| c.pools[0].fall_back = "p".into(), "pool `p` falls back in a ring"),
         (|c| c.pools[1].name = "p".into(), "pool `p` is there twice"),
         (|c| c.routes[0].limits = "x".into(), "there is no limits `x`"),
-        (|c| c.routes[0].r#match = Some(Match { types: vec!["x".into()], ..Default::default() }), "there is no type `x`"),
+        (
+            |c| c.routes[0].r#match = Some(Match { types: vec!["x".into()], ..Default::default() }),
+            "there is no type `x`",
+        ),
     ];
     for (bend, wanted) in table {
         let mut all = ground();
@@ -166,7 +169,8 @@
     all.tenants[0].limits = "tenant".into();
     all.routes = vec![route("r", &[("p", 100)])];
     let mut router = Router::new(&all, 1).unwrap();
-    let way = goes(router.arrived(ms(0), &Ticket { tenant: Some(0), traffic: 1, ..Ticket::default() }, |_| true));
+    let way =
+        goes(router.arrived(ms(0), &Ticket { tenant: Some(0), traffic: 1, ..Ticket::default() }, |_| true));
     // The tenant's is used up, the type's is not, and stays so.
     assert_eq!(
         turned(router.arrived(ms(0), &Ticket { tenant: Some(0), ..Ticket::default() }, |_| true)),
@@ -181,7 +185,8 @@
 fn told_times_stay_within_the_stated_bounds() {
     let mut all = ground();
     all.limits = vec![limits("slow", 1, 1, 0, Per::All)];
-    all.retry_after = vec![schema::RetryAfter { name: "ra".into(), least_ns: SECOND / 5, most_ns: SECOND / 2 }];
+    all.retry_after =
+        vec![schema::RetryAfter { name: "ra".into(), least_ns: SECOND / 5, most_ns: SECOND / 2 }];
     let mut only = route("r", &[("p", 100)]);
     only.limits = "slow".into();
     only.retry_after = "ra".into();
@@ -196,7 +201,8 @@
 /// A configuration for each number: routes, limits and pools come and go.
 fn turning(number: u64) -> Configuration {
     let mut all = ground();
-    all.limits = vec![limits("l", 0, 0, 100_000 + number % 3, Per::Tenant), limits("m", 0, 0, 100_000, Per::All)];
+    all.limits =
+        vec![limits("l", 0, 0, 100_000 + number % 3, Per::Tenant), limits("m", 0, 0, 100_000, Per::All)];
     if number.is_multiple_of(2) {
         all.pools.push(pool("even"));
         all.routes.push(route("some", &[("even", 40), ("p", 60)]));
@@ -306,7 +312,14 @@
 fn any_route() -> impl Strategy<Value = Match> {
     let some = |of: &'static [&'static str]| proptest::sample::subsequence(of.to_vec(), 0..=of.len());
     let owned = |list: Vec<&'static str>| list.into_iter().map(str::to_owned).collect::<Vec<_>>();
-    (some(&["t", "u"]), some(&["a", "b", "c"]), some(&["NO-*", "NO-1*", "NO-12", "SE"]), 0i32..3, 0u64..3, 0u64..3)
+    (
+        some(&["t", "u"]),
+        some(&["a", "b", "c"]),
+        some(&["NO-*", "NO-1*", "NO-12", "SE"]),
+        0i32..3,
+        0u64..3,
+        0u64..3,
+    )
         .prop_map(move |(types, tenants, entities, again, least, more)| Match {
             types: owned(types),
             tenants: owned(tenants),
