--- a/crates/config/src/ast.rs
+++ b/crates/config/src/ast.rs
@@ -5,7 +5,7 @@
 use crate::parse::{shorten, Parsed};
 use crate::source::{unquote, Sources, Span};
 use crate::tree::{Element, Kind, Node};
-use crate::Finding;
+use crate::{Finding, Findings};
 use std::borrow::Cow;
 
 /// A word or text that stands for something.
@@ -90,7 +90,7 @@
 }
 
 /// The blocks of one file.
-pub fn read<'t>(sources: &'t Sources, parsed: &Parsed, findings: &mut Vec<Finding>) -> Vec<Block<'t>> {
+pub fn read<'t>(sources: &'t Sources, parsed: &Parsed, findings: &mut Findings) -> Vec<Block<'t>> {
     let mut reader = Reader { text: sources.text(parsed.file), parsed, findings };
     let root = parsed.root();
     let mut blocks = Vec::new();
@@ -111,7 +111,7 @@
 struct Reader<'t, 'f> {
     text: &'t str,
     parsed: &'f Parsed,
-    findings: &'f mut Vec<Finding>,
+    findings: &'f mut Findings,
 }
 
 impl<'t> Reader<'t, '_> {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -11,7 +11,7 @@
 use crate::source::Span;
 use crate::space::{covers, first_match, miss, Earlier, Point, Points};
 use crate::units::{self, ONE};
-use crate::Finding;
+use crate::{Finding, Findings};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 
 /// Points tried for one question; past it the question is left open.
@@ -19,7 +19,7 @@
 /// An hour, ns: every unit of a rate divides it.
 const HOUR: u128 = 3_600_000_000_000;
 
-pub fn check(resolved: &Resolved<'_, '_>, findings: &mut Vec<Finding>) {
+pub fn check(resolved: &Resolved<'_, '_>, findings: &mut Findings) {
     let all = &resolved.configuration;
     let mut checker = Checker {
         resolved,
@@ -43,8 +43,11 @@
     }
     checker.quotas();
     checker.hidden_routes();
-    checker.tickets_without_route();
-    checker.unused();
+    // What could not be read may well be what makes these good.
+    if !checker.findings.has_errors() {
+        checker.tickets_without_route();
+        checker.unused();
+    }
 }
 
 fn by_name<'c>(names: impl Iterator<Item = &'c String>) -> HashMap<&'c str, usize> {
@@ -63,7 +66,7 @@
     limits: HashMap<&'k str, usize>,
     /// Types of which the routes looked at so far leave no ticket.
     taken: Vec<bool>,
-    findings: &'k mut Vec<Finding>,
+    findings: &'k mut Findings,
 }
 
 impl<'k, 'r, 't> Checker<'k, 'r, 't> {
@@ -72,9 +75,7 @@
     }
 
     fn tell(&mut self, code: Code, at: Span, words: String) -> &mut Finding {
-        self.findings.push(Finding::new(code, at, words));
-        let last = self.findings.len() - 1;
-        &mut self.findings[last]
+        self.findings.push(Finding::new(code, at, words))
     }
 
     fn types(&mut self) {
@@ -187,7 +188,7 @@
             let block = self.block(Sort::Limits, k);
             if one.rate.is_none() && one.burst > 0 {
                 self.tell(Code::BurstAlone, block.place("burst"), "a burst without a rate".into());
-            } else if one.rate.is_none() && one.at_once == 0 {
+            } else if one.rate.is_none() && one.at_once == 0 && !tried(block, &["rate", "at-once"]) {
                 let words = format!("`{}` limits nothing", shorten(&one.name));
                 let finding = self.tell(Code::LimitEmpty, block.at(), words);
                 finding.help = Some("give `rate: 40 tickets/s` or `at-once: 12 tickets`".into());
@@ -480,24 +481,17 @@
         let all = self.all;
         let types = all.types.len();
         let points = Points::of(&[all]);
-        let few = points.count() <= MOST_POINTS && all.routes.len() <= 200;
+        let few = self.resolved.unsure.is_empty() && points.count() <= MOST_POINTS && all.routes.len() <= 200;
         let mut earlier = Earlier::new();
-        let mut hidden = HashSet::new();
-        for (k, route) in all.routes.iter().enumerate() {
+        let unsure = &self.resolved.unsure;
+        for (k, route) in all.routes.iter().enumerate().filter(|(k, _)| !unsure.contains(k)) {
             let matched = route.r#match.as_ref();
             let by = earlier
                 .candidates(matched)
                 .filter(|before| covers(all.routes[*before].r#match.as_ref(), matched, types))
                 .min();
             if let Some(by) = by {
-                hidden.insert(k);
-                let words = format!(
-                    "no ticket reaches `{}`: an earlier route takes all of them",
-                    shorten(&route.name)
-                );
-                let other = self.block(Sort::Route, by).at();
-                let at = self.block(Sort::Route, k).at();
-                self.tell(Code::Hidden, at, words).also.push((other, "this one".into()));
+                self.hidden_by(k, by);
             } else if few {
                 self.hidden_by_several(k, &points);
             }
@@ -510,6 +504,14 @@
         }
     }
 
+    fn hidden_by(&mut self, k: usize, by: usize) {
+        let name = shorten(&self.all.routes[k].name);
+        let words = format!("no ticket reaches `{name}`: an earlier route takes all of them");
+        let other = self.block(Sort::Route, by).at();
+        let at = self.block(Sort::Route, k).at();
+        self.tell(Code::Hidden, at, words).also.push((other, "this one".into()));
+    }
+
     /// No single route takes all of it, but some together may.
     fn hidden_by_several(&mut self, k: usize, points: &Points) {
         let all = self.all;
@@ -526,6 +528,10 @@
         if by.is_empty() {
             return;
         }
+        if let [only] = by[..] {
+            self.hidden_by(k, only);
+            return;
+        }
         let words = format!(
             "no ticket reaches `{}`: {} earlier routes together take all of them",
             shorten(&route.name),
@@ -626,6 +632,11 @@
     }
 }
 
+/// One of the keys is there, though perhaps not readable.
+fn tried(block: &Block<'_>, keys: &[&str]) -> bool {
+    block.entries.iter().any(|entry| keys.contains(&&*entry.key.text))
+}
+
 /// Millionths of a ticket an hour, exactly.
 fn an_hour(rate: &Rate) -> u128 {
     u128::from(rate.micro_tickets) * HOUR / u128::from(rate.per_ns.max(1))
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -125,8 +125,8 @@
     Version "P111" "unknown version"
         "A newer program wrote it, or it is a slip."
         wrong "", right "";
-    TooMany "P112" "too many syntax errors"
-        "Only the first 200 of a file are told: it is probably no configuration."
+    TooMany "P112" "too many findings"
+        "Only the first 200 syntax errors of a file and 5,000 findings in all are told: it is probably no configuration."
         wrong "", right "";
     Escape "P113" "an unknown escape"
         "In a text, `\\\"` is a quote and `\\\\` a backslash; nothing else is escaped."
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -5,7 +5,7 @@
 use crate::lex::{lex, Lexed, Token};
 use crate::parse::parse;
 use crate::source::FileId;
-use crate::Finding;
+use crate::{Finding, Findings};
 
 /// Columns that a list may reach before it goes on in the next line.
 const WIDTH: usize = 100;
@@ -16,10 +16,10 @@
 /// # Errors
 /// A file with syntax errors is not touched; what is wrong with it is told.
 pub fn form(text: &str) -> Result<String, Vec<Finding>> {
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     parse(FileId(0), text, &mut findings);
-    if findings.iter().any(Finding::is_error) {
-        return Err(findings);
+    if findings.has_errors() {
+        return Err(findings.into_vec());
     }
     let tokens = lex(text);
     Ok(Writer::new(text, &tokens).whole())
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -78,6 +78,63 @@
     }
 }
 
+/// Findings of one configuration that are kept: more than anybody reads. The rest is counted.
+const MOST_FINDINGS: usize = 5_000;
+
+/// Findings as they are made, in bounded memory.
+#[derive(Debug)]
+pub struct Findings {
+    kept: Vec<Finding>,
+    more: usize,
+    errors: bool,
+    /// The last one, if it was not kept.
+    spare: Option<Finding>,
+}
+
+impl Default for Findings {
+    fn default() -> Self {
+        Self { kept: Vec::new(), more: 0, errors: false, spare: None }
+    }
+}
+
+impl Findings {
+    /// Adds one; it can still be added to.
+    pub fn push(&mut self, finding: Finding) -> &mut Finding {
+        self.errors |= finding.is_error();
+        if self.kept.len() >= MOST_FINDINGS {
+            self.more += 1;
+            return self.spare.insert(finding);
+        }
+        self.kept.push(finding);
+        let last = self.kept.len() - 1;
+        &mut self.kept[last]
+    }
+
+    /// How many were made.
+    pub fn made(&self) -> usize {
+        self.kept.len() + self.more
+    }
+
+    pub fn has_errors(&self) -> bool {
+        self.errors
+    }
+
+    /// In order of file, place and code; none twice.
+    pub fn into_vec(self) -> Vec<Finding> {
+        let Self { mut kept, more, .. } = self;
+        kept.sort_by(|a, b| {
+            let key = |f: &Finding| (f.at.file, f.at.start, f.code);
+            key(a).cmp(&key(b)).then_with(|| a.message.cmp(&b.message))
+        });
+        kept.dedup_by(|a, b| a.at == b.at && a.code == b.code && a.message == b.message);
+        if let Some(last) = kept.last().filter(|_| more > 0) {
+            let words = format!("{more} more findings are not told");
+            kept.push(Finding::new(Code::TooMany, last.at, words));
+        }
+        kept
+    }
+}
+
 /// What reading a configuration came to.
 pub struct Outcome {
     pub sources: Sources,
@@ -98,23 +155,14 @@
 /// One run reports the findings of all files. Meaning is checked even where a file has errors, so that
 /// they need not be mended one at a time, but never on names or values that could not be read.
 pub fn load(files: &dyn Files, first: &str) -> Outcome {
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     let (sources, parsed) = source::gather(files, first, &mut findings);
     let blocks: Vec<_> = parsed.iter().flat_map(|file| ast::read(&sources, file, &mut findings)).collect();
     let mut resolved = resolve::resolve(&sources, &blocks, &mut findings);
     check::check(&resolved, &mut findings);
-    tidy(&mut findings);
-    let configuration = (!findings.iter().any(Finding::is_error)).then(|| {
+    let configuration = (!findings.has_errors()).then(|| {
         resolved.configuration.put_in_order();
         resolved.configuration
     });
-    Outcome { sources, findings, configuration }
-}
-
-fn tidy(findings: &mut Vec<Finding>) {
-    findings.sort_by(|a, b| {
-        let key = |f: &Finding| (f.at.file, f.at.start, f.code);
-        key(a).cmp(&key(b)).then_with(|| a.message.cmp(&b.message))
-    });
-    findings.dedup_by(|a, b| a.at == b.at && a.code == b.code && a.message == b.message);
+    Outcome { sources, findings: findings.into_vec(), configuration }
 }
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -8,7 +8,7 @@
 use crate::lex::{lex, Lexed, Token};
 use crate::source::{FileId, Span};
 use crate::tree::{Kind, Node, Rain};
-use crate::Finding;
+use crate::{Finding, Findings};
 use rowan::{GreenNode, GreenNodeBuilder, Language};
 
 /// Levels of blocks: the language uses two, and the rest is room for a clear error.
@@ -30,9 +30,9 @@
 }
 
 /// Reads one file's text; what is wrong is added to `findings`.
-pub fn parse(file: FileId, text: &str, findings: &mut Vec<Finding>) -> Parsed {
+pub fn parse(file: FileId, text: &str, findings: &mut Findings) -> Parsed {
     let tokens = lex(text);
-    let before = findings.len();
+    let before = findings.made();
     let mut parser = Parser {
         file,
         text,
@@ -56,7 +56,7 @@
     at: usize,
     start: u32,
     builder: GreenNodeBuilder<'static>,
-    findings: &'t mut Vec<Finding>,
+    findings: &'t mut Findings,
     /// Length of `findings` at which no more is told.
     told_to: usize,
 }
@@ -105,13 +105,15 @@
     }
 
     fn tell(&mut self, finding: Finding) {
-        match self.findings.len().cmp(&self.told_to) {
-            std::cmp::Ordering::Less => self.findings.push(finding),
-            std::cmp::Ordering::Equal => self.findings.push(Finding::new(
-                Code::TooMany,
-                finding.at,
-                format!("more than {MOST_FINDINGS} syntax errors in this file; the rest is not told"),
-            )),
+        match self.findings.made().cmp(&self.told_to) {
+            std::cmp::Ordering::Less => {
+                self.findings.push(finding);
+            }
+            std::cmp::Ordering::Equal => {
+                let words =
+                    format!("more than {MOST_FINDINGS} syntax errors in this file; the rest is not told");
+                self.findings.push(Finding::new(Code::TooMany, finding.at, words));
+            }
             std::cmp::Ordering::Greater => {}
         }
     }
@@ -213,6 +215,11 @@
                 self.close();
                 return;
             }
+            Some(Token::Slash) => {
+                let words = "expected a block or an entry, found `/`";
+                let finding = Finding::new(Code::Expected, self.span(), words);
+                self.tell(finding.help("a comment begins with `#`"));
+            }
             _ => {
                 self.expected(Code::Expected, "a block such as `pool hall {` or an entry such as `goal: 3 s`")
             }
@@ -227,7 +234,12 @@
         match self.peek() {
             Some(Token::Text) => self.bump(),
             Some(Token::OpenText) => self.open_text(),
-            _ => self.expected(Code::Expected, "a path such as `\"pools.rain\"` behind `include`"),
+            _ => {
+                self.expected(Code::Expected, "a path such as `\"pools.rain\"` behind `include`");
+                self.close();
+                self.skip_line();
+                return;
+            }
         }
         self.close();
         self.end_of_line("the end of the line behind the path");
@@ -253,16 +265,19 @@
                 self.end_of_line("the end of the line or `;` behind the value");
             }
             Some(Token::Open | Token::Word | Token::Text | Token::OpenText) => {
-                self.builder.start_node_at(mark, Rain::kind_to_raw(Kind::Block));
                 self.block_head();
+                let mut kind = Kind::Block;
                 match self.peek() {
                     Some(Token::Open) => self.body(word, depth),
                     _ => {
                         let what = "`{` after the name of a block, or `:` after the key of an entry";
                         self.expected(Code::Expected, what);
                         self.skip_line();
+                        // Within a block it is more likely an entry without its colon.
+                        kind = if depth == 0 { Kind::Block } else { Kind::Skipped };
                     }
                 }
+                self.builder.start_node_at(mark, Rain::kind_to_raw(kind));
                 self.close();
             }
             Some(Token::Unknown) => {
@@ -451,9 +466,9 @@
     use proptest::test_runner::RngSeed;
 
     fn read(text: &str) -> (String, Vec<&'static str>) {
-        let mut findings = Vec::new();
+        let mut findings = Findings::default();
         let tree = parse(FileId(0), text, &mut findings);
-        (tree.root().text().to_string(), findings.iter().map(|f| f.code.id()).collect())
+        (tree.root().text().to_string(), findings.into_vec().iter().map(|f| f.code.id()).collect())
     }
 
     #[test]
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -10,7 +10,7 @@
 use crate::source::{Sources, Span};
 use crate::tree::Kind as Leaf;
 use crate::units::{self, Dimension, ONE, PERCENT};
-use crate::Finding;
+use crate::{Finding, Findings};
 use foldhash::{HashMap, HashMapExt, HashSet, HashSetExt};
 use std::net::SocketAddr;
 
@@ -25,6 +25,8 @@
 const MOST_THINGS: usize = 65_000;
 /// Bytes of an entity pattern: longer than any number that tickets are about.
 const LONGEST_PATTERN: usize = 256;
+/// Bytes of a name: it is told in logs and answers.
+const LONGEST_NAME: usize = 128;
 /// Policies below one another.
 const DEEPEST_BASE: usize = 16;
 /// Unknown names for which the nearest known one is looked up: it costs a walk over all names.
@@ -91,6 +93,8 @@
     pub configuration: schema::Configuration,
     /// By [`Sort`]; each as long as its list in the message.
     pub blocks: [Blocks<'r, 't>; Sort::ALL.len()],
+    /// Routes whose match has errors: what they take is not known.
+    pub unsure: HashSet<usize>,
 }
 
 impl<'r, 't> Resolved<'r, 't> {
@@ -110,7 +114,7 @@
 pub fn resolve<'r, 't>(
     sources: &Sources,
     blocks: &'r [Block<'t>],
-    findings: &mut Vec<Finding>,
+    findings: &mut Findings,
 ) -> Resolved<'r, 't> {
     let mut sorted: [Blocks<'r, 't>; Sort::ALL.len()] = Default::default();
     let mut names: Names<'r> = Default::default();
@@ -131,6 +135,11 @@
             findings.push(Finding::new(Code::NoName, block.kind.at, words));
             continue;
         };
+        if name.text.len() > LONGEST_NAME {
+            let words = format!("a name is at most {LONGEST_NAME} bytes; this one has {}", name.text.len());
+            findings.push(Finding::new(Code::TooMuch, name.at, words));
+            continue;
+        }
         let of_sort = &mut sorted[sort as usize];
         if of_sort.len() >= MOST_THINGS {
             let words = format!("more than {MOST_THINGS} blocks of kind `{}`", sort.word());
@@ -146,9 +155,11 @@
         names[sort as usize].insert(&name.text, of_sort.len());
         of_sort.push(block);
     }
-    let mut maker = Maker { sources, names: &names, sorted: &sorted, lookups: 0, findings };
+    let unsure = HashSet::new();
+    let mut maker = Maker { sources, names: &names, sorted: &sorted, lookups: 0, unsure, findings };
     let configuration = maker.configuration();
-    Resolved { configuration, blocks: sorted }
+    let unsure = maker.unsure;
+    Resolved { configuration, blocks: sorted, unsure }
 }
 
 type Names<'r> = [HashMap<&'r str, usize>; Sort::ALL.len()];
@@ -158,7 +169,8 @@
     names: &'m Names<'r>,
     sorted: &'m [Blocks<'r, 't>; Sort::ALL.len()],
     lookups: usize,
-    findings: &'m mut Vec<Finding>,
+    unsure: HashSet<usize>,
+    findings: &'m mut Findings,
 }
 
 /// What an amount may be.
@@ -476,9 +488,11 @@
             return None;
         };
         let (before, after) = (&value.atoms[..cut], &value.atoms[cut + 1..]);
+        let found = self.maker.findings.made();
         let least = self.end_of_range(key, wanted, before, open, value.at, bounds);
         let most = self.end_of_range(key, wanted, after, open, value.at, bounds);
-        if let (Some(least), Some(most)) = (least, most) {
+        let good = self.maker.findings.made() == found;
+        if let (Some(least), Some(most), true) = (least, most, good) {
             if least > most {
                 let words = format!("`{}` begins above its end", shorten(value.text));
                 self.tell(Finding::new(Code::RangeOrder, value.at, words));
@@ -772,12 +786,17 @@
         let first = first.map_or(block.at(), |first| first.kind.at);
         r.tell(finding.also(first, "the first one"));
     }
+    let before = r.maker.findings.made();
     let matched = first.map(|inner| {
         let mut reader = Reader { maker: r.maker, chain: vec![inner], asked: Vec::new(), holds: &[] };
         let made = matching(&mut reader);
         reader.end();
         made
     });
+    if r.maker.findings.made() > before {
+        let at = r.maker.names[Sort::Route as usize].get(r.name().as_str()).copied();
+        r.maker.unsure.extend(at);
+    }
     let words = [("entity", SplitBy::Entity), ("chance", SplitBy::Chance)];
     let to = targets(r);
     let split = r.word("split-by", &words, Some(SplitBy::Entity)).unwrap_or(SplitBy::Entity);
@@ -815,9 +834,10 @@
         r.once_each("entity", &entities);
     }
     let words = [("yes", Again::FurtherTries), ("no", Again::FirstTries)];
+    let before = r.maker.findings.made();
     let size = r.range("size", Dimension::Size, true, &Bounds { default: None, zero: true, most: 1 << 50 });
     let (least, most) = size.unwrap_or((None, None));
-    if most == Some(0) {
+    if most == Some(0) && r.maker.findings.made() == before {
         let at = r.block().place("size");
         r.tell(Finding::new(Code::Zero, at, "`size` cannot end at zero: every ticket is larger"));
     }
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -6,7 +6,7 @@
 use crate::codes::Code;
 use crate::parse::{parse, Parsed};
 use crate::tree::Kind;
-use crate::Finding;
+use crate::{Finding, Findings};
 use foldhash::{HashMap, HashMapExt};
 use std::path::{Component, Path, PathBuf};
 
@@ -119,6 +119,25 @@
     text: String,
     /// Where each line begins.
     lines: Vec<u32>,
+    /// Characters that begin before each block of [`BLOCK`] bytes: columns of a line of 5 MB are not counted
+    /// from its start each time.
+    characters: Vec<u32>,
+}
+
+/// Bytes between two counts of characters.
+const BLOCK: usize = 1 << 12;
+
+/// Bytes that begin a character.
+fn begin(bytes: &[u8]) -> u32 {
+    bytes.iter().filter(|byte| **byte & 0xc0 != 0x80).count() as u32
+}
+
+impl Source {
+    /// Characters that begin before a byte.
+    fn characters_before(&self, byte: usize) -> u32 {
+        let block = (byte / BLOCK).min(self.characters.len() - 1);
+        self.characters[block] + begin(&self.text.as_bytes()[block * BLOCK..byte])
+    }
 }
 
 /// All files that were read, by [`FileId`].
@@ -130,7 +149,11 @@
         let lines =
             std::iter::once(0).chain(text.bytes().zip(1u32..).filter(|(b, _)| *b == b'\n').map(|(_, n)| n));
         let lines = lines.collect();
-        self.0.push(Source { path, text, lines });
+        let mut characters = vec![0];
+        for block in text.as_bytes().chunks(BLOCK) {
+            characters.push(characters[characters.len() - 1] + begin(block));
+        }
+        self.0.push(Source { path, text, lines, characters });
         FileId(self.0.len() as u32 - 1)
     }
 
@@ -168,8 +191,8 @@
         let line = source.lines.partition_point(|start| *start <= span.start).max(1);
         let from = source.lines[line - 1] as usize;
         let upto = (span.start as usize).min(source.text.len());
-        let column = source.text.get(from..upto).map_or(0, |before| before.chars().count());
-        (line, column + 1)
+        let column = source.characters_before(upto) - source.characters_before(from);
+        (line, column as usize + 1)
     }
 
     /// The line, from 0, in which a byte stands.
@@ -194,7 +217,7 @@
 
 /// Reads the first file and all that it includes, each once, and parses them. Files come in the order in
 /// which they are first included, each before those that it includes.
-pub fn gather(files: &dyn Files, first: &str, findings: &mut Vec<Finding>) -> (Sources, Vec<Parsed>) {
+pub fn gather(files: &dyn Files, first: &str, findings: &mut Findings) -> (Sources, Vec<Parsed>) {
     let mut reader = Reader {
         files,
         root: Path::new(first).parent().unwrap_or(Path::new("")).to_owned(),
@@ -249,7 +272,7 @@
     chain: Vec<(PathBuf, FileId)>,
     bytes: u64,
     full: bool,
-    findings: &'f mut Vec<Finding>,
+    findings: &'f mut Findings,
 }
 
 /// One file whose includes are being followed; `next` of `includes` comes next.
@@ -323,7 +346,9 @@
         if let Some(begin) = self.chain.iter().position(|(path, _)| *path == identity) {
             let mut names: Vec<&str> =
                 self.chain[begin..].iter().map(|(_, file)| self.sources.path(*file)).collect();
-            names.push(names[0]);
+            // By a link the file has another name here.
+            let again = if shown == names[0] { shown.clone() } else { format!("{shown} (the same file)") };
+            names.push(&again);
             let words = format!("files include each other in a ring: {}", names.join(" -> "));
             self.findings.push(Finding::new(Code::Ring, at, words).help("leave out one of these includes"));
             return None;
@@ -398,8 +423,9 @@
     use super::*;
 
     fn codes(files: &[(&str, &str)]) -> (Vec<&'static str>, Vec<String>, usize) {
-        let mut findings = Vec::new();
+        let mut findings = Findings::default();
         let (sources, _) = gather(&Memory::new(files.iter().copied()), files[0].0, &mut findings);
+        let findings = findings.into_vec();
         let words = findings.iter().map(|f| f.message.clone()).collect();
         (findings.iter().map(|f| f.code.id()).collect(), words, sources.len())
     }
@@ -437,8 +463,9 @@
         let files: Vec<(String, String)> = (0..1_000)
             .map(|n| (format!("{n}.rain"), format!("rain 1\ninclude \"{}.rain\"\n", n + 1)))
             .collect();
-        let mut findings = Vec::new();
+        let mut findings = Findings::default();
         let (sources, _) = gather(&Memory::new(files), "0.rain", &mut findings);
+        let findings = findings.into_vec();
         assert_eq!((sources.len(), findings.len(), findings[0].code.id()), (1_000, 1, "S001"));
     }
 
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -146,11 +146,11 @@
     }
     let mut rest = atoms;
     if let [Atom { kind: Kind::Minus, .. }, after @ ..] = rest {
-        let words = match after.first() {
-            Some(first) if first.kind == Kind::Number => format!("`{shown}` is less than nothing"),
-            _ => format!("`{shown}` is no amount"),
+        let code = match after.first() {
+            Some(first) if first.kind == Kind::Number => Code::Negative,
+            _ => Code::NoNumber,
         };
-        return Err(Finding::new(Code::Negative, at, words));
+        return Err(Finding::new(code, at, format!("`{shown}` is less than nothing")));
     }
     let Some((number, after)) = rest.split_first().filter(|(first, _)| first.kind == Kind::Number) else {
         return Err(Finding::new(
