--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -26,8 +26,16 @@
     /// In bytes; what the books keep stays within parts of it.
     pub memory: usize,
     pub settings: Fields,
+    /// Keys of the file that mean nothing here, such as a slip; a line names each.
+    pub unknown: Vec<String>,
 }
 
+/// All keys of the file.
+const KEYS: [&str; 9] =
+    ["name", "listen", "agent", "announce", "db", "seed", "stop_ms", "limits", "settings"];
+/// Unknown keys that are named: a file of nothing else is told by those that are missing.
+const MOST_UNKNOWN: usize = 8;
+
 impl Config {
     /// ```
     /// use rainstand_node::config::Config;
@@ -57,6 +65,7 @@
             sockets: limit("sockets")? as usize,
             memory: (limit("memory_mb")? * f64::from(1 << 20)) as usize,
             settings: object(all, "settings")?.clone(),
+            unknown: unknown(all),
             name,
         };
         if list(&config.settings, "requestClasses").is_empty() {
@@ -72,6 +81,11 @@
     }
 }
 
+fn unknown(all: &Fields) -> Vec<String> {
+    let odd = all.keys().filter(|key| !KEYS.contains(&key.as_str()));
+    odd.take(MOST_UNKNOWN).map(|key| key.escape_debug().take(40).collect()).collect()
+}
+
 fn optional_address(all: &Fields, key: &str) -> Result<Option<SocketAddr>, String> {
     all.get(key).filter(|value| !value.is_null()).map(|_| address(all, key)).transpose()
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,7 +6,28 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
+const HELP: &str = "\
+rainstand-node: one node between dispatchers and a render farm agent
+
+It takes no arguments: ROUTER_CONFIG is the path of its JSON file.
+  ROUTER_CONFIG=examples/config.json rainstand-node
+
+Signals: TERM and INT drain, HUP reads the addresses anew, USR1 prints the counters.
+Options: --help, --version";
+
 fn main() -> ExitCode {
+    // Whatever else is written behind the name is left alone: a deployment may pass what it likes.
+    match std::env::args().nth(1).as_deref() {
+        Some("--help" | "-h") => {
+            println!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Some("--version" | "-V") => {
+            println!("rainstand-node {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        _ => {}
+    }
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
@@ -20,6 +41,9 @@
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG: not set")?;
     let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
     let config = Config::read(&bytes).map_err(|e| format!("{path}: {e}"))?;
+    for key in &config.unknown {
+        eprintln!("config key={key} is not known and does nothing");
+    }
     let hub = Hub::new(config)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -15,7 +15,12 @@
     while signals.recv().await.is_some() {
         let read = std::fs::read(&path).map_err(|e| e.to_string()).and_then(|bytes| Config::read(&bytes));
         match read {
-            Ok(config) => take(&hub, config.peers),
+            Ok(config) => {
+                for key in &config.unknown {
+                    note!("config key={key} is not known and does nothing");
+                }
+                take(&hub, config.peers);
+            }
             // One line whatever is in the file: it may hold line ends.
             Err(why) => note!("reload refused, the old addresses stay: {}", why.escape_debug()),
         }
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -1197,6 +1197,22 @@
     );
 }
 
+#[test]
+fn unknown_keys_are_named_and_help_answers() {
+    let mut config = example();
+    config["sede"] = json!("8c1f");
+    config["two\nlines"] = json!(1);
+    let read = Config::read(config.to_string().as_bytes()).unwrap();
+    assert_eq!(read.unknown, ["sede", "two\\nlines"]);
+    assert!(Config::read(example().to_string().as_bytes()).unwrap().unknown.is_empty());
+    for (argument, wanted) in [("--help", "ROUTER_CONFIG"), ("--version", env!("CARGO_PKG_VERSION"))] {
+        let told = std::process::Command::new(env!("CARGO_BIN_EXE_rainstand-node")).arg(argument).output();
+        let told = told.unwrap();
+        let said = String::from_utf8(told.stdout).unwrap();
+        assert!(told.status.success() && said.contains(wanted), "{said}");
+    }
+}
+
 #[test]
 fn no_bytes_whatever_make_a_parser_panic_or_read_past_the_end() {
     let mut chance = WyRand::new_seed(7);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -639,7 +639,7 @@
             self.below.ended(now, call, Outcome::Stopped);
         }
         if end == Outcome::Moot {
-            // Guards against made-up tickets: what could not run is asked for by no tenant, and tells no time.
+            // Against made-up tickets: what could not run is asked for by no tenant, and tells no time.
             self.ledger.asked[t.account].add(now, -1.0, WINDOW);
             return self.close(host, ix);
         }
