crates/protocol: Thrift of both sides, HTTP replies and rings, shared and pure

Replay, captures and stand-ins need what only the node had. Replies and exceptions are read there too, calls written; a property test shows both sides agree and that cut or bent frames are refused or read, never past their end. The node's ring keeps its socket parts; the routing crate's way is shown by a counting allocator to allocate nothing.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,7 +1,7 @@
 //! The link to the render farm agent: one JSON object a line, notices numbered, replayed after a break.
 
 use crate::book::{count, Counts};
-use crate::ring::{Filled, Ring};
+use crate::ring::{Filled, OnSocket, Ring};
 use crate::{note, relay, send, Hub};
 use rainstand::Gauges;
 use serde_json::Value;
--- a/crates/node/src/below.rs
+++ b/crates/node/src/below.rs
@@ -4,7 +4,7 @@
 //! much behind the last reply would answer this one. A calm day shows no cost of opening one each time.
 
 use crate::http;
-use crate::ring::{Filled, Ring};
+use crate::ring::{Filled, OnSocket, Ring};
 use rainstand::Outcome;
 use std::cell::Cell;
 use std::io;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod book;
 pub mod config;
 pub mod drain;
-pub mod http;
 pub mod log;
 pub mod relay;
 pub mod reload;
@@ -20,7 +19,8 @@
 pub mod route;
 pub mod send;
 pub mod take_in;
-pub mod thrift;
+
+pub use rainstand_protocol::{http, thrift};
 
 use book::{count, Conn, Counts, Desk};
 use config::{Config, Peers};
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -1,7 +1,7 @@
 //! Connections of the dispatchers: accepting them, reading frames, writing answers, ending them.
 
 use crate::book::{count, Conn};
-use crate::ring::{Filled, Ring};
+use crate::ring::{Filled, OnSocket, Ring};
 use crate::{admit, note, often, relay, thrift, Hub};
 use socket2::SockRef;
 use std::net::SocketAddr;
--- a/crates/node/src/http.rs
+++ b/crates/protocol/src/http.rs
@@ -18,7 +18,7 @@
 }
 
 /// ```
-/// use rainstand_node::http::reply;
+/// use rainstand_protocol::http::reply;
 /// let bytes = b"HTTP/1.1 503 Full\r\nNever-Started: 1\r\nContent-Length: 2\r\n\r\nno";
 /// let whole = reply(bytes).unwrap().unwrap();
 /// assert_eq!((whole.status, whole.never_started, &bytes[whole.body.0..whole.body.1]), (503, true, &b"no"[..]));
--- a/crates/node/src/thrift.rs
+++ b/crates/protocol/src/thrift.rs
@@ -7,8 +7,8 @@
 const VERSION: u32 = 0x8001_0000;
 
 pub const CALL: u8 = 1;
-const REPLY: u8 = 2;
-const EXCEPTION: u8 = 3;
+pub const REPLY: u8 = 2;
+pub const EXCEPTION: u8 = 3;
 pub const ONEWAY: u8 = 4;
 
 const STOP: u8 = 0;
@@ -37,7 +37,7 @@
 /// The length of the first whole frame, behind its four bytes; none yet if there is not enough.
 ///
 /// ```
-/// use rainstand_node::thrift::frame;
+/// use rainstand_protocol::thrift::frame;
 /// assert_eq!(frame(&[0, 0, 0, 2, 7]), Ok(None));
 /// assert_eq!(frame(&[0, 0, 0, 2, 7, 7, 7]), Ok(Some(2)));
 /// assert_eq!(frame(&[0, 1, 0, 0]), Err("frame_too_long"));
@@ -71,15 +71,7 @@
     each_field(args, |id, kind, at| {
         match (id, kind) {
             (1, MAP) => {
-                let (keys, values, n) = at.map_head()?;
-                if n > 0 && (keys, values) != (STRING, STRING) {
-                    return Err("frame_unreadable");
-                }
-                let mut all = Vec::new();
-                for _ in 0..n {
-                    all.push((at.string()?, at.string()?));
-                }
-                fields = Some(all);
+                fields = Some(at.texts()?);
             }
             (2, STRING) => body = Some(at.string()?),
             _ => at.skip(kind, DEEPEST)?,
@@ -114,19 +106,112 @@
     Ok(thorough)
 }
 
+/// A reply or an exception, read whole.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Answered<'a> {
+    pub name: &'a [u8],
+    pub seq: i32,
+    pub what: What<'a>,
+}
+
+/// What a caller was told.
+#[derive(Debug, PartialEq, Eq)]
+pub enum What<'a> {
+    Answer {
+        body: &'a [u8],
+        good: bool,
+    },
+    /// Dismissed, with the fields beside it.
+    Backoff(Vec<(&'a [u8], &'a [u8])>),
+    /// Given up.
+    Lost,
+    Exception {
+        code: i32,
+        why: &'a [u8],
+    },
+}
+
+/// What kind of message a frame holds, by its first bytes; none if it is no message.
+pub fn kind(frame: &[u8]) -> Option<u8> {
+    let version = u32::from_be_bytes(*frame.first_chunk()?);
+    let kind = version as u8;
+    (version & 0xffff_ff00 == VERSION && (CALL..=ONEWAY).contains(&kind)).then_some(kind)
+}
+
+/// The other side of [`message`]: what came back.
+///
+/// ```
+/// use rainstand_protocol::thrift::{answered, backoff, What};
+/// let frame = backoff(7, &[("pause", "250")]);
+/// let told = answered(&frame[4..]).unwrap();
+/// assert_eq!((told.seq, told.what), (7, What::Backoff(vec![(b"pause", b"250")])));
+/// ```
+pub fn answered(frame: &[u8]) -> Result<Answered<'_>, Flaw> {
+    let mut at = Bytes(frame);
+    let version = at.u32()?;
+    let kind = version as u8;
+    if version & 0xffff_ff00 != VERSION || !matches!(kind, REPLY | EXCEPTION) {
+        return Err("frame_unreadable");
+    }
+    let name = at.string()?;
+    let seq = at.i32()?;
+    let what = if kind == EXCEPTION { except(at.0)? } else { result(at.0)? };
+    Ok(Answered { name, seq, what })
+}
+
+fn except(args: &[u8]) -> Result<What<'_>, Flaw> {
+    let (mut why, mut code): (&[u8], i32) = (&[], 0);
+    each_field(args, |id, kind, at| {
+        match (id, kind) {
+            (1, STRING) => why = at.string()?,
+            (2, I32) => code = at.i32()?,
+            _ => at.skip(kind, DEEPEST)?,
+        }
+        Ok(())
+    })?;
+    Ok(What::Exception { code, why })
+}
+
+/// The one field that is set tells which kind of result it is.
+fn result(args: &[u8]) -> Result<What<'_>, Flaw> {
+    let mut what = None;
+    each_field(args, |id, kind, at| {
+        match (id, kind) {
+            (0, STRUCT) => {
+                let (mut body, mut good): (&[u8], bool) = (&[], false);
+                at.fields(|id, kind, at| {
+                    match (id, kind) {
+                        (1, STRING) => body = at.string()?,
+                        (3, BOOL) => good = at.u8()? != 0,
+                        _ => at.skip(kind, DEEPEST)?,
+                    }
+                    Ok(())
+                })?;
+                what = Some(What::Answer { body, good });
+            }
+            (1 | 2, STRUCT) => {
+                let mut texts = Vec::new();
+                at.fields(|id, kind, at| {
+                    match (id, kind) {
+                        (1, MAP) => texts = at.texts()?,
+                        _ => at.skip(kind, DEEPEST)?,
+                    }
+                    Ok(())
+                })?;
+                what = Some(if id == 1 { What::Backoff(texts) } else { What::Lost });
+            }
+            _ => at.skip(kind, DEEPEST)?,
+        }
+        Ok(())
+    })?;
+    what.ok_or("frame_unreadable")
+}
+
 fn each_field<'a>(
     args: &'a [u8],
-    mut take: impl FnMut(u16, u8, &mut Bytes<'a>) -> Result<(), Flaw>,
+    take: impl FnMut(u16, u8, &mut Bytes<'a>) -> Result<(), Flaw>,
 ) -> Result<(), Flaw> {
-    let mut at = Bytes(args);
-    loop {
-        let kind = at.u8()?;
-        if kind == STOP {
-            return Ok(());
-        }
-        let id = at.u16()?;
-        take(id, kind, &mut at)?;
-    }
+    Bytes(args).fields(take)
 }
 
 /// Bytes still to be read.
@@ -174,6 +259,26 @@
         Ok((keys, values, n))
     }
 
+    /// The fields of a struct, up to its end.
+    fn fields(&mut self, mut take: impl FnMut(u16, u8, &mut Self) -> Result<(), Flaw>) -> Result<(), Flaw> {
+        loop {
+            let kind = self.u8()?;
+            if kind == STOP {
+                return Ok(());
+            }
+            let id = self.u16()?;
+            take(id, kind, self)?;
+        }
+    }
+
+    fn texts(&mut self) -> Result<Vec<(&'a [u8], &'a [u8])>, Flaw> {
+        let (keys, values, n) = self.map_head()?;
+        if n > 0 && (keys, values) != (STRING, STRING) {
+            return Err("frame_unreadable");
+        }
+        (0..n).map(|_| Ok((self.string()?, self.string()?))).collect()
+    }
+
     fn skip(&mut self, kind: u8, deepest: u32) -> Result<(), Flaw> {
         let deeper = deepest.checked_sub(1).ok_or("frame_unreadable")?;
         match kind {
@@ -302,3 +407,79 @@
 pub fn shutdown() -> Vec<u8> {
     Frame::new(ONEWAY, b"shutdown", 0).end(1)
 }
+
+/// A call of `process`.
+pub fn process(seq: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut frame = Frame::new(CALL, b"process", seq);
+    frame.texts(1, fields);
+    frame.field(STRING, 2);
+    frame.string(body);
+    frame.end(1)
+}
+
+/// The oneway `giveUp` for an earlier call.
+pub fn give_up(of: i32) -> Vec<u8> {
+    let mut frame = Frame::new(ONEWAY, b"giveUp", 0);
+    frame.field(I32, 1);
+    frame.u32(of as u32);
+    frame.end(1)
+}
+
+/// A call of `probe`.
+pub fn probe(seq: i32, thorough: bool) -> Vec<u8> {
+    let mut frame = Frame::new(CALL, b"probe", seq);
+    frame.field(BOOL, 1);
+    frame.u8(u8::from(thorough));
+    frame.end(1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(16), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// What is written is read back; what is cut or bent is refused or read, never past its end.
+        #[test]
+        fn both_sides_agree(
+            seq in any::<i32>(),
+            body in proptest::collection::vec(any::<u8>(), 0..300),
+            pause in 0u32..100_000,
+            good in any::<bool>(),
+            cut in 0usize..400,
+            bent in (0usize..400, any::<u8>()),
+        ) {
+            let text = pause.to_string();
+            let fields = [("route", "check"), ("trace", text.as_str())];
+            let call = process(seq, &fields, &body);
+            let read = message(&call[4..]).unwrap();
+            let (told, inner) = process_args(read.args).unwrap();
+            prop_assert_eq!((read.seq, inner), (seq, Some(&body[..])));
+            let wanted: Vec<_> = fields.iter().map(|(k, v)| (k.as_bytes(), v.as_bytes())).collect();
+            prop_assert_eq!(told, Some(wanted));
+            let left = give_up(seq);
+            prop_assert_eq!(give_up_args(message(&left[4..]).unwrap().args), Ok(Some(seq)));
+            let deep = probe(seq, good);
+            prop_assert_eq!(probe_args(message(&deep[4..]).unwrap().args), Ok(good));
+            let frames = [
+                (answer(b"process", seq, &body, good), What::Answer { body: &body, good }),
+                (backoff(seq, &[("pause", &text)]), What::Backoff(vec![(b"pause", text.as_bytes())])),
+                (lost(seq), What::Lost),
+                (exception(b"process", seq, 6, &text), What::Exception { code: 6, why: text.as_bytes() }),
+            ];
+            for (frame, what) in frames {
+                let wanted = Answered { name: b"process", seq, what };
+                prop_assert_eq!(answered(&frame[4..]), Ok(wanted));
+                prop_assert!(answered(&frame[4..4 + cut.min(frame.len() - 5)]).is_err());
+                let mut other = frame.clone();
+                let at = 4 + bent.0 % (frame.len() - 4);
+                other[at] = bent.1;
+                let _ = answered(&other[4..]);
+                let _ = message(&other[4..]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/no_allocation.rs
@@ -0,0 +1,62 @@
+//! Nothing on a ticket's way allocates: counted by an allocator of this test's own.
+
+use rainstand_config::{load, source::Memory};
+use rainstand_route::table::Ticket;
+use rainstand_route::versions::{Router, Verdict};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+use std::time::Duration;
+
+struct Counting;
+
+thread_local! {
+    static MADE: Cell<usize> = const { Cell::new(0) };
+}
+
+// SAFETY: all work is the system allocator's; the count is a plain cell of this thread.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        MADE.with(|made| made.set(made.get() + 1));
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static ALL: Counting = Counting;
+
+#[test]
+fn a_ticket_goes_is_turned_away_and_ends_without_allocating() {
+    let text = "rain 1
+type check { repeat: rerunnable; goal: 3 s; outer-limit: 7 s; limits: few }
+tenant acme { share: 10 % }
+limits few { rate: 100 tickets/s; burst: 5 tickets; per: tenant }
+budget b { queue: 30 %; answer: 50 ms }
+pool p { limits: few; member a { address: \"10.0.0.1:1\" } }
+pool q { member a { address: \"10.0.0.2:1\" } }
+route some { match { tenant: acme; entity: \"NO-*\" }; to: p 60 %, q 40 %; fall-back: q; budget: b }
+route rest { to: p 50 %, q 50 %; split-by: chance }";
+    let made = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
+    let mut router = Router::new(&made, 1).unwrap();
+    let before = MADE.with(Cell::get);
+    let (mut went, mut turned) = (0, 0);
+    for n in 0..10_000u64 {
+        let ticket = Ticket {
+            tenant: [None, Some(0)][n as usize % 2],
+            entity: ["NO-1", "SE-2", ""][n as usize % 3],
+            ..Ticket::default()
+        };
+        match router.arrived(Duration::from_millis(n), &ticket, |pool| n % 5 > 0 || pool == 1) {
+            Verdict::Goes(way) => {
+                went += 1;
+                router.ended(way);
+            }
+            Verdict::Turned(_) => turned += 1,
+        }
+    }
+    assert_eq!(MADE.with(Cell::get), before);
+    assert!(went > 1_000 && turned > 1_000, "{went} {turned}");
+}
