rainstand pcap: info, tickets, export, cut, replay

Captures are looked at, exported as Parquet, cut by time, type and tenant, and replayed in open loop on their own schedule, which a pure module decides beforehand.

--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`stream`] | segments | the bytes of each direction in order, and the holes in them |
 //! | [`frames`] | bytes and holes | whole frames; what a hole touches is cut, and nothing is guessed |
 //! | [`tickets`] | frames of both directions | calls with what came of them |
+//! | [`schedule`] | events | what a replay sends, when, on which connection |
 //! | [`write`] | streams | packets and files again |
 //! | [`read`] | all of it together | |
 //!
@@ -16,6 +17,7 @@
 pub mod file;
 pub mod frames;
 pub mod packet;
+pub mod schedule;
 pub mod stream;
 pub mod tickets;
 pub mod write;
@@ -37,6 +39,11 @@
     pub cut_off: Option<String>,
 }
 
+/// The hash by which bodies are told apart in tickets and exports: xxh3.
+pub fn hash(body: &[u8]) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(body)
+}
+
 /// Reads a whole file; `take` gets every event in the order in which the file tells of it.
 ///
 /// A file that ends in the middle of a packet is read up to there, and the summary says so.
--- a/crates/capture/src/tickets.rs
+++ b/crates/capture/src/tickets.rs
@@ -88,10 +88,20 @@
         ends: [End; 2],
         at: u64,
     },
-    /// A call is whole; its body is here only.
+    /// A call is whole; its body and its frame (without the length) are here only.
+    /// `side`: its caller's place among the connection's ends.
     Call {
         call: &'e Call,
         body: &'e [u8],
+        frame: &'e [u8],
+        side: usize,
+    },
+    /// An answer to some call is whole.
+    Answer {
+        connection: u32,
+        seq: i32,
+        frame: &'e [u8],
+        at: u64,
     },
     /// A caller gave up an earlier call.
     Left {
@@ -226,7 +236,7 @@
                     body_hash: xxh3_64(body),
                 };
                 self.counts.calls += 1;
-                (self.take)(Event::Call { call: &call, body });
+                (self.take)(Event::Call { call: &call, body, frame, side: state.side });
                 if let Some(twin) = state.open.iter().position(|open| open.call.seq == call.seq) {
                     self.counts.repeated_numbers += 1;
                     let twin = state.open.remove(twin);
@@ -268,6 +278,7 @@
         if told.name == b"probe" {
             return Some(());
         }
+        (self.take)(Event::Answer { connection: state.number, seq: told.seq, frame, at });
         let outcome = match told.what {
             What::Answer { body, .. } => {
                 Outcome::Honoured { body_length: body.len(), body_hash: xxh3_64(body) }
@@ -321,6 +332,7 @@
 /// What a frame may change of its connection, while its direction's bytes are lent out.
 struct Talk<'s> {
     number: u32,
+    side: usize,
     spoke: &'s mut bool,
     open: &'s mut Vec<Open>,
     cut: &'s mut Vec<i32>,
@@ -364,7 +376,7 @@
         let Paired { number, halves, spoke, open, cut, answered, ahead, .. } = state;
         let spoke = &mut spoke[side];
         halves[side].bytes(bytes, at, |told| {
-            let mut state = Talk { number: *number, spoke, open, cut, answered, ahead };
+            let mut state = Talk { number: *number, side, spoke, open, cut, answered, ahead };
             match told {
                 Told::Frame(frame, at) => self.frame(&mut state, frame, at),
                 Told::Cut(frame) => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,10 @@
 //! `rainstand`, the operators' command line.
 
 mod config;
+mod export;
 mod out;
+mod pcap;
+mod replay;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use out::Code;
@@ -32,6 +35,9 @@
     /// Check, format, compile, compare and explain configurations
     #[command(subcommand)]
     Config(config::Command),
+    /// Look at, cut, export and replay recorded traffic
+    #[command(subcommand)]
+    Pcap(pcap::Command),
     /// Print completions for a shell
     #[command(after_help = "Example:\n  rainstand completions bash > /etc/bash_completion.d/rainstand")]
     Completions { shell: clap_complete::Shell },
@@ -40,6 +46,7 @@
 fn main() -> ExitCode {
     let code = match Arguments::parse().command {
         Command::Config(command) => config::run(command),
+        Command::Pcap(command) => pcap::run(command),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Arguments::command(), "rainstand", &mut script);
