--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -38,15 +38,18 @@
 #[derive(Args)]
 pub struct Options {
     file: String,
-    /// A node or forwarder
-    #[arg(long)]
+    /// Address of a node or forwarder
+    #[arg(long = "to", id = "address")]
     to: SocketAddr,
     /// 2.0: twice as fast as recorded
     #[arg(long, default_value_t = 1.0)]
     speed: f64,
-    /// A stretch of the capture, counted from its first call
-    #[command(flatten)]
-    stretch: Stretch,
+    /// Seconds after the capture's first call
+    #[arg(long, default_value_t = 0.0)]
+    from: f64,
+    /// Seconds after the capture's first call; to its end if not said
+    #[arg(long)]
+    until: Option<f64>,
     /// `as-recorded`, or how many
     #[arg(long, default_value = "as-recorded")]
     connections: String,
@@ -82,7 +85,7 @@
             }
         },
     };
-    let (from, to) = match options.stretch.times() {
+    let (from, to) = match (Stretch { from: options.from, to: options.until }).times() {
         Ok(times) => times,
         Err(why) => return Ok(trouble("pcap replay", why)),
     };
@@ -98,7 +101,7 @@
     }
     if collector.left_out > 0 {
         let why = format!(
-            "{} calls do not fit in memory; choose a stretch with --from and --to",
+            "{} calls do not fit in memory; choose a stretch with --from and --until",
             collector.left_out
         );
         return Ok(trouble(&options.file, why));
