Replay, formats and structured logs: events with stable codes, as text or JSON

The node's lines are tracing events with fields; a layer of its own writes today's text or JSON, under the same rate limit, and a lost reader still ends nothing. A ticket that is given up leaves its trace. Every link and file format is tested: a clock of 2^-20 s came out wrong, since the library's resolution refuses powers of two; computed here now. Replays against stand-ins that break, shut down, refuse and lie.

--- a/crates/capture/src/file.rs
+++ b/crates/capture/src/file.rs
@@ -91,6 +91,15 @@
     }
 }
 
+/// Steps of a clock in a second, by the option `if_tsresol`: a negative power of 10, or of 2 if its highest
+/// bit is set. Not by the library's own function, which takes no power of 2; what is past 64 bits counts as
+/// the default, microseconds.
+fn steps(told: u8) -> u64 {
+    let power = u32::from(told & 0x7f);
+    let steps = if told & 0x80 == 0 { 10u64.checked_pow(power) } else { 1u64.checked_shl(power) };
+    steps.unwrap_or(1_000_000)
+}
+
 /// Calls `take` with every packet of the file, in its order.
 pub fn packets(reader: impl Read + Send, mut take: impl FnMut(&Packet<'_>)) -> (FileInfo, Ended) {
     let mut info = FileInfo::default();
@@ -175,7 +184,7 @@
             if interfaces.len() < MOST_INTERFACES {
                 interfaces.push(Interface {
                     link: Link::from(told.linktype),
-                    steps: told.ts_resolution().filter(|steps| *steps > 0).unwrap_or(1_000_000),
+                    steps: steps(told.if_tsresol),
                     offset: told.ts_offset(),
                     snaplen: told.snaplen,
                 });
--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -222,7 +222,14 @@
     }
 
     fn leave(self: &Rc<Self>, call: usize, slot: usize) {
-        self.calls.borrow_mut()[call].left = true;
+        {
+            let mut calls = self.calls.borrow_mut();
+            let one = &mut calls[call];
+            if one.outcome.is_none() && !std::mem::replace(&mut one.left, true) {
+                // Nothing is owed any more; an answer still counts if it comes.
+                self.open.set(self.open.get() - 1);
+            }
+        }
         let Some(link) = self.slots.borrow()[slot].clone() else { return };
         let seq = link.open.borrow().iter().find(|(_, open)| **open == call).map(|(seq, _)| *seq);
         if let Some(seq) = seq {
@@ -270,8 +277,10 @@
         }
         one.took = one.sent.filter(|_| outcome != Outcome::Gone).map(|sent| sent.elapsed());
         one.outcome = Some(outcome);
-        self.open.set(self.open.get() - 1);
-        self.ended.notify_one();
+        if !one.left {
+            self.open.set(self.open.get() - 1);
+            self.ended.notify_one();
+        }
     }
 
     /// A link is over; its open calls are, too, but for those that crossed its close.
@@ -345,6 +354,9 @@
             break;
         }
     }
+    for one in shared.calls.borrow_mut().iter_mut().filter(|one| one.left) {
+        one.outcome.get_or_insert(Outcome::Gone);
+    }
 }
 
 /// A connection's whole life.
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -134,6 +134,7 @@
         "members" => "member",
         "routes" => "route",
         "recordings" => "recording",
+        "logs" => "log",
         other => other,
     }
 }
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -6,7 +6,7 @@
 use crate::ast::{Atom, Block, Entry, Name, Value};
 use crate::codes::Code;
 use crate::parse::shorten;
-use crate::schema::{self, Again, OnFailure, Per, Proof, RepeatKind, SplitBy};
+use crate::schema::{self, Again, LogForm, OnFailure, Per, Proof, RepeatKind, SplitBy};
 use crate::source::{Sources, Span};
 use crate::tree::Kind as Leaf;
 use crate::units::{self, Dimension, ONE, PERCENT};
@@ -46,10 +46,11 @@
     RetryAfter,
     Route,
     Recording,
+    Log,
 }
 
 impl Sort {
-    pub const ALL: [Sort; 11] = [
+    pub const ALL: [Sort; 12] = [
         Sort::Type,
         Sort::Tenant,
         Sort::Pool,
@@ -61,6 +62,7 @@
         Sort::RetryAfter,
         Sort::Route,
         Sort::Recording,
+        Sort::Log,
     ];
 
     /// As it is written.
@@ -77,6 +79,7 @@
             Sort::RetryAfter => "retry-after",
             Sort::Route => "route",
             Sort::Recording => "recording",
+            Sort::Log => "log",
         }
     }
 
@@ -281,6 +284,7 @@
             retry_after: self.each(Sort::RetryAfter, retry_after),
             routes: self.each(Sort::Route, route),
             recordings: self.each(Sort::Recording, recording),
+            logs: self.each(Sort::Log, log),
         }
     }
 }
@@ -780,6 +784,12 @@
     schema::RetryAfter { name: r.name(), least_ns: least.unwrap_or(0), most_ns: most.unwrap_or(0) }
 }
 
+fn log(r: &mut Reader<'_, '_, '_, '_>) -> schema::Log {
+    let words = [("text", LogForm::Text), ("json", LogForm::Json)];
+    let form = r.word("form", &words, Some(LogForm::Text)).unwrap_or(LogForm::Text);
+    schema::Log { name: r.name(), form: form.into() }
+}
+
 fn recording(r: &mut Reader<'_, '_, '_, '_>) -> schema::Recording {
     let folder = r.text("folder", "a folder such as `\"/var/lib/rainstand\"`");
     if folder.is_none() && r.entry("folder").is_none() {
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -149,6 +149,7 @@
         self.attempts.sort_by(|a, b| a.name.cmp(&b.name));
         self.budgets.sort_by(|a, b| a.name.cmp(&b.name));
         self.health.sort_by(|a, b| a.name.cmp(&b.name));
+        self.logs.sort_by(|a, b| a.name.cmp(&b.name));
         self.recordings.sort_by(|a, b| a.name.cmp(&b.name));
         self.retry_after.sort_by(|a, b| a.name.cmp(&b.name));
         for pool in &mut self.pools {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -114,7 +114,8 @@
         link.waiting.set(None);
         // One line tells that nobody listens, not one for each try.
         if why != UNREACHABLE || before != UNREACHABLE {
-            note!("end link=agent code={why} after_ms={}", opened.elapsed().as_millis());
+            let after = opened.elapsed().as_millis();
+            note!("link_end", "end", link = "agent", code = why, after_ms = after);
         }
         before = why;
         // Guards against a link that breaks as often as it is opened: only one that held starts afresh.
@@ -177,7 +178,11 @@
                     return Err(code);
                 }
                 count(&hub.counts.agent_odd);
-                note!("agent line passed over behind notice {}", link.last.get());
+                note!(
+                    "agent_line_passed_over",
+                    "agent line passed over behind notice",
+                    what = link.last.get()
+                );
             }
         }
     }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -69,13 +69,13 @@
             Ok(_) => {
                 answered = Instant::now();
                 if std::mem::take(&mut down) {
-                    note!("announce up");
+                    note!("announce_up", "announce up");
                 }
             }
             // One line tells of a service that is down, none of an answer now and then that is missing.
             Err(why) if !down && answered.elapsed() > DOWN_AFTER => {
                 down = true;
-                note!("announce down: {why}");
+                note!("announce_down", "announce down", why = why);
             }
             Err(_) => {}
         }
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -22,7 +22,8 @@
     hub.leaving.set(true);
     hub.report_now.notify_one();
     let owing = hub.core.borrow().desk.owing();
-    note!("drain begins owing={owing} conns={} stop_ms={}", hub.conns.borrow().len(), stop.as_millis());
+    let conns = hub.conns.borrow().len();
+    note!("drain_begins", "drain begins", owing = owing, conns = conns, stop_ms = stop.as_millis());
     hub.conns.borrow().values().for_each(|conn| conn.tell_shutdown());
     hub.act(|node, now, desk| node.leaving(now, desk, stop.saturating_sub(BEFORE_KILL[0])));
     // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
@@ -45,5 +46,5 @@
     sleep(LOOK).await;
     hub.conns.borrow().values().for_each(|conn| conn.end("drain"));
     sleep(LOOK).await;
-    note!("drain ends owing={owing} after_ms={}", noticed.elapsed().as_millis());
+    note!("drain_ends", "drain ends", owing = owing, after_ms = noticed.elapsed().as_millis());
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ring;
 pub mod route;
 pub mod send;
+pub mod settings;
 pub mod take_in;
 
 pub use rainstand_protocol::{http, thrift};
@@ -131,7 +132,7 @@
         });
         if catch_unwind(all).is_err() {
             count(&self.counts.panics);
-            note!("panic caught: count={}", self.counts.panics.get());
+            note!("panic_caught", "panic caught:", count = self.counts.panics.get());
         }
     }
 
@@ -148,7 +149,7 @@
         let Core { node, desk } = &mut *core;
         let now = desk.now();
         let start = self.config.start(now.saturating_sub(ago), cold).map_err(|_| "settings")?;
-        note!("agent up since_ms={} cold={cold}", ago.as_millis());
+        note!("agent_up", "agent up", since_ms = ago.as_millis(), cold = cold);
         node.insert(start.node).begin(now, desk);
         drop(core);
         spawn_local(beat(self.clone()));
@@ -170,11 +171,9 @@
             .get()
             .map_or(String::new(), |record| format!(" record[{}]", record.recorder.counts().line()));
         log::unheard(|| {
-            eprintln!(
-                "counts {books} conns={conns} agent[{agent}] ends[{}]{record}{}",
-                ends.trim(),
-                self.counts
-            );
+            let line =
+                format!("{books} conns={conns} agent[{agent}] ends[{}]{record}{}", ends.trim(), self.counts);
+            tracing::info!(event = "counts", words = "counts", what = %line);
         });
     }
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,8 +1,12 @@
-//! Lines for on-call staff, on standard error, through one macro that is bounded in rate.
+//! Events for on-call staff, on standard error, through one macro that is bounded in rate.
 
 use std::cell::Cell;
+use std::fmt::{self, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
 
 /// Lines a second in the long run: as fast as a person can follow a scroll.
 const LINES: f64 = 20.0;
@@ -46,26 +50,122 @@
     pub static TAP: Tap = const { Tap::new() };
 }
 
-/// `eprintln!`, but for lines past the rate; how many were held back is told with the next one.
+/// An event with a stable code, the words of its line, and fields; past the rate none, and how many were
+/// held back is told with the next one. Fields called `what` and `why` are told without their name in a text line.
 #[macro_export]
 macro_rules! note {
-    (often: $often:literal, $($line:tt)*) => {
+    (often: $often:literal, $code:literal, $words:literal $(, $key:ident = $value:expr)* $(,)?) => {
         if let Some(held_back) = $crate::log::TAP.with(|tap| tap.open(std::time::Instant::now(), $often)) {
             $crate::log::unheard(|| {
                 if held_back > 0 {
-                    eprintln!("log held_back={held_back}");
+                    tracing::info!(event = "log_held_back", words = "log", held_back = held_back);
                 }
-                eprintln!($($line)*);
+                tracing::info!(event = $code, words = $words $(, $key = %$value)*);
             });
         }
     };
-    ($($line:tt)*) => { $crate::note!(often: false, $($line)*) };
+    ($code:literal, $($rest:tt)*) => { $crate::note!(often: false, $code, $($rest)*) };
 }
 
-/// A line about one connection or ticket, of which a flood brings hundreds: the first to be held back.
+/// An event about one connection or ticket, of which a flood brings hundreds: the first to be held back.
 #[macro_export]
 macro_rules! often {
-    ($($line:tt)*) => { $crate::note!(often: true, $($line)*) };
+    ($($rest:tt)*) => { $crate::note!(often: true, $($rest)*) };
+}
+
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    #[default]
+    Text,
+    /// One object a line: `at_ms`, `event`, and the fields.
+    Json,
+}
+
+/// Writes events to standard error, a line each.
+pub struct Lines {
+    form: Form,
+    write: fn(&str),
+}
+
+impl Lines {
+    pub fn new(form: Form) -> Self {
+        Self { form, write: |line| unheard(|| eprintln!("{line}")) }
+    }
+
+    /// From here on the program's events are written.
+    ///
+    /// # Errors
+    /// Somebody else writes them already.
+    pub fn install(self) -> Result<(), String> {
+        let all = tracing_subscriber::registry().with(self);
+        tracing::subscriber::set_global_default(all).map_err(|e| format!("log: {e}"))
+    }
+}
+
+impl<S: Subscriber> Layer<S> for Lines {
+    fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
+        let mut told = Told::default();
+        event.record(&mut told);
+        match self.form {
+            Form::Text => (self.write)(&told.text()),
+            Form::Json => (self.write)(&told.json()),
+        }
+    }
+}
+
+/// The fields of one event.
+#[derive(Default)]
+struct Told {
+    event: String,
+    words: String,
+    fields: Vec<(&'static str, String)>,
+}
+
+impl Visit for Told {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        match field.name() {
+            "event" => value.clone_into(&mut self.event),
+            "words" => value.clone_into(&mut self.words),
+            name => self.fields.push((name, value.to_owned())),
+        }
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        self.fields.push((field.name(), format!("{value:?}")));
+    }
+}
+
+impl Told {
+    fn text(&self) -> String {
+        let mut line = self.words.clone();
+        for (name, value) in &self.fields {
+            let _ = match *name {
+                "what" => write!(line, " {value}"),
+                "why" => write!(line, ": {value}"),
+                name => write!(line, " {name}={value}"),
+            };
+        }
+        line
+    }
+
+    fn json(&self) -> String {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let mut all = serde_json::Map::new();
+        all.insert("at_ms".into(), at.into());
+        all.insert("event".into(), self.event.clone().into());
+        for (name, value) in &self.fields {
+            // Numbers and truths as such, so that others need not read them out of texts.
+            let value = match (value.parse::<i64>(), value.as_str()) {
+                (Ok(number), _) => number.into(),
+                (_, "true") => true.into(),
+                (_, "false") => false.into(),
+                (_, text) => text.into(),
+            };
+            all.insert((*name).to_owned(), value);
+        }
+        serde_json::Value::Object(all).to_string()
+    }
 }
 
 /// Guards against a reader of the log that went away: `eprintln!` panics then, and the node goes on.
@@ -77,6 +177,38 @@
 mod tests {
     use super::*;
 
+    thread_local! {
+        static HEARD: std::cell::RefCell<Vec<String>> = const { std::cell::RefCell::new(Vec::new()) };
+    }
+
+    #[test]
+    fn events_are_told_as_text_and_as_json() {
+        let write = |line: &str| HEARD.with(|heard| heard.borrow_mut().push(line.to_owned()));
+        for form in [Form::Text, Form::Json] {
+            let all = tracing_subscriber::registry().with(Lines { form, write });
+            tracing::subscriber::with_default(all, || {
+                note!("connection_end", "end", conn = 7, code = "eof", open = 0);
+                note!("agent_refused", "agent refused", what = "launch", req = "0a\nb".escape_debug());
+                often!("announce_down", "announce down", why = "nobody there");
+            });
+        }
+        let heard = HEARD.take();
+        assert_eq!(
+            heard[..3],
+            ["end conn=7 code=eof open=0", "agent refused launch req=0a\\nb", "announce down: nobody there"]
+        );
+        let told: Vec<serde_json::Value> =
+            heard[3..].iter().map(|line| serde_json::from_str(line).unwrap()).collect();
+        assert_eq!(
+            (&told[0]["event"], &told[0]["conn"], &told[0]["code"]),
+            (&"connection_end".into(), &7.into(), &"eof".into())
+        );
+        assert_eq!(
+            (&told[2]["why"], told[2]["at_ms"].as_u64() > Some(1_700_000_000_000)),
+            (&"nobody there".into(), true)
+        );
+    }
+
     #[test]
     fn lines_past_the_rate_are_counted_not_written() {
         let (tap, start) = (Tap::new(), Instant::now());
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,9 @@
 //! `rainstand-node`: one node, told by `ROUTER_CONFIG` where its configuration lies.
 
-use rainstand_node::{config::Config, record, reload, run, Hub};
+use rainstand_node::config::Config;
+use rainstand_node::log::Lines;
+use rainstand_node::settings::Settings;
+use rainstand_node::{note, record, reload, run, Hub};
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -11,7 +14,7 @@
 
 It takes no arguments: ROUTER_CONFIG is the path of its JSON file.
   ROUTER_CONFIG=examples/config.json rainstand-node
-RAINSTAND_SETTINGS, if set, is the path of a compiled configuration: what it says of recording holds.
+RAINSTAND_SETTINGS, if set, is the path of a compiled configuration: what it says of log and recording holds.
 
 Signals: TERM and INT drain, HUP reads the addresses anew, USR1 prints the counters.
 Options: --help, --version";
@@ -42,13 +45,20 @@
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG: not set")?;
     let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
     let config = Config::read(&bytes).map_err(|e| format!("{path}: {e}"))?;
+    let settings = match std::env::var("RAINSTAND_SETTINGS") {
+        Err(_) => Settings::default(),
+        Ok(path) => {
+            let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+            Settings::read(&text).map_err(|e| format!("{path}: {e}"))?
+        }
+    };
+    Lines::new(settings.form).install()?;
     for key in &config.unknown {
-        eprintln!("config key={key} is not known and does nothing");
+        note!("config_key", "config", key = key, what = "is not known and does nothing");
     }
     let hub = Hub::new(config)?;
-    if let Ok(path) = std::env::var("RAINSTAND_SETTINGS") {
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-        record::start(&hub, &text).map_err(|e| format!("{path}: {e}"))?;
+    if let Some(recording) = &settings.recording {
+        record::start(&hub, recording)?;
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
@@ -59,7 +69,8 @@
         let signals = [SignalKind::terminate(), SignalKind::interrupt(), usr1, hup];
         let [term, int, usr1, hup] = signals.map(|kind| signal(kind).map_err(|e| format!("signals: {e}")));
         let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
-        eprintln!("start name={} listen={listen} agent={}", hub.config.name, hub.config.peers.agent);
+        let (name, agent) = (&hub.config.name, hub.config.peers.agent);
+        note!("start", "start", name = name, listen = listen, agent = agent);
         spawn_local(reload::keep_reloading(hub.clone(), path.into(), hup?));
         let asked = hub.clone();
         spawn_local(async move {
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -2,7 +2,7 @@
 //! to the agent and to the tier below.
 
 use crate::Hub;
-use rainstand_config::schema;
+use rainstand_config::schema::Recording;
 use rainstand_record::disk::Folder;
 use rainstand_record::{Limits, Recorder, Tape};
 use std::path::PathBuf;
@@ -23,20 +23,11 @@
     }
 }
 
-/// Starts the recording that the settings name, if they name one.
+/// Starts a recording.
 ///
 /// # Errors
-/// In one line: settings that cannot be read, or that name more than one recording.
-pub fn start(hub: &Hub, settings: &str) -> Result<(), String> {
-    let all = schema::from_text(settings).map_err(|refused| refused.to_string().replace('\n', " "))?;
-    let recording = match &all.recordings[..] {
-        [] => return Ok(()),
-        [one] => one,
-        more => return Err(format!("{} recordings; a node takes one", more.len())),
-    };
-    if recording.folder.is_empty() || recording.file_bytes == 0 || recording.files == 0 {
-        return Err(format!("recording {}: no folder, size or number of files", recording.name));
-    }
+/// No thread could be started for it.
+pub fn start(hub: &Hub, recording: &Recording) -> Result<(), String> {
     let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
     let disk = Folder { folder: PathBuf::from(&recording.folder), name: hub.config.name.clone(), start };
     let limits = Limits { file_bytes: recording.file_bytes, files: recording.files };
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -16,7 +16,10 @@
         let keep = t.key.clone().zip(t.keep_until);
         match (owed, end) {
             (Some(owed), Outcome::Done) => owed.honour(&counts, result),
-            (Some(owed), _) => owed.give_up(&counts),
+            (Some(owed), _) => {
+                often!("ticket_given_up", "ticket given up", trace = t.trace.escape_ascii());
+                owed.give_up(&counts);
+            }
             _ => {}
         }
         let now = Instant::now();
@@ -68,11 +71,11 @@
         ("outcome", ..) => run_ended(hub, ix, Outcome::Erred, &[]),
         ("refusal", "launch", _) => {
             // Nothing ran: no run failed, and no tenant is charged.
-            often!("agent refused launch req={}", text("req"));
+            often!("agent_refused", "agent refused", what = "launch", req = text("req"));
             run_ended(hub, ix, Outcome::Moot, &[]);
         }
         ("refusal", what, _) => {
-            often!("agent refused {what:.20} req={}", text("req"));
+            often!("agent_refused", "agent refused", what = format_args!("{what:.20}"), req = text("req"));
         }
         _ => {}
     }
@@ -84,7 +87,10 @@
     let orphans = hub.core.borrow_mut().desk.orphans(now);
     for ix in orphans {
         count(&hub.counts.orphans);
-        note!("run without an end taken out of the books ticket={ix}");
+        let trace =
+            hub.core.borrow_mut().desk.ticket(ix).map(|t| String::from_utf8_lossy(&t.trace).into_owned());
+        let trace = trace.unwrap_or_default();
+        note!("run_without_end", "run without an end taken out of the books", ticket = ix, trace = trace);
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
         run_ended(hub, ix, Outcome::Moot, &[]);
     }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -17,12 +17,15 @@
         match read {
             Ok(config) => {
                 for key in &config.unknown {
-                    note!("config key={key} is not known and does nothing");
+                    note!("config_key", "config", key = key, what = "is not known and does nothing");
                 }
                 take(&hub, config.peers);
             }
             // One line whatever is in the file: it may hold line ends.
-            Err(why) => note!("reload refused, the old addresses stay: {}", why.escape_debug()),
+            Err(why) => {
+                let why = why.escape_debug();
+                note!("reload_refused", "reload refused, the old addresses stay", why = why);
+            }
         }
     }
 }
@@ -31,7 +34,8 @@
 pub fn take(hub: &Hub, new: Peers) {
     let old = hub.peers.replace(new);
     let shown = |peer: Option<SocketAddr>| peer.map_or("none".to_owned(), |addr| addr.to_string());
-    note!("reload agent={} db={} announce={}", new.agent, shown(new.below), shown(new.announce));
+    let (below, announce) = (shown(new.below), shown(new.announce));
+    note!("reload", "reload", agent = new.agent, db = below, announce = announce);
     if old.agent != new.agent {
         hub.link.moved.notify_one();
     }
--- a/crates/node/src/route.rs
+++ b/crates/node/src/route.rs
@@ -1,7 +1,7 @@
 //! Orders of the decision module, carried out: commands to the agent, calls below, answers.
 
 use crate::book::{count, Call, Desk, Run};
-use crate::{note, send};
+use crate::{note, often, send};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
 
@@ -69,7 +69,9 @@
     }
 
     fn give_up(&mut self, ix: usize) {
-        if let Some(owed) = self.ticket(ix).and_then(|t| t.owed.take()) {
+        let Some(t) = self.ticket(ix) else { return };
+        if let Some(owed) = t.owed.take() {
+            often!("ticket_given_up", "ticket given up", trace = t.trace.escape_ascii());
             owed.give_up(&self.counts);
         }
     }
@@ -96,7 +98,7 @@
 
     fn checks(&mut self, good: bool) {
         self.good = good;
-        note!("checks good={good}");
+        note!("checks", "checks", good = good);
     }
 
     fn close_idle_after(&mut self, span: Duration) {
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -71,7 +71,7 @@
                 Err(why) => {
                     count(&hub.counts.accept_errors);
                     if !std::mem::replace(&mut failing, true) {
-                        note!("accept fails: {why}");
+                        note!("accept_fails", "accept fails", why = why);
                     }
                     sleep(ACCEPT_AGAIN).await;
                 }
@@ -91,7 +91,7 @@
     if room_left(hub) <= 0 && !make_room(hub) {
         count(&hub.counts.closed);
         *hub.ends.borrow_mut().entry("full").or_default() += 1;
-        often!("end conn={id} peer={peer} code=full");
+        often!("connection_end", "end", conn = id, peer = peer, code = "full");
         return;
     }
     let tape = hub.record.get().map(|record| record.recorder.tape(peer, hub.config.listen));
@@ -130,7 +130,7 @@
     count(&hub.counts.closed);
     *hub.ends.borrow_mut().entry(code).or_default() += 1;
     let (id, peer, ms) = (conn.id, conn.peer, opened.elapsed().as_millis());
-    often!("end conn={id} peer={peer} code={code} open={} after_ms={ms}", open.len());
+    often!("connection_end", "end", conn = id, peer = peer, code = code, open = open.len(), after_ms = ms);
 }
 
 /// Serves until the connection's end; the reason code, and whether it is past saying good-bye.
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -5,9 +5,12 @@
 
 use rainstand_capture::read;
 use rainstand_capture::tickets::{Event, Ticket};
+use rainstand_node::log::Form;
+use rainstand_node::settings::Settings;
 use rainstand_node::{config::Config, record, run, Hub};
 use serde_json::{json, Value};
 use stand_ins::{Agent, Caller, Http, Said};
+use std::io::BufRead;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -33,7 +36,8 @@
             config[key] = json!(of.local_addr().unwrap().to_string());
         }
         let hub = Hub::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
-        record::start(&hub, &settings(folder)).unwrap();
+        let settings = Settings::read(&settings(folder)).unwrap();
+        record::start(&hub, &settings.recording.unwrap()).unwrap();
         let (addr, leave) = (node.local_addr().unwrap(), Rc::new(Notify::new()));
         let left = leave.clone();
         let ended = spawn_local(run(hub.clone(), node, async move { left.notified().await }));
@@ -143,8 +147,6 @@
 
 #[test]
 fn settings_that_cannot_be_are_refused_in_one_line() {
-    let config: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
-    let hub = Hub::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
     let table = [
         ("version: 1 recordings { name: \"a\" folder: \"/x\" }", "no folder, size or number"),
         ("version: 1 recordings { folder: \"a\" } recordings { folder: \"b\" }", "a node takes one"),
@@ -152,9 +154,39 @@
         ("version: 7", "knows version 1"),
     ];
     for (text, wanted) in table {
-        let why = record::start(&hub, text).unwrap_err();
+        let why = Settings::read(text).unwrap_err();
         assert!(why.contains(wanted) && !why.contains('\n'), "{why}");
     }
-    assert_eq!(record::start(&hub, "version: 1"), Ok(()));
-    assert!(hub.record.get().is_none());
+    assert_eq!(Settings::read("version: 1 logs { form: JSON }").unwrap().form, Form::Json);
+}
+
+#[test]
+fn the_program_tells_json_if_asked_and_refuses_bad_settings() {
+    let folder = tempfile::tempdir().unwrap();
+    let at = |name: &str| folder.path().join(name);
+    let mut config: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+    (config["listen"], config["sede"]) = (json!("127.0.0.1:0"), json!(1));
+    std::fs::write(at("node.json"), config.to_string()).unwrap();
+    std::fs::write(at("bad.txtpb"), "version: 1\nlogs { from: JSON }").unwrap();
+    std::fs::write(at("good.txtpb"), "version: 1 logs { form: JSON }").unwrap();
+    let node = |settings: &str| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_rainstand-node"));
+        command.env("ROUTER_CONFIG", at("node.json")).env("RAINSTAND_SETTINGS", at(settings));
+        command.stderr(std::process::Stdio::piped());
+        command
+    };
+    let refused = node("bad.txtpb").output().unwrap();
+    let told = String::from_utf8(refused.stderr).unwrap();
+    assert!(
+        !refused.status.success() && told.contains("bad.txtpb: 2:8:") && told.lines().count() == 1,
+        "{told}"
+    );
+    let mut running = node("good.txtpb").spawn().unwrap();
+    let mut lines = std::io::BufReader::new(running.stderr.take().unwrap()).lines();
+    let told: Vec<Value> =
+        lines.by_ref().take(2).map(|line| serde_json::from_str(&line.unwrap()).unwrap()).collect();
+    assert_eq!((&told[0]["event"], &told[0]["key"]), (&json!("config_key"), &json!("sede")));
+    assert_eq!((&told[1]["event"], &told[1]["name"]), (&json!("start"), &json!("n1")));
+    running.kill().unwrap();
+    running.wait().unwrap();
 }
--- a/crates/protocol/src/thrift.rs
+++ b/crates/protocol/src/thrift.rs
@@ -63,8 +63,10 @@
     Ok(Message { oneway: kind == ONEWAY, name, seq, args: at.0 })
 }
 
+/// Text fields, each with its key.
+pub type Texts<'a> = Vec<(&'a [u8], &'a [u8])>;
 /// Text fields and body of `process`; `None` where they are absent.
-pub type Asked<'a> = (Option<Vec<(&'a [u8], &'a [u8])>>, Option<&'a [u8]>);
+pub type Asked<'a> = (Option<Texts<'a>>, Option<&'a [u8]>);
 
 pub fn process_args(args: &[u8]) -> Result<Asked<'_>, Flaw> {
     let (mut fields, mut body) = (None, None);
@@ -122,7 +124,7 @@
         good: bool,
     },
     /// Dismissed, with the fields beside it.
-    Backoff(Vec<(&'a [u8], &'a [u8])>),
+    Backoff(Texts<'a>),
     /// Given up.
     Lost,
     Exception {
@@ -271,7 +273,7 @@
         }
     }
 
-    fn texts(&mut self) -> Result<Vec<(&'a [u8], &'a [u8])>, Flaw> {
+    fn texts(&mut self) -> Result<Texts<'a>, Flaw> {
         let (keys, values, n) = self.map_head()?;
         if n > 0 && (keys, values) != (STRING, STRING) {
             return Err("frame_unreadable");
