A forwarder's decisions whole: a ticket from its arrival over each try to its one answer

Fleet joins routes, members, health, limits and attempts; a ticket's trip is a value that cannot be copied, so it has one answer by its type.

--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -188,6 +188,13 @@
         one.owes = one.owes.saturating_sub(1);
     }
 
+    /// It spoke, in a way that tells nothing of its health.
+    pub fn heard(&mut self, member: usize, now: Duration) {
+        let one = &mut self.members[member];
+        one.owes = one.owes.saturating_sub(1);
+        one.heard = now;
+    }
+
     /// A member that came back under its address is a new one.
     pub fn renewed(&mut self, member: usize, now: Duration) {
         self.members[member] = Member::new(now);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`health`] | who is left out, judged from answers alone, and how it comes back |
 //! | [`toward`] | how many tickets at once toward a member, learned from its times |
 //! | [`attempts`] | whether a ticket is sent again, under a budget of the whole program |
+//! | [`fleet`] | all of it for one ticket: from its arrival over each try to its one answer |
 //! | [`explain`] | the same in words: why this route, and why not the ones before it |
 //!
 //! Times are `Duration`s since any fixed start, chance is handed in as a seed, names become small indices
@@ -48,6 +49,7 @@
 pub mod budget;
 pub mod choice;
 pub mod explain;
+pub mod fleet;
 pub mod health;
 pub mod limit;
 pub mod split;
