rainstand forward: a thin forwarder on sockets, with the decisions of crates/route

Thrift in front and behind on one thread: links opened as needed and one at a time toward a member that was away, 32 tickets each, bounds and counters everywhere, a drain that answers what was read, SIGHUP as a version.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -154,11 +154,11 @@
     }
 }
 
-type Read = Result<(Configuration, Sources, usize), Code>;
+pub type Read = Result<(Configuration, Sources, usize), Code>;
 
 /// A configuration in any of its three forms, with its sources and the number of warnings. What is wrong
 /// is told here.
-fn read(file: &str, json: bool) -> io::Result<Read> {
+pub fn read(file: &str, json: bool) -> io::Result<Read> {
     let ending = Path::new(file).extension().and_then(|e| e.to_str());
     if file != "-" && ending != Some("rain") {
         return Ok(read_compiled(file, ending == Some("pb")).map(|made| (made, Sources::default(), 0)));
--- /dev/null
+++ b/crates/cli/src/forward.rs
@@ -0,0 +1,88 @@
+//! `rainstand forward`: a forwarder by a configuration, until it is told to leave.
+
+use crate::config::read;
+use crate::out::Code;
+use crate::pcap::trouble;
+use clap::Args;
+use rainstand_forwarder::{run as serve, Hub};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+#[derive(Args)]
+#[command(after_help = "\
+Example:
+  rainstand forward --config examples/config/main.rain --listen 127.0.0.1:5050 --zone sal-ulven
+
+Signals: TERM and INT drain, HUP takes the configuration anew, USR1 prints the counters.")]
+pub struct Options {
+    /// A `.rain` file, or a compiled one
+    #[arg(long)]
+    config: String,
+    /// Where dispatchers connect
+    #[arg(long)]
+    listen: SocketAddr,
+    /// The zone that this forwarder stands in; members in it come first
+    #[arg(long, default_value = "")]
+    zone: String,
+    /// For all chance
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Milliseconds from the notice to leave until what is still owed is given up
+    #[arg(long, default_value_t = 5_000)]
+    stop_ms: u64,
+}
+
+pub fn run(options: &Options) -> io::Result<Code> {
+    let configuration = match read(&options.config, false)? {
+        Ok((configuration, ..)) => configuration,
+        Err(code) => return Ok(code),
+    };
+    tracing_subscriber::fmt().with_writer(io::stderr).with_target(false).with_ansi(false).init();
+    let hub = match Hub::new(&configuration, &options.zone, options.seed) {
+        Ok(hub) => hub,
+        Err(why) => return Ok(trouble(&options.config, why)),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let listener = match TcpListener::bind(options.listen).await {
+            Ok(listener) => listener,
+            Err(error) => return Ok(trouble(&options.listen.to_string(), error)),
+        };
+        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let (mut hup, mut usr1) = (signal(SignalKind::hangup())?, signal(SignalKind::user_defined1())?);
+        tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
+        let (again, path) = (hub.clone(), options.config.clone());
+        spawn_local(async move {
+            while hup.recv().await.is_some() {
+                // Findings go to standard error; a bad one changes nothing.
+                let taken = match read(&path, false) {
+                    Ok(Ok((configuration, ..))) => again.take(&configuration),
+                    Ok(Err(_)) => Err("the configuration has errors".to_owned()),
+                    Err(error) => Err(error.to_string()),
+                };
+                match taken {
+                    Ok(version) => tracing::info!(event = "version", version = version),
+                    Err(why) => tracing::warn!(event = "version_refused", why = %why),
+                }
+            }
+        });
+        let counted = hub.clone();
+        spawn_local(async move {
+            while usr1.recv().await.is_some() {
+                tracing::info!(event = "counts", what = %counted.line());
+            }
+        });
+        let leave = async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        serve(hub, listener, Duration::from_millis(options.stop_ms), leave).await;
+        Ok(Code::Good)
+    })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod export;
+mod forward;
 mod out;
 mod pcap;
 mod replay;
@@ -35,6 +36,8 @@
     /// Check, format, compile, compare and explain configurations
     #[command(subcommand)]
     Config(config::Command),
+    /// Run a forwarder: dispatchers in front, nodes behind, by a configuration
+    Forward(forward::Options),
     /// Look at, cut, export and replay recorded traffic
     #[command(subcommand)]
     Pcap(pcap::Command),
@@ -46,6 +49,7 @@
 fn main() -> ExitCode {
     let code = match Arguments::parse().command {
         Command::Config(command) => config::run(command),
+        Command::Forward(options) => forward::run(&options),
         Command::Pcap(command) => pcap::run(command),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- /dev/null
+++ b/crates/forwarder/src/back.rs
@@ -0,0 +1,240 @@
+//! Connections to members: opened as they are needed, one at a time while a member cannot be reached, closed
+//! when unused, never over 32 tickets each.
+
+use crate::front::flush;
+use crate::{count, Call, Hub};
+use rainstand_protocol::ring::Ring;
+use rainstand_protocol::thrift::{self, What};
+use rainstand_route::fleet::Back;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Tickets that the protocol allows open on a connection.
+const TOGETHER: usize = 32;
+/// Connections to one member.
+pub const MOST_LINKS: usize = 64;
+/// Unused for this long a link is closed: sooner than nodes close theirs.
+const IDLE: Duration = Duration::from_secs(8);
+/// Opening takes no longer on a network that works.
+const OPENING: Duration = Duration::from_millis(500);
+/// After an opening failed tries there fail at once for this long: nobody thunders at a member that starts.
+const AWAY: Duration = Duration::from_millis(200);
+
+#[derive(Default)]
+pub struct Backs {
+    members: RefCell<HashMap<String, Rc<Member>>>,
+}
+
+#[derive(Default)]
+struct Member {
+    links: RefCell<Vec<Rc<Link>>>,
+    /// The last opening failed then.
+    away: Cell<Option<Instant>>,
+}
+
+struct Link {
+    stream: OnceCell<TcpStream>,
+    out: RefCell<Ring>,
+    /// Tries by the number that they have here.
+    open: RefCell<HashMap<i32, Call>>,
+    next: Cell<i32>,
+    /// Nothing new goes here.
+    retired: Cell<bool>,
+    wake: Notify,
+}
+
+/// Sends a try to a member; what came of it is told to the hub, also if it could not be sent.
+pub fn send(hub: &Rc<Hub>, address: &str, call: Call) {
+    let member = hub.backs.members.borrow_mut().entry(address.to_owned()).or_default().clone();
+    let opening = |link: &&Rc<Link>| link.stream.get().is_none();
+    let away = member.away.get().is_some_and(|since| since.elapsed() < AWAY);
+    let link = {
+        let mut links = member.links.borrow_mut();
+        let room = links.iter().filter(|link| !link.retired.get() && link.open.borrow().len() < TOGETHER);
+        // The fullest that has room, so that others become idle and close.
+        let found = room.max_by_key(|link| link.open.borrow().len()).cloned();
+        match found {
+            Some(link) => Some(link),
+            // One opening at a time toward a member that was away.
+            None if links.len() >= MOST_LINKS
+                || away
+                || (member.away.get().is_some() && links.iter().any(|l| opening(&l))) =>
+            {
+                None
+            }
+            None => {
+                let link = Rc::new(Link {
+                    stream: OnceCell::new(),
+                    out: RefCell::default(),
+                    open: RefCell::default(),
+                    next: Cell::new(1),
+                    retired: Cell::new(false),
+                    wake: Notify::new(),
+                });
+                links.push(link.clone());
+                spawn_local(follow(hub.clone(), member.clone(), link.clone(), address.to_owned()));
+                Some(link)
+            }
+        }
+    };
+    let Some(link) = link else {
+        // Not within this call: the caller is in the middle of a step.
+        let hub = hub.clone();
+        spawn_local(async move {
+            hub.came(call.number, call.attempt, Back::Unreachable);
+        });
+        return;
+    };
+    let seq = link.next.replace(link.next.get() + 1);
+    let frame = {
+        let tickets = hub.tickets.borrow();
+        let Some(ticket) = tickets.get(&call.number) else { return };
+        let mut fields: Vec<(&str, &str)> =
+            ticket.fields.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect();
+        if call.again && !fields.iter().any(|(key, _)| *key == "redo") {
+            fields.push(("redo", "1"));
+        }
+        thrift::process(seq, &fields, &ticket.body)
+    };
+    link.out.borrow_mut().put(&frame);
+    link.open.borrow_mut().insert(seq, call);
+    if let Some(stream) = link.stream.get() {
+        // A link that breaks here is noticed by its reader.
+        let _ = flush(&link.out, stream);
+    }
+    link.wake.notify_one();
+}
+
+/// Tells a member that nobody waits for a try any more.
+pub fn leave(hub: &Hub, address: &str, attempt: u64) {
+    let member = hub.backs.members.borrow().get(address).cloned();
+    if let Some(member) = member {
+        leave_on(&member, attempt);
+    }
+}
+
+/// As [`leave`], for a caller that left: its try is at one of the members.
+pub fn leave_everywhere(hub: &Hub, attempt: u64) {
+    hub.backs.members.borrow().values().any(|member| leave_on(member, attempt));
+}
+
+fn leave_on(member: &Member, attempt: u64) -> bool {
+    let links = member.links.borrow();
+    for link in links.iter() {
+        let seq = link.open.borrow().iter().find(|(_, call)| call.attempt == attempt).map(|(seq, _)| *seq);
+        if let Some(seq) = seq {
+            // Nothing is owed on it any more: it takes no place, and an answer to it is late.
+            link.open.borrow_mut().remove(&seq);
+            link.out.borrow_mut().put(&thrift::give_up(seq));
+            link.wake.notify_one();
+            return true;
+        }
+    }
+    false
+}
+
+/// A link's whole life.
+async fn follow(hub: Rc<Hub>, member: Rc<Member>, link: Rc<Link>, address: String) {
+    let mut ran = Back::Unreachable;
+    match timeout(OPENING, TcpStream::connect(&address)).await {
+        Ok(Ok(stream)) => {
+            let _ = stream.set_nodelay(true);
+            count(&hub.counts.links);
+            member.away.set(None);
+            let _ = link.stream.set(stream);
+            // From here on what was written may have run.
+            ran = Back::Broken;
+            if !serve(&hub, &link).await {
+                count(&hub.counts.broken_links);
+            }
+        }
+        _ => member.away.set(Some(Instant::now())),
+    }
+    link.retired.set(true);
+    member.links.borrow_mut().retain(|one| !Rc::ptr_eq(one, &link));
+    let open: Vec<Call> = link.open.borrow_mut().drain().map(|(_, call)| call).collect();
+    for call in open {
+        hub.came(call.number, call.attempt, ran);
+    }
+}
+
+/// Reads what comes back until the link ends; whether that was its proper end.
+async fn serve(hub: &Rc<Hub>, link: &Link) -> bool {
+    let Some(stream) = link.stream.get() else { return false };
+    let mut back = Ring::default();
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        if flush(&link.out, stream).is_err() {
+            return false;
+        }
+        let idle = link.open.borrow().is_empty();
+        if link.retired.get() && idle {
+            return true;
+        }
+        let more = !link.out.borrow().is_empty();
+        tokio::select! {
+            ready = timeout(IDLE, stream.readable()) => {
+                let Ok(ready) = ready else {
+                    if idle && link.open.borrow().is_empty() {
+                        return true;
+                    }
+                    continue;
+                };
+                match ready.and_then(|()| stream.try_read(&mut chunk)) {
+                    Ok(0) => return link.open.borrow().is_empty(),
+                    Ok(n) => back.put(&chunk[..n]),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                    Err(_) => return false,
+                }
+                while let Ok(Some(length)) = thrift::frame(back.bytes()) {
+                    told(hub, link, &back.bytes()[4..4 + length]);
+                    back.drop_front(4 + length);
+                }
+                if thrift::frame(back.bytes()).is_err() {
+                    count(&hub.counts.unreadable);
+                    return false;
+                }
+            }
+            _ = stream.writable(), if more => {}
+            () = link.wake.notified() => {}
+        }
+    }
+}
+
+fn told(hub: &Rc<Hub>, link: &Link, frame: &[u8]) {
+    if thrift::kind(frame) == Some(thrift::ONEWAY) {
+        link.retired.set(true);
+        return;
+    }
+    let Ok(answered) = thrift::answered(frame) else {
+        count(&hub.counts.unreadable);
+        return;
+    };
+    let Some(call) = link.open.borrow_mut().remove(&answered.seq) else {
+        // A second answer, or to nothing that was asked.
+        count(&hub.counts.late_answers);
+        return;
+    };
+    let taken = match answered.what {
+        What::Answer { body, .. } => hub.honoured(call.number, call.attempt, body),
+        What::Backoff(texts) => {
+            let text = |key: &[u8]| texts.iter().find(|(name, _)| *name == key).map(|(_, value)| *value);
+            let ms = text(b"pause").and_then(|ms| std::str::from_utf8(ms).ok()?.parse::<u64>().ok());
+            // More than a minute is no honest time to come back.
+            let pause = Duration::from_millis(ms.unwrap_or(0).min(60_000));
+            let nowhere_else = text(b"terminal") == Some(b"1");
+            hub.came(call.number, call.attempt, Back::Dismissed { pause, nowhere_else })
+        }
+        What::Lost | What::Exception { .. } => hub.came(call.number, call.attempt, Back::Failed),
+    };
+    if !taken {
+        count(&hub.counts.late_answers);
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/front.rs
@@ -0,0 +1,172 @@
+//! Dispatchers' connections: frames are cut and taken, answers go out as the socket takes them.
+
+use crate::{count, Hub};
+use rainstand_protocol::ring::Ring;
+use rainstand_protocol::thrift;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Connections in front, 20 KB each while they are busy.
+pub const MOST_CONNECTIONS: usize = 12_000;
+/// Answers that nobody reads, bytes: past it nothing more is read from the connection.
+const UNREAD: usize = 256 << 10;
+/// A frame begun is whole within this, and a connection says something within it.
+const FRAME_WITHIN: Duration = Duration::from_secs(2);
+/// After accepting failed, most likely for want of descriptors.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// A dispatcher's connection, as the rest sees it.
+pub struct Conn {
+    out: RefCell<Ring>,
+    stir: Notify,
+    /// Tickets in hand by the caller's number.
+    pub open: RefCell<HashMap<i32, u64>>,
+    used: Cell<bool>,
+}
+
+impl Conn {
+    pub fn send(&self, frame: &[u8]) {
+        self.out.borrow_mut().put(frame);
+        self.stir.notify_one();
+    }
+}
+
+pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = hub.deaf.notified() => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                count(&hub.counts.accepted);
+                if hub.conns.borrow().len() >= MOST_CONNECTIONS {
+                    count(&hub.counts.refused_connections);
+                    continue;
+                }
+                let _ = stream.set_nodelay(true);
+                let conn = Rc::new(Conn {
+                    out: RefCell::default(),
+                    stir: Notify::new(),
+                    open: RefCell::default(),
+                    used: Cell::new(false),
+                });
+                let number = hub.number();
+                hub.conns.borrow_mut().insert(number, conn.clone());
+                let hub = hub.clone();
+                spawn_local(async move {
+                    let code = talk(&hub, &conn, &stream).await;
+                    hub.conns.borrow_mut().remove(&number);
+                    let open: Vec<u64> = conn.open.borrow().values().copied().collect();
+                    open.iter().for_each(|ticket| hub.left(*ticket));
+                    tracing::debug!(event = "connection_end", words = "end", conn = number, peer = %peer, code = code, open = open.len());
+                });
+            }
+            Err(_) => sleep(ACCEPT_AGAIN).await,
+        }
+    }
+}
+
+/// Serves a connection to its end; the reason code.
+async fn talk(hub: &Rc<Hub>, conn: &Rc<Conn>, stream: &TcpStream) -> &'static str {
+    let mut back = Ring::default();
+    let mut chunk = [0; 8 * 1024];
+    loop {
+        if flush(&conn.out, stream).is_err() {
+            return "reset";
+        }
+        let unread = conn.out.borrow().len();
+        let timed = !conn.used.get() || !back.is_empty();
+        tokio::select! {
+            ready = timeout(FRAME_WITHIN, stream.readable()), if unread < UNREAD => {
+                let Ok(ready) = ready else {
+                    if timed && conn.open.borrow().is_empty() {
+                        return if back.is_empty() { "silent" } else { "half_a_frame" };
+                    }
+                    continue;
+                };
+                match ready.and_then(|()| stream.try_read(&mut chunk)) {
+                    Ok(0) => return if back.is_empty() { "eof" } else { "eof_in_frame" },
+                    Ok(n) => back.put(&chunk[..n]),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                    Err(_) => return "reset",
+                }
+                loop {
+                    let length = match thrift::frame(back.bytes()) {
+                        Ok(Some(length)) => length,
+                        Ok(None) => break,
+                        Err(code) => return code,
+                    };
+                    if let Err(code) = frame(hub, conn, &back.bytes()[4..4 + length]) {
+                        return code;
+                    }
+                    back.drop_front(4 + length);
+                }
+            }
+            _ = stream.writable(), if unread > 0 => {}
+            () = conn.stir.notified() => {}
+        }
+    }
+}
+
+/// Writes what the socket takes without waiting.
+pub fn flush(out: &RefCell<Ring>, stream: &TcpStream) -> io::Result<()> {
+    let mut out = out.borrow_mut();
+    while !out.is_empty() {
+        match stream.try_write(out.front()) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => out.drop_front(n),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+fn frame(hub: &Rc<Hub>, conn: &Rc<Conn>, frame: &[u8]) -> Result<(), thrift::Flaw> {
+    let message = thrift::message(frame)?;
+    let (name, seq) = (message.name, message.seq);
+    let except = |code, why: &str| {
+        count(&hub.counts.exceptions);
+        if !message.oneway {
+            conn.send(&thrift::exception(name, seq, code, why));
+        }
+    };
+    match name {
+        b"process" if !message.oneway => {
+            let (fields, body) = thrift::process_args(message.args)?;
+            if conn.open.borrow().contains_key(&seq) {
+                return Err("seq_repeated");
+            }
+            let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).map_err(|_| "frame_unreadable");
+            let fields = fields.unwrap_or_default().into_iter();
+            let fields = fields
+                .map(|(key, value)| Ok((text(key)?, text(value)?)))
+                .collect::<Result<_, thrift::Flaw>>()?;
+            conn.used.set(true);
+            if let Err(why) = hub.arrived(conn, seq, fields, body.unwrap_or_default().to_vec()) {
+                except(thrift::INTERNAL_ERROR, why);
+            }
+        }
+        b"giveUp" => {
+            if let Some(seq) = thrift::give_up_args(message.args)? {
+                let number = conn.open.borrow_mut().remove(&seq);
+                number.into_iter().for_each(|number| hub.left(number));
+            }
+        }
+        b"probe" => {
+            thrift::probe_args(message.args)?;
+            conn.used.set(true);
+            conn.send(&thrift::answer(b"probe", seq, &[], hub.good()));
+        }
+        _ => except(thrift::UNKNOWN_METHOD, "no such method"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/forwarder/src/lib.rs
@@ -0,0 +1,341 @@
+//! A thin forwarder on sockets: dispatchers' tickets in front, nodes behind, and between them the decisions
+//! of `rainstand-route`, which settle where each goes, what follows a failure, and the one answer.
+//!
+//! | unit | job |
+//! | --- | --- |
+//! | [`front`] | dispatchers' connections: frames in, answers out |
+//! | [`back`] | connections to members: tries out, what came of them in |
+//! | here | tickets in hand, the steps of the [`Fleet`], the drain |
+//!
+//! All of it runs on one thread; the books are never borrowed across an await. Bounds: [`MOST_TICKETS`] in hand,
+//! [`front::MOST_CONNECTIONS`] in front, [`back::MOST_LINKS`] a member behind; each refusal has a counter.
+
+pub mod back;
+pub mod front;
+
+use back::Backs;
+use front::Conn;
+use rainstand_config::schema::Configuration;
+use rainstand_protocol::thrift;
+use rainstand_route::fleet::{Back, End, Fleet, Step, Trip};
+use rainstand_route::table::Ticket;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::sleep;
+
+/// Tickets in hand, some KB each: past it a ticket is dismissed at once.
+pub const MOST_TICKETS: usize = 20_000;
+/// Told to a ticket that comes while so many are in hand, or while the forwarder leaves.
+const COME_BACK: Duration = Duration::from_millis(200);
+/// Between looks at the members' health.
+const LOOK: Duration = Duration::from_millis(100);
+/// The drain's looks at what is still owed.
+const OWED: Duration = Duration::from_millis(5);
+
+/// Counters, since the start.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub accepted: Cell<u64>,
+    pub refused_connections: Cell<u64>,
+    pub exceptions: Cell<u64>,
+    pub full: Cell<u64>,
+    pub links: Cell<u64>,
+    pub broken_links: Cell<u64>,
+    /// Answers from behind to tries that are over: late ones, and second ones.
+    pub late_answers: Cell<u64>,
+    pub unreadable: Cell<u64>,
+}
+
+pub fn count(what: &Cell<u64>) {
+    what.set(what.get() + 1);
+}
+
+/// A ticket in hand, by its number.
+pub struct InHand {
+    conn: Rc<Conn>,
+    seq: i32,
+    /// The call's fields and body, to be sent again.
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Its trip, while it waits or while nothing is decided; at a member it stands here too.
+    trip: Option<Trip>,
+    /// The try that is out; a word for another is late.
+    pub attempt: u64,
+    /// Ends the try, or the wait before the next.
+    timer: Option<AbortHandle>,
+}
+
+/// What the tasks of one forwarder share.
+pub struct Hub {
+    pub fleet: RefCell<Fleet>,
+    pub tickets: RefCell<HashMap<u64, InHand>>,
+    pub backs: Backs,
+    pub counts: Counts,
+    pub conns: RefCell<HashMap<u64, Rc<Conn>>>,
+    started: Instant,
+    next: Cell<u64>,
+    pub leaving: Cell<bool>,
+    pub deaf: Notify,
+}
+
+impl Hub {
+    /// # Errors
+    /// Why the configuration cannot be used.
+    pub fn new(configuration: &Configuration, zone: &str, seed: u64) -> Result<Rc<Self>, String> {
+        let fleet = Fleet::new(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
+        Ok(Rc::new(Self {
+            fleet: RefCell::new(fleet),
+            tickets: RefCell::default(),
+            backs: Backs::default(),
+            counts: Counts::default(),
+            conns: RefCell::default(),
+            started: Instant::now(),
+            next: Cell::new(0),
+            leaving: Cell::new(false),
+            deaf: Notify::new(),
+        }))
+    }
+
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub fn number(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    /// A new configuration as a version.
+    ///
+    /// # Errors
+    /// Why it is refused; nothing has changed.
+    pub fn take(&self, configuration: &Configuration) -> Result<u64, String> {
+        self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())
+    }
+
+    /// A ticket was read. What is wrong with it is told for an exception.
+    ///
+    /// # Errors
+    /// In words for the caller.
+    pub fn arrived(
+        self: &Rc<Self>,
+        conn: &Rc<Conn>,
+        seq: i32,
+        fields: Vec<(String, String)>,
+        body: Vec<u8>,
+    ) -> Result<(), &'static str> {
+        if self.leaving.get() || self.tickets.borrow().len() >= MOST_TICKETS {
+            count(&self.counts.full);
+            conn.send(&dismissal(seq, COME_BACK, false));
+            return Ok(());
+        }
+        let step = {
+            let field =
+                |key: &str| fields.iter().find(|(name, _)| name == key).map(|(_, value)| value.as_str());
+            let mut fleet = self.fleet.borrow_mut();
+            let traffic =
+                field("route").and_then(|name| fleet.table().traffic(name)).ok_or("route: not known")?;
+            let tenant = field("customer").and_then(|name| fleet.table().tenant(name));
+            let ticket = Ticket {
+                traffic,
+                tenant,
+                entity: field("entity").unwrap_or(""),
+                again: field("redo") == Some("1"),
+                size: body.len() as u64,
+            };
+            fleet.arrived(self.now(), &ticket)
+        };
+        let number = self.number();
+        let ticket = InHand { conn: conn.clone(), seq, fields, body, trip: None, attempt: 0, timer: None };
+        self.tickets.borrow_mut().insert(number, ticket);
+        conn.open.borrow_mut().insert(seq, number);
+        self.follow(number, step);
+        Ok(())
+    }
+
+    /// Carries out a step of a ticket.
+    fn follow(self: &Rc<Self>, number: u64, step: Step) {
+        match step {
+            Step::Go(trip, send) => {
+                let attempt = self.number();
+                let address = self.fleet.borrow().address(send.to).to_owned();
+                let frame = {
+                    let mut tickets = self.tickets.borrow_mut();
+                    let Some(ticket) = tickets.get_mut(&number) else { return };
+                    ticket.trip = Some(trip);
+                    ticket.attempt = attempt;
+                    Call { number, attempt, again: send.again }
+                };
+                back::send(self, &address, frame);
+                let hub = self.clone();
+                self.time(number, async move {
+                    sleep(send.cut).await;
+                    // Told to the member, too: nobody waits for it there any more.
+                    if hub.came(number, attempt, Back::TimedOut) {
+                        back::leave(&hub, &address, attempt);
+                    }
+                });
+            }
+            Step::Wait(trip, wait) => {
+                let attempt = self.number();
+                if let Some(ticket) = self.tickets.borrow_mut().get_mut(&number) {
+                    ticket.trip = Some(trip);
+                    ticket.attempt = attempt;
+                }
+                let hub = self.clone();
+                self.time(number, async move {
+                    sleep(wait).await;
+                    if let Some(trip) = hub.claim(number, attempt) {
+                        let step = hub.fleet.borrow_mut().again(hub.now(), trip);
+                        hub.follow(number, step);
+                    }
+                });
+            }
+            Step::Over(end) => self.over(number, |ticket| match end {
+                // The member's own answer went out before.
+                End::Honoured | End::Nobody => None,
+                End::Dismissed { after, nowhere_else } => Some(dismissal(ticket.seq, after, nowhere_else)),
+                End::GivenUp => Some(thrift::lost(ticket.seq)),
+            }),
+        }
+    }
+
+    /// Starts a ticket's timer in place of the one before.
+    fn time(&self, number: u64, task: impl std::future::Future<Output = ()> + 'static) {
+        let timer = spawn_local(task).abort_handle();
+        match self.tickets.borrow_mut().get_mut(&number) {
+            Some(ticket) => ticket.timer = Some(timer),
+            None => timer.abort(),
+        }
+    }
+
+    /// The trip of a ticket, if it is still at this try; whoever has it decides what is next.
+    fn claim(&self, number: u64, attempt: u64) -> Option<Trip> {
+        let mut tickets = self.tickets.borrow_mut();
+        let ticket = tickets.get_mut(&number).filter(|ticket| ticket.attempt == attempt)?;
+        // A timer that claims for itself has no await left to be ended at.
+        ticket.timer.take().iter().for_each(AbortHandle::abort);
+        ticket.trip.take()
+    }
+
+    /// What came of a try; false if the ticket is past it.
+    pub fn came(self: &Rc<Self>, number: u64, attempt: u64, back: Back) -> bool {
+        let Some(trip) = self.claim(number, attempt) else { return false };
+        let step = self.fleet.borrow_mut().came(self.now(), trip, back);
+        self.follow(number, step);
+        true
+    }
+
+    /// A member honoured a try: its answer goes on unchanged, under the caller's number.
+    pub fn honoured(self: &Rc<Self>, number: u64, attempt: u64, body: &[u8]) -> bool {
+        let Some(trip) = self.claim(number, attempt) else { return false };
+        if let Some(ticket) = self.tickets.borrow().get(&number) {
+            ticket.conn.send(&thrift::answer(b"process", ticket.seq, body, true));
+        }
+        let step = self.fleet.borrow_mut().came(self.now(), trip, Back::Honoured);
+        self.follow(number, step);
+        true
+    }
+
+    fn over(&self, number: u64, answer: impl FnOnce(&InHand) -> Option<Vec<u8>>) {
+        let Some(ticket) = self.tickets.borrow_mut().remove(&number) else { return };
+        ticket.conn.open.borrow_mut().remove(&ticket.seq);
+        if let Some(frame) = answer(&ticket) {
+            ticket.conn.send(&frame);
+        }
+    }
+
+    /// A caller gave a ticket up, or its connection ended.
+    pub fn left(self: &Rc<Self>, number: u64) {
+        let Some(attempt) = self.tickets.borrow().get(&number).map(|ticket| ticket.attempt) else { return };
+        if self.came(number, attempt, Back::CallerLeft) {
+            back::leave_everywhere(self, attempt);
+        }
+    }
+
+    /// Whether probes are told that all is well: somebody could take a ticket.
+    pub fn good(&self) -> bool {
+        !self.leaving.get()
+    }
+
+    /// One line of all counters.
+    pub fn line(&self) -> String {
+        let (c, fleet) = (&self.counts, self.fleet.borrow().counts());
+        format!(
+            "tickets={} conns={} first_tries={} further_tries={} honoured={} dismissed={} given_up={} nobody={} \
+             accepted={} refused_connections={} exceptions={} full={} links={} broken_links={} late_answers={} unreadable={}",
+            self.tickets.borrow().len(),
+            self.conns.borrow().len(),
+            fleet.first_tries,
+            fleet.further_tries,
+            fleet.honoured,
+            fleet.dismissed,
+            fleet.given_up,
+            fleet.nobody,
+            c.accepted.get(),
+            c.refused_connections.get(),
+            c.exceptions.get(),
+            c.full.get(),
+            c.links.get(),
+            c.broken_links.get(),
+            c.late_answers.get(),
+            c.unreadable.get()
+        )
+    }
+}
+
+/// One try of a ticket.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub number: u64,
+    pub attempt: u64,
+    pub again: bool,
+}
+
+fn dismissal(seq: i32, after: Duration, nowhere_else: bool) -> Vec<u8> {
+    let pause = after.as_millis().to_string();
+    let mut texts = vec![("pause", pause.as_str())];
+    texts.extend(nowhere_else.then_some(("terminal", "1")));
+    thrift::backoff(seq, &texts)
+}
+
+/// Serves until `leave` is done and everything is answered, or `stop` has passed since.
+pub async fn run(
+    hub: Rc<Hub>,
+    listener: TcpListener,
+    stop: Duration,
+    leave: impl std::future::Future<Output = ()>,
+) {
+    spawn_local(front::accept(hub.clone(), listener));
+    let looking = hub.clone();
+    spawn_local(async move {
+        loop {
+            sleep(LOOK).await;
+            let changes = looking.fleet.borrow_mut().look(looking.now());
+            for (at, to) in changes {
+                let address = looking.fleet.borrow().address(at).to_owned();
+                tracing::info!(event = "member", words = "member", address = %address, to = ?to);
+            }
+        }
+    });
+    leave.await;
+    hub.leaving.set(true);
+    hub.deaf.notify_one();
+    hub.conns.borrow().values().for_each(|conn| conn.send(&thrift::shutdown()));
+    let by = Instant::now() + stop;
+    // Everything read is answered; callers close what they were told to leave.
+    while !hub.tickets.borrow().is_empty() && Instant::now() < by {
+        sleep(OWED).await;
+    }
+    let left: Vec<u64> = hub.tickets.borrow().keys().copied().collect();
+    for number in left {
+        hub.over(number, |ticket| Some(thrift::lost(ticket.seq)));
+    }
+    sleep(OWED).await;
+    tracing::info!(event = "counts", words = "counts", what = %hub.line());
+}
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -234,7 +234,10 @@
                 budget.first(share);
                 first += 1;
                 let mut one = ticket(RepeatKind::Rerunnable);
-                while fails {
+                if !fails {
+                    continue;
+                }
+                loop {
                     match next(&one, Came::MayHaveRun, &POLICY, &mut budget, &mut chance) {
                         Next::Again { wait, cut } => {
                             prop_assert!(wait >= POLICY.wait.0 && wait <= POLICY.wait.1);
--- a/crates/route/src/toward.rs
+++ b/crates/route/src/toward.rs
@@ -159,7 +159,7 @@
     fn two_doors_that_know_nothing_of_each_other_settle() {
         let (limits, inside) = settle(2, 40, 60);
         // All cores busy, and no queue of many times their number.
-        assert!(inside >= 40.0 && inside < 400.0, "{inside}: {limits:?}");
+        assert!((40.0..400.0).contains(&inside), "{inside}: {limits:?}");
         let (a, b) = (limits[0].limit(), limits[1].limit());
         assert!(a.max(b) <= 2 * a.min(b), "{a} {b}");
         let (_, later) = settle(2, 40, 62);
