--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -237,17 +237,14 @@
                 if !fails {
                     continue;
                 }
-                loop {
-                    match next(&one, Came::MayHaveRun, &POLICY, &mut budget, &mut chance) {
-                        Next::Again { wait, cut } => {
-                            prop_assert!(wait >= POLICY.wait.0 && wait <= POLICY.wait.1);
-                            prop_assert!(wait + cut <= one.left && cut >= one.usual);
-                            further += 1;
-                            one.tries += 1;
-                            one.left -= wait + cut;
-                        }
-                        Next::Stop(_) => break,
-                    }
+                while let Next::Again { wait, cut } =
+                    next(&one, Came::MayHaveRun, &POLICY, &mut budget, &mut chance)
+                {
+                    prop_assert!(wait >= POLICY.wait.0 && wait <= POLICY.wait.1);
+                    prop_assert!(wait + cut <= one.left && cut >= one.usual);
+                    further += 1;
+                    one.tries += 1;
+                    one.left -= wait + cut;
                 }
                 prop_assert!(further <= START + first * share / ONE);
             }
