--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -96,22 +96,32 @@
     let frame = {
         let tickets = hub.tickets.borrow();
         let Some(ticket) = tickets.get(&call.number) else { return };
-        let mut fields: Vec<(&str, &str)> =
-            ticket.fields.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect();
-        if call.again && !fields.iter().any(|(key, _)| *key == "redo") {
-            fields.push(("redo", "1"));
+        if call.again {
+            marked(seq, &ticket.args)
+        } else {
+            thrift::process_again(seq, &ticket.args)
         }
-        thrift::process(seq, &fields, &ticket.body)
     };
     link.out.borrow_mut().put(&frame);
     link.open.borrow_mut().insert(seq, call);
-    if let Some(stream) = link.stream.get() {
-        // A link that breaks here is noticed by its reader.
-        let _ = flush(&link.out, stream);
-    }
+    // Written by the link's task, so that tries that come together leave together.
     link.wake.notify_one();
 }
 
+/// A call with the mark of a further try.
+fn marked(seq: i32, args: &[u8]) -> Vec<u8> {
+    let text = |bytes| std::str::from_utf8(bytes).ok();
+    // They were read before, and every field was text.
+    let (fields, body) = thrift::process_args(args).unwrap_or_default();
+    let fields = fields.unwrap_or_default();
+    let mut fields: Vec<(&str, &str)> =
+        fields.into_iter().filter_map(|(key, value)| Some((text(key)?, text(value)?))).collect();
+    if !fields.iter().any(|(key, _)| *key == "redo") {
+        fields.push(("redo", "1"));
+    }
+    thrift::process(seq, &fields, body.unwrap_or_default())
+}
+
 /// Tells a member that nobody waits for a try any more.
 pub fn leave(hub: &Hub, address: &str, attempt: u64) {
     let member = hub.backs.members.borrow().get(address).cloned();
--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -141,17 +141,13 @@
     };
     match name {
         b"process" if !message.oneway => {
-            let (fields, body) = thrift::process_args(message.args)?;
+            // What cannot be read ends the connection, as at a node.
+            thrift::process_args(message.args)?;
             if conn.open.borrow().contains_key(&seq) {
                 return Err("seq_repeated");
             }
-            let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).map_err(|_| "frame_unreadable");
-            let fields = fields.unwrap_or_default().into_iter();
-            let fields = fields
-                .map(|(key, value)| Ok((text(key)?, text(value)?)))
-                .collect::<Result<_, thrift::Flaw>>()?;
             conn.used.set(true);
-            if let Err(why) = hub.arrived(conn, seq, fields, body.unwrap_or_default().to_vec()) {
+            if let Err(why) = hub.arrived(conn, seq, message.args) {
                 except(thrift::INTERNAL_ERROR, why);
             }
         }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -20,13 +20,14 @@
 use rainstand_route::fleet::{Back, End, Fleet, Step, Trip};
 use rainstand_route::table::Ticket;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::sleep;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until};
 
 /// Tickets in hand, some KB each: past it a ticket is dismissed at once.
 pub const MOST_TICKETS: usize = 20_000;
@@ -59,15 +60,14 @@
 pub struct InHand {
     conn: Rc<Conn>,
     seq: i32,
-    /// The call's fields and body, to be sent again.
-    pub fields: Vec<(String, String)>,
-    pub body: Vec<u8>,
+    /// The call's arguments as they were read, to be passed on.
+    pub args: Box<[u8]>,
     /// Its trip, while it waits or while nothing is decided; at a member it stands here too.
     trip: Option<Trip>,
     /// The try that is out; a word for another is late.
     pub attempt: u64,
-    /// Ends the try, or the wait before the next.
-    timer: Option<AbortHandle>,
+    /// The member of the try that is out; none while it waits for the next.
+    at: Option<Rc<str>>,
 }
 
 /// What the tasks of one forwarder share.
@@ -81,6 +81,31 @@
     next: Cell<u64>,
     pub leaving: Cell<bool>,
     pub deaf: Notify,
+    /// When to look at which ticket, soonest first; and that one came that is sooner than all.
+    bells: RefCell<BinaryHeap<Reverse<(Instant, u64, u64)>>>,
+    sooner: Notify,
+}
+
+/// Rings the bells as they are due.
+async fn keep_time(hub: Rc<Hub>) {
+    loop {
+        let first = hub.bells.borrow().peek().map(|Reverse((due, ..))| *due);
+        match first {
+            None => hub.sooner.notified().await,
+            Some(due) if due > Instant::now() => {
+                tokio::select! {
+                    () = sleep_until(due.into()) => {}
+                    () = hub.sooner.notified() => {}
+                }
+            }
+            Some(_) => {
+                let rung = hub.bells.borrow_mut().pop();
+                if let Some(Reverse((_, number, attempt))) = rung {
+                    hub.rang(number, attempt);
+                }
+            }
+        }
+    }
 }
 
 impl Hub {
@@ -98,6 +123,8 @@
             next: Cell::new(0),
             leaving: Cell::new(false),
             deaf: Notify::new(),
+            bells: RefCell::default(),
+            sooner: Notify::new(),
         }))
     }
 
@@ -122,36 +149,34 @@
     ///
     /// # Errors
     /// In words for the caller.
-    pub fn arrived(
-        self: &Rc<Self>,
-        conn: &Rc<Conn>,
-        seq: i32,
-        fields: Vec<(String, String)>,
-        body: Vec<u8>,
-    ) -> Result<(), &'static str> {
+    pub fn arrived(self: &Rc<Self>, conn: &Rc<Conn>, seq: i32, args: &[u8]) -> Result<(), &'static str> {
+        let (fields, body) = thrift::process_args(args)?;
+        let (fields, body) = (fields.unwrap_or_default(), body.unwrap_or_default());
         if self.leaving.get() || self.tickets.borrow().len() >= MOST_TICKETS {
             count(&self.counts.full);
             conn.send(&dismissal(seq, COME_BACK, false));
             return Ok(());
         }
         let step = {
-            let field =
-                |key: &str| fields.iter().find(|(name, _)| name == key).map(|(_, value)| value.as_str());
+            let field = |key: &str| {
+                let value = fields.iter().find(|(name, _)| *name == key.as_bytes()).map(|(_, value)| *value);
+                value.map(std::str::from_utf8).transpose().map_err(|_| "a field is no text")
+            };
             let mut fleet = self.fleet.borrow_mut();
             let traffic =
-                field("route").and_then(|name| fleet.table().traffic(name)).ok_or("route: not known")?;
-            let tenant = field("customer").and_then(|name| fleet.table().tenant(name));
+                field("route")?.and_then(|name| fleet.table().traffic(name)).ok_or("route: not known")?;
+            let tenant = field("customer")?.and_then(|name| fleet.table().tenant(name));
             let ticket = Ticket {
                 traffic,
                 tenant,
-                entity: field("entity").unwrap_or(""),
-                again: field("redo") == Some("1"),
+                entity: field("entity")?.unwrap_or(""),
+                again: field("redo")? == Some("1"),
                 size: body.len() as u64,
             };
             fleet.arrived(self.now(), &ticket)
         };
         let number = self.number();
-        let ticket = InHand { conn: conn.clone(), seq, fields, body, trip: None, attempt: 0, timer: None };
+        let ticket = InHand { conn: conn.clone(), seq, args: args.into(), trip: None, attempt: 0, at: None };
         self.tickets.borrow_mut().insert(number, ticket);
         conn.open.borrow_mut().insert(seq, number);
         self.follow(number, step);
@@ -163,38 +188,23 @@
         match step {
             Step::Go(trip, send) => {
                 let attempt = self.number();
-                let address = self.fleet.borrow().address(send.to).to_owned();
-                let frame = {
-                    let mut tickets = self.tickets.borrow_mut();
-                    let Some(ticket) = tickets.get_mut(&number) else { return };
+                let address: Rc<str> = self.fleet.borrow().address(send.to).into();
+                if let Some(ticket) = self.tickets.borrow_mut().get_mut(&number) {
                     ticket.trip = Some(trip);
                     ticket.attempt = attempt;
-                    Call { number, attempt, again: send.again }
-                };
-                back::send(self, &address, frame);
-                let hub = self.clone();
-                self.time(number, async move {
-                    sleep(send.cut).await;
-                    // Told to the member, too: nobody waits for it there any more.
-                    if hub.came(number, attempt, Back::TimedOut) {
-                        back::leave(&hub, &address, attempt);
-                    }
-                });
+                    ticket.at = Some(address.clone());
+                }
+                self.ring_after(send.cut, number, attempt);
+                back::send(self, &address, Call { number, attempt, again: send.again });
             }
             Step::Wait(trip, wait) => {
                 let attempt = self.number();
                 if let Some(ticket) = self.tickets.borrow_mut().get_mut(&number) {
                     ticket.trip = Some(trip);
                     ticket.attempt = attempt;
+                    ticket.at = None;
                 }
-                let hub = self.clone();
-                self.time(number, async move {
-                    sleep(wait).await;
-                    if let Some(trip) = hub.claim(number, attempt) {
-                        let step = hub.fleet.borrow_mut().again(hub.now(), trip);
-                        hub.follow(number, step);
-                    }
-                });
+                self.ring_after(wait, number, attempt);
             }
             Step::Over(end) => self.over(number, |ticket| match end {
                 // The member's own answer went out before.
@@ -205,12 +215,46 @@
         }
     }
 
-    /// Starts a ticket's timer in place of the one before.
-    fn time(&self, number: u64, task: impl std::future::Future<Output = ()> + 'static) {
-        let timer = spawn_local(task).abort_handle();
-        match self.tickets.borrow_mut().get_mut(&number) {
-            Some(ticket) => ticket.timer = Some(timer),
-            None => timer.abort(),
+    /// Has [`keep_time`] look at a ticket after a while, if it is still at this try then.
+    fn ring_after(&self, after: Duration, number: u64, attempt: u64) {
+        let due = Instant::now() + after;
+        let mut bells = self.bells.borrow_mut();
+        let sooner = bells.peek().is_none_or(|Reverse((first, ..))| due < *first);
+        // Those of tickets that are over are left in until they are due, or outnumber the others.
+        if bells.len() > 1_024 + 4 * self.tickets.borrow().len() {
+            let tickets = self.tickets.borrow();
+            bells.retain(|Reverse((_, number, attempt))| {
+                tickets.get(number).is_some_and(|ticket| ticket.attempt == *attempt)
+            });
+        }
+        bells.push(Reverse((due, number, attempt)));
+        if sooner {
+            self.sooner.notify_one();
+        }
+    }
+
+    /// A bell rang: the try took too long, or the wait is over.
+    fn rang(self: &Rc<Self>, number: u64, attempt: u64) {
+        let at = self
+            .tickets
+            .borrow()
+            .get(&number)
+            .filter(|ticket| ticket.attempt == attempt)
+            .map(|t| t.at.clone());
+        match at {
+            None => {}
+            Some(Some(address)) => {
+                if self.came(number, attempt, Back::TimedOut) {
+                    // Nobody waits for it there any more.
+                    back::leave(self, &address, attempt);
+                }
+            }
+            Some(None) => {
+                if let Some(trip) = self.claim(number, attempt) {
+                    let step = self.fleet.borrow_mut().again(self.now(), trip);
+                    self.follow(number, step);
+                }
+            }
         }
     }
 
@@ -218,8 +262,6 @@
     fn claim(&self, number: u64, attempt: u64) -> Option<Trip> {
         let mut tickets = self.tickets.borrow_mut();
         let ticket = tickets.get_mut(&number).filter(|ticket| ticket.attempt == attempt)?;
-        // A timer that claims for itself has no await left to be ended at.
-        ticket.timer.take().iter().for_each(AbortHandle::abort);
         ticket.trip.take()
     }
 
@@ -312,6 +354,7 @@
     leave: impl std::future::Future<Output = ()>,
 ) {
     spawn_local(front::accept(hub.clone(), listener));
+    spawn_local(keep_time(hub.clone()));
     let looking = hub.clone();
     spawn_local(async move {
         loop {
--- a/crates/protocol/src/thrift.rs
+++ b/crates/protocol/src/thrift.rs
@@ -419,6 +419,20 @@
     frame.end(1)
 }
 
+/// A call of `process` whose arguments are passed on as they were read ([`Message::args`]).
+///
+/// ```
+/// use rainstand_protocol::thrift::{message, process, process_again};
+/// let first = process(7, &[("route", "check")], b"body");
+/// let args = message(&first[4..]).unwrap().args;
+/// assert_eq!(process_again(9, args), process(9, &[("route", "check")], b"body"));
+/// ```
+pub fn process_again(seq: i32, args: &[u8]) -> Vec<u8> {
+    let mut frame = Frame::new(CALL, b"process", seq);
+    frame.0.extend_from_slice(args);
+    frame.end(0)
+}
+
 /// The oneway `giveUp` for an earlier call.
 pub fn give_up(of: i32) -> Vec<u8> {
     let mut frame = Frame::new(ONEWAY, b"giveUp", 0);
