--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -241,20 +241,15 @@
             .get(&number)
             .filter(|ticket| ticket.attempt == attempt)
             .map(|t| t.at.clone());
-        match at {
-            None => {}
-            Some(Some(address)) => {
-                if self.came(number, attempt, Back::TimedOut) {
-                    // Nobody waits for it there any more.
-                    back::leave(self, &address, attempt);
-                }
-            }
-            Some(None) => {
-                if let Some(trip) = self.claim(number, attempt) {
-                    let step = self.fleet.borrow_mut().again(self.now(), trip);
-                    self.follow(number, step);
-                }
+        let Some(at) = at else { return };
+        if let Some(address) = at {
+            if self.came(number, attempt, Back::TimedOut) {
+                // Nobody waits for it there any more.
+                back::leave(self, &address, attempt);
             }
+        } else if let Some(trip) = self.claim(number, attempt) {
+            let step = self.fleet.borrow_mut().again(self.now(), trip);
+            self.follow(number, step);
         }
     }
 
