A caller that leaves during a wait frees nothing twice; members left out are always told

Found by reading: a ticket between two tries counted its last member's place free a second time, and a member left out by an answer had no line, since only looks told of changes. Both by test.

--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -25,6 +25,8 @@
 const COME_BACK: Duration = Duration::from_millis(500);
 /// A try is assumed to take so long while nobody knows.
 const USUAL: Duration = Duration::from_millis(20);
+/// Changes of standing between two looks that are told.
+const MOST_CHANGES: usize = 1_000;
 /// Pairs of member and tenant whose told times are kept, 16 bytes each; more members and tenants than that
 /// share them.
 const MOST_PAUSES: usize = 1 << 20;
@@ -93,7 +95,10 @@
     arrived: Duration,
     goal: Duration,
     may_have_run: bool,
+    /// The member of the last try, and when it was sent.
     at: Option<(At, String, Duration)>,
+    /// That try has not come back yet.
+    out: bool,
 }
 
 #[derive(Debug)]
@@ -132,6 +137,8 @@
     budget: Budget,
     chance: WyRand,
     counts: Counts,
+    /// Changes of standing since the last look.
+    changes: Vec<(At, Standing)>,
 }
 
 fn pools(configuration: &Configuration, zone: &str, now: Duration) -> Vec<Pool> {
@@ -175,6 +182,7 @@
             budget: Budget::default(),
             chance: WyRand::new_seed(seed ^ 0x666c_6565),
             counts: Counts::default(),
+            changes: Vec::new(),
         })
     }
 
@@ -201,6 +209,8 @@
         let number = self.router.take(configuration, now)?;
         let old = std::mem::replace(&mut self.pools, pools(configuration, &self.zone, now));
         self.pauses.clear();
+        // They speak of places of the version before.
+        self.changes.clear();
         for (name, before) in names.iter().zip(old) {
             let Some(at) = self.table().pool(name) else { continue };
             let pool = &mut self.pools[usize::from(at)];
@@ -233,7 +243,7 @@
     /// Time passes; members that are left out or taken back, each worth a line.
     pub fn look(&mut self, now: Duration) -> Vec<(At, Standing)> {
         self.pauses.retain(|_, until| *until > now);
-        let mut all = Vec::new();
+        let mut all = std::mem::take(&mut self.changes);
         for (pool, one) in self.pools.iter_mut().enumerate() {
             let changes = one.health.as_mut().map_or(Vec::new(), |health| health.look(now));
             all.extend(
@@ -273,6 +283,7 @@
             arrived: now,
             may_have_run: false,
             at: None,
+            out: false,
         };
         self.counts.first_tries += 1;
         self.go(now, trip)
@@ -317,6 +328,7 @@
         }
         let to = At { pool, member: member as u16 };
         trip.at = Some((to, of_pool.addresses[member].clone(), now));
+        trip.out = true;
         trip.tries += 1;
         let again = trip.again || trip.tries > 1;
         Step::Go(trip, Send { to, cut, again, how })
@@ -324,7 +336,7 @@
 
     /// What came of a trip's try.
     pub fn came(&mut self, now: Duration, mut trip: Trip, back: Back) -> Step {
-        let usual = self.settle(now, &trip, back);
+        let usual = self.settle(now, &mut trip, back);
         let came = match back {
             Back::Honoured => return self.finish(trip, End::Honoured),
             Back::CallerLeft => return self.finish(trip, End::Nobody),
@@ -342,7 +354,11 @@
     }
 
     /// What a try's end tells of its member; the pool's usual time.
-    fn settle(&mut self, now: Duration, trip: &Trip, back: Back) -> Duration {
+    fn settle(&mut self, now: Duration, trip: &mut Trip, back: Back) -> Duration {
+        // A caller may leave while its ticket waits for a further try: no member has it then.
+        if !std::mem::replace(&mut trip.out, false) {
+            return USUAL;
+        }
         let Some((at, address, sent)) = &trip.at else { return USUAL };
         // The member may have another place since, or none.
         let Some(pool) = self.pools.get_mut(usize::from(at.pool)) else { return USUAL };
@@ -369,7 +385,11 @@
         }
         if let Some(health) = &mut pool.health {
             match (good, back) {
-                (Some(good), _) => drop(health.answered(member, now, took, good)),
+                (Some(good), _) => {
+                    let change = health.answered(member, now, took, good);
+                    let told = change.map(|change| (At { pool: at.pool, member: member as u16 }, change.to));
+                    self.changes.extend(told.filter(|_| self.changes.len() < MOST_CHANGES));
+                }
                 // It spoke, and that it has enough to do is no failure.
                 (None, Back::Dismissed { .. }) => health.heard(member, now),
                 (None, _) => health.dropped(member),
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -5,6 +5,7 @@
 use rainstand_config::{load, source::Memory};
 use rainstand_route::attempts::START;
 use rainstand_route::fleet::{Back, End, Fleet, Step, Trip};
+use rainstand_route::health::{Reason, Standing};
 use rainstand_route::table::Ticket;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
@@ -206,6 +207,44 @@
     assert!(played.runs.values().any(|runs| *runs > 1), "rerunnable ones do run again");
 }
 
+#[test]
+fn a_caller_that_leaves_during_a_wait_frees_nothing_twice() {
+    let mut fleet = fleet(1, "none");
+    let now = Duration::from_millis;
+    let ticket = Ticket { tenant: Some(0), ..Ticket::default() };
+    let open = |fleet: &Fleet| fleet.members(0).map(|(_, open, ..)| open).sum::<u32>();
+    let Step::Go(other, _) = fleet.arrived(now(0), &ticket) else { panic!("it goes") };
+    let Step::Go(trip, _) = fleet.arrived(now(0), &ticket) else { panic!("it goes") };
+    let Step::Wait(trip, _) = fleet.came(now(5), trip, Back::Failed) else { panic!("it waits") };
+    assert_eq!(open(&fleet), 1);
+    assert!(matches!(fleet.came(now(6), trip, Back::CallerLeft), Step::Over(End::Nobody)));
+    assert_eq!(open(&fleet), 1, "the other one is still there");
+    assert!(matches!(fleet.came(now(9), other, Back::Honoured), Step::Over(End::Honoured)));
+    assert_eq!(open(&fleet), 0);
+}
+
+#[test]
+fn a_member_that_is_left_out_is_told_once() {
+    let mut fleet = fleet(3, "not-run");
+    let mut told = Vec::new();
+    for t in 0..200u64 {
+        let now = Duration::from_millis(t * 10);
+        let ticket = Ticket { tenant: Some(0), ..Ticket::default() };
+        if let Step::Go(trip, send) = fleet.arrived(now, &ticket) {
+            let back = if send.to.member == 1 { Back::Failed } else { Back::Honoured };
+            let _ = fleet.came(now + Duration::from_millis(4), trip, back);
+        }
+        told.extend(
+            fleet
+                .look(now)
+                .into_iter()
+                .map(|(at, to)| (at.member, matches!(to, Standing::Out(Reason::FailuresInARow, _)))),
+        );
+    }
+    assert_eq!(told[0], (1, true));
+    assert!(told.iter().filter(|(member, out)| *member == 1 && *out).count() <= 2, "{told:?}");
+}
+
 #[test]
 fn a_told_pause_is_kept_and_passed_on() {
     let played = play(fleet(2, "not-run"), 100, 4, |member, t, _| match (member, t) {
