Test: a full disk and one that hangs cost a node no ticket and no drain

The hard case was shown at the recorder only. Now a node serves twenty tickets, drains and ends with a disk that takes nothing, and with one whose writes never return.

--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -3,7 +3,7 @@
 
 use crate::Hub;
 use rainstand_config::schema::Recording;
-use rainstand_record::disk::Folder;
+use rainstand_record::disk::{Disk, Folder};
 use rainstand_record::{Limits, Recorder, Tape};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -31,9 +31,22 @@
     let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
     let disk = Folder { folder: PathBuf::from(&recording.folder), name: hub.config.name.clone(), start };
     let limits = Limits { file_bytes: recording.file_bytes, files: recording.files };
+    start_on(hub, disk, limits, recording.links)
+}
+
+/// As [`start`], on any disk.
+///
+/// # Errors
+/// No thread could be started for it.
+pub fn start_on(
+    hub: &Hub,
+    disk: impl Disk + Send + 'static,
+    limits: Limits,
+    links: bool,
+) -> Result<(), String> {
     let program = concat!("rainstand-node ", env!("CARGO_PKG_VERSION"));
     let recorder = Recorder::start(disk, limits, program).map_err(|e| format!("recording: {e}"))?;
-    let record = Rc::new(Record { recorder, links: recording.links });
+    let record = Rc::new(Record { recorder, links });
     let _ = hub.core.borrow().desk.pool.record.set(record.clone());
     let _ = hub.record.set(record);
     Ok(())
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -8,11 +8,15 @@
 use rainstand_node::log::Form;
 use rainstand_node::settings::Settings;
 use rainstand_node::{config::Config, record, run, Hub};
+use rainstand_record::disk::Disk;
+use rainstand_record::Limits;
 use serde_json::{json, Value};
 use stand_ins::{Agent, Caller, Http, Said};
-use std::io::BufRead;
+use std::io::{BufRead, Write};
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -23,8 +27,16 @@
     format!("version: 1 recordings {{ name: \"node\" folder: \"{folder}\" file_bytes: 16000 files: 100 links: true }}")
 }
 
-/// A node that records into `folder`, twenty tickets on two connections, and what the callers saw.
+/// A node that records into `folder`.
 fn play(folder: &Path) -> Vec<(usize, Said)> {
+    play_with(|hub| {
+        let settings = Settings::read(&settings(folder)).unwrap();
+        record::start(hub, &settings.recording.unwrap()).unwrap();
+    })
+}
+
+/// A node that records as told, twenty tickets on two connections, and what the callers saw.
+fn play_with(start: impl FnOnce(&Hub)) -> Vec<(usize, Said)> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let mut seen = Vec::new();
     let all = async {
@@ -36,8 +48,7 @@
             config[key] = json!(of.local_addr().unwrap().to_string());
         }
         let hub = Hub::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
-        let settings = Settings::read(&settings(folder)).unwrap();
-        record::start(&hub, &settings.recording.unwrap()).unwrap();
+        start(&hub);
         let (addr, leave) = (node.local_addr().unwrap(), Rc::new(Notify::new()));
         let left = leave.clone();
         let ended = spawn_local(run(hub.clone(), node, async move { left.notified().await }));
@@ -145,6 +156,49 @@
     assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 0);
 }
 
+/// A disk that takes nothing, or that never comes back from a write until it is let go.
+struct Bad {
+    hangs: Option<Arc<AtomicBool>>,
+}
+
+struct BadFile(Option<Arc<AtomicBool>>);
+
+impl Write for BadFile {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let Some(hangs) = &self.0 else { return Err(std::io::ErrorKind::StorageFull.into()) };
+        while hangs.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Disk for Bad {
+    fn create(&mut self, _: u64) -> std::io::Result<Box<dyn Write>> {
+        Ok(Box::new(BadFile(self.hangs.clone())))
+    }
+
+    fn remove(&mut self, _: u64) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_full_disk_and_one_that_hangs_cost_no_ticket() {
+    let limits = Limits { file_bytes: 1 << 30, files: 2 };
+    let hangs = Arc::new(AtomicBool::new(true));
+    for bad in [Bad { hangs: None }, Bad { hangs: Some(hangs.clone()) }] {
+        // With the second one the node answers, drains and ends though no write ever returns.
+        let seen = play_with(|hub| record::start_on(hub, bad, limits, true).unwrap());
+        assert_eq!(seen.iter().filter(|(_, said)| said.1 == "honoured").count(), 12);
+    }
+    hangs.store(false, Ordering::Relaxed);
+}
+
 #[test]
 fn settings_that_cannot_be_are_refused_in_one_line() {
     let table = [
