--- a/crates/config/tests/any_input.rs
+++ b/crates/config/tests/any_input.rs
@@ -147,8 +147,10 @@
     let made = outcome.configuration.unwrap();
     assert_eq!((made.types.len(), made.tenants.len(), made.pools.len(), made.routes.len()), (2, 4, 4, 6));
     assert_eq!(from_text(&to_text(&made)), Ok(made));
-    let recording = load(&Disk, "../../deploy/record.rain");
-    assert!(recording.findings.is_empty(), "{:?}", recording.findings);
-    let text = std::fs::read_to_string("../../deploy/record.rain").unwrap();
-    assert_eq!(form(&text), Ok(text));
+    for path in ["../../deploy/record.rain", "../../examples/forwarder/main.rain"] {
+        let outcome = load(&Disk, path);
+        assert!(outcome.findings.is_empty(), "{:?}", outcome.findings);
+        let text = std::fs::read_to_string(path).unwrap();
+        assert_eq!(form(&text), Ok(text));
+    }
 }
