Bounds found missing by reading: open calls of captures, unread links and drains of forwarders

Calls, early answers and begun frames of a capture were bounded by connection only, so 20,000 of them could hold gigabytes: 24 MiB over all now, by test. A member that reads nothing made a link's buffer grow: broken past 512 KiB. Members of old versions are forgotten. A forwarder's drain ended before slow answers were written and cut off calls that crossed it; it waits for both, within a bound.

--- a/crates/capture/src/frames.rs
+++ b/crates/capture/src/frames.rs
@@ -17,6 +17,8 @@
     Hole,
     /// A frame says that it is longer than any.
     TooLong,
+    /// Memory was needed.
+    Memory,
     /// The first frame is no message: another protocol.
     NotThrift,
 }
@@ -128,6 +130,11 @@
         self.part = Vec::new();
     }
 
+    /// Bytes of a begun frame that are kept.
+    pub fn held(&self) -> usize {
+        self.part.len()
+    }
+
     pub fn let_go(&mut self, why: Lost) {
         self.lost.get_or_insert(why);
         self.part = Vec::new();
--- a/crates/capture/src/tickets.rs
+++ b/crates/capture/src/tickets.rs
@@ -13,6 +13,10 @@
 /// protocol allows 32.
 pub const MOST_OPEN: usize = 256;
 
+/// Bytes of open calls, of answers before their calls and of begun frames, over all connections; past it they
+/// are let go, counted.
+pub const MOST_HELD: usize = 24 << 20;
+
 /// One call of `process`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Call {
@@ -150,6 +154,8 @@
     pub lost_too_long: u64,
     pub lost_not_thrift: u64,
     pub unread_bytes: u64,
+    /// Calls told as unanswered, answers dropped and directions let go, for memory.
+    pub let_go: u64,
 }
 
 /// A connection's frames and open calls.
@@ -180,11 +186,13 @@
 pub struct Pairing<F> {
     take: F,
     counts: Counts,
+    /// Sum of what [`MOST_HELD`] bounds.
+    held: usize,
 }
 
 impl<F: FnMut(Event<'_>)> Pairing<F> {
     pub fn new(take: F) -> Self {
-        Self { take, counts: Counts::default() }
+        Self { take, counts: Counts::default(), held: 0 }
     }
 
     pub fn end(self) -> Counts {
@@ -240,10 +248,12 @@
                 if let Some(twin) = state.open.iter().position(|open| open.call.seq == call.seq) {
                     self.counts.repeated_numbers += 1;
                     let twin = state.open.remove(twin);
+                    self.held = self.held.saturating_sub(weight(&twin.call.fields));
                     self.ticket(twin, Outcome::None, None);
                 }
                 if state.open.len() >= MOST_OPEN {
                     let oldest = state.open.remove(0);
+                    self.held = self.held.saturating_sub(weight(&oldest.call.fields));
                     self.ticket(oldest, Outcome::None, None);
                 }
                 state.answered.retain(|seq| *seq != call.seq);
@@ -251,7 +261,12 @@
                     let (seq, outcome, at) = state.ahead.remove(ahead);
                     state.remember(seq);
                     self.ticket(Open { call, left: None }, outcome, Some(at));
+                    self.held = self.held.saturating_sub(AHEAD);
+                } else if self.held + weight(&call.fields) > MOST_HELD {
+                    self.counts.let_go += 1;
+                    self.ticket(Open { call, left: None }, Outcome::None, None);
                 } else {
+                    self.held += weight(&call.fields);
                     state.open.push(Open { call, left: None });
                 }
             }
@@ -289,13 +304,18 @@
         };
         if let Some(open) = state.open.iter().position(|open| open.call.seq == told.seq) {
             let open = state.open.remove(open);
+            self.held = self.held.saturating_sub(weight(&open.call.fields));
             state.remember(told.seq);
             self.ticket(open, outcome, Some(at));
         } else if state.answered.contains(&told.seq) || state.ahead.iter().any(|(seq, ..)| *seq == told.seq) {
             self.counts.answered_twice += 1;
         } else if state.cut.contains(&told.seq) || state.ahead.len() >= REMEMBERED {
             self.counts.answers_alone += 1;
+        } else if self.held + AHEAD > MOST_HELD {
+            self.counts.let_go += 1;
+            self.counts.answers_alone += 1;
         } else {
+            self.held += AHEAD;
             // Its call may come yet: captures are out of order by a little.
             state.ahead.push((told.seq, outcome, at));
         }
@@ -322,7 +342,7 @@
         match lost {
             None => {}
             Some(Lost::Midway) => self.counts.lost_midway += 1,
-            Some(Lost::Hole) => self.counts.lost_hole += 1,
+            Some(Lost::Hole | Lost::Memory) => self.counts.lost_hole += 1,
             Some(Lost::TooLong) => self.counts.lost_too_long += 1,
             Some(Lost::NotThrift) => self.counts.lost_not_thrift += 1,
         }
@@ -340,6 +360,14 @@
     ahead: &'s mut Vec<(i32, Outcome, u64)>,
 }
 
+/// What an answer that waits for its call is counted as: a frame's most.
+const AHEAD: usize = 8 << 10;
+
+/// Bytes that an open call keeps, nearly.
+fn weight(fields: &[(String, String)]) -> usize {
+    256 + fields.iter().map(|(key, value)| 48 + key.len() + value.len()).sum::<usize>()
+}
+
 impl Talk<'_> {
     fn remember(&mut self, seq: i32) {
         if self.answered.len() >= REMEMBERED {
@@ -375,6 +403,7 @@
     fn bytes(&mut self, state: &mut Paired, side: usize, bytes: &[u8], at: u64) {
         let Paired { number, halves, spoke, open, cut, answered, ahead, .. } = state;
         let spoke = &mut spoke[side];
+        let before = halves[side].held();
         halves[side].bytes(bytes, at, |told| {
             let mut state = Talk { number: *number, side, spoke, open, cut, answered, ahead };
             match told {
@@ -385,16 +414,24 @@
                 }
             }
         });
+        self.held = (self.held + halves[side].held()).saturating_sub(before);
+        if self.held > MOST_HELD && halves[side].held() > 0 {
+            self.counts.let_go += 1;
+            self.held -= halves[side].held().min(self.held);
+            halves[side].let_go(Lost::Memory);
+        }
     }
 
     fn hole(&mut self, state: &mut Paired, side: usize, length: u64, _at: u64) {
         let Paired { halves, cut, holes, .. } = state;
         *holes = true;
+        let before = halves[side].held();
         halves[side].hole(length, |told| {
             if let Told::Cut(frame) = told {
                 self.cut(cut, frame);
             }
         });
+        self.held = (self.held + halves[side].held()).saturating_sub(before);
     }
 
     fn midway(&mut self, state: &mut Paired, side: usize, _at: u64) {
@@ -404,6 +441,7 @@
     fn closed(&mut self, state: Paired, how: Closed, at: u64) {
         let Paired { number, mut halves, spoke, open, mut cut, ahead, holes, .. } = state;
         self.counts.answers_alone += ahead.len() as u64;
+        let ahead_held = ahead.len() * AHEAD + halves.iter().map(Frames::held).sum::<usize>();
         for half in &mut halves {
             half.end(|told| {
                 if let Told::Cut(frame) = told {
@@ -417,7 +455,9 @@
         let answers_read = halves.iter().all(|half| half.lost.is_none())
             && (spoke[0] && spoke[1] || how != Closed::CaptureEnded);
         let known = answers_read && !holes && matches!(how, Closed::Finished | Closed::Reset);
+        self.held = self.held.saturating_sub(ahead_held);
         for open in open {
+            self.held = self.held.saturating_sub(weight(&open.call.fields));
             let outcome = if known || open.left.is_some() { Outcome::Gone } else { Outcome::None };
             self.ticket(open, outcome, None);
         }
--- a/crates/capture/tests/scrambled.rs
+++ b/crates/capture/tests/scrambled.rs
@@ -143,6 +143,29 @@
     assert_eq!((summary.tickets.calls, summary.streams.connections), (6_000, 500));
 }
 
+#[test]
+fn calls_that_wait_are_bounded_in_bytes_over_all_connections() {
+    // 5,000 connections, each with one call of 7 KB of fields that nobody answers: 35 MB of them.
+    let long = "x".repeat(7_000);
+    let end = |n: u32, port: u16| {
+        rainstand_capture::packet::End::new([10, 0, (n >> 8) as u8, n as u8].into(), port)
+    };
+    let mut file = rainstand_capture::write::head("test");
+    for n in 0..5_000 {
+        let mut talk = rainstand_capture::write::Conversation::new(end(n, 40_000), end(65_000, 5050), [1, 2]);
+        let mut packets: Vec<_> = talk.open().into_iter().collect();
+        packets.extend(talk.data(0, &rainstand_protocol::thrift::process(1, &[("route", &long)], b"")));
+        packets.iter().for_each(|packet| {
+            rainstand_capture::write::packet(&mut file, u64::from(n), packet, packet.len())
+        });
+    }
+    let (tickets, summary) = found(&file);
+    assert_eq!((tickets.len(), summary.tickets.none), (5_000, 5_000));
+    // What fits waits, the rest is let go and counted.
+    let fit = rainstand_capture::tickets::MOST_HELD / 7_000;
+    assert!((5_000 - fit as u64).abs_diff(summary.tickets.let_go) < 300, "{fit} {summary:?}");
+}
+
 #[test]
 fn mutated_files_are_borne() {
     let trouble =
--- a/crates/cli/src/pcap.rs
+++ b/crates/cli/src/pcap.rs
@@ -166,7 +166,7 @@
         "cut": {
             "calls": tickets.cut_calls, "answers": tickets.cut_answers, "others": tickets.cut_others,
         },
-        "answers_alone": tickets.answers_alone, "answered_twice": tickets.answered_twice,
+        "let_go": tickets.let_go, "answers_alone": tickets.answers_alone, "answered_twice": tickets.answered_twice,
         "repeated_numbers": tickets.repeated_numbers, "left": tickets.left, "probes": tickets.probes,
         "shutdowns": tickets.shutdowns, "unreadable_frames": tickets.unreadable,
         "not_read": {
--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -18,6 +18,8 @@
 
 /// Tickets that the protocol allows open on a connection.
 const TOGETHER: usize = 32;
+/// Bytes that wait for a member to read them: past it the link is broken, however open it looks.
+const UNREAD: usize = 512 << 10;
 /// Connections to one member.
 pub const MOST_LINKS: usize = 64;
 /// Unused for this long a link is closed: sooner than nodes close theirs.
@@ -50,6 +52,13 @@
     wake: Notify,
 }
 
+impl Backs {
+    /// Forgets members without a link: those of versions that are gone.
+    pub fn tidy(&self) {
+        self.members.borrow_mut().retain(|_, member| !member.links.borrow().is_empty());
+    }
+}
+
 /// Sends a try to a member; what came of it is told to the hub, also if it could not be sent.
 pub fn send(hub: &Rc<Hub>, address: &str, call: Call) {
     let member = hub.backs.members.borrow_mut().entry(address.to_owned()).or_default().clone();
@@ -184,6 +193,9 @@
         if flush(&link.out, stream).is_err() {
             return false;
         }
+        if link.out.borrow().len() > UNREAD {
+            return false;
+        }
         let idle = link.open.borrow().is_empty();
         if link.retired.get() && idle {
             return true;
--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -32,6 +32,11 @@
 }
 
 impl Conn {
+    /// Whether all that was answered is written.
+    pub fn settled(&self) -> bool {
+        self.out.borrow().is_empty()
+    }
+
     pub fn send(&self, frame: &[u8]) {
         self.out.borrow_mut().put(frame);
         self.stir.notify_one();
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -35,6 +35,10 @@
 const COME_BACK: Duration = Duration::from_millis(200);
 /// Between looks at the members' health.
 const LOOK: Duration = Duration::from_millis(100);
+/// After the last answer of a drain, for calls that crossed the notice: the protocol speaks of 50 ms.
+const CROSSING: Duration = Duration::from_millis(200);
+/// For answers given up at the very end to be written.
+const LAST_WORDS: Duration = Duration::from_millis(300);
 /// The drain's looks at what is still owed.
 const OWED: Duration = Duration::from_millis(5);
 
@@ -142,7 +146,9 @@
     /// # Errors
     /// Why it is refused; nothing has changed.
     pub fn take(&self, configuration: &Configuration) -> Result<u64, String> {
-        self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())
+        let version = self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())?;
+        self.backs.tidy();
+        Ok(version)
     }
 
     /// A ticket was read. What is wrong with it is told for an exception.
@@ -295,7 +301,7 @@
         }
     }
 
-    /// Whether probes are told that all is well: somebody could take a ticket.
+    /// Whether probes are told that all is well: until the forwarder leaves.
     pub fn good(&self) -> bool {
         !self.leaving.get()
     }
@@ -374,6 +380,14 @@
     for number in left {
         hub.over(number, |ticket| Some(thrift::lost(ticket.seq)));
     }
-    sleep(OWED).await;
+    // An answer that is not written is none; and what crossed the notice still gets its own.
+    let crossed = Instant::now() + CROSSING;
+    let settled = |hub: &Hub| hub.conns.borrow().values().all(|conn| conn.settled());
+    while (!settled(&hub) || Instant::now() < crossed) && !hub.conns.borrow().is_empty() {
+        if Instant::now() >= by + LAST_WORDS {
+            break;
+        }
+        sleep(OWED).await;
+    }
     tracing::info!(event = "counts", words = "counts", what = %hub.line());
 }
