--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -282,7 +282,6 @@
 async fn serve(hub: &Rc<Hub>, member: &Member, link: &Link, address: &str) -> bool {
     let Some(stream) = link.stream.get() else { return false };
     let mut back = Ring::default();
-    let mut chunk = [0; 16 * 1024];
     loop {
         if link.flush(stream).is_err() {
             return false;
@@ -303,9 +302,9 @@
                     }
                     continue;
                 };
-                match ready.and_then(|()| stream.try_read(&mut chunk)) {
+                match ready.and_then(|()| hub.read(stream, &mut back)) {
                     Ok(0) => return link.open.borrow().is_empty(),
-                    Ok(n) => back.put(&chunk[..n]),
+                    Ok(_) => {}
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                     Err(_) => return false,
                 }
--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -84,7 +84,6 @@
 /// Serves a connection to its end; the reason code.
 async fn talk(hub: &Rc<Hub>, conn: &Rc<Conn>, stream: &TcpStream) -> &'static str {
     let mut back = Ring::default();
-    let mut chunk = [0; 8 * 1024];
     loop {
         if flush(&conn.out, stream).is_err() {
             return "reset";
@@ -99,9 +98,9 @@
                     }
                     continue;
                 };
-                match ready.and_then(|()| stream.try_read(&mut chunk)) {
+                match ready.and_then(|()| hub.read(stream, &mut back)) {
                     Ok(0) => return if back.is_empty() { "eof" } else { "eof_in_frame" },
-                    Ok(n) => back.put(&chunk[..n]),
+                    Ok(_) => {}
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                     Err(_) => return "reset",
                 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -21,6 +21,7 @@
 use foldhash::{HashMap, HashMapExt};
 use front::Conn;
 use rainstand_config::schema::Configuration;
+use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
 use rainstand_route::fleet::{At, Back, End, Fleet, Step, Trip};
 use rainstand_route::health::Standing;
@@ -30,15 +31,18 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until};
 
 /// Tickets in hand, some KB each: past it a ticket is dismissed at once.
 pub const MOST_TICKETS: usize = 20_000;
+/// Read from a socket at once, bytes: two frames of the longest.
+const CHUNK: usize = 16 << 10;
 /// Told to a ticket that comes while so many are in hand, or while the forwarder leaves.
 const COME_BACK: Duration = Duration::from_millis(200);
 /// Between looks at the members' health.
@@ -99,6 +103,8 @@
     bells: RefCell<BinaryHeap<Reverse<(Instant, u64, u64)>>>,
     sooner: Notify,
     pub metrics: Metrics,
+    /// What a socket gave, on its way to a connection's ring: one for all, or ten thousand idle ones keep 8 KB each.
+    chunk: RefCell<Box<[u8]>>,
 }
 
 /// Rings the bells as they are due.
@@ -134,6 +140,7 @@
             fleet: RefCell::new(fleet),
             tickets: RefCell::new(HashMap::new()),
             metrics,
+            chunk: RefCell::new(vec![0; CHUNK].into()),
             backs: Backs::new(seed),
             counts: Counts::default(),
             conns: RefCell::new(HashMap::new()),
@@ -344,6 +351,14 @@
         !self.leaving.get()
     }
 
+    /// What a socket has now, into a ring; how much it was.
+    fn read(&self, stream: &TcpStream, into: &mut Ring) -> io::Result<usize> {
+        let mut chunk = self.chunk.borrow_mut();
+        let n = stream.try_read(&mut chunk)?;
+        into.put(&chunk[..n]);
+        Ok(n)
+    }
+
     /// One line of all counters.
     pub fn line(&self) -> String {
         let (c, fleet) = (&self.counts, self.fleet.borrow().counts());
