--- /dev/null
+++ b/crates/model/src/node.rs
@@ -0,0 +1,456 @@
+//! A node on its machine. It is handed tries by small numbers and says what becomes of them; when its next event is
+//! due is for the world to ask.
+//!
+//! Invariant: each try that was taken is in exactly one place (held, running, failing) until it is told of, given up by
+//! its caller, or gone with the machine.
+
+use crate::machine::Machine;
+use crate::plan::{NodeKind, NodePlan, TypePlan};
+use foldhash::{HashMap, HashMapExt};
+use rainstand::{
+    Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node as Decides, Outcome, Repeats, Say, Voice,
+};
+use rainstand_rules::Kind;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Told by a plain node whose hold is full: about what it takes to run what it holds.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Memory of a node of the project's kind, and what it books for a ticket: enough for its hold.
+const MEMORY_KB: f64 = 64_000.0;
+const ENTRY_KB: f64 = 2.0;
+
+/// A try as a node sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Task {
+    /// The world's number for it.
+    pub number: u32,
+    pub traffic: u16,
+    /// None for one that the configuration does not know.
+    pub tenant: Option<u16>,
+    /// Core time, ns.
+    pub work: u64,
+    pub again: bool,
+    pub came: u64,
+    pub exclusive: bool,
+}
+
+/// What becomes of a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// Its run begins now.
+    Runs(u32),
+    Done(u32),
+    /// It ran and failed, or was given up.
+    Failed(u32),
+    Dismissed(u32, Duration, bool),
+}
+
+enum Mind {
+    Plain { at_once: usize, hold: usize },
+    Ours(Box<Ours>),
+}
+
+/// The project's decisions and the books that carry out its orders.
+struct Ours {
+    node: Decides,
+    desk: Desk,
+}
+
+#[derive(Default)]
+struct Desk {
+    /// The try at each of the module's indices.
+    tries: Vec<Option<u32>>,
+    free: Vec<usize>,
+    index: HashMap<u32, usize>,
+    orders: Vec<Order>,
+    wake: Option<u64>,
+    now: u64,
+}
+
+enum Order {
+    Run(u32),
+    TakeOff(u32),
+    Dismiss(u32, Duration, bool),
+    GiveUp(u32),
+    /// The module has no more to say of it.
+    Over(u32),
+}
+
+impl Desk {
+    fn order(&mut self, ix: usize, order: impl FnOnce(u32) -> Order) {
+        if let Some(number) = self.tries.get(ix).copied().flatten() {
+            self.orders.push(order(number));
+        }
+    }
+}
+
+impl Host for Desk {
+    fn run(&mut self, ix: usize) {
+        self.order(ix, Order::Run);
+    }
+    fn take_off(&mut self, ix: usize) {
+        self.order(ix, Order::TakeOff);
+    }
+    // Tickets here carry no name of what they are about, so none is a repeat of another.
+    fn reuse(&mut self, _: usize) {}
+    fn keep(&mut self, _: usize, _: Duration) {}
+    fn forget(&mut self, _: usize) {}
+    fn dismiss(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
+        self.order(ix, |number| Order::Dismiss(number, come_back, nowhere_else));
+    }
+    fn give_up(&mut self, ix: usize) {
+        self.order(ix, Order::GiveUp);
+    }
+    // No tier below is modelled here, and callers hear no value beside answers.
+    fn call(&mut self, _: usize, _: Duration) {}
+    fn answer_poorer(&mut self, _: usize) {}
+    fn say(&mut self, _: f64) {}
+    fn checks(&mut self, _: bool) {}
+    fn close_idle_after(&mut self, _: Duration) {}
+    fn wake(&mut self, span: Duration) {
+        let at = self.now + span.as_nanos() as u64;
+        self.wake = Some(self.wake.map_or(at, |before| before.min(at)));
+    }
+    fn over(&mut self, ix: usize) {
+        if let Some(number) = self.tries.get_mut(ix).and_then(Option::take) {
+            self.index.remove(&number);
+            self.orders.push(Order::Over(number));
+            self.free.push(ix);
+        }
+    }
+}
+
+/// A task that was taken, and where it is.
+struct Taken {
+    task: Task,
+    running: bool,
+    /// Work that is left of one that was taken off.
+    owed: bool,
+}
+
+/// See the module's head.
+pub struct Node {
+    machine: Machine,
+    mind: Mind,
+    taken: HashMap<u32, Taken>,
+    held: VecDeque<u32>,
+    /// Runs of the machine by their number there, and back.
+    runs: Vec<Option<u32>>,
+    free: Vec<u32>,
+    by_try: HashMap<u32, u32>,
+    said: Vec<Said>,
+    cold: Option<(u64, f64)>,
+    /// Until when it is cold.
+    cold_until: u64,
+    /// What a fault makes of its speed.
+    fault: f64,
+    pub drains: bool,
+}
+
+fn ours(plan: &NodePlan, types: &[TypePlan], shares: &[f64], rate: f64, seed: u64) -> Box<Ours> {
+    let kinds = types.iter().map(|one| rainstand::TrafficType {
+        goal_time: one.goal,
+        outer_limit: one.outer_limit,
+        benefit: 1.0,
+        late: 0.2,
+        poorer: 1.0,
+        repeats: match one.kind {
+            Kind::Rerunnable => Repeats::Rerunnable,
+            Kind::Ticketed => Repeats::Ticketed(one.outer_limit),
+            Kind::Exclusive => Repeats::Exclusive,
+        },
+    });
+    let quotas: Vec<f64> = shares.iter().map(|share| share * rate).collect();
+    let cold = plan.cold.map(|(span, slower)| (span, 1.0 / slower.max(1.0), span));
+    let parts = (
+        Ledger::new(&quotas, plan.count as usize),
+        Limit::new(seed, plan.cores as usize, 4.0, cold),
+        Hand::new(MEMORY_KB, 4.0, ENTRY_KB),
+        Below::new(None),
+        Voice::new(
+            Say::Nothing,
+            Duration::from_secs(1),
+            Duration::from_secs(2),
+            true,
+            (64, Duration::from_secs(8)),
+        ),
+    );
+    Box::new(Ours { node: Decides::new(kinds.collect(), false, parts), desk: Desk::default() })
+}
+
+impl Node {
+    /// `shares`: of the tenants, `rate`: tickets a second of the whole fleet.
+    pub fn new(
+        plan: &NodePlan,
+        types: &[TypePlan],
+        shares: &[f64],
+        rate: f64,
+        seed: u64,
+        now: u64,
+        cold: bool,
+    ) -> Self {
+        let mind = match plan.kind {
+            NodeKind::Plain { at_once, hold } => {
+                Mind::Plain { at_once: at_once.max(1) as usize, hold: hold as usize }
+            }
+            NodeKind::Ours => Mind::Ours(ours(plan, types, shares, rate, seed)),
+        };
+        let slow = plan.cold.map(|(span, slower)| (span.as_nanos() as u64, slower.max(1.0)));
+        let mut node = Self {
+            machine: Machine::new(plan.cores, plan.crowding),
+            mind,
+            taken: HashMap::new(),
+            held: VecDeque::new(),
+            runs: Vec::new(),
+            free: Vec::new(),
+            by_try: HashMap::new(),
+            said: Vec::new(),
+            cold: slow,
+            cold_until: if cold { now + slow.map_or(0, |(span, _)| span) } else { 0 },
+            fault: 1.0,
+            drains: false,
+        };
+        node.set_pace(now);
+        if let Mind::Ours(ours) = &mut node.mind {
+            ours.desk.now = now;
+            ours.node.begin(Duration::from_nanos(now), &mut ours.desk);
+        }
+        node
+    }
+
+    fn set_pace(&mut self, now: u64) {
+        let cold = self.cold.filter(|_| now < self.cold_until).map_or(1.0, |(_, slower)| 1.0 / slower);
+        self.machine.set_speed(now, self.fault * cold);
+    }
+
+    /// What its cores do against usual ones, while a fault lasts.
+    pub fn set_fault(&mut self, now: u64, speed: f64) {
+        self.fault = speed;
+        self.set_pace(now);
+    }
+
+    pub fn set_taken(&mut self, now: u64, cores: f64) {
+        self.machine.set_taken(now, cores);
+    }
+
+    pub fn used_ms(&mut self, now: u64) -> u64 {
+        (self.machine.used(now) / 1e6) as u64
+    }
+
+    /// Tries that are in it, in order of their numbers: the map's order is nobody's.
+    pub fn inside(&self) -> Vec<u32> {
+        let mut all: Vec<u32> = self.taken.keys().copied().collect();
+        all.sort_unstable();
+        all
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.taken.is_empty()
+    }
+
+    /// When something is due here next.
+    pub fn due(&mut self, now: u64) -> Option<u64> {
+        let warm = (self.cold_until > now).then_some(self.cold_until);
+        let wake = match &self.mind {
+            Mind::Ours(ours) => ours.desk.wake,
+            Mind::Plain { .. } => None,
+        };
+        [self.machine.next_end(), warm, wake].into_iter().flatten().min()
+    }
+
+    /// What became of tries since the last time it was asked.
+    pub fn said(&mut self) -> std::vec::Drain<'_, Said> {
+        self.said.drain(..)
+    }
+
+    fn start(&mut self, now: u64, number: u32) {
+        let Some(taken) = self.taken.get_mut(&number).filter(|taken| !taken.running) else { return };
+        taken.running = true;
+        let begins = !std::mem::replace(&mut taken.owed, true);
+        let work = taken.task.work;
+        let run = self.free.pop().unwrap_or(self.runs.len() as u32);
+        if run as usize == self.runs.len() {
+            self.runs.push(None);
+        }
+        self.runs[run as usize] = Some(number);
+        self.by_try.insert(number, run);
+        self.machine.start(now, run, work);
+        if begins {
+            self.said.push(Said::Runs(number));
+        }
+    }
+
+    /// Takes a run off the machine; the try stays.
+    fn stop(&mut self, now: u64, number: u32) {
+        if let Some(run) = self.by_try.remove(&number) {
+            self.machine.stop(now, run);
+            self.runs[run as usize] = None;
+            self.free.push(run);
+        }
+        if let Some(taken) = self.taken.get_mut(&number) {
+            taken.running = false;
+        }
+    }
+
+    /// A try arrives.
+    pub fn arrives(&mut self, now: u64, task: Task) {
+        let number = task.number;
+        let room = match &self.mind {
+            _ if self.drains => false,
+            Mind::Plain { at_once, hold } => self.machine.running() < *at_once || self.held.len() < *hold,
+            Mind::Ours(_) => true,
+        };
+        if !room {
+            self.said.push(Said::Dismissed(number, PAUSE, false));
+            return;
+        }
+        self.taken.insert(number, Taken { task, running: false, owed: false });
+        match &mut self.mind {
+            Mind::Plain { at_once, .. } => {
+                if self.machine.running() < *at_once {
+                    self.start(now, number);
+                } else {
+                    self.held.push_back(number);
+                }
+            }
+            Mind::Ours(ours) => {
+                let Ours { node, desk } = &mut **ours;
+                desk.now = now;
+                let ix = desk.free.pop().unwrap_or(desk.tries.len());
+                if ix == desk.tries.len() {
+                    desk.tries.push(None);
+                }
+                desk.tries[ix] = Some(number);
+                desk.index.insert(number, ix);
+                let arrival = Arrival {
+                    traffic: usize::from(task.traffic),
+                    tenant: task.tenant.map(usize::from),
+                    waited: Duration::from_nanos(now - task.came),
+                    held_kb: ENTRY_KB,
+                    again: task.again,
+                    ..Arrival::default()
+                };
+                node.arrived(Duration::from_nanos(now), desk, ix, arrival);
+                self.carry_out(now);
+            }
+        }
+    }
+
+    /// Its caller does not wait for a try any more.
+    pub fn left(&mut self, now: u64, number: u32) {
+        let Some(taken) = self.taken.get(&number) else { return };
+        let (running, exclusive) = (taken.running, taken.task.exclusive);
+        match &mut self.mind {
+            Mind::Plain { .. } => {
+                // What must not run twice runs to its end: nobody could say how far it came.
+                if running && exclusive {
+                    return;
+                }
+                if running {
+                    self.stop(now, number);
+                } else {
+                    self.held.retain(|held| *held != number);
+                }
+                self.taken.remove(&number);
+                self.fill(now);
+            }
+            Mind::Ours(ours) => {
+                let Ours { node, desk } = &mut **ours;
+                desk.now = now;
+                if let Some(ix) = desk.index.get(&number).copied() {
+                    node.gone(Duration::from_nanos(now), desk, ix);
+                }
+                self.carry_out(now);
+            }
+        }
+    }
+
+    /// Something may be due.
+    pub fn look(&mut self, now: u64) {
+        if self.cold_until > 0 && now >= self.cold_until {
+            self.cold_until = 0;
+            self.set_pace(now);
+        }
+        while let Some(run) = self.machine.ended(now) {
+            let Some(number) = self.runs[run as usize].take() else { continue };
+            self.free.push(run);
+            self.by_try.remove(&number);
+            self.done(now, number);
+        }
+        let busy = self.machine.busy();
+        let running = self.machine.running() as f64;
+        if let Mind::Ours(ours) = &mut self.mind {
+            let Ours { node, desk } = &mut **ours;
+            if desk.wake.is_some_and(|at| at <= now) {
+                desk.wake = None;
+                desk.now = now;
+                let gauges = Gauges { cores_busy: Some(busy), on_cores: Some(running), ..Gauges::default() };
+                node.woken(Duration::from_nanos(now), desk, gauges);
+                self.carry_out(now);
+            }
+        }
+    }
+
+    fn done(&mut self, now: u64, number: u32) {
+        if let Some(taken) = self.taken.get_mut(&number) {
+            taken.running = false;
+        }
+        match &mut self.mind {
+            Mind::Plain { .. } => {
+                self.taken.remove(&number);
+                self.said.push(Said::Done(number));
+                self.fill(now);
+            }
+            Mind::Ours(ours) => {
+                let Ours { node, desk } = &mut **ours;
+                desk.now = now;
+                self.said.push(Said::Done(number));
+                match desk.index.get(&number).copied() {
+                    Some(ix) => node.ended(Duration::from_nanos(now), desk, ix, Outcome::Done),
+                    None => drop(self.taken.remove(&number)),
+                }
+                self.carry_out(now);
+            }
+        }
+    }
+
+    /// A plain node takes up what it holds.
+    fn fill(&mut self, now: u64) {
+        let Mind::Plain { at_once, .. } = self.mind else { return };
+        while self.machine.running() < at_once {
+            let Some(number) = self.held.pop_front() else { return };
+            self.start(now, number);
+        }
+    }
+
+    /// The module's orders, until it has none.
+    fn carry_out(&mut self, now: u64) {
+        loop {
+            let Mind::Ours(ours) = &mut self.mind else { return };
+            let orders = std::mem::take(&mut ours.desk.orders);
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                match order {
+                    Order::Run(number) => self.start(now, number),
+                    Order::TakeOff(number) => self.stop(now, number),
+                    Order::Dismiss(number, pause, nowhere) => {
+                        self.said.push(Said::Dismissed(number, pause, nowhere));
+                    }
+                    Order::GiveUp(number) => self.said.push(Said::Failed(number)),
+                    Order::Over(number) => {
+                        // A run whose ticket is over goes on if it must not be cut.
+                        let cut =
+                            self.taken.get(&number).is_some_and(|one| !one.running || !one.task.exclusive);
+                        if cut {
+                            self.stop(now, number);
+                            self.taken.remove(&number);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -71,6 +71,54 @@
     }
 }
 
+/// By which rule members are picked for tickets without an entity. All but the first are there to be compared with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pick {
+    /// Two drawn by weight, the one with less in hand.
+    #[default]
+    TwoChoices,
+    /// The one with least in hand of all.
+    LeastKnown,
+    /// One after another, whatever they have in hand.
+    InTurn(u32),
+}
+
+/// The member by another rule than two choices.
+pub fn choose_by(
+    pick: &mut Pick,
+    members: &mut [Member],
+    now: Duration,
+    entity: &str,
+    chance: &mut WyRand,
+    part: impl Fn(usize) -> f64,
+) -> Option<(usize, How)> {
+    match pick {
+        Pick::TwoChoices => choose(members, now, entity, chance, part),
+        Pick::LeastKnown => {
+            // Begun at a place by chance, so that equals are not all taken in one order.
+            let count = members.len();
+            let first = chance.generate_range(0..count.max(1));
+            let mut best: Option<(f64, usize)> = None;
+            for k in (0..count).map(|k| (k + first) % count) {
+                let weight = members[k].weight_at(now, part(k));
+                if weight > 0.0 {
+                    let rate = (members[k].in_hand(now) + 1.0) / weight;
+                    if best.is_none_or(|(least, _)| rate < least) {
+                        best = Some((rate, k));
+                    }
+                }
+            }
+            best.map(|(_, k)| (k, How::Any))
+        }
+        Pick::InTurn(next) => {
+            let count = members.len();
+            let k = (0..count).map(|k| (k + *next as usize) % count).find(|k| part(*k) > 0.0)?;
+            *next = (k as u32 + 1) % count as u32;
+            Some((k, How::Any))
+        }
+    }
+}
+
 /// How a member was chosen; for those who ask why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum How {
@@ -242,6 +290,22 @@
         assert!(got[0] <= fair + fair / 10, "{got:?}");
     }
 
+    #[test]
+    fn other_rules_pick_as_they_say() {
+        let mut members = pool(4);
+        members[2].open = 0;
+        [0, 1, 3].into_iter().for_each(|k| members[k].open = 5);
+        let mut chance = WyRand::new_seed(8);
+        let mut least = Pick::LeastKnown;
+        assert_eq!(choose_by(&mut least, &mut members, ms(0), "", &mut chance, |_| 1.0).unwrap().0, 2);
+        let mut turn = Pick::InTurn(3);
+        let mut next = |members: &mut Vec<Member>| {
+            choose_by(&mut turn, members, ms(0), "", &mut chance, |k| f64::from(u8::from(k != 1))).unwrap().0
+        };
+        let order: Vec<usize> = (0..5).map(|_| next(&mut members)).collect();
+        assert_eq!(order, [3, 0, 2, 3, 0]);
+    }
+
     #[test]
     fn near_ones_first_until_they_have_more_than_their_part() {
         let mut members = pool(4);
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -9,7 +9,7 @@
 //! [`Room`] holds the trips whose way leads to it, from their arrival to their end.
 
 use crate::attempts::{self, Budget, Came, Next, Policy, Stop, Tried};
-use crate::choice::{self, How, Member};
+use crate::choice::{self, How, Member, Pick};
 use crate::decisions::{Decision, Decisions, Passed, What};
 use crate::health::{Change, Health, Rules, Standing};
 use crate::room::{Room, Who};
@@ -271,6 +271,7 @@
     /// Changes of standing since the last look.
     changes: Vec<(At, Standing)>,
     decisions: Decisions,
+    pick: Pick,
     /// Of the pool at hand, what each member may get; kept for its memory.
     weights: Vec<f64>,
 }
@@ -330,10 +331,16 @@
             counts: Counts::default(),
             changes: Vec::new(),
             decisions: Decisions::default(),
+            pick: Pick::default(),
             weights: Vec::new(),
         })
     }
 
+    /// Another rule than two choices, for those who compare them.
+    pub fn pick_by(&mut self, pick: Pick) {
+        self.pick = pick;
+    }
+
     pub fn table(&self) -> &Table {
         self.router.table()
     }
@@ -593,7 +600,8 @@
             weights.iter_mut().filter(|weight| **weight <= LAST_RESORT).for_each(|weight| *weight = 0.0);
         }
         let one = &mut self.pools[usize::from(pool)];
-        let chosen = choice::choose(&mut one.members, now, &trip.entity, &mut self.chance, |k| weights[k]);
+        let (pick, members) = (&mut self.pick, &mut one.members);
+        let chosen = choice::choose_by(pick, members, now, &trip.entity, &mut self.chance, |k| weights[k]);
         let Some((member, how)) = chosen else {
             self.decisions.put(decision);
             return self.end(now, trip, None, Why::NoMember);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`budget`] | how much time each stage may still take |
 //! | [`versions`] | all of it together while configurations change under running tickets |
 //! | [`choice`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
+//! | [`subset`] | which members of a large pool a forwarder knows |
 //! | [`health`] | who is left out, judged from answers alone, and how it comes back |
 //! | [`toward`] | how many tickets at once toward a member, learned from its times |
 //! | [`attempts`] | whether a ticket is sent again, under a budget of the whole program |
@@ -57,6 +58,7 @@
 pub mod limit;
 pub mod room;
 pub mod split;
+pub mod subset;
 pub mod table;
 pub mod toward;
 pub mod versions;
--- /dev/null
+++ b/crates/route/src/subset.rs
@@ -0,0 +1,101 @@
+//! Which members of a large pool a forwarder knows, without any talk among forwarders.
+//!
+//! In rounds: the members are put in an order by chance that is the same for a whole round of forwarders, and each
+//! forwarder of the round takes its own stretch. Over whole rounds every member is known to the same number of
+//! forwarders. By score: each forwarder takes the members that score highest for its name; a member that comes or goes
+//! changes little, but some members are known to few forwarders, which shows as uneven load.
+//!
+//! Invariant: a subset holds `know` different members, or all if there are no more.
+
+use crate::split::score;
+use nanorand::{Rng, WyRand};
+
+/// The members that forwarder number `me` knows, in rounds, in order of their places.
+///
+/// ```
+/// use rainstand_route::subset::in_rounds;
+/// // Ten members, two each: five forwarders are a round, and together know each member once.
+/// let mut all: Vec<usize> = (0..5).flat_map(|me| in_rounds(10, 2, me, 7)).collect();
+/// all.sort();
+/// assert_eq!(all, (0..10).collect::<Vec<_>>());
+/// ```
+pub fn in_rounds(members: usize, know: usize, me: usize, seed: u64) -> Vec<usize> {
+    if know == 0 || know >= members {
+        return (0..members).collect();
+    }
+    let a_round = members / know;
+    let (round, place) = (me / a_round, me % a_round);
+    let mut chance = WyRand::new_seed(seed ^ (round as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let mut order: Vec<usize> = (0..members).collect();
+    chance.shuffle(&mut order);
+    // Members that a round leaves over come first in the order of the next rounds in turn.
+    let left_over = members - a_round * know;
+    let start = (round * left_over.max(1)) % members;
+    order.rotate_left(start);
+    let mut mine = order[place * know..(place + 1) * know].to_vec();
+    mine.sort_unstable();
+    mine
+}
+
+/// The members that score highest for a forwarder's name, in order of their places. `marks`: of the members
+/// ([`crate::split::mark`]).
+pub fn by_score(marks: &[u64], know: usize, me: &str) -> Vec<usize> {
+    if know == 0 || know >= marks.len() {
+        return (0..marks.len()).collect();
+    }
+    let mut rated: Vec<(f64, usize)> =
+        marks.iter().enumerate().map(|(k, mark)| (score(*mark, 1, me), k)).collect();
+    rated.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+    let mut mine: Vec<usize> = rated[..know].iter().map(|(_, k)| *k).collect();
+    mine.sort_unstable();
+    mine
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::split::mark;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    fn known(subsets: impl Iterator<Item = Vec<usize>>, members: usize) -> (usize, usize) {
+        let mut known = vec![0; members];
+        subsets.flatten().for_each(|k| known[k] += 1);
+        (*known.iter().min().unwrap(), *known.iter().max().unwrap())
+    }
+
+    #[test]
+    fn in_rounds_members_are_known_alike_and_by_score_less_so() {
+        let (members, know, forwarders) = (1_000, 20, 500);
+        let (least, most) = known((0..forwarders).map(|me| in_rounds(members, know, me, 3)), members);
+        assert_eq!((least, most), (10, 10));
+        let marks: Vec<u64> = (0..members).map(|k| mark(&format!("n{k}"))).collect();
+        let (least, most) =
+            known((0..forwarders).map(|me| by_score(&marks, know, &format!("f{me}"))), members);
+        assert!(least >= 1 && most <= 25 && most > least + 8, "{least} {most}");
+    }
+
+    #[test]
+    fn a_member_that_leaves_changes_little_by_score() {
+        let marks: Vec<u64> = (0..200).map(|k| mark(&format!("n{k}"))).collect();
+        let before = by_score(&marks, 20, "f1");
+        let without: Vec<u64> =
+            marks.iter().enumerate().filter(|(k, _)| *k != before[3]).map(|(_, m)| *m).collect();
+        let after: Vec<u64> = by_score(&without, 20, "f1").into_iter().map(|k| without[k]).collect();
+        let stays = before.iter().filter(|k| after.contains(&marks[**k])).count();
+        assert_eq!(stays, 19);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(19), failure_persistence: None, ..ProptestConfig::default() })]
+
+        #[test]
+        fn as_many_as_were_asked_for_and_each_once(members in 1usize..400, know in 0usize..60, me in 0usize..900) {
+            let mine = in_rounds(members, know, me, 11);
+            let wanted = if know == 0 { members } else { know.min(members) };
+            prop_assert_eq!(mine.len(), wanted);
+            prop_assert!(mine.windows(2).all(|two| two[0] < two[1]) && mine.iter().all(|k| *k < members));
+            prop_assert_eq!(in_rounds(members, know, me, 11), mine);
+        }
+    }
+}
