--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -157,11 +157,16 @@
     members: Vec<Member>,
     /// More would be out than may be: all are used.
     all_again: bool,
+    /// The middle of the members' mean times, s, as of some answers ago: a sort for each answer would be the most of
+    /// what a ticket costs in a pool of a hundred.
+    middle: Option<f64>,
+    answers: usize,
 }
 
 impl Health {
     pub fn new(rules: Rules, members: usize, now: Duration) -> Self {
-        Self { rules, members: vec![Member::new(now); members], all_again: false }
+        let members = vec![Member::new(now); members];
+        Self { rules, members, all_again: false, middle: None, answers: 0 }
     }
 
     /// A ticket went to a member.
@@ -189,6 +194,10 @@
             one.good_in_a_row = 0;
             one.failed_in_a_row = one.failed_in_a_row.saturating_add(1);
         }
+        self.answers += 1;
+        if self.answers >= self.members.len() {
+            self.find_middle();
+        }
         self.judge(member, now)
     }
 
@@ -212,6 +221,7 @@
 
     /// Time passes: silence, and members whose time out is over. To be called some times a second.
     pub fn look(&mut self, now: Duration) -> Vec<Change> {
+        self.find_middle();
         let changes: Vec<_> = (0..self.members.len()).filter_map(|member| self.judge(member, now)).collect();
         let out = self.members.iter().filter(|one| matches!(one.standing, Standing::Out(..))).count();
         self.all_again = out > self.may_be_out();
@@ -263,19 +273,16 @@
             return Some(Reason::Silent);
         }
         let mean = one.mean().filter(|_| one.good >= ENOUGH)?;
-        let middle = self.middle()?;
+        let middle = self.middle?;
         (mean > middle * rules.slow as f64 / ONE as f64).then_some(Reason::Slow)
     }
 
-    /// The middle of the members' mean times, s.
-    fn middle(&self) -> Option<f64> {
+    fn find_middle(&mut self) {
+        self.answers = 0;
         let mut means: Vec<f64> = self.members.iter().filter_map(Member::mean).collect();
-        if means.len() < MIDDLE {
-            return None;
-        }
-        means.sort_by(f64::total_cmp);
         // The lower middle: half of the members slow must not make slowness usual.
-        Some(means[(means.len() - 1) / 2])
+        let at = means.len().saturating_sub(1) / 2;
+        self.middle = (means.len() >= MIDDLE).then(|| *means.select_nth_unstable_by(at, f64::total_cmp).1);
     }
 
     /// How many members may be left out: never all.
@@ -314,7 +321,7 @@
 
     /// The mean time of the pool's good answers, where it is known.
     pub fn usual(&self) -> Option<Duration> {
-        self.middle().and_then(|s| Duration::try_from_secs_f64(s).ok())
+        self.middle.and_then(|s| Duration::try_from_secs_f64(s).ok())
     }
 }
 
