--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -179,7 +179,7 @@
         wrong "limits l { rate: 5 tickets/s 6 }\n", right whole!("limits l { rate: 50 tickets/s }" "route r { to: hall; limits: l }");
 
     UnknownKind "N301" "unknown kind of block"
-        "Blocks are type, tenant, pool, dependency, limits, attempts, budget, health, retry-after, route, recording and log."
+        "Blocks are type, tenant, pool, dependency, limits, attempts, budget, health, retry-after, route, recording, log and experiment."
         wrong "pol hall { }\n", right whole!("route r { to: hall }");
     UnknownKey "N302" "unknown key"
         "A key that is not known is refused, since a slip would otherwise do nothing in silence."
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -135,6 +135,7 @@
         "routes" => "route",
         "recordings" => "recording",
         "logs" => "log",
+        "experiments" => "experiment",
         other => other,
     }
 }
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -3,6 +3,8 @@
 //! Beside the message stand the blocks that its parts came from, in the same order, so that the checker
 //! can point at them. Lists are brought into order only after the checks.
 
+mod experiment;
+
 use crate::ast::{Atom, Block, Entry, Name, Value};
 use crate::codes::Code;
 use crate::parse::shorten;
@@ -47,10 +49,11 @@
     Route,
     Recording,
     Log,
+    Experiment,
 }
 
 impl Sort {
-    pub const ALL: [Sort; 12] = [
+    pub const ALL: [Sort; 13] = [
         Sort::Type,
         Sort::Tenant,
         Sort::Pool,
@@ -63,6 +66,7 @@
         Sort::Route,
         Sort::Recording,
         Sort::Log,
+        Sort::Experiment,
     ];
 
     /// As it is written.
@@ -80,6 +84,7 @@
             Sort::Route => "route",
             Sort::Recording => "recording",
             Sort::Log => "log",
+            Sort::Experiment => "experiment",
         }
     }
 
@@ -285,6 +290,7 @@
             routes: self.each(Sort::Route, route),
             recordings: self.each(Sort::Recording, recording),
             logs: self.each(Sort::Log, log),
+            experiments: self.each(Sort::Experiment, experiment::experiment),
         }
     }
 }
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -150,6 +150,7 @@
         self.budgets.sort_by(|a, b| a.name.cmp(&b.name));
         self.health.sort_by(|a, b| a.name.cmp(&b.name));
         self.logs.sort_by(|a, b| a.name.cmp(&b.name));
+        self.experiments.sort_by(|a, b| a.name.cmp(&b.name));
         self.recordings.sort_by(|a, b| a.name.cmp(&b.name));
         self.retry_after.sort_by(|a, b| a.name.cmp(&b.name));
         for pool in &mut self.pools {
