--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod export;
 mod forward;
+mod lab;
 mod out;
 mod pcap;
 mod replay;
@@ -41,6 +42,9 @@
     Ask(ask::Options),
     /// Run a forwarder: dispatchers in front, nodes behind, by a configuration
     Forward(forward::Options),
+    /// Try designs with the model of the fleet: run experiments, compare them, draw them
+    #[command(subcommand)]
+    Lab(lab::Command),
     /// Look at, cut, export and replay recorded traffic
     #[command(subcommand)]
     Pcap(pcap::Command),
@@ -54,6 +58,7 @@
         Command::Config(command) => config::run(command),
         Command::Ask(options) => ask::run(&options),
         Command::Forward(options) => forward::run(&options),
+        Command::Lab(command) => lab::run(command),
         Command::Pcap(command) => pcap::run(command),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -551,6 +551,10 @@
         if all.types.is_empty() || all.routes.iter().any(|route| route.r#match.is_none()) {
             return;
         }
+        // Types that experiments use need no route.
+        if all.routes.is_empty() && all.pools.is_empty() && !all.experiments.is_empty() {
+            return;
+        }
         let points = Points::of(&[all]);
         if points.count().saturating_mul(all.routes.len().max(1)) > MOST_POINTS * 200 {
             return;
--- /dev/null
+++ b/crates/lab/tests/experiments.rs
@@ -0,0 +1,114 @@
+//! An experiment from its text to its folder: the same bytes with any number of threads, gone on with after a stop,
+//! compared, drawn.
+
+use rainstand_config::{load, schema::Configuration, source::Memory};
+use rainstand_lab::jobs::{alone, done, mark, play, Work, DONE};
+use rainstand_lab::plans::variants;
+use rainstand_lab::stats::{compare, Verdict};
+use rainstand_lab::{plot, results};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+const TEXT: &str = "rain 1
+type check { repeat: rerunnable; goal: 500 ms; outer-limit: 2 s }
+type register { repeat: exclusive; goal: 500 ms; outer-limit: 2 s }
+tenant acme { share: 40 % }
+experiment dead {
+  lasts: 3 s
+  seeds: 4
+  tries: 1
+  fleet { nodes: 10; cores: 4 }
+  forwarders { count: 2 }
+  traffic check { part: 4; work: 10 ms .. 30 ms }
+  traffic register { work: 20 ms }
+  from acme { }
+  load { of-cores: 60 % }
+  fault { what: fail-fast; at: 1 s; lasts: 1 s; share: 30 %; span: 1 ms }
+  vary tries { to: 1, 3 }
+}";
+
+fn configuration() -> Configuration {
+    let outcome = load(&Memory::new([("a.rain", TEXT)]), "a.rain");
+    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))
+}
+
+fn played(folder: &Path, threads: usize, stop_after: Option<usize>) -> (usize, usize) {
+    let c = configuration();
+    let all = variants(&c, &c.experiments[0]).unwrap();
+    let of = mark(&c, &c.experiments[0]);
+    let work = Work { experiment: "dead", of, variants: &all, seeds: 4, threads };
+    let (stop, mut told) = (AtomicBool::new(false), 0);
+    let mut played = play(&work, folder, &stop, |_| {
+        told += 1;
+        if stop_after == Some(told) {
+            stop.store(true, Ordering::Relaxed);
+        }
+    })
+    .unwrap();
+    assert_eq!(played.failed, []);
+    results::write(folder, &mut played.rows).unwrap();
+    (played.before, played.left)
+}
+
+const FILES: [&str; 4] = ["runs.parquet", "seconds.parquet", "nodes.parquet", "groups.parquet"];
+
+#[test]
+fn the_same_bytes_with_any_threads_and_after_a_stop() {
+    let folders: Vec<_> = (0..3).map(|_| tempfile::tempdir().unwrap()).collect();
+    assert_eq!(played(folders[0].path(), 1, None), (0, 0));
+    assert_eq!(played(folders[1].path(), 8, None), (0, 0));
+    let (before, left) = played(folders[2].path(), 1, Some(3));
+    // The one thread may have begun another run before it saw the stop.
+    assert!(before == 0 && (1..=5).contains(&left), "{before} {left}");
+    let ended = 8 - left;
+    // A crash in the middle of a line costs that run alone.
+    let path = folders[2].path().join(DONE);
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, format!("{}\n", &text[..text.len() - 40])).unwrap();
+    let (before, left) = played(folders[2].path(), 4, None);
+    assert_eq!((before, left), (ended - 1, 0));
+    for file in FILES {
+        let first = std::fs::read(folders[0].path().join(file)).unwrap();
+        for folder in &folders[1..] {
+            assert!(std::fs::read(folder.path().join(file)).unwrap() == first, "{file}");
+        }
+    }
+    // Runs of another experiment in the same folder are not taken for this one's.
+    assert_eq!(done(folders[0].path(), "0123").unwrap().len(), 0);
+}
+
+#[test]
+fn what_was_written_is_read_compared_and_drawn() {
+    let folder = tempfile::tempdir().unwrap();
+    played(folder.path(), 4, None);
+    let all = results::read(folder.path()).unwrap();
+    assert_eq!((all.runs.len(), all.variants().len()), (8, 2));
+    assert!(all.runs.iter().all(|run| run.broken.is_empty() && run.asked > 1_000));
+    let jobs: i64 = all.seconds.iter().map(|one| one.asked).sum();
+    assert_eq!(jobs, all.runs.iter().map(|run| run.asked).sum::<i64>());
+    assert_eq!(all.groups.iter().filter(|one| one.what == "type").map(|one| one.asked).sum::<i64>(), jobs);
+    // Further tries help while three of ten fail at once.
+    let found = compare(all.of(0), all.of(1), 0.95).unwrap();
+    let good = found.iter().find(|one| one.measure == "good").unwrap();
+    assert_eq!(good.verdict, Verdict::Better, "{good:?}");
+    let c = configuration();
+    let compiled = rainstand_config::schema::to_text(&alone(&c, &c.experiments[0]));
+    let page = plot::page(&all, &compiled).unwrap();
+    for part in ["tries=1", "tries=3", "<svg", "Runs by node", "better", "FAIL_FAST"] {
+        assert!(page.to_lowercase().contains(&part.to_lowercase()), "{part}");
+    }
+    assert_eq!(plot::pictures(&all).unwrap().len(), 5);
+}
+
+#[test]
+fn a_run_that_fails_leaves_the_others() {
+    let c = configuration();
+    let mut all = variants(&c, &c.experiments[0]).unwrap();
+    // No sound plan any more; the checker of variants would have refused it.
+    all[1].plan.types.clear();
+    let folder = tempfile::tempdir().unwrap();
+    let work = Work { experiment: "dead", of: "x".into(), variants: &all, seeds: 2, threads: 2 };
+    let played = play(&work, folder.path(), &AtomicBool::new(false), |_| {}).unwrap();
+    assert_eq!((played.rows.len(), played.failed.len()), (2, 2));
+    assert!(played.failed[0].why.contains("types"), "{:?}", played.failed);
+}
