Limits below one: many doors on a node hold back what they use, and have parts of places

Found by the lab: with fifty doors each has a few tickets at a node and a limit of sixteen that it never reaches, so nothing was held back in an overload. Where times have risen the limit comes down from what was in use, may be a part of a place, and the pool's places are their sum; failures alone bring it no lower than four.

--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -226,8 +226,9 @@
     toward: Vec<Toward>,
     health: Option<Health>,
     room: Room,
-    /// Places toward all members that can be used, as of the last look.
+    /// Places toward all members that can be used, as of the last look; and tries that are at any.
     places: u32,
+    out: u32,
     /// Until when each member is taken for leaving.
     leaving: Vec<Duration>,
 }
@@ -237,7 +238,8 @@
         // One that comes back by a trickle has all its places, should the others be out.
         let usable = |k: &usize| self.health.as_ref().is_none_or(|health| health.usable(*k) > 0);
         let all = (0..self.members.len()).filter(usable);
-        self.places = all.map(|k| self.toward[k].limit()).fold(0, u32::saturating_add);
+        let sum: f64 = all.map(|k| self.toward[k].places()).sum();
+        self.places = (sum.ceil() as u32).max(1);
     }
 
     fn usual(&self) -> Duration {
@@ -293,6 +295,7 @@
             health: health.map(|rules| Health::new(Rules::from(rules), pool.members.len(), now)),
             room: Room::new(configuration.tenants.iter().map(|tenant| tenant.share)),
             places: 0,
+            out: 0,
             leaving: vec![Duration::ZERO; pool.members.len()],
         };
         made.count_places();
@@ -384,6 +387,7 @@
             for (k, address) in before.addresses.iter().enumerate() {
                 if let Some(new) = pool.addresses.iter().position(|one| one == address) {
                     pool.members[new].open = before.members[k].open;
+                    pool.out += before.members[k].open;
                     pool.members[new].started = before.members[k].started;
                     pool.toward[new] = before.toward[k].clone();
                     pool.leaving[new] = before.leaving[k];
@@ -617,6 +621,7 @@
         decision.what = What::Went { member: member as u16, how, of, in_hand, tried: trip.tries };
         self.decisions.put(decision);
         one.members[member].open += 1;
+        one.out += 1;
         one.toward[member].sent();
         if let Some(health) = &mut one.health {
             health.sent(member, now);
@@ -668,6 +673,7 @@
         let took = now.saturating_sub(*sent);
         let usual = pool.usual();
         pool.members[member].open = pool.members[member].open.saturating_sub(1);
+        pool.out = pool.out.saturating_sub(1);
         let (good, lost) = match back {
             Back::Honoured => (Some(true), false),
             Back::Dismissed { .. } => (None, true),
@@ -804,7 +810,7 @@
                 return Some((Passed::ToldToWait, *until));
             }
         }
-        if !pool.toward[member].has_room() {
+        if pool.out >= pool.places || !pool.toward[member].has_room() {
             return Some((Passed::Full, self.now));
         }
         (pool.leaving[member] > self.now).then_some((Passed::Leaving, pool.leaving[member]))
