--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -5,6 +5,7 @@
 use crate::pcap::trouble;
 use clap::Args;
 use rainstand_forwarder::{run as serve, Hub};
+use rainstand_route::subset::reduce;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,6 +33,9 @@
     /// The zone that this forwarder stands in; members in it come first
     #[arg(long, default_value = "")]
     zone: String,
+    /// Which of the forwarders this is, from 0: where pools say `know`, it settles the members that it knows
+    #[arg(long, default_value_t = 0)]
+    number: usize,
     /// For all chance
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -42,10 +46,15 @@
 
 pub fn run(options: &Options) -> io::Result<Code> {
     let configuration = match read(&options.config, false)? {
-        Ok((configuration, ..)) => configuration,
+        Ok((mut configuration, ..)) => {
+            reduce(&mut configuration, options.number);
+            configuration
+        }
         Err(code) => return Ok(code),
     };
-    tracing_subscriber::fmt().with_writer(io::stderr).with_target(false).with_ansi(false).init();
+    // Who reads our lines may go away: that is no reason to end, nor to complain where nobody reads.
+    let lines = tracing_subscriber::fmt().with_writer(io::stderr).log_internal_errors(false);
+    lines.with_target(false).with_ansi(false).init();
     let hub = match Hub::new(&configuration, &options.zone, options.seed) {
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
@@ -58,19 +67,25 @@
         };
         if let Some(admin) = options.admin {
             match TcpListener::bind(admin).await {
-                Ok(listener) => drop(spawn_local(rainstand_forwarder::admin::serve(hub.clone(), listener))),
+                Ok(listener) => {
+                    tracing::info!(event = "admin", admin = %listener.local_addr()?);
+                    spawn_local(rainstand_forwarder::admin::serve(hub.clone(), listener));
+                }
                 Err(error) => return Ok(trouble(&admin.to_string(), error)),
             }
         }
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let (mut hup, mut usr1) = (signal(SignalKind::hangup())?, signal(SignalKind::user_defined1())?);
         tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
-        let (again, path) = (hub.clone(), options.config.clone());
+        let (again, path, number) = (hub.clone(), options.config.clone(), options.number);
         spawn_local(async move {
             while hup.recv().await.is_some() {
                 // Findings go to standard error; a bad one changes nothing.
                 let taken = match read(&path, false) {
-                    Ok(Ok((configuration, ..))) => again.take(&configuration),
+                    Ok(Ok((mut configuration, ..))) => {
+                        reduce(&mut configuration, number);
+                        again.take(&configuration)
+                    }
                     Ok(Err(_)) => Err("the configuration has errors".to_owned()),
                     Err(error) => Err(error.to_string()),
                 };
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -658,6 +658,7 @@
         attempts: r.reference("attempts", Sort::Attempts),
         retry_after: r.reference("retry-after", Sort::RetryAfter),
         fall_back: r.reference("fall-back", Sort::Pool),
+        know: r.whole("know", Bounds { default: Some(0), zero: true, most: MOST_THINGS as u64 }),
     }
 }
 
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -7,8 +7,36 @@
 //!
 //! Invariant: a subset holds `know` different members, or all if there are no more.
 
-use crate::split::score;
+use crate::split::{mark, score};
 use nanorand::{Rng, WyRand};
+use rainstand_config::schema::Configuration;
+
+/// Leaves each pool that says how many members a forwarder knows with those of forwarder number `me`, in rounds: all that
+/// is decided and shown later is about them. Pools differ in their order, so that a forwarder's luck does not repeat.
+///
+/// ```
+/// use rainstand_config::{load, source::Memory};
+/// use rainstand_route::subset::reduce;
+/// let text = "rain 1
+/// pool p { know: 1; member a { address: \"10.0.0.1:1\" } member b { address: \"10.0.0.2:1\" } }
+/// route r { to: p }";
+/// let whole = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
+/// let (mut first, mut second) = (whole.clone(), whole);
+/// reduce(&mut first, 0);
+/// reduce(&mut second, 1);
+/// assert_eq!((first.pools[0].members.len(), second.pools[0].members.len()), (1, 1));
+/// assert_ne!(first.pools[0].members, second.pools[0].members);
+/// ```
+pub fn reduce(configuration: &mut Configuration, me: usize) {
+    for pool in &mut configuration.pools {
+        let know = usize::try_from(pool.know).unwrap_or(usize::MAX);
+        let mine = in_rounds(pool.members.len(), know, me, mark(&pool.name));
+        let all = std::mem::take(&mut pool.members);
+        let mut mine = mine.into_iter().peekable();
+        let known = all.into_iter().enumerate().filter(|(k, _)| mine.next_if_eq(k).is_some());
+        pool.members = known.map(|(_, member)| member).collect();
+    }
+}
 
 /// The members that forwarder number `me` knows, in rounds, in order of their places.
 ///
--- a/crates/route/src/toward.rs
+++ b/crates/route/src/toward.rs
@@ -30,7 +30,7 @@
 /// Windows near the least limit after which the time there is taken for the member's own.
 const RELEARN: u32 = 10;
 /// Times may be so much over the least before they count as risen: they vary.
-const TOLERANCE: f64 = 1.5;
+const TOLERANCE: f64 = 2.0;
 /// And so much, s: below it lie the network and the scheduler, not a queue (without it a pool that answers within
 /// microseconds was held at 7 tickets a member, and 5 of 6 tickets dismissed).
 const SLACK: f64 = 0.002;
