rainstand lab load: an experiment on sockets, open and corrected, with the model beside it

How far the model is from sockets was not known. Tickets leave when due and times count from then; without --to stand-in nodes and forwarders are started on loopback.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -11,6 +11,7 @@
 use rainstand_lab::results::{self, Results};
 use rainstand_lab::stats::{self, compare, mean, MEASURES};
 use rainstand_lab::{jobs::COMPILED, plot};
+use rainstand_model::plan::Plan;
 use rainstand_model::shrink;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -67,6 +68,25 @@
         after_help = "Example:\n  rainstand lab plot lab-out/fifth-dead && ls lab-out/fifth-dead/*.svg"
     )]
     Plot { folder: PathBuf },
+    /// Put an experiment's load on sockets: on a forwarder or node that runs, or on all of it started here
+    #[command(
+        after_help = "Examples:\n  rainstand lab load experiments/sockets.rain\n  rainstand lab load experiments/sockets.rain --to 127.0.0.1:5050 --json\n\nWithout --to it starts stand-in nodes and forwarders on loopback, and sets the model's figures beside."
+    )]
+    Load {
+        file: String,
+        #[arg(long)]
+        experiment: Option<String>,
+        /// Label of the variant; the first one if not said
+        #[arg(long)]
+        variant: Option<String>,
+        /// What is loaded
+        #[arg(long)]
+        to: Option<std::net::SocketAddr>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long)]
+        json: bool,
+    },
     /// Look for a smaller run that still breaks a rule
     #[command(
         after_help = "Example:\n  rainstand lab shrink experiments/fifth-dead.rain --variant know=10 --seed 17\n\nExit codes: 0 no rule breaks, 1 one does: the smallest run found is printed."
@@ -98,6 +118,16 @@
             contrast((&folder, &other), (before, after), level / 100.0, json)
         }
         Command::Plot { folder } => draw(&folder),
+        Command::Load { file, experiment, variant, to, seed, json } => {
+            let (configuration, at) = match chosen(&file, experiment.as_deref())? {
+                Ok(found) => found,
+                Err(code) => return Ok(code),
+            };
+            match one_of(&file, &configuration, &configuration.experiments[at], variant, seed) {
+                Ok(plan) => crate::load::load(&file, &plan, to, json),
+                Err(code) => Ok(code),
+            }
+        }
         Command::Shrink { file, experiment, variant, seed } => {
             let (configuration, at) = match chosen(&file, experiment.as_deref())? {
                 Ok(found) => found,
@@ -320,6 +350,22 @@
     Ok(Code::Good)
 }
 
+/// The plan of one variant and seed.
+fn one_of(
+    file: &str,
+    configuration: &Configuration,
+    experiment: &Experiment,
+    label: Option<String>,
+    seed: u64,
+) -> Result<Plan, Code> {
+    let all = variants(configuration, experiment).map_err(|why| trouble(file, why))?;
+    let labels: Vec<String> = all.iter().map(|one| one.label.clone()).collect();
+    let found = all.into_iter().find(|one| label.as_ref().is_none_or(|label| *label == one.label));
+    let variant =
+        found.ok_or_else(|| trouble(file, format!("no such variant; there are: {}", labels.join("; "))))?;
+    Ok(Plan { seed, ..variant.plan })
+}
+
 fn smallest(
     file: &str,
     configuration: &Configuration,
@@ -327,19 +373,13 @@
     label: Option<String>,
     seed: u64,
 ) -> io::Result<Code> {
-    let all = match variants(configuration, experiment) {
-        Ok(all) => all,
-        Err(why) => return Ok(trouble(file, why)),
-    };
-    let found = all.into_iter().find(|one| label.as_ref().is_none_or(|label| *label == one.label));
-    let Some(variant) = found else {
-        return Ok(trouble(file, format!("no variant `{}`", label.unwrap_or_default())));
+    let plan = match one_of(file, configuration, experiment, label, seed) {
+        Ok(plan) => plan,
+        Err(code) => return Ok(code),
     };
-    let mut plan = variant.plan;
-    plan.seed = seed;
     match shrink::shrink(&plan) {
         None => {
-            line(&format!("{}, seed {seed}: no rule breaks", variant.label))?;
+            line(&format!("seed {seed}: no rule breaks"))?;
             Ok(Code::Good)
         }
         Some(shrunk) => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod export;
 mod forward;
 mod lab;
+mod load;
 mod out;
 mod pcap;
 mod replay;
--- a/crates/stand-ins/src/script.rs
+++ b/crates/stand-ins/src/script.rs
@@ -4,6 +4,7 @@
 //! # comment
 //! cores 4                                 so many at a time; others wait for a core
 //! honour after 5ms..20ms                  for all there is: the first lines
+//! route check honour after about 20ms     by chance, with this mean
 //! route register reset                    runs it, then closes the connection without a word
 //! from 3s to 5s silent                    for two seconds it runs all and answers nothing
 //! share 10% fail after 1ms                one in ten by chance
@@ -62,6 +63,8 @@
     every: u64,
     deed: Deed,
     after: (Duration, Duration),
+    /// Exponential with the first of the two as its mean.
+    about: bool,
 }
 
 /// A script that was read.
@@ -108,6 +111,7 @@
         every: 1,
         deed: Deed::Honour,
         after: (Duration::ZERO, Duration::ZERO),
+        about: false,
     };
     loop {
         let word = words.next().ok_or("it says nothing to do")?;
@@ -173,6 +177,7 @@
         break;
     }
     if words.next_if_eq(&"after").is_some() {
+        made.about = words.next_if_eq(&"about").is_some();
         let word = words.next().ok_or("a time is missing behind `after`")?;
         made.after = match word.split_once("..") {
             Some((least, most)) => (time(Some(least))?, time(Some(most))?),
@@ -229,6 +234,10 @@
         };
         let (least, most) = line.after;
         let spread = most.saturating_sub(least);
+        if line.about {
+            let uniform = f64::from(chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
+            return (line.deed, least.mul_f64(-(1.0 - uniform).ln()));
+        }
         (line.deed, least + spread.mul_f64(f64::from(chance.generate::<u32>()) / f64::from(u32::MAX)))
     }
 
@@ -275,6 +284,14 @@
         assert!((900..1_100).contains(&failed), "{failed}");
     }
 
+    #[test]
+    fn about_a_time_is_its_mean() {
+        let script = Script::read("honour after about 20ms").unwrap();
+        let mut chance = WyRand::new_seed(3);
+        let sum: Duration = (1..=4_000).map(|n| script.deed(MS(0), "check", n, &mut chance).1).sum();
+        assert!((MS(19)..MS(21)).contains(&(sum / 4_000)), "{:?}", sum / 4_000);
+    }
+
     #[test]
     fn what_is_wrong_is_told_with_its_line() {
         let table = [
