Model: the tier below, calls half way through runs, and runs that are taken off

The pace of calls cannot be studied without what it calls. Plain nodes behind a balancer that goes round, also to dead ones; a run waits for its call off the cores, and the module's orders (call, go on without, give up at the call) are carried out. A run that the module takes off is told as stopped: before, its place in the module's books was never freed.

--- a/crates/lab/src/plans.rs
+++ b/crates/lab/src/plans.rs
@@ -55,6 +55,8 @@
                 (false, true) => Work::Fixed(least),
                 (false, false) => Work::Between(least, most),
             },
+            calls: false,
+            poorer: 1.0,
         })
     });
     let tenants = experiment.from.iter().map(|one| {
@@ -118,6 +120,7 @@
         nodes,
         fronts,
         net,
+        below: None,
         load: experiment.load.iter().map(|one| (ns(one.from_ns), share(one.share))).collect(),
         faults,
         bug: None,
--- a/crates/model/src/machine.rs
+++ b/crates/model/src/machine.rs
@@ -6,6 +6,7 @@
 //!
 //! Invariant: `given` only grows; a run ends when `given` reaches what it was at its start and its own demand.
 
+use foldhash::{HashMap, HashMapExt};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -37,8 +38,8 @@
     running: usize,
     /// When each ends in work given, its number, and which start of that number it was.
     ends: BinaryHeap<Reverse<(Work, u32, u32)>>,
-    /// By number of the run: the start that is there; 0 for none.
-    there: Vec<u32>,
+    /// By number of the run: the start that is there.
+    there: HashMap<u32, u32>,
     starts: u32,
     /// Core time used so far, ns.
     used: f64,
@@ -55,7 +56,7 @@
             since: 0,
             running: 0,
             ends: BinaryHeap::new(),
-            there: Vec::new(),
+            there: HashMap::new(),
             starts: 0,
             used: 0.0,
         }
@@ -95,19 +96,14 @@
     pub fn start(&mut self, now: u64, run: u32, work: u64) {
         self.upto(now);
         self.running += 1;
-        let at = run as usize;
-        if self.there.len() <= at {
-            self.there.resize(at + 1, 0);
-        }
-        // Never 0, which stands for none.
-        self.starts = self.starts.wrapping_add(1).max(1);
-        self.there[at] = self.starts;
+        self.starts = self.starts.wrapping_add(1);
+        self.there.insert(run, self.starts);
         self.ends.push(Reverse((Work::new(self.given + work as f64), run, self.starts)));
     }
 
     /// A run is taken off; false if it is not there.
     pub fn stop(&mut self, now: u64, run: u32) -> bool {
-        let there = self.there.get_mut(run as usize).is_some_and(|start| std::mem::take(start) > 0);
+        let there = self.there.remove(&run).is_some();
         if there {
             self.upto(now);
             self.running -= 1;
@@ -120,14 +116,14 @@
         self.upto(now);
         self.running = 0;
         self.ends.clear();
-        self.there.fill(0);
+        self.there.clear();
     }
 
     /// When the next run ends if nothing changes; none if nothing runs, or it stands still.
     pub fn next_end(&mut self) -> Option<u64> {
         loop {
             let Reverse((work, run, start)) = *self.ends.peek()?;
-            if self.there[run as usize] != start {
+            if self.there.get(&run) != Some(&start) {
                 // Taken off, or an earlier run of this number.
                 self.ends.pop();
                 continue;
@@ -146,14 +142,14 @@
         self.upto(now);
         loop {
             let Reverse((work, run, start)) = *self.ends.peek()?;
-            let there = self.there[run as usize] == start;
+            let there = self.there.get(&run) == Some(&start);
             // A nanosecond of a core is below what sums of floats can tell.
             if there && work.get() > self.given + 1.0 {
                 return None;
             }
             self.ends.pop();
             if there {
-                self.there[run as usize] = 0;
+                self.there.remove(&run);
                 self.running -= 1;
                 return Some(run);
             }
--- a/crates/model/src/measure.rs
+++ b/crates/model/src/measure.rs
@@ -52,6 +52,11 @@
     pub tries: u64,
     /// Runs that began.
     pub runs: u64,
+    /// Calls made to the tier below, and those that came back with a result.
+    pub calls: u64,
+    pub calls_done: u64,
+    /// The most calls that were out at a time.
+    pub most_calls: u64,
 }
 
 /// See the module's head.
--- a/crates/model/src/node.rs
+++ b/crates/model/src/node.rs
@@ -33,6 +33,16 @@
     pub again: bool,
     pub came: u64,
     pub exclusive: bool,
+    /// Half way through it calls the tier below, and waits off the cores.
+    pub calls: bool,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Before,
+    AtCall,
+    After,
 }
 
 /// What becomes of a try.
@@ -44,6 +54,10 @@
     /// It ran and failed, or was given up.
     Failed(u32),
     Dismissed(u32, Duration, bool),
+    /// Its call is to be made now, and given up at this time, ns.
+    Calls(u32, u64),
+    /// It goes on without its call.
+    Forgoes(u32),
 }
 
 enum Mind {
@@ -73,6 +87,8 @@
     TakeOff(u32),
     Dismiss(u32, Duration, bool),
     GiveUp(u32),
+    Call(u32, Duration),
+    Poorer(u32),
     /// The module has no more to say of it.
     Over(u32),
 }
@@ -102,9 +118,13 @@
     fn give_up(&mut self, ix: usize) {
         self.order(ix, Order::GiveUp);
     }
-    // No tier below is modelled here, and callers hear no value beside answers.
-    fn call(&mut self, _: usize, _: Duration) {}
-    fn answer_poorer(&mut self, _: usize) {}
+    fn call(&mut self, ix: usize, until: Duration) {
+        self.order(ix, |number| Order::Call(number, until));
+    }
+    fn answer_poorer(&mut self, ix: usize) {
+        self.order(ix, Order::Poorer);
+    }
+    // Callers hear no value beside answers.
     fn say(&mut self, _: f64) {}
     fn checks(&mut self, _: bool) {}
     fn close_idle_after(&mut self, _: Duration) {}
@@ -125,8 +145,9 @@
 struct Taken {
     task: Task,
     running: bool,
-    /// Work that is left of one that was taken off.
-    owed: bool,
+    /// It began: it had its effect.
+    begun: bool,
+    phase: Phase,
 }
 
 /// See the module's head.
@@ -154,7 +175,7 @@
         outer_limit: one.outer_limit,
         benefit: 1.0,
         late: 0.2,
-        poorer: 1.0,
+        poorer: one.poorer,
         repeats: match one.kind {
             Kind::Rerunnable => Repeats::Rerunnable,
             Kind::Ticketed => Repeats::Ticketed(one.outer_limit),
@@ -267,8 +288,13 @@
     fn start(&mut self, now: u64, number: u32) {
         let Some(taken) = self.taken.get_mut(&number).filter(|taken| !taken.running) else { return };
         taken.running = true;
-        let begins = !std::mem::replace(&mut taken.owed, true);
-        let work = taken.task.work;
+        let begins = !std::mem::replace(&mut taken.begun, true);
+        let (work, half) = (taken.task.work, taken.task.work / 2);
+        let work = match (taken.task.calls, taken.phase) {
+            (false, _) => work,
+            (true, Phase::Before) => half,
+            (true, _) => work - half,
+        };
         let run = self.free.pop().unwrap_or(self.runs.len() as u32);
         if run as usize == self.runs.len() {
             self.runs.push(None);
@@ -305,7 +331,7 @@
             self.said.push(Said::Dismissed(number, PAUSE, false));
             return;
         }
-        self.taken.insert(number, Taken { task, running: false, owed: false });
+        self.taken.insert(number, Taken { task, running: false, begun: false, phase: Phase::Before });
         match &mut self.mind {
             Mind::Plain { at_once, .. } => {
                 if self.machine.running() < *at_once {
@@ -392,9 +418,14 @@
         }
     }
 
+    /// A part of a run is done: it is at its call, or over.
     fn done(&mut self, now: u64, number: u32) {
         if let Some(taken) = self.taken.get_mut(&number) {
             taken.running = false;
+            if taken.task.calls && taken.phase == Phase::Before {
+                taken.phase = Phase::AtCall;
+                return self.at_call(now, number);
+            }
         }
         match &mut self.mind {
             Mind::Plain { .. } => {
@@ -415,6 +446,74 @@
         }
     }
 
+    fn at_call(&mut self, now: u64, number: u32) {
+        match &mut self.mind {
+            Mind::Plain { .. } => {
+                self.said.push(Said::Calls(number, u64::MAX));
+                self.fill(now);
+            }
+            Mind::Ours(ours) => {
+                let Ours { node, desk } = &mut **ours;
+                desk.now = now;
+                match desk.index.get(&number).copied() {
+                    Some(ix) => node.at_call(Duration::from_nanos(now), desk, ix),
+                    // Its ticket is over: so is the run, at its call.
+                    None => drop(self.taken.remove(&number)),
+                }
+                self.carry_out(now);
+            }
+        }
+    }
+
+    /// What came of a call that it made.
+    pub fn call_back(&mut self, now: u64, number: u32, outcome: Outcome) {
+        let Some(taken) = self.taken.get_mut(&number).filter(|taken| taken.phase == Phase::AtCall) else {
+            return;
+        };
+        match &mut self.mind {
+            Mind::Plain { .. } => {
+                if outcome == Outcome::Done {
+                    taken.phase = Phase::After;
+                    self.start(now, number);
+                } else {
+                    self.taken.remove(&number);
+                    self.said.push(Said::Failed(number));
+                }
+            }
+            Mind::Ours(ours) => {
+                let Ours { node, desk } = &mut **ours;
+                desk.now = now;
+                if let Some(ix) = desk.index.get(&number).copied() {
+                    node.call_ended(Duration::from_nanos(now), desk, ix, outcome);
+                }
+                let goes_on = outcome == Outcome::Done && desk.index.contains_key(&number);
+                if goes_on {
+                    self.go_on(now, number);
+                }
+                self.carry_out(now);
+            }
+        }
+    }
+
+    /// A run leaves its call behind, with its reply or without.
+    fn go_on(&mut self, now: u64, number: u32) {
+        if let Some(taken) = self.taken.get_mut(&number).filter(|taken| taken.phase == Phase::AtCall) {
+            taken.phase = Phase::After;
+            self.start(now, number);
+        }
+    }
+
+    /// The module hears that a run is over that it took off, or whose ticket it gave up at its call.
+    fn cut(&mut self, now: u64, number: u32, outcome: Outcome) {
+        self.stop(now, number);
+        if let Mind::Ours(ours) = &mut self.mind {
+            let Ours { node, desk } = &mut **ours;
+            if let Some(ix) = desk.index.get(&number).copied() {
+                node.ended(Duration::from_nanos(now), desk, ix, outcome);
+            }
+        }
+    }
+
     /// A plain node takes up what it holds.
     fn fill(&mut self, now: u64) {
         let Mind::Plain { at_once, .. } = self.mind else { return };
@@ -435,11 +534,30 @@
             for order in orders {
                 match order {
                     Order::Run(number) => self.start(now, number),
-                    Order::TakeOff(number) => self.stop(now, number),
+                    Order::TakeOff(number) => {
+                        // What must not run twice runs to its end: nobody could say how far it came.
+                        if self.taken.get(&number).is_some_and(|one| !one.task.exclusive) {
+                            self.cut(now, number, Outcome::Stopped);
+                        }
+                    }
+                    Order::Call(number, until) => {
+                        self.said.push(Said::Calls(number, until.as_nanos() as u64));
+                    }
+                    Order::Poorer(number) => {
+                        self.said.push(Said::Forgoes(number));
+                        self.go_on(now, number);
+                    }
                     Order::Dismiss(number, pause, nowhere) => {
                         self.said.push(Said::Dismissed(number, pause, nowhere));
                     }
-                    Order::GiveUp(number) => self.said.push(Said::Failed(number)),
+                    Order::GiveUp(number) => {
+                        self.said.push(Said::Failed(number));
+                        // A run whose request is over ends at its call.
+                        if self.taken.get(&number).is_some_and(|one| one.phase == Phase::AtCall) {
+                            self.said.push(Said::Forgoes(number));
+                            self.cut(now, number, Outcome::CutOff);
+                        }
+                    }
                     Order::Over(number) => {
                         // A run whose ticket is over goes on if it must not be cut.
                         let cut =
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -14,6 +14,21 @@
     pub part: f64,
     /// Core time of a run.
     pub work: Work,
+    /// Its runs call the tier below, half way.
+    pub calls: bool,
+    /// Share of its benefit that an answer without the call still earns.
+    pub poorer: f64,
+}
+
+/// The tier below: plain nodes behind a balancer that goes round, also to those that are dead.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BelowPlan {
+    pub count: u32,
+    /// Calls at a time at each, and those that wait there.
+    pub at_once: u32,
+    pub hold: u32,
+    /// Time of a call on one of its cores.
+    pub work: Work,
 }
 
 /// Core time of runs, by chance.
@@ -173,6 +188,8 @@
     Flood(u32, f64),
     /// The forwarders' clocks jump by this at the beginning and stay so.
     ClockJump(Duration),
+    /// So many nodes of the tier below die.
+    BelowDies(u32),
 }
 
 /// Whom a trouble meets.
@@ -213,6 +230,8 @@
     pub nodes: NodePlan,
     pub fronts: FrontPlan,
     pub net: NetPlan,
+    /// None: calls come back at once.
+    pub below: Option<BelowPlan>,
     /// Load as a share of all cores, from each time on.
     pub load: Vec<(Duration, f64)>,
     pub faults: Vec<Fault>,
@@ -231,6 +250,8 @@
             outer_limit: ms(3_000),
             part,
             work: Work::Between(ms(10), ms(30)),
+            calls: false,
+            poorer: 1.0,
         };
         let tenant = TenantPlan { name: "acme".into(), part: 1.0, share: 0.5, stranger: false };
         Self {
@@ -250,6 +271,7 @@
             },
             fronts: FrontPlan::default(),
             net: NetPlan::default(),
+            below: None,
             load: vec![(Duration::ZERO, 0.6)],
             faults: Vec::new(),
             bug: None,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -8,12 +8,14 @@
 //! Invariants: `tickets` holds those without an answer whose caller waits, and those that a forwarder has still; a try
 //! is in `tries` from its sending until its forwarder has heard of it or the node is done with it.
 
+use crate::machine::Machine;
 use crate::measure::{JobEnd, Measured};
 use crate::node::{Node, Said, Task};
 use crate::plan::{Bug, Fault, Pick, Plan, Trouble, Whom, Work};
 use crate::queue::Queue;
 use foldhash::{HashMap, HashMapExt};
 use nanorand::{Rng, WyRand};
+use rainstand::Outcome;
 use rainstand_config::schema::{self, Configuration, Proof, RepeatKind, SplitBy};
 use rainstand_config::units::ONE;
 use rainstand_route::attempts::START;
@@ -23,6 +25,7 @@
 use rainstand_route::subset::in_rounds;
 use rainstand_route::table::Ticket as Asked;
 use rainstand_rules::{Answer, Kind, Rules, Step as Saw};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Between a forwarder's looks at its members, and looks at tickets past their due time.
@@ -74,6 +77,31 @@
     /// The next step of a rolling deploy: fault, node's place in its list.
     Deploy(u32, u32),
     Restarts(u32),
+    /// A call reaches the tier below; is back with its node; is given up there.
+    AtBelow(u32),
+    CallBack(u32, Outcome),
+    CallCut(u32),
+    /// Something is due at a node of the tier below; stale if its number has changed.
+    BelowDue(u32, u32),
+}
+
+/// A call that is out.
+struct Call {
+    /// The try that waits for it, and at which node.
+    number: u32,
+    place: u32,
+    work: u64,
+    /// The node of the tier below that has it.
+    at: u32,
+}
+
+/// A node of the tier below.
+struct Under {
+    machine: Machine,
+    held: VecDeque<u32>,
+    alive: bool,
+    due: u64,
+    number: u32,
 }
 
 struct Job {
@@ -162,6 +190,11 @@
     met: Vec<Vec<u32>>,
     rules: Rules,
     measured: Measured,
+    under: Vec<Under>,
+    calls: HashMap<u32, Call>,
+    /// The call that each try has out.
+    call_of: HashMap<u32, u32>,
+    next_call: u32,
     /// The configuration's shares, and its rate.
     shares: Vec<f64>,
     tenant_marks: Vec<u64>,
@@ -286,6 +319,11 @@
     }
 }
 
+fn under(plan: &Plan) -> Under {
+    let cores = plan.below.map_or(1, |below| below.at_once);
+    Under { machine: Machine::new(cores, 0.0), held: VecDeque::new(), alive: true, due: u64::MAX, number: 0 }
+}
+
 /// The nodes that each fault meets, settled before anything happens.
 pub fn meets(plan: &Plan) -> Vec<Vec<u32>> {
     let count = plan.nodes.count;
@@ -377,6 +415,10 @@
             // A run may come as late as the longest hang; then nobody asks for it.
             rules: Rules::forgetting(longest * 2),
             measured: Measured::new(plan.seed, plan.types.len(), plan.tenants.len(), count as usize),
+            under: (0..plan.below.map_or(0, |below| below.count)).map(|_| under(plan)).collect(),
+            calls: HashMap::new(),
+            call_of: HashMap::new(),
+            next_call: 0,
             shares: known,
             tenant_marks: plan.tenants.iter().map(|one| mark(&one.name)).collect(),
         };
@@ -566,6 +608,29 @@
             Event::Fault(k, begins) => self.fault(now, k, begins),
             Event::Deploy(k, at) => self.deploy(k, at),
             Event::Restarts(place) => self.starts(now, place),
+            Event::AtBelow(call) => self.at_below(now, call),
+            Event::CallBack(call, outcome) => {
+                let Some(one) = self.calls.remove(&call) else { return };
+                self.call_of.remove(&one.number);
+                self.measured.second(now).calls_done += u64::from(outcome == Outcome::Done);
+                let place = &mut self.places[one.place as usize];
+                if place.alive {
+                    place.node.call_back(now, one.number, outcome);
+                    self.hear(one.place);
+                }
+            }
+            Event::CallCut(call) => {
+                if self.calls.contains_key(&call) {
+                    self.forget_call(now, call);
+                    self.queue.after(0, Event::CallBack(call, Outcome::TimedOut));
+                }
+            }
+            Event::BelowDue(at, number) => {
+                if self.under[at as usize].number == number {
+                    self.under[at as usize].due = u64::MAX;
+                    self.below_ends(now, at);
+                }
+            }
         }
     }
 
@@ -782,6 +847,7 @@
             again: self.tries[&number].again,
             came: now,
             exclusive: kind.kind == Kind::Exclusive,
+            calls: kind.calls,
         };
         self.places[place as usize].node.arrives(now, task);
         self.hear(place);
@@ -807,6 +873,13 @@
                 Said::Runs(number) => self.runs(now, number),
                 Said::Done(number) => self.back(number, Back::Honoured),
                 Said::Failed(number) => self.back(number, Back::Failed),
+                Said::Calls(number, until) => self.call(now, place, number, until),
+                Said::Forgoes(number) => {
+                    if let Some(call) = self.call_of.remove(&number) {
+                        self.forget_call(now, call);
+                        self.calls.remove(&call);
+                    }
+                }
                 Said::Dismissed(number, pause, nowhere_else) => {
                     self.back(number, Back::Dismissed { pause, nowhere_else });
                 }
@@ -818,6 +891,103 @@
         self.schedule(place);
     }
 
+    /// A node calls the tier below: a balancer goes round its nodes, also to those that are dead.
+    fn call(&mut self, now: u64, place: u32, number: u32, until: u64) {
+        let call = self.next_call;
+        self.next_call += 1;
+        let work = self.plan.below.map_or(0, |below| drawn(below.work, &mut self.net_chance));
+        let at = if self.under.is_empty() { NOBODY } else { call % self.under.len() as u32 };
+        self.calls.insert(call, Call { number, place, work, at });
+        self.call_of.insert(number, call);
+        let out = self.calls.len() as u64;
+        let second = self.measured.second(now);
+        second.calls += 1;
+        second.most_calls = second.most_calls.max(out);
+        let way = self.way(0, 0).unwrap_or(0);
+        if at == NOBODY {
+            self.queue.after(way, Event::CallBack(call, Outcome::Done));
+            return;
+        }
+        self.queue.after(way, Event::AtBelow(call));
+        if until < u64::MAX {
+            self.queue.at(until, Event::CallCut(call));
+        }
+    }
+
+    fn at_below(&mut self, now: u64, call: u32) {
+        let Some(one) = self.calls.get(&call) else { return };
+        let (at, work) = (one.at, one.work);
+        let Some(below) = self.plan.below else { return };
+        let under = &mut self.under[at as usize];
+        let way = ns(self.plan.net.delay.0);
+        if !under.alive {
+            self.queue.after(way, Event::CallBack(call, Outcome::Unreachable));
+        } else if under.machine.running() < below.at_once as usize {
+            under.machine.start(now, call, work);
+        } else if under.held.len() < below.hold as usize {
+            under.held.push_back(call);
+        } else {
+            self.queue.after(way, Event::CallBack(call, Outcome::Bounced));
+        }
+        self.below_next(now, at);
+    }
+
+    /// Puts the next event of a node of the tier below into the queue, if it has become another.
+    fn below_next(&mut self, _: u64, at: u32) {
+        let under = &mut self.under[at as usize];
+        let due = under.machine.next_end().unwrap_or(u64::MAX);
+        if due != under.due {
+            under.due = due;
+            under.number = under.number.wrapping_add(1);
+            if due < u64::MAX {
+                self.queue.at(due, Event::BelowDue(at, under.number));
+            }
+        }
+    }
+
+    fn below_ends(&mut self, now: u64, at: u32) {
+        let way = ns(self.plan.net.delay.0);
+        while let Some(call) = self.under[at as usize].machine.ended(now) {
+            self.queue.after(way, Event::CallBack(call, Outcome::Done));
+        }
+        self.below_fills(now, at);
+    }
+
+    fn below_fills(&mut self, now: u64, at: u32) {
+        let most = self.plan.below.map_or(0, |below| below.at_once as usize);
+        while self.under[at as usize].machine.running() < most {
+            let Some(call) = self.under[at as usize].held.pop_front() else { break };
+            if let Some(work) = self.calls.get(&call).map(|one| one.work) {
+                self.under[at as usize].machine.start(now, call, work);
+            }
+        }
+        self.below_next(now, at);
+    }
+
+    /// Nobody waits for a call: the tier below drops it.
+    fn forget_call(&mut self, now: u64, call: u32) {
+        let Some(at) = self.calls.get(&call).map(|one| one.at).filter(|at| *at != NOBODY) else { return };
+        let under = &mut self.under[at as usize];
+        under.held.retain(|held| *held != call);
+        under.machine.stop(now, call);
+        self.below_fills(now, at);
+    }
+
+    fn below_dies(&mut self, now: u64, at: u32) {
+        let under = &mut self.under[at as usize];
+        under.alive = false;
+        under.machine.clear(now);
+        under.held.clear();
+        let mut lost: Vec<u32> =
+            self.calls.iter().filter(|(_, one)| one.at == at).map(|(call, _)| *call).collect();
+        lost.sort_unstable();
+        // Those on their way find a closed door; the others lose their connection, and may have run.
+        for call in lost {
+            self.queue.after(ns(self.plan.net.delay.0), Event::CallBack(call, Outcome::CutOff));
+        }
+        self.below_next(now, at);
+    }
+
     fn way_back(&mut self, number: u32) -> Option<u64> {
         let one = self.tries.get(&number)?;
         let (place, ticket) = (one.node, one.ticket);
@@ -1029,6 +1199,15 @@
                 }
                 self.new_rate();
             }
+            Trouble::BelowDies(count) => {
+                for at in 0..count.min(self.under.len() as u32) {
+                    if begins {
+                        self.below_dies(now, at);
+                    } else {
+                        self.under[at as usize].alive = true;
+                    }
+                }
+            }
             Trouble::ClockJump(span) => {
                 if begins {
                     self.fronts.iter_mut().for_each(|front| front.ahead += ns(span));
