--- a/crates/config/src/resolve/experiment.rs
+++ b/crates/config/src/resolve/experiment.rs
@@ -71,7 +71,7 @@
 }
 
 pub(super) fn experiment(r: &mut Reader<'_, '_, '_, '_>) -> schema::Experiment {
-    r.holds = &["fleet", "forwarders", "network", "traffic", "from", "load", "fault", "vary"];
+    r.holds = &["fleet", "forwarders", "network", "below", "traffic", "from", "load", "fault", "vary"];
     let at = r.block().at();
     let fleet = only(r, "fleet", fleet);
     if fleet.is_none() {
@@ -116,6 +116,7 @@
         fleet,
         forwarders: only(r, "forwarders", forwarders),
         network: only(r, "network", network),
+        below: only(r, "below", below),
         traffic: traffic.into_iter().map(|(one, _)| one).collect(),
         from: from.into_iter().map(|(one, _)| one).collect(),
         load: load.into_iter().map(|(one, _)| one).collect(),
@@ -176,37 +177,57 @@
     }
 }
 
-/// `20 ms`, `about 20 ms` or `10 ms .. 30 ms`.
-fn traffic(r: &mut Reader<'_, '_, '_, '_>) -> schema::ModelTraffic {
-    let name = named(r, Sort::Type);
-    let part = r.amount("part", Dimension::Factor, or(ONE, MOST_FACTOR));
-    let mut made = schema::ModelTraffic { name, part, ..schema::ModelTraffic::default() };
+/// `20 ms`, `about 20 ms` or `10 ms .. 30 ms`: both ends, and whether by chance.
+fn work(r: &mut Reader<'_, '_, '_, '_>) -> (u64, u64, bool) {
     let Some(value) = r.single("work") else {
         if r.entry("work").is_none() {
             r.missing("work");
         }
-        return made;
+        return (0, 0, false);
     };
     if value.atoms.iter().any(|atom| atom.kind == Leaf::To) {
-        let found = r.range("work", Dimension::Time, false, &must(LONGEST));
-        let (least, most) = found.unwrap_or((None, None));
-        (made.work_least_ns, made.work_most_ns) = (least.unwrap_or(0), most.unwrap_or(0));
-        return made;
+        let (least, most) = r.range("work", Dimension::Time, false, &must(LONGEST)).unwrap_or((None, None));
+        return (least.unwrap_or(0), most.unwrap_or(0), false);
     }
     let about = value.atoms.first().is_some_and(|first| first.text == "about");
     let atoms = &value.atoms[usize::from(about)..];
     let (Some(first), Some(last)) = (atoms.first(), atoms.last()) else {
         let words = "`about` wants the mean: `work: about 20 ms`";
         r.tell(Finding::new(Code::KeyMissing, value.at, words));
-        return made;
+        return (0, 0, about);
     };
     let at = Span { end: last.at.end, ..first.at };
     let text = r.maker.sources.slice(at);
     let found = units::expect_of("work", Dimension::Time, atoms, text, at);
     let span = r.within("work", found, at, &must(LONGEST));
-    made.by_chance = about;
-    (made.work_least_ns, made.work_most_ns) = (span, span);
-    made
+    (span, span, about)
+}
+
+fn traffic(r: &mut Reader<'_, '_, '_, '_>) -> schema::ModelTraffic {
+    let name = named(r, Sort::Type);
+    let (work_least_ns, work_most_ns, by_chance) = work(r);
+    schema::ModelTraffic {
+        name,
+        part: r.amount("part", Dimension::Factor, or(ONE, MOST_FACTOR)),
+        work_least_ns,
+        work_most_ns,
+        by_chance,
+        calls: r.word("calls", &YES_NO, Some(false)).unwrap_or(false),
+        poorer: r.share("poorer", Bounds { default: Some(0), zero: true, most: ONE }),
+    }
+}
+
+fn below(r: &mut Reader<'_, '_, '_, '_>) -> schema::ModelBelow {
+    let (work_least_ns, work_most_ns, by_chance) = work(r);
+    let hold = Bounds { default: Some(60), zero: true, most: 1 << 20 };
+    schema::ModelBelow {
+        nodes: r.whole("nodes", must(MOST_PARTS)),
+        at_once: r.amount("at-once", Dimension::Tickets, or(8, 1 << 20)),
+        hold: r.amount("hold", Dimension::Tickets, hold),
+        work_least_ns,
+        work_most_ns,
+        by_chance,
+    }
 }
 
 fn from(r: &mut Reader<'_, '_, '_, '_>) -> schema::ModelSource {
@@ -235,6 +256,7 @@
         ("partition", TroubleKind::Partition),
         ("flood", TroubleKind::Flood),
         ("clock-jump", TroubleKind::ClockJump),
+        ("below-dies", TroubleKind::BelowDies),
     ];
     let at = r.block().kind.at;
     let kind = r.word("what", &kinds, None).unwrap_or(TroubleKind::TroubleUnspecified);
@@ -266,7 +288,9 @@
         tenant,
         ..schema::ModelFault::default()
     };
-    if !wants(&[Flood, Partition, ClockJump]) {
+    if wants(&[BelowDies]) {
+        made.first = r.whole("first", must(MOST_PARTS));
+    } else if !wants(&[Flood, Partition, ClockJump]) {
         made.share = r.share("share", Bounds { default: Some(0), zero: true, most: ONE });
         made.first = r.whole("first", Bounds { default: Some(0), zero: true, most: MOST_PARTS });
         let hall = r.single("hall").is_some();
--- a/crates/lab/src/plans.rs
+++ b/crates/lab/src/plans.rs
@@ -5,8 +5,8 @@
 };
 use rainstand_config::units::{self, ONE};
 use rainstand_model::plan::{
-    Fault, FrontPlan, Habits, NetPlan, NodeKind, NodePlan, Pick, Plan, TenantPlan, Trouble, TypePlan, Whom,
-    Work,
+    BelowPlan, Fault, FrontPlan, Habits, NetPlan, NodeKind, NodePlan, Pick, Plan, TenantPlan, Trouble,
+    TypePlan, Whom, Work,
 };
 use rainstand_rules::Kind;
 use std::time::Duration;
@@ -50,13 +50,9 @@
             goal: ns(known.goal_ns),
             outer_limit: ns(known.outer_limit_ns),
             part: share(one.part),
-            work: match (one.by_chance, least == most) {
-                (true, _) => Work::About(least),
-                (false, true) => Work::Fixed(least),
-                (false, false) => Work::Between(least, most),
-            },
-            calls: false,
-            poorer: 1.0,
+            work: work(one.by_chance, least, most),
+            calls: one.calls,
+            poorer: if one.calls { share(one.poorer) } else { 1.0 },
         })
     });
     let tenants = experiment.from.iter().map(|one| {
@@ -120,7 +116,12 @@
         nodes,
         fronts,
         net,
-        below: None,
+        below: experiment.below.as_ref().map(|one| BelowPlan {
+            count: small(one.nodes),
+            at_once: small(one.at_once),
+            hold: small(one.hold),
+            work: work(one.by_chance, ns(one.work_least_ns), ns(one.work_most_ns)),
+        }),
         load: experiment.load.iter().map(|one| (ns(one.from_ns), share(one.share))).collect(),
         faults,
         bug: None,
@@ -128,6 +129,14 @@
     })
 }
 
+fn work(by_chance: bool, least: Duration, most: Duration) -> Work {
+    match (by_chance, least == most) {
+        (true, _) => Work::About(least),
+        (false, true) => Work::Fixed(least),
+        (false, false) => Work::Between(least, most),
+    }
+}
+
 fn pick(pick: MemberPick) -> Pick {
     match pick {
         MemberPick::TwoChoices => Pick::TwoChoices,
@@ -154,6 +163,7 @@
             Trouble::Flood(tenant as u32, times)
         }
         TroubleKind::ClockJump => Trouble::ClockJump(span),
+        TroubleKind::BelowDies => Trouble::BelowDies(small(one.first)),
         TroubleKind::TroubleUnspecified => return Err("a fault of no kind".into()),
     };
     let whom = match one.hall {
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -137,6 +137,11 @@
     all.push(("tries.svg", lines(tries, &over_time(results, |one| share(one.tries, one.asked)))?));
     let away = Labels { least: (0.0, 0.01), ..labels("Dismissed", "s", "share of jobs") };
     all.push(("dismissed.svg", lines(away, &over_time(results, |one| share(one.dismissed, one.asked)))?));
+    if results.seconds.iter().any(|one| one.calls > 0) {
+        let calls =
+            Labels { least: (0.0, 1.0), ..labels("Calls below that came back", "s", "calls a second") };
+        all.push(("calls.svg", lines(calls, &over_time(results, |one| Some(one.calls_done as f64)))?));
+    }
     // Percentiles lie on an axis of nines: 0.9 is 1, 0.99 is 2, 0.999 is 3.
     let mut times = Vec::new();
     for (number, label) in results.variants() {
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -63,6 +63,10 @@
     pub given_up: i64,
     pub tries: i64,
     pub runs: i64,
+    /// To the tier below: made, come back with a result, the most out at a time.
+    pub calls: i64,
+    pub calls_done: i64,
+    pub most_calls: i64,
 }
 
 /// One node of one run.
@@ -148,6 +152,9 @@
         given_up: long(one.jobs.given_up),
         tries: long(one.tries),
         runs: long(one.runs),
+        calls: long(one.calls),
+        calls_done: long(one.calls_done),
+        most_calls: long(one.most_calls),
     };
     let step = measured.node_runs.len().div_ceil(NODES).max(1);
     let node = |k: usize| NodeRow {
