rainstand lab stand-ins: an experiment's nodes on loopback, behind a forwarder of one's own

The issue asks for stand-ins as a program of their own. Prints an address a line and ends with a signal; 'lab load --to' loads them, which a test does.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -87,6 +87,20 @@
         #[arg(long)]
         json: bool,
     },
+    /// Start an experiment's nodes on loopback, to stand behind a forwarder of your own
+    #[command(
+        after_help = "Example:\n  rainstand lab stand-ins experiments/sockets.rain --port 5100\n\nPrints an address a line; ends with TERM or an interrupt."
+    )]
+    StandIns {
+        file: String,
+        #[arg(long)]
+        experiment: Option<String>,
+        #[arg(long)]
+        variant: Option<String>,
+        /// Of the first one, the others follow; 0 for any that are free
+        #[arg(long, default_value_t = 0)]
+        port: u16,
+    },
     /// Look for a smaller run that still breaks a rule
     #[command(
         after_help = "Example:\n  rainstand lab shrink experiments/fifth-dead.rain --variant know=10 --seed 17\n\nExit codes: 0 no rule breaks, 1 one does: the smallest run found is printed."
@@ -128,6 +142,16 @@
                 Err(code) => Ok(code),
             }
         }
+        Command::StandIns { file, experiment, variant, port } => {
+            let (configuration, at) = match chosen(&file, experiment.as_deref())? {
+                Ok(found) => found,
+                Err(code) => return Ok(code),
+            };
+            match one_of(&file, &configuration, &configuration.experiments[at], variant, 1) {
+                Ok(plan) => crate::load::stand_ins(&file, &plan, port),
+                Err(code) => Ok(code),
+            }
+        }
         Command::Shrink { file, experiment, variant, seed } => {
             let (configuration, at) = match chosen(&file, experiment.as_deref())? {
                 Ok(found) => found,
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -138,6 +138,46 @@
     Ok((nodes, doors))
 }
 
+/// Starts an experiment's nodes on loopback, one a line, and keeps them until the program is ended; `port`: of the first
+/// one, the others follow; 0 for any that are free.
+pub fn stand_ins(file: &str, plan: &Plan, port: u16) -> io::Result<Code> {
+    if plan.nodes.count > MOST_NODES {
+        return Ok(trouble(
+            file,
+            format!("{} nodes; at most {MOST_NODES} are started here", plan.nodes.count),
+        ));
+    }
+    let scripts = match scripts(plan) {
+        Ok(scripts) => scripts,
+        Err(why) => return Ok(trouble(file, why)),
+    };
+    let mut all = Vec::new();
+    for (k, script) in scripts.into_iter().enumerate() {
+        let wanted = if port == 0 { Some(0) } else { port.checked_add(k as u16) };
+        let Some(wanted) = wanted else { return Ok(trouble("--port", "the last ports lie past 65535")) };
+        let at = SocketAddr::from(([127, 0, 0, 1], wanted));
+        // Told in words here; a stand-in that cannot have its address ends in a panic.
+        if let Err(error) = std::net::TcpListener::bind(at) {
+            return Ok(trouble(&at.to_string(), error));
+        }
+        let node =
+            Make { script, seed: k as u64, at: Some(at), forget_runs: true, ..Make::default() }.start();
+        line(&node.addr.to_string())?;
+        all.push(node);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+        io::Result::Ok(())
+    })?;
+    all.iter().for_each(Node::end);
+    Ok(Code::Good)
+}
+
 /// Loads what is there by a plan, and tells how it went; without `to` it starts all of it here.
 pub fn load(file: &str, plan: &Plan, to: Option<SocketAddr>, as_json: bool) -> io::Result<Code> {
     let (nodes, doors) = match to {
--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -76,6 +76,27 @@
     }
 }
 
+#[test]
+fn an_experiments_nodes_stand_until_they_are_ended() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("small.rain"), EXPERIMENT).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_rainstand"))
+        .args(["lab", "stand-ins", "small.rain"])
+        .current_dir(folder.path())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let nodes: Vec<String> = lines.take(4).map(Result::unwrap).collect();
+    let (code, out, errors) =
+        rainstand(folder.path(), &["lab", "load", "small.rain", "--json", "--to", &nodes[3]]);
+    assert!(code == 0 && out.lines().count() == 1 && out.contains("\"of\":\"sockets\""), "{out} {errors}");
+    let value: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert!(value["honoured"].as_f64().unwrap() > 0.5, "{out}");
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
+
 /// A forwarder as a process, with its admin address; ended when dropped.
 struct Forwarder(std::process::Child, String);
 
