Places are given back when a version numbers the pools anew

A ticket that was out while a new version put another pool before its own gave its place back to the wrong pool, or to none: the members' open counts, and since places are counted for the whole pool the pool itself, stayed lower for good. Trips know pool and member by name now. Found by reading; the test leaves 8 of 8 places taken on the code before.

--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -191,8 +191,9 @@
     arrived: Duration,
     goal: Duration,
     may_have_run: bool,
-    /// The member of the last try, and when it was sent.
-    at: Option<(At, Rc<str>, Duration)>,
+    /// The member of the last try, and when it was sent; with the names of pool and member, since a version taken
+    /// meanwhile may have given their places to others.
+    at: Option<(At, Rc<str>, Rc<str>, Duration)>,
     /// That try has not come back yet.
     out: bool,
     /// It holds a place in this pool's room; not once another version took the room away.
@@ -221,6 +222,7 @@
 }
 
 struct Pool {
+    name: Rc<str>,
     addresses: Vec<Rc<str>>,
     members: Vec<Member>,
     toward: Vec<Toward>,
@@ -289,6 +291,7 @@
             Member::new(mark(&m.address), weight, near, Duration::from_nanos(m.warm_up_ns))
         };
         let mut made = Pool {
+            name: pool.name.as_str().into(),
             addresses: pool.members.iter().map(|member| member.address.as_str().into()).collect(),
             members: pool.members.iter().map(member).collect(),
             toward: pool.members.iter().map(|_| Toward::new(most, now)).collect(),
@@ -627,7 +630,7 @@
             health.sent(member, now);
         }
         let to = At { pool, member: member as u16 };
-        trip.at = Some((to, one.addresses[member].clone(), now));
+        trip.at = Some((to, one.name.clone(), one.addresses[member].clone(), now));
         trip.out = true;
         let again = trip.again || trip.tries > 1;
         let tried = trip.tries;
@@ -659,9 +662,14 @@
         if !std::mem::replace(&mut trip.out, false) {
             return USUAL;
         }
-        let Some((at, address, sent)) = &trip.at else { return USUAL };
-        // The member may have another place since, or none.
-        let Some(pool) = self.pools.get_mut(usize::from(at.pool)) else { return USUAL };
+        let Some((at, name, address, sent)) = &trip.at else { return USUAL };
+        let mut at = *at;
+        if self.pools.get(usize::from(at.pool)).is_none_or(|pool| pool.name != *name) {
+            // Another version numbers its pools anew; one that is gone has no books any more.
+            let Some(moved) = self.pools.iter().position(|pool| pool.name == *name) else { return USUAL };
+            at.pool = moved as u16;
+        }
+        let pool = &mut self.pools[usize::from(at.pool)];
         let member = usize::from(at.member);
         let member = if pool.addresses.get(member).is_some_and(|one| Rc::ptr_eq(one, address)) {
             member
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -383,3 +383,41 @@
     assert!(others > 10_000, "{others}");
     assert!(fleet.pauses() == 0 && fleet.counts().room > 100_000);
 }
+
+/// A version that numbers pools anew must not keep the places of tickets that are out.
+#[test]
+fn places_are_given_back_when_pools_get_other_numbers() {
+    let text = |first: &str| {
+        format!(
+            "rain 1
+type check {{ repeat: rerunnable; goal: 3 s; outer-limit: 7 s }}
+health h {{ keep: 40 % }}
+{first}
+pool p {{ health: h; member n1 {{ address: \"10.0.0.1:1\" }} member n2 {{ address: \"10.0.0.2:1\" }} }}
+route r {{ to: p }}"
+        )
+    };
+    let made = |text: String| load(&Memory::new([("a.rain", text)]), "a.rain").configuration.expect("good");
+    let before = made(text(""));
+    // It stands before the other in order of names, and has a member with the same address.
+    let after = made(text("pool a { member n1 { address: \"10.0.0.1:1\" } }"));
+    let now = Duration::from_millis;
+    let mut fleet = Fleet::new(&before, "", 7, now(0)).unwrap();
+    let open = |fleet: &Fleet, pool| fleet.members(pool, now(0)).map(|member| member.open).sum::<u32>();
+    let trips: Vec<Trip> = (0..8)
+        .map(|_| match fleet.arrived(now(1), &Ticket::default()) {
+            Step::Go(trip, _) => trip,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    fleet.take(&after, now(2)).unwrap();
+    let p = fleet.table().pool("p").unwrap();
+    assert_eq!((p, open(&fleet, p), open(&fleet, 0)), (1, 8, 0));
+    for trip in trips {
+        assert!(matches!(
+            fleet.came(now(5), trip, Back::Honoured),
+            Step::Over(Over { end: End::Honoured, .. })
+        ));
+    }
+    assert_eq!((open(&fleet, p), open(&fleet, 0)), (0, 0));
+}
