Tries of an earlier version are not counted as another member's

Metrics keep their handles by place; a try that came back after a new version was counted for whoever has the place now. Found by reading; a test shows it.

--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -84,8 +84,17 @@
     trip: Option<Trip>,
     /// The try that is out; a word for another is late.
     pub attempt: u64,
-    /// The member of the try that is out, and since when; none while it waits for the next.
-    at: Option<(At, Rc<str>, Duration)>,
+    /// The try that is out; none while it waits for the next.
+    at: Option<Out>,
+}
+
+/// A try that is out: where, by the places of which version, and since when.
+#[derive(Clone)]
+struct Out {
+    at: At,
+    version: u64,
+    address: Rc<str>,
+    since: Duration,
 }
 
 /// What the tasks of one forwarder share.
@@ -218,11 +227,15 @@
         match step {
             Step::Go(trip, send) => {
                 let attempt = self.number();
-                let address = self.fleet.borrow().address(send.to).clone();
+                let (address, version) = {
+                    let fleet = self.fleet.borrow();
+                    (fleet.address(send.to).clone(), fleet.version())
+                };
                 if let Some(ticket) = self.tickets.borrow_mut().get_mut(&number) {
                     ticket.trip = Some(trip);
                     ticket.attempt = attempt;
-                    ticket.at = Some((send.to, address.clone(), self.now()));
+                    let (address, since) = (address.clone(), self.now());
+                    ticket.at = Some(Out { at: send.to, version, address, since });
                 }
                 self.ring_after(send.cut, number, attempt);
                 let call = Call { number, attempt, again: send.again, tried: send.tried };
@@ -278,7 +291,7 @@
             .filter(|ticket| ticket.attempt == attempt)
             .map(|t| t.at.clone());
         let Some(at) = at else { return };
-        if let Some((_, address, _)) = at {
+        if let Some(Out { address, .. }) = at {
             if self.came(number, attempt, Back::TimedOut) {
                 // Nobody waits for it there any more.
                 back::leave(self, &address, attempt);
@@ -299,14 +312,9 @@
     /// A try came back: to the counters, and to the decisions.
     fn tell(&self, number: u64, trip: Trip, back: Back) -> Step {
         let now = self.now();
-        let at = self
-            .tickets
-            .borrow()
-            .get(&number)
-            .and_then(|t| t.at.as_ref().map(|(at, _, since)| (*at, *since)));
-        if let Some((at, since)) = at {
-            let took = now.saturating_sub(since);
-            self.metrics.tried(at, back, took);
+        let out = self.tickets.borrow().get(&number).and_then(|ticket| ticket.at.clone());
+        if let Some(Out { at, version, since, .. }) = out {
+            self.metrics.tried(at, version, back, now.saturating_sub(since));
         }
         self.fleet.borrow_mut().came(now, trip, back)
     }
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -205,10 +205,13 @@
         self.handles.replace(handles);
     }
 
-    /// What came of a try, after this time.
-    pub fn tried(&self, at: At, back: Back, took: Duration) {
+    /// What came of a try, after this time. One that was sent under an earlier version is counted at its ticket only:
+    /// its place may be another member's now.
+    pub fn tried(&self, at: At, version: u64, back: Back, took: Duration) {
         let handles = self.handles.borrow();
-        // Of an earlier version, with places that are not there now: counted at the ticket only.
+        if version != handles.version {
+            return;
+        }
         let found = handles.members.get(usize::from(at.pool)).and_then(|all| all.get(usize::from(at.member)));
         let Some(member) = found else { return };
         let place = BACKS.iter().position(|one| std::mem::discriminant(one) == std::mem::discriminant(&back));
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -253,6 +253,9 @@
         assert_eq!(caller.next().await.unwrap(), (second, honoured("two")));
         old.release();
         assert_eq!(caller.next().await.unwrap(), (first, honoured("one")));
+        // What came back from the old member is not the new one's, though it has its place and name.
+        let metrics = w.hub.metrics.text(&w.hub);
+        assert!(metrics.contains(r#"tries_total{pool="p",member="n0",came="honoured"} 1"#), "{metrics}");
         let mut bad = configuration(&[&new], "10 s");
         bad.routes[0].to[0].pool = "gone".into();
         assert!(w.hub.take(&bad).unwrap_err().contains("no pool `gone`"));
