Model: dispatchers and their lists that lag do what the plan says

Two settings of an experiment did nothing: how many dispatchers there are, and how late their lists are. Each goes round the nodes by itself now, and asks the dead while its list has them. A test: a fifth of the tickets meets a closed door while the list lags, none afterwards.

--- a/crates/config/src/resolve/experiment.rs
+++ b/crates/config/src/resolve/experiment.rs
@@ -113,6 +113,7 @@
         heeds: r.word("heeds", &YES_NO, Some(true)).unwrap_or(true),
         marks: r.word("marks", &YES_NO, Some(true)).unwrap_or(true),
         second_copy_ns: r.time("second-copy", zero),
+        late_list_ns: r.time("late-list", Bounds { default: Some(2 * SECOND), zero: true, most: LONGEST }),
         fleet,
         forwarders: only(r, "forwarders", forwarders),
         network: only(r, "network", network),
--- a/crates/lab/src/plans.rs
+++ b/crates/lab/src/plans.rs
@@ -111,7 +111,7 @@
             heeds: experiment.heeds,
             marks: experiment.marks,
             second_copy,
-            ..Habits::default()
+            late_list: ns(experiment.late_list_ns),
         },
         nodes,
         fronts,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -139,6 +139,8 @@
 struct Place {
     node: Node,
     alive: bool,
+    /// When it last died, ns.
+    died: u64,
     hangs: bool,
     /// Tries that it read while it hung.
     stuck: Vec<u32>,
@@ -185,7 +187,8 @@
     /// By tenant: what floods make of its part.
     floods: Vec<f64>,
     partitions: u32,
-    turn: u32,
+    /// The node that each dispatcher asked last, where it goes to them itself.
+    turns: Vec<u32>,
     /// Nodes that each fault meets.
     met: Vec<Vec<u32>>,
     rules: Rules,
@@ -357,6 +360,7 @@
         let place = |k: u32| Place {
             node: Node::new(&plan.nodes, &plan.types, &known, whole, plan.seed ^ u64::from(k), 0, false),
             alive: true,
+            died: 0,
             hangs: false,
             stuck: Vec::new(),
             lies: None,
@@ -410,7 +414,7 @@
             load: 0.0,
             floods: vec![1.0; plan.tenants.len()],
             partitions: 0,
-            turn: 0,
+            turns: (0..plan.dispatchers).collect(),
             met: meets(plan),
             // A run may come as late as the longest hang; then nobody asks for it.
             rules: Rules::forgetting(longest * 2),
@@ -505,7 +509,8 @@
 
     /// Where a ticket's sender stands: a forwarder's hall, or the dispatcher's.
     fn hall_of(&self, ticket: &Ticket) -> u32 {
-        let at = if ticket.front == NOBODY { ticket.job } else { ticket.front };
+        let dispatcher = ticket.job % self.plan.dispatchers;
+        let at = if ticket.front == NOBODY { dispatcher } else { ticket.front };
         at % self.plan.nodes.halls
     }
 
@@ -751,9 +756,16 @@
     /// Without forwarders: to the next node of the dispatchers' list.
     fn in_turn(&mut self, now: u64, ticket: u32) {
         let count = self.plan.nodes.count;
-        self.turn = (self.turn + 1) % count;
-        let again = self.tickets[&ticket].again;
-        self.send(now, ticket, self.turn, again);
+        let (again, job) = (self.tickets[&ticket].again, self.tickets[&ticket].job);
+        let late = ns(self.plan.habits.late_list);
+        // Its list still has those that died lately; if it has nobody else, it asks the next one all the same.
+        let listed = |place: &Place| place.alive || now - place.died <= late;
+        let turn = &mut self.turns[(job % self.plan.dispatchers) as usize];
+        let next = (1..=count).map(|k| (*turn + k) % count);
+        let first = (*turn + 1) % count;
+        *turn = next.into_iter().find(|k| listed(&self.places[*k as usize])).unwrap_or(first);
+        let place = *turn;
+        self.send(now, ticket, place, again);
     }
 
     /// Carries out a step of a forwarder.
@@ -1230,6 +1242,7 @@
             return;
         }
         one.alive = false;
+        one.died = self.queue.now();
         let mut inside = one.node.inside();
         inside.append(&mut one.stuck);
         let now = self.queue.now();
@@ -1249,6 +1262,7 @@
         let one = &mut self.places[place as usize];
         if one.alive {
             one.alive = false;
+            one.died = self.queue.now();
             one.drains = false;
             let now = self.queue.now();
             self.measured.node_busy_ms[place as usize] += one.node.used_ms(now);
--- a/crates/model/tests/faults.rs
+++ b/crates/model/tests/faults.rs
@@ -138,3 +138,20 @@
     let more = FrontPlan { count: 1, ..FrontPlan::default() };
     assert!(world::run(&Plan { fronts: more, ..plan(1) }).is_ok());
 }
+
+#[test]
+fn lists_that_lag_cost_as_long_as_they_lag() {
+    let good = |late: u64| {
+        let mut plan = plan(4);
+        plan.fronts.count = 0;
+        plan.habits = Habits { tries: 1, second_copy: None, late_list: MS(late), ..plan.habits };
+        plan.faults = vec![fault(2_000, 7_000, Trouble::Die, Whom::Share(0.2))];
+        let measured = world::run(&plan).unwrap();
+        assert_eq!(measured.broken, None);
+        [measured.good_between(2, 4), measured.good_between(4, 7)]
+    };
+    let (soon, late) = (good(100), good(2_000));
+    // A fifth of the tickets meets a closed door while the list lags, and none afterwards.
+    assert!(soon[0] > 0.95 && late[0] < 0.85, "{soon:?} {late:?}");
+    assert!(soon[1] > 0.97 && late[1] > 0.97, "{soon:?} {late:?}");
+}
