Idle connections close sooner at scale also while much is dismissed

Voice::trim halved an idle connection's stay only while under half of what was read was dismissed; while busy and dismissing it let the stay grow back to the callers' 30 s, so the table stood full (25 to 35% of capacity, callers turned away unread).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -89,8 +89,6 @@
 const LINKS: [f64; 2] = [6.0, 10.0];
 /// What the stay of an idle connection is multiplied by at a look, once a round, at the least and most.
 const TRIM: [f64; 2] = [0.5, 2.0];
-/// Share of tickets dismissed from which connections are kept longer: new ones would bring more of them.
-const TURNED: f64 = 0.5;
 
 /// What each tenant spent, and what it may: the design's quota.
 pub struct Ledger {
@@ -271,7 +269,6 @@
     grace: Duration,
     marked: bool,
     again: Mean,
-    turned: Mean,
     leaving: Option<(Duration, Duration)>,
     away: bool,
     links: (usize, Duration),
@@ -288,14 +285,13 @@
     }
 
     /// Guards against a table full of connections that nobody comes back to: it slows all work, and turns
-    /// callers away unseen. While much is dismissed a full table is the cheapest way to say no, and stays.
-    fn trim(&mut self, now: Duration, host: &mut dyn Host, open: f64, cores: usize, busy: bool) {
+    /// callers away unseen, also while much is dismissed, since each of many callers comes here seldom.
+    fn trim(&mut self, now: Duration, host: &mut dyn Host, open: f64, cores: usize) {
         if now < self.looked + ROUND {
             return;
         }
-        let turned = self.turned.read().filter(|_| busy).unwrap_or(0.0) / TURNED;
         let few = open < LINKS[0] * cores as f64 || self.links.0 as f64 <= LINKS[1] * cores as f64;
-        let by = if few { TRIM[1] } else { turned.clamp(TRIM[0], TRIM[1]) };
+        let by = if few { TRIM[1] } else { TRIM[0] };
         let stay = self.stay.mul_f64(by).max(BEAT).min(self.links.1);
         self.looked = now;
         if std::mem::replace(&mut self.stay, stay) != stay {
@@ -490,7 +486,7 @@
         self.limit.beat(now, gauges, running, held > 0);
         let usual = (0..self.lines.len()).map(|k| self.usual_run(k, None)).max().unwrap_or_default();
         self.health.look(now, running > 0, usual);
-        self.voice.trim(now, host, gauges.links.unwrap_or(0.0), self.limit.cores, self.busy);
+        self.voice.trim(now, host, gauges.links.unwrap_or(0.0), self.limit.cores);
         self.voice.keep_away(host, self.health.sick || self.voice.leaving.is_some());
         self.sound(now, host);
         self.fill(now, host);
@@ -551,7 +547,6 @@
         if self.hand.forget(now, ix) {
             host.forget(ix);
         }
-        self.voice.turned.add(now, 1.0, RECENT);
         host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
         self.close(host, ix);
     }
@@ -611,7 +606,6 @@
 
     fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         let stalled = self.stalled;
-        self.voice.turned.add(now, 0.0, RECENT);
         self.hand.move_to(ix, Stage::Running);
         let t = self.hand.at(ix);
         t.after_run = Some(Box::new(move |node, at, host, ix, end| {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -228,13 +228,15 @@
 }
 
 #[test]
-fn idle_connections_close_sooner_while_many_are_open_unless_much_is_dismissed() {
+fn idle_connections_close_sooner_while_many_are_open_even_if_much_is_dismissed() {
     // (callers, cores gauge, open connections, dismissed of four, the span asked for last, ms)
+    // Hundreds of callers each come seldom: a table kept full while dismissing only slows the node and
+    // turns callers away unread (lakes-preview and sicily-prices at full size).
     let cases = [
         (900, 0.95, 11.0, 0, None),
         (20, 0.95, 80.0, 0, None),
         (900, 0.95, 80.0, 0, Some(1_875)),
-        (900, 0.95, 80.0, 4, Some(30_000)),
+        (900, 0.95, 80.0, 4, Some(1_875)),
         (900, 0.3, 80.0, 4, Some(1_875)),
     ];
     for (callers, busy, open, dismissed, span) in cases {
