A ticket starts only with one and a half usual runs left before its goal time

Checked and dropped: memory (at most 0.36 of the bound), the tier below (at most 0.12 of its bound), fall-over (no fault).

The start bound is now made without a Duration product that could overflow on an unknown usual run (the test with no usual hint panicked).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const GROSS: f64 = 3.0;
 /// Share of the goal time that a ticket may wait, read or unread.
 const HOLD: f64 = 0.5;
+/// Usual runs left before the goal time for a start: runs spread far above their mean, more on a slow node.
+const SPREAD: f64 = 1.5;
 /// Cores gauge that reads busy: the gauge averages half a second, so full cores read a little less.
 const BUSY: f64 = 0.9;
 /// Limit steps, in tickets a core: the learner's arms. Past 3 no core is left to fill, even with waits.
@@ -417,7 +419,10 @@
         let too_late = self.voice.leaving.is_some_and(|(notice, _)| arrived > notice + self.voice.grace);
         // Guards against runs cut off undone, and against working off a backlog that piled up unread: on
         // full cores nothing is begun that has no time for its usual run, or waited half its goal time.
-        let last = due.min(arrived + goal).saturating_sub(self.usual_run(a.traffic, a.hint));
+        let usual = self.usual_run(a.traffic, a.hint).as_secs_f64() * SPREAD;
+        let last = due
+            .min(arrived + goal)
+            .saturating_sub(Duration::try_from_secs_f64(usual).unwrap_or(Duration::MAX));
         let start_by = last.min(arrived + goal.mul_f64(HOLD));
         let hopeless = due <= now || too_late || (self.busy && now > start_by);
         if hopeless || !self.health.lets_through(now) {
