SIGHUP takes the module's settings with all that is in hand; halt is checked

Traffic types and tenants hold until a start, since the books are laid out by them: a file that changes them is refused with one log line. familyInfo.halt was read unchecked (any odd word meant runs can be taken off); now off, drop or pause, absent as before. Hub's idle, grace, longest pause and listing are cells.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -153,7 +153,7 @@
     let owed = Owed { conn: conn.clone(), seq };
     // The agent is not up, or the bodies in hand fill their part of the memory: nothing of it was run.
     if !begun || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART {
-        owed.dismiss(&hub.counts, hub.longest_pause, false);
+        owed.dismiss(&hub.counts, hub.longest_pause.get(), false);
         return Ok(());
     }
     let ix = desk.put(Ticket {
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -33,7 +33,7 @@
             continue;
         };
         let leaving = hub.leaving.get();
-        if leaving && !hub.listed_by_state {
+        if leaving && !hub.listed_by_state.get() {
             return;
         }
         let accepting = !leaving && hub.core.borrow().desk.good;
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -28,7 +28,7 @@
     hub.act(|node, now, desk| node.leaving(now, desk, stop.saturating_sub(BEFORE_KILL[0])));
     // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
     let begun = hub.core.borrow().node.is_some();
-    let deaf_at = noticed + if begun { hub.grace.min(stop.mul_f64(LISTENING)) } else { Duration::ZERO };
+    let deaf_at = noticed + if begun { hub.grace.get().min(stop.mul_f64(LISTENING)) } else { Duration::ZERO };
     sleep(deaf_at.saturating_duration_since(Instant::now())).await;
     hub.deaf.notify_one();
     sleep(LOOK).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -57,6 +57,8 @@
 /// What the tasks of one node share.
 pub struct Hub {
     pub config: Config,
+    /// The newest file whose settings were taken, for a module that begins after it.
+    pub tuned: RefCell<Option<Config>>,
     /// Those of the newest configuration file.
     pub peers: Cell<Peers>,
     pub core: RefCell<Core>,
@@ -68,12 +70,13 @@
     /// Where the node's traffic is recorded, if it is.
     pub record: OnceCell<Rc<record::Record>>,
     gauge_names: Vec<String>,
-    pub idle: Duration,
-    pub grace: Duration,
+    /// These four, and the module's settings, follow a new configuration file: see `reload::retune`.
+    pub idle: Cell<Duration>,
+    pub grace: Cell<Duration>,
     /// The longest wait that callers are asked for.
-    pub longest_pause: Duration,
+    pub longest_pause: Cell<Duration>,
     /// The list of nodes follows what is reported, not only that something is.
-    pub listed_by_state: bool,
+    pub listed_by_state: Cell<bool>,
     pub leaving: Cell<bool>,
     /// Wakes the reports: at the notice to leave, and when the announce service moved.
     pub report_now: Notify,
@@ -98,6 +101,7 @@
             (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
             Self {
                 peers: Cell::new(config.peers),
+                tuned: RefCell::new(None),
                 config,
                 core: RefCell::new(Core { node: None, desk }),
                 conns: RefCell::default(),
@@ -106,10 +110,10 @@
                 link,
                 record: OnceCell::new(),
                 gauge_names: start.gauges,
-                idle: start.idle,
-                grace: start.grace,
-                longest_pause: start.longest_pause,
-                listed_by_state: start.listed_by_state,
+                idle: Cell::new(start.idle),
+                grace: Cell::new(start.grace),
+                longest_pause: Cell::new(start.longest_pause),
+                listed_by_state: Cell::new(start.listed_by_state),
                 leaving: Cell::new(false),
                 report_now: Notify::new(),
                 deaf: Notify::new(),
@@ -148,7 +152,10 @@
         }
         let Core { node, desk } = &mut *core;
         let now = desk.now();
-        let start = self.config.start(now.saturating_sub(ago), cold).map_err(|_| "settings")?;
+        let tuned = self.tuned.borrow();
+        let config = tuned.as_ref().unwrap_or(&self.config);
+        let start = config.start(now.saturating_sub(ago), cold).map_err(|_| "settings")?;
+        drop(tuned);
         note!("agent_up", "agent up", since_ms = ago.as_millis(), cold = cold);
         node.insert(start.node).begin(now, desk);
         drop(core);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -1,10 +1,12 @@
-//! A new configuration file under load: at SIGHUP the node reads it anew and takes its addresses.
+//! A new configuration file under load: at SIGHUP the node reads it anew and takes its addresses and its
+//! settings.
 //!
-//! All else in it holds until the next start. Runs and notice numbers go on over the move; what cannot be
-//! read leaves the old addresses in force.
+//! Traffic types, tenants, the memory and the cores hold until the next start. Runs and notice numbers go on
+//! over the move, and what is in hand stays in hand; what cannot be read leaves the old file in force. The
+//! way back is the same step with the old file.
 
 use crate::config::{Config, Peers};
-use crate::{note, Hub};
+use crate::{note, Core, Hub};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -20,6 +22,9 @@
                     note!("config_key", "config", key = key, what = "is not known and does nothing");
                 }
                 take(&hub, config.peers);
+                if let Err(why) = retune(&hub, config) {
+                    note!("retune_refused", "settings refused, the old ones stay", why = why);
+                }
             }
             // One line whatever is in the file: it may hold line ends.
             Err(why) => {
@@ -46,3 +51,33 @@
         hub.report_now.notify_one();
     }
 }
+
+/// The module's settings of a new file, with those that the program reads beside it.
+///
+/// # Errors
+/// Where the new settings name other traffic types or tenants: the books are laid out by them.
+pub fn retune(hub: &Hub, config: Config) -> Result<(), String> {
+    let mut core = hub.core.borrow_mut();
+    let Core { node, desk } = &mut *core;
+    let start = config.start(desk.now(), false)?;
+    if start.types != desk.types || start.tenants != desk.tenants {
+        return Err("traffic types and tenants change only at a start".into());
+    }
+    (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
+    hub.idle.set(start.idle);
+    hub.grace.set(start.grace);
+    hub.longest_pause.set(start.longest_pause);
+    hub.listed_by_state.set(start.listed_by_state);
+    if let Some(node) = node {
+        node.retune(start.node);
+    }
+    note!(
+        "retune",
+        "settings taken",
+        can_stop = start.can_stop,
+        longest_ms = start.longest_pause.as_millis()
+    );
+    drop(core);
+    *hub.tuned.borrow_mut() = Some(config);
+    Ok(())
+}
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -281,7 +281,7 @@
     loop {
         sleep(LOOK).await;
         relay::end_orphans(&hub, Instant::now());
-        let (stay, idle) = (hub.core.borrow().desk.stay, hub.idle);
+        let (stay, idle) = (hub.core.borrow().desk.stay, hub.idle.get());
         let now = Instant::now();
         for conn in hub.conns.borrow().values() {
             let quiet = now.duration_since(conn.moved.get());
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -1124,6 +1124,47 @@
     );
 }
 
+#[test]
+fn new_settings_are_taken_with_all_that_is_in_hand_and_the_way_back_is_the_same_step() {
+    play(
+        |_| {},
+        |w| async move {
+            let (mut agent, mut caller) = w.up().await;
+            let first = w.ask(&mut caller, "check", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            // The layout of lakes-preview: one store below for all, runs that cannot be taken off.
+            let mut moved = w.hub.config.clone();
+            let family = moved.settings.get_mut("familyInfo").and_then(Value::as_object_mut).unwrap();
+            family.extend(
+                [("halt", json!("off")), ("below", json!("shared")), ("callShare", json!(2.0))]
+                    .map(|(key, value)| (key.to_owned(), value)),
+            );
+            moved.settings["permissions"]["maxRetryAfterS"] = json!(3.0);
+            reload::retune(&w.hub, moved).unwrap();
+            assert!(!w.hub.core.borrow().desk.can_stop);
+            assert_eq!(w.hub.longest_pause.get(), Duration::from_secs(3));
+            // What was read before goes on where it was, and is answered once.
+            agent.outcome(1, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(first, "honoured", "r"));
+            reload::retune(&w.hub, w.hub.config.clone()).unwrap();
+            assert!(w.hub.core.borrow().desk.can_stop);
+            assert_eq!(w.hub.longest_pause.get(), Duration::from_secs(1));
+            let second = w.ask(&mut caller, "check", b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            agent.outcome(2, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(second, "honoured", "r"));
+            // The books are laid out by the traffic types: those change only at a start.
+            let mut other = w.hub.config.clone();
+            other.settings["requestClasses"][0]["name"] = json!("renamed");
+            assert!(reload::retune(&w.hub, other).is_err());
+            let mut odd = w.hub.config.clone();
+            odd.settings["familyInfo"]["halt"] = json!("sometimes");
+            assert!(reload::retune(&w.hub, odd).unwrap_err().contains("halt"));
+            assert!(w.hub.core.borrow().desk.can_stop, "a refused file changes nothing");
+        },
+    );
+}
+
 #[test]
 fn a_hangup_reads_the_file_anew_and_a_bad_file_leaves_the_old_addresses() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -31,6 +31,16 @@
     pub longest_pause: Duration,
 }
 
+/// Whether running work can be taken off the cores: `off` says no; `drop` and `pause` yes, as does a
+/// file that does not say, which is how nodes ran before the setting was read.
+fn halts(family: &Fields) -> Result<bool, String> {
+    match family.get("halt").map(|v| v.as_str().ok_or("halt: no text there")).transpose()? {
+        None | Some("drop" | "pause") => Ok(true),
+        Some("off") => Ok(false),
+        Some(other) => Err(format!("halt: {other} is not off, drop or pause")),
+    }
+}
+
 impl Start {
     /// `born`: when the machine's work began, on the clock that the node is called with; `cold`: it was
     /// cold then, whatever the settings say.
@@ -110,7 +120,7 @@
             node: Node::new(types, by_work, parts),
             types: names,
             tenants,
-            can_stop: family.get("halt").and_then(Value::as_str) != Some("off"),
+            can_stop: halts(family)?,
             gauges: list(family, "gauges").iter().filter_map(Value::as_str).map(str::to_owned).collect(),
             fresh: Duration::try_from_secs_f64(optional(family, "freshS")?.unwrap_or(0.0))
                 .unwrap_or_default(),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -385,6 +385,23 @@
         };
     }
 
+    /// New settings under load: what they decide is taken from `fresh`, made from them; what is in hand,
+    /// learned or owed stays, so nothing read is lost or run twice. Types and tenants stay as they are:
+    /// their count is checked by whoever reads the settings, and the books are laid out by them.
+    pub fn retune(&mut self, fresh: Node) {
+        let same =
+            fresh.types.len() == self.types.len() && fresh.ledger.quotas.len() == self.ledger.quotas.len();
+        if same {
+            (self.types, self.by_work, self.ledger.quotas) =
+                (fresh.types, fresh.by_work, fresh.ledger.quotas);
+        }
+        (self.limit.factor, self.below.share) = (fresh.limit.factor, fresh.below.share);
+        let stay = self.voice.stay.min(fresh.voice.links.1);
+        let voice = fresh.voice;
+        (self.voice.say, self.voice.longest, self.voice.grace) = (voice.say, voice.longest, voice.grace);
+        (self.voice.marked, self.voice.links, self.voice.stay) = (voice.marked, voice.links, stay);
+    }
+
     /// The first call: checks are answered from store, and the first wake-up is asked for.
     pub fn begin(&mut self, now: Duration, host: &mut dyn Host) {
         host.checks(true);
