Test: the module's retune keeps what is in hand and its new advice holds

Seen on reading the change again: the loopback test of SIGHUP's settings would pass with Node::retune doing nothing, since it looks only at what the program keeps beside the module. The new test holds a ticket, takes settings that allow three seconds of advice, and sees a dismissal with 3000 ms (1000 before) and the held ticket run once; it fails with the voice's settings left untaken.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -310,3 +310,36 @@
         assert_eq!(rig.count("run") > 0, begins, "{quotas:?} {servers} {cores} {memory_kb}");
     }
 }
+
+#[test]
+fn new_settings_keep_what_is_in_hand_and_their_advice_holds_from_then_on() {
+    use rainstand::{Below, Hand, Ledger, Limit, Node, Say, TrafficType, Voice};
+    // Two of three run on two cores, the third is held; then callers may be asked to wait three seconds.
+    let mut rig = Rig::new(Settings::default()).at(1.0);
+    (0..3).for_each(|ix| rig.arrive(ix, Arrival::default()));
+    assert_eq!(rig.count("run"), 2);
+    rig.arrive(3, Arrival { patience: Some(ms(10)), ..Arrival::default() });
+    assert!(rig.take().contains(&"dismiss 3 1000".to_owned()));
+    let kind = TrafficType {
+        goal_time: ms(2_000),
+        outer_limit: ms(5_000),
+        benefit: 1.0,
+        late: 0.0,
+        poorer: 0.0,
+        repeats: Repeats::Rerunnable,
+    };
+    let parts = (
+        Ledger::new(&[1.0, 1.0], 2),
+        Limit::new(7, 2, 6.0, None),
+        Hand::new(10_000.0, 4.0, 10.0),
+        Below::new(None),
+        Voice::new(Say::Level, ms(3_000), ms(2_000), true, (900, ms(30_000))),
+    );
+    rig.node.retune(Node::new(vec![kind], false, parts));
+    rig.arrive(4, Arrival { patience: Some(ms(10)), ..Arrival::default() });
+    assert!(rig.take().contains(&"dismiss 4 3000".to_owned()), "the new longest advice");
+    // What was held before the change is neither lost nor run twice.
+    rig.end(0, Outcome::Done);
+    let orders = rig.take();
+    assert_eq!(orders.iter().filter(|o| o.as_str() == "run 2").count(), 1, "{orders:?}");
+}
