Calls held below stay under the node's own share in every window

Seen: callShare 0.54 on each of 212 nodes; calls take 14 ms (p90 30) until the ledger slows. Below::may let a node with no call out always make one, and counted what it held only at its end, so each of the 212 nodes held one call for as long as its ticket had time. Excluded by the report: no death of a node, no memory, no cold start before 6.6 s. Holds against any cause of slow, dead or crowded things below; may hurt where one call needs more than half of share times window: such a one gets more, up to all of it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,6 +75,8 @@
 const PACE_STEPS: [f64; 2] = [0.84, 1.2];
 /// Span of recent call times and of health, s: a few tens of ends.
 const RECENT: Duration = Duration::from_millis(2_000);
+/// Recent call times that must fit into what this node may still hold below, else a call is cut off there.
+const LONG_CALL: f64 = 4.0;
 /// Share of a type's usual run still needed after a call.
 const AFTER_CALL: f64 = 0.6;
 /// Tries of one call, but for one that must be had and was bounced: a fourth would be hammering.
@@ -215,9 +217,9 @@
     at: Duration,
     recent: Mean,
     usual: Mean,
-    out: usize,
-    abandoned: Vec<Duration>,
-    busy: Decaying,
+    past: VecDeque<(Duration, Duration)>,
+    spent: Duration,
+    pledged: Duration,
 }
 
 impl Below {
@@ -227,28 +229,45 @@
         Self { share, rate: PACE[1], saved: PACE[0], ..Self::default() }
     }
 
-    fn may(&mut self, now: Duration) -> bool {
+    /// How long a call made now may take, if one may be made. Guards against nodes that together load what
+    /// they share past what it survives, be it slow, cold, dead or crowded: what calls held there in the
+    /// window, and the most that those out may still hold, stay under this node's share of the mean. No
+    /// window that ends later can hold more, as each call ends by the time it was given.
+    fn may(&mut self, now: Duration) -> Option<Duration> {
         let since = now.saturating_sub(self.at).as_secs_f64();
         (self.at, self.saved) = (now, (self.saved + since * self.rate).min((self.rate * SAVED).max(1.0)));
-        self.abandoned.retain(|&gone| gone > now);
-        let room = self.share.is_none_or(|(share, over, _)| {
-            let held = self.out + self.abandoned.len();
-            let mean = self.busy.read(now, over) / over.as_secs_f64();
-            (held as f64 + 1.0 <= share * SAFE) || (held == 0 && mean < share * SAFE)
+        let longest = self.share.map_or(Some(Duration::MAX), |(share, over, lingers)| {
+            while let Some(&(_, held)) = self.past.front().filter(|past| past.0 + over <= now) {
+                self.past.pop_front();
+                self.spent = self.spent.saturating_sub(held);
+            }
+            let whole = over.mul_f64(share * SAFE);
+            let left = whole.saturating_sub(self.spent + self.pledged).checked_sub(lingers)?;
+            // One call takes no more than half of it all, unless calls are that slow.
+            let likely = Duration::from_secs_f64(self.recent.read().unwrap_or(0.0) * LONG_CALL);
+            let most = likely.max(whole / 2).min(whole).saturating_sub(lingers);
+            (left >= likely.min(most)).then_some(left.min(most)).filter(|span| !span.is_zero())
         });
-        room && self.saved >= 1.0
+        longest.filter(|_| self.saved >= 1.0)
     }
 
-    /// A call came back, or was given up and may linger below.
-    fn ended(&mut self, now: Duration, took: Duration, outcome: Outcome) {
-        self.out -= 1;
-        let took = took.as_secs_f64();
-        if let Some((_, over, lingers)) = self.share {
-            self.busy.add(now, took, over);
-            if matches!(outcome, Outcome::TimedOut | Outcome::Stopped) {
-                self.abandoned.push(now + lingers);
-            }
+    fn made(&mut self, now: Duration, until: Duration) {
+        self.saved -= 1.0;
+        let lingers = self.share.map_or(Duration::ZERO, |share| share.2);
+        self.pledged += until.saturating_sub(now) + lingers;
+    }
+
+    /// A call, made then and to be given up at that time, came back, or was given up and may linger below.
+    fn ended(&mut self, now: Duration, [made, until]: [Duration; 2], outcome: Outcome) {
+        let took = now.saturating_sub(made);
+        if let Some((_, _, lingers)) = self.share {
+            self.pledged = self.pledged.saturating_sub(until.saturating_sub(made) + lingers);
+            let stays =
+                if outcome.never_ran() || outcome == Outcome::Done { Duration::ZERO } else { lingers };
+            self.past.push_back((now + stays, took + stays));
+            self.spent += took + stays;
         }
+        let took = took.as_secs_f64();
         if outcome == Outcome::Done {
             self.recent.add(now, took, RECENT);
             self.usual.add(now, took, MEAN_SPAN);
@@ -654,7 +673,7 @@
             host.give_up(ix);
         }
         if t.stage == Stage::Calling {
-            self.below.ended(now, call, Outcome::Stopped);
+            self.below.ended(now, t.call, Outcome::Stopped);
         }
         if end == Outcome::Moot {
             // Against made-up tickets: what could not run is asked for by no tenant, and tells no time.
@@ -699,29 +718,28 @@
     }
 
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
-        while self.below.may(now) {
+        while let Some(longest) = self.below.may(now) {
             // Guards against a tier below that drowns: first where most is lost without, then the newest.
             let stakes = self.standing.iter().map(|&ix| self.types[self.hand.at(ix).traffic].call_worth());
             let best = stakes.enumerate().max_by(|a, b| a.1.total_cmp(&b.1));
             let Some(ix) = best.and_then(|(at, _)| self.standing.remove(at)) else { return };
-            let until = self.call_until(ix);
+            let until = self.call_until(ix).max(now + BEAT).min(now.saturating_add(longest));
             self.hand.move_to(ix, Stage::Calling);
             let t = self.hand.at(ix);
-            let due = t.due;
+            let until = until.min(t.due);
+            t.call = [now, until];
             t.call_tries += 1;
-            t.after_call = Some(Box::new(move |node, at, host, ix, end| {
-                node.call_back(at, host, ix, end, now);
-            }));
+            t.after_call = Some(Box::new(|node, at, host, ix, end| node.call_back(at, host, ix, end)));
             self.hand.alarm_when_due(ix);
-            (self.below.out, self.below.saved) = (self.below.out + 1, self.below.saved - 1.0);
-            host.call(ix, until.max(now + BEAT).min(due));
+            self.below.made(now, until);
+            host.call(ix, until);
         }
     }
 
-    fn call_back(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome, made: Duration) {
-        self.below.ended(now, now.saturating_sub(made), end);
+    fn call_back(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome) {
         let until = self.call_until(ix);
         let t = self.hand.at(ix);
+        self.below.ended(now, t.call, end);
         let kind = &self.types[t.traffic];
         // Guards against a second effect below: only a call proved not run is made again.
         let poorer = kind.poorer > 0.0;
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -37,6 +37,8 @@
     pub call_since: Duration,
     pub call_waits: Duration,
     pub call_tries: u32,
+    /// When its call was made, and the time at which that is given up.
+    pub call: [Duration; 2],
     pub after_run: Option<Next<N>>,
     pub after_call: Option<Next<N>>,
     alarm: Option<Duration>,
@@ -59,6 +61,7 @@
             call_since: arrived,
             call_waits: Duration::ZERO,
             call_tries: 0,
+            call: [arrived; 2],
             after_run: None,
             after_call: None,
             alarm: None,
