--- a/src/choice.rs
+++ b/src/choice.rs
@@ -711,7 +711,11 @@
     /// Guards against a pace that feeds on itself: a call made with too little time left only fails.
     fn stand(&mut self, ix: usize) {
         let usual = Duration::from_secs_f64(self.below.usual.read().unwrap_or(0.0));
-        let until = self.call_until(ix).saturating_sub(usual);
+        let mut until = self.call_until(ix).saturating_sub(usual);
+        let t = self.hand.at(ix);
+        if self.types[t.traffic].poorer > 0.0 {
+            until = until.min(t.call_since + usual.mul_f64(LONG_CALL).max(BEAT));
+        }
         self.hand.move_to(ix, Stage::Standing);
         self.hand.set_alarm(ix, Some(until));
         self.standing.push_back(ix);
