Runs that want no core just now, as the gauge tells, leave room for others

Assumption that did not carry over: runs in hand are runs on the cores, so 1.5 a core is crowd enough. Excluded: connections (trim acts), tenants (shed_in_share like the rest), repeats of keyed ones. What stands in: running less the on-cores gauge is what waits on disk. It holds against any wait no event tells of; it may hurt where the waits of many end at once: the survived crowd still bounds all that run.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -147,6 +147,7 @@
     ends: u32,
     whole_round: bool,
     reading: usize,
+    waits: usize,
     chance: WyRand,
 }
 
@@ -155,7 +156,8 @@
     pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
         let (chance, pay) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()]);
         let (arm, survived, ends, whole_round, reading, round) = (0, 0, 0, false, 0, Duration::ZERO);
-        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, reading, chance }
+        let waits = 0;
+        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, reading, waits, chance }
     }
 
     /// Guards against dying of the crowd; while cold the slowest warming allowed is assumed.
@@ -169,11 +171,13 @@
 
     fn allowed(&self, now: Duration) -> usize {
         let limit = (self.cores as f64 * STEPS[self.arm]).round() as usize;
-        limit.saturating_sub(self.reading).max(self.cores.div_ceil(LEAST)).min(self.ceiling(now))
+        let least = self.cores.div_ceil(LEAST);
+        (limit + self.waits).saturating_sub(self.reading).max(least).min(self.ceiling(now))
     }
 
     fn beat(&mut self, now: Duration, gauges: Gauges, running: usize, holding: bool) {
-        self.reading = (gauges.on_cores.unwrap_or(0.0) as usize).saturating_sub(running);
+        let on_cores = gauges.on_cores.map_or(running, |all| all as usize);
+        (self.reading, self.waits) = (on_cores.saturating_sub(running), running.saturating_sub(on_cores));
         let full = running >= self.allowed(now);
         self.whole_round &= full && holding;
         let idle = gauges.cores_busy.is_some_and(|busy| busy < BUSY);
