--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,6 +61,8 @@
 const WORTH_MORE: f64 = 1.15;
 /// Between two quick climbs, ms: the gauge needs most of its half second to show the last one.
 const CLIMB_EVERY: Duration = Duration::from_millis(250);
+/// Runs in the mean that want no core from which disk waits are a habit here: a gauge that lags shows some too.
+const WAITS: f64 = 0.25;
 /// Share of the survived crowd and of the memory that is used: the rest is for reading and surprise.
 const SAFE: f64 = 0.8;
 /// Tickets running or at calls, in survived crowds: hung calls take no core, yet might all come back.
@@ -148,6 +150,7 @@
     whole_round: bool,
     reading: usize,
     waits: usize,
+    waited: Mean,
     chance: WyRand,
 }
 
@@ -156,8 +159,22 @@
     pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
         let (chance, pay) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()]);
         let (arm, survived, ends, whole_round, reading, round) = (0, 0, 0, false, 0, Duration::ZERO);
-        let waits = 0;
-        Self { cores, factor, cold, arm, survived, pay, round, ends, whole_round, reading, waits, chance }
+        let (waits, waited) = (0, Mean::default());
+        Self {
+            cores,
+            factor,
+            cold,
+            arm,
+            survived,
+            pay,
+            round,
+            ends,
+            whole_round,
+            reading,
+            waits,
+            waited,
+            chance,
+        }
     }
 
     /// Guards against dying of the crowd; while cold the slowest warming allowed is assumed.
@@ -177,7 +194,10 @@
 
     fn beat(&mut self, now: Duration, gauges: Gauges, running: usize, holding: bool) {
         let on_cores = gauges.on_cores.map_or(running, |all| all as usize);
-        (self.reading, self.waits) = (on_cores.saturating_sub(running), running.saturating_sub(on_cores));
+        self.reading = on_cores.saturating_sub(running);
+        let waits = running.saturating_sub(on_cores);
+        self.waited.add(now, waits as f64, RECENT);
+        self.waits = if self.waited.read() > Some(WAITS) { waits } else { 0 };
         let full = running >= self.allowed(now);
         self.whole_round &= full && holding;
         let idle = gauges.cores_busy.is_some_and(|busy| busy < BUSY);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,6 +46,8 @@
     pub now: Duration,
     pub busy: f64,
     pub links: f64,
+    /// All that wants a core, where the gauge tells.
+    pub on_cores: Option<f64>,
 }
 
 pub struct Settings {
@@ -82,7 +84,8 @@
             Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked, (s.callers, ms(30_000))),
         );
         let node = Node::new(vec![kind], false, parts);
-        let mut rig = Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0, links: 0.0 };
+        let mut rig =
+            Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0, links: 0.0, on_cores: None };
         rig.node.begin(rig.now, &mut rig.orders);
         rig
     }
@@ -137,7 +140,7 @@
         while self.now < until {
             self.now += ms(20);
             let (cores_busy, links) = (Some(self.busy), Some(self.links));
-            let gauges = Gauges { cores_busy, links, ..Gauges::default() };
+            let gauges = Gauges { cores_busy, links, on_cores: self.on_cores, ..Gauges::default() };
             self.node.woken(self.now, &mut self.orders, gauges);
         }
     }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -156,3 +156,22 @@
     }
     assert!((11..=15).contains(&most), "at most {most} ran at once on ten cores");
 }
+
+/// itajai-exchange, archiv-lehota-later: half of a run waits on disk, and cores stood free behind a full limit.
+#[test]
+fn runs_that_mostly_wait_on_disk_leave_room_and_a_gauge_that_lags_once_does_not() {
+    // (how many of ten beats show one of two runs off the cores, runs that go in hand of the tickets that wait)
+    for (off, ran) in [(0, 2), (2, 2), (10, 3)] {
+        let mut rig = Rig::new(Settings::default());
+        (0..2).for_each(|ix| rig.tenant(ix, ix));
+        for beat in 0..50 {
+            rig.on_cores = Some(if beat % 10 < off { 1.0 } else { 2.0 });
+            rig.pass(ms(20));
+        }
+        rig.on_cores = Some(if off > 0 { 1.0 } else { 2.0 });
+        (2..5).for_each(|ix| rig.tenant(ix, 0));
+        rig.on_cores = Some(2.0);
+        rig.pass(ms(20));
+        assert_eq!(rig.count("run"), ran, "{off} of ten beats");
+    }
+}
