--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,7 +77,7 @@
 const PACE_STEPS: [f64; 2] = [0.84, 1.2];
 /// Span of recent call times and of health, s: a few tens of ends.
 const RECENT: Duration = Duration::from_millis(2_000);
-/// Recent call times that must fit into what this node may still hold below, else a call is cut off there.
+/// Usual call times that a ticket stands for a call it can do without: longer, and all stand together.
 const LONG_CALL: f64 = 4.0;
 /// Share of a type's usual run still needed after a call.
 const AFTER_CALL: f64 = 0.6;
@@ -268,7 +268,7 @@
             let whole = over.mul_f64(share * SAFE);
             let left = whole.saturating_sub(self.spent + self.pledged).checked_sub(lingers)?;
             // One call takes no more than half of it all, unless calls are that slow.
-            let likely = Duration::from_secs_f64(self.recent.read().unwrap_or(0.0) * LONG_CALL);
+            let likely = Duration::from_secs_f64(self.recent.read().unwrap_or(0.0) * SLOWED);
             let most = likely.max(whole / 2).min(whole).saturating_sub(lingers);
             (left >= likely.min(most)).then_some(left.min(most)).filter(|span| !span.is_zero())
         });
