The dearest calls go first while they go short; a pace that never bound is no measure

Now bad news lower the pace from twice what was made, and while more than a quarter of the share is taken and dearer calls went short, cheaper ones stand. It may hurt where dear calls fail by themselves.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,10 @@
 const PACE_STEPS: [f64; 2] = [0.84, 1.2];
 /// Span of recent call times and of health, s: a few tens of ends.
 const RECENT: Duration = Duration::from_millis(2_000);
+/// Share of a type's calls that failed or were never made from which it goes short of them.
+const SHORT: f64 = 0.1;
+/// Share of what may be held below up to which all types call alike: what is below slows well before it dies.
+const ROOMY: f64 = 0.25;
 /// Usual call times that a ticket stands for a call it can do without: longer, and all stand together.
 const LONG_CALL: f64 = 4.0;
 /// Share of a type's usual run still needed after a call.
@@ -241,6 +245,8 @@
     at: Duration,
     recent: Mean,
     usual: Mean,
+    back: Decaying,
+    ends: Decaying,
     past: VecDeque<(Duration, Duration)>,
     spent: Duration,
     pledged: Duration,
@@ -275,6 +281,12 @@
         longest.filter(|_| self.saved >= 1.0)
     }
 
+    /// Whether at most a quarter of this node's share below is taken: it slows down well before it dies.
+    fn calm(&self) -> bool {
+        self.share
+            .is_none_or(|(share, over, _)| self.spent + self.pledged <= over.mul_f64(share * SAFE * ROOMY))
+    }
+
     fn made(&mut self, now: Duration, until: Duration) {
         self.saved -= 1.0;
         let lingers = self.share.map_or(Duration::ZERO, |share| share.2);
@@ -292,7 +304,9 @@
             self.spent += took + stays;
         }
         let took = took.as_secs_f64();
+        self.ends.add(now, 1.0, RECENT);
         if outcome == Outcome::Done {
+            self.back.add(now, 1.0, RECENT);
             self.recent.add(now, took, RECENT);
             self.usual.add(now, took, MEAN_SPAN);
         }
@@ -301,8 +315,13 @@
         // Guards against a pace that feeds on itself: what had no time proves nothing, what comes back does.
         if outcome != Outcome::Stopped && (outcome != Outcome::TimedOut || took >= usual) {
             let by = PACE_STEPS[usize::from(outcome == Outcome::Done && !slowed)];
-            let back = self.recent.weight(now, RECENT) / RECENT.as_secs_f64() * PACE_STEPS[0];
-            self.rate = (self.rate * by).clamp(back.clamp(PACE[0], PACE[2]), PACE[2]);
+            let back = self.back.read(now, RECENT) / RECENT.as_secs_f64() * PACE_STEPS[0];
+            // Hundreds of nodes at one call a second each may be far more than a slow thing below can do.
+            let least = self.share.map_or(PACE[0], |share| PACE[0].min(share.1.as_secs_f64().recip()));
+            // A pace that never bound is no measure of what is below: bad news lower what was really made.
+            let made = Some(self.ends.read(now, RECENT)).filter(|ends| by < 1.0 && *ends >= KNOWN / 2.0);
+            let rate = made.map_or(self.rate, |ends| self.rate.min(ends / RECENT.as_secs_f64() * SLOWED));
+            self.rate = (rate * by).clamp(back.clamp(least, PACE[2]), PACE[2]);
         }
     }
 }
@@ -390,6 +409,7 @@
     passed: f64,
     run: Mean,
     hint: Mean,
+    short: Mean,
 }
 
 /// When a run began, and how long the process had stood still by then.
@@ -578,6 +598,9 @@
         while let Some(ix) = self.hand.ring(now) {
             let t = self.hand.at(ix);
             let (stage, due, poorer) = (t.stage, t.due, self.types[t.traffic].poorer > 0.0);
+            if stage == Stage::Standing {
+                self.lines[t.traffic].short.add(now, 1.0, MEAN_SPAN);
+            }
             match stage {
                 Stage::Held => self.dismiss(now, host, ix, self.wait()),
                 Stage::Standing if now < due && poorer => self.leave_call_out(now, host, ix),
@@ -750,6 +773,13 @@
             // Guards against a tier below that drowns: first where most is lost without, then the newest.
             let stakes = self.standing.iter().map(|&ix| self.types[self.hand.at(ix).traffic].call_worth());
             let best = stakes.enumerate().max_by(|a, b| a.1.total_cmp(&b.1));
+            // Guards the tickets that lose most without their call: while these go short, others go without.
+            let dearer_short = |worth| {
+                let mut kinds =
+                    self.types.iter().zip(&self.lines).filter(|(kind, _)| kind.call_worth() > worth);
+                kinds.any(|(_, line)| line.short.read() > Some(SHORT))
+            };
+            let best = best.filter(|best| self.below.calm() || !dearer_short(best.1));
             let Some(ix) = best.and_then(|(at, _)| self.standing.remove(at)) else { return };
             let until = self.call_until(ix).max(now + BEAT).min(now.saturating_add(longest));
             self.hand.move_to(ix, Stage::Calling);
@@ -768,6 +798,7 @@
         let until = self.call_until(ix);
         let t = self.hand.at(ix);
         self.below.ended(now, t.call, end);
+        self.lines[t.traffic].short.add(now, if end == Outcome::Done { 0.0 } else { 1.0 }, MEAN_SPAN);
         let kind = &self.types[t.traffic];
         // Guards against a second effect below: only a call proved not run is made again.
         let poorer = kind.poorer > 0.0;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -189,7 +189,7 @@
     let cases = [(1_500, Outcome::Done, 4), (20, Outcome::TimedOut, 10), (480, Outcome::TimedOut, 1)];
     for (span, outcome, least) in cases {
         let mut rig = Rig::new(Settings::default()).at(0.0);
-        for round in 0..25 {
+        for round in 0..32 {
             let (span, outcome) = if round < 20 { (100, Outcome::Done) } else { (span, outcome) };
             (0..10).for_each(|ix| rig.calling(ix, 0));
             rig.pass(ms(span));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -171,8 +171,9 @@
             let (repeats, poorer) = (Repeats::Rerunnable, 0.5);
             let mut rig = Rig::new(Settings { share: told, repeats, poorer, ..Settings::default() }).at(0.0);
             let (mut out, mut held): (Vec<(usize, u64)>, Vec<(u64, u64)>) = (Vec::new(), Vec::new());
+            let mut stalled = vec![false; 1_000];
             for ix in 0..1_000 {
-                rig.calling(ix, 0);
+                rig.tenant(ix, 0);
                 rig.pass(ms(20));
                 let now = rig.now.as_millis() as u64;
                 for order in rig.take() {
@@ -186,6 +187,8 @@
                         out.push((ix, back.map_or(until, |takes| now + takes)));
                     } else if order.starts_with("answer_poorer") {
                         rig.end(ix, Outcome::Done);
+                    } else if order.starts_with("run ") && !std::mem::replace(&mut stalled[ix], true) {
+                        rig.at_call(ix);
                     }
                 }
                 let (due, still): (Vec<_>, Vec<_>) = out.drain(..).partition(|call| call.1 <= now);
