A second call at once only while at most a quarter of the share below is taken

Traced: in the first second each node had two calls out, 13 times the slots below; calls went from 23 to 380 ms, took up the whole share of the window (spent 2.65 to 3.2 of 3.0 s of calls) and for five seconds no call was made though they took 15 ms again. Excluded by a probe of each refusal: the pace (it refused 1 in 100). Holds against any crowd that nodes bring in step; may hurt where calls are long beside runs and the share is small: they go one by one there.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -278,7 +278,7 @@
             let most = likely.max(whole / 2).min(whole).saturating_sub(lingers);
             (left >= likely.min(most)).then_some(left.min(most)).filter(|span| !span.is_zero())
         });
-        longest.filter(|_| self.saved >= 1.0)
+        longest.filter(|_| self.saved >= 1.0 && (self.pledged.is_zero() || self.calm()))
     }
 
     /// Whether at most a quarter of this node's share below is taken: it slows down well before it dies.
