--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -62,13 +62,29 @@
     pub share: Option<(f64, Duration, Duration)>,
     pub marked: bool,
     pub callers: usize,
+    /// A second traffic type, of three times the benefit, that is nothing without its call.
+    pub dear: bool,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         let (quotas, servers, cores, repeats) = (&[1.0, 1.0], 2, 2, Repeats::Rerunnable);
         let (poorer, factor, cold, memory_kb, share, marked) = (0.0, 6.0, None, 10_000.0, None, true);
-        Self { quotas, servers, cores, repeats, poorer, factor, cold, memory_kb, share, marked, callers: 900 }
+        let (callers, dear) = (900, false);
+        Self {
+            quotas,
+            servers,
+            cores,
+            repeats,
+            poorer,
+            factor,
+            cold,
+            memory_kb,
+            share,
+            marked,
+            callers,
+            dear,
+        }
     }
 }
 
@@ -83,7 +99,11 @@
             Below::new(s.share),
             Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked, (s.callers, ms(30_000))),
         );
-        let node = Node::new(vec![kind], false, parts);
+        let mut types = vec![kind];
+        if s.dear {
+            types.push(TrafficType { benefit: 3.0, poorer: 0.0, ..types[0].clone() });
+        }
+        let node = Node::new(types, false, parts);
         let mut rig =
             Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0, links: 0.0, on_cores: None };
         rig.node.begin(rig.now, &mut rig.orders);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -233,6 +233,49 @@
     assert_eq!(rig.count("call 2"), 0);
 }
 
+/// Incident i889ff1: two calls a node in one second crowded what is below thirteen times over, and used up
+/// the share of five seconds.
+#[test]
+fn past_a_quarter_of_the_share_calls_go_one_at_a_time() {
+    // (share, calls out at once of two tickets that stand)
+    for (share, at_once) in [(0.75, 1), (8.0, 2)] {
+        let share = Some((share, ms(5_000), ms(200)));
+        let mut rig = Rig::new(Settings { poorer: 0.5, share, ..Settings::default() }).at(0.0);
+        (0..2).for_each(|ix| rig.calling(ix, 0));
+        assert_eq!(rig.count("call "), at_once);
+        rig.call_ended(0, Outcome::Done);
+        assert_eq!(rig.count("call 1"), 2 - at_once, "the second as the first is back");
+    }
+}
+
+/// mvd-reparti at full size: types that keep most of their benefit without a call took two thirds of the
+/// calls while the one that loses all without went short.
+#[test]
+fn cheaper_calls_stand_while_dearer_ones_go_short_and_the_share_fills() {
+    // (how the dear calls come back, whether a cheap one is made after them)
+    for (end, made) in [(Outcome::TimedOut, 0), (Outcome::Done, 1)] {
+        let (share, repeats) = (Some((0.54, ms(5_000), ms(200))), Repeats::Exclusive);
+        let settings = Settings { poorer: 0.5, share, repeats, dear: true, ..Settings::default() };
+        let mut rig = Rig::new(settings).at(0.0);
+        let dear = Arrival { traffic: 1, ..Arrival::default() };
+        for ix in 0..2 {
+            rig.arrive(ix, dear.clone());
+            rig.at_call(ix);
+            rig.pass(ms(300));
+            rig.call_ended(ix, end);
+            rig.end(ix, Outcome::Done);
+        }
+        rig.take();
+        rig.calling(2, 0);
+        assert_eq!(rig.count("call 2"), made, "{end:?}");
+        if made == 0 {
+            rig.arrive(3, dear);
+            rig.at_call(3);
+            assert_eq!(rig.count("call 3"), 1, "the dear one goes");
+        }
+    }
+}
+
 #[test]
 fn idle_connections_close_sooner_while_many_are_open_even_if_much_is_dismissed() {
     // (callers, cores gauge, open connections, dismissed of four, the span asked for last, ms)
