--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -170,7 +170,7 @@
             let told = Some((share, over, lingers));
             let (repeats, poorer) = (Repeats::Rerunnable, 0.5);
             let mut rig = Rig::new(Settings { share: told, repeats, poorer, ..Settings::default() }).at(0.0);
-            let (mut out, mut held): (Vec<(usize, u64)>, Vec<(u64, u64)>) = (Vec::new(), Vec::new());
+            let (mut out, mut held) = (Vec::<(usize, u64)>::new(), Vec::<(u64, u64)>::new());
             let mut stalled = vec![false; 1_000];
             for ix in 0..1_000 {
                 rig.tenant(ix, 0);
