--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,7 +61,7 @@
 const WORTH_MORE: f64 = 1.15;
 /// Between two quick climbs, ms: the gauge needs most of its half second to show the last one.
 const CLIMB_EVERY: Duration = Duration::from_millis(250);
-/// Runs in the mean that want no core from which disk waits are a habit here: a gauge that lags shows some too.
+/// Runs off the cores, in the mean, from which disk waits are a habit: a gauge that lags shows some too.
 const WAITS: f64 = 0.25;
 /// Share of the survived crowd and of the memory that is used: the rest is for reading and surprise.
 const SAFE: f64 = 0.8;
