What went short of calls is forgotten once no such ticket comes

Found on a second reading: the share of a type's calls that failed was a ratio that never fades, so after the last dear ticket had failed, cheaper calls stayed held to a quarter of the share.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -777,7 +777,7 @@
             let dearer_short = |worth| {
                 let mut kinds =
                     self.types.iter().zip(&self.lines).filter(|(kind, _)| kind.call_worth() > worth);
-                kinds.any(|(_, line)| line.short.read() > Some(SHORT))
+                kinds.any(|(_, line)| line.short.known(now, MEAN_SPAN, STALE) > Some(SHORT))
             };
             let best = best.filter(|best| self.below.calm() || !dearer_short(best.1));
             let Some(ix) = best.and_then(|(at, _)| self.standing.remove(at)) else { return };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -272,6 +272,16 @@
             rig.arrive(3, dear);
             rig.at_call(3);
             assert_eq!(rig.count("call 3"), 1, "the dear one goes");
+            rig.call_ended(3, end);
+            // Long after the last dear one, what went short then holds nobody back.
+            rig.pass(ms(20_000));
+            rig.calling(4, 0);
+            rig.pass(ms(700));
+            rig.call_ended(4, Outcome::Done);
+            rig.end(4, Outcome::Done);
+            rig.take();
+            rig.calling(5, 0);
+            assert_eq!(rig.count("call 5"), 1, "none dear is about");
         }
     }
 }
