The rig: processes of the program under faults, and checkers of their histories

Nothing in the tree started several processes and broke what is between them. crates/rig starts nodes, a stand-in agent each and callers on ports of the system, leads every link through a proxy (cut, one way, half open, reset, delay, throttle, stall, a frame twice) and stops, kills and drains nodes by a schedule from one seed.

--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -179,7 +179,7 @@
         wrong "limits l { rate: 5 tickets/s 6 }\n", right whole!("limits l { rate: 50 tickets/s }" "route r { to: hall; limits: l }");
 
     UnknownKind "N301" "unknown kind of block"
-        "Blocks are type, tenant, pool, dependency, limits, attempts, budget, health, retry-after, route, recording, log and experiment."
+        "Blocks are type, tenant, pool, dependency, limits, attempts, budget, health, retry-after, route, recording, log, experiment, group and rig."
         wrong "pol hall { }\n", right whole!("route r { to: hall }");
     UnknownKey "N302" "unknown key"
         "A key that is not known is refused, since a slip would otherwise do nothing in silence."
@@ -297,6 +297,19 @@
         "A burst is what a rate lets through at once; without a rate it means nothing."
         wrong whole!("limits l { burst: 5 tickets; at-once: 9 tickets }" "route r { to: hall; limits: l }"), right whole!("limits l { burst: 5 tickets; rate: 9 tickets/s }" "route r { to: hall; limits: l }");
 
+    GroupSize "M421" "copies that make no majority"
+        "A shard has 3, 5 or 7 copies, each on a member of its own: an even number survives no more losses than the odd one below it."
+        wrong "group g { copies: 2; member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" } }\n", right "group g { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
+    ElectionTimes "M422" "elections would not wait for the heartbeat"
+        "A follower that waits less than four heartbeats deposes leaders that are well, whenever one heartbeat is late."
+        wrong "group g { heartbeat: 100 ms; election: 200 ms .. 400 ms; member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n", right "group g { heartbeat: 50 ms; election: 200 ms .. 400 ms; member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
+    OneGroup "M423" "a second group"
+        "A node keeps copies with one group at most."
+        wrong "group a { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\ngroup b { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n", right "group a { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
+
+    SiteMajority "W506" "the loss of one site takes a majority"
+        "A site with half of the members or more holds the majority of some shard, whatever the layout: with it the group loses its keyed tickets."
+        wrong "group g { member n1 { site: a; address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { site: a; address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { site: b; address: \"10.0.0.3:1\"; folder: \"/a\" } }\n", right "group g { member n1 { site: a; address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { site: b; address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { site: c; address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
     UnusedPolicy "W501" "a policy that nobody uses"
         "Nothing refers to it: a left-over, or a reference was forgotten."
         wrong whole!("limits l { rate: 9 tickets/s }" "route r { to: hall }"), right whole!("limits l { rate: 9 tickets/s }" "route r { to: hall; limits: l }");
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -452,10 +452,11 @@
     }
 }
 
-/// At most 40 characters of what stood there: enough to know it again.
+/// At most 40 characters of what stood there, spaces not counted: enough to know it again, and the same text
+/// however it is spaced.
 pub fn shorten(text: &str) -> String {
     const MOST: usize = 40;
-    match text.char_indices().nth(MOST) {
+    match text.char_indices().filter(|(_, c)| !c.is_whitespace()).nth(MOST) {
         Some((cut, _)) => format!("{}…", &text[..cut]),
         None => text.to_owned(),
     }
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -4,6 +4,8 @@
 //! can point at them. Lists are brought into order only after the checks.
 
 mod experiment;
+mod group;
+mod rig;
 
 use crate::ast::{Atom, Block, Entry, Name, Value};
 use crate::codes::Code;
@@ -50,10 +52,12 @@
     Recording,
     Log,
     Experiment,
+    Group,
+    Rig,
 }
 
 impl Sort {
-    pub const ALL: [Sort; 13] = [
+    pub const ALL: [Sort; 15] = [
         Sort::Type,
         Sort::Tenant,
         Sort::Pool,
@@ -67,6 +71,8 @@
         Sort::Recording,
         Sort::Log,
         Sort::Experiment,
+        Sort::Group,
+        Sort::Rig,
     ];
 
     /// As it is written.
@@ -85,6 +91,8 @@
             Sort::Recording => "recording",
             Sort::Log => "log",
             Sort::Experiment => "experiment",
+            Sort::Group => "group",
+            Sort::Rig => "rig",
         }
     }
 
@@ -291,6 +299,8 @@
             recordings: self.each(Sort::Recording, recording),
             logs: self.each(Sort::Log, log),
             experiments: self.each(Sort::Experiment, experiment::experiment),
+            groups: self.each(Sort::Group, group::group),
+            rigs: self.each(Sort::Rig, rig::rig),
         }
     }
 }
@@ -662,7 +672,8 @@
     }
 }
 
-fn member(r: &mut Reader<'_, '_, '_, '_>, taken: &mut HashMap<SocketAddr, Span>) -> schema::Member {
+/// The address of a member that no other one of its block has; empty where there is none.
+fn address(r: &mut Reader<'_, '_, '_, '_>, taken: &mut HashMap<SocketAddr, Span>) -> String {
     let mut address = String::new();
     match r.text("address", "an address such as `\"10.0.0.1:5050\"`") {
         Some(written) => match written.text.parse::<SocketAddr>() {
@@ -690,6 +701,11 @@
             }
         }
     }
+    address
+}
+
+fn member(r: &mut Reader<'_, '_, '_, '_>, taken: &mut HashMap<SocketAddr, Span>) -> schema::Member {
+    let address = address(r, taken);
     schema::Member {
         name: r.name(),
         address,
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,22 @@
+//! Several processes of the program on loopback, the faults between them, and the checkers that say afterwards
+//! whether the rules held.
+//!
+//! | module | what it is | I/O |
+//! | --- | --- | --- |
+//! | [`history`] | what callers and agents saw, one JSON object a line | reads a stream |
+//! | [`check`] | whether a history keeps the rules; knows nothing of the run | none |
+//! | [`plan`] | a rig of a configuration and a seed to a schedule of faults | none |
+//! | [`shrink`] | a smaller schedule that still fails | none |
+//! | [`proxy`] | a link between two processes, with two directions that can be broken | sockets |
+//! | [`process`] | child processes: started, stopped, killed | processes |
+//! | [`peers`] | stand-in agent and caller, each a process of its own | sockets |
+//! | [`stage`] | one run: all of it started, the schedule played, the history gathered | all of it |
+
+pub mod check;
+pub mod history;
+pub mod peers;
+pub mod plan;
+pub mod process;
+pub mod proxy;
+pub mod shrink;
+pub mod stage;
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,122 @@
+//! Child processes: started with their output in a file, told by signals, ended by their own number alone.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::OpenOptions;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout, Instant};
+
+/// For a process to take connections, or to be gone after it was killed.
+pub const COMES_UP: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_millis(3);
+
+/// A program of this repository beside the one that runs, or in the folder named.
+///
+/// # Errors
+/// Where it was looked for.
+pub fn program(name: &str, folder: Option<&Path>) -> io::Result<PathBuf> {
+    let mut folder = match folder {
+        Some(folder) => folder.to_owned(),
+        None => std::env::current_exe()?.parent().unwrap_or(Path::new(".")).to_owned(),
+    };
+    // Tests lie in a folder below that of the programs.
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    let found = folder.join(name);
+    if found.is_file() {
+        return Ok(found);
+    }
+    let why = format!("{}: not there; `cargo build -p rainstand-node` makes it", found.display());
+    Err(io::Error::new(io::ErrorKind::NotFound, why))
+}
+
+/// A port that nobody listens on just now.
+///
+/// # Errors
+/// If the system has none.
+pub fn free_port() -> io::Result<SocketAddr> {
+    StdListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// A child, and what it is called.
+pub struct Process {
+    pub name: String,
+    child: Child,
+    pid: Pid,
+}
+
+impl Process {
+    /// Its output is appended to `log`; it ends with the rig.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn start(name: &str, mut command: Command, log: &Path) -> io::Result<Self> {
+        let out = OpenOptions::new().create(true).append(true).open(log)?;
+        command.stderr(Stdio::from(out.try_clone()?)).kill_on_drop(true);
+        let child = command.spawn()?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
+        let pid = pid.ok_or_else(|| io::Error::other("no process number"))?;
+        Ok(Self { name: name.to_owned(), child, pid })
+    }
+
+    pub fn child(&mut self) -> &mut Child {
+        &mut self.child
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        // Whoever is gone needs no signal; its number is its own until it was waited for.
+        let _ = kill_process(self.pid, signal);
+    }
+
+    /// Whether it ended by itself, and how.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Killed, and gone when this returns.
+    ///
+    /// # Errors
+    /// If it does not go.
+    pub async fn kill(mut self) -> io::Result<ExitStatus> {
+        self.signal(Signal::KILL);
+        self.gone(COMES_UP).await
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// If it has not come in time.
+    pub async fn gone(&mut self, within: Duration) -> io::Result<ExitStatus> {
+        let name = self.name.clone();
+        match timeout(within, self.child.wait()).await {
+            Ok(ended) => ended,
+            Err(_) => Err(io::Error::new(io::ErrorKind::TimedOut, format!("{name}: still there"))),
+        }
+    }
+
+    /// Waits until it takes connections there.
+    ///
+    /// # Errors
+    /// If it ends first, or does not come up in time.
+    pub async fn takes(&mut self, addr: SocketAddr) -> io::Result<()> {
+        let until = Instant::now() + COMES_UP;
+        loop {
+            if let Ok(Ok(_)) = timeout(COMES_UP, TcpStream::connect(addr)).await {
+                return Ok(());
+            }
+            if let Some(status) = self.ended() {
+                return Err(io::Error::other(format!("{}: ended at its start, {status}", self.name)));
+            }
+            if Instant::now() > until {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, format!("{}: not up", self.name)));
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/sweep.rs
@@ -0,0 +1,145 @@
+//! A range of seeds, several runs side by side, each a process of its own so that none can take the others along.
+
+use crate::{lines_of, Play};
+use indicatif::{ProgressBar, ProgressStyle};
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::fs::{self, OpenOptions};
+use std::io::{self, Write};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::thread;
+
+/// `1..200`, the last one left out.
+fn range(text: &str) -> io::Result<std::ops::Range<u64>> {
+    let bad = || io::Error::new(io::ErrorKind::InvalidInput, format!("{text}: seeds are written 1..200"));
+    let (first, last) = text.split_once("..").ok_or_else(bad)?;
+    let range = first.parse().map_err(|_| bad())?..last.parse().map_err(|_| bad())?;
+    if range.is_empty() {
+        return Err(bad());
+    }
+    Ok(range)
+}
+
+/// What all seeds came to; one line of JSON a seed stands in `results.jsonl`.
+#[derive(Default)]
+struct All {
+    played: usize,
+    failed: Vec<u64>,
+    kills: u64,
+    asked: u64,
+    answered: u64,
+    keys: u64,
+}
+
+impl All {
+    fn add(&mut self, line: &Value) {
+        let number = |of: &Value| of.as_u64().unwrap_or(0);
+        self.played += 1;
+        if line["good"] != Value::Bool(true) {
+            self.failed.push(number(&line["seed"]));
+        }
+        let report = &line["report"];
+        self.kills += number(&report["kills"]);
+        self.asked += number(&report["tally"]["asked"]);
+        self.answered += number(&report["tally"]["answered"]);
+        self.keys += number(&report["tally"]["keys"]);
+    }
+}
+
+pub fn sweep(play: &Play, seeds: &str, jobs: usize, out: &Path) -> io::Result<bool> {
+    let seeds = range(seeds)?;
+    fs::create_dir_all(out)?;
+    let results = out.join("results.jsonl");
+    let mut all = All::default();
+    let mut done = BTreeSet::new();
+    for line in lines_of(&results)? {
+        // The last line may have been cut by an interrupt: its seed is played again.
+        let Ok(line) = serde_json::from_str::<Value>(&line) else { continue };
+        let seed = line["seed"].as_u64().unwrap_or(0);
+        if seeds.contains(&seed) && done.insert(seed) {
+            all.add(&line);
+        }
+    }
+    let left: Vec<u64> = seeds.clone().filter(|seed| !done.contains(seed)).collect();
+    let bar = ProgressBar::new(left.len() as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:30} {pos}/{len} {eta} {msg}") {
+        bar.set_style(style);
+    }
+    let file = Mutex::new(OpenOptions::new().create(true).append(true).open(&results)?);
+    let (next, all) = (AtomicUsize::new(0), Mutex::new(all));
+    let me = std::env::current_exe()?;
+    thread::scope(|scope| {
+        for _ in 0..jobs.clamp(1, 64) {
+            scope.spawn(|| {
+                while let Some(seed) = left.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let line = one(&me, play, *seed, out);
+                    let text = format!("{line}\n");
+                    let wrote = file.lock().is_ok_and(|mut file| file.write_all(text.as_bytes()).is_ok());
+                    if let Ok(mut all) = all.lock() {
+                        all.add(&line);
+                        bar.set_message(format!("{} failed", all.failed.len()));
+                    }
+                    bar.inc(1);
+                    if !wrote {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    bar.finish_and_clear();
+    let mut all = all.into_inner().unwrap_or_default();
+    all.failed.sort_unstable();
+    println!(
+        "{} seeds: {} failed, {} kills, {} tickets asked, {} answered, {} keys",
+        all.played,
+        all.failed.len(),
+        all.kills,
+        all.asked,
+        all.answered,
+        all.keys
+    );
+    for seed in &all.failed {
+        println!("failed: seed {seed}, kept in {}", out.join(format!("seed-{seed}")).display());
+    }
+    Ok(all.failed.is_empty())
+}
+
+/// One seed in a process of its own; its folder is kept if it failed.
+fn one(me: &Path, play: &Play, seed: u64, out: &Path) -> Value {
+    let folder = out.join(format!("seed-{seed}"));
+    let _ = fs::remove_dir_all(&folder);
+    let mut command = Command::new(me);
+    command
+        .arg("run")
+        .arg(&play.file)
+        .args(["--seed", &seed.to_string(), "--json"])
+        .arg("--keep")
+        .arg(&folder);
+    for (flag, value) in [("--rig", &play.rig), ("--plant", &play.plant)] {
+        if let Some(value) = value {
+            command.args([flag, value]);
+        }
+    }
+    if let Some(seconds) = play.seconds {
+        command.args(["--seconds", &seconds.to_string()]);
+    }
+    if let Some(programs) = &play.programs {
+        command.arg("--programs").arg(programs);
+    }
+    let output = command.stdin(Stdio::null()).output();
+    let line = match &output {
+        Ok(output) => serde_json::from_slice(&output.stdout).unwrap_or_else(|_| {
+            let why = String::from_utf8_lossy(&output.stderr);
+            serde_json::json!({"seed": seed, "good": false, "why": why.trim()})
+        }),
+        Err(why) => serde_json::json!({"seed": seed, "good": false, "why": why.to_string()}),
+    };
+    if line["good"] == Value::Bool(true) {
+        let _ = fs::remove_dir_all(&folder);
+    }
+    line
+}
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -71,6 +71,8 @@
         on: u32,
         marked: bool,
     },
+    /// The kept result of another ticket's run serves it: it needs no run of its own.
+    Shared,
     /// Its caller gave it up or broke its connection: nobody waits for an answer.
     Left,
     Answered(Answer),
@@ -108,6 +110,7 @@
     due: Duration,
     front: u32,
     runs: u32,
+    shared: bool,
     /// Runs that a mark does not excuse.
     unmarked: u32,
     answer: Option<Answer>,
@@ -200,6 +203,7 @@
                 due,
                 front,
                 runs: 0,
+                shared: false,
                 unmarked: 0,
                 answer: None,
                 left: false,
@@ -246,6 +250,10 @@
                     _ => Ok(()),
                 }
             }
+            Step::Shared => {
+                known.shared = true;
+                Ok(())
+            }
             Step::Left => {
                 if known.answer.is_none() && !known.left {
                     known.left = true;
@@ -264,6 +272,7 @@
                 }
                 known.answer = Some(answer);
                 let (kind, runs, due) = (known.kind, known.runs, known.due);
+                let served = runs > 0 || known.shared;
                 match answer {
                     Answer::Honoured => self.tally.honoured += 1,
                     Answer::Dismissed => self.tally.dismissed += 1,
@@ -277,7 +286,7 @@
                 if answer == Answer::Dismissed && kind != Kind::Rerunnable && runs > 0 {
                     return self.fail(2, at, Some(ticket), "dismissed though it ran");
                 }
-                if answer == Answer::Honoured && runs == 0 {
+                if answer == Answer::Honoured && !served {
                     return self.fail(1, at, Some(ticket), "honoured though it never ran");
                 }
                 Ok(())
@@ -404,6 +413,8 @@
             (&[asked(Rerunnable), ran, ran, Answered(Dismissed), ran], 0),
             (&[asked(Rerunnable), ran, Answered(Honoured), Answered(Honoured)], 1),
             (&[asked(Rerunnable), Answered(Honoured)], 1),
+            (&[asked(Ticketed), Shared, Answered(Honoured)], 0),
+            (&[asked(Ticketed), Shared, Answered(Dismissed)], 0),
             (&[asked(Rerunnable), Left, Answered(GivenUp)], 0),
             (&[asked(Rerunnable), asked(Rerunnable)], 1),
             (&[Answered(Dismissed)], 1),
