--- a/crates/copies/src/keys.rs
+++ b/crates/copies/src/keys.rs
@@ -14,6 +14,7 @@
 //! Invariant: `ages` holds each row's key once, with its `until`.
 
 use bytes::Bytes;
+use foldhash::HashMap;
 use prost::Message as _;
 use rainstand_replica::plant::planted;
 use std::collections::{BTreeMap, BTreeSet};
@@ -246,6 +247,8 @@
 pub struct Table {
     rows: BTreeMap<Bytes, Row>,
     ages: BTreeSet<(u64, Bytes)>,
+    /// Of started rows, by their claims.
+    claims: HashMap<Claim, Bytes>,
     registers: BTreeMap<Bytes, Register>,
     most: usize,
     /// A withdrawn key is forgotten after so long: no start of it is on its way any more.
@@ -309,8 +312,7 @@
 
     /// The key that a claim has started here, if any: looked for when an agent tells of a run nobody knows.
     pub fn started_by(&self, claim: &Claim) -> Option<&Bytes> {
-        let mut rows = self.rows.values();
-        rows.find(|row| row.claim == *claim && row.stage() == Stage::Started).map(|row| &row.key)
+        self.claims.get(claim)
     }
 
     /// A committed command, at its log time.
@@ -319,7 +321,9 @@
         for _ in 0..AGED {
             let Some(first) = self.ages.first().filter(|first| first.0 <= self.stamp).cloned() else { break };
             self.ages.remove(&first);
-            self.rows.remove(&first.1);
+            if let Some(row) = self.rows.remove(&first.1) {
+                self.claims.remove(&row.claim);
+            }
             self.aged += 1;
         }
         if let Some(What::Set(register)) = &command.what {
@@ -328,6 +332,7 @@
         let row = self.rows.remove(&command.key);
         if let Some(row) = &row {
             self.ages.remove(&(row.until, row.key.clone()));
+            self.claims.remove(&row.claim);
         }
         let row = row.filter(|row| row.until > self.stamp);
         let new = row.is_none();
@@ -340,6 +345,9 @@
                 row.until = self.stamp.saturating_add(self.linger);
             }
             self.ages.insert((row.until, row.key.clone()));
+            if row.stage() == Stage::Started {
+                self.claims.insert(row.claim.clone(), row.key.clone());
+            }
             self.rows.insert(row.key.clone(), row);
         }
         told
@@ -378,6 +386,8 @@
         let kept = Kept::decode(data)?;
         self.stamp = kept.stamp;
         self.ages = kept.rows.iter().map(|row| (row.until, row.key.clone())).collect();
+        let started = kept.rows.iter().filter(|row| row.stage() == Stage::Started);
+        self.claims = started.map(|row| (row.claim.clone(), row.key.clone())).collect();
         self.rows = kept.rows.into_iter().map(|row| (row.key.clone(), row)).collect();
         self.registers = kept.registers.into_iter().map(|named| (named.name, named.value)).collect();
         Ok(())
@@ -412,7 +422,8 @@
     fn each_step_of_a_key_is_told_as_the_table_says() {
         let withdraw = |by| command(by, What::Withdraw(true));
         let failed = |by| command(by, What::Failed(true));
-        let table: Vec<(&str, Vec<(u64, Command, Told)>)> = vec![
+        type Case = (&'static str, Vec<(u64, Command, Told)>);
+        let table: Vec<Case> = vec![
             (
                 "a run and a repeat",
                 vec![
--- a/crates/copies/src/member.rs
+++ b/crates/copies/src/member.rs
@@ -37,8 +37,8 @@
 const BACKGROUND: Duration = Duration::from_secs(60);
 /// Between looks at the members of shards that are led here.
 const LOOK: Duration = Duration::from_millis(50);
-/// Entries and bytes behind a snapshot from which on the next one is made.
-const COMPACT: usize = 20_000;
+/// Entries behind a snapshot from which on the next one is made, for whoever has no wish; and bytes.
+pub const COMPACT: usize = 20_000;
 const COMPACT_BYTES: usize = 8 << 20;
 /// Soft reports go out this often.
 const SOFT: Duration = Duration::from_millis(500);
@@ -66,6 +66,8 @@
     pub moves: usize,
     /// Keys of one shard.
     pub keys: usize,
+    /// Entries behind a snapshot from which on the next one is made.
+    pub compact: usize,
     pub seed: u64,
 }
 
@@ -143,6 +145,10 @@
     },
     /// The disk confirms nothing any more: this member takes part in nothing.
     DiskStandsStill,
+    /// A write or flush failed: this member confirms nothing and votes for nothing until it is started anew.
+    DiskFailed {
+        why: String,
+    },
 }
 
 /// What follows from what happened.
@@ -202,6 +208,13 @@
     tries: u32,
 }
 
+/// What waits until all writes up to a number are durable: frames, and entries by shard, index and term.
+struct Held {
+    number: u64,
+    frames: Vec<(String, Frame)>,
+    confirms: Vec<(u16, u64, u64)>,
+}
+
 pub struct Member {
     options: Options,
     disk: Id,
@@ -220,7 +233,7 @@
     number: u64,
     written: u64,
     /// Frames and news of entries that wait for a write.
-    held: VecDeque<(u64, Vec<(String, Frame)>, Vec<(u16, u64, u64)>)>,
+    held: VecDeque<Held>,
     /// When a question is to be looked at again, at the latest.
     due: Duration,
     look: Duration,
@@ -274,7 +287,7 @@
             soft_at: now,
             witness_at: now,
             witness: Witness::default(),
-            own: Report { epoch: found.boot, ..Report::default() },
+            own: Report { epoch: found.boot, disk: found.disk, ..Report::default() },
             reports: Reports::default(),
             effects: Effects::default(),
             writes: Vec::new(),
@@ -308,6 +321,18 @@
         Claim { holder: self.disk, trace: Bytes::copy_from_slice(trace) }
     }
 
+    /// The configuration's members changed: shards move, one safe step at a time. Whoever left the configuration is
+    /// still heard until nothing is held there.
+    pub fn set_members(&mut self, now: Duration, members: Vec<(String, String)>) {
+        self.now = self.now.max(now);
+        for (name, _) in members.iter().filter(|(name, _)| *name != self.options.name) {
+            self.peers.entry(name.clone()).or_default();
+        }
+        self.options.members = members;
+        self.look = self.now;
+        self.settle();
+    }
+
     /// Takes part in nothing any more.
     pub fn stop(&mut self) {
         self.over = true;
@@ -369,6 +394,10 @@
             peer.here = true;
             self.effects.frames.push((name.to_owned(), hello));
         }
+        if self.form.is_none() && !self.over {
+            self.form_if_all_are_fresh();
+        }
+        self.settle();
     }
 
     /// The link to a member broke.
@@ -503,7 +532,12 @@
                 self.set_aside(News::OldCopy { why: behind.why });
             }
             What::Behind(_) => {}
-            What::Soft(report) => self.reports.join(name, &report),
+            What::Soft(report) => {
+                let hello = self.peers.get(name).and_then(|peer| peer.hello.as_ref());
+                if hello.is_some_and(|hello| hello.disk == report.disk) {
+                    self.reports.join(&report);
+                }
+            }
         }
         self.settle();
     }
@@ -619,6 +653,8 @@
     }
 
     fn tell_soft(&mut self) {
+        let known: Vec<Id> = self.peers.values().filter_map(|peer| Some(peer.start?.0)).collect();
+        self.reports.keep(|disk| known.contains(&disk));
         if self.own.spent.is_empty() && self.own.room == 0 {
             return;
         }
@@ -661,10 +697,7 @@
             }
             let commit = one.replica.commit();
             let matched: BTreeMap<Id, u64> = one.replica.progress().map(|(id, at, _)| (id, at)).collect();
-            let caught_up = |id: Id| {
-                matched.get(&id).is_some_and(|at| *at >= commit)
-                    || rainstand_replica::plant::planted("vote-too-soon")
-            };
+            let caught_up = |id: Id| matched.get(&id).is_some_and(|at| *at >= commit);
             match next(one.replica.config(), &wanted, me, caught_up) {
                 Next::Settled | Next::Wait => {}
                 Next::HandTo(id) => drop(one.replica.hand_to(now, id)),
@@ -686,7 +719,7 @@
     fn compact(&mut self) {
         for (shard, one) in &mut self.shards {
             let log = one.replica.log();
-            if log.len() < COMPACT && log.bytes() < COMPACT_BYTES {
+            if log.len() < self.options.compact && log.bytes() < COMPACT_BYTES {
                 continue;
             }
             let index = one.replica.applied();
@@ -758,12 +791,12 @@
     /// Nobody waits for it any more: a start is taken back.
     pub fn forget(&mut self, now: Duration, id: u64) {
         self.now = self.now.max(now);
-        self.to_background(id);
+        self.go_on_without(id);
         self.settle();
     }
 
     /// What goes on without anybody that waits: starts are taken back, the rest is told until it is noted.
-    fn to_background(&mut self, id: u64) {
+    fn go_on_without(&mut self, id: u64) {
         let now = self.now;
         let Some(question) = self.questions.get_mut(&id).filter(|question| !question.background) else {
             return;
@@ -786,7 +819,7 @@
                 self.questions.remove(&id);
             } else {
                 self.effects.timed_out.push(id);
-                self.to_background(id);
+                self.go_on_without(id);
             }
         }
     }
@@ -810,7 +843,9 @@
             return;
         }
         let led_by = self.shards.get(&shard).and_then(|one| one.replica.leader());
-        let led_by = led_by.or_else(|| self.leaders.get(&shard).copied());
+        // Whoever did not answer may be out of reach: every second try goes round.
+        let told = self.leaders.get(&shard).copied().filter(|_| tries % 2 == 1);
+        let led_by = led_by.or(told);
         let name = led_by.and_then(|disk| self.name_of(disk)).or_else(|| {
             // Nobody is known to lead: the holders are asked in turn.
             let held = holders(&self.options.members, shard, self.options.copies);
@@ -1074,7 +1109,7 @@
             if self.written >= self.number {
                 effects.frames.extend(after);
             } else {
-                self.held.push_back((self.number, after, confirms));
+                self.held.push_back(Held { number: self.number, frames: after, confirms });
             }
         }
         if self.held.len() > HELD && !self.over {
@@ -1088,8 +1123,8 @@
     pub fn written(&mut self, now: Duration, to: u64) {
         self.now = self.now.max(now);
         self.written = self.written.max(to);
-        while self.held.front().is_some_and(|held| held.0 <= self.written) {
-            let Some((_, frames, confirms)) = self.held.pop_front() else { break };
+        while self.held.front().is_some_and(|held| held.number <= self.written) {
+            let Some(Held { frames, confirms, .. }) = self.held.pop_front() else { break };
             self.effects.frames.extend(frames);
             for (shard, index, term) in confirms {
                 if let Some(one) = self.shards.get_mut(&shard) {
--- a/crates/copies/src/soft.rs
+++ b/crates/copies/src/soft.rs
@@ -1,6 +1,6 @@
 //! Sums that are merged without waiting: what each node charged each tenant, and what it can take.
 //!
-//! Each node tells only of itself: the epoch of its disk's start, and totals that grow within an epoch. Joining takes the
+//! Each node tells only of itself, under its disk: the number of the disk's start as epoch, and totals that grow within an epoch. Joining takes the
 //! later epoch, and within one the larger of each, so the order, number and repetition of messages do not matter; a node
 //! that comes back with lower counts has a later epoch. Whoever reads takes what was added since its last look, and leaves
 //! out a node whose count of reports has not moved for longer than a bound.
@@ -28,6 +28,9 @@
     /// What it can take more, in thousandths of a ticket at once.
     #[prost(uint64, tag = "4")]
     pub room: u64,
+    /// Whose it is.
+    #[prost(uint64, tag = "5")]
+    pub disk: u64,
 }
 
 impl Report {
@@ -54,38 +57,44 @@
     }
 }
 
-/// All nodes' reports.
+/// All nodes' reports, by disk: a name that came back with another disk counts its starts anew.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Reports(BTreeMap<String, Report>);
+pub struct Reports(BTreeMap<u64, Report>);
 
 impl Reports {
-    pub fn join(&mut self, node: &str, report: &Report) {
+    pub fn join(&mut self, report: &Report) {
+        let disk = report.disk;
         if report.spent.len() > TENANTS {
             return;
         }
         let room = self.0.len() < NODES;
-        match self.0.get_mut(node) {
+        match self.0.get_mut(&disk) {
             Some(known) => known.join(report),
             None if room => {
-                self.0.insert(node.to_owned(), report.clone());
+                self.0.insert(disk, report.clone());
             }
             None => {}
         }
     }
 
-    pub fn get(&self, node: &str) -> Option<&Report> {
-        self.0.get(node)
+    pub fn get(&self, disk: u64) -> Option<&Report> {
+        self.0.get(&disk)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (&String, &Report)> {
-        self.0.iter()
+    /// Forgets the disks of which nothing more will come.
+    pub fn keep(&mut self, known: impl Fn(u64) -> bool) {
+        self.0.retain(|disk, _| known(*disk));
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Report)> {
+        self.0.iter().map(|(disk, report)| (*disk, report))
     }
 }
 
 /// One reader's view: what was added since it looked last, and who is too old to count.
 #[derive(Clone, Debug, Default)]
 pub struct Reader {
-    seen: BTreeMap<String, (Report, Duration)>,
+    seen: BTreeMap<u64, (Report, Duration)>,
 }
 
 impl Reader {
@@ -94,14 +103,15 @@
     pub fn added(
         &mut self,
         now: Duration,
-        me: &str,
+        me: u64,
         reports: &Reports,
         stale: Duration,
     ) -> BTreeMap<String, u64> {
         let mut added = BTreeMap::new();
+        self.seen.retain(|disk, _| reports.get(*disk).is_some());
         for (node, report) in reports.iter().filter(|(node, _)| *node != me) {
-            let Some((seen, at)) = self.seen.get(node) else {
-                self.seen.insert(node.clone(), (report.clone(), now));
+            let Some((seen, at)) = self.seen.get(&node) else {
+                self.seen.insert(node, (report.clone(), now));
                 continue;
             };
             if (seen.epoch, seen.count) == (report.epoch, report.count) {
@@ -116,7 +126,7 @@
                     }
                 }
             }
-            self.seen.insert(node.clone(), (report.clone(), now));
+            self.seen.insert(node, (report.clone(), now));
         }
         added
     }
@@ -139,6 +149,7 @@
             count,
             spent,
             room,
+            disk: 1,
         })
     }
 
@@ -158,8 +169,8 @@
         });
     }
 
-    fn told(epoch: u64, count: u64, spent: u64) -> Report {
-        Report { epoch, count, spent: [("t".to_owned(), spent)].into(), room: 0 }
+    fn told(disk: u64, epoch: u64, count: u64, spent: u64) -> Report {
+        Report { epoch, count, spent: [("t".to_owned(), spent)].into(), room: 0, disk }
     }
 
     #[test]
@@ -168,20 +179,20 @@
         let stale = Duration::from_secs(3);
         // Seconds, what n2 told, what that adds.
         let steps = [
-            (0, told(1, 1, 100), 0),
-            (1, told(1, 2, 150), 50),
-            (1, told(1, 2, 150), 0),
-            (2, told(1, 1, 100), 0),
-            (3, told(2, 1, 7), 7),
-            (4, told(1, 9, 900), 0),
-            (5, told(2, 2, 9), 2),
-            (60, told(2, 3, 500), 0),
-            (61, told(2, 4, 501), 1),
+            (0, told(2, 1, 1, 100), 0),
+            (1, told(2, 1, 2, 150), 50),
+            (1, told(2, 1, 2, 150), 0),
+            (2, told(2, 1, 1, 100), 0),
+            (3, told(2, 2, 1, 7), 7),
+            (4, told(2, 1, 9, 900), 0),
+            (5, told(2, 2, 2, 9), 2),
+            (60, told(2, 2, 3, 500), 0),
+            (61, told(2, 2, 4, 501), 1),
         ];
         for (at, report, wanted) in steps {
-            reports.join("n2", &report);
-            reports.join("n1", &told(1, at, at));
-            let added = reader.added(Duration::from_secs(at), "n1", &reports, stale);
+            reports.join(&report);
+            reports.join(&told(1, 1, at, at));
+            let added = reader.added(Duration::from_secs(at), 1, &reports, stale);
             assert_eq!(added.get("t").copied().unwrap_or(0), wanted, "at {at} s");
         }
     }
--- /dev/null
+++ b/crates/group/src/disk.rs
@@ -0,0 +1,71 @@
+//! A member's writes as records of the store, and what a recovery found as a member takes it.
+
+use prost::Message as _;
+use rainstand_copies::frames::{Form, Witness};
+use rainstand_copies::member::{Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_WITNESS};
+use rainstand_replica::wire::Snapshot;
+use rainstand_replica::{Entry, Hard, State};
+use rainstand_store::{Disk, Identity, Record, Recovered, Store};
+use std::io;
+
+/// What a recovery found. A record whose bytes are none of a member's was written by another program: it is told.
+///
+/// # Errors
+/// Which record cannot be read.
+pub fn found(identity: &Identity, recovered: &Recovered) -> Result<Found, String> {
+    let mut found =
+        Found { disk: identity.disk, boot: identity.boot, nonce: identity.nonce, ..Found::default() };
+    for (shard, one) in &recovered.shards {
+        let flaw = |what: &str, why: prost::DecodeError| format!("shard {shard}: {what}: {why}");
+        let mut state = State::default();
+        if let Some(data) = &one.hard {
+            state.hard = Hard::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
+        }
+        if let Some((_, data)) = &one.snapshot {
+            state.snapshot = Some(Snapshot::decode(&data[..]).map_err(|why| flaw("snapshot", why))?);
+        }
+        for (index, data) in &one.entries {
+            let entry = Entry::decode(&data[..]).map_err(|why| flaw("entry", why))?;
+            if entry.index != *index {
+                return Err(format!("shard {shard}: entry {index} says that it is {}", entry.index));
+            }
+            state.entries.push(entry);
+        }
+        found.shards.insert(*shard, state);
+    }
+    let note = |number: u16| recovered.notes.get(&number);
+    if let Some(data) = note(NOTE_FORM) {
+        found.form = Some(Form::decode(&data[..]).map_err(|why| format!("first members: {why}"))?);
+    }
+    // Without it old copies of other disks are told later, not never.
+    found.witness = note(NOTE_WITNESS).and_then(|data| Witness::decode(&data[..]).ok());
+    let generation = note(NOTE_GENERATION).and_then(|data| data[..].try_into().ok());
+    found.generation = generation.map_or(0, u64::from_le_bytes);
+    Ok(found)
+}
+
+/// A write as a record; none for a snapshot, which is saved.
+pub fn record(write: &Write) -> Option<Record> {
+    Some(match write {
+        Write::Hard { shard, hard } => Record::Hard { shard: *shard, data: hard.encode_to_vec() },
+        Write::Entry { shard, entry } => {
+            Record::Entry { shard: *shard, index: entry.index, data: entry.encode_to_vec() }
+        }
+        Write::Note { number, data } => Record::Note { number: *number, data: data.to_vec() },
+        Write::Save { .. } => return None,
+    })
+}
+
+/// Puts a write; a snapshot is durable when this returns.
+///
+/// # Errors
+/// If the disk fails.
+pub fn put<D: Disk>(store: &mut Store<D>, write: &Write) -> io::Result<()> {
+    if let Write::Save { shard, snapshot, alone } = write {
+        return store.save(*shard, snapshot.base.index, &snapshot.encode_to_vec(), *alone);
+    }
+    if let Some(record) = record(write) {
+        store.put(&record);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/group/src/host.rs
@@ -0,0 +1,442 @@
+//! Drives a member: its time, its links, its writes and its answers.
+//!
+//! A call into the member is followed by its effects: frames go to the links, writes to the disk's thread, answers
+//! into a line that a task of its own gives out, so that who asks is never called back from within the asking.
+
+use crate::disk::{found, record};
+use crate::links::{accept, keep, Out};
+use crate::testing::{self, Clock};
+use foldhash::{HashMap, HashMapExt};
+use prost::Message as _;
+use rainstand_config::schema;
+use rainstand_copies::frames::Frame;
+use rainstand_copies::keys::{Command, Told};
+use rainstand_copies::member::{Effects, Member, News, Options, Write, COMPACT};
+use rainstand_replica::Times;
+use rainstand_store::writer::{Done, Job, Writer};
+use rainstand_store::{Disk, Folder, Limits, OpenError, Recovered, Store};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Writes that wait for the disk, in jobs: past it no question is taken.
+const JOBS: usize = 16_384;
+/// The longest sleep of the loop, and the shortest.
+const SLEEPS: [Duration; 2] = [Duration::from_millis(500), Duration::from_micros(200)];
+/// Commit times that are kept for the figures.
+const TIMES: usize = 512;
+
+/// What is told of a question, by its number: several times, the last one final. None: its time is over.
+pub type Tell = Rc<dyn Fn(Option<Told>)>;
+/// Where news go: the program's log.
+pub type Log = Box<dyn Fn(&News)>;
+
+/// What a member needs to begin.
+pub struct Setup {
+    pub name: String,
+    pub group: schema::Group,
+    pub log: Log,
+}
+
+/// A member on sockets and a disk.
+pub struct Group {
+    name: String,
+    settings: schema::Group,
+    folder: PathBuf,
+    testing: Option<PathBuf>,
+    clock: Box<dyn Clock>,
+    member: RefCell<Member>,
+    writer: RefCell<Option<Writer>>,
+    done: mpsc::UnboundedSender<(u64, Done)>,
+    /// Goes up with each disk: what an earlier one's thread tells is not this one's.
+    disk: Cell<u64>,
+    links: RefCell<HashMap<String, Rc<Out>>>,
+    tells: RefCell<HashMap<u64, (Tell, Duration)>>,
+    line: RefCell<VecDeque<(Tell, Option<Told>)>>,
+    stir: Notify,
+    again: Notify,
+    log: Log,
+    /// Why nothing is confirmed any more.
+    pub failed: RefCell<Option<String>>,
+    /// From the question to what was told, newest last.
+    times: RefCell<VecDeque<Duration>>,
+    pub set_asides: Cell<u64>,
+    pub flushes: Cell<u64>,
+}
+
+/// Draws that no other start makes: the system's own chance, through the standard library.
+fn draws() -> [u64; 2] {
+    let draw = || {
+        let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
+        hasher.write_u8(1);
+        // 0 is nobody.
+        hasher.finish().max(1)
+    };
+    [draw(), draw()]
+}
+
+fn limits() -> Limits {
+    Limits::default()
+}
+
+impl Group {
+    /// Opens the disk, listens, and begins to talk to the others.
+    ///
+    /// # Errors
+    /// If the configuration names no such member, or its folder or address cannot be had.
+    pub async fn start(setup: Setup) -> Result<Rc<Self>, String> {
+        let Setup { name, group: settings, log } = setup;
+        let own = settings.members.iter().find(|member| member.name == name);
+        let own = own.ok_or_else(|| format!("group {}: no member {name}", settings.name))?;
+        let listen: SocketAddr =
+            own.address.parse().map_err(|_| format!("group: address {}", own.address))?;
+        let (folder, testing) = (PathBuf::from(&own.folder), testing::file(settings.testing)?);
+        let listener = TcpListener::bind(listen).await.map_err(|e| format!("group: listen {listen}: {e}"))?;
+        let clock = testing::clock(testing.as_deref());
+        let (store, recovered, damaged) = open(&folder, testing.as_ref())?;
+        let member = member(&settings, &name, &store, &recovered, clock.now())?;
+        let (done, told) = mpsc::unbounded_channel();
+        let group = Rc::new(Self {
+            name,
+            folder,
+            testing,
+            clock,
+            member: RefCell::new(member),
+            writer: RefCell::new(None),
+            done,
+            disk: Cell::new(0),
+            links: RefCell::new(HashMap::new()),
+            tells: RefCell::new(HashMap::new()),
+            line: RefCell::default(),
+            stir: Notify::new(),
+            again: Notify::new(),
+            log,
+            failed: RefCell::new(None),
+            times: RefCell::default(),
+            set_asides: Cell::new(u64::from(damaged.is_some())),
+            flushes: Cell::new(0),
+            settings,
+        });
+        if let Some(why) = damaged {
+            (group.log)(&News::OldCopy { why });
+        }
+        group.begin_writing(store);
+        for other in group.settings.members.iter().filter(|member| member.name != group.name) {
+            let to = other.address.parse().map_err(|_| format!("group: address {}", other.address))?;
+            spawn_local(keep(group.clone(), other.name.clone(), to));
+        }
+        spawn_local(accept(group.clone(), listener));
+        spawn_local(tick(group.clone()));
+        spawn_local(tell(group.clone()));
+        spawn_local(written(group.clone(), told));
+        group.drive(|_, _| {});
+        Ok(group)
+    }
+
+    pub fn settings(&self) -> &schema::Group {
+        &self.settings
+    }
+
+    fn begin_writing(&self, store: Store<Folder>) {
+        let (done, disk) = (self.done.clone(), self.disk.get());
+        let wait = Duration::from_nanos(self.settings.commit_wait_ns);
+        let tell = move |one| drop(done.send((disk, one)));
+        *self.writer.borrow_mut() = Some(Writer::start(move || store, wait, tell));
+    }
+
+    /// What goes to a member.
+    pub fn link(&self, name: &str) -> Rc<Out> {
+        self.links.borrow_mut().entry(name.to_owned()).or_default().clone()
+    }
+
+    /// One call into the member, with all that follows from it.
+    pub fn drive<T>(&self, call: impl FnOnce(&mut Member, Duration) -> T) -> T {
+        let now = self.clock.now();
+        let (told, effects, wake) = {
+            let mut member = self.member.borrow_mut();
+            let before = member.wake();
+            let told = call(&mut member, now);
+            let effects = member.take();
+            (told, effects, member.wake() < before)
+        };
+        self.follow(effects);
+        if wake {
+            self.again.notify_one();
+        }
+        told
+    }
+
+    /// A look at the member that changes nothing.
+    pub fn see<T>(&self, look: impl FnOnce(&Member) -> T) -> T {
+        look(&self.member.borrow())
+    }
+
+    fn follow(&self, effects: Effects) {
+        let Effects { frames, write, told, timed_out, news } = effects;
+        if let Some((number, writes)) = write {
+            self.write(number, writes);
+        }
+        for (name, frame) in frames {
+            self.link(&name).send(&frame);
+        }
+        for (id, told) in told {
+            let last = told != Told::Running;
+            let tell = if last {
+                self.tells.borrow_mut().remove(&id)
+            } else {
+                self.tells.borrow().get(&id).cloned()
+            };
+            if let Some((tell, since)) = tell {
+                if last {
+                    self.took(self.clock.now().saturating_sub(since));
+                }
+                self.line.borrow_mut().push_back((tell, Some(told)));
+            }
+        }
+        for id in timed_out {
+            if let Some((tell, _)) = self.tells.borrow_mut().remove(&id) {
+                self.line.borrow_mut().push_back((tell, None));
+            }
+        }
+        self.stir.notify_one();
+        for one in news {
+            (self.log)(&one);
+            if matches!(one, News::OldCopy { .. } | News::Differs { .. }) {
+                self.begin_anew();
+            }
+        }
+    }
+
+    fn took(&self, time: Duration) {
+        let mut times = self.times.borrow_mut();
+        times.push_back(time);
+        if times.len() > TIMES {
+            times.pop_front();
+        }
+    }
+
+    /// Of the last questions, in order of size.
+    pub fn commit_times(&self) -> Vec<Duration> {
+        let mut all: Vec<Duration> = self.times.borrow().iter().copied().collect();
+        all.sort_unstable();
+        all
+    }
+
+    fn write(&self, number: u64, writes: Vec<Write>) {
+        let writer = self.writer.borrow();
+        let Some(writer) = &*writer else { return };
+        let mut records = Vec::new();
+        for write in writes {
+            match write {
+                Write::Save { shard, snapshot, alone } => {
+                    if !records.is_empty() {
+                        // In the order in which they were given; told once, with the last.
+                        writer.give(Job::Write { number: number - 1, records: std::mem::take(&mut records) });
+                    }
+                    let (index, data) = (snapshot.base.index, snapshot.encode_to_vec());
+                    writer.give(Job::Save { number: number - 1, shard, index, data, alone });
+                }
+                other => records.extend(record(&other)),
+            }
+        }
+        writer.give(Job::Write { number, records });
+    }
+
+    /// The files are set aside, and the member begins as another disk. What waits is told that its time is over.
+    fn begin_anew(&self) {
+        self.set_asides.set(self.set_asides.get() + 1);
+        self.disk.set(self.disk.get() + 1);
+        if let Some(writer) = self.writer.borrow_mut().take() {
+            writer.end();
+        }
+        let tells: Vec<(Tell, Duration)> = self.tells.borrow_mut().drain().map(|(_, tell)| tell).collect();
+        self.line.borrow_mut().extend(tells.into_iter().map(|(tell, _)| (tell, None)));
+        let anew = || -> Result<(), String> {
+            let mut folder = Folder::open(&self.folder).map_err(|e| e.to_string())?;
+            folder.set_aside().map_err(|e| e.to_string())?;
+            drop(folder);
+            let (store, recovered, _) = open(&self.folder, self.testing.as_ref())?;
+            let member = member(&self.settings, &self.name, &store, &recovered, self.clock.now())?;
+            *self.member.borrow_mut() = member;
+            self.begin_writing(store);
+            Ok(())
+        };
+        match anew() {
+            Ok(()) => {
+                // Who is linked hears of the new disk.
+                let names: Vec<String> = self.links.borrow().keys().cloned().collect();
+                for name in names {
+                    self.drive(|member, now| member.met(now, &name));
+                }
+            }
+            Err(why) => self.fail(why),
+        }
+    }
+
+    /// Nothing is confirmed from now on.
+    fn fail(&self, why: String) {
+        self.member.borrow_mut().stop();
+        self.failed.borrow_mut().get_or_insert(why);
+        let tells: Vec<(Tell, Duration)> = self.tells.borrow_mut().drain().map(|(_, tell)| tell).collect();
+        self.line.borrow_mut().extend(tells.into_iter().map(|(tell, _)| (tell, None)));
+        self.stir.notify_one();
+    }
+
+    /// A question to a key's leader; `tell` is called later, from a task of its own, never from in here. None if it
+    /// cannot be taken: nothing was or will be done then.
+    pub fn ask(&self, command: Command, within: Duration, tell: Tell) -> Option<u64> {
+        let busy = self.writer.borrow().as_ref().is_none_or(|writer| writer.waiting() > JOBS);
+        if busy || self.failed.borrow().is_some() {
+            return None;
+        }
+        let now = self.clock.now();
+        let (id, effects) = {
+            let mut member = self.member.borrow_mut();
+            let id = member.ask(now, command, now + within)?;
+            // Known before what follows: the answer may be among it.
+            self.tells.borrow_mut().insert(id, (tell, now));
+            (id, member.take())
+        };
+        self.follow(effects);
+        self.again.notify_one();
+        Some(id)
+    }
+
+    /// Nobody waits for a question any more.
+    pub fn forget(&self, id: u64) {
+        self.tells.borrow_mut().remove(&id);
+        self.drive(|member, now| member.forget(now, id));
+    }
+
+    pub fn met(&self, name: &str) {
+        self.drive(|member, now| member.met(now, name));
+    }
+
+    pub fn lost(&self, name: &str) {
+        self.drive(|member, now| member.lost(now, name));
+    }
+
+    pub fn receive(&self, name: &str, frame: Frame) {
+        self.drive(|member, now| member.receive(now, name, frame));
+    }
+
+    /// Hands over what is led here; returns when that is done, or after `within`.
+    pub async fn leave(&self, within: Duration) {
+        self.drive(|member, now| member.hand_over(now));
+        let step = Duration::from_millis(5);
+        let mut left = within;
+        while self.see(Member::leading) > 0 && !left.is_zero() {
+            sleep(step).await;
+            left = left.saturating_sub(step);
+        }
+    }
+}
+
+type Opened = (Store<Folder>, Recovered, Option<String>);
+
+/// Opens a folder. What cannot be believed is set aside, and told.
+fn open(folder: &std::path::Path, testing: Option<&PathBuf>) -> Result<Opened, String> {
+    let at = |why: &dyn std::fmt::Display| format!("{}: {why}", folder.display());
+    let disk = || {
+        let disk = Folder::open(folder).map_err(|why| at(&why))?;
+        Ok::<_, String>(match testing {
+            Some(file) => disk.troubled(testing::trouble(file.clone())),
+            None => disk,
+        })
+    };
+    match Store::open(disk()?, limits(), draws()) {
+        Ok((store, recovered)) => Ok((store, recovered, None)),
+        Err(OpenError::Io(why)) => Err(at(&why)),
+        Err(OpenError::Damaged(damage)) => {
+            let mut anew = disk()?;
+            anew.set_aside().map_err(|why| at(&why))?;
+            let (store, recovered) = Store::open(anew, limits(), draws()).map_err(|why| at(&why))?;
+            Ok((store, recovered, Some(damage.to_string())))
+        }
+    }
+}
+
+fn member(
+    settings: &schema::Group,
+    name: &str,
+    store: &Store<Folder>,
+    recovered: &Recovered,
+    now: Duration,
+) -> Result<Member, String> {
+    let span = Duration::from_nanos;
+    let options = Options {
+        group: settings.name.clone(),
+        name: name.to_owned(),
+        members: settings.members.iter().map(|member| (member.name.clone(), member.site.clone())).collect(),
+        shards: settings.shards as u16,
+        copies: settings.copies as usize,
+        times: Times {
+            heartbeat: span(settings.heartbeat_ns),
+            election: [span(settings.election_least_ns), span(settings.election_most_ns)],
+        },
+        moves: settings.moves as usize,
+        keys: settings.keys as usize,
+        compact: COMPACT,
+        seed: draws()[0],
+    };
+    Ok(Member::new(options, found(store.identity(), recovered)?, now))
+}
+
+/// The member's time.
+async fn tick(group: Rc<Group>) {
+    loop {
+        let wake = group.see(Member::wake);
+        let left = wake.saturating_sub(group.clock.now());
+        let left = group.clock.real(left).clamp(SLEEPS[1], SLEEPS[0]);
+        tokio::select! {
+            () = sleep(left) => {}
+            () = group.again.notified() => {}
+        }
+        if group.see(|member| member.wake() <= group.clock.now()) {
+            group.drive(|member, now| member.tick(now));
+        }
+    }
+}
+
+/// Gives out what was told.
+async fn tell(group: Rc<Group>) {
+    loop {
+        let next = group.line.borrow_mut().pop_front();
+        match next {
+            Some((tell, told)) => tell(told),
+            None => group.stir.notified().await,
+        }
+    }
+}
+
+/// What the disk's thread says.
+async fn written(group: Rc<Group>, mut told: mpsc::UnboundedReceiver<(u64, Done)>) {
+    while let Some((disk, done)) = told.recv().await {
+        if disk != group.disk.get() {
+            continue;
+        }
+        match done {
+            Done::Up { to, pressing } => {
+                group.flushes.set(group.flushes.get() + 1);
+                group.drive(|member, now| {
+                    member.written(now, to);
+                    if !pressing.is_empty() {
+                        member.pressing(now, &pressing);
+                    }
+                });
+            }
+            Done::Failed(why) => {
+                (group.log)(&News::DiskFailed { why: why.clone() });
+                group.fail(why);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/lib.rs
@@ -0,0 +1,20 @@
+//! A member of a group of nodes on sockets and a disk.
+//!
+//! | module | what it is |
+//! | --- | --- |
+//! | [`host`] | drives a member: its time, its writes, its answers |
+//! | [`links`] | one connection to each other member for what is sent, one from each for what comes |
+//! | [`disk`] | a member's writes as records of the store, and back |
+//! | [`testing`] | clocks and disks that go wrong, where a configuration says `testing` |
+//! | [`status`] | what operators are told |
+//!
+//! All decisions are those of `crates/copies` and `crates/replica`. Everything runs on the program's one thread, but
+//! for one thread that writes and flushes. Nothing of it exists where no group is configured.
+
+pub mod disk;
+pub mod host;
+pub mod links;
+pub mod status;
+pub mod testing;
+
+pub use host::{Group, Setup};
--- /dev/null
+++ b/crates/group/src/links.rs
@@ -0,0 +1,182 @@
+//! Links among members: each opens one connection to each other, on which it sends; what comes, comes on those that the
+//! others opened. Frames are a length in four bytes and a protobuf message. The first on each says who sends.
+//!
+//! Bounds: a frame has at most [`FRAME`] bytes, what waits for a link at most [`WAITS`]; a link that takes nothing is ended,
+//! and what was on it is lost, as on any network.
+
+use crate::host::Group;
+use crate::status;
+use prost::Message as _;
+use rainstand_copies::frames::{Frame, What};
+use rainstand_protocol::thrift::frame_within;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Two pieces of a snapshot.
+pub const FRAME: usize = 512 << 10;
+/// Bytes that wait for a link: some snapshots' pieces.
+const WAITS: usize = 4 << 20;
+/// Connections from outside: members several times over, and operators.
+const MOST: usize = 256;
+/// Before the next try to connect, at first and at most.
+const AGAIN: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(250)];
+/// For a connection to open, and for the first frame on one.
+const OPENS: Duration = Duration::from_secs(2);
+
+/// What goes to one member.
+#[derive(Default)]
+pub struct Out {
+    open: Cell<bool>,
+    frames: RefCell<VecDeque<Vec<u8>>>,
+    bytes: Cell<usize>,
+    stir: Notify,
+    pub sent: Cell<u64>,
+    pub lost: Cell<u64>,
+}
+
+impl Out {
+    /// Sends a frame if the link is open and takes it.
+    pub fn send(&self, frame: &Frame) {
+        let bytes = whole(&frame.encode_to_vec());
+        if !self.open.get() || self.bytes.get() + bytes.len() > WAITS {
+            self.lost.set(self.lost.get() + 1);
+            return;
+        }
+        self.bytes.set(self.bytes.get() + bytes.len());
+        self.frames.borrow_mut().push_back(bytes);
+        self.stir.notify_one();
+    }
+
+    fn next(&self) -> Option<Vec<u8>> {
+        let frame = self.frames.borrow_mut().pop_front()?;
+        self.bytes.set(self.bytes.get() - frame.len());
+        Some(frame)
+    }
+}
+
+/// A message with its length before it.
+pub fn whole(message: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(4 + message.len());
+    bytes.extend_from_slice(&(message.len() as u32).to_be_bytes());
+    bytes.extend_from_slice(message);
+    bytes
+}
+
+/// Keeps the link to one member.
+pub async fn keep(group: Rc<Group>, name: String, to: SocketAddr) {
+    let out = group.link(&name);
+    let mut pause = AGAIN[0];
+    loop {
+        if let Ok(Ok(stream)) = timeout(OPENS, TcpStream::connect(to)).await {
+            let _ = stream.set_nodelay(true);
+            pause = AGAIN[0];
+            out.open.set(true);
+            group.met(&name);
+            write(&out, stream).await;
+            out.open.set(false);
+            out.frames.borrow_mut().clear();
+            out.bytes.set(0);
+            group.lost(&name);
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(AGAIN[1]);
+    }
+}
+
+/// Writes until the link ends. The other side says nothing on it, so whatever can be read is its end.
+async fn write(out: &Out, stream: TcpStream) {
+    let (mut read, mut write) = stream.into_split();
+    let ended = async {
+        let mut some = [0; 64];
+        while read.read(&mut some).await.is_ok_and(|n| n > 0) {}
+    };
+    let writing = async {
+        loop {
+            let Some(mut bytes) = out.next() else {
+                out.stir.notified().await;
+                continue;
+            };
+            // What waits together goes together.
+            while bytes.len() < 64 << 10 {
+                let Some(more) = out.next() else { break };
+                bytes.extend_from_slice(&more);
+            }
+            if write.write_all(&bytes).await.is_err() {
+                return;
+            }
+            out.sent.set(out.sent.get() + bytes.len() as u64);
+        }
+    };
+    tokio::select! {
+        () = ended => {}
+        () = writing => {}
+    }
+}
+
+/// Takes connections of other members and of operators.
+pub async fn accept(group: Rc<Group>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if open.get() < MOST => {
+                let _ = stream.set_nodelay(true);
+                let (group, open) = (group.clone(), open.clone());
+                open.set(open.get() + 1);
+                spawn_local(async move {
+                    read(&group, stream).await;
+                    open.set(open.get() - 1);
+                });
+            }
+            Ok(_) => {}
+            Err(_) => sleep(AGAIN[0]).await,
+        }
+    }
+}
+
+/// Reads frames of one member until the link ends or says something that cannot be.
+async fn read(group: &Rc<Group>, mut stream: TcpStream) {
+    let (mut back, mut chunk) = (Vec::new(), vec![0; 64 << 10]);
+    let mut name: Option<String> = None;
+    loop {
+        let reading = stream.read(&mut chunk);
+        // Whoever says nothing takes no place for long.
+        let n = match &name {
+            Some(_) => reading.await,
+            None => timeout(OPENS, reading).await.unwrap_or(Ok(0)),
+        };
+        match n {
+            Ok(0) | Err(_) => return,
+            Ok(n) => back.extend_from_slice(&chunk[..n]),
+        }
+        let mut at = 0;
+        loop {
+            let Ok(length) = frame_within(&back[at..], FRAME) else { return };
+            let Some(length) = length else { break };
+            let body = &back[at + 4..at + 4 + length];
+            at += 4 + length;
+            if let Some(question) = status::question(body) {
+                let answer = status::answer(group, question);
+                if stream.write_all(&whole(answer.as_bytes())).await.is_err() {
+                    return;
+                }
+                name.get_or_insert_default();
+                continue;
+            }
+            let Ok(frame) = Frame::decode(body) else { return };
+            if let Some(What::Hello(hello)) = &frame.what {
+                name = Some(hello.name.clone());
+            }
+            let Some(name) = &name else { return };
+            group.receive(name, frame);
+        }
+        back.drain(..at);
+    }
+}
--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -1,6 +1,7 @@
 //! From a frame to the decision module: names to indices, repeats, what bad input gets.
 
 use crate::book::{count, Conn, Key, Owed, Run, Ticket};
+use crate::keyed::Keyed;
 use crate::{thrift, Hub};
 use rainstand::{Arrival, Host, Repeat};
 use std::collections::BTreeMap;
@@ -143,6 +144,15 @@
         return Err("trace: in hand already");
     }
     count(&hub.counts.tickets);
+    // Where the node is in a group, it is the group that knows what a ticketed one repeats.
+    let (outer_limit, window) = desk.kinds.get(traffic).copied().unwrap_or_default();
+    let agreed = window.filter(|_| desk.copies.is_some()).zip(entity);
+    let keyed = agreed.map(|(window, entity)| {
+        let due = Instant::now() + outer_limit.saturating_sub(waited);
+        let tenant = text("customer").unwrap_or("").as_bytes();
+        Keyed::new((route, entity.as_bytes()), [route.as_bytes(), tenant, body], window, due)
+    });
+    let entity = entity.filter(|_| keyed.is_none());
     let key: Option<Key> = entity.map(|entity| (traffic, entity.as_bytes().into()));
     let open = key.as_ref().and_then(|key| desk.reads.get(key).copied());
     let kept = key.as_ref().is_some_and(|key| desk.kept.get(Instant::now(), key).is_some());
@@ -165,6 +175,7 @@
         run: Run::Held,
         call: None,
         key,
+        keyed,
         prior: open,
         waiters: Vec::new(),
         keep_until: None,
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -1,6 +1,7 @@
 //! The books: tickets in hand, connections, kept results, and counts of it all.
 
 use crate::below::Pool;
+use crate::keyed::{Copies, Keyed};
 use crate::ring::Ring;
 use crate::{agent, thrift, Hub};
 use rainstand::{Gauges, Outcome};
@@ -164,6 +165,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Run {
     Held,
+    /// The group is asked whether it may start; the agent has not heard of it.
+    Asking,
     Launched,
     Frozen,
 }
@@ -187,6 +190,8 @@
     /// The number of the notice that asked for the call, the call's body, and what became of it.
     pub call: Option<(u64, Rc<[u8]>, Call)>,
     pub key: Option<Key>,
+    /// Set where the group agrees on its start and result.
+    pub keyed: Option<Keyed>,
     /// The open ticket that it repeats.
     pub prior: Option<usize>,
     /// Tickets that wait for this one's result, by index and serial number.
@@ -197,6 +202,11 @@
 }
 
 impl Ticket {
+    /// Whether the agent was told of it.
+    pub fn is_run(&self) -> bool {
+        matches!(self.run, Run::Launched | Run::Frozen)
+    }
+
     /// Whether its run waits for a call, made or not.
     fn at_call(&self) -> bool {
         matches!(self.call, Some((_, _, Call::Waits | Call::Out(_))))
@@ -266,6 +276,12 @@
     /// Reads in hand by what they are about.
     pub reads: HashMap<Key, usize>,
     pub kept: Kept,
+    /// The group, if the node is in one.
+    pub copies: Option<Rc<Copies>>,
+    /// What is owed once a result is agreed on.
+    pub keeping: HashMap<u64, Owed>,
+    /// Of each traffic type: its outer limit, and the window of a ticketed one.
+    pub kinds: Vec<(Duration, Option<Duration>)>,
     /// What the bodies of all tickets in hand take.
     pub body_bytes: usize,
     /// Ends that the node itself brought about, still to be told to the decision module.
@@ -300,6 +316,9 @@
             by_trace: HashMap::new(),
             reads: HashMap::new(),
             kept: Kept::default(),
+            copies: None,
+            keeping: HashMap::new(),
+            kinds: Vec::new(),
             body_bytes: 0,
             ends: VecDeque::new(),
             counts,
@@ -339,6 +358,17 @@
         ix
     }
 
+    /// Keeps what is owed beyond the ticket's time in the books; its number there.
+    pub fn keep_owed(&mut self, owed: Option<Owed>) -> u64 {
+        self.serial += 1;
+        if let Some(owed) = owed {
+            // Still open on its connection, under no ticket's index.
+            owed.conn.open.borrow_mut().insert(owed.seq, usize::MAX);
+            self.keeping.insert(self.serial, owed);
+        }
+        self.serial
+    }
+
     pub fn ticket(&mut self, ix: usize) -> Option<&mut Ticket> {
         self.tickets.get_mut(ix).and_then(Option::as_mut)
     }
@@ -357,7 +387,8 @@
 
     /// The last resort: an error to all that is still owed an answer; how many there were.
     pub fn give_up_all(&mut self) -> usize {
-        let owed: Vec<Owed> = self.tickets.iter_mut().flatten().filter_map(|t| t.owed.take()).collect();
+        let owed = self.tickets.iter_mut().flatten().filter_map(|t| t.owed.take());
+        let owed: Vec<Owed> = owed.chain(self.keeping.drain().map(|(_, owed)| owed)).collect();
         let left = owed.len();
         for owed in owed {
             count(&self.counts.unsettled);
@@ -369,7 +400,7 @@
     /// Runs whose end no notice will tell any more, of tickets answered long ago. Guards against runs that stay
     /// in the books for good, and take the place of others: their last notice was passed over as odd.
     pub fn orphans(&mut self, now: Instant) -> Vec<usize> {
-        let answered = |t: &Ticket| t.owed.is_none() && t.run != Run::Held;
+        let answered = |t: &Ticket| t.owed.is_none() && t.is_run();
         let mut found = Vec::new();
         for (ix, t) in self.tickets.iter_mut().enumerate() {
             let Some(t) = t.as_mut().filter(|t| answered(t)) else { continue };
@@ -384,9 +415,11 @@
     pub fn state(&self) -> String {
         let count = |which: fn(&Ticket) -> bool| self.tickets.iter().flatten().filter(|t| which(t)).count();
         format!(
-            "owing={} held={} running={} frozen={} at_call={} calls_out={} body_bytes={} gauges_ms={} on_cores={}",
+            "owing={} held={} asking={} keeping={} running={} frozen={} at_call={} calls_out={} body_bytes={} gauges_ms={} on_cores={}",
             self.owing(),
             count(|t| t.run == Run::Held),
+            count(|t| t.run == Run::Asking),
+            self.keeping.len(),
             count(|t| t.run == Run::Launched && !t.at_call()),
             count(|t| t.run == Run::Frozen),
             count(Ticket::at_call),
@@ -399,6 +432,6 @@
 
     /// Tickets whose answer is still owed.
     pub fn owing(&self) -> usize {
-        self.tickets.iter().flatten().filter(|t| t.owed.is_some()).count()
+        self.tickets.iter().flatten().filter(|t| t.owed.is_some()).count() + self.keeping.len()
     }
 }
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -12,6 +12,8 @@
 const LISTENING: f64 = 0.6;
 /// After the socket stops listening, for what crossed it: the protocol speaks of 50 ms.
 const CROSSING: Duration = Duration::from_millis(200);
+/// For the shards that are led here to be led elsewhere.
+const HANDS_OVER: Duration = Duration::from_millis(500);
 /// Between looks at what is still owed.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -25,6 +27,11 @@
     let conns = hub.conns.borrow().len();
     note!("drain_begins", "drain begins", owing = owing, conns = conns, stop_ms = stop.as_millis());
     hub.conns.borrow().values().for_each(|conn| conn.tell_shutdown());
+    // Others lead the shards from here on, while what is in hand is still served.
+    let copies = hub.core.borrow().desk.copies.clone();
+    if let Some(copies) = copies {
+        tokio::task::spawn_local(async move { copies.group().leave(HANDS_OVER).await });
+    }
     hub.act(|node, now, desk| node.leaving(now, desk, stop.saturating_sub(BEFORE_KILL[0])));
     // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
     let begun = hub.core.borrow().node.is_some();
--- /dev/null
+++ b/crates/node/src/keyed.rs
@@ -0,0 +1,312 @@
+//! Keyed tickets of a node in a group: the start is agreed on before the launch, the result before the answer.
+//!
+//! What is done at each step stands in `rainstand_copies::tickets`; here it is carried out. The decision module still
+//! settles what is let in and when it runs: its order to run is where the group is asked whether the key may start. To
+//! the module a ticket that the group turns away is one that never ran.
+//!
+//! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
+
+use crate::book::{count, Desk, Owed, Run, Trace};
+use crate::{note, send, Hub};
+use bytes::Bytes;
+use rainstand::Outcome;
+use rainstand_copies::keys::{Command, Start, Told, What};
+use rainstand_copies::member::News;
+use rainstand_copies::tickets::{step, Act, End, Event, Stage};
+use rainstand_group::{Group, Setup};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Kept between an answer and its due time: a few of the module's beats.
+const MARGIN: Duration = Duration::from_millis(80);
+/// For a result that nobody waits for any more, and for a withdrawal.
+const UNWATCHED: Duration = Duration::from_secs(1);
+/// Runs of an earlier start of this node, told again by the agent: kept until their keys were read from the disk.
+const OLD_RUNS: usize = 4_000;
+const OLD_FOR: Duration = Duration::from_secs(30);
+const OLD_LOOK: Duration = Duration::from_millis(50);
+
+/// What makes a ticket a keyed one.
+pub struct Keyed {
+    pub key: Bytes,
+    /// Over type, tenant and body: a key is never answered with the result of another.
+    sum: u64,
+    window: Duration,
+    due: Instant,
+    stage: Stage,
+    question: Option<u64>,
+}
+
+/// A run of which nobody here knows, as the agent tells it again.
+struct OldRun {
+    trace: Trace,
+    end: End,
+    since: Instant,
+}
+
+/// What of the group the node's books need.
+pub struct Copies {
+    group: Rc<Group>,
+    old: RefCell<VecDeque<OldRun>>,
+}
+
+impl Keyed {
+    /// `parts`: type, tenant and body.
+    pub fn new(key: (&str, &[u8]), parts: [&[u8]; 3], window: Duration, due: Instant) -> Self {
+        let (route, entity) = key;
+        let mut all = Vec::new();
+        for part in parts {
+            all.extend_from_slice(&(part.len() as u32).to_le_bytes());
+            all.extend_from_slice(part);
+        }
+        Self {
+            key: [route.as_bytes(), b"\0", entity].concat().into(),
+            sum: twox_hash::XxHash3_64::oneshot(&all),
+            window,
+            due,
+            stage: Stage::Asking,
+            question: None,
+        }
+    }
+}
+
+/// Joins the group that a configuration names.
+///
+/// # Errors
+/// If the member cannot begin.
+pub async fn join(hub: &Rc<Hub>, group: rainstand_config::schema::Group) -> Result<(), String> {
+    let setup = Setup { name: hub.config.name.clone(), group, log: Box::new(tell) };
+    let group = Group::start(setup).await?;
+    let copies = Rc::new(Copies { group, old: RefCell::default() });
+    hub.core.borrow_mut().desk.copies = Some(copies.clone());
+    tokio::task::spawn_local(tell_old_runs(copies));
+    Ok(())
+}
+
+/// Lines of the log: each has its code.
+fn tell(news: &News) {
+    match news {
+        News::Formed { members } => note!("group_formed", "the group begins", members = members),
+        News::Leads { shard, term } => note!("shard_leads", "leads", shard = shard, term = term),
+        News::LeadsNoMore { shard } => note!("shard_leads_no_more", "leads no more", shard = shard),
+        News::Members { shard, config } => {
+            note!("shard_members", "members of a shard", shard = shard, what = config);
+        }
+        News::Differs { shard, differs } => note!(
+            "copy_differs",
+            "this copy differs from most others: its files are set aside",
+            shard = shard,
+            what = format_args!(
+                "entry {}: {:016x} here, {:016x} there",
+                differs.index, differs.own, differs.most
+            )
+        ),
+        News::OldCopy { why } => {
+            note!("copy_set_aside", "the files are set aside, and this is a new member", why = why);
+        }
+        News::OldPeer { name, disk, why } => note!(
+            "peer_old_copy",
+            "a member came with an old copy of its disk",
+            name = name,
+            disk = format_args!("{disk:016x}"),
+            why = why
+        ),
+        News::CaughtUp { shard, index } => {
+            note!("shard_caught_up", "caught up by a snapshot", shard = shard, index = index);
+        }
+        News::DiskStandsStill => {
+            note!("disk_stands_still", "the disk stands still: nothing is confirmed here")
+        }
+        News::DiskFailed { why } => {
+            note!("disk_failed", "the disk failed: nothing is confirmed here until a new start", why = why);
+        }
+    }
+}
+
+impl Copies {
+    pub fn group(&self) -> &Rc<Group> {
+        &self.group
+    }
+
+    fn command(&self, trace: &Trace, key: &Bytes, what: What) -> Command {
+        let claim = self.group.see(|member| member.claim(trace));
+        Command { key: key.clone(), claim, what: Some(what) }
+    }
+
+    /// Something that the group should know and nobody waits for.
+    fn ask_unwatched(&self, trace: &Trace, key: &Bytes, what: What) {
+        let command = self.command(trace, key, what);
+        // Without room the key stays started until its window is over: repeats are told that it may have run.
+        let _ = self.group.ask(command, UNWATCHED, Rc::new(|_| {}));
+    }
+}
+
+/// The module's order to run a keyed ticket: the group is asked first.
+pub fn start(desk: &mut Desk, ix: usize) {
+    let (Some(copies), hub) = (desk.copies.clone(), desk.hub.clone()) else { return };
+    let Some(t) = desk.ticket(ix) else { return };
+    let (serial, trace) = (t.serial, t.trace);
+    let Some(keyed) = &mut t.keyed else { return };
+    t.run = Run::Asking;
+    let left = keyed.due.saturating_duration_since(Instant::now());
+    let most = Duration::from_nanos(copies.group.settings().start_within_ns);
+    let what = What::Start(Start { sum: keyed.sum, window: keyed.window.as_nanos() as u64 });
+    let command = copies.command(&trace, &keyed.key, what);
+    let tell = move |told: Option<Told>| {
+        if let Some(hub) = hub.upgrade() {
+            hub.act(|_, _, desk| {
+                if desk.ticket(ix).is_some_and(|t| t.serial == serial) {
+                    happened(desk, ix, told.map_or(Event::TimedOut, Event::Told));
+                }
+            });
+        }
+    };
+    keyed.question = copies.group.ask(command, most.min(left / 2), Rc::new(tell));
+    if keyed.question.is_none() {
+        happened(desk, ix, Event::TimedOut);
+    }
+}
+
+/// Nobody waits for the ticket any more. A run goes on: what it brings serves repeats.
+pub fn left(desk: &mut Desk, ix: usize) {
+    happened(desk, ix, Event::Left);
+}
+
+/// The run of a keyed ticket is over; the module is told as of any other.
+pub fn ended(desk: &mut Desk, ix: usize, end: End) {
+    happened(desk, ix, Event::Ended(end));
+}
+
+fn happened(desk: &mut Desk, ix: usize, event: Event) {
+    let Some(copies) = desk.copies.clone() else { return };
+    let counts = desk.counts.clone();
+    let Some(t) = desk.tickets.get_mut(ix).and_then(Option::as_mut) else { return };
+    let Some(keyed) = &mut t.keyed else { return };
+    let (trace, key) = (t.trace, keyed.key.clone());
+    let (next, act) = step(keyed.stage, event);
+    if let Some(next) = next {
+        keyed.stage = next;
+    }
+    // Turned away before anything was launched: to the module it never ran.
+    let never_ran = match act {
+        Act::Nothing => false,
+        Act::Launch => {
+            t.run = Run::Launched;
+            count(&counts.launched);
+            send::launch(&desk.agent, t, &desk.type_names);
+            false
+        }
+        Act::Keep(result) => {
+            let (owed, due) = (t.owed.take(), keyed.due);
+            keep(desk, &copies, trace, &key, result, owed, due);
+            false
+        }
+        Act::Answer(result) => {
+            if let Some(owed) = t.owed.take() {
+                owed.honour(&counts, &result);
+            }
+            true
+        }
+        Act::Dismiss { nowhere } => {
+            let come_back = Duration::from_nanos(copies.group.settings().come_back_ns);
+            if let Some(owed) = t.owed.take() {
+                owed.dismiss(&counts, come_back, nowhere);
+            }
+            true
+        }
+        Act::GiveUp => {
+            if let Some(owed) = t.owed.take() {
+                owed.give_up(&counts);
+            }
+            true
+        }
+        Act::Withdraw => {
+            if let Some(question) = keyed.question.take() {
+                copies.group.forget(question);
+            }
+            true
+        }
+        Act::Fail | Act::Refuse => {
+            if let Some(owed) = t.owed.take() {
+                owed.give_up(&counts);
+            }
+            let what = if act == Act::Fail { What::Failed(true) } else { What::Withdraw(true) };
+            copies.ask_unwatched(&trace, &key, what);
+            false
+        }
+    };
+    if never_ran {
+        desk.ends.push_back((ix, Outcome::Moot));
+    }
+}
+
+/// Agrees on a result; what is owed is answered then, or given up in time.
+fn keep(
+    desk: &mut Desk,
+    copies: &Copies,
+    trace: Trace,
+    key: &Bytes,
+    result: Bytes,
+    owed: Option<Owed>,
+    due: Instant,
+) {
+    let left = due.saturating_duration_since(Instant::now());
+    let left = if owed.is_some() { left.saturating_sub(MARGIN) } else { UNWATCHED };
+    let (hub, kept) = (desk.hub.clone(), result.clone());
+    let number = desk.keep_owed(owed);
+    let tell = move |told: Option<Told>| {
+        let Some(hub) = hub.upgrade() else { return };
+        let mut core = hub.core.borrow_mut();
+        let event = told.map_or(Event::TimedOut, Event::Told);
+        let (next, act) = step(Stage::Keeping, event);
+        if next.is_some() {
+            return;
+        }
+        let Some(owed) = core.desk.keeping.remove(&number) else { return };
+        match act {
+            Act::Answer(_) => owed.honour(&hub.counts, &kept),
+            _ => owed.give_up(&hub.counts),
+        }
+    };
+    let command = copies.command(&trace, key, What::Done(result));
+    if copies.group.ask(command, left, Rc::new(tell)).is_none() {
+        if let Some(owed) = desk.keeping.remove(&number) {
+            owed.give_up(&desk.counts);
+        }
+    }
+}
+
+/// The agent tells of a run that nobody here knows: perhaps an earlier start of this node began it.
+pub fn old_run(hub: &Hub, trace: Trace, end: End) {
+    let Some(copies) = hub.core.borrow().desk.copies.clone() else { return };
+    let mut old = copies.old.borrow_mut();
+    if old.len() >= OLD_RUNS {
+        old.pop_front();
+    }
+    old.push_back(OldRun { trace, end, since: Instant::now() });
+}
+
+/// Once a key of such a run was read from the copies here, the group hears how it ended.
+async fn tell_old_runs(copies: Rc<Copies>) {
+    loop {
+        sleep(OLD_LOOK).await;
+        let all = std::mem::take(&mut *copies.old.borrow_mut());
+        for run in all {
+            match copies.group.see(|member| member.started_here(&run.trace)) {
+                Some(key) => {
+                    let what = match run.end {
+                        End::Result(result) => What::Done(result),
+                        End::Failed => What::Failed(true),
+                        End::NeverRan => What::Withdraw(true),
+                    };
+                    copies.ask_unwatched(&run.trace, &key, what);
+                }
+                None if run.since.elapsed() < OLD_FOR => copies.old.borrow_mut().push_back(run),
+                None => {}
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod book;
 pub mod config;
 pub mod drain;
+pub mod keyed;
 pub mod log;
 pub mod record;
 pub mod relay;
@@ -99,6 +100,7 @@
             desk.kept = book::Kept::within(config.memory);
             (desk.types, desk.tenants) = (start.types, start.tenants);
             (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
+            desk.kinds = start.kinds;
             Self {
                 peers: Cell::new(config.peers),
                 tuned: RefCell::new(None),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,7 +3,7 @@
 use rainstand_node::config::Config;
 use rainstand_node::log::Lines;
 use rainstand_node::settings::Settings;
-use rainstand_node::{note, record, reload, run, Hub};
+use rainstand_node::{keyed, note, record, reload, run, Hub};
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -14,7 +14,7 @@
 
 It takes no arguments: ROUTER_CONFIG is the path of its JSON file.
   ROUTER_CONFIG=examples/config.json rainstand-node
-RAINSTAND_SETTINGS, if set, is the path of a compiled configuration: what it says of log and recording holds.
+RAINSTAND_SETTINGS, if set, is the path of a compiled configuration: what it says of log, recording and group holds.
 
 Signals: TERM and INT drain, HUP reads the addresses anew, USR1 prints the counters.
 Options: --help, --version";
@@ -71,6 +71,9 @@
         let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
         let (name, agent) = (&hub.config.name, hub.config.peers.agent);
         note!("start", "start", name = name, listen = listen, agent = agent);
+        if let Some(group) = settings.group {
+            keyed::join(&hub, group).await?;
+        }
         spawn_local(reload::keep_reloading(hub.clone(), path.into(), hup?));
         let asked = hub.clone();
         spawn_local(async move {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,9 +1,11 @@
 //! Outcomes: of runs to the one answer, of calls back to the run that waits.
 
-use crate::book::{count, Call, Desk, Run};
-use crate::{note, often, send, Hub};
+use crate::book::{count, Call, Desk};
+use crate::{keyed, note, often, send, Hub};
 use base64::prelude::{Engine, BASE64_STANDARD};
+use bytes::Bytes;
 use rainstand::{Host, Outcome};
+use rainstand_copies::tickets::End;
 use serde_json::Value;
 use std::time::Instant;
 
@@ -52,7 +54,10 @@
             .ok()
             .and_then(|trace: [u8; 16]| core.desk.by_trace.get(&trace).copied())
     };
-    let Some(ix) = ix else { return Ok(()) };
+    let Some(ix) = ix else {
+        old_run(hub, cmd, text("result"), text("req"), text("payload"));
+        return Ok(());
+    };
     let payload = notice.get("payload").and_then(Value::as_str).and_then(|p| BASE64_STANDARD.decode(p).ok());
     match (cmd, text("result"), payload) {
         // Guards against a call with another body than the run gave: the notice is asked for again, and
@@ -82,6 +87,21 @@
     Ok(())
 }
 
+/// An outcome of a run that nobody here knows.
+fn old_run(hub: &Hub, cmd: &str, result: &str, req: &str, payload: &str) {
+    let Ok(trace) = req.as_bytes().try_into() else { return };
+    let end = match (cmd, result) {
+        ("outcome", "fine") => match BASE64_STANDARD.decode(payload) {
+            Ok(result) => End::Result(result.into()),
+            Err(_) => End::Failed,
+        },
+        ("outcome", "late") => End::NeverRan,
+        ("outcome", _) => End::Failed,
+        _ => return,
+    };
+    keyed::old_run(hub, trace, end);
+}
+
 /// Ends in the books what nothing will tell the end of.
 pub fn end_orphans(hub: &Hub, now: Instant) {
     let orphans = hub.core.borrow_mut().desk.orphans(now);
@@ -91,6 +111,8 @@
             hub.core.borrow_mut().desk.ticket(ix).map(|t| String::from_utf8_lossy(&t.trace).into_owned());
         let trace = trace.unwrap_or_default();
         note!("run_without_end", "run without an end taken out of the books", ticket = ix, trace = trace);
+        // Whether it ran is not known: a key says so.
+        hub.act(|_, _, desk| keyed::ended(desk, ix, End::Failed));
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
         run_ended(hub, ix, Outcome::Moot, &[]);
     }
@@ -98,11 +120,18 @@
 
 fn run_ended(hub: &Hub, ix: usize, end: Outcome, result: &[u8]) {
     hub.act(|node, now, desk| {
-        let Some(t) = desk.ticket(ix).filter(|t| t.run != Run::Held) else { return };
+        let Some(t) = desk.ticket(ix).filter(|t| t.is_run()) else { return };
         if let Some((_, _, Call::Out(task))) = t.call.take() {
             task.abort();
         }
-        if end != Outcome::Stopped {
+        if t.keyed.is_some() {
+            let how = match end {
+                Outcome::Done => End::Result(Bytes::copy_from_slice(result)),
+                Outcome::Moot => End::NeverRan,
+                _ => End::Failed,
+            };
+            keyed::ended(desk, ix, how);
+        } else if end != Outcome::Stopped {
             desk.finish(ix, end, result);
         }
         node.ended(now, desk, ix, end);
@@ -111,7 +140,7 @@
 
 fn at_call(hub: &Hub, ix: usize, offset: u64, body: Vec<u8>) {
     hub.act(|node, now, desk| {
-        let Some(t) = desk.ticket(ix).filter(|t| t.run != Run::Held) else { return };
+        let Some(t) = desk.ticket(ix).filter(|t| t.is_run()) else { return };
         if let Some((_, _, Call::Out(task))) = t.call.replace((offset, body.into(), Call::Waits)) {
             task.abort();
         }
--- a/crates/node/src/route.rs
+++ b/crates/node/src/route.rs
@@ -1,7 +1,7 @@
 //! Orders of the decision module, carried out: commands to the agent, calls below, answers.
 
 use crate::book::{count, Call, Desk, Run};
-use crate::{note, often, send};
+use crate::{keyed, note, often, send};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,7 @@
         let (agent, counts) = (self.agent.clone(), self.counts.clone());
         let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) else { return };
         match t.run {
+            Run::Held if t.keyed.is_some() => keyed::start(self, ix),
             Run::Held => {
                 t.run = Run::Launched;
                 count(&counts.launched);
@@ -20,12 +21,15 @@
                 count(&counts.thawed);
                 send::about(&agent, "thaw", t);
             }
-            Run::Launched => {}
+            Run::Launched | Run::Asking => {}
         }
     }
 
     fn take_off(&mut self, ix: usize) {
         let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_stop);
+        if self.ticket(ix).is_some_and(|t| t.keyed.is_some()) {
+            return keyed::left(self, ix);
+        }
         if let Some(t) = self.ticket(ix).filter(|t| can_stop && t.run == Run::Launched) {
             t.run = Run::Frozen;
             count(&counts.frozen);
--- a/crates/node/src/send.rs
+++ b/crates/node/src/send.rs
@@ -42,7 +42,7 @@
 /// came through. A run that the replay told to be over is no longer in the books.
 pub fn resend(desk: &mut Desk) {
     let (agent, counts) = (desk.agent.clone(), desk.counts.clone());
-    let mut running: Vec<&Ticket> = desk.tickets.iter().flatten().filter(|t| t.run != Run::Held).collect();
+    let mut running: Vec<&Ticket> = desk.tickets.iter().flatten().filter(|t| t.is_run()).collect();
     running.sort_by_key(|t| t.serial);
     for t in running {
         count(&counts.resent);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,13 +2,14 @@
 //! written, and whether its traffic is recorded.
 
 use crate::log::Form;
-use rainstand_config::schema::{self, LogForm, Recording};
+use rainstand_config::schema::{self, Group, LogForm, Recording};
 
 /// The parts of a configuration that are about a node.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub form: Form,
     pub recording: Option<Recording>,
+    pub group: Option<Group>,
 }
 
 impl Settings {
@@ -36,6 +37,11 @@
             [one] => Some(one.clone()),
             more => return Err(format!("{} recordings; a node takes one", more.len())),
         };
-        Ok(Self { form, recording })
+        let group = match &all.groups[..] {
+            [] => None,
+            [one] => Some(one.clone()),
+            more => return Err(format!("{} groups; a node is in one", more.len())),
+        };
+        Ok(Self { form, recording, group })
     }
 }
--- a/crates/protocol/src/thrift.rs
+++ b/crates/protocol/src/thrift.rs
@@ -43,9 +43,17 @@
 /// assert_eq!(frame(&[0, 1, 0, 0]), Err("frame_too_long"));
 /// ```
 pub fn frame(bytes: &[u8]) -> Result<Option<usize>, Flaw> {
+    frame_within(bytes, FRAME_MOST)
+}
+
+/// The same with another bound: links among nodes carry batches.
+///
+/// # Errors
+/// If the frame is longer.
+pub fn frame_within(bytes: &[u8], most: usize) -> Result<Option<usize>, Flaw> {
     let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
     let len = u32::from_be_bytes(*head) as usize;
-    if len > FRAME_MOST {
+    if len > most {
         return Err("frame_too_long");
     }
     Ok((bytes.len() - 4 >= len).then_some(len))
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -39,7 +39,8 @@
 
     #[test]
     fn most_voters_have_the_truth() {
-        let table: &[(usize, usize, &[(Id, u64)], Odd)] = &[
+        type Case<'a> = (usize, usize, &'a [(Id, u64)], Odd);
+        let table: &[Case] = &[
             (3, 2, &[(9, 5)], Odd::Others(vec![9])),
             (3, 1, &[(9, 5)], Odd::Unknown),
             (3, 1, &[(8, 5), (9, 5)], Odd::Leader(5)),
--- a/crates/replica/src/plant.rs
+++ b/crates/replica/src/plant.rs
@@ -8,7 +8,7 @@
     ("vote-forgotten", "the vote is not written down, so a restart forgets it"),
     ("tail-kept", "an uncommitted tail that differs from the leader's stays"),
     ("config-lost", "a snapshot is taken over without the members it names"),
-    ("vote-too-soon", "a learner counts as voter before it has caught up"),
+    ("vote-too-soon", "a learner that catches up counts towards the majority as if it voted"),
     ("second-run", "a start whose holder is not heard of is granted again"),
     ("early-launch", "a ticket is launched before its start is durable on a majority"),
     ("sums-twice", "soft sums are added instead of joined"),
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -285,7 +285,7 @@
     /// When something is to be done again, if nothing happens before.
     pub fn wake(&self) -> Duration {
         match self.role {
-            Role::Leader => self.beat.min(self.deadline),
+            Role::Leader | Role::Asking | Role::Candidate => self.beat.min(self.deadline),
             Role::Aside => Duration::MAX,
             _ => self.deadline,
         }
@@ -309,6 +309,9 @@
             Role::Aside => {}
             Role::Leader => self.lead_on(),
             _ if self.now >= self.deadline => self.ask(),
+            // What was lost on its way is asked once more.
+            Role::Asking if self.now >= self.beat => self.ask_all(true, false, self.term + 1),
+            Role::Candidate if self.now >= self.beat => self.ask_all(false, false, self.term),
             _ => {}
         }
     }
@@ -416,8 +419,9 @@
     }
 
     fn ask_all(&mut self, pre: bool, wanted: bool, term: u64) {
+        self.beat = self.now + self.times.heartbeat;
         let (last_index, last_term) = (self.log.last(), self.log.last_term());
-        let others: Vec<Id> = self.config().voters().filter(|id| *id != self.id).collect();
+        let others: Vec<Id> = self.config().voters().filter(|id| !self.votes.contains(id)).collect();
         for to in others {
             let body = Body::Vote(Vote { pre, last_index, last_term, wanted });
             self.out.after.push(Message { to, from: self.id, term, body: Some(body) });
@@ -515,7 +519,7 @@
                 let Some(member) = config.members.iter_mut().find(|member| member.id == *id) else {
                     return Err(Refused::NotNow("it is no member"));
                 };
-                if !caught_up && !planted("vote-too-soon") {
+                if !caught_up {
                     return Err(Refused::NotNow("it has not caught up"));
                 }
                 member.votes = true;
@@ -688,7 +692,9 @@
                 self.peers.get(&id).map_or(0, |peer| peer.matched)
             }
         };
-        let mut all: Vec<u64> = self.config().voters().map(has).collect();
+        let counts = |member: &&Member| member.votes || planted("vote-too-soon");
+        let members = self.config().members.iter().filter(counts);
+        let mut all: Vec<u64> = members.map(|member| has(member.id)).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         let Some(&index) = all.get(self.config().majority() - 1) else { return };
         if index > self.commit && self.log.term(index) == Some(self.term) {
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -7,13 +7,14 @@
 use foldhash::HashMap;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_copies::frames::{Form, Frame, Witness};
+use rainstand_copies::frames::Frame;
 use rainstand_copies::keys::{Command, Start, Told, What};
-use rainstand_copies::member::{Effects, Found, Member, News, Options, Write, NOTE_FORM, NOTE_WITNESS};
+use rainstand_copies::member::{Effects, Member, News, Options, Write};
 use rainstand_copies::tickets::{self, Act, Stage};
-use rainstand_replica::{Hard, State, Times};
+use rainstand_group::disk::{found, put};
+use rainstand_replica::Times;
 use rainstand_store::faulty::{Faulty, Ills, Leaves};
-use rainstand_store::{Limits, OpenError, Record, Recovered, Store};
+use rainstand_store::{Limits, OpenError, Recovered, Store};
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
@@ -111,6 +112,18 @@
         from: usize,
         to: usize,
     },
+    /// The configuration leaves a node out, or nobody.
+    Retire {
+        node: Option<usize>,
+    },
+    /// A node and some leader are parted from all others.
+    Apart {
+        node: usize,
+    },
+    /// Killed, and started again at once.
+    Bounce {
+        node: usize,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -171,7 +184,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Ill {
-    Part { seed: u64, one_way: bool },
+    Part {
+        seed: u64,
+        one_way: bool,
+    },
     Slow,
     Lossy,
     Stop(usize),
@@ -179,6 +195,8 @@
     DiskSlow(usize),
     DiskFails(usize),
     Clock(usize),
+    /// Voters die as soon as their vote is on its way, and come back at once.
+    Jumpy,
 }
 
 struct Sim {
@@ -191,6 +209,12 @@
     tickets: Vec<Ticket>,
     keys: Vec<usize>,
     ills: Vec<Option<Ill>>,
+    /// By shard and term, whoever led: there is never a second.
+    leaders: BTreeMap<(u16, u64), u64>,
+    /// What was charged, by disk and number of its start.
+    charged: BTreeMap<(u64, u64), u64>,
+    /// Left out of the configuration just now.
+    retired: Option<usize>,
     out: Outcome,
 }
 
@@ -210,6 +234,9 @@
         tickets: Vec::new(),
         keys: Vec::new(),
         ills: Vec::new(),
+        leaders: BTreeMap::new(),
+        charged: BTreeMap::new(),
+        retired: None,
         out: Outcome::default(),
     };
     sim.set_up();
@@ -302,6 +329,32 @@
             Step::Fault => self.fault(),
             Step::Heal { fault } => self.heal(fault),
             Step::Link { from, to } => self.link(from, to),
+            Step::Retire { node } => self.retire(node),
+            Step::Apart { node } => {
+                // Without a node named: one that learns just now.
+                let learner = || {
+                    let members = self.nodes.iter().filter_map(|node| node.member.as_ref());
+                    let shards = members.flat_map(|member| member.shards()).filter(|shard| shard.1.leads());
+                    let mut all = shards.flat_map(|shard| &shard.1.config().members);
+                    let id = all.find(|member| !member.votes)?.id;
+                    let is = |node: &Node| node.member.as_ref().is_some_and(|member| member.disk() == id);
+                    self.nodes.iter().position(is)
+                };
+                let node = if node == usize::MAX { learner() } else { Some(node) };
+                let Some(node) = node else { return };
+                let leader = (0..self.world.nodes).find(|k| *k != node && self.leads(*k));
+                if let Some(leader) = leader.filter(|_| self.ills.iter().all(Option::is_none)) {
+                    let fault = self.ills.len();
+                    self.ills.push(Some(Ill::Part { seed: 1 << node | 1 << leader, one_way: false }));
+                    self.later(700 * MS, Step::Heal { fault });
+                }
+            }
+            Step::Bounce { node } => {
+                if self.nodes[node].member.is_some() {
+                    self.crash(node);
+                    self.later(2 * MS, Step::Up { node });
+                }
+            }
         }
     }
 
@@ -322,12 +375,28 @@
 
     // Processes and disks.
 
-    fn options(&mut self, node: usize) -> Options {
+    fn members(&self) -> Vec<(String, String)> {
         let sites = self.world.sites.max(1);
+        let all = (0..self.world.nodes).filter(|k| self.retired != Some(*k));
+        all.map(|k| (name(k), format!("s{}", k % sites))).collect()
+    }
+
+    fn retire(&mut self, node: Option<usize>) {
+        self.retired = node;
+        let members = self.members();
+        for k in 0..self.world.nodes {
+            let members = members.clone();
+            self.with(k, |member, now| member.set_members(now, members));
+        }
+        let after = 50 * MS + self.draw(80 * MS);
+        self.later(after, Step::Apart { node: usize::MAX });
+    }
+
+    fn options(&mut self, node: usize) -> Options {
         Options {
             group: "sim".into(),
             name: name(node),
-            members: (0..self.world.nodes).map(|k| (name(k), format!("s{}", k % sites))).collect(),
+            members: self.members(),
             shards: self.world.shards,
             copies: self.world.copies,
             times: Times {
@@ -336,6 +405,7 @@
             },
             moves: 2,
             keys: 100_000,
+            compact: 60,
             seed: self.draw(u64::MAX),
         }
     }
@@ -366,7 +436,10 @@
     fn begin(&mut self, node: usize, store: Store<Faulty>, recovered: Recovered) {
         let options = self.options(node);
         let now = self.clock(node);
-        let found = found(&store, &recovered);
+        let found = match found(store.identity(), &recovered) {
+            Ok(found) => found,
+            Err(why) => return self.out.wrong.push(format!("{}: {why}", name(node))),
+        };
         let member = Member::new(options, found, now);
         let one = &mut self.nodes[node];
         (one.store, one.member) = (Some(store), Some(member));
@@ -447,12 +520,22 @@
             self.flush(node);
         }
         for (to, frame) in frames {
+            if votes(&frame) && self.ills.contains(&Some(Ill::Jumpy)) && self.draw(3) == 0 {
+                self.later(MS / 5, Step::Bounce { node });
+            }
             let to = to[1..].parse::<usize>().map_or(0, |n| n - 1);
             self.send(node, to, frame);
         }
         for one in news {
             match one {
-                News::Leads { .. } => self.out.elections += 1,
+                News::Leads { shard, term } => {
+                    self.out.elections += 1;
+                    let disk = self.nodes[node].member.as_ref().map_or(0, Member::disk);
+                    let before = self.leaders.insert((shard, term), disk);
+                    if before.is_some_and(|before| before != disk) {
+                        self.out.wrong.push(format!("two lead shard {shard} in term {term}"));
+                    }
+                }
                 News::Differs { .. } => {
                     self.out.wrong.push(format!("{}: {one:?}", name(node)));
                     self.anew(node);
@@ -495,7 +578,7 @@
         for (number, writes) in one.jobs.drain(..) {
             to = number;
             for write in writes {
-                failed |= put(store, write).is_err();
+                failed |= put(store, &write).is_err();
             }
         }
         one.flushing = true;
@@ -561,7 +644,7 @@
         let n = self.world.nodes as u64;
         let node = self.draw(n) as usize;
         let lasts = 200 * MS + self.draw(1_500 * MS);
-        let kind = self.draw(if self.world.swaps { 13 } else { 11 });
+        let kind = self.draw(if self.world.swaps { 18 } else { 15 });
         let ill = match kind {
             0 | 1 => Ill::Part { seed: self.draw(1 << n), one_way: false },
             2 => Ill::Part { seed: self.draw(1 << n), one_way: true },
@@ -572,6 +655,41 @@
             8 => Ill::DiskSlow(node),
             9 => Ill::DiskFails(node),
             10 => Ill::Clock(node),
+            11 => {
+                // Elections that cross each other, and voters that die in the middle of them.
+                let slow = self.ills.len();
+                self.ills.push(Some(Ill::Slow));
+                self.later(lasts, Step::Heal { fault: slow });
+                for node in 0..self.world.nodes {
+                    if self.leads(node) {
+                        self.later(0, Step::Bounce { node });
+                    }
+                }
+                Ill::Jumpy
+            }
+            12 => {
+                // Whoever leads dies, and the next one too.
+                for after in [0, 400 * MS, 800 * MS] {
+                    if let Some(node) = (0..self.world.nodes).find(|node| self.leads(*node)) {
+                        self.later(after, Step::Bounce { node });
+                    }
+                }
+                return;
+            }
+            14 => {
+                if self.retired.is_none() && self.world.nodes > self.world.copies {
+                    self.retire(Some(node));
+                    self.later(1_500 * MS, Step::Retire { node: None });
+                }
+                return;
+            }
+            13 => {
+                for node in 0..self.world.nodes {
+                    let after = self.draw(5 * MS);
+                    self.later(after, Step::Bounce { node });
+                }
+                return;
+            }
             // Swaps of a disk: one at a time, and only while the others are all up, as an operator would.
             _ => {
                 let busy = self.ills.iter().flatten().any(|ill| !matches!(ill, Ill::Slow | Ill::Clock(_)));
@@ -579,7 +697,7 @@
                 if busy || !whole {
                     return;
                 }
-                return self.swap(node, kind == 11);
+                return self.swap(node, kind == 15);
             }
         };
         match ill {
@@ -607,6 +725,10 @@
         self.later(lasts, Step::Heal { fault });
     }
 
+    fn leads(&self, node: usize) -> bool {
+        self.nodes[node].member.as_ref().is_some_and(|member| member.leading() > 0)
+    }
+
     /// It comes back with an empty disk, or with an old copy of its own.
     fn swap(&mut self, node: usize, empty: bool) {
         if self.nodes[node].member.is_none() {
@@ -623,6 +745,9 @@
             None => self.nodes[node].disk = Faulty::default(),
         }
         self.later(100 * MS, Step::Up { node });
+        // While it learns, it may be all that a leader still reaches.
+        let after = 100 * MS + self.draw(150 * MS);
+        self.later(after, Step::Apart { node });
     }
 
     fn heal(&mut self, fault: usize) {
@@ -817,6 +942,12 @@
         }
         let result = Bytes::from(self.tickets[ticket].result.clone().unwrap_or_default());
         if self.lives(node, self.tickets[ticket].life) {
+            if let Some(identity) = self.nodes[node].store.as_ref().map(Store::identity) {
+                *self.charged.entry((identity.disk, identity.boot)).or_default() += 1 + ticket as u64 % 7;
+            }
+            if let Some(member) = &mut self.nodes[node].member {
+                member.spent("acme", 1 + ticket as u64 % 7);
+            }
             return self.step(ticket, tickets::Event::Ended(tickets::End::Result(result)));
         }
         // A run of an earlier start: its key is in the copies here, or nobody hears of it.
@@ -854,71 +985,52 @@
 
     /// At the end: all copies of a shard that are as far have the same.
     fn compare(&mut self) {
-        let mut seen: BTreeMap<(u16, u64), (u64, usize)> = BTreeMap::new();
+        let mut seen: BTreeMap<(u16, u64), (u64, u64, Option<u64>, usize)> = BTreeMap::new();
         let mut wrong = Vec::new();
         for (k, node) in self.nodes.iter().enumerate() {
             let Some(member) = &node.member else {
                 wrong.push(format!("{} is not up at the end", name(k)));
                 continue;
             };
+            for (disk, report) in member.reports.iter() {
+                let told = report.spent.get("acme").copied().unwrap_or(0);
+                let truth = self.charged.get(&(disk, report.epoch)).copied().unwrap_or(0);
+                if told > truth {
+                    wrong.push(format!("{} has {told} of what a node charged: {truth}", name(k)));
+                }
+            }
             for (shard, replica, table) in member.shards() {
+                // Of disks that hold a copy no more, nothing is asked.
+                if replica.config().member(replica.id()).is_none() {
+                    continue;
+                }
                 let sum = replica.log().sum(replica.applied()).unwrap_or(0);
                 let state = twox_hash::XxHash3_64::oneshot(&table.keep());
-                let entry = seen.entry((shard, replica.applied())).or_insert((sum ^ state, k));
-                if entry.0 != sum ^ state {
-                    wrong.push(format!(
-                        "shard {shard} at {}: {} and {} differ",
-                        replica.applied(),
-                        name(k),
-                        name(entry.1)
-                    ));
-                }
+                let members = twox_hash::XxHash3_64::oneshot(&replica.config().encode_to_vec());
+                let members = replica.settled().then_some(members);
+                let entry = seen.entry((shard, replica.applied())).or_insert((sum, state, members, k));
+                let what = if entry.0 != sum {
+                    "entries"
+                } else if entry.1 != state {
+                    "keys"
+                } else if entry.2.zip(members).is_some_and(|(one, other)| one != other) {
+                    "members"
+                } else {
+                    continue;
+                };
+                let (at, one, other) = (replica.applied(), name(k), name(entry.3));
+                wrong.push(format!("shard {shard} at {at}: {what} of {one} and {other} differ"));
             }
         }
         self.out.wrong.extend(wrong);
     }
 }
 
-/// A disk's records as a member takes them.
-pub fn found(store: &Store<Faulty>, recovered: &Recovered) -> Found {
-    let identity = store.identity();
-    let shards = recovered.shards.iter().map(|(shard, one)| {
-        let state = State {
-            hard: one.hard.as_ref().and_then(|data| Hard::decode(&data[..]).ok()).unwrap_or_default(),
-            snapshot: one
-                .snapshot
-                .as_ref()
-                .and_then(|(_, data)| rainstand_replica::wire::Snapshot::decode(&data[..]).ok()),
-            entries: one
-                .entries
-                .iter()
-                .filter_map(|(_, data)| rainstand_replica::Entry::decode(&data[..]).ok())
-                .collect(),
-        };
-        (*shard, state)
-    });
-    let note = |number: u16| recovered.notes.get(&number);
-    Found {
-        disk: identity.disk,
-        boot: identity.boot,
-        nonce: identity.nonce,
-        shards: shards.collect(),
-        form: note(NOTE_FORM).and_then(|data| Form::decode(&data[..]).ok()),
-        generation: 0,
-        witness: note(NOTE_WITNESS).and_then(|data| Witness::decode(&data[..]).ok()),
-    }
-}
-
-fn put(store: &mut Store<Faulty>, write: Write) -> std::io::Result<()> {
-    match write {
-        Write::Hard { shard, hard } => store.put(&Record::Hard { shard, data: hard.encode_to_vec() }),
-        Write::Entry { shard, entry } => {
-            store.put(&Record::Entry { shard, index: entry.index, data: entry.encode_to_vec() });
-        }
-        Write::Note { number, data } => store.put(&Record::Note { number, data: data.to_vec() }),
-        Write::Save { shard, snapshot, alone } => {
-            return store.save(shard, snapshot.base.index, &snapshot.encode_to_vec(), alone);
-        }
-    }
-    Ok(())
+/// Whether a frame grants a vote.
+fn votes(frame: &Frame) -> bool {
+    let body = match &frame.what {
+        Some(rainstand_copies::frames::What::Raft(raft)) => &raft.message.body,
+        _ => return false,
+    };
+    matches!(body, Some(rainstand_replica::wire::Body::Voted(voted)) if voted.granted && !voted.pre)
 }
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -3,11 +3,12 @@
 
 use crate::check::{check, Verdict};
 use crate::history;
-use crate::peers::{agent, caller, now};
+use crate::peers::{agent, caller};
 use crate::plan::{Act, Disk, Link, Step, Trouble, AFTER};
 use crate::process::{free_port, program, Process, COMES_UP};
 use crate::proxy::Proxy;
 use rainstand_config::schema::{self, Configuration, Rig};
+use rainstand_group::{links::whole, status};
 use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::json;
@@ -20,7 +21,8 @@
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader as Lines};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader as Lines};
+use tokio::net::TcpStream;
 use tokio::process::{ChildStdin, Command};
 use tokio::sync::Mutex;
 use tokio::task::{spawn_local, JoinSet};
@@ -28,6 +30,8 @@
 
 /// From the notice to leave to the kill, as the nodes are told.
 const STOP: Duration = Duration::from_millis(3_000);
+/// For a node to tell how it stands: one that is stopped does not.
+const TELLS: Duration = Duration::from_millis(300);
 /// Tries at a port that another process took meanwhile.
 const PORTS: usize = 5;
 
@@ -51,6 +55,10 @@
     pub fell: Vec<String>,
     pub tally: crate::check::Tally,
     pub kills: u64,
+    /// Kills of whoever led most shards.
+    pub chased: u64,
+    /// Times that a node set its files aside, as they told at the end.
+    pub set_asides: u64,
     pub faults: usize,
     pub resets: u64,
     /// By kind of fault: tickets asked meanwhile, and the share of them that was answered.
@@ -137,6 +145,10 @@
     let _ = timeout(COMES_UP, async { while playing.join_next().await.is_some() {} }).await;
     stage.over.set(true);
     watching.abort();
+    for n in 0..stage.nodes.len() {
+        let status = stage.status(n).await.unwrap_or_default();
+        stage.report.borrow_mut().set_asides += status["set_asides"].as_u64().unwrap_or(0);
+    }
     stage.end().await;
     for process in agents {
         let _ = process.kill().await;
@@ -484,8 +496,38 @@
         Configuration { version: schema::VERSION, groups: vec![group], ..Configuration::default() }
     }
 
-    /// Until keyed tickets are served by every node, if there is a group.
+    /// What a node tells of its copies; none if it does not answer at once.
+    async fn status(&self, n: usize) -> Option<serde_json::Value> {
+        let peer = self.nodes[n].peer.get()?;
+        let asked = async {
+            let mut stream = TcpStream::connect(peer).await.ok()?;
+            stream.write_all(&whole(&status::ask("status"))).await.ok()?;
+            let mut head = [0; 4];
+            stream.read_exact(&mut head).await.ok()?;
+            let mut body = vec![0; (u32::from_be_bytes(head) as usize).min(16 << 20)];
+            stream.read_exact(&mut body).await.ok()?;
+            serde_json::from_slice(&body).ok()
+        };
+        timeout(TELLS, asked).await.ok()?
+    }
+
+    /// Until every shard has a leader, if there is a group.
     async fn whole(&self) -> io::Result<()> {
+        let until = Instant::now() + COMES_UP;
+        while self.rig.shards > 0 {
+            let mut led = 0;
+            for n in 0..self.nodes.len() {
+                led += self.status(n).await.and_then(|status| status["leads"].as_u64()).unwrap_or(0);
+            }
+            if led >= self.rig.shards {
+                break;
+            }
+            if Instant::now() > until {
+                let why = format!("{led} of {} shards have a leader", self.rig.shards);
+                return Err(io::Error::new(io::ErrorKind::TimedOut, why));
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
         Ok(())
     }
 
@@ -511,6 +553,7 @@
         let mut act = step.act;
         if let Act::Chase { disk } = act {
             act = Act::Kill { node: self.leader().await, disk };
+            self.report.borrow_mut().chased += 1;
         }
         let disturbed = act.disturbs();
         self.tell("disturb", &disturbed).await;
@@ -524,7 +567,14 @@
 
     /// Who leads most shards; the first node where nobody tells.
     async fn leader(&self) -> usize {
-        0
+        let mut most = (0, 0);
+        for n in 0..self.nodes.len() {
+            let leads = self.status(n).await.and_then(|status| status["leads"].as_u64()).unwrap_or(0);
+            if leads > most.0 {
+                most = (leads, n);
+            }
+        }
+        most.1
     }
 
     async fn act(&self, act: Act, lasts: Duration) -> io::Result<()> {
@@ -635,8 +685,8 @@
         fs::write(&file, what)?;
         sleep(lasts).await;
         fs::write(&file, "")?;
-        // A node that lost a flush stays without a vote until it is started anew.
-        if what == "flush-fails" {
+        // A node whose disk failed stays without a vote until it is started anew.
+        if what == "flush-fails" || what == "disk-full" {
             return self.kill(n, Disk::Same, Duration::ZERO, false).await;
         }
         Ok(())
@@ -685,8 +735,3 @@
     spawn_local(async move { while let Ok(Some(_)) = lines.next_line().await {} });
     line.ok_or_else(|| io::Error::other(format!("{name} said nothing")))
 }
-
-/// Of the run's own clock, for those who set what callers wrote beside a schedule.
-pub fn clock() -> u64 {
-    now()
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,8 @@
     pub types: BTreeMap<String, usize>,
     /// Tenants by name.
     pub tenants: BTreeMap<String, usize>,
+    /// Of each traffic type, by its index: its outer limit, and how long repeats of a ticketed one are told apart.
+    pub kinds: Vec<(Duration, Option<Duration>)>,
     /// Whether running work can be taken off the cores.
     pub can_stop: bool,
     /// Names of the machine's gauges, in the order in which they are told.
@@ -71,6 +73,11 @@
                 },
             });
         }
+        let window = |kind: &TrafficType| match kind.repeats {
+            Repeats::Ticketed(window) => Some(window),
+            _ => None,
+        };
+        let kinds = types.iter().map(|kind| (kind.outer_limit, window(kind))).collect();
         let mut tenants = BTreeMap::new();
         let mut quotas = Vec::new();
         for (k, party) in list(facts, "parties").iter().enumerate() {
@@ -120,6 +127,7 @@
             node: Node::new(types, by_work, parts),
             types: names,
             tenants,
+            kinds,
             can_stop: halts(family)?,
             gauges: list(family, "gauges").iter().filter_map(Value::as_str).map(str::to_owned).collect(),
             fresh: Duration::try_from_secs_f64(optional(family, "freshS")?.unwrap_or(0.0))
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -46,10 +46,15 @@
     fn set_aside(&mut self) -> io::Result<()>;
 }
 
+/// What a folder is to do wrong, in tests of the whole program.
+pub type Trouble = std::sync::Arc<dyn Fn() -> io::Result<()> + Send + Sync>;
+
 /// A folder of the system, locked against a second process.
 pub struct Folder {
     path: PathBuf,
     open: HashMap<String, File>,
+    /// Asked before each append and flush: it may wait, or say that the disk failed.
+    trouble: Option<Trouble>,
     _lock: File,
 }
 
@@ -69,7 +74,17 @@
             }
             Err(TryLockError::Error(why)) => return Err(why),
         }
-        Ok(Self { path: path.to_owned(), open: HashMap::new(), _lock: lock })
+        Ok(Self { path: path.to_owned(), open: HashMap::new(), trouble: None, _lock: lock })
+    }
+
+    /// From now on it fails as it is told.
+    pub fn troubled(mut self, trouble: Trouble) -> Self {
+        self.trouble = Some(trouble);
+        self
+    }
+
+    fn ask_trouble(&self) -> io::Result<()> {
+        self.trouble.as_ref().map_or(Ok(()), |trouble| trouble())
     }
 
     /// Makes the names in the folder durable.
@@ -119,6 +134,7 @@
     }
 
     fn flush(&mut self, name: &str) -> io::Result<()> {
+        self.ask_trouble()?;
         self.file(name)?.0.sync_data()
     }
 
