--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,8 @@
 mod out;
 mod pcap;
 mod replay;
+mod replica;
+mod store;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use out::Code;
@@ -49,6 +51,12 @@
     /// Look at, cut, export and replay recorded traffic
     #[command(subcommand)]
     Pcap(pcap::Command),
+    /// Ask a group's members for their copies; come back from the loss of a majority
+    #[command(subcommand)]
+    Replica(replica::Command),
+    /// Look at a member's disk, check it, mend it by hand
+    #[command(subcommand)]
+    Store(store::Command),
     /// Print completions for a shell
     #[command(after_help = "Example:\n  rainstand completions bash > /etc/bash_completion.d/rainstand")]
     Completions { shell: clap_complete::Shell },
@@ -61,6 +69,8 @@
         Command::Forward(options) => forward::run(&options),
         Command::Lab(command) => lab::run(command),
         Command::Pcap(command) => pcap::run(command),
+        Command::Replica(command) => replica::run(command),
+        Command::Store(command) => store::run(&command),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Arguments::command(), "rainstand", &mut script);
--- a/crates/copies/src/keys.rs
+++ b/crates/copies/src/keys.rs
@@ -315,6 +315,11 @@
         self.claims.get(claim)
     }
 
+    /// Keys that were started and have no end yet, in order.
+    pub fn started(&self) -> impl Iterator<Item = &Bytes> {
+        self.rows.values().filter(|row| row.stage() == Stage::Started).map(|row| &row.key)
+    }
+
     /// A committed command, at its log time.
     pub fn apply(&mut self, stamp: u64, command: &Command) -> Told {
         self.stamp = self.stamp.max(stamp);
--- a/crates/copies/src/member.rs
+++ b/crates/copies/src/member.rs
@@ -400,6 +400,14 @@
         self.settle();
     }
 
+    /// Something of the greeting changed.
+    fn greet_again(&mut self) {
+        let hello = self.hello();
+        for (name, _) in self.peers.iter().filter(|(_, peer)| peer.here) {
+            self.effects.frames.push((name.clone(), hello.clone()));
+        }
+    }
+
     /// The link to a member broke.
     pub fn lost(&mut self, now: Duration, name: &str) {
         self.now = self.now.max(now);
@@ -430,9 +438,16 @@
         }
         peer.start = Some((hello.disk, hello.boot, hello.nonce));
         peer.refused = None;
-        let (fresh, disk, ahead) = (hello.fresh, hello.disk, hello.generation > self.generation);
+        let generation = hello.generation;
+        let (fresh, disk, ahead) = (hello.fresh, hello.disk, generation > self.generation);
         peer.hello = Some(hello);
-        if ahead && !self.fresh() {
+        if ahead && self.fresh() {
+            // A new disk of a group that was recovered: it learns there.
+            self.generation = generation;
+            let data = Bytes::copy_from_slice(&generation.to_le_bytes());
+            self.writes.push(Write::Note { number: NOTE_GENERATION, data });
+            self.greet_again();
+        } else if ahead {
             let why = "the group was recovered without this disk".to_owned();
             self.set_aside(News::OldCopy { why });
             return;
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`disk`] | a member's writes as records of the store, and back |
 //! | [`testing`] | clocks and disks that go wrong, where a configuration says `testing` |
 //! | [`status`] | what operators are told |
+//! | [`recovery`] | the way back from the loss of a majority |
 //!
 //! All decisions are those of `crates/copies` and `crates/replica`. Everything runs on the program's one thread, but
 //! for one thread that writes and flushes. Nothing of it exists where no group is configured.
@@ -14,6 +15,7 @@
 pub mod disk;
 pub mod host;
 pub mod links;
+pub mod recovery;
 pub mod status;
 pub mod testing;
 
--- /dev/null
+++ b/crates/group/src/recovery.rs
@@ -0,0 +1,117 @@
+//! The way back from the loss of a majority: one stopped member's copies alone begin the group anew.
+//!
+//! What the lost copies had committed and this one had not is lost, and nobody can tell what that was; what is
+//! here and may be affected is written down: keys that were started and have no end. The generation goes up, so that a
+//! disk of before that comes back is set aside instead of electing others of its kind.
+
+use crate::disk::found;
+use prost::Message as _;
+use rainstand_copies::frames::{Form, Formed};
+use rainstand_copies::keys::{Command, Table};
+use rainstand_copies::member::{NOTE_FORM, NOTE_GENERATION};
+use rainstand_replica::wire::Snapshot;
+use rainstand_replica::{Base, Config, Kind};
+use rainstand_store::{Folder, Limits, OpenError, Record, Store};
+use serde::Serialize;
+use std::path::Path;
+
+/// Keys without an end that are named, a shard.
+const NAMED: usize = 1_000;
+
+#[derive(Debug, Serialize)]
+pub struct LostShard {
+    pub shard: u16,
+    pub last: u64,
+    /// Up to here the snapshot proves it; what is behind it may have been committed or not.
+    pub committed: u64,
+    pub keys: usize,
+    /// Keys that were started and have no end here.
+    pub started: Vec<String>,
+}
+
+/// What may be lost.
+#[derive(Debug, Serialize)]
+pub struct Lost {
+    pub generation: u64,
+    pub shards: Vec<LostShard>,
+    /// Shards of which this disk has no copy.
+    pub missing: Vec<u16>,
+}
+
+fn shown(key: &[u8]) -> String {
+    String::from_utf8_lossy(key).replacen('\0', "/", 1)
+}
+
+/// Tells what would be lost and, if that is accepted, makes this disk the group's only one. Every entry that is here is
+/// taken for committed: a start or result that was on its way is better known than forgotten.
+///
+/// # Errors
+/// If the folder is in use, damaged, or holds no member's disk.
+pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<Lost, String> {
+    let mut disk = Folder::open(folder).map_err(|why| why.to_string())?;
+    let (identity, recovered) = rainstand_store::store::recover(&mut disk).map_err(|why| why.to_string())?;
+    let Some(identity) = identity else { return Err("no disk of a member".into()) };
+    let before = found(&identity, &recovered)?;
+    let Some(form) = before.form.clone() else { return Err("its group never began".into()) };
+    let mut lost = Lost { generation: before.generation + 1, shards: Vec::new(), missing: Vec::new() };
+    let mut saves = Vec::new();
+    for shard in 0..form.shards as u16 {
+        let Some(state) = before.shards.get(&shard).filter(|state| state.snapshot.is_some()) else {
+            lost.missing.push(shard);
+            // Begins empty, as at the group's beginning.
+            let config = Config::of([(identity.disk, name.to_owned())]);
+            let base = Base { index: 1, term: 1, stamp: 0, sum: 1, config };
+            saves.push((shard, Snapshot { base, data: Vec::new().into() }));
+            continue;
+        };
+        let Some(snapshot) = &state.snapshot else { continue };
+        let mut table = Table::new(usize::MAX, 0);
+        if !snapshot.data.is_empty() {
+            table.restore(snapshot.data.clone()).map_err(|why| format!("shard {shard}: {why}"))?;
+        }
+        let mut base = snapshot.base.clone();
+        let mut sum = base.sum;
+        for entry in &state.entries {
+            sum = entry.sum(sum);
+            (base.index, base.term, base.stamp, base.sum) = (entry.index, entry.term, entry.stamp, sum);
+            if entry.kind() == Kind::Data {
+                if let Ok(command) = Command::decode(entry.data.clone()) {
+                    table.apply(entry.stamp, &command);
+                }
+            }
+        }
+        lost.shards.push(LostShard {
+            shard,
+            last: base.index,
+            committed: snapshot.base.index,
+            keys: table.len(),
+            started: table.started().take(NAMED).map(|key| shown(key)).collect(),
+        });
+        base.config = Config::of([(identity.disk, name.to_owned())]);
+        // Behind all that was: no entry of before has this index and another content.
+        (base.index, base.term) = (base.index + 1, base.term.max(state.hard.term) + 1);
+        saves.push((shard, Snapshot { base, data: table.keep() }));
+    }
+    if !accept {
+        return Ok(lost);
+    }
+    drop(disk);
+    let open = || -> Result<Store<Folder>, OpenError> {
+        let disk = Folder::open(folder)?;
+        Ok(Store::open(disk, Limits::default(), [identity.disk, identity.nonce ^ identity.boot])?.0)
+    };
+    let mut store = open().map_err(|why| why.to_string())?;
+    let alone = Form {
+        members: vec![Formed { name: name.to_owned(), site: String::new(), disk: identity.disk }],
+        ..form
+    };
+    store.put(&Record::Note { number: NOTE_FORM, data: alone.encode_to_vec() });
+    store.put(&Record::Note { number: NOTE_GENERATION, data: lost.generation.to_le_bytes().to_vec() });
+    for (shard, snapshot) in saves {
+        store
+            .save(shard, snapshot.base.index, &snapshot.encode_to_vec(), true)
+            .map_err(|why| format!("shard {shard}: {why}"))?;
+    }
+    store.flush().map_err(|why| why.to_string())?;
+    Ok(lost)
+}
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -301,6 +301,16 @@
         std::mem::take(&mut self.out)
     }
 
+    /// The state without its times and chance, for searches that go over all orders of events.
+    pub fn fingerprint(&self, into: &mut impl std::hash::Hasher) {
+        use std::hash::Hash;
+        (self.id, self.term, self.vote, self.role, self.leader, &self.log, &self.configs).hash(into);
+        (self.commit, self.applied, self.durable, &self.votes, &self.incoming, &self.snapshot).hash(into);
+        for (id, peer) in &self.peers {
+            (id, peer.next, peer.matched, peer.waiting.is_some(), peer.piece, peer.differs).hash(into);
+        }
+    }
+
     // Time.
 
     pub fn tick(&mut self, now: Duration) {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -261,6 +261,35 @@
     Ok((found, segments, bases))
 }
 
+/// By hand: takes off what cannot be read in the newest segment, from its first byte on, after a copy of all files was
+/// set aside. None where there is nothing to mend.
+///
+/// # Errors
+/// If the disk fails, or the damage is where nothing can be taken off: an older segment, a snapshot, the identity.
+pub fn mend(disk: &mut impl Disk) -> Result<Option<Damage>, OpenError> {
+    let found = match recover(disk) {
+        Ok(_) => return Ok(None),
+        Err(OpenError::Damaged(found)) => found,
+        Err(why) => return Err(why),
+    };
+    let names = disk.list()?;
+    let newest = names.iter().rfind(|name| name.starts_with("log-"));
+    if newest != Some(&found.file) || found.offset == 0 {
+        return Err(OpenError::Damaged(found));
+    }
+    let mut all = Vec::new();
+    for name in &names {
+        all.push((name, disk.read(name)?));
+    }
+    disk.set_aside()?;
+    for (name, bytes) in all {
+        disk.append(name, &bytes)?;
+        disk.flush(name)?;
+    }
+    disk.cut(&found.file, found.offset)?;
+    Ok(Some(found))
+}
+
 /// Whether a whole record stands anywhere in these bytes: then what came before it was no end that was cut short.
 fn followed(bytes: &[u8]) -> bool {
     // No record begins with a length of nothing: long runs of zeros cost a look a byte.
