--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -69,11 +69,12 @@
         let signals = [SignalKind::terminate(), SignalKind::interrupt(), usr1, hup];
         let [term, int, usr1, hup] = signals.map(|kind| signal(kind).map_err(|e| format!("signals: {e}")));
         let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
-        let (name, agent) = (&hub.config.name, hub.config.peers.agent);
-        note!("start", "start", name = name, listen = listen, agent = agent);
+        // Before the line that says the node is up: it has all its addresses then.
         if let Some(group) = settings.group {
             keyed::join(&hub, group).await?;
         }
+        let (name, agent) = (&hub.config.name, hub.config.peers.agent);
+        note!("start", "start", name = name, listen = listen, agent = agent);
         spawn_local(reload::keep_reloading(hub.clone(), path.into(), hup?));
         let asked = hub.clone();
         spawn_local(async move {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -7,7 +7,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -44,6 +43,12 @@
     StdListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// How often a node's log says that it is up.
+pub fn starts(log: &Path) -> usize {
+    let text = std::fs::read(log).unwrap_or_default();
+    text.split(|b| *b == b'\n').filter(|line| line.starts_with(b"start name=")).count()
+}
+
 /// A child, and what it is called.
 pub struct Process {
     pub name: String,
@@ -100,14 +105,15 @@
         }
     }
 
-    /// Waits until it takes connections there.
+    /// Waits until its log says that it is up, once more than `before`. A connection to its port would not do: another
+    /// process may have taken that meanwhile.
     ///
     /// # Errors
     /// If it ends first, or does not come up in time.
-    pub async fn takes(&mut self, addr: SocketAddr) -> io::Result<()> {
+    pub async fn is_up(&mut self, log: &Path, before: usize) -> io::Result<()> {
         let until = Instant::now() + COMES_UP;
         loop {
-            if let Ok(Ok(_)) = timeout(COMES_UP, TcpStream::connect(addr)).await {
+            if starts(log) > before {
                 return Ok(());
             }
             if let Some(status) = self.ended() {
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -5,7 +5,7 @@
 use crate::history;
 use crate::peers::{agent, caller};
 use crate::plan::{Act, Disk, Link, Step, Trouble, AFTER};
-use crate::process::{free_port, program, Process, COMES_UP};
+use crate::process::{free_port, program, starts, Process, COMES_UP};
 use crate::proxy::Proxy;
 use rainstand_config::schema::{self, Configuration, Rig};
 use rainstand_group::{links::whole, status};
@@ -399,8 +399,9 @@
                 let clock = node.clock.borrow().clone().unwrap_or_default();
                 fs::write(node.folder.join("testing"), clock)?;
             }
+            let before = starts(&log);
             let mut process = Process::start(&node.name, command, &log)?;
-            match process.takes(front).await {
+            match process.is_up(&log, before).await {
                 Ok(()) => {
                     for (link, proxy) in &self.links {
                         match link {
