--- a/crates/group/src/host.rs
+++ b/crates/group/src/host.rs
@@ -50,6 +50,8 @@
 pub struct Group {
     name: String,
     settings: schema::Group,
+    /// Those of the newest configuration.
+    members: RefCell<Vec<schema::GroupMember>>,
     folder: PathBuf,
     testing: Option<PathBuf>,
     clock: Box<dyn Clock>,
@@ -123,16 +125,14 @@
             times: RefCell::default(),
             set_asides: Cell::new(u64::from(damaged.is_some())),
             flushes: Cell::new(0),
+            members: RefCell::new(settings.members.clone()),
             settings,
         });
         if let Some(why) = damaged {
             (group.log)(&News::OldCopy { why });
         }
         group.begin_writing(store);
-        for other in group.settings.members.iter().filter(|member| member.name != group.name) {
-            let to = other.address.parse().map_err(|_| format!("group: address {}", other.address))?;
-            spawn_local(keep(group.clone(), other.name.clone(), to));
-        }
+        group.keep_links();
         spawn_local(accept(group.clone(), listener));
         spawn_local(tick(group.clone()));
         spawn_local(tell(group.clone()));
@@ -141,6 +141,41 @@
         Ok(group)
     }
 
+    /// A link to each member that has none yet.
+    fn keep_links(self: &Rc<Self>) {
+        let names = self.members.borrow().iter().map(|member| member.name.clone()).collect::<Vec<_>>();
+        for name in names.into_iter().filter(|name| *name != self.name) {
+            if !self.links.borrow().contains_key(&name) {
+                self.link(&name);
+                spawn_local(keep(self.clone(), name));
+            }
+        }
+    }
+
+    /// Where a member is found, by the newest configuration.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.members.borrow().iter().find(|member| member.name == name)?.address.parse().ok()
+    }
+
+    /// Members of a new configuration: who is new is linked, and shards move, one safe step at a time. All else of a group
+    /// holds until the next start.
+    ///
+    /// # Errors
+    /// If it is another group, or this member is not in it.
+    pub fn set_members(self: &Rc<Self>, group: &schema::Group) -> Result<(), String> {
+        if group.name != self.settings.name || group.shards != self.settings.shards {
+            return Err(format!("group {}: name and shards change only at a start", group.name));
+        }
+        if !group.members.iter().any(|member| member.name == self.name) {
+            return Err(format!("group {}: no member {}", group.name, self.name));
+        }
+        (*self.members.borrow_mut()).clone_from(&group.members);
+        self.keep_links();
+        let members = of(&group.members);
+        self.drive(|member, now| member.set_members(now, members));
+        Ok(())
+    }
+
     pub fn settings(&self) -> &schema::Group {
         &self.settings
     }
@@ -264,7 +299,8 @@
             folder.set_aside().map_err(|e| e.to_string())?;
             drop(folder);
             let (store, recovered, _) = open(&self.folder, self.testing.as_ref())?;
-            let member = member(&self.settings, &self.name, &store, &recovered, self.clock.now())?;
+            let settings = schema::Group { members: self.members.borrow().clone(), ..self.settings.clone() };
+            let member = member(&settings, &self.name, &store, &recovered, self.clock.now())?;
             *self.member.borrow_mut() = member;
             self.begin_writing(store);
             Ok(())
@@ -340,6 +376,11 @@
     }
 }
 
+/// Names and sites.
+fn of(members: &[schema::GroupMember]) -> Vec<(String, String)> {
+    members.iter().map(|member| (member.name.clone(), member.site.clone())).collect()
+}
+
 type Opened = (Store<Folder>, Recovered, Option<String>);
 
 /// Opens a folder. What cannot be believed is set aside, and told.
@@ -375,7 +416,7 @@
     let options = Options {
         group: settings.name.clone(),
         name: name.to_owned(),
-        members: settings.members.iter().map(|member| (member.name.clone(), member.site.clone())).collect(),
+        members: of(&settings.members),
         shards: settings.shards as u16,
         copies: settings.copies as usize,
         times: Times {
--- a/crates/group/src/links.rs
+++ b/crates/group/src/links.rs
@@ -11,7 +11,6 @@
 use rainstand_protocol::thrift::frame_within;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -71,11 +70,18 @@
 }
 
 /// Keeps the link to one member.
-pub async fn keep(group: Rc<Group>, name: String, to: SocketAddr) {
+pub async fn keep(group: Rc<Group>, name: String) {
     let out = group.link(&name);
     let mut pause = AGAIN[0];
     loop {
-        if let Ok(Ok(stream)) = timeout(OPENS, TcpStream::connect(to)).await {
+        let opening = async {
+            match group.address(&name) {
+                Some(to) => TcpStream::connect(to).await,
+                // It left the configuration.
+                None => Err(std::io::ErrorKind::NotFound.into()),
+            }
+        };
+        if let Ok(Ok(stream)) = timeout(OPENS, opening).await {
             let _ = stream.set_nodelay(true);
             pause = AGAIN[0];
             out.open.set(true);
--- a/crates/group/tests/members.rs
+++ b/crates/group/tests/members.rs
@@ -1,165 +1,12 @@
 //! Members on loopback, each with a thread, a runtime and a disk of its own: what is asked at one is known at the others,
 //! over restarts, lost disks and the loss of a majority.
 
-use rainstand_config::schema;
-use rainstand_copies::keys::{Command, Start, Told, What};
-use rainstand_group::{recovery, Group, Setup};
-use std::path::{Path, PathBuf};
-use std::rc::Rc;
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
-use tokio::task::LocalSet;
-
-/// Only what hangs is caught by this; nothing is timed.
-const HANGS: Duration = Duration::from_secs(30);
-
-type Job = Box<dyn FnOnce(Rc<Group>) + Send>;
-
-struct Running {
-    jobs: Option<UnboundedSender<Job>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Drop for Running {
-    /// As a kill: nothing is handed over, and the disk is free again when this returns.
-    fn drop(&mut self) {
-        self.jobs.take();
-        if let Some(thread) = self.thread.take() {
-            thread.join().unwrap();
-        }
-    }
-}
-
-impl Running {
-    fn start(group: schema::Group, name: &str) -> Self {
-        let (jobs, mut todo) = unbounded_channel::<Job>();
-        let (name, folder) =
-            (name.to_owned(), group.members.iter().find(|m| m.name == name).unwrap().folder.clone());
-        let thread = std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-            let local = LocalSet::new();
-            local.block_on(&runtime, async move {
-                let setup = Setup { name, group, log: Box::new(|_| {}) };
-                let group = Group::start(setup).await.unwrap();
-                while let Some(job) = todo.recv().await {
-                    job(group.clone());
-                }
-            });
-            drop((local, runtime));
-            // The disk's own thread ends once nobody gives it anything.
-            let begun = Instant::now();
-            while rainstand_store::Folder::open(Path::new(&folder)).is_err() {
-                assert!(begun.elapsed() < HANGS, "the disk is not free");
-                std::thread::yield_now();
-            }
-        });
-        Self { jobs: Some(jobs), thread: Some(thread) }
-    }
-
-    fn on<T: Send + 'static>(&self, what: impl FnOnce(Rc<Group>, Sender<T>) + Send + 'static) -> Receiver<T> {
-        let (answer, told) = channel();
-        let job: Job = Box::new(move |group| what(group, answer));
-        assert!(self.jobs.as_ref().unwrap().send(job).is_ok());
-        told
-    }
-
-    /// What a command is told first; none if its time was over.
-    fn ask(&self, trace: u8, key: &str, what: What, within: Duration) -> Option<Told> {
-        let key = key.to_owned();
-        let told = self.on(move |group, answer: Sender<Option<Told>>| {
-            let claim = group.see(|member| member.claim(&[trace; 16]));
-            let command = Command { key: key.into_bytes().into(), claim, what: Some(what) };
-            let back = answer.clone();
-            if group.ask(command, within, Rc::new(move |told| drop(back.send(told)))).is_none() {
-                let _ = answer.send(None);
-            }
-        });
-        told.recv_timeout(HANGS).expect("an answer")
-    }
-
-    /// The same until something is told.
-    fn ask_until_told(&self, trace: u8, key: &str, what: &What) -> Told {
-        let begun = Instant::now();
-        loop {
-            if let Some(told) = self.ask(trace, key, what.clone(), Duration::from_secs(2)) {
-                return told;
-            }
-            assert!(begun.elapsed() < HANGS, "{key} is told nothing");
-        }
-    }
-
-    /// What a look at the member tells.
-    fn tell<T: Send + 'static>(&self, look: impl FnOnce(&Group) -> T + Send + 'static) -> T {
-        let told = self.on(move |group, answer| assert!(answer.send(look(&group)).is_ok()));
-        told.recv_timeout(HANGS).expect("an answer")
-    }
-
-    fn leads(&self) -> usize {
-        self.tell(|group| group.see(|member| member.leading()))
-    }
-}
-
-fn start() -> What {
-    What::Start(Start { sum: 1, window: 60_000_000_000 })
-}
+mod world;
 
-fn known(result: &'static str) -> Told {
-    Told::Known(result.into())
-}
-
-struct World {
-    _folder: tempfile::TempDir,
-    group: schema::Group,
-}
-
-fn world(n: usize) -> World {
-    let folder = tempfile::tempdir().unwrap();
-    let listeners: Vec<_> = (0..n).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let member = |(k, listener): (usize, &std::net::TcpListener)| schema::GroupMember {
-        name: format!("n{}", k + 1),
-        site: String::new(),
-        address: listener.local_addr().unwrap().to_string(),
-        folder: folder.path().join(format!("n{}", k + 1)).display().to_string(),
-    };
-    let members = listeners.iter().enumerate().map(member).collect();
-    let ms = 1_000_000;
-    let group = schema::Group {
-        name: "test".into(),
-        shards: 2,
-        copies: 3,
-        heartbeat_ns: 30 * ms,
-        election_least_ns: 150 * ms,
-        election_most_ns: 300 * ms,
-        commit_wait_ns: ms / 2,
-        keys: 1_000,
-        moves: 2,
-        testing: false,
-        members,
-        start_within_ns: 500 * ms,
-        come_back_ns: 100 * ms,
-    };
-    World { _folder: folder, group }
-}
-
-impl World {
-    fn up(&self, name: &str) -> Running {
-        Running::start(self.group.clone(), name)
-    }
-
-    fn folder(&self, k: usize) -> PathBuf {
-        self.group.members[k].folder.clone().into()
-    }
-
-    fn all_led(&self, running: &[&Running]) {
-        let begun = Instant::now();
-        while running.iter().map(|one| one.leads()).sum::<usize>() < self.group.shards as usize {
-            assert!(begun.elapsed() < HANGS, "no leaders");
-            std::thread::yield_now();
-        }
-    }
-}
+use rainstand_copies::keys::{Told, What};
+use rainstand_group::{recovery, Group};
+use std::time::{Duration, Instant};
+use world::{known, start, world, HANGS};
 
 #[test]
 fn what_is_asked_at_one_is_known_at_the_others_and_after_restarts() {
@@ -267,3 +114,51 @@
     let asides = n3.tell(|group| group.set_asides.get());
     assert_eq!(asides, 1);
 }
+
+#[test]
+fn a_new_member_of_a_running_group_takes_its_part_of_the_shards() {
+    let mut w = world(4);
+    w.group.shards = 4;
+    let all = w.group.clone();
+    w.group.members.truncate(3);
+    let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
+    w.all_led(&[&n1, &n2, &n3]);
+    for n in 0..20 {
+        assert_eq!(n1.ask_until_told(n, &format!("k{n}"), &start()), Told::Granted);
+        assert_eq!(n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())), Told::Noted);
+    }
+    w.group = all.clone();
+    let n4 = w.up("n4");
+    for one in [&n1, &n2, &n3] {
+        let (all, mut other) = (all.clone(), all.clone());
+        other.name = "another".into();
+        one.on(move |group, answer| {
+            assert!(group.set_members(&other).is_err());
+            assert!(answer.send(group.set_members(&all)).is_ok());
+        })
+        .recv_timeout(HANGS)
+        .unwrap()
+        .unwrap();
+    }
+    let wanted: usize = {
+        let names: Vec<(String, String)> =
+            all.members.iter().map(|m| (m.name.clone(), m.site.clone())).collect();
+        (0..4)
+            .filter(|s| rainstand_copies::layout::holders(&names, *s, 3).iter().any(|k| names[*k].0 == "n4"))
+            .count()
+    };
+    let begun = Instant::now();
+    let votes = |group: &Group| {
+        group.see(|member| {
+            let own = member.disk();
+            member.shards().filter(|one| one.1.settled() && one.1.config().votes(own)).count()
+        })
+    };
+    while n4.tell(move |group| votes(group)) < wanted {
+        assert!(begun.elapsed() < HANGS, "it does not get its shards");
+    }
+    assert!(wanted > 0);
+    for n in 0..20 {
+        assert_eq!(n4.ask_until_told(100 + n, &format!("k{n}"), &start()), known("R"));
+    }
+}
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -7,6 +7,7 @@
 //! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
 
 use crate::book::{count, Desk, Owed, Run, Trace};
+use crate::settings::Settings;
 use crate::{note, send, Hub};
 use bytes::Bytes;
 use rainstand::Outcome;
@@ -86,6 +87,24 @@
     Ok(())
 }
 
+/// A new configuration, read again at SIGHUP: its members hold from here on.
+pub fn reload(hub: &Hub) {
+    let (Some(copies), Some(path)) =
+        (hub.core.borrow().desk.copies.clone(), std::env::var_os("RAINSTAND_SETTINGS"))
+    else {
+        return;
+    };
+    let read = std::fs::read_to_string(&path).map_err(|why| why.to_string());
+    let group =
+        read.and_then(|text| Settings::read(&text)).and_then(|all| all.group.ok_or("no group".into()));
+    match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
+        Ok(group) => note!("group_reload", "members of the group", count = group.members.len()),
+        Err(why) => {
+            note!("group_reload_refused", "group refused, the old members stay", why = why.escape_debug())
+        }
+    }
+}
+
 /// Lines of the log: each has its code.
 fn tell(news: &News) {
     match news {
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -6,7 +6,7 @@
 //! way back is the same step with the old file.
 
 use crate::config::{Config, Peers};
-use crate::{note, Core, Hub};
+use crate::{keyed, note, Core, Hub};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -15,6 +15,7 @@
 /// Reads the file again at each signal, also while draining.
 pub async fn keep_reloading(hub: Rc<Hub>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
+        keyed::reload(&hub);
         let read = std::fs::read(&path).map_err(|e| e.to_string()).and_then(|bytes| Config::read(&bytes));
         match read {
             Ok(config) => {
