Another member's disk is told by its name and set aside

A node that was started on a copy of another one's folder had that one's identity: two places would have confirmed as one disk. The store now holds its member's name, and a greeting with a disk that another name has is refused.

--- a/crates/config/src/resolve/group.rs
+++ b/crates/config/src/resolve/group.rs
@@ -44,7 +44,7 @@
         heartbeat_ns: r.time("heartbeat", or(50 * MS, 10 * SECOND)),
         election_least_ns: least.unwrap_or(300 * MS),
         election_most_ns: most.unwrap_or(600 * MS),
-        commit_wait_ns: r.time("commit-wait", Bounds { default: Some(MS), zero: true, most: SECOND }),
+        commit_wait_ns: r.time("commit-wait", Bounds { default: Some(0), zero: true, most: SECOND }),
         keys: r.whole("keys", or(1_000_000, MOST_KEYS)),
         moves: r.whole("moves", or(2, MOST_SHARDS)),
         testing: r.word("testing", &YES_NO, Some(false)).unwrap_or(false),
--- a/crates/copies/src/member.rs
+++ b/crates/copies/src/member.rs
@@ -47,6 +47,7 @@
 pub const NOTE_FORM: u16 = 1;
 pub const NOTE_GENERATION: u16 = 2;
 pub const NOTE_WITNESS: u16 = 3;
+pub const NOTE_NAME: u16 = 4;
 /// What is known of others is written down this often, if it changed: a note of some hundred bytes, with whatever else
 /// goes to the disk.
 const WITNESS: Duration = Duration::from_millis(20);
@@ -82,6 +83,8 @@
     pub form: Option<Form>,
     pub generation: u64,
     pub witness: Option<Witness>,
+    /// Whose disk it is, by the member's name.
+    pub name: Option<String>,
 }
 
 /// What goes to the disk.
@@ -298,6 +301,18 @@
             turned_away: 0,
             options,
         };
+        match found.name {
+            // Guards against one disk in two places: what it confirmed is the other member's.
+            Some(name) if name != member.options.name => {
+                member.set_aside(News::OldCopy { why: format!("this is the disk of {name}") });
+                return member;
+            }
+            Some(_) => {}
+            None => {
+                let data = Bytes::copy_from_slice(member.options.name.as_bytes());
+                member.writes.push(Write::Note { number: NOTE_NAME, data });
+            }
+        }
         for (shard, state) in found.shards {
             member.open(shard, state);
         }
@@ -425,7 +440,16 @@
         {
             return;
         }
+        let others = self.peers.iter().filter(|(other, _)| *other != name);
+        let taken = others.filter_map(|(_, peer)| peer.start).any(|start| start.0 == hello.disk);
         let Some(peer) = self.peers.get_mut(name) else { return };
+        if taken || hello.disk == self.disk {
+            let why = "another member has this disk".to_owned();
+            let behind = Behind { disk: hello.disk, why: why.clone() };
+            self.effects.frames.push((name.to_owned(), Frame::of(What::Behind(behind))));
+            self.effects.news.push(News::OldPeer { name: name.to_owned(), disk: hello.disk, why });
+            return;
+        }
         for (shard, one) in &self.shards {
             // Whom this one voted for has written that term down before it asked.
             if one.replica.vote() == hello.disk {
--- a/crates/group/src/disk.rs
+++ b/crates/group/src/disk.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 use rainstand_copies::frames::{Form, Witness};
-use rainstand_copies::member::{Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_WITNESS};
+use rainstand_copies::member::{Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_NAME, NOTE_WITNESS};
 use rainstand_replica::wire::Snapshot;
 use rainstand_replica::{Entry, Hard, State};
 use rainstand_store::{Disk, Identity, Record, Recovered, Store};
@@ -39,6 +39,7 @@
     }
     // Without it old copies of other disks are told later, not never.
     found.witness = note(NOTE_WITNESS).and_then(|data| Witness::decode(&data[..]).ok());
+    found.name = note(NOTE_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
     let generation = note(NOTE_GENERATION).and_then(|data| data[..].try_into().ok());
     found.generation = generation.map_or(0, u64::from_le_bytes);
     Ok(found)
--- a/crates/group/tests/members.rs
+++ b/crates/group/tests/members.rs
@@ -162,3 +162,25 @@
         assert_eq!(n4.ask_until_told(100 + n, &format!("k{n}"), &start()), known("R"));
     }
 }
+
+#[test]
+fn another_member_s_disk_is_set_aside_and_both_go_on() {
+    let w = world(3);
+    let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
+    w.all_led(&[&n1, &n2, &n3]);
+    assert_eq!(n1.ask_until_told(1, "a", &start()), Told::Granted);
+    assert_eq!(n1.ask_until_told(1, "a", &What::Done("R".into())), Told::Noted);
+    drop((n2, n3));
+    for file in std::fs::read_dir(w.folder(2)).unwrap() {
+        std::fs::remove_file(file.unwrap().path()).unwrap();
+    }
+    for file in std::fs::read_dir(w.folder(1)).unwrap() {
+        let file = file.unwrap();
+        std::fs::copy(file.path(), w.folder(2).join(file.file_name())).unwrap();
+    }
+    let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
+    assert_eq!(n3.ask_until_told(2, "a", &start()), known("R"));
+    assert_eq!(n2.ask_until_told(3, "a", &start()), known("R"));
+    let disks = [&n2, &n3].map(|one| one.tell(|group| (group.see(|m| m.disk()), group.set_asides.get())));
+    assert!(disks[0].0 != disks[1].0 && disks[0].1 == 0 && disks[1].1 == 1, "{disks:?}");
+}
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -102,6 +102,11 @@
     clean("disks.rain", 1..4, 0.3);
 }
 
+#[test]
+fn a_node_that_comes_back_with_another_one_s_disk() {
+    clean("foreign.rain", 1..3, 0.7);
+}
+
 #[test]
 fn everything_at_once() {
     clean("everything.rain", 1..5, 0.3);
