--- a/crates/copies/src/frames.rs
+++ b/crates/copies/src/frames.rs
@@ -174,6 +174,9 @@
     pub nonce: u64,
     #[prost(message, repeated, tag = "5")]
     pub marks: Vec<Mark>,
+    /// Disks that it had before.
+    #[prost(uint64, repeated, tag = "6")]
+    pub gone: Vec<Id>,
 }
 
 /// A disk is behind what it confirmed earlier: it is an old copy.
--- a/crates/copies/src/member.rs
+++ b/crates/copies/src/member.rs
@@ -51,6 +51,8 @@
 /// What is known of others is written down this often, if it changed: a note of some hundred bytes, with whatever else
 /// goes to the disk.
 const WITNESS: Duration = Duration::from_millis(20);
+/// Disks of before that are remembered of one name: one a replacement.
+const GONE: usize = 32;
 /// Sets of frames that wait for the disk: past it the disk is taken to stand still for good.
 const HELD: usize = 20_000;
 
@@ -196,6 +198,8 @@
     start: Option<(Id, u64, u64)>,
     /// How far each shard's copy on its disk is known to be: confirmed, and committed.
     marks: BTreeMap<u16, (u64, u64)>,
+    /// Disks that this name had before another one: their copies are of another time, whatever they say.
+    gone: VecDeque<Id>,
     /// It is an old copy: nothing of it counts.
     refused: Option<Id>,
 }
@@ -265,6 +269,7 @@
         for seen in found.witness.iter().flat_map(|witness| &witness.seen) {
             if let Some(peer) = peers.get_mut(&seen.name) {
                 peer.start = Some((seen.disk, seen.boot, seen.nonce));
+                peer.gone = seen.gone.iter().copied().collect();
                 peer.marks =
                     seen.marks.iter().map(|mark| (mark.shard as u16, (mark.term, mark.index))).collect();
             }
@@ -465,8 +470,12 @@
             self.effects.news.push(News::OldPeer { name: name.to_owned(), disk: hello.disk, why });
             return;
         }
-        if peer.start.is_none_or(|start| start.0 != hello.disk) {
+        if let Some((before, ..)) = peer.start.filter(|start| start.0 != hello.disk) {
             peer.marks.clear();
+            peer.gone.push_back(before);
+            if peer.gone.len() > GONE {
+                peer.gone.pop_front();
+            }
         }
         peer.start = Some((hello.disk, hello.boot, hello.nonce));
         peer.refused = None;
@@ -689,6 +698,7 @@
                 disk,
                 boot,
                 nonce,
+                gone: peer.gone.iter().copied().collect(),
                 marks: peer.marks.iter().map(mark).collect(),
             })
         };
@@ -1249,6 +1259,9 @@
     if peer.refused == Some(hello.disk) {
         return Some("it was found to be an old copy before".into());
     }
+    if peer.gone.contains(&hello.disk) {
+        return Some("another disk took its place".into());
+    }
     let (_, boot, nonce) = peer.start.filter(|start| start.0 == hello.disk)?;
     if (boot, nonce) == (hello.boot, hello.nonce) {
         return None;
