Tries of a ticketed ticket are told by their nonce, and what ran is kept however it ended

A log line for each field of each ticket showed that tickets of a ticketed type carry 'nonce', equal in all tries of one ticket, with the same body, tenant and order; never 'entity'. Ruled out: the module (its table of repeats is only asked when a repeat is told to it), and the kept results (never filled, as no ticket had a key). At fault: admit.rs, ticket(): the key was read from 'entity' alone, so each further try was Repeat::No and ran. Beside it, found on reading: relay.rs, finish(), kept a result only of runs that went well, so a try after a failed or stopped run ran again; Kept::put dropped what had no room, with the same end; the key had no tenant, so two tenants would have shared one result.

Now a key is type, tenant and nonce; it is opened before the run, closed with the result, or as 'ran without a result' where the run failed, was stopped, was never told to end, or the result has no room; dropped only where nothing ran. Another body under the same nonce gets an exception. Without room for a key its ticket is dismissed before it runs. Aged keys are looked for at each doubling.

Tests: tries_under_one_nonce_run_once_however_the_first_one_ended, a_ticketed_ticket_runs_only_where_its_name_can_be_kept.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -1,6 +1,6 @@
 //! From a frame to the decision module: names to indices, repeats, what bad input gets.
 
-use crate::book::{count, Conn, Key, Owed, Run, Ticket};
+use crate::book::{count, sum_of, Conn, Kept, Key, Owed, Run, Ticket};
 use crate::keyed::Keyed;
 use crate::{thrift, Hub};
 use rainstand::{Arrival, Host, Repeat};
@@ -12,8 +12,8 @@
 const OPEN_MOST: usize = 32;
 /// The longest body, in bytes, by the protocol.
 const BODY_MOST: usize = 2 * 1024;
-/// The longest name of what a read is about, in bytes: past any id, and cheap to keep.
-const ENTITY_MOST: usize = 256;
+/// The longest name of what a ticket is about, in bytes: past any id, and cheap to keep.
+const NAME_MOST: usize = 256;
 /// Exceptions on a connection that was of no use yet, past which it ends: two full sets of open tickets.
 const EXCEPTIONS_MOST: u64 = 64;
 /// Bodies of tickets in hand may take this part of the memory: an eighth.
@@ -119,7 +119,11 @@
     text("client").and_then(|text| text.parse::<u32>().ok()).ok_or("client: no number")?;
     let route = text("route").ok_or("route: missing")?;
     let given = |name: &str| fields.iter().any(|field| field.0 == name.as_bytes());
-    let entity = text("entity").filter(|entity| !entity.is_empty() && entity.len() <= ENTITY_MOST);
+    let name = |field: &str| text(field).filter(|name| !name.is_empty() && name.len() <= NAME_MOST);
+    let (nonce, entity) = (name("nonce"), name("entity"));
+    if given("nonce") && nonce.is_none() {
+        return Err("nonce: empty or too long");
+    }
     if given("entity") && entity.is_none() {
         return Err("entity: empty or too long");
     }
@@ -143,26 +147,39 @@
     if desk.by_trace.contains_key(&trace) {
         return Err("trace: in hand already");
     }
-    count(&hub.counts.tickets);
-    // Where the node is in a group, it is the group that knows what a ticketed one repeats.
+    let now = Instant::now();
+    // What tells a repeat: all tries of a ticketed one carry the same nonce. A name that comes without is what
+    // the ticket is about, which is as much where the type is ticketed.
     let (outer_limit, window) = desk.kinds.get(traffic).copied().unwrap_or_default();
-    let agreed = window.filter(|_| desk.copies.is_some()).zip(entity);
-    let keyed = agreed.map(|(window, entity)| {
-        let due = Instant::now() + outer_limit.saturating_sub(waited);
+    let name = nonce.or(entity.filter(|_| window.is_some()));
+    // Where the node is in a group, it is the group that knows what a ticketed one repeats.
+    let agreed = window.filter(|_| desk.copies.is_some()).zip(name);
+    let keyed = agreed.map(|(window, name)| {
+        let due = now + outer_limit.saturating_sub(waited);
         let tenant = text("customer").unwrap_or("").as_bytes();
-        Keyed::new((route, entity.as_bytes()), [route.as_bytes(), tenant, body], window, due)
+        Keyed::new((route, name.as_bytes()), [route.as_bytes(), tenant, body], window, due)
     });
-    let entity = entity.filter(|_| keyed.is_none());
-    let key: Option<Key> = entity.map(|entity| (traffic, entity.as_bytes().into()));
+    let name = name.filter(|_| keyed.is_none());
+    let key = name.map(|name| Key { traffic, tenant, name: name.as_bytes().into() });
+    let kept = key.as_ref().and_then(|key| desk.keys.get(now, key));
+    // Guards against the result of one ticket for another under its name, and against a second run under it.
+    if kept.as_ref().is_some_and(|kept| kept.1 != sum_of(body)) {
+        return Err("nonce: that of a ticket with another body");
+    }
+    count(&hub.counts.tickets);
     let open = key.as_ref().and_then(|key| desk.reads.get(key).copied());
-    let kept = key.as_ref().is_some_and(|key| desk.kept.get(Instant::now(), key).is_some());
-    let repeat = open.map_or(if kept { Repeat::Past } else { Repeat::No }, Repeat::Of);
+    let kept = kept.is_some_and(|kept| kept.0 != Kept::Open);
+    let repeat = open.filter(|_| !kept).map_or(if kept { Repeat::Past } else { Repeat::No }, Repeat::Of);
     if repeat != Repeat::No {
         count(&hub.counts.repeats);
     }
     let owed = Owed { conn: conn.clone(), seq };
-    // The agent is not up, or the bodies in hand fill their part of the memory: nothing of it was run.
-    if !begun || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART {
+    let no_room = |key: &Key| repeat == Repeat::No && window.is_some() && !desk.keys.room(now, key);
+    // The agent is not up, or bodies in hand or kept keys fill their part of the memory: nothing of it was run.
+    if !begun
+        || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART
+        || key.as_ref().is_some_and(no_room)
+    {
         owed.dismiss(&hub.counts, hub.longest_pause.get(), false);
         return Ok(());
     }
@@ -175,10 +192,10 @@
         run: Run::Held,
         call: None,
         key,
+        keeps: false,
         keyed,
         prior: open,
         waiters: Vec::new(),
-        keep_until: None,
         orphan_since: None,
     });
     conn.open.borrow_mut().insert(seq, ix);
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -16,9 +16,11 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
-/// Results kept for repeats may take this part of the memory, and each takes so many bytes beside its own.
+/// What is kept for repeats may take this part of the memory, and each key takes so many bytes beside its own.
 const KEPT_PART: usize = 6;
 const KEPT_EACH: usize = 256;
+/// Bytes of kept keys from which those that aged out are looked for, and again at each doubling.
+const KEPT_LOOK: usize = 64 * 1024;
 
 /// An answered ticket's run that was told to stop has ended by then, if its end is ever told: several times
 /// the longest outer limit.
@@ -26,8 +28,13 @@
 
 /// The 16 hex digits that name one try.
 pub type Trace = [u8; 16];
-/// What a read is about, and its traffic type.
-pub type Key = (usize, Box<[u8]>);
+/// What all tries of one ticket carry alike, within its traffic type and tenant: never beyond them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Key {
+    pub traffic: usize,
+    pub tenant: Option<usize>,
+    pub name: Box<[u8]>,
+}
 
 macro_rules! counts {
     ($($name:ident)*) => {
@@ -190,13 +197,14 @@
     /// The number of the notice that asked for the call, the call's body, and what became of it.
     pub call: Option<(u64, Rc<[u8]>, Call)>,
     pub key: Option<Key>,
+    /// The key is kept for this one: how its run ends is what repeats get.
+    pub keeps: bool,
     /// Set where the group agrees on its start and result.
     pub keyed: Option<Keyed>,
     /// The open ticket that it repeats.
     pub prior: Option<usize>,
     /// Tickets that wait for this one's result, by index and serial number.
     pub waiters: Vec<(usize, u64)>,
-    pub keep_until: Option<Instant>,
     /// When a look first found it answered, with a run of which no end was told.
     pub orphan_since: Option<Instant>,
 }
@@ -213,56 +221,120 @@
     }
 }
 
-/// Results that serve repeats for a while, in a part of the memory.
+/// What a repeat gets that comes once the first try is no longer in hand, or while it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// The first try is in hand.
+    Open,
+    Result(Rc<[u8]>),
+    /// It ran, and there is no result, or no room for it: it must not run again.
+    Failed,
+}
+
+struct Entry {
+    until: Instant,
+    /// Of the body: another body under the same name is another ticket.
+    sum: u64,
+    kept: Kept,
+}
+
+impl Entry {
+    fn bytes(&self, key: &Key) -> usize {
+        let result = if let Kept::Result(result) = &self.kept { result.len() } else { 0 };
+        KEPT_EACH + key.name.len() + result
+    }
+}
+
+/// Keys of ticketed tickets that are in hand or ran, each to the end of its window, in a part of the memory.
 #[derive(Default)]
-pub struct Kept {
-    entries: HashMap<Key, (Instant, Rc<[u8]>)>,
+pub struct Keys {
+    entries: HashMap<Key, Entry>,
     bytes: usize,
     most: usize,
+    look_at: usize,
 }
 
-fn entry_bytes(key: &Key, result: &[u8]) -> usize {
-    KEPT_EACH + key.1.len() + result.len()
+/// What tells one body from another under the same key.
+pub fn sum_of(body: &[u8]) -> u64 {
+    twox_hash::XxHash3_64::oneshot(body)
 }
 
-impl Kept {
+impl Keys {
     /// ```
-    /// use rainstand_node::book::Kept;
+    /// use rainstand_node::book::{Kept, Key, Keys};
     /// use std::time::{Duration, Instant};
     /// let (now, later) = (Instant::now(), Instant::now() + Duration::from_secs(5));
-    /// let (mut kept, key) = (Kept::within(6 * 1024), |n| (n, Box::from(&b"entity"[..])));
-    /// kept.put(now, key(1), later, &[0; 500]);
-    /// kept.put(now, key(2), later, &[0; 500]);
-    /// assert!(kept.get(now, &key(1)).is_some() && kept.get(now, &key(2)).is_none());
-    /// kept.put(later, key(2), later, &[0; 500]);
-    /// assert!(kept.get(now, &key(1)).is_none() && kept.get(now, &key(2)).is_some());
+    /// let key = |name: &str| Key { traffic: 0, tenant: None, name: name.as_bytes().into() };
+    /// let mut keys = Keys::within(6 * 800);
+    /// assert!(keys.open(now, &key("a"), later, 7) && keys.open(now, &key("b"), later, 8));
+    /// assert_eq!(keys.get(now, &key("a")), Some((Kept::Open, 7)));
+    /// // A result that has no room is gone, but not that the ticket ran; a further key has none either.
+    /// keys.close(&key("a"), Some(&[0; 200]));
+    /// keys.close(&key("b"), Some(&[0; 500]));
+    /// assert!(matches!(keys.get(now, &key("a")), Some((Kept::Result(_), 7))));
+    /// assert_eq!(keys.get(now, &key("b")), Some((Kept::Failed, 8)));
+    /// assert!(!keys.room(now, &key("c")) && !keys.open(now, &key("c"), later, 9));
+    /// // Until the others age out, or one turns out never to have run.
+    /// keys.drop(&key("a"));
+    /// assert!(keys.open(now, &key("c"), later, 9) && keys.get(later, &key("c")).is_none());
     /// ```
     pub fn within(memory: usize) -> Self {
-        Self { most: memory / KEPT_PART, ..Self::default() }
+        Self { most: memory / KEPT_PART, look_at: KEPT_LOOK, ..Self::default() }
     }
 
-    pub fn put(&mut self, now: Instant, key: Key, until: Instant, result: &[u8]) {
-        self.drop(&key);
-        let more = entry_bytes(&key, result);
-        if self.bytes + more > self.most {
-            self.entries.retain(|_, entry| entry.0 > now);
-            self.bytes = self.entries.iter().map(|(key, entry)| entry_bytes(key, &entry.1)).sum();
+    /// Whether a further key can be kept: without, its ticket must not run, as a repeat could not be told.
+    pub fn room(&mut self, now: Instant, key: &Key) -> bool {
+        let more = KEPT_EACH + key.name.len();
+        if self.bytes + more > self.most.min(self.look_at) {
+            self.entries.retain(|_, entry| entry.until > now);
+            self.bytes = self.entries.iter().map(|(key, entry)| entry.bytes(key)).sum();
+            self.look_at = (self.bytes * 2).max(KEPT_LOOK);
         }
-        if self.bytes + more <= self.most {
-            self.bytes += more;
-            self.entries.insert(key, (until, result.into()));
+        self.entries.contains_key(key) || self.bytes + more <= self.most
+    }
+
+    /// Its ticket came in: kept from here on, whatever becomes of it. False where there is no room.
+    pub fn open(&mut self, now: Instant, key: &Key, until: Instant, sum: u64) -> bool {
+        self.drop(key);
+        if !self.room(now, key) {
+            return false;
         }
+        let entry = Entry { until, sum, kept: Kept::Open };
+        self.bytes += entry.bytes(key);
+        self.entries.insert(key.clone(), entry);
+        true
     }
 
-    pub fn get(&self, now: Instant, key: &Key) -> Option<Rc<[u8]>> {
-        self.entries.get(key).filter(|entry| entry.0 > now).map(|entry| entry.1.clone())
+    /// Its ticket ran, with this result or none.
+    pub fn close(&mut self, key: &Key, result: Option<&[u8]>) {
+        let room = self.most.saturating_sub(self.bytes);
+        if let Some(entry) = self.entries.get_mut(key) {
+            let result = result.filter(|result| result.len() <= room);
+            self.bytes += result.map_or(0, <[u8]>::len);
+            entry.kept = result.map_or(Kept::Failed, |result| Kept::Result(result.into()));
+        }
+    }
+
+    /// What is kept of it, and the sum of its body.
+    pub fn get(&self, now: Instant, key: &Key) -> Option<(Kept, u64)> {
+        let entry = self.entries.get(key).filter(|entry| entry.until > now)?;
+        Some((entry.kept.clone(), entry.sum))
     }
 
+    /// Nothing of it ran.
     pub fn drop(&mut self, key: &Key) {
-        if let Some((_, result)) = self.entries.remove(key) {
-            self.bytes -= entry_bytes(key, &result);
+        if let Some(entry) = self.entries.remove(key) {
+            self.bytes -= entry.bytes(key);
         }
     }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
 }
 
 /// All that the node's own side keeps; orders of the decision module work on it.
@@ -273,9 +345,9 @@
     free: Vec<usize>,
     serial: u64,
     pub by_trace: HashMap<Trace, usize>,
-    /// Reads in hand by what they are about.
+    /// Ticketed tickets in hand by their keys.
     pub reads: HashMap<Key, usize>,
-    pub kept: Kept,
+    pub keys: Keys,
     /// The group, if the node is in one.
     pub copies: Option<Rc<Copies>>,
     /// What is owed once a result is agreed on.
@@ -315,7 +387,7 @@
             serial: 0,
             by_trace: HashMap::new(),
             reads: HashMap::new(),
-            kept: Kept::default(),
+            keys: Keys::default(),
             copies: None,
             keeping: HashMap::new(),
             kinds: Vec::new(),
@@ -385,6 +457,19 @@
         Some(ticket)
     }
 
+    /// How the run of a ticket ended is what its repeats get from here on.
+    pub fn close_key(&mut self, ix: usize, end: Outcome, result: &[u8]) {
+        let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut).filter(|t| t.keeps) else { return };
+        t.keeps = false;
+        match (&t.key, end) {
+            (Some(key), Outcome::Done) => self.keys.close(key, Some(result)),
+            (Some(key), Outcome::Moot) => self.keys.drop(key),
+            // Guards against a second effect: what failed or was stopped may have had its own.
+            (Some(key), _) => self.keys.close(key, None),
+            (None, _) => {}
+        }
+    }
+
     /// The last resort: an error to all that is still owed an answer; how many there were.
     pub fn give_up_all(&mut self) -> usize {
         let owed = self.tickets.iter_mut().flatten().filter_map(|t| t.owed.take());
@@ -415,7 +500,7 @@
     pub fn state(&self) -> String {
         let count = |which: fn(&Ticket) -> bool| self.tickets.iter().flatten().filter(|t| which(t)).count();
         format!(
-            "owing={} held={} asking={} keeping={} running={} frozen={} at_call={} calls_out={} body_bytes={} gauges_ms={} on_cores={}",
+            "owing={} held={} asking={} keeping={} running={} frozen={} at_call={} calls_out={} body_bytes={} keys={} gauges_ms={} on_cores={}",
             self.owing(),
             count(|t| t.run == Run::Held),
             count(|t| t.run == Run::Asking),
@@ -425,6 +510,7 @@
             count(Ticket::at_call),
             self.pool.out.get(),
             self.body_bytes,
+            self.keys.len(),
             self.gauges_at.map_or(-1, |at| at.elapsed().as_millis() as i64),
             self.gauges.on_cores.unwrap_or(-1.0),
         )
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -97,7 +97,7 @@
         Ok(Rc::new_cyclic(|hub| {
             let mut desk = Desk::new(hub.clone(), counts.clone(), link.clone(), pool);
             desk.type_names = type_names;
-            desk.kept = book::Kept::within(config.memory);
+            desk.keys = book::Keys::within(config.memory);
             (desk.types, desk.tenants) = (start.types, start.tenants);
             (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
             desk.kinds = start.kinds;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -15,7 +15,6 @@
         let counts = self.counts.clone();
         let Some(t) = self.ticket(ix) else { return };
         let (owed, waiters) = (t.owed.take(), std::mem::take(&mut t.waiters));
-        let keep = t.key.clone().zip(t.keep_until);
         match (owed, end) {
             (Some(owed), Outcome::Done) => owed.honour(&counts, result),
             (Some(owed), _) => {
@@ -24,10 +23,6 @@
             }
             _ => {}
         }
-        let now = Instant::now();
-        if let Some((key, until)) = keep.filter(|keep| end == Outcome::Done && keep.1 > now) {
-            self.kept.put(now, key, until, result);
-        }
         for waiter in waiters {
             self.finish_waiter(waiter, end, result);
         }
@@ -112,7 +107,10 @@
         let trace = trace.unwrap_or_default();
         note!("run_without_end", "run without an end taken out of the books", ticket = ix, trace = trace);
         // Whether it ran is not known: a key says so.
-        hub.act(|_, _, desk| keyed::ended(desk, ix, End::Failed));
+        hub.act(|_, _, desk| {
+            keyed::ended(desk, ix, End::Failed);
+            desk.close_key(ix, Outcome::Stopped, &[]);
+        });
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
         run_ended(hub, ix, Outcome::Moot, &[]);
     }
@@ -124,6 +122,8 @@
         if let Some((_, _, Call::Out(task))) = t.call.take() {
             task.abort();
         }
+        desk.close_key(ix, end, result);
+        let Some(t) = desk.ticket(ix) else { return };
         if t.keyed.is_some() {
             let how = match end {
                 Outcome::Done => End::Result(Bytes::copy_from_slice(result)),
--- a/crates/node/src/route.rs
+++ b/crates/node/src/route.rs
@@ -1,6 +1,6 @@
 //! Orders of the decision module, carried out: commands to the agent, calls below, answers.
 
-use crate::book::{count, Call, Desk, Run};
+use crate::book::{count, sum_of, Call, Desk, Kept, Run};
 use crate::{keyed, note, often, send};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
@@ -37,11 +37,12 @@
         }
     }
 
-    /// From a kept result at once, or from that of the open ticket once it is there.
+    /// From what is kept at once, or from the open ticket once its run is over.
     fn reuse(&mut self, ix: usize) {
         let Some(t) = self.ticket(ix) else { return };
         let (key, prior, serial) = (t.key.clone(), t.prior, t.serial);
-        if let Some(result) = key.and_then(|key| self.kept.get(Instant::now(), &key)) {
+        let kept = key.and_then(|key| self.keys.get(Instant::now(), &key)).map(|kept| kept.0);
+        if let Some(Kept::Result(result)) = kept {
             self.finish(ix, Outcome::Done, &result);
             self.ends.push_back((ix, Outcome::Done));
         } else if let Some(prior) = prior.and_then(|prior| self.ticket(prior)) {
@@ -52,18 +53,16 @@
         }
     }
 
+    /// There is room for it: that was looked at before the module heard of the ticket.
     fn keep(&mut self, ix: usize, span: Duration) {
-        if let Some(t) = self.ticket(ix) {
-            t.keep_until = Some(Instant::now() + span);
+        let now = Instant::now();
+        if let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) {
+            t.keeps = t.key.as_ref().is_some_and(|key| self.keys.open(now, key, now + span, sum_of(&t.body)));
         }
     }
 
     fn forget(&mut self, ix: usize) {
-        let Some(t) = self.ticket(ix) else { return };
-        t.keep_until = None;
-        if let Some(key) = t.key.clone() {
-            self.kept.drop(&key);
-        }
+        self.close_key(ix, Outcome::Moot, &[]);
     }
 
     fn dismiss(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
@@ -115,6 +114,8 @@
     }
 
     fn over(&mut self, ix: usize) {
+        // One that leaves with its key still open never ran.
+        self.close_key(ix, Outcome::Moot, &[]);
         let Some(mut ticket) = self.take(ix) else { return };
         if let Some((_, _, Call::Out(task))) = ticket.call.take() {
             task.abort();
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -74,15 +74,23 @@
         (agent, Caller::connect(self.addr).await)
     }
 
-    async fn ask_about(&self, caller: &mut Caller, route: &str, entity: &str, body: &[u8]) -> i32 {
+    /// A ticket with these fields beside those that all have, or in their place.
+    async fn ask_with(&self, caller: &mut Caller, own: &[(&str, &str)], body: &[u8]) -> i32 {
         self.traces.set(self.traces.get() + 1);
         let (trace, born) = (format!("{:016x}", self.traces.get()), born());
-        let mut fields = vec![("route", route), ("trace", &trace), ("born", &born), ("customer", "acme")];
+        let mut fields = vec![("trace", trace.as_str()), ("born", &born), ("customer", "acme")];
         fields.extend([("size", "20"), ("client", "1"), ("order", "0.5")]);
-        fields.extend((!entity.is_empty()).then_some(("entity", entity)));
+        fields.retain(|field| own.iter().all(|own| own.0 != field.0));
+        fields.extend(own);
         caller.ask(&fields, body).await
     }
 
+    async fn ask_about(&self, caller: &mut Caller, route: &str, entity: &str, body: &[u8]) -> i32 {
+        let entity = (!entity.is_empty()).then_some(("entity", entity));
+        let fields: Vec<_> = [("route", route)].into_iter().chain(entity).collect();
+        self.ask_with(caller, &fields, body).await
+    }
+
     async fn ask(&self, caller: &mut Caller, route: &str, body: &[u8]) -> i32 {
         self.ask_about(caller, route, "", body).await
     }
@@ -947,6 +955,89 @@
     });
 }
 
+/// The tries of a ticketed ticket carry the same nonce. Whatever became of the run, none of them runs again, unless nothing
+/// ran; and a name serves no other tenant and no other body.
+#[test]
+fn tries_under_one_nonce_run_once_however_the_first_one_ended() {
+    let ticketed = |config: &mut Value| {
+        config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
+    };
+    play(ticketed, |w| async move {
+        let (mut agent, mut caller) = w.up().await;
+        let w = &w;
+        let ask = |nonce: &'static str, customer: &'static str, body: &'static [u8]| {
+            let own = [("route", "check"), ("nonce", nonce), ("customer", customer)];
+            async move |caller: &mut Caller| w.ask_with(caller, &own, body).await
+        };
+        // A second try while the first one runs, and a third one later.
+        let first = ask("n1", "acme", b"b")(&mut caller).await;
+        let req = w.expect(&mut agent, "launch").await;
+        let second = ask("n1", "acme", b"b")(&mut caller).await;
+        let probe = caller.probe().await;
+        assert_eq!(caller.next().await, said(probe, "probe", "good"));
+        agent.outcome(1, &req, "fine", b"r1").await;
+        assert_eq!(caller.next().await, said(first, "honoured", "r1"));
+        assert_eq!(caller.next().await, said(second, "honoured", "r1"));
+        let third = ask("n1", "acme", b"b")(&mut caller).await;
+        assert_eq!(caller.next().await, said(third, "honoured", "r1"));
+        // The same name with another body is refused; from another tenant it is another ticket.
+        let other = ask("n1", "acme", b"other")(&mut caller).await;
+        assert_eq!(
+            caller.next().await,
+            said(other, "exception", "nonce: that of a ticket with another body")
+        );
+        let globex = ask("n1", "globex", b"b")(&mut caller).await;
+        let req = w.expect(&mut agent, "launch").await;
+        agent.outcome(2, &req, "fine", b"r2").await;
+        assert_eq!(caller.next().await, said(globex, "honoured", "r2"));
+        // One that failed, and one that was stopped as its caller left: both may have had their effect.
+        let failed = ask("n2", "acme", b"b")(&mut caller).await;
+        let req = w.expect(&mut agent, "launch").await;
+        agent.outcome(3, &req, "fault", b"").await;
+        assert_eq!(caller.next().await, said(failed, "given up", ""));
+        let again = ask("n2", "acme", b"b")(&mut caller).await;
+        assert_eq!(caller.next().await, said(again, "given up", ""));
+        let left = ask("n3", "acme", b"b")(&mut caller).await;
+        let req = w.expect(&mut agent, "launch").await;
+        caller.give_up(left).await;
+        assert_eq!(w.expect(&mut agent, "freeze").await, req);
+        agent.outcome(4, &req, "broken_off", b"").await;
+        let again = ask("n3", "acme", b"b")(&mut caller).await;
+        assert_eq!(caller.next().await, said(again, "given up", ""));
+        assert_eq!(w.hub.counts.launched.get(), 4);
+        // One of which the agent proves that nothing ran.
+        let unrun = ask("n4", "acme", b"b")(&mut caller).await;
+        let req = w.expect(&mut agent, "launch").await;
+        agent.outcome(5, &req, "late", b"").await;
+        assert_eq!(caller.next().await, said(unrun, "given up", ""));
+        let again = ask("n4", "acme", b"b")(&mut caller).await;
+        let req = w.expect(&mut agent, "launch").await;
+        agent.outcome(6, &req, "fine", b"r4").await;
+        assert_eq!(caller.next().await, said(again, "honoured", "r4"));
+        assert_eq!(w.hub.core.borrow().desk.keys.len(), 5);
+    });
+}
+
+/// Without room to remember that it ran, a ticketed ticket does not run.
+#[test]
+fn a_ticketed_ticket_runs_only_where_its_name_can_be_kept() {
+    let ticketed = |config: &mut Value| {
+        config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
+        config["limits"]["memory_mb"] = json!(0.002);
+    };
+    play(ticketed, |w| async move {
+        let (mut agent, mut caller) = w.up().await;
+        let own = [("route", "check"), ("nonce", "n1")];
+        let first = w.ask_with(&mut caller, &own, b"b").await;
+        let req = w.expect(&mut agent, "launch").await;
+        let own = [("route", "check"), ("nonce", "n2")];
+        let second = w.ask_with(&mut caller, &own, b"b").await;
+        assert_eq!(caller.next().await, said(second, "dismissed", "pause 1000"));
+        agent.outcome(1, &req, "fine", b"r").await;
+        assert_eq!(caller.next().await, said(first, "honoured", "r"));
+    });
+}
+
 #[test]
 fn before_the_agent_is_up_probes_are_answered_and_tickets_dismissed() {
     play(
