A ticket keeps the terms it came under, and calls stay counted, over new settings

Cause, from reading choice.rs with reload.rs in view (issue: a ticket that picks up another customer's settings): retune() swapped the settings of all types under tickets in hand, and call_back(), call_until(), stand() and sound() read them anew by index. A ticket that came as exclusive and whose type turned rerunnable had its call made again after the connection broke: a second effect below. Each ticket now carries its type as it was when it came (hand.rs); what is new holds for tickets that come after. Beside it: Below::made() pledged time also where nothing below is shared, and ended() took it off only where it is, so after SIGHUP from a tier of its own to a shared store no call was ever made again (left = 0 for good). Pledges are counted only while shared, and anew from the calls that are out when the settings change. And a known repeat of an exclusive ticket is not run, as its type may have been ticketed before.

Tests, each seen red with its lines taken out: a_ticket_in_hand_keeps_the_terms_it_came_under (both directions), calls_go_on_when_what_is_below_turns_shared_and_back, a_known_repeat_of_an_exclusive_ticket_is_not_run. Nothing else of the policy moves: decisions without a SIGHUP are the same.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -289,8 +289,8 @@
 
     fn made(&mut self, now: Duration, until: Duration) {
         self.saved -= 1.0;
-        let lingers = self.share.map_or(Duration::ZERO, |share| share.2);
-        self.pledged += until.saturating_sub(now) + lingers;
+        let lingers = self.share.map(|share| share.2);
+        self.pledged += lingers.map_or(Duration::ZERO, |lingers| until.saturating_sub(now) + lingers);
     }
 
     /// A call, made then and to be given up at that time, came back, or was given up and may linger below.
@@ -460,6 +460,9 @@
                 (fresh.types, fresh.by_work, fresh.ledger.quotas);
         }
         (self.limit.factor, self.below.share) = (fresh.limit.factor, fresh.below.share);
+        // Guards against calls that stay pledged, or were never, as what is below turns shared or no longer is.
+        let lingers = fresh.below.share.map(|share| share.2 * self.hand.count(Stage::Calling) as u32);
+        self.below.pledged = lingers.map_or(Duration::ZERO, |lingers| self.hand.pledged() + lingers);
         let stay = self.voice.stay.min(fresh.voice.links.1);
         let voice = fresh.voice;
         (self.voice.say, self.voice.longest, self.voice.grace) = (voice.say, voice.longest, voice.grace);
@@ -476,7 +479,7 @@
     }
 
     pub fn arrived(&mut self, now: Duration, host: &mut dyn Host, ix: usize, a: Arrival) {
-        let kind = &self.types[a.traffic];
+        let kind = self.types[a.traffic];
         let (repeats, goal) = (kind.repeats, kind.goal_time);
         let arrived = now.saturating_sub(a.waited);
         let due = a.patience.map_or((arrived + kind.outer_limit).max(now), |left| now + left);
@@ -485,15 +488,15 @@
         // Guards against a shed that feeds on itself: the further tries of what was shed are not asked anew.
         self.ledger.asked[account].add(now, if a.again { 0.0 } else { 1.0 }, WINDOW);
         self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
-        self.hand.put(ix, Ticket::new(&a, account, arrived, due));
+        self.hand.put(ix, Ticket::new(&a, kind, account, [arrived, due]));
+        if repeats != Repeats::Rerunnable && a.repeat != Repeat::No {
+            // Guards against a second effect: a repeat takes the first try's result, never a run.
+            self.hand.move_to(ix, Stage::Reusing);
+            self.hand.at(ix).after_run = Some(Box::new(|node, _, host, ix, _| node.close(host, ix)));
+            host.reuse(ix);
+            return self.sound(now, host);
+        }
         if let Repeats::Ticketed(window) = repeats {
-            if a.repeat != Repeat::No {
-                // Guards against a second effect: a repeat takes the first try's result, never a run.
-                self.hand.move_to(ix, Stage::Reusing);
-                self.hand.at(ix).after_run = Some(Box::new(|node, _, host, ix, _| node.close(host, ix)));
-                host.reuse(ix);
-                return self.sound(now, host);
-            }
             let span = (window + MARGIN).saturating_sub(a.waited);
             host.keep(ix, span);
             self.hand.keep(ix, now + span);
@@ -597,7 +600,7 @@
     fn sound(&mut self, now: Duration, host: &mut dyn Host) {
         while let Some(ix) = self.hand.ring(now) {
             let t = self.hand.at(ix);
-            let (stage, due, poorer) = (t.stage, t.due, self.types[t.traffic].poorer > 0.0);
+            let (stage, due, poorer) = (t.stage, t.due, t.kind.poorer > 0.0);
             if stage == Stage::Standing {
                 self.lines[t.traffic].short.add(now, 1.0, MEAN_SPAN);
             }
@@ -747,12 +750,12 @@
     /// The latest a call may take: where a poorer answer is worth something, in time for the goal time.
     fn call_until(&mut self, ix: usize) -> Duration {
         let t = self.hand.at(ix);
-        let (arrived, due, kind) = (t.arrived, t.due, t.traffic);
-        if self.types[kind].poorer == 0.0 {
+        let (arrived, due, kind, traffic) = (t.arrived, t.due, t.kind, t.traffic);
+        if kind.poorer == 0.0 {
             return due;
         }
-        let rest = self.usual_run(kind, None).mul_f64(AFTER_CALL);
-        (arrived + self.types[kind].goal_time).saturating_sub(rest).min(due)
+        let rest = self.usual_run(traffic, None).mul_f64(AFTER_CALL);
+        (arrived + kind.goal_time).saturating_sub(rest).min(due)
     }
 
     /// Guards against a pace that feeds on itself: a call made with too little time left only fails.
@@ -760,7 +763,7 @@
         let usual = Duration::from_secs_f64(self.below.usual.read().unwrap_or(0.0));
         let mut until = self.call_until(ix).saturating_sub(usual);
         let t = self.hand.at(ix);
-        if self.types[t.traffic].poorer > 0.0 {
+        if t.kind.poorer > 0.0 {
             until = until.min(t.call_since + usual.mul_f64(LONG_CALL).max(BEAT));
         }
         self.hand.move_to(ix, Stage::Standing);
@@ -771,7 +774,7 @@
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
         while let Some(longest) = self.below.may(now) {
             // Guards against a tier below that drowns: first where most is lost without, then the newest.
-            let stakes = self.standing.iter().map(|&ix| self.types[self.hand.at(ix).traffic].call_worth());
+            let stakes = self.standing.iter().map(|&ix| self.hand.at(ix).kind.call_worth());
             let best = stakes.enumerate().max_by(|a, b| a.1.total_cmp(&b.1));
             // Guards the tickets that lose most without their call: while these go short, others go without.
             let dearer_short = |worth| {
@@ -799,7 +802,7 @@
         let t = self.hand.at(ix);
         self.below.ended(now, t.call, end);
         self.lines[t.traffic].short.add(now, if end == Outcome::Done { 0.0 } else { 1.0 }, MEAN_SPAN);
-        let kind = &self.types[t.traffic];
+        let kind = t.kind;
         // Guards against a second effect below: only a call proved not run is made again.
         let poorer = kind.poorer > 0.0;
         let again = end.never_ran() || kind.repeats == Repeats::Rerunnable;
--- a/src/hand.rs
+++ b/src/hand.rs
@@ -1,6 +1,6 @@
 //! The tickets in hand: their stages, their alarms and the memory they take.
 
-use crate::ticket::{Arrival, Host, Outcome};
+use crate::ticket::{Arrival, Host, Outcome, TrafficType};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
 
 pub struct Ticket<N> {
     pub traffic: usize,
+    /// Its type as it was when the ticket came: what was promised then holds to its end.
+    pub kind: TrafficType,
     pub account: usize,
     pub arrived: Duration,
     /// The last moment for its answer.
@@ -45,9 +47,11 @@
 }
 
 impl<N> Ticket<N> {
-    pub fn new(a: &Arrival, account: usize, arrived: Duration, due: Duration) -> Self {
+    pub fn new(a: &Arrival, kind: TrafficType, account: usize, times: [Duration; 2]) -> Self {
+        let [arrived, due] = times;
         Self {
             traffic: a.traffic,
+            kind,
             account,
             arrived,
             due,
@@ -149,6 +153,12 @@
         self.set_alarm(ix, due);
     }
 
+    /// What calls that are out may still hold below, but for what lingers.
+    pub fn pledged(&self) -> Duration {
+        let calling = self.tickets.iter().flatten().filter(|t| t.stage == Stage::Calling);
+        calling.map(|t| t.call[1].saturating_sub(t.call[0])).sum()
+    }
+
     /// No unanswered ticket is due, nor its alarm rings, later than this.
     pub fn none_later(&mut self, due: Duration) {
         for ix in 0..self.tickets.len() {
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -14,7 +14,7 @@
 }
 
 /// What is known at start of one traffic type.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct TrafficType {
     pub goal_time: Duration,
     pub outer_limit: Duration,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,7 +89,8 @@
 }
 
 impl Rig {
-    pub fn new(s: Settings) -> Self {
+    /// A module with these settings, not begun.
+    pub fn module(s: Settings) -> Node {
         let (goal_time, outer_limit, poorer, repeats) = (ms(2_000), ms(5_000), s.poorer, s.repeats);
         let kind = TrafficType { goal_time, outer_limit, benefit: 1.0, late: 0.0, poorer, repeats };
         let parts = (
@@ -101,9 +102,13 @@
         );
         let mut types = vec![kind];
         if s.dear {
-            types.push(TrafficType { benefit: 3.0, poorer: 0.0, ..types[0].clone() });
+            types.push(TrafficType { benefit: 3.0, poorer: 0.0, ..types[0] });
         }
-        let node = Node::new(types, false, parts);
+        Node::new(types, false, parts)
+    }
+
+    pub fn new(s: Settings) -> Self {
+        let node = Self::module(s);
         let mut rig =
             Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0, links: 0.0, on_cores: None };
         rig.node.begin(rig.now, &mut rig.orders);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -399,3 +399,63 @@
     let orders = rig.take();
     assert_eq!(orders.iter().filter(|o| o.as_str() == "run 2").count(), 1, "{orders:?}");
 }
+
+/// What a ticket was taken in as holds to its end: new settings that give its type another effect, or another worth without
+/// its call, are for tickets that come after them.
+#[test]
+fn a_ticket_in_hand_keeps_the_terms_it_came_under() {
+    let exclusive = || Settings { repeats: Repeats::Exclusive, ..Settings::default() };
+    let rerunnable = || Settings { poorer: 0.5, ..Settings::default() };
+    // Came under, new settings, and what follows a call that was cut off: it may have had its effect.
+    let cases = [
+        (exclusive(), rerunnable(), "give_up 0"),
+        (exclusive(), exclusive(), "give_up 0"),
+        (rerunnable(), exclusive(), "call 0"),
+        (rerunnable(), rerunnable(), "call 0"),
+    ];
+    for (came, new, wanted) in cases {
+        let mut rig = Rig::new(came);
+        rig.calling(0, 0);
+        rig.node.retune(Rig::module(new));
+        rig.take();
+        rig.call_ended(0, Outcome::CutOff);
+        let orders = rig.take();
+        assert!(orders.iter().any(|order| order.starts_with(wanted)), "{wanted}: {orders:?}");
+    }
+}
+
+/// Calls that were out when what is below turned shared, or was so, are counted once and come off the books.
+#[test]
+fn calls_go_on_when_what_is_below_turns_shared_and_back() {
+    let shared = || Settings { share: Some((4.0, ms(5_000), ms(200))), ..Settings::default() };
+    for (first, second) in [(Settings::default(), shared()), (shared(), Settings::default())] {
+        let mut rig = Rig::new(first);
+        for ix in 0..20 {
+            rig.calling(ix, 0);
+            rig.call_ended(ix, Outcome::Done);
+            rig.end(ix, Outcome::Done);
+            rig.pass(ms(100));
+        }
+        rig.calling(20, 0);
+        rig.node.retune(Rig::module(second));
+        rig.node.retune(Rig::module(shared()));
+        rig.call_ended(20, Outcome::Done);
+        rig.end(20, Outcome::Done);
+        rig.pass(ms(100));
+        rig.take();
+        rig.calling(21, 0);
+        assert_eq!(rig.count("call"), 1);
+    }
+}
+
+/// A type that was ticketed may be exclusive by new settings: what is known to have run is not run again.
+#[test]
+fn a_known_repeat_of_an_exclusive_ticket_is_not_run() {
+    let mut rig = Rig::new(Settings { repeats: Repeats::Exclusive, ..Settings::default() });
+    rig.arrive(0, Arrival { repeat: rainstand::Repeat::Past, ..Arrival::default() });
+    let orders = rig.take();
+    assert!(
+        orders.iter().any(|order| order == "reuse 0") && !orders.iter().any(|order| order == "run 0"),
+        "{orders:?}"
+    );
+}
