Forwarders and group links: quiet links told by age, half-closed callers and the backlog answered

Found by reading crates/forwarder and crates/group for what ends without a word: - forwarder/back.rs: a link that was lost without a reset got each further try (the fullest with room), so its member stayed out for as long as the link stood, up to 450 s. A try that took too long, with nothing heard on its link for the whole of it, retires the link; the next opens one anew (quiet_links). - forwarder/front.rs, talk(): the end of a caller's side, or bytes that cannot be read, dropped what was still owed on it. Answers go out first: in the tickets' own time, or within 0.8 s. - forwarder/front.rs, accept(): the end of listening left the backlog to a reset.

Tests: a_link_that_goes_quiet_for_good_gets_no_further_try, a_caller_that_ends_its_side_still_gets_its_answer, a_crowd_that_waits_at_the_end_of_listening_is_answered, a_link_that_takes_nothing_is_ended.

--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -66,6 +66,8 @@
     old_at: Instant,
     /// Nothing new goes here.
     retired: Cell<bool>,
+    /// When the member last said anything on it, by the hub's clock.
+    heard: Cell<Duration>,
     wake: Notify,
 }
 
@@ -149,6 +151,7 @@
                     next: Cell::new(1),
                     old_at: Instant::now() + AGE.mul_f64(1.0 + half),
                     retired: Cell::new(false),
+                    heard: Cell::new(Duration::ZERO),
                     wake: Notify::new(),
                 });
                 links.push(link.clone());
@@ -217,20 +220,24 @@
     thrift::process(seq, &fields, body.unwrap_or_default())
 }
 
-/// Tells a member that nobody waits for a try any more.
-pub fn leave(hub: &Hub, address: &str, attempt: u64) {
+/// Tells a member that nobody waits for a try any more, which was sent then and took too long.
+pub fn leave(hub: &Hub, address: &str, attempt: u64, since: Duration) {
     let member = hub.backs.members.borrow().get(address).cloned();
-    if let Some(member) = member {
-        leave_on(&member, attempt);
+    if let Some(link) = member.and_then(|member| leave_on(&member, attempt)) {
+        // Guards against a link that was lost without a word: no try after this one goes where nothing was heard for
+        // the whole of it, or the member would stay out for as long as the link stands.
+        if link.heard.get() <= since && !link.retired.replace(true) {
+            count(&hub.counts.quiet_links);
+        }
     }
 }
 
 /// As [`leave`], for a caller that left: its try is at one of the members.
 pub fn leave_everywhere(hub: &Hub, attempt: u64) {
-    hub.backs.members.borrow().values().any(|member| leave_on(member, attempt));
+    hub.backs.members.borrow().values().any(|member| leave_on(member, attempt).is_some());
 }
 
-fn leave_on(member: &Member, attempt: u64) -> bool {
+fn leave_on(member: &Member, attempt: u64) -> Option<Rc<Link>> {
     let links = member.links.borrow();
     for link in links.iter() {
         let seq =
@@ -239,10 +246,10 @@
             // Nothing is owed on it any more: it takes no place, and an answer to it is late.
             link.open.borrow_mut().remove(&seq);
             link.put(&thrift::give_up(seq));
-            return true;
+            return Some(link.clone());
         }
     }
-    false
+    None
 }
 
 /// A link's whole life.
@@ -304,7 +311,7 @@
                 };
                 match ready.and_then(|()| hub.read(stream, &mut back)) {
                     Ok(0) => return link.open.borrow().is_empty(),
-                    Ok(_) => {}
+                    Ok(_) => link.heard.set(hub.now()),
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                     Err(_) => return false,
                 }
--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -23,6 +23,10 @@
 const FRAME_WITHIN: Duration = Duration::from_secs(2);
 /// After accepting failed, most likely for want of descriptors.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+/// Errors in a row past which what still waits with the system is left to it, at the end of listening.
+const ERRORS_MOST: usize = 20;
+/// After bytes that cannot be read, for the answers that are still owed on the connection.
+const LAST_ANSWERS: Duration = Duration::from_millis(800);
 
 /// A dispatcher's connection, as the rest sees it.
 pub struct Conn {
@@ -45,11 +49,24 @@
     }
 }
 
+/// Until the end of listening, and then what the system accepted before it.
 pub async fn accept(hub: Rc<Hub>, listener: TcpListener) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = hub.deaf.notified() => return,
+    let (mut deaf, mut errors) = (false, 0);
+    while errors < ERRORS_MOST {
+        let accepted = if deaf {
+            // The runtime lets a task take so many in one go.
+            tokio::task::yield_now().await;
+            let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await else { return };
+            errors = if accepted.is_err() { errors + 1 } else { 0 };
+            accepted
+        } else {
+            tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = hub.deaf.notified() => {
+                    deaf = true;
+                    continue;
+                }
+            }
         };
         match accepted {
             Ok((stream, peer)) => {
@@ -81,8 +98,31 @@
     }
 }
 
-/// Serves a connection to its end; the reason code.
+/// Serves a connection to its end; the reason code. Once nothing more is read from it, what is owed on it still goes out:
+/// to a caller that ended its side in its own time, after bytes that cannot be read within [`LAST_ANSWERS`].
 async fn talk(hub: &Rc<Hub>, conn: &Rc<Conn>, stream: &TcpStream) -> &'static str {
+    let code = listen(hub, conn, stream).await;
+    if code == "reset" {
+        return code;
+    }
+    let owed = async {
+        while flush(&conn.out, stream).is_ok() && !(conn.open.borrow().is_empty() && conn.settled()) {
+            let unread = !conn.settled();
+            tokio::select! {
+                _ = stream.writable(), if unread => {}
+                () = conn.stir.notified() => {}
+            }
+        }
+    };
+    match code {
+        "eof" | "eof_in_frame" => owed.await,
+        _ => drop(timeout(LAST_ANSWERS, owed).await),
+    }
+    code
+}
+
+/// Takes what is asked on a connection, and writes what is answered; why nothing more is read.
+async fn listen(hub: &Rc<Hub>, conn: &Rc<Conn>, stream: &TcpStream) -> &'static str {
     let mut back = Ring::default();
     loop {
         if flush(&conn.out, stream).is_err() {
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -63,6 +63,8 @@
     pub full: Cell<u64>,
     pub links: Cell<u64>,
     pub broken_links: Cell<u64>,
+    /// Links that get nothing more, as nothing was heard on them for the whole of a try.
+    pub quiet_links: Cell<u64>,
     /// Answers from behind to tries that are over: late ones, and second ones.
     pub late_answers: Cell<u64>,
     pub unreadable: Cell<u64>,
@@ -291,10 +293,10 @@
             .filter(|ticket| ticket.attempt == attempt)
             .map(|t| t.at.clone());
         let Some(at) = at else { return };
-        if let Some(Out { address, .. }) = at {
+        if let Some(Out { address, since, .. }) = at {
             if self.came(number, attempt, Back::TimedOut) {
                 // Nobody waits for it there any more.
-                back::leave(self, &address, attempt);
+                back::leave(self, &address, attempt, since);
             }
         } else if let Some(trip) = self.claim(number, attempt) {
             let step = self.fleet.borrow_mut().again(self.now(), trip);
@@ -372,7 +374,7 @@
         let (c, fleet) = (&self.counts, self.fleet.borrow().counts());
         format!(
             "tickets={} conns={} first_tries={} further_tries={} honoured={} dismissed={} given_up={} nobody={} room={} \
-             accepted={} refused_connections={} exceptions={} full={} links={} broken_links={} late_answers={} unreadable={} unsent={}",
+             accepted={} refused_connections={} exceptions={} full={} links={} broken_links={} quiet_links={} late_answers={} unreadable={} unsent={}",
             self.tickets.borrow().len(),
             self.conns.borrow().len(),
             fleet.first_tries,
@@ -388,6 +390,7 @@
             c.full.get(),
             c.links.get(),
             c.broken_links.get(),
+            c.quiet_links.get(),
             c.late_answers.get(),
             c.unreadable.get(),
             c.unsent.get()
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -468,3 +468,73 @@
         assert!(leaves.all_runs() == 1 || !leaving(), "{}", leaves.all_runs());
     });
 }
+
+/// A link that is open and says nothing more, without a reset: tries after the first that it cost go over a new one.
+#[test]
+fn a_link_that_goes_quiet_for_good_gets_no_further_try() {
+    play(async {
+        let quiet = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let w = forwarder(&configured(&[quiet.local_addr().unwrap()], "300 ms")).await;
+        let mut caller = Caller::new(w.addr).await.unwrap();
+        let first = caller.ask(&asks("register", "one")).await.unwrap();
+        let (_stays_open, _) = quiet.accept().await.unwrap();
+        assert_eq!(caller.next().await.unwrap(), (first, Told::GivenUp));
+        until(|| w.hub.counts.quiet_links.get() == 1).await;
+        caller.ask(&asks("register", "two")).await.unwrap();
+        let (_again, _) = quiet.accept().await.unwrap();
+    });
+}
+
+/// A caller that ended its side still gets what it asked for.
+#[test]
+fn a_caller_that_ends_its_side_still_gets_its_answer() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    play(async {
+        let holds = node("hold");
+        let w = forwarder(&configuration(&[&holds], "10 s")).await;
+        let mut stream = tokio::net::TcpStream::connect(w.addr).await.unwrap();
+        let fields = [("route", "check"), ("trace", "00000000000000aa"), ("customer", "acme")];
+        stream.write_all(&rainstand_protocol::thrift::process(1, &fields, b"one")).await.unwrap();
+        until(|| holds.all_runs() > 0).await;
+        stream.shutdown().await.unwrap();
+        // The end of its side has been read once nothing more is read of it: a look that finds the ticket in hand still.
+        for _ in 0..50 {
+            tokio::task::yield_now().await;
+        }
+        holds.release();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.unwrap();
+        assert!(answer.windows(3).any(|bytes| bytes == b"one"), "{answer:?}");
+        assert_eq!(holds.notes().given_up, 0);
+    });
+}
+
+/// What the system accepted before the end of listening is answered.
+#[test]
+fn a_crowd_that_waits_at_the_end_of_listening_is_answered() {
+    use std::io::Write;
+    use tokio::io::AsyncReadExt;
+    play(async {
+        let holds = node("hold");
+        let w = forwarder(&configuration(&[&holds], "10 s")).await;
+        let fields = [("route", "check"), ("trace", "00000000000000aa"), ("customer", "acme")];
+        let ticket = rainstand_protocol::thrift::process(1, &fields, b"one");
+        // Without a turn for the forwarder in between.
+        let crowd: Vec<std::net::TcpStream> = (0..100)
+            .map(|_| {
+                let mut stream = std::net::TcpStream::connect(w.addr).unwrap();
+                stream.write_all(&ticket).unwrap();
+                stream.set_nonblocking(true).unwrap();
+                stream
+            })
+            .collect();
+        w.hub.deaf.notify_one();
+        w.leave.notify_one();
+        for stream in crowd {
+            let mut stream = tokio::net::TcpStream::from_std(stream).unwrap();
+            let mut kind = [0; 8];
+            stream.read_exact(&mut kind).await.expect("an answer on a connection that the system accepted");
+        }
+        holds.release();
+    });
+}
--- a/crates/group/src/links.rs
+++ b/crates/group/src/links.rs
@@ -29,6 +29,11 @@
 const AGAIN: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(250)];
 /// For a connection to open, and for the first frame on one.
 const OPENS: Duration = Duration::from_secs(2);
+/// For what waits together to be taken: a network that works takes it in milliseconds, and a link that was lost without a
+/// word is told by nothing else.
+const TAKES: Duration = Duration::from_secs(2);
+/// A connection on which nothing came for so long gives its place back: members talk far more often, or open it again.
+const QUIET: Duration = Duration::from_secs(60);
 
 /// What goes to one member.
 #[derive(Default)]
@@ -115,7 +120,7 @@
                 let Some(more) = out.next() else { break };
                 bytes.extend_from_slice(&more);
             }
-            if write.write_all(&bytes).await.is_err() {
+            if !timeout(TAKES, write.write_all(&bytes)).await.is_ok_and(|written| written.is_ok()) {
                 return;
             }
             out.sent.set(out.sent.get() + bytes.len() as u64);
@@ -154,10 +159,8 @@
     loop {
         let reading = stream.read(&mut chunk);
         // Whoever says nothing takes no place for long.
-        let n = match &name {
-            Some(_) => reading.await,
-            None => timeout(OPENS, reading).await.unwrap_or(Ok(0)),
-        };
+        let within = if name.is_some() { QUIET } else { OPENS };
+        let n = timeout(within, reading).await.unwrap_or(Ok(0));
         match n {
             Ok(0) | Err(_) => return,
             Ok(n) => back.extend_from_slice(&chunk[..n]),
@@ -186,3 +189,25 @@
         back.drain(..at);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The other side reads nothing more and says nothing: no reset, no end.
+    #[test]
+    fn a_link_that_takes_nothing_is_ended() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let (_reads_nothing, _) = listener.accept().await.unwrap();
+            let out = Out::default();
+            // More than the system's buffers of both sides take.
+            out.frames.borrow_mut().extend((0..64).map(|_| vec![0; FRAME]));
+            out.bytes.set(64 * FRAME);
+            timeout(Duration::from_secs(60), write(&out, stream)).await.expect("a link that ends");
+            assert!(out.sent.get() < 64 * FRAME as u64);
+        });
+    }
+}
