--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -118,6 +118,8 @@
     let patience = match text("patience").map(|ms| ms.parse().map(Duration::from_millis)) {
         None if given("patience") => return Err("patience: no text"),
         None => None,
+        // As in the settings' own form: 0 is that of a caller who does not tell.
+        Some(Ok(Duration::ZERO)) => None,
         Some(Ok(whole)) if whole <= BORN_WITHIN => Some(whole.saturating_sub(waited)),
         Some(_) => return Err("patience: no milliseconds within minutes"),
     };
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -946,6 +946,12 @@
                 "by the caller's patience, not by the outer limit"
             );
             assert_eq!(w.expect(&mut agent, "freeze").await, req);
+            // One that does not tell waits for as long as its type.
+            let own = [("route", "register"), ("patience", "0")];
+            let seq = w.ask_with(&mut caller, &own, b"b").await;
+            let req = w.expect(&mut agent, "launch").await;
+            agent.outcome(1, &req, "fine", b"r").await;
+            assert_eq!(caller.next().await, said(seq, "honoured", "r"));
         },
     );
 }
