A test of early signals waits for the first reading to be over before it writes the second

Seen once in some twenty runs beside other suites: a_signal_before_the_node_listens hung. The pipe was still open from the node's first reading when the test opened it again, so both configurations came as one file. It now waits for the line that the node says after that reading.

--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -401,7 +401,9 @@
         node.signal("-HUP");
         file.write_all(with_agent(&first).to_string().as_bytes()).unwrap();
         drop(file);
-        // The signal that came too early is a reading of the file all the same.
+        // The signal that came too early is a reading of the file all the same; the first one is over once this is said, or
+        // what is written next would be read as the end of it.
+        node.says("start").await;
         let mut file = open(path.clone()).await;
         file.write_all(with_agent(&second).to_string().as_bytes()).unwrap();
         drop(file);
