--- a/src/choice.rs
+++ b/src/choice.rs
@@ -460,7 +460,7 @@
                 (fresh.types, fresh.by_work, fresh.ledger.quotas);
         }
         (self.limit.factor, self.below.share) = (fresh.limit.factor, fresh.below.share);
-        // Guards against calls that stay pledged, or were never, as what is below turns shared or no longer is.
+        // Guards against pledges that stay, or are missing, where what is below turns shared or back.
         let lingers = fresh.below.share.map(|share| share.2 * self.hand.count(Stage::Calling) as u32);
         self.below.pledged = lingers.map_or(Duration::ZERO, |lingers| self.hand.pledged() + lingers);
         let stay = self.voice.stay.min(fresh.voice.links.1);
