Forwarder: a half-closed caller that reads nothing is not waited for without end

Found on a second read of front.rs, talk(): after the end of a caller's side its answers were waited for until they were written, and a caller that ended its side and reads nothing would have kept its connection for good.

--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -105,8 +105,9 @@
     if code == "reset" {
         return code;
     }
-    let owed = async {
-        while flush(&conn.out, stream).is_ok() && !(conn.open.borrow().is_empty() && conn.settled()) {
+    let written = |all: bool| async move {
+        let due = || !conn.open.borrow().is_empty() || (all && !conn.settled());
+        while flush(&conn.out, stream).is_ok() && due() {
             let unread = !conn.settled();
             tokio::select! {
                 _ = stream.writable(), if unread => {}
@@ -114,10 +115,11 @@
             }
         }
     };
-    match code {
-        "eof" | "eof_in_frame" => owed.await,
-        _ => drop(timeout(LAST_ANSWERS, owed).await),
+    // The decisions end each ticket in its own time; whether the caller then reads is no reason to wait for good.
+    if matches!(code, "eof" | "eof_in_frame") {
+        written(false).await;
     }
+    let _ = timeout(LAST_ANSWERS, written(true)).await;
     code
 }
 
