Stand-ins: configurations at the size of two years, or a part of it

Scale tests, readiness tests and measurements of memory want the same configuration: routes by service, tenants with shares, members in pools by zone, with limits nowhere, on tenants, or by tenant on each route.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -6,10 +6,12 @@
 //! | [`node`] | a node on a thread of its own that does what its script says |
 //! | [`caller`] | a dispatcher: asks, reads what comes, gives up |
 //! | [`watch`] | tells all of it to the checker of the rules |
+//! | [`size`] | configurations at the operators' size in two years, or a part of it |
 //!
 //! Nothing here is part of a product's program.
 
 pub mod caller;
 pub mod node;
 pub mod script;
+pub mod size;
 pub mod watch;
