Forwarders: what all of them send to a member that warms up stays within its budget

Cause: each forwarder let a member that just started take a rising share of its own tickets, never less than a twentieth. That bounds no sum: with the others full, out or cold, under overload, or with forwarders that know nothing of the start, a cold member got all there was.

Change: a pool may say `warm-rate` (what a warm member of weight 1 bears from all) and `senders` (how many send to it, 32 assumed where nobody says). Each forwarder then has turns at its part of the rate for the member's age (`route::ramp`): the first by chance, each lost if it is not used within a quarter of the window, so parts of turns add up and nothing is saved. What is known of a member lasts as long as links to it overlap; after that, and in a process that just started, it may be cold. Every try takes a turn, further ones too. Without a turn anywhere the ticket goes elsewhere, or is dismissed with the time of the next turn. `rainstand forward` draws its seed where none is given: all used 1, and so would have had their turns at one time. Off without `warm-rate`.

--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -6,6 +6,7 @@
 use clap::Args;
 use rainstand_forwarder::{run as serve, Hub};
 use rainstand_route::subset::reduce;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,9 +37,9 @@
     /// Which of the forwarders this is, from 0: where pools say `know`, it settles the members that it knows
     #[arg(long, default_value_t = 0)]
     number: usize,
-    /// For all chance
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    /// For all chance; drawn if it is not given, so that forwarders do not all draw alike
+    #[arg(long)]
+    seed: Option<u64>,
     /// Milliseconds from the notice to leave until what is still owed is given up
     #[arg(long, default_value_t = 5_000)]
     stop_ms: u64,
@@ -55,7 +56,10 @@
     // Who reads our lines may go away: that is no reason to end, nor to complain where nobody reads.
     let lines = tracing_subscriber::fmt().with_writer(io::stderr).log_internal_errors(false);
     lines.with_target(false).with_ansi(false).init();
-    let hub = match Hub::new(&configuration, &options.zone, options.seed) {
+    // The standard library's maps are keyed by what the system draws.
+    let drawn = || RandomState::new().build_hasher().finish();
+    let seed = options.seed.unwrap_or_else(drawn);
+    let hub = match Hub::new(&configuration, &options.zone, seed) {
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -669,6 +669,8 @@
         retry_after: r.reference("retry-after", Sort::RetryAfter),
         fall_back: r.reference("fall-back", Sort::Pool),
         know: r.whole("know", Bounds { default: Some(0), zero: true, most: MOST_THINGS as u64 }),
+        warm_rate: r.rate("warm-rate"),
+        senders: r.whole("senders", Bounds { default: Some(0), zero: true, most: MOST_THINGS as u64 }),
     }
 }
 
--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -4,6 +4,10 @@
 //! When a connection breaks, what had not left whole is told apart from what may have run: bytes that no
 //! system call took cannot have reached anybody.
 //!
+//! A member is known to be the same one as long as links to it overlap. A link that we close ourselves proves nothing
+//! against it; after one that ended otherwise it is as old as the oldest link that still stands, and with none left
+//! nothing is known ([`rainstand_route::ramp`]). The last link is therefore not closed for its age, only when unused.
+//!
 //! Invariant of a [`Link`]: `left` + what is in `out` = all bytes that were put; a call whose `until` is past `left`
 //! has not left whole.
 
@@ -51,6 +55,45 @@
     away: Cell<Option<Instant>>,
     /// It said on its last link that it leaves.
     left: Cell<bool>,
+    /// Links have stood without a gap since then, by the hub's clock; none while none stands.
+    since: Cell<Option<Duration>>,
+}
+
+impl Member {
+    /// Whether any link stands but this one.
+    fn others_stand(&self, but: &Rc<Link>) -> bool {
+        self.links.borrow().iter().any(|link| !Rc::ptr_eq(link, but) && link.stream.get().is_some())
+    }
+
+    /// A link stands: the first one may be to a new member.
+    fn stands(&self, hub: &Hub, link: &Rc<Link>, address: &str) {
+        let now = hub.now();
+        link.opened.set(now);
+        if !self.others_stand(link) || self.since.get().is_none() {
+            self.known_since(hub, address, Some(now));
+        }
+    }
+
+    /// A link is gone, and out of the list; `by_us`: because we closed it.
+    fn fell(&self, hub: &Hub, address: &str, by_us: bool) {
+        let standing = |link: &&Rc<Link>| link.stream.get().is_some();
+        let oldest = self.links.borrow().iter().filter(standing).map(|link| link.opened.get()).min();
+        match (oldest, self.since.get()) {
+            (Some(oldest), Some(since)) if by_us || oldest <= since => {}
+            (oldest, since) if oldest != since => self.known_since(hub, address, oldest),
+            _ => {}
+        }
+    }
+
+    fn known_since(&self, hub: &Hub, address: &str, since: Option<Duration>) {
+        self.since.set(since);
+        let mut fleet = hub.fleet.borrow_mut();
+        match since {
+            _ if !fleet.ramps() => {}
+            Some(since) => fleet.connected(address, since, hub.now()),
+            None => fleet.lost(address, hub.now()),
+        }
+    }
 }
 
 struct Link {
@@ -68,6 +111,10 @@
     retired: Cell<bool>,
     /// When the member last said anything on it, by the hub's clock.
     heard: Cell<Duration>,
+    /// Since when it stands, by the hub's clock.
+    opened: Cell<Duration>,
+    /// We closed it, in peace.
+    by_us: Cell<bool>,
     wake: Notify,
 }
 
@@ -114,6 +161,19 @@
         self.members.borrow().values().map(of).sum()
     }
 
+    /// Tells the decisions since when each member is known: those of a new version may not know it.
+    pub fn tell_known(&self, hub: &Hub) {
+        let (mut fleet, now) = (hub.fleet.borrow_mut(), hub.now());
+        if !fleet.ramps() {
+            return;
+        }
+        for (address, member) in self.members.borrow().iter() {
+            if let Some(since) = member.since.get() {
+                fleet.connected(address, since, now);
+            }
+        }
+    }
+
     /// Forgets members without a link: those of versions that are gone.
     pub fn tidy(&self) {
         self.members.borrow_mut().retain(|_, member| !member.links.borrow().is_empty());
@@ -152,6 +212,8 @@
                     old_at: Instant::now() + AGE.mul_f64(1.0 + half),
                     retired: Cell::new(false),
                     heard: Cell::new(Duration::ZERO),
+                    opened: Cell::new(Duration::ZERO),
+                    by_us: Cell::new(false),
                     wake: Notify::new(),
                 });
                 links.push(link.clone());
@@ -261,8 +323,10 @@
             // It was gone and is there again: a new one, whatever its address.
             if member.away.take().is_some() | member.left.take() {
                 hub.fleet.borrow_mut().renewed(&address, hub.now());
+                member.since.set(None);
             }
             let _ = link.stream.set(stream);
+            member.stands(&hub, &link, &address);
             if !serve(&hub, &member, &link, &address).await {
                 count(&hub.counts.broken_links);
             }
@@ -271,6 +335,7 @@
     }
     link.retired.set(true);
     member.links.borrow_mut().retain(|one| !Rc::ptr_eq(one, &link));
+    member.fell(&hub, &address, link.by_us.get());
     let mut open: Vec<(Call, u64)> = link.open.borrow_mut().drain().map(|(_, call)| call).collect();
     // In the order in which they were sent, whatever the map's.
     open.sort_by_key(|(_, until)| *until);
@@ -286,7 +351,7 @@
 }
 
 /// Reads what comes back until the link ends; whether that was its proper end.
-async fn serve(hub: &Rc<Hub>, member: &Member, link: &Link, address: &str) -> bool {
+async fn serve(hub: &Rc<Hub>, member: &Member, link: &Rc<Link>, address: &str) -> bool {
     let Some(stream) = link.stream.get() else { return false };
     let mut back = Ring::default();
     loop {
@@ -297,7 +362,8 @@
             return false;
         }
         let idle = link.open.borrow().is_empty();
-        if idle && (link.retired.get() || Instant::now() >= link.old_at) {
+        if idle && (link.retired.get() || (Instant::now() >= link.old_at && member.others_stand(link))) {
+            link.by_us.set(true);
             return true;
         }
         let more = !link.out.borrow().is_empty();
@@ -305,6 +371,7 @@
             ready = timeout(IDLE, stream.readable()) => {
                 let Ok(ready) = ready else {
                     if idle && link.open.borrow().is_empty() {
+                        link.by_us.set(true);
                         return true;
                     }
                     continue;
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -180,6 +180,7 @@
     pub fn take(&self, configuration: &Configuration) -> Result<u64, String> {
         let version = self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())?;
         self.backs.tidy();
+        self.backs.tell_known(self);
         self.metrics.version(&self.fleet.borrow());
         Ok(version)
     }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -9,6 +9,7 @@
 //! What failed stays counted as long as the pool's usual time: a member that fails in a millisecond would
 //! otherwise look idle and draw all traffic.
 
+use crate::ramp::{Ramp, START};
 use crate::split::score;
 use nanorand::{Rng, WyRand};
 use std::collections::VecDeque;
@@ -32,6 +33,8 @@
     pub warm_up: Duration,
     /// When it started, if it warms up.
     pub started: Option<Duration>,
+    /// What it may be sent while it is not known to be warm, where the pool says what all may send it.
+    pub ramp: Option<Ramp>,
     pub open: u32,
     /// Until when each recent failure counts as open, in order.
     ghosts: VecDeque<Duration>,
@@ -39,7 +42,7 @@
 
 impl Member {
     pub fn new(mark: u64, weight: f64, near: bool, warm_up: Duration) -> Self {
-        Self { mark, weight, near, warm_up, started: None, open: 0, ghosts: VecDeque::new() }
+        Self { mark, weight, near, warm_up, started: None, ramp: None, open: 0, ghosts: VecDeque::new() }
     }
 
     /// A ticket failed: it counts as open until the usual time since it was sent is over.
@@ -56,8 +59,7 @@
     fn weight_at(&self, now: Duration, part: f64) -> f64 {
         let warm = match self.started {
             Some(started) if !self.warm_up.is_zero() => {
-                // Never nothing, or it would not warm at all.
-                (now.saturating_sub(started).as_secs_f64() / self.warm_up.as_secs_f64()).clamp(0.05, 1.0)
+                (now.saturating_sub(started).as_secs_f64() / self.warm_up.as_secs_f64()).clamp(START, 1.0)
             }
             _ => 1.0,
         };
--- a/crates/route/src/decisions.rs
+++ b/crates/route/src/decisions.rs
@@ -27,6 +27,8 @@
     Tried,
     /// It says that it leaves.
     Leaving,
+    /// It warms up, or may, and this forwarder's part of what all may send it is used.
+    Warming,
 }
 
 impl Passed {
@@ -37,6 +39,7 @@
             Passed::ToldToWait => "told_to_wait",
             Passed::Tried => "tried",
             Passed::Leaving => "leaving",
+            Passed::Warming => "warming",
         }
     }
 }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::choice::{self, How, Member, Pick};
 use crate::decisions::{Decision, Decisions, Passed, What};
 use crate::health::{Change, Health, Rules, Standing};
+use crate::ramp::{Ramp, Rule};
 use crate::room::{Room, Who};
 use crate::split::mark;
 use crate::table::{Table, Ticket};
@@ -271,6 +272,9 @@
     pauses: HashMap<(At, u32), Duration>,
     budget: Budget,
     chance: WyRand,
+    /// For the ramps alone, and whether any member has one.
+    phases: WyRand,
+    ramps: bool,
     counts: Counts,
     /// Changes of standing since the last look.
     changes: Vec<(At, Standing)>,
@@ -280,7 +284,17 @@
     weights: Vec<f64>,
 }
 
-fn pools(configuration: &Configuration, zone: &str, now: Duration) -> Vec<Pool> {
+/// What all forwarders together may send to a member while it warms up, and this one's part of it.
+fn rule(pool: &schema::Pool, member: &schema::Member) -> Option<Rule> {
+    let rate = pool.warm_rate.as_ref().filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0)?;
+    let window = Duration::from_nanos(rate.per_ns);
+    let warm_up = Duration::from_nanos(member.warm_up_ns);
+    let micro = rate.micro_tickets as f64 * (member.weight as f64 / ONE as f64);
+    let rate = micro / ONE as f64 / window.as_secs_f64();
+    (rate > 0.0 && !warm_up.is_zero()).then(|| Rule::new(rate, window, pool.senders, warm_up))
+}
+
+fn pools(configuration: &Configuration, zone: &str, phases: &mut WyRand, now: Duration) -> Vec<Pool> {
     let made = |pool: &schema::Pool| {
         let health = configuration.health.iter().find(|one| one.name == pool.health);
         let limits = configuration.limits.iter().find(|one| one.name == pool.limits);
@@ -288,7 +302,12 @@
         let member = |m: &schema::Member| {
             let near = !zone.is_empty() && m.zone == zone;
             let weight = m.weight as f64 / ONE as f64;
-            Member::new(mark(&m.address), weight, near, Duration::from_nanos(m.warm_up_ns))
+            let mut made = Member::new(mark(&m.address), weight, near, Duration::from_nanos(m.warm_up_ns));
+            made.ramp = rule(pool, m).map(|rule| {
+                let phase = f64::from(phases.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
+                Ramp::new(rule, phase, now)
+            });
+            made
         };
         let mut made = Pool {
             name: pool.name.as_str().into(),
@@ -307,6 +326,10 @@
     configuration.pools.iter().map(made).collect()
 }
 
+fn any_ramp(pools: &[Pool]) -> bool {
+    pools.iter().any(|pool| pool.members.iter().any(|member| member.ramp.is_some()))
+}
+
 /// What each route says of further tries: its own word, else that of its first pool.
 fn plans(configuration: &Configuration) -> Vec<(Policy, u64)> {
     let once = Policy { tries: 1, wait: (Duration::ZERO, Duration::ZERO), proof: schema::Proof::NotRun };
@@ -326,11 +349,15 @@
     /// # Errors
     /// As [`Router::new`].
     pub fn new(configuration: &Configuration, zone: &str, seed: u64, now: Duration) -> Result<Self, Refused> {
+        let mut phases = WyRand::new_seed(seed ^ 0x7261_6d70);
+        let pools = pools(configuration, zone, &mut phases, now);
         Ok(Self {
             router: Router::new(configuration, seed)?,
             plans: plans(configuration),
             zone: zone.to_owned(),
-            pools: pools(configuration, zone, now),
+            ramps: any_ramp(&pools),
+            pools,
+            phases,
             pauses: HashMap::new(),
             budget: Budget::default(),
             chance: WyRand::new_seed(seed ^ 0x666c_6565),
@@ -378,7 +405,8 @@
             (0..self.pools.len()).map(|at| self.table().pool_name(at as u16).to_owned()).collect();
         let number = self.router.take(configuration, now)?;
         self.plans = plans(configuration);
-        let old = std::mem::replace(&mut self.pools, pools(configuration, &self.zone, now));
+        let old = std::mem::replace(&mut self.pools, pools(configuration, &self.zone, &mut self.phases, now));
+        self.ramps = any_ramp(&self.pools);
         self.pauses.clear();
         // They speak of places of the version before.
         self.changes.clear();
@@ -392,6 +420,10 @@
                     pool.members[new].open = before.members[k].open;
                     pool.out += before.members[k].open;
                     pool.members[new].started = before.members[k].started;
+                    if let (Some(ramp), Some(before)) = (&mut pool.members[new].ramp, &before.members[k].ramp)
+                    {
+                        ramp.carry(before, now);
+                    }
                     pool.toward[new] = before.toward[k].clone();
                     pool.leaving[new] = before.leaving[k];
                 }
@@ -420,6 +452,9 @@
         for at in self.places_of(address) {
             let (pool, member) = (&mut self.pools[usize::from(at.pool)], usize::from(at.member));
             pool.members[member].started = Some(now);
+            if let Some(ramp) = &mut pool.members[member].ramp {
+                ramp.connected(now, now);
+            }
             pool.leaving[member] = Duration::ZERO;
             if let Some(health) = &mut pool.health {
                 health.renewed(member, now);
@@ -427,6 +462,28 @@
         }
     }
 
+    /// Whether any member has a ramp of what all may send it: then [`Fleet::connected`] and [`Fleet::lost`] are owed.
+    pub fn ramps(&self) -> bool {
+        self.ramps
+    }
+
+    /// There has been a connection to a member without a gap since then: it is at least as old.
+    pub fn connected(&mut self, address: &str, since: Duration, now: Duration) {
+        self.each_ramp(address, |ramp| ramp.connected(since, now));
+    }
+
+    /// The last connection to a member is gone: who answers there next may be a new one.
+    pub fn lost(&mut self, address: &str, now: Duration) {
+        self.each_ramp(address, |ramp| ramp.lost(now));
+    }
+
+    fn each_ramp(&mut self, address: &str, what: impl Fn(&mut Ramp)) {
+        for at in self.places_of(address) {
+            let member = &mut self.pools[usize::from(at.pool)].members[usize::from(at.member)];
+            member.ramp.iter_mut().for_each(&what);
+        }
+    }
+
     /// A member says that it leaves: others get what comes, as long as there are others.
     pub fn leaves(&mut self, address: &str, now: Duration) {
         for at in self.places_of(address) {
@@ -624,6 +681,9 @@
         decision.what = What::Went { member: member as u16, how, of, in_hand, tried: trip.tries };
         self.decisions.put(decision);
         one.members[member].open += 1;
+        if let Some(ramp) = &mut one.members[member].ramp {
+            ramp.take(now);
+        }
         one.out += 1;
         one.toward[member].sent();
         if let Some(health) = &mut one.health {
@@ -821,6 +881,9 @@
         if pool.out >= pool.places || !pool.toward[member].has_room() {
             return Some((Passed::Full, self.now));
         }
+        if let Some(until) = pool.members[member].ramp.as_ref().and_then(|ramp| ramp.closed(self.now)) {
+            return Some((Passed::Warming, until));
+        }
         (pool.leaving[member] > self.now).then_some((Passed::Leaving, pool.leaving[member]))
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`budget`] | how much time each stage may still take |
 //! | [`versions`] | all of it together while configurations change under running tickets |
 //! | [`choice`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
+//! | [`ramp`] | what one forwarder may send to a member that warms up, as its part of what all may |
 //! | [`subset`] | which members of a large pool a forwarder knows |
 //! | [`health`] | who is left out, judged from answers alone, and how it comes back |
 //! | [`toward`] | how many tickets at once toward a member, learned from its times |
@@ -56,6 +57,7 @@
 pub mod fleet;
 pub mod health;
 pub mod limit;
+pub mod ramp;
 pub mod room;
 pub mod split;
 pub mod subset;
