Limits: counters are made when first used, bounded, given back when idle

Cause: a version made one counter for each key of each limit at its start, so limits that say `per: tenant` on 5,400 routes with 23,000 tenants came to 124,205,400, and the forwarder refused to start past 1,048,576.

Change: buckets belong to no version. They are known by hashes of names, made by the first ticket that enters them, and given back when nobody is inside and the burst is whole again: such a bucket equals a new one to the nanosecond, so nobody gains. A hand goes round as a clock's: two slots for each new bucket, an eighth of all at each look. Past 1,048,576 in use a ticket is dismissed with the reason `no_bucket`, told to come back in a second, and has used nothing; counters `limit_buckets` and `no_bucket`. A change of version converts those in use as before.

The test of no allocation is as it was; a second one counts what first uses past the first 512 cost: at most 9 allocations for 4,000 buckets, none after.

--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -101,7 +101,7 @@
 type Total = fn(&Hub) -> u64;
 
 /// Name, words, and where it is read.
-const TOTALS: [(&str, &str, Total); 12] = [
+const TOTALS: [(&str, &str, Total); 14] = [
     ("tickets_in_hand", "Tickets without an answer yet", |hub| hub.tickets.borrow().len() as u64),
     ("connections", "Connections of dispatchers", |hub| hub.conns.borrow().len() as u64),
     ("links", "Connections to members", |hub| hub.backs.links() as u64),
@@ -113,6 +113,12 @@
     ("late_answers", "Answers to tries that were over, dropped", |hub| hub.counts.late_answers.get()),
     ("unreadable", "Words of members that are no answer", |hub| hub.counts.unreadable.get()),
     ("unsent", "Tries that had not left when their link broke", |hub| hub.counts.unsent.get()),
+    ("limit_buckets", "Counters of limits that are in use", |hub| {
+        hub.fleet.borrow().router().buckets().0 as u64
+    }),
+    ("no_bucket", "Dismissed since all counters of limits were in use", |hub| {
+        hub.fleet.borrow().router().counts().no_bucket
+    }),
     ("version", "Number of the present configuration", |hub| hub.fleet.borrow().version()),
 ];
 
--- /dev/null
+++ b/crates/route/src/buckets.rs
@@ -0,0 +1,176 @@
+//! The buckets of limits: made when first used, known by name over versions, bounded in number.
+//!
+//! A limit by key has as many buckets as there are keys, and 5,400 routes that limit each of 23,000 tenants would
+//! have 124 million, of which few are ever used. So one is made when a ticket enters it, and given back when it is
+//! idle: nobody is inside and its burst is whole again. Such a bucket is as good as one that was never used, to the
+//! nanosecond, so giving it back lets nobody gain a burst; one that still owes, or has somebody inside, is kept.
+//!
+//! Idle ones are found by a hand that goes round, as a clock's: each new bucket moves it on by [`LOOKED`], so of all
+//! there are at most half are idle ones that were left lying while others came; and each look at the time by an
+//! [`ALL_ROUND`]th of all. At the bound a ticket that needs one more looks at [`SEARCHED`] of them, then it is turned
+//! away with a reason of its own, to come back when the looks have been around.
+//!
+//! Invariants: `index` names each slot that is in use by its key, `free` each that is not; a slot with somebody
+//! inside stays where it is, so that a ticket can hold it by its place.
+
+use crate::limit::{Bucket, Full, Rule};
+use crate::versions::At;
+use foldhash::{HashMap, HashMapExt};
+use rainstand_config::schema::Per;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Buckets in use at once, some 128 bytes each with their place in the index.
+pub const MOST_BUCKETS: usize = 1 << 20;
+/// Room that is there from the start: with fewer in use nothing on a ticket's way allocates.
+const FIRST: usize = 512;
+/// Slots that the hand looks at for each new bucket: more than one, or it never gets ahead.
+const LOOKED: usize = 2;
+/// Slots looked at for a ticket that is turned away else: some microseconds.
+const SEARCHED: usize = 64;
+/// So many looks go round all slots. There are ten a second, and who was turned away comes back in one.
+const ALL_ROUND: usize = 8;
+
+/// What a bucket is known by over versions, as hashes of names: 64 bits each, so that of 23,000 keys at a place two
+/// are taken for one with a chance of one in 70 thousand million.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Key {
+    /// The kind and name of the place where the limit stands, and what it is kept by.
+    pub place: u64,
+    /// The name of that; 0 where it is not kept by anything, or by a tenant that nobody knows.
+    of: u64,
+}
+
+impl Key {
+    pub fn new(at: At, name: &str, per: Per, of: Option<&str>) -> Self {
+        let kind = (at as u64) << 8 | per as u64;
+        let mark = |seed: u64, name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
+        Self { place: mark(kind, name), of: of.map_or(0, |of| mark(0, of)) }
+    }
+}
+
+#[derive(Debug)]
+struct Slot {
+    key: Key,
+    bucket: Bucket,
+    rule: Rule,
+    used: bool,
+}
+
+/// See the module's head.
+#[derive(Debug)]
+pub(crate) struct Buckets {
+    index: HashMap<Key, u32>,
+    slots: Vec<Slot>,
+    free: Vec<u32>,
+    hand: usize,
+    most: usize,
+}
+
+impl Default for Buckets {
+    fn default() -> Self {
+        Self {
+            index: HashMap::with_capacity(2 * FIRST),
+            slots: Vec::with_capacity(FIRST),
+            free: Vec::with_capacity(FIRST),
+            hand: 0,
+            most: MOST_BUCKETS,
+        }
+    }
+}
+
+impl Buckets {
+    pub fn bound(&mut self, most: usize) {
+        self.most = most.min(MOST_BUCKETS);
+    }
+
+    pub fn in_use(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+
+    pub fn room(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether a ticket may come in now; nothing changes. A bucket that is not there is whole.
+    ///
+    /// # Errors
+    /// As [`Bucket::look`].
+    pub fn look(&self, key: &Key, rule: &Rule, now: Duration) -> Result<(), Full> {
+        match self.index.get(key) {
+            Some(slot) => self.slots[*slot as usize].bucket.look(rule, now),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether there is room for all of these, after idle ones have been looked for where some are new.
+    pub fn make_room<K: Iterator<Item = Key>>(&mut self, keys: impl Fn() -> K, now: Duration) -> bool {
+        let new = |all: &Self| keys().filter(|key| !all.index.contains_key(key)).count();
+        let mut looked = LOOKED * new(self);
+        if looked == 0 {
+            return true;
+        }
+        self.go_round(looked, now);
+        // Counted anew each time: the hand may have given back one of them.
+        while self.in_use() + new(self) > self.most {
+            if looked >= SEARCHED {
+                return false;
+            }
+            self.go_round(LOOKED, now);
+            looked += LOOKED;
+        }
+        true
+    }
+
+    /// Lets a ticket in; the caller looked before, and made room. The slot that it holds until it leaves.
+    pub fn enter(&mut self, key: Key, rule: &Rule, now: Duration) -> u32 {
+        let Self { index, slots, free, .. } = self;
+        let at = *index.entry(key).or_insert_with(|| {
+            let slot = Slot { key, bucket: Bucket::default(), rule: *rule, used: true };
+            if let Some(at) = free.pop() {
+                slots[at as usize] = slot;
+                return at;
+            }
+            slots.push(slot);
+            slots.len() as u32 - 1
+        });
+        slots[at as usize].bucket.enter(rule, now);
+        at
+    }
+
+    pub fn leave(&mut self, slot: u32) {
+        self.slots[slot as usize].bucket.leave();
+    }
+
+    /// A version's rules, by [`Key::place`]: what is there goes on under them. A bucket of a place that they do not
+    /// name keeps its own until it is idle.
+    pub fn under(&mut self, rules: &HashMap<u64, Rule>, now: Duration) {
+        for slot in self.slots.iter_mut().filter(|slot| slot.used) {
+            if let Some(rule) = rules.get(&slot.key.place) {
+                slot.bucket.under(&slot.rule, rule, now);
+                slot.rule = *rule;
+            }
+        }
+    }
+
+    /// Time passes.
+    pub fn sweep(&mut self, now: Duration) {
+        self.go_round(self.slots.len().div_ceil(ALL_ROUND), now);
+        if self.in_use() == 0 && self.slots.len() > FIRST {
+            *self = Self { most: self.most, ..Self::default() };
+        }
+    }
+
+    /// Looks at the next slots, and gives back those that are idle.
+    fn go_round(&mut self, looked: usize, now: Duration) {
+        for _ in 0..looked.min(self.slots.len()) {
+            self.hand = if self.hand + 1 < self.slots.len() { self.hand + 1 } else { 0 };
+            let slot = &mut self.slots[self.hand];
+            if slot.used && slot.bucket.is_idle(&slot.rule, now) {
+                slot.used = false;
+                self.index.remove(&slot.key);
+                self.free.push(self.hand as u32);
+            }
+        }
+    }
+}
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -145,6 +145,7 @@
             Why::CallerLeft => "caller_left",
             Why::Router(versions::Why::NoRoute) => "no_route",
             Why::Router(versions::Why::NoPool) => "no_pool",
+            Why::Router(versions::Why::NoBucket) => "no_bucket",
             Why::Router(versions::Why::Limit(Type)) => "limit_of_type",
             Why::Router(versions::Why::Limit(Tenant)) => "limit_of_tenant",
             Why::Router(versions::Why::Limit(Route)) => "limit_of_route",
@@ -360,6 +361,10 @@
         self.counts
     }
 
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
     pub fn decisions(&self) -> &Decisions {
         &self.decisions
     }
@@ -436,6 +441,7 @@
 
     /// Time passes; members that are left out or taken back, each worth a line.
     pub fn look(&mut self, now: Duration) -> Vec<(At, Standing)> {
+        self.router.look(now);
         self.pauses.retain(|_, until| *until > now);
         let mut all = std::mem::take(&mut self.changes);
         for (pool, one) in self.pools.iter_mut().enumerate() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`table`] | which route takes a ticket, to which pool, where it falls back |
 //! | [`split`] | parting tickets by share, with the least movement when something leaves |
 //! | [`limit`] | whether a rate and a number at once let a ticket in, else when to come back |
+//! | [`buckets`] | which of a limit's counters are kept: made when first used, given back when idle, bounded |
 //! | [`budget`] | how much time each stage may still take |
 //! | [`versions`] | all of it together while configurations change under running tickets |
 //! | [`choice`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
@@ -49,6 +50,7 @@
 //! ```
 
 pub mod attempts;
+pub mod buckets;
 pub mod budget;
 pub mod choice;
 pub mod decisions;
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -6,6 +6,7 @@
 //!
 //! Invariant of a [`Bucket`]: in any window of length L it lets in at most burst + rate * L tickets.
 
+use rainstand_config::schema::Limits;
 use std::time::Duration;
 
 /// A rate as the schema has it: `micro` millionths of a ticket in each `per` ns; and what may come at once.
@@ -37,6 +38,15 @@
     pub at_once: u64,
 }
 
+impl From<&Limits> for Rule {
+    fn from(limits: &Limits) -> Self {
+        let pace = limits.rate.filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0);
+        let pace =
+            pace.map(|rate| Pace { micro: rate.micro_tickets, per: rate.per_ns, burst: limits.burst.max(1) });
+        Self { pace, at_once: limits.at_once }
+    }
+}
+
 /// The state of one limit at one place for one key.
 #[derive(Clone, Debug, Default)]
 pub struct Bucket {
@@ -75,6 +85,11 @@
         Err(Full::Until(Duration::from_nanos(u64::try_from(ns).unwrap_or(u64::MAX))))
     }
 
+    /// Nobody is inside and the burst is whole: it is as one that was never used.
+    pub fn is_idle(&self, rule: &Rule, now: Duration) -> bool {
+        self.inside == 0 && rule.pace.is_none_or(|pace| self.whole_at <= pace.scaled(now))
+    }
+
     /// Lets one in; the caller looked before.
     pub fn enter(&mut self, rule: &Rule, now: Duration) {
         self.inside += 1;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,11 +8,12 @@
 //! chain of fall-backs of a pool ends.
 
 use crate::budget::Times;
+use crate::limit::Rule;
 use crate::split::{by_chance, by_entity, mark};
 use crate::Refused;
 use foldhash::{HashMap, HashMapExt};
 use nanorand::WyRand;
-use rainstand_config::schema::{self, Again, Configuration, SplitBy};
+use rainstand_config::schema::{self, Again, Configuration, Per, SplitBy};
 use rainstand_config::space::Miss;
 use rainstand_config::units::ONE;
 use std::time::Duration;
@@ -127,6 +128,7 @@
     by_type: Box<[u32]>,
     by_tenant: Box<[u32]>,
     by_try: [u32; 2],
+    pub(crate) limits: Box<[(Rule, Per)]>,
     pub(crate) type_limits: Box<[Option<u16>]>,
     pub(crate) tenant_limits: Box<[Option<u16>]>,
     pub(crate) times: Vec<Option<Box<[Times]>>>,
@@ -237,6 +239,7 @@
             by_type: Box::default(),
             by_tenant: Box::default(),
             by_try: [0; 2],
+            limits: c.limits.iter().map(|one| (Rule::from(one), one.per())).collect(),
             type_limits,
             tenant_limits,
             times: c
--- a/crates/route/tests/no_allocation.rs
+++ b/crates/route/tests/no_allocation.rs
@@ -60,3 +60,36 @@
     assert_eq!(MADE.with(Cell::get), before);
     assert!(went > 1_000 && turned > 1_000, "{went} {turned}");
 }
+
+#[test]
+fn a_bucket_is_made_by_its_first_ticket_and_costs_the_next_ones_nothing() {
+    const TENANTS: u16 = 4_000;
+    let mut text = String::from(
+        "rain 1
+type check { repeat: rerunnable; goal: 3 s; outer-limit: 7 s }
+limits few { rate: 1 tickets/min; burst: 5 tickets; per: tenant }
+pool p { member a { address: \"10.0.0.1:1\" } }
+route r { to: p; limits: few }
+",
+    );
+    (0..TENANTS).for_each(|n| text.push_str(&format!("tenant t{n} {{ share: 0.02 % }}\n")));
+    let made = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
+    let mut router = Router::new(&made, 1).unwrap();
+    let mut all = |now: Duration| {
+        let before = MADE.with(Cell::get);
+        for tenant in 0..TENANTS {
+            let ticket = Ticket { tenant: Some(tenant), ..Ticket::default() };
+            match router.arrived(now, &ticket, |_| true) {
+                Verdict::Goes(way) => router.ended(way),
+                Verdict::Turned(turned) => panic!("{turned:?}"),
+            }
+        }
+        (MADE.with(Cell::get) - before, router.buckets().0)
+    };
+    // Room grows by doubling, not with each bucket: three lists from 512 on.
+    let (made, in_use) = all(Duration::from_secs(1));
+    assert!(made <= 9 && in_use == usize::from(TENANTS), "{made} for {in_use}");
+    assert_eq!(all(Duration::from_secs(2)).0, 0);
+    // Others take the places of those that are idle again.
+    assert_eq!(all(Duration::from_secs(1_000)).0, 0);
+}
