--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`process`] | child processes: started, stopped, killed | processes |
 //! | [`peers`] | stand-in agent and caller, each a process of its own | sockets |
 //! | [`sim`] | members of a group on a virtual clock, with faulty disks and links; a seed replays to the byte | none |
+//! | [`scale`] | what the program costs by size, measured here and worked out at a size | processes, sockets |
 //! | [`stage`] | one run: all of it started, the schedule played, the history gathered | all of it |
 
 pub mod check;
@@ -19,6 +20,7 @@
 pub mod plan;
 pub mod process;
 pub mod proxy;
+pub mod scale;
 pub mod shrink;
 pub mod sim;
 pub mod stage;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -9,6 +9,7 @@
 use rainstand_rig::history::{self, Unreadable};
 use rainstand_rig::peers::{agent, caller};
 use rainstand_rig::plan::{schedule, Step};
+use rainstand_rig::scale;
 use rainstand_rig::shrink::shrink;
 use rainstand_rig::sim::World;
 use rainstand_rig::stage::{play, Place, Report};
@@ -26,6 +27,7 @@
 Examples:
   rainstand-rig run experiments/rig/halves.rain --seed 7
   rainstand-rig check history.jsonl --json
+  rainstand-rig scale --quick --nodes 200 --routes 1800 --tenants 7000
   rainstand-rig sweep experiments/rig/everything.rain --seeds 1..200 --jobs 2
 
 Exit codes: 0 clean, 1 a rule broke or a process fell over, 2 wrong use or what cannot be read or set up.";
@@ -138,6 +140,8 @@
         #[arg(long)]
         plant: Option<String>,
     },
+    /// What the program costs by size, measured on this machine and worked out at a size
+    Scale(scale::table::Options),
     /// A stand-in agent; started by `run`
     #[command(hide = true)]
     Agent { options: String },
@@ -156,6 +160,7 @@
             let world = World { nodes, copies, shards, faults, trace, ..World::default() };
             sweep::simulate(&world, &seeds, jobs, history.as_deref(), plant.as_deref())
         }
+        Command::Scale(options) => scale::table::run(&options),
         Command::Agent { options } => parsed(&options, agent::serve),
         Command::Caller { options } => parsed(&options, caller::call),
     };
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -51,6 +51,7 @@
     last: Vec<u8>,
     /// It is no such framing.
     off: bool,
+    seen: u64,
 }
 
 impl Frames {
@@ -69,6 +70,7 @@
                 return;
             }
             let frame: Vec<u8> = self.bytes.drain(..4 + len).collect();
+            self.seen += 1;
             if frame.len() <= KEPT {
                 if self.first.is_empty() {
                     self.first.clone_from(&frame);
@@ -96,6 +98,8 @@
     /// Bytes that passed, connections that were reset.
     pub passed: Cell<u64>,
     pub resets: Cell<u64>,
+    /// Whole frames that passed forth.
+    pub whole_frames: Cell<u64>,
 }
 
 impl Proxy {
@@ -116,6 +120,7 @@
             chance: RefCell::new(WyRand::new_seed(seed)),
             passed: Cell::new(0),
             resets: Cell::new(0),
+            whole_frames: Cell::new(0),
         });
         let serving = proxy.clone();
         spawn_local(async move {
@@ -315,7 +320,9 @@
             return false;
         }
         if forth {
+            let seen = frames.seen;
             frames.saw(&chunk[..n]);
+            proxy.whole_frames.set(proxy.whole_frames.get() + frames.seen - seen);
             if !frames.off && !frames.last.is_empty() {
                 *proxy.frames.borrow_mut() = (frames.first.clone(), frames.last.clone());
             }
--- /dev/null
+++ b/crates/rig/src/scale/fit.rs
@@ -0,0 +1,146 @@
+//! A straight line through what was measured at several sizes, and a refusal of what is none. Pure.
+//!
+//! A line that is carried past what was measured is worth nothing if the quantity bends: one that grows with the
+//! square, a table that doubles, a list that is walked for each request. So a fit says what it leaves over, and
+//! is refused where that, or a second power, matters against what the quantity moved by.
+
+use serde::Serialize;
+
+/// Of what the quantity moved by: more left over by any one point and it is no line.
+pub const LEAVES: f64 = 0.12;
+/// Of what the quantity moved by: the most that a second power may lift its middle off the straight way.
+pub const CURVES: f64 = 0.10;
+/// A quantity that moves by less than this part of itself stands still: what is left over is judged against that.
+const STILL: f64 = 0.10;
+/// A cost of one request may at most double while what it is asked of grows fourfold: caches fill up, lists
+/// that are walked grow as fast as the size.
+const WALKS: f64 = 2.0;
+const GROWN: f64 = 4.0;
+/// Different sizes below which nothing is said of a line.
+pub const LEAST: usize = 3;
+
+/// How a quantity is expected to grow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Grows {
+    /// With the size.
+    Line,
+    /// Not with the size: the cost of one request.
+    Still,
+}
+
+/// `y = intercept + slope x`, as good as it goes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Line {
+    pub intercept: f64,
+    pub slope: f64,
+    /// The most that a point is off, as a part of what the quantity moved by.
+    pub residual: f64,
+    /// How far a second power lifts the middle off the straight way, as a part of the same.
+    pub curve: f64,
+    /// The largest size.
+    pub up_to: f64,
+}
+
+impl Line {
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
+
+/// Why there is no line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Bends {
+    /// Fewer than [`LEAST`] sizes, or what is no number.
+    TooFew,
+    Leaves(f64),
+    Curves(f64),
+    /// One request costs so many times more at the largest size than at the smallest.
+    Walks(f64),
+}
+
+impl std::fmt::Display for Bends {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Bends::TooFew => write!(f, "fewer than {LEAST} sizes were measured"),
+            Bends::Leaves(part) => write!(f, "bends: a point is off the line by {:.0} %", part * 100.0),
+            Bends::Curves(part) => write!(f, "bends: a second power lifts it by {:.0} %", part * 100.0),
+            Bends::Walks(times) => {
+                write!(f, "bends: one request costs {times:.1} times more at the largest size")
+            }
+        }
+    }
+}
+
+/// The least-squares line, whatever it leaves over; none for fewer than two sizes.
+fn least_squares(points: &[(f64, f64)]) -> Option<(f64, f64)> {
+    let n = points.len() as f64;
+    let (mx, my) = (mean(points.iter().map(|p| p.0), n), mean(points.iter().map(|p| p.1), n));
+    let spread: f64 = points.iter().map(|p| (p.0 - mx).powi(2)).sum();
+    let both: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
+    (spread > 0.0).then(|| (my - both / spread * mx, both / spread))
+}
+
+fn mean(all: impl Iterator<Item = f64>, n: f64) -> f64 {
+    all.sum::<f64>() / n
+}
+
+/// The factor of the second power of a least-squares parabola.
+fn second_power(points: &[(f64, f64)]) -> f64 {
+    // Of the part of x² that no line explains, how much of y's remainder goes with it.
+    let squares: Vec<(f64, f64)> = points.iter().map(|p| (p.0, p.0 * p.0)).collect();
+    let (Some((a, b)), Some((c, d))) = (least_squares(&squares), least_squares(points)) else { return 0.0 };
+    let (mut both, mut spread) = (0.0, 0.0);
+    for (x, y) in points {
+        let rest = x * x - a - b * x;
+        both += rest * (y - c - d * x);
+        spread += rest * rest;
+    }
+    if spread > 0.0 {
+        both / spread
+    } else {
+        0.0
+    }
+}
+
+/// Sizes that differ, by falling or rising.
+fn sizes(points: &[(f64, f64)]) -> usize {
+    let mut all: Vec<f64> = points.iter().map(|p| p.0).collect();
+    all.sort_unstable_by(f64::total_cmp);
+    all.dedup();
+    all.len()
+}
+
+/// The line through points of size and quantity.
+///
+/// # Errors
+/// Why it is none, with the line that was refused where there is one.
+pub fn fit(points: &[(f64, f64)], grows: Grows) -> Result<Line, (Bends, Option<Line>)> {
+    if sizes(points) < LEAST || points.iter().any(|p| !p.0.is_finite() || !p.1.is_finite()) {
+        return Err((Bends::TooFew, None));
+    }
+    let Some((intercept, slope)) = least_squares(points) else { return Err((Bends::TooFew, None)) };
+    let ends = |pick: fn(&(f64, f64)) -> f64| {
+        let all = || points.iter().map(pick);
+        (all().fold(f64::INFINITY, f64::min), all().fold(f64::NEG_INFINITY, f64::max))
+    };
+    let ((first, last), (low, high)) = (ends(|p| p.0), ends(|p| p.1));
+    let moved = (high - low).max(STILL * high.abs().max(low.abs())).max(f64::MIN_POSITIVE);
+    let off = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).abs();
+    let residual = points.iter().map(off).fold(0.0, f64::max) / moved;
+    let curve = second_power(points).abs() * ((last - first) / 2.0).powi(2) / moved;
+    let line = Line { intercept, slope, residual, curve, up_to: last };
+    if grows == Grows::Still {
+        // Whether the line is straight does not matter where it should lie flat.
+        let times = line.at(last) / line.at(first).max(f64::MIN_POSITIVE);
+        let may = WALKS.powf((last / first).ln() / GROWN.ln());
+        return if times > may { Err((Bends::Walks(times), Some(line))) } else { Ok(line) };
+    }
+    if curve > CURVES {
+        return Err((Bends::Curves(curve), Some(line)));
+    }
+    if residual > LEAVES {
+        return Err((Bends::Leaves(residual), Some(line)));
+    }
+    Ok(line)
+}
--- /dev/null
+++ b/crates/rig/src/scale/table.rs
@@ -0,0 +1,188 @@
+//! Rows as people and programs read them.
+
+use super::{measure, Effort, Place, Row, Sizes};
+use clap::Args;
+use serde_json::{json, Value};
+use std::cmp::Ordering;
+use std::fmt::Write as _;
+use std::io::{self, Write as _};
+use std::path::PathBuf;
+
+/// Sizes past which nothing here was thought through, and tenants past which a share has no step.
+const MOST: u64 = 1_000_000;
+
+/// `rainstand-rig scale`.
+#[derive(Args, Clone)]
+pub struct Options {
+    /// One JSON object
+    #[arg(long, conflicts_with = "markdown")]
+    json: bool,
+    /// The head table of docs/CAPACITY.md
+    #[arg(long)]
+    markdown: bool,
+    /// Smaller sizes, within 50 s
+    #[arg(long)]
+    quick: bool,
+    /// Only what runs in this process and is the same on every run
+    #[arg(long)]
+    counts: bool,
+    #[arg(long, default_value_t = 630, value_parser = clap::value_parser!(u64).range(4..=MOST))]
+    nodes: u64,
+    #[arg(long, default_value_t = 8_500, value_parser = clap::value_parser!(u64).range(1..=MOST))]
+    callers: u64,
+    #[arg(long, default_value_t = 490, value_parser = clap::value_parser!(u64).range(1..=MOST))]
+    services: u64,
+    #[arg(long, default_value_t = 5_400, value_parser = clap::value_parser!(u64).range(1..=MOST))]
+    routes: u64,
+    #[arg(long, default_value_t = 23_000, value_parser = clap::value_parser!(u64).range(1..=900_000))]
+    tenants: u64,
+    /// Of configuration, a day
+    #[arg(long, default_value_t = 2_800, value_parser = clap::value_parser!(u64).range(1..=MOST))]
+    changes: u64,
+    /// Where the programs lie, if not beside this one
+    #[arg(long)]
+    programs: Option<PathBuf>,
+}
+
+/// Measures and prints.
+///
+/// # Errors
+/// What could not be measured.
+pub fn run(options: &Options) -> io::Result<bool> {
+    let sizes = Sizes {
+        nodes: options.nodes as usize,
+        callers: options.callers as usize,
+        services: options.services as usize,
+        routes: options.routes as usize,
+        tenants: options.tenants as usize,
+        changes: options.changes as usize,
+    };
+    let effort = match (options.counts, options.quick) {
+        (true, _) => Effort::counts(),
+        (_, true) => Effort::quick(),
+        _ => Effort::full(),
+    };
+    let folder = tempfile::tempdir()?;
+    let place = Place { programs: options.programs.clone(), folder: folder.path().to_owned() };
+    let rows = measure(&sizes, &effort, &place, |part| eprintln!("measuring: {part}"))?;
+    let text = match (options.json, options.markdown) {
+        (true, _) => json(&sizes, &rows).to_string(),
+        (_, true) => markdown(&rows),
+        _ => plain(&rows),
+    };
+    writeln!(io::stdout().lock(), "{}", text.trim_end())?;
+    Ok(true)
+}
+
+/// What breaks its limit first, worst first; then what bends, then what has no limit.
+pub fn put_in_order(rows: &mut [Row]) {
+    let key = |row: &Row| match (row.holds, row.ratio) {
+        (Some(false), ratio) => (0, ratio.unwrap_or(f64::INFINITY)),
+        (_, None) if row.limit.is_some() => (1, 0.0),
+        (_, Some(ratio)) => (2, ratio),
+        (_, None) => (3, 0.0),
+    };
+    rows.sort_by(|a, b| {
+        let ((group, ratio), (group_b, ratio_b)) = (key(a), key(b));
+        group.cmp(&group_b).then(ratio_b.partial_cmp(&ratio).unwrap_or(Ordering::Equal))
+    });
+}
+
+/// One object.
+pub fn json(sizes: &Sizes, rows: &[Row]) -> Value {
+    json!({"sizes": sizes, "rows": rows})
+}
+
+/// Three figures that matter.
+pub fn figure(n: f64) -> String {
+    let size = n.abs();
+    if size >= 1e5 {
+        let (n, unit) = if size >= 1e9 {
+            (n / 1e9, "G")
+        } else if size >= 1e6 {
+            (n / 1e6, "M")
+        } else {
+            (n / 1e3, "k")
+        };
+        return format!("{} {unit}", figure(n));
+    }
+    match size {
+        _ if size >= 100.0 => format!("{n:.0}"),
+        _ if size >= 10.0 => format!("{n:.1}"),
+        _ if size >= 1.0 => format!("{n:.2}"),
+        _ if size == 0.0 => "0".into(),
+        _ => format!("{n:.3}"),
+    }
+}
+
+fn holds(row: &Row) -> &'static str {
+    match row.holds {
+        Some(true) => "holds",
+        Some(false) => "**does not hold**",
+        None if row.limit.is_some() => "not told",
+        None => "",
+    }
+}
+
+/// Up to where it was run, and how much further the figure is carried.
+fn reach(row: &Row) -> String {
+    let run = format!("{} {}", figure(row.measured_up_to), row.by);
+    if row.size > row.measured_up_to * 1.001 && row.at_size.is_some() && row.slope.is_some() {
+        return format!("{run}, carried {:.1} times further", row.size / row.measured_up_to);
+    }
+    run
+}
+
+fn cells(row: &Row) -> [String; 8] {
+    let or = |n: Option<f64>| n.map_or("".to_owned(), figure);
+    let at = match (&row.bends, row.at_size) {
+        (_, Some(at)) => format!("{} {}", figure(at), row.unit),
+        (Some(_), None) => "not told".into(),
+        (None, None) => "none".into(),
+    };
+    let limit = row.limit.map_or(String::new(), |limit| format!("{} {}", figure(limit), row.unit));
+    let mut note = row.note.clone();
+    if let Some(bends) = &row.bends {
+        note = if note.is_empty() { bends.clone() } else { format!("{bends}; {note}") };
+    }
+    [row.role.clone(), row.what.clone(), at, limit, or(row.ratio), holds(row).into(), reach(row), note]
+}
+
+const HEAD: [&str; 8] =
+    ["role", "requirement", "at this size", "limit", "ratio", "holds", "run up to", "what is behind it"];
+
+/// The head table of the page, ready to be pasted.
+pub fn markdown(rows: &[Row]) -> String {
+    let mut text = format!("| {} |\n|{}\n", HEAD.join(" | "), " --- |".repeat(HEAD.len()));
+    for row in rows {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "| {} |", cells(row).map(|cell| cell.replace('|', "/")).join(" | "));
+    }
+    text
+}
+
+/// For a terminal.
+pub fn plain(rows: &[Row]) -> String {
+    let mut text = String::new();
+    for row in rows {
+        let [role, what, at, limit, ratio, holds, reach, note] =
+            cells(row).map(|cell| cell.replace("**", ""));
+        let _ = write!(text, "{role}: {what}: {at}");
+        if !limit.is_empty() {
+            let _ = write!(text, ", limit {limit}, ratio {ratio}: {holds}");
+        }
+        let _ = writeln!(text, "\n    run up to {reach}");
+        if let (Some(slope), Some(intercept)) = (row.slope, row.intercept) {
+            let left = row.residual.unwrap_or(0.0) * 100.0;
+            let _ = writeln!(
+                text,
+                "    {intercept:.4} + {slope:.6} {} for each of {}; at most {left:.0} % left over",
+                row.unit, row.by
+            );
+        }
+        if !note.is_empty() {
+            let _ = writeln!(text, "    {note}");
+        }
+    }
+    text
+}
