--- /dev/null
+++ b/crates/control/src/attach.rs
@@ -0,0 +1,146 @@
+//! Which control machine a process attaches to, and when: near first (zone, then region), evenly among those alike
+//! near (rendezvous hash of the two names), one at a time, to the next when one is lost.
+//!
+//! All waits are drawn, so that the loss of a machine, of a zone or of all makes no stampede: the fleet comes spread
+//! over [`SPREAD`], and in rounds that grow to [`WAIT_MOST`] while nobody answers.
+
+use nanorand::{Rng, WyRand};
+use std::time::Duration;
+use twox_hash::XxHash3_64;
+
+/// Those that lost one machine come to the others over so long: 17 s are allowed for a change, silence takes
+/// [`crate::subscriber::SILENT`] of them.
+pub const SPREAD: Duration = Duration::from_secs(2);
+/// After the first failure; it doubles.
+pub const WAIT_LEAST: Duration = Duration::from_millis(250);
+/// Between two tries while nobody answers: 630 processes make some 160 tries a second at the six together.
+pub const WAIT_MOST: Duration = Duration::from_secs(8);
+/// At a start.
+pub const START: Duration = Duration::from_millis(250);
+/// On a machine that is not the first choice, the first choice is tried again after so long; it doubles.
+pub const HOME_LEAST: Duration = Duration::from_secs(60);
+pub const HOME_MOST: Duration = Duration::from_secs(960);
+/// An attachment that lasted so long was a good one: failures before it are forgotten.
+const GOOD: Duration = Duration::from_secs(10);
+
+/// A name and where it stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Who {
+    pub name: String,
+    pub region: String,
+    pub zone: String,
+}
+
+/// Machines in the order in which `who` tries them.
+pub fn order(who: &Who, machines: &[Who]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..machines.len()).collect();
+    order.sort_by_key(|at| {
+        let machine = &machines[*at];
+        let same_region = machine.region == who.region;
+        let far = match (same_region, same_region && machine.zone == who.zone) {
+            (_, true) => 0,
+            (true, _) => 1,
+            _ => 2,
+        };
+        let hash =
+            XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(who.name.as_bytes()), machine.name.as_bytes());
+        (far, std::cmp::Reverse(hash), *at)
+    });
+    order
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    Waits(Duration),
+    Dials,
+    On { since: Duration, home: Option<Duration> },
+}
+
+/// Where one process is with its attachment. Its driver asks [`Self::next`] when [`Self::due`] has come, dials, and
+/// says how it went.
+pub struct Chooser {
+    order: Vec<usize>,
+    /// Place in `order`.
+    place: usize,
+    at: At,
+    failures: u32,
+    homeward: u32,
+    chance: WyRand,
+}
+
+impl Chooser {
+    pub fn new(now: Duration, who: &Who, machines: &[Who], seed: u64) -> Self {
+        let mut chance = WyRand::new_seed(seed);
+        let at = At::Waits(now + drawn(&mut chance, START));
+        Self { order: order(who, machines), place: 0, at, failures: 0, homeward: 0, chance }
+    }
+
+    /// When something is to be done: a machine dialled, or the present one left for the first choice.
+    pub fn due(&self) -> Option<Duration> {
+        match self.at {
+            At::Waits(until) => Some(until),
+            At::Dials => None,
+            At::On { home, .. } => home,
+        }
+    }
+
+    /// The machine to dial now, of those given at the start. The link that there was, if any, is closed.
+    pub fn next(&mut self, now: Duration) -> Option<usize> {
+        if self.due().is_none_or(|due| now < due) {
+            return None;
+        }
+        if matches!(self.at, At::On { .. }) {
+            self.homeward += 1;
+            self.place = 0;
+        }
+        let machine = *self.order.get(self.place)?;
+        self.at = At::Dials;
+        Some(machine)
+    }
+
+    /// The machine said so.
+    pub fn attached(&mut self, now: Duration) {
+        if self.place == 0 {
+            self.homeward = 0;
+        }
+        let home = (self.place > 0).then(|| {
+            let wait = HOME_LEAST.saturating_mul(1 << self.homeward.min(8)).min(HOME_MOST);
+            now + wait + drawn(&mut self.chance, wait)
+        });
+        self.at = At::On { since: now, home };
+    }
+
+    /// The link ended, or went silent, or the machine is not in touch with the others; or it could not be dialled.
+    pub fn lost(&mut self, now: Duration) {
+        let attached = match self.at {
+            At::Waits(_) => return,
+            At::Dials => false,
+            At::On { since, .. } => now.saturating_sub(since) >= GOOD,
+        };
+        if attached {
+            self.failures = 0;
+        }
+        let wait = match self.failures {
+            0 if attached => SPREAD,
+            tries => WAIT_LEAST.saturating_mul(1 << tries.min(8)).min(WAIT_MOST),
+        };
+        self.failures = self.failures.saturating_add(1);
+        self.place = (self.place + 1) % self.order.len().max(1);
+        let wait = drawn(&mut self.chance, wait);
+        self.at = At::Waits(if crate::plant::planted("no-spread") { now } else { now + wait });
+    }
+
+    /// The machine said when to come back. The link is closed.
+    pub fn come_back(&mut self, now: Duration, after: Duration, elsewhere: bool) {
+        if elsewhere {
+            return self.lost(now);
+        }
+        self.at = At::Waits(now + after.min(WAIT_MOST));
+    }
+}
+
+/// Evenly from none to so long.
+fn drawn(chance: &mut WyRand, most: Duration) -> Duration {
+    let nanos = u64::try_from(most.as_nanos()).unwrap_or(u64::MAX);
+    Duration::from_nanos(chance.generate_range(0..=nanos))
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,58 @@
+//! A configuration in numbered versions, on its way from up to six control machines to a fleet: decisions alone,
+//! without I/O. Time, chance and frames are handed in; frames and orders come out.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | [`frames`] | what is sent |
+//! | [`delta`] | a configuration as named things; what changed; the running digest; whole or not at all |
+//! | [`snapshot`] | a whole version packed, for links and disks |
+//! | [`source`] | a control machine: the newest version, a bounded history, who holds what |
+//! | [`subscriber`] | a process: the version in force, what it takes, what it refuses |
+//! | [`attach`] | which control machine a process goes to, and when |
+//!
+//! Who numbers the versions: the group's log. A committed change is a [`frames::Delta`] from the version before it;
+//! one made from an older version is refused alike on each machine, since each sees the same log.
+
+pub mod attach;
+pub mod delta;
+pub mod frames;
+pub mod plant;
+pub mod snapshot;
+pub mod source;
+pub mod subscriber;
+
+use std::fmt;
+
+/// Why something was not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Bytes that are no frame.
+    Frame,
+    /// Made from another version than the one that is there.
+    From { made: u64, there: u64 },
+    /// Does not lead to a later version.
+    Backward,
+    /// Leads to another digest than it says.
+    Differs,
+    /// Too large in some way, which is said.
+    Large(&'static str),
+    /// One thing of it cannot be taken.
+    Thing { name: String, why: &'static str },
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Frame => out.write_str("bytes that are no frame"),
+            Self::From { made, there } => {
+                write!(out, "made from version {made}, but version {there} is there")
+            }
+            Self::Backward => out.write_str("does not lead to a later version"),
+            Self::Differs => out.write_str("leads to another digest than it says"),
+            Self::Large(why) => out.write_str(why),
+            Self::Thing { name, why } => write!(out, "`{name}`: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
--- /dev/null
+++ b/crates/control/src/subscriber.rs
@@ -0,0 +1,382 @@
+//! A process that holds one version: what it takes, confirms and refuses.
+//!
+//! | what comes | rule |
+//! | --- | --- |
+//! | a delta from the version in force | checked, then handed to the driver; confirmed when it is in force |
+//! | one to the version in force or an older one (stale, twice) | confirmed anew, changes nothing |
+//! | one that begins elsewhere (gap, out of order) | asked for what begins at the version in force |
+//! | one that leads to another digest, or cannot be applied | an event, and a snapshot is asked for |
+//! | pieces of a snapshot | kept across links, asked for from where they end; an older one than in force: stale |
+//! | anything while the driver is at work on a version | left: the machine sends again what is not confirmed |
+//! | the driver cannot take a version | refused with its reason; the last good one stays in force |
+//!
+//! Invariants: `version` never goes down; what is in force is what was last confirmed by the driver; a confirmation
+//! names only a version that is in force.
+
+use crate::attach::Who;
+use crate::delta::State;
+use crate::frames::{Ask, Attach, Confirm, Delta, Down, Got, Lack, Piece, Refuse, Up};
+use crate::plant::planted;
+use crate::{snapshot, Refused};
+use bytes::Bytes;
+use rainstand_config::schema;
+use std::time::Duration;
+
+/// A machine of which nothing was heard for so long is left: two and a half pings.
+pub const SILENT: Duration = Duration::from_secs(5);
+/// A machine that did not know for so long whether others have a newer version is left for one that may.
+pub const STALE: Duration = Duration::from_secs(8);
+/// A reason is cut to so many bytes.
+pub const MOST_REASON: usize = 256;
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    Send(Bytes),
+    /// Take [`Subscriber::pending`], which is this version, and say how it went.
+    Take(u64),
+    /// Close the link and tell the chooser.
+    ComeBack {
+        after: Duration,
+        elsewhere: bool,
+    },
+    /// Close the link and tell the chooser that it was lost: what came was no frame.
+    Close,
+    Event(Event),
+}
+
+/// What operators are told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    InForce {
+        version: u64,
+    },
+    Refused {
+        version: u64,
+        reason: String,
+    },
+    /// What came led to another digest, or could not be applied: a snapshot was asked for.
+    Differs {
+        version: u64,
+        why: Refused,
+    },
+    Gap {
+        holds: u64,
+        from: u64,
+    },
+    Unreadable,
+}
+
+/// A version that the driver is at work on.
+#[derive(Debug)]
+pub enum Pending {
+    Delta(Delta),
+    Whole { version: u64, state: State },
+}
+
+impl Pending {
+    pub fn version(&self) -> u64 {
+        match self {
+            Self::Delta(delta) => delta.to,
+            Self::Whole { version, .. } => *version,
+        }
+    }
+}
+
+/// A packed snapshot of which the first bytes are in hand.
+#[derive(Debug, Default)]
+struct Partial {
+    version: u64,
+    digest: u64,
+    length: usize,
+    bytes: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    pub in_force: u64,
+    pub refused: u64,
+    pub stale: u64,
+    pub gaps: u64,
+    pub differs: u64,
+    pub busy: u64,
+    pub pieces: u64,
+    pub bytes_in: u64,
+    pub bytes_out: u64,
+    pub unreadable: u64,
+}
+
+pub struct Subscriber {
+    who: Who,
+    version: u64,
+    state: State,
+    pending: Option<Pending>,
+    partial: Option<Partial>,
+    /// There is a link; without one nothing is sent.
+    linked: bool,
+    /// Its machine said that it is attached.
+    attached: bool,
+    heard: Duration,
+    /// When a machine that was in touch with the others last had no newer version than this.
+    newest: Duration,
+    orders: Vec<Order>,
+    counters: Counters,
+}
+
+impl Subscriber {
+    /// With nothing in hand: version 0, which is empty.
+    pub fn new(now: Duration, who: Who) -> Self {
+        Self::with(now, who, 0, State::default())
+    }
+
+    /// With a version that is in force already, as read from a disk.
+    pub fn with(now: Duration, who: Who, version: u64, state: State) -> Self {
+        Self {
+            who,
+            version,
+            state,
+            pending: None,
+            partial: None,
+            linked: false,
+            attached: false,
+            heard: now,
+            newest: now,
+            orders: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    pub fn is_attached(&self) -> bool {
+        self.attached
+    }
+
+    /// What the driver is to take: the change, or all of it.
+    pub fn pending(&self) -> Option<&Pending> {
+        self.pending.as_ref()
+    }
+
+    /// How long ago this was last known to be the newest version.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.newest)
+    }
+
+    /// What there is to do, in order.
+    pub fn orders(&mut self) -> std::vec::Drain<'_, Order> {
+        self.orders.drain(..)
+    }
+
+    /// The machine is to be left: nothing was heard of it for too long, or it is out of touch with the others.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard) >= SILENT || self.attached && self.age(now) >= STALE
+    }
+
+    /// A link is open: the attachment is sent on it.
+    pub fn opened(&mut self, now: Duration) {
+        self.linked = true;
+        self.attached = false;
+        self.heard = now;
+        let partial = self.partial.as_ref().map(|partial| Got {
+            version: partial.version,
+            digest: partial.digest,
+            offset: partial.bytes.len() as u64,
+        });
+        let Who { name, region, zone } = self.who.clone();
+        let (version, digest) = (self.version, self.state.digest());
+        self.send(Up::Attach(Attach {
+            name,
+            region,
+            zone,
+            version,
+            digest,
+            takes: schema::VERSION,
+            partial,
+        }));
+    }
+
+    /// The link is over. What is pending stays so: the driver is at work on it.
+    pub fn cut(&mut self) {
+        self.linked = false;
+        self.attached = false;
+        self.orders.retain(|order| !matches!(order, Order::Send(_)));
+    }
+
+    /// A frame of the link.
+    pub fn heard(&mut self, now: Duration, frame: Bytes) {
+        self.heard = now;
+        self.counters.bytes_in += frame.len() as u64;
+        match Down::decoded(frame) {
+            Ok(Down::Attached(said)) => {
+                self.attached = true;
+                self.newest(now, said.version, said.age_ms);
+            }
+            Ok(Down::Ping(said)) => {
+                self.newest(now, said.version, said.age_ms);
+                self.confirm();
+            }
+            Ok(Down::ComeBack(said)) => {
+                let after = Duration::from_millis(said.after_ms);
+                self.orders.push(Order::ComeBack { after, elsewhere: said.elsewhere });
+            }
+            Ok(Down::Delta(delta)) => self.delta(delta),
+            Ok(Down::Piece(piece)) => self.piece(piece),
+            Err(_) => {
+                self.counters.unreadable += 1;
+                self.orders.push(Order::Event(Event::Unreadable));
+                self.orders.push(Order::Close);
+            }
+        }
+    }
+
+    fn newest(&mut self, now: Duration, version: u64, age_ms: u64) {
+        if version <= self.version {
+            self.newest = self.newest.max(now.saturating_sub(Duration::from_millis(age_ms)));
+        }
+    }
+
+    fn delta(&mut self, delta: Delta) {
+        if self.pending.is_some() {
+            self.counters.busy += 1;
+        } else if delta.to <= self.version {
+            self.counters.stale += 1;
+            self.confirm();
+        } else if delta.from != self.version && !planted("over-a-gap") {
+            self.counters.gaps += 1;
+            self.orders.push(Order::Event(Event::Gap { holds: self.version, from: delta.from }));
+            self.ask(Lack::Gap);
+        } else if let Err(why) = self.state.would(&delta) {
+            self.differs(delta.to, why);
+        } else {
+            self.take(Pending::Delta(delta));
+        }
+    }
+
+    fn piece(&mut self, piece: Piece) {
+        if self.pending.is_some() {
+            self.counters.busy += 1;
+            return;
+        }
+        // One of the version in force helps where that was found to differ; else it is stale.
+        if (piece.version, piece.digest) == (self.version, self.state.digest())
+            || piece.version < self.version
+        {
+            self.counters.stale += 1;
+            self.confirm();
+            return;
+        }
+        let length = usize::try_from(piece.length).unwrap_or(usize::MAX);
+        if length > snapshot::MOST_PACKED {
+            self.differs(piece.version, Refused::Large("the snapshot is larger than is taken"));
+            return;
+        }
+        self.counters.pieces += 1;
+        let same = |kept: &Partial| {
+            (kept.version, kept.digest, kept.length) == (piece.version, piece.digest, length)
+        };
+        let newer = |kept: &Partial| kept.version > piece.version;
+        let mut partial = match self.partial.take() {
+            Some(kept) if same(&kept) || newer(&kept) => kept,
+            _ => Partial { version: piece.version, digest: piece.digest, length, bytes: Vec::new() },
+        };
+        let next = same(&partial) && piece.offset == partial.bytes.len() as u64;
+        if next && partial.bytes.len() + piece.bytes.len() <= length {
+            partial.bytes.extend_from_slice(&piece.bytes);
+        } else {
+            self.counters.stale += 1;
+        }
+        let got =
+            Got { version: partial.version, digest: partial.digest, offset: partial.bytes.len() as u64 };
+        if partial.bytes.len() < partial.length {
+            self.partial = Some(partial);
+            self.send(Up::Got(got));
+            return;
+        }
+        match snapshot::unpacked(&partial.bytes) {
+            Ok((version, state)) if (version, state.digest()) == (partial.version, partial.digest) => {
+                self.send(Up::Got(got));
+                self.take(Pending::Whole { version, state });
+            }
+            Ok(_) => self.differs(partial.version, Refused::Differs),
+            Err(why) => self.differs(partial.version, why),
+        }
+    }
+
+    fn differs(&mut self, version: u64, why: Refused) {
+        self.counters.differs += 1;
+        self.orders.push(Order::Event(Event::Differs { version, why }));
+        self.ask(Lack::Differs);
+    }
+
+    fn ask(&mut self, lack: Lack) {
+        let digest = self.state.digest();
+        self.send(Up::Ask(Ask { lack: lack as i32, version: self.version, digest }));
+    }
+
+    fn take(&mut self, pending: Pending) {
+        let version = pending.version();
+        self.orders.push(Order::Take(version));
+        if planted("early-confirm") {
+            let digest = match &pending {
+                Pending::Delta(delta) => delta.digest,
+                Pending::Whole { state, .. } => state.digest(),
+            };
+            self.send(Up::Confirm(Confirm { version, digest }));
+        }
+        self.pending = Some(pending);
+    }
+
+    /// The driver has put the pending version into force: all that comes in from now on is decided by it.
+    pub fn in_force(&mut self, version: u64) {
+        let Some(pending) = self.pending.take_if(|pending| pending.version() == version) else { return };
+        match pending {
+            Pending::Delta(delta) => {
+                // Checked when it came, and the state is the same since; were it not, a snapshot mends it.
+                if let Err(why) = self.state.apply(&delta) {
+                    return self.differs(version, why);
+                }
+            }
+            Pending::Whole { state, .. } => self.state = state,
+        }
+        self.version = version;
+        self.counters.in_force += 1;
+        self.orders.push(Order::Event(Event::InForce { version }));
+        self.confirm();
+    }
+
+    /// The driver cannot take the pending version; the one before it is in force.
+    pub fn refused(&mut self, version: u64, reason: &str) {
+        if self.pending.take_if(|pending| pending.version() == version).is_none() {
+            return;
+        }
+        self.counters.refused += 1;
+        let end = (0..=MOST_REASON.min(reason.len())).rev().find(|end| reason.is_char_boundary(*end));
+        let reason = reason[..end.unwrap_or(0)].to_owned();
+        self.orders.push(Order::Event(Event::Refused { version, reason: reason.clone() }));
+        self.send(Up::Refuse(Refuse { version, reason, holds: self.version }));
+    }
+
+    fn send(&mut self, up: Up) {
+        if !self.linked {
+            return;
+        }
+        let frame = up.encoded();
+        self.counters.bytes_out += frame.len() as u64;
+        self.orders.push(Order::Send(frame));
+    }
+
+    fn confirm(&mut self) {
+        let digest = self.state.digest();
+        self.send(Up::Confirm(Confirm { version: self.version, digest }));
+    }
+}
