--- a/crates/control/src/attach.rs
+++ b/crates/control/src/attach.rs
@@ -112,18 +112,17 @@
 
     /// The link ended, or went silent, or the machine is not in touch with the others; or it could not be dialled.
     pub fn lost(&mut self, now: Duration) {
-        let attached = match self.at {
+        let least = match self.at {
             At::Waits(_) => return,
-            At::Dials => false,
-            At::On { since, .. } => now.saturating_sub(since) >= GOOD,
-        };
-        if attached {
-            self.failures = 0;
-        }
-        let wait = match self.failures {
-            0 if attached => SPREAD,
-            tries => WAIT_LEAST.saturating_mul(1 << tries.min(8)).min(WAIT_MOST),
+            At::Dials => WAIT_LEAST,
+            At::On { since, .. } => {
+                if now.saturating_sub(since) >= GOOD {
+                    self.failures = 0;
+                }
+                SPREAD
+            }
         };
+        let wait = WAIT_LEAST.saturating_mul(1 << self.failures.min(8)).clamp(least, WAIT_MOST);
         self.failures = self.failures.saturating_add(1);
         self.place = (self.place + 1) % self.order.len().max(1);
         let wait = drawn(&mut self.chance, wait);
--- a/crates/control/src/delta.rs
+++ b/crates/control/src/delta.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Held {
     rank: u64,
-    body: Bytes,
+    body: Box<[u8]>,
 }
 
 /// A thing, read.
@@ -107,7 +107,7 @@
 impl Thing {
     fn of(key: &Key, held: &Held) -> Self {
         let Named { kind, name, pool } = key.named();
-        Self { kind, name, pool, rank: held.rank, body: held.body.clone() }
+        Self { kind, name, pool, rank: held.rank, body: Bytes::copy_from_slice(&held.body) }
     }
 
     /// # Errors
@@ -172,6 +172,12 @@
         self.digest
     }
 
+    /// Whether the digest is that of all that is here, counted anew: for what was read from a disk, and for tests.
+    pub fn is_whole(&self) -> bool {
+        let sum = |sum: u64, (key, held): (&Key, &Held)| sum.wrapping_add(key.hash(held.rank, &held.body));
+        self.things.iter().fold(0, sum) == self.digest
+    }
+
     /// Things in it.
     pub fn len(&self) -> usize {
         self.things.len()
@@ -361,8 +367,7 @@
                 return Err(refused(&thing.name, "two routes at one place"));
             }
             digest = digest.wrapping_add(key.hash(thing.rank, &thing.body));
-            // A body of its own: one that is cut out of a frame would keep the whole frame in memory.
-            puts.push((key, Held { rank: thing.rank, body: Bytes::copy_from_slice(&thing.body) }));
+            puts.push((key, Held { rank: thing.rank, body: (*thing.body).into() }));
         }
         for (key, held) in puts.iter().filter(|(key, _)| key.kind == Kind::Route) {
             let there = self.routes.get(&held.rank);
@@ -468,7 +473,7 @@
     from: u64,
     to: u64,
     digest: u64,
-    last: BTreeMap<Key, Option<(u64, Bytes)>>,
+    last: BTreeMap<Key, Option<Thing>>,
 }
 
 impl Joined {
@@ -490,8 +495,7 @@
             self.last.insert(Key::read(named.kind, &named.pool, &named.name)?, None);
         }
         for thing in &later.puts {
-            let said = Some((thing.rank, thing.body.clone()));
-            self.last.insert(Key::read(thing.kind, &thing.pool, &thing.name)?, said);
+            self.last.insert(Key::read(thing.kind, &thing.pool, &thing.name)?, Some(thing.clone()));
         }
         (self.to, self.digest) = (later.to, later.digest);
         Ok(())
@@ -502,7 +506,7 @@
         let mut delta = Delta { from, to, digest, ..Delta::default() };
         for (key, said) in last {
             match said {
-                Some((rank, body)) => delta.puts.push(Thing::of(&key, &Held { rank, body })),
+                Some(thing) => delta.puts.push(thing),
                 None => delta.removals.push(key.named()),
             }
         }
--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -3,14 +3,61 @@
 //! Each subscriber has one change on its way at a time: a delta, or pieces of a snapshot up to a window. What is
 //! committed meanwhile is skipped: from what it then holds it gets one delta to the newest. So a slow one costs
 //! a bounded amount and holds up nobody.
+//!
+//! | what a subscriber holds | what it gets |
+//! | --- | --- |
+//! | the newest | a ping now and then |
+//! | a version of the history, with its digest | one delta to the newest, if that is not too large |
+//! | a version of the history with another digest | an event, and the snapshot |
+//! | an older one, or nothing | the packed snapshot, and from there a delta |
+//! | a newer one | nothing, until this machine has it too: nobody is led back |
+//! | the version before one that it refused | nothing, until there is a newer one |
+//!
+//! The packed snapshot is made where the history no longer reaches back to it, or on each [`PACK_EVERY`]th version,
+//! so that all machines have the same one as a rule, and one machine's pieces go on where another's were cut.
+//!
+//! Invariants: the history is without gaps and ends at the newest version; each subscriber has at most one change on
+//! its way; a name is attached once.
 
 use crate::attach::Who;
+use crate::delta::Joined;
 use crate::delta::State;
-use crate::frames::Delta;
-use crate::Refused;
+use crate::frames::{
+    Ask, Attach, Attached, ComeBack, Confirm, Delta, Down, Got, Lack, Piece, Ping, Refuse, Up,
+};
+use crate::plant::planted;
+use crate::{snapshot, Refused};
 use bytes::Bytes;
+use foldhash::{HashMap, HashMapExt};
+use nanorand::{Rng, WyRand};
+use rainstand_config::schema;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+/// To a subscriber to which nothing else was sent.
+pub const PING: Duration = Duration::from_secs(2);
+/// A subscriber of which nothing was heard for so long is gone: three pings without an answer.
+pub const SILENT: Duration = Duration::from_secs(7);
+/// What was not confirmed in so long is sent again.
+pub const AGAIN: Duration = Duration::from_secs(5);
+/// Between two looks at all subscribers.
+const SWEEP: Duration = Duration::from_millis(500);
+/// A version by whose number this divides is packed when it is committed.
+pub const PACK_EVERY: u64 = 256;
+/// Between two packings that a subscriber needs at once.
+const PACK_WAIT: Duration = Duration::from_secs(5);
+/// Packed snapshots that are kept: those who are at the older one go on with it.
+const PACKED: usize = 2;
+/// A subscriber that finds that what it got differs is helped again after so long; it doubles.
+const HELP_LEAST: Duration = Duration::from_secs(1);
+const HELP_MOST: Duration = Duration::from_secs(64);
+/// Those turned away are told to come back within so long.
+const QUEUE_MOST: Duration = Duration::from_secs(8);
+/// A name of a process, zone or region.
+const MOST_NAME: usize = 256;
+/// Encoded deltas to the newest that are kept, by where they begin.
+const MOST_ENCODED: usize = 64;
+
 /// A link, as its driver numbers them; a number is not used again.
 pub type Link = u64;
 
@@ -135,10 +182,67 @@
     pub bytes_out: u64,
 }
 
+#[derive(Debug)]
+struct Step {
+    delta: Delta,
+    bytes: usize,
+    at: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Packed {
+    version: u64,
+    digest: u64,
+    bytes: Bytes,
+}
+
+/// What is on its way to a subscriber.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sent {
+    Nothing,
+    Delta { from: u64, to: u64, at: Duration },
+    Pieces { version: u64, digest: u64, got: usize, next: usize, at: Duration },
+}
+
+#[derive(Debug)]
+struct Subscriber {
+    who: Who,
+    version: u64,
+    digest: u64,
+    sent: Sent,
+    refused: Option<(u64, String)>,
+    /// It found, or we did, that only a snapshot helps.
+    differs: bool,
+    /// It holds a newer version; said once.
+    ahead: bool,
+    /// How often it had to be helped since it last confirmed, and when the next time is.
+    helped: u32,
+    help_at: Duration,
+    partial: Option<Got>,
+    heard: Duration,
+    spoke: Duration,
+}
+
 pub struct Source {
     bounds: Bounds,
     version: u64,
     state: State,
+    history: VecDeque<Step>,
+    history_bytes: usize,
+    /// The newest last.
+    packed: VecDeque<Packed>,
+    packed_at: Option<Duration>,
+    subscribers: BTreeMap<Link, Subscriber>,
+    links: HashMap<String, Link>,
+    /// Deltas to the newest, encoded, by where they begin; nothing: too large.
+    encoded: HashMap<u64, Option<Bytes>>,
+    current: Duration,
+    /// When the next attachment would be on time, at an even pace.
+    pace: Duration,
+    /// When the last of those turned away is told to come back.
+    queue: Duration,
+    sweep: Duration,
+    chance: WyRand,
     orders: Vec<Order>,
     counters: Counters,
 }
@@ -146,11 +250,22 @@
 impl Source {
     /// With nothing committed yet: version 0, which is empty.
     pub fn new(now: Duration, bounds: Bounds, seed: u64) -> Self {
-        let _ = (now, seed);
         Self {
             bounds,
             version: 0,
             state: State::default(),
+            history: VecDeque::new(),
+            history_bytes: 0,
+            packed: VecDeque::new(),
+            packed_at: None,
+            subscribers: BTreeMap::new(),
+            links: HashMap::new(),
+            encoded: HashMap::new(),
+            current: now,
+            pace: now,
+            queue: now,
+            sweep: now + SWEEP,
+            chance: WyRand::new_seed(seed),
             orders: Vec::new(),
             counters: Counters::default(),
         }
@@ -161,7 +276,22 @@
     /// # Errors
     /// Too large.
     pub fn packed(&mut self) -> Result<Bytes, Refused> {
-        todo!()
+        if let Some(packed) = self.packed.iter().find(|packed| packed.version == self.version) {
+            return Ok(packed.bytes.clone());
+        }
+        let bytes = Bytes::from(snapshot::packed(self.version, &self.state)?);
+        self.counters.packed += 1;
+        self.keep(bytes.clone());
+        Ok(bytes)
+    }
+
+    /// Keeps the newest version packed.
+    fn keep(&mut self, bytes: Bytes) {
+        let digest = self.state.digest();
+        self.packed.push_back(Packed { version: self.version, digest, bytes });
+        while self.packed.len() > PACKED {
+            self.packed.pop_front();
+        }
     }
 
     /// Begins anew from such a snapshot; one that is not newer is left.
@@ -169,8 +299,17 @@
     /// # Errors
     /// It cannot be read.
     pub fn restored(&mut self, now: Duration, packed: Bytes) -> Result<(), Refused> {
-        let _ = (now, packed);
-        todo!()
+        let (version, state) = snapshot::unpacked(&packed)?;
+        if version <= self.version {
+            return Ok(());
+        }
+        (self.version, self.state) = (version, state);
+        self.history.clear();
+        self.history_bytes = 0;
+        self.encoded.clear();
+        self.keep(packed);
+        self.offer_all(now);
+        Ok(())
     }
 
     /// The next committed change, in the order of the log: alike on each machine.
@@ -178,36 +317,433 @@
     /// # Errors
     /// It is made from another version than the newest, or cannot be applied; nothing has changed then.
     pub fn committed(&mut self, now: Duration, delta: Delta) -> Result<(), Refused> {
-        let _ = (now, delta);
-        todo!()
+        if delta.from != self.version {
+            return Err(Refused::From { made: delta.from, there: self.version });
+        }
+        if delta.to <= delta.from {
+            return Err(Refused::Backward);
+        }
+        self.state.apply(&delta)?;
+        self.version = delta.to;
+        self.counters.committed += 1;
+        self.encoded.clear();
+        let bytes = prost::Message::encoded_len(&delta);
+        self.history_bytes += bytes;
+        self.history.push_back(Step { delta, bytes, at: now });
+        while self.history.len() > self.bounds.history || self.history_bytes > self.bounds.history_bytes {
+            let Some(gone) = self.history.pop_front() else { break };
+            self.history_bytes -= gone.bytes;
+        }
+        if self.version.is_multiple_of(PACK_EVERY) {
+            // Too large: said to whoever publishes it, and here to those who need it.
+            let _ = self.packed();
+        }
+        self.offer_all(now);
+        Ok(())
     }
 
     /// The machine knew at this time that no other has a newer version: it heard from the group's leader.
     pub fn current(&mut self, now: Duration) {
-        let _ = now;
-        todo!()
+        self.current = self.current.max(now);
+    }
+
+    fn age_ms(&self, now: Duration) -> u64 {
+        u64::try_from(now.saturating_sub(self.current).as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// A frame of a link. The first frame is its attachment.
+    fn send(&mut self, now: Duration, link: Link, frame: Bytes) {
+        self.counters.bytes_out += frame.len() as u64;
+        if let Some(subscriber) = self.subscribers.get_mut(&link) {
+            subscriber.spoke = now;
+        }
+        self.orders.push(Order::Send { link, frame });
+    }
+
+    /// A frame of a link. The first frame is its attachment; links that say nothing are for the driver to bound.
     pub fn heard(&mut self, now: Duration, link: Link, frame: Bytes) {
-        let _ = (now, link, frame);
-        todo!()
+        self.counters.bytes_in += frame.len() as u64;
+        let up = Up::decoded(frame);
+        let known = self.subscribers.get_mut(&link).map(|subscriber| subscriber.heard = now).is_some();
+        match up {
+            Ok(Up::Attach(attach)) if !known => self.attach(now, link, attach),
+            Ok(Up::Confirm(confirm)) if known => self.confirm(now, link, confirm),
+            Ok(Up::Refuse(refuse)) if known => self.refuse(now, link, refuse),
+            Ok(Up::Ask(ask)) if known => self.ask(now, link, ask),
+            Ok(Up::Got(got)) if known => self.got(now, link, got),
+            _ => {
+                self.counters.unreadable += 1;
+                self.orders.push(Order::Event(Event::Unreadable { link }));
+                self.end(link);
+            }
+        }
+    }
+
+    fn attach(&mut self, now: Duration, link: Link, attach: Attach) {
+        let Attach { name, region, zone, version, digest, takes, partial } = attach;
+        if [&name, &region, &zone].iter().any(|text| text.len() > MOST_NAME) || name.is_empty() {
+            self.counters.unreadable += 1;
+            self.orders.push(Order::Event(Event::Unreadable { link }));
+            return self.end(link);
+        }
+        let again = self.links.contains_key(&name);
+        let full = !again && self.subscribers.len() >= self.bounds.subscribers || takes < schema::VERSION;
+        let every = Duration::from_secs(1) / self.bounds.attach_a_second.max(1);
+        let at_once = every * self.bounds.attach_at_once;
+        if full || self.pace > now + at_once {
+            // Each is told a place of its own, at the pace at which attachments are taken.
+            self.queue = self.queue.max(now).min(now + QUEUE_MOST) + every;
+            let spread = Duration::from_nanos(self.chance.generate_range(0..=every.as_nanos() as u64));
+            let after = self.queue + spread - now;
+            let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+            self.counters.turned_away += 1;
+            self.orders.push(Order::Event(Event::TurnedAway { name }));
+            self.send(now, link, Down::ComeBack(ComeBack { after_ms, elsewhere: full }).encoded());
+            self.orders.push(Order::Close(link));
+            return;
+        }
+        self.pace = self.pace.max(now) + every;
+        if let Some(old) = self.links.insert(name.clone(), link) {
+            // The process opened a new link: what is left of the old one is nobody's.
+            self.subscribers.remove(&old);
+            self.orders.push(Order::Close(old));
+        }
+        self.counters.attached += 1;
+        self.orders.push(Order::Event(Event::Attached { name: name.clone(), version }));
+        let who = Who { name, region, zone };
+        let subscriber = Subscriber {
+            who,
+            version,
+            digest,
+            sent: Sent::Nothing,
+            refused: None,
+            differs: false,
+            ahead: false,
+            helped: 0,
+            help_at: now,
+            partial,
+            heard: now,
+            spoke: now,
+        };
+        self.subscribers.insert(link, subscriber);
+        let age_ms = self.age_ms(now);
+        self.send(now, link, Down::Attached(Attached { version: self.version, age_ms }).encoded());
+        self.offer(now, link);
+    }
+
+    fn confirm(&mut self, now: Duration, link: Link, confirm: Confirm) {
+        let ours = self.digest_at(confirm.version);
+        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        if confirm.version < subscriber.version {
+            // Late: it said more since.
+            return;
+        }
+        if confirm.version > subscriber.version {
+            self.counters.confirmed += 1;
+            (subscriber.helped, subscriber.help_at) = (0, now);
+        }
+        // What was found to differ is mended by what came since; where it is not, that is found anew.
+        let sent = matches!(subscriber.sent, Sent::Pieces { version, digest, .. }
+            if (version, digest) == (confirm.version, confirm.digest));
+        if confirm.version > subscriber.version || ours == Some(confirm.digest) || sent {
+            subscriber.differs = false;
+        }
+        (subscriber.version, subscriber.digest) = (confirm.version, confirm.digest);
+        let over = match subscriber.sent {
+            Sent::Nothing => false,
+            // Taken, or of no more use: something else led it on meanwhile.
+            Sent::Delta { from, .. } => from != confirm.version,
+            Sent::Pieces { version, .. } => version <= confirm.version && !subscriber.differs,
+        };
+        if over {
+            subscriber.sent = Sent::Nothing;
+        }
+        self.offer(now, link);
+    }
+
+    fn refuse(&mut self, now: Duration, link: Link, refuse: Refuse) {
+        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        let Refuse { version, mut reason, .. } = refuse;
+        reason.truncate((0..=MOST_NAME).rev().find(|end| reason.is_char_boundary(*end)).unwrap_or(0));
+        let over = match subscriber.sent {
+            Sent::Nothing => false,
+            Sent::Delta { to, .. } => to <= version,
+            Sent::Pieces { version: sent, .. } => sent <= version,
+        };
+        if over {
+            subscriber.sent = Sent::Nothing;
+        }
+        subscriber.refused = Some((version, reason.clone()));
+        self.counters.refused += 1;
+        let name = subscriber.who.name.clone();
+        self.orders.push(Order::Event(Event::Refused { name, version, reason }));
+        self.offer(now, link);
+    }
+
+    fn ask(&mut self, now: Duration, link: Link, ask: Ask) {
+        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        // What it says is what it holds, whatever was said before.
+        (subscriber.version, subscriber.digest) = (ask.version, ask.digest);
+        subscriber.sent = Sent::Nothing;
+        subscriber.partial = None;
+        subscriber.help_at = now + HELP_LEAST.saturating_mul(1 << subscriber.helped.min(16)).min(HELP_MOST);
+        if subscriber.helped == 0 {
+            subscriber.help_at = now;
+        }
+        subscriber.helped = subscriber.helped.saturating_add(1);
+        if ask.lack == Lack::Gap as i32 {
+            self.counters.gaps += 1;
+        } else {
+            self.differs(link);
+        }
+        self.offer(now, link);
+    }
+
+    fn differs(&mut self, link: Link) {
+        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        subscriber.differs = true;
+        self.counters.differs += 1;
+        let name = subscriber.who.name.clone();
+        self.orders.push(Order::Event(Event::Differs { name, version: subscriber.version }));
+    }
+
+    fn got(&mut self, now: Duration, link: Link, got: Got) {
+        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        if let Sent::Pieces { version, digest, got: before, next, at } = &mut subscriber.sent {
+            if (got.version, got.digest) != (*version, *digest) {
+                return;
+            }
+            let offset = usize::try_from(got.offset).unwrap_or(usize::MAX);
+            if offset == 0 {
+                (*before, *next, *at) = (0, 0, now);
+            } else if offset > *before && offset <= *next {
+                (*before, *at) = (offset, now);
+            }
+            self.pieces(now, link);
+        }
     }
 
     /// The link is over.
-    pub fn gone(&mut self, now: Duration, link: Link) {
-        let _ = (now, link);
-        todo!()
+    pub fn gone(&mut self, _now: Duration, link: Link) {
+        if let Some(subscriber) = self.subscribers.remove(&link) {
+            self.links.remove(&subscriber.who.name);
+            self.orders.push(Order::Event(Event::Gone { name: subscriber.who.name }));
+        }
+    }
+
+    fn end(&mut self, link: Link) {
+        self.orders.push(Order::Close(link));
+        self.gone(Duration::ZERO, link);
     }
 
     /// When [`Self::tick`] is due.
     pub fn due(&self) -> Option<Duration> {
-        todo!()
+        (!self.subscribers.is_empty()).then_some(self.sweep)
     }
 
+    /// Pings, what is to be sent again, and who is gone.
     pub fn tick(&mut self, now: Duration) {
-        let _ = now;
-        todo!()
+        if now < self.sweep {
+            return;
+        }
+        self.sweep = now + SWEEP;
+        let links: Vec<Link> = self.subscribers.keys().copied().collect();
+        let age_ms = self.age_ms(now);
+        let ping = Down::Ping(Ping { version: self.version, age_ms }).encoded();
+        for link in links {
+            let Some(subscriber) = self.subscribers.get_mut(&link) else { continue };
+            if now.saturating_sub(subscriber.heard) >= SILENT {
+                self.end(link);
+                continue;
+            }
+            let late = |at: Duration| now.saturating_sub(at) >= AGAIN;
+            match &mut subscriber.sent {
+                Sent::Nothing => self.offer(now, link),
+                Sent::Delta { at, .. } if late(*at) => {
+                    subscriber.sent = Sent::Nothing;
+                    self.counters.sent_again += 1;
+                    self.offer(now, link);
+                }
+                Sent::Pieces { version, digest, got, at, .. }
+                    if now.saturating_sub(*at) >= AGAIN * 4
+                        && self.packed.iter().any(|kept| {
+                            (kept.version, kept.digest, kept.bytes.len()) == (*version, *digest, *got)
+                        }) =>
+                {
+                    // It has all of it and says nothing of it: from the beginning.
+                    (subscriber.sent, subscriber.partial) = (Sent::Nothing, None);
+                    self.counters.sent_again += 1;
+                    self.offer(now, link);
+                }
+                Sent::Pieces { got, next, at, .. } if late(*at) && *got < *next => {
+                    (*next, *at) = (*got, now);
+                    self.counters.sent_again += 1;
+                    self.pieces(now, link);
+                }
+                _ => {}
+            }
+            let spoke = self.subscribers.get(&link).map_or(now, |subscriber| subscriber.spoke);
+            if now.saturating_sub(spoke) >= PING {
+                self.send(now, link, ping.clone());
+            }
+        }
+    }
+
+    fn offer_all(&mut self, now: Duration) {
+        let links: Vec<Link> = self.subscribers.keys().copied().collect();
+        for link in links {
+            self.offer(now, link);
+        }
+    }
+
+    /// The digest of this version, if it is the newest or in the history.
+    fn digest_at(&self, version: u64) -> Option<u64> {
+        if version == self.version {
+            return Some(self.state.digest());
+        }
+        let after = self.history.partition_point(|step| step.delta.to < version);
+        let step = self.history.get(after)?;
+        (step.delta.to == version).then_some(step.delta.digest)
+    }
+
+    /// Where in the history the way on from this version begins.
+    fn way_from(&self, version: u64) -> Option<usize> {
+        let first = self.history.partition_point(|step| step.delta.from < version);
+        let step = self.history.get(first)?;
+        if planted("history-off-by-one") && first == 0 && step.delta.from == version + 1 {
+            return Some(first);
+        }
+        (step.delta.from == version).then_some(first)
+    }
+
+    /// Sends what this subscriber lacks, if nothing is on its way to it.
+    fn offer(&mut self, now: Duration, link: Link) {
+        let newest = self.version;
+        let Some(subscriber) = self.subscribers.get(&link) else { return };
+        if subscriber.sent != Sent::Nothing || now < subscriber.help_at {
+            return;
+        }
+        let (holds, digest) = (subscriber.version, subscriber.digest);
+        if holds > newest {
+            if !subscriber.ahead {
+                let name = subscriber.who.name.clone();
+                self.orders.push(Order::Event(Event::Ahead { name, version: holds }));
+            }
+            if let Some(subscriber) = self.subscribers.get_mut(&link) {
+                subscriber.ahead = true;
+            }
+            return;
+        }
+        if !subscriber.differs && holds > 0 && self.digest_at(holds).is_some_and(|ours| ours != digest) {
+            self.differs(link);
+        }
+        let Some(subscriber) = self.subscribers.get(&link) else { return };
+        let refused = subscriber.refused.as_ref().map(|(version, _)| *version);
+        if refused == Some(newest) || holds == newest && !subscriber.differs {
+            return;
+        }
+        if !subscriber.differs {
+            if let Some(frame) = self.delta_from(holds) {
+                self.counters.deltas += 1;
+                self.send(now, link, frame);
+                if let Some(subscriber) = self.subscribers.get_mut(&link) {
+                    subscriber.sent = Sent::Delta { from: holds, to: newest, at: now };
+                }
+                return;
+            }
+        }
+        self.snapshot(now, link, holds, refused);
+    }
+
+    /// One delta from there to the newest, encoded once for all who need it.
+    fn delta_from(&mut self, holds: u64) -> Option<Bytes> {
+        if let Some(known) = self.encoded.get(&holds) {
+            return known.clone();
+        }
+        let frame = self.way_from(holds).and_then(|first| {
+            // Work before a large one is found to be too large is bounded too.
+            let bytes: usize = self.history.range(first..).map(|step| step.bytes).sum();
+            if bytes > self.bounds.delta_bytes * 4 {
+                return None;
+            }
+            let mut steps = self.history.range(first..).map(|step| &step.delta);
+            let mut all = Joined::of(steps.next()?.clone()).ok()?;
+            for step in steps {
+                all.then(step).ok()?;
+            }
+            let delta = Delta { from: holds, ..all.finish() };
+            let frame = Down::Delta(delta).encoded();
+            (frame.len() <= self.bounds.delta_bytes).then_some(frame)
+        });
+        if self.encoded.len() < MOST_ENCODED {
+            self.encoded.insert(holds, frame.clone());
+        }
+        frame
+    }
+
+    /// Begins to send a snapshot that helps: newer than what it holds, not the one refused, and with a way on.
+    fn snapshot(&mut self, now: Duration, link: Link, holds: u64, refused: Option<u64>) {
+        let Some(subscriber) = self.subscribers.get(&link) else { return };
+        let least = if subscriber.differs { holds } else { holds + 1 };
+        let helps = |packed: &&Packed| {
+            packed.version >= least
+                && Some(packed.version) != refused
+                && (packed.version == self.version || self.way_from(packed.version).is_some())
+        };
+        let partial = subscriber.partial;
+        let begun = |packed: &&Packed| {
+            partial.is_some_and(|got| (got.version, got.digest) == (packed.version, packed.digest))
+        };
+        let found =
+            self.packed.iter().filter(helps).find(begun).or_else(|| self.packed.iter().rev().find(helps));
+        let found = match found.cloned() {
+            Some(found) => found,
+            None if self.packed_at.is_some_and(|at| now < at + PACK_WAIT) => return,
+            None => {
+                self.packed_at = Some(now);
+                if self.packed().is_err() {
+                    return;
+                }
+                let Some(newest) = self.packed.back().cloned() else { return };
+                newest
+            }
+        };
+        let offset = partial.filter(|_| begun(&&found)).and_then(|got| usize::try_from(got.offset).ok());
+        let offset = offset.filter(|offset| *offset < found.bytes.len()).unwrap_or(0);
+        let Packed { version, digest, .. } = found;
+        self.counters.snapshots += 1;
+        if let Some(subscriber) = self.subscribers.get_mut(&link) {
+            subscriber.sent = Sent::Pieces { version, digest, got: offset, next: offset, at: now };
+        }
+        self.pieces(now, link);
+    }
+
+    /// Sends pieces as far as the window goes.
+    fn pieces(&mut self, now: Duration, link: Link) {
+        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        let Sent::Pieces { version, digest, got, mut next, at } = subscriber.sent else { return };
+        let kept = self.packed.iter().find(|packed| (packed.version, packed.digest) == (version, digest));
+        let Some(kept) = kept.cloned() else {
+            // Dropped while it was on its way: a newer one instead.
+            subscriber.sent = Sent::Nothing;
+            subscriber.partial = None;
+            return self.offer(now, link);
+        };
+        let length = kept.bytes.len();
+        while next < length && next < got + self.bounds.window * self.bounds.piece {
+            let end = length.min(next + self.bounds.piece);
+            let piece = Piece {
+                version,
+                digest,
+                offset: next as u64,
+                length: length as u64,
+                bytes: kept.bytes.slice(next..end),
+            };
+            next = end;
+            self.send(now, link, Down::Piece(piece).encoded());
+        }
+        if let Some(subscriber) = self.subscribers.get_mut(&link) {
+            subscriber.sent = Sent::Pieces { version, digest, got, next, at };
+        }
     }
 
     /// What there is to do, in order.
@@ -228,12 +764,45 @@
     }
 
     pub fn standing(&self) -> Vec<Standing> {
-        todo!()
+        let list = self.subscribers.iter().map(|(link, subscriber)| Standing {
+            who: subscriber.who.clone(),
+            link: *link,
+            version: subscriber.version,
+            refused: subscriber.refused.clone(),
+        });
+        list.collect()
     }
 
     /// The versions of the history, the newest first, `most` of them.
     pub fn progress(&self, most: usize) -> Vec<Progress> {
-        let _ = most;
-        todo!()
+        let steps = self.history.iter().rev().take(most);
+        steps.map(|step| self.progress_of(step)).collect()
+    }
+
+    fn progress_of(&self, step: &Step) -> Progress {
+        let version = step.delta.to;
+        let mut progress = Progress {
+            version,
+            committed: step.at,
+            things: step.delta.puts.len() + step.delta.removals.len(),
+            confirmed: 0,
+            refused: 0,
+            behind: 0,
+            slowest: None,
+        };
+        for subscriber in self.subscribers.values() {
+            if subscriber.version >= version {
+                progress.confirmed += 1;
+                continue;
+            }
+            match subscriber.refused.as_ref().is_some_and(|(refused, _)| *refused == version) {
+                true => progress.refused += 1,
+                false => progress.behind += 1,
+            }
+            if progress.slowest.as_ref().is_none_or(|(_, least)| subscriber.version < *least) {
+                progress.slowest = Some((subscriber.who.name.clone(), subscriber.version));
+            }
+        }
+        progress
     }
 }
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -117,7 +117,11 @@
     /// Its machine said that it is attached.
     attached: bool,
     heard: Duration,
-    /// When a machine that was in touch with the others last had no newer version than this.
+    /// When its machine was attached to.
+    since: Duration,
+    /// The newest version by its machine, and when that machine last knew that there is no newer one.
+    told: (u64, Duration),
+    /// When the version in force was last known to be the newest.
     newest: Duration,
     orders: Vec<Order>,
     counters: Counters,
@@ -140,6 +144,8 @@
             linked: false,
             attached: false,
             heard: now,
+            since: now,
+            told: (0, now),
             newest: now,
             orders: Vec::new(),
             counters: Counters::default(),
@@ -179,7 +185,9 @@
 
     /// The machine is to be left: nothing was heard of it for too long, or it is out of touch with the others.
     pub fn is_lost(&self, now: Duration) -> bool {
-        now.saturating_sub(self.heard) >= SILENT || self.attached && self.age(now) >= STALE
+        let long = |at: Duration, most| now.saturating_sub(at) >= most;
+        let stale = self.attached && long(self.since, STALE) && long(self.told.1, STALE);
+        self.linked && (long(self.heard, SILENT) || stale)
     }
 
     /// A link is open: the attachment is sent on it.
@@ -218,11 +226,11 @@
         self.counters.bytes_in += frame.len() as u64;
         match Down::decoded(frame) {
             Ok(Down::Attached(said)) => {
-                self.attached = true;
-                self.newest(now, said.version, said.age_ms);
+                (self.attached, self.since) = (true, now);
+                self.told(now, said.version, said.age_ms);
             }
             Ok(Down::Ping(said)) => {
-                self.newest(now, said.version, said.age_ms);
+                self.told(now, said.version, said.age_ms);
                 self.confirm();
             }
             Ok(Down::ComeBack(said)) => {
@@ -239,9 +247,14 @@
         }
     }
 
-    fn newest(&mut self, now: Duration, version: u64, age_ms: u64) {
-        if version <= self.version {
-            self.newest = self.newest.max(now.saturating_sub(Duration::from_millis(age_ms)));
+    fn told(&mut self, now: Duration, version: u64, age_ms: u64) {
+        self.told = (version, now.saturating_sub(Duration::from_millis(age_ms)));
+        self.is_newest();
+    }
+
+    fn is_newest(&mut self) {
+        if self.told.0 <= self.version {
+            self.newest = self.newest.max(self.told.1);
         }
     }
 
@@ -284,19 +297,24 @@
         let same = |kept: &Partial| {
             (kept.version, kept.digest, kept.length) == (piece.version, piece.digest, length)
         };
-        let newer = |kept: &Partial| kept.version > piece.version;
         let mut partial = match self.partial.take() {
-            Some(kept) if same(&kept) || newer(&kept) => kept,
+            Some(kept) if same(&kept) => kept,
+            kept if piece.offset > 0 => {
+                // Of another one than the one in hand, not from its beginning: it is asked for from there.
+                self.partial = kept;
+                self.counters.stale += 1;
+                return self.send(Up::Got(Got { version: piece.version, digest: piece.digest, offset: 0 }));
+            }
             _ => Partial { version: piece.version, digest: piece.digest, length, bytes: Vec::new() },
         };
-        let next = same(&partial) && piece.offset == partial.bytes.len() as u64;
+        let next = piece.offset == partial.bytes.len() as u64;
         if next && partial.bytes.len() + piece.bytes.len() <= length {
             partial.bytes.extend_from_slice(&piece.bytes);
         } else {
             self.counters.stale += 1;
         }
-        let got =
-            Got { version: partial.version, digest: partial.digest, offset: partial.bytes.len() as u64 };
+        let offset = partial.bytes.len() as u64;
+        let got = Got { version: partial.version, digest: partial.digest, offset };
         if partial.bytes.len() < partial.length {
             self.partial = Some(partial);
             self.send(Up::Got(got));
@@ -349,6 +367,8 @@
             Pending::Whole { state, .. } => self.state = state,
         }
         self.version = version;
+        self.partial.take_if(|partial| partial.version <= version);
+        self.is_newest();
         self.counters.in_force += 1;
         self.orders.push(Order::Event(Event::InForce { version }));
         self.confirm();
