--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -202,12 +202,9 @@
             }
             self.now = at;
             match self.what.remove(&order) {
-                Some(Event::Wake(k)) => {
-                    // A later one was put off by an earlier one.
-                    if self.wakes[k] == at {
-                        self.with(k, Member::tick);
-                    }
-                }
+                // A later one was put off by an earlier one.
+                Some(Event::Wake(k)) if self.wakes[k] != at => {}
+                Some(Event::Wake(k)) => self.with(k, Member::tick),
                 Some(Event::Written { member, number }) => {
                     self.with(member, |member, now| member.written(now, number));
                 }
