--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -27,6 +27,8 @@
     pub calls: u64,
     pub marked: u64,
     pub given_up: u64,
+    /// When each call came, since the node's start, if it was asked to keep that.
+    pub times: Vec<Duration>,
     /// Connections taken.
     pub connections: u64,
     /// Calls that are in it now, and the most there were.
@@ -40,6 +42,7 @@
     released: Notify,
     gone: Notify,
     keep_runs: bool,
+    keep_times: bool,
 }
 
 /// A running node; it ends with the process, or with [`Node::end`].
@@ -64,6 +67,8 @@
     pub at: Option<SocketAddr>,
     /// Benches of millions of calls write no bodies down.
     pub forget_runs: bool,
+    /// It writes down when each call came.
+    pub keep_times: bool,
 }
 
 impl Make {
@@ -81,6 +86,7 @@
             released: Notify::new(),
             gone: Notify::new(),
             keep_runs: !self.forget_runs,
+            keep_times: self.keep_times,
         });
         let node = Node { addr, shared: shared.clone() };
         std::thread::spawn(move || {
@@ -287,6 +293,9 @@
         let mut notes = locked(&hall.shared.notes);
         notes.calls += 1;
         notes.marked += u64::from(marked);
+        if hall.shared.keep_times {
+            notes.times.push(hall.start.elapsed());
+        }
         if deed.runs() {
             notes.inside += 1;
             notes.most_inside = notes.most_inside.max(notes.inside);
