Rig: processes restarted all at once, and how long each takes until it is ready

Nobody had measured whether nine in ten restarted processes are ready within 10 s.

`rainstand-rig ready` starts nodes with stand-in agents, an announce service and forwarders at the size asked for, ends all nodes and forwarders (KILL or TERM), starts them again at the same moment, and tells the ninth decile and the worst by kind. Ready: listens, is in the list (while the service answers), answered its first ticket with the work done by an agent; of a group's member a keyed one. It also finds a node that reports before it listens, one that is not in the list after the service came back, and keys whose result changed.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`process`] | child processes: started, stopped, killed | processes |
 //! | [`peers`] | stand-in agent and caller, each a process of its own | sockets |
 //! | [`sim`] | members of a group on a virtual clock, with faulty disks and links; a seed replays to the byte | none |
+//! | [`ready`] | many processes restarted at once, and how long each takes until it is ready | all of it |
 //! | [`stage`] | one run: all of it started, the schedule played, the history gathered | all of it |
 
 pub mod check;
@@ -19,6 +20,7 @@
 pub mod plan;
 pub mod process;
 pub mod proxy;
+pub mod ready;
 pub mod shrink;
 pub mod sim;
 pub mod stage;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -9,6 +9,7 @@
 use rainstand_rig::history::{self, Unreadable};
 use rainstand_rig::peers::{agent, caller};
 use rainstand_rig::plan::{schedule, Step};
+use rainstand_rig::ready;
 use rainstand_rig::shrink::shrink;
 use rainstand_rig::sim::World;
 use rainstand_rig::stage::{play, Place, Report};
@@ -138,6 +139,17 @@
         #[arg(long)]
         plant: Option<String>,
     },
+    /// Restart many processes at once, and tell how long each takes until it is ready
+    Ready {
+        #[command(flatten)]
+        options: ready::Options,
+        /// Keep the run's folder here: configurations, logs, disks
+        #[arg(long)]
+        keep: Option<PathBuf>,
+        /// The report as one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// A stand-in agent; started by `run`
     #[command(hide = true)]
     Agent { options: String },
@@ -156,6 +168,7 @@
             let world = World { nodes, copies, shards, faults, trace, ..World::default() };
             sweep::simulate(&world, &seeds, jobs, history.as_deref(), plant.as_deref())
         }
+        Command::Ready { options, keep, json } => restart(&options, keep, json),
         Command::Agent { options } => parsed(&options, agent::serve),
         Command::Caller { options } => parsed(&options, caller::call),
     };
@@ -386,6 +399,15 @@
     Ok(false)
 }
 
+fn restart(options: &ready::Options, keep: Option<PathBuf>, as_json: bool) -> io::Result<bool> {
+    let temporary = tempfile::tempdir()?;
+    let folder = keep.unwrap_or(temporary.path().to_owned());
+    fs::create_dir_all(&folder)?;
+    let report = wait(ready::play(options, &folder))?;
+    ready::tell(&mut io::stdout().lock(), options, &report, as_json)?;
+    Ok(report.good())
+}
+
 /// Lines of a file that is there; none if it is not.
 fn lines_of(path: &Path) -> io::Result<Vec<String>> {
     match File::open(path) {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -31,7 +31,8 @@
     if found.is_file() {
         return Ok(found);
     }
-    let why = format!("{}: not there; `cargo build -p rainstand-node` makes it", found.display());
+    let why =
+        format!("{}: not there; `cargo build -p rainstand-node -p rainstand-cli` makes it", found.display());
     Err(io::Error::new(io::ErrorKind::NotFound, why))
 }
 
