Forwarder: reading is done apart and its memory given back; series of routes from their first ticket

Cause: a configuration was read on the thread that serves, for a third of a second at the full size, and the memory of text, trees and findings stayed. `forward` kept the message for good beside the table's own. Each route had a histogram and three copies of its name from the start.

Change: reading has a thread of its own and hands over the compiled bytes. Route series come with the first ticket and go when the route goes (they never did).

--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::out::Code;
 use crate::pcap::trouble;
 use clap::Args;
+use rainstand_config::schema::{self, Configuration};
 use rainstand_forwarder::{run as serve, Hub};
 use rainstand_route::subset::reduce;
 use std::io;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::oneshot::{self, error::RecvError};
 use tokio::task::{spawn_local, LocalSet};
 
 #[derive(Args)]
@@ -44,13 +46,41 @@
     stop_ms: u64,
 }
 
+/// Reads a configuration on a thread of its own: 154,000 lines take a third of a second, for which tickets would
+/// wait, and many times the memory of what they say, all of which goes back when nothing of that thread is left.
+/// So what is read comes over as bytes.
+fn read_apart(path: &str, number: usize) -> io::Result<oneshot::Receiver<io::Result<Result<Vec<u8>, Code>>>> {
+    let (done, told) = oneshot::channel();
+    let path = path.to_owned();
+    std::thread::Builder::new().name("read".into()).spawn(move || {
+        let made = read(&path, false).map(|made| {
+            made.map(|(mut configuration, ..)| {
+                reduce(&mut configuration, number);
+                schema::to_binary(&configuration)
+            })
+        });
+        // Nobody waits for it if the program leaves.
+        let _ = done.send(made);
+    })?;
+    Ok(told)
+}
+
+/// # Errors
+/// Findings went to standard error; what else there is to say is told.
+fn made(read: Result<io::Result<Result<Vec<u8>, Code>>, RecvError>) -> Result<Configuration, String> {
+    let bytes = read.map_err(|_| "reading it broke off".to_owned())?.map_err(|e| e.to_string())?;
+    let bytes = bytes.map_err(|_| "the configuration has errors".to_owned())?;
+    schema::from_own_binary(&bytes).map_err(|e| e.to_string())
+}
+
 pub fn run(options: &Options) -> io::Result<Code> {
-    let configuration = match read(&options.config, false)? {
-        Ok((mut configuration, ..)) => {
-            reduce(&mut configuration, options.number);
-            configuration
-        }
-        Err(code) => return Ok(code),
+    let read = read_apart(&options.config, options.number)?.blocking_recv();
+    if let Ok(Ok(Err(code))) = read {
+        return Ok(code);
+    }
+    let configuration = match made(read) {
+        Ok(configuration) => configuration,
+        Err(why) => return Ok(trouble(&options.config, why)),
     };
     // Who reads our lines may go away: that is no reason to end, nor to complain where nobody reads.
     let lines = tracing_subscriber::fmt().with_writer(io::stderr).log_internal_errors(false);
@@ -59,6 +89,7 @@
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
+    drop(configuration);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let listener = match TcpListener::bind(options.listen).await {
@@ -80,13 +111,9 @@
         let (again, path, number) = (hub.clone(), options.config.clone(), options.number);
         spawn_local(async move {
             while hup.recv().await.is_some() {
-                // Findings go to standard error; a bad one changes nothing.
-                let taken = match read(&path, false) {
-                    Ok(Ok((mut configuration, ..))) => {
-                        reduce(&mut configuration, number);
-                        again.take(&configuration)
-                    }
-                    Ok(Err(_)) => Err("the configuration has errors".to_owned()),
+                // A bad one changes nothing.
+                let taken = match read_apart(&path, number) {
+                    Ok(read) => made(read.await).and_then(|configuration| again.take(&configuration)),
                     Err(error) => Err(error.to_string()),
                 };
                 match taken {
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -111,6 +111,16 @@
     of_this_version(configuration, 0)
 }
 
+/// The binary form as this very program wrote it: fields that it does not know are not looked for, which costs many
+/// times the message's size.
+///
+/// # Errors
+/// Bytes that are no such message, or another version.
+pub fn from_own_binary(bytes: &[u8]) -> Result<Configuration, Refused> {
+    let refused = |why: String| Refused { line: 0, column: 0, why };
+    of_this_version(Configuration::decode(bytes).map_err(|e| refused(e.to_string()))?, 0)
+}
+
 fn of_this_version(configuration: Configuration, at: usize) -> Result<Configuration, Refused> {
     match configuration.version {
         VERSION => Ok(configuration),
@@ -183,7 +193,8 @@
         let pool = Pool { name: "p".into(), members: vec![Member::default()], ..Pool::default() };
         let whole = Configuration { version: 1, pools: vec![pool], ..Configuration::default() };
         let mut bytes = to_binary(&whole);
-        assert_eq!(from_binary(&bytes), Ok(whole));
+        assert_eq!(from_binary(&bytes), Ok(whole.clone()));
+        assert_eq!(from_own_binary(&bytes), Ok(whole));
         bytes.extend([0xf8, 0x07, 5]);
         assert_eq!(from_binary(&bytes).unwrap_err().why, "unknown field 127");
     }
@@ -194,5 +205,6 @@
             assert!(from_text(text).unwrap_err().why.contains("knows version 1"), "{text}");
         }
         assert!(from_binary(&[]).unwrap_err().why.starts_with("version 0"));
+        assert!(from_own_binary(&[]).unwrap_err().why.starts_with("version 0"));
     }
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -253,7 +253,7 @@
                 self.ring_after(wait, number, attempt);
             }
             Step::Over(over) => {
-                self.metrics.ticket(&over);
+                self.metrics.ticket(&over, &self.fleet.borrow());
                 self.over(number, |ticket| match over.end {
                     // The member's own answer went out before.
                     End::Honoured | End::Nobody => None,
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -75,8 +75,8 @@
 #[derive(Default)]
 struct Handles {
     version: u64,
-    routes: Vec<(String, Histogram)>,
-    pools: Vec<String>,
+    /// Of routes that had a ticket: most of five thousand have none in a forwarder's life.
+    routes: HashMap<u16, Histogram>,
     members: Vec<Vec<MemberHandles>>,
     tickets: HashMap<EndKey, Counter>,
 }
@@ -93,8 +93,9 @@
     out: Family<MemberLabels, Gauge>,
     totals: Vec<(Total, Gauge)>,
     handles: RefCell<Handles>,
-    /// Members that have series.
+    /// Members and routes that have series.
     known: RefCell<HashSet<MemberLabels>>,
+    known_routes: RefCell<HashSet<RouteLabels>>,
 }
 
 /// A number of the hub that is read when somebody asks.
@@ -144,6 +145,7 @@
             totals,
             handles: RefCell::default(),
             known: RefCell::default(),
+            known_routes: RefCell::default(),
         };
         registry.register("tries", "Tries by member and what came of them", metrics.tries.clone());
         registry.register_with_unit(
@@ -177,12 +179,17 @@
         let c = fleet.table().configuration();
         let mut handles = Handles { version: fleet.version(), ..Handles::default() };
         let mut now = HashSet::default();
-        for route in &c.routes {
-            let labels = RouteLabels { route: route.name.clone() };
-            handles.routes.push((route.name.clone(), self.ticket_seconds.get_or_create(&labels).clone()));
+        let mut routes = self.known_routes.borrow_mut();
+        if !routes.is_empty() {
+            let there: HashSet<&str> = c.routes.iter().map(|route| &*route.name).collect();
+            routes.retain(|labels| {
+                there.contains(&*labels.route) || {
+                    self.ticket_seconds.remove(labels);
+                    false
+                }
+            });
         }
         for pool in &c.pools {
-            handles.pools.push(pool.name.clone());
             let mut members = Vec::new();
             for member in &pool.members {
                 let (pool, member) = (pool.name.clone(), member.name.clone());
@@ -230,13 +237,18 @@
     }
 
     /// A ticket's end.
-    pub fn ticket(&self, over: &Over) {
+    pub fn ticket(&self, over: &Over, fleet: &Fleet) {
         let mut handles = self.handles.borrow_mut();
         let same = over.version == handles.version;
         let key = if same { (over.route, over.pool) } else { (Some(u16::MAX), Some(u16::MAX)) };
-        if let Some((_, seconds)) =
-            over.route.and_then(|at| handles.routes.get(usize::from(at))).filter(|_| same)
-        {
+        let table = fleet.table();
+        if let Some(at) = over.route.filter(|_| same) {
+            let seconds = handles.routes.entry(at).or_insert_with(|| {
+                let labels = RouteLabels { route: table.route_name(at).to_owned() };
+                let made = self.ticket_seconds.get_or_create(&labels).clone();
+                self.known_routes.borrow_mut().insert(labels);
+                made
+            });
             seconds.observe(over.took.as_secs_f64());
         }
         let key = (key.0, key.1, over.end.word(), over.why);
@@ -244,14 +256,14 @@
             counter.inc();
             return;
         }
-        let name = |at: Option<u16>, of: &dyn Fn(usize) -> Option<String>| match at {
+        let name = |at: Option<u16>, of: &dyn Fn(u16) -> String| match at {
             _ if !same => EARLIER.to_owned(),
             None => NONE.to_owned(),
-            Some(at) => of(usize::from(at)).unwrap_or_else(|| EARLIER.to_owned()),
+            Some(at) => of(at),
         };
         let labels = TicketLabels {
-            route: name(over.route, &|at| handles.routes.get(at).map(|(name, _)| name.clone())),
-            pool: name(over.pool, &|at| handles.pools.get(at).cloned()),
+            route: name(over.route, &|at| table.route_name(at).to_owned()),
+            pool: name(over.pool, &|at| table.pool_name(at).to_owned()),
             end: over.end.word(),
             reason: over.why.word(),
         };
--- a/crates/route/src/room.rs
+++ b/crates/route/src/room.rs
@@ -299,6 +299,7 @@
         room.leave(Who::Known(7));
         room.look(MS(2_500));
         assert_eq!((room.here(), room.open()), ((1, 0), 1), "who has something open stays");
+        assert_eq!(room.part(7, 10.0), Some(5.0), "and keeps its part");
         room.leave(Who::Known(22_999));
         room.look(MS(2_600));
         assert_eq!((room.here(), room.open()), ((0, 0), 0));
