--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::decisions::{Decision, Decisions, Passed, What};
 use crate::health::{Change, Health, Rules, Standing};
 use crate::ramp::{Ramp, Rule};
-use crate::room::{Room, Who};
+use crate::room::{Room, Weights, Who};
 use crate::split::mark;
 use crate::table::{Table, Ticket};
 use crate::toward::Toward;
@@ -296,6 +296,7 @@
 }
 
 fn pools(configuration: &Configuration, zone: &str, phases: &mut WyRand, now: Duration) -> Vec<Pool> {
+    let weights = Rc::new(Weights::new(configuration.tenants.iter().map(|tenant| tenant.share)));
     let made = |pool: &schema::Pool| {
         let health = configuration.health.iter().find(|one| one.name == pool.health);
         let limits = configuration.limits.iter().find(|one| one.name == pool.limits);
@@ -316,7 +317,7 @@
             members: pool.members.iter().map(member).collect(),
             toward: pool.members.iter().map(|_| Toward::new(most, now)).collect(),
             health: health.map(|rules| Health::new(Rules::from(rules), pool.members.len(), now)),
-            room: Room::new(configuration.tenants.iter().map(|tenant| tenant.share)),
+            room: Room::new(weights.clone()),
             places: 0,
             out: 0,
             leaving: vec![Duration::ZERO; pool.members.len()],
