--- a/crates/lab/src/plans.rs
+++ b/crates/lab/src/plans.rs
@@ -91,6 +91,7 @@
                 wait: (ns(one.wait_least_ns), ns(one.wait_most_ns)),
                 keep: one.health.then(|| share(one.keep)),
                 at_once: one.at_once,
+                warm_rate: 0,
             }
         });
     let net = experiment.network.as_ref().map_or(NetPlan::default(), |one| NetPlan {
--- a/crates/model/src/measure.rs
+++ b/crates/model/src/measure.rs
@@ -85,6 +85,10 @@
     /// The most events that waited at a time, and the most tickets in hand.
     pub most_waiting: u64,
     pub most_tickets: u64,
+    /// Tries that came to nodes that had just started, where the plan says what a warm one bears; and how far the
+    /// worst second of one was past its part of it, in what may be chance.
+    pub cold_tries: u64,
+    pub cold_over: f64,
     /// The first rule that broke.
     pub broken: Option<Broken>,
 }
@@ -108,6 +112,8 @@
             events: 0,
             most_waiting: 0,
             most_tickets: 0,
+            cold_tries: 0,
+            cold_over: f64::NEG_INFINITY,
             broken: None,
         }
     }
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -128,6 +128,9 @@
     pub keep: Option<f64>,
     /// Bound on tickets at once toward a member; 0: as learned alone.
     pub at_once: u64,
+    /// Calls a second that a warm node bears from all of them, so that one that just started gets a part of it; 0:
+    /// nobody says.
+    pub warm_rate: u64,
 }
 
 impl Default for FrontPlan {
@@ -141,6 +144,7 @@
             wait: (Duration::from_millis(5), Duration::from_millis(25)),
             keep: Some(0.5),
             at_once: 0,
+            warm_rate: 0,
         }
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -40,6 +40,10 @@
 /// Once no more tickets come: until all that is in hand has ended.
 const AFTER: Duration = Duration::from_secs(30);
 const NOBODY: u32 = u32::MAX;
+/// What a plan's calls a second are counted over.
+const SECOND: Duration = Duration::from_secs(1);
+/// A node that just started bears this part of what a warm one does.
+const COLD: f64 = 0.05;
 
 fn ns(span: Duration) -> u64 {
     u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
@@ -152,6 +156,9 @@
     /// Forwarders that know it, with its place there.
     known_to: Vec<(u32, u16)>,
     drains: bool,
+    /// When it last started, and what came in the last second, ns; until it is warm.
+    born: Option<u64>,
+    lately: VecDeque<u64>,
 }
 
 struct Front {
@@ -301,6 +308,9 @@
         members: members.iter().map(member).collect(),
         health: health.as_ref().map_or(String::new(), |one| one.name.clone()),
         limits: if fronts.at_once > 0 { "toward".into() } else { String::new() },
+        warm_rate: (fronts.warm_rate > 0)
+            .then(|| schema::Rate { micro_tickets: fronts.warm_rate * ONE, per_ns: ns(SECOND) }),
+        senders: u64::from(fronts.count),
         ..schema::Pool::default()
     };
     let toward =
@@ -369,6 +379,8 @@
             number: 0,
             known_to: Vec::new(),
             drains: false,
+            born: None,
+            lately: VecDeque::new(),
         };
         let mut places: Vec<Place> = (0..count).map(place).collect();
         let mut fronts = Vec::new();
@@ -390,6 +402,7 @@
             });
             for (at, place) in members.iter().enumerate() {
                 places[*place as usize].known_to.push((me, at as u16));
+                fleet.connected(&address(*place), Duration::ZERO, Duration::ZERO);
             }
             fronts.push(Front { fleet, members, ahead: 0 });
         }
@@ -818,6 +831,32 @@
         number
     }
 
+    /// A try came to a node: how the last second of one that just started stands to its part of what a warm one bears.
+    fn weigh_cold(&mut self, now: u64, place: u32) {
+        let Some((warm_up, _)) = self.plan.nodes.cold.filter(|_| self.plan.fronts.warm_rate > 0) else {
+            return;
+        };
+        let one = &mut self.places[place as usize];
+        let Some(age) = one.born.map(|born| now - born).filter(|age| *age < ns(warm_up)) else {
+            one.born = None;
+            return;
+        };
+        one.lately.push_back(now);
+        while one.lately.front().is_some_and(|came| now - came >= ns(SECOND)) {
+            one.lately.pop_front();
+        }
+        let (warm_up, from) = (warm_up.as_secs_f64(), age.saturating_sub(ns(SECOND)) as f64 / 1e9);
+        // Its part rises evenly from a twentieth; read here as the page says it, not as forwarders count it.
+        let sum = |age: f64| {
+            let (flat, to) = (COLD * warm_up, age.clamp(COLD * warm_up, warm_up));
+            COLD * age.min(flat) + (to * to - flat * flat) / (2.0 * warm_up) + (age - to).max(0.0)
+        };
+        let n = self.plan.fronts.warm_rate as f64 * (sum(from + 1.0) - sum(from));
+        let over = (one.lately.len() as f64 - n) / (2.0 * n.sqrt() + 2.0);
+        self.measured.cold_tries += 1;
+        self.measured.cold_over = self.measured.cold_over.max(over);
+    }
+
     fn at_node(&mut self, now: u64, number: u32) {
         let Some(one) = self.tries.get_mut(&number) else { return };
         let (place, ticket) = (one.node, one.ticket);
@@ -826,6 +865,8 @@
         if !at.alive {
             return self.back(number, Back::Unreachable);
         }
+        self.weigh_cold(now, place);
+        let at = &self.places[place as usize];
         if at.hangs {
             self.places[place as usize].stuck.push(number);
             return;
@@ -1243,6 +1284,8 @@
         }
         one.alive = false;
         one.died = self.queue.now();
+        self.links_fall(place);
+        let one = &mut self.places[place as usize];
         let mut inside = one.node.inside();
         inside.append(&mut one.stuck);
         let now = self.queue.now();
@@ -1257,6 +1300,15 @@
         self.schedule(place);
     }
 
+    /// Its connections are gone, and forwarders know nothing of who comes next.
+    fn links_fall(&mut self, place: u32) {
+        let known_to = self.places[place as usize].known_to.clone();
+        for (front, _) in known_to {
+            let at = self.clock(front);
+            self.fronts[front as usize].fleet.lost(&address(place), at);
+        }
+    }
+
     /// It stops with nothing in it.
     fn stops(&mut self, place: u32) {
         let one = &mut self.places[place as usize];
@@ -1280,6 +1332,8 @@
         let one = &mut self.places[place as usize];
         one.node = node;
         (one.alive, one.hangs, one.drains) = (true, false, false);
+        one.born = Some(now);
+        one.lately.clear();
         one.due = u64::MAX;
         let known_to = one.known_to.clone();
         // Whoever connects anew knows that it is a new one.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -484,6 +484,9 @@
     }
 
     fn each_ramp(&mut self, address: &str, what: impl Fn(&mut Ramp)) {
+        if !self.ramps {
+            return;
+        }
         for at in self.places_of(address) {
             let member = &mut self.pools[usize::from(at.pool)].members[usize::from(at.member)];
             member.ramp.iter_mut().for_each(&what);
