--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -482,7 +482,7 @@
         let types = all.types.len();
         let points = Points::of(&[all]);
         let few = self.resolved.unsure.is_empty() && points.count() <= MOST_POINTS && all.routes.len() <= 200;
-        let mut earlier = Earlier::new();
+        let mut earlier = Earlier::new(types);
         let unsure = &self.resolved.unsure;
         for (k, route) in all.routes.iter().enumerate().filter(|(k, _)| !unsure.contains(k)) {
             let matched = route.r#match.as_ref();
--- a/crates/config/src/space.rs
+++ b/crates/config/src/space.rs
@@ -198,50 +198,90 @@
     routes.iter().position(|route| miss(route.r#match.as_ref(), point).is_none())
 }
 
-/// Finds, for a route, the earlier ones that could hide it, without looking at all of them: by one type
-/// and tenant that both must take.
+/// What one pattern takes, or a match without any: its beginning is empty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Entities<'c> {
+    Beginning(&'c str),
+    Whole(&'c str),
+}
+
+impl<'c> Entities<'c> {
+    fn of(pattern: &'c str) -> Self {
+        pattern.strip_suffix('*').map_or(Entities::Whole(pattern), Entities::Beginning)
+    }
+
+    /// All that take whatever this takes: itself, and each of its beginnings.
+    fn covering(self) -> impl Iterator<Item = Self> {
+        let (Entities::Beginning(text) | Entities::Whole(text)) = self;
+        let ends = text.char_indices().map(|(at, _)| at).chain([text.len()]);
+        let whole = matches!(self, Entities::Whole(_)).then_some(self);
+        ends.map(move |end| Entities::Beginning(&text[..end])).chain(whole)
+    }
+}
+
+/// Finds, for a route, the earlier ones that could hide it, without looking at all of them: by one type,
+/// tenant and entity that both must take.
 pub struct Earlier<'c> {
-    /// Routes that name few types and tenants, by each pair; the empty text stands for all.
-    by_pair: HashMap<(&'c str, &'c str), Vec<u32>>,
-    /// Those that name many.
+    /// Routes by each type, tenant and pattern that they name; the empty text stands for all.
+    by_part: HashMap<(&'c str, &'c str, Entities<'c>), Vec<u32>>,
+    /// Those that name many types and tenants.
     wide: Vec<u32>,
+    types: usize,
     /// Comparisons left.
     pub budget: usize,
 }
 
-/// Pairs of one route that are listed singly; past it the route is compared with every other.
-const MOST_PAIRS: usize = 64;
+/// Places at which one route is listed; past it it is found by its types and tenants alone, or compared with every
+/// other.
+const MOST_PLACES: usize = 64;
 /// Comparisons of two matches in one check: some tenths of a second.
 const MOST_COMPARISONS: usize = 8_000_000;
 
 impl<'c> Earlier<'c> {
-    #[allow(clippy::new_without_default)]
-    pub fn new() -> Self {
-        Self { by_pair: HashMap::new(), wide: Vec::new(), budget: MOST_COMPARISONS }
+    /// `types`: how many there are; who names all of them takes all.
+    pub fn new(types: usize) -> Self {
+        Self { by_part: HashMap::new(), wide: Vec::new(), types, budget: MOST_COMPARISONS }
     }
 
     pub fn add(&mut self, at: usize, matched: Option<&'c Match>) {
-        let (types, tenants) = lists(matched);
-        if types.len() * tenants.len() > MOST_PAIRS {
+        let (mut types, tenants) = lists(matched);
+        if types.len() == self.types {
+            types = vec![""];
+        }
+        let pairs = types.len() * tenants.len();
+        if pairs > MOST_PLACES {
             self.wide.push(at as u32);
             return;
         }
+        let patterns = matched.map_or(&[][..], |matched| &matched.entities);
+        let mut entities: Vec<Entities<'c>> = patterns.iter().map(|one| Entities::of(one)).collect();
+        if entities.is_empty() || pairs * entities.len() > MOST_PLACES {
+            entities = vec![Entities::Beginning("")];
+        }
         for traffic in &types {
             for tenant in &tenants {
-                self.by_pair.entry((traffic, tenant)).or_default().push(at as u32);
+                for entity in &entities {
+                    self.by_part.entry((traffic, tenant, *entity)).or_default().push(at as u32);
+                }
             }
         }
     }
 
-    /// Earlier routes that take the first type and tenant of this match, so perhaps all of it.
+    /// Earlier routes that take the first type, tenant and pattern of this match, so perhaps all of it.
     pub fn candidates<'a>(&'a mut self, matched: Option<&'c Match>) -> impl Iterator<Item = usize> + 'a {
         let (types, tenants) = lists(matched);
         let (traffic, tenant) = (types[0], tenants[0]);
-        let mut keys = vec![("", ""), (traffic, ""), ("", tenant), (traffic, tenant)];
-        keys.sort_unstable();
-        keys.dedup();
-        let Self { by_pair, wide, budget } = self;
-        let listed = keys.into_iter().filter_map(|key| by_pair.get(&key)).flatten().copied();
+        let pattern = matched.and_then(|matched| matched.entities.first());
+        let entity = pattern.map_or(Entities::Beginning(""), |one| Entities::of(one));
+        let mut pairs = vec![("", ""), (traffic, ""), ("", tenant), (traffic, tenant)];
+        pairs.sort_unstable();
+        pairs.dedup();
+        let keys = entity.covering().flat_map(move |entity| {
+            let of_pair = move |(traffic, tenant)| (traffic, tenant, entity);
+            pairs.clone().into_iter().map(of_pair)
+        });
+        let Self { by_part, wide, budget, .. } = self;
+        let listed = keys.filter_map(|key| by_part.get(&key)).flatten().copied();
         let all = listed.chain(wide.iter().copied());
         all.map(|at| at as usize).take_while(move |_| {
             *budget = budget.saturating_sub(1);
@@ -317,6 +357,18 @@
             prop_assert!(covered || !every || !inner_takes_something);
         }
 
+        /// Against looking at all earlier ones.
+        #[test]
+        fn the_first_that_covers_is_found_by_parts(routes in proptest::collection::vec(any_match(), 1..9)) {
+            let mut earlier = Earlier::new(2);
+            for (k, matched) in routes.iter().enumerate() {
+                let covered = |before: &usize| covers(Some(&routes[*before]), Some(matched), 2);
+                let found = earlier.candidates(Some(matched)).filter(covered).min();
+                prop_assert_eq!(found, (0..k).find(|before| covered(before)));
+                earlier.add(k, Some(matched));
+            }
+        }
+
         /// The points tell apart whatever tickets near the borders do.
         #[test]
         fn points_stand_for_all_tickets(
@@ -331,4 +383,21 @@
             prop_assert!(points.each().any(|p| pattern(&p) == pattern(&wanted)));
         }
     }
+
+    /// Routes of many services, each with its own entities: as many looks as routes, not their square.
+    #[test]
+    fn routes_with_entities_of_their_own_are_not_compared_with_each_other() {
+        let own = |k: usize| Match { entities: vec![format!("s{}/r{k}/*", k % 490)], ..Match::default() };
+        let mut routes: Vec<Match> = (0..5_400).map(own).collect();
+        routes.push(Match { entities: vec!["s3/r493/x".into()], ..Match::default() });
+        let mut earlier = Earlier::new(2);
+        let mut hidden = Vec::new();
+        for (k, matched) in routes.iter().enumerate() {
+            let covered = |before: &usize| covers(Some(&routes[*before]), Some(matched), 2);
+            hidden.extend(earlier.candidates(Some(matched)).filter(covered).map(|by| (k, by)));
+            earlier.add(k, Some(matched));
+        }
+        assert_eq!(hidden, [(5_400, 493)]);
+        assert!(MOST_COMPARISONS - earlier.budget <= routes.len(), "{}", earlier.budget);
+    }
 }
--- a/crates/config/tests/corpus.rs
+++ b/crates/config/tests/corpus.rs
@@ -39,9 +39,10 @@
     });
     let many_files = Memory::new(many_files.collect::<Vec<_>>());
     let tenants: String = (0..65_003).map(|n| format!("tenant t{n} {{ }}\n")).collect();
-    // Every route could hide every later one by its type and tenant, and none does.
-    let routes: String =
-        (0..4_100).map(|n| format!("route r{n} {{ match {{ entity: \"{n:04}x*\" }}; to: p }}\n")).collect();
+    // Every route could hide every later one by its type, tenant and entity, and none does.
+    let routes: String = (0..4_100)
+        .map(|n| format!("route r{n} {{ match {{ entity: \"x*\"; size: {0} B .. {0} B }}; to: p }}\n", n + 1))
+        .collect();
     let pool = "pool p { member a { address: \"10.0.0.1:1\" } }\n";
     vec![
         ("made-too-large", load(&big, "made.rain")),
