--- a/crates/rig/src/scale/decisions.rs
+++ b/crates/rig/src/scale/decisions.rs
@@ -85,7 +85,7 @@
             &bytes,
             tenants,
             Grows::Line,
-            |y| y / 1e6,
+            1e-6,
         ),
         Row::fitted(
             &Named {
@@ -100,7 +100,7 @@
             &bytes,
             tenants,
             Grows::Line,
-            move |y| y * each_day,
+            each_day,
         ),
     ];
     if !costs.is_empty() {
@@ -117,7 +117,7 @@
             &costs,
             tenants,
             Grows::Still,
-            |y| y / 1e6,
+            1e-6,
         ));
     }
     Ok(rows)
--- a/crates/rig/src/scale/measure.rs
+++ b/crates/rig/src/scale/measure.rs
@@ -117,12 +117,12 @@
         Ok((pages * PAGE) as f64)
     }
 
-    /// Bytes in memory that are its own: what it shares is counted by part.
+    /// Bytes of memory that are of no file: what a further process of the same program would take again.
     ///
     /// # Errors
     /// If the process is gone.
-    pub fn pss(&self) -> io::Result<f64> {
-        Ok(kb(&self.proc("smaps_rollup")?, "Pss:"))
+    pub fn own(&self) -> io::Result<f64> {
+        Ok(kb(&self.proc("smaps_rollup")?, "Pss_Anon:"))
     }
 
     /// Open descriptors.
--- a/crates/rig/src/scale/table.rs
+++ b/crates/rig/src/scale/table.rs
@@ -1,12 +1,14 @@
 //! Rows as people and programs read them.
 
-use super::{measure, Effort, Place, Row, Sizes};
+use super::{measure, meet, Effort, Place, Row, Sizes};
 use clap::Args;
+use serde::Deserialize;
 use serde_json::{json, Value};
 use std::cmp::Ordering;
 use std::fmt::Write as _;
+use std::fs;
 use std::io::{self, Write as _};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Sizes past which nothing here was thought through, and tenants past which a share has no step.
 const MOST: u64 = 1_000_000;
@@ -39,16 +41,31 @@
     /// Of configuration, a day
     #[arg(long, default_value_t = 2_800, value_parser = clap::value_parser!(u64).range(1..=MOST))]
     changes: u64,
+    /// What an earlier run wrote with `--json`: its lines are held against what this one measures
+    #[arg(long)]
+    against: Option<PathBuf>,
+    /// Print what an earlier run wrote with `--json`, and measure nothing
+    #[arg(long)]
+    from: Option<PathBuf>,
     /// Where the programs lie, if not beside this one
     #[arg(long)]
     programs: Option<PathBuf>,
 }
 
-/// Measures and prints.
-///
-/// # Errors
-/// What could not be measured.
-pub fn run(options: &Options) -> io::Result<bool> {
+/// What is read of an earlier run.
+#[derive(Deserialize)]
+struct Earlier {
+    sizes: Sizes,
+    rows: Vec<Row>,
+}
+
+fn read(path: &Path) -> io::Result<Earlier> {
+    let text =
+        fs::read(path).map_err(|why| io::Error::new(why.kind(), format!("{}: {why}", path.display())))?;
+    Ok(serde_json::from_slice(&text)?)
+}
+
+fn fresh(options: &Options) -> io::Result<(Sizes, Vec<Row>)> {
     let sizes = Sizes {
         nodes: options.nodes as usize,
         callers: options.callers as usize,
@@ -62,9 +79,38 @@
         (_, true) => Effort::quick(),
         _ => Effort::full(),
     };
+    // Wrong use is told before anything is measured.
+    if let Some(earlier) = &options.against {
+        read(earlier)?;
+    }
     let folder = tempfile::tempdir()?;
     let place = Place { programs: options.programs.clone(), folder: folder.path().to_owned() };
     let rows = measure(&sizes, &effort, &place, |part| eprintln!("measuring: {part}"))?;
+    Ok((sizes, rows))
+}
+
+/// Measures and prints.
+///
+/// # Errors
+/// What could not be measured.
+pub fn run(options: &Options) -> io::Result<bool> {
+    let (sizes, rows) = match &options.from {
+        Some(path) => read(path).map(|earlier| (earlier.sizes, earlier.rows))?,
+        None => fresh(options)?,
+    };
+    if let Some(earlier) = &options.against {
+        for met in meet(&read(earlier)?.rows, &rows) {
+            eprintln!(
+                "{:.0} % off: {}: {}: at {} told {}, measured {}",
+                met.off() * 100.0,
+                met.role,
+                met.what,
+                figure(met.size),
+                figure(met.predicted),
+                figure(met.measured)
+            );
+        }
+    }
     let text = match (options.json, options.markdown) {
         (true, _) => json(&sizes, &rows).to_string(),
         (_, true) => markdown(&rows),
