--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,9 +5,11 @@
 //! | [`table`] | which route takes a ticket, to which pool, where it falls back |
 //! | [`split`] | parting tickets by share, with the least movement when something leaves |
 //! | [`limit`] | whether a rate and a number at once let a ticket in, else when to come back |
+//! | [`buckets`] | which of a limit's counters are kept: made when first used, given back when idle, bounded |
 //! | [`budget`] | how much time each stage may still take |
 //! | [`versions`] | all of it together while configurations change under running tickets |
 //! | [`choice`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
+//! | [`ramp`] | what one forwarder may send to a member that warms up, as its part of what all may |
 //! | [`subset`] | which members of a large pool a forwarder knows |
 //! | [`health`] | who is left out, judged from answers alone, and how it comes back |
 //! | [`toward`] | how many tickets at once toward a member, learned from its times |
@@ -49,6 +51,7 @@
 //! ```
 
 pub mod attempts;
+pub mod buckets;
 pub mod budget;
 pub mod choice;
 pub mod decisions;
@@ -56,6 +59,7 @@
 pub mod fleet;
 pub mod health;
 pub mod limit;
+pub mod ramp;
 pub mod room;
 pub mod split;
 pub mod subset;
