Node: descriptors run out: its own needs come first, and who rests makes room

Cause: the node shared out the `sockets` of its configuration whatever the system gave it; with 160 given and 4,096 configured 300 resting clients took all, and accept, the agent's link, reports, calls and the file at SIGHUP failed for want of a descriptor. Calls that come in a bunch were beside the limit until the next look, up to 100 ms later. At the end of listening twenty failed accepts in a row, a second, dropped what the system had accepted, while those that rest kept their descriptors.

Change: the fewer of both limits hold (`descriptors_fewer`). Each need of the node's own (agent, announce, call, file) that finds none left closes the connection that rests longest, at once, and is tried again, a hundred times at most (`descriptors_out`, ended as `descriptors`); so does a failed accept, also at the end of listening. A call past what is put by is made once an unused connection has made room. A connection that is told to close is not counted twice, so no second one is closed for the same need. Connections that are owed an answer are never closed for it.

Seen to fail: the system's limit not read; the loop at the end of listening made to stop at the first failed accept, and without room made in it; agent, announce, call or file tried once only; no room for a call ahead; room for the node's own need left to linger.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -2,7 +2,7 @@
 
 use crate::book::{count, Counts};
 use crate::ring::{Filled, OnSocket, Ring};
-use crate::{note, relay, send, Hub};
+use crate::{descriptors, note, relay, send, Hub};
 use rainstand::Gauges;
 use rainstand_record::Tape;
 use serde_json::Value;
@@ -93,7 +93,9 @@
     loop {
         let link = hub.link.clone();
         let opened = Instant::now();
-        let opening = timeout(SILENT, TcpStream::connect(hub.peers.get().agent));
+        let agent = hub.peers.get().agent;
+        let opening = descriptors::have(&hub, "agent", || TcpStream::connect(agent));
+        let opening = timeout(SILENT, opening);
         let opening = tokio::select! {
             opening = opening => Some(opening),
             () = link.moved.notified() => None,
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -1,7 +1,7 @@
 //! Reports to the announce service: the node stays listed while it reports.
 
 use crate::book::count;
-use crate::{below, note, Hub};
+use crate::{below, descriptors, note, Hub};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -46,7 +46,7 @@
         let report = async {
             let open = match stream.take() {
                 Some(open) => open,
-                None => TcpStream::connect(addr).await?,
+                None => descriptors::have(&hub, "announce", || TcpStream::connect(addr)).await?,
             };
             let (reply, _) = below::exchange(&open, request.as_bytes(), None).await?;
             match (reply.status, reply.closes) {
--- a/crates/node/src/below.rs
+++ b/crates/node/src/below.rs
@@ -3,9 +3,9 @@
 //! On a connection that served before, a reset does not tell whether the call ran, and what came too
 //! much behind the last reply would answer this one. A calm day shows no cost of opening one each time.
 
-use crate::http;
 use crate::record::Record;
 use crate::ring::{Filled, OnSocket, Ring};
+use crate::{descriptors, http, take_in, Hub};
 use rainstand::Outcome;
 use rainstand_record::Tape;
 use std::cell::{Cell, OnceCell};
@@ -50,7 +50,7 @@
 
     /// One call, with what it proves: whoever drops this future closes the connection, which gives
     /// the call up.
-    pub async fn call(&self, trace: &[u8], left: Duration, body: &[u8]) -> (Outcome, Vec<u8>) {
+    pub async fn call(&self, hub: &Hub, trace: &[u8], left: Duration, body: &[u8]) -> (Outcome, Vec<u8>) {
         let Some(addr) = self.addr.get().filter(|_| self.out.get() < CALLS_MOST) else {
             return (Outcome::Unreachable, Vec::new());
         };
@@ -58,7 +58,9 @@
         let _place = Place(&self.out);
         let ends = Instant::now() + left;
         // Nothing was written yet, so whatever goes wrong here nothing ran.
-        let Ok(Ok(stream)) = timeout(left, TcpStream::connect(addr)).await else {
+        take_in::room_for_call(hub).await;
+        let opening = descriptors::have(hub, "call", || TcpStream::connect(addr));
+        let Ok(Ok(stream)) = timeout(left, opening).await else {
             return (Outcome::Unreachable, Vec::new());
         };
         let _ = stream.set_nodelay(true);
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -52,7 +52,7 @@
 }
 
 counts! {
-    accepted accept_errors closed frames tickets repeats probes left exceptions
+    accepted accept_errors descriptors_out closed frames tickets repeats probes left exceptions
     launched resent frozen thawed delivered forgone notices refusals calls
     honoured dismissed given_up unsettled orphans
     agent_links agent_odd reloads_refused announced announce_unanswered announce_errors beats late_beats unasked_beats stale_gauges
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -8,7 +8,7 @@
 
 use crate::book::{count, Desk, Owed, Run, Trace};
 use crate::settings::Settings;
-use crate::{note, send, Hub};
+use crate::{descriptors, note, send, Hub};
 use bytes::Bytes;
 use rainstand::Outcome;
 use rainstand_copies::keys::{Command, Start, Told, What};
@@ -88,13 +88,14 @@
 }
 
 /// A new configuration, read again at SIGHUP: its members hold from here on.
-pub fn reload(hub: &Hub) {
+pub async fn reload(hub: &Hub) {
     let (Some(copies), Some(path)) =
         (hub.core.borrow().desk.copies.clone(), std::env::var_os("RAINSTAND_SETTINGS"))
     else {
         return;
     };
-    let read = std::fs::read_to_string(&path).map_err(|why| why.to_string());
+    let read = descriptors::have(hub, "configuration", || async { std::fs::read_to_string(&path) }).await;
+    let read = read.map_err(|why| why.to_string());
     let group =
         read.and_then(|text| Settings::read(&text)).and_then(|all| all.group.ok_or("no group".into()));
     match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod below;
 pub mod book;
 pub mod config;
+pub mod descriptors;
 pub mod drain;
 pub mod keyed;
 pub mod log;
@@ -93,10 +94,17 @@
     pub report_now: Notify,
     /// Ends the listening.
     pub deaf: Notify,
+    /// Descriptors that the group's links and store keep, out of all.
+    pub kept: Cell<usize>,
 }
 
 impl Hub {
-    pub fn new(config: Config) -> Result<Rc<Self>, String> {
+    pub fn new(mut config: Config) -> Result<Rc<Self>, String> {
+        let (configured, given) = (config.sockets, descriptors::within(config.sockets));
+        if given < configured {
+            note!("descriptors_fewer", "descriptors", given = given, configured = configured);
+        }
+        config.sockets = given;
         let start = config.start(Duration::ZERO, false)?;
         let (counts, link) = (Rc::new(Counts::default()), Rc::new(agent::Link::default()));
         let pool = Rc::new(below::Pool::new(config.peers.below));
@@ -130,6 +138,7 @@
                 listener: RefCell::new(None),
                 report_now: Notify::new(),
                 deaf: Notify::new(),
+                kept: Cell::new(0),
             }
         }))
     }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -8,7 +8,7 @@
 
 use crate::book::count;
 use crate::config::{Config, Peers};
-use crate::{keyed, note, Core, Hub};
+use crate::{descriptors, keyed, note, Core, Hub};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -17,8 +17,9 @@
 /// Reads the file again at each signal, also while draining.
 pub async fn keep_reloading(hub: Rc<Hub>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
-        keyed::reload(&hub);
-        let read = std::fs::read(&path).map_err(|e| e.to_string()).and_then(|bytes| Config::read(&bytes));
+        keyed::reload(&hub).await;
+        let read = descriptors::have(&hub, "configuration", || async { std::fs::read(&path) }).await;
+        let read = read.map_err(|e| e.to_string()).and_then(|bytes| Config::read(&bytes));
         match read {
             Ok(config) => {
                 for key in &config.unknown {
--- a/crates/node/src/send.rs
+++ b/crates/node/src/send.rs
@@ -70,10 +70,9 @@
     count(&counts.calls);
     let body = body.clone();
     let task = tokio::task::spawn_local(async move {
-        let (outcome, reply) = pool.call(&trace, left, &body).await;
-        if let Some(hub) = hub.upgrade() {
-            relay::call_ended(&hub, ix, serial, outcome, reply);
-        }
+        let Some(hub) = hub.upgrade() else { return };
+        let (outcome, reply) = pool.call(&hub, &trace, left, &body).await;
+        relay::call_ended(&hub, ix, serial, outcome, reply);
     });
     if let Call::Out(before) = std::mem::replace(made, Call::Out(task.abort_handle())) {
         before.abort();
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/take_in.rs
@@ -2,7 +2,7 @@
 
 use crate::book::{count, Conn};
 use crate::ring::{Filled, OnSocket, Ring};
-use crate::{admit, note, often, relay, thrift, Hub};
+use crate::{admit, descriptors, note, often, relay, thrift, Hub};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +13,8 @@
 /// Descriptors put by for the agent, the announce service, the listener, the runtime's own, standard
 /// streams, and connections that are on their way out.
 const OWN: usize = 64;
+/// Of these, what a node at work has open at the most, beside connections and calls: twelve, and as many to spare.
+const AT_WORK: usize = 24;
 /// Descriptors put by for calls below even while few are out: a bunch of them comes at once.
 const CALLS_LEAST: usize = 48;
 /// Unread answers on a connection, in bytes, past which no more is read from it: a full set of answers.
@@ -46,6 +48,8 @@
 
 /// Reason code of one that made room for another.
 const ROOM: &str = "room";
+/// Reason code of one that made room at once, as the node itself had no descriptor left.
+const GIVES_WAY: &str = "descriptors";
 /// Reason codes for which a connection ends whatever is still owed on it.
 const CUTS: [&str; 2] = ["unread", "kill"];
 /// Errors in a row past which what still waits with the system is left to it, at the end of listening: a second of them.
@@ -76,11 +80,7 @@
                     tokio::task::yield_now().await;
                 }
                 Err(why) => {
-                    count(&hub.counts.accept_errors);
-                    if !std::mem::replace(&mut failing, true) {
-                        note!("accept_fails", "accept fails", why = why);
-                    }
-                    sleep(ACCEPT_AGAIN).await;
+                    accept_failed(&hub, &why, &mut failing).await;
                 }
             }
         }
@@ -95,10 +95,9 @@
                 // Guards against an end that comes too soon: the runtime lets a task take so many in one go.
                 tokio::task::yield_now().await;
             }
-            Ok(Err(_)) => {
-                count(&hub.counts.accept_errors);
-                errors += 1;
-                sleep(ACCEPT_AGAIN).await;
+            // An error for which a connection made room is none of those in a row: there are only so many of them.
+            Ok(Err(why)) => {
+                errors += usize::from(!accept_failed(&hub, &why, &mut failing).await);
             }
             Err(_) => break,
         }
@@ -106,11 +105,22 @@
     hub.listener.take();
 }
 
+/// After an accept that failed, as it does when descriptors run out; whether a connection makes room for the next.
+async fn accept_failed(hub: &Hub, why: &std::io::Error, failing: &mut bool) -> bool {
+    count(&hub.counts.accept_errors);
+    if !std::mem::replace(failing, true) {
+        note!("accept_fails", "accept fails", why = why);
+    }
+    let room = descriptors::none_left(why) && give_way(hub);
+    sleep(if room { descriptors::AGAIN } else { ACCEPT_AGAIN }).await;
+    room
+}
+
 fn take(hub: &Rc<Hub>, stream: TcpStream, peer: SocketAddr) {
     count(&hub.counts.accepted);
     let _ = stream.set_nodelay(true);
     let id = hub.counts.accepted.get();
-    if room_left(hub) <= 0 && !make_room(hub) {
+    if room_left(hub) <= 0 && !make_room(hub, ROOM) {
         count(&hub.counts.closed);
         *hub.ends.borrow_mut().entry("full").or_default() += 1;
         often!("connection_end", "end", conn = id, peer = peer, code = "full");
@@ -125,8 +135,12 @@
 /// Connections that may still be opened; below 0, so many too many stand.
 fn room_left(hub: &Hub) -> isize {
     let calls = hub.core.borrow().desk.pool.out.get();
-    let stand = hub.conns.borrow().len() - going(hub).min(GOING_MOST);
-    room(hub.config.sockets, calls) as isize - stand as isize
+    // One that is told to close is about to: guards against a second that is closed for the same need.
+    let told = |conn: &&Rc<Conn>| conn.close.get().is_some() && !conn.going.get();
+    let told = hub.conns.borrow().values().filter(told).count();
+    let stand = hub.conns.borrow().len() - told - going(hub).min(GOING_MOST);
+    let sockets = hub.config.sockets.saturating_sub(hub.kept.get());
+    room(sockets, calls) as isize - stand as isize
 }
 
 /// Connections that only wait for the other side's end.
@@ -136,16 +150,35 @@
 
 /// Ends the connection that was unused for longest, if need be; false if all are in use. Guards against a
 /// crowd that says nothing: whoever never said a word goes before all dispatchers.
-fn make_room(hub: &Hub) -> bool {
+fn make_room(hub: &Hub, code: &'static str) -> bool {
     let conns = hub.conns.borrow();
     // One that is on its way out makes no further room.
     let free = |conn: &&Rc<Conn>| conn.settled() && conn.close.get().is_none() && !conn.going.get();
     let unused = conns.values().filter(free);
     let Some(conn) = unused.min_by_key(|conn| (conn.used.get(), conn.moved.get())) else { return false };
-    conn.end(ROOM);
+    conn.end(code);
     true
 }
 
+/// Ends the connection that was unused for longest, at once, for a need of the node's own; false if all are in use.
+pub fn give_way(hub: &Hub) -> bool {
+    make_room(hub, GIVES_WAY)
+}
+
+/// Guards against a bunch of calls below that comes sooner than the next look: each call past what is put by is made
+/// once an unused connection has made room for it.
+pub async fn room_for_call(hub: &Hub) {
+    let mut made = room_left(hub) < 0 && make_room(hub, ROOM);
+    // Under few descriptors half of them is more than calls leave.
+    let (stand, calls) = (hub.conns.borrow().len(), hub.core.borrow().desk.pool.out.get());
+    if stand + calls + AT_WORK + hub.kept.get() > hub.config.sockets {
+        made |= give_way(hub);
+    }
+    if made {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// What is due at a connection's end, however it ends: also where serving it ended in a panic.
 struct Ending {
     hub: Rc<Hub>,
@@ -253,7 +286,7 @@
                 // Guards against a flood of connections: a long good-bye would keep the descriptor that is wanted
                 // now. A caller that was of use may have an answer on its way, which a reset would take along.
                 let crowd = !conn.used.get() || going(hub) >= GOING_MOST;
-                return (code, code == ROOM && crowd);
+                return (code, code == GIVES_WAY || code == ROOM && crowd);
             }
             continue;
         }
@@ -384,7 +417,7 @@
         }
         // Calls below came into the room that connections took while there were none.
         for _ in room_left(&hub)..0 {
-            make_room(&hub);
+            make_room(&hub, ROOM);
         }
         // Guards against many that ask and do not read: the one that is furthest behind goes.
         let conns = hub.conns.borrow();
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -3,51 +3,14 @@
 mod world;
 
 use rainstand_node::config::Config;
-use rainstand_node::{reload, thrift};
+use rainstand_node::reload;
 use serde_json::{json, Value};
 use std::io::Write;
-use std::process::Stdio;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, ChildStderr, Command};
-use tokio::task::{yield_now, LocalSet};
+use tokio::task::yield_now;
 use world::stand_ins::{Agent, Caller, Http};
-use world::{born, example, play, said, HANGS};
-
-/// The real program, as a process of its own.
-struct Program {
-    process: Child,
-    log: Lines<BufReader<ChildStderr>>,
-}
-
-impl Program {
-    fn start(path: &std::path::Path) -> Self {
-        let mut process = Command::new(env!("CARGO_BIN_EXE_rainstand-node"))
-            .env("ROUTER_CONFIG", path)
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .unwrap();
-        let log = BufReader::new(process.stderr.take().unwrap()).lines();
-        Self { process, log }
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.process.id().unwrap().to_string();
-        assert!(std::process::Command::new("kill").args([name, &pid]).status().unwrap().success());
-    }
-
-    async fn says(&mut self, start: &str) {
-        while !self.log.next_line().await.unwrap().expect("a node that lives").starts_with(start) {}
-    }
-}
-
-fn alone<T: std::future::Future<Output = ()>>(test: T) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
-    done.expect("a test that ends");
-}
+use world::{alone, born, example, play, said, whole_ticket, Program, HANGS};
 
 /// A configuration of a node that talks to nobody but this agent.
 fn with_agent(agent: &TcpListener) -> Value {
@@ -57,12 +20,6 @@
     config
 }
 
-fn whole_ticket(seq: i32, trace: &str) -> Vec<u8> {
-    let born = born();
-    let fields = [("route", "check"), ("trace", trace), ("born", &born), ("customer", "acme")];
-    thrift::process(seq, &[&fields[..], &[("size", "20"), ("client", "1"), ("order", "0.5")]].concat(), b"b")
-}
-
 /// Each code for which an unused connection is closed, with a ticket that came before the close and was not read yet.
 #[test]
 fn a_ticket_that_lies_unread_at_a_close_is_answered() {
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -4,15 +4,19 @@
 #[path = "../../../../examples/toy/stand_ins.rs"]
 pub mod stand_ins;
 
-use rainstand_node::{config::Config, run, Hub};
+use rainstand_node::{config::Config, run, thrift, Hub};
 use serde_json::{json, Value};
 use stand_ins::{Agent, Caller, Said};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::net::TcpListener;
+use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
@@ -61,6 +65,65 @@
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis().to_string()
 }
 
+/// The real program, as a process of its own.
+pub struct Program {
+    pub process: Child,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+impl Program {
+    pub fn start(path: &Path) -> Self {
+        Self::begin(Command::new(env!("CARGO_BIN_EXE_rainstand-node")), path)
+    }
+
+    /// With so many descriptors.
+    pub fn start_within(path: &Path, descriptors: usize) -> Self {
+        let mut shell = Command::new("sh");
+        shell
+            .args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_rainstand-node"))]);
+        Self::begin(shell, path)
+    }
+
+    fn begin(mut command: Command, path: &Path) -> Self {
+        let mut process =
+            command.env("ROUTER_CONFIG", path).stderr(Stdio::piped()).kill_on_drop(true).spawn().unwrap();
+        let log = BufReader::new(process.stderr.take().unwrap()).lines();
+        Self { process, log }
+    }
+
+    pub fn pid(&self) -> i32 {
+        self.process.id().unwrap() as i32
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.pid().to_string();
+        assert!(std::process::Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Reads on to the line that begins so; the whole of it.
+    pub async fn says(&mut self, start: &str) -> String {
+        loop {
+            let line = self.log.next_line().await.unwrap().expect("a node that lives");
+            if line.starts_with(start) {
+                return line;
+            }
+        }
+    }
+}
+
+/// Runs a test that makes its own world.
+pub fn alone<T: std::future::Future<Output = ()>>(test: T) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
+    done.expect("a test that ends");
+}
+
+pub fn whole_ticket(seq: i32, trace: &str) -> Vec<u8> {
+    let born = born();
+    let fields = [("route", "check"), ("trace", trace), ("born", &born), ("customer", "acme")];
+    thrift::process(seq, &[&fields[..], &[("size", "20"), ("client", "1"), ("order", "0.5")]].concat(), b"b")
+}
+
 impl World {
     /// The agent's link, greeted, and a caller.
     pub async fn up(&self) -> (Agent, Caller) {
