--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -180,6 +180,7 @@
     pub fn take(&self, configuration: &Configuration) -> Result<u64, String> {
         let version = self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())?;
         self.backs.tidy();
+        self.backs.tell_known(self);
         self.metrics.version(&self.fleet.borrow());
         Ok(version)
     }
@@ -253,7 +254,7 @@
                 self.ring_after(wait, number, attempt);
             }
             Step::Over(over) => {
-                self.metrics.ticket(&over);
+                self.metrics.ticket(&over, &self.fleet.borrow());
                 self.over(number, |ticket| match over.end {
                     // The member's own answer went out before.
                     End::Honoured | End::Nobody => None,
