Router: a change of named things at the cost of what it says; one table for all open versions

Cause: each version compiled the whole configuration anew and kept it, the message included, until its last ticket ended; a row of bits stood for each tenant that any route names.

Change: there is one table, the present version's. A ticket carries the names of its route and pool, so of earlier versions only the number of their tickets is kept. `Router::apply` puts and removes named things in place, whole or not at all: what is refused later takes back what was put, removals come when nothing can fail any more. Tenants that routes name have lists; names are kept once, with a hash each; a route's patterns are read where they stand.

--- a/crates/route/src/buckets.rs
+++ b/crates/route/src/buckets.rs
@@ -14,11 +14,11 @@
 //! inside stays where it is, so that a ticket can hold it by its place.
 
 use crate::limit::{Bucket, Full, Rule};
+use crate::split::mark;
 use crate::versions::At;
 use foldhash::{HashMap, HashMapExt};
 use rainstand_config::schema::Per;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Buckets in use at once, some 128 bytes each with their place in the index.
 pub const MOST_BUCKETS: usize = 1 << 20;
@@ -43,9 +43,9 @@
 
 impl Key {
     pub fn new(at: At, name: &str, per: Per, of: Option<&str>) -> Self {
-        let kind = (at as u64) << 8 | per as u64;
-        let mark = |seed: u64, name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
-        Self { place: mark(kind, name), of: of.map_or(0, |of| mark(0, of)) }
+        // Not as the hash's seed: with names of three letters another seed came to the hash of another name.
+        let kind = ((at as u64) << 8 | per as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        Self { place: mark(name) ^ kind, of: of.map_or(0, mark) }
     }
 }
 
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -580,8 +580,7 @@
             return Some(way.place.pool);
         }
         // Under another version than the present one the pool is looked up by its name.
-        let table = self.router.table_of(way)?;
-        self.table().pool(table.pool_name(way.place.pool))
+        self.table().pool(&way.pool)
     }
 
     /// Sends a try to a member of the trip's pool; another than the last one, if there is one.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`buckets`] | which of a limit's counters are kept: made when first used, given back when idle, bounded |
 //! | [`budget`] | how much time each stage may still take |
 //! | [`versions`] | all of it together while configurations change under running tickets |
+//! | [`change`] | a change of named things on the present table, whole or not at all, at the cost of what it says |
 //! | [`choice`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
 //! | [`subset`] | which members of a large pool a forwarder knows |
 //! | [`health`] | who is left out, judged from answers alone, and how it comes back |
@@ -52,6 +53,7 @@
 pub mod attempts;
 pub mod buckets;
 pub mod budget;
+pub mod change;
 pub mod choice;
 pub mod decisions;
 pub mod explain;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,11 +1,16 @@
 //! A configuration made ready for tickets: names are indices, matches are rows of bits.
 //!
-//! For each type, each tenant and each kind of try there is a row with one bit a route: the routes that
-//! such tickets can match. A ticket's routes are the bits that stand in all three of its rows, and only
-//! those are asked about its entity and size, in order. Rows that are alike are kept once.
+//! For each type, for all tenants and for each kind of try there is a row with one bit a route: the routes that such
+//! tickets can match. Routes that name tenants are not in the row of all but in a list of each tenant that they name. A
+//! ticket's routes are the bits that stand in all three, and only those are asked about its entity and size, in
+//! order.
+//!
+//! There is one table, that of the present version: a ticket that came in under an earlier one carries what it still
+//! needs of it ([`crate::versions::Way`]). So a change of named things alters the table where it says something
+//! ([`crate::change`]), and two versions that are open take the memory of one.
 //!
 //! Invariants: every index in a [`Table`] is within its list; shares of a split are each above 0; the
-//! chain of fall-backs of a pool ends.
+//! chain of fall-backs of a pool ends; bits and list entries past the last route are none.
 
 use crate::budget::Times;
 use crate::limit::Rule;
@@ -16,10 +21,11 @@
 use rainstand_config::schema::{self, Again, Configuration, Per, SplitBy};
 use rainstand_config::space::Miss;
 use rainstand_config::units::ONE;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Blocks of one kind: an index is two bytes.
-const MOST: usize = 65_000;
+pub(crate) const MOST: usize = 65_000;
 /// Bytes that the rows of one table may take.
 const ROWS: usize = 256 << 20;
 
@@ -67,22 +73,6 @@
     NoPool(u16),
 }
 
-#[derive(Debug)]
-struct Pattern {
-    beginning: Box<str>,
-    whole: bool,
-}
-
-impl Pattern {
-    fn takes(&self, entity: &str) -> bool {
-        if self.whole {
-            *self.beginning == *entity
-        } else {
-            entity.starts_with(&*self.beginning)
-        }
-    }
-}
-
 #[derive(Debug)]
 pub(crate) struct Target {
     pub pool: u16,
@@ -92,8 +82,7 @@
 
 #[derive(Debug)]
 pub(crate) struct Route {
-    pub name: Box<str>,
-    entities: Box<[Pattern]>,
+    pub name: Rc<str>,
     size: (u64, u64),
     pub to: Box<[Target]>,
     by_chance: bool,
@@ -105,7 +94,7 @@
 
 #[derive(Debug)]
 pub(crate) struct Pool {
-    pub name: Box<str>,
+    pub name: Rc<str>,
     /// Mark and weight of each member.
     members: Box<[(u64, u64)]>,
     pub fall_back: Option<u16>,
@@ -113,199 +102,336 @@
     pub retry_after: Option<u16>,
 }
 
-/// See the module's head.
-#[derive(Debug)]
-pub struct Table {
-    pub(crate) configuration: Configuration,
-    types: HashMap<Box<str>, u16>,
-    tenants: HashMap<Box<str>, u16>,
-    pub(crate) pools: Box<[Pool]>,
-    pub(crate) routes: Box<[Route]>,
-    /// Words of a row.
-    words: usize,
-    rows: Vec<u64>,
-    /// Where the row of each type, tenant (the last: of no known one) and kind of try begins.
-    by_type: Box<[u32]>,
-    by_tenant: Box<[u32]>,
-    by_try: [u32; 2],
-    pub(crate) limits: Box<[(Rule, Per)]>,
-    pub(crate) type_limits: Box<[Option<u16>]>,
-    pub(crate) tenant_limits: Box<[Option<u16>]>,
-    pub(crate) times: Vec<Option<Box<[Times]>>>,
-    goals: Box<[Duration]>,
+/// What has a name in a configuration.
+pub(crate) trait Named {
+    const WHAT: &'static str;
+    fn name(&self) -> &str;
 }
 
-fn index<'c>(what: &str, names: impl Iterator<Item = &'c String>) -> Result<HashMap<Box<str>, u16>, Refused> {
-    let mut all: HashMap<Box<str>, u16> = HashMap::new();
-    for (k, name) in names.enumerate() {
-        if k >= MOST {
+macro_rules! named {
+    ($($thing:ident $what:literal),*) => {
+        $(impl Named for schema::$thing {
+            const WHAT: &'static str = $what;
+            fn name(&self) -> &str {
+                &self.name
+            }
+        })*
+    };
+}
+named!(TrafficType "type", Tenant "tenant", Pool "pool", Limits "limits", RetryAfter "retry-after", Budget "budget",
+    Route "route", Attempts "attempts", Health "health");
+
+/// Places in a list of the configuration by name. The names stand there; here are their hashes alone.
+#[derive(Debug, Default)]
+pub(crate) struct Names(pub HashMap<u64, u16>);
+
+impl Names {
+    fn new<T: Named>(all: &[T]) -> Result<Self, Refused> {
+        let mut names = Self(HashMap::with_capacity(all.len()));
+        for at in 0..all.len() {
+            names.put(all, at)?;
+        }
+        Ok(names)
+    }
+
+    /// The one at this place; nothing has changed if it is refused.
+    pub fn put<T: Named>(&mut self, all: &[T], at: usize) -> Result<(), Refused> {
+        let (what, name) = (T::WHAT, all[at].name());
+        if at >= MOST {
             return Err(Refused(format!("more than {MOST} of {what}")));
         }
-        if all.insert(name.as_str().into(), k as u16).is_some() {
-            return Err(Refused(format!("{what} `{name}` is there twice")));
+        self.free(all, name)?;
+        self.moved(name, at as u16);
+        Ok(())
+    }
+
+    /// # Errors
+    /// If another one stands for it already.
+    pub fn free<T: Named>(&self, all: &[T], name: &str) -> Result<(), Refused> {
+        let Some(there) = self.0.get(&mark(name)) else { return Ok(()) };
+        let (what, other) = (T::WHAT, all.get(usize::from(*there)).map_or("", Named::name));
+        Err(Refused(match other == name {
+            true => format!("{what} `{name}` is there twice"),
+            // One in a thousand million configurations of this size: another name will do.
+            false => format!("{what} `{name}` has the hash of `{other}`; give it another name"),
+        }))
+    }
+
+    pub fn remove(&mut self, name: &str) {
+        self.0.remove(&mark(name));
+    }
+
+    /// It stands here now.
+    pub fn moved(&mut self, name: &str, to: u16) {
+        self.0.insert(mark(name), to);
+    }
+
+    pub fn each(&mut self, what: impl FnMut(&mut u16)) {
+        self.0.values_mut().for_each(what);
+    }
+
+    pub fn get<T: Named>(&self, all: &[T], name: &str) -> Option<u16> {
+        let at = *self.0.get(&mark(name))?;
+        (all.get(usize::from(at))?.name() == name).then_some(at)
+    }
+
+    pub fn find<T: Named>(&self, all: &[T], name: &str) -> Result<u16, Refused> {
+        self.get(all, name).ok_or_else(|| Refused(format!("there is no {} `{name}`", T::WHAT)))
+    }
+
+    /// An empty name refers to nothing.
+    pub fn find_any<T: Named>(&self, all: &[T], name: &str) -> Result<Option<u16>, Refused> {
+        if name.is_empty() {
+            return Ok(None);
         }
+        self.find(all, name).map(Some)
+    }
+}
+
+/// A row with one bit a route.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Bits(Vec<u64>);
+
+impl Bits {
+    pub fn has(&self, at: usize) -> bool {
+        self.0[at / 64] >> (at % 64) & 1 == 1
     }
-    Ok(all)
+
+    pub fn set(&mut self, at: usize, to: bool) {
+        let bit = 1 << (at % 64);
+        match to {
+            true => self.0[at / 64] |= bit,
+            false => self.0[at / 64] &= !bit,
+        }
+    }
+
+    /// What stands at this place and behind moves on by one.
+    pub fn open(&mut self, at: usize) {
+        let below = (1u64 << (at % 64)) - 1;
+        for word in (at / 64 + 1..self.0.len()).rev() {
+            self.0[word] = self.0[word] << 1 | self.0[word - 1] >> 63;
+        }
+        let word = &mut self.0[at / 64];
+        *word = (*word & below) | (*word & !below) << 1;
+    }
+
+    /// What stands behind this place moves back by one.
+    pub fn close(&mut self, at: usize) {
+        let below = (1u64 << (at % 64)) - 1;
+        let last = self.0.len() - 1;
+        let word = &mut self.0[at / 64];
+        *word = (*word & below) | (*word >> 1 & !below);
+        for word in at / 64..last {
+            self.0[word] = self.0[word] & !(1 << 63) | self.0[word + 1] << 63;
+            self.0[word + 1] >>= 1;
+        }
+    }
+
+    pub fn resize(&mut self, words: usize) {
+        self.0.resize(words, 0);
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Index {
+    pub types: Names,
+    pub tenants: Names,
+    pub pools: Names,
+    pub limits: Names,
+    pub retry_after: Names,
+    pub budgets: Names,
+    pub routes: Names,
 }
 
-fn find(all: &HashMap<Box<str>, u16>, what: &str, name: &str) -> Result<u16, Refused> {
-    all.get(name).copied().ok_or_else(|| Refused(format!("there is no {what} `{name}`")))
+/// See the module's head.
+#[derive(Debug)]
+pub struct Table {
+    pub(crate) configuration: Configuration,
+    pub(crate) index: Index,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) routes: Vec<Route>,
+    /// Routes that name no type, and with those that name it the row of each.
+    pub(crate) any_type: Bits,
+    pub(crate) by_type: Vec<Bits>,
+    /// Routes that name no tenant, and in order those that name it for each that is named.
+    pub(crate) any_tenant: Bits,
+    pub(crate) by_tenant: HashMap<u16, Vec<u16>>,
+    pub(crate) by_try: [Bits; 2],
+    pub(crate) limits: Vec<(Rule, Per)>,
+    pub(crate) type_limits: Vec<Option<u16>>,
+    pub(crate) tenant_limits: Vec<Option<u16>>,
+    /// Of each budget and type.
+    pub(crate) times: Vec<Vec<Times>>,
+    pub(crate) goals: Vec<Duration>,
 }
 
-/// An empty name refers to nothing.
-fn find_any(all: &HashMap<Box<str>, u16>, what: &str, name: &str) -> Result<Option<u16>, Refused> {
-    if name.is_empty() {
-        return Ok(None);
+/// # Errors
+/// If rows of so many routes for so many types would take too much.
+pub(crate) fn rows_fit(types: usize, routes: usize) -> Result<(), Refused> {
+    match types.saturating_mul(routes.div_ceil(64) * 8) > ROWS {
+        true => Err(Refused(format!("routes by types would take over {ROWS} bytes"))),
+        false => Ok(()),
     }
-    find(all, what, name).map(Some)
 }
 
+/// Kinds of tries, and what a match says that is not for them.
+const TRIES: [Again; 2] = [Again::FurtherTries, Again::FirstTries];
+
 impl Table {
+    /// # Errors
+    /// As [`Table::of`].
+    pub fn new(configuration: &Configuration) -> Result<Self, Refused> {
+        Self::of(configuration.clone())
+    }
+
     /// # Errors
     /// What in the message cannot be: a name that is not there, a split without shares, too many rows.
     /// The checker refuses all of it before, but a message may come from elsewhere.
-    pub fn new(configuration: &Configuration) -> Result<Self, Refused> {
-        let c = configuration;
-        let types = index("type", c.types.iter().map(|one| &one.name))?;
-        let tenants = index("tenant", c.tenants.iter().map(|one| &one.name))?;
-        let pools = index("pool", c.pools.iter().map(|one| &one.name))?;
-        let limits = index("limits", c.limits.iter().map(|one| &one.name))?;
-        let retry_after = index("retry-after", c.retry_after.iter().map(|one| &one.name))?;
-        let budgets = index("budget", c.budgets.iter().map(|one| &one.name))?;
-        index("route", c.routes.iter().map(|one| &one.name))?;
-        let compiled_pools = c.pools.iter().map(|pool| {
-            Ok(Pool {
-                name: pool.name.as_str().into(),
-                members: pool.members.iter().map(|m| (mark(&m.address), m.weight)).collect(),
-                fall_back: find_any(&pools, "pool", &pool.fall_back)?,
-                limits: find_any(&limits, "limits", &pool.limits)?,
-                retry_after: find_any(&retry_after, "retry-after", &pool.retry_after)?,
-            })
-        });
-        let compiled_pools: Box<[Pool]> = compiled_pools.collect::<Result<_, Refused>>()?;
-        for start in 0..compiled_pools.len() {
-            let chain =
-                std::iter::successors(Some(start), |at| compiled_pools[*at].fall_back.map(usize::from));
-            if chain.take(compiled_pools.len() + 1).count() > compiled_pools.len() {
-                let name = &compiled_pools[start].name;
-                return Err(Refused(format!("pool `{name}` falls back in a ring")));
-            }
-        }
-        let routes = c.routes.iter().map(|route| {
-            let to = route.to.iter().map(|target| {
-                if target.share == 0 || target.share > ONE {
-                    return Err(Refused(format!("route `{}`: a share of {}", route.name, target.share)));
-                }
-                let pool = find(&pools, "pool", &target.pool)?;
-                Ok(Target { pool, mark: mark(&target.pool), share: target.share })
-            });
-            let to: Box<[Target]> = to.collect::<Result<_, Refused>>()?;
-            if to.iter().map(|target| target.share).sum::<u64>() != ONE {
-                return Err(Refused(format!("route `{}`: its shares are not 100 %", route.name)));
-            }
-            let matched = route.r#match.clone().unwrap_or_default();
-            let entities = matched.entities.iter().map(|pattern| match pattern.strip_suffix('*') {
-                Some(beginning) => Pattern { beginning: beginning.into(), whole: false },
-                None => Pattern { beginning: pattern.as_str().into(), whole: true },
-            });
-            let most = if matched.size_most == 0 { u64::MAX } else { matched.size_most };
-            let fall_back = route.fall_back.iter().map(|name| find(&pools, "pool", name));
-            Ok(Route {
-                name: route.name.as_str().into(),
-                entities: entities.collect(),
-                size: (matched.size_least, most),
-                to,
-                by_chance: route.split_by() == SplitBy::Chance,
-                fall_back: fall_back.collect::<Result<_, Refused>>()?,
-                limits: find_any(&limits, "limits", &route.limits)?,
-                retry_after: find_any(&retry_after, "retry-after", &route.retry_after)?,
-                budget: find_any(&budgets, "budget", &route.budget)?,
-            })
-        });
-        let routes: Box<[Route]> = routes.collect::<Result<_, Refused>>()?;
-        let type_limits =
-            c.types.iter().map(|one| find_any(&limits, "limits", &one.limits)).collect::<Result<_, _>>()?;
-        let tenant_limits =
-            c.tenants.iter().map(|one| find_any(&limits, "limits", &one.limits)).collect::<Result<_, _>>()?;
-        let goals: Box<[Duration]> = c.types.iter().map(|one| Duration::from_nanos(one.goal_ns)).collect();
+    pub fn of(c: Configuration) -> Result<Self, Refused> {
+        let index = Index {
+            types: Names::new(&c.types)?,
+            tenants: Names::new(&c.tenants)?,
+            pools: Names::new(&c.pools)?,
+            limits: Names::new(&c.limits)?,
+            retry_after: Names::new(&c.retry_after)?,
+            budgets: Names::new(&c.budgets)?,
+            routes: Names::new(&c.routes)?,
+        };
+        let find_limits = |name: &str| index.limits.find_any(&c.limits, name);
+        let type_limits = c.types.iter().map(|one| find_limits(&one.limits)).collect::<Result<_, _>>()?;
+        let tenant_limits = c.tenants.iter().map(|one| find_limits(&one.limits)).collect::<Result<_, _>>()?;
+        let goals: Vec<Duration> = c.types.iter().map(|one| Duration::from_nanos(one.goal_ns)).collect();
+        let times = |budget| goals.iter().map(|goal| Times::new(*goal, Some(budget))).collect();
+        let mut row = Bits::default();
+        row.resize(c.routes.len().div_ceil(64));
+        rows_fit(c.types.len(), c.routes.len())?;
         let mut table = Self {
-            configuration: c.clone(),
-            types,
-            tenants,
-            pools: compiled_pools,
-            words: routes.len().div_ceil(64),
-            routes,
-            rows: Vec::new(),
-            by_type: Box::default(),
-            by_tenant: Box::default(),
-            by_try: [0; 2],
             limits: c.limits.iter().map(|one| (Rule::from(one), one.per())).collect(),
+            times: c.budgets.iter().map(times).collect(),
+            pools: Vec::new(),
+            routes: Vec::new(),
+            by_type: vec![row.clone(); c.types.len()],
+            by_tenant: HashMap::new(),
+            by_try: [row.clone(), row.clone()],
+            any_type: row.clone(),
+            any_tenant: row,
+            configuration: c,
+            index,
             type_limits,
             tenant_limits,
-            times: c
-                .budgets
-                .iter()
-                .map(|budget| Some(goals.iter().map(|goal| Times::new(*goal, Some(budget))).collect()))
-                .collect(),
             goals,
         };
-        table.fill_rows()?;
+        let c = &table.configuration;
+        table.pools = c.pools.iter().map(|pool| table.compile_pool(pool)).collect::<Result<_, _>>()?;
+        (0..table.pools.len()).try_for_each(|at| table.chain_ends(at))?;
+        let c = &table.configuration;
+        table.routes = c.routes.iter().map(|route| table.compile_route(route)).collect::<Result<_, _>>()?;
+        for at in 0..table.routes.len() {
+            table.mark_route(at, true);
+        }
         Ok(table)
     }
 
-    fn fill_rows(&mut self) -> Result<(), Refused> {
-        let routes = self.configuration.routes.clone();
-        let (types, tenants) = (self.types.len(), self.tenants.len());
-        let mut rows = Rows { words: self.words, all: Vec::new(), seen: HashMap::new() };
-        let matched = |k: usize| routes[k].r#match.as_ref();
-        // Routes that name no type (or tenant) are in every row; the others in those that they name.
-        let mut named: Vec<Vec<u16>> = vec![Vec::new(); types];
-        let mut general = vec![0u64; self.words];
-        for k in 0..routes.len() {
-            match matched(k).map(|m| &m.types).filter(|list| !list.is_empty()) {
-                None => set(&mut general, k),
-                Some(list) => {
-                    for name in list {
-                        named[usize::from(find(&self.types, "type", name)?)].push(k as u16);
-                    }
+    pub(crate) fn chain_ends(&self, pool: usize) -> Result<(), Refused> {
+        let chain = std::iter::successors(Some(pool), |at| self.pools[*at].fall_back.map(usize::from));
+        if chain.take(self.pools.len() + 1).count() > self.pools.len() {
+            let name = &self.pools[pool].name;
+            return Err(Refused(format!("pool `{name}` falls back in a ring")));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn compile_pool(&self, pool: &schema::Pool) -> Result<Pool, Refused> {
+        let (c, index) = (&self.configuration, &self.index);
+        Ok(Pool {
+            name: pool.name.as_str().into(),
+            members: pool.members.iter().map(|m| (mark(&m.address), m.weight)).collect(),
+            fall_back: index.pools.find_any(&c.pools, &pool.fall_back)?,
+            limits: index.limits.find_any(&c.limits, &pool.limits)?,
+            retry_after: index.retry_after.find_any(&c.retry_after, &pool.retry_after)?,
+        })
+    }
+
+    pub(crate) fn compile_route(&self, route: &schema::Route) -> Result<Route, Refused> {
+        let (c, index) = (&self.configuration, &self.index);
+        let to = route.to.iter().map(|target| {
+            if target.share == 0 || target.share > ONE {
+                return Err(Refused(format!("route `{}`: a share of {}", route.name, target.share)));
+            }
+            let pool = index.pools.find(&c.pools, &target.pool)?;
+            Ok(Target { pool, mark: mark(&target.pool), share: target.share })
+        });
+        let to: Box<[Target]> = to.collect::<Result<_, Refused>>()?;
+        if to.iter().map(|target| target.share).sum::<u64>() != ONE {
+            return Err(Refused(format!("route `{}`: its shares are not 100 %", route.name)));
+        }
+        let mut size = (0, u64::MAX);
+        if let Some(matched) = &route.r#match {
+            matched.types.iter().try_for_each(|name| index.types.find(&c.types, name).map(drop))?;
+            matched.tenants.iter().try_for_each(|name| index.tenants.find(&c.tenants, name).map(drop))?;
+            size = (matched.size_least, if matched.size_most == 0 { u64::MAX } else { matched.size_most });
+        }
+        let fall_back = route.fall_back.iter().map(|name| index.pools.find(&c.pools, name));
+        Ok(Route {
+            name: route.name.as_str().into(),
+            size,
+            to,
+            by_chance: route.split_by() == SplitBy::Chance,
+            fall_back: fall_back.collect::<Result<_, Refused>>()?,
+            limits: index.limits.find_any(&c.limits, &route.limits)?,
+            retry_after: index.retry_after.find_any(&c.retry_after, &route.retry_after)?,
+            budget: index.budgets.find_any(&c.budgets, &route.budget)?,
+        })
+    }
+
+    /// Sets a route's bits and entries, by its match in the configuration, or takes them away.
+    pub(crate) fn mark_route(&mut self, at: usize, to: bool) {
+        let Self { configuration: c, index, any_type, by_type, any_tenant, by_tenant, by_try, .. } = self;
+        let matched = c.routes[at].r#match.as_ref();
+        match matched.map(|m| &m.types).filter(|names| !names.is_empty()) {
+            None => {
+                any_type.set(at, to);
+                by_type.iter_mut().for_each(|row| row.set(at, to));
+            }
+            Some(names) => {
+                for of in names.iter().filter_map(|name| index.types.get(&c.types, name)) {
+                    by_type[usize::from(of)].set(at, to);
                 }
             }
         }
-        self.by_type = rows.with_each(&general, &named)?;
-        let mut named: Vec<Vec<u16>> = vec![Vec::new(); tenants + 1];
-        let mut general = vec![0u64; self.words];
-        for k in 0..routes.len() {
-            match matched(k).map(|m| &m.tenants).filter(|list| !list.is_empty()) {
-                None => set(&mut general, k),
-                Some(list) => {
-                    for name in list {
-                        named[usize::from(find(&self.tenants, "tenant", name)?)].push(k as u16);
+        match matched.map(|m| &m.tenants).filter(|names| !names.is_empty()) {
+            None => any_tenant.set(at, to),
+            Some(names) => {
+                for of in names.iter().filter_map(|name| index.tenants.get(&c.tenants, name)) {
+                    let list = by_tenant.entry(of).or_default();
+                    match (list.binary_search(&(at as u16)), to) {
+                        (Err(place), true) => list.insert(place, at as u16),
+                        (Ok(place), false) => drop(list.remove(place)),
+                        _ => {}
+                    }
+                    if list.is_empty() {
+                        by_tenant.remove(&of);
                     }
                 }
             }
         }
-        self.by_tenant = rows.with_each(&general, &named)?;
-        for (of_try, not) in [(0, Again::FurtherTries), (1, Again::FirstTries)] {
-            let mut row = vec![0u64; self.words];
-            for k in (0..routes.len()).filter(|k| matched(*k).is_none_or(|m| m.again() != not)) {
-                set(&mut row, k);
+        for (row, not) in by_try.iter_mut().zip(TRIES) {
+            if matched.is_none_or(|m| m.again() != not) {
+                row.set(at, to);
             }
-            self.by_try[of_try] = rows.keep(&row)?;
         }
-        self.rows = rows.all;
-        Ok(())
     }
 
     pub fn traffic(&self, name: &str) -> Option<u16> {
-        self.types.get(name).copied()
+        self.index.types.get(&self.configuration.types, name)
     }
 
     pub fn tenant(&self, name: &str) -> Option<u16> {
-        self.tenants.get(name).copied()
+        self.index.tenants.get(&self.configuration.tenants, name)
     }
 
     pub fn pool(&self, name: &str) -> Option<u16> {
-        self.pools.iter().position(|pool| *pool.name == *name).map(|at| at as u16)
+        self.index.pools.get(&self.configuration.pools, name)
     }
 
     pub fn pool_name(&self, pool: u16) -> &str {
@@ -323,36 +449,34 @@
     /// Bytes that this table holds, nearly: what an open version costs.
     pub fn size(&self) -> usize {
         use rainstand_config::schema::to_binary;
-        let fixed = (self.by_type.len() + self.by_tenant.len()) * 4 + self.rows.capacity() * 8;
-        let routes: usize = self
-            .routes
-            .iter()
-            .map(|r| {
-                size_of::<Route>()
-                    + r.entities.len() * size_of::<Pattern>()
-                    + r.to.len() * size_of::<Target>()
-                    + r.fall_back.len() * 2
-            })
-            .sum();
+        let row = self.any_type.0.len() * 8;
+        let entries: usize = self.by_tenant.values().map(|list| 40 + list.capacity() * 2).sum();
+        let fixed = (self.by_type.len() + 4) * row + entries;
+        let target = |r: &Route| r.to.len() * size_of::<Target>() + r.fall_back.len() * 2;
+        let routes: usize = self.routes.iter().map(|r| size_of::<Route>() + target(r)).sum();
         let pools: usize = self.pools.iter().map(|p| size_of::<Pool>() + p.members.len() * 16).sum();
-        let times = self.times.iter().flatten().map(|row| row.len() * size_of::<Times>()).sum::<usize>();
-        // Names stand in the message and once more as keys.
+        let times = self.times.iter().map(|row| row.len() * size_of::<Times>()).sum::<usize>();
+        // Names stand in the message, and for most there is a hash.
         fixed + routes + pools + times + 4 * to_binary(&self.configuration).len()
     }
 
     /// The route that takes a ticket: the first that matches.
     pub fn route(&self, ticket: &Ticket<'_>) -> Option<u16> {
-        let of_type = self.row(*self.by_type.get(usize::from(ticket.traffic))?);
-        let unknown = self.by_tenant.len() - 1;
-        let tenant = ticket.tenant.map_or(unknown, usize::from).min(unknown);
-        let of_tenant = self.row(self.by_tenant[tenant]);
-        let of_try = self.row(self.by_try[usize::from(ticket.again)]);
-        for (word, ((a, b), c)) in of_type.iter().zip(of_tenant).zip(of_try).enumerate() {
-            let mut left = a & b & c;
+        let of_type = &self.by_type.get(usize::from(ticket.traffic))?.0;
+        let mut named = self.named(ticket);
+        let of_try = &self.by_try[usize::from(ticket.again)].0;
+        for (word, ((a, b), c)) in of_type.iter().zip(&self.any_tenant.0).zip(of_try).enumerate() {
+            let mut of_tenant = *b;
+            while let Some((at, rest)) = named.split_first().filter(|(at, _)| usize::from(**at) / 64 == word)
+            {
+                of_tenant |= 1 << (at % 64);
+                named = rest;
+            }
+            let mut left = a & of_tenant & c;
             while left != 0 {
                 let at = word * 64 + left.trailing_zeros() as usize;
                 left &= left - 1;
-                if self.routes[at].takes(ticket) {
+                if self.takes(at, ticket) {
                     return Some(at as u16);
                 }
             }
@@ -360,8 +484,20 @@
         None
     }
 
-    fn row(&self, at: u32) -> &[u64] {
-        &self.rows[at as usize..at as usize + self.words]
+    /// The routes that name a ticket's tenant.
+    fn named(&self, ticket: &Ticket<'_>) -> &[u16] {
+        ticket.tenant.and_then(|tenant| self.by_tenant.get(&tenant)).map_or(&[], |list| list)
+    }
+
+    /// Whether a route takes a ticket, as far as size and entity go.
+    fn takes(&self, at: usize, ticket: &Ticket<'_>) -> bool {
+        let (least, most) = self.routes[at].size;
+        let entities = self.configuration.routes[at].r#match.as_ref().map_or(&[][..], |m| &m.entities);
+        let takes = |pattern: &String| match pattern.strip_suffix('*') {
+            Some(beginning) => ticket.entity.starts_with(beginning),
+            None => *pattern == ticket.entity,
+        };
+        (least..=most).contains(&ticket.size) && (entities.is_empty() || entities.iter().any(takes))
     }
 
     /// Where a ticket goes, given which pools can be used now.
@@ -426,25 +562,23 @@
     pub fn times(&self, route: u16, traffic: u16) -> Times {
         let goal = self.goals.get(usize::from(traffic)).copied().unwrap_or_default();
         let budget = self.routes[usize::from(route)].budget;
-        let row = budget.and_then(|at| self.times[usize::from(at)].as_ref());
+        let row = budget.and_then(|at| self.times.get(usize::from(at)));
         row.and_then(|row| row.get(usize::from(traffic)).copied()).unwrap_or_else(|| Times::new(goal, None))
     }
 
     /// Why a route does not take a ticket, if it does not.
     pub fn miss(&self, route: u16, ticket: &Ticket<'_>) -> Option<Miss> {
-        let has = |row: &[u64]| row[usize::from(route) / 64] >> (route % 64) & 1 == 1;
-        let unknown = self.by_tenant.len() - 1;
-        let tenant = ticket.tenant.map_or(unknown, usize::from).min(unknown);
-        let compiled = &self.routes[usize::from(route)];
-        if !self.by_type.get(usize::from(ticket.traffic)).is_some_and(|at| has(self.row(*at))) {
+        let at = usize::from(route);
+        let (least, most) = self.routes[at].size;
+        if !self.by_type.get(usize::from(ticket.traffic)).is_some_and(|row| row.has(at)) {
             Some(Miss::Type)
-        } else if !has(self.row(self.by_tenant[tenant])) {
+        } else if !self.any_tenant.has(at) && !self.named(ticket).contains(&route) {
             Some(Miss::Tenant)
-        } else if !has(self.row(self.by_try[usize::from(ticket.again)])) {
+        } else if !self.by_try[usize::from(ticket.again)].has(at) {
             Some(Miss::Again)
-        } else if !(compiled.size.0..=compiled.size.1).contains(&ticket.size) {
+        } else if !(least..=most).contains(&ticket.size) {
             Some(Miss::Size)
-        } else if !compiled.takes(ticket) {
+        } else if !self.takes(at, ticket) {
             Some(Miss::Entity)
         } else {
             None
@@ -458,48 +592,3 @@
         of_route.or(of_pool).map(|at| &self.configuration.retry_after[usize::from(at)])
     }
 }
-
-impl Route {
-    fn takes(&self, ticket: &Ticket<'_>) -> bool {
-        (self.size.0..=self.size.1).contains(&ticket.size)
-            && (self.entities.is_empty() || self.entities.iter().any(|p| p.takes(ticket.entity)))
-    }
-}
-
-fn set(row: &mut [u64], at: usize) {
-    row[at / 64] |= 1 << (at % 64);
-}
-
-/// Rows as they are made; each kept once.
-struct Rows {
-    words: usize,
-    all: Vec<u64>,
-    seen: HashMap<Box<[u64]>, u32>,
-}
-
-impl Rows {
-    fn keep(&mut self, row: &[u64]) -> Result<u32, Refused> {
-        if let Some(at) = self.seen.get(row) {
-            return Ok(*at);
-        }
-        if (self.all.len() + self.words) * 8 > ROWS {
-            return Err(Refused(format!("routes by types and tenants would take over {ROWS} bytes")));
-        }
-        let at = self.all.len() as u32;
-        self.all.extend_from_slice(row);
-        self.seen.insert(row.into(), at);
-        Ok(at)
-    }
-
-    /// The general row with each list's own bits.
-    fn with_each(&mut self, general: &[u64], named: &[Vec<u16>]) -> Result<Box<[u32]>, Refused> {
-        let mut row = general.to_vec();
-        let mut all = Vec::with_capacity(named.len());
-        for list in named {
-            list.iter().for_each(|k| set(&mut row, usize::from(*k)));
-            all.push(self.keep(&row)?);
-            row.copy_from_slice(general);
-        }
-        Ok(all.into())
-    }
-}
--- a/crates/route/src/versions.rs
+++ b/crates/route/src/versions.rs
@@ -1,7 +1,8 @@
 //! Routes and limits together, while configurations change under running tickets.
 //!
 //! A ticket that came in under a version finishes under it: its route, its times and the counts that it
-//! stands in. Buckets of limits belong to no version: they are known by name ([`crate::buckets`]), made when first
+//! stands in, all of which it carries, so that of versions but the present one no more is kept than how many tickets
+//! they have. Buckets of limits belong to no version: they are known by name ([`crate::buckets`]), made when first
 //! used, and a version that limits the same place for the same key goes on with what is there, under its own rule:
 //! what was let in stays let in. A version that has no more tickets and is not the present one is dropped with
 //! whatever only it knew.
@@ -12,14 +13,16 @@
 
 use crate::buckets::{Buckets, Key};
 use crate::budget::Times;
+use crate::change::{Change, Kind};
 use crate::limit::{Full, Rule};
 use crate::table::{NoWay, Place, Table, Ticket};
 use crate::Refused;
-use foldhash::{HashMap, HashMapExt};
+use foldhash::HashMap;
 use nanorand::WyRand;
 use rainstand_config::schema::{Configuration, Per};
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Versions with tickets in hand: a hundred changes within one outer limit and some room. Past it a new
@@ -42,6 +45,9 @@
 pub struct Way {
     pub version: u64,
     pub place: Place,
+    /// The names of its route and pool: their places are those of its version.
+    pub route: Rc<str>,
+    pub pool: Rc<str>,
     pub times: Times,
     held: [u32; PLACES],
 }
@@ -99,13 +105,14 @@
 #[derive(Debug)]
 struct Version {
     number: u64,
-    table: Table,
     open: u64,
 }
 
 /// See the module's head.
 #[derive(Debug)]
 pub struct Router {
+    /// Of the present version.
+    table: Table,
     versions: VecDeque<Version>,
     buckets: Buckets,
     chance: WyRand,
@@ -133,21 +140,73 @@
     Some((rule, Key::new(at, name, per, of.map(String::as_str))))
 }
 
-/// The rules at all places that have limits, by what their buckets have in common.
-fn rules(table: &Table) -> HashMap<u64, Rule> {
-    let c = &table.configuration;
-    let mut all = HashMap::new();
-    let mut add = |at: At, name: &str, limits: Option<u16>| {
+/// Those rules at places that have limits, by what their buckets have in common.
+#[derive(Default)]
+struct Rules(HashMap<u64, Rule>);
+
+impl Rules {
+    fn add(&mut self, table: &Table, at: At, name: &str, limits: Option<u16>) {
         if let Some(limits) = limits {
             let (rule, per) = table.limits[usize::from(limits)];
-            all.insert(Key::new(at, name, per, None).place, rule);
+            self.0.insert(Key::new(at, name, per, None).place, rule);
         }
-    };
-    c.types.iter().zip(&table.type_limits).for_each(|(x, limits)| add(At::Type, &x.name, *limits));
-    c.tenants.iter().zip(&table.tenant_limits).for_each(|(x, limits)| add(At::Tenant, &x.name, *limits));
-    table.routes.iter().for_each(|x| add(At::Route, &x.name, x.limits));
-    table.pools.iter().for_each(|x| add(At::Pool, &x.name, x.limits));
-    all
+    }
+
+    /// At all places whose limits are among these.
+    fn all(table: &Table, among: impl Fn(u16) -> bool) -> Self {
+        let (c, mut rules) = (&table.configuration, Self::default());
+        let mut add = |at: At, name: &str, limits: Option<u16>| {
+            rules.add(table, at, name, limits.filter(|limits| among(*limits)));
+        };
+        c.types.iter().zip(&table.type_limits).for_each(|(x, limits)| add(At::Type, &x.name, *limits));
+        c.tenants.iter().zip(&table.tenant_limits).for_each(|(x, limits)| add(At::Tenant, &x.name, *limits));
+        table.routes.iter().for_each(|x| add(At::Route, &x.name, x.limits));
+        table.pools.iter().for_each(|x| add(At::Pool, &x.name, x.limits));
+        rules
+    }
+
+    /// At places that a change says something of.
+    fn of(table: &Table, changes: &[Change]) -> Self {
+        let c = &table.configuration;
+        let named = |change: &Change| match change {
+            Change::Limits(one) => table.index.limits.get(&c.limits, &one.name),
+            _ => None,
+        };
+        let limits: Vec<u16> = changes.iter().filter_map(named).collect();
+        let mut rules = match limits.is_empty() {
+            true => Self::default(),
+            false => Self::all(table, |at| limits.contains(&at)),
+        };
+        for change in changes {
+            let (kind, name) = change.of();
+            let of_route = || table.index.routes.get(&c.routes, name);
+            match kind {
+                Kind::Type => {
+                    let at = table.traffic(name);
+                    rules.add(table, At::Type, name, at.and_then(|at| table.type_limits[usize::from(at)]));
+                }
+                Kind::Tenant => {
+                    let at = table.tenant(name);
+                    rules.add(
+                        table,
+                        At::Tenant,
+                        name,
+                        at.and_then(|at| table.tenant_limits[usize::from(at)]),
+                    );
+                }
+                Kind::Route => {
+                    let of = of_route().and_then(|at| table.routes[usize::from(at)].limits);
+                    rules.add(table, At::Route, name, of);
+                }
+                Kind::Pool => {
+                    let of = table.pool(name).and_then(|at| table.pools[usize::from(at)].limits);
+                    rules.add(table, At::Pool, name, of);
+                }
+                _ => {}
+            }
+        }
+        rules
+    }
 }
 
 impl Router {
@@ -156,14 +215,21 @@
     /// # Errors
     /// As [`Table::new`].
     pub fn new(configuration: &Configuration, seed: u64) -> Result<Self, Refused> {
-        let mut router = Self {
-            versions: VecDeque::new(),
+        Self::of(configuration.clone(), seed)
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Table::of`].
+    pub fn of(configuration: Configuration, seed: u64) -> Result<Self, Refused> {
+        Ok(Self {
+            table: Table::of(configuration)?,
+            versions: VecDeque::from([Version { number: 1, open: 0 }]),
             buckets: Buckets::default(),
             chance: WyRand::new_seed(seed),
-            counts: Counts::default(),
-        };
-        router.take(configuration, Duration::ZERO)?;
-        Ok(router)
+            counts: Counts { versions_taken: 1, ..Counts::default() },
+        })
     }
 
     /// Takes a new version; tickets from now on go by it. Its number is told.
@@ -171,34 +237,57 @@
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
     pub fn take(&mut self, configuration: &Configuration, now: Duration) -> Result<u64, Refused> {
-        let table = match self.make(configuration) {
+        let table = match self.has_room().and_then(|()| Table::new(configuration)) {
             Ok(table) => table,
             Err(refused) => {
                 self.counts.versions_refused += 1;
                 return Err(refused);
             }
         };
+        self.table = table;
         if self.buckets.in_use() > 0 {
-            self.buckets.under(&rules(&table), now);
+            self.buckets.under(&Rules::all(&self.table, |_| true).0, now);
         }
-        let number = self.versions.back().map_or(1, |last| last.number + 1);
-        self.versions.push_back(Version { number, table, open: 0 });
-        self.counts.versions_taken += 1;
-        if self.versions.len() > 1 {
-            let before = self.versions.len() - 2;
-            if self.versions[before].open == 0 {
-                self.drop_version(before);
+        Ok(self.next())
+    }
+
+    /// Takes a change of the present version as a new one, at the cost of what it says ([`crate::change`]).
+    ///
+    /// # Errors
+    /// The reason; the present version stays and nothing has changed.
+    pub fn apply(&mut self, changes: &[Change], now: Duration) -> Result<u64, Refused> {
+        let applied = self.has_room().and_then(|()| self.table.apply(changes));
+        if let Err(refused) = applied {
+            self.counts.versions_refused += 1;
+            return Err(refused);
+        }
+        if self.buckets.in_use() > 0 {
+            let rules = Rules::of(&self.table, changes).0;
+            if !rules.is_empty() {
+                self.buckets.under(&rules, now);
             }
         }
-        Ok(number)
+        Ok(self.next())
     }
 
-    fn make(&self, configuration: &Configuration) -> Result<Table, Refused> {
+    fn has_room(&self) -> Result<(), Refused> {
         if self.versions.len() >= MOST_VERSIONS {
             let words = format!("{MOST_VERSIONS} versions still have tickets; try again when some ended");
             return Err(Refused(words));
         }
-        Table::new(configuration)
+        Ok(())
+    }
+
+    /// What the table says now is a version.
+    fn next(&mut self) -> u64 {
+        let number = self.versions.back().map_or(1, |last| last.number + 1);
+        self.versions.push_back(Version { number, open: 0 });
+        self.counts.versions_taken += 1;
+        let before = self.versions.len() - 2;
+        if self.versions[before].open == 0 {
+            self.drop_version(before);
+        }
+        number
     }
 
     fn drop_version(&mut self, at: usize) {
@@ -219,12 +308,7 @@
 
     /// The present version's table: indices of tickets are those of it.
     pub fn table(&self) -> &Table {
-        &self.versions[self.versions.len() - 1].table
-    }
-
-    /// The table of the version under which a ticket came in.
-    pub fn table_of(&self, way: &Way) -> Option<&Table> {
-        self.find(way.version).map(|at| &self.versions[at].table)
+        &self.table
     }
 
     fn find(&self, number: u64) -> Option<usize> {
@@ -251,9 +335,9 @@
     ///
     /// `usable`: whether a pool, by its index in the present table, can take tickets.
     pub fn arrived(&mut self, now: Duration, ticket: &Ticket<'_>, usable: impl Fn(u16) -> bool) -> Verdict {
-        let Self { versions, buckets, chance, counts } = self;
+        let Self { table, versions, buckets, chance, counts } = self;
         let last = versions.len() - 1;
-        let Version { number, table, open } = &mut versions[last];
+        let Version { number, open } = &mut versions[last];
         let look = |at: At, of: usize, pool: u16| -> Result<Option<(Rule, Key)>, Full> {
             let Some((rule, key)) = limit(table, at, of, ticket, pool) else { return Ok(None) };
             buckets.look(&key, &rule, now).map(|()| Some((rule, key)))
@@ -322,7 +406,9 @@
         *open += 1;
         counts.went += 1;
         let times = table.times(place.route, ticket.traffic);
-        Verdict::Goes(Way { version: *number, place, times, held })
+        let (route, pool) = (&table.routes[usize::from(place.route)], &table.pools[usize::from(place.pool)]);
+        let (route, pool) = (route.name.clone(), pool.name.clone());
+        Verdict::Goes(Way { version: *number, place, route, pool, times, held })
     }
 
     /// A ticket is over, whatever came of it.
--- a/crates/route/tests/ways.rs
+++ b/crates/route/tests/ways.rs
@@ -235,8 +235,11 @@
         for _ in 0..100 {
             let (way, version) = open.swap_remove(chance.generate_range(0..open.len()));
             assert_eq!(way.version, version);
-            let table = router.table_of(&way).expect("a ticket without its version");
-            let name = table.route_name(way.place.route).to_owned();
+            assert!(
+                router.versions().any(|(number, open)| number == version && open > 0),
+                "without its version"
+            );
+            let name = way.route.to_string();
             assert!(name == "rest" || version % 2 == 1, "{name} in version {version}");
             router.ended(way);
         }
