--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -307,6 +307,13 @@
         "A node keeps copies with one group at most."
         wrong "group a { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\ngroup b { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n", right "group a { member n1 { address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
 
+    OneControl "M424" "a second control block"
+        "A process is attached to one control group: two could tell it different versions of one configuration."
+        wrong "control a { member c1 { address: \"10.0.0.1:1\" } }\ncontrol b { member c1 { address: \"10.0.0.1:1\" } }\n", right "control a { member c1 { address: \"10.0.0.1:1\" }; member c2 { address: \"10.0.0.2:1\" } }\n";
+    ControlEmpty "M425" "a control block without a machine"
+        "It would never hear of a new version; leave the block out to have none."
+        wrong "control a { folder: \"/a\" }\n", right "control a { folder: \"/a\"; member c1 { region: north; zone: n1; address: \"10.0.0.1:1\" } }\n";
+
     SiteMajority "W506" "the loss of one site takes a majority"
         "A site with half of the members or more holds the majority of some shard, whatever the layout: with it the group loses its keyed tickets."
         wrong "group g { member n1 { site: a; address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { site: a; address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { site: b; address: \"10.0.0.3:1\"; folder: \"/a\" } }\n", right "group g { member n1 { site: a; address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { site: b; address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { site: c; address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -3,6 +3,7 @@
 //! Beside the message stand the blocks that its parts came from, in the same order, so that the checker
 //! can point at them. Lists are brought into order only after the checks.
 
+mod control;
 mod experiment;
 mod group;
 mod rig;
@@ -54,10 +55,11 @@
     Experiment,
     Group,
     Rig,
+    Control,
 }
 
 impl Sort {
-    pub const ALL: [Sort; 15] = [
+    pub const ALL: [Sort; 16] = [
         Sort::Type,
         Sort::Tenant,
         Sort::Pool,
@@ -73,6 +75,7 @@
         Sort::Experiment,
         Sort::Group,
         Sort::Rig,
+        Sort::Control,
     ];
 
     /// As it is written.
@@ -93,6 +96,7 @@
             Sort::Experiment => "experiment",
             Sort::Group => "group",
             Sort::Rig => "rig",
+            Sort::Control => "control",
         }
     }
 
@@ -301,6 +305,7 @@
             experiments: self.each(Sort::Experiment, experiment::experiment),
             groups: self.each(Sort::Group, group::group),
             rigs: self.each(Sort::Rig, rig::rig),
+            controls: self.each(Sort::Control, control::control),
         }
     }
 }
