--- a/crates/control/src/delta.rs
+++ b/crates/control/src/delta.rs
@@ -55,6 +55,7 @@
     Experiment(schema::Experiment),
     Group(schema::Group),
     Rig(schema::Rig),
+    Control(schema::Control),
 }
 
 /// The same for each kind whose things stand in one list of the configuration and know their name.
@@ -64,7 +65,7 @@
             Type TrafficType types, Tenant Tenant tenants, Dependency Dependency dependencies, Limits Limits limits,
             Attempts Attempts attempts, Budget Budget budgets, Health Health health,
             RetryAfter RetryAfter retry_after, Recording Recording recordings, Log Log logs,
-            Experiment Experiment experiments, Group Group groups, Rig Rig rigs
+            Experiment Experiment experiments, Group Group groups, Rig Rig rigs, Control Control controls
         }
     };
 }
--- a/crates/control/src/frames.rs
+++ b/crates/control/src/frames.rs
@@ -27,6 +27,7 @@
     Experiment = 14,
     Group = 15,
     Rig = 16,
+    Control = 17,
 }
 
 /// One named thing as it is sent: the schema's own message, encoded.
--- a/crates/copies/src/frames.rs
+++ b/crates/copies/src/frames.rs
@@ -100,6 +100,9 @@
     Gone = 9,
     /// Ask the leader, or ask again later.
     Elsewhere = 10,
+    /// The result says it in words.
+    Conflict = 11,
+    Refused = 12,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -129,6 +132,8 @@
             Told::Full => (Word::Full, Bytes::new()),
             Told::Noted => (Word::Noted, Bytes::new()),
             Told::Gone => (Word::Gone, Bytes::new()),
+            Told::Conflict(why) => (Word::Conflict, why.clone()),
+            Told::Refused(why) => (Word::Refused, why.clone()),
         };
         Self { id, shard: shard.into(), word: word.into(), result, leader: 0 }
     }
@@ -150,6 +155,8 @@
             Word::Full => Told::Full,
             Word::Noted => Told::Noted,
             Word::Gone => Told::Gone,
+            Word::Conflict => Told::Conflict(self.result.clone()),
+            Word::Refused => Told::Refused(self.result.clone()),
             Word::Elsewhere | Word::Nothing => return None,
         })
     }
@@ -204,11 +211,16 @@
     Behind(Behind),
     #[prost(message, tag = "7")]
     Soft(Report),
+    /// Of a process that is attached and no member, as `rainstand-control` has it; and what it is told.
+    #[prost(bytes = "bytes", tag = "8")]
+    Up(Bytes),
+    #[prost(bytes = "bytes", tag = "9")]
+    Down(Bytes),
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub what: Option<What>,
 }
 
--- a/crates/copies/src/keys.rs
+++ b/crates/copies/src/keys.rs
@@ -13,9 +13,11 @@
 //!
 //! Invariant: `ages` holds each row's key once, with its `until`.
 
+use crate::versions::{self, Publish, Versions};
 use bytes::Bytes;
 use foldhash::HashMap;
 use prost::Message as _;
+use rainstand_control::Refused;
 use rainstand_replica::plant::planted;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -67,6 +69,9 @@
     /// A named value that only moves on to a later version.
     #[prost(message, tag = "7")]
     Set(Register),
+    /// The next version of the configuration.
+    #[prost(message, tag = "8")]
+    Publish(Publish),
 }
 
 /// What an entry of the log says.
@@ -76,7 +81,7 @@
     pub key: Bytes,
     #[prost(message, required, tag = "2")]
     pub claim: Claim,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8")]
     pub what: Option<What>,
 }
 
@@ -101,6 +106,10 @@
     Noted,
     /// The claim does not hold the key any more.
     Gone,
+    /// A version that was made from another one than the newest; in words.
+    Conflict(Bytes),
+    /// A version that cannot be taken, and why.
+    Refused(Bytes),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
@@ -238,7 +247,7 @@
             row.withdraw(claim);
             (Some(row), Told::Noted)
         }
-        (What::Set(_), row) => (row, Told::Gone),
+        (What::Set(_) | What::Publish(_), row) => (row, Told::Gone),
     }
 }
 
@@ -250,6 +259,7 @@
     /// Of started rows, by their claims.
     claims: HashMap<Claim, Bytes>,
     registers: BTreeMap<Bytes, Register>,
+    versions: Versions,
     most: usize,
     /// A withdrawn key is forgotten after so long: no start of it is on its way any more.
     linger: u64,
@@ -268,6 +278,8 @@
     stamp: u64,
     #[prost(message, repeated, tag = "3")]
     registers: Vec<Named>,
+    #[prost(message, optional, tag = "4")]
+    versions: Option<versions::Kept>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -310,6 +322,11 @@
         self.registers.get(name)
     }
 
+    /// What was published.
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
     /// The key that a claim has started here, if any: looked for when an agent tells of a run nobody knows.
     pub fn started_by(&self, claim: &Claim) -> Option<&Bytes> {
         self.claims.get(claim)
@@ -334,6 +351,13 @@
         if let Some(What::Set(register)) = &command.what {
             return self.set(&command.key, register);
         }
+        if let Some(What::Publish(publish)) = &command.what {
+            return match self.versions.publish(publish) {
+                Ok(()) => Told::Noted,
+                Err(why @ Refused::From { .. }) => Told::Conflict(why.to_string().into()),
+                Err(why) => Told::Refused(why.to_string().into()),
+            };
+        }
         let row = self.rows.remove(&command.key);
         if let Some(row) = &row {
             self.ages.remove(&(row.until, row.key.clone()));
@@ -376,6 +400,7 @@
         let kept = Kept {
             rows: self.rows.values().cloned().collect(),
             stamp: self.stamp,
+            versions: self.versions.keep(),
             registers: registers
                 .map(|(name, value)| Named { name: name.clone(), value: value.clone() })
                 .collect(),
@@ -387,8 +412,9 @@
     ///
     /// # Errors
     /// If the bytes are none that [`Table::keep`] made.
-    pub fn restore(&mut self, data: Bytes) -> Result<(), prost::DecodeError> {
-        let kept = Kept::decode(data)?;
+    pub fn restore(&mut self, data: Bytes) -> Result<(), Refused> {
+        let kept = Kept::decode(data).map_err(|_| Refused::Frame)?;
+        self.versions = Versions::restored(kept.versions)?;
         self.stamp = kept.stamp;
         self.ages = kept.rows.iter().map(|row| (row.until, row.key.clone())).collect();
         let started = kept.rows.iter().filter(|row| row.stage() == Stage::Started);
--- a/crates/copies/src/lib.rs
+++ b/crates/copies/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | what it is |
 //! | --- | --- |
 //! | [`keys`] | one shard's keyed tickets: commands of the log to states and results |
+//! | [`versions`] | the configuration that is published: numbered versions and a bounded history |
 //! | [`tickets`] | one keyed ticket at the node it came to: a table of stages |
 //! | [`layout`] | which members hold which shard |
 //! | [`moves`] | the next change of a shard's members, one at a time |
@@ -14,6 +15,7 @@
 //! | --- | --- | --- |
 //! | keyed tickets: start, result | through the log of the key's shard | a second run or another result breaks rule 2 |
 //! | members of each shard | through its log | two majorities must never be apart |
+//! | published versions of a configuration | through the log of shard 0 | all count them alike, and none is made from an old one |
 //! | registers, such as the configuration version in force | through the log of shard 0 | all go by the same one |
 //! | tenants' charged run time, what each node can take | joined without waiting | late by a second costs little, waiting costs each ticket |
 //! | queues, tickets in hand | not | they end with their node and its agent |
@@ -28,3 +30,4 @@
 pub mod moves;
 pub mod soft;
 pub mod tickets;
+pub mod versions;
--- a/crates/copies/src/member.rs
+++ b/crates/copies/src/member.rs
@@ -17,6 +17,7 @@
 use crate::layout::{holders, shard_of};
 use crate::moves::{next, Next};
 use crate::soft::{Report, Reports};
+use crate::versions::Versions;
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
@@ -169,6 +170,8 @@
     /// Questions whose time is over; of starts nothing was or will be launched.
     pub timed_out: Vec<u64>,
     pub news: Vec<News>,
+    /// The newest published version here may be another one than before.
+    pub versions: bool,
 }
 
 /// Who waits for an entry of this leader's.
@@ -370,6 +373,7 @@
         let linger = self.options.times.election[1].as_nanos() as u64 * 100;
         let mut table = Table::new(self.options.keys, linger);
         if let Some(snapshot) = snapshot.filter(|snapshot| !snapshot.data.is_empty()) {
+            self.effects.versions = true;
             // Bytes with a good checksum that are no table were written by another program.
             if table.restore(snapshot.data).is_err() {
                 self.effects.news.push(News::OldCopy { why: format!("shard {shard}: no table") });
@@ -588,6 +592,8 @@
                 self.set_aside(News::OldCopy { why: behind.why });
             }
             What::Behind(_) => {}
+            // Of the links that attached processes opened, not of those among members.
+            What::Up(_) | What::Down(_) => {}
             What::Soft(report) => {
                 let hello = self.peers.get(name).and_then(|peer| peer.hello.as_ref());
                 if hello.is_some_and(|hello| hello.disk == report.disk) {
@@ -832,7 +838,7 @@
             return None;
         }
         let shard = match &command.what {
-            Some(keys::What::Set(_)) => 0,
+            Some(keys::What::Set(_) | keys::What::Publish(_)) => 0,
             _ => shard_of(&command.key, self.options.shards),
         };
         self.next_question += 1;
@@ -1052,6 +1058,7 @@
                 self.over = true;
                 return;
             }
+            self.effects.versions = true;
             self.effects.news.push(News::CaughtUp { shard, index: snapshot.base.index });
             self.writes.push(Write::Save { shard, snapshot, alone });
         }
@@ -1114,7 +1121,9 @@
         // What cannot be read was proposed by a later version: every copy passes over it alike.
         let Ok(command) = Command::decode(entry.data.clone()) else { return };
         let told = one.table.apply(entry.stamp, &command);
-        let over = !matches!(command.what, Some(keys::What::Start(_) | keys::What::Set(_)));
+        let over =
+            !matches!(command.what, Some(keys::What::Start(_) | keys::What::Set(_) | keys::What::Publish(_)));
+        self.effects.versions |= matches!(command.what, Some(keys::What::Publish(_)));
         let watchers = if over { one.watchers.remove(&command.key) } else { None };
         let leads = one.replica.leads();
         // The end of a run, for the repeats that wait for it. One of a start that was taken back asks again.
@@ -1216,6 +1225,15 @@
         self.shards.get(&0).and_then(|one| one.table.register(name))
     }
 
+    /// What was published, where there is a copy of it here; and whether a leader is known, so that nothing newer is
+    /// committed for longer than an election takes.
+    pub fn published(&self) -> Option<(&Versions, bool)> {
+        let one = self.shards.get(&0)?;
+        let current = one.replica.established() || !one.replica.leads() && one.replica.leader().is_some();
+        let current = current && one.replica.applied() == one.replica.commit();
+        Some((one.table.versions(), current && !self.over))
+    }
+
     /// Shards here: number, replica, table.
     pub fn shards(&self) -> impl Iterator<Item = (u16, &Replica, &Table)> {
         self.shards.iter().map(|(shard, one)| (*shard, &one.replica, &one.table))
--- a/crates/group/src/host.rs
+++ b/crates/group/src/host.rs
@@ -215,7 +215,7 @@
     }
 
     fn follow(&self, effects: Effects) {
-        let Effects { frames, write, told, timed_out, news } = effects;
+        let Effects { frames, write, told, timed_out, news, versions: _ } = effects;
         if let Some((number, writes)) = write {
             self.write(number, writes);
         }
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -528,7 +528,7 @@
     }
 
     fn follow(&mut self, node: usize, effects: Effects) {
-        let Effects { frames, write, told, timed_out, news } = effects;
+        let Effects { frames, write, told, timed_out, news, versions: _ } = effects;
         if let Some(write) = write {
             self.nodes[node].jobs.push_back(write);
             self.flush(node);
