--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -38,6 +38,8 @@
 
 #[derive(Subcommand)]
 enum What {
+    /// How the forwarder is, and which published version is in force and how old
+    Status(At),
     /// Members with their standing, what is open there and how much may be
     Members(At),
     /// The last decisions, newest first: which member, how, and who was passed over
@@ -54,6 +56,7 @@
 
 pub fn run(options: &Options) -> io::Result<Code> {
     let (at, path) = match &options.what {
+        What::Status(at) => (at, "/status".to_owned()),
         What::Members(at) => (at, "/members".to_owned()),
         What::Decisions { at, last } => (at, format!("/decisions?last={last}")),
         What::Metrics(at) => (at, "/metrics".to_owned()),
@@ -65,6 +68,10 @@
     if at.json || matches!(options.what, What::Metrics(_)) {
         return bytes(body.as_bytes());
     }
+    if matches!(options.what, What::Status(_)) {
+        let told: Value = serde_json::from_str(&body).map_err(io::Error::other)?;
+        return line(&serde_json::to_string_pretty(&told)?).map(|()| Code::Good);
+    }
     let rows: Vec<Vec<String>> = body
         .lines()
         .filter_map(|line| serde_json::from_str(line).ok())
--- /dev/null
+++ b/crates/cli/src/attach.rs
@@ -0,0 +1,222 @@
+//! A forwarder's attachment to control machines: whom it asks, how a version comes into force, what it keeps of it.
+
+use crate::config::replace;
+use clap::Args;
+use rainstand_config::schema::{Configuration, Control, ControlMember};
+use rainstand_control::attach::Who;
+use rainstand_control::delta::State;
+use rainstand_control::snapshot;
+use rainstand_control::subscriber::{Event, Pending, Subscriber};
+use rainstand_forwarder::admin::ControlLine;
+use rainstand_forwarder::Hub;
+use rainstand_group::attach::{keep, News, Seen, Setup};
+use rainstand_route::subset::reduce;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{spawn_blocking, spawn_local};
+
+/// Where the last version is kept, in its folder.
+const FILE: &str = "version.packed";
+/// Between two writes of it: all of it is packed each time, beside the thread that serves.
+const KEEP: Duration = Duration::from_secs(10);
+
+#[derive(Args, Clone, Default)]
+#[group(id = "attachment")]
+pub struct Options {
+    /// Control machines to hear of new versions from, instead of those in the file's `control` block
+    #[arg(long, value_delimiter = ',')]
+    control: Vec<SocketAddr>,
+    /// Where the last version in force is kept, to begin with it where no control machine answers
+    #[arg(long)]
+    control_folder: Option<PathBuf>,
+    /// This process, by a name that no other has; wanted where there are control machines
+    #[arg(long, default_value = "")]
+    name: String,
+    /// The region that it stands in; control machines in it come first, those in its zone before them
+    #[arg(long, default_value = "")]
+    region: String,
+}
+
+/// Whom a process asks.
+pub struct Plan {
+    who: Who,
+    machines: Vec<ControlMember>,
+    folder: Option<PathBuf>,
+    number: usize,
+    seed: u64,
+}
+
+/// A version that was in force before this start.
+pub type Last = (u64, State);
+
+impl Options {
+    /// None where nothing names a control machine.
+    ///
+    /// # Errors
+    /// If there are some and this process has no name.
+    pub fn plan(
+        &self,
+        block: Option<&Control>,
+        zone: &str,
+        number: usize,
+        seed: u64,
+    ) -> Result<Option<Plan>, String> {
+        let named = |address: &SocketAddr| ControlMember {
+            name: address.to_string(),
+            address: address.to_string(),
+            ..ControlMember::default()
+        };
+        let machines: Vec<ControlMember> = match block {
+            _ if !self.control.is_empty() => self.control.iter().map(named).collect(),
+            Some(block) => block.members.clone(),
+            None => return Ok(None),
+        };
+        if self.name.is_empty() {
+            return Err("with control machines, `--name` says which process this is".to_owned());
+        }
+        let folder = block.map(|block| &block.folder).filter(|folder| !folder.is_empty());
+        let folder = self.control_folder.clone().or(folder.map(PathBuf::from));
+        let who = Who { name: self.name.clone(), region: self.region.clone(), zone: zone.to_owned() };
+        Ok(Some(Plan { who, machines, folder, number, seed }))
+    }
+}
+
+impl Plan {
+    /// The last version that was kept, and as the configuration to begin with. What cannot be read is told and left.
+    pub fn last(&self) -> Option<(Last, Configuration)> {
+        let path = self.folder.as_ref()?.join(FILE);
+        let read = match std::fs::read(&path) {
+            Ok(read) => read,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+            Err(error) => {
+                tracing::warn!(event = "version_unread", file = %path.display(), why = %error);
+                return None;
+            }
+        };
+        let whole = snapshot::unpacked(&read).and_then(|last| {
+            let configuration = last.1.configuration()?;
+            Ok((last, configuration))
+        });
+        match whole {
+            Ok(whole) => Some(whole),
+            Err(why) => {
+                tracing::warn!(event = "version_unread", file = %path.display(), why = %why);
+                None
+            }
+        }
+    }
+
+    /// Keeps the attachment from now on.
+    pub fn begin(self, hub: &Rc<Hub>, last: Option<Last>) {
+        let seen = Rc::new(RefCell::new(Seen::default()));
+        let subscriber = match last {
+            Some((version, state)) => Subscriber::with(Duration::ZERO, self.who.clone(), version, state),
+            None => Subscriber::new(Duration::ZERO, self.who.clone()),
+        };
+        {
+            let mut seen = seen.borrow_mut();
+            (seen.version, seen.digest) = (subscriber.version(), subscriber.state().digest());
+        }
+        let (told, since) = (seen.clone(), Instant::now());
+        hub.control.replace(Some(Box::new(move || line(&told.borrow(), since))));
+        let (taker, number) = (hub.clone(), self.number);
+        let take = move |subscriber: &Subscriber| -> Result<(), String> {
+            let mut configuration = pending(subscriber)?;
+            reduce(&mut configuration, number);
+            taker.take(&configuration).map(drop)
+        };
+        let (folder, mut kept, mut at) = (self.folder, subscriber.version(), None::<Instant>);
+        let busy = Rc::new(Cell::new(false));
+        let look = move |subscriber: &Subscriber, lost: bool| {
+            let Some(folder) = &folder else { return };
+            let (version, early) = (subscriber.version(), at.is_some_and(|at| at.elapsed() < KEEP));
+            if version == kept || early && !lost || busy.get() {
+                return;
+            }
+            (kept, at) = (version, Some(Instant::now()));
+            busy.set(true);
+            let (state, path, busy) = (subscriber.state().clone(), folder.join(FILE), busy.clone());
+            spawn_local(async move {
+                let written = spawn_blocking(move || write(&path, version, &state)).await;
+                busy.set(false);
+                if let Err(why) = written.unwrap_or_else(|why| Err(why.to_string())) {
+                    tracing::warn!(event = "version_not_kept", version, why = %why);
+                }
+            });
+        };
+        let setup = Setup {
+            who: self.who,
+            machines: self.machines,
+            subscriber,
+            seed: self.seed,
+            take: Box::new(take),
+            tell: Box::new(tell),
+            look: Box::new(look),
+            seen,
+        };
+        spawn_local(keep(setup));
+    }
+}
+
+/// What is to come into force, whole.
+fn pending(subscriber: &Subscriber) -> Result<Configuration, String> {
+    let whole = match subscriber.pending() {
+        Some(Pending::Whole { state, .. }) => state.configuration(),
+        Some(Pending::Delta(delta)) => {
+            let mut state = subscriber.state().clone();
+            state.apply(delta).and_then(|()| state.configuration())
+        }
+        None => return Err("nothing is pending".to_owned()),
+    };
+    whole.map_err(|why| why.to_string())
+}
+
+fn write(path: &Path, version: u64, state: &State) -> Result<(), String> {
+    let packed = snapshot::packed(version, state).map_err(|why| why.to_string())?;
+    replace(path, &packed).map_err(|error| error.to_string())
+}
+
+fn line(seen: &Seen, since: Instant) -> ControlLine {
+    let age = seen.newest.unwrap_or(since).elapsed();
+    ControlLine {
+        version: seen.version,
+        digest: format!("{:016x}", seen.digest),
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        machine: seen.machine.clone(),
+        refused: seen.refused.clone(),
+        attachments: seen.attachments,
+        lost: seen.lost,
+        dials: seen.dials,
+        in_force: seen.counters.in_force,
+        refusals: seen.counters.refused,
+        differs: seen.counters.differs,
+        bytes_in: seen.counters.bytes_in,
+        bytes_out: seen.counters.bytes_out,
+    }
+}
+
+fn tell(news: &News, subscriber: &Subscriber) {
+    let holds = subscriber.version();
+    match news {
+        News::Attached { machine } => tracing::info!(event = "attached", machine, version = holds),
+        News::Lost { machine, why } => {
+            tracing::warn!(event = "attachment_lost", machine, why, version = holds)
+        }
+        News::Version(Event::InForce { version }) => {
+            let digest = format!("{:016x}", subscriber.state().digest());
+            tracing::info!(event = "version_in_force", version, digest);
+        }
+        News::Version(Event::Refused { version, reason }) => {
+            tracing::warn!(event = "version_refused", version, why = reason, holds);
+        }
+        News::Version(Event::Differs { version, why }) => {
+            tracing::error!(event = "version_differs", version, why = %why, holds);
+        }
+        News::Version(Event::Gap { holds, from }) => tracing::warn!(event = "version_gap", from, holds),
+        News::Version(Event::Unreadable) => tracing::warn!(event = "control_unreadable", holds),
+    }
+}
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -83,6 +83,16 @@
         #[arg(long)]
         all: bool,
     },
+    /// Check a configuration, show what it changes, and have the control machines commit it
+    #[command(
+        after_help = "Examples:\n  rainstand config publish main.rain --at 10.0.0.1:7001\n  rainstand config publish main.rain --at 10.0.0.1:7001 --from 41 --dry-run\n\nExit codes: 0 committed or nothing to change, 1 errors, a conflict or a refusal, 2 nobody answers or the end is not known."
+    )]
+    Publish(crate::control::Publishing),
+    /// Each published version: when, how many confirmed it, refused it, are behind, and the slowest
+    #[command(
+        after_help = "Example:\n  rainstand config versions --at 10.0.0.1:7001\n\nExit codes: 0 all machines answered and nobody refuses, 1 otherwise, 2 nobody answers there."
+    )]
+    Versions(crate::control::Versions),
     /// Print the protobuf schema of compiled configurations
     Schema,
 }
@@ -126,6 +136,8 @@
         Command::Diff { old, new, json } => compare(&old, &new, json),
         Command::Explain(asked) => tell_way(&asked),
         Command::Why { code, all: _ } => why(code.as_deref()),
+        Command::Publish(publishing) => crate::control::publish(&publishing),
+        Command::Versions(versions) => crate::control::versions(&versions),
         Command::Schema => out::bytes(schema::PROTO.as_bytes()),
     }
 }
@@ -242,7 +254,7 @@
 
 /// Writes a file in one step: a reader sees the old one or the new one, whole. Links stay links, and the
 /// permissions stay.
-fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let path = std::fs::canonicalize(path).unwrap_or_else(|_| path.to_owned());
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
     let mut fresh = tempfile::NamedTempFile::new_in(folder)?;
@@ -284,7 +296,13 @@
         _ => return Ok(Code::Use),
     };
     let changes = diff(&old, &new);
-    for change in &changes {
+    tell_changes(&changes, json)?;
+    Ok(if changes.is_empty() { Code::Good } else { Code::Found })
+}
+
+/// What changed in meaning, a line each.
+pub fn tell_changes(changes: &[Change], json: bool) -> io::Result<()> {
+    for change in changes {
         if !json {
             out::line(&change.to_string())?;
             continue;
@@ -302,7 +320,7 @@
             Change::Order { before, after } => json!({"change": "order", "before": before, "after": after}),
         })?;
     }
-    Ok(if changes.is_empty() { Code::Good } else { Code::Found })
+    Ok(())
 }
 
 fn tell_way(asked: &Explain) -> io::Result<Code> {
--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -1,5 +1,6 @@
 //! `rainstand forward`: a forwarder by a configuration, until it is told to leave.
 
+use crate::attach;
 use crate::config::read;
 use crate::out::Code;
 use crate::pcap::trouble;
@@ -19,7 +20,10 @@
   rainstand forward --config examples/config/main.rain --listen 127.0.0.1:5050 --zone sal-ulven
   rainstand forward --config main.txtpb --listen 0.0.0.0:5050 --admin 127.0.0.1:6050
 
-Signals: TERM and INT drain, HUP takes the configuration anew, USR1 prints the counters.")]
+  rainstand forward --config main.rain --listen 10.0.0.9:5050 --name f9 --control 10.0.0.1:7001,10.0.0.2:7001
+
+Signals: TERM and INT drain, HUP takes the configuration anew (not where control machines tell the versions),
+USR1 prints the counters.")]
 pub struct Options {
     /// A `.rain` file, or a compiled one
     #[arg(long)]
@@ -42,19 +46,29 @@
     /// Milliseconds from the notice to leave until what is still owed is given up
     #[arg(long, default_value_t = 5_000)]
     stop_ms: u64,
+    #[command(flatten)]
+    attach: attach::Options,
 }
 
 pub fn run(options: &Options) -> io::Result<Code> {
-    let configuration = match read(&options.config, false)? {
-        Ok((mut configuration, ..)) => {
-            reduce(&mut configuration, options.number);
-            configuration
-        }
+    let mut configuration = match read(&options.config, false)? {
+        Ok((configuration, ..)) => configuration,
         Err(code) => return Ok(code),
     };
     // Who reads our lines may go away: that is no reason to end, nor to complain where nobody reads.
     let lines = tracing_subscriber::fmt().with_writer(io::stderr).log_internal_errors(false);
     lines.with_target(false).with_ansi(false).init();
+    let block = configuration.controls.first();
+    let plan = match options.attach.plan(block, &options.zone, options.number, options.seed) {
+        Ok(plan) => plan,
+        Err(why) => return Ok(trouble(&options.config, why)),
+    };
+    let mut last = None;
+    if let Some((version, whole)) = plan.as_ref().and_then(attach::Plan::last) {
+        tracing::info!(event = "version_kept", version = version.0);
+        (last, configuration) = (Some(version), whole);
+    }
+    reduce(&mut configuration, options.number);
     let hub = match Hub::new(&configuration, &options.zone, options.seed) {
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
@@ -77,11 +91,16 @@
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let (mut hup, mut usr1) = (signal(SignalKind::hangup())?, signal(SignalKind::user_defined1())?);
         tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
+        let attached = plan.is_some();
+        if let Some(plan) = plan {
+            plan.begin(&hub, last);
+        }
         let (again, path, number) = (hub.clone(), options.config.clone(), options.number);
         spawn_local(async move {
             while hup.recv().await.is_some() {
                 // Findings go to standard error; a bad one changes nothing.
                 let taken = match read(&path, false) {
+                    _ if attached => Err("control machines tell the versions".to_owned()),
                     Ok(Ok((mut configuration, ..))) => {
                         reduce(&mut configuration, number);
                         again.take(&configuration)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,9 @@
 //! `rainstand`, the operators' command line.
 
 mod ask;
+mod attach;
 mod config;
+mod control;
 mod export;
 mod forward;
 mod lab;
@@ -41,6 +43,8 @@
     /// Check, format, compile, compare and explain configurations
     #[command(subcommand)]
     Config(config::Command),
+    /// Run a control machine: a member of a group that tells forwarders of published versions
+    Control(control::Options),
     /// Ask a running forwarder for its members, last decisions and metrics
     Ask(ask::Options),
     /// Run a forwarder: dispatchers in front, nodes behind, by a configuration
@@ -65,6 +69,7 @@
 fn main() -> ExitCode {
     let code = match Arguments::parse().command {
         Command::Config(command) => config::run(command),
+        Command::Control(options) => control::run(&options),
         Command::Ask(options) => ask::run(&options),
         Command::Forward(options) => forward::run(&options),
         Command::Lab(command) => lab::run(command),
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// A member that answers does so within this.
-const WITHIN: Duration = Duration::from_secs(5);
+const WITHIN: Duration = Duration::from_secs(8);
 /// The longest answer read, bytes: a thousand shards of some peers.
 const MOST: usize = 64 << 20;
 
@@ -104,9 +104,14 @@
 }
 
 fn ask(at: SocketAddr, words: &str) -> io::Result<String> {
+    String::from_utf8(exchange(at, &status::ask(words))?).map_err(io::Error::other)
+}
+
+/// One frame to a member, and its answer.
+pub fn exchange(at: SocketAddr, message: &[u8]) -> io::Result<Vec<u8>> {
     let mut stream = TcpStream::connect_timeout(&at, WITHIN)?;
     stream.set_read_timeout(Some(WITHIN))?;
-    stream.write_all(&whole(&status::ask(words)))?;
+    stream.write_all(&whole(message))?;
     let mut head = [0; 4];
     stream.read_exact(&mut head)?;
     let len = u32::from_be_bytes(head) as usize;
@@ -115,7 +120,7 @@
     }
     let mut body = vec![0; len];
     stream.read_exact(&mut body)?;
-    String::from_utf8(body).map_err(io::Error::other)
+    Ok(body)
 }
 
 fn text(of: &Value) -> String {
--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -1,4 +1,4 @@
-//! What a forwarder tells operators on request, over HTTP on an address of its own: metrics, members, the last
+//! What a forwarder tells operators on request, over HTTP on an address of its own: status, metrics, members, the last
 //! decisions. Read only. Bounded: few connections, short requests, one answer each.
 
 use crate::Hub;
@@ -42,6 +42,39 @@
     pub leaving: bool,
 }
 
+/// What control machines told, and how old that is.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlLine {
+    /// The published version in force; 0: none yet, the file's.
+    pub version: u64,
+    pub digest: String,
+    /// Since it was last known to be the newest.
+    pub age_ms: u64,
+    /// The machine it is attached to.
+    pub machine: Option<String>,
+    /// The last version refused here, and why.
+    pub refused: Option<(u64, String)>,
+    pub attachments: u64,
+    pub lost: u64,
+    pub dials: u64,
+    pub in_force: u64,
+    pub refusals: u64,
+    pub differs: u64,
+    pub bytes_in: u64,
+    pub bytes_out: u64,
+}
+
+/// How the forwarder is, as told.
+#[derive(Debug, Serialize)]
+pub struct StatusLine {
+    pub leaving: bool,
+    pub tickets: usize,
+    pub connections: usize,
+    /// Configurations taken since the start, and with it.
+    pub taken: u64,
+    pub control: Option<ControlLine>,
+}
+
 /// One decision, as told.
 #[derive(Debug, Serialize)]
 pub struct DecisionLine<'a> {
@@ -85,6 +118,20 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// How the forwarder is, as a JSON object.
+pub fn status(hub: &Hub) -> String {
+    let mut out = String::new();
+    let line = StatusLine {
+        leaving: hub.leaving.get(),
+        tickets: hub.tickets.borrow().len(),
+        connections: hub.conns.borrow().len(),
+        taken: hub.fleet.borrow().version(),
+        control: hub.control.borrow().as_ref().map(|control| control()),
+    };
+    put(&mut out, &line);
+    out
+}
+
 /// Members and their standing, a JSON object a line.
 pub fn members(hub: &Hub) -> String {
     let (fleet, now, mut out) = (hub.fleet.borrow(), hub.now(), String::new());
@@ -208,9 +255,14 @@
             let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
             ("200 OK", kind, hub.metrics.text(hub))
         }
+        "/status" => ("200 OK", json, status(hub)),
         "/members" => ("200 OK", json, members(hub)),
         "/decisions" => ("200 OK", json, decisions(hub, last)),
         "" => ("400 Bad Request", "text/plain", "only short GET requests are answered\n".into()),
-        _ => ("404 Not Found", "text/plain", "there are /metrics, /members and /decisions?last=N\n".into()),
+        _ => (
+            "404 Not Found",
+            "text/plain",
+            "there are /status, /metrics, /members and /decisions?last=N\n".into(),
+        ),
     }
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -114,6 +114,8 @@
     bells: RefCell<BinaryHeap<Reverse<(Instant, u64, u64)>>>,
     sooner: Notify,
     pub metrics: Metrics,
+    /// What is told of control machines, where this forwarder hears of versions from them.
+    pub control: RefCell<Option<Box<dyn Fn() -> admin::ControlLine>>>,
     /// What a socket gave, on its way to a connection's ring: one for all, or ten thousand idle ones keep 8 KB each.
     chunk: RefCell<Box<[u8]>>,
 }
@@ -151,6 +153,7 @@
             fleet: RefCell::new(fleet),
             tickets: RefCell::new(HashMap::new()),
             metrics,
+            control: RefCell::default(),
             chunk: RefCell::new(vec![0; CHUNK].into()),
             backs: Backs::new(seed),
             counts: Counts::default(),
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -4,6 +4,7 @@
 //! is bounded by the configuration. A ticket's way costs no look-up by name: handles are kept by place, and made
 //! anew with each version. Series of members that a version left out are dropped with it.
 
+use crate::admin::ControlLine;
 use crate::Hub;
 use foldhash::{HashMap, HashSet};
 use prometheus_client::encoding::{text, EncodeLabelSet};
@@ -101,7 +102,7 @@
 type Total = fn(&Hub) -> u64;
 
 /// Name, words, and where it is read.
-const TOTALS: [(&str, &str, Total); 12] = [
+const TOTALS: [(&str, &str, Total); 17] = [
     ("tickets_in_hand", "Tickets without an answer yet", |hub| hub.tickets.borrow().len() as u64),
     ("connections", "Connections of dispatchers", |hub| hub.conns.borrow().len() as u64),
     ("links", "Connections to members", |hub| hub.backs.links() as u64),
@@ -114,8 +115,22 @@
     ("unreadable", "Words of members that are no answer", |hub| hub.counts.unreadable.get()),
     ("unsent", "Tries that had not left when their link broke", |hub| hub.counts.unsent.get()),
     ("version", "Number of the present configuration", |hub| hub.fleet.borrow().version()),
+    ("control_version", "The published version in force; 0: none", |hub| control(hub, |told| told.version)),
+    ("control_age_ms", "Since the version in force was last known to be the newest", |hub| {
+        control(hub, |told| told.age_ms)
+    }),
+    ("control_attached", "1 while a control machine tells the versions", |hub| {
+        control(hub, |told| u64::from(told.machine.is_some()))
+    }),
+    ("control_lost", "Attachments that ended", |hub| control(hub, |told| told.lost)),
+    ("control_refused", "Versions refused here", |hub| control(hub, |told| told.refusals)),
 ];
 
+/// What control machines told; 0 where there are none.
+fn control(hub: &Hub, what: fn(&ControlLine) -> u64) -> u64 {
+    hub.control.borrow().as_ref().map_or(0, |control| what(&control()))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("rainstand_forwarder");
--- /dev/null
+++ b/crates/group/src/attach.rs
@@ -0,0 +1,257 @@
+//! A process's own side of its attachment: one link at a time to a control machine, and versions put into force.
+//!
+//! Which machine, when, and what is taken are decisions of `rainstand-control`; here are sockets and time. Without any
+//! machine the process runs on with the version that it has.
+
+use crate::links::{OPENS, TAKES};
+use crate::serve::up;
+use prost::Message as _;
+use rainstand_config::schema;
+use rainstand_control::attach::{Chooser, Who};
+use rainstand_control::subscriber::{Counters, Event, Order, Subscriber};
+use rainstand_copies::frames::{Frame, What};
+use rainstand_protocol::thrift::frame_within;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, timeout_at};
+
+/// A machine's frame: a delta or a piece of a snapshot, with room.
+const DOWN: usize = 128 << 10;
+/// Between looks at a link on which nothing comes.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// What is told of an attachment, whoever asks.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// The version in force; 0: none that a machine told.
+    pub version: u64,
+    pub digest: u64,
+    /// The machine it is attached to.
+    pub machine: Option<String>,
+    /// When the version in force was last known to be the newest; none: never yet.
+    pub newest: Option<Instant>,
+    /// The last version that was refused here, and why; none once a later one is in force.
+    pub refused: Option<(u64, String)>,
+    pub counters: Counters,
+    /// Links that were tried, that attached, and that ended.
+    pub dials: u64,
+    pub attachments: u64,
+    pub lost: u64,
+}
+
+/// What people should hear of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    Attached { machine: String },
+    Lost { machine: String, why: &'static str },
+    Version(Event),
+}
+
+/// Puts the subscriber's pending version into force, or says why it cannot be.
+pub type Take = Box<dyn FnMut(&Subscriber) -> Result<(), String>>;
+
+/// Where news go: the program's log.
+pub type Tell = Box<dyn Fn(&News, &Subscriber)>;
+/// Called now and then while attached, and, with true, when an attachment is lost: for who keeps the version in force.
+pub type Look = Box<dyn FnMut(&Subscriber, bool)>;
+
+/// What an attachment needs.
+pub struct Setup {
+    pub who: Who,
+    pub machines: Vec<schema::ControlMember>,
+    /// What is in force already, as read from a disk: none for [`Subscriber::new`].
+    pub subscriber: Subscriber,
+    pub seed: u64,
+    pub take: Take,
+    pub tell: Tell,
+    pub look: Look,
+    pub seen: Rc<RefCell<Seen>>,
+}
+
+/// Why a link is over.
+enum Over {
+    Lost(&'static str),
+    ComeBack {
+        after: Duration,
+        elsewhere: bool,
+    },
+    /// A nearer machine is tried again.
+    Home,
+}
+
+struct Attachment {
+    subscriber: Subscriber,
+    chooser: Chooser,
+    machines: Vec<schema::ControlMember>,
+    started: Instant,
+    take: Take,
+    tell: Tell,
+    look: Look,
+    seen: Rc<RefCell<Seen>>,
+}
+
+/// Keeps one attachment, for ever.
+pub async fn keep(setup: Setup) {
+    let Setup { who, machines, subscriber, seed, take, tell, look, seen } = setup;
+    let places: Vec<Who> = machines
+        .iter()
+        .map(|one| Who { name: one.name.clone(), region: one.region.clone(), zone: one.zone.clone() })
+        .collect();
+    let chooser = Chooser::new(Duration::ZERO, &who, &places, seed);
+    let started = Instant::now();
+    let mut one = Attachment { subscriber, chooser, machines, started, take, tell, look, seen };
+    loop {
+        let now = one.now();
+        let Some(due) = one.chooser.due() else { return };
+        if now < due {
+            sleep(due - now).await;
+        }
+        let now = one.now();
+        let Some(machine) = one.chooser.next(now) else { continue };
+        one.link(machine).await;
+    }
+}
+
+impl Attachment {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// One link, from its opening to its end.
+    async fn link(&mut self, machine: usize) {
+        let name = self.machines[machine].name.clone();
+        self.seen.borrow_mut().dials += 1;
+        let over = match self.machines[machine].address.parse::<std::net::SocketAddr>() {
+            Ok(to) => match timeout(OPENS, TcpStream::connect(to)).await {
+                Ok(Ok(stream)) => self.talk(stream, &name).await,
+                _ => Over::Lost("no connection"),
+            },
+            Err(_) => Over::Lost("no address"),
+        };
+        self.subscriber.cut();
+        let now = self.now();
+        let was = self.seen.borrow_mut().machine.take();
+        let why = match over {
+            Over::Lost(why) => {
+                self.chooser.lost(now);
+                why
+            }
+            Over::ComeBack { after, elsewhere } => {
+                self.chooser.come_back(now, after, elsewhere);
+                "told to come back"
+            }
+            // The chooser says which one when it is asked next.
+            Over::Home => "a nearer one is tried",
+        };
+        if was.is_some() {
+            self.seen.borrow_mut().lost += 1;
+            (self.look)(&self.subscriber, true);
+            (self.tell)(&News::Lost { machine: name, why }, &self.subscriber);
+        }
+    }
+
+    async fn talk(&mut self, stream: TcpStream, name: &str) -> Over {
+        let _ = stream.set_nodelay(true);
+        let (mut read, mut write) = stream.into_split();
+        let (mut back, mut chunk) = (Vec::new(), vec![0; 8 << 10]);
+        let now = self.now();
+        self.subscriber.opened(now);
+        loop {
+            let mut bytes = Vec::new();
+            let over = self.follow(&mut bytes);
+            if !bytes.is_empty()
+                && !timeout(TAKES, write.write_all(&bytes)).await.is_ok_and(|sent| sent.is_ok())
+            {
+                return Over::Lost("it takes nothing");
+            }
+            if let Some(over) = over {
+                return over;
+            }
+            self.look(name);
+            let now = self.now();
+            if self.subscriber.is_lost(now) {
+                return Over::Lost("silent, or out of touch with the others");
+            }
+            if self.chooser.due().is_some_and(|due| due <= now) {
+                return Over::Home;
+            }
+            let until = tokio::time::Instant::now() + LOOK;
+            match timeout_at(until, read.read(&mut chunk)).await {
+                Err(_) => continue,
+                Ok(Ok(0) | Err(_)) => return Over::Lost("the link ended"),
+                Ok(Ok(n)) => back.extend_from_slice(&chunk[..n]),
+            }
+            let mut at = 0;
+            loop {
+                let Ok(length) = frame_within(&back[at..], DOWN) else {
+                    return Over::Lost("no frame");
+                };
+                let Some(length) = length else { break };
+                let frame = Frame::decode(&back[at + 4..at + 4 + length]);
+                at += 4 + length;
+                let Ok(Frame { what: Some(What::Down(frame)) }) = frame else {
+                    return Over::Lost("no frame of a control machine");
+                };
+                let now = self.now();
+                self.subscriber.heard(now, frame);
+            }
+            back.drain(..at);
+        }
+    }
+
+    /// Carries out what the subscriber wants done; bytes for the link, and whether it is over.
+    fn follow(&mut self, bytes: &mut Vec<u8>) -> Option<Over> {
+        let mut over = None;
+        loop {
+            let orders: Vec<Order> = self.subscriber.orders().collect();
+            if orders.is_empty() {
+                return over;
+            }
+            for order in orders {
+                match order {
+                    Order::Send(frame) => bytes.extend(up(frame)),
+                    Order::Take(version) => match (self.take)(&self.subscriber) {
+                        Ok(()) => self.subscriber.in_force(version),
+                        Err(why) => self.subscriber.refused(version, &why),
+                    },
+                    Order::ComeBack { after, elsewhere } => over = Some(Over::ComeBack { after, elsewhere }),
+                    Order::Close => over = Some(Over::Lost("no frame of a control machine")),
+                    Order::Event(event) => {
+                        match &event {
+                            Event::Refused { version, reason } => {
+                                self.seen.borrow_mut().refused = Some((*version, reason.clone()));
+                            }
+                            Event::InForce { .. } => self.seen.borrow_mut().refused = None,
+                            _ => {}
+                        }
+                        (self.tell)(&News::Version(event), &self.subscriber);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Brings what is told up to date, and the chooser.
+    fn look(&mut self, name: &str) {
+        (self.look)(&self.subscriber, false);
+        let now = self.now();
+        let attached = self.subscriber.is_attached();
+        let mut seen = self.seen.borrow_mut();
+        seen.version = self.subscriber.version();
+        seen.digest = self.subscriber.state().digest();
+        seen.counters = self.subscriber.counters();
+        if attached {
+            seen.newest = Instant::now().checked_sub(self.subscriber.age(now));
+        }
+        if attached && seen.machine.is_none() {
+            seen.machine = Some(name.to_owned());
+            seen.attachments += 1;
+            drop(seen);
+            self.chooser.attached(now);
+            (self.tell)(&News::Attached { machine: name.to_owned() }, &self.subscriber);
+        }
+    }
+}
--- a/crates/group/src/host.rs
+++ b/crates/group/src/host.rs
@@ -5,10 +5,12 @@
 
 use crate::disk::{found, record};
 use crate::links::{accept, keep, Out};
+use crate::serve::{Serving, Tell as TellEvent};
 use crate::testing::{self, Clock};
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
 use rainstand_config::schema;
+use rainstand_control::source::Bounds;
 use rainstand_copies::frames::Frame;
 use rainstand_copies::keys::{Command, Told};
 use rainstand_copies::member::{Effects, Member, News, Options, Write, COMPACT};
@@ -72,6 +74,8 @@
     times: RefCell<VecDeque<Duration>>,
     pub set_asides: Cell<u64>,
     pub flushes: Cell<u64>,
+    /// Where this member is a control machine.
+    serving: RefCell<Option<Rc<Serving>>>,
 }
 
 /// Draws that no other start makes: the system's own chance, through the standard library.
@@ -125,6 +129,7 @@
             times: RefCell::default(),
             set_asides: Cell::new(u64::from(damaged.is_some())),
             flushes: Cell::new(0),
+            serving: RefCell::new(None),
             members: RefCell::new(settings.members.clone()),
             settings,
         });
@@ -157,6 +162,10 @@
         self.members.borrow().iter().find(|member| member.name == name)?.address.parse().ok()
     }
 
+    pub fn members(&self) -> Vec<schema::GroupMember> {
+        self.members.borrow().clone()
+    }
+
     /// Members of a new configuration: who is new is linked, and shards move, one safe step at a time. All else of a group
     /// holds until the next start.
     ///
@@ -176,6 +185,16 @@
         Ok(())
     }
 
+    /// From now on processes that are no members may attach and hear of what is published.
+    pub fn serve(self: &Rc<Self>, bounds: Bounds, tell: TellEvent) {
+        let serving = Serving::begin(self, bounds, draws()[0], tell);
+        self.serving.replace(Some(serving));
+    }
+
+    pub fn serving(&self) -> Option<Rc<Serving>> {
+        self.serving.borrow().clone()
+    }
+
     pub fn settings(&self) -> &schema::Group {
         &self.settings
     }
@@ -215,7 +234,7 @@
     }
 
     fn follow(&self, effects: Effects) {
-        let Effects { frames, write, told, timed_out, news, versions: _ } = effects;
+        let Effects { frames, write, told, timed_out, news, versions } = effects;
         if let Some((number, writes)) = write {
             self.write(number, writes);
         }
@@ -242,6 +261,9 @@
             }
         }
         self.stir.notify_one();
+        if let Some(serving) = self.serving().filter(|_| versions) {
+            self.see(|member| serving.sync(member));
+        }
         for one in news {
             (self.log)(&one);
             if matches!(one, News::OldCopy { .. } | News::Differs { .. }) {
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -6,16 +6,20 @@
 //! | [`links`] | one connection to each other member for what is sent, one from each for what comes |
 //! | [`disk`] | a member's writes as records of the store, and back |
 //! | [`testing`] | clocks and disks that go wrong, where a configuration says `testing` |
+//! | [`serve`] | processes that are attached and no members: a control machine's side |
+//! | [`attach`] | and their own side |
 //! | [`status`] | what operators are told |
 //! | [`recovery`] | the way back from the loss of a majority |
 //!
 //! All decisions are those of `crates/copies` and `crates/replica`. Everything runs on the program's one thread, but
 //! for one thread that writes and flushes. Nothing of it exists where no group is configured.
 
+pub mod attach;
 pub mod disk;
 pub mod host;
 pub mod links;
 pub mod recovery;
+pub mod serve;
 pub mod status;
 pub mod testing;
 
--- a/crates/group/src/links.rs
+++ b/crates/group/src/links.rs
@@ -5,7 +5,8 @@
 //! and what was on it is lost, as on any network.
 
 use crate::host::Group;
-use crate::status;
+use crate::{serve, status};
+use bytes::Bytes;
 use prost::Message as _;
 use rainstand_copies::frames::{Frame, What};
 use rainstand_protocol::thrift::frame_within;
@@ -28,29 +29,50 @@
 /// Before the next try to connect, at first and at most.
 const AGAIN: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(250)];
 /// For a connection to open, and for the first frame on one.
-const OPENS: Duration = Duration::from_secs(2);
+pub(crate) const OPENS: Duration = Duration::from_secs(2);
 /// For what waits together to be taken: a network that works takes it in milliseconds, and a link that was lost without a
 /// word is told by nothing else.
-const TAKES: Duration = Duration::from_secs(2);
+pub(crate) const TAKES: Duration = Duration::from_secs(2);
+/// For an answer to be read by who asked: the longest is a whole configuration.
+const ANSWER: Duration = Duration::from_secs(10);
 /// A connection on which nothing came for so long gives its place back: members talk far more often, or open it again.
 const QUIET: Duration = Duration::from_secs(60);
 
 /// What goes to one member.
-#[derive(Default)]
 pub struct Out {
-    open: Cell<bool>,
+    most: usize,
+    pub(crate) open: Cell<bool>,
     frames: RefCell<VecDeque<Vec<u8>>>,
     bytes: Cell<usize>,
-    stir: Notify,
+    pub(crate) stir: Notify,
     pub sent: Cell<u64>,
     pub lost: Cell<u64>,
 }
 
+impl Default for Out {
+    fn default() -> Self {
+        Self::bounded(WAITS)
+    }
+}
+
 impl Out {
+    /// At most so many bytes wait.
+    pub fn bounded(most: usize) -> Self {
+        Self {
+            most,
+            open: Cell::default(),
+            frames: RefCell::default(),
+            bytes: Cell::default(),
+            stir: Notify::new(),
+            sent: Cell::default(),
+            lost: Cell::default(),
+        }
+    }
+
     /// Sends a frame if the link is open and takes it.
     pub fn send(&self, frame: &Frame) {
         let bytes = whole(&frame.encode_to_vec());
-        if !self.open.get() || self.bytes.get() + bytes.len() > WAITS {
+        if !self.open.get() || self.bytes.get() + bytes.len() > self.most {
             self.lost.set(self.lost.get() + 1);
             return;
         }
@@ -59,7 +81,7 @@
         self.stir.notify_one();
     }
 
-    fn next(&self) -> Option<Vec<u8>> {
+    pub(crate) fn next(&self) -> Option<Vec<u8>> {
         let frame = self.frames.borrow_mut().pop_front()?;
         self.bytes.set(self.bytes.get() - frame.len());
         Some(frame)
@@ -142,8 +164,11 @@
                 let (group, open) = (group.clone(), open.clone());
                 open.set(open.get() + 1);
                 spawn_local(async move {
-                    read(&group, stream).await;
+                    let attaches = read(&group, stream).await;
                     open.set(open.get() - 1);
+                    if let Some(Attaches { stream, back, first }) = attaches {
+                        serve::attached(&group, stream, back, first).await;
+                    }
                 });
             }
             Ok(_) => {}
@@ -152,8 +177,15 @@
     }
 }
 
-/// Reads frames of one member until the link ends or says something that cannot be.
-async fn read(group: &Rc<Group>, mut stream: TcpStream) {
+/// A process that is no member says that it attaches: its link, what was read behind its first frame, and that frame.
+struct Attaches {
+    stream: TcpStream,
+    back: Vec<u8>,
+    first: Bytes,
+}
+
+/// Reads frames of one member, or an operator's questions, until the link ends or says something that cannot be.
+async fn read(group: &Rc<Group>, mut stream: TcpStream) -> Option<Attaches> {
     let (mut back, mut chunk) = (Vec::new(), vec![0; 64 << 10]);
     let mut name: Option<String> = None;
     loop {
@@ -162,28 +194,36 @@
         let within = if name.is_some() { QUIET } else { OPENS };
         let n = timeout(within, reading).await.unwrap_or(Ok(0));
         match n {
-            Ok(0) | Err(_) => return,
+            Ok(0) | Err(_) => return None,
             Ok(n) => back.extend_from_slice(&chunk[..n]),
         }
         let mut at = 0;
         loop {
-            let Ok(length) = frame_within(&back[at..], FRAME) else { return };
+            let Ok(length) = frame_within(&back[at..], FRAME) else { return None };
             let Some(length) = length else { break };
             let body = &back[at + 4..at + 4 + length];
             at += 4 + length;
-            if let Some(question) = status::question(body) {
-                let answer = status::answer(group, question);
-                if stream.write_all(&whole(answer.as_bytes())).await.is_err() {
-                    return;
+            let answer = match (status::question(body), status::publish(body)) {
+                (Some(question), _) => Some(status::answer(group, question)),
+                (_, Some(publish)) => Some(status::published(group, publish).await),
+                _ => None,
+            };
+            if let Some(answer) = answer {
+                if !timeout(ANSWER, stream.write_all(&whole(&answer))).await.is_ok_and(|sent| sent.is_ok()) {
+                    return None;
                 }
                 name.get_or_insert_default();
                 continue;
             }
-            let Ok(frame) = Frame::decode(body) else { return };
+            let frame = Frame::decode(body).ok()?;
+            if let (Some(What::Up(first)), None) = (&frame.what, &name) {
+                let (first, back) = (first.clone(), back.split_off(at));
+                return Some(Attaches { stream, back, first });
+            }
             if let Some(What::Hello(hello)) = &frame.what {
                 name = Some(hello.name.clone());
             }
-            let Some(name) = &name else { return };
+            let name = name.as_ref()?;
             group.receive(name, frame);
         }
         back.drain(..at);
--- /dev/null
+++ b/crates/group/src/serve.rs
@@ -0,0 +1,245 @@
+//! A control machine's side of attachments: what the group committed goes to processes that are no members.
+//!
+//! Who gets what, and when, is decided by [`Source`]; here are sockets, time and the log of the group. A process opens
+//! one link to the group's own address; its first frame says that it attaches. Bounds: the source's on subscribers and
+//! on attachments in a second, [`STRANGERS`] links beside them, [`WAITS`] bytes that wait for one link.
+
+use crate::host::Group;
+use crate::links::{whole, Out, OPENS, TAKES};
+use bytes::Bytes;
+use foldhash::{HashMap, HashMapExt};
+use prost::Message as _;
+use rainstand_control::snapshot;
+use rainstand_control::source::{Bounds, Event, Link, Order, Progress, Source, Standing};
+use rainstand_copies::frames::{Frame, What};
+use rainstand_copies::member::Member;
+use rainstand_protocol::thrift::frame_within;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// A subscriber's frame: a name, a zone, a region and a reason, with room.
+const UP: usize = 4 << 10;
+/// For one link: a window of pieces and a delta, with room. Whoever takes less is ended, and comes back.
+const WAITS: usize = 256 << 10;
+/// Links beyond the subscribers: those that are told to come back, on their way out.
+const STRANGERS: usize = 256;
+/// Between looks at all subscribers.
+const LOOK: Duration = Duration::from_millis(250);
+/// Versions that an answer lists at most.
+pub const LISTED: usize = 256;
+
+/// Where events go: the program's log.
+pub type Tell = Box<dyn Fn(&Event)>;
+
+/// What goes to one subscriber.
+struct Line {
+    out: Out,
+    over: Cell<bool>,
+}
+
+/// Counters, since the start.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Turned away: too many links, or no copy of what is published here.
+    pub full: Cell<u64>,
+    pub not_here: Cell<u64>,
+    /// Ended, as what waited for them was too much.
+    pub slow: Cell<u64>,
+}
+
+pub struct Serving {
+    source: RefCell<Source>,
+    bounds: Bounds,
+    started: Instant,
+    lines: RefCell<HashMap<Link, Rc<Line>>>,
+    next: Cell<Link>,
+    tell: Tell,
+    pub counts: Counts,
+}
+
+fn count(what: &Cell<u64>) {
+    what.set(what.get() + 1);
+}
+
+impl Serving {
+    /// Begins to serve what a group publishes.
+    pub fn begin(group: &Rc<Group>, bounds: Bounds, seed: u64, tell: Tell) -> Rc<Self> {
+        let serving = Rc::new(Self {
+            source: RefCell::new(Source::new(Duration::ZERO, bounds, seed)),
+            bounds,
+            started: Instant::now(),
+            lines: RefCell::new(HashMap::new()),
+            next: Cell::new(0),
+            tell,
+            counts: Counts::default(),
+        });
+        let (looking, of) = (serving.clone(), group.clone());
+        spawn_local(async move {
+            loop {
+                of.see(|member| looking.sync(member));
+                looking.source.borrow_mut().tick(looking.now());
+                looking.follow();
+                sleep(LOOK).await;
+            }
+        });
+        serving
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Takes over what was committed since the last time.
+    pub fn sync(&self, member: &Member) {
+        let Some((versions, current)) = member.published() else { return };
+        let now = self.now();
+        {
+            let mut source = self.source.borrow_mut();
+            let (base, state) = versions.base();
+            if source.version() < base {
+                if let Ok(packed) = snapshot::packed(base, state) {
+                    let _ = source.restored(now, packed.into());
+                }
+            }
+            for change in versions.since(source.version()).into_iter().flatten() {
+                // Applied here as it was in the log's own copy.
+                let _ = source.committed(now, change.delta.clone());
+            }
+            if current && source.version() == versions.version() {
+                source.current(now);
+            }
+        }
+        self.follow();
+    }
+
+    /// Carries out what the source wants done.
+    fn follow(&self) {
+        loop {
+            let orders: Vec<Order> = self.source.borrow_mut().orders().collect();
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                match order {
+                    Order::Send { link, frame } => self.send(link, frame),
+                    Order::Close(link) => self.close(link),
+                    Order::Event(event) => (self.tell)(&event),
+                }
+            }
+        }
+    }
+
+    fn send(&self, link: Link, frame: Bytes) {
+        let line = self.lines.borrow().get(&link).cloned();
+        let Some(line) = line else { return };
+        let lost = line.out.lost.get();
+        line.out.send(&Frame::of(What::Down(frame)));
+        if line.out.lost.get() > lost {
+            count(&self.counts.slow);
+            self.close(link);
+            self.source.borrow_mut().gone(self.now(), link);
+        }
+    }
+
+    fn close(&self, link: Link) {
+        if let Some(line) = self.lines.borrow_mut().remove(&link) {
+            line.over.set(true);
+            line.out.stir.notify_one();
+        }
+    }
+
+    fn heard(&self, link: Link, frame: Bytes) {
+        self.source.borrow_mut().heard(self.now(), link, frame);
+        self.follow();
+    }
+
+    /// How far the newest versions are, the newest first.
+    pub fn progress(&self, most: usize) -> Vec<Progress> {
+        self.source.borrow().progress(most.min(LISTED))
+    }
+
+    pub fn standing(&self) -> Vec<Standing> {
+        self.source.borrow().standing()
+    }
+
+    /// A look at the source.
+    pub fn see<T>(&self, look: impl FnOnce(&Source) -> T) -> T {
+        look(&self.source.borrow())
+    }
+}
+
+/// One attached process, from its first frame to its link's end. `back` is what was read behind that frame.
+pub async fn attached(group: &Rc<Group>, stream: TcpStream, mut back: Vec<u8>, first: Bytes) {
+    let Some(serving) = group.serving() else { return };
+    if group.see(|member| member.published().is_none()) {
+        count(&serving.counts.not_here);
+        return;
+    }
+    if serving.lines.borrow().len() >= serving.bounds.subscribers + STRANGERS {
+        count(&serving.counts.full);
+        return;
+    }
+    let link = serving.next.get() + 1;
+    serving.next.set(link);
+    let line = Rc::new(Line { out: Out::bounded(WAITS), over: Cell::new(false) });
+    line.out.open.set(true);
+    serving.lines.borrow_mut().insert(link, line.clone());
+    serving.heard(link, first);
+    let (mut read, mut write) = stream.into_split();
+    let reading = async {
+        let mut chunk = [0; 1 << 10];
+        loop {
+            let mut at = 0;
+            while let Ok(Some(length)) = frame_within(&back[at..], UP) {
+                let frame = Frame::decode(&back[at + 4..at + 4 + length]);
+                at += 4 + length;
+                let Ok(Frame { what: Some(What::Up(frame)) }) = frame else { return };
+                serving.heard(link, frame);
+            }
+            back.drain(..at);
+            if frame_within(&back, UP).is_err() {
+                return;
+            }
+            // Who says nothing is ended by the source.
+            match read.read(&mut chunk).await {
+                Ok(0) | Err(_) => return,
+                Ok(n) => back.extend_from_slice(&chunk[..n]),
+            }
+        }
+    };
+    let writing = async {
+        loop {
+            match line.out.next() {
+                Some(bytes) => {
+                    if !timeout(TAKES, write.write_all(&bytes)).await.is_ok_and(|written| written.is_ok()) {
+                        return;
+                    }
+                    line.out.sent.set(line.out.sent.get() + bytes.len() as u64);
+                }
+                None if line.over.get() => {
+                    // The end is told after the last word; whoever keeps its own side open is not waited for.
+                    let _ = timeout(OPENS, write.shutdown()).await;
+                    return;
+                }
+                None => line.out.stir.notified().await,
+            }
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = writing => {}
+    }
+    serving.close(link);
+    serving.source.borrow_mut().gone(serving.now(), link);
+    serving.follow();
+}
+
+/// A frame of an attached process, as it goes on a link.
+pub fn up(frame: Bytes) -> Vec<u8> {
+    whole(&Frame::of(What::Up(frame)).encode_to_vec())
+}
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -1,15 +1,30 @@
-//! What operators are told, by any member: one question in a frame, one answer in JSON (or text, for metrics).
+//! What operators are told, by any member: one question in a frame, one answer in JSON (or text, for metrics; or the
+//! published configuration, packed). A version to be published comes in a frame of its own.
 
 use crate::host::Group;
+use crate::serve::{Serving, LISTED};
+use bytes::Bytes;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::gauge::ConstGauge;
 use prometheus_client::registry::Registry;
+use prost::Message as _;
+use rainstand_control::snapshot;
+use rainstand_copies::keys::{Command, Told, What};
 use rainstand_copies::member::Member;
+use rainstand_copies::versions::Publish;
 use serde_json::{json, Value};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
 
 /// The first bytes of a question: no protobuf message of a member begins so.
 const MARK: &[u8] = b"ask ";
+/// Before a version that is to be published.
+const PUBLISH: &[u8] = b"publish ";
+/// For a version to be committed: a few elections, after which nobody knows.
+const COMMITS: Duration = Duration::from_secs(5);
 
 /// A question's words, if it is one.
 pub fn question(frame: &[u8]) -> Option<&str> {
@@ -21,15 +36,77 @@
     [MARK, words.as_bytes()].concat()
 }
 
+/// A version to be published as a frame's message.
+pub fn ask_publish(publish: &Publish) -> Vec<u8> {
+    [PUBLISH, &publish.encode_to_vec()].concat()
+}
+
+/// The version that is to be published, if the frame says one.
+pub fn publish(frame: &[u8]) -> Option<Publish> {
+    Publish::decode(frame.strip_prefix(PUBLISH)?).ok()
+}
+
+/// Has a version committed: what became of it, in JSON.
+pub async fn published(group: &Rc<Group>, publish: Publish) -> Vec<u8> {
+    let to = publish.from + 1;
+    let told = match commit(group, publish).await {
+        Ok(Told::Noted) => json!({"committed": to}),
+        Ok(Told::Conflict(why)) => json!({"conflict": String::from_utf8_lossy(&why)}),
+        Ok(Told::Refused(why)) => json!({"refused": String::from_utf8_lossy(&why)}),
+        Ok(other) => json!({"refused": format!("{other:?}")}),
+        Err(why) => json!({"unknown": why}),
+    };
+    told.to_string().into()
+}
+
+async fn commit(group: &Rc<Group>, mut publish: Publish) -> Result<Told, &'static str> {
+    if group.serving().is_none() {
+        return Ok(Told::Refused("this member is no control machine".into()));
+    }
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    publish.at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    let claim = group.see(|member| member.claim(&[]));
+    let command =
+        Command { key: Bytes::from_static(b"configuration"), claim, what: Some(What::Publish(publish)) };
+    let (send, told) = oneshot::channel();
+    let send = Cell::new(Some(send));
+    let tell = move |told| {
+        if let Some(send) = send.take() {
+            let _ = send.send(told);
+        }
+    };
+    if group.ask(command, COMMITS, Rc::new(tell)).is_none() {
+        return Ok(Told::Refused("this member takes no questions now".into()));
+    }
+    told.await.ok().flatten().ok_or("no majority answered in time: it may be committed yet, see the versions")
+}
+
 /// What is told to a question.
-pub fn answer(group: &Group, question: &str) -> String {
+pub fn answer(group: &Group, question: &str) -> Vec<u8> {
+    if question == "whole" {
+        return whole(group);
+    }
+    words(group, question).into_bytes()
+}
+
+/// The newest published version, packed; nothing: there is none, or no copy of it here.
+fn whole(group: &Group) -> Vec<u8> {
+    group.see(|member| {
+        let versions = member.published().map(|(versions, _)| versions);
+        let versions = versions.filter(|versions| versions.version() > 0);
+        versions.and_then(|all| snapshot::packed(all.version(), all.state()).ok()).unwrap_or_default()
+    })
+}
+
+fn words(group: &Group, question: &str) -> String {
     match question.split_once(' ').unwrap_or((question, "")) {
         ("status", _) => status(group).to_string(),
         ("members", _) => members(group).to_string(),
         ("why", key) => why(group, key).to_string(),
+        ("versions", most) => versions(group, most.parse().unwrap_or(16)).to_string(),
         ("metrics", _) => metrics(group),
         (other, _) => {
-            json!({"error": format!("{other:.40} is no question: status, members, why KEY, metrics")})
+            json!({"error": format!("{other:.40} is no question: status, members, why KEY, versions, whole, metrics")})
                 .to_string()
         }
     }
@@ -121,6 +198,77 @@
     })
 }
 
+/// Published versions, and how far the processes that are attached here are.
+fn versions(group: &Group, most: usize) -> Value {
+    let members: Vec<Value> = group
+        .members()
+        .iter()
+        .map(|member| json!({"name": member.name, "address": member.address}))
+        .collect();
+    let Some(serving) = group.serving() else {
+        return json!({"error": "this member is no control machine"});
+    };
+    let name = group.see(|member| member.name().to_owned());
+    let standing = serving.standing();
+    let refusals = standing.iter().filter_map(|one| {
+        let (version, reason) = one.refused.as_ref()?;
+        (one.version < *version).then(
+            || json!({"name": one.who.name, "version": version, "reason": reason, "holds": one.version}),
+        )
+    });
+    let refusals: Vec<Value> = refusals.take(LISTED).collect();
+    group.see(|member| {
+        let Some((all, current)) = member.published() else {
+            return json!({"name": name, "members": members, "here": false});
+        };
+        let rows = serving.progress(most).into_iter().map(|progress| {
+            let change = progress.version.checked_sub(1).and_then(|before| all.since(before)?.next());
+            json!({"version": progress.version, "at_ms": change.map(|change| change.at_ms),
+                "things": progress.things, "confirmed": progress.confirmed, "refused": progress.refused,
+                "behind": progress.behind,
+                "slowest": progress.slowest.map(|(name, version)| json!({"name": name, "version": version}))})
+        });
+        let rows: Vec<Value> = rows.collect();
+        json!({"name": name, "members": members, "here": true, "current": current, "version": all.version(),
+            "digest": id(all.state().digest()), "things": all.state().len(), "attached": standing.len(),
+            "versions": rows, "refusals": refusals})
+    })
+}
+
+/// Of a control machine.
+fn serving_metrics(registry: &mut Registry, serving: &Serving) {
+    let (version, c) = serving.see(|source| (source.version(), source.counters()));
+    let counts = &serving.counts;
+    let attached = serving.standing().len();
+    let gauges = [
+        ("published_version", "The newest published version here", version),
+        ("attached", "Processes that are attached here", attached as u64),
+    ];
+    for (name, help, value) in gauges {
+        registry.register(name, help, ConstGauge::new(i64::try_from(value).unwrap_or(i64::MAX)));
+    }
+    let counters = [
+        ("attachments", "Attachments since the start", c.attached),
+        ("turned_away", "Processes that were told to come back", c.turned_away),
+        ("links_full", "Links past the bound", counts.full.get()),
+        ("links_slow", "Links ended, as too much waited for them", counts.slow.get()),
+        ("not_here", "Links ended, as no copy of the versions is here", counts.not_here.get()),
+        ("confirmed", "Confirmations", c.confirmed),
+        ("refused", "Refusals", c.refused),
+        ("differs", "Subscribers that held something else than their version says", c.differs),
+        ("gaps", "Subscribers that were sent what they could not use", c.gaps),
+        ("deltas", "Changes sent", c.deltas),
+        ("snapshots", "Whole versions sent", c.snapshots),
+        ("sent_again", "Changes and pieces sent again", c.sent_again),
+        ("unreadable", "Frames that were none", c.unreadable),
+        ("attached_in_bytes", "Bytes of attached processes", c.bytes_in),
+        ("attached_out_bytes", "Bytes to attached processes", c.bytes_out),
+    ];
+    for (name, help, value) in counters {
+        registry.register(name, help, ConstCounter::new(value));
+    }
+}
+
 /// Counters and gauges in the OpenMetrics text format.
 fn metrics(group: &Group) -> String {
     let mut registry = Registry::with_prefix("rainstand_group");
@@ -157,6 +305,9 @@
         "Times that files were set aside",
         ConstCounter::new(group.set_asides.get()),
     );
+    if let Some(serving) = group.serving() {
+        serving_metrics(&mut registry, &serving);
+    }
     registry.register("flushes", "Flushes of the disk", ConstCounter::new(group.flushes.get()));
     let mut text = String::new();
     let _ = encode(&mut text, &registry);
