--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -2,9 +2,14 @@
 //!
 //! Verdicts go by events in the processes' logs and by answers; [`HANGS`] only catches what hangs.
 
+use rainstand_config::schema::Configuration;
+use rainstand_control::delta::State;
+use rainstand_copies::versions::Publish;
+use rainstand_group::links::whole;
+use rainstand_group::status;
 use serde_json::Value;
-use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
@@ -169,13 +174,27 @@
         lines[0].clone()
     }
 
-    /// Until the newest version is confirmed by so many.
+    /// What a machine answers to a frame.
+    fn ask(&self, at: usize, message: &[u8]) -> Value {
+        let mut stream = TcpStream::connect(&self.at[at]).unwrap();
+        stream.set_read_timeout(Some(HANGS)).unwrap();
+        stream.write_all(&whole(message)).unwrap();
+        let mut head = [0; 4];
+        stream.read_exact(&mut head).unwrap();
+        let mut body = vec![0; u32::from_be_bytes(head) as usize];
+        stream.read_exact(&mut body).unwrap();
+        serde_json::from_slice(&body).unwrap()
+    }
+
+    /// Until each machine has the version and so many confirmed it. A machine that follows has it a heartbeat later.
     fn confirmed(&self, at: usize, version: u64, by: u64) -> Value {
         let begun = Instant::now();
         loop {
             let told = self.versions(at);
             let newest = &told["versions"][0];
-            if newest["version"] == version && newest["confirmed"] == by && newest["behind"] == 0 {
+            let machines = told["machines"].as_array().unwrap();
+            let all = machines.iter().all(|machine| machine["version"] == version);
+            if all && newest["version"] == version && newest["confirmed"] == by && newest["behind"] == 0 {
                 return told;
             }
             assert!(begun.elapsed() < HANGS, "{told}");
@@ -218,6 +237,12 @@
     assert!(code == 0 && told.contains("nothing changes"), "{told}");
     assert_eq!(world.versions(1)["version"], 1);
 
+    // The machine itself refuses it too, as when two publish at once.
+    let late = Configuration { version: 1, ..Configuration::default() };
+    let late = Publish::of(&State::of(&late).unwrap(), 0, &late).unwrap();
+    let told = world.ask(2, &status::ask_publish(&late));
+    assert!(told["conflict"].is_string(), "{told}");
+
     // The change as a change, in force at both with one digest.
     let (code, told) = world.publish("second.rain", 0, &["--from", "1"]);
     assert!(code == 0 && told.contains("share"), "{told}");
