--- a/crates/control/tests/virtual_clock.rs
+++ b/crates/control/tests/virtual_clock.rs
@@ -603,7 +603,7 @@
             return;
         }
         let before = process.subscriber.version();
-        if self.poison.contains(&version) && k % 3 == 0 {
+        if self.poison.contains(&version) && k.is_multiple_of(3) {
             process.subscriber.refused(version, "not here");
             assert_eq!(process.subscriber.version(), before);
         } else {
