Fleet and forwarder: a change of named things keeps what was learned of all that it does not name

Cause: each new version made pools, rooms, policies and series anew, and what a version said of health or of tickets at once was not in force for members that stayed: their old rules and bounds went on.

Change: `Fleet::apply` and `Hub::apply` make anew the pools that a change names, or whose limits or health it names; rooms, told times, decisions and series go on where places stay. Rules of health and bounds of limits are those of the present version, by either way of taking it. `replace` takes a message that is given away, so that it is there once. Tenants' shares change one by one. `subset::reduce_pool` is for the pools of a change.

What still goes over the table: policies of further tries, for changes of routes, pools or attempts (no allocation); shares, where a tenant goes; series of members, where pools or routes change.

Tests: 40 seeds of 3,000 steps of trips, tries, waits and changes, after which no count is left. Seen to fail: a room not carried, rooms kept when places move, pools in another order, the old bound, the old rules of health.

--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -92,11 +92,10 @@
     // The standard library's maps are keyed by what the system draws.
     let drawn = || RandomState::new().build_hasher().finish();
     let seed = options.seed.unwrap_or_else(drawn);
-    let hub = match Hub::new(&configuration, &options.zone, seed) {
+    let hub = match Hub::of(configuration, &options.zone, seed) {
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
-    drop(configuration);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let listener = match TcpListener::bind(options.listen).await {
@@ -120,7 +119,7 @@
             while hup.recv().await.is_some() {
                 // A bad one changes nothing.
                 let taken = match read_apart(&path, number) {
-                    Ok(read) => made(read.await).and_then(|configuration| again.take(&configuration)),
+                    Ok(read) => made(read.await).and_then(|configuration| again.replace(configuration)),
                     Err(error) => Err(error.to_string()),
                 };
                 match taken {
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -23,10 +23,12 @@
 use rainstand_config::schema::Configuration;
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
+use rainstand_route::change::Change;
 use rainstand_route::fleet::{At, Back, End, Fleet, Step, Trip};
 use rainstand_route::health::Standing;
 use rainstand_route::split::mark;
 use rainstand_route::table::Ticket;
+use rainstand_route::Refused;
 use seen::Metrics;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -144,7 +146,15 @@
     /// # Errors
     /// Why the configuration cannot be used.
     pub fn new(configuration: &Configuration, zone: &str, seed: u64) -> Result<Rc<Self>, String> {
-        let fleet = Fleet::new(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
+        Self::of(configuration.clone(), zone, seed)
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Hub::new`].
+    pub fn of(configuration: Configuration, zone: &str, seed: u64) -> Result<Rc<Self>, String> {
+        let fleet = Fleet::of(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
         let metrics = Metrics::default();
         metrics.version(&fleet);
         Ok(Rc::new(Self {
@@ -178,10 +188,36 @@
     /// # Errors
     /// Why it is refused; nothing has changed.
     pub fn take(&self, configuration: &Configuration) -> Result<u64, String> {
-        let version = self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())?;
-        self.backs.tidy();
-        self.backs.tell_known(self);
-        self.metrics.version(&self.fleet.borrow());
+        self.replace(configuration.clone())
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Hub::take`].
+    pub fn replace(&self, configuration: Configuration) -> Result<u64, String> {
+        let taken = self.fleet.borrow_mut().replace(configuration, self.now());
+        self.is_present(taken)
+    }
+
+    /// A change of named things as a version, at the cost of what it says. Pools have their members whole: those that
+    /// this forwarder knows ([`rainstand_route::subset`]).
+    ///
+    /// # Errors
+    /// Why it is refused; nothing has changed.
+    pub fn apply(&self, changes: &[Change]) -> Result<u64, String> {
+        let applied = self.fleet.borrow_mut().apply(changes, self.now());
+        self.is_present(applied)
+    }
+
+    fn is_present(&self, version: Result<u64, Refused>) -> Result<u64, String> {
+        let version = version.map_err(|e| e.to_string())?;
+        // Where routes, pools and members have their places, what is kept by place goes on.
+        if self.fleet.borrow().places_since() == version {
+            self.backs.tidy();
+            self.backs.tell_known(self);
+            self.metrics.version(&self.fleet.borrow());
+        }
         Ok(version)
     }
 
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -71,10 +71,10 @@
 /// A ticket's route and pool by place, its end and why.
 type EndKey = (Option<u16>, Option<u16>, &'static str, Why);
 
-/// What is kept by place of the present version.
+/// What is kept by place, and the version since which the places are these.
 #[derive(Default)]
 struct Handles {
-    version: u64,
+    since: u64,
     /// Of routes that had a ticket: most of five thousand have none in a forwarder's life.
     routes: HashMap<u16, Histogram>,
     members: Vec<Vec<MemberHandles>>,
@@ -174,10 +174,10 @@
 }
 
 impl Metrics {
-    /// A new version is the present one.
+    /// A version of other places is the present one.
     pub fn version(&self, fleet: &Fleet) {
         let c = fleet.table().configuration();
-        let mut handles = Handles { version: fleet.version(), ..Handles::default() };
+        let mut handles = Handles { since: fleet.places_since(), ..Handles::default() };
         let mut now = HashSet::default();
         let mut routes = self.known_routes.borrow_mut();
         if !routes.is_empty() {
@@ -222,7 +222,7 @@
     /// its place may be another member's now.
     pub fn tried(&self, at: At, version: u64, back: Back, took: Duration) {
         let handles = self.handles.borrow();
-        if version != handles.version {
+        if version < handles.since {
             return;
         }
         let found = handles.members.get(usize::from(at.pool)).and_then(|all| all.get(usize::from(at.member)));
@@ -239,7 +239,7 @@
     /// A ticket's end.
     pub fn ticket(&self, over: &Over, fleet: &Fleet) {
         let mut handles = self.handles.borrow_mut();
-        let same = over.version == handles.version;
+        let same = over.version >= handles.since;
         let key = if same { (over.route, over.pool) } else { (Some(u16::MAX), Some(u16::MAX)) };
         let table = fleet.table();
         if let Some(at) = over.route.filter(|_| same) {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -9,6 +9,7 @@
 //! [`Room`] holds the trips whose way leads to it, from their arrival to their end.
 
 use crate::attempts::{self, Budget, Came, Next, Policy, Stop, Tried};
+use crate::change::{Change as Named, Kind};
 use crate::choice::{self, How, Member, Pick};
 use crate::decisions::{Decision, Decisions, Passed, What};
 use crate::health::{Change, Health, Rules, Standing};
@@ -269,6 +270,11 @@
     plans: Vec<(Policy, u64)>,
     zone: String,
     pools: Vec<Pool>,
+    /// What tenants have of a scarce pool.
+    shares: Weights,
+    /// The version since which pools, members, routes and tenants have their places, and since which pools and tenants.
+    places_since: u64,
+    rooms_since: u64,
     /// Until when a member told a tenant to stay away, by member over all pools and tenant.
     pauses: HashMap<(At, u32), Duration>,
     budget: Budget,
@@ -296,36 +302,70 @@
 }
 
 fn pools(configuration: &Configuration, zone: &str, phases: &mut WyRand, now: Duration) -> Vec<Pool> {
-    let weights = Rc::new(Weights::new(configuration.tenants.iter().map(|tenant| tenant.share)));
-    let made = |pool: &schema::Pool| {
-        let health = configuration.health.iter().find(|one| one.name == pool.health);
-        let limits = configuration.limits.iter().find(|one| one.name == pool.limits);
-        let most = limits.map(|one| one.at_once).filter(|most| *most > 0);
-        let member = |m: &schema::Member| {
-            let near = !zone.is_empty() && m.zone == zone;
-            let weight = m.weight as f64 / ONE as f64;
-            let mut made = Member::new(mark(&m.address), weight, near, Duration::from_nanos(m.warm_up_ns));
-            made.ramp = rule(pool, m).map(|rule| {
-                let phase = f64::from(phases.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
-                Ramp::new(rule, phase, now)
-            });
-            made
-        };
-        let mut made = Pool {
-            name: pool.name.as_str().into(),
-            addresses: pool.members.iter().map(|member| member.address.as_str().into()).collect(),
-            members: pool.members.iter().map(member).collect(),
-            toward: pool.members.iter().map(|_| Toward::new(most, now)).collect(),
-            health: health.map(|rules| Health::new(Rules::from(rules), pool.members.len(), now)),
-            room: Room::new(weights.clone()),
-            places: 0,
-            out: 0,
-            leaving: vec![Duration::ZERO; pool.members.len()],
-        };
-        made.count_places();
+    configuration.pools.iter().map(|pool| made(pool, configuration, zone, phases, now)).collect()
+}
+
+/// Limits and health of a pool as the configuration has them.
+fn settings(pool: &schema::Pool, configuration: &Configuration) -> (Option<u64>, Option<Rules>) {
+    let health = configuration.health.iter().find(|one| one.name == pool.health);
+    let limits = configuration.limits.iter().find(|one| one.name == pool.limits);
+    (limits.map(|one| one.at_once).filter(|most| *most > 0), health.map(Rules::from))
+}
+
+fn made(
+    pool: &schema::Pool,
+    configuration: &Configuration,
+    zone: &str,
+    phases: &mut WyRand,
+    now: Duration,
+) -> Pool {
+    let (most, health) = settings(pool, configuration);
+    let member = |m: &schema::Member| {
+        let near = !zone.is_empty() && m.zone == zone;
+        let weight = m.weight as f64 / ONE as f64;
+        let mut made = Member::new(mark(&m.address), weight, near, Duration::from_nanos(m.warm_up_ns));
+        made.ramp = rule(pool, m).map(|rule| {
+            let phase = f64::from(phases.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
+            Ramp::new(rule, phase, now)
+        });
         made
     };
-    configuration.pools.iter().map(made).collect()
+    let mut made = Pool {
+        name: pool.name.as_str().into(),
+        addresses: pool.members.iter().map(|member| member.address.as_str().into()).collect(),
+        members: pool.members.iter().map(member).collect(),
+        toward: pool.members.iter().map(|_| Toward::new(most, now)).collect(),
+        health: health.map(|rules| Health::new(rules, pool.members.len(), now)),
+        room: Room::default(),
+        places: 0,
+        out: 0,
+        leaving: vec![Duration::ZERO; pool.members.len()],
+    };
+    made.count_places();
+    made
+}
+
+/// What was learned of members that are still there stays with them.
+fn carry(pool: &mut Pool, before: Pool, now: Duration) {
+    let same = before.addresses == pool.addresses;
+    for (k, address) in before.addresses.iter().enumerate() {
+        if let Some(new) = pool.addresses.iter().position(|one| one == address) {
+            pool.members[new].open = before.members[k].open;
+            pool.out += before.members[k].open;
+            pool.members[new].started = before.members[k].started;
+            if let (Some(ramp), Some(before)) = (&mut pool.members[new].ramp, &before.members[k].ramp) {
+                ramp.carry(before, now);
+            }
+            pool.toward[new].carry(&before.toward[k]);
+            pool.leaving[new] = before.leaving[k];
+        }
+    }
+    // Standings go by place, so they stay only where the members are the same.
+    if let (true, Some(health), Some(mut before)) = (same, &mut pool.health, before.health) {
+        before.under(health.rules());
+        *health = before;
+    }
+    pool.count_places();
 }
 
 fn any_ramp(pools: &[Pool]) -> bool {
@@ -333,16 +373,19 @@
 }
 
 /// What each route says of further tries: its own word, else that of its first pool.
-fn plans(configuration: &Configuration) -> Vec<(Policy, u64)> {
+fn plans(table: &Table) -> impl Iterator<Item = (Policy, u64)> + '_ {
+    let c = table.configuration();
     let once = Policy { tries: 1, wait: (Duration::ZERO, Duration::ZERO), proof: schema::Proof::NotRun };
-    let plan = |route: &schema::Route| {
-        let of_pool = route.to.first().and_then(|to| configuration.pools.iter().find(|p| p.name == to.pool));
-        let of_pool = of_pool.map_or("", |pool| &pool.attempts);
+    c.routes.iter().zip(&table.routes).map(move |(route, compiled)| {
+        let of_pool = compiled.to.first().map_or("", |to| &c.pools[usize::from(to.pool)].attempts);
         let named = if route.attempts.is_empty() { of_pool } else { &route.attempts };
-        let attempts = configuration.attempts.iter().find(|one| one.name == named);
+        let attempts = c.attempts.iter().find(|one| one.name == named);
         (attempts.map_or(once, Policy::from), attempts.map_or(0, |one| one.budget))
-    };
-    configuration.routes.iter().map(plan).collect()
+    })
+}
+
+fn shares(configuration: &Configuration) -> Weights {
+    Weights::new(configuration.tenants.iter().map(|tenant| tenant.share))
 }
 
 impl Fleet {
@@ -351,11 +394,23 @@
     /// # Errors
     /// As [`Router::new`].
     pub fn new(configuration: &Configuration, zone: &str, seed: u64, now: Duration) -> Result<Self, Refused> {
+        Self::of(configuration.clone(), zone, seed, now)
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Router::of`].
+    pub fn of(configuration: Configuration, zone: &str, seed: u64, now: Duration) -> Result<Self, Refused> {
         let mut phases = WyRand::new_seed(seed ^ 0x7261_6d70);
-        let pools = pools(configuration, zone, &mut phases, now);
+        let router = Router::of(configuration, seed)?;
+        let pools = pools(router.table().configuration(), zone, &mut phases, now);
         Ok(Self {
-            router: Router::new(configuration, seed)?,
-            plans: plans(configuration),
+            plans: plans(router.table()).collect(),
+            shares: shares(router.table().configuration()),
+            places_since: 1,
+            rooms_since: 1,
+            router,
             zone: zone.to_owned(),
             ramps: any_ramp(&pools),
             pools,
@@ -407,42 +462,118 @@
     /// # Errors
     /// As [`Router::take`]; nothing has changed then.
     pub fn take(&mut self, configuration: &Configuration, now: Duration) -> Result<u64, Refused> {
-        let names: Vec<String> =
-            (0..self.pools.len()).map(|at| self.table().pool_name(at as u16).to_owned()).collect();
-        let number = self.router.take(configuration, now)?;
-        self.plans = plans(configuration);
-        let old = std::mem::replace(&mut self.pools, pools(configuration, &self.zone, &mut self.phases, now));
-        self.ramps = any_ramp(&self.pools);
+        self.replace(configuration.clone(), now)
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Fleet::take`].
+    pub fn replace(&mut self, configuration: Configuration, now: Duration) -> Result<u64, Refused> {
+        let number = self.router.replace(configuration, now)?;
+        let c = self.router.table().configuration();
+        let made = pools(c, &self.zone, &mut self.phases, now);
+        self.shares = shares(c);
+        let old = std::mem::replace(&mut self.pools, made);
+        for before in old {
+            let Some(at) = self.table().pool(&before.name) else { continue };
+            carry(&mut self.pools[usize::from(at)], before, now);
+        }
+        self.plan();
+        self.places_are_new(number);
+        // They speak of tenants and pools by their places.
         self.pauses.clear();
-        // They speak of places of the version before.
-        self.changes.clear();
-        self.decisions.clear();
-        for (name, before) in names.iter().zip(old) {
-            let Some(at) = self.table().pool(name) else { continue };
-            let pool = &mut self.pools[usize::from(at)];
-            let same = before.addresses == pool.addresses;
-            for (k, address) in before.addresses.iter().enumerate() {
-                if let Some(new) = pool.addresses.iter().position(|one| one == address) {
-                    pool.members[new].open = before.members[k].open;
-                    pool.out += before.members[k].open;
-                    pool.members[new].started = before.members[k].started;
-                    if let (Some(ramp), Some(before)) = (&mut pool.members[new].ramp, &before.members[k].ramp)
-                    {
-                        ramp.carry(before, now);
-                    }
-                    pool.toward[new] = before.toward[k].clone();
-                    pool.leaving[new] = before.leaving[k];
-                }
+        self.rooms_since = number;
+        Ok(number)
+    }
+
+    /// A change of named things as a new version: what it says nothing of stays as it is, with all that was learned.
+    /// Pools have their members whole.
+    ///
+    /// # Errors
+    /// As [`Router::apply`]; nothing has changed then.
+    pub fn apply(&mut self, changes: &[Named], now: Duration) -> Result<u64, Refused> {
+        let names =
+            |kind: Kind| changes.iter().map(Named::of).filter(move |of| of.0 == kind).map(|(_, name)| name);
+        let gone = |kind: Kind| changes.iter().any(|one| matches!(one, Named::Remove(of, _) if *of == kind));
+        let before = self.table().route_places(names(Kind::Route));
+        let number = self.router.apply(changes, now)?;
+        let table = self.router.table();
+        let c = table.configuration();
+        for at in names(Kind::Tenant).filter_map(|name| table.tenant(name)).map(usize::from) {
+            // New ones stand behind all others.
+            for at in self.shares.len().min(at)..=at {
+                self.shares.set(at, c.tenants[at].share);
             }
-            // Standings go by place, so they stay only where the members are the same.
-            if same && pool.health.is_some() && before.health.is_some() {
-                pool.health = before.health;
+        }
+        if gone(Kind::Tenant) {
+            self.shares = shares(c);
+        }
+        let told = |pool: &schema::Pool| {
+            names(Kind::Pool).any(|name| name == pool.name)
+                || names(Kind::Limits).any(|name| name == pool.limits)
+                || names(Kind::Health).any(|name| name == pool.health)
+        };
+        let mut touched = gone(Kind::Pool);
+        if touched {
+            // Places of pools are others: in the order of the table.
+            let mut old: HashMap<Rc<str>, Pool> =
+                self.pools.drain(..).map(|pool| (pool.name.clone(), pool)).collect();
+            let kept = |pool: &schema::Pool| old.remove(pool.name.as_str());
+            let found: Vec<Option<Pool>> = c.pools.iter().map(kept).collect();
+            let placed = found.into_iter().zip(&c.pools);
+            let (zone, phases) = (&self.zone, &mut self.phases);
+            self.pools = placed
+                .map(|(there, pool)| there.unwrap_or_else(|| made(pool, c, zone, phases, now)))
+                .collect();
+        }
+        for (at, pool) in c.pools.iter().enumerate().filter(|(_, pool)| told(pool)) {
+            let new = made(pool, c, &self.zone, &mut self.phases, now);
+            match self.pools.get_mut(at) {
+                Some(there) => {
+                    let mut before = std::mem::replace(there, new);
+                    there.room = std::mem::take(&mut before.room);
+                    carry(there, before, now);
+                }
+                None => self.pools.push(new),
             }
-            pool.count_places();
+            touched = true;
+        }
+        let routes = before != self.router.table().route_places(names(Kind::Route));
+        if routes || touched || [Kind::Route, Kind::Attempts].into_iter().any(|kind| names(kind).count() > 0)
+        {
+            self.plan();
+        }
+        let gone = gone(Kind::Tenant) || gone(Kind::Pool) || gone(Kind::Type);
+        if routes || touched || gone {
+            self.places_are_new(number);
+            self.pauses.clear();
+        }
+        if gone {
+            self.pools.iter_mut().for_each(|pool| pool.room = Room::default());
+            self.rooms_since = number;
         }
         Ok(number)
     }
 
+    fn plan(&mut self) {
+        self.plans.clear();
+        self.plans.extend(plans(self.router.table()));
+    }
+
+    /// What speaks of places of the version before is forgotten.
+    fn places_are_new(&mut self, number: u64) {
+        self.places_since = number;
+        self.ramps = any_ramp(&self.pools);
+        self.changes.clear();
+        self.decisions.clear();
+    }
+
+    /// The version since which routes, pools, members, tenants and types have the places that they have now.
+    pub fn places_since(&self) -> u64 {
+        self.places_since
+    }
+
     /// The places in all pools of the member with this address.
     fn places_of(&self, address: &str) -> Vec<At> {
         let pools = self.pools.iter().enumerate();
@@ -509,7 +640,7 @@
                     .into_iter()
                     .map(|Change { member, to }| (At { pool: pool as u16, member: member as u16 }, to)),
             );
-            one.room.look(now);
+            one.room.look(&self.shares, now);
             one.count_places();
         }
         all
@@ -523,7 +654,7 @@
         let scarce: Cell<Option<(u16, f64)>> = Cell::new(None);
         let usable = |pool: u16| {
             let one = &parts.pools[usize::from(pool)];
-            match one.room.may(who, one.places) {
+            match one.room.may(&self.shares, who, one.places) {
                 Ok(()) => parts.any(pool, None),
                 Err(over) => {
                     scarce.set(Some((pool, over)));
@@ -537,7 +668,7 @@
         };
         let place = way.place;
         let one = &mut self.pools[usize::from(place.pool)];
-        one.room.asked(who, now);
+        one.room.asked(&self.shares, who, now);
         one.room.enter(who);
         let (policy, share) = self.plans[usize::from(place.route)];
         self.budget.first(share);
@@ -580,7 +711,7 @@
             if let Some((pool, over)) = scarce {
                 // Its part is free again once as much as it is over has ended.
                 let one = &mut self.pools[usize::from(pool)];
-                one.room.asked(who, now);
+                one.room.asked(&self.shares, who, now);
                 after = one.usual().mul_f64(over.min(1_000.0));
                 told = Why::Room;
                 self.counts.room += 1;
@@ -633,10 +764,10 @@
 
     /// The pool of a trip in the present version.
     fn pool_now(&self, way: &Way) -> Option<u16> {
-        if way.version == self.version() {
+        if way.version >= self.places_since {
             return Some(way.place.pool);
         }
-        // Under another version than the present one the pool is looked up by its name.
+        // Under a version of other places the pool is looked up by its name.
         self.table().pool(&way.pool)
     }
 
@@ -649,7 +780,7 @@
         let what = What::Turned { why: Why::NoMember, after: COME_BACK };
         let mut decision = Decision::new(now, trip.traffic, trip.tenant, what);
         decision.pool = Some(pool);
-        decision.route = (trip.way.version == self.version()).then_some(trip.way.place.route);
+        decision.route = (trip.way.version >= self.places_since).then_some(trip.way.place.route);
         let weights = &mut self.weights;
         weights.clear();
         let mut of = 0;
@@ -808,7 +939,7 @@
         *count += 1;
         if let Some((pool, version)) = trip.room {
             // Rooms are made anew with each version: what is left of the one before is not counted there.
-            if version == self.version() {
+            if version >= self.rooms_since {
                 self.pools[usize::from(pool)].room.leave(trip.who);
             }
         }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -164,6 +164,15 @@
 }
 
 impl Health {
+    pub fn rules(&self) -> Rules {
+        self.rules
+    }
+
+    /// Other rules for the same members: standings stay until they are judged by these.
+    pub fn under(&mut self, rules: Rules) {
+        self.rules = rules;
+    }
+
     pub fn new(rules: Rules, members: usize, now: Duration) -> Self {
         let members = vec![Member::new(now); members];
         Self { rules, members, all_again: false, middle: None, answers: 0 }
--- a/crates/route/src/room.rs
+++ b/crates/route/src/room.rs
@@ -15,7 +15,6 @@
 
 use rainstand_config::units::ONE;
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// In use from which on room is scarce: what is left is for those below their part.
@@ -43,28 +42,53 @@
 }
 
 /// What each tenant has of a scarce pool, the same in all pools of a version.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Weights {
-    /// Promised shares, in millionths.
-    shares: Box<[u32]>,
-    /// Of one that was promised nothing, and of the strangers as one.
-    even: f64,
+    /// Promised shares, in millionths; 0 for one that was promised nothing.
+    shares: Vec<u32>,
+    promised: u64,
+    without: usize,
 }
 
 impl Weights {
     /// `shares`: each tenant's, in millionths; 0 for one that was promised nothing: it has an even part of what the
     /// others leave.
     pub fn new(shares: impl Iterator<Item = u64>) -> Self {
-        let shares: Box<[u32]> = shares.map(|share| u32::try_from(share).unwrap_or(u32::MAX)).collect();
-        let promised: u64 = shares.iter().map(|share| u64::from(*share)).sum();
-        let without = shares.iter().filter(|share| **share == 0).count();
-        let left = (1.0 - promised as f64 / ONE as f64).max(STRANGERS);
-        Self { shares, even: left / (without + 1) as f64 }
+        let mut weights = Self::default();
+        shares.enumerate().for_each(|(at, share)| weights.set(at, share));
+        weights
+    }
+
+    /// A tenant's share is another one, or it is a new tenant behind all others.
+    pub fn set(&mut self, at: usize, share: u64) {
+        let share = u32::try_from(share).unwrap_or(u32::MAX);
+        let before = match self.shares.get_mut(at) {
+            Some(there) => Some(std::mem::replace(there, share)),
+            None => {
+                self.shares.push(share);
+                None
+            }
+        };
+        self.promised = self.promised + u64::from(share) - u64::from(before.unwrap_or(0));
+        self.without = self.without + usize::from(share == 0) - usize::from(before == Some(0));
+    }
+
+    pub fn len(&self) -> usize {
+        self.shares.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.shares.is_empty()
+    }
+
+    /// What one has that was promised nothing, and the strangers as one.
+    fn even(&self) -> f64 {
+        (1.0 - self.promised as f64 / ONE as f64).max(STRANGERS) / (self.without + 1) as f64
     }
 
     fn of(&self, at: u32) -> f64 {
         match self.shares.get(at as usize) {
-            None | Some(0) => self.even,
+            None | Some(0) => self.even(),
             Some(share) => f64::from(*share) / ONE as f64,
         }
     }
@@ -86,10 +110,19 @@
     }
 }
 
+/// Behind all tenants.
+const ALL_STRANGERS: u32 = u32::MAX;
+
+fn place(who: Who) -> u32 {
+    match who {
+        Who::Known(tenant) => u32::from(tenant),
+        Who::Stranger(_) => ALL_STRANGERS,
+    }
+}
+
 /// See the module's head.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Room {
-    parts: Rc<Weights>,
     /// Tenants that are here by place, and behind them the strangers as one. In order, so that sums are the same.
     all: BTreeMap<u32, One>,
     cells: BTreeMap<u16, One>,
@@ -99,27 +132,14 @@
 }
 
 impl Room {
-    pub fn new(parts: Rc<Weights>) -> Self {
-        let (all, cells) = (BTreeMap::new(), BTreeMap::new());
-        Self { parts, all, cells, active_cells: 0, weights: 0.0, open: 0 }
-    }
-
-    fn place(&self, who: Who) -> u32 {
-        let strangers = self.parts.shares.len() as u32;
-        match who {
-            Who::Known(tenant) => u32::from(tenant).min(strangers),
-            Who::Stranger(_) => strangers,
-        }
-    }
-
     fn one(&self, at: u32) -> One {
         self.all.get(&at).copied().unwrap_or_default()
     }
 
     /// Of this many places, the part of a tenant, as if it had asked; for a stranger that of all strangers. None if
     /// nobody else asks.
-    fn part(&self, at: u32, room: f64) -> Option<f64> {
-        let weight = self.parts.of(at);
+    fn part(&self, weights: &Weights, at: u32, room: f64) -> Option<f64> {
+        let weight = weights.of(at);
         let others = self.weights - if self.one(at).asked.is_some() { weight } else { 0.0 };
         // Sums of fractions come out a little beside nothing.
         (others > 1e-9).then(|| (room * weight / (others + weight)).max(1.0))
@@ -130,14 +150,14 @@
     ///
     /// # Errors
     /// As told above.
-    pub fn may(&self, who: Who, room: u32) -> Result<(), f64> {
+    pub fn may(&self, weights: &Weights, who: Who, room: u32) -> Result<(), f64> {
         let room = f64::from(room);
         if f64::from(self.open) < room * SCARCE {
             return Ok(());
         }
-        let at = self.place(who);
+        let at = place(who);
         // Alone it may have all there is; whether there is any is not decided here.
-        let Some(part) = self.part(at, room) else { return Ok(()) };
+        let Some(part) = self.part(weights, at, room) else { return Ok(()) };
         let all = f64::from(self.one(at).open);
         let (held, part) = match who {
             Who::Known(_) => (all, part),
@@ -157,10 +177,10 @@
     }
 
     /// Somebody asked, whatever came of it: from now on its part is kept for it.
-    pub fn asked(&mut self, who: Who, now: Duration) {
-        let at = self.place(who);
+    pub fn asked(&mut self, weights: &Weights, who: Who, now: Duration) {
+        let at = place(who);
         if self.all.entry(at).or_default().asked.replace(now).is_none() {
-            self.weights += self.parts.of(at);
+            self.weights += weights.of(at);
         }
         if let Who::Stranger(cell) = who {
             if self.cells.entry(cell).or_default().asked.replace(now).is_none() {
@@ -170,7 +190,7 @@
     }
 
     pub fn enter(&mut self, who: Who) {
-        let at = self.place(who);
+        let at = place(who);
         self.all.entry(at).or_default().open += 1;
         self.open += 1;
         if let Who::Stranger(cell) = who {
@@ -179,7 +199,7 @@
     }
 
     pub fn leave(&mut self, who: Who) {
-        let at = self.place(who);
+        let at = place(who);
         debug_assert!(self.one(at).open > 0, "more left than came in");
         if let Some(one) = self.all.get_mut(&at) {
             one.open = one.open.saturating_sub(1);
@@ -193,12 +213,12 @@
     }
 
     /// Time passes: who asked nothing lately has no part. Some times a second.
-    pub fn look(&mut self, now: Duration) {
+    pub fn look(&mut self, weights: &Weights, now: Duration) {
         self.all.retain(|_, one| one.is_here(now));
         self.cells.retain(|_, cell| cell.is_here(now));
         // Summed anew: sums of fractions drift.
         let asked = self.all.iter().filter(|(_, one)| one.asked.is_some());
-        self.weights = asked.map(|(at, _)| self.parts.of(*at)).sum();
+        self.weights = asked.map(|(at, _)| weights.of(*at)).sum();
         self.active_cells = self.cells.values().filter(|cell| cell.asked.is_some()).count() as u32;
     }
 
@@ -220,21 +240,21 @@
 
     const MS: fn(u64) -> Duration = Duration::from_millis;
 
-    fn room(shares: &[u64]) -> Room {
-        Room::new(Rc::new(Weights::new(shares.iter().copied())))
+    fn weights(shares: &[u64]) -> Weights {
+        Weights::new(shares.iter().copied())
     }
 
-    fn asks(room: &mut Room, who: Who, now: Duration, of: u32) -> Result<(), f64> {
-        room.asked(who, now);
-        room.may(who, of)
+    fn asks(room: &mut (Weights, Room), who: Who, now: Duration, of: u32) -> Result<(), f64> {
+        room.1.asked(&room.0, who, now);
+        room.1.may(&room.0, who, of)
     }
 
     /// Enters as many as may, up to `wanted`.
-    fn fill(room: &mut Room, who: Who, wanted: u32, of: u32) -> u32 {
+    fn fill(room: &mut (Weights, Room), who: Who, wanted: u32, of: u32) -> u32 {
         let mut entered = 0;
         for _ in 0..wanted {
             if asks(room, who, MS(1), of).is_ok() {
-                room.enter(who);
+                room.1.enter(who);
                 entered += 1;
             }
         }
@@ -243,26 +263,26 @@
 
     #[test]
     fn alone_it_may_have_all_and_beside_others_its_part() {
-        let mut room = room(&[500_000, 300_000]);
+        let mut room = (weights(&[500_000, 300_000]), Room::default());
         assert_eq!(fill(&mut room, Who::Known(1), 100, 100), 100);
         // The other one still has its way in, past what the first took while it was alone.
         let its = fill(&mut room, Who::Known(0), 1_000, 100);
         assert_eq!(its, 63, "five eighths of a hundred, rounded up");
         // The first gets nothing more before it is below its part.
         assert!(asks(&mut room, Who::Known(1), MS(2), 100).unwrap_err() > 2.0);
-        (0..70).for_each(|_| room.leave(Who::Known(1)));
+        (0..70).for_each(|_| room.1.leave(Who::Known(1)));
         assert_eq!(fill(&mut room, Who::Known(1), 100, 100), 8);
     }
 
     #[test]
     fn a_flood_of_made_up_names_takes_nothing_from_known_ones() {
-        let mut room = room(&[300_000, 600_000]);
+        let mut room = (weights(&[300_000, 600_000]), Room::default());
         let mut got = 0;
         for n in 0..100_000u64 {
             let who = Who::new(None, crate::split::mark(&format!("made up {n}")));
-            room.asked(Who::Known(0), MS(n / 100));
+            room.1.asked(&room.0, Who::Known(0), MS(n / 100));
             if asks(&mut room, who, MS(n / 100), 200).is_ok() {
-                room.enter(who);
+                room.1.enter(who);
                 got += 1;
             }
         }
@@ -270,39 +290,49 @@
         assert_eq!(got, 160);
         assert_eq!(fill(&mut room, Who::Known(0), 60, 200), 60, "its share of 200, all of it");
         assert_eq!(fill(&mut room, Who::Known(1), 120, 200), 120);
-        assert_eq!(room.cells.len(), CELLS);
-        assert_eq!(room.open(), got + 180);
+        assert_eq!(room.1.cells.len(), CELLS);
+        assert_eq!(room.1.open(), got + 180);
     }
 
     #[test]
     fn who_asks_no_more_frees_its_part() {
-        let mut room = room(&[500_000, 500_000]);
-        room.asked(Who::Known(1), MS(0));
+        let mut room = (weights(&[500_000, 500_000]), Room::default());
+        room.1.asked(&room.0, Who::Known(1), MS(0));
         assert_eq!(
             fill(&mut room, Who::Known(0), 20, 10),
             8,
             "eight while there is room, and half is its part"
         );
-        room.look(MS(2_500));
+        room.1.look(&room.0, MS(2_500));
         assert!(asks(&mut room, Who::Known(0), MS(2_500), 10).is_ok());
     }
 
+    #[test]
+    fn shares_that_change_one_by_one_are_as_those_of_a_new_list() {
+        let mut one_by_one = weights(&[300_000, 0, 0]);
+        for (at, share) in [(1, 200_000), (0, 0), (3, 50_000), (4, 0), (2, 10_000), (2, 0)] {
+            one_by_one.set(at, share);
+        }
+        let anew = weights(&[0, 200_000, 0, 50_000, 0]);
+        (0..6).for_each(|at| assert_eq!(one_by_one.of(at), anew.of(at), "{at}"));
+    }
+
     #[test]
     fn it_costs_by_who_is_there_and_not_by_all_tenants() {
-        let mut room = room(&[43; 23_000]);
+        let mut room = (weights(&[43; 23_000]), Room::default());
         for tenant in [7, 22_999] {
             assert!(asks(&mut room, Who::Known(tenant), MS(0), 10).is_ok());
-            room.enter(Who::Known(tenant));
+            room.1.enter(Who::Known(tenant));
         }
         assert!(asks(&mut room, Who::Stranger(3), MS(0), 10).is_ok());
-        assert_eq!(room.here(), (3, 1));
-        room.leave(Who::Known(7));
-        room.look(MS(2_500));
-        assert_eq!((room.here(), room.open()), ((1, 0), 1), "who has something open stays");
-        assert_eq!(room.part(7, 10.0), Some(5.0), "and keeps its part");
-        room.leave(Who::Known(22_999));
-        room.look(MS(2_600));
-        assert_eq!((room.here(), room.open()), ((0, 0), 0));
+        assert_eq!(room.1.here(), (3, 1));
+        room.1.leave(Who::Known(7));
+        room.1.look(&room.0, MS(2_500));
+        assert_eq!((room.1.here(), room.1.open()), ((1, 0), 1), "who has something open stays");
+        assert_eq!(room.1.part(&room.0, 7, 10.0), Some(5.0), "and keeps its part");
+        room.1.leave(Who::Known(22_999));
+        room.1.look(&room.0, MS(2_600));
+        assert_eq!((room.1.here(), room.1.open()), ((0, 0), 0));
     }
 
     proptest! {
@@ -315,38 +345,38 @@
             steps in proptest::collection::vec((0u16..6, any::<bool>(), 0u64..900, any::<u64>()), 1..400),
             of in 1u32..120,
         ) {
-            let mut room = room(&shares);
+            let mut room = (weights(&shares), Room::default());
             let (mut now, mut open): (u64, Vec<Who>) = (0, Vec::new());
-            let all: f64 = (0..=shares.len() as u32).map(|at| room.parts.of(at)).sum();
+            let all: f64 = (0..=shares.len() as u32).map(|at| room.0.of(at)).sum();
             for (tenant, leaves, gap, mark) in steps {
                 now += gap;
                 if leaves && !open.is_empty() {
                     let one = open.swap_remove(mark as usize % open.len());
-                    room.leave(one);
+                    room.1.leave(one);
                     continue;
                 }
                 let known = (usize::from(tenant) < shares.len()).then_some(tenant);
                 let who = Who::new(known, mark);
-                room.look(MS(now));
-                let held = room.one(room.place(who)).open;
+                room.1.look(&room.0, MS(now));
+                let held = room.1.one(place(who)).open;
                 let verdict = asks(&mut room, who, MS(now), of);
                 if let Some(tenant) = known {
-                    let share = room.parts.of(u32::from(tenant)) / all;
+                    let share = room.0.of(u32::from(tenant)) / all;
                     if f64::from(held) < share * f64::from(of) {
                         prop_assert!(verdict.is_ok(), "held {held} of {of} at a share of {share}");
                     }
                 }
                 match verdict {
                     Ok(()) => {
-                        room.enter(who);
+                        room.1.enter(who);
                         open.push(who);
                     }
                     Err(over) => prop_assert!(over >= 1.0),
                 }
-                prop_assert_eq!(room.open() as usize, open.len());
-                let asked = room.all.iter().filter(|(_, one)| one.asked.is_some());
-                let sum: f64 = asked.map(|(at, _)| room.parts.of(*at)).sum();
-                prop_assert!((room.weights - sum).abs() < 1e-9);
+                prop_assert_eq!(room.1.open() as usize, open.len());
+                let asked = room.1.all.iter().filter(|(_, one)| one.asked.is_some());
+                let sum: f64 = asked.map(|(at, _)| room.0.of(*at)).sum();
+                prop_assert!((room.1.weights - sum).abs() < 1e-9);
             }
         }
     }
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -9,7 +9,7 @@
 
 use crate::split::{mark, score};
 use nanorand::{Rng, WyRand};
-use rainstand_config::schema::Configuration;
+use rainstand_config::schema::{Configuration, Pool};
 
 /// Leaves each pool that says how many members a forwarder knows with those of forwarder number `me`, in rounds: all that
 /// is decided and shown later is about them. Pools differ in their order, so that a forwarder's luck does not repeat.
@@ -28,14 +28,17 @@
 /// assert_ne!(first.pools[0].members, second.pools[0].members);
 /// ```
 pub fn reduce(configuration: &mut Configuration, me: usize) {
-    for pool in &mut configuration.pools {
-        let know = usize::try_from(pool.know).unwrap_or(usize::MAX);
-        let mine = in_rounds(pool.members.len(), know, me, mark(&pool.name));
-        let all = std::mem::take(&mut pool.members);
-        let mut mine = mine.into_iter().peekable();
-        let known = all.into_iter().enumerate().filter(|(k, _)| mine.next_if_eq(k).is_some());
-        pool.members = known.map(|(_, member)| member).collect();
-    }
+    configuration.pools.iter_mut().for_each(|pool| reduce_pool(pool, me));
+}
+
+/// The same for one pool with all its members, as a change names it.
+pub fn reduce_pool(pool: &mut Pool, me: usize) {
+    let know = usize::try_from(pool.know).unwrap_or(usize::MAX);
+    let mine = in_rounds(pool.members.len(), know, me, mark(&pool.name));
+    let all = std::mem::take(&mut pool.members);
+    let mut mine = mine.into_iter().peekable();
+    let known = all.into_iter().enumerate().filter(|(k, _)| mine.next_if_eq(k).is_some());
+    pool.members = known.map(|(_, member)| member).collect();
 }
 
 /// The members that forwarder number `me` knows, in rounds, in order of their places.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -434,6 +434,12 @@
         self.index.pools.get(&self.configuration.pools, name)
     }
 
+    /// How many routes there are, and where those of these names stand.
+    pub(crate) fn route_places<'n>(&self, names: impl Iterator<Item = &'n str>) -> (usize, Vec<Option<u16>>) {
+        let routes = &self.configuration.routes;
+        (routes.len(), names.map(|name| self.index.routes.get(routes, name)).collect())
+    }
+
     pub fn pool_name(&self, pool: u16) -> &str {
         &self.pools[usize::from(pool)].name
     }
--- a/crates/route/src/toward.rs
+++ b/crates/route/src/toward.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// What was learned stays, within the bound that holds now.
+    pub fn carry(&mut self, before: &Self) {
+        let most = self.most;
+        *self = Self { limit: before.limit.min(most), most, ..before.clone() };
+    }
+
     /// Tickets that may be open; at least one, so that a member is never closed for good.
     pub fn limit(&self) -> u32 {
         (self.limit as u32).max(1)
--- a/crates/route/src/versions.rs
+++ b/crates/route/src/versions.rs
@@ -237,7 +237,15 @@
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
     pub fn take(&mut self, configuration: &Configuration, now: Duration) -> Result<u64, Refused> {
-        let table = match self.has_room().and_then(|()| Table::new(configuration)) {
+        self.replace(configuration.clone(), now)
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Router::take`].
+    pub fn replace(&mut self, configuration: Configuration, now: Duration) -> Result<u64, Refused> {
+        let table = match self.has_room().and_then(|()| Table::of(configuration)) {
             Ok(table) => table,
             Err(refused) => {
                 self.counts.versions_refused += 1;
--- /dev/null
+++ b/crates/route/tests/fleet_change.rs
@@ -0,0 +1,204 @@
+//! Changes of named things while trips are under way: what a fleet keeps by place stays right.
+
+use nanorand::{Rng, WyRand};
+use rainstand_config::schema;
+use rainstand_config::units::ONE;
+use rainstand_route::change::{Change, Kind};
+use rainstand_route::fleet::{Back, End, Fleet, Step};
+use rainstand_route::health::Standing;
+use rainstand_route::table::Ticket;
+use std::time::Duration;
+
+/// A fleet of some pools and tenants, and changes of all that a fleet keeps by place.
+#[test]
+fn changes_among_trips_leave_no_count_behind() {
+    let pool = |name: usize, members: &[usize], limits: &str| {
+        let member = |n: &usize| schema::Member {
+            name: format!("n{n}"),
+            address: format!("10.0.{name}.{n}:1"),
+            weight: ONE,
+            ..Default::default()
+        };
+        schema::Pool {
+            name: format!("p{name}"),
+            members: members.iter().map(member).collect(),
+            limits: limits.into(),
+            health: "h".into(),
+            ..Default::default()
+        }
+    };
+    let tenant = |n: usize, share| schema::Tenant { name: format!("t{n}"), share, ..Default::default() };
+    let route = |n: usize, pool: usize| schema::Route {
+        name: format!("r{n}"),
+        to: vec![schema::Target { pool: format!("p{pool}"), share: ONE }],
+        r#match: (n > 0).then(|| schema::Match { entities: vec![format!("{n}")], ..Default::default() }),
+        attempts: "a".into(),
+        ..Default::default()
+    };
+    let attempts = schema::Attempts {
+        name: "a".into(),
+        tries: 3,
+        budget: ONE,
+        wait_most_ns: 5_000_000,
+        proof: schema::Proof::None.into(),
+        ..Default::default()
+    };
+    let health = |out_after| schema::Health { name: "h".into(), out_after, ..Default::default() };
+    let traffic = schema::TrafficType {
+        name: "t".into(),
+        repeat: schema::RepeatKind::Rerunnable.into(),
+        goal_ns: 3_000_000_000,
+        ..Default::default()
+    };
+    let limits = |at_once| schema::Limits { name: "l".into(), at_once, ..Default::default() };
+    let whole = schema::Configuration {
+        version: 1,
+        types: vec![traffic],
+        tenants: (0..6).map(|n| tenant(n, 100_000)).collect(),
+        pools: (0..4).map(|n| pool(n, &[0, 1, 2], if n == 1 { "l" } else { "" })).collect(),
+        limits: vec![limits(40)],
+        attempts: vec![attempts.clone()],
+        health: vec![health(5)],
+        routes: (0..4).rev().map(|n| route(n, n)).collect(),
+        ..Default::default()
+    };
+    for seed in 0..40 {
+        let mut chance = WyRand::new_seed(seed);
+        let mut draw = |n: usize| chance.generate_range(0..n);
+        let mut fleet = Fleet::new(&whole, "", seed, Duration::ZERO).unwrap();
+        let (mut now, mut at, mut waits, mut ends, mut applied) = (Duration::ZERO, vec![], vec![], 0, 0);
+        let (mut asked, mut over) = (0, 0);
+        for step in 0..3_000 {
+            now += Duration::from_millis(draw(4) as u64);
+            let next = match draw(20) {
+                0 => {
+                    let members: Vec<usize> = (0..4).filter(|_| draw(3) > 0).collect();
+                    let some = match draw(9) {
+                        0 => vec![Change::Tenant(tenant(draw(9), draw(3) as u64 * 50_000))],
+                        1 => vec![Change::Remove(Kind::Tenant, format!("t{}", draw(9)))],
+                        2 => vec![Change::Pool(pool(draw(6), &members, ["", "l"][draw(2)]))],
+                        3 => vec![Change::Remove(Kind::Pool, format!("p{}", draw(6)))],
+                        4 => vec![Change::Route(route(1 + draw(5), draw(6)), Some("r0".into()))],
+                        5 => vec![Change::Remove(Kind::Route, format!("r{}", 1 + draw(5)))],
+                        6 => vec![Change::Limits(limits(1 + draw(30) as u64))],
+                        7 => vec![Change::Health(health(1 + draw(9) as u64))],
+                        _ => vec![Change::Attempts(attempts.clone())],
+                    };
+                    applied += u32::from(fleet.apply(&some, now).is_ok());
+                    let c = fleet.table().configuration();
+                    for (k, pool) in c.pools.iter().enumerate() {
+                        let most = c.limits.iter().find(|one| one.name == pool.limits).map(|one| one.at_once);
+                        let seen: Vec<_> = fleet.members(k as u16, now).collect();
+                        assert!(seen
+                            .iter()
+                            .map(|one| one.address)
+                            .eq(pool.members.iter().map(|m| &*m.address)));
+                        // A bound that a change names is in force for members that were there before.
+                        assert!(seen.iter().all(|one| most.is_none_or(|most| u64::from(one.limit) <= most)));
+                    }
+                    continue;
+                }
+                1 => {
+                    fleet.look(now);
+                    continue;
+                }
+                2..=8 if !at.is_empty() => {
+                    let trip = at.swap_remove(draw(at.len()));
+                    let back = [Back::Honoured, Back::Honoured, Back::Failed, Back::Broken, Back::CallerLeft]
+                        [draw(5)];
+                    fleet.came(now, trip, back)
+                }
+                9..=12 if !waits.is_empty() => fleet.again(now, waits.swap_remove(draw(waits.len()))),
+                _ if step < 2_500 => {
+                    asked += 1;
+                    let tenant = fleet.table().tenant(&format!("t{}", draw(9)));
+                    let entity = format!("{}", draw(6));
+                    let stranger = draw(5) as u64;
+                    fleet.arrived(now, &Ticket { tenant, stranger, entity: &entity, ..Ticket::default() })
+                }
+                _ => continue,
+            };
+            match next {
+                Step::Go(trip, _) => at.push(trip),
+                Step::Wait(trip, _) => waits.push(trip),
+                Step::Over(end) => {
+                    over += 1;
+                    ends += u32::from(end.end == End::Honoured);
+                }
+            }
+        }
+        for trip in at {
+            match fleet.came(now, trip, Back::CallerLeft) {
+                Step::Over(_) => over += 1,
+                other => panic!("{other:?}"),
+            }
+        }
+        for trip in waits {
+            match fleet.came(now, trip, Back::CallerLeft) {
+                Step::Over(_) => over += 1,
+                other => panic!("{other:?}"),
+            }
+        }
+        assert!(applied > 40 && ends > 200, "seed {seed}: {applied} changes, {ends} honoured");
+        assert_eq!(asked, over, "seed {seed}");
+        for pool in 0..fleet.table().configuration().pools.len() as u16 {
+            assert!(fleet.members(pool, now).all(|member| member.open == 0), "seed {seed}");
+            assert_eq!(fleet.room(pool).1, 0, "seed {seed}");
+        }
+        assert_eq!(fleet.router().versions().map(|(_, open)| open).collect::<Vec<_>>(), [0], "seed {seed}");
+    }
+}
+
+/// Both ways of taking a version, with the same members: what the configuration says of health is in force.
+#[test]
+fn health_is_judged_by_the_rules_of_the_present_version() {
+    let whole = |out_after| {
+        let member =
+            |n| schema::Member { address: format!("10.0.0.{n}:1"), weight: ONE, ..Default::default() };
+        schema::Configuration {
+            version: 1,
+            types: vec![schema::TrafficType {
+                name: "t".into(),
+                goal_ns: 3_000_000_000,
+                ..Default::default()
+            }],
+            pools: vec![schema::Pool {
+                name: "p".into(),
+                members: (0..3).map(member).collect(),
+                health: "h".into(),
+                ..Default::default()
+            }],
+            health: vec![schema::Health {
+                name: "h".into(),
+                out_after,
+                out_share: 2 * ONE,
+                slow: u64::MAX,
+                silent_ns: 60_000_000_000,
+                back_least_ns: 1_000_000_000,
+                back_most_ns: 8_000_000_000,
+                ..Default::default()
+            }],
+            routes: vec![schema::Route {
+                name: "r".into(),
+                to: vec![schema::Target { pool: "p".into(), share: ONE }],
+                ..Default::default()
+            }],
+            ..Default::default()
+        }
+    };
+    let now = Duration::from_millis(1);
+    let fails = |fleet: &mut Fleet| {
+        let Step::Go(trip, _) = fleet.arrived(now, &Ticket::default()) else { panic!("nowhere to go") };
+        assert!(matches!(fleet.came(now, trip, Back::Failed), Step::Over(_)));
+        fleet.members(0, now).filter(|member| member.standing != Standing::In).count()
+    };
+    for by_change in [true, false] {
+        let mut fleet = Fleet::new(&whole(100), "", 1, Duration::ZERO).unwrap();
+        assert_eq!(fails(&mut fleet), 0);
+        match by_change {
+            true => fleet.apply(&[Change::Health(whole(1).health.remove(0))], now).unwrap(),
+            false => fleet.take(&whole(1), now).unwrap(),
+        };
+        assert_eq!(fails(&mut fleet), 1, "by change: {by_change}");
+    }
+}
