--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -109,11 +109,10 @@
         (last, configuration) = (Some(version), whole);
         reduce(&mut configuration, options.number);
     }
-    let hub = match Hub::new(&configuration, &options.zone, seed) {
+    let hub = match Hub::of(configuration, &options.zone, seed) {
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
-    drop(configuration);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let listener = match TcpListener::bind(options.listen).await {
@@ -145,7 +144,7 @@
                     continue;
                 }
                 let taken = match read_apart(&path, number) {
-                    Ok(read) => made(read.await).and_then(|configuration| again.take(&configuration)),
+                    Ok(read) => made(read.await).and_then(|configuration| again.replace(configuration)),
                     Err(error) => Err(error.to_string()),
                 };
                 match taken {
