--- a/crates/control/src/frames.rs
+++ b/crates/control/src/frames.rs
@@ -197,7 +197,7 @@
     pub bytes: Bytes,
 }
 
-/// Nothing else was sent for a while; `version` is the newest here, and so long ago this machine last knew
+/// Sent now and then: `version` is the newest here, and so long ago this machine last knew
 /// that no other has a newer one. It is answered by a [`Confirm`].
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Ping {
--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -36,7 +36,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// To a subscriber to which nothing else was sent.
+/// To each subscriber.
 pub const PING: Duration = Duration::from_secs(2);
 /// A subscriber of which nothing was heard for so long is gone: three pings without an answer.
 pub const SILENT: Duration = Duration::from_secs(7);
@@ -223,7 +223,7 @@
     help_at: Duration,
     partial: Option<Got>,
     heard: Duration,
-    spoke: Duration,
+    pinged: Duration,
 }
 
 pub struct Source {
@@ -354,11 +354,8 @@
         u64::try_from(now.saturating_sub(self.current).as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn send(&mut self, now: Duration, link: Link, frame: Bytes) {
+    fn send(&mut self, link: Link, frame: Bytes) {
         self.counters.bytes_out += frame.len() as u64;
-        if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.spoke = now;
-        }
         self.orders.push(Order::Send { link, frame });
     }
 
@@ -401,7 +398,7 @@
             let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
             self.counters.turned_away += 1;
             self.orders.push(Order::Event(Event::TurnedAway { name }));
-            self.send(now, link, Down::ComeBack(ComeBack { after_ms, elsewhere: full }).encoded());
+            self.send(link, Down::ComeBack(ComeBack { after_ms, elsewhere: full }).encoded());
             self.orders.push(Order::Close(link));
             return;
         }
@@ -426,11 +423,11 @@
             help_at: now,
             partial,
             heard: now,
-            spoke: now,
+            pinged: now,
         };
         self.subscribers.insert(link, subscriber);
         let age_ms = self.age_ms(now);
-        self.send(now, link, Down::Attached(Attached { version: self.version, age_ms }).encoded());
+        self.send(link, Down::Attached(Attached { version: self.version, age_ms }).encoded());
         self.offer(now, link);
     }
 
@@ -489,6 +486,12 @@
         let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
         // What it says is what it holds, whatever was said before.
         (subscriber.version, subscriber.digest) = (ask.version, ask.digest);
+        let gap = ask.lack == Lack::Gap as i32;
+        if gap && matches!(subscriber.sent, Sent::Delta { from, .. } if from == ask.version) {
+            // What it asks for is on its way.
+            self.counters.gaps += 1;
+            return;
+        }
         subscriber.sent = Sent::Nothing;
         subscriber.partial = None;
         subscriber.help_at = now + HELP_LEAST.saturating_mul(1 << subscriber.helped.min(16)).min(HELP_MOST);
@@ -496,7 +499,7 @@
             subscriber.help_at = now;
         }
         subscriber.helped = subscriber.helped.saturating_add(1);
-        if ask.lack == Lack::Gap as i32 {
+        if gap {
             self.counters.gaps += 1;
         } else {
             self.differs(link);
@@ -586,9 +589,12 @@
                 }
                 _ => {}
             }
-            let spoke = self.subscribers.get(&link).map_or(now, |subscriber| subscriber.spoke);
-            if now.saturating_sub(spoke) >= PING {
-                self.send(now, link, ping.clone());
+            // Whatever else was sent: it says that there is nothing newer, which a delta does not.
+            if let Some(subscriber) = self.subscribers.get_mut(&link) {
+                if now.saturating_sub(subscriber.pinged) >= PING {
+                    subscriber.pinged = now;
+                    self.send(link, ping.clone());
+                }
             }
         }
     }
@@ -649,7 +655,7 @@
         if !subscriber.differs {
             if let Some(frame) = self.delta_from(holds) {
                 self.counters.deltas += 1;
-                self.send(now, link, frame);
+                self.send(link, frame);
                 if let Some(subscriber) = self.subscribers.get_mut(&link) {
                     subscriber.sent = Sent::Delta { from: holds, to: newest, at: now };
                 }
@@ -745,7 +751,7 @@
                 bytes: kept.bytes.slice(next..end),
             };
             next = end;
-            self.send(now, link, Down::Piece(piece).encoded());
+            self.send(link, Down::Piece(piece).encoded());
         }
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
             subscriber.sent = Sent::Pieces { version, digest, got, next, at };
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -298,6 +298,33 @@
     Up::Attach(Attach { name: name.into(), version, digest, takes, ..Attach::default() }).encoded()
 }
 
+#[test]
+fn a_machine_says_that_nothing_is_newer_also_while_changes_follow_each_other() {
+    let deltas = deltas(100);
+    let mut source = Source::new(NOW, Bounds::default(), 1);
+    let mut one = Subscriber::new(NOW, who("n", "r", "z"));
+    one.opened(NOW);
+    let mut now = NOW;
+    for delta in deltas {
+        now += Duration::from_millis(500);
+        source.current(now);
+        source.committed(now, delta).unwrap();
+        source.tick(now);
+        for _ in 0..4 {
+            for order in one.orders().collect::<Vec<_>>() {
+                match order {
+                    Order::Send(frame) => source.heard(now, 1, frame),
+                    Order::Take(version) => one.in_force(version),
+                    _ => {}
+                }
+            }
+            to(&mut source, 1).into_iter().for_each(|down| one.heard(now, down.encoded()));
+        }
+        assert!(!one.is_lost(now), "left though it is in touch, at version {}", one.version());
+    }
+    assert_eq!(one.version(), 100);
+}
+
 #[test]
 fn a_slow_subscriber_gets_one_change_at_a_time_and_then_the_newest() {
     let deltas = deltas(200);
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -9,6 +9,7 @@
 //! | [`nodes`] | `rainstand-node` by tenants, connections | processes, sockets |
 //! | [`decisions`] | cost of a decision; compiled forms; soft sums | none |
 //! | [`hollow`] | members of a group by the hundred in one process, on a virtual clock | none |
+//! | [`control`] | a configuration on its way to hollow subscribers, on a virtual clock | none |
 //! | [`groups`] | members of a group as processes at rest, and hollow ones beside them | processes, sockets |
 //! | [`table`] | rows as text, as JSON and for a page | none |
 //!
@@ -17,6 +18,7 @@
 //! are made with [`Row::fitted`] from points that it measured, or [`Row::plain`] where there is no slope; the order
 //! of the table (worst ratio first) and its forms come from here.
 
+pub mod control;
 pub mod decisions;
 pub mod fit;
 pub mod forwarders;
@@ -261,6 +263,7 @@
     vec![
         ("decisions", true, decisions::rows),
         ("hollow", true, hollow::rows),
+        ("control", true, control::rows),
         ("forwarders", false, forwarders::rows),
         ("nodes", false, nodes::rows),
         ("groups", false, groups::rows),
--- /dev/null
+++ b/crates/rig/tests/control_fleet.rs
@@ -0,0 +1,52 @@
+//! A small fleet that takes versions of its configuration, on a virtual clock: what is asked of the large
+//! one, as counts and virtual times, the same on every run.
+
+use rainstand_rig::scale::control::{rows, watch, Spec, Trouble, MACHINES};
+use rainstand_rig::scale::{decisions, table, Effort, Place, Sizes};
+use rainstand_stand_ins::size::Limited;
+use std::time::Duration;
+
+const EVERY: Duration = Duration::from_millis(600);
+
+#[test]
+fn a_change_is_everywhere_in_time_whatever_is_gone() {
+    let configuration =
+        decisions::compiled(&Sizes::default().configuration(0.005, Limited::Tenants)).unwrap();
+    let (nodes, changes) = (60, 30);
+    let away = Duration::from_secs(10);
+    // Seconds for the last confirmation. With a machine gone: it is found out at once, since its links end,
+    // and the next one is attached to within 2 s. With all gone for 10 s: waits have grown to 8 s when they
+    // are back.
+    let cases = [
+        (Trouble::None, 0.3),
+        (Trouble::OneKilled, 3.0),
+        (Trouble::AllKilled(away), 10.0 + 8.0 + 1.0),
+        // The region's return: whoever hops between its own machines is attached again within 8 s.
+        (Trouble::Parted, 12.0),
+    ];
+    for (trouble, most) in cases {
+        let seen = watch(&Spec { nodes, changes, every: EVERY, trouble }, &configuration).unwrap();
+        let worst = seen.within(1.0).unwrap();
+        println!("{trouble:?}: worst {worst} s, {} B/s, {seen:?}", seen.bytes);
+        assert_eq!(seen.confirmed.len(), nodes * changes, "{trouble:?}");
+        assert!(worst <= most, "{trouble:?}: the last confirmation after {worst} s");
+        assert_eq!(seen.snapshots, 0, "{trouble:?}: a delta does for all of them");
+        assert!(seen.most_attached <= nodes, "{trouble:?}");
+        // A change of one thing, confirmed, a ping in 2 s: far from the whole, which is some kilobytes even
+        // here.
+        assert!(seen.most_bytes < 400.0, "{trouble:?}: {} B/s", seen.most_bytes);
+    }
+    assert_eq!(MACHINES, 6);
+}
+
+/// All rows of the part, to look at: `cargo test --release -p rainstand-rig --test control_fleet -- --ignored
+/// --nocapture`.
+#[test]
+#[ignore = "takes minutes and memory; run it in release"]
+fn at_full_size() {
+    let place = Place { programs: None, folder: std::env::temp_dir() };
+    let effort = if std::env::var_os("QUICK").is_some() { Effort::quick() } else { Effort::full() };
+    let mut rows = rows(&Sizes::default(), &effort, &place).unwrap();
+    table::put_in_order(&mut rows);
+    println!("{}", table::markdown(&rows));
+}
