Forwarder: descriptors run out: links and operators come first, and who rests makes room

Cause: connections in front were bounded by 12,000 alone and rest for as long as their callers like; with 128 descriptors clients at rest took all, and then accept, links to members and the operators' address failed for good. A link that could not be opened for our own want was held against its member.

Change: the system's limit is shared out (`room::most`): 32 are put by, and 16 or as many as there are links. Past it the longest at rest goes: strangers in their order, the others by the clock (second chance) algorithm, so that a step costs the same however many rest; fresh ones last, as their first words may be on their way. After a last read of the socket, so that no ticket is cut off. Where none is left all the same, a link, an operator's connection and accept, also at the end of listening, have theirs from who rests (`made_room`, `descriptors_out`). A want of ours does not make a member away.

--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -1,7 +1,7 @@
 //! What a forwarder tells operators on request, over HTTP on an address of its own: metrics, members, the last
 //! decisions. Read only. Bounded: few connections, short requests, one answer each.
 
-use crate::Hub;
+use crate::{room, Hub};
 use rainstand_route::decisions::{Decision, What};
 use rainstand_route::fleet::Seen;
 use rainstand_route::health::Standing;
@@ -153,9 +153,14 @@
 pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0u32));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_AGAIN).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                if !room::after(&hub, &error).await {
+                    sleep(ACCEPT_AGAIN).await;
+                }
+                continue;
+            }
         };
         if open.get() >= CONNECTIONS {
             continue;
--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -12,7 +12,7 @@
 //! has not left whole.
 
 use crate::front::flush;
-use crate::{count, Call, Hub};
+use crate::{count, room, Call, Hub};
 use foldhash::{HashMap, HashMapExt};
 use nanorand::{Rng, WyRand};
 use rainstand_protocol::ring::Ring;
@@ -316,7 +316,8 @@
 
 /// A link's whole life.
 async fn follow(hub: Rc<Hub>, member: Rc<Member>, link: Rc<Link>, address: Rc<str>) {
-    match timeout(OPENING, TcpStream::connect(&*address)).await {
+    let opening = room::have(&hub, || TcpStream::connect(&*address));
+    match timeout(OPENING, opening).await {
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
             count(&hub.counts.links);
@@ -331,6 +332,8 @@
                 count(&hub.counts.broken_links);
             }
         }
+        // The want is ours, whoever is asked for.
+        Ok(Err(error)) if room::none_left(&error) => {}
         _ => member.away.set(Some(Instant::now())),
     }
     link.retired.set(true);
--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -1,13 +1,13 @@
 //! Dispatchers' connections: frames are cut and taken, answers go out as the socket takes them.
 
-use crate::{count, Hub};
+use crate::{count, room, Hub};
 use foldhash::{HashMap, HashMapExt};
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -35,9 +35,41 @@
     /// Tickets in hand by the caller's number.
     pub open: RefCell<HashMap<i32, u64>>,
     used: Cell<bool>,
+    pub came: Instant,
+    /// It asked something since [`crate::room`] looked at it last.
+    pub asked: Cell<bool>,
+    /// Its descriptor is wanted.
+    pub told_to_go: Cell<bool>,
 }
 
 impl Conn {
+    fn new() -> Self {
+        Self {
+            out: RefCell::default(),
+            stir: Notify::new(),
+            open: RefCell::new(HashMap::new()),
+            used: Cell::new(false),
+            came: Instant::now(),
+            asked: Cell::new(false),
+            told_to_go: Cell::new(false),
+        }
+    }
+
+    /// Whether it was ever of use.
+    pub fn used(&self) -> bool {
+        self.used.get()
+    }
+
+    /// Whether nothing is owed on it, and it was not told to go yet.
+    pub fn rests(&self) -> bool {
+        self.open.borrow().is_empty() && self.settled() && !self.told_to_go.get()
+    }
+
+    pub fn go(&self) {
+        self.told_to_go.set(true);
+        self.stir.notify_one();
+    }
+
     /// Whether all that was answered is written.
     pub fn settled(&self) -> bool {
         self.out.borrow().is_empty()
@@ -71,28 +103,28 @@
         match accepted {
             Ok((stream, peer)) => {
                 count(&hub.counts.accepted);
-                if hub.conns.borrow().len() >= MOST_CONNECTIONS {
+                if !room::for_one_more(&hub) {
                     count(&hub.counts.refused_connections);
                     continue;
                 }
                 let _ = stream.set_nodelay(true);
-                let conn = Rc::new(Conn {
-                    out: RefCell::default(),
-                    stir: Notify::new(),
-                    open: RefCell::new(HashMap::new()),
-                    used: Cell::new(false),
-                });
-                let number = hub.number();
+                let (conn, number) = (Rc::new(Conn::new()), hub.number());
                 hub.conns.borrow_mut().insert(number, conn.clone());
+                hub.room.came(number);
                 let hub = hub.clone();
                 spawn_local(async move {
                     let code = talk(&hub, &conn, &stream).await;
                     hub.conns.borrow_mut().remove(&number);
+                    hub.room.went(&conn);
                     let open: Vec<u64> = conn.open.borrow().values().copied().collect();
                     open.iter().for_each(|ticket| hub.left(*ticket));
                     tracing::debug!(event = "connection_end", words = "end", conn = number, peer = %peer, code = code, open = open.len());
                 });
+                // Guards against a crowd that comes at once: what made room for it lets go first.
+                tokio::task::yield_now().await;
             }
+            // An error for which a connection makes room is none of those in a row: there are only so many of them.
+            Err(error) if room::after(&hub, &error).await => errors = 0,
             Err(_) => sleep(ACCEPT_AGAIN).await,
         }
     }
@@ -130,6 +162,23 @@
         if flush(&conn.out, stream).is_err() {
             return "reset";
         }
+        if conn.told_to_go.get() && back.is_empty() {
+            // Guards against a ticket cut off by a close that it crossed: it may lie in the socket, unread.
+            let last = hub.read_now(stream, &mut back);
+            match last {
+                Ok(n) if n > 0 => {
+                    hub.room.went(conn);
+                    conn.asked.set(true);
+                    if let Err(code) = frames(hub, conn, &mut back) {
+                        return code;
+                    }
+                    continue;
+                }
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => return "reset",
+                _ if conn.open.borrow().is_empty() && conn.settled() => return "room",
+                _ => hub.room.went(conn),
+            }
+        }
         let unread = conn.out.borrow().len();
         let timed = !conn.used.get() || !back.is_empty();
         tokio::select! {
@@ -146,16 +195,9 @@
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
                     Err(_) => return "reset",
                 }
-                loop {
-                    let length = match thrift::frame(back.bytes()) {
-                        Ok(Some(length)) => length,
-                        Ok(None) => break,
-                        Err(code) => return code,
-                    };
-                    if let Err(code) = frame(hub, conn, &back.bytes()[4..4 + length]) {
-                        return code;
-                    }
-                    back.drop_front(4 + length);
+                conn.asked.set(true);
+                if let Err(code) = frames(hub, conn, &mut back) {
+                    return code;
                 }
             }
             _ = stream.writable(), if unread > 0 => {}
@@ -164,6 +206,15 @@
     }
 }
 
+/// Takes all whole frames.
+fn frames(hub: &Rc<Hub>, conn: &Rc<Conn>, back: &mut Ring) -> Result<(), thrift::Flaw> {
+    while let Some(length) = thrift::frame(back.bytes())? {
+        frame(hub, conn, &back.bytes()[4..4 + length])?;
+        back.drop_front(4 + length);
+    }
+    Ok(())
+}
+
 /// Writes what the socket takes without waiting.
 pub fn flush(out: &RefCell<Ring>, stream: &TcpStream) -> io::Result<()> {
     let mut out = out.borrow_mut();
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -4,17 +4,19 @@
 //! | unit | job |
 //! | --- | --- |
 //! | [`front`] | dispatchers' connections: frames in, answers out |
+//! | [`room`] | who in front makes room where descriptors run out |
 //! | [`back`] | connections to members: tries out, what came of them in |
 //! | [`seen`] | counters and times of what went on, on a metrics library |
 //! | [`admin`] | metrics, members and the last decisions, on request |
 //! | here | tickets in hand, the steps of the [`Fleet`], the drain |
 //!
 //! All of it runs on one thread; the books are never borrowed across an await. Bounds: [`MOST_TICKETS`] in hand,
-//! [`front::MOST_CONNECTIONS`] in front, [`back::MOST_LINKS`] a member behind; each refusal has a counter.
+//! [`room::most`] connections in front, [`back::MOST_LINKS`] a member behind; each refusal has a counter.
 
 pub mod admin;
 pub mod back;
 pub mod front;
+pub mod room;
 pub mod seen;
 
 use back::Backs;
@@ -28,10 +30,11 @@
 use rainstand_route::split::mark;
 use rainstand_route::table::Ticket;
 use seen::Metrics;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::io;
+use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
@@ -59,6 +62,9 @@
 pub struct Counts {
     pub accepted: Cell<u64>,
     pub refused_connections: Cell<u64>,
+    /// Connections at rest that were ended for others, and wants of a descriptor when there was none.
+    pub made_room: Cell<u64>,
+    pub descriptors_out: Cell<u64>,
     pub exceptions: Cell<u64>,
     pub full: Cell<u64>,
     pub links: Cell<u64>,
@@ -106,6 +112,7 @@
     pub backs: Backs,
     pub counts: Counts,
     pub conns: RefCell<HashMap<u64, Rc<Conn>>>,
+    pub room: room::Room,
     started: Instant,
     next: Cell<u64>,
     pub leaving: Cell<bool>,
@@ -155,6 +162,7 @@
             backs: Backs::new(seed),
             counts: Counts::default(),
             conns: RefCell::new(HashMap::new()),
+            room: room::Room::default(),
             started: Instant::now(),
             next: Cell::new(0),
             leaving: Cell::new(false),
@@ -370,12 +378,20 @@
         Ok(n)
     }
 
+    /// As [`Hub::read`], past what the runtime knows of the socket.
+    fn read_now(&self, stream: &TcpStream, into: &mut Ring) -> io::Result<usize> {
+        let mut chunk = self.chunk.borrow_mut();
+        let n = (&*SockRef::from(stream)).read(&mut chunk)?;
+        into.put(&chunk[..n]);
+        Ok(n)
+    }
+
     /// One line of all counters.
     pub fn line(&self) -> String {
         let (c, fleet) = (&self.counts, self.fleet.borrow().counts());
         format!(
             "tickets={} conns={} first_tries={} further_tries={} honoured={} dismissed={} given_up={} nobody={} room={} \
-             accepted={} refused_connections={} exceptions={} full={} links={} broken_links={} quiet_links={} late_answers={} unreadable={} unsent={}",
+             accepted={} refused_connections={} made_room={} descriptors_out={} exceptions={} full={} links={} broken_links={} quiet_links={} late_answers={} unreadable={} unsent={}",
             self.tickets.borrow().len(),
             self.conns.borrow().len(),
             fleet.first_tries,
@@ -387,6 +403,8 @@
             fleet.room,
             c.accepted.get(),
             c.refused_connections.get(),
+            c.made_room.get(),
+            c.descriptors_out.get(),
             c.exceptions.get(),
             c.full.get(),
             c.links.get(),
