--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -43,6 +43,20 @@
     }
 }
 
+/// The system holds no small answer back until the one before it is confirmed: a reset in between would take it along.
+#[test]
+fn no_answer_is_held_back_to_be_sent_with_a_later_one() {
+    play(
+        |_| {},
+        |w| async move {
+            let (_agent, mut caller) = w.up().await;
+            let probe = caller.probe().await;
+            assert_eq!(caller.next().await, said(probe, "probe", "good"));
+            assert!(w.hub.conns.borrow().values().all(|conn| conn.stream.nodelay().unwrap()));
+        },
+    );
+}
+
 /// A frame that is half here when the node has nothing else to wait for.
 #[test]
 fn a_drain_waits_for_a_frame_that_is_half_read() {
