--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -1,5 +1,6 @@
 //! `rainstand forward`: a forwarder by a configuration, until it is told to leave.
 
+use crate::attach;
 use crate::config::read;
 use crate::out::Code;
 use crate::pcap::trouble;
@@ -22,7 +23,10 @@
   rainstand forward --config examples/config/main.rain --listen 127.0.0.1:5050 --zone sal-ulven
   rainstand forward --config main.txtpb --listen 0.0.0.0:5050 --admin 127.0.0.1:6050
 
-Signals: TERM and INT drain, HUP takes the configuration anew, USR1 prints the counters.")]
+  rainstand forward --config main.rain --listen 10.0.0.9:5050 --name f9 --control 10.0.0.1:7001,10.0.0.2:7001
+
+Signals: TERM and INT drain, HUP takes the configuration anew (not where control machines tell the versions),
+USR1 prints the counters.")]
 pub struct Options {
     /// A `.rain` file, or a compiled one
     #[arg(long)]
@@ -45,6 +49,8 @@
     /// Milliseconds from the notice to leave until what is still owed is given up
     #[arg(long, default_value_t = 5_000)]
     stop_ms: u64,
+    #[command(flatten)]
+    attach: attach::Options,
 }
 
 /// A configuration's bytes, or the exit code of what was found in it.
@@ -82,7 +88,7 @@
     if let Ok(Ok(Err(code))) = read {
         return Ok(code);
     }
-    let configuration = match made(read) {
+    let mut configuration = match made(read) {
         Ok(configuration) => configuration,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
@@ -92,11 +98,21 @@
     // The standard library's maps are keyed by what the system draws.
     let drawn = || RandomState::new().build_hasher().finish();
     let seed = options.seed.unwrap_or_else(drawn);
-    let hub = match Hub::new(&configuration, &options.zone, seed) {
+    let block = configuration.controls.first();
+    let plan = match options.attach.plan(block, &options.zone, options.number, seed) {
+        Ok(plan) => plan,
+        Err(why) => return Ok(trouble(&options.config, why)),
+    };
+    let mut last = None;
+    if let Some((version, whole)) = plan.as_ref().and_then(attach::Plan::last) {
+        tracing::info!(event = "version_kept", version = version.0);
+        (last, configuration) = (Some(version), whole);
+        reduce(&mut configuration, options.number);
+    }
+    let hub = match Hub::of(configuration, &options.zone, seed) {
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
-    drop(configuration);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let listener = match TcpListener::bind(options.listen).await {
@@ -115,12 +131,20 @@
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let (mut hup, mut usr1) = (signal(SignalKind::hangup())?, signal(SignalKind::user_defined1())?);
         tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
+        let attached = plan.is_some();
+        if let Some(plan) = plan {
+            plan.begin(&hub, last);
+        }
         let (again, path, number) = (hub.clone(), options.config.clone(), options.number);
         spawn_local(async move {
             while hup.recv().await.is_some() {
                 // A bad one changes nothing.
+                if attached {
+                    tracing::warn!(event = "version_refused", why = "control machines tell the versions");
+                    continue;
+                }
                 let taken = match read_apart(&path, number) {
-                    Ok(read) => made(read.await).and_then(|configuration| again.take(&configuration)),
+                    Ok(read) => made(read.await).and_then(|configuration| again.replace(configuration)),
                     Err(error) => Err(error.to_string()),
                 };
                 match taken {
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -4,6 +4,7 @@
 //! is bounded by the configuration. A ticket's way costs no look-up by name: handles are kept by place, and made
 //! anew with each version. Series of members that a version left out are dropped with it.
 
+use crate::admin::ControlLine;
 use crate::Hub;
 use foldhash::{HashMap, HashSet};
 use prometheus_client::encoding::{text, EncodeLabelSet};
@@ -71,10 +72,10 @@
 /// A ticket's route and pool by place, its end and why.
 type EndKey = (Option<u16>, Option<u16>, &'static str, Why);
 
-/// What is kept by place of the present version.
+/// What is kept by place, and the version since which the places are these.
 #[derive(Default)]
 struct Handles {
-    version: u64,
+    since: u64,
     /// Of routes that had a ticket: most of five thousand have none in a forwarder's life.
     routes: HashMap<u16, Histogram>,
     members: Vec<Vec<MemberHandles>>,
@@ -102,7 +103,7 @@
 type Total = fn(&Hub) -> u64;
 
 /// Name, words, and where it is read.
-const TOTALS: [(&str, &str, Total); 14] = [
+const TOTALS: [(&str, &str, Total); 19] = [
     ("tickets_in_hand", "Tickets without an answer yet", |hub| hub.tickets.borrow().len() as u64),
     ("connections", "Connections of dispatchers", |hub| hub.conns.borrow().len() as u64),
     ("links", "Connections to members", |hub| hub.backs.links() as u64),
@@ -121,8 +122,22 @@
         hub.fleet.borrow().router().counts().no_bucket
     }),
     ("version", "Number of the present configuration", |hub| hub.fleet.borrow().version()),
+    ("control_version", "The published version in force; 0: none", |hub| control(hub, |told| told.version)),
+    ("control_age_ms", "Since the version in force was last known to be the newest", |hub| {
+        control(hub, |told| told.age_ms)
+    }),
+    ("control_attached", "1 while a control machine tells the versions", |hub| {
+        control(hub, |told| u64::from(told.machine.is_some()))
+    }),
+    ("control_lost", "Attachments that ended", |hub| control(hub, |told| told.lost)),
+    ("control_refused", "Versions refused here", |hub| control(hub, |told| told.refusals)),
 ];
 
+/// What control machines told; 0 where there are none.
+fn control(hub: &Hub, what: fn(&ControlLine) -> u64) -> u64 {
+    hub.control.borrow().as_ref().map_or(0, |control| what(&control()))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("rainstand_forwarder");
@@ -174,10 +189,10 @@
 }
 
 impl Metrics {
-    /// A new version is the present one.
+    /// A version of other places is the present one.
     pub fn version(&self, fleet: &Fleet) {
         let c = fleet.table().configuration();
-        let mut handles = Handles { version: fleet.version(), ..Handles::default() };
+        let mut handles = Handles { since: fleet.places_since(), ..Handles::default() };
         let mut now = HashSet::default();
         let mut routes = self.known_routes.borrow_mut();
         if !routes.is_empty() {
@@ -222,7 +237,7 @@
     /// its place may be another member's now.
     pub fn tried(&self, at: At, version: u64, back: Back, took: Duration) {
         let handles = self.handles.borrow();
-        if version != handles.version {
+        if version < handles.since {
             return;
         }
         let found = handles.members.get(usize::from(at.pool)).and_then(|all| all.get(usize::from(at.member)));
@@ -239,7 +254,7 @@
     /// A ticket's end.
     pub fn ticket(&self, over: &Over, fleet: &Fleet) {
         let mut handles = self.handles.borrow_mut();
-        let same = over.version == handles.version;
+        let same = over.version >= handles.since;
         let key = if same { (over.route, over.pool) } else { (Some(u16::MAX), Some(u16::MAX)) };
         let table = fleet.table();
         if let Some(at) = over.route.filter(|_| same) {
