--- a/crates/rig/src/scale/control.rs
+++ b/crates/rig/src/scale/control.rs
@@ -654,14 +654,14 @@
     let size = sizes.tenants as f64;
     let note = "crates/control/src/snapshot.rs";
     let packed = node("a start with nothing in hand: the packed snapshot", "B", "tenants", None, note);
-    rows.push(Row::fitted(&packed, &points, size, Grows::Line, |y| y));
+    rows.push(Row::fitted(&packed, &points, size, Grows::Line, 1.0));
     let note = "not built: to compare with deltas";
     let limit = Some(limits::CONTROL_BYTES);
     let sent = node("the whole, packed, at each of 2,800 changes a day", "B/s", "tenants", limit, note);
     let rate = sizes.changes as f64 / limits::DAY_S;
-    rows.push(Row::fitted(&sent, &points, size, Grows::Line, |y| y * rate));
+    rows.push(Row::fitted(&sent, &points, size, Grows::Line, rate));
     let sent = node("the whole, packed, at each change of a burst", "B/s", "tenants", limit, note);
-    rows.push(Row::fitted(&sent, &points, size, Grows::Line, |y| y * f64::from(BURST) / 60.0));
+    rows.push(Row::fitted(&sent, &points, size, Grows::Line, f64::from(BURST) / 60.0));
     Ok(())
 }
 
@@ -683,12 +683,12 @@
     let what = "a burst of 100 changes a minute: time of the deciding code, a machine of six";
     let named =
         Named { role: "control machine", counted: false, ..node(what, "% of a core", "nodes", None, note) };
-    rows.push(Row::fitted(&named, &machines, size, Grows::Line, |y| y));
+    rows.push(Row::fitted(&named, &machines, size, Grows::Line, 1.0));
     let note = "hollow, without putting it into force; crates/control/src/subscriber.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a process";
     let named =
         Named { counted: false, ..node(what, "% of a core", "nodes", Some(limits::CONTROL_CPU), note) };
-    rows.push(Row::fitted(&named, &nodes, size, Grows::Still, |y| y));
+    rows.push(Row::fitted(&named, &nodes, size, Grows::Still, 1.0));
     Ok(())
 }
 
@@ -738,19 +738,13 @@
     let named =
         |what, unit, limit, note| Named { counted: false, ..node(what, unit, "tenants", limit, note) };
     let held = named("the version that a subscriber holds, as things", "MB", Some(limits::CONTROL_MB), state);
-    rows.push(Row::fitted(&held, &holds, size, Grows::Line, |y| y));
+    rows.push(Row::fitted(&held, &holds, size, Grows::Line, 1.0));
     let cost = named("a change of one thing: checked and put in, the deciding code", "us", None, state);
-    rows.push(Row::fitted(&cost, &change, size, Grows::Still, |y| y));
+    rows.push(Row::fitted(&cost, &change, size, Grows::Still, 1.0));
     let note = "crates/control/src/snapshot.rs";
     let machine = |what| Named { role: "control machine", ..named(what, "ms", None, note) };
-    rows.push(Row::fitted(
-        &machine("the whole packed, once in 256 versions"),
-        &pack,
-        size,
-        Grows::Line,
-        |y| y,
-    ));
+    rows.push(Row::fitted(&machine("the whole packed, once in 256 versions"), &pack, size, Grows::Line, 1.0));
     let read = named("a start with nothing in hand: the snapshot unpacked and checked", "ms", None, note);
-    rows.push(Row::fitted(&read, &unpack, size, Grows::Line, |y| y));
+    rows.push(Row::fitted(&read, &unpack, size, Grows::Line, 1.0));
     Ok(())
 }
