--- a/crates/route/benches/pick.rs
+++ b/crates/route/benches/pick.rs
@@ -2,6 +2,7 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
+use rainstand_route::change::{Change, Kind};
 use rainstand_route::table::{Table, Ticket};
 use rainstand_route::versions::{Router, Verdict};
 use std::fmt::Write;
@@ -112,3 +113,35 @@
         all.iter().map(|(_, _, entity)| table.member(3, entity, |_| true).unwrap_or(0)).sum::<usize>()
     });
 }
+
+/// A version by one named thing: a tenant's share, and a new route in front and its removal.
+#[divan::bench(args = [6, 1_000])]
+fn a_change_of_a_tenant(bencher: divan::Bencher<'_, '_>, routes: usize) {
+    let whole = configuration(routes);
+    let mut router = Router::new(&whole, 1).unwrap();
+    let mut tenant = whole.tenants[7].clone();
+    bencher.bench_local(|| {
+        tenant.share ^= 1;
+        router.apply(&[Change::Tenant(tenant.clone())], Duration::ZERO)
+    });
+}
+
+#[divan::bench(args = [6, 1_000])]
+fn a_route_comes_in_front_and_goes(bencher: divan::Bencher<'_, '_>, routes: usize) {
+    let whole = configuration(routes);
+    let mut router = Router::new(&whole, 1).unwrap();
+    let mut route = whole.routes[0].clone();
+    let before = Some(std::mem::replace(&mut route.name, "new".into()));
+    bencher.bench_local(|| {
+        router.apply(&[Change::Route(route.clone(), before.clone())], Duration::ZERO).unwrap();
+        router.apply(&[Change::Remove(Kind::Route, "new".into())], Duration::ZERO).unwrap();
+    });
+}
+
+/// What a version costs that comes as the whole.
+#[divan::bench(args = [6, 1_000])]
+fn the_whole_anew(bencher: divan::Bencher<'_, '_>, routes: usize) {
+    let whole = configuration(routes);
+    let mut router = Router::new(&whole, 1).unwrap();
+    bencher.bench_local(|| router.take(&whole, Duration::ZERO));
+}
