--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -1,8 +1,9 @@
-//! A control machine: the newest committed version, a bounded history, and what each of its subscribers holds.
+//! A control machine: the newest committed version, a bounded history, and what each of its subscribers
+//! holds.
 //!
-//! Each subscriber has one change on its way at a time: a delta, or pieces of a snapshot up to a window. What is
-//! committed meanwhile is skipped: from what it then holds it gets one delta to the newest. So a slow one costs
-//! a bounded amount and holds up nobody.
+//! Each subscriber has one change on its way at a time: a delta, or pieces of a snapshot up to a window. What
+//! is committed meanwhile is skipped: from what it then holds it gets one delta to the newest. So a slow one
+//! costs a bounded amount and holds up nobody.
 //!
 //! | what a subscriber holds | what it gets |
 //! | --- | --- |
@@ -13,11 +14,12 @@
 //! | a newer one | nothing, until this machine has it too: nobody is led back |
 //! | the version before one that it refused | nothing, until there is a newer one |
 //!
-//! The packed snapshot is made where the history no longer reaches back to it, or on each [`PACK_EVERY`]th version,
-//! so that all machines have the same one as a rule, and one machine's pieces go on where another's were cut.
+//! The packed snapshot is made where the history no longer reaches back to it, or on each [`PACK_EVERY`]th
+//! version, so that all machines have the same one as a rule, and one machine's pieces go on where another's
+//! were cut.
 //!
-//! Invariants: the history is without gaps and ends at the newest version; each subscriber has at most one change on
-//! its way; a name is attached once.
+//! Invariants: the history is without gaps and ends at the newest version; each subscriber has at most one
+//! change on its way; a name is attached once.
 
 use crate::attach::Who;
 use crate::delta::Joined;
@@ -34,7 +36,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// To a subscriber to which nothing else was sent.
+/// To each subscriber.
 pub const PING: Duration = Duration::from_secs(2);
 /// A subscriber of which nothing was heard for so long is gone: three pings without an answer.
 pub const SILENT: Duration = Duration::from_secs(7);
@@ -83,7 +85,8 @@
         Self {
             // 630 and some room: one machine must do where five are gone.
             subscribers: 1024,
-            // The whole fleet in 6.3 s: of the 17 s of a change, 5 go to hearing of the loss, 2 to the spread.
+            // The whole fleet in 6.3 s: of the 17 s of a change, 5 go to hearing of the loss, 2 to the
+            // spread.
             attach_a_second: 100,
             attach_at_once: 20,
             // A day and a half of changes.
@@ -220,7 +223,7 @@
     help_at: Duration,
     partial: Option<Got>,
     heard: Duration,
-    spoke: Duration,
+    pinged: Duration,
 }
 
 pub struct Source {
@@ -351,15 +354,13 @@
         u64::try_from(now.saturating_sub(self.current).as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn send(&mut self, now: Duration, link: Link, frame: Bytes) {
+    fn send(&mut self, link: Link, frame: Bytes) {
         self.counters.bytes_out += frame.len() as u64;
-        if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.spoke = now;
-        }
         self.orders.push(Order::Send { link, frame });
     }
 
-    /// A frame of a link. The first frame is its attachment; links that say nothing are for the driver to bound.
+    /// A frame of a link. The first frame is its attachment; links that say nothing are for the driver to
+    /// bound.
     pub fn heard(&mut self, now: Duration, link: Link, frame: Bytes) {
         self.counters.bytes_in += frame.len() as u64;
         let up = Up::decoded(frame);
@@ -397,7 +398,7 @@
             let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
             self.counters.turned_away += 1;
             self.orders.push(Order::Event(Event::TurnedAway { name }));
-            self.send(now, link, Down::ComeBack(ComeBack { after_ms, elsewhere: full }).encoded());
+            self.send(link, Down::ComeBack(ComeBack { after_ms, elsewhere: full }).encoded());
             self.orders.push(Order::Close(link));
             return;
         }
@@ -422,11 +423,11 @@
             help_at: now,
             partial,
             heard: now,
-            spoke: now,
+            pinged: now,
         };
         self.subscribers.insert(link, subscriber);
         let age_ms = self.age_ms(now);
-        self.send(now, link, Down::Attached(Attached { version: self.version, age_ms }).encoded());
+        self.send(link, Down::Attached(Attached { version: self.version, age_ms }).encoded());
         self.offer(now, link);
     }
 
@@ -472,7 +473,9 @@
         if over {
             subscriber.sent = Sent::Nothing;
         }
-        subscriber.refused = Some((version, reason.clone()));
+        if subscriber.refused.as_ref().is_none_or(|(before, _)| version >= *before) {
+            subscriber.refused = Some((version, reason.clone()));
+        }
         self.counters.refused += 1;
         let name = subscriber.who.name.clone();
         self.orders.push(Order::Event(Event::Refused { name, version, reason }));
@@ -483,6 +486,12 @@
         let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
         // What it says is what it holds, whatever was said before.
         (subscriber.version, subscriber.digest) = (ask.version, ask.digest);
+        let gap = ask.lack == Lack::Gap as i32;
+        if gap && matches!(subscriber.sent, Sent::Delta { from, .. } if from == ask.version) {
+            // What it asks for is on its way.
+            self.counters.gaps += 1;
+            return;
+        }
         subscriber.sent = Sent::Nothing;
         subscriber.partial = None;
         subscriber.help_at = now + HELP_LEAST.saturating_mul(1 << subscriber.helped.min(16)).min(HELP_MOST);
@@ -490,7 +499,7 @@
             subscriber.help_at = now;
         }
         subscriber.helped = subscriber.helped.saturating_add(1);
-        if ask.lack == Lack::Gap as i32 {
+        if gap {
             self.counters.gaps += 1;
         } else {
             self.differs(link);
@@ -513,10 +522,12 @@
                 return;
             }
             let offset = usize::try_from(got.offset).unwrap_or(usize::MAX);
-            if offset == 0 {
-                (*before, *next, *at) = (0, 0, now);
-            } else if offset > *before && offset <= *next {
-                (*before, *at) = (offset, now);
+            if offset < *before {
+                // It dropped what it had: on from what it has. Further ones that say so change nothing.
+                (*before, *next, *at) = (offset, offset, now);
+            } else if offset > *before {
+                // It may have more than was sent on this link.
+                (*before, *next, *at) = (offset, offset.max(*next), now);
             }
             self.pieces(now, link);
         }
@@ -563,11 +574,8 @@
                     self.counters.sent_again += 1;
                     self.offer(now, link);
                 }
-                Sent::Pieces { version, digest, got, at, .. }
-                    if now.saturating_sub(*at) >= AGAIN * 4
-                        && self.packed.iter().any(|kept| {
-                            (kept.version, kept.digest, kept.bytes.len()) == (*version, *digest, *got)
-                        }) =>
+                Sent::Pieces { got, next, at, .. }
+                    if now.saturating_sub(*at) >= AGAIN * 4 && *got == *next =>
                 {
                     // It has all of it and says nothing of it: from the beginning.
                     (subscriber.sent, subscriber.partial) = (Sent::Nothing, None);
@@ -581,9 +589,12 @@
                 }
                 _ => {}
             }
-            let spoke = self.subscribers.get(&link).map_or(now, |subscriber| subscriber.spoke);
-            if now.saturating_sub(spoke) >= PING {
-                self.send(now, link, ping.clone());
+            // Whatever else was sent: it says that there is nothing newer, which a delta does not.
+            if let Some(subscriber) = self.subscribers.get_mut(&link) {
+                if now.saturating_sub(subscriber.pinged) >= PING {
+                    subscriber.pinged = now;
+                    self.send(link, ping.clone());
+                }
             }
         }
     }
@@ -644,7 +655,7 @@
         if !subscriber.differs {
             if let Some(frame) = self.delta_from(holds) {
                 self.counters.deltas += 1;
-                self.send(now, link, frame);
+                self.send(link, frame);
                 if let Some(subscriber) = self.subscribers.get_mut(&link) {
                     subscriber.sent = Sent::Delta { from: holds, to: newest, at: now };
                 }
@@ -680,13 +691,14 @@
         frame
     }
 
-    /// Begins to send a snapshot that helps: newer than what it holds, not the one refused, and with a way on.
+    /// Begins to send a snapshot that helps: newer than what it holds and than any it refused,
+    /// and with a way on.
     fn snapshot(&mut self, now: Duration, link: Link, holds: u64, refused: Option<u64>) {
         let Some(subscriber) = self.subscribers.get(&link) else { return };
         let least = if subscriber.differs { holds } else { holds + 1 };
         let helps = |packed: &&Packed| {
             packed.version >= least
-                && Some(packed.version) != refused
+                && refused.is_none_or(|refused| packed.version > refused)
                 && (packed.version == self.version || self.way_from(packed.version).is_some())
         };
         let partial = subscriber.partial;
@@ -739,7 +751,7 @@
                 bytes: kept.bytes.slice(next..end),
             };
             next = end;
-            self.send(now, link, Down::Piece(piece).encoded());
+            self.send(link, Down::Piece(piece).encoded());
         }
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
             subscriber.sent = Sent::Pieces { version, digest, got, next, at };
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -4,17 +4,21 @@
 //! | unit | job |
 //! | --- | --- |
 //! | [`front`] | dispatchers' connections: frames in, answers out |
+//! | [`room`] | who in front makes room where descriptors run out |
 //! | [`back`] | connections to members: tries out, what came of them in |
+//! | [`published`] | a change that control machines told, as changes here |
 //! | [`seen`] | counters and times of what went on, on a metrics library |
 //! | [`admin`] | metrics, members and the last decisions, on request |
 //! | here | tickets in hand, the steps of the [`Fleet`], the drain |
 //!
 //! All of it runs on one thread; the books are never borrowed across an await. Bounds: [`MOST_TICKETS`] in hand,
-//! [`front::MOST_CONNECTIONS`] in front, [`back::MOST_LINKS`] a member behind; each refusal has a counter.
+//! [`room::most`] connections in front, [`back::MOST_LINKS`] a member behind; each refusal has a counter.
 
 pub mod admin;
 pub mod back;
 pub mod front;
+pub mod published;
+pub mod room;
 pub mod seen;
 
 use back::Backs;
@@ -23,15 +27,18 @@
 use rainstand_config::schema::Configuration;
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
+use rainstand_route::change::Change;
 use rainstand_route::fleet::{At, Back, End, Fleet, Step, Trip};
 use rainstand_route::health::Standing;
 use rainstand_route::split::mark;
 use rainstand_route::table::Ticket;
+use rainstand_route::Refused;
 use seen::Metrics;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::io;
+use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
@@ -59,6 +66,9 @@
 pub struct Counts {
     pub accepted: Cell<u64>,
     pub refused_connections: Cell<u64>,
+    /// Connections at rest that were ended for others, and wants of a descriptor when there was none.
+    pub made_room: Cell<u64>,
+    pub descriptors_out: Cell<u64>,
     pub exceptions: Cell<u64>,
     pub full: Cell<u64>,
     pub links: Cell<u64>,
@@ -106,6 +116,7 @@
     pub backs: Backs,
     pub counts: Counts,
     pub conns: RefCell<HashMap<u64, Rc<Conn>>>,
+    pub room: room::Room,
     started: Instant,
     next: Cell<u64>,
     pub leaving: Cell<bool>,
@@ -114,6 +125,8 @@
     bells: RefCell<BinaryHeap<Reverse<(Instant, u64, u64)>>>,
     sooner: Notify,
     pub metrics: Metrics,
+    /// What is told of control machines, where this forwarder hears of versions from them.
+    pub control: RefCell<Option<Box<dyn Fn() -> admin::ControlLine>>>,
     /// What a socket gave, on its way to a connection's ring: one for all, or ten thousand idle ones keep 8 KB each.
     chunk: RefCell<Box<[u8]>>,
 }
@@ -144,17 +157,27 @@
     /// # Errors
     /// Why the configuration cannot be used.
     pub fn new(configuration: &Configuration, zone: &str, seed: u64) -> Result<Rc<Self>, String> {
-        let fleet = Fleet::new(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
+        Self::of(configuration.clone(), zone, seed)
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Hub::new`].
+    pub fn of(configuration: Configuration, zone: &str, seed: u64) -> Result<Rc<Self>, String> {
+        let fleet = Fleet::of(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
         let metrics = Metrics::default();
         metrics.version(&fleet);
         Ok(Rc::new(Self {
             fleet: RefCell::new(fleet),
             tickets: RefCell::new(HashMap::new()),
             metrics,
+            control: RefCell::default(),
             chunk: RefCell::new(vec![0; CHUNK].into()),
             backs: Backs::new(seed),
             counts: Counts::default(),
             conns: RefCell::new(HashMap::new()),
+            room: room::Room::default(),
             started: Instant::now(),
             next: Cell::new(0),
             leaving: Cell::new(false),
@@ -178,9 +201,36 @@
     /// # Errors
     /// Why it is refused; nothing has changed.
     pub fn take(&self, configuration: &Configuration) -> Result<u64, String> {
-        let version = self.fleet.borrow_mut().take(configuration, self.now()).map_err(|e| e.to_string())?;
-        self.backs.tidy();
-        self.metrics.version(&self.fleet.borrow());
+        self.replace(configuration.clone())
+    }
+
+    /// The same, of a message that is given away.
+    ///
+    /// # Errors
+    /// As [`Hub::take`].
+    pub fn replace(&self, configuration: Configuration) -> Result<u64, String> {
+        let taken = self.fleet.borrow_mut().replace(configuration, self.now());
+        self.is_present(taken)
+    }
+
+    /// A change of named things as a version, at the cost of what it says. Pools have their members whole: those that
+    /// this forwarder knows ([`rainstand_route::subset`]).
+    ///
+    /// # Errors
+    /// Why it is refused; nothing has changed.
+    pub fn apply(&self, changes: &[Change]) -> Result<u64, String> {
+        let applied = self.fleet.borrow_mut().apply(changes, self.now());
+        self.is_present(applied)
+    }
+
+    fn is_present(&self, version: Result<u64, Refused>) -> Result<u64, String> {
+        let version = version.map_err(|e| e.to_string())?;
+        // Where routes, pools and members have their places, what is kept by place goes on.
+        if self.fleet.borrow().places_since() == version {
+            self.backs.tidy();
+            self.backs.tell_known(self);
+            self.metrics.version(&self.fleet.borrow());
+        }
         Ok(version)
     }
 
@@ -253,7 +303,7 @@
                 self.ring_after(wait, number, attempt);
             }
             Step::Over(over) => {
-                self.metrics.ticket(&over);
+                self.metrics.ticket(&over, &self.fleet.borrow());
                 self.over(number, |ticket| match over.end {
                     // The member's own answer went out before.
                     End::Honoured | End::Nobody => None,
@@ -369,12 +419,20 @@
         Ok(n)
     }
 
+    /// As [`Hub::read`], past what the runtime knows of the socket.
+    fn read_now(&self, stream: &TcpStream, into: &mut Ring) -> io::Result<usize> {
+        let mut chunk = self.chunk.borrow_mut();
+        let n = (&*SockRef::from(stream)).read(&mut chunk)?;
+        into.put(&chunk[..n]);
+        Ok(n)
+    }
+
     /// One line of all counters.
     pub fn line(&self) -> String {
         let (c, fleet) = (&self.counts, self.fleet.borrow().counts());
         format!(
             "tickets={} conns={} first_tries={} further_tries={} honoured={} dismissed={} given_up={} nobody={} room={} \
-             accepted={} refused_connections={} exceptions={} full={} links={} broken_links={} quiet_links={} late_answers={} unreadable={} unsent={}",
+             accepted={} refused_connections={} made_room={} descriptors_out={} exceptions={} full={} links={} broken_links={} quiet_links={} late_answers={} unreadable={} unsent={}",
             self.tickets.borrow().len(),
             self.conns.borrow().len(),
             fleet.first_tries,
@@ -386,6 +444,8 @@
             fleet.room,
             c.accepted.get(),
             c.refused_connections.get(),
+            c.made_room.get(),
+            c.descriptors_out.get(),
             c.exceptions.get(),
             c.full.get(),
             c.links.get(),
