Node in a group: the descriptors of its links and its store are put by

Cause: a member's links to the others, theirs to it, and the files of its store came out of the 64 that the node puts by for itself; with 40 members they are 86. Without one for a file a store fails as a disk does.

Change: two for each other member and 8 for the store are taken off before the rest is shared out, at the start and as members change. A node without a group is as before.

Open, and said in the table: strangers on the group's own port may take 256 connections, and a store that meets no descriptor all the same is not tried again.

--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -29,6 +29,13 @@
 const OLD_RUNS: usize = 4_000;
 const OLD_FOR: Duration = Duration::from_secs(30);
 const OLD_LOOK: Duration = Duration::from_millis(50);
+/// Descriptors that a member's store keeps: its folder, the log's two files, a snapshot, and as many to spare.
+const STORE: usize = 8;
+
+/// Descriptors that a member keeps: a link to each other and one from it, and its store.
+fn kept(members: usize) -> usize {
+    2 * members.saturating_sub(1) + STORE
+}
 
 /// What makes a ticket a keyed one.
 pub struct Keyed {
@@ -79,6 +86,7 @@
 /// # Errors
 /// If the member cannot begin.
 pub async fn join(hub: &Rc<Hub>, group: rainstand_config::schema::Group) -> Result<(), String> {
+    hub.kept.set(kept(group.members.len()));
     let setup = Setup { name: hub.config.name.clone(), group, log: Box::new(tell) };
     let group = Group::start(setup).await?;
     let copies = Rc::new(Copies { group, old: RefCell::default() });
@@ -99,7 +107,10 @@
     let group =
         read.and_then(|text| Settings::read(&text)).and_then(|all| all.group.ok_or("no group".into()));
     match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
-        Ok(group) => note!("group_reload", "members of the group", count = group.members.len()),
+        Ok(group) => {
+            hub.kept.set(kept(group.members.len()));
+            note!("group_reload", "members of the group", count = group.members.len());
+        }
         Err(why) => {
             note!("group_reload_refused", "group refused, the old members stay", why = why.escape_debug())
         }
--- a/crates/node/tests/descriptors.rs
+++ b/crates/node/tests/descriptors.rs
@@ -6,7 +6,7 @@
 use rainstand_node::thrift;
 use rustix::process::{prlimit, Pid, Resource, Rlimit};
 use serde_json::{json, Value};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use world::stand_ins::{Agent, Caller, Http};
@@ -44,7 +44,16 @@
 
 impl Squeezed {
     /// A node that is given so many descriptors and was told that it has `sockets`.
-    async fn start(name: &str, [given, sockets]: [usize; 2], announce: Announce) -> Self {
+    async fn start(name: &str, sockets: [usize; 2], announce: Announce) -> Self {
+        Self::start_with(name, sockets, announce, None).await
+    }
+
+    async fn start_with(
+        name: &str,
+        [given, sockets]: [usize; 2],
+        announce: Announce,
+        settings: Option<&Path>,
+    ) -> Self {
         let listen = || async { TcpListener::bind("127.0.0.1:0").await.unwrap() };
         let (agents, below, service, own) = (listen().await, listen().await, listen().await, listen().await);
         let mut config = example();
@@ -65,7 +74,7 @@
         if matches!(announce, Announce::Silent | Announce::Resets) {
             spawn_local(misbehave(service, announce));
         }
-        let node = Program::start_within(&path, given);
+        let node = Program::start_within(&path, given, settings);
         let mut agent = Agent::accept(&agents).await;
         agent.greet().await;
         Self { node, agents, agent: Some(agent), below, config, path, idle: Vec::new() }
@@ -391,3 +400,39 @@
         answering.abort();
     });
 }
+
+/// A member of a group beside many that are down: links to them, from them, and the store's files are put by.
+#[test]
+fn who_rests_at_the_limit_leaves_a_member_the_descriptors_of_its_group() {
+    const MEMBERS: usize = 40;
+    alone(async {
+        let folder = tempfile::tempdir().unwrap();
+        let member = |n: usize| {
+            // The example's own name first; nobody listens at the others'.
+            let (name, port) = if n == 0 { ("n1".to_owned(), 0) } else { (format!("other{n}"), 1) };
+            let folder = folder.path().join(&name);
+            format!("members {{ name: \"{name}\" address: \"127.0.0.1:{port}\" folder: {folder:?} }}\n")
+        };
+        let members: String = (0..MEMBERS).map(member).collect();
+        let settings = folder.path().join("group.txtpb");
+        let text = format!(
+            "version: 1 groups {{ name: \"g\" shards: 4 copies: 3 heartbeat_ns: 50000000 \
+             election_least_ns: 300000000 election_most_ns: 600000000 keys: 1000 moves: 2 \
+             start_within_ns: 1000000000 come_back_ns: 500000000\n{members}}}"
+        );
+        std::fs::write(&settings, text).unwrap();
+        let mut s = Squeezed::start_with("group", [LIMIT; 2], Announce::Dead, Some(&settings)).await;
+        s.fill().await;
+        // Both links of each other member, and the store.
+        let kept = 2 * (MEMBERS - 1) + 8;
+        let counts = s.counts().await;
+        // Half of what is left, and those that say good-bye.
+        assert!(counted(&counts, "conns") <= (LIMIT - kept) / 2 + 16, "{counts}");
+        assert_eq!(
+            (counted(&counts, "accept_errors"), counted(&counts, "descriptors_out")),
+            (0, 0),
+            "{counts}"
+        );
+        s.drains().await;
+    });
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -76,11 +76,14 @@
         Self::begin(Command::new(env!("CARGO_BIN_EXE_rainstand-node")), path)
     }
 
-    /// With so many descriptors.
-    pub fn start_within(path: &Path, descriptors: usize) -> Self {
+    /// With so many descriptors, and perhaps a compiled configuration.
+    pub fn start_within(path: &Path, descriptors: usize, settings: Option<&Path>) -> Self {
         let mut shell = Command::new("sh");
         shell
             .args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_rainstand-node"))]);
+        if let Some(settings) = settings {
+            shell.env("RAINSTAND_SETTINGS", settings);
+        }
         Self::begin(shell, path)
     }
 
