--- a/crates/control/tests/virtual_clock.rs
+++ b/crates/control/tests/virtual_clock.rs
@@ -890,12 +890,6 @@
     world.seen
 }
 
-#[test]
-#[ignore = "one seed, named by SEED, to look at"]
-fn one_seed() {
-    println!("{:?}", play(number("SEED").unwrap_or(0)));
-}
-
 fn number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
--- a/crates/rig/src/scale/control.rs
+++ b/crates/rig/src/scale/control.rs
@@ -535,7 +535,12 @@
     }
     world.run_to(start + lasts)?;
     let took: Vec<u64> = world.nodes.iter().zip(&before).map(|(node, before)| node.bytes - before).collect();
-    world.run_to(start + lasts + SETTLES)?;
+    // From when all is well again: machines may come back after the last change.
+    let well = match spec.trouble {
+        Trouble::AllKilled(away) => lasts.max(lasts / 2 + away),
+        _ => lasts,
+    };
+    world.run_to(start + well + SETTLES)?;
     let newest = world.log.len() as u64;
     if let Some(behind) = world.nodes.iter().position(|node| node.subscriber.version() != newest) {
         let holds = world.nodes[behind].subscriber.version();
@@ -545,7 +550,7 @@
     let mut seen = std::mem::take(&mut world.seen);
     seen.bytes = took.iter().sum::<u64>() as f64 / took.len().max(1) as f64 / seconds;
     seen.most_bytes = took.iter().max().copied().unwrap_or(0) as f64 / seconds;
-    seen.lasted = lasts + SETTLES;
+    seen.lasted = well + SETTLES;
     seen.snapshots = snapshots(&world).saturating_sub(had);
     seen.turned_away +=
         world.machines.iter().flatten().map(|source| source.counters().turned_away).sum::<u64>();
--- a/crates/rig/tests/control_fleet.rs
+++ b/crates/rig/tests/control_fleet.rs
@@ -1,8 +1,8 @@
 //! A small fleet that takes versions of its configuration, on a virtual clock: what is asked of the large
 //! one, as counts and virtual times, the same on every run.
 
-use rainstand_rig::scale::control::{rows, watch, Spec, Trouble, MACHINES};
-use rainstand_rig::scale::{decisions, table, Effort, Place, Sizes};
+use rainstand_rig::scale::control::{watch, Spec, Trouble, MACHINES};
+use rainstand_rig::scale::{decisions, Sizes};
 use rainstand_stand_ins::size::Limited;
 use std::time::Duration;
 
@@ -38,15 +38,3 @@
     }
     assert_eq!(MACHINES, 6);
 }
-
-/// All rows of the part, to look at: `cargo test --release -p rainstand-rig --test control_fleet -- --ignored
-/// --nocapture`.
-#[test]
-#[ignore = "takes minutes and memory; run it in release"]
-fn at_full_size() {
-    let place = Place { programs: None, folder: std::env::temp_dir() };
-    let effort = if std::env::var_os("QUICK").is_some() { Effort::quick() } else { Effort::full() };
-    let mut rows = rows(&Sizes::default(), &effort, &place).unwrap();
-    table::put_in_order(&mut rows);
-    println!("{}", table::markdown(&rows));
-}
