Calls below: the rule for a fleet that starts anew at once, as a test that is known red

The table held all other cases to the rule and this one to 1.6 times N alone. Now the rule itself is asked (1.55 times N, 20 nodes: red), the looser bound stays beside it so that it grows no worse.

--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -138,12 +138,26 @@
     }
 }
 
+fn all_start_anew(nodes: usize) -> Case {
+    Case { nodes, share: 0.3, takes: 1_500, warm_up: 3_000, restart: nodes, fails: 0 }
+}
+
+/// The rule holds for a fleet that starts anew within one window as well. It does not yet: KNOWN-RED.txt.
+#[test]
+fn a_fleet_that_starts_anew_at_once_stays_within_its_parts() {
+    for nodes in [20, 30] {
+        let case = all_start_anew(nodes);
+        let (over, times) = over(&case);
+        assert!(over <= 1.0, "{case:?}: {times:.2} times what may be held");
+    }
+}
+
 /// A node that starts anew knows nothing of what the one before it held, so a fleet that does so within one window may
-/// hold two lives' parts in it. That is past the rule above (1.55 times N where calls are long): known, and no more.
+/// hold two lives' parts in it. That is past the rule above (1.55 times N where calls are long), and no more.
 #[test]
 fn a_fleet_that_starts_anew_at_once_holds_no_more_than_two_lives_may() {
     for nodes in [20, 30] {
-        let case = Case { nodes, share: 0.3, takes: 1_500, warm_up: 3_000, restart: nodes, fails: 0 };
+        let case = all_start_anew(nodes);
         let (_, times) = over(&case);
         assert!(times <= 1.6, "{case:?}: {times:.2} times what may be held");
     }
