--- a/crates/cli/tests/stand_ins/mod.rs
+++ b/crates/cli/tests/stand_ins/mod.rs
@@ -1,6 +1,8 @@
 //! A stand-in node that answers by what a body begins with, and misbehaves as told; and captures of
 //! conversations with it, made without one.
 
+#![allow(dead_code)] // each file of tests uses what it needs
+
 use rainstand_capture::packet::End;
 use rainstand_capture::write::{self, Conversation};
 use rainstand_protocol::thrift;
--- /dev/null
+++ b/crates/protocol/tests/golden.rs
@@ -0,0 +1,55 @@
+//! Thrift frames of both sides, byte for byte as the version that introduced each wrote them.
+
+use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
+use rainstand_protocol::thrift::{
+    answer, answered, backoff, exception, give_up, give_up_args, lost, message, probe, probe_args, process,
+    process_again, process_args, shutdown, What,
+};
+
+const FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/thrift.hex");
+const FIELDS: [(&str, &str); 3] = [("route", "check"), ("trace", "0123456789abcdef"), ("customer", "acme")];
+
+fn frames() -> Vec<(&'static str, Vec<u8>)> {
+    let call = process(7, &FIELDS, b"\0body");
+    let again = process_again(9, message(&call[4..]).unwrap().args);
+    vec![
+        ("process", call),
+        ("process-again", again),
+        ("give-up", give_up(7)),
+        ("probe", probe(8, true)),
+        ("answer", answer(b"process", 7, b"result", true)),
+        ("answer-probe", answer(b"probe", 8, b"", false)),
+        ("backoff", backoff(7, &[("pause", "250"), ("final", "1")])),
+        ("lost", lost(7)),
+        ("exception", exception(b"process", 7, 7, "no route")),
+        ("shutdown", shutdown()),
+    ]
+}
+
+#[test]
+fn frames_are_written_as_before() {
+    let written = frames().into_iter().map(|(name, bytes)| NamedBytes::new(name, bytes));
+    assert_bytes(FILE, &written.collect::<Vec<_>>());
+}
+
+#[test]
+fn frames_of_before_are_read() {
+    let stored = read_bytes(FILE);
+    let of = |name: &str| &stored.iter().find(|one| one.name == name).unwrap().bytes[4..];
+    for (name, seq) in [("process", 7), ("process-again", 9)] {
+        let call = message(of(name)).unwrap();
+        assert_eq!((call.name, call.seq, call.oneway), (&b"process"[..], seq, false));
+        let (fields, body) = process_args(call.args).unwrap();
+        let wanted: Vec<_> = FIELDS.iter().map(|(key, value)| (key.as_bytes(), value.as_bytes())).collect();
+        assert_eq!((fields, body), (Some(wanted), Some(&b"\0body"[..])));
+    }
+    assert_eq!(give_up_args(message(of("give-up")).unwrap().args), Ok(Some(7)));
+    assert_eq!(probe_args(message(of("probe")).unwrap().args), Ok(true));
+    assert!(message(of("shutdown")).unwrap().oneway);
+    let told = |name| answered(of(name)).unwrap().what;
+    assert_eq!(told("answer"), What::Answer { body: b"result", good: true });
+    assert_eq!(told("answer-probe"), What::Answer { body: b"", good: false });
+    assert_eq!(told("backoff"), What::Backoff(vec![(b"pause", b"250"), (b"final", b"1")]));
+    assert_eq!(told("lost"), What::Lost);
+    assert_eq!(told("exception"), What::Exception { code: 7, why: b"no route" });
+}
--- /dev/null
+++ b/crates/replica/tests/golden.rs
@@ -0,0 +1,103 @@
+//! The replicated log's messages and what is stored of it, byte for byte as the version that introduced each
+//! wrote it.
+
+use bytes::Bytes;
+use prost::Message as _;
+use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
+use rainstand_replica::wire::{
+    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Kind, Member, Message, Piece, Snapshot, Took,
+    Vote, Voted,
+};
+
+const MESSAGES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/messages.hex");
+const STORED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/stored.hex");
+
+fn entry(kind: Kind, data: &'static [u8]) -> Entry {
+    Entry { index: 300, term: 7, stamp: 1_000_000_007, kind: kind as i32, data: Bytes::from_static(data) }
+}
+
+fn config() -> Config {
+    let member = |id: u64, name: &str, votes: bool| Member { id, name: name.into(), votes };
+    Config { members: vec![member(1, "n1", true), member(2, "n2", true), member(9, "n3", false)] }
+}
+
+fn base() -> Base {
+    Base { index: 250, term: 6, stamp: 999, sum: 0xabcd_ef01_2345_6789, config: config() }
+}
+
+fn messages() -> Vec<(&'static str, Message)> {
+    let entries =
+        vec![entry(Kind::Nothing, b""), entry(Kind::Data, b"command"), entry(Kind::Config, b"members")];
+    let bodies = vec![
+        ("vote", Body::Vote(Vote { pre: true, last_index: 299, last_term: 6, wanted: true })),
+        ("voted", Body::Voted(Voted { pre: true, granted: true })),
+        (
+            "append",
+            Body::Append(Append {
+                prev_index: 299,
+                prev_term: 6,
+                prev_sum: 5,
+                commit: 298,
+                round: 12,
+                entries,
+            }),
+        ),
+        ("appended", Body::Appended(Appended { good: true, index: 302, round: 12, differs: 44 })),
+        (
+            "piece",
+            Body::Piece(Piece {
+                base: base(),
+                total: 900,
+                offset: 512,
+                data: Bytes::from_static(b"piece"),
+                round: 3,
+            }),
+        ),
+        ("took", Body::Took(Took { index: 250, offset: 517, round: 3 })),
+        ("now", Body::Now(true)),
+        ("aside", Body::Aside(Aside { index: 300, most: 4 })),
+    ];
+    bodies
+        .into_iter()
+        .map(|(name, body)| (name, Message { to: 2, from: 1, term: 7, body: Some(body) }))
+        .collect()
+}
+
+#[test]
+fn messages_are_written_as_before() {
+    let all = messages().into_iter().map(|(name, message)| NamedBytes::new(name, message.encode_to_vec()));
+    assert_bytes(MESSAGES, &all.collect::<Vec<_>>());
+}
+
+#[test]
+fn messages_of_before_are_read_and_written_back() {
+    let known = messages();
+    let stored = read_bytes(MESSAGES);
+    assert_eq!(stored.len(), known.len());
+    for (NamedBytes { name, bytes }, (_, message)) in stored.into_iter().zip(known) {
+        let read = Message::decode(&bytes[..]).unwrap();
+        assert_eq!(read, message, "{name}");
+        assert_eq!(read.encode_to_vec(), bytes, "{name}");
+    }
+}
+
+#[test]
+fn stored_parts_are_written_as_before_and_read_back() {
+    let snapshot = Snapshot { base: base(), data: Bytes::from_static(b"table") };
+    let data = entry(Kind::Data, b"command");
+    assert_bytes(
+        STORED,
+        &[
+            NamedBytes::new("hard", Hard { term: 7, vote: 2 }.encode_to_vec()),
+            NamedBytes::new("entry", data.encode_to_vec()),
+            NamedBytes::new("entry-checksum", data.sum(0x1234).to_be_bytes()),
+            NamedBytes::new("configuration", config().encode_to_vec()),
+            NamedBytes::new("snapshot", snapshot.encode_to_vec()),
+        ],
+    );
+    let stored = read_bytes(STORED);
+    assert_eq!(Hard::decode(&stored[0].bytes[..]).unwrap(), Hard { term: 7, vote: 2 });
+    assert_eq!(Entry::decode(&stored[1].bytes[..]).unwrap(), data);
+    assert_eq!(Config::decode(&stored[3].bytes[..]).unwrap(), config());
+    assert_eq!(Snapshot::decode(&stored[4].bytes[..]).unwrap(), snapshot);
+}
