--- a/crates/capture/benches/read.rs
+++ b/crates/capture/benches/read.rs
@@ -19,11 +19,14 @@
     let mut file = BufWriter::with_capacity(1 << 20, File::create(path).unwrap());
     let mut written = write::head("bench");
     let end = |n: usize, port: u16| End::new([10, 0, (n >> 8) as u8, n as u8].into(), port);
-    let mut talks: Vec<_> =
-        (0..CONNECTIONS).map(|n| Conversation::new(end(n, 40_000), end(999, 5050), [7, 9])).collect();
+    let mut talks: Vec<_> = (0..CONNECTIONS)
+        .map(|n| Conversation::new(end(n, 40_000), end(999, 5050), [7, 9]))
+        .collect();
     let mut at = 1_764_576_000_000_000_000;
     for talk in &mut talks {
-        talk.open().iter().for_each(|packet| write::packet(&mut written, at, packet, packet.len()));
+        talk.open()
+            .iter()
+            .for_each(|packet| write::packet(&mut written, at, packet, packet.len()));
     }
     let (mut total, mut calls, mut seq) = (0u64, 0, 0);
     let body = [9u8; 2_048];
@@ -65,12 +68,22 @@
 /// The most memory this process ever had, in KiB.
 fn peak() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default().to_owned();
-    line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).unwrap_or(0)
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmHWM"))
+        .unwrap_or_default()
+        .to_owned();
+    line.split_whitespace()
+        .nth(1)
+        .and_then(|kib| kib.parse().ok())
+        .unwrap_or(0)
 }
 
 fn main() {
-    let mb: u64 = std::env::var("MB").ok().and_then(|text| text.parse().ok()).unwrap_or(1_000);
+    let mb: u64 = std::env::var("MB")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1_000);
     let path = std::env::temp_dir().join(format!("rainstand-bench-{}.pcapng", std::process::id()));
     let calls = generate(&path, mb * 1_000_000);
     let size = std::fs::metadata(&path).unwrap().len();
@@ -79,7 +92,10 @@
         let start = Instant::now();
         let summary = read(File::open(&path).unwrap(), |_| {});
         let took = start.elapsed();
-        assert_eq!((summary.tickets.honoured, summary.streams.holes), (calls, 0));
+        assert_eq!(
+            (summary.tickets.honoured, summary.streams.holes),
+            (calls, 0)
+        );
         println!(
             "{} MB, {} packets, {} tickets in {:.2} s: {:.0} MB/s, {:.2} million packets a second; peak {} MiB (generating: {} MiB)",
             size / 1_000_000,
--- a/crates/capture/src/file.rs
+++ b/crates/capture/src/file.rs
@@ -86,7 +86,8 @@
 impl Interface {
     fn at(&self, high: u32, low: u32) -> u64 {
         let steps = u128::from(high) << 32 | u128::from(low);
-        let ns = (steps * SECOND / u128::from(self.steps)) as i128 + i128::from(self.offset) * SECOND as i128;
+        let ns = (steps * SECOND / u128::from(self.steps)) as i128
+            + i128::from(self.offset) * SECOND as i128;
         u64::try_from(ns.max(0)).unwrap_or(u64::MAX)
     }
 }
@@ -96,7 +97,11 @@
 /// the default, microseconds.
 fn steps(told: u8) -> u64 {
     let power = u32::from(told & 0x7f);
-    let steps = if told & 0x80 == 0 { 10u64.checked_pow(power) } else { 1u64.checked_shl(power) };
+    let steps = if told & 0x80 == 0 {
+        10u64.checked_pow(power)
+    } else {
+        1u64.checked_shl(power)
+    };
     steps.unwrap_or(1_000_000)
 }
 
@@ -122,7 +127,10 @@
             Err(PcapError::Incomplete(_)) => {
                 let before = file.data().len();
                 if before == had && file.reader_exhausted() {
-                    return (info, Ended::Cut("the file ends in the middle of a packet".into()));
+                    return (
+                        info,
+                        Ended::Cut("the file ends in the middle of a packet".into()),
+                    );
                 }
                 had = before;
                 match file.refill() {
@@ -145,7 +153,9 @@
         }
         PcapError::BufferTooSmall => format!("a block of over {BUFFER} bytes"),
         PcapError::ReadError => "the file cannot be read further".into(),
-        PcapError::NomError(..) | PcapError::OwnedNomError(..) => "a block that cannot be read".into(),
+        PcapError::NomError(..) | PcapError::OwnedNomError(..) => {
+            "a block that cannot be read".into()
+        }
     }
 }
 
@@ -157,7 +167,12 @@
     take: &mut impl FnMut(&Packet<'_>),
 ) {
     let mut tell = |at: u64, link: Link, data: &[u8], length: usize| {
-        let packet = Packet { at, link, data, length: length.max(data.len()) };
+        let packet = Packet {
+            at,
+            link,
+            data,
+            length: length.max(data.len()),
+        };
         info.packets += 1;
         info.bytes += data.len() as u64;
         info.first = Some(info.first.map_or(at, |first| first.min(at)));
@@ -168,7 +183,11 @@
     match block {
         PcapBlockOwned::LegacyHeader(header) => {
             info.format = "pcap";
-            let steps = if header.is_nanosecond_precision() { 1 } else { 1_000 };
+            let steps = if header.is_nanosecond_precision() {
+                1
+            } else {
+                1_000
+            };
             *classic = Some((Link::from(header.network), steps));
         }
         PcapBlockOwned::Legacy(packet) => {
@@ -207,7 +226,12 @@
             let at = info.last.unwrap_or(0);
             let link = interface.map_or(Link::Unknown, |known| known.link);
             let length = packet.origlen as usize;
-            let whole = Packet { at, link, data, length: length.max(data.len()) };
+            let whole = Packet {
+                at,
+                link,
+                data,
+                length: length.max(data.len()),
+            };
             info.packets += 1;
             info.bytes += data.len() as u64;
             info.shortened += u64::from(whole.length > data.len());
--- a/crates/capture/src/frames.rs
+++ b/crates/capture/src/frames.rs
@@ -46,7 +46,12 @@
 
 impl Frames {
     /// The next bytes. `told` says whether to go on.
-    pub fn bytes(&mut self, mut bytes: &[u8], at: u64, mut told: impl FnMut(Told<'_>) -> Result<(), Lost>) {
+    pub fn bytes(
+        &mut self,
+        mut bytes: &[u8],
+        at: u64,
+        mut told: impl FnMut(Told<'_>) -> Result<(), Lost>,
+    ) {
         while !bytes.is_empty() {
             if self.lost.is_some() {
                 self.unread += bytes.len() as u64;
@@ -142,5 +147,7 @@
 }
 
 fn length(bytes: &[u8]) -> Option<usize> {
-    bytes.first_chunk::<4>().map(|head| u32::from_be_bytes(*head) as usize)
+    bytes
+        .first_chunk::<4>()
+        .map(|head| u32::from_be_bytes(*head) as usize)
 }
--- a/crates/capture/src/packet.rs
+++ b/crates/capture/src/packet.rs
@@ -121,36 +121,50 @@
             self.counts.not_ip += 1;
             return Seen::Nothing;
         };
-        let (from, to, incomplete, fragment): (IpAddr, IpAddr, usize, Option<Fragment<'p>>) = match &lax.net {
-            Some(LaxNetSlice::Ipv4(ip)) => {
-                let header = ip.header();
-                let (from, to) = (Ipv4Addr::from(header.source()), Ipv4Addr::from(header.destination()));
-                let payload = ip.payload();
-                let stated = usize::from(header.total_len()).saturating_sub(header.slice().len());
-                let fragment = payload.fragmented.then(|| Fragment {
-                    id: u32::from(header.identification()),
-                    offset: header.fragments_offset(),
-                    more: header.more_fragments(),
-                    kind: payload.ip_number,
-                    bytes: payload.payload,
-                    whole: !payload.incomplete,
-                });
-                (from.into(), to.into(), stated.saturating_sub(payload.payload.len()), fragment)
-            }
-            Some(LaxNetSlice::Ipv6(ip)) => {
-                let header = ip.header();
-                let (from, to) = (header.source_addr(), header.destination_addr());
-                let payload = ip.payload();
-                let there = ip.extensions().slice().len() + payload.payload.len();
-                let missing = usize::from(header.payload_length()).saturating_sub(there);
-                let fragment = if payload.fragmented { v6_fragment(ip) } else { None };
-                (from.into(), to.into(), missing, fragment)
-            }
-            _ => {
-                self.counts.not_ip += 1;
-                return Seen::Nothing;
-            }
-        };
+        let (from, to, incomplete, fragment): (IpAddr, IpAddr, usize, Option<Fragment<'p>>) =
+            match &lax.net {
+                Some(LaxNetSlice::Ipv4(ip)) => {
+                    let header = ip.header();
+                    let (from, to) = (
+                        Ipv4Addr::from(header.source()),
+                        Ipv4Addr::from(header.destination()),
+                    );
+                    let payload = ip.payload();
+                    let stated =
+                        usize::from(header.total_len()).saturating_sub(header.slice().len());
+                    let fragment = payload.fragmented.then(|| Fragment {
+                        id: u32::from(header.identification()),
+                        offset: header.fragments_offset(),
+                        more: header.more_fragments(),
+                        kind: payload.ip_number,
+                        bytes: payload.payload,
+                        whole: !payload.incomplete,
+                    });
+                    (
+                        from.into(),
+                        to.into(),
+                        stated.saturating_sub(payload.payload.len()),
+                        fragment,
+                    )
+                }
+                Some(LaxNetSlice::Ipv6(ip)) => {
+                    let header = ip.header();
+                    let (from, to) = (header.source_addr(), header.destination_addr());
+                    let payload = ip.payload();
+                    let there = ip.extensions().slice().len() + payload.payload.len();
+                    let missing = usize::from(header.payload_length()).saturating_sub(there);
+                    let fragment = if payload.fragmented {
+                        v6_fragment(ip)
+                    } else {
+                        None
+                    };
+                    (from.into(), to.into(), missing, fragment)
+                }
+                _ => {
+                    self.counts.not_ip += 1;
+                    return Seen::Nothing;
+                }
+            };
         if let Some(fragment) = fragment {
             return self.fragment(packet.at, from, to, &fragment);
         }
@@ -170,7 +184,13 @@
         }
     }
 
-    fn fragment(&mut self, at: u64, from: IpAddr, to: IpAddr, fragment: &Fragment<'_>) -> Seen<'static> {
+    fn fragment(
+        &mut self,
+        at: u64,
+        from: IpAddr,
+        to: IpAddr,
+        fragment: &Fragment<'_>,
+    ) -> Seen<'static> {
         self.counts.fragments += 1;
         if fragment.kind != IpNumber::TCP {
             self.counts.not_tcp += 1;
@@ -180,9 +200,16 @@
         let before = waiting.len();
         waiting.retain(|_, one| at.saturating_sub(one.since) <= LONGEST_WAIT);
         self.counts.fragments_lost += (before - waiting.len()) as u64;
-        let key = Key { from, to, id: fragment.id };
+        let key = Key {
+            from,
+            to,
+            id: fragment.id,
+        };
         if !waiting.contains_key(&key) && waiting.len() >= MOST_DATAGRAMS {
-            let oldest = waiting.iter().min_by_key(|(_, one)| one.since).map(|(key, _)| *key);
+            let oldest = waiting
+                .iter()
+                .min_by_key(|(_, one)| one.since)
+                .map(|(key, _)| *key);
             oldest.and_then(|oldest| waiting.remove(&oldest));
             self.counts.fragments_lost += 1;
         }
@@ -191,7 +218,11 @@
             since: at,
         });
         // A fragment that was itself cut short, or one that cannot be: the datagram is lost.
-        let added = fragment.whole && one.buffer.add(fragment.offset, fragment.more, fragment.bytes).is_ok();
+        let added = fragment.whole
+            && one
+                .buffer
+                .add(fragment.offset, fragment.more, fragment.bytes)
+                .is_ok();
         if !added {
             waiting.remove(&key);
             self.counts.fragments_lost += 1;
@@ -200,9 +231,16 @@
         if !one.buffer.is_complete() {
             return Seen::Nothing;
         }
-        let Some(done) = waiting.remove(&key) else { return Seen::Nothing };
+        let Some(done) = waiting.remove(&key) else {
+            return Seen::Nothing;
+        };
         self.counts.put_together += 1;
-        Seen::Whole(Datagram { at, from, to, bytes: done.buffer.take_bufs().0 })
+        Seen::Whole(Datagram {
+            at,
+            from,
+            to,
+            bytes: done.buffer.take_bufs().0,
+        })
     }
 
     pub fn end(mut self) -> Counts {
@@ -221,23 +259,32 @@
 }
 
 fn v6_fragment<'p>(ip: &etherparse::LaxIpv6Slice<'p>) -> Option<Fragment<'p>> {
-    ip.extensions().clone().into_iter().find_map(|extension| match extension {
-        etherparse::Ipv6ExtensionSlice::Fragment(found) => {
-            let header = found.to_header();
-            Some(Fragment {
-                id: header.identification,
-                offset: header.fragment_offset,
-                more: header.more_fragments,
-                kind: ip.payload().ip_number,
-                bytes: ip.payload().payload,
-                whole: !ip.payload().incomplete,
-            })
-        }
-        _ => None,
-    })
+    ip.extensions()
+        .clone()
+        .into_iter()
+        .find_map(|extension| match extension {
+            etherparse::Ipv6ExtensionSlice::Fragment(found) => {
+                let header = found.to_header();
+                Some(Fragment {
+                    id: header.identification,
+                    offset: header.fragment_offset,
+                    more: header.more_fragments,
+                    kind: ip.payload().ip_number,
+                    bytes: ip.payload().payload,
+                    whole: !ip.payload().incomplete,
+                })
+            }
+            _ => None,
+        })
 }
 
-fn segment<'p>(at: u64, from: IpAddr, to: IpAddr, tcp: &TcpSlice<'p>, missing: usize) -> Segment<'p> {
+fn segment<'p>(
+    at: u64,
+    from: IpAddr,
+    to: IpAddr,
+    tcp: &TcpSlice<'p>,
+    missing: usize,
+) -> Segment<'p> {
     Segment {
         at,
         from: End::new(from, tcp.source_port()),
@@ -257,7 +304,10 @@
     let data = packet.data;
     let by_type = |at: usize, header: usize| {
         let kind = u16::from_be_bytes(*data.get(at..)?.first_chunk()?);
-        Some(LaxSlicedPacket::from_ether_type(EtherType(kind), data.get(header..)?))
+        Some(LaxSlicedPacket::from_ether_type(
+            EtherType(kind),
+            data.get(header..)?,
+        ))
     };
     match packet.link {
         Link::Ethernet => LaxSlicedPacket::from_ethernet(data).ok(),
--- a/crates/capture/src/schedule.rs
+++ b/crates/capture/src/schedule.rs
@@ -81,7 +81,13 @@
 
 impl Default for Collector {
     fn default() -> Self {
-        Self { calls: Vec::new(), lefts: Vec::new(), open: HashMap::new(), bytes: 0, left_out: 0 }
+        Self {
+            calls: Vec::new(),
+            lefts: Vec::new(),
+            open: HashMap::new(),
+            bytes: 0,
+            left_out: 0,
+        }
     }
 }
 
@@ -89,27 +95,48 @@
     pub fn take(&mut self, event: &Event<'_>) {
         match event {
             Event::Call { call, body, .. } => {
-                let fields: usize = call.fields.iter().map(|(key, value)| key.len() + value.len() + 48).sum();
+                let fields: usize = call
+                    .fields
+                    .iter()
+                    .map(|(key, value)| key.len() + value.len() + 48)
+                    .sum();
                 self.bytes += body.len() + fields + size_of::<Recorded>();
                 if self.bytes > MOST_BYTES {
                     self.left_out += 1;
                     return;
                 }
-                self.open.insert((call.connection, call.seq), self.calls.len());
-                let recorded =
-                    Recorded { call: (*call).clone(), body: body.to_vec(), outcome: None, took: None };
+                self.open
+                    .insert((call.connection, call.seq), self.calls.len());
+                let recorded = Recorded {
+                    call: (*call).clone(),
+                    body: body.to_vec(),
+                    outcome: None,
+                    took: None,
+                };
                 self.calls.push(recorded);
             }
-            Event::Left { connection, seq, at } => {
+            Event::Left {
+                connection,
+                seq,
+                at,
+            } => {
                 if let Some(call) = self.open.get(&(*connection, *seq)) {
                     self.lefts.push((*call, *at));
                 }
             }
-            Event::Ticket(Ticket { call, outcome, answered, .. }) => {
-                let Some(at) = self.open.remove(&(call.connection, call.seq)) else { return };
+            Event::Ticket(Ticket {
+                call,
+                outcome,
+                answered,
+                ..
+            }) => {
+                let Some(at) = self.open.remove(&(call.connection, call.seq)) else {
+                    return;
+                };
                 let known = *outcome != Outcome::None;
                 self.calls[at].outcome = known.then(|| outcome.clone());
-                self.calls[at].took = answered.map(|then| Duration::from_nanos(then.saturating_sub(call.at)));
+                self.calls[at].took =
+                    answered.map(|then| Duration::from_nanos(then.saturating_sub(call.at)));
             }
             _ => {}
         }
@@ -117,7 +144,9 @@
 
     /// The schedule of what is chosen.
     pub fn schedule(self, choice: &Choice) -> Schedule {
-        let Self { mut calls, lefts, .. } = self;
+        let Self {
+            mut calls, lefts, ..
+        } = self;
         let first = calls.iter().map(|one| one.call.at).min().unwrap_or(0);
         let offset = |at: u64| Duration::from_nanos(at.saturating_sub(first));
         let chosen = |one: &Recorded| {
@@ -128,7 +157,10 @@
         let mut order: Vec<usize> = (0..calls.len()).filter(|at| chosen(&calls[*at])).collect();
         order.sort_by_key(|at| (calls[*at].call.at, *at));
         let mut place = vec![usize::MAX; calls.len()];
-        order.iter().enumerate().for_each(|(new, old)| place[*old] = new);
+        order
+            .iter()
+            .enumerate()
+            .for_each(|(new, old)| place[*old] = new);
         let after = |at: u64| offset(at).saturating_sub(choice.from).div_f64(choice.speed);
         let mut kept: Vec<Option<Recorded>> = calls.drain(..).map(Some).collect();
         let calls: Vec<Recorded> = order.iter().filter_map(|old| kept[*old].take()).collect();
@@ -139,15 +171,34 @@
         let mut sends: Vec<Send> = calls
             .iter()
             .enumerate()
-            .map(|(k, one)| Send { after: after(one.call.at), call: k, what: What::Call, connection: on[k] })
+            .map(|(k, one)| Send {
+                after: after(one.call.at),
+                call: k,
+                what: What::Call,
+                connection: on[k],
+            })
             .collect();
-        sends.extend(lefts.into_iter().filter(|(old, _)| place[*old] != usize::MAX).map(|(old, at)| {
-            let call = place[old];
-            let at = at.max(calls[call].call.at);
-            Send { after: after(at), call, what: What::Left, connection: on[call] }
-        }));
+        sends.extend(
+            lefts
+                .into_iter()
+                .filter(|(old, _)| place[*old] != usize::MAX)
+                .map(|(old, at)| {
+                    let call = place[old];
+                    let at = at.max(calls[call].call.at);
+                    Send {
+                        after: after(at),
+                        call,
+                        what: What::Left,
+                        connection: on[call],
+                    }
+                }),
+        );
         sends.sort_by_key(|send| (send.after, send.what == What::Left, send.call));
-        Schedule { calls, sends, connections }
+        Schedule {
+            calls,
+            sends,
+            connections,
+        }
     }
 }
 
@@ -169,12 +220,15 @@
     let mut on = Vec::with_capacity(calls.len());
     for one in calls {
         let at = one.call.at;
-        let end = one.took.map_or(u64::MAX, |took| at + took.as_nanos() as u64);
+        let end = one
+            .took
+            .map_or(u64::MAX, |took| at + took.as_nanos() as u64);
         for ends in &mut open {
             ends.retain(|end| *end > at);
         }
-        let chosen =
-            (0..open.len()).map(|k| (turn + k) % open.len()).find(|k| open[*k].len() < MOST_TOGETHER);
+        let chosen = (0..open.len())
+            .map(|k| (turn + k) % open.len())
+            .find(|k| open[*k].len() < MOST_TOGETHER);
         let chosen = chosen.unwrap_or_else(|| {
             open.push(VecDeque::new());
             open.len() - 1
@@ -193,28 +247,56 @@
     fn collected(calls: &[(u64, u32, i32)], lefts: &[(u32, i32, u64)]) -> Collector {
         let mut collector = Collector::default();
         for (ms, connection, seq) in calls {
-            let call = Call { at: ms * 1_000_000, connection: *connection, seq: *seq, ..Call::default() };
-            collector.take(&Event::Call { call: &call, body: b"x", frame: b"", side: 0 });
+            let call = Call {
+                at: ms * 1_000_000,
+                connection: *connection,
+                seq: *seq,
+                ..Call::default()
+            };
+            collector.take(&Event::Call {
+                call: &call,
+                body: b"x",
+                frame: b"",
+                side: 0,
+            });
         }
         for (connection, seq, ms) in lefts {
-            collector.take(&Event::Left { connection: *connection, seq: *seq, at: ms * 1_000_000 });
+            collector.take(&Event::Left {
+                connection: *connection,
+                seq: *seq,
+                at: ms * 1_000_000,
+            });
         }
         collector
     }
 
     fn choice(speed: f64, connections: Connections) -> Choice {
-        Choice { from: Duration::ZERO, to: None, speed, connections }
+        Choice {
+            from: Duration::ZERO,
+            to: None,
+            speed,
+            connections,
+        }
     }
 
     #[test]
     fn times_are_the_recordings_at_the_stated_speed() {
         let calls = [(1_000, 4, 1), (1_250, 9, 1), (1_100, 4, 2)];
-        let made = collected(&calls, &[(4, 2, 1_400)]).schedule(&choice(2.0, Connections::AsRecorded));
-        let told: Vec<_> =
-            made.sends.iter().map(|s| (s.after.as_millis(), s.call, s.what, s.connection)).collect();
+        let made =
+            collected(&calls, &[(4, 2, 1_400)]).schedule(&choice(2.0, Connections::AsRecorded));
+        let told: Vec<_> = made
+            .sends
+            .iter()
+            .map(|s| (s.after.as_millis(), s.call, s.what, s.connection))
+            .collect();
         assert_eq!(
             told,
-            [(0, 0, What::Call, 0), (50, 1, What::Call, 0), (125, 2, What::Call, 1), (200, 1, What::Left, 0)]
+            [
+                (0, 0, What::Call, 0),
+                (50, 1, What::Call, 0),
+                (125, 2, What::Call, 1),
+                (200, 1, What::Left, 0)
+            ]
         );
         assert_eq!((made.connections, made.calls[1].call.seq), (2, 2));
         let part = Choice {
@@ -223,7 +305,13 @@
             ..choice(1.0, Connections::AsRecorded)
         };
         let made = collected(&calls, &[(4, 1, 1_120)]).schedule(&part);
-        assert_eq!(made.sends.iter().map(|s| s.after.as_millis()).collect::<Vec<_>>(), [50]);
+        assert_eq!(
+            made.sends
+                .iter()
+                .map(|s| s.after.as_millis())
+                .collect::<Vec<_>>(),
+            [50]
+        );
     }
 
     #[test]
--- a/crates/capture/src/stream.rs
+++ b/crates/capture/src/stream.rs
@@ -146,7 +146,13 @@
 
 impl<K: Sink> Streams<K> {
     pub fn new(sink: K) -> Self {
-        Self { sink, connections: HashMap::new(), waiting: 0, counts: Counts::default(), now: 0 }
+        Self {
+            sink,
+            connections: HashMap::new(),
+            waiting: 0,
+            counts: Counts::default(),
+            now: 0,
+        }
     }
 
     pub fn segment(&mut self, segment: &Segment<'_>) {
@@ -156,14 +162,25 @@
             self.sweep();
         }
         let side = usize::from(segment.from > segment.to);
-        let ends = if side == 0 { [segment.from, segment.to] } else { [segment.to, segment.from] };
-        let Self { sink, connections, waiting, counts, .. } = self;
+        let ends = if side == 0 {
+            [segment.from, segment.to]
+        } else {
+            [segment.to, segment.from]
+        };
+        let Self {
+            sink,
+            connections,
+            waiting,
+            counts,
+            ..
+        } = self;
         let mut found = connections.get_mut(&ends);
         if let Some(connection) = found.as_mut().filter(|_| segment.syn) {
             if begins_anew(connection, side, segment) {
                 let old = connections.remove(&ends);
-                old.into_iter()
-                    .for_each(|old| close(sink, counts, waiting, old, Closed::Replaced, segment.at));
+                old.into_iter().for_each(|old| {
+                    close(sink, counts, waiting, old, Closed::Replaced, segment.at)
+                });
                 found = None;
             }
         }
@@ -175,16 +192,31 @@
                 if self.connections.len() >= MOST_CONNECTIONS {
                     self.make_room();
                 }
-                let Self { sink, connections, counts, .. } = self;
+                let Self {
+                    sink,
+                    connections,
+                    counts,
+                    ..
+                } = self;
                 let state = sink.opened(counts.connections as u32, ends, segment.at);
                 counts.connections += 1;
                 let halves = [Half::default(), Half::default()];
-                let fresh = Connection { halves, reset: false, last: segment.at, state: Some(state) };
+                let fresh = Connection {
+                    halves,
+                    reset: false,
+                    last: segment.at,
+                    state: Some(state),
+                };
                 connections.entry(ends).or_insert(fresh)
             }
         };
         connection.last = connection.last.max(segment.at);
-        let Self { sink, waiting, counts, .. } = self;
+        let Self {
+            sink,
+            waiting,
+            counts,
+            ..
+        } = self;
         if connection.state.is_none() {
             counts.repeated += u64::from(!segment.payload.is_empty());
             return;
@@ -202,7 +234,13 @@
 
     /// Looks at all connections: holes that were waited for, idle ones, late ends.
     fn sweep(&mut self) {
-        let Self { sink, connections, waiting, counts, now } = self;
+        let Self {
+            sink,
+            connections,
+            waiting,
+            counts,
+            now,
+        } = self;
         let mut over = Vec::new();
         for (ends, connection) in connections.iter_mut() {
             let quiet = now.saturating_sub(connection.last);
@@ -213,13 +251,18 @@
                 continue;
             };
             for (side, half) in connection.halves.iter_mut().enumerate() {
-                if half.waits_since().is_some_and(|since| now.saturating_sub(since) > PATIENCE) {
+                if half
+                    .waits_since()
+                    .is_some_and(|since| now.saturating_sub(since) > PATIENCE)
+                {
                     no_longer(sink, counts, waiting, state, side, half, *now);
                 }
             }
             let one_side = connection.halves.iter().any(|half| half.fin.is_some());
             match connection {
-                Connection { reset: true, .. } if quiet > PATIENCE => over.push((*ends, Some(Closed::Reset))),
+                Connection { reset: true, .. } if quiet > PATIENCE => {
+                    over.push((*ends, Some(Closed::Reset)))
+                }
                 _ if quiet > IDLE && one_side => over.push((*ends, Some(Closed::HalfFinished))),
                 _ if quiet > IDLE => over.push((*ends, Some(Closed::Idle))),
                 _ => {}
@@ -230,16 +273,31 @@
         for (ends, how) in over {
             if let Some(old) = connections.remove(&ends) {
                 let at = old.last;
-                close(sink, counts, waiting, old, how.unwrap_or(Closed::Finished), at);
+                close(
+                    sink,
+                    counts,
+                    waiting,
+                    old,
+                    how.unwrap_or(Closed::Finished),
+                    at,
+                );
             }
         }
     }
 
     /// Closes the eighth of the connections that were longest unused.
     fn make_room(&mut self) {
-        let Self { sink, connections, waiting, counts, .. } = self;
-        let mut all: Vec<_> =
-            connections.iter().map(|(ends, one)| (one.state.is_some(), one.last, *ends)).collect();
+        let Self {
+            sink,
+            connections,
+            waiting,
+            counts,
+            ..
+        } = self;
+        let mut all: Vec<_> = connections
+            .iter()
+            .map(|(ends, one)| (one.state.is_some(), one.last, *ends))
+            .collect();
         all.sort_unstable();
         for (open, last, ends) in all.into_iter().take(MOST_CONNECTIONS / 8) {
             counts.given_up += u64::from(open);
@@ -251,7 +309,13 @@
 
     /// Those that wait longest wait no longer, until a quarter is free.
     fn give_up(&mut self) {
-        let Self { sink, connections, waiting, counts, now } = self;
+        let Self {
+            sink,
+            connections,
+            waiting,
+            counts,
+            now,
+        } = self;
         let mut all: Vec<_> = connections
             .iter()
             .filter_map(|(ends, one)| {
@@ -264,8 +328,12 @@
             if *waiting <= MOST_WAITING / 4 * 3 {
                 break;
             }
-            let Some(connection) = connections.get_mut(&ends) else { continue };
-            let Some(state) = connection.state.as_mut() else { continue };
+            let Some(connection) = connections.get_mut(&ends) else {
+                continue;
+            };
+            let Some(state) = connection.state.as_mut() else {
+                continue;
+            };
             counts.given_up += 1;
             for (side, half) in connection.halves.iter_mut().enumerate() {
                 no_longer(sink, counts, waiting, state, side, half, *now);
@@ -275,14 +343,22 @@
 
     /// The capture is over: what still waits waits no longer.
     pub fn end(mut self) -> (Counts, K) {
-        let Self { sink, connections, waiting, counts, .. } = &mut self;
+        let Self {
+            sink,
+            connections,
+            waiting,
+            counts,
+            ..
+        } = &mut self;
         let mut all: Vec<_> = std::mem::take(connections).into_iter().collect();
         all.sort_unstable_by_key(|(ends, _)| *ends);
         for (_, connection) in all {
             let how = match connection {
                 Connection { reset: true, .. } => Closed::Reset,
                 _ if connection.halves.iter().all(|half| half.fin.is_some()) => Closed::Finished,
-                _ if connection.halves.iter().any(|half| half.fin.is_some()) => Closed::HalfFinished,
+                _ if connection.halves.iter().any(|half| half.fin.is_some()) => {
+                    Closed::HalfFinished
+                }
                 _ => Closed::CaptureEnded,
             };
             let at = connection.last;
@@ -302,12 +378,18 @@
     match (half.base, segment.ack) {
         (Some(base), _) if base == first => false,
         // Its answer to another opening than the one that is known.
-        (None, Some(ack)) => connection.halves[1 - side].base.is_some_and(|base| base != ack),
+        (None, Some(ack)) => connection.halves[1 - side]
+            .base
+            .is_some_and(|base| base != ack),
         (Some(_), Some(_)) => false,
         (Some(_), None) => true,
         // Segments came before their opening: it must be near them.
         (None, None) => {
-            half.midway || half.early.iter().any(|(seq, _)| u64::from(seq.wrapping_sub(first)) > WINDOW)
+            half.midway
+                || half
+                    .early
+                    .iter()
+                    .any(|(seq, _)| u64::from(seq.wrapping_sub(first)) > WINDOW)
         }
     }
 }
@@ -320,12 +402,36 @@
     side: usize,
     segment: &Segment<'_>,
 ) {
-    let Connection { halves, state: Some(state), reset, .. } = connection else { return };
+    let Connection {
+        halves,
+        state: Some(state),
+        reset,
+        ..
+    } = connection
+    else {
+        return;
+    };
     if segment.syn {
-        begin(sink, counts, waiting, state, side, &mut halves[side], segment.seq.wrapping_add(1));
+        begin(
+            sink,
+            counts,
+            waiting,
+            state,
+            side,
+            &mut halves[side],
+            segment.seq.wrapping_add(1),
+        );
         if let Some(ack) = segment.ack {
             // The answer to an opening says where the other side began.
-            begin(sink, counts, waiting, state, 1 - side, &mut halves[1 - side], ack);
+            begin(
+                sink,
+                counts,
+                waiting,
+                state,
+                1 - side,
+                &mut halves[1 - side],
+                ack,
+            );
         }
     }
     if let Some(ack) = segment.ack {
@@ -347,7 +453,8 @@
         None => {
             if segment.fin {
                 let length = segment.payload.len() + segment.missing;
-                half.early_fin.get_or_insert(seq.wrapping_add(length as u32));
+                half.early_fin
+                    .get_or_insert(seq.wrapping_add(length as u32));
             }
             if segment.payload.is_empty() {
                 return;
@@ -355,7 +462,13 @@
             let bytes = segment.payload.to_vec();
             half.held += bytes.len();
             *waiting += bytes.len();
-            half.early.push((seq, Piece { bytes, at: segment.at }));
+            half.early.push((
+                seq,
+                Piece {
+                    bytes,
+                    at: segment.at,
+                },
+            ));
             if half.held > MOST_BEHIND || half.early.len() > MOST_PIECES {
                 no_longer(sink, counts, waiting, state, side, half, segment.at);
             }
@@ -384,7 +497,17 @@
     half.held = 0;
     for (seq, piece) in early {
         let offset = half.offset(base, seq);
-        add(sink, counts, waiting, state, side, half, offset, &piece.bytes, piece.at);
+        add(
+            sink,
+            counts,
+            waiting,
+            state,
+            side,
+            half,
+            offset,
+            &piece.bytes,
+            piece.at,
+        );
     }
 }
 
@@ -412,7 +535,17 @@
     // A keep-alive has a byte that was sent before, or none: nothing new either way.
     if length > 0 {
         half.sent = half.sent.max((offset + length).max(0) as u64);
-        add(sink, counts, waiting, state, side, half, offset, segment.payload, segment.at);
+        add(
+            sink,
+            counts,
+            waiting,
+            state,
+            side,
+            half,
+            offset,
+            segment.payload,
+            segment.at,
+        );
     }
     if half.pieces.len() > MOST_PIECES || half.held > MOST_BEHIND {
         over_hole(sink, counts, waiting, state, side, half, segment.at);
@@ -459,14 +592,19 @@
     let (mut place, mut new, mut contradicts) = (start, 0, false);
     while place < end {
         let before = pieces.range(..=place).next_back();
-        if let Some((from, piece)) = before.filter(|(from, piece)| *from + piece.bytes.len() as u64 > place) {
+        if let Some((from, piece)) =
+            before.filter(|(from, piece)| *from + piece.bytes.len() as u64 > place)
+        {
             let upto = (from + piece.bytes.len() as u64).min(end);
             let there = &piece.bytes[(place - from) as usize..(upto - from) as usize];
             contradicts |= *there != bytes[(place - start) as usize..(upto - start) as usize];
             place = upto;
             continue;
         }
-        let free = pieces.range(place..).next().map_or(end, |(from, _)| (*from).min(end));
+        let free = pieces
+            .range(place..)
+            .next()
+            .map_or(end, |(from, _)| (*from).min(end));
         let part = bytes[(place - start) as usize..(free - start) as usize].to_vec();
         new += part.len();
         pieces.insert(place, Piece { bytes: part, at });
@@ -476,8 +614,18 @@
 }
 
 /// Tells what waits at the next offset, and what follows it.
-fn drain<K: Sink>(sink: &mut K, waiting: &mut usize, state: &mut K::State, side: usize, half: &mut Half) {
-    while let Some(first) = half.pieces.first_entry().filter(|first| *first.key() == half.next) {
+fn drain<K: Sink>(
+    sink: &mut K,
+    waiting: &mut usize,
+    state: &mut K::State,
+    side: usize,
+    half: &mut Half,
+) {
+    while let Some(first) = half
+        .pieces
+        .first_entry()
+        .filter(|first| *first.key() == half.next)
+    {
         let piece = first.remove();
         half.held -= piece.bytes.len();
         *waiting -= piece.bytes.len();
@@ -496,7 +644,9 @@
     half: &mut Half,
     at: u64,
 ) {
-    let Some(start) = half.pieces.keys().next().copied() else { return };
+    let Some(start) = half.pieces.keys().next().copied() else {
+        return;
+    };
     hole(sink, counts, state, side, half, start, at);
     drain(sink, waiting, state, side, half);
 }
@@ -549,12 +699,23 @@
     how: Closed,
     at: u64,
 ) {
-    let Connection { mut halves, state: Some(mut state), .. } = connection else { return };
+    let Connection {
+        mut halves,
+        state: Some(mut state),
+        ..
+    } = connection
+    else {
+        return;
+    };
     for (side, half) in halves.iter_mut().enumerate() {
         no_longer(sink, counts, waiting, &mut state, side, half, at);
         // What was sent and never kept. An end that was not kept is acknowledged as one byte more; no frame
         // fits one byte, and one that misses its last is told as cut.
-        let sent = half.fin.unwrap_or(if half.sent == half.next + 1 { half.next } else { half.sent });
+        let sent = half.fin.unwrap_or(if half.sent == half.next + 1 {
+            half.next
+        } else {
+            half.sent
+        });
         if half.base.is_some() && sent > half.next {
             hole(sink, counts, &mut state, side, half, sent, at);
         }
--- a/crates/capture/src/tickets.rs
+++ b/crates/capture/src/tickets.rs
@@ -34,7 +34,10 @@
 impl Call {
     /// A text field, empty if absent.
     pub fn field(&self, key: &str) -> &str {
-        self.fields.iter().find(|(name, _)| name == key).map_or("", |(_, value)| value)
+        self.fields
+            .iter()
+            .find(|(name, _)| name == key)
+            .map_or("", |(_, value)| value)
     }
 }
 
@@ -192,7 +195,11 @@
 
 impl<F: FnMut(Event<'_>)> Pairing<F> {
     pub fn new(take: F) -> Self {
-        Self { take, counts: Counts::default(), held: 0 }
+        Self {
+            take,
+            counts: Counts::default(),
+            held: 0,
+        }
     }
 
     pub fn end(self) -> Counts {
@@ -209,7 +216,12 @@
             Outcome::None => &mut self.counts.none,
         };
         *count += 1;
-        (self.take)(Event::Ticket(Ticket { call: open.call, outcome, answered, left: open.left }));
+        (self.take)(Event::Ticket(Ticket {
+            call: open.call,
+            outcome,
+            answered,
+            left: open.left,
+        }));
     }
 
     /// One whole frame.
@@ -244,7 +256,12 @@
                     body_hash: xxh3_64(body),
                 };
                 self.counts.calls += 1;
-                (self.take)(Event::Call { call: &call, body, frame, side: state.side });
+                (self.take)(Event::Call {
+                    call: &call,
+                    body,
+                    frame,
+                    side: state.side,
+                });
                 if let Some(twin) = state.open.iter().position(|open| open.call.seq == call.seq) {
                     self.counts.repeated_numbers += 1;
                     let twin = state.open.remove(twin);
@@ -276,7 +293,11 @@
                 if let Some(open) = state.open.iter_mut().find(|open| open.call.seq == seq) {
                     open.left.get_or_insert(at);
                 }
-                (self.take)(Event::Left { connection: state.number, seq, at });
+                (self.take)(Event::Left {
+                    connection: state.number,
+                    seq,
+                    at,
+                });
             }
             b"probe" => {
                 thrift::probe_args(message.args).ok()?;
@@ -293,12 +314,20 @@
         if told.name == b"probe" {
             return Some(());
         }
-        (self.take)(Event::Answer { connection: state.number, seq: told.seq, frame, at });
+        (self.take)(Event::Answer {
+            connection: state.number,
+            seq: told.seq,
+            frame,
+            at,
+        });
         let outcome = match told.what {
-            What::Answer { body, .. } => {
-                Outcome::Honoured { body_length: body.len(), body_hash: xxh3_64(body) }
-            }
-            What::Backoff(fields) => Outcome::Dismissed { fields: owned(fields) },
+            What::Answer { body, .. } => Outcome::Honoured {
+                body_length: body.len(),
+                body_hash: xxh3_64(body),
+            },
+            What::Backoff(fields) => Outcome::Dismissed {
+                fields: owned(fields),
+            },
             What::Lost => Outcome::GivenUp,
             What::Exception { code, .. } => Outcome::Exception { code },
         };
@@ -307,7 +336,9 @@
             self.held = self.held.saturating_sub(weight(&open.call.fields));
             state.remember(told.seq);
             self.ticket(open, outcome, Some(at));
-        } else if state.answered.contains(&told.seq) || state.ahead.iter().any(|(seq, ..)| *seq == told.seq) {
+        } else if state.answered.contains(&told.seq)
+            || state.ahead.iter().any(|(seq, ..)| *seq == told.seq)
+        {
             self.counts.answered_twice += 1;
         } else if state.cut.contains(&told.seq) || state.ahead.len() >= REMEMBERED {
             self.counts.answers_alone += 1;
@@ -365,7 +396,10 @@
 
 /// Bytes that an open call keeps, nearly.
 fn weight(fields: &[(String, String)]) -> usize {
-    256 + fields.iter().map(|(key, value)| 48 + key.len() + value.len()).sum::<usize>()
+    256 + fields
+        .iter()
+        .map(|(key, value)| 48 + key.len() + value.len())
+        .sum::<usize>()
 }
 
 impl Talk<'_> {
@@ -379,14 +413,21 @@
 
 fn owned(fields: Vec<(&[u8], &[u8])>) -> Vec<(String, String)> {
     let text = |bytes| String::from_utf8_lossy(bytes).into_owned();
-    fields.into_iter().map(|(key, value)| (text(key), text(value))).collect()
+    fields
+        .into_iter()
+        .map(|(key, value)| (text(key), text(value)))
+        .collect()
 }
 
 impl<F: FnMut(Event<'_>)> Sink for Pairing<F> {
     type State = Paired;
 
     fn opened(&mut self, number: u32, ends: [End; 2], at: u64) -> Paired {
-        (self.take)(Event::Opened { connection: number, ends, at });
+        (self.take)(Event::Opened {
+            connection: number,
+            ends,
+            at,
+        });
         let halves = [Frames::default(), Frames::default()];
         Paired {
             number,
@@ -401,11 +442,28 @@
     }
 
     fn bytes(&mut self, state: &mut Paired, side: usize, bytes: &[u8], at: u64) {
-        let Paired { number, halves, spoke, open, cut, answered, ahead, .. } = state;
+        let Paired {
+            number,
+            halves,
+            spoke,
+            open,
+            cut,
+            answered,
+            ahead,
+            ..
+        } = state;
         let spoke = &mut spoke[side];
         let before = halves[side].held();
         halves[side].bytes(bytes, at, |told| {
-            let mut state = Talk { number: *number, side, spoke, open, cut, answered, ahead };
+            let mut state = Talk {
+                number: *number,
+                side,
+                spoke,
+                open,
+                cut,
+                answered,
+                ahead,
+            };
             match told {
                 Told::Frame(frame, at) => self.frame(&mut state, frame, at),
                 Told::Cut(frame) => {
@@ -423,7 +481,9 @@
     }
 
     fn hole(&mut self, state: &mut Paired, side: usize, length: u64, _at: u64) {
-        let Paired { halves, cut, holes, .. } = state;
+        let Paired {
+            halves, cut, holes, ..
+        } = state;
         *holes = true;
         let before = halves[side].held();
         halves[side].hole(length, |told| {
@@ -439,7 +499,16 @@
     }
 
     fn closed(&mut self, state: Paired, how: Closed, at: u64) {
-        let Paired { number, mut halves, spoke, open, mut cut, ahead, holes, .. } = state;
+        let Paired {
+            number,
+            mut halves,
+            spoke,
+            open,
+            mut cut,
+            ahead,
+            holes,
+            ..
+        } = state;
         self.counts.answers_alone += ahead.len() as u64;
         let ahead_held = ahead.len() * AHEAD + halves.iter().map(Frames::held).sum::<usize>();
         for half in &mut halves {
@@ -458,9 +527,17 @@
         self.held = self.held.saturating_sub(ahead_held);
         for open in open {
             self.held = self.held.saturating_sub(weight(&open.call.fields));
-            let outcome = if known || open.left.is_some() { Outcome::Gone } else { Outcome::None };
+            let outcome = if known || open.left.is_some() {
+                Outcome::Gone
+            } else {
+                Outcome::None
+            };
             self.ticket(open, outcome, None);
         }
-        (self.take)(Event::Closed { connection: number, how, at });
+        (self.take)(Event::Closed {
+            connection: number,
+            how,
+            at,
+        });
     }
 }
--- a/crates/capture/src/write.rs
+++ b/crates/capture/src/write.rs
@@ -42,7 +42,15 @@
     let padding = bytes.len().next_multiple_of(4) - bytes.len();
     let total = (32 + bytes.len() + padding) as u32;
     file.reserve(total as usize);
-    for word in [6, total, 0, (at >> 32) as u32, at as u32, bytes.len() as u32, length as u32] {
+    for word in [
+        6,
+        total,
+        0,
+        (at >> 32) as u32,
+        at as u32,
+        bytes.len() as u32,
+        length as u32,
+    ] {
         file.extend(word.to_le_bytes());
     }
     file.extend(bytes);
@@ -120,7 +128,10 @@
 impl Conversation {
     /// From the end that opens it; `first` are both ends' initial sequence numbers.
     pub fn new(opener: End, other: End, first: [u32; 2]) -> Self {
-        Self { ends: [opener, other], next: first }
+        Self {
+            ends: [opener, other],
+            next: first,
+        }
     }
 
     /// The three packets of the opening.
@@ -128,9 +139,19 @@
         let [opener, other] = self.ends;
         let [first, second] = self.next;
         self.next = [first.wrapping_add(1), second.wrapping_add(1)];
-        let syn = Flags { syn: true, ..Flags::default() };
-        let both = Flags { syn: true, ack: Some(self.next[0]), ..Flags::default() };
-        let ack = Flags { ack: Some(self.next[1]), ..Flags::default() };
+        let syn = Flags {
+            syn: true,
+            ..Flags::default()
+        };
+        let both = Flags {
+            syn: true,
+            ack: Some(self.next[0]),
+            ..Flags::default()
+        };
+        let ack = Flags {
+            ack: Some(self.next[1]),
+            ..Flags::default()
+        };
         [
             segment(opener, other, first, syn, &[]),
             segment(other, opener, second, both, &[]),
@@ -139,7 +160,11 @@
     }
 
     /// Bytes of one end (0: who opened it), in segments.
-    pub fn data<'c>(&'c mut self, side: usize, bytes: &'c [u8]) -> impl Iterator<Item = Vec<u8>> + 'c {
+    pub fn data<'c>(
+        &'c mut self,
+        side: usize,
+        bytes: &'c [u8],
+    ) -> impl Iterator<Item = Vec<u8>> + 'c {
         bytes.chunks(SEGMENT).map(move |part| {
             let packet = self.made(side, Flags::default(), part);
             self.next[side] = self.next[side].wrapping_add(part.len() as u32);
@@ -149,17 +174,40 @@
 
     /// An end says that it sends no more.
     pub fn finish(&mut self, side: usize) -> Vec<u8> {
-        let packet = self.made(side, Flags { fin: true, ..Flags::default() }, &[]);
+        let packet = self.made(
+            side,
+            Flags {
+                fin: true,
+                ..Flags::default()
+            },
+            &[],
+        );
         self.next[side] = self.next[side].wrapping_add(1);
         packet
     }
 
     pub fn reset(&mut self, side: usize) -> Vec<u8> {
-        self.made(side, Flags { rst: true, ..Flags::default() }, &[])
+        self.made(
+            side,
+            Flags {
+                rst: true,
+                ..Flags::default()
+            },
+            &[],
+        )
     }
 
     fn made(&self, side: usize, flags: Flags, payload: &[u8]) -> Vec<u8> {
-        let flags = Flags { ack: Some(self.next[1 - side]), ..flags };
-        segment(self.ends[side], self.ends[1 - side], self.next[side], flags, payload)
+        let flags = Flags {
+            ack: Some(self.next[1 - side]),
+            ..flags
+        };
+        segment(
+            self.ends[side],
+            self.ends[1 - side],
+            self.next[side],
+            flags,
+            payload,
+        )
     }
 }
--- a/crates/capture/tests/formats.rs
+++ b/crates/capture/tests/formats.rs
@@ -14,12 +14,23 @@
         true => format!("fd00::{last}").parse().unwrap(),
         false => std::net::IpAddr::from([10, 0, 0, last]),
     };
-    let mut talk = Conversation::new(End::new(ip(1), 40_000), End::new(ip(2), 5050), [3, u32::MAX - 100]);
-    let mut all: Vec<_> = talk.open().into_iter().map(|packet| (START, packet)).collect();
+    let mut talk = Conversation::new(
+        End::new(ip(1), 40_000),
+        End::new(ip(2), 5050),
+        [3, u32::MAX - 100],
+    );
+    let mut all: Vec<_> = talk
+        .open()
+        .into_iter()
+        .map(|packet| (START, packet))
+        .collect();
     for seq in 1..=3 {
         let at = START + seq as u64 * 10_000_000;
-        let call =
-            thrift::process(seq, &[("route", "check")], &vec![seq as u8; if seq == 3 { 4_000 } else { 20 }]);
+        let call = thrift::process(
+            seq,
+            &[("route", "check")],
+            &vec![seq as u8; if seq == 3 { 4_000 } else { 20 }],
+        );
         all.extend(talk.data(0, &call).map(|packet| (at, packet)));
         let told = thrift::answer(b"process", seq, b"result", true);
         all.extend(talk.data(1, &told).map(|packet| (at + 2_000_000, packet)));
@@ -34,7 +45,10 @@
     let summary = read(file, |event| {
         if let Event::Ticket(ticket) = event {
             let answered = ticket.answered.expect("an answer");
-            all.push(((ticket.call.at - START) / 1_000, (answered - ticket.call.at) / 1_000));
+            all.push((
+                (ticket.call.at - START) / 1_000,
+                (answered - ticket.call.at) / 1_000,
+            ));
         }
     });
     (all, summary)
@@ -43,9 +57,26 @@
 const WANTED: [(u64, u64); 3] = [(10_000, 2_000), (20_000, 2_000), (30_000, 2_000)];
 
 fn classic(big: bool, nanoseconds: bool, link: u32, packets: &[(u64, Vec<u8>)]) -> Vec<u8> {
-    let word = |n: u32| if big { n.to_be_bytes() } else { n.to_le_bytes() };
-    let half = |n: u16| if big { n.to_be_bytes() } else { n.to_le_bytes() };
-    let mut file = word(if nanoseconds { 0xa1b2_3c4d } else { 0xa1b2_c3d4 }).to_vec();
+    let word = |n: u32| {
+        if big {
+            n.to_be_bytes()
+        } else {
+            n.to_le_bytes()
+        }
+    };
+    let half = |n: u16| {
+        if big {
+            n.to_be_bytes()
+        } else {
+            n.to_le_bytes()
+        }
+    };
+    let mut file = word(if nanoseconds {
+        0xa1b2_3c4d
+    } else {
+        0xa1b2_c3d4
+    })
+    .to_vec();
     file.extend(half(2));
     file.extend(half(4));
     for n in [0, 0, 65_535, link] {
@@ -53,7 +84,12 @@
     }
     for (at, packet) in packets {
         let part = (at % 1_000_000_000) / if nanoseconds { 1 } else { 1_000 };
-        for n in [(at / 1_000_000_000) as u32, part as u32, packet.len() as u32, packet.len() as u32] {
+        for n in [
+            (at / 1_000_000_000) as u32,
+            part as u32,
+            packet.len() as u32,
+            packet.len() as u32,
+        ] {
             file.extend(word(n));
         }
         file.extend(packet);
@@ -62,7 +98,10 @@
 }
 
 fn wrapped(packets: &[(u64, Vec<u8>)], wrap: impl Fn(&[u8]) -> Vec<u8>) -> Vec<(u64, Vec<u8>)> {
-    packets.iter().map(|(at, packet)| (*at, wrap(packet))).collect()
+    packets
+        .iter()
+        .map(|(at, packet)| (*at, wrap(packet)))
+        .collect()
 }
 
 fn kind(ip: &[u8]) -> [u8; 2] {
@@ -77,7 +116,11 @@
 fn both_byte_orders_and_resolutions() {
     for (big, ns) in [(false, false), (false, true), (true, false), (true, true)] {
         let (tickets, summary) = found(&classic(big, ns, 101, &packets(false)));
-        assert_eq!((tickets.as_slice(), summary.file.format), (&WANTED[..], "pcap"), "{big} {ns}");
+        assert_eq!(
+            (tickets.as_slice(), summary.file.format),
+            (&WANTED[..], "pcap"),
+            "{big} {ns}"
+        );
     }
 }
 
@@ -94,8 +137,16 @@
             frame
         };
         let vlan = |ip: &[u8]| [&mac[..], &[0x81, 0, 0, 7], &kind(ip), ip].concat();
-        let two = |ip: &[u8]| [&mac[..], &[0x88, 0xa8, 0, 5, 0x81, 0, 0, 7], &kind(ip), ip].concat();
-        let cooked = |ip: &[u8]| [&[0, 0, 0, 1, 0, 6, 2, 2, 2, 2, 2, 2, 0, 0][..], &kind(ip), ip].concat();
+        let two =
+            |ip: &[u8]| [&mac[..], &[0x88, 0xa8, 0, 5, 0x81, 0, 0, 7], &kind(ip), ip].concat();
+        let cooked = |ip: &[u8]| {
+            [
+                &[0, 0, 0, 1, 0, 6, 2, 2, 2, 2, 2, 2, 0, 0][..],
+                &kind(ip),
+                ip,
+            ]
+            .concat()
+        };
         let cooked2 = |ip: &[u8]| [&kind(ip)[..], &[0; 18], ip].concat();
         let family = if v6 { [30, 0, 0, 0] } else { [2, 0, 0, 0] };
         let loopback = |ip: &[u8]| [&family[..], ip].concat();
@@ -116,7 +167,10 @@
         }
     }
     let (tickets, summary) = found(&classic(false, true, 147, &packets(false)));
-    assert_eq!((tickets.len(), summary.packets.not_ip), (0, summary.file.packets));
+    assert_eq!(
+        (tickets.len(), summary.packets.not_ip),
+        (0, summary.file.packets)
+    );
 }
 
 #[test]
@@ -130,7 +184,12 @@
         packet.splice(40..40, [6, 0, 1, 4, 0, 0, 0, 0]);
         packet
     };
-    let (tickets, _) = found(&classic(false, true, 101, &wrapped(&packets(true), with_options)));
+    let (tickets, _) = found(&classic(
+        false,
+        true,
+        101,
+        &wrapped(&packets(true), with_options),
+    ));
     assert_eq!(tickets, WANTED);
 }
 
@@ -185,7 +244,11 @@
     });
     let summary = read(&classic(false, true, 101, &cut)[..], |_| {});
     assert_eq!(
-        (summary.tickets.calls, summary.tickets.answers_alone, summary.packets.fragments_lost),
+        (
+            summary.tickets.calls,
+            summary.tickets.answers_alone,
+            summary.packets.fragments_lost
+        ),
         (2, 1, 1)
     );
     assert!(summary.streams.hole_bytes > 1_000, "{summary:?}");
@@ -224,9 +287,13 @@
             _ => (at / 1_000 - 86_400_000_000, packet.clone()),
         };
         let mut body = Vec::new();
-        for word in
-            [(k % 3) as u32, (steps >> 32) as u32, steps as u32, bytes.len() as u32, bytes.len() as u32]
-        {
+        for word in [
+            (k % 3) as u32,
+            (steps >> 32) as u32,
+            steps as u32,
+            bytes.len() as u32,
+            bytes.len() as u32,
+        ] {
             body.extend(word.to_le_bytes());
         }
         body.extend(&bytes);
@@ -234,10 +301,16 @@
         block(6, &body);
     }
     let (tickets, summary) = found(&file);
-    assert_eq!((tickets.len(), summary.file.passed_over, summary.cut_off), (3, 2, None));
+    assert_eq!(
+        (tickets.len(), summary.file.passed_over, summary.cut_off),
+        (3, 2, None)
+    );
     for ((at, took), (wanted_at, wanted_took)) in tickets.into_iter().zip(WANTED) {
         // A step of the coarsest clock is a microsecond.
-        assert!(at.abs_diff(wanted_at) <= 2 && took.abs_diff(wanted_took) <= 2, "{at} {took}");
+        assert!(
+            at.abs_diff(wanted_at) <= 2 && took.abs_diff(wanted_took) <= 2,
+            "{at} {took}"
+        );
     }
 }
 
@@ -246,7 +319,11 @@
     let mut all = packets(false);
     let again: Vec<_> = {
         let ip = |last: u8| std::net::IpAddr::from([10, 0, 0, last]);
-        let mut talk = Conversation::new(End::new(ip(1), 40_000), End::new(ip(2), 5050), [90_000, 70_000]);
+        let mut talk = Conversation::new(
+            End::new(ip(1), 40_000),
+            End::new(ip(2), 5050),
+            [90_000, 70_000],
+        );
         let mut made: Vec<_> = talk.open().into_iter().collect();
         made.extend(talk.data(0, &thrift::process(1, &[("route", "again")], b"")));
         made.extend(talk.data(1, &thrift::lost(1)));
@@ -257,11 +334,18 @@
     let mut kinds = Vec::new();
     let summary = read(&classic(false, true, 101, &all)[..], |event| {
         if let Event::Ticket(ticket) = event {
-            kinds.push((ticket.call.connection, ticket.call.seq, ticket.outcome.word()));
+            kinds.push((
+                ticket.call.connection,
+                ticket.call.seq,
+                ticket.outcome.word(),
+            ));
         }
     });
     assert_eq!(kinds[3], (1, 1, "given_up"), "{summary:?}");
-    assert_eq!((summary.streams.connections, summary.tickets.answered_twice), (2, 0));
+    assert_eq!(
+        (summary.streams.connections, summary.tickets.answered_twice),
+        (2, 0)
+    );
 }
 
 #[test]
--- a/crates/capture/tests/scrambled.rs
+++ b/crates/capture/tests/scrambled.rs
@@ -19,7 +19,11 @@
         Event::Call { .. } => calls += 1,
         Event::Ticket(ticket) => {
             let key = (ticket.call.connection as usize, ticket.call.seq);
-            doubled += u64::from(tickets.insert(key, (ticket.call.body_hash, ticket.outcome)).is_some());
+            doubled += u64::from(
+                tickets
+                    .insert(key, (ticket.call.body_hash, ticket.outcome))
+                    .is_some(),
+            );
         }
         _ => {}
     });
@@ -31,13 +35,18 @@
 
 fn same(said: &Option<Said>, outcome: &Outcome) -> bool {
     match (said, outcome) {
-        (Some(Said::Honoured(body)), Outcome::Honoured { body_length, body_hash }) => {
-            (body.len(), xxh3_64(body)) == (*body_length, *body_hash)
-        }
-        (Some(Said::Dismissed), Outcome::Dismissed { fields }) => fields[0] == ("pause".into(), "250".into()),
-        (Some(Said::GivenUp), Outcome::GivenUp) | (Some(Said::Exception), Outcome::Exception { code: 6 }) => {
-            true
+        (
+            Some(Said::Honoured(body)),
+            Outcome::Honoured {
+                body_length,
+                body_hash,
+            },
+        ) => (body.len(), xxh3_64(body)) == (*body_length, *body_hash),
+        (Some(Said::Dismissed), Outcome::Dismissed { fields }) => {
+            fields[0] == ("pause".into(), "250".into())
         }
+        (Some(Said::GivenUp), Outcome::GivenUp)
+        | (Some(Said::Exception), Outcome::Exception { code: 6 }) => true,
         (None, Outcome::Gone | Outcome::None) => true,
         _ => false,
     }
@@ -59,7 +68,10 @@
     for (key, (body, said)) in &wanted {
         let (hash, outcome) = &tickets[key];
         assert_eq!(*hash, xxh3_64(body), "{about}: body of {key:?}");
-        assert!(same(said, outcome), "{about}: {key:?} is {outcome:?}, not {said:?}: {summary:?}");
+        assert!(
+            same(said, outcome),
+            "{about}: {key:?} is {outcome:?}, not {said:?}: {summary:?}"
+        );
     }
     summary
 }
@@ -67,8 +79,13 @@
 /// A kind of trouble by the seed.
 fn trouble(seed: u64) -> Trouble {
     let mut chance = WyRand::new_seed(seed ^ 0x7261_696e);
-    let mut percent =
-        |most: u32| if chance.generate_range(0..2u8) == 0 { 0 } else { chance.generate_range(0..most) };
+    let mut percent = |most: u32| {
+        if chance.generate_range(0..2u8) == 0 {
+            0
+        } else {
+            chance.generate_range(0..most)
+        }
+    };
     let (dropped, repeated, overlapped) = (percent(8), percent(30), percent(40));
     let moved = percent(24) as usize;
     Trouble {
@@ -87,7 +104,10 @@
 
 #[test]
 fn tickets_found_are_tickets_put_in_less_those_that_a_hole_touches() {
-    let seeds = std::env::var("SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(400u64);
+    let seeds = std::env::var("SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(400u64);
     let (mut whole, mut touched, mut holes) = (0, 0, 0);
     for seed in 0..seeds {
         let trouble = trouble(seed);
@@ -98,20 +118,37 @@
         let put_in = trouble.connections * trouble.calls;
         if trouble.dropped == 0 && trouble.snap.is_none() {
             whole += 1;
-            assert_eq!((summary.tickets.calls as usize, summary.streams.holes), (put_in, 0), "{about}");
-            assert_eq!(summary.tickets.cut_calls + summary.tickets.cut_answers, 0, "{about}");
+            assert_eq!(
+                (summary.tickets.calls as usize, summary.streams.holes),
+                (put_in, 0),
+                "{about}"
+            );
+            assert_eq!(
+                summary.tickets.cut_calls + summary.tickets.cut_answers,
+                0,
+                "{about}"
+            );
         } else {
             touched += put_in - summary.tickets.calls as usize;
             holes += summary.streams.holes;
         }
     }
     // The troubles are there: else this would show nothing.
-    assert!(whole > 40 && touched > 100 && holes > 100, "{whole} {touched} {holes}");
+    assert!(
+        whole > 40 && touched > 100 && holes > 100,
+        "{whole} {touched} {holes}"
+    );
 }
 
 #[test]
 fn a_file_may_end_at_any_byte() {
-    let trouble = Trouble { connections: 1, calls: 3, moved: 3, segment: 150, ..Trouble::default() };
+    let trouble = Trouble {
+        connections: 1,
+        calls: 3,
+        moved: 3,
+        segment: 150,
+        ..Trouble::default()
+    };
     let scene = scene(5, &trouble);
     let (file, ends) = scene.file();
     for cut in 0..file.len() {
@@ -140,7 +177,10 @@
     };
     let scene = scene(77, &trouble);
     let summary = honest(&scene, scene.packets.len(), &scene.file().0, "500");
-    assert_eq!((summary.tickets.calls, summary.streams.connections), (6_000, 500));
+    assert_eq!(
+        (summary.tickets.calls, summary.streams.connections),
+        (6_000, 500)
+    );
 }
 
 #[test]
@@ -152,9 +192,13 @@
     };
     let mut file = rainstand_capture::write::head("test");
     for n in 0..5_000 {
-        let mut talk = rainstand_capture::write::Conversation::new(end(n, 40_000), end(65_000, 5050), [1, 2]);
+        let mut talk =
+            rainstand_capture::write::Conversation::new(end(n, 40_000), end(65_000, 5050), [1, 2]);
         let mut packets: Vec<_> = talk.open().into_iter().collect();
-        packets.extend(talk.data(0, &rainstand_protocol::thrift::process(1, &[("route", &long)], b"")));
+        packets.extend(talk.data(
+            0,
+            &rainstand_protocol::thrift::process(1, &[("route", &long)], b""),
+        ));
         packets.iter().for_each(|packet| {
             rainstand_capture::write::packet(&mut file, u64::from(n), packet, packet.len())
         });
@@ -163,13 +207,22 @@
     assert_eq!((tickets.len(), summary.tickets.none), (5_000, 5_000));
     // What fits waits, the rest is let go and counted.
     let fit = rainstand_capture::tickets::MOST_HELD / 7_000;
-    assert!((5_000 - fit as u64).abs_diff(summary.tickets.let_go) < 300, "{fit} {summary:?}");
+    assert!(
+        (5_000 - fit as u64).abs_diff(summary.tickets.let_go) < 300,
+        "{fit} {summary:?}"
+    );
 }
 
 #[test]
 fn mutated_files_are_borne() {
-    let trouble =
-        Trouble { connections: 3, calls: 6, moved: 4, dropped: 3, segment: 120, ..Trouble::default() };
+    let trouble = Trouble {
+        connections: 3,
+        calls: 6,
+        moved: 4,
+        dropped: 3,
+        segment: 120,
+        ..Trouble::default()
+    };
     let (file, _) = scene(9, &trouble).file();
     let mut chance = WyRand::new_seed(4);
     for _ in 0..3_000 {
--- a/crates/capture/tests/stand_ins/mod.rs
+++ b/crates/capture/tests/stand_ins/mod.rs
@@ -67,8 +67,9 @@
 
 /// A body; some hold whole frames, so that guessing would find tickets that nobody sent.
 fn body(chance: &mut WyRand) -> Vec<u8> {
-    let mut bytes: Vec<u8> =
-        (0..chance.generate_range(0..90usize)).map(|_| chance.generate::<u8>()).collect();
+    let mut bytes: Vec<u8> = (0..chance.generate_range(0..90usize))
+        .map(|_| chance.generate::<u8>())
+        .collect();
     if chance.generate_range(0..3u8) == 0 {
         bytes.extend(thrift::process(
             999,
@@ -82,7 +83,12 @@
 
 pub fn scene(seed: u64, trouble: &Trouble) -> Scene {
     let mut chance = WyRand::new_seed(seed);
-    let mut scene = Scene { packets: vec![], frames: vec![], sizes: vec![], snap: trouble.snap };
+    let mut scene = Scene {
+        packets: vec![],
+        frames: vec![],
+        sizes: vec![],
+        snap: trouble.snap,
+    };
     for n in 0..trouble.connections {
         connection(&mut scene, n, &mut chance, trouble);
     }
@@ -97,7 +103,10 @@
         true => format!("fd00::{last:x}").parse().unwrap(),
         false => std::net::IpAddr::from([10, 7, (n >> 8) as u8, last]),
     };
-    let ends = [End::new(ip(1 + (n % 200) as u8), 20_000 + n as u16), End::new(ip(250), 5050)];
+    let ends = [
+        End::new(ip(1 + (n % 200) as u8), 20_000 + n as u16),
+        End::new(ip(250), 5050),
+    ];
     let first: [u32; 2] = match trouble.wraps {
         true => [
             0u32.wrapping_sub(chance.generate_range(1..3_000u32)),
@@ -115,12 +124,32 @@
                     payload: &[u8],
                     flags: Flags,
                     ack: usize| {
-        let seq = first[side].wrapping_add(u32::from(!opens)).wrapping_add(from as u32);
-        let ack = (!opens || side == 1).then(|| first[1 - side].wrapping_add(1).wrapping_add(ack as u32));
-        let packet = write::segment(ends[side], ends[1 - side], seq, Flags { ack, ..flags }, payload);
-        packets.push(Packet { at, connection: n, side, from, length: payload.len(), opens, bytes: packet });
+        let seq = first[side]
+            .wrapping_add(u32::from(!opens))
+            .wrapping_add(from as u32);
+        let ack =
+            (!opens || side == 1).then(|| first[1 - side].wrapping_add(1).wrapping_add(ack as u32));
+        let packet = write::segment(
+            ends[side],
+            ends[1 - side],
+            seq,
+            Flags { ack, ..flags },
+            payload,
+        );
+        packets.push(Packet {
+            at,
+            connection: n,
+            side,
+            from,
+            length: payload.len(),
+            opens,
+            bytes: packet,
+        });
+    };
+    let syn = Flags {
+        syn: true,
+        ..Flags::default()
     };
-    let syn = Flags { syn: true, ..Flags::default() };
     push(at, 0, 0, true, &[], syn, 0);
     push(at + 50_000, 1, 0, true, &[], syn, 0);
     at += 100_000;
@@ -128,33 +157,65 @@
     let mut next = 1;
     while next <= trouble.calls as i32 || !open.is_empty() {
         at += chance.generate_range(1_000..2_000_000u64);
-        let asks = next <= trouble.calls as i32 && (open.is_empty() || chance.generate_range(0..2u8) == 0);
+        let asks =
+            next <= trouble.calls as i32 && (open.is_empty() || chance.generate_range(0..2u8) == 0);
         let (side, seq, said, frame) = if asks {
             let (seq, body) = (next, body(chance));
             next += 1;
             open.push(seq);
             let trace = format!("{:016x}", chance.generate::<u64>());
-            let fields = [("route", "check"), ("trace", trace.as_str()), ("customer", "acme")];
-            (0, seq, Said::Call(body.clone()), thrift::process(seq, &fields, &body))
+            let fields = [
+                ("route", "check"),
+                ("trace", trace.as_str()),
+                ("customer", "acme"),
+            ];
+            (
+                0,
+                seq,
+                Said::Call(body.clone()),
+                thrift::process(seq, &fields, &body),
+            )
         } else {
             let seq = open.swap_remove(chance.generate_range(0..open.len()));
             match chance.generate_range(0..9u8) {
-                0 => (1, seq, Said::Dismissed, thrift::backoff(seq, &[("pause", "250")])),
+                0 => (
+                    1,
+                    seq,
+                    Said::Dismissed,
+                    thrift::backoff(seq, &[("pause", "250")]),
+                ),
                 1 => (1, seq, Said::GivenUp, thrift::lost(seq)),
-                2 => (1, seq, Said::Exception, thrift::exception(b"process", seq, 6, "no")),
+                2 => (
+                    1,
+                    seq,
+                    Said::Exception,
+                    thrift::exception(b"process", seq, 6, "no"),
+                ),
                 3 => (0, seq, Said::Other, thrift::give_up(seq)),
                 _ => {
                     let body = body(chance);
-                    (1, seq, Said::Honoured(body.clone()), thrift::answer(b"process", seq, &body, true))
+                    (
+                        1,
+                        seq,
+                        Said::Honoured(body.clone()),
+                        thrift::answer(b"process", seq, &body, true),
+                    )
                 }
             }
         };
         let from = bytes[side].len();
         bytes[side].extend(&frame);
-        frames[side].push(Frame { from, to: bytes[side].len(), seq, said });
+        frames[side].push(Frame {
+            from,
+            to: bytes[side].len(),
+            seq,
+            said,
+        });
         let mut start = from;
         while start < bytes[side].len() {
-            let length = chance.generate_range(1..=trouble.segment).min(bytes[side].len() - start);
+            let length = chance
+                .generate_range(1..=trouble.segment)
+                .min(bytes[side].len() - start);
             push(
                 at,
                 side,
@@ -187,7 +248,18 @@
     for side in [0, 1] {
         at += 10_000;
         let (from, ack) = (bytes[side].len(), bytes[1 - side].len() + side);
-        push(at, side, from, false, &[], Flags { fin: true, ..Flags::default() }, ack);
+        push(
+            at,
+            side,
+            from,
+            false,
+            &[],
+            Flags {
+                fin: true,
+                ..Flags::default()
+            },
+            ack,
+        );
     }
     scene.packets.extend(packets);
     scene.frames.push(frames);
@@ -201,8 +273,24 @@
             continue;
         }
         if chance.generate_range(0..100u32) < trouble.repeated {
-            let Packet { at, connection, side, from, length, opens, ref bytes } = packet;
-            kept.push(Packet { at, connection, side, from, length, opens, bytes: bytes.clone() });
+            let Packet {
+                at,
+                connection,
+                side,
+                from,
+                length,
+                opens,
+                ref bytes,
+            } = packet;
+            kept.push(Packet {
+                at,
+                connection,
+                side,
+                from,
+                length,
+                opens,
+                bytes: bytes.clone(),
+            });
         }
         kept.push(packet);
     }
@@ -225,7 +313,12 @@
         let mut ends = Vec::new();
         for packet in &self.packets {
             let kept = self.snap.unwrap_or(usize::MAX).min(packet.bytes.len());
-            write::packet(&mut file, packet.at, &packet.bytes[..kept], packet.bytes.len());
+            write::packet(
+                &mut file,
+                packet.at,
+                &packet.bytes[..kept],
+                packet.bytes.len(),
+            );
             ends.push(file.len());
         }
         (file, ends)
@@ -234,8 +327,11 @@
     /// What an honest reader of the first `packets` finds: calls with what came of them (none where the
     /// answer is not there), by connection (as first seen) and number.
     pub fn honest(&self, packets: usize) -> BTreeMap<(usize, i32), (Vec<u8>, Option<Said>)> {
-        let mut there: Vec<[Vec<bool>; 2]> =
-            self.sizes.iter().map(|s| [vec![false; s[0]], vec![false; s[1]]]).collect();
+        let mut there: Vec<[Vec<bool>; 2]> = self
+            .sizes
+            .iter()
+            .map(|s| [vec![false; s[0]], vec![false; s[1]]])
+            .collect();
         let mut opened = vec![[false; 2]; self.sizes.len()];
         for packet in &self.packets[..packets] {
             if packet.opens {
@@ -244,8 +340,13 @@
                 opened[packet.connection][0] = true;
             }
             let header = packet.bytes.len() - packet.length;
-            let kept = self.snap.unwrap_or(usize::MAX).min(packet.bytes.len()).saturating_sub(header);
-            there[packet.connection][packet.side][packet.from..packet.from + kept.min(packet.length)]
+            let kept = self
+                .snap
+                .unwrap_or(usize::MAX)
+                .min(packet.bytes.len())
+                .saturating_sub(header);
+            there[packet.connection][packet.side]
+                [packet.from..packet.from + kept.min(packet.length)]
                 .fill(true);
         }
         let mut found = BTreeMap::new();
@@ -264,9 +365,13 @@
                 read
             });
             for call in &read[0] {
-                let Said::Call(body) = &call.said else { continue };
-                let answer =
-                    read[1].iter().find(|answer| answer.seq == call.seq).map(|answer| answer.said.clone());
+                let Said::Call(body) = &call.said else {
+                    continue;
+                };
+                let answer = read[1]
+                    .iter()
+                    .find(|answer| answer.seq == call.seq)
+                    .map(|answer| answer.said.clone());
                 found.insert((connection, call.seq), (body.clone(), answer));
             }
         }
--- a/crates/cli/benches/connections.rs
+++ b/crates/cli/benches/connections.rs
@@ -11,19 +11,36 @@
 fn status(child: &Child, key: &str) -> String {
     let text = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
     let line = text.lines().find(|line| line.starts_with(key));
-    line.map_or("unknown".into(), |line| line[key.len() + 1..].trim().to_owned())
+    line.map_or("unknown".into(), |line| {
+        line[key.len() + 1..].trim().to_owned()
+    })
 }
 
 /// CPU used so far, in ticks of 10 ms.
 fn cpu(child: &Child) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
-    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-    [11, 12].iter().filter_map(|k| fields.get(*k)?.parse::<u64>().ok()).sum()
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    [11, 12]
+        .iter()
+        .filter_map(|k| fields.get(*k)?.parse::<u64>().ok())
+        .sum()
 }
 
 fn call(stream: &mut TcpStream, seq: i32) -> bool {
-    let fields = [("route", "check"), ("customer", "acme"), ("trace", "9b1f03aa5c7e2d41")];
-    if stream.write_all(&thrift::process(seq, &fields, &[7; 200])).is_err() {
+    let fields = [
+        ("route", "check"),
+        ("customer", "acme"),
+        ("trace", "9b1f03aa5c7e2d41"),
+    ];
+    if stream
+        .write_all(&thrift::process(seq, &fields, &[7; 200]))
+        .is_err()
+    {
         return false;
     }
     let mut head = [0; 4];
@@ -36,8 +53,19 @@
 }
 
 fn main() {
-    let many: usize = std::env::var("CONNECTIONS").ok().and_then(|n| n.parse().ok()).unwrap_or(8_000);
-    let nodes: Vec<_> = (0..3).map(|_| Make { forget_runs: true, ..Make::default() }.start()).collect();
+    let many: usize = std::env::var("CONNECTIONS")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(8_000);
+    let nodes: Vec<_> = (0..3)
+        .map(|_| {
+            Make {
+                forget_runs: true,
+                ..Make::default()
+            }
+            .start()
+        })
+        .collect();
     let members: String = nodes
         .iter()
         .enumerate()
@@ -61,24 +89,37 @@
         .spawn()
         .expect("the program");
     let lines = BufReader::new(child.stderr.take().expect("its lines")).lines();
-    let start =
-        lines.map_while(Result::ok).find(|line| line.contains("listen=")).expect("a line at its start");
-    let at =
-        start.split("listen=").nth(1).and_then(|rest| rest.split_whitespace().next()).expect("an address");
+    let start = lines
+        .map_while(Result::ok)
+        .find(|line| line.contains("listen="))
+        .expect("a line at its start");
+    let at = start
+        .split("listen=")
+        .nth(1)
+        .and_then(|rest| rest.split_whitespace().next())
+        .expect("an address");
     let at: SocketAddr = at.trim_matches('"').parse().expect("an address");
     println!("at the start: {}", status(&child, "VmRSS:"));
     let mut all = Vec::new();
     let mut good = 0;
     for _ in 0..many {
-        let Ok(mut stream) = TcpStream::connect(at) else { break };
+        let Ok(mut stream) = TcpStream::connect(at) else {
+            break;
+        };
         let _ = stream.set_nodelay(true);
         good += usize::from(call(&mut stream, 1));
         all.push(stream);
     }
-    println!("{} connections, {good} honoured: {}", all.len(), status(&child, "VmRSS:"));
+    println!(
+        "{} connections, {good} honoured: {}",
+        all.len(),
+        status(&child, "VmRSS:")
+    );
     drop(all);
     let (before, began, mut asked) = (cpu(&child), Instant::now(), 0u32);
-    let mut lanes: Vec<_> = (0..8).map(|_| TcpStream::connect(at).expect("a connection")).collect();
+    let mut lanes: Vec<_> = (0..8)
+        .map(|_| TcpStream::connect(at).expect("a connection"))
+        .collect();
     lanes.iter().for_each(|lane| drop(lane.set_nodelay(true)));
     // One at a time on each of eight connections: no tickets that come together.
     while began.elapsed() < Duration::from_secs(5) {
@@ -88,7 +129,10 @@
         }
     }
     let used = (cpu(&child) - before) as f64 * 10_000.0;
-    println!("{asked} tickets one at a time: {:.0} us of CPU a ticket", used / f64::from(asked));
+    println!(
+        "{asked} tickets one at a time: {:.0} us of CPU a ticket",
+        used / f64::from(asked)
+    );
     println!("after it: {}", status(&child, "VmRSS:"));
     let _ = child.kill();
     let _ = child.wait();
--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -103,8 +103,9 @@
     }
     notes.extend((one["near"] == true).then(|| "near".to_owned()));
     notes.extend((one["leaving"] == true).then(|| "leaving".to_owned()));
-    let mut row: Vec<String> =
-        ["pool", "member", "address", "standing", "open", "limit"].map(|key| cell(one, key)).into();
+    let mut row: Vec<String> = ["pool", "member", "address", "standing", "open", "limit"]
+        .map(|key| cell(one, key))
+        .into();
     row.push(notes.join(", "));
     row
 }
@@ -120,7 +121,12 @@
         row.push(cell(one, "member"));
         let tried = one["tried"].as_u64().unwrap_or(1);
         notes.extend((tried > 1).then(|| format!("try {tried}")));
-        notes.push(format!("{}, one of {}, {} in hand", cell(one, "how"), one["of"], one["in_hand"]));
+        notes.push(format!(
+            "{}, one of {}, {} in hand",
+            cell(one, "how"),
+            one["of"],
+            one["in_hand"]
+        ));
     }
     for passed in one["passed_over"].as_array().into_iter().flatten() {
         if let (Some(member), Some(why)) = (passed[0].as_str(), passed[1].as_str()) {
@@ -136,15 +142,24 @@
 
 /// Columns as wide as their widest cell.
 fn table(head: &[&str], rows: &[Vec<String>]) -> io::Result<Code> {
-    let width =
-        |k: usize| rows.iter().map(|row| row[k].chars().count()).chain([head[k].len()]).max().unwrap_or(0);
+    let width = |k: usize| {
+        rows.iter()
+            .map(|row| row[k].chars().count())
+            .chain([head[k].len()])
+            .max()
+            .unwrap_or(0)
+    };
     let widths: Vec<usize> = (0..head.len()).map(width).collect();
     let show = |cells: Vec<&str>| {
-        let cells = cells.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        let cells = cells
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:<width$}"));
         line(cells.collect::<Vec<_>>().join("  ").trim_end())
     };
     show(head.to_vec())?;
-    rows.iter().try_for_each(|row| show(row.iter().map(String::as_str).collect()))?;
+    rows.iter()
+        .try_for_each(|row| show(row.iter().map(String::as_str).collect()))?;
     Ok(Code::Good)
 }
 
@@ -154,9 +169,15 @@
     write!(stream, "GET {path} HTTP/1.1\r\nHost: {at}\r\n\r\n")?;
     let mut all = String::new();
     stream.take(MOST).read_to_string(&mut all)?;
-    let (head, body) = all.split_once("\r\n\r\n").ok_or_else(|| io::Error::other("no answer over HTTP"))?;
+    let (head, body) = all
+        .split_once("\r\n\r\n")
+        .ok_or_else(|| io::Error::other("no answer over HTTP"))?;
     match head.split(' ').nth(1) {
         Some("200") => Ok(body.to_owned()),
-        _ => Err(io::Error::other(format!("{}: {}", head.lines().next().unwrap_or(""), body.trim()))),
+        _ => Err(io::Error::other(format!(
+            "{}: {}",
+            head.lines().next().unwrap_or(""),
+            body.trim()
+        ))),
     }
 }
--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -79,10 +79,22 @@
         if self.name.is_empty() {
             return Err("with control machines, `--name` says which process this is".to_owned());
         }
-        let folder = block.map(|block| &block.folder).filter(|folder| !folder.is_empty());
+        let folder = block
+            .map(|block| &block.folder)
+            .filter(|folder| !folder.is_empty());
         let folder = self.control_folder.clone().or(folder.map(PathBuf::from));
-        let who = Who { name: self.name.clone(), region: self.region.clone(), zone: zone.to_owned() };
-        Ok(Some(Plan { who, machines, folder, number, seed }))
+        let who = Who {
+            name: self.name.clone(),
+            region: self.region.clone(),
+            zone: zone.to_owned(),
+        };
+        Ok(Some(Plan {
+            who,
+            machines,
+            folder,
+            number,
+            seed,
+        }))
     }
 }
 
@@ -115,7 +127,9 @@
     pub fn begin(self, hub: &Rc<Hub>, last: Option<Last>) {
         let seen = Rc::new(RefCell::new(Seen::default()));
         let subscriber = match last {
-            Some((version, state)) => Subscriber::with(Duration::ZERO, self.who.clone(), version, state),
+            Some((version, state)) => {
+                Subscriber::with(Duration::ZERO, self.who.clone(), version, state)
+            }
             None => Subscriber::new(Duration::ZERO, self.who.clone()),
         };
         {
@@ -123,14 +137,15 @@
             (seen.version, seen.digest) = (subscriber.version(), subscriber.state().digest());
         }
         let (told, since) = (seen.clone(), Instant::now());
-        hub.control.replace(Some(Box::new(move || line(&told.borrow(), since))));
+        hub.control
+            .replace(Some(Box::new(move || line(&told.borrow(), since))));
         let (taker, number) = (hub.clone(), self.number);
         let take = move |subscriber: &Subscriber| -> Result<(), String> {
             if let Some(Pending::Delta(delta)) = subscriber.pending() {
                 // At the cost of what it says. A first one, from nothing, is a whole.
                 if subscriber.version() > 0 {
-                    let changes =
-                        changes(subscriber.state(), delta, number).map_err(|why| why.to_string())?;
+                    let changes = changes(subscriber.state(), delta, number)
+                        .map_err(|why| why.to_string())?;
                     match taker.apply(&changes) {
                         Ok(_) => return Ok(()),
                         Err(why) => {
@@ -147,7 +162,10 @@
         let busy = Rc::new(Cell::new(false));
         let look = move |subscriber: &Subscriber, lost: bool| {
             let Some(folder) = &folder else { return };
-            let (version, early) = (subscriber.version(), at.is_some_and(|at| at.elapsed() < KEEP));
+            let (version, early) = (
+                subscriber.version(),
+                at.is_some_and(|at| at.elapsed() < KEEP),
+            );
             if version == kept || early && !lost || busy.get() {
                 return;
             }
@@ -230,7 +248,9 @@
         News::Version(Event::Differs { version, why }) => {
             tracing::error!(event = "version_differs", version, why = %why, holds);
         }
-        News::Version(Event::Gap { holds, from }) => tracing::warn!(event = "version_gap", from, holds),
+        News::Version(Event::Gap { holds, from }) => {
+            tracing::warn!(event = "version_gap", from, holds)
+        }
         News::Version(Event::Unreadable) => tracing::warn!(event = "control_unreadable", holds),
     }
 }
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -130,9 +130,18 @@
 
 pub fn run(command: Command) -> io::Result<Code> {
     match command {
-        Command::Check { files, json, strict } => each(&files, |file| check(file, json, strict)),
+        Command::Check {
+            files,
+            json,
+            strict,
+        } => each(&files, |file| check(file, json, strict)),
         Command::Fmt { files, check } => each(&files, |file| write_form(file, check)),
-        Command::Build { file, text: _, binary, out } => build(&file, binary, out.as_deref()),
+        Command::Build {
+            file,
+            text: _,
+            binary,
+            out,
+        } => build(&file, binary, out.as_deref()),
         Command::Diff { old, new, json } => compare(&old, &new, json),
         Command::Explain(asked) => tell_way(&asked),
         Command::Why { code, all: _ } => why(code.as_deref()),
@@ -144,7 +153,9 @@
 
 /// Goes on after a bad file; the worst code counts.
 fn each(files: &[String], mut one: impl FnMut(&str) -> io::Result<Code>) -> io::Result<Code> {
-    files.iter().try_fold(Code::Good, |worst, file| Ok(worst.max(one(file)?)))
+    files
+        .iter()
+        .try_fold(Code::Good, |worst, file| Ok(worst.max(one(file)?)))
 }
 
 fn unreadable(path: &str, why: impl std::fmt::Display) -> Code {
@@ -156,11 +167,20 @@
     match read(file, json)? {
         Ok((_, sources, warnings)) => {
             if !json {
-                let plural = |n: usize, what: &str| format!("{n} {what}{}", if n == 1 { "" } else { "s" });
-                let all = format!("{}, {}", plural(sources.len(), "file"), plural(sources.lines(), "line"));
+                let plural =
+                    |n: usize, what: &str| format!("{n} {what}{}", if n == 1 { "" } else { "s" });
+                let all = format!(
+                    "{}, {}",
+                    plural(sources.len(), "file"),
+                    plural(sources.lines(), "line")
+                );
                 eprintln!("{file}: good: {all}, {}", plural(warnings, "warning"));
             }
-            Ok(if strict && warnings > 0 { Code::Found } else { Code::Good })
+            Ok(if strict && warnings > 0 {
+                Code::Found
+            } else {
+                Code::Good
+            })
         }
         Err(code) => Ok(code),
     }
@@ -173,13 +193,17 @@
 pub fn read(file: &str, json: bool) -> io::Result<Read> {
     let ending = Path::new(file).extension().and_then(|e| e.to_str());
     if file != "-" && ending != Some("rain") {
-        return Ok(read_compiled(file, ending == Some("pb")).map(|made| (made, Sources::default(), 0)));
+        return Ok(
+            read_compiled(file, ending == Some("pb")).map(|made| (made, Sources::default(), 0))
+        );
     }
     let outcome = load(&Disk, file);
     out::findings(&outcome.sources, &outcome.findings, json)?;
     let cannot_be_read = outcome.findings.iter().any(|finding| {
-        matches!(finding.code, Finds::Missing | Finds::Unreadable | Finds::TooLarge | Finds::NotUtf8)
-            && finding.at.file == FileId(0)
+        matches!(
+            finding.code,
+            Finds::Missing | Finds::Unreadable | Finds::TooLarge | Finds::NotUtf8
+        ) && finding.at.file == FileId(0)
             && finding.at.end == 0
     });
     if cannot_be_read {
@@ -188,9 +212,16 @@
     match outcome.configuration {
         Some(configuration) => Ok(Ok((configuration, outcome.sources, outcome.findings.len()))),
         None => {
-            let errors = outcome.findings.iter().filter(|finding| finding.is_error()).count();
+            let errors = outcome
+                .findings
+                .iter()
+                .filter(|finding| finding.is_error())
+                .count();
             if !json {
-                eprintln!("{file}: {errors} error{}", if errors == 1 { "" } else { "s" });
+                eprintln!(
+                    "{file}: {errors} error{}",
+                    if errors == 1 { "" } else { "s" }
+                );
             }
             Ok(Err(Code::Found))
         }
@@ -207,7 +238,11 @@
     };
     let made = made.and_then(|made| match Table::new(&made) {
         Ok(_) => Ok(made),
-        Err(refused) => Err(schema::Refused { line: 0, column: 0, why: refused.to_string() }),
+        Err(refused) => Err(schema::Refused {
+            line: 0,
+            column: 0,
+            why: refused.to_string(),
+        }),
     });
     made.map_err(|refused| {
         eprintln!("rainstand: {file}:{refused}");
@@ -256,7 +291,10 @@
 /// permissions stay.
 pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let path = std::fs::canonicalize(path).unwrap_or_else(|_| path.to_owned());
-    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let folder = path
+        .parent()
+        .filter(|folder| !folder.as_os_str().is_empty())
+        .unwrap_or(Path::new("."));
     let mut fresh = tempfile::NamedTempFile::new_in(folder)?;
     fresh.write_all(bytes)?;
     match std::fs::metadata(&path) {
@@ -264,7 +302,9 @@
         Err(_) => {
             // A new file is for whoever may read the folder, not for its writer alone.
             use std::os::unix::fs::PermissionsExt;
-            fresh.as_file().set_permissions(std::fs::Permissions::from_mode(0o644))?;
+            fresh
+                .as_file()
+                .set_permissions(std::fs::Permissions::from_mode(0o644))?;
         }
     }
     fresh.as_file().sync_all()?;
@@ -277,7 +317,11 @@
         Ok((made, ..)) => made,
         Err(code) => return Ok(code),
     };
-    let bytes = if binary { schema::to_binary(&made) } else { schema::to_text(&made).into_bytes() };
+    let bytes = if binary {
+        schema::to_binary(&made)
+    } else {
+        schema::to_text(&made).into_bytes()
+    };
     match to {
         None => out::bytes(&bytes),
         Some(path) => Ok(match replace(path, &bytes) {
@@ -297,7 +341,11 @@
     };
     let changes = diff(&old, &new);
     tell_changes(&changes, json)?;
-    Ok(if changes.is_empty() { Code::Good } else { Code::Found })
+    Ok(if changes.is_empty() {
+        Code::Good
+    } else {
+        Code::Found
+    })
 }
 
 /// What changed in meaning, a line each.
@@ -310,14 +358,26 @@
         out::json(&match change {
             Change::Added { what } => json!({"change": "added", "what": what}),
             Change::Removed { what } => json!({"change": "removed", "what": what}),
-            Change::Otherwise { what, key, before, after } => {
+            Change::Otherwise {
+                what,
+                key,
+                before,
+                after,
+            } => {
                 json!({"change": "otherwise", "what": what, "key": key, "before": before, "after": after})
             }
-            Change::Elsewhere { tickets, before, after, pools } => json!({
+            Change::Elsewhere {
+                tickets,
+                before,
+                after,
+                pools,
+            } => json!({
                 "change": "elsewhere", "tickets": tickets, "before": before, "after": after,
                 "pools_before": pools.0, "pools_after": pools.1,
             }),
-            Change::Order { before, after } => json!({"change": "order", "before": before, "after": after}),
+            Change::Order { before, after } => {
+                json!({"change": "order", "before": before, "after": after})
+            }
         })?;
     }
     Ok(())
@@ -333,35 +393,70 @@
         Err(refused) => return Ok(unreadable(&asked.file, refused)),
     };
     let unknown = |what: &str, name: &str, all: Vec<&str>| {
-        let known = if all.is_empty() { "none".to_owned() } else { all.join(", ") };
-        unreadable(&asked.file, format!("there is no {what} `{name}`; there are: {known}"))
+        let known = if all.is_empty() {
+            "none".to_owned()
+        } else {
+            all.join(", ")
+        };
+        unreadable(
+            &asked.file,
+            format!("there is no {what} `{name}`; there are: {known}"),
+        )
     };
     let Some(traffic) = table.traffic(&asked.traffic) else {
-        return Ok(unknown("type", &asked.traffic, made.types.iter().map(|one| &*one.name).collect()));
+        return Ok(unknown(
+            "type",
+            &asked.traffic,
+            made.types.iter().map(|one| &*one.name).collect(),
+        ));
     };
     let tenant = match &asked.tenant {
         None => None,
         Some(name) => match table.tenant(name) {
             Some(tenant) => Some(tenant),
-            None => return Ok(unknown("tenant", name, made.tenants.iter().map(|one| &*one.name).collect())),
+            None => {
+                return Ok(unknown(
+                    "tenant",
+                    name,
+                    made.tenants.iter().map(|one| &*one.name).collect(),
+                ))
+            }
         },
     };
     for name in &asked.pools_out {
         if table.pool(name).is_none() {
-            return Ok(unknown("pool", name, made.pools.iter().map(|one| &*one.name).collect()));
+            return Ok(unknown(
+                "pool",
+                name,
+                made.pools.iter().map(|one| &*one.name).collect(),
+            ));
         }
     }
-    let members = || made.pools.iter().flat_map(|pool| &pool.members).map(|member| &*member.name);
+    let members = || {
+        made.pools
+            .iter()
+            .flat_map(|pool| &pool.members)
+            .map(|member| &*member.name)
+    };
     for name in &asked.members_out {
         if !members().any(|known| known == name) {
             return Ok(unknown("member", name, members().collect()));
         }
     }
     let (entity, again, size) = (&*asked.entity, asked.again, asked.size);
-    let ticket = Ticket { traffic, tenant, entity, again, size, ..Ticket::default() };
+    let ticket = Ticket {
+        traffic,
+        tenant,
+        entity,
+        again,
+        size,
+        ..Ticket::default()
+    };
     let has = |list: &[String], name: &str| list.iter().any(|one| one == name);
     let pool_out = |name: &str| has(&asked.pools_out, name);
-    let told = explain(&table, &ticket, asked.seed, pool_out, |name| has(&asked.members_out, name));
+    let told = explain(&table, &ticket, asked.seed, pool_out, |name| {
+        has(&asked.members_out, name)
+    });
     let times = told.goes.as_ref().ok().and_then(|_| {
         let route = told.steps.len() as u16 - 1;
         let pick = table.times(route, traffic);
@@ -373,7 +468,13 @@
         way_in_words(&told)?;
         if let Some(times) = times {
             use rainstand_route::budget::Stage;
-            let stages = [Stage::Forward, Stage::Queue, Stage::Run, Stage::Call, Stage::Answer];
+            let stages = [
+                Stage::Forward,
+                Stage::Queue,
+                Stage::Run,
+                Stage::Call,
+                Stage::Answer,
+            ];
             let ends = stages.map(|stage| {
                 let left = times.left(stage, std::time::Duration::ZERO);
                 format!("{} by {left:?}", format!("{stage:?}").to_lowercase())
@@ -381,7 +482,11 @@
             out::line(&format!("  stages over: {}", ends.join(", ")))?;
         }
     }
-    Ok(if told.goes.is_ok() { Code::Good } else { Code::Found })
+    Ok(if told.goes.is_ok() {
+        Code::Good
+    } else {
+        Code::Found
+    })
 }
 
 fn by_words(by: By) -> String {
@@ -423,7 +528,11 @@
             &json!({"route": step.route, "takes": missed.is_none(), "missed": missed, "wants": step.wants}),
         )?;
     }
-    let limits: Vec<_> = told.limits.iter().map(|(at, name)| json!({"at": at, "limits": name})).collect();
+    let limits: Vec<_> = told
+        .limits
+        .iter()
+        .map(|(at, name)| json!({"at": at, "limits": name}))
+        .collect();
     out::json(&match &told.goes {
         Ok((pool, by)) => {
             json!({"goes": true, "pool": pool, "by": by_words(*by), "member": told.member, "limits": limits})
@@ -441,7 +550,10 @@
         return Ok(Code::Good);
     };
     let Some(code) = Finds::find(asked) else {
-        return Ok(unreadable(asked, "no such code; `rainstand config why --all` lists them"));
+        return Ok(unreadable(
+            asked,
+            "no such code; `rainstand config why --all` lists them",
+        ));
     };
     let mut text = format!("{}: {}\n\n{}\n", code.id(), code.title(), code.why());
     let (wrong, right) = code.examples();
@@ -450,8 +562,12 @@
             text.push_str(&format!("\n{name}:\n"));
             // In the form that people write.
             let formed = form(&format!("rain 1\n{lines}"));
-            let shown = formed.as_deref().map_or(lines, |formed| formed.trim_start_matches("rain 1\n"));
-            shown.lines().for_each(|line| text.push_str(&format!("    {line}\n")));
+            let shown = formed
+                .as_deref()
+                .map_or(lines, |formed| formed.trim_start_matches("rain 1\n"));
+            shown
+                .lines()
+                .for_each(|line| text.push_str(&format!("    {line}\n")));
         }
     }
     out::bytes(text.as_bytes())
--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -76,11 +76,18 @@
         Err(code) => return Ok(code),
     };
     let Some(group) = configuration.groups.into_iter().next() else {
-        return Ok(trouble(&options.config, "no `group` block names the control machines"));
+        return Ok(trouble(
+            &options.config,
+            "no `group` block names the control machines",
+        ));
     };
-    let lines = tracing_subscriber::fmt().with_writer(io::stderr).log_internal_errors(false);
+    let lines = tracing_subscriber::fmt()
+        .with_writer(io::stderr)
+        .log_internal_errors(false);
     lines.with_target(false).with_ansi(false).init();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, async {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let mut hup = signal(SignalKind::hangup())?;
@@ -138,13 +145,21 @@
 /// What the attached processes do, for people.
 fn event(event: &Event) {
     match event {
-        Event::Attached { name, version } => tracing::info!(event = "control_attached", name, version),
+        Event::Attached { name, version } => {
+            tracing::info!(event = "control_attached", name, version)
+        }
         Event::Gone { name } => tracing::info!(event = "control_gone", name),
         Event::TurnedAway { name } => tracing::info!(event = "control_turned_away", name),
-        Event::Refused { name, version, reason } => {
+        Event::Refused {
+            name,
+            version,
+            reason,
+        } => {
             tracing::warn!(event = "control_refused", name, version, reason);
         }
-        Event::Differs { name, version } => tracing::error!(event = "control_differs", name, version),
+        Event::Differs { name, version } => {
+            tracing::error!(event = "control_differs", name, version)
+        }
         Event::Ahead { name, version } => tracing::warn!(event = "control_ahead", name, version),
         Event::Unreadable { link } => tracing::warn!(event = "control_unreadable", link),
     }
@@ -189,7 +204,10 @@
         return outcome(&json!({ "conflict": why }), asks.json);
     }
     let before = state.configuration().map_err(io::Error::other)?;
-    let before = Configuration { version: VERSION, ..before };
+    let before = Configuration {
+        version: VERSION,
+        ..before
+    };
     let changes = diff(&before, &configuration);
     tell_changes(&changes, asks.json)?;
     let publish = match Publish::of(&state, from, &configuration) {
@@ -203,7 +221,8 @@
         return outcome(&json!({ "would": from + 1 }), asks.json);
     }
     let answer = exchange(asks.at, &status::ask_publish(&publish));
-    let answer = answer.and_then(|answer| serde_json::from_slice(&answer).map_err(io::Error::other));
+    let answer =
+        answer.and_then(|answer| serde_json::from_slice(&answer).map_err(io::Error::other));
     match answer {
         Ok(answer) => outcome(&answer, asks.json),
         // It was sent: whether it was heard is not known.
@@ -236,7 +255,10 @@
     } else if let Some(why) = text("refused") {
         eprintln!("rainstand: refused: {why}");
     } else {
-        eprintln!("rainstand: not known whether it is committed: {}", text("unknown").unwrap_or_default());
+        eprintln!(
+            "rainstand: not known whether it is committed: {}",
+            text("unknown").unwrap_or_default()
+        );
     }
     Ok(code)
 }
@@ -258,7 +280,10 @@
         Ok(first) => first,
         Err(why) => return Ok(trouble(&asks.at.to_string(), why)),
     };
-    let mut machines = vec![(first["name"].as_str().unwrap_or("").to_owned(), Ok(first.clone()))];
+    let mut machines = vec![(
+        first["name"].as_str().unwrap_or("").to_owned(),
+        Ok(first.clone()),
+    )];
     for member in first["members"].as_array().into_iter().flatten() {
         let name = member["name"].as_str().unwrap_or("");
         if let Some(at) = member["address"].as_str().and_then(|at| at.parse().ok()) {
@@ -267,7 +292,10 @@
             }
         }
     }
-    let newest = machines.iter().filter_map(|(_, told)| told.as_ref().ok()?["version"].as_u64()).max();
+    let newest = machines
+        .iter()
+        .filter_map(|(_, told)| told.as_ref().ok()?["version"].as_u64())
+        .max();
     let newest = newest.unwrap_or(0);
     let rows = over_all(&machines, newest, asks.last);
     let refusals: Vec<&Value> = machines
@@ -287,8 +315,10 @@
                 "current": told["current"], "attached": told["attached"]}),
             Err(why) => json!({"name": name, "error": why}),
         });
-        json_line(&json!({"version": newest, "versions": rows.collect::<Vec<_>>(),
-            "machines": machines.collect::<Vec<_>>(), "refusals": refusals}))?;
+        json_line(
+            &json!({"version": newest, "versions": rows.collect::<Vec<_>>(),
+            "machines": machines.collect::<Vec<_>>(), "refusals": refusals}),
+        )?;
     } else {
         print(&machines, &rows, &refusals)?;
     }
@@ -296,16 +326,31 @@
 }
 
 /// The newest first.
-fn over_all(machines: &[(String, Result<Value, String>)], newest: u64, last: usize) -> Vec<(u64, Row)> {
+fn over_all(
+    machines: &[(String, Result<Value, String>)],
+    newest: u64,
+    last: usize,
+) -> Vec<(u64, Row)> {
     let first = newest.saturating_sub(last as u64) + 1;
-    let mut rows: Vec<(u64, Row)> = (first..=newest).rev().map(|version| (version, Row::default())).collect();
+    let mut rows: Vec<(u64, Row)> = (first..=newest)
+        .rev()
+        .map(|version| (version, Row::default()))
+        .collect();
     for told in machines.iter().filter_map(|(_, told)| told.as_ref().ok()) {
         let there = told["version"].as_u64().unwrap_or(0);
         for (version, row) in &mut rows {
             let all = told["versions"].as_array();
-            let Some(one) = all.into_iter().flatten().find(|one| one["version"] == *version) else {
+            let Some(one) = all
+                .into_iter()
+                .flatten()
+                .find(|one| one["version"] == *version)
+            else {
                 // A machine that does not have it yet: all that are attached to it are behind.
-                row.behind += if there < *version { told["attached"].as_u64().unwrap_or(0) } else { 0 };
+                row.behind += if there < *version {
+                    told["attached"].as_u64().unwrap_or(0)
+                } else {
+                    0
+                };
                 continue;
             };
             let number = |key: &str| one[key].as_u64().unwrap_or(0);
@@ -314,11 +359,16 @@
             row.confirmed += number("confirmed");
             row.refused += number("refused");
             row.behind += number("behind");
-            if let (Some(holds), Some(name)) =
-                (one["slowest"]["version"].as_u64(), one["slowest"]["name"].as_str())
-            {
+            if let (Some(holds), Some(name)) = (
+                one["slowest"]["version"].as_u64(),
+                one["slowest"]["name"].as_str(),
+            ) {
                 let slower = (holds, name.to_owned());
-                row.slowest = Some(row.slowest.take().map_or(slower.clone(), |known| known.min(slower)));
+                row.slowest = Some(
+                    row.slowest
+                        .take()
+                        .map_or(slower.clone(), |known| known.min(slower)),
+                );
             }
         }
     }
@@ -337,21 +387,31 @@
                 "{name}: version {}, {} attached{}",
                 told["version"],
                 told["attached"],
-                if told["current"] == true { "" } else { ", out of touch with the others" }
+                if told["current"] == true {
+                    ""
+                } else {
+                    ", out of touch with the others"
+                }
             ),
             Err(why) => format!("{name}: {why}"),
         })?;
     }
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis();
     let now = u64::try_from(now).unwrap_or(u64::MAX);
     line(&format!(
         "{:>8}  {:>10}  {:>6}  {:>9}  {:>7}  {:>6}  slowest",
         "version", "ago", "things", "confirmed", "refused", "behind"
     ))?;
     for (version, row) in rows {
-        let ago = row.at_ms.map_or("-".to_owned(), |at| format!("{} s", now.saturating_sub(at) / 1_000));
-        let slowest =
-            row.slowest.as_ref().map_or(String::new(), |(holds, name)| format!("{name}, holds {holds}"));
+        let ago = row.at_ms.map_or("-".to_owned(), |at| {
+            format!("{} s", now.saturating_sub(at) / 1_000)
+        });
+        let slowest = row.slowest.as_ref().map_or(String::new(), |(holds, name)| {
+            format!("{name}, holds {holds}")
+        });
         let shown = format!(
             "{version:>8}  {ago:>10}  {:>6}  {:>9}  {:>7}  {:>6}  {slowest}",
             row.things, row.confirmed, row.refused, row.behind
--- a/crates/cli/src/export.rs
+++ b/crates/cli/src/export.rs
@@ -51,26 +51,46 @@
     pub fn create(path: &Path) -> Result<Self, String> {
         let words = |e: &dyn std::fmt::Display| e.to_string();
         let schema = parse_message_type(SCHEMA).map_err(|e| words(&e))?;
-        let properties = WriterProperties::builder().set_compression(Compression::SNAPPY).build();
+        let properties = WriterProperties::builder()
+            .set_compression(Compression::SNAPPY)
+            .build();
         let file = File::create(path).map_err(|e| words(&e))?;
         let writer = SerializedFileWriter::new(file, Arc::new(schema), Arc::new(properties));
-        Ok(Self { writer: writer.map_err(|e| words(&e))?, columns: Columns::default(), rows: 0 })
+        Ok(Self {
+            writer: writer.map_err(|e| words(&e))?,
+            columns: Columns::default(),
+            rows: 0,
+        })
     }
 
     pub fn ticket(&mut self, ticket: &Ticket) -> Result<(), String> {
         let call = &ticket.call;
-        let Columns { numbers, longs, texts, options } = &mut self.columns;
+        let Columns {
+            numbers,
+            longs,
+            texts,
+            options,
+        } = &mut self.columns;
         let again = i32::from(call.field("redo") == "1");
-        for (column, value) in
-            numbers.iter_mut().zip([call.connection as i32, call.seq, again, call.body_length as i32])
-        {
+        for (column, value) in numbers.iter_mut().zip([
+            call.connection as i32,
+            call.seq,
+            again,
+            call.body_length as i32,
+        ]) {
             column.push(value);
         }
-        for (column, value) in longs.iter_mut().zip([(call.at / 1_000) as i64, call.body_hash as i64]) {
+        for (column, value) in longs
+            .iter_mut()
+            .zip([(call.at / 1_000) as i64, call.body_hash as i64])
+        {
             column.push(value);
         }
         let fields = ["trace", "route", "customer", "entity", "client"].map(|key| call.field(key));
-        for (column, value) in texts.iter_mut().zip(fields.into_iter().chain([ticket.outcome.word()])) {
+        for (column, value) in texts
+            .iter_mut()
+            .zip(fields.into_iter().chain([ticket.outcome.word()]))
+        {
             column.push(ByteArray::from(value));
         }
         let since = |then: u64| (then.saturating_sub(call.at) / 1_000) as i64;
@@ -82,7 +102,12 @@
             }
             _ => (None, None),
         };
-        let values = [ticket.answered.map(since), ticket.left.map(since), hash, pause];
+        let values = [
+            ticket.answered.map(since),
+            ticket.left.map(since),
+            hash,
+            pause,
+        ];
         for (column, value) in options.iter_mut().zip(values) {
             column.push(value);
         }
@@ -95,7 +120,12 @@
 
     /// Writes the rows that are held as one group.
     fn group(&mut self) -> Result<(), String> {
-        let Columns { numbers, longs, texts, options } = std::mem::take(&mut self.columns);
+        let Columns {
+            numbers,
+            longs,
+            texts,
+            options,
+        } = std::mem::take(&mut self.columns);
         let [connection, seq, again, length] = numbers;
         let [at, body_hash] = longs;
         let [trace, traffic, tenant, entity, client, end] = texts;
@@ -121,7 +151,10 @@
             column!(Int64Type, &body_hash, None);
             column!(ByteArrayType, &end, None);
             for values in [&took, &left, &answer_hash, &pause] {
-                let there: Vec<i16> = values.iter().map(|value| i16::from(value.is_some())).collect();
+                let there: Vec<i16> = values
+                    .iter()
+                    .map(|value| i16::from(value.is_some()))
+                    .collect();
                 let values: Vec<i64> = values.iter().flatten().copied().collect();
                 column!(Int64Type, &values, Some(&there[..]));
             }
--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -62,23 +62,27 @@
 fn read_apart(path: &str, number: usize) -> io::Result<oneshot::Receiver<Read>> {
     let (done, told) = oneshot::channel();
     let path = path.to_owned();
-    std::thread::Builder::new().name("read".into()).spawn(move || {
-        let made = read(&path, false).map(|made| {
-            made.map(|(mut configuration, ..)| {
-                reduce(&mut configuration, number);
-                schema::to_binary(&configuration)
-            })
-        });
-        // Nobody waits for it if the program leaves.
-        let _ = done.send(made);
-    })?;
+    std::thread::Builder::new()
+        .name("read".into())
+        .spawn(move || {
+            let made = read(&path, false).map(|made| {
+                made.map(|(mut configuration, ..)| {
+                    reduce(&mut configuration, number);
+                    schema::to_binary(&configuration)
+                })
+            });
+            // Nobody waits for it if the program leaves.
+            let _ = done.send(made);
+        })?;
     Ok(told)
 }
 
 /// # Errors
 /// Findings went to standard error; what else there is to say is told.
 fn made(read: Result<Read, RecvError>) -> Result<Configuration, String> {
-    let bytes = read.map_err(|_| "reading it broke off".to_owned())?.map_err(|e| e.to_string())?;
+    let bytes = read
+        .map_err(|_| "reading it broke off".to_owned())?
+        .map_err(|e| e.to_string())?;
     let bytes = bytes.map_err(|_| "the configuration has errors".to_owned())?;
     schema::from_own_binary(&bytes).map_err(|e| e.to_string())
 }
@@ -93,13 +97,18 @@
         Err(why) => return Ok(trouble(&options.config, why)),
     };
     // Who reads our lines may go away: that is no reason to end, nor to complain where nobody reads.
-    let lines = tracing_subscriber::fmt().with_writer(io::stderr).log_internal_errors(false);
+    let lines = tracing_subscriber::fmt()
+        .with_writer(io::stderr)
+        .log_internal_errors(false);
     lines.with_target(false).with_ansi(false).init();
     // The standard library's maps are keyed by what the system draws.
     let drawn = || RandomState::new().build_hasher().finish();
     let seed = options.seed.unwrap_or_else(drawn);
     let block = configuration.controls.first();
-    let plan = match options.attach.plan(block, &options.zone, options.number, seed) {
+    let plan = match options
+        .attach
+        .plan(block, &options.zone, options.number, seed)
+    {
         Ok(plan) => plan,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
@@ -113,7 +122,9 @@
         Ok(hub) => hub,
         Err(why) => return Ok(trouble(&options.config, why)),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, async {
         let listener = match TcpListener::bind(options.listen).await {
             Ok(listener) => listener,
@@ -128,8 +139,14 @@
                 Err(error) => return Ok(trouble(&admin.to_string(), error)),
             }
         }
-        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-        let (mut hup, mut usr1) = (signal(SignalKind::hangup())?, signal(SignalKind::user_defined1())?);
+        let (mut term, mut int) = (
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+        );
+        let (mut hup, mut usr1) = (
+            signal(SignalKind::hangup())?,
+            signal(SignalKind::user_defined1())?,
+        );
         tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
         let attached = plan.is_some();
         if let Some(plan) = plan {
@@ -140,11 +157,16 @@
             while hup.recv().await.is_some() {
                 // A bad one changes nothing.
                 if attached {
-                    tracing::warn!(event = "version_refused", why = "control machines tell the versions");
+                    tracing::warn!(
+                        event = "version_refused",
+                        why = "control machines tell the versions"
+                    );
                     continue;
                 }
                 let taken = match read_apart(&path, number) {
-                    Ok(read) => made(read.await).and_then(|configuration| again.replace(configuration)),
+                    Ok(read) => {
+                        made(read.await).and_then(|configuration| again.replace(configuration))
+                    }
                     Err(error) => Err(error.to_string()),
                 };
                 match taken {
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -119,45 +119,99 @@
 
 pub fn run(command: Command) -> io::Result<Code> {
     match command {
-        Command::Run { file, experiment, seeds, jobs, out, json } => {
+        Command::Run {
+            file,
+            experiment,
+            seeds,
+            jobs,
+            out,
+            json,
+        } => {
             let (configuration, at) = match chosen(&file, experiment.as_deref())? {
                 Ok(found) => found,
                 Err(code) => return Ok(code),
             };
-            let asked = Asked { seeds, jobs, out, json };
+            let asked = Asked {
+                seeds,
+                jobs,
+                out,
+                json,
+            };
             play(&file, &configuration, &configuration.experiments[at], asked)
         }
-        Command::Compare { folder, other, before, after, level, json } => {
+        Command::Compare {
+            folder,
+            other,
+            before,
+            after,
+            level,
+            json,
+        } => {
             let other = other.unwrap_or_else(|| folder.clone());
             contrast((&folder, &other), (before, after), level / 100.0, json)
         }
         Command::Plot { folder } => draw(&folder),
-        Command::Load { file, experiment, variant, to, seed, json } => {
+        Command::Load {
+            file,
+            experiment,
+            variant,
+            to,
+            seed,
+            json,
+        } => {
             let (configuration, at) = match chosen(&file, experiment.as_deref())? {
                 Ok(found) => found,
                 Err(code) => return Ok(code),
             };
-            match one_of(&file, &configuration, &configuration.experiments[at], variant, seed) {
+            match one_of(
+                &file,
+                &configuration,
+                &configuration.experiments[at],
+                variant,
+                seed,
+            ) {
                 Ok(plan) => crate::load::load(&file, &plan, to, json),
                 Err(code) => Ok(code),
             }
         }
-        Command::StandIns { file, experiment, variant, port } => {
+        Command::StandIns {
+            file,
+            experiment,
+            variant,
+            port,
+        } => {
             let (configuration, at) = match chosen(&file, experiment.as_deref())? {
                 Ok(found) => found,
                 Err(code) => return Ok(code),
             };
-            match one_of(&file, &configuration, &configuration.experiments[at], variant, 1) {
+            match one_of(
+                &file,
+                &configuration,
+                &configuration.experiments[at],
+                variant,
+                1,
+            ) {
                 Ok(plan) => crate::load::stand_ins(&file, &plan, port),
                 Err(code) => Ok(code),
             }
         }
-        Command::Shrink { file, experiment, variant, seed } => {
+        Command::Shrink {
+            file,
+            experiment,
+            variant,
+            seed,
+        } => {
             let (configuration, at) = match chosen(&file, experiment.as_deref())? {
                 Ok(found) => found,
                 Err(code) => return Ok(code),
             };
-            smallest(&file, &configuration, &configuration.experiments[at], variant, seed)
+            smallest(
+                &file,
+                &configuration,
+                &configuration.experiments[at],
+                variant,
+                seed,
+            )
         }
     }
 }
@@ -168,7 +222,11 @@
         Ok((configuration, ..)) => configuration,
         Err(code) => return Ok(Err(code)),
     };
-    let all: Vec<&str> = configuration.experiments.iter().map(|one| &*one.name).collect();
+    let all: Vec<&str> = configuration
+        .experiments
+        .iter()
+        .map(|one| &*one.name)
+        .collect();
     let at = match name {
         Some(name) => all.iter().position(|one| *one == name),
         None if all.len() == 1 => Some(0),
@@ -177,7 +235,10 @@
     let Some(at) = at else {
         let why = match (name, all.is_empty()) {
             (_, true) => "there is no experiment in it".to_owned(),
-            (Some(name), _) => format!("there is no experiment `{name}`; there are {}", all.join(", ")),
+            (Some(name), _) => format!(
+                "there is no experiment `{name}`; there are {}",
+                all.join(", ")
+            ),
             (None, _) => format!("say which with --experiment: {}", all.join(", ")),
         };
         return Ok(Err(trouble(file, why)));
@@ -202,17 +263,31 @@
         Ok(all) => all,
         Err(why) => return Ok(trouble(file, why)),
     };
-    let folder = asked.out.unwrap_or_else(|| Path::new("lab-out").join(&experiment.name));
+    let folder = asked
+        .out
+        .unwrap_or_else(|| Path::new("lab-out").join(&experiment.name));
     std::fs::create_dir_all(&folder)?;
-    std::fs::write(folder.join(COMPILED), schema::to_text(&alone(configuration, experiment)))?;
-    let threads = asked.jobs.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, |n| n.get()));
+    std::fs::write(
+        folder.join(COMPILED),
+        schema::to_text(&alone(configuration, experiment)),
+    )?;
+    let threads = asked
+        .jobs
+        .unwrap_or_else(|| std::thread::available_parallelism().map_or(1, |n| n.get()));
     let seeds = asked.seeds.unwrap_or(experiment.seeds);
     let of = mark(configuration, experiment);
-    let work = Work { experiment: &experiment.name, of, variants: &all, seeds, threads };
+    let work = Work {
+        experiment: &experiment.name,
+        of,
+        variants: &all,
+        seeds,
+        threads,
+    };
     let stop = Arc::new(AtomicBool::new(false));
     stop_at_interrupt(&stop)?;
     let bar = ProgressBar::new(seeds * all.len() as u64);
-    if let Ok(style) = ProgressStyle::with_template("{wide_bar} {pos}/{len} runs, {eta} left {msg}") {
+    if let Ok(style) = ProgressStyle::with_template("{wide_bar} {pos}/{len} runs, {eta} left {msg}")
+    {
         bar.set_style(style);
     }
     let found = jobs::play(&work, &folder, &stop, |rows| {
@@ -227,7 +302,10 @@
         Err(why) => return Ok(trouble(&folder.display().to_string(), why)),
     };
     for failed in &played.failed {
-        eprintln!("{}: seed {} failed: {}", failed.variant, failed.seed, failed.why);
+        eprintln!(
+            "{}: seed {} failed: {}",
+            failed.variant, failed.seed, failed.why
+        );
     }
     if let Err(why) = results::write(&folder, &mut played.rows) {
         return Ok(trouble(&folder.display().to_string(), why));
@@ -240,7 +318,11 @@
     if played.left > 0 {
         eprintln!("stopped with {} runs left; ask again to go on", played.left);
     }
-    let broken: Vec<_> = read.runs.iter().filter(|run| !run.broken.is_empty()).collect();
+    let broken: Vec<_> = read
+        .runs
+        .iter()
+        .filter(|run| !run.broken.is_empty())
+        .collect();
     for run in &broken {
         eprintln!("{}, seed {}: {}", run.variant, run.seed, run.broken);
     }
@@ -251,12 +333,16 @@
 /// A first interrupt ends the play after the runs that are under way; a second one ends the program.
 fn stop_at_interrupt(stop: &Arc<AtomicBool>) -> io::Result<()> {
     let stop = stop.clone();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     std::thread::spawn(move || {
         runtime.block_on(async {
             if tokio::signal::ctrl_c().await.is_ok() {
                 stop.store(true, Ordering::Relaxed);
-                eprintln!("stopping when the runs under way have ended; interrupt again to end at once");
+                eprintln!(
+                    "stopping when the runs under way have ended; interrupt again to end at once"
+                );
             }
             if tokio::signal::ctrl_c().await.is_ok() {
                 std::process::exit(130);
@@ -271,7 +357,11 @@
         return all.runs.iter().try_for_each(json);
     }
     let variants = all.variants();
-    let wide = variants.iter().map(|(_, label)| label.len()).max().unwrap_or(0);
+    let wide = variants
+        .iter()
+        .map(|(_, label)| label.len())
+        .max()
+        .unwrap_or(0);
     let names = MEASURES.map(|(name, ..)| format!("{name:>20}")).concat();
     line(&format!("{:<wide$}{names}", ""))?;
     for (number, label) in variants {
@@ -315,10 +405,15 @@
             None => variants.into_iter().next(),
         }
     };
-    let (Some((a, first)), Some((b, second))) =
-        (pick(&read[0], &before, false), pick(&read[1], &after, folder == other))
-    else {
-        let labels: Vec<String> = read[0].variants().into_iter().map(|(_, label)| label).collect();
+    let (Some((a, first)), Some((b, second))) = (
+        pick(&read[0], &before, false),
+        pick(&read[1], &after, folder == other),
+    ) else {
+        let labels: Vec<String> = read[0]
+            .variants()
+            .into_iter()
+            .map(|(_, label)| label)
+            .collect();
         return Ok(trouble(
             "--before or --after",
             format!("no such variant; there are: {}", labels.join("; ")),
@@ -343,7 +438,13 @@
         level * 100.0
     ))?;
     for one in &found {
-        let stats::Compared { measure, before, after, change, verdict } = one;
+        let stats::Compared {
+            measure,
+            before,
+            after,
+            change,
+            verdict,
+        } = one;
         let word = verdict.word();
         line(&format!(
             "{measure:<12} {before:>12.4} -> {after:>12.4}   {:>+11.4} ± {:<10.4} {word}",
@@ -360,7 +461,8 @@
         Err(why) => return Ok(trouble(&name, why)),
     };
     let compiled = std::fs::read_to_string(folder.join(COMPILED)).unwrap_or_default();
-    let drawn = plot::pictures(&all).and_then(|pictures| Ok((pictures, plot::page(&all, &compiled)?)));
+    let drawn =
+        plot::pictures(&all).and_then(|pictures| Ok((pictures, plot::page(&all, &compiled)?)));
     let (pictures, page) = match drawn {
         Ok(drawn) => drawn,
         Err(why) => return Ok(trouble(&name, why)),
@@ -384,10 +486,19 @@
 ) -> Result<Plan, Code> {
     let all = variants(configuration, experiment).map_err(|why| trouble(file, why))?;
     let labels: Vec<String> = all.iter().map(|one| one.label.clone()).collect();
-    let found = all.into_iter().find(|one| label.as_ref().is_none_or(|label| *label == one.label));
-    let variant =
-        found.ok_or_else(|| trouble(file, format!("no such variant; there are: {}", labels.join("; "))))?;
-    Ok(Plan { seed, ..variant.plan })
+    let found = all
+        .into_iter()
+        .find(|one| label.as_ref().is_none_or(|label| *label == one.label));
+    let variant = found.ok_or_else(|| {
+        trouble(
+            file,
+            format!("no such variant; there are: {}", labels.join("; ")),
+        )
+    })?;
+    Ok(Plan {
+        seed,
+        ..variant.plan
+    })
 }
 
 fn smallest(
@@ -408,7 +519,10 @@
         }
         Some(shrunk) => {
             line(&shrunk.broken.to_string())?;
-            line(&format!("the smallest of {} runs that breaks it:\n{:#?}", shrunk.runs, shrunk.plan))?;
+            line(&format!(
+                "the smallest of {} runs that breaks it:\n{:#?}",
+                shrunk.runs, shrunk.plan
+            ))?;
             Ok(Code::Found)
         }
     }
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -84,7 +84,9 @@
     for one in &plan.types {
         let after = match one.work {
             Work::Fixed(span) => format!("{}us", span.as_micros()),
-            Work::Between(least, most) => format!("{}us..{}us", least.as_micros(), most.as_micros()),
+            Work::Between(least, most) => {
+                format!("{}us..{}us", least.as_micros(), most.as_micros())
+            }
             Work::About(mean) => format!("about {}us", mean.as_micros()),
         };
         let _ = writeln!(usual, "route {} honour after {after}", one.name);
@@ -97,17 +99,30 @@
             let _ = writeln!(all[place as usize], "from {from}ms to {to}ms {does}");
         }
     }
-    all.iter().map(|text| Script::read(text).map_err(|flaw| flaw.to_string())).collect()
+    all.iter()
+        .map(|text| Script::read(text).map_err(|flaw| flaw.to_string()))
+        .collect()
 }
 
 /// Nodes and forwarders of a plan on loopback; where to ask.
 fn start(plan: &Plan) -> Result<(Vec<Node>, Vec<SocketAddr>), String> {
     if plan.nodes.count > MOST_NODES {
-        return Err(format!("{} nodes; at most {MOST_NODES} are started here", plan.nodes.count));
+        return Err(format!(
+            "{} nodes; at most {MOST_NODES} are started here",
+            plan.nodes.count
+        ));
     }
-    let made =
-        |(k, script): (usize, Script)| Make { script, seed: k as u64, forget_runs: true, ..Make::default() };
-    let nodes: Vec<Node> = scripts(plan)?.into_iter().enumerate().map(|one| made(one).start()).collect();
+    let made = |(k, script): (usize, Script)| Make {
+        script,
+        seed: k as u64,
+        forget_runs: true,
+        ..Make::default()
+    };
+    let nodes: Vec<Node> = scripts(plan)?
+        .into_iter()
+        .enumerate()
+        .map(|one| made(one).start())
+        .collect();
     let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.addr).collect();
     if plan.fronts.count == 0 {
         return Ok((nodes, addresses));
@@ -115,12 +130,19 @@
     let mut doors = Vec::new();
     for me in 0..plan.fronts.count {
         let know = plan.fronts.know as usize;
-        let members: Vec<u32> =
-            in_rounds(nodes.len(), know, me as usize, plan.seed).into_iter().map(|k| k as u32).collect();
-        let made = configuration(plan, &members, |place| addresses[place as usize].to_string());
+        let members: Vec<u32> = in_rounds(nodes.len(), know, me as usize, plan.seed)
+            .into_iter()
+            .map(|k| k as u32)
+            .collect();
+        let made = configuration(plan, &members, |place| {
+            addresses[place as usize].to_string()
+        });
         let (told, heard) = channel();
         std::thread::spawn(move || {
-            let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+            let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+            else {
                 return;
             };
             LocalSet::new().block_on(&runtime, async move {
@@ -128,11 +150,19 @@
                 let listener = TcpListener::bind("127.0.0.1:0").await;
                 if let (Ok(hub), Ok(listener)) = (hub, listener) {
                     let _ = told.send(listener.local_addr());
-                    serve(hub, listener, Duration::from_secs(1), std::future::pending()).await;
+                    serve(
+                        hub,
+                        listener,
+                        Duration::from_secs(1),
+                        std::future::pending(),
+                    )
+                    .await;
                 }
             });
         });
-        let address = heard.recv().map_err(|_| "a forwarder that does not start".to_owned())?;
+        let address = heard
+            .recv()
+            .map_err(|_| "a forwarder that does not start".to_owned())?;
         doors.push(address.map_err(|e| e.to_string())?);
     }
     Ok((nodes, doors))
@@ -144,7 +174,10 @@
     if plan.nodes.count > MOST_NODES {
         return Ok(trouble(
             file,
-            format!("{} nodes; at most {MOST_NODES} are started here", plan.nodes.count),
+            format!(
+                "{} nodes; at most {MOST_NODES} are started here",
+                plan.nodes.count
+            ),
         ));
     }
     let scripts = match scripts(plan) {
@@ -153,19 +186,33 @@
     };
     let mut all = Vec::new();
     for (k, script) in scripts.into_iter().enumerate() {
-        let wanted = if port == 0 { Some(0) } else { port.checked_add(k as u16) };
-        let Some(wanted) = wanted else { return Ok(trouble("--port", "the last ports lie past 65535")) };
+        let wanted = if port == 0 {
+            Some(0)
+        } else {
+            port.checked_add(k as u16)
+        };
+        let Some(wanted) = wanted else {
+            return Ok(trouble("--port", "the last ports lie past 65535"));
+        };
         let at = SocketAddr::from(([127, 0, 0, 1], wanted));
         // Told in words here; a stand-in that cannot have its address ends in a panic.
         if let Err(error) = std::net::TcpListener::bind(at) {
             return Ok(trouble(&at.to_string(), error));
         }
-        let node =
-            Make { script, seed: k as u64, at: Some(at), forget_runs: true, ..Make::default() }.start();
+        let node = Make {
+            script,
+            seed: k as u64,
+            at: Some(at),
+            forget_runs: true,
+            ..Make::default()
+        }
+        .start();
         line(&node.addr.to_string())?;
         all.push(node);
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
         tokio::select! {
@@ -187,8 +234,14 @@
             Err(why) => return Ok(trouble(file, why)),
         },
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let histogram = || Histogram::new(3).map(RefCell::new).map_err(io::Error::other);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let histogram = || {
+        Histogram::new(3)
+            .map(RefCell::new)
+            .map_err(io::Error::other)
+    };
     let lanes = Rc::new(Lanes {
         to: doors,
         open: RefCell::default(),
@@ -204,7 +257,12 @@
     let ms = |of: &Histogram<u64>, quantile| of.value_at_quantile(quantile) as f64 / 1e3;
     let mut rows = vec![(
         "sockets".to_owned(),
-        [share(ends.in_time), share(ends.honoured), share(ends.dismissed), share(ends.given_up)],
+        [
+            share(ends.in_time),
+            share(ends.honoured),
+            share(ends.dismissed),
+            share(ends.given_up),
+        ],
         [0.5, 0.9, 0.99, 0.999].map(|quantile| ms(&times, quantile)),
     )];
     if to.is_none() {
@@ -218,8 +276,15 @@
             };
             let jobs = found.jobs();
             let share = |part: u64| part as f64 / jobs.asked.max(1) as f64 / SEEDS as f64;
-            let parts = [jobs.good, jobs.good + jobs.late, jobs.dismissed, jobs.given_up].map(share);
-            let times = [0.5, 0.9, 0.99, 0.999].map(|quantile| found.time_ms(quantile) / SEEDS as f64);
+            let parts = [
+                jobs.good,
+                jobs.good + jobs.late,
+                jobs.dismissed,
+                jobs.given_up,
+            ]
+            .map(share);
+            let times =
+                [0.5, 0.9, 0.99, 0.999].map(|quantile| found.time_ms(quantile) / SEEDS as f64);
             (0..4).for_each(|k| (sum.0[k], sum.1[k]) = (sum.0[k] + parts[k], sum.1[k] + times[k]));
         }
         rows.push(("model".to_owned(), sum.0, sum.1));
@@ -234,7 +299,9 @@
         }
         return Ok(Code::Good);
     }
-    line("          in time  honoured  dismissed  given up       p50       p90       p99      p999")?;
+    line(
+        "          in time  honoured  dismissed  given up       p50       p90       p99      p999",
+    )?;
     for (name, shares, times) in &rows {
         let shares = shares.map(|share| format!("{share:9.4}")).join(" ");
         let times = times.map(|ms| format!("{ms:7.1} ms")).join("");
@@ -269,9 +336,18 @@
     let tenants: Vec<f64> = plan.tenants.iter().map(|one| one.part).collect();
     let (start, mut at, mut number) = (Instant::now(), Duration::ZERO, 0u64);
     loop {
-        let share = plan.load.iter().rev().find(|(from, _)| *from <= at).map_or(0.0, |(_, share)| *share);
+        let share = plan
+            .load
+            .iter()
+            .rev()
+            .find(|(from, _)| *from <= at)
+            .map_or(0.0, |(_, share)| *share);
         let rate = share * plan.whole_rate();
-        let gap = if rate > 0.0 { -(1.0 - unit(&mut chance)).ln() / rate } else { 0.01 };
+        let gap = if rate > 0.0 {
+            -(1.0 - unit(&mut chance)).ln() / rate
+        } else {
+            0.01
+        };
         at += Duration::from_secs_f64(gap);
         if at >= plan.lasts {
             break;
@@ -284,13 +360,20 @@
         sleep_until(start + at).await;
         number += 1;
         let due = start + at;
-        let _ = lanes.late.borrow_mut().record((due.elapsed().as_micros() as u64).max(1));
+        let _ = lanes
+            .late
+            .borrow_mut()
+            .record((due.elapsed().as_micros() as u64).max(1));
         let mut ends = lanes.ends.get();
         ends.asked += 1;
         lanes.ends.set(ends);
         let trace = format!("{:016x}", number << 16);
-        let fields =
-            [("route", &*kind.name), ("trace", &*trace), ("customer", &*tenant.name), ("client", "1")];
+        let fields = [
+            ("route", &*kind.name),
+            ("trace", &*trace),
+            ("customer", &*tenant.name),
+            ("client", "1"),
+        ];
         let body = [7; BODY];
         let (lanes, goal) = (lanes.clone(), kind.goal);
         let frame = move |seq| thrift::process(seq, &fields, &body);
@@ -298,9 +381,21 @@
             lanes.ended(|ends| &mut ends.given_up);
         }
     }
-    let longest = plan.types.iter().map(|one| one.outer_limit).max().unwrap_or_default();
+    let longest = plan
+        .types
+        .iter()
+        .map(|one| one.outer_limit)
+        .max()
+        .unwrap_or_default();
     let until = Instant::now() + longest + Duration::from_millis(500);
-    let open = |lanes: &Lanes| lanes.open.borrow().iter().map(|lane| lane.open.borrow().len()).sum::<usize>();
+    let open = |lanes: &Lanes| {
+        lanes
+            .open
+            .borrow()
+            .iter()
+            .map(|lane| lane.open.borrow().len())
+            .sum::<usize>()
+    };
     while open(&lanes) > 0 && Instant::now() < until {
         sleep(Duration::from_millis(5)).await;
     }
@@ -320,8 +415,11 @@
     fn send(&self, frame: &impl Fn(i32) -> Vec<u8>, due: Instant, goal: Duration) -> bool {
         let open = self.open.borrow();
         let count = open.len();
-        let fits = |k: &usize| !open[*k].broken.get() && open[*k].open.borrow().len() < TOGETHER / 2;
-        let Some(k) = (0..count).map(|k| (k + self.turn.get()) % count).find(fits) else { return false };
+        let fits =
+            |k: &usize| !open[*k].broken.get() && open[*k].open.borrow().len() < TOGETHER / 2;
+        let Some(k) = (0..count).map(|k| (k + self.turn.get()) % count).find(fits) else {
+            return false;
+        };
         self.turn.set(k + 1);
         open[k].put(frame, due, goal)
     }
@@ -339,7 +437,9 @@
         }
         self.turn.set(self.turn.get() + 1);
         let to = self.to[self.turn.get() % self.to.len()];
-        let Ok(stream) = TcpStream::connect(to).await else { return false };
+        let Ok(stream) = TcpStream::connect(to).await else {
+            return false;
+        };
         let _ = stream.set_nodelay(true);
         let (mut back, out) = stream.into_split();
         let lane = Rc::new(Lane {
@@ -372,12 +472,19 @@
     }
 
     fn told(&self, lane: &Lane, frame: &[u8]) {
-        let Ok(answered) = thrift::answered(frame) else { return };
-        let Some((due, goal)) = lane.open.borrow_mut().remove(&answered.seq) else { return };
+        let Ok(answered) = thrift::answered(frame) else {
+            return;
+        };
+        let Some((due, goal)) = lane.open.borrow_mut().remove(&answered.seq) else {
+            return;
+        };
         let took = due.elapsed();
         match answered.what {
             What::Answer { .. } => {
-                let _ = self.times.borrow_mut().record((took.as_micros() as u64).max(1));
+                let _ = self
+                    .times
+                    .borrow_mut()
+                    .record((took.as_micros() as u64).max(1));
                 self.ended(|ends| &mut ends.honoured);
                 if took <= goal {
                     self.ended(|ends| &mut ends.in_time);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -62,7 +62,9 @@
     #[command(subcommand)]
     Store(store::Command),
     /// Print completions for a shell
-    #[command(after_help = "Example:\n  rainstand completions bash > /etc/bash_completion.d/rainstand")]
+    #[command(
+        after_help = "Example:\n  rainstand completions bash > /etc/bash_completion.d/rainstand"
+    )]
     Completions { shell: clap_complete::Shell },
 }
 
--- a/crates/cli/src/out.rs
+++ b/crates/cli/src/out.rs
@@ -65,13 +65,22 @@
 /// Findings with the lines they are about, in colour if a person looks.
 pub fn findings(sources: &Sources, found: &[Finding], as_json: bool) -> io::Result<()> {
     if !as_json {
-        let colour = if io::stderr().is_terminal() { ColorChoice::Auto } else { ColorChoice::Never };
+        let colour = if io::stderr().is_terminal() {
+            ColorChoice::Auto
+        } else {
+            ColorChoice::Never
+        };
         return report::show(&mut StandardStream::stderr(colour), sources, found);
     }
     for finding in found {
         let place = |at, message| {
             let (line, column) = sources.line_column(at);
-            Place { file: sources.path(at.file), line, column, message }
+            Place {
+                file: sources.path(at.file),
+                line,
+                column,
+                message,
+            }
         };
         json(&Line {
             place: place(finding.at, &finding.message),
@@ -80,7 +89,11 @@
                 Severity::Error => "error",
                 Severity::Warning => "warning",
             },
-            also: finding.also.iter().map(|(at, words)| place(*at, words)).collect(),
+            also: finding
+                .also
+                .iter()
+                .map(|(at, words)| place(*at, words))
+                .collect(),
             help: finding.help.as_deref(),
         })?;
     }
--- a/crates/cli/src/pcap.rs
+++ b/crates/cli/src/pcap.rs
@@ -36,7 +36,9 @@
         json: bool,
     },
     /// Write the tickets of a capture as a columnar file
-    #[command(after_help = "Example:\n  rainstand pcap export morning.pcapng --parquet morning.parquet")]
+    #[command(
+        after_help = "Example:\n  rainstand pcap export morning.pcapng --parquet morning.parquet"
+    )]
     Export {
         file: String,
         /// Where to write the Parquet file
@@ -86,7 +88,9 @@
         let from = time("from", self.from)?;
         let to = self.to.map(|to| time("to", to)).transpose()?;
         match to {
-            Some(to) if to <= from => Err(format!("--to {to:?} does not lie after --from {from:?}")),
+            Some(to) if to <= from => {
+                Err(format!("--to {to:?} does not lie after --from {from:?}"))
+            }
             to => Ok((from, to)),
         }
     }
@@ -97,7 +101,13 @@
         Command::Info { file, json } => info(&file, json),
         Command::Tickets { file, json } => tickets(&file, json),
         Command::Export { file, parquet } => export(&file, &parquet),
-        Command::Cut { file, out, stretch, types, tenants } => cut(&file, &out, stretch, &types, &tenants),
+        Command::Cut {
+            file,
+            out,
+            stretch,
+            types,
+            tenants,
+        } => cut(&file, &out, stretch, &types, &tenants),
         Command::Replay(options) => replay::run(&options),
     }
 }
@@ -147,7 +157,13 @@
 }
 
 fn summary_json(summary: &Summary) -> Value {
-    let Summary { file, packets, streams, tickets, cut_off } = summary;
+    let Summary {
+        file,
+        packets,
+        streams,
+        tickets,
+        cut_off,
+    } = summary;
     json!({
         "format": file.format, "packets": file.packets, "bytes": file.bytes,
         "first_us": file.first.map(|at| at / 1_000), "last_us": file.last.map(|at| at / 1_000),
@@ -190,7 +206,11 @@
                     .filter(|(_, n)| **n != json!(0))
                     .map(|(k, n)| format!("{} {n}", spaced(k)))
                     .collect();
-                let told = if parts.is_empty() { "none".to_owned() } else { parts.join(", ") };
+                let told = if parts.is_empty() {
+                    "none".to_owned()
+                } else {
+                    parts.join(", ")
+                };
                 out.push_str(&format!("{:<20} {told}\n", spaced(key)));
             }
             Value::String(text) => out.push_str(&format!("{:<20} {text}\n", spaced(key))),
@@ -253,8 +273,14 @@
 fn one(out: &mut impl Write, ticket: &Ticket, as_json: bool) -> io::Result<()> {
     let call = &ticket.call;
     let at_us = call.at / 1_000;
-    let took_us = ticket.answered.map(|then| then.saturating_sub(call.at) / 1_000);
-    let (trace, traffic, tenant) = (call.field("trace"), call.field("route"), call.field("customer"));
+    let took_us = ticket
+        .answered
+        .map(|then| then.saturating_sub(call.at) / 1_000);
+    let (trace, traffic, tenant) = (
+        call.field("trace"),
+        call.field("route"),
+        call.field("customer"),
+    );
     let end = ticket.outcome.word();
     if as_json {
         serde_json::to_writer(
@@ -309,7 +335,13 @@
     open: HashSet<i32>,
 }
 
-fn cut(path: &str, to: &Path, stretch: Stretch, types: &[String], tenants: &[String]) -> io::Result<Code> {
+fn cut(
+    path: &str,
+    to: &Path,
+    stretch: Stretch,
+    types: &[String],
+    tenants: &[String],
+) -> io::Result<Code> {
     let (from, upto) = match stretch.times() {
         Ok(times) => times,
         Err(why) => return Ok(trouble("pcap cut", why)),
@@ -318,7 +350,10 @@
         Ok(file) => file,
         Err(error) => return Ok(trouble(&to.to_string_lossy(), error)),
     });
-    file.write_all(&write::head(concat!("rainstand ", env!("CARGO_PKG_VERSION"))))?;
+    file.write_all(&write::head(concat!(
+        "rainstand ",
+        env!("CARGO_PKG_VERSION")
+    )))?;
     let mut kept: HashMap<u32, Kept> = HashMap::new();
     let mut ends: HashMap<u32, [End; 2]> = HashMap::new();
     let (mut first, mut tickets, mut wrote) = (None, 0u64, Ok(()));
@@ -336,17 +371,25 @@
         whole
     };
     let read = look(path, |event| match event {
-        Event::Opened { connection, ends: both, at } => {
+        Event::Opened {
+            connection,
+            ends: both,
+            at,
+        } => {
             first.get_or_insert(at);
             ends.insert(connection, both);
         }
-        Event::Call { call, frame, side, .. } => {
+        Event::Call {
+            call, frame, side, ..
+        } => {
             let after = Duration::from_nanos(call.at.saturating_sub(first.unwrap_or(call.at)));
             let wanted = after >= from
                 && upto.is_none_or(|upto| after < upto)
                 && has(types, call.field("route"))
                 && has(tenants, call.field("customer"));
-            let Some(both) = ends.get(&call.connection).filter(|_| wanted) else { return };
+            let Some(both) = ends.get(&call.connection).filter(|_| wanted) else {
+                return;
+            };
             let one = kept.entry(call.connection).or_insert_with(|| Kept {
                 talk: Conversation::new(both[side], both[1 - side], [1, 1]),
                 opened: false,
@@ -359,14 +402,29 @@
             one.open.insert(call.seq);
             put(call.at, &mut one.talk.data(0, &framed(frame)));
         }
-        Event::Left { connection, seq, at } => {
-            if let Some(one) = kept.get_mut(&connection).filter(|one| one.open.contains(&seq)) {
+        Event::Left {
+            connection,
+            seq,
+            at,
+        } => {
+            if let Some(one) = kept
+                .get_mut(&connection)
+                .filter(|one| one.open.contains(&seq))
+            {
                 let frame = rainstand_protocol::thrift::give_up(seq);
                 put(at, &mut one.talk.data(0, &frame));
             }
         }
-        Event::Answer { connection, seq, frame, at } => {
-            if let Some(one) = kept.get_mut(&connection).filter(|one| one.open.contains(&seq)) {
+        Event::Answer {
+            connection,
+            seq,
+            frame,
+            at,
+        } => {
+            if let Some(one) = kept
+                .get_mut(&connection)
+                .filter(|one| one.open.contains(&seq))
+            {
                 one.open.remove(&seq);
                 put(at, &mut one.talk.data(1, &framed(frame)));
             }
@@ -374,7 +432,10 @@
         Event::Closed { connection, at, .. } => {
             ends.remove(&connection);
             if let Some(mut one) = kept.remove(&connection) {
-                put(at, &mut [one.talk.finish(0), one.talk.finish(1)].into_iter());
+                put(
+                    at,
+                    &mut [one.talk.finish(0), one.talk.finish(1)].into_iter(),
+                );
             }
         }
         Event::Ticket(_) => {}
--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -85,12 +85,20 @@
             }
         },
     };
-    let (from, to) = match (Stretch { from: options.from, to: options.until }).times() {
+    let (from, to) = match (Stretch {
+        from: options.from,
+        to: options.until,
+    })
+    .times()
+    {
         Ok(times) => times,
         Err(why) => return Ok(trouble("pcap replay", why)),
     };
     if !(options.speed > 0.0 && options.speed <= 1_000.0) {
-        return Ok(trouble("--speed", format!("{} is not above 0 and up to 1000", options.speed)));
+        return Ok(trouble(
+            "--speed",
+            format!("{} is not above 0 and up to 1000", options.speed),
+        ));
     }
     let Ok(wait) = Duration::try_from_secs_f64(options.wait) else {
         return Ok(trouble("--wait", format!("{} is no time", options.wait)));
@@ -106,11 +114,18 @@
         );
         return Ok(trouble(&options.file, why));
     }
-    let schedule = collector.schedule(&Choice { from, to, speed: options.speed, connections });
+    let schedule = collector.schedule(&Choice {
+        from,
+        to,
+        speed: options.speed,
+        connections,
+    });
     if schedule.calls.is_empty() {
         return Ok(trouble(&options.file, "no calls in this stretch"));
     }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let shared = Rc::new(Shared::new(schedule, options));
     LocalSet::new().block_on(&runtime, go(shared.clone(), wait));
     if let Some(path) = &options.mapping {
@@ -167,8 +182,14 @@
 impl Shared {
     fn new(schedule: Schedule, options: &Options) -> Self {
         let mut chance = WyRand::new_seed(options.seed);
-        let calls =
-            schedule.calls.iter().map(|_| Now { trace: chance.generate(), ..Now::default() }).collect();
+        let calls = schedule
+            .calls
+            .iter()
+            .map(|_| Now {
+                trace: chance.generate(),
+                ..Now::default()
+            })
+            .collect();
         let mut due = vec![Duration::ZERO; schedule.calls.len()];
         for send in schedule.sends.iter().filter(|send| send.what == What::Call) {
             due[send.call] = send.after;
@@ -230,8 +251,15 @@
                 self.open.set(self.open.get() - 1);
             }
         }
-        let Some(link) = self.slots.borrow()[slot].clone() else { return };
-        let seq = link.open.borrow().iter().find(|(_, open)| **open == call).map(|(seq, _)| *seq);
+        let Some(link) = self.slots.borrow()[slot].clone() else {
+            return;
+        };
+        let seq = link
+            .open
+            .borrow()
+            .iter()
+            .find(|(_, open)| **open == call)
+            .map(|(seq, _)| *seq);
         if let Some(seq) = seq {
             link.out.borrow_mut().put(&thrift::give_up(seq));
             self.flush(&link);
@@ -240,7 +268,9 @@
 
     /// Writes what the socket takes now; the rest goes when it takes more.
     fn flush(&self, link: &Link) {
-        let Some(stream) = link.stream.get() else { return };
+        let Some(stream) = link.stream.get() else {
+            return;
+        };
         let mut out = link.out.borrow_mut();
         while !out.is_empty() {
             match stream.try_write(out.front()) {
@@ -275,7 +305,10 @@
         if one.outcome.is_some() {
             return;
         }
-        one.took = one.sent.filter(|_| outcome != Outcome::Gone).map(|sent| sent.elapsed());
+        one.took = one
+            .sent
+            .filter(|_| outcome != Outcome::Gone)
+            .map(|sent| sent.elapsed());
         one.outcome = Some(outcome);
         if !one.left {
             self.open.set(self.open.get() - 1);
@@ -286,7 +319,12 @@
     /// A link is over; its open calls are, too, but for those that crossed its close.
     fn end(self: &Rc<Self>, link: &Rc<Link>) {
         link.retired.set(true);
-        let open: Vec<usize> = link.open.borrow_mut().drain().map(|(_, call)| call).collect();
+        let open: Vec<usize> = link
+            .open
+            .borrow_mut()
+            .drain()
+            .map(|(_, call)| call)
+            .collect();
         for call in open {
             let crossed = {
                 let one = &mut self.calls.borrow_mut()[call];
@@ -307,7 +345,11 @@
 /// A call as it goes out: new trace and birth, everything else as recorded.
 fn frame(recorded: &Recorded, seq: i32, trace: u64) -> Vec<u8> {
     let trace = format!("{trace:016x}");
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis().to_string();
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+        .to_string();
     let fields: Vec<(&str, &str)> = recorded
         .call
         .fields
@@ -323,7 +365,11 @@
 
 async fn go(shared: Rc<Shared>, wait: Duration) {
     let sends = shared.schedule.sends.len();
-    let bar = if io::stderr().is_terminal() { ProgressBar::new(sends as u64) } else { ProgressBar::hidden() };
+    let bar = if io::stderr().is_terminal() {
+        ProgressBar::new(sends as u64)
+    } else {
+        ProgressBar::hidden()
+    };
     shared.open.set(shared.schedule.calls.len());
     // A little later, so that the first call is not late for what is done here.
     let begun = Instant::now() + Duration::from_millis(20);
@@ -350,7 +396,10 @@
     bar.finish_and_clear();
     let over = Instant::now() + wait;
     while shared.open.get() > 0 {
-        if tokio::time::timeout_at(over.into(), shared.ended.notified()).await.is_err() {
+        if tokio::time::timeout_at(over.into(), shared.ended.notified())
+            .await
+            .is_err()
+        {
             break;
         }
     }
@@ -378,7 +427,9 @@
 
 /// Reads answers until the connection is over; whether that was its proper end.
 async fn answers(shared: &Rc<Shared>, link: &Rc<Link>) -> bool {
-    let Some(stream) = link.stream.get() else { return false };
+    let Some(stream) = link.stream.get() else {
+        return false;
+    };
     let mut back = Ring::default();
     let mut chunk = [0; 16 * 1024];
     loop {
@@ -427,14 +478,20 @@
         shared.unreadable.set(shared.unreadable.get() + 1);
         return;
     };
-    let Some(call) = link.open.borrow_mut().remove(&answered.seq) else { return };
+    let Some(call) = link.open.borrow_mut().remove(&answered.seq) else {
+        return;
+    };
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     let outcome = match answered.what {
-        Told::Answer { body, .. } => {
-            Outcome::Honoured { body_length: body.len(), body_hash: rainstand_capture::hash(body) }
-        }
+        Told::Answer { body, .. } => Outcome::Honoured {
+            body_length: body.len(),
+            body_hash: rainstand_capture::hash(body),
+        },
         Told::Backoff(fields) => Outcome::Dismissed {
-            fields: fields.into_iter().map(|(key, value)| (text(key), text(value))).collect(),
+            fields: fields
+                .into_iter()
+                .map(|(key, value)| (text(key), text(value)))
+                .collect(),
         },
         Told::Lost => Outcome::GivenUp,
         Told::Exception { code, .. } => Outcome::Exception { code },
@@ -444,8 +501,14 @@
 
 fn mapping(shared: &Shared, path: &std::path::Path) -> io::Result<()> {
     let mut file = io::BufWriter::new(std::fs::File::create(path)?);
-    for (recorded, now) in shared.schedule.calls.iter().zip(shared.calls.borrow().iter()) {
-        let line = json!({"recorded": recorded.call.field("trace"), "new": format!("{:016x}", now.trace)});
+    for (recorded, now) in shared
+        .schedule
+        .calls
+        .iter()
+        .zip(shared.calls.borrow().iter())
+    {
+        let line =
+            json!({"recorded": recorded.call.field("trace"), "new": format!("{:016x}", now.trace)});
         writeln!(file, "{line}")?;
     }
     file.flush()
@@ -453,15 +516,22 @@
 
 /// Whether an answer is another one than was recorded; where the recording shows none, nothing is.
 fn differs(recorded: &Recorded, now: &Now, kinds: bool) -> bool {
-    let Some(before) = &recorded.outcome else { return false };
+    let Some(before) = &recorded.outcome else {
+        return false;
+    };
     let after = now.outcome.as_ref().unwrap_or(&Outcome::None);
     if before.word() != after.word() {
         return true;
     }
     match (before, after) {
-        (Outcome::Honoured { body_hash: before, .. }, Outcome::Honoured { body_hash: after, .. }) => {
-            !kinds && before != after
-        }
+        (
+            Outcome::Honoured {
+                body_hash: before, ..
+            },
+            Outcome::Honoured {
+                body_hash: after, ..
+            },
+        ) => !kinds && before != after,
         (Outcome::Exception { code: before }, Outcome::Exception { code: after }) => {
             !kinds && before != after
         }
@@ -487,18 +557,42 @@
 fn report(shared: &Shared, options: &Options) -> io::Result<Code> {
     let calls = shared.calls.borrow();
     let both = || shared.schedule.calls.iter().zip(calls.iter());
-    let differences: Vec<_> =
-        both().filter(|(recorded, now)| differs(recorded, now, options.kinds)).collect();
-    let mut kinds: Vec<(&str, [u64; 2])> =
-        ["honoured", "dismissed", "given_up", "exception", "gone", "none"].map(|kind| (kind, [0, 0])).into();
+    let differences: Vec<_> = both()
+        .filter(|(recorded, now)| differs(recorded, now, options.kinds))
+        .collect();
+    let mut kinds: Vec<(&str, [u64; 2])> = [
+        "honoured",
+        "dismissed",
+        "given_up",
+        "exception",
+        "gone",
+        "none",
+    ]
+    .map(|kind| (kind, [0, 0]))
+    .into();
     for (recorded, now) in both() {
-        let words = [&recorded.outcome, &now.outcome].map(|o| o.as_ref().unwrap_or(&Outcome::None).word());
+        let words =
+            [&recorded.outcome, &now.outcome].map(|o| o.as_ref().unwrap_or(&Outcome::None).word());
         for (k, word) in words.into_iter().enumerate() {
-            kinds.iter_mut().filter(|(kind, _)| *kind == word).for_each(|(_, counts)| counts[k] += 1);
+            kinds
+                .iter_mut()
+                .filter(|(kind, _)| *kind == word)
+                .for_each(|(_, counts)| counts[k] += 1);
         }
     }
-    let late = histogram(calls.iter().filter(|now| now.sent.is_some()).map(|now| now.late));
-    let before = histogram(shared.schedule.calls.iter().filter_map(|recorded| recorded.took));
+    let late = histogram(
+        calls
+            .iter()
+            .filter(|now| now.sent.is_some())
+            .map(|now| now.late),
+    );
+    let before = histogram(
+        shared
+            .schedule
+            .calls
+            .iter()
+            .filter_map(|recorded| recorded.took),
+    );
     let after = histogram(calls.iter().filter_map(|now| now.took));
     if options.json {
         if options.compare {
@@ -531,7 +625,11 @@
             text.push_str(&format!("{kind:<12} {a:>9}  {b:>9}\n"));
         }
         text.push_str("time in us         p50        p90        p99        max\n");
-        for (name, all) in [("late", &late), ("took before", &before), ("took now", &after)] {
+        for (name, all) in [
+            ("late", &late),
+            ("took before", &before),
+            ("took now", &after),
+        ] {
             let at = |quantile| all.value_at_quantile(quantile);
             text.push_str(&format!(
                 "{name:<12} {:>9}  {:>9}  {:>9}  {:>9}\n",
@@ -551,7 +649,11 @@
         }
         out::bytes(text.as_bytes())?;
     }
-    Ok(if options.compare && !differences.is_empty() { Code::Found } else { Code::Good })
+    Ok(if options.compare && !differences.is_empty() {
+        Code::Found
+    } else {
+        Code::Good
+    })
 }
 
 fn difference(recorded: &Recorded, now: &Now) -> Value {
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -69,7 +69,12 @@
         Command::Members(at) => (at, "members".to_owned()),
         Command::Why { key, at } => (at, format!("why {key}")),
         Command::Metrics(at) => (at, "metrics".to_owned()),
-        Command::Recover { folder, name, accept_loss, json } => {
+        Command::Recover {
+            folder,
+            name,
+            accept_loss,
+            json,
+        } => {
             return match recovery::recover(folder, name, *accept_loss) {
                 Ok(lost) => told_lost(&lost, *accept_loss, *json),
                 Err(why) => {
@@ -100,7 +105,11 @@
         }
     }
     let ill = value["stopped"] == true || value["shards_with_leader"] != value["shards_in_all"];
-    Ok(if matches!(command, Command::Status(_)) && ill { Code::Found } else { Code::Good })
+    Ok(if matches!(command, Command::Status(_)) && ill {
+        Code::Found
+    } else {
+        Code::Good
+    })
 }
 
 fn ask(at: SocketAddr, words: &str) -> io::Result<String> {
@@ -149,7 +158,10 @@
         text(&status["commit_ms"]["p99"])
     ))?;
     if status["stopped"] == true {
-        line(&format!("nothing is confirmed here: {}", text(&status["failed"])))?;
+        line(&format!(
+            "nothing is confirmed here: {}",
+            text(&status["failed"])
+        ))?;
     }
     row([
         "shard",
@@ -164,13 +176,20 @@
     for shard in status["shards"].as_array().into_iter().flatten() {
         let peers = shard["peers"].as_array();
         let behind = |disk: &Value| {
-            let of = peers.into_iter().flatten().find(|peer| peer["disk"] == *disk);
+            let of = peers
+                .into_iter()
+                .flatten()
+                .find(|peer| peer["disk"] == *disk);
             of.map_or(String::new(), |peer| format!(" (-{})", peer["behind"]))
         };
-        let all = shard["members"].as_array().into_iter().flatten().map(|one| {
-            let learns = if one["votes"] == true { "" } else { " learns" };
-            format!("{}{learns}{}", text(&one["name"]), behind(&one["disk"]))
-        });
+        let all = shard["members"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .map(|one| {
+                let learns = if one["votes"] == true { "" } else { " learns" };
+                format!("{}{learns}{}", text(&one["name"]), behind(&one["disk"]))
+            });
         row([
             &text(&shard["shard"]),
             &text(&shard["role"]),
@@ -186,11 +205,27 @@
 }
 
 fn members(value: &Value) -> io::Result<()> {
-    line(&format!("{} disk {}", text(&value["name"]), text(&value["disk"])))?;
+    line(&format!(
+        "{} disk {}",
+        text(&value["name"]),
+        text(&value["disk"])
+    ))?;
     for peer in value["peers"].as_array().into_iter().flatten() {
-        let link = if peer["link"] == true { "linked" } else { "no link" };
-        let old = if peer["old_copy"] == true { "  came with an old copy of its disk" } else { "" };
-        line(&format!("{:<12} disk {:<16}  {link}{old}", text(&peer["name"]), text(&peer["disk"])))?;
+        let link = if peer["link"] == true {
+            "linked"
+        } else {
+            "no link"
+        };
+        let old = if peer["old_copy"] == true {
+            "  came with an old copy of its disk"
+        } else {
+            ""
+        };
+        line(&format!(
+            "{:<12} disk {:<16}  {link}{old}",
+            text(&peer["name"]),
+            text(&peer["disk"])
+        ))?;
     }
     Ok(())
 }
@@ -212,7 +247,9 @@
         ))?;
     }
     for shard in &lost.missing {
-        line(&format!("shard {shard}: no copy here, all its keys are lost"))?;
+        line(&format!(
+            "shard {shard}: no copy here, all its keys are lost"
+        ))?;
     }
     line(&if done {
         format!(
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -43,11 +43,15 @@
 }
 
 pub fn run(command: &Command) -> io::Result<Code> {
-    let (Command::Info(at) | Command::Check(at) | Command::Dump { at, .. } | Command::Mend(at)) = command;
+    let (Command::Info(at) | Command::Check(at) | Command::Dump { at, .. } | Command::Mend(at)) =
+        command;
     let opened = if at.folder.is_dir() {
         Folder::open(&at.folder)
     } else {
-        Err(io::Error::new(io::ErrorKind::NotFound, format!("{}: no folder", at.folder.display())))
+        Err(io::Error::new(
+            io::ErrorKind::NotFound,
+            format!("{}: no folder", at.folder.display()),
+        ))
     };
     let mut disk = match opened {
         Ok(disk) => disk,
@@ -112,9 +116,11 @@
         .collect();
     let torn = found.torn.as_ref();
     if at.json {
-        json(&json!({"good": true, "format": identity.format, "disk": format!("{:016x}", identity.disk),
+        json(
+            &json!({"good": true, "format": identity.format, "disk": format!("{:016x}", identity.disk),
             "boot": identity.boot, "segments": found.segments, "bytes": found.bytes,
-            "cut_short": torn.map(|torn| json!({"file": torn.0, "offset": torn.1, "bytes": torn.2})), "shards": shards}))?;
+            "cut_short": torn.map(|torn| json!({"file": torn.0, "offset": torn.1, "bytes": torn.2})), "shards": shards}),
+        )?;
         return Ok(Code::Good);
     }
     if whole {
@@ -157,7 +163,11 @@
                         Record::Entry { shard, index, data } => {
                             json!({"kind": "entry", "shard": shard, "index": index, "bytes": data.len()})
                         }
-                        Record::Base { shard, index, alone } => {
+                        Record::Base {
+                            shard,
+                            index,
+                            alone,
+                        } => {
                             json!({"kind": "base", "shard": shard, "index": index, "alone": alone})
                         }
                         Record::Note { number, data } => {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -15,8 +15,16 @@
         .unwrap();
     // A command that does not read its input may be gone already.
     let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
-    let Output { status, stdout, stderr } = child.wait_with_output().unwrap();
-    (status.code().unwrap(), String::from_utf8(stdout).unwrap(), String::from_utf8(stderr).unwrap())
+    let Output {
+        status,
+        stdout,
+        stderr,
+    } = child.wait_with_output().unwrap();
+    (
+        status.code().unwrap(),
+        String::from_utf8(stdout).unwrap(),
+        String::from_utf8(stderr).unwrap(),
+    )
 }
 
 const GOOD: &str = "rain 1
@@ -63,17 +71,52 @@
     ]);
     let at = files.path();
     let table: [(&[&str], i32, &str, &str); 17] = [
-        (&["config", "check", "good.rain"], 0, "", "good.rain: good: 1 file, 22 lines, 0 warnings"),
+        (
+            &["config", "check", "good.rain"],
+            0,
+            "",
+            "good.rain: good: 1 file, 22 lines, 0 warnings",
+        ),
         (&["config", "check", "bad.rain", "good.rain"], 1, "", "U202"),
-        (&["config", "check", "good.rain", "gone.rain"], 2, "", "S001"),
+        (
+            &["config", "check", "good.rain", "gone.rain"],
+            2,
+            "",
+            "S001",
+        ),
         (&["config", "check", "unused.rain"], 0, "", "warning[W501]"),
-        (&["config", "check", "--strict", "unused.rain"], 1, "", "W501"),
-        (&["config", "check", "--json", "bad.rain"], 1, "\"code\":\"U202\"", ""),
+        (
+            &["config", "check", "--strict", "unused.rain"],
+            1,
+            "",
+            "W501",
+        ),
+        (
+            &["config", "check", "--json", "bad.rain"],
+            1,
+            "\"code\":\"U202\"",
+            "",
+        ),
         (&["config", "check"], 2, "", "Usage"),
         (&["config", "fmt", "--check", "good.rain"], 0, "", ""),
-        (&["config", "fmt", "--check", "spaced.rain"], 1, "spaced.rain: not in its form", ""),
-        (&["config", "fmt", "gone.rain"], 2, "", "there is no such file"),
-        (&["config", "explain", "good.rain", "--type", "check"], 0, "goes to the pool hall", ""),
+        (
+            &["config", "fmt", "--check", "spaced.rain"],
+            1,
+            "spaced.rain: not in its form",
+            "",
+        ),
+        (
+            &["config", "fmt", "gone.rain"],
+            2,
+            "",
+            "there is no such file",
+        ),
+        (
+            &["config", "explain", "good.rain", "--type", "check"],
+            0,
+            "goes to the pool hall",
+            "",
+        ),
         (
             &["config", "explain", "good.rain", "--type", "chek"],
             2,
@@ -81,44 +124,84 @@
             "there is no type `chek`; there are: check",
         ),
         (
-            &["config", "explain", "good.rain", "--type", "check", "--members-out", "n1,n2"],
+            &[
+                "config",
+                "explain",
+                "good.rain",
+                "--type",
+                "check",
+                "--members-out",
+                "n1,n2",
+            ],
             1,
             "dismissed",
             "",
         ),
         (
-            &["config", "explain", "good.rain", "--type", "check", "--members-out", "n3"],
+            &[
+                "config",
+                "explain",
+                "good.rain",
+                "--type",
+                "check",
+                "--members-out",
+                "n3",
+            ],
             2,
             "",
             "there are: n1, n2",
         ),
-        (&["config", "why", "m402"], 0, "M402: an exclusive type would be repeated without proof", ""),
+        (
+            &["config", "why", "m402"],
+            0,
+            "M402: an exclusive type would be repeated without proof",
+            "",
+        ),
         (&["config", "why", "M999"], 2, "", "config why --all"),
         (&["completions", "bash"], 0, "_rainstand", ""),
     ];
     for (arguments, code, out, err) in table {
         let (found, stdout, stderr) = run(at, arguments, "");
         assert_eq!(found, code, "{arguments:?}\n{stdout}{stderr}");
-        assert!(stdout.contains(out) && stderr.contains(err), "{arguments:?}\n{stdout}{stderr}");
-        assert!(!out.is_empty() || stdout.is_empty(), "{arguments:?} prints {stdout}");
+        assert!(
+            stdout.contains(out) && stderr.contains(err),
+            "{arguments:?}\n{stdout}{stderr}"
+        );
+        assert!(
+            !out.is_empty() || stdout.is_empty(),
+            "{arguments:?} prints {stdout}"
+        );
     }
 }
 
 #[test]
 fn every_json_line_is_an_object_with_its_place() {
-    let bad = GOOD.replace("goal: 3 s", "goal: 8 s").replace("to: hall", "to: hal");
+    let bad = GOOD
+        .replace("goal: 3 s", "goal: 8 s")
+        .replace("to: hall", "to: hal");
     let files = folder(&[("bad.rain", &bad)]);
     let (code, stdout, stderr) = run(files.path(), &["config", "check", "--json", "bad.rain"], "");
     assert_eq!((code, stderr.as_str()), (1, ""));
-    let lines: Vec<serde_json::Value> = stdout.lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    let lines: Vec<serde_json::Value> = stdout
+        .lines()
+        .map(|l| serde_json::from_str(l).unwrap())
+        .collect();
     let told: Vec<_> = lines
         .iter()
-        .map(|l| (l["code"].as_str().unwrap(), l["line"].as_u64().unwrap(), l["column"].as_u64().unwrap()))
+        .map(|l| {
+            (
+                l["code"].as_str().unwrap(),
+                l["line"].as_u64().unwrap(),
+                l["column"].as_u64().unwrap(),
+            )
+        })
         .collect();
     assert_eq!(told, [("M405", 5, 9), ("N305", 20, 7)]);
     assert_eq!(lines[0]["also"][0]["line"], 6);
     assert_eq!(lines[1]["help"], "perhaps `hall`?");
-    assert!(lines.iter().all(|l| l["file"] == "bad.rain" && l["severity"] == "error"));
+    assert!(lines
+        .iter()
+        .all(|l| l["file"] == "bad.rain" && l["severity"] == "error"));
 }
 
 #[test]
@@ -130,17 +213,30 @@
     std::os::unix::fs::symlink("a.rain", at.join("link.rain")).unwrap();
     let (code, _, stderr) = run(at, &["config", "fmt", "broken.rain", "link.rain"], "");
     assert_eq!(code, 1);
-    assert!(stderr.contains("P104") && stderr.contains("left as it is"), "{stderr}");
-    assert_eq!(std::fs::read_to_string(at.join("broken.rain")).unwrap(), broken);
+    assert!(
+        stderr.contains("P104") && stderr.contains("left as it is"),
+        "{stderr}"
+    );
+    assert_eq!(
+        std::fs::read_to_string(at.join("broken.rain")).unwrap(),
+        broken
+    );
     assert_eq!(
         std::fs::read_to_string(at.join("a.rain")).unwrap(),
         GOOD.replace("to: hall", "to: hall # where else")
     );
-    assert!(at.join("link.rain").symlink_metadata().unwrap().is_symlink());
+    assert!(at
+        .join("link.rain")
+        .symlink_metadata()
+        .unwrap()
+        .is_symlink());
     // Nothing is left beside them.
     assert_eq!(std::fs::read_dir(at).unwrap().count(), 3);
     let (code, stdout, _) = run(at, &["config", "fmt", "-"], &spaced);
-    assert_eq!((code, stdout), (0, GOOD.replace("to: hall", "to: hall # where else")));
+    assert_eq!(
+        (code, stdout),
+        (0, GOOD.replace("to: hall", "to: hall # where else"))
+    );
 }
 
 #[test]
@@ -150,19 +246,47 @@
     let (code, text, _) = run(at, &["config", "build", "a.rain"], "");
     assert_eq!(code, 0);
     std::fs::write(at.join("a.txtpb"), &text).unwrap();
-    assert_eq!(run(at, &["config", "build", "a.txtpb", "--binary", "--out", "a.pb"], "").0, 0);
-    assert_eq!(run(at, &["config", "build", "a.pb"], ""), (0, text.clone(), String::new()));
+    assert_eq!(
+        run(
+            at,
+            &["config", "build", "a.txtpb", "--binary", "--out", "a.pb"],
+            ""
+        )
+        .0,
+        0
+    );
+    assert_eq!(
+        run(at, &["config", "build", "a.pb"], ""),
+        (0, text.clone(), String::new())
+    );
     for (old, new) in [("a.rain", "a.pb"), ("a.pb", "a.txtpb")] {
-        assert_eq!(run(at, &["config", "diff", old, new], ""), (0, String::new(), String::new()));
+        assert_eq!(
+            run(at, &["config", "diff", old, new], ""),
+            (0, String::new(), String::new())
+        );
     }
-    let (code, stdout, _) = run(at, &["config", "diff", "a.pb", "-"], &GOOD.replace("3 s", "2 s"));
-    assert_eq!((code, stdout.as_str()), (1, "~ type check: goal: `3 s` -> `2 s`\n"));
+    let (code, stdout, _) = run(
+        at,
+        &["config", "diff", "a.pb", "-"],
+        &GOOD.replace("3 s", "2 s"),
+    );
+    assert_eq!(
+        (code, stdout.as_str()),
+        (1, "~ type check: goal: `3 s` -> `2 s`\n")
+    );
     assert_eq!(run(at, &["config", "diff", "a.pb", "gone.rain"], "").0, 2);
     std::fs::write(at.join("odd.txtpb"), text.replace("goal_ns", "gaol_ns")).unwrap();
     let (code, _, stderr) = run(at, &["config", "build", "odd.txtpb"], "");
     assert_eq!(code, 1);
-    assert!(stderr.contains("odd.txtpb:7:3:") && stderr.contains("gaol_ns"), "{stderr}");
-    std::fs::write(at.join("cut.pb"), &std::fs::read(at.join("a.pb")).unwrap()[..20]).unwrap();
+    assert!(
+        stderr.contains("odd.txtpb:7:3:") && stderr.contains("gaol_ns"),
+        "{stderr}"
+    );
+    std::fs::write(
+        at.join("cut.pb"),
+        &std::fs::read(at.join("a.pb")).unwrap()[..20],
+    )
+    .unwrap();
     assert_eq!(run(at, &["config", "build", "cut.pb"], "").0, 1);
 }
 
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -49,7 +49,11 @@
                 said.1.notify_all();
             }
         });
-        Self { child, lines, read: 0 }
+        Self {
+            child,
+            lines,
+            read: 0,
+        }
     }
 
     /// The next line, after the last one that was waited for, that has all of these words.
@@ -57,29 +61,51 @@
         let begun = Instant::now();
         let mut lines = self.lines.0.lock().unwrap();
         loop {
-            let found =
-                lines[self.read..].iter().position(|line| words.iter().all(|word| line.contains(word)));
+            let found = lines[self.read..]
+                .iter()
+                .position(|line| words.iter().all(|word| line.contains(word)));
             if let Some(at) = found {
                 self.read += at + 1;
                 return lines[self.read - 1].clone();
             }
-            assert!(begun.elapsed() < HANGS, "nothing says {words:?}; all:\n{}", lines.join("\n"));
-            lines = self.lines.1.wait_timeout(lines, Duration::from_millis(200)).unwrap().0;
+            assert!(
+                begun.elapsed() < HANGS,
+                "nothing says {words:?}; all:\n{}",
+                lines.join("\n")
+            );
+            lines = self
+                .lines
+                .1
+                .wait_timeout(lines, Duration::from_millis(200))
+                .unwrap()
+                .0;
         }
     }
 }
 
 /// Exit code, standard output as JSON lines, standard error.
 fn run(folder: &Path, arguments: &[&str]) -> (i32, Vec<Value>, String) {
-    let ended = Command::new(PROGRAM).args(arguments).current_dir(folder).output().unwrap();
+    let ended = Command::new(PROGRAM)
+        .args(arguments)
+        .current_dir(folder)
+        .output()
+        .unwrap();
     let text = String::from_utf8(ended.stdout).unwrap();
-    let lines = text.lines().map(|line| serde_json::from_str(line).unwrap_or(Value::from(line))).collect();
-    (ended.status.code().unwrap(), lines, String::from_utf8(ended.stderr).unwrap())
+    let lines = text
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap_or(Value::from(line)))
+        .collect();
+    (
+        ended.status.code().unwrap(),
+        lines,
+        String::from_utf8(ended.stderr).unwrap(),
+    )
 }
 
 /// Addresses that nobody listens on just now.
 fn addresses<const N: usize>() -> [String; N] {
-    let listeners: [TcpListener; N] = std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let listeners: [TcpListener; N] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
     listeners.map(|listener| listener.local_addr().unwrap().to_string())
 }
 
@@ -101,7 +127,11 @@
     fn new() -> Self {
         let (folder, at) = (tempfile::tempdir().unwrap(), addresses::<3>());
         let member = |(k, at): (usize, &String)| {
-            format!("  member c{} {{ site: s{k}; address: \"{at}\"; folder: \"c{}\" }}\n", k + 1, k + 1)
+            format!(
+                "  member c{} {{ site: s{k}; address: \"{at}\"; folder: \"c{}\" }}\n",
+                k + 1,
+                k + 1
+            )
         };
         let members: String = at.iter().enumerate().map(member).collect();
         let group = format!("rain 1\ngroup fleet {{\n  shards: 1\n{members}}}\n");
@@ -110,13 +140,24 @@
             std::fs::write(folder.path().join(name), configuration(share)).unwrap();
         }
         let member = |(k, at): (usize, &String)| {
-            format!("  member c{} {{ region: north; zone: z{k}; address: \"{at}\" }}\n", k + 1)
+            format!(
+                "  member c{} {{ region: north; zone: z{k}; address: \"{at}\" }}\n",
+                k + 1
+            )
         };
         let members: String = at.iter().enumerate().map(member).collect();
         let start = format!("{}control fleet {{\n{members}}}\n", configuration(5));
         std::fs::write(folder.path().join("start.rain"), start).unwrap();
-        std::fs::write(folder.path().join("bad.rain"), "rain 1\nroute r { to: nowhere }\n").unwrap();
-        let mut world = Self { folder, at, machines: Vec::new() };
+        std::fs::write(
+            folder.path().join("bad.rain"),
+            "rain 1\nroute r { to: nowhere }\n",
+        )
+        .unwrap();
+        let mut world = Self {
+            folder,
+            at,
+            machines: Vec::new(),
+        };
         for k in 0..3 {
             let name = format!("c{}", k + 1);
             let machine = world.start(&["control", "--config", "control.rain", "--name", &name]);
@@ -163,13 +204,18 @@
         let mut arguments = vec!["config", "publish", file, "--at", &self.at[at]];
         arguments.extend(more);
         let (code, lines, told) = run(self.folder.path(), &arguments);
-        let lines: Vec<String> = lines.iter().map(|line| line.as_str().unwrap_or("").to_owned()).collect();
+        let lines: Vec<String> = lines
+            .iter()
+            .map(|line| line.as_str().unwrap_or("").to_owned())
+            .collect();
         (code, format!("{}\n{told}", lines.join("\n")))
     }
 
     fn versions(&self, at: usize) -> Value {
-        let (_, lines, told) =
-            run(self.folder.path(), &["config", "versions", "--at", &self.at[at], "--json"]);
+        let (_, lines, told) = run(
+            self.folder.path(),
+            &["config", "versions", "--at", &self.at[at], "--json"],
+        );
         assert_eq!(lines.len(), 1, "{told}");
         lines[0].clone()
     }
@@ -194,7 +240,11 @@
             let newest = &told["versions"][0];
             let machines = told["machines"].as_array().unwrap();
             let all = machines.iter().all(|machine| machine["version"] == version);
-            if all && newest["version"] == version && newest["confirmed"] == by && newest["behind"] == 0 {
+            if all
+                && newest["version"] == version
+                && newest["confirmed"] == by
+                && newest["behind"] == 0
+            {
                 return told;
             }
             assert!(begun.elapsed() < HANGS, "{told}");
@@ -220,7 +270,10 @@
 
     // Publish: all confirm, whichever machine is asked.
     let (code, told) = world.publish("first.rain", 2, &[]);
-    assert!(code == 0 && told.contains("version 1 is committed"), "{told}");
+    assert!(
+        code == 0 && told.contains("version 1 is committed"),
+        "{told}"
+    );
     one.says(&["version_in_force", "version=1"]);
     two.says(&["version_in_force", "version=1"]);
     let told = world.confirmed(0, 1, 2);
@@ -230,15 +283,24 @@
     let (code, told) = world.publish("bad.rain", 0, &[]);
     assert!(code == 1 && told.contains("nowhere"), "{told}");
     let (code, told) = world.publish("second.rain", 0, &["--from", "0"]);
-    assert!(code == 1 && told.contains("conflict: made from version 0, but version 1 is there"), "{told}");
+    assert!(
+        code == 1 && told.contains("conflict: made from version 0, but version 1 is there"),
+        "{told}"
+    );
     let (code, told) = world.publish("second.rain", 0, &["--dry-run"]);
-    assert!(code == 0 && told.contains("share") && told.contains("would be version 2"), "{told}");
+    assert!(
+        code == 0 && told.contains("share") && told.contains("would be version 2"),
+        "{told}"
+    );
     let (code, told) = world.publish("first.rain", 0, &[]);
     assert!(code == 0 && told.contains("nothing changes"), "{told}");
     assert_eq!(world.versions(1)["version"], 1);
 
     // The machine itself refuses it too, as when two publish at once.
-    let late = Configuration { version: 1, ..Configuration::default() };
+    let late = Configuration {
+        version: 1,
+        ..Configuration::default()
+    };
     let late = Publish::of(&State::of(&late).unwrap(), 0, &late).unwrap();
     let told = world.ask(2, &status::ask_publish(&late));
     assert!(told["conflict"].is_string(), "{told}");
@@ -251,7 +313,10 @@
     let told = world.confirmed(2, 2, 2);
     for at in [&one_at, &two_at] {
         let status = world.status(at);
-        assert_eq!((&status["version"], &status["digest"]), (&2.into(), &told["machines"][0]["digest"]));
+        assert_eq!(
+            (&status["version"], &status["digest"]),
+            (&2.into(), &told["machines"][0]["digest"])
+        );
     }
 
     // The machine that the first is attached to goes: it comes to another one and hears of the next version there.
@@ -268,7 +333,10 @@
     // Changes were applied as changes.
     for forwarder in [&one, &two] {
         let lines = forwarder.lines.0.lock().unwrap();
-        assert!(!lines.iter().any(|line| line.contains("version_as_whole")), "{lines:?}");
+        assert!(
+            !lines.iter().any(|line| line.contains("version_as_whole")),
+            "{lines:?}"
+        );
     }
 
     // All machines gone: both run on with what they have and say how old it is.
@@ -276,9 +344,15 @@
     one.says(&["attachment_lost"]);
     two.says(&["attachment_lost"]);
     let status = world.status(&one_at);
-    assert_eq!((&status["version"], &status["machine"]), (&3.into(), &Value::Null));
+    assert_eq!(
+        (&status["version"], &status["machine"]),
+        (&3.into(), &Value::Null)
+    );
     let later = world.status(&one_at);
-    assert!(later["age_ms"].as_u64() > status["age_ms"].as_u64(), "{status} {later}");
+    assert!(
+        later["age_ms"].as_u64() > status["age_ms"].as_u64(),
+        "{status} {later}"
+    );
 
     // A restart with nobody there begins with the last version from the disk.
     let kept = world.folder.path().join("kept-f2").join("version.packed");
@@ -292,5 +366,8 @@
     let (mut two, two_at) = world.forwarder("f2", "z1");
     two.says(&["event=\"start\""]);
     let status = world.status(&two_at);
-    assert_eq!((&status["version"], &status["digest"]), (&later["version"], &later["digest"]));
+    assert_eq!(
+        (&status["version"], &status["digest"]),
+        (&later["version"], &later["digest"])
+    );
 }
--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -22,8 +22,12 @@
 const HANGS: Duration = Duration::from_secs(60);
 
 fn play(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let done =
+        LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
     done.expect("a test that ends");
 }
 
@@ -65,7 +69,12 @@
         std::fs::write(&path, text).unwrap();
         let mut process = Command::new("sh")
             .args(["-c", &format!("ulimit -n {LIMIT}; exec \"$0\" \"$@\"")])
-            .args([env!("CARGO_BIN_EXE_rainstand"), "forward", "--listen", "127.0.0.1:0"])
+            .args([
+                env!("CARGO_BIN_EXE_rainstand"),
+                "forward",
+                "--listen",
+                "127.0.0.1:0",
+            ])
             .args(["--admin", "127.0.0.1:0", "--config"])
             .arg(path)
             .stderr(Stdio::piped())
@@ -73,14 +82,26 @@
             .unwrap();
         let (put, log) = channel();
         let lines = BufReader::new(process.stderr.take().unwrap()).lines();
-        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| put.send(line)));
+        std::thread::spawn(move || {
+            lines
+                .map_while(Result::ok)
+                .try_for_each(|line| put.send(line))
+        });
         let address = |key: &str| {
             let line = says(&log, key);
             let at = line.split(key).nth(1).unwrap();
             at.split_whitespace().next().unwrap().parse().unwrap()
         };
         let (admin, listen) = (address("admin="), address("listen="));
-        Self { process, log, listen, admin, nodes, idle: Vec::new(), _folder: folder }
+        Self {
+            process,
+            log,
+            listen,
+            admin,
+            nodes,
+            idle: Vec::new(),
+            _folder: folder,
+        }
     }
 
     /// A client that was of use once and rests from then on.
@@ -103,7 +124,11 @@
     }
 
     fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.pid().to_string()]).status().unwrap().success());
+        assert!(Command::new("kill")
+            .args([name, &self.pid().to_string()])
+            .status()
+            .unwrap()
+            .success());
     }
 
     fn says(&self, what: &str) -> String {
@@ -118,8 +143,9 @@
     /// Those that the forwarder has open, by number.
     fn open(&self) -> Vec<u64> {
         let folder = std::fs::read_dir(format!("/proc/{}/fd", self.pid())).unwrap();
-        let mut open: Vec<u64> =
-            folder.filter_map(|entry| entry.unwrap().file_name().to_str()?.parse().ok()).collect();
+        let mut open: Vec<u64> = folder
+            .filter_map(|entry| entry.unwrap().file_name().to_str()?.parse().ok())
+            .collect();
         open.sort_unstable();
         open
     }
@@ -129,7 +155,10 @@
         self.allow(LIMIT);
         loop {
             let open = self.open();
-            let first_free = (0..).zip(&open).find(|(n, fd)| n != *fd).map_or(open.len() as u64, |(n, _)| n);
+            let first_free = (0..)
+                .zip(&open)
+                .find(|(n, fd)| n != *fd)
+                .map_or(open.len() as u64, |(n, _)| n);
             // Among those before it many must be clients' that rest.
             if first_free >= OWN + 30 {
                 return self.allow(first_free);
@@ -141,7 +170,10 @@
     }
 
     fn allow(&self, descriptors: u64) {
-        let limit = Rlimit { current: Some(descriptors), maximum: Some(LIMIT) };
+        let limit = Rlimit {
+            current: Some(descriptors),
+            maximum: Some(LIMIT),
+        };
         prlimit(Pid::from_raw(self.pid()), Resource::Nofile, limit).unwrap();
     }
 
@@ -158,8 +190,9 @@
 
 fn says(log: &Receiver<String>, what: &str) -> String {
     loop {
-        let line =
-            log.recv_timeout(HANGS).unwrap_or_else(|_| panic!("a forwarder that lives and says {what}"));
+        let line = log
+            .recv_timeout(HANGS)
+            .unwrap_or_else(|_| panic!("a forwarder that lives and says {what}"));
         if line.contains(what) {
             return line;
         }
@@ -168,13 +201,26 @@
 
 /// `key=value` in a line of counters.
 fn counted(line: &str, key: &str) -> u64 {
-    let value =
-        line.split_whitespace().filter_map(|word| word.split_once('=')).find(|(word, _)| *word == key);
-    value.unwrap_or_else(|| panic!("{key} in {line}")).1.trim_matches('"').parse().unwrap()
+    let value = line
+        .split_whitespace()
+        .filter_map(|word| word.split_once('='))
+        .find(|(word, _)| *word == key);
+    value
+        .unwrap_or_else(|| panic!("{key} in {line}"))
+        .1
+        .trim_matches('"')
+        .parse()
+        .unwrap()
 }
 
 async fn asks(caller: &mut Caller, route: &str) {
-    caller.ask(&Ask { route, ..Ask::default() }).await.unwrap();
+    caller
+        .ask(&Ask {
+            route,
+            ..Ask::default()
+        })
+        .await
+        .unwrap();
 }
 
 #[test]
@@ -234,7 +280,10 @@
         s.squeeze().await;
         let room = s.counted("made_room");
         assert!(s.members().starts_with("HTTP/1.1 200 OK"));
-        assert!(s.counted("made_room") > room, "an operator waited for somebody who went by himself");
+        assert!(
+            s.counted("made_room") > room,
+            "an operator waited for somebody who went by himself"
+        );
         s.squeeze().await;
         // A crowd that waits with the system when the listening ends.
         s.signal("-STOP");
@@ -247,11 +296,17 @@
         s.signal("-TERM");
         s.signal("-CONT");
         for (n, caller) in crowd.iter_mut().enumerate() {
-            assert!(caller.next().await.is_ok(), "{n} of {CROWD} that the system accepted has no answer");
+            assert!(
+                caller.next().await.is_ok(),
+                "{n} of {CROWD} that the system accepted has no answer"
+            );
         }
         drop(crowd);
         let counts = s.says("counts");
-        assert!(counted(&counts, "descriptors_out") > CROWD as u64 / 2, "{counts}");
+        assert!(
+            counted(&counts, "descriptors_out") > CROWD as u64 / 2,
+            "{counts}"
+        );
         assert!(s.process.wait().unwrap().success());
     });
 }
