--- a/crates/cli/tests/golden.rs
+++ b/crates/cli/tests/golden.rs
@@ -19,9 +19,17 @@
 const FOLDER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden");
 
 fn run(folder: &Path, arguments: &[&str]) -> (i32, String, String) {
-    let ended = Command::new(PROGRAM).args(arguments).current_dir(folder).output().unwrap();
+    let ended = Command::new(PROGRAM)
+        .args(arguments)
+        .current_dir(folder)
+        .output()
+        .unwrap();
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
-    (ended.status.code().unwrap(), text(ended.stdout), text(ended.stderr))
+    (
+        ended.status.code().unwrap(),
+        text(ended.stdout),
+        text(ended.stderr),
+    )
 }
 
 fn golden(name: &str) -> String {
@@ -38,8 +46,14 @@
     let commands = text.split("Commands:\n").nth(1).unwrap_or("");
     let names = commands.lines().take_while(|line| !line.is_empty());
     // A name stands behind two spaces; its text, where it is broken, behind more.
-    let names = names.filter_map(|line| line.strip_prefix("  ").filter(|line| !line.starts_with(' ')));
-    for name in names.filter_map(|line| line.split(' ').next()).filter(|name| *name != "help") {
+    let names = names.filter_map(|line| {
+        line.strip_prefix("  ")
+            .filter(|line| !line.starts_with(' '))
+    });
+    for name in names
+        .filter_map(|line| line.split(' ').next())
+        .filter(|name| *name != "help")
+    {
         help(&[command, &[name]].concat(), all);
     }
 }
@@ -48,7 +62,15 @@
 fn help_is_as_before() {
     let mut all = String::new();
     help(&[], &mut all);
-    for name in ["publish", "versions", "mend", "recover", "decisions", "shrink", "replay"] {
+    for name in [
+        "publish",
+        "versions",
+        "mend",
+        "recover",
+        "decisions",
+        "shrink",
+        "replay",
+    ] {
         assert!(all.contains(&format!(" {name} --help\n")), "{name}");
     }
     assert_text(golden("help.txt"), &all);
@@ -74,7 +96,12 @@
     let mut all = String::new();
     for arguments in commands {
         let (code, out, errors) = run(folder, arguments);
-        writeln!(all, "$ rainstand {}\nexit {code}\n{out}--\n{errors}", arguments.join(" ")).unwrap();
+        writeln!(
+            all,
+            "$ rainstand {}\nexit {code}\n{out}--\n{errors}",
+            arguments.join(" ")
+        )
+        .unwrap();
     }
     all
 }
@@ -84,8 +111,18 @@
     let folder = tempfile::tempdir().unwrap();
     let write = |name: &str, text: &str| std::fs::write(folder.path().join(name), text).unwrap();
     write("good.rain", CONFIGURATION);
-    write("bad.rain", &CONFIGURATION.replace("goal: 3 s", "goal: 8 s").replace("to: hall", "to: hal"));
-    write("other.rain", &CONFIGURATION.replace("40 %", "30 %").replace("member n2", "member n3"));
+    write(
+        "bad.rain",
+        &CONFIGURATION
+            .replace("goal: 3 s", "goal: 8 s")
+            .replace("to: hall", "to: hal"),
+    );
+    write(
+        "other.rain",
+        &CONFIGURATION
+            .replace("40 %", "30 %")
+            .replace("member n2", "member n3"),
+    );
     let transcript = transcript(
         folder.path(),
         &[
@@ -96,12 +133,43 @@
             &["config", "build", "good.rain"],
             &["config", "diff", "good.rain", "other.rain"],
             &["config", "diff", "--json", "good.rain", "other.rain"],
-            &["config", "explain", "good.rain", "--type", "check", "--tenant", "acme"],
-            &["config", "explain", "good.rain", "--type", "check", "--json"],
-            &["config", "explain", "good.rain", "--type", "check", "--members-out", "n1,n2", "--json"],
+            &[
+                "config",
+                "explain",
+                "good.rain",
+                "--type",
+                "check",
+                "--tenant",
+                "acme",
+            ],
+            &[
+                "config",
+                "explain",
+                "good.rain",
+                "--type",
+                "check",
+                "--json",
+            ],
+            &[
+                "config",
+                "explain",
+                "good.rain",
+                "--type",
+                "check",
+                "--members-out",
+                "n1,n2",
+                "--json",
+            ],
             &["config", "why", "--all"],
             &["config", "schema"],
-            &["config", "publish", "good.rain", "--at", "127.0.0.1:1", "--json"],
+            &[
+                "config",
+                "publish",
+                "good.rain",
+                "--at",
+                "127.0.0.1:1",
+                "--json",
+            ],
             &["config", "versions", "--at", "127.0.0.1:1"],
             &["ask", "status", "--at", "127.0.0.1:1"],
             &["replica", "status", "--at", "127.0.0.1:1"],
@@ -152,7 +220,8 @@
     let (code, out, _) = run(folder.path(), &["lab", "run", "small.rain", "--json"]);
     assert_eq!(code, 0);
     let mut shapes = BTreeSet::new();
-    out.lines().for_each(|line| shape("", &serde_json::from_str(line).unwrap(), &mut shapes));
+    out.lines()
+        .for_each(|line| shape("", &serde_json::from_str(line).unwrap(), &mut shapes));
     assert_text(golden("lab.txt"), &lines(&shapes));
 }
 
@@ -164,7 +233,9 @@
                 shape(&format!("{path}.{key}"), value, all);
             }
         }
-        Value::Array(items) => items.iter().for_each(|item| shape(&format!("{path}[]"), item, all)),
+        Value::Array(items) => items
+            .iter()
+            .for_each(|item| shape(&format!("{path}[]"), item, all)),
         Value::Null => drop(all.insert(format!("{path} null"))),
         Value::Bool(_) => drop(all.insert(format!("{path} bool"))),
         Value::Number(_) => drop(all.insert(format!("{path} number"))),
@@ -173,7 +244,9 @@
 }
 
 fn lines(shapes: &BTreeSet<String>) -> String {
-    shapes.iter().fold(String::new(), |text, line| text + line + "\n")
+    shapes
+        .iter()
+        .fold(String::new(), |text, line| text + line + "\n")
 }
 
 /// A program that goes on; it ends with this.
@@ -193,7 +266,12 @@
 impl Running {
     fn start(folder: &Path, arguments: &[&str]) -> Self {
         let mut command = Command::new(PROGRAM);
-        let mut child = command.args(arguments).current_dir(folder).stderr(Stdio::piped()).spawn().unwrap();
+        let mut child = command
+            .args(arguments)
+            .current_dir(folder)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
         let log = BufReader::new(child.stderr.take().unwrap());
         Self { child, log }
     }
@@ -201,7 +279,10 @@
     fn says(&mut self, words: &str) -> String {
         loop {
             let mut line = String::new();
-            assert!(self.log.read_line(&mut line).unwrap() > 0, "ended before it said {words}");
+            assert!(
+                self.log.read_line(&mut line).unwrap() > 0,
+                "ended before it said {words}"
+            );
             if line.contains(words) {
                 return line;
             }
@@ -211,8 +292,11 @@
 
 /// Names, units, kinds and help texts of an OpenMetrics text.
 fn metrics(text: &str) -> String {
-    let described: BTreeSet<String> =
-        text.lines().filter(|line| line.starts_with("# ")).map(str::to_owned).collect();
+    let described: BTreeSet<String> = text
+        .lines()
+        .filter(|line| line.starts_with("# "))
+        .map(str::to_owned)
+        .collect();
     lines(&described)
 }
 
@@ -220,7 +304,10 @@
 #[test]
 fn output_of_disks_is_as_before() {
     let folder = tempfile::tempdir().unwrap();
-    let member = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../group/tests/golden/member"));
+    let member = Path::new(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../group/tests/golden/member"
+    ));
     std::fs::create_dir(folder.path().join("n1")).unwrap();
     for file in std::fs::read_dir(member).unwrap() {
         let file = file.unwrap();
@@ -250,11 +337,16 @@
 #[test]
 fn what_running_programs_tell_has_the_shape_of_before() {
     let folder = tempfile::tempdir().unwrap();
-    let listeners: [TcpListener; 3] = std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let listeners: [TcpListener; 3] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
     let addresses = listeners.map(|listener| listener.local_addr().unwrap().to_string());
     let (mut members, mut machines) = (String::new(), String::new());
     for (number, address) in (1..).zip(&addresses) {
-        writeln!(members, "member c{number} {{ address: \"{address}\"; folder: \"c{number}\" }}").unwrap();
+        writeln!(
+            members,
+            "member c{number} {{ address: \"{address}\"; folder: \"c{number}\" }}"
+        )
+        .unwrap();
         writeln!(machines, "member c{number} {{ address: \"{address}\" }}").unwrap();
     }
     std::fs::write(
@@ -265,17 +357,33 @@
     let start = format!("{CONFIGURATION}control fleet {{\n{machines}}}\n");
     std::fs::write(folder.path().join("start.rain"), start).unwrap();
     std::fs::create_dir(folder.path().join("kept")).unwrap();
-    let mut control = ["c1", "c2", "c3"]
-        .map(|name| Running::start(folder.path(), &["control", "--config", "control.rain", "--name", name]));
-    control.iter_mut().for_each(|machine| drop(machine.says("event=\"start\"")));
+    let mut control = ["c1", "c2", "c3"].map(|name| {
+        Running::start(
+            folder.path(),
+            &["control", "--config", "control.rain", "--name", name],
+        )
+    });
+    control
+        .iter_mut()
+        .for_each(|machine| drop(machine.says("event=\"start\"")));
     let at = addresses[0].clone();
     let listen = ["--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0"];
     let attach = ["--name", "f1", "--control-folder", "kept"];
     let arguments = [&["forward", "--config", "start.rain"][..], &listen, &attach].concat();
     let mut forwarder = Running::start(folder.path(), &arguments);
-    let admin = forwarder.says("event=\"admin\"").split("admin=").last().unwrap().trim().to_owned();
+    let admin = forwarder
+        .says("event=\"admin\"")
+        .split("admin=")
+        .last()
+        .unwrap()
+        .trim()
+        .to_owned();
     forwarder.says("event=\"attached\"");
-    std::fs::write(folder.path().join("next.rain"), CONFIGURATION.replace("40 %", "30 %")).unwrap();
+    std::fs::write(
+        folder.path().join("next.rain"),
+        CONFIGURATION.replace("40 %", "30 %"),
+    )
+    .unwrap();
     let publish = ["config", "publish", "next.rain", "--at", &at, "--json"];
     let begun = Instant::now();
     // No majority has come together yet.
@@ -288,7 +396,8 @@
     let mut add = |name: &str, arguments: &[&str]| {
         let (_, out, errors) = run(folder.path(), arguments);
         assert!(!out.is_empty(), "{name}: {errors}");
-        out.lines().for_each(|line| shape(name, &serde_json::from_str(line).unwrap(), &mut shapes));
+        out.lines()
+            .for_each(|line| shape(name, &serde_json::from_str(line).unwrap(), &mut shapes));
     };
     add("versions", &["config", "versions", "--at", &at, "--json"]);
     add("forwarder", &["ask", "status", "--at", &admin, "--json"]);
@@ -296,7 +405,10 @@
     // Only the leader tells how far the others are: all are asked.
     for address in &addresses {
         add("status", &["replica", "status", "--at", address, "--json"]);
-        add("members", &["replica", "members", "--at", address, "--json"]);
+        add(
+            "members",
+            &["replica", "members", "--at", address, "--json"],
+        );
     }
     assert_text(golden("shapes.txt"), &lines(&shapes));
     let (_, out, _) = run(folder.path(), &["replica", "metrics", "--at", &at]);
--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -21,30 +21,51 @@
 ";
 
 fn rainstand(folder: &Path, arguments: &[&str]) -> (i32, String, String) {
-    let ran = Command::new(env!("CARGO_BIN_EXE_rainstand")).args(arguments).current_dir(folder).output();
-    let Output { status, stdout, stderr } = ran.unwrap();
-    (status.code().unwrap(), String::from_utf8(stdout).unwrap(), String::from_utf8(stderr).unwrap())
+    let ran = Command::new(env!("CARGO_BIN_EXE_rainstand"))
+        .args(arguments)
+        .current_dir(folder)
+        .output();
+    let Output {
+        status,
+        stdout,
+        stderr,
+    } = ran.unwrap();
+    (
+        status.code().unwrap(),
+        String::from_utf8(stdout).unwrap(),
+        String::from_utf8(stderr).unwrap(),
+    )
 }
 
 #[test]
 fn an_experiment_is_played_compared_and_drawn() {
     let folder = tempfile::tempdir().unwrap();
     std::fs::write(folder.path().join("small.rain"), EXPERIMENT).unwrap();
-    let (code, out, errors) = rainstand(folder.path(), &["lab", "run", "small.rain", "--jobs", "2"]);
+    let (code, out, errors) =
+        rainstand(folder.path(), &["lab", "run", "small.rain", "--jobs", "2"]);
     assert_eq!(code, 0, "{errors}");
-    assert!(out.contains("tries=1 ") && out.contains("tries=3 ") && out.contains("unevenness"), "{out}");
+    assert!(
+        out.contains("tries=1 ") && out.contains("tries=3 ") && out.contains("unevenness"),
+        "{out}"
+    );
     // Again: all of it is there, and the same figures are told.
     let (code, again, _) = rainstand(folder.path(), &["lab", "run", "small.rain"]);
     assert_eq!((code, &again), (0, &out));
     let (code, lines, _) = rainstand(folder.path(), &["lab", "run", "small.rain", "--json"]);
     assert_eq!((code, lines.lines().count()), (0, 6));
     let (code, out, _) = rainstand(folder.path(), &["lab", "compare", "lab-out/small"]);
-    assert!(code == 0 && out.contains("tries=3  against  tries=1, 3 pairs"), "{out}");
+    assert!(
+        code == 0 && out.contains("tries=3  against  tries=1, 3 pairs"),
+        "{out}"
+    );
     let (code, out, _) = rainstand(folder.path(), &["lab", "plot", "lab-out/small"]);
     assert_eq!((code, out.lines().count()), (0, 6));
     let page = std::fs::read_to_string(folder.path().join("lab-out/small/index.html")).unwrap();
     assert!(page.contains("<svg") && page.contains("tries=3"));
-    let (code, out, _) = rainstand(folder.path(), &["lab", "shrink", "small.rain", "--seed", "2"]);
+    let (code, out, _) = rainstand(
+        folder.path(),
+        &["lab", "shrink", "small.rain", "--seed", "2"],
+    );
     assert_eq!((code, out.as_str()), (0, "seed 2: no rule breaks\n"));
     // The same on sockets, with the model beside it.
     let (code, out, errors) = rainstand(folder.path(), &["lab", "load", "small.rain", "--json"]);
@@ -63,16 +84,27 @@
 fn what_is_wrong_is_told_with_an_exit_code() {
     let folder = tempfile::tempdir().unwrap();
     std::fs::write(folder.path().join("none.rain"), "rain 1\ntenant acme { }\n").unwrap();
-    std::fs::write(folder.path().join("bad.rain"), EXPERIMENT.replace("nodes: 4", "nodes: 0")).unwrap();
+    std::fs::write(
+        folder.path().join("bad.rain"),
+        EXPERIMENT.replace("nodes: 4", "nodes: 0"),
+    )
+    .unwrap();
     let table = [
-        (&["lab", "run", "none.rain"][..], 2, "there is no experiment in it"),
+        (
+            &["lab", "run", "none.rain"][..],
+            2,
+            "there is no experiment in it",
+        ),
         (&["lab", "run", "bad.rain"], 1, "`nodes` cannot be zero"),
         (&["lab", "compare", "nowhere"], 2, "nowhere"),
         (&["ask", "members", "--at", "127.0.0.1:1"], 2, "127.0.0.1:1"),
     ];
     for (arguments, wanted, words) in table {
         let (code, _, errors) = rainstand(folder.path(), arguments);
-        assert!(code == wanted && errors.contains(words), "{arguments:?}: {code} {errors}");
+        assert!(
+            code == wanted && errors.contains(words),
+            "{arguments:?}: {code} {errors}"
+        );
     }
 }
 
@@ -88,9 +120,14 @@
         .unwrap();
     let lines = BufReader::new(child.stdout.take().unwrap()).lines();
     let nodes: Vec<String> = lines.take(4).map(Result::unwrap).collect();
-    let (code, out, errors) =
-        rainstand(folder.path(), &["lab", "load", "small.rain", "--json", "--to", &nodes[3]]);
-    assert!(code == 0 && out.lines().count() == 1 && out.contains("\"of\":\"sockets\""), "{out} {errors}");
+    let (code, out, errors) = rainstand(
+        folder.path(),
+        &["lab", "load", "small.rain", "--json", "--to", &nodes[3]],
+    );
+    assert!(
+        code == 0 && out.lines().count() == 1 && out.contains("\"of\":\"sockets\""),
+        "{out} {errors}"
+    );
     let value: serde_json::Value = serde_json::from_str(&out).unwrap();
     assert!(value["honoured"].as_f64().unwrap() > 0.5, "{out}");
     child.kill().unwrap();
@@ -124,8 +161,18 @@
         .spawn()
         .unwrap();
     let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    let line = lines.map_while(Result::ok).find(|line| line.contains("admin=")).unwrap();
-    let at = line.split("admin=").nth(1).unwrap().split_whitespace().next().unwrap().to_owned();
+    let line = lines
+        .map_while(Result::ok)
+        .find(|line| line.contains("admin="))
+        .unwrap();
+    let at = line
+        .split("admin=")
+        .nth(1)
+        .unwrap()
+        .split_whitespace()
+        .next()
+        .unwrap()
+        .to_owned();
     Forwarder(child, at)
 }
 
@@ -133,8 +180,9 @@
 fn forwarders_know_their_part_and_tell_of_it() {
     let folder = tempfile::tempdir().unwrap();
     let config = folder.path().join("main.rain");
-    let members: String =
-        (0..4).map(|k| format!("member n{k} {{ address: \"127.0.0.1:{}\" }}\n", k + 1)).collect();
+    let members: String = (0..4)
+        .map(|k| format!("member n{k} {{ address: \"127.0.0.1:{}\" }}\n", k + 1))
+        .collect();
     let text = format!(
         "rain 1\ntype check {{ repeat: rerunnable; goal: 1 s; outer-limit: 2 s }}\npool p {{ know: 2\n{members} }}\nroute r {{ to: p }}\n"
     );
@@ -142,7 +190,8 @@
     let mut known = Vec::new();
     for number in ["0", "1"] {
         let one = forwarder(&config, number);
-        let (code, out, errors) = rainstand(folder.path(), &["ask", "members", "--at", &one.1, "--json"]);
+        let (code, out, errors) =
+            rainstand(folder.path(), &["ask", "members", "--at", &one.1, "--json"]);
         assert_eq!((code, out.lines().count()), (0, 2), "{errors}");
         for line in out.lines() {
             let value: serde_json::Value = serde_json::from_str(line).unwrap();
@@ -150,7 +199,10 @@
             known.push(value["member"].as_str().unwrap().to_owned());
         }
         let (code, out, _) = rainstand(folder.path(), &["ask", "metrics", "--at", &one.1]);
-        assert!(code == 0 && out.contains("rainstand_forwarder_version 1"), "{out}");
+        assert!(
+            code == 0 && out.contains("rainstand_forwarder_version 1"),
+            "{out}"
+        );
         let (code, out, _) = rainstand(folder.path(), &["ask", "decisions", "--at", &one.1]);
         assert!(code == 0 && out.starts_with("ago"), "{out}");
     }
--- a/crates/cli/tests/size.rs
+++ b/crates/cli/tests/size.rs
@@ -15,7 +15,9 @@
 }
 
 fn signal(to: &Child, name: &str) {
-    let sent = Command::new("kill").args([&format!("-{name}"), &to.id().to_string()]).status();
+    let sent = Command::new("kill")
+        .args([&format!("-{name}"), &to.id().to_string()])
+        .status();
     assert!(sent.is_ok_and(|status| status.success()), "kill -{name}");
 }
 
@@ -23,7 +25,10 @@
 fn limits_by_tenant_on_5_400_routes_for_23_000_tenants_start() {
     let folder = tempfile::tempdir().unwrap();
     let config = folder.path().join("main.rain");
-    let size = Size { limits: Limited::PerTenantOnRoutes, ..Size::two_years() };
+    let size = Size {
+        limits: Limited::PerTenantOnRoutes,
+        ..Size::two_years()
+    };
     std::fs::write(&config, size.rain()).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_rainstand"))
         .args(["forward", "--listen", "127.0.0.1:0", "--config"])
@@ -31,7 +36,9 @@
         .stderr(Stdio::piped())
         .spawn();
     let mut process = Process(child.unwrap());
-    let mut told = BufReader::new(process.0.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut told = BufReader::new(process.0.stderr.take().unwrap())
+        .lines()
+        .map_while(Result::ok);
     // The process's end ends the lines: nothing is waited for that cannot come.
     let mut wait = |what: &str| {
         let mut all = Vec::new();
--- a/crates/cli/tests/stand_ins/mod.rs
+++ b/crates/cli/tests/stand_ins/mod.rs
@@ -49,7 +49,11 @@
 
 pub fn node(manners: Manners) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let node = Node { addr: listener.local_addr().unwrap(), got: Arc::default(), left: Arc::default() };
+    let node = Node {
+        addr: listener.local_addr().unwrap(),
+        got: Arc::default(),
+        left: Arc::default(),
+    };
     let shared = node.clone();
     std::thread::spawn(move || {
         for (connection, stream) in listener.incoming().flatten().enumerate() {
@@ -73,15 +77,28 @@
         }
         let message = thrift::message(&frame).expect("a message");
         if message.name == b"giveUp" {
-            node.left.lock().unwrap().extend(thrift::give_up_args(message.args).unwrap());
+            node.left
+                .lock()
+                .unwrap()
+                .extend(thrift::give_up_args(message.args).unwrap());
             continue;
         }
         let (fields, body) = thrift::process_args(message.args).unwrap();
         let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).unwrap();
-        let fields: Vec<_> = fields.unwrap().into_iter().map(|(k, v)| (text(k), text(v))).collect();
+        let fields: Vec<_> = fields
+            .unwrap()
+            .into_iter()
+            .map(|(k, v)| (text(k), text(v)))
+            .collect();
         let body = body.unwrap().to_vec();
-        let wrong = manners.wrong_about.is_some_and(|about| fields.iter().any(|(_, value)| value == about));
-        node.got.lock().unwrap().push(Got { fields, body: body.clone(), connection });
+        let wrong = manners
+            .wrong_about
+            .is_some_and(|about| fields.iter().any(|(_, value)| value == about));
+        node.got.lock().unwrap().push(Got {
+            fields,
+            body: body.clone(),
+            connection,
+        });
         calls += 1;
         if manners.breaks_after.is_some_and(|after| calls >= after) {
             return;
@@ -106,8 +123,9 @@
     let start = 1_764_576_000_000_000_000u64;
     let connections = calls.iter().map(|call| call.1).max().unwrap_or(0) + 1;
     let end = |port: u16| End::new([127, 0, 0, 1].into(), port);
-    let mut talks: Vec<_> =
-        (0..connections).map(|n| Conversation::new(end(50_000 + n as u16), end(5050), [7, 9])).collect();
+    let mut talks: Vec<_> = (0..connections)
+        .map(|n| Conversation::new(end(50_000 + n as u16), end(5050), [7, 9]))
+        .collect();
     let mut seqs = vec![0; connections];
     let mut packets: Vec<(u64, Vec<u8>)> = Vec::new();
     for talk in &mut talks {
@@ -142,6 +160,8 @@
         packets.extend([0, 1].map(|side| (last, talk.finish(side))));
     }
     let mut file = write::head("stand-in");
-    packets.iter().for_each(|(at, packet)| write::packet(&mut file, *at, packet, packet.len()));
+    packets
+        .iter()
+        .for_each(|(at, packet)| write::packet(&mut file, *at, packet, packet.len()));
     file
 }
--- a/crates/cli/tests/traffic.rs
+++ b/crates/cli/tests/traffic.rs
@@ -10,11 +10,21 @@
 use std::process::Command;
 
 fn run(folder: &Path, arguments: &[&str]) -> (i32, Vec<Value>, String) {
-    let ended =
-        Command::new(env!("CARGO_BIN_EXE_rainstand")).args(arguments).current_dir(folder).output().unwrap();
+    let ended = Command::new(env!("CARGO_BIN_EXE_rainstand"))
+        .args(arguments)
+        .current_dir(folder)
+        .output()
+        .unwrap();
     let stdout = String::from_utf8(ended.stdout).unwrap();
-    let lines = stdout.lines().map(|line| serde_json::from_str(line).unwrap_or(Value::from(line))).collect();
-    (ended.status.code().unwrap(), lines, String::from_utf8(ended.stderr).unwrap())
+    let lines = stdout
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap_or(Value::from(line)))
+        .collect();
+    (
+        ended.status.code().unwrap(),
+        lines,
+        String::from_utf8(ended.stderr).unwrap(),
+    )
 }
 
 /// Every kind of answer, on three connections within 60 ms.
@@ -49,7 +59,13 @@
         let line = lines.iter().find(|line| line["trace"] == trace).unwrap();
         (line["end"].as_str().unwrap(), line["took_us"].as_u64())
     };
-    let wanted = [(0, "honoured"), (2, "dismissed"), (3, "given_up"), (4, "exception"), (11, "honoured")];
+    let wanted = [
+        (0, "honoured"),
+        (2, "dismissed"),
+        (3, "given_up"),
+        (4, "exception"),
+        (11, "honoured"),
+    ];
     for (trace, word) in wanted {
         assert_eq!(end(trace), (word, Some(1_000)));
     }
@@ -62,9 +78,16 @@
     assert_eq!(summary["ends"]["honoured"], 8);
     let (code, lines, _) = run(folder.path(), &["pcap", "tickets", "a.pcapng"]);
     assert_eq!((code, lines.len()), (0, 13));
-    assert!(lines[12].as_str().unwrap().starts_with("summary packets="), "{}", lines[12]);
+    assert!(
+        lines[12].as_str().unwrap().starts_with("summary packets="),
+        "{}",
+        lines[12]
+    );
     let (code, lines, _) = run(folder.path(), &["pcap", "info", "a.pcapng", "--json"]);
-    assert_eq!((code, &lines[0]["tickets"], &lines[0]["format"]), (0, &12.into(), &"pcapng".into()));
+    assert_eq!(
+        (code, &lines[0]["tickets"], &lines[0]["format"]),
+        (0, &12.into(), &"pcapng".into())
+    );
 }
 
 #[test]
@@ -73,7 +96,11 @@
     let at = folder.path();
     let whole = std::fs::read(at.join("a.pcapng")).unwrap();
     std::fs::write(at.join("half.pcapng"), &whole[..whole.len() / 2]).unwrap();
-    std::fs::write(at.join("text.pcapng"), "not a capture, and long enough to be looked at").unwrap();
+    std::fs::write(
+        at.join("text.pcapng"),
+        "not a capture, and long enough to be looked at",
+    )
+    .unwrap();
     std::fs::write(at.join("empty.pcapng"), "").unwrap();
     let table = [
         ("half.pcapng", 1, "middle of a packet"),
@@ -93,40 +120,93 @@
 fn a_cut_has_the_chosen_tickets_and_no_others() {
     let folder = folder();
     let at = folder.path();
-    let (code, _, _) =
-        run(at, &["pcap", "cut", "a.pcapng", "part.pcapng", "--from", "0.010", "--to", "0.040"]);
+    let (code, _, _) = run(
+        at,
+        &[
+            "pcap",
+            "cut",
+            "a.pcapng",
+            "part.pcapng",
+            "--from",
+            "0.010",
+            "--to",
+            "0.040",
+        ],
+    );
     assert_eq!(code, 0);
     let (_, lines, _) = run(at, &["pcap", "tickets", "part.pcapng", "--json"]);
-    let mut traces: Vec<_> =
-        lines[..lines.len() - 1].iter().map(|l| l["trace"].as_str().unwrap().to_owned()).collect();
+    let mut traces: Vec<_> = lines[..lines.len() - 1]
+        .iter()
+        .map(|l| l["trace"].as_str().unwrap().to_owned())
+        .collect();
     traces.sort();
     let wanted: Vec<_> = (3..9).map(|n| format!("{n:016x}")).collect();
     assert_eq!(traces, wanted);
     let ends = &lines[lines.len() - 1]["summary"]["ends"];
     assert_eq!((&ends["honoured"], &ends["gone"]), (&3.into(), &1.into()));
-    let (_, _, told) = run(at, &["pcap", "cut", "a.pcapng", "none.pcapng", "--tenant", "other"]);
+    let (_, _, told) = run(
+        at,
+        &[
+            "pcap",
+            "cut",
+            "a.pcapng",
+            "none.pcapng",
+            "--tenant",
+            "other",
+        ],
+    );
     assert!(told.contains("0 tickets"));
-    assert_eq!(run(at, &["pcap", "cut", "a.pcapng", "b.pcapng", "--from", "3", "--to", "2"]).0, 2);
+    assert_eq!(
+        run(
+            at,
+            &["pcap", "cut", "a.pcapng", "b.pcapng", "--from", "3", "--to", "2"]
+        )
+        .0,
+        2
+    );
 }
 
 #[test]
 fn columns_hold_what_lines_say() {
     let folder = folder();
-    let (code, _, _) = run(folder.path(), &["pcap", "export", "a.pcapng", "--parquet", "a.parquet"]);
+    let (code, _, _) = run(
+        folder.path(),
+        &["pcap", "export", "a.pcapng", "--parquet", "a.parquet"],
+    );
     assert_eq!(code, 0);
     let file = std::fs::File::open(folder.path().join("a.parquet")).unwrap();
     let reader = SerializedFileReader::new(file).unwrap();
-    let rows: Vec<_> = reader.get_row_iter(None).unwrap().map(Result::unwrap).collect();
+    let rows: Vec<_> = reader
+        .get_row_iter(None)
+        .unwrap()
+        .map(Result::unwrap)
+        .collect();
     assert_eq!(rows.len(), 12);
-    let of = |trace: &str| rows.iter().find(|row| row.get_string(3).unwrap() == trace).unwrap();
+    let of = |trace: &str| {
+        rows.iter()
+            .find(|row| row.get_string(3).unwrap() == trace)
+            .unwrap()
+    };
     let dismissed = of("0000000000000002");
     assert_eq!(
-        (dismissed.get_string(11).unwrap().as_str(), dismissed.get_long(15).unwrap()),
+        (
+            dismissed.get_string(11).unwrap().as_str(),
+            dismissed.get_long(15).unwrap()
+        ),
         ("dismissed", 100)
     );
     let left = of("0000000000000005");
-    assert_eq!((left.get_string(11).unwrap().as_str(), left.get_long(13).unwrap()), ("gone", 5_000));
-    assert!(left.get_long(12).is_err(), "an answer's time that was none is null");
+    assert_eq!(
+        (
+            left.get_string(11).unwrap().as_str(),
+            left.get_long(13).unwrap()
+        ),
+        ("gone", 5_000)
+    );
+    assert!(
+        left.get_long(12).is_err(),
+        "an answer's time that was none is null"
+    );
     assert_eq!(dismissed.get_string(4).unwrap(), "check");
 }
 
@@ -156,12 +236,22 @@
         (0, &12.into(), &3.into()),
         "{told}{summary}"
     );
-    assert_eq!(summary["ends"]["honoured"], serde_json::json!({"recorded": 8, "now": 8}));
+    assert_eq!(
+        summary["ends"]["honoured"],
+        serde_json::json!({"recorded": 8, "now": 8})
+    );
     let got = node.got.lock().unwrap();
-    let bodies: Vec<_> = got.iter().map(|one| String::from_utf8(one.body.clone()).unwrap()).collect();
+    let bodies: Vec<_> = got
+        .iter()
+        .map(|one| String::from_utf8(one.body.clone()).unwrap())
+        .collect();
     for on in 0..3 {
         // In the recorded order on each connection; further tries still say so.
-        let wanted: Vec<_> = CALLS.iter().filter(|call| call.1 == on).map(|call| call.2).collect();
+        let wanted: Vec<_> = CALLS
+            .iter()
+            .filter(|call| call.1 == on)
+            .map(|call| call.2)
+            .collect();
         let first = bodies.iter().position(|body| body == wanted[0]).unwrap();
         let found: Vec<_> = got
             .iter()
@@ -172,7 +262,12 @@
         assert_eq!(found, wanted);
     }
     let field = |fields: &[(String, String)], key: &str| {
-        fields.iter().find(|(name, _)| name == key).unwrap().1.clone()
+        fields
+            .iter()
+            .find(|(name, _)| name == key)
+            .unwrap()
+            .1
+            .clone()
     };
     let mapping = std::fs::read_to_string(folder.path().join("map.jsonl")).unwrap();
     for one in got.iter() {
@@ -188,24 +283,58 @@
 #[test]
 fn a_different_answer_is_named() {
     let folder = folder();
-    let node = node(Manners { wrong_about: Some("e8"), ..Manners::default() });
+    let node = node(Manners {
+        wrong_about: Some("e8"),
+        ..Manners::default()
+    });
     let to = node.addr.to_string();
-    let (code, lines, _) =
-        run(folder.path(), &["pcap", "replay", "a.pcapng", "--to", &to, "--compare", "--json"]);
+    let (code, lines, _) = run(
+        folder.path(),
+        &[
+            "pcap",
+            "replay",
+            "a.pcapng",
+            "--to",
+            &to,
+            "--compare",
+            "--json",
+        ],
+    );
     assert_eq!((code, lines.len()), (1, 2));
-    assert_eq!((&lines[0]["trace"], &lines[0]["now"]), (&"0000000000000007".into(), &"honoured".into()));
+    assert_eq!(
+        (&lines[0]["trace"], &lines[0]["now"]),
+        (&"0000000000000007".into(), &"honoured".into())
+    );
     // By kinds alone it is the same.
-    let (code, ..) = run(folder.path(), &["pcap", "replay", "a.pcapng", "--to", &to, "--compare", "--kinds"]);
+    let (code, ..) = run(
+        folder.path(),
+        &[
+            "pcap",
+            "replay",
+            "a.pcapng",
+            "--to",
+            &to,
+            "--compare",
+            "--kinds",
+        ],
+    );
     assert_eq!(code, 0);
 }
 
 #[test]
 fn broken_and_refused_connections_do_not_end_a_replay() {
     let folder = folder();
-    let breaking = node(Manners { breaks_after: Some(2), ..Manners::default() });
+    let breaking = node(Manners {
+        breaks_after: Some(2),
+        ..Manners::default()
+    });
     let to = breaking.addr.to_string();
-    let (code, lines, _) =
-        run(folder.path(), &["pcap", "replay", "a.pcapng", "--to", &to, "--json", "--wait", "2"]);
+    let (code, lines, _) = run(
+        folder.path(),
+        &[
+            "pcap", "replay", "a.pcapng", "--to", &to, "--json", "--wait", "2",
+        ],
+    );
     let summary = &lines[0]["summary"];
     assert_eq!(code, 0);
     assert!(
@@ -214,20 +343,56 @@
     );
     assert!(breaking.got.lock().unwrap().len() >= 12);
     // Nobody listens there any more.
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let gone = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+        .to_string();
     let (code, lines, _) = run(
         folder.path(),
-        &["pcap", "replay", "a.pcapng", "--to", &gone, "--json", "--compare", "--wait", "2"],
+        &[
+            "pcap",
+            "replay",
+            "a.pcapng",
+            "--to",
+            &gone,
+            "--json",
+            "--compare",
+            "--wait",
+            "2",
+        ],
+    );
+    assert_eq!(
+        (
+            code,
+            &lines[lines.len() - 1]["summary"]["ends"]["gone"]["now"]
+        ),
+        (1, &12.into())
     );
-    assert_eq!((code, &lines[lines.len() - 1]["summary"]["ends"]["gone"]["now"]), (1, &12.into()));
-    let shutting = node(Manners { shuts_after: Some(1), ..Manners::default() });
+    let shutting = node(Manners {
+        shuts_after: Some(1),
+        ..Manners::default()
+    });
     let to = shutting.addr.to_string();
     let (code, lines, _) = run(
         folder.path(),
-        &["pcap", "replay", "a.pcapng", "--to", &to, "--json", "--wait", "2", "--compare"],
+        &[
+            "pcap",
+            "replay",
+            "a.pcapng",
+            "--to",
+            &to,
+            "--json",
+            "--wait",
+            "2",
+            "--compare",
+        ],
     );
     let summary = &lines[lines.len() - 1]["summary"];
-    assert!(code == 0 && summary["connections"].as_u64().unwrap() > 3, "{summary}");
+    assert!(
+        code == 0 && summary["connections"].as_u64().unwrap() > 3,
+        "{summary}"
+    );
 }
 
 #[test]
@@ -242,9 +407,15 @@
     ];
     for (more, words) in table {
         let all = [&["pcap", "replay", "a.pcapng", "--to", "127.0.0.1:9"], more].concat();
-        let all: Vec<&str> = all.into_iter().map(|one| if one == "-1" { "-1" } else { one }).collect();
+        let all: Vec<&str> = all
+            .into_iter()
+            .map(|one| if one == "-1" { "-1" } else { one })
+            .collect();
         let (code, _, told) = run(folder.path(), &all);
         assert_eq!(code, 2, "{told}");
-        assert!(told.contains(words) || told.contains("unexpected argument"), "{told}");
+        assert!(
+            told.contains(words) || told.contains("unexpected argument"),
+            "{told}"
+        );
     }
 }
--- a/crates/config/benches/check.rs
+++ b/crates/config/benches/check.rs
@@ -30,9 +30,14 @@
                 1 + k
             );
         }
-        let _ =
-            write!(text, "\nlimits l{n} {{\n  rate: 900 tickets/s\n  burst: 50 tickets\n  per: tenant\n}}\n");
-        let _ = write!(text, "\nattempts a{n} {{\n  tries: 2\n  wait: 20 ms .. 80 ms\n}}\n");
+        let _ = write!(
+            text,
+            "\nlimits l{n} {{\n  rate: 900 tickets/s\n  burst: 50 tickets\n  per: tenant\n}}\n"
+        );
+        let _ = write!(
+            text,
+            "\nattempts a{n} {{\n  tries: 2\n  wait: 20 ms .. 80 ms\n}}\n"
+        );
         for p in 0..4 {
             let _ = write!(text, "\npool p{n}-{p} {{\n  zone: z{}\n", p % 3);
             for m in 0..10 {
@@ -66,8 +71,13 @@
     let outcome = load(&files, "main.rain");
     assert!(!outcome.has_errors(), "{:?}", outcome.findings.first());
     let lines = outcome.sources.lines();
-    assert!(lines > 95_000 && outcome.sources.len() == 200, "{lines} lines");
-    bencher.counter(divan::counter::ItemsCount::new(lines)).bench(|| load(&files, "main.rain"));
+    assert!(
+        lines > 95_000 && outcome.sources.len() == 200,
+        "{lines} lines"
+    );
+    bencher
+        .counter(divan::counter::ItemsCount::new(lines))
+        .bench(|| load(&files, "main.rain"));
 }
 
 #[divan::bench]
@@ -76,12 +86,19 @@
     let lines: usize = files.iter().map(|(_, text)| text.lines().count()).sum();
     bencher
         .counter(divan::counter::ItemsCount::new(lines))
-        .bench(|| files.iter().map(|(_, text)| form(text).map_or(0, |formed| formed.len())).sum::<usize>());
+        .bench(|| {
+            files
+                .iter()
+                .map(|(_, text)| form(text).map_or(0, |formed| formed.len()))
+                .sum::<usize>()
+        });
 }
 
 #[divan::bench]
 fn diff_of_one_change_in_100_000_lines(bencher: divan::Bencher<'_, '_>) {
-    let old = load(&Memory::new(generated()), "main.rain").configuration.unwrap();
+    let old = load(&Memory::new(generated()), "main.rain")
+        .configuration
+        .unwrap();
     let mut new = old.clone();
     new.limits[7].at_once = 9;
     assert_eq!(diff(&old, &new).len(), 1);
--- a/crates/config/src/ast.rs
+++ b/crates/config/src/ast.rs
@@ -33,7 +33,10 @@
 
     /// Where the values of an entry stand, else the block's own place.
     pub fn place(&self, key: &str) -> Span {
-        self.entries.iter().find(|entry| entry.key.text == key).map_or(self.at(), Entry::values_at)
+        self.entries
+            .iter()
+            .find(|entry| entry.key.text == key)
+            .map_or(self.at(), Entry::values_at)
     }
 }
 
@@ -47,7 +50,10 @@
 impl Entry<'_> {
     pub fn values_at(&self) -> Span {
         match (self.values.first(), self.values.last()) {
-            (Some(first), Some(last)) => Span { end: last.at.end, ..first.at },
+            (Some(first), Some(last)) => Span {
+                end: last.at.end,
+                ..first.at
+            },
             _ => self.key.at,
         }
     }
@@ -74,8 +80,14 @@
     /// What a word or text says.
     pub fn said(&self) -> Option<Name<'t>> {
         match self.kind {
-            Kind::Word => Some(Name { text: Cow::Borrowed(self.text), at: self.at }),
-            Kind::Text => Some(Name { text: said(self.text), at: self.at }),
+            Kind::Word => Some(Name {
+                text: Cow::Borrowed(self.text),
+                at: self.at,
+            }),
+            Kind::Text => Some(Name {
+                text: said(self.text),
+                at: self.at,
+            }),
             _ => None,
         }
     }
@@ -91,7 +103,11 @@
 
 /// The blocks of one file.
 pub fn read<'t>(sources: &'t Sources, parsed: &Parsed, findings: &mut Findings) -> Vec<Block<'t>> {
-    let mut reader = Reader { text: sources.text(parsed.file), parsed, findings };
+    let mut reader = Reader {
+        text: sources.text(parsed.file),
+        parsed,
+        findings,
+    };
     let root = parsed.root();
     let mut blocks = Vec::new();
     for node in root.children() {
@@ -100,7 +116,9 @@
             Kind::Entry => {
                 let at = reader.span(node.text_range());
                 let words = format!("`{}` stands in no block", shorten(reader.slice(at)));
-                reader.findings.push(Finding::new(Code::EntryOutside, at, words));
+                reader
+                    .findings
+                    .push(Finding::new(Code::EntryOutside, at, words));
             }
             _ => {}
         }
@@ -116,7 +134,11 @@
 
 impl<'t> Reader<'t, '_> {
     fn span(&self, range: rowan::TextRange) -> Span {
-        Span { file: self.parsed.file, start: range.start().into(), end: range.end().into() }
+        Span {
+            file: self.parsed.file,
+            start: range.start().into(),
+            end: range.end().into(),
+        }
     }
 
     fn slice(&self, at: Span) -> &'t str {
@@ -126,10 +148,16 @@
     fn name(&mut self, kind: Kind, at: Span) -> Name<'t> {
         let written = self.slice(at);
         if kind != Kind::Text {
-            return Name { text: Cow::Borrowed(written), at };
+            return Name {
+                text: Cow::Borrowed(written),
+                at,
+            };
         }
         self.look_at_escapes(written, at);
-        Name { text: said(written), at }
+        Name {
+            text: said(written),
+            at,
+        }
     }
 
     fn look_at_escapes(&mut self, written: &str, at: Span) {
@@ -138,9 +166,13 @@
             if c == '\\' {
                 let escaped = chars.next();
                 if !matches!(escaped, Some('"' | '\\')) {
-                    let words = format!("`\\{}` is no escape", escaped.map_or(String::new(), String::from));
+                    let words = format!(
+                        "`\\{}` is no escape",
+                        escaped.map_or(String::new(), String::from)
+                    );
                     let finding = Finding::new(Code::Escape, at, words);
-                    self.findings.push(finding.help("only `\\\"` and `\\\\` are"));
+                    self.findings
+                        .push(finding.help("only `\\\"` and `\\\\` are"));
                     return;
                 }
             }
@@ -178,7 +210,13 @@
         if next.is_some() {
             base = head.next().map(|(kind, at)| self.name(kind, at));
         }
-        Some(Block { kind, name, base, entries, blocks })
+        Some(Block {
+            kind,
+            name,
+            base,
+            entries,
+            blocks,
+        })
     }
 
     fn entry(&mut self, node: &Node) -> Option<Entry<'t>> {
@@ -190,7 +228,9 @@
                     let at = self.span(token.text_range());
                     key = Some(self.name(Kind::Word, at));
                 }
-                Element::Node(child) if child.kind() == Kind::Value => values.extend(self.value(&child)),
+                Element::Node(child) if child.kind() == Kind::Value => {
+                    values.extend(self.value(&child))
+                }
                 _ => {}
             }
         }
@@ -212,10 +252,17 @@
             }
             atoms.push(Atom { kind, at, text });
         }
-        let at = Span { end: atoms.last()?.at.end, ..atoms.first()?.at };
+        let at = Span {
+            end: atoms.last()?.at.end,
+            ..atoms.first()?.at
+        };
         if atoms.iter().any(|atom| atom.kind == Kind::OpenText) {
             return None;
         }
-        Some(Value { at, text: self.slice(at), atoms })
+        Some(Value {
+            at,
+            text: self.slice(at),
+            atoms,
+        })
     }
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -7,7 +7,9 @@
 use crate::codes::Code;
 use crate::parse::shorten;
 use crate::resolve::{Resolved, Sort};
-use crate::schema::{Attempts, Configuration, Match, OnFailure, Proof, Rate, RepeatKind, Route, TrafficType};
+use crate::schema::{
+    Attempts, Configuration, Match, OnFailure, Proof, Rate, RepeatKind, Route, TrafficType,
+};
 use crate::source::Span;
 use crate::space::{covers, first_match, miss, Earlier, Point, Points};
 use crate::units::{self, ONE};
@@ -89,7 +91,9 @@
                     units::time(outer)
                 );
                 let other = (block.place("outer-limit"), "the outer limit".to_owned());
-                self.tell(Code::GoalPastLimit, block.place("goal"), words).also.push(other);
+                self.tell(Code::GoalPastLimit, block.place("goal"), words)
+                    .also
+                    .push(other);
             }
             if one.repeat() == RepeatKind::Ticketed && one.window_ns > 0 && one.window_ns < outer {
                 let words = format!(
@@ -98,7 +102,9 @@
                     units::time(outer)
                 );
                 let other = (block.place("outer-limit"), "the outer limit".to_owned());
-                self.tell(Code::Window, block.place("repeat"), words).also.push(other);
+                self.tell(Code::Window, block.place("repeat"), words)
+                    .also
+                    .push(other);
             }
         }
     }
@@ -110,9 +116,14 @@
             let before = sum;
             sum = sum.saturating_add(*share);
             if before <= ONE && sum > ONE {
-                let all = shares.iter().fold(0u64, |all, (_, share)| all.saturating_add(*share));
+                let all = shares
+                    .iter()
+                    .fold(0u64, |all, (_, share)| all.saturating_add(*share));
                 let words = format!("{what} add up to {}", units::share(all));
-                let first = shares.iter().find(|(_, share)| *share > 0).map_or(*k, |(first, _)| *first);
+                let first = shares
+                    .iter()
+                    .find(|(_, share)| *share > 0)
+                    .map_or(*k, |(first, _)| *first);
                 let other = self.block(sort, first).place("share");
                 let finding = self.tell(code, self.block(sort, *k).place("share"), words);
                 if first != *k {
@@ -123,8 +134,19 @@
     }
 
     fn tenants(&mut self) {
-        let shares: Vec<_> = self.all.tenants.iter().map(|one| one.share).enumerate().collect();
-        self.over_whole(Code::TenantShares, Sort::Tenant, &shares, "the shares of all tenants");
+        let shares: Vec<_> = self
+            .all
+            .tenants
+            .iter()
+            .map(|one| one.share)
+            .enumerate()
+            .collect();
+        self.over_whole(
+            Code::TenantShares,
+            Sort::Tenant,
+            &shares,
+            "the shares of all tenants",
+        );
     }
 
     fn dependencies(&mut self) {
@@ -150,7 +172,9 @@
                     "`{}` would get a partial answer that hides whether its effect took place",
                     shorten(&of.name)
                 );
-                let other = self.block(Sort::Type, self.types[&*of.name]).place("repeat");
+                let other = self
+                    .block(Sort::Type, self.types[&*of.name])
+                    .place("repeat");
                 let at = self.block(Sort::Dependency, k).place("on-failure");
                 let finding = self.tell(Code::PartialExclusive, at, words);
                 finding.also.push((other, "not rerunnable".into()));
@@ -168,7 +192,12 @@
                 by_type.entry(name).or_default().push((k, one.share));
             }
         }
-        self.over_whole(Code::DependencyShares, Sort::Dependency, &general, "the shares for all types");
+        self.over_whole(
+            Code::DependencyShares,
+            Sort::Dependency,
+            &general,
+            "the shares for all types",
+        );
         let sum: u64 = general.iter().map(|(_, share)| share).sum();
         let mut named: Vec<_> = by_type.into_iter().collect();
         named.sort_unstable();
@@ -187,8 +216,13 @@
         for (k, one) in all.limits.iter().enumerate() {
             let block = self.block(Sort::Limits, k);
             if one.rate.is_none() && one.burst > 0 {
-                self.tell(Code::BurstAlone, block.place("burst"), "a burst without a rate".into());
-            } else if one.rate.is_none() && one.at_once == 0 && !tried(block, &["rate", "at-once"]) {
+                self.tell(
+                    Code::BurstAlone,
+                    block.place("burst"),
+                    "a burst without a rate".into(),
+                );
+            } else if one.rate.is_none() && one.at_once == 0 && !tried(block, &["rate", "at-once"])
+            {
                 let words = format!("`{}` limits nothing", shorten(&one.name));
                 let finding = self.tell(Code::LimitEmpty, block.at(), words);
                 finding.help = Some("give `rate: 40 tickets/s` or `at-once: 12 tickets`".into());
@@ -197,7 +231,11 @@
         for (k, one) in all.health.iter().enumerate() {
             if one.keep == 0 {
                 let at = self.block(Sort::Health, k).place("keep");
-                self.tell(Code::AllOut, at, "every member could be left out at once".into());
+                self.tell(
+                    Code::AllOut,
+                    at,
+                    "every member could be left out at once".into(),
+                );
             }
         }
         for (k, one) in all.budgets.iter().enumerate() {
@@ -217,7 +255,9 @@
     fn pools(&mut self) {
         for (k, pool) in self.all.pools.iter().enumerate() {
             let block = self.block(Sort::Pool, k);
-            if pool.members.is_empty() && !block.blocks.iter().any(|inner| inner.kind.text == "member") {
+            if pool.members.is_empty()
+                && !block.blocks.iter().any(|inner| inner.kind.text == "member")
+            {
                 let words = format!("the pool `{}` has no members", shorten(&pool.name));
                 self.tell(Code::NoMembers, block.at(), words);
             }
@@ -234,14 +274,18 @@
             loop {
                 if walked_by[at] == start {
                     let begin = path.iter().position(|one| *one == at).unwrap_or(0);
-                    let mut names: Vec<String> =
-                        path[begin..].iter().map(|one| shorten(&all.pools[*one].name)).collect();
+                    let mut names: Vec<String> = path[begin..]
+                        .iter()
+                        .map(|one| shorten(&all.pools[*one].name))
+                        .collect();
                     names.push(names[0].clone());
                     let words = format!("pools fall back in a ring: {}", names.join(" -> "));
                     let last = path[path.len() - 1];
                     let place = self.block(Sort::Pool, last).place("fall-back");
                     let first = self.block(Sort::Pool, at).at();
-                    self.tell(Code::FallBackRing, place, words).also.push((first, "back to here".into()));
+                    self.tell(Code::FallBackRing, place, words)
+                        .also
+                        .push((first, "back to here".into()));
                     break;
                 }
                 if walked_by[at] != usize::MAX {
@@ -260,9 +304,12 @@
     /// The types of which a ticket may come to a route.
     fn types_of(&self, route: &'k Route) -> Vec<usize> {
         let named = match &route.r#match {
-            Some(matched) if !matched.types.is_empty() => {
-                matched.types.iter().filter_map(|name| self.types.get(&**name)).copied().collect()
-            }
+            Some(matched) if !matched.types.is_empty() => matched
+                .types
+                .iter()
+                .filter_map(|name| self.types.get(&**name))
+                .copied()
+                .collect(),
             _ => (0..self.all.types.len()).collect::<Vec<_>>(),
         };
         named.into_iter().filter(|at| !self.taken[*at]).collect()
@@ -273,7 +320,11 @@
         let route = &self.all.routes[k];
         let by_type_alone = route.r#match.as_ref().is_none_or(|matched| {
             let types = matched.types.clone();
-            *matched == Match { types, ..Match::default() }
+            *matched
+                == Match {
+                    types,
+                    ..Match::default()
+                }
         });
         if by_type_alone {
             for at in self.types_of(route) {
@@ -286,7 +337,10 @@
         let all = self.all;
         let route = &all.routes[k];
         let block = self.block(Sort::Route, k);
-        let sum = route.to.iter().fold(0u64, |sum, target| sum.saturating_add(target.share));
+        let sum = route
+            .to
+            .iter()
+            .fold(0u64, |sum, target| sum.saturating_add(target.share));
         let listed = block.entries.iter().find(|entry| entry.key.text == "to");
         // Where a target could not be read the sum says nothing.
         if listed.is_some_and(|entry| entry.values.len() == route.to.len())
@@ -294,12 +348,18 @@
             && route.to.iter().all(|target| target.share > 0)
             && sum != ONE
         {
-            let words = format!("the shares of this route add up to {}, not 100 %", units::share(sum));
+            let words = format!(
+                "the shares of this route add up to {}, not 100 %",
+                units::share(sum)
+            );
             self.tell(Code::SplitSum, block.place("to"), words);
         }
         for name in &route.fall_back {
             if route.to.len() == 1 && route.to[0].pool == *name {
-                let words = format!("the route falls back on `{}`, where it leads already", shorten(name));
+                let words = format!(
+                    "the route falls back on `{}`, where it leads already",
+                    shorten(name)
+                );
                 let other = block.place("to");
                 let finding = self.tell(Code::FallBackSelf, block.place("fall-back"), words);
                 finding.also.push((other, "leads there".into()));
@@ -307,7 +367,10 @@
         }
         if route.split_by() == crate::schema::SplitBy::Chance
             && route.to.len() > 1
-            && route.r#match.as_ref().is_some_and(|matched| !matched.entities.is_empty())
+            && route
+                .r#match
+                .as_ref()
+                .is_some_and(|matched| !matched.entities.is_empty())
         {
             let words = "tickets of one entity go to several pools by chance".to_owned();
             let finding = self.tell(Code::OneEntity, block.place("split-by"), words);
@@ -319,15 +382,28 @@
 
     fn attempts(&mut self, route: &'k Route, block: &'r Block<'t>) {
         let all = self.all;
-        let own = self.attempts.get(&*route.attempts).map(|at| &all.attempts[*at]);
+        let own = self
+            .attempts
+            .get(&*route.attempts)
+            .map(|at| &all.attempts[*at]);
         if let Some(own) = own {
             self.proof(route, own, block.place("attempts"));
         }
-        let pools = route.to.iter().map(|target| &target.pool).chain(&route.fall_back);
+        let pools = route
+            .to
+            .iter()
+            .map(|target| &target.pool)
+            .chain(&route.fall_back);
         for name in pools {
-            let Some(at) = self.pools.get(&**name).copied() else { continue };
+            let Some(at) = self.pools.get(&**name).copied() else {
+                continue;
+            };
             let pool = &all.pools[at];
-            let Some(below) = self.attempts.get(&*pool.attempts).map(|at| &all.attempts[*at]) else {
+            let Some(below) = self
+                .attempts
+                .get(&*pool.attempts)
+                .map(|at| &all.attempts[*at])
+            else {
                 continue;
             };
             let place = self.block(Sort::Pool, at).place("attempts");
@@ -353,19 +429,31 @@
             return;
         }
         let types = self.types_of(route);
-        for (kind, code) in
-            [(RepeatKind::Exclusive, Code::ExclusiveRepeat), (RepeatKind::Ticketed, Code::TicketedRepeat)]
-        {
+        for (kind, code) in [
+            (RepeatKind::Exclusive, Code::ExclusiveRepeat),
+            (RepeatKind::Ticketed, Code::TicketedRepeat),
+        ] {
             if kind == RepeatKind::Ticketed && policy.proof() == Proof::Mark {
                 continue;
             }
-            let mut wrong = types.iter().filter(|at| self.all.types[**at].repeat() == kind);
-            let Some(first) = wrong.next().copied() else { continue };
+            let mut wrong = types
+                .iter()
+                .filter(|at| self.all.types[**at].repeat() == kind);
+            let Some(first) = wrong.next().copied() else {
+                continue;
+            };
             let more = wrong.count();
             let name = shorten(&self.all.types[first].name);
-            let and = if more > 0 { format!(" (and {more} more)") } else { String::new() };
+            let and = if more > 0 {
+                format!(" (and {more} more)")
+            } else {
+                String::new()
+            };
             let (called, help) = match kind {
-                RepeatKind::Exclusive => ("exclusive", "write `proof: not-run`, or match other types only"),
+                RepeatKind::Exclusive => (
+                    "exclusive",
+                    "write `proof: not-run`, or match other types only",
+                ),
                 _ => ("ticketed", "write `proof: mark` or `proof: not-run`"),
             };
             let words = format!(
@@ -383,16 +471,27 @@
     fn times(&mut self, route: &'k Route, block: &'r Block<'t>) {
         let all = self.all;
         let types = self.types_of(route);
-        let shortest =
-            types.into_iter().filter(|at| all.types[*at].goal_ns > 0).min_by_key(|at| all.types[*at].goal_ns);
+        let shortest = types
+            .into_iter()
+            .filter(|at| all.types[*at].goal_ns > 0)
+            .min_by_key(|at| all.types[*at].goal_ns);
         let Some(shortest) = shortest else { return };
         let goal = all.types[shortest].goal_ns;
         let goal_place = self.block(Sort::Type, shortest).place("goal");
         let name = shorten(&all.types[shortest].name);
         if let Some(budget) = self.budgets.get(&*route.budget).map(|at| &all.budgets[*at]) {
-            let stages = [budget.forward, budget.queue, budget.run, budget.call, budget.answer];
+            let stages = [
+                budget.forward,
+                budget.queue,
+                budget.run,
+                budget.call,
+                budget.answer,
+            ];
             let part = |share: u64| (u128::from(goal) * u128::from(share) / u128::from(ONE)) as u64;
-            let parts = stages.iter().flatten().map(|stage| stage.fixed_ns.saturating_add(part(stage.share)));
+            let parts = stages
+                .iter()
+                .flatten()
+                .map(|stage| stage.fixed_ns.saturating_add(part(stage.share)));
             let all_stages = parts.fold(0u64, u64::saturating_add);
             if all_stages > goal {
                 let words = format!(
@@ -402,11 +501,19 @@
                     units::time(goal)
                 );
                 let finding = self.tell(Code::BudgetTooLong, block.place("budget"), words);
-                finding.also.push((goal_place, "the shortest goal time of this route".into()));
+                finding
+                    .also
+                    .push((goal_place, "the shortest goal time of this route".into()));
             }
         }
-        if let Some(policy) = self.attempts.get(&*route.attempts).map(|at| &all.attempts[*at]) {
-            let waits = policy.wait_most_ns.saturating_mul(policy.tries.saturating_sub(1));
+        if let Some(policy) = self
+            .attempts
+            .get(&*route.attempts)
+            .map(|at| &all.attempts[*at])
+        {
+            let waits = policy
+                .wait_most_ns
+                .saturating_mul(policy.tries.saturating_sub(1));
             if policy.tries > 1 && waits >= goal {
                 let words = format!(
                     "waits of `{}` come to {}; `{name}` has {}",
@@ -415,7 +522,9 @@
                     units::time(goal)
                 );
                 let finding = self.tell(Code::WaitsTooLong, block.place("attempts"), words);
-                finding.also.push((goal_place, "the shortest goal time of this route".into()));
+                finding
+                    .also
+                    .push((goal_place, "the shortest goal time of this route".into()));
             }
         }
     }
@@ -426,7 +535,11 @@
         let mut general: Vec<&Route> = Vec::new();
         let mut own: HashMap<&str, Vec<&Route>> = HashMap::new();
         for route in &all.routes {
-            match route.r#match.as_ref().filter(|matched| !matched.tenants.is_empty()) {
+            match route
+                .r#match
+                .as_ref()
+                .filter(|matched| !matched.tenants.is_empty())
+            {
                 Some(matched) => {
                     for tenant in &matched.tenants {
                         own.entry(tenant).or_default().push(route);
@@ -436,7 +549,11 @@
             }
         }
         let share = |route: &Route, pool: &str| {
-            route.to.iter().find(|target| target.pool == pool).map_or(0, |target| target.share)
+            route
+                .to
+                .iter()
+                .find(|target| target.pool == pool)
+                .map_or(0, |target| target.share)
         };
         let limited: Vec<(usize, &Rate)> = all
             .pools
@@ -444,7 +561,11 @@
             .enumerate()
             .filter_map(|(k, pool)| {
                 let limit = &all.limits[*self.limits.get(&*pool.limits)?];
-                limit.rate.as_ref().filter(|_| limit.per() == crate::schema::Per::All).map(|rate| (k, rate))
+                limit
+                    .rate
+                    .as_ref()
+                    .filter(|_| limit.per() == crate::schema::Per::All)
+                    .map(|rate| (k, rate))
             })
             .collect();
         for (k, rate) in limited {
@@ -456,8 +577,12 @@
             let mut promised = 0u128;
             for tenant in &all.tenants {
                 let Some(quota) = &tenant.quota else { continue };
-                let by_own =
-                    own.get(&*tenant.name).into_iter().flatten().map(|route| share(route, name)).min();
+                let by_own = own
+                    .get(&*tenant.name)
+                    .into_iter()
+                    .flatten()
+                    .map(|route| share(route, name))
+                    .min();
                 let least = [by_all, by_own].into_iter().flatten().min().unwrap_or(0);
                 promised += an_hour(quota) * u128::from(least) / u128::from(ONE);
             }
@@ -471,7 +596,11 @@
                 );
                 let limit = self.limits[&*all.pools[k].limits];
                 let other = self.block(Sort::Limits, limit).place("rate");
-                let finding = self.tell(Code::PoolTooSmall, self.block(Sort::Pool, k).place("limits"), words);
+                let finding = self.tell(
+                    Code::PoolTooSmall,
+                    self.block(Sort::Pool, k).place("limits"),
+                    words,
+                );
                 finding.also.push((other, "the rate".into()));
             }
         }
@@ -481,10 +610,17 @@
         let all = self.all;
         let types = all.types.len();
         let points = Points::of(&[all]);
-        let few = self.resolved.unsure.is_empty() && points.count() <= MOST_POINTS && all.routes.len() <= 200;
+        let few = self.resolved.unsure.is_empty()
+            && points.count() <= MOST_POINTS
+            && all.routes.len() <= 200;
         let mut earlier = Earlier::new(types);
         let unsure = &self.resolved.unsure;
-        for (k, route) in all.routes.iter().enumerate().filter(|(k, _)| !unsure.contains(k)) {
+        for (k, route) in all
+            .routes
+            .iter()
+            .enumerate()
+            .filter(|(k, _)| !unsure.contains(k))
+        {
             let matched = route.r#match.as_ref();
             let by = earlier
                 .candidates(matched)
@@ -509,7 +645,9 @@
         let words = format!("no ticket reaches `{name}`: an earlier route takes all of them");
         let other = self.block(Sort::Route, by).at();
         let at = self.block(Sort::Route, k).at();
-        self.tell(Code::Hidden, at, words).also.push((other, "this one".into()));
+        self.tell(Code::Hidden, at, words)
+            .also
+            .push((other, "this one".into()));
     }
 
     /// No single route takes all of it, but some together may.
@@ -517,7 +655,10 @@
         let all = self.all;
         let route = &all.routes[k];
         let mut by = Vec::new();
-        for point in points.each().filter(|point| miss(route.r#match.as_ref(), point).is_none()) {
+        for point in points
+            .each()
+            .filter(|point| miss(route.r#match.as_ref(), point).is_none())
+        {
             match first_match(&all.routes[..k], &point) {
                 Some(first) => by.push(first),
                 None => return,
@@ -562,17 +703,28 @@
         let mut left: Vec<(usize, Point<'_>)> = Vec::new();
         for (k, one) in all.types.iter().enumerate() {
             // Tenants that are not named may be meant to have no route.
-            let named = points.tenants().iter().filter(|name| !name.is_empty() || all.tenants.is_empty());
+            let named = points
+                .tenants()
+                .iter()
+                .filter(|name| !name.is_empty() || all.tenants.is_empty());
             let mut tickets = named.flat_map(|tenant| points.of_pair(&one.name, tenant));
             left.extend(
-                tickets.find(|point| first_match(&all.routes, point).is_none()).map(|point| (k, point)),
+                tickets
+                    .find(|point| first_match(&all.routes, point).is_none())
+                    .map(|point| (k, point)),
             );
         }
         for (k, point) in left {
-            let mut words = format!("some tickets of `{}` reach no route", shorten(&all.types[k].name));
+            let mut words = format!(
+                "some tickets of `{}` reach no route",
+                shorten(&all.types[k].name)
+            );
             let mut such = Vec::new();
             if !point.tenant.is_empty()
-                && all.routes.iter().any(|r| r.r#match.as_ref().is_some_and(|m| !m.tenants.is_empty()))
+                && all
+                    .routes
+                    .iter()
+                    .any(|r| r.r#match.as_ref().is_some_and(|m| !m.tenants.is_empty()))
             {
                 such.push(format!("of `{}`", shorten(point.tenant)));
             }
@@ -613,17 +765,26 @@
                 (Sort::Pool, &*pool.fall_back),
             ]);
         }
-        let limits = all.types.iter().map(|one| &one.limits).chain(all.tenants.iter().map(|one| &one.limits));
+        let limits = all
+            .types
+            .iter()
+            .map(|one| &one.limits)
+            .chain(all.tenants.iter().map(|one| &one.limits));
         used.extend(limits.map(|name| (Sort::Limits, &**name)));
         for sort in Sort::ALL.into_iter().filter(|sort| sort.is_policy()) {
             let of_sort = &self.resolved.blocks[sort as usize];
-            let bases: HashSet<&str> =
-                of_sort.iter().filter_map(|block| block.base.as_ref()).map(|base| &*base.text).collect();
+            let bases: HashSet<&str> = of_sort
+                .iter()
+                .filter_map(|block| block.base.as_ref())
+                .map(|base| &*base.text)
+                .collect();
             for block in of_sort {
                 let Some(name) = &block.name else { continue };
                 if !used.contains(&(sort, &*name.text)) && !bases.contains(&*name.text) {
-                    let words = format!("nothing uses the {} `{}`", sort.word(), shorten(&name.text));
-                    self.findings.push(Finding::new(Code::UnusedPolicy, block.at(), words));
+                    let words =
+                        format!("nothing uses the {} `{}`", sort.word(), shorten(&name.text));
+                    self.findings
+                        .push(Finding::new(Code::UnusedPolicy, block.at(), words));
                 }
             }
         }
@@ -638,7 +799,10 @@
 
 /// One of the keys is there, though perhaps not readable.
 fn tried(block: &Block<'_>, keys: &[&str]) -> bool {
-    block.entries.iter().any(|entry| keys.contains(&&*entry.key.text))
+    block
+        .entries
+        .iter()
+        .any(|entry| keys.contains(&&*entry.key.text))
 }
 
 /// Millionths of a ticket an hour, exactly.
--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -52,7 +52,10 @@
     }
 
     pub fn find(id: &str) -> Option<Code> {
-        Self::ALL.iter().copied().find(|code| code.id().eq_ignore_ascii_case(id))
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|code| code.id().eq_ignore_ascii_case(id))
     }
 }
 
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -47,11 +47,32 @@
         match self {
             Change::Added { what } => write!(out, "+ {what}"),
             Change::Removed { what } => write!(out, "- {what}"),
-            Change::Otherwise { what, key, before, after } => {
-                let shown = |text: &str| if text.is_empty() { "not set".into() } else { format!("`{text}`") };
-                write!(out, "~ {what}: {key}: {} -> {}", shown(before), shown(after))
+            Change::Otherwise {
+                what,
+                key,
+                before,
+                after,
+            } => {
+                let shown = |text: &str| {
+                    if text.is_empty() {
+                        "not set".into()
+                    } else {
+                        format!("`{text}`")
+                    }
+                };
+                write!(
+                    out,
+                    "~ {what}: {key}: {} -> {}",
+                    shown(before),
+                    shown(after)
+                )
             }
-            Change::Elsewhere { tickets, before, after, pools } => {
+            Change::Elsewhere {
+                tickets,
+                before,
+                after,
+                pools,
+            } => {
                 let shown = |route: &Option<String>, pools: &str| match route {
                     Some(route) => format!("route {route} (to {pools})"),
                     None => "no route".into(),
@@ -103,7 +124,11 @@
                 fields(before, after, path, changes);
             }
             (before, after) => changes.push(Change::Otherwise {
-                what: if path.is_empty() { "configuration".into() } else { path.to_owned() },
+                what: if path.is_empty() {
+                    "configuration".into()
+                } else {
+                    path.to_owned()
+                },
                 key: key(&field),
                 before: shown(&field, before),
                 after: shown(&field, after),
@@ -115,7 +140,8 @@
 /// Items of the list are told apart by their names.
 fn named(field: &FieldDescriptor) -> bool {
     let kind = field.kind();
-    kind.as_message().is_some_and(|message| message.get_field_by_name("name").is_some())
+    kind.as_message()
+        .is_some_and(|message| message.get_field_by_name("name").is_some())
 }
 
 fn key(field: &FieldDescriptor) -> String {
@@ -141,11 +167,20 @@
 }
 
 fn name_of(value: &Value) -> String {
-    let name = value.as_message().and_then(|message| message.get_field_by_name("name"));
-    name.and_then(|name| name.as_str().map(str::to_owned)).unwrap_or_default()
+    let name = value
+        .as_message()
+        .and_then(|message| message.get_field_by_name("name"));
+    name.and_then(|name| name.as_str().map(str::to_owned))
+        .unwrap_or_default()
 }
 
-fn things(field: &FieldDescriptor, before: &[Value], after: &[Value], path: &str, changes: &mut Vec<Change>) {
+fn things(
+    field: &FieldDescriptor,
+    before: &[Value],
+    after: &[Value],
+    path: &str,
+    changes: &mut Vec<Change>,
+) {
     let what = |name: &str| {
         let own = format!("{} {name}", called(field.name()));
         if path.is_empty() {
@@ -167,7 +202,11 @@
             }
         }
     }
-    for name in after.iter().map(name_of).filter(|name| left.contains_key(name)) {
+    for name in after
+        .iter()
+        .map(name_of)
+        .filter(|name| left.contains_key(name))
+    {
         changes.push(Change::Added { what: what(&name) });
     }
 }
@@ -184,7 +223,10 @@
         Value::EnumNumber(number) => {
             let kind = field.kind();
             let found = kind.as_enum().and_then(|kind| kind.get_value(*number));
-            found.map_or_else(|| number.to_string(), |value| value.name().to_lowercase().replace('_', "-"))
+            found.map_or_else(
+                || number.to_string(),
+                |value| value.name().to_lowercase().replace('_', "-"),
+            )
         }
         Value::List(items) => {
             let items: Vec<_> = items.iter().map(|item| shown(field, item)).collect();
@@ -209,13 +251,18 @@
 /// Rates, stages and targets, which are written as one value.
 fn inner(message: &DynamicMessage) -> String {
     if message.descriptor().name() == "Rate" {
-        return message.transcode_to::<Rate>().map_or(String::new(), |rate| match rate.per_ns {
-            0 => String::new(),
-            per => units::rate(rate.micro_tickets, per),
-        });
+        return message
+            .transcode_to::<Rate>()
+            .map_or(String::new(), |rate| match rate.per_ns {
+                0 => String::new(),
+                per => units::rate(rate.micro_tickets, per),
+            });
     }
     let parts = message.fields().map(|(field, value)| shown(&field, value));
-    parts.filter(|part| !part.is_empty()).collect::<Vec<_>>().join(" ")
+    parts
+        .filter(|part| !part.is_empty())
+        .collect::<Vec<_>>()
+        .join(" ")
 }
 
 /// What a group of tickets has in common.
@@ -230,19 +277,29 @@
 }
 
 fn elsewhere(old: &Configuration, new: &Configuration, changes: &mut Vec<Change>) {
-    let sequence =
-        |all: &[Route]| all.iter().map(|r| (r.name.clone(), r.r#match.clone())).collect::<Vec<_>>();
+    let sequence = |all: &[Route]| {
+        all.iter()
+            .map(|r| (r.name.clone(), r.r#match.clone()))
+            .collect::<Vec<_>>()
+    };
     if sequence(&old.routes) == sequence(&new.routes) {
         return;
     }
     let points = Points::of(&[old, new]);
-    if points.count().saturating_mul(old.routes.len() + new.routes.len()) > MOST_TRIED {
+    if points
+        .count()
+        .saturating_mul(old.routes.len() + new.routes.len())
+        > MOST_TRIED
+    {
         order(old, new, changes);
         return;
     }
     let mut groups: BTreeMap<(Option<usize>, Option<usize>), Group<'_>> = BTreeMap::new();
     for point in points.each() {
-        let (before, after) = (first_match(&old.routes, &point), first_match(&new.routes, &point));
+        let (before, after) = (
+            first_match(&old.routes, &point),
+            first_match(&new.routes, &point),
+        );
         let name = |routes: &'_ [Route], at: Option<usize>| at.map(|at| routes[at].name.clone());
         if name(&old.routes, before) != name(&new.routes, after) {
             groups.entry((before, after)).or_default().take(&point);
@@ -256,7 +313,13 @@
     };
     for ((before, after), group) in groups {
         let pools = |routes: &[Route], at: Option<usize>| {
-            let to = at.map(|at| routes[at].to.iter().map(|target| target.pool.as_str()).collect::<Vec<_>>());
+            let to = at.map(|at| {
+                routes[at]
+                    .to
+                    .iter()
+                    .map(|target| target.pool.as_str())
+                    .collect::<Vec<_>>()
+            });
             to.map_or(String::new(), |to| to.join(", "))
         };
         changes.push(Change::Elsewhere {
@@ -280,10 +343,18 @@
 
     /// In words; "some" where not every combination of what is named is in the group.
     fn words(&self, all: &Group<'_>) -> String {
-        let product =
-            self.types.len() * self.tenants.len() * self.entities.len() * self.sizes.len() * self.tries.len();
+        let product = self.types.len()
+            * self.tenants.len()
+            * self.entities.len()
+            * self.sizes.len()
+            * self.tries.len();
         let inner = self.entities.len() * self.sizes.len() * self.tries.len();
-        let mut words = vec![if product == self.points { "tickets" } else { "some tickets" }.to_owned()];
+        let mut words = vec![if product == self.points {
+            "tickets"
+        } else {
+            "some tickets"
+        }
+        .to_owned()];
         let list = |names: &BTreeSet<&str>| {
             const MOST: usize = 6;
             let shown: Vec<_> = names
@@ -306,9 +377,20 @@
         }
         if inner < all.points {
             if self.tries.len() == 1 {
-                words.push(if self.tries.contains(&true) { "further tries" } else { "first tries" }.into());
+                words.push(
+                    if self.tries.contains(&true) {
+                        "further tries"
+                    } else {
+                        "first tries"
+                    }
+                    .into(),
+                );
             }
-            let entities: Vec<_> = self.entities.iter().filter_map(|entity| in_words(entity)).collect();
+            let entities: Vec<_> = self
+                .entities
+                .iter()
+                .filter_map(|entity| in_words(entity))
+                .collect();
             if entities.len() == self.entities.len() {
                 words.push(format!("about {}", entities.join(", ")));
             }
@@ -335,10 +417,21 @@
 /// Pairs of neighbours that changed places.
 fn order(old: &Configuration, new: &Configuration, changes: &mut Vec<Change>) {
     let mut place: HashMap<&str, usize> = HashMap::new();
-    place.extend(old.routes.iter().enumerate().map(|(at, route)| (route.name.as_str(), at)));
-    let kept: Vec<_> =
-        new.routes.iter().filter_map(|r| place.get(&*r.name).map(|at| (*at, &r.name))).collect();
+    place.extend(
+        old.routes
+            .iter()
+            .enumerate()
+            .map(|(at, route)| (route.name.as_str(), at)),
+    );
+    let kept: Vec<_> = new
+        .routes
+        .iter()
+        .filter_map(|r| place.get(&*r.name).map(|at| (*at, &r.name)))
+        .collect();
     for pair in kept.windows(2).filter(|pair| pair[0].0 > pair[1].0) {
-        changes.push(Change::Order { before: pair[1].1.clone(), after: pair[0].1.clone() });
+        changes.push(Change::Order {
+            before: pair[1].1.clone(),
+            after: pair[0].1.clone(),
+        });
     }
 }
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -51,7 +51,16 @@
 impl<'t> Writer<'t> {
     fn new(text: &'t str, tokens: &'t [Lexed]) -> Self {
         let out = String::with_capacity(text.len() + text.len() / 8);
-        Self { text, tokens, out, depth: 0, line: 0, breaks: 0, in_list: false, comma: false }
+        Self {
+            text,
+            tokens,
+            out,
+            depth: 0,
+            line: 0,
+            breaks: 0,
+            in_list: false,
+            comma: false,
+        }
     }
 
     fn whole(mut self) -> String {
@@ -82,7 +91,9 @@
     }
 
     fn gap(&self, before: Option<Token>, token: Token) -> Gap {
-        let Some(before) = before.filter(|_| !self.out.is_empty()) else { return Gap::None };
+        let Some(before) = before.filter(|_| !self.out.is_empty()) else {
+            return Gap::None;
+        };
         match (before, token) {
             // A comment behind something on its line stays there.
             (_, Token::Comment) if self.breaks == 0 && before != Token::Comment => Gap::Blank,
@@ -92,7 +103,9 @@
             // Behind a comma the list goes on, whatever line it stands on.
             (Token::Comma, _) => Gap::Blank,
             _ if self.breaks > 0 => Gap::Line,
-            (_, Token::Colon | Token::Comma | Token::Slash) | (Token::Slash | Token::Minus, _) => Gap::None,
+            (_, Token::Colon | Token::Comma | Token::Slash) | (Token::Slash | Token::Minus, _) => {
+                Gap::None
+            }
             _ => Gap::Blank,
         }
     }
@@ -103,7 +116,9 @@
         }
         match gap {
             Gap::None => {}
-            Gap::Blank if self.in_list && before == Some(Token::Comma) && self.too_wide(written) => {
+            Gap::Blank
+                if self.in_list && before == Some(Token::Comma) && self.too_wide(written) =>
+            {
                 self.new_line(self.depth + 2);
             }
             Gap::Blank => self.out.push(' '),
@@ -159,8 +174,14 @@
                 "rain 1\ntype a{repeat:exclusive;goal:3s}",
                 "rain 1\ntype a {\n  repeat: exclusive\n  goal: 3 s\n}\n",
             ),
-            ("rain   1 # one\n\n\n\n# two\npool p {}\n", "rain 1 # one\n\n# two\npool p {}\n"),
-            ("rain 1\nroute r {\n\n to : a 60%,b 40 % ;; }", "rain 1\nroute r {\n  to: a 60 %, b 40 %\n}\n"),
+            (
+                "rain   1 # one\n\n\n\n# two\npool p {}\n",
+                "rain 1 # one\n\n# two\npool p {}\n",
+            ),
+            (
+                "rain 1\nroute r {\n\n to : a 60%,b 40 % ;; }",
+                "rain 1\nroute r {\n  to: a 60 %, b 40 %\n}\n",
+            ),
             (
                 "rain 1\nroute r {\n to: a, # first\n# then\nb\n}",
                 "rain 1\nroute r {\n  to: a, # first\n      # then\n      b\n}\n",
@@ -180,15 +201,29 @@
     #[test]
     fn long_lists_are_broken_at_commas() {
         let names: Vec<_> = (0..60).map(|n| format!("tenant-{n}")).collect();
-        let text = form(&format!("rain 1\nroute r {{ tenant: {} }}", names.join(","))).unwrap();
-        assert!(text.lines().all(|line| line.chars().count() <= WIDTH + 1), "{text}");
+        let text = form(&format!(
+            "rain 1\nroute r {{ tenant: {} }}",
+            names.join(",")
+        ))
+        .unwrap();
+        assert!(
+            text.lines().all(|line| line.chars().count() <= WIDTH + 1),
+            "{text}"
+        );
         assert_eq!(form(&text), Ok(text.clone()));
     }
 
     /// Files without errors, however oddly spaced, with comments wherever they may stand.
     fn files() -> impl Strategy<Value = String> {
         let gap = proptest::sample::select(vec!["", " ", "\t  "]);
-        let end = proptest::sample::select(vec![";", "\n", " # why: because\n", "\n\n\n", ";;\n", "\r\n"]);
+        let end = proptest::sample::select(vec![
+            ";",
+            "\n",
+            " # why: because\n",
+            "\n\n\n",
+            ";;\n",
+            "\r\n",
+        ]);
         let value = proptest::sample::select(vec![
             "3s",
             "a",
@@ -200,7 +235,8 @@
             "- 5 ms",
             "1 s+2 ms",
         ]);
-        let entry = (gap.clone(), value, end.clone()).prop_map(|(g, v, e)| format!("{g}key{g}:{g}{v}{e}"));
+        let entry =
+            (gap.clone(), value, end.clone()).prop_map(|(g, v, e)| format!("{g}key{g}:{g}{v}{e}"));
         let inner = proptest::collection::vec(entry, 0..4).prop_map(|all| all.concat());
         let inside = (inner.clone(), inner.clone()).prop_map(|(a, b)| format!("{a}match {{{b}}}"));
         let body = prop_oneof![inner, inside];
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -60,7 +60,13 @@
 
 impl Finding {
     pub fn new(code: Code, at: Span, message: impl Into<String>) -> Self {
-        Self { code, at, message: message.into(), also: Vec::new(), help: None }
+        Self {
+            code,
+            at,
+            message: message.into(),
+            also: Vec::new(),
+            help: None,
+        }
     }
 
     pub fn also(mut self, at: Span, words: impl Into<String>) -> Self {
@@ -146,13 +152,21 @@
 
 /// The blocks of all files as if each file stood where it is first included: routes are in this order.
 fn in_place<'t>(parsed: &[parse::Parsed], blocks: Vec<Vec<ast::Block<'t>>>) -> Vec<ast::Block<'t>> {
-    let mut left: Vec<_> = blocks.into_iter().map(|of_file| of_file.into_iter().peekable()).collect();
+    let mut left: Vec<_> = blocks
+        .into_iter()
+        .map(|of_file| of_file.into_iter().peekable())
+        .collect();
     let mut all = Vec::new();
     // A stack of its own: files may include each other in a chain of any length.
-    let mut stack = if left.is_empty() { vec![] } else { vec![(0, 0)] };
+    let mut stack = if left.is_empty() {
+        vec![]
+    } else {
+        vec![(0, 0)]
+    };
     while let Some((file, next)) = stack.last_mut() {
         let include = parsed[*file].included.get(*next);
-        let before = |block: &ast::Block<'_>| include.is_none_or(|(at, _)| block.kind.at.start < *at);
+        let before =
+            |block: &ast::Block<'_>| include.is_none_or(|(at, _)| block.kind.at.start < *at);
         if let Some(block) = left[*file].next_if(before) {
             all.push(block);
         } else if let Some((_, included)) = include {
@@ -172,7 +186,10 @@
 pub fn load(files: &dyn Files, first: &str) -> Outcome {
     let mut findings = Findings::default();
     let (sources, parsed) = source::gather(files, first, &mut findings);
-    let blocks: Vec<_> = parsed.iter().map(|file| ast::read(&sources, file, &mut findings)).collect();
+    let blocks: Vec<_> = parsed
+        .iter()
+        .map(|file| ast::read(&sources, file, &mut findings))
+        .collect();
     let blocks = in_place(&parsed, blocks);
     let mut resolved = resolve::resolve(&sources, &blocks, &mut findings);
     check::check(&resolved, &mut findings);
@@ -180,5 +197,9 @@
         resolved.configuration.put_in_order();
         resolved.configuration
     });
-    Outcome { sources, findings: findings.into_vec(), configuration }
+    Outcome {
+        sources,
+        findings: findings.into_vec(),
+        configuration,
+    }
 }
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -47,7 +47,11 @@
     };
     parser.file();
     let green = parser.builder.finish();
-    Parsed { file, green, included: Vec::new() }
+    Parsed {
+        file,
+        green,
+        included: Vec::new(),
+    }
 }
 
 struct Parser<'t> {
@@ -70,7 +74,11 @@
 
     fn span(&self) -> Span {
         let end = self.tokens.get(self.at).map_or(self.start, |next| next.end);
-        Span { file: self.file, start: self.start, end }
+        Span {
+            file: self.file,
+            start: self.start,
+            end,
+        }
     }
 
     fn next_text(&self) -> &str {
@@ -81,7 +89,8 @@
     fn bump(&mut self) {
         if let Some(next) = self.tokens.get(self.at) {
             let kind = Rain::kind_to_raw(Kind::from(next.token));
-            self.builder.token(kind, &self.text[self.start as usize..next.end as usize]);
+            self.builder
+                .token(kind, &self.text[self.start as usize..next.end as usize]);
             self.start = next.end;
             self.at += 1;
         }
@@ -112,9 +121,11 @@
                 self.findings.push(finding);
             }
             std::cmp::Ordering::Equal => {
-                let words =
-                    format!("more than {MOST_FINDINGS} syntax errors in this file; the rest is not told");
-                self.findings.push(Finding::new(Code::TooMany, finding.at, words));
+                let words = format!(
+                    "more than {MOST_FINDINGS} syntax errors in this file; the rest is not told"
+                );
+                self.findings
+                    .push(Finding::new(Code::TooMany, finding.at, words));
             }
             std::cmp::Ordering::Greater => {}
         }
@@ -134,13 +145,18 @@
             self.odd_character();
             return;
         }
-        let finding = Finding::new(code, self.span(), format!("expected {what}, found {}", self.found()));
+        let finding = Finding::new(
+            code,
+            self.span(),
+            format!("expected {what}, found {}", self.found()),
+        );
         self.tell(finding);
     }
 
     fn odd_character(&mut self) {
         let words = format!("`{}` means nothing here", shorten(self.next_text()));
-        let help = "outside texts and comments only ASCII letters, digits and `{}:,;.+-/%_` are read";
+        let help =
+            "outside texts and comments only ASCII letters, digits and `{}:,;.+-/%_` are read";
         self.tell(Finding::new(Code::Character, self.span(), words).help(help));
     }
 
@@ -148,13 +164,23 @@
         self.open(Kind::File);
         self.trivia(true);
         let mut headed = false;
-        if self.peek() == Some(Token::Word) && self.next_text() == "rain" && self.after_word_is_number() {
+        if self.peek() == Some(Token::Word)
+            && self.next_text() == "rain"
+            && self.after_word_is_number()
+        {
             self.header();
             headed = true;
         }
         if !headed {
-            let at = Span { end: self.start, ..self.span() };
-            let finding = Finding::new(Code::NoVersion, at, "the file does not begin with its version");
+            let at = Span {
+                end: self.start,
+                ..self.span()
+            };
+            let finding = Finding::new(
+                Code::NoVersion,
+                at,
+                "the file does not begin with its version",
+            );
             self.tell(finding.help("write `rain 1` as its first line"));
         }
         loop {
@@ -163,7 +189,11 @@
                 None => break,
                 Some(Token::Close) => {
                     let at = self.span();
-                    self.tell(Finding::new(Code::StrayBrace, at, "this `}` closes nothing"));
+                    self.tell(Finding::new(
+                        Code::StrayBrace,
+                        at,
+                        "this `}` closes nothing",
+                    ));
                     self.open(Kind::Skipped);
                     self.bump();
                     self.close();
@@ -176,7 +206,9 @@
 
     /// The first token behind the next that is no blank is a number.
     fn after_word_is_number(&self) -> bool {
-        let after = self.tokens[self.at + 1..].iter().find(|next| next.token != Token::Space);
+        let after = self.tokens[self.at + 1..]
+            .iter()
+            .find(|next| next.token != Token::Space);
         after.is_some_and(|next| next.token == Token::Number)
     }
 
@@ -222,9 +254,10 @@
                 let finding = Finding::new(Code::Expected, self.span(), words);
                 self.tell(finding.help("a comment begins with `#`"));
             }
-            _ => {
-                self.expected(Code::Expected, "a block such as `pool hall {` or an entry such as `goal: 3 s`")
-            }
+            _ => self.expected(
+                Code::Expected,
+                "a block such as `pool hall {` or an entry such as `goal: 3 s`",
+            ),
         }
         self.skip_line();
     }
@@ -237,7 +270,10 @@
             Some(Token::Text) => self.bump(),
             Some(Token::OpenText) => self.open_text(),
             _ => {
-                self.expected(Code::Expected, "a path such as `\"pools.rain\"` behind `include`");
+                self.expected(
+                    Code::Expected,
+                    "a path such as `\"pools.rain\"` behind `include`",
+                );
                 self.close();
                 self.skip_line();
                 return;
@@ -249,7 +285,11 @@
 
     fn open_text(&mut self) {
         let at = self.span();
-        self.tell(Finding::new(Code::OpenText, at, "this text has no closing `\"` on its line"));
+        self.tell(Finding::new(
+            Code::OpenText,
+            at,
+            "this text has no closing `\"` on its line",
+        ));
         self.bump();
     }
 
@@ -260,7 +300,8 @@
         self.trivia(false);
         match self.peek() {
             Some(Token::Colon) => {
-                self.builder.start_node_at(mark, Rain::kind_to_raw(Kind::Entry));
+                self.builder
+                    .start_node_at(mark, Rain::kind_to_raw(Kind::Entry));
                 self.bump();
                 self.values();
                 self.close();
@@ -272,11 +313,16 @@
                 match self.peek() {
                     Some(Token::Open) => self.body(word, depth),
                     _ => {
-                        let what = "`{` after the name of a block, or `:` after the key of an entry";
+                        let what =
+                            "`{` after the name of a block, or `:` after the key of an entry";
                         self.expected(Code::Expected, what);
                         self.skip_line();
                         // Within a block it is more likely an entry without its colon.
-                        kind = if depth == 0 { Kind::Block } else { Kind::Skipped };
+                        kind = if depth == 0 {
+                            Kind::Block
+                        } else {
+                            Kind::Skipped
+                        };
                     }
                 }
                 self.builder.start_node_at(mark, Rain::kind_to_raw(kind));
@@ -313,7 +359,10 @@
             self.trivia(false);
             match self.peek() {
                 Some(Token::Word | Token::Text) => self.bump(),
-                _ => self.expected(Code::NoName, "the name of what this is built on behind `from`"),
+                _ => self.expected(
+                    Code::NoName,
+                    "the name of what this is built on behind `from`",
+                ),
             }
             self.trivia(false);
         }
@@ -391,7 +440,9 @@
 
     /// Behind the blanks stands more of the same value.
     fn goes_on(&self) -> bool {
-        let after = self.tokens[self.at..].iter().find(|next| next.token != Token::Space);
+        let after = self.tokens[self.at..]
+            .iter()
+            .find(|next| next.token != Token::Space);
         after.is_some_and(|next| {
             !matches!(
                 next.token,
@@ -456,7 +507,11 @@
 /// however it is spaced.
 pub fn shorten(text: &str) -> String {
     const MOST: usize = 40;
-    match text.char_indices().filter(|(_, c)| !c.is_whitespace()).nth(MOST) {
+    match text
+        .char_indices()
+        .filter(|(_, c)| !c.is_whitespace())
+        .nth(MOST)
+    {
         Some((cut, _)) => format!("{}…", &text[..cut]),
         None => text.to_owned(),
     }
@@ -471,13 +526,19 @@
     fn read(text: &str) -> (String, Vec<&'static str>) {
         let mut findings = Findings::default();
         let tree = parse(FileId(0), text, &mut findings);
-        (tree.root().text().to_string(), findings.into_vec().iter().map(|f| f.code.id()).collect())
+        (
+            tree.root().text().to_string(),
+            findings.into_vec().iter().map(|f| f.code.id()).collect(),
+        )
     }
 
     #[test]
     fn goes_on_after_an_error() {
         let (text, codes) = read("rain 1\npool {\n  a b c\n  x 5\n  ok: 3 s\n}\n}\nlast: \n");
-        assert_eq!(text, "rain 1\npool {\n  a b c\n  x 5\n  ok: 3 s\n}\n}\nlast: \n");
+        assert_eq!(
+            text,
+            "rain 1\npool {\n  a b c\n  x 5\n  ok: 3 s\n}\n}\nlast: \n"
+        );
         assert_eq!(codes, ["P103", "P108", "P105", "P107"]);
     }
 
--- a/crates/config/src/report.rs
+++ b/crates/config/src/report.rs
@@ -31,7 +31,11 @@
     }
 
     fn line_range(&'a self, id: u32, line: usize) -> Result<Range<usize>, Error> {
-        self.line_bytes(FileId(id), line).ok_or(Error::LineTooLarge { given: line, max: 0 })
+        self.line_bytes(FileId(id), line)
+            .ok_or(Error::LineTooLarge {
+                given: line,
+                max: 0,
+            })
     }
 }
 
@@ -39,22 +43,34 @@
 ///
 /// # Errors
 /// Those of the stream.
-pub fn show(out: &mut dyn WriteColor, sources: &Sources, findings: &[Finding]) -> std::io::Result<()> {
-    let config = Config { before_label_lines: 0, after_label_lines: 0, ..Config::default() };
+pub fn show(
+    out: &mut dyn WriteColor,
+    sources: &Sources,
+    findings: &[Finding],
+) -> std::io::Result<()> {
+    let config = Config {
+        before_label_lines: 0,
+        after_label_lines: 0,
+        ..Config::default()
+    };
     for finding in findings {
         let places = std::iter::once(&finding.at).chain(finding.also.iter().map(|(at, _)| at));
         let wide = sources.text(finding.at.file).is_empty()
             || places.clone().any(|at| {
                 let line = sources.line_of(at.file, at.start as usize);
-                sources.line_bytes(at.file, line).is_some_and(|range| range.len() > WIDEST)
+                sources
+                    .line_bytes(at.file, line)
+                    .is_some_and(|range| range.len() > WIDEST)
             });
         if wide {
             // There is no line to show, or it would fill the screen.
             writeln!(out, "{}", plain(sources, finding))?;
             continue;
         }
-        let mut labels =
-            vec![Label::primary(finding.at.file.0, finding.at.start as usize..finding.at.end as usize)];
+        let mut labels = vec![Label::primary(
+            finding.at.file.0,
+            finding.at.start as usize..finding.at.end as usize,
+        )];
         labels.extend(finding.also.iter().map(|(at, words)| {
             Label::secondary(at.file.0, at.start as usize..at.end as usize).with_message(words)
         }));
@@ -62,8 +78,10 @@
             Severity::Error => Diagnostic::error(),
             Severity::Warning => Diagnostic::warning(),
         };
-        let mut diagnostic =
-            diagnostic.with_code(finding.code.id()).with_message(&finding.message).with_labels(labels);
+        let mut diagnostic = diagnostic
+            .with_code(finding.code.id())
+            .with_message(&finding.message)
+            .with_labels(labels);
         if let Some(help) = &finding.help {
             diagnostic = diagnostic.with_notes(vec![format!("help: {help}")]);
         }
@@ -84,7 +102,11 @@
     );
     for (at, words) in &finding.also {
         let (line, column) = sources.line_column(*at);
-        let _ = write!(text, " [{}:{line}:{column}: {words}]", sources.path(at.file));
+        let _ = write!(
+            text,
+            " [{}:{line}:{column}: {words}]",
+            sources.path(at.file)
+        );
     }
     if let Some(help) = &finding.help {
         let _ = write!(text, " ({help})");
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -101,7 +101,10 @@
     }
 
     pub fn is_policy(self) -> bool {
-        matches!(self, Sort::Limits | Sort::Attempts | Sort::Budget | Sort::Health | Sort::RetryAfter)
+        matches!(
+            self,
+            Sort::Limits | Sort::Attempts | Sort::Budget | Sort::Health | Sort::RetryAfter
+        )
     }
 
     fn of(word: &str) -> Option<Sort> {
@@ -131,7 +134,10 @@
     let most = (wrong.chars().count() / 3).clamp(1, 3);
     let near = known.filter(|name| name.len().abs_diff(wrong.len()) <= 2 * most);
     let rated = near.map(|name| (strsim::damerau_levenshtein(wrong, name), name));
-    rated.filter(|(far, _)| *far <= most).min().map(|(_, name)| name)
+    rated
+        .filter(|(far, _)| *far <= most)
+        .min()
+        .map(|(_, name)| name)
 }
 
 pub fn resolve<'r, 't>(
@@ -159,7 +165,10 @@
             continue;
         };
         if name.text.len() > LONGEST_NAME {
-            let words = format!("a name is at most {LONGEST_NAME} bytes; this one has {}", name.text.len());
+            let words = format!(
+                "a name is at most {LONGEST_NAME} bytes; this one has {}",
+                name.text.len()
+            );
             findings.push(Finding::new(Code::TooMuch, name.at, words));
             continue;
         }
@@ -170,7 +179,11 @@
             break;
         }
         if let Some(first) = names[sort as usize].get(&*name.text) {
-            let words = format!("the {} `{}` is defined a second time", sort.word(), shorten(&name.text));
+            let words = format!(
+                "the {} `{}` is defined a second time",
+                sort.word(),
+                shorten(&name.text)
+            );
             let finding = Finding::new(Code::NameTwice, name.at, words);
             findings.push(finding.also(of_sort[*first].at(), "first defined here"));
             continue;
@@ -179,10 +192,21 @@
         of_sort.push(block);
     }
     let unsure = HashSet::new();
-    let mut maker = Maker { sources, names: &names, sorted: &sorted, lookups: 0, unsure, findings };
+    let mut maker = Maker {
+        sources,
+        names: &names,
+        sorted: &sorted,
+        lookups: 0,
+        unsure,
+        findings,
+    };
     let configuration = maker.configuration();
     let unsure = maker.unsure;
-    Resolved { configuration, blocks: sorted, unsure }
+    Resolved {
+        configuration,
+        blocks: sorted,
+        unsure,
+    }
 }
 
 type Names<'r> = [HashMap<&'r str, usize>; Sort::ALL.len()];
@@ -205,23 +229,44 @@
 
 /// An amount that must be given.
 const fn must(most: u64) -> Bounds {
-    Bounds { default: None, zero: false, most }
+    Bounds {
+        default: None,
+        zero: false,
+        most,
+    }
 }
 
 /// An amount that may be left out.
 const fn or(default: u64, most: u64) -> Bounds {
-    Bounds { default: Some(default), zero: false, most }
+    Bounds {
+        default: Some(default),
+        zero: false,
+        most,
+    }
 }
 
 impl<'r, 't> Maker<'_, 'r, 't> {
     fn each<T>(&mut self, sort: Sort, make: fn(&mut Reader<'_, '_, 'r, 't>) -> T) -> Vec<T> {
         let blocks = &self.sorted[sort as usize];
-        blocks.iter().map(|block| self.read(sort, block, make)).collect()
+        blocks
+            .iter()
+            .map(|block| self.read(sort, block, make))
+            .collect()
     }
 
-    fn read<T>(&mut self, sort: Sort, block: &'r Block<'t>, make: fn(&mut Reader<'_, '_, 'r, 't>) -> T) -> T {
+    fn read<T>(
+        &mut self,
+        sort: Sort,
+        block: &'r Block<'t>,
+        make: fn(&mut Reader<'_, '_, 'r, 't>) -> T,
+    ) -> T {
         let chain = self.chain(sort, block);
-        let mut reader = Reader { maker: self, chain, asked: Vec::new(), holds: &[] };
+        let mut reader = Reader {
+            maker: self,
+            chain,
+            asked: Vec::new(),
+            holds: &[],
+        };
         let made = make(&mut reader);
         reader.end();
         made
@@ -233,15 +278,19 @@
         while let Some(base) = &chain[chain.len() - 1].base {
             if !sort.is_policy() {
                 let words = format!("a {} cannot be built on another", sort.word());
-                self.findings.push(Finding::new(Code::NoBase, base.at, words));
+                self.findings
+                    .push(Finding::new(Code::NoBase, base.at, words));
                 break;
             }
-            let Some(below) = self.known(sort, base) else { break };
+            let Some(below) = self.known(sort, base) else {
+                break;
+            };
             let below = self.sorted[sort as usize][below];
             if let Some(begin) = chain.iter().position(|link| std::ptr::eq(*link, below)) {
                 // Told once, by the block that stands first in the ring.
                 if begin == 0 {
-                    let names: Vec<_> = chain.iter().filter_map(|link| link.name.as_ref()).collect();
+                    let names: Vec<_> =
+                        chain.iter().filter_map(|link| link.name.as_ref()).collect();
                     let names: Vec<_> = names.iter().map(|name| shorten(&name.text)).collect();
                     let words = format!(
                         "{} are built on each other in a ring: {} -> {}",
@@ -249,13 +298,15 @@
                         names.join(" -> "),
                         names[0]
                     );
-                    self.findings.push(Finding::new(Code::BaseRing, base.at, words));
+                    self.findings
+                        .push(Finding::new(Code::BaseRing, base.at, words));
                 }
                 break;
             }
             if chain.len() > DEEPEST_BASE {
                 let words = format!("stands on more than {DEEPEST_BASE} others, one on the next");
-                self.findings.push(Finding::new(Code::BaseDeep, block.at(), words));
+                self.findings
+                    .push(Finding::new(Code::BaseDeep, block.at(), words));
                 break;
             }
             chain.push(below);
@@ -275,9 +326,12 @@
             let names = self.names[sort as usize].keys().copied();
             if let Some(near) = nearest(&name.text, names) {
                 let at = self.sorted[sort as usize][self.names[sort as usize][near]].at();
-                finding = finding.also(at, "defined here").help(format!("perhaps `{near}`?"));
-            } else if let Some(other) =
-                Sort::ALL.into_iter().find(|other| self.names[*other as usize].contains_key(&*name.text))
+                finding = finding
+                    .also(at, "defined here")
+                    .help(format!("perhaps `{near}`?"));
+            } else if let Some(other) = Sort::ALL
+                .into_iter()
+                .find(|other| self.names[*other as usize].contains_key(&*name.text))
             {
                 let at = self.sorted[other as usize][self.names[other as usize][&*name.text]].at();
                 finding = finding.also(at, format!("this is a {}", other.word()));
@@ -325,7 +379,10 @@
     }
 
     fn name(&self) -> String {
-        self.block().name.as_ref().map_or(String::new(), |name| name.text.clone().into_owned())
+        self.block()
+            .name
+            .as_ref()
+            .map_or(String::new(), |name| name.text.clone().into_owned())
     }
 
     fn tell(&mut self, finding: Finding) {
@@ -335,7 +392,9 @@
     /// The entry of a key, the block's own before what it is built on.
     fn entry(&mut self, key: &'static str) -> Option<&'r Entry<'t>> {
         self.asked.push(key);
-        self.chain.iter().find_map(|block| block.entries.iter().find(|entry| entry.key.text == key))
+        self.chain
+            .iter()
+            .find_map(|block| block.entries.iter().find(|entry| entry.key.text == key))
     }
 
     /// The one value of a key.
@@ -350,11 +409,21 @@
 
     fn missing(&mut self, key: &'static str) {
         let block = self.block();
-        let words = format!("the {} `{}` has no `{key}`", block.kind.text, shorten(&self.name()));
+        let words = format!(
+            "the {} `{}` has no `{key}`",
+            block.kind.text,
+            shorten(&self.name())
+        );
         self.tell(Finding::new(Code::KeyMissing, block.at(), words));
     }
 
-    fn within(&mut self, key: &str, found: Result<units::Amount, Finding>, at: Span, bounds: &Bounds) -> u64 {
+    fn within(
+        &mut self,
+        key: &str,
+        found: Result<units::Amount, Finding>,
+        at: Span,
+        bounds: &Bounds,
+    ) -> u64 {
         let amount = match found {
             Ok(amount) => amount,
             Err(finding) => {
@@ -363,7 +432,11 @@
             }
         };
         if amount.steps == 0 && !bounds.zero {
-            self.tell(Finding::new(Code::Zero, at, format!("`{key}` cannot be zero")));
+            self.tell(Finding::new(
+                Code::Zero,
+                at,
+                format!("`{key}` cannot be zero"),
+            ));
         } else if amount.steps > bounds.most {
             let most = match amount.dimension {
                 Dimension::Time => units::time(bounds.most),
@@ -406,17 +479,27 @@
         let found = units::expect(key, Dimension::Rate, value);
         let per_ns = found.as_ref().map_or(SECOND, |amount| amount.per);
         let micro_tickets = self.within(key, found, value.at, &or(0, MOST_FACTOR * 1_000));
-        Some(schema::Rate { micro_tickets, per_ns })
+        Some(schema::Rate {
+            micro_tickets,
+            per_ns,
+        })
     }
 
     /// A plain whole number.
     fn whole(&mut self, key: &'static str, bounds: Bounds) -> u64 {
         let place = self.single(key).map(|value| value.at);
-        let wide =
-            Bounds { default: bounds.default.map(|d| d * ONE), zero: bounds.zero, most: bounds.most * ONE };
+        let wide = Bounds {
+            default: bounds.default.map(|d| d * ONE),
+            zero: bounds.zero,
+            most: bounds.most * ONE,
+        };
         let found = self.amount(key, Dimension::Factor, wide);
         if let (Some(at), true) = (place, !found.is_multiple_of(ONE)) {
-            self.tell(Finding::new(Code::Digits, at, format!("`{key}` is a whole number")));
+            self.tell(Finding::new(
+                Code::Digits,
+                at,
+                format!("`{key}` is a whole number"),
+            ));
         }
         found / ONE
     }
@@ -434,7 +517,9 @@
     }
 
     fn reference(&mut self, key: &'static str, sort: Sort) -> String {
-        let Some(value) = self.single(key) else { return String::new() };
+        let Some(value) = self.single(key) else {
+            return String::new();
+        };
         let what = format!("the name of a {}", sort.word());
         match self.said(key, value, &what) {
             Some(name) if self.maker.known(sort, &name).is_some() => name.text.into_owned(),
@@ -443,7 +528,9 @@
     }
 
     fn references(&mut self, key: &'static str, sort: Sort) -> Vec<String> {
-        let Some(entry) = self.entry(key) else { return Vec::new() };
+        let Some(entry) = self.entry(key) else {
+            return Vec::new();
+        };
         let what = format!("names of {}s", sort.word());
         let mut found = Vec::new();
         for value in &entry.values {
@@ -483,7 +570,11 @@
         let found = words.iter().find(|(word, _)| *word == value.text);
         if found.is_none() {
             let all: Vec<_> = words.iter().map(|(word, _)| format!("`{word}`")).collect();
-            let says = format!("`{key}` is one of {}, not `{}`", all.join(", "), shorten(value.text));
+            let says = format!(
+                "`{key}` is one of {}, not `{}`",
+                all.join(", "),
+                shorten(value.text)
+            );
             let mut finding = Finding::new(Code::UnknownWord, value.at, says);
             if let Some(near) = nearest(value.text, words.iter().map(|(word, _)| *word)) {
                 finding = finding.help(format!("perhaps `{near}`?"));
@@ -512,7 +603,10 @@
             _ => "20 ms .. 200 ms",
         };
         let Some(cut) = value.atoms.iter().position(|atom| atom.kind == Leaf::To) else {
-            let words = format!("`{key}` wants a range such as `{example}`, not `{}`", shorten(value.text));
+            let words = format!(
+                "`{key}` wants a range such as `{example}`, not `{}`",
+                shorten(value.text)
+            );
             self.tell(Finding::new(Code::NoRange, value.at, words));
             return None;
         };
@@ -546,7 +640,10 @@
             }
             return None;
         };
-        let at = Span { end: last.at.end, ..first.at };
+        let at = Span {
+            end: last.at.end,
+            ..first.at
+        };
         let text = self.maker.sources.slice(at);
         let found = units::expect_of(key, wanted, atoms, text, at);
         Some(self.within(key, found, at, bounds))
@@ -554,22 +651,38 @@
 
     /// Tells of all that nobody asked for.
     fn end(self) {
-        let Reader { maker, chain, asked, holds } = self;
+        let Reader {
+            maker,
+            chain,
+            asked,
+            holds,
+        } = self;
         let block = chain[0];
         let mut order: Vec<&Entry<'_>> = block.entries.iter().collect();
-        order.sort_by(|a, b| a.key.text.cmp(&b.key.text).then(a.key.at.start.cmp(&b.key.at.start)));
+        order.sort_by(|a, b| {
+            a.key
+                .text
+                .cmp(&b.key.text)
+                .then(a.key.at.start.cmp(&b.key.at.start))
+        });
         for pair in order.windows(2) {
             if pair[0].key.text == pair[1].key.text {
                 let words = format!("`{}` is given twice", shorten(&pair[1].key.text));
                 let finding = Finding::new(Code::KeyTwice, pair[1].key.at, words);
-                maker.findings.push(finding.also(pair[0].key.at, "given here before"));
+                maker
+                    .findings
+                    .push(finding.also(pair[0].key.at, "given here before"));
             }
         }
         for entry in &block.entries {
             if asked.contains(&&*entry.key.text) {
                 continue;
             }
-            let words = format!("a {} has no key `{}`", block.kind.text, shorten(&entry.key.text));
+            let words = format!(
+                "a {} has no key `{}`",
+                block.kind.text,
+                shorten(&entry.key.text)
+            );
             let finding = Finding::new(Code::UnknownKey, entry.key.at, words);
             let near = nearest(&entry.key.text, asked.iter().copied());
             let mut all = asked.clone();
@@ -582,9 +695,14 @@
         }
         for inner in &block.blocks {
             if !holds.contains(&&*inner.kind.text) {
-                let words =
-                    format!("a block `{}` cannot stand in a {}", shorten(&inner.kind.text), block.kind.text);
-                maker.findings.push(Finding::new(Code::BlockHere, inner.kind.at, words));
+                let words = format!(
+                    "a block `{}` cannot stand in a {}",
+                    shorten(&inner.kind.text),
+                    block.kind.text
+                );
+                maker
+                    .findings
+                    .push(Finding::new(Code::BlockHere, inner.kind.at, words));
             }
         }
     }
@@ -593,20 +711,28 @@
 fn traffic_type(r: &mut Reader<'_, '_, '_, '_>) -> schema::TrafficType {
     // `repeat: ticketed 5 s` carries its window, so it is taken apart before the word is looked up.
     let (mut repeat, mut window_ns) = (RepeatKind::Unspecified, 0);
-    let ticketed = r.single("repeat").and_then(|value| match value.atoms.split_first() {
-        Some((first, rest)) if first.text == "ticketed" => Some((value, rest)),
-        _ => None,
-    });
+    let ticketed = r
+        .single("repeat")
+        .and_then(|value| match value.atoms.split_first() {
+            Some((first, rest)) if first.text == "ticketed" => Some((value, rest)),
+            _ => None,
+        });
     if let Some((value, rest)) = ticketed {
         repeat = RepeatKind::Ticketed;
         if let (Some(first), Some(last)) = (rest.first(), rest.last()) {
-            let at = Span { end: last.at.end, ..first.at };
+            let at = Span {
+                end: last.at.end,
+                ..first.at
+            };
             let text = r.maker.sources.slice(at);
             let found = units::expect_of("repeat: ticketed", Dimension::Time, rest, text, at);
             window_ns = r.within("repeat: ticketed", found, at, &must(LONGEST));
         } else {
             let words = "`ticketed` wants its window: how long a repeat is told apart";
-            r.tell(Finding::new(Code::KeyMissing, value.at, words).help("write `repeat: ticketed 9 s`"));
+            r.tell(
+                Finding::new(Code::KeyMissing, value.at, words)
+                    .help("write `repeat: ticketed 9 s`"),
+            );
         }
     } else {
         let words = [
@@ -623,7 +749,14 @@
         goal_ns: r.time("goal", must(LONGEST)),
         outer_limit_ns: r.time("outer-limit", must(LONGEST)),
         benefit: r.amount("benefit", Dimension::Factor, or(ONE, MOST_FACTOR)),
-        late: r.share("late", Bounds { default: Some(0), zero: true, most: ONE }),
+        late: r.share(
+            "late",
+            Bounds {
+                default: Some(0),
+                zero: true,
+                most: ONE,
+            },
+        ),
         limits: r.reference("limits", Sort::Limits),
     }
 }
@@ -643,21 +776,43 @@
     let mut members = Vec::new();
     let mut names: HashMap<String, Span> = HashMap::new();
     let mut addresses: HashMap<SocketAddr, Span> = HashMap::new();
-    let zone = r.text("zone", "a zone's name").map_or(String::new(), |zone| zone.text.into_owned());
-    for inner in block.blocks.iter().filter(|inner| inner.kind.text == "member") {
-        let mut reader = Reader { maker: r.maker, chain: vec![inner], asked: Vec::new(), holds: &[] };
+    let zone = r
+        .text("zone", "a zone's name")
+        .map_or(String::new(), |zone| zone.text.into_owned());
+    for inner in block
+        .blocks
+        .iter()
+        .filter(|inner| inner.kind.text == "member")
+    {
+        let mut reader = Reader {
+            maker: r.maker,
+            chain: vec![inner],
+            asked: Vec::new(),
+            holds: &[],
+        };
         let mut made = member(&mut reader, &mut addresses);
         reader.end();
         if made.zone.is_empty() {
             made.zone.clone_from(&zone);
         }
         if let Some(base) = &inner.base {
-            r.tell(Finding::new(Code::NoBase, base.at, "a member cannot be built on another"));
+            r.tell(Finding::new(
+                Code::NoBase,
+                base.at,
+                "a member cannot be built on another",
+            ));
         }
         if inner.name.is_none() {
-            r.tell(Finding::new(Code::NoName, inner.kind.at, "this member has no name"));
+            r.tell(Finding::new(
+                Code::NoName,
+                inner.kind.at,
+                "this member has no name",
+            ));
         } else if let Some(first) = names.get(&made.name) {
-            let words = format!("the member `{}` is defined a second time", shorten(&made.name));
+            let words = format!(
+                "the member `{}` is defined a second time",
+                shorten(&made.name)
+            );
             let finding = Finding::new(Code::NameTwice, inner.at(), words);
             r.tell(finding.also(*first, "first defined here"));
         } else {
@@ -673,9 +828,23 @@
         attempts: r.reference("attempts", Sort::Attempts),
         retry_after: r.reference("retry-after", Sort::RetryAfter),
         fall_back: r.reference("fall-back", Sort::Pool),
-        know: r.whole("know", Bounds { default: Some(0), zero: true, most: MOST_THINGS as u64 }),
+        know: r.whole(
+            "know",
+            Bounds {
+                default: Some(0),
+                zero: true,
+                most: MOST_THINGS as u64,
+            },
+        ),
         warm_rate: r.rate("warm-rate"),
-        senders: r.whole("senders", Bounds { default: Some(0), zero: true, most: MOST_THINGS as u64 }),
+        senders: r.whole(
+            "senders",
+            Bounds {
+                default: Some(0),
+                zero: true,
+                most: MOST_THINGS as u64,
+            },
+        ),
     }
 }
 
@@ -699,7 +868,9 @@
             Err(_) => {
                 let words = format!("`{}` is no address and port", shorten(&written.text));
                 let finding = Finding::new(Code::Address, written.at, words);
-                r.tell(finding.help("write numbers, such as `\"10.0.0.1:5050\"` or `\"[::1]:5050\"`"));
+                r.tell(
+                    finding.help("write numbers, such as `\"10.0.0.1:5050\"` or `\"[::1]:5050\"`"),
+                );
             }
         },
         None => {
@@ -716,25 +887,45 @@
     schema::Member {
         name: r.name(),
         address,
-        zone: r.text("zone", "a zone's name").map_or(String::new(), |zone| zone.text.into_owned()),
+        zone: r
+            .text("zone", "a zone's name")
+            .map_or(String::new(), |zone| zone.text.into_owned()),
         weight: r.amount("weight", Dimension::Factor, or(ONE, MOST_FACTOR)),
-        warm_up_ns: r.time("warm-up", Bounds { default: Some(0), zero: true, most: LONGEST }),
+        warm_up_ns: r.time(
+            "warm-up",
+            Bounds {
+                default: Some(0),
+                zero: true,
+                most: LONGEST,
+            },
+        ),
     }
 }
 
 fn dependency(r: &mut Reader<'_, '_, '_, '_>) -> schema::Dependency {
-    let words =
-        [("give-up", OnFailure::GiveUp), ("leave-out", OnFailure::LeaveOut), ("partial", OnFailure::Partial)];
+    let words = [
+        ("give-up", OnFailure::GiveUp),
+        ("leave-out", OnFailure::LeaveOut),
+        ("partial", OnFailure::Partial),
+    ];
     schema::Dependency {
         name: r.name(),
         types: r.references("for", Sort::Type),
         share: r.share("share", must(ONE)),
-        on_failure: r.word("on-failure", &words, None).unwrap_or(OnFailure::Unspecified).into(),
+        on_failure: r
+            .word("on-failure", &words, None)
+            .unwrap_or(OnFailure::Unspecified)
+            .into(),
     }
 }
 
 fn limits(r: &mut Reader<'_, '_, '_, '_>) -> schema::Limits {
-    let words = [("all", Per::All), ("tenant", Per::Tenant), ("type", Per::Type), ("pool", Per::Pool)];
+    let words = [
+        ("all", Per::All),
+        ("tenant", Per::Tenant),
+        ("type", Per::Type),
+        ("pool", Per::Pool),
+    ];
     let rate = r.rate("rate");
     let default = u64::from(rate.is_some());
     schema::Limits {
@@ -742,13 +933,29 @@
         rate,
         burst: r.amount("burst", Dimension::Tickets, or(default, 1 << 30)),
         at_once: r.amount("at-once", Dimension::Tickets, or(0, 1 << 30)),
-        per: r.word("per", &words, Some(Per::All)).unwrap_or(Per::All).into(),
+        per: r
+            .word("per", &words, Some(Per::All))
+            .unwrap_or(Per::All)
+            .into(),
     }
 }
 
 fn attempts(r: &mut Reader<'_, '_, '_, '_>) -> schema::Attempts {
-    let words = [("not-run", Proof::NotRun), ("mark", Proof::Mark), ("none", Proof::None)];
-    let wait = r.range("wait", Dimension::Time, false, &Bounds { default: None, zero: true, most: LONGEST });
+    let words = [
+        ("not-run", Proof::NotRun),
+        ("mark", Proof::Mark),
+        ("none", Proof::None),
+    ];
+    let wait = r.range(
+        "wait",
+        Dimension::Time,
+        false,
+        &Bounds {
+            default: None,
+            zero: true,
+            most: LONGEST,
+        },
+    );
     let (least, most) = wait.unwrap_or((None, None));
     schema::Attempts {
         name: r.name(),
@@ -756,7 +963,10 @@
         budget: r.share("budget", or(20 * PERCENT, ONE)),
         wait_least_ns: least.unwrap_or(10_000_000),
         wait_most_ns: most.unwrap_or(100_000_000),
-        proof: r.word("proof", &words, Some(Proof::NotRun)).unwrap_or(Proof::NotRun).into(),
+        proof: r
+            .word("proof", &words, Some(Proof::NotRun))
+            .unwrap_or(Proof::NotRun)
+            .into(),
     }
 }
 
@@ -774,7 +984,10 @@
 /// A part of the goal time, or a time.
 fn stage(r: &mut Reader<'_, '_, '_, '_>, key: &'static str) -> Option<schema::Stage> {
     let value = r.single(key)?;
-    let is_share = value.atoms.last().is_some_and(|atom| atom.kind == Leaf::Percent);
+    let is_share = value
+        .atoms
+        .last()
+        .is_some_and(|atom| atom.kind == Leaf::Percent);
     if is_share {
         let share = r.share(key, must(ONE));
         return Some(schema::Stage { share, fixed_ns: 0 });
@@ -784,8 +997,16 @@
 }
 
 fn health(r: &mut Reader<'_, '_, '_, '_>) -> schema::Health {
-    let back =
-        r.range("back-after", Dimension::Time, false, &Bounds { default: None, zero: false, most: LONGEST });
+    let back = r.range(
+        "back-after",
+        Dimension::Time,
+        false,
+        &Bounds {
+            default: None,
+            zero: false,
+            most: LONGEST,
+        },
+    );
     let (least, most) = back.unwrap_or((None, None));
     schema::Health {
         name: r.name(),
@@ -796,12 +1017,23 @@
         back_least_ns: least.unwrap_or(5 * SECOND),
         back_most_ns: most.unwrap_or(60 * SECOND),
         back_share: r.share("back-share", or(10 * PERCENT, ONE)),
-        keep: r.share("keep", Bounds { default: Some(50 * PERCENT), zero: true, most: ONE }),
+        keep: r.share(
+            "keep",
+            Bounds {
+                default: Some(50 * PERCENT),
+                zero: true,
+                most: ONE,
+            },
+        ),
     }
 }
 
 fn retry_after(r: &mut Reader<'_, '_, '_, '_>) -> schema::RetryAfter {
-    let bounds = Bounds { default: None, zero: false, most: LONGEST };
+    let bounds = Bounds {
+        default: None,
+        zero: false,
+        most: LONGEST,
+    };
     let (least, most) = match r.range("bounds", Dimension::Time, false, &bounds) {
         Some(ends) => ends,
         None => {
@@ -811,13 +1043,22 @@
             (None, None)
         }
     };
-    schema::RetryAfter { name: r.name(), least_ns: least.unwrap_or(0), most_ns: most.unwrap_or(0) }
+    schema::RetryAfter {
+        name: r.name(),
+        least_ns: least.unwrap_or(0),
+        most_ns: most.unwrap_or(0),
+    }
 }
 
 fn log(r: &mut Reader<'_, '_, '_, '_>) -> schema::Log {
     let words = [("text", LogForm::Text), ("json", LogForm::Json)];
-    let form = r.word("form", &words, Some(LogForm::Text)).unwrap_or(LogForm::Text);
-    schema::Log { name: r.name(), form: form.into() }
+    let form = r
+        .word("form", &words, Some(LogForm::Text))
+        .unwrap_or(LogForm::Text);
+    schema::Log {
+        name: r.name(),
+        form: form.into(),
+    }
 }
 
 fn recording(r: &mut Reader<'_, '_, '_, '_>) -> schema::Recording {
@@ -830,38 +1071,61 @@
         folder: folder.map_or(String::new(), |folder| folder.text.into_owned()),
         file_bytes: r.amount("file-size", Dimension::Size, or(64 << 20, 1 << 40)),
         files: r.whole("files", or(8, 10_000)),
-        links: r.word("links", &[("yes", true), ("no", false)], Some(false)).unwrap_or(false),
+        links: r
+            .word("links", &[("yes", true), ("no", false)], Some(false))
+            .unwrap_or(false),
     }
 }
 
 fn route(r: &mut Reader<'_, '_, '_, '_>) -> schema::Route {
     r.holds = &["match"];
     let block = r.block();
-    let mut matches = block.blocks.iter().filter(|inner| inner.kind.text == "match");
+    let mut matches = block
+        .blocks
+        .iter()
+        .filter(|inner| inner.kind.text == "match");
     let first = matches.next();
     for second in matches {
-        let finding = Finding::new(Code::TwoMatches, second.kind.at, "this route has a match already");
+        let finding = Finding::new(
+            Code::TwoMatches,
+            second.kind.at,
+            "this route has a match already",
+        );
         let first = first.map_or(block.at(), |first| first.kind.at);
         r.tell(finding.also(first, "the first one"));
     }
     let before = r.maker.findings.made();
     let matched = first.map(|inner| {
-        let mut reader = Reader { maker: r.maker, chain: vec![inner], asked: Vec::new(), holds: &[] };
+        let mut reader = Reader {
+            maker: r.maker,
+            chain: vec![inner],
+            asked: Vec::new(),
+            holds: &[],
+        };
         let made = matching(&mut reader);
         reader.end();
         made
     });
     if r.maker.findings.made() > before {
-        let at = r.maker.names[Sort::Route as usize].get(r.name().as_str()).copied();
+        let at = r.maker.names[Sort::Route as usize]
+            .get(r.name().as_str())
+            .copied();
         r.maker.unsure.extend(at);
     }
     let words = [("entity", SplitBy::Entity), ("chance", SplitBy::Chance)];
     let to = targets(r);
-    let split = r.word("split-by", &words, Some(SplitBy::Entity)).unwrap_or(SplitBy::Entity);
+    let split = r
+        .word("split-by", &words, Some(SplitBy::Entity))
+        .unwrap_or(SplitBy::Entity);
     schema::Route {
         name: r.name(),
         r#match: matched.filter(|made| *made != schema::Match::default()),
-        split_by: if to.len() > 1 { split } else { SplitBy::Unspecified }.into(),
+        split_by: if to.len() > 1 {
+            split
+        } else {
+            SplitBy::Unspecified
+        }
+        .into(),
         to,
         fall_back: r.references("fall-back", Sort::Pool),
         limits: r.reference("limits", Sort::Limits),
@@ -875,11 +1139,15 @@
     let mut entities = Vec::new();
     if let Some(entry) = r.entry("entity") {
         for value in &entry.values {
-            let Some(name) = r.said("entity", value, "a text such as `\"NO-*\"`") else { continue };
+            let Some(name) = r.said("entity", value, "a text such as `\"NO-*\"`") else {
+                continue;
+            };
             let inner = name.text.strip_suffix('*').unwrap_or(&name.text);
             if inner.len() > LONGEST_PATTERN {
-                let words =
-                    format!("a pattern is at most {LONGEST_PATTERN} bytes; this one has {}", inner.len());
+                let words = format!(
+                    "a pattern is at most {LONGEST_PATTERN} bytes; this one has {}",
+                    inner.len()
+                );
                 r.tell(Finding::new(Code::TooMuch, value.at, words));
             } else if inner.contains('*') || name.text.is_empty() {
                 let words = format!("`{}` is no pattern", shorten(&name.text));
@@ -893,17 +1161,33 @@
     }
     let words = [("yes", Again::FurtherTries), ("no", Again::FirstTries)];
     let before = r.maker.findings.made();
-    let size = r.range("size", Dimension::Size, true, &Bounds { default: None, zero: true, most: 1 << 50 });
+    let size = r.range(
+        "size",
+        Dimension::Size,
+        true,
+        &Bounds {
+            default: None,
+            zero: true,
+            most: 1 << 50,
+        },
+    );
     let (least, most) = size.unwrap_or((None, None));
     if most == Some(0) && r.maker.findings.made() == before {
         let at = r.block().place("size");
-        r.tell(Finding::new(Code::Zero, at, "`size` cannot end at zero: every ticket is larger"));
+        r.tell(Finding::new(
+            Code::Zero,
+            at,
+            "`size` cannot end at zero: every ticket is larger",
+        ));
     }
     schema::Match {
         types: r.references("type", Sort::Type),
         tenants: r.references("tenant", Sort::Tenant),
         entities: entities.into_iter().map(|(pattern, _)| pattern).collect(),
-        again: r.word("again", &words, Some(Again::Unspecified)).unwrap_or(Again::Unspecified).into(),
+        again: r
+            .word("again", &words, Some(Again::Unspecified))
+            .unwrap_or(Again::Unspecified)
+            .into(),
         size_least: least.unwrap_or(0),
         size_most: most.unwrap_or(0),
     }
@@ -918,29 +1202,54 @@
     let mut found: Vec<(schema::Target, Span)> = Vec::new();
     let alone = entry.values.len() == 1;
     for value in &entry.values {
-        let Some((first, rest)) = value.atoms.split_first() else { continue };
+        let Some((first, rest)) = value.atoms.split_first() else {
+            continue;
+        };
         let Some(name) = first.said() else {
-            let words = format!("`to` wants the name of a pool, not `{}`", shorten(value.text));
+            let words = format!(
+                "`to` wants the name of a pool, not `{}`",
+                shorten(value.text)
+            );
             r.tell(Finding::new(Code::NotName, value.at, words));
             continue;
         };
         let known = r.maker.known(Sort::Pool, &name).is_some();
         let share = if let Some(begin) = rest.first() {
-            let at = Span { end: value.at.end, ..begin.at };
+            let at = Span {
+                end: value.at.end,
+                ..begin.at
+            };
             let text = r.maker.sources.slice(at);
-            r.within("to", units::expect_of("to", Dimension::Share, rest, text, at), at, &must(ONE))
+            r.within(
+                "to",
+                units::expect_of("to", Dimension::Share, rest, text, at),
+                at,
+                &must(ONE),
+            )
         } else if alone {
             ONE
         } else {
-            let words = format!("`{}` has no share; a split gives one to each pool", shorten(value.text));
+            let words = format!(
+                "`{}` has no share; a split gives one to each pool",
+                shorten(value.text)
+            );
             r.tell(Finding::new(Code::NoUnit, value.at, words).help("write `to: a 60 %, b 40 %`"));
             0
         };
         if known {
-            found.push((schema::Target { pool: name.text.into_owned(), share }, value.at));
+            found.push((
+                schema::Target {
+                    pool: name.text.into_owned(),
+                    share,
+                },
+                value.at,
+            ));
         }
     }
-    let names: Vec<_> = found.iter().map(|(target, at)| (target.pool.clone(), *at)).collect();
+    let names: Vec<_> = found
+        .iter()
+        .map(|(target, at)| (target.pool.clone(), *at))
+        .collect();
     r.once_each("to", &names);
     found.into_iter().map(|(target, _)| target).collect()
 }
--- a/crates/config/src/resolve/group.rs
+++ b/crates/config/src/resolve/group.rs
@@ -24,9 +24,16 @@
 pub(super) fn group(r: &mut Reader<'_, '_, '_, '_>) -> schema::Group {
     r.holds = &["member"];
     let block = r.block();
-    if r.maker.sorted[Sort::Group as usize].first().is_some_and(|first| first.at() != block.at()) {
+    if r.maker.sorted[Sort::Group as usize]
+        .first()
+        .is_some_and(|first| first.at() != block.at())
+    {
         let first = r.maker.sorted[Sort::Group as usize][0].at();
-        let finding = Finding::new(Code::OneGroup, block.at(), "a configuration has one group at most");
+        let finding = Finding::new(
+            Code::OneGroup,
+            block.at(),
+            "a configuration has one group at most",
+        );
         r.tell(finding.also(first, "the first one"));
     }
     let members = members(r);
@@ -34,7 +41,11 @@
         "election",
         Dimension::Time,
         false,
-        &Bounds { default: None, zero: false, most: 60 * SECOND },
+        &Bounds {
+            default: None,
+            zero: false,
+            most: 60 * SECOND,
+        },
     );
     let (least, most) = election.unwrap_or((None, None));
     let made = schema::Group {
@@ -44,7 +55,14 @@
         heartbeat_ns: r.time("heartbeat", or(50 * MS, 10 * SECOND)),
         election_least_ns: least.unwrap_or(300 * MS),
         election_most_ns: most.unwrap_or(600 * MS),
-        commit_wait_ns: r.time("commit-wait", Bounds { default: Some(0), zero: true, most: SECOND }),
+        commit_wait_ns: r.time(
+            "commit-wait",
+            Bounds {
+                default: Some(0),
+                zero: true,
+                most: SECOND,
+            },
+        ),
         keys: r.whole("keys", or(1_000_000, MOST_KEYS)),
         moves: r.whole("moves", or(2, MOST_SHARDS)),
         testing: r.word("testing", &YES_NO, Some(false)).unwrap_or(false),
@@ -82,7 +100,10 @@
         .collect();
     lost.sort_unstable();
     for site in lost {
-        let words = format!("with the site `{}` each shard loses its majority", shorten(site));
+        let words = format!(
+            "with the site `{}` each shard loses its majority",
+            shorten(site)
+        );
         r.tell(Finding::new(Code::SiteMajority, at, words));
     }
 }
@@ -92,27 +113,51 @@
     let mut members: Vec<schema::GroupMember> = Vec::new();
     let mut names: HashMap<String, Span> = HashMap::new();
     let mut addresses: HashMap<SocketAddr, Span> = HashMap::new();
-    for inner in block.blocks.iter().filter(|inner| inner.kind.text == "member") {
-        let mut reader = Reader { maker: r.maker, chain: vec![inner], asked: Vec::new(), holds: &[] };
+    for inner in block
+        .blocks
+        .iter()
+        .filter(|inner| inner.kind.text == "member")
+    {
+        let mut reader = Reader {
+            maker: r.maker,
+            chain: vec![inner],
+            asked: Vec::new(),
+            holds: &[],
+        };
         let folder = reader.text("folder", "a folder such as `\"/var/lib/rainstand\"`");
         if folder.is_none() && reader.entry("folder").is_none() {
             reader.missing("folder");
         }
         let made = schema::GroupMember {
             name: reader.name(),
-            site: reader.text("site", "a site's name").map_or(String::new(), |site| site.text.into_owned()),
+            site: reader
+                .text("site", "a site's name")
+                .map_or(String::new(), |site| site.text.into_owned()),
             address: address(&mut reader, &mut addresses),
             folder: folder.map_or(String::new(), |folder| folder.text.into_owned()),
         };
         reader.end();
         if let Some(base) = &inner.base {
-            r.tell(Finding::new(Code::NoBase, base.at, "a member cannot be built on another"));
+            r.tell(Finding::new(
+                Code::NoBase,
+                base.at,
+                "a member cannot be built on another",
+            ));
         }
         if inner.name.is_none() {
-            r.tell(Finding::new(Code::NoName, inner.kind.at, "this member has no name"));
+            r.tell(Finding::new(
+                Code::NoName,
+                inner.kind.at,
+                "this member has no name",
+            ));
         } else if let Some(first) = names.insert(made.name.clone(), inner.at()) {
-            let words = format!("the member `{}` is defined a second time", shorten(&made.name));
-            r.tell(Finding::new(Code::NameTwice, inner.at(), words).also(first, "first defined here"));
+            let words = format!(
+                "the member `{}` is defined a second time",
+                shorten(&made.name)
+            );
+            r.tell(
+                Finding::new(Code::NameTwice, inner.at(), words).also(first, "first defined here"),
+            );
         } else {
             members.push(made);
         }
--- a/crates/config/src/resolve/rig.rs
+++ b/crates/config/src/resolve/rig.rs
@@ -46,31 +46,71 @@
     r.holds = &["fault"];
     let block = r.block();
     let mut faults = Vec::new();
-    for inner in block.blocks.iter().filter(|inner| inner.kind.text == "fault") {
+    for inner in block
+        .blocks
+        .iter()
+        .filter(|inner| inner.kind.text == "fault")
+    {
         if let Some(base) = &inner.base {
-            r.tell(Finding::new(Code::NoBase, base.at, "a fault cannot be built on another"));
+            r.tell(Finding::new(
+                Code::NoBase,
+                base.at,
+                "a fault cannot be built on another",
+            ));
         }
-        let mut reader = Reader { maker: r.maker, chain: vec![inner], asked: Vec::new(), holds: &[] };
+        let mut reader = Reader {
+            maker: r.maker,
+            chain: vec![inner],
+            asked: Vec::new(),
+            holds: &[],
+        };
         faults.push(fault(&mut reader));
         reader.end();
     }
-    let run = Bounds { default: None, zero: true, most: 60 * SECOND };
-    let run = r.range("run", Dimension::Time, false, &run).unwrap_or((None, None));
+    let run = Bounds {
+        default: None,
+        zero: true,
+        most: 60 * SECOND,
+    };
+    let run = r
+        .range("run", Dimension::Time, false, &run)
+        .unwrap_or((None, None));
     let made = schema::Rig {
         name: r.name(),
         lasts_ns: r.time("lasts", or(4 * SECOND, LONGEST_RUN)),
         nodes: r.whole("nodes", or(3, MOST_NODES)),
         callers: r.whole("callers", or(3, MOST_CALLERS)),
         every_ns: r.time("every", or(10 * MS, LONGEST)),
-        keyed: r.share("keyed", Bounds { default: Some(80 * PERCENT), zero: true, most: ONE }),
-        repeats: r.share("repeats", Bounds { default: Some(30 * PERCENT), zero: true, most: ONE }),
+        keyed: r.share(
+            "keyed",
+            Bounds {
+                default: Some(80 * PERCENT),
+                zero: true,
+                most: ONE,
+            },
+        ),
+        repeats: r.share(
+            "repeats",
+            Bounds {
+                default: Some(30 * PERCENT),
+                zero: true,
+                most: ONE,
+            },
+        ),
         r#move: r.word("move", &YES_NO, Some(true)).unwrap_or(true),
         within_ns: r.time("within", or(SECOND, LONGEST)),
         slack_ns: r.time("slack", or(500 * MS, LONGEST)),
         sites: r.whole("sites", or(1, MOST_NODES)),
         run_least_ns: run.0.unwrap_or(MS),
         run_most_ns: run.1.unwrap_or(5 * MS),
-        shards: r.whole("shards", Bounds { default: Some(0), zero: true, most: 1_024 }),
+        shards: r.whole(
+            "shards",
+            Bounds {
+                default: Some(0),
+                zero: true,
+                most: 1_024,
+            },
+        ),
         copies: r.whole("copies", or(3, 7)),
         faults,
     };
@@ -83,19 +123,34 @@
 }
 
 fn fault(r: &mut Reader<'_, '_, '_, '_>) -> schema::RigFault {
-    let kind = r.word("what", &KINDS, None).unwrap_or(RigTrouble::Unspecified);
+    let kind = r
+        .word("what", &KINDS, None)
+        .unwrap_or(RigTrouble::Unspecified);
     let drawn = r.entry("at").is_none();
-    let from = r.time("at", Bounds { default: Some(0), zero: true, most: LONGEST_RUN });
+    let from = r.time(
+        "at",
+        Bounds {
+            default: Some(0),
+            zero: true,
+            most: LONGEST_RUN,
+        },
+    );
     use RigTrouble::*;
     let wants = |kinds: &[RigTrouble]| kinds.contains(&kind);
-    let links = [("callers", RigLink::Callers), ("agent", RigLink::Agent), ("peers", RigLink::Peers)];
+    let links = [
+        ("callers", RigLink::Callers),
+        ("agent", RigLink::Agent),
+        ("peers", RigLink::Peers),
+    ];
     let disks = [
         ("same", RigDisk::Same),
         ("empty", RigDisk::Empty),
         ("old", RigDisk::Old),
         ("another", RigDisk::Another),
     ];
-    let on_link = wants(&[Cut, CutOneWay, HalfOpen, Reset, Delay, Throttle, Stall, Twice]);
+    let on_link = wants(&[
+        Cut, CutOneWay, HalfOpen, Reset, Delay, Throttle, Stall, Twice,
+    ]);
     // What happens in a moment lasts no time; the rest must say how long.
     let moment = wants(&[Reset, Twice, Torn]);
     let span = wants(&[Delay, DiskSlow, ClockStep]);
@@ -108,12 +163,28 @@
         }
         .into(),
         from_ns: (!drawn).then_some(from),
-        lasts_ns: if moment { 0 } else { r.time("lasts", must(LONGEST_RUN)) },
-        node: r.whole("node", Bounds { default: Some(0), zero: false, most: MOST_NODES }),
+        lasts_ns: if moment {
+            0
+        } else {
+            r.time("lasts", must(LONGEST_RUN))
+        },
+        node: r.whole(
+            "node",
+            Bounds {
+                default: Some(0),
+                zero: false,
+                most: MOST_NODES,
+            },
+        ),
         times: r.whole("times", or(1, MOST_TIMES)),
-        span_ns: if span { r.time("span", must(LONGEST)) } else { 0 },
+        span_ns: if span {
+            r.time("span", must(LONGEST))
+        } else {
+            0
+        },
         disk: if wants(&[Kill, Chase]) {
-            r.word("disk", &disks, Some(RigDisk::Same)).unwrap_or(RigDisk::Same)
+            r.word("disk", &disks, Some(RigDisk::Same))
+                .unwrap_or(RigDisk::Same)
         } else {
             RigDisk::Unspecified
         }
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -56,8 +56,10 @@
 /// Never: the descriptors are compiled in, and a test reads them.
 pub fn descriptor() -> MessageDescriptor {
     static POOL: OnceLock<DescriptorPool> = OnceLock::new();
-    let pool = POOL.get_or_init(|| DescriptorPool::decode(DESCRIPTORS).expect("compiled-in descriptors"));
-    pool.get_message_by_name("rainstand.config.v1.Configuration").expect("compiled-in message")
+    let pool =
+        POOL.get_or_init(|| DescriptorPool::decode(DESCRIPTORS).expect("compiled-in descriptors"));
+    pool.get_message_by_name("rainstand.config.v1.Configuration")
+        .expect("compiled-in message")
 }
 
 /// The message as a tree of fields, for those who go over all of them.
@@ -71,8 +73,9 @@
 /// The protobuf text format, indented, with a line that names the schema.
 pub fn to_text(configuration: &Configuration) -> String {
     let options = FormatOptions::new().pretty(true);
-    let mut text =
-        String::from("# proto-file: rainstand.proto\n# proto-message: rainstand.config.v1.Configuration\n");
+    let mut text = String::from(
+        "# proto-file: rainstand.proto\n# proto-message: rainstand.config.v1.Configuration\n",
+    );
     text.push_str(&dynamic(configuration).to_text_format_with_options(&options));
     text.push('\n');
     text
@@ -88,10 +91,17 @@
         let before = text.get(..place).unwrap_or(text);
         let line = before.matches('\n').count() + 1;
         let column = before.rsplit('\n').next().map_or(0, |l| l.chars().count()) + 1;
-        Refused { line, column, why: error.to_string() }
+        Refused {
+            line,
+            column,
+            why: error.to_string(),
+        }
+    })?;
+    let configuration: Configuration = message.transcode_to().map_err(|e| Refused {
+        line: 1,
+        column: 1,
+        why: e.to_string(),
     })?;
-    let configuration: Configuration =
-        message.transcode_to().map_err(|e| Refused { line: 1, column: 1, why: e.to_string() })?;
     of_this_version(configuration, 1)
 }
 
@@ -102,8 +112,13 @@
 /// # Errors
 /// Bytes that are no such message, a field that this version does not know, or another version.
 pub fn from_binary(bytes: &[u8]) -> Result<Configuration, Refused> {
-    let refused = |why: String| Refused { line: 0, column: 0, why };
-    let message = DynamicMessage::decode(descriptor(), bytes).map_err(|e| refused(e.to_string()))?;
+    let refused = |why: String| Refused {
+        line: 0,
+        column: 0,
+        why,
+    };
+    let message =
+        DynamicMessage::decode(descriptor(), bytes).map_err(|e| refused(e.to_string()))?;
     if let Some(place) = unknown_in(&message, "") {
         return Err(refused(format!("unknown field {place}")));
     }
@@ -117,8 +132,15 @@
 /// # Errors
 /// Bytes that are no such message, or another version.
 pub fn from_own_binary(bytes: &[u8]) -> Result<Configuration, Refused> {
-    let refused = |why: String| Refused { line: 0, column: 0, why };
-    of_this_version(Configuration::decode(bytes).map_err(|e| refused(e.to_string()))?, 0)
+    let refused = |why: String| Refused {
+        line: 0,
+        column: 0,
+        why,
+    };
+    of_this_version(
+        Configuration::decode(bytes).map_err(|e| refused(e.to_string()))?,
+        0,
+    )
 }
 
 fn of_this_version(configuration: Configuration, at: usize) -> Result<Configuration, Refused> {
@@ -186,12 +208,20 @@
 
     #[test]
     fn unknown_fields_are_refused_in_each_form() {
-        let refused =
-            from_text("version: 1\npools {\n  name: \"p\"\n  members { weigth: 3 }\n}\n").unwrap_err();
+        let refused = from_text("version: 1\npools {\n  name: \"p\"\n  members { weigth: 3 }\n}\n")
+            .unwrap_err();
         assert_eq!((refused.line, refused.column), (4, 13), "{refused}");
         assert!(refused.why.contains("weigth"), "{refused}");
-        let pool = Pool { name: "p".into(), members: vec![Member::default()], ..Pool::default() };
-        let whole = Configuration { version: 1, pools: vec![pool], ..Configuration::default() };
+        let pool = Pool {
+            name: "p".into(),
+            members: vec![Member::default()],
+            ..Pool::default()
+        };
+        let whole = Configuration {
+            version: 1,
+            pools: vec![pool],
+            ..Configuration::default()
+        };
         let mut bytes = to_binary(&whole);
         assert_eq!(from_binary(&bytes), Ok(whole.clone()));
         assert_eq!(from_own_binary(&bytes), Ok(whole));
@@ -202,9 +232,15 @@
     #[test]
     fn another_version_is_refused() {
         for text in ["", "version: 2"] {
-            assert!(from_text(text).unwrap_err().why.contains("knows version 1"), "{text}");
+            assert!(
+                from_text(text).unwrap_err().why.contains("knows version 1"),
+                "{text}"
+            );
         }
         assert!(from_binary(&[]).unwrap_err().why.starts_with("version 0"));
-        assert!(from_own_binary(&[]).unwrap_err().why.starts_with("version 0"));
+        assert!(from_own_binary(&[])
+            .unwrap_err()
+            .why
+            .starts_with("version 0"));
     }
 }
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -54,7 +54,9 @@
 impl Files for Disk {
     fn identity(&self, path: &Path) -> Result<PathBuf, Trouble> {
         if path == Path::new("-") {
-            return Ok(std::fs::canonicalize(".").map_err(|e| trouble(&e))?.join("-"));
+            return Ok(std::fs::canonicalize(".")
+                .map_err(|e| trouble(&e))?
+                .join("-"));
         }
         std::fs::canonicalize(path).map_err(|e| trouble(&e))
     }
@@ -63,7 +65,10 @@
         use std::io::Read;
         let mut bytes = Vec::new();
         if path == Path::new("-") {
-            std::io::stdin().take(LARGEST + 1).read_to_end(&mut bytes).map_err(|e| trouble(&e))?;
+            std::io::stdin()
+                .take(LARGEST + 1)
+                .read_to_end(&mut bytes)
+                .map_err(|e| trouble(&e))?;
         } else {
             let file = std::fs::File::open(path).map_err(|e| trouble(&e))?;
             let kind = file.metadata().map_err(|e| trouble(&e))?;
@@ -73,7 +78,9 @@
             if kind.len() > LARGEST {
                 return Err(Trouble::TooLarge(kind.len()));
             }
-            file.take(LARGEST + 1).read_to_end(&mut bytes).map_err(|e| trouble(&e))?;
+            file.take(LARGEST + 1)
+                .read_to_end(&mut bytes)
+                .map_err(|e| trouble(&e))?;
         }
         if bytes.len() as u64 > LARGEST {
             return Err(Trouble::TooLarge(bytes.len() as u64));
@@ -95,7 +102,11 @@
 impl Memory {
     pub fn new<P: Into<PathBuf>, T: Into<String>>(files: impl IntoIterator<Item = (P, T)>) -> Self {
         let mut all = HashMap::new();
-        all.extend(files.into_iter().map(|(path, text)| (path.into(), text.into())));
+        all.extend(
+            files
+                .into_iter()
+                .map(|(path, text)| (path.into(), text.into())),
+        );
         Self(all)
     }
 }
@@ -146,14 +157,23 @@
 
 impl Sources {
     fn add(&mut self, path: String, text: String) -> FileId {
-        let lines =
-            std::iter::once(0).chain(text.bytes().zip(1u32..).filter(|(b, _)| *b == b'\n').map(|(_, n)| n));
+        let lines = std::iter::once(0).chain(
+            text.bytes()
+                .zip(1u32..)
+                .filter(|(b, _)| *b == b'\n')
+                .map(|(_, n)| n),
+        );
         let lines = lines.collect();
         let mut characters = vec![0];
         for block in text.as_bytes().chunks(BLOCK) {
             characters.push(characters[characters.len() - 1] + begin(block));
         }
-        self.0.push(Source { path, text, lines, characters });
+        self.0.push(Source {
+            path,
+            text,
+            lines,
+            characters,
+        });
         FileId(self.0.len() as u32 - 1)
     }
 
@@ -174,21 +194,32 @@
 
     /// As it was given or included; for messages.
     pub fn path(&self, file: FileId) -> &str {
-        self.0.get(file.0 as usize).map_or("?", |source| &source.path)
+        self.0
+            .get(file.0 as usize)
+            .map_or("?", |source| &source.path)
     }
 
     pub fn text(&self, file: FileId) -> &str {
-        self.0.get(file.0 as usize).map_or("", |source| &source.text)
+        self.0
+            .get(file.0 as usize)
+            .map_or("", |source| &source.text)
     }
 
     pub fn slice(&self, span: Span) -> &str {
-        self.text(span.file).get(span.start as usize..span.end as usize).unwrap_or("")
+        self.text(span.file)
+            .get(span.start as usize..span.end as usize)
+            .unwrap_or("")
     }
 
     /// Line and column of a place's start, both from 1; columns count characters.
     pub fn line_column(&self, span: Span) -> (usize, usize) {
-        let Some(source) = self.0.get(span.file.0 as usize) else { return (1, 1) };
-        let line = source.lines.partition_point(|start| *start <= span.start).max(1);
+        let Some(source) = self.0.get(span.file.0 as usize) else {
+            return (1, 1);
+        };
+        let line = source
+            .lines
+            .partition_point(|start| *start <= span.start)
+            .max(1);
         let from = source.lines[line - 1] as usize;
         let upto = (span.start as usize).min(source.text.len());
         let column = source.characters_before(upto) - source.characters_before(from);
@@ -197,15 +228,23 @@
 
     /// The line, from 0, in which a byte stands.
     pub fn line_of(&self, file: FileId, byte: usize) -> usize {
-        let lines = self.0.get(file.0 as usize).map_or(&[][..], |source| &source.lines);
-        lines.partition_point(|start| *start as usize <= byte).saturating_sub(1)
+        let lines = self
+            .0
+            .get(file.0 as usize)
+            .map_or(&[][..], |source| &source.lines);
+        lines
+            .partition_point(|start| *start as usize <= byte)
+            .saturating_sub(1)
     }
 
     /// The bytes of a line, from 0, with its end.
     pub fn line_bytes(&self, file: FileId, line: usize) -> Option<std::ops::Range<usize>> {
         let source = self.0.get(file.0 as usize)?;
         let start = *source.lines.get(line)? as usize;
-        let end = source.lines.get(line + 1).map_or(source.text.len(), |end| *end as usize);
+        let end = source
+            .lines
+            .get(line + 1)
+            .map_or(source.text.len(), |end| *end as usize);
         Some(start..end)
     }
 
@@ -220,7 +259,10 @@
 pub fn gather(files: &dyn Files, first: &str, findings: &mut Findings) -> (Sources, Vec<Parsed>) {
     let mut reader = Reader {
         files,
-        root: Path::new(first).parent().unwrap_or(Path::new("")).to_owned(),
+        root: Path::new(first)
+            .parent()
+            .unwrap_or(Path::new(""))
+            .to_owned(),
         real_root: None,
         sources: Sources::default(),
         parsed: Vec::new(),
@@ -231,12 +273,20 @@
         findings,
     };
     let identity = files.identity(Path::new(first));
-    reader.real_root = identity.as_ref().ok().and_then(|path| path.parent()).map(Path::to_owned);
+    reader.real_root = identity
+        .as_ref()
+        .ok()
+        .and_then(|path| path.parent())
+        .map(Path::to_owned);
     match identity.and_then(|identity| files.read(Path::new(first)).map(|text| (identity, text))) {
         Ok((identity, text)) => reader.take(first.to_owned(), identity, text),
         Err(trouble) => {
             let file = reader.sources.add(first.to_owned(), String::new());
-            let at = Span { file, start: 0, end: 0 };
+            let at = Span {
+                file,
+                start: 0,
+                end: 0,
+            };
             reader.findings.push(cannot_read(first, &trouble, at));
         }
     }
@@ -246,9 +296,11 @@
 fn cannot_read(path: &str, trouble: &Trouble, at: Span) -> Finding {
     match trouble {
         Trouble::Missing => Finding::new(Code::Missing, at, format!("there is no file `{path}`")),
-        Trouble::Unreadable(why) => {
-            Finding::new(Code::Unreadable, at, format!("`{path}` cannot be read: {why}"))
-        }
+        Trouble::Unreadable(why) => Finding::new(
+            Code::Unreadable,
+            at,
+            format!("`{path}` cannot be read: {why}"),
+        ),
         Trouble::TooLarge(size) => {
             let words = format!("`{path}` has {size} bytes; {LARGEST} are read at most");
             Finding::new(Code::TooLarge, at, words).help("split it into files that are included")
@@ -296,7 +348,9 @@
             let folder = step.folder.clone();
             if let Some((path, identity, text)) = self.find(at, &folder, &written) {
                 let included = FileId(self.sources.len() as u32);
-                self.parsed[at.file.0 as usize].included.push((at.start, included));
+                self.parsed[at.file.0 as usize]
+                    .included
+                    .push((at.start, included));
                 stack.push(self.enter(path, identity, text));
             }
         }
@@ -304,35 +358,54 @@
 
     fn enter(&mut self, path: String, identity: PathBuf, text: String) -> Step {
         self.bytes += text.len() as u64;
-        let folder = Path::new(&path).parent().unwrap_or(Path::new("")).to_owned();
+        let folder = Path::new(&path)
+            .parent()
+            .unwrap_or(Path::new(""))
+            .to_owned();
         let file = self.sources.add(path, text);
         self.read.insert(identity.clone(), file);
         self.chain.push((identity, file));
         let parsed = parse(file, self.sources.text(file), self.findings);
         let includes = self.includes(&parsed);
         self.parsed.push(parsed);
-        Step { folder, includes, next: 0 }
+        Step {
+            folder,
+            includes,
+            next: 0,
+        }
     }
 
     fn includes(&self, parsed: &Parsed) -> Vec<(Span, String)> {
         let root = parsed.root();
         let nodes = root.children().filter(|node| node.kind() == Kind::Include);
         let texts = nodes.filter_map(|node| {
-            let token = node.children_with_tokens().find(|part| part.kind() == Kind::Text)?;
+            let token = node
+                .children_with_tokens()
+                .find(|part| part.kind() == Kind::Text)?;
             let range = token.text_range();
-            let at = Span { file: parsed.file, start: range.start().into(), end: range.end().into() };
+            let at = Span {
+                file: parsed.file,
+                start: range.start().into(),
+                end: range.end().into(),
+            };
             Some((at, unquote(self.sources.slice(at))))
         });
         texts.collect()
     }
 
     /// The file that an include names, if it is there, is new and may be read.
-    fn find(&mut self, at: Span, folder: &Path, written: &str) -> Option<(String, PathBuf, String)> {
+    fn find(
+        &mut self,
+        at: Span,
+        folder: &Path,
+        written: &str,
+    ) -> Option<(String, PathBuf, String)> {
         let joined = match self.inside(folder, written) {
             Ok(joined) => joined,
             Err(why) => {
                 let finding = Finding::new(Code::Outside, at, why);
-                let help = "all files of a configuration lie in or below the folder of its first file";
+                let help =
+                    "all files of a configuration lie in or below the folder of its first file";
                 self.findings.push(finding.help(help));
                 return None;
             }
@@ -346,28 +419,41 @@
             }
         };
         if let Some(begin) = self.chain.iter().position(|(path, _)| *path == identity) {
-            let mut names: Vec<&str> =
-                self.chain[begin..].iter().map(|(_, file)| self.sources.path(*file)).collect();
+            let mut names: Vec<&str> = self.chain[begin..]
+                .iter()
+                .map(|(_, file)| self.sources.path(*file))
+                .collect();
             // By a link the file has another name here.
-            let again = if shown == names[0] { shown.clone() } else { format!("{shown} (the same file)") };
+            let again = if shown == names[0] {
+                shown.clone()
+            } else {
+                format!("{shown} (the same file)")
+            };
             names.push(&again);
             let words = format!("files include each other in a ring: {}", names.join(" -> "));
-            self.findings.push(Finding::new(Code::Ring, at, words).help("leave out one of these includes"));
+            self.findings
+                .push(Finding::new(Code::Ring, at, words).help("leave out one of these includes"));
             return None;
         }
         if self.read.contains_key(&identity) {
             return None;
         }
-        if self.real_root.as_ref().is_some_and(|root| !identity.starts_with(root)) {
+        if self
+            .real_root
+            .as_ref()
+            .is_some_and(|root| !identity.starts_with(root))
+        {
             let words = format!("`{shown}` is a link out of the configuration's folder");
             self.findings.push(Finding::new(Code::Outside, at, words));
             return None;
         }
         if self.sources.len() >= MOST_FILES || self.bytes > LARGEST_SUM {
             if !std::mem::replace(&mut self.full, true) {
-                let words =
-                    format!("over {MOST_FILES} files or {LARGEST_SUM} bytes; no more is read from here");
-                self.findings.push(Finding::new(Code::TooManyFiles, at, words));
+                let words = format!(
+                    "over {MOST_FILES} files or {LARGEST_SUM} bytes; no more is read from here"
+                );
+                self.findings
+                    .push(Finding::new(Code::TooManyFiles, at, words));
             }
             return None;
         }
@@ -393,15 +479,21 @@
                 Component::CurDir => {}
                 Component::ParentDir => {
                     if parts.pop().is_none() {
-                        return Err(format!("`{written}` leads out of the configuration's folder"));
+                        return Err(format!(
+                            "`{written}` leads out of the configuration's folder"
+                        ));
                     }
                 }
                 Component::RootDir | Component::Prefix(_) => {
-                    return Err(format!("`{written}` is not relative to the file that includes it"));
+                    return Err(format!(
+                        "`{written}` is not relative to the file that includes it"
+                    ));
                 }
             }
         }
-        Ok(parts.iter().fold(self.root.clone(), |path, part| path.join(part)))
+        Ok(parts
+            .iter()
+            .fold(self.root.clone(), |path, part| path.join(part)))
     }
 }
 
@@ -415,7 +507,11 @@
     let mut said = String::with_capacity(inner.len());
     let mut chars = inner.chars();
     while let Some(c) = chars.next() {
-        said.push(if c == '\\' { chars.next().unwrap_or('\\') } else { c });
+        said.push(if c == '\\' {
+            chars.next().unwrap_or('\\')
+        } else {
+            c
+        });
     }
     said
 }
@@ -426,10 +522,18 @@
 
     fn codes(files: &[(&str, &str)]) -> (Vec<&'static str>, Vec<String>, usize) {
         let mut findings = Findings::default();
-        let (sources, _) = gather(&Memory::new(files.iter().copied()), files[0].0, &mut findings);
+        let (sources, _) = gather(
+            &Memory::new(files.iter().copied()),
+            files[0].0,
+            &mut findings,
+        );
         let findings = findings.into_vec();
         let words = findings.iter().map(|f| f.message.clone()).collect();
-        (findings.iter().map(|f| f.code.id()).collect(), words, sources.len())
+        (
+            findings.iter().map(|f| f.code.id()).collect(),
+            words,
+            sources.len(),
+        )
     }
 
     #[test]
@@ -441,9 +545,16 @@
         ];
         let (found, words, read) = codes(&ring);
         assert_eq!((found, read), (vec!["S005"], 3));
-        assert!(words[0].ends_with("ring: c/a.rain -> c/b.rain -> c/d/c.rain -> c/a.rain"), "{}", words[0]);
+        assert!(
+            words[0].ends_with("ring: c/a.rain -> c/b.rain -> c/d/c.rain -> c/a.rain"),
+            "{}",
+            words[0]
+        );
         let diamond = [
-            ("a.rain", "rain 1\ninclude \"b.rain\"\ninclude \"c.rain\"\ninclude \"./b.rain\"\n"),
+            (
+                "a.rain",
+                "rain 1\ninclude \"b.rain\"\ninclude \"c.rain\"\ninclude \"./b.rain\"\n",
+            ),
             ("b.rain", "rain 1\ninclude \"d.rain\"\n"),
             ("c.rain", "rain 1\ninclude \"d.rain\"\n"),
             ("d.rain", "rain 1\n"),
@@ -463,12 +574,20 @@
     #[test]
     fn a_chain_of_a_thousand_files_takes_no_stack() {
         let files: Vec<(String, String)> = (0..1_000)
-            .map(|n| (format!("{n}.rain"), format!("rain 1\ninclude \"{}.rain\"\n", n + 1)))
+            .map(|n| {
+                (
+                    format!("{n}.rain"),
+                    format!("rain 1\ninclude \"{}.rain\"\n", n + 1),
+                )
+            })
             .collect();
         let mut findings = Findings::default();
         let (sources, _) = gather(&Memory::new(files), "0.rain", &mut findings);
         let findings = findings.into_vec();
-        assert_eq!((sources.len(), findings.len(), findings[0].code.id()), (1_000, 1, "S001"));
+        assert_eq!(
+            (sources.len(), findings.len(), findings[0].code.id()),
+            (1_000, 1, "S001")
+        );
     }
 
     #[test]
@@ -476,7 +595,21 @@
         let mut sources = Sources::default();
         let file = sources.add("a".into(), "# æø\nab: å x\n".into());
         let x = sources.text(file).find('x').unwrap() as u32;
-        assert_eq!(sources.line_column(Span { file, start: x, end: x + 1 }), (2, 7));
-        assert_eq!(sources.line_column(Span { file, start: 0, end: 0 }), (1, 1));
+        assert_eq!(
+            sources.line_column(Span {
+                file,
+                start: x,
+                end: x + 1
+            }),
+            (2, 7)
+        );
+        assert_eq!(
+            sources.line_column(Span {
+                file,
+                start: 0,
+                end: 0
+            }),
+            (1, 1)
+        );
     }
 }
--- a/crates/config/src/space.rs
+++ b/crates/config/src/space.rs
@@ -64,11 +64,15 @@
         Again::FurtherTries if !point.again => return Some(Miss::Again),
         _ => {}
     }
-    if point.size < matched.size_least || (matched.size_most > 0 && point.size > matched.size_most) {
+    if point.size < matched.size_least || (matched.size_most > 0 && point.size > matched.size_most)
+    {
         return Some(Miss::Size);
     }
     let taken = matched.entities.is_empty()
-        || matched.entities.iter().any(|pattern| pattern_takes(pattern, point.entity));
+        || matched
+            .entities
+            .iter()
+            .any(|pattern| pattern_takes(pattern, point.entity));
     (!taken).then_some(Miss::Entity)
 }
 
@@ -90,7 +94,10 @@
     let entities = outer.entities.is_empty()
         || outer.entities.iter().any(takes_all)
         || (!inner.entities.is_empty()
-            && inner.entities.iter().all(|one| outer.entities.iter().any(|by| pattern_covers(by, one))));
+            && inner
+                .entities
+                .iter()
+                .all(|one| outer.entities.iter().any(|by| pattern_covers(by, one))));
     again
         && size
         && lists(&outer.types, &inner.types, types)
@@ -121,17 +128,36 @@
 impl Points {
     /// For the routes of some configurations together, and the types and tenants they define.
     pub fn of(configurations: &[&Configuration]) -> Self {
-        let mut points =
-            Self { types: vec![], tenants: vec![], entities: vec![String::new()], sizes: vec![0] };
+        let mut points = Self {
+            types: vec![],
+            tenants: vec![],
+            entities: vec![String::new()],
+            sizes: vec![0],
+        };
         points.entities.push(NOWHERE.to_string());
         for configuration in configurations {
-            points.types.extend(configuration.types.iter().map(|one| one.name.clone()));
-            points.tenants.extend(configuration.tenants.iter().map(|one| one.name.clone()));
-            for matched in configuration.routes.iter().filter_map(|route| route.r#match.as_ref()) {
-                points.entities.extend(matched.entities.iter().map(|pattern| representative(pattern)));
+            points
+                .types
+                .extend(configuration.types.iter().map(|one| one.name.clone()));
+            points
+                .tenants
+                .extend(configuration.tenants.iter().map(|one| one.name.clone()));
+            for matched in configuration
+                .routes
+                .iter()
+                .filter_map(|route| route.r#match.as_ref())
+            {
+                points.entities.extend(
+                    matched
+                        .entities
+                        .iter()
+                        .map(|pattern| representative(pattern)),
+                );
                 points.sizes.push(matched.size_least);
                 if matched.size_most > 0 {
-                    points.sizes.extend([matched.size_most, matched.size_most + 1]);
+                    points
+                        .sizes
+                        .extend([matched.size_most, matched.size_most + 1]);
                 }
             }
         }
@@ -151,23 +177,49 @@
 
     /// How many there are.
     pub fn count(&self) -> usize {
-        let parts = [self.types.len(), self.tenants.len(), self.entities.len(), self.sizes.len(), 2];
+        let parts = [
+            self.types.len(),
+            self.tenants.len(),
+            self.entities.len(),
+            self.sizes.len(),
+            2,
+        ];
         parts.into_iter().fold(1, usize::saturating_mul)
     }
 
     pub fn each(&self) -> impl Iterator<Item = Point<'_>> {
-        let of_type =
-            move |traffic| self.tenants.iter().flat_map(move |tenant| self.of_pair(traffic, tenant));
+        let of_type = move |traffic| {
+            self.tenants
+                .iter()
+                .flat_map(move |tenant| self.of_pair(traffic, tenant))
+        };
         self.types.iter().flat_map(move |traffic| of_type(traffic))
     }
 
     /// Those of one type and tenant.
     pub fn of_pair<'p>(&'p self, traffic: &str, tenant: &str) -> impl Iterator<Item = Point<'p>> {
-        let traffic = self.types.iter().find(|one| *one == traffic).map_or("", String::as_str);
-        let tenant = self.tenants.iter().find(|one| *one == tenant).map_or("", String::as_str);
+        let traffic = self
+            .types
+            .iter()
+            .find(|one| *one == traffic)
+            .map_or("", String::as_str);
+        let tenant = self
+            .tenants
+            .iter()
+            .find(|one| *one == tenant)
+            .map_or("", String::as_str);
         self.entities.iter().flat_map(move |entity| {
-            let sizes = self.sizes.iter().flat_map(|size| [(*size, false), (*size, true)]);
-            sizes.map(move |(size, again)| Point { traffic, tenant, entity, again, size })
+            let sizes = self
+                .sizes
+                .iter()
+                .flat_map(|size| [(*size, false), (*size, true)]);
+            sizes.map(move |(size, again)| Point {
+                traffic,
+                tenant,
+                entity,
+                again,
+                size,
+            })
         })
     }
 
@@ -195,7 +247,9 @@
 
 /// Which route takes a ticket.
 pub fn first_match(routes: &[Route], point: &Point<'_>) -> Option<usize> {
-    routes.iter().position(|route| miss(route.r#match.as_ref(), point).is_none())
+    routes
+        .iter()
+        .position(|route| miss(route.r#match.as_ref(), point).is_none())
 }
 
 /// What one pattern takes, or a match without any: its beginning is empty.
@@ -207,7 +261,9 @@
 
 impl<'c> Entities<'c> {
     fn of(pattern: &'c str) -> Self {
-        pattern.strip_suffix('*').map_or(Entities::Whole(pattern), Entities::Beginning)
+        pattern
+            .strip_suffix('*')
+            .map_or(Entities::Whole(pattern), Entities::Beginning)
     }
 
     /// All that take whatever this takes: itself, and each of its beginnings.
@@ -215,7 +271,8 @@
         let (Entities::Beginning(text) | Entities::Whole(text)) = self;
         let ends = text.char_indices().map(|(at, _)| at).chain([text.len()]);
         let whole = matches!(self, Entities::Whole(_)).then_some(self);
-        ends.map(move |end| Entities::Beginning(&text[..end])).chain(whole)
+        ends.map(move |end| Entities::Beginning(&text[..end]))
+            .chain(whole)
     }
 }
 
@@ -240,7 +297,12 @@
 impl<'c> Earlier<'c> {
     /// `types`: how many there are; who names all of them takes all.
     pub fn new(types: usize) -> Self {
-        Self { by_part: HashMap::new(), wide: Vec::new(), types, budget: MOST_COMPARISONS }
+        Self {
+            by_part: HashMap::new(),
+            wide: Vec::new(),
+            types,
+            budget: MOST_COMPARISONS,
+        }
     }
 
     pub fn add(&mut self, at: usize, matched: Option<&'c Match>) {
@@ -254,21 +316,28 @@
             return;
         }
         let patterns = matched.map_or(&[][..], |matched| &matched.entities);
-        let mut entities: Vec<Entities<'c>> = patterns.iter().map(|one| Entities::of(one)).collect();
+        let mut entities: Vec<Entities<'c>> =
+            patterns.iter().map(|one| Entities::of(one)).collect();
         if entities.is_empty() || pairs * entities.len() > MOST_PLACES {
             entities = vec![Entities::Beginning("")];
         }
         for traffic in &types {
             for tenant in &tenants {
                 for entity in &entities {
-                    self.by_part.entry((traffic, tenant, *entity)).or_default().push(at as u32);
+                    self.by_part
+                        .entry((traffic, tenant, *entity))
+                        .or_default()
+                        .push(at as u32);
                 }
             }
         }
     }
 
     /// Earlier routes that take the first type, tenant and pattern of this match, so perhaps all of it.
-    pub fn candidates<'a>(&'a mut self, matched: Option<&'c Match>) -> impl Iterator<Item = usize> + 'a {
+    pub fn candidates<'a>(
+        &'a mut self,
+        matched: Option<&'c Match>,
+    ) -> impl Iterator<Item = usize> + 'a {
         let (types, tenants) = lists(matched);
         let (traffic, tenant) = (types[0], tenants[0]);
         let pattern = matched.and_then(|matched| matched.entities.first());
@@ -280,7 +349,12 @@
             let of_pair = move |(traffic, tenant)| (traffic, tenant, entity);
             pairs.clone().into_iter().map(of_pair)
         });
-        let Self { by_part, wide, budget, .. } = self;
+        let Self {
+            by_part,
+            wide,
+            budget,
+            ..
+        } = self;
         let listed = keys.filter_map(|key| by_part.get(&key)).flatten().copied();
         let all = listed.chain(wide.iter().copied());
         all.map(|at| at as usize).take_while(move |_| {
@@ -291,7 +365,10 @@
 }
 
 fn lists(matched: Option<&Match>) -> (Vec<&str>, Vec<&str>) {
-    (all_or(matched.map(|m| &m.types)), all_or(matched.map(|m| &m.tenants)))
+    (
+        all_or(matched.map(|m| &m.types)),
+        all_or(matched.map(|m| &m.tenants)),
+    )
 }
 
 /// The list, or one empty text for "all".
@@ -310,33 +387,59 @@
 
     fn any_match() -> impl Strategy<Value = Match> {
         let names = |letters: &'static [&'static str]| {
-            proptest::collection::vec(proptest::sample::select(letters), 0..3).prop_map(|mut list| {
-                list.sort_unstable();
-                list.dedup();
-                list.into_iter().map(str::to_owned).collect::<Vec<_>>()
-            })
+            proptest::collection::vec(proptest::sample::select(letters), 0..3).prop_map(
+                |mut list| {
+                    list.sort_unstable();
+                    list.dedup();
+                    list.into_iter().map(str::to_owned).collect::<Vec<_>>()
+                },
+            )
         };
-        let size = (0u64..4, 0u64..6).prop_map(|(a, b)| if b == 0 { (a, 0) } else { (a.min(b), b) });
-        (names(&["t", "u"]), names(&["a", "b", "c"]), names(&["x*", "xy*", "xyz", "*", "q"]), 0i32..3, size)
-            .prop_map(|(types, tenants, entities, again, (size_least, size_most))| Match {
-                types,
-                tenants,
-                entities,
-                again,
-                size_least,
-                size_most,
-            })
+        let size =
+            (0u64..4, 0u64..6).prop_map(|(a, b)| if b == 0 { (a, 0) } else { (a.min(b), b) });
+        (
+            names(&["t", "u"]),
+            names(&["a", "b", "c"]),
+            names(&["x*", "xy*", "xyz", "*", "q"]),
+            0i32..3,
+            size,
+        )
+            .prop_map(
+                |(types, tenants, entities, again, (size_least, size_most))| Match {
+                    types,
+                    tenants,
+                    entities,
+                    again,
+                    size_least,
+                    size_most,
+                },
+            )
     }
 
     fn with(routes: Vec<Match>) -> Configuration {
-        let mut all = Configuration { version: 1, ..Configuration::default() };
+        let mut all = Configuration {
+            version: 1,
+            ..Configuration::default()
+        };
         for name in ["t", "u"] {
-            all.types.push(crate::schema::TrafficType { name: name.into(), ..Default::default() });
+            all.types.push(crate::schema::TrafficType {
+                name: name.into(),
+                ..Default::default()
+            });
         }
         for name in ["a", "b", "c"] {
-            all.tenants.push(crate::schema::Tenant { name: name.into(), ..Default::default() });
+            all.tenants.push(crate::schema::Tenant {
+                name: name.into(),
+                ..Default::default()
+            });
         }
-        all.routes = routes.into_iter().map(|m| Route { r#match: Some(m), ..Default::default() }).collect();
+        all.routes = routes
+            .into_iter()
+            .map(|m| Route {
+                r#match: Some(m),
+                ..Default::default()
+            })
+            .collect();
         all
     }
 
@@ -387,17 +490,32 @@
     /// Routes of many services, each with its own entities: as many looks as routes, not their square.
     #[test]
     fn routes_with_entities_of_their_own_are_not_compared_with_each_other() {
-        let own = |k: usize| Match { entities: vec![format!("s{}/r{k}/*", k % 490)], ..Match::default() };
+        let own = |k: usize| Match {
+            entities: vec![format!("s{}/r{k}/*", k % 490)],
+            ..Match::default()
+        };
         let mut routes: Vec<Match> = (0..5_400).map(own).collect();
-        routes.push(Match { entities: vec!["s3/r493/x".into()], ..Match::default() });
+        routes.push(Match {
+            entities: vec!["s3/r493/x".into()],
+            ..Match::default()
+        });
         let mut earlier = Earlier::new(2);
         let mut hidden = Vec::new();
         for (k, matched) in routes.iter().enumerate() {
             let covered = |before: &usize| covers(Some(&routes[*before]), Some(matched), 2);
-            hidden.extend(earlier.candidates(Some(matched)).filter(covered).map(|by| (k, by)));
+            hidden.extend(
+                earlier
+                    .candidates(Some(matched))
+                    .filter(covered)
+                    .map(|by| (k, by)),
+            );
             earlier.add(k, Some(matched));
         }
         assert_eq!(hidden, [(5_400, 493)]);
-        assert!(MOST_COMPARISONS - earlier.budget <= routes.len(), "{}", earlier.budget);
+        assert!(
+            MOST_COMPARISONS - earlier.budget <= routes.len(),
+            "{}",
+            earlier.budget
+        );
     }
 }
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -85,12 +85,17 @@
 }
 
 fn unit(name: &str) -> Option<(Dimension, u64)> {
-    UNITS.iter().find(|known| known.0 == name).map(|known| (known.1, known.2))
+    UNITS
+        .iter()
+        .find(|known| known.0 == name)
+        .map(|known| (known.1, known.2))
 }
 
 /// The unit that was probably meant.
 fn nearest_unit(name: &str) -> Option<&'static str> {
-    let exact = UNITS.iter().find(|known| known.0.eq_ignore_ascii_case(name));
+    let exact = UNITS
+        .iter()
+        .find(|known| known.0.eq_ignore_ascii_case(name));
     let by_habit = match name {
         "sec" | "secs" | "second" | "seconds" => Some("s"),
         "msec" | "millis" | "milliseconds" => Some("ms"),
@@ -119,12 +124,18 @@
         "" => 0,
         // 38 digits always fit 128 bits; with the scale they are over 64 bits or finer than any step.
         figures if figures.len() > 27 => {
-            return Err(if part.len() > 18 { Code::Digits } else { Code::Overflow })
+            return Err(if part.len() > 18 {
+                Code::Digits
+            } else {
+                Code::Overflow
+            })
         }
         figures => figures.parse().map_err(|_| Code::Overflow)?,
     };
     let ten = 10u128.checked_pow(part.len() as u32).ok_or(Code::Digits)?;
-    let scaled = mantissa.checked_mul(u128::from(scale)).ok_or(Code::Overflow)?;
+    let scaled = mantissa
+        .checked_mul(u128::from(scale))
+        .ok_or(Code::Overflow)?;
     if scaled % ten != 0 {
         return Err(Code::Digits);
     }
@@ -138,21 +149,35 @@
 pub fn amount(atoms: &[Atom<'_>], written: &str, at: Span) -> Result<Amount, Finding> {
     let shown = shorten(written);
     if let Some(plus) = atoms.iter().find(|atom| matches!(atom.kind, Kind::Plus)) {
-        let finding = Finding::new(Code::Sum, plus.at, format!("`{shown}` is a sum; one amount is wanted"));
+        let finding = Finding::new(
+            Code::Sum,
+            plus.at,
+            format!("`{shown}` is a sum; one amount is wanted"),
+        );
         return Err(match sum(atoms) {
             Some(all) => finding.help(format!("write `{all}`")),
             None => finding,
         });
     }
     let mut rest = atoms;
-    if let [Atom { kind: Kind::Minus, .. }, after @ ..] = rest {
+    if let [Atom {
+        kind: Kind::Minus, ..
+    }, after @ ..] = rest
+    {
         let code = match after.first() {
             Some(first) if first.kind == Kind::Number => Code::Negative,
             _ => Code::NoNumber,
         };
-        return Err(Finding::new(code, at, format!("`{shown}` is less than nothing")));
+        return Err(Finding::new(
+            code,
+            at,
+            format!("`{shown}` is less than nothing"),
+        ));
     }
-    let Some((number, after)) = rest.split_first().filter(|(first, _)| first.kind == Kind::Number) else {
+    let Some((number, after)) = rest
+        .split_first()
+        .filter(|(first, _)| first.kind == Kind::Number)
+    else {
         return Err(Finding::new(
             Code::NoNumber,
             at,
@@ -166,7 +191,9 @@
             let (dimension, scale) = unit(one.text).ok_or_else(|| unknown_unit(one))?;
             (dimension, scale, 0)
         }
-        [of, Atom { kind: Kind::Slash, .. }, time] => {
+        [of, Atom {
+            kind: Kind::Slash, ..
+        }, time] => {
             let (what, _) = unit(of.text).ok_or_else(|| unknown_unit(of))?;
             let (over, per) = unit(time.text).ok_or_else(|| unknown_unit(time))?;
             if what != Dimension::Tickets || over != Dimension::Time {
@@ -182,10 +209,16 @@
         }
     };
     match exact(number.text, scale) {
-        Ok(steps) => Ok(Amount { dimension, steps, per }),
-        Err(Code::Overflow) => {
-            Err(Finding::new(Code::Overflow, at, format!("`{shown}` is more than can be counted")))
-        }
+        Ok(steps) => Ok(Amount {
+            dimension,
+            steps,
+            per,
+        }),
+        Err(Code::Overflow) => Err(Finding::new(
+            Code::Overflow,
+            at,
+            format!("`{shown}` is more than can be counted"),
+        )),
         Err(code) => {
             let step = match dimension {
                 Dimension::Time => "1 ns",
@@ -195,13 +228,21 @@
                 Dimension::Rate => "0.000001 tickets in the time it names",
                 Dimension::Factor => "0.000001",
             };
-            Err(Finding::new(code, at, format!("`{shown}` is finer than the smallest step, {step}")))
+            Err(Finding::new(
+                code,
+                at,
+                format!("`{shown}` is finer than the smallest step, {step}"),
+            ))
         }
     }
 }
 
 fn unknown_unit(atom: &Atom<'_>) -> Finding {
-    let finding = Finding::new(Code::UnknownUnit, atom.at, format!("`{}` is no unit", shorten(atom.text)));
+    let finding = Finding::new(
+        Code::UnknownUnit,
+        atom.at,
+        format!("`{}` is no unit", shorten(atom.text)),
+    );
     match nearest_unit(atom.text) {
         Some(near) => finding.help(format!("perhaps `{near}`?")),
         None => finding.help("units: ns us ms s min h, tickets, tickets/s, %, B KiB MiB GiB TiB"),
@@ -213,7 +254,9 @@
     let mut all = 0u64;
     for part in atoms.split(|atom| atom.kind == Kind::Plus) {
         let at = part.first()?.at;
-        let amount = amount(part, "", at).ok().filter(|a| a.dimension == Dimension::Time)?;
+        let amount = amount(part, "", at)
+            .ok()
+            .filter(|a| a.dimension == Dimension::Time)?;
         all = all.checked_add(amount.steps)?;
     }
     Some(time(all))
@@ -221,9 +264,17 @@
 
 /// Nanoseconds as this language writes them, in the largest unit that needs no fraction.
 pub fn time(ns: u64) -> String {
-    let units = UNITS.iter().rev().filter(|known| known.1 == Dimension::Time);
-    let whole = units.clone().find(|known| ns.is_multiple_of(known.2) && (ns > 0 || known.0 == "s"));
-    whole.map_or_else(|| format!("{ns} ns"), |known| format!("{} {}", ns / known.2, known.0))
+    let units = UNITS
+        .iter()
+        .rev()
+        .filter(|known| known.1 == Dimension::Time);
+    let whole = units
+        .clone()
+        .find(|known| ns.is_multiple_of(known.2) && (ns > 0 || known.0 == "s"));
+    whole.map_or_else(
+        || format!("{ns} ns"),
+        |known| format!("{} {}", ns / known.2, known.0),
+    )
 }
 
 /// Millionths as a decimal number without needless digits.
@@ -232,7 +283,9 @@
     if part == 0 {
         return whole.to_string();
     }
-    format!("{whole}.{part:06}").trim_end_matches('0').to_owned()
+    format!("{whole}.{part:06}")
+        .trim_end_matches('0')
+        .to_owned()
 }
 
 /// Millionths as percent.
@@ -245,15 +298,29 @@
 }
 
 pub fn rate(micro_tickets: u64, per: u64) -> String {
-    let over = UNITS.iter().find(|known| known.1 == Dimension::Time && known.2 == per);
-    format!("{} tickets/{}", factor(micro_tickets), over.map_or("?", |known| known.0))
+    let over = UNITS
+        .iter()
+        .find(|known| known.1 == Dimension::Time && known.2 == per);
+    format!(
+        "{} tickets/{}",
+        factor(micro_tickets),
+        over.map_or("?", |known| known.0)
+    )
 }
 
 /// Bytes in the largest unit that needs no fraction.
 pub fn size(bytes: u64) -> String {
-    let units = UNITS.iter().rev().filter(|known| known.1 == Dimension::Size);
-    let whole = units.clone().find(|known| bytes.is_multiple_of(known.2) && (bytes > 0 || known.0 == "B"));
-    whole.map_or_else(|| format!("{bytes} B"), |known| format!("{} {}", bytes / known.2, known.0))
+    let units = UNITS
+        .iter()
+        .rev()
+        .filter(|known| known.1 == Dimension::Size);
+    let whole = units
+        .clone()
+        .find(|known| bytes.is_multiple_of(known.2) && (bytes > 0 || known.0 == "B"));
+    whole.map_or_else(
+        || format!("{bytes} B"),
+        |known| format!("{} {}", bytes / known.2, known.0),
+    )
 }
 
 /// An amount of the dimension that `key` wants.
@@ -269,7 +336,11 @@
     text: &str,
     at: Span,
 ) -> Result<Amount, Finding> {
-    let want = format!("`{key}` wants {} such as `{}`", wanted.called(), wanted.example());
+    let want = format!(
+        "`{key}` wants {} such as `{}`",
+        wanted.called(),
+        wanted.example()
+    );
     if atoms.iter().any(|atom| atom.kind == Kind::To) {
         let words = format!("{want}; `{}` is a range", shorten(text));
         return Err(Finding::new(Code::RangeHere, at, words));
@@ -286,10 +357,17 @@
     let shown = shorten(text);
     if found.dimension == Dimension::Factor {
         let words = format!("{want}; `{shown}` has no unit");
-        let offered = UNITS.iter().filter(|known| known.1 == wanted).map(|known| known.0);
+        let offered = UNITS
+            .iter()
+            .filter(|known| known.1 == wanted)
+            .map(|known| known.0);
         let finding = Finding::new(Code::NoUnit, at, words);
         let offered: Vec<_> = offered.filter(|name| *name != "ticket").collect();
-        let offered = if wanted == Dimension::Rate { "tickets/s".to_owned() } else { offered.join(", ") };
+        let offered = if wanted == Dimension::Rate {
+            "tickets/s".to_owned()
+        } else {
+            offered.join(", ")
+        };
         return Err(finding.help(format!("units here: {offered}")));
     }
     let words = format!("{want}; `{shown}` is {}", found.dimension.called());
@@ -313,7 +391,11 @@
             ("1.5", 1, Err(Code::Digits)),
             ("18446744073709551615", 1, Ok(u64::MAX)),
             ("18446744073709551616", 1, Err(Code::Overflow)),
-            ("99999999999999999999999999999999999999999", 1, Err(Code::Overflow)),
+            (
+                "99999999999999999999999999999999999999999",
+                1,
+                Err(Code::Overflow),
+            ),
             ("0.1234567890123456789012345678901", 1, Err(Code::Digits)),
             ("000.0000", 7, Ok(0)),
         ];
--- a/crates/config/tests/any_input.rs
+++ b/crates/config/tests/any_input.rs
@@ -7,14 +7,22 @@
 use rainstand_config::{diff::diff, load, report};
 
 fn corpus() -> Vec<String> {
-    let folders =
-        ["tests/corpus", "tests/corpus/parts", "../../examples/config", "../../examples/config/pools"];
+    let folders = [
+        "tests/corpus",
+        "tests/corpus/parts",
+        "../../examples/config",
+        "../../examples/config/pools",
+    ];
     let mut all = Vec::new();
     for folder in folders {
-        let mut paths: Vec<_> =
-            std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+        let mut paths: Vec<_> = std::fs::read_dir(folder)
+            .unwrap()
+            .map(|entry| entry.unwrap().path())
+            .collect();
         paths.sort();
-        let rain = paths.into_iter().filter(|path| path.extension().is_some_and(|e| e == "rain"));
+        let rain = paths
+            .into_iter()
+            .filter(|path| path.extension().is_some_and(|e| e == "rain"));
         all.extend(rain.filter_map(|path| std::fs::read_to_string(path).ok()));
     }
     assert!(all.len() > 300);
@@ -23,9 +31,16 @@
 
 fn read(text: &str) -> (Option<Configuration>, Vec<(&'static str, String)>) {
     let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    let told = outcome.findings.iter().map(|f| (f.code.id(), f.message.clone())).collect();
+    let told = outcome
+        .findings
+        .iter()
+        .map(|f| (f.code.id(), f.message.clone()))
+        .collect();
     // Everything that is told can be shown.
-    outcome.findings.iter().for_each(|finding| assert!(!report::plain(&outcome.sources, finding).is_empty()));
+    outcome
+        .findings
+        .iter()
+        .for_each(|finding| assert!(!report::plain(&outcome.sources, finding).is_empty()));
     (outcome.configuration, told)
 }
 
@@ -34,7 +49,11 @@
     let (made, mut told) = read(text);
     if let Some(made) = &made {
         assert_eq!(from_text(&to_text(made)).as_ref(), Ok(made), "{text}");
-        assert_eq!(to_text(&from_text(&to_text(made)).unwrap()), to_text(made), "{text}");
+        assert_eq!(
+            to_text(&from_text(&to_text(made)).unwrap()),
+            to_text(made),
+            "{text}"
+        );
         assert_eq!(from_binary(&to_binary(made)).as_ref(), Ok(made), "{text}");
         assert!(diff(made, made).is_empty(), "{text}");
     }
@@ -43,7 +62,9 @@
         let (again, mut told_again) = read(&formed);
         assert_eq!(again, made, "{text}\n---\n{formed}");
         // An amount that is shown in a message may be written otherwise.
-        told.iter_mut().chain(&mut told_again).for_each(|(_, words)| words.retain(|c| !c.is_whitespace()));
+        told.iter_mut()
+            .chain(&mut told_again)
+            .for_each(|(_, words)| words.retain(|c| !c.is_whitespace()));
         told.sort();
         told_again.sort();
         assert_eq!(told, told_again, "{text}\n---\n{formed}");
@@ -120,16 +141,30 @@
 #[test]
 fn what_is_deep_long_or_many_is_borne() {
     let deep = format!("rain 1\n{}", "a { ".repeat(10_000));
-    let closed = format!("rain 1\n{}{}", "pool p { ".repeat(10_000), "}".repeat(10_000));
+    let closed = format!(
+        "rain 1\n{}{}",
+        "pool p { ".repeat(10_000),
+        "}".repeat(10_000)
+    );
     let line = format!("rain 1\nroute r {{ to: {} }}\n", "a 1 %, ".repeat(700_000));
     let text = format!("rain 1\ntenant \"{}\" {{ }}\n", "x".repeat(5 << 20));
     let number = format!("rain 1\ntenant a {{ share: {} % }}\n", "9".repeat(5 << 20));
-    let names = (0..40_000).map(|n| format!("route r{n} {{ to: p{n} }}\n")).collect::<String>();
-    let bases = (0..20_000).map(|n| format!("limits l{n} from l{} {{ }}\n", n + 1)).collect::<String>();
-    let chain = (0..20_000).map(|n| format!("pool l{n} {{ fall-back: l{} }}\n", n + 1)).collect::<String>();
+    let names = (0..40_000)
+        .map(|n| format!("route r{n} {{ to: p{n} }}\n"))
+        .collect::<String>();
+    let bases = (0..20_000)
+        .map(|n| format!("limits l{n} from l{} {{ }}\n", n + 1))
+        .collect::<String>();
+    let chain = (0..20_000)
+        .map(|n| format!("pool l{n} {{ fall-back: l{} }}\n", n + 1))
+        .collect::<String>();
     let keys = format!("tenant t {{\n{}}}\n", "share: 1 %\n".repeat(100_000));
-    let listed = (0..3_000).map(|n| format!("t{n}")).collect::<Vec<_>>().join(", ");
-    let wide = format!("route r {{ match {{ tenant: {listed}; type: {listed} }}; to: p }}\n").repeat(20);
+    let listed = (0..3_000)
+        .map(|n| format!("t{n}"))
+        .collect::<Vec<_>>()
+        .join(", ");
+    let wide =
+        format!("route r {{ match {{ tenant: {listed}; type: {listed} }}; to: p }}\n").repeat(20);
     for text in [deep, closed, line, text, number] {
         let (_, told) = read(&text);
         assert!(!told.is_empty());
@@ -145,9 +180,20 @@
     let outcome = load(&Disk, "../../examples/config/main.rain");
     assert!(outcome.findings.is_empty(), "{:?}", outcome.findings);
     let made = outcome.configuration.unwrap();
-    assert_eq!((made.types.len(), made.tenants.len(), made.pools.len(), made.routes.len()), (2, 4, 4, 6));
+    assert_eq!(
+        (
+            made.types.len(),
+            made.tenants.len(),
+            made.pools.len(),
+            made.routes.len()
+        ),
+        (2, 4, 4, 6)
+    );
     assert_eq!(from_text(&to_text(&made)), Ok(made));
-    for path in ["../../deploy/record.rain", "../../examples/forwarder/main.rain"] {
+    for path in [
+        "../../deploy/record.rain",
+        "../../examples/forwarder/main.rain",
+    ] {
         let outcome = load(&Disk, path);
         assert!(outcome.findings.is_empty(), "{:?}", outcome.findings);
         let text = std::fs::read_to_string(path).unwrap();
--- a/crates/config/tests/codes.rs
+++ b/crates/config/tests/codes.rs
@@ -6,7 +6,11 @@
 fn found(lines: &str) -> Vec<&'static str> {
     let text = format!("rain 1\n{lines}");
     let outcome = load(&Memory::new([("example.rain", text)]), "example.rain");
-    outcome.findings.iter().map(|finding| finding.code.id()).collect()
+    outcome
+        .findings
+        .iter()
+        .map(|finding| finding.code.id())
+        .collect()
 }
 
 #[test]
@@ -30,6 +34,8 @@
     ids.sort_unstable();
     ids.dedup();
     assert_eq!(ids.len(), Code::ALL.len());
-    assert!(Code::ALL.iter().all(|code| Code::find(code.id()) == Some(*code) && !code.why().is_empty()));
+    assert!(Code::ALL
+        .iter()
+        .all(|code| Code::find(code.id()) == Some(*code) && !code.why().is_empty()));
     assert_eq!(Code::find("X999"), None);
 }
