--- a/crates/control/src/attach.rs
+++ b/crates/control/src/attach.rs
@@ -41,8 +41,10 @@
             (true, _) => 1,
             _ => 2,
         };
-        let hash =
-            XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(who.name.as_bytes()), machine.name.as_bytes());
+        let hash = XxHash3_64::oneshot_with_seed(
+            XxHash3_64::oneshot(who.name.as_bytes()),
+            machine.name.as_bytes(),
+        );
         (far, std::cmp::Reverse(hash), *at)
     });
     order
@@ -52,7 +54,10 @@
 enum At {
     Waits(Duration),
     Dials,
-    On { since: Duration, home: Option<Duration> },
+    On {
+        since: Duration,
+        home: Option<Duration>,
+    },
 }
 
 /// Where one process is with its attachment. Its driver asks [`Self::next`] when [`Self::due`] has come,
@@ -71,7 +76,14 @@
     pub fn new(now: Duration, who: &Who, machines: &[Who], seed: u64) -> Self {
         let mut chance = WyRand::new_seed(seed);
         let at = At::Waits(now + drawn(&mut chance, START));
-        Self { order: order(who, machines), place: 0, at, failures: 0, homeward: 0, chance }
+        Self {
+            order: order(who, machines),
+            place: 0,
+            at,
+            failures: 0,
+            homeward: 0,
+            chance,
+        }
     }
 
     /// When something is to be done: a machine dialled, or the present one left for the first choice.
@@ -103,7 +115,9 @@
             self.homeward = 0;
         }
         let home = (self.place > 0).then(|| {
-            let wait = HOME_LEAST.saturating_mul(1 << self.homeward.min(8)).min(HOME_MOST);
+            let wait = HOME_LEAST
+                .saturating_mul(1 << self.homeward.min(8))
+                .min(HOME_MOST);
             now + wait + drawn(&mut self.chance, wait)
         });
         self.at = At::On { since: now, home };
@@ -117,11 +131,17 @@
             At::On { since, .. } if now.saturating_sub(since) >= GOOD => self.failures = 0,
             _ => {}
         }
-        let wait = SPREAD.saturating_mul(1 << self.failures.min(8)).min(WAIT_MOST);
+        let wait = SPREAD
+            .saturating_mul(1 << self.failures.min(8))
+            .min(WAIT_MOST);
         self.failures = self.failures.saturating_add(1);
         self.place = (self.place + 1) % self.order.len().max(1);
         let wait = drawn(&mut self.chance, wait);
-        self.at = At::Waits(if crate::plant::planted("no-spread") { now } else { now + wait });
+        self.at = At::Waits(if crate::plant::planted("no-spread") {
+            now
+        } else {
+            now + wait
+        });
     }
 
     /// The machine said when to come back. The link is closed.
--- a/crates/control/src/delta.rs
+++ b/crates/control/src/delta.rs
@@ -73,30 +73,52 @@
 
 impl Key {
     fn new(kind: Kind, name: &str) -> Self {
-        Self { kind, pool: "".into(), name: name.into() }
+        Self {
+            kind,
+            pool: "".into(),
+            name: name.into(),
+        }
     }
 
     fn member(pool: &str, name: &str) -> Self {
-        Self { kind: Kind::Member, pool: pool.into(), name: name.into() }
+        Self {
+            kind: Kind::Member,
+            pool: pool.into(),
+            name: name.into(),
+        }
     }
 
     fn read(kind: i32, pool: &str, name: &str) -> Result<Self, Refused> {
-        let refused = |why| Refused::Thing { name: name.to_owned(), why };
-        let kind = Kind::try_from(kind).ok().filter(|kind| *kind != Kind::Unknown);
+        let refused = |why| Refused::Thing {
+            name: name.to_owned(),
+            why,
+        };
+        let kind = Kind::try_from(kind)
+            .ok()
+            .filter(|kind| *kind != Kind::Unknown);
         let kind = kind.ok_or_else(|| refused("of a kind that is not known here"))?;
         if (kind == Kind::Member) == pool.is_empty() {
             return Err(refused("a pool's name belongs to members"));
         }
-        Ok(Self { kind, pool: pool.into(), name: name.into() })
+        Ok(Self {
+            kind,
+            pool: pool.into(),
+            name: name.into(),
+        })
     }
 
     fn named(&self) -> Named {
-        Named { kind: self.kind as i32, name: self.name.to_string(), pool: self.pool.to_string() }
+        Named {
+            kind: self.kind as i32,
+            name: self.name.to_string(),
+            pool: self.pool.to_string(),
+        }
     }
 
     fn hash(&self, rank: u64, body: &[u8]) -> u64 {
         let mut head = [0; 24];
-        head[..8].copy_from_slice(&(self.kind as u64 | (self.pool.len() as u64) << 8).to_le_bytes());
+        head[..8]
+            .copy_from_slice(&(self.kind as u64 | (self.pool.len() as u64) << 8).to_le_bytes());
         head[8..16].copy_from_slice(&rank.to_le_bytes());
         head[16..].copy_from_slice(&(self.name.len() as u64).to_le_bytes());
         let seed = XxHash3_64::oneshot(&head);
@@ -109,14 +131,23 @@
 impl Thing {
     fn of(key: &Key, held: &Held) -> Self {
         let Named { kind, name, pool } = key.named();
-        Self { kind, name, pool, rank: held.rank, body: Bytes::copy_from_slice(&held.body) }
+        Self {
+            kind,
+            name,
+            pool,
+            rank: held.rank,
+            body: Bytes::copy_from_slice(&held.body),
+        }
     }
 
     /// # Errors
     /// A kind that is not known here, a body that is no such message or has another name, a rank on what has
     /// none.
     pub fn item(&self) -> Result<Item, Refused> {
-        let refused = |why| Refused::Thing { name: self.name.clone(), why };
+        let refused = |why| Refused::Thing {
+            name: self.name.clone(),
+            why,
+        };
         let key = Key::read(self.kind, &self.pool, &self.name)?;
         if key.kind != Kind::Route && self.rank != 0 {
             return Err(refused("a rank belongs to routes"));
@@ -178,7 +209,9 @@
     /// Whether the digest is that of all that is here, counted anew: for what was read from a disk, and for
     /// tests.
     pub fn is_whole(&self) -> bool {
-        let sum = |sum: u64, (key, held): (&Key, &Held)| sum.wrapping_add(key.hash(held.rank, &held.body));
+        let sum = |sum: u64, (key, held): (&Key, &Held)| {
+            sum.wrapping_add(key.hash(held.rank, &held.body))
+        };
         self.things.iter().fold(0, sum) == self.digest
     }
 
@@ -204,7 +237,10 @@
     /// Members of a pool, in order of name.
     pub fn members<'s>(&'s self, pool: &'s str) -> impl Iterator<Item = Thing> + 's {
         let of = move |(key, _): &(&Key, &Held)| key.kind == Kind::Member && &*key.pool == pool;
-        self.things.range(Key::member(pool, "")..).take_while(of).map(|(key, held)| Thing::of(key, held))
+        self.things
+            .range(Key::member(pool, "")..)
+            .take_while(of)
+            .map(|(key, held)| Thing::of(key, held))
     }
 
     /// Routes in their order.
@@ -214,7 +250,10 @@
 
     /// The route that stands before this rank; none: it is the first.
     pub fn route_before(&self, rank: u64) -> Option<&str> {
-        self.routes.range(..rank).next_back().map(|(_, name)| &**name)
+        self.routes
+            .range(..rank)
+            .next_back()
+            .map(|(_, name)| &**name)
     }
 
     /// All of it as the schema's message, lists in order of name and routes in theirs.
@@ -222,9 +261,15 @@
     /// # Errors
     /// A thing that cannot be read: what was applied was read before, so this is a fault of memory.
     pub fn configuration(&self) -> Result<Configuration, Refused> {
-        let mut whole = Configuration { version: schema::VERSION, ..Configuration::default() };
+        let mut whole = Configuration {
+            version: schema::VERSION,
+            ..Configuration::default()
+        };
         let mut pools = BTreeMap::new();
-        for thing in self.things().filter(|thing| thing.kind != Kind::Route as i32) {
+        for thing in self
+            .things()
+            .filter(|thing| thing.kind != Kind::Route as i32)
+        {
             macro_rules! put {
                 ($($kind:ident $message:ident $list:ident),*) => {
                     match thing.item()? {
@@ -246,8 +291,10 @@
             plain_kinds!(put);
         }
         for (_, name) in self.routes() {
-            if let Some(Item::Route(route)) =
-                self.get(&Key::new(Kind::Route, name)).map(|thing| thing.item()).transpose()?
+            if let Some(Item::Route(route)) = self
+                .get(&Key::new(Kind::Route, name))
+                .map(|thing| thing.item())
+                .transpose()?
             {
                 whole.routes.push(route);
             }
@@ -259,21 +306,38 @@
     ///
     /// # Errors
     /// Two things of one kind and name in the configuration.
-    pub fn delta_to(&self, from: u64, to: u64, configuration: &Configuration) -> Result<Delta, Refused> {
+    pub fn delta_to(
+        &self,
+        from: u64,
+        to: u64,
+        configuration: &Configuration,
+    ) -> Result<Delta, Refused> {
         let wanted = self.wanted(configuration)?;
-        let mut delta = Delta { from, to, digest: self.digest, puts: Vec::new(), removals: Vec::new() };
+        let mut delta = Delta {
+            from,
+            to,
+            digest: self.digest,
+            puts: Vec::new(),
+            removals: Vec::new(),
+        };
         for (key, held) in &wanted {
             let before = self.things.get(key);
             if before == Some(held) {
                 continue;
             }
             if let Some(before) = before {
-                delta.digest = delta.digest.wrapping_sub(key.hash(before.rank, &before.body));
+                delta.digest = delta
+                    .digest
+                    .wrapping_sub(key.hash(before.rank, &before.body));
             }
             delta.digest = delta.digest.wrapping_add(key.hash(held.rank, &held.body));
             delta.puts.push(Thing::of(key, held));
         }
-        for (key, held) in self.things.iter().filter(|(key, _)| !wanted.contains_key(key)) {
+        for (key, held) in self
+            .things
+            .iter()
+            .filter(|(key, _)| !wanted.contains_key(key))
+        {
             delta.digest = delta.digest.wrapping_sub(key.hash(held.rank, &held.body));
             delta.removals.push(key.named());
         }
@@ -285,9 +349,18 @@
         let mut wanted = BTreeMap::new();
         let mut put = |key: Key, rank, body: Vec<u8>| {
             let name = key.name.to_string();
-            match wanted.insert(key, Held { rank, body: body.into() }) {
+            match wanted.insert(
+                key,
+                Held {
+                    rank,
+                    body: body.into(),
+                },
+            ) {
                 None => Ok(()),
-                Some(_) => Err(Refused::Thing { name, why: "there are two of this kind and name" }),
+                Some(_) => Err(Refused::Thing {
+                    name,
+                    why: "there are two of this kind and name",
+                }),
             }
         };
         macro_rules! all {
@@ -299,14 +372,29 @@
         }
         plain_kinds!(all);
         for pool in &configuration.pools {
-            let alone = schema::Pool { members: Vec::new(), ..pool.clone() };
+            let alone = schema::Pool {
+                members: Vec::new(),
+                ..pool.clone()
+            };
             put(Key::new(Kind::Pool, &pool.name), 0, alone.encode_to_vec())?;
             for member in &pool.members {
-                put(Key::member(&pool.name, &member.name), 0, member.encode_to_vec())?;
+                put(
+                    Key::member(&pool.name, &member.name),
+                    0,
+                    member.encode_to_vec(),
+                )?;
             }
         }
-        for (route, rank) in configuration.routes.iter().zip(self.ranks(&configuration.routes)) {
-            put(Key::new(Kind::Route, &route.name), rank, route.encode_to_vec())?;
+        for (route, rank) in configuration
+            .routes
+            .iter()
+            .zip(self.ranks(&configuration.routes))
+        {
+            put(
+                Key::new(Kind::Route, &route.name),
+                rank,
+                route.encode_to_vec(),
+            )?;
         }
         Ok(wanted)
     }
@@ -327,7 +415,9 @@
                 at += 1;
                 continue;
             }
-            let end = (at..ranks.len()).find(|k| ranks[*k].is_some()).unwrap_or(ranks.len());
+            let end = (at..ranks.len())
+                .find(|k| ranks[*k].is_some())
+                .unwrap_or(ranks.len());
             let below = at.checked_sub(1).and_then(|k| ranks[k]).unwrap_or(0);
             let count = (end - at) as u64;
             let step = match ranks.get(end).copied().flatten() {
@@ -352,7 +442,10 @@
         let mut seen = BTreeSet::new();
         let mut puts = Vec::with_capacity(delta.puts.len());
         let mut removals = Vec::with_capacity(delta.removals.len());
-        let refused = |name: &str, why| Refused::Thing { name: name.to_owned(), why };
+        let refused = |name: &str, why| Refused::Thing {
+            name: name.to_owned(),
+            why,
+        };
         for named in &delta.removals {
             let key = Key::read(named.kind, &named.pool, &named.name)?;
             if let Some(held) = self.things.get(&key) {
@@ -377,7 +470,13 @@
                 return Err(refused(&thing.name, "two routes at one place"));
             }
             digest = digest.wrapping_add(key.hash(thing.rank, &thing.body));
-            puts.push((key, Held { rank: thing.rank, body: (*thing.body).into() }));
+            puts.push((
+                key,
+                Held {
+                    rank: thing.rank,
+                    body: (*thing.body).into(),
+                },
+            ));
         }
         for (key, held) in puts.iter().filter(|(key, _)| key.kind == Kind::Route) {
             let there = self.routes.get(&held.rank);
@@ -389,7 +488,9 @@
         let put_now: BTreeSet<&Key> = puts.iter().map(|(key, _)| key).collect();
         for (key, _) in puts.iter().filter(|(key, _)| key.kind == Kind::Member) {
             let pool = Key::new(Kind::Pool, &key.pool);
-            if !put_now.contains(&pool) && (seen.contains(&pool) || !self.things.contains_key(&pool)) {
+            if !put_now.contains(&pool)
+                && (seen.contains(&pool) || !self.things.contains_key(&pool))
+            {
                 return Err(refused(&key.name, "a member of a pool that is not there"));
             }
         }
@@ -403,7 +504,11 @@
                 return Err(refused(&pool.name, "a pool that goes without its members"));
             }
         }
-        Ok(Checked { puts, removals, digest })
+        Ok(Checked {
+            puts,
+            removals,
+            digest,
+        })
     }
 
     /// The digest after this delta; nothing is changed.
@@ -428,7 +533,11 @@
     /// # Errors
     /// As [`Self::would`]; the state is as it was.
     pub fn apply(&mut self, delta: &Delta) -> Result<(), Refused> {
-        let Checked { puts, removals, digest } = self.checked(delta)?;
+        let Checked {
+            puts,
+            removals,
+            digest,
+        } = self.checked(delta)?;
         let gone = removals.iter().chain(puts.iter().map(|(key, _)| key));
         for key in gone {
             if let Some(held) = self.things.remove(key).filter(|_| key.kind == Kind::Route) {
@@ -451,7 +560,11 @@
     // By length of run: the place of the smallest number that ends one.
     let mut ends: Vec<usize> = Vec::new();
     let mut before = vec![None; numbers.len()];
-    for (at, number) in numbers.iter().enumerate().filter(|(_, number)| number.is_some()) {
+    for (at, number) in numbers
+        .iter()
+        .enumerate()
+        .filter(|(_, number)| number.is_some())
+    {
         let length = ends.partition_point(|end| numbers[*end] < *number);
         before[at] = length.checked_sub(1).map(|k| ends[k]);
         match ends.get_mut(length) {
@@ -491,7 +604,12 @@
     /// # Errors
     /// A kind that is not known here.
     pub fn of(delta: Delta) -> Result<Self, Refused> {
-        let mut all = Self { from: delta.from, to: delta.from, digest: delta.digest, last: BTreeMap::new() };
+        let mut all = Self {
+            from: delta.from,
+            to: delta.from,
+            digest: delta.digest,
+            last: BTreeMap::new(),
+        };
         all.then(&delta)?;
         Ok(all)
     }
@@ -500,21 +618,38 @@
     /// It does not begin where this ends, or a kind is not known here.
     pub fn then(&mut self, later: &Delta) -> Result<(), Refused> {
         if later.from != self.to {
-            return Err(Refused::From { made: later.from, there: self.to });
+            return Err(Refused::From {
+                made: later.from,
+                there: self.to,
+            });
         }
         for named in &later.removals {
-            self.last.insert(Key::read(named.kind, &named.pool, &named.name)?, None);
+            self.last
+                .insert(Key::read(named.kind, &named.pool, &named.name)?, None);
         }
         for thing in &later.puts {
-            self.last.insert(Key::read(thing.kind, &thing.pool, &thing.name)?, Some(thing.clone()));
+            self.last.insert(
+                Key::read(thing.kind, &thing.pool, &thing.name)?,
+                Some(thing.clone()),
+            );
         }
         (self.to, self.digest) = (later.to, later.digest);
         Ok(())
     }
 
     pub fn finish(self) -> Delta {
-        let Self { from, to, digest, last } = self;
-        let mut delta = Delta { from, to, digest, ..Delta::default() };
+        let Self {
+            from,
+            to,
+            digest,
+            last,
+        } = self;
+        let mut delta = Delta {
+            from,
+            to,
+            digest,
+            ..Delta::default()
+        };
         for (key, said) in last {
             match said {
                 Some(thing) => delta.puts.push(thing),
--- a/crates/control/src/frames.rs
+++ b/crates/control/src/frames.rs
@@ -256,7 +256,10 @@
     /// # Errors
     /// Bytes that are no such frame.
     pub fn decoded(frame: Bytes) -> Result<Self, Refused> {
-        ToSource::decode(frame).ok().and_then(|frame| frame.up).ok_or(Refused::Frame)
+        ToSource::decode(frame)
+            .ok()
+            .and_then(|frame| frame.up)
+            .ok_or(Refused::Frame)
     }
 }
 
@@ -268,6 +271,9 @@
     /// # Errors
     /// Bytes that are no such frame.
     pub fn decoded(frame: Bytes) -> Result<Self, Refused> {
-        ToSubscriber::decode(frame).ok().and_then(|frame| frame.down).ok_or(Refused::Frame)
+        ToSubscriber::decode(frame)
+            .ok()
+            .and_then(|frame| frame.down)
+            .ok_or(Refused::Frame)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -45,7 +45,10 @@
         match self {
             Self::Frame => out.write_str("bytes that are no frame"),
             Self::From { made, there } => {
-                write!(out, "made from version {made}, but version {there} is there")
+                write!(
+                    out,
+                    "made from version {made}, but version {there} is there"
+                )
             }
             Self::Backward => out.write_str("does not lead to a later version"),
             Self::Differs => out.write_str("leads to another digest than it says"),
--- a/crates/control/src/plant.rs
+++ b/crates/control/src/plant.rs
@@ -5,11 +5,26 @@
 
 /// All bugs that can be planted, and what each does.
 pub const BUGS: &[(&str, &str)] = &[
-    ("over-a-gap", "a delta is applied to another version than the one that it begins at"),
-    ("digest-unread", "the digest of what was applied is not compared with the one that was sent"),
-    ("early-confirm", "a version is confirmed before it is in force"),
-    ("history-off-by-one", "the delta that was just dropped from the history is taken for still there"),
-    ("no-spread", "a process that lost its control machine goes to the next at once"),
+    (
+        "over-a-gap",
+        "a delta is applied to another version than the one that it begins at",
+    ),
+    (
+        "digest-unread",
+        "the digest of what was applied is not compared with the one that was sent",
+    ),
+    (
+        "early-confirm",
+        "a version is confirmed before it is in force",
+    ),
+    (
+        "history-off-by-one",
+        "the delta that was just dropped from the history is taken for still there",
+    ),
+    (
+        "no-spread",
+        "a process that lost its control machine goes to the next at once",
+    ),
 ];
 
 #[cfg(all(feature = "planted", not(debug_assertions)))]
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -19,7 +19,11 @@
 /// # Errors
 /// More than a subscriber would take.
 pub fn packed(version: u64, state: &State) -> Result<Vec<u8>, Refused> {
-    let whole = Whole { version, digest: state.digest(), things: state.things().collect() };
+    let whole = Whole {
+        version,
+        digest: state.digest(),
+        things: state.things().collect(),
+    };
     let bytes = whole.encode_to_vec();
     if bytes.len() > MOST_WHOLE {
         return Err(Refused::Large("the whole is too large"));
@@ -37,8 +41,18 @@
     let bytes = decompress_to_vec_with_limit(packed, MOST_WHOLE).map_err(|_| Refused::Frame)?;
     let whole = Whole::decode(&*bytes).map_err(|_| Refused::Frame)?;
     drop(bytes);
-    let Whole { version, digest, things } = whole;
+    let Whole {
+        version,
+        digest,
+        things,
+    } = whole;
     let mut state = State::default();
-    state.apply(&Delta { from: 0, to: version, digest, puts: things, removals: Vec::new() })?;
+    state.apply(&Delta {
+        from: 0,
+        to: version,
+        digest,
+        puts: things,
+        removals: Vec::new(),
+    })?;
     Ok((version, state))
 }
--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -203,8 +203,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sent {
     Nothing,
-    Delta { from: u64, to: u64, at: Duration },
-    Pieces { version: u64, digest: u64, got: usize, next: usize, at: Duration },
+    Delta {
+        from: u64,
+        to: u64,
+        at: Duration,
+    },
+    Pieces {
+        version: u64,
+        digest: u64,
+        got: usize,
+        next: usize,
+        at: Duration,
+    },
 }
 
 #[derive(Debug)]
@@ -279,7 +289,11 @@
     /// # Errors
     /// Too large.
     pub fn packed(&mut self) -> Result<Bytes, Refused> {
-        if let Some(packed) = self.packed.iter().find(|packed| packed.version == self.version) {
+        if let Some(packed) = self
+            .packed
+            .iter()
+            .find(|packed| packed.version == self.version)
+        {
             return Ok(packed.bytes.clone());
         }
         let bytes = Bytes::from(snapshot::packed(self.version, &self.state)?);
@@ -291,7 +305,11 @@
     /// Keeps the newest version packed.
     fn keep(&mut self, bytes: Bytes) {
         let digest = self.state.digest();
-        self.packed.push_back(Packed { version: self.version, digest, bytes });
+        self.packed.push_back(Packed {
+            version: self.version,
+            digest,
+            bytes,
+        });
         while self.packed.len() > PACKED {
             self.packed.pop_front();
         }
@@ -321,7 +339,10 @@
     /// It is made from another version than the newest, or cannot be applied; nothing has changed then.
     pub fn committed(&mut self, now: Duration, delta: Delta) -> Result<(), Refused> {
         if delta.from != self.version {
-            return Err(Refused::From { made: delta.from, there: self.version });
+            return Err(Refused::From {
+                made: delta.from,
+                there: self.version,
+            });
         }
         if delta.to <= delta.from {
             return Err(Refused::Backward);
@@ -332,9 +353,17 @@
         self.encoded.clear();
         let bytes = prost::Message::encoded_len(&delta);
         self.history_bytes += bytes;
-        self.history.push_back(Step { delta, bytes, at: now });
-        while self.history.len() > self.bounds.history || self.history_bytes > self.bounds.history_bytes {
-            let Some(gone) = self.history.pop_front() else { break };
+        self.history.push_back(Step {
+            delta,
+            bytes,
+            at: now,
+        });
+        while self.history.len() > self.bounds.history
+            || self.history_bytes > self.bounds.history_bytes
+        {
+            let Some(gone) = self.history.pop_front() else {
+                break;
+            };
             self.history_bytes -= gone.bytes;
         }
         if self.version.is_multiple_of(PACK_EVERY) {
@@ -364,7 +393,11 @@
     pub fn heard(&mut self, now: Duration, link: Link, frame: Bytes) {
         self.counters.bytes_in += frame.len() as u64;
         let up = Up::decoded(frame);
-        let known = self.subscribers.get_mut(&link).map(|subscriber| subscriber.heard = now).is_some();
+        let known = self
+            .subscribers
+            .get_mut(&link)
+            .map(|subscriber| subscriber.heard = now)
+            .is_some();
         match up {
             Ok(Up::Attach(attach)) if !known => self.attach(now, link, attach),
             Ok(Up::Confirm(confirm)) if known => self.confirm(now, link, confirm),
@@ -380,25 +413,46 @@
     }
 
     fn attach(&mut self, now: Duration, link: Link, attach: Attach) {
-        let Attach { name, region, zone, version, digest, takes, partial } = attach;
-        if [&name, &region, &zone].iter().any(|text| text.len() > MOST_NAME) || name.is_empty() {
+        let Attach {
+            name,
+            region,
+            zone,
+            version,
+            digest,
+            takes,
+            partial,
+        } = attach;
+        if [&name, &region, &zone]
+            .iter()
+            .any(|text| text.len() > MOST_NAME)
+            || name.is_empty()
+        {
             self.counters.unreadable += 1;
             self.orders.push(Order::Event(Event::Unreadable { link }));
             return self.end(link);
         }
         let again = self.links.contains_key(&name);
-        let full = !again && self.subscribers.len() >= self.bounds.subscribers || takes < schema::VERSION;
+        let full =
+            !again && self.subscribers.len() >= self.bounds.subscribers || takes < schema::VERSION;
         let every = Duration::from_secs(1) / self.bounds.attach_a_second.max(1);
         let at_once = every * self.bounds.attach_at_once;
         if full || self.pace > now + at_once {
             // Each is told a place of its own, at the pace at which attachments are taken.
             self.queue = self.queue.max(now).min(now + QUEUE_MOST) + every;
-            let spread = Duration::from_nanos(self.chance.generate_range(0..=every.as_nanos() as u64));
+            let spread =
+                Duration::from_nanos(self.chance.generate_range(0..=every.as_nanos() as u64));
             let after = self.queue + spread - now;
             let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
             self.counters.turned_away += 1;
             self.orders.push(Order::Event(Event::TurnedAway { name }));
-            self.send(link, Down::ComeBack(ComeBack { after_ms, elsewhere: full }).encoded());
+            self.send(
+                link,
+                Down::ComeBack(ComeBack {
+                    after_ms,
+                    elsewhere: full,
+                })
+                .encoded(),
+            );
             self.orders.push(Order::Close(link));
             return;
         }
@@ -409,7 +463,10 @@
             self.orders.push(Order::Close(old));
         }
         self.counters.attached += 1;
-        self.orders.push(Order::Event(Event::Attached { name: name.clone(), version }));
+        self.orders.push(Order::Event(Event::Attached {
+            name: name.clone(),
+            version,
+        }));
         let who = Who { name, region, zone };
         let subscriber = Subscriber {
             who,
@@ -427,13 +484,22 @@
         };
         self.subscribers.insert(link, subscriber);
         let age_ms = self.age_ms(now);
-        self.send(link, Down::Attached(Attached { version: self.version, age_ms }).encoded());
+        self.send(
+            link,
+            Down::Attached(Attached {
+                version: self.version,
+                age_ms,
+            })
+            .encoded(),
+        );
         self.offer(now, link);
     }
 
     fn confirm(&mut self, now: Duration, link: Link, confirm: Confirm) {
         let ours = self.digest_at(confirm.version);
-        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        let Some(subscriber) = self.subscribers.get_mut(&link) else {
+            return;
+        };
         if confirm.version < subscriber.version {
             // Late: it said more since.
             return;
@@ -462,9 +528,20 @@
     }
 
     fn refuse(&mut self, now: Duration, link: Link, refuse: Refuse) {
-        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
-        let Refuse { version, mut reason, .. } = refuse;
-        reason.truncate((0..=MOST_NAME).rev().find(|end| reason.is_char_boundary(*end)).unwrap_or(0));
+        let Some(subscriber) = self.subscribers.get_mut(&link) else {
+            return;
+        };
+        let Refuse {
+            version,
+            mut reason,
+            ..
+        } = refuse;
+        reason.truncate(
+            (0..=MOST_NAME)
+                .rev()
+                .find(|end| reason.is_char_boundary(*end))
+                .unwrap_or(0),
+        );
         let over = match subscriber.sent {
             Sent::Nothing => false,
             Sent::Delta { to, .. } => to <= version,
@@ -473,17 +550,27 @@
         if over {
             subscriber.sent = Sent::Nothing;
         }
-        if subscriber.refused.as_ref().is_none_or(|(before, _)| version >= *before) {
+        if subscriber
+            .refused
+            .as_ref()
+            .is_none_or(|(before, _)| version >= *before)
+        {
             subscriber.refused = Some((version, reason.clone()));
         }
         self.counters.refused += 1;
         let name = subscriber.who.name.clone();
-        self.orders.push(Order::Event(Event::Refused { name, version, reason }));
+        self.orders.push(Order::Event(Event::Refused {
+            name,
+            version,
+            reason,
+        }));
         self.offer(now, link);
     }
 
     fn ask(&mut self, now: Duration, link: Link, ask: Ask) {
-        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        let Some(subscriber) = self.subscribers.get_mut(&link) else {
+            return;
+        };
         // What it says is what it holds, whatever was said before.
         (subscriber.version, subscriber.digest) = (ask.version, ask.digest);
         let gap = ask.lack == Lack::Gap as i32;
@@ -494,7 +581,10 @@
         }
         subscriber.sent = Sent::Nothing;
         subscriber.partial = None;
-        subscriber.help_at = now + HELP_LEAST.saturating_mul(1 << subscriber.helped.min(16)).min(HELP_MOST);
+        subscriber.help_at = now
+            + HELP_LEAST
+                .saturating_mul(1 << subscriber.helped.min(16))
+                .min(HELP_MOST);
         if subscriber.helped == 0 {
             subscriber.help_at = now;
         }
@@ -508,16 +598,30 @@
     }
 
     fn differs(&mut self, link: Link) {
-        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
+        let Some(subscriber) = self.subscribers.get_mut(&link) else {
+            return;
+        };
         subscriber.differs = true;
         self.counters.differs += 1;
         let name = subscriber.who.name.clone();
-        self.orders.push(Order::Event(Event::Differs { name, version: subscriber.version }));
+        self.orders.push(Order::Event(Event::Differs {
+            name,
+            version: subscriber.version,
+        }));
     }
 
     fn got(&mut self, now: Duration, link: Link, got: Got) {
-        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
-        if let Sent::Pieces { version, digest, got: before, next, at } = &mut subscriber.sent {
+        let Some(subscriber) = self.subscribers.get_mut(&link) else {
+            return;
+        };
+        if let Sent::Pieces {
+            version,
+            digest,
+            got: before,
+            next,
+            at,
+        } = &mut subscriber.sent
+        {
             if (got.version, got.digest) != (*version, *digest) {
                 return;
             }
@@ -537,7 +641,9 @@
     pub fn gone(&mut self, _now: Duration, link: Link) {
         if let Some(subscriber) = self.subscribers.remove(&link) {
             self.links.remove(&subscriber.who.name);
-            self.orders.push(Order::Event(Event::Gone { name: subscriber.who.name }));
+            self.orders.push(Order::Event(Event::Gone {
+                name: subscriber.who.name,
+            }));
         }
     }
 
@@ -559,9 +665,15 @@
         self.sweep = now + SWEEP;
         let links: Vec<Link> = self.subscribers.keys().copied().collect();
         let age_ms = self.age_ms(now);
-        let ping = Down::Ping(Ping { version: self.version, age_ms }).encoded();
+        let ping = Down::Ping(Ping {
+            version: self.version,
+            age_ms,
+        })
+        .encoded();
         for link in links {
-            let Some(subscriber) = self.subscribers.get_mut(&link) else { continue };
+            let Some(subscriber) = self.subscribers.get_mut(&link) else {
+                continue;
+            };
             if now.saturating_sub(subscriber.heard) >= SILENT {
                 self.end(link);
                 continue;
@@ -618,7 +730,9 @@
 
     /// Where in the history the way on from this version begins.
     fn way_from(&self, version: u64) -> Option<usize> {
-        let first = self.history.partition_point(|step| step.delta.from < version);
+        let first = self
+            .history
+            .partition_point(|step| step.delta.from < version);
         let step = self.history.get(first)?;
         if planted("history-off-by-one") && first == 0 && step.delta.from == version + 1 {
             return Some(first);
@@ -629,7 +743,9 @@
     /// Sends what this subscriber lacks, if nothing is on its way to it.
     fn offer(&mut self, now: Duration, link: Link) {
         let newest = self.version;
-        let Some(subscriber) = self.subscribers.get(&link) else { return };
+        let Some(subscriber) = self.subscribers.get(&link) else {
+            return;
+        };
         if subscriber.sent != Sent::Nothing || now < subscriber.help_at {
             return;
         }
@@ -637,17 +753,25 @@
         if holds > newest {
             if !subscriber.ahead {
                 let name = subscriber.who.name.clone();
-                self.orders.push(Order::Event(Event::Ahead { name, version: holds }));
+                self.orders.push(Order::Event(Event::Ahead {
+                    name,
+                    version: holds,
+                }));
             }
             if let Some(subscriber) = self.subscribers.get_mut(&link) {
                 subscriber.ahead = true;
             }
             return;
         }
-        if !subscriber.differs && holds > 0 && self.digest_at(holds).is_some_and(|ours| ours != digest) {
+        if !subscriber.differs
+            && holds > 0
+            && self.digest_at(holds).is_some_and(|ours| ours != digest)
+        {
             self.differs(link);
         }
-        let Some(subscriber) = self.subscribers.get(&link) else { return };
+        let Some(subscriber) = self.subscribers.get(&link) else {
+            return;
+        };
         let refused = subscriber.refused.as_ref().map(|(version, _)| *version);
         if refused == Some(newest) || holds == newest && !subscriber.differs {
             return;
@@ -657,7 +781,11 @@
                 self.counters.deltas += 1;
                 self.send(link, frame);
                 if let Some(subscriber) = self.subscribers.get_mut(&link) {
-                    subscriber.sent = Sent::Delta { from: holds, to: newest, at: now };
+                    subscriber.sent = Sent::Delta {
+                        from: holds,
+                        to: newest,
+                        at: now,
+                    };
                 }
                 return;
             }
@@ -681,7 +809,10 @@
             for step in steps {
                 all.then(step).ok()?;
             }
-            let delta = Delta { from: holds, ..all.finish() };
+            let delta = Delta {
+                from: holds,
+                ..all.finish()
+            };
             let frame = Down::Delta(delta).encoded();
             (frame.len() <= self.bounds.delta_bytes).then_some(frame)
         });
@@ -694,7 +825,9 @@
     /// Begins to send a snapshot that helps: newer than what it holds and than any it refused,
     /// and with a way on.
     fn snapshot(&mut self, now: Duration, link: Link, holds: u64, refused: Option<u64>) {
-        let Some(subscriber) = self.subscribers.get(&link) else { return };
+        let Some(subscriber) = self.subscribers.get(&link) else {
+            return;
+        };
         let least = if subscriber.differs { holds } else { holds + 1 };
         let helps = |packed: &&Packed| {
             packed.version >= least
@@ -705,8 +838,12 @@
         let begun = |packed: &&Packed| {
             partial.is_some_and(|got| (got.version, got.digest) == (packed.version, packed.digest))
         };
-        let found =
-            self.packed.iter().filter(helps).find(begun).or_else(|| self.packed.iter().rev().find(helps));
+        let found = self
+            .packed
+            .iter()
+            .filter(helps)
+            .find(begun)
+            .or_else(|| self.packed.iter().rev().find(helps));
         let found = match found.cloned() {
             Some(found) => found,
             None if self.packed_at.is_some_and(|at| now < at + PACK_WAIT) => return,
@@ -715,25 +852,53 @@
                 if self.packed().is_err() {
                     return;
                 }
-                let Some(newest) = self.packed.back().cloned() else { return };
+                let Some(newest) = self.packed.back().cloned() else {
+                    return;
+                };
                 newest
             }
         };
-        let offset = partial.filter(|_| begun(&&found)).and_then(|got| usize::try_from(got.offset).ok());
-        let offset = offset.filter(|offset| *offset < found.bytes.len()).unwrap_or(0);
-        let Packed { version, digest, .. } = found;
+        let offset = partial
+            .filter(|_| begun(&&found))
+            .and_then(|got| usize::try_from(got.offset).ok());
+        let offset = offset
+            .filter(|offset| *offset < found.bytes.len())
+            .unwrap_or(0);
+        let Packed {
+            version, digest, ..
+        } = found;
         self.counters.snapshots += 1;
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.sent = Sent::Pieces { version, digest, got: offset, next: offset, at: now };
+            subscriber.sent = Sent::Pieces {
+                version,
+                digest,
+                got: offset,
+                next: offset,
+                at: now,
+            };
         }
         self.pieces(now, link);
     }
 
     /// Sends pieces as far as the window goes.
     fn pieces(&mut self, now: Duration, link: Link) {
-        let Some(subscriber) = self.subscribers.get_mut(&link) else { return };
-        let Sent::Pieces { version, digest, got, mut next, at } = subscriber.sent else { return };
-        let kept = self.packed.iter().find(|packed| (packed.version, packed.digest) == (version, digest));
+        let Some(subscriber) = self.subscribers.get_mut(&link) else {
+            return;
+        };
+        let Sent::Pieces {
+            version,
+            digest,
+            got,
+            mut next,
+            at,
+        } = subscriber.sent
+        else {
+            return;
+        };
+        let kept = self
+            .packed
+            .iter()
+            .find(|packed| (packed.version, packed.digest) == (version, digest));
         let Some(kept) = kept.cloned() else {
             // Dropped while it was on its way: a newer one instead.
             subscriber.sent = Sent::Nothing;
@@ -754,7 +919,13 @@
             self.send(link, Down::Piece(piece).encoded());
         }
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.sent = Sent::Pieces { version, digest, got, next, at };
+            subscriber.sent = Sent::Pieces {
+                version,
+                digest,
+                got,
+                next,
+                at,
+            };
         }
     }
 
@@ -807,11 +978,19 @@
                 progress.confirmed += 1;
                 continue;
             }
-            match subscriber.refused.as_ref().is_some_and(|(refused, _)| *refused == version) {
+            match subscriber
+                .refused
+                .as_ref()
+                .is_some_and(|(refused, _)| *refused == version)
+            {
                 true => progress.refused += 1,
                 false => progress.behind += 1,
             }
-            if progress.slowest.as_ref().is_none_or(|(_, least)| subscriber.version < *least) {
+            if progress
+                .slowest
+                .as_ref()
+                .is_none_or(|(_, least)| subscriber.version < *least)
+            {
                 progress.slowest = Some((subscriber.who.name.clone(), subscriber.version));
             }
         }
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -236,7 +236,10 @@
             }
             Ok(Down::ComeBack(said)) => {
                 let after = Duration::from_millis(said.after_ms);
-                self.orders.push(Order::ComeBack { after, elsewhere: said.elsewhere });
+                self.orders.push(Order::ComeBack {
+                    after,
+                    elsewhere: said.elsewhere,
+                });
             }
             Ok(Down::Delta(delta)) => self.delta(delta),
             Ok(Down::Piece(piece)) => self.piece(piece),
@@ -267,7 +270,10 @@
             self.confirm();
         } else if delta.from != self.version && !planted("over-a-gap") {
             self.counters.gaps += 1;
-            self.orders.push(Order::Event(Event::Gap { holds: self.version, from: delta.from }));
+            self.orders.push(Order::Event(Event::Gap {
+                holds: self.version,
+                from: delta.from,
+            }));
             self.ask(Lack::Gap);
         } else if let Err(why) = self.state.would(&delta) {
             self.differs(delta.to, why);
@@ -291,7 +297,10 @@
         }
         let length = usize::try_from(piece.length).unwrap_or(usize::MAX);
         if length > snapshot::MOST_PACKED {
-            self.differs(piece.version, Refused::Large("the snapshot is larger than is taken"));
+            self.differs(
+                piece.version,
+                Refused::Large("the snapshot is larger than is taken"),
+            );
             return;
         }
         self.counters.pieces += 1;
@@ -304,9 +313,18 @@
                 // Of another one than the one in hand, not from its beginning: it is asked for from there.
                 self.partial = kept;
                 self.counters.stale += 1;
-                return self.send(Up::Got(Got { version: piece.version, digest: piece.digest, offset: 0 }));
+                return self.send(Up::Got(Got {
+                    version: piece.version,
+                    digest: piece.digest,
+                    offset: 0,
+                }));
             }
-            _ => Partial { version: piece.version, digest: piece.digest, length, bytes: Vec::new() },
+            _ => Partial {
+                version: piece.version,
+                digest: piece.digest,
+                length,
+                bytes: Vec::new(),
+            },
         };
         let next = piece.offset == partial.bytes.len() as u64;
         if next && partial.bytes.len() + piece.bytes.len() <= length {
@@ -315,14 +333,20 @@
             self.counters.stale += 1;
         }
         let offset = partial.bytes.len() as u64;
-        let got = Got { version: partial.version, digest: partial.digest, offset };
+        let got = Got {
+            version: partial.version,
+            digest: partial.digest,
+            offset,
+        };
         if partial.bytes.len() < partial.length {
             self.partial = Some(partial);
             self.send(Up::Got(got));
             return;
         }
         match snapshot::unpacked(&partial.bytes) {
-            Ok((version, state)) if (version, state.digest()) == (partial.version, partial.digest) => {
+            Ok((version, state))
+                if (version, state.digest()) == (partial.version, partial.digest) =>
+            {
                 self.send(Up::Got(got));
                 self.take(Pending::Whole { version, state });
             }
@@ -333,13 +357,18 @@
 
     fn differs(&mut self, version: u64, why: Refused) {
         self.counters.differs += 1;
-        self.orders.push(Order::Event(Event::Differs { version, why }));
+        self.orders
+            .push(Order::Event(Event::Differs { version, why }));
         self.ask(Lack::Differs);
     }
 
     fn ask(&mut self, lack: Lack) {
         let digest = self.state.digest();
-        self.send(Up::Ask(Ask { lack: lack as i32, version: self.version, digest }));
+        self.send(Up::Ask(Ask {
+            lack: lack as i32,
+            version: self.version,
+            digest,
+        }));
     }
 
     fn take(&mut self, pending: Pending) {
@@ -357,7 +386,9 @@
 
     /// The driver has put the pending version into force: all that comes in from now on is decided by it.
     pub fn in_force(&mut self, version: u64) {
-        let Some(pending) = self.pending.take_if(|pending| pending.version() == version) else { return };
+        let Some(pending) = self.pending.take_if(|pending| pending.version() == version) else {
+            return;
+        };
         match pending {
             Pending::Delta(delta) => {
                 // Checked when it came, and the state is the same since; were it not, a snapshot mends it.
@@ -377,14 +408,27 @@
 
     /// The driver cannot take the pending version; the one before it is in force.
     pub fn refused(&mut self, version: u64, reason: &str) {
-        if self.pending.take_if(|pending| pending.version() == version).is_none() {
+        if self
+            .pending
+            .take_if(|pending| pending.version() == version)
+            .is_none()
+        {
             return;
         }
         self.counters.refused += 1;
-        let end = (0..=MOST_REASON.min(reason.len())).rev().find(|end| reason.is_char_boundary(*end));
+        let end = (0..=MOST_REASON.min(reason.len()))
+            .rev()
+            .find(|end| reason.is_char_boundary(*end));
         let reason = reason[..end.unwrap_or(0)].to_owned();
-        self.orders.push(Order::Event(Event::Refused { version, reason: reason.clone() }));
-        self.send(Up::Refuse(Refuse { version, reason, holds: self.version }));
+        self.orders.push(Order::Event(Event::Refused {
+            version,
+            reason: reason.clone(),
+        }));
+        self.send(Up::Refuse(Refuse {
+            version,
+            reason,
+            holds: self.version,
+        }));
     }
 
     fn send(&mut self, up: Up) {
@@ -398,6 +442,9 @@
 
     fn confirm(&mut self) {
         let digest = self.state.digest();
-        self.send(Up::Confirm(Confirm { version: self.version, digest }));
+        self.send(Up::Confirm(Confirm {
+            version: self.version,
+            digest,
+        }));
     }
 }
--- a/crates/control/tests/golden.rs
+++ b/crates/control/tests/golden.rs
@@ -6,8 +6,8 @@
 use rainstand_config::schema::{Configuration, Member, Pool, Route, Tenant, TrafficType, VERSION};
 use rainstand_control::delta::State;
 use rainstand_control::frames::{
-    Ask, Attach, Attached, ComeBack, Confirm, Delta, Down, Got, Kind, Lack, Named, Piece, Ping, Refuse,
-    Thing, Up, Whole,
+    Ask, Attach, Attached, ComeBack, Confirm, Delta, Down, Got, Kind, Lack, Named, Piece, Ping,
+    Refuse, Thing, Up, Whole,
 };
 use rainstand_control::snapshot;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
@@ -19,16 +19,38 @@
     let kinds = (1..=17).map(|kind| Thing {
         kind,
         name: format!("thing-{kind}"),
-        pool: if kind == Kind::Member as i32 { "hall".into() } else { String::new() },
-        rank: if kind == Kind::Route as i32 { 1 << 32 } else { 0 },
+        pool: if kind == Kind::Member as i32 {
+            "hall".into()
+        } else {
+            String::new()
+        },
+        rank: if kind == Kind::Route as i32 {
+            1 << 32
+        } else {
+            0
+        },
         body: Bytes::from(vec![10, 1, b'a' + kind as u8]),
     });
-    let removal = Named { kind: Kind::Member as i32, name: "n1".into(), pool: "hall".into() };
-    Delta { from: 6, to: 9, digest: 0x0123_4567_89ab_cdef, puts: kinds.collect(), removals: vec![removal] }
+    let removal = Named {
+        kind: Kind::Member as i32,
+        name: "n1".into(),
+        pool: "hall".into(),
+    };
+    Delta {
+        from: 6,
+        to: 9,
+        digest: 0x0123_4567_89ab_cdef,
+        puts: kinds.collect(),
+        removals: vec![removal],
+    }
 }
 
 fn got() -> Got {
-    Got { version: 5, digest: 77, offset: 8192 }
+    Got {
+        version: 5,
+        digest: 77,
+        offset: 8192,
+    }
 }
 
 fn upward() -> Vec<(&'static str, Up)> {
@@ -43,30 +65,84 @@
     };
     vec![
         ("up-attach", Up::Attach(attach)),
-        ("up-confirm", Up::Confirm(Confirm { version: 9, digest: 0x0123_4567_89ab_cdef })),
-        ("up-refuse", Up::Refuse(Refuse { version: 9, reason: "no such pool".into(), holds: 6 })),
-        ("up-ask-gap", Up::Ask(Ask { lack: Lack::Gap as i32, version: 6, digest: 5 })),
-        ("up-ask-differs", Up::Ask(Ask { lack: Lack::Differs as i32, version: 6, digest: 5 })),
+        (
+            "up-confirm",
+            Up::Confirm(Confirm {
+                version: 9,
+                digest: 0x0123_4567_89ab_cdef,
+            }),
+        ),
+        (
+            "up-refuse",
+            Up::Refuse(Refuse {
+                version: 9,
+                reason: "no such pool".into(),
+                holds: 6,
+            }),
+        ),
+        (
+            "up-ask-gap",
+            Up::Ask(Ask {
+                lack: Lack::Gap as i32,
+                version: 6,
+                digest: 5,
+            }),
+        ),
+        (
+            "up-ask-differs",
+            Up::Ask(Ask {
+                lack: Lack::Differs as i32,
+                version: 6,
+                digest: 5,
+            }),
+        ),
         ("up-got", Up::Got(got())),
     ]
 }
 
 fn downward() -> Vec<(&'static str, Down)> {
-    let piece =
-        Piece { version: 5, digest: 77, offset: 8192, length: 9000, bytes: Bytes::from_static(b"piece") };
+    let piece = Piece {
+        version: 5,
+        digest: 77,
+        offset: 8192,
+        length: 9000,
+        bytes: Bytes::from_static(b"piece"),
+    };
     vec![
-        ("down-attached", Down::Attached(Attached { version: 9, age_ms: 1500 })),
-        ("down-come-back", Down::ComeBack(ComeBack { after_ms: 800, elsewhere: true })),
+        (
+            "down-attached",
+            Down::Attached(Attached {
+                version: 9,
+                age_ms: 1500,
+            }),
+        ),
+        (
+            "down-come-back",
+            Down::ComeBack(ComeBack {
+                after_ms: 800,
+                elsewhere: true,
+            }),
+        ),
         ("down-delta", Down::Delta(delta())),
         ("down-piece", Down::Piece(piece)),
-        ("down-ping", Down::Ping(Ping { version: 9, age_ms: 20 })),
+        (
+            "down-ping",
+            Down::Ping(Ping {
+                version: 9,
+                age_ms: 20,
+            }),
+        ),
     ]
 }
 
 #[test]
 fn frames_are_written_as_before() {
-    let up = upward().into_iter().map(|(name, up)| NamedBytes::new(name, up.encoded()));
-    let down = downward().into_iter().map(|(name, down)| NamedBytes::new(name, down.encoded()));
+    let up = upward()
+        .into_iter()
+        .map(|(name, up)| NamedBytes::new(name, up.encoded()));
+    let down = downward()
+        .into_iter()
+        .map(|(name, down)| NamedBytes::new(name, down.encoded()));
     assert_bytes(FILE, &up.chain(down).collect::<Vec<_>>());
 }
 
@@ -76,11 +152,18 @@
     for NamedBytes { name, bytes } in read_bytes(FILE) {
         if name.starts_with("up-") {
             let read = Up::decoded(bytes.clone().into()).unwrap();
-            assert!(up.iter().any(|(known, up)| *known == name && *up == read), "{name}: {read:?}");
+            assert!(
+                up.iter().any(|(known, up)| *known == name && *up == read),
+                "{name}: {read:?}"
+            );
             assert_eq!(read.encoded(), bytes, "{name}");
         } else {
             let read = Down::decoded(bytes.clone().into()).unwrap();
-            assert!(down.iter().any(|(known, down)| *known == name && *down == read), "{name}: {read:?}");
+            assert!(
+                down.iter()
+                    .any(|(known, down)| *known == name && *down == read),
+                "{name}: {read:?}"
+            );
             assert_eq!(read.encoded(), bytes, "{name}");
         }
     }
@@ -94,14 +177,25 @@
     };
     Configuration {
         version: VERSION,
-        types: vec![TrafficType { name: "check".into(), ..TrafficType::default() }],
-        tenants: vec![Tenant { name: "acme".into(), ..Tenant::default() }],
+        types: vec![TrafficType {
+            name: "check".into(),
+            ..TrafficType::default()
+        }],
+        tenants: vec![Tenant {
+            name: "acme".into(),
+            ..Tenant::default()
+        }],
         pools: vec![Pool {
             name: "hall".into(),
             members: vec![member("n"), member("nn")],
             ..Pool::default()
         }],
-        routes: ["one", "two"].map(|name| Route { name: name.into(), ..Route::default() }).to_vec(),
+        routes: ["one", "two"]
+            .map(|name| Route {
+                name: name.into(),
+                ..Route::default()
+            })
+            .to_vec(),
         ..Configuration::default()
     }
 }
@@ -109,17 +203,27 @@
 #[test]
 fn a_state_has_the_digest_and_the_snapshot_of_before() {
     let state = State::of(&configuration()).unwrap();
-    let whole = Whole { version: 3, digest: state.digest(), things: state.things().collect() };
+    let whole = Whole {
+        version: 3,
+        digest: state.digest(),
+        things: state.things().collect(),
+    };
     let mut changed = configuration();
     changed.pools[0].members.remove(0);
-    changed.routes.push(Route { name: "three".into(), ..Route::default() });
+    changed.routes.push(Route {
+        name: "three".into(),
+        ..Route::default()
+    });
     assert_bytes(
         SNAPSHOTS,
         &[
             NamedBytes::new("digest", state.digest().to_be_bytes()),
             NamedBytes::new("whole", whole.encode_to_vec()),
             NamedBytes::new("packed", snapshot::packed(3, &state).unwrap()),
-            NamedBytes::new("change", state.delta_to(3, 4, &changed).unwrap().encode_to_vec()),
+            NamedBytes::new(
+                "change",
+                state.delta_to(3, 4, &changed).unwrap().encode_to_vec(),
+            ),
         ],
     );
 }
@@ -129,7 +233,10 @@
     let stored = read_bytes(SNAPSHOTS);
     let of = |name: &str| &stored.iter().find(|one| one.name == name).unwrap().bytes;
     let (version, mut state) = snapshot::unpacked(of("packed")).unwrap();
-    assert_eq!((version, &state.digest().to_be_bytes()[..]), (3, &of("digest")[..]));
+    assert_eq!(
+        (version, &state.digest().to_be_bytes()[..]),
+        (3, &of("digest")[..])
+    );
     assert_eq!(state.configuration().unwrap(), configuration());
     assert_eq!(&snapshot::packed(version, &state).unwrap(), of("packed"));
     let change = Delta::decode(&of("change")[..]).unwrap();
--- a/crates/control/tests/rules.rs
+++ b/crates/control/tests/rules.rs
@@ -16,15 +16,38 @@
 const NOW: Duration = Duration::from_secs(100);
 
 fn tenant(name: &str, share: u64) -> Tenant {
-    Tenant { name: name.into(), share, ..Tenant::default() }
+    Tenant {
+        name: name.into(),
+        share,
+        ..Tenant::default()
+    }
 }
 
 fn configuration(tenants: &[(&str, u64)], routes: &[&str]) -> Configuration {
-    let mut made = Configuration { version: schema::VERSION, ..Configuration::default() };
-    made.tenants = tenants.iter().map(|(name, share)| tenant(name, *share)).collect();
-    made.routes = routes.iter().map(|name| Route { name: (*name).into(), ..Route::default() }).collect();
-    let members = vec![Member { name: "m".into(), ..Member::default() }];
-    made.pools = vec![Pool { name: "p".into(), members, ..Pool::default() }];
+    let mut made = Configuration {
+        version: schema::VERSION,
+        ..Configuration::default()
+    };
+    made.tenants = tenants
+        .iter()
+        .map(|(name, share)| tenant(name, *share))
+        .collect();
+    made.routes = routes
+        .iter()
+        .map(|name| Route {
+            name: (*name).into(),
+            ..Route::default()
+        })
+        .collect();
+    let members = vec![Member {
+        name: "m".into(),
+        ..Member::default()
+    }];
+    made.pools = vec![Pool {
+        name: "p".into(),
+        members,
+        ..Pool::default()
+    }];
     made.put_in_order();
     made
 }
@@ -34,7 +57,9 @@
     let mut state = State::default();
     let made = (1..=n).map(|version| {
         let configuration = configuration(&[("a", version), ("b", 7)], &["r"]);
-        let delta = state.delta_to(version - 1, version, &configuration).unwrap();
+        let delta = state
+            .delta_to(version - 1, version, &configuration)
+            .unwrap();
         state.apply(&delta).unwrap();
         delta
     });
@@ -42,18 +67,35 @@
 }
 
 fn who(name: &str, region: &str, zone: &str) -> Who {
-    Who { name: name.into(), region: region.into(), zone: zone.into() }
+    Who {
+        name: name.into(),
+        region: region.into(),
+        zone: zone.into(),
+    }
 }
 
 #[test]
 fn every_list_of_the_schema_is_carried() {
-    let lists = schema::descriptor().fields().filter(|field| field.is_list()).count();
+    let lists = schema::descriptor()
+        .fields()
+        .filter(|field| field.is_list())
+        .count();
     // Members are things of their own beside their pools.
-    let kinds = (1..).take_while(|kind| Kind::try_from(*kind).is_ok()).count() - 1;
-    assert_eq!(lists, kinds, "a list of the schema that no kind of thing carries would be lost on the way");
-    let text = rainstand_stand_ins::size::Size::two_years().part(0.01).rain();
+    let kinds = (1..)
+        .take_while(|kind| Kind::try_from(*kind).is_ok())
+        .count()
+        - 1;
+    assert_eq!(
+        lists, kinds,
+        "a list of the schema that no kind of thing carries would be lost on the way"
+    );
+    let text = rainstand_stand_ins::size::Size::two_years()
+        .part(0.01)
+        .rain();
     let files = rainstand_config::source::Memory::new([("a.rain", text.as_str())]);
-    let whole = rainstand_config::load(&files, "a.rain").configuration.expect("no errors");
+    let whole = rainstand_config::load(&files, "a.rain")
+        .configuration
+        .expect("no errors");
     assert_eq!(State::of(&whole).unwrap().configuration().unwrap(), whole);
 }
 
@@ -63,8 +105,16 @@
     let state = State::of(&before).unwrap();
     let cases: [(&str, [usize; 2], Configuration); 5] = [
         ("nothing", [0, 0], before.clone()),
-        ("a share", [1, 0], configuration(&[("a", 9), ("b", 2), ("c", 3)], &["r1", "r2", "r3", "r4"])),
-        ("one gone", [0, 1], configuration(&[("a", 1), ("c", 3)], &["r1", "r2", "r3", "r4"])),
+        (
+            "a share",
+            [1, 0],
+            configuration(&[("a", 9), ("b", 2), ("c", 3)], &["r1", "r2", "r3", "r4"]),
+        ),
+        (
+            "one gone",
+            [0, 1],
+            configuration(&[("a", 1), ("c", 3)], &["r1", "r2", "r3", "r4"]),
+        ),
         (
             "a route to the front",
             [1, 0],
@@ -73,7 +123,10 @@
         (
             "a route in between",
             [1, 0],
-            configuration(&[("a", 1), ("b", 2), ("c", 3)], &["r1", "r2", "new", "r3", "r4"]),
+            configuration(
+                &[("a", 1), ("b", 2), ("c", 3)],
+                &["r1", "r2", "new", "r3", "r4"],
+            ),
         ),
     ];
     for (what, counts, after) in cases {
@@ -94,18 +147,28 @@
     for k in 0..100 {
         names.insert(1, format!("r{k}"));
         let routes: Vec<&str> = names.iter().map(String::as_str).collect();
-        let delta = state.delta_to(k, k + 1, &configuration(&[], &routes)).unwrap();
+        let delta = state
+            .delta_to(k, k + 1, &configuration(&[], &routes))
+            .unwrap();
         large += usize::from(k > 0 && delta.puts.len() > 1);
         state.apply(&delta).unwrap();
-        assert_eq!(state.routes().map(|(_, name)| name).collect::<Vec<_>>(), routes);
+        assert_eq!(
+            state.routes().map(|(_, name)| name).collect::<Vec<_>>(),
+            routes
+        );
     }
-    assert!((1..=4).contains(&large), "ranks were given anew {large} times");
+    assert!(
+        (1..=4).contains(&large),
+        "ranks were given anew {large} times"
+    );
 }
 
 #[test]
 fn a_delta_that_cannot_be_applied_whole_changes_nothing() {
     let state = State::of(&configuration(&[("a", 1)], &["r1", "r2"])).unwrap();
-    let good = state.delta_to(1, 2, &configuration(&[("a", 2)], &["r1", "r2"])).unwrap();
+    let good = state
+        .delta_to(1, 2, &configuration(&[("a", 2)], &["r1", "r2"]))
+        .unwrap();
     let thing = |kind: Kind, name: &str, pool: &str, rank, body: Vec<u8>| Thing {
         kind: kind as i32,
         name: name.into(),
@@ -114,22 +177,49 @@
         body: body.into(),
     };
     let encoded = |name: &str| prost::Message::encode_to_vec(&tenant(name, 1));
-    let route = prost::Message::encode_to_vec(&Route { name: "r9".into(), ..Route::default() });
-    let member = prost::Message::encode_to_vec(&Member { name: "m".into(), ..Member::default() });
+    let route = prost::Message::encode_to_vec(&Route {
+        name: "r9".into(),
+        ..Route::default()
+    });
+    let member = prost::Message::encode_to_vec(&Member {
+        name: "m".into(),
+        ..Member::default()
+    });
     let rank = state.routes().next().unwrap().0;
     let bad = [
         ("another digest", None),
         (
             "of a kind that is not known here",
-            Some(Thing { kind: 99, ..thing(Kind::Tenant, "x", "", 0, vec![]) }),
+            Some(Thing {
+                kind: 99,
+                ..thing(Kind::Tenant, "x", "", 0, vec![])
+            }),
+        ),
+        (
+            "what it says cannot be read",
+            Some(thing(Kind::Tenant, "x", "", 0, vec![255])),
+        ),
+        (
+            "what it says has another name",
+            Some(thing(Kind::Tenant, "x", "", 0, encoded("y"))),
         ),
-        ("what it says cannot be read", Some(thing(Kind::Tenant, "x", "", 0, vec![255]))),
-        ("what it says has another name", Some(thing(Kind::Tenant, "x", "", 0, encoded("y")))),
         ("named twice", Some(good.puts[0].clone())),
-        ("a rank belongs to routes", Some(thing(Kind::Tenant, "x", "", 4, encoded("x")))),
-        ("two routes at one place", Some(thing(Kind::Route, "r9", "", rank, route))),
-        ("a member of a pool that is not there", Some(thing(Kind::Member, "m", "nowhere", 0, member))),
-        ("a pool's name belongs to members", Some(thing(Kind::Tenant, "x", "p", 0, encoded("x")))),
+        (
+            "a rank belongs to routes",
+            Some(thing(Kind::Tenant, "x", "", 4, encoded("x"))),
+        ),
+        (
+            "two routes at one place",
+            Some(thing(Kind::Route, "r9", "", rank, route)),
+        ),
+        (
+            "a member of a pool that is not there",
+            Some(thing(Kind::Member, "m", "nowhere", 0, member)),
+        ),
+        (
+            "a pool's name belongs to members",
+            Some(thing(Kind::Tenant, "x", "p", 0, encoded("x"))),
+        ),
     ];
     for (why, thing) in bad {
         let mut delta = good.clone();
@@ -148,7 +238,11 @@
         name: "p".into(),
         pool: "".into(),
     });
-    assert!(state.would(&without).unwrap_err().to_string().contains("goes without its members"));
+    assert!(state
+        .would(&without)
+        .unwrap_err()
+        .to_string()
+        .contains("goes without its members"));
 }
 
 #[test]
@@ -158,12 +252,19 @@
     let first = state.clone();
     let mut all: Option<Delta> = None;
     for version in 0..60u64 {
-        let tenants: Vec<String> =
-            (0..6).filter(|_| chance.generate::<bool>()).map(|k| format!("t{k}")).collect();
-        let tenants: Vec<(&str, u64)> = tenants.iter().map(|name| (name.as_str(), version)).collect();
+        let tenants: Vec<String> = (0..6)
+            .filter(|_| chance.generate::<bool>())
+            .map(|k| format!("t{k}"))
+            .collect();
+        let tenants: Vec<(&str, u64)> = tenants
+            .iter()
+            .map(|name| (name.as_str(), version))
+            .collect();
         let mut routes = ["r1", "r2", "r3", "r4", "r5"];
         chance.shuffle(&mut routes);
-        let delta = state.delta_to(version, version + 1, &configuration(&tenants, &routes)).unwrap();
+        let delta = state
+            .delta_to(version, version + 1, &configuration(&tenants, &routes))
+            .unwrap();
         state.apply(&delta).unwrap();
         all = Some(match all {
             Some(before) => joined(before, &delta).unwrap(),
@@ -173,15 +274,26 @@
         at_once.apply(all.as_ref().unwrap()).unwrap();
         assert_eq!(at_once, state);
     }
-    let gap = Delta { from: 3, to: 4, ..Delta::default() };
-    assert_eq!(joined(all.unwrap(), &gap), Err(Refused::From { made: 3, there: 60 }));
+    let gap = Delta {
+        from: 3,
+        to: 4,
+        ..Delta::default()
+    };
+    assert_eq!(
+        joined(all.unwrap(), &gap),
+        Err(Refused::From { made: 3, there: 60 })
+    );
 }
 
 #[test]
 fn a_snapshot_is_read_back_whole_or_not_at_all() {
     let state = State::of(&configuration(&[("a", 1), ("b", 2)], &["r1", "r2"])).unwrap();
     let packed = snapshot::packed(5, &state).unwrap();
-    assert_eq!(packed, snapshot::packed(5, &state.clone()).unwrap(), "like states give like bytes");
+    assert_eq!(
+        packed,
+        snapshot::packed(5, &state.clone()).unwrap(),
+        "like states give like bytes"
+    );
     let (version, read) = snapshot::unpacked(&packed).unwrap();
     assert_eq!((version, &read), (5, &state));
     for cut in 0..packed.len() {
@@ -210,16 +322,24 @@
 fn subscriber() -> (Subscriber, Vec<Delta>) {
     let deltas = deltas(6);
     let mut state = State::default();
-    deltas[..3].iter().for_each(|delta| state.apply(delta).unwrap());
+    deltas[..3]
+        .iter()
+        .for_each(|delta| state.apply(delta).unwrap());
     let mut subscriber = Subscriber::with(NOW, who("n", "r", "z"), 3, state);
     subscriber.opened(NOW);
-    assert!(matches!(&sent(&mut subscriber)[..], [Up::Attach(Attach { version: 3, .. })]));
+    assert!(matches!(
+        &sent(&mut subscriber)[..],
+        [Up::Attach(Attach { version: 3, .. })]
+    ));
     (subscriber, deltas)
 }
 
 #[test]
 fn a_subscriber_takes_what_begins_at_its_version_and_nothing_else() {
-    let held = |s: &Subscriber| Confirm { version: s.version(), digest: s.state().digest() };
+    let held = |s: &Subscriber| Confirm {
+        version: s.version(),
+        digest: s.state().digest(),
+    };
     // Stale, twice.
     for at in [0, 2] {
         let (mut one, deltas) = subscriber();
@@ -231,18 +351,48 @@
     let (mut one, deltas) = subscriber();
     one.heard(NOW, Down::Delta(deltas[4].clone()).encoded());
     let Confirm { version, digest } = held(&one);
-    assert_eq!(sent(&mut one), [Up::Ask(Ask { lack: Lack::Gap as i32, version, digest })]);
+    assert_eq!(
+        sent(&mut one),
+        [Up::Ask(Ask {
+            lack: Lack::Gap as i32,
+            version,
+            digest
+        })]
+    );
     assert!(one.pending().is_none());
     // Another digest.
-    let differs = Delta { digest: 1, ..deltas[3].clone() };
+    let differs = Delta {
+        digest: 1,
+        ..deltas[3].clone()
+    };
     one.heard(NOW, Down::Delta(differs).encoded());
-    assert_eq!(sent(&mut one), [Up::Ask(Ask { lack: Lack::Differs as i32, version, digest })]);
-    assert_eq!((one.version(), one.counters().gaps, one.counters().differs), (3, 1, 1));
+    assert_eq!(
+        sent(&mut one),
+        [Up::Ask(Ask {
+            lack: Lack::Differs as i32,
+            version,
+            digest
+        })]
+    );
+    assert_eq!(
+        (one.version(), one.counters().gaps, one.counters().differs),
+        (3, 1, 1)
+    );
     // The right one: confirmed only when it is in force, and whatever comes meanwhile is left.
     one.heard(NOW, Down::Delta(deltas[3].clone()).encoded());
     assert!(sent(&mut one).is_empty());
-    one.heard(NOW, Down::Delta(joined(deltas[3].clone(), &deltas[4]).unwrap()).encoded());
-    one.heard(NOW, Down::Ping(Ping { version: 5, age_ms: 0 }).encoded());
+    one.heard(
+        NOW,
+        Down::Delta(joined(deltas[3].clone(), &deltas[4]).unwrap()).encoded(),
+    );
+    one.heard(
+        NOW,
+        Down::Ping(Ping {
+            version: 5,
+            age_ms: 0,
+        })
+        .encoded(),
+    );
     assert_eq!(sent(&mut one), [Up::Confirm(Confirm { version, digest })]);
     one.in_force(9);
     assert_eq!(one.version(), 3, "not the version that it is at work on");
@@ -254,11 +404,21 @@
     one.refused(5, "no room for it");
     assert_eq!(
         sent(&mut one),
-        [Up::Refuse(Refuse { version: 5, reason: "no room for it".into(), holds: 4 })]
+        [Up::Refuse(Refuse {
+            version: 5,
+            reason: "no room for it".into(),
+            holds: 4
+        })]
+    );
+    assert_eq!(
+        (one.version(), one.pending().map(Pending::version)),
+        (4, None)
     );
-    assert_eq!((one.version(), one.pending().map(Pending::version)), (4, None));
     // Without a link nothing is sent.
-    one.heard(NOW, Down::Delta(joined(deltas[4].clone(), &deltas[5]).unwrap()).encoded());
+    one.heard(
+        NOW,
+        Down::Delta(joined(deltas[4].clone(), &deltas[5]).unwrap()).encoded(),
+    );
     one.cut();
     one.in_force(6);
     assert!(sent(&mut one).is_empty() && one.version() == 6);
@@ -268,18 +428,44 @@
 fn a_subscriber_knows_its_age_and_leaves_who_is_silent_or_out_of_touch() {
     let after = |secs| NOW + Duration::from_secs(secs);
     let (mut one, deltas) = subscriber();
-    one.heard(after(1), Down::Attached(Attached { version: 4, age_ms: 0 }).encoded());
-    assert_eq!(one.age(after(1)), Duration::from_secs(1), "a newer one is known of");
+    one.heard(
+        after(1),
+        Down::Attached(Attached {
+            version: 4,
+            age_ms: 0,
+        })
+        .encoded(),
+    );
+    assert_eq!(
+        one.age(after(1)),
+        Duration::from_secs(1),
+        "a newer one is known of"
+    );
     one.heard(after(1), Down::Delta(deltas[3].clone()).encoded());
     one.in_force(4);
-    assert_eq!(one.age(after(2)), Duration::from_secs(1), "as new as what the machine said");
+    assert_eq!(
+        one.age(after(2)),
+        Duration::from_secs(1),
+        "as new as what the machine said"
+    );
     assert!(!one.is_lost(after(1) + SILENT - Duration::from_nanos(1)));
     assert!(one.is_lost(after(1) + SILENT));
     // Pings of a machine that itself hears nothing.
     for secs in 2..30u64 {
-        one.heard(after(secs), Down::Ping(Ping { version: 4, age_ms: (secs - 1) * 1000 }).encoded());
+        one.heard(
+            after(secs),
+            Down::Ping(Ping {
+                version: 4,
+                age_ms: (secs - 1) * 1000,
+            })
+            .encoded(),
+        );
         assert_eq!(one.age(after(secs)), Duration::from_secs(secs - 1));
-        assert_eq!(one.is_lost(after(secs)), Duration::from_secs(secs - 1) >= STALE, "{secs}");
+        assert_eq!(
+            one.is_lost(after(secs)),
+            Duration::from_secs(secs - 1) >= STALE,
+            "{secs}"
+        );
     }
 }
 
@@ -287,7 +473,9 @@
 fn to(source: &mut Source, link: u64) -> Vec<Down> {
     let orders = source.orders().collect::<Vec<_>>();
     let sent = orders.into_iter().filter_map(|order| match order {
-        source::Order::Send { link: to, frame } if to == link => Some(Down::decoded(frame).unwrap()),
+        source::Order::Send { link: to, frame } if to == link => {
+            Some(Down::decoded(frame).unwrap())
+        }
         _ => None,
     });
     sent.collect()
@@ -295,7 +483,14 @@
 
 fn attach(name: &str, version: u64, digest: u64) -> Bytes {
     let takes = schema::VERSION;
-    Up::Attach(Attach { name: name.into(), version, digest, takes, ..Attach::default() }).encoded()
+    Up::Attach(Attach {
+        name: name.into(),
+        version,
+        digest,
+        takes,
+        ..Attach::default()
+    })
+    .encoded()
 }
 
 #[test]
@@ -318,9 +513,15 @@
                     _ => {}
                 }
             }
-            to(&mut source, 1).into_iter().for_each(|down| one.heard(now, down.encoded()));
+            to(&mut source, 1)
+                .into_iter()
+                .for_each(|down| one.heard(now, down.encoded()));
         }
-        assert!(!one.is_lost(now), "left though it is in touch, at version {}", one.version());
+        assert!(
+            !one.is_lost(now),
+            "left though it is in touch, at version {}",
+            one.version()
+        );
     }
     assert_eq!(one.version(), 100);
 }
@@ -331,48 +532,103 @@
     let mut source = Source::new(NOW, Bounds::default(), 1);
     source.committed(NOW, deltas[0].clone()).unwrap();
     source.heard(NOW, 7, attach("slow", 1, deltas[0].digest));
-    assert!(matches!(to(&mut source, 7)[..], [Down::Attached(Attached { version: 1, .. })]));
+    assert!(matches!(
+        to(&mut source, 7)[..],
+        [Down::Attached(Attached { version: 1, .. })]
+    ));
     for delta in &deltas[1..199] {
         source.committed(NOW, delta.clone()).unwrap();
     }
     // The first is on its way; the others wait for its confirmation.
-    assert!(matches!(&to(&mut source, 7)[..], [Down::Delta(Delta { from: 1, to: 2, .. })]));
-    source.heard(NOW, 7, Up::Confirm(Confirm { version: 2, digest: deltas[1].digest }).encoded());
+    assert!(matches!(
+        &to(&mut source, 7)[..],
+        [Down::Delta(Delta { from: 1, to: 2, .. })]
+    ));
+    source.heard(
+        NOW,
+        7,
+        Up::Confirm(Confirm {
+            version: 2,
+            digest: deltas[1].digest,
+        })
+        .encoded(),
+    );
     let got = to(&mut source, 7);
     assert!(
         matches!(&got[..], [Down::Delta(Delta { from: 2, to: 199, puts, .. })] if puts.len() == 1),
         "{got:?}"
     );
     // Refused: nothing more until there is a newer one.
-    source.heard(NOW, 7, Up::Refuse(Refuse { version: 199, reason: "no".into(), holds: 2 }).encoded());
+    source.heard(
+        NOW,
+        7,
+        Up::Refuse(Refuse {
+            version: 199,
+            reason: "no".into(),
+            holds: 2,
+        })
+        .encoded(),
+    );
     source.tick(NOW + Duration::from_secs(1));
     assert!(to(&mut source, 7).is_empty());
     let progress = &source.progress(1)[0];
-    assert_eq!((progress.version, progress.confirmed, progress.refused, progress.behind), (199, 0, 1, 0));
+    assert_eq!(
+        (
+            progress.version,
+            progress.confirmed,
+            progress.refused,
+            progress.behind
+        ),
+        (199, 0, 1, 0)
+    );
     source.committed(NOW, deltas[199].clone()).unwrap();
-    assert!(matches!(&to(&mut source, 7)[..], [Down::Delta(Delta { from: 2, to: 200, .. })]));
+    assert!(matches!(
+        &to(&mut source, 7)[..],
+        [Down::Delta(Delta {
+            from: 2,
+            to: 200,
+            ..
+        })]
+    ));
     // Made from an old version: a conflict, and nothing changes.
     let refused = source.committed(NOW, deltas[150].clone()).unwrap_err();
-    assert_eq!(refused, Refused::From { made: 150, there: 200 });
+    assert_eq!(
+        refused,
+        Refused::From {
+            made: 150,
+            there: 200
+        }
+    );
     assert_eq!(source.version(), 200);
 }
 
 #[test]
 fn who_is_further_back_than_the_history_gets_the_snapshot_on_from_where_it_was_cut() {
     let deltas = deltas(20);
-    let bounds = Bounds { history: 4, piece: 10, window: 2, ..Bounds::default() };
+    let bounds = Bounds {
+        history: 4,
+        piece: 10,
+        window: 2,
+        ..Bounds::default()
+    };
     let mut machines = [Source::new(NOW, bounds, 1), Source::new(NOW, bounds, 2)];
     for machine in &mut machines {
-        deltas.iter().for_each(|delta| machine.committed(NOW, delta.clone()).unwrap());
+        deltas
+            .iter()
+            .for_each(|delta| machine.committed(NOW, delta.clone()).unwrap());
     }
     for (holds, delta) in [(20, None), (16, Some(16)), (15, None), (0, None)] {
-        let digest = deltas.get((holds as usize).wrapping_sub(1)).map_or(0, |delta| delta.digest);
+        let digest = deltas
+            .get((holds as usize).wrapping_sub(1))
+            .map_or(0, |delta| delta.digest);
         machines[0].heard(NOW, holds, attach(&format!("n{holds}"), holds, digest));
         let got = to(&mut machines[0], holds);
         match got.get(1) {
             None => assert_eq!(holds, 20),
             Some(Down::Delta(got)) => assert_eq!(Some(got.from), delta),
-            Some(Down::Piece(piece)) => assert!(holds < 16 && piece.offset == 0 && got.len() == 3, "{got:?}"),
+            Some(Down::Piece(piece)) => {
+                assert!(holds < 16 && piece.offset == 0 && got.len() == 3, "{got:?}")
+            }
             other => panic!("{holds}: {other:?}"),
         }
     }
@@ -384,7 +640,9 @@
         let link = 50 + machine as u64;
         while pieces < most {
             let up: Vec<Order> = one.orders().collect();
-            if let Some(Order::Take(version)) = up.iter().find(|order| matches!(order, Order::Take(_))) {
+            if let Some(Order::Take(version)) =
+                up.iter().find(|order| matches!(order, Order::Take(_)))
+            {
                 assert_eq!(*version, 20);
                 one.in_force(20);
                 break;
@@ -404,12 +662,22 @@
     let length = machines[0].packed().unwrap().len();
     assert_eq!((one.version(), one.state()), (20, machines[0].state()));
     // Each byte came once, but for the window that was on its way at the cut.
-    assert!(pieces <= length.div_ceil(10) + 2, "{pieces} pieces for {length} bytes");
+    assert!(
+        pieces <= length.div_ceil(10) + 2,
+        "{pieces} pieces for {length} bytes"
+    );
 }
 
 #[test]
 fn more_attachments_than_a_machine_takes_are_told_when_to_come_back_one_after_another() {
-    let mut source = Source::new(NOW, Bounds { subscribers: 500, ..Bounds::default() }, 1);
+    let mut source = Source::new(
+        NOW,
+        Bounds {
+            subscribers: 500,
+            ..Bounds::default()
+        },
+        1,
+    );
     let mut waits = Vec::new();
     for link in 0..300 {
         source.heard(NOW, link, attach(&format!("n{link}"), 0, 0));
@@ -424,31 +692,54 @@
     assert!(spread, "{waits:?}");
     // Those that come at their time are taken.
     for (link, after) in (1000..).zip(waits) {
-        source.heard(NOW + Duration::from_millis(after), link, attach(&format!("late{link}"), 0, 0));
-        assert!(matches!(to(&mut source, link)[..], [Down::Attached(_)]), "after {after} ms");
+        source.heard(
+            NOW + Duration::from_millis(after),
+            link,
+            attach(&format!("late{link}"), 0, 0),
+        );
+        assert!(
+            matches!(to(&mut source, link)[..], [Down::Attached(_)]),
+            "after {after} ms"
+        );
     }
     // All that it takes: elsewhere.
     for link in 5000..5300 {
-        source.heard(NOW + Duration::from_secs(60 + link), link, attach(&format!("n{link}"), 0, 0));
+        source.heard(
+            NOW + Duration::from_secs(60 + link),
+            link,
+            attach(&format!("n{link}"), 0, 0),
+        );
     }
     let told = to(&mut source, 5299);
-    assert!(matches!(told[..], [Down::ComeBack(back)] if back.elsewhere), "{told:?}");
+    assert!(
+        matches!(told[..], [Down::ComeBack(back)] if back.elsewhere),
+        "{told:?}"
+    );
 }
 
 #[test]
 fn machines_are_tried_near_first_and_evenly() {
-    let machines: Vec<Who> =
-        (0..6).map(|k| who(&format!("c{k}"), &format!("r{}", k / 3), &format!("z{k}"))).collect();
+    let machines: Vec<Who> = (0..6)
+        .map(|k| who(&format!("c{k}"), &format!("r{}", k / 3), &format!("z{k}")))
+        .collect();
     for k in 0..60 {
         let place = k % 6;
-        let one = who(&format!("n{k}"), &format!("r{}", place / 3), &format!("z{place}"));
+        let one = who(
+            &format!("n{k}"),
+            &format!("r{}", place / 3),
+            &format!("z{place}"),
+        );
         let order = order(&one, &machines);
         assert_eq!(order[0], place, "its own zone first");
-        assert!(order[1..3].iter().all(|machine| machine / 3 == place / 3), "then its region");
+        assert!(
+            order[1..3].iter().all(|machine| machine / 3 == place / 3),
+            "then its region"
+        );
     }
     // The zone's machine gone: its 105 go to the other two of the region, about half each.
-    let seconds: Vec<usize> =
-        (0..105).map(|k| order(&who(&format!("n{k}"), "r0", "z0"), &machines)[1]).collect();
+    let seconds: Vec<usize> = (0..105)
+        .map(|k| order(&who(&format!("n{k}"), "r0", "z0"), &machines)[1])
+        .collect();
     let first = seconds.iter().filter(|machine| **machine == 1).count();
     assert!((35..=70).contains(&first), "{first} of 105");
 }
@@ -478,5 +769,8 @@
         }
     }
     let early = firsts.iter().filter(|wait| **wait < SPREAD / 4).count();
-    assert!((25..=75).contains(&early), "{early} of 200 in the first quarter");
+    assert!(
+        (25..=75).contains(&early),
+        "{early} of 200 in the first quarter"
+    );
 }
--- a/crates/control/tests/virtual_clock.rs
+++ b/crates/control/tests/virtual_clock.rs
@@ -169,18 +169,37 @@
 }
 
 fn who(name: String, place: usize) -> Who {
-    Who { name, region: format!("r{}", place % 2), zone: format!("z{}", place % 6) }
+    Who {
+        name,
+        region: format!("r{}", place % 2),
+        zone: format!("z{}", place % 6),
+    }
 }
 
 fn first_configuration() -> Configuration {
-    let tenant = |k: u64| schema::Tenant { name: format!("t{k}"), share: k + 1, ..Default::default() };
+    let tenant = |k: u64| schema::Tenant {
+        name: format!("t{k}"),
+        share: k + 1,
+        ..Default::default()
+    };
     let pool = |k: u64| schema::Pool {
         name: format!("p{k}"),
-        members: (0..3).map(|m| schema::Member { name: format!("m{m}"), ..Default::default() }).collect(),
+        members: (0..3)
+            .map(|m| schema::Member {
+                name: format!("m{m}"),
+                ..Default::default()
+            })
+            .collect(),
+        ..Default::default()
+    };
+    let route = |k: u64| schema::Route {
+        name: format!("r{k}"),
+        ..Default::default()
+    };
+    let mut configuration = Configuration {
+        version: schema::VERSION,
         ..Default::default()
     };
-    let route = |k: u64| schema::Route { name: format!("r{k}"), ..Default::default() };
-    let mut configuration = Configuration { version: schema::VERSION, ..Default::default() };
     configuration.tenants = (0..12).map(tenant).collect();
     configuration.pools = (0..3).map(pool).collect();
     configuration.routes = (0..6).map(route).collect();
@@ -192,7 +211,11 @@
     fn new(seed: u64) -> Self {
         let mut chance = WyRand::new_seed(seed);
         let machines = chance.generate_range(1..=6usize);
-        let processes = if seed.is_multiple_of(16) { 240 } else { chance.generate_range(10..=90usize) };
+        let processes = if seed.is_multiple_of(16) {
+            240
+        } else {
+            chance.generate_range(10..=90usize)
+        };
         let bounds = Bounds {
             history: chance.generate_range(3..=40usize),
             history_bytes: chance.generate_range(300..=6000usize),
@@ -201,7 +224,9 @@
             window: chance.generate_range(1..=4usize),
             ..Bounds::default()
         };
-        let names: Vec<Who> = (0..machines).map(|k| who(format!("control-{k}"), k)).collect();
+        let names: Vec<Who> = (0..machines)
+            .map(|k| who(format!("control-{k}"), k))
+            .collect();
         let mut world = Self {
             now: Duration::ZERO,
             seq: 0,
@@ -260,8 +285,11 @@
     /// Draws the faults and the changes.
     fn plan(&mut self) {
         let (machines, processes) = (self.machines.len(), self.processes.len());
-        let fault =
-            |world: &mut Self| ms(world.chance.generate_range(3_000..CALM.as_millis() as u64 - 8_000));
+        let fault = |world: &mut Self| {
+            ms(world
+                .chance
+                .generate_range(3_000..CALM.as_millis() as u64 - 8_000))
+        };
         self.after(ms(10), What::Commit);
         for _ in 0..self.chance.generate_range(8..30) {
             let at = fault(self);
@@ -306,7 +334,11 @@
 
     fn after(&mut self, wait: Duration, what: What) {
         self.seq += 1;
-        self.due.push(Reverse(Due { at: self.now + wait, seq: self.seq, what }));
+        self.due.push(Reverse(Due {
+            at: self.now + wait,
+            seq: self.seq,
+            what,
+        }));
     }
 
     fn happens(&mut self, one_in: u32) -> bool {
@@ -343,13 +375,21 @@
         let life = machine.life;
         let upto = self.log.len();
         if self.in_touch(k) {
-            self.after(ms(300), What::Feed { source: k, life, upto });
+            self.after(
+                ms(300),
+                What::Feed {
+                    source: k,
+                    life,
+                    upto,
+                },
+            );
         }
         self.after(ms(0), What::Tick(k, life));
     }
 
     fn commit(&mut self) {
-        let touched = (0..self.machines.len()).any(|k| self.machines[k].source.is_some() && self.in_touch(k));
+        let touched =
+            (0..self.machines.len()).any(|k| self.machines[k].source.is_some() && self.in_touch(k));
         if !touched {
             return;
         }
@@ -357,7 +397,10 @@
         if to > 1 {
             self.change();
         }
-        let delta = self.state.delta_to(to - 1, to, &self.configuration).expect("names are told apart");
+        let delta = self
+            .state
+            .delta_to(to - 1, to, &self.configuration)
+            .expect("names are told apart");
         self.state.apply(&delta).expect("made from it");
         assert!(self.state.is_whole());
         self.digests.push(self.state.digest());
@@ -365,10 +408,23 @@
         if self.happens(12) && to > 1 {
             self.poison.insert(to);
         }
-        for k in (0..self.machines.len()).filter(|k| self.in_touch(*k)).collect::<Vec<_>>() {
+        for k in (0..self.machines.len())
+            .filter(|k| self.in_touch(*k))
+            .collect::<Vec<_>>()
+        {
             let late = if self.happens(8) { 2_000 } else { 30 };
-            let (late, life) = (ms(self.chance.generate_range(0..late)), self.machines[k].life);
-            self.after(late, What::Feed { source: k, life, upto: to as usize });
+            let (late, life) = (
+                ms(self.chance.generate_range(0..late)),
+                self.machines[k].life,
+            );
+            self.after(
+                late,
+                What::Feed {
+                    source: k,
+                    life,
+                    upto: to as usize,
+                },
+            );
         }
     }
 
@@ -381,8 +437,16 @@
             let mut pick = |most: usize| chance.generate_range(0..most.max(1));
             match pick(8) {
                 0 => {
-                    let tenant = schema::Tenant { name: format!("t{fresh}"), share: 3, ..Default::default() };
-                    if configuration.tenants.iter().all(|other| other.name != tenant.name) {
+                    let tenant = schema::Tenant {
+                        name: format!("t{fresh}"),
+                        share: 3,
+                        ..Default::default()
+                    };
+                    if configuration
+                        .tenants
+                        .iter()
+                        .all(|other| other.name != tenant.name)
+                    {
                         configuration.tenants.push(tenant);
                     }
                 }
@@ -395,10 +459,21 @@
                     configuration.pools.remove(at);
                 }
                 3 => {
-                    let members =
-                        vec![schema::Member { name: "m".into(), weight: fresh, ..Default::default() }];
-                    let pool = schema::Pool { name: format!("p{fresh}"), members, ..Default::default() };
-                    if configuration.pools.iter().all(|other| other.name != pool.name) {
+                    let members = vec![schema::Member {
+                        name: "m".into(),
+                        weight: fresh,
+                        ..Default::default()
+                    }];
+                    let pool = schema::Pool {
+                        name: format!("p{fresh}"),
+                        members,
+                        ..Default::default()
+                    };
+                    if configuration
+                        .pools
+                        .iter()
+                        .all(|other| other.name != pool.name)
+                    {
                         configuration.pools.push(pool);
                     }
                 }
@@ -410,14 +485,24 @@
                     }
                 }
                 5 => {
-                    let (from, to) = (pick(configuration.routes.len()), pick(configuration.routes.len()));
+                    let (from, to) = (
+                        pick(configuration.routes.len()),
+                        pick(configuration.routes.len()),
+                    );
                     let route = configuration.routes.remove(from);
                     configuration.routes.insert(to, route);
                 }
                 6 => {
                     let at = pick(configuration.routes.len());
-                    let route = schema::Route { name: format!("r{fresh}"), ..Default::default() };
-                    if configuration.routes.iter().all(|other| other.name != route.name) {
+                    let route = schema::Route {
+                        name: format!("r{fresh}"),
+                        ..Default::default()
+                    };
+                    if configuration
+                        .routes
+                        .iter()
+                        .all(|other| other.name != route.name)
+                    {
                         configuration.routes.insert(at, route);
                     }
                 }
@@ -438,7 +523,9 @@
     }
 
     fn dial(&mut self, k: usize) {
-        let Some(machine) = self.processes[k].chooser.next(self.now) else { return };
+        let Some(machine) = self.processes[k].chooser.next(self.now) else {
+            return;
+        };
         self.close(k, false);
         let process = &mut self.processes[k];
         let life = process.life;
@@ -449,7 +536,10 @@
             machine.came.push_back(now);
             let most = self.processes.len() / 6 + 8;
             let came = machine.came.len();
-            assert!(came <= most, "{came} processes came to one machine within {BUNCH:?}; {most} may");
+            assert!(
+                came <= most,
+                "{came} processes came to one machine within {BUNCH:?}; {most} may"
+            );
             machine.most_came = machine.most_came.max(came);
         }
         if self.apart(k, machine) {
@@ -458,7 +548,14 @@
             self.after(ms(1), What::Failed(k, life));
         } else {
             let wait = self.delay();
-            self.after(wait, What::Opened { process: k, life, machine });
+            self.after(
+                wait,
+                What::Opened {
+                    process: k,
+                    life,
+                    machine,
+                },
+            );
         }
     }
 
@@ -468,8 +565,15 @@
             return self.dial_when_due(k);
         }
         let life = self.machines[machine].life;
-        let link =
-            Link { process: k, machine, life, open: [true; 2], silent: false, last: [self.now; 2], down: 0 };
+        let link = Link {
+            process: k,
+            machine,
+            life,
+            open: [true; 2],
+            silent: false,
+            last: [self.now; 2],
+            down: 0,
+        };
         self.links.push(link);
         self.processes[k].link = Some(self.links.len() - 1);
         self.processes[k].attached = false;
@@ -479,7 +583,9 @@
 
     /// The process is done with its link. What is under way on it may still come out of order.
     fn close(&mut self, k: usize, quietly: bool) {
-        let Some(link) = self.processes[k].link.take() else { return };
+        let Some(link) = self.processes[k].link.take() else {
+            return;
+        };
         self.processes[k].subscriber.cut();
         self.processes[k].attached = false;
         self.links[link].open[0] = false;
@@ -509,12 +615,26 @@
             if down {
                 let frame = self.corrupted(frame.clone());
                 self.links[link].down += frame.len();
-                let most = self.bounds.delta_bytes + self.bounds.window * (self.bounds.piece + 64) + 256;
+                let most =
+                    self.bounds.delta_bytes + self.bounds.window * (self.bounds.piece + 64) + 256;
                 let over = self.links[link].down.saturating_sub(most * times);
                 self.seen.most_down = self.seen.most_down.max(over);
-                self.after(wait, What::ToSubscriber { link, frame, on: link });
+                self.after(
+                    wait,
+                    What::ToSubscriber {
+                        link,
+                        frame,
+                        on: link,
+                    },
+                );
             } else {
-                self.after(wait, What::ToSource { link, frame: frame.clone() });
+                self.after(
+                    wait,
+                    What::ToSource {
+                        link,
+                        frame: frame.clone(),
+                    },
+                );
             }
         }
     }
@@ -524,9 +644,13 @@
         if !self.corrupting || !self.happens(60) {
             return frame;
         }
-        let Ok(Down::Delta(mut delta)) = Down::decoded(frame.clone()) else { return frame };
+        let Ok(Down::Delta(mut delta)) = Down::decoded(frame.clone()) else {
+            return frame;
+        };
         for thing in &mut delta.puts {
-            if let Ok(mut tenant) = prost::Message::decode(thing.body.clone()).map(|t: schema::Tenant| t) {
+            if let Ok(mut tenant) =
+                prost::Message::decode(thing.body.clone()).map(|t: schema::Tenant| t)
+            {
                 tenant.share ^= 1;
                 thing.body = prost::Message::encode_to_vec(&tenant).into();
                 break;
@@ -536,7 +660,9 @@
     }
 
     fn obey_source(&mut self, k: usize) {
-        let Some(source) = &mut self.machines[k].source else { return };
+        let Some(source) = &mut self.machines[k].source else {
+            return;
+        };
         for order in source.orders().collect::<Vec<_>>() {
             match order {
                 source::Order::Send { link, frame } => {
@@ -557,13 +683,20 @@
                     source::Event::Attached { .. } => {
                         let now = self.now;
                         let machine = &mut self.machines[k];
-                        machine.taken.retain(|at| now.saturating_sub(*at) < Duration::from_secs(1));
+                        machine
+                            .taken
+                            .retain(|at| now.saturating_sub(*at) < Duration::from_secs(1));
                         machine.taken.push_back(now);
                         let most = self.bounds.attach_a_second + self.bounds.attach_at_once + 1;
-                        assert!(machine.taken.len() <= most as usize, "too many attachments in a second");
+                        assert!(
+                            machine.taken.len() <= most as usize,
+                            "too many attachments in a second"
+                        );
                     }
                     source::Event::Differs { .. } => self.seen.differs += 1,
-                    source::Event::Unreadable { .. } => panic!("a frame that was sent could not be read"),
+                    source::Event::Unreadable { .. } => {
+                        panic!("a frame that was sent could not be read")
+                    }
                     _ => {}
                 },
             }
@@ -586,11 +719,20 @@
                     let slow = self.processes[k].slow && !self.calm;
                     let wait = ms(self.chance.generate_range(1..if slow { 8_000 } else { 40 }));
                     let life = self.processes[k].life;
-                    self.after(wait, What::Applied { process: k, life, version });
+                    self.after(
+                        wait,
+                        What::Applied {
+                            process: k,
+                            life,
+                            version,
+                        },
+                    );
                 }
                 Order::ComeBack { after, elsewhere } => {
                     self.close(k, false);
-                    self.processes[k].chooser.come_back(self.now, after, elsewhere);
+                    self.processes[k]
+                        .chooser
+                        .come_back(self.now, after, elsewhere);
                     self.dial_when_due(k);
                 }
                 Order::Close => self.lost(k),
@@ -674,14 +816,20 @@
     fn step(&mut self, what: What) {
         match what {
             What::Commit => self.commit(),
-            What::Feed { source: k, life, upto } => {
+            What::Feed {
+                source: k,
+                life,
+                upto,
+            } => {
                 if self.machines[k].life != life || !self.in_touch(k) {
                     return;
                 }
                 let keeps = self.chance.generate_range(0..6) == 0;
                 let now = self.now;
                 let machine = &mut self.machines[k];
-                let Some(source) = &mut machine.source else { return };
+                let Some(source) = &mut machine.source else {
+                    return;
+                };
                 for delta in self.log.get(machine.fed..upto).unwrap_or_default() {
                     source.committed(now, delta.clone()).expect("in order");
                 }
@@ -696,7 +844,9 @@
             What::Tick(k, life) => {
                 let in_touch = self.in_touch(k);
                 let machine = &mut self.machines[k];
-                let Some(source) = machine.source.as_mut().filter(|_| machine.life == life) else { return };
+                let Some(source) = machine.source.as_mut().filter(|_| machine.life == life) else {
+                    return;
+                };
                 if in_touch {
                     source.current(self.now);
                 }
@@ -709,7 +859,11 @@
                 self.processes[k].chooser.lost(self.now);
                 self.dial_when_due(k);
             }
-            What::Opened { process, life, machine } if self.processes[process].life == life => {
+            What::Opened {
+                process,
+                life,
+                machine,
+            } if self.processes[process].life == life => {
                 self.opened(process, machine);
             }
             What::ToSubscriber { link, frame, on } => {
@@ -718,7 +872,10 @@
                 }
                 let k = self.links[link].process;
                 if self.processes[k].link == Some(link) {
-                    if matches!(Down::decoded(frame.clone()), Ok(Down::Delta(_) | Down::Piece(_))) {
+                    if matches!(
+                        Down::decoded(frame.clone()),
+                        Ok(Down::Delta(_) | Down::Piece(_))
+                    ) {
                         self.processes[k].older = Some(frame.clone());
                     }
                     self.processes[k].subscriber.heard(self.now, frame);
@@ -726,10 +883,19 @@
                         self.processes[k].attached = true;
                         self.processes[k].chooser.attached(self.now);
                         self.dial_when_due(k);
-                        if let Some(frame) = self.processes[k].older.take().filter(|_| self.happens(3)) {
+                        if let Some(frame) =
+                            self.processes[k].older.take().filter(|_| self.happens(3))
+                        {
                             // One of an older link, perhaps of before a restart: no link does so, and
                             // nothing may come of it.
-                            self.after(ms(0), What::ToSubscriber { link, frame, on: usize::MAX });
+                            self.after(
+                                ms(0),
+                                What::ToSubscriber {
+                                    link,
+                                    frame,
+                                    on: usize::MAX,
+                                },
+                            );
                         }
                     }
                     self.obey_subscriber(k);
@@ -743,7 +909,10 @@
                     // A process is attached once: a repeat of the first frame is no frame of a link.
                     let again = matches!(Up::decoded(frame.clone()), Ok(Up::Attach(_)));
                     if let Some(source) = &mut self.machines[k].source {
-                        let known = source.standing().iter().any(|standing| standing.link == link as u64);
+                        let known = source
+                            .standing()
+                            .iter()
+                            .any(|standing| standing.link == link as u64);
                         if known != again {
                             source.heard(now, link as u64, frame);
                         }
@@ -778,7 +947,11 @@
                 }
                 self.after(ms(1_000), What::Look(k, life));
             }
-            What::Applied { process, life, version } if self.processes[process].life == life => {
+            What::Applied {
+                process,
+                life,
+                version,
+            } if self.processes[process].life == life => {
                 self.applied(process, version);
             }
             What::Kill(k) => self.kill(k),
@@ -805,7 +978,14 @@
                 self.parted = false;
                 for k in 0..self.machines.len() {
                     let (life, upto) = (self.machines[k].life, self.log.len());
-                    self.after(ms(50), What::Feed { source: k, life, upto });
+                    self.after(
+                        ms(50),
+                        What::Feed {
+                            source: k,
+                            life,
+                            upto,
+                        },
+                    );
                 }
             }
             _ => {}
@@ -834,7 +1014,8 @@
         let newest = self.log.len() as u64;
         self.processes.iter().all(|process| {
             let subscriber = &process.subscriber;
-            subscriber.version() == newest && subscriber.state().digest() == self.digests[newest as usize]
+            subscriber.version() == newest
+                && subscriber.state().digest() == self.digests[newest as usize]
         })
     }
 }
@@ -860,8 +1041,9 @@
     world.run_to(CALM + ms(400), |_| false);
     world.commit();
     let newest = world.log.len();
-    let settled =
-        world.run_to(CALM + SETTLED, move |world| world.log.len() == newest && world.all_hold_the_newest());
+    let settled = world.run_to(CALM + SETTLED, move |world| {
+        world.log.len() == newest && world.all_hold_the_newest()
+    });
     let behind: Vec<_> = world
         .processes
         .iter()
@@ -869,14 +1051,27 @@
         .map(|process| {
             let subscriber = &process.subscriber;
             let pending = subscriber.pending().map(Pending::version);
-            (&process.who.name, subscriber.version(), process.attached, pending, subscriber.counters())
+            (
+                &process.who.name,
+                subscriber.version(),
+                process.attached,
+                pending,
+                subscriber.counters(),
+            )
         })
         .collect();
-    assert!(settled, "seed {seed}: version {newest} is not everywhere: {behind:?}");
+    assert!(
+        settled,
+        "seed {seed}: version {newest} is not everywhere: {behind:?}"
+    );
     for process in &world.processes {
         let state = process.subscriber.state();
         assert!(state.is_whole(), "seed {seed}");
-        assert_eq!(state.configuration().expect("read"), world.configuration, "seed {seed}");
+        assert_eq!(
+            state.configuration().expect("read"),
+            world.configuration,
+            "seed {seed}"
+        );
     }
     if !world.corrupting {
         assert_eq!(
@@ -884,8 +1079,16 @@
             "seed {seed}: something differed though nothing was changed on its way"
         );
     }
-    assert_eq!(world.seen.most_down, 0, "seed {seed}: more on its way to one subscriber than is allowed");
-    world.seen.most_came = world.machines.iter().map(|machine| machine.most_came).max().unwrap_or(0);
+    assert_eq!(
+        world.seen.most_down, 0,
+        "seed {seed}: more on its way to one subscriber than is allowed"
+    );
+    world.seen.most_came = world
+        .machines
+        .iter()
+        .map(|machine| machine.most_came)
+        .max()
+        .unwrap_or(0);
     world.seen.settled = world.now - CALM;
     world.seen
 }
@@ -941,12 +1144,19 @@
             plant(None);
             if let Err(panic) = played {
                 let words = panic.downcast_ref::<String>().cloned();
-                found = words.or_else(|| panic.downcast_ref::<&str>().map(|words| (*words).to_owned()));
+                found = words.or_else(|| {
+                    panic
+                        .downcast_ref::<&str>()
+                        .map(|words| (*words).to_owned())
+                });
                 println!("{bug}: {what}: seed {seed}: {found:?}");
                 break;
             }
         }
         let found = found.unwrap_or_else(|| panic!("{bug} was not found in {} seeds", seeds()));
-        assert!(found.contains(says(bug)), "{bug} was found by another check: {found}");
+        assert!(
+            found.contains(says(bug)),
+            "{bug} was found by another check: {found}"
+        );
     }
 }
--- a/crates/copies/src/frames.rs
+++ b/crates/copies/src/frames.rs
@@ -135,12 +135,24 @@
             Told::Conflict(why) => (Word::Conflict, why.clone()),
             Told::Refused(why) => (Word::Refused, why.clone()),
         };
-        Self { id, shard: shard.into(), word: word.into(), result, leader: 0 }
+        Self {
+            id,
+            shard: shard.into(),
+            word: word.into(),
+            result,
+            leader: 0,
+        }
     }
 
     pub fn elsewhere(id: u64, shard: u16, leader: Option<Id>) -> Self {
         let word = Word::Elsewhere.into();
-        Self { id, shard: shard.into(), word, result: Bytes::new(), leader: leader.unwrap_or(0) }
+        Self {
+            id,
+            shard: shard.into(),
+            word,
+            result: Bytes::new(),
+            leader: leader.unwrap_or(0),
+        }
     }
 
     /// None where another is to be asked.
--- a/crates/copies/src/keys.rs
+++ b/crates/copies/src/keys.rs
@@ -181,7 +181,9 @@
 /// This is the whole of the rule; everything else here is book-keeping.
 pub fn step(row: Option<Row>, command: &Command, stamp: u64) -> (Option<Row>, Told) {
     let claim = &command.claim;
-    let Some(what) = &command.what else { return (row, Told::Gone) };
+    let Some(what) = &command.what else {
+        return (row, Told::Gone);
+    };
     let blank = |stage: Stage| Row {
         key: command.key.clone(),
         stage: stage.into(),
@@ -191,15 +193,25 @@
     };
     match (what, row) {
         (What::Start(start), None) => {
-            let mut row = Row { sum: start.sum, window: start.window, ..blank(Stage::Started) };
+            let mut row = Row {
+                sum: start.sum,
+                window: start.window,
+                ..blank(Stage::Started)
+            };
             row.until = stamp.saturating_add(start.window);
             (Some(row), Told::Granted)
         }
-        (What::Start(_), Some(row)) if row.stage() == Stage::Free && row.withdrawn.contains(claim) => {
+        (What::Start(_), Some(row))
+            if row.stage() == Stage::Free && row.withdrawn.contains(claim) =>
+        {
             (Some(row), Told::Withdrawn)
         }
         (What::Start(start), Some(row)) if row.stage() == Stage::Free => {
-            let mut next = Row { sum: start.sum, window: start.window, ..blank(Stage::Started) };
+            let mut next = Row {
+                sum: start.sum,
+                window: start.window,
+                ..blank(Stage::Started)
+            };
             next.until = stamp.saturating_add(start.window);
             next.withdrawn = row.withdrawn;
             (Some(next), Told::Granted)
@@ -230,7 +242,9 @@
                 _ => (Some(row), Told::Gone),
             }
         }
-        (What::Failed(_), Some(mut row)) if row.claim == *claim && row.stage() == Stage::Started => {
+        (What::Failed(_), Some(mut row))
+            if row.claim == *claim && row.stage() == Stage::Started =>
+        {
             row.stage = Stage::Uncertain.into();
             (Some(row), Told::Noted)
         }
@@ -293,7 +307,11 @@
 impl Table {
     /// At most so many keys; withdrawn ones are remembered for `linger` of log time.
     pub fn new(most: usize, linger: u64) -> Self {
-        Self { most, linger, ..Self::default() }
+        Self {
+            most,
+            linger,
+            ..Self::default()
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -334,14 +352,24 @@
 
     /// Keys that were started and have no end yet, in order.
     pub fn started(&self) -> impl Iterator<Item = &Bytes> {
-        self.rows.values().filter(|row| row.stage() == Stage::Started).map(|row| &row.key)
+        self.rows
+            .values()
+            .filter(|row| row.stage() == Stage::Started)
+            .map(|row| &row.key)
     }
 
     /// A committed command, at its log time.
     pub fn apply(&mut self, stamp: u64, command: &Command) -> Told {
         self.stamp = self.stamp.max(stamp);
         for _ in 0..AGED {
-            let Some(first) = self.ages.first().filter(|first| first.0 <= self.stamp).cloned() else { break };
+            let Some(first) = self
+                .ages
+                .first()
+                .filter(|first| first.0 <= self.stamp)
+                .cloned()
+            else {
+                break;
+            };
             self.ages.remove(&first);
             if let Some(row) = self.rows.remove(&first.1) {
                 self.claims.remove(&row.claim);
@@ -385,7 +413,11 @@
     fn set(&mut self, name: &Bytes, register: &Register) -> Told {
         let before = self.registers.get(name);
         if before.is_some_and(|before| before.version >= register.version) {
-            return if before == Some(register) { Told::Noted } else { Told::Gone };
+            return if before == Some(register) {
+                Told::Noted
+            } else {
+                Told::Gone
+            };
         }
         if before.is_none() && self.registers.len() >= REGISTERS {
             return Told::Full;
@@ -402,7 +434,10 @@
             stamp: self.stamp,
             versions: self.versions.keep(),
             registers: registers
-                .map(|(name, value)| Named { name: name.clone(), value: value.clone() })
+                .map(|(name, value)| Named {
+                    name: name.clone(),
+                    value: value.clone(),
+                })
                 .collect(),
         };
         kept.encode_to_vec().into()
@@ -416,11 +451,25 @@
         let kept = Kept::decode(data).map_err(|_| Refused::Frame)?;
         self.versions = Versions::restored(kept.versions)?;
         self.stamp = kept.stamp;
-        self.ages = kept.rows.iter().map(|row| (row.until, row.key.clone())).collect();
+        self.ages = kept
+            .rows
+            .iter()
+            .map(|row| (row.until, row.key.clone()))
+            .collect();
         let started = kept.rows.iter().filter(|row| row.stage() == Stage::Started);
-        self.claims = started.map(|row| (row.claim.clone(), row.key.clone())).collect();
-        self.rows = kept.rows.into_iter().map(|row| (row.key.clone(), row)).collect();
-        self.registers = kept.registers.into_iter().map(|named| (named.name, named.value)).collect();
+        self.claims = started
+            .map(|row| (row.claim.clone(), row.key.clone()))
+            .collect();
+        self.rows = kept
+            .rows
+            .into_iter()
+            .map(|row| (row.key.clone(), row))
+            .collect();
+        self.registers = kept
+            .registers
+            .into_iter()
+            .map(|named| (named.name, named.value))
+            .collect();
         Ok(())
     }
 }
@@ -430,11 +479,18 @@
     use super::*;
 
     fn claim(n: u64) -> Claim {
-        Claim { holder: n, trace: Bytes::from(vec![n as u8; 16]) }
+        Claim {
+            holder: n,
+            trace: Bytes::from(vec![n as u8; 16]),
+        }
     }
 
     fn command(by: u64, what: What) -> Command {
-        Command { key: Bytes::from_static(b"K"), claim: claim(by), what: Some(what) }
+        Command {
+            key: Bytes::from_static(b"K"),
+            claim: claim(by),
+            what: Some(what),
+        }
     }
 
     fn start(by: u64, sum: u64) -> Command {
@@ -535,7 +591,11 @@
             ),
             (
                 "a result that comes after its start aged out",
-                vec![(0, start(1, 5), Told::Granted), (150, done(1), Told::Gone), (151, done(2), Told::Gone)],
+                vec![
+                    (0, start(1, 5), Told::Granted),
+                    (150, done(1), Told::Gone),
+                    (151, done(2), Told::Gone),
+                ],
             ),
         ];
         for (name, steps) in table {
@@ -553,20 +613,37 @@
     #[test]
     fn a_flood_of_keys_stays_within_the_bound_and_ages_out() {
         let mut table = Table::new(100, 50);
-        let key = |n: u64| Command { key: Bytes::from(n.to_be_bytes().to_vec()), ..start(n, 5) };
+        let key = |n: u64| Command {
+            key: Bytes::from(n.to_be_bytes().to_vec()),
+            ..start(n, 5)
+        };
         let told: Vec<Told> = (0..300).map(|n| table.apply(n / 3, &key(n))).collect();
-        assert_eq!(told.iter().filter(|told| **told == Told::Granted).count(), 100);
+        assert_eq!(
+            told.iter().filter(|told| **told == Told::Granted).count(),
+            100
+        );
         assert!(told[100..].iter().all(|told| *told == Told::Full) && table.len() == 100);
         assert_eq!(table.apply(1_000, &key(999)), Told::Granted);
         (1_000..1_040).for_each(|n| drop(table.apply(n, &key(999))));
-        assert!(table.len() < 5 && table.aged() > 95, "{} {}", table.len(), table.aged());
+        assert!(
+            table.len() < 5 && table.aged() > 95,
+            "{} {}",
+            table.len(),
+            table.aged()
+        );
     }
 
     #[test]
     fn a_register_only_moves_on() {
         let mut table = Table::new(10, 50);
         let set = |version, data: &'static [u8]| {
-            command(1, What::Set(Register { version, data: Bytes::from_static(data) }))
+            command(
+                1,
+                What::Set(Register {
+                    version,
+                    data: Bytes::from_static(data),
+                }),
+            )
         };
         let steps = [
             (3, &b"c"[..], Told::Noted),
@@ -575,8 +652,15 @@
             (2, b"b", Told::Gone),
         ];
         for (version, data, wanted) in steps {
-            assert_eq!(table.apply(0, &set(version, data)), wanted, "{version} {data:?}");
+            assert_eq!(
+                table.apply(0, &set(version, data)),
+                wanted,
+                "{version} {data:?}"
+            );
         }
-        assert_eq!(table.register(b"K").map(|register| register.version), Some(3));
+        assert_eq!(
+            table.register(b"K").map(|register| register.version),
+            Some(3)
+        );
     }
 }
--- a/crates/copies/src/layout.rs
+++ b/crates/copies/src/layout.rs
@@ -17,7 +17,12 @@
     let mut ranked: Vec<(u64, usize)> = members
         .iter()
         .enumerate()
-        .map(|(k, (name, _))| (XxHash3_64::oneshot_with_seed(u64::from(shard) + 1, name.as_bytes()), k))
+        .map(|(k, (name, _))| {
+            (
+                XxHash3_64::oneshot_with_seed(u64::from(shard) + 1, name.as_bytes()),
+                k,
+            )
+        })
         .collect();
     ranked.sort_unstable();
     let copies = copies.min(members.len());
@@ -27,7 +32,10 @@
     for most in [minority.max(1), usize::MAX] {
         for (_, k) in &ranked {
             let site = &members[*k].1;
-            let there = taken.iter().filter(|t| members[**t].1 == *site && !site.is_empty()).count();
+            let there = taken
+                .iter()
+                .filter(|t| members[**t].1 == *site && !site.is_empty())
+                .count();
             if taken.len() < copies && there < most && !taken.contains(k) {
                 taken.push(*k);
             }
@@ -41,7 +49,11 @@
     use super::*;
 
     fn members(sites: &[&str]) -> Vec<(String, String)> {
-        sites.iter().enumerate().map(|(k, site)| (format!("n{k}"), (*site).to_owned())).collect()
+        sites
+            .iter()
+            .enumerate()
+            .map(|(k, site)| (format!("n{k}"), (*site).to_owned()))
+            .collect()
     }
 
     #[test]
@@ -69,7 +81,11 @@
     fn shards_are_spread_evenly() {
         let members = members(&["", "", "", "", ""]);
         let mut held = [0; 5];
-        (0..1_000).for_each(|shard| holders(&members, shard, 3).into_iter().for_each(|k| held[k] += 1));
+        (0..1_000).for_each(|shard| {
+            holders(&members, shard, 3)
+                .into_iter()
+                .for_each(|k| held[k] += 1)
+        });
         assert!(held.iter().all(|n| (540..660).contains(n)), "{held:?}");
     }
 
@@ -82,8 +98,10 @@
             let mut moved = 0;
             for shard in 0..512 {
                 let names = |of: &[(String, String)]| {
-                    let mut names: Vec<String> =
-                        holders(of, shard, 3).into_iter().map(|k| of[k].0.clone()).collect();
+                    let mut names: Vec<String> = holders(of, shard, 3)
+                        .into_iter()
+                        .map(|k| of[k].0.clone())
+                        .collect();
                     names.sort();
                     names
                 };
@@ -105,6 +123,9 @@
     fn keys_fall_evenly_into_shards() {
         let mut shards = [0; 16];
         (0..16_000u32).for_each(|n| shards[usize::from(shard_of(&n.to_be_bytes(), 16))] += 1);
-        assert!(shards.iter().all(|n| (850..1_150).contains(n)), "{shards:?}");
+        assert!(
+            shards.iter().all(|n| (850..1_150).contains(n)),
+            "{shards:?}"
+        );
     }
 }
--- a/crates/copies/src/member.rs
+++ b/crates/copies/src/member.rs
@@ -12,7 +12,9 @@
 //! **An old copy of a disk** is known by those who met it: a start under a number that was used, or a log behind what it
 //! had confirmed and was committed. It is told so, sets its files aside and begins anew as another disk.
 
-use crate::frames::{Answer, Ask, Behind, Form, Formed, Frame, Hello, Mark, Raft, What, Witness, Witnessed};
+use crate::frames::{
+    Answer, Ask, Behind, Form, Formed, Frame, Hello, Mark, Raft, What, Witness, Witnessed,
+};
 use crate::keys::{self, Claim, Command, Table, Told};
 use crate::layout::{holders, shard_of};
 use crate::moves::{next, Next};
@@ -266,15 +268,22 @@
 impl Member {
     pub fn new(options: Options, found: Found, now: Duration) -> Self {
         let chance = WyRand::new_seed(options.seed ^ found.nonce);
-        let peers = options.members.iter().filter(|(name, _)| *name != options.name);
-        let mut peers: BTreeMap<String, Peer> =
-            peers.map(|(name, _)| (name.clone(), Peer::default())).collect();
+        let peers = options
+            .members
+            .iter()
+            .filter(|(name, _)| *name != options.name);
+        let mut peers: BTreeMap<String, Peer> = peers
+            .map(|(name, _)| (name.clone(), Peer::default()))
+            .collect();
         for seen in found.witness.iter().flat_map(|witness| &witness.seen) {
             if let Some(peer) = peers.get_mut(&seen.name) {
                 peer.start = Some((seen.disk, seen.boot, seen.nonce));
                 peer.gone = seen.gone.iter().copied().collect();
-                peer.marks =
-                    seen.marks.iter().map(|mark| (mark.shard as u16, (mark.term, mark.index))).collect();
+                peer.marks = seen
+                    .marks
+                    .iter()
+                    .map(|mark| (mark.shard as u16, (mark.term, mark.index)))
+                    .collect();
             }
         }
         let mut member = Self {
@@ -299,7 +308,11 @@
             soft_at: now,
             witness_at: now,
             witness: Witness::default(),
-            own: Report { epoch: found.boot, disk: found.disk, ..Report::default() },
+            own: Report {
+                epoch: found.boot,
+                disk: found.disk,
+                ..Report::default()
+            },
             reports: Reports::default(),
             effects: Effects::default(),
             writes: Vec::new(),
@@ -312,13 +325,18 @@
         match found.name {
             // Guards against one disk in two places: what it confirmed is the other member's.
             Some(name) if name != member.options.name => {
-                member.set_aside(News::OldCopy { why: format!("this is the disk of {name}") });
+                member.set_aside(News::OldCopy {
+                    why: format!("this is the disk of {name}"),
+                });
                 return member;
             }
             Some(_) => {}
             None => {
                 let data = Bytes::copy_from_slice(member.options.name.as_bytes());
-                member.writes.push(Write::Note { number: NOTE_NAME, data });
+                member.writes.push(Write::Note {
+                    number: NOTE_NAME,
+                    data,
+                });
             }
         }
         for (shard, state) in found.shards {
@@ -342,14 +360,20 @@
 
     /// A claim of this disk's for the ticket of a trace.
     pub fn claim(&self, trace: &[u8]) -> Claim {
-        Claim { holder: self.disk, trace: Bytes::copy_from_slice(trace) }
+        Claim {
+            holder: self.disk,
+            trace: Bytes::copy_from_slice(trace),
+        }
     }
 
     /// The configuration's members changed: shards move, one safe step at a time. Whoever left the configuration is
     /// still heard until nothing is held there.
     pub fn set_members(&mut self, now: Duration, members: Vec<(String, String)>) {
         self.now = self.now.max(now);
-        for (name, _) in members.iter().filter(|(name, _)| *name != self.options.name) {
+        for (name, _) in members
+            .iter()
+            .filter(|(name, _)| *name != self.options.name)
+        {
             self.peers.entry(name.clone()).or_default();
         }
         self.options.members = members;
@@ -376,12 +400,19 @@
             self.effects.versions = true;
             // Bytes with a good checksum that are no table were written by another program.
             if table.restore(snapshot.data).is_err() {
-                self.effects.news.push(News::OldCopy { why: format!("shard {shard}: no table") });
+                self.effects.news.push(News::OldCopy {
+                    why: format!("shard {shard}: no table"),
+                });
                 self.over = true;
             }
         }
-        let shard_ =
-            Shard { replica, table, waiting: BTreeMap::new(), watchers: BTreeMap::new(), led: false };
+        let shard_ = Shard {
+            replica,
+            table,
+            waiting: BTreeMap::new(),
+            watchers: BTreeMap::new(),
+            led: false,
+        };
         self.shards.insert(shard, shard_);
     }
 
@@ -408,7 +439,11 @@
 
     /// Whether this disk holds no log.
     fn fresh(&self) -> bool {
-        self.form.is_none() && self.shards.values().all(|one| one.replica.log().last() == 0)
+        self.form.is_none()
+            && self
+                .shards
+                .values()
+                .all(|one| one.replica.log().last() == 0)
     }
 
     /// A link to a member is open: it hears who this is.
@@ -450,13 +485,26 @@
             return;
         }
         let others = self.peers.iter().filter(|(other, _)| *other != name);
-        let taken = others.filter_map(|(_, peer)| peer.start).any(|start| start.0 == hello.disk);
-        let Some(peer) = self.peers.get_mut(name) else { return };
+        let taken = others
+            .filter_map(|(_, peer)| peer.start)
+            .any(|start| start.0 == hello.disk);
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
         if taken || hello.disk == self.disk {
             let why = "another member has this disk".to_owned();
-            let behind = Behind { disk: hello.disk, why: why.clone() };
-            self.effects.frames.push((name.to_owned(), Frame::of(What::Behind(behind))));
-            self.effects.news.push(News::OldPeer { name: name.to_owned(), disk: hello.disk, why });
+            let behind = Behind {
+                disk: hello.disk,
+                why: why.clone(),
+            };
+            self.effects
+                .frames
+                .push((name.to_owned(), Frame::of(What::Behind(behind))));
+            self.effects.news.push(News::OldPeer {
+                name: name.to_owned(),
+                disk: hello.disk,
+                why,
+            });
             return;
         }
         for (shard, one) in &self.shards {
@@ -469,9 +517,18 @@
         if let Some(why) = old_copy(peer, &hello) {
             peer.refused = Some(hello.disk);
             peer.hello = None;
-            let behind = Behind { disk: hello.disk, why: why.clone() };
-            self.effects.frames.push((name.to_owned(), Frame::of(What::Behind(behind))));
-            self.effects.news.push(News::OldPeer { name: name.to_owned(), disk: hello.disk, why });
+            let behind = Behind {
+                disk: hello.disk,
+                why: why.clone(),
+            };
+            self.effects
+                .frames
+                .push((name.to_owned(), Frame::of(What::Behind(behind))));
+            self.effects.news.push(News::OldPeer {
+                name: name.to_owned(),
+                disk: hello.disk,
+                why,
+            });
             return;
         }
         if let Some((before, ..)) = peer.start.filter(|start| start.0 != hello.disk) {
@@ -490,7 +547,10 @@
             // A new disk of a group that was recovered: it learns there.
             self.generation = generation;
             let data = Bytes::copy_from_slice(&generation.to_le_bytes());
-            self.writes.push(Write::Note { number: NOTE_GENERATION, data });
+            self.writes.push(Write::Note {
+                number: NOTE_GENERATION,
+                data,
+            });
             self.greet_again();
         } else if ahead {
             let why = "the group was recovered without this disk".to_owned();
@@ -499,7 +559,9 @@
         }
         match &self.form {
             Some(form) if fresh && form.members.iter().any(|one| one.disk == disk) => {
-                self.effects.frames.push((name.to_owned(), Frame::of(What::Form(form.clone()))));
+                self.effects
+                    .frames
+                    .push((name.to_owned(), Frame::of(What::Form(form.clone()))));
             }
             None => self.form_if_all_are_fresh(),
             Some(_) => {}
@@ -517,16 +579,28 @@
             let disk = if *name == self.options.name {
                 self.disk
             } else {
-                match self.peers.get(name).and_then(|peer| peer.hello.as_ref().filter(|_| peer.here)) {
+                match self
+                    .peers
+                    .get(name)
+                    .and_then(|peer| peer.hello.as_ref().filter(|_| peer.here))
+                {
                     Some(hello) if hello.fresh => hello.disk,
                     _ => return,
                 }
             };
-            members.push(Formed { name: name.clone(), site: site.clone(), disk });
+            members.push(Formed {
+                name: name.clone(),
+                site: site.clone(),
+                disk,
+            });
         }
         members.sort_by(|a, b| a.name.cmp(&b.name));
         let (shards, copies) = (u32::from(self.options.shards), self.options.copies as u32);
-        self.take_form(Form { members, shards, copies });
+        self.take_form(Form {
+            members,
+            shards,
+            copies,
+        });
     }
 
     fn alone(&mut self) {
@@ -537,40 +611,77 @@
 
     fn take_form(&mut self, form: Form) {
         let mine = form.members.iter().any(|one| one.disk == self.disk);
-        if self.form.is_some() || !self.fresh() || !mine || form.shards != u32::from(self.options.shards) {
+        if self.form.is_some()
+            || !self.fresh()
+            || !mine
+            || form.shards != u32::from(self.options.shards)
+        {
             return;
         }
-        self.writes.push(Write::Note { number: NOTE_FORM, data: form.encode_to_vec().into() });
+        self.writes.push(Write::Note {
+            number: NOTE_FORM,
+            data: form.encode_to_vec().into(),
+        });
         self.form = Some(form.clone());
         self.begin(&form);
-        self.effects.news.push(News::Formed { members: form.members.len() });
+        self.effects.news.push(News::Formed {
+            members: form.members.len(),
+        });
         let names: Vec<String> = form.members.iter().map(|one| one.name.clone()).collect();
         for name in names.into_iter().filter(|name| *name != self.options.name) {
-            self.effects.frames.push((name, Frame::of(What::Form(form.clone()))));
+            self.effects
+                .frames
+                .push((name, Frame::of(What::Form(form.clone()))));
         }
     }
 
     /// Begins the shards that fall to this disk by a form and are not there yet.
     fn begin(&mut self, form: &Form) {
-        let names: Vec<(String, String)> =
-            form.members.iter().map(|one| (one.name.clone(), one.site.clone())).collect();
+        let names: Vec<(String, String)> = form
+            .members
+            .iter()
+            .map(|one| (one.name.clone(), one.site.clone()))
+            .collect();
         for shard in 0..self.options.shards {
             let held = holders(&names, shard, form.copies as usize);
             let of: Vec<&Formed> = held.iter().map(|k| &form.members[*k]).collect();
             let mine = of.iter().any(|one| one.disk == self.disk);
-            let there = self.shards.get(&shard).is_some_and(|one| one.replica.log().last() > 0);
+            let there = self
+                .shards
+                .get(&shard)
+                .is_some_and(|one| one.replica.log().last() > 0);
             if !mine || there {
                 continue;
             }
             let config = Config::of(of.iter().map(|one| (one.disk, one.name.clone())));
-            let base = Base { index: 1, term: 1, stamp: 0, sum: 1, config };
-            let snapshot = Snapshot { base, data: Bytes::new() };
-            let hard = self
-                .shards
-                .get(&shard)
-                .map_or(Hard::default(), |one| Hard { term: one.replica.term(), vote: one.replica.vote() });
-            self.writes.push(Write::Save { shard, snapshot: snapshot.clone(), alone: true });
-            self.open(shard, State { hard, snapshot: Some(snapshot), entries: Vec::new() });
+            let base = Base {
+                index: 1,
+                term: 1,
+                stamp: 0,
+                sum: 1,
+                config,
+            };
+            let snapshot = Snapshot {
+                base,
+                data: Bytes::new(),
+            };
+            let hard = self.shards.get(&shard).map_or(Hard::default(), |one| Hard {
+                term: one.replica.term(),
+                vote: one.replica.vote(),
+            });
+            self.writes.push(Write::Save {
+                shard,
+                snapshot: snapshot.clone(),
+                alone: true,
+            });
+            self.open(
+                shard,
+                State {
+                    hard,
+                    snapshot: Some(snapshot),
+                    entries: Vec::new(),
+                },
+            );
         }
     }
 
@@ -610,12 +721,24 @@
     }
 
     fn raft(&mut self, name: &str, raft: Raft) {
-        let Raft { shard, message, generation } = raft;
-        let Some(peer) = self.peers.get_mut(name) else { return };
+        let Raft {
+            shard,
+            message,
+            generation,
+        } = raft;
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
         // Only from the disk that said hello, so that an old copy's words count for nothing.
-        let known = peer.hello.as_ref().is_some_and(|hello| hello.disk == message.from);
+        let known = peer
+            .hello
+            .as_ref()
+            .is_some_and(|hello| hello.disk == message.from);
         let shard = shard as u16;
-        if !known || message.to != self.disk || generation != self.generation || shard >= self.options.shards
+        if !known
+            || message.to != self.disk
+            || generation != self.generation
+            || shard >= self.options.shards
         {
             return;
         }
@@ -668,7 +791,11 @@
         if self.now >= self.due {
             self.end_questions();
             self.put_again();
-            let due = self.questions.values().map(|one| one.again.min(one.until)).min();
+            let due = self
+                .questions
+                .values()
+                .map(|one| one.again.min(one.until))
+                .min();
             self.due = due.unwrap_or(Duration::MAX);
         }
         self.settle();
@@ -676,9 +803,22 @@
 
     /// When something is to be done, if nothing happens before.
     pub fn wake(&self) -> Duration {
-        let shards = self.shards.values().map(|one| one.replica.wake()).min().unwrap_or(Duration::MAX);
-        let own = if self.over { Duration::MAX } else { shards.min(self.look).min(self.soft_at) };
-        let questions = if self.questions.is_empty() { Duration::MAX } else { self.due };
+        let shards = self
+            .shards
+            .values()
+            .map(|one| one.replica.wake())
+            .min()
+            .unwrap_or(Duration::MAX);
+        let own = if self.over {
+            Duration::MAX
+        } else {
+            shards.min(self.look).min(self.soft_at)
+        };
+        let questions = if self.questions.is_empty() {
+            Duration::MAX
+        } else {
+            self.due
+        };
         own.min(questions)
     }
 
@@ -708,15 +848,24 @@
                 marks: peer.marks.iter().map(mark).collect(),
             })
         };
-        let witness = Witness { seen: self.peers.iter().filter_map(seen).collect() };
+        let witness = Witness {
+            seen: self.peers.iter().filter_map(seen).collect(),
+        };
         if witness != self.witness {
-            self.writes.push(Write::Note { number: NOTE_WITNESS, data: witness.encode_to_vec().into() });
+            self.writes.push(Write::Note {
+                number: NOTE_WITNESS,
+                data: witness.encode_to_vec().into(),
+            });
             self.witness = witness;
         }
     }
 
     fn tell_soft(&mut self) {
-        let known: Vec<Id> = self.peers.values().filter_map(|peer| Some(peer.start?.0)).collect();
+        let known: Vec<Id> = self
+            .peers
+            .values()
+            .filter_map(|peer| Some(peer.start?.0))
+            .collect();
         self.reports.keep(|disk| known.contains(&disk));
         if self.own.spent.is_empty() && self.own.room == 0 {
             return;
@@ -736,14 +885,25 @@
             return Some(self.disk);
         }
         let peer = self.peers.get(name)?;
-        peer.hello.as_ref().filter(|_| peer.here).map(|hello| hello.disk)
+        peer.hello
+            .as_ref()
+            .filter(|_| peer.here)
+            .map(|hello| hello.disk)
     }
 
     fn look_at_members(&mut self) {
         let mut learning = self
             .shards
             .values()
-            .filter(|one| one.led && one.replica.config().members.iter().any(|member| !member.votes))
+            .filter(|one| {
+                one.led
+                    && one
+                        .replica
+                        .config()
+                        .members
+                        .iter()
+                        .any(|member| !member.votes)
+            })
             .count();
         let ids: Vec<u16> = self.shards.keys().copied().collect();
         for shard in ids {
@@ -754,12 +914,15 @@
                 .map(|name| (name.clone(), self.disk_of(name)))
                 .collect();
             let (me, now) = (self.disk, self.now);
-            let Some(one) = self.shards.get_mut(&shard) else { continue };
+            let Some(one) = self.shards.get_mut(&shard) else {
+                continue;
+            };
             if !one.replica.established() || !one.replica.settled() || one.replica.handing() {
                 continue;
             }
             let commit = one.replica.commit();
-            let matched: BTreeMap<Id, u64> = one.replica.progress().map(|(id, at, _)| (id, at)).collect();
+            let matched: BTreeMap<Id, u64> =
+                one.replica.progress().map(|(id, at, _)| (id, at)).collect();
             let caught_up = |id: Id| matched.get(&id).is_some_and(|at| *at >= commit);
             match next(one.replica.config(), &wanted, me, caught_up) {
                 Next::Settled | Next::Wait => {}
@@ -787,7 +950,11 @@
             }
             let index = one.replica.applied();
             if let Some(snapshot) = one.replica.compact(index, one.table.keep()) {
-                self.writes.push(Write::Save { shard: *shard, snapshot, alone: false });
+                self.writes.push(Write::Save {
+                    shard: *shard,
+                    snapshot,
+                    alone: false,
+                });
             }
         }
     }
@@ -796,10 +963,16 @@
     pub fn pressing(&mut self, now: Duration, shards: &[u16]) {
         self.now = self.now.max(now);
         for shard in shards {
-            let Some(one) = self.shards.get_mut(shard) else { continue };
+            let Some(one) = self.shards.get_mut(shard) else {
+                continue;
+            };
             let index = one.replica.applied();
             if let Some(snapshot) = one.replica.compact(index, one.table.keep()) {
-                self.writes.push(Write::Save { shard: *shard, snapshot, alone: false });
+                self.writes.push(Write::Save {
+                    shard: *shard,
+                    snapshot,
+                    alone: false,
+                });
             }
         }
         self.settle();
@@ -824,7 +997,10 @@
 
     /// Shards that are led here and not handed over.
     pub fn leading(&self) -> usize {
-        self.shards.values().filter(|one| one.replica.leads()).count()
+        self.shards
+            .values()
+            .filter(|one| one.replica.leads())
+            .count()
     }
 
     // Questions.
@@ -843,7 +1019,14 @@
         };
         self.next_question += 1;
         let id = self.next_question;
-        let question = Question { shard, command, until, again: self.now, background: false, tries: 0 };
+        let question = Question {
+            shard,
+            command,
+            until,
+            again: self.now,
+            background: false,
+            tries: 0,
+        };
         self.questions.insert(id, question);
         self.put(id);
         self.due = self.due.min(until);
@@ -861,7 +1044,11 @@
     /// What goes on without anybody that waits: starts are taken back, the rest is told until it is noted.
     fn go_on_without(&mut self, id: u64) {
         let now = self.now;
-        let Some(question) = self.questions.get_mut(&id).filter(|question| !question.background) else {
+        let Some(question) = self
+            .questions
+            .get_mut(&id)
+            .filter(|question| !question.background)
+        else {
             return;
         };
         question.background = true;
@@ -874,10 +1061,17 @@
     }
 
     fn end_questions(&mut self) {
-        let over: Vec<u64> =
-            self.questions.iter().filter(|(_, one)| one.until <= self.now).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, one)| one.until <= self.now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in over {
-            let background = self.questions.get(&id).is_none_or(|question| question.background);
+            let background = self
+                .questions
+                .get(&id)
+                .is_none_or(|question| question.background);
             if background {
                 self.questions.remove(&id);
             } else {
@@ -888,17 +1082,26 @@
     }
 
     fn put_again(&mut self) {
-        let due: Vec<u64> =
-            self.questions.iter().filter(|(_, one)| one.again <= self.now).map(|(id, _)| *id).collect();
+        let due: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, one)| one.again <= self.now)
+            .map(|(id, _)| *id)
+            .collect();
         due.into_iter().for_each(|id| self.put(id));
     }
 
     /// Puts a question to the leader, or to whoever may know it.
     fn put(&mut self, id: u64) {
-        let Some(question) = self.questions.get_mut(&id) else { return };
+        let Some(question) = self.questions.get_mut(&id) else {
+            return;
+        };
         question.tries += 1;
         let (shard, command, tries) = (question.shard, question.command.clone(), question.tries);
-        let here = self.shards.get(&shard).is_some_and(|one| one.replica.leads());
+        let here = self
+            .shards
+            .get(&shard)
+            .is_some_and(|one| one.replica.leads());
         question.again = self.now + AGAIN[usize::from(!here)];
         self.due = self.due.min(question.again);
         if here {
@@ -912,29 +1115,44 @@
         let name = led_by.and_then(|disk| self.name_of(disk)).or_else(|| {
             // Nobody is known to lead: the holders are asked in turn.
             let held = holders(&self.options.members, shard, self.options.copies);
-            let others: Vec<usize> =
-                held.into_iter().filter(|k| self.options.members[*k].0 != self.options.name).collect();
+            let others: Vec<usize> = held
+                .into_iter()
+                .filter(|k| self.options.members[*k].0 != self.options.name)
+                .collect();
             let k = others.get(tries as usize % others.len().max(1))?;
             Some(self.options.members[*k].0.clone())
         });
-        let Some(name) = name.filter(|name| self.peers.get(name).is_some_and(|peer| peer.here)) else {
+        let Some(name) = name.filter(|name| self.peers.get(name).is_some_and(|peer| peer.here))
+        else {
             self.leaders.remove(&shard);
             return;
         };
         if let Some(question) = self.questions.get_mut(&id) {
             question.again = self.now + AGAIN[0];
         }
-        let ask = Ask { id, shard: u32::from(shard), command };
+        let ask = Ask {
+            id,
+            shard: u32::from(shard),
+            command,
+        };
         self.effects.frames.push((name, Frame::of(What::Ask(ask))));
     }
 
     fn name_of(&self, disk: Id) -> Option<String> {
-        let known = |peer: &Peer| peer.hello.as_ref().is_some_and(|hello| hello.disk == disk) && peer.here;
-        self.peers.iter().find(|(_, peer)| known(peer)).map(|(name, _)| name.clone())
+        let known =
+            |peer: &Peer| peer.hello.as_ref().is_some_and(|hello| hello.disk == disk) && peer.here;
+        self.peers
+            .iter()
+            .find(|(_, peer)| known(peer))
+            .map(|(name, _)| name.clone())
     }
 
     fn asked(&mut self, name: &str, ask: Ask) {
-        self.propose(ask.shard as u16, &ask.command, Asker::There(name.to_owned(), ask.id));
+        self.propose(
+            ask.shard as u16,
+            &ask.command,
+            Asker::There(name.to_owned(), ask.id),
+        );
     }
 
     fn propose(&mut self, shard: u16, command: &Command, asker: Asker) {
@@ -943,8 +1161,12 @@
             if one.waiting.len() >= WAITING {
                 return None;
             }
-            let index = one.replica.propose(now, command.encode_to_vec().into()).ok()?;
-            one.waiting.insert(index, (one.replica.term(), asker.clone()));
+            let index = one
+                .replica
+                .propose(now, command.encode_to_vec().into())
+                .ok()?;
+            one.waiting
+                .insert(index, (one.replica.term(), asker.clone()));
             Some(index)
         });
         if proposed.is_none() {
@@ -965,7 +1187,9 @@
             }
             Asker::There(name, id) => {
                 let answer = Answer::elsewhere(*id, shard, leader);
-                self.effects.frames.push((name.clone(), Frame::of(What::Answer(answer))));
+                self.effects
+                    .frames
+                    .push((name.clone(), Frame::of(What::Answer(answer))));
             }
         }
     }
@@ -991,7 +1215,9 @@
 
     /// What a question came to.
     fn tell(&mut self, id: u64, told: Told) {
-        let Some(question) = self.questions.get_mut(&id) else { return };
+        let Some(question) = self.questions.get_mut(&id) else {
+            return;
+        };
         if question.background {
             // A start that is granted after its time is taken back, as is asked already.
             let taken_back = matches!(question.command.what, Some(keys::What::Withdraw(_)));
@@ -1020,7 +1246,9 @@
             Asker::Here(id) => self.tell(*id, told),
             Asker::There(name, id) => {
                 let answer = Answer::of(*id, shard, &told);
-                self.effects.frames.push((name.clone(), Frame::of(What::Answer(answer))));
+                self.effects
+                    .frames
+                    .push((name.clone(), Frame::of(What::Answer(answer))));
             }
         }
     }
@@ -1037,13 +1265,19 @@
     }
 
     fn settle_shard(&mut self, shard: u16) {
-        let Some(one) = self.shards.get_mut(&shard) else { return };
+        let Some(one) = self.shards.get_mut(&shard) else {
+            return;
+        };
         let out = one.replica.take();
         let leads = one.replica.leads();
         if leads != one.led {
             one.led = leads;
             let term = one.replica.term();
-            let news = if leads { News::Leads { shard, term } } else { News::LeadsNoMore { shard } };
+            let news = if leads {
+                News::Leads { shard, term }
+            } else {
+                News::LeadsNoMore { shard }
+            };
             self.effects.news.push(news);
         }
         if out.is_empty() && (leads || one.waiting.is_empty() && one.watchers.is_empty()) {
@@ -1054,13 +1288,22 @@
         }
         if let Some((snapshot, alone)) = out.snapshot {
             if !snapshot.data.is_empty() && one.table.restore(snapshot.data.clone()).is_err() {
-                self.effects.news.push(News::OldCopy { why: format!("shard {shard}: no table came") });
+                self.effects.news.push(News::OldCopy {
+                    why: format!("shard {shard}: no table came"),
+                });
                 self.over = true;
                 return;
             }
             self.effects.versions = true;
-            self.effects.news.push(News::CaughtUp { shard, index: snapshot.base.index });
-            self.writes.push(Write::Save { shard, snapshot, alone });
+            self.effects.news.push(News::CaughtUp {
+                shard,
+                index: snapshot.base.index,
+            });
+            self.writes.push(Write::Save {
+                shard,
+                snapshot,
+                alone,
+            });
         }
         for entry in out.entries {
             self.confirms.push((shard, entry.index, entry.term));
@@ -1073,7 +1316,14 @@
         let generation = self.generation;
         let wrap = |message: rainstand_replica::Message| {
             let to = message.to;
-            (to, Frame::of(What::Raft(Raft { shard: u32::from(shard), message, generation })))
+            (
+                to,
+                Frame::of(What::Raft(Raft {
+                    shard: u32::from(shard),
+                    message,
+                    generation,
+                })),
+            )
         };
         let now: Vec<_> = out.now.into_iter().map(wrap).collect();
         let after: Vec<_> = out.after.into_iter().map(wrap).collect();
@@ -1099,10 +1349,15 @@
 
     /// What a leader knows of how far the others are, for telling an old copy of a disk.
     fn mark(&mut self, shard: u16) {
-        let Some(one) = self.shards.get(&shard) else { return };
+        let Some(one) = self.shards.get(&shard) else {
+            return;
+        };
         let (term, commit) = (one.replica.term(), one.replica.commit());
-        let marks: Vec<(Id, u64)> =
-            one.replica.progress().map(|(id, matched, _)| (id, matched.min(commit))).collect();
+        let marks: Vec<(Id, u64)> = one
+            .replica
+            .progress()
+            .map(|(id, matched, _)| (id, matched.min(commit)))
+            .collect();
         for (id, index) in marks.into_iter().filter(|mark| mark.1 > 0) {
             let of = |peer: &&mut Peer| peer.hello.as_ref().is_some_and(|hello| hello.disk == id);
             if let Some(peer) = self.peers.values_mut().find(of) {
@@ -1113,18 +1368,28 @@
     }
 
     fn apply(&mut self, shard: u16, entry: &Entry) {
-        let Some(one) = self.shards.get_mut(&shard) else { return };
+        let Some(one) = self.shards.get_mut(&shard) else {
+            return;
+        };
         let waiting = one.waiting.remove(&entry.index);
         if entry.kind() != Kind::Data {
             return;
         }
         // What cannot be read was proposed by a later version: every copy passes over it alike.
-        let Ok(command) = Command::decode(entry.data.clone()) else { return };
+        let Ok(command) = Command::decode(entry.data.clone()) else {
+            return;
+        };
         let told = one.table.apply(entry.stamp, &command);
-        let over =
-            !matches!(command.what, Some(keys::What::Start(_) | keys::What::Set(_) | keys::What::Publish(_)));
+        let over = !matches!(
+            command.what,
+            Some(keys::What::Start(_) | keys::What::Set(_) | keys::What::Publish(_))
+        );
         self.effects.versions |= matches!(command.what, Some(keys::What::Publish(_)));
-        let watchers = if over { one.watchers.remove(&command.key) } else { None };
+        let watchers = if over {
+            one.watchers.remove(&command.key)
+        } else {
+            None
+        };
         let leads = one.replica.leads();
         // The end of a run, for the repeats that wait for it. One of a start that was taken back asks again.
         for watcher in watchers.unwrap_or_default() {
@@ -1132,7 +1397,9 @@
                 (Some(keys::What::Done(result)), Told::Noted) => {
                     self.send(&watcher, shard, Told::Known(result.clone()));
                 }
-                (Some(keys::What::Failed(_)), Told::Noted) => self.send(&watcher, shard, Told::Uncertain),
+                (Some(keys::What::Failed(_)), Told::Noted) => {
+                    self.send(&watcher, shard, Told::Uncertain)
+                }
                 _ => self.elsewhere(shard, &watcher),
             }
         }
@@ -1154,7 +1421,9 @@
 
     /// Leadership went: whoever waits asks the next leader.
     fn dismiss_waiting(&mut self, shard: u16) {
-        let Some(one) = self.shards.get_mut(&shard) else { return };
+        let Some(one) = self.shards.get_mut(&shard) else {
+            return;
+        };
         let waiting = std::mem::take(&mut one.waiting);
         one.watchers.clear();
         for (_, asker) in waiting.into_values() {
@@ -1166,7 +1435,10 @@
     pub fn take(&mut self) -> Effects {
         let mut effects = std::mem::take(&mut self.effects);
         let writes = std::mem::take(&mut self.writes);
-        let (after, confirms) = (std::mem::take(&mut self.after), std::mem::take(&mut self.confirms));
+        let (after, confirms) = (
+            std::mem::take(&mut self.after),
+            std::mem::take(&mut self.confirms),
+        );
         if !writes.is_empty() {
             self.number += 1;
             effects.write = Some((self.number, writes));
@@ -1175,7 +1447,11 @@
             if self.written >= self.number {
                 effects.frames.extend(after);
             } else {
-                self.held.push_back(Held { number: self.number, frames: after, confirms });
+                self.held.push_back(Held {
+                    number: self.number,
+                    frames: after,
+                    confirms,
+                });
             }
         }
         if self.held.len() > HELD && !self.over {
@@ -1189,8 +1465,17 @@
     pub fn written(&mut self, now: Duration, to: u64) {
         self.now = self.now.max(now);
         self.written = self.written.max(to);
-        while self.held.front().is_some_and(|held| held.number <= self.written) {
-            let Some(Held { frames, confirms, .. }) = self.held.pop_front() else { break };
+        while self
+            .held
+            .front()
+            .is_some_and(|held| held.number <= self.written)
+        {
+            let Some(Held {
+                frames, confirms, ..
+            }) = self.held.pop_front()
+            else {
+                break;
+            };
             self.effects.frames.extend(frames);
             for (shard, index, term) in confirms {
                 if let Some(one) = self.shards.get_mut(&shard) {
@@ -1212,13 +1497,18 @@
     pub fn started_here(&self, trace: &[u8]) -> Option<Bytes> {
         // A claim is its disk's: what an earlier start of this program began is still this disk's.
         let claim = self.claim(trace);
-        self.shards.values().find_map(|one| one.table.started_by(&claim).cloned())
+        self.shards
+            .values()
+            .find_map(|one| one.table.started_by(&claim).cloned())
     }
 
     /// The row of a key in the copy here, and its shard.
     pub fn row(&self, key: &[u8]) -> (u16, Option<&keys::Row>) {
         let shard = shard_of(key, self.options.shards);
-        (shard, self.shards.get(&shard).and_then(|one| one.table.get(key)))
+        (
+            shard,
+            self.shards.get(&shard).and_then(|one| one.table.get(key)),
+        )
     }
 
     pub fn register(&self, name: &[u8]) -> Option<&keys::Register> {
@@ -1229,20 +1519,28 @@
     /// committed for longer than an election takes.
     pub fn published(&self) -> Option<(&Versions, bool)> {
         let one = self.shards.get(&0)?;
-        let current = one.replica.established() || !one.replica.leads() && one.replica.leader().is_some();
+        let current =
+            one.replica.established() || !one.replica.leads() && one.replica.leader().is_some();
         let current = current && one.replica.applied() == one.replica.commit();
         Some((one.table.versions(), current && !self.over))
     }
 
     /// Shards here: number, replica, table.
     pub fn shards(&self) -> impl Iterator<Item = (u16, &Replica, &Table)> {
-        self.shards.iter().map(|(shard, one)| (*shard, &one.replica, &one.table))
+        self.shards
+            .iter()
+            .map(|(shard, one)| (*shard, &one.replica, &one.table))
     }
 
     /// Members by name: whether a link is open, and the disk last heard.
     pub fn peers(&self) -> impl Iterator<Item = (&str, bool, Option<Id>, bool)> {
         self.peers.iter().map(|(name, peer)| {
-            (name.as_str(), peer.here, peer.hello.as_ref().map(|hello| hello.disk), peer.refused.is_some())
+            (
+                name.as_str(),
+                peer.here,
+                peer.hello.as_ref().map(|hello| hello.disk),
+                peer.refused.is_some(),
+            )
         })
     }
 
@@ -1253,7 +1551,9 @@
     /// Shards that know who leads them, of all; by what is known here.
     pub fn led(&self) -> (usize, usize) {
         let known = (0..self.options.shards).filter(|shard| {
-            self.shards.get(shard).is_some_and(|one| one.replica.leader().is_some())
+            self.shards
+                .get(shard)
+                .is_some_and(|one| one.replica.leader().is_some())
                 || self.leaders.contains_key(shard)
         });
         (known.count(), usize::from(self.options.shards))
@@ -1267,7 +1567,12 @@
 /// A configuration in a few words.
 fn describe(config: &Config) -> String {
     let one = |member: &rainstand_replica::Member| {
-        format!("{}/{:08x}{}", member.name, member.id as u32, if member.votes { "" } else { "?" })
+        format!(
+            "{}/{:08x}{}",
+            member.name,
+            member.id as u32,
+            if member.votes { "" } else { "?" }
+        )
     };
     config.members.iter().map(one).collect::<Vec<_>>().join(" ")
 }
@@ -1288,10 +1593,15 @@
         return Some(format!("start {} after start {boot}", hello.boot));
     }
     for (shard, (term, index)) in &peer.marks {
-        let mark = hello.marks.iter().find(|mark| mark.shard == u32::from(*shard));
+        let mark = hello
+            .marks
+            .iter()
+            .find(|mark| mark.shard == u32::from(*shard));
         let (t, i) = mark.map_or((0, 0), |mark| (mark.term, mark.index));
         if t < *term || i < *index {
-            return Some(format!("shard {shard}: term {t} index {i} after term {term} index {index}"));
+            return Some(format!(
+                "shard {shard}: term {t} index {i} after term {term} index {index}"
+            ));
         }
     }
     None
--- a/crates/copies/src/moves.rs
+++ b/crates/copies/src/moves.rs
@@ -42,15 +42,26 @@
         return Next::Wait;
     }
     if let Some((name, id)) = missing.next() {
-        return Next::Change(Change::Add(Member { id, name: name.clone(), votes: false }));
+        return Next::Change(Change::Add(Member {
+            id,
+            name: name.clone(),
+            votes: false,
+        }));
     }
-    let voters_wanted = config.members.iter().filter(|member| member.votes && is_wanted(member)).count();
+    let voters_wanted = config
+        .members
+        .iter()
+        .filter(|member| member.votes && is_wanted(member))
+        .count();
     let unwanted = config.members.iter().find(|member| !is_wanted(member));
     match unwanted {
         // Whoever takes its place is not there yet.
         Some(_) if voters_wanted < wanted.len().min(config.majority()) => Next::Wait,
         Some(member) if member.id == me => {
-            let other = config.members.iter().find(|member| member.votes && is_wanted(member));
+            let other = config
+                .members
+                .iter()
+                .find(|member| member.votes && is_wanted(member));
             other.map_or(Next::Wait, |other| Next::HandTo(other.id))
         }
         Some(member) => Next::Change(Change::Remove(member.id)),
@@ -64,13 +75,21 @@
     use super::*;
 
     fn config(members: &[(Id, &str, bool)]) -> Config {
-        let members =
-            members.iter().map(|(id, name, votes)| Member { id: *id, name: (*name).into(), votes: *votes });
-        Config { members: members.collect() }
+        let members = members.iter().map(|(id, name, votes)| Member {
+            id: *id,
+            name: (*name).into(),
+            votes: *votes,
+        });
+        Config {
+            members: members.collect(),
+        }
     }
 
     fn wanted(names: &[(&str, Id)]) -> Vec<(String, Option<Id>)> {
-        names.iter().map(|(name, id)| ((*name).to_owned(), (*id > 0).then_some(*id))).collect()
+        names
+            .iter()
+            .map(|(name, id)| ((*name).to_owned(), (*id > 0).then_some(*id)))
+            .collect()
     }
 
     #[test]
@@ -83,24 +102,56 @@
         assert_eq!(next(&whole, &names, true), Next::Settled);
         // `c` came back with another disk.
         let anew = wanted(&[("a", 1), ("b", 2), ("c", 9)]);
-        let add = Member { id: 9, name: "c".into(), votes: false };
+        let add = Member {
+            id: 9,
+            name: "c".into(),
+            votes: false,
+        };
         assert_eq!(next(&whole, &anew, true), Next::Change(Change::Add(add)));
-        let learns = [(1, "a", true), (2, "b", true), (3, "c", true), (9, "c", false)];
+        let learns = [
+            (1, "a", true),
+            (2, "b", true),
+            (3, "c", true),
+            (9, "c", false),
+        ];
         assert_eq!(next(&learns, &anew, false), Next::Wait);
         assert_eq!(next(&learns, &anew, true), Next::Change(Change::Promote(9)));
-        let both = [(1, "a", true), (2, "b", true), (3, "c", true), (9, "c", true)];
+        let both = [
+            (1, "a", true),
+            (2, "b", true),
+            (3, "c", true),
+            (9, "c", true),
+        ];
         assert_eq!(next(&both, &anew, true), Next::Change(Change::Remove(3)));
-        assert_eq!(next(&[(1, "a", true), (2, "b", true), (9, "c", true)], &anew, true), Next::Settled);
+        assert_eq!(
+            next(
+                &[(1, "a", true), (2, "b", true), (9, "c", true)],
+                &anew,
+                true
+            ),
+            Next::Settled
+        );
         // It changed its disk once more while it learned.
         let third = wanted(&[("a", 1), ("b", 2), ("c", 11)]);
         assert_eq!(next(&learns, &third, true), Next::Change(Change::Remove(9)));
         // `c` is out of reach: its disk stays.
-        assert_eq!(next(&whole, &wanted(&[("a", 1), ("b", 2), ("c", 0)]), true), Next::Settled);
+        assert_eq!(
+            next(&whole, &wanted(&[("a", 1), ("b", 2), ("c", 0)]), true),
+            Next::Settled
+        );
         // The shard moves from the leader to `d`.
         let moved = wanted(&[("b", 2), ("c", 3), ("d", 4)]);
-        let four = [(1, "a", true), (2, "b", true), (3, "c", true), (4, "d", true)];
+        let four = [
+            (1, "a", true),
+            (2, "b", true),
+            (3, "c", true),
+            (4, "d", true),
+        ];
         assert_eq!(next(&four, &moved, true), Next::HandTo(2));
         // Nobody is sent away before somebody else is there.
-        assert_eq!(next(&whole, &wanted(&[("d", 0), ("e", 0), ("f", 0)]), true), Next::Wait);
+        assert_eq!(
+            next(&whole, &wanted(&[("d", 0), ("e", 0), ("f", 0)]), true),
+            Next::Wait
+        );
     }
 }
--- a/crates/copies/src/soft.rs
+++ b/crates/copies/src/soft.rs
@@ -45,7 +45,11 @@
         }
         for (tenant, spent) in &other.spent {
             let own = self.spent.entry(tenant.clone()).or_default();
-            *own = if planted("sums-twice") { *own + spent } else { (*own).max(*spent) };
+            *own = if planted("sums-twice") {
+                *own + spent
+            } else {
+                (*own).max(*spent)
+            };
         }
         // Of two reports the later tells the room; of one report, told twice, both tell the same.
         self.room = match other.count.cmp(&self.count) {
@@ -119,7 +123,11 @@
             }
             if now.saturating_sub(*at) <= stale {
                 for (tenant, spent) in &report.spent {
-                    let before = if seen.epoch == report.epoch { seen.spent.get(tenant) } else { None };
+                    let before = if seen.epoch == report.epoch {
+                        seen.spent.get(tenant)
+                    } else {
+                        None
+                    };
                     let more = spent.saturating_sub(before.copied().unwrap_or(0));
                     if more > 0 {
                         *added.entry(tenant.clone()).or_default() += more;
@@ -139,7 +147,11 @@
     use proptest::test_runner::RngSeed;
 
     fn config() -> ProptestConfig {
-        ProptestConfig { cases: 2_000, rng_seed: RngSeed::Fixed(5), ..ProptestConfig::default() }
+        ProptestConfig {
+            cases: 2_000,
+            rng_seed: RngSeed::Fixed(5),
+            ..ProptestConfig::default()
+        }
     }
 
     fn report() -> impl Strategy<Value = Report> {
@@ -170,7 +182,13 @@
     }
 
     fn told(disk: u64, epoch: u64, count: u64, spent: u64) -> Report {
-        Report { epoch, count, spent: [("t".to_owned(), spent)].into(), room: 0, disk }
+        Report {
+            epoch,
+            count,
+            spent: [("t".to_owned(), spent)].into(),
+            room: 0,
+            disk,
+        }
     }
 
     #[test]
--- a/crates/copies/src/tickets.rs
+++ b/crates/copies/src/tickets.rs
@@ -72,7 +72,9 @@
     match (stage, event) {
         (Asking | Waiting, Told(self::Told::Granted)) => (Some(Running), Act::Launch),
         (Asking | Waiting, Told(self::Told::Known(result))) => (None, Act::Answer(result)),
-        (Asking, Told(self::Told::Running)) if planted("early-launch") => (Some(Running), Act::Launch),
+        (Asking, Told(self::Told::Running)) if planted("early-launch") => {
+            (Some(Running), Act::Launch)
+        }
         (Asking | Waiting, Told(self::Told::Running)) => (Some(Waiting), Act::Nothing),
         (Asking | Waiting, Told(self::Told::Uncertain)) => (None, Act::GiveUp),
         (Asking | Waiting, Told(self::Told::Other)) => (None, Act::Dismiss { nowhere: true }),
@@ -137,8 +139,11 @@
                     continue;
                 }
                 steps += 1;
-                let known =
-                    known || matches!(event, Event::Told(Told::Known(_)) | Event::Ended(End::Result(_)));
+                let known = known
+                    || matches!(
+                        event,
+                        Event::Told(Told::Known(_)) | Event::Ended(End::Result(_))
+                    );
                 let (next, act) = step(stage, event.clone());
                 let (mut launched, mut answered) = (launched, answered);
                 match act {
@@ -147,7 +152,10 @@
                         launched = true;
                     }
                     Act::Dismiss { .. } | Act::Withdraw => {
-                        assert!(!launched && !answered && next.is_none(), "{stage:?} {event:?}");
+                        assert!(
+                            !launched && !answered && next.is_none(),
+                            "{stage:?} {event:?}"
+                        );
                         answered = true;
                     }
                     Act::Answer(_) => {
@@ -167,6 +175,9 @@
                 }
             }
         }
-        assert!(steps > 40 && seen.iter().any(|s| s.0 == Some(Stage::Keeping)), "{steps} {seen:?}");
+        assert!(
+            steps > 40 && seen.iter().any(|s| s.0 == Some(Stage::Keeping)),
+            "{steps} {seen:?}"
+        );
     }
 }
--- a/crates/copies/src/versions.rs
+++ b/crates/copies/src/versions.rs
@@ -57,7 +57,11 @@
         let delta = head.delta_to(from, from + 1, configuration)?;
         let encoded = delta.encode_to_vec();
         if encoded.len() <= MOST_CHANGE {
-            return Ok(Self { from, delta: encoded.into(), ..Self::default() });
+            return Ok(Self {
+                from,
+                delta: encoded.into(),
+                ..Self::default()
+            });
         }
         let whole = snapshot::packed(from + 1, &State::of(configuration)?)?;
         if whole.len() > MOST_CHANGE {
@@ -65,7 +69,11 @@
                 "more than one change may say, also when packed: publish it in parts",
             ));
         }
-        Ok(Self { from, whole: whole.into(), ..Self::default() })
+        Ok(Self {
+            from,
+            whole: whole.into(),
+            ..Self::default()
+        })
     }
 
     /// The same command has the same sum, whenever it was taken.
@@ -137,7 +145,10 @@
             return if known.is_some_and(same) {
                 Ok(())
             } else {
-                Err(Refused::From { made: publish.from, there })
+                Err(Refused::From {
+                    made: publish.from,
+                    there,
+                })
             };
         }
         if publish.delta.len() + publish.whole.len() > MOST_CHANGE {
@@ -147,17 +158,28 @@
             Delta::decode(publish.delta.clone()).map_err(|_| Refused::Frame)?
         } else {
             let (_, state) = snapshot::unpacked(&publish.whole)?;
-            self.head.1.delta_to(there, there + 1, &state.configuration()?)?
+            self.head
+                .1
+                .delta_to(there, there + 1, &state.configuration()?)?
         };
         if (delta.from, delta.to) != (there, there + 1) {
-            return Err(Refused::From { made: delta.from, there });
+            return Err(Refused::From {
+                made: delta.from,
+                there,
+            });
         }
         self.head.1.apply(&delta)?;
         self.head.0 = delta.to;
         self.bytes += delta.encoded_len();
-        self.history.push_back(Change { delta, at_ms: publish.at_ms, sum });
+        self.history.push_back(Change {
+            delta,
+            at_ms: publish.at_ms,
+            sum,
+        });
         while self.history.len() > HISTORY || self.bytes > HISTORY_BYTES {
-            let Some(oldest) = self.history.pop_front() else { break };
+            let Some(oldest) = self.history.pop_front() else {
+                break;
+            };
             self.bytes -= oldest.delta.encoded_len();
             // It was applied to the same state before.
             self.base.1.apply(&oldest.delta)?;
@@ -173,9 +195,15 @@
         }
         let (version, state) = &self.base;
         // One that is too large to be packed could not have come in: a whole is packed by whoever publishes it.
-        let base =
-            if *version == 0 { Vec::new() } else { snapshot::packed(*version, state).unwrap_or_default() };
-        Some(Kept { base: base.into(), history: self.history.iter().cloned().collect() })
+        let base = if *version == 0 {
+            Vec::new()
+        } else {
+            snapshot::packed(*version, state).unwrap_or_default()
+        };
+        Some(Kept {
+            base: base.into(),
+            history: self.history.iter().cloned().collect(),
+        })
     }
 
     /// What a snapshot kept.
@@ -183,12 +211,25 @@
     /// # Errors
     /// If it is none that [`Versions::keep`] made.
     pub fn restored(kept: Option<Kept>) -> Result<Self, Refused> {
-        let Some(Kept { base, history }) = kept else { return Ok(Self::default()) };
-        let base = if base.is_empty() { (0, State::default()) } else { snapshot::unpacked(&base)? };
-        let mut all = Self { head: base.clone(), base, ..Self::default() };
+        let Some(Kept { base, history }) = kept else {
+            return Ok(Self::default());
+        };
+        let base = if base.is_empty() {
+            (0, State::default())
+        } else {
+            snapshot::unpacked(&base)?
+        };
+        let mut all = Self {
+            head: base.clone(),
+            base,
+            ..Self::default()
+        };
         for change in history {
             if change.delta.from != all.head.0 || change.delta.to != all.head.0 + 1 {
-                return Err(Refused::From { made: change.delta.from, there: all.head.0 });
+                return Err(Refused::From {
+                    made: change.delta.from,
+                    there: all.head.0,
+                });
             }
             all.head.1.apply(&change.delta)?;
             all.head.0 = change.delta.to;
--- a/crates/copies/tests/golden.rs
+++ b/crates/copies/tests/golden.rs
@@ -19,31 +19,77 @@
 const TABLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/tables.hex");
 
 fn claim(holder: u64) -> Claim {
-    Claim { holder, trace: Bytes::from(vec![holder as u8; 16]) }
+    Claim {
+        holder,
+        trace: Bytes::from(vec![holder as u8; 16]),
+    }
 }
 
 fn command(key: &'static str, holder: u64, what: Said) -> Command {
-    Command { key: Bytes::from_static(key.as_bytes()), claim: claim(holder), what: Some(what) }
+    Command {
+        key: Bytes::from_static(key.as_bytes()),
+        claim: claim(holder),
+        what: Some(what),
+    }
 }
 
 fn configuration(shares: &[u32]) -> Configuration {
-    let tenants =
-        shares.iter().enumerate().map(|(at, _)| Tenant { name: format!("t{at}"), ..Tenant::default() });
-    Configuration { version: VERSION, tenants: tenants.collect(), ..Configuration::default() }
+    let tenants = shares.iter().enumerate().map(|(at, _)| Tenant {
+        name: format!("t{at}"),
+        ..Tenant::default()
+    });
+    Configuration {
+        version: VERSION,
+        tenants: tenants.collect(),
+        ..Configuration::default()
+    }
 }
 
 fn publish(from: u64, head: &State, shares: &[u32]) -> Publish {
-    Publish { at_ms: 1_700_000_000_000 + from, ..Publish::of(head, from, &configuration(shares)).unwrap() }
+    Publish {
+        at_ms: 1_700_000_000_000 + from,
+        ..Publish::of(head, from, &configuration(shares)).unwrap()
+    }
 }
 
 fn commands() -> Vec<(&'static str, Command)> {
     vec![
-        ("start", command("K", 3, Said::Start(Start { sum: 0xfeed, window: 60_000_000_000 }))),
-        ("done", command("K", 3, Said::Done(Bytes::from_static(b"result")))),
+        (
+            "start",
+            command(
+                "K",
+                3,
+                Said::Start(Start {
+                    sum: 0xfeed,
+                    window: 60_000_000_000,
+                }),
+            ),
+        ),
+        (
+            "done",
+            command("K", 3, Said::Done(Bytes::from_static(b"result"))),
+        ),
         ("failed", command("K", 3, Said::Failed(true))),
         ("withdraw", command("K", 3, Said::Withdraw(true))),
-        ("set", command("name", 3, Said::Set(Register { version: 4, data: Bytes::from_static(b"data") }))),
-        ("publish", command("configuration", 3, Said::Publish(publish(0, &State::default(), &[10, 20])))),
+        (
+            "set",
+            command(
+                "name",
+                3,
+                Said::Set(Register {
+                    version: 4,
+                    data: Bytes::from_static(b"data"),
+                }),
+            ),
+        ),
+        (
+            "publish",
+            command(
+                "configuration",
+                3,
+                Said::Publish(publish(0, &State::default(), &[10, 20])),
+            ),
+        ),
         (
             "publish-whole",
             command(
@@ -61,11 +107,26 @@
 }
 
 fn marks() -> Vec<Mark> {
-    vec![Mark { shard: 0, term: 4, index: 900 }, Mark { shard: 3, term: 2, index: 17 }]
+    vec![
+        Mark {
+            shard: 0,
+            term: 4,
+            index: 900,
+        },
+        Mark {
+            shard: 3,
+            term: 2,
+            index: 17,
+        },
+    ]
 }
 
 fn frames() -> Vec<(String, Frame)> {
-    let formed = |name: &str, disk| Formed { name: name.into(), site: "s1".into(), disk };
+    let formed = |name: &str, disk| Formed {
+        name: name.into(),
+        site: "s1".into(),
+        disk,
+    };
     let hello = Hello {
         group: "test".into(),
         name: "n1".into(),
@@ -81,7 +142,12 @@
         to: 1,
         from: 2,
         term: 3,
-        body: Some(Body::Vote(Vote { pre: false, last_index: 9, last_term: 2, wanted: false })),
+        body: Some(Body::Vote(Vote {
+            pre: false,
+            last_index: 9,
+            last_term: 2,
+            wanted: false,
+        })),
     };
     let report = Report {
         epoch: 3,
@@ -100,19 +166,48 @@
                 copies: 3,
             })),
         ),
-        ("raft".into(), Frame::of(What::Raft(Raft { shard: 5, message, generation: 2 }))),
-        ("behind".into(), Frame::of(What::Behind(Behind { disk: 7, why: "start 1 after start 2".into() }))),
+        (
+            "raft".into(),
+            Frame::of(What::Raft(Raft {
+                shard: 5,
+                message,
+                generation: 2,
+            })),
+        ),
+        (
+            "behind".into(),
+            Frame::of(What::Behind(Behind {
+                disk: 7,
+                why: "start 1 after start 2".into(),
+            })),
+        ),
         ("soft".into(), Frame::of(What::Soft(report))),
         ("up".into(), Frame::of(What::Up(Bytes::from_static(b"up")))),
-        ("down".into(), Frame::of(What::Down(Bytes::from_static(b"down")))),
+        (
+            "down".into(),
+            Frame::of(What::Down(Bytes::from_static(b"down"))),
+        ),
     ];
     for (name, command) in commands() {
-        all.push((format!("ask-{name}"), Frame::of(What::Ask(Ask { id: 1 << 40, shard: 5, command }))));
+        all.push((
+            format!("ask-{name}"),
+            Frame::of(What::Ask(Ask {
+                id: 1 << 40,
+                shard: 5,
+                command,
+            })),
+        ));
     }
     for word in 0..=12 {
         let word = Word::try_from(word).unwrap() as i32;
         let result = Bytes::from_static(b"result");
-        let answer = Answer { id: 1 << 40, shard: 5, word, result, leader: 9 };
+        let answer = Answer {
+            id: 1 << 40,
+            shard: 5,
+            word,
+            result,
+            leader: 9,
+        };
         all.push((format!("answer-{word}"), Frame::of(What::Answer(answer))));
     }
     all
@@ -121,7 +216,9 @@
 #[test]
 fn frames_are_written_as_before_and_read_back() {
     let known = frames();
-    let written = known.iter().map(|(name, frame)| NamedBytes::new(name.clone(), frame.encode_to_vec()));
+    let written = known
+        .iter()
+        .map(|(name, frame)| NamedBytes::new(name.clone(), frame.encode_to_vec()));
     assert_bytes(FRAMES, &written.collect::<Vec<_>>());
     for (NamedBytes { name, bytes }, (_, frame)) in read_bytes(FRAMES).into_iter().zip(known) {
         let read = Frame::decode(&bytes[..]).unwrap();
@@ -133,9 +230,18 @@
 #[test]
 fn commands_and_notes_are_written_as_before_and_read_back() {
     let known = commands();
-    let mut written: Vec<_> =
-        known.iter().map(|(name, command)| NamedBytes::new(*name, command.encode_to_vec())).collect();
-    let seen = Witnessed { name: "n2".into(), disk: 5, boot: 6, nonce: 7, marks: marks(), gone: vec![3, 4] };
+    let mut written: Vec<_> = known
+        .iter()
+        .map(|(name, command)| NamedBytes::new(*name, command.encode_to_vec()))
+        .collect();
+    let seen = Witnessed {
+        name: "n2".into(),
+        disk: 5,
+        boot: 6,
+        nonce: 7,
+        marks: marks(),
+        gone: vec![3, 4],
+    };
     let witness = Witness { seen: vec![seen] };
     written.push(NamedBytes::new("witness", witness.encode_to_vec()));
     assert_bytes(COMMANDS, &written);
@@ -150,22 +256,40 @@
 /// Keys in each state, a register, and published versions.
 fn table() -> Table {
     let mut table = Table::new(100, 1_000);
-    let start = |sum| Said::Start(Start { sum, window: 60_000 });
+    let start = |sum| {
+        Said::Start(Start {
+            sum,
+            window: 60_000,
+        })
+    };
     table.apply(10, &command("started", 1, start(1)));
     table.apply(11, &command("known", 2, start(2)));
-    table.apply(12, &command("known", 2, Said::Done(Bytes::from_static(b"result"))));
+    table.apply(
+        12,
+        &command("known", 2, Said::Done(Bytes::from_static(b"result"))),
+    );
     table.apply(13, &command("uncertain", 3, start(3)));
     table.apply(14, &command("uncertain", 3, Said::Failed(true)));
     table.apply(15, &command("withdrawn", 4, start(4)));
     table.apply(16, &command("withdrawn", 4, Said::Withdraw(true)));
     table.apply(
         17,
-        &command("register", 5, Said::Set(Register { version: 2, data: Bytes::from_static(b"v") })),
+        &command(
+            "register",
+            5,
+            Said::Set(Register {
+                version: 2,
+                data: Bytes::from_static(b"v"),
+            }),
+        ),
     );
     for from in 0..3u64 {
         let shares: Vec<u32> = (0..=from as u32).collect();
         let publish = publish(from, table.versions().state(), &shares);
-        table.apply(20 + from, &command("configuration", 6, Said::Publish(publish)));
+        table.apply(
+            20 + from,
+            &command("configuration", 6, Said::Publish(publish)),
+        );
     }
     assert_eq!(table.versions().version(), 3);
     table
--- a/crates/copies/tests/versions.rs
+++ b/crates/copies/tests/versions.rs
@@ -9,16 +9,31 @@
 
 /// Tenants of a share that tells versions apart.
 fn with(tenants: u32, share: u32) -> Configuration {
-    let tenant = |k| Tenant { name: format!("tenant-{k}"), share: u64::from(share + k), ..Tenant::default() };
+    let tenant = |k| Tenant {
+        name: format!("tenant-{k}"),
+        share: u64::from(share + k),
+        ..Tenant::default()
+    };
     let tenants = (0..tenants).map(tenant).collect();
-    let mut made = Configuration { version: 1, tenants, ..Configuration::default() };
+    let mut made = Configuration {
+        version: 1,
+        tenants,
+        ..Configuration::default()
+    };
     made.put_in_order();
     made
 }
 
 fn command(publish: Publish) -> Command {
-    let claim = Claim { holder: 1, trace: Bytes::from_static(&[0; 16]) };
-    Command { key: Bytes::from_static(b"configuration"), claim, what: Some(What::Publish(publish)) }
+    let claim = Claim {
+        holder: 1,
+        trace: Bytes::from_static(&[0; 16]),
+    };
+    Command {
+        key: Bytes::from_static(b"configuration"),
+        claim,
+        what: Some(What::Publish(publish)),
+    }
 }
 
 fn restored(table: &Table) -> Table {
@@ -41,25 +56,68 @@
     let wrong_digest = {
         let mut delta = states[1].delta_to(2, 3, &with(3, 3)).unwrap();
         delta.digest += 1;
-        Publish { from: 2, delta: delta.encode_to_vec().into(), ..Publish::default() }
+        Publish {
+            from: 2,
+            delta: delta.encode_to_vec().into(),
+            ..Publish::default()
+        }
+    };
+    let unreadable = Publish {
+        from: 2,
+        delta: Bytes::from_static(&[0xff; 9]),
+        ..Publish::default()
+    };
+    let no_snapshot = Publish {
+        from: 2,
+        whole: Bytes::from_static(&[0xff; 9]),
+        ..Publish::default()
     };
-    let unreadable = Publish { from: 2, delta: Bytes::from_static(&[0xff; 9]), ..Publish::default() };
-    let no_snapshot = Publish { from: 2, whole: Bytes::from_static(&[0xff; 9]), ..Publish::default() };
     let skips = {
         let delta = states[1].delta_to(2, 4, &with(3, 3)).unwrap();
-        Publish { from: 2, delta: delta.encode_to_vec().into(), ..Publish::default() }
+        Publish {
+            from: 2,
+            delta: delta.encode_to_vec().into(),
+            ..Publish::default()
+        }
+    };
+    let large = Publish {
+        from: 2,
+        delta: vec![0; MOST_CHANGE + 1].into(),
+        ..Publish::default()
     };
-    let large = Publish { from: 2, delta: vec![0; MOST_CHANGE + 1].into(), ..Publish::default() };
     let third = made(2, &states[1], 3);
     // The command, the newest version after it, and what is told.
     let table: Vec<(&str, Publish, u64, &str)> = vec![
-        ("made from something before anything was", made(1, &states[0], 1), 0, "conflict"),
+        (
+            "made from something before anything was",
+            made(1, &states[0], 1),
+            0,
+            "conflict",
+        ),
         ("the first", first.clone(), 1, "noted"),
-        ("the first again, as no answer was heard", first.clone(), 1, "noted"),
+        (
+            "the first again, as no answer was heard",
+            first.clone(),
+            1,
+            "noted",
+        ),
         ("the second", second.clone(), 2, "noted"),
         ("another second, of who did not know", other, 2, "conflict"),
-        ("the second again, taken at another time", Publish { at_ms: 77, ..second }, 2, "noted"),
-        ("made from a version that is not there yet", later, 2, "conflict"),
+        (
+            "the second again, taken at another time",
+            Publish {
+                at_ms: 77,
+                ..second
+            },
+            2,
+            "noted",
+        ),
+        (
+            "made from a version that is not there yet",
+            later,
+            2,
+            "conflict",
+        ),
         ("what leads to another digest", wrong_digest, 2, "refused"),
         ("bytes that are no change", unreadable, 2, "refused"),
         ("bytes that are no whole", no_snapshot, 2, "refused"),
@@ -80,8 +138,16 @@
             Told::Refused(_) => "refused",
             _ => "another",
         };
-        assert_eq!((word, copy.versions().version()), (wanted, version), "{what}: {told:?}");
-        assert_eq!((again.apply(1, &command), again.keep()), (told, copy.keep()), "{what}");
+        assert_eq!(
+            (word, copy.versions().version()),
+            (wanted, version),
+            "{what}: {told:?}"
+        );
+        assert_eq!(
+            (again.apply(1, &command), again.keep()),
+            (told, copy.keep()),
+            "{what}"
+        );
         if word == "noted" {
             newest = copy.versions().state().clone();
         }
@@ -89,7 +155,12 @@
         assert_eq!(copy.versions().state(), &newest, "{what}");
     }
     assert_eq!(newest.configuration().unwrap(), with(3, 3));
-    let numbers: Vec<u64> = copy.versions().since(1).unwrap().map(|change| change.delta.to).collect();
+    let numbers: Vec<u64> = copy
+        .versions()
+        .since(1)
+        .unwrap()
+        .map(|change| change.delta.to)
+        .collect();
     assert_eq!(numbers, [2, 3]);
 }
 
@@ -99,13 +170,24 @@
     let mut copy = Table::new(10, 50);
     let mut wanted = with(20_000, 0);
     let whole = Publish::of(&State::default(), 0, &wanted).unwrap();
-    assert!(whole.delta.is_empty() && whole.whole.len() <= MOST_CHANGE, "{}", whole.whole.len());
+    assert!(
+        whole.delta.is_empty() && whole.whole.len() <= MOST_CHANGE,
+        "{}",
+        whole.whole.len()
+    );
     assert_eq!(copy.apply(1, &command(whole)), Told::Noted);
     wanted.tenants[7].share = 9;
     let change = Publish::of(copy.versions().state(), 1, &wanted).unwrap();
-    assert!(change.whole.is_empty() && change.delta.len() < 200, "{}", change.delta.len());
+    assert!(
+        change.whole.is_empty() && change.delta.len() < 200,
+        "{}",
+        change.delta.len()
+    );
     assert_eq!(copy.apply(1, &command(change)), Told::Noted);
-    assert_eq!(restored(&copy).versions().state().configuration().unwrap(), wanted);
+    assert_eq!(
+        restored(&copy).versions().state().configuration().unwrap(),
+        wanted
+    );
 }
 
 /// The oldest changes are folded into the base: what is kept is bounded, and what it says stays right.
@@ -123,7 +205,9 @@
         assert!(all.since(base - 1).is_none() && all.since(4_201).is_none());
         let mut state = state.clone();
         assert_eq!(state.configuration().unwrap(), with(2, base as u32 - 1));
-        all.since(base).unwrap().for_each(|change| state.apply(&change.delta).unwrap());
+        all.since(base)
+            .unwrap()
+            .for_each(|change| state.apply(&change.delta).unwrap());
         assert_eq!(&state, all.state());
         assert_eq!(all.since(4_200).unwrap().count(), 0);
     }
--- a/crates/forwarder/benches/days.rs
+++ b/crates/forwarder/benches/days.rs
@@ -31,12 +31,31 @@
     ("calm", &[]),
     ("one fails in 1 ms", &["from 2s to 8s fail after 1ms"]),
     ("one hangs", &["from 2s to 8s silent"]),
-    ("one is ten times slower", &["from 2s to 8s honour after 50ms..200ms"]),
+    (
+        "one is ten times slower",
+        &["from 2s to 8s honour after 50ms..200ms"],
+    ),
     ("one dies and comes back", &["from 2s to 6s refuse"]),
-    ("connections reset, one in fifty", &["share 2% reset", "share 2% reset", "share 2% reset"]),
-    ("each restarts in turn", &["from 2s to 3s refuse", "from 4s to 5s refuse", "from 6s to 7s refuse"]),
-    ("all fail for two seconds", &["from 4s to 6s fail after 1ms"; 5]),
-    ("one lies: full while idle", &["from 2s to 8s dismiss pause 1s"]),
+    (
+        "connections reset, one in fifty",
+        &["share 2% reset", "share 2% reset", "share 2% reset"],
+    ),
+    (
+        "each restarts in turn",
+        &[
+            "from 2s to 3s refuse",
+            "from 4s to 5s refuse",
+            "from 6s to 7s refuse",
+        ],
+    ),
+    (
+        "all fail for two seconds",
+        &["from 4s to 6s fail after 1ms"; 5],
+    ),
+    (
+        "one lies: full while idle",
+        &["from 2s to 8s dismiss pause 1s"],
+    ),
 ];
 
 #[derive(Default)]
@@ -55,7 +74,10 @@
 impl Day {
     fn new() -> Rc<Self> {
         let times = Histogram::new(3).expect("a histogram").into();
-        Rc::new(Self { came: RefCell::default(), times })
+        Rc::new(Self {
+            came: RefCell::default(),
+            times,
+        })
     }
 
     fn told(&self, told: Option<&Told>, took: Duration) {
@@ -91,15 +113,32 @@
             let text = format!("{USUAL}{}", scripts.get(k).unwrap_or(&""));
             let script = Script::read(&text).expect("a script");
             let watch = watch.map(|watch| (watch.clone(), k as u32));
-            Make { script, watch, seed: k as u64, forget_runs: true, ..Make::default() }.start()
+            Make {
+                script,
+                watch,
+                seed: k as u64,
+                forget_runs: true,
+                ..Make::default()
+            }
+            .start()
         })
         .collect()
 }
 
 fn ask(n: u64) -> Ask<'static> {
     let exclusive = n.is_multiple_of(5);
-    let (route, kind) = if exclusive { ("register", Kind::Exclusive) } else { ("check", Kind::Rerunnable) };
-    Ask { route, kind, body: &[7; 200], within: GOAL + Duration::from_millis(500), ..Ask::default() }
+    let (route, kind) = if exclusive {
+        ("register", Kind::Exclusive)
+    } else {
+        ("check", Kind::Rerunnable)
+    };
+    Ask {
+        route,
+        kind,
+        body: &[7; 200],
+        within: GOAL + Duration::from_millis(500),
+        ..Ask::default()
+    }
 }
 
 /// Asks on connections of its own, so many tickets as one connection may hold, and goes on after a break.
@@ -151,7 +190,9 @@
 route r {{ to: p; attempts: any }}"
     );
     let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
 }
 
 async fn through_a_forwarder(scripts: &[&str]) -> Rc<Day> {
@@ -165,7 +206,9 @@
     lane(vec![to], 0, 1, day.clone(), Some(watch.clone())).await;
     let counts = hub.fleet.borrow().counts();
     let now = watch.now();
-    let _ = watch.rules().budget(now, counts.first_tries, counts.further_tries, 0.2, 10);
+    let _ = watch
+        .rules()
+        .budget(now, counts.first_tries, counts.further_tries, 0.2, 10);
     if let Err(broken) = watch.over() {
         println!("BROKEN: {broken}");
     }
@@ -176,13 +219,23 @@
 async fn in_turn(scripts: &[&str]) -> Rc<Day> {
     let nodes = nodes(scripts, None);
     let day = Day::new();
-    lane(nodes.iter().map(|node| node.addr).collect(), 0, 1, day.clone(), None).await;
+    lane(
+        nodes.iter().map(|node| node.addr).collect(),
+        0,
+        1,
+        day.clone(),
+        None,
+    )
+    .await;
     nodes.iter().for_each(Node::end);
     day
 }
 
 fn main() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let only = std::env::var("DAY").unwrap_or_default();
         for (name, scripts) in DAYS.iter().filter(|(name, _)| name.contains(&only)) {
