--- a/crates/forwarder/benches/throughput.rs
+++ b/crates/forwarder/benches/throughput.rs
@@ -24,19 +24,34 @@
 /// Runs a future on a thread of its own until the process ends.
 fn thread<F: std::future::Future<Output = ()>>(make: impl FnOnce() -> F + Send + 'static) {
     std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
         LocalSet::new().block_on(&runtime, make());
     });
 }
 
 /// Nodes that answer at once and write nothing down.
 fn nodes() -> Vec<SocketAddr> {
-    (0..NODES).map(|_| Make { forget_runs: true, ..Make::default() }.start().addr).collect()
+    (0..NODES)
+        .map(|_| {
+            Make {
+                forget_runs: true,
+                ..Make::default()
+            }
+            .start()
+            .addr
+        })
+        .collect()
 }
 
 fn forwarder(nodes: &[SocketAddr]) -> SocketAddr {
-    let members: String =
-        nodes.iter().enumerate().map(|(k, a)| format!("member n{k} {{ address: \"{a}\" }}\n")).collect();
+    let members: String = nodes
+        .iter()
+        .enumerate()
+        .map(|(k, a)| format!("member n{k} {{ address: \"{a}\" }}\n"))
+        .collect();
     let text = format!(
         "rain 1
 type check {{ repeat: rerunnable; goal: 3 s; outer-limit: 7 s }}
@@ -46,7 +61,9 @@
 pool p {{ health: h\n{members} }}
 route r {{ to: p; attempts: any }}"
     );
-    let made = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
+    let made = load(&Memory::new([("a.rain", text)]), "a.rain")
+        .configuration
+        .unwrap();
     let (told, address) = channel();
     thread(move || async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -96,7 +113,8 @@
             std::thread::spawn(move || {
                 let mut stream = TcpStream::connect(to).unwrap();
                 stream.set_nodelay(true).unwrap();
-                let mut back = std::io::BufReader::with_capacity(64 << 10, stream.try_clone().unwrap());
+                let mut back =
+                    std::io::BufReader::with_capacity(64 << 10, stream.try_clone().unwrap());
                 let (mut seq, mut good, start) = (0, 0u64, Instant::now());
                 let mut batch = Vec::new();
                 for _ in 0..OPEN {
@@ -121,7 +139,11 @@
             })
         })
         .collect();
-    callers.into_iter().map(|one| one.join().unwrap()).sum::<u64>() as f64 / FOR.as_secs_f64()
+    callers
+        .into_iter()
+        .map(|one| one.join().unwrap())
+        .sum::<u64>() as f64
+        / FOR.as_secs_f64()
 }
 
 /// One call after another, 1 ms apart.
@@ -145,6 +167,11 @@
     for (name, to) in [("direct", nodes[0]), ("forwarder", forwarder)] {
         let all = times(to);
         let us = |quantile| all.value_at_quantile(quantile) as f64 / 1e3;
-        println!("{name}: p50 {:.0} us, p99 {:.0} us; {:.0} tickets a second", us(0.5), us(0.99), flood(to));
+        println!(
+            "{name}: p50 {:.0} us, p99 {:.0} us; {:.0} tickets a second",
+            us(0.5),
+            us(0.99),
+            flood(to)
+        );
     }
 }
--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -137,14 +137,33 @@
     let (fleet, now, mut out) = (hub.fleet.borrow(), hub.now(), String::new());
     for (at, pool) in fleet.table().configuration().pools.iter().enumerate() {
         for (member, seen) in pool.members.iter().zip(fleet.members(at as u16, now)) {
-            let Seen { address, open, limit, standing, near, leaving } = seen;
+            let Seen {
+                address,
+                open,
+                limit,
+                standing,
+                near,
+                leaving,
+            } = seen;
             let (why, back_in_ms) = match standing {
-                Standing::Out(reason, until) => (Some(reason.word()), Some(ms(until.saturating_sub(now)))),
+                Standing::Out(reason, until) => {
+                    (Some(reason.word()), Some(ms(until.saturating_sub(now))))
+                }
                 _ => (None, None),
             };
             let (pool, member, standing) = (&pool.name, &member.name, standing.word());
-            let line =
-                MemberLine { pool, member, address, standing, why, back_in_ms, open, limit, near, leaving };
+            let line = MemberLine {
+                pool,
+                member,
+                address,
+                standing,
+                why,
+                back_in_ms,
+                open,
+                limit,
+                near,
+                leaving,
+            };
             put(&mut out, &line);
         }
     }
@@ -156,7 +175,16 @@
     let (fleet, now, mut out) = (hub.fleet.borrow(), hub.now(), String::new());
     let c = fleet.table().configuration();
     for decision in fleet.decisions().all().rev().take(last) {
-        let Decision { at, traffic, tenant, route, pool, what, more, .. } = decision;
+        let Decision {
+            at,
+            traffic,
+            tenant,
+            route,
+            pool,
+            what,
+            more,
+            ..
+        } = decision;
         let pool = pool.map(|at| &c.pools[usize::from(at)]);
         let name = |member: u16| pool.map_or("", |pool| &pool.members[usize::from(member)].name);
         let mut line = DecisionLine {
@@ -172,11 +200,20 @@
             in_hand: None,
             turned: None,
             told_ms: None,
-            passed_over: decision.passed().map(|(member, why)| (name(member), why.word())).collect(),
+            passed_over: decision
+                .passed()
+                .map(|(member, why)| (name(member), why.word()))
+                .collect(),
             more_passed_over: *more,
         };
         match *what {
-            What::Went { member, how, of, in_hand, tried } => {
+            What::Went {
+                member,
+                how,
+                of,
+                in_hand,
+                tried,
+            } => {
                 (line.member, line.how) = (Some(name(member)), Some(how.word()));
                 (line.tried, line.of, line.in_hand) = (Some(tried), Some(of), Some(in_hand));
             }
@@ -253,7 +290,10 @@
 /// Status, kind of content and body for a path.
 fn told(hub: &Hub, path: &str) -> (&'static str, &'static str, String) {
     let (path, query) = path.split_once('?').unwrap_or((path, ""));
-    let last = query.strip_prefix("last=").and_then(|n| n.parse().ok()).unwrap_or(usize::MAX);
+    let last = query
+        .strip_prefix("last=")
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(usize::MAX);
     let json = "application/x-ndjson";
     match path {
         "/metrics" => {
@@ -263,7 +303,11 @@
         "/status" => ("200 OK", json, status(hub)),
         "/members" => ("200 OK", json, members(hub)),
         "/decisions" => ("200 OK", json, decisions(hub, last)),
-        "" => ("400 Bad Request", "text/plain", "only short GET requests are answered\n".into()),
+        "" => (
+            "400 Bad Request",
+            "text/plain",
+            "only short GET requests are answered\n".into(),
+        ),
         _ => (
             "404 Not Found",
             "text/plain",
--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -62,7 +62,10 @@
 impl Member {
     /// Whether any link stands but this one.
     fn others_stand(&self, but: &Rc<Link>) -> bool {
-        self.links.borrow().iter().any(|link| !Rc::ptr_eq(link, but) && link.stream.get().is_some())
+        self.links
+            .borrow()
+            .iter()
+            .any(|link| !Rc::ptr_eq(link, but) && link.stream.get().is_some())
     }
 
     /// A link stands: the first one may be to a new member.
@@ -77,7 +80,13 @@
     /// A link is gone, and out of the list; `by_us`: because we closed it.
     fn fell(&self, hub: &Hub, address: &str, by_us: bool) {
         let standing = |link: &&Rc<Link>| link.stream.get().is_some();
-        let oldest = self.links.borrow().iter().filter(standing).map(|link| link.opened.get()).min();
+        let oldest = self
+            .links
+            .borrow()
+            .iter()
+            .filter(standing)
+            .map(|link| link.opened.get())
+            .min();
         match (oldest, self.since.get()) {
             (Some(oldest), Some(since)) if by_us || oldest <= since => {}
             (oldest, since) if oldest != since => self.known_since(hub, address, oldest),
@@ -131,7 +140,8 @@
     /// Writes what the system takes without waiting.
     fn flush(&self, stream: &TcpStream) -> io::Result<()> {
         let done = flush(&self.out, stream);
-        self.left.set(self.put.get() - self.out.borrow().len() as u64);
+        self.left
+            .set(self.put.get() - self.out.borrow().len() as u64);
         done
     }
 
@@ -150,13 +160,22 @@
 
     /// Links there are to all members.
     pub fn links(&self) -> usize {
-        self.members.borrow().values().map(|member| member.links.borrow().len()).sum()
+        self.members
+            .borrow()
+            .values()
+            .map(|member| member.links.borrow().len())
+            .sum()
     }
 
     /// Bytes that wait to be written to members.
     pub fn unwritten(&self) -> usize {
         let of = |member: &Rc<Member>| -> usize {
-            member.links.borrow().iter().map(|link| link.out.borrow().len()).sum()
+            member
+                .links
+                .borrow()
+                .iter()
+                .map(|link| link.out.borrow().len())
+                .sum()
         };
         self.members.borrow().values().map(of).sum()
     }
@@ -176,15 +195,26 @@
 
     /// Forgets members without a link: those of versions that are gone.
     pub fn tidy(&self) {
-        self.members.borrow_mut().retain(|_, member| !member.links.borrow().is_empty());
+        self.members
+            .borrow_mut()
+            .retain(|_, member| !member.links.borrow().is_empty());
     }
 }
 
 /// Sends a try to a member; what came of it is told to the hub, also if it could not be sent.
 pub fn send(hub: &Rc<Hub>, address: &Rc<str>, call: Call) {
-    let member = hub.backs.members.borrow_mut().entry(address.clone()).or_default().clone();
+    let member = hub
+        .backs
+        .members
+        .borrow_mut()
+        .entry(address.clone())
+        .or_default()
+        .clone();
     let opening = |link: &&Rc<Link>| link.stream.get().is_none();
-    let away = member.away.get().is_some_and(|since| since.elapsed() < AWAY);
+    let away = member
+        .away
+        .get()
+        .is_some_and(|since| since.elapsed() < AWAY);
     let link = {
         let mut links = member.links.borrow_mut();
         let room = links.iter().filter(|link| link.takes_more());
@@ -200,8 +230,9 @@
                 None
             }
             None => {
-                let half =
-                    f64::from(hub.backs.chance.borrow_mut().generate::<u32>()) / f64::from(u32::MAX) / 2.0;
+                let half = f64::from(hub.backs.chance.borrow_mut().generate::<u32>())
+                    / f64::from(u32::MAX)
+                    / 2.0;
                 let link = Rc::new(Link {
                     stream: OnceCell::new(),
                     out: RefCell::default(),
@@ -217,7 +248,12 @@
                     wake: Notify::new(),
                 });
                 links.push(link.clone());
-                spawn_local(follow(hub.clone(), member.clone(), link.clone(), address.clone()));
+                spawn_local(follow(
+                    hub.clone(),
+                    member.clone(),
+                    link.clone(),
+                    address.clone(),
+                ));
                 Some(link)
             }
         }
@@ -233,7 +269,9 @@
     let seq = link.next.replace(link.next.get() + 1);
     let frame = {
         let tickets = hub.tickets.borrow();
-        let Some(ticket) = tickets.get(&call.number) else { return };
+        let Some(ticket) = tickets.get(&call.number) else {
+            return;
+        };
         if call.again {
             marked(seq, &ticket.args, call.tried)
         } else {
@@ -269,8 +307,10 @@
     // They were read before, and every field was text.
     let (fields, body) = thrift::process_args(args).unwrap_or_default();
     let fields = fields.unwrap_or_default();
-    let mut fields: Vec<(&str, &str)> =
-        fields.into_iter().filter_map(|(key, value)| Some((text(key)?, text(value)?))).collect();
+    let mut fields: Vec<(&str, &str)> = fields
+        .into_iter()
+        .filter_map(|(key, value)| Some((text(key)?, text(value)?)))
+        .collect();
     let place = fields.iter().position(|(key, _)| *key == "trace");
     let new = place.map(|at| trace(fields[at].1, tried));
     if let (Some(at), Some(new)) = (place, &new) {
@@ -296,14 +336,22 @@
 
 /// As [`leave`], for a caller that left: its try is at one of the members.
 pub fn leave_everywhere(hub: &Hub, attempt: u64) {
-    hub.backs.members.borrow().values().any(|member| leave_on(member, attempt).is_some());
+    hub.backs
+        .members
+        .borrow()
+        .values()
+        .any(|member| leave_on(member, attempt).is_some());
 }
 
 fn leave_on(member: &Member, attempt: u64) -> Option<Rc<Link>> {
     let links = member.links.borrow();
     for link in links.iter() {
-        let seq =
-            link.open.borrow().iter().find(|(_, (call, _))| call.attempt == attempt).map(|(seq, _)| *seq);
+        let seq = link
+            .open
+            .borrow()
+            .iter()
+            .find(|(_, (call, _))| call.attempt == attempt)
+            .map(|(seq, _)| *seq);
         if let Some(seq) = seq {
             // Nothing is owed on it any more: it takes no place, and an answer to it is late.
             link.open.borrow_mut().remove(&seq);
@@ -337,15 +385,27 @@
         _ => member.away.set(Some(Instant::now())),
     }
     link.retired.set(true);
-    member.links.borrow_mut().retain(|one| !Rc::ptr_eq(one, &link));
+    member
+        .links
+        .borrow_mut()
+        .retain(|one| !Rc::ptr_eq(one, &link));
     member.fell(&hub, &address, link.by_us.get());
-    let mut open: Vec<(Call, u64)> = link.open.borrow_mut().drain().map(|(_, call)| call).collect();
+    let mut open: Vec<(Call, u64)> = link
+        .open
+        .borrow_mut()
+        .drain()
+        .map(|(_, call)| call)
+        .collect();
     // In the order in which they were sent, whatever the map's.
     open.sort_by_key(|(_, until)| *until);
     let left = link.left.get();
     for (call, until) in open {
         // What did not leave whole cannot have been read whole.
-        let ran = if until <= left { Back::Broken } else { Back::Unreachable };
+        let ran = if until <= left {
+            Back::Broken
+        } else {
+            Back::Unreachable
+        };
         if ran == Back::Unreachable && link.stream.get().is_some() {
             count(&hub.counts.unsent);
         }
@@ -355,7 +415,9 @@
 
 /// Reads what comes back until the link ends; whether that was its proper end.
 async fn serve(hub: &Rc<Hub>, member: &Member, link: &Rc<Link>, address: &str) -> bool {
-    let Some(stream) = link.stream.get() else { return false };
+    let Some(stream) = link.stream.get() else {
+        return false;
+    };
     let mut back = Ring::default();
     loop {
         if link.flush(stream).is_err() {
@@ -365,7 +427,9 @@
             return false;
         }
         let idle = link.open.borrow().is_empty();
-        if idle && (link.retired.get() || (Instant::now() >= link.old_at && member.others_stand(link))) {
+        if idle
+            && (link.retired.get() || (Instant::now() >= link.old_at && member.others_stand(link)))
+        {
             link.by_us.set(true);
             return true;
         }
@@ -422,12 +486,25 @@
     let taken = match answered.what {
         What::Answer { body, .. } => hub.honoured(call.number, call.attempt, body),
         What::Backoff(texts) => {
-            let text = |key: &[u8]| texts.iter().find(|(name, _)| *name == key).map(|(_, value)| *value);
-            let ms = text(b"pause").and_then(|ms| std::str::from_utf8(ms).ok()?.parse::<u64>().ok());
+            let text = |key: &[u8]| {
+                texts
+                    .iter()
+                    .find(|(name, _)| *name == key)
+                    .map(|(_, value)| *value)
+            };
+            let ms =
+                text(b"pause").and_then(|ms| std::str::from_utf8(ms).ok()?.parse::<u64>().ok());
             // More than a minute is no honest time to come back.
             let pause = Duration::from_millis(ms.unwrap_or(0).min(60_000));
             let nowhere_else = text(b"terminal") == Some(b"1");
-            hub.came(call.number, call.attempt, Back::Dismissed { pause, nowhere_else })
+            hub.came(
+                call.number,
+                call.attempt,
+                Back::Dismissed {
+                    pause,
+                    nowhere_else,
+                },
+            )
         }
         What::Lost | What::Exception { .. } => hub.came(call.number, call.attempt, Back::Failed),
     };
--- a/crates/forwarder/src/front.rs
+++ b/crates/forwarder/src/front.rs
@@ -88,7 +88,9 @@
         let accepted = if deaf {
             // The runtime lets a task take so many in one go.
             tokio::task::yield_now().await;
-            let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await else { return };
+            let Ok(accepted) = timeout(Duration::ZERO, listener.accept()).await else {
+                return;
+            };
             errors = if accepted.is_err() { errors + 1 } else { 0 };
             accepted
         } else {
@@ -247,7 +249,10 @@
             }
             conn.used.set(true);
             if conn.open.borrow().len() >= TOGETHER {
-                except(thrift::INTERNAL_ERROR, "too many open tickets on this connection");
+                except(
+                    thrift::INTERNAL_ERROR,
+                    "too many open tickets on this connection",
+                );
                 return Ok(());
             }
             if let Err(why) = hub.arrived(conn, seq, message.args) {
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -165,7 +165,8 @@
     /// # Errors
     /// As [`Hub::new`].
     pub fn of(configuration: Configuration, zone: &str, seed: u64) -> Result<Rc<Self>, String> {
-        let fleet = Fleet::of(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
+        let fleet =
+            Fleet::of(configuration, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
         let metrics = Metrics::default();
         metrics.version(&fleet);
         Ok(Rc::new(Self {
@@ -238,7 +239,12 @@
     ///
     /// # Errors
     /// In words for the caller.
-    pub fn arrived(self: &Rc<Self>, conn: &Rc<Conn>, seq: i32, args: &[u8]) -> Result<(), &'static str> {
+    pub fn arrived(
+        self: &Rc<Self>,
+        conn: &Rc<Conn>,
+        seq: i32,
+        args: &[u8],
+    ) -> Result<(), &'static str> {
         let (fields, body) = thrift::process_args(args)?;
         let (fields, body) = (fields.unwrap_or_default(), body.unwrap_or_default());
         if self.leaving.get() || self.tickets.borrow().len() >= MOST_TICKETS {
@@ -248,12 +254,19 @@
         }
         let step = {
             let field = |key: &str| {
-                let value = fields.iter().find(|(name, _)| *name == key.as_bytes()).map(|(_, value)| *value);
-                value.map(std::str::from_utf8).transpose().map_err(|_| "a field is no text")
+                let value = fields
+                    .iter()
+                    .find(|(name, _)| *name == key.as_bytes())
+                    .map(|(_, value)| *value);
+                value
+                    .map(std::str::from_utf8)
+                    .transpose()
+                    .map_err(|_| "a field is no text")
             };
             let mut fleet = self.fleet.borrow_mut();
-            let traffic =
-                field("route")?.and_then(|name| fleet.table().traffic(name)).ok_or("route: not known")?;
+            let traffic = field("route")?
+                .and_then(|name| fleet.table().traffic(name))
+                .ok_or("route: not known")?;
             let customer = field("customer")?.unwrap_or("");
             let tenant = fleet.table().tenant(customer);
             let ticket = Ticket {
@@ -267,7 +280,14 @@
             fleet.arrived(self.now(), &ticket)
         };
         let number = self.number();
-        let ticket = InHand { conn: conn.clone(), seq, args: args.into(), trip: None, attempt: 0, at: None };
+        let ticket = InHand {
+            conn: conn.clone(),
+            seq,
+            args: args.into(),
+            trip: None,
+            attempt: 0,
+            at: None,
+        };
         self.tickets.borrow_mut().insert(number, ticket);
         conn.open.borrow_mut().insert(seq, number);
         self.follow(number, step);
@@ -287,10 +307,20 @@
                     ticket.trip = Some(trip);
                     ticket.attempt = attempt;
                     let (address, since) = (address.clone(), self.now());
-                    ticket.at = Some(Out { at: send.to, version, address, since });
+                    ticket.at = Some(Out {
+                        at: send.to,
+                        version,
+                        address,
+                        since,
+                    });
                 }
                 self.ring_after(send.cut, number, attempt);
-                let call = Call { number, attempt, again: send.again, tried: send.tried };
+                let call = Call {
+                    number,
+                    attempt,
+                    again: send.again,
+                    tried: send.tried,
+                };
                 back::send(self, &address, call);
             }
             Step::Wait(trip, wait) => {
@@ -307,9 +337,10 @@
                 self.over(number, |ticket| match over.end {
                     // The member's own answer went out before.
                     End::Honoured | End::Nobody => None,
-                    End::Dismissed { after, nowhere_else } => {
-                        Some(dismissal(ticket.seq, after, nowhere_else))
-                    }
+                    End::Dismissed {
+                        after,
+                        nowhere_else,
+                    } => Some(dismissal(ticket.seq, after, nowhere_else)),
                     End::GivenUp => Some(thrift::lost(ticket.seq)),
                 });
             }
@@ -325,7 +356,9 @@
         if bells.len() > 1_024 + 4 * self.tickets.borrow().len() {
             let tickets = self.tickets.borrow();
             bells.retain(|Reverse((_, number, attempt))| {
-                tickets.get(number).is_some_and(|ticket| ticket.attempt == *attempt)
+                tickets
+                    .get(number)
+                    .is_some_and(|ticket| ticket.attempt == *attempt)
             });
         }
         bells.push(Reverse((due, number, attempt)));
@@ -357,23 +390,35 @@
     /// The trip of a ticket, if it is still at this try; whoever has it decides what is next.
     fn claim(&self, number: u64, attempt: u64) -> Option<Trip> {
         let mut tickets = self.tickets.borrow_mut();
-        let ticket = tickets.get_mut(&number).filter(|ticket| ticket.attempt == attempt)?;
+        let ticket = tickets
+            .get_mut(&number)
+            .filter(|ticket| ticket.attempt == attempt)?;
         ticket.trip.take()
     }
 
     /// A try came back: to the counters, and to the decisions.
     fn tell(&self, number: u64, trip: Trip, back: Back) -> Step {
         let now = self.now();
-        let out = self.tickets.borrow().get(&number).and_then(|ticket| ticket.at.clone());
-        if let Some(Out { at, version, since, .. }) = out {
-            self.metrics.tried(at, version, back, now.saturating_sub(since));
+        let out = self
+            .tickets
+            .borrow()
+            .get(&number)
+            .and_then(|ticket| ticket.at.clone());
+        if let Some(Out {
+            at, version, since, ..
+        }) = out
+        {
+            self.metrics
+                .tried(at, version, back, now.saturating_sub(since));
         }
         self.fleet.borrow_mut().came(now, trip, back)
     }
 
     /// What came of a try; false if the ticket is past it.
     pub fn came(self: &Rc<Self>, number: u64, attempt: u64, back: Back) -> bool {
-        let Some(trip) = self.claim(number, attempt) else { return false };
+        let Some(trip) = self.claim(number, attempt) else {
+            return false;
+        };
         let step = self.tell(number, trip, back);
         self.follow(number, step);
         true
@@ -381,9 +426,13 @@
 
     /// A member honoured a try: its answer goes on unchanged, under the caller's number.
     pub fn honoured(self: &Rc<Self>, number: u64, attempt: u64, body: &[u8]) -> bool {
-        let Some(trip) = self.claim(number, attempt) else { return false };
+        let Some(trip) = self.claim(number, attempt) else {
+            return false;
+        };
         if let Some(ticket) = self.tickets.borrow().get(&number) {
-            ticket.conn.send(&thrift::answer(b"process", ticket.seq, body, true));
+            ticket
+                .conn
+                .send(&thrift::answer(b"process", ticket.seq, body, true));
         }
         let step = self.tell(number, trip, Back::Honoured);
         self.follow(number, step);
@@ -391,7 +440,9 @@
     }
 
     fn over(&self, number: u64, answer: impl FnOnce(&InHand) -> Option<Vec<u8>>) {
-        let Some(ticket) = self.tickets.borrow_mut().remove(&number) else { return };
+        let Some(ticket) = self.tickets.borrow_mut().remove(&number) else {
+            return;
+        };
         ticket.conn.open.borrow_mut().remove(&ticket.seq);
         if let Some(frame) = answer(&ticket) {
             ticket.conn.send(&frame);
@@ -400,7 +451,14 @@
 
     /// A caller gave a ticket up, or its connection ended.
     pub fn left(self: &Rc<Self>, number: u64) {
-        let Some(attempt) = self.tickets.borrow().get(&number).map(|ticket| ticket.attempt) else { return };
+        let Some(attempt) = self
+            .tickets
+            .borrow()
+            .get(&number)
+            .map(|ticket| ticket.attempt)
+        else {
+            return;
+        };
         if self.came(number, attempt, Back::CallerLeft) {
             back::leave_everywhere(self, attempt);
         }
@@ -504,7 +562,10 @@
     leave.await;
     hub.leaving.set(true);
     hub.deaf.notify_one();
-    hub.conns.borrow().values().for_each(|conn| conn.send(&thrift::shutdown()));
+    hub.conns
+        .borrow()
+        .values()
+        .for_each(|conn| conn.send(&thrift::shutdown()));
     let by = Instant::now() + stop;
     // Everything read is answered; callers close what they were told to leave.
     while !hub.tickets.borrow().is_empty() && Instant::now() < by {
--- a/crates/forwarder/src/published.rs
+++ b/crates/forwarder/src/published.rs
@@ -33,7 +33,10 @@
             Ok(Kind::Route) => Of::Route,
             Ok(Kind::Member) => {
                 pools.insert(&*named.pool);
-                members.entry(&named.pool).or_default().insert(&named.name, None);
+                members
+                    .entry(&named.pool)
+                    .or_default()
+                    .insert(&named.name, None);
                 continue;
             }
             _ => continue,
@@ -64,7 +67,10 @@
             }
             Item::Member { .. } => {
                 pools.insert(&*thing.pool);
-                members.entry(&thing.pool).or_default().insert(&thing.name, Some(thing));
+                members
+                    .entry(&thing.pool)
+                    .or_default()
+                    .insert(&thing.name, Some(thing));
                 continue;
             }
             Item::Route(one) => {
@@ -77,10 +83,18 @@
     for name in pools {
         let bare = match put_pools.remove(name) {
             Some(pool) => Some(pool),
-            None if delta.removals.iter().any(|one| one.kind == Kind::Pool as i32 && one.name == name) => {
+            None if delta
+                .removals
+                .iter()
+                .any(|one| one.kind == Kind::Pool as i32 && one.name == name) =>
+            {
                 None
             }
-            None => match state.get(&Key { kind: Kind::Pool, pool: "".into(), name: name.into() }) {
+            None => match state.get(&Key {
+                kind: Kind::Pool,
+                pool: "".into(),
+                name: name.into(),
+            }) {
                 Some(thing) => match thing.item()? {
                     Item::Pool(pool) => Some(pool),
                     _ => None,
@@ -90,7 +104,8 @@
         };
         let Some(mut pool) = bare else { continue };
         let there: Vec<Thing> = state.members(name).collect();
-        let mut then: BTreeMap<&str, &Thing> = there.iter().map(|thing| (&*thing.name, thing)).collect();
+        let mut then: BTreeMap<&str, &Thing> =
+            there.iter().map(|thing| (&*thing.name, thing)).collect();
         for (member, thing) in members.remove(name).unwrap_or_default() {
             match thing {
                 Some(thing) => then.insert(member, thing),
@@ -107,15 +122,30 @@
     }
     if !routes.is_empty() {
         let route = Kind::Route as i32;
-        let mut named: BTreeSet<&str> =
-            delta.removals.iter().filter(|one| one.kind == route).map(|one| &*one.name).collect();
-        named.extend(delta.puts.iter().filter(|one| one.kind == route).map(|one| &*one.name));
-        let mut order: BTreeMap<u64, &str> =
-            state.routes().filter(|(_, name)| !named.contains(name)).collect();
+        let mut named: BTreeSet<&str> = delta
+            .removals
+            .iter()
+            .filter(|one| one.kind == route)
+            .map(|one| &*one.name)
+            .collect();
+        named.extend(
+            delta
+                .puts
+                .iter()
+                .filter(|one| one.kind == route)
+                .map(|one| &*one.name),
+        );
+        let mut order: BTreeMap<u64, &str> = state
+            .routes()
+            .filter(|(_, name)| !named.contains(name))
+            .collect();
         order.extend(routes.iter().map(|(rank, route)| (*rank, &*route.name)));
         // In order of rank: those in front come first.
         for (rank, route) in &routes {
-            let next = order.range(rank + 1..).next().map(|(_, name)| (*name).to_owned());
+            let next = order
+                .range(rank + 1..)
+                .next()
+                .map(|(_, name)| (*name).to_owned());
             all.push(Change::Route(route.clone(), next));
         }
     }
--- a/crates/forwarder/src/room.rs
+++ b/crates/forwarder/src/room.rs
@@ -44,7 +44,9 @@
 
 /// Whether this failed for want of descriptors.
 pub fn none_left(error: &io::Error) -> bool {
-    error.raw_os_error().is_some_and(|code| NONE_LEFT.contains(&code))
+    error
+        .raw_os_error()
+        .is_some_and(|code| NONE_LEFT.contains(&code))
 }
 
 /// Connections in front by their numbers, in the order in which they are asked to go.
@@ -58,7 +60,9 @@
 
 impl Default for Room {
     fn default() -> Self {
-        let given = getrlimit(Resource::Nofile).current.and_then(|n| usize::try_from(n).ok());
+        let given = getrlimit(Resource::Nofile)
+            .current
+            .and_then(|n| usize::try_from(n).ok());
         Self {
             descriptors: given.unwrap_or(usize::MAX),
             strangers: RefCell::default(),
@@ -105,8 +109,12 @@
     // Who has asked is a stranger no more; who is fresh, and all behind it, are left for when nobody else rests.
     let mut fresh = None;
     for _ in 0..strangers.len().min(LOOKS) {
-        let Some(number) = strangers.pop_front() else { break };
-        let Some(conn) = conns.get(&number) else { continue };
+        let Some(number) = strangers.pop_front() else {
+            break;
+        };
+        let Some(conn) = conns.get(&number) else {
+            continue;
+        };
         if conn.used() {
             others.push_back(number);
         } else if conn.came.elapsed() < FRESH {
@@ -122,8 +130,12 @@
         }
     }
     for _ in 0..(2 * others.len()).min(LOOKS) {
-        let Some(number) = others.pop_front() else { break };
-        let Some(conn) = conns.get(&number) else { continue };
+        let Some(number) = others.pop_front() else {
+            break;
+        };
+        let Some(conn) = conns.get(&number) else {
+            continue;
+        };
         others.push_back(number);
         if conn.rests() && !conn.asked.take() {
             return told(conn);
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -21,7 +21,10 @@
 /// What tries may come to, in the order of the handles.
 const BACKS: [Back; 7] = [
     Back::Honoured,
-    Back::Dismissed { pause: Duration::ZERO, nowhere_else: false },
+    Back::Dismissed {
+        pause: Duration::ZERO,
+        nowhere_else: false,
+    },
     Back::Failed,
     Back::Unreachable,
     Back::Broken,
@@ -104,38 +107,89 @@
 
 /// Name, words, and where it is read.
 const TOTALS: [(&str, &str, Total); 19] = [
-    ("tickets_in_hand", "Tickets without an answer yet", |hub| hub.tickets.borrow().len() as u64),
-    ("connections", "Connections of dispatchers", |hub| hub.conns.borrow().len() as u64),
-    ("links", "Connections to members", |hub| hub.backs.links() as u64),
-    ("accepted", "Connections taken since the start", |hub| hub.counts.accepted.get()),
-    ("refused_connections", "Connections past the bound", |hub| hub.counts.refused_connections.get()),
-    ("exceptions", "Messages that were answered with an exception", |hub| hub.counts.exceptions.get()),
-    ("full", "Dismissed while leaving, or past the bound of tickets", |hub| hub.counts.full.get()),
-    ("broken_links", "Connections to members that broke", |hub| hub.counts.broken_links.get()),
-    ("late_answers", "Answers to tries that were over, dropped", |hub| hub.counts.late_answers.get()),
-    ("unreadable", "Words of members that are no answer", |hub| hub.counts.unreadable.get()),
-    ("unsent", "Tries that had not left when their link broke", |hub| hub.counts.unsent.get()),
-    ("limit_buckets", "Counters of limits that are in use", |hub| {
-        hub.fleet.borrow().router().buckets().0 as u64
+    ("tickets_in_hand", "Tickets without an answer yet", |hub| {
+        hub.tickets.borrow().len() as u64
     }),
-    ("no_bucket", "Dismissed since all counters of limits were in use", |hub| {
-        hub.fleet.borrow().router().counts().no_bucket
+    ("connections", "Connections of dispatchers", |hub| {
+        hub.conns.borrow().len() as u64
     }),
-    ("version", "Number of the present configuration", |hub| hub.fleet.borrow().version()),
-    ("control_version", "The published version in force; 0: none", |hub| control(hub, |told| told.version)),
-    ("control_age_ms", "Since the version in force was last known to be the newest", |hub| {
-        control(hub, |told| told.age_ms)
+    ("links", "Connections to members", |hub| {
+        hub.backs.links() as u64
     }),
-    ("control_attached", "1 while a control machine tells the versions", |hub| {
-        control(hub, |told| u64::from(told.machine.is_some()))
+    ("accepted", "Connections taken since the start", |hub| {
+        hub.counts.accepted.get()
+    }),
+    ("refused_connections", "Connections past the bound", |hub| {
+        hub.counts.refused_connections.get()
+    }),
+    (
+        "exceptions",
+        "Messages that were answered with an exception",
+        |hub| hub.counts.exceptions.get(),
+    ),
+    (
+        "full",
+        "Dismissed while leaving, or past the bound of tickets",
+        |hub| hub.counts.full.get(),
+    ),
+    ("broken_links", "Connections to members that broke", |hub| {
+        hub.counts.broken_links.get()
+    }),
+    (
+        "late_answers",
+        "Answers to tries that were over, dropped",
+        |hub| hub.counts.late_answers.get(),
+    ),
+    ("unreadable", "Words of members that are no answer", |hub| {
+        hub.counts.unreadable.get()
+    }),
+    (
+        "unsent",
+        "Tries that had not left when their link broke",
+        |hub| hub.counts.unsent.get(),
+    ),
+    (
+        "limit_buckets",
+        "Counters of limits that are in use",
+        |hub| hub.fleet.borrow().router().buckets().0 as u64,
+    ),
+    (
+        "no_bucket",
+        "Dismissed since all counters of limits were in use",
+        |hub| hub.fleet.borrow().router().counts().no_bucket,
+    ),
+    ("version", "Number of the present configuration", |hub| {
+        hub.fleet.borrow().version()
+    }),
+    (
+        "control_version",
+        "The published version in force; 0: none",
+        |hub| control(hub, |told| told.version),
+    ),
+    (
+        "control_age_ms",
+        "Since the version in force was last known to be the newest",
+        |hub| control(hub, |told| told.age_ms),
+    ),
+    (
+        "control_attached",
+        "1 while a control machine tells the versions",
+        |hub| control(hub, |told| u64::from(told.machine.is_some())),
+    ),
+    ("control_lost", "Attachments that ended", |hub| {
+        control(hub, |told| told.lost)
+    }),
+    ("control_refused", "Versions refused here", |hub| {
+        control(hub, |told| told.refusals)
     }),
-    ("control_lost", "Attachments that ended", |hub| control(hub, |told| told.lost)),
-    ("control_refused", "Versions refused here", |hub| control(hub, |told| told.refusals)),
 ];
 
 /// What control machines told; 0 where there are none.
 fn control(hub: &Hub, what: fn(&ControlLine) -> u64) -> u64 {
-    hub.control.borrow().as_ref().map_or(0, |control| what(&control()))
+    hub.control
+        .borrow()
+        .as_ref()
+        .map_or(0, |control| what(&control()))
 }
 
 impl Default for Metrics {
@@ -162,22 +216,38 @@
             known: RefCell::default(),
             known_routes: RefCell::default(),
         };
-        registry.register("tries", "Tries by member and what came of them", metrics.tries.clone());
+        registry.register(
+            "tries",
+            "Tries by member and what came of them",
+            metrics.tries.clone(),
+        );
         registry.register_with_unit(
             "try",
             "Time of tries that were honoured",
             Unit::Seconds,
             metrics.try_seconds.clone(),
         );
-        registry.register("tickets", "Tickets by route, pool, end and reason", metrics.tickets.clone());
+        registry.register(
+            "tickets",
+            "Tickets by route, pool, end and reason",
+            metrics.tickets.clone(),
+        );
         registry.register_with_unit(
             "ticket",
             "Time from arrival to the answer",
             Unit::Seconds,
             metrics.ticket_seconds.clone(),
         );
-        registry.register("member_open", "Tries that are at a member", metrics.open.clone());
-        registry.register("member_limit", "Tries that may be at a member, as learned", metrics.limit.clone());
+        registry.register(
+            "member_open",
+            "Tries that are at a member",
+            metrics.open.clone(),
+        );
+        registry.register(
+            "member_limit",
+            "Tries that may be at a member, as learned",
+            metrics.limit.clone(),
+        );
         registry.register(
             "member_out",
             "1 for a member that is left out, 2 for one that comes back by a trickle",
@@ -192,7 +262,10 @@
     /// A version of other places is the present one.
     pub fn version(&self, fleet: &Fleet) {
         let c = fleet.table().configuration();
-        let mut handles = Handles { since: fleet.places_since(), ..Handles::default() };
+        let mut handles = Handles {
+            since: fleet.places_since(),
+            ..Handles::default()
+        };
         let mut now = HashSet::default();
         let mut routes = self.known_routes.borrow_mut();
         if !routes.is_empty() {
@@ -208,13 +281,23 @@
             let mut members = Vec::new();
             for member in &pool.members {
                 let (pool, member) = (pool.name.clone(), member.name.clone());
-                let labels = MemberLabels { pool: pool.clone(), member: member.clone() };
+                let labels = MemberLabels {
+                    pool: pool.clone(),
+                    member: member.clone(),
+                };
                 let counter = |back: Back| {
-                    let labels = TryLabels { pool: pool.clone(), member: member.clone(), came: back.word() };
+                    let labels = TryLabels {
+                        pool: pool.clone(),
+                        member: member.clone(),
+                        came: back.word(),
+                    };
                     self.tries.get_or_create(&labels).clone()
                 };
                 let seconds = self.try_seconds.get_or_create(&labels).clone();
-                members.push(MemberHandles { came: BACKS.map(counter), seconds });
+                members.push(MemberHandles {
+                    came: BACKS.map(counter),
+                    seconds,
+                });
                 now.insert(labels);
             }
             handles.members.push(members);
@@ -222,7 +305,11 @@
         for gone in self.known.borrow().difference(&now) {
             for back in BACKS {
                 let (pool, member) = (gone.pool.clone(), gone.member.clone());
-                self.tries.remove(&TryLabels { pool, member, came: back.word() });
+                self.tries.remove(&TryLabels {
+                    pool,
+                    member,
+                    came: back.word(),
+                });
             }
             self.try_seconds.remove(gone);
             self.open.remove(gone);
@@ -240,9 +327,14 @@
         if version < handles.since {
             return;
         }
-        let found = handles.members.get(usize::from(at.pool)).and_then(|all| all.get(usize::from(at.member)));
+        let found = handles
+            .members
+            .get(usize::from(at.pool))
+            .and_then(|all| all.get(usize::from(at.member)));
         let Some(member) = found else { return };
-        let place = BACKS.iter().position(|one| std::mem::discriminant(one) == std::mem::discriminant(&back));
+        let place = BACKS
+            .iter()
+            .position(|one| std::mem::discriminant(one) == std::mem::discriminant(&back));
         if let Some(place) = place {
             member.came[place].inc();
         }
@@ -255,11 +347,17 @@
     pub fn ticket(&self, over: &Over, fleet: &Fleet) {
         let mut handles = self.handles.borrow_mut();
         let same = over.version >= handles.since;
-        let key = if same { (over.route, over.pool) } else { (Some(u16::MAX), Some(u16::MAX)) };
+        let key = if same {
+            (over.route, over.pool)
+        } else {
+            (Some(u16::MAX), Some(u16::MAX))
+        };
         let table = fleet.table();
         if let Some(at) = over.route.filter(|_| same) {
             let seconds = handles.routes.entry(at).or_insert_with(|| {
-                let labels = RouteLabels { route: table.route_name(at).to_owned() };
+                let labels = RouteLabels {
+                    route: table.route_name(at).to_owned(),
+                };
                 let made = self.ticket_seconds.get_or_create(&labels).clone();
                 self.known_routes.borrow_mut().insert(labels);
                 made
@@ -296,7 +394,10 @@
         let c = fleet.table().configuration();
         for (pool, of) in c.pools.iter().enumerate() {
             for (member, seen) in of.members.iter().zip(fleet.members(pool as u16, now)) {
-                let labels = MemberLabels { pool: of.name.clone(), member: member.name.clone() };
+                let labels = MemberLabels {
+                    pool: of.name.clone(),
+                    member: member.name.clone(),
+                };
                 self.open.get_or_create(&labels).set(i64::from(seen.open));
                 self.limit.get_or_create(&labels).set(i64::from(seen.limit));
                 let out = match seen.standing {
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -45,7 +45,9 @@
 route r {{ to: p; attempts: any }}"
     );
     let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
 }
 
 struct World {
@@ -57,17 +59,33 @@
 
 async fn forwarder(configuration: &Configuration) -> World {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (addr, hub) = (listener.local_addr().unwrap(), Hub::new(configuration, "", 3).unwrap());
+    let (addr, hub) = (
+        listener.local_addr().unwrap(),
+        Hub::new(configuration, "", 3).unwrap(),
+    );
     let leave = Rc::new(Notify::new());
     let left = leave.clone();
-    let done =
-        spawn_local(run(hub.clone(), listener, Duration::from_secs(5), async move { left.notified().await }));
-    World { hub, addr, leave, done }
+    let done = spawn_local(run(
+        hub.clone(),
+        listener,
+        Duration::from_secs(5),
+        async move { left.notified().await },
+    ));
+    World {
+        hub,
+        addr,
+        leave,
+        done,
+    }
 }
 
 fn play<T: Future<Output = ()>>(test: T) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let done =
+        LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
     done.expect("a test that ends");
 }
 
@@ -75,14 +93,29 @@
 fn nodes(watch: &Watch, scripts: &[&str]) -> Vec<Node> {
     let made = |(k, text): (usize, &&str)| {
         let script = Script::read(text).unwrap();
-        Make { script, watch: Some((watch.clone(), k as u32)), seed: k as u64, ..Make::default() }.start()
+        Make {
+            script,
+            watch: Some((watch.clone(), k as u32)),
+            seed: k as u64,
+            ..Make::default()
+        }
+        .start()
     };
     scripts.iter().enumerate().map(made).collect()
 }
 
 fn asks<'a>(route: &'a str, body: &'a str) -> Ask<'a> {
-    let kind = if route == "register" { Kind::Exclusive } else { Kind::Rerunnable };
-    Ask { route, body: body.as_bytes(), kind, ..Ask::default() }
+    let kind = if route == "register" {
+        Kind::Exclusive
+    } else {
+        Kind::Rerunnable
+    };
+    Ask {
+        route,
+        body: body.as_bytes(),
+        kind,
+        ..Ask::default()
+    }
 }
 
 fn honoured(body: &str) -> Told {
@@ -90,7 +123,10 @@
 }
 
 fn dismissed(ms: u64, nowhere_else: bool) -> Told {
-    Told::Dismissed { pause: Duration::from_millis(ms), nowhere_else }
+    Told::Dismissed {
+        pause: Duration::from_millis(ms),
+        nowhere_else,
+    }
 }
 
 async fn until(what: impl Fn() -> bool) {
@@ -114,11 +150,18 @@
         }
         for node in &nodes {
             let notes = node.notes();
-            assert!((60..150).contains(&notes.runs.len()), "{}", notes.runs.len());
+            assert!(
+                (60..150).contains(&notes.runs.len()),
+                "{}",
+                notes.runs.len()
+            );
             assert!(notes.runs.values().all(|runs| *runs == 1));
         }
         // What was said twice is dropped and counted.
-        assert_eq!(w.hub.counts.late_answers.get() as usize, nodes[1].notes().runs.len());
+        assert_eq!(
+            w.hub.counts.late_answers.get() as usize,
+            nodes[1].notes().runs.len()
+        );
         let seq = caller.ask(&asks("nothing", "x")).await.unwrap();
         assert!(matches!(caller.next().await.unwrap(), (n, Told::Exception(_)) if n == seq));
         assert_eq!(watch.over().unwrap().honoured, 300);
@@ -128,7 +171,11 @@
 #[test]
 fn what_may_have_run_is_repeated_only_where_its_type_allows_it() {
     play(async {
-        for (route, script) in [("check", "reset"), ("register", "reset"), ("register", "fail")] {
+        for (route, script) in [
+            ("check", "reset"),
+            ("register", "reset"),
+            ("register", "fail"),
+        ] {
             let watch = Watch::default();
             let nodes = nodes(&watch, &[script, "honour"]);
             let (bad, good) = (&nodes[0], &nodes[1]);
@@ -168,7 +215,11 @@
 #[test]
 fn nobody_there_is_said_at_once_with_a_time_to_come_back() {
     play(async {
-        let gone = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let gone = TcpListener::bind("127.0.0.1:0")
+            .await
+            .unwrap()
+            .local_addr()
+            .unwrap();
         let full = node("dismiss pause 300ms nowhere-else");
         // Spread over half as much again, or passed on as the member said it.
         for (addr, most, nowhere) in [(gone, 750, false), (full.addr, 300, true)] {
@@ -176,9 +227,18 @@
             let mut caller = Caller::new(w.addr).await.unwrap();
             let seq = caller.ask(&asks("register", "one")).await.unwrap();
             let (told, what) = caller.next().await.unwrap();
-            let Told::Dismissed { pause, nowhere_else } = what else { panic!("{what:?}") };
+            let Told::Dismissed {
+                pause,
+                nowhere_else,
+            } = what
+            else {
+                panic!("{what:?}")
+            };
             assert_eq!((told, nowhere_else), (seq, nowhere));
-            assert!((most * 2 / 3..=most).contains(&(pause.as_millis() as u64)), "{pause:?}");
+            assert!(
+                (most * 2 / 3..=most).contains(&(pause.as_millis() as u64)),
+                "{pause:?}"
+            );
         }
         assert_eq!(full.all_runs(), 0);
     });
@@ -209,7 +269,12 @@
         caller.give_up(seq).await.unwrap();
         until(|| holds.notes().given_up > 0).await;
         assert!(w.hub.tickets.borrow().is_empty());
-        assert!(w.hub.fleet.borrow().members(0, Duration::ZERO).all(|member| member.open == 0));
+        assert!(w
+            .hub
+            .fleet
+            .borrow()
+            .members(0, Duration::ZERO)
+            .all(|member| member.open == 0));
         // Its late answer goes nowhere.
         holds.release();
         until(|| w.hub.counts.late_answers.get() > 0).await;
@@ -228,7 +293,10 @@
         w.leave.notify_one();
         until(|| w.hub.leaving.get()).await;
         let second = caller.ask(&asks("register", "two")).await.unwrap();
-        assert_eq!(caller.next().await.unwrap(), (second, dismissed(200, false)));
+        assert_eq!(
+            caller.next().await.unwrap(),
+            (second, dismissed(200, false))
+        );
         assert!(caller.told_to_leave);
         nodes[0].release();
         assert_eq!(caller.next().await.unwrap(), (first, honoured("one")));
@@ -255,7 +323,10 @@
         assert_eq!(caller.next().await.unwrap(), (first, honoured("one")));
         // What came back from the old member is not the new one's, though it has its place and name.
         let metrics = w.hub.metrics.text(&w.hub);
-        assert!(metrics.contains(r#"tries_total{pool="p",member="n0",came="honoured"} 1"#), "{metrics}");
+        assert!(
+            metrics.contains(r#"tries_total{pool="p",member="n0",came="honoured"} 1"#),
+            "{metrics}"
+        );
         let mut bad = configuration(&[&new], "10 s");
         bad.routes[0].to[0].pool = "gone".into();
         assert!(w.hub.take(&bad).unwrap_err().contains("no pool `gone`"));
@@ -287,7 +358,11 @@
                         let mut caller = Caller::new(addr).await.unwrap().watched(&watch, first);
                         for n in 0..60u64 {
                             let body = format!("{k} {round} {n}");
-                            let route = if (n + k).is_multiple_of(3) { "register" } else { "check" };
+                            let route = if (n + k).is_multiple_of(3) {
+                                "register"
+                            } else {
+                                "check"
+                            };
                             let seq = caller.ask(&asks(route, &body)).await.unwrap();
                             if n % 17 == 3 {
                                 caller.give_up(seq).await.unwrap();
@@ -311,11 +386,19 @@
         until(|| w.hub.tickets.borrow().is_empty()).await;
         let counts = w.hub.fleet.borrow().counts();
         let now = watch.now();
-        watch.rules().budget(now, counts.first_tries, counts.further_tries, 0.5, 10).unwrap();
+        watch
+            .rules()
+            .budget(now, counts.first_tries, counts.further_tries, 0.5, 10)
+            .unwrap();
         let tally = watch.over().unwrap_or_else(|broken| panic!("{broken}"));
         // How many of each depends on the machine; that all were asked and some honoured does not.
         assert!(tally.asked == 1_080 && tally.honoured > 100, "{tally:?}");
-        assert!(w.hub.fleet.borrow().members(0, Duration::ZERO).all(|member| member.open == 0));
+        assert!(w
+            .hub
+            .fleet
+            .borrow()
+            .members(0, Duration::ZERO)
+            .all(|member| member.open == 0));
     });
 }
 
@@ -323,7 +406,10 @@
 async fn get(addr: SocketAddr, path: &str) -> String {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let mut stream = tokio::net::TcpStream::connect(addr).await.unwrap();
-    stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).await.unwrap();
+    stream
+        .write_all(format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes())
+        .await
+        .unwrap();
     let mut all = String::new();
     stream.read_to_string(&mut all).await.unwrap();
     all
@@ -339,18 +425,28 @@
         spawn_local(rainstand_forwarder::admin::serve(w.hub.clone(), listener));
         let mut caller = Caller::new(w.addr).await.unwrap();
         let (mut n, mut more) = (0, 2);
-        let out =
-            || w.hub.fleet.borrow().members(0, w.hub.now()).any(|m| matches!(m.standing, Standing::Out(..)));
+        let out = || {
+            w.hub
+                .fleet
+                .borrow()
+                .members(0, w.hub.now())
+                .any(|m| matches!(m.standing, Standing::Out(..)))
+        };
         while more > 0 {
             n += 1;
-            caller.ask(&asks("register", &format!("{n}"))).await.unwrap();
+            caller
+                .ask(&asks("register", &format!("{n}")))
+                .await
+                .unwrap();
             caller.next().await.unwrap();
             more -= u32::from(out());
         }
         let metrics = get(admin, "/metrics").await;
         let failed = bad.all_runs();
         for line in [
-            format!(r#"rainstand_forwarder_tries_total{{pool="p",member="n0",came="failed"}} {failed}"#),
+            format!(
+                r#"rainstand_forwarder_tries_total{{pool="p",member="n0",came="failed"}} {failed}"#
+            ),
             format!(
                 r#"rainstand_forwarder_tickets_total{{route="x",pool="p",end="given_up",reason="may_have_run"}} {failed}"#
             ),
@@ -359,29 +455,41 @@
                 n - failed
             ),
             r#"rainstand_forwarder_member_out{pool="p",member="n0"} 1"#.into(),
-            format!(r#"rainstand_forwarder_try_seconds_count{{pool="p",member="n1"}} {}"#, n - failed),
+            format!(
+                r#"rainstand_forwarder_try_seconds_count{{pool="p",member="n1"}} {}"#,
+                n - failed
+            ),
         ] {
             assert!(metrics.contains(&line), "{line}\n{metrics}");
         }
         let members = get(admin, "/members").await;
         assert!(
-            members.contains(r#""member":"n0""#) && members.contains(r#""why":"failures_in_a_row""#),
+            members.contains(r#""member":"n0""#)
+                && members.contains(r#""why":"failures_in_a_row""#),
             "{members}"
         );
         let decisions = get(admin, "/decisions?last=1").await;
         let line = decisions.lines().last().unwrap();
         assert!(
-            line.contains(r#""type":"register","tenant":"acme","route":"x","pool":"p","member":"n1""#),
+            line.contains(
+                r#""type":"register","tenant":"acme","route":"x","pool":"p","member":"n1""#
+            ),
+            "{line}"
+        );
+        assert!(
+            line.contains(r#""passed_over":[["n0","failures_in_a_row"]]"#),
             "{line}"
         );
-        assert!(line.contains(r#""passed_over":[["n0","failures_in_a_row"]]"#), "{line}");
         assert!(get(admin, "/nothing").await.starts_with("HTTP/1.1 404"));
-        assert!(get(admin, &"x".repeat(9_000)).await.starts_with("HTTP/1.1 400"));
+        assert!(get(admin, &"x".repeat(9_000))
+            .await
+            .starts_with("HTTP/1.1 400"));
         // A version without a member drops its series; those of the others go on.
         w.hub.take(&configured(&[good.addr], "10 s")).unwrap();
         let metrics = get(admin, "/metrics").await;
         assert!(
-            !metrics.contains(r#"member="n1""#) && metrics.contains("rainstand_forwarder_version 2"),
+            !metrics.contains(r#"member="n1""#)
+                && metrics.contains("rainstand_forwarder_version 2"),
             "{metrics}"
         );
     });
@@ -393,7 +501,10 @@
     play(async {
         // A member that takes connections and reads nothing: once its buffers are full, tickets stay here.
         let deaf = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (deaf_addr, held) = (deaf.local_addr().unwrap(), Rc::new(std::cell::RefCell::new(Vec::new())));
+        let (deaf_addr, held) = (
+            deaf.local_addr().unwrap(),
+            Rc::new(std::cell::RefCell::new(Vec::new())),
+        );
         let holds = held.clone();
         let deaf_task = spawn_local(async move {
             while let Ok((stream, _)) = deaf.accept().await {
@@ -411,7 +522,12 @@
             good.addr
         );
         let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-        let w = forwarder(&outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))).await;
+        let w = forwarder(
+            &outcome
+                .configuration
+                .unwrap_or_else(|| panic!("{:?}", outcome.findings)),
+        )
+        .await;
         let mut caller = Caller::new(w.addr).await.unwrap();
         let body = "x".repeat(2_000);
         // Given up again and again, so that the link's buffers fill and its places stay free.
@@ -427,7 +543,12 @@
         }
         let mut last = Vec::new();
         for n in 0..12 {
-            last.push(caller.ask(&asks("register", &format!("last {n}"))).await.unwrap());
+            last.push(
+                caller
+                    .ask(&asks("register", &format!("last {n}")))
+                    .await
+                    .unwrap(),
+            );
         }
         until(|| w.hub.fleet.borrow().counts().first_tries >= given_up + 12).await;
         deaf_task.abort();
@@ -440,7 +561,10 @@
             }
         }
         // All went through: those that waited here were sent elsewhere.
-        assert!(told.values().all(|what| matches!(what, Told::Honoured(_))), "{told:?}");
+        assert!(
+            told.values().all(|what| matches!(what, Told::Honoured(_))),
+            "{told:?}"
+        );
         assert!(w.hub.counts.unsent.get() > 0);
         assert!((0..12).all(|n| good.ran(format!("last {n}").as_bytes()) == 1));
     });
@@ -459,13 +583,26 @@
             caller.ask(&asks("check", &format!("{n}"))).await.unwrap();
             assert!(matches!(caller.next().await.unwrap().1, Told::Honoured(_)));
         }
-        let leaving = || w.hub.fleet.borrow().members(0, w.hub.now()).any(|member| member.leaving);
+        let leaving = || {
+            w.hub
+                .fleet
+                .borrow()
+                .members(0, w.hub.now())
+                .any(|member| member.leaving)
+        };
         until(leaving).await;
         for n in 0..50 {
-            caller.ask(&asks("check", &format!("later {n}"))).await.unwrap();
+            caller
+                .ask(&asks("check", &format!("later {n}")))
+                .await
+                .unwrap();
             assert!(matches!(caller.next().await.unwrap().1, Told::Honoured(_)));
         }
-        assert!(leaves.all_runs() == 1 || !leaving(), "{}", leaves.all_runs());
+        assert!(
+            leaves.all_runs() == 1 || !leaving(),
+            "{}",
+            leaves.all_runs()
+        );
     });
 }
 
@@ -493,8 +630,15 @@
         let holds = node("hold");
         let w = forwarder(&configuration(&[&holds], "10 s")).await;
         let mut stream = tokio::net::TcpStream::connect(w.addr).await.unwrap();
-        let fields = [("route", "check"), ("trace", "00000000000000aa"), ("customer", "acme")];
-        stream.write_all(&rainstand_protocol::thrift::process(1, &fields, b"one")).await.unwrap();
+        let fields = [
+            ("route", "check"),
+            ("trace", "00000000000000aa"),
+            ("customer", "acme"),
+        ];
+        stream
+            .write_all(&rainstand_protocol::thrift::process(1, &fields, b"one"))
+            .await
+            .unwrap();
         until(|| holds.all_runs() > 0).await;
         stream.shutdown().await.unwrap();
         // The end of its side has been read once nothing more is read of it: a look that finds the ticket in hand still.
@@ -517,7 +661,11 @@
     play(async {
         let holds = node("hold");
         let w = forwarder(&configuration(&[&holds], "10 s")).await;
-        let fields = [("route", "check"), ("trace", "00000000000000aa"), ("customer", "acme")];
+        let fields = [
+            ("route", "check"),
+            ("trace", "00000000000000aa"),
+            ("customer", "acme"),
+        ];
         let ticket = rainstand_protocol::thrift::process(1, &fields, b"one");
         // Without a turn for the forwarder in between.
         let crowd: Vec<std::net::TcpStream> = (0..100)
@@ -533,7 +681,10 @@
         for stream in crowd {
             let mut stream = tokio::net::TcpStream::from_std(stream).unwrap();
             let mut kind = [0; 8];
-            stream.read_exact(&mut kind).await.expect("an answer on a connection that the system accepted");
+            stream
+                .read_exact(&mut kind)
+                .await
+                .expect("an answer on a connection that the system accepted");
         }
         holds.release();
     });
--- a/crates/forwarder/tests/published.rs
+++ b/crates/forwarder/tests/published.rs
@@ -1,7 +1,9 @@
 //! A published change applied as a change leads to what the whole says, at drawn configurations.
 
 use nanorand::{Rng, WyRand};
-use rainstand_config::schema::{Configuration, Limits, Member, Pool, Route, Target, Tenant, TrafficType};
+use rainstand_config::schema::{
+    Configuration, Limits, Member, Pool, Route, Target, Tenant, TrafficType,
+};
 use rainstand_control::delta::State;
 use rainstand_forwarder::published::changes;
 use rainstand_route::subset::reduce;
@@ -9,8 +11,11 @@
 
 /// A usable configuration of drawn things under few names, so that versions share some and not others.
 fn drawn(chance: &mut WyRand) -> Configuration {
-    let mut some =
-        |of: usize| -> Vec<usize> { (0..of).filter(|_| chance.generate_range(0..3u8) > 0).collect() };
+    let mut some = |of: usize| -> Vec<usize> {
+        (0..of)
+            .filter(|_| chance.generate_range(0..3u8) > 0)
+            .collect()
+    };
     let (limits, tenants, mut pools, mut routes) = (some(3), some(6), some(4), some(8));
     let members: Vec<Vec<usize>> = (0..4).map(|_| some(5)).collect();
     if pools.is_empty() {
@@ -18,8 +23,12 @@
     }
     chance.shuffle(&mut routes);
     let mut one_of = |all: &[usize]| all[chance.generate_range(0..all.len())];
-    let none_or = |all: &[usize], at: usize| all.get(at).map_or(String::new(), |one| format!("l{one}"));
-    let mut made = Configuration { version: 1, ..Configuration::default() };
+    let none_or =
+        |all: &[usize], at: usize| all.get(at).map_or(String::new(), |one| format!("l{one}"));
+    let mut made = Configuration {
+        version: 1,
+        ..Configuration::default()
+    };
     let goal = 1_000_000_000;
     made.types.push(TrafficType {
         name: "t".into(),
@@ -30,11 +39,23 @@
     });
     for one in &limits {
         let at_once = 1 + one_of(&[1, 2]) as u64;
-        made.limits.push(Limits { name: format!("l{one}"), at_once, ..Limits::default() });
+        made.limits.push(Limits {
+            name: format!("l{one}"),
+            at_once,
+            ..Limits::default()
+        });
     }
     for one in &tenants {
-        let (share, limits) = (one_of(&[1, 2, 3]) as u64, none_or(&limits, one_of(&[0, 1, 2])));
-        made.tenants.push(Tenant { name: format!("n{one}"), share, limits, ..Tenant::default() });
+        let (share, limits) = (
+            one_of(&[1, 2, 3]) as u64,
+            none_or(&limits, one_of(&[0, 1, 2])),
+        );
+        made.tenants.push(Tenant {
+            name: format!("n{one}"),
+            share,
+            limits,
+            ..Tenant::default()
+        });
     }
     for one in &pools {
         let member = |k: &usize| Member {
@@ -45,11 +66,23 @@
         };
         let know = one_of(&[0, 2]) as u64;
         let members = members[*one].iter().map(member).collect();
-        made.pools.push(Pool { name: format!("p{one}"), members, know, ..Pool::default() });
+        made.pools.push(Pool {
+            name: format!("p{one}"),
+            members,
+            know,
+            ..Pool::default()
+        });
     }
     for one in &routes {
-        let to = vec![Target { pool: format!("p{}", one_of(&pools)), share: 1_000_000 }];
-        made.routes.push(Route { name: format!("r{one}"), to, ..Route::default() });
+        let to = vec![Target {
+            pool: format!("p{}", one_of(&pools)),
+            share: 1_000_000,
+        }];
+        made.routes.push(Route {
+            name: format!("r{one}"),
+            to,
+            ..Route::default()
+        });
     }
     made.put_in_order();
     made
@@ -69,7 +102,9 @@
         reduce(&mut whole, me);
         let mut table = Table::of(small).unwrap();
         let changes = changes(&state, &delta, me).unwrap();
-        table.apply(&changes).unwrap_or_else(|why| panic!("round {round}: {why:?}\n{changes:#?}"));
+        table
+            .apply(&changes)
+            .unwrap_or_else(|why| panic!("round {round}: {why:?}\n{changes:#?}"));
         let mut then = table.configuration().clone();
         then.put_in_order();
         assert_eq!(then, whole, "round {round}");
--- a/crates/forwarder/tests/ramp.rs
+++ b/crates/forwarder/tests/ramp.rs
@@ -44,7 +44,9 @@
 route r {{ to: p; attempts: any }}"
     );
     let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
 }
 
 /// Calls that may come in the second that begins at this age, s.
@@ -64,7 +66,10 @@
         if age + 1.0 > WARM_UP {
             return;
         }
-        let came = times[k..].iter().take_while(|at| **at < *first + Duration::from_secs(1)).count() as f64;
+        let came = times[k..]
+            .iter()
+            .take_while(|at| **at < *first + Duration::from_secs(1))
+            .count() as f64;
         let n = allowed(age);
         assert!(
             came <= n + 2.0 * n.sqrt() + 2.0,
@@ -74,7 +79,12 @@
 }
 
 fn cold(at: Option<SocketAddr>) -> Node {
-    Make { at, keep_times: true, ..Make::default() }.start()
+    Make {
+        at,
+        keep_times: true,
+        ..Make::default()
+    }
+    .start()
 }
 
 struct World {
@@ -85,17 +95,31 @@
 /// A forwarder with its callers, who ask again some milliseconds after each answer, for as long as it is there.
 async fn forwarder(configuration: &Configuration, seed: u64, counts: &Rc<Counts>) -> World {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (addr, hub) = (listener.local_addr().unwrap(), Hub::new(configuration, "", seed).unwrap());
+    let (addr, hub) = (
+        listener.local_addr().unwrap(),
+        Hub::new(configuration, "", seed).unwrap(),
+    );
     let leave = Rc::new(Notify::new());
     let left = leave.clone();
-    spawn_local(run(hub.clone(), listener, Duration::from_secs(5), async move { left.notified().await }));
+    spawn_local(run(
+        hub.clone(),
+        listener,
+        Duration::from_secs(5),
+        async move { left.notified().await },
+    ));
     for k in 0..CALLERS {
         let counts = counts.clone();
         spawn_local(async move {
-            let Ok(mut caller) = Caller::new(addr).await else { return };
+            let Ok(mut caller) = Caller::new(addr).await else {
+                return;
+            };
             while !caller.told_to_leave {
-                let Ok(asked) = caller.ask(&Ask::default()).await else { return };
-                let Ok((seq, told)) = caller.next().await else { return };
+                let Ok(asked) = caller.ask(&Ask::default()).await else {
+                    return;
+                };
+                let Ok((seq, told)) = caller.next().await else {
+                    return;
+                };
                 assert_eq!(seq, asked);
                 match told {
                     Told::Honoured(_) => counts.honoured.set(counts.honoured.get() + 1),
@@ -103,7 +127,11 @@
                         assert!(!pause.is_zero(), "dismissed without a time to come back");
                         counts.dismissed.set(counts.dismissed.get() + 1);
                     }
-                    other => assert_eq!(other, Told::GivenUp, "a broken connection is all that may be"),
+                    other => assert_eq!(
+                        other,
+                        Told::GivenUp,
+                        "a broken connection is all that may be"
+                    ),
                 }
                 sleep(Duration::from_millis(60 + 7 * k)).await;
             }
@@ -120,7 +148,10 @@
 
 /// The member starts, warms up, dies and is there again at once; half of the forwarders start anew in its second life.
 fn play(others: &[SocketAddr]) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
     let test = async {
         let first = cold(None);
         let made = configuration(first.addr, others);
@@ -150,7 +181,12 @@
         holds("first life", &first);
         holds("second life", &second);
         // It does get something, or nothing was shown; how much of what it may is the decisions' table to tell.
-        assert!(!first.is_empty() && second.len() > 4, "{} and {}", first.len(), second.len());
+        assert!(
+            !first.is_empty() && second.len() > 4,
+            "{} and {}",
+            first.len(),
+            second.len()
+        );
         assert!(counts.honoured.get() > 0 && counts.dismissed.get() > 0);
         println!(
             "{} and {} calls, {} honoured, {} dismissed",
@@ -160,7 +196,8 @@
             counts.dismissed.get()
         );
     };
-    let done = LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
+    let done =
+        LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANGS, test).await });
     done.expect("a test that ends");
 }
 
@@ -174,7 +211,8 @@
 fn twenty_forwarders_and_the_others_out() {
     // Held, and never listened on: who connects is refused.
     let held: Vec<_> = (0..2).map(|_| TcpSocket::new_v4().unwrap()).collect();
-    held.iter().for_each(|one| one.bind("127.0.0.1:0".parse().unwrap()).unwrap());
+    held.iter()
+        .for_each(|one| one.bind("127.0.0.1:0".parse().unwrap()).unwrap());
     let others: Vec<SocketAddr> = held.iter().map(|one| one.local_addr().unwrap()).collect();
     play(&others);
 }
--- a/crates/golden-files/src/lib.rs
+++ b/crates/golden-files/src/lib.rs
@@ -25,7 +25,10 @@
 impl NamedBytes {
     /// A sequence under a name.
     pub fn new(name: impl Into<String>, bytes: impl Into<Vec<u8>>) -> Self {
-        Self { name: name.into(), bytes: bytes.into() }
+        Self {
+            name: name.into(),
+            bytes: bytes.into(),
+        }
     }
 }
 
@@ -38,12 +41,19 @@
     if !path.exists() && std::env::var_os(WRITE_VARIABLE).is_some() {
         create(path, actual);
     }
-    let expected = std::fs::read_to_string(path)
-        .unwrap_or_else(|error| panic!("{}: {error}; set {WRITE_VARIABLE} to create it", path.display()));
+    let expected = std::fs::read_to_string(path).unwrap_or_else(|error| {
+        panic!(
+            "{}: {error}; set {WRITE_VARIABLE} to create it",
+            path.display()
+        )
+    });
     if expected == actual {
         return;
     }
-    let differing = expected.lines().zip(actual.lines()).position(|(expected, actual)| expected != actual);
+    let differing = expected
+        .lines()
+        .zip(actual.lines())
+        .position(|(expected, actual)| expected != actual);
     let line = differing.unwrap_or_else(|| expected.lines().count().min(actual.lines().count()));
     panic!(
         "{}, line {}: expected {:?}, got {:?}",
@@ -72,33 +82,43 @@
 /// If the file cannot be read or is not of this form.
 pub fn read_bytes(path: impl AsRef<Path>) -> Vec<NamedBytes> {
     let path = path.as_ref();
-    let text = std::fs::read_to_string(path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
+    let text =
+        std::fs::read_to_string(path).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
     let parse = |line: &str| {
         let (name, digits) = line.split_once(' ')?;
         Some(NamedBytes::new(name, unhex(digits)?))
     };
     text.lines()
-        .map(|line| parse(line).unwrap_or_else(|| panic!("{}: not a named sequence: {line}", path.display())))
+        .map(|line| {
+            parse(line)
+                .unwrap_or_else(|| panic!("{}: not a named sequence: {line}", path.display()))
+        })
         .collect()
 }
 
 fn create(path: &Path, text: &str) {
     if let Some(folder) = path.parent() {
-        std::fs::create_dir_all(folder).unwrap_or_else(|error| panic!("{}: {error}", folder.display()));
+        std::fs::create_dir_all(folder)
+            .unwrap_or_else(|error| panic!("{}: {error}", folder.display()));
     }
     std::fs::write(path, text).unwrap_or_else(|error| panic!("{}: {error}", path.display()));
 }
 
 fn hex(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
+    bytes
+        .iter()
+        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
 }
 
 fn unhex(digits: &str) -> Option<Vec<u8>> {
     if !digits.len().is_multiple_of(2) {
         return None;
     }
-    (0..digits.len()).step_by(2).map(|at| u8::from_str_radix(digits.get(at..at + 2)?, 16).ok()).collect()
+    (0..digits.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(digits.get(at..at + 2)?, 16).ok())
+        .collect()
 }
--- a/crates/group/benches/keyed.rs
+++ b/crates/group/benches/keyed.rs
@@ -37,8 +37,14 @@
 }
 
 fn ask(run: &Rc<Run>, number: u64, what: What, since: Instant) {
-    let claim = run.group.see(|member| member.claim(&u128::from(number).to_be_bytes()));
-    let command = Command { key: number.to_be_bytes().to_vec().into(), claim, what: Some(what) };
+    let claim = run
+        .group
+        .see(|member| member.claim(&u128::from(number).to_be_bytes()));
+    let command = Command {
+        key: number.to_be_bytes().to_vec().into(),
+        claim,
+        what: Some(what),
+    };
     let again = run.clone();
     let tell = move |told: Option<Told>| match told {
         Some(Told::Granted) => ask(&again, number, What::Done(vec![7; 100].into()), since),
@@ -48,7 +54,12 @@
             next(&again);
         }
     };
-    assert!(run.group.ask(command, Duration::from_secs(20), Rc::new(tell)).is_some(), "room for a question");
+    assert!(
+        run.group
+            .ask(command, Duration::from_secs(20), Rc::new(tell))
+            .is_some(),
+        "room for a question"
+    );
 }
 
 fn play(member: &Running, prefix: u64, count: u64, at_once: u64) -> (f64, Duration, Duration) {
@@ -64,15 +75,25 @@
         });
         (0..at_once).for_each(|_| next(&run));
     });
-    let mut times = times.recv_timeout(Duration::from_secs(300)).expect("an end");
+    let mut times = times
+        .recv_timeout(Duration::from_secs(300))
+        .expect("an end");
     times.sort_unstable();
     let rate = count as f64 / begun.elapsed().as_secs_f64();
     (rate, times[times.len() / 2], times[times.len() * 99 / 100])
 }
 
 fn main() {
-    println!("{:>8} {:>8} {:>12} {:>10} {:>10}", "wait", "at once", "tickets/s", "median", "p99");
-    for (wait, at_once, count) in [(0, 1, 1_000), (0, 64, 20_000), (1, 64, 20_000), (1, 512, 60_000)] {
+    println!(
+        "{:>8} {:>8} {:>12} {:>10} {:>10}",
+        "wait", "at once", "tickets/s", "median", "p99"
+    );
+    for (wait, at_once, count) in [
+        (0, 1, 1_000),
+        (0, 64, 20_000),
+        (1, 64, 20_000),
+        (1, 512, 60_000),
+    ] {
         let mut w = world(3);
         w.group.commit_wait_ns = wait * 1_000_000;
         w.group.keys = 1_000_000;
@@ -92,12 +113,23 @@
     let begun = Instant::now();
     let n3 = w.up("n3");
     let known = |group: &Group| {
-        group.see(|member| member.shards().map(|(_, _, table)| table.len() as u64).sum::<u64>())
+        group.see(|member| {
+            member
+                .shards()
+                .map(|(_, _, table)| table.len() as u64)
+                .sum::<u64>()
+        })
     };
     while n3.tell(move |group| known(group)) < count {
-        assert!(begun.elapsed() < Duration::from_secs(120), "it does not catch up");
+        assert!(
+            begun.elapsed() < Duration::from_secs(120),
+            "it does not catch up"
+        );
         std::thread::sleep(Duration::from_millis(5));
     }
-    println!("{count} results made at {rate:.0}/s; an emptied disk knows them after {:.1?}", begun.elapsed());
+    println!(
+        "{count} results made at {rate:.0}/s; an emptied disk knows them after {:.1?}",
+        begun.elapsed()
+    );
     drop((n1, n2));
 }
--- a/crates/group/src/attach.rs
+++ b/crates/group/src/attach.rs
@@ -95,14 +95,36 @@
 
 /// Keeps one attachment, for ever.
 pub async fn keep(setup: Setup) {
-    let Setup { who, machines, subscriber, seed, take, tell, look, seen } = setup;
+    let Setup {
+        who,
+        machines,
+        subscriber,
+        seed,
+        take,
+        tell,
+        look,
+        seen,
+    } = setup;
     let places: Vec<Who> = machines
         .iter()
-        .map(|one| Who { name: one.name.clone(), region: one.region.clone(), zone: one.zone.clone() })
+        .map(|one| Who {
+            name: one.name.clone(),
+            region: one.region.clone(),
+            zone: one.zone.clone(),
+        })
         .collect();
     let chooser = Chooser::new(Duration::ZERO, &who, &places, seed);
     let started = Instant::now();
-    let mut one = Attachment { subscriber, chooser, machines, started, take, tell, look, seen };
+    let mut one = Attachment {
+        subscriber,
+        chooser,
+        machines,
+        started,
+        take,
+        tell,
+        look,
+        seen,
+    };
     loop {
         let now = one.now();
         let Some(due) = one.chooser.due() else { return };
@@ -110,7 +132,9 @@
             sleep(due - now).await;
         }
         let now = one.now();
-        let Some(machine) = one.chooser.next(now) else { continue };
+        let Some(machine) = one.chooser.next(now) else {
+            continue;
+        };
         one.link(machine).await;
     }
 }
@@ -124,7 +148,10 @@
     async fn link(&mut self, machine: usize) {
         let name = self.machines[machine].name.clone();
         self.seen.borrow_mut().dials += 1;
-        let over = match self.machines[machine].address.parse::<std::net::SocketAddr>() {
+        let over = match self.machines[machine]
+            .address
+            .parse::<std::net::SocketAddr>()
+        {
             Ok(to) => match timeout(OPENS, TcpStream::connect(to)).await {
                 Ok(Ok(stream)) => self.talk(stream, &name).await,
                 _ => Over::Lost("no connection"),
@@ -163,7 +190,9 @@
             let mut bytes = Vec::new();
             let over = self.follow(&mut bytes);
             if !bytes.is_empty()
-                && !timeout(TAKES, write.write_all(&bytes)).await.is_ok_and(|sent| sent.is_ok())
+                && !timeout(TAKES, write.write_all(&bytes))
+                    .await
+                    .is_ok_and(|sent| sent.is_ok())
             {
                 return Over::Lost("it takes nothing");
             }
@@ -192,7 +221,10 @@
                 let Some(length) = length else { break };
                 let frame = Frame::decode(&back[at + 4..at + 4 + length]);
                 at += 4 + length;
-                let Ok(Frame { what: Some(What::Down(frame)) }) = frame else {
+                let Ok(Frame {
+                    what: Some(What::Down(frame)),
+                }) = frame
+                else {
                     return Over::Lost("no frame of a control machine");
                 };
                 let now = self.now();
@@ -217,7 +249,9 @@
                         Ok(()) => self.subscriber.in_force(version),
                         Err(why) => self.subscriber.refused(version, &why),
                     },
-                    Order::ComeBack { after, elsewhere } => over = Some(Over::ComeBack { after, elsewhere }),
+                    Order::ComeBack { after, elsewhere } => {
+                        over = Some(Over::ComeBack { after, elsewhere })
+                    }
                     Order::Close => over = Some(Over::Lost("no frame of a control machine")),
                     Order::Event(event) => {
                         match &event {
@@ -251,7 +285,12 @@
             seen.attachments += 1;
             drop(seen);
             self.chooser.attached(now);
-            (self.tell)(&News::Attached { machine: name.to_owned() }, &self.subscriber);
+            (self.tell)(
+                &News::Attached {
+                    machine: name.to_owned(),
+                },
+                &self.subscriber,
+            );
         }
     }
 }
--- a/crates/group/src/disk.rs
+++ b/crates/group/src/disk.rs
@@ -13,8 +13,12 @@
 /// # Errors
 /// Which record cannot be read.
 pub fn found(identity: &Identity, recovered: &Recovered) -> Result<Found, String> {
-    let mut found =
-        Found { disk: identity.disk, boot: identity.boot, nonce: identity.nonce, ..Found::default() };
+    let mut found = Found {
+        disk: identity.disk,
+        boot: identity.boot,
+        nonce: identity.nonce,
+        ..Found::default()
+    };
     for (shard, one) in &recovered.shards {
         let flaw = |what: &str, why: prost::DecodeError| format!("shard {shard}: {what}: {why}");
         let mut state = State::default();
@@ -22,12 +26,16 @@
             state.hard = Hard::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
         }
         if let Some((_, data)) = &one.snapshot {
-            state.snapshot = Some(Snapshot::decode(&data[..]).map_err(|why| flaw("snapshot", why))?);
+            state.snapshot =
+                Some(Snapshot::decode(&data[..]).map_err(|why| flaw("snapshot", why))?);
         }
         for (index, data) in &one.entries {
             let entry = Entry::decode(&data[..]).map_err(|why| flaw("entry", why))?;
             if entry.index != *index {
-                return Err(format!("shard {shard}: entry {index} says that it is {}", entry.index));
+                return Err(format!(
+                    "shard {shard}: entry {index} says that it is {}",
+                    entry.index
+                ));
             }
             state.entries.push(entry);
         }
@@ -48,11 +56,19 @@
 /// A write as a record; none for a snapshot, which is saved.
 pub fn record(write: &Write) -> Option<Record> {
     Some(match write {
-        Write::Hard { shard, hard } => Record::Hard { shard: *shard, data: hard.encode_to_vec() },
-        Write::Entry { shard, entry } => {
-            Record::Entry { shard: *shard, index: entry.index, data: entry.encode_to_vec() }
-        }
-        Write::Note { number, data } => Record::Note { number: *number, data: data.to_vec() },
+        Write::Hard { shard, hard } => Record::Hard {
+            shard: *shard,
+            data: hard.encode_to_vec(),
+        },
+        Write::Entry { shard, entry } => Record::Entry {
+            shard: *shard,
+            index: entry.index,
+            data: entry.encode_to_vec(),
+        },
+        Write::Note { number, data } => Record::Note {
+            number: *number,
+            data: data.to_vec(),
+        },
         Write::Save { .. } => return None,
     })
 }
@@ -62,8 +78,18 @@
 /// # Errors
 /// If the disk fails.
 pub fn put<D: Disk>(store: &mut Store<D>, write: &Write) -> io::Result<()> {
-    if let Write::Save { shard, snapshot, alone } = write {
-        return store.save(*shard, snapshot.base.index, &snapshot.encode_to_vec(), *alone);
+    if let Write::Save {
+        shard,
+        snapshot,
+        alone,
+    } = write
+    {
+        return store.save(
+            *shard,
+            snapshot.base.index,
+            &snapshot.encode_to_vec(),
+            *alone,
+        );
     }
     if let Some(record) = record(write) {
         store.put(&record);
--- a/crates/group/src/host.rs
+++ b/crates/group/src/host.rs
@@ -99,13 +99,21 @@
     /// # Errors
     /// If the configuration names no such member, or its folder or address cannot be had.
     pub async fn start(setup: Setup) -> Result<Rc<Self>, String> {
-        let Setup { name, group: settings, log } = setup;
+        let Setup {
+            name,
+            group: settings,
+            log,
+        } = setup;
         let own = settings.members.iter().find(|member| member.name == name);
         let own = own.ok_or_else(|| format!("group {}: no member {name}", settings.name))?;
-        let listen: SocketAddr =
-            own.address.parse().map_err(|_| format!("group: address {}", own.address))?;
+        let listen: SocketAddr = own
+            .address
+            .parse()
+            .map_err(|_| format!("group: address {}", own.address))?;
         let (folder, testing) = (PathBuf::from(&own.folder), testing::file(settings.testing)?);
-        let listener = TcpListener::bind(listen).await.map_err(|e| format!("group: listen {listen}: {e}"))?;
+        let listener = TcpListener::bind(listen)
+            .await
+            .map_err(|e| format!("group: listen {listen}: {e}"))?;
         let clock = testing::clock(testing.as_deref());
         let (store, recovered, damaged) = open(&folder, testing.as_ref())?;
         let member = member(&settings, &name, &store, &recovered, clock.now())?;
@@ -148,7 +156,12 @@
 
     /// A link to each member that has none yet.
     fn keep_links(self: &Rc<Self>) {
-        let names = self.members.borrow().iter().map(|member| member.name.clone()).collect::<Vec<_>>();
+        let names = self
+            .members
+            .borrow()
+            .iter()
+            .map(|member| member.name.clone())
+            .collect::<Vec<_>>();
         for name in names.into_iter().filter(|name| *name != self.name) {
             if !self.links.borrow().contains_key(&name) {
                 self.link(&name);
@@ -159,7 +172,13 @@
 
     /// Where a member is found, by the newest configuration.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
-        self.members.borrow().iter().find(|member| member.name == name)?.address.parse().ok()
+        self.members
+            .borrow()
+            .iter()
+            .find(|member| member.name == name)?
+            .address
+            .parse()
+            .ok()
     }
 
     pub fn members(&self) -> Vec<schema::GroupMember> {
@@ -173,7 +192,10 @@
     /// If it is another group, or this member is not in it.
     pub fn set_members(self: &Rc<Self>, group: &schema::Group) -> Result<(), String> {
         if group.name != self.settings.name || group.shards != self.settings.shards {
-            return Err(format!("group {}: name and shards change only at a start", group.name));
+            return Err(format!(
+                "group {}: name and shards change only at a start",
+                group.name
+            ));
         }
         if !group.members.iter().any(|member| member.name == self.name) {
             return Err(format!("group {}: no member {}", group.name, self.name));
@@ -208,7 +230,11 @@
 
     /// What goes to a member.
     pub fn link(&self, name: &str) -> Rc<Out> {
-        self.links.borrow_mut().entry(name.to_owned()).or_default().clone()
+        self.links
+            .borrow_mut()
+            .entry(name.to_owned())
+            .or_default()
+            .clone()
     }
 
     /// One call into the member, with all that follows from it.
@@ -234,7 +260,14 @@
     }
 
     fn follow(&self, effects: Effects) {
-        let Effects { frames, write, told, timed_out, news, versions } = effects;
+        let Effects {
+            frames,
+            write,
+            told,
+            timed_out,
+            news,
+            versions,
+        } = effects;
         if let Some((number, writes)) = write {
             self.write(number, writes);
         }
@@ -293,13 +326,26 @@
         let mut records = Vec::new();
         for write in writes {
             match write {
-                Write::Save { shard, snapshot, alone } => {
+                Write::Save {
+                    shard,
+                    snapshot,
+                    alone,
+                } => {
                     if !records.is_empty() {
                         // In the order in which they were given; told once, with the last.
-                        writer.give(Job::Write { number: number - 1, records: std::mem::take(&mut records) });
+                        writer.give(Job::Write {
+                            number: number - 1,
+                            records: std::mem::take(&mut records),
+                        });
                     }
                     let (index, data) = (snapshot.base.index, snapshot.encode_to_vec());
-                    writer.give(Job::Save { number: number - 1, shard, index, data, alone });
+                    writer.give(Job::Save {
+                        number: number - 1,
+                        shard,
+                        index,
+                        data,
+                        alone,
+                    });
                 }
                 other => records.extend(record(&other)),
             }
@@ -314,14 +360,24 @@
         if let Some(writer) = self.writer.borrow_mut().take() {
             writer.end();
         }
-        let tells: Vec<(Tell, Duration)> = self.tells.borrow_mut().drain().map(|(_, tell)| tell).collect();
-        self.line.borrow_mut().extend(tells.into_iter().map(|(tell, _)| (tell, None)));
+        let tells: Vec<(Tell, Duration)> = self
+            .tells
+            .borrow_mut()
+            .drain()
+            .map(|(_, tell)| tell)
+            .collect();
+        self.line
+            .borrow_mut()
+            .extend(tells.into_iter().map(|(tell, _)| (tell, None)));
         let anew = || -> Result<(), String> {
             let mut folder = Folder::open(&self.folder).map_err(|e| e.to_string())?;
             folder.set_aside().map_err(|e| e.to_string())?;
             drop(folder);
             let (store, recovered, _) = open(&self.folder, self.testing.as_ref())?;
-            let settings = schema::Group { members: self.members.borrow().clone(), ..self.settings.clone() };
+            let settings = schema::Group {
+                members: self.members.borrow().clone(),
+                ..self.settings.clone()
+            };
             let member = member(&settings, &self.name, &store, &recovered, self.clock.now())?;
             *self.member.borrow_mut() = member;
             self.begin_writing(store);
@@ -343,15 +399,26 @@
     fn fail(&self, why: String) {
         self.member.borrow_mut().stop();
         self.failed.borrow_mut().get_or_insert(why);
-        let tells: Vec<(Tell, Duration)> = self.tells.borrow_mut().drain().map(|(_, tell)| tell).collect();
-        self.line.borrow_mut().extend(tells.into_iter().map(|(tell, _)| (tell, None)));
+        let tells: Vec<(Tell, Duration)> = self
+            .tells
+            .borrow_mut()
+            .drain()
+            .map(|(_, tell)| tell)
+            .collect();
+        self.line
+            .borrow_mut()
+            .extend(tells.into_iter().map(|(tell, _)| (tell, None)));
         self.stir.notify_one();
     }
 
     /// A question to a key's leader; `tell` is called later, from a task of its own, never from in here. None if it
     /// cannot be taken: nothing was or will be done then.
     pub fn ask(&self, command: Command, within: Duration, tell: Tell) -> Option<u64> {
-        let busy = self.writer.borrow().as_ref().is_none_or(|writer| writer.waiting() > JOBS);
+        let busy = self
+            .writer
+            .borrow()
+            .as_ref()
+            .is_none_or(|writer| writer.waiting() > JOBS);
         if busy || self.failed.borrow().is_some() {
             return None;
         }
@@ -400,7 +467,10 @@
 
 /// Names and sites.
 fn of(members: &[schema::GroupMember]) -> Vec<(String, String)> {
-    members.iter().map(|member| (member.name.clone(), member.site.clone())).collect()
+    members
+        .iter()
+        .map(|member| (member.name.clone(), member.site.clone()))
+        .collect()
 }
 
 type Opened = (Store<Folder>, Recovered, Option<String>);
@@ -421,7 +491,8 @@
         Err(OpenError::Damaged(damage)) => {
             let mut anew = disk()?;
             anew.set_aside().map_err(|why| at(&why))?;
-            let (store, recovered) = Store::open(anew, limits(), draws()).map_err(|why| at(&why))?;
+            let (store, recovered) =
+                Store::open(anew, limits(), draws()).map_err(|why| at(&why))?;
             Ok((store, recovered, Some(damage.to_string())))
         }
     }
@@ -443,14 +514,21 @@
         copies: settings.copies as usize,
         times: Times {
             heartbeat: span(settings.heartbeat_ns),
-            election: [span(settings.election_least_ns), span(settings.election_most_ns)],
+            election: [
+                span(settings.election_least_ns),
+                span(settings.election_most_ns),
+            ],
         },
         moves: settings.moves as usize,
         keys: settings.keys as usize,
         compact: COMPACT,
         seed: draws()[0],
     };
-    Ok(Member::new(options, found(store.identity(), recovered)?, now))
+    Ok(Member::new(
+        options,
+        found(store.identity(), recovered)?,
+        now,
+    ))
 }
 
 /// The member's time.
--- a/crates/group/src/links.rs
+++ b/crates/group/src/links.rs
@@ -142,7 +142,10 @@
                 let Some(more) = out.next() else { break };
                 bytes.extend_from_slice(&more);
             }
-            if !timeout(TAKES, write.write_all(&bytes)).await.is_ok_and(|written| written.is_ok()) {
+            if !timeout(TAKES, write.write_all(&bytes))
+                .await
+                .is_ok_and(|written| written.is_ok())
+            {
                 return;
             }
             out.sent.set(out.sent.get() + bytes.len() as u64);
@@ -166,7 +169,12 @@
                 spawn_local(async move {
                     let attaches = read(&group, stream).await;
                     open.set(open.get() - 1);
-                    if let Some(Attaches { stream, back, first }) = attaches {
+                    if let Some(Attaches {
+                        stream,
+                        back,
+                        first,
+                    }) = attaches
+                    {
                         serve::attached(&group, stream, back, first).await;
                     }
                 });
@@ -199,7 +207,9 @@
         }
         let mut at = 0;
         loop {
-            let Ok(length) = frame_within(&back[at..], FRAME) else { return None };
+            let Ok(length) = frame_within(&back[at..], FRAME) else {
+                return None;
+            };
             let Some(length) = length else { break };
             let body = &back[at + 4..at + 4 + length];
             at += 4 + length;
@@ -209,7 +219,10 @@
                 _ => None,
             };
             if let Some(answer) = answer {
-                if !timeout(ANSWER, stream.write_all(&whole(&answer))).await.is_ok_and(|sent| sent.is_ok()) {
+                if !timeout(ANSWER, stream.write_all(&whole(&answer)))
+                    .await
+                    .is_ok_and(|sent| sent.is_ok())
+                {
                     return None;
                 }
                 name.get_or_insert_default();
@@ -218,7 +231,11 @@
             let frame = Frame::decode(body).ok()?;
             if let (Some(What::Up(first)), None) = (&frame.what, &name) {
                 let (first, back) = (first.clone(), back.split_off(at));
-                return Some(Attaches { stream, back, first });
+                return Some(Attaches {
+                    stream,
+                    back,
+                    first,
+                });
             }
             if let Some(What::Hello(hello)) = &frame.what {
                 name = Some(hello.name.clone());
@@ -237,16 +254,25 @@
     /// The other side reads nothing more and says nothing: no reset, no end.
     #[test]
     fn a_link_that_takes_nothing_is_ended() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
         runtime.block_on(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let stream = TcpStream::connect(listener.local_addr().unwrap())
+                .await
+                .unwrap();
             let (_reads_nothing, _) = listener.accept().await.unwrap();
             let out = Out::default();
             // More than the system's buffers of both sides take.
-            out.frames.borrow_mut().extend((0..64).map(|_| vec![0; FRAME]));
+            out.frames
+                .borrow_mut()
+                .extend((0..64).map(|_| vec![0; FRAME]));
             out.bytes.set(64 * FRAME);
-            timeout(Duration::from_secs(60), write(&out, stream)).await.expect("a link that ends");
+            timeout(Duration::from_secs(60), write(&out, stream))
+                .await
+                .expect("a link that ends");
             assert!(out.sent.get() < 64 * FRAME as u64);
         });
     }
--- a/crates/group/src/recovery.rs
+++ b/crates/group/src/recovery.rs
@@ -49,31 +49,61 @@
 /// If the folder is in use, damaged, or holds no member's disk.
 pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<Lost, String> {
     let mut disk = Folder::open(folder).map_err(|why| why.to_string())?;
-    let (identity, recovered) = rainstand_store::store::recover(&mut disk).map_err(|why| why.to_string())?;
-    let Some(identity) = identity else { return Err("no disk of a member".into()) };
+    let (identity, recovered) =
+        rainstand_store::store::recover(&mut disk).map_err(|why| why.to_string())?;
+    let Some(identity) = identity else {
+        return Err("no disk of a member".into());
+    };
     let before = found(&identity, &recovered)?;
-    let Some(form) = before.form.clone() else { return Err("its group never began".into()) };
-    let mut lost = Lost { generation: before.generation + 1, shards: Vec::new(), missing: Vec::new() };
+    let Some(form) = before.form.clone() else {
+        return Err("its group never began".into());
+    };
+    let mut lost = Lost {
+        generation: before.generation + 1,
+        shards: Vec::new(),
+        missing: Vec::new(),
+    };
     let mut saves = Vec::new();
     for shard in 0..form.shards as u16 {
-        let Some(state) = before.shards.get(&shard).filter(|state| state.snapshot.is_some()) else {
+        let Some(state) = before
+            .shards
+            .get(&shard)
+            .filter(|state| state.snapshot.is_some())
+        else {
             lost.missing.push(shard);
             // Begins empty, as at the group's beginning.
             let config = Config::of([(identity.disk, name.to_owned())]);
-            let base = Base { index: 1, term: 1, stamp: 0, sum: 1, config };
-            saves.push((shard, Snapshot { base, data: Vec::new().into() }));
+            let base = Base {
+                index: 1,
+                term: 1,
+                stamp: 0,
+                sum: 1,
+                config,
+            };
+            saves.push((
+                shard,
+                Snapshot {
+                    base,
+                    data: Vec::new().into(),
+                },
+            ));
+            continue;
+        };
+        let Some(snapshot) = &state.snapshot else {
             continue;
         };
-        let Some(snapshot) = &state.snapshot else { continue };
         let mut table = Table::new(usize::MAX, 0);
         if !snapshot.data.is_empty() {
-            table.restore(snapshot.data.clone()).map_err(|why| format!("shard {shard}: {why}"))?;
+            table
+                .restore(snapshot.data.clone())
+                .map_err(|why| format!("shard {shard}: {why}"))?;
         }
         let mut base = snapshot.base.clone();
         let mut sum = base.sum;
         for entry in &state.entries {
             sum = entry.sum(sum);
-            (base.index, base.term, base.stamp, base.sum) = (entry.index, entry.term, entry.stamp, sum);
+            (base.index, base.term, base.stamp, base.sum) =
+                (entry.index, entry.term, entry.stamp, sum);
             if entry.kind() == Kind::Data {
                 if let Ok(command) = Command::decode(entry.data.clone()) {
                     table.apply(entry.stamp, &command);
@@ -90,7 +120,13 @@
         base.config = Config::of([(identity.disk, name.to_owned())]);
         // Behind all that was: no entry of before has this index and another content.
         (base.index, base.term) = (base.index + 1, base.term.max(state.hard.term) + 1);
-        saves.push((shard, Snapshot { base, data: table.keep() }));
+        saves.push((
+            shard,
+            Snapshot {
+                base,
+                data: table.keep(),
+            },
+        ));
     }
     if !accept {
         return Ok(lost);
@@ -98,15 +134,30 @@
     drop(disk);
     let open = || -> Result<Store<Folder>, OpenError> {
         let disk = Folder::open(folder)?;
-        Ok(Store::open(disk, Limits::default(), [identity.disk, identity.nonce ^ identity.boot])?.0)
+        Ok(Store::open(
+            disk,
+            Limits::default(),
+            [identity.disk, identity.nonce ^ identity.boot],
+        )?
+        .0)
     };
     let mut store = open().map_err(|why| why.to_string())?;
     let alone = Form {
-        members: vec![Formed { name: name.to_owned(), site: String::new(), disk: identity.disk }],
+        members: vec![Formed {
+            name: name.to_owned(),
+            site: String::new(),
+            disk: identity.disk,
+        }],
         ..form
     };
-    store.put(&Record::Note { number: NOTE_FORM, data: alone.encode_to_vec() });
-    store.put(&Record::Note { number: NOTE_GENERATION, data: lost.generation.to_le_bytes().to_vec() });
+    store.put(&Record::Note {
+        number: NOTE_FORM,
+        data: alone.encode_to_vec(),
+    });
+    store.put(&Record::Note {
+        number: NOTE_GENERATION,
+        data: lost.generation.to_le_bytes().to_vec(),
+    });
     for (shard, snapshot) in saves {
         store
             .save(shard, snapshot.base.index, &snapshot.encode_to_vec(), true)
--- a/crates/group/src/serve.rs
+++ b/crates/group/src/serve.rs
@@ -96,7 +96,9 @@
 
     /// Takes over what was committed since the last time.
     pub fn sync(&self, member: &Member) {
-        let Some((versions, current)) = member.published() else { return };
+        let Some((versions, current)) = member.published() else {
+            return;
+        };
         let now = self.now();
         {
             let mut source = self.source.borrow_mut();
@@ -175,7 +177,9 @@
 
 /// One attached process, from its first frame to its link's end. `back` is what was read behind that frame.
 pub async fn attached(group: &Rc<Group>, stream: TcpStream, mut back: Vec<u8>, first: Bytes) {
-    let Some(serving) = group.serving() else { return };
+    let Some(serving) = group.serving() else {
+        return;
+    };
     if group.see(|member| member.published().is_none()) {
         count(&serving.counts.not_here);
         return;
@@ -186,7 +190,10 @@
     }
     let link = serving.next.get() + 1;
     serving.next.set(link);
-    let line = Rc::new(Line { out: Out::bounded(WAITS), over: Cell::new(false) });
+    let line = Rc::new(Line {
+        out: Out::bounded(WAITS),
+        over: Cell::new(false),
+    });
     line.out.open.set(true);
     serving.lines.borrow_mut().insert(link, line.clone());
     serving.heard(link, first);
@@ -198,7 +205,12 @@
             while let Ok(Some(length)) = frame_within(&back[at..], UP) {
                 let frame = Frame::decode(&back[at + 4..at + 4 + length]);
                 at += 4 + length;
-                let Ok(Frame { what: Some(What::Up(frame)) }) = frame else { return };
+                let Ok(Frame {
+                    what: Some(What::Up(frame)),
+                }) = frame
+                else {
+                    return;
+                };
                 serving.heard(link, frame);
             }
             back.drain(..at);
@@ -216,7 +228,10 @@
         loop {
             match line.out.next() {
                 Some(bytes) => {
-                    if !timeout(TAKES, write.write_all(&bytes)).await.is_ok_and(|written| written.is_ok()) {
+                    if !timeout(TAKES, write.write_all(&bytes))
+                        .await
+                        .is_ok_and(|written| written.is_ok())
+                    {
                         return;
                     }
                     line.out.sent.set(line.out.sent.get() + bytes.len() as u64);
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -28,7 +28,9 @@
 
 /// A question's words, if it is one.
 pub fn question(frame: &[u8]) -> Option<&str> {
-    std::str::from_utf8(frame.strip_prefix(MARK)?).ok().filter(|words| words.len() <= 4_096)
+    std::str::from_utf8(frame.strip_prefix(MARK)?)
+        .ok()
+        .filter(|words| words.len() <= 4_096)
 }
 
 /// A question as a frame's message.
@@ -63,11 +65,16 @@
     if group.serving().is_none() {
         return Ok(Told::Refused("this member is no control machine".into()));
     }
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     publish.at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
     let claim = group.see(|member| member.claim(&[]));
-    let command =
-        Command { key: Bytes::from_static(b"configuration"), claim, what: Some(What::Publish(publish)) };
+    let command = Command {
+        key: Bytes::from_static(b"configuration"),
+        claim,
+        what: Some(What::Publish(publish)),
+    };
     let (send, told) = oneshot::channel();
     let send = Cell::new(Some(send));
     let tell = move |told| {
@@ -78,7 +85,10 @@
     if group.ask(command, COMMITS, Rc::new(tell)).is_none() {
         return Ok(Told::Refused("this member takes no questions now".into()));
     }
-    told.await.ok().flatten().ok_or("no majority answered in time: it may be committed yet, see the versions")
+    told.await
+        .ok()
+        .flatten()
+        .ok_or("no majority answered in time: it may be committed yet, see the versions")
 }
 
 /// What is told to a question.
@@ -94,7 +104,9 @@
     group.see(|member| {
         let versions = member.published().map(|(versions, _)| versions);
         let versions = versions.filter(|versions| versions.version() > 0);
-        versions.and_then(|all| snapshot::packed(all.version(), all.state()).ok()).unwrap_or_default()
+        versions
+            .and_then(|all| snapshot::packed(all.version(), all.state()).ok())
+            .unwrap_or_default()
     })
 }
 
@@ -122,7 +134,9 @@
         return member.name().into();
     }
     let mut peers = member.peers();
-    peers.find(|peer| peer.2 == Some(disk)).map_or(Value::Null, |peer| peer.0.into())
+    peers
+        .find(|peer| peer.2 == Some(disk))
+        .map_or(Value::Null, |peer| peer.0.into())
 }
 
 fn status(group: &Group) -> Value {
@@ -241,28 +255,68 @@
     let counts = &serving.counts;
     let attached = serving.standing().len();
     let gauges = [
-        ("published_version", "The newest published version here", version),
-        ("attached", "Processes that are attached here", attached as u64),
+        (
+            "published_version",
+            "The newest published version here",
+            version,
+        ),
+        (
+            "attached",
+            "Processes that are attached here",
+            attached as u64,
+        ),
     ];
     for (name, help, value) in gauges {
-        registry.register(name, help, ConstGauge::new(i64::try_from(value).unwrap_or(i64::MAX)));
+        registry.register(
+            name,
+            help,
+            ConstGauge::new(i64::try_from(value).unwrap_or(i64::MAX)),
+        );
     }
     let counters = [
         ("attachments", "Attachments since the start", c.attached),
-        ("turned_away", "Processes that were told to come back", c.turned_away),
+        (
+            "turned_away",
+            "Processes that were told to come back",
+            c.turned_away,
+        ),
         ("links_full", "Links past the bound", counts.full.get()),
-        ("links_slow", "Links ended, as too much waited for them", counts.slow.get()),
-        ("not_here", "Links ended, as no copy of the versions is here", counts.not_here.get()),
+        (
+            "links_slow",
+            "Links ended, as too much waited for them",
+            counts.slow.get(),
+        ),
+        (
+            "not_here",
+            "Links ended, as no copy of the versions is here",
+            counts.not_here.get(),
+        ),
         ("confirmed", "Confirmations", c.confirmed),
         ("refused", "Refusals", c.refused),
-        ("differs", "Subscribers that held something else than their version says", c.differs),
-        ("gaps", "Subscribers that were sent what they could not use", c.gaps),
+        (
+            "differs",
+            "Subscribers that held something else than their version says",
+            c.differs,
+        ),
+        (
+            "gaps",
+            "Subscribers that were sent what they could not use",
+            c.gaps,
+        ),
         ("deltas", "Changes sent", c.deltas),
         ("snapshots", "Whole versions sent", c.snapshots),
         ("sent_again", "Changes and pieces sent again", c.sent_again),
         ("unreadable", "Frames that were none", c.unreadable),
-        ("attached_in_bytes", "Bytes of attached processes", c.bytes_in),
-        ("attached_out_bytes", "Bytes to attached processes", c.bytes_out),
+        (
+            "attached_in_bytes",
+            "Bytes of attached processes",
+            c.bytes_in,
+        ),
+        (
+            "attached_out_bytes",
+            "Bytes to attached processes",
+            c.bytes_out,
+        ),
     ];
     for (name, help, value) in counters {
         registry.register(name, help, ConstCounter::new(value));
@@ -277,29 +331,57 @@
     let mut gauge =
         |name: &str, help: &str, value: i64| registry.register(name, help, ConstGauge::new(value));
     let shards = status["shards"].as_array().cloned().unwrap_or_default();
-    let over = |key: &str| shards.iter().map(|shard| number(&shard[key])).max().unwrap_or(0);
+    let over = |key: &str| {
+        shards
+            .iter()
+            .map(|shard| number(&shard[key]))
+            .max()
+            .unwrap_or(0)
+    };
     gauge("term", "The latest term of any shard here", over("term"));
-    gauge("keys", "Keys in the copies here", shards.iter().map(|shard| number(&shard["keys"])).sum());
-    gauge("leads", "Shards that are led here", number(&status["leads"]));
+    gauge(
+        "keys",
+        "Keys in the copies here",
+        shards.iter().map(|shard| number(&shard["keys"])).sum(),
+    );
+    gauge(
+        "leads",
+        "Shards that are led here",
+        number(&status["leads"]),
+    );
     gauge(
         "shards_without_leader",
         "Shards whose leader is not known here",
         number(&status["shards_in_all"]) - number(&status["shards_with_leader"]),
     );
-    let peers = shards.iter().flat_map(|shard| shard["peers"].as_array().cloned().unwrap_or_default());
+    let peers = shards
+        .iter()
+        .flat_map(|shard| shard["peers"].as_array().cloned().unwrap_or_default());
     gauge(
         "behind",
         "Entries by which the copy that is furthest behind is behind, of shards led here",
         peers.map(|peer| number(&peer["behind"])).max().unwrap_or(0),
     );
-    gauge("unwritten", "Writes that are not durable yet", number(&status["unwritten"]));
-    gauge("questions", "Questions that are open", number(&status["questions"]));
+    gauge(
+        "unwritten",
+        "Writes that are not durable yet",
+        number(&status["unwritten"]),
+    );
+    gauge(
+        "questions",
+        "Questions that are open",
+        number(&status["questions"]),
+    );
     gauge(
         "commit_p99_us",
         "From a question to its answer, 99th percentile of the last ones",
         (status["commit_ms"]["p99"].as_f64().unwrap_or(0.0) * 1e3) as i64,
     );
-    gauge("quarantined", "1 if nothing is confirmed here any more", i64::from(status["stopped"] == true));
+    gauge(
+        "quarantined",
+        "1 if nothing is confirmed here any more",
+        i64::from(status["stopped"] == true),
+    );
     registry.register(
         "set_asides",
         "Times that files were set aside",
@@ -308,7 +390,11 @@
     if let Some(serving) = group.serving() {
         serving_metrics(&mut registry, &serving);
     }
-    registry.register("flushes", "Flushes of the disk", ConstCounter::new(group.flushes.get()));
+    registry.register(
+        "flushes",
+        "Flushes of the disk",
+        ConstCounter::new(group.flushes.get()),
+    );
     let mut text = String::new();
     let _ = encode(&mut text, &registry);
     text
--- a/crates/group/src/testing.rs
+++ b/crates/group/src/testing.rs
@@ -52,7 +52,11 @@
 impl Clock for Wrong {
     fn now(&self) -> Duration {
         let passed = self.start.elapsed();
-        let step = if passed > STEPS_AFTER { self.step } else { Duration::ZERO };
+        let step = if passed > STEPS_AFTER {
+            self.step
+        } else {
+            Duration::ZERO
+        };
         passed * self.rate / 1_000 + step
     }
 
@@ -68,20 +72,31 @@
 pub fn file(testing: bool) -> Result<Option<PathBuf>, String> {
     match std::env::var_os(VARIABLE) {
         None => Ok(None),
-        Some(_) if !testing => Err(format!("{VARIABLE} is set, and the group does not say `testing: yes`")),
+        Some(_) if !testing => Err(format!(
+            "{VARIABLE} is set, and the group does not say `testing: yes`"
+        )),
         Some(path) => Ok(Some(path.into())),
     }
 }
 
 /// The clock that the file asks for.
 pub fn clock(file: Option<&Path>) -> Box<dyn Clock> {
-    let text = file.and_then(|file| std::fs::read_to_string(file).ok()).unwrap_or_default();
+    let text = file
+        .and_then(|file| std::fs::read_to_string(file).ok())
+        .unwrap_or_default();
     let words = text.lines().find_map(|line| line.strip_prefix("clock "));
-    let mut numbers = words.unwrap_or("").split(' ').filter_map(|word| word.parse::<u64>().ok());
+    let mut numbers = words
+        .unwrap_or("")
+        .split(' ')
+        .filter_map(|word| word.parse::<u64>().ok());
     match (numbers.next(), numbers.next()) {
         (Some(rate), Some(step)) => {
             let rate = u32::try_from(rate).unwrap_or(1_000).clamp(1, 100_000);
-            Box::new(Wrong { start: Instant::now(), rate, step: Duration::from_millis(step) })
+            Box::new(Wrong {
+                start: Instant::now(),
+                rate,
+                step: Duration::from_millis(step),
+            })
         }
         _ => Box::new(Plain::default()),
     }
@@ -93,7 +108,9 @@
         let text = std::fs::read_to_string(&file).unwrap_or_default();
         for line in text.lines() {
             match line.split_once(' ').unwrap_or((line, "")) {
-                ("flush-fails", _) => return Err(io::Error::other("the flush failed, as it was told to")),
+                ("flush-fails", _) => {
+                    return Err(io::Error::other("the flush failed, as it was told to"))
+                }
                 ("disk-full", _) => return Err(io::ErrorKind::StorageFull.into()),
                 ("disk-slow", ms) => {
                     std::thread::sleep(Duration::from_millis(ms.parse().unwrap_or(0).min(10_000)));
@@ -111,7 +128,11 @@
 
     #[test]
     fn a_wrong_clock_never_goes_back_and_runs_at_its_pace() {
-        let fast = Wrong { start: Instant::now(), rate: 1_500, step: Duration::from_secs(3_600) };
+        let fast = Wrong {
+            start: Instant::now(),
+            rate: 1_500,
+            step: Duration::from_secs(3_600),
+        };
         let mut before = Duration::ZERO;
         while fast.start.elapsed() < STEPS_AFTER + Duration::from_millis(20) {
             let now = fast.now();
@@ -119,7 +140,10 @@
             before = now;
         }
         assert!(before > Duration::from_secs(3_600));
-        assert_eq!(fast.real(Duration::from_millis(150)), Duration::from_millis(100));
+        assert_eq!(
+            fast.real(Duration::from_millis(150)),
+            Duration::from_millis(100)
+        );
     }
 
     #[test]
--- a/crates/group/tests/golden.rs
+++ b/crates/group/tests/golden.rs
@@ -19,14 +19,25 @@
 const QUESTIONS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/questions.hex");
 
 fn configuration(tenants: usize) -> Configuration {
-    let tenants = (0..tenants).map(|at| Tenant { name: format!("t{at}"), ..Tenant::default() });
-    Configuration { version: VERSION, tenants: tenants.collect(), ..Configuration::default() }
+    let tenants = (0..tenants).map(|at| Tenant {
+        name: format!("t{at}"),
+        ..Tenant::default()
+    });
+    Configuration {
+        version: VERSION,
+        tenants: tenants.collect(),
+        ..Configuration::default()
+    }
 }
 
 fn publish(member: &Running, from: u64, tenants: usize) {
-    let state = member.tell(|group| group.see(|member| member.published().unwrap().0.state().clone()));
+    let state =
+        member.tell(|group| group.see(|member| member.published().unwrap().0.state().clone()));
     let publish = Publish::of(&state, from, &configuration(tenants)).unwrap();
-    assert_eq!(member.ask_until_told(9, "configuration", &What::Publish(publish)), Told::Noted);
+    assert_eq!(
+        member.ask_until_told(9, "configuration", &What::Publish(publish)),
+        Told::Noted
+    );
 }
 
 /// A member alone: keys in each state and two versions in snapshots, more of both in the log behind them.
@@ -36,11 +47,26 @@
     for key in ["known", "uncertain", "started", "withdrawn"] {
         assert_eq!(member.ask_until_told(1, key, &start()), Told::Granted);
     }
-    assert_eq!(member.ask_until_told(1, "known", &What::Done("R".into())), Told::Noted);
-    assert_eq!(member.ask_until_told(1, "uncertain", &What::Failed(true)), Told::Noted);
-    assert_eq!(member.ask_until_told(1, "withdrawn", &What::Withdraw(true)), Told::Noted);
-    let register = Register { version: 3, data: Bytes::from_static(b"value") };
-    assert_eq!(member.ask_until_told(1, "register", &What::Set(register)), Told::Noted);
+    assert_eq!(
+        member.ask_until_told(1, "known", &What::Done("R".into())),
+        Told::Noted
+    );
+    assert_eq!(
+        member.ask_until_told(1, "uncertain", &What::Failed(true)),
+        Told::Noted
+    );
+    assert_eq!(
+        member.ask_until_told(1, "withdrawn", &What::Withdraw(true)),
+        Told::Noted
+    );
+    let register = Register {
+        version: 3,
+        data: Bytes::from_static(b"value"),
+    };
+    assert_eq!(
+        member.ask_until_told(1, "register", &What::Set(register)),
+        Told::Noted
+    );
     publish(&member, 0, 1);
     publish(&member, 1, 2);
     drop(member);
@@ -48,7 +74,10 @@
     recovery::recover(&w.folder(0), "n1", true).unwrap();
     let member = w.up("n1");
     assert_eq!(member.ask_until_told(2, "late", &start()), Told::Granted);
-    assert_eq!(member.ask_until_told(2, "late", &What::Done("L".into())), Told::Noted);
+    assert_eq!(
+        member.ask_until_told(2, "late", &What::Done("L".into())),
+        Told::Noted
+    );
     publish(&member, 2, 3);
 }
 
@@ -72,8 +101,9 @@
     }
     let w = world(1);
     copy(&stored, &w.folder(0));
-    let files =
-        std::fs::read_dir(&stored).unwrap().map(|file| file.unwrap().file_name().into_string().unwrap());
+    let files = std::fs::read_dir(&stored)
+        .unwrap()
+        .map(|file| file.unwrap().file_name().into_string().unwrap());
     let files: Vec<String> = files.collect();
     for kind in ["identity", "log-", "snap-"] {
         assert!(files.iter().any(|file| file.starts_with(kind)), "{files:?}");
@@ -83,7 +113,10 @@
     assert_eq!(member.tell(|group| group.set_asides.get()), 0);
     assert_eq!(member.ask_until_told(7, "known", &start()), known("R"));
     assert_eq!(member.ask_until_told(7, "late", &start()), known("L"));
-    assert_eq!(member.ask_until_told(7, "uncertain", &start()), Told::Uncertain);
+    assert_eq!(
+        member.ask_until_told(7, "uncertain", &start()),
+        Told::Uncertain
+    );
     assert_eq!(member.ask_until_told(7, "started", &start()), Told::Running);
     let identity: serde_json::Value =
         serde_json::from_slice(&std::fs::read(stored.join("identity")).unwrap()).unwrap();
@@ -91,7 +124,12 @@
         group.see(|member| {
             let (versions, _) = member.published().unwrap();
             let register = member.register(b"register").unwrap().clone();
-            (member.disk(), register, versions.version(), versions.state().configuration().unwrap())
+            (
+                member.disk(),
+                register,
+                versions.version(),
+                versions.state().configuration().unwrap(),
+            )
         })
     });
     assert_eq!(Some(disk), identity["disk"].as_u64());
@@ -101,7 +139,12 @@
 
 #[test]
 fn questions_of_operators_and_frames_are_carried_as_before() {
-    let publish = Publish { from: 4, at_ms: 5, delta: Bytes::from_static(b"delta"), whole: Bytes::new() };
+    let publish = Publish {
+        from: 4,
+        at_ms: 5,
+        delta: Bytes::from_static(b"delta"),
+        whole: Bytes::new(),
+    };
     let frame = Frame::default().encode_to_vec();
     assert_bytes(
         QUESTIONS,
@@ -113,6 +156,9 @@
         ],
     );
     let stored = read_bytes(QUESTIONS);
-    assert_eq!(status::question(&stored[0].bytes), Some("why register/K-17"));
+    assert_eq!(
+        status::question(&stored[0].bytes),
+        Some("why register/K-17")
+    );
     assert_eq!(status::publish(&stored[1].bytes), Some(publish));
 }
--- a/crates/group/tests/members.rs
+++ b/crates/group/tests/members.rs
@@ -15,7 +15,10 @@
     w.all_led(&[&n1, &n2, &n3]);
     assert_eq!(n1.ask_until_told(1, "a", &start()), Told::Granted);
     assert_eq!(n2.ask_until_told(2, "a", &start()), Told::Running);
-    assert_eq!(n1.ask_until_told(1, "a", &What::Done("R".into())), Told::Noted);
+    assert_eq!(
+        n1.ask_until_told(1, "a", &What::Done("R".into())),
+        Told::Noted
+    );
     assert_eq!(n3.ask_until_told(3, "a", &start()), known("R"));
     // One is gone, and comes back with its disk; the others go on without it.
     drop(n2);
@@ -54,8 +57,14 @@
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
     for n in 0..20 {
-        assert_eq!(n1.ask_until_told(n, &format!("k{n}"), &start()), Told::Granted);
-        assert_eq!(n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())), Told::Noted);
+        assert_eq!(
+            n1.ask_until_told(n, &format!("k{n}"), &start()),
+            Told::Granted
+        );
+        assert_eq!(
+            n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())),
+            Told::Noted
+        );
     }
     drop(n3);
     std::fs::remove_dir_all(w.folder(2)).unwrap();
@@ -64,9 +73,12 @@
     let votes = |group: &Group| {
         group.see(|member| {
             let own = member.disk();
-            let in_all = |config: &rainstand_replica::Config| config.votes(own) && config.members.len() == 3;
+            let in_all =
+                |config: &rainstand_replica::Config| config.votes(own) && config.members.len() == 3;
             member.shards().count() == 2
-                && member.shards().all(|(_, replica, _)| replica.settled() && in_all(replica.config()))
+                && member
+                    .shards()
+                    .all(|(_, replica, _)| replica.settled() && in_all(replica.config()))
         })
     };
     while !n3.tell(move |group| votes(group)) {
@@ -75,7 +87,10 @@
     // It votes: with it and one other everything is known.
     drop(n1);
     for n in 0..20 {
-        assert_eq!(n3.ask_until_told(100 + n, &format!("k{n}"), &start()), known("R"));
+        assert_eq!(
+            n3.ask_until_told(100 + n, &format!("k{n}"), &start()),
+            known("R")
+        );
     }
     drop(n2);
 }
@@ -86,12 +101,20 @@
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
     assert_eq!(n2.ask_until_told(1, "a", &start()), Told::Granted);
-    assert_eq!(n2.ask_until_told(1, "a", &What::Done("R".into())), Told::Noted);
+    assert_eq!(
+        n2.ask_until_told(1, "a", &What::Done("R".into())),
+        Told::Noted
+    );
     assert_eq!(n2.ask_until_told(2, "b", &start()), Told::Granted);
     // n1 must have it all before it is the only one.
     let begun = Instant::now();
     let has = |group: &Group, key: &str, word: &str| {
-        group.see(|member| member.row(key.as_bytes()).1.is_some_and(|row| row.word() == word))
+        group.see(|member| {
+            member
+                .row(key.as_bytes())
+                .1
+                .is_some_and(|row| row.word() == word)
+        })
     };
     while !n1.tell(move |group| has(group, "a", "known") && has(group, "b", "started")) {
         assert!(begun.elapsed() < HANGS, "n1 lags");
@@ -102,7 +125,10 @@
     assert_eq!(alone.ask(3, "c", start(), Duration::from_millis(300)), None);
     drop(alone);
     let told = recovery::recover(&w.folder(0), "n1", false).unwrap();
-    assert!(told.missing.is_empty() && told.shards.iter().any(|shard| shard.started == ["b"]), "{told:?}");
+    assert!(
+        told.missing.is_empty() && told.shards.iter().any(|shard| shard.started == ["b"]),
+        "{told:?}"
+    );
     recovery::recover(&w.folder(0), "n1", true).unwrap();
     let n1 = w.up("n1");
     assert_eq!(n1.ask_until_told(4, "a", &start()), known("R"));
@@ -124,8 +150,14 @@
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
     for n in 0..20 {
-        assert_eq!(n1.ask_until_told(n, &format!("k{n}"), &start()), Told::Granted);
-        assert_eq!(n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())), Told::Noted);
+        assert_eq!(
+            n1.ask_until_told(n, &format!("k{n}"), &start()),
+            Told::Granted
+        );
+        assert_eq!(
+            n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())),
+            Told::Noted
+        );
     }
     w.group = all.clone();
     let n4 = w.up("n4");
@@ -141,17 +173,27 @@
         .unwrap();
     }
     let wanted: usize = {
-        let names: Vec<(String, String)> =
-            all.members.iter().map(|m| (m.name.clone(), m.site.clone())).collect();
+        let names: Vec<(String, String)> = all
+            .members
+            .iter()
+            .map(|m| (m.name.clone(), m.site.clone()))
+            .collect();
         (0..4)
-            .filter(|s| rainstand_copies::layout::holders(&names, *s, 3).iter().any(|k| names[*k].0 == "n4"))
+            .filter(|s| {
+                rainstand_copies::layout::holders(&names, *s, 3)
+                    .iter()
+                    .any(|k| names[*k].0 == "n4")
+            })
             .count()
     };
     let begun = Instant::now();
     let votes = |group: &Group| {
         group.see(|member| {
             let own = member.disk();
-            member.shards().filter(|one| one.1.settled() && one.1.config().votes(own)).count()
+            member
+                .shards()
+                .filter(|one| one.1.settled() && one.1.config().votes(own))
+                .count()
         })
     };
     while n4.tell(move |group| votes(group)) < wanted {
@@ -159,7 +201,10 @@
     }
     assert!(wanted > 0);
     for n in 0..20 {
-        assert_eq!(n4.ask_until_told(100 + n, &format!("k{n}"), &start()), known("R"));
+        assert_eq!(
+            n4.ask_until_told(100 + n, &format!("k{n}"), &start()),
+            known("R")
+        );
     }
 }
 
@@ -169,7 +214,10 @@
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
     assert_eq!(n1.ask_until_told(1, "a", &start()), Told::Granted);
-    assert_eq!(n1.ask_until_told(1, "a", &What::Done("R".into())), Told::Noted);
+    assert_eq!(
+        n1.ask_until_told(1, "a", &What::Done("R".into())),
+        Told::Noted
+    );
     drop((n2, n3));
     for file in std::fs::read_dir(w.folder(2)).unwrap() {
         std::fs::remove_file(file.unwrap().path()).unwrap();
@@ -181,6 +229,10 @@
     let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
     assert_eq!(n3.ask_until_told(2, "a", &start()), known("R"));
     assert_eq!(n2.ask_until_told(3, "a", &start()), known("R"));
-    let disks = [&n2, &n3].map(|one| one.tell(|group| (group.see(|m| m.disk()), group.set_asides.get())));
-    assert!(disks[0].0 != disks[1].0 && disks[0].1 == 0 && disks[1].1 == 1, "{disks:?}");
+    let disks =
+        [&n2, &n3].map(|one| one.tell(|group| (group.see(|m| m.disk()), group.set_asides.get())));
+    assert!(
+        disks[0].0 != disks[1].0 && disks[0].1 == 0 && disks[1].1 == 1,
+        "{disks:?}"
+    );
 }
--- a/crates/group/tests/world/mod.rs
+++ b/crates/group/tests/world/mod.rs
@@ -35,19 +35,36 @@
 impl Running {
     pub fn start(group: schema::Group, name: &str) -> Self {
         let (jobs, mut todo) = unbounded_channel::<Job>();
-        let (name, folder) =
-            (name.to_owned(), group.members.iter().find(|m| m.name == name).unwrap().folder.clone());
+        let (name, folder) = (
+            name.to_owned(),
+            group
+                .members
+                .iter()
+                .find(|m| m.name == name)
+                .unwrap()
+                .folder
+                .clone(),
+        );
         let thread = std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap();
             let local = LocalSet::new();
             local.block_on(&runtime, async move {
                 // The port was this member's before, and may be lent to somebody's connection just now.
                 let begun = Instant::now();
                 let group = loop {
-                    let setup = Setup { name: name.clone(), group: group.clone(), log: Box::new(|_| {}) };
+                    let setup = Setup {
+                        name: name.clone(),
+                        group: group.clone(),
+                        log: Box::new(|_| {}),
+                    };
                     match Group::start(setup).await {
                         Ok(group) => break group,
-                        Err(why) => assert!(why.contains("in use") && begun.elapsed() < HANGS, "{why}"),
+                        Err(why) => {
+                            assert!(why.contains("in use") && begun.elapsed() < HANGS, "{why}")
+                        }
                     }
                     tokio::task::yield_now().await;
                 };
@@ -63,7 +80,10 @@
                 std::thread::yield_now();
             }
         });
-        Self { jobs: Some(jobs), thread: Some(thread) }
+        Self {
+            jobs: Some(jobs),
+            thread: Some(thread),
+        }
     }
 
     pub fn on<T: Send + 'static>(
@@ -81,9 +101,16 @@
         let key = key.to_owned();
         let told = self.on(move |group, answer: Sender<Option<Told>>| {
             let claim = group.see(|member| member.claim(&[trace; 16]));
-            let command = Command { key: key.into_bytes().into(), claim, what: Some(what) };
+            let command = Command {
+                key: key.into_bytes().into(),
+                claim,
+                what: Some(what),
+            };
             let back = answer.clone();
-            if group.ask(command, within, Rc::new(move |told| drop(back.send(told)))).is_none() {
+            if group
+                .ask(command, within, Rc::new(move |told| drop(back.send(told))))
+                .is_none()
+            {
                 let _ = answer.send(None);
             }
         });
@@ -113,7 +140,10 @@
 }
 
 pub fn start() -> What {
-    What::Start(Start { sum: 1, window: 60_000_000_000 })
+    What::Start(Start {
+        sum: 1,
+        window: 60_000_000_000,
+    })
 }
 
 pub fn known(result: &'static str) -> Told {
@@ -127,12 +157,18 @@
 
 pub fn world(n: usize) -> World {
     let folder = tempfile::tempdir().unwrap();
-    let listeners: Vec<_> = (0..n).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let listeners: Vec<_> = (0..n)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
     let member = |(k, listener): (usize, &std::net::TcpListener)| schema::GroupMember {
         name: format!("n{}", k + 1),
         site: String::new(),
         address: listener.local_addr().unwrap().to_string(),
-        folder: folder.path().join(format!("n{}", k + 1)).display().to_string(),
+        folder: folder
+            .path()
+            .join(format!("n{}", k + 1))
+            .display()
+            .to_string(),
     };
     let members = listeners.iter().enumerate().map(member).collect();
     let ms = 1_000_000;
@@ -151,7 +187,10 @@
         start_within_ns: 500 * ms,
         come_back_ns: 100 * ms,
     };
-    World { _folder: folder, group }
+    World {
+        _folder: folder,
+        group,
+    }
 }
 
 impl World {
--- a/crates/lab/src/jobs.rs
+++ b/crates/lab/src/jobs.rs
@@ -22,7 +22,10 @@
 
 /// What tells one experiment from another: all that it is compiled from.
 pub fn mark(configuration: &Configuration, experiment: &Experiment) -> String {
-    format!("{:016x}", xxh3_64(&schema::to_binary(&alone(configuration, experiment))))
+    format!(
+        "{:016x}",
+        xxh3_64(&schema::to_binary(&alone(configuration, experiment)))
+    )
 }
 
 /// The configuration with this experiment alone, and without what experiments do not use.
@@ -92,14 +95,22 @@
     stop: &AtomicBool,
     mut told: impl FnMut(&Rows),
 ) -> Result<Played, String> {
-    let mut played = Played { rows: done(folder, &work.of)?, ..Played::default() };
+    let mut played = Played {
+        rows: done(folder, &work.of)?,
+        ..Played::default()
+    };
     played.before = played.rows.len();
-    let known: HashSet<(i64, i64)> =
-        played.rows.iter().map(|rows| (rows.run.variant_number, rows.run.seed)).collect();
+    let known: HashSet<(i64, i64)> = played
+        .rows
+        .iter()
+        .map(|rows| (rows.run.variant_number, rows.run.seed))
+        .collect();
     // Seeds go round the variants, so that a stopped experiment has pairs.
-    let all = (1..=work.seeds).flat_map(|seed| (0..work.variants.len()).map(move |variant| (variant, seed)));
-    let todo: VecDeque<(usize, u64)> =
-        all.filter(|(variant, seed)| !known.contains(&(*variant as i64, *seed as i64))).collect();
+    let all = (1..=work.seeds)
+        .flat_map(|seed| (0..work.variants.len()).map(move |variant| (variant, seed)));
+    let todo: VecDeque<(usize, u64)> = all
+        .filter(|(variant, seed)| !known.contains(&(*variant as i64, *seed as i64)))
+        .collect();
     let todo = Mutex::new(todo);
     let path = folder.join(DONE);
     let mut file = OpenOptions::new()
@@ -116,11 +127,14 @@
                 let next = if stop.load(Ordering::Relaxed) {
                     None
                 } else {
-                    todo.lock().unwrap_or_else(std::sync::PoisonError::into_inner).pop_front()
+                    todo.lock()
+                        .unwrap_or_else(std::sync::PoisonError::into_inner)
+                        .pop_front()
                 };
                 let Some((variant, seed)) = next else { return };
                 let found = catch_unwind(AssertUnwindSafe(|| one(work, variant, seed)));
-                let found = found.unwrap_or_else(|_| Err("it ended in a panic; see standard error".into()));
+                let found =
+                    found.unwrap_or_else(|_| Err("it ended in a panic; see standard error".into()));
                 if tell.send((variant, seed, found)).is_err() {
                     return;
                 }
@@ -132,7 +146,8 @@
                 Ok(rows) => {
                     told(&rows);
                     let line = serde_json::to_string(&rows).map_err(|e| e.to_string());
-                    let kept = line.and_then(|line| writeln!(file, "{line}").map_err(|e| e.to_string()));
+                    let kept =
+                        line.and_then(|line| writeln!(file, "{line}").map_err(|e| e.to_string()));
                     if let Err(why) = kept {
                         stop.store(true, Ordering::Relaxed);
                         trouble.get_or_insert(format!("{}: {why}", path.display()));
@@ -146,7 +161,10 @@
             }
         }
     });
-    played.left = todo.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner).len();
+    played.left = todo
+        .into_inner()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .len();
     trouble.map_or(Ok(played), Err)
 }
 
--- a/crates/lab/src/plans.rs
+++ b/crates/lab/src/plans.rs
@@ -5,8 +5,8 @@
 };
 use rainstand_config::units::{self, ONE};
 use rainstand_model::plan::{
-    BelowPlan, Fault, FrontPlan, Habits, NetPlan, NodeKind, NodePlan, Pick, Plan, TenantPlan, Trouble,
-    TypePlan, Whom, Work,
+    BelowPlan, Fault, FrontPlan, Habits, NetPlan, NodeKind, NodePlan, Pick, Plan, TenantPlan,
+    Trouble, TypePlan, Whom, Work,
 };
 use rainstand_rules::Kind;
 use std::time::Duration;
@@ -37,7 +37,10 @@
 /// A name that the configuration does not have: the checker refuses it before, a message from elsewhere may hold it.
 pub fn plan(configuration: &Configuration, experiment: &Experiment) -> Result<Plan, String> {
     let traffic = experiment.traffic.iter().map(|one| {
-        let found = configuration.types.iter().find(|known| known.name == one.name);
+        let found = configuration
+            .types
+            .iter()
+            .find(|known| known.name == one.name);
         let known = found.ok_or_else(|| format!("there is no type `{}`", one.name))?;
         let (least, most) = (ns(one.work_least_ns), ns(one.work_most_ns));
         Ok(TypePlan {
@@ -56,7 +59,10 @@
         })
     });
     let tenants = experiment.from.iter().map(|one| {
-        let known = configuration.tenants.iter().find(|known| known.name == one.name);
+        let known = configuration
+            .tenants
+            .iter()
+            .find(|known| known.name == one.name);
         if known.is_none() && !one.stranger {
             return Err(format!("there is no tenant `{}`", one.name));
         }
@@ -74,32 +80,45 @@
         cores: small(fleet.cores),
         kind: match fleet.node() {
             schema::ModelNode::Ours => NodeKind::Ours,
-            _ => NodeKind::Plain { at_once: small(fleet.at_once), hold: small(fleet.hold) },
+            _ => NodeKind::Plain {
+                at_once: small(fleet.at_once),
+                hold: small(fleet.hold),
+            },
         },
         crowding: share(fleet.crowding),
         cold: (fleet.cold_ns > 0).then(|| (ns(fleet.cold_ns), share(fleet.cold_slower))),
         halls: small(fleet.halls).max(1),
     };
-    let fronts =
-        experiment.forwarders.as_ref().map_or(FrontPlan { count: 0, ..FrontPlan::default() }, |one| {
-            FrontPlan {
-                count: small(one.count),
-                know: small(one.know),
-                pick: pick(one.pick()),
-                tries: small(one.tries),
-                budget: share(one.budget),
-                wait: (ns(one.wait_least_ns), ns(one.wait_most_ns)),
-                keep: one.health.then(|| share(one.keep)),
-                at_once: one.at_once,
-                warm_rate: 0,
-            }
+    let fronts = experiment.forwarders.as_ref().map_or(
+        FrontPlan {
+            count: 0,
+            ..FrontPlan::default()
+        },
+        |one| FrontPlan {
+            count: small(one.count),
+            know: small(one.know),
+            pick: pick(one.pick()),
+            tries: small(one.tries),
+            budget: share(one.budget),
+            wait: (ns(one.wait_least_ns), ns(one.wait_most_ns)),
+            keep: one.health.then(|| share(one.keep)),
+            at_once: one.at_once,
+            warm_rate: 0,
+        },
+    );
+    let net = experiment
+        .network
+        .as_ref()
+        .map_or(NetPlan::default(), |one| NetPlan {
+            delay: (ns(one.delay_least_ns), ns(one.delay_most_ns)),
+            far: ns(one.far_ns),
+            breaks: share(one.breaks),
         });
-    let net = experiment.network.as_ref().map_or(NetPlan::default(), |one| NetPlan {
-        delay: (ns(one.delay_least_ns), ns(one.delay_most_ns)),
-        far: ns(one.far_ns),
-        breaks: share(one.breaks),
-    });
-    let faults = experiment.faults.iter().map(|one| fault(one, &tenants)).collect::<Result<_, String>>()?;
+    let faults = experiment
+        .faults
+        .iter()
+        .map(|one| fault(one, &tenants))
+        .collect::<Result<_, String>>()?;
     let second_copy = (experiment.second_copy_ns > 0).then(|| ns(experiment.second_copy_ns));
     Ok(Plan {
         seed: 1,
@@ -123,7 +142,11 @@
             hold: small(one.hold),
             work: work(one.by_chance, ns(one.work_least_ns), ns(one.work_most_ns)),
         }),
-        load: experiment.load.iter().map(|one| (ns(one.from_ns), share(one.share))).collect(),
+        load: experiment
+            .load
+            .iter()
+            .map(|one| (ns(one.from_ns), share(one.share)))
+            .collect(),
         faults,
         bug: None,
         check: true,
@@ -160,7 +183,8 @@
         TroubleKind::Partition => Trouble::Partition,
         TroubleKind::Flood => {
             let found = tenants.iter().position(|tenant| tenant.name == one.tenant);
-            let tenant = found.ok_or_else(|| format!("a flood of `{}`, who asks for nothing", one.tenant))?;
+            let tenant = found
+                .ok_or_else(|| format!("a flood of `{}`, who asks for nothing", one.tenant))?;
             Trouble::Flood(tenant as u32, times)
         }
         TroubleKind::ClockJump => Trouble::ClockJump(span),
@@ -172,7 +196,12 @@
         None if one.first > 0 => Whom::First(small(one.first)),
         None => Whom::Share(share(one.share)),
     };
-    Ok(Fault { from: ns(one.from_ns), to: ns(one.from_ns + one.lasts_ns), trouble, whom })
+    Ok(Fault {
+        from: ns(one.from_ns),
+        to: ns(one.from_ns + one.lasts_ns),
+        trouble,
+        whom,
+    })
 }
 
 /// What a value of a varied key does to a plan, and how it is written.
@@ -210,7 +239,9 @@
         Varied::OfCores => {
             // The shape over time stays; its first part becomes this.
             let first = plan.load.first().map_or(1.0, |one| one.1).max(1e-9);
-            plan.load.iter_mut().for_each(|one| one.1 *= share(value) / first);
+            plan.load
+                .iter_mut()
+                .for_each(|one| one.1 *= share(value) / first);
             ("load", units::share(value))
         }
         Varied::RetryBudget => {
@@ -246,7 +277,10 @@
         let cores = plan.nodes.cores;
         plan.nodes.kind = match word {
             "ours" => NodeKind::Ours,
-            _ => NodeKind::Plain { at_once: cores, hold: 10 * cores },
+            _ => NodeKind::Plain {
+                at_once: cores,
+                hold: 10 * cores,
+            },
         };
         return "node";
     }
@@ -262,15 +296,23 @@
 ///
 /// # Errors
 /// As [`plan`], or a variant that makes no sense.
-pub fn variants(configuration: &Configuration, experiment: &Experiment) -> Result<Vec<Variant>, String> {
-    let mut all = vec![Variant { label: String::new(), plan: plan(configuration, experiment)? }];
+pub fn variants(
+    configuration: &Configuration,
+    experiment: &Experiment,
+) -> Result<Vec<Variant>, String> {
+    let mut all = vec![Variant {
+        label: String::new(),
+        plan: plan(configuration, experiment)?,
+    }];
     for vary in &experiment.vary {
         let mut next = Vec::new();
         for one in &all {
             let mut put = |set: &dyn Fn(&mut Plan) -> (&'static str, String)| {
                 let mut plan = one.plan.clone();
                 let (key, value) = set(&mut plan);
-                let label = format!("{} {key}={}", one.label, value.replace(' ', "")).trim().to_owned();
+                let label = format!("{} {key}={}", one.label, value.replace(' ', ""))
+                    .trim()
+                    .to_owned();
                 next.push(Variant { label, plan });
             };
             for value in &vary.values {
@@ -288,7 +330,9 @@
         if one.label.is_empty() {
             "as written".clone_into(&mut one.label);
         }
-        one.plan.check().map_err(|why| format!("{}: {why}", one.label))?;
+        one.plan
+            .check()
+            .map_err(|why| format!("{}: {why}", one.label))?;
     }
     Ok(all)
 }
@@ -323,14 +367,25 @@
     #[test]
     fn what_is_written_is_what_is_played() {
         let outcome = load(&Memory::new([("a.rain", TEXT)]), "a.rain");
-        let configuration = outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings));
+        let configuration = outcome
+            .configuration
+            .unwrap_or_else(|| panic!("{:?}", outcome.findings));
         let all = variants(&configuration, &configuration.experiments[0]).unwrap();
         let labels: Vec<_> = all.iter().map(|one| &*one.label).collect();
         assert_eq!(labels.len(), 6);
-        assert_eq!((labels[0], labels[5]), ("know=0 pick=two-choices", "know=10 pick=in-turn"));
+        assert_eq!(
+            (labels[0], labels[5]),
+            ("know=0 pick=two-choices", "know=10 pick=in-turn")
+        );
         let plan = &all[3].plan;
-        assert_eq!((plan.fronts.know, plan.fronts.pick, plan.fronts.budget), (5, Pick::InTurn, 0.1));
-        assert_eq!(plan.load, [(Duration::ZERO, 0.5), (Duration::from_secs(10), 1.2)]);
+        assert_eq!(
+            (plan.fronts.know, plan.fronts.pick, plan.fronts.budget),
+            (5, Pick::InTurn, 0.1)
+        );
+        assert_eq!(
+            plan.load,
+            [(Duration::ZERO, 0.5), (Duration::from_secs(10), 1.2)]
+        );
         assert_eq!(plan.faults[0].trouble, Trouble::Die);
         assert_eq!(plan.faults[1].trouble, Trouble::Flood(1, 30.0));
         assert_eq!(plan.faults[2].whom, Whom::Hall(1));
@@ -355,11 +410,26 @@
                 "fleet { nodes: 5 } fault { what: die; at: 1 s; lasts: 1 s; share: 1 %; times: 3 }",
                 "no key `times`",
             ),
-            ("fleet { nodes: 5 } vary nodez { to: 5 }", "`nodez` cannot be varied"),
-            ("fleet { nodes: 5 } vary pick { to: best }", "is one of two-choices"),
-            ("fleet { nodes: 5 } load { of-cores: 5 % } load { of-cores: 6 % }", "begins before"),
-            ("fleet { nodes: 5 } traffic other { work: 1 ms }", "no type `other`"),
-            ("fleet { nodes: 5 } fleet { nodes: 6 }", "has a `fleet` already"),
+            (
+                "fleet { nodes: 5 } vary nodez { to: 5 }",
+                "`nodez` cannot be varied",
+            ),
+            (
+                "fleet { nodes: 5 } vary pick { to: best }",
+                "is one of two-choices",
+            ),
+            (
+                "fleet { nodes: 5 } load { of-cores: 5 % } load { of-cores: 6 % }",
+                "begins before",
+            ),
+            (
+                "fleet { nodes: 5 } traffic other { work: 1 ms }",
+                "no type `other`",
+            ),
+            (
+                "fleet { nodes: 5 } fleet { nodes: 6 }",
+                "has a `fleet` already",
+            ),
         ];
         for (block, wanted) in table {
             let text = format!(
@@ -367,8 +437,15 @@
                  experiment x {{ traffic check {{ work: 5 ms }} from acme {{ }} {block} }}"
             );
             let outcome = load(&Memory::new([("a.rain", &*text)]), "a.rain");
-            let found: Vec<_> = outcome.findings.iter().map(|one| one.message.clone()).collect();
-            assert!(found.iter().any(|one| one.contains(wanted)), "{block}: {found:?}");
+            let found: Vec<_> = outcome
+                .findings
+                .iter()
+                .map(|one| one.message.clone())
+                .collect();
+            assert!(
+                found.iter().any(|one| one.contains(wanted)),
+                "{block}: {found:?}"
+            );
         }
     }
 }
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -55,21 +55,32 @@
     }
     let points = || shown.iter().flat_map(|(_, points)| points);
     let ends = |read: fn(&(f64, f64)) -> f64| {
-        points().map(read).fold((f64::INFINITY, f64::NEG_INFINITY), |(a, b), one| (a.min(one), b.max(one)))
+        points()
+            .map(read)
+            .fold((f64::INFINITY, f64::NEG_INFINITY), |(a, b), one| {
+                (a.min(one), b.max(one))
+            })
     };
     let (x, y) = (ends(|point| point.0), ends(|point| point.1));
     if !x.0.is_finite() || !y.0.is_finite() {
         return Err("there is nothing to draw".into());
     }
     let x = (x.0, if x.1 > x.0 { x.1 } else { x.0 + 1.0 });
-    let y = (y.0.min(labels.least.0), y.1.max(labels.least.1).max(y.0 + 1e-6));
+    let y = (
+        y.0.min(labels.least.0),
+        y.1.max(labels.least.1).max(y.0 + 1e-6),
+    );
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         let words = |error: &dyn std::fmt::Display| error.to_string();
         area.fill(&WHITE).map_err(|e| words(&e))?;
         let mut builder = ChartBuilder::on(&area);
-        builder.caption(&title, ("sans-serif", 16)).margin(8).x_label_area_size(36).y_label_area_size(58);
+        builder
+            .caption(&title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(58);
         macro_rules! draw {
             ($chart:expr) => {{
                 let mut chart = $chart.map_err(|e| words(&e))?;
@@ -83,9 +94,13 @@
                 for (k, (name, points)) in shown.iter().enumerate() {
                     let colour = COLOURS[k % COLOURS.len()];
                     let series = LineSeries::new(points.iter().copied(), colour.stroke_width(2));
-                    chart.draw_series(series).map_err(|e| words(&e))?.label(name.clone()).legend(
-                        move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2)),
-                    );
+                    chart
+                        .draw_series(series)
+                        .map_err(|e| words(&e))?
+                        .label(name.clone())
+                        .legend(move |(x, y)| {
+                            PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2))
+                        });
                 }
                 chart
                     .configure_series_labels()
@@ -111,13 +126,20 @@
     let mut all = Vec::new();
     for (number, label) in results.variants() {
         let mut by_second: BTreeMap<i64, (f64, u32)> = BTreeMap::new();
-        for second in results.seconds.iter().filter(|one| one.variant_number == number) {
+        for second in results
+            .seconds
+            .iter()
+            .filter(|one| one.variant_number == number)
+        {
             if let Some(value) = read(second) {
                 let one = by_second.entry(second.second).or_default();
                 (one.0, one.1) = (one.0 + value, one.1 + 1);
             }
         }
-        let points = by_second.into_iter().map(|(at, (sum, n))| (at as f64, sum / f64::from(n))).collect();
+        let points = by_second
+            .into_iter()
+            .map(|(at, (sum, n))| (at as f64, sum / f64::from(n)))
+            .collect();
         all.push((label, points));
     }
     all
@@ -130,17 +152,55 @@
 pub fn pictures(results: &Results) -> Result<Vec<(&'static str, String)>, String> {
     let share = |part: i64, of: i64| (of > 0).then(|| part as f64 / of as f64);
     let mut all = Vec::new();
-    let labels = |title, x, y| Labels { title, x, y, log: false, least: (f64::INFINITY, f64::NEG_INFINITY) };
-    let good = Labels { least: (1.0, 1.0), ..labels("Honoured within the goal time", "s", "share of jobs") };
-    all.push(("good.svg", lines(good, &over_time(results, |one| share(one.good, one.asked)))?));
-    let tries = Labels { least: (1.0, 1.1), ..labels("Tries at the nodes", "s", "tries a job asked") };
-    all.push(("tries.svg", lines(tries, &over_time(results, |one| share(one.tries, one.asked)))?));
-    let away = Labels { least: (0.0, 0.01), ..labels("Dismissed", "s", "share of jobs") };
-    all.push(("dismissed.svg", lines(away, &over_time(results, |one| share(one.dismissed, one.asked)))?));
+    let labels = |title, x, y| Labels {
+        title,
+        x,
+        y,
+        log: false,
+        least: (f64::INFINITY, f64::NEG_INFINITY),
+    };
+    let good = Labels {
+        least: (1.0, 1.0),
+        ..labels("Honoured within the goal time", "s", "share of jobs")
+    };
+    all.push((
+        "good.svg",
+        lines(good, &over_time(results, |one| share(one.good, one.asked)))?,
+    ));
+    let tries = Labels {
+        least: (1.0, 1.1),
+        ..labels("Tries at the nodes", "s", "tries a job asked")
+    };
+    all.push((
+        "tries.svg",
+        lines(
+            tries,
+            &over_time(results, |one| share(one.tries, one.asked)),
+        )?,
+    ));
+    let away = Labels {
+        least: (0.0, 0.01),
+        ..labels("Dismissed", "s", "share of jobs")
+    };
+    all.push((
+        "dismissed.svg",
+        lines(
+            away,
+            &over_time(results, |one| share(one.dismissed, one.asked)),
+        )?,
+    ));
     if results.seconds.iter().any(|one| one.calls > 0) {
-        let calls =
-            Labels { least: (0.0, 1.0), ..labels("Calls below that came back", "s", "calls a second") };
-        all.push(("calls.svg", lines(calls, &over_time(results, |one| Some(one.calls_done as f64)))?));
+        let calls = Labels {
+            least: (0.0, 1.0),
+            ..labels("Calls below that came back", "s", "calls a second")
+        };
+        all.push((
+            "calls.svg",
+            lines(
+                calls,
+                &over_time(results, |one| Some(one.calls_done as f64)),
+            )?,
+        ));
     }
     // Percentiles lie on an axis of nines: 0.9 is 1, 0.99 is 2, 0.999 is 3.
     let mut times = Vec::new();
@@ -157,7 +217,10 @@
         ];
         times.push((label, points.to_vec()));
     }
-    let nines = Labels { log: true, ..labels("Time to the result", "nines of jobs (0.3: half)", "ms") };
+    let nines = Labels {
+        log: true,
+        ..labels("Time to the result", "nines of jobs (0.3: half)", "ms")
+    };
     all.push(("times.svg", lines(nines, &times)?));
     let mut loads = Vec::new();
     for (number, label) in results.variants() {
@@ -170,17 +233,24 @@
         runs.sort_by(f64::total_cmp);
         let middle = runs.iter().sum::<f64>() / runs.len().max(1) as f64;
         let last = runs.len().max(2) as f64 - 1.0;
-        let points = runs.iter().enumerate().map(|(k, runs)| (k as f64 / last, runs / middle.max(1e-9)));
+        let points = runs
+            .iter()
+            .enumerate()
+            .map(|(k, runs)| (k as f64 / last, runs / middle.max(1e-9)));
         loads.push((label, points.collect()));
     }
-    let load =
-        Labels { least: (0.9, 1.1), ..labels("Runs by node", "nodes, least first", "runs over the mean") };
+    let load = Labels {
+        least: (0.9, 1.1),
+        ..labels("Runs by node", "nodes, least first", "runs over the mean")
+    };
     all.push(("nodes.svg", lines(load, &loads)?));
     Ok(all)
 }
 
 fn escaped(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
 }
 
 /// The page: what was asked, all figures with their intervals, comparisons with the first variant, all pictures.
@@ -189,7 +259,10 @@
 /// As [`pictures`].
 pub fn page(results: &Results, compiled: &str) -> Result<String, String> {
     let variants = results.variants();
-    let name = results.runs.first().map_or("nothing", |run| &run.experiment);
+    let name = results
+        .runs
+        .first()
+        .map_or("nothing", |run| &run.experiment);
     let mut out = format!(
         "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{0}</title><style>\
          body{{font:15px/1.45 system-ui,sans-serif;max-width:1580px;margin:2em auto;padding:0 1em;color:#222}}\
@@ -199,7 +272,9 @@
          </style><h1>{0}</h1>",
         escaped(name)
     );
-    let seeds = variants.first().map_or(0, |(number, _)| results.of(*number).count());
+    let seeds = variants
+        .first()
+        .map_or(0, |(number, _)| results.of(*number).count());
     let _ = write!(
         out,
         "<p>{} variants, {} seeds each at most; simulated. Intervals hold the mean at {:.0} %.</p>",
@@ -207,7 +282,11 @@
         seeds,
         LEVEL * 100.0
     );
-    let broken: Vec<_> = results.runs.iter().filter(|run| !run.broken.is_empty()).collect();
+    let broken: Vec<_> = results
+        .runs
+        .iter()
+        .filter(|run| !run.broken.is_empty())
+        .collect();
     for run in &broken {
         let _ = write!(
             out,
@@ -227,9 +306,15 @@
         for (_, _, read) in &MEASURES {
             let values: Vec<f64> = results.of(*number).map(read).collect();
             let one = mean(&values, LEVEL);
-            let half = if one.half.is_finite() { format!(" ± {:.2}", one.half) } else { String::new() };
+            let half = if one.half.is_finite() {
+                format!(" ± {:.2}", one.half)
+            } else {
+                String::new()
+            };
             let _ = match one.mean.abs() < 10.0 {
-                true if one.half.is_finite() => write!(out, "<td>{:.4} ± {:.4}</td>", one.mean, one.half),
+                true if one.half.is_finite() => {
+                    write!(out, "<td>{:.4} ± {:.4}</td>", one.mean, one.half)
+                }
                 true => write!(out, "<td>{:.4}</td>", one.mean),
                 false => write!(out, "<td>{:.1}{half}</td>", one.mean),
             };
@@ -239,8 +324,15 @@
     out.push_str("</table>");
     if let Some(((first, base), others)) = variants.split_first() {
         for (number, label) in others {
-            let Ok(found) = compare(results.of(*first), results.of(*number), LEVEL) else { continue };
-            let _ = write!(out, "<h3>{} against {}</h3><table>", escaped(label), escaped(base));
+            let Ok(found) = compare(results.of(*first), results.of(*number), LEVEL) else {
+                continue;
+            };
+            let _ = write!(
+                out,
+                "<h3>{} against {}</h3><table>",
+                escaped(label),
+                escaped(base)
+            );
             for one in found {
                 let _ = write!(
                     out,
@@ -259,6 +351,10 @@
     for (_, svg) in pictures(results)? {
         let _ = write!(out, "<figure>{svg}</figure>");
     }
-    let _ = write!(out, "<h2>As it was compiled</h2><pre>{}</pre></html>", escaped(compiled));
+    let _ = write!(
+        out,
+        "<h2>As it was compiled</h2><pre>{}</pre></html>",
+        escaped(compiled)
+    );
     Ok(out)
 }
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -14,7 +14,14 @@
 
 /// One run.
 #[derive(
-    Clone, Debug, Default, PartialEq, Serialize, Deserialize, ParquetRecordWriter, ParquetRecordReader,
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Serialize,
+    Deserialize,
+    ParquetRecordWriter,
+    ParquetRecordReader,
 )]
 pub struct Run {
     pub experiment: String,
@@ -50,7 +57,14 @@
 
 /// One second of one run.
 #[derive(
-    Clone, Debug, Default, PartialEq, Serialize, Deserialize, ParquetRecordWriter, ParquetRecordReader,
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Serialize,
+    Deserialize,
+    ParquetRecordWriter,
+    ParquetRecordReader,
 )]
 pub struct Second {
     pub variant_number: i64,
@@ -71,7 +85,14 @@
 
 /// One node of one run.
 #[derive(
-    Clone, Debug, Default, PartialEq, Serialize, Deserialize, ParquetRecordWriter, ParquetRecordReader,
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Serialize,
+    Deserialize,
+    ParquetRecordWriter,
+    ParquetRecordReader,
 )]
 pub struct NodeRow {
     pub variant_number: i64,
@@ -83,7 +104,14 @@
 
 /// Jobs of one type or tenant in one run.
 #[derive(
-    Clone, Debug, Default, PartialEq, Serialize, Deserialize, ParquetRecordWriter, ParquetRecordReader,
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Serialize,
+    Deserialize,
+    ParquetRecordWriter,
+    ParquetRecordReader,
 )]
 pub struct Group {
     pub variant_number: i64,
@@ -138,7 +166,10 @@
         unevenness: measured.unevenness(),
         wasted_runs: long(measured.wasted_runs),
         events: long(measured.events),
-        broken: measured.broken.as_ref().map_or(String::new(), ToString::to_string),
+        broken: measured
+            .broken
+            .as_ref()
+            .map_or(String::new(), ToString::to_string),
         ..head
     };
     let second = |(at, one): (usize, &rainstand_model::measure::Second)| Second {
@@ -176,11 +207,16 @@
         given_up: long(jobs.given_up),
     };
     let by_type = types.zip(&measured.by_type).map(|one| group("type", one));
-    let by_tenant = tenants.zip(&measured.by_tenant).map(|one| group("tenant", one));
+    let by_tenant = tenants
+        .zip(&measured.by_tenant)
+        .map(|one| group("tenant", one));
     Rows {
         run,
         seconds: measured.seconds.iter().enumerate().map(second).collect(),
-        nodes: (0..measured.node_runs.len()).step_by(step).map(node).collect(),
+        nodes: (0..measured.node_runs.len())
+            .step_by(step)
+            .map(node)
+            .collect(),
         groups: by_type.chain(by_tenant).collect(),
     }
 }
@@ -195,11 +231,14 @@
     for<'r> &'r [T]: RecordWriter<T>,
 {
     let schema = rows.schema().map_err(words)?;
-    let properties = WriterProperties::builder().set_compression(Compression::SNAPPY).build();
+    let properties = WriterProperties::builder()
+        .set_compression(Compression::SNAPPY)
+        .build();
     // In one step: whoever reads it meanwhile sees the old one whole.
     let draft = path.with_extension("draft");
     let file = File::create(&draft).map_err(|e| format!("{}: {e}", draft.display()))?;
-    let mut writer = SerializedFileWriter::new(file, schema, Arc::new(properties)).map_err(words)?;
+    let mut writer =
+        SerializedFileWriter::new(file, schema, Arc::new(properties)).map_err(words)?;
     let mut group = writer.next_row_group().map_err(words)?;
     rows.write_to_row_group(&mut group).map_err(words)?;
     group.close().map_err(words)?;
@@ -218,7 +257,8 @@
         let mut group = reader.get_row_group(at).map_err(words)?;
         let count = group.metadata().num_rows() as usize;
         let mut some: Vec<T> = Vec::new();
-        some.read_from_row_group(&mut *group, count).map_err(words)?;
+        some.read_from_row_group(&mut *group, count)
+            .map_err(words)?;
         all.append(&mut some);
     }
     Ok(all)
@@ -231,9 +271,18 @@
 pub fn write(folder: &Path, all: &mut [Rows]) -> Result<(), String> {
     all.sort_by_key(|one| (one.run.variant_number, one.run.seed));
     let runs: Vec<Run> = all.iter().map(|one| one.run.clone()).collect();
-    let seconds: Vec<Second> = all.iter().flat_map(|one| one.seconds.iter().cloned()).collect();
-    let nodes: Vec<NodeRow> = all.iter().flat_map(|one| one.nodes.iter().cloned()).collect();
-    let groups: Vec<Group> = all.iter().flat_map(|one| one.groups.iter().cloned()).collect();
+    let seconds: Vec<Second> = all
+        .iter()
+        .flat_map(|one| one.seconds.iter().cloned())
+        .collect();
+    let nodes: Vec<NodeRow> = all
+        .iter()
+        .flat_map(|one| one.nodes.iter().cloned())
+        .collect();
+    let groups: Vec<Group> = all
+        .iter()
+        .flat_map(|one| one.groups.iter().cloned())
+        .collect();
     put(&folder.join("runs.parquet"), &runs)?;
     put(&folder.join("seconds.parquet"), &seconds)?;
     put(&folder.join("nodes.parquet"), &nodes)?;
@@ -252,15 +301,20 @@
 impl Results {
     /// Labels of the variants in their order.
     pub fn variants(&self) -> Vec<(i64, String)> {
-        let mut all: Vec<(i64, String)> =
-            self.runs.iter().map(|run| (run.variant_number, run.variant.clone())).collect();
+        let mut all: Vec<(i64, String)> = self
+            .runs
+            .iter()
+            .map(|run| (run.variant_number, run.variant.clone()))
+            .collect();
         all.sort();
         all.dedup();
         all
     }
 
     pub fn of(&self, variant: i64) -> impl Iterator<Item = &Run> + Clone {
-        self.runs.iter().filter(move |run| run.variant_number == variant)
+        self.runs
+            .iter()
+            .filter(move |run| run.variant_number == variant)
     }
 }
 
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -39,11 +39,24 @@
     let count = values.len();
     let mean = values.iter().sum::<f64>() / count.max(1) as f64;
     if count < 2 {
-        return Mean { mean, half: f64::INFINITY, count };
+        return Mean {
+            mean,
+            half: f64::INFINITY,
+            count,
+        };
+    }
+    let spread = values
+        .iter()
+        .map(|value| (value - mean).powi(2))
+        .sum::<f64>()
+        / (count - 1) as f64;
+    let t = StudentsT::new(0.0, 1.0, (count - 1) as f64)
+        .map_or(2.0, |t| t.inverse_cdf((1.0 + level) / 2.0));
+    Mean {
+        mean,
+        half: t * (spread / count as f64).sqrt(),
+        count,
     }
-    let spread = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (count - 1) as f64;
-    let t = StudentsT::new(0.0, 1.0, (count - 1) as f64).map_or(2.0, |t| t.inverse_cdf((1.0 + level) / 2.0));
-    Mean { mean, half: t * (spread / count as f64).sqrt(), count }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,16 +100,21 @@
     after: impl Iterator<Item = &'r Run> + Clone,
     level: f64,
 ) -> Result<Vec<Compared>, String> {
-    let pairs: Vec<(&Run, &Run)> =
-        before.filter_map(|one| Some((one, after.clone().find(|other| other.seed == one.seed)?))).collect();
+    let pairs: Vec<(&Run, &Run)> = before
+        .filter_map(|one| Some((one, after.clone().find(|other| other.seed == one.seed)?)))
+        .collect();
     if pairs.len() < 2 {
-        return Err(format!("{} seeds are in both; a comparison takes at least two", pairs.len()));
+        return Err(format!(
+            "{} seeds are in both; a comparison takes at least two",
+            pairs.len()
+        ));
     }
     let compared = |(measure, more, read): &Measure| {
         let changes: Vec<f64> = pairs.iter().map(|(a, b)| read(b) - read(a)).collect();
         let change = mean(&changes, level);
-        let of =
-            |pick: &dyn Fn(&(&Run, &Run)) -> f64| pairs.iter().map(pick).sum::<f64>() / pairs.len() as f64;
+        let of = |pick: &dyn Fn(&(&Run, &Run)) -> f64| {
+            pairs.iter().map(pick).sum::<f64>() / pairs.len() as f64
+        };
         let verdict = if changes.iter().all(|change| *change == 0.0) {
             Verdict::Same
         } else if change.mean.abs() <= change.half {
@@ -122,7 +140,11 @@
     use super::*;
 
     fn runs(values: &[f64]) -> Vec<Run> {
-        let run = |(k, good): (usize, &f64)| Run { seed: k as i64, good_share: *good, ..Run::default() };
+        let run = |(k, good): (usize, &f64)| Run {
+            seed: k as i64,
+            good_share: *good,
+            ..Run::default()
+        };
         values.iter().enumerate().map(run).collect()
     }
 
@@ -132,13 +154,26 @@
         let before = runs(&[0.90, 0.70, 0.80, 0.60, 0.95]);
         let after = runs(&[0.91, 0.712, 0.809, 0.611, 0.96]);
         let found = compare(before.iter(), after.iter(), 0.95).unwrap();
-        assert_eq!((found[0].measure, found[0].verdict), ("good", Verdict::Better));
-        assert!((found[0].change.mean - 0.0104).abs() < 1e-9, "{:?}", found[0]);
+        assert_eq!(
+            (found[0].measure, found[0].verdict),
+            ("good", Verdict::Better)
+        );
+        assert!(
+            (found[0].change.mean - 0.0104).abs() < 1e-9,
+            "{:?}",
+            found[0]
+        );
         assert_eq!(found[1].verdict, Verdict::Same);
         // The other way round it is worse, and without a pattern it is noise.
-        assert_eq!(compare(after.iter(), before.iter(), 0.95).unwrap()[0].verdict, Verdict::Worse);
+        assert_eq!(
+            compare(after.iter(), before.iter(), 0.95).unwrap()[0].verdict,
+            Verdict::Worse
+        );
         let other = runs(&[0.95, 0.60, 0.90, 0.55, 0.97]);
-        assert_eq!(compare(before.iter(), other.iter(), 0.95).unwrap()[0].verdict, Verdict::Noise);
+        assert_eq!(
+            compare(before.iter(), other.iter(), 0.95).unwrap()[0].verdict,
+            Verdict::Noise
+        );
         assert!(compare(before[..1].iter(), after.iter(), 0.95).is_err());
     }
 }
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -29,14 +29,22 @@
 
 fn configuration() -> Configuration {
     let outcome = load(&Memory::new([("a.rain", TEXT)]), "a.rain");
-    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
 }
 
 fn played(folder: &Path, threads: usize, stop_after: Option<usize>) -> (usize, usize) {
     let c = configuration();
     let all = variants(&c, &c.experiments[0]).unwrap();
     let of = mark(&c, &c.experiments[0]);
-    let work = Work { experiment: "dead", of, variants: &all, seeds: 4, threads };
+    let work = Work {
+        experiment: "dead",
+        of,
+        variants: &all,
+        seeds: 4,
+        threads,
+    };
     let (stop, mut told) = (AtomicBool::new(false), 0);
     let mut played = play(&work, folder, &stop, |_| {
         told += 1;
@@ -50,7 +58,12 @@
     (played.before, played.left)
 }
 
-const FILES: [&str; 4] = ["runs.parquet", "seconds.parquet", "nodes.parquet", "groups.parquet"];
+const FILES: [&str; 4] = [
+    "runs.parquet",
+    "seconds.parquet",
+    "nodes.parquet",
+    "groups.parquet",
+];
 
 #[test]
 fn the_same_bytes_with_any_threads_and_after_a_stop() {
@@ -70,7 +83,10 @@
     for file in FILES {
         let first = std::fs::read(folders[0].path().join(file)).unwrap();
         for folder in &folders[1..] {
-            assert!(std::fs::read(folder.path().join(file)).unwrap() == first, "{file}");
+            assert!(
+                std::fs::read(folder.path().join(file)).unwrap() == first,
+                "{file}"
+            );
         }
     }
     // Runs of another experiment in the same folder are not taken for this one's.
@@ -83,10 +99,20 @@
     played(folder.path(), 4, None);
     let all = results::read(folder.path()).unwrap();
     assert_eq!((all.runs.len(), all.variants().len()), (8, 2));
-    assert!(all.runs.iter().all(|run| run.broken.is_empty() && run.asked > 1_000));
+    assert!(all
+        .runs
+        .iter()
+        .all(|run| run.broken.is_empty() && run.asked > 1_000));
     let jobs: i64 = all.seconds.iter().map(|one| one.asked).sum();
     assert_eq!(jobs, all.runs.iter().map(|run| run.asked).sum::<i64>());
-    assert_eq!(all.groups.iter().filter(|one| one.what == "type").map(|one| one.asked).sum::<i64>(), jobs);
+    assert_eq!(
+        all.groups
+            .iter()
+            .filter(|one| one.what == "type")
+            .map(|one| one.asked)
+            .sum::<i64>(),
+        jobs
+    );
     // Further tries help while three of ten fail at once.
     let found = compare(all.of(0), all.of(1), 0.95).unwrap();
     let good = found.iter().find(|one| one.measure == "good").unwrap();
@@ -94,7 +120,14 @@
     let c = configuration();
     let compiled = rainstand_config::schema::to_text(&alone(&c, &c.experiments[0]));
     let page = plot::page(&all, &compiled).unwrap();
-    for part in ["tries=1", "tries=3", "<svg", "Runs by node", "better", "FAIL_FAST"] {
+    for part in [
+        "tries=1",
+        "tries=3",
+        "<svg",
+        "Runs by node",
+        "better",
+        "FAIL_FAST",
+    ] {
         assert!(page.to_lowercase().contains(&part.to_lowercase()), "{part}");
     }
     assert_eq!(plot::pictures(&all).unwrap().len(), 5);
@@ -107,8 +140,18 @@
     // No sound plan any more; the checker of variants would have refused it.
     all[1].plan.types.clear();
     let folder = tempfile::tempdir().unwrap();
-    let work = Work { experiment: "dead", of: "x".into(), variants: &all, seeds: 2, threads: 2 };
+    let work = Work {
+        experiment: "dead",
+        of: "x".into(),
+        variants: &all,
+        seeds: 2,
+        threads: 2,
+    };
     let played = play(&work, folder.path(), &AtomicBool::new(false), |_| {}).unwrap();
     assert_eq!((played.rows.len(), played.failed.len()), (2, 2));
-    assert!(played.failed[0].why.contains("types"), "{:?}", played.failed);
+    assert!(
+        played.failed[0].why.contains("types"),
+        "{:?}",
+        played.failed
+    );
 }
--- a/crates/model/benches/events.rs
+++ b/crates/model/benches/events.rs
@@ -8,12 +8,22 @@
 
 fn memory() -> String {
     let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    text.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or("unknown").trim().to_owned()
+    text.lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .unwrap_or("unknown")
+        .trim()
+        .to_owned()
 }
 
 fn main() {
-    let most: u32 = std::env::var("SIZE").ok().and_then(|n| n.parse().ok()).unwrap_or(1_000);
-    let seconds: u64 = std::env::var("SECONDS").ok().and_then(|n| n.parse().ok()).unwrap_or(10);
+    let most: u32 = std::env::var("SIZE")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(1_000);
+    let seconds: u64 = std::env::var("SECONDS")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(10);
     for nodes in [10u32, 100, 1_000, 10_000] {
         if nodes > most {
             break;
@@ -23,15 +33,26 @@
             load: vec![(Duration::ZERO, 0.8)],
             ..Plan::default()
         };
-        plan.nodes =
-            NodePlan { count: nodes, cores: 4, kind: NodeKind::Plain { at_once: 4, hold: 40 }, ..plan.nodes };
+        plan.nodes = NodePlan {
+            count: nodes,
+            cores: 4,
+            kind: NodeKind::Plain {
+                at_once: 4,
+                hold: 40,
+            },
+            ..plan.nodes
+        };
         for one in &mut plan.types {
             one.work = Work::About(Duration::from_millis(200));
             one.goal = Duration::from_secs(3);
             one.outer_limit = Duration::from_secs(7);
         }
         plan.dispatchers = (nodes / 10).max(1);
-        plan.fronts = FrontPlan { count: (nodes / 20).max(2), know: nodes.min(100), ..FrontPlan::default() };
+        plan.fronts = FrontPlan {
+            count: (nodes / 20).max(2),
+            know: nodes.min(100),
+            ..FrontPlan::default()
+        };
         let start = Instant::now();
         let measured = world::run(&plan).expect("a plan that makes sense");
         let took = start.elapsed().as_secs_f64();
--- a/crates/model/src/machine.rs
+++ b/crates/model/src/machine.rs
@@ -98,7 +98,11 @@
         self.running += 1;
         self.starts = self.starts.wrapping_add(1);
         self.there.insert(run, self.starts);
-        self.ends.push(Reverse((Work::new(self.given + work as f64), run, self.starts)));
+        self.ends.push(Reverse((
+            Work::new(self.given + work as f64),
+            run,
+            self.starts,
+        )));
     }
 
     /// A run is taken off; false if it is not there.
@@ -162,7 +166,8 @@
 
     /// Share of its cores that is busy now, a neighbour's part included.
     pub fn busy(&self) -> f64 {
-        ((self.running as f64).min(self.cores - self.taken) + self.taken).clamp(0.0, self.cores) / self.cores
+        ((self.running as f64).min(self.cores - self.taken) + self.taken).clamp(0.0, self.cores)
+            / self.cores
     }
 
     /// Core time used up to a time, ns.
@@ -206,7 +211,10 @@
         // Alone at full pace; two on one core at half; the one that is left speeds up.
         assert_eq!(play(Machine::new(1, 0.0), &[(0, 10)]), [10]);
         assert_eq!(play(Machine::new(1, 0.0), &[(0, 10), (0, 20)]), [20, 30]);
-        assert_eq!(play(Machine::new(2, 0.0), &[(0, 10), (0, 20), (5, 10)]), [13, 23, 18]);
+        assert_eq!(
+            play(Machine::new(2, 0.0), &[(0, 10), (0, 20), (5, 10)]),
+            [13, 23, 18]
+        );
         // Crowding by a half: two on one core do a third each less.
         assert_eq!(play(Machine::new(1, 0.5), &[(0, 10), (0, 10)]), [30, 30]);
     }
--- a/crates/model/src/node.rs
+++ b/crates/model/src/node.rs
@@ -8,7 +8,8 @@
 use crate::plan::{NodeKind, NodePlan, TypePlan};
 use foldhash::{HashMap, HashMapExt};
 use rainstand::{
-    Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node as Decides, Outcome, Repeats, Say, Voice,
+    Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node as Decides, Outcome, Repeats, Say,
+    Voice,
 };
 use rainstand_rules::Kind;
 use std::collections::VecDeque;
@@ -183,7 +184,9 @@
         },
     });
     let quotas: Vec<f64> = shares.iter().map(|share| share * rate).collect();
-    let cold = plan.cold.map(|(span, slower)| (span, 1.0 / slower.max(1.0), span));
+    let cold = plan
+        .cold
+        .map(|(span, slower)| (span, 1.0 / slower.max(1.0), span));
     let parts = (
         Ledger::new(&quotas, plan.count as usize),
         Limit::new(seed, plan.cores as usize, 4.0, cold),
@@ -197,7 +200,10 @@
             (64, Duration::from_secs(8)),
         ),
     );
-    Box::new(Ours { node: Decides::new(kinds.collect(), false, parts), desk: Desk::default() })
+    Box::new(Ours {
+        node: Decides::new(kinds.collect(), false, parts),
+        desk: Desk::default(),
+    })
 }
 
 impl Node {
@@ -212,12 +218,15 @@
         cold: bool,
     ) -> Self {
         let mind = match plan.kind {
-            NodeKind::Plain { at_once, hold } => {
-                Mind::Plain { at_once: at_once.max(1) as usize, hold: hold as usize }
-            }
+            NodeKind::Plain { at_once, hold } => Mind::Plain {
+                at_once: at_once.max(1) as usize,
+                hold: hold as usize,
+            },
             NodeKind::Ours => Mind::Ours(ours(plan, types, shares, rate, seed)),
         };
-        let slow = plan.cold.map(|(span, slower)| (span.as_nanos() as u64, slower.max(1.0)));
+        let slow = plan
+            .cold
+            .map(|(span, slower)| (span.as_nanos() as u64, slower.max(1.0)));
         let mut node = Self {
             machine: Machine::new(plan.cores, plan.crowding),
             mind,
@@ -228,7 +237,11 @@
             by_try: HashMap::new(),
             said: Vec::new(),
             cold: slow,
-            cold_until: if cold { now + slow.map_or(0, |(span, _)| span) } else { 0 },
+            cold_until: if cold {
+                now + slow.map_or(0, |(span, _)| span)
+            } else {
+                0
+            },
             fault: 1.0,
             drains: false,
         };
@@ -241,7 +254,10 @@
     }
 
     fn set_pace(&mut self, now: u64) {
-        let cold = self.cold.filter(|_| now < self.cold_until).map_or(1.0, |(_, slower)| 1.0 / slower);
+        let cold = self
+            .cold
+            .filter(|_| now < self.cold_until)
+            .map_or(1.0, |(_, slower)| 1.0 / slower);
         self.machine.set_speed(now, self.fault * cold);
     }
 
@@ -277,7 +293,10 @@
             Mind::Ours(ours) => ours.desk.wake,
             Mind::Plain { .. } => None,
         };
-        [self.machine.next_end(), warm, wake].into_iter().flatten().min()
+        [self.machine.next_end(), warm, wake]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// What became of tries since the last time it was asked.
@@ -286,7 +305,9 @@
     }
 
     fn start(&mut self, now: u64, number: u32) {
-        let Some(taken) = self.taken.get_mut(&number).filter(|taken| !taken.running) else { return };
+        let Some(taken) = self.taken.get_mut(&number).filter(|taken| !taken.running) else {
+            return;
+        };
         taken.running = true;
         let begins = !std::mem::replace(&mut taken.begun, true);
         let (work, half) = (taken.task.work, taken.task.work / 2);
@@ -324,14 +345,24 @@
         let number = task.number;
         let room = match &self.mind {
             _ if self.drains => false,
-            Mind::Plain { at_once, hold } => self.machine.running() < *at_once || self.held.len() < *hold,
+            Mind::Plain { at_once, hold } => {
+                self.machine.running() < *at_once || self.held.len() < *hold
+            }
             Mind::Ours(_) => true,
         };
         if !room {
             self.said.push(Said::Dismissed(number, PAUSE, false));
             return;
         }
-        self.taken.insert(number, Taken { task, running: false, begun: false, phase: Phase::Before });
+        self.taken.insert(
+            number,
+            Taken {
+                task,
+                running: false,
+                begun: false,
+                phase: Phase::Before,
+            },
+        );
         match &mut self.mind {
             Mind::Plain { at_once, .. } => {
                 if self.machine.running() < *at_once {
@@ -365,7 +396,9 @@
 
     /// Its caller does not wait for a try any more.
     pub fn left(&mut self, now: u64, number: u32) {
-        let Some(taken) = self.taken.get(&number) else { return };
+        let Some(taken) = self.taken.get(&number) else {
+            return;
+        };
         let (running, exclusive) = (taken.running, taken.task.exclusive);
         match &mut self.mind {
             Mind::Plain { .. } => {
@@ -399,7 +432,9 @@
             self.set_pace(now);
         }
         while let Some(run) = self.machine.ended(now) {
-            let Some(number) = self.runs[run as usize].take() else { continue };
+            let Some(number) = self.runs[run as usize].take() else {
+                continue;
+            };
             self.free.push(run);
             self.by_try.remove(&number);
             self.done(now, number);
@@ -411,7 +446,11 @@
             if desk.wake.is_some_and(|at| at <= now) {
                 desk.wake = None;
                 desk.now = now;
-                let gauges = Gauges { cores_busy: Some(busy), on_cores: Some(running), ..Gauges::default() };
+                let gauges = Gauges {
+                    cores_busy: Some(busy),
+                    on_cores: Some(running),
+                    ..Gauges::default()
+                };
                 node.woken(Duration::from_nanos(now), desk, gauges);
                 self.carry_out(now);
             }
@@ -467,7 +506,11 @@
 
     /// What came of a call that it made.
     pub fn call_back(&mut self, now: u64, number: u32, outcome: Outcome) {
-        let Some(taken) = self.taken.get_mut(&number).filter(|taken| taken.phase == Phase::AtCall) else {
+        let Some(taken) = self
+            .taken
+            .get_mut(&number)
+            .filter(|taken| taken.phase == Phase::AtCall)
+        else {
             return;
         };
         match &mut self.mind {
@@ -497,7 +540,11 @@
 
     /// A run leaves its call behind, with its reply or without.
     fn go_on(&mut self, now: u64, number: u32) {
-        if let Some(taken) = self.taken.get_mut(&number).filter(|taken| taken.phase == Phase::AtCall) {
+        if let Some(taken) = self
+            .taken
+            .get_mut(&number)
+            .filter(|taken| taken.phase == Phase::AtCall)
+        {
             taken.phase = Phase::After;
             self.start(now, number);
         }
@@ -516,9 +563,13 @@
 
     /// A plain node takes up what it holds.
     fn fill(&mut self, now: u64) {
-        let Mind::Plain { at_once, .. } = self.mind else { return };
+        let Mind::Plain { at_once, .. } = self.mind else {
+            return;
+        };
         while self.machine.running() < at_once {
-            let Some(number) = self.held.pop_front() else { return };
+            let Some(number) = self.held.pop_front() else {
+                return;
+            };
             self.start(now, number);
         }
     }
@@ -526,7 +577,9 @@
     /// The module's orders, until it has none.
     fn carry_out(&mut self, now: u64) {
         loop {
-            let Mind::Ours(ours) = &mut self.mind else { return };
+            let Mind::Ours(ours) = &mut self.mind else {
+                return;
+            };
             let orders = std::mem::take(&mut ours.desk.orders);
             if orders.is_empty() {
                 return;
@@ -536,7 +589,11 @@
                     Order::Run(number) => self.start(now, number),
                     Order::TakeOff(number) => {
                         // What must not run twice runs to its end: nobody could say how far it came.
-                        if self.taken.get(&number).is_some_and(|one| !one.task.exclusive) {
+                        if self
+                            .taken
+                            .get(&number)
+                            .is_some_and(|one| !one.task.exclusive)
+                        {
                             self.cut(now, number, Outcome::Stopped);
                         }
                     }
@@ -553,15 +610,21 @@
                     Order::GiveUp(number) => {
                         self.said.push(Said::Failed(number));
                         // A run whose request is over ends at its call.
-                        if self.taken.get(&number).is_some_and(|one| one.phase == Phase::AtCall) {
+                        if self
+                            .taken
+                            .get(&number)
+                            .is_some_and(|one| one.phase == Phase::AtCall)
+                        {
                             self.said.push(Said::Forgoes(number));
                             self.cut(now, number, Outcome::CutOff);
                         }
                     }
                     Order::Over(number) => {
                         // A run whose ticket is over goes on if it must not be cut.
-                        let cut =
-                            self.taken.get(&number).is_some_and(|one| !one.running || !one.task.exclusive);
+                        let cut = self
+                            .taken
+                            .get(&number)
+                            .is_some_and(|one| !one.running || !one.task.exclusive);
                         if cut {
                             self.stop(now, number);
                             self.taken.remove(&number);
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -78,7 +78,13 @@
 
 impl Default for Habits {
     fn default() -> Self {
-        Self { tries: 3, heeds: true, marks: true, second_copy: None, late_list: Duration::from_secs(2) }
+        Self {
+            tries: 3,
+            heeds: true,
+            marks: true,
+            second_copy: None,
+            late_list: Duration::from_secs(2),
+        }
     }
 }
 
@@ -163,7 +169,11 @@
 impl Default for NetPlan {
     fn default() -> Self {
         let delay = (Duration::from_micros(100), Duration::from_micros(300));
-        Self { delay, far: Duration::from_millis(1), breaks: 0.0 }
+        Self {
+            delay,
+            far: Duration::from_millis(1),
+            breaks: 0.0,
+        }
     }
 }
 
@@ -257,18 +267,29 @@
             calls: false,
             poorer: 1.0,
         };
-        let tenant = TenantPlan { name: "acme".into(), part: 1.0, share: 0.5, stranger: false };
+        let tenant = TenantPlan {
+            name: "acme".into(),
+            part: 1.0,
+            share: 0.5,
+            stranger: false,
+        };
         Self {
             seed: 1,
             lasts: Duration::from_secs(10),
-            types: vec![named("check", Kind::Rerunnable, 4.0), named("register", Kind::Exclusive, 1.0)],
+            types: vec![
+                named("check", Kind::Rerunnable, 4.0),
+                named("register", Kind::Exclusive, 1.0),
+            ],
             tenants: vec![tenant],
             dispatchers: 4,
             habits: Habits::default(),
             nodes: NodePlan {
                 count: 10,
                 cores: 4,
-                kind: NodeKind::Plain { at_once: 4, hold: 40 },
+                kind: NodeKind::Plain {
+                    at_once: 4,
+                    hold: 40,
+                },
                 crowding: 0.0,
                 cold: None,
                 halls: 1,
@@ -288,7 +309,11 @@
     /// Tickets a second at a load of all cores.
     pub fn whole_rate(&self) -> f64 {
         let parts: f64 = self.types.iter().map(|one| one.part).sum();
-        let work: f64 = self.types.iter().map(|one| one.part * one.work.mean().as_secs_f64()).sum();
+        let work: f64 = self
+            .types
+            .iter()
+            .map(|one| one.part * one.work.mean().as_secs_f64())
+            .sum();
         f64::from(self.nodes.count) * f64::from(self.nodes.cores) * parts / work.max(1e-9)
     }
 
@@ -296,7 +321,10 @@
     /// What in it makes no sense.
     pub fn check(&self) -> Result<(), String> {
         let sound = |share: f64| (0.0..=1.0).contains(&share);
-        if self.types.is_empty() || self.tenants.is_empty() || self.nodes.count == 0 || self.dispatchers == 0
+        if self.types.is_empty()
+            || self.tenants.is_empty()
+            || self.nodes.count == 0
+            || self.dispatchers == 0
         {
             return Err("a fleet needs types, tenants, nodes and dispatchers".into());
         }
@@ -306,8 +334,14 @@
         if self.fronts.count > 0 && self.nodes.count > 65_000 && self.fronts.know == 0 {
             return Err("a forwarder knows at most 65000 members".into());
         }
-        if self.types.iter().any(|one| one.goal > one.outer_limit || one.work.mean().is_zero()) {
-            return Err("a type's goal lies within its outer limit, and its runs take some time".into());
+        if self
+            .types
+            .iter()
+            .any(|one| one.goal > one.outer_limit || one.work.mean().is_zero())
+        {
+            return Err(
+                "a type's goal lies within its outer limit, and its runs take some time".into(),
+            );
         }
         if !sound(self.net.breaks) || !sound(self.fronts.budget) || self.load.is_empty() {
             return Err("shares lie between 0 and 1, and there is some load".into());
--- a/crates/model/src/queue.rs
+++ b/crates/model/src/queue.rs
@@ -37,7 +37,11 @@
 
 impl<E> Default for Queue<E> {
     fn default() -> Self {
-        Self { heap: BinaryHeap::new(), made: 0, now: 0 }
+        Self {
+            heap: BinaryHeap::new(),
+            made: 0,
+            now: 0,
+        }
     }
 }
 
@@ -68,7 +72,11 @@
     /// An event at a time; never before now.
     pub fn at(&mut self, at: u64, event: E) {
         self.made += 1;
-        self.heap.push(Entry { at: at.max(self.now), number: self.made, event });
+        self.heap.push(Entry {
+            at: at.max(self.now),
+            number: self.made,
+            event,
+        });
     }
 
     /// The next event, if one lies before `end`; time goes on to it.
@@ -100,6 +108,9 @@
         // What is put for a time that is over comes now.
         queue.at(0, "late");
         assert_eq!(queue.next(6), Some("late"));
-        assert_eq!((queue.next(6), queue.next(6), queue.next(6)), (Some("c"), Some("d"), None));
+        assert_eq!(
+            (queue.next(6), queue.next(6), queue.next(6)),
+            (Some("c"), Some("d"), None)
+        );
     }
 }
--- a/crates/model/src/shrink.rs
+++ b/crates/model/src/shrink.rs
@@ -20,7 +20,10 @@
 }
 
 fn breaks(plan: &Plan, rule: u8) -> Option<Broken> {
-    world::run(plan).ok()?.broken.filter(|broken| broken.rule == rule)
+    world::run(plan)
+        .ok()?
+        .broken
+        .filter(|broken| broken.rule == rule)
 }
 
 /// Plans that are smaller by one step each.
@@ -73,7 +76,10 @@
         // What follows the break says nothing of it.
         let until = broken.at + Duration::from_millis(1);
         if until < best.lasts {
-            let cut = Plan { lasts: until.max(SHORTEST), ..best.clone() };
+            let cut = Plan {
+                lasts: until.max(SHORTEST),
+                ..best.clone()
+            };
             runs += 1;
             if let Some(found) = breaks(&cut, broken.rule) {
                 (best, broken) = (cut, found);
@@ -92,7 +98,13 @@
         }
         match found {
             Some((plan, why)) => (best, broken) = (plan, why),
-            None => return Some(Shrunk { plan: best, broken, runs }),
+            None => {
+                return Some(Shrunk {
+                    plan: best,
+                    broken,
+                    runs,
+                })
+            }
         }
     }
 }
