--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -104,8 +104,14 @@
         let counts = Arc::new(Counts::default());
         let (theirs, head) = (counts.clone(), rainstand_capture::write::head(program));
         let writer = std::thread::Builder::new().name("recorder".into());
-        let writer = writer.spawn(move || write(disk, Pages::new(limits, head), &lines, &theirs))?;
-        Ok(Rc::new(Self { queue: Some(queue), writer: Some(writer), counts, next: Cell::new(0) }))
+        let writer =
+            writer.spawn(move || write(disk, Pages::new(limits, head), &lines, &theirs))?;
+        Ok(Rc::new(Self {
+            queue: Some(queue),
+            writer: Some(writer),
+            counts,
+            next: Cell::new(0),
+        }))
     }
 
     pub fn counts(&self) -> &Counts {
@@ -115,14 +121,26 @@
     /// A connection; side 0 is who opened it.
     pub fn tape(self: &Rc<Self>, opener: SocketAddr, other: SocketAddr) -> Tape {
         let number = self.next.replace(self.next.get() + 1);
-        let ends = [End::new(opener.ip(), opener.port()), End::new(other.ip(), other.port())];
-        Tape { recorder: self.clone(), number, ends, said: [Cell::new(0), Cell::new(0)] }
+        let ends = [
+            End::new(opener.ip(), opener.port()),
+            End::new(other.ip(), other.port()),
+        ];
+        Tape {
+            recorder: self.clone(),
+            number,
+            ends,
+            said: [Cell::new(0), Cell::new(0)],
+        }
     }
 
     fn hand_over(&self, line: Line) {
         let bytes = line.bytes.len();
         let room = self.counts.waiting.fetch_add(bytes, Ordering::Relaxed) + bytes <= MOST_BYTES;
-        let taken = room && self.queue.as_ref().is_some_and(|queue| queue.try_send(line).is_ok());
+        let taken = room
+            && self
+                .queue
+                .as_ref()
+                .is_some_and(|queue| queue.try_send(line).is_ok());
         if !taken {
             self.counts.waiting.fetch_sub(bytes, Ordering::Relaxed);
             self.counts.lost_queue.fetch_add(1, Ordering::Relaxed);
@@ -133,7 +151,9 @@
 impl Drop for Recorder {
     fn drop(&mut self) {
         self.queue = None;
-        let Some(writer) = self.writer.take() else { return };
+        let Some(writer) = self.writer.take() else {
+            return;
+        };
         // Guards against a disk that hangs at a program's end: what it does not take by then is lost.
         let by = Instant::now() + LAST;
         while !writer.is_finished() && Instant::now() < by {
@@ -163,9 +183,20 @@
     }
 
     fn line(&self, side: usize, offset: u64, bytes: Box<[u8]>, over: bool) {
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+        let at = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_nanos() as u64;
         let Self { number, ends, .. } = *self;
-        self.recorder.hand_over(Line { at, connection: number, ends, side, offset, bytes, over });
+        self.recorder.hand_over(Line {
+            at,
+            connection: number,
+            ends,
+            side,
+            offset,
+            bytes,
+            over,
+        });
     }
 }
 
@@ -193,7 +224,9 @@
         };
         if let Some(line) = line {
             found += 1;
-            counts.waiting.fetch_sub(line.bytes.len(), Ordering::Relaxed);
+            counts
+                .waiting
+                .fetch_sub(line.bytes.len(), Ordering::Relaxed);
             counts.messages.fetch_add(1, Ordering::Relaxed);
             if not_before.is_some_and(|then| Instant::now() < then) {
                 counts.lost_disk.fetch_add(1, Ordering::Relaxed);
@@ -218,7 +251,9 @@
                         }
                         false
                     }
-                    Do::Write(bytes) => file.as_mut().is_none_or(|file| file.write_all(&bytes).is_err()),
+                    Do::Write(bytes) => file
+                        .as_mut()
+                        .is_none_or(|file| file.write_all(&bytes).is_err()),
                 };
                 if failed {
                     break;
--- a/crates/record/src/pages.rs
+++ b/crates/record/src/pages.rs
@@ -64,13 +64,22 @@
 impl Reached {
     /// Before the first byte of a side stands the opening, which counts as one.
     fn seq(&self, side: usize) -> u32 {
-        (self.next[side] as u32).wrapping_add(2).wrapping_add(self.anew << 28)
+        (self.next[side] as u32)
+            .wrapping_add(2)
+            .wrapping_add(self.anew << 28)
     }
 }
 
 impl Pages {
     pub fn new(limits: Limits, head: Vec<u8>) -> Self {
-        Self { limits, head, present: None, next_page: 1, oldest: 1, known: BTreeMap::new() }
+        Self {
+            limits,
+            head,
+            present: None,
+            next_page: 1,
+            oldest: 1,
+            known: BTreeMap::new(),
+        }
     }
 
     /// What one message asks for.
@@ -80,7 +89,10 @@
             // Nothing of it is in this file.
             return all;
         }
-        if self.present.is_none_or(|(_, written)| written >= self.limits.file_bytes.max(1)) {
+        if self
+            .present
+            .is_none_or(|(_, written)| written >= self.limits.file_bytes.max(1))
+        {
             self.turn(&mut all);
         }
         let mut bytes = Vec::new();
@@ -93,16 +105,27 @@
             reached.anew = reached.anew.wrapping_add(u32::from(known.is_some()));
             open(&mut bytes, line.at, opener, other, &reached);
         }
-        let ends = if line.side == 0 { [opener, other] } else { [other, opener] };
+        let ends = if line.side == 0 {
+            [opener, other]
+        } else {
+            [other, opener]
+        };
         for part in line.bytes.chunks(SEGMENT) {
-            let flags = Flags { ack: Some(reached.seq(1 - line.side)), ..Flags::default() };
+            let flags = Flags {
+                ack: Some(reached.seq(1 - line.side)),
+                ..Flags::default()
+            };
             let packet = write::segment(ends[0], ends[1], reached.seq(line.side), flags, part);
             write::packet(&mut bytes, line.at, &packet, packet.len());
             reached.next[line.side] += part.len() as u64;
         }
         if line.over {
             for (side, [from, to]) in [[opener, other], [other, opener]].into_iter().enumerate() {
-                let flags = Flags { fin: true, ack: Some(reached.seq(1 - side)), ..Flags::default() };
+                let flags = Flags {
+                    fin: true,
+                    ack: Some(reached.seq(1 - side)),
+                    ..Flags::default()
+                };
                 let packet = write::segment(from, to, reached.seq(side), flags, &[]);
                 write::packet(&mut bytes, line.at, &packet, packet.len());
             }
@@ -140,10 +163,24 @@
 
 fn open(bytes: &mut Vec<u8>, at: u64, opener: End, other: End, reached: &Reached) {
     let before = [0, 1].map(|side| reached.seq(side).wrapping_sub(1));
-    let syn = Flags { syn: true, ..Flags::default() };
+    let syn = Flags {
+        syn: true,
+        ..Flags::default()
+    };
     let packets = [
         write::segment(opener, other, before[0], syn, &[]),
-        write::segment(other, opener, before[1], Flags { ack: Some(reached.seq(0)), ..syn }, &[]),
+        write::segment(
+            other,
+            opener,
+            before[1],
+            Flags {
+                ack: Some(reached.seq(0)),
+                ..syn
+            },
+            &[],
+        ),
     ];
-    packets.iter().for_each(|packet| write::packet(bytes, at, packet, packet.len()));
+    packets
+        .iter()
+        .for_each(|packet| write::packet(bytes, at, packet, packet.len()));
 }
--- a/crates/record/tests/recording.rs
+++ b/crates/record/tests/recording.rs
@@ -19,7 +19,15 @@
 fn line(connection: u64, side: usize, offset: u64, bytes: &[u8], over: bool) -> Line {
     let end = |port| rainstand_capture::packet::End::new([127, 0, 0, 1].into(), port);
     let ends = [end(40_000 + connection as u16), end(5050)];
-    Line { at: 1_700_000_000_000_000_000 + offset, connection, ends, side, offset, bytes: bytes.into(), over }
+    Line {
+        at: 1_700_000_000_000_000_000 + offset,
+        connection,
+        ends,
+        side,
+        offset,
+        bytes: bytes.into(),
+        over,
+    }
 }
 
 /// Runs lines through the pages into files in memory.
@@ -39,14 +47,20 @@
 }
 
 /// Calls and answers on some connections: `lost` leaves lines out.
-fn talk(seed: u64, connections: u64, calls: i32, lost: impl Fn(&mut WyRand) -> bool) -> (Vec<Line>, usize) {
+fn talk(
+    seed: u64,
+    connections: u64,
+    calls: i32,
+    lost: impl Fn(&mut WyRand) -> bool,
+) -> (Vec<Line>, usize) {
     let mut chance = WyRand::new_seed(seed);
     let mut said = vec![[0u64; 2]; connections as usize];
     let (mut lines, mut kept_calls) = (Vec::new(), 0);
     for seq in 1..=calls {
         for connection in 0..connections {
-            let body: Vec<u8> =
-                (0..chance.generate_range(0..3_000usize)).map(|_| chance.generate()).collect();
+            let body: Vec<u8> = (0..chance.generate_range(0..3_000usize))
+                .map(|_| chance.generate())
+                .collect();
             let frames = [
                 thrift::process(seq, &[("route", "check")], &body),
                 thrift::answer(b"process", seq, &body, true),
@@ -62,7 +76,8 @@
         }
     }
     lines.extend(
-        (0..connections).map(|connection| line(connection, 0, said[connection as usize][0], b"", true)),
+        (0..connections)
+            .map(|connection| line(connection, 0, said[connection as usize][0], b"", true)),
     );
     (lines, kept_calls)
 }
@@ -70,13 +85,26 @@
 #[test]
 fn every_file_can_be_read_alone() {
     let (lines, calls) = talk(1, 7, 60, |_| false);
-    let all = files(Limits { file_bytes: 60_000, files: 1_000 }, &lines);
+    let all = files(
+        Limits {
+            file_bytes: 60_000,
+            files: 1_000,
+        },
+        &lines,
+    );
     assert!(all.len() > 10, "{} files", all.len());
     let (mut found, mut alone, mut honoured) = (0, 0, 0);
     for (_, file) in &all {
         assert!(file.len() < 70_000);
         let summary = read(&file[..], |_| {});
-        assert_eq!((summary.streams.holes, summary.tickets.cut_calls, summary.tickets.unreadable), (0, 0, 0));
+        assert_eq!(
+            (
+                summary.streams.holes,
+                summary.tickets.cut_calls,
+                summary.tickets.unreadable
+            ),
+            (0, 0, 0)
+        );
         assert_eq!(summary.cut_off, None);
         found += summary.tickets.calls as usize;
         honoured += summary.tickets.honoured as usize;
@@ -84,7 +112,13 @@
     }
     // A call in one file may have its answer in the next.
     assert_eq!((found, honoured + alone), (calls, calls));
-    let few = files(Limits { file_bytes: 60_000, files: 3 }, &lines);
+    let few = files(
+        Limits {
+            file_bytes: 60_000,
+            files: 3,
+        },
+        &lines,
+    );
     assert_eq!(few, all[all.len() - 3..]);
 }
 
@@ -92,15 +126,28 @@
 fn lost_lines_cost_their_own_tickets_only() {
     for seed in 0..40 {
         let (lines, calls) = talk(seed, 3, 40, |chance| chance.generate_range(0..6u8) == 0);
-        let all = files(Limits { file_bytes: u64::MAX, files: 1 }, &lines);
+        let all = files(
+            Limits {
+                file_bytes: u64::MAX,
+                files: 1,
+            },
+            &lines,
+        );
         let mut gone = 0;
         let summary = read(&all[0].1[..], |event| {
             if let Event::Ticket(ticket) = event {
                 gone += u64::from(ticket.outcome == Outcome::Gone);
             }
         });
-        assert_eq!(summary.tickets.calls as usize, calls, "seed {seed}: {summary:?}");
-        assert_eq!((summary.tickets.cut_calls, summary.streams.holes), (0, 0), "seed {seed}");
+        assert_eq!(
+            summary.tickets.calls as usize, calls,
+            "seed {seed}: {summary:?}"
+        );
+        assert_eq!(
+            (summary.tickets.cut_calls, summary.streams.holes),
+            (0, 0),
+            "seed {seed}"
+        );
         assert!(summary.tickets.answers_alone > 0 && summary.tickets.none > 0);
     }
 }
@@ -108,7 +155,14 @@
 #[test]
 fn a_file_that_ends_anywhere_reads_up_to_its_last_whole_block() {
     let (lines, _) = talk(3, 2, 3, |_| false);
-    let (_, file) = files(Limits { file_bytes: u64::MAX, files: 1 }, &lines).remove(0);
+    let (_, file) = files(
+        Limits {
+            file_bytes: u64::MAX,
+            files: 1,
+        },
+        &lines,
+    )
+    .remove(0);
     let mut before = 0;
     for cut in (0..=file.len()).step_by(7) {
         let calls = read(&file[..cut], |_| {}).tickets.calls;
@@ -165,7 +219,10 @@
     }
 }
 
-const WIDE: Limits = Limits { file_bytes: 1 << 40, files: 4 };
+const WIDE: Limits = Limits {
+    file_bytes: 1 << 40,
+    files: 4,
+};
 
 #[test]
 fn a_disk_that_fails_costs_records_and_is_tried_again() {
@@ -185,17 +242,31 @@
             disk.room.store(1 << 30, Ordering::Relaxed);
         }
         std::thread::sleep(Duration::from_millis(5));
-        assert!(round < 4_000, "it is not tried again: {}", recorder.counts().line());
+        assert!(
+            round < 4_000,
+            "it is not tried again: {}",
+            recorder.counts().line()
+        );
     }
     drop(tape);
     let counts = recorder.counts();
-    assert!(of(&counts.lost_disk) > 0 && of(&counts.lost_queue) == 0, "{}", counts.line());
+    assert!(
+        of(&counts.lost_disk) > 0 && of(&counts.lost_queue) == 0,
+        "{}",
+        counts.line()
+    );
     let lost = of(&counts.lost_disk);
     drop(recorder);
     let files = disk.files.lock().unwrap();
-    let found: u64 = files.iter().map(|file| read(&file[..], |_| {}).tickets.calls).sum();
+    let found: u64 = files
+        .iter()
+        .map(|file| read(&file[..], |_| {}).tickets.calls)
+        .sum();
     // What is not counted as lost is there, but for what the failing write itself took along.
-    assert!(found <= handed && found + lost + 1 >= handed.saturating_sub(8), "{found} {lost} {handed}");
+    assert!(
+        found <= handed && found + lost + 1 >= handed.saturating_sub(8),
+        "{found} {lost} {handed}"
+    );
 }
 
 #[test]
@@ -224,21 +295,44 @@
     let folder = tempfile::tempdir().unwrap();
     let inner = folder.path().join("records");
     std::fs::create_dir(&inner).unwrap();
-    let disk = Folder { folder: inner.clone(), name: "n1".into(), start: 9 };
-    let recorder = Recorder::start(disk, Limits { file_bytes: 4_000, files: 2 }, "test").unwrap();
+    let disk = Folder {
+        folder: inner.clone(),
+        name: "n1".into(),
+        start: 9,
+    };
+    let recorder = Recorder::start(
+        disk,
+        Limits {
+            file_bytes: 4_000,
+            files: 2,
+        },
+        "test",
+    )
+    .unwrap();
     let tape = recorder.tape(address(40_000), address(5050));
     for seq in 1..=40 {
         tape.said(0, &thrift::process(seq, &[("route", "check")], &[7; 700]));
     }
     drop(tape);
     drop(recorder);
-    let mut names: Vec<_> =
-        std::fs::read_dir(&inner).unwrap().map(|e| e.unwrap().file_name().into_string().unwrap()).collect();
+    let mut names: Vec<_> = std::fs::read_dir(&inner)
+        .unwrap()
+        .map(|e| e.unwrap().file_name().into_string().unwrap())
+        .collect();
     names.sort();
     assert_eq!(names.len(), 2, "{names:?}");
-    assert!(names.iter().all(|name| name.starts_with("n1-9-0000") && name.ends_with(".pcapng")), "{names:?}");
+    assert!(
+        names
+            .iter()
+            .all(|name| name.starts_with("n1-9-0000") && name.ends_with(".pcapng")),
+        "{names:?}"
+    );
     std::fs::remove_dir_all(&inner).unwrap();
-    let disk = Folder { folder: inner, name: "n1".into(), start: 10 };
+    let disk = Folder {
+        folder: inner,
+        name: "n1".into(),
+        start: 10,
+    };
     let recorder = Recorder::start(disk, WIDE, "test").unwrap();
     let tape = recorder.tape(address(40_000), address(5050));
     tape.said(0, b"lost");
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -27,7 +27,11 @@
         return Odd::Others(differ.iter().map(|one| one.0).collect());
     }
     let alike = |sum: u64| differ.iter().filter(|one| one.1 == sum).count();
-    match differ.iter().map(|one| one.1).find(|sum| alike(*sum) >= majority) {
+    match differ
+        .iter()
+        .map(|one| one.1)
+        .find(|sum| alike(*sum) >= majority)
+    {
         Some(sum) => Odd::Leader(sum),
         None => Odd::Unknown,
     }
@@ -51,7 +55,11 @@
             (1, 1, &[], Odd::Others(vec![])),
         ];
         for (voters, agree, differ, wanted) in table {
-            assert_eq!(odd(*voters, *agree, differ), *wanted, "{voters} {agree} {differ:?}");
+            assert_eq!(
+                odd(*voters, *agree, differ),
+                *wanted,
+                "{voters} {agree} {differ:?}"
+            );
         }
     }
 }
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -15,7 +15,12 @@
 
 impl Log {
     pub fn new(base: Base, entries: impl IntoIterator<Item = Entry>) -> Self {
-        let mut log = Self { base, entries: VecDeque::new(), sums: VecDeque::new(), bytes: 0 };
+        let mut log = Self {
+            base,
+            entries: VecDeque::new(),
+            sums: VecDeque::new(),
+            bytes: 0,
+        };
         for entry in entries {
             log.push(entry);
         }
@@ -31,11 +36,15 @@
     }
 
     pub fn last_term(&self) -> u64 {
-        self.entries.back().map_or(self.base.term, |entry| entry.term)
+        self.entries
+            .back()
+            .map_or(self.base.term, |entry| entry.term)
     }
 
     pub fn last_stamp(&self) -> u64 {
-        self.entries.back().map_or(self.base.stamp, |entry| entry.stamp)
+        self.entries
+            .back()
+            .map_or(self.base.stamp, |entry| entry.stamp)
     }
 
     /// Bytes of data in the entries.
@@ -78,7 +87,9 @@
 
     /// Entries from an index on: at most so many, and as many as fit the bytes, but one.
     pub fn from(&self, index: u64, most: usize, bytes: usize) -> Vec<Entry> {
-        let Some(at) = self.at(index) else { return Vec::new() };
+        let Some(at) = self.at(index) else {
+            return Vec::new();
+        };
         let (mut all, mut size) = (Vec::new(), 0);
         for entry in self.entries.range(at..) {
             size += entry.data.len();
@@ -110,7 +121,11 @@
 
     /// Takes off all up to the base's index, which stands for it from now on.
     pub fn compact(&mut self, base: Base) {
-        while self.entries.front().is_some_and(|entry| entry.index <= base.index) {
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= base.index)
+        {
             self.bytes -= self.entries.pop_front().map_or(0, |entry| entry.data.len());
             self.sums.pop_front();
         }
@@ -119,7 +134,9 @@
 
     /// The smallest index whose term is that of this one: a whole term is stepped over at once.
     pub fn first_of_term(&self, index: u64) -> u64 {
-        let Some(term) = self.term(index) else { return index };
+        let Some(term) = self.term(index) else {
+            return index;
+        };
         let mut first = index;
         while first > self.base.index + 1 && self.term(first - 1) == Some(term) {
             first -= 1;
--- a/crates/replica/src/plant.rs
+++ b/crates/replica/src/plant.rs
@@ -4,13 +4,34 @@
 
 /// All bugs that can be planted, and what each does.
 pub const BUGS: &[(&str, &str)] = &[
-    ("early-answer", "committed as soon as the leader has it, before the quorum does"),
-    ("vote-forgotten", "the vote is not written down, so a restart forgets it"),
-    ("tail-kept", "an uncommitted tail that differs from the leader's stays"),
-    ("config-lost", "a snapshot is taken over without the members it names"),
-    ("vote-too-soon", "a learner that catches up counts towards the majority as if it voted"),
-    ("second-run", "a start whose holder is not heard of is granted again"),
-    ("early-launch", "a ticket is launched before its start is durable on a majority"),
+    (
+        "early-answer",
+        "committed as soon as the leader has it, before the quorum does",
+    ),
+    (
+        "vote-forgotten",
+        "the vote is not written down, so a restart forgets it",
+    ),
+    (
+        "tail-kept",
+        "an uncommitted tail that differs from the leader's stays",
+    ),
+    (
+        "config-lost",
+        "a snapshot is taken over without the members it names",
+    ),
+    (
+        "vote-too-soon",
+        "a learner that catches up counts towards the majority as if it voted",
+    ),
+    (
+        "second-run",
+        "a start whose holder is not heard of is granted again",
+    ),
+    (
+        "early-launch",
+        "a ticket is launched before its start is durable on a majority",
+    ),
     ("sums-twice", "soft sums are added instead of joined"),
 ];
 
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -4,8 +4,8 @@
 use crate::log::Log;
 use crate::plant::planted;
 use crate::wire::{
-    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Id, Kind, Member, Message, Piece, Snapshot,
-    Took, Vote, Voted,
+    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Id, Kind, Member, Message, Piece,
+    Snapshot, Took, Vote, Voted,
 };
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
@@ -180,13 +180,20 @@
 impl Replica {
     /// `seed` draws the times between elections.
     pub fn new(id: Id, times: Times, seed: u64, now: Duration, state: State) -> Self {
-        let (base, snapshot) =
-            state.snapshot.map_or((Base::default(), Bytes::new()), |snapshot| (snapshot.base, snapshot.data));
+        let (base, snapshot) = state
+            .snapshot
+            .map_or((Base::default(), Bytes::new()), |snapshot| {
+                (snapshot.base, snapshot.data)
+            });
         let mut configs = vec![(base.index, base.config.clone())];
         let commit = base.index;
         let log = Log::new(base, state.entries);
         for index in commit + 1..=log.last() {
-            configs.extend(log.entry(index).and_then(config_of).map(|config| (index, config)));
+            configs.extend(
+                log.entry(index)
+                    .and_then(config_of)
+                    .map(|config| (index, config)),
+            );
         }
         let (durable, stamp) = (log.last(), (log.last_stamp(), now));
         let mut replica = Self {
@@ -265,7 +272,9 @@
 
     /// Whether the newest configuration is committed.
     pub fn settled(&self) -> bool {
-        self.configs.last().is_some_and(|last| last.0 <= self.commit)
+        self.configs
+            .last()
+            .is_some_and(|last| last.0 <= self.commit)
     }
 
     /// Whether this leader has committed an entry of its own term: only then it knows what is committed.
@@ -275,7 +284,9 @@
 
     /// Of a leader: how far each other member is, and when it was last heard.
     pub fn progress(&self) -> impl Iterator<Item = (Id, u64, Duration)> + '_ {
-        self.peers.iter().map(|(id, peer)| (*id, peer.matched, peer.heard))
+        self.peers
+            .iter()
+            .map(|(id, peer)| (*id, peer.matched, peer.heard))
     }
 
     pub fn handing(&self) -> bool {
@@ -294,7 +305,9 @@
     /// All that follows from the calls since the last one.
     pub fn take(&mut self) -> Out {
         while self.applied < self.commit {
-            let Some(entry) = self.log.entry(self.applied + 1) else { break };
+            let Some(entry) = self.log.entry(self.applied + 1) else {
+                break;
+            };
             self.applied += 1;
             self.out.committed.push(entry.clone());
         }
@@ -304,10 +317,35 @@
     /// The state without its times and chance, for searches that go over all orders of events.
     pub fn fingerprint(&self, into: &mut impl std::hash::Hasher) {
         use std::hash::Hash;
-        (self.id, self.term, self.vote, self.role, self.leader, &self.log, &self.configs).hash(into);
-        (self.commit, self.applied, self.durable, &self.votes, &self.incoming, &self.snapshot).hash(into);
+        (
+            self.id,
+            self.term,
+            self.vote,
+            self.role,
+            self.leader,
+            &self.log,
+            &self.configs,
+        )
+            .hash(into);
+        (
+            self.commit,
+            self.applied,
+            self.durable,
+            &self.votes,
+            &self.incoming,
+            &self.snapshot,
+        )
+            .hash(into);
         for (id, peer) in &self.peers {
-            (id, peer.next, peer.matched, peer.waiting.is_some(), peer.piece, peer.differs).hash(into);
+            (
+                id,
+                peer.next,
+                peer.matched,
+                peer.waiting.is_some(),
+                peer.piece,
+                peer.differs,
+            )
+                .hash(into);
         }
     }
 
@@ -329,7 +367,8 @@
     fn draw_deadline(&mut self) {
         let [least, most] = self.times.election;
         let span = (most.saturating_sub(least).as_micros() as u64).max(1);
-        self.deadline = self.now + least + Duration::from_micros(self.chance.generate_range(0..span));
+        self.deadline =
+            self.now + least + Duration::from_micros(self.chance.generate_range(0..span));
     }
 
     fn lead_on(&mut self) {
@@ -339,7 +378,9 @@
         if self.now >= self.deadline {
             // Guards against a leader that nobody hears: without a majority it leads nothing.
             let since = self.now.saturating_sub(self.times.election[1]);
-            let heard = |id: Id| id == self.id || self.peers.get(&id).is_some_and(|peer| peer.heard >= since);
+            let heard = |id: Id| {
+                id == self.id || self.peers.get(&id).is_some_and(|peer| peer.heard >= since)
+            };
             if self.config().voters().filter(|id| heard(*id)).count() < self.config().majority() {
                 self.follow(self.term, None);
                 return;
@@ -358,7 +399,9 @@
     /// Log time: the newest stamp seen, and what has passed since on this clock.
     fn log_time(&self) -> u64 {
         let passed = self.now.saturating_sub(self.stamp.1).as_nanos();
-        self.stamp.0.saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
+        self.stamp
+            .0
+            .saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
     }
 
     fn saw_stamp(&mut self, stamp: u64) {
@@ -370,9 +413,15 @@
     // Elections.
 
     fn keep_hard(&mut self) {
-        self.out.hard = Some(Hard { term: self.term, vote: self.vote });
+        self.out.hard = Some(Hard {
+            term: self.term,
+            vote: self.vote,
+        });
         if planted("vote-forgotten") {
-            self.out.hard = Some(Hard { term: self.term, vote: 0 });
+            self.out.hard = Some(Hard {
+                term: self.term,
+                vote: 0,
+            });
         }
     }
 
@@ -431,10 +480,24 @@
     fn ask_all(&mut self, pre: bool, wanted: bool, term: u64) {
         self.beat = self.now + self.times.heartbeat;
         let (last_index, last_term) = (self.log.last(), self.log.last_term());
-        let others: Vec<Id> = self.config().voters().filter(|id| !self.votes.contains(id)).collect();
+        let others: Vec<Id> = self
+            .config()
+            .voters()
+            .filter(|id| !self.votes.contains(id))
+            .collect();
         for to in others {
-            let body = Body::Vote(Vote { pre, last_index, last_term, wanted });
-            self.out.after.push(Message { to, from: self.id, term, body: Some(body) });
+            let body = Body::Vote(Vote {
+                pre,
+                last_index,
+                last_term,
+                wanted,
+            });
+            self.out.after.push(Message {
+                to,
+                from: self.id,
+                term,
+                body: Some(body),
+            });
         }
     }
 
@@ -465,7 +528,12 @@
 
     /// Peers are those of the newest configuration.
     fn meet_members(&mut self) {
-        let ids: BTreeSet<Id> = self.config().members.iter().map(|member| member.id).collect();
+        let ids: BTreeSet<Id> = self
+            .config()
+            .members
+            .iter()
+            .map(|member| member.id)
+            .collect();
         self.peers.retain(|id, _| ids.contains(id));
         for id in ids.into_iter().filter(|id| *id != self.id) {
             let (next, heard) = (self.log.last() + 1, self.now);
@@ -490,7 +558,9 @@
     pub fn propose(&mut self, now: Duration, data: Bytes) -> Result<u64, Refused> {
         self.now = self.now.max(now);
         if !self.leads() {
-            return Err(Refused::NotLeader(self.leader.filter(|leader| *leader != self.id)));
+            return Err(Refused::NotLeader(
+                self.leader.filter(|leader| *leader != self.id),
+            ));
         }
         if self.handing.is_some() || self.uncommitted + data.len() > UNCOMMITTED {
             return Err(Refused::Busy);
@@ -508,7 +578,9 @@
     pub fn change(&mut self, now: Duration, change: &Change) -> Result<u64, Refused> {
         self.now = self.now.max(now);
         if !self.leads() {
-            return Err(Refused::NotLeader(self.leader.filter(|leader| *leader != self.id)));
+            return Err(Refused::NotLeader(
+                self.leader.filter(|leader| *leader != self.id),
+            ));
         }
         // Guards against two majorities that do not meet: one change at a time, and none before this leader knows
         // what is committed.
@@ -523,9 +595,15 @@
             Change::Add(member) if config.member(member.id).is_some() => {
                 return Err(Refused::NotNow("it is a member"));
             }
-            Change::Add(member) => config.members.push(Member { votes: false, ..member.clone() }),
+            Change::Add(member) => config.members.push(Member {
+                votes: false,
+                ..member.clone()
+            }),
             Change::Promote(id) => {
-                let caught_up = self.peers.get(id).is_some_and(|peer| peer.matched >= self.commit);
+                let caught_up = self
+                    .peers
+                    .get(id)
+                    .is_some_and(|peer| peer.matched >= self.commit);
                 let Some(member) = config.members.iter_mut().find(|member| member.id == *id) else {
                     return Err(Refused::NotNow("it is no member"));
                 };
@@ -566,9 +644,17 @@
 
     fn hand_over(&mut self, to: Id) {
         if self.handing.is_some_and(|(id, _)| id == to)
-            && self.peers.get(&to).is_some_and(|peer| peer.matched == self.log.last())
+            && self
+                .peers
+                .get(&to)
+                .is_some_and(|peer| peer.matched == self.log.last())
         {
-            let message = Message { to, from: self.id, term: self.term, body: Some(Body::Now(true)) };
+            let message = Message {
+                to,
+                from: self.id,
+                term: self.term,
+                body: Some(Body::Now(true)),
+            };
             self.out.now.push(message);
         }
     }
@@ -580,7 +666,9 @@
     pub fn read(&mut self, now: Duration, token: u64) -> Result<(), Refused> {
         self.now = self.now.max(now);
         if !self.leads() {
-            return Err(Refused::NotLeader(self.leader.filter(|leader| *leader != self.id)));
+            return Err(Refused::NotLeader(
+                self.leader.filter(|leader| *leader != self.id),
+            ));
         }
         if !self.established() || self.reads.len() >= READS {
             return Err(Refused::Busy);
@@ -597,7 +685,9 @@
 
     fn answer_reads(&mut self) {
         while let Some(&(token, index, round)) = self.reads.front() {
-            let told = |id: &Id| *id == self.id || self.peers.get(id).is_some_and(|peer| peer.round >= round);
+            let told = |id: &Id| {
+                *id == self.id || self.peers.get(id).is_some_and(|peer| peer.round >= round)
+            };
             if self.config().voters().filter(told).count() < self.config().majority() {
                 break;
             }
@@ -610,7 +700,13 @@
 
     fn append(&mut self, kind: Kind, data: Bytes) -> u64 {
         let stamp = self.log_time();
-        let entry = Entry { index: self.log.last() + 1, term: self.term, stamp, kind: kind.into(), data };
+        let entry = Entry {
+            index: self.log.last() + 1,
+            term: self.term,
+            stamp,
+            kind: kind.into(),
+            data,
+        };
         self.saw_stamp(stamp);
         let index = entry.index;
         if let Some(config) = config_of(&entry) {
@@ -638,7 +734,9 @@
     fn send(&mut self, to: Id, beat: bool) {
         let lost = self.times.heartbeat * LOST;
         let (now, last, base) = (self.now, self.log.last(), self.log.base().index);
-        let Some(peer) = self.peers.get_mut(&to) else { return };
+        let Some(peer) = self.peers.get_mut(&to) else {
+            return;
+        };
         if peer.waiting.is_some_and(|since| now >= since + lost) {
             peer.waiting = None;
         }
@@ -651,8 +749,16 @@
             return;
         }
         // While something is on its way, a heartbeat asks about what is surely there.
-        let prev = if waits { peer.matched.max(base) } else { peer.next - 1 };
-        let entries = if waits { Vec::new() } else { self.log.from(prev + 1, BATCH, BATCH_BYTES) };
+        let prev = if waits {
+            peer.matched.max(base)
+        } else {
+            peer.next - 1
+        };
+        let entries = if waits {
+            Vec::new()
+        } else {
+            self.log.from(prev + 1, BATCH, BATCH_BYTES)
+        };
         if !waits && !entries.is_empty() {
             peer.waiting = Some(now);
         }
@@ -664,21 +770,42 @@
             round: self.round,
             entries,
         });
-        self.out.now.push(Message { to, from: self.id, term: self.term, body: Some(body) });
+        self.out.now.push(Message {
+            to,
+            from: self.id,
+            term: self.term,
+            body: Some(body),
+        });
     }
 
     fn send_piece(&mut self, to: Id) {
         let base = self.log.base().clone();
         let total = self.snapshot.len() as u64;
-        let Some(peer) = self.peers.get_mut(&to) else { return };
-        let (_, offset) = peer.piece.filter(|piece| piece.0 == base.index).unwrap_or((base.index, 0));
+        let Some(peer) = self.peers.get_mut(&to) else {
+            return;
+        };
+        let (_, offset) = peer
+            .piece
+            .filter(|piece| piece.0 == base.index)
+            .unwrap_or((base.index, 0));
         let offset = offset.min(total);
         peer.piece = Some((base.index, offset));
         peer.waiting = Some(self.now);
         let end = (offset + PIECE as u64).min(total);
         let data = self.snapshot.slice(offset as usize..end as usize);
-        let body = Body::Piece(Piece { base, total, offset, data, round: self.round });
-        self.out.now.push(Message { to, from: self.id, term: self.term, body: Some(body) });
+        let body = Body::Piece(Piece {
+            base,
+            total,
+            offset,
+            data,
+            round: self.round,
+        });
+        self.out.now.push(Message {
+            to,
+            from: self.id,
+            term: self.term,
+            body: Some(body),
+        });
     }
 
     /// The disk has all up to an entry of this index and term.
@@ -706,10 +833,15 @@
         let members = self.config().members.iter().filter(counts);
         let mut all: Vec<u64> = members.map(|member| has(member.id)).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = all.get(self.config().majority() - 1) else { return };
+        let Some(&index) = all.get(self.config().majority() - 1) else {
+            return;
+        };
         if index > self.commit && self.log.term(index) == Some(self.term) {
             for index in self.commit + 1..=index {
-                let done = self.log.entry(index).filter(|entry| entry.kind() == Kind::Data);
+                let done = self
+                    .log
+                    .entry(index)
+                    .filter(|entry| entry.kind() == Kind::Data);
                 let done = done.map_or(0, |entry| entry.data.len());
                 self.uncommitted = self.uncommitted.saturating_sub(done);
             }
@@ -727,16 +859,34 @@
         if index > self.applied {
             return None;
         }
-        let config = self.configs.iter().rev().find(|config| config.0 <= index)?.1.clone();
-        let base = Base { index, term, stamp, sum: self.log.sum(index)?, config };
+        let config = self
+            .configs
+            .iter()
+            .rev()
+            .find(|config| config.0 <= index)?
+            .1
+            .clone();
+        let base = Base {
+            index,
+            term,
+            stamp,
+            sum: self.log.sum(index)?,
+            config,
+        };
         self.based(base.clone());
         self.snapshot = data.clone();
         Some(Snapshot { base, data })
     }
 
     fn based(&mut self, base: Base) {
-        let later = self.configs.iter().filter(|config| config.0 > base.index).cloned();
-        let configs: Vec<_> = std::iter::once((base.index, base.config.clone())).chain(later).collect();
+        let later = self
+            .configs
+            .iter()
+            .filter(|config| config.0 > base.index)
+            .cloned();
+        let configs: Vec<_> = std::iter::once((base.index, base.config.clone()))
+            .chain(later)
+            .collect();
         self.configs = configs;
         self.log.compact(base);
     }
@@ -745,7 +895,12 @@
 
     pub fn receive(&mut self, now: Duration, message: Message) {
         self.now = self.now.max(now);
-        let Message { to, from, term, body } = message;
+        let Message {
+            to,
+            from,
+            term,
+            body,
+        } = message;
         let Some(body) = body else { return };
         if to != self.id || self.role == Role::Aside {
             return;
@@ -764,7 +919,9 @@
             Body::Appended(told) => self.confirmed(from, &told),
             Body::Piece(piece) => self.piece(from, piece),
             Body::Took(took) => self.took(from, &took),
-            Body::Now(_) if self.role == Role::Follower && self.leader == Some(from) => self.stand(now, true),
+            Body::Now(_) if self.role == Role::Follower && self.leader == Some(from) => {
+                self.stand(now, true)
+            }
             Body::Now(_) => {}
             Body::Aside(aside) => self.set_aside(&aside),
         }
@@ -772,7 +929,10 @@
 
     /// Whether a leader was heard so lately that no other is wanted.
     fn led(&self) -> bool {
-        self.leads() || self.heard.is_some_and(|at| self.now < at + self.times.election[0])
+        self.leads()
+            || self
+                .heard
+                .is_some_and(|at| self.now < at + self.times.election[0])
     }
 
     /// A later term than this one's; whether the message is to be taken.
@@ -780,7 +940,13 @@
         match body {
             Body::Vote(vote) if !vote.wanted && self.led() => {
                 if vote.pre {
-                    self.reply(from, Body::Voted(Voted { pre: true, granted: false }));
+                    self.reply(
+                        from,
+                        Body::Voted(Voted {
+                            pre: true,
+                            granted: false,
+                        }),
+                    );
                 }
                 false
             }
@@ -801,15 +967,28 @@
     /// An earlier term than this one's: a leader of that time must hear of the later one.
     fn older(&mut self, from: Id, body: &Body) {
         match body {
-            Body::Append(append) => self.reply(from, appended(false, self.log.last(), append.round)),
+            Body::Append(append) => {
+                self.reply(from, appended(false, self.log.last(), append.round))
+            }
             Body::Piece(piece) => self.reply(from, appended(false, self.log.last(), piece.round)),
-            Body::Vote(vote) => self.reply(from, Body::Voted(Voted { pre: vote.pre, granted: false })),
+            Body::Vote(vote) => self.reply(
+                from,
+                Body::Voted(Voted {
+                    pre: vote.pre,
+                    granted: false,
+                }),
+            ),
             _ => {}
         }
     }
 
     fn reply(&mut self, to: Id, body: Body) {
-        self.out.after.push(Message { to, from: self.id, term: self.term, body: Some(body) });
+        self.out.after.push(Message {
+            to,
+            from: self.id,
+            term: self.term,
+            body: Some(body),
+        });
     }
 
     fn asked(&mut self, from: Id, term: u64, vote: &Vote) {
@@ -819,7 +998,12 @@
             let granted = as_new && term > self.term && !self.led();
             let term = if granted { term } else { self.term };
             let body = Some(Body::Voted(Voted { pre: true, granted }));
-            self.out.after.push(Message { to: from, from: self.id, term, body });
+            self.out.after.push(Message {
+                to: from,
+                from: self.id,
+                term,
+                body,
+            });
             return;
         }
         let free = self.vote == 0 || self.vote == from;
@@ -829,11 +1013,21 @@
             self.keep_hard();
             self.draw_deadline();
         }
-        self.reply(from, Body::Voted(Voted { pre: false, granted }));
+        self.reply(
+            from,
+            Body::Voted(Voted {
+                pre: false,
+                granted,
+            }),
+        );
     }
 
     fn told(&mut self, from: Id, voted: &Voted) {
-        let wanted = if voted.pre { Role::Asking } else { Role::Candidate };
+        let wanted = if voted.pre {
+            Role::Asking
+        } else {
+            Role::Candidate
+        };
         if self.role == wanted && voted.granted {
             self.votes.insert(from);
             self.counted();
@@ -867,17 +1061,31 @@
             // No leader's log differs in what is committed.
             Some(term) if term != append.prev_term && prev <= self.commit => {
                 let differs = self.log.sum(prev).unwrap_or(0).max(1);
-                let body = Appended { good: false, index: prev, round, differs };
+                let body = Appended {
+                    good: false,
+                    index: prev,
+                    round,
+                    differs,
+                };
                 return self.reply(from, Body::Appended(body));
             }
             Some(term) if term != append.prev_term => {
-                let before = self.log.first_of_term(prev).saturating_sub(1).max(self.commit);
+                let before = self
+                    .log
+                    .first_of_term(prev)
+                    .saturating_sub(1)
+                    .max(self.commit);
                 return self.reply(from, appended(false, before, round));
             }
             Some(_) => {}
         }
         if let Some(own) = self.log.sum(prev).filter(|own| *own != append.prev_sum) {
-            let body = Appended { good: false, index: prev, round, differs: own };
+            let body = Appended {
+                good: false,
+                index: prev,
+                round,
+                differs: own,
+            };
             return self.reply(from, Body::Appended(body));
         }
         let last = prev + append.entries.len() as u64;
@@ -908,7 +1116,10 @@
 
     /// An uncommitted tail gives way.
     fn cut(&mut self, from: u64) {
-        debug_assert!(from > self.commit || cfg!(feature = "planted"), "what is committed stays");
+        debug_assert!(
+            from > self.commit || cfg!(feature = "planted"),
+            "what is committed stays"
+        );
         self.log.cut(from);
         self.configs.retain(|config| config.0 < from);
         self.out.entries.retain(|entry| entry.index < from);
@@ -920,7 +1131,9 @@
             return;
         }
         let (now, last) = (self.now, self.log.last());
-        let Some(peer) = self.peers.get_mut(&from) else { return };
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
         peer.heard = now;
         peer.round = peer.round.max(told.round);
         if told.good {
@@ -937,7 +1150,9 @@
             peer.waiting = Some(now);
             self.count_copies();
         } else if peer.piece.is_none() {
-            peer.next = (told.index + 1).min(peer.next.max(2) - 1).max(peer.matched + 1);
+            peer.next = (told.index + 1)
+                .min(peer.next.max(2) - 1)
+                .max(peer.matched + 1);
             peer.waiting = None;
         }
         self.answer_reads();
@@ -948,24 +1163,51 @@
 
     /// Some copy differs: see `copies.rs`.
     fn count_copies(&mut self) {
-        let differ: Vec<(Id, u64)> =
-            self.peers.iter().filter_map(|(id, peer)| Some((*id, peer.differs?.1))).collect();
-        let Some(index) = self.peers.values().filter_map(|peer| Some(peer.differs?.0)).min() else { return };
+        let differ: Vec<(Id, u64)> = self
+            .peers
+            .iter()
+            .filter_map(|(id, peer)| Some((*id, peer.differs?.1)))
+            .collect();
+        let Some(index) = self
+            .peers
+            .values()
+            .filter_map(|peer| Some(peer.differs?.0))
+            .min()
+        else {
+            return;
+        };
         let agrees = |id: &Id| {
             *id == self.id
-                || self.peers.get(id).is_some_and(|peer| peer.differs.is_none() && peer.matched >= index)
+                || self
+                    .peers
+                    .get(id)
+                    .is_some_and(|peer| peer.differs.is_none() && peer.matched >= index)
         };
         let config = self.config();
-        let (voters, agree) = (config.voters().count(), config.voters().filter(agrees).count());
-        let of_voters: Vec<_> = differ.iter().filter(|one| config.votes(one.0)).copied().collect();
-        let Some(own) = self.log.sum(index) else { return };
+        let (voters, agree) = (
+            config.voters().count(),
+            config.voters().filter(agrees).count(),
+        );
+        let of_voters: Vec<_> = differ
+            .iter()
+            .filter(|one| config.votes(one.0))
+            .copied()
+            .collect();
+        let Some(own) = self.log.sum(index) else {
+            return;
+        };
         match odd(voters, agree, &of_voters) {
             Odd::Unknown => {}
             Odd::Leader(most) => self.lay_aside(index, own, most),
             Odd::Others(_) => {
                 for (to, _) in differ {
                     let body = Some(Body::Aside(Aside { index, most: own }));
-                    self.out.now.push(Message { to, from: self.id, term: self.term, body });
+                    self.out.now.push(Message {
+                        to,
+                        from: self.id,
+                        term: self.term,
+                        body,
+                    });
                 }
             }
         }
@@ -990,26 +1232,52 @@
             return;
         }
         self.heard_leader(from);
-        let Piece { base, total, offset, data, round } = piece;
+        let Piece {
+            base,
+            total,
+            offset,
+            data,
+            round,
+        } = piece;
         if base.index <= self.commit {
             return self.reply(from, appended(true, self.commit, round));
         }
         if total > SNAPSHOT_MOST {
             return;
         }
-        let same = self.incoming.as_ref().is_some_and(|one| one.base == base && one.total == total);
+        let same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|one| one.base == base && one.total == total);
         if !same {
-            self.incoming = Some(Incoming { base: base.clone(), total, data: Vec::new() });
+            self.incoming = Some(Incoming {
+                base: base.clone(),
+                total,
+                data: Vec::new(),
+            });
         }
-        let Some(incoming) = &mut self.incoming else { return };
+        let Some(incoming) = &mut self.incoming else {
+            return;
+        };
         if offset == incoming.data.len() as u64 && offset + data.len() as u64 <= total {
             incoming.data.extend_from_slice(&data);
         }
         let there = incoming.data.len() as u64;
         if there < total {
-            return self.reply(from, Body::Took(Took { index: base.index, offset: there, round }));
-        }
-        let whole = self.incoming.take().map(|incoming| Bytes::from(incoming.data)).unwrap_or_default();
+            return self.reply(
+                from,
+                Body::Took(Took {
+                    index: base.index,
+                    offset: there,
+                    round,
+                }),
+            );
+        }
+        let whole = self
+            .incoming
+            .take()
+            .map(|incoming| Bytes::from(incoming.data))
+            .unwrap_or_default();
         self.take_over(base, whole);
         self.reply(from, appended(true, self.commit, round));
     }
@@ -1043,7 +1311,9 @@
             return;
         }
         let (now, base) = (self.now, self.log.base().index);
-        let Some(peer) = self.peers.get_mut(&from) else { return };
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
         peer.heard = now;
         peer.round = peer.round.max(took.round);
         peer.waiting = None;
@@ -1058,7 +1328,12 @@
 }
 
 fn appended(good: bool, index: u64, round: u64) -> Body {
-    Body::Appended(Appended { good, index, round, differs: 0 })
+    Body::Appended(Appended {
+        good,
+        index,
+        round,
+        differs: 0,
+    })
 }
 
 /// The members that an entry names, if it is about them.
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -61,14 +61,21 @@
 
 impl Config {
     pub fn of(members: impl IntoIterator<Item = (Id, String)>) -> Self {
-        let members = members.into_iter().map(|(id, name)| Member { id, name, votes: true });
+        let members = members.into_iter().map(|(id, name)| Member {
+            id,
+            name,
+            votes: true,
+        });
         let mut members: Vec<Member> = members.collect();
         members.sort();
         Self { members }
     }
 
     pub fn voters(&self) -> impl Iterator<Item = Id> + '_ {
-        self.members.iter().filter(|member| member.votes).map(|member| member.id)
+        self.members
+            .iter()
+            .filter(|member| member.votes)
+            .map(|member| member.id)
     }
 
     pub fn votes(&self, id: Id) -> bool {
--- a/crates/replica/tests/golden.rs
+++ b/crates/replica/tests/golden.rs
@@ -5,32 +5,71 @@
 use prost::Message as _;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_replica::wire::{
-    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Kind, Member, Message, Piece, Snapshot, Took,
-    Vote, Voted,
+    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Kind, Member, Message, Piece,
+    Snapshot, Took, Vote, Voted,
 };
 
 const MESSAGES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/messages.hex");
 const STORED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/stored.hex");
 
 fn entry(kind: Kind, data: &'static [u8]) -> Entry {
-    Entry { index: 300, term: 7, stamp: 1_000_000_007, kind: kind as i32, data: Bytes::from_static(data) }
+    Entry {
+        index: 300,
+        term: 7,
+        stamp: 1_000_000_007,
+        kind: kind as i32,
+        data: Bytes::from_static(data),
+    }
 }
 
 fn config() -> Config {
-    let member = |id: u64, name: &str, votes: bool| Member { id, name: name.into(), votes };
-    Config { members: vec![member(1, "n1", true), member(2, "n2", true), member(9, "n3", false)] }
+    let member = |id: u64, name: &str, votes: bool| Member {
+        id,
+        name: name.into(),
+        votes,
+    };
+    Config {
+        members: vec![
+            member(1, "n1", true),
+            member(2, "n2", true),
+            member(9, "n3", false),
+        ],
+    }
 }
 
 fn base() -> Base {
-    Base { index: 250, term: 6, stamp: 999, sum: 0xabcd_ef01_2345_6789, config: config() }
+    Base {
+        index: 250,
+        term: 6,
+        stamp: 999,
+        sum: 0xabcd_ef01_2345_6789,
+        config: config(),
+    }
 }
 
 fn messages() -> Vec<(&'static str, Message)> {
-    let entries =
-        vec![entry(Kind::Nothing, b""), entry(Kind::Data, b"command"), entry(Kind::Config, b"members")];
+    let entries = vec![
+        entry(Kind::Nothing, b""),
+        entry(Kind::Data, b"command"),
+        entry(Kind::Config, b"members"),
+    ];
     let bodies = vec![
-        ("vote", Body::Vote(Vote { pre: true, last_index: 299, last_term: 6, wanted: true })),
-        ("voted", Body::Voted(Voted { pre: true, granted: true })),
+        (
+            "vote",
+            Body::Vote(Vote {
+                pre: true,
+                last_index: 299,
+                last_term: 6,
+                wanted: true,
+            }),
+        ),
+        (
+            "voted",
+            Body::Voted(Voted {
+                pre: true,
+                granted: true,
+            }),
+        ),
         (
             "append",
             Body::Append(Append {
@@ -42,7 +81,15 @@
                 entries,
             }),
         ),
-        ("appended", Body::Appended(Appended { good: true, index: 302, round: 12, differs: 44 })),
+        (
+            "appended",
+            Body::Appended(Appended {
+                good: true,
+                index: 302,
+                round: 12,
+                differs: 44,
+            }),
+        ),
         (
             "piece",
             Body::Piece(Piece {
@@ -53,19 +100,44 @@
                 round: 3,
             }),
         ),
-        ("took", Body::Took(Took { index: 250, offset: 517, round: 3 })),
+        (
+            "took",
+            Body::Took(Took {
+                index: 250,
+                offset: 517,
+                round: 3,
+            }),
+        ),
         ("now", Body::Now(true)),
-        ("aside", Body::Aside(Aside { index: 300, most: 4 })),
+        (
+            "aside",
+            Body::Aside(Aside {
+                index: 300,
+                most: 4,
+            }),
+        ),
     ];
     bodies
         .into_iter()
-        .map(|(name, body)| (name, Message { to: 2, from: 1, term: 7, body: Some(body) }))
+        .map(|(name, body)| {
+            (
+                name,
+                Message {
+                    to: 2,
+                    from: 1,
+                    term: 7,
+                    body: Some(body),
+                },
+            )
+        })
         .collect()
 }
 
 #[test]
 fn messages_are_written_as_before() {
-    let all = messages().into_iter().map(|(name, message)| NamedBytes::new(name, message.encode_to_vec()));
+    let all = messages()
+        .into_iter()
+        .map(|(name, message)| NamedBytes::new(name, message.encode_to_vec()));
     assert_bytes(MESSAGES, &all.collect::<Vec<_>>());
 }
 
@@ -83,7 +155,10 @@
 
 #[test]
 fn stored_parts_are_written_as_before_and_read_back() {
-    let snapshot = Snapshot { base: base(), data: Bytes::from_static(b"table") };
+    let snapshot = Snapshot {
+        base: base(),
+        data: Bytes::from_static(b"table"),
+    };
     let data = entry(Kind::Data, b"command");
     assert_bytes(
         STORED,
@@ -96,7 +171,10 @@
         ],
     );
     let stored = read_bytes(STORED);
-    assert_eq!(Hard::decode(&stored[0].bytes[..]).unwrap(), Hard { term: 7, vote: 2 });
+    assert_eq!(
+        Hard::decode(&stored[0].bytes[..]).unwrap(),
+        Hard { term: 7, vote: 2 }
+    );
     assert_eq!(Entry::decode(&stored[1].bytes[..]).unwrap(), data);
     assert_eq!(Config::decode(&stored[3].bytes[..]).unwrap(), config());
     assert_eq!(Snapshot::decode(&stored[4].bytes[..]).unwrap(), snapshot);
--- a/crates/replica/tests/small_worlds.rs
+++ b/crates/replica/tests/small_worlds.rs
@@ -6,7 +6,9 @@
 
 use foldhash::{HashSet, HashSetExt};
 use rainstand_replica::wire::{Hard, Snapshot};
-use rainstand_replica::{Base, Change, Config, Entry, Id, Member, Message, Out, Replica, State, Times};
+use rainstand_replica::{
+    Base, Change, Config, Entry, Id, Member, Message, Out, Replica, State, Times,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -23,7 +25,15 @@
     changes: u8,
 }
 
-const NONE: Left = Left { stands: 0, drops: 0, repeats: 0, crashes: 0, proposals: 0, beats: 0, changes: 0 };
+const NONE: Left = Left {
+    stands: 0,
+    drops: 0,
+    repeats: 0,
+    crashes: 0,
+    proposals: 0,
+    beats: 0,
+    changes: 0,
+};
 
 /// A disk: what is durable, and writes that are on their way with what waits for them.
 #[derive(Clone, Debug, Default)]
@@ -51,16 +61,38 @@
 
 fn times() -> Times {
     let long = Duration::from_secs(1_000_000);
-    Times { heartbeat: Duration::from_millis(1), election: [long, long * 2] }
+    Times {
+        heartbeat: Duration::from_millis(1),
+        election: [long, long * 2],
+    }
 }
 
 fn world(left: Left, slow_disks: bool, nodes: u64) -> World {
     let config = Config::of((1..=3).map(|id| (id, format!("n{id}"))));
-    let base = Base { index: 1, term: 1, stamp: 0, sum: 1, config };
+    let base = Base {
+        index: 1,
+        term: 1,
+        stamp: 0,
+        sum: 1,
+        config,
+    };
     let node = |id: u64| {
-        let snapshot = (id <= 3).then(|| Snapshot { base: base.clone(), data: Vec::new().into() });
-        let state = State { hard: Hard::default(), snapshot, entries: Vec::new() };
-        (Replica::new(id, times(), id, Duration::ZERO, state.clone()), Disk { state, pending: Vec::new() })
+        let snapshot = (id <= 3).then(|| Snapshot {
+            base: base.clone(),
+            data: Vec::new().into(),
+        });
+        let state = State {
+            hard: Hard::default(),
+            snapshot,
+            entries: Vec::new(),
+        };
+        (
+            Replica::new(id, times(), id, Duration::ZERO, state.clone()),
+            Disk {
+                state,
+                pending: Vec::new(),
+            },
+        )
     };
     World {
         now: Duration::ZERO,
@@ -81,7 +113,9 @@
             self.state.hard = hard;
         }
         if let Some((snapshot, alone)) = &out.snapshot {
-            self.state.entries.retain(|entry| entry.index > snapshot.base.index && !alone);
+            self.state
+                .entries
+                .retain(|entry| entry.index > snapshot.base.index && !alone);
             self.state.snapshot = Some(snapshot.clone());
         }
         for entry in &out.entries {
@@ -96,7 +130,12 @@
         let mut hasher = std::hash::DefaultHasher::new();
         for (replica, disk) in &self.nodes {
             replica.fingerprint(&mut hasher);
-            (disk.state.hard, disk.state.entries.len(), disk.state.entries.last()).hash(&mut hasher);
+            (
+                disk.state.hard,
+                disk.state.entries.len(),
+                disk.state.entries.last(),
+            )
+                .hash(&mut hasher);
             for (out, after) in &disk.pending {
                 (out.hard, &out.entries, after).hash(&mut hasher);
             }
@@ -104,7 +143,14 @@
         // The order in which messages were sent means nothing.
         let mut net: Vec<u64> = self.net.iter().map(sum).collect();
         net.sort_unstable();
-        (net, self.left, &self.leaders, &self.committed, &self.in_term).hash(&mut hasher);
+        (
+            net,
+            self.left,
+            &self.leaders,
+            &self.committed,
+            &self.in_term,
+        )
+            .hash(&mut hasher);
         hasher.finish()
     }
 
@@ -176,50 +222,84 @@
         for k in 0..self.nodes.len() {
             let (replica, disk) = &self.nodes[k];
             if l.stands > 0 && !replica.leads() && replica.config().votes(replica.id()) {
-                step(Left { stands: l.stands - 1, ..l }, &|w| {
-                    w.nodes[k].0.stand(w.now, true);
-                    w.settle(k)
-                });
+                step(
+                    Left {
+                        stands: l.stands - 1,
+                        ..l
+                    },
+                    &|w| {
+                        w.nodes[k].0.stand(w.now, true);
+                        w.settle(k)
+                    },
+                );
             }
             if l.proposals > 0 && replica.leads() {
-                step(Left { proposals: l.proposals - 1, ..l }, &|w| {
-                    let data = vec![k as u8, w.left.proposals].into();
-                    let _ = w.nodes[k].0.propose(w.now, data);
-                    w.settle(k)
-                });
+                step(
+                    Left {
+                        proposals: l.proposals - 1,
+                        ..l
+                    },
+                    &|w| {
+                        let data = vec![k as u8, w.left.proposals].into();
+                        let _ = w.nodes[k].0.propose(w.now, data);
+                        w.settle(k)
+                    },
+                );
             }
             if l.beats > 0 && replica.leads() {
-                step(Left { beats: l.beats - 1, ..l }, &|w| {
-                    w.now += Duration::from_millis(4);
-                    let now = w.now;
-                    w.nodes[k].0.tick(now);
-                    w.settle(k)
-                });
+                step(
+                    Left {
+                        beats: l.beats - 1,
+                        ..l
+                    },
+                    &|w| {
+                        w.now += Duration::from_millis(4);
+                        let now = w.now;
+                        w.nodes[k].0.tick(now);
+                        w.settle(k)
+                    },
+                );
             }
             if !disk.pending.is_empty() {
                 step(l, &|w| w.flush(k));
             }
             if l.crashes > 0 {
-                step(Left { crashes: l.crashes - 1, ..l }, &|w| {
-                    let state = w.nodes[k].1.state.clone();
-                    w.nodes[k].1.pending.clear();
-                    w.nodes[k].0 = Replica::new(k as u64 + 1, times(), 9, w.now, state);
-                    w.settle(k)
-                });
+                step(
+                    Left {
+                        crashes: l.crashes - 1,
+                        ..l
+                    },
+                    &|w| {
+                        let state = w.nodes[k].1.state.clone();
+                        w.nodes[k].1.pending.clear();
+                        w.nodes[k].0 = Replica::new(k as u64 + 1, times(), 9, w.now, state);
+                        w.settle(k)
+                    },
+                );
             }
             if l.changes > 0 && replica.leads() {
                 let changes = [
-                    Change::Add(Member { id: 4, name: "n4".into(), votes: false }),
+                    Change::Add(Member {
+                        id: 4,
+                        name: "n4".into(),
+                        votes: false,
+                    }),
                     Change::Promote(4),
                     Change::Remove(1),
                 ];
                 for change in changes {
                     if replica.clone().change(self.now, &change).is_ok() {
-                        step(Left { changes: l.changes - 1, ..l }, &|w| {
-                            let now = w.now;
-                            let _ = w.nodes[k].0.change(now, &change);
-                            w.settle(k)
-                        });
+                        step(
+                            Left {
+                                changes: l.changes - 1,
+                                ..l
+                            },
+                            &|w| {
+                                let now = w.now;
+                                let _ = w.nodes[k].0.change(now, &change);
+                                w.settle(k)
+                            },
+                        );
                     }
                 }
             }
@@ -232,17 +312,29 @@
                 w.settle(to)
             });
             if l.drops > 0 {
-                step(Left { drops: l.drops - 1, ..l }, &|w| {
-                    w.net.swap_remove(m);
-                    Ok(())
-                });
+                step(
+                    Left {
+                        drops: l.drops - 1,
+                        ..l
+                    },
+                    &|w| {
+                        w.net.swap_remove(m);
+                        Ok(())
+                    },
+                );
             }
             if l.repeats > 0 {
-                step(Left { repeats: l.repeats - 1, ..l }, &|w| {
-                    let message = w.net[m].clone();
-                    w.nodes[to].0.receive(w.now, message);
-                    w.settle(to)
-                });
+                step(
+                    Left {
+                        repeats: l.repeats - 1,
+                        ..l
+                    },
+                    &|w| {
+                        let message = w.net[m].clone();
+                        w.nodes[to].0.receive(w.now, message);
+                        w.settle(to)
+                    },
+                );
             }
         }
         all
@@ -280,25 +372,64 @@
 /// Worlds that are gone over whole, and about how many states each has at least.
 fn worlds() -> Vec<(&'static str, World, usize)> {
     vec![
-        ("two elections", world(Left { stands: 2, ..NONE }, false, 3), 10_000),
+        (
+            "two elections",
+            world(Left { stands: 2, ..NONE }, false, 3),
+            10_000,
+        ),
         (
             "one election, a loss, a repeat, a heartbeat",
-            world(Left { stands: 1, drops: 1, repeats: 1, beats: 1, ..NONE }, false, 3),
+            world(
+                Left {
+                    stands: 1,
+                    drops: 1,
+                    repeats: 1,
+                    beats: 1,
+                    ..NONE
+                },
+                false,
+                3,
+            ),
             1_000,
         ),
         (
             "one election, a proposal, a loss",
-            world(Left { stands: 1, proposals: 1, drops: 1, ..NONE }, false, 3),
+            world(
+                Left {
+                    stands: 1,
+                    proposals: 1,
+                    drops: 1,
+                    ..NONE
+                },
+                false,
+                3,
+            ),
             1_000,
         ),
         (
             "two elections, slow disks, a crash; votes alone",
-            world(Left { stands: 2, crashes: 1, ..NONE }, true, 3),
+            world(
+                Left {
+                    stands: 2,
+                    crashes: 1,
+                    ..NONE
+                },
+                true,
+                3,
+            ),
             1_000,
         ),
         (
             "one election, two changes of members",
-            world(Left { stands: 1, changes: 2, ..NONE }, false, 4),
+            world(
+                Left {
+                    stands: 1,
+                    changes: 2,
+                    ..NONE
+                },
+                false,
+                4,
+            ),
             1_000,
         ),
     ]
@@ -311,7 +442,10 @@
         let votes = world.only_votes;
         let found = search(world, 3_000_000);
         let (states, committed) = found.unwrap_or_else(|why| panic!("{name}: {why}"));
-        println!("{name}: {states} states, {committed} with something committed, {:?}", begun.elapsed());
+        println!(
+            "{name}: {states} states, {committed} with something committed, {:?}",
+            begun.elapsed()
+        );
         assert!(
             states >= least && (committed > 0 || votes),
             "{name}: {states} states, {committed} committed"
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -53,8 +53,12 @@
 impl fmt::Display for Break {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "rule {} ({}) at {}", self.rule, self.check, self.at)?;
-        self.key.iter().try_for_each(|key| write!(out, ", key {key}"))?;
-        self.ticket.iter().try_for_each(|ticket| write!(out, ", ticket {ticket}"))?;
+        self.key
+            .iter()
+            .try_for_each(|key| write!(out, ", key {key}"))?;
+        self.ticket
+            .iter()
+            .try_for_each(|ticket| write!(out, ", ticket {ticket}"))?;
         write!(out, ": {}", self.why)
     }
 }
@@ -125,7 +129,15 @@
     ) {
         lines.truncate(SHOWN);
         let (ticket, key) = (of.0.map(str::to_owned), of.1.map(str::to_owned));
-        self.0.push(Break { rule, check, at, ticket, key, why, lines });
+        self.0.push(Break {
+            rule,
+            check,
+            at,
+            ticket,
+            key,
+            why,
+            lines,
+        });
     }
 }
 
@@ -147,7 +159,14 @@
     let mut runs: Vec<(Option<&str>, Run<'_>)> = Vec::new();
     for seen in sorted {
         match &seen.event {
-            Event::Ask { ticket, traffic, key, body, node, due } => {
+            Event::Ask {
+                ticket,
+                traffic,
+                key,
+                body,
+                node,
+                due,
+            } => {
                 tally.asked += 1;
                 tally.keyed += usize::from(key.is_some());
                 let asked = Asked {
@@ -164,16 +183,35 @@
                 if let Some(before) = names.insert((&seen.by, ticket), tickets.len()) {
                     let lines = vec![tickets[before].line, seen.line];
                     let why = "asked twice under one name: a repeat is a further ticket".to_owned();
-                    found.tell((1, "asked-twice"), seen.at, (Some(ticket), key.as_deref()), why, lines);
+                    found.tell(
+                        (1, "asked-twice"),
+                        seen.at,
+                        (Some(ticket), key.as_deref()),
+                        why,
+                        lines,
+                    );
                 }
                 tickets.push(asked);
             }
             Event::Ran { key, body, result } => {
                 tally.ran += 1;
                 let (body, result) = (body.as_deref(), result.as_deref());
-                runs.push((key.as_deref(), Run { at: seen.at, line: seen.line, by: &seen.by, body, result }));
+                runs.push((
+                    key.as_deref(),
+                    Run {
+                        at: seen.at,
+                        line: seen.line,
+                        by: &seen.by,
+                        body,
+                        result,
+                    },
+                ));
             }
-            Event::End { ticket, end, result } => {
+            Event::End {
+                ticket,
+                end,
+                result,
+            } => {
                 match end {
                     End::Answer => tally.answered += 1,
                     End::Dismissed => tally.dismissed += 1,
@@ -182,32 +220,64 @@
                 }
                 let Some(&at) = names.get(&(seen.by.as_str(), ticket.as_str())) else {
                     let why = "a final line of a ticket that was not asked by then".to_owned();
-                    found.tell((1, "answer-to-nothing"), seen.at, (Some(ticket), None), why, vec![seen.line]);
+                    found.tell(
+                        (1, "answer-to-nothing"),
+                        seen.at,
+                        (Some(ticket), None),
+                        why,
+                        vec![seen.line],
+                    );
                     continue;
                 };
                 let asked = &mut tickets[at];
                 let of = (Some(asked.name), asked.key);
                 if let Some((_, line, ..)) = asked.end {
                     let why = "a second final line".to_owned();
-                    found.tell((1, "answer-twice"), seen.at, of, why, vec![asked.line, line, seen.line]);
+                    found.tell(
+                        (1, "answer-twice"),
+                        seen.at,
+                        of,
+                        why,
+                        vec![asked.line, line, seen.line],
+                    );
                     continue;
                 }
                 asked.end = Some((seen.at, seen.line, *end, result.as_deref()));
                 if seen.at > asked.due {
-                    let why = format!("its final line stands {} ns past its due time", seen.at - asked.due);
-                    found.tell((1, "answer-late"), seen.at, of, why, vec![asked.line, seen.line]);
+                    let why = format!(
+                        "its final line stands {} ns past its due time",
+                        seen.at - asked.due
+                    );
+                    found.tell(
+                        (1, "answer-late"),
+                        seen.at,
+                        of,
+                        why,
+                        vec![asked.line, seen.line],
+                    );
                 }
             }
         }
     }
     for asked in tickets.iter().filter(|asked| asked.end.is_none()) {
         let why = "nothing final by its due time, nor ever".to_owned();
-        found.tell((1, "answer-missing"), asked.due, (Some(asked.name), asked.key), why, vec![asked.line]);
+        found.tell(
+            (1, "answer-missing"),
+            asked.due,
+            (Some(asked.name), asked.key),
+            why,
+            vec![asked.line],
+        );
     }
     keys(&tickets, &runs, &mut tally, &mut found);
     by_the_rules(&tickets, &runs, &mut found);
-    found.0.sort_by(|a, b| (a.at, &a.lines, a.check).cmp(&(b.at, &b.lines, b.check)));
-    Verdict { tally, broken: found.0 }
+    found
+        .0
+        .sort_by(|a, b| (a.at, &a.lines, a.check).cmp(&(b.at, &b.lines, b.check)));
+    Verdict {
+        tally,
+        broken: found.0,
+    }
 }
 
 /// What is seen of one key.
@@ -217,7 +287,12 @@
     runs: Vec<&'a Run<'h>>,
 }
 
-fn keys(tickets: &[Asked<'_>], runs: &[(Option<&str>, Run<'_>)], tally: &mut Tally, found: &mut Found) {
+fn keys(
+    tickets: &[Asked<'_>],
+    runs: &[(Option<&str>, Run<'_>)],
+    tally: &mut Tally,
+    found: &mut Found,
+) {
     let mut keys: HashMap<&str, Key<'_, '_>> = HashMap::new();
     for asked in tickets {
         if let Some(key) = asked.key {
@@ -241,7 +316,9 @@
                 vec![pair[0].line, pair[1].line],
             );
         }
-        seen.runs.iter().for_each(|run| whose(key, &seen, run, found));
+        seen.runs
+            .iter()
+            .for_each(|run| whose(key, &seen, run, found));
         answers(key, &seen, found);
     }
 }
@@ -251,7 +328,11 @@
     let may = |asked: &&&Asked<'_>| asked.at <= run.at && alike(asked.body, run.body);
     let all: Vec<_> = seen.tickets.iter().filter(may).copied().collect();
     let node = run.by.strip_prefix("agent-");
-    let there: Vec<_> = all.iter().filter(|asked| node.is_some() && asked.node == node).copied().collect();
+    let there: Vec<_> = all
+        .iter()
+        .filter(|asked| node.is_some() && asked.node == node)
+        .copied()
+        .collect();
     if there.is_empty() {
         all
     } else {
@@ -265,9 +346,15 @@
         let before = seen.tickets.iter().filter(|asked| asked.at <= run.at);
         let mut lines: Vec<usize> = before.map(|asked| asked.line).collect();
         let (rule, why) = if lines.is_empty() {
-            ((2, "ran-unasked"), "it ran, and nobody had asked for it by then")
+            (
+                (2, "ran-unasked"),
+                "it ran, and nobody had asked for it by then",
+            )
         } else {
-            ((1, "body-changed"), "it ran with a body that nobody had asked for by then")
+            (
+                (1, "body-changed"),
+                "it ran with a body that nobody had asked for by then",
+            )
         };
         lines.truncate(SHOWN - 1);
         lines.push(run.line);
@@ -276,7 +363,11 @@
     }
     let dismissed = |asked: &&Asked<'_>| matches!(asked.end, Some((_, _, End::Dismissed, _)));
     if of.iter().all(dismissed) {
-        let last = of.iter().filter_map(|asked| asked.end).map(|end| (end.0, end.1)).max();
+        let last = of
+            .iter()
+            .filter_map(|asked| asked.end)
+            .map(|end| (end.0, end.1))
+            .max();
         let (at, _) = last.unwrap_or((run.at, run.line));
         let mut lines: Vec<usize> = vec![run.line];
         for asked in &of {
@@ -285,7 +376,10 @@
         }
         lines.truncate(SHOWN);
         lines.sort_unstable();
-        let why = format!("it ran by {}, and all tickets that the run can be of were dismissed", run.by);
+        let why = format!(
+            "it ran by {}, and all tickets that the run can be of were dismissed",
+            run.by
+        );
         found.tell(
             (2, "dismissed-though-ran"),
             at.max(run.at),
@@ -311,12 +405,16 @@
         let of = (Some(asked.name), Some(key));
         let result = result.unwrap_or("");
         let made = |run: &&&Run<'_>| {
-            run.at <= at && alike(run.body, asked.body) && run.result.is_none_or(|made| made == result)
+            run.at <= at
+                && alike(run.body, asked.body)
+                && run.result.is_none_or(|made| made == result)
         };
         if !seen.runs.iter().any(|run| made(&run)) {
             let mut lines: Vec<usize> = vec![asked.line, line];
             lines.extend(seen.runs.iter().map(|run| run.line).take(SHOWN - 2));
-            let why = format!("answered with {result:?}, which no run of this key and body had made by then");
+            let why = format!(
+                "answered with {result:?}, which no run of this key and body had made by then"
+            );
             found.tell((1, "result-of-no-run"), at, of, why, lines);
         }
         match first {
@@ -343,15 +441,36 @@
     if !found.0.is_empty() {
         return;
     }
-    let ran: HashMap<&str, u64> = runs.iter().filter_map(|(key, run)| Some(((*key)?, run.at))).collect();
+    let ran: HashMap<&str, u64> = runs
+        .iter()
+        .filter_map(|(key, run)| Some(((*key)?, run.at)))
+        .collect();
     let mut steps: Vec<(u64, u8, usize, Step)> = Vec::new();
     for (n, asked) in tickets.iter().enumerate() {
-        let kind = if asked.key.is_some() { Kind::Ticketed } else { Kind::Rerunnable };
+        let kind = if asked.key.is_some() {
+            Kind::Ticketed
+        } else {
+            Kind::Rerunnable
+        };
         let due = Duration::from_nanos(asked.due);
-        steps.push((asked.at, 0, n, Step::Asked { kind, due, front: 0 }));
-        let Some((at, _, end, _)) = asked.end else { continue };
+        steps.push((
+            asked.at,
+            0,
+            n,
+            Step::Asked {
+                kind,
+                due,
+                front: 0,
+            },
+        ));
+        let Some((at, _, end, _)) = asked.end else {
+            continue;
+        };
         // Agents tell the runs of keys alone; what has none is served by a run that is not seen here.
-        if asked.key.is_none_or(|key| ran.get(key).is_some_and(|ran| *ran <= at)) {
+        if asked
+            .key
+            .is_none_or(|key| ran.get(key).is_some_and(|ran| *ran <= at))
+        {
             steps.push((at, 1, n, Step::Shared));
         }
         let step = match end {
@@ -365,7 +484,10 @@
     steps.sort_by_key(|step| (step.0, step.1, step.2));
     let mut rules = Rules::default();
     for (at, _, n, step) in &steps {
-        if rules.saw(Duration::from_nanos(*at), *n as u64, *step).is_err() {
+        if rules
+            .saw(Duration::from_nanos(*at), *n as u64, *step)
+            .is_err()
+        {
             break;
         }
     }
@@ -373,10 +495,22 @@
     if let Err(broken) = rules.over(Duration::from_nanos(end)) {
         let asked = broken.ticket.and_then(|n| tickets.get(n as usize));
         let lines = asked.map_or(Vec::new(), |asked| {
-            [Some(asked.line), asked.end.map(|end| end.1)].into_iter().flatten().collect()
+            [Some(asked.line), asked.end.map(|end| end.1)]
+                .into_iter()
+                .flatten()
+                .collect()
         });
-        let of = (asked.map(|asked| asked.name), asked.and_then(|asked| asked.key));
+        let of = (
+            asked.map(|asked| asked.name),
+            asked.and_then(|asked| asked.key),
+        );
         let check = "rules";
-        found.tell((broken.rule, check), broken.at.as_nanos() as u64, of, broken.why, lines);
+        found.tell(
+            (broken.rule, check),
+            broken.at.as_nanos() as u64,
+            of,
+            broken.why,
+            lines,
+        );
     }
 }
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -100,19 +100,37 @@
 /// Why it is no line of a history.
 pub fn event(number: usize, text: &str) -> Result<Option<Seen>, Unreadable> {
     let flaw = |why: String| Unreadable { line: number, why };
-    let value: serde_json::Value = serde_json::from_str(text).map_err(|e| flaw(format!("no JSON: {e}")))?;
-    let object = value.as_object().ok_or_else(|| flaw("no JSON object".into()))?;
-    let op = object.get("op").and_then(|op| op.as_str()).ok_or_else(|| flaw("op: no text there".into()))?;
+    let value: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| flaw(format!("no JSON: {e}")))?;
+    let object = value
+        .as_object()
+        .ok_or_else(|| flaw("no JSON object".into()))?;
+    let op = object
+        .get("op")
+        .and_then(|op| op.as_str())
+        .ok_or_else(|| flaw("op: no text there".into()))?;
     if !["ask", "answer", "dismissed", "given-up", "gone", "ran"].contains(&op) {
         return Ok(None);
     }
     let line = Line::deserialize(&value).map_err(|e| flaw(e.to_string()))?;
-    let ticket = |line: &Line| line.ticket.clone().ok_or_else(|| flaw(format!("{op} without a ticket")));
-    let end = |line: &Line, end, result| Ok(Event::End { ticket: ticket(line)?, end, result });
+    let ticket = |line: &Line| {
+        line.ticket
+            .clone()
+            .ok_or_else(|| flaw(format!("{op} without a ticket")))
+    };
+    let end = |line: &Line, end, result| {
+        Ok(Event::End {
+            ticket: ticket(line)?,
+            end,
+            result,
+        })
+    };
     let event = match op {
         "ask" => Event::Ask {
             ticket: ticket(&line)?,
-            due: line.due.ok_or_else(|| flaw("ask without its due time".into()))?,
+            due: line
+                .due
+                .ok_or_else(|| flaw("ask without its due time".into()))?,
             traffic: line.traffic,
             key: line.key,
             body: line.body,
@@ -122,9 +140,18 @@
         "dismissed" => end(&line, End::Dismissed, None)?,
         "given-up" => end(&line, End::GivenUp, None)?,
         "gone" => end(&line, End::Gone, None)?,
-        _ => Event::Ran { key: line.key, body: line.body, result: line.result },
+        _ => Event::Ran {
+            key: line.key,
+            body: line.body,
+            result: line.result,
+        },
     };
-    Ok(Some(Seen { at: line.at, by: line.by, line: number, event }))
+    Ok(Some(Seen {
+        at: line.at,
+        by: line.by,
+        line: number,
+        event,
+    }))
 }
 
 /// All lines that mean something here, and how many there were in all.
@@ -139,14 +166,18 @@
         let flaw = |why: String| Unreadable { line: number, why };
         // Guards against a file without line ends that would be taken into memory whole.
         let mut part = std::io::Read::take(&mut from, LINE_MOST as u64 + 1);
-        let read = part.read_until(b'\n', &mut text).map_err(|e| flaw(e.to_string()))?;
+        let read = part
+            .read_until(b'\n', &mut text)
+            .map_err(|e| flaw(e.to_string()))?;
         if read == 0 {
             return Ok((all, number - 1));
         }
         if text.len() > LINE_MOST {
             return Err(flaw(format!("longer than {LINE_MOST} bytes")));
         }
-        let line = std::str::from_utf8(&text).map_err(|e| flaw(format!("no UTF-8: {e}")))?.trim();
+        let line = std::str::from_utf8(&text)
+            .map_err(|e| flaw(format!("no UTF-8: {e}")))?
+            .trim();
         if !line.is_empty() {
             all.extend(event(number, line)?);
         }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -164,15 +164,52 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Command::Run { play, seed, history, keep, json } => run(&play, seed, history.as_deref(), keep, json),
+        Command::Run {
+            play,
+            seed,
+            history,
+            keep,
+            json,
+        } => run(&play, seed, history.as_deref(), keep, json),
         Command::Check { history, json } => check_file(&history, json),
-        Command::Sweep { play, seeds, jobs, out } => sweep::sweep(&play, &seeds, jobs, &out),
-        Command::Shrink { play, seed, tries, most } => smaller(&play, seed, tries, most),
-        Command::Sim { seeds, jobs, nodes, copies, shards, faults, history, trace, plant } => {
-            let world = World { nodes, copies, shards, faults, trace, ..World::default() };
+        Command::Sweep {
+            play,
+            seeds,
+            jobs,
+            out,
+        } => sweep::sweep(&play, &seeds, jobs, &out),
+        Command::Shrink {
+            play,
+            seed,
+            tries,
+            most,
+        } => smaller(&play, seed, tries, most),
+        Command::Sim {
+            seeds,
+            jobs,
+            nodes,
+            copies,
+            shards,
+            faults,
+            history,
+            trace,
+            plant,
+        } => {
+            let world = World {
+                nodes,
+                copies,
+                shards,
+                faults,
+                trace,
+                ..World::default()
+            };
             sweep::simulate(&world, &seeds, jobs, history.as_deref(), plant.as_deref())
         }
-        Command::Ready { options, keep, json } => restart(&options, keep, json),
+        Command::Ready {
+            options,
+            keep,
+            json,
+        } => restart(&options, keep, json),
         Command::Scale(options) => scale::table::run(&options),
         Command::Agent { options } => parsed(&options, agent::serve),
         Command::Caller { options } => parsed(&options, caller::call),
@@ -188,7 +225,9 @@
 }
 
 fn wait<T>(what: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let done = LocalSet::new().block_on(&runtime, what);
     // Guards against a wait for a reader of standard input that nobody writes to any more.
     runtime.shutdown_background();
@@ -217,7 +256,9 @@
     };
     let named = |rig: &&Rig| play.rig.as_ref().is_none_or(|name| *name == rig.name);
     let mut rigs = configuration.rigs.iter().filter(named);
-    let Some(rig) = rigs.next() else { return Err(io::Error::other(format!("{path}: no such rig"))) };
+    let Some(rig) = rigs.next() else {
+        return Err(io::Error::other(format!("{path}: no such rig")));
+    };
     let mut rig = rig.clone();
     if let Some(seconds) = play.seconds {
         rig.lasts_ns = Duration::from_secs(seconds.clamp(1, 3_600)).as_nanos() as u64;
@@ -235,7 +276,11 @@
 ) -> io::Result<(Report, Vec<u8>)> {
     let temporary = tempfile::tempdir()?;
     let folder = keep.unwrap_or(temporary.path()).to_owned();
-    let place = Place { programs: play_.programs.clone(), folder: folder.clone(), bug: play_.plant.clone() };
+    let place = Place {
+        programs: play_.programs.clone(),
+        folder: folder.clone(),
+        bug: play_.plant.clone(),
+    };
     let report = wait(play(rig, seed, steps, &place))?;
     Ok((report, fs::read(folder.join("history.jsonl"))?))
 }
@@ -273,14 +318,22 @@
         report.faults, report.kills, report.resets, report.longest_gap_ms
     )?;
     for (kind, (asked, share)) in &report.during {
-        writeln!(out, "  while {kind}: {asked} keyed tickets asked, {:.1} % answered", share * 100.0)?;
+        writeln!(
+            out,
+            "  while {kind}: {asked} keyed tickets asked, {:.1} % answered",
+            share * 100.0
+        )?;
     }
     for fell in &report.fell {
         writeln!(out, "fell over: {fell}")?;
     }
     let text: Vec<&[u8]> = lines.split(|b| *b == b'\n').collect();
     for (k, broken) in report.broken.iter().enumerate().take(3) {
-        writeln!(out, "{}{broken}", if k == 0 { "broken: " } else { "then: " })?;
+        writeln!(
+            out,
+            "{}{broken}",
+            if k == 0 { "broken: " } else { "then: " }
+        )?;
         for line in &broken.lines {
             if let Some(shown) = text.get(line - 1) {
                 writeln!(out, "  {line}: {}", String::from_utf8_lossy(shown))?;
@@ -288,7 +341,10 @@
         }
     }
     let verdict = if report.good() { "clean" } else { "broken" };
-    writeln!(out, "{verdict}; the schedule and all draws are the seed's, the scheduling of processes is not")
+    writeln!(
+        out,
+        "{verdict}; the schedule and all draws are the seed's, the scheduling of processes is not"
+    )
 }
 
 #[derive(Serialize)]
@@ -304,14 +360,21 @@
     };
     let seen = text
         .as_ref()
-        .map_err(|why| Unreadable { line: 0, why: why.to_string() })
+        .map_err(|why| Unreadable {
+            line: 0,
+            why: why.to_string(),
+        })
         .and_then(|text| history::read(text.as_bytes()));
     let mut out = io::stdout().lock();
     let (seen, lines) = match seen {
         Ok(seen) => seen,
         Err(why) => {
             if as_json {
-                writeln!(out, "{}", json!({"verdict": "unreadable", "line": why.line, "why": why.why}))?;
+                writeln!(
+                    out,
+                    "{}",
+                    json!({"verdict": "unreadable", "line": why.line, "why": why.why})
+                )?;
             }
             return Err(io::Error::other(format!("{}: {why}", path.display())));
         }
@@ -330,13 +393,20 @@
 fn verdict(tally: &Tally, broken: &[Break], lines: usize, all: &[&str]) -> Value {
     let shown = |one: &Break| {
         let lines = one.lines.iter();
-        lines.map(|&line| Shown { line, text: all.get(line - 1).copied().unwrap_or("") }).collect::<Vec<_>>()
+        lines
+            .map(|&line| Shown {
+                line,
+                text: all.get(line - 1).copied().unwrap_or(""),
+            })
+            .collect::<Vec<_>>()
     };
     match broken.first() {
         None => json!({"verdict": "clean", "lines": lines, "tally": tally}),
-        Some(first) => json!({"verdict": "broken", "rule": first.rule, "check": first.check, "at": first.at,
+        Some(first) => {
+            json!({"verdict": "broken", "rule": first.rule, "check": first.check, "at": first.at,
             "ticket": first.ticket, "key": first.key, "why": first.why, "shown": shown(first),
-            "broken": broken.len(), "lines": lines, "tally": tally}),
+            "broken": broken.len(), "lines": lines, "tally": tally})
+        }
     }
 }
 
@@ -350,7 +420,11 @@
     if let Some(first) = broken.first() {
         writeln!(out, "broken: {first}")?;
         for line in &first.lines {
-            writeln!(out, "  {line}: {}", all.get(line - 1).copied().unwrap_or(""))?;
+            writeln!(
+                out,
+                "  {line}: {}",
+                all.get(line - 1).copied().unwrap_or("")
+            )?;
         }
         if broken.len() > 1 {
             writeln!(out, "{} more after it", broken.len() - 1)?;
--- a/crates/rig/src/peers/agent.rs
+++ b/crates/rig/src/peers/agent.rs
@@ -85,8 +85,17 @@
 async fn link(agent: Rc<RefCell<Agent>>, number: u64, read: OwnedReadHalf) {
     let mut lines = BufReader::new(read).lines();
     while let Ok(Some(line)) = lines.next_line().await {
-        let current = agent.borrow().link.as_ref().is_some_and(|link| link.0 == number);
-        let Some(command) = serde_json::from_str::<Value>(&line).ok().filter(|_| current) else { break };
+        let current = agent
+            .borrow()
+            .link
+            .as_ref()
+            .is_some_and(|link| link.0 == number);
+        let Some(command) = serde_json::from_str::<Value>(&line)
+            .ok()
+            .filter(|_| current)
+        else {
+            break;
+        };
         take(&agent, &command);
     }
     let mut all = agent.borrow_mut();
@@ -151,8 +160,10 @@
             self.book.write("ran", line);
         }
         let payload = BASE64_STANDARD.encode(result);
-        self.notices.push_back(json!({"cmd": "outcome", "req": req, "result": "fine", "elapsed_ms": 1,
-            "payload": payload}));
+        self.notices.push_back(
+            json!({"cmd": "outcome", "req": req, "result": "fine", "elapsed_ms": 1,
+            "payload": payload}),
+        );
         self.tell_kept(self.notices.len() - 1);
         if self.notices.len() > KEPT {
             self.notices.pop_front();
--- a/crates/rig/src/peers/caller.rs
+++ b/crates/rig/src/peers/caller.rs
@@ -96,7 +96,13 @@
         })
     });
     let nodes: Vec<Rc<Node>> = nodes.collect();
-    let caller = Rc::new(Caller { book, nodes, tickets: Cell::new(0), keys: RefCell::default(), options });
+    let caller = Rc::new(Caller {
+        book,
+        nodes,
+        tickets: Cell::new(0),
+        keys: RefCell::default(),
+        options,
+    });
     for node in &caller.nodes {
         spawn_local(keep(caller.clone(), node.clone()));
     }
@@ -119,7 +125,11 @@
     }
     let last = Duration::from_nanos(caller.options.within_ns + caller.options.slack_ns);
     let done = async {
-        while caller.nodes.iter().any(|node| !node.open.borrow().is_empty()) {
+        while caller
+            .nodes
+            .iter()
+            .any(|node| !node.open.borrow().is_empty())
+        {
             sleep(AGAIN).await;
         }
     };
@@ -130,7 +140,9 @@
 impl Caller {
     /// `disturb n2` and `calm n2`.
     fn told(&self, line: &str) {
-        let Some((what, name)) = line.split_once(' ') else { return };
+        let Some((what, name)) = line.split_once(' ') else {
+            return;
+        };
         for node in self.nodes.iter().filter(|node| node.name == name) {
             match what {
                 "disturb" => node.disturbed.set(node.disturbed.get() + 1),
@@ -155,10 +167,15 @@
         }
         let known = self.keys.borrow().len() as u64;
         if repeat && known > 0 {
-            let (key, body, first) = self.keys.borrow()[chance.generate_range(0..known) as usize].clone();
+            let (key, body, first) =
+                self.keys.borrow()[chance.generate_range(0..known) as usize].clone();
             let several = chance.generate_range(0..AT_ONCE) == 0;
             let to = if self.options.moves { node } else { first };
-            for k in 0..if several && self.options.moves { n.min(3) } else { 1 } {
+            for k in 0..if several && self.options.moves {
+                n.min(3)
+            } else {
+                1
+            } {
                 self.ask((to + k) % n, Some(&key), &body);
             }
             return;
@@ -179,17 +196,31 @@
         let node = &self.nodes[node];
         let write = node.write.borrow();
         let conn = node.conn.get();
-        let open = node.open.borrow().keys().filter(|(on, _)| *on == conn).count();
-        let Some(write) = write.as_ref().filter(|_| open < OPEN) else { return false };
+        let open = node
+            .open
+            .borrow()
+            .keys()
+            .filter(|(on, _)| *on == conn)
+            .count();
+        let Some(write) = write.as_ref().filter(|_| open < OPEN) else {
+            return false;
+        };
         let count = self.tickets.get();
         self.tickets.set(count + 1);
         node.seq.set(node.seq.get() + 1);
         let (ticket, seq, at) = (format!("t{count}"), node.seq.get(), now());
         let route = if key.is_some() { "register" } else { "check" };
         let trace = &hash(format!("{}/{count}", self.options.name).as_bytes());
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
         let born = unix.as_millis().to_string();
-        let mut fields = vec![("route", route), ("trace", trace), ("born", &born), ("customer", "acme")];
+        let mut fields = vec![
+            ("route", route),
+            ("trace", trace),
+            ("born", &born),
+            ("customer", "acme"),
+        ];
         fields.extend([("size", "4"), ("client", "1"), ("order", "0.5")]);
         fields.extend(key.map(|key| ("entity", key)));
         let due = at + self.options.within_ns + self.options.slack_ns;
@@ -204,12 +235,14 @@
             ..Line::default()
         };
         self.book.borrow_mut().write("ask", asked);
-        node.open.borrow_mut().insert((conn, seq), Open { ticket, asked: at });
+        node.open
+            .borrow_mut()
+            .insert((conn, seq), Open { ticket, asked: at });
         let frame = thrift::process(seq, &fields, body.as_bytes());
         if !write.try_write(&frame).is_ok_and(|n| n == frame.len()) {
             // Part of a frame may be on its way: the connection is of no use, and nothing is known.
-            let _ =
-                socket2::SockRef::from(AsRef::<TcpStream>::as_ref(write)).shutdown(std::net::Shutdown::Both);
+            let _ = socket2::SockRef::from(AsRef::<TcpStream>::as_ref(write))
+                .shutdown(std::net::Shutdown::Both);
         }
         let (caller, node) = (self.clone(), node.clone());
         spawn_local(async move {
@@ -221,10 +254,17 @@
 
     /// Its due time is here. One that was disturbed is left; of any other nothing is written, which breaks the rule.
     fn overdue(&self, node: &Node, of: (u32, i32)) {
-        let Some(open) = node.open.borrow_mut().remove(&of) else { return };
+        let Some(open) = node.open.borrow_mut().remove(&of) else {
+            return;
+        };
         if node.disturbed.get() > 0 || node.calm_since.get() >= open.asked {
             self.end("gone", open.ticket, None, self.due(open.asked));
-            if let Some(write) = node.write.borrow().as_ref().filter(|_| node.conn.get() == of.0) {
+            if let Some(write) = node
+                .write
+                .borrow()
+                .as_ref()
+                .filter(|_| node.conn.get() == of.0)
+            {
                 let _ = write.try_write(&thrift::give_up(of.1));
             }
         }
@@ -235,7 +275,15 @@
     }
 
     fn end(&self, op: &str, ticket: String, result: Option<String>, at: u64) {
-        self.book.borrow_mut().write(op, Line { at, ticket: Some(ticket), result, ..Line::default() });
+        self.book.borrow_mut().write(
+            op,
+            Line {
+                at,
+                ticket: Some(ticket),
+                result,
+                ..Line::default()
+            },
+        );
     }
 
     /// Takes whole frames off the front of what was read.
@@ -247,9 +295,13 @@
             }
             let answered = thrift::answered(&frame)?;
             let of = (node.conn.get(), answered.seq);
-            let Some(open) = node.open.borrow_mut().remove(&of) else { continue };
+            let Some(open) = node.open.borrow_mut().remove(&of) else {
+                continue;
+            };
             let (op, result) = match answered.what {
-                What::Answer { body, .. } => ("answer", Some(String::from_utf8_lossy(body).into_owned())),
+                What::Answer { body, .. } => {
+                    ("answer", Some(String::from_utf8_lossy(body).into_owned()))
+                }
                 What::Backoff(_) => ("dismissed", None),
                 What::Lost | What::Exception { .. } => ("given-up", None),
             };
@@ -262,7 +314,8 @@
 /// Keeps a connection to one node.
 async fn keep(caller: Rc<Caller>, node: Rc<Node>) {
     loop {
-        if let Ok(Ok(stream)) = timeout(Duration::from_secs(1), TcpStream::connect(node.addr)).await {
+        if let Ok(Ok(stream)) = timeout(Duration::from_secs(1), TcpStream::connect(node.addr)).await
+        {
             let _ = stream.set_nodelay(true);
             let (read, write) = stream.into_split();
             *node.write.borrow_mut() = Some(write);
--- a/crates/rig/src/peers/mod.rs
+++ b/crates/rig/src/peers/mod.rs
@@ -31,13 +31,20 @@
     /// # Errors
     /// If the file cannot be written.
     pub fn open(path: &Path, by: &str) -> io::Result<Self> {
-        Ok(Self { file: OpenOptions::new().create(true).append(true).open(path)?, by: by.to_owned() })
+        Ok(Self {
+            file: OpenOptions::new().create(true).append(true).open(path)?,
+            by: by.to_owned(),
+        })
     }
 
     /// # Panics
     /// If the line cannot be written: a history with holes proves nothing.
     pub fn write(&mut self, op: &str, line: Line) {
-        let line = Line { by: self.by.clone(), op: op.to_owned(), ..line };
+        let line = Line {
+            by: self.by.clone(),
+            op: op.to_owned(),
+            ..line
+        };
         let mut text = serde_json::to_vec(&line).expect("a line of plain fields");
         text.push(b'\n');
         self.file.write_all(&text).expect("a line of the history");
@@ -46,5 +53,6 @@
 
 /// The field of a body such as `key=K;v=1`.
 pub fn field<'a>(body: &'a str, name: &str) -> Option<&'a str> {
-    body.split(';').find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
+    body.split(';')
+        .find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
 }
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -109,7 +109,10 @@
             Act::Link { link, .. } | Act::Reset { link } | Act::Twice { link } => {
                 link.serves().into_iter().collect()
             }
-            Act::Kill { node, .. } | Act::Stop { node } | Act::Roll { node } | Act::Torn { node } => {
+            Act::Kill { node, .. }
+            | Act::Stop { node }
+            | Act::Roll { node }
+            | Act::Torn { node } => {
                 vec![*node]
             }
             Act::FlushFails { .. } | Act::DiskFull { .. } | Act::DiskSlow { .. } => Vec::new(),
@@ -164,7 +167,12 @@
                     whole.min(lasts.mul_f64(0.9).saturating_sub(from))
                 };
             for act in acts(rig, fault, &mut chance) {
-                steps.push(Step { from, until, fault: number, act });
+                steps.push(Step {
+                    from,
+                    until,
+                    fault: number,
+                    act,
+                });
             }
             number += 1;
         }
@@ -181,33 +189,60 @@
 fn acts(rig: &Rig, fault: &RigFault, chance: &mut WyRand) -> Vec<Act> {
     let nodes = rig.nodes.max(1) as usize;
     let mut draw = |n: usize| chance.generate_range(0..n.max(1) as u64) as usize;
-    let node = if fault.node > 0 { (fault.node as usize - 1).min(nodes - 1) } else { draw(nodes) };
+    let node = if fault.node > 0 {
+        (fault.node as usize - 1).min(nodes - 1)
+    } else {
+        draw(nodes)
+    };
     let span = Duration::from_nanos(fault.span_ns);
     let disk = match fault.disk() {
         RigDisk::Empty => Disk::Empty,
         RigDisk::Old => Disk::Old,
-        RigDisk::Another => Disk::Another { of: (node + 1 + draw(nodes.saturating_sub(1))) % nodes },
+        RigDisk::Another => Disk::Another {
+            of: (node + 1 + draw(nodes.saturating_sub(1))) % nodes,
+        },
         _ => Disk::Same,
     };
     let link = match fault.link() {
-        RigLink::Callers => Link::Caller { caller: draw(rig.callers as usize), node },
+        RigLink::Callers => Link::Caller {
+            caller: draw(rig.callers as usize),
+            node,
+        },
         RigLink::Agent => Link::Agent { node },
-        _ => Link::Peer { from: node, to: (node + 1 + draw(nodes.saturating_sub(1))) % nodes },
+        _ => Link::Peer {
+            from: node,
+            to: (node + 1 + draw(nodes.saturating_sub(1))) % nodes,
+        },
     };
     // Between two nodes there are two links, one opened by each: a cut is of both.
     let both = |trouble: Trouble, turned: Trouble| match link {
         Link::Peer { from, to } => vec![
             Act::Link { link, trouble },
-            Act::Link { link: Link::Peer { from: to, to: from }, trouble: turned },
+            Act::Link {
+                link: Link::Peer { from: to, to: from },
+                trouble: turned,
+            },
         ],
         _ => vec![Act::Link { link, trouble }],
     };
-    let cut = Trouble::Cut { forth: true, back: true };
+    let cut = Trouble::Cut {
+        forth: true,
+        back: true,
+    };
     match fault.kind() {
         RigTrouble::Cut => both(cut, cut),
         RigTrouble::CutOneWay => {
             let forth = draw(2) == 0;
-            both(Trouble::Cut { forth, back: !forth }, Trouble::Cut { forth: !forth, back: forth })
+            both(
+                Trouble::Cut {
+                    forth,
+                    back: !forth,
+                },
+                Trouble::Cut {
+                    forth: !forth,
+                    back: forth,
+                },
+            )
         }
         RigTrouble::HalfOpen => both(Trouble::HalfOpen, Trouble::HalfOpen),
         RigTrouble::Delay => both(Trouble::Delay(span), Trouble::Delay(span)),
@@ -223,9 +258,21 @@
         RigTrouble::DiskFull => vec![Act::DiskFull { node }],
         RigTrouble::DiskSlow => vec![Act::DiskSlow { node, by: span }],
         RigTrouble::Torn => vec![Act::Torn { node }],
-        RigTrouble::ClockFast => vec![Act::Clock { node, rate: 1_500, step: Duration::ZERO }],
-        RigTrouble::ClockSlow => vec![Act::Clock { node, rate: 700, step: Duration::ZERO }],
-        RigTrouble::ClockStep => vec![Act::Clock { node, rate: 1_000, step: span }],
+        RigTrouble::ClockFast => vec![Act::Clock {
+            node,
+            rate: 1_500,
+            step: Duration::ZERO,
+        }],
+        RigTrouble::ClockSlow => vec![Act::Clock {
+            node,
+            rate: 700,
+            step: Duration::ZERO,
+        }],
+        RigTrouble::ClockStep => vec![Act::Clock {
+            node,
+            rate: 1_000,
+            step: span,
+        }],
         RigTrouble::Halves | RigTrouble::Bridge => {
             let mut order: Vec<usize> = (0..nodes).collect();
             chance.shuffle(&mut order);
@@ -238,8 +285,14 @@
             peers(nodes, |a, b| apart(a, b).then_some(cut))
         }
         RigTrouble::Ring => {
-            let one_way = Trouble::Cut { forth: true, back: false };
-            let other = Trouble::Cut { forth: false, back: true };
+            let one_way = Trouble::Cut {
+                forth: true,
+                back: false,
+            };
+            let other = Trouble::Cut {
+                forth: false,
+                back: true,
+            };
             peers(nodes, |a, b| {
                 if b == (a + 1) % nodes {
                     Some(one_way)
@@ -255,9 +308,10 @@
             let mut all = peers(nodes, |a, b| (there(a) != there(b)).then_some(cut));
             for node in (0..nodes).filter(|n| there(*n)) {
                 let callers = 0..rig.callers as usize;
-                all.extend(
-                    callers.map(|caller| Act::Link { link: Link::Caller { caller, node }, trouble: cut }),
-                );
+                all.extend(callers.map(|caller| Act::Link {
+                    link: Link::Caller { caller, node },
+                    trouble: cut,
+                }));
             }
             all
         }
@@ -267,9 +321,16 @@
 
 /// What is done to links among nodes, by the node that opened each and the one it leads to.
 fn peers(nodes: usize, what: impl Fn(usize, usize) -> Option<Trouble>) -> Vec<Act> {
-    let pairs = (0..nodes).flat_map(|from| (0..nodes).map(move |to| (from, to))).filter(|(a, b)| a != b);
+    let pairs = (0..nodes)
+        .flat_map(|from| (0..nodes).map(move |to| (from, to)))
+        .filter(|(a, b)| a != b);
     pairs
-        .filter_map(|(from, to)| Some(Act::Link { link: Link::Peer { from, to }, trouble: what(from, to)? }))
+        .filter_map(|(from, to)| {
+            Some(Act::Link {
+                link: Link::Peer { from, to },
+                trouble: what(from, to)?,
+            })
+        })
         .collect()
 }
 
@@ -278,18 +339,34 @@
     use super::*;
 
     fn rig(nodes: u64, faults: Vec<RigFault>) -> Rig {
-        Rig { lasts_ns: 4_000_000_000, nodes, callers: 2, sites: 3, faults, ..Rig::default() }
+        Rig {
+            lasts_ns: 4_000_000_000,
+            nodes,
+            callers: 2,
+            sites: 3,
+            faults,
+            ..Rig::default()
+        }
     }
 
     fn fault(kind: RigTrouble, times: u64) -> RigFault {
-        RigFault { kind: kind.into(), lasts_ns: 500_000_000, times, ..RigFault::default() }
+        RigFault {
+            kind: kind.into(),
+            lasts_ns: 500_000_000,
+            times,
+            ..RigFault::default()
+        }
     }
 
     #[test]
     fn a_seed_gives_one_schedule_and_another_gives_another() {
         let rig = rig(
             5,
-            vec![fault(RigTrouble::Kill, 3), fault(RigTrouble::Halves, 2), fault(RigTrouble::Ring, 1)],
+            vec![
+                fault(RigTrouble::Kill, 3),
+                fault(RigTrouble::Halves, 2),
+                fault(RigTrouble::Ring, 1),
+            ],
         );
         assert_eq!(schedule(&rig, 7), schedule(&rig, 7));
         assert_ne!(schedule(&rig, 7), schedule(&rig, 8));
@@ -307,8 +384,10 @@
     fn sees(nodes: usize, steps: &[Step]) -> Vec<Vec<bool>> {
         let mut sees = vec![vec![true; nodes]; nodes];
         for step in steps {
-            if let Act::Link { link: Link::Peer { from, to }, trouble: Trouble::Cut { forth, back } } =
-                step.act
+            if let Act::Link {
+                link: Link::Peer { from, to },
+                trouble: Trouble::Cut { forth, back },
+            } = step.act
             {
                 sees[from][to] &= !forth;
                 sees[to][from] &= !back;
@@ -320,12 +399,22 @@
     #[test]
     fn splits_part_whom_they_should() {
         for seed in 0..50 {
-            let halves = sees(5, &schedule(&rig(5, vec![fault(RigTrouble::Halves, 1)]), seed));
-            let mut sizes: Vec<usize> = (0..5).map(|a| halves[a].iter().filter(|s| **s).count()).collect();
+            let halves = sees(
+                5,
+                &schedule(&rig(5, vec![fault(RigTrouble::Halves, 1)]), seed),
+            );
+            let mut sizes: Vec<usize> = (0..5)
+                .map(|a| halves[a].iter().filter(|s| **s).count())
+                .collect();
             sizes.sort_unstable();
             assert_eq!(sizes, [2, 2, 3, 3, 3], "seed {seed}");
-            let bridge = sees(5, &schedule(&rig(5, vec![fault(RigTrouble::Bridge, 1)]), seed));
-            let mut sizes: Vec<usize> = (0..5).map(|a| bridge[a].iter().filter(|s| **s).count()).collect();
+            let bridge = sees(
+                5,
+                &schedule(&rig(5, vec![fault(RigTrouble::Bridge, 1)]), seed),
+            );
+            let mut sizes: Vec<usize> = (0..5)
+                .map(|a| bridge[a].iter().filter(|s| **s).count())
+                .collect();
             sizes.sort_unstable();
             assert_eq!(sizes, [3, 3, 3, 3, 5], "seed {seed}");
         }
@@ -337,11 +426,30 @@
 
     #[test]
     fn a_site_is_cut_off_with_its_callers() {
-        let steps = schedule(&rig(6, vec![RigFault { node: 1, ..fault(RigTrouble::Site, 1) }]), 3);
+        let steps = schedule(
+            &rig(
+                6,
+                vec![RigFault {
+                    node: 1,
+                    ..fault(RigTrouble::Site, 1)
+                }],
+            ),
+            3,
+        );
         let sees = sees(6, &steps);
         assert!(sees[0][3] && sees[1][2] && !sees[0][1] && !sees[5][3]);
-        let callers =
-            steps.iter().filter(|s| matches!(s.act, Act::Link { link: Link::Caller { .. }, .. })).count();
+        let callers = steps
+            .iter()
+            .filter(|s| {
+                matches!(
+                    s.act,
+                    Act::Link {
+                        link: Link::Caller { .. },
+                        ..
+                    }
+                )
+            })
+            .count();
         assert_eq!(callers, 4);
     }
 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -21,7 +21,10 @@
 pub fn program(name: &str, folder: Option<&Path>) -> io::Result<PathBuf> {
     let mut folder = match folder {
         Some(folder) => folder.to_owned(),
-        None => std::env::current_exe()?.parent().unwrap_or(Path::new(".")).to_owned(),
+        None => std::env::current_exe()?
+            .parent()
+            .unwrap_or(Path::new("."))
+            .to_owned(),
     };
     // Tests lie in a folder below that of the programs.
     if folder.ends_with("deps") {
@@ -31,8 +34,10 @@
     if found.is_file() {
         return Ok(found);
     }
-    let why =
-        format!("{}: not there; `cargo build -p rainstand-node -p rainstand-cli` makes it", found.display());
+    let why = format!(
+        "{}: not there; `cargo build -p rainstand-node -p rainstand-cli` makes it",
+        found.display()
+    );
     Err(io::Error::new(io::ErrorKind::NotFound, why))
 }
 
@@ -47,7 +52,9 @@
 /// How often a node's log says that it is up.
 pub fn starts(log: &Path) -> usize {
     let text = std::fs::read(log).unwrap_or_default();
-    text.split(|b| *b == b'\n').filter(|line| line.starts_with(b"start name=")).count()
+    text.split(|b| *b == b'\n')
+        .filter(|line| line.starts_with(b"start name="))
+        .count()
 }
 
 /// A child, and what it is called.
@@ -64,11 +71,17 @@
     /// If it cannot be started.
     pub fn start(name: &str, mut command: Command, log: &Path) -> io::Result<Self> {
         let out = OpenOptions::new().create(true).append(true).open(log)?;
-        command.stderr(Stdio::from(out.try_clone()?)).kill_on_drop(true);
+        command
+            .stderr(Stdio::from(out.try_clone()?))
+            .kill_on_drop(true);
         let child = command.spawn()?;
         let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
         let pid = pid.ok_or_else(|| io::Error::other("no process number"))?;
-        Ok(Self { name: name.to_owned(), child, pid })
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            pid,
+        })
     }
 
     pub fn child(&mut self) -> &mut Child {
@@ -102,7 +115,10 @@
         let name = self.name.clone();
         match timeout(within, self.child.wait()).await {
             Ok(ended) => ended,
-            Err(_) => Err(io::Error::new(io::ErrorKind::TimedOut, format!("{name}: still there"))),
+            Err(_) => Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                format!("{name}: still there"),
+            )),
         }
     }
 
@@ -118,10 +134,16 @@
                 return Ok(());
             }
             if let Some(status) = self.ended() {
-                return Err(io::Error::other(format!("{}: ended at its start, {status}", self.name)));
+                return Err(io::Error::other(format!(
+                    "{}: ended at its start, {status}",
+                    self.name
+                )));
             }
             if Instant::now() > until {
-                return Err(io::Error::new(io::ErrorKind::TimedOut, format!("{}: not up", self.name)));
+                return Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    format!("{}: not up", self.name),
+                ));
             }
             sleep(LOOK).await;
         }
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -198,7 +198,9 @@
     /// The last frame that passed is brought once more, over a connection of its own that begins as the first did.
     pub async fn again(&self) {
         let (first, last) = self.frames.borrow().clone();
-        let Some(to) = self.to.get().filter(|_| !last.is_empty()) else { return };
+        let Some(to) = self.to.get().filter(|_| !last.is_empty()) else {
+            return;
+        };
         let sent = async {
             let mut stream = TcpStream::connect(to).await?;
             if first != last {
@@ -219,13 +221,20 @@
 }
 
 async fn pass(proxy: Rc<Proxy>, near: TcpStream) {
-    let passing = Rc::new(Passing { over: Notify::new(), ended: Cell::new(false), half: Cell::new(false) });
+    let passing = Rc::new(Passing {
+        over: Notify::new(),
+        ended: Cell::new(false),
+        half: Cell::new(false),
+    });
     proxy.passing.borrow_mut().push(passing.clone());
     let whole = through(&proxy, &passing, near).await;
     if !whole {
         proxy.resets.set(proxy.resets.get() + 1);
     }
-    proxy.passing.borrow_mut().retain(|one| !Rc::ptr_eq(one, &passing));
+    proxy
+        .passing
+        .borrow_mut()
+        .retain(|one| !Rc::ptr_eq(one, &passing));
 }
 
 /// False if it was reset.
@@ -305,7 +314,11 @@
             }
         };
         held(proxy, passing, forth).await;
-        let flow = if forth { proxy.forth.get() } else { proxy.back.get() };
+        let flow = if forth {
+            proxy.forth.get()
+        } else {
+            proxy.back.get()
+        };
         if !flow.delay.is_zero() {
             let jitter = proxy.chance.borrow_mut().generate_range(50..150u32);
             sleep(flow.delay.mul_f64(f64::from(jitter) / 100.0)).await;
@@ -322,7 +335,9 @@
         if forth {
             let seen = frames.seen;
             frames.saw(&chunk[..n]);
-            proxy.whole_frames.set(proxy.whole_frames.get() + frames.seen - seen);
+            proxy
+                .whole_frames
+                .set(proxy.whole_frames.get() + frames.seen - seen);
             if !frames.off && !frames.last.is_empty() {
                 *proxy.frames.borrow_mut() = (frames.first.clone(), frames.last.clone());
             }
@@ -338,7 +353,14 @@
 
 /// Waits while the direction is held.
 async fn held(proxy: &Rc<Proxy>, passing: &Rc<Passing>, forth: bool) {
-    while (if forth { proxy.forth.get() } else { proxy.back.get() }).held && !passing.ended.get() {
+    while (if forth {
+        proxy.forth.get()
+    } else {
+        proxy.back.get()
+    })
+    .held
+        && !passing.ended.get()
+    {
         tokio::select! {
             () = proxy.changed.notified() => {}
             () = passing.over.notified() => {}
--- a/crates/rig/src/ready.rs
+++ b/crates/rig/src/ready.rs
@@ -129,10 +129,15 @@
     fn check(&self) -> io::Result<()> {
         let refused = |why: String| Err(io::Error::new(io::ErrorKind::InvalidInput, why));
         if self.nodes == 0 || self.nodes * 2 + self.forwarders > CHILDREN_MOST {
-            return refused(format!("each node has an agent: 1 to {CHILDREN_MOST} processes"));
+            return refused(format!(
+                "each node has an agent: 1 to {CHILDREN_MOST} processes"
+            ));
         }
-        if !(1..=TENANTS_MOST).contains(&self.tenants) || !(1..=ROUTES_MOST).contains(&self.routes) {
-            return refused(format!("1 to {TENANTS_MOST} tenants and 1 to {ROUTES_MOST} routes"));
+        if !(1..=TENANTS_MOST).contains(&self.tenants) || !(1..=ROUTES_MOST).contains(&self.routes)
+        {
+            return refused(format!(
+                "1 to {TENANTS_MOST} tenants and 1 to {ROUTES_MOST} routes"
+            ));
         }
         if matches!(self.group, 1 | 2) || self.group > self.nodes.min(64) {
             return refused("a group has 3 members or more, at most all nodes and 64".into());
@@ -149,8 +154,20 @@
         let part = |of: usize| (of * self.routes / whole.routes).clamp(1, of);
         let (services, pools) = (part(whole.services), part(whole.pools));
         let members = whole.members.min(pools * self.nodes);
-        let limits = if self.limits_on_routes { Limited::PerTenantOnRoutes } else { Limited::Tenants };
-        Size { services, pools, members, limits, routes: self.routes, tenants: self.tenants, ..whole }
+        let limits = if self.limits_on_routes {
+            Limited::PerTenantOnRoutes
+        } else {
+            Limited::Tenants
+        };
+        Size {
+            services,
+            pools,
+            members,
+            limits,
+            routes: self.routes,
+            tenants: self.tenants,
+            ..whole
+        }
     }
 }
 
@@ -178,7 +195,11 @@
 impl Seen {
     /// `in_list`: it has to be in the list, too.
     fn ready(&self, in_list: bool) -> Option<Duration> {
-        let listed = if in_list { self.listed? } else { Duration::ZERO };
+        let listed = if in_list {
+            self.listed?
+        } else {
+            Duration::ZERO
+        };
         Some(self.listens?.max(self.answered?).max(listed))
     }
 }
@@ -193,8 +214,10 @@
 impl Times {
     /// The ninth decile is the smallest time that nine in ten do not exceed.
     pub fn of(times: impl IntoIterator<Item = Option<Duration>>) -> Self {
-        let mut all: Vec<u128> =
-            times.into_iter().map(|time| time.map_or(u128::MAX, |time| time.as_millis())).collect();
+        let mut all: Vec<u128> = times
+            .into_iter()
+            .map(|time| time.map_or(u128::MAX, |time| time.as_millis()))
+            .collect();
         all.sort_unstable();
         let told = |at: usize| all.get(at).and_then(|ms| u64::try_from(*ms).ok());
         Self {
@@ -207,7 +230,12 @@
 impl fmt::Display for Times {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ms = |of: Option<u64>| of.map_or_else(|| "never".to_owned(), |ms| format!("{ms} ms"));
-        write!(out, "ninth decile {}, worst {}", ms(self.ninth_decile_ms), ms(self.worst_ms))
+        write!(
+            out,
+            "ninth decile {}, worst {}",
+            ms(self.ninth_decile_ms),
+            ms(self.worst_ms)
+        )
     }
 }
 
@@ -251,14 +279,21 @@
     pub fn whole(&self) -> bool {
         self.fell.is_empty()
             && self.told_before_listening == 0
-            && self.restarted.iter().all(|kind| kind.ready == kind.processes)
+            && self
+                .restarted
+                .iter()
+                .all(|kind| kind.ready == kind.processes)
             && (self.back.is_none() || self.back_in_list == self.nodes)
             && self.keys_kept == self.keys_asked
     }
 
     /// Nine in ten of each kind in time, and all else as it should be.
     pub fn good(&self) -> bool {
-        self.whole() && self.restarted.iter().all(|kind| kind.in_time * 10 >= kind.processes * 9)
+        self.whole()
+            && self
+                .restarted
+                .iter()
+                .all(|kind| kind.in_time * 10 >= kind.processes * 9)
     }
 }
 
@@ -322,7 +357,10 @@
                 back.drain(..length);
                 self.report(&name).await;
                 if self.mode.get() == Discovery::Up {
-                    self.listed.borrow_mut().entry(name).or_insert_with(Instant::now);
+                    self.listed
+                        .borrow_mut()
+                        .entry(name)
+                        .or_insert_with(Instant::now);
                     self.changed.notify_waiters();
                     stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await?;
                 }
@@ -335,11 +373,18 @@
 
     /// The first report of a process says that callers may come: it must listen by then.
     async fn report(&self, name: &str) {
-        let Some(front) = self.fronts.get(name) else { return };
-        if self.heard.borrow_mut().insert(name.to_owned(), Instant::now()).is_none()
+        let Some(front) = self.fronts.get(name) else {
+            return;
+        };
+        if self
+            .heard
+            .borrow_mut()
+            .insert(name.to_owned(), Instant::now())
+            .is_none()
             && TcpStream::connect(front).await.is_err()
         {
-            self.told_before_listening.set(self.told_before_listening.get() + 1);
+            self.told_before_listening
+                .set(self.told_before_listening.get() + 1);
         }
     }
 
@@ -358,7 +403,9 @@
     let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
     let head = std::str::from_utf8(&bytes[..end]).ok()?;
     let name = head.strip_prefix("PUT /announce/")?.split(' ').next()?;
-    let body = head.split("\r\n").find_map(|line| line.strip_prefix("Content-Length: "))?;
+    let body = head
+        .split("\r\n")
+        .find_map(|line| line.strip_prefix("Content-Length: "))?;
     let length = end + 4 + body.trim().parse::<usize>().ok()?;
     (bytes.len() >= length).then(|| (name.to_owned(), length))
 }
@@ -370,7 +417,8 @@
     socket.set_reuse_address(true)?;
     socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
     let addr = socket.local_addr()?.as_socket();
-    addr.map(|addr| (socket, addr)).ok_or_else(|| io::Error::other("no address"))
+    addr.map(|addr| (socket, addr))
+        .ok_or_else(|| io::Error::other("no address"))
 }
 
 /// What is asked of a process.
@@ -383,7 +431,10 @@
 
 enum Told {
     Honoured(Vec<u8>),
-    Else { pause: Duration, exception: Option<String> },
+    Else {
+        pause: Duration,
+        exception: Option<String>,
+    },
 }
 
 thread_local! {
@@ -402,20 +453,33 @@
     async fn open(to: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
-        Ok(Self { stream, back: Vec::new(), seq: 0 })
+        Ok(Self {
+            stream,
+            back: Vec::new(),
+            seq: 0,
+        })
     }
 
     async fn ask(&mut self, question: &Question) -> io::Result<Told> {
         self.seq += 1;
         let ticket = TICKETS.with(|tickets| tickets.replace(tickets.get() + 1));
         let trace = format!("{ticket:016x}");
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
         let born = unix.as_millis().to_string();
-        let mut fields = vec![("route", question.traffic), ("trace", &trace), ("born", &born)];
+        let mut fields = vec![
+            ("route", question.traffic),
+            ("trace", &trace),
+            ("born", &born),
+        ];
         fields.push(("customer", &question.customer));
-        fields.extend((!question.entity.is_empty()).then_some(("entity", question.entity.as_str())));
+        fields
+            .extend((!question.entity.is_empty()).then_some(("entity", question.entity.as_str())));
         fields.extend([("size", "4"), ("client", "1"), ("order", "0.5")]);
-        self.stream.write_all(&thrift::process(self.seq, &fields, b"ready")).await?;
+        self.stream
+            .write_all(&thrift::process(self.seq, &fields, b"ready"))
+            .await?;
         loop {
             if let Some(length) = thrift::frame(&self.back).map_err(io::Error::other)? {
                 let frame: Vec<u8> = self.back.drain(..4 + length).skip(4).collect();
@@ -428,7 +492,10 @@
                 match answered.what {
                     What::Answer { body, .. } => return Ok(Told::Honoured(body.to_vec())),
                     What::Backoff(texts) => {
-                        let told = texts.iter().find(|(name, _)| *name == b"pause").map(|(_, ms)| *ms);
+                        let told = texts
+                            .iter()
+                            .find(|(name, _)| *name == b"pause")
+                            .map(|(_, ms)| *ms);
                         let ms = told.and_then(|ms| std::str::from_utf8(ms).ok()?.parse().ok());
                         pause = ms.map_or(AGAIN, Duration::from_millis).max(AGAIN);
                     }
@@ -470,7 +537,11 @@
                 .arg(&self.file)
                 .arg("--listen")
                 .arg(self.front.to_string());
-            command.arg("--number").arg(self.number.to_string()).arg("--seed").arg(self.number.to_string());
+            command
+                .arg("--number")
+                .arg(self.number.to_string())
+                .arg("--seed")
+                .arg(self.number.to_string());
             command.arg("--stop-ms").arg(STOP.as_millis().to_string());
         } else {
             command = Command::new(program("rainstand-node", programs)?);
@@ -545,7 +616,10 @@
 pub async fn play(options: &Options, folder: &Path) -> io::Result<Report> {
     options.check()?;
     let fleet = Fleet::set_up(options, folder).await?;
-    let mut report = Report { nodes: options.nodes, ..Report::default() };
+    let mut report = Report {
+        nodes: options.nodes,
+        ..Report::default()
+    };
     if options.discovery != Discovery::Down {
         let listener = TcpListener::bind(fleet.announce).await?;
         spawn_local(fleet.list.clone().serve(listener));
@@ -577,7 +651,9 @@
             Ok::<_, io::Error>(addr)
         };
         let announce = port()?;
-        let fronts = (0..options.nodes).map(|_| port()).collect::<io::Result<Vec<_>>>()?;
+        let fronts = (0..options.nodes)
+            .map(|_| port())
+            .collect::<io::Result<Vec<_>>>()?;
         let size = options.size();
         let members: Vec<GroupMember> = (0..options.group)
             .map(|n| {
@@ -592,7 +668,10 @@
             })
             .collect::<io::Result<_>>()?;
         let group = folder.join("group.txtpb");
-        fs::write(&group, schema::to_text(&group_of(16, 3, Duration::from_secs(2), members)))?;
+        fs::write(
+            &group,
+            schema::to_text(&group_of(16, 3, Duration::from_secs(2), members)),
+        )?;
         let mut chance = WyRand::new_seed(options.seed);
         let mut draw = |of: usize| chance.generate_range(0..of);
         let (mut all, mut agents) = (Vec::new(), Vec::new());
@@ -600,14 +679,24 @@
             let (agent, at) = start_agent(n, options, &folder).await?;
             agents.push(agent);
             let (name, file) = (format!("n{n}"), folder.join(format!("n{n}.json")));
-            let mut node = node_file(&name, *front, at, options.seed ^ n as u64, Duration::from_secs(4));
+            let mut node = node_file(
+                &name,
+                *front,
+                at,
+                options.seed ^ n as u64,
+                Duration::from_secs(4),
+            );
             node["stop_ms"] = (STOP.as_millis() as u64).into();
             node["announce"] = announce.to_string().into();
             node["settings"]["groupSize"] = options.nodes.into();
             node["settings"]["parties"] = parties(options.tenants);
             fs::write(&file, node.to_string())?;
             let in_group = n < options.group;
-            let (kind, traffic) = if in_group { (Kind::Member, "register") } else { (Kind::Node, "check") };
+            let (kind, traffic) = if in_group {
+                (Kind::Member, "register")
+            } else {
+                (Kind::Node, "check")
+            };
             all.push(Rc::new(One {
                 kind,
                 name,
@@ -630,7 +719,13 @@
         });
         // A pool's members are at different nodes: they come in steps of the number of pools.
         let node = |member: usize| (member % size.pools * 7 + member / size.pools) % options.nodes;
-        fs::write(&file, written(&size.rain_to(|member| fronts[node(member)].to_string()), options.form)?)?;
+        fs::write(
+            &file,
+            written(
+                &size.rain_to(|member| fronts[node(member)].to_string()),
+                options.form,
+            )?,
+        )?;
         for f in 0..options.forwarders {
             // No route that names tenants.
             let mut route = draw(options.routes);
@@ -663,7 +758,16 @@
         };
         let list = Rc::new(list);
         let results = RefCell::default();
-        Ok(Self { options, folder, all, list, announce, _held: held, _agents: agents, results })
+        Ok(Self {
+            options,
+            folder,
+            all,
+            list,
+            announce,
+            _held: held,
+            _agents: agents,
+            results,
+        })
     }
 
     /// Starts all at once; returns when each is ready, gone, or given up on.
@@ -678,7 +782,8 @@
                 // A key of its own: the result of an earlier one would come from the copies, without any run.
                 question.entity = format!("start-{round}-{k}");
             }
-            watches.spawn_local(async move { (k, one.watch(begun, &question, &list, in_list).await) });
+            watches
+                .spawn_local(async move { (k, one.watch(begun, &question, &list, in_list).await) });
         }
         let mut seen = vec![Seen::default(); self.all.len()];
         while let Some(done) = watches.join_next().await {
@@ -687,10 +792,17 @@
         }
         fell.extend(self.all.iter().filter_map(|one| one.ended()));
         for (one, seen) in self.all.iter().zip(&seen) {
-            fell.extend(seen.exception.as_ref().map(|why| format!("{}: an exception: {why}", one.name)));
+            fell.extend(
+                seen.exception
+                    .as_ref()
+                    .map(|why| format!("{}: an exception: {why}", one.name)),
+            );
         }
         let kinds = [Kind::Node, Kind::Member, Kind::Forwarder];
-        Ok(kinds.into_iter().filter_map(|kind| self.of_kind(kind, &seen)).collect())
+        Ok(kinds
+            .into_iter()
+            .filter_map(|kind| self.of_kind(kind, &seen))
+            .collect())
     }
 
     fn in_list(&self, kind: Kind) -> bool {
@@ -699,14 +811,23 @@
 
     fn of_kind(&self, kind: Kind, seen: &[Seen]) -> Option<OfKind> {
         let in_list = self.in_list(kind);
-        let of: Vec<&Seen> =
-            self.all.iter().zip(seen).filter(|(one, _)| one.kind == kind).map(|(_, seen)| seen).collect();
+        let of: Vec<&Seen> = self
+            .all
+            .iter()
+            .zip(seen)
+            .filter(|(one, _)| one.kind == kind)
+            .map(|(_, seen)| seen)
+            .collect();
         let ready: Vec<Option<Duration>> = of.iter().map(|seen| seen.ready(in_list)).collect();
         (!of.is_empty()).then(|| OfKind {
             kind,
             processes: of.len(),
             ready: ready.iter().flatten().count(),
-            in_time: ready.iter().flatten().filter(|time| **time <= WITHIN).count(),
+            in_time: ready
+                .iter()
+                .flatten()
+                .filter(|time| **time <= WITHIN)
+                .count(),
             times: Times::of(ready),
             listens: Times::of(of.iter().map(|seen| seen.listens)),
             listed: in_list.then(|| Times::of(of.iter().map(|seen| seen.listed))),
@@ -718,7 +839,11 @@
     /// Tells all at once, and waits until all are gone.
     async fn stop(&self, end: End, fell: &mut Vec<String>) {
         fell.extend(self.all.iter().filter_map(|one| one.ended()));
-        let signal = if end == End::Kill { Signal::KILL } else { Signal::TERM };
+        let signal = if end == End::Kill {
+            Signal::KILL
+        } else {
+            Signal::TERM
+        };
         let mut going = Vec::new();
         for one in &self.all {
             if let Some(process) = one.process.borrow_mut().take() {
@@ -752,15 +877,23 @@
                 let mut kept = Vec::new();
                 let mut line = Line::open(one.front).await?;
                 for key in (first..keys).step_by(at_once) {
-                    let question = Question { entity: format!("key-{key}"), ..one.question.clone() };
+                    let question = Question {
+                        entity: format!("key-{key}"),
+                        ..one.question.clone()
+                    };
                     let result = timeout(KEY_WITHIN, honoured(&mut line, &question)).await;
-                    kept.push((question.entity, result.map_err(|_| io::ErrorKind::TimedOut)??));
+                    kept.push((
+                        question.entity,
+                        result.map_err(|_| io::ErrorKind::TimedOut)??,
+                    ));
                 }
                 Ok::<_, io::Error>(kept)
             });
         }
         while let Some(done) = filling.join_next().await {
-            self.results.borrow_mut().extend(done.map_err(io::Error::other)??);
+            self.results
+                .borrow_mut()
+                .extend(done.map_err(io::Error::other)??);
         }
         Ok(self.results.borrow().len())
     }
@@ -774,7 +907,10 @@
             let before = self.results.borrow().get(&key).cloned();
             let Some(before) = before else { continue };
             asked += 1;
-            let question = Question { entity: key, ..one.question.clone() };
+            let question = Question {
+                entity: key,
+                ..one.question.clone()
+            };
             let again = async { honoured(&mut Line::open(one.front).await?, &question).await };
             let again = timeout(KEY_WITHIN, again).await;
             kept += usize::from(matches!(again, Ok(Ok(result)) if result == before));
@@ -820,15 +956,20 @@
         return Ok(text.into());
     }
     let outcome = rainstand_config::load(&Memory::new([("fleet.rain", text)]), "fleet.rain");
-    let configuration =
-        outcome.configuration.ok_or_else(|| io::Error::other("the configuration is refused"))?;
+    let configuration = outcome
+        .configuration
+        .ok_or_else(|| io::Error::other("the configuration is refused"))?;
     Ok(match form {
         Form::Binary => schema::to_binary(&configuration),
         _ => schema::to_text(&configuration).into(),
     })
 }
 
-async fn start_agent(n: usize, options: &Options, folder: &Path) -> io::Result<(Process, SocketAddr)> {
+async fn start_agent(
+    n: usize,
+    options: &Options,
+    folder: &Path,
+) -> io::Result<(Process, SocketAddr)> {
     let name = format!("agent-n{n}");
     let told = agent::Options {
         name: name.clone(),
@@ -842,7 +983,9 @@
     command.arg("agent").arg(serde_json::to_string(&told)?);
     let mut process = Process::start(&name, command, &folder.join(format!("{name}.log")))?;
     let said = first_line(&mut process).await?;
-    let addr = said.parse().map_err(|_| io::Error::other(format!("{name} said {said:?}")))?;
+    let addr = said
+        .parse()
+        .map_err(|_| io::Error::other(format!("{name} said {said:?}")))?;
     Ok((process, addr))
 }
 
@@ -850,12 +993,20 @@
 ///
 /// # Errors
 /// If it cannot be written.
-pub fn tell(out: &mut impl Write, options: &Options, report: &Report, as_json: bool) -> io::Result<()> {
+pub fn tell(
+    out: &mut impl Write,
+    options: &Options,
+    report: &Report,
+    as_json: bool,
+) -> io::Result<()> {
     if as_json {
         let all = json!({"good": report.good(), "whole": report.whole(), "asked": options, "report": report});
         return writeln!(out, "{all}");
     }
-    for (when, kinds) in [("first start", &report.first), ("restarted", &report.restarted)] {
+    for (when, kinds) in [
+        ("first start", &report.first),
+        ("restarted", &report.restarted),
+    ] {
         for kind in kinds {
             let name = format!("{:?}", kind.kind).to_lowercase();
             writeln!(
@@ -877,7 +1028,10 @@
     }
     if let Some(back) = report.back {
         let (back_in, nodes) = (report.back_in_list, report.nodes);
-        writeln!(out, "announce service back: {back_in} of {nodes} nodes in the list; {back}")?;
+        writeln!(
+            out,
+            "announce service back: {back_in} of {nodes} nodes in the list; {back}"
+        )?;
     }
     if report.keys > 0 {
         let (kept, asked) = (report.keys_kept, report.keys_asked);
@@ -888,11 +1042,19 @@
         )?;
     }
     if report.told_before_listening > 0 {
-        writeln!(out, "broken: {} reports before listening", report.told_before_listening)?;
+        writeln!(
+            out,
+            "broken: {} reports before listening",
+            report.told_before_listening
+        )?;
     }
     for fell in &report.fell {
         writeln!(out, "fell over: {fell}")?;
     }
-    let verdict = if report.good() { "nine in ten in time" } else { "not as it should be" };
+    let verdict = if report.good() {
+        "nine in ten in time"
+    } else {
+        "not as it should be"
+    };
     writeln!(out, "{verdict}")
 }
--- a/crates/rig/src/scale/control.rs
+++ b/crates/rig/src/scale/control.rs
@@ -89,7 +89,9 @@
     pub fn within(&self, part: f64) -> Option<f64> {
         let last = self.confirmed.len().checked_sub(1)?;
         let at = (part * last as f64).ceil() as usize;
-        self.confirmed.get(at.min(last)).map(|time| f64::from(*time))
+        self.confirmed
+            .get(at.min(last))
+            .map(|time| f64::from(*time))
     }
 }
 
@@ -187,7 +189,9 @@
         world.first = Bytes::from(snapshot::packed(1, &world.state).map_err(refused)?);
         for k in 0..MACHINES {
             let mut source = Source::new(world.now, Bounds::default(), k as u64);
-            source.restored(world.now, world.first.clone()).map_err(refused)?;
+            source
+                .restored(world.now, world.first.clone())
+                .map_err(refused)?;
             world.machines.push(Some(source));
             world.after(Duration::ZERO, What::Tick(k));
         }
@@ -237,15 +241,27 @@
         let at = to as usize * 7919;
         let tenants = self.configuration.tenants.len().max(1);
         let pools = self.configuration.pools.len().max(1);
-        match self.configuration.pools.get_mut(at % pools).filter(|_| to.is_multiple_of(4)) {
-            Some(pool) => pool.members.iter_mut().take(1).for_each(|member| member.weight = 1_000_000 + to),
+        match self
+            .configuration
+            .pools
+            .get_mut(at % pools)
+            .filter(|_| to.is_multiple_of(4))
+        {
+            Some(pool) => pool
+                .members
+                .iter_mut()
+                .take(1)
+                .for_each(|member| member.weight = 1_000_000 + to),
             None => {
                 if let Some(tenant) = self.configuration.tenants.get_mut(at % tenants) {
                     tenant.share = 1 + to;
                 }
             }
         }
-        let delta = self.state.delta_to(to - 1, to, &self.configuration).map_err(refused)?;
+        let delta = self
+            .state
+            .delta_to(to - 1, to, &self.configuration)
+            .map_err(refused)?;
         self.state.apply(&delta).map_err(refused)?;
         self.log.push(delta);
         self.committed.push(self.now);
@@ -259,7 +275,9 @@
     }
 
     fn close(&mut self, k: usize) {
-        let Some(link) = self.nodes[k].link.take() else { return };
+        let Some(link) = self.nodes[k].link.take() else {
+            return;
+        };
         self.nodes[k].subscriber.cut();
         self.nodes[k].attached = false;
         let machine = self.links[link].machine;
@@ -279,7 +297,9 @@
     }
 
     fn obey_source(&mut self, k: usize) {
-        let Some(source) = &mut self.machines[k] else { return };
+        let Some(source) = &mut self.machines[k] else {
+            return;
+        };
         for order in source.orders().collect::<Vec<_>>() {
             match order {
                 source::Order::Send { link, frame } => {
@@ -318,7 +338,9 @@
             match order {
                 Order::Send(frame) => {
                     self.nodes[k].bytes += frame.len() as u64 + HEAD;
-                    let Some(link) = self.nodes[k].link else { continue };
+                    let Some(link) = self.nodes[k].link else {
+                        continue;
+                    };
                     let wait = self.under_way(link, 1);
                     if !self.apart(k, self.links[link].machine) {
                         self.after(wait, What::Up(link, frame));
@@ -358,11 +380,18 @@
         let node = &mut self.nodes[k];
         let version = node.subscriber.version();
         // The answer is as long under way as the change was.
-        let way = node.link.map_or(Duration::ZERO, |link| Self::way(k, self.links[link].machine));
+        let way = node.link.map_or(Duration::ZERO, |link| {
+            Self::way(k, self.links[link].machine)
+        });
         for passed in node.confirmed + 1..=version {
             let from = self.committed[passed as usize - 1];
-            let from = self.healed.filter(|_| k % 2 == 1).map_or(from, |healed| healed.max(from));
-            self.seen.confirmed.push((self.now + way - from).as_secs_f32());
+            let from = self
+                .healed
+                .filter(|_| k % 2 == 1)
+                .map_or(from, |healed| healed.max(from));
+            self.seen
+                .confirmed
+                .push((self.now + way - from).as_secs_f32());
         }
         node.confirmed = version;
     }
@@ -371,12 +400,17 @@
         match what {
             What::Commit => {
                 self.publish()?;
-                for k in (0..MACHINES).filter(|k| self.in_touch(*k)).collect::<Vec<_>>() {
+                for k in (0..MACHINES)
+                    .filter(|k| self.in_touch(*k))
+                    .collect::<Vec<_>>()
+                {
                     self.after(Self::way(0, k), What::Feed(k, self.log.len()));
                 }
             }
             What::Feed(k, upto) => {
-                let at = self.machines[k].as_ref().map_or(0, |source| source.version() as usize);
+                let at = self.machines[k]
+                    .as_ref()
+                    .map_or(0, |source| source.version() as usize);
                 for delta in self.log.get(at..upto).unwrap_or_default().to_vec() {
                     let mut came = Ok(());
                     self.source(k, |source, now| came = source.committed(now, delta));
@@ -394,7 +428,9 @@
                 self.after(Duration::from_millis(500), What::Tick(k));
             }
             What::Dial(k) => {
-                let Some(machine) = self.nodes[k].chooser.next(self.now) else { return Ok(()) };
+                let Some(machine) = self.nodes[k].chooser.next(self.now) else {
+                    return Ok(());
+                };
                 self.close(k);
                 if self.apart(k, machine) {
                     self.after(DIALS, What::Failed(k));
@@ -408,7 +444,12 @@
                     self.lost(k);
                     return Ok(());
                 }
-                self.links.push(Link { node: k, machine, open: true, last: [self.now; 2] });
+                self.links.push(Link {
+                    node: k,
+                    machine,
+                    open: true,
+                    last: [self.now; 2],
+                });
                 self.nodes[k].link = Some(self.links.len() - 1);
                 self.subscriber(k, |subscriber, now| subscriber.opened(now));
             }
@@ -449,7 +490,11 @@
                 self.confirmed(k);
             }
             What::Kill => {
-                let gone = if self.trouble == Trouble::OneKilled { 0..1 } else { 0..MACHINES };
+                let gone = if self.trouble == Trouble::OneKilled {
+                    0..1
+                } else {
+                    0..MACHINES
+                };
                 for machine in gone {
                     if let Some(source) = self.machines[machine].take() {
                         self.seen.turned_away += source.counters().turned_away;
@@ -466,7 +511,9 @@
                 // From the snapshot on its disk, and the log behind it, which is its history again.
                 for k in 0..MACHINES {
                     let mut source = Source::new(self.now, Bounds::default(), 100 + k as u64);
-                    source.restored(self.now, self.first.clone()).map_err(refused)?;
+                    source
+                        .restored(self.now, self.first.clone())
+                        .map_err(refused)?;
                     for delta in self.log.iter().skip(1) {
                         source.committed(self.now, delta.clone()).map_err(refused)?;
                     }
@@ -503,11 +550,18 @@
     let mut world = World::new(spec, configuration.clone())?;
     world.run_to(GATHERS)?;
     if let Some(lone) = world.nodes.iter().position(|node| !node.attached) {
-        return Err(io::Error::other(format!("process {lone} is not attached after {GATHERS:?}")));
+        return Err(io::Error::other(format!(
+            "process {lone} is not attached after {GATHERS:?}"
+        )));
     }
     let before: Vec<u64> = world.nodes.iter().map(|node| node.bytes).collect();
     let snapshots = |world: &World| -> u64 {
-        world.machines.iter().flatten().map(|source| source.counters().snapshots).sum()
+        world
+            .machines
+            .iter()
+            .flatten()
+            .map(|source| source.counters().snapshots)
+            .sum()
     };
     let had = snapshots(&world);
     (world.seen.machines_cpu, world.seen.nodes_cpu) = (Duration::ZERO, Duration::ZERO);
@@ -515,7 +569,10 @@
     let start = world.now;
     let lasts = spec.every * u32::try_from(spec.changes).unwrap_or(u32::MAX).max(1);
     for k in 0..spec.changes {
-        world.after(spec.every * u32::try_from(k).unwrap_or(u32::MAX), What::Commit);
+        world.after(
+            spec.every * u32::try_from(k).unwrap_or(u32::MAX),
+            What::Commit,
+        );
     }
     match spec.trouble {
         Trouble::None => {}
@@ -528,13 +585,19 @@
             world.parted = true;
             for link in 0..world.links.len() {
                 // Nothing is heard across; whoever was attached over there finds it silent.
-                world.links[link].open &= !world.apart(world.links[link].node, world.links[link].machine);
+                world.links[link].open &=
+                    !world.apart(world.links[link].node, world.links[link].machine);
             }
             world.after(lasts, What::Heal);
         }
     }
     world.run_to(start + lasts)?;
-    let took: Vec<u64> = world.nodes.iter().zip(&before).map(|(node, before)| node.bytes - before).collect();
+    let took: Vec<u64> = world
+        .nodes
+        .iter()
+        .zip(&before)
+        .map(|(node, before)| node.bytes - before)
+        .collect();
     // From when all is well again: machines may come back after the last change.
     let well = match spec.trouble {
         Trouble::AllKilled(away) => lasts.max(lasts / 2 + away),
@@ -542,9 +605,15 @@
     };
     world.run_to(start + well + SETTLES)?;
     let newest = world.log.len() as u64;
-    if let Some(behind) = world.nodes.iter().position(|node| node.subscriber.version() != newest) {
+    if let Some(behind) = world
+        .nodes
+        .iter()
+        .position(|node| node.subscriber.version() != newest)
+    {
         let holds = world.nodes[behind].subscriber.version();
-        return Err(io::Error::other(format!("process {behind} holds version {holds} of {newest}")));
+        return Err(io::Error::other(format!(
+            "process {behind} holds version {holds} of {newest}"
+        )));
     }
     let seconds = lasts.as_secs_f64();
     let mut seen = std::mem::take(&mut world.seen);
@@ -552,8 +621,12 @@
     seen.most_bytes = took.iter().max().copied().unwrap_or(0) as f64 / seconds;
     seen.lasted = well + SETTLES;
     seen.snapshots = snapshots(&world).saturating_sub(had);
-    seen.turned_away +=
-        world.machines.iter().flatten().map(|source| source.counters().turned_away).sum::<u64>();
+    seen.turned_away += world
+        .machines
+        .iter()
+        .flatten()
+        .map(|source| source.counters().turned_away)
+        .sum::<u64>();
     seen.confirmed.sort_by(f32::total_cmp);
     Ok(seen)
 }
@@ -565,14 +638,26 @@
     limit: Option<f64>,
     note: &'static str,
 ) -> Named<'static> {
-    Named { role: "node", what, unit, by, limit, note, counted: true }
+    Named {
+        role: "node",
+        what,
+        unit,
+        by,
+        limit,
+        note,
+        counted: true,
+    }
 }
 
 /// # Errors
 /// If a fleet does not come to hold one version.
 pub fn rows(sizes: &Sizes, effort: &Effort, _: &Place) -> io::Result<Vec<Row>> {
     let small = compiled(&sizes.configuration(effort.parts[0].min(0.02), Limited::Tenants))?;
-    let nodes = if effort.counts_only { sizes.nodes.min(60) } else { sizes.nodes };
+    let nodes = if effort.counts_only {
+        sizes.nodes.min(60)
+    } else {
+        sizes.nodes
+    };
     let changes = match () {
         () if effort.counts_only => 20,
         () if effort.hollow.len() < 5 => 100,
@@ -580,7 +665,17 @@
     };
     let (up_to, size) = (nodes as f64, sizes.nodes as f64);
     let every = MINUTE / BURST;
-    let run = |changes, every, trouble| watch(&Spec { nodes, changes, every, trouble }, &small);
+    let run = |changes, every, trouble| {
+        watch(
+            &Spec {
+                nodes,
+                changes,
+                every,
+                trouble,
+            },
+            &small,
+        )
+    };
     let mut rows = Vec::new();
 
     // At rest: one change in half a minute, as 2,800 a day are.
@@ -588,49 +683,132 @@
     let rest = run((changes / 20).max(4), day, Trouble::None)?;
     let burst = run(changes, every, Trouble::None)?;
     let killed = run(changes.min(400), every, Trouble::OneKilled)?;
-    let gone = run(changes.min(100), every, Trouble::AllKilled(Duration::from_secs(30)))?;
+    let gone = run(
+        changes.min(100),
+        every,
+        Trouble::AllKilled(Duration::from_secs(30)),
+    )?;
     let parted = run((changes / 24).max(4), day, Trouble::Parted)?;
     let note = "hollow, virtual clock; crates/control/src/source.rs, subscriber.rs";
     let attach = "hollow, virtual clock; crates/control/src/attach.rs";
     let times = [
-        ("a change, one in half a minute: commit to the last confirmation, 99th of 100", 0.99, &rest, note),
-        ("a change, one in half a minute: commit to the last confirmation, worst", 1.0, &rest, note),
-        ("a change in a burst of 100 a minute: commit to confirmation, 99th of 100", 0.99, &burst, note),
-        ("a change in a burst of 100 a minute: commit to confirmation, worst", 1.0, &burst, note),
-        ("one control machine killed in a burst: commit to confirmation, 99th of 100", 0.99, &killed, attach),
-        ("one control machine killed in a burst: commit to confirmation, worst", 1.0, &killed, attach),
+        (
+            "a change, one in half a minute: commit to the last confirmation, 99th of 100",
+            0.99,
+            &rest,
+            note,
+        ),
+        (
+            "a change, one in half a minute: commit to the last confirmation, worst",
+            1.0,
+            &rest,
+            note,
+        ),
+        (
+            "a change in a burst of 100 a minute: commit to confirmation, 99th of 100",
+            0.99,
+            &burst,
+            note,
+        ),
+        (
+            "a change in a burst of 100 a minute: commit to confirmation, worst",
+            1.0,
+            &burst,
+            note,
+        ),
+        (
+            "one control machine killed in a burst: commit to confirmation, 99th of 100",
+            0.99,
+            &killed,
+            attach,
+        ),
+        (
+            "one control machine killed in a burst: commit to confirmation, worst",
+            1.0,
+            &killed,
+            attach,
+        ),
         (
             "a parted region is back: return to confirmation of all that it missed, worst",
             1.0,
             &parted,
             attach,
         ),
-        ("all control machines gone for 30 s: commit to confirmation, worst", 1.0, &gone, attach),
+        (
+            "all control machines gone for 30 s: commit to confirmation, worst",
+            1.0,
+            &gone,
+            attach,
+        ),
     ];
     for (what, part, seen, note) in times {
         let limit = (!what.starts_with("all control")).then_some(limits::IN_FORCE_S);
-        rows.push(Row::plain(&node(what, "s", "nodes", limit, note), size, up_to, seen.within(part)));
+        rows.push(Row::plain(
+            &node(what, "s", "nodes", limit, note),
+            size,
+            up_to,
+            seen.within(part),
+        ));
     }
     let bytes = Some(limits::CONTROL_BYTES);
     let rates = [
-        ("control frames at 2,800 changes a day, the busiest process", rest.most_bytes),
-        ("control frames in a burst of 100 changes a minute, the busiest process", burst.most_bytes),
-        ("control frames while a region is parted, the busiest process", parted.most_bytes),
+        (
+            "control frames at 2,800 changes a day, the busiest process",
+            rest.most_bytes,
+        ),
+        (
+            "control frames in a burst of 100 changes a minute, the busiest process",
+            burst.most_bytes,
+        ),
+        (
+            "control frames while a region is parted, the busiest process",
+            parted.most_bytes,
+        ),
     ];
     for (what, rate) in rates {
-        rows.push(Row::plain(&node(what, "B/s", "nodes", bytes, note), size, up_to, Some(rate)));
+        rows.push(Row::plain(
+            &node(what, "B/s", "nodes", bytes, note),
+            size,
+            up_to,
+            Some(rate),
+        ));
     }
-    let machine =
-        |what, unit, note| Named { role: "control machine", ..node(what, unit, "nodes", None, note) };
+    let machine = |what, unit, note| Named {
+        role: "control machine",
+        ..node(what, unit, "nodes", None, note)
+    };
     for (what, seen) in [
-        ("attachments in the busiest second, one machine killed", &killed),
-        ("attachments in the busiest second, all machines gone and back", &gone),
+        (
+            "attachments in the busiest second, one machine killed",
+            &killed,
+        ),
+        (
+            "attachments in the busiest second, all machines gone and back",
+            &gone,
+        ),
     ] {
-        let named = Named { limit: Some(120.0), ..machine(what, "a second", attach) };
-        rows.push(Row::plain(&named, size, up_to, Some(seen.most_attached as f64)));
+        let named = Named {
+            limit: Some(120.0),
+            ..machine(what, "a second", attach)
+        };
+        rows.push(Row::plain(
+            &named,
+            size,
+            up_to,
+            Some(seen.most_attached as f64),
+        ));
     }
-    let named = machine("snapshots sent in a burst to those who were not behind", "snapshots", note);
-    rows.push(Row::plain(&named, size, up_to, Some(burst.snapshots as f64)));
+    let named = machine(
+        "snapshots sent in a burst to those who were not behind",
+        "snapshots",
+        note,
+    );
+    rows.push(Row::plain(
+        &named,
+        size,
+        up_to,
+        Some(burst.snapshots as f64),
+    ));
 
     whole(sizes, effort, &mut rows)?;
     if !effort.counts_only {
@@ -644,33 +822,70 @@
 fn whole(sizes: &Sizes, effort: &Effort, rows: &mut Vec<Row>) -> io::Result<()> {
     let mut points = Vec::new();
     for part in effort.parts.iter().copied() {
-        let state =
-            State::of(&compiled(&sizes.configuration(part, Limited::PerTenantOnRoutes))?).map_err(refused)?;
-        points
-            .push((part * sizes.tenants as f64, snapshot::packed(1, &state).map_err(refused)?.len() as f64));
+        let state = State::of(&compiled(
+            &sizes.configuration(part, Limited::PerTenantOnRoutes),
+        )?)
+        .map_err(refused)?;
+        points.push((
+            part * sizes.tenants as f64,
+            snapshot::packed(1, &state).map_err(refused)?.len() as f64,
+        ));
     }
     let size = sizes.tenants as f64;
     let note = "crates/control/src/snapshot.rs";
-    let packed = node("a start with nothing in hand: the packed snapshot", "B", "tenants", None, note);
+    let packed = node(
+        "a start with nothing in hand: the packed snapshot",
+        "B",
+        "tenants",
+        None,
+        note,
+    );
     rows.push(Row::fitted(&packed, &points, size, Grows::Line, 1.0));
     let note = "not built: to compare with deltas";
     // A comparison: nothing is held against it.
     let limit = None;
-    let sent = node("the whole, packed, at each of 2,800 changes a day", "B/s", "tenants", limit, note);
+    let sent = node(
+        "the whole, packed, at each of 2,800 changes a day",
+        "B/s",
+        "tenants",
+        limit,
+        note,
+    );
     let rate = sizes.changes as f64 / limits::DAY_S;
     rows.push(Row::fitted(&sent, &points, size, Grows::Line, rate));
-    let sent = node("the whole, packed, at each change of a burst", "B/s", "tenants", limit, note);
-    rows.push(Row::fitted(&sent, &points, size, Grows::Line, f64::from(BURST) / 60.0));
+    let sent = node(
+        "the whole, packed, at each change of a burst",
+        "B/s",
+        "tenants",
+        limit,
+        note,
+    );
+    rows.push(Row::fitted(
+        &sent,
+        &points,
+        size,
+        Grows::Line,
+        f64::from(BURST) / 60.0,
+    ));
     Ok(())
 }
 
 /// Processor time of the deciding code by the fleet's size.
-fn by_nodes(sizes: &Sizes, small: &Configuration, changes: usize, rows: &mut Vec<Row>) -> io::Result<()> {
+fn by_nodes(
+    sizes: &Sizes,
+    small: &Configuration,
+    changes: usize,
+    rows: &mut Vec<Row>,
+) -> io::Result<()> {
     let (mut machines, mut nodes) = (Vec::new(), Vec::new());
     for part in [0.15, 0.35, 0.6, 1.0] {
         let count = ((sizes.nodes as f64 * part) as usize).max(MACHINES);
-        let spec =
-            Spec { nodes: count, changes: changes.min(200), every: MINUTE / BURST, trouble: Trouble::None };
+        let spec = Spec {
+            nodes: count,
+            changes: changes.min(200),
+            every: MINUTE / BURST,
+            trouble: Trouble::None,
+        };
         let seen = watch(&spec, small)?;
         let seconds = seen.lasted.as_secs_f64();
         let percent = |cpu: Duration, of: usize| cpu.as_secs_f64() / seconds / of as f64 * 100.0;
@@ -678,15 +893,27 @@
         nodes.push((count as f64, percent(seen.nodes_cpu, count)));
     }
     let size = sizes.nodes as f64;
-    let note = "hollow: the deciding code and its frames, without sockets; crates/control/src/source.rs";
+    let note =
+        "hollow: the deciding code and its frames, without sockets; crates/control/src/source.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a machine of six";
-    let named =
-        Named { role: "control machine", counted: false, ..node(what, "% of a core", "nodes", None, note) };
+    let named = Named {
+        role: "control machine",
+        counted: false,
+        ..node(what, "% of a core", "nodes", None, note)
+    };
     rows.push(Row::fitted(&named, &machines, size, Grows::Line, 1.0));
     let note = "hollow, without putting it into force; crates/control/src/subscriber.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a process";
-    let named =
-        Named { counted: false, ..node(what, "% of a core", "nodes", Some(limits::CONTROL_CPU), note) };
+    let named = Named {
+        counted: false,
+        ..node(
+            what,
+            "% of a core",
+            "nodes",
+            Some(limits::CONTROL_CPU),
+            note,
+        )
+    };
     rows.push(Row::fitted(&named, &nodes, size, Grows::Still, 1.0));
     Ok(())
 }
@@ -729,13 +956,33 @@
     }
     let size = sizes.tenants as f64;
     let state = "crates/control/src/delta.rs";
-    let named = |what, unit, note| Named { counted: false, ..node(what, unit, "tenants", None, note) };
-    let cost = named("a change of one thing: checked and put in, the deciding code", "us", state);
+    let named = |what, unit, note| Named {
+        counted: false,
+        ..node(what, unit, "tenants", None, note)
+    };
+    let cost = named(
+        "a change of one thing: checked and put in, the deciding code",
+        "us",
+        state,
+    );
     rows.push(Row::fitted(&cost, &change, size, Grows::Still, 1.0));
     let note = "crates/control/src/snapshot.rs";
-    let machine = |what| Named { role: "control machine", ..named(what, "ms", note) };
-    rows.push(Row::fitted(&machine("the whole packed, once in 256 versions"), &pack, size, Grows::Line, 1.0));
-    let read = named("a start with nothing in hand: the snapshot unpacked and checked", "ms", note);
+    let machine = |what| Named {
+        role: "control machine",
+        ..named(what, "ms", note)
+    };
+    rows.push(Row::fitted(
+        &machine("the whole packed, once in 256 versions"),
+        &pack,
+        size,
+        Grows::Line,
+        1.0,
+    ));
+    let read = named(
+        "a start with nothing in hand: the snapshot unpacked and checked",
+        "ms",
+        note,
+    );
     rows.push(Row::fitted(&read, &unpack, size, Grows::Line, 1.0));
     Ok(())
 }
--- a/crates/rig/src/scale/decisions.rs
+++ b/crates/rig/src/scale/decisions.rs
@@ -21,32 +21,46 @@
 pub fn compiled(size: &Size) -> io::Result<Configuration> {
     let outcome = rainstand_config::load(&Memory::new([("a.rain", size.rain())]), "a.rain");
     outcome.configuration.ok_or_else(|| {
-        let first =
-            outcome.findings.first().map_or("no finding".to_owned(), |finding| finding.message.clone());
+        let first = outcome
+            .findings
+            .first()
+            .map_or("no finding".to_owned(), |finding| finding.message.clone());
         io::Error::other(first)
     })
 }
 
 /// Nanoseconds of one whole decision: route, limits, member, and its end.
 fn decision(configuration: &Configuration, size: &Size) -> io::Result<f64> {
-    let mut fleet =
-        Fleet::new(configuration, "z0", 1, Duration::ZERO).map_err(|e| io::Error::other(e.to_string()))?;
+    let mut fleet = Fleet::new(configuration, "z0", 1, Duration::ZERO)
+        .map_err(|e| io::Error::other(e.to_string()))?;
     let mut chance = WyRand::new_seed(7);
     let tickets: Vec<(Option<u16>, String)> = (0..4_096)
         .map(|_| {
             let tenant = chance.generate_range(0..size.tenants);
             let route = chance.generate_range(0..size.routes);
-            (fleet.table().tenant(&format!("t{tenant}")), size.entity(route))
+            (
+                fleet.table().tenant(&format!("t{tenant}")),
+                size.entity(route),
+            )
         })
         .collect();
-    let traffic = fleet.table().traffic("check").ok_or_else(|| io::Error::other("no type"))?;
+    let traffic = fleet
+        .table()
+        .traffic("check")
+        .ok_or_else(|| io::Error::other("no type"))?;
     let (mut least, mut now) = (Duration::MAX, Duration::ZERO);
     for _ in 0..TURNS {
         let before = own_cpu();
         for k in 0..DECISIONS {
             now += Duration::from_micros(20);
             let (tenant, entity) = &tickets[k % tickets.len()];
-            let ticket = Ticket { traffic, tenant: *tenant, entity, size: 900, ..Ticket::default() };
+            let ticket = Ticket {
+                traffic,
+                tenant: *tenant,
+                entity,
+                size: 900,
+                ..Ticket::default()
+            };
             if let Step::Go(trip, _) = fleet.arrived(now, &ticket) {
                 fleet.came(now + Duration::from_micros(10), trip, Back::Honoured);
             }
--- a/crates/rig/src/scale/fit.rs
+++ b/crates/rig/src/scale/fit.rs
@@ -64,10 +64,17 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Bends::TooFew => write!(f, "fewer than {LEAST} sizes were measured"),
-            Bends::Leaves(part) => write!(f, "bends: a point is off the line by {:.0} %", part * 100.0),
-            Bends::Curves(part) => write!(f, "bends: a second power lifts it by {:.0} %", part * 100.0),
+            Bends::Leaves(part) => {
+                write!(f, "bends: a point is off the line by {:.0} %", part * 100.0)
+            }
+            Bends::Curves(part) => {
+                write!(f, "bends: a second power lifts it by {:.0} %", part * 100.0)
+            }
             Bends::Walks(times) => {
-                write!(f, "bends: one request costs {times:.1} times more at the largest size")
+                write!(
+                    f,
+                    "bends: one request costs {times:.1} times more at the largest size"
+                )
             }
         }
     }
@@ -76,7 +83,10 @@
 /// The least-squares line, whatever it leaves over; none for fewer than two sizes.
 fn least_squares(points: &[(f64, f64)]) -> Option<(f64, f64)> {
     let n = points.len() as f64;
-    let (mx, my) = (mean(points.iter().map(|p| p.0), n), mean(points.iter().map(|p| p.1), n));
+    let (mx, my) = (
+        mean(points.iter().map(|p| p.0), n),
+        mean(points.iter().map(|p| p.1), n),
+    );
     let spread: f64 = points.iter().map(|p| (p.0 - mx).powi(2)).sum();
     let both: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
     (spread > 0.0).then(|| (my - both / spread * mx, both / spread))
@@ -90,7 +100,9 @@
 fn second_power(points: &[(f64, f64)]) -> f64 {
     // Of the part of x² that no line explains, how much of y's remainder goes with it.
     let squares: Vec<(f64, f64)> = points.iter().map(|p| (p.0, p.0 * p.0)).collect();
-    let (Some((a, b)), Some((c, d))) = (least_squares(&squares), least_squares(points)) else { return 0.0 };
+    let (Some((a, b)), Some((c, d))) = (least_squares(&squares), least_squares(points)) else {
+        return 0.0;
+    };
     let (mut both, mut spread) = (0.0, 0.0);
     for (x, y) in points {
         let rest = x * x - a - b * x;
@@ -116,27 +128,48 @@
 ///
 /// # Errors
 /// Why it is none, with the line that was refused where there is one.
-pub fn fit(points: &[(f64, f64)], grows: Grows, counted: bool) -> Result<Line, (Bends, Option<Line>)> {
+pub fn fit(
+    points: &[(f64, f64)],
+    grows: Grows,
+    counted: bool,
+) -> Result<Line, (Bends, Option<Line>)> {
     if sizes(points) < LEAST || points.iter().any(|p| !p.0.is_finite() || !p.1.is_finite()) {
         return Err((Bends::TooFew, None));
     }
-    let Some((intercept, slope)) = least_squares(points) else { return Err((Bends::TooFew, None)) };
+    let Some((intercept, slope)) = least_squares(points) else {
+        return Err((Bends::TooFew, None));
+    };
     let ends = |pick: fn(&(f64, f64)) -> f64| {
         let all = || points.iter().map(pick);
-        (all().fold(f64::INFINITY, f64::min), all().fold(f64::NEG_INFINITY, f64::max))
+        (
+            all().fold(f64::INFINITY, f64::min),
+            all().fold(f64::NEG_INFINITY, f64::max),
+        )
     };
     let ((first, last), (low, high)) = (ends(|p| p.0), ends(|p| p.1));
     let still = STILL[usize::from(!counted)];
-    let moved = (high - low).max(still * high.abs().max(low.abs())).max(f64::MIN_POSITIVE);
+    let moved = (high - low)
+        .max(still * high.abs().max(low.abs()))
+        .max(f64::MIN_POSITIVE);
     let off = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).abs();
     let residual = points.iter().map(off).fold(0.0, f64::max) / moved;
     let curve = second_power(points).abs() * ((last - first) / 2.0).powi(2) / moved;
-    let line = Line { intercept, slope, residual, curve, up_to: last };
+    let line = Line {
+        intercept,
+        slope,
+        residual,
+        curve,
+        up_to: last,
+    };
     if grows == Grows::Still {
         // Whether the line is straight does not matter where it should lie flat.
         let times = line.at(last) / line.at(first).max(f64::MIN_POSITIVE);
         let may = WALKS.powf((last / first).ln() / GROWN.ln());
-        return if times > may { Err((Bends::Walks(times), Some(line))) } else { Ok(line) };
+        return if times > may {
+            Err((Bends::Walks(times), Some(line)))
+        } else {
+            Ok(line)
+        };
     }
     if curve > CURVES {
         return Err((Bends::Curves(curve), Some(line)));
--- a/crates/rig/src/scale/forwarders.rs
+++ b/crates/rig/src/scale/forwarders.rs
@@ -42,7 +42,16 @@
     let (text, other) = two(size);
     let path = write(&place.folder, "forwarder.rain", text.as_bytes())?;
     let mut command = Command::new(program("rainstand", place.programs.as_deref())?);
-    command.args(["forward", "--listen", "127.0.0.1:0", "--zone", "z0", "--config"]).arg(&path);
+    command
+        .args([
+            "forward",
+            "--listen",
+            "127.0.0.1:0",
+            "--zone",
+            "z0",
+            "--config",
+        ])
+        .arg(&path);
     let mut process = Counted::start(command, &place.folder.join("forwarder.log"))?;
     process.says("event=\"start\"", 1)?;
     // In ticks: what reads a file is a thread of its own, and has ended.
@@ -59,7 +68,13 @@
     let reload_cpu = process.ticks()?.saturating_sub(start_cpu) / reloads.max(1) as u32;
     takes.sort_unstable();
     let reload_takes = takes.get(takes.len() / 2).copied().unwrap_or_default();
-    Ok(Seen { start_rss, start_cpu, after_rss: process.rss()?, reload_cpu, reload_takes })
+    Ok(Seen {
+        start_rss,
+        start_cpu,
+        after_rss: process.rss()?,
+        reload_cpu,
+        reload_takes,
+    })
 }
 
 /// Processor time and memory of `config check`, by the file.
@@ -72,9 +87,22 @@
 
 /// Memory of a forwarder that starts with the compiled form, and not with the text.
 fn by_compiled(size: &Size, place: &Place) -> io::Result<f64> {
-    let path = write(&place.folder, "forwarder.pb", &schema::to_binary(&compiled(size)?))?;
+    let path = write(
+        &place.folder,
+        "forwarder.pb",
+        &schema::to_binary(&compiled(size)?),
+    )?;
     let mut command = Command::new(program("rainstand", place.programs.as_deref())?);
-    command.args(["forward", "--listen", "127.0.0.1:0", "--zone", "z0", "--config"]).arg(&path);
+    command
+        .args([
+            "forward",
+            "--listen",
+            "127.0.0.1:0",
+            "--zone",
+            "z0",
+            "--config",
+        ])
+        .arg(&path);
     let mut process = Counted::start(command, &place.folder.join("forwarder.log"))?;
     process.says("event=\"start\"", 1)?;
     process.rss()
@@ -96,15 +124,22 @@
         ..sizes.configuration(1.0, Limited::None)
     };
     let base = forwarder(&one, 1, place)?.start_rss;
-    for (limited, words) in [(Limited::Tenants, "limits on tenants"), (Limited::None, "no limits")] {
+    for (limited, words) in [
+        (Limited::Tenants, "limits on tenants"),
+        (Limited::None, "no limits"),
+    ] {
         if limited == Limited::None && effort.parts.len() < Effort::full().parts.len() {
             // What has no limits says how much of the rest is theirs: left out where time is short.
             continue;
         }
-        let (mut start, mut after, mut cpu, mut takes, mut begins) = (vec![], vec![], vec![], vec![], vec![]);
+        let (mut start, mut after, mut cpu, mut takes, mut begins) =
+            (vec![], vec![], vec![], vec![], vec![]);
         for part in &effort.parts {
             let size = sizes.configuration(*part, limited);
-            let (x, seen) = (size.tenants as f64, forwarder(&size, effort.reloads, place)?);
+            let (x, seen) = (
+                size.tenants as f64,
+                forwarder(&size, effort.reloads, place)?,
+            );
             start.push((x, seen.start_rss - base));
             after.push((x, seen.after_rss - base));
             cpu.push((x, seen.reload_cpu.as_secs_f64()));
@@ -112,7 +147,8 @@
             begins.push((x, seen.start_cpu.as_secs_f64()));
         }
         let mb = Some(limits::CONTROL_MB);
-        let named = |what: &'static str, unit, limit| Named {
+        let named = |what: &'static str, unit, limit| {
+            Named {
             role: "forwarder",
             what,
             unit,
@@ -120,18 +156,40 @@
             limit,
             note: "crates/route/src/table.rs, versions.rs; the process compiles the text, crates/config",
             counted: false,
+        }
         };
         let what = |what: &str| format!("{what}, {words}");
         let mut add = |name: String, unit, limit, points: &[(f64, f64)], times: f64| {
-            let named = Named { what: &name, ..named("", unit, limit) };
+            let named = Named {
+                what: &name,
+                ..named("", unit, limit)
+            };
             rows.push(Row::fitted(&named, points, tenants, Grows::Line, times));
         };
-        add(what("memory after its start above one route"), "MB", mb, &start, 1e-6);
-        add(what("memory after reloads above one route"), "MB", mb, &after, 1e-6);
+        add(
+            what("memory after its start above one route"),
+            "MB",
+            mb,
+            &start,
+            1e-6,
+        );
+        add(
+            what("memory after reloads above one route"),
+            "MB",
+            mb,
+            &after,
+            1e-6,
+        );
         if limited == Limited::Tenants {
             let share = sizes.changes as f64 / limits::DAY_S * 100.0;
             let core = Some(limits::CONTROL_CPU);
-            add("each change read as a whole: processor time".into(), "% of a core", core, &cpu, share);
+            add(
+                "each change read as a whole: processor time".into(),
+                "% of a core",
+                core,
+                &cpu,
+                share,
+            );
             add(
                 "a change at SIGHUP until it is in force here".into(),
                 "s",
@@ -152,7 +210,15 @@
         checks_cpu.push((x, cpu.as_secs_f64()));
         checks_rss.push((x, most));
     }
-    let named = |role, what, unit, limit, note| Named { role, what, unit, by, limit, note, counted: false };
+    let named = |role, what, unit, limit, note| Named {
+        role,
+        what,
+        unit,
+        by,
+        limit,
+        note,
+        counted: false,
+    };
     rows.push(Row::fitted(
         &named(
             "forwarder",
@@ -180,7 +246,13 @@
         1.0,
     ));
     rows.push(Row::fitted(
-        &named("control machine", "config check: most memory", "MB", None, "crates/config"),
+        &named(
+            "control machine",
+            "config check: most memory",
+            "MB",
+            None,
+            "crates/config",
+        ),
         &checks_rss,
         tenants,
         Grows::Line,
@@ -194,7 +266,10 @@
     let (mut up_to, mut why) = (0.0, String::new());
     let mut rss = Vec::new();
     // Far smaller ones too: what is refused at a tenth may start at a hundredth.
-    let parts = [0.01, 0.025].into_iter().chain(effort.parts.iter().copied()).chain([1.0]);
+    let parts = [0.01, 0.025]
+        .into_iter()
+        .chain(effort.parts.iter().copied())
+        .chain([1.0]);
     for part in parts {
         let size = sizes.configuration(part, Limited::PerTenantOnRoutes);
         match forwarder(&size, 1, place) {
@@ -206,14 +281,23 @@
             Err(error) if error.kind() == io::ErrorKind::BrokenPipe => {
                 let words = error.to_string();
                 let words = words.split(": ").skip(1).collect::<Vec<_>>().join(": ");
-                why = format!("refused at {} routes and {} tenants: {words}", size.routes, size.tenants);
-                why = why.replace(&place.folder.display().to_string(), "").replace(" /", " ");
+                why = format!(
+                    "refused at {} routes and {} tenants: {words}",
+                    size.routes, size.tenants
+                );
+                why = why
+                    .replace(&place.folder.display().to_string(), "")
+                    .replace(" /", " ");
             }
             Err(other) => return Err(other),
         }
     }
     let starts = up_to >= sizes.tenants as f64;
-    let note = if starts { "crates/route/src/versions.rs".to_owned() } else { why };
+    let note = if starts {
+        "crates/route/src/versions.rs".to_owned()
+    } else {
+        why
+    };
     let mut row = Row::plain(
         &Named {
             role: "forwarder",
--- a/crates/rig/src/scale/groups.rs
+++ b/crates/rig/src/scale/groups.rs
@@ -54,18 +54,27 @@
     proxies: BTreeMap<(usize, usize), Rc<Proxy>>,
 }
 
-async fn start(members: usize, counted: bool, agent: SocketAddr, place: &Place) -> io::Result<Members> {
+async fn start(
+    members: usize,
+    counted: bool,
+    agent: SocketAddr,
+    place: &Place,
+) -> io::Result<Members> {
     let folder = place.folder.join(format!("group-{members}-{counted}"));
     let _ = fs::remove_dir_all(&folder);
     fs::create_dir_all(&folder)?;
-    let ports = (0..members).map(|_| Ok([free_port()?, free_port()?])).collect::<io::Result<Vec<_>>>()?;
+    let ports = (0..members)
+        .map(|_| Ok([free_port()?, free_port()?]))
+        .collect::<io::Result<Vec<_>>>()?;
     let mut all = Members {
         processes: Vec::new(),
         peers: ports.iter().map(|p| p[1]).collect(),
         proxies: BTreeMap::new(),
     };
     if counted {
-        for (from, to) in (0..members).flat_map(|a| (0..members).map(move |b| (a, b))).filter(|(a, b)| a != b)
+        for (from, to) in (0..members)
+            .flat_map(|a| (0..members).map(move |b| (a, b)))
+            .filter(|(a, b)| a != b)
         {
             let proxy = Proxy::open(1).await?;
             proxy.lead(Some(ports[to][1]));
@@ -98,17 +107,26 @@
             start_within_ns: 1_000_000_000,
             come_back_ns: 500_000_000,
         };
-        let configuration =
-            Configuration { version: schema::VERSION, groups: vec![group], ..Configuration::default() };
-        let (node, group) = (folder.join(format!("{n}.json")), folder.join(format!("{n}.txtpb")));
+        let configuration = Configuration {
+            version: schema::VERSION,
+            groups: vec![group],
+            ..Configuration::default()
+        };
+        let (node, group) = (
+            folder.join(format!("{n}.json")),
+            folder.join(format!("{n}.txtpb")),
+        );
         fs::write(&group, schema::to_text(&configuration))?;
         fs::write(
             &node,
             settings::node(&name(n), ports[n][0], agent, 1, 1_024, limits::REQUESTS).to_string(),
         )?;
         let mut command = Command::new(program("rainstand-node", place.programs.as_deref())?);
-        command.env("ROUTER_CONFIG", &node).env("RAINSTAND_SETTINGS", &group);
-        all.processes.push(Counted::start(command, &folder.join(format!("{n}.log")))?);
+        command
+            .env("ROUTER_CONFIG", &node)
+            .env("RAINSTAND_SETTINGS", &group);
+        all.processes
+            .push(Counted::start(command, &folder.join(format!("{n}.log")))?);
     }
     for process in &mut all.processes {
         process.says("start name=", 1)?;
@@ -135,7 +153,10 @@
         loop {
             let mut led = 0;
             for n in 0..self.peers.len() {
-                led += self.ask(n, "status").await.map_or(0, |told| told["leads"].as_u64().unwrap_or(0));
+                led += self
+                    .ask(n, "status")
+                    .await
+                    .map_or(0, |told| told["leads"].as_u64().unwrap_or(0));
             }
             if led >= SHARDS.into() {
                 return Ok(());
@@ -156,13 +177,19 @@
         for n in 0..self.peers.len() {
             let told = self.ask(n, "members").await?;
             let peers = told["peers"].as_array().cloned().unwrap_or_default();
-            sum += peers.iter().filter_map(|peer| peer["sent_bytes"].as_u64()).sum::<u64>();
+            sum += peers
+                .iter()
+                .filter_map(|peer| peer["sent_bytes"].as_u64())
+                .sum::<u64>();
         }
         Ok(sum)
     }
 
     fn frames(&self) -> u64 {
-        self.proxies.values().map(|proxy| proxy.whole_frames.get()).sum()
+        self.proxies
+            .values()
+            .map(|proxy| proxy.whole_frames.get())
+            .sum()
     }
 
     fn cpu(&self) -> io::Result<Vec<Duration>> {
@@ -201,8 +228,16 @@
         .collect();
     let sent_now = all.sent().await?;
     let most = |all: Vec<f64>| all.into_iter().fold(0.0, f64::max);
-    let own = all.processes.iter().map(Counted::own).collect::<io::Result<Vec<_>>>()?;
-    let fds = all.processes.iter().map(|p| Ok(p.descriptors()? as f64)).collect::<io::Result<Vec<_>>>()?;
+    let own = all
+        .processes
+        .iter()
+        .map(Counted::own)
+        .collect::<io::Result<Vec<_>>>()?;
+    let fds = all
+        .processes
+        .iter()
+        .map(|p| Ok(p.descriptors()? as f64))
+        .collect::<io::Result<Vec<_>>>()?;
     Ok(Seen {
         frames: (frames_now - frames) as f64 / seconds,
         bytes: (sent_now - sent) as f64 / began.elapsed().as_secs_f64(),
@@ -215,7 +250,9 @@
 }
 
 fn wait<T>(what: impl std::future::Future<Output = io::Result<T>>) -> io::Result<T> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, what)
 }
 
@@ -232,14 +269,26 @@
     pub fn all(&self) -> [(&'static str, f64, f64); 4] {
         let seconds = self.window.as_secs_f64();
         [
-            ("frames a second", self.hollow.rest.frames as f64 / seconds, self.real.frames),
-            ("bytes a second", self.hollow.rest.bytes as f64 / seconds, self.real.bytes),
+            (
+                "frames a second",
+                self.hollow.rest.frames as f64 / seconds,
+                self.real.frames,
+            ),
+            (
+                "bytes a second",
+                self.hollow.rest.bytes as f64 / seconds,
+                self.real.bytes,
+            ),
             (
                 "processor time, without sockets against with",
                 self.hollow.cpu.as_secs_f64() / seconds,
                 self.real.cpu,
             ),
-            ("time until each shard is led", self.hollow.formed.as_secs_f64(), self.real.formed),
+            (
+                "time until each shard is led",
+                self.hollow.formed.as_secs_f64(),
+                self.real.formed,
+            ),
         ]
     }
 }
@@ -251,7 +300,11 @@
 pub fn compare(members: usize, window: Duration, place: &Place) -> io::Result<Compared> {
     let agent = agent()?;
     let real = wait(at_rest(members, true, window, agent, place))?;
-    Ok(Compared { hollow: hollow::watch(&Spec::of(members, window))?, window, real })
+    Ok(Compared {
+        hollow: hollow::watch(&Spec::of(members, window))?,
+        window,
+        real,
+    })
 }
 
 /// # Errors
@@ -260,10 +313,17 @@
     let agent = agent()?;
     let mut seen = Vec::new();
     for members in &effort.members {
-        seen.push((*members as f64, wait(at_rest(*members, false, effort.window, agent, place))?));
+        seen.push((
+            *members as f64,
+            wait(at_rest(*members, false, effort.window, agent, place))?,
+        ));
     }
     let nodes = sizes.nodes as f64;
-    let points = |of: fn(&Seen) -> f64| seen.iter().map(|(n, seen)| (*n, of(seen))).collect::<Vec<_>>();
+    let points = |of: fn(&Seen) -> f64| {
+        seen.iter()
+            .map(|(n, seen)| (*n, of(seen)))
+            .collect::<Vec<_>>()
+    };
     let named = |what, unit, limit, note| Named {
         role: "node",
         what,
@@ -274,7 +334,10 @@
         counted: false,
     };
     let first = seen.first().map_or(0.0, |(_, seen)| seen.own);
-    let own: Vec<(f64, f64)> = seen.iter().map(|(n, seen)| (*n, seen.own - first)).collect();
+    let own: Vec<(f64, f64)> = seen
+        .iter()
+        .map(|(n, seen)| (*n, seen.own - first))
+        .collect();
     let links = "crates/group/src/links.rs, each linked to each";
     let mut rows = vec![
         Row::fitted(
@@ -302,7 +365,12 @@
             1.0 / nodes,
         ),
         Row::fitted(
-            &named("group: memory of a member above three", "MB", Some(limits::CONTROL_MB), links),
+            &named(
+                "group: memory of a member above three",
+                "MB",
+                Some(limits::CONTROL_MB),
+                links,
+            ),
             &own,
             nodes,
             Grows::Line,
@@ -339,7 +407,12 @@
             note: &note,
             counted: false,
         };
-        rows.push(Row::plain(&named, members as f64, members as f64, Some(hollow / real)));
+        rows.push(Row::plain(
+            &named,
+            members as f64,
+            members as f64,
+            Some(hollow / real),
+        ));
     }
     Ok(rows)
 }
@@ -356,7 +429,9 @@
             ));
         }
         text.push_str("}\n");
-        rainstand_config::load(&Memory::new([("a.rain", text)]), "a.rain").configuration.is_some()
+        rainstand_config::load(&Memory::new([("a.rain", text)]), "a.rain")
+            .configuration
+            .is_some()
     };
     // The most that is taken lies between one that is and one that is not.
     let (mut least, mut most) = (3, sizes.nodes.max(4));
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -47,7 +47,13 @@
 
 impl Spec {
     pub fn of(members: usize, window: Duration) -> Self {
-        Self { members, shards: SHARDS, charged: 0, window, seed: 1 }
+        Self {
+            members,
+            shards: SHARDS,
+            charged: 0,
+            window,
+            seed: 1,
+        }
     }
 }
 
@@ -91,8 +97,15 @@
 
 enum Event {
     Wake(usize),
-    Arrive { from: usize, to: usize, frame: Vec<u8> },
-    Written { member: usize, number: u64 },
+    Arrive {
+        from: usize,
+        to: usize,
+        frame: Vec<u8>,
+    },
+    Written {
+        member: usize,
+        number: u64,
+    },
 }
 
 struct World {
@@ -117,7 +130,9 @@
 
 impl World {
     fn new(spec: &Spec) -> Self {
-        let members: Vec<(String, String)> = (0..spec.members).map(|k| (name(k), String::new())).collect();
+        let members: Vec<(String, String)> = (0..spec.members)
+            .map(|k| (name(k), String::new()))
+            .collect();
         let one = |k: usize| {
             let options = Options {
                 group: "scale".into(),
@@ -125,7 +140,10 @@
                 members: members.clone(),
                 shards: spec.shards,
                 copies: COPIES,
-                times: Times { heartbeat: HEARTBEAT, election: ELECTION },
+                times: Times {
+                    heartbeat: HEARTBEAT,
+                    election: ELECTION,
+                },
                 moves: 2,
                 keys: 1_000_000,
                 compact: COMPACT,
@@ -134,7 +152,12 @@
             // As wide as those that a disk draws: numbers on the wire are as long as they are large.
             let mut chance = WyRand::new_seed(spec.seed << 20 | k as u64);
             let (disk, nonce) = (chance.generate::<u64>().max(1), chance.generate());
-            let found = Found { disk, boot: 1, nonce, ..Found::default() };
+            let found = Found {
+                disk,
+                boot: 1,
+                nonce,
+                ..Found::default()
+            };
             let mut member = Member::new(options, found, Duration::ZERO);
             for tenant in 0..spec.charged {
                 member.spent(&format!("t{tenant}"), 40_000);
@@ -186,9 +209,19 @@
                 }
                 _ => {}
             }
-            self.later(self.now + TRAVELS, Event::Arrive { from: k, to: number(&to), frame: bytes });
+            self.later(
+                self.now + TRAVELS,
+                Event::Arrive {
+                    from: k,
+                    to: number(&to),
+                    frame: bytes,
+                },
+            );
         }
-        let wake = self.members[k].wake().min(self.now + SLEEPS[0]).max(self.now + SLEEPS[1]);
+        let wake = self.members[k]
+            .wake()
+            .min(self.now + SLEEPS[0])
+            .max(self.now + SLEEPS[1]);
         if wake < self.wakes[k] || self.wakes[k] <= self.now {
             self.wakes[k] = wake;
             self.later(wake, Event::Wake(k));
@@ -233,18 +266,32 @@
     let shards = usize::from(spec.shards);
     world.play(FORMS, |world| world.led >= shards)?;
     if world.led < shards {
-        return Err(io::Error::other(format!("{} of {shards} shards are led after {FORMS:?}", world.led)));
+        return Err(io::Error::other(format!(
+            "{} of {shards} shards are led after {FORMS:?}",
+            world.led
+        )));
     }
     let (start, formed) = (world.counts, world.now);
     world.play(world.now + SETTLES, |_| false)?;
     let (before, cpu) = (world.counts, own_cpu());
     world.play(world.now + spec.window, |_| false)?;
     let kept = |member: &Member| {
-        let most = member.reports.iter().map(|(_, report)| report.spent.len()).max().unwrap_or(0);
+        let most = member
+            .reports
+            .iter()
+            .map(|(_, report)| report.spent.len())
+            .max()
+            .unwrap_or(0);
         (member.reports.iter().count(), most)
     };
     let kept = world.members.iter().map(kept).max().unwrap_or_default();
-    Ok(Seen { start, formed, rest: world.counts.since(&before), cpu: own_cpu().saturating_sub(cpu), kept })
+    Ok(Seen {
+        start,
+        formed,
+        rest: world.counts.since(&before),
+        cpu: own_cpu().saturating_sub(cpu),
+        kept,
+    })
 }
 
 /// Rows of groups past what real processes are started for.
@@ -261,8 +308,15 @@
     }
     // Heartbeats are shared out among more members: what grows with them is what all tell all.
     let shared: Vec<(f64, f64)> = rest.iter().map(|p| (p.0, p.1 * p.0)).collect();
-    let named =
-        |what, unit, by, limit, note| Named { role: "node", what, unit, by, limit, note, counted: true };
+    let named = |what, unit, by, limit, note| Named {
+        role: "node",
+        what,
+        unit,
+        by,
+        limit,
+        note,
+        counted: true,
+    };
     let mut rows = vec![
         Row::fitted(
             &named(
@@ -319,10 +373,15 @@
     let seconds = effort.hollow_window.as_secs_f64();
     let mut points = Vec::new();
     for (members, tenants) in [(5, 100), (5, 250), (9, 200), (9, 450), (13, 400)] {
-        let spec = Spec { charged: tenants, ..Spec::of(members, effort.hollow_window) };
+        let spec = Spec {
+            charged: tenants,
+            ..Spec::of(members, effort.hollow_window)
+        };
         let seen = watch(&spec)?;
-        points
-            .push((((members - 1) * tenants) as f64, seen.rest.soft_bytes as f64 / seconds / members as f64));
+        points.push((
+            ((members - 1) * tenants) as f64,
+            seen.rest.soft_bytes as f64 / seconds / members as f64,
+        ));
     }
     let size = ((sizes.nodes - 1) * sizes.tenants) as f64;
     Ok(Row::fitted(
@@ -372,7 +431,10 @@
     let seconds = effort.hollow_window.as_secs_f64();
     let mut points = Vec::new();
     for shards in [4u16, 11, 16, 27] {
-        let seen = watch(&Spec { shards, ..Spec::of(9, effort.hollow_window) })?;
+        let seen = watch(&Spec {
+            shards,
+            ..Spec::of(9, effort.hollow_window)
+        })?;
         points.push((f64::from(shards), seen.rest.frames as f64 / seconds));
     }
     Ok(Row::fitted(
