--- a/crates/rig/src/scale/measure.rs
+++ b/crates/rig/src/scale/measure.rs
@@ -34,12 +34,23 @@
     /// # Errors
     /// If it cannot be started.
     pub fn start(mut command: Command, log: &Path) -> io::Result<Self> {
-        let out = OpenOptions::new().create(true).write(true).truncate(true).open(log)?;
-        command.stdin(Stdio::null()).stdout(out.try_clone()?).stderr(out);
+        let out = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .open(log)?;
+        command
+            .stdin(Stdio::null())
+            .stdout(out.try_clone()?)
+            .stderr(out);
         let child = command.spawn()?;
-        let pid =
-            Pid::from_raw(child.id().cast_signed()).ok_or_else(|| io::Error::other("no process number"))?;
-        Ok(Self { child, pid, log: log.to_owned() })
+        let pid = Pid::from_raw(child.id().cast_signed())
+            .ok_or_else(|| io::Error::other("no process number"))?;
+        Ok(Self {
+            child,
+            pid,
+            log: log.to_owned(),
+        })
     }
 
     pub fn said(&self) -> String {
@@ -59,10 +70,16 @@
             if let Some(status) = self.child.try_wait()? {
                 let said = self.said();
                 let last = said.lines().last().unwrap_or("nothing was said").to_owned();
-                return Err(io::Error::new(io::ErrorKind::BrokenPipe, format!("ended, {status}: {last}")));
+                return Err(io::Error::new(
+                    io::ErrorKind::BrokenPipe,
+                    format!("ended, {status}: {last}"),
+                ));
             }
             if Instant::now() > until {
-                return Err(io::Error::new(io::ErrorKind::TimedOut, format!("`{word}` was not said")));
+                return Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    format!("`{word}` was not said"),
+                ));
             }
             std::thread::sleep(LOOK);
         }
@@ -103,8 +120,16 @@
     pub fn ticks(&self) -> io::Result<Duration> {
         let stat = self.proc("stat")?;
         // The name may hold anything; fields count from its end.
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = [11, 12].iter().filter_map(|k| fields.get(*k)?.parse::<u32>().ok()).sum::<u32>();
+        let fields: Vec<&str> = stat
+            .rsplit(')')
+            .next()
+            .unwrap_or_default()
+            .split_whitespace()
+            .collect();
+        let ticks = [11, 12]
+            .iter()
+            .filter_map(|k| fields.get(*k)?.parse::<u32>().ok())
+            .sum::<u32>();
         Ok(TICK * ticks)
     }
 
@@ -113,7 +138,12 @@
     /// # Errors
     /// If the process is gone.
     pub fn rss(&self) -> io::Result<f64> {
-        let pages = self.proc("statm")?.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
+        let pages = self
+            .proc("statm")?
+            .split(' ')
+            .nth(1)
+            .and_then(|n| n.parse::<u64>().ok())
+            .unwrap_or(0);
         Ok((pages * PAGE) as f64)
     }
 
@@ -142,7 +172,9 @@
         let (mut cpu, mut most) = (Duration::ZERO, 0f64);
         loop {
             // A process that has ended keeps its times until it was waited for, but no memory.
-            cpu = cpu.max(self.cpu().unwrap_or_default()).max(self.ticks().unwrap_or_default());
+            cpu = cpu
+                .max(self.cpu().unwrap_or_default())
+                .max(self.ticks().unwrap_or_default());
             most = most.max(kb(&self.proc("status").unwrap_or_default(), "VmHWM:"));
             if let Some(status) = self.child.try_wait()? {
                 return if status.success() {
@@ -161,7 +193,9 @@
 
 fn kb(text: &str, key: &str) -> f64 {
     let line = text.lines().find_map(|line| line.strip_prefix(key));
-    line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0) * 1_024.0
+    line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok())
+        .unwrap_or(0.0)
+        * 1_024.0
 }
 
 /// Processor time of this thread.
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -67,7 +67,14 @@
 
 impl Default for Sizes {
     fn default() -> Self {
-        Self { nodes: 630, callers: 8_500, services: 490, routes: 5_400, tenants: 23_000, changes: 2_800 }
+        Self {
+            nodes: 630,
+            callers: 8_500,
+            services: 490,
+            routes: 5_400,
+            tenants: 23_000,
+            changes: 2_800,
+        }
     }
 }
 
@@ -206,14 +213,21 @@
 
 impl Row {
     /// From points of size and quantity; `times` makes the row's quantity of the measured one.
-    pub fn fitted(named: &Named<'_>, points: &[(f64, f64)], size: f64, grows: Grows, times: f64) -> Self {
+    pub fn fitted(
+        named: &Named<'_>,
+        points: &[(f64, f64)],
+        size: f64,
+        grows: Grows,
+        times: f64,
+    ) -> Self {
         let points: Vec<(f64, f64)> = points.iter().map(|p| (p.0, p.1 * times)).collect();
         let up_to = points.iter().map(|p| p.0).fold(0.0, f64::max);
         let measured = |size: f64| {
             let at: Vec<f64> = points.iter().filter(|p| p.0 == size).map(|p| p.1).collect();
             (!at.is_empty()).then(|| at.iter().sum::<f64>() / at.len() as f64)
         };
-        let (line, bends, at_size): (Option<Line>, _, _) = match fit(&points, grows, named.counted) {
+        let (line, bends, at_size): (Option<Line>, _, _) = match fit(&points, grows, named.counted)
+        {
             Ok(line) => (Some(line), None, measured(size).or(Some(line.at(size)))),
             // What bends is told where it was measured, and not carried further.
             Err((why, line)) => (line, Some(why.to_string()), measured(size)),
@@ -265,7 +279,10 @@
 impl Met {
     /// The larger over the smaller, less one.
     pub fn off(&self) -> f64 {
-        let (low, high) = (self.predicted.min(self.measured), self.predicted.max(self.measured));
+        let (low, high) = (
+            self.predicted.min(self.measured),
+            self.predicted.max(self.measured),
+        );
         if low > 0.0 {
             high / low - 1.0
         } else if high == 0.0 {
@@ -279,12 +296,23 @@
 /// Lines of an earlier run against points of another; what bends or has no slope predicts nothing.
 pub fn meet(earlier: &[Row], now: &[Row]) -> Vec<Met> {
     let one = |row: &Row| {
-        let old =
-            earlier.iter().find(|old| old.role == row.role && old.what == row.what && old.bends.is_none())?;
-        let (size, measured) = row.points.iter().copied().max_by(|a, b| a.0.total_cmp(&b.0))?;
+        let old = earlier
+            .iter()
+            .find(|old| old.role == row.role && old.what == row.what && old.bends.is_none())?;
+        let (size, measured) = row
+            .points
+            .iter()
+            .copied()
+            .max_by(|a, b| a.0.total_cmp(&b.0))?;
         // Each run multiplies by its own parts of the fleet and of the day.
         let predicted = (old.intercept? + old.slope? * size) * row.times / old.times;
-        Some(Met { role: row.role.clone(), what: row.what.clone(), size, predicted, measured })
+        Some(Met {
+            role: row.role.clone(),
+            what: row.what.clone(),
+            size,
+            predicted,
+            measured,
+        })
     };
     now.iter().filter_map(one).collect()
 }
@@ -321,7 +349,8 @@
         }
         tell(name);
         rows.extend(
-            part(sizes, effort, place).map_err(|why| io::Error::new(why.kind(), format!("{name}: {why}")))?,
+            part(sizes, effort, place)
+                .map_err(|why| io::Error::new(why.kind(), format!("{name}: {why}")))?,
         );
     }
     table::put_in_order(&mut rows);
--- a/crates/rig/src/scale/nodes.rs
+++ b/crates/rig/src/scale/nodes.rs
@@ -49,8 +49,12 @@
     for line in lines {
         let command: Value = serde_json::from_str(&line?)?;
         let told = match command["cmd"].as_str() {
-            Some("subscribe") => json!({"cmd": "greeting", "result": "running", "elapsed_ms": 60_000}),
-            Some("sample") => json!({"cmd": "sampled", "token": command["token"], "load": [0.1, 0, 0.1, 1]}),
+            Some("subscribe") => {
+                json!({"cmd": "greeting", "result": "running", "elapsed_ms": 60_000})
+            }
+            Some("sample") => {
+                json!({"cmd": "sampled", "token": command["token"], "load": [0.1, 0, 0.1, 1]})
+            }
             Some("launch") => {
                 offset += 1;
                 json!({"cmd": "outcome", "offset": offset, "req": command["req"], "result": "fine",
@@ -76,12 +80,24 @@
     for _ in 0..PORTS {
         let addr = free_port()?;
         let path = place.folder.join("node.json");
-        fs::write(&path, settings::node("n1", addr, agent, tenants, sockets, limits::REQUESTS).to_string())?;
+        fs::write(
+            &path,
+            settings::node("n1", addr, agent, tenants, sockets, limits::REQUESTS).to_string(),
+        )?;
         let mut command = Command::new(program("rainstand-node", place.programs.as_deref())?);
-        command.env("ROUTER_CONFIG", &path).env_remove("RAINSTAND_SETTINGS");
+        command
+            .env("ROUTER_CONFIG", &path)
+            .env_remove("RAINSTAND_SETTINGS");
         let mut process = Counted::start(command, &place.folder.join("node.log"))?;
         match process.says("start name=", 1) {
-            Ok(()) => return Ok(Node { process, addr, path, agent }),
+            Ok(()) => {
+                return Ok(Node {
+                    process,
+                    addr,
+                    path,
+                    agent,
+                })
+            }
             // Another process took the port meanwhile.
             Err(why) => last = why,
         }
@@ -92,7 +108,11 @@
 /// Asks on a connection and waits for the answer; whether it was honoured.
 fn ask(stream: &mut TcpStream, seq: i32) -> io::Result<bool> {
     let trace = format!("{seq:016x}");
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis().to_string();
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+        .to_string();
     let fields = [
         ("route", "check"),
         ("trace", trace.as_str()),
@@ -107,7 +127,9 @@
     stream.read_exact(&mut head)?;
     let mut frame = vec![0; (u32::from_be_bytes(head) as usize).min(1 << 20)];
     stream.read_exact(&mut frame)?;
-    Ok(matches!(thrift::answered(&frame), Ok(told) if matches!(told.what, thrift::What::Answer { .. })))
+    Ok(
+        matches!(thrift::answered(&frame), Ok(told) if matches!(told.what, thrift::What::Answer { .. })),
+    )
 }
 
 fn connect(to: SocketAddr) -> io::Result<TcpStream> {
@@ -126,7 +148,10 @@
             return Ok(());
         }
         if Instant::now() > until {
-            return Err(io::Error::new(io::ErrorKind::TimedOut, "a node honours nothing"));
+            return Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "a node honours nothing",
+            ));
         }
         std::thread::sleep(Duration::from_millis(5));
     }
@@ -137,15 +162,23 @@
 pub fn rows(sizes: &Sizes, effort: &Effort, place: &Place) -> io::Result<Vec<Row>> {
     let agent = agent()?;
     let mut rows = by_tenants(sizes, effort, place, agent)?;
-    let at = |part: &'static str| move |why: io::Error| io::Error::new(why.kind(), format!("{part}: {why}"));
+    let at = |part: &'static str| {
+        move |why: io::Error| io::Error::new(why.kind(), format!("{part}: {why}"))
+    };
     rows.extend(idle(sizes, effort, place, agent).map_err(at("connections at rest"))?);
     rows.extend(by_requests(sizes, effort, place, agent).map_err(at("requests"))?);
     Ok(rows)
 }
 
-fn by_tenants(sizes: &Sizes, effort: &Effort, place: &Place, agent: SocketAddr) -> io::Result<Vec<Row>> {
+fn by_tenants(
+    sizes: &Sizes,
+    effort: &Effort,
+    place: &Place,
+    agent: SocketAddr,
+) -> io::Result<Vec<Row>> {
     let base = start(1, 1_024, agent, place)?.process.rss()?;
-    let (mut rss, mut after, mut cpu, mut begins, mut files) = (vec![], vec![], vec![], vec![], vec![]);
+    let (mut rss, mut after, mut cpu, mut begins, mut files) =
+        (vec![], vec![], vec![], vec![], vec![]);
     for part in &effort.parts {
         let tenants = ((sizes.tenants as f64 * part) as usize).max(1);
         let x = tenants as f64;
@@ -156,7 +189,8 @@
         let mut least = Duration::MAX;
         for k in 1..=effort.reloads {
             let rate = limits::REQUESTS + (k % 2) as f64;
-            let text = settings::node("n1", node.addr, node.agent, tenants, 1_024, rate).to_string();
+            let text =
+                settings::node("n1", node.addr, node.agent, tenants, 1_024, rate).to_string();
             fs::write(&node.path, text)?;
             let before = node.process.cpu()?;
             node.process.signal(Signal::HUP);
@@ -168,8 +202,15 @@
         after.push((x, node.process.rss()? - base));
     }
     let note = "crates/node/src/reload.rs, crates/settings";
-    let named =
-        |what, unit, limit| Named { role: "node", what, unit, by: "tenants", limit, note, counted: false };
+    let named = |what, unit, limit| Named {
+        role: "node",
+        what,
+        unit,
+        by: "tenants",
+        limit,
+        note,
+        counted: false,
+    };
     let share = sizes.changes as f64 / limits::DAY_S * 100.0;
     let tenants = sizes.tenants as f64;
     let line = |named: Named<'_>, points: &[(f64, f64)], times: f64| {
@@ -178,11 +219,30 @@
     let mb = Some(limits::CONTROL_MB);
     let core = Some(limits::CONTROL_CPU);
     Ok(vec![
-        line(named("memory after its start above one tenant", "MB", mb), &rss, 1e-6),
-        line(named("memory after reloads above one tenant", "MB", mb), &after, 1e-6),
-        line(named("each change read as a whole: processor time", "% of a core", core), &cpu, share),
+        line(
+            named("memory after its start above one tenant", "MB", mb),
+            &rss,
+            1e-6,
+        ),
+        line(
+            named("memory after reloads above one tenant", "MB", mb),
+            &after,
+            1e-6,
+        ),
+        line(
+            named(
+                "each change read as a whole: processor time",
+                "% of a core",
+                core,
+            ),
+            &cpu,
+            share,
+        ),
         line(named("processor time of a start", "ms", None), &begins, 1e3),
-        Row { counted: true, ..line(named("its file", "MB", None), &files, 1e-6) },
+        Row {
+            counted: true,
+            ..line(named("its file", "MB", None), &files, 1e-6)
+        },
     ])
 }
 
@@ -195,7 +255,11 @@
 /// Idle connections that each had a request, at a node and at a forwarder.
 fn idle(sizes: &Sizes, effort: &Effort, place: &Place, agent: SocketAddr) -> io::Result<Vec<Row>> {
     let mut rows = Vec::new();
-    let behind = Make { forget_runs: true, ..Make::default() }.start();
+    let behind = Make {
+        forget_runs: true,
+        ..Make::default()
+    }
+    .start();
     for role in ["node", "forwarder"] {
         let (mut points, mut open) = (Vec::new(), Vec::new());
         let (process, addr) = if role == "node" {
@@ -210,7 +274,10 @@
                 let mut stream = connect(addr)?;
                 let asked = ask(&mut stream, open.len() as i32 + 1_000);
                 asked.map_err(|why| {
-                    io::Error::new(why.kind(), format!("{role}, connection {}: {why}", open.len()))
+                    io::Error::new(
+                        why.kind(),
+                        format!("{role}, connection {}: {why}", open.len()),
+                    )
                 })?;
                 open.push(stream);
             }
@@ -256,13 +323,21 @@
     let path = place.folder.join("front.rain");
     fs::write(&path, text)?;
     let mut command = Command::new(program("rainstand", place.programs.as_deref())?);
-    command.args(["forward", "--listen", "127.0.0.1:0", "--config"]).arg(&path);
+    command
+        .args(["forward", "--listen", "127.0.0.1:0", "--config"])
+        .arg(&path);
     let mut process = Counted::start(command, &place.folder.join("front.log"))?;
     process.says("event=\"start\"", 1)?;
     let said = process.said();
-    let at = said.split("listen=").nth(1).and_then(|rest| rest.split_whitespace().next());
+    let at = said
+        .split("listen=")
+        .nth(1)
+        .and_then(|rest| rest.split_whitespace().next());
     let at = at.and_then(|at| at.trim_matches('"').parse().ok());
-    Ok((process, at.ok_or_else(|| io::Error::other("a forwarder says no address"))?))
+    Ok((
+        process,
+        at.ok_or_else(|| io::Error::other("a forwarder says no address"))?,
+    ))
 }
 
 /// What one run of requests came to.
@@ -292,11 +367,19 @@
     }
     times.sort_unstable();
     let late = times.get(many * 99 / 100).copied().unwrap_or_default();
-    Ok(Asked { cpu: node.process.cpu()?.saturating_sub(before), late })
+    Ok(Asked {
+        cpu: node.process.cpu()?.saturating_sub(before),
+        late,
+    })
 }
 
 /// A handshake for each request against none: processor time at the node, and time added.
-fn by_requests(sizes: &Sizes, effort: &Effort, place: &Place, agent: SocketAddr) -> io::Result<Vec<Row>> {
+fn by_requests(
+    sizes: &Sizes,
+    effort: &Effort,
+    place: &Place,
+    agent: SocketAddr,
+) -> io::Result<Vec<Row>> {
     let node = start(1, 1_024, agent, place)?;
     warm(node.addr)?;
     let (mut on_one, mut each, mut added) = (Vec::new(), Vec::new(), Vec::new());
@@ -306,7 +389,10 @@
             let (one, own) = (requests(&node, many, false)?, requests(&node, many, true)?);
             least_one = least_one.min(one.cpu.as_secs_f64());
             least_own = least_own.min(own.cpu.as_secs_f64());
-            added.push((many as f64, own.late.saturating_sub(one.late).as_secs_f64() * 1e3));
+            added.push((
+                many as f64,
+                own.late.saturating_sub(one.late).as_secs_f64() * 1e3,
+            ));
         }
         on_one.push((many as f64, least_one));
         each.push((many as f64, least_own));
@@ -324,9 +410,18 @@
     };
     let core = |points: &[(f64, f64)], what| {
         let note = "the line's slope times the requests of a second; crates/node/src/take_in.rs";
-        let mut row = Row::fitted(&named(what, "% of a core", None, note), points, rate, Grows::Line, 100.0);
+        let mut row = Row::fitted(
+            &named(what, "% of a core", None, note),
+            points,
+            rate,
+            Grows::Line,
+            100.0,
+        );
         // Of the requests of a second alone, without what a run of them costs once.
-        row.at_size = row.slope.filter(|_| row.bends.is_none()).map(|slope| slope * rate);
+        row.at_size = row
+            .slope
+            .filter(|_| row.bends.is_none())
+            .map(|slope| slope * rate);
         row
     };
     let mut lates: Vec<f64> = added.iter().map(|p| p.1).collect();
@@ -346,8 +441,14 @@
     );
     late.points = added;
     Ok(vec![
-        core(&on_one, "its part of the requests, connections kept: processor time"),
-        core(&each, "its part of the requests, a handshake for each: processor time"),
+        core(
+            &on_one,
+            "its part of the requests, connections kept: processor time",
+        ),
+        core(
+            &each,
+            "its part of the requests, a handshake for each: processor time",
+        ),
         late,
     ])
 }
--- a/crates/rig/src/scale/table.rs
+++ b/crates/rig/src/scale/table.rs
@@ -60,8 +60,8 @@
 }
 
 fn read(path: &Path) -> io::Result<Earlier> {
-    let text =
-        fs::read(path).map_err(|why| io::Error::new(why.kind(), format!("{}: {why}", path.display())))?;
+    let text = fs::read(path)
+        .map_err(|why| io::Error::new(why.kind(), format!("{}: {why}", path.display())))?;
     Ok(serde_json::from_slice(&text)?)
 }
 
@@ -84,8 +84,13 @@
         read(earlier)?;
     }
     let folder = tempfile::tempdir()?;
-    let place = Place { programs: options.programs.clone(), folder: folder.path().to_owned() };
-    let rows = measure(&sizes, &effort, &place, |part| eprintln!("measuring: {part}"))?;
+    let place = Place {
+        programs: options.programs.clone(),
+        folder: folder.path().to_owned(),
+    };
+    let rows = measure(&sizes, &effort, &place, |part| {
+        eprintln!("measuring: {part}")
+    })?;
     Ok((sizes, rows))
 }
 
@@ -130,7 +135,9 @@
     };
     rows.sort_by(|a, b| {
         let ((group, ratio), (group_b, ratio_b)) = (key(a), key(b));
-        group.cmp(&group_b).then(ratio_b.partial_cmp(&ratio).unwrap_or(Ordering::Equal))
+        group
+            .cmp(&group_b)
+            .then(ratio_b.partial_cmp(&ratio).unwrap_or(Ordering::Equal))
     });
 }
 
@@ -174,7 +181,10 @@
 fn reach(row: &Row) -> String {
     let run = format!("{} {}", figure(row.measured_up_to), row.by);
     if row.size > row.measured_up_to * 1.001 && row.at_size.is_some() && row.slope.is_some() {
-        return format!("{run}, carried {:.1} times further", row.size / row.measured_up_to);
+        return format!(
+            "{run}, carried {:.1} times further",
+            row.size / row.measured_up_to
+        );
     }
     run
 }
@@ -186,23 +196,54 @@
         (Some(_), None) => "not told".into(),
         (None, None) => "none".into(),
     };
-    let limit = row.limit.map_or(String::new(), |limit| format!("{} {}", figure(limit), row.unit));
+    let limit = row.limit.map_or(String::new(), |limit| {
+        format!("{} {}", figure(limit), row.unit)
+    });
     let mut note = row.note.clone();
     if let Some(bends) = &row.bends {
-        note = if note.is_empty() { bends.clone() } else { format!("{bends}; {note}") };
+        note = if note.is_empty() {
+            bends.clone()
+        } else {
+            format!("{bends}; {note}")
+        };
     }
-    [row.role.clone(), row.what.clone(), at, limit, or(row.ratio), holds(row).into(), reach(row), note]
+    [
+        row.role.clone(),
+        row.what.clone(),
+        at,
+        limit,
+        or(row.ratio),
+        holds(row).into(),
+        reach(row),
+        note,
+    ]
 }
 
-const HEAD: [&str; 8] =
-    ["role", "requirement", "at this size", "limit", "ratio", "holds", "run up to", "what is behind it"];
+const HEAD: [&str; 8] = [
+    "role",
+    "requirement",
+    "at this size",
+    "limit",
+    "ratio",
+    "holds",
+    "run up to",
+    "what is behind it",
+];
 
 /// The head table of the page, ready to be pasted.
 pub fn markdown(rows: &[Row]) -> String {
-    let mut text = format!("| {} |\n|{}\n", HEAD.join(" | "), " --- |".repeat(HEAD.len()));
+    let mut text = format!(
+        "| {} |\n|{}\n",
+        HEAD.join(" | "),
+        " --- |".repeat(HEAD.len())
+    );
     for row in rows {
         // Writing to a string cannot fail.
-        let _ = writeln!(text, "| {} |", cells(row).map(|cell| cell.replace('|', "/")).join(" | "));
+        let _ = writeln!(
+            text,
+            "| {} |",
+            cells(row).map(|cell| cell.replace('|', "/")).join(" | ")
+        );
     }
     text
 }
--- a/crates/rig/src/shrink.rs
+++ b/crates/rig/src/shrink.rs
@@ -41,8 +41,11 @@
                 return left;
             }
             plays += 1;
-            let without: Vec<Step> =
-                left.iter().filter(|step| !gone.contains(&step.fault)).copied().collect();
+            let without: Vec<Step> = left
+                .iter()
+                .filter(|step| !gone.contains(&step.fault))
+                .copied()
+                .collect();
             if fails(&without) {
                 left = without;
                 smaller = true;
--- a/crates/rig/src/sim.rs
+++ b/crates/rig/src/sim.rs
@@ -253,8 +253,15 @@
     }
     sim.compare();
     let keyed = sim.tickets.len();
-    let answered =
-        sim.out.history.iter().filter(|line| matches!(line.event, Seen::End { end: End::Answer, .. }));
+    let answered = sim.out.history.iter().filter(|line| {
+        matches!(
+            line.event,
+            Seen::End {
+                end: End::Answer,
+                ..
+            }
+        )
+    });
     sim.out.answered = (answered.count(), keyed);
     sim.out
 }
@@ -266,7 +273,11 @@
 
     fn later(&mut self, after: u64, what: Step) {
         self.order += 1;
-        self.events.push(Event { at: self.now + after, order: self.order, what });
+        self.events.push(Event {
+            at: self.now + after,
+            order: self.order,
+            what,
+        });
     }
 
     fn draw(&mut self, n: u64) -> u64 {
@@ -310,16 +321,30 @@
             Step::Up { node } => self.up(node),
             Step::Wake { node, life } if self.lives(node, life) => {
                 if self.nodes[node].stopped {
-                    self.nodes[node].waiting.push_back(Step::Wake { node, life });
+                    self.nodes[node]
+                        .waiting
+                        .push_back(Step::Wake { node, life });
                 } else {
                     self.nodes[node].wake = u64::MAX;
                     self.with(node, |member, now| member.tick(now));
                 }
             }
-            Step::Flushed { node, life, number } if self.lives(node, life) => self.flushed(node, number),
-            Step::Arrive { from, to, life, frame } if self.lives(to, life) => {
+            Step::Flushed { node, life, number } if self.lives(node, life) => {
+                self.flushed(node, number)
+            }
+            Step::Arrive {
+                from,
+                to,
+                life,
+                frame,
+            } if self.lives(to, life) => {
                 if self.nodes[to].stopped {
-                    self.nodes[to].waiting.push_back(Step::Arrive { from, to, life, frame });
+                    self.nodes[to].waiting.push_back(Step::Arrive {
+                        from,
+                        to,
+                        life,
+                        frame,
+                    });
                 } else if self.nodes[from].member.is_some() || self.draw(2) == 0 {
                     self.with(to, |member, now| member.receive(now, &name(from), frame));
                 }
@@ -337,18 +362,31 @@
                 // Without a node named: one that learns just now.
                 let learner = || {
                     let members = self.nodes.iter().filter_map(|node| node.member.as_ref());
-                    let shards = members.flat_map(|member| member.shards()).filter(|shard| shard.1.leads());
+                    let shards = members
+                        .flat_map(|member| member.shards())
+                        .filter(|shard| shard.1.leads());
                     let mut all = shards.flat_map(|shard| &shard.1.config().members);
                     let id = all.find(|member| !member.votes)?.id;
-                    let is = |node: &Node| node.member.as_ref().is_some_and(|member| member.disk() == id);
+                    let is = |node: &Node| {
+                        node.member
+                            .as_ref()
+                            .is_some_and(|member| member.disk() == id)
+                    };
                     self.nodes.iter().position(is)
                 };
-                let node = if node == usize::MAX { learner() } else { Some(node) };
+                let node = if node == usize::MAX {
+                    learner()
+                } else {
+                    Some(node)
+                };
                 let Some(node) = node else { return };
                 let leader = (0..self.world.nodes).find(|k| *k != node && self.leads(*k));
                 if let Some(leader) = leader.filter(|_| self.ills.iter().all(Option::is_none)) {
                     let fault = self.ills.len();
-                    self.ills.push(Some(Ill::Part { seed: 1 << node | 1 << leader, one_way: false }));
+                    self.ills.push(Some(Ill::Part {
+                        seed: 1 << node | 1 << leader,
+                        one_way: false,
+                    }));
                     self.later(700 * MS, Step::Heal { fault });
                 }
             }
@@ -419,7 +457,10 @@
         }
         let chance = [self.draw(u64::MAX - 1) + 1, self.draw(u64::MAX)];
         let disk = self.nodes[node].disk.clone();
-        let limits = Limits { segment: 20_000, log: 100_000 };
+        let limits = Limits {
+            segment: 20_000,
+            log: 100_000,
+        };
         let (store, found) = match Store::open(disk.clone(), limits, chance) {
             Ok(opened) => opened,
             Err(OpenError::Damaged(_)) => {
@@ -428,7 +469,12 @@
                 let _ = rainstand_store::Disk::set_aside(&mut folder);
                 match Store::open(folder, limits, chance) {
                     Ok(opened) => opened,
-                    Err(why) => return self.out.wrong.push(format!("{} does not open: {why}", name(node))),
+                    Err(why) => {
+                        return self
+                            .out
+                            .wrong
+                            .push(format!("{} does not open: {why}", name(node)))
+                    }
                 }
             }
             Err(OpenError::Io(_)) => return self.later(200 * MS, Step::Up { node }),
@@ -439,7 +485,12 @@
     fn begin(&mut self, node: usize, store: Store<Faulty>, recovered: Recovered) {
         let identity = store.identity();
         self.trace(|| {
-            format!("{} starts, disk {:08x} start {}", name(node), identity.disk as u32, identity.boot)
+            format!(
+                "{} starts, disk {:08x} start {}",
+                name(node),
+                identity.disk as u32,
+                identity.boot
+            )
         });
         let options = self.options(node);
         let now = self.clock(node);
@@ -457,8 +508,20 @@
         one.waiting.clear();
         self.out.restarts += 1;
         for other in (0..self.world.nodes).filter(|other| *other != node) {
-            self.later(2 * MS, Step::Link { from: node, to: other });
-            self.later(2 * MS, Step::Link { from: other, to: node });
+            self.later(
+                2 * MS,
+                Step::Link {
+                    from: node,
+                    to: other,
+                },
+            );
+            self.later(
+                2 * MS,
+                Step::Link {
+                    from: other,
+                    to: node,
+                },
+            );
         }
         self.with(node, |member, now| member.tick(now));
     }
@@ -509,17 +572,25 @@
     /// Calls into a member, and what follows from it.
     fn with(&mut self, node: usize, call: impl FnOnce(&mut Member, Duration)) {
         let now = self.clock(node);
-        let Some(member) = &mut self.nodes[node].member else { return };
+        let Some(member) = &mut self.nodes[node].member else {
+            return;
+        };
         call(member, now);
         let effects = member.take();
         let wake = member.wake();
         let stopped = member.stopped();
         self.follow(node, effects);
-        if stopped && self.nodes[node].member.as_ref().is_some_and(|member| member.stopped()) {
+        if stopped
+            && self.nodes[node]
+                .member
+                .as_ref()
+                .is_some_and(|member| member.stopped())
+        {
             return;
         }
         let rate = self.nodes[node].clock.0;
-        let after = (wake.saturating_sub(now).as_nanos() as u64).min(1_000 * MS) * 1_000 / rate.max(1) + 1;
+        let after =
+            (wake.saturating_sub(now).as_nanos() as u64).min(1_000 * MS) * 1_000 / rate.max(1) + 1;
         if self.now + after < self.nodes[node].wake {
             self.nodes[node].wake = self.now + after;
             let life = self.nodes[node].life;
@@ -528,7 +599,14 @@
     }
 
     fn follow(&mut self, node: usize, effects: Effects) {
-        let Effects { frames, write, told, timed_out, news, versions: _ } = effects;
+        let Effects {
+            frames,
+            write,
+            told,
+            timed_out,
+            news,
+            versions: _,
+        } = effects;
         if let Some(write) = write {
             self.nodes[node].jobs.push_back(write);
             self.flush(node);
@@ -548,7 +626,9 @@
                     let disk = self.nodes[node].member.as_ref().map_or(0, Member::disk);
                     let before = self.leaders.insert((shard, term), disk);
                     if before.is_some_and(|before| before != disk) {
-                        self.out.wrong.push(format!("two lead shard {shard} in term {term}"));
+                        self.out
+                            .wrong
+                            .push(format!("two lead shard {shard} in term {term}"));
                     }
                 }
                 News::Differs { .. } => {
@@ -602,17 +682,31 @@
             return;
         }
         let after = slow + MS / 2 + self.draw(3 * MS);
-        self.later(after, Step::Flushed { node, life, number: to });
+        self.later(
+            after,
+            Step::Flushed {
+                node,
+                life,
+                number: to,
+            },
+        );
     }
 
     fn flushed(&mut self, node: usize, number: u64) {
-        let Some(store) = &mut self.nodes[node].store else { return };
+        let Some(store) = &mut self.nodes[node].store else {
+            return;
+        };
         if store.flush().is_err() {
             // Said, and nothing more is confirmed until the process is started anew.
             if let Some(member) = &mut self.nodes[node].member {
                 member.stop();
             }
-            return self.later(1_500 * MS, Step::Heal { fault: usize::MAX - node });
+            return self.later(
+                1_500 * MS,
+                Step::Heal {
+                    fault: usize::MAX - node,
+                },
+            );
         }
         let pressing = store.pressing();
         self.nodes[node].flushing = false;
@@ -642,7 +736,11 @@
         let slow = self.ills.contains(&Some(Ill::Slow));
         // A link that loses these breaks, and says them again when it is back.
         use rainstand_copies::frames::What as Said;
-        let lossy = lossy && !matches!(frame.what, Some(Said::Hello(_) | Said::Behind(_) | Said::Form(_)));
+        let lossy = lossy
+            && !matches!(
+                frame.what,
+                Some(Said::Hello(_) | Said::Behind(_) | Said::Form(_))
+            );
         if !self.passes(from, to) || self.nodes[to].member.is_none() || lossy && self.draw(5) == 0 {
             return;
         }
@@ -650,9 +748,21 @@
         let frame = Frame::decode(&frame.encode_to_vec()[..]).unwrap_or_default();
         let times = if lossy && self.draw(8) == 0 { 2 } else { 1 };
         for _ in 0..times {
-            let delay = if slow { 20 * MS + self.draw(120 * MS) } else { MS / 10 + self.draw(2 * MS) };
+            let delay = if slow {
+                20 * MS + self.draw(120 * MS)
+            } else {
+                MS / 10 + self.draw(2 * MS)
+            };
             let life = self.nodes[to].life;
-            self.later(delay, Step::Arrive { from, to, life, frame: frame.clone() });
+            self.later(
+                delay,
+                Step::Arrive {
+                    from,
+                    to,
+                    life,
+                    frame: frame.clone(),
+                },
+            );
         }
     }
 
@@ -664,8 +774,14 @@
         let lasts = 200 * MS + self.draw(1_500 * MS);
         let kind = self.draw(if self.world.swaps { 18 } else { 15 });
         let ill = match kind {
-            0 | 1 => Ill::Part { seed: self.draw(1 << n), one_way: false },
-            2 => Ill::Part { seed: self.draw(1 << n), one_way: true },
+            0 | 1 => Ill::Part {
+                seed: self.draw(1 << n),
+                one_way: false,
+            },
+            2 => Ill::Part {
+                seed: self.draw(1 << n),
+                one_way: true,
+            },
             3 => Ill::Slow,
             4 => Ill::Lossy,
             5 => Ill::Stop(node),
@@ -710,7 +826,11 @@
             }
             // Swaps of a disk: one at a time, and only while the others are all up, as an operator would.
             _ => {
-                let busy = self.ills.iter().flatten().any(|ill| !matches!(ill, Ill::Slow | Ill::Clock(_)));
+                let busy = self
+                    .ills
+                    .iter()
+                    .flatten()
+                    .any(|ill| !matches!(ill, Ill::Slow | Ill::Clock(_)));
                 if busy || !self.whole() {
                     return;
                 }
@@ -726,7 +846,11 @@
             Ill::DiskSlow(node) => self.nodes[node].slow = 30 * MS,
             Ill::DiskFails(node) => {
                 let full = self.draw(2) == 0;
-                self.nodes[node].disk.ills(Ills { flush_fails: !full, full, ..Ills::default() });
+                self.nodes[node].disk.ills(Ills {
+                    flush_fails: !full,
+                    full,
+                    ..Ills::default()
+                });
             }
             Ill::Clock(node) => {
                 let rate = [700, 1_500][self.draw(2) as usize];
@@ -746,9 +870,15 @@
     /// Everybody is up, and every shard has all its copies on disks that are there: what an operator waits for before
     /// the next disk is touched.
     fn whole(&self) -> bool {
-        let disks: Vec<u64> =
-            self.nodes.iter().filter_map(|one| one.member.as_ref()).map(Member::disk).collect();
-        let up = |one: &Node| !one.stopped && one.member.as_ref().is_some_and(|member| !member.stopped());
+        let disks: Vec<u64> = self
+            .nodes
+            .iter()
+            .filter_map(|one| one.member.as_ref())
+            .map(Member::disk)
+            .collect();
+        let up = |one: &Node| {
+            !one.stopped && one.member.as_ref().is_some_and(|member| !member.stopped())
+        };
         let mut led = 0;
         for member in self.nodes.iter().filter_map(|one| one.member.as_ref()) {
             if member.peers().any(|peer| peer.3) {
@@ -757,7 +887,9 @@
             for (_, replica, _) in member.shards().filter(|shard| shard.1.leads()) {
                 led += 1;
                 let there = |one: &rainstand_replica::Member| one.votes && disks.contains(&one.id);
-                let caught_up = replica.progress().all(|(_, matched, _)| matched >= replica.commit());
+                let caught_up = replica
+                    .progress()
+                    .all(|(_, matched, _)| matched >= replica.commit());
                 let config = replica.config();
                 if !caught_up
                     || config.members.len() != self.world.copies
@@ -771,7 +903,10 @@
     }
 
     fn leads(&self, node: usize) -> bool {
-        self.nodes[node].member.as_ref().is_some_and(|member| member.leading() > 0)
+        self.nodes[node]
+            .member
+            .as_ref()
+            .is_some_and(|member| member.leading() > 0)
     }
 
     /// It comes back with an empty disk, or with an old copy of its own.
@@ -781,7 +916,11 @@
         }
         self.out.swaps += 1;
         self.trace(|| {
-            format!("{} comes back with its disk {}", name(node), if empty { "empty" } else { "as it was" })
+            format!(
+                "{} comes back with its disk {}",
+                name(node),
+                if empty { "empty" } else { "as it was" }
+            )
         });
         self.crash(node);
         match self.nodes[node].backup.clone().filter(|_| !empty) {
@@ -803,13 +942,19 @@
             // A node whose disk failed is started anew.
             let node = usize::MAX - fault;
             self.nodes[node].disk.ills(Ills::default());
-            if self.nodes[node].member.as_ref().is_some_and(Member::stopped) {
+            if self.nodes[node]
+                .member
+                .as_ref()
+                .is_some_and(Member::stopped)
+            {
                 self.crash(node);
                 self.later(50 * MS, Step::Up { node });
             }
             return;
         }
-        let Some(ill) = self.ills[fault].take() else { return };
+        let Some(ill) = self.ills[fault].take() else {
+            return;
+        };
         match ill {
             Ill::Stop(node) if !self.ills.contains(&Some(ill)) => {
                 self.disturb(node);
@@ -847,7 +992,12 @@
 
     fn line(&mut self, by: String, event: Seen) {
         let line = self.out.history.len() + 1;
-        self.out.history.push(Line { at: self.now, by, line, event });
+        self.out.history.push(Line {
+            at: self.now,
+            by,
+            line,
+            event,
+        });
     }
 
     fn ask(&mut self, key: Option<usize>) {
@@ -868,7 +1018,9 @@
             let also = self.draw(3 * MS);
             self.later(also, Step::Ask { key: Some(key) });
         }
-        let Some(member) = &self.nodes[node].member else { return };
+        let Some(member) = &self.nodes[node].member else {
+            return;
+        };
         let (ticket, stopped) = (self.tickets.len(), self.nodes[node].stopped);
         let claim = member.claim(&(ticket as u128).to_be_bytes());
         // One in many comes with another body.
@@ -897,8 +1049,15 @@
         if stopped {
             return;
         }
-        let start = What::Start(Start { sum, window: WINDOW });
-        let command = Command { key: Bytes::from(format!("k{key}")), claim, what: Some(start) };
+        let start = What::Start(Start {
+            sum,
+            window: WINDOW,
+        });
+        let command = Command {
+            key: Bytes::from(format!("k{key}")),
+            claim,
+            what: Some(start),
+        };
         self.question(node, ticket, command, START_WITHIN);
     }
 
@@ -921,7 +1080,9 @@
         call: impl FnOnce(&mut Member, Duration) -> Option<u64>,
     ) {
         let now = self.clock(node);
-        let Some(member) = &mut self.nodes[node].member else { return };
+        let Some(member) = &mut self.nodes[node].member else {
+            return;
+        };
         let id = call(member, now);
         if let Some(id) = id {
             self.nodes[node].asked.insert(id, ticket);
@@ -930,7 +1091,9 @@
     }
 
     fn step(&mut self, ticket: usize, event: tickets::Event) {
-        let Some(stage) = self.tickets[ticket].stage else { return };
+        let Some(stage) = self.tickets[ticket].stage else {
+            return;
+        };
         let (next, act) = tickets::step(stage, event);
         self.tickets[ticket].stage = next;
         let node = self.tickets[ticket].node;
@@ -959,15 +1122,23 @@
         let one = &self.tickets[ticket];
         let trace = (ticket as u128).to_be_bytes();
         let member = self.nodes[one.node].member.as_ref();
-        let claim = member.map(|member| member.claim(&trace)).unwrap_or_default();
-        Command { key: Bytes::from(format!("k{}", one.key)), claim, what: Some(what) }
+        let claim = member
+            .map(|member| member.claim(&trace))
+            .unwrap_or_default();
+        Command {
+            key: Bytes::from(format!("k{}", one.key)),
+            claim,
+            what: Some(what),
+        }
     }
 
     /// The agent goes on whatever becomes of its node.
     fn run_ends(&mut self, node: usize, ticket: usize) {
         let result = format!("{}-{ticket}", name(node));
         let asked = self.out.history.iter().find_map(|line| match &line.event {
-            Seen::Ask { ticket: t, body, .. } if *t == format!("t{ticket}") => body.clone(),
+            Seen::Ask {
+                ticket: t, body, ..
+            } if *t == format!("t{ticket}") => body.clone(),
             _ => None,
         });
         let ran = Seen::Ran {
@@ -986,12 +1157,17 @@
             return self.later(100 * MS, Step::Notice { node, ticket });
         }
         if self.nodes[node].stopped {
-            return self.nodes[node].waiting.push_back(Step::Notice { node, ticket });
+            return self.nodes[node]
+                .waiting
+                .push_back(Step::Notice { node, ticket });
         }
         let result = Bytes::from(self.tickets[ticket].result.clone().unwrap_or_default());
         if self.lives(node, self.tickets[ticket].life) {
             if let Some(identity) = self.nodes[node].store.as_ref().map(Store::identity) {
-                *self.charged.entry((identity.disk, identity.boot)).or_default() += 1 + ticket as u64 % 7;
+                *self
+                    .charged
+                    .entry((identity.disk, identity.boot))
+                    .or_default() += 1 + ticket as u64 % 7;
             }
             if let Some(member) = &mut self.nodes[node].member {
                 member.spent("acme", 1 + ticket as u64 % 7);
@@ -1000,7 +1176,10 @@
         }
         // A run of an earlier start: its key is in the copies here, or nobody hears of it.
         let trace = (ticket as u128).to_be_bytes();
-        let key = self.nodes[node].member.as_ref().and_then(|member| member.started_here(&trace));
+        let key = self.nodes[node]
+            .member
+            .as_ref()
+            .and_then(|member| member.started_here(&trace));
         if key.is_some() {
             let command = self.command(ticket, What::Done(result));
             self.with(node, |member, now| {
@@ -1017,9 +1196,19 @@
             return self.say(ticket, End::Gone, None);
         }
         // As the node's own alarm does, just in time.
-        let launched =
-            matches!(self.tickets[ticket].stage, Some(Stage::Running | Stage::Keeping | Stage::Waiting));
-        self.say(ticket, if launched { End::GivenUp } else { End::Dismissed }, None);
+        let launched = matches!(
+            self.tickets[ticket].stage,
+            Some(Stage::Running | Stage::Keeping | Stage::Waiting)
+        );
+        self.say(
+            ticket,
+            if launched {
+                End::GivenUp
+            } else {
+                End::Dismissed
+            },
+            None,
+        );
         if !launched {
             self.tickets[ticket].stage = None;
         }
@@ -1027,7 +1216,14 @@
 
     fn say(&mut self, ticket: usize, end: End, result: Option<String>) {
         if std::mem::replace(&mut self.tickets[ticket].open, false) {
-            self.line("caller".into(), Seen::End { ticket: format!("t{ticket}"), end, result });
+            self.line(
+                "caller".into(),
+                Seen::End {
+                    ticket: format!("t{ticket}"),
+                    end,
+                    result,
+                },
+            );
         }
     }
 
@@ -1044,9 +1240,16 @@
             };
             for (disk, report) in member.reports.iter() {
                 let told = report.spent.get("acme").copied().unwrap_or(0);
-                let truth = self.charged.get(&(disk, report.epoch)).copied().unwrap_or(0);
+                let truth = self
+                    .charged
+                    .get(&(disk, report.epoch))
+                    .copied()
+                    .unwrap_or(0);
                 if told > truth {
-                    wrong.push(format!("{} has {told} of what a node charged: {truth}", name(k)));
+                    wrong.push(format!(
+                        "{} has {told} of what a node charged: {truth}",
+                        name(k)
+                    ));
                 }
             }
             for (shard, replica, table) in member.shards() {
@@ -1058,18 +1261,26 @@
                 let state = twox_hash::XxHash3_64::oneshot(&table.keep());
                 let members = twox_hash::XxHash3_64::oneshot(&replica.config().encode_to_vec());
                 let members = replica.settled().then_some(members);
-                let entry = seen.entry((shard, replica.applied())).or_insert((sum, state, members, k));
+                let entry = seen
+                    .entry((shard, replica.applied()))
+                    .or_insert((sum, state, members, k));
                 let what = if entry.0 != sum {
                     "entries"
                 } else if entry.1 != state {
                     "keys"
-                } else if entry.2.zip(members).is_some_and(|(one, other)| one != other) {
+                } else if entry
+                    .2
+                    .zip(members)
+                    .is_some_and(|(one, other)| one != other)
+                {
                     "members"
                 } else {
                     continue;
                 };
                 let (at, one, other) = (replica.applied(), name(k), name(entry.3));
-                wrong.push(format!("shard {shard} at {at}: {what} of {one} and {other} differ"));
+                wrong.push(format!(
+                    "shard {shard} at {at}: {what} of {one} and {other} differ"
+                ));
             }
         }
         self.out.wrong.extend(wrong);
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -142,7 +142,10 @@
         }
     }
     // A schedule that was written by hand may last longer than the run.
-    let _ = timeout(COMES_UP, async { while playing.join_next().await.is_some() {} }).await;
+    let _ = timeout(COMES_UP, async {
+        while playing.join_next().await.is_some() {}
+    })
+    .await;
     stage.over.set(true);
     watching.abort();
     for n in 0..stage.nodes.len() {
@@ -166,7 +169,9 @@
 
 /// All parts of the history, as one file too.
 fn gather(folder: &Path) -> io::Result<Vec<history::Seen>> {
-    let mut parts: Vec<PathBuf> = fs::read_dir(folder)?.filter_map(|e| Some(e.ok()?.path())).collect();
+    let mut parts: Vec<PathBuf> = fs::read_dir(folder)?
+        .filter_map(|e| Some(e.ok()?.path()))
+        .collect();
     parts.retain(|path| path.extension().is_some_and(|end| end == "part"));
     parts.sort();
     let whole = folder.join("history.jsonl");
@@ -184,26 +189,40 @@
     let mut answered = std::collections::HashSet::new();
     let mut times = Vec::new();
     for one in seen {
-        if let Event::End { ticket, end: End::Answer, .. } = &one.event {
+        if let Event::End {
+            ticket,
+            end: End::Answer,
+            ..
+        } = &one.event
+        {
             answered.insert((one.by.as_str(), ticket.as_str()));
         }
     }
     let asked: Vec<(u64, bool, bool)> = seen
         .iter()
         .filter_map(|one| match &one.event {
-            Event::Ask { ticket, key, .. } => {
-                Some((one.at, key.is_some(), answered.contains(&(one.by.as_str(), ticket.as_str()))))
-            }
+            Event::Ask { ticket, key, .. } => Some((
+                one.at,
+                key.is_some(),
+                answered.contains(&(one.by.as_str(), ticket.as_str())),
+            )),
             _ => None,
         })
         .collect();
-    let share =
-        |of: &[&(u64, bool, bool)]| of.iter().filter(|one| one.2).count() as f64 / of.len().max(1) as f64;
+    let share = |of: &[&(u64, bool, bool)]| {
+        of.iter().filter(|one| one.2).count() as f64 / of.len().max(1) as f64
+    };
     report.answered = share(&asked.iter().collect::<Vec<_>>());
     let begun = asked.iter().map(|one| one.0).min().unwrap_or(0);
     for step in steps {
-        let (from, until) = (begun + step.from.as_nanos() as u64, begun + step.until.as_nanos() as u64);
-        let during: Vec<_> = asked.iter().filter(|one| one.1 && (from..until).contains(&one.0)).collect();
+        let (from, until) = (
+            begun + step.from.as_nanos() as u64,
+            begun + step.until.as_nanos() as u64,
+        );
+        let during: Vec<_> = asked
+            .iter()
+            .filter(|one| one.1 && (from..until).contains(&one.0))
+            .collect();
         if !during.is_empty() {
             let entry = report.during.entry(kind(&step.act)).or_insert((0, 0.0));
             let before = entry.1 * entry.0 as f64;
@@ -214,37 +233,81 @@
     let keyed: std::collections::HashSet<_> = seen
         .iter()
         .filter_map(|one| match &one.event {
-            Event::Ask { ticket, key: Some(_), .. } => Some((one.by.as_str(), ticket.as_str())),
+            Event::Ask {
+                ticket,
+                key: Some(_),
+                ..
+            } => Some((one.by.as_str(), ticket.as_str())),
             _ => None,
         })
         .collect();
     for one in seen {
-        if let Event::End { ticket, end: End::Answer, .. } = &one.event {
+        if let Event::End {
+            ticket,
+            end: End::Answer,
+            ..
+        } = &one.event
+        {
             if keyed.contains(&(one.by.as_str(), ticket.as_str())) {
                 times.push(one.at);
             }
         }
     }
     times.sort_unstable();
-    let gap = times.windows(2).map(|two| two[1] - two[0]).max().unwrap_or(0);
+    let gap = times
+        .windows(2)
+        .map(|two| two[1] - two[0])
+        .max()
+        .unwrap_or(0);
     report.longest_gap_ms = gap / 1_000_000;
 }
 
 /// A fault's name in reports.
 pub fn kind(act: &Act) -> &'static str {
     match act {
-        Act::Link { trouble: Trouble::Cut { forth: true, back: true }, .. } => "cut",
-        Act::Link { trouble: Trouble::Cut { .. }, .. } => "cut one way",
-        Act::Link { trouble: Trouble::HalfOpen, .. } => "half open",
-        Act::Link { trouble: Trouble::Delay(_), .. } => "delay",
-        Act::Link { trouble: Trouble::Throttle(_), .. } => "throttle",
-        Act::Link { trouble: Trouble::Stall, .. } => "stall",
+        Act::Link {
+            trouble:
+                Trouble::Cut {
+                    forth: true,
+                    back: true,
+                },
+            ..
+        } => "cut",
+        Act::Link {
+            trouble: Trouble::Cut { .. },
+            ..
+        } => "cut one way",
+        Act::Link {
+            trouble: Trouble::HalfOpen,
+            ..
+        } => "half open",
+        Act::Link {
+            trouble: Trouble::Delay(_),
+            ..
+        } => "delay",
+        Act::Link {
+            trouble: Trouble::Throttle(_),
+            ..
+        } => "throttle",
+        Act::Link {
+            trouble: Trouble::Stall,
+            ..
+        } => "stall",
         Act::Reset { .. } => "reset",
         Act::Twice { .. } => "twice",
-        Act::Kill { disk: Disk::Same, .. } => "kill",
-        Act::Kill { disk: Disk::Empty, .. } => "kill, empty disk",
-        Act::Kill { disk: Disk::Old, .. } => "kill, old disk",
-        Act::Kill { disk: Disk::Another { .. }, .. } => "kill, another's disk",
+        Act::Kill {
+            disk: Disk::Same, ..
+        } => "kill",
+        Act::Kill {
+            disk: Disk::Empty, ..
+        } => "kill, empty disk",
+        Act::Kill {
+            disk: Disk::Old, ..
+        } => "kill, old disk",
+        Act::Kill {
+            disk: Disk::Another { .. },
+            ..
+        } => "kill, another's disk",
         Act::Chase { .. } => "leader killed",
         Act::Stop { .. } => "stop",
         Act::Roll { .. } => "roll",
@@ -260,7 +323,9 @@
 fn copy(from: &Path, to: &Path) -> io::Result<()> {
     let _ = fs::remove_dir_all(to);
     fs::create_dir_all(to)?;
-    let Ok(entries) = fs::read_dir(from) else { return Ok(()) };
+    let Ok(entries) = fs::read_dir(from) else {
+        return Ok(());
+    };
     for entry in entries {
         let entry = entry?;
         if entry.file_type()?.is_file() {
@@ -275,7 +340,11 @@
     loop {
         sleep(Duration::from_millis(20)).await;
         for n in 0..stage.nodes.len() {
-            let ended = stage.nodes[n].process.borrow_mut().as_mut().and_then(Process::ended);
+            let ended = stage.nodes[n]
+                .process
+                .borrow_mut()
+                .as_mut()
+                .and_then(Process::ended);
             if let Some(status) = ended {
                 stage.nodes[n].process.borrow_mut().take();
                 stage.fell(format!("{} ended by itself: {status}", stage.nodes[n].name));
@@ -344,9 +413,15 @@
         };
         let mut command = self.me()?;
         command.arg("agent").arg(serde_json::to_string(&options)?);
-        let mut process = Process::start(&name, command, &self.place.folder.join(format!("{name}.log")))?;
+        let mut process = Process::start(
+            &name,
+            command,
+            &self.place.folder.join(format!("{name}.log")),
+        )?;
         let said = first_line(&mut process).await?;
-        let addr = said.parse().map_err(|_| io::Error::other(format!("{name} said {said:?}")))?;
+        let addr = said
+            .parse()
+            .map_err(|_| io::Error::other(format!("{name} said {said:?}")))?;
         Ok((process, addr))
     }
 
@@ -356,7 +431,12 @@
         let options = caller::Options {
             name: name.clone(),
             seed: self.seed ^ (n as u64 + 1) << 40,
-            nodes: self.nodes.iter().enumerate().map(|(k, node)| (node.name.clone(), link(k))).collect(),
+            nodes: self
+                .nodes
+                .iter()
+                .enumerate()
+                .map(|(k, node)| (node.name.clone(), link(k)))
+                .collect(),
             every_ns: self.rig.every_ns,
             keyed: self.rig.keyed,
             repeats: self.rig.repeats,
@@ -367,12 +447,23 @@
             history: self.place.folder.join(format!("{name}.part")),
         };
         let mut command = self.me()?;
-        command.arg("caller").arg(serde_json::to_string(&options)?).stdin(Stdio::piped());
-        let mut process = Process::start(&name, command, &self.place.folder.join(format!("{name}.log")))?;
+        command
+            .arg("caller")
+            .arg(serde_json::to_string(&options)?)
+            .stdin(Stdio::piped());
+        let mut process = Process::start(
+            &name,
+            command,
+            &self.place.folder.join(format!("{name}.log")),
+        )?;
         if first_line(&mut process).await? != "ready" {
             return Err(io::Error::other(format!("{name} is not ready")));
         }
-        let stdin = process.child().stdin.take().ok_or_else(|| io::Error::other("no standard input"))?;
+        let stdin = process
+            .child()
+            .stdin
+            .take()
+            .ok_or_else(|| io::Error::other("no standard input"))?;
         self.callers.lock().await.push(stdin);
         Ok(process)
     }
@@ -383,11 +474,22 @@
         let mut last = io::Error::other("no try");
         for _ in 0..PORTS {
             let (front, peer) = (free_port()?, free_port()?);
-            fs::write(node.folder.join("node.json"), self.settings(n, front).to_string())?;
-            let mut command = Command::new(program("rainstand-node", self.place.programs.as_deref())?);
+            fs::write(
+                node.folder.join("node.json"),
+                self.settings(n, front).to_string(),
+            )?;
+            let mut command =
+                Command::new(program("rainstand-node", self.place.programs.as_deref())?);
             let log = node.folder.join("node.log");
-            command.env("ROUTER_CONFIG", node.folder.join("node.json")).stdin(Stdio::null());
-            command.stdout(fs::OpenOptions::new().create(true).append(true).open(&log)?);
+            command
+                .env("ROUTER_CONFIG", node.folder.join("node.json"))
+                .stdin(Stdio::null());
+            command.stdout(
+                fs::OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(&log)?,
+            );
             if self.rig.shards > 0 {
                 let group = node.folder.join("group.txtpb");
                 fs::write(&group, schema::to_text(&self.group(n, peer)))?;
@@ -435,7 +537,10 @@
 
     fn settings(&self, n: usize, front: SocketAddr) -> serde_json::Value {
         let agent = self.links[&Link::Agent { node: n }].addr;
-        let (name, within) = (&self.nodes[n].name, Duration::from_nanos(self.rig.within_ns));
+        let (name, within) = (
+            &self.nodes[n].name,
+            Duration::from_nanos(self.rig.within_ns),
+        );
         let mut file = node_file(name, front, agent, self.seed ^ n as u64, within);
         file["settings"]["familyInfo"]["callers"] = self.rig.callers.into();
         file["settings"]["groupSize"] = self.rig.nodes.into();
@@ -447,7 +552,12 @@
         let member = |(k, node): (usize, &Node)| schema::GroupMember {
             name: node.name.clone(),
             site: format!("s{}", k % self.rig.sites.max(1) as usize),
-            address: if k == n { own } else { self.links[&Link::Peer { from: n, to: k }].addr }.to_string(),
+            address: if k == n {
+                own
+            } else {
+                self.links[&Link::Peer { from: n, to: k }].addr
+            }
+            .to_string(),
             folder: self.nodes[k].folder.join("disk").display().to_string(),
         };
         let members = self.nodes.iter().enumerate().map(member).collect();
@@ -467,7 +577,10 @@
         let peer = self.nodes[n].peer.get()?;
         let asked = async {
             let mut stream = TcpStream::connect(peer).await.ok()?;
-            stream.write_all(&whole(&status::ask("status"))).await.ok()?;
+            stream
+                .write_all(&whole(&status::ask("status")))
+                .await
+                .ok()?;
             let mut head = [0; 4];
             stream.read_exact(&mut head).await.ok()?;
             let mut body = vec![0; (u32::from_be_bytes(head) as usize).min(16 << 20)];
@@ -486,7 +599,11 @@
         loop {
             let mut led = 0;
             for n in 0..self.nodes.len() {
-                led += self.status(n).await.and_then(|status| status["leads"].as_u64()).unwrap_or(0);
+                led += self
+                    .status(n)
+                    .await
+                    .and_then(|status| status["leads"].as_u64())
+                    .unwrap_or(0);
             }
             if led >= self.rig.shards {
                 return Ok(());
@@ -501,7 +618,9 @@
 
     /// To all callers: whether these nodes may now leave them without an answer.
     async fn tell(&self, what: &str, nodes: &[usize]) {
-        let lines = nodes.iter().map(|node| format!("{what} {}\n", self.nodes[*node].name));
+        let lines = nodes
+            .iter()
+            .map(|node| format!("{what} {}\n", self.nodes[*node].name));
         self.say(&lines.collect::<String>()).await;
     }
 
@@ -520,7 +639,10 @@
         }
         let mut act = step.act;
         if let Act::Chase { disk } = act {
-            act = Act::Kill { node: self.leader().await, disk };
+            act = Act::Kill {
+                node: self.leader().await,
+                disk,
+            };
             self.report.borrow_mut().chased += 1;
         }
         let disturbed = act.disturbs();
@@ -537,7 +659,11 @@
     async fn leader(&self) -> usize {
         let mut most = (0, 0);
         for n in 0..self.nodes.len() {
-            let leads = self.status(n).await.and_then(|status| status["leads"].as_u64()).unwrap_or(0);
+            let leads = self
+                .status(n)
+                .await
+                .and_then(|status| status["leads"].as_u64())
+                .unwrap_or(0);
             if leads > most.0 {
                 most = (leads, n);
             }
@@ -565,7 +691,11 @@
                 }
             }
             Act::Kill { node, disk } => return self.kill(node, disk, lasts, false).await,
-            Act::Torn { node } => return self.kill(node, Disk::Same, Duration::from_millis(50), true).await,
+            Act::Torn { node } => {
+                return self
+                    .kill(node, Disk::Same, Duration::from_millis(50), true)
+                    .await
+            }
             Act::Chase { .. } => {}
             Act::Stop { node } => {
                 self.signal(node, Signal::STOP);
@@ -576,7 +706,9 @@
             Act::FlushFails { node } => return self.ill(node, "flush-fails", lasts).await,
             Act::DiskFull { node } => return self.ill(node, "disk-full", lasts).await,
             Act::DiskSlow { node, by } => {
-                return self.ill(node, &format!("disk-slow {}", by.as_millis()), lasts).await;
+                return self
+                    .ill(node, &format!("disk-slow {}", by.as_millis()), lasts)
+                    .await;
             }
             Act::Clock { node, rate, step } => {
                 let said = format!("clock {rate} {}", step.as_millis());
@@ -636,7 +768,9 @@
     /// Drained, waited for, and started again.
     async fn roll(&self, n: usize) -> io::Result<()> {
         let node = &self.nodes[n];
-        let Some(mut process) = node.process.borrow_mut().take() else { return Ok(()) };
+        let Some(mut process) = node.process.borrow_mut().take() else {
+            return Ok(());
+        };
         node.down.set(node.down.get() + 1);
         process.signal(Signal::TERM);
         let status = process.gone(STOP + COMES_UP).await?;
@@ -685,13 +819,21 @@
 
 /// Half a record behind the newest segment, as if the crash had come in the middle of a write.
 fn tear(folder: &Path) -> io::Result<()> {
-    let Ok(entries) = fs::read_dir(folder) else { return Ok(()) };
+    let Ok(entries) = fs::read_dir(folder) else {
+        return Ok(());
+    };
     let logs = entries.filter_map(|entry| Some(entry.ok()?.path()));
     let newest = logs
-        .filter(|path| path.file_name().is_some_and(|name| name.as_encoded_bytes().starts_with(b"log-")))
+        .filter(|path| {
+            path.file_name()
+                .is_some_and(|name| name.as_encoded_bytes().starts_with(b"log-"))
+        })
         .max();
     if let Some(path) = newest {
-        fs::OpenOptions::new().append(true).open(path)?.write_all(&[200, 0, 0, 0, 1, 2, 3])?;
+        fs::OpenOptions::new()
+            .append(true)
+            .open(path)?
+            .write_all(&[200, 0, 0, 0, 1, 2, 3])?;
     }
     Ok(())
 }
@@ -699,7 +841,11 @@
 /// What a child says first; its output stays open.
 pub(crate) async fn first_line(process: &mut Process) -> io::Result<String> {
     let name = process.name.clone();
-    let out = process.child().stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+    let out = process
+        .child()
+        .stdout
+        .take()
+        .ok_or_else(|| io::Error::other("no output"))?;
     let mut lines = Lines::new(out).lines();
     let line = timeout(COMES_UP, lines.next_line()).await;
     let line =
@@ -776,5 +922,9 @@
         start_within_ns: within.as_nanos() as u64 / 2,
         come_back_ns: 500_000_000,
     };
-    Configuration { version: schema::VERSION, groups: vec![group], ..Configuration::default() }
+    Configuration {
+        version: schema::VERSION,
+        groups: vec![group],
+        ..Configuration::default()
+    }
 }
--- a/crates/rig/src/sweep.rs
+++ b/crates/rig/src/sweep.rs
@@ -17,7 +17,12 @@
 
 /// `1..200`, the last one left out.
 fn range(text: &str) -> io::Result<std::ops::Range<u64>> {
-    let bad = || io::Error::new(io::ErrorKind::InvalidInput, format!("{text}: seeds are written 1..200"));
+    let bad = || {
+        io::Error::new(
+            io::ErrorKind::InvalidInput,
+            format!("{text}: seeds are written 1..200"),
+        )
+    };
     let (first, last) = text.split_once("..").ok_or_else(bad)?;
     let range = first.parse().map_err(|_| bad())?..last.parse().map_err(|_| bad())?;
     if range.is_empty() {
@@ -60,7 +65,9 @@
     let mut done = BTreeSet::new();
     for line in lines_of(&results)? {
         // The last line may have been cut by an interrupt: its seed is played again.
-        let Ok(line) = serde_json::from_str::<Value>(&line) else { continue };
+        let Ok(line) = serde_json::from_str::<Value>(&line) else {
+            continue;
+        };
         let seed = line["seed"].as_u64().unwrap_or(0);
         if seeds.contains(&seed) && done.insert(seed) {
             all.add(&line);
@@ -71,7 +78,12 @@
     if let Ok(style) = ProgressStyle::with_template("{bar:30} {pos}/{len} {eta} {msg}") {
         bar.set_style(style);
     }
-    let file = Mutex::new(OpenOptions::new().create(true).append(true).open(&results)?);
+    let file = Mutex::new(
+        OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&results)?,
+    );
     let (next, all) = (AtomicUsize::new(0), Mutex::new(all));
     let me = std::env::current_exe()?;
     thread::scope(|scope| {
@@ -80,7 +92,9 @@
                 while let Some(seed) = left.get(next.fetch_add(1, Ordering::Relaxed)) {
                     let line = one(&me, play, *seed, out);
                     let text = format!("{line}\n");
-                    let wrote = file.lock().is_ok_and(|mut file| file.write_all(text.as_bytes()).is_ok());
+                    let wrote = file
+                        .lock()
+                        .is_ok_and(|mut file| file.write_all(text.as_bytes()).is_ok());
                     if let Ok(mut all) = all.lock() {
                         all.add(&line);
                         bar.set_message(format!("{} failed", all.failed.len()));
@@ -106,7 +120,10 @@
         all.keys
     );
     for seed in &all.failed {
-        println!("failed: seed {seed}, kept in {}", out.join(format!("seed-{seed}")).display());
+        println!(
+            "failed: seed {seed}, kept in {}",
+            out.join(format!("seed-{seed}")).display()
+        );
     }
     Ok(all.failed.is_empty())
 }
@@ -170,7 +187,10 @@
         self.answered.0 += outcome.answered.0;
         self.answered.1 += outcome.answered.1;
         let broken = check(&outcome.history).broken;
-        let why = broken.first().map(ToString::to_string).or(outcome.wrong.first().cloned());
+        let why = broken
+            .first()
+            .map(ToString::to_string)
+            .or(outcome.wrong.first().cloned());
         if let Some(why) = why {
             self.failed.push((seed, why));
             if self.history.as_ref().is_none_or(|first| first.0 > seed) {
@@ -190,7 +210,9 @@
 ) -> io::Result<bool> {
     let seeds = range(seeds)?;
     if bug.is_some() && !cfg!(feature = "planted") {
-        return Err(io::Error::other("this program was built without the feature `planted`"));
+        return Err(io::Error::other(
+            "this program was built without the feature `planted`",
+        ));
     }
     let bar = ProgressBar::new(seeds.end - seeds.start);
     if let Ok(style) = ProgressStyle::with_template("{bar:30} {pos}/{len} {eta} {msg}") {
@@ -241,15 +263,30 @@
 
 /// A line as callers and agents write it.
 fn written(seen: &Seen) -> String {
-    let mut line = Line { at: seen.at, by: seen.by.clone(), ..Line::default() };
+    let mut line = Line {
+        at: seen.at,
+        by: seen.by.clone(),
+        ..Line::default()
+    };
     match &seen.event {
-        Event::Ask { ticket, traffic, key, body, node, due } => {
+        Event::Ask {
+            ticket,
+            traffic,
+            key,
+            body,
+            node,
+            due,
+        } => {
             line.op = "ask".into();
             line.ticket = Some(ticket.clone());
             (line.traffic, line.key, line.body) = (traffic.clone(), key.clone(), body.clone());
             (line.node, line.due) = (node.clone(), Some(*due));
         }
-        Event::End { ticket, end, result } => {
+        Event::End {
+            ticket,
+            end,
+            result,
+        } => {
             line.op = match end {
                 End::Answer => "answer",
                 End::Dismissed => "dismissed",
--- a/crates/rig/tests/control_fleet.rs
+++ b/crates/rig/tests/control_fleet.rs
@@ -25,16 +25,35 @@
         (Trouble::Parted, 12.0),
     ];
     for (trouble, most) in cases {
-        let seen = watch(&Spec { nodes, changes, every: EVERY, trouble }, &configuration).unwrap();
+        let seen = watch(
+            &Spec {
+                nodes,
+                changes,
+                every: EVERY,
+                trouble,
+            },
+            &configuration,
+        )
+        .unwrap();
         let worst = seen.within(1.0).unwrap();
         println!("{trouble:?}: worst {worst} s, {} B/s, {seen:?}", seen.bytes);
         assert_eq!(seen.confirmed.len(), nodes * changes, "{trouble:?}");
-        assert!(worst <= most, "{trouble:?}: the last confirmation after {worst} s");
-        assert_eq!(seen.snapshots, 0, "{trouble:?}: a delta does for all of them");
+        assert!(
+            worst <= most,
+            "{trouble:?}: the last confirmation after {worst} s"
+        );
+        assert_eq!(
+            seen.snapshots, 0,
+            "{trouble:?}: a delta does for all of them"
+        );
         assert!(seen.most_attached <= nodes, "{trouble:?}");
         // A change of one thing, confirmed, a ping in 2 s: far from the whole, which is some kilobytes even
         // here.
-        assert!(seen.most_bytes < 400.0, "{trouble:?}: {} B/s", seen.most_bytes);
+        assert!(
+            seen.most_bytes < 400.0,
+            "{trouble:?}: {} B/s",
+            seen.most_bytes
+        );
     }
     assert_eq!(MACHINES, 6);
 }
--- a/crates/rig/tests/histories.rs
+++ b/crates/rig/tests/histories.rs
@@ -6,7 +6,11 @@
 use rainstand_rig::history::{event, read, End, Event, Seen};
 
 fn ask(at: u64, ticket: &str, key: &str, body: &str, node: &str) -> String {
-    let key = if key.is_empty() { String::new() } else { format!("\"key\":\"{key}\",") };
+    let key = if key.is_empty() {
+        String::new()
+    } else {
+        format!("\"key\":\"{key}\",")
+    };
     format!(
         "{{\"at\":{at},\"by\":\"caller-1\",\"op\":\"ask\",\"ticket\":\"{ticket}\",\"type\":\"register\",{key}\
          \"body\":\"{body}\",\"node\":\"{node}\",\"due\":{}}}",
@@ -15,7 +19,11 @@
 }
 
 fn end(at: u64, op: &str, ticket: &str, result: &str) -> String {
-    let result = if result.is_empty() { String::new() } else { format!(",\"result\":\"{result}\"") };
+    let result = if result.is_empty() {
+        String::new()
+    } else {
+        format!(",\"result\":\"{result}\"")
+    };
     format!("{{\"at\":{at},\"by\":\"caller-1\",\"op\":\"{op}\",\"ticket\":\"{ticket}\"{result}}}")
 }
 
@@ -35,7 +43,13 @@
     let found = verdict.first().map_or("", |broken| broken.check);
     // The order of lines means nothing.
     let turned: Vec<String> = lines.iter().rev().cloned().collect();
-    assert_eq!(check(&seen(&turned)).first().map_or("", |broken| broken.check), found, "{lines:#?}");
+    assert_eq!(
+        check(&seen(&turned))
+            .first()
+            .map_or("", |broken| broken.check),
+        found,
+        "{lines:#?}"
+    );
     found
 }
 
@@ -44,10 +58,30 @@
     let t = |n: u64, ticket| ask(n, ticket, "K", "b", "n1");
     let table: Vec<(&str, Vec<String>)> = vec![
         ("", vec![]),
-        ("", vec![t(1, "a"), ran(5, "n1", "K", "b", "R"), end(9, "answer", "a", "R")]),
+        (
+            "",
+            vec![
+                t(1, "a"),
+                ran(5, "n1", "K", "b", "R"),
+                end(9, "answer", "a", "R"),
+            ],
+        ),
         ("", vec![t(1, "a"), end(9, "dismissed", "a", "")]),
-        ("", vec![ask(1, "a", "", "b", "n1"), end(9, "answer", "a", "whatever")]),
-        ("", vec![t(1, "a"), ran(5, "n1", "K", "b", "R"), end(9, "given-up", "a", "")]),
+        (
+            "",
+            vec![
+                ask(1, "a", "", "b", "n1"),
+                end(9, "answer", "a", "whatever"),
+            ],
+        ),
+        (
+            "",
+            vec![
+                t(1, "a"),
+                ran(5, "n1", "K", "b", "R"),
+                end(9, "given-up", "a", ""),
+            ],
+        ),
         ("", vec![t(1, "a"), end(101, "gone", "a", "")]),
         // A repeat is answered by another ticket's run, or dismissed where that is not known.
         (
@@ -74,13 +108,32 @@
             ],
         ),
         ("answer-missing", vec![t(1, "a")]),
-        ("answer-missing", vec![t(1, "a"), ran(5, "n1", "K", "b", "R")]),
-        ("answer-late", vec![t(1, "a"), end(102, "dismissed", "a", "")]),
+        (
+            "answer-missing",
+            vec![t(1, "a"), ran(5, "n1", "K", "b", "R")],
+        ),
+        (
+            "answer-late",
+            vec![t(1, "a"), end(102, "dismissed", "a", "")],
+        ),
         ("answer-late", vec![t(1, "a"), end(102, "gone", "a", "")]),
-        ("answer-twice", vec![t(1, "a"), end(5, "dismissed", "a", ""), end(6, "given-up", "a", "")]),
-        ("answer-twice", vec![t(1, "a"), end(5, "gone", "a", ""), end(6, "gone", "a", "")]),
+        (
+            "answer-twice",
+            vec![
+                t(1, "a"),
+                end(5, "dismissed", "a", ""),
+                end(6, "given-up", "a", ""),
+            ],
+        ),
+        (
+            "answer-twice",
+            vec![t(1, "a"), end(5, "gone", "a", ""), end(6, "gone", "a", "")],
+        ),
         ("answer-to-nothing", vec![end(5, "dismissed", "a", "")]),
-        ("asked-twice", vec![t(1, "a"), t(2, "a"), end(5, "dismissed", "a", "")]),
+        (
+            "asked-twice",
+            vec![t(1, "a"), t(2, "a"), end(5, "dismissed", "a", "")],
+        ),
         (
             "ran-twice",
             vec![
@@ -92,9 +145,23 @@
                 end(30, "answer", "r", "R"),
             ],
         ),
-        ("dismissed-though-ran", vec![t(1, "a"), ran(5, "n1", "K", "b", "R"), end(9, "dismissed", "a", "")]),
+        (
+            "dismissed-though-ran",
+            vec![
+                t(1, "a"),
+                ran(5, "n1", "K", "b", "R"),
+                end(9, "dismissed", "a", ""),
+            ],
+        ),
         // It ran after it was dismissed.
-        ("dismissed-though-ran", vec![t(1, "a"), end(4, "dismissed", "a", ""), ran(5, "n1", "K", "b", "R")]),
+        (
+            "dismissed-though-ran",
+            vec![
+                t(1, "a"),
+                end(4, "dismissed", "a", ""),
+                ran(5, "n1", "K", "b", "R"),
+            ],
+        ),
         // The run was before the repeat was asked, so it can only have been the first's.
         (
             "dismissed-though-ran",
@@ -117,9 +184,26 @@
                 end(9, "answer", "r", "R"),
             ],
         ),
-        ("result-of-no-run", vec![t(1, "a"), end(9, "answer", "a", "R")]),
-        ("result-of-no-run", vec![t(1, "a"), ran(5, "n1", "K", "b", "R"), end(9, "answer", "a", "Q")]),
-        ("result-of-no-run", vec![t(1, "a"), end(9, "answer", "a", "R"), ran(15, "n1", "K", "b", "R")]),
+        (
+            "result-of-no-run",
+            vec![t(1, "a"), end(9, "answer", "a", "R")],
+        ),
+        (
+            "result-of-no-run",
+            vec![
+                t(1, "a"),
+                ran(5, "n1", "K", "b", "R"),
+                end(9, "answer", "a", "Q"),
+            ],
+        ),
+        (
+            "result-of-no-run",
+            vec![
+                t(1, "a"),
+                end(9, "answer", "a", "R"),
+                ran(15, "n1", "K", "b", "R"),
+            ],
+        ),
         // The result of another body under the same key.
         (
             "result-of-no-run",
@@ -131,9 +215,23 @@
                 end(30, "answer", "r", "R"),
             ],
         ),
-        ("body-changed", vec![t(1, "a"), ran(5, "n1", "K", "c", "R"), end(9, "given-up", "a", "")]),
+        (
+            "body-changed",
+            vec![
+                t(1, "a"),
+                ran(5, "n1", "K", "c", "R"),
+                end(9, "given-up", "a", ""),
+            ],
+        ),
         ("ran-unasked", vec![ran(5, "n1", "K", "b", "R")]),
-        ("ran-unasked", vec![ran(5, "n1", "K", "b", "R"), t(6, "a"), end(9, "given-up", "a", "")]),
+        (
+            "ran-unasked",
+            vec![
+                ran(5, "n1", "K", "b", "R"),
+                t(6, "a"),
+                end(9, "given-up", "a", ""),
+            ],
+        ),
     ];
     for (wanted, lines) in &table {
         assert_eq!(&first(lines), wanted, "{lines:#?}");
@@ -146,8 +244,15 @@
         ask(20, "r", "K", "b", "n2"),
         end(30, "answer", "r", "Q"),
     ];
-    let all: Vec<_> = check(&seen(&lines)).broken.iter().map(|broken| broken.check).collect();
-    assert!(all.contains(&"result-contradicted") && all.contains(&"result-of-no-run"), "{all:?}");
+    let all: Vec<_> = check(&seen(&lines))
+        .broken
+        .iter()
+        .map(|broken| broken.check)
+        .collect();
+    assert!(
+        all.contains(&"result-contradicted") && all.contains(&"result-of-no-run"),
+        "{all:?}"
+    );
     let other_type = ask(20, "r", "K", "b", "n2").replace("register", "check");
     let lines = [
         t(1, "a"),
@@ -180,15 +285,30 @@
         ("[]", "no JSON object"),
         ("{\"at\":1,\"by\":\"x\"}", "op"),
         ("{\"by\":\"x\",\"op\":\"ask\"}", "at"),
-        ("{\"at\":-1,\"by\":\"x\",\"op\":\"gone\",\"ticket\":\"a\"}", "u64"),
-        ("{\"at\":1,\"by\":\"x\",\"op\":\"gone\"}", "without a ticket"),
-        ("{\"at\":1,\"by\":\"x\",\"op\":\"ask\",\"ticket\":\"a\"}", "due"),
-        ("{\"at\":1,\"by\":\"x\",\"op\":\"answer\",\"ticket\":7}", "string"),
+        (
+            "{\"at\":-1,\"by\":\"x\",\"op\":\"gone\",\"ticket\":\"a\"}",
+            "u64",
+        ),
+        (
+            "{\"at\":1,\"by\":\"x\",\"op\":\"gone\"}",
+            "without a ticket",
+        ),
+        (
+            "{\"at\":1,\"by\":\"x\",\"op\":\"ask\",\"ticket\":\"a\"}",
+            "due",
+        ),
+        (
+            "{\"at\":1,\"by\":\"x\",\"op\":\"answer\",\"ticket\":7}",
+            "string",
+        ),
     ];
     for (line, why) in table {
         let text = format!("{good}\n\n{line}\n");
         let refused = read(text.as_bytes()).unwrap_err();
-        assert!(refused.line == 3 && refused.why.contains(why), "{line}: {refused}");
+        assert!(
+            refused.line == 3 && refused.why.contains(why),
+            "{line}: {refused}"
+        );
     }
     assert_eq!(read(&[0xff, 0xfe, b'\n'][..]).unwrap_err().line, 1);
     let unknown = "{\"at\":5,\"by\":\"n2\",\"op\":\"act-begin\",\"task\":\"T\",\"fence\":3}";
@@ -200,7 +320,11 @@
 
 #[test]
 fn any_bytes_are_read_or_refused() {
-    let config = ProptestConfig { cases: 2_000, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() };
+    let config = ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    };
     proptest!(config, |(bytes: Vec<u8>)| {
         let _ = read(&bytes[..]);
     });
@@ -220,8 +344,11 @@
             if left.iter().any(|other| other.1 < one.0) {
                 continue;
             }
-            let next =
-                if one.2 { written.is_none().then_some(one.3) } else { written.filter(|w| *w == one.3) };
+            let next = if one.2 {
+                written.is_none().then_some(one.3)
+            } else {
+                written.filter(|w| *w == one.3)
+            };
             let Some(next) = next else { continue };
             let one = left.remove(k);
             let found = go(left, Some(next));
@@ -232,15 +359,25 @@
         }
         false
     }
-    let mut all: Vec<(u64, u64, bool, u64)> =
-        runs.iter().map(|(at, result)| (*at, *at, true, *result)).collect();
-    all.extend(answers.iter().map(|(from, until, result)| (*from, *until, false, *result)));
+    let mut all: Vec<(u64, u64, bool, u64)> = runs
+        .iter()
+        .map(|(at, result)| (*at, *at, true, *result))
+        .collect();
+    all.extend(
+        answers
+            .iter()
+            .map(|(from, until, result)| (*from, *until, false, *result)),
+    );
     go(&mut all, None)
 }
 
 #[test]
 fn the_one_pass_says_what_a_search_over_all_orders_says() {
-    let config = ProptestConfig { cases: 20_000, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() };
+    let config = ProptestConfig {
+        cases: 20_000,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    };
     let runs = proptest::collection::vec((1u64..40, 0u64..2), 0..3);
     let answers = proptest::collection::vec((0u64..30, 1u64..20, 0u64..2), 0..5);
     proptest!(config, |(runs in runs, answers in answers)| {
--- a/crates/rig/tests/processes.rs
+++ b/crates/rig/tests/processes.rs
@@ -9,9 +9,16 @@
 use tokio::task::LocalSet;
 
 fn rig(file: &str) -> Rig {
-    let path = format!("{}/../../experiments/rig/{file}", env!("CARGO_MANIFEST_DIR"));
+    let path = format!(
+        "{}/../../experiments/rig/{file}",
+        env!("CARGO_MANIFEST_DIR")
+    );
     let outcome = rainstand_config::load(&Disk, &path);
-    outcome.configuration.unwrap_or_else(|| panic!("{path} is refused")).rigs.remove(0)
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{path} is refused"))
+        .rigs
+        .remove(0)
 }
 
 /// Rigs that run side by side: more would starve each other on a small machine, and what is late would be theirs.
@@ -32,10 +39,21 @@
 
 fn played(rig: &Rig, seed: u64) -> Report {
     let folder = tempfile::tempdir().unwrap();
-    let programs = Path::new(env!("CARGO_BIN_EXE_rainstand-rig")).parent().map(Path::to_owned);
-    let place = Place { programs, folder: folder.path().to_owned(), bug: None };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, play(rig, seed, &schedule(rig, seed), &place)).unwrap()
+    let programs = Path::new(env!("CARGO_BIN_EXE_rainstand-rig"))
+        .parent()
+        .map(Path::to_owned);
+    let place = Place {
+        programs,
+        folder: folder.path().to_owned(),
+        bug: None,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new()
+        .block_on(&runtime, play(rig, seed, &schedule(rig, seed), &place))
+        .unwrap()
 }
 
 #[test]
@@ -43,18 +61,35 @@
     let rig = rig("plain.rain");
     for seed in 1..4 {
         let report = run(&rig, seed);
-        assert!(report.good(), "seed {seed}: {:#?} {:#?}", report.broken.first(), report.fell);
-        assert!(report.tally.answered > 200 && report.resets > 0, "seed {seed}: {report:?}");
+        assert!(
+            report.good(),
+            "seed {seed}: {:#?} {:#?}",
+            report.broken.first(),
+            report.fell
+        );
+        assert!(
+            report.tally.answered > 200 && report.resets > 0,
+            "seed {seed}: {report:?}"
+        );
     }
 }
 
 /// The rig can fail: nodes that keep no copies run a key again when it is repeated elsewhere.
 #[test]
 fn repeats_at_other_nodes_are_found_to_run_twice_without_copies() {
-    let rig = Rig { r#move: true, faults: Vec::new(), lasts_ns: 1_500_000_000, ..rig("plain.rain") };
+    let rig = Rig {
+        r#move: true,
+        faults: Vec::new(),
+        lasts_ns: 1_500_000_000,
+        ..rig("plain.rain")
+    };
     let report = run(&rig, 1);
     let found: Vec<_> = report.broken.iter().map(|broken| broken.check).collect();
-    assert!(found.contains(&"ran-twice") && report.fell.is_empty(), "{found:?} {:?}", report.fell);
+    assert!(
+        found.contains(&"ran-twice") && report.fell.is_empty(),
+        "{found:?} {:?}",
+        report.fell
+    );
 }
 
 /// A mix over some seeds: the rules hold, no process falls over, and keyed tickets are served.
@@ -62,7 +97,12 @@
     let rig = rig(file);
     for seed in seeds {
         let report = run(&rig, seed);
-        assert!(report.good(), "{file} seed {seed}: {:#?} {:#?}", report.broken.first(), report.fell);
+        assert!(
+            report.good(),
+            "{file} seed {seed}: {:#?} {:#?}",
+            report.broken.first(),
+            report.fell
+        );
         assert!(report.answered > least, "{file} seed {seed}: {report:?}");
     }
 }
--- a/crates/rig/tests/ready.rs
+++ b/crates/rig/tests/ready.rs
@@ -28,24 +28,49 @@
 
 fn run(options: &Options) -> Report {
     let folder = tempfile::tempdir().unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, play(options, folder.path())).unwrap()
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new()
+        .block_on(&runtime, play(options, folder.path()))
+        .unwrap()
 }
 
 fn counts(of: &[OfKind]) -> Vec<(Kind, usize, usize)> {
-    of.iter().map(|kind| (kind.kind, kind.processes, kind.ready)).collect()
+    of.iter()
+        .map(|kind| (kind.kind, kind.processes, kind.ready))
+        .collect()
 }
 
 #[test]
 fn all_are_ready_again_after_a_kill_and_the_group_has_its_keys() {
-    let options = Options { group: 3, keys: 90, form: Form::Binary, ..few(Discovery::Up, End::Kill) };
+    let options = Options {
+        group: 3,
+        keys: 90,
+        form: Form::Binary,
+        ..few(Discovery::Up, End::Kill)
+    };
     let report = run(&options);
     assert!(report.whole(), "{report:#?}");
-    let all = [(Kind::Node, 1, 1), (Kind::Member, 3, 3), (Kind::Forwarder, 2, 2)];
-    assert_eq!((counts(&report.first), counts(&report.restarted)), (all.to_vec(), all.to_vec()));
-    assert_eq!((report.keys, report.keys_asked, report.keys_kept), (90, 3, 3));
+    let all = [
+        (Kind::Node, 1, 1),
+        (Kind::Member, 3, 3),
+        (Kind::Forwarder, 2, 2),
+    ];
+    assert_eq!(
+        (counts(&report.first), counts(&report.restarted)),
+        (all.to_vec(), all.to_vec())
+    );
+    assert_eq!(
+        (report.keys, report.keys_asked, report.keys_kept),
+        (90, 3, 3)
+    );
     // Nobody is ready who is not in the list.
-    assert!(report.restarted.iter().all(|kind| kind.listed.is_some() == (kind.kind != Kind::Forwarder)));
+    assert!(report
+        .restarted
+        .iter()
+        .all(|kind| kind.listed.is_some() == (kind.kind != Kind::Forwarder)));
 }
 
 /// They serve without it, and are in the list once it is there.
@@ -54,7 +79,11 @@
     for (discovery, end) in [(Discovery::Down, End::Term), (Discovery::Silent, End::Kill)] {
         let report = run(&few(discovery, end));
         assert!(report.whole(), "{discovery:?} {report:#?}");
-        assert_eq!(counts(&report.restarted), [(Kind::Node, 4, 4), (Kind::Forwarder, 2, 2)], "{discovery:?}");
+        assert_eq!(
+            counts(&report.restarted),
+            [(Kind::Node, 4, 4), (Kind::Forwarder, 2, 2)],
+            "{discovery:?}"
+        );
         assert_eq!(report.back_in_list, 4, "{discovery:?} {report:#?}");
     }
 }
@@ -69,10 +98,20 @@
         (vec![ms(7)], (Some(7), Some(7))),
         // One of ten never came; two of ten.
         ((1..=9).map(ms).chain([None]).collect(), (Some(9), None)),
-        ((1..=8).map(ms).chain([None, None]).collect::<Vec<_>>(), (None, None)),
+        (
+            (1..=8).map(ms).chain([None, None]).collect::<Vec<_>>(),
+            (None, None),
+        ),
     ];
     for (times, (ninth_decile_ms, worst_ms)) in cases {
-        assert_eq!(Times::of(times.clone()), Times { ninth_decile_ms, worst_ms }, "{times:?}");
+        assert_eq!(
+            Times::of(times.clone()),
+            Times {
+                ninth_decile_ms,
+                worst_ms
+            },
+            "{times:?}"
+        );
     }
 }
 
@@ -96,27 +135,73 @@
     };
     assert!(report(18, 18).good() && report(0, 0).whole());
     assert!(!report(17, 20).good() && !report(20, 17).good());
-    let early = Report { told_before_listening: 1, ..report(20, 20) };
-    let fell = Report { fell: vec!["n1".into()], ..report(20, 20) };
-    let lost = Report { keys_asked: 3, keys_kept: 2, ..report(20, 20) };
-    let gone = Report { back: Some(times), back_in_list: 3, nodes: 4, ..report(20, 20) };
-    assert!([early, fell, lost, gone].iter().all(|one| !one.good() && !one.whole()));
+    let early = Report {
+        told_before_listening: 1,
+        ..report(20, 20)
+    };
+    let fell = Report {
+        fell: vec!["n1".into()],
+        ..report(20, 20)
+    };
+    let lost = Report {
+        keys_asked: 3,
+        keys_kept: 2,
+        ..report(20, 20)
+    };
+    let gone = Report {
+        back: Some(times),
+        back_in_list: 3,
+        nodes: 4,
+        ..report(20, 20)
+    };
+    assert!([early, fell, lost, gone]
+        .iter()
+        .all(|one| !one.good() && !one.whole()));
 }
 
 #[test]
 fn the_command_says_what_it_measured_and_refuses_wrong_use() {
     let ready = |args: &[&str]| Command::new(RIG).arg("ready").args(args).output().unwrap();
-    for wrong in
-        [&["--nodes", "0"][..], &["--nodes", "200"], &["--group", "2"], &["--routes", "0"], &["--at"]]
-    {
+    for wrong in [
+        &["--nodes", "0"][..],
+        &["--nodes", "200"],
+        &["--group", "2"],
+        &["--routes", "0"],
+        &["--at"],
+    ] {
         let done = ready(wrong);
-        assert_eq!((done.status.code(), done.stdout.len()), (Some(2), 0), "{wrong:?}");
+        assert_eq!(
+            (done.status.code(), done.stdout.len()),
+            (Some(2), 0),
+            "{wrong:?}"
+        );
     }
-    let few = ["--nodes", "2", "--forwarders", "1", "--tenants", "9", "--routes", "9", "--json"];
+    let few = [
+        "--nodes",
+        "2",
+        "--forwarders",
+        "1",
+        "--tenants",
+        "9",
+        "--routes",
+        "9",
+        "--json",
+    ];
     let done = ready(&few);
     let told: Value = serde_json::from_slice(&done.stdout).unwrap();
-    assert_eq!((&told["whole"], &told["asked"]["nodes"]), (&true.into(), &2.into()), "{told}");
+    assert_eq!(
+        (&told["whole"], &told["asked"]["nodes"]),
+        (&true.into(), &2.into()),
+        "{told}"
+    );
     // In time or not is the machine's.
-    assert_eq!(done.status.code(), Some(if told["good"] == true { 0 } else { 1 }), "{told}");
-    assert!(told["report"]["restarted"][1]["times"]["ninth_decile_ms"].is_u64(), "{told}");
+    assert_eq!(
+        done.status.code(),
+        Some(if told["good"] == true { 0 } else { 1 }),
+        "{told}"
+    );
+    assert!(
+        told["report"]["restarted"][1]["times"]["ninth_decile_ms"].is_u64(),
+        "{told}"
+    );
 }
--- a/crates/rig/tests/simulated.rs
+++ b/crates/rig/tests/simulated.rs
@@ -18,11 +18,17 @@
         answered += outcome.answered.0;
         asked += outcome.answered.1;
     }
-    assert!(answered * 2 > asked && asked > 5_000, "{answered} of {asked}");
+    assert!(
+        answered * 2 > asked && asked > 5_000,
+        "{answered} of {asked}"
+    );
 }
 
 #[test]
 fn a_seed_replays_to_the_byte() {
     let [one, two] = [play(&World::default(), 5), play(&World::default(), 5)];
-    assert_eq!((one.history, one.events, one.elections), (two.history, two.events, two.elections));
+    assert_eq!(
+        (one.history, one.events, one.elections),
+        (two.history, two.events, two.elections)
+    );
 }
--- a/crates/route/benches/pick.rs
+++ b/crates/route/benches/pick.rs
@@ -10,17 +10,24 @@
 
 fn main() {
     let table = Table::new(&configuration(1_000)).unwrap();
-    println!("an open version of 1,000 routes, 400 tenants, 60 pools: {} KiB", table.size() >> 10);
+    println!(
+        "an open version of 1,000 routes, 400 tenants, 60 pools: {} KiB",
+        table.size() >> 10
+    );
     let table = Table::new(&configuration(6)).unwrap();
     println!("an open version of 6 routes: {} KiB", table.size() >> 10);
     divan::main();
 }
 
 fn configuration(routes: usize) -> rainstand_config::schema::Configuration {
-    let mut text =
-        String::from("rain 1\nlimits l { rate: 1000000000 tickets/s; burst: 1000 tickets; per: tenant }\n");
+    let mut text = String::from(
+        "rain 1\nlimits l { rate: 1000000000 tickets/s; burst: 1000 tickets; per: tenant }\n",
+    );
     for n in 0..10 {
-        let _ = writeln!(text, "type t{n} {{ repeat: rerunnable; goal: 3 s; outer-limit: 7 s }}");
+        let _ = writeln!(
+            text,
+            "type t{n} {{ repeat: rerunnable; goal: 3 s; outer-limit: 7 s }}"
+        );
     }
     for n in 0..400 {
         let _ = writeln!(text, "tenant c{n} {{ share: 0.1 % }}");
@@ -42,16 +49,25 @@
             (n + 1) % 60
         );
     }
-    let _ = writeln!(text, "route rest {{ to: p0 50 %, p1 30 %, p2 20 %; fall-back: p3; limits: l }}");
+    let _ = writeln!(
+        text,
+        "route rest {{ to: p0 50 %, p1 30 %, p2 20 %; fall-back: p3; limits: l }}"
+    );
     let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings.first()))
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings.first()))
 }
 
 fn tickets() -> Vec<(u16, Option<u16>, String)> {
     let mut chance = WyRand::new_seed(5);
     let one = |_| {
         let entity = format!("NO-{}", chance.generate_range(0..100_000u32));
-        (chance.generate_range(0..10u16), Some(chance.generate_range(0..400u16)), entity)
+        (
+            chance.generate_range(0..10u16),
+            Some(chance.generate_range(0..400u16)),
+            entity,
+        )
     };
     (0..4_096).map(one).collect()
 }
@@ -62,21 +78,27 @@
     let table = Table::new(&configuration(routes)).unwrap();
     let all = tickets();
     let mut chance = WyRand::new_seed(1);
-    bencher.counter(divan::counter::ItemsCount::new(all.len())).bench_local(|| {
-        let mut sum = 0u64;
-        for (traffic, tenant, entity) in &all {
-            let ticket = Ticket {
-                traffic: *traffic,
-                tenant: *tenant,
-                entity,
-                again: false,
-                size: 900,
-                ..Ticket::default()
-            };
-            sum += u64::from(table.place(&ticket, &mut chance, |_| true).map_or(0, |place| place.pool));
-        }
-        sum
-    });
+    bencher
+        .counter(divan::counter::ItemsCount::new(all.len()))
+        .bench_local(|| {
+            let mut sum = 0u64;
+            for (traffic, tenant, entity) in &all {
+                let ticket = Ticket {
+                    traffic: *traffic,
+                    tenant: *tenant,
+                    entity,
+                    again: false,
+                    size: 900,
+                    ..Ticket::default()
+                };
+                sum += u64::from(
+                    table
+                        .place(&ticket, &mut chance, |_| true)
+                        .map_or(0, |place| place.pool),
+                );
+            }
+            sum
+        });
 }
 
 /// The whole decision with limits, and the ticket's end.
@@ -85,23 +107,25 @@
     let mut router = Router::new(&configuration(routes), 1).unwrap();
     let all = tickets();
     let mut now = Duration::ZERO;
-    bencher.counter(divan::counter::ItemsCount::new(all.len())).bench_local(|| {
-        for (traffic, tenant, entity) in &all {
-            now += Duration::from_micros(1);
-            let ticket = Ticket {
-                traffic: *traffic,
-                tenant: *tenant,
-                entity,
-                again: false,
-                size: 900,
-                ..Ticket::default()
-            };
-            if let Verdict::Goes(way) = router.arrived(now, &ticket, |_| true) {
-                router.ended(way);
+    bencher
+        .counter(divan::counter::ItemsCount::new(all.len()))
+        .bench_local(|| {
+            for (traffic, tenant, entity) in &all {
+                now += Duration::from_micros(1);
+                let ticket = Ticket {
+                    traffic: *traffic,
+                    tenant: *tenant,
+                    entity,
+                    again: false,
+                    size: 900,
+                    ..Ticket::default()
+                };
+                if let Verdict::Goes(way) = router.arrived(now, &ticket, |_| true) {
+                    router.ended(way);
+                }
             }
-        }
-        router.counts().went
-    });
+            router.counts().went
+        });
 }
 
 /// The member of a pool of eight that an entity belongs to.
@@ -109,9 +133,13 @@
 fn member_of_eight(bencher: divan::Bencher<'_, '_>) {
     let table = Table::new(&configuration(6)).unwrap();
     let all = tickets();
-    bencher.counter(divan::counter::ItemsCount::new(all.len())).bench_local(|| {
-        all.iter().map(|(_, _, entity)| table.member(3, entity, |_| true).unwrap_or(0)).sum::<usize>()
-    });
+    bencher
+        .counter(divan::counter::ItemsCount::new(all.len()))
+        .bench_local(|| {
+            all.iter()
+                .map(|(_, _, entity)| table.member(3, entity, |_| true).unwrap_or(0))
+                .sum::<usize>()
+        });
 }
 
 /// A version by one named thing: a tenant's share, and a new route in front and its removal.
@@ -133,8 +161,15 @@
     let mut route = whole.routes[0].clone();
     let before = Some(std::mem::replace(&mut route.name, "new".into()));
     bencher.bench_local(|| {
-        router.apply(&[Change::Route(route.clone(), before.clone())], Duration::ZERO).unwrap();
-        router.apply(&[Change::Remove(Kind::Route, "new".into())], Duration::ZERO).unwrap();
+        router
+            .apply(
+                &[Change::Route(route.clone(), before.clone())],
+                Duration::ZERO,
+            )
+            .unwrap();
+        router
+            .apply(&[Change::Remove(Kind::Route, "new".into())], Duration::ZERO)
+            .unwrap();
     });
 }
 
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -40,7 +40,11 @@
     fn from(of: &schema::Attempts) -> Self {
         let ns = Duration::from_nanos;
         let tries = u32::try_from(of.tries).unwrap_or(u32::MAX).max(1);
-        Self { tries, wait: (ns(of.wait_least_ns), ns(of.wait_most_ns)), proof: of.proof() }
+        Self {
+            tries,
+            wait: (ns(of.wait_least_ns), ns(of.wait_most_ns)),
+            proof: of.proof(),
+        }
     }
 }
 
@@ -140,11 +144,20 @@
 }
 
 /// What follows a try.
-pub fn next(ticket: &Tried, came: Came, policy: &Policy, budget: &mut Budget, chance: &mut WyRand) -> Next {
+pub fn next(
+    ticket: &Tried,
+    came: Came,
+    policy: &Policy,
+    budget: &mut Budget,
+    chance: &mut WyRand,
+) -> Next {
     if !allowed(ticket, came, policy.proof) {
         return Next::Stop(Stop::MayHaveRun);
     }
-    if let Came::Dismissed { nowhere_else: true, .. } = came {
+    if let Came::Dismissed {
+        nowhere_else: true, ..
+    } = came
+    {
         return Next::Stop(Stop::NowhereElse);
     }
     if ticket.again {
@@ -184,13 +197,22 @@
     }
 
     fn ticket(repeat: RepeatKind) -> Tried {
-        Tried { repeat, again: false, tries: 1, left: ms(2_000), usual: ms(100) }
+        Tried {
+            repeat,
+            again: false,
+            tries: 1,
+            left: ms(2_000),
+            usual: ms(100),
+        }
     }
 
     #[test]
     fn what_may_have_run_is_repeated_only_where_its_type_allows_it() {
         use {Proof::*, RepeatKind::*};
-        let gone = Came::Dismissed { pause: ms(100), nowhere_else: false };
+        let gone = Came::Dismissed {
+            pause: ms(100),
+            nowhere_else: false,
+        };
         let table = [
             (Exclusive, NotRun, Came::MayHaveRun, false),
             (Exclusive, Mark, Came::MayHaveRun, false),
@@ -206,7 +228,13 @@
         ];
         for (repeat, proof, came, again) in table {
             let (mut budget, mut chance) = (Budget::default(), WyRand::new_seed(1));
-            let found = next(&ticket(repeat), came, &Policy { proof, ..POLICY }, &mut budget, &mut chance);
+            let found = next(
+                &ticket(repeat),
+                came,
+                &Policy { proof, ..POLICY },
+                &mut budget,
+                &mut chance,
+            );
             assert_eq!(
                 matches!(found, Next::Again { .. }),
                 again,
@@ -218,17 +246,37 @@
     #[test]
     fn each_bound_stops_it() {
         let whole = ticket(RepeatKind::Rerunnable);
-        let nowhere = Came::Dismissed { pause: ms(1), nowhere_else: true };
+        let nowhere = Came::Dismissed {
+            pause: ms(1),
+            nowhere_else: true,
+        };
         let table = [
-            (Tried { again: true, ..whole }, Came::NotRun, Stop::FurtherTry),
+            (
+                Tried {
+                    again: true,
+                    ..whole
+                },
+                Came::NotRun,
+                Stop::FurtherTry,
+            ),
             (Tried { tries: 3, ..whole }, Came::NotRun, Stop::Tries),
-            (Tried { left: ms(110), ..whole }, Came::NotRun, Stop::Time),
+            (
+                Tried {
+                    left: ms(110),
+                    ..whole
+                },
+                Came::NotRun,
+                Stop::Time,
+            ),
             (whole, nowhere, Stop::NowhereElse),
         ];
         for (ticket, came, stop) in table {
             let (mut budget, mut chance) = (Budget::default(), WyRand::new_seed(1));
             let before = budget.left;
-            assert_eq!(next(&ticket, came, &POLICY, &mut budget, &mut chance), Next::Stop(stop));
+            assert_eq!(
+                next(&ticket, came, &POLICY, &mut budget, &mut chance),
+                Next::Stop(stop)
+            );
             assert_eq!(budget.left, before, "a try that is not made costs nothing");
         }
     }
@@ -241,12 +289,32 @@
             (RepeatKind::Rerunnable, POLICY, full, true),
             (RepeatKind::Rerunnable, POLICY, empty, false),
             (RepeatKind::Rerunnable, once, full, false),
-            (RepeatKind::Rerunnable, Policy { proof: Proof::NotRun, ..POLICY }, full, false),
+            (
+                RepeatKind::Rerunnable,
+                Policy {
+                    proof: Proof::NotRun,
+                    ..POLICY
+                },
+                full,
+                false,
+            ),
             (RepeatKind::Exclusive, POLICY, full, false),
-            (RepeatKind::Ticketed, Policy { proof: Proof::Mark, ..POLICY }, full, true),
+            (
+                RepeatKind::Ticketed,
+                Policy {
+                    proof: Proof::Mark,
+                    ..POLICY
+                },
+                full,
+                true,
+            ),
         ];
         for (repeat, policy, budget, wanted) in table {
-            assert_eq!(may_follow(&ticket(repeat), &policy, &budget), wanted, "{repeat:?} {policy:?}");
+            assert_eq!(
+                may_follow(&ticket(repeat), &policy, &budget),
+                wanted,
+                "{repeat:?} {policy:?}"
+            );
         }
         assert_eq!(cut(ms(900), 3, ms(20), true), ms(300));
         assert_eq!(cut(ms(900), 3, ms(150), true), ms(600));
--- a/crates/route/src/buckets.rs
+++ b/crates/route/src/buckets.rs
@@ -45,7 +45,10 @@
     pub fn new(at: At, name: &str, per: Per, of: Option<&str>) -> Self {
         // Not as the hash's seed: with names of three letters another seed came to the hash of another name.
         let kind = ((at as u64) << 8 | per as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        Self { place: mark(name) ^ kind, of: of.map_or(0, mark) }
+        Self {
+            place: mark(name) ^ kind,
+            of: of.map_or(0, mark),
+        }
     }
 }
 
@@ -104,7 +107,11 @@
     }
 
     /// Whether there is room for all of these, after idle ones have been looked for where some are new.
-    pub fn make_room<K: Iterator<Item = Key>>(&mut self, keys: impl Fn() -> K, now: Duration) -> bool {
+    pub fn make_room<K: Iterator<Item = Key>>(
+        &mut self,
+        keys: impl Fn() -> K,
+        now: Duration,
+    ) -> bool {
         let new = |all: &Self| keys().filter(|key| !all.index.contains_key(key)).count();
         let mut looked = LOOKED * new(self);
         if looked == 0 {
@@ -124,9 +131,16 @@
 
     /// Lets a ticket in; the caller looked before, and made room. The slot that it holds until it leaves.
     pub fn enter(&mut self, key: Key, rule: &Rule, now: Duration) -> u32 {
-        let Self { index, slots, free, .. } = self;
+        let Self {
+            index, slots, free, ..
+        } = self;
         let at = *index.entry(key).or_insert_with(|| {
-            let slot = Slot { key, bucket: Bucket::default(), rule: *rule, used: true };
+            let slot = Slot {
+                key,
+                bucket: Bucket::default(),
+                rule: *rule,
+                used: true,
+            };
             if let Some(at) = free.pop() {
                 slots[at as usize] = slot;
                 return at;
@@ -157,14 +171,21 @@
     pub fn sweep(&mut self, now: Duration) {
         self.go_round(self.slots.len().div_ceil(ALL_ROUND), now);
         if self.in_use() == 0 && self.slots.len() > FIRST {
-            *self = Self { most: self.most, ..Self::default() };
+            *self = Self {
+                most: self.most,
+                ..Self::default()
+            };
         }
     }
 
     /// Looks at the next slots, and gives back those that are idle.
     fn go_round(&mut self, looked: usize, now: Duration) {
         for _ in 0..looked.min(self.slots.len()) {
-            self.hand = if self.hand + 1 < self.slots.len() { self.hand + 1 } else { 0 };
+            self.hand = if self.hand + 1 < self.slots.len() {
+                self.hand + 1
+            } else {
+                0
+            };
             let slot = &mut self.slots[self.hand];
             if slot.used && slot.bucket.is_idle(&slot.rule, now) {
                 slot.used = false;
--- a/crates/route/src/change.rs
+++ b/crates/route/src/change.rs
@@ -96,7 +96,11 @@
 }
 
 /// Puts a thing in its place in a list: the one that was there, or none if it is new.
-fn put<T: Named>(all: &mut Vec<T>, names: &mut Names, thing: T) -> Result<(usize, Option<T>), Refused> {
+fn put<T: Named>(
+    all: &mut Vec<T>,
+    names: &mut Names,
+    thing: T,
+) -> Result<(usize, Option<T>), Refused> {
     if let Some(at) = names.get(all, thing.name()).map(usize::from) {
         return Ok((at, Some(std::mem::replace(&mut all[at], thing))));
     }
@@ -167,14 +171,20 @@
         let mut named = HashSet::with_capacity(changes.len());
         if let Some(twice) = changes.iter().find(|change| !named.insert(change.of())) {
             let (kind, name) = twice.of();
-            return Err(Refused(format!("{} `{name}` is named twice in one change", kind.word())));
+            return Err(Refused(format!(
+                "{} `{name}` is named twice in one change",
+                kind.word()
+            )));
         }
         let mut undo = Undo::new();
         let done = self.put_all(changes, &mut undo);
         if done.is_err() {
             for back in undo.into_iter().rev() {
                 let done = self.step(back);
-                debug_assert!(done.is_ok(), "what was there before is taken back: {done:?}");
+                debug_assert!(
+                    done.is_ok(),
+                    "what was there before is taken back: {done:?}"
+                );
             }
             return done;
         }
@@ -191,7 +201,10 @@
         for change in changes {
             match change {
                 Change::Pool(pool) if self.pool(&pool.name).is_none() => {
-                    let bare = schema::Pool { name: pool.name.clone(), ..schema::Pool::default() };
+                    let bare = schema::Pool {
+                        name: pool.name.clone(),
+                        ..schema::Pool::default()
+                    };
                     undo.push(self.step(Change::Pool(bare))?);
                 }
                 _ => {}
@@ -209,7 +222,12 @@
             self.chain_ends(usize::from(at))?;
         }
         // What goes refers to nothing any more, so that it may go in any order.
-        let gone = || changes.iter().filter(|change| change.turn() == 5).map(Change::of);
+        let gone = || {
+            changes
+                .iter()
+                .filter(|change| change.turn() == 5)
+                .map(Change::of)
+        };
         for (kind, name) in gone() {
             if let Some(bare) = self.bare(kind, name)? {
                 undo.push(self.step(bare)?);
@@ -224,15 +242,24 @@
         Ok(match kind {
             Kind::Type => {
                 let there = &c.types[usize::from(index.types.find(&c.types, name)?)];
-                Some(Change::Type(schema::TrafficType { limits: String::new(), ..there.clone() }))
+                Some(Change::Type(schema::TrafficType {
+                    limits: String::new(),
+                    ..there.clone()
+                }))
             }
             Kind::Tenant => {
                 let there = &c.tenants[usize::from(index.tenants.find(&c.tenants, name)?)];
-                Some(Change::Tenant(schema::Tenant { limits: String::new(), ..there.clone() }))
+                Some(Change::Tenant(schema::Tenant {
+                    limits: String::new(),
+                    ..there.clone()
+                }))
             }
             Kind::Pool => {
                 index.pools.find(&c.pools, name)?;
-                Some(Change::Pool(schema::Pool { name: name.to_owned(), ..schema::Pool::default() }))
+                Some(Change::Pool(schema::Pool {
+                    name: name.to_owned(),
+                    ..schema::Pool::default()
+                }))
             }
             Kind::Limits => index.limits.find(&c.limits, name).map(|_| None)?,
             Kind::RetryAfter => index.retry_after.find(&c.retry_after, name).map(|_| None)?,
@@ -252,13 +279,16 @@
                 let at = index.types.find(&c.types, name)?;
                 self.by_type[usize::from(at)] != self.any_type
             }
-            Kind::Tenant => self.by_tenant.contains_key(&index.tenants.find(&c.tenants, name)?),
+            Kind::Tenant => self
+                .by_tenant
+                .contains_key(&index.tenants.find(&c.tenants, name)?),
             Kind::Pool => {
                 let at = index.pools.find(&c.pools, name)?;
                 let leads = |r: &crate::table::Route| {
                     r.to.iter().any(|to| to.pool == at) || r.fall_back.contains(&at)
                 };
-                self.routes.iter().any(leads) || self.pools.iter().any(|pool| pool.fall_back == Some(at))
+                self.routes.iter().any(leads)
+                    || self.pools.iter().any(|pool| pool.fall_back == Some(at))
             }
             Kind::Limits => {
                 let at = Some(index.limits.find(&c.limits, name)?);
@@ -279,7 +309,10 @@
             Kind::Attempts | Kind::Health | Kind::Route => false,
         };
         match referred {
-            true => Err(Refused(format!("{} `{name}` cannot go: something refers to it", kind.word()))),
+            true => Err(Refused(format!(
+                "{} `{name}` cannot go: something refers to it",
+                kind.word()
+            ))),
             false => Ok(()),
         }
     }
@@ -291,17 +324,30 @@
         Ok(match change {
             Change::Limits(one) => {
                 let compiled = (Rule::from(&one), one.per());
-                let (at, before) = put(&mut self.configuration.limits, &mut self.index.limits, one)?;
+                let (at, before) =
+                    put(&mut self.configuration.limits, &mut self.index.limits, one)?;
                 set(&mut self.limits, at, compiled);
                 before.map_or(new, Change::Limits)
             }
             Change::RetryAfter(one) => {
-                let (_, before) = put(&mut self.configuration.retry_after, &mut self.index.retry_after, one)?;
+                let (_, before) = put(
+                    &mut self.configuration.retry_after,
+                    &mut self.index.retry_after,
+                    one,
+                )?;
                 before.map_or(new, Change::RetryAfter)
             }
             Change::Budget(one) => {
-                let times = self.goals.iter().map(|goal| Times::new(*goal, Some(&one))).collect();
-                let (at, before) = put(&mut self.configuration.budgets, &mut self.index.budgets, one)?;
+                let times = self
+                    .goals
+                    .iter()
+                    .map(|goal| Times::new(*goal, Some(&one)))
+                    .collect();
+                let (at, before) = put(
+                    &mut self.configuration.budgets,
+                    &mut self.index.budgets,
+                    one,
+                )?;
                 set(&mut self.times, at, times);
                 before.map_or(new, Change::Budget)
             }
@@ -312,7 +358,10 @@
                 put_by_name(&mut self.configuration.health, one).map_or(new, Change::Health)
             }
             Change::Type(one) => {
-                let limits = self.index.limits.find_any(&self.configuration.limits, &one.limits)?;
+                let limits = self
+                    .index
+                    .limits
+                    .find_any(&self.configuration.limits, &one.limits)?;
                 let goal = Duration::from_nanos(one.goal_ns);
                 rows_fit(self.configuration.types.len() + 1, self.routes.len())?;
                 let (at, before) = put(&mut self.configuration.types, &mut self.index.types, one)?;
@@ -327,8 +376,15 @@
                 before.map_or(new, Change::Type)
             }
             Change::Tenant(one) => {
-                let limits = self.index.limits.find_any(&self.configuration.limits, &one.limits)?;
-                let (at, before) = put(&mut self.configuration.tenants, &mut self.index.tenants, one)?;
+                let limits = self
+                    .index
+                    .limits
+                    .find_any(&self.configuration.limits, &one.limits)?;
+                let (at, before) = put(
+                    &mut self.configuration.tenants,
+                    &mut self.index.tenants,
+                    one,
+                )?;
                 set(&mut self.tenant_limits, at, limits);
                 before.map_or(new, Change::Tenant)
             }
@@ -341,7 +397,11 @@
             Change::Route(one, before) => self.put_route(one, before.as_deref())?,
             Change::Remove(Kind::Route, name) => {
                 let at = usize::from(self.index.routes.find(&self.configuration.routes, &name)?);
-                let next = self.configuration.routes.get(at + 1).map(|next| next.name.clone());
+                let next = self
+                    .configuration
+                    .routes
+                    .get(at + 1)
+                    .map(|next| next.name.clone());
                 Change::Route(self.remove_route(at), next)
             }
             // Only to take back what was just put: it is the last of its kind, and nothing refers to it.
@@ -362,7 +422,10 @@
         let Some(there) = self.index.routes.get(routes, &route.name).map(usize::from) else {
             rows_fit(self.by_type.len(), self.routes.len() + 1)?;
             if self.routes.len() >= crate::table::MOST {
-                return Err(Refused(format!("more than {} of route", crate::table::MOST)));
+                return Err(Refused(format!(
+                    "more than {} of route",
+                    crate::table::MOST
+                )));
             }
             self.index.routes.free(routes, &route.name)?;
             let back = Change::Remove(Kind::Route, route.name.clone());
@@ -370,7 +433,10 @@
             return Ok(back);
         };
         if place == there {
-            return Err(Refused(format!("route `{}` cannot stand before itself", route.name)));
+            return Err(Refused(format!(
+                "route `{}` cannot stand before itself",
+                route.name
+            )));
         }
         let next = routes.get(there + 1).map(|next| next.name.clone());
         let old = if place == there + 1 {
@@ -419,19 +485,37 @@
     }
 
     fn each_row(&mut self, mut what: impl FnMut(&mut crate::table::Bits)) {
-        let Self { any_type, by_type, any_tenant, by_try, .. } = self;
-        by_type.iter_mut().chain(by_try).chain([any_type, any_tenant]).for_each(&mut what);
+        let Self {
+            any_type,
+            by_type,
+            any_tenant,
+            by_try,
+            ..
+        } = self;
+        by_type
+            .iter_mut()
+            .chain(by_try)
+            .chain([any_type, any_tenant])
+            .for_each(&mut what);
     }
 
     /// Removes a thing that nothing refers to. Routes went before.
     fn remove(&mut self, kind: Kind, name: &str) {
-        let Self { configuration: c, index, pools, routes, .. } = self;
+        let Self {
+            configuration: c,
+            index,
+            pools,
+            routes,
+            ..
+        } = self;
         match kind {
             Kind::Route => {}
             Kind::Attempts => remove_by_name(&mut c.attempts, name),
             Kind::Health => remove_by_name(&mut c.health, name),
             Kind::Type => {
-                let Some((at, _)) = take_out(&mut c.types, &mut index.types, name) else { return };
+                let Some((at, _)) = take_out(&mut c.types, &mut index.types, name) else {
+                    return;
+                };
                 let at = usize::from(at);
                 self.type_limits.swap_remove(at);
                 self.goals.swap_remove(at);
@@ -441,38 +525,72 @@
                 }
             }
             Kind::Tenant => {
-                let Some((at, last)) = take_out(&mut c.tenants, &mut index.tenants, name) else { return };
+                let Some((at, last)) = take_out(&mut c.tenants, &mut index.tenants, name) else {
+                    return;
+                };
                 self.tenant_limits.swap_remove(usize::from(at));
                 if let Some(list) = self.by_tenant.remove(&last) {
                     self.by_tenant.insert(at, list);
                 }
             }
             Kind::Pool => {
-                let Some(moved) = take_out(&mut c.pools, &mut index.pools, name) else { return };
+                let Some(moved) = take_out(&mut c.pools, &mut index.pools, name) else {
+                    return;
+                };
                 pools.swap_remove(usize::from(moved.0));
-                renumber(pools.iter_mut().filter_map(|pool| pool.fall_back.as_mut()), moved);
+                renumber(
+                    pools.iter_mut().filter_map(|pool| pool.fall_back.as_mut()),
+                    moved,
+                );
                 for route in routes {
                     renumber(route.to.iter_mut().map(|to| &mut to.pool), moved);
                     renumber(route.fall_back.iter_mut(), moved);
                 }
             }
             Kind::Limits => {
-                let Some(moved) = take_out(&mut c.limits, &mut index.limits, name) else { return };
+                let Some(moved) = take_out(&mut c.limits, &mut index.limits, name) else {
+                    return;
+                };
                 self.limits.swap_remove(usize::from(moved.0));
-                renumber(self.type_limits.iter_mut().filter_map(Option::as_mut), moved);
-                renumber(self.tenant_limits.iter_mut().filter_map(Option::as_mut), moved);
-                renumber(routes.iter_mut().filter_map(|one| one.limits.as_mut()), moved);
-                renumber(pools.iter_mut().filter_map(|one| one.limits.as_mut()), moved);
+                renumber(
+                    self.type_limits.iter_mut().filter_map(Option::as_mut),
+                    moved,
+                );
+                renumber(
+                    self.tenant_limits.iter_mut().filter_map(Option::as_mut),
+                    moved,
+                );
+                renumber(
+                    routes.iter_mut().filter_map(|one| one.limits.as_mut()),
+                    moved,
+                );
+                renumber(
+                    pools.iter_mut().filter_map(|one| one.limits.as_mut()),
+                    moved,
+                );
             }
             Kind::RetryAfter => {
-                let Some(moved) = take_out(&mut c.retry_after, &mut index.retry_after, name) else { return };
-                renumber(routes.iter_mut().filter_map(|one| one.retry_after.as_mut()), moved);
-                renumber(pools.iter_mut().filter_map(|one| one.retry_after.as_mut()), moved);
+                let Some(moved) = take_out(&mut c.retry_after, &mut index.retry_after, name) else {
+                    return;
+                };
+                renumber(
+                    routes.iter_mut().filter_map(|one| one.retry_after.as_mut()),
+                    moved,
+                );
+                renumber(
+                    pools.iter_mut().filter_map(|one| one.retry_after.as_mut()),
+                    moved,
+                );
             }
             Kind::Budget => {
-                let Some(moved) = take_out(&mut c.budgets, &mut index.budgets, name) else { return };
+                let Some(moved) = take_out(&mut c.budgets, &mut index.budgets, name) else {
+                    return;
+                };
                 self.times.swap_remove(usize::from(moved.0));
-                renumber(routes.iter_mut().filter_map(|one| one.budget.as_mut()), moved);
+                renumber(
+                    routes.iter_mut().filter_map(|one| one.budget.as_mut()),
+                    moved,
+                );
             }
         }
     }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -42,7 +42,16 @@
 
 impl Member {
     pub fn new(mark: u64, weight: f64, near: bool, warm_up: Duration) -> Self {
-        Self { mark, weight, near, warm_up, started: None, ramp: None, open: 0, ghosts: VecDeque::new() }
+        Self {
+            mark,
+            weight,
+            near,
+            warm_up,
+            started: None,
+            ramp: None,
+            open: 0,
+            ghosts: VecDeque::new(),
+        }
     }
 
     /// A ticket failed: it counts as open until the usual time since it was sent is over.
@@ -58,9 +67,9 @@
     /// Its weight now: a member that just started gets its part by and by.
     fn weight_at(&self, now: Duration, part: f64) -> f64 {
         let warm = match self.started {
-            Some(started) if !self.warm_up.is_zero() => {
-                (now.saturating_sub(started).as_secs_f64() / self.warm_up.as_secs_f64()).clamp(START, 1.0)
-            }
+            Some(started) if !self.warm_up.is_zero() => (now.saturating_sub(started).as_secs_f64()
+                / self.warm_up.as_secs_f64())
+            .clamp(START, 1.0),
             _ => 1.0,
         };
         self.weight * warm * part
@@ -142,14 +151,20 @@
     }
     // One more ticket in each, so that an idle pool has a middle too.
     let spills = near.1 <= 0.0 || (near.0 + 1.0) / near.1 > SPILL * (all.0 + 1.0) / all.1;
-    let (sum, only_near) = if spills { (all.1, false) } else { (near.1, true) };
+    let (sum, only_near) = if spills {
+        (all.1, false)
+    } else {
+        (near.1, true)
+    };
     let how = if only_near { How::Near } else { How::Any };
     match pick {
         Pick::LeastKnown => return least(members, now, chance, only_near, &part).map(|k| (k, how)),
         Pick::InTurn(next) => {
             let count = members.len();
             let fits = |k: &usize| part(*k) > 0.0 && (!only_near || members[*k].near);
-            let k = (0..count).map(|k| (k + *next as usize) % count).find(fits)?;
+            let k = (0..count)
+                .map(|k| (k + *next as usize) % count)
+                .find(fits)?;
             *next = (k as u32 + 1) % count as u32;
             return Some((k, how));
         }
@@ -174,7 +189,11 @@
     let first = draw(None)?;
     let second = (0..DRAWS).find_map(|_| draw(Some(first))).unwrap_or(first);
     let mut rate = |k: usize| (members[k].in_hand(now) + 1.0) / members[k].weight_at(now, part(k));
-    let chosen = if rate(second) < rate(first) { second } else { first };
+    let chosen = if rate(second) < rate(first) {
+        second
+    } else {
+        first
+    };
     Some((chosen, how))
 }
 
@@ -241,7 +260,14 @@
     }
     let (chosen, of) = best?;
     passed_over += full.iter().filter(|score| **score > of).count() as u32;
-    Some((chosen, if passed_over == 0 { How::Own } else { How::OwnPassedOver(passed_over) }))
+    Some((
+        chosen,
+        if passed_over == 0 {
+            How::Own
+        } else {
+            How::OwnPassedOver(passed_over)
+        },
+    ))
 }
 
 #[cfg(test)]
@@ -251,7 +277,14 @@
 
     fn pool(count: usize) -> Vec<Member> {
         (0..count)
-            .map(|k| Member::new(mark(&format!("10.0.0.{k}:1")), 1.0, k % 2 == 0, Duration::ZERO))
+            .map(|k| {
+                Member::new(
+                    mark(&format!("10.0.0.{k}:1")),
+                    1.0,
+                    k % 2 == 0,
+                    Duration::ZERO,
+                )
+            })
             .collect()
     }
 
@@ -266,8 +299,15 @@
         members[3].weight = 2.0;
         let mut chance = WyRand::new_seed(2);
         for _ in 0..1_100 {
-            let (k, how) =
-                choose(&mut Pick::default(), &mut members, ms(0), "", &mut chance, |_| 1.0).unwrap();
+            let (k, how) = choose(
+                &mut Pick::default(),
+                &mut members,
+                ms(0),
+                "",
+                &mut chance,
+                |_| 1.0,
+            )
+            .unwrap();
             assert_eq!(how, How::Near);
             members[k].open += 1;
         }
@@ -296,7 +336,15 @@
                 }
                 !over
             });
-            let (k, _) = choose(&mut Pick::default(), &mut members, ms(t), "", &mut chance, |_| 1.0).unwrap();
+            let (k, _) = choose(
+                &mut Pick::default(),
+                &mut members,
+                ms(t),
+                "",
+                &mut chance,
+                |_| 1.0,
+            )
+            .unwrap();
             members[k].open += 1;
             got[k] += 1;
             open.push((t + if k == 0 { 1 } else { 50 }, k));
@@ -313,10 +361,19 @@
         [0, 1, 3].into_iter().for_each(|k| members[k].open = 5);
         let mut chance = WyRand::new_seed(8);
         let mut least = Pick::LeastKnown;
-        assert_eq!(choose(&mut least, &mut members, ms(0), "", &mut chance, |_| 1.0).unwrap().0, 2);
+        assert_eq!(
+            choose(&mut least, &mut members, ms(0), "", &mut chance, |_| 1.0)
+                .unwrap()
+                .0,
+            2
+        );
         let mut turn = Pick::InTurn(3);
         let mut next = |members: &mut Vec<Member>| {
-            choose(&mut turn, members, ms(0), "", &mut chance, |k| f64::from(u8::from(k != 1))).unwrap().0
+            choose(&mut turn, members, ms(0), "", &mut chance, |k| {
+                f64::from(u8::from(k != 1))
+            })
+            .unwrap()
+            .0
         };
         let order: Vec<usize> = (0..5).map(|_| next(&mut members)).collect();
         assert_eq!(order, [3, 0, 2, 3, 0]);
@@ -327,31 +384,72 @@
         let mut members = pool(4);
         let mut chance = WyRand::new_seed(4);
         for _ in 0..40 {
-            let (k, how) =
-                choose(&mut Pick::default(), &mut members, ms(0), "", &mut chance, |_| 1.0).unwrap();
+            let (k, how) = choose(
+                &mut Pick::default(),
+                &mut members,
+                ms(0),
+                "",
+                &mut chance,
+                |_| 1.0,
+            )
+            .unwrap();
             members[k].open += 1;
             assert!(how != How::Near || members[k].near);
         }
-        let near: u32 = members.iter().filter(|member| member.near).map(|member| member.open).sum();
+        let near: u32 = members
+            .iter()
+            .filter(|member| member.near)
+            .map(|member| member.open)
+            .sum();
         assert!((28..=32).contains(&near), "three of four parts: {near}");
         // No near one can be used: the others take all.
-        let (k, how) =
-            choose(&mut Pick::default(), &mut members, ms(0), "", &mut chance, |k| f64::from(k as u32 % 2))
-                .unwrap();
+        let (k, how) = choose(
+            &mut Pick::default(),
+            &mut members,
+            ms(0),
+            "",
+            &mut chance,
+            |k| f64::from(k as u32 % 2),
+        )
+        .unwrap();
         assert_eq!((members[k].near, how), (false, How::Any));
-        assert_eq!(choose(&mut Pick::default(), &mut members, ms(0), "", &mut chance, |_| 0.0), None);
+        assert_eq!(
+            choose(
+                &mut Pick::default(),
+                &mut members,
+                ms(0),
+                "",
+                &mut chance,
+                |_| 0.0
+            ),
+            None
+        );
     }
 
     #[test]
     fn an_entity_keeps_its_member_and_overloads_nobody() {
         let mut members = pool(8);
         let mut chance = WyRand::new_seed(5);
-        let (own, how) =
-            choose(&mut Pick::default(), &mut members, ms(0), "NO-1", &mut chance, |_| 1.0).unwrap();
+        let (own, how) = choose(
+            &mut Pick::default(),
+            &mut members,
+            ms(0),
+            "NO-1",
+            &mut chance,
+            |_| 1.0,
+        )
+        .unwrap();
         assert_eq!(how, How::Own);
         for _ in 0..400 {
-            let (k, _) =
-                choose(&mut Pick::default(), &mut members, ms(0), "NO-1", &mut chance, |_| 1.0).unwrap();
+            let (k, _) = choose(
+                &mut Pick::default(),
+                &mut members,
+                ms(0),
+                "NO-1",
+                &mut chance,
+                |_| 1.0,
+            )
+            .unwrap();
             members[k].open += 1;
         }
         let most = members.iter().map(|member| member.open).max().unwrap();
@@ -359,12 +457,26 @@
         assert!(members[own].open > 50);
         members.iter_mut().for_each(|member| member.open = 0);
         assert_eq!(
-            choose(&mut Pick::default(), &mut members, ms(0), "NO-1", &mut chance, |_| 1.0).unwrap().0,
+            choose(
+                &mut Pick::default(),
+                &mut members,
+                ms(0),
+                "NO-1",
+                &mut chance,
+                |_| 1.0
+            )
+            .unwrap()
+            .0,
             own
         );
-        let (other, _) = choose(&mut Pick::default(), &mut members, ms(0), "NO-1", &mut chance, |k| {
-            f64::from(u8::from(k != own))
-        })
+        let (other, _) = choose(
+            &mut Pick::default(),
+            &mut members,
+            ms(0),
+            "NO-1",
+            &mut chance,
+            |k| f64::from(u8::from(k != own)),
+        )
         .unwrap();
         assert_ne!(other, own);
     }
@@ -381,8 +493,15 @@
             let mut chance = WyRand::new_seed(6);
             let mut got = 0;
             for _ in 0..4_000 {
-                let (k, _) =
-                    choose(&mut Pick::default(), &mut members, ms(now), "", &mut chance, |_| 1.0).unwrap();
+                let (k, _) = choose(
+                    &mut Pick::default(),
+                    &mut members,
+                    ms(now),
+                    "",
+                    &mut chance,
+                    |_| 1.0,
+                )
+                .unwrap();
                 got += u32::from(k == 1);
                 members[k].open += 1;
             }
--- a/crates/route/src/decisions.rs
+++ b/crates/route/src/decisions.rs
@@ -47,7 +47,13 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum What {
     /// It went to a member of this many that could take it, which had so many in hand.
-    Went { member: u16, how: How, of: u16, in_hand: u32, tried: u32 },
+    Went {
+        member: u16,
+        how: How,
+        of: u16,
+        in_hand: u32,
+        tried: u32,
+    },
     /// No further try; how it ended is in the counters.
     Turned { why: Why, after: Duration },
 }
@@ -68,7 +74,16 @@
 
 impl Decision {
     pub fn new(at: Duration, traffic: u16, tenant: Option<u16>, what: What) -> Self {
-        Self { at, traffic, tenant, route: None, pool: None, what, passed: [(0, None); NAMED], more: 0 }
+        Self {
+            at,
+            traffic,
+            tenant,
+            route: None,
+            pool: None,
+            what,
+            passed: [(0, None); NAMED],
+            more: 0,
+        }
     }
 
     pub fn pass(&mut self, member: u16, why: Passed) {
@@ -79,7 +94,9 @@
     }
 
     pub fn passed(&self) -> impl Iterator<Item = (u16, Passed)> + '_ {
-        self.passed.iter().filter_map(|(member, why)| Some((*member, (*why)?)))
+        self.passed
+            .iter()
+            .filter_map(|(member, why)| Some((*member, (*why)?)))
     }
 }
 
@@ -114,13 +131,19 @@
     fn the_last_ones_are_kept_and_name_some_of_the_passed_over() {
         let mut all = Decisions::default();
         for n in 0..3_000u64 {
-            let what = What::Turned { why: Why::NoMember, after: Duration::ZERO };
+            let what = What::Turned {
+                why: Why::NoMember,
+                after: Duration::ZERO,
+            };
             let mut one = Decision::new(Duration::from_millis(n), 0, None, what);
             (0..9).for_each(|member| one.pass(member, Passed::Full));
             all.put(one);
         }
         assert_eq!(all.all().count(), KEPT);
         let last = all.all().next_back().unwrap();
-        assert_eq!((last.at, last.passed().count(), last.more), (Duration::from_millis(2_999), NAMED, 3));
+        assert_eq!(
+            (last.at, last.passed().count(), last.more),
+            (Duration::from_millis(2_999), NAMED, 3)
+        );
     }
 }
--- a/crates/route/src/explain.rs
+++ b/crates/route/src/explain.rs
@@ -48,22 +48,38 @@
     let asked = last.map_or(table.routes.len(), |last| usize::from(last) + 1);
     let steps = (0..asked as u16).map(|at| {
         let miss = table.miss(at, ticket);
-        Step { route: table.route_name(at).to_owned(), miss, wants: wants(table, at, miss) }
+        Step {
+            route: table.route_name(at).to_owned(),
+            miss,
+            wants: wants(table, at, miss),
+        }
     });
     let mut limits = Vec::new();
     let mut add = |at: String, of: Option<u16>| {
         limits.extend(of.map(|of| (at, configuration.limits[usize::from(of)].name.clone())));
     };
     let traffic = usize::from(ticket.traffic);
-    add(format!("type {}", configuration.types[traffic].name), table.type_limits[traffic]);
+    add(
+        format!("type {}", configuration.types[traffic].name),
+        table.type_limits[traffic],
+    );
     if let Some(tenant) = ticket.tenant.map(usize::from) {
-        add(format!("tenant {}", configuration.tenants[tenant].name), table.tenant_limits[tenant]);
+        add(
+            format!("tenant {}", configuration.tenants[tenant].name),
+            table.tenant_limits[tenant],
+        );
     }
     let mut member = None;
     if let Ok(place) = place {
         let (route, pool) = (usize::from(place.route), usize::from(place.pool));
-        add(format!("route {}", table.routes[route].name), table.routes[route].limits);
-        add(format!("pool {}", table.pools[pool].name), table.pools[pool].limits);
+        add(
+            format!("route {}", table.routes[route].name),
+            table.routes[route].limits,
+        );
+        add(
+            format!("pool {}", table.pools[pool].name),
+            table.pools[pool].limits,
+        );
         let members = &configuration.pools[pool].members;
         if !ticket.entity.is_empty() {
             let chosen = table.member(place.pool, ticket.entity, |k| !member_out(&members[k].name));
@@ -92,9 +108,20 @@
             _ => "no".into(),
         },
         Some(Miss::Size) => {
-            let shown =
-                |bytes: u64| if bytes == 0 { String::new() } else { rainstand_config::units::size(bytes) };
-            format!("{} .. {}", shown(matched.size_least), shown(matched.size_most)).trim().to_owned()
+            let shown = |bytes: u64| {
+                if bytes == 0 {
+                    String::new()
+                } else {
+                    rainstand_config::units::size(bytes)
+                }
+            };
+            format!(
+                "{} .. {}",
+                shown(matched.size_least),
+                shown(matched.size_most)
+            )
+            .trim()
+            .to_owned()
         }
     }
 }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -241,14 +241,21 @@
 impl Pool {
     fn count_places(&mut self) {
         // One that comes back by a trickle has all its places, should the others be out.
-        let usable = |k: &usize| self.health.as_ref().is_none_or(|health| health.usable(*k) > 0);
+        let usable = |k: &usize| {
+            self.health
+                .as_ref()
+                .is_none_or(|health| health.usable(*k) > 0)
+        };
         let all = (0..self.members.len()).filter(usable);
         let sum: f64 = all.map(|k| self.toward[k].places()).sum();
         self.places = (sum.ceil() as u32).max(1);
     }
 
     fn usual(&self) -> Duration {
-        self.health.as_ref().and_then(Health::usual).unwrap_or(USUAL)
+        self.health
+            .as_ref()
+            .and_then(Health::usual)
+            .unwrap_or(USUAL)
     }
 }
 
@@ -293,7 +300,10 @@
 
 /// What all forwarders together may send to a member while it warms up, and this one's part of it.
 fn rule(pool: &schema::Pool, member: &schema::Member) -> Option<Rule> {
-    let rate = pool.warm_rate.as_ref().filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0)?;
+    let rate = pool
+        .warm_rate
+        .as_ref()
+        .filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0)?;
     let window = Duration::from_nanos(rate.per_ns);
     let warm_up = Duration::from_nanos(member.warm_up_ns);
     let micro = rate.micro_tickets as f64 * (member.weight as f64 / ONE as f64);
@@ -301,15 +311,33 @@
     (rate > 0.0 && !warm_up.is_zero()).then(|| Rule::new(rate, window, pool.senders, warm_up))
 }
 
-fn pools(configuration: &Configuration, zone: &str, phases: &mut WyRand, now: Duration) -> Vec<Pool> {
-    configuration.pools.iter().map(|pool| made(pool, configuration, zone, phases, now)).collect()
+fn pools(
+    configuration: &Configuration,
+    zone: &str,
+    phases: &mut WyRand,
+    now: Duration,
+) -> Vec<Pool> {
+    configuration
+        .pools
+        .iter()
+        .map(|pool| made(pool, configuration, zone, phases, now))
+        .collect()
 }
 
 /// Limits and health of a pool as the configuration has them.
 fn settings(pool: &schema::Pool, configuration: &Configuration) -> (Option<u64>, Option<Rules>) {
-    let health = configuration.health.iter().find(|one| one.name == pool.health);
-    let limits = configuration.limits.iter().find(|one| one.name == pool.limits);
-    (limits.map(|one| one.at_once).filter(|most| *most > 0), health.map(Rules::from))
+    let health = configuration
+        .health
+        .iter()
+        .find(|one| one.name == pool.health);
+    let limits = configuration
+        .limits
+        .iter()
+        .find(|one| one.name == pool.limits);
+    (
+        limits.map(|one| one.at_once).filter(|most| *most > 0),
+        health.map(Rules::from),
+    )
 }
 
 fn made(
@@ -323,7 +351,12 @@
     let member = |m: &schema::Member| {
         let near = !zone.is_empty() && m.zone == zone;
         let weight = m.weight as f64 / ONE as f64;
-        let mut made = Member::new(mark(&m.address), weight, near, Duration::from_nanos(m.warm_up_ns));
+        let mut made = Member::new(
+            mark(&m.address),
+            weight,
+            near,
+            Duration::from_nanos(m.warm_up_ns),
+        );
         made.ramp = rule(pool, m).map(|rule| {
             let phase = f64::from(phases.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
             Ramp::new(rule, phase, now)
@@ -332,9 +365,17 @@
     };
     let mut made = Pool {
         name: pool.name.as_str().into(),
-        addresses: pool.members.iter().map(|member| member.address.as_str().into()).collect(),
+        addresses: pool
+            .members
+            .iter()
+            .map(|member| member.address.as_str().into())
+            .collect(),
         members: pool.members.iter().map(member).collect(),
-        toward: pool.members.iter().map(|_| Toward::new(most, now)).collect(),
+        toward: pool
+            .members
+            .iter()
+            .map(|_| Toward::new(most, now))
+            .collect(),
         health: health.map(|rules| Health::new(rules, pool.members.len(), now)),
         room: Room::default(),
         places: 0,
@@ -353,7 +394,9 @@
             pool.members[new].open = before.members[k].open;
             pool.out += before.members[k].open;
             pool.members[new].started = before.members[k].started;
-            if let (Some(ramp), Some(before)) = (&mut pool.members[new].ramp, &before.members[k].ramp) {
+            if let (Some(ramp), Some(before)) =
+                (&mut pool.members[new].ramp, &before.members[k].ramp)
+            {
                 ramp.carry(before, now);
             }
             pool.toward[new].carry(&before.toward[k]);
@@ -369,19 +412,38 @@
 }
 
 fn any_ramp(pools: &[Pool]) -> bool {
-    pools.iter().any(|pool| pool.members.iter().any(|member| member.ramp.is_some()))
+    pools
+        .iter()
+        .any(|pool| pool.members.iter().any(|member| member.ramp.is_some()))
 }
 
 /// What each route says of further tries: its own word, else that of its first pool.
 fn plans(table: &Table) -> impl Iterator<Item = (Policy, u64)> + '_ {
     let c = table.configuration();
-    let once = Policy { tries: 1, wait: (Duration::ZERO, Duration::ZERO), proof: schema::Proof::NotRun };
-    c.routes.iter().zip(&table.routes).map(move |(route, compiled)| {
-        let of_pool = compiled.to.first().map_or("", |to| &c.pools[usize::from(to.pool)].attempts);
-        let named = if route.attempts.is_empty() { of_pool } else { &route.attempts };
-        let attempts = c.attempts.iter().find(|one| one.name == named);
-        (attempts.map_or(once, Policy::from), attempts.map_or(0, |one| one.budget))
-    })
+    let once = Policy {
+        tries: 1,
+        wait: (Duration::ZERO, Duration::ZERO),
+        proof: schema::Proof::NotRun,
+    };
+    c.routes
+        .iter()
+        .zip(&table.routes)
+        .map(move |(route, compiled)| {
+            let of_pool = compiled
+                .to
+                .first()
+                .map_or("", |to| &c.pools[usize::from(to.pool)].attempts);
+            let named = if route.attempts.is_empty() {
+                of_pool
+            } else {
+                &route.attempts
+            };
+            let attempts = c.attempts.iter().find(|one| one.name == named);
+            (
+                attempts.map_or(once, Policy::from),
+                attempts.map_or(0, |one| one.budget),
+            )
+        })
 }
 
 fn shares(configuration: &Configuration) -> Weights {
@@ -393,7 +455,12 @@
     ///
     /// # Errors
     /// As [`Router::new`].
-    pub fn new(configuration: &Configuration, zone: &str, seed: u64, now: Duration) -> Result<Self, Refused> {
+    pub fn new(
+        configuration: &Configuration,
+        zone: &str,
+        seed: u64,
+        now: Duration,
+    ) -> Result<Self, Refused> {
         Self::of(configuration.clone(), zone, seed, now)
     }
 
@@ -401,7 +468,12 @@
     ///
     /// # Errors
     /// As [`Router::of`].
-    pub fn of(configuration: Configuration, zone: &str, seed: u64, now: Duration) -> Result<Self, Refused> {
+    pub fn of(
+        configuration: Configuration,
+        zone: &str,
+        seed: u64,
+        now: Duration,
+    ) -> Result<Self, Refused> {
         let mut phases = WyRand::new_seed(seed ^ 0x7261_6d70);
         let router = Router::of(configuration, seed)?;
         let pools = pools(router.table().configuration(), zone, &mut phases, now);
@@ -437,7 +509,10 @@
 
     /// The number of the present version.
     pub fn version(&self) -> u64 {
-        self.router.versions().last().map_or(0, |(number, _)| number)
+        self.router
+            .versions()
+            .last()
+            .map_or(0, |(number, _)| number)
     }
 
     pub fn counts(&self) -> Counts {
@@ -476,7 +551,9 @@
         self.shares = shares(c);
         let old = std::mem::replace(&mut self.pools, made);
         for before in old {
-            let Some(at) = self.table().pool(&before.name) else { continue };
+            let Some(at) = self.table().pool(&before.name) else {
+                continue;
+            };
             carry(&mut self.pools[usize::from(at)], before, now);
         }
         self.plan();
@@ -493,14 +570,26 @@
     /// # Errors
     /// As [`Router::apply`]; nothing has changed then.
     pub fn apply(&mut self, changes: &[Named], now: Duration) -> Result<u64, Refused> {
-        let names =
-            |kind: Kind| changes.iter().map(Named::of).filter(move |of| of.0 == kind).map(|(_, name)| name);
-        let gone = |kind: Kind| changes.iter().any(|one| matches!(one, Named::Remove(of, _) if *of == kind));
+        let names = |kind: Kind| {
+            changes
+                .iter()
+                .map(Named::of)
+                .filter(move |of| of.0 == kind)
+                .map(|(_, name)| name)
+        };
+        let gone = |kind: Kind| {
+            changes
+                .iter()
+                .any(|one| matches!(one, Named::Remove(of, _) if *of == kind))
+        };
         let before = self.table().route_places(names(Kind::Route));
         let number = self.router.apply(changes, now)?;
         let table = self.router.table();
         let c = table.configuration();
-        for at in names(Kind::Tenant).filter_map(|name| table.tenant(name)).map(usize::from) {
+        for at in names(Kind::Tenant)
+            .filter_map(|name| table.tenant(name))
+            .map(usize::from)
+        {
             // New ones stand behind all others.
             for at in self.shares.len().min(at)..=at {
                 self.shares.set(at, c.tenants[at].share);
@@ -517,8 +606,11 @@
         let mut touched = gone(Kind::Pool);
         if touched {
             // Places of pools are others: in the order of the table.
-            let mut old: HashMap<Rc<str>, Pool> =
-                self.pools.drain(..).map(|pool| (pool.name.clone(), pool)).collect();
+            let mut old: HashMap<Rc<str>, Pool> = self
+                .pools
+                .drain(..)
+                .map(|pool| (pool.name.clone(), pool))
+                .collect();
             let kept = |pool: &schema::Pool| old.remove(pool.name.as_str());
             let found: Vec<Option<Pool>> = c.pools.iter().map(kept).collect();
             let placed = found.into_iter().zip(&c.pools);
@@ -540,7 +632,11 @@
             touched = true;
         }
         let routes = before != self.router.table().route_places(names(Kind::Route));
-        if routes || touched || [Kind::Route, Kind::Attempts].into_iter().any(|kind| names(kind).count() > 0)
+        if routes
+            || touched
+            || [Kind::Route, Kind::Attempts]
+                .into_iter()
+                .any(|kind| names(kind).count() > 0)
         {
             self.plan();
         }
@@ -550,7 +646,9 @@
             self.pauses.clear();
         }
         if gone {
-            self.pools.iter_mut().for_each(|pool| pool.room = Room::default());
+            self.pools
+                .iter_mut()
+                .for_each(|pool| pool.room = Room::default());
             self.rooms_since = number;
         }
         Ok(number)
@@ -579,7 +677,10 @@
         let pools = self.pools.iter().enumerate();
         let at = |(pool, one): (usize, &Pool)| {
             let member = one.addresses.iter().position(|known| **known == *address)?;
-            Some(At { pool: pool as u16, member: member as u16 })
+            Some(At {
+                pool: pool as u16,
+                member: member as u16,
+            })
         };
         pools.filter_map(at).collect()
     }
@@ -587,7 +688,10 @@
     /// A member came back under its address: what was learned of the one before does not hold.
     pub fn renewed(&mut self, address: &str, now: Duration) {
         for at in self.places_of(address) {
-            let (pool, member) = (&mut self.pools[usize::from(at.pool)], usize::from(at.member));
+            let (pool, member) = (
+                &mut self.pools[usize::from(at.pool)],
+                usize::from(at.member),
+            );
             pool.members[member].started = Some(now);
             if let Some(ramp) = &mut pool.members[member].ramp {
                 ramp.connected(now, now);
@@ -637,12 +741,19 @@
         self.pauses.retain(|_, until| *until > now);
         let mut all = std::mem::take(&mut self.changes);
         for (pool, one) in self.pools.iter_mut().enumerate() {
-            let changes = one.health.as_mut().map_or(Vec::new(), |health| health.look(now));
-            all.extend(
-                changes
-                    .into_iter()
-                    .map(|Change { member, to }| (At { pool: pool as u16, member: member as u16 }, to)),
-            );
+            let changes = one
+                .health
+                .as_mut()
+                .map_or(Vec::new(), |health| health.look(now));
+            all.extend(changes.into_iter().map(|Change { member, to }| {
+                (
+                    At {
+                        pool: pool as u16,
+                        member: member as u16,
+                    },
+                    to,
+                )
+            }));
             one.room.look(&self.shares, now);
             one.count_places();
         }
@@ -652,7 +763,12 @@
     /// A ticket came.
     pub fn arrived(&mut self, now: Duration, ticket: &Ticket<'_>) -> Step {
         let who = Who::new(ticket.tenant, ticket.stranger);
-        let parts = Parts { pools: &self.pools, pauses: &self.pauses, now, who };
+        let parts = Parts {
+            pools: &self.pools,
+            pauses: &self.pauses,
+            now,
+            who,
+        };
         // The pool whose room is scarce, and how far the tenant is over its part.
         let scarce: Cell<Option<(u16, f64)>> = Cell::new(None);
         let usable = |pool: u16| {
@@ -706,10 +822,17 @@
         turned: Turned,
         scarce: Option<(u16, f64)>,
     ) -> Step {
-        let Turned { why, mut after, route } = turned;
+        let Turned {
+            why,
+            mut after,
+            route,
+        } = turned;
         let mut told = Why::Router(why);
         if let (versions::Why::NoPool, Some(route)) = (why, route) {
-            let within = self.table().routes[usize::from(route)].to.iter().map(|to| to.pool);
+            let within = self.table().routes[usize::from(route)]
+                .to
+                .iter()
+                .map(|to| to.pool);
             let pools: Vec<u16> = within.collect();
             if let Some((pool, over)) = scarce {
                 // Its part is free again once as much as it is over has ended.
@@ -718,7 +841,10 @@
                 after = one.usual().mul_f64(over.min(1_000.0));
                 told = Why::Room;
                 self.counts.room += 1;
-            } else if let Some(soonest) = pools.iter().filter_map(|pool| self.soonest(*pool, who, now)).min()
+            } else if let Some(soonest) = pools
+                .iter()
+                .filter_map(|pool| self.soonest(*pool, who, now))
+                .min()
             {
                 after = soonest;
             }
@@ -726,12 +852,19 @@
             after = bounded(self.table(), Some(route), None, after);
         }
         self.counts.dismissed += 1;
-        let mut decision =
-            Decision::new(now, ticket.traffic, ticket.tenant, What::Turned { why: told, after });
+        let mut decision = Decision::new(
+            now,
+            ticket.traffic,
+            ticket.tenant,
+            What::Turned { why: told, after },
+        );
         decision.route = route;
         self.decisions.put(decision);
         Step::Over(Over {
-            end: End::Dismissed { after, nowhere_else: false },
+            end: End::Dismissed {
+                after,
+                nowhere_else: false,
+            },
             why: told,
             version: self.version(),
             route,
@@ -750,7 +883,12 @@
     /// From now on, when the first member of a pool may take a ticket again; none for a pool without any.
     fn soonest(&self, pool: u16, who: Who, now: Duration) -> Option<Duration> {
         let one = &self.pools[usize::from(pool)];
-        let parts = Parts { pools: &self.pools, pauses: &self.pauses, now, who };
+        let parts = Parts {
+            pools: &self.pools,
+            pauses: &self.pauses,
+            now,
+            who,
+        };
         let when = |member: u16| match parts.passed(At { pool, member }) {
             // A place is free again when a usual ticket has ended.
             Some((Passed::Full, _)) | None => one.usual(),
@@ -776,11 +914,25 @@
 
     /// Sends a try to a member of the trip's pool; another than the last one, if there is one.
     fn go(&mut self, now: Duration, mut trip: Trip) -> Step {
-        let Some(pool) = self.pool_now(&trip.way) else { return self.end(now, trip, None, Why::NoMember) };
-        let last = trip.at.take().map(|(at, ..)| at).filter(|at| at.pool == pool);
-        let parts = Parts { pools: &self.pools, pauses: &self.pauses, now, who: trip.who };
+        let Some(pool) = self.pool_now(&trip.way) else {
+            return self.end(now, trip, None, Why::NoMember);
+        };
+        let last = trip
+            .at
+            .take()
+            .map(|(at, ..)| at)
+            .filter(|at| at.pool == pool);
+        let parts = Parts {
+            pools: &self.pools,
+            pauses: &self.pauses,
+            now,
+            who: trip.who,
+        };
         let others = last.is_none() || parts.any(pool, last);
-        let what = What::Turned { why: Why::NoMember, after: COME_BACK };
+        let what = What::Turned {
+            why: Why::NoMember,
+            after: COME_BACK,
+        };
         let mut decision = Decision::new(now, trip.traffic, trip.tenant, what);
         decision.pool = Some(pool);
         decision.route = (trip.way.version >= self.places_since).then_some(trip.way.place.route);
@@ -801,11 +953,16 @@
         }
         // Whoever leaves is taken where nobody else is there, and only then.
         if weights.iter().any(|weight| *weight > LAST_RESORT) {
-            weights.iter_mut().filter(|weight| **weight <= LAST_RESORT).for_each(|weight| *weight = 0.0);
+            weights
+                .iter_mut()
+                .filter(|weight| **weight <= LAST_RESORT)
+                .for_each(|weight| *weight = 0.0);
         }
         let one = &mut self.pools[usize::from(pool)];
         let (pick, members) = (&mut self.pick, &mut one.members);
-        let chosen = choice::choose(pick, members, now, &trip.entity, &mut self.chance, |k| weights[k]);
+        let chosen = choice::choose(pick, members, now, &trip.entity, &mut self.chance, |k| {
+            weights[k]
+        });
         let Some((member, how)) = chosen else {
             self.decisions.put(decision);
             return self.end(now, trip, None, Why::NoMember);
@@ -814,11 +971,23 @@
         let left = trip.goal.saturating_sub(now.saturating_sub(trip.arrived));
         let tries_left = trip.policy.tries.saturating_sub(trip.tries);
         trip.tries += 1;
-        let tried = Tried { repeat: trip.repeat, again: trip.again, tries: trip.tries, left, usual };
+        let tried = Tried {
+            repeat: trip.repeat,
+            again: trip.again,
+            tries: trip.tries,
+            left,
+            usual,
+        };
         let follows = attempts::may_follow(&tried, &trip.policy, &self.budget);
         let cut = attempts::cut(left, tries_left, usual, follows);
         let in_hand = one.members[member].open;
-        decision.what = What::Went { member: member as u16, how, of, in_hand, tried: trip.tries };
+        decision.what = What::Went {
+            member: member as u16,
+            how,
+            of,
+            in_hand,
+            tried: trip.tries,
+        };
         self.decisions.put(decision);
         one.members[member].open += 1;
         if let Some(ramp) = &mut one.members[member].ramp {
@@ -829,12 +998,24 @@
         if let Some(health) = &mut one.health {
             health.sent(member, now);
         }
-        let to = At { pool, member: member as u16 };
+        let to = At {
+            pool,
+            member: member as u16,
+        };
         trip.at = Some((to, one.name.clone(), one.addresses[member].clone(), now));
         trip.out = true;
         let again = trip.again || trip.tries > 1;
         let tried = trip.tries;
-        Step::Go(trip, Send { to, cut, again, tried, how })
+        Step::Go(
+            trip,
+            Send {
+                to,
+                cut,
+                again,
+                tried,
+                how,
+            },
+        )
     }
 
     /// What came of a trip's try.
@@ -843,14 +1024,32 @@
         let came = match back {
             Back::Honoured => return self.finish(now, trip, End::Honoured, Why::Done),
             Back::CallerLeft => return self.finish(now, trip, End::Nobody, Why::CallerLeft),
-            Back::Dismissed { pause, nowhere_else } => Came::Dismissed { pause, nowhere_else },
+            Back::Dismissed {
+                pause,
+                nowhere_else,
+            } => Came::Dismissed {
+                pause,
+                nowhere_else,
+            },
             Back::Unreachable => Came::NotRun,
             Back::Failed | Back::Broken | Back::TimedOut => Came::MayHaveRun,
         };
         trip.may_have_run |= came == Came::MayHaveRun;
         let left = trip.goal.saturating_sub(now.saturating_sub(trip.arrived));
-        let tried = Tried { repeat: trip.repeat, again: trip.again, tries: trip.tries, left, usual };
-        match attempts::next(&tried, came, &trip.policy, &mut self.budget, &mut self.chance) {
+        let tried = Tried {
+            repeat: trip.repeat,
+            again: trip.again,
+            tries: trip.tries,
+            left,
+            usual,
+        };
+        match attempts::next(
+            &tried,
+            came,
+            &trip.policy,
+            &mut self.budget,
+            &mut self.chance,
+        ) {
             Next::Again { wait } => Step::Wait(trip, wait),
             Next::Stop(stop) => self.end(now, trip, Some(came), Why::Stopped(stop)),
         }
@@ -862,16 +1061,28 @@
         if !std::mem::replace(&mut trip.out, false) {
             return USUAL;
         }
-        let Some((at, name, address, sent)) = &trip.at else { return USUAL };
+        let Some((at, name, address, sent)) = &trip.at else {
+            return USUAL;
+        };
         let mut at = *at;
-        if self.pools.get(usize::from(at.pool)).is_none_or(|pool| pool.name != *name) {
+        if self
+            .pools
+            .get(usize::from(at.pool))
+            .is_none_or(|pool| pool.name != *name)
+        {
             // Another version numbers its pools anew; one that is gone has no books any more.
-            let Some(moved) = self.pools.iter().position(|pool| pool.name == *name) else { return USUAL };
+            let Some(moved) = self.pools.iter().position(|pool| pool.name == *name) else {
+                return USUAL;
+            };
             at.pool = moved as u16;
         }
         let pool = &mut self.pools[usize::from(at.pool)];
         let member = usize::from(at.member);
-        let member = if pool.addresses.get(member).is_some_and(|one| Rc::ptr_eq(one, address)) {
+        let member = if pool
+            .addresses
+            .get(member)
+            .is_some_and(|one| Rc::ptr_eq(one, address))
+        {
             member
         } else if let Some(moved) = pool.addresses.iter().position(|one| one == address) {
             moved
@@ -896,8 +1107,17 @@
             match (good, back) {
                 (Some(good), _) => {
                     let change = health.answered(member, now, took, good);
-                    let told = change.map(|change| (At { pool: at.pool, member: member as u16 }, change.to));
-                    self.changes.extend(told.filter(|_| self.changes.len() < MOST_CHANGES));
+                    let told = change.map(|change| {
+                        (
+                            At {
+                                pool: at.pool,
+                                member: member as u16,
+                            },
+                            change.to,
+                        )
+                    });
+                    self.changes
+                        .extend(told.filter(|_| self.changes.len() < MOST_CHANGES));
                 }
                 // It spoke, and that it has enough to do is no failure.
                 (None, Back::Dismissed { .. }) => health.heard(member, now),
@@ -906,8 +1126,12 @@
         }
         if let Back::Dismissed { pause, .. } = back {
             if !pause.is_zero() && self.pauses.len() < MOST_PAUSES {
-                let at = At { pool: at.pool, member: member as u16 };
-                self.pauses.insert((at, of_tenant(trip.who)), now + pause.min(TOLD.1));
+                let at = At {
+                    pool: at.pool,
+                    member: member as u16,
+                };
+                self.pauses
+                    .insert((at, of_tenant(trip.who)), now + pause.min(TOLD.1));
             }
         }
         usual
@@ -915,18 +1139,35 @@
 
     /// No further try: the truth about what there was.
     fn end(&mut self, now: Duration, trip: Trip, came: Option<Came>, why: Why) -> Step {
-        if trip.may_have_run && (trip.repeat != RepeatKind::Rerunnable || came == Some(Came::MayHaveRun)) {
+        if trip.may_have_run
+            && (trip.repeat != RepeatKind::Rerunnable || came == Some(Came::MayHaveRun))
+        {
             return self.finish(now, trip, End::GivenUp, why);
         }
         let end = match came {
-            Some(Came::Dismissed { pause, nowhere_else }) => End::Dismissed { after: pause, nowhere_else },
+            Some(Came::Dismissed {
+                pause,
+                nowhere_else,
+            }) => End::Dismissed {
+                after: pause,
+                nowhere_else,
+            },
             _ => {
                 let pool = self.pool_now(&trip.way);
-                let soonest = pool.and_then(|pool| self.soonest(pool, trip.who, now)).unwrap_or(COME_BACK);
+                let soonest = pool
+                    .and_then(|pool| self.soonest(pool, trip.who, now))
+                    .unwrap_or(COME_BACK);
                 // Who could not be reached just now is not back in the time of a usual run.
-                let least = if came.is_some() { COME_BACK } else { Duration::ZERO };
+                let least = if came.is_some() {
+                    COME_BACK
+                } else {
+                    Duration::ZERO
+                };
                 let after = self.spread(soonest.max(least));
-                End::Dismissed { after, nowhere_else: false }
+                End::Dismissed {
+                    after,
+                    nowhere_else: false,
+                }
             }
         };
         self.finish(now, trip, end, why)
@@ -962,14 +1203,20 @@
     /// The members of a pool as this forwarder sees them.
     pub fn members(&self, pool: u16, now: Duration) -> impl Iterator<Item = Seen<'_>> + '_ {
         let one = &self.pools[usize::from(pool)];
-        one.addresses.iter().enumerate().map(move |(k, address)| Seen {
-            address,
-            open: one.members[k].open,
-            limit: one.toward[k].limit(),
-            standing: one.health.as_ref().map_or(Standing::In, |health| health.standing(k)),
-            near: one.members[k].near,
-            leaving: one.leaving[k] > now,
-        })
+        one.addresses
+            .iter()
+            .enumerate()
+            .map(move |(k, address)| Seen {
+                address,
+                open: one.members[k].open,
+                limit: one.toward[k].limit(),
+                standing: one
+                    .health
+                    .as_ref()
+                    .map_or(Standing::In, |health| health.standing(k)),
+                near: one.members[k].near,
+                leaving: one.leaving[k] > now,
+            })
     }
 
     /// Places toward all usable members of a pool, and tickets that hold one.
@@ -1008,12 +1255,18 @@
     /// Why a member is passed over, and until when as far as that is known.
     fn passed(&self, at: At) -> Option<(Passed, Duration)> {
         let (pool, member) = (&self.pools[usize::from(at.pool)], usize::from(at.member));
-        if let Some((reason, until)) = pool.health.as_ref().and_then(|health| health.left_out(member)) {
+        if let Some((reason, until)) = pool
+            .health
+            .as_ref()
+            .and_then(|health| health.left_out(member))
+        {
             return Some((Passed::Out(reason), until));
         }
         if !self.pauses.is_empty() {
-            if let Some(until) =
-                self.pauses.get(&(at, of_tenant(self.who))).filter(|until| **until > self.now)
+            if let Some(until) = self
+                .pauses
+                .get(&(at, of_tenant(self.who)))
+                .filter(|until| **until > self.now)
             {
                 return Some((Passed::ToldToWait, *until));
             }
@@ -1021,7 +1274,11 @@
         if pool.out >= pool.places || !pool.toward[member].has_room() {
             return Some((Passed::Full, self.now));
         }
-        if let Some(until) = pool.members[member].ramp.as_ref().and_then(|ramp| ramp.closed(self.now)) {
+        if let Some(until) = pool.members[member]
+            .ramp
+            .as_ref()
+            .and_then(|ramp| ramp.closed(self.now))
+        {
             return Some((Passed::Warming, until));
         }
         (pool.leaving[member] > self.now).then_some((Passed::Leaving, pool.leaving[member]))
@@ -1034,13 +1291,17 @@
             Some(_) => 0.0,
             None => {
                 let health = self.pools[usize::from(at.pool)].health.as_ref();
-                health.map_or(1.0, |health| health.usable(usize::from(at.member)) as f64 / ONE as f64)
+                health.map_or(1.0, |health| {
+                    health.usable(usize::from(at.member)) as f64 / ONE as f64
+                })
             }
         }
     }
 
     /// Whether any member of a pool can take the ticket, but one.
     fn any(&self, pool: u16, but: Option<At>) -> bool {
-        (0..self.count(pool)).map(|member| At { pool, member }).any(|at| Some(at) != but && self.of(at) > 0.0)
+        (0..self.count(pool))
+            .map(|member| At { pool, member })
+            .any(|at| Some(at) != but && self.of(at) > 0.0)
     }
 }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -175,7 +175,13 @@
 
     pub fn new(rules: Rules, members: usize, now: Duration) -> Self {
         let members = vec![Member::new(now); members];
-        Self { rules, members, all_again: false, middle: None, answers: 0 }
+        Self {
+            rules,
+            members,
+            all_again: false,
+            middle: None,
+            answers: 0,
+        }
     }
 
     /// A ticket went to a member.
@@ -188,7 +194,13 @@
     }
 
     /// What came back for it, and after how long; a change if it made one.
-    pub fn answered(&mut self, member: usize, now: Duration, took: Duration, good: bool) -> Option<Change> {
+    pub fn answered(
+        &mut self,
+        member: usize,
+        now: Duration,
+        took: Duration,
+        good: bool,
+    ) -> Option<Change> {
         let one = &mut self.members[member];
         one.owes = one.owes.saturating_sub(1);
         one.heard = now;
@@ -231,8 +243,14 @@
     /// Time passes: silence, and members whose time out is over. To be called some times a second.
     pub fn look(&mut self, now: Duration) -> Vec<Change> {
         self.find_middle();
-        let changes: Vec<_> = (0..self.members.len()).filter_map(|member| self.judge(member, now)).collect();
-        let out = self.members.iter().filter(|one| matches!(one.standing, Standing::Out(..))).count();
+        let changes: Vec<_> = (0..self.members.len())
+            .filter_map(|member| self.judge(member, now))
+            .collect();
+        let out = self
+            .members
+            .iter()
+            .filter(|one| matches!(one.standing, Standing::Out(..)))
+            .count();
         self.all_again = out > self.may_be_out();
         changes
     }
@@ -264,7 +282,11 @@
         };
         one.standing = to;
         one.since = now;
-        let out = self.members.iter().filter(|one| matches!(one.standing, Standing::Out(..))).count();
+        let out = self
+            .members
+            .iter()
+            .filter(|one| matches!(one.standing, Standing::Out(..)))
+            .count();
         self.all_again = out > self.may_be_out();
         Some(Change { member, to })
     }
@@ -291,7 +313,8 @@
         let mut means: Vec<f64> = self.members.iter().filter_map(Member::mean).collect();
         // The lower middle: half of the members slow must not make slowness usual.
         let at = means.len().saturating_sub(1) / 2;
-        self.middle = (means.len() >= MIDDLE).then(|| *means.select_nth_unstable_by(at, f64::total_cmp).1);
+        self.middle =
+            (means.len() >= MIDDLE).then(|| *means.select_nth_unstable_by(at, f64::total_cmp).1);
     }
 
     /// How many members may be left out: never all.
@@ -303,7 +326,9 @@
 
     /// How many are left out now; none while all are used again.
     pub fn out(&self) -> usize {
-        (0..self.members.len()).filter(|member| self.usable(*member) == 0).count()
+        (0..self.members.len())
+            .filter(|member| self.usable(*member) == 0)
+            .count()
     }
 
     /// The part of its usual traffic that a member may get, in millionths.
@@ -330,7 +355,8 @@
 
     /// The mean time of the pool's good answers, where it is known.
     pub fn usual(&self) -> Option<Duration> {
-        self.middle.and_then(|s| Duration::try_from_secs_f64(s).ok())
+        self.middle
+            .and_then(|s| Duration::try_from_secs_f64(s).ok())
     }
 }
 
@@ -370,7 +396,9 @@
                 health.sent(member, ms(t));
                 if let Some((took, good)) = how(member) {
                     changes.extend(
-                        health.answered(member, ms(t + took.min(99)), ms(took), good).map(|c| (t, c)),
+                        health
+                            .answered(member, ms(t + took.min(99)), ms(took), good)
+                            .map(|c| (t, c)),
                     );
                 }
             }
@@ -384,8 +412,16 @@
         type How = fn(usize) -> Option<(u64, bool)>;
         let table: [(How, Reason, u64); 3] = [
             (|m| Some((20, m != 2)), Reason::FailuresInARow, 1_000),
-            (|m| if m == 2 { None } else { Some((20, true)) }, Reason::Silent, 3_000),
-            (|m| Some((if m == 2 { 70 } else { 20 }, true)), Reason::Slow, 4_000),
+            (
+                |m| if m == 2 { None } else { Some((20, true)) },
+                Reason::Silent,
+                3_000,
+            ),
+            (
+                |m| Some((if m == 2 { 70 } else { 20 }, true)),
+                Reason::Slow,
+                4_000,
+            ),
         ];
         for (how, reason, within) in table {
             let mut health = Health::new(RULES, 5, ms(0));
@@ -395,7 +431,10 @@
                 matches!(changes[0].1, Change { member: 2, to: Standing::Out(told, _) } if told == reason),
                 "{changes:?}"
             );
-            assert_eq!((health.out(), health.usable(2), health.usable(1)), (1, 0, ONE));
+            assert_eq!(
+                (health.out(), health.usable(2), health.usable(1)),
+                (1, 0, ONE)
+            );
         }
     }
 
@@ -408,7 +447,13 @@
             told = told.or(health.answered(0, ms(t * 50 + 5), ms(5), t % 2 == 0));
         }
         assert!(
-            matches!(told, Some(Change { member: 0, to: Standing::Out(Reason::ShareOfFailures, _) })),
+            matches!(
+                told,
+                Some(Change {
+                    member: 0,
+                    to: Standing::Out(Reason::ShareOfFailures, _)
+                })
+            ),
             "{told:?}"
         );
     }
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -40,10 +40,18 @@
 
 impl From<&Limits> for Rule {
     fn from(limits: &Limits) -> Self {
-        let pace = limits.rate.filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0);
-        let pace =
-            pace.map(|rate| Pace { micro: rate.micro_tickets, per: rate.per_ns, burst: limits.burst.max(1) });
-        Self { pace, at_once: limits.at_once }
+        let pace = limits
+            .rate
+            .filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0);
+        let pace = pace.map(|rate| Pace {
+            micro: rate.micro_tickets,
+            per: rate.per_ns,
+            burst: limits.burst.max(1),
+        });
+        Self {
+            pace,
+            at_once: limits.at_once,
+        }
     }
 }
 
@@ -82,12 +90,17 @@
         }
         let ns = earliest.div_ceil(u128::from(pace.micro.max(1)));
         // 64 bits of nanoseconds are 584 years.
-        Err(Full::Until(Duration::from_nanos(u64::try_from(ns).unwrap_or(u64::MAX))))
+        Err(Full::Until(Duration::from_nanos(
+            u64::try_from(ns).unwrap_or(u64::MAX),
+        )))
     }
 
     /// Nobody is inside and the burst is whole: it is as one that was never used.
     pub fn is_idle(&self, rule: &Rule, now: Duration) -> bool {
-        self.inside == 0 && rule.pace.is_none_or(|pace| self.whole_at <= pace.scaled(now))
+        self.inside == 0
+            && rule
+                .pace
+                .is_none_or(|pace| self.whole_at <= pace.scaled(now))
     }
 
     /// Lets one in; the caller looked before.
@@ -132,7 +145,10 @@
     }
 
     fn rule(micro: u64, per: u64, burst: u64) -> Rule {
-        Rule { pace: Some(Pace { micro, per, burst }), at_once: 0 }
+        Rule {
+            pace: Some(Pace { micro, per, burst }),
+            at_once: 0,
+        }
     }
 
     #[test]
@@ -140,7 +156,10 @@
         let rule = rule(3_000_000, 1_000_000_000, 1);
         let mut bucket = Bucket::default();
         bucket.enter(&rule, ms(0));
-        assert_eq!(bucket.look(&rule, ms(0)), Err(Full::Until(Duration::from_nanos(333_333_334))));
+        assert_eq!(
+            bucket.look(&rule, ms(0)),
+            Err(Full::Until(Duration::from_nanos(333_333_334)))
+        );
         let mut in_an_hour = 1;
         for n in 1..3_600_000 {
             if bucket.look(&rule, ms(n)).is_ok() {
@@ -154,7 +173,10 @@
 
     #[test]
     fn at_once_counts_those_inside() {
-        let rule = Rule { pace: None, at_once: 2 };
+        let rule = Rule {
+            pace: None,
+            at_once: 2,
+        };
         let mut bucket = Bucket::default();
         bucket.enter(&rule, ms(1));
         bucket.enter(&rule, ms(1));
@@ -165,7 +187,10 @@
 
     #[test]
     fn a_change_of_rate_keeps_what_is_owed() {
-        let (slow, fast) = (rule(1_000_000, 1_000_000_000, 4), rule(10_000_000, 1_000_000_000, 4));
+        let (slow, fast) = (
+            rule(1_000_000, 1_000_000_000, 4),
+            rule(10_000_000, 1_000_000_000, 4),
+        );
         let mut bucket = Bucket::default();
         for _ in 0..4 {
             bucket.enter(&slow, ms(500));
--- a/crates/route/src/ramp.rs
+++ b/crates/route/src/ramp.rs
@@ -39,7 +39,11 @@
         let senders = if senders == 0 { SENDERS } else { senders };
         // A window may hold the turns that came up in it and those that were still open when it began.
         let share = rate / senders as f64 / (1.0 + OPEN);
-        Self { share, warm_up: warm_up.as_secs_f64(), open: window.mul_f64(OPEN) }
+        Self {
+            share,
+            warm_up: warm_up.as_secs_f64(),
+            open: window.mul_f64(OPEN),
+        }
     }
 
     /// Turns since its start for one of this age, s.
@@ -78,7 +82,13 @@
 impl Ramp {
     /// Nothing is known of the member. `phase`: by chance, from 0 up to 1.
     pub fn new(rule: Rule, phase: f64, now: Duration) -> Self {
-        Self { rule, since: None, from: now, level: phase.clamp(0.0, 1.0 - f64::EPSILON), used: 0.0 }
+        Self {
+            rule,
+            since: None,
+            from: now,
+            level: phase.clamp(0.0, 1.0 - f64::EPSILON),
+            used: 0.0,
+        }
     }
 
     /// Connected without a gap since then; whatever was known before is no longer.
@@ -119,12 +129,15 @@
 
     /// Whether it is known to be warm.
     pub fn warm(&self, now: Duration) -> bool {
-        self.since.is_some_and(|since| now.saturating_sub(since).as_secs_f64() >= self.rule.warm_up)
+        self.since
+            .is_some_and(|since| now.saturating_sub(since).as_secs_f64() >= self.rule.warm_up)
     }
 
     /// Turns that are used or lost by then.
     fn used_at(&self, now: Duration) -> f64 {
-        let old = now.checked_sub(self.rule.open).filter(|then| *then > self.from);
+        let old = now
+            .checked_sub(self.rule.open)
+            .filter(|then| *then > self.from);
         self.used.max(old.map_or(0.0, |then| self.at(then).floor()))
     }
 
--- a/crates/route/src/room.rs
+++ b/crates/route/src/room.rs
@@ -55,7 +55,9 @@
     /// others leave.
     pub fn new(shares: impl Iterator<Item = u64>) -> Self {
         let mut weights = Self::default();
-        shares.enumerate().for_each(|(at, share)| weights.set(at, share));
+        shares
+            .enumerate()
+            .for_each(|(at, share)| weights.set(at, share));
         weights
     }
 
@@ -140,7 +142,12 @@
     /// nobody else asks.
     fn part(&self, weights: &Weights, at: u32, room: f64) -> Option<f64> {
         let weight = weights.of(at);
-        let others = self.weights - if self.one(at).asked.is_some() { weight } else { 0.0 };
+        let others = self.weights
+            - if self.one(at).asked.is_some() {
+                weight
+            } else {
+                0.0
+            };
         // Sums of fractions come out a little beside nothing.
         (others > 1e-9).then(|| (room * weight / (others + weight)).max(1.0))
     }
@@ -157,7 +164,9 @@
         }
         let at = place(who);
         // Alone it may have all there is; whether there is any is not decided here.
-        let Some(part) = self.part(weights, at, room) else { return Ok(()) };
+        let Some(part) = self.part(weights, at, room) else {
+            return Ok(());
+        };
         let all = f64::from(self.one(at).open);
         let (held, part) = match who {
             Who::Known(_) => (all, part),
@@ -183,7 +192,14 @@
             self.weights += weights.of(at);
         }
         if let Who::Stranger(cell) = who {
-            if self.cells.entry(cell).or_default().asked.replace(now).is_none() {
+            if self
+                .cells
+                .entry(cell)
+                .or_default()
+                .asked
+                .replace(now)
+                .is_none()
+            {
                 self.active_cells += 1;
             }
         }
@@ -219,7 +235,11 @@
         // Summed anew: sums of fractions drift.
         let asked = self.all.iter().filter(|(_, one)| one.asked.is_some());
         self.weights = asked.map(|(at, _)| weights.of(*at)).sum();
-        self.active_cells = self.cells.values().filter(|cell| cell.asked.is_some()).count() as u32;
+        self.active_cells = self
+            .cells
+            .values()
+            .filter(|cell| cell.asked.is_some())
+            .count() as u32;
     }
 
     /// Tenants that have an entry, and strangers' cells: what memory and looks go by.
@@ -288,7 +308,11 @@
         }
         // What nobody else uses they may have, but not what is kept.
         assert_eq!(got, 160);
-        assert_eq!(fill(&mut room, Who::Known(0), 60, 200), 60, "its share of 200, all of it");
+        assert_eq!(
+            fill(&mut room, Who::Known(0), 60, 200),
+            60,
+            "its share of 200, all of it"
+        );
         assert_eq!(fill(&mut room, Who::Known(1), 120, 200), 120);
         assert_eq!(room.1.cells.len(), CELLS);
         assert_eq!(room.1.open(), got + 180);
@@ -310,7 +334,14 @@
     #[test]
     fn shares_that_change_one_by_one_are_as_those_of_a_new_list() {
         let mut one_by_one = weights(&[300_000, 0, 0]);
-        for (at, share) in [(1, 200_000), (0, 0), (3, 50_000), (4, 0), (2, 10_000), (2, 0)] {
+        for (at, share) in [
+            (1, 200_000),
+            (0, 0),
+            (3, 50_000),
+            (4, 0),
+            (2, 10_000),
+            (2, 0),
+        ] {
             one_by_one.set(at, share);
         }
         let anew = weights(&[0, 200_000, 0, 50_000, 0]);
@@ -328,8 +359,16 @@
         assert_eq!(room.1.here(), (3, 1));
         room.1.leave(Who::Known(7));
         room.1.look(&room.0, MS(2_500));
-        assert_eq!((room.1.here(), room.1.open()), ((1, 0), 1), "who has something open stays");
-        assert_eq!(room.1.part(&room.0, 7, 10.0), Some(5.0), "and keeps its part");
+        assert_eq!(
+            (room.1.here(), room.1.open()),
+            ((1, 0), 1),
+            "who has something open stays"
+        );
+        assert_eq!(
+            room.1.part(&room.0, 7, 10.0),
+            Some(5.0),
+            "and keeps its part"
+        );
         room.1.leave(Who::Known(22_999));
         room.1.look(&room.0, MS(2_600));
         assert_eq!((room.1.here(), room.1.open()), ((0, 0), 0));
--- a/crates/route/src/split.rs
+++ b/crates/route/src/split.rs
@@ -46,7 +46,12 @@
     chance: &mut WyRand,
     usable: impl Fn(usize) -> bool,
 ) -> Option<usize> {
-    let open = || weights.clone().enumerate().filter(|(k, weight)| *weight > 0 && usable(*k));
+    let open = || {
+        weights
+            .clone()
+            .enumerate()
+            .filter(|(k, weight)| *weight > 0 && usable(*k))
+    };
     let all: u64 = open().map(|(_, weight)| weight).sum();
     if all == 0 {
         return None;
@@ -66,7 +71,10 @@
     use super::*;
 
     fn targets(names: &[(&str, u64)]) -> Vec<(u64, u64)> {
-        names.iter().map(|(name, weight)| (mark(name), *weight)).collect()
+        names
+            .iter()
+            .map(|(name, weight)| (mark(name), *weight))
+            .collect()
     }
 
     #[test]
@@ -89,8 +97,13 @@
     #[test]
     fn only_what_the_removed_member_had_moves() {
         const MEMBERS: usize = 12;
-        let names: Vec<_> = (0..MEMBERS).map(|n| (format!("10.0.0.{n}:5050"), 1 + n as u64 % 3)).collect();
-        let names: Vec<_> = names.iter().map(|(name, weight)| (name.as_str(), *weight)).collect();
+        let names: Vec<_> = (0..MEMBERS)
+            .map(|n| (format!("10.0.0.{n}:5050"), 1 + n as u64 % 3))
+            .collect();
+        let names: Vec<_> = names
+            .iter()
+            .map(|(name, weight)| (name.as_str(), *weight))
+            .collect();
         let parts = targets(&names);
         let sum: u64 = names.iter().map(|(_, weight)| weight).sum();
         for (gone, (_, weight)) in names.iter().enumerate() {
@@ -99,11 +112,17 @@
                 let entity = format!("{n}");
                 let before = by_entity(parts.iter().copied(), &entity, |_| true).unwrap();
                 let after = by_entity(parts.iter().copied(), &entity, |k| k != gone).unwrap();
-                assert!(before == gone || before == after, "an entity moved that had no reason to");
+                assert!(
+                    before == gone || before == after,
+                    "an entity moved that had no reason to"
+                );
                 moved += u32::from(before != after);
             }
             let fair = 20_000.0 * *weight as f64 / sum as f64;
-            assert!((f64::from(moved) / fair - 1.0).abs() < 0.1, "{gone}: {moved} of {fair}");
+            assert!(
+                (f64::from(moved) / fair - 1.0).abs() < 0.1,
+                "{gone}: {moved} of {fair}"
+            );
         }
     }
 
@@ -112,7 +131,13 @@
         let parts = targets(&[("a", 1), ("b", 0)]);
         assert_eq!(by_entity(parts.iter().copied(), "x", |k| k == 1), None);
         let mut chance = WyRand::new_seed(3);
-        assert_eq!(by_chance(parts.iter().map(|p| p.1), &mut chance, |k| k == 1), None);
-        assert_eq!(by_chance(parts.iter().map(|p| p.1), &mut chance, |_| true), Some(0));
+        assert_eq!(
+            by_chance(parts.iter().map(|p| p.1), &mut chance, |k| k == 1),
+            None
+        );
+        assert_eq!(
+            by_chance(parts.iter().map(|p| p.1), &mut chance, |_| true),
+            Some(0)
+        );
     }
 }
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -28,7 +28,10 @@
 /// assert_ne!(first.pools[0].members, second.pools[0].members);
 /// ```
 pub fn reduce(configuration: &mut Configuration, me: usize) {
-    configuration.pools.iter_mut().for_each(|pool| reduce_pool(pool, me));
+    configuration
+        .pools
+        .iter_mut()
+        .for_each(|pool| reduce_pool(pool, me));
 }
 
 /// The same for one pool with all its members, as a change names it.
@@ -37,7 +40,10 @@
     let mine = in_rounds(pool.members.len(), know, me, mark(&pool.name));
     let all = std::mem::take(&mut pool.members);
     let mut mine = mine.into_iter().peekable();
-    let known = all.into_iter().enumerate().filter(|(k, _)| mine.next_if_eq(k).is_some());
+    let known = all
+        .into_iter()
+        .enumerate()
+        .filter(|(k, _)| mine.next_if_eq(k).is_some());
     pool.members = known.map(|(_, member)| member).collect();
 }
 
@@ -74,8 +80,11 @@
     if know == 0 || know >= marks.len() {
         return (0..marks.len()).collect();
     }
-    let mut rated: Vec<(f64, usize)> =
-        marks.iter().enumerate().map(|(k, mark)| (score(*mark, 1, me), k)).collect();
+    let mut rated: Vec<(f64, usize)> = marks
+        .iter()
+        .enumerate()
+        .map(|(k, mark)| (score(*mark, 1, me), k))
+        .collect();
     rated.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
     let mut mine: Vec<usize> = rated[..know].iter().map(|(_, k)| *k).collect();
     mine.sort_unstable();
@@ -98,22 +107,40 @@
     #[test]
     fn in_rounds_members_are_known_alike_and_by_score_less_so() {
         let (members, know, forwarders) = (1_000, 20, 500);
-        let (least, most) = known((0..forwarders).map(|me| in_rounds(members, know, me, 3)), members);
+        let (least, most) = known(
+            (0..forwarders).map(|me| in_rounds(members, know, me, 3)),
+            members,
+        );
         assert_eq!((least, most), (10, 10));
         let marks: Vec<u64> = (0..members).map(|k| mark(&format!("n{k}"))).collect();
-        let (least, most) =
-            known((0..forwarders).map(|me| by_score(&marks, know, &format!("f{me}"))), members);
-        assert!(least >= 1 && most <= 25 && most > least + 8, "{least} {most}");
+        let (least, most) = known(
+            (0..forwarders).map(|me| by_score(&marks, know, &format!("f{me}"))),
+            members,
+        );
+        assert!(
+            least >= 1 && most <= 25 && most > least + 8,
+            "{least} {most}"
+        );
     }
 
     #[test]
     fn a_member_that_leaves_changes_little_by_score() {
         let marks: Vec<u64> = (0..200).map(|k| mark(&format!("n{k}"))).collect();
         let before = by_score(&marks, 20, "f1");
-        let without: Vec<u64> =
-            marks.iter().enumerate().filter(|(k, _)| *k != before[3]).map(|(_, m)| *m).collect();
-        let after: Vec<u64> = by_score(&without, 20, "f1").into_iter().map(|k| without[k]).collect();
-        let stays = before.iter().filter(|k| after.contains(&marks[**k])).count();
+        let without: Vec<u64> = marks
+            .iter()
+            .enumerate()
+            .filter(|(k, _)| *k != before[3])
+            .map(|(_, m)| *m)
+            .collect();
+        let after: Vec<u64> = by_score(&without, 20, "f1")
+            .into_iter()
+            .map(|k| without[k])
+            .collect();
+        let stays = before
+            .iter()
+            .filter(|k| after.contains(&marks[**k]))
+            .count();
         assert_eq!(stays, 19);
     }
 
