--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -148,8 +148,13 @@
     /// # Errors
     /// If another one stands for it already.
     pub fn free<T: Named>(&self, all: &[T], name: &str) -> Result<(), Refused> {
-        let Some(there) = self.0.get(&mark(name)) else { return Ok(()) };
-        let (what, other) = (T::WHAT, all.get(usize::from(*there)).map_or("", Named::name));
+        let Some(there) = self.0.get(&mark(name)) else {
+            return Ok(());
+        };
+        let (what, other) = (
+            T::WHAT,
+            all.get(usize::from(*there)).map_or("", Named::name),
+        );
         Err(Refused(match other == name {
             true => format!("{what} `{name}` is there twice"),
             // One in a thousand million configurations of this size: another name will do.
@@ -176,7 +181,8 @@
     }
 
     pub fn find<T: Named>(&self, all: &[T], name: &str) -> Result<u16, Refused> {
-        self.get(all, name).ok_or_else(|| Refused(format!("there is no {} `{name}`", T::WHAT)))
+        self.get(all, name)
+            .ok_or_else(|| Refused(format!("there is no {} `{name}`", T::WHAT)))
     }
 
     /// An empty name refers to nothing.
@@ -269,7 +275,9 @@
 /// If rows of so many routes for so many types would take too much.
 pub(crate) fn rows_fit(types: usize, routes: usize) -> Result<(), Refused> {
     match types.saturating_mul(routes.div_ceil(64) * 8) > ROWS {
-        true => Err(Refused(format!("routes by types would take over {ROWS} bytes"))),
+        true => Err(Refused(format!(
+            "routes by types would take over {ROWS} bytes"
+        ))),
         false => Ok(()),
     }
 }
@@ -298,15 +306,36 @@
             routes: Names::new(&c.routes)?,
         };
         let find_limits = |name: &str| index.limits.find_any(&c.limits, name);
-        let type_limits = c.types.iter().map(|one| find_limits(&one.limits)).collect::<Result<_, _>>()?;
-        let tenant_limits = c.tenants.iter().map(|one| find_limits(&one.limits)).collect::<Result<_, _>>()?;
-        let goals: Vec<Duration> = c.types.iter().map(|one| Duration::from_nanos(one.goal_ns)).collect();
-        let times = |budget| goals.iter().map(|goal| Times::new(*goal, Some(budget))).collect();
+        let type_limits = c
+            .types
+            .iter()
+            .map(|one| find_limits(&one.limits))
+            .collect::<Result<_, _>>()?;
+        let tenant_limits = c
+            .tenants
+            .iter()
+            .map(|one| find_limits(&one.limits))
+            .collect::<Result<_, _>>()?;
+        let goals: Vec<Duration> = c
+            .types
+            .iter()
+            .map(|one| Duration::from_nanos(one.goal_ns))
+            .collect();
+        let times = |budget| {
+            goals
+                .iter()
+                .map(|goal| Times::new(*goal, Some(budget)))
+                .collect()
+        };
         let mut row = Bits::default();
         row.resize(c.routes.len().div_ceil(64));
         rows_fit(c.types.len(), c.routes.len())?;
         let mut table = Self {
-            limits: c.limits.iter().map(|one| (Rule::from(one), one.per())).collect(),
+            limits: c
+                .limits
+                .iter()
+                .map(|one| (Rule::from(one), one.per()))
+                .collect(),
             times: c.budgets.iter().map(times).collect(),
             pools: Vec::new(),
             routes: Vec::new(),
@@ -322,10 +351,18 @@
             goals,
         };
         let c = &table.configuration;
-        table.pools = c.pools.iter().map(|pool| table.compile_pool(pool)).collect::<Result<_, _>>()?;
+        table.pools = c
+            .pools
+            .iter()
+            .map(|pool| table.compile_pool(pool))
+            .collect::<Result<_, _>>()?;
         (0..table.pools.len()).try_for_each(|at| table.chain_ends(at))?;
         let c = &table.configuration;
-        table.routes = c.routes.iter().map(|route| table.compile_route(route)).collect::<Result<_, _>>()?;
+        table.routes = c
+            .routes
+            .iter()
+            .map(|route| table.compile_route(route))
+            .collect::<Result<_, _>>()?;
         for at in 0..table.routes.len() {
             table.mark_route(at, true);
         }
@@ -333,7 +370,8 @@
     }
 
     pub(crate) fn chain_ends(&self, pool: usize) -> Result<(), Refused> {
-        let chain = std::iter::successors(Some(pool), |at| self.pools[*at].fall_back.map(usize::from));
+        let chain =
+            std::iter::successors(Some(pool), |at| self.pools[*at].fall_back.map(usize::from));
         if chain.take(self.pools.len() + 1).count() > self.pools.len() {
             let name = &self.pools[pool].name;
             return Err(Refused(format!("pool `{name}` falls back in a ring")));
@@ -345,10 +383,16 @@
         let (c, index) = (&self.configuration, &self.index);
         Ok(Pool {
             name: pool.name.as_str().into(),
-            members: pool.members.iter().map(|m| (mark(&m.address), m.weight)).collect(),
+            members: pool
+                .members
+                .iter()
+                .map(|m| (mark(&m.address), m.weight))
+                .collect(),
             fall_back: index.pools.find_any(&c.pools, &pool.fall_back)?,
             limits: index.limits.find_any(&c.limits, &pool.limits)?,
-            retry_after: index.retry_after.find_any(&c.retry_after, &pool.retry_after)?,
+            retry_after: index
+                .retry_after
+                .find_any(&c.retry_after, &pool.retry_after)?,
         })
     }
 
@@ -356,22 +400,48 @@
         let (c, index) = (&self.configuration, &self.index);
         let to = route.to.iter().map(|target| {
             if target.share == 0 || target.share > ONE {
-                return Err(Refused(format!("route `{}`: a share of {}", route.name, target.share)));
+                return Err(Refused(format!(
+                    "route `{}`: a share of {}",
+                    route.name, target.share
+                )));
             }
             let pool = index.pools.find(&c.pools, &target.pool)?;
-            Ok(Target { pool, mark: mark(&target.pool), share: target.share })
+            Ok(Target {
+                pool,
+                mark: mark(&target.pool),
+                share: target.share,
+            })
         });
         let to: Box<[Target]> = to.collect::<Result<_, Refused>>()?;
         if to.iter().map(|target| target.share).sum::<u64>() != ONE {
-            return Err(Refused(format!("route `{}`: its shares are not 100 %", route.name)));
+            return Err(Refused(format!(
+                "route `{}`: its shares are not 100 %",
+                route.name
+            )));
         }
         let mut size = (0, u64::MAX);
         if let Some(matched) = &route.r#match {
-            matched.types.iter().try_for_each(|name| index.types.find(&c.types, name).map(drop))?;
-            matched.tenants.iter().try_for_each(|name| index.tenants.find(&c.tenants, name).map(drop))?;
-            size = (matched.size_least, if matched.size_most == 0 { u64::MAX } else { matched.size_most });
+            matched
+                .types
+                .iter()
+                .try_for_each(|name| index.types.find(&c.types, name).map(drop))?;
+            matched
+                .tenants
+                .iter()
+                .try_for_each(|name| index.tenants.find(&c.tenants, name).map(drop))?;
+            size = (
+                matched.size_least,
+                if matched.size_most == 0 {
+                    u64::MAX
+                } else {
+                    matched.size_most
+                },
+            );
         }
-        let fall_back = route.fall_back.iter().map(|name| index.pools.find(&c.pools, name));
+        let fall_back = route
+            .fall_back
+            .iter()
+            .map(|name| index.pools.find(&c.pools, name));
         Ok(Route {
             name: route.name.as_str().into(),
             size,
@@ -379,14 +449,25 @@
             by_chance: route.split_by() == SplitBy::Chance,
             fall_back: fall_back.collect::<Result<_, Refused>>()?,
             limits: index.limits.find_any(&c.limits, &route.limits)?,
-            retry_after: index.retry_after.find_any(&c.retry_after, &route.retry_after)?,
+            retry_after: index
+                .retry_after
+                .find_any(&c.retry_after, &route.retry_after)?,
             budget: index.budgets.find_any(&c.budgets, &route.budget)?,
         })
     }
 
     /// Sets a route's bits and entries, by its match in the configuration, or takes them away.
     pub(crate) fn mark_route(&mut self, at: usize, to: bool) {
-        let Self { configuration: c, index, any_type, by_type, any_tenant, by_tenant, by_try, .. } = self;
+        let Self {
+            configuration: c,
+            index,
+            any_type,
+            by_type,
+            any_tenant,
+            by_tenant,
+            by_try,
+            ..
+        } = self;
         let matched = c.routes[at].r#match.as_ref();
         match matched.map(|m| &m.types).filter(|names| !names.is_empty()) {
             None => {
@@ -394,15 +475,24 @@
                 by_type.iter_mut().for_each(|row| row.set(at, to));
             }
             Some(names) => {
-                for of in names.iter().filter_map(|name| index.types.get(&c.types, name)) {
+                for of in names
+                    .iter()
+                    .filter_map(|name| index.types.get(&c.types, name))
+                {
                     by_type[usize::from(of)].set(at, to);
                 }
             }
         }
-        match matched.map(|m| &m.tenants).filter(|names| !names.is_empty()) {
+        match matched
+            .map(|m| &m.tenants)
+            .filter(|names| !names.is_empty())
+        {
             None => any_tenant.set(at, to),
             Some(names) => {
-                for of in names.iter().filter_map(|name| index.tenants.get(&c.tenants, name)) {
+                for of in names
+                    .iter()
+                    .filter_map(|name| index.tenants.get(&c.tenants, name))
+                {
                     let list = by_tenant.entry(of).or_default();
                     match (list.binary_search(&(at as u16)), to) {
                         (Err(place), true) => list.insert(place, at as u16),
@@ -435,9 +525,17 @@
     }
 
     /// How many routes there are, and where those of these names stand.
-    pub(crate) fn route_places<'n>(&self, names: impl Iterator<Item = &'n str>) -> (usize, Vec<Option<u16>>) {
+    pub(crate) fn route_places<'n>(
+        &self,
+        names: impl Iterator<Item = &'n str>,
+    ) -> (usize, Vec<Option<u16>>) {
         let routes = &self.configuration.routes;
-        (routes.len(), names.map(|name| self.index.routes.get(routes, name)).collect())
+        (
+            routes.len(),
+            names
+                .map(|name| self.index.routes.get(routes, name))
+                .collect(),
+        )
     }
 
     pub fn pool_name(&self, pool: u16) -> &str {
@@ -456,12 +554,28 @@
     pub fn size(&self) -> usize {
         use rainstand_config::schema::to_binary;
         let row = self.any_type.0.len() * 8;
-        let entries: usize = self.by_tenant.values().map(|list| 40 + list.capacity() * 2).sum();
+        let entries: usize = self
+            .by_tenant
+            .values()
+            .map(|list| 40 + list.capacity() * 2)
+            .sum();
         let fixed = (self.by_type.len() + 4) * row + entries;
         let target = |r: &Route| r.to.len() * size_of::<Target>() + r.fall_back.len() * 2;
-        let routes: usize = self.routes.iter().map(|r| size_of::<Route>() + target(r)).sum();
-        let pools: usize = self.pools.iter().map(|p| size_of::<Pool>() + p.members.len() * 16).sum();
-        let times = self.times.iter().map(|row| row.len() * size_of::<Times>()).sum::<usize>();
+        let routes: usize = self
+            .routes
+            .iter()
+            .map(|r| size_of::<Route>() + target(r))
+            .sum();
+        let pools: usize = self
+            .pools
+            .iter()
+            .map(|p| size_of::<Pool>() + p.members.len() * 16)
+            .sum();
+        let times = self
+            .times
+            .iter()
+            .map(|row| row.len() * size_of::<Times>())
+            .sum::<usize>();
         // Names stand in the message, and for most there is a hash.
         fixed + routes + pools + times + 4 * to_binary(&self.configuration).len()
     }
@@ -471,9 +585,16 @@
         let of_type = &self.by_type.get(usize::from(ticket.traffic))?.0;
         let mut named = self.named(ticket);
         let of_try = &self.by_try[usize::from(ticket.again)].0;
-        for (word, ((a, b), c)) in of_type.iter().zip(&self.any_tenant.0).zip(of_try).enumerate() {
+        for (word, ((a, b), c)) in of_type
+            .iter()
+            .zip(&self.any_tenant.0)
+            .zip(of_try)
+            .enumerate()
+        {
             let mut of_tenant = *b;
-            while let Some((at, rest)) = named.split_first().filter(|(at, _)| usize::from(**at) / 64 == word)
+            while let Some((at, rest)) = named
+                .split_first()
+                .filter(|(at, _)| usize::from(**at) / 64 == word)
             {
                 of_tenant |= 1 << (at % 64);
                 named = rest;
@@ -492,13 +613,19 @@
 
     /// The routes that name a ticket's tenant.
     fn named(&self, ticket: &Ticket<'_>) -> &[u16] {
-        ticket.tenant.and_then(|tenant| self.by_tenant.get(&tenant)).map_or(&[], |list| list)
+        ticket
+            .tenant
+            .and_then(|tenant| self.by_tenant.get(&tenant))
+            .map_or(&[], |list| list)
     }
 
     /// Whether a route takes a ticket, as far as size and entity go.
     fn takes(&self, at: usize, ticket: &Ticket<'_>) -> bool {
         let (least, most) = self.routes[at].size;
-        let entities = self.configuration.routes[at].r#match.as_ref().map_or(&[][..], |m| &m.entities);
+        let entities = self.configuration.routes[at]
+            .r#match
+            .as_ref()
+            .map_or(&[][..], |m| &m.entities);
         let takes = |pattern: &String| match pattern.strip_suffix('*') {
             Some(beginning) => ticket.entity.starts_with(beginning),
             None => *pattern == ticket.entity,
@@ -517,7 +644,12 @@
         usable: impl Fn(u16) -> bool,
     ) -> Result<Place, NoWay> {
         let at = self.route(ticket).ok_or(NoWay::NoRoute)?;
-        self.pool_of(at, ticket, chance, usable).map(|(pool, by)| Place { route: at, pool, by })
+        self.pool_of(at, ticket, chance, usable)
+            .map(|(pool, by)| Place {
+                route: at,
+                pool,
+                by,
+            })
     }
 
     fn pool_of(
@@ -538,7 +670,9 @@
             let chosen = if route.by_chance || ticket.entity.is_empty() {
                 by_chance(to.iter().map(|t| t.share), chance, |k| usable(to[k].pool))
             } else {
-                by_entity(to.iter().map(|t| (t.mark, t.share)), ticket.entity, |k| usable(to[k].pool))
+                by_entity(to.iter().map(|t| (t.mark, t.share)), ticket.entity, |k| {
+                    usable(to[k].pool)
+                })
             };
             if let Some(k) = chosen {
                 let all = to.iter().all(|target| usable(target.pool));
@@ -549,9 +683,13 @@
         if let Some((k, pool)) = fall_backs.find(|(_, pool)| usable(**pool)) {
             return Ok((*pool, By::FallBack(k as u16)));
         }
-        let tried = to.iter().map(|target| target.pool).chain(route.fall_back.iter().copied());
+        let tried = to
+            .iter()
+            .map(|target| target.pool)
+            .chain(route.fall_back.iter().copied());
         for pool in tried {
-            let chain = std::iter::successors(Some(pool), |at| self.pools[usize::from(*at)].fall_back);
+            let chain =
+                std::iter::successors(Some(pool), |at| self.pools[usize::from(*at)].fall_back);
             if let Some(other) = chain.skip(1).find(|pool| usable(*pool)) {
                 return Ok((other, By::PoolFallBack));
             }
@@ -561,22 +699,35 @@
 
     /// The member of a pool that an entity belongs to, of those that can be used.
     pub fn member(&self, pool: u16, entity: &str, usable: impl Fn(usize) -> bool) -> Option<usize> {
-        by_entity(self.pools[usize::from(pool)].members.iter().copied(), entity, usable)
+        by_entity(
+            self.pools[usize::from(pool)].members.iter().copied(),
+            entity,
+            usable,
+        )
     }
 
     /// The times of a ticket's stages on a route.
     pub fn times(&self, route: u16, traffic: u16) -> Times {
-        let goal = self.goals.get(usize::from(traffic)).copied().unwrap_or_default();
+        let goal = self
+            .goals
+            .get(usize::from(traffic))
+            .copied()
+            .unwrap_or_default();
         let budget = self.routes[usize::from(route)].budget;
         let row = budget.and_then(|at| self.times.get(usize::from(at)));
-        row.and_then(|row| row.get(usize::from(traffic)).copied()).unwrap_or_else(|| Times::new(goal, None))
+        row.and_then(|row| row.get(usize::from(traffic)).copied())
+            .unwrap_or_else(|| Times::new(goal, None))
     }
 
     /// Why a route does not take a ticket, if it does not.
     pub fn miss(&self, route: u16, ticket: &Ticket<'_>) -> Option<Miss> {
         let at = usize::from(route);
         let (least, most) = self.routes[at].size;
-        if !self.by_type.get(usize::from(ticket.traffic)).is_some_and(|row| row.has(at)) {
+        if !self
+            .by_type
+            .get(usize::from(ticket.traffic))
+            .is_some_and(|row| row.has(at))
+        {
             Some(Miss::Type)
         } else if !self.any_tenant.has(at) && !self.named(ticket).contains(&route) {
             Some(Miss::Tenant)
@@ -592,9 +743,15 @@
     }
 
     /// The retry-after bounds that hold for a ticket: the route's, else the pool's.
-    pub(crate) fn bounds(&self, route: Option<u16>, pool: Option<u16>) -> Option<&schema::RetryAfter> {
+    pub(crate) fn bounds(
+        &self,
+        route: Option<u16>,
+        pool: Option<u16>,
+    ) -> Option<&schema::RetryAfter> {
         let of_route = route.and_then(|at| self.routes[usize::from(at)].retry_after);
         let of_pool = pool.and_then(|at| self.pools[usize::from(at)].retry_after);
-        of_route.or(of_pool).map(|at| &self.configuration.retry_after[usize::from(at)])
+        of_route
+            .or(of_pool)
+            .map(|at| &self.configuration.retry_after[usize::from(at)])
     }
 }
--- a/crates/route/src/toward.rs
+++ b/crates/route/src/toward.rs
@@ -59,7 +59,9 @@
 impl Toward {
     /// `most`: what the configuration allows, if it says anything.
     pub fn new(most: Option<u64>, now: Duration) -> Self {
-        let most = most.map_or(f64::from(u16::MAX), |most| most as f64).max(1.0);
+        let most = most
+            .map_or(f64::from(u16::MAX), |most| most as f64)
+            .max(1.0);
         Self {
             limit: FIRST.min(most),
             most,
@@ -77,7 +79,11 @@
     /// What was learned stays, within the bound that holds now.
     pub fn carry(&mut self, before: &Self) {
         let most = self.most;
-        *self = Self { limit: before.limit.min(most), most, ..before.clone() };
+        *self = Self {
+            limit: before.limit.min(most),
+            most,
+            ..before.clone()
+        };
     }
 
     /// Tickets that may be open; at least one, so that a member is never closed for good.
@@ -122,21 +128,37 @@
 
     fn turn(&mut self, now: Duration) {
         let mean = (self.sum / f64::from(self.answers)).max(1e-6);
-        self.at_least = if self.limit <= 2.0 * NEAR { self.at_least + 1 } else { 0 };
+        self.at_least = if self.limit <= 2.0 * NEAR {
+            self.at_least + 1
+        } else {
+            0
+        };
         let relearn = self.at_least >= RELEARN;
-        let base = self.base.filter(|_| !relearn).map_or(mean, |base| base.min(mean));
+        let base = self
+            .base
+            .filter(|_| !relearn)
+            .map_or(mean, |base| base.min(mean));
         self.base = Some(base);
         let gradient = ((base * TOLERANCE).max(base + SLACK) / mean).clamp(0.5, 1.0);
         if gradient < 1.0 {
             self.limit = self.limit.min(f64::from(self.used) + 1.0);
         }
         let in_use = f64::from(self.used) >= self.limit / 2.0;
-        let room = if in_use && !self.lost { self.limit.sqrt() } else { 0.0 };
+        let room = if in_use && !self.lost {
+            self.limit.sqrt()
+        } else {
+            0.0
+        };
         let wanted = self.limit * gradient + room;
         // Not in use, it only shrinks.
-        let wanted = if in_use { wanted } else { wanted.min(self.limit) };
+        let wanted = if in_use {
+            wanted
+        } else {
+            wanted.min(self.limit)
+        };
         self.limit = (self.limit + (wanted - self.limit) * SMOOTH).clamp(LEAST, self.most);
-        (self.sum, self.answers, self.lost, self.used, self.began) = (0.0, 0, false, self.open, now);
+        (self.sum, self.answers, self.lost, self.used, self.began) =
+            (0.0, 0, false, self.open, now);
     }
 }
 
@@ -164,7 +186,10 @@
                     inside.push((door, chance.generate_range(10..31), t));
                 }
             }
-            inside.iter_mut().take(cores as usize).for_each(|one| one.1 -= 1);
+            inside
+                .iter_mut()
+                .take(cores as usize)
+                .for_each(|one| one.1 -= 1);
             inside.retain(|(door, left, since)| {
                 if *left == 0 {
                     limits[*door].over(ms(t + 1), Some(ms(t + 1 - since)), false);
@@ -187,7 +212,10 @@
         let (a, b) = (limits[0].limit(), limits[1].limit());
         assert!(a.max(b) <= 2 * a.min(b), "{a} {b}");
         let (_, later) = settle(2, 40, 62);
-        assert!((later / inside - 1.0).abs() < 0.25, "it swings: {inside}, then {later}");
+        assert!(
+            (later / inside - 1.0).abs() < 0.25,
+            "it swings: {inside}, then {later}"
+        );
     }
 
     #[test]
@@ -204,12 +232,17 @@
             for _ in 0..windows * 20 {
                 now += Duration::from_millis(20);
                 (0..limit.limit()).for_each(|_| limit.sent());
-                (0..limit.open()).for_each(|_| limit.over(now, Some(Duration::from_millis(took)), false));
+                (0..limit.open())
+                    .for_each(|_| limit.over(now, Some(Duration::from_millis(took)), false));
             }
         };
         let mut limit = Toward::new(Some(100), Duration::ZERO);
         play(&mut limit, 20, 30);
-        assert_eq!(limit.limit(), 100, "it grows up to its bound while times hold");
+        assert_eq!(
+            limit.limit(),
+            100,
+            "it grows up to its bound while times hold"
+        );
         play(&mut limit, 200, 5);
         assert!(limit.limit() < 60, "{}", limit.limit());
     }
@@ -222,7 +255,8 @@
             for _ in 0..windows * 20 {
                 now += Duration::from_millis(20);
                 (0..limit.limit()).for_each(|_| limit.sent());
-                (0..limit.open()).for_each(|_| limit.over(now, Some(Duration::from_micros(took)), false));
+                (0..limit.open())
+                    .for_each(|_| limit.over(now, Some(Duration::from_micros(took)), false));
             }
         };
         play(&mut limit, 60, 10);
@@ -237,7 +271,11 @@
         let mut limit = Toward::new(None, Duration::ZERO);
         for n in 0..100_000u64 {
             limit.sent();
-            limit.over(Duration::from_millis(n * 10), Some(Duration::from_millis(5)), false);
+            limit.over(
+                Duration::from_millis(n * 10),
+                Some(Duration::from_millis(5)),
+                false,
+            );
         }
         assert!(limit.limit() <= FIRST as u32, "{}", limit.limit());
     }
@@ -250,7 +288,8 @@
             for _ in 0..windows * 20 {
                 now += Duration::from_millis(20);
                 (0..limit.limit()).for_each(|_| limit.sent());
-                (0..limit.open()).for_each(|_| limit.over(now, Some(Duration::from_millis(took)), false));
+                (0..limit.open())
+                    .for_each(|_| limit.over(now, Some(Duration::from_millis(took)), false));
             }
         };
         play(&mut limit, 20, 30);
--- a/crates/route/src/versions.rs
+++ b/crates/route/src/versions.rs
@@ -158,10 +158,22 @@
         let mut add = |at: At, name: &str, limits: Option<u16>| {
             rules.add(table, at, name, limits.filter(|limits| among(*limits)));
         };
-        c.types.iter().zip(&table.type_limits).for_each(|(x, limits)| add(At::Type, &x.name, *limits));
-        c.tenants.iter().zip(&table.tenant_limits).for_each(|(x, limits)| add(At::Tenant, &x.name, *limits));
-        table.routes.iter().for_each(|x| add(At::Route, &x.name, x.limits));
-        table.pools.iter().for_each(|x| add(At::Pool, &x.name, x.limits));
+        c.types
+            .iter()
+            .zip(&table.type_limits)
+            .for_each(|(x, limits)| add(At::Type, &x.name, *limits));
+        c.tenants
+            .iter()
+            .zip(&table.tenant_limits)
+            .for_each(|(x, limits)| add(At::Tenant, &x.name, *limits));
+        table
+            .routes
+            .iter()
+            .for_each(|x| add(At::Route, &x.name, x.limits));
+        table
+            .pools
+            .iter()
+            .for_each(|x| add(At::Pool, &x.name, x.limits));
         rules
     }
 
@@ -183,7 +195,12 @@
             match kind {
                 Kind::Type => {
                     let at = table.traffic(name);
-                    rules.add(table, At::Type, name, at.and_then(|at| table.type_limits[usize::from(at)]));
+                    rules.add(
+                        table,
+                        At::Type,
+                        name,
+                        at.and_then(|at| table.type_limits[usize::from(at)]),
+                    );
                 }
                 Kind::Tenant => {
                     let at = table.tenant(name);
@@ -199,7 +216,9 @@
                     rules.add(table, At::Route, name, of);
                 }
                 Kind::Pool => {
-                    let of = table.pool(name).and_then(|at| table.pools[usize::from(at)].limits);
+                    let of = table
+                        .pool(name)
+                        .and_then(|at| table.pools[usize::from(at)].limits);
                     rules.add(table, At::Pool, name, of);
                 }
                 _ => {}
@@ -228,7 +247,10 @@
             versions: VecDeque::from([Version { number: 1, open: 0 }]),
             buckets: Buckets::default(),
             chance: WyRand::new_seed(seed),
-            counts: Counts { versions_taken: 1, ..Counts::default() },
+            counts: Counts {
+                versions_taken: 1,
+                ..Counts::default()
+            },
         })
     }
 
@@ -254,7 +276,8 @@
         };
         self.table = table;
         if self.buckets.in_use() > 0 {
-            self.buckets.under(&Rules::all(&self.table, |_| true).0, now);
+            self.buckets
+                .under(&Rules::all(&self.table, |_| true).0, now);
         }
         Ok(self.next())
     }
@@ -280,7 +303,8 @@
 
     fn has_room(&self) -> Result<(), Refused> {
         if self.versions.len() >= MOST_VERSIONS {
-            let words = format!("{MOST_VERSIONS} versions still have tickets; try again when some ended");
+            let words =
+                format!("{MOST_VERSIONS} versions still have tickets; try again when some ended");
             return Err(Refused(words));
         }
         Ok(())
@@ -320,13 +344,17 @@
     }
 
     fn find(&self, number: u64) -> Option<usize> {
-        let at = self.versions.partition_point(|version| version.number < number);
+        let at = self
+            .versions
+            .partition_point(|version| version.number < number);
         (self.versions.get(at)?.number == number).then_some(at)
     }
 
     /// The number of the present version, of all that live, and of the tickets that each has.
     pub fn versions(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
-        self.versions.iter().map(|version| (version.number, version.open))
+        self.versions
+            .iter()
+            .map(|version| (version.number, version.open))
     }
 
     pub fn counts(&self) -> Counts {
@@ -342,12 +370,25 @@
     /// over as if it were out; what that leaves decides. Whoever is turned away has used nothing.
     ///
     /// `usable`: whether a pool, by its index in the present table, can take tickets.
-    pub fn arrived(&mut self, now: Duration, ticket: &Ticket<'_>, usable: impl Fn(u16) -> bool) -> Verdict {
-        let Self { table, versions, buckets, chance, counts } = self;
+    pub fn arrived(
+        &mut self,
+        now: Duration,
+        ticket: &Ticket<'_>,
+        usable: impl Fn(u16) -> bool,
+    ) -> Verdict {
+        let Self {
+            table,
+            versions,
+            buckets,
+            chance,
+            counts,
+        } = self;
         let last = versions.len() - 1;
         let Version { number, open } = &mut versions[last];
         let look = |at: At, of: usize, pool: u16| -> Result<Option<(Rule, Key)>, Full> {
-            let Some((rule, key)) = limit(table, at, of, ticket, pool) else { return Ok(None) };
+            let Some((rule, key)) = limit(table, at, of, ticket, pool) else {
+                return Ok(None);
+            };
             buckets.look(&key, &rule, now).map(|()| Some((rule, key)))
         };
         // The soonest that a pool passed over for its limits told.
@@ -358,7 +399,9 @@
                     Ok(_) => true,
                     Err(full) => {
                         let told = until(full, now);
-                        passed_over.set(Some(passed_over.get().map_or(told, |before| before.min(told))));
+                        passed_over.set(Some(
+                            passed_over.get().map_or(told, |before| before.min(told)),
+                        ));
                         false
                     }
                 }
@@ -367,7 +410,11 @@
             Ok(place) => place,
             Err(NoWay::NoRoute) => {
                 counts.no_route += 1;
-                return Verdict::Turned(Turned { why: Why::NoRoute, after: WHEN_NOWHERE, route: None });
+                return Verdict::Turned(Turned {
+                    why: Why::NoRoute,
+                    after: WHEN_NOWHERE,
+                    route: None,
+                });
             }
             Err(NoWay::NoPool(route)) => {
                 let (why, after) = match passed_over.get() {
@@ -380,11 +427,20 @@
                     counts.limited += 1;
                 }
                 let after = bounded(table, Some(route), None, after);
-                return Verdict::Turned(Turned { why, after, route: Some(route) });
+                return Verdict::Turned(Turned {
+                    why,
+                    after,
+                    route: Some(route),
+                });
             }
         };
         let tenant = ticket.tenant.map_or(usize::MAX, usize::from);
-        let of = [usize::from(ticket.traffic), tenant, usize::from(place.route), usize::from(place.pool)];
+        let of = [
+            usize::from(ticket.traffic),
+            tenant,
+            usize::from(place.route),
+            usize::from(place.pool),
+        ];
         let mut counted = [None; PLACES];
         let mut turned: Option<(At, Duration)> = None;
         for (k, at) in ALL_PLACES.into_iter().enumerate() {
@@ -402,21 +458,40 @@
         if let Some((at, after)) = turned {
             counts.limited += 1;
             let after = bounded(table, Some(place.route), Some(place.pool), after);
-            return Verdict::Turned(Turned { why: Why::Limit(at), after, route: Some(place.route) });
+            return Verdict::Turned(Turned {
+                why: Why::Limit(at),
+                after,
+                route: Some(place.route),
+            });
         }
         // Room for all that are new, or none is made: whoever is turned away has used nothing.
         if !buckets.make_room(|| counted.iter().flatten().map(|(_, key)| *key), now) {
             counts.no_bucket += 1;
             let after = bounded(table, Some(place.route), Some(place.pool), WHEN_NO_BUCKET);
-            return Verdict::Turned(Turned { why: Why::NoBucket, after, route: Some(place.route) });
+            return Verdict::Turned(Turned {
+                why: Why::NoBucket,
+                after,
+                route: Some(place.route),
+            });
         }
-        let held = counted.map(|one| one.map_or(NONE, |(rule, key)| buckets.enter(key, &rule, now)));
+        let held =
+            counted.map(|one| one.map_or(NONE, |(rule, key)| buckets.enter(key, &rule, now)));
         *open += 1;
         counts.went += 1;
         let times = table.times(place.route, ticket.traffic);
-        let (route, pool) = (&table.routes[usize::from(place.route)], &table.pools[usize::from(place.pool)]);
+        let (route, pool) = (
+            &table.routes[usize::from(place.route)],
+            &table.pools[usize::from(place.pool)],
+        );
         let (route, pool) = (route.name.clone(), pool.name.clone());
-        Verdict::Goes(Way { version: *number, place, route, pool, times, held })
+        Verdict::Goes(Way {
+            version: *number,
+            place,
+            route,
+            pool,
+            times,
+            held,
+        })
     }
 
     /// A ticket is over, whatever came of it.
@@ -444,12 +519,19 @@
 }
 
 /// Within what the route's or the pool's retry-after says.
-pub(crate) fn bounded(table: &Table, route: Option<u16>, pool: Option<u16>, after: Duration) -> Duration {
+pub(crate) fn bounded(
+    table: &Table,
+    route: Option<u16>,
+    pool: Option<u16>,
+    after: Duration,
+) -> Duration {
     match table.bounds(route, pool) {
         None => after,
         Some(bounds) => {
             let least = Duration::from_nanos(bounds.least_ns);
-            after.max(least).min(Duration::from_nanos(bounds.most_ns).max(least))
+            after
+                .max(least)
+                .min(Duration::from_nanos(bounds.most_ns).max(least))
         }
     }
 }
--- a/crates/route/tests/buckets.rs
+++ b/crates/route/tests/buckets.rs
@@ -18,23 +18,53 @@
 
 /// So many routes, told apart by entity, and tenants; each route has these limits, by tenant.
 fn limited(routes: usize, tenants: usize, rate: u64, burst: u64, at_once: u64) -> Configuration {
-    let rate = (rate > 0).then_some(Rate { micro_tickets: rate * 1_000_000, per_ns: SECOND });
+    let rate = (rate > 0).then_some(Rate {
+        micro_tickets: rate * 1_000_000,
+        per_ns: SECOND,
+    });
     let route = |n: usize| schema::Route {
         name: format!("r{n}"),
-        to: vec![schema::Target { pool: "p".into(), share: ONE }],
+        to: vec![schema::Target {
+            pool: "p".into(),
+            share: ONE,
+        }],
         limits: "l".into(),
-        r#match: Some(schema::Match { entities: vec![format!("r{n}")], ..Default::default() }),
+        r#match: Some(schema::Match {
+            entities: vec![format!("r{n}")],
+            ..Default::default()
+        }),
+        ..Default::default()
+    };
+    let traffic = schema::TrafficType {
+        name: "t".into(),
+        goal_ns: 3 * SECOND,
+        ..Default::default()
+    };
+    let tenant = |n| schema::Tenant {
+        name: format!("t{n}"),
+        ..Default::default()
+    };
+    let member = schema::Member {
+        address: "10.0.0.1:1".into(),
+        weight: ONE,
         ..Default::default()
     };
-    let traffic = schema::TrafficType { name: "t".into(), goal_ns: 3 * SECOND, ..Default::default() };
-    let tenant = |n| schema::Tenant { name: format!("t{n}"), ..Default::default() };
-    let member = schema::Member { address: "10.0.0.1:1".into(), weight: ONE, ..Default::default() };
     Configuration {
         version: 1,
         types: vec![traffic],
         tenants: (0..tenants).map(tenant).collect(),
-        pools: vec![schema::Pool { name: "p".into(), members: vec![member], ..Default::default() }],
-        limits: vec![schema::Limits { name: "l".into(), rate, burst, at_once, per: Per::Tenant.into() }],
+        pools: vec![schema::Pool {
+            name: "p".into(),
+            members: vec![member],
+            ..Default::default()
+        }],
+        limits: vec![schema::Limits {
+            name: "l".into(),
+            rate,
+            burst,
+            at_once,
+            per: Per::Tenant.into(),
+        }],
         routes: (0..routes).map(route).collect(),
         ..Default::default()
     }
@@ -42,7 +72,11 @@
 
 fn arrives(router: &mut Router, now: Duration, tenant: usize, route: usize) -> Verdict {
     let entity = format!("r{route}");
-    let ticket = Ticket { tenant: Some(tenant as u16), entity: &entity, ..Ticket::default() };
+    let ticket = Ticket {
+        tenant: Some(tenant as u16),
+        entity: &entity,
+        ..Ticket::default()
+    };
     router.arrived(now, &ticket, |_| true)
 }
 
@@ -57,12 +91,18 @@
             Verdict::Goes(way) => ways.push(way),
             Verdict::Turned(turned) => panic!("{tenant} {route}: {turned:?}"),
         }
-        assert!(matches!(arrives(&mut router, ms(1), tenant, route), Verdict::Turned(_)));
+        assert!(matches!(
+            arrives(&mut router, ms(1), tenant, route),
+            Verdict::Turned(_)
+        ));
     }
     assert_eq!(router.buckets(), (4, 4));
     // And a change of version keeps what was let in.
     router.take(&all, ms(1)).unwrap();
-    assert!(matches!(arrives(&mut router, ms(1), 22_999, 5_399), Verdict::Turned(_)));
+    assert!(matches!(
+        arrives(&mut router, ms(1), 22_999, 5_399),
+        Verdict::Turned(_)
+    ));
     ways.into_iter().for_each(|way| router.ended(way));
 }
 
@@ -75,7 +115,9 @@
 
 impl Plain {
     fn take(&mut self, rule: Rule, now: Duration) {
-        self.all.values_mut().for_each(|bucket| bucket.under(&self.rule, &rule, now));
+        self.all
+            .values_mut()
+            .for_each(|bucket| bucket.under(&self.rule, &rule, now));
         self.rule = rule;
     }
 
@@ -99,10 +141,17 @@
     for seed in 0..24 {
         let mut chance = WyRand::new_seed(seed);
         let mut draw = |from: u64, to: u64| chance.generate_range(from..to);
-        let rules: Vec<(u64, u64, u64)> = (0..4).map(|_| (draw(0, 9), draw(1, 4), draw(0, 4))).collect();
-        let made = |(rate, burst, at_once): (u64, u64, u64)| limited(ROUTES, TENANTS, rate, burst, at_once);
+        let rules: Vec<(u64, u64, u64)> = (0..4)
+            .map(|_| (draw(0, 9), draw(1, 4), draw(0, 4)))
+            .collect();
+        let made = |(rate, burst, at_once): (u64, u64, u64)| {
+            limited(ROUTES, TENANTS, rate, burst, at_once)
+        };
         let first = made(rules[0]);
-        let mut plain = Plain { rule: Rule::from(&first.limits[0]), ..Plain::default() };
+        let mut plain = Plain {
+            rule: Rule::from(&first.limits[0]),
+            ..Plain::default()
+        };
         let mut router = Router::new(&first, seed).unwrap();
         let mut inside: Vec<(Way, (usize, usize))> = Vec::new();
         let (mut now, mut let_in, mut turned_away, mut most) = (ms(0), 0, 0, 0);
@@ -122,9 +171,16 @@
                 }
                 _ => {
                     // A crowd that moves on, and some of it that stays.
-                    let tenant = if draw(0, 3) == 0 { draw(0, 4) } else { step / 40 + draw(0, 6) };
+                    let tenant = if draw(0, 3) == 0 {
+                        draw(0, 4)
+                    } else {
+                        step / 40 + draw(0, 6)
+                    };
                     let key = (tenant as usize % TENANTS, draw(0, ROUTES as u64) as usize);
-                    match (arrives(&mut router, now, key.0, key.1), plain.arrives(now, key)) {
+                    match (
+                        arrives(&mut router, now, key.0, key.1),
+                        plain.arrives(now, key),
+                    ) {
                         (Verdict::Goes(way), Ok(())) => {
                             let_in += 1;
                             inside.push((way, key));
@@ -133,16 +189,25 @@
                             turned_away += 1;
                             assert_eq!((turned.why, turned.after), (Why::Limit(At::Route), after));
                         }
-                        (found, wanted) => panic!("seed {seed} step {step}: {found:?}, kept all: {wanted:?}"),
+                        (found, wanted) => {
+                            panic!("seed {seed} step {step}: {found:?}, kept all: {wanted:?}")
+                        }
                     }
                 }
             }
             most = most.max(router.buckets().0);
         }
-        assert!(let_in > 500 && turned_away > 50, "seed {seed}: {let_in} let in, {turned_away} turned away");
+        assert!(
+            let_in > 500 && turned_away > 50,
+            "seed {seed}: {let_in} let in, {turned_away} turned away"
+        );
         // Of those that came, most have gone again: else nothing was tried here.
         (0..8).for_each(|_| router.look(now));
-        assert!(router.buckets().0 < plain.all.len() * 9 / 10, "seed {seed}: {:?}", router.buckets());
+        assert!(
+            router.buckets().0 < plain.all.len() * 9 / 10,
+            "seed {seed}: {:?}",
+            router.buckets()
+        );
         inside.into_iter().for_each(|(way, _)| router.ended(way));
         (0..8).for_each(|_| router.look(now + ms(3_600_000)));
         assert_eq!(router.buckets().0, 0, "seed {seed}");
@@ -158,7 +223,11 @@
             Verdict::Goes(way) => router.ended(way),
             Verdict::Turned(turned) => panic!("{n}: {turned:?}"),
         }
-        assert!(router.buckets().1 <= 2 * 101, "after {n}: {:?}", router.buckets());
+        assert!(
+            router.buckets().1 <= 2 * 101,
+            "after {n}: {:?}",
+            router.buckets()
+        );
     }
 }
 
@@ -193,9 +262,15 @@
         assert_eq!(told, (Why::NoBucket, ms(1_000)));
     }
     let counts = router.counts();
-    assert_eq!((counts.no_bucket, counts.limited, counts.went), (700, 0, MOST as u64 - 1));
+    assert_eq!(
+        (counts.no_bucket, counts.limited, counts.went),
+        (700, 0, MOST as u64 - 1)
+    );
     // Whoever has one goes on, and nobody was pushed out: each has its one inside, and its rate.
-    assert_eq!(refused(arrives(&mut router, ms(50), 7, 0)), (Why::Limit(At::Route), ms(50)));
+    assert_eq!(
+        refused(arrives(&mut router, ms(50), 7, 0)),
+        (Why::Limit(At::Route), ms(50))
+    );
     ways.push(match arrives(&mut router, ms(100), 7, 0) {
         Verdict::Goes(way) => way,
         Verdict::Turned(turned) => panic!("{turned:?}"),
@@ -210,7 +285,10 @@
             Verdict::Turned(turned) => panic!("{tenant}: {turned:?}"),
         }
     }
-    assert_eq!(refused(arrives(&mut router, ms(1_000), 999, 0)).0, Why::NoBucket);
+    assert_eq!(
+        refused(arrives(&mut router, ms(1_000), 999, 0)).0,
+        Why::NoBucket
+    );
     assert!(router.buckets().1 <= MOST, "{:?}", router.buckets());
     ways.into_iter().for_each(|way| router.ended(way));
 }
--- a/crates/route/tests/change.rs
+++ b/crates/route/tests/change.rs
@@ -31,7 +31,11 @@
     }
 
     fn some(&mut self, kind: &str, of: usize, one_in: usize) -> Vec<String> {
-        let all = if self.below(one_in) == 0 { 1 + self.below(3) } else { 0 };
+        let all = if self.below(one_in) == 0 {
+            1 + self.below(3)
+        } else {
+            0
+        };
         let mut names: Vec<String> = (0..all).map(|_| self.name(kind, of)).collect();
         names.sort();
         names.dedup();
@@ -49,19 +53,40 @@
 fn a_type(name: String, chance: &mut Chance) -> schema::TrafficType {
     let limits = chance.or_none("l", LIMITS);
     let goal_ns = SECOND * (1 + chance.below(5) as u64);
-    schema::TrafficType { name, goal_ns, limits, ..Default::default() }
+    schema::TrafficType {
+        name,
+        goal_ns,
+        limits,
+        ..Default::default()
+    }
 }
 
 fn a_tenant(name: String, chance: &mut Chance) -> schema::Tenant {
-    schema::Tenant { name, limits: chance.or_none("l", LIMITS), ..Default::default() }
+    schema::Tenant {
+        name,
+        limits: chance.or_none("l", LIMITS),
+        ..Default::default()
+    }
 }
 
 fn a_pool(name: String, chance: &mut Chance) -> schema::Pool {
-    let member = |n| schema::Member { address: format!("{name}:{n}"), weight: ONE, ..Default::default() };
-    let fall_back = if chance.below(3) == 0 { chance.name("p", POOLS) } else { String::new() };
+    let member = |n| schema::Member {
+        address: format!("{name}:{n}"),
+        weight: ONE,
+        ..Default::default()
+    };
+    let fall_back = if chance.below(3) == 0 {
+        chance.name("p", POOLS)
+    } else {
+        String::new()
+    };
     schema::Pool {
         members: (0..chance.below(3)).map(member).collect(),
-        limits: if chance.below(3) == 0 { chance.name("l", LIMITS) } else { String::new() },
+        limits: if chance.below(3) == 0 {
+            chance.name("l", LIMITS)
+        } else {
+            String::new()
+        },
         retry_after: chance.or_none("a", FEW),
         fall_back,
         name,
@@ -70,7 +95,10 @@
 }
 
 fn some_limits(name: String, chance: &mut Chance) -> schema::Limits {
-    let rate = Rate { micro_tickets: 1_000_000 * (1 + chance.below(40) as u64), per_ns: SECOND };
+    let rate = Rate {
+        micro_tickets: 1_000_000 * (1 + chance.below(40) as u64),
+        per_ns: SECOND,
+    };
     let per = [Per::All, Per::Tenant, Per::Type, Per::Pool][chance.below(4)];
     schema::Limits {
         name,
@@ -83,13 +111,21 @@
 
 fn a_route(name: String, chance: &mut Chance) -> schema::Route {
     let (first, second) = (chance.below(POOLS), chance.below(POOLS));
-    let target = |pool: usize, share| schema::Target { pool: format!("p{pool}"), share };
+    let target = |pool: usize, share| schema::Target {
+        pool: format!("p{pool}"),
+        share,
+    };
     let to = match first == second {
         true => vec![target(first, ONE)],
-        false => vec![target(first.min(second), 700_000), target(first.max(second), 300_000)],
+        false => vec![
+            target(first.min(second), 700_000),
+            target(first.max(second), 300_000),
+        ],
     };
     let patterns = ["NO-*", "NO-1*", "NO-12", "SE"];
-    let entities = (0..chance.below(3)).map(|_| patterns[chance.below(4)].to_owned()).collect();
+    let entities = (0..chance.below(3))
+        .map(|_| patterns[chance.below(4)].to_owned())
+        .collect();
     schema::Route {
         name,
         r#match: (chance.below(12) > 0).then(|| Match {
@@ -102,7 +138,11 @@
         }),
         to,
         split_by: [SplitBy::Chance, SplitBy::Entity][chance.below(2)].into(),
-        fall_back: if chance.below(2) == 0 { vec![chance.name("p", POOLS)] } else { vec![] },
+        fall_back: if chance.below(2) == 0 {
+            vec![chance.name("p", POOLS)]
+        } else {
+            vec![]
+        },
         limits: chance.or_none("l", LIMITS),
         budget: chance.or_none("b", FEW),
         retry_after: chance.or_none("a", FEW),
@@ -111,29 +151,61 @@
 }
 
 fn a_budget(name: String, chance: &mut Chance) -> schema::Budget {
-    let queue = schema::Stage { share: 100_000 * (1 + chance.below(5) as u64), fixed_ns: 0 };
-    schema::Budget { name, queue: Some(queue), ..Default::default() }
+    let queue = schema::Stage {
+        share: 100_000 * (1 + chance.below(5) as u64),
+        fixed_ns: 0,
+    };
+    schema::Budget {
+        name,
+        queue: Some(queue),
+        ..Default::default()
+    }
 }
 
 fn a_retry_after(name: String, chance: &mut Chance) -> schema::RetryAfter {
     let least_ns = 1_000_000 * (1 + chance.below(50) as u64);
-    schema::RetryAfter { name, least_ns, most_ns: SECOND }
+    schema::RetryAfter {
+        name,
+        least_ns,
+        most_ns: SECOND,
+    }
 }
 
 fn whole(routes: usize, chance: &mut Chance) -> Configuration {
     let named = |kind: &str, n: usize| (0..n).map(|k| format!("{kind}{k}")).collect::<Vec<_>>();
     let mut all = Configuration {
         version: 1,
-        types: named("t", TYPES).into_iter().map(|name| a_type(name, chance)).collect(),
-        tenants: named("c", TENANTS).into_iter().map(|name| a_tenant(name, chance)).collect(),
-        pools: named("p", POOLS).into_iter().map(|name| a_pool(name, chance)).collect(),
-        limits: named("l", LIMITS).into_iter().map(|name| some_limits(name, chance)).collect(),
-        budgets: named("b", FEW).into_iter().map(|name| a_budget(name, chance)).collect(),
-        retry_after: named("a", FEW).into_iter().map(|name| a_retry_after(name, chance)).collect(),
+        types: named("t", TYPES)
+            .into_iter()
+            .map(|name| a_type(name, chance))
+            .collect(),
+        tenants: named("c", TENANTS)
+            .into_iter()
+            .map(|name| a_tenant(name, chance))
+            .collect(),
+        pools: named("p", POOLS)
+            .into_iter()
+            .map(|name| a_pool(name, chance))
+            .collect(),
+        limits: named("l", LIMITS)
+            .into_iter()
+            .map(|name| some_limits(name, chance))
+            .collect(),
+        budgets: named("b", FEW)
+            .into_iter()
+            .map(|name| a_budget(name, chance))
+            .collect(),
+        retry_after: named("a", FEW)
+            .into_iter()
+            .map(|name| a_retry_after(name, chance))
+            .collect(),
         ..Default::default()
     };
     all.pools.iter_mut().for_each(|pool| pool.fall_back.clear());
-    all.routes = named("r", routes).into_iter().map(|name| a_route(name, chance)).collect();
+    all.routes = named("r", routes)
+        .into_iter()
+        .map(|name| a_route(name, chance))
+        .collect();
     all
 }
 
@@ -169,13 +241,20 @@
         }
         if removes {
             let before = all.clone();
-            all.types.retain(|one| kind != Kind::Type || one.name != name);
-            all.tenants.retain(|one| kind != Kind::Tenant || one.name != name);
-            all.pools.retain(|one| kind != Kind::Pool || one.name != name);
-            all.limits.retain(|one| kind != Kind::Limits || one.name != name);
-            all.budgets.retain(|one| kind != Kind::Budget || one.name != name);
-            all.retry_after.retain(|one| kind != Kind::RetryAfter || one.name != name);
-            all.routes.retain(|one| kind != Kind::Route || one.name != name);
+            all.types
+                .retain(|one| kind != Kind::Type || one.name != name);
+            all.tenants
+                .retain(|one| kind != Kind::Tenant || one.name != name);
+            all.pools
+                .retain(|one| kind != Kind::Pool || one.name != name);
+            all.limits
+                .retain(|one| kind != Kind::Limits || one.name != name);
+            all.budgets
+                .retain(|one| kind != Kind::Budget || one.name != name);
+            all.retry_after
+                .retain(|one| kind != Kind::RetryAfter || one.name != name);
+            all.routes
+                .retain(|one| kind != Kind::Route || one.name != name);
             if all != before {
                 changes.push(Change::Remove(kind, name));
             }
@@ -213,7 +292,12 @@
         }
         changes.push(change);
     }
-    for (at, route) in all.routes.iter().enumerate().filter(|(_, route)| routes.contains(&route.name)) {
+    for (at, route) in all
+        .routes
+        .iter()
+        .enumerate()
+        .filter(|(_, route)| routes.contains(&route.name))
+    {
         let before = all.routes.get(at + 1).map(|next| next.name.clone());
         changes.push(Change::Route(route.clone(), before));
     }
@@ -224,12 +308,18 @@
 fn told(router: &Router, verdict: Verdict) -> (String, Option<Way>) {
     match verdict {
         Verdict::Goes(way) => {
-            let told = format!("{} {} {:?} {:?}", way.route, way.pool, way.place.by, way.times);
+            let told = format!(
+                "{} {} {:?} {:?}",
+                way.route, way.pool, way.place.by, way.times
+            );
             (told, Some(way))
         }
         Verdict::Turned(turned) => {
             let route = turned.route.map(|at| router.table().route_name(at));
-            (format!("{:?} {:?} {route:?}", turned.why, turned.after), None)
+            (
+                format!("{:?} {:?} {route:?}", turned.why, turned.after),
+                None,
+            )
         }
     }
 }
@@ -243,7 +333,10 @@
         assert_eq!(table.tenant(&one.name), Some(at as u16));
     }
     for (at, one) in c.pools.iter().enumerate() {
-        assert_eq!((table.pool(&one.name), table.pool_name(at as u16)), (Some(at as u16), &*one.name));
+        assert_eq!(
+            (table.pool(&one.name), table.pool_name(at as u16)),
+            (Some(at as u16), &*one.name)
+        );
     }
     for (at, one) in c.routes.iter().enumerate() {
         assert_eq!(table.route_name(at as u16), one.name);
@@ -275,7 +368,10 @@
             }
             names_lead_home(by_change.table());
             let c = by_change.table().configuration();
-            assert!(c.routes == all.routes, "seed {seed} step {step}: {changes:?}");
+            assert!(
+                c.routes == all.routes,
+                "seed {seed} step {step}: {changes:?}"
+            );
             for _ in 0..50 {
                 now += Duration::from_millis(chance.below(20) as u64);
                 let (tenant, out) = (chance.name("c", TENANTS + 1), chance.name("p", POOLS));
@@ -287,13 +383,24 @@
                     let traffic = table.traffic(&traffic)?;
                     let tenant = table.tenant(&tenant);
                     let out = table.pool(&out);
-                    let ticket = Ticket { traffic, tenant, entity, again, size, ..Ticket::default() };
+                    let ticket = Ticket {
+                        traffic,
+                        tenant,
+                        entity,
+                        again,
+                        size,
+                        ..Ticket::default()
+                    };
                     let verdict = router.arrived(now, &ticket, |pool| Some(pool) != out);
                     Some(told(router, verdict))
                 });
-                let words = both.each_ref().map(|told| told.as_ref().map(|(words, _)| words));
+                let words = both
+                    .each_ref()
+                    .map(|told| told.as_ref().map(|(words, _)| words));
                 assert_eq!(words[0], words[1], "seed {seed} step {step}: {changes:?}");
-                let ways = both.each_mut().map(|told| told.as_mut().and_then(|(_, way)| way.take()));
+                let ways = both
+                    .each_mut()
+                    .map(|told| told.as_mut().and_then(|(_, way)| way.take()));
                 match ways {
                     [Some(one), Some(other)] => {
                         went += 1;
@@ -309,8 +416,14 @@
             }
         }
     }
-    assert!(taken > 800 && refused > 300, "{taken} taken, {refused} refused");
-    assert!(went > 30_000 && turned > 10_000, "{went} went, {turned} turned away");
+    assert!(
+        taken > 800 && refused > 300,
+        "{taken} taken, {refused} refused"
+    );
+    assert!(
+        went > 30_000 && turned > 10_000,
+        "{went} went, {turned} turned away"
+    );
 }
 
 #[test]
@@ -319,8 +432,15 @@
     let mut all = whole(0, &mut chance);
     let route = |name: &str, pool: &str| schema::Route {
         name: name.into(),
-        to: vec![schema::Target { pool: pool.into(), share: ONE }],
-        r#match: Some(Match { types: vec!["t1".into()], tenants: vec!["c3".into()], ..Default::default() }),
+        to: vec![schema::Target {
+            pool: pool.into(),
+            share: ONE,
+        }],
+        r#match: Some(Match {
+            types: vec!["t1".into()],
+            tenants: vec!["c3".into()],
+            ..Default::default()
+        }),
         limits: "l0".into(),
         budget: "b0".into(),
         ..Default::default()
@@ -329,41 +449,109 @@
     all.pools[0].retry_after = "a0".into();
     let gone = |kind, name: &str| Change::Remove(kind, name.into());
     let pool = |name: &str, fall_back: &str| {
-        Change::Pool(schema::Pool { name: name.into(), fall_back: fall_back.into(), ..Default::default() })
+        Change::Pool(schema::Pool {
+            name: name.into(),
+            fall_back: fall_back.into(),
+            ..Default::default()
+        })
     };
-    let tenant = Change::Tenant(schema::Tenant { name: "new".into(), ..Default::default() });
+    let tenant = Change::Tenant(schema::Tenant {
+        name: "new".into(),
+        ..Default::default()
+    });
     let table: Vec<(Vec<Change>, &str)> = vec![
-        (vec![tenant.clone(), gone(Kind::Tenant, "new")], "tenant `new` is named twice in one change"),
-        (vec![gone(Kind::Tenant, "c3")], "tenant `c3` cannot go: something refers to it"),
-        (vec![gone(Kind::Type, "t1")], "type `t1` cannot go: something refers to it"),
-        (vec![gone(Kind::Pool, "p1")], "pool `p1` cannot go: something refers to it"),
-        (vec![gone(Kind::Limits, "l0")], "limits `l0` cannot go: something refers to it"),
-        (vec![gone(Kind::RetryAfter, "a0")], "retry-after `a0` cannot go: something refers to it"),
-        (vec![gone(Kind::Budget, "b0")], "budget `b0` cannot go: something refers to it"),
+        (
+            vec![tenant.clone(), gone(Kind::Tenant, "new")],
+            "tenant `new` is named twice in one change",
+        ),
+        (
+            vec![gone(Kind::Tenant, "c3")],
+            "tenant `c3` cannot go: something refers to it",
+        ),
+        (
+            vec![gone(Kind::Type, "t1")],
+            "type `t1` cannot go: something refers to it",
+        ),
+        (
+            vec![gone(Kind::Pool, "p1")],
+            "pool `p1` cannot go: something refers to it",
+        ),
+        (
+            vec![gone(Kind::Limits, "l0")],
+            "limits `l0` cannot go: something refers to it",
+        ),
+        (
+            vec![gone(Kind::RetryAfter, "a0")],
+            "retry-after `a0` cannot go: something refers to it",
+        ),
+        (
+            vec![gone(Kind::Budget, "b0")],
+            "budget `b0` cannot go: something refers to it",
+        ),
         (vec![gone(Kind::Route, "r9")], "there is no route `r9`"),
         (vec![gone(Kind::Health, "h9")], "there is no health `h9`"),
-        (vec![gone(Kind::Attempts, "h9")], "there is no attempts `h9`"),
-        (vec![Change::Route(route("r2", "p2"), Some("r9".into()))], "there is no route `r9`"),
-        (vec![Change::Route(route("r0", "p2"), Some("r0".into()))], "route `r0` cannot stand before itself"),
-        (vec![Change::Route(route("r2", "p9"), None)], "there is no pool `p9`"),
-        (vec![pool("x", "y"), pool("y", "z"), pool("z", "x")], "falls back in a ring"),
-        (vec![tenant, gone(Kind::Route, "r0"), pool("p1", "p9")], "there is no pool `p9`"),
+        (
+            vec![gone(Kind::Attempts, "h9")],
+            "there is no attempts `h9`",
+        ),
+        (
+            vec![Change::Route(route("r2", "p2"), Some("r9".into()))],
+            "there is no route `r9`",
+        ),
+        (
+            vec![Change::Route(route("r0", "p2"), Some("r0".into()))],
+            "route `r0` cannot stand before itself",
+        ),
+        (
+            vec![Change::Route(route("r2", "p9"), None)],
+            "there is no pool `p9`",
+        ),
+        (
+            vec![pool("x", "y"), pool("y", "z"), pool("z", "x")],
+            "falls back in a ring",
+        ),
+        (
+            vec![tenant, gone(Kind::Route, "r0"), pool("p1", "p9")],
+            "there is no pool `p9`",
+        ),
     ];
     let mut router = Router::new(&all, 1).unwrap();
     for (changes, wanted) in table {
-        let refused = router.apply(&changes, Duration::ZERO).unwrap_err().to_string();
+        let refused = router
+            .apply(&changes, Duration::ZERO)
+            .unwrap_err()
+            .to_string();
         assert!(refused.contains(wanted), "{refused}, not {wanted}");
         assert_eq!(*router.table().configuration(), all, "{wanted}");
         names_lead_home(router.table());
     }
-    assert_eq!((router.counts().versions_refused, router.counts().versions_taken), (15, 1));
+    assert_eq!(
+        (
+            router.counts().versions_refused,
+            router.counts().versions_taken
+        ),
+        (15, 1)
+    );
     // Together with what refers to them they may go; and pools may be told in any order.
     let routes = [gone(Kind::Route, "r0"), gone(Kind::Route, "r1")];
-    let others = [gone(Kind::Pool, "p1"), gone(Kind::Tenant, "c3"), pool("x", "y"), pool("y", "")];
+    let others = [
+        gone(Kind::Pool, "p1"),
+        gone(Kind::Tenant, "c3"),
+        pool("x", "y"),
+        pool("y", ""),
+    ];
     router
         .apply(
-            &[others, [routes[0].clone(), routes[1].clone(), pool("z", "x"), gone(Kind::Budget, "b0")]]
-                .concat(),
+            &[
+                others,
+                [
+                    routes[0].clone(),
+                    routes[1].clone(),
+                    pool("z", "x"),
+                    gone(Kind::Budget, "b0"),
+                ],
+            ]
+            .concat(),
             Duration::ZERO,
         )
         .unwrap();
--- a/crates/route/tests/change_cost.rs
+++ b/crates/route/tests/change_cost.rs
@@ -30,31 +30,63 @@
 static ALL: Counting = Counting;
 
 fn tenant(n: usize, share: u64) -> schema::Tenant {
-    schema::Tenant { name: format!("t{n:05}"), share, limits: "l".into(), ..Default::default() }
+    schema::Tenant {
+        name: format!("t{n:05}"),
+        share,
+        limits: "l".into(),
+        ..Default::default()
+    }
 }
 
 fn pool(n: usize, weight: u64) -> schema::Pool {
-    let member = schema::Member { address: format!("10.0.0.{n}:1"), weight, ..Default::default() };
-    schema::Pool { name: format!("p{n:02}"), members: vec![member], ..Default::default() }
+    let member = schema::Member {
+        address: format!("10.0.0.{n}:1"),
+        weight,
+        ..Default::default()
+    };
+    schema::Pool {
+        name: format!("p{n:02}"),
+        members: vec![member],
+        ..Default::default()
+    }
 }
 
 fn limits(burst: u64) -> schema::Limits {
-    let rate = Some(Rate { micro_tickets: ONE, per_ns: 1_000_000_000 });
-    schema::Limits { name: "l".into(), rate, burst, per: Per::Tenant.into(), ..Default::default() }
+    let rate = Some(Rate {
+        micro_tickets: ONE,
+        per_ns: 1_000_000_000,
+    });
+    schema::Limits {
+        name: "l".into(),
+        rate,
+        burst,
+        per: Per::Tenant.into(),
+        ..Default::default()
+    }
 }
 
 fn route(n: usize, pool: usize) -> schema::Route {
     schema::Route {
         name: format!("r{n:05}"),
-        to: vec![schema::Target { pool: format!("p{pool:02}"), share: ONE }],
-        r#match: Some(Match { entities: vec![format!("r{n:05}/*")], ..Default::default() }),
+        to: vec![schema::Target {
+            pool: format!("p{pool:02}"),
+            share: ONE,
+        }],
+        r#match: Some(Match {
+            entities: vec![format!("r{n:05}/*")],
+            ..Default::default()
+        }),
         limits: "l".into(),
         ..Default::default()
     }
 }
 
 fn whole(routes: usize, tenants: usize) -> Configuration {
-    let traffic = schema::TrafficType { name: "t".into(), goal_ns: 1_000_000_000, ..Default::default() };
+    let traffic = schema::TrafficType {
+        name: "t".into(),
+        goal_ns: 1_000_000_000,
+        ..Default::default()
+    };
     Configuration {
         version: 1,
         types: vec![traffic],
@@ -82,13 +114,23 @@
     vec![
         cost("tenant changed", &|n| Change::Tenant(tenant(3, n as u64))),
         cost("tenant new", &|n| Change::Tenant(tenant(90_000 + n, 7))),
-        cost("tenant gone", &|n| Change::Remove(Kind::Tenant, format!("t{n:05}"))),
+        cost("tenant gone", &|n| {
+            Change::Remove(Kind::Tenant, format!("t{n:05}"))
+        }),
         cost("limits changed", &|n| Change::Limits(limits(2 + n as u64))),
         cost("pool changed", &|n| Change::Pool(pool(7, 2 + n as u64))),
-        cost("route changed", &|n| Change::Route(route(5, n), Some("r00006".into()))),
-        cost("route new in front", &|n| Change::Route(route(90_000 + n, 1), Some("r00000".into()))),
-        cost("route moved", &|n| Change::Route(route(90_000 + n, 1), Some("r00020".into()))),
-        cost("route gone", &|n| Change::Remove(Kind::Route, format!("r0001{n}"))),
+        cost("route changed", &|n| {
+            Change::Route(route(5, n), Some("r00006".into()))
+        }),
+        cost("route new in front", &|n| {
+            Change::Route(route(90_000 + n, 1), Some("r00000".into()))
+        }),
+        cost("route moved", &|n| {
+            Change::Route(route(90_000 + n, 1), Some("r00020".into()))
+        }),
+        cost("route gone", &|n| {
+            Change::Remove(Kind::Route, format!("r0001{n}"))
+        }),
     ]
 }
 
@@ -98,6 +140,9 @@
     let (small, large) = (costs(54, 230), costs(5_400, 23_000));
     assert_eq!(small, large);
     for (what, made, bytes) in large {
-        assert!(made <= 20 && bytes <= 2_500, "{what}: {made} allocations, {bytes} bytes");
+        assert!(
+            made <= 20 && bytes <= 2_500,
+            "{what}: {made} allocations, {bytes} bytes"
+        );
     }
 }
--- a/crates/route/tests/fleet.rs
+++ b/crates/route/tests/fleet.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 
 fn fleet(members: usize, proof: &str) -> Fleet {
-    let members: String =
-        (0..members).map(|k| format!("member n{k} {{ address: \"10.0.0.{}:1\" }}\n", k + 1)).collect();
+    let members: String = (0..members)
+        .map(|k| format!("member n{k} {{ address: \"10.0.0.{}:1\" }}\n", k + 1))
+        .collect();
     let text = format!(
         "rain 1
 type check {{ repeat: rerunnable; goal: 3 s; outer-limit: 7 s }}
@@ -110,7 +111,8 @@
     for n in 0..(seconds + 10) * 5 {
         push(&mut events, n * 200, Event::Look);
     }
-    let (mut ends, mut tries, mut runs, mut rules) = (vec![], vec![], BTreeMap::new(), Rules::default());
+    let (mut ends, mut tries, mut runs, mut rules) =
+        (vec![], vec![], BTreeMap::new(), Rules::default());
     let (mut next, mut born) = (0u64, BTreeMap::new());
     let mut first_broken = Ok(());
     while let Some(Timed(t, _, event)) = events.pop() {
@@ -130,9 +132,30 @@
                 next += 1;
                 born.insert(next, t);
                 let traffic = u16::from(next.is_multiple_of(5));
-                let kind = if traffic == 1 { Kind::Exclusive } else { Kind::Rerunnable };
-                saw(next, Saw::Asked { kind, due: now + DUE, front: 0 });
-                (next, fleet.arrived(now, &Ticket { traffic, tenant: Some(0), ..Ticket::default() }))
+                let kind = if traffic == 1 {
+                    Kind::Exclusive
+                } else {
+                    Kind::Rerunnable
+                };
+                saw(
+                    next,
+                    Saw::Asked {
+                        kind,
+                        due: now + DUE,
+                        front: 0,
+                    },
+                );
+                (
+                    next,
+                    fleet.arrived(
+                        now,
+                        &Ticket {
+                            traffic,
+                            tenant: Some(0),
+                            ..Ticket::default()
+                        },
+                    ),
+                )
             }
             Event::Back(trip, back, ticket) => (ticket, fleet.came(now, trip, back)),
             Event::Again(trip, ticket) => (ticket, fleet.again(now, trip)),
@@ -144,22 +167,35 @@
                 let (back, took, ran) = does(member, t, &mut chance);
                 if ran {
                     *runs.entry(ticket).or_default() += 1;
-                    saw(ticket, Saw::Ran { on: member as u32, marked: send.again });
+                    saw(
+                        ticket,
+                        Saw::Ran {
+                            on: member as u32,
+                            marked: send.again,
+                        },
+                    );
                 }
                 let cut = send.cut.as_millis() as u64;
-                let (back, took) = if took > cut { (Back::TimedOut, cut) } else { (back, took) };
+                let (back, took) = if took > cut {
+                    (Back::TimedOut, cut)
+                } else {
+                    (back, took)
+                };
                 let back = match (bug, back) {
                     (Bug::BrokenIsUnreachable, Back::Broken) => Back::Unreachable,
-                    (Bug::LateIsDismissed, Back::TimedOut) => {
-                        Back::Dismissed { pause: Duration::ZERO, nowhere_else: true }
-                    }
+                    (Bug::LateIsDismissed, Back::TimedOut) => Back::Dismissed {
+                        pause: Duration::ZERO,
+                        nowhere_else: true,
+                    },
                     (_, back) => back,
                 };
                 push(&mut events, t + took, Event::Back(trip, back, ticket));
             }
-            Step::Wait(trip, wait) => {
-                push(&mut events, t + wait.as_millis() as u64, Event::Again(trip, ticket))
-            }
+            Step::Wait(trip, wait) => push(
+                &mut events,
+                t + wait.as_millis() as u64,
+                Event::Again(trip, ticket),
+            ),
             Step::Over(over) => {
                 let answer = match over.end {
                     End::Honoured => Answer::Honoured,
@@ -172,20 +208,39 @@
         }
     }
     let all = first_broken.and_then(|()| rules.over(Duration::from_secs(seconds + 10)).map(drop));
-    (Played { ends, tries, runs, rules, fleet }, all)
+    (
+        Played {
+            ends,
+            tries,
+            runs,
+            rules,
+            fleet,
+        },
+        all,
+    )
 }
 
 /// What must hold beside the rules, whatever the members do.
 fn rules(played: &mut Played, tickets: u64) {
     assert_eq!(played.ends.len() as u64, tickets);
     let (counts, now) = (played.fleet.counts(), Duration::from_secs(60));
-    played.rules.budget(now, counts.first_tries, counts.further_tries, 0.2, START).unwrap();
-    assert!(played.fleet.members(0, now).all(|member| member.open == 0), "places that nobody gave back");
+    played
+        .rules
+        .budget(now, counts.first_tries, counts.further_tries, 0.2, START)
+        .unwrap();
+    assert!(
+        played.fleet.members(0, now).all(|member| member.open == 0),
+        "places that nobody gave back"
+    );
     assert_eq!(played.fleet.room(0).1, 0, "room that nobody gave back");
 }
 
 fn honoured(played: &Played, from: u64, upto: u64) -> f64 {
-    let of: Vec<_> = played.ends.iter().filter(|(born, ..)| (from..upto).contains(born)).collect();
+    let of: Vec<_> = played
+        .ends
+        .iter()
+        .filter(|(born, ..)| (from..upto).contains(born))
+        .collect();
     of.iter().filter(|(.., end)| *end == End::Honoured).count() as f64 / of.len() as f64
 }
 
@@ -200,32 +255,58 @@
     let back = honoured(&played, 12_000, 20_000);
     assert!(back > 0.95, "{back}");
     // Answered at once while it lasts.
-    let slow =
-        played.ends.iter().filter(|(born, at, _)| (5_500..10_000).contains(born) && at - born > 500).count();
+    let slow = played
+        .ends
+        .iter()
+        .filter(|(born, at, _)| (5_500..10_000).contains(born) && at - born > 500)
+        .count();
     assert_eq!(slow, 0);
 }
 
 #[test]
 fn one_that_fails_fast_gets_no_more_than_its_part() {
-    let mut played = play(fleet(5, "none"), 200, 10, |member, _, chance| match member {
-        0 => (Back::Failed, 1, true),
-        _ => (Back::Honoured, chance.generate_range(20..60), true),
-    });
+    let mut played = play(
+        fleet(5, "none"),
+        200,
+        10,
+        |member, _, chance| match member {
+            0 => (Back::Failed, 1, true),
+            _ => (Back::Honoured, chance.generate_range(20..60), true),
+        },
+    );
     rules(&mut played, 2_000);
-    let its = played.tries.iter().filter(|(_, member)| *member == 0).count();
-    assert!(its * 5 <= played.tries.len(), "{its} of {}", played.tries.len());
-    assert!(honoured(&played, 1_000, 10_000) > 0.97, "{}", honoured(&played, 1_000, 10_000));
+    let its = played
+        .tries
+        .iter()
+        .filter(|(_, member)| *member == 0)
+        .count();
+    assert!(
+        its * 5 <= played.tries.len(),
+        "{its} of {}",
+        played.tries.len()
+    );
+    assert!(
+        honoured(&played, 1_000, 10_000) > 0.97,
+        "{}",
+        honoured(&played, 1_000, 10_000)
+    );
 }
 
 #[test]
 fn one_that_hangs_holds_only_what_is_there() {
-    let mut played = play(fleet(5, "none"), 200, 12, |member, t, chance| match (member, t) {
-        (0, 3_000..) => (Back::Honoured, 100_000, true),
-        _ => (Back::Honoured, chance.generate_range(10..30), true),
+    let mut played = play(fleet(5, "none"), 200, 12, |member, t, chance| {
+        match (member, t) {
+            (0, 3_000..) => (Back::Honoured, 100_000, true),
+            _ => (Back::Honoured, chance.generate_range(10..30), true),
+        }
     });
     rules(&mut played, 2_400);
     // Two seconds of silence, then it is left out but for a trickle now and then.
-    let later = played.tries.iter().filter(|(t, member)| *member == 0 && *t > 6_000).count();
+    let later = played
+        .tries
+        .iter()
+        .filter(|(t, member)| *member == 0 && *t > 6_000)
+        .count();
     assert!(later < 40, "{later}");
     assert!(honoured(&played, 6_000, 12_000) > 0.97);
 }
@@ -245,24 +326,57 @@
     });
     rules(&mut played, 3_000);
     // Exclusive tickets whose connection broke are given up, never dismissed: they may have run.
-    let dismissed = played.ends.iter().filter(|(.., end)| matches!(end, End::Dismissed { .. })).count();
+    let dismissed = played
+        .ends
+        .iter()
+        .filter(|(.., end)| matches!(end, End::Dismissed { .. }))
+        .count();
     assert!(dismissed < 150, "{dismissed}");
-    assert!(played.runs.values().any(|runs| *runs > 1), "rerunnable ones do run again");
+    assert!(
+        played.runs.values().any(|runs| *runs > 1),
+        "rerunnable ones do run again"
+    );
 }
 
 #[test]
 fn a_caller_that_leaves_during_a_wait_frees_nothing_twice() {
     let mut fleet = fleet(1, "none");
     let now = Duration::from_millis;
-    let ticket = Ticket { tenant: Some(0), ..Ticket::default() };
-    let open = |fleet: &Fleet| fleet.members(0, Duration::ZERO).map(|member| member.open).sum::<u32>();
-    let Step::Go(other, _) = fleet.arrived(now(0), &ticket) else { panic!("it goes") };
-    let Step::Go(trip, _) = fleet.arrived(now(0), &ticket) else { panic!("it goes") };
-    let Step::Wait(trip, _) = fleet.came(now(5), trip, Back::Failed) else { panic!("it waits") };
+    let ticket = Ticket {
+        tenant: Some(0),
+        ..Ticket::default()
+    };
+    let open = |fleet: &Fleet| {
+        fleet
+            .members(0, Duration::ZERO)
+            .map(|member| member.open)
+            .sum::<u32>()
+    };
+    let Step::Go(other, _) = fleet.arrived(now(0), &ticket) else {
+        panic!("it goes")
+    };
+    let Step::Go(trip, _) = fleet.arrived(now(0), &ticket) else {
+        panic!("it goes")
+    };
+    let Step::Wait(trip, _) = fleet.came(now(5), trip, Back::Failed) else {
+        panic!("it waits")
+    };
     assert_eq!(open(&fleet), 1);
-    assert!(matches!(fleet.came(now(6), trip, Back::CallerLeft), Step::Over(Over { end: End::Nobody, .. })));
+    assert!(matches!(
+        fleet.came(now(6), trip, Back::CallerLeft),
+        Step::Over(Over {
+            end: End::Nobody,
+            ..
+        })
+    ));
     assert_eq!(open(&fleet), 1, "the other one is still there");
-    assert!(matches!(fleet.came(now(9), other, Back::Honoured), Step::Over(Over { end: End::Honoured, .. })));
+    assert!(matches!(
+        fleet.came(now(9), other, Back::Honoured),
+        Step::Over(Over {
+            end: End::Honoured,
+            ..
+        })
+    ));
     assert_eq!(open(&fleet), 0);
 }
 
@@ -272,41 +386,72 @@
     let mut told = Vec::new();
     for t in 0..200u64 {
         let now = Duration::from_millis(t * 10);
-        let ticket = Ticket { tenant: Some(0), ..Ticket::default() };
+        let ticket = Ticket {
+            tenant: Some(0),
+            ..Ticket::default()
+        };
         if let Step::Go(trip, send) = fleet.arrived(now, &ticket) {
-            let back = if send.to.member == 1 { Back::Failed } else { Back::Honoured };
+            let back = if send.to.member == 1 {
+                Back::Failed
+            } else {
+                Back::Honoured
+            };
             let _ = fleet.came(now + Duration::from_millis(4), trip, back);
         }
-        told.extend(
-            fleet
-                .look(now)
-                .into_iter()
-                .map(|(at, to)| (at.member, matches!(to, Standing::Out(Reason::FailuresInARow, _)))),
-        );
+        told.extend(fleet.look(now).into_iter().map(|(at, to)| {
+            (
+                at.member,
+                matches!(to, Standing::Out(Reason::FailuresInARow, _)),
+            )
+        }));
     }
     assert_eq!(told[0], (1, true));
-    assert!(told.iter().filter(|(member, out)| *member == 1 && *out).count() <= 2, "{told:?}");
+    assert!(
+        told.iter()
+            .filter(|(member, out)| *member == 1 && *out)
+            .count()
+            <= 2,
+        "{told:?}"
+    );
 }
 
 #[test]
 fn a_told_pause_is_kept_and_passed_on() {
-    let mut played = play(fleet(2, "not-run"), 100, 4, |member, t, _| match (member, t) {
-        (0, 1_000..2_000) => {
-            (Back::Dismissed { pause: Duration::from_millis(400), nowhere_else: false }, 1, false)
+    let mut played = play(fleet(2, "not-run"), 100, 4, |member, t, _| {
+        match (member, t) {
+            (0, 1_000..2_000) => (
+                Back::Dismissed {
+                    pause: Duration::from_millis(400),
+                    nowhere_else: false,
+                },
+                1,
+                false,
+            ),
+            (1, 1_500..1_600) => (
+                Back::Dismissed {
+                    pause: Duration::from_millis(250),
+                    nowhere_else: true,
+                },
+                1,
+                false,
+            ),
+            _ => (Back::Honoured, 10, true),
         }
-        (1, 1_500..1_600) => {
-            (Back::Dismissed { pause: Duration::from_millis(250), nowhere_else: true }, 1, false)
-        }
-        _ => (Back::Honoured, 10, true),
     });
     rules(&mut played, 400);
     // Asked to stay away for 400 ms by the one, its tenant is not sent there: some tries, not hundreds.
-    let asked = played.tries.iter().filter(|(t, member)| *member == 0 && (1_000..2_000).contains(t)).count();
-    assert!(asked <= 20, "{asked}");
-    let told = played
-        .ends
+    let asked = played
+        .tries
         .iter()
-        .any(|(.., end)| *end == End::Dismissed { after: Duration::from_millis(250), nowhere_else: true });
+        .filter(|(t, member)| *member == 0 && (1_000..2_000).contains(t))
+        .count();
+    assert!(asked <= 20, "{asked}");
+    let told = played.ends.iter().any(|(.., end)| {
+        *end == End::Dismissed {
+            after: Duration::from_millis(250),
+            nowhere_else: true,
+        }
+    });
     assert!(told, "the other's word is passed on");
 }
 
@@ -333,7 +478,10 @@
     );
     let (_, found) = play_with(fleet(5, "none"), 100, 10, breaks, Bug::LateIsDismissed);
     let broken = found.unwrap_err();
-    assert!(broken.rule == 2 && broken.why.contains("dismissed"), "{broken}");
+    assert!(
+        broken.rule == 2 && broken.why.contains("dismissed"),
+        "{broken}"
+    );
     // The steps that led to it are told, and the same seed finds the same.
     assert!(broken.steps.len() >= 3, "{broken}");
     let (_, again) = play_with(fleet(5, "none"), 100, 10, breaks, Bug::LateIsDismissed);
@@ -355,17 +503,29 @@
             fleet.look(now);
         }
         while back.peek().is_some_and(|Timed(at, ..)| *at <= t) {
-            let Some(Timed(_, n, Event::Back(trip, came, _))) = back.pop() else { continue };
-            let Step::Over(over) = fleet.came(now, trip, came) else { panic!("no further tries here") };
+            let Some(Timed(_, n, Event::Back(trip, came, _))) = back.pop() else {
+                continue;
+            };
+            let Step::Over(over) = fleet.came(now, trip, came) else {
+                panic!("no further tries here")
+            };
             good += u32::from(n.is_multiple_of(2) && over.end == End::Honoured);
         }
         // One ticket a millisecond by acme, whose share is half of the pool, and forty by nobody knows whom.
         for n in 0..41u64 {
             made += 2;
-            let (tenant, stranger) = if n == 20 { (Some(0), 0) } else { (None, mark(&format!("{t} {n}"))) };
+            let (tenant, stranger) = if n == 20 {
+                (Some(0), 0)
+            } else {
+                (None, mark(&format!("{t} {n}")))
+            };
             known += u32::from(n == 20);
             strangers += u64::from(n != 20);
-            let ticket = Ticket { tenant, stranger, ..Ticket::default() };
+            let ticket = Ticket {
+                tenant,
+                stranger,
+                ..Ticket::default()
+            };
             if let Step::Go(trip, send) = fleet.arrived(now, &ticket) {
                 let member = &mut busy[usize::from(send.to.member)];
                 *member = (*member).max(t) + 1;
@@ -397,13 +557,22 @@
 route r {{ to: p }}"
         )
     };
-    let made = |text: String| load(&Memory::new([("a.rain", text)]), "a.rain").configuration.expect("good");
+    let made = |text: String| {
+        load(&Memory::new([("a.rain", text)]), "a.rain")
+            .configuration
+            .expect("good")
+    };
     let before = made(text(""));
     // It stands before the other in order of names, and has a member with the same address.
     let after = made(text("pool a { member n1 { address: \"10.0.0.1:1\" } }"));
     let now = Duration::from_millis;
     let mut fleet = Fleet::new(&before, "", 7, now(0)).unwrap();
-    let open = |fleet: &Fleet, pool| fleet.members(pool, now(0)).map(|member| member.open).sum::<u32>();
+    let open = |fleet: &Fleet, pool| {
+        fleet
+            .members(pool, now(0))
+            .map(|member| member.open)
+            .sum::<u32>()
+    };
     let trips: Vec<Trip> = (0..8)
         .map(|_| match fleet.arrived(now(1), &Ticket::default()) {
             Step::Go(trip, _) => trip,
@@ -416,7 +585,10 @@
     for trip in trips {
         assert!(matches!(
             fleet.came(now(5), trip, Back::Honoured),
-            Step::Over(Over { end: End::Honoured, .. })
+            Step::Over(Over {
+                end: End::Honoured,
+                ..
+            })
         ));
     }
     assert_eq!((open(&fleet, p), open(&fleet, 0)), (0, 0));
--- a/crates/route/tests/fleet_change.rs
+++ b/crates/route/tests/fleet_change.rs
@@ -27,11 +27,21 @@
             ..Default::default()
         }
     };
-    let tenant = |n: usize, share| schema::Tenant { name: format!("t{n}"), share, ..Default::default() };
+    let tenant = |n: usize, share| schema::Tenant {
+        name: format!("t{n}"),
+        share,
+        ..Default::default()
+    };
     let route = |n: usize, pool: usize| schema::Route {
         name: format!("r{n}"),
-        to: vec![schema::Target { pool: format!("p{pool}"), share: ONE }],
-        r#match: (n > 0).then(|| schema::Match { entities: vec![format!("{n}")], ..Default::default() }),
+        to: vec![schema::Target {
+            pool: format!("p{pool}"),
+            share: ONE,
+        }],
+        r#match: (n > 0).then(|| schema::Match {
+            entities: vec![format!("{n}")],
+            ..Default::default()
+        }),
         attempts: "a".into(),
         ..Default::default()
     };
@@ -43,19 +53,29 @@
         proof: schema::Proof::None.into(),
         ..Default::default()
     };
-    let health = |out_after| schema::Health { name: "h".into(), out_after, ..Default::default() };
+    let health = |out_after| schema::Health {
+        name: "h".into(),
+        out_after,
+        ..Default::default()
+    };
     let traffic = schema::TrafficType {
         name: "t".into(),
         repeat: schema::RepeatKind::Rerunnable.into(),
         goal_ns: 3_000_000_000,
         ..Default::default()
     };
-    let limits = |at_once| schema::Limits { name: "l".into(), at_once, ..Default::default() };
+    let limits = |at_once| schema::Limits {
+        name: "l".into(),
+        at_once,
+        ..Default::default()
+    };
     let whole = schema::Configuration {
         version: 1,
         types: vec![traffic],
         tenants: (0..6).map(|n| tenant(n, 100_000)).collect(),
-        pools: (0..4).map(|n| pool(n, &[0, 1, 2], if n == 1 { "l" } else { "" })).collect(),
+        pools: (0..4)
+            .map(|n| pool(n, &[0, 1, 2], if n == 1 { "l" } else { "" }))
+            .collect(),
         limits: vec![limits(40)],
         attempts: vec![attempts.clone()],
         health: vec![health(5)],
@@ -66,7 +86,8 @@
         let mut chance = WyRand::new_seed(seed);
         let mut draw = |n: usize| chance.generate_range(0..n);
         let mut fleet = Fleet::new(&whole, "", seed, Duration::ZERO).unwrap();
-        let (mut now, mut at, mut waits, mut ends, mut applied) = (Duration::ZERO, vec![], vec![], 0, 0);
+        let (mut now, mut at, mut waits, mut ends, mut applied) =
+            (Duration::ZERO, vec![], vec![], 0, 0);
         let (mut asked, mut over) = (0, 0);
         for step in 0..3_000 {
             now += Duration::from_millis(draw(4) as u64);
@@ -78,7 +99,10 @@
                         1 => vec![Change::Remove(Kind::Tenant, format!("t{}", draw(9)))],
                         2 => vec![Change::Pool(pool(draw(6), &members, ["", "l"][draw(2)]))],
                         3 => vec![Change::Remove(Kind::Pool, format!("p{}", draw(6)))],
-                        4 => vec![Change::Route(route(1 + draw(5), draw(6)), Some("r0".into()))],
+                        4 => vec![Change::Route(
+                            route(1 + draw(5), draw(6)),
+                            Some("r0".into()),
+                        )],
                         5 => vec![Change::Remove(Kind::Route, format!("r{}", 1 + draw(5)))],
                         6 => vec![Change::Limits(limits(1 + draw(30) as u64))],
                         7 => vec![Change::Health(health(1 + draw(9) as u64))],
@@ -87,14 +111,20 @@
                     applied += u32::from(fleet.apply(&some, now).is_ok());
                     let c = fleet.table().configuration();
                     for (k, pool) in c.pools.iter().enumerate() {
-                        let most = c.limits.iter().find(|one| one.name == pool.limits).map(|one| one.at_once);
+                        let most = c
+                            .limits
+                            .iter()
+                            .find(|one| one.name == pool.limits)
+                            .map(|one| one.at_once);
                         let seen: Vec<_> = fleet.members(k as u16, now).collect();
                         assert!(seen
                             .iter()
                             .map(|one| one.address)
                             .eq(pool.members.iter().map(|m| &*m.address)));
                         // A bound that a change names is in force for members that were there before.
-                        assert!(seen.iter().all(|one| most.is_none_or(|most| u64::from(one.limit) <= most)));
+                        assert!(seen
+                            .iter()
+                            .all(|one| most.is_none_or(|most| u64::from(one.limit) <= most)));
                     }
                     continue;
                 }
@@ -104,17 +134,32 @@
                 }
                 2..=8 if !at.is_empty() => {
                     let trip = at.swap_remove(draw(at.len()));
-                    let back = [Back::Honoured, Back::Honoured, Back::Failed, Back::Broken, Back::CallerLeft]
-                        [draw(5)];
+                    let back = [
+                        Back::Honoured,
+                        Back::Honoured,
+                        Back::Failed,
+                        Back::Broken,
+                        Back::CallerLeft,
+                    ][draw(5)];
                     fleet.came(now, trip, back)
                 }
-                9..=12 if !waits.is_empty() => fleet.again(now, waits.swap_remove(draw(waits.len()))),
+                9..=12 if !waits.is_empty() => {
+                    fleet.again(now, waits.swap_remove(draw(waits.len())))
+                }
                 _ if step < 2_500 => {
                     asked += 1;
                     let tenant = fleet.table().tenant(&format!("t{}", draw(9)));
                     let entity = format!("{}", draw(6));
                     let stranger = draw(5) as u64;
-                    fleet.arrived(now, &Ticket { tenant, stranger, entity: &entity, ..Ticket::default() })
+                    fleet.arrived(
+                        now,
+                        &Ticket {
+                            tenant,
+                            stranger,
+                            entity: &entity,
+                            ..Ticket::default()
+                        },
+                    )
                 }
                 _ => continue,
             };
@@ -139,13 +184,27 @@
                 other => panic!("{other:?}"),
             }
         }
-        assert!(applied > 40 && ends > 200, "seed {seed}: {applied} changes, {ends} honoured");
+        assert!(
+            applied > 40 && ends > 200,
+            "seed {seed}: {applied} changes, {ends} honoured"
+        );
         assert_eq!(asked, over, "seed {seed}");
         for pool in 0..fleet.table().configuration().pools.len() as u16 {
-            assert!(fleet.members(pool, now).all(|member| member.open == 0), "seed {seed}");
+            assert!(
+                fleet.members(pool, now).all(|member| member.open == 0),
+                "seed {seed}"
+            );
             assert_eq!(fleet.room(pool).1, 0, "seed {seed}");
         }
-        assert_eq!(fleet.router().versions().map(|(_, open)| open).collect::<Vec<_>>(), [0], "seed {seed}");
+        assert_eq!(
+            fleet
+                .router()
+                .versions()
+                .map(|(_, open)| open)
+                .collect::<Vec<_>>(),
+            [0],
+            "seed {seed}"
+        );
     }
 }
 
@@ -153,8 +212,11 @@
 #[test]
 fn health_is_judged_by_the_rules_of_the_present_version() {
     let whole = |out_after| {
-        let member =
-            |n| schema::Member { address: format!("10.0.0.{n}:1"), weight: ONE, ..Default::default() };
+        let member = |n| schema::Member {
+            address: format!("10.0.0.{n}:1"),
+            weight: ONE,
+            ..Default::default()
+        };
         schema::Configuration {
             version: 1,
             types: vec![schema::TrafficType {
@@ -180,7 +242,10 @@
             }],
             routes: vec![schema::Route {
                 name: "r".into(),
-                to: vec![schema::Target { pool: "p".into(), share: ONE }],
+                to: vec![schema::Target {
+                    pool: "p".into(),
+                    share: ONE,
+                }],
                 ..Default::default()
             }],
             ..Default::default()
@@ -188,15 +253,22 @@
     };
     let now = Duration::from_millis(1);
     let fails = |fleet: &mut Fleet| {
-        let Step::Go(trip, _) = fleet.arrived(now, &Ticket::default()) else { panic!("nowhere to go") };
+        let Step::Go(trip, _) = fleet.arrived(now, &Ticket::default()) else {
+            panic!("nowhere to go")
+        };
         assert!(matches!(fleet.came(now, trip, Back::Failed), Step::Over(_)));
-        fleet.members(0, now).filter(|member| member.standing != Standing::In).count()
+        fleet
+            .members(0, now)
+            .filter(|member| member.standing != Standing::In)
+            .count()
     };
     for by_change in [true, false] {
         let mut fleet = Fleet::new(&whole(100), "", 1, Duration::ZERO).unwrap();
         assert_eq!(fails(&mut fleet), 0);
         match by_change {
-            true => fleet.apply(&[Change::Health(whole(1).health.remove(0))], now).unwrap(),
+            true => fleet
+                .apply(&[Change::Health(whole(1).health.remove(0))], now)
+                .unwrap(),
             false => fleet.take(&whole(1), now).unwrap(),
         };
         assert_eq!(fails(&mut fleet), 1, "by change: {by_change}");
--- a/crates/route/tests/no_allocation.rs
+++ b/crates/route/tests/no_allocation.rs
@@ -39,7 +39,9 @@
 pool q { member a { address: \"10.0.0.2:1\" } }
 route some { match { tenant: acme; entity: \"NO-*\" }; to: p 60 %, q 40 %; fall-back: q; budget: b }
 route rest { to: p 50 %, q 50 %; split-by: chance }";
-    let made = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
+    let made = load(&Memory::new([("a.rain", text)]), "a.rain")
+        .configuration
+        .unwrap();
     let mut router = Router::new(&made, 1).unwrap();
     let before = MADE.with(Cell::get);
     let (mut went, mut turned) = (0, 0);
@@ -49,7 +51,9 @@
             entity: ["NO-1", "SE-2", ""][n as usize % 3],
             ..Ticket::default()
         };
-        match router.arrived(Duration::from_millis(n), &ticket, |pool| n % 5 > 0 || pool == 1) {
+        match router.arrived(Duration::from_millis(n), &ticket, |pool| {
+            n % 5 > 0 || pool == 1
+        }) {
             Verdict::Goes(way) => {
                 went += 1;
                 router.ended(way);
@@ -73,12 +77,17 @@
 ",
     );
     (0..TENANTS).for_each(|n| text.push_str(&format!("tenant t{n} {{ share: 0.02 % }}\n")));
-    let made = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
+    let made = load(&Memory::new([("a.rain", text)]), "a.rain")
+        .configuration
+        .unwrap();
     let mut router = Router::new(&made, 1).unwrap();
     let mut all = |now: Duration| {
         let before = MADE.with(Cell::get);
         for tenant in 0..TENANTS {
-            let ticket = Ticket { tenant: Some(tenant), ..Ticket::default() };
+            let ticket = Ticket {
+                tenant: Some(tenant),
+                ..Ticket::default()
+            };
             match router.arrived(now, &ticket, |_| true) {
                 Verdict::Goes(way) => router.ended(way),
                 Verdict::Turned(turned) => panic!("{turned:?}"),
@@ -88,7 +97,10 @@
     };
     // Room grows by doubling, not with each bucket: three lists from 512 on.
     let (made, in_use) = all(Duration::from_secs(1));
-    assert!(made <= 9 && in_use == usize::from(TENANTS), "{made} for {in_use}");
+    assert!(
+        made <= 9 && in_use == usize::from(TENANTS),
+        "{made} for {in_use}"
+    );
     assert_eq!(all(Duration::from_secs(2)).0, 0);
     // Others take the places of those that are idle again.
     assert_eq!(all(Duration::from_secs(1_000)).0, 0);
--- a/crates/route/tests/ramp.rs
+++ b/crates/route/tests/ramp.rs
@@ -79,18 +79,74 @@
 /// One of each trouble; each is played with 1, 20 and 30 forwarders, with few tickets and with far too many.
 const CASES: [Case; 14] = [
     PLAIN,
-    Case { name: "others full", others: Others::Full, ..PLAIN },
-    Case { name: "others out", others: Others::Out, ..PLAIN },
-    Case { name: "all cold", others: Others::Cold, ..PLAIN },
-    Case { name: "forwarders restart", others: Others::Full, restart: true, ..PLAIN },
-    Case { name: "forwarders restart, all cold", others: Others::Cold, restart: true, ..PLAIN },
-    Case { name: "some hear late", others: Others::Full, late: true, ..PLAIN },
-    Case { name: "it flaps", others: Others::Full, flaps: true, ..PLAIN },
-    Case { name: "all fails, retries", others: Others::Cold, fails: true, ..PLAIN },
-    Case { name: "bursts", others: Others::Full, bursts: true, ..PLAIN },
-    Case { name: "one entity", entity: true, ..PLAIN },
-    Case { name: "reloads", others: Others::Full, reloads: true, ..PLAIN },
-    Case { name: "not said how many send", others: Others::Full, told: false, ..PLAIN },
+    Case {
+        name: "others full",
+        others: Others::Full,
+        ..PLAIN
+    },
+    Case {
+        name: "others out",
+        others: Others::Out,
+        ..PLAIN
+    },
+    Case {
+        name: "all cold",
+        others: Others::Cold,
+        ..PLAIN
+    },
+    Case {
+        name: "forwarders restart",
+        others: Others::Full,
+        restart: true,
+        ..PLAIN
+    },
+    Case {
+        name: "forwarders restart, all cold",
+        others: Others::Cold,
+        restart: true,
+        ..PLAIN
+    },
+    Case {
+        name: "some hear late",
+        others: Others::Full,
+        late: true,
+        ..PLAIN
+    },
+    Case {
+        name: "it flaps",
+        others: Others::Full,
+        flaps: true,
+        ..PLAIN
+    },
+    Case {
+        name: "all fails, retries",
+        others: Others::Cold,
+        fails: true,
+        ..PLAIN
+    },
+    Case {
+        name: "bursts",
+        others: Others::Full,
+        bursts: true,
+        ..PLAIN
+    },
+    Case {
+        name: "one entity",
+        entity: true,
+        ..PLAIN
+    },
+    Case {
+        name: "reloads",
+        others: Others::Full,
+        reloads: true,
+        ..PLAIN
+    },
+    Case {
+        name: "not said how many send",
+        others: Others::Full,
+        told: false,
+        ..PLAIN
+    },
     Case {
         name: "all at once",
         others: Others::Cold,
@@ -104,7 +160,12 @@
 ];
 
 fn text(senders: usize, knob: &str) -> String {
-    let member = |k: usize| format!("member n{k} {{ address: \"10.0.0.{}:1\"; warm-up: 10 s }}\n", k + 1);
+    let member = |k: usize| {
+        format!(
+            "member n{k} {{ address: \"10.0.0.{}:1\"; warm-up: 10 s }}\n",
+            k + 1
+        )
+    };
     let members: String = (0..MEMBERS).map(member).collect();
     let knob = knob.replace('S', &senders.to_string());
     format!(
@@ -138,12 +199,18 @@
 
 fn read(text: String) -> Configuration {
     let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome.configuration.unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
 }
 
 fn one(made: &Configuration, seed: u64, now: u64) -> One {
     let fleet = Fleet::new(made, "", seed, ms(now)).unwrap();
-    One { fleet, linked: [false; MEMBERS], hears: 0 }
+    One {
+        fleet,
+        linked: [false; MEMBERS],
+        hears: 0,
+    }
 }
 
 fn ms(n: u64) -> Duration {
@@ -202,7 +269,10 @@
         let n = allowed(age);
         let over = (came - n) / (2.0 * n.sqrt() + 2.0);
         if over > worst.0 {
-            worst = (over, format!("{came} at the age of {age:.2} s, {n:.1} allowed"));
+            worst = (
+                over,
+                format!("{came} at the age of {age:.2} s, {n:.1} allowed"),
+            );
         }
     }
     worst
@@ -212,29 +282,45 @@
     let made = read(text(if case.told { case.senders } else { 0 }, knob));
     let mut chance = WyRand::new_seed(seed);
     let mut seeds = WyRand::new_seed(seed ^ 0xf0);
-    let mut all: Vec<One> = (0..case.senders).map(|_| one(&made, seeds.generate(), 0)).collect();
+    let mut all: Vec<One> = (0..case.senders)
+        .map(|_| one(&made, seeds.generate(), 0))
+        .collect();
     for one in &mut all {
         (0..MEMBERS).for_each(|member| one.open(member, 0));
     }
-    let starts: &[u64] = if case.flaps { &[0, 700, 2_900, 4_000, 6_500] } else { &[0] };
+    let starts: &[u64] = if case.flaps {
+        &[0, 700, 2_900, 4_000, 6_500]
+    } else {
+        &[0]
+    };
     let (mut played, own) = (Played::default(), own());
     let mut born = [0u64; MEMBERS];
     // What happens to a forwarder then: a try comes back, or a wait is over.
     let mut due: BTreeMap<u64, Vec<(usize, Trip, Option<Back>)>> = BTreeMap::new();
     for t in BORN..BORN + LASTS {
         if starts.contains(&(t - BORN)) {
-            let cold = if case.others == Others::Cold { MEMBERS } else { 1 };
+            let cold = if case.others == Others::Cold {
+                MEMBERS
+            } else {
+                1
+            };
             for (member, born) in born.iter_mut().enumerate().take(cold) {
                 *born = t;
                 played.lives.insert((member, t), Vec::new());
             }
             for (k, one) in all.iter_mut().enumerate() {
-                one.hears = if case.late && k % 3 > 0 { t + chance.generate_range(0..3_000u64) } else { t };
+                one.hears = if case.late && k % 3 > 0 {
+                    t + chance.generate_range(0..3_000u64)
+                } else {
+                    t
+                };
             }
         }
         for one in &mut all {
             if one.hears == t {
-                (0..MEMBERS).filter(|k| born[*k] > 0).for_each(|k| one.broke(k, t));
+                (0..MEMBERS)
+                    .filter(|k| born[*k] > 0)
+                    .for_each(|k| one.broke(k, t));
             }
         }
         if case.restart && t == BORN + 3_000 {
@@ -243,10 +329,12 @@
             for one in all.iter_mut().take(count.div_ceil(2)) {
                 *one = self::one(&made, seeds.generate(), t);
             }
-            due.values_mut().for_each(|due| due.retain(|(k, ..)| *k >= count.div_ceil(2)));
+            due.values_mut()
+                .for_each(|due| due.retain(|(k, ..)| *k >= count.div_ceil(2)));
         }
         if case.reloads && t % 500 == 250 {
-            all.iter_mut().for_each(|one| drop(one.fleet.take(&made, ms(t))));
+            all.iter_mut()
+                .for_each(|one| drop(one.fleet.take(&made, ms(t))));
         }
         if t % 100 == 0 {
             all.iter_mut().for_each(|one| drop(one.fleet.look(ms(t))));
@@ -282,7 +370,11 @@
             }
             for _ in 0..n {
                 let entity = if case.entity { &*own } else { "" };
-                let ticket = Ticket { tenant: Some(0), entity, ..Ticket::default() };
+                let ticket = Ticket {
+                    tenant: Some(0),
+                    entity,
+                    ..Ticket::default()
+                };
                 steps.push((k, one.fleet.arrived(ms(t), &ticket)));
             }
         }
@@ -294,7 +386,9 @@
                     due.entry(t + took).or_default().push((k, trip, Some(back)));
                 }
                 Step::Wait(trip, wait) => {
-                    due.entry(t + (wait.as_millis() as u64).max(1)).or_default().push((k, trip, None));
+                    due.entry(t + (wait.as_millis() as u64).max(1))
+                        .or_default()
+                        .push((k, trip, None));
                 }
                 Step::Over(over) => match over.end {
                     End::Honoured => played.honoured += 1,
@@ -322,7 +416,13 @@
     if born[member] == 0 {
         return match case.others {
             Others::Out => (Back::Unreachable, 1),
-            Others::Full => (Back::Dismissed { pause: ms(300), nowhere_else: false }, 1),
+            Others::Full => (
+                Back::Dismissed {
+                    pause: ms(300),
+                    nowhere_else: false,
+                },
+                1,
+            ),
             _ => {
                 one.open(member, t);
                 (Back::Honoured, 10)
@@ -334,7 +434,11 @@
         return (Back::Broken, one.hears - t);
     }
     one.open(member, t);
-    played.lives.get_mut(&(member, born[member])).unwrap().push(t);
+    played
+        .lives
+        .get_mut(&(member, born[member]))
+        .unwrap()
+        .push(t);
     if case.fails {
         (Back::Failed, 5)
     } else {
@@ -347,8 +451,18 @@
     for senders in [1, 20, 30] {
         for asked in [30.0, 300.0, 2_000.0] {
             for case in CASES {
-                let case = Case { senders, asked, ..case };
-                what(&case, &format!("{senders} forwarders, {asked} tickets a second, {}", case.name));
+                let case = Case {
+                    senders,
+                    asked,
+                    ..case
+                };
+                what(
+                    &case,
+                    &format!(
+                        "{senders} forwarders, {asked} tickets a second, {}",
+                        case.name
+                    ),
+                );
             }
         }
     }
@@ -372,11 +486,19 @@
 #[test]
 fn a_cold_member_gets_most_of_what_it_may_and_all_once_it_is_warm() {
     for senders in [1, 20, 30] {
-        let case = Case { senders, asked: 2_000.0, others: Others::Full, ..PLAIN };
+        let case = Case {
+            senders,
+            asked: 2_000.0,
+            others: Others::Full,
+            ..PLAIN
+        };
         let played = play(&case, 4, KNOB);
         let calls = &played.lives[&(0, BORN)];
         let in_all = |from: u64, to: u64| {
-            calls.iter().filter(|at| (BORN + from..BORN + to).contains(at)).count() as f64
+            calls
+                .iter()
+                .filter(|at| (BORN + from..BORN + to).contains(at))
+                .count() as f64
         };
         let allowed: f64 = (2..9).map(|s| allowed(f64::from(s))).sum();
         let got = in_all(2_000, 9_000);
@@ -384,23 +506,41 @@
         let least = if senders == 1 { 0.75 } else { 0.5 };
         assert!(got > least * allowed, "{senders}: {got} of {allowed}");
         if senders == 1 {
-            assert!(in_all(11_000, 12_000) > 2.0 * RATE, "warm, it is bounded by others' rules only");
+            assert!(
+                in_all(11_000, 12_000) > 2.0 * RATE,
+                "warm, it is bounded by others' rules only"
+            );
         }
     }
 }
 
 #[test]
 fn without_a_rate_nothing_is_bounded() {
-    let case = Case { senders: 1, asked: 2_000.0, others: Others::Full, ..PLAIN };
+    let case = Case {
+        senders: 1,
+        asked: 2_000.0,
+        others: Others::Full,
+        ..PLAIN
+    };
     let played = play(&case, 4, "senders: S;");
     let (over, _) = worst(&played.lives[&(0, BORN)], BORN);
-    assert!(over > 10.0, "{over}: then this test's members are too kind to show anything");
+    assert!(
+        over > 10.0,
+        "{over}: then this test's members are too kind to show anything"
+    );
 }
 
 /// What a sum of senders may send, by the decision alone: those who ask at each moment.
 #[test]
 fn turns_add_up_whoever_joins_forgets_or_reloads() {
-    let rule = |senders| Rule::new(RATE, Duration::from_secs(1), senders, Duration::from_secs(10));
+    let rule = |senders| {
+        Rule::new(
+            RATE,
+            Duration::from_secs(1),
+            senders,
+            Duration::from_secs(10),
+        )
+    };
     let mut chance = WyRand::new_seed(12);
     let mut phase = || f64::from(chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
     type Does = fn(&mut Ramp, u64);
@@ -418,7 +558,9 @@
                 ramp.lost(ms(t));
             }
         }),
-        ("is told the same again", 0, |ramp, t| ramp.connected(ms(0), ms(t))),
+        ("is told the same again", 0, |ramp, t| {
+            ramp.connected(ms(0), ms(t))
+        }),
         ("takes a version each 90 ms", 0, |ramp, t| {
             if t % 90 == 0 {
                 let before = ramp.clone();
@@ -429,7 +571,9 @@
         }),
     ];
     for (name, asks_from, does) in table {
-        let mut all: Vec<Ramp> = (0..30).map(|_| Ramp::new(rule(30), phase(), ms(0))).collect();
+        let mut all: Vec<Ramp> = (0..30)
+            .map(|_| Ramp::new(rule(30), phase(), ms(0)))
+            .collect();
         all.iter_mut().for_each(|ramp| ramp.connected(ms(0), ms(0)));
         let mut calls = Vec::new();
         for t in 0..8_000 {
@@ -439,7 +583,10 @@
                     ramp.take(ms(t));
                     calls.push(t);
                     // One turn, one call.
-                    assert!(ramp.closed(ms(t)).is_some_and(|until| until > ms(t)), "{name}");
+                    assert!(
+                        ramp.closed(ms(t)).is_some_and(|until| until > ms(t)),
+                        "{name}"
+                    );
                 }
             }
         }
@@ -458,11 +605,20 @@
             ramp.connected(ms(10_000 - age), ms(10_000));
         }
         let until = ramp.closed(ms(10_000)).expect("no turn yet");
-        assert!(until > ms(10_000) && ramp.closed(until + ms(1)).is_none(), "{known:?}: {until:?}");
-        assert!(ramp.closed(until.checked_sub(ms(1)).unwrap()).is_some(), "{known:?}: not sooner");
+        assert!(
+            until > ms(10_000) && ramp.closed(until + ms(1)).is_none(),
+            "{known:?}: {until:?}"
+        );
+        assert!(
+            ramp.closed(until.checked_sub(ms(1)).unwrap()).is_some(),
+            "{known:?}: not sooner"
+        );
         // Not used, it is lost, and the next one is some time off.
         let share = RATE / 20.0 * known.map_or(START, |age| (age as f64 / 10_000.0).max(START));
-        assert!(share > 1.5 || ramp.closed(until + ms(251)).is_some(), "{known:?}");
+        assert!(
+            share > 1.5 || ramp.closed(until + ms(251)).is_some(),
+            "{known:?}"
+        );
     }
     let mut ramp = Ramp::new(rule, 0.3, ms(0));
     ramp.connected(ms(0), ms(0));
--- a/crates/route/tests/ways.rs
+++ b/crates/route/tests/ways.rs
@@ -23,12 +23,23 @@
         weight: ONE,
         ..Default::default()
     };
-    schema::Pool { name: name.into(), members: vec![member], ..Default::default() }
+    schema::Pool {
+        name: name.into(),
+        members: vec![member],
+        ..Default::default()
+    }
 }
 
 fn route(name: &str, to: &[(&str, u64)]) -> schema::Route {
-    let to = to.iter().map(|(pool, share)| schema::Target { pool: (*pool).into(), share: share * 10_000 });
-    schema::Route { name: name.into(), to: to.collect(), ..Default::default() }
+    let to = to.iter().map(|(pool, share)| schema::Target {
+        pool: (*pool).into(),
+        share: share * 10_000,
+    });
+    schema::Route {
+        name: name.into(),
+        to: to.collect(),
+        ..Default::default()
+    }
 }
 
 /// Types t and u, tenants a, b and c, pools p, q and r.
@@ -39,7 +50,10 @@
         outer_limit_ns: 7 * SECOND,
         ..Default::default()
     };
-    let tenant = |name: &str| schema::Tenant { name: name.into(), ..Default::default() };
+    let tenant = |name: &str| schema::Tenant {
+        name: name.into(),
+        ..Default::default()
+    };
     Configuration {
         version: 1,
         types: vec![traffic("t"), traffic("u")],
@@ -50,8 +64,17 @@
 }
 
 fn limits(name: &str, rate: u64, burst: u64, at_once: u64, per: Per) -> schema::Limits {
-    let rate = (rate > 0).then_some(Rate { micro_tickets: rate * 1_000_000, per_ns: SECOND });
-    schema::Limits { name: name.into(), rate, burst, at_once, per: per.into() }
+    let rate = (rate > 0).then_some(Rate {
+        micro_tickets: rate * 1_000_000,
+        per_ns: SECOND,
+    });
+    schema::Limits {
+        name: name.into(),
+        rate,
+        burst,
+        at_once,
+        per: per.into(),
+    }
 }
 
 fn goes(verdict: Verdict) -> Way {
@@ -77,7 +100,10 @@
     split.fall_back = vec!["r".into()];
     all.routes = vec![split];
     let table = Table::new(&all).unwrap();
-    let ticket = Ticket { entity: "NO-1", ..Ticket::default() };
+    let ticket = Ticket {
+        entity: "NO-1",
+        ..Ticket::default()
+    };
     let mut chance = WyRand::new_seed(1);
     let first = table.place(&ticket, &mut chance, |_| true).unwrap();
     assert_eq!(first.by, By::Share);
@@ -99,15 +125,35 @@
 fn messages_that_cannot_be_are_refused() {
     type Bend = fn(&mut Configuration);
     let table: [(Bend, &str); 8] = [
-        (|c| c.routes[0].to[0].pool = "x".into(), "there is no pool `x`"),
+        (
+            |c| c.routes[0].to[0].pool = "x".into(),
+            "there is no pool `x`",
+        ),
         (|c| c.routes[0].to[0].share = 0, "route `r`: a share of 0"),
-        (|c| c.routes[0].to[0].share = 5, "route `r`: its shares are not 100 %"),
-        (|c| c.routes[0].to.clear(), "route `r`: its shares are not 100 %"),
-        (|c| c.pools[0].fall_back = "p".into(), "pool `p` falls back in a ring"),
+        (
+            |c| c.routes[0].to[0].share = 5,
+            "route `r`: its shares are not 100 %",
+        ),
+        (
+            |c| c.routes[0].to.clear(),
+            "route `r`: its shares are not 100 %",
+        ),
+        (
+            |c| c.pools[0].fall_back = "p".into(),
+            "pool `p` falls back in a ring",
+        ),
         (|c| c.pools[1].name = "p".into(), "pool `p` is there twice"),
-        (|c| c.routes[0].limits = "x".into(), "there is no limits `x`"),
         (
-            |c| c.routes[0].r#match = Some(Match { types: vec!["x".into()], ..Default::default() }),
+            |c| c.routes[0].limits = "x".into(),
+            "there is no limits `x`",
+        ),
+        (
+            |c| {
+                c.routes[0].r#match = Some(Match {
+                    types: vec!["x".into()],
+                    ..Default::default()
+                })
+            },
             "there is no type `x`",
         ),
     ];
@@ -132,51 +178,99 @@
     all.pools[1].limits = "pool".into();
     let mut first = route("r", &[("p", 100)]);
     first.limits = "by-tenant".into();
-    first.r#match = Some(Match { types: vec!["t".into()], ..Default::default() });
+    first.r#match = Some(Match {
+        types: vec!["t".into()],
+        ..Default::default()
+    });
     all.routes = vec![first, route("rest", &[("q", 100)])];
     all.routes[1].fall_back = vec!["r".into()];
     let mut router = Router::new(&all, 1).unwrap();
     let now = ms(5_000);
-    let of = |tenant: Option<u16>| Ticket { tenant, ..Ticket::default() };
+    let of = |tenant: Option<u16>| Ticket {
+        tenant,
+        ..Ticket::default()
+    };
     for tenant in [Some(0), Some(1), None] {
         let way = goes(router.arrived(now, &of(tenant), |_| true));
-        assert_eq!(turned(router.arrived(now, &of(tenant), |_| true)), (Why::Limit(At::Route), ms(100)));
+        assert_eq!(
+            turned(router.arrived(now, &of(tenant), |_| true)),
+            (Why::Limit(At::Route), ms(100))
+        );
         router.ended(way);
     }
     // One a pool, then the fall-back; two of the type in all.
-    let other = Ticket { traffic: 1, ..Ticket::default() };
+    let other = Ticket {
+        traffic: 1,
+        ..Ticket::default()
+    };
     let one = goes(router.arrived(now, &other, |_| true));
     let two = goes(router.arrived(now, &other, |_| true));
     assert_eq!((one.place.pool, one.place.by), (1, By::Share));
     assert_eq!((two.place.pool, two.place.by), (2, By::FallBack(0)));
-    assert_eq!(turned(router.arrived(now, &other, |_| true)).0, Why::Limit(At::Type));
+    assert_eq!(
+        turned(router.arrived(now, &other, |_| true)).0,
+        Why::Limit(At::Type)
+    );
     router.ended(one);
     let again = goes(router.arrived(now, &other, |_| true));
     assert_eq!(again.place.pool, 1);
-    assert_eq!(turned(router.arrived(now, &other, |pool| pool == 1)).0, Why::Limit(At::Pool));
-    assert_eq!(turned(router.arrived(now, &other, |_| false)).0, Why::NoPool);
+    assert_eq!(
+        turned(router.arrived(now, &other, |pool| pool == 1)).0,
+        Why::Limit(At::Pool)
+    );
+    assert_eq!(
+        turned(router.arrived(now, &other, |_| false)).0,
+        Why::NoPool
+    );
     router.ended(two);
     router.ended(again);
     let counts = router.counts();
-    assert_eq!((counts.went, counts.ended, counts.limited, counts.no_pool), (6, 6, 5, 1));
+    assert_eq!(
+        (counts.went, counts.ended, counts.limited, counts.no_pool),
+        (6, 6, 5, 1)
+    );
 }
 
 #[test]
 fn whoever_is_turned_away_has_used_nothing() {
     let mut all = ground();
-    all.limits = vec![limits("type", 1, 1, 0, Per::All), limits("tenant", 1, 1, 0, Per::All)];
+    all.limits = vec![
+        limits("type", 1, 1, 0, Per::All),
+        limits("tenant", 1, 1, 0, Per::All),
+    ];
     all.types[0].limits = "type".into();
     all.tenants[0].limits = "tenant".into();
     all.routes = vec![route("r", &[("p", 100)])];
     let mut router = Router::new(&all, 1).unwrap();
-    let way =
-        goes(router.arrived(ms(0), &Ticket { tenant: Some(0), traffic: 1, ..Ticket::default() }, |_| true));
+    let way = goes(router.arrived(
+        ms(0),
+        &Ticket {
+            tenant: Some(0),
+            traffic: 1,
+            ..Ticket::default()
+        },
+        |_| true,
+    ));
     // The tenant's is used up, the type's is not, and stays so.
     assert_eq!(
-        turned(router.arrived(ms(0), &Ticket { tenant: Some(0), ..Ticket::default() }, |_| true)),
+        turned(router.arrived(
+            ms(0),
+            &Ticket {
+                tenant: Some(0),
+                ..Ticket::default()
+            },
+            |_| true
+        )),
         (Why::Limit(At::Tenant), ms(1_000))
     );
-    let other = goes(router.arrived(ms(0), &Ticket { tenant: Some(1), ..Ticket::default() }, |_| true));
+    let other = goes(router.arrived(
+        ms(0),
+        &Ticket {
+            tenant: Some(1),
+            ..Ticket::default()
+        },
+        |_| true,
+    ));
     router.ended(way);
     router.ended(other);
 }
@@ -185,30 +279,44 @@
 fn told_times_stay_within_the_stated_bounds() {
     let mut all = ground();
     all.limits = vec![limits("slow", 1, 1, 0, Per::All)];
-    all.retry_after =
-        vec![schema::RetryAfter { name: "ra".into(), least_ns: SECOND / 5, most_ns: SECOND / 2 }];
+    all.retry_after = vec![schema::RetryAfter {
+        name: "ra".into(),
+        least_ns: SECOND / 5,
+        most_ns: SECOND / 2,
+    }];
     let mut only = route("r", &[("p", 100)]);
     only.limits = "slow".into();
     only.retry_after = "ra".into();
     all.routes = vec![only];
     let mut router = Router::new(&all, 1).unwrap();
     let way = goes(router.arrived(ms(0), &Ticket::default(), |_| true));
-    assert_eq!(turned(router.arrived(ms(0), &Ticket::default(), |_| true)).1, ms(500));
-    assert_eq!(turned(router.arrived(ms(990), &Ticket::default(), |_| true)).1, ms(200));
+    assert_eq!(
+        turned(router.arrived(ms(0), &Ticket::default(), |_| true)).1,
+        ms(500)
+    );
+    assert_eq!(
+        turned(router.arrived(ms(990), &Ticket::default(), |_| true)).1,
+        ms(200)
+    );
     router.ended(way);
 }
 
 /// A configuration for each number: routes, limits and pools come and go.
 fn turning(number: u64) -> Configuration {
     let mut all = ground();
-    all.limits =
-        vec![limits("l", 0, 0, 100_000 + number % 3, Per::Tenant), limits("m", 0, 0, 100_000, Per::All)];
+    all.limits = vec![
+        limits("l", 0, 0, 100_000 + number % 3, Per::Tenant),
+        limits("m", 0, 0, 100_000, Per::All),
+    ];
     if number.is_multiple_of(2) {
         all.pools.push(pool("even"));
         all.routes.push(route("some", &[("even", 40), ("p", 60)]));
         all.routes[0].limits = "m".into();
         all.routes[0].split_by = SplitBy::Chance.into();
-        all.routes[0].r#match = Some(Match { types: vec!["u".into()], ..Default::default() });
+        all.routes[0].r#match = Some(Match {
+            types: vec!["u".into()],
+            ..Default::default()
+        });
     }
     let mut rest = route("rest", &[("q", 100)]);
     rest.limits = "l".into();
@@ -236,11 +344,16 @@
             let (way, version) = open.swap_remove(chance.generate_range(0..open.len()));
             assert_eq!(way.version, version);
             assert!(
-                router.versions().any(|(number, open)| number == version && open > 0),
+                router
+                    .versions()
+                    .any(|(number, open)| number == version && open > 0),
                 "without its version"
             );
             let name = way.route.to_string();
-            assert!(name == "rest" || version % 2 == 1, "{name} in version {version}");
+            assert!(
+                name == "rest" || version % 2 == 1,
+                "{name} in version {version}"
+            );
             router.ended(way);
         }
         present = router.take(&turning(change), ms(change)).unwrap();
@@ -248,7 +361,9 @@
         let told: u64 = router.versions().map(|(_, open)| open).sum();
         assert_eq!(told, open.len() as u64);
         // No version without a ticket but the present one.
-        assert!(router.versions().all(|(number, open)| open > 0 || number == present));
+        assert!(router
+            .versions()
+            .all(|(number, open)| open > 0 || number == present));
     }
     assert_eq!(open.len(), 10_000);
     while let Some((way, _)) = open.pop() {
@@ -259,7 +374,11 @@
     assert_eq!((counts.versions_taken, counts.versions_dropped), (101, 100));
     // Those that were ever used: a limit by tenant for two tenants and the unknown, and one for all. With nobody
     // inside they are given back.
-    assert!(router.buckets().1 <= 4, "buckets are used again: {:?}", router.buckets());
+    assert!(
+        router.buckets().1 <= 4,
+        "buckets are used again: {:?}",
+        router.buckets()
+    );
     (0..8).for_each(|_| router.look(ms(101)));
     assert_eq!(router.buckets().0, 0);
 }
@@ -273,13 +392,21 @@
         ways.push(goes(router.arrived(ms(0), &Ticket::default(), |_| true)));
     }
     let before: Vec<_> = router.versions().collect();
-    assert!(router.take(&turning(1), ms(0)).unwrap_err().to_string().contains("still have tickets"));
+    assert!(router
+        .take(&turning(1), ms(0))
+        .unwrap_err()
+        .to_string()
+        .contains("still have tickets"));
     let mut bad = turning(1);
     bad.routes[0].to[0].pool = "gone".into();
     assert!(router.take(&bad, ms(0)).is_err());
     assert_eq!(router.versions().collect::<Vec<_>>(), before);
     router.ended(ways.remove(3));
-    assert!(router.take(&bad, ms(0)).unwrap_err().to_string().contains("no pool `gone`"));
+    assert!(router
+        .take(&bad, ms(0))
+        .unwrap_err()
+        .to_string()
+        .contains("no pool `gone`"));
     assert!(router.take(&turning(1), ms(0)).is_ok());
     assert_eq!(router.counts().versions_refused, 3);
     ways.into_iter().for_each(|way| router.ended(way));
@@ -296,21 +423,41 @@
         all
     };
     let mut router = Router::new(&with(2, 10), 1).unwrap();
-    let ticket = Ticket { tenant: Some(1), ..Ticket::default() };
+    let ticket = Ticket {
+        tenant: Some(1),
+        ..Ticket::default()
+    };
     let ways = [0, 1].map(|_| goes(router.arrived(ms(0), &ticket, |_| true)));
     // Tenants in another order, one more of them, and another rate: the two are still inside, and owed.
     let mut next = with(3, 20);
     next.tenants.reverse();
-    next.tenants.push(schema::Tenant { name: "d".into(), ..Default::default() });
+    next.tenants.push(schema::Tenant {
+        name: "d".into(),
+        ..Default::default()
+    });
     router.take(&next, ms(0)).unwrap();
     let tenant = router.table().tenant("b");
-    let ticket = Ticket { tenant, ..Ticket::default() };
-    assert_eq!(turned(router.arrived(ms(0), &ticket, |_| true)), (Why::Limit(At::Route), ms(50)));
+    let ticket = Ticket {
+        tenant,
+        ..Ticket::default()
+    };
+    assert_eq!(
+        turned(router.arrived(ms(0), &ticket, |_| true)),
+        (Why::Limit(At::Route), ms(50))
+    );
     let third = goes(router.arrived(ms(50), &ticket, |_| true));
-    assert_eq!(turned(router.arrived(ms(9_000), &ticket, |_| true)), (Why::Limit(At::Route), ms(100)));
-    let free = Ticket { tenant: router.table().tenant("d"), ..Ticket::default() };
+    assert_eq!(
+        turned(router.arrived(ms(9_000), &ticket, |_| true)),
+        (Why::Limit(At::Route), ms(100))
+    );
+    let free = Ticket {
+        tenant: router.table().tenant("d"),
+        ..Ticket::default()
+    };
     let fourth = goes(router.arrived(ms(50), &free, |_| true));
-    ways.into_iter().chain([third, fourth]).for_each(|way| router.ended(way));
+    ways.into_iter()
+        .chain([third, fourth])
+        .for_each(|way| router.ended(way));
     // Of five that there could be, the two that were used, which still owe; then none.
     (0..8).for_each(|_| router.look(ms(60)));
     assert_eq!(router.buckets().0, 2);
@@ -319,7 +466,8 @@
 }
 
 fn any_route() -> impl Strategy<Value = Match> {
-    let some = |of: &'static [&'static str]| proptest::sample::subsequence(of.to_vec(), 0..=of.len());
+    let some =
+        |of: &'static [&'static str]| proptest::sample::subsequence(of.to_vec(), 0..=of.len());
     let owned = |list: Vec<&'static str>| list.into_iter().map(str::to_owned).collect::<Vec<_>>();
     (
         some(&["t", "u"]),
@@ -329,14 +477,16 @@
         0u64..3,
         0u64..3,
     )
-        .prop_map(move |(types, tenants, entities, again, least, more)| Match {
-            types: owned(types),
-            tenants: owned(tenants),
-            entities: owned(entities),
-            again,
-            size_least: least,
-            size_most: if more == 0 { 0 } else { least + more },
-        })
+        .prop_map(
+            move |(types, tenants, entities, again, least, more)| Match {
+                types: owned(types),
+                tenants: owned(tenants),
+                entities: owned(entities),
+                again,
+                size_least: least,
+                size_most: if more == 0 { 0 } else { least + more },
+            },
+        )
 }
 
 proptest! {
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -98,7 +98,9 @@
             write!(out, ", ticket {ticket}")?;
         }
         write!(out, ": {}", self.why)?;
-        self.steps.iter().try_for_each(|(at, step)| write!(out, "\n  {at:>12?} {step:?}"))
+        self.steps
+            .iter()
+            .try_for_each(|(at, step)| write!(out, "\n  {at:>12?} {step:?}"))
     }
 }
 
@@ -150,7 +152,10 @@
     /// For long runs: tickets that are over are forgotten `after` their due time, so a run that comes even later
     /// would not be seen. Give it the longest that anything may take.
     pub fn forgetting(after: Duration) -> Self {
-        Self { forget: Some(after), ..Self::default() }
+        Self {
+            forget: Some(after),
+            ..Self::default()
+        }
     }
 
     pub fn open(&self) -> u64 {
@@ -183,8 +188,16 @@
         ticket: Option<u64>,
         why: impl Into<String>,
     ) -> Result<(), Broken> {
-        let steps = ticket.and_then(|ticket| self.tickets.get(&ticket)).map(|known| known.steps.clone());
-        let broken = Broken { rule, at, ticket, why: why.into(), steps: steps.unwrap_or_default() };
+        let steps = ticket
+            .and_then(|ticket| self.tickets.get(&ticket))
+            .map(|known| known.steps.clone());
+        let broken = Broken {
+            rule,
+            at,
+            ticket,
+            why: why.into(),
+            steps: steps.unwrap_or_default(),
+        };
         self.broken.get_or_insert(broken.clone());
         Err(broken)
     }
@@ -218,7 +231,9 @@
         let Some(known) = self.tickets.get_mut(&ticket) else {
             // What was forgotten may still be tried or run: late, and known to be over.
             return match step {
-                Step::Answered(_) => self.fail(1, at, Some(ticket), "an answer to nothing that was asked"),
+                Step::Answered(_) => {
+                    self.fail(1, at, Some(ticket), "an answer to nothing that was asked")
+                }
                 _ => Ok(()),
             };
         };
@@ -240,9 +255,12 @@
                 match known.kind {
                     Kind::Rerunnable => Ok(()),
                     _ if dismissed => self.fail(2, at, Some(ticket), "ran after it was dismissed"),
-                    Kind::Exclusive if runs > 1 => {
-                        self.fail(2, at, Some(ticket), format!("an exclusive ticket ran {runs} times"))
-                    }
+                    Kind::Exclusive if runs > 1 => self.fail(
+                        2,
+                        at,
+                        Some(ticket),
+                        format!("an exclusive ticket ran {runs} times"),
+                    ),
                     Kind::Ticketed if unmarked > 1 => {
                         let why = format!("a ticketed one ran {unmarked} times without a mark");
                         self.fail(2, at, Some(ticket), why)
@@ -281,7 +299,12 @@
                 }
                 self.close(ticket);
                 if at > due {
-                    return self.fail(1, at, Some(ticket), format!("answered after {due:?}, its due time"));
+                    return self.fail(
+                        1,
+                        at,
+                        Some(ticket),
+                        format!("answered after {due:?}, its due time"),
+                    );
                 }
                 if answer == Answer::Dismissed && kind != Kind::Rerunnable && runs > 0 {
                     return self.fail(2, at, Some(ticket), "dismissed though it ran");
@@ -310,13 +333,17 @@
     pub fn look(&mut self, now: Duration) -> Result<(), Broken> {
         self.looked = now;
         let waits = |known: &Known| known.answer.is_none() && !known.left;
-        let lost = self.tickets.iter().filter(|(_, known)| waits(known) && known.due < now);
+        let lost = self
+            .tickets
+            .iter()
+            .filter(|(_, known)| waits(known) && known.due < now);
         // The lowest number, whatever the order of the map: the same run tells the same ticket.
         if let Some(ticket) = lost.map(|(ticket, _)| *ticket).min() {
             return self.fail(1, now, Some(ticket), "no answer by its due time");
         }
         if let Some(after) = self.forget {
-            self.tickets.retain(|_, known| waits(known) || known.due + after > now);
+            self.tickets
+                .retain(|_, known| waits(known) || known.due + after > now);
         }
         Ok(())
     }
@@ -329,10 +356,20 @@
         match self.fronts.get(&front).copied().unwrap_or(0) {
             0 => Ok(()),
             owed => {
-                let of = |known: &Known| known.front == front && known.answer.is_none() && !known.left;
-                let first =
-                    self.tickets.iter().filter(|(_, known)| of(known)).map(|(ticket, _)| *ticket).min();
-                self.fail(3, at, first, format!("front {front} is gone and owes {owed} answers"))
+                let of =
+                    |known: &Known| known.front == front && known.answer.is_none() && !known.left;
+                let first = self
+                    .tickets
+                    .iter()
+                    .filter(|(_, known)| of(known))
+                    .map(|(ticket, _)| *ticket)
+                    .min();
+                self.fail(
+                    3,
+                    at,
+                    first,
+                    format!("front {front} is gone and owes {owed} answers"),
+                )
             }
         }
     }
@@ -341,7 +378,13 @@
     ///
     /// # Errors
     /// If it is past it.
-    pub fn within(&mut self, at: Duration, what: &str, size: u64, bound: u64) -> Result<(), Broken> {
+    pub fn within(
+        &mut self,
+        at: Duration,
+        what: &str,
+        size: u64,
+        bound: u64,
+    ) -> Result<(), Broken> {
         if size <= bound {
             return Ok(());
         }
@@ -371,9 +414,19 @@
     pub fn over(&mut self, at: Duration) -> Result<Tally, Broken> {
         if self.open > 0 {
             let waits = |known: &Known| known.answer.is_none() && !known.left;
-            let first =
-                self.tickets.iter().filter(|(_, known)| waits(known)).map(|(ticket, _)| *ticket).min();
-            self.fail(1, at, first, format!("{} tickets without an answer at the end", self.open)).ok();
+            let first = self
+                .tickets
+                .iter()
+                .filter(|(_, known)| waits(known))
+                .map(|(ticket, _)| *ticket)
+                .min();
+            self.fail(
+                1,
+                at,
+                first,
+                format!("{} tickets without an answer at the end", self.open),
+            )
+            .ok();
         }
         self.broken.clone().map_or(Ok(self.tally), Err)
     }
@@ -390,15 +443,25 @@
     }
 
     fn asked(kind: Kind) -> Step {
-        Step::Asked { kind, due: ms(1_000), front: 1 }
+        Step::Asked {
+            kind,
+            due: ms(1_000),
+            front: 1,
+        }
     }
 
     /// Steps at 1, 2, 3, … ms and the rule that breaks at the last of them; 0 for none.
     #[test]
     fn each_way_to_break_a_rule_is_seen() {
         use {Answer::*, Kind::*, Step::*};
-        let ran = Ran { on: 0, marked: false };
-        let marked = Ran { on: 1, marked: true };
+        let ran = Ran {
+            on: 0,
+            marked: false,
+        };
+        let marked = Ran {
+            on: 1,
+            marked: true,
+        };
         let table: &[(&[Step], u8)] = &[
             (&[asked(Exclusive), ran, Answered(Honoured)], 0),
             (&[asked(Exclusive), ran, Answered(GivenUp)], 0),
@@ -411,7 +474,15 @@
             (&[asked(Ticketed), ran, ran], 2),
             (&[asked(Ticketed), ran, Answered(Dismissed)], 2),
             (&[asked(Rerunnable), ran, ran, Answered(Dismissed), ran], 0),
-            (&[asked(Rerunnable), ran, Answered(Honoured), Answered(Honoured)], 1),
+            (
+                &[
+                    asked(Rerunnable),
+                    ran,
+                    Answered(Honoured),
+                    Answered(Honoured),
+                ],
+                1,
+            ),
             (&[asked(Rerunnable), Answered(Honoured)], 1),
             (&[asked(Ticketed), Shared, Answered(Honoured)], 0),
             (&[asked(Ticketed), Shared, Answered(Dismissed)], 0),
@@ -423,9 +494,14 @@
             let mut rules = Rules::default();
             let (last, before) = steps.split_last().unwrap();
             for (k, step) in before.iter().enumerate() {
-                rules.saw(ms(k as u64), 5, *step).unwrap_or_else(|broken| panic!("{steps:?}: {broken}"));
+                rules
+                    .saw(ms(k as u64), 5, *step)
+                    .unwrap_or_else(|broken| panic!("{steps:?}: {broken}"));
             }
-            let found = rules.saw(ms(9), 5, *last).err().map_or(0, |broken| broken.rule);
+            let found = rules
+                .saw(ms(9), 5, *last)
+                .err()
+                .map_or(0, |broken| broken.rule);
             assert_eq!(found, *rule, "{steps:?}");
             assert_eq!(rules.broken().is_some(), *rule > 0);
         }
@@ -439,7 +515,13 @@
         assert_eq!(rules.look(ms(1_001)).unwrap_err().ticket, Some(1));
         assert_eq!(rules.gone(ms(1_001), 1).unwrap_err().rule, 3);
         assert_eq!(rules.gone(ms(1_001), 2), Ok(()));
-        assert_eq!(rules.saw(ms(1_002), 1, Step::Answered(Answer::GivenUp)).unwrap_err().rule, 1);
+        assert_eq!(
+            rules
+                .saw(ms(1_002), 1, Step::Answered(Answer::GivenUp))
+                .unwrap_err()
+                .rule,
+            1
+        );
         assert_eq!(rules.gone(ms(1_003), 1), Ok(()));
         // The first one stays what it was.
         assert_eq!(rules.over(ms(1_003)).unwrap_err().at, ms(1_001));
@@ -456,8 +538,20 @@
     fn a_long_run_forgets_what_is_over() {
         let mut rules = Rules::forgetting(ms(500));
         for n in 0..10_000u64 {
-            rules.saw(ms(n), n, Step::Asked { kind: Kind::Exclusive, due: ms(n + 100), front: 0 }).unwrap();
-            rules.saw(ms(n), n, Step::Answered(Answer::Dismissed)).unwrap();
+            rules
+                .saw(
+                    ms(n),
+                    n,
+                    Step::Asked {
+                        kind: Kind::Exclusive,
+                        due: ms(n + 100),
+                        front: 0,
+                    },
+                )
+                .unwrap();
+            rules
+                .saw(ms(n), n, Step::Answered(Answer::Dismissed))
+                .unwrap();
             if n % 100 == 0 {
                 rules.look(ms(n)).unwrap();
             }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -36,7 +36,11 @@
 /// Whether running work can be taken off the cores: `off` says no; `drop` and `pause` yes, as does a
 /// file that does not say, which is how nodes ran before the setting was read.
 fn halts(family: &Fields) -> Result<bool, String> {
-    match family.get("halt").map(|v| v.as_str().ok_or("halt: no text there")).transpose()? {
+    match family
+        .get("halt")
+        .map(|v| v.as_str().ok_or("halt: no text there"))
+        .transpose()?
+    {
         None | Some("drop" | "pause") => Ok(true),
         Some("off") => Ok(false),
         Some(other) => Err(format!("halt: {other} is not off, drop or pause")),
@@ -57,7 +61,9 @@
         let entries = list(facts, key);
         let mut places = vec![None; known.len()];
         for (from, entry) in entries.iter().enumerate() {
-            let name = entry.as_object().ok_or_else(|| format!("{key}: an entry is no object"))?;
+            let name = entry
+                .as_object()
+                .ok_or_else(|| format!("{key}: an entry is no object"))?;
             if let Some(&to) = known.get(text_of(name, "name")?) {
                 places[to] = Some(from);
             }
@@ -66,12 +72,18 @@
         let same = places.filter(|_| entries.len() == known.len());
         same.ok_or_else(|| "traffic types and tenants change only at a start".to_owned())
     };
-    let (by_type, by_tenant) = (places("requestClasses", types)?, places("parties", tenants)?);
+    let (by_type, by_tenant) = (
+        places("requestClasses", types)?,
+        places("parties", tenants)?,
+    );
     let mut laid = facts.clone();
     let lay = |fields: &mut Fields, key: &str, places: &[usize]| {
         // What is listed short is read as not listed: it keeps its length only where no place is missing.
         if let Some(Value::Array(all)) = fields.get_mut(key) {
-            *all = places.iter().map(|&from| all.get(from).cloned().unwrap_or(Value::Null)).collect();
+            *all = places
+                .iter()
+                .map(|&from| all.get(from).cloned().unwrap_or(Value::Null))
+                .collect();
         }
     };
     lay(&mut laid, "requestClasses", &by_type);
@@ -95,7 +107,9 @@
         let mut names = BTreeMap::new();
         let mut types = Vec::new();
         for (k, class) in list(facts, "requestClasses").iter().enumerate() {
-            let class = class.as_object().ok_or("requestClasses: an entry is no object")?;
+            let class = class
+                .as_object()
+                .ok_or("requestClasses: an entry is no object")?;
             names.insert(text_of(class, "name")?.to_owned(), k);
             let calls = calls.get(k).and_then(Value::as_bool).unwrap_or(true);
             let skip = skips.get(k).and_then(Value::as_f64).unwrap_or(0.0);
@@ -117,7 +131,10 @@
             Repeats::Ticketed(window) => Some(window),
             _ => None,
         };
-        let kinds = types.iter().map(|kind| (kind.outer_limit, window(kind))).collect();
+        let kinds = types
+            .iter()
+            .map(|kind| (kind.outer_limit, window(kind)))
+            .collect();
         let mut tenants = BTreeMap::new();
         let mut quotas = Vec::new();
         for (k, party) in list(facts, "parties").iter().enumerate() {
@@ -127,14 +144,20 @@
         }
         let servers = whole(facts, "groupSize")? as usize;
         let cold = if cold || flag(family, "cold") {
-            Some((born, number(duties, "coldShare")?, span(duties, "rampTimeS")?))
+            Some((
+                born,
+                number(duties, "coldShare")?,
+                span(duties, "rampTimeS")?,
+            ))
         } else {
             None
         };
         let share = match text_of(family, "below")? {
-            "shared" => {
-                Some((number(family, "callShare")?, span(family, "callsOverS")?, span(family, "lingersS")?))
-            }
+            "shared" => Some((
+                number(family, "callShare")?,
+                span(family, "callsOverS")?,
+                span(family, "lingersS")?,
+            )),
             _ => None,
         };
         let say = match text_of(family, "say")? {
@@ -143,8 +166,11 @@
             "weight" => Say::Weight,
             _ => Say::Nothing,
         };
-        let longest =
-            if flag(permits, "retryAfter") { span(permits, "maxRetryAfterS")? } else { Duration::ZERO };
+        let longest = if flag(permits, "retryAfter") {
+            span(permits, "maxRetryAfterS")?
+        } else {
+            Duration::ZERO
+        };
         let clients = object(facts, "clients")?;
         let marked = flag(clients, "marksRetry");
         let cores = whole(family, "cores")? as usize;
@@ -169,7 +195,11 @@
             tenants,
             kinds,
             can_stop: halts(family)?,
-            gauges: list(family, "gauges").iter().filter_map(Value::as_str).map(str::to_owned).collect(),
+            gauges: list(family, "gauges")
+                .iter()
+                .filter_map(Value::as_str)
+                .map(str::to_owned)
+                .collect(),
             fresh: Duration::try_from_secs_f64(optional(family, "freshS")?.unwrap_or(0.0))
                 .unwrap_or_default(),
             idle: callers.1,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -32,7 +32,9 @@
         if text.is_empty() {
             continue;
         }
-        let ready = fleet.take(text, &mut reply).map_err(|e| format!("line {number}: {e}"))?;
+        let ready = fleet
+            .take(text, &mut reply)
+            .map_err(|e| format!("line {number}: {e}"))?;
         if ready {
             let sent = output.write_all(&reply).and_then(|()| output.flush());
             sent.map_err(|e| format!("writing the reply after line {number}: {e}"))?;
@@ -47,17 +49,35 @@
     #[test]
     fn a_line_that_cannot_be_taken_is_named_and_an_unknown_one_is_passed_over() {
         let cases = [
-            ("{\"msg\":\"clock\",\"atTimeS\":1}\n{\"msg\":\"new\"}\n{\"msg\":\"go\"}\n", None),
-            ("{\"msg\":\"go\"}\n{oops}\n", Some("line 2: not a JSON value")),
+            (
+                "{\"msg\":\"clock\",\"atTimeS\":1}\n{\"msg\":\"new\"}\n{\"msg\":\"go\"}\n",
+                None,
+            ),
+            (
+                "{\"msg\":\"go\"}\n{oops}\n",
+                Some("line 2: not a JSON value"),
+            ),
             ("[]\n", Some("line 1: not a JSON object")),
-            ("{\"msg\":\"clock\",\"atTimeS\":-1}\n", Some("line 1: atTimeS: ")),
-            ("{\"msg\":\"quiesce\",\"nodeId\":\"n\"}\n", Some("line 1: quiesce: n was never born")),
-            ("{\"msg\":\"born\",\"nodeId\":\"n\"}\n", Some("line 1: born: entropy: no whole number")),
+            (
+                "{\"msg\":\"clock\",\"atTimeS\":-1}\n",
+                Some("line 1: atTimeS: "),
+            ),
+            (
+                "{\"msg\":\"quiesce\",\"nodeId\":\"n\"}\n",
+                Some("line 1: quiesce: n was never born"),
+            ),
+            (
+                "{\"msg\":\"born\",\"nodeId\":\"n\"}\n",
+                Some("line 1: born: entropy: no whole number"),
+            ),
         ];
         for (input, wrong) in cases {
             let mut out = Vec::new();
             let end = super::serve(input.as_bytes(), &mut out);
-            assert!(matches!((&end, wrong), (Ok(()), None)) || end.unwrap_err().starts_with(wrong.unwrap()));
+            assert!(
+                matches!((&end, wrong), (Ok(()), None))
+                    || end.unwrap_err().starts_with(wrong.unwrap())
+            );
             assert_eq!(out.is_empty(), !input.contains("go"));
         }
     }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -36,7 +36,8 @@
 impl Fleet {
     /// Takes one line; true when a batch is complete and `reply` holds the answer.
     pub fn take(&mut self, text: &[u8], reply: &mut Vec<u8>) -> Result<bool, String> {
-        let value: Value = serde_json::from_slice(text).map_err(|e| format!("not a JSON value: {e}"))?;
+        let value: Value =
+            serde_json::from_slice(text).map_err(|e| format!("not a JSON value: {e}"))?;
         let Value::Object(fields) = value else {
             return Err("not a JSON object".into());
         };
@@ -49,8 +50,8 @@
             }
             "born" => {
                 let name = text_of(&fields, "nodeId")?.to_owned();
-                let mut instance =
-                    Instance::born(name.clone(), self.now, &fields).map_err(|e| format!("born: {e}"))?;
+                let mut instance = Instance::born(name.clone(), self.now, &fields)
+                    .map_err(|e| format!("born: {e}"))?;
                 instance.node.begin(self.now, &mut instance.door);
                 reply.append(&mut instance.door.out);
                 self.instances.insert(name, instance);
@@ -58,14 +59,17 @@
             "halt" => {
                 self.instances.remove(text_of(&fields, "nodeId")?);
             }
-            "ask" | "completed" | "quiesce" | "reminder" | "stalledOnCall" | "clientLeft" | "callEnded" => {
+            "ask" | "completed" | "quiesce" | "reminder" | "stalledOnCall" | "clientLeft"
+            | "callEnded" => {
                 let name = text_of(&fields, "nodeId")?;
                 let instance = self
                     .instances
                     .get_mut(name)
                     .ok_or_else(|| format!("{msg}: {name} was never born, or has halted"))?;
                 instance.door.now = self.now;
-                instance.event(self.now, msg, &fields).map_err(|e| format!("{msg}: {e}"))?;
+                instance
+                    .event(self.now, msg, &fields)
+                    .map_err(|e| format!("{msg}: {e}"))?;
                 reply.append(&mut instance.door.out);
             }
             _ => {}
@@ -79,7 +83,13 @@
         let seed = whole(fields, "entropy")?;
         let facts = object(fields, "facts")?;
         let start = Start::read(facts, seed, now, false)?;
-        let Start { node, types, tenants, can_stop, .. } = start;
+        let Start {
+            node,
+            types,
+            tenants,
+            can_stop,
+            ..
+        } = start;
         let door = Door {
             name,
             can_stop,
@@ -89,7 +99,12 @@
             now,
             out: Vec::new(),
         };
-        Ok(Self { node, door, types, tenants })
+        Ok(Self {
+            node,
+            door,
+            types,
+            tenants,
+        })
     }
 
     fn event(&mut self, now: Duration, msg: &str, fields: &Fields) -> Result<(), String> {
@@ -112,7 +127,10 @@
                 let traffic = self.types.get(kind).copied();
                 let prior = match fields.get("prior").and_then(Value::as_u64).unwrap_or(0) {
                     0 => Repeat::No,
-                    prior => door.index.get(&prior).map_or(Repeat::Past, |&ix| Repeat::Of(ix)),
+                    prior => door
+                        .index
+                        .get(&prior)
+                        .map_or(Repeat::Past, |&ix| Repeat::Of(ix)),
                 };
                 let billing = fields.get("billing").and_then(Value::as_str);
                 let arrival = Arrival {
@@ -164,7 +182,11 @@
     }
 
     fn action(&mut self, msg: &str, rest: std::fmt::Arguments) {
-        let written = writeln!(self.out, "{{\"msg\":\"{msg}\",\"nodeId\":\"{}\"{rest}}}", self.name);
+        let written = writeln!(
+            self.out,
+            "{{\"msg\":\"{msg}\",\"nodeId\":\"{}\"{rest}}}",
+            self.name
+        );
         written.expect("writing to memory");
     }
 
@@ -222,7 +244,10 @@
     }
 
     fn checks(&mut self, good: bool) {
-        self.action("reportHealth", format_args!(",\"on\":{good},\"shallow\":true"));
+        self.action(
+            "reportHealth",
+            format_args!(",\"on\":{good},\"shallow\":true"),
+        );
     }
 
     fn close_idle_after(&mut self, span: Duration) {
--- a/crates/simhost/tests/golden.rs
+++ b/crates/simhost/tests/golden.rs
@@ -8,7 +8,8 @@
 const FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/conversation.txt");
 
 fn facts() -> Value {
-    let config: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+    let config: Value =
+        serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
     config["settings"].clone()
 }
 
@@ -20,8 +21,7 @@
 /// Batches of events; each ends with `go`.
 fn batches() -> Vec<Vec<Value>> {
     let of = |msg: &str, req: u64| json!({"msg": msg, "nodeId": "n1", "req": req});
-    let end =
-        |msg: &str, req: u64, reason: &str| json!({"msg": msg, "nodeId": "n1", "req": req, "reason": reason});
+    let end = |msg: &str, req: u64, reason: &str| json!({"msg": msg, "nodeId": "n1", "req": req, "reason": reason});
     let gauge = json!({"core_use": 0.9, "on_cores": 3.0, "heap_share": 0.4, "links": 2.0});
     let reminder = json!({"msg": "reminder", "nodeId": "n1", "gauge": gauge, "handle": 0});
     let born = json!({"msg": "born", "nodeId": "n1", "entropy": 17, "facts": facts()});
@@ -29,14 +29,21 @@
     crowd.push(reminder.clone());
     vec![
         vec![born],
-        vec![ask(1, "check", 0), ask(2, "register", 0), ask(3, "check", 1)],
+        vec![
+            ask(1, "check", 0),
+            ask(2, "register", 0),
+            ask(3, "check", 1),
+        ],
         vec![reminder.clone(), of("stalledOnCall", 2)],
         vec![end("callEnded", 2, "done"), end("completed", 1, "done")],
         vec![of("clientLeft", 3), end("completed", 2, "err")],
         crowd,
         (0..8).map(|_| reminder.clone()).collect(),
         vec![json!({"msg": "quiesce", "nodeId": "n1", "patienceLeftS": 1.5})],
-        vec![end("completed", 100, "etimedout"), end("completed", 101, "ecanceled")],
+        vec![
+            end("completed", 100, "etimedout"),
+            end("completed", 101, "ecanceled"),
+        ],
         vec![json!({"msg": "halt", "nodeId": "n1"})],
     ]
 }
@@ -45,8 +52,13 @@
 fn a_conversation_is_held_as_before() {
     let mut input = String::new();
     for (at, batch) in batches().iter().enumerate() {
-        input += &format!("{}\n", json!({"msg": "clock", "atTimeS": 1.0 + at as f64 * 0.5}));
-        batch.iter().for_each(|message| input += &format!("{message}\n"));
+        input += &format!(
+            "{}\n",
+            json!({"msg": "clock", "atTimeS": 1.0 + at as f64 * 0.5})
+        );
+        batch
+            .iter()
+            .for_each(|message| input += &format!("{message}\n"));
         input += "{\"msg\":\"go\"}\n";
     }
     let mut child = Command::new(env!("CARGO_BIN_EXE_rainstand-simhost"))
@@ -60,8 +72,13 @@
     writer.join().unwrap();
     assert!(ended.status.success());
     let output = String::from_utf8(ended.stdout).unwrap();
-    for msg in ["process", "pushBack", "abort", "call", "takeOff", "schedule", "done"] {
-        assert!(output.contains(&format!("\"msg\":\"{msg}\"")), "no {msg} in the conversation");
+    for msg in [
+        "process", "pushBack", "abort", "call", "takeOff", "schedule", "done",
+    ] {
+        assert!(
+            output.contains(&format!("\"msg\":\"{msg}\"")),
+            "no {msg} in the conversation"
+        );
     }
     assert_text(FILE, &output);
 }
--- a/crates/stand-ins/examples/size.rs
+++ b/crates/stand-ins/examples/size.rs
@@ -16,5 +16,13 @@
         eprintln!("usage: size [PART [none | tenants | per-tenant]]");
         std::process::exit(2);
     };
-    print!("{}", Size { limits, ..Size::two_years() }.part(part).rain());
+    print!(
+        "{}",
+        Size {
+            limits,
+            ..Size::two_years()
+        }
+        .part(part)
+        .rain()
+    );
 }
--- a/crates/stand-ins/src/caller.rs
+++ b/crates/stand-ins/src/caller.rs
@@ -77,7 +77,16 @@
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
         let (open, asked) = (HashMap::new(), HashMap::new());
-        Ok(Self { stream, back: Vec::new(), seq: 0, watch: None, open, asked, next: 1, told_to_leave: false })
+        Ok(Self {
+            stream,
+            back: Vec::new(),
+            seq: 0,
+            watch: None,
+            open,
+            asked,
+            next: 1,
+            told_to_leave: false,
+        })
     }
 
     /// Tells a watch of all it asks and hears; its tickets are numbered from `first`.
@@ -99,7 +108,11 @@
         let (ticket, seq) = (self.next, self.seq);
         self.next += 1;
         let trace = trace(ticket);
-        let mut fields = vec![("route", ask.route), ("customer", ask.customer), ("trace", &trace)];
+        let mut fields = vec![
+            ("route", ask.route),
+            ("customer", ask.customer),
+            ("trace", &trace),
+        ];
         if !ask.entity.is_empty() {
             fields.push(("entity", ask.entity));
         }
@@ -108,7 +121,9 @@
         }
         self.open.insert(seq, ticket);
         self.asked.insert(seq, ticket);
-        self.stream.write_all(&thrift::process(seq, &fields, ask.body)).await?;
+        self.stream
+            .write_all(&thrift::process(seq, &fields, ask.body))
+            .await?;
         Ok(seq)
     }
 
@@ -151,7 +166,12 @@
         let told = match answered.what {
             What::Answer { body, .. } => Told::Honoured(body.to_vec()),
             What::Backoff(texts) => {
-                let text = |key: &[u8]| texts.iter().find(|(name, _)| *name == key).map(|(_, value)| *value);
+                let text = |key: &[u8]| {
+                    texts
+                        .iter()
+                        .find(|(name, _)| *name == key)
+                        .map(|(_, value)| *value)
+                };
                 let ms = text(b"pause").and_then(|ms| std::str::from_utf8(ms).ok()?.parse().ok());
                 Told::Dismissed {
                     pause: Duration::from_millis(ms.unwrap_or(0)),
@@ -159,7 +179,9 @@
                 }
             }
             What::Lost => Told::GivenUp,
-            What::Exception { why, .. } => Told::Exception(String::from_utf8_lossy(why).into_owned()),
+            What::Exception { why, .. } => {
+                Told::Exception(String::from_utf8_lossy(why).into_owned())
+            }
         };
         self.open.remove(&answered.seq);
         if let Some(watch) = &self.watch {
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -78,7 +78,9 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener =
             std::net::TcpListener::bind(self.at.unwrap_or(any)).expect("an address for a stand-in");
-        listener.set_nonblocking(true).expect("a listener that does not block");
+        listener
+            .set_nonblocking(true)
+            .expect("a listener that does not block");
         let addr = listener.local_addr().expect("its address");
         let shared = Arc::new(Shared {
             script: Mutex::new((self.script, 1)),
@@ -88,9 +90,14 @@
             keep_runs: !self.forget_runs,
             keep_times: self.keep_times,
         });
-        let node = Node { addr, shared: shared.clone() };
+        let node = Node {
+            addr,
+            shared: shared.clone(),
+        };
         std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
             let runtime = runtime.expect("a runtime for a stand-in");
             LocalSet::new().block_on(&runtime, async move {
                 let listener = TcpListener::from_std(listener).expect("a listener");
@@ -118,7 +125,11 @@
 /// # Panics
 /// If the script is wrong.
 pub fn node(script: &str) -> Node {
-    Make { script: Script::read(script).expect("a script"), ..Make::default() }.start()
+    Make {
+        script: Script::read(script).expect("a script"),
+        ..Make::default()
+    }
+    .start()
 }
 
 impl Node {
@@ -269,7 +280,9 @@
     match message.name {
         b"giveUp" => {
             locked(&hall.shared.notes).given_up += 1;
-            conn.left.borrow_mut().extend(thrift::give_up_args(message.args).ok()?);
+            conn.left
+                .borrow_mut()
+                .extend(thrift::give_up_args(message.args).ok()?);
             return Some(());
         }
         b"probe" => {
@@ -281,14 +294,22 @@
     }
     let (fields, body) = thrift::process_args(message.args).ok()?;
     let (fields, body) = (fields.unwrap_or_default(), body.unwrap_or_default());
-    let field =
-        |key: &[u8]| fields.iter().find(|(name, _)| *name == key).map_or(&b""[..], |(_, value)| value);
+    let field = |key: &[u8]| {
+        fields
+            .iter()
+            .find(|(name, _)| *name == key)
+            .map_or(&b""[..], |(_, value)| value)
+    };
     let marked = field(b"redo") == b"1";
     let n = hall.calls.get() + 1;
     hall.calls.set(n);
     let route = std::str::from_utf8(field(b"route")).unwrap_or("");
-    let (deed, after) =
-        hall.read.borrow().0.deed(hall.start.elapsed(), route, n, &mut hall.chance.borrow_mut());
+    let (deed, after) = hall.read.borrow().0.deed(
+        hall.start.elapsed(),
+        route,
+        n,
+        &mut hall.chance.borrow_mut(),
+    );
     {
         let mut notes = locked(&hall.shared.notes);
         notes.calls += 1;
@@ -313,11 +334,21 @@
         }
     };
     let frames = match deed {
-        Deed::Honour | Deed::Late | Deed::Leave | Deed::Hold => thrift::answer(b"process", seq, body, true),
+        Deed::Honour | Deed::Late | Deed::Leave | Deed::Hold => {
+            thrift::answer(b"process", seq, body, true)
+        }
         Deed::Twice => thrift::answer(b"process", seq, body, true).repeat(2),
         Deed::Fail => thrift::lost(seq),
-        Deed::Exception => thrift::exception(b"process", seq, thrift::INTERNAL_ERROR, "as its script says"),
-        Deed::Dismiss { pause, nowhere_else } => {
+        Deed::Exception => thrift::exception(
+            b"process",
+            seq,
+            thrift::INTERNAL_ERROR,
+            "as its script says",
+        ),
+        Deed::Dismiss {
+            pause,
+            nowhere_else,
+        } => {
             let ms = pause.as_millis().to_string();
             let mut texts = vec![("pause", ms.as_str())];
             texts.extend(nowhere_else.then_some(("terminal", "1")));
@@ -338,7 +369,8 @@
             return None;
         }
         conn.say(&frames);
-        conn.close.set(conn.close.get() || (conn.leaving.get() && conn.open.get() == 0));
+        conn.close
+            .set(conn.close.get() || (conn.leaving.get() && conn.open.get() == 0));
         return Some(());
     }
     let (hall, conn) = (hall.clone(), conn.clone());
@@ -375,7 +407,10 @@
 pub fn runs_of(nodes: &[Node]) -> HashMap<Vec<u8>, u32> {
     let mut all: HashMap<Vec<u8>, u32> = HashMap::new();
     for node in nodes {
-        node.notes().runs.iter().for_each(|(body, runs)| *all.entry(body.clone()).or_default() += runs);
+        node.notes()
+            .runs
+            .iter()
+            .for_each(|(body, runs)| *all.entry(body.clone()).or_default() += runs);
     }
     all
 }
--- a/crates/stand-ins/src/script.rs
+++ b/crates/stand-ins/src/script.rs
@@ -49,7 +49,10 @@
 impl Deed {
     /// Whether the call has its effect.
     pub fn runs(self) -> bool {
-        !matches!(self, Deed::Exception | Deed::Dismiss { .. } | Deed::Cut | Deed::Refuse)
+        !matches!(
+            self,
+            Deed::Exception | Deed::Dismiss { .. } | Deed::Cut | Deed::Refuse
+        )
     }
 }
 
@@ -170,7 +173,10 @@
                         _ => break,
                     }
                 }
-                Deed::Dismiss { pause, nowhere_else }
+                Deed::Dismiss {
+                    pause,
+                    nowhere_else,
+                }
             }
             other => return Err(format!("`{other}` is nothing that a node does")),
         };
@@ -212,7 +218,8 @@
             match words.as_slice() {
                 [] => {}
                 ["cores", rest @ ..] => {
-                    script.cores = number(rest.first().copied(), "number of cores").map_err(flaw)?;
+                    script.cores =
+                        number(rest.first().copied(), "number of cores").map_err(flaw)?;
                 }
                 words => script.lines.push(line(words).map_err(flaw)?),
             }
@@ -238,7 +245,10 @@
             let uniform = f64::from(chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
             return (line.deed, least.mul_f64(-(1.0 - uniform).ln()));
         }
-        (line.deed, least + spread.mul_f64(f64::from(chance.generate::<u32>()) / f64::from(u32::MAX)))
+        (
+            line.deed,
+            least + spread.mul_f64(f64::from(chance.generate::<u32>()) / f64::from(u32::MAX)),
+        )
     }
 
     /// Whether new connections are turned away then.
@@ -269,8 +279,21 @@
         assert_eq!(deed(0, "register", 1), Deed::Reset);
         assert_eq!(deed(3_000, "register", 1), Deed::Silent);
         assert_eq!(deed(3_000, "check", 8), Deed::Twice);
-        assert_eq!(deed(7_999, "check", 8), Deed::Dismiss { pause: MS(300), nowhere_else: true });
-        assert_eq!((script.refuses(MS(8_999)), script.refuses(MS(9_000)), script.cores), (false, true, 3));
+        assert_eq!(
+            deed(7_999, "check", 8),
+            Deed::Dismiss {
+                pause: MS(300),
+                nowhere_else: true
+            }
+        );
+        assert_eq!(
+            (
+                script.refuses(MS(8_999)),
+                script.refuses(MS(9_000)),
+                script.cores
+            ),
+            (false, true, 3)
+        );
         let (_, after) = script.deed(MS(1), "check", 1, &mut chance);
         assert!((MS(5)..=MS(20)).contains(&after), "{after:?}");
     }
@@ -279,8 +302,9 @@
     fn a_share_is_a_share() {
         let script = Script::read("share 10% fail").unwrap();
         let mut chance = WyRand::new_seed(2);
-        let failed =
-            (1..=10_000).filter(|n| script.deed(MS(0), "check", *n, &mut chance).0 == Deed::Fail).count();
+        let failed = (1..=10_000)
+            .filter(|n| script.deed(MS(0), "check", *n, &mut chance).0 == Deed::Fail)
+            .count();
         assert!((900..1_100).contains(&failed), "{failed}");
     }
 
@@ -288,8 +312,14 @@
     fn about_a_time_is_its_mean() {
         let script = Script::read("honour after about 20ms").unwrap();
         let mut chance = WyRand::new_seed(3);
-        let sum: Duration = (1..=4_000).map(|n| script.deed(MS(0), "check", n, &mut chance).1).sum();
-        assert!((MS(19)..MS(21)).contains(&(sum / 4_000)), "{:?}", sum / 4_000);
+        let sum: Duration = (1..=4_000)
+            .map(|n| script.deed(MS(0), "check", n, &mut chance).1)
+            .sum();
+        assert!(
+            (MS(19)..MS(21)).contains(&(sum / 4_000)),
+            "{:?}",
+            sum / 4_000
+        );
     }
 
     #[test]
--- a/crates/stand-ins/src/size.rs
+++ b/crates/stand-ins/src/size.rs
@@ -73,7 +73,12 @@
     /// The configuration as one `.rain` text; members have addresses that nobody listens on.
     pub fn rain(&self) -> String {
         self.rain_to(|member| {
-            format!("10.{}.{}.{}:5050", 1 + member / 62_500, member / 250 % 250, 1 + member % 250)
+            format!(
+                "10.{}.{}.{}:5050",
+                1 + member / 62_500,
+                member / 250 % 250,
+                1 + member % 250
+            )
         })
     }
 
@@ -87,7 +92,9 @@
             text.push_str("limits tenant {\n  rate: 300 tickets/s\n  burst: 150 tickets\n}\n\n");
         }
         if self.limits == Limited::PerTenantOnRoutes {
-            text.push_str("limits route {\n  rate: 100 tickets/s\n  burst: 50 tickets\n  per: tenant\n}\n\n");
+            text.push_str(
+                "limits route {\n  rate: 100 tickets/s\n  burst: 50 tickets\n  per: tenant\n}\n\n",
+            );
         }
         // Writing to a string cannot fail.
         let step = 99 * STEPS_OF_PERCENT / self.tenants;
@@ -118,8 +125,9 @@
             );
             if route % OWN_TENANTS == 0 {
                 let first = route * TENANTS_OF_ROUTE;
-                let mut named: Vec<usize> =
-                    (first..first + TENANTS_OF_ROUTE).map(|k| k % self.tenants).collect();
+                let mut named: Vec<usize> = (first..first + TENANTS_OF_ROUTE)
+                    .map(|k| k % self.tenants)
+                    .collect();
                 named.sort_unstable();
                 named.dedup();
                 let names: Vec<String> = named.iter().map(|tenant| format!("t{tenant}")).collect();
@@ -129,7 +137,10 @@
             if first == second {
                 let _ = writeln!(text, "  }}\n  to: p{first}");
             } else {
-                let _ = writeln!(text, "  }}\n  to: p{first} 70 %, p{second} 30 %\n  split-by: entity");
+                let _ = writeln!(
+                    text,
+                    "  }}\n  to: p{first} 70 %, p{second} 30 %\n  split-by: entity"
+                );
             }
             if self.limits == Limited::PerTenantOnRoutes {
                 text.push_str("  limits: route\n");
--- a/crates/stand-ins/src/watch.rs
+++ b/crates/stand-ins/src/watch.rs
@@ -13,7 +13,10 @@
 
 impl Default for Watch {
     fn default() -> Self {
-        Self { rules: Arc::default(), start: Instant::now() }
+        Self {
+            rules: Arc::default(),
+            start: Instant::now(),
+        }
     }
 }
 
@@ -44,7 +47,14 @@
     }
 
     pub fn asked(&self, ticket: u64, kind: Kind, within: Duration) {
-        self.saw(ticket, Step::Asked { kind, due: self.now() + within, front: 0 });
+        self.saw(
+            ticket,
+            Step::Asked {
+                kind,
+                due: self.now() + within,
+                front: 0,
+            },
+        );
     }
 
     pub fn ran(&self, trace: &[u8], on: u32, marked: bool) {
--- a/crates/stand-ins/tests/size.rs
+++ b/crates/stand-ins/tests/size.rs
@@ -8,15 +8,38 @@
 fn a_part_of_the_size_is_a_good_configuration() {
     for limits in [Limited::None, Limited::Tenants, Limited::PerTenantOnRoutes] {
         for part in [0.0, 0.002, 0.05] {
-            let size = Size { limits, ..Size::two_years() }.part(part);
+            let size = Size {
+                limits,
+                ..Size::two_years()
+            }
+            .part(part);
             let text = size.rain();
             let loaded = load(&Memory::new([("size.rain", text.as_str())]), "size.rain");
-            let read = loaded.configuration.unwrap_or_else(|| panic!("{size:?} has errors"));
+            let read = loaded
+                .configuration
+                .unwrap_or_else(|| panic!("{size:?} has errors"));
             let members: usize = read.pools.iter().map(|pool| pool.members.len()).sum();
-            let counted = (read.routes.len(), read.tenants.len(), read.pools.len(), members);
-            assert_eq!(counted, (size.routes, size.tenants, size.pools, size.members), "{size:?}");
-            let limited = read.routes.iter().filter(|route| !route.limits.is_empty()).count();
-            let wanted = if limits == Limited::PerTenantOnRoutes { size.routes } else { 0 };
+            let counted = (
+                read.routes.len(),
+                read.tenants.len(),
+                read.pools.len(),
+                members,
+            );
+            assert_eq!(
+                counted,
+                (size.routes, size.tenants, size.pools, size.members),
+                "{size:?}"
+            );
+            let limited = read
+                .routes
+                .iter()
+                .filter(|route| !route.limits.is_empty())
+                .count();
+            let wanted = if limits == Limited::PerTenantOnRoutes {
+                size.routes
+            } else {
+                0
+            };
             assert_eq!(limited, wanted);
         }
     }
--- a/crates/store/benches/commit.rs
+++ b/crates/store/benches/commit.rs
@@ -18,14 +18,21 @@
 
 fn main() {
     let data = vec![7u8; 200];
-    println!("{:>8} {:>12} {:>12} {:>12}  commits a second", "entries", "own log", "redb", "fjall");
+    println!(
+        "{:>8} {:>12} {:>12} {:>12}  commits a second",
+        "entries", "own log", "redb", "fjall"
+    );
     for group in [1u64, 16, 256] {
         let folder = tempfile::tempdir().expect("a folder");
         let disk = Folder::open(&folder.path().join("own")).expect("a folder");
         let (mut store, _) = Store::open(disk, Limits::default(), [1, 2]).expect("a store");
         let own = rate(|n| {
             for k in 0..group {
-                store.put(&Record::Entry { shard: 0, index: n * group + k + 1, data: data.clone() });
+                store.put(&Record::Entry {
+                    shard: 0,
+                    index: n * group + k + 1,
+                    data: data.clone(),
+                });
             }
             store.flush().expect("a flush");
         });
@@ -40,11 +47,17 @@
             }
             write.commit().expect("a commit");
         });
-        let db = fjall::Database::builder(folder.path().join("fjall")).open().expect("fjall");
-        let space = db.keyspace("log", fjall::KeyspaceCreateOptions::default).expect("a space");
+        let db = fjall::Database::builder(folder.path().join("fjall"))
+            .open()
+            .expect("fjall");
+        let space = db
+            .keyspace("log", fjall::KeyspaceCreateOptions::default)
+            .expect("a space");
         let fjall = rate(|n| {
             for k in 0..group {
-                space.insert((n * group + k).to_be_bytes(), &data[..]).expect("an entry");
+                space
+                    .insert((n * group + k).to_be_bytes(), &data[..])
+                    .expect("an entry");
             }
             db.persist(fjall::PersistMode::SyncData).expect("a flush");
         });
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -65,7 +65,11 @@
     /// If it cannot be made or read, or another process has it.
     pub fn open(path: &Path) -> io::Result<Self> {
         fs::create_dir_all(path)?;
-        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK))?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path.join(LOCK))?;
         match lock.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => {
@@ -74,7 +78,12 @@
             }
             Err(TryLockError::Error(why)) => return Err(why),
         }
-        Ok(Self { path: path.to_owned(), open: HashMap::new(), trouble: None, _lock: lock })
+        Ok(Self {
+            path: path.to_owned(),
+            open: HashMap::new(),
+            trouble: None,
+            _lock: lock,
+        })
     }
 
     /// From now on it fails as it is told.
@@ -161,7 +170,10 @@
         let mut before: Vec<u64> = Vec::new();
         for entry in fs::read_dir(&self.path)? {
             let name = entry?.file_name().into_string().unwrap_or_default();
-            before.extend(name.strip_prefix("aside-").and_then(|number| number.parse::<u64>().ok()));
+            before.extend(
+                name.strip_prefix("aside-")
+                    .and_then(|number| number.parse::<u64>().ok()),
+            );
         }
         before.sort_unstable();
         let folder = |number: u64| self.path.join(format!("aside-{number:04}"));
--- a/crates/store/src/faulty.rs
+++ b/crates/store/src/faulty.rs
@@ -62,7 +62,11 @@
     /// Bytes that a crash may lose.
     pub fn at_risk(&self) -> usize {
         let state = self.0.borrow();
-        state.files.values().map(|file| file.bytes.len() - file.flushed).sum()
+        state
+            .files
+            .values()
+            .map(|file| file.bytes.len() - file.flushed)
+            .sum()
     }
 
     pub fn flushes(&self) -> u64 {
@@ -82,7 +86,9 @@
             Leaves::AllBut(n) => (usize::MAX, n),
         };
         for name in names {
-            let Some(file) = state.files.get_mut(&name) else { continue };
+            let Some(file) = state.files.get_mut(&name) else {
+                continue;
+            };
             let kept = first.min(file.bytes.len() - file.flushed);
             first -= kept;
             file.bytes.truncate(file.flushed + kept);
@@ -104,7 +110,11 @@
     }
 
     pub fn size(&self, name: &str) -> usize {
-        self.0.borrow().files.get(name).map_or(0, |file| file.bytes.len())
+        self.0
+            .borrow()
+            .files
+            .get(name)
+            .map_or(0, |file| file.bytes.len())
     }
 }
 
@@ -139,7 +149,11 @@
         if state.ills.gone {
             return Err(ill("gone"));
         }
-        state.files.get(name).map(|file| file.bytes.clone()).ok_or_else(|| io::ErrorKind::NotFound.into())
+        state
+            .files
+            .get(name)
+            .map(|file| file.bytes.clone())
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
@@ -148,8 +162,17 @@
             return Err(ill("gone"));
         }
         let full = state.ills.full;
-        let taken = if full { &bytes[..bytes.len() / 2] } else { bytes };
-        state.files.entry(name.to_owned()).or_default().bytes.extend_from_slice(taken);
+        let taken = if full {
+            &bytes[..bytes.len() / 2]
+        } else {
+            bytes
+        };
+        state
+            .files
+            .entry(name.to_owned())
+            .or_default()
+            .bytes
+            .extend_from_slice(taken);
         if !state.unflushed.iter().any(|one| one == name) {
             state.unflushed.push(name.to_owned());
         }
@@ -204,7 +227,11 @@
         if state.ills.gone {
             return Err(ill("gone"));
         }
-        state.files.remove(name).map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
+        state
+            .files
+            .remove(name)
+            .map(|_| ())
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
     fn set_aside(&mut self) -> io::Result<()> {
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -21,7 +21,11 @@
     /// Replaces the one before of this shard: a term and a vote.
     Hard { shard: u16, data: Vec<u8> },
     /// Replaces all of this shard from its index on.
-    Entry { shard: u16, index: u64, data: Vec<u8> },
+    Entry {
+        shard: u16,
+        index: u64,
+        data: Vec<u8>,
+    },
     /// What stands up to this index is in a snapshot; `alone`: nothing stands behind it either.
     Base { shard: u16, index: u64, alone: bool },
     /// Replaces the one before of this number.
@@ -52,9 +56,16 @@
         let (kind, shard, index, data): (u8, u16, Option<u64>, &[u8]) = match self {
             Record::Hard { shard, data } => (HARD, *shard, None, data),
             Record::Entry { shard, index, data } => (ENTRY, *shard, Some(*index), data),
-            Record::Base { shard, index, alone } => {
-                (BASE, *shard, Some(*index), &[u8::from(*alone)][..usize::from(*alone)])
-            }
+            Record::Base {
+                shard,
+                index,
+                alone,
+            } => (
+                BASE,
+                *shard,
+                Some(*index),
+                &[u8::from(*alone)][..usize::from(*alone)],
+            ),
             Record::Note { number, data } => (NOTE, *number, None, data),
         };
         out.push(kind);
@@ -95,7 +106,9 @@
     if bytes.is_empty() {
         return Read::End;
     }
-    let Some(head) = bytes.first_chunk::<HEAD>() else { return Read::Short };
+    let Some(head) = bytes.first_chunk::<HEAD>() else {
+        return Read::Short;
+    };
     let len = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
     if len == 0 && bytes.iter().all(|b| *b == 0) {
         // The file system made the file longer, and the bytes never came.
@@ -104,18 +117,38 @@
     if !(3..=MOST).contains(&len) {
         return Read::Wrong("length");
     }
-    let Some(body) = bytes[HEAD..].get(..len) else { return Read::Short };
-    let sum = u64::from_le_bytes([head[4], head[5], head[6], head[7], head[8], head[9], head[10], head[11]]);
+    let Some(body) = bytes[HEAD..].get(..len) else {
+        return Read::Short;
+    };
+    let sum = u64::from_le_bytes([
+        head[4], head[5], head[6], head[7], head[8], head[9], head[10], head[11],
+    ]);
     if XxHash3_64::oneshot_with_seed(len as u64, body) != sum {
         return Read::Wrong("checksum");
     }
     let (kind, shard, rest) = (body[0], u16::from_le_bytes([body[1], body[2]]), &body[3..]);
-    let index = rest.first_chunk::<8>().map(|bytes| u64::from_le_bytes(*bytes));
+    let index = rest
+        .first_chunk::<8>()
+        .map(|bytes| u64::from_le_bytes(*bytes));
     let record = match (kind, index) {
-        (HARD, _) => Record::Hard { shard, data: rest.to_vec() },
-        (ENTRY, Some(index)) => Record::Entry { shard, index, data: rest[8..].to_vec() },
-        (BASE, Some(index)) => Record::Base { shard, index, alone: rest.len() > 8 },
-        (NOTE, _) => Record::Note { number: shard, data: rest.to_vec() },
+        (HARD, _) => Record::Hard {
+            shard,
+            data: rest.to_vec(),
+        },
+        (ENTRY, Some(index)) => Record::Entry {
+            shard,
+            index,
+            data: rest[8..].to_vec(),
+        },
+        (BASE, Some(index)) => Record::Base {
+            shard,
+            index,
+            alone: rest.len() > 8,
+        },
+        (NOTE, _) => Record::Note {
+            number: shard,
+            data: rest.to_vec(),
+        },
         _ => return Read::Wrong("kind"),
     };
     Read::Whole(record, HEAD + len)
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -44,7 +44,10 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { segment: 16 << 20, log: 256 << 20 }
+        Self {
+            segment: 16 << 20,
+            log: 256 << 20,
+        }
     }
 }
 
@@ -145,13 +148,21 @@
 }
 
 fn damage(file: &str, offset: usize, why: impl Into<String>) -> Damage {
-    Damage { file: file.to_owned(), offset: offset as u64, why: why.into() }
+    Damage {
+        file: file.to_owned(),
+        offset: offset as u64,
+        why: why.into(),
+    }
 }
 
 /// A snapshot's bytes: magic, checksum, data.
 fn snapshot(name: &str, bytes: &[u8]) -> Result<Vec<u8>, Damage> {
-    let rest = bytes.strip_prefix(SNAP_MAGIC).ok_or_else(|| damage(name, 0, "no snapshot of this format"))?;
-    let (sum, data) = rest.split_first_chunk::<8>().ok_or_else(|| damage(name, 8, "cut short"))?;
+    let rest = bytes
+        .strip_prefix(SNAP_MAGIC)
+        .ok_or_else(|| damage(name, 0, "no snapshot of this format"))?;
+    let (sum, data) = rest
+        .split_first_chunk::<8>()
+        .ok_or_else(|| damage(name, 8, "cut short"))?;
     if XxHash3_64::oneshot(data) != u64::from_le_bytes(*sum) {
         return Err(damage(name, 16, "checksum"));
     }
@@ -169,7 +180,10 @@
         let identity: Identity = serde_json::from_slice(&bytes)
             .map_err(|why| OpenError::Damaged(damage(IDENTITY, 0, why.to_string())))?;
         if identity.format != FORMAT {
-            let why = format!("format {}; this program knows format {FORMAT}", identity.format);
+            let why = format!(
+                "format {}; this program knows format {FORMAT}",
+                identity.format
+            );
             return Err(OpenError::Damaged(damage(IDENTITY, 0, why)));
         }
         Some(identity)
@@ -187,24 +201,37 @@
 type Logs = (Recovered, Vec<Segment>, BTreeMap<u16, u64>);
 
 fn read_logs(disk: &mut impl Disk, names: &[String]) -> Result<Logs, OpenError> {
-    let numbers: Vec<(u64, &String)> =
-        names.iter().filter_map(|name| Some((name.strip_prefix("log-")?.parse().ok()?, name))).collect();
+    let numbers: Vec<(u64, &String)> = names
+        .iter()
+        .filter_map(|name| Some((name.strip_prefix("log-")?.parse().ok()?, name)))
+        .collect();
     let mut found = Recovered::default();
     let mut segments: Vec<Segment> = Vec::new();
     let mut bases: BTreeMap<u16, u64> = BTreeMap::new();
     let mut records = Vec::new();
     for (k, (number, name)) in numbers.iter().enumerate() {
         if k > 0 && *number != numbers[k - 1].0 + 1 {
-            return Err(OpenError::Damaged(damage(name, 0, "the segment before it is missing")));
+            return Err(OpenError::Damaged(damage(
+                name,
+                0,
+                "the segment before it is missing",
+            )));
         }
         let newest = k + 1 == numbers.len();
         let bytes = disk.read(name)?;
-        let mut segment = Segment { number: *number, bytes: bytes.len() as u64, ..Segment::default() };
+        let mut segment = Segment {
+            number: *number,
+            bytes: bytes.len() as u64,
+            ..Segment::default()
+        };
         let mut at = LOG_MAGIC.len() + 4;
-        let head = bytes.strip_prefix(LOG_MAGIC).and_then(|rest| rest.first_chunk::<4>());
+        let head = bytes
+            .strip_prefix(LOG_MAGIC)
+            .and_then(|rest| rest.first_chunk::<4>());
         let head = head.map(|len| at + u32::from_le_bytes(*len) as usize);
         if head.is_none() {
-            let begun = bytes.len() < at && LOG_MAGIC.starts_with(&bytes[..bytes.len().min(LOG_MAGIC.len())]);
+            let begun = bytes.len() < at
+                && LOG_MAGIC.starts_with(&bytes[..bytes.len().min(LOG_MAGIC.len())]);
             if !newest || k == 0 && *number > 1 || !begun && bytes.iter().any(|b| *b != 0) {
                 return Err(OpenError::Damaged(damage(name, 0, "no log of this format")));
             }
@@ -227,15 +254,25 @@
                     return Err(OpenError::Damaged(damage(name, at, why)));
                 }
                 // What stands at its head was flushed before any older segment went.
-                Read::Short if newest && k == 0 && *number > 1 && head.is_some_and(|head| at < head) => {
-                    return Err(OpenError::Damaged(damage(name, at, "cut short in its head")));
+                Read::Short
+                    if newest && k == 0 && *number > 1 && head.is_some_and(|head| at < head) =>
+                {
+                    return Err(OpenError::Damaged(damage(
+                        name,
+                        at,
+                        "cut short in its head",
+                    )));
                 }
                 Read::Short if newest => {
                     found.torn = Some(((*name).clone(), at as u64, (bytes.len() - at) as u64));
                     segment.bytes = at as u64;
                 }
                 Read::Short => {
-                    return Err(OpenError::Damaged(damage(name, at, "cut short, and not the newest")))
+                    return Err(OpenError::Damaged(damage(
+                        name,
+                        at,
+                        "cut short, and not the newest",
+                    )))
                 }
                 Read::Wrong(why) => return Err(OpenError::Damaged(damage(name, at, why))),
             }
@@ -253,7 +290,11 @@
     for (shard, base) in &bases {
         let name = snapshot_name(*shard, *base);
         if !names.contains(&name) {
-            return Err(OpenError::Damaged(damage(&name, 0, "the snapshot is missing")));
+            return Err(OpenError::Damaged(damage(
+                &name,
+                0,
+                "the snapshot is missing",
+            )));
         }
         let data = snapshot(&name, &disk.read(&name)?).map_err(OpenError::Damaged)?;
         found.shards.entry(*shard).or_default().snapshot = Some((*base, data));
@@ -293,7 +334,11 @@
 /// Whether a whole record stands anywhere in these bytes: then what came before it was no end that was cut short.
 fn followed(bytes: &[u8]) -> bool {
     // No record begins with a length of nothing: long runs of zeros cost a look a byte.
-    let begins = |at: usize| bytes[at..].first_chunk::<4>().is_some_and(|len| *len != [0; 4]);
+    let begins = |at: usize| {
+        bytes[at..]
+            .first_chunk::<4>()
+            .is_some_and(|len| *len != [0; 4])
+    };
     (0..bytes.len()).any(|at| begins(at) && matches!(read(&bytes[at..]), Read::Whole(..)))
 }
 
@@ -310,8 +355,17 @@
             found.notes.insert(number, data);
         }
         // Entries behind the newest base that were written before it, if that one stands alone.
-        Record::Base { shard, index, alone } => {
-            found.shards.entry(shard).or_default().entries.retain(|entry| entry.0 > index && !alone);
+        Record::Base {
+            shard,
+            index,
+            alone,
+        } => {
+            found
+                .shards
+                .entry(shard)
+                .or_default()
+                .entries
+                .retain(|entry| entry.0 > index && !alone);
         }
         Record::Entry { shard, index, data } => {
             let base = bases.get(&shard).copied().unwrap_or(0);
@@ -322,7 +376,9 @@
             let next = entries.last().map_or(base + 1, |last| last.0 + 1);
             let first = entries.first().map_or(next, |first| first.0);
             if index > next {
-                return Err(format!("entry {index} of shard {shard} where {next} was to come"));
+                return Err(format!(
+                    "entry {index} of shard {shard} where {next} was to come"
+                ));
             }
             entries.truncate((index.saturating_sub(first)) as usize);
             entries.push((index, data));
@@ -338,7 +394,11 @@
     ///
     /// # Errors
     /// What cannot be read, or cannot be believed: then nothing was changed.
-    pub fn open(mut disk: D, limits: Limits, chance: [u64; 2]) -> Result<(Self, Recovered), OpenError> {
+    pub fn open(
+        mut disk: D,
+        limits: Limits,
+        chance: [u64; 2],
+    ) -> Result<(Self, Recovered), OpenError> {
         let (before, recovered) = recover(&mut disk)?;
         let names = disk.list()?;
         for name in names.iter().filter(|name| name.ends_with(".new")) {
@@ -418,26 +478,45 @@
         let mut bytes = LOG_MAGIC.to_vec();
         bytes.extend_from_slice(&[0; 4]);
         for (shard, data) in &self.hard {
-            Record::Hard { shard: *shard, data: data.clone() }.write(&mut bytes);
+            Record::Hard {
+                shard: *shard,
+                data: data.clone(),
+            }
+            .write(&mut bytes);
         }
         for (number, data) in &self.notes {
-            Record::Note { number: *number, data: data.clone() }.write(&mut bytes);
+            Record::Note {
+                number: *number,
+                data: data.clone(),
+            }
+            .write(&mut bytes);
         }
         for (shard, index) in &self.bases {
-            Record::Base { shard: *shard, index: *index, alone: false }.write(&mut bytes);
+            Record::Base {
+                shard: *shard,
+                index: *index,
+                alone: false,
+            }
+            .write(&mut bytes);
         }
         let head = (bytes.len() - LOG_MAGIC.len() - 4) as u32;
         bytes[LOG_MAGIC.len()..LOG_MAGIC.len() + 4].copy_from_slice(&head.to_le_bytes());
         let name = segment_name(number);
         self.disk.append(&name, &bytes)?;
         self.disk.flush(&name)?;
-        self.segments.push(Segment { number, bytes: bytes.len() as u64, ..Segment::default() });
+        self.segments.push(Segment {
+            number,
+            bytes: bytes.len() as u64,
+            ..Segment::default()
+        });
         Ok(())
     }
 
     /// Takes a record to be written with the next [`Store::flush`].
     pub fn put(&mut self, record: &Record) {
-        let Some(segment) = self.segments.last_mut() else { return };
+        let Some(segment) = self.segments.last_mut() else {
+            return;
+        };
         match record {
             Record::Hard { shard, data } => {
                 self.hard.insert(*shard, data.clone());
@@ -445,7 +524,11 @@
             Record::Note { number, data } => {
                 self.notes.insert(*number, data.clone());
             }
-            Record::Base { shard, index, alone } => {
+            Record::Base {
+                shard,
+                index,
+                alone,
+            } => {
                 self.bases.insert(*shard, *index);
                 let last = self.last.entry(*shard).or_default();
                 *last = if *alone { *index } else { (*last).max(*index) };
@@ -466,8 +549,13 @@
     /// If the disk failed, now or before: nothing is written after that.
     pub fn flush(&mut self) -> io::Result<()> {
         self.unless_failed(|store| {
-            let Some(segment) = store.segments.last() else { return Err(io::ErrorKind::NotFound.into()) };
-            let (name, full) = (segment_name(segment.number), segment.bytes >= store.limits.segment);
+            let Some(segment) = store.segments.last() else {
+                return Err(io::ErrorKind::NotFound.into());
+            };
+            let (name, full) = (
+                segment_name(segment.number),
+                segment.bytes >= store.limits.segment,
+            );
             let bytes = std::mem::take(&mut store.buffer);
             if !bytes.is_empty() {
                 store.disk.append(&name, &bytes)?;
@@ -515,7 +603,11 @@
             store.disk.flush(&new)?;
             store.disk.rename(&new, &name)
         })?;
-        self.put(&Record::Base { shard, index, alone });
+        self.put(&Record::Base {
+            shard,
+            index,
+            alone,
+        });
         self.flush()?;
         self.unless_failed(|store| {
             if let Some(before) = before {
@@ -546,9 +638,14 @@
         if self.bytes() < self.limits.log {
             return Vec::new();
         }
-        let Some(oldest) = self.segments.first() else { return Vec::new() };
+        let Some(oldest) = self.segments.first() else {
+            return Vec::new();
+        };
         let held = |(shard, last): (&u16, &u64)| {
-            self.bases.get(shard).is_none_or(|base| base < last).then_some(*shard)
+            self.bases
+                .get(shard)
+                .is_none_or(|base| base < last)
+                .then_some(*shard)
         };
         oldest.last.iter().filter_map(held).collect()
     }
@@ -558,7 +655,9 @@
     /// # Errors
     /// If the disk fails.
     pub fn begin_anew(self, chance: [u64; 2]) -> Result<Self, OpenError> {
-        let Self { mut disk, limits, .. } = self;
+        let Self {
+            mut disk, limits, ..
+        } = self;
         disk.set_aside()?;
         Store::open(disk, limits, chance).map(|(store, _)| store)
     }
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -18,8 +18,17 @@
 /// What is to be written. Numbers go up.
 #[derive(Debug)]
 pub enum Job {
-    Write { number: u64, records: Vec<Record> },
-    Save { number: u64, shard: u16, index: u64, data: Vec<u8>, alone: bool },
+    Write {
+        number: u64,
+        records: Vec<Record>,
+    },
+    Save {
+        number: u64,
+        shard: u16,
+        index: u64,
+        data: Vec<u8>,
+        alone: bool,
+    },
 }
 
 /// What became of jobs.
@@ -49,7 +58,11 @@
         let waiting = Arc::new(AtomicUsize::new(0));
         let left = waiting.clone();
         let thread = std::thread::spawn(move || write(open(), &taken, wait, &left, tell));
-        Self { jobs: Some(jobs), waiting, thread: Some(thread) }
+        Self {
+            jobs: Some(jobs),
+            waiting,
+            thread: Some(thread),
+        }
     }
 
     /// Jobs not yet durable: whoever gives jobs keeps this within its bound.
@@ -97,7 +110,13 @@
                     records.iter().for_each(|record| store.put(record));
                     to = number;
                 }
-                Job::Save { number, shard, index, data, alone } => {
+                Job::Save {
+                    number,
+                    shard,
+                    index,
+                    data,
+                    alone,
+                } => {
                     failed = failed.or(store.save(shard, index, &data, alone).err());
                     to = number;
                 }
@@ -106,7 +125,10 @@
         failed = failed.or(store.flush().err());
         waiting.fetch_sub(count, Ordering::Relaxed);
         match failed {
-            None => tell(Done::Up { to, pressing: store.pressing() }),
+            None => tell(Done::Up {
+                to,
+                pressing: store.pressing(),
+            }),
             Some(why) => {
                 tell(Done::Failed(why.to_string()));
                 return;
