--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -6,14 +6,24 @@
 use rainstand_store::store::recover;
 use rainstand_store::{Disk, Limits, OpenError, Record, Recovered, Store};
 
-const SMALL: Limits = Limits { segment: 600, log: 2_000 };
+const SMALL: Limits = Limits {
+    segment: 600,
+    log: 2_000,
+};
 
 fn entry(shard: u16, index: u64, text: &str) -> Record {
-    Record::Entry { shard, index, data: text.as_bytes().to_vec() }
+    Record::Entry {
+        shard,
+        index,
+        data: text.as_bytes().to_vec(),
+    }
 }
 
 fn hard(shard: u16, text: &str) -> Record {
-    Record::Hard { shard, data: text.as_bytes().to_vec() }
+    Record::Hard {
+        shard,
+        data: text.as_bytes().to_vec(),
+    }
 }
 
 #[derive(Clone)]
@@ -26,7 +36,12 @@
 /// Two shards, a change of mind about a tail, snapshots, a note.
 fn script() -> Vec<Step> {
     use Step::*;
-    let mut steps = vec![Put(hard(0, "t1")), Put(entry(0, 1, "a")), Put(entry(1, 1, "x")), Flush];
+    let mut steps = vec![
+        Put(hard(0, "t1")),
+        Put(entry(0, 1, "a")),
+        Put(entry(1, 1, "x")),
+        Flush,
+    ];
     steps.extend([
         Put(entry(0, 2, "b")),
         Put(entry(0, 3, "c")),
@@ -36,7 +51,14 @@
         Flush,
     ]);
     steps.extend((3..9).flat_map(|n| [Put(entry(0, n, &"long ".repeat(n as usize))), Flush]));
-    steps.extend([Save(0, 5, false), Put(Record::Note { number: 9, data: b"note".to_vec() }), Flush]);
+    steps.extend([
+        Save(0, 5, false),
+        Put(Record::Note {
+            number: 9,
+            data: b"note".to_vec(),
+        }),
+        Flush,
+    ]);
     steps.extend((2..7).flat_map(|n| [Put(entry(1, n, &"y".repeat(40))), Flush]));
     steps.extend([
         Save(1, 6, false),
@@ -83,16 +105,22 @@
             Ok(())
         }
         Step::Flush => store.flush(),
-        Step::Save(shard, index, alone) => {
-            store.save(*shard, *index, format!("snapshot {index}").as_bytes(), *alone)
-        }
+        Step::Save(shard, index, alone) => store.save(
+            *shard,
+            *index,
+            format!("snapshot {index}").as_bytes(),
+            *alone,
+        ),
     }
 }
 
 fn same(found: &Recovered, wanted: &Recovered) -> bool {
     // A shard of which nothing was written is one that is not there.
     found.notes == wanted.notes
-        && found.shards.iter().all(|(shard, one)| wanted.shards.get(shard).is_some_and(|other| one == other))
+        && found
+            .shards
+            .iter()
+            .all(|(shard, one)| wanted.shards.get(shard).is_some_and(|other| one == other))
         && found.shards.len() == wanted.shards.len()
 }
 
@@ -163,7 +191,14 @@
     let (mut at, mut crashes, mut ends) = (1, 0, false);
     while !ends {
         let disk = Faulty::default();
-        let opened = Store::open(Until { disk: disk.clone(), left: at }, SMALL, [7, 1]);
+        let opened = Store::open(
+            Until {
+                disk: disk.clone(),
+                left: at,
+            },
+            SMALL,
+            [7, 1],
+        );
         let mut confirmed = 0;
         ends = true;
         if let Ok((mut store, _)) = opened {
@@ -174,9 +209,12 @@
                         Ok(())
                     }
                     Step::Flush => store.flush(),
-                    Step::Save(shard, index, alone) => {
-                        store.save(*shard, *index, format!("snapshot {index}").as_bytes(), *alone)
-                    }
+                    Step::Save(shard, index, alone) => store.save(
+                        *shard,
+                        *index,
+                        format!("snapshot {index}").as_bytes(),
+                        *alone,
+                    ),
                 };
                 match done {
                     Ok(()) if !matches!(step, Step::Put(_)) => confirmed = k + 1,
@@ -194,15 +232,23 @@
         for leaves in [Leaves::First(usize::MAX), Leaves::First(0)] {
             let left = disk.copy();
             left.crash(leaves);
-            let (_, found) = recover(&mut left.clone()).unwrap_or_else(|why| panic!("byte {at}: {why}"));
+            let (_, found) =
+                recover(&mut left.clone()).unwrap_or_else(|why| panic!("byte {at}: {why}"));
             let fits = (confirmed..=steps.len()).any(|n| same(&found, &wanted(&steps[..n])));
             assert!(fits, "byte {at}, confirmed {confirmed}: {found:#?}");
             // And it goes on from there, as the same disk.
-            let boots = recover(&mut left.clone()).unwrap().0.map_or(0, |identity| identity.boot);
+            let boots = recover(&mut left.clone())
+                .unwrap()
+                .0
+                .map_or(0, |identity| identity.boot);
             let (store, again) = Store::open(left, SMALL, [8, 2]).unwrap();
             assert!(same(&again, &found), "byte {at}");
             assert_eq!(store.identity().boot, boots + 1, "byte {at}");
-            assert_eq!(store.identity().disk, if boots > 0 { 7 } else { 8 }, "byte {at}");
+            assert_eq!(
+                store.identity().disk,
+                if boots > 0 { 7 } else { 8 },
+                "byte {at}"
+            );
         }
         at += 1;
         crashes += 1;
@@ -217,9 +263,16 @@
     for zeros in (1..200).step_by(3) {
         let disk = Faulty::default();
         let (mut store, _) = Store::open(disk.clone(), Limits::default(), [7, 1]).unwrap();
-        steps[..10].iter().for_each(|step| play(&mut store, step).unwrap());
-        disk.ills(Ills { lies: true, ..Ills::default() });
-        steps[10..16].iter().for_each(|step| play(&mut store, step).unwrap());
+        steps[..10]
+            .iter()
+            .for_each(|step| play(&mut store, step).unwrap());
+        disk.ills(Ills {
+            lies: true,
+            ..Ills::default()
+        });
+        steps[10..16]
+            .iter()
+            .for_each(|step| play(&mut store, step).unwrap());
         disk.crash(Leaves::AllBut(zeros));
         match recover(&mut disk.clone()) {
             Err(OpenError::Damaged(damage)) => {
@@ -239,21 +292,28 @@
     let (steps, mut chance) = (script(), WyRand::new_seed(3));
     let disk = Faulty::default();
     let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
-    steps.iter().for_each(|step| play(&mut store, step).unwrap());
+    steps
+        .iter()
+        .for_each(|step| play(&mut store, step).unwrap());
     let whole = wanted(&steps);
     let names: Vec<String> = disk.clone().list().unwrap();
     let mut named = 0;
     for _ in 0..2_000 {
         let name = &names[chance.generate_range(0..names.len() as u64) as usize];
-        let (byte, bit) =
-            (chance.generate_range(0..disk.size(name) as u64) as usize, chance.generate_range(0..8u8));
+        let (byte, bit) = (
+            chance.generate_range(0..disk.size(name) as u64) as usize,
+            chance.generate_range(0..8u8),
+        );
         let bad = disk.copy();
         bad.flip(name, byte, bit);
         match recover(&mut bad.clone()) {
             Err(OpenError::Damaged(_)) => named += 1,
             // A length that grew looks like a write cut short, if it is the newest segment's: a beginning is left.
             Ok((_, found)) if found.torn.is_some() => {
-                assert!((0..=steps.len()).any(|n| same(&found, &wanted(&steps[..n]))), "{name} {byte}");
+                assert!(
+                    (0..=steps.len()).any(|n| same(&found, &wanted(&steps[..n]))),
+                    "{name} {byte}"
+                );
             }
             Ok((identity, found)) => {
                 assert!(same(&found, &whole), "{name} {byte} {bit}: {found:#?}");
@@ -268,9 +328,18 @@
 #[test]
 fn after_a_flush_that_failed_nothing_is_confirmed_any_more() {
     for ills in [
-        Ills { flush_fails: true, ..Ills::default() },
-        Ills { full: true, ..Ills::default() },
-        Ills { gone: true, ..Ills::default() },
+        Ills {
+            flush_fails: true,
+            ..Ills::default()
+        },
+        Ills {
+            full: true,
+            ..Ills::default()
+        },
+        Ills {
+            gone: true,
+            ..Ills::default()
+        },
     ] {
         let disk = Faulty::default();
         let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
@@ -278,15 +347,25 @@
         store.flush().unwrap();
         disk.ills(ills);
         store.put(&entry(0, 2, "lost"));
-        assert!(store.flush().is_err() && store.failed().is_some(), "{ills:?}");
+        assert!(
+            store.flush().is_err() && store.failed().is_some(),
+            "{ills:?}"
+        );
         // The disk is well again, and still nothing is confirmed: what it holds is not known.
         disk.ills(Ills::default());
         store.put(&entry(0, 3, "never"));
-        assert!(store.flush().is_err() && store.save(0, 1, b"s", false).is_err(), "{ills:?}");
+        assert!(
+            store.flush().is_err() && store.save(0, 1, b"s", false).is_err(),
+            "{ills:?}"
+        );
         drop(store);
         disk.crash(Leaves::First(usize::MAX));
         let (_, found) = recover(&mut disk.clone()).unwrap();
-        assert_eq!(found.shards[&0].entries, [(1, b"kept".to_vec())], "{ills:?}");
+        assert_eq!(
+            found.shards[&0].entries,
+            [(1, b"kept".to_vec())],
+            "{ills:?}"
+        );
     }
 }
 
@@ -311,19 +390,42 @@
     assert!(pressed);
     drop(store);
     let (store, found) = Store::open(disk.clone(), SMALL, [9, 2]).unwrap();
-    assert_eq!(found.shards[&0].entries.last().map(|entry| entry.0), Some(399));
+    assert_eq!(
+        found.shards[&0].entries.last().map(|entry| entry.0),
+        Some(399)
+    );
     assert_eq!(found.shards[&5].snapshot, Some((1, b"idle".to_vec())));
-    assert_eq!((store.identity().disk, store.identity().boot, store.last(0)), (7, 2, 399));
-    assert!(disk.clone().list().unwrap().iter().filter(|name| name.starts_with("snap")).count() == 2);
+    assert_eq!(
+        (store.identity().disk, store.identity().boot, store.last(0)),
+        (7, 2, 399)
+    );
+    assert!(
+        disk.clone()
+            .list()
+            .unwrap()
+            .iter()
+            .filter(|name| name.starts_with("snap"))
+            .count()
+            == 2
+    );
     let anew = store.begin_anew([11, 3]).unwrap();
-    assert_eq!((anew.identity().disk, anew.identity().boot, disk.asides()), (11, 1, 1));
+    assert_eq!(
+        (anew.identity().disk, anew.identity().boot, disk.asides()),
+        (11, 1, 1)
+    );
 }
 
 #[test]
 fn a_folder_is_one_process_s_and_what_was_set_aside_is_kept_a_few_times() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("disk");
-    let open = |chance| Store::open(rainstand_store::Folder::open(&path).unwrap(), SMALL, [chance, chance]);
+    let open = |chance| {
+        Store::open(
+            rainstand_store::Folder::open(&path).unwrap(),
+            SMALL,
+            [chance, chance],
+        )
+    };
     let (mut store, _) = open(1).unwrap();
     assert!(rainstand_store::Folder::open(&path).is_err());
     store.put(&entry(0, 1, "one"));
@@ -332,13 +434,20 @@
     drop(store);
     let (mut store, found) = open(2).unwrap();
     assert_eq!(
-        (found.shards[&0].snapshot.as_ref().unwrap().0, store.identity().disk, store.identity().boot),
+        (
+            found.shards[&0].snapshot.as_ref().unwrap().0,
+            store.identity().disk,
+            store.identity().boot
+        ),
         (1, 1, 2)
     );
     for n in 10..15 {
         store = store.begin_anew([n, n]).unwrap();
         assert_eq!(store.identity().disk, n);
     }
-    let asides = std::fs::read_dir(&path).unwrap().filter(|e| e.as_ref().unwrap().path().is_dir()).count();
+    let asides = std::fs::read_dir(&path)
+        .unwrap()
+        .filter(|e| e.as_ref().unwrap().path().is_dir())
+        .count();
     assert_eq!(asides, 3);
 }
--- a/crates/store/tests/golden.rs
+++ b/crates/store/tests/golden.rs
@@ -11,11 +11,44 @@
 
 fn records() -> Vec<(&'static str, Record)> {
     vec![
-        ("hard", Record::Hard { shard: 3, data: b"hard".to_vec() }),
-        ("entry", Record::Entry { shard: 3, index: 300, data: b"entry".to_vec() }),
-        ("base", Record::Base { shard: 3, index: 299, alone: false }),
-        ("base-alone", Record::Base { shard: 3, index: 299, alone: true }),
-        ("note", Record::Note { number: 2, data: b"note".to_vec() }),
+        (
+            "hard",
+            Record::Hard {
+                shard: 3,
+                data: b"hard".to_vec(),
+            },
+        ),
+        (
+            "entry",
+            Record::Entry {
+                shard: 3,
+                index: 300,
+                data: b"entry".to_vec(),
+            },
+        ),
+        (
+            "base",
+            Record::Base {
+                shard: 3,
+                index: 299,
+                alone: false,
+            },
+        ),
+        (
+            "base-alone",
+            Record::Base {
+                shard: 3,
+                index: 299,
+                alone: true,
+            },
+        ),
+        (
+            "note",
+            Record::Note {
+                number: 2,
+                data: b"note".to_vec(),
+            },
+        ),
     ]
 }
 
@@ -28,28 +61,54 @@
         NamedBytes::new(name, bytes)
     });
     assert_bytes(RECORDS, &written.collect::<Vec<_>>());
-    for (NamedBytes { name, bytes }, (_, record)) in read_bytes(RECORDS).into_iter().zip(records()) {
+    for (NamedBytes { name, bytes }, (_, record)) in read_bytes(RECORDS).into_iter().zip(records())
+    {
         assert_eq!(read(&bytes), Read::Whole(record, bytes.len()), "{name}");
     }
 }
 
 /// Two starts of a store with entries of two shards, notes, and a snapshot of one.
 fn write_store(folder: &Path) {
-    let open = |draws| Store::open(Folder::open(folder).unwrap(), Limits::default(), draws).unwrap().0;
+    let open = |draws| {
+        Store::open(Folder::open(folder).unwrap(), Limits::default(), draws)
+            .unwrap()
+            .0
+    };
     let mut store = open([0x1122_3344_5566_7788, 5]);
-    store.put(&Record::Note { number: 4, data: b"n1".to_vec() });
-    store.put(&Record::Hard { shard: 0, data: b"term 1".to_vec() });
+    store.put(&Record::Note {
+        number: 4,
+        data: b"n1".to_vec(),
+    });
+    store.put(&Record::Hard {
+        shard: 0,
+        data: b"term 1".to_vec(),
+    });
     for index in 1..=4 {
-        store.put(&Record::Entry { shard: 0, index, data: format!("entry {index}").into_bytes() });
-        store.put(&Record::Entry { shard: 1, index, data: format!("other {index}").into_bytes() });
+        store.put(&Record::Entry {
+            shard: 0,
+            index,
+            data: format!("entry {index}").into_bytes(),
+        });
+        store.put(&Record::Entry {
+            shard: 1,
+            index,
+            data: format!("other {index}").into_bytes(),
+        });
     }
     store.flush().unwrap();
     store.save(0, 3, b"snapshot", false).unwrap();
-    store.put(&Record::Hard { shard: 0, data: b"term 2".to_vec() });
+    store.put(&Record::Hard {
+        shard: 0,
+        data: b"term 2".to_vec(),
+    });
     store.flush().unwrap();
     drop(store);
     let mut store = open([9, 6]);
-    store.put(&Record::Entry { shard: 0, index: 5, data: b"entry 5".to_vec() });
+    store.put(&Record::Entry {
+        shard: 0,
+        index: 5,
+        data: b"entry 5".to_vec(),
+    });
     store.flush().unwrap();
 }
 
@@ -77,7 +136,10 @@
     let (identity, found) = recovered(before.path());
     assert_eq!((identity.clone(), found.clone()), recovered(now.path()));
     let identity = identity.unwrap();
-    assert_eq!((identity.disk, identity.boot, identity.nonce), (0x1122_3344_5566_7788, 2, 6));
+    assert_eq!(
+        (identity.disk, identity.boot, identity.nonce),
+        (0x1122_3344_5566_7788, 2, 6)
+    );
     assert_eq!(found.shards[&0].hard.as_deref(), Some(&b"term 2"[..]));
     assert_eq!(found.shards[&0].snapshot, Some((3, b"snapshot".to_vec())));
     let last = found.shards[&0].entries.last().unwrap();
--- a/examples/forwarder/three_nodes.rs
+++ b/examples/forwarder/three_nodes.rs
@@ -19,11 +19,21 @@
 const FORWARDER: ([u8; 4], u16) = ([127, 0, 0, 1], 5070);
 
 async fn play() -> std::io::Result<()> {
-    let scripts = ["honour after 2ms..9ms", "cores 2\nhonour after 5ms", "fail after 1ms"];
+    let scripts = [
+        "honour after 2ms..9ms",
+        "cores 2\nhonour after 5ms",
+        "fail after 1ms",
+    ];
     for (port, text) in (5071..).zip(scripts) {
         let script = Script::read(text).map_err(std::io::Error::other)?;
         let at = Some(SocketAddr::from(([127, 0, 0, 1], port)));
-        Make { script, at, seed: u64::from(port), ..Make::default() }.start();
+        Make {
+            script,
+            at,
+            seed: u64::from(port),
+            ..Make::default()
+        }
+        .start();
     }
     println!("nodes at 127.0.0.1:5071 to 5073; waiting for a forwarder at 127.0.0.1:5070");
     let mut found = None;
@@ -40,9 +50,18 @@
     };
     for n in 1..=30 {
         sleep(Duration::from_millis(50)).await;
-        let (route, kind) =
-            if n % 2 == 0 { ("check", Kind::Rerunnable) } else { ("register", Kind::Exclusive) };
-        caller.ask(&Ask { route, kind, ..Ask::default() }).await?;
+        let (route, kind) = if n % 2 == 0 {
+            ("check", Kind::Rerunnable)
+        } else {
+            ("register", Kind::Exclusive)
+        };
+        caller
+            .ask(&Ask {
+                route,
+                kind,
+                ..Ask::default()
+            })
+            .await?;
         let words = match caller.next().await?.1 {
             Told::Honoured(body) => format!("honoured: {}", String::from_utf8_lossy(&body)),
             Told::Dismissed { pause, .. } => format!("dismissed, come back in {pause:?}"),
@@ -55,5 +74,8 @@
 }
 
 fn main() -> std::io::Result<()> {
-    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(play())
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(play())
 }
--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -22,9 +22,15 @@
         serde_json::from_str(include_str!("../config.json")).expect("the example's configuration");
     let addr = |key: &str| config[key].as_str().expect("an address").to_owned();
     let listen = |key: &str| TcpListener::bind(addr(key));
-    let (agents, below, announce) = (listen("agent").await, listen("db").await, listen("announce").await);
+    let (agents, below, announce) = (
+        listen("agent").await,
+        listen("db").await,
+        listen("announce").await,
+    );
     let (agents, below, announce) = (agents.unwrap(), below.unwrap(), announce.unwrap());
-    println!("waiting for the node: ROUTER_CONFIG=examples/config.json target/release/rainstand-node");
+    println!(
+        "waiting for the node: ROUTER_CONFIG=examples/config.json target/release/rainstand-node"
+    );
     tokio::join!(async {
         tokio::select! {
             () = work(agents) => {}
@@ -45,7 +51,11 @@
         offset += 1;
         match command["cmd"].as_str() {
             Some("launch") => agent.asks_call(offset, &command["req"], b"select").await,
-            Some("deliver" | "forgo") => agent.outcome(offset, &command["req"], "fine", b"done").await,
+            Some("deliver" | "forgo") => {
+                agent
+                    .outcome(offset, &command["req"], "fine", b"done")
+                    .await
+            }
             _ => {}
         }
     }
@@ -78,7 +88,11 @@
     println!("caller    <- {:?}", caller.next().await);
     sleep(Duration::from_millis(200)).await;
     for n in 0..TICKETS {
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis().to_string();
+        let born = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap()
+            .as_millis()
+            .to_string();
         let trace = format!("{n:016x}");
         let fields = [
             ("route", if n % 3 == 0 { "register" } else { "check" }),
--- a/examples/toy/stand_ins.rs
+++ b/examples/toy/stand_ins.rs
@@ -27,7 +27,12 @@
 
 impl Agent {
     pub async fn accept(listener: &TcpListener) -> Self {
-        let (read, write) = listener.accept().await.expect("a link to the agent").0.into_split();
+        let (read, write) = listener
+            .accept()
+            .await
+            .expect("a link to the agent")
+            .0
+            .into_split();
         let (put, commands) = mpsc::unbounded_channel();
         let write = Rc::new(RefCell::new(Some(write)));
         let samples = write.clone();
@@ -37,7 +42,10 @@
                 let command: Value = serde_json::from_str(&line).expect("a command is JSON");
                 if command["cmd"] == "sample" {
                     let token = &command["token"];
-                    tell(&samples, json!({"cmd": "sampled", "token": token, "load": [0.1, 0, 0.1, 1]}));
+                    tell(
+                        &samples,
+                        json!({"cmd": "sampled", "token": token, "load": [0.1, 0, 0.1, 1]}),
+                    );
                 } else if put.send(command).is_err() {
                     return;
                 }
@@ -50,7 +58,8 @@
     pub async fn greet(&mut self) -> Value {
         let first = self.command().await.expect("subscribe");
         assert_eq!(first["cmd"], "subscribe");
-        self.tell(json!({"cmd": "greeting", "result": "running", "elapsed_ms": 1000})).await;
+        self.tell(json!({"cmd": "greeting", "result": "running", "elapsed_ms": 1000}))
+            .await;
         first["offset"].clone()
     }
 
@@ -85,7 +94,8 @@
     }
 
     pub async fn asks_call(&mut self, offset: u64, req: &Value, body: &[u8]) {
-        let message = json!({"cmd": "request", "offset": offset, "req": req, "payload": packed(body)});
+        let message =
+            json!({"cmd": "request", "offset": offset, "req": req, "payload": packed(body)});
         self.tell(message).await;
     }
 }
@@ -108,7 +118,9 @@
 
 impl Http {
     pub async fn accept(listener: &TcpListener) -> Self {
-        Self(BufReader::new(listener.accept().await.expect("an HTTP connection").0))
+        Self(BufReader::new(
+            listener.accept().await.expect("an HTTP connection").0,
+        ))
     }
 
     /// The next request: its head, and its body; none once the connection is over.
@@ -138,7 +150,10 @@
 
     /// `status` may carry further headers behind its line.
     pub async fn reply(&mut self, status: &str, body: &[u8]) {
-        let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+        let head = format!(
+            "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
         let _ = self.0.write_all(&[head.as_bytes(), body].concat()).await;
     }
 }
@@ -155,7 +170,10 @@
 
 impl Caller {
     pub async fn connect(addr: SocketAddr) -> Self {
-        Self { stream: TcpStream::connect(addr).await.expect("a node that listens"), seq: 0 }
+        Self {
+            stream: TcpStream::connect(addr).await.expect("a node that listens"),
+            seq: 0,
+        }
     }
 
     /// On a connection that stands.
@@ -196,7 +214,10 @@
         self.stream.read_exact(&mut frame).await.ok()?;
         let (kind, name_len) = (frame[3], frame[7] as usize);
         let rest = &frame[8 + name_len..];
-        let (seq, args) = (i32::from_be_bytes(rest[..4].try_into().unwrap()), &rest[4..]);
+        let (seq, args) = (
+            i32::from_be_bytes(rest[..4].try_into().unwrap()),
+            &rest[4..],
+        );
         // A reply is a struct with one field, itself a struct whose first field says it all.
         let text = |at: usize| {
             let len = u32::from_be_bytes(args[at..at + 4].try_into().unwrap()) as usize;
@@ -205,9 +226,16 @@
         Some(match (kind, args[0], args.get(2)) {
             (ONEWAY, ..) => Said(seq, "shutdown", String::new()),
             (3, ..) => Said(seq, "exception", text(3)),
-            (_, _, Some(0)) if &frame[8..8 + name_len] == b"probe" => {
-                Said(seq, "probe", if args[args.len() - 3] == 1 { "good" } else { "bad" }.into())
-            }
+            (_, _, Some(0)) if &frame[8..8 + name_len] == b"probe" => Said(
+                seq,
+                "probe",
+                if args[args.len() - 3] == 1 {
+                    "good"
+                } else {
+                    "bad"
+                }
+                .into(),
+            ),
             (_, _, Some(0)) => Said(seq, "honoured", text(6)),
             (_, _, Some(1)) => {
                 let (mut at, mut texts, n) = (12, Vec::new(), args[11]);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -119,8 +119,7 @@
         Self { quotas, spent, asked, until: vec![Duration::ZERO; n], charge: Mean::default() }
     }
 
-    /// The mean charge, and what all tenants together spent over their quotas: one walk over the tenants, the
-    /// same for each of them. Guards against a walk for each tenant of a walk: with many, one ticket took seconds.
+    /// The mean charge, and what all tenants together spent over their quotas: one walk for all of them.
     fn lent(&self, now: Duration) -> Option<[f64; 2]> {
         let mean = self.charge.known(now, MEAN_SPAN, KNOWN)?;
         let all: f64 = self.spent.iter().map(|s| s.read(now, WINDOW)).sum();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,7 +69,8 @@
 impl Default for Settings {
     fn default() -> Self {
         let (quotas, servers, cores, repeats) = (&[1.0, 1.0], 2, 2, Repeats::Rerunnable);
-        let (poorer, factor, cold, memory_kb, share, marked) = (0.0, 6.0, None, 10_000.0, None, true);
+        let (poorer, factor, cold, memory_kb, share, marked) =
+            (0.0, 6.0, None, 10_000.0, None, true);
         let (callers, dear) = (900, false);
         Self {
             quotas,
@@ -92,35 +93,69 @@
     /// A module with these settings, not begun.
     pub fn module(s: Settings) -> Node {
         let (goal_time, outer_limit, poorer, repeats) = (ms(2_000), ms(5_000), s.poorer, s.repeats);
-        let kind = TrafficType { goal_time, outer_limit, benefit: 1.0, late: 0.0, poorer, repeats };
+        let kind = TrafficType {
+            goal_time,
+            outer_limit,
+            benefit: 1.0,
+            late: 0.0,
+            poorer,
+            repeats,
+        };
         let parts = (
             Ledger::new(s.quotas, s.servers),
             Limit::new(7, s.cores, s.factor, s.cold),
             Hand::new(s.memory_kb, 4.0, 10.0),
             Below::new(s.share),
-            Voice::new(Say::Level, ms(1_000), ms(2_000), s.marked, (s.callers, ms(30_000))),
+            Voice::new(
+                Say::Level,
+                ms(1_000),
+                ms(2_000),
+                s.marked,
+                (s.callers, ms(30_000)),
+            ),
         );
         let mut types = vec![kind];
         if s.dear {
-            types.push(TrafficType { benefit: 3.0, poorer: 0.0, ..types[0] });
+            types.push(TrafficType {
+                benefit: 3.0,
+                poorer: 0.0,
+                ..types[0]
+            });
         }
         Node::new(types, false, parts)
     }
 
     pub fn new(s: Settings) -> Self {
         let node = Self::module(s);
-        let mut rig =
-            Self { node, orders: Orders::default(), now: ms(10_000), busy: 1.0, links: 0.0, on_cores: None };
+        let mut rig = Self {
+            node,
+            orders: Orders::default(),
+            now: ms(10_000),
+            busy: 1.0,
+            links: 0.0,
+            on_cores: None,
+        };
         rig.node.begin(rig.now, &mut rig.orders);
         rig
     }
 
     pub fn arrive(&mut self, ix: usize, a: Arrival) {
-        self.node.arrived(self.now, &mut self.orders, ix, Arrival { held_kb: 20.0, ..a });
+        self.node.arrived(
+            self.now,
+            &mut self.orders,
+            ix,
+            Arrival { held_kb: 20.0, ..a },
+        );
     }
 
     pub fn tenant(&mut self, ix: usize, tenant: usize) {
-        self.arrive(ix, Arrival { tenant: Some(tenant), ..Arrival::default() });
+        self.arrive(
+            ix,
+            Arrival {
+                tenant: Some(tenant),
+                ..Arrival::default()
+            },
+        );
     }
 
     pub fn end(&mut self, ix: usize, outcome: Outcome) {
@@ -156,7 +191,8 @@
     }
 
     pub fn call_ended(&mut self, ix: usize, outcome: Outcome) {
-        self.node.call_ended(self.now, &mut self.orders, ix, outcome);
+        self.node
+            .call_ended(self.now, &mut self.orders, ix, outcome);
     }
 
     /// Time passes in beats of 20 ms, each with the gauge.
@@ -165,7 +201,12 @@
         while self.now < until {
             self.now += ms(20);
             let (cores_busy, links) = (Some(self.busy), Some(self.links));
-            let gauges = Gauges { cores_busy, links, on_cores: self.on_cores, ..Gauges::default() };
+            let gauges = Gauges {
+                cores_busy,
+                links,
+                on_cores: self.on_cores,
+                ..Gauges::default()
+            };
             self.node.woken(self.now, &mut self.orders, gauges);
         }
     }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -13,7 +13,13 @@
     rig.busy = 0.0;
     for _ in 0..6 {
         for &(tenant, span) in runs {
-            rig.serve(Arrival { tenant: Some(tenant), ..Arrival::default() }, span);
+            rig.serve(
+                Arrival {
+                    tenant: Some(tenant),
+                    ..Arrival::default()
+                },
+                span,
+            );
         }
     }
     rig.gauge(1.0);
@@ -35,8 +41,19 @@
         if !busy {
             rig.gauge(0.0);
         }
-        rig.arrive(5, Arrival { waited: ms(waited), tenant: Some(tenant), ..Arrival::default() });
-        assert_eq!(rig.count("dismiss 5") == 1, dismissed, "{spent:?} {busy} {waited} {tenant}");
+        rig.arrive(
+            5,
+            Arrival {
+                waited: ms(waited),
+                tenant: Some(tenant),
+                ..Arrival::default()
+            },
+        );
+        assert_eq!(
+            rig.count("dismiss 5") == 1,
+            dismissed,
+            "{spent:?} {busy} {waited} {tenant}"
+        );
     }
 }
 
@@ -48,10 +65,23 @@
         for turn in 0..12 + runs {
             let tenant = (turn >= 12).then_some(1);
             rig.pass(ms(if turn == 12 { 6_000 } else { 0 }));
-            rig.serve(Arrival { tenant, ..Arrival::default() }, 500);
+            rig.serve(
+                Arrival {
+                    tenant,
+                    ..Arrival::default()
+                },
+                500,
+            );
         }
         rig.gauge(1.0);
-        rig.arrive(5, Arrival { waited: ms(400), tenant: Some(1), ..Arrival::default() });
+        rig.arrive(
+            5,
+            Arrival {
+                waited: ms(400),
+                tenant: Some(1),
+                ..Arrival::default()
+            },
+        );
         assert_eq!(rig.count("dismiss") == 1, dismissed, "{runs}");
     }
 }
@@ -64,7 +94,14 @@
     spend(&mut rig, &[(1, 100), (0, 900)]);
     let (mut told, mut last) = (Vec::new(), 0);
     for ix in 0..11 {
-        rig.arrive(ix, Arrival { waited: ms(400), tenant: Some(0), ..Arrival::default() });
+        rig.arrive(
+            ix,
+            Arrival {
+                waited: ms(400),
+                tenant: Some(0),
+                ..Arrival::default()
+            },
+        );
         let this = format!("dismiss {ix} ");
         let delay = |o: &String| o.strip_prefix(&this)?.split(' ').next()?.parse().ok();
         last = rig.take().iter().find_map(delay).unwrap_or(0);
@@ -72,7 +109,10 @@
         rig.pass(ms(400));
     }
     assert_eq!(told[0], 1_000, "{told:?}");
-    assert!(told.windows(2).all(|w| w[1] <= w[0]) && last == 0, "{told:?}");
+    assert!(
+        told.windows(2).all(|w| w[1] <= w[0]) && last == 0,
+        "{told:?}"
+    );
     assert!(told.iter().any(|&d| d > 0 && d < 1_000), "{told:?}");
 }
 
@@ -80,9 +120,24 @@
 fn before_the_charge_is_known_and_without_tenants_nobody_is_dismissed_for_it() {
     for (tenant, runs) in [(Some(0), 1), (None, 9)] {
         let mut rig = Rig::new(Settings::default());
-        (0..runs).for_each(|_| rig.serve(Arrival { tenant, ..Arrival::default() }, 500));
+        (0..runs).for_each(|_| {
+            rig.serve(
+                Arrival {
+                    tenant,
+                    ..Arrival::default()
+                },
+                500,
+            )
+        });
         rig.take();
-        rig.arrive(1, Arrival { waited: ms(400), tenant, ..Arrival::default() });
+        rig.arrive(
+            1,
+            Arrival {
+                waited: ms(400),
+                tenant,
+                ..Arrival::default()
+            },
+        );
         assert_eq!(rig.count("dismiss"), 0, "{tenant:?}");
     }
 }
@@ -110,7 +165,14 @@
         // Even spenders in turn overshoot by a quarter at most; a second of waits each would show.
         rig.pass(ms(1_180));
         rig.gauge(1.0);
-        rig.arrive(5, Arrival { waited: ms(400), tenant: Some(0), ..Arrival::default() });
+        rig.arrive(
+            5,
+            Arrival {
+                waited: ms(400),
+                tenant: Some(0),
+                ..Arrival::default()
+            },
+        );
         assert_eq!(rig.count("dismiss"), 0, "stall: {stall}");
     }
 }
@@ -119,8 +181,20 @@
 fn the_limit_starts_at_the_cores_and_climbs_while_they_sit_free() {
     // (gauge, whether more of thirty run after 900 ms); ten cores, so that a step of a tenth adds one
     for (busy, more) in [(1.0, false), (0.5, true)] {
-        let mut rig = Rig::new(Settings { cores: 10, ..Settings::default() }).at(busy);
-        (0..30).for_each(|ix| rig.arrive(ix, Arrival { tenant: Some(ix % 2), ..Arrival::default() }));
+        let mut rig = Rig::new(Settings {
+            cores: 10,
+            ..Settings::default()
+        })
+        .at(busy);
+        (0..30).for_each(|ix| {
+            rig.arrive(
+                ix,
+                Arrival {
+                    tenant: Some(ix % 2),
+                    ..Arrival::default()
+                },
+            )
+        });
         assert_eq!(rig.count("run"), 10);
         rig.pass(ms(900));
         let ran = rig.count("run");
@@ -142,20 +216,45 @@
 fn the_limit_never_climbs_past_one_and_a_half_tickets_a_core() {
     // Free cores for a long while, work held all along, runs ending: on the machines of the move a crowd
     // past that gets much less done in all, and waits on calls do not show it as busy cores.
-    let mut rig = Rig::new(Settings { cores: 10, ..Settings::default() }).at(0.3);
-    (0..40).for_each(|ix| rig.arrive(ix, Arrival { tenant: Some(ix % 2), ..Arrival::default() }));
+    let mut rig = Rig::new(Settings {
+        cores: 10,
+        ..Settings::default()
+    })
+    .at(0.3);
+    (0..40).for_each(|ix| {
+        rig.arrive(
+            ix,
+            Arrival {
+                tenant: Some(ix % 2),
+                ..Arrival::default()
+            },
+        )
+    });
     let (mut running, mut most) = (std::collections::VecDeque::new(), 0);
     for ix in 40..440 {
-        rig.arrive(ix, Arrival { tenant: Some(ix % 2), ..Arrival::default() });
+        rig.arrive(
+            ix,
+            Arrival {
+                tenant: Some(ix % 2),
+                ..Arrival::default()
+            },
+        );
         rig.pass(ms(50));
         let orders = rig.take();
-        running.extend(orders.iter().filter_map(|o| o.strip_prefix("run ")?.parse::<usize>().ok()));
+        running.extend(
+            orders
+                .iter()
+                .filter_map(|o| o.strip_prefix("run ")?.parse::<usize>().ok()),
+        );
         most = most.max(running.len());
         if let Some(done) = running.pop_front() {
             rig.end(done, Outcome::Done);
         }
     }
-    assert!((11..=15).contains(&most), "at most {most} ran at once on ten cores");
+    assert!(
+        (11..=15).contains(&most),
+        "at most {most} ran at once on ten cores"
+    );
 }
 
 /// itajai-exchange, archiv-lehota-later: half of a run waits on disk, and cores stood free behind a full limit.
@@ -183,10 +282,25 @@
 fn among_many_tenants_a_ticket_costs_no_walk_over_them_for_each() {
     static QUOTAS: [f64; 23_000] = [1.0; 23_000];
     let begun = Instant::now();
-    let mut rig = Rig::new(Settings { quotas: &QUOTAS, ..Settings::default() }).at(0.0);
+    let mut rig = Rig::new(Settings {
+        quotas: &QUOTAS,
+        ..Settings::default()
+    })
+    .at(0.0);
     for k in 0..100 {
-        rig.serve(Arrival { tenant: Some(k * 229), ..Arrival::default() }, 20);
+        rig.serve(
+            Arrival {
+                tenant: Some(k * 229),
+                ..Arrival::default()
+            },
+            20,
+        );
         assert_eq!(rig.count("dismiss"), 0, "{k}");
-        assert!(begun.elapsed() < Duration::from_secs(60), "{} tickets in {:?}", k + 1, begun.elapsed());
+        assert!(
+            begun.elapsed() < Duration::from_secs(60),
+            "{} tickets in {:?}",
+            k + 1,
+            begun.elapsed()
+        );
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -27,7 +27,15 @@
     }
     assert!((3..=6).contains(&through), "{through}");
     // Well again once those end well.
-    (0..40).for_each(|_| rig.serve(Arrival { tenant: Some(0), ..Arrival::default() }, 100));
+    (0..40).for_each(|_| {
+        rig.serve(
+            Arrival {
+                tenant: Some(0),
+                ..Arrival::default()
+            },
+            100,
+        )
+    });
     let orders = rig.take().join(", ");
     assert!(orders.contains("checks true, say 0"), "{orders}");
 }
@@ -40,7 +48,15 @@
         rig.tenant(0, 0);
         rig.end(0, Outcome::Moot);
     }
-    (0..6).for_each(|_| rig.serve(Arrival { tenant: Some(1), ..Arrival::default() }, 400));
+    (0..6).for_each(|_| {
+        rig.serve(
+            Arrival {
+                tenant: Some(1),
+                ..Arrival::default()
+            },
+            400,
+        )
+    });
     rig.gauge(1.0);
     (0..6).for_each(|ix| rig.tenant(ix, 0));
     rig.pass(ms(40));
@@ -76,7 +92,13 @@
         let mut rig = Rig::new(Settings::default()).at(0.3);
         (0..3).for_each(|_| rig.serve(Arrival::default(), 500));
         rig.gauge(busy);
-        rig.arrive(0, Arrival { waited: ms(waited), ..Arrival::default() });
+        rig.arrive(
+            0,
+            Arrival {
+                waited: ms(waited),
+                ..Arrival::default()
+            },
+        );
         assert_eq!(rig.count("dismiss"), dismissed, "{busy} {waited}");
     }
 }
@@ -95,12 +117,25 @@
         (0, 1.0, 100, 1_700, false),
     ];
     for (usual, busy, hint, patience, begun) in cases {
-        let hinted = |hint| Arrival { hint: Some(ms(hint)), ..Arrival::default() };
+        let hinted = |hint| Arrival {
+            hint: Some(ms(hint)),
+            ..Arrival::default()
+        };
         let mut rig = Rig::new(Settings::default()).at(0.3);
         (0..4).for_each(|_| rig.serve(hinted(usual), 400));
         rig.gauge(busy);
-        rig.arrive(0, Arrival { patience: Some(ms(patience)), ..hinted(hint) });
-        assert_eq!(rig.count("run") == 1, begun, "{usual} {busy} {hint} {patience}");
+        rig.arrive(
+            0,
+            Arrival {
+                patience: Some(ms(patience)),
+                ..hinted(hint)
+            },
+        );
+        assert_eq!(
+            rig.count("run") == 1,
+            begun,
+            "{usual} {busy} {hint} {patience}"
+        );
     }
 }
 
@@ -114,13 +149,35 @@
         (false, false, false, true),
     ];
     for (marked, again, many, nowhere_else) in cases {
-        let mut rig = Rig::new(Settings { marked, ..Settings::default() });
+        let mut rig = Rig::new(Settings {
+            marked,
+            ..Settings::default()
+        });
         rig.pass(ms(20));
-        (0..8).for_each(|ix| rig.arrive(ix, Arrival { again: many && ix % 2 == 0, ..Arrival::default() }));
+        (0..8).for_each(|ix| {
+            rig.arrive(
+                ix,
+                Arrival {
+                    again: many && ix % 2 == 0,
+                    ..Arrival::default()
+                },
+            )
+        });
         rig.take();
-        rig.arrive(8, Arrival { again, patience: Some(ms(10)), ..Arrival::default() });
+        rig.arrive(
+            8,
+            Arrival {
+                again,
+                patience: Some(ms(10)),
+                ..Arrival::default()
+            },
+        );
         let orders = rig.take();
-        assert_eq!(orders[0].ends_with("nowhere_else"), nowhere_else, "{marked} {again} {many}: {orders:?}");
+        assert_eq!(
+            orders[0].ends_with("nowhere_else"),
+            nowhere_else,
+            "{marked} {again} {many}: {orders:?}"
+        );
     }
 }
 
@@ -129,7 +186,11 @@
     // (wanting a core beside the runs, how many of five run on two cores)
     for (reading, runs) in [(0.0, 2), (1.0, 1), (9.0, 1)] {
         let mut rig = Rig::new(Settings::default());
-        let gauges = Gauges { cores_busy: Some(1.0), on_cores: Some(reading), ..Gauges::default() };
+        let gauges = Gauges {
+            cores_busy: Some(1.0),
+            on_cores: Some(reading),
+            ..Gauges::default()
+        };
         rig.node.woken(rig.now, &mut rig.orders, gauges);
         (0..5).for_each(|ix| rig.arrive(ix, Arrival::default()));
         assert_eq!(rig.count("run"), runs, "{reading}");
@@ -138,7 +199,11 @@
 
 #[test]
 fn a_call_below_that_slows_is_paced_and_left_out_in_time() {
-    let mut rig = Rig::new(Settings { poorer: 0.5, ..Settings::default() }).at(0.0);
+    let mut rig = Rig::new(Settings {
+        poorer: 0.5,
+        ..Settings::default()
+    })
+    .at(0.0);
     for _ in 0..10 {
         rig.calling(0, 0);
         rig.pass(ms(40));
@@ -149,7 +214,10 @@
     rig.calling(0, 0);
     let orders = rig.take();
     let until: u64 = orders[1].strip_prefix("call 0 ").unwrap().parse().unwrap();
-    assert!(until < rig.now.as_millis() as u64 + 2_000, "in time for the goal time");
+    assert!(
+        until < rig.now.as_millis() as u64 + 2_000,
+        "in time for the goal time"
+    );
     rig.pass(ms(1_990));
     rig.call_ended(0, Outcome::TimedOut);
     assert_eq!(rig.count("answer_poorer 0"), 1);
@@ -159,7 +227,11 @@
 fn the_pace_outlives_a_third_of_calls_unanswered_but_not_most() {
     // (one call in so many is answered, least and most of ten calls made in the second after)
     for (answered, least, most) in [((2, 3), 4, 10), ((1, 4), 1, 6)] {
-        let mut rig = Rig::new(Settings { poorer: 0.5, ..Settings::default() }).at(0.0);
+        let mut rig = Rig::new(Settings {
+            poorer: 0.5,
+            ..Settings::default()
+        })
+        .at(0.0);
         let mut calls = 0;
         for _ in 0..90 {
             rig.calling(0, 0);
@@ -167,7 +239,14 @@
                 rig.pass(ms(60));
                 calls += 1;
                 let well = calls % answered.1 < answered.0;
-                rig.call_ended(0, if well { Outcome::Done } else { Outcome::TimedOut });
+                rig.call_ended(
+                    0,
+                    if well {
+                        Outcome::Done
+                    } else {
+                        Outcome::TimedOut
+                    },
+                );
             }
             rig.pass(ms(200));
             rig.end(0, Outcome::Done);
@@ -186,11 +265,19 @@
 #[test]
 fn the_pace_stays_with_what_comes_back_and_calls_without_time_prove_nothing() {
     // How calls that took 100 ms come back later on, and the least of ten made in the second after.
-    let cases = [(1_500, Outcome::Done, 4), (20, Outcome::TimedOut, 10), (480, Outcome::TimedOut, 1)];
+    let cases = [
+        (1_500, Outcome::Done, 4),
+        (20, Outcome::TimedOut, 10),
+        (480, Outcome::TimedOut, 1),
+    ];
     for (span, outcome, least) in cases {
         let mut rig = Rig::new(Settings::default()).at(0.0);
         for round in 0..32 {
-            let (span, outcome) = if round < 20 { (100, Outcome::Done) } else { (span, outcome) };
+            let (span, outcome) = if round < 20 {
+                (100, Outcome::Done)
+            } else {
+                (span, outcome)
+            };
             (0..10).for_each(|ix| rig.calling(ix, 0));
             rig.pass(ms(span));
             (0..10).for_each(|ix| rig.call_ended(ix, outcome));
@@ -201,14 +288,22 @@
         (0..10).for_each(|ix| rig.calling(ix, 0));
         rig.pass(ms(1_100));
         let made = rig.count("call");
-        assert!(made >= least && (least > 1 || made < 10), "{span} {outcome:?}: {made}");
+        assert!(
+            made >= least && (least > 1 || made < 10),
+            "{span} {outcome:?}: {made}"
+        );
     }
 }
 
 #[test]
 fn an_exclusive_ticket_with_no_time_left_for_its_call_is_given_up_and_the_newest_calls_first() {
     let (repeats, share) = (Repeats::Exclusive, Some((0.4, ms(5_000), ms(200))));
-    let mut rig = Rig::new(Settings { repeats, share, ..Settings::default() }).at(0.0);
+    let mut rig = Rig::new(Settings {
+        repeats,
+        share,
+        ..Settings::default()
+    })
+    .at(0.0);
     rig.calling(0, 0);
     rig.pass(ms(400));
     rig.call_ended(0, Outcome::Done);
@@ -217,17 +312,32 @@
     (1..3).for_each(|ix| rig.calling(ix, 0));
     rig.take();
     rig.call_ended(0, Outcome::Done);
-    let calls: Vec<String> = rig.take().into_iter().filter(|order| order.starts_with("call")).collect();
-    assert!(calls.len() == 1 && calls[0].starts_with("call 2"), "{calls:?}");
+    let calls: Vec<String> = rig
+        .take()
+        .into_iter()
+        .filter(|order| order.starts_with("call"))
+        .collect();
+    assert!(
+        calls.len() == 1 && calls[0].starts_with("call 2"),
+        "{calls:?}"
+    );
     rig.pass(ms(4_800));
-    assert_eq!(rig.count("give_up 1"), 1, "400 ms before it is due, not when it is");
+    assert_eq!(
+        rig.count("give_up 1"),
+        1,
+        "400 ms before it is due, not when it is"
+    );
 }
 
 #[test]
 fn a_call_with_too_little_time_left_is_not_made_and_the_dearest_goes_first() {
     // A share of calls at once that is used up: the last one stands until it is left out, uncalled.
     let share = Some((0.6, ms(5_000), ms(200)));
-    let mut rig = Rig::new(Settings { poorer: 0.5, share, ..Settings::default() });
+    let mut rig = Rig::new(Settings {
+        poorer: 0.5,
+        share,
+        ..Settings::default()
+    });
     (0..3).for_each(|ix| rig.calling(ix, 0));
     rig.pass(ms(2_020));
     assert_eq!(rig.count("call 2"), 0);
@@ -240,11 +350,20 @@
     // (share, calls out at once of two tickets that stand)
     for (share, at_once) in [(0.75, 1), (8.0, 2)] {
         let share = Some((share, ms(5_000), ms(200)));
-        let mut rig = Rig::new(Settings { poorer: 0.5, share, ..Settings::default() }).at(0.0);
+        let mut rig = Rig::new(Settings {
+            poorer: 0.5,
+            share,
+            ..Settings::default()
+        })
+        .at(0.0);
         (0..2).for_each(|ix| rig.calling(ix, 0));
         assert_eq!(rig.count("call "), at_once);
         rig.call_ended(0, Outcome::Done);
-        assert_eq!(rig.count("call 1"), 2 - at_once, "the second as the first is back");
+        assert_eq!(
+            rig.count("call 1"),
+            2 - at_once,
+            "the second as the first is back"
+        );
     }
 }
 
@@ -255,9 +374,18 @@
     // (how the dear calls come back, whether a cheap one is made after them)
     for (end, made) in [(Outcome::TimedOut, 0), (Outcome::Done, 1)] {
         let (share, repeats) = (Some((0.54, ms(5_000), ms(200))), Repeats::Exclusive);
-        let settings = Settings { poorer: 0.5, share, repeats, dear: true, ..Settings::default() };
+        let settings = Settings {
+            poorer: 0.5,
+            share,
+            repeats,
+            dear: true,
+            ..Settings::default()
+        };
         let mut rig = Rig::new(settings).at(0.0);
-        let dear = Arrival { traffic: 1, ..Arrival::default() };
+        let dear = Arrival {
+            traffic: 1,
+            ..Arrival::default()
+        };
         for ix in 0..2 {
             rig.arrive(ix, dear.clone());
             rig.at_call(ix);
@@ -299,16 +427,29 @@
         (900, 0.3, 80.0, 4, Some(1_875)),
     ];
     for (callers, busy, open, dismissed, span) in cases {
-        let mut rig = Rig::new(Settings { callers, ..Settings::default() }).at(busy);
+        let mut rig = Rig::new(Settings {
+            callers,
+            ..Settings::default()
+        })
+        .at(busy);
         (rig.links, rig.now) = (open, rig.now - ms(20));
         let mut last = None;
         for turn in 0..16 {
             rig.pass(ms(200));
             // Without any patience left a ticket can only be dismissed.
             let patience = Some(ms(if turn % 4 < dismissed { 0 } else { 2_000 }));
-            rig.arrive(0, Arrival { patience, ..Arrival::default() });
+            rig.arrive(
+                0,
+                Arrival {
+                    patience,
+                    ..Arrival::default()
+                },
+            );
             rig.end(0, Outcome::Done);
-            let asked = rig.take().iter().find_map(|o| o.strip_prefix("close_idle_after ")?.parse().ok());
+            let asked = rig
+                .take()
+                .iter()
+                .find_map(|o| o.strip_prefix("close_idle_after ")?.parse().ok());
             last = asked.or(last);
         }
         assert_eq!(last, span, "{callers} {busy} {open} {dismissed}");
@@ -330,11 +471,26 @@
 /// Which tickets are dismissed when tenant 0 sends `asked` after five of tenant 1, first tries or further.
 fn far_more(asked: usize, again: bool) -> Vec<usize> {
     let mut rig = Rig::new(Settings::default()).at(0.0);
-    (0..8).for_each(|turn| rig.serve(Arrival { tenant: Some(turn % 2), ..Arrival::default() }, 300));
+    (0..8).for_each(|turn| {
+        rig.serve(
+            Arrival {
+                tenant: Some(turn % 2),
+                ..Arrival::default()
+            },
+            300,
+        )
+    });
     rig.gauge(1.0);
     for ix in 0..5 + asked {
         let (tenant, again) = if ix < 5 { (1, false) } else { (0, again) };
-        rig.arrive(ix, Arrival { tenant: Some(tenant), again, ..Arrival::default() });
+        rig.arrive(
+            ix,
+            Arrival {
+                tenant: Some(tenant),
+                again,
+                ..Arrival::default()
+            },
+        );
     }
     let orders = rig.take();
     let number = |o: &String| o.strip_prefix("dismiss ")?.split(' ').next()?.parse().ok();
@@ -355,15 +511,33 @@
         (&[1.0], 300, 2, 6.0, 10.0, false),
     ];
     for (quotas, servers, cores, factor, memory_kb, begins) in cases {
-        let settings = Settings { quotas, servers, cores, factor, memory_kb, ..Settings::default() };
+        let settings = Settings {
+            quotas,
+            servers,
+            cores,
+            factor,
+            memory_kb,
+            ..Settings::default()
+        };
         let mut rig = Rig::new(settings);
         for turn in 0..40 {
             let tenant = (!quotas.is_empty()).then(|| turn % quotas.len());
-            rig.arrive(turn, Arrival { tenant, waited: ms(300), ..Arrival::default() });
+            rig.arrive(
+                turn,
+                Arrival {
+                    tenant,
+                    waited: ms(300),
+                    ..Arrival::default()
+                },
+            );
             rig.pass(ms(200));
             rig.end(turn, Outcome::Done);
         }
-        assert_eq!(rig.count("run") > 0, begins, "{quotas:?} {servers} {cores} {memory_kb}");
+        assert_eq!(
+            rig.count("run") > 0,
+            begins,
+            "{quotas:?} {servers} {cores} {memory_kb}"
+        );
     }
 }
 
@@ -374,7 +548,13 @@
     let mut rig = Rig::new(Settings::default()).at(1.0);
     (0..3).for_each(|ix| rig.arrive(ix, Arrival::default()));
     assert_eq!(rig.count("run"), 2);
-    rig.arrive(3, Arrival { patience: Some(ms(10)), ..Arrival::default() });
+    rig.arrive(
+        3,
+        Arrival {
+            patience: Some(ms(10)),
+            ..Arrival::default()
+        },
+    );
     assert!(rig.take().contains(&"dismiss 3 1000".to_owned()));
     let kind = TrafficType {
         goal_time: ms(2_000),
@@ -392,20 +572,39 @@
         Voice::new(Say::Level, ms(3_000), ms(2_000), true, (900, ms(30_000))),
     );
     rig.node.retune(Node::new(vec![kind], false, parts));
-    rig.arrive(4, Arrival { patience: Some(ms(10)), ..Arrival::default() });
-    assert!(rig.take().contains(&"dismiss 4 3000".to_owned()), "the new longest advice");
+    rig.arrive(
+        4,
+        Arrival {
+            patience: Some(ms(10)),
+            ..Arrival::default()
+        },
+    );
+    assert!(
+        rig.take().contains(&"dismiss 4 3000".to_owned()),
+        "the new longest advice"
+    );
     // What was held before the change is neither lost nor run twice.
     rig.end(0, Outcome::Done);
     let orders = rig.take();
-    assert_eq!(orders.iter().filter(|o| o.as_str() == "run 2").count(), 1, "{orders:?}");
+    assert_eq!(
+        orders.iter().filter(|o| o.as_str() == "run 2").count(),
+        1,
+        "{orders:?}"
+    );
 }
 
 /// What a ticket was taken in as holds to its end: new settings that give its type another effect, or another worth without
 /// its call, are for tickets that come after them.
 #[test]
 fn a_ticket_in_hand_keeps_the_terms_it_came_under() {
-    let exclusive = || Settings { repeats: Repeats::Exclusive, ..Settings::default() };
-    let rerunnable = || Settings { poorer: 0.5, ..Settings::default() };
+    let exclusive = || Settings {
+        repeats: Repeats::Exclusive,
+        ..Settings::default()
+    };
+    let rerunnable = || Settings {
+        poorer: 0.5,
+        ..Settings::default()
+    };
     // Came under, new settings, and what follows a call that was cut off: it may have had its effect.
     let cases = [
         (exclusive(), rerunnable(), "give_up 0"),
@@ -420,15 +619,24 @@
         rig.take();
         rig.call_ended(0, Outcome::CutOff);
         let orders = rig.take();
-        assert!(orders.iter().any(|order| order.starts_with(wanted)), "{wanted}: {orders:?}");
+        assert!(
+            orders.iter().any(|order| order.starts_with(wanted)),
+            "{wanted}: {orders:?}"
+        );
     }
 }
 
 /// Calls that were out when what is below turned shared, or was so, are counted once and come off the books.
 #[test]
 fn calls_go_on_when_what_is_below_turns_shared_and_back() {
-    let shared = || Settings { share: Some((4.0, ms(5_000), ms(200))), ..Settings::default() };
-    for (first, second) in [(Settings::default(), shared()), (shared(), Settings::default())] {
+    let shared = || Settings {
+        share: Some((4.0, ms(5_000), ms(200))),
+        ..Settings::default()
+    };
+    for (first, second) in [
+        (Settings::default(), shared()),
+        (shared(), Settings::default()),
+    ] {
         let mut rig = Rig::new(first);
         for ix in 0..20 {
             rig.calling(ix, 0);
@@ -451,11 +659,21 @@
 /// A type that was ticketed may be exclusive by new settings: what is known to have run is not run again.
 #[test]
 fn a_known_repeat_of_an_exclusive_ticket_is_not_run() {
-    let mut rig = Rig::new(Settings { repeats: Repeats::Exclusive, ..Settings::default() });
-    rig.arrive(0, Arrival { repeat: rainstand::Repeat::Past, ..Arrival::default() });
+    let mut rig = Rig::new(Settings {
+        repeats: Repeats::Exclusive,
+        ..Settings::default()
+    });
+    rig.arrive(
+        0,
+        Arrival {
+            repeat: rainstand::Repeat::Past,
+            ..Arrival::default()
+        },
+    );
     let orders = rig.take();
     assert!(
-        orders.iter().any(|order| order == "reuse 0") && !orders.iter().any(|order| order == "run 0"),
+        orders.iter().any(|order| order == "reuse 0")
+            && !orders.iter().any(|order| order == "run 0"),
         "{orders:?}"
     );
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,13 +6,21 @@
 use rainstand::{Arrival, Outcome, Repeat, Repeats};
 
 fn tries(patience: Option<u64>, waited: u64) -> Arrival {
-    Arrival { patience: patience.map(ms), waited: ms(waited), ..Arrival::default() }
+    Arrival {
+        patience: patience.map(ms),
+        waited: ms(waited),
+        ..Arrival::default()
+    }
 }
 
 #[test]
 fn each_ticket_is_answered_before_it_is_due() {
     // (patience, waited unread, due this long after its reading)
-    for (patience, waited, due) in [(Some(900), 0, 900), (Some(300), 4_000, 300), (None, 1_000, 4_000)] {
+    for (patience, waited, due) in [
+        (Some(900), 0, 900),
+        (Some(300), 4_000, 300),
+        (None, 1_000, 4_000),
+    ] {
         // Held: the cores are taken by two runs that never end.
         let mut rig = Rig::new(Settings::default());
         rig.pass(ms(40));
@@ -33,22 +41,41 @@
                 assert_eq!(rig.count("call 0"), 1);
             }
             rig.pass(ms(due - 80));
-            assert_eq!(rig.count("give_up 0"), 0, "not before it must: {patience:?} {waited}");
+            assert_eq!(
+                rig.count("give_up 0"),
+                0,
+                "not before it must: {patience:?} {waited}"
+            );
             rig.pass(ms(60));
-            assert_eq!(rig.count("give_up 0"), 1, "{patience:?} {waited} at a call: {at_call}");
+            assert_eq!(
+                rig.count("give_up 0"),
+                1,
+                "{patience:?} {waited} at a call: {at_call}"
+            );
         }
     }
 }
 
 #[test]
 fn a_ticket_due_when_read_is_dismissed_at_once_and_forgotten() {
-    for repeats in [Repeats::Rerunnable, Repeats::Exclusive, Repeats::Ticketed(ms(3_000))] {
+    for repeats in [
+        Repeats::Rerunnable,
+        Repeats::Exclusive,
+        Repeats::Ticketed(ms(3_000)),
+    ] {
         for a in [tries(Some(20), 0), tries(None, 4_990), tries(None, 9_000)] {
-            let mut rig = Rig::new(Settings { repeats, ..Settings::default() });
+            let mut rig = Rig::new(Settings {
+                repeats,
+                ..Settings::default()
+            });
             rig.arrive(0, a);
             let orders = rig.take().join(", ");
             assert!(orders.ends_with("dismiss 0 1000, over 0"), "{orders}");
-            assert_eq!(orders.contains("keep 0 3040"), orders.contains("forget 0"), "{orders}");
+            assert_eq!(
+                orders.contains("keep 0 3040"),
+                orders.contains("forget 0"),
+                "{orders}"
+            );
         }
     }
 }
@@ -57,7 +84,11 @@
 fn a_repeat_of_a_ticketed_ticket_never_runs_and_is_never_dismissed() {
     let window = Repeats::Ticketed(ms(3_000));
     for repeat in [Repeat::Of(0), Repeat::Past] {
-        let mut rig = Rig::new(Settings { repeats: window, ..Settings::default() }).at(0.0);
+        let mut rig = Rig::new(Settings {
+            repeats: window,
+            ..Settings::default()
+        })
+        .at(0.0);
         rig.arrive(0, tries(None, 500));
         // Kept for what is left of the window, counted from its arrival.
         assert_eq!(rig.take()[1..], ["keep 0 2540", "run 0"]);
@@ -65,19 +96,31 @@
             rig.end(0, Outcome::Done);
             rig.take();
         }
-        rig.arrive(1, Arrival { repeat, ..Arrival::default() });
+        rig.arrive(
+            1,
+            Arrival {
+                repeat,
+                ..Arrival::default()
+            },
+        );
         assert_eq!(rig.take(), ["reuse 1"]);
         rig.pass(ms(4_980));
         let orders = rig.take().join(", ");
         assert!(orders.contains("give_up 1"), "{orders}");
-        assert!(!orders.contains("run 1") && !orders.contains("dismiss 1"), "{orders}");
+        assert!(
+            !orders.contains("run 1") && !orders.contains("dismiss 1"),
+            "{orders}"
+        );
     }
 }
 
 #[test]
 fn what_ran_and_may_not_run_again_is_given_up_and_never_dismissed() {
     for repeats in [Repeats::Exclusive, Repeats::Ticketed(ms(3_000))] {
-        let mut rig = Rig::new(Settings { repeats, ..Settings::default() });
+        let mut rig = Rig::new(Settings {
+            repeats,
+            ..Settings::default()
+        });
         rig.tenant(0, 0);
         rig.pass(ms(5_000));
         let mut orders = rig.take();
@@ -96,13 +139,27 @@
         (Repeats::Exclusive, 0.0, Outcome::Unreachable, "call 0"),
         (Repeats::Exclusive, 0.0, Outcome::Erred, "give_up 0"),
         (Repeats::Exclusive, 0.0, Outcome::TimedOut, "give_up 0"),
-        (Repeats::Ticketed(ms(3_000)), 0.0, Outcome::CutOff, "give_up 0"),
-        (Repeats::Ticketed(ms(3_000)), 0.5, Outcome::CutOff, "answer_poorer 0"),
+        (
+            Repeats::Ticketed(ms(3_000)),
+            0.0,
+            Outcome::CutOff,
+            "give_up 0",
+        ),
+        (
+            Repeats::Ticketed(ms(3_000)),
+            0.5,
+            Outcome::CutOff,
+            "answer_poorer 0",
+        ),
         (Repeats::Rerunnable, 0.0, Outcome::TimedOut, "call 0"),
         (Repeats::Rerunnable, 0.5, Outcome::Erred, "call 0"),
     ];
     for (repeats, poorer, outcome, next) in cases {
-        let mut rig = Rig::new(Settings { repeats, poorer, ..Settings::default() });
+        let mut rig = Rig::new(Settings {
+            repeats,
+            poorer,
+            ..Settings::default()
+        });
         rig.calling(0, 0);
         rig.take();
         rig.call_ended(0, outcome);
@@ -126,16 +183,29 @@
         rig.pass(ms(1_440));
         let orders = rig.take();
         assert!(orders.contains(&"give_up 9".to_string()), "{orders:?}");
-        assert_eq!(orders.contains(&"give_up 0".to_string()), runs == 1, "{orders:?}");
+        assert_eq!(
+            orders.contains(&"give_up 0".to_string()),
+            runs == 1,
+            "{orders:?}"
+        );
     }
 }
 
 #[test]
 fn the_crowd_stays_under_what_is_survived() {
     // (factor, born cold, most that run with the gauge idle all along)
-    let cases = [(6.0, None, 6), (1.5, None, 2), (6.0, Some((ms(1_000), 0.2, ms(1_000_000))), 3)];
+    let cases = [
+        (6.0, None, 6),
+        (1.5, None, 2),
+        (6.0, Some((ms(1_000), 0.2, ms(1_000_000))), 3),
+    ];
     for (factor, cold, most) in cases {
-        let mut rig = Rig::new(Settings { factor, cold, ..Settings::default() }).at(0.0);
+        let mut rig = Rig::new(Settings {
+            factor,
+            cold,
+            ..Settings::default()
+        })
+        .at(0.0);
         (0..60).for_each(|ix| rig.tenant(ix, 0));
         rig.pass(ms(900));
         let ran = rig.count("run");
@@ -146,7 +216,11 @@
 #[test]
 fn memory_is_never_overdrawn() {
     // 20 kB a ticket held, 80 kB running, of 200 kB; four fifths are used.
-    let mut rig = Rig::new(Settings { memory_kb: 200.0, ..Settings::default() }).at(0.0);
+    let mut rig = Rig::new(Settings {
+        memory_kb: 200.0,
+        ..Settings::default()
+    })
+    .at(0.0);
     let (mut held, mut ran) = (0usize, 0usize);
     for ix in 0..20 {
         rig.tenant(ix, 0);
@@ -169,7 +243,13 @@
         for takes in [Some(15), Some(400), None] {
             let told = Some((share, over, lingers));
             let (repeats, poorer) = (Repeats::Rerunnable, 0.5);
-            let mut rig = Rig::new(Settings { share: told, repeats, poorer, ..Settings::default() }).at(0.0);
+            let mut rig = Rig::new(Settings {
+                share: told,
+                repeats,
+                poorer,
+                ..Settings::default()
+            })
+            .at(0.0);
             let (mut out, mut held) = (Vec::<(usize, u64)>::new(), Vec::<(u64, u64)>::new());
             let mut stalled = vec![false; 1_000];
             for ix in 0..1_000 {
@@ -177,7 +257,10 @@
                 rig.pass(ms(20));
                 let now = rig.now.as_millis() as u64;
                 for order in rig.take() {
-                    let mut words = order.split(' ').skip(1).map(|word| word.parse::<u64>().unwrap_or(0));
+                    let mut words = order
+                        .split(' ')
+                        .skip(1)
+                        .map(|word| word.parse::<u64>().unwrap_or(0));
                     let ix = words.next().unwrap_or(0) as usize;
                     if order.starts_with("call ") {
                         let until = words.next().unwrap();
@@ -187,27 +270,42 @@
                         out.push((ix, back.map_or(until, |takes| now + takes)));
                     } else if order.starts_with("answer_poorer") {
                         rig.end(ix, Outcome::Done);
-                    } else if order.starts_with("run ") && !std::mem::replace(&mut stalled[ix], true) {
+                    } else if order.starts_with("run ")
+                        && !std::mem::replace(&mut stalled[ix], true)
+                    {
                         rig.at_call(ix);
                     }
                 }
                 let (due, still): (Vec<_>, Vec<_>) = out.drain(..).partition(|call| call.1 <= now);
                 out = still;
                 for (ix, _) in due {
-                    rig.call_ended(ix, if takes.is_some() { Outcome::Done } else { Outcome::TimedOut });
+                    rig.call_ended(
+                        ix,
+                        if takes.is_some() {
+                            Outcome::Done
+                        } else {
+                            Outcome::TimedOut
+                        },
+                    );
                     if takes.is_some() {
                         rig.end(ix, Outcome::Done);
                     }
                 }
             }
-            assert!(held.len() > 2, "calls are made all along: {share} {takes:?}");
+            assert!(
+                held.len() > 2,
+                "calls are made all along: {share} {takes:?}"
+            );
             let most = (0..2_000).map(|tenth| {
                 let (from, to) = (10_000 + tenth * 10, 15_000 + tenth * 10);
                 let within = |&(a, b): &(u64, u64)| b.min(to).saturating_sub(a.max(from));
                 held.iter().map(within).sum::<u64>()
             });
             let most = most.max().unwrap() as f64 / 5_000.0;
-            assert!(most <= share, "{most} held in a mean, of {share}: {takes:?}");
+            assert!(
+                most <= share,
+                "{most} held in a mean, of {share}: {takes:?}"
+            );
         }
     }
 }
--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -39,11 +39,20 @@
 
 fn one(case: &Case, at: u64) -> One {
     let share = Some((case.share, ms(OVER), ms(LINGERS)));
-    let mut rig =
-        Rig::new(Settings { share, repeats: Repeats::Rerunnable, poorer: 0.5, ..Settings::default() })
-            .at(0.0);
+    let mut rig = Rig::new(Settings {
+        share,
+        repeats: Repeats::Rerunnable,
+        poorer: 0.5,
+        ..Settings::default()
+    })
+    .at(0.0);
     rig.now = ms(10_000 + at);
-    One { rig, next: 0, stalled: vec![false; (ASKED * (LASTS + 4_000) / 1_000) as usize], out: Vec::new() }
+    One {
+        rig,
+        next: 0,
+        stalled: vec![false; (ASKED * (LASTS + 4_000) / 1_000) as usize],
+        out: Vec::new(),
+    }
 }
 
 /// What calls held below, as from when to when; one that was given up lingers.
@@ -52,7 +61,9 @@
     let (mut held, mut made) = (Vec::<(usize, u64, u64)>::new(), 0u64);
     for t in (0..LASTS).step_by(20) {
         if t == RESTART {
-            all.iter_mut().take(case.restart).for_each(|node| *node = one(case, t));
+            all.iter_mut()
+                .take(case.restart)
+                .for_each(|node| *node = one(case, t));
             // Their connections close: calls that are out linger from now.
             let theirs = held.iter_mut().filter(|(node, ..)| *node < case.restart);
             theirs.for_each(|(_, _, until)| *until = (*until).min(t + LINGERS));
@@ -66,7 +77,10 @@
             node.rig.pass(ms(20));
             let now = node.rig.now.as_millis() as u64 - 10_000;
             for order in node.rig.take() {
-                let mut words = order.split(' ').skip(1).map(|word| word.parse::<u64>().unwrap_or(0));
+                let mut words = order
+                    .split(' ')
+                    .skip(1)
+                    .map(|word| word.parse::<u64>().unwrap_or(0));
                 let ix = words.next().unwrap_or(0) as usize;
                 if order.starts_with("call ") {
                     let until = words.next().unwrap() - 10_000;
@@ -85,7 +99,9 @@
                     node.out.push((ix, ends, outcome));
                 } else if order.starts_with("answer_poorer") {
                     node.rig.end(ix, Outcome::Done);
-                } else if order.starts_with("run ") && !std::mem::replace(&mut node.stalled[ix], true) {
+                } else if order.starts_with("run ")
+                    && !std::mem::replace(&mut node.stalled[ix], true)
+                {
                     node.rig.at_call(ix);
                 }
             }
@@ -110,7 +126,12 @@
         let within = |&(a, b): &(u64, u64)| b.min(from + OVER).saturating_sub(a.max(from));
         held.iter().map(within).sum::<u64>() as f64 / mean
     };
-    ((0..(LASTS - OVER) / 50).map(|k| window(k * 50)).fold(0.0, f64::max), n)
+    (
+        (0..(LASTS - OVER) / 50)
+            .map(|k| window(k * 50))
+            .fold(0.0, f64::max),
+        n,
+    )
 }
 
 /// How far past N the worst window is, in what may be chance; and how many times N it holds.
@@ -127,7 +148,14 @@
         for share in [0.3, 0.54] {
             for (takes, warm_up, fails) in [(150, 8_000, 2), (1_500, 3_000, 0)] {
                 for restart in [0, nodes / 5, nodes / 2] {
-                    let case = Case { nodes, share, takes, warm_up, restart, fails };
+                    let case = Case {
+                        nodes,
+                        share,
+                        takes,
+                        warm_up,
+                        restart,
+                        fails,
+                    };
                     let (over, times) = over(&case);
                     assert!(over <= 1.0, "{case:?}: {times:.2} times what may be held");
                     // Who stays knows all that it holds: no chance in that.
@@ -139,7 +167,14 @@
 }
 
 fn all_start_anew(nodes: usize) -> Case {
-    Case { nodes, share: 0.3, takes: 1_500, warm_up: 3_000, restart: nodes, fails: 0 }
+    Case {
+        nodes,
+        share: 0.3,
+        takes: 1_500,
+        warm_up: 3_000,
+        restart: nodes,
+        fails: 0,
+    }
 }
 
 /// The rule holds for a fleet that starts anew within one window as well. It does not yet: KNOWN-RED.txt.
