--- a/crates/cli/benches/connections.rs
+++ b/crates/cli/benches/connections.rs
@@ -2,7 +2,7 @@
 //! `cargo bench -p rainstand-cli --bench connections`; `CONNECTIONS=10000` where descriptors allow it.
 
 use rainstand_protocol::thrift;
-use rainstand_stand_ins::node::Make;
+use rainstand_test_servers::node::Make;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -2,16 +2,16 @@
 
 use crate::config::replace;
 use clap::Args;
+use rainstand_cluster::attach::{keep, News, Seen, Setup};
 use rainstand_config::schema::{Configuration, Control, ControlMember};
-use rainstand_control::attach::Who;
-use rainstand_control::delta::State;
-use rainstand_control::snapshot;
-use rainstand_control::subscriber::{Event, Pending, Subscriber};
+use rainstand_config_distribution::attach::Who;
+use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::subscriber::{Event, Pending, Subscriber};
 use rainstand_forwarder::admin::ControlLine;
 use rainstand_forwarder::published::changes;
 use rainstand_forwarder::Hub;
-use rainstand_group::attach::{keep, News, Seen, Setup};
-use rainstand_route::subset::reduce;
+use rainstand_routing::subset::reduce;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -7,8 +7,8 @@
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::{Disk, FileId, Files, Sources, Trouble};
 use rainstand_config::{form::form, load};
-use rainstand_route::explain::{explain, Explanation};
-use rainstand_route::table::{By, NoWay, Table, Ticket};
+use rainstand_routing::explain::{explain, Explanation};
+use rainstand_routing::table::{By, NoWay, Table, Ticket};
 use serde_json::json;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -467,7 +467,7 @@
     } else {
         way_in_words(&told)?;
         if let Some(times) = times {
-            use rainstand_route::budget::Stage;
+            use rainstand_routing::budget::Stage;
             let stages = [
                 Stage::Forward,
                 Stage::Queue,
--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -7,7 +7,7 @@
 use clap::Args;
 use rainstand_config::schema::{self, Configuration};
 use rainstand_forwarder::{run as serve, Hub};
-use rainstand_route::subset::reduce;
+use rainstand_routing::subset::reduce;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
 use std::net::SocketAddr;
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -2,9 +2,9 @@
 
 use crate::out::{json, line, Code};
 use clap::{Args, Subcommand};
-use rainstand_store::record::{read, Read, Record, HEAD};
-use rainstand_store::store::{mend, recover};
-use rainstand_store::{Disk, Folder, OpenError};
+use rainstand_storage::record::{read, Read, Record, HEAD};
+use rainstand_storage::store::{mend, recover};
+use rainstand_storage::{Disk, Folder, OpenError};
 use serde_json::json;
 use std::io;
 use std::path::PathBuf;
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -2,11 +2,11 @@
 //!
 //! Verdicts go by events in the processes' logs and by answers; [`HANGS`] only catches what hangs.
 
+use rainstand_cluster::links::whole;
+use rainstand_cluster::status;
 use rainstand_config::schema::Configuration;
-use rainstand_control::delta::State;
-use rainstand_copies::versions::Publish;
-use rainstand_group::links::whole;
-use rainstand_group::status;
+use rainstand_config_distribution::delta::State;
+use rainstand_replicated_state::versions::Publish;
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -357,7 +357,9 @@
     // A restart with nobody there begins with the last version from the disk.
     let kept = world.folder.path().join("kept-f2").join("version.packed");
     let begun = Instant::now();
-    let held = || rainstand_control::snapshot::unpacked(&std::fs::read(&kept).unwrap_or_default());
+    let held = || {
+        rainstand_config_distribution::snapshot::unpacked(&std::fs::read(&kept).unwrap_or_default())
+    };
     while held().map(|(version, _)| version) != Ok(3) {
         assert!(begun.elapsed() < HANGS, "version 3 is not kept");
         std::thread::yield_now();
--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -1,8 +1,8 @@
 //! Descriptors run out, in a forwarder of its own process with a low limit: idle clients rest at it, and what the forwarder
 //! needs itself it still has. Whoever rests makes room; every ticket gets its answer.
 
-use rainstand_stand_ins::caller::{Ask, Caller, Told};
-use rainstand_stand_ins::node::{node, Node};
+use rainstand_test_servers::caller::{Ask, Caller, Told};
+use rainstand_test_servers::node::{node, Node};
 use rustix::process::{prlimit, Pid, Resource, Rlimit};
 use std::future::Future;
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/cli/tests/golden.rs
+++ b/crates/cli/tests/golden.rs
@@ -306,7 +306,7 @@
     let folder = tempfile::tempdir().unwrap();
     let member = Path::new(concat!(
         env!("CARGO_MANIFEST_DIR"),
-        "/../group/tests/golden/member"
+        "/../cluster/tests/golden/member"
     ));
     std::fs::create_dir(folder.path().join("n1")).unwrap();
     for file in std::fs::read_dir(member).unwrap() {
--- a/crates/cli/tests/size.rs
+++ b/crates/cli/tests/size.rs
@@ -1,6 +1,6 @@
 //! The configuration of two years in a real process: it starts, answers, takes itself again, and leaves.
 
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_test_servers::size::{Limited, Size};
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 
--- a/crates/group/benches/keyed.rs
+++ b/crates/cluster/benches/keyed.rs
@@ -5,8 +5,8 @@
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use rainstand_copies::keys::{Command, Told, What};
-use rainstand_group::Group;
+use rainstand_cluster::Group;
+use rainstand_replicated_state::keys::{Command, Told, What};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::mpsc::Sender;
--- a/crates/group/src/attach.rs
+++ b/crates/cluster/src/attach.rs
@@ -1,16 +1,16 @@
 //! A process's own side of its attachment: one link at a time to a control machine, and versions put into force.
 //!
-//! Which machine, when, and what is taken are decisions of `rainstand-control`; here are sockets and time. Without any
+//! Which machine, when, and what is taken are decisions of `rainstand-config-distribution`; here are sockets and time. Without any
 //! machine the process runs on with the version that it has.
 
 use crate::links::{OPENS, TAKES};
 use crate::serve::up;
 use prost::Message as _;
 use rainstand_config::schema;
-use rainstand_control::attach::{Chooser, Who};
-use rainstand_control::subscriber::{Counters, Event, Order, Subscriber};
-use rainstand_copies::frames::{Frame, What};
+use rainstand_config_distribution::attach::{Chooser, Who};
+use rainstand_config_distribution::subscriber::{Counters, Event, Order, Subscriber};
 use rainstand_protocol::thrift::frame_within;
+use rainstand_replicated_state::frames::{Frame, What};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/group/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -1,11 +1,13 @@
 //! A member's writes as records of the store, and what a recovery found as a member takes it.
 
 use prost::Message as _;
-use rainstand_copies::frames::{Form, Witness};
-use rainstand_copies::member::{Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_NAME, NOTE_WITNESS};
-use rainstand_replica::wire::Snapshot;
-use rainstand_replica::{Entry, Hard, State};
-use rainstand_store::{Disk, Identity, Record, Recovered, Store};
+use rainstand_raft::wire::Snapshot;
+use rainstand_raft::{Entry, Hard, State};
+use rainstand_replicated_state::frames::{Form, Witness};
+use rainstand_replicated_state::member::{
+    Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_NAME, NOTE_WITNESS,
+};
+use rainstand_storage::{Disk, Identity, Record, Recovered, Store};
 use std::io;
 
 /// What a recovery found. A record whose bytes are none of a member's was written by another program: it is told.
--- a/crates/group/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`status`] | what operators are told |
 //! | [`recovery`] | the way back from the loss of a majority |
 //!
-//! All decisions are those of `crates/copies` and `crates/replica`. Everything runs on the program's one thread, but
+//! All decisions are those of `crates/replicated-state` and `crates/raft`. Everything runs on the program's one thread, but
 //! for one thread that writes and flushes. Nothing of it exists where no group is configured.
 
 pub mod attach;
--- a/crates/group/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -6,12 +6,12 @@
 
 use crate::disk::found;
 use prost::Message as _;
-use rainstand_copies::frames::{Form, Formed};
-use rainstand_copies::keys::{Command, Table};
-use rainstand_copies::member::{NOTE_FORM, NOTE_GENERATION};
-use rainstand_replica::wire::Snapshot;
-use rainstand_replica::{Base, Config, Kind};
-use rainstand_store::{Folder, Limits, OpenError, Record, Store};
+use rainstand_raft::wire::Snapshot;
+use rainstand_raft::{Base, Config, Kind};
+use rainstand_replicated_state::frames::{Form, Formed};
+use rainstand_replicated_state::keys::{Command, Table};
+use rainstand_replicated_state::member::{NOTE_FORM, NOTE_GENERATION};
+use rainstand_storage::{Folder, Limits, OpenError, Record, Store};
 use serde::Serialize;
 use std::path::Path;
 
@@ -50,7 +50,7 @@
 pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<Lost, String> {
     let mut disk = Folder::open(folder).map_err(|why| why.to_string())?;
     let (identity, recovered) =
-        rainstand_store::store::recover(&mut disk).map_err(|why| why.to_string())?;
+        rainstand_storage::store::recover(&mut disk).map_err(|why| why.to_string())?;
     let Some(identity) = identity else {
         return Err("no disk of a member".into());
     };
--- a/crates/group/src/serve.rs
+++ b/crates/cluster/src/serve.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
-use rainstand_control::snapshot;
-use rainstand_control::source::{Bounds, Event, Link, Order, Progress, Source, Standing};
-use rainstand_copies::frames::{Frame, What};
-use rainstand_copies::member::Member;
+use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::source::{
+    Bounds, Event, Link, Order, Progress, Source, Standing,
+};
 use rainstand_protocol::thrift::frame_within;
+use rainstand_replicated_state::frames::{Frame, What};
+use rainstand_replicated_state::member::Member;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/group/src/testing.rs
+++ b/crates/cluster/src/testing.rs
@@ -4,7 +4,7 @@
 //! by which it jumps half a second later) and before each flush (`flush-fails`, `disk-full`, `disk-slow MS`). Where the
 //! configuration does not say `testing`, a program that is told of such a file does not start.
 
-use rainstand_store::disk::Trouble;
+use rainstand_storage::disk::Trouble;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
--- a/crates/group/tests/golden.rs
+++ b/crates/cluster/tests/golden.rs
@@ -5,13 +5,13 @@
 
 use bytes::Bytes;
 use prost::Message as _;
+use rainstand_cluster::links::whole;
+use rainstand_cluster::{recovery, status};
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
-use rainstand_copies::frames::Frame;
-use rainstand_copies::keys::{Register, Told, What};
-use rainstand_copies::versions::Publish;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes, WRITE_VARIABLE};
-use rainstand_group::links::whole;
-use rainstand_group::{recovery, status};
+use rainstand_replicated_state::frames::Frame;
+use rainstand_replicated_state::keys::{Register, Told, What};
+use rainstand_replicated_state::versions::Publish;
 use std::path::{Path, PathBuf};
 use world::{known, start, world, Running, World};
 
--- a/crates/group/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -3,8 +3,8 @@
 
 mod world;
 
-use rainstand_copies::keys::{Told, What};
-use rainstand_group::{recovery, Group};
+use rainstand_cluster::{recovery, Group};
+use rainstand_replicated_state::keys::{Told, What};
 use std::time::{Duration, Instant};
 use world::{known, start, world, HANGS};
 
@@ -74,7 +74,7 @@
         group.see(|member| {
             let own = member.disk();
             let in_all =
-                |config: &rainstand_replica::Config| config.votes(own) && config.members.len() == 3;
+                |config: &rainstand_raft::Config| config.votes(own) && config.members.len() == 3;
             member.shards().count() == 2
                 && member
                     .shards()
@@ -180,7 +180,7 @@
             .collect();
         (0..4)
             .filter(|s| {
-                rainstand_copies::layout::holders(&names, *s, 3)
+                rainstand_replicated_state::layout::holders(&names, *s, 3)
                     .iter()
                     .any(|k| names[*k].0 == "n4")
             })
--- a/crates/group/tests/world/mod.rs
+++ b/crates/cluster/tests/world/mod.rs
@@ -1,9 +1,9 @@
 //! Members, each with a thread, a runtime and a disk of its own; for tests and the bench.
 #![allow(dead_code)] // neither uses all of it
 
+use rainstand_cluster::{Group, Setup};
 use rainstand_config::schema;
-use rainstand_copies::keys::{Command, Start, Told, What};
-use rainstand_group::{Group, Setup};
+use rainstand_replicated_state::keys::{Command, Start, Told, What};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -75,7 +75,7 @@
             drop((local, runtime));
             // The disk's own thread ends once nobody gives it anything.
             let begun = Instant::now();
-            while rainstand_store::Folder::open(Path::new(&folder)).is_err() {
+            while rainstand_storage::Folder::open(Path::new(&folder)).is_err() {
                 assert!(begun.elapsed() < HANGS, "the disk is not free");
                 std::thread::yield_now();
             }
--- a/crates/control/tests/golden.rs
+++ b/crates/config-distribution/tests/golden.rs
@@ -4,12 +4,12 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Member, Pool, Route, Tenant, TrafficType, VERSION};
-use rainstand_control::delta::State;
-use rainstand_control::frames::{
+use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::frames::{
     Ask, Attach, Attached, ComeBack, Confirm, Delta, Down, Got, Kind, Lack, Named, Piece, Ping,
     Refuse, Thing, Up, Whole,
 };
-use rainstand_control::snapshot;
+use rainstand_config_distribution::snapshot;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 
 const FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/frames.hex");
--- a/crates/control/tests/rules.rs
+++ b/crates/config-distribution/tests/rules.rs
@@ -3,14 +3,14 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Member, Pool, Route, Tenant};
-use rainstand_control::attach::{order, Chooser, Who, SPREAD, WAIT_MOST};
-use rainstand_control::delta::{joined, State};
-use rainstand_control::frames::{
+use rainstand_config_distribution::attach::{order, Chooser, Who, SPREAD, WAIT_MOST};
+use rainstand_config_distribution::delta::{joined, State};
+use rainstand_config_distribution::frames::{
     Ask, Attach, Attached, Confirm, Delta, Down, Kind, Lack, Ping, Refuse, Thing, Up,
 };
-use rainstand_control::source::{self, Bounds, Source};
-use rainstand_control::subscriber::{Order, Pending, Subscriber, SILENT, STALE};
-use rainstand_control::{snapshot, Refused};
+use rainstand_config_distribution::source::{self, Bounds, Source};
+use rainstand_config_distribution::subscriber::{Order, Pending, Subscriber, SILENT, STALE};
+use rainstand_config_distribution::{snapshot, Refused};
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -89,7 +89,7 @@
         lists, kinds,
         "a list of the schema that no kind of thing carries would be lost on the way"
     );
-    let text = rainstand_stand_ins::size::Size::two_years()
+    let text = rainstand_test_servers::size::Size::two_years()
         .part(0.01)
         .rain();
     let files = rainstand_config::source::Memory::new([("a.rain", text.as_str())]);
@@ -233,11 +233,13 @@
         assert_eq!(changed, state, "{why}");
     }
     let mut without = good.clone();
-    without.removals.push(rainstand_control::frames::Named {
-        kind: Kind::Pool as i32,
-        name: "p".into(),
-        pool: "".into(),
-    });
+    without
+        .removals
+        .push(rainstand_config_distribution::frames::Named {
+            kind: Kind::Pool as i32,
+            name: "p".into(),
+            pool: "".into(),
+        });
     assert!(state
         .would(&without)
         .unwrap_err()
--- a/crates/control/tests/virtual_clock.rs
+++ b/crates/config-distribution/tests/virtual_clock.rs
@@ -9,12 +9,12 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration};
-use rainstand_control::attach::{Chooser, Who};
-use rainstand_control::delta::State;
-use rainstand_control::frames::{Delta, Down, Up};
-use rainstand_control::snapshot;
-use rainstand_control::source::{self, Bounds, Source};
-use rainstand_control::subscriber::{Event, Order, Pending, Subscriber};
+use rainstand_config_distribution::attach::{Chooser, Who};
+use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::frames::{Delta, Down, Up};
+use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::source::{self, Bounds, Source};
+use rainstand_config_distribution::subscriber::{Event, Order, Pending, Subscriber};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet, VecDeque};
 use std::time::Duration;
@@ -1128,7 +1128,7 @@
 #[cfg(feature = "planted")]
 #[test]
 fn planted_bugs_are_found() {
-    use rainstand_control::plant::{plant, BUGS};
+    use rainstand_config_distribution::plant::{plant, BUGS};
     let says = |bug: &str| match bug {
         "over-a-gap" | "history-off-by-one" => "something differed",
         "digest-unread" => "in force in part",
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`diff`] | what changed in meaning |
 //! | [`report`] | findings as a person or a program reads them; [`codes`] explains each |
 //!
-//! Nothing here decides about a ticket: that is `rainstand-route`, from the compiled message.
+//! Nothing here decides about a ticket: that is `rainstand-routing`, from the compiled message.
 //!
 //! ```
 //! use rainstand_config::{load, source::Memory};
--- a/crates/lab/src/jobs.rs
+++ b/crates/experiments/src/jobs.rs
@@ -4,7 +4,7 @@
 use crate::plans::Variant;
 use crate::results::{rows, Rows, Run};
 use rainstand_config::schema::{self, Configuration, Experiment};
-use rainstand_model::world;
+use rainstand_fleet_model::world;
 use std::collections::{HashSet, VecDeque};
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
--- a/crates/lab/src/plans.rs
+++ b/crates/experiments/src/plans.rs
@@ -4,11 +4,11 @@
     self, Configuration, Experiment, MemberPick, RepeatKind, TroubleKind, Varied,
 };
 use rainstand_config::units::{self, ONE};
-use rainstand_model::plan::{
+use rainstand_fleet_model::plan::{
     BelowPlan, Fault, FrontPlan, Habits, NetPlan, NodeKind, NodePlan, Pick, Plan, TenantPlan,
     Trouble, TypePlan, Whom, Work,
 };
-use rainstand_rules::Kind;
+use rainstand_invariants::Kind;
 use std::time::Duration;
 
 /// One point of what is varied.
@@ -395,7 +395,10 @@
         // It plays.
         let mut short = plan.clone();
         short.lasts = Duration::from_millis(300);
-        assert_eq!(rainstand_model::world::run(&short).unwrap().broken, None);
+        assert_eq!(
+            rainstand_fleet_model::world::run(&short).unwrap().broken,
+            None
+        );
     }
 
     #[test]
--- a/crates/lab/src/results.rs
+++ b/crates/experiments/src/results.rs
@@ -6,7 +6,7 @@
 use parquet::file::writer::SerializedFileWriter;
 use parquet::record::{RecordReader, RecordWriter};
 use parquet_derive::{ParquetRecordReader, ParquetRecordWriter};
-use rainstand_model::measure::Measured;
+use rainstand_fleet_model::measure::Measured;
 use serde::{Deserialize, Serialize};
 use std::fs::File;
 use std::path::Path;
@@ -172,7 +172,7 @@
             .map_or(String::new(), ToString::to_string),
         ..head
     };
-    let second = |(at, one): (usize, &rainstand_model::measure::Second)| Second {
+    let second = |(at, one): (usize, &rainstand_fleet_model::measure::Second)| Second {
         variant_number,
         seed,
         second: at as i64,
@@ -195,7 +195,7 @@
         runs: long(measured.node_runs[k]),
         busy_ms: long(measured.node_busy_ms[k]),
     };
-    let group = |what: &str, (name, jobs): (String, &rainstand_model::measure::Jobs)| Group {
+    let group = |what: &str, (name, jobs): (String, &rainstand_fleet_model::measure::Jobs)| Group {
         variant_number,
         seed,
         what: what.to_owned(),
--- a/crates/lab/src/stats.rs
+++ b/crates/experiments/src/stats.rs
@@ -30,7 +30,7 @@
 /// Mean and interval by Student's t; an infinite half for fewer than two values.
 ///
 /// ```
-/// use rainstand_lab::stats::mean;
+/// use rainstand_experiments::stats::mean;
 /// let one = mean(&[10.0, 12.0, 11.0, 13.0], 0.95);
 /// assert_eq!(one.mean, 11.5);
 /// assert!((one.half - 2.054).abs() < 0.001);
--- a/crates/lab/tests/experiments.rs
+++ b/crates/experiments/tests/experiments.rs
@@ -2,10 +2,10 @@
 //! compared, drawn.
 
 use rainstand_config::{load, schema::Configuration, source::Memory};
-use rainstand_lab::jobs::{alone, done, mark, play, Work, DONE};
-use rainstand_lab::plans::variants;
-use rainstand_lab::stats::{compare, Verdict};
-use rainstand_lab::{plot, results};
+use rainstand_experiments::jobs::{alone, done, mark, play, Work, DONE};
+use rainstand_experiments::plans::variants;
+use rainstand_experiments::stats::{compare, Verdict};
+use rainstand_experiments::{plot, results};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 
--- a/crates/model/benches/events.rs
+++ b/crates/fleet-model/benches/events.rs
@@ -1,9 +1,9 @@
-//! Events a second on one core by size of the fleet, and memory. `cargo bench -p rainstand-model`
+//! Events a second on one core by size of the fleet, and memory. `cargo bench -p rainstand-fleet-model`
 //!
 //! `SIZE=10000` plays the great one too: 10,000 nodes, 500 forwarders that know 100 each, 80 % load.
 
-use rainstand_model::plan::{FrontPlan, NodeKind, NodePlan, Plan, Work};
-use rainstand_model::world;
+use rainstand_fleet_model::plan::{FrontPlan, NodeKind, NodePlan, Plan, Work};
+use rainstand_fleet_model::world;
 use std::time::{Duration, Instant};
 
 fn memory() -> String {
--- a/crates/model/src/lib.rs
+++ b/crates/fleet-model/src/lib.rs
@@ -10,11 +10,11 @@
 //! | [`measure`] | what a run came to |
 //! | [`shrink`] | a smaller plan that still breaks a rule |
 //!
-//! Forwarders decide with [`rainstand_route::fleet::Fleet`], nodes of the project's kind with [`rainstand::Node`]: the
-//! very code that serves. The rules are checked after each step by [`rainstand_rules`].
+//! Forwarders decide with [`rainstand_routing::fleet::Fleet`], nodes of the project's kind with [`rainstand::Node`]: the
+//! very code that serves. The rules are checked after each step by [`rainstand_invariants`].
 //!
 //! ```
-//! use rainstand_model::{plan::Plan, world};
+//! use rainstand_fleet_model::{plan::Plan, world};
 //! let plan = Plan { lasts: std::time::Duration::from_secs(1), ..Plan::default() };
 //! let first = world::run(&plan).unwrap();
 //! assert!(first.honoured_share() > 0.99);
--- a/crates/model/src/measure.rs
+++ b/crates/fleet-model/src/measure.rs
@@ -1,7 +1,7 @@
 //! What a run came to. Times are microseconds where nothing else is said.
 
 use hdrhistogram::Histogram;
-use rainstand_rules::Broken;
+use rainstand_invariants::Broken;
 
 /// Times are told apart to three digits, up to an hour.
 const LONGEST_US: u64 = 3_600_000_000;
--- a/crates/model/src/node.rs
+++ b/crates/fleet-model/src/node.rs
@@ -11,7 +11,7 @@
     Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node as Decides, Outcome, Repeats, Say,
     Voice,
 };
-use rainstand_rules::Kind;
+use rainstand_invariants::Kind;
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/model/src/plan.rs
+++ b/crates/fleet-model/src/plan.rs
@@ -1,6 +1,6 @@
 //! What is modelled in one run: fleet, load, habits, faults. A plan and its seed settle the run to the byte.
 
-use rainstand_rules::Kind;
+use rainstand_invariants::Kind;
 use std::time::Duration;
 
 /// One kind of ticket.
--- a/crates/model/src/shrink.rs
+++ b/crates/fleet-model/src/shrink.rs
@@ -3,7 +3,7 @@
 
 use crate::plan::Plan;
 use crate::world;
-use rainstand_rules::Broken;
+use rainstand_invariants::Broken;
 use std::time::Duration;
 
 /// Runs that a search may take: each is shorter than the last.
--- a/crates/model/tests/below.rs
+++ b/crates/fleet-model/tests/below.rs
@@ -1,8 +1,10 @@
 //! Calls to the tier below: each comes back or is given up, what may have run below is not called again, and half of the
 //! tier dead costs no more than its part for long.
 
-use rainstand_model::plan::{BelowPlan, Fault, NodeKind, NodePlan, Plan, Trouble, Whom, Work};
-use rainstand_model::world;
+use rainstand_fleet_model::plan::{
+    BelowPlan, Fault, NodeKind, NodePlan, Plan, Trouble, Whom, Work,
+};
+use rainstand_fleet_model::world;
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
--- a/crates/model/tests/closed_forms.rs
+++ b/crates/fleet-model/tests/closed_forms.rs
@@ -1,10 +1,10 @@
 //! What theory knows, the model must meet: queues, shared cores, retries, warm-up.
 
-use rainstand_model::measure::Measured;
-use rainstand_model::plan::{
+use rainstand_fleet_model::measure::Measured;
+use rainstand_fleet_model::plan::{
     Fault, FrontPlan, Habits, NetPlan, NodeKind, NodePlan, Plan, Trouble, Whom, Work,
 };
-use rainstand_model::world;
+use rainstand_fleet_model::world;
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
--- a/crates/model/tests/faults.rs
+++ b/crates/fleet-model/tests/faults.rs
@@ -1,11 +1,11 @@
 //! Faults of every kind, alone and together: the rules hold, the same seed gives the same run, and a bug that was
 //! planted is found and shrunk.
 
-use rainstand_model::plan::{
+use rainstand_fleet_model::plan::{
     Bug, Fault, FrontPlan, Habits, NodeKind, NodePlan, Pick, Plan, TenantPlan, Trouble, Whom,
 };
-use rainstand_model::shrink::shrink;
-use rainstand_model::world;
+use rainstand_fleet_model::shrink::shrink;
+use rainstand_fleet_model::world;
 use std::time::Duration;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
--- a/crates/forwarder/benches/throughput.rs
+++ b/crates/forwarder/benches/throughput.rs
@@ -7,7 +7,7 @@
 use rainstand_config::{load, source::Memory};
 use rainstand_forwarder::{run, Hub};
 use rainstand_protocol::thrift;
-use rainstand_stand_ins::node::Make;
+use rainstand_test_servers::node::Make;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -2,9 +2,9 @@
 //! decisions. Read only. Bounded: few connections, short requests, one answer each.
 
 use crate::{room, Hub};
-use rainstand_route::decisions::{Decision, What};
-use rainstand_route::fleet::Seen;
-use rainstand_route::health::Standing;
+use rainstand_routing::decisions::{Decision, What};
+use rainstand_routing::fleet::Seen;
+use rainstand_routing::health::Standing;
 use serde::Serialize;
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -6,7 +6,7 @@
 //!
 //! A member is known to be the same one as long as links to it overlap. A link that we close ourselves proves nothing
 //! against it; after one that ended otherwise it is as old as the oldest link that still stands, and with none left
-//! nothing is known ([`rainstand_route::ramp`]). The last link is therefore not closed for its age, only when unused.
+//! nothing is known ([`rainstand_routing::ramp`]). The last link is therefore not closed for its age, only when unused.
 //!
 //! Invariant of a [`Link`]: `left` + what is in `out` = all bytes that were put; a call whose `until` is past `left`
 //! has not left whole.
@@ -17,7 +17,7 @@
 use nanorand::{Rng, WyRand};
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift::{self, What};
-use rainstand_route::fleet::Back;
+use rainstand_routing::fleet::Back;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::rc::Rc;
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -1,5 +1,5 @@
 //! A thin forwarder on sockets: dispatchers' tickets in front, nodes behind, and between them the decisions
-//! of `rainstand-route`, which settle where each goes, what follows a failure, and the one answer.
+//! of `rainstand-routing`, which settle where each goes, what follows a failure, and the one answer.
 //!
 //! | unit | job |
 //! | --- | --- |
@@ -27,12 +27,12 @@
 use rainstand_config::schema::Configuration;
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
-use rainstand_route::change::Change;
-use rainstand_route::fleet::{At, Back, End, Fleet, Step, Trip};
-use rainstand_route::health::Standing;
-use rainstand_route::split::mark;
-use rainstand_route::table::Ticket;
-use rainstand_route::Refused;
+use rainstand_routing::change::Change;
+use rainstand_routing::fleet::{At, Back, End, Fleet, Step, Trip};
+use rainstand_routing::health::Standing;
+use rainstand_routing::split::mark;
+use rainstand_routing::table::Ticket;
+use rainstand_routing::Refused;
 use seen::Metrics;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -215,7 +215,7 @@
     }
 
     /// A change of named things as a version, at the cost of what it says. Pools have their members whole: those that
-    /// this forwarder knows ([`rainstand_route::subset`]).
+    /// this forwarder knows ([`rainstand_routing::subset`]).
     ///
     /// # Errors
     /// Why it is refused; nothing has changed.
--- a/crates/forwarder/src/published.rs
+++ b/crates/forwarder/src/published.rs
@@ -3,11 +3,11 @@
 //! A pool comes with all its members as they then are, of which this forwarder takes those that it knows; a route with the
 //! one that it then stands before. Kinds that decide nothing about tickets here are left out.
 
-use rainstand_control::delta::{Item, Key, State};
-use rainstand_control::frames::{Delta, Kind, Thing};
-use rainstand_control::Refused;
-use rainstand_route::change::{Change, Kind as Of};
-use rainstand_route::subset::reduce_pool;
+use rainstand_config_distribution::delta::{Item, Key, State};
+use rainstand_config_distribution::frames::{Delta, Kind, Thing};
+use rainstand_config_distribution::Refused;
+use rainstand_routing::change::{Change, Kind as Of};
+use rainstand_routing::subset::reduce_pool;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a delta means for forwarder number `me`, from the state that it begins at.
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -13,8 +13,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
-use rainstand_route::fleet::{At, Back, Fleet, Over, Why};
-use rainstand_route::health::Standing;
+use rainstand_routing::fleet::{At, Back, Fleet, Over, Why};
+use rainstand_routing::health::Standing;
 use std::cell::RefCell;
 use std::time::Duration;
 
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -4,12 +4,12 @@
 use rainstand_config::schema::Configuration;
 use rainstand_config::{load, source::Memory};
 use rainstand_forwarder::{run, Hub};
-use rainstand_route::health::Standing;
-use rainstand_rules::Kind;
-use rainstand_stand_ins::caller::{Ask, Caller, Told};
-use rainstand_stand_ins::node::{node, Make, Node};
-use rainstand_stand_ins::script::Script;
-use rainstand_stand_ins::watch::Watch;
+use rainstand_invariants::Kind;
+use rainstand_routing::health::Standing;
+use rainstand_test_servers::caller::{Ask, Caller, Told};
+use rainstand_test_servers::node::{node, Make, Node};
+use rainstand_test_servers::script::Script;
+use rainstand_test_servers::watch::Watch;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/forwarder/tests/published.rs
+++ b/crates/forwarder/tests/published.rs
@@ -4,10 +4,10 @@
 use rainstand_config::schema::{
     Configuration, Limits, Member, Pool, Route, Target, Tenant, TrafficType,
 };
-use rainstand_control::delta::State;
+use rainstand_config_distribution::delta::State;
 use rainstand_forwarder::published::changes;
-use rainstand_route::subset::reduce;
-use rainstand_route::table::Table;
+use rainstand_routing::subset::reduce;
+use rainstand_routing::table::Table;
 
 /// A usable configuration of drawn things under few names, so that versions share some and not others.
 fn drawn(chance: &mut WyRand) -> Configuration {
--- a/crates/forwarder/tests/ramp.rs
+++ b/crates/forwarder/tests/ramp.rs
@@ -1,12 +1,12 @@
 //! Twenty forwarders on sockets before one member that starts anew and counts what comes: with N what its settings
 //! allow in a second of its life, at most 2√N + 2 more may be chance. The decisions have their own table
-//! (`crates/route/tests/ramp.rs`); here the links tell them what they know of the member.
+//! (`crates/routing/tests/ramp.rs`); here the links tell them what they know of the member.
 
 use rainstand_config::schema::Configuration;
 use rainstand_config::{load, source::Memory};
 use rainstand_forwarder::{run, Hub};
-use rainstand_stand_ins::caller::{Ask, Caller, Told};
-use rainstand_stand_ins::node::{node, Make, Node};
+use rainstand_test_servers::caller::{Ask, Caller, Told};
+use rainstand_test_servers::node::{node, Make, Node};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/rules/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -14,7 +14,7 @@
 //! steps kept of one ticket are at most [`STEPS`], so a long run costs memory by its tickets alone.
 //!
 //! ```
-//! use rainstand_rules::{Answer, Kind, Rules, Step};
+//! use rainstand_invariants::{Answer, Kind, Rules, Step};
 //! use std::time::Duration;
 //! let ms = Duration::from_millis;
 //! let mut rules = Rules::default();
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -4,7 +4,7 @@
 use crate::ring::{Filled, OnSocket, Ring};
 use crate::{descriptors, note, relay, send, Hub};
 use rainstand::Gauges;
-use rainstand_record::Tape;
+use rainstand_traffic_recorder::Tape;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::fmt;
--- a/crates/node/src/below.rs
+++ b/crates/node/src/below.rs
@@ -7,7 +7,7 @@
 use crate::ring::{Filled, OnSocket, Ring};
 use crate::{descriptors, http, take_in, Hub};
 use rainstand::Outcome;
-use rainstand_record::Tape;
+use rainstand_traffic_recorder::Tape;
 use std::cell::{Cell, OnceCell};
 use std::io;
 use std::net::SocketAddr;
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -5,7 +5,7 @@
 use crate::ring::Ring;
 use crate::{agent, thrift, Hub};
 use rainstand::{Gauges, Outcome};
-use rainstand_record::Tape;
+use rainstand_traffic_recorder::Tape;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -1,6 +1,6 @@
 //! Keyed tickets of a node in a group: the start is agreed on before the launch, the result before the answer.
 //!
-//! What is done at each step stands in `rainstand_copies::tickets`; here it is carried out. The decision module still
+//! What is done at each step stands in `rainstand_replicated_state::tickets`; here it is carried out. The decision module still
 //! settles what is let in and when it runs: its order to run is where the group is asked whether the key may start. To
 //! the module a ticket that the group turns away is one that never ran.
 //!
@@ -11,10 +11,10 @@
 use crate::{descriptors, note, send, Hub};
 use bytes::Bytes;
 use rainstand::Outcome;
-use rainstand_copies::keys::{Command, Start, Told, What};
-use rainstand_copies::member::News;
-use rainstand_copies::tickets::{step, Act, End, Event, Stage};
-use rainstand_group::{Group, Setup};
+use rainstand_cluster::{Group, Setup};
+use rainstand_replicated_state::keys::{Command, Start, Told, What};
+use rainstand_replicated_state::member::News;
+use rainstand_replicated_state::tickets::{step, Act, End, Event, Stage};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
--- a/crates/node/src/record.rs
+++ b/crates/node/src/record.rs
@@ -3,8 +3,8 @@
 
 use crate::Hub;
 use rainstand_config::schema::Recording;
-use rainstand_record::disk::{Disk, Folder};
-use rainstand_record::{Limits, Recorder, Tape};
+use rainstand_traffic_recorder::disk::{Disk, Folder};
+use rainstand_traffic_recorder::{Limits, Recorder, Tape};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/crates/replica/tests/golden.rs
+++ b/crates/raft/tests/golden.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
-use rainstand_replica::wire::{
+use rainstand_raft::wire::{
     Append, Appended, Aside, Base, Body, Config, Entry, Hard, Kind, Member, Message, Piece,
     Snapshot, Took, Vote, Voted,
 };
--- a/crates/replica/tests/small_worlds.rs
+++ b/crates/raft/tests/small_worlds.rs
@@ -5,8 +5,8 @@
 //! Elections come at any moment, without regard for a leader that is well: the search allows more than the program does.
 
 use foldhash::{HashSet, HashSetExt};
-use rainstand_replica::wire::{Hard, Snapshot};
-use rainstand_replica::{
+use rainstand_raft::wire::{Hard, Snapshot};
+use rainstand_raft::{
     Base, Change, Config, Entry, Id, Member, Message, Out, Replica, State, Times,
 };
 use std::collections::{BTreeMap, VecDeque};
@@ -453,11 +453,11 @@
     }
 }
 
-/// With a bug planted the search finds it: cargo test -p rainstand-replica --features planted
+/// With a bug planted the search finds it: cargo test -p rainstand-raft --features planted
 #[cfg(feature = "planted")]
 #[test]
 fn planted_bugs_are_found() {
-    use rainstand_replica::plant::plant;
+    use rainstand_raft::plant::plant;
     // `tail-kept` wants two leaders and a proposal of each, which is past a million states: the simulation finds it.
     for bug in ["early-answer", "vote-forgotten"] {
         plant(Some(bug));
--- a/crates/copies/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -3,7 +3,7 @@
 use crate::keys::{Command, Told};
 use crate::soft::Report;
 use bytes::Bytes;
-use rainstand_replica::{Id, Message};
+use rainstand_raft::{Id, Message};
 
 /// The first frame on a link, and again whenever something of it changed.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -223,7 +223,7 @@
     Behind(Behind),
     #[prost(message, tag = "7")]
     Soft(Report),
-    /// Of a process that is attached and no member, as `rainstand-control` has it; and what it is told.
+    /// Of a process that is attached and no member, as `rainstand-config-distribution` has it; and what it is told.
     #[prost(bytes = "bytes", tag = "8")]
     Up(Bytes),
     #[prost(bytes = "bytes", tag = "9")]
--- a/crates/copies/src/keys.rs
+++ b/crates/replicated-state/src/keys.rs
@@ -17,8 +17,8 @@
 use bytes::Bytes;
 use foldhash::HashMap;
 use prost::Message as _;
-use rainstand_control::Refused;
-use rainstand_replica::plant::planted;
+use rainstand_config_distribution::Refused;
+use rainstand_raft::plant::planted;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Claims taken back that are remembered of one key: a start that was slow on its way is not granted after it.
--- a/crates/copies/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -23,9 +23,9 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_replica::replica::Differs;
-use rainstand_replica::wire::{Body, Snapshot};
-use rainstand_replica::{Base, Config, Entry, Hard, Id, Kind, Replica, State, Times};
+use rainstand_raft::replica::Differs;
+use rainstand_raft::wire::{Body, Snapshot};
+use rainstand_raft::{Base, Config, Entry, Hard, Id, Kind, Replica, State, Times};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -928,7 +928,7 @@
                 Next::Settled | Next::Wait => {}
                 Next::HandTo(id) => drop(one.replica.hand_to(now, id)),
                 Next::Change(change) => {
-                    let adds = matches!(change, rainstand_replica::Change::Add(_));
+                    let adds = matches!(change, rainstand_raft::Change::Add(_));
                     if adds && learning >= self.options.moves {
                         continue;
                     }
@@ -1314,7 +1314,7 @@
             return;
         }
         let generation = self.generation;
-        let wrap = |message: rainstand_replica::Message| {
+        let wrap = |message: rainstand_raft::Message| {
             let to = message.to;
             (
                 to,
@@ -1566,7 +1566,7 @@
 
 /// A configuration in a few words.
 fn describe(config: &Config) -> String {
-    let one = |member: &rainstand_replica::Member| {
+    let one = |member: &rainstand_raft::Member| {
         format!(
             "{}/{:08x}{}",
             member.name,
--- a/crates/copies/src/moves.rs
+++ b/crates/replicated-state/src/moves.rs
@@ -3,7 +3,7 @@
 //! A learner comes first, catches up, votes; only then goes the one whose place it takes. A name that came back with
 //! another disk is wanted with that disk, and its old one goes like any other that is not wanted.
 
-use rainstand_replica::{Change, Config, Id, Member};
+use rainstand_raft::{Change, Config, Id, Member};
 
 /// What a shard's leader does next about its members.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/copies/src/soft.rs
+++ b/crates/replicated-state/src/soft.rs
@@ -5,7 +5,7 @@
 //! that comes back with lower counts has a later epoch. Whoever reads takes what was added since its last look, and leaves
 //! out a node whose count of reports has not moved for longer than a bound.
 
-use rainstand_replica::plant::planted;
+use rainstand_raft::plant::planted;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/copies/src/tickets.rs
+++ b/crates/replicated-state/src/tickets.rs
@@ -13,7 +13,7 @@
 
 use crate::keys::Told;
 use bytes::Bytes;
-use rainstand_replica::plant::planted;
+use rainstand_raft::plant::planted;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Stage {
--- a/crates/copies/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -15,9 +15,9 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use rainstand_control::delta::State;
-use rainstand_control::frames::Delta;
-use rainstand_control::{snapshot, Refused};
+use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::frames::Delta;
+use rainstand_config_distribution::{snapshot, Refused};
 use std::collections::VecDeque;
 use twox_hash::XxHash3_64;
 
--- a/crates/copies/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -4,15 +4,15 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
-use rainstand_control::delta::State;
-use rainstand_copies::frames::{
+use rainstand_config_distribution::delta::State;
+use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
+use rainstand_raft::wire::{Body, Message, Vote};
+use rainstand_replicated_state::frames::{
     Answer, Ask, Behind, Form, Formed, Frame, Hello, Mark, Raft, What, Witness, Witnessed, Word,
 };
-use rainstand_copies::keys::{Claim, Command, Register, Start, Table, What as Said};
-use rainstand_copies::soft::Report;
-use rainstand_copies::versions::Publish;
-use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
-use rainstand_replica::wire::{Body, Message, Vote};
+use rainstand_replicated_state::keys::{Claim, Command, Register, Start, Table, What as Said};
+use rainstand_replicated_state::soft::Report;
+use rainstand_replicated_state::versions::Publish;
 
 const FRAMES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/frames.hex");
 const COMMANDS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/commands.hex");
--- a/crates/copies/tests/versions.rs
+++ b/crates/replicated-state/tests/versions.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Tenant};
-use rainstand_control::delta::State;
-use rainstand_copies::keys::{Claim, Command, Table, Told, What};
-use rainstand_copies::versions::{Publish, MOST_CHANGE};
+use rainstand_config_distribution::delta::State;
+use rainstand_replicated_state::keys::{Claim, Command, Table, Told, What};
+use rainstand_replicated_state::versions::{Publish, MOST_CHANGE};
 
 /// Tenants of a share that tells versions apart.
 fn with(tenants: u32, share: u32) -> Configuration {
--- a/crates/route/benches/pick.rs
+++ b/crates/routing/benches/pick.rs
@@ -1,10 +1,10 @@
-//! Picks a second on one core, and what an open version costs. `cargo bench -p rainstand-route`
+//! Picks a second on one core, and what an open version costs. `cargo bench -p rainstand-routing`
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
-use rainstand_route::change::{Change, Kind};
-use rainstand_route::table::{Table, Ticket};
-use rainstand_route::versions::{Router, Verdict};
+use rainstand_routing::change::{Change, Kind};
+use rainstand_routing::table::{Table, Ticket};
+use rainstand_routing::versions::{Router, Verdict};
 use std::fmt::Write;
 use std::time::Duration;
 
--- a/crates/route/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,7 +25,7 @@
 //!
 //! ```
 //! use rainstand_config::{load, source::Memory};
-//! use rainstand_route::{table::Ticket, versions::{Router, Verdict}};
+//! use rainstand_routing::{table::Ticket, versions::{Router, Verdict}};
 //! use std::time::Duration;
 //!
 //! let text = "rain 1
--- a/crates/route/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -16,7 +16,7 @@
 ///
 /// ```
 /// use rainstand_config::{load, source::Memory};
-/// use rainstand_route::subset::reduce;
+/// use rainstand_routing::subset::reduce;
 /// let text = "rain 1
 /// pool p { know: 1; member a { address: \"10.0.0.1:1\" } member b { address: \"10.0.0.2:1\" } }
 /// route r { to: p }";
@@ -50,7 +50,7 @@
 /// The members that forwarder number `me` knows, in rounds, in order of their places.
 ///
 /// ```
-/// use rainstand_route::subset::in_rounds;
+/// use rainstand_routing::subset::in_rounds;
 /// // Ten members, two each: five forwarders are a round, and together know each member once.
 /// let mut all: Vec<usize> = (0..5).flat_map(|me| in_rounds(10, 2, me, 7)).collect();
 /// all.sort();
--- a/crates/route/tests/buckets.rs
+++ b/crates/routing/tests/buckets.rs
@@ -4,9 +4,9 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Per, Rate};
 use rainstand_config::units::ONE;
-use rainstand_route::limit::{Bucket, Full, Rule};
-use rainstand_route::table::Ticket;
-use rainstand_route::versions::{At, Router, Verdict, Way, Why};
+use rainstand_routing::limit::{Bucket, Full, Rule};
+use rainstand_routing::table::Ticket;
+use rainstand_routing::versions::{At, Router, Verdict, Way, Why};
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/route/tests/change.rs
+++ b/crates/routing/tests/change.rs
@@ -3,9 +3,9 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Match, Per, Rate, SplitBy};
 use rainstand_config::units::ONE;
-use rainstand_route::change::{Change, Kind};
-use rainstand_route::table::{Table, Ticket};
-use rainstand_route::versions::{Router, Verdict, Way};
+use rainstand_routing::change::{Change, Kind};
+use rainstand_routing::table::{Table, Ticket};
+use rainstand_routing::versions::{Router, Verdict, Way};
 use std::time::Duration;
 
 const SECOND: u64 = 1_000_000_000;
--- a/crates/route/tests/change_cost.rs
+++ b/crates/routing/tests/change_cost.rs
@@ -2,8 +2,8 @@
 
 use rainstand_config::schema::{self, Configuration, Match, Per, Rate};
 use rainstand_config::units::ONE;
-use rainstand_route::change::{Change, Kind};
-use rainstand_route::versions::Router;
+use rainstand_routing::change::{Change, Kind};
+use rainstand_routing::versions::Router;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
 use std::time::Duration;
--- a/crates/route/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -3,12 +3,12 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
-use rainstand_route::attempts::START;
-use rainstand_route::fleet::{Back, End, Fleet, Over, Step, Trip};
-use rainstand_route::health::{Reason, Standing};
-use rainstand_route::split::mark;
-use rainstand_route::table::Ticket;
-use rainstand_rules::{Answer, Broken, Kind, Rules, Step as Saw};
+use rainstand_invariants::{Answer, Broken, Kind, Rules, Step as Saw};
+use rainstand_routing::attempts::START;
+use rainstand_routing::fleet::{Back, End, Fleet, Over, Step, Trip};
+use rainstand_routing::health::{Reason, Standing};
+use rainstand_routing::split::mark;
+use rainstand_routing::table::Ticket;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
--- a/crates/route/tests/fleet_change.rs
+++ b/crates/routing/tests/fleet_change.rs
@@ -3,10 +3,10 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema;
 use rainstand_config::units::ONE;
-use rainstand_route::change::{Change, Kind};
-use rainstand_route::fleet::{Back, End, Fleet, Step};
-use rainstand_route::health::Standing;
-use rainstand_route::table::Ticket;
+use rainstand_routing::change::{Change, Kind};
+use rainstand_routing::fleet::{Back, End, Fleet, Step};
+use rainstand_routing::health::Standing;
+use rainstand_routing::table::Ticket;
 use std::time::Duration;
 
 /// A fleet of some pools and tenants, and changes of all that a fleet keeps by place.
--- a/crates/route/tests/no_allocation.rs
+++ b/crates/routing/tests/no_allocation.rs
@@ -1,8 +1,8 @@
 //! Nothing on a ticket's way allocates: counted by an allocator of this test's own.
 
 use rainstand_config::{load, source::Memory};
-use rainstand_route::table::Ticket;
-use rainstand_route::versions::{Router, Verdict};
+use rainstand_routing::table::Ticket;
+use rainstand_routing::versions::{Router, Verdict};
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
 use std::time::Duration;
--- a/crates/route/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -4,10 +4,10 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::Configuration;
 use rainstand_config::{load, source::Memory};
-use rainstand_route::fleet::{Back, End, Fleet, Send, Step, Trip};
-use rainstand_route::ramp::{Ramp, Rule};
-use rainstand_route::split::{mark, score};
-use rainstand_route::table::Ticket;
+use rainstand_routing::fleet::{Back, End, Fleet, Send, Step, Trip};
+use rainstand_routing::ramp::{Ramp, Rule};
+use rainstand_routing::split::{mark, score};
+use rainstand_routing::table::Ticket;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/route/tests/ways.rs
+++ b/crates/routing/tests/ways.rs
@@ -6,8 +6,8 @@
 use rainstand_config::schema::{self, Configuration, Match, Per, Rate, SplitBy};
 use rainstand_config::space::{first_match, miss, Points};
 use rainstand_config::units::ONE;
-use rainstand_route::table::{By, NoWay, Table, Ticket};
-use rainstand_route::versions::{At, Router, Verdict, Way, Why, MOST_VERSIONS};
+use rainstand_routing::table::{By, NoWay, Table, Ticket};
+use rainstand_routing::versions::{At, Router, Verdict, Way, Why, MOST_VERSIONS};
 use std::time::Duration;
 
 const SECOND: u64 = 1_000_000_000;
--- a/crates/store/benches/commit.rs
+++ b/crates/storage/benches/commit.rs
@@ -1,7 +1,7 @@
 //! Commits a second of this log and of two stores of the crates' registry, all with a flush for each commit: so many
 //! entries of 200 bytes each. Figures stand in `docs/design/copies.md`.
 
-use rainstand_store::{Folder, Limits, Record, Store};
+use rainstand_storage::{Folder, Limits, Record, Store};
 use std::time::{Duration, Instant};
 
 const LASTS: Duration = Duration::from_millis(1_500);
--- a/crates/store/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -94,7 +94,7 @@
 /// The first record of some bytes.
 ///
 /// ```
-/// use rainstand_store::record::{read, Read, Record};
+/// use rainstand_storage::record::{read, Read, Record};
 /// let (record, mut bytes) = (Record::Base { shard: 3, index: 7, alone: false }, Vec::new());
 /// record.write(&mut bytes);
 /// assert_eq!(read(&bytes), Read::Whole(record, bytes.len()));
--- a/crates/store/tests/crashes.rs
+++ b/crates/storage/tests/crashes.rs
@@ -2,9 +2,9 @@
 //! that a flush confirmed.
 
 use nanorand::{Rng, WyRand};
-use rainstand_store::faulty::{Faulty, Ills, Leaves};
-use rainstand_store::store::recover;
-use rainstand_store::{Disk, Limits, OpenError, Record, Recovered, Store};
+use rainstand_storage::faulty::{Faulty, Ills, Leaves};
+use rainstand_storage::store::recover;
+use rainstand_storage::{Disk, Limits, OpenError, Record, Recovered, Store};
 
 const SMALL: Limits = Limits {
     segment: 600,
@@ -421,13 +421,13 @@
     let path = folder.path().join("disk");
     let open = |chance| {
         Store::open(
-            rainstand_store::Folder::open(&path).unwrap(),
+            rainstand_storage::Folder::open(&path).unwrap(),
             SMALL,
             [chance, chance],
         )
     };
     let (mut store, _) = open(1).unwrap();
-    assert!(rainstand_store::Folder::open(&path).is_err());
+    assert!(rainstand_storage::Folder::open(&path).is_err());
     store.put(&entry(0, 1, "one"));
     store.flush().unwrap();
     store.save(0, 1, b"snapshot", false).unwrap();
--- a/crates/store/tests/golden.rs
+++ b/crates/storage/tests/golden.rs
@@ -1,9 +1,9 @@
 //! Records and files of a store, byte for byte as the version that introduced each wrote them.
 
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
-use rainstand_store::record::{read, Read, Record};
-use rainstand_store::store::recover;
-use rainstand_store::{Disk, Folder, Limits, Store};
+use rainstand_storage::record::{read, Read, Record};
+use rainstand_storage::store::recover;
+use rainstand_storage::{Disk, Folder, Limits, Store};
 use std::path::Path;
 
 const RECORDS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/records.hex");
--- a/crates/stand-ins/examples/size.rs
+++ b/crates/test-servers/examples/size.rs
@@ -1,7 +1,7 @@
 //! Prints a configuration at the size of two years, or a part of it:
-//! `cargo run -p rainstand-stand-ins --example size -- 0.25 per-tenant > /tmp/quarter.rain`.
+//! `cargo run -p rainstand-test-servers --example size -- 0.25 per-tenant > /tmp/quarter.rain`.
 
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_test_servers::size::{Limited, Size};
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
--- a/crates/stand-ins/src/caller.rs
+++ b/crates/test-servers/src/caller.rs
@@ -2,8 +2,8 @@
 
 use crate::watch::{trace, Watch};
 use foldhash::{HashMap, HashMapExt};
+use rainstand_invariants::{Answer, Kind};
 use rainstand_protocol::thrift::{self, What};
-use rainstand_rules::{Answer, Kind};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/stand-ins/src/script.rs
+++ b/crates/test-servers/src/script.rs
@@ -205,7 +205,7 @@
     /// The first line that is wrong, and why.
     ///
     /// ```
-    /// use rainstand_stand_ins::script::Script;
+    /// use rainstand_test_servers::script::Script;
     /// let flaw = Script::read("honour after 5ms\nexplode\n").unwrap_err();
     /// assert_eq!(flaw.to_string(), "line 2: `explode` is nothing that a node does");
     /// ```
--- a/crates/stand-ins/src/watch.rs
+++ b/crates/test-servers/src/watch.rs
@@ -1,7 +1,7 @@
 //! The checker of the rules, shared by the peers of one run: nodes tell it what ran, callers what they asked and
 //! what they were told. Tickets are known by their `trace`, sixteen hexadecimal digits.
 
-use rainstand_rules::{Answer, Broken, Kind, Rules, Step, Tally};
+use rainstand_invariants::{Answer, Broken, Kind, Rules, Step, Tally};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
--- a/crates/stand-ins/tests/size.rs
+++ b/crates/test-servers/tests/size.rs
@@ -2,7 +2,7 @@
 
 use rainstand_config::load;
 use rainstand_config::source::Memory;
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_test_servers::size::{Limited, Size};
 
 #[test]
 fn a_part_of_the_size_is_a_good_configuration() {
--- a/crates/rig/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -26,7 +26,7 @@
 
 use crate::history::{End, Event, Seen};
 use foldhash::{HashMap, HashMapExt};
-use rainstand_rules::{Answer, Kind, Rules, Step};
+use rainstand_invariants::{Answer, Kind, Rules, Step};
 use serde::Serialize;
 use std::fmt;
 use std::time::Duration;
--- a/crates/rig/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,19 +1,19 @@
-//! `rainstand-rig`: runs several processes of the program under faults and says whether the rules held.
+//! `rainstand-testbed`: runs several processes of the program under faults and says whether the rules held.
 
 mod sweep;
 
 use clap::{Args, Parser, Subcommand};
 use rainstand_config::schema::Rig;
 use rainstand_config::source::Disk;
-use rainstand_rig::check::{check, Break, Tally, Verdict};
-use rainstand_rig::history::{self, Unreadable};
-use rainstand_rig::peers::{agent, caller};
-use rainstand_rig::plan::{schedule, Step};
-use rainstand_rig::ready;
-use rainstand_rig::scale;
-use rainstand_rig::shrink::shrink;
-use rainstand_rig::sim::World;
-use rainstand_rig::stage::{play, Place, Report};
+use rainstand_testbed::check::{check, Break, Tally, Verdict};
+use rainstand_testbed::history::{self, Unreadable};
+use rainstand_testbed::peers::{agent, caller};
+use rainstand_testbed::plan::{schedule, Step};
+use rainstand_testbed::ready;
+use rainstand_testbed::scale;
+use rainstand_testbed::shrink::shrink;
+use rainstand_testbed::sim::World;
+use rainstand_testbed::stage::{play, Place, Report};
 use serde::{de::DeserializeOwned, Serialize};
 use serde_json::{json, Value};
 use std::fs::{self, File};
@@ -26,16 +26,16 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  rainstand-rig run experiments/rig/halves.rain --seed 7
-  rainstand-rig check history.jsonl --json
-  rainstand-rig scale --quick --nodes 200 --routes 1800 --tenants 7000
-  rainstand-rig sweep experiments/rig/everything.rain --seeds 1..200 --jobs 2
+  rainstand-testbed run experiments/rig/halves.rain --seed 7
+  rainstand-testbed check history.jsonl --json
+  rainstand-testbed scale --quick --nodes 200 --routes 1800 --tenants 7000
+  rainstand-testbed sweep experiments/rig/everything.rain --seeds 1..200 --jobs 2
 
 Exit codes: 0 clean, 1 a rule broke or a process fell over, 2 wrong use or what cannot be read or set up.";
 
 #[derive(Parser)]
 #[command(
-    name = "rainstand-rig",
+    name = "rainstand-testbed",
     version,
     about = "Processes of rainstand on loopback, and the faults between them"
 )]
@@ -218,7 +218,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(why) => {
-            eprintln!("rainstand-rig: {why}");
+            eprintln!("rainstand-testbed: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/rig/src/ready.rs
+++ b/crates/testbed/src/ready.rs
@@ -13,7 +13,7 @@
 use rainstand_config::schema::{self, GroupMember};
 use rainstand_config::source::Memory;
 use rainstand_protocol::thrift::{self, What};
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_test_servers::size::{Limited, Size};
 use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::{json, Value};
@@ -978,7 +978,7 @@
         run_most_ns: 2_000_000,
         history: folder.join(format!("{name}.part")),
     };
-    let mut command = Command::new(program("rainstand-rig", options.programs.as_deref())?);
+    let mut command = Command::new(program("rainstand-testbed", options.programs.as_deref())?);
     command.stdin(Stdio::null()).stdout(Stdio::piped());
     command.arg("agent").arg(serde_json::to_string(&told)?);
     let mut process = Process::start(&name, command, &folder.join(format!("{name}.log")))?;
--- a/crates/rig/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -13,13 +13,13 @@
 use super::{limits, Effort, Named, Place, Row, Sizes};
 use bytes::Bytes;
 use rainstand_config::schema::Configuration;
-use rainstand_control::attach::{Chooser, Who};
-use rainstand_control::delta::State;
-use rainstand_control::frames::Delta;
-use rainstand_control::source::{self, Bounds, Source};
-use rainstand_control::subscriber::{Order, Subscriber};
-use rainstand_control::{snapshot, Refused};
-use rainstand_stand_ins::size::Limited;
+use rainstand_config_distribution::attach::{Chooser, Who};
+use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::frames::Delta;
+use rainstand_config_distribution::source::{self, Bounds, Source};
+use rainstand_config_distribution::subscriber::{Order, Subscriber};
+use rainstand_config_distribution::{snapshot, Refused};
+use rainstand_test_servers::size::Limited;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::io;
@@ -689,8 +689,8 @@
         Trouble::AllKilled(Duration::from_secs(30)),
     )?;
     let parted = run((changes / 24).max(4), day, Trouble::Parted)?;
-    let note = "hollow, virtual clock; crates/control/src/source.rs, subscriber.rs";
-    let attach = "hollow, virtual clock; crates/control/src/attach.rs";
+    let note = "hollow, virtual clock; crates/config-distribution/src/source.rs, subscriber.rs";
+    let attach = "hollow, virtual clock; crates/config-distribution/src/attach.rs";
     let times = [
         (
             "a change, one in half a minute: commit to the last confirmation, 99th of 100",
@@ -832,7 +832,7 @@
         ));
     }
     let size = sizes.tenants as f64;
-    let note = "crates/control/src/snapshot.rs";
+    let note = "crates/config-distribution/src/snapshot.rs";
     let packed = node(
         "a start with nothing in hand: the packed snapshot",
         "B",
@@ -894,7 +894,7 @@
     }
     let size = sizes.nodes as f64;
     let note =
-        "hollow: the deciding code and its frames, without sockets; crates/control/src/source.rs";
+        "hollow: the deciding code and its frames, without sockets; crates/config-distribution/src/source.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a machine of six";
     let named = Named {
         role: "control machine",
@@ -902,7 +902,8 @@
         ..node(what, "% of a core", "nodes", None, note)
     };
     rows.push(Row::fitted(&named, &machines, size, Grows::Line, 1.0));
-    let note = "hollow, without putting it into force; crates/control/src/subscriber.rs";
+    let note =
+        "hollow, without putting it into force; crates/config-distribution/src/subscriber.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a process";
     let named = Named {
         counted: false,
@@ -945,7 +946,7 @@
             }
             let delta = next.delta_to(k - 1, k, &changed).map_err(refused)?;
             next.apply(&delta).map_err(refused)?;
-            let frame = rainstand_control::frames::Down::Delta(delta).encoded();
+            let frame = rainstand_config_distribution::frames::Down::Delta(delta).encoded();
             let begun = own_cpu();
             one.heard(Duration::ZERO, frame);
             one.in_force(k);
@@ -955,7 +956,7 @@
         change.push((size, took.as_secs_f64() / CHANGES as f64 * 1e6));
     }
     let size = sizes.tenants as f64;
-    let state = "crates/control/src/delta.rs";
+    let state = "crates/config-distribution/src/delta.rs";
     let named = |what, unit, note| Named {
         counted: false,
         ..node(what, unit, "tenants", None, note)
@@ -966,7 +967,7 @@
         state,
     );
     rows.push(Row::fitted(&cost, &change, size, Grows::Still, 1.0));
-    let note = "crates/control/src/snapshot.rs";
+    let note = "crates/config-distribution/src/snapshot.rs";
     let machine = |what| Named {
         role: "control machine",
         ..named(what, "ms", note)
--- a/crates/rig/src/scale/decisions.rs
+++ b/crates/testbed/src/scale/decisions.rs
@@ -6,9 +6,9 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::Memory;
-use rainstand_route::fleet::{Back, Fleet, Step};
-use rainstand_route::table::Ticket;
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_routing::fleet::{Back, Fleet, Step};
+use rainstand_routing::table::Ticket;
+use rainstand_test_servers::size::{Limited, Size};
 use std::io;
 use std::time::Duration;
 
@@ -125,7 +125,7 @@
                 unit: "ms",
                 by,
                 limit: Some(limits::ADDED_MS),
-                note: "in this process, processor time; crates/route/src/fleet.rs",
+                note: "in this process, processor time; crates/routing/src/fleet.rs",
                 counted: false,
             },
             &costs,
--- a/crates/rig/src/scale/forwarders.rs
+++ b/crates/testbed/src/scale/forwarders.rs
@@ -6,7 +6,7 @@
 use super::{limits, Effort, Named, Place, Row, Sizes};
 use crate::process::program;
 use rainstand_config::schema;
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_test_servers::size::{Limited, Size};
 use rustix::process::Signal;
 use std::fs;
 use std::io;
@@ -154,7 +154,7 @@
             unit,
             by,
             limit,
-            note: "crates/route/src/table.rs, versions.rs; the process compiles the text, crates/config",
+            note: "crates/routing/src/table.rs, versions.rs; the process compiles the text, crates/config",
             counted: false,
         }
         };
@@ -225,7 +225,7 @@
             "memory after a start from the compiled form above one route, limits on tenants",
             "MB",
             Some(limits::CONTROL_MB),
-            "crates/route/src/table.rs; nothing is compiled in the process",
+            "crates/routing/src/table.rs; nothing is compiled in the process",
         ),
         &compiled_rss,
         tenants,
@@ -294,7 +294,7 @@
     }
     let starts = up_to >= sizes.tenants as f64;
     let note = if starts {
-        "crates/route/src/versions.rs".to_owned()
+        "crates/routing/src/versions.rs".to_owned()
     } else {
         why
     };
--- a/crates/rig/src/scale/groups.rs
+++ b/crates/testbed/src/scale/groups.rs
@@ -7,9 +7,9 @@
 use super::{limits, settings, Effort, Named, Place, Row, Sizes};
 use crate::process::{free_port, program};
 use crate::proxy::Proxy;
+use rainstand_cluster::{links::whole, status};
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::Memory;
-use rainstand_group::{links::whole, status};
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
@@ -338,7 +338,7 @@
         .iter()
         .map(|(n, seen)| (*n, seen.own - first))
         .collect();
-    let links = "crates/group/src/links.rs, each linked to each";
+    let links = "crates/cluster/src/links.rs, each linked to each";
     let mut rows = vec![
         Row::fitted(
             &named(
@@ -394,7 +394,7 @@
     for (what, hollow, real) in compare(members, effort.window, place)?.all() {
         let what = format!("hollow group against as many processes: {what}");
         let note = format!(
-            "hollow {}, processes {}; their frames are counted by crates/rig/src/proxy.rs",
+            "hollow {}, processes {}; their frames are counted by crates/testbed/src/proxy.rs",
             super::table::figure(hollow),
             super::table::figure(real)
         );
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -9,9 +9,9 @@
 use super::{limits, Effort, Named, Place, Row, Sizes};
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_copies::frames::{Frame, What};
-use rainstand_copies::member::{Effects, Found, Member, Options, COMPACT};
-use rainstand_replica::Times;
+use rainstand_raft::Times;
+use rainstand_replicated_state::frames::{Frame, What};
+use rainstand_replicated_state::member::{Effects, Found, Member, Options, COMPACT};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
@@ -324,7 +324,7 @@
                 "greetings",
                 "members",
                 None,
-                "hollow; of each to each, and again at each change, crates/copies/src/member.rs",
+                "hollow; of each to each, and again at each change, crates/replicated-state/src/member.rs",
             ),
             &start,
             nodes,
@@ -339,7 +339,7 @@
                     "% of a core",
                     "members",
                     Some(limits::CONTROL_CPU),
-                    "hollow: without sockets; crates/copies/src/member.rs",
+                    "hollow: without sockets; crates/replicated-state/src/member.rs",
                 )
             },
             &cpu.iter().map(|p| (p.0, p.1 * p.0)).collect::<Vec<_>>(),
@@ -354,7 +354,7 @@
             "B/s",
             "members",
             None,
-            "hollow; heartbeats of shards, crates/replica/src/replica.rs",
+            "hollow; heartbeats of shards, crates/raft/src/replica.rs",
         ),
         &shared,
         nodes,
@@ -391,7 +391,7 @@
             unit: "B/s",
             by: "peers x tenants",
             limit: Some(limits::CONTROL_BYTES),
-            note: "hollow; all to each, twice a second; no program feeds it today; crates/copies/src/soft.rs",
+            note: "hollow; all to each, twice a second; no program feeds it today; crates/replicated-state/src/soft.rs",
             counted: true,
         },
         &points,
@@ -415,7 +415,7 @@
             unit: "tenants",
             by: "tenants",
             limit: None,
-            note: "hollow; a report of more than 4,096 tenants is dropped whole, crates/copies/src/soft.rs",
+            note: "hollow; a report of more than 4,096 tenants is dropped whole, crates/replicated-state/src/soft.rs",
             counted: true,
         },
         sizes.tenants as f64,
@@ -444,7 +444,7 @@
             unit: "frames/s",
             by: "shards",
             limit: None,
-            note: "hollow; heartbeat 50 ms, 3 copies, crates/replica/src/replica.rs",
+            note: "hollow; heartbeat 50 ms, 3 copies, crates/raft/src/replica.rs",
             counted: true,
         },
         &points,
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -1,4 +1,4 @@
-//! `rainstand-rig scale`: what the program costs by size, measured here and worked out at a size asked for.
+//! `rainstand-testbed scale`: what the program costs by size, measured here and worked out at a size asked for.
 //!
 //! | module | what it is | I/O |
 //! | --- | --- | --- |
@@ -30,7 +30,7 @@
 pub mod table;
 
 use fit::{fit, Grows, Line};
-use rainstand_stand_ins::size::{Limited, Size};
+use rainstand_test_servers::size::{Limited, Size};
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::path::PathBuf;
--- a/crates/rig/src/scale/nodes.rs
+++ b/crates/testbed/src/scale/nodes.rs
@@ -5,7 +5,7 @@
 use super::{limits, settings, Effort, Named, Place, Row, Sizes};
 use crate::process::{free_port, program};
 use rainstand_protocol::thrift;
-use rainstand_stand_ins::node::Make;
+use rainstand_test_servers::node::Make;
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::fs;
--- a/crates/rig/src/scale/table.rs
+++ b/crates/testbed/src/scale/table.rs
@@ -13,7 +13,7 @@
 /// Sizes past which nothing here was thought through, and tenants past which a share has no step.
 const MOST: u64 = 1_000_000;
 
-/// `rainstand-rig scale`.
+/// `rainstand-testbed scale`.
 #[derive(Args, Clone)]
 pub struct Options {
     /// One JSON object
--- a/crates/rig/src/shrink.rs
+++ b/crates/testbed/src/shrink.rs
@@ -10,8 +10,8 @@
 /// `fails` plays a schedule and says whether it broke something.
 ///
 /// ```
-/// use rainstand_rig::plan::{Act, Disk, Step};
-/// use rainstand_rig::shrink::shrink;
+/// use rainstand_testbed::plan::{Act, Disk, Step};
+/// use rainstand_testbed::shrink::shrink;
 /// use std::time::Duration;
 /// let kill = |fault| Step {
 ///     from: Duration::from_millis(fault as u64), until: Duration::from_secs(1), fault,
--- a/crates/rig/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -7,14 +7,14 @@
 use foldhash::HashMap;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_copies::frames::Frame;
-use rainstand_copies::keys::{Command, Start, Told, What};
-use rainstand_copies::member::{Effects, Member, News, Options, Write};
-use rainstand_copies::tickets::{self, Act, Stage};
-use rainstand_group::disk::{found, put};
-use rainstand_replica::Times;
-use rainstand_store::faulty::{Faulty, Ills, Leaves};
-use rainstand_store::{Limits, OpenError, Recovered, Store};
+use rainstand_cluster::disk::{found, put};
+use rainstand_raft::Times;
+use rainstand_replicated_state::frames::Frame;
+use rainstand_replicated_state::keys::{Command, Start, Told, What};
+use rainstand_replicated_state::member::{Effects, Member, News, Options, Write};
+use rainstand_replicated_state::tickets::{self, Act, Stage};
+use rainstand_storage::faulty::{Faulty, Ills, Leaves};
+use rainstand_storage::{Limits, OpenError, Recovered, Store};
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
@@ -466,7 +466,7 @@
             Err(OpenError::Damaged(_)) => {
                 // As the program does: what cannot be believed is set aside, and the disk begins anew.
                 let mut folder = disk.clone();
-                let _ = rainstand_store::Disk::set_aside(&mut folder);
+                let _ = rainstand_storage::Disk::set_aside(&mut folder);
                 match Store::open(folder, limits, chance) {
                     Ok(opened) => opened,
                     Err(why) => {
@@ -658,7 +658,7 @@
     fn anew(&mut self, node: usize) {
         self.out.swaps += 1;
         self.crash(node);
-        let _ = rainstand_store::Disk::set_aside(&mut self.nodes[node].disk);
+        let _ = rainstand_storage::Disk::set_aside(&mut self.nodes[node].disk);
         self.later(50 * MS, Step::Up { node });
     }
 
@@ -735,7 +735,7 @@
         let lossy = self.ills.contains(&Some(Ill::Lossy));
         let slow = self.ills.contains(&Some(Ill::Slow));
         // A link that loses these breaks, and says them again when it is back.
-        use rainstand_copies::frames::What as Said;
+        use rainstand_replicated_state::frames::What as Said;
         let lossy = lossy
             && !matches!(
                 frame.what,
@@ -886,7 +886,7 @@
             }
             for (_, replica, _) in member.shards().filter(|shard| shard.1.leads()) {
                 led += 1;
-                let there = |one: &rainstand_replica::Member| one.votes && disks.contains(&one.id);
+                let there = |one: &rainstand_raft::Member| one.votes && disks.contains(&one.id);
                 let caught_up = replica
                     .progress()
                     .all(|(_, matched, _)| matched >= replica.commit());
@@ -1290,8 +1290,8 @@
 /// Whether a frame grants a vote.
 fn votes(frame: &Frame) -> bool {
     let body = match &frame.what {
-        Some(rainstand_copies::frames::What::Raft(raft)) => &raft.message.body,
+        Some(rainstand_replicated_state::frames::What::Raft(raft)) => &raft.message.body,
         _ => return false,
     };
-    matches!(body, Some(rainstand_replica::wire::Body::Voted(voted)) if voted.granted && !voted.pre)
+    matches!(body, Some(rainstand_raft::wire::Body::Voted(voted)) if voted.granted && !voted.pre)
 }
--- a/crates/rig/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -7,8 +7,8 @@
 use crate::plan::{Act, Disk, Link, Step, Trouble, AFTER};
 use crate::process::{free_port, program, starts, Process, COMES_UP};
 use crate::proxy::Proxy;
+use rainstand_cluster::{links::whole, status};
 use rainstand_config::schema::{self, Configuration, Rig};
-use rainstand_group::{links::whole, status};
 use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::json;
@@ -397,7 +397,10 @@
     }
 
     fn me(&self) -> io::Result<Command> {
-        let mut command = Command::new(program("rainstand-rig", self.place.programs.as_deref())?);
+        let mut command = Command::new(program(
+            "rainstand-testbed",
+            self.place.programs.as_deref(),
+        )?);
         command.stdin(Stdio::null()).stdout(Stdio::piped());
         Ok(command)
     }
--- a/crates/rig/src/sweep.rs
+++ b/crates/testbed/src/sweep.rs
@@ -2,9 +2,9 @@
 
 use crate::{lines_of, Play};
 use indicatif::{ProgressBar, ProgressStyle};
-use rainstand_rig::check::check;
-use rainstand_rig::history::{End, Event, Line, Seen};
-use rainstand_rig::sim::{self, Outcome, World};
+use rainstand_testbed::check::check;
+use rainstand_testbed::history::{End, Event, Line, Seen};
+use rainstand_testbed::sim::{self, Outcome, World};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::fs::{self, OpenOptions};
@@ -223,7 +223,7 @@
         for _ in 0..jobs.clamp(1, 64) {
             scope.spawn(|| {
                 #[cfg(feature = "planted")]
-                rainstand_replica::plant::plant(bug);
+                rainstand_raft::plant::plant(bug);
                 loop {
                     let seed = seeds.start + next.fetch_add(1, Ordering::Relaxed) as u64;
                     let found = bug.is_some() && all.lock().is_ok_and(|all| !all.failed.is_empty());
--- a/crates/rig/tests/control_fleet.rs
+++ b/crates/testbed/tests/control_fleet.rs
@@ -1,9 +1,9 @@
 //! A small fleet that takes versions of its configuration, on a virtual clock: what is asked of the large
 //! one, as counts and virtual times, the same on every run.
 
-use rainstand_rig::scale::control::{watch, Spec, Trouble, MACHINES};
-use rainstand_rig::scale::{decisions, Sizes};
-use rainstand_stand_ins::size::Limited;
+use rainstand_test_servers::size::Limited;
+use rainstand_testbed::scale::control::{watch, Spec, Trouble, MACHINES};
+use rainstand_testbed::scale::{decisions, Sizes};
 use std::time::Duration;
 
 const EVERY: Duration = Duration::from_millis(600);
--- a/crates/rig/tests/histories.rs
+++ b/crates/testbed/tests/histories.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rainstand_rig::check::check;
-use rainstand_rig::history::{event, read, End, Event, Seen};
+use rainstand_testbed::check::check;
+use rainstand_testbed::history::{event, read, End, Event, Seen};
 
 fn ask(at: u64, ticket: &str, key: &str, body: &str, node: &str) -> String {
     let key = if key.is_empty() {
--- a/crates/rig/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -2,8 +2,8 @@
 
 use rainstand_config::schema::Rig;
 use rainstand_config::source::Disk;
-use rainstand_rig::plan::schedule;
-use rainstand_rig::stage::{play, Place, Report};
+use rainstand_testbed::plan::schedule;
+use rainstand_testbed::stage::{play, Place, Report};
 use std::path::Path;
 use std::sync::{Condvar, Mutex};
 use tokio::task::LocalSet;
@@ -39,7 +39,7 @@
 
 fn played(rig: &Rig, seed: u64) -> Report {
     let folder = tempfile::tempdir().unwrap();
-    let programs = Path::new(env!("CARGO_BIN_EXE_rainstand-rig"))
+    let programs = Path::new(env!("CARGO_BIN_EXE_rainstand-testbed"))
         .parent()
         .map(Path::to_owned);
     let place = Place {
--- a/crates/rig/tests/ready.rs
+++ b/crates/testbed/tests/ready.rs
@@ -1,13 +1,13 @@
 //! Processes that are restarted all at once. Verdicts are on what came, not on when: the times are the command's.
 
-use rainstand_rig::ready::{play, Discovery, End, Form, Kind, OfKind, Options, Report, Times};
+use rainstand_testbed::ready::{play, Discovery, End, Form, Kind, OfKind, Options, Report, Times};
 use serde_json::Value;
 use std::path::Path;
 use std::process::Command;
 use std::time::Duration;
 use tokio::task::LocalSet;
 
-const RIG: &str = env!("CARGO_BIN_EXE_rainstand-rig");
+const RIG: &str = env!("CARGO_BIN_EXE_rainstand-testbed");
 
 fn few(discovery: Discovery, end: End) -> Options {
     Options {
--- a/crates/rig/tests/scale.rs
+++ b/crates/testbed/tests/scale.rs
@@ -1,8 +1,8 @@
-//! `rainstand-rig scale`: fits that refuse what bends, and a small run whose verdicts stand on counts alone.
+//! `rainstand-testbed scale`: fits that refuse what bends, and a small run whose verdicts stand on counts alone.
 
-use rainstand_rig::scale::fit::{fit, Bends, Grows};
-use rainstand_rig::scale::hollow::{watch, Spec};
-use rainstand_rig::scale::{decisions, measure, meet, table, Effort, Named, Place, Row, Sizes};
+use rainstand_testbed::scale::fit::{fit, Bends, Grows};
+use rainstand_testbed::scale::hollow::{watch, Spec};
+use rainstand_testbed::scale::{decisions, measure, meet, table, Effort, Named, Place, Row, Sizes};
 use std::process::{Command, Output};
 use std::time::Duration;
 
@@ -234,7 +234,7 @@
     }
     // And past what they were drawn from: a compiled form twelve times as large as the small run's largest.
     let part = 0.25;
-    let size = Sizes::default().configuration(part, rainstand_stand_ins::size::Limited::Tenants);
+    let size = Sizes::default().configuration(part, rainstand_test_servers::size::Limited::Tenants);
     let configuration = decisions::compiled(&size).expect("a configuration");
     let bytes = rainstand_config::schema::to_binary(&configuration).len() as f64 / 1e6;
     let row = two_years
@@ -249,7 +249,7 @@
 }
 
 fn rig(arguments: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_rainstand-rig"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rainstand-testbed"));
     command
         .arg("scale")
         .args(arguments)
--- a/crates/rig/tests/simulated.rs
+++ b/crates/testbed/tests/simulated.rs
@@ -1,7 +1,7 @@
-//! Groups on a virtual clock under faults, with seeds that are few and fixed; sweeps are `rainstand-rig sim`.
+//! Groups on a virtual clock under faults, with seeds that are few and fixed; sweeps are `rainstand-testbed sim`.
 
-use rainstand_rig::check::check;
-use rainstand_rig::sim::{play, World};
+use rainstand_testbed::check::check;
+use rainstand_testbed::sim::{play, World};
 
 #[test]
 fn groups_keep_the_rules_through_faults_of_all_kinds() {
--- a/examples/forwarder/three_nodes.rs
+++ b/examples/forwarder/three_nodes.rs
@@ -6,10 +6,10 @@
 //! Node three fails every ticket: checks are honoured by the others all the same, registrations that met it
 //! are given up, since they may have run; after some failures it is left out. The caller prints what came of each.
 
-use rainstand_rules::Kind;
-use rainstand_stand_ins::caller::{Ask, Caller, Told};
-use rainstand_stand_ins::node::Make;
-use rainstand_stand_ins::script::Script;
+use rainstand_invariants::Kind;
+use rainstand_test_servers::caller::{Ask, Caller, Told};
+use rainstand_test_servers::node::Make;
+use rainstand_test_servers::script::Script;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::sleep;
