--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
-use rainstand_raft::{Entry, Hard, State};
+use rainstand_raft::{Entry, HardState, PersistentState};
 use rainstand_replicated_state::frames::{Form, Witness};
 use rainstand_replicated_state::member::{
     Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_NAME, NOTE_WITNESS,
@@ -23,9 +23,9 @@
     };
     for (shard, one) in &recovered.shards {
         let flaw = |what: &str, why: prost::DecodeError| format!("shard {shard}: {what}: {why}");
-        let mut state = State::default();
+        let mut state = PersistentState::default();
         if let Some(data) = &one.hard {
-            state.hard = Hard::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
+            state.hard_state = HardState::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
         }
         if let Some((_, data)) = &one.snapshot {
             state.snapshot =
@@ -88,7 +88,7 @@
     {
         return store.save(
             *shard,
-            snapshot.base.index,
+            snapshot.metadata.index,
             &snapshot.encode_to_vec(),
             *alone,
         );
--- a/crates/cluster/src/host.rs
+++ b/crates/cluster/src/host.rs
@@ -11,7 +11,7 @@
 use prost::Message as _;
 use rainstand_config::schema;
 use rainstand_config_distribution::source::Bounds;
-use rainstand_raft::Times;
+use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::keys::{Command, Told};
 use rainstand_replicated_state::member::{Effects, Member, News, Options, Write, COMPACT};
@@ -338,7 +338,7 @@
                             records: std::mem::take(&mut records),
                         });
                     }
-                    let (index, data) = (snapshot.base.index, snapshot.encode_to_vec());
+                    let (index, data) = (snapshot.metadata.index, snapshot.encode_to_vec());
                     writer.give(Job::Save {
                         number: number - 1,
                         shard,
@@ -512,9 +512,9 @@
         members: of(&settings.members),
         shards: settings.shards as u16,
         copies: settings.copies as usize,
-        times: Times {
-            heartbeat: span(settings.heartbeat_ns),
-            election: [
+        times: Timeouts {
+            heartbeat_interval: span(settings.heartbeat_ns),
+            election_timeout: [
                 span(settings.election_least_ns),
                 span(settings.election_most_ns),
             ],
--- a/crates/cluster/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -7,7 +7,7 @@
 use crate::disk::found;
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
-use rainstand_raft::{Base, Config, Kind};
+use rainstand_raft::{SnapshotMetadata, Membership, EntryKind};
 use rainstand_replicated_state::frames::{Form, Formed};
 use rainstand_replicated_state::keys::{Command, Table};
 use rainstand_replicated_state::member::{NOTE_FORM, NOTE_GENERATION};
@@ -72,18 +72,18 @@
         else {
             lost.missing.push(shard);
             // Begins empty, as at the group's beginning.
-            let config = Config::of([(identity.disk, name.to_owned())]);
-            let base = Base {
+            let config = Membership::from_voters([(identity.disk, name.to_owned())]);
+            let base = SnapshotMetadata {
                 index: 1,
                 term: 1,
                 stamp: 0,
-                sum: 1,
+                checksum: 1,
                 config,
             };
             saves.push((
                 shard,
                 Snapshot {
-                    base,
+                    metadata: base,
                     data: Vec::new().into(),
                 },
             ));
@@ -98,13 +98,13 @@
                 .restore(snapshot.data.clone())
                 .map_err(|why| format!("shard {shard}: {why}"))?;
         }
-        let mut base = snapshot.base.clone();
-        let mut sum = base.sum;
+        let mut base = snapshot.metadata.clone();
+        let mut sum = base.checksum;
         for entry in &state.entries {
-            sum = entry.sum(sum);
-            (base.index, base.term, base.stamp, base.sum) =
+            sum = entry.checksum(sum);
+            (base.index, base.term, base.stamp, base.checksum) =
                 (entry.index, entry.term, entry.stamp, sum);
-            if entry.kind() == Kind::Data {
+            if entry.kind() == EntryKind::Data {
                 if let Ok(command) = Command::decode(entry.data.clone()) {
                     table.apply(entry.stamp, &command);
                 }
@@ -113,17 +113,17 @@
         lost.shards.push(LostShard {
             shard,
             last: base.index,
-            committed: snapshot.base.index,
+            committed: snapshot.metadata.index,
             keys: table.len(),
             started: table.started().take(NAMED).map(|key| shown(key)).collect(),
         });
-        base.config = Config::of([(identity.disk, name.to_owned())]);
+        base.config = Membership::from_voters([(identity.disk, name.to_owned())]);
         // Behind all that was: no entry of before has this index and another content.
-        (base.index, base.term) = (base.index + 1, base.term.max(state.hard.term) + 1);
+        (base.index, base.term) = (base.index + 1, base.term.max(state.hard_state.term) + 1);
         saves.push((
             shard,
             Snapshot {
-                base,
+                metadata: base,
                 data: table.keep(),
             },
         ));
@@ -160,7 +160,7 @@
     });
     for (shard, snapshot) in saves {
         store
-            .save(shard, snapshot.base.index, &snapshot.encode_to_vec(), true)
+            .save(shard, snapshot.metadata.index, &snapshot.encode_to_vec(), true)
             .map_err(|why| format!("shard {shard}: {why}"))?;
     }
     store.flush().map_err(|why| why.to_string())?;
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 use prost::Message as _;
 use rainstand_config_distribution::snapshot;
+use rainstand_raft::Role;
 use rainstand_replicated_state::keys::{Command, Told, What};
 use rainstand_replicated_state::member::Member;
 use rainstand_replicated_state::versions::Publish;
@@ -124,6 +125,17 @@
     }
 }
 
+/// A role as the JSON output names it.
+fn role_word(role: Role) -> &'static str {
+    match role {
+        Role::Follower => "follower",
+        Role::PreCandidate => "asking",
+        Role::Candidate => "candidate",
+        Role::Leader => "leader",
+        Role::Quarantined => "aside",
+    }
+}
+
 fn id(disk: u64) -> String {
     format!("{disk:016x}")
 }
@@ -159,12 +171,12 @@
                     })
                     .collect();
                 let of: Vec<Value> = replica
-                    .config()
+                    .membership()
                     .members
                     .iter()
-                    .map(|one| json!({"name": one.name, "disk": id(one.id), "votes": one.votes}))
+                    .map(|one| json!({"name": one.name, "disk": id(one.id), "votes": one.is_voter}))
                     .collect();
-                json!({"shard": shard, "role": format!("{:?}", replica.role()).to_lowercase(),
+                json!({"shard": shard, "role": role_word(replica.role()),
                     "leader": replica.leader().map(|disk| name_of(member, disk)),
                     "term": replica.term(), "commit": replica.commit(), "applied": replica.applied(),
                     "last": replica.log().last(), "base": replica.log().base().index,
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -81,11 +81,11 @@
         group.see(|member| {
             let own = member.disk();
             let in_all =
-                |config: &rainstand_raft::Config| config.votes(own) && config.members.len() == 3;
+                |config: &rainstand_raft::Membership| config.is_voter(own) && config.members.len() == 3;
             member.shards().count() == 2
                 && member
                     .shards()
-                    .all(|(_, replica, _)| replica.settled() && in_all(replica.config()))
+                    .all(|(_, replica, _)| replica.is_membership_committed() && in_all(replica.membership()))
         })
     };
     while !n3.tell(move |group| votes(group)) {
@@ -199,7 +199,7 @@
             let own = member.disk();
             member
                 .shards()
-                .filter(|one| one.1.settled() && one.1.config().votes(own))
+                .filter(|one| one.1.is_membership_committed() && one.1.membership().is_voter(own))
                 .count()
         })
     };
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -157,7 +157,7 @@
             shard = shard,
             what = format_args!(
                 "entry {}: {:016x} here, {:016x} there",
-                differs.index, differs.own, differs.most
+                differs.index, differs.own_checksum, differs.majority_checksum
             )
         ),
         News::OldCopy { why } => {
--- a/crates/raft/src/copies.rs
+++ b/crates/raft/src/copies.rs
@@ -6,25 +6,25 @@
 //! files aside, votes for nothing, and is rebuilt as a new member. Nothing is overwritten in silence, and where no
 //! majority agrees nobody is set aside.
 
-use crate::wire::Id;
+use crate::wire::ReplicaId;
 
 /// Who is odd.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Odd {
+pub enum DivergenceVerdict {
     /// No majority agrees yet.
-    Unknown,
+    Undecided,
     /// These voters, against the leader and most others.
-    Others(Vec<Id>),
+    Minority(Vec<ReplicaId>),
     /// The leader itself, against most others, who agree with each other on this checksum.
     Leader(u64),
 }
 
 /// `agree`: voters known to have what the leader has, the leader with them; `differ`: those that told another
 /// checksum for the same index and term.
-pub fn odd(voters: usize, agree: usize, differ: &[(Id, u64)]) -> Odd {
+pub fn judge_divergence(voters: usize, agree: usize, differ: &[(ReplicaId, u64)]) -> DivergenceVerdict {
     let majority = voters / 2 + 1;
     if agree >= majority {
-        return Odd::Others(differ.iter().map(|one| one.0).collect());
+        return DivergenceVerdict::Minority(differ.iter().map(|one| one.0).collect());
     }
     let alike = |sum: u64| differ.iter().filter(|one| one.1 == sum).count();
     match differ
@@ -32,8 +32,8 @@
         .map(|one| one.1)
         .find(|sum| alike(*sum) >= majority)
     {
-        Some(sum) => Odd::Leader(sum),
-        None => Odd::Unknown,
+        Some(sum) => DivergenceVerdict::Leader(sum),
+        None => DivergenceVerdict::Undecided,
     }
 }
 
@@ -43,20 +43,20 @@
 
     #[test]
     fn most_voters_have_the_truth() {
-        type Case<'a> = (usize, usize, &'a [(Id, u64)], Odd);
+        type Case<'a> = (usize, usize, &'a [(ReplicaId, u64)], DivergenceVerdict);
         let table: &[Case] = &[
-            (3, 2, &[(9, 5)], Odd::Others(vec![9])),
-            (3, 1, &[(9, 5)], Odd::Unknown),
-            (3, 1, &[(8, 5), (9, 5)], Odd::Leader(5)),
-            (3, 1, &[(8, 5), (9, 6)], Odd::Unknown),
-            (5, 3, &[(8, 5), (9, 6)], Odd::Others(vec![8, 9])),
-            (5, 2, &[(7, 5), (8, 5), (9, 5)], Odd::Leader(5)),
-            (5, 2, &[(7, 5), (8, 5), (9, 6)], Odd::Unknown),
-            (1, 1, &[], Odd::Others(vec![])),
+            (3, 2, &[(9, 5)], DivergenceVerdict::Minority(vec![9])),
+            (3, 1, &[(9, 5)], DivergenceVerdict::Undecided),
+            (3, 1, &[(8, 5), (9, 5)], DivergenceVerdict::Leader(5)),
+            (3, 1, &[(8, 5), (9, 6)], DivergenceVerdict::Undecided),
+            (5, 3, &[(8, 5), (9, 6)], DivergenceVerdict::Minority(vec![8, 9])),
+            (5, 2, &[(7, 5), (8, 5), (9, 5)], DivergenceVerdict::Leader(5)),
+            (5, 2, &[(7, 5), (8, 5), (9, 6)], DivergenceVerdict::Undecided),
+            (1, 1, &[], DivergenceVerdict::Minority(vec![])),
         ];
         for (voters, agree, differ, wanted) in table {
             assert_eq!(
-                odd(*voters, *agree, differ),
+                judge_divergence(*voters, *agree, differ),
                 *wanted,
                 "{voters} {agree} {differ:?}"
             );
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -29,5 +29,5 @@
 pub mod replica;
 pub mod wire;
 
-pub use replica::{Change, Out, Refused, Replica, Role, State, Times};
-pub use wire::{Base, Config, Entry, Hard, Id, Kind, Member, Message};
+pub use replica::{MembershipChange, Ready, ProposalError, Replica, Role, PersistentState, Timeouts};
+pub use wire::{SnapshotMetadata, Membership, Entry, HardState, ReplicaId, EntryKind, Member, Message};
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -2,19 +2,19 @@
 //!
 //! Invariant: `entries[k].index == base.index + 1 + k`; `sums[k]` is the running checksum up to it.
 
-use crate::wire::{Base, Entry};
+use crate::wire::{SnapshotMetadata, Entry};
 use std::collections::VecDeque;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Log {
-    base: Base,
+    base: SnapshotMetadata,
     entries: VecDeque<Entry>,
     sums: VecDeque<u64>,
     bytes: usize,
 }
 
 impl Log {
-    pub fn new(base: Base, entries: impl IntoIterator<Item = Entry>) -> Self {
+    pub fn new(base: SnapshotMetadata, entries: impl IntoIterator<Item = Entry>) -> Self {
         let mut log = Self {
             base,
             entries: VecDeque::new(),
@@ -27,7 +27,7 @@
         log
     }
 
-    pub fn base(&self) -> &Base {
+    pub fn base(&self) -> &SnapshotMetadata {
         &self.base
     }
 
@@ -80,7 +80,7 @@
     /// The running checksum up to an index.
     pub fn sum(&self, index: u64) -> Option<u64> {
         if index == self.base.index {
-            return Some(self.base.sum);
+            return Some(self.base.checksum);
         }
         self.sums.get(self.at(index)?).copied()
     }
@@ -104,8 +104,8 @@
     /// The next entry; its index must be the one behind the last.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last() + 1, "entries without a gap");
-        let before = self.sums.back().copied().unwrap_or(self.base.sum);
-        self.sums.push_back(entry.sum(before));
+        let before = self.sums.back().copied().unwrap_or(self.base.checksum);
+        self.sums.push_back(entry.checksum(before));
         self.bytes += entry.data.len();
         self.entries.push_back(entry);
     }
@@ -120,7 +120,7 @@
     }
 
     /// Takes off all up to the base's index, which stands for it from now on.
-    pub fn compact(&mut self, base: Base) {
+    pub fn compact(&mut self, base: SnapshotMetadata) {
         while self
             .entries
             .front()
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -1,11 +1,11 @@
 //! Elections, replication, membership, snapshots, reads.
 
-use crate::copies::{odd, Odd};
+use crate::copies::{judge_divergence, DivergenceVerdict};
 use crate::log::Log;
 use crate::plant::planted;
 use crate::wire::{
-    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Id, Kind, Member, Message, Piece,
-    Snapshot, Took, Vote, Voted,
+    AppendRequest, AppendResponse, QuarantineNotice, SnapshotMetadata, Body, Membership, Entry, HardState, ReplicaId, EntryKind, Member, Message, SnapshotChunk,
+    Snapshot, ChunkAck, VoteRequest, VoteResponse,
 };
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
@@ -29,46 +29,46 @@
 
 /// How long things take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Times {
-    pub heartbeat: Duration,
+pub struct Timeouts {
+    pub heartbeat_interval: Duration,
     /// A follower waits for a leader between these; drawn anew each time.
-    pub election: [Duration; 2],
+    pub election_timeout: [Duration; 2],
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Role {
     Follower,
     /// Asks whether it would be elected.
-    Asking,
+    PreCandidate,
     Candidate,
     Leader,
     /// Its copy was set aside: it takes part in nothing.
-    Aside,
+    Quarantined,
 }
 
 /// What is found on the disk at a start.
 #[derive(Clone, Debug, Default)]
-pub struct State {
-    pub hard: Hard,
+pub struct PersistentState {
+    pub hard_state: HardState,
     pub snapshot: Option<Snapshot>,
     pub entries: Vec<Entry>,
 }
 
 /// A change of the members, one at a time.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
+pub enum MembershipChange {
     /// As a learner.
-    Add(Member),
+    AddLearner(Member),
     /// A learner that has caught up votes from now on.
-    Promote(Id),
-    Remove(Id),
+    Promote(ReplicaId),
+    Remove(ReplicaId),
 }
 
 /// Why something was not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Refused {
+pub enum ProposalError {
     /// Another leads, if that is known.
-    NotLeader(Option<Id>),
+    NotLeader(Option<ReplicaId>),
     /// Too much is on its way, or leadership is being handed over.
     Busy,
     /// A change of members that is not safe now.
@@ -77,45 +77,45 @@
 
 /// A copy that was set aside, and why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Differs {
+pub struct Divergence {
     pub index: u64,
-    pub own: u64,
-    pub most: u64,
+    pub own_checksum: u64,
+    pub majority_checksum: u64,
 }
 
 /// What follows from what happened. See the crate's head for the order in which it is to be done.
 #[derive(Clone, Debug, Default)]
-pub struct Out {
-    pub hard: Option<Hard>,
+pub struct Ready {
+    pub hard_state: Option<HardState>,
     /// A snapshot taken over from the leader, to be kept in place of all there is up to its index; and whether what
     /// stands behind it goes too.
     pub snapshot: Option<(Snapshot, bool)>,
     /// They replace all from the first one's index on.
     pub entries: Vec<Entry>,
-    pub now: Vec<Message>,
-    pub after: Vec<Message>,
+    pub messages: Vec<Message>,
+    pub messages_after_persist: Vec<Message>,
     /// To be applied, in order, after `snapshot`.
     pub committed: Vec<Entry>,
     /// Reads that may be answered once this index was applied.
     pub reads: Vec<(u64, u64)>,
-    pub differs: Option<Differs>,
+    pub divergence: Option<Divergence>,
 }
 
-impl Out {
+impl Ready {
     pub fn is_empty(&self) -> bool {
-        self.hard.is_none()
+        self.hard_state.is_none()
             && self.snapshot.is_none()
             && self.entries.is_empty()
-            && self.now.is_empty()
-            && self.after.is_empty()
+            && self.messages.is_empty()
+            && self.messages_after_persist.is_empty()
             && self.committed.is_empty()
             && self.reads.is_empty()
-            && self.differs.is_none()
+            && self.divergence.is_none()
     }
 
     /// Whether anything of it goes to the disk.
     pub fn writes(&self) -> bool {
-        self.hard.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
+        self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
     }
 }
 
@@ -137,7 +137,7 @@
 /// A snapshot that comes in pieces.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Incoming {
-    base: Base,
+    base: SnapshotMetadata,
     total: u64,
     data: Vec<u8>,
 }
@@ -145,45 +145,45 @@
 /// One member of one replicated log.
 #[derive(Clone, Debug)]
 pub struct Replica {
-    id: Id,
-    times: Times,
+    id: ReplicaId,
+    times: Timeouts,
     chance: WyRand,
     now: Duration,
     term: u64,
-    vote: Id,
+    vote: ReplicaId,
     role: Role,
-    leader: Option<Id>,
+    leader: Option<ReplicaId>,
     /// When the leader was last heard.
     heard: Option<Duration>,
     log: Log,
     /// Configurations of the log by index, the one of the base first.
-    configs: Vec<(u64, Config)>,
+    configs: Vec<(u64, Membership)>,
     snapshot: Bytes,
     commit: u64,
     applied: u64,
     durable: u64,
     deadline: Duration,
     beat: Duration,
-    votes: BTreeSet<Id>,
-    peers: BTreeMap<Id, Peer>,
+    votes: BTreeSet<ReplicaId>,
+    peers: BTreeMap<ReplicaId, Peer>,
     incoming: Option<Incoming>,
     reads: VecDeque<(u64, u64, u64)>,
     round: u64,
     /// Leadership is being handed to it, until then.
-    handing: Option<(Id, Duration)>,
+    handing: Option<(ReplicaId, Duration)>,
     /// Log time, and when it was that.
     stamp: (u64, Duration),
     uncommitted: usize,
-    out: Out,
+    out: Ready,
 }
 
 impl Replica {
     /// `seed` draws the times between elections.
-    pub fn new(id: Id, times: Times, seed: u64, now: Duration, state: State) -> Self {
+    pub fn new(id: ReplicaId, times: Timeouts, seed: u64, now: Duration, state: PersistentState) -> Self {
         let (base, snapshot) = state
             .snapshot
-            .map_or((Base::default(), Bytes::new()), |snapshot| {
-                (snapshot.base, snapshot.data)
+            .map_or((SnapshotMetadata::default(), Bytes::new()), |snapshot| {
+                (snapshot.metadata, snapshot.data)
             });
         let mut configs = vec![(base.index, base.config.clone())];
         let commit = base.index;
@@ -201,8 +201,8 @@
             times,
             chance: WyRand::new_seed(seed),
             now,
-            term: state.hard.term,
-            vote: state.hard.vote,
+            term: state.hard_state.term,
+            vote: state.hard_state.vote,
             role: Role::Follower,
             leader: None,
             heard: None,
@@ -222,13 +222,13 @@
             handing: None,
             stamp,
             uncommitted: 0,
-            out: Out::default(),
+            out: Ready::default(),
         };
         replica.draw_deadline();
         replica
     }
 
-    pub fn id(&self) -> Id {
+    pub fn id(&self) -> ReplicaId {
         self.id
     }
 
@@ -236,11 +236,11 @@
         self.role
     }
 
-    pub fn leads(&self) -> bool {
+    pub fn is_leader(&self) -> bool {
         self.role == Role::Leader
     }
 
-    pub fn leader(&self) -> Option<Id> {
+    pub fn leader(&self) -> Option<ReplicaId> {
         self.leader
     }
 
@@ -248,7 +248,7 @@
         self.term
     }
 
-    pub fn vote(&self) -> Id {
+    pub fn vote(&self) -> ReplicaId {
         self.vote
     }
 
@@ -265,45 +265,45 @@
     }
 
     /// The members as the newest entry has them, committed or not.
-    pub fn config(&self) -> &Config {
+    pub fn membership(&self) -> &Membership {
         let last = self.configs.last().expect("the base's configuration");
         &last.1
     }
 
     /// Whether the newest configuration is committed.
-    pub fn settled(&self) -> bool {
+    pub fn is_membership_committed(&self) -> bool {
         self.configs
             .last()
             .is_some_and(|last| last.0 <= self.commit)
     }
 
     /// Whether this leader has committed an entry of its own term: only then it knows what is committed.
-    pub fn established(&self) -> bool {
-        self.leads() && self.log.term(self.commit) == Some(self.term)
+    pub fn has_committed_in_term(&self) -> bool {
+        self.is_leader() && self.log.term(self.commit) == Some(self.term)
     }
 
     /// Of a leader: how far each other member is, and when it was last heard.
-    pub fn progress(&self) -> impl Iterator<Item = (Id, u64, Duration)> + '_ {
+    pub fn progress(&self) -> impl Iterator<Item = (ReplicaId, u64, Duration)> + '_ {
         self.peers
             .iter()
             .map(|(id, peer)| (*id, peer.matched, peer.heard))
     }
 
-    pub fn handing(&self) -> bool {
+    pub fn is_transferring_leadership(&self) -> bool {
         self.handing.is_some()
     }
 
     /// When something is to be done again, if nothing happens before.
-    pub fn wake(&self) -> Duration {
+    pub fn next_deadline(&self) -> Duration {
         match self.role {
-            Role::Leader | Role::Asking | Role::Candidate => self.beat.min(self.deadline),
-            Role::Aside => Duration::MAX,
+            Role::Leader | Role::PreCandidate | Role::Candidate => self.beat.min(self.deadline),
+            Role::Quarantined => Duration::MAX,
             _ => self.deadline,
         }
     }
 
     /// All that follows from the calls since the last one.
-    pub fn take(&mut self) -> Out {
+    pub fn take_ready(&mut self) -> Ready {
         while self.applied < self.commit {
             let Some(entry) = self.log.entry(self.applied + 1) else {
                 break;
@@ -354,18 +354,18 @@
     pub fn tick(&mut self, now: Duration) {
         self.now = self.now.max(now);
         match self.role {
-            Role::Aside => {}
+            Role::Quarantined => {}
             Role::Leader => self.lead_on(),
             _ if self.now >= self.deadline => self.ask(),
             // What was lost on its way is asked once more.
-            Role::Asking if self.now >= self.beat => self.ask_all(true, false, self.term + 1),
+            Role::PreCandidate if self.now >= self.beat => self.ask_all(true, false, self.term + 1),
             Role::Candidate if self.now >= self.beat => self.ask_all(false, false, self.term),
             _ => {}
         }
     }
 
     fn draw_deadline(&mut self) {
-        let [least, most] = self.times.election;
+        let [least, most] = self.times.election_timeout;
         let span = (most.saturating_sub(least).as_micros() as u64).max(1);
         self.deadline =
             self.now + least + Duration::from_micros(self.chance.generate_range(0..span));
@@ -377,19 +377,19 @@
         }
         if self.now >= self.deadline {
             // Guards against a leader that nobody hears: without a majority it leads nothing.
-            let since = self.now.saturating_sub(self.times.election[1]);
-            let heard = |id: Id| {
+            let since = self.now.saturating_sub(self.times.election_timeout[1]);
+            let heard = |id: ReplicaId| {
                 id == self.id || self.peers.get(&id).is_some_and(|peer| peer.heard >= since)
             };
-            if self.config().voters().filter(|id| heard(*id)).count() < self.config().majority() {
+            if self.membership().voters().filter(|id| heard(*id)).count() < self.membership().majority() {
                 self.follow(self.term, None);
                 return;
             }
-            self.deadline = self.now + self.times.election[0];
+            self.deadline = self.now + self.times.election_timeout[0];
         }
         if self.now >= self.beat {
-            self.beat = self.now + self.times.heartbeat;
-            let ids: Vec<Id> = self.peers.keys().copied().collect();
+            self.beat = self.now + self.times.heartbeat_interval;
+            let ids: Vec<ReplicaId> = self.peers.keys().copied().collect();
             for id in ids {
                 self.send(id, true);
             }
@@ -413,20 +413,20 @@
     // Elections.
 
     fn keep_hard(&mut self) {
-        self.out.hard = Some(Hard {
+        self.out.hard_state = Some(HardState {
             term: self.term,
             vote: self.vote,
         });
         if planted("vote-forgotten") {
-            self.out.hard = Some(Hard {
+            self.out.hard_state = Some(HardState {
                 term: self.term,
                 vote: 0,
             });
         }
     }
 
-    fn follow(&mut self, term: u64, leader: Option<Id>) {
-        if self.role == Role::Aside {
+    fn follow(&mut self, term: u64, leader: Option<ReplicaId>) {
+        if self.role == Role::Quarantined {
             return;
         }
         let newer = term > self.term;
@@ -434,7 +434,7 @@
             (self.term, self.vote) = (term, 0);
             self.keep_hard();
         }
-        if self.leads() {
+        if self.is_leader() {
             self.reads.clear();
             self.peers.clear();
             self.handing = None;
@@ -451,20 +451,20 @@
     /// well, again and again, each time its links come back.
     fn ask(&mut self) {
         self.draw_deadline();
-        if !self.config().votes(self.id) {
+        if !self.membership().is_voter(self.id) {
             return;
         }
         self.leader = None;
-        self.role = Role::Asking;
+        self.role = Role::PreCandidate;
         self.votes = BTreeSet::from([self.id]);
         self.ask_all(true, false, self.term + 1);
         self.counted();
     }
 
     /// Stands for election at once, whatever is known of a leader.
-    pub fn stand(&mut self, now: Duration, wanted: bool) {
+    pub fn campaign(&mut self, now: Duration, wanted: bool) {
         self.now = self.now.max(now);
-        if self.role == Role::Aside || !self.config().votes(self.id) {
+        if self.role == Role::Quarantined || !self.membership().is_voter(self.id) {
             return;
         }
         self.role = Role::Candidate;
@@ -478,21 +478,21 @@
     }
 
     fn ask_all(&mut self, pre: bool, wanted: bool, term: u64) {
-        self.beat = self.now + self.times.heartbeat;
+        self.beat = self.now + self.times.heartbeat_interval;
         let (last_index, last_term) = (self.log.last(), self.log.last_term());
-        let others: Vec<Id> = self
-            .config()
+        let others: Vec<ReplicaId> = self
+            .membership()
             .voters()
             .filter(|id| !self.votes.contains(id))
             .collect();
         for to in others {
-            let body = Body::Vote(Vote {
+            let body = Body::Vote(VoteRequest {
                 pre,
                 last_index,
                 last_term,
                 wanted,
             });
-            self.out.after.push(Message {
+            self.out.messages_after_persist.push(Message {
                 to,
                 from: self.id,
                 term,
@@ -502,13 +502,13 @@
     }
 
     fn counted(&mut self) {
-        let config = self.config();
+        let config = self.membership();
         let yes = config.voters().filter(|id| self.votes.contains(id)).count();
         if yes < config.majority() {
             return;
         }
         match self.role {
-            Role::Asking => self.stand(self.now, false),
+            Role::PreCandidate => self.campaign(self.now, false),
             Role::Candidate => self.lead(),
             _ => {}
         }
@@ -517,19 +517,19 @@
     fn lead(&mut self) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
-        self.deadline = self.now + self.times.election[1];
+        self.deadline = self.now + self.times.election_timeout[1];
         self.beat = self.now;
         self.peers.clear();
         self.uncommitted = 0;
         self.meet_members();
-        self.append(Kind::Nothing, Bytes::new());
+        self.append(EntryKind::NoOp, Bytes::new());
         self.lead_on();
     }
 
     /// Peers are those of the newest configuration.
     fn meet_members(&mut self) {
-        let ids: BTreeSet<Id> = self
-            .config()
+        let ids: BTreeSet<ReplicaId> = self
+            .membership()
             .members
             .iter()
             .map(|member| member.id)
@@ -555,18 +555,18 @@
     ///
     /// # Errors
     /// Who leads, or that too much is on its way.
-    pub fn propose(&mut self, now: Duration, data: Bytes) -> Result<u64, Refused> {
+    pub fn propose(&mut self, now: Duration, data: Bytes) -> Result<u64, ProposalError> {
         self.now = self.now.max(now);
-        if !self.leads() {
-            return Err(Refused::NotLeader(
+        if !self.is_leader() {
+            return Err(ProposalError::NotLeader(
                 self.leader.filter(|leader| *leader != self.id),
             ));
         }
         if self.handing.is_some() || self.uncommitted + data.len() > UNCOMMITTED {
-            return Err(Refused::Busy);
+            return Err(ProposalError::Busy);
         }
         self.uncommitted += data.len();
-        let index = self.append(Kind::Data, data);
+        let index = self.append(EntryKind::Data, data);
         self.spread();
         Ok(index)
     }
@@ -575,52 +575,52 @@
     ///
     /// # Errors
     /// If this is no leader, or a change would not be safe now.
-    pub fn change(&mut self, now: Duration, change: &Change) -> Result<u64, Refused> {
+    pub fn propose_membership_change(&mut self, now: Duration, change: &MembershipChange) -> Result<u64, ProposalError> {
         self.now = self.now.max(now);
-        if !self.leads() {
-            return Err(Refused::NotLeader(
+        if !self.is_leader() {
+            return Err(ProposalError::NotLeader(
                 self.leader.filter(|leader| *leader != self.id),
             ));
         }
         // Guards against two majorities that do not meet: one change at a time, and none before this leader knows
         // what is committed.
-        if !self.settled() {
-            return Err(Refused::NotNow("a change is on its way"));
+        if !self.is_membership_committed() {
+            return Err(ProposalError::NotNow("a change is on its way"));
         }
-        if !self.established() {
-            return Err(Refused::NotNow("the leader is new"));
+        if !self.has_committed_in_term() {
+            return Err(ProposalError::NotNow("the leader is new"));
         }
-        let mut config = self.config().clone();
+        let mut config = self.membership().clone();
         match change {
-            Change::Add(member) if config.member(member.id).is_some() => {
-                return Err(Refused::NotNow("it is a member"));
+            MembershipChange::AddLearner(member) if config.member(member.id).is_some() => {
+                return Err(ProposalError::NotNow("it is a member"));
             }
-            Change::Add(member) => config.members.push(Member {
-                votes: false,
+            MembershipChange::AddLearner(member) => config.members.push(Member {
+                is_voter: false,
                 ..member.clone()
             }),
-            Change::Promote(id) => {
+            MembershipChange::Promote(id) => {
                 let caught_up = self
                     .peers
                     .get(id)
                     .is_some_and(|peer| peer.matched >= self.commit);
                 let Some(member) = config.members.iter_mut().find(|member| member.id == *id) else {
-                    return Err(Refused::NotNow("it is no member"));
+                    return Err(ProposalError::NotNow("it is no member"));
                 };
                 if !caught_up {
-                    return Err(Refused::NotNow("it has not caught up"));
+                    return Err(ProposalError::NotNow("it has not caught up"));
                 }
-                member.votes = true;
+                member.is_voter = true;
             }
-            Change::Remove(id) => {
-                if config.votes(*id) && config.voters().count() == 1 {
-                    return Err(Refused::NotNow("nobody would be left"));
+            MembershipChange::Remove(id) => {
+                if config.is_voter(*id) && config.voters().count() == 1 {
+                    return Err(ProposalError::NotNow("nobody would be left"));
                 }
                 config.members.retain(|member| member.id != *id);
             }
         }
         config.members.sort();
-        let index = self.append(Kind::Config, config.encode_to_vec().into());
+        let index = self.append(EntryKind::Config, config.encode_to_vec().into());
         self.spread();
         Ok(index)
     }
@@ -629,20 +629,20 @@
     ///
     /// # Errors
     /// If this is no leader, or the other cannot lead.
-    pub fn hand_to(&mut self, now: Duration, to: Id) -> Result<(), Refused> {
+    pub fn transfer_leadership(&mut self, now: Duration, to: ReplicaId) -> Result<(), ProposalError> {
         self.now = self.now.max(now);
-        if !self.leads() {
-            return Err(Refused::NotLeader(self.leader));
+        if !self.is_leader() {
+            return Err(ProposalError::NotLeader(self.leader));
         }
-        if !self.config().votes(to) || to == self.id {
-            return Err(Refused::NotNow("it is no other voter"));
+        if !self.membership().is_voter(to) || to == self.id {
+            return Err(ProposalError::NotNow("it is no other voter"));
         }
-        self.handing = Some((to, self.now + self.times.election[0]));
+        self.handing = Some((to, self.now + self.times.election_timeout[0]));
         self.hand_over(to);
         Ok(())
     }
 
-    fn hand_over(&mut self, to: Id) {
+    fn hand_over(&mut self, to: ReplicaId) {
         if self.handing.is_some_and(|(id, _)| id == to)
             && self
                 .peers
@@ -655,7 +655,7 @@
                 term: self.term,
                 body: Some(Body::Now(true)),
             };
-            self.out.now.push(message);
+            self.out.messages.push(message);
         }
     }
 
@@ -663,19 +663,19 @@
     ///
     /// # Errors
     /// If this is no leader that knows what is committed.
-    pub fn read(&mut self, now: Duration, token: u64) -> Result<(), Refused> {
+    pub fn read(&mut self, now: Duration, token: u64) -> Result<(), ProposalError> {
         self.now = self.now.max(now);
-        if !self.leads() {
-            return Err(Refused::NotLeader(
+        if !self.is_leader() {
+            return Err(ProposalError::NotLeader(
                 self.leader.filter(|leader| *leader != self.id),
             ));
         }
-        if !self.established() || self.reads.len() >= READS {
-            return Err(Refused::Busy);
+        if !self.has_committed_in_term() || self.reads.len() >= READS {
+            return Err(ProposalError::Busy);
         }
         self.round += 1;
         self.reads.push_back((token, self.commit, self.round));
-        let ids: Vec<Id> = self.peers.keys().copied().collect();
+        let ids: Vec<ReplicaId> = self.peers.keys().copied().collect();
         for id in ids {
             self.send(id, true);
         }
@@ -685,10 +685,10 @@
 
     fn answer_reads(&mut self) {
         while let Some(&(token, index, round)) = self.reads.front() {
-            let told = |id: &Id| {
+            let told = |id: &ReplicaId| {
                 *id == self.id || self.peers.get(id).is_some_and(|peer| peer.round >= round)
             };
-            if self.config().voters().filter(told).count() < self.config().majority() {
+            if self.membership().voters().filter(told).count() < self.membership().majority() {
                 break;
             }
             self.reads.pop_front();
@@ -698,7 +698,7 @@
 
     // Replication.
 
-    fn append(&mut self, kind: Kind, data: Bytes) -> u64 {
+    fn append(&mut self, kind: EntryKind, data: Bytes) -> u64 {
         let stamp = self.log_time();
         let entry = Entry {
             index: self.log.last() + 1,
@@ -714,7 +714,7 @@
         }
         self.log.push(entry.clone());
         self.out.entries.push(entry);
-        if kind == Kind::Config {
+        if kind == EntryKind::Config {
             self.meet_members();
         }
         if planted("early-answer") {
@@ -724,15 +724,15 @@
     }
 
     fn spread(&mut self) {
-        let ids: Vec<Id> = self.peers.keys().copied().collect();
+        let ids: Vec<ReplicaId> = self.peers.keys().copied().collect();
         for id in ids {
             self.send(id, false);
         }
     }
 
     /// What a peer needs next. One message is on its way to each; `beat`: it is to hear something now.
-    fn send(&mut self, to: Id, beat: bool) {
-        let lost = self.times.heartbeat * LOST;
+    fn send(&mut self, to: ReplicaId, beat: bool) {
+        let lost = self.times.heartbeat_interval * LOST;
         let (now, last, base) = (self.now, self.log.last(), self.log.base().index);
         let Some(peer) = self.peers.get_mut(&to) else {
             return;
@@ -762,7 +762,7 @@
         if !waits && !entries.is_empty() {
             peer.waiting = Some(now);
         }
-        let body = Body::Append(Append {
+        let body = Body::Append(AppendRequest {
             prev_index: prev,
             prev_term: self.log.term(prev).unwrap_or(0),
             prev_sum: self.log.sum(prev).unwrap_or(0),
@@ -770,7 +770,7 @@
             round: self.round,
             entries,
         });
-        self.out.now.push(Message {
+        self.out.messages.push(Message {
             to,
             from: self.id,
             term: self.term,
@@ -778,7 +778,7 @@
         });
     }
 
-    fn send_piece(&mut self, to: Id) {
+    fn send_piece(&mut self, to: ReplicaId) {
         let base = self.log.base().clone();
         let total = self.snapshot.len() as u64;
         let Some(peer) = self.peers.get_mut(&to) else {
@@ -793,14 +793,14 @@
         peer.waiting = Some(self.now);
         let end = (offset + PIECE as u64).min(total);
         let data = self.snapshot.slice(offset as usize..end as usize);
-        let body = Body::Piece(Piece {
+        let body = Body::Piece(SnapshotChunk {
             base,
             total,
             offset,
             data,
             round: self.round,
         });
-        self.out.now.push(Message {
+        self.out.messages.push(Message {
             to,
             from: self.id,
             term: self.term,
@@ -809,7 +809,7 @@
     }
 
     /// The disk has all up to an entry of this index and term.
-    pub fn written(&mut self, index: u64, term: u64) {
+    pub fn on_persisted(&mut self, index: u64, term: u64) {
         // What was overwritten meanwhile is another entry.
         if self.log.term(index) == Some(term) {
             self.durable = self.durable.max(index);
@@ -819,21 +819,21 @@
 
     /// What a majority has durably is committed, if it is of this term.
     fn advance(&mut self) {
-        if !self.leads() {
+        if !self.is_leader() {
             return;
         }
-        let has = |id: Id| {
+        let has = |id: ReplicaId| {
             if id == self.id {
                 self.durable
             } else {
                 self.peers.get(&id).map_or(0, |peer| peer.matched)
             }
         };
-        let counts = |member: &&Member| member.votes || planted("vote-too-soon");
-        let members = self.config().members.iter().filter(counts);
+        let counts = |member: &&Member| member.is_voter || planted("vote-too-soon");
+        let members = self.membership().members.iter().filter(counts);
         let mut all: Vec<u64> = members.map(|member| has(member.id)).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = all.get(self.config().majority() - 1) else {
+        let Some(&index) = all.get(self.membership().majority() - 1) else {
             return;
         };
         if index > self.commit && self.log.term(index) == Some(self.term) {
@@ -841,13 +841,13 @@
                 let done = self
                     .log
                     .entry(index)
-                    .filter(|entry| entry.kind() == Kind::Data);
+                    .filter(|entry| entry.kind() == EntryKind::Data);
                 let done = done.map_or(0, |entry| entry.data.len());
                 self.uncommitted = self.uncommitted.saturating_sub(done);
             }
             self.commit = index;
             // A leader that is no member any more has done its part once that is known to most.
-            if self.config().member(self.id).is_none() {
+            if self.membership().member(self.id).is_none() {
                 self.follow(self.term, None);
             }
         }
@@ -866,19 +866,19 @@
             .find(|config| config.0 <= index)?
             .1
             .clone();
-        let base = Base {
+        let base = SnapshotMetadata {
             index,
             term,
             stamp,
-            sum: self.log.sum(index)?,
+            checksum: self.log.sum(index)?,
             config,
         };
         self.based(base.clone());
         self.snapshot = data.clone();
-        Some(Snapshot { base, data })
+        Some(Snapshot { metadata: base, data })
     }
 
-    fn based(&mut self, base: Base) {
+    fn based(&mut self, base: SnapshotMetadata) {
         let later = self
             .configs
             .iter()
@@ -893,7 +893,7 @@
 
     // Messages.
 
-    pub fn receive(&mut self, now: Duration, message: Message) {
+    pub fn step(&mut self, now: Duration, message: Message) {
         self.now = self.now.max(now);
         let Message {
             to,
@@ -902,7 +902,7 @@
             body,
         } = message;
         let Some(body) = body else { return };
-        if to != self.id || self.role == Role::Aside {
+        if to != self.id || self.role == Role::Quarantined {
             return;
         }
         if term > self.term && !self.newer(from, term, &body) {
@@ -920,7 +920,7 @@
             Body::Piece(piece) => self.piece(from, piece),
             Body::Took(took) => self.took(from, &took),
             Body::Now(_) if self.role == Role::Follower && self.leader == Some(from) => {
-                self.stand(now, true)
+                self.campaign(now, true)
             }
             Body::Now(_) => {}
             Body::Aside(aside) => self.set_aside(&aside),
@@ -929,20 +929,20 @@
 
     /// Whether a leader was heard so lately that no other is wanted.
     fn led(&self) -> bool {
-        self.leads()
+        self.is_leader()
             || self
                 .heard
-                .is_some_and(|at| self.now < at + self.times.election[0])
+                .is_some_and(|at| self.now < at + self.times.election_timeout[0])
     }
 
     /// A later term than this one's; whether the message is to be taken.
-    fn newer(&mut self, from: Id, term: u64, body: &Body) -> bool {
+    fn newer(&mut self, from: ReplicaId, term: u64, body: &Body) -> bool {
         match body {
             Body::Vote(vote) if !vote.wanted && self.led() => {
                 if vote.pre {
                     self.reply(
                         from,
-                        Body::Voted(Voted {
+                        Body::Voted(VoteResponse {
                             pre: true,
                             granted: false,
                         }),
@@ -965,7 +965,7 @@
     }
 
     /// An earlier term than this one's: a leader of that time must hear of the later one.
-    fn older(&mut self, from: Id, body: &Body) {
+    fn older(&mut self, from: ReplicaId, body: &Body) {
         match body {
             Body::Append(append) => {
                 self.reply(from, appended(false, self.log.last(), append.round))
@@ -973,7 +973,7 @@
             Body::Piece(piece) => self.reply(from, appended(false, self.log.last(), piece.round)),
             Body::Vote(vote) => self.reply(
                 from,
-                Body::Voted(Voted {
+                Body::Voted(VoteResponse {
                     pre: vote.pre,
                     granted: false,
                 }),
@@ -982,8 +982,8 @@
         }
     }
 
-    fn reply(&mut self, to: Id, body: Body) {
-        self.out.after.push(Message {
+    fn reply(&mut self, to: ReplicaId, body: Body) {
+        self.out.messages_after_persist.push(Message {
             to,
             from: self.id,
             term: self.term,
@@ -991,14 +991,14 @@
         });
     }
 
-    fn asked(&mut self, from: Id, term: u64, vote: &Vote) {
+    fn asked(&mut self, from: ReplicaId, term: u64, vote: &VoteRequest) {
         let own = (self.log.last_term(), self.log.last());
         let as_new = (vote.last_term, vote.last_index) >= own;
         if vote.pre {
             let granted = as_new && term > self.term && !self.led();
             let term = if granted { term } else { self.term };
-            let body = Some(Body::Voted(Voted { pre: true, granted }));
-            self.out.after.push(Message {
+            let body = Some(Body::Voted(VoteResponse { pre: true, granted }));
+            self.out.messages_after_persist.push(Message {
                 to: from,
                 from: self.id,
                 term,
@@ -1015,16 +1015,16 @@
         }
         self.reply(
             from,
-            Body::Voted(Voted {
+            Body::Voted(VoteResponse {
                 pre: false,
                 granted,
             }),
         );
     }
 
-    fn told(&mut self, from: Id, voted: &Voted) {
+    fn told(&mut self, from: ReplicaId, voted: &VoteResponse) {
         let wanted = if voted.pre {
-            Role::Asking
+            Role::PreCandidate
         } else {
             Role::Candidate
         };
@@ -1035,7 +1035,7 @@
     }
 
     /// The leader of this term was heard.
-    fn heard_leader(&mut self, from: Id) {
+    fn heard_leader(&mut self, from: ReplicaId) {
         if self.role != Role::Follower {
             self.follow(self.term, Some(from));
         }
@@ -1044,8 +1044,8 @@
         self.draw_deadline();
     }
 
-    fn appended(&mut self, from: Id, append: Append) {
-        if self.leads() {
+    fn appended(&mut self, from: ReplicaId, append: AppendRequest) {
+        if self.is_leader() {
             return;
         }
         self.heard_leader(from);
@@ -1061,7 +1061,7 @@
             // No leader's log differs in what is committed.
             Some(term) if term != append.prev_term && prev <= self.commit => {
                 let differs = self.log.sum(prev).unwrap_or(0).max(1);
-                let body = Appended {
+                let body = AppendResponse {
                     good: false,
                     index: prev,
                     round,
@@ -1080,7 +1080,7 @@
             Some(_) => {}
         }
         if let Some(own) = self.log.sum(prev).filter(|own| *own != append.prev_sum) {
-            let body = Appended {
+            let body = AppendResponse {
                 good: false,
                 index: prev,
                 round,
@@ -1126,8 +1126,8 @@
         self.durable = self.durable.min(from - 1);
     }
 
-    fn confirmed(&mut self, from: Id, told: &Appended) {
-        if !self.leads() {
+    fn confirmed(&mut self, from: ReplicaId, told: &AppendResponse) {
+        if !self.is_leader() {
             return;
         }
         let (now, last) = (self.now, self.log.last());
@@ -1156,14 +1156,14 @@
             peer.waiting = None;
         }
         self.answer_reads();
-        if self.leads() {
+        if self.is_leader() {
             self.send(from, false);
         }
     }
 
     /// Some copy differs: see `copies.rs`.
     fn count_copies(&mut self) {
-        let differ: Vec<(Id, u64)> = self
+        let differ: Vec<(ReplicaId, u64)> = self
             .peers
             .iter()
             .filter_map(|(id, peer)| Some((*id, peer.differs?.1)))
@@ -1176,33 +1176,33 @@
         else {
             return;
         };
-        let agrees = |id: &Id| {
+        let agrees = |id: &ReplicaId| {
             *id == self.id
                 || self
                     .peers
                     .get(id)
                     .is_some_and(|peer| peer.differs.is_none() && peer.matched >= index)
         };
-        let config = self.config();
+        let config = self.membership();
         let (voters, agree) = (
             config.voters().count(),
             config.voters().filter(agrees).count(),
         );
         let of_voters: Vec<_> = differ
             .iter()
-            .filter(|one| config.votes(one.0))
+            .filter(|one| config.is_voter(one.0))
             .copied()
             .collect();
         let Some(own) = self.log.sum(index) else {
             return;
         };
-        match odd(voters, agree, &of_voters) {
-            Odd::Unknown => {}
-            Odd::Leader(most) => self.lay_aside(index, own, most),
-            Odd::Others(_) => {
+        match judge_divergence(voters, agree, &of_voters) {
+            DivergenceVerdict::Undecided => {}
+            DivergenceVerdict::Leader(most) => self.lay_aside(index, own, most),
+            DivergenceVerdict::Minority(_) => {
                 for (to, _) in differ {
-                    let body = Some(Body::Aside(Aside { index, most: own }));
-                    self.out.now.push(Message {
+                    let body = Some(Body::Aside(QuarantineNotice { index, most: own }));
+                    self.out.messages.push(Message {
                         to,
                         from: self.id,
                         term: self.term,
@@ -1213,26 +1213,26 @@
         }
     }
 
-    fn set_aside(&mut self, aside: &Aside) {
+    fn set_aside(&mut self, aside: &QuarantineNotice) {
         if let Some(own) = self.log.sum(aside.index).filter(|own| *own != aside.most) {
             self.lay_aside(aside.index, own, aside.most);
         }
     }
 
     fn lay_aside(&mut self, index: u64, own: u64, most: u64) {
-        self.out.differs = Some(Differs { index, own, most });
-        self.role = Role::Aside;
+        self.out.divergence = Some(Divergence { index, own_checksum: own, majority_checksum: most });
+        self.role = Role::Quarantined;
         self.leader = None;
         self.peers.clear();
         self.reads.clear();
     }
 
-    fn piece(&mut self, from: Id, piece: Piece) {
-        if self.leads() {
+    fn piece(&mut self, from: ReplicaId, piece: SnapshotChunk) {
+        if self.is_leader() {
             return;
         }
         self.heard_leader(from);
-        let Piece {
+        let SnapshotChunk {
             base,
             total,
             offset,
@@ -1266,7 +1266,7 @@
         if there < total {
             return self.reply(
                 from,
-                Body::Took(Took {
+                Body::Took(ChunkAck {
                     index: base.index,
                     offset: there,
                     round,
@@ -1283,10 +1283,10 @@
     }
 
     /// A whole snapshot of the leader's, in place of what is here.
-    fn take_over(&mut self, base: Base, data: Bytes) {
+    fn take_over(&mut self, base: SnapshotMetadata, data: Bytes) {
         let mut base = base;
         if planted("config-lost") {
-            base.config = self.config().clone();
+            base.config = self.membership().clone();
         }
         // Entries behind it stay only if they are of the same history.
         let same = self.log.term(base.index) == Some(base.term);
@@ -1303,11 +1303,11 @@
         (self.commit, self.applied) = (index, index);
         self.durable = if same { self.durable.max(index) } else { index };
         self.snapshot = data.clone();
-        self.out.snapshot = Some((Snapshot { base, data }, !same));
+        self.out.snapshot = Some((Snapshot { metadata: base, data }, !same));
     }
 
-    fn took(&mut self, from: Id, took: &Took) {
-        if !self.leads() {
+    fn took(&mut self, from: ReplicaId, took: &ChunkAck) {
+        if !self.is_leader() {
             return;
         }
         let (now, base) = (self.now, self.log.base().index);
@@ -1321,14 +1321,14 @@
             peer.piece = Some((base, took.offset));
         }
         self.answer_reads();
-        if self.leads() {
+        if self.is_leader() {
             self.send(from, true);
         }
     }
 }
 
 fn appended(good: bool, index: u64, round: u64) -> Body {
-    Body::Appended(Appended {
+    Body::Appended(AppendResponse {
         good,
         index,
         round,
@@ -1337,6 +1337,6 @@
 }
 
 /// The members that an entry names, if it is about them.
-fn config_of(entry: &Entry) -> Option<Config> {
-    (entry.kind() == Kind::Config).then(|| Config::decode(&entry.data[..]).unwrap_or_default())
+fn config_of(entry: &Entry) -> Option<Membership> {
+    (entry.kind() == EntryKind::Config).then(|| Membership::decode(&entry.data[..]).unwrap_or_default())
 }
--- a/crates/raft/src/wire.rs
+++ b/crates/raft/src/wire.rs
@@ -4,13 +4,13 @@
 use twox_hash::XxHash3_64;
 
 /// A disk: drawn when it was first used, never 0.
-pub type Id = u64;
+pub type ReplicaId = u64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
-pub enum Kind {
+pub enum EntryKind {
     /// A new leader's first entry: it says nothing, and what came before it commits with it.
-    Nothing = 0,
+    NoOp = 0,
     Data = 1,
     Config = 2,
 }
@@ -24,7 +24,7 @@
     /// Log time, in nanoseconds: it never goes back, and stands still while there is no leader.
     #[prost(uint64, tag = "3")]
     pub stamp: u64,
-    #[prost(enumeration = "Kind", tag = "4")]
+    #[prost(enumeration = "EntryKind", tag = "4")]
     pub kind: i32,
     #[prost(bytes = "bytes", tag = "5")]
     pub data: Bytes,
@@ -32,7 +32,7 @@
 
 impl Entry {
     /// The running checksum with this entry behind the ones of `before`.
-    pub fn sum(&self, before: u64) -> u64 {
+    pub fn checksum(&self, before: u64) -> u64 {
         let mut head = [0; 32];
         head[..8].copy_from_slice(&before.to_le_bytes());
         head[8..16].copy_from_slice(&self.index.to_le_bytes());
@@ -45,44 +45,44 @@
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
 pub struct Member {
     #[prost(uint64, tag = "1")]
-    pub id: Id,
+    pub id: ReplicaId,
     #[prost(string, tag = "2")]
     pub name: String,
     #[prost(bool, tag = "3")]
-    pub votes: bool,
+    pub is_voter: bool,
 }
 
 /// Members in order of their disks.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Config {
+pub struct Membership {
     #[prost(message, repeated, tag = "1")]
     pub members: Vec<Member>,
 }
 
-impl Config {
-    pub fn of(members: impl IntoIterator<Item = (Id, String)>) -> Self {
+impl Membership {
+    pub fn from_voters(members: impl IntoIterator<Item = (ReplicaId, String)>) -> Self {
         let members = members.into_iter().map(|(id, name)| Member {
             id,
             name,
-            votes: true,
+            is_voter: true,
         });
         let mut members: Vec<Member> = members.collect();
         members.sort();
         Self { members }
     }
 
-    pub fn voters(&self) -> impl Iterator<Item = Id> + '_ {
+    pub fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
         self.members
             .iter()
-            .filter(|member| member.votes)
+            .filter(|member| member.is_voter)
             .map(|member| member.id)
     }
 
-    pub fn votes(&self, id: Id) -> bool {
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
         self.voters().any(|voter| voter == id)
     }
 
-    pub fn member(&self, id: Id) -> Option<&Member> {
+    pub fn member(&self, id: ReplicaId) -> Option<&Member> {
         self.members.iter().find(|member| member.id == id)
     }
 
@@ -94,17 +94,17 @@
 
 /// What a replica must not forget.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
-pub struct Hard {
+pub struct HardState {
     #[prost(uint64, tag = "1")]
     pub term: u64,
     /// 0: nobody's.
     #[prost(uint64, tag = "2")]
-    pub vote: Id,
+    pub vote: ReplicaId,
 }
 
 /// Where a log begins: what the snapshot before it stands for.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Base {
+pub struct SnapshotMetadata {
     #[prost(uint64, tag = "1")]
     pub index: u64,
     #[prost(uint64, tag = "2")]
@@ -113,22 +113,22 @@
     pub stamp: u64,
     /// Running checksum up to the index.
     #[prost(uint64, tag = "4")]
-    pub sum: u64,
+    pub checksum: u64,
     #[prost(message, required, tag = "5")]
-    pub config: Config,
+    pub config: Membership,
 }
 
 /// A snapshot as it is kept.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Snapshot {
     #[prost(message, required, tag = "1")]
-    pub base: Base,
+    pub metadata: SnapshotMetadata,
     #[prost(bytes = "bytes", tag = "2")]
     pub data: Bytes,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Vote {
+pub struct VoteRequest {
     /// Only asks whether it would be elected: nobody's term or vote changes.
     #[prost(bool, tag = "1")]
     pub pre: bool,
@@ -142,7 +142,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Voted {
+pub struct VoteResponse {
     #[prost(bool, tag = "1")]
     pub pre: bool,
     #[prost(bool, tag = "2")]
@@ -150,7 +150,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Append {
+pub struct AppendRequest {
     #[prost(uint64, tag = "1")]
     pub prev_index: u64,
     #[prost(uint64, tag = "2")]
@@ -167,7 +167,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Appended {
+pub struct AppendResponse {
     #[prost(bool, tag = "1")]
     pub good: bool,
     /// Good: all up to here is as the leader has it. Else: where the leader should look next.
@@ -181,9 +181,9 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Piece {
+pub struct SnapshotChunk {
     #[prost(message, required, tag = "1")]
-    pub base: Base,
+    pub base: SnapshotMetadata,
     #[prost(uint64, tag = "2")]
     pub total: u64,
     #[prost(uint64, tag = "3")]
@@ -195,7 +195,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Took {
+pub struct ChunkAck {
     #[prost(uint64, tag = "1")]
     pub index: u64,
     /// Bytes that are there: the next piece begins here, also after a cut.
@@ -207,7 +207,7 @@
 
 /// Two copies differ, and most have what the sender has.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Aside {
+pub struct QuarantineNotice {
     #[prost(uint64, tag = "1")]
     pub index: u64,
     #[prost(uint64, tag = "2")]
@@ -217,30 +217,30 @@
 #[derive(Clone, PartialEq, Eq, Hash, prost::Oneof)]
 pub enum Body {
     #[prost(message, tag = "4")]
-    Vote(Vote),
+    Vote(VoteRequest),
     #[prost(message, tag = "5")]
-    Voted(Voted),
+    Voted(VoteResponse),
     #[prost(message, tag = "6")]
-    Append(Append),
+    Append(AppendRequest),
     #[prost(message, tag = "7")]
-    Appended(Appended),
+    Appended(AppendResponse),
     #[prost(message, tag = "8")]
-    Piece(Piece),
+    Piece(SnapshotChunk),
     #[prost(message, tag = "9")]
-    Took(Took),
+    Took(ChunkAck),
     /// Stand for election at once.
     #[prost(bool, tag = "10")]
     Now(bool),
     #[prost(message, tag = "11")]
-    Aside(Aside),
+    Aside(QuarantineNotice),
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Message {
     #[prost(uint64, tag = "1")]
-    pub to: Id,
+    pub to: ReplicaId,
     #[prost(uint64, tag = "2")]
-    pub from: Id,
+    pub from: ReplicaId,
     #[prost(uint64, tag = "3")]
     pub term: u64,
     #[prost(oneof = "Body", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
--- a/crates/raft/tests/golden.rs
+++ b/crates/raft/tests/golden.rs
@@ -12,14 +12,14 @@
 use prost::Message as _;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_raft::wire::{
-    Append, Appended, Aside, Base, Body, Config, Entry, Hard, Kind, Member, Message, Piece,
-    Snapshot, Took, Vote, Voted,
+    AppendRequest, AppendResponse, QuarantineNotice, SnapshotMetadata, Body, Membership, Entry, HardState, EntryKind, Member, Message, SnapshotChunk,
+    Snapshot, ChunkAck, VoteRequest, VoteResponse,
 };
 
 const MESSAGES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/messages.hex");
 const STORED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/stored.hex");
 
-fn entry(kind: Kind, data: &'static [u8]) -> Entry {
+fn entry(kind: EntryKind, data: &'static [u8]) -> Entry {
     Entry {
         index: 300,
         term: 7,
@@ -29,13 +29,13 @@
     }
 }
 
-fn config() -> Config {
+fn config() -> Membership {
     let member = |id: u64, name: &str, votes: bool| Member {
         id,
         name: name.into(),
-        votes,
+        is_voter: votes,
     };
-    Config {
+    Membership {
         members: vec![
             member(1, "n1", true),
             member(2, "n2", true),
@@ -44,26 +44,26 @@
     }
 }
 
-fn base() -> Base {
-    Base {
+fn base() -> SnapshotMetadata {
+    SnapshotMetadata {
         index: 250,
         term: 6,
         stamp: 999,
-        sum: 0xabcd_ef01_2345_6789,
+        checksum: 0xabcd_ef01_2345_6789,
         config: config(),
     }
 }
 
 fn messages() -> Vec<(&'static str, Message)> {
     let entries = vec![
-        entry(Kind::Nothing, b""),
-        entry(Kind::Data, b"command"),
-        entry(Kind::Config, b"members"),
+        entry(EntryKind::NoOp, b""),
+        entry(EntryKind::Data, b"command"),
+        entry(EntryKind::Config, b"members"),
     ];
     let bodies = vec![
         (
             "vote",
-            Body::Vote(Vote {
+            Body::Vote(VoteRequest {
                 pre: true,
                 last_index: 299,
                 last_term: 6,
@@ -72,14 +72,14 @@
         ),
         (
             "voted",
-            Body::Voted(Voted {
+            Body::Voted(VoteResponse {
                 pre: true,
                 granted: true,
             }),
         ),
         (
             "append",
-            Body::Append(Append {
+            Body::Append(AppendRequest {
                 prev_index: 299,
                 prev_term: 6,
                 prev_sum: 5,
@@ -90,7 +90,7 @@
         ),
         (
             "appended",
-            Body::Appended(Appended {
+            Body::Appended(AppendResponse {
                 good: true,
                 index: 302,
                 round: 12,
@@ -99,7 +99,7 @@
         ),
         (
             "piece",
-            Body::Piece(Piece {
+            Body::Piece(SnapshotChunk {
                 base: base(),
                 total: 900,
                 offset: 512,
@@ -109,7 +109,7 @@
         ),
         (
             "took",
-            Body::Took(Took {
+            Body::Took(ChunkAck {
                 index: 250,
                 offset: 517,
                 round: 3,
@@ -118,7 +118,7 @@
         ("now", Body::Now(true)),
         (
             "aside",
-            Body::Aside(Aside {
+            Body::Aside(QuarantineNotice {
                 index: 300,
                 most: 4,
             }),
@@ -163,26 +163,26 @@
 #[test]
 fn stored_parts_are_written_as_before_and_read_back() {
     let snapshot = Snapshot {
-        base: base(),
+        metadata: base(),
         data: Bytes::from_static(b"table"),
     };
-    let data = entry(Kind::Data, b"command");
+    let data = entry(EntryKind::Data, b"command");
     assert_bytes(
         STORED,
         &[
-            NamedBytes::new("hard", Hard { term: 7, vote: 2 }.encode_to_vec()),
+            NamedBytes::new("hard", HardState { term: 7, vote: 2 }.encode_to_vec()),
             NamedBytes::new("entry", data.encode_to_vec()),
-            NamedBytes::new("entry-checksum", data.sum(0x1234).to_be_bytes()),
+            NamedBytes::new("entry-checksum", data.checksum(0x1234).to_be_bytes()),
             NamedBytes::new("configuration", config().encode_to_vec()),
             NamedBytes::new("snapshot", snapshot.encode_to_vec()),
         ],
     );
     let stored = read_bytes(STORED);
     assert_eq!(
-        Hard::decode(&stored[0].bytes[..]).unwrap(),
-        Hard { term: 7, vote: 2 }
+        HardState::decode(&stored[0].bytes[..]).unwrap(),
+        HardState { term: 7, vote: 2 }
     );
     assert_eq!(Entry::decode(&stored[1].bytes[..]).unwrap(), data);
-    assert_eq!(Config::decode(&stored[3].bytes[..]).unwrap(), config());
+    assert_eq!(Membership::decode(&stored[3].bytes[..]).unwrap(), config());
     assert_eq!(Snapshot::decode(&stored[4].bytes[..]).unwrap(), snapshot);
 }
--- a/crates/raft/tests/small_worlds.rs
+++ b/crates/raft/tests/small_worlds.rs
@@ -12,9 +12,9 @@
 )]
 
 use foldhash::{HashSet, HashSetExt};
-use rainstand_raft::wire::{Hard, Snapshot};
+use rainstand_raft::wire::{HardState, Snapshot};
 use rainstand_raft::{
-    Base, Change, Config, Entry, Id, Member, Message, Out, Replica, State, Times,
+    SnapshotMetadata, MembershipChange, Membership, Entry, ReplicaId, Member, Message, Ready, Replica, PersistentState, Timeouts,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -45,8 +45,8 @@
 /// A disk: what is durable, and writes that are on their way with what waits for them.
 #[derive(Clone, Debug, Default)]
 struct Disk {
-    state: State,
-    pending: Vec<(Out, Vec<Message>)>,
+    state: PersistentState,
+    pending: Vec<(Ready, Vec<Message>)>,
 }
 
 #[derive(Clone, Debug)]
@@ -56,7 +56,7 @@
     net: Vec<Message>,
     left: Left,
     /// Whoever led each term, and what was committed at each index by term.
-    leaders: BTreeMap<u64, Id>,
+    leaders: BTreeMap<u64, ReplicaId>,
     committed: BTreeMap<u64, (u64, u64)>,
     /// The earliest term in which each index was committed.
     in_term: BTreeMap<u64, u64>,
@@ -66,30 +66,30 @@
     only_votes: bool,
 }
 
-fn times() -> Times {
+fn times() -> Timeouts {
     let long = Duration::from_secs(1_000_000);
-    Times {
-        heartbeat: Duration::from_millis(1),
-        election: [long, long * 2],
+    Timeouts {
+        heartbeat_interval: Duration::from_millis(1),
+        election_timeout: [long, long * 2],
     }
 }
 
 fn world(left: Left, slow_disks: bool, nodes: u64) -> World {
-    let config = Config::of((1..=3).map(|id| (id, format!("n{id}"))));
-    let base = Base {
+    let config = Membership::from_voters((1..=3).map(|id| (id, format!("n{id}"))));
+    let base = SnapshotMetadata {
         index: 1,
         term: 1,
         stamp: 0,
-        sum: 1,
+        checksum: 1,
         config,
     };
     let node = |id: u64| {
         let snapshot = (id <= 3).then(|| Snapshot {
-            base: base.clone(),
+            metadata: base.clone(),
             data: Vec::new().into(),
         });
-        let state = State {
-            hard: Hard::default(),
+        let state = PersistentState {
+            hard_state: HardState::default(),
             snapshot,
             entries: Vec::new(),
         };
@@ -115,14 +115,14 @@
 }
 
 impl Disk {
-    fn write(&mut self, out: &Out) {
-        if let Some(hard) = out.hard {
-            self.state.hard = hard;
+    fn write(&mut self, out: &Ready) {
+        if let Some(hard) = out.hard_state {
+            self.state.hard_state = hard;
         }
         if let Some((snapshot, alone)) = &out.snapshot {
             self.state
                 .entries
-                .retain(|entry| entry.index > snapshot.base.index && !alone);
+                .retain(|entry| entry.index > snapshot.metadata.index && !alone);
             self.state.snapshot = Some(snapshot.clone());
         }
         for entry in &out.entries {
@@ -138,13 +138,13 @@
         for (replica, disk) in &self.nodes {
             replica.fingerprint(&mut hasher);
             (
-                disk.state.hard,
+                disk.state.hard_state,
                 disk.state.entries.len(),
                 disk.state.entries.last(),
             )
                 .hash(&mut hasher);
             for (out, after) in &disk.pending {
-                (out.hard, &out.entries, after).hash(&mut hasher);
+                (out.hard_state, &out.entries, after).hash(&mut hasher);
             }
         }
         // The order in which messages were sent means nothing.
@@ -163,7 +163,7 @@
 
     /// What follows from a call, and whether a rule broke.
     fn settle(&mut self, k: usize) -> Result<(), String> {
-        let out = self.nodes[k].0.take();
+        let out = self.nodes[k].0.take_ready();
         let id = self.nodes[k].0.id();
         for entry in &out.committed {
             let this = (entry.term, sum_of(entry));
@@ -174,7 +174,7 @@
             let first = self.in_term.entry(entry.index).or_insert(term);
             *first = term.min(*first);
         }
-        if self.nodes[k].0.leads() {
+        if self.nodes[k].0.is_leader() {
             let term = self.nodes[k].0.term();
             if *self.leaders.entry(term).or_insert(id) != id {
                 return Err(format!("two lead in term {term}"));
@@ -190,9 +190,9 @@
             }
         }
         if !self.only_votes {
-            self.net.extend(out.now.iter().cloned());
+            self.net.extend(out.messages.iter().cloned());
         }
-        let after = out.after.clone();
+        let after = out.messages_after_persist.clone();
         if out.writes() || !self.nodes[k].1.pending.is_empty() {
             self.nodes[k].1.pending.push((out, after));
             if !self.slow_disks {
@@ -210,7 +210,7 @@
             self.nodes[k].1.write(&out);
             self.net.extend(after);
             for entry in &out.entries {
-                self.nodes[k].0.written(entry.index, entry.term);
+                self.nodes[k].0.on_persisted(entry.index, entry.term);
             }
         }
         self.settle(k)
@@ -228,19 +228,19 @@
         let l = self.left;
         for k in 0..self.nodes.len() {
             let (replica, disk) = &self.nodes[k];
-            if l.stands > 0 && !replica.leads() && replica.config().votes(replica.id()) {
+            if l.stands > 0 && !replica.is_leader() && replica.membership().is_voter(replica.id()) {
                 step(
                     Left {
                         stands: l.stands - 1,
                         ..l
                     },
                     &|w| {
-                        w.nodes[k].0.stand(w.now, true);
+                        w.nodes[k].0.campaign(w.now, true);
                         w.settle(k)
                     },
                 );
             }
-            if l.proposals > 0 && replica.leads() {
+            if l.proposals > 0 && replica.is_leader() {
                 step(
                     Left {
                         proposals: l.proposals - 1,
@@ -253,7 +253,7 @@
                     },
                 );
             }
-            if l.beats > 0 && replica.leads() {
+            if l.beats > 0 && replica.is_leader() {
                 step(
                     Left {
                         beats: l.beats - 1,
@@ -284,18 +284,18 @@
                     },
                 );
             }
-            if l.changes > 0 && replica.leads() {
+            if l.changes > 0 && replica.is_leader() {
                 let changes = [
-                    Change::Add(Member {
+                    MembershipChange::AddLearner(Member {
                         id: 4,
                         name: "n4".into(),
-                        votes: false,
+                        is_voter: false,
                     }),
-                    Change::Promote(4),
-                    Change::Remove(1),
+                    MembershipChange::Promote(4),
+                    MembershipChange::Remove(1),
                 ];
                 for change in changes {
-                    if replica.clone().change(self.now, &change).is_ok() {
+                    if replica.clone().propose_membership_change(self.now, &change).is_ok() {
                         step(
                             Left {
                                 changes: l.changes - 1,
@@ -303,7 +303,7 @@
                             },
                             &|w| {
                                 let now = w.now;
-                                let _ = w.nodes[k].0.change(now, &change);
+                                let _ = w.nodes[k].0.propose_membership_change(now, &change);
                                 w.settle(k)
                             },
                         );
@@ -315,7 +315,7 @@
             let to = self.net[m].to as usize - 1;
             step(l, &|w| {
                 let message = w.net.swap_remove(m);
-                w.nodes[to].0.receive(w.now, message);
+                w.nodes[to].0.step(w.now, message);
                 w.settle(to)
             });
             if l.drops > 0 {
@@ -338,7 +338,7 @@
                     },
                     &|w| {
                         let message = w.net[m].clone();
-                        w.nodes[to].0.receive(w.now, message);
+                        w.nodes[to].0.step(w.now, message);
                         w.settle(to)
                     },
                 );
@@ -355,7 +355,7 @@
 }
 
 fn sum_of(entry: &Entry) -> u64 {
-    entry.sum(0)
+    entry.checksum(0)
 }
 
 /// Goes over all states; how many there were, and how many were committed in. Stops at the first that breaks a rule.
--- a/crates/replicated-state/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -3,7 +3,7 @@
 use crate::keys::{Command, Told};
 use crate::soft::Report;
 use bytes::Bytes;
-use rainstand_raft::{Id, Message};
+use rainstand_raft::{ReplicaId, Message};
 
 /// The first frame on a link, and again whenever something of it changed.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -13,7 +13,7 @@
     #[prost(string, tag = "2")]
     pub name: String,
     #[prost(uint64, tag = "3")]
-    pub disk: Id,
+    pub disk: ReplicaId,
     /// The start of this disk, and a draw that tells two starts under one number apart.
     #[prost(uint64, tag = "4")]
     pub boot: u64,
@@ -61,7 +61,7 @@
     #[prost(string, tag = "2")]
     pub site: String,
     #[prost(uint64, tag = "3")]
-    pub disk: Id,
+    pub disk: ReplicaId,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -117,7 +117,7 @@
     pub result: Bytes,
     /// Who leads, by disk, if that is known.
     #[prost(uint64, tag = "5")]
-    pub leader: Id,
+    pub leader: ReplicaId,
 }
 
 impl Answer {
@@ -144,7 +144,7 @@
         }
     }
 
-    pub fn elsewhere(id: u64, shard: u16, leader: Option<Id>) -> Self {
+    pub fn elsewhere(id: u64, shard: u16, leader: Option<ReplicaId>) -> Self {
         let word = Word::Elsewhere.into();
         Self {
             id,
@@ -186,7 +186,7 @@
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(uint64, tag = "2")]
-    pub disk: Id,
+    pub disk: ReplicaId,
     #[prost(uint64, tag = "3")]
     pub boot: u64,
     #[prost(uint64, tag = "4")]
@@ -195,14 +195,14 @@
     pub marks: Vec<Mark>,
     /// Disks that it had before.
     #[prost(uint64, repeated, tag = "6")]
-    pub gone: Vec<Id>,
+    pub gone: Vec<ReplicaId>,
 }
 
 /// A disk is behind what it confirmed earlier: it is an old copy.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Behind {
     #[prost(uint64, tag = "1")]
-    pub disk: Id,
+    pub disk: ReplicaId,
     #[prost(string, tag = "2")]
     pub why: String,
 }
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -23,9 +23,9 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_raft::replica::Differs;
+use rainstand_raft::replica::Divergence;
 use rainstand_raft::wire::{Body, Snapshot};
-use rainstand_raft::{Base, Config, Entry, Hard, Id, Kind, Replica, State, Times};
+use rainstand_raft::{SnapshotMetadata, Membership, Entry, HardState, ReplicaId, EntryKind, Replica, PersistentState, Timeouts};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -68,7 +68,7 @@
     pub members: Vec<(String, String)>,
     pub shards: u16,
     pub copies: usize,
-    pub times: Times,
+    pub times: Timeouts,
     /// Shards with a learner at once, of those that are led here.
     pub moves: usize,
     /// Keys of one shard.
@@ -81,10 +81,10 @@
 /// The disk, as it was opened.
 #[derive(Clone, Debug, Default)]
 pub struct Found {
-    pub disk: Id,
+    pub disk: ReplicaId,
     pub boot: u64,
     pub nonce: u64,
-    pub shards: BTreeMap<u16, State>,
+    pub shards: BTreeMap<u16, PersistentState>,
     pub form: Option<Form>,
     pub generation: u64,
     pub witness: Option<Witness>,
@@ -97,7 +97,7 @@
 pub enum Write {
     Hard {
         shard: u16,
-        hard: Hard,
+        hard: HardState,
     },
     Entry {
         shard: u16,
@@ -136,7 +136,7 @@
     /// Files are to be set aside: this copy differs from most others.
     Differs {
         shard: u16,
-        differs: Differs,
+        differs: Divergence,
     },
     /// Files are to be set aside: this disk is an old copy.
     OldCopy {
@@ -145,7 +145,7 @@
     /// A met disk is an old copy, and was told so.
     OldPeer {
         name: String,
-        disk: Id,
+        disk: ReplicaId,
         why: String,
     },
     CaughtUp {
@@ -200,13 +200,13 @@
     here: bool,
     hello: Option<Hello>,
     /// The newest start that was heard of: disk, number, draw.
-    start: Option<(Id, u64, u64)>,
+    start: Option<(ReplicaId, u64, u64)>,
     /// How far each shard's copy on its disk is known to be: confirmed, and committed.
     marks: BTreeMap<u16, (u64, u64)>,
     /// Disks that this name had before another one: their copies are of another time, whatever they say.
-    gone: VecDeque<Id>,
+    gone: VecDeque<ReplicaId>,
     /// It is an old copy: nothing of it counts.
-    refused: Option<Id>,
+    refused: Option<ReplicaId>,
 }
 
 /// A question to a shard's leader.
@@ -230,7 +230,7 @@
 
 pub struct Member {
     options: Options,
-    disk: Id,
+    disk: ReplicaId,
     boot: u64,
     nonce: u64,
     generation: u64,
@@ -242,7 +242,7 @@
     questions: BTreeMap<u64, Question>,
     next_question: u64,
     /// Who was last heard to lead a shard.
-    leaders: BTreeMap<u16, Id>,
+    leaders: BTreeMap<u16, ReplicaId>,
     number: u64,
     written: u64,
     /// Frames and news of entries that wait for a write.
@@ -350,7 +350,7 @@
         member
     }
 
-    pub fn disk(&self) -> Id {
+    pub fn disk(&self) -> ReplicaId {
         self.disk
     }
 
@@ -390,11 +390,11 @@
         self.over
     }
 
-    fn open(&mut self, shard: u16, state: State) {
+    fn open(&mut self, shard: u16, state: PersistentState) {
         let seed = self.chance.generate::<u64>();
         let snapshot = state.snapshot.clone();
         let replica = Replica::new(self.disk, self.options.times, seed, self.now, state);
-        let linger = self.options.times.election[1].as_nanos() as u64 * 100;
+        let linger = self.options.times.election_timeout[1].as_nanos() as u64 * 100;
         let mut table = Table::new(self.options.keys, linger);
         if let Some(snapshot) = snapshot.filter(|snapshot| !snapshot.data.is_empty()) {
             self.effects.versions = true;
@@ -653,19 +653,19 @@
             if !mine || there {
                 continue;
             }
-            let config = Config::of(of.iter().map(|one| (one.disk, one.name.clone())));
-            let base = Base {
+            let config = Membership::from_voters(of.iter().map(|one| (one.disk, one.name.clone())));
+            let base = SnapshotMetadata {
                 index: 1,
                 term: 1,
                 stamp: 0,
-                sum: 1,
+                checksum: 1,
                 config,
             };
             let snapshot = Snapshot {
-                base,
+                metadata: base,
                 data: Bytes::new(),
             };
-            let hard = self.shards.get(&shard).map_or(Hard::default(), |one| Hard {
+            let hard = self.shards.get(&shard).map_or(HardState::default(), |one| HardState {
                 term: one.replica.term(),
                 vote: one.replica.vote(),
             });
@@ -676,8 +676,8 @@
             });
             self.open(
                 shard,
-                State {
-                    hard,
+                PersistentState {
+                    hard_state: hard,
                     snapshot: Some(snapshot),
                     entries: Vec::new(),
                 },
@@ -754,10 +754,10 @@
             mark.0 = mark.0.max(message.term);
         }
         if !self.shards.contains_key(&shard) {
-            self.open(shard, State::default());
+            self.open(shard, PersistentState::default());
         }
         if let Some(one) = self.shards.get_mut(&shard) {
-            one.replica.receive(self.now, message);
+            one.replica.step(self.now, message);
         }
     }
 
@@ -770,7 +770,7 @@
             return;
         }
         for one in self.shards.values_mut() {
-            if one.replica.wake() <= self.now {
+            if one.replica.next_deadline() <= self.now {
                 one.replica.tick(self.now);
             }
         }
@@ -806,7 +806,7 @@
         let shards = self
             .shards
             .values()
-            .map(|one| one.replica.wake())
+            .map(|one| one.replica.next_deadline())
             .min()
             .unwrap_or(Duration::MAX);
         let own = if self.over {
@@ -861,7 +861,7 @@
     }
 
     fn tell_soft(&mut self) {
-        let known: Vec<Id> = self
+        let known: Vec<ReplicaId> = self
             .peers
             .values()
             .filter_map(|peer| Some(peer.start?.0))
@@ -880,7 +880,7 @@
 
     // Members of shards.
 
-    fn disk_of(&self, name: &str) -> Option<Id> {
+    fn disk_of(&self, name: &str) -> Option<ReplicaId> {
         if name == self.options.name {
             return Some(self.disk);
         }
@@ -899,16 +899,16 @@
                 one.led
                     && one
                         .replica
-                        .config()
+                        .membership()
                         .members
                         .iter()
-                        .any(|member| !member.votes)
+                        .any(|member| !member.is_voter)
             })
             .count();
         let ids: Vec<u16> = self.shards.keys().copied().collect();
         for shard in ids {
             let held = holders(&self.options.members, shard, self.options.copies);
-            let wanted: Vec<(String, Option<Id>)> = held
+            let wanted: Vec<(String, Option<ReplicaId>)> = held
                 .iter()
                 .map(|k| &self.options.members[*k].0)
                 .map(|name| (name.clone(), self.disk_of(name)))
@@ -917,24 +917,24 @@
             let Some(one) = self.shards.get_mut(&shard) else {
                 continue;
             };
-            if !one.replica.established() || !one.replica.settled() || one.replica.handing() {
+            if !one.replica.has_committed_in_term() || !one.replica.is_membership_committed() || one.replica.is_transferring_leadership() {
                 continue;
             }
             let commit = one.replica.commit();
-            let matched: BTreeMap<Id, u64> =
+            let matched: BTreeMap<ReplicaId, u64> =
                 one.replica.progress().map(|(id, at, _)| (id, at)).collect();
-            let caught_up = |id: Id| matched.get(&id).is_some_and(|at| *at >= commit);
-            match next(one.replica.config(), &wanted, me, caught_up) {
+            let caught_up = |id: ReplicaId| matched.get(&id).is_some_and(|at| *at >= commit);
+            match next(one.replica.membership(), &wanted, me, caught_up) {
                 Next::Settled | Next::Wait => {}
-                Next::HandTo(id) => drop(one.replica.hand_to(now, id)),
+                Next::HandTo(id) => drop(one.replica.transfer_leadership(now, id)),
                 Next::Change(change) => {
-                    let adds = matches!(change, rainstand_raft::Change::Add(_));
+                    let adds = matches!(change, rainstand_raft::MembershipChange::AddLearner(_));
                     if adds && learning >= self.options.moves {
                         continue;
                     }
-                    if one.replica.change(now, &change).is_ok() {
+                    if one.replica.propose_membership_change(now, &change).is_ok() {
                         learning += usize::from(adds);
-                        let config = describe(one.replica.config());
+                        let config = describe(one.replica.membership());
                         self.effects.news.push(News::Members { shard, config });
                     }
                 }
@@ -981,15 +981,15 @@
     /// Hands over all shards that are led here to others; before a drain ends.
     pub fn hand_over(&mut self, now: Duration) {
         self.now = self.now.max(now);
-        for one in self.shards.values_mut().filter(|one| one.replica.leads()) {
+        for one in self.shards.values_mut().filter(|one| one.replica.is_leader()) {
             let best = one
                 .replica
                 .progress()
-                .filter(|(id, ..)| one.replica.config().votes(*id))
+                .filter(|(id, ..)| one.replica.membership().is_voter(*id))
                 .max_by_key(|(_, matched, heard)| (*matched, *heard))
                 .map(|(id, ..)| id);
             if let Some(id) = best {
-                let _ = one.replica.hand_to(now, id);
+                let _ = one.replica.transfer_leadership(now, id);
             }
         }
         self.settle();
@@ -999,7 +999,7 @@
     pub fn leading(&self) -> usize {
         self.shards
             .values()
-            .filter(|one| one.replica.leads())
+            .filter(|one| one.replica.is_leader())
             .count()
     }
 
@@ -1101,7 +1101,7 @@
         let here = self
             .shards
             .get(&shard)
-            .is_some_and(|one| one.replica.leads());
+            .is_some_and(|one| one.replica.is_leader());
         question.again = self.now + AGAIN[usize::from(!here)];
         self.due = self.due.min(question.again);
         if here {
@@ -1138,7 +1138,7 @@
         self.effects.frames.push((name, Frame::of(What::Ask(ask))));
     }
 
-    fn name_of(&self, disk: Id) -> Option<String> {
+    fn name_of(&self, disk: ReplicaId) -> Option<String> {
         let known =
             |peer: &Peer| peer.hello.as_ref().is_some_and(|hello| hello.disk == disk) && peer.here;
         self.peers
@@ -1268,8 +1268,8 @@
         let Some(one) = self.shards.get_mut(&shard) else {
             return;
         };
-        let out = one.replica.take();
-        let leads = one.replica.leads();
+        let out = one.replica.take_ready();
+        let leads = one.replica.is_leader();
         if leads != one.led {
             one.led = leads;
             let term = one.replica.term();
@@ -1283,7 +1283,7 @@
         if out.is_empty() && (leads || one.waiting.is_empty() && one.watchers.is_empty()) {
             return;
         }
-        if let Some(hard) = out.hard {
+        if let Some(hard) = out.hard_state {
             self.writes.push(Write::Hard { shard, hard });
         }
         if let Some((snapshot, alone)) = out.snapshot {
@@ -1297,7 +1297,7 @@
             self.effects.versions = true;
             self.effects.news.push(News::CaughtUp {
                 shard,
-                index: snapshot.base.index,
+                index: snapshot.metadata.index,
             });
             self.writes.push(Write::Save {
                 shard,
@@ -1309,7 +1309,7 @@
             self.confirms.push((shard, entry.index, entry.term));
             self.writes.push(Write::Entry { shard, entry });
         }
-        if let Some(differs) = out.differs {
+        if let Some(differs) = out.divergence {
             self.set_aside(News::Differs { shard, differs });
             return;
         }
@@ -1325,8 +1325,8 @@
                 })),
             )
         };
-        let now: Vec<_> = out.now.into_iter().map(wrap).collect();
-        let after: Vec<_> = out.after.into_iter().map(wrap).collect();
+        let now: Vec<_> = out.messages.into_iter().map(wrap).collect();
+        let after: Vec<_> = out.messages_after_persist.into_iter().map(wrap).collect();
         for (to, frame) in now {
             if let Some(name) = self.name_of(to) {
                 self.effects.frames.push((name, frame));
@@ -1353,7 +1353,7 @@
             return;
         };
         let (term, commit) = (one.replica.term(), one.replica.commit());
-        let marks: Vec<(Id, u64)> = one
+        let marks: Vec<(ReplicaId, u64)> = one
             .replica
             .progress()
             .map(|(id, matched, _)| (id, matched.min(commit)))
@@ -1372,7 +1372,7 @@
             return;
         };
         let waiting = one.waiting.remove(&entry.index);
-        if entry.kind() != Kind::Data {
+        if entry.kind() != EntryKind::Data {
             return;
         }
         // What cannot be read was proposed by a later version: every copy passes over it alike.
@@ -1390,7 +1390,7 @@
         } else {
             None
         };
-        let leads = one.replica.leads();
+        let leads = one.replica.is_leader();
         // The end of a run, for the repeats that wait for it. One of a start that was taken back asks again.
         for watcher in watchers.unwrap_or_default() {
             match (&command.what, &told) {
@@ -1479,7 +1479,7 @@
             self.effects.frames.extend(frames);
             for (shard, index, term) in confirms {
                 if let Some(one) = self.shards.get_mut(&shard) {
-                    one.replica.written(index, term);
+                    one.replica.on_persisted(index, term);
                 }
             }
         }
@@ -1520,7 +1520,7 @@
     pub fn published(&self) -> Option<(&Versions, bool)> {
         let one = self.shards.get(&0)?;
         let current =
-            one.replica.established() || !one.replica.leads() && one.replica.leader().is_some();
+            one.replica.has_committed_in_term() || !one.replica.is_leader() && one.replica.leader().is_some();
         let current = current && one.replica.applied() == one.replica.commit();
         Some((one.table.versions(), current && !self.over))
     }
@@ -1533,7 +1533,7 @@
     }
 
     /// Members by name: whether a link is open, and the disk last heard.
-    pub fn peers(&self) -> impl Iterator<Item = (&str, bool, Option<Id>, bool)> {
+    pub fn peers(&self) -> impl Iterator<Item = (&str, bool, Option<ReplicaId>, bool)> {
         self.peers.iter().map(|(name, peer)| {
             (
                 name.as_str(),
@@ -1565,13 +1565,13 @@
 }
 
 /// A configuration in a few words.
-fn describe(config: &Config) -> String {
+fn describe(config: &Membership) -> String {
     let one = |member: &rainstand_raft::Member| {
         format!(
             "{}/{:08x}{}",
             member.name,
             member.id as u32,
-            if member.votes { "" } else { "?" }
+            if member.is_voter { "" } else { "?" }
         )
     };
     config.members.iter().map(one).collect::<Vec<_>>().join(" ")
--- a/crates/replicated-state/src/moves.rs
+++ b/crates/replicated-state/src/moves.rs
@@ -3,27 +3,27 @@
 //! A learner comes first, catches up, votes; only then goes the one whose place it takes. A name that came back with
 //! another disk is wanted with that disk, and its old one goes like any other that is not wanted.
 
-use rainstand_raft::{Change, Config, Id, Member};
+use rainstand_raft::{MembershipChange, Membership, ReplicaId, Member};
 
 /// What a shard's leader does next about its members.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
     /// All is as it is wanted.
     Settled,
-    Change(Change),
+    Change(MembershipChange),
     /// A learner is catching up, or a wanted member has not been heard of.
     Wait,
     /// The leader is not wanted here: it hands over to this one first.
-    HandTo(Id),
+    HandTo(ReplicaId),
 }
 
 /// `wanted`: names by the layout, with the disk each was last heard with, if any. `caught_up`: whether a learner has
 /// what is committed.
 pub fn next(
-    config: &Config,
-    wanted: &[(String, Option<Id>)],
-    me: Id,
-    caught_up: impl Fn(Id) -> bool,
+    config: &Membership,
+    wanted: &[(String, Option<ReplicaId>)],
+    me: ReplicaId,
+    caught_up: impl Fn(ReplicaId) -> bool,
 ) -> Next {
     let is_wanted = |member: &Member| {
         let of_name = wanted.iter().find(|(name, _)| *name == member.name);
@@ -32,26 +32,26 @@
     };
     let missing = wanted.iter().filter_map(|(name, id)| Some((name, (*id)?)));
     let mut missing = missing.filter(|(_, id)| config.member(*id).is_none());
-    if let Some(learner) = config.members.iter().find(|member| !member.votes) {
+    if let Some(learner) = config.members.iter().find(|member| !member.is_voter) {
         if !is_wanted(learner) {
-            return Next::Change(Change::Remove(learner.id));
+            return Next::Change(MembershipChange::Remove(learner.id));
         }
         if caught_up(learner.id) {
-            return Next::Change(Change::Promote(learner.id));
+            return Next::Change(MembershipChange::Promote(learner.id));
         }
         return Next::Wait;
     }
     if let Some((name, id)) = missing.next() {
-        return Next::Change(Change::Add(Member {
+        return Next::Change(MembershipChange::AddLearner(Member {
             id,
             name: name.clone(),
-            votes: false,
+            is_voter: false,
         }));
     }
     let voters_wanted = config
         .members
         .iter()
-        .filter(|member| member.votes && is_wanted(member))
+        .filter(|member| member.is_voter && is_wanted(member))
         .count();
     let unwanted = config.members.iter().find(|member| !is_wanted(member));
     match unwanted {
@@ -61,10 +61,10 @@
             let other = config
                 .members
                 .iter()
-                .find(|member| member.votes && is_wanted(member));
+                .find(|member| member.is_voter && is_wanted(member));
             other.map_or(Next::Wait, |other| Next::HandTo(other.id))
         }
-        Some(member) => Next::Change(Change::Remove(member.id)),
+        Some(member) => Next::Change(MembershipChange::Remove(member.id)),
         None if voters_wanted < wanted.len() => Next::Wait,
         None => Next::Settled,
     }
@@ -74,18 +74,18 @@
 mod tests {
     use super::*;
 
-    fn config(members: &[(Id, &str, bool)]) -> Config {
+    fn config(members: &[(ReplicaId, &str, bool)]) -> Membership {
         let members = members.iter().map(|(id, name, votes)| Member {
             id: *id,
             name: (*name).into(),
-            votes: *votes,
+            is_voter: *votes,
         });
-        Config {
+        Membership {
             members: members.collect(),
         }
     }
 
-    fn wanted(names: &[(&str, Id)]) -> Vec<(String, Option<Id>)> {
+    fn wanted(names: &[(&str, ReplicaId)]) -> Vec<(String, Option<ReplicaId>)> {
         names
             .iter()
             .map(|(name, id)| ((*name).to_owned(), (*id > 0).then_some(*id)))
@@ -96,7 +96,7 @@
     fn each_step_is_the_one_that_is_safe_now() {
         let whole = [(1, "a", true), (2, "b", true), (3, "c", true)];
         let names = wanted(&[("a", 1), ("b", 2), ("c", 3)]);
-        let next = |members: &[(Id, &str, bool)], wanted: &[(String, Option<Id>)], caught: bool| {
+        let next = |members: &[(ReplicaId, &str, bool)], wanted: &[(String, Option<ReplicaId>)], caught: bool| {
             next(&config(members), wanted, 1, |_| caught)
         };
         assert_eq!(next(&whole, &names, true), Next::Settled);
@@ -105,9 +105,9 @@
         let add = Member {
             id: 9,
             name: "c".into(),
-            votes: false,
+            is_voter: false,
         };
-        assert_eq!(next(&whole, &anew, true), Next::Change(Change::Add(add)));
+        assert_eq!(next(&whole, &anew, true), Next::Change(MembershipChange::AddLearner(add)));
         let learns = [
             (1, "a", true),
             (2, "b", true),
@@ -115,14 +115,14 @@
             (9, "c", false),
         ];
         assert_eq!(next(&learns, &anew, false), Next::Wait);
-        assert_eq!(next(&learns, &anew, true), Next::Change(Change::Promote(9)));
+        assert_eq!(next(&learns, &anew, true), Next::Change(MembershipChange::Promote(9)));
         let both = [
             (1, "a", true),
             (2, "b", true),
             (3, "c", true),
             (9, "c", true),
         ];
-        assert_eq!(next(&both, &anew, true), Next::Change(Change::Remove(3)));
+        assert_eq!(next(&both, &anew, true), Next::Change(MembershipChange::Remove(3)));
         assert_eq!(
             next(
                 &[(1, "a", true), (2, "b", true), (9, "c", true)],
@@ -133,7 +133,7 @@
         );
         // It changed its disk once more while it learned.
         let third = wanted(&[("a", 1), ("b", 2), ("c", 11)]);
-        assert_eq!(next(&learns, &third, true), Next::Change(Change::Remove(9)));
+        assert_eq!(next(&learns, &third, true), Next::Change(MembershipChange::Remove(9)));
         // `c` is out of reach: its disk stays.
         assert_eq!(
             next(&whole, &wanted(&[("a", 1), ("b", 2), ("c", 0)]), true),
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -13,7 +13,7 @@
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
 use rainstand_config_distribution::delta::State;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
-use rainstand_raft::wire::{Body, Message, Vote};
+use rainstand_raft::wire::{Body, Message, VoteRequest};
 use rainstand_replicated_state::frames::{
     Answer, Ask, Behind, Form, Formed, Frame, Hello, Mark, Raft, What, Witness, Witnessed, Word,
 };
@@ -149,7 +149,7 @@
         to: 1,
         from: 2,
         term: 3,
-        body: Some(Body::Vote(Vote {
+        body: Some(Body::Vote(VoteRequest {
             pre: false,
             last_index: 9,
             last_term: 2,
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -9,7 +9,7 @@
 use super::{limits, Effort, Named, Place, Row, Sizes};
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_raft::Times;
+use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::{Frame, What};
 use rainstand_replicated_state::member::{Effects, Found, Member, Options, COMPACT};
 use std::cmp::Reverse;
@@ -140,9 +140,9 @@
                 members: members.clone(),
                 shards: spec.shards,
                 copies: COPIES,
-                times: Times {
-                    heartbeat: HEARTBEAT,
-                    election: ELECTION,
+                times: Timeouts {
+                    heartbeat_interval: HEARTBEAT,
+                    election_timeout: ELECTION,
                 },
                 moves: 2,
                 keys: 1_000_000,
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -8,7 +8,7 @@
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
 use rainstand_cluster::disk::{found, put};
-use rainstand_raft::Times;
+use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::keys::{Command, Start, Told, What};
 use rainstand_replicated_state::member::{Effects, Member, News, Options, Write};
@@ -364,9 +364,9 @@
                     let members = self.nodes.iter().filter_map(|node| node.member.as_ref());
                     let shards = members
                         .flat_map(|member| member.shards())
-                        .filter(|shard| shard.1.leads());
-                    let mut all = shards.flat_map(|shard| &shard.1.config().members);
-                    let id = all.find(|member| !member.votes)?.id;
+                        .filter(|shard| shard.1.is_leader());
+                    let mut all = shards.flat_map(|shard| &shard.1.membership().members);
+                    let id = all.find(|member| !member.is_voter)?.id;
                     let is = |node: &Node| {
                         node.member
                             .as_ref()
@@ -440,9 +440,9 @@
             members: self.members(),
             shards: self.world.shards,
             copies: self.world.copies,
-            times: Times {
-                heartbeat: Duration::from_millis(30),
-                election: [Duration::from_millis(150), Duration::from_millis(300)],
+            times: Timeouts {
+                heartbeat_interval: Duration::from_millis(30),
+                election_timeout: [Duration::from_millis(150), Duration::from_millis(300)],
             },
             moves: 2,
             keys: 100_000,
@@ -884,13 +884,13 @@
             if member.peers().any(|peer| peer.3) {
                 return false;
             }
-            for (_, replica, _) in member.shards().filter(|shard| shard.1.leads()) {
+            for (_, replica, _) in member.shards().filter(|shard| shard.1.is_leader()) {
                 led += 1;
-                let there = |one: &rainstand_raft::Member| one.votes && disks.contains(&one.id);
+                let there = |one: &rainstand_raft::Member| one.is_voter && disks.contains(&one.id);
                 let caught_up = replica
                     .progress()
                     .all(|(_, matched, _)| matched >= replica.commit());
-                let config = replica.config();
+                let config = replica.membership();
                 if !caught_up
                     || config.members.len() != self.world.copies
                     || !config.members.iter().all(there)
@@ -1254,13 +1254,13 @@
             }
             for (shard, replica, table) in member.shards() {
                 // Of disks that hold a copy no more, nothing is asked.
-                if replica.config().member(replica.id()).is_none() {
+                if replica.membership().member(replica.id()).is_none() {
                     continue;
                 }
                 let sum = replica.log().sum(replica.applied()).unwrap_or(0);
                 let state = twox_hash::XxHash3_64::oneshot(&table.keep());
-                let members = twox_hash::XxHash3_64::oneshot(&replica.config().encode_to_vec());
-                let members = replica.settled().then_some(members);
+                let members = twox_hash::XxHash3_64::oneshot(&replica.membership().encode_to_vec());
+                let members = replica.is_membership_committed().then_some(members);
                 let entry = seen
                     .entry((shard, replica.applied()))
                     .or_insert((sum, state, members, k));
