--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -4,10 +4,10 @@
 use clap::Args;
 use rainstand_cluster::attach::{keep, News, Seen, Setup};
 use rainstand_config::schema::{Configuration, Control, ControlMember};
-use rainstand_config_distribution::attach::Who;
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::attach::NodeIdentity;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::snapshot;
-use rainstand_config_distribution::subscriber::{Event, Pending, Subscriber};
+use rainstand_config_distribution::subscriber::{Event, PendingUpdate, Subscriber};
 use rainstand_forwarder::admin::ControlLine;
 use rainstand_forwarder::published::changes;
 use rainstand_forwarder::Hub;
@@ -44,7 +44,7 @@
 
 /// Whom a process asks.
 pub struct Plan {
-    who: Who,
+    who: NodeIdentity,
     machines: Vec<ControlMember>,
     folder: Option<PathBuf>,
     number: usize,
@@ -52,7 +52,7 @@
 }
 
 /// A version that was in force before this start.
-pub type Last = (u64, State);
+pub type Last = (u64, ConfigState);
 
 impl Options {
     /// None where nothing names a control machine.
@@ -83,7 +83,7 @@
             .map(|block| &block.folder)
             .filter(|folder| !folder.is_empty());
         let folder = self.control_folder.clone().or(folder.map(PathBuf::from));
-        let who = Who {
+        let who = NodeIdentity {
             name: self.name.clone(),
             region: self.region.clone(),
             zone: zone.to_owned(),
@@ -128,7 +128,7 @@
         let seen = Rc::new(RefCell::new(Seen::default()));
         let subscriber = match last {
             Some((version, state)) => {
-                Subscriber::with(Duration::ZERO, self.who.clone(), version, state)
+                Subscriber::with_version(Duration::ZERO, self.who.clone(), version, state)
             }
             None => Subscriber::new(Duration::ZERO, self.who.clone()),
         };
@@ -141,7 +141,7 @@
             .replace(Some(Box::new(move || line(&told.borrow(), since))));
         let (taker, number) = (hub.clone(), self.number);
         let take = move |subscriber: &Subscriber| -> Result<(), String> {
-            if let Some(Pending::Delta(delta)) = subscriber.pending() {
+            if let Some(PendingUpdate::Delta(delta)) = subscriber.pending() {
                 // At the cost of what it says. A first one, from nothing, is a whole.
                 if subscriber.version() > 0 {
                     let changes = changes(subscriber.state(), delta, number)
@@ -197,8 +197,8 @@
 /// What is to come into force, whole.
 fn pending(subscriber: &Subscriber) -> Result<Configuration, String> {
     let whole = match subscriber.pending() {
-        Some(Pending::Whole { state, .. }) => state.configuration(),
-        Some(Pending::Delta(delta)) => {
+        Some(PendingUpdate::Snapshot { state, .. }) => state.configuration(),
+        Some(PendingUpdate::Delta(delta)) => {
             let mut state = subscriber.state().clone();
             state.apply(delta).and_then(|()| state.configuration())
         }
@@ -207,7 +207,7 @@
     whole.map_err(|why| why.to_string())
 }
 
-fn write(path: &Path, version: u64, state: &State) -> Result<(), String> {
+fn write(path: &Path, version: u64, state: &ConfigState) -> Result<(), String> {
     let packed = snapshot::packed(version, state).map_err(|why| why.to_string())?;
     replace(path, &packed).map_err(|error| error.to_string())
 }
@@ -224,8 +224,8 @@
         lost: seen.lost,
         dials: seen.dials,
         in_force: seen.counters.in_force,
-        refusals: seen.counters.refused,
-        differs: seen.counters.differs,
+        refusals: seen.counters.nacks,
+        differs: seen.counters.divergences,
         bytes_in: seen.counters.bytes_in,
         bytes_out: seen.counters.bytes_out,
     }
@@ -238,19 +238,19 @@
         News::Lost { machine, why } => {
             tracing::warn!(event = "attachment_lost", machine, why, version = holds)
         }
-        News::Version(Event::InForce { version }) => {
+        News::Version(Event::Applied { version }) => {
             let digest = format!("{:016x}", subscriber.state().digest());
             tracing::info!(event = "version_in_force", version, digest);
         }
-        News::Version(Event::Refused { version, reason }) => {
+        News::Version(Event::Rejected { version, reason }) => {
             tracing::warn!(event = "version_refused", version, why = reason, holds);
         }
-        News::Version(Event::Differs { version, why }) => {
+        News::Version(Event::Diverged { version, why }) => {
             tracing::error!(event = "version_differs", version, why = %why, holds);
         }
         News::Version(Event::Gap { holds, from }) => {
             tracing::warn!(event = "version_gap", from, holds)
         }
-        News::Version(Event::Unreadable) => tracing::warn!(event = "control_unreadable", holds),
+        News::Version(Event::Malformed) => tracing::warn!(event = "control_unreadable", holds),
     }
 }
--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -8,9 +8,9 @@
 use rainstand_cluster::{status, Group, Setup};
 use rainstand_config::diff::diff;
 use rainstand_config::schema::{Configuration, VERSION};
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
+use rainstand_config_distribution::publisher::{Event, PublisherLimits};
 use rainstand_config_distribution::snapshot;
-use rainstand_config_distribution::source::{Bounds, Event};
 use rainstand_replicated_state::member::News;
 use rainstand_replicated_state::versions::Publish;
 use rainstand_routing::table::Table;
@@ -96,7 +96,7 @@
             Ok(group) => group,
             Err(why) => return Ok(trouble(&options.config, why)),
         };
-        group.serve(Bounds::default(), Box::new(event));
+        group.serve(PublisherLimits::default(), Box::new(event));
         let listen = group.address(&options.name).map(|address| address.to_string()).unwrap_or_default();
         tracing::info!(event = "start", name = %options.name, listen = %listen, config = %options.config);
         let (again, path) = (group.clone(), options.config.clone());
@@ -148,20 +148,22 @@
         Event::Attached { name, version } => {
             tracing::info!(event = "control_attached", name, version)
         }
-        Event::Gone { name } => tracing::info!(event = "control_gone", name),
-        Event::TurnedAway { name } => tracing::info!(event = "control_turned_away", name),
-        Event::Refused {
+        Event::Disconnected { name } => tracing::info!(event = "control_gone", name),
+        Event::AttachRejected { name } => tracing::info!(event = "control_turned_away", name),
+        Event::Rejected {
             name,
             version,
             reason,
         } => {
             tracing::warn!(event = "control_refused", name, version, reason);
         }
-        Event::Differs { name, version } => {
+        Event::Diverged { name, version } => {
             tracing::error!(event = "control_differs", name, version)
         }
-        Event::Ahead { name, version } => tracing::warn!(event = "control_ahead", name, version),
-        Event::Unreadable { link } => tracing::warn!(event = "control_unreadable", link),
+        Event::SubscriberAhead { name, version } => {
+            tracing::warn!(event = "control_ahead", name, version)
+        }
+        Event::Malformed { link } => tracing::warn!(event = "control_unreadable", link),
     }
 }
 
@@ -175,10 +177,10 @@
 }
 
 /// The newest version there.
-fn newest(at: SocketAddr) -> Result<(u64, State), String> {
+fn newest(at: SocketAddr) -> Result<(u64, ConfigState), String> {
     let packed = exchange(at, &status::ask("whole")).map_err(|error| error.to_string())?;
     if packed.is_empty() {
-        return Ok((0, State::default()));
+        return Ok((0, ConfigState::default()));
     }
     snapshot::unpacked(&packed).map_err(|why| why.to_string())
 }
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -12,7 +12,7 @@
 use rainstand_cluster::links::whole;
 use rainstand_cluster::status;
 use rainstand_config::schema::Configuration;
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_replicated_state::versions::Publish;
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -308,7 +308,7 @@
         version: 1,
         ..Configuration::default()
     };
-    let late = Publish::of(&State::of(&late).unwrap(), 0, &late).unwrap();
+    let late = Publish::of(&ConfigState::from_configuration(&late).unwrap(), 0, &late).unwrap();
     let told = world.ask(2, &status::ask_publish(&late));
     assert!(told["conflict"].is_string(), "{told}");
 
--- a/crates/cluster/src/attach.rs
+++ b/crates/cluster/src/attach.rs
@@ -7,8 +7,8 @@
 use crate::serve::up;
 use prost::Message as _;
 use rainstand_config::schema;
-use rainstand_config_distribution::attach::{Chooser, Who};
-use rainstand_config_distribution::subscriber::{Counters, Event, Order, Subscriber};
+use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::subscriber::{Counters, Effect, Event, Subscriber};
 use rainstand_protocol::thrift::frame_within;
 use rainstand_replicated_state::frames::{Frame, What};
 use std::cell::RefCell;
@@ -60,7 +60,7 @@
 
 /// What an attachment needs.
 pub struct Setup {
-    pub who: Who,
+    pub who: NodeIdentity,
     pub machines: Vec<schema::ControlMember>,
     /// What is in force already, as read from a disk: none for [`Subscriber::new`].
     pub subscriber: Subscriber,
@@ -84,7 +84,7 @@
 
 struct Attachment {
     subscriber: Subscriber,
-    chooser: Chooser,
+    chooser: AttachmentPolicy,
     machines: Vec<schema::ControlMember>,
     started: Instant,
     take: Take,
@@ -105,15 +105,15 @@
         look,
         seen,
     } = setup;
-    let places: Vec<Who> = machines
+    let places: Vec<NodeIdentity> = machines
         .iter()
-        .map(|one| Who {
+        .map(|one| NodeIdentity {
             name: one.name.clone(),
             region: one.region.clone(),
             zone: one.zone.clone(),
         })
         .collect();
-    let chooser = Chooser::new(Duration::ZERO, &who, &places, seed);
+    let chooser = AttachmentPolicy::new(Duration::ZERO, &who, &places, seed);
     let started = Instant::now();
     let mut one = Attachment {
         subscriber,
@@ -127,12 +127,14 @@
     };
     loop {
         let now = one.now();
-        let Some(due) = one.chooser.due() else { return };
+        let Some(due) = one.chooser.next_deadline() else {
+            return;
+        };
         if now < due {
             sleep(due - now).await;
         }
         let now = one.now();
-        let Some(machine) = one.chooser.next(now) else {
+        let Some(machine) = one.chooser.next_server(now) else {
             continue;
         };
         one.link(machine).await;
@@ -158,16 +160,16 @@
             },
             Err(_) => Over::Lost("no address"),
         };
-        self.subscriber.cut();
+        self.subscriber.on_link_closed();
         let now = self.now();
         let was = self.seen.borrow_mut().machine.take();
         let why = match over {
             Over::Lost(why) => {
-                self.chooser.lost(now);
+                self.chooser.on_disconnected(now);
                 why
             }
             Over::ComeBack { after, elsewhere } => {
-                self.chooser.come_back(now, after, elsewhere);
+                self.chooser.on_retry_after(now, after, elsewhere);
                 "told to come back"
             }
             // The chooser says which one when it is asked next.
@@ -185,7 +187,7 @@
         let (mut read, mut write) = stream.into_split();
         let (mut back, mut chunk) = (Vec::new(), vec![0; 8 << 10]);
         let now = self.now();
-        self.subscriber.opened(now);
+        self.subscriber.on_connected(now);
         loop {
             let mut bytes = Vec::new();
             let over = self.follow(&mut bytes);
@@ -201,10 +203,10 @@
             }
             self.look(name);
             let now = self.now();
-            if self.subscriber.is_lost(now) {
+            if self.subscriber.is_server_lost(now) {
                 return Over::Lost("silent, or out of touch with the others");
             }
-            if self.chooser.due().is_some_and(|due| due <= now) {
+            if self.chooser.next_deadline().is_some_and(|due| due <= now) {
                 return Over::Home;
             }
             let until = tokio::time::Instant::now() + LOOK;
@@ -228,7 +230,7 @@
                     return Over::Lost("no frame of a control machine");
                 };
                 let now = self.now();
-                self.subscriber.heard(now, frame);
+                self.subscriber.on_frame(now, frame);
             }
             back.drain(..at);
         }
@@ -238,27 +240,27 @@
     fn follow(&mut self, bytes: &mut Vec<u8>) -> Option<Over> {
         let mut over = None;
         loop {
-            let orders: Vec<Order> = self.subscriber.orders().collect();
+            let orders: Vec<Effect> = self.subscriber.take_effects().collect();
             if orders.is_empty() {
                 return over;
             }
             for order in orders {
                 match order {
-                    Order::Send(frame) => bytes.extend(up(frame)),
-                    Order::Take(version) => match (self.take)(&self.subscriber) {
-                        Ok(()) => self.subscriber.in_force(version),
+                    Effect::Send(frame) => bytes.extend(up(frame)),
+                    Effect::Apply(version) => match (self.take)(&self.subscriber) {
+                        Ok(()) => self.subscriber.on_applied(version),
                         Err(why) => self.subscriber.refused(version, &why),
                     },
-                    Order::ComeBack { after, elsewhere } => {
+                    Effect::RetryAfter { after, elsewhere } => {
                         over = Some(Over::ComeBack { after, elsewhere })
                     }
-                    Order::Close => over = Some(Over::Lost("no frame of a control machine")),
-                    Order::Event(event) => {
+                    Effect::Close => over = Some(Over::Lost("no frame of a control machine")),
+                    Effect::Event(event) => {
                         match &event {
-                            Event::Refused { version, reason } => {
+                            Event::Rejected { version, reason } => {
                                 self.seen.borrow_mut().refused = Some((*version, reason.clone()));
                             }
-                            Event::InForce { .. } => self.seen.borrow_mut().refused = None,
+                            Event::Applied { .. } => self.seen.borrow_mut().refused = None,
                             _ => {}
                         }
                         (self.tell)(&News::Version(event), &self.subscriber);
@@ -278,13 +280,13 @@
         seen.digest = self.subscriber.state().digest();
         seen.counters = self.subscriber.counters();
         if attached {
-            seen.newest = Instant::now().checked_sub(self.subscriber.age(now));
+            seen.newest = Instant::now().checked_sub(self.subscriber.staleness(now));
         }
         if attached && seen.machine.is_none() {
             seen.machine = Some(name.to_owned());
             seen.attachments += 1;
             drop(seen);
-            self.chooser.attached(now);
+            self.chooser.on_attached(now);
             (self.tell)(
                 &News::Attached {
                     machine: name.to_owned(),
--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -25,7 +25,8 @@
         let flaw = |what: &str, why: prost::DecodeError| format!("shard {shard}: {what}: {why}");
         let mut state = PersistentState::default();
         if let Some(data) = &one.hard {
-            state.hard_state = HardState::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
+            state.hard_state =
+                HardState::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
         }
         if let Some((_, data)) = &one.snapshot {
             state.snapshot =
--- a/crates/cluster/src/host.rs
+++ b/crates/cluster/src/host.rs
@@ -10,7 +10,7 @@
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
 use rainstand_config::schema;
-use rainstand_config_distribution::source::Bounds;
+use rainstand_config_distribution::publisher::PublisherLimits;
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::keys::{Command, Told};
@@ -208,7 +208,7 @@
     }
 
     /// From now on processes that are no members may attach and hear of what is published.
-    pub fn serve(self: &Rc<Self>, bounds: Bounds, tell: TellEvent) {
+    pub fn serve(self: &Rc<Self>, bounds: PublisherLimits, tell: TellEvent) {
         let serving = Serving::begin(self, bounds, draws()[0], tell);
         self.serving.replace(Some(serving));
     }
--- a/crates/cluster/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -7,7 +7,7 @@
 use crate::disk::found;
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
-use rainstand_raft::{SnapshotMetadata, Membership, EntryKind};
+use rainstand_raft::{EntryKind, Membership, SnapshotMetadata};
 use rainstand_replicated_state::frames::{Form, Formed};
 use rainstand_replicated_state::keys::{Command, Table};
 use rainstand_replicated_state::member::{NOTE_FORM, NOTE_GENERATION};
@@ -160,7 +160,12 @@
     });
     for (shard, snapshot) in saves {
         store
-            .save(shard, snapshot.metadata.index, &snapshot.encode_to_vec(), true)
+            .save(
+                shard,
+                snapshot.metadata.index,
+                &snapshot.encode_to_vec(),
+                true,
+            )
             .map_err(|why| format!("shard {shard}: {why}"))?;
     }
     store.flush().map_err(|why| why.to_string())?;
--- a/crates/cluster/src/serve.rs
+++ b/crates/cluster/src/serve.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
-use rainstand_config_distribution::snapshot;
-use rainstand_config_distribution::source::{
-    Bounds, Event, Link, Order, Progress, Source, Standing,
+use rainstand_config_distribution::publisher::{
+    Effect, Event, Link, Publisher, PublisherLimits, RolloutProgress, SubscriberStatus,
 };
+use rainstand_config_distribution::snapshot;
 use rainstand_protocol::thrift::frame_within;
 use rainstand_replicated_state::frames::{Frame, What};
 use rainstand_replicated_state::member::Member;
@@ -55,8 +55,8 @@
 }
 
 pub struct Serving {
-    source: RefCell<Source>,
-    bounds: Bounds,
+    source: RefCell<Publisher>,
+    bounds: PublisherLimits,
     started: Instant,
     lines: RefCell<HashMap<Link, Rc<Line>>>,
     next: Cell<Link>,
@@ -70,9 +70,9 @@
 
 impl Serving {
     /// Begins to serve what a group publishes.
-    pub fn begin(group: &Rc<Group>, bounds: Bounds, seed: u64, tell: Tell) -> Rc<Self> {
+    pub fn begin(group: &Rc<Group>, bounds: PublisherLimits, seed: u64, tell: Tell) -> Rc<Self> {
         let serving = Rc::new(Self {
-            source: RefCell::new(Source::new(Duration::ZERO, bounds, seed)),
+            source: RefCell::new(Publisher::new(Duration::ZERO, bounds, seed)),
             bounds,
             started: Instant::now(),
             lines: RefCell::new(HashMap::new()),
@@ -107,15 +107,15 @@
             let (base, state) = versions.base();
             if source.version() < base {
                 if let Ok(packed) = snapshot::packed(base, state) {
-                    let _ = source.restored(now, packed.into());
+                    let _ = source.restore(now, packed.into());
                 }
             }
             for change in versions.since(source.version()).into_iter().flatten() {
                 // Applied here as it was in the log's own copy.
-                let _ = source.committed(now, change.delta.clone());
+                let _ = source.apply_committed(now, change.delta.clone());
             }
             if current && source.version() == versions.version() {
-                source.current(now);
+                source.mark_current(now);
             }
         }
         self.follow();
@@ -124,15 +124,15 @@
     /// Carries out what the source wants done.
     fn follow(&self) {
         loop {
-            let orders: Vec<Order> = self.source.borrow_mut().orders().collect();
+            let orders: Vec<Effect> = self.source.borrow_mut().take_effects().collect();
             if orders.is_empty() {
                 return;
             }
             for order in orders {
                 match order {
-                    Order::Send { link, frame } => self.send(link, frame),
-                    Order::Close(link) => self.close(link),
-                    Order::Event(event) => (self.tell)(&event),
+                    Effect::Send { link, frame } => self.send(link, frame),
+                    Effect::Close(link) => self.close(link),
+                    Effect::Event(event) => (self.tell)(&event),
                 }
             }
         }
@@ -146,7 +146,7 @@
         if line.out.lost.get() > lost {
             count(&self.counts.slow);
             self.close(link);
-            self.source.borrow_mut().gone(self.now(), link);
+            self.source.borrow_mut().on_disconnected(self.now(), link);
         }
     }
 
@@ -158,21 +158,21 @@
     }
 
     fn heard(&self, link: Link, frame: Bytes) {
-        self.source.borrow_mut().heard(self.now(), link, frame);
+        self.source.borrow_mut().on_frame(self.now(), link, frame);
         self.follow();
     }
 
     /// How far the newest versions are, the newest first.
-    pub fn progress(&self, most: usize) -> Vec<Progress> {
+    pub fn progress(&self, most: usize) -> Vec<RolloutProgress> {
         self.source.borrow().progress(most.min(LISTED))
     }
 
-    pub fn standing(&self) -> Vec<Standing> {
-        self.source.borrow().standing()
+    pub fn standing(&self) -> Vec<SubscriberStatus> {
+        self.source.borrow().subscriber_statuses()
     }
 
     /// A look at the source.
-    pub fn see<T>(&self, look: impl FnOnce(&Source) -> T) -> T {
+    pub fn see<T>(&self, look: impl FnOnce(&Publisher) -> T) -> T {
         look(&self.source.borrow())
     }
 }
@@ -252,7 +252,10 @@
         () = writing => {}
     }
     serving.close(link);
-    serving.source.borrow_mut().gone(serving.now(), link);
+    serving
+        .source
+        .borrow_mut()
+        .on_disconnected(serving.now(), link);
     serving.follow();
 }
 
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -55,8 +55,8 @@
     let told = match commit(group, publish).await {
         Ok(Told::Noted) => json!({"committed": to}),
         Ok(Told::Conflict(why)) => json!({"conflict": String::from_utf8_lossy(&why)}),
-        Ok(Told::Refused(why)) => json!({"refused": String::from_utf8_lossy(&why)}),
-        Ok(other) => json!({"refused": format!("{other:?}")}),
+        Ok(Told::UpdateError(why)) => json!({"refused": String::from_utf8_lossy(&why)}),
+        Ok(other) => json!({"refused": outcome_word(&other)}),
         Err(why) => json!({"unknown": why}),
     };
     told.to_string().into()
@@ -64,7 +64,9 @@
 
 async fn commit(group: &Rc<Group>, mut publish: Publish) -> Result<Told, &'static str> {
     if group.serving().is_none() {
-        return Ok(Told::Refused("this member is no control machine".into()));
+        return Ok(Told::UpdateError(
+            "this member is no control machine".into(),
+        ));
     }
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -84,7 +86,9 @@
         }
     };
     if group.ask(command, COMMITS, Rc::new(tell)).is_none() {
-        return Ok(Told::Refused("this member takes no questions now".into()));
+        return Ok(Told::UpdateError(
+            "this member takes no questions now".into(),
+        ));
     }
     told.await
         .ok()
@@ -125,6 +129,23 @@
     }
 }
 
+/// An outcome as the JSON output names it.
+fn outcome_word(outcome: &Told) -> &'static str {
+    match outcome {
+        Told::Granted => "Granted",
+        Told::Known(_) => "Known",
+        Told::Running => "Running",
+        Told::Uncertain => "Uncertain",
+        Told::Other => "Other",
+        Told::Withdrawn => "Withdrawn",
+        Told::Full => "Full",
+        Told::Noted => "Noted",
+        Told::Gone => "Gone",
+        Told::Conflict(_) => "Conflict",
+        Told::UpdateError(_) => "Refused",
+    }
+}
+
 /// A role as the JSON output names it.
 fn role_word(role: Role) -> &'static str {
     match role {
@@ -290,7 +311,7 @@
         (
             "turned_away",
             "Processes that were told to come back",
-            c.turned_away,
+            c.rejected_attachments,
         ),
         ("links_full", "Links past the bound", counts.full.get()),
         (
@@ -303,12 +324,12 @@
             "Links ended, as no copy of the versions is here",
             counts.not_here.get(),
         ),
-        ("confirmed", "Confirmations", c.confirmed),
-        ("refused", "Refusals", c.refused),
+        ("confirmed", "Confirmations", c.acks),
+        ("refused", "Refusals", c.nacks),
         (
             "differs",
             "Subscribers that held something else than their version says",
-            c.differs,
+            c.divergences,
         ),
         (
             "gaps",
@@ -317,8 +338,12 @@
         ),
         ("deltas", "Changes sent", c.deltas),
         ("snapshots", "Whole versions sent", c.snapshots),
-        ("sent_again", "Changes and pieces sent again", c.sent_again),
-        ("unreadable", "Frames that were none", c.unreadable),
+        (
+            "sent_again",
+            "Changes and pieces sent again",
+            c.retransmissions,
+        ),
+        ("unreadable", "Frames that were none", c.malformed),
         (
             "attached_in_bytes",
             "Bytes of attached processes",
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -80,12 +80,13 @@
     let votes = |group: &Group| {
         group.see(|member| {
             let own = member.disk();
-            let in_all =
-                |config: &rainstand_raft::Membership| config.is_voter(own) && config.members.len() == 3;
+            let in_all = |config: &rainstand_raft::Membership| {
+                config.is_voter(own) && config.members.len() == 3
+            };
             member.shards().count() == 2
-                && member
-                    .shards()
-                    .all(|(_, replica, _)| replica.is_membership_committed() && in_all(replica.membership()))
+                && member.shards().all(|(_, replica, _)| {
+                    replica.is_membership_committed() && in_all(replica.membership())
+                })
         })
     };
     while !n3.tell(move |group| votes(group)) {
--- a/crates/config-distribution/src/attach.rs
+++ b/crates/config-distribution/src/attach.rs
@@ -11,27 +11,27 @@
 /// Those that lost a machine come to the next ones over so long; it doubles with each try in vain. Of the 17
 /// s for a change, silence takes 5 s, and then one, two or three machines that are gone take 2, 6 or 14 s at
 /// most.
-pub const SPREAD: Duration = Duration::from_secs(2);
+pub const ATTACH_JITTER: Duration = Duration::from_secs(2);
 /// Between two tries while nobody answers: 630 processes make some 160 tries a second at the six together.
-pub const WAIT_MOST: Duration = Duration::from_secs(8);
+pub const MAX_RETRY_DELAY: Duration = Duration::from_secs(8);
 /// At a start.
-pub const START: Duration = Duration::from_millis(250);
+pub const STARTUP_JITTER: Duration = Duration::from_millis(250);
 /// On a machine that is not the first choice, the first choice is tried again after so long; it doubles.
-pub const HOME_LEAST: Duration = Duration::from_secs(60);
-pub const HOME_MOST: Duration = Duration::from_secs(960);
+pub const FAILBACK_MIN: Duration = Duration::from_secs(60);
+pub const FAILBACK_MAX: Duration = Duration::from_secs(960);
 /// An attachment that lasted so long was a good one: failures before it are forgotten.
 const GOOD: Duration = Duration::from_secs(10);
 
 /// A name and where it stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Who {
+pub struct NodeIdentity {
     pub name: String,
     pub region: String,
     pub zone: String,
 }
 
 /// Machines in the order in which `who` tries them.
-pub fn order(who: &Who, machines: &[Who]) -> Vec<usize> {
+pub fn preference_order(who: &NodeIdentity, machines: &[NodeIdentity]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..machines.len()).collect();
     order.sort_by_key(|at| {
         let machine = &machines[*at];
@@ -51,7 +51,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum At {
+enum AttachmentState {
     Waits(Duration),
     Dials,
     On {
@@ -62,22 +62,22 @@
 
 /// Where one process is with its attachment. Its driver asks [`Self::next`] when [`Self::due`] has come,
 /// dials, and says how it went.
-pub struct Chooser {
+pub struct AttachmentPolicy {
     order: Vec<usize>,
     /// Place in `order`.
     place: usize,
-    at: At,
+    at: AttachmentState,
     failures: u32,
     homeward: u32,
     chance: WyRand,
 }
 
-impl Chooser {
-    pub fn new(now: Duration, who: &Who, machines: &[Who], seed: u64) -> Self {
+impl AttachmentPolicy {
+    pub fn new(now: Duration, who: &NodeIdentity, machines: &[NodeIdentity], seed: u64) -> Self {
         let mut chance = WyRand::new_seed(seed);
-        let at = At::Waits(now + drawn(&mut chance, START));
+        let at = AttachmentState::Waits(now + drawn(&mut chance, STARTUP_JITTER));
         Self {
-            order: order(who, machines),
+            order: preference_order(who, machines),
             place: 0,
             at,
             failures: 0,
@@ -87,57 +87,59 @@
     }
 
     /// When something is to be done: a machine dialled, or the present one left for the first choice.
-    pub fn due(&self) -> Option<Duration> {
+    pub fn next_deadline(&self) -> Option<Duration> {
         match self.at {
-            At::Waits(until) => Some(until),
-            At::Dials => None,
-            At::On { home, .. } => home,
+            AttachmentState::Waits(until) => Some(until),
+            AttachmentState::Dials => None,
+            AttachmentState::On { home, .. } => home,
         }
     }
 
     /// The machine to dial now, of those given at the start. The link that there was, if any, is closed.
-    pub fn next(&mut self, now: Duration) -> Option<usize> {
-        if self.due().is_none_or(|due| now < due) {
+    pub fn next_server(&mut self, now: Duration) -> Option<usize> {
+        if self.next_deadline().is_none_or(|due| now < due) {
             return None;
         }
-        if matches!(self.at, At::On { .. }) {
+        if matches!(self.at, AttachmentState::On { .. }) {
             self.homeward += 1;
             self.place = 0;
         }
         let machine = *self.order.get(self.place)?;
-        self.at = At::Dials;
+        self.at = AttachmentState::Dials;
         Some(machine)
     }
 
     /// The machine said so.
-    pub fn attached(&mut self, now: Duration) {
+    pub fn on_attached(&mut self, now: Duration) {
         if self.place == 0 {
             self.homeward = 0;
         }
         let home = (self.place > 0).then(|| {
-            let wait = HOME_LEAST
+            let wait = FAILBACK_MIN
                 .saturating_mul(1 << self.homeward.min(8))
-                .min(HOME_MOST);
+                .min(FAILBACK_MAX);
             now + wait + drawn(&mut self.chance, wait)
         });
-        self.at = At::On { since: now, home };
+        self.at = AttachmentState::On { since: now, home };
     }
 
     /// The link ended, or went silent, or the machine is not in touch with the others; or it could not be
     /// dialled.
-    pub fn lost(&mut self, now: Duration) {
+    pub fn on_disconnected(&mut self, now: Duration) {
         match self.at {
-            At::Waits(_) => return,
-            At::On { since, .. } if now.saturating_sub(since) >= GOOD => self.failures = 0,
+            AttachmentState::Waits(_) => return,
+            AttachmentState::On { since, .. } if now.saturating_sub(since) >= GOOD => {
+                self.failures = 0
+            }
             _ => {}
         }
-        let wait = SPREAD
+        let wait = ATTACH_JITTER
             .saturating_mul(1 << self.failures.min(8))
-            .min(WAIT_MOST);
+            .min(MAX_RETRY_DELAY);
         self.failures = self.failures.saturating_add(1);
         self.place = (self.place + 1) % self.order.len().max(1);
         let wait = drawn(&mut self.chance, wait);
-        self.at = At::Waits(if crate::plant::planted("no-spread") {
+        self.at = AttachmentState::Waits(if crate::plant::planted("no-spread") {
             now
         } else {
             now + wait
@@ -145,11 +147,11 @@
     }
 
     /// The machine said when to come back. The link is closed.
-    pub fn come_back(&mut self, now: Duration, after: Duration, elsewhere: bool) {
+    pub fn on_retry_after(&mut self, now: Duration, after: Duration, elsewhere: bool) {
         if elsewhere {
-            return self.lost(now);
+            return self.on_disconnected(now);
         }
-        self.at = At::Waits(now + after.min(WAIT_MOST));
+        self.at = AttachmentState::Waits(now + after.min(MAX_RETRY_DELAY));
     }
 }
 
--- a/crates/config-distribution/src/delta.rs
+++ b/crates/config-distribution/src/delta.rs
@@ -7,8 +7,8 @@
 //!
 //! Invariants: `digest` is that sum; every member's pool is there; no two routes have one rank.
 
-use crate::frames::{Delta, Kind, Named, Thing};
-use crate::Refused;
+use crate::frames::{Delta, Resource, ResourceKind, ResourceName};
+use crate::UpdateError;
 use bytes::Bytes;
 use prost::Message;
 use rainstand_config::schema::{self, Configuration};
@@ -20,22 +20,22 @@
 
 /// Which thing. In order of kind, so that all of a kind stand together, and members by pool.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Key {
-    pub kind: Kind,
+pub struct ResourceKey {
+    pub kind: ResourceKind,
     /// Of a member; empty for all others.
     pub pool: Box<str>,
     pub name: Box<str>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Held {
+struct StoredResource {
     rank: u64,
     body: Box<[u8]>,
 }
 
 /// A thing, read.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Item {
+pub enum ResourceBody {
     Type(schema::TrafficType),
     Tenant(schema::Tenant),
     /// Without members.
@@ -71,8 +71,8 @@
     };
 }
 
-impl Key {
-    fn new(kind: Kind, name: &str) -> Self {
+impl ResourceKey {
+    fn new(kind: ResourceKind, name: &str) -> Self {
         Self {
             kind,
             pool: "".into(),
@@ -82,22 +82,22 @@
 
     fn member(pool: &str, name: &str) -> Self {
         Self {
-            kind: Kind::Member,
+            kind: ResourceKind::Member,
             pool: pool.into(),
             name: name.into(),
         }
     }
 
-    fn read(kind: i32, pool: &str, name: &str) -> Result<Self, Refused> {
-        let refused = |why| Refused::Thing {
+    fn read(kind: i32, pool: &str, name: &str) -> Result<Self, UpdateError> {
+        let refused = |why| UpdateError::InvalidResource {
             name: name.to_owned(),
             why,
         };
-        let kind = Kind::try_from(kind)
+        let kind = ResourceKind::try_from(kind)
             .ok()
-            .filter(|kind| *kind != Kind::Unknown);
+            .filter(|kind| *kind != ResourceKind::Unknown);
         let kind = kind.ok_or_else(|| refused("of a kind that is not known here"))?;
-        if (kind == Kind::Member) == pool.is_empty() {
+        if (kind == ResourceKind::Member) == pool.is_empty() {
             return Err(refused("a pool's name belongs to members"));
         }
         Ok(Self {
@@ -107,8 +107,8 @@
         })
     }
 
-    fn named(&self) -> Named {
-        Named {
+    fn named(&self) -> ResourceName {
+        ResourceName {
             kind: self.kind as i32,
             name: self.name.to_string(),
             pool: self.pool.to_string(),
@@ -128,9 +128,9 @@
     }
 }
 
-impl Thing {
-    fn of(key: &Key, held: &Held) -> Self {
-        let Named { kind, name, pool } = key.named();
+impl Resource {
+    fn of(key: &ResourceKey, held: &StoredResource) -> Self {
+        let ResourceName { kind, name, pool } = key.named();
         Self {
             kind,
             name,
@@ -143,28 +143,28 @@
     /// # Errors
     /// A kind that is not known here, a body that is no such message or has another name, a rank on what has
     /// none.
-    pub fn item(&self) -> Result<Item, Refused> {
-        let refused = |why| Refused::Thing {
+    pub fn item(&self) -> Result<ResourceBody, UpdateError> {
+        let refused = |why| UpdateError::InvalidResource {
             name: self.name.clone(),
             why,
         };
-        let key = Key::read(self.kind, &self.pool, &self.name)?;
-        if key.kind != Kind::Route && self.rank != 0 {
+        let key = ResourceKey::read(self.kind, &self.pool, &self.name)?;
+        if key.kind != ResourceKind::Route && self.rank != 0 {
             return Err(refused("a rank belongs to routes"));
         }
         macro_rules! read {
             ($($kind:ident $message:ident $list:ident),*) => {
                 match key.kind {
-                    $(Kind::$kind => schema::$message::decode(self.body.clone())
-                        .map(|read| (read.name == self.name, Item::$kind(read))),)*
-                    Kind::Unknown => return Err(refused("of a kind that is not known here")),
-                    Kind::Pool => schema::Pool::decode(self.body.clone())
-                        .map(|read| (read.name == self.name && read.members.is_empty(), Item::Pool(read))),
-                    Kind::Member => schema::Member::decode(self.body.clone()).map(|read| {
-                        (read.name == self.name, Item::Member { pool: self.pool.clone(), member: read })
+                    $(ResourceKind::$kind => schema::$message::decode(self.body.clone())
+                        .map(|read| (read.name == self.name, ResourceBody::$kind(read))),)*
+                    ResourceKind::Unknown => return Err(refused("of a kind that is not known here")),
+                    ResourceKind::Pool => schema::Pool::decode(self.body.clone())
+                        .map(|read| (read.name == self.name && read.members.is_empty(), ResourceBody::Pool(read))),
+                    ResourceKind::Member => schema::Member::decode(self.body.clone()).map(|read| {
+                        (read.name == self.name, ResourceBody::Member { pool: self.pool.clone(), member: read })
                     }),
-                    Kind::Route => schema::Route::decode(self.body.clone())
-                        .map(|read| (read.name == self.name, Item::Route(read))),
+                    ResourceKind::Route => schema::Route::decode(self.body.clone())
+                        .map(|read| (read.name == self.name, ResourceBody::Route(read))),
                 }
             };
         }
@@ -178,8 +178,8 @@
 
 /// One version of a configuration, without its number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct State {
-    things: BTreeMap<Key, Held>,
+pub struct ConfigState {
+    resources: BTreeMap<ResourceKey, StoredResource>,
     /// Routes by rank.
     routes: BTreeMap<u64, Box<str>>,
     digest: u64,
@@ -187,15 +187,15 @@
 
 /// A delta that was found good for one state, as its keys.
 struct Checked {
-    puts: Vec<(Key, Held)>,
-    removals: Vec<Key>,
+    upserts: Vec<(ResourceKey, StoredResource)>,
+    removals: Vec<ResourceKey>,
     digest: u64,
 }
 
-impl State {
+impl ConfigState {
     /// # Errors
     /// Two things of one kind and name.
-    pub fn of(configuration: &Configuration) -> Result<Self, Refused> {
+    pub fn from_configuration(configuration: &Configuration) -> Result<Self, UpdateError> {
         let delta = Self::default().delta_to(0, 1, configuration)?;
         let mut state = Self::default();
         state.apply(&delta)?;
@@ -208,39 +208,43 @@
 
     /// Whether the digest is that of all that is here, counted anew: for what was read from a disk, and for
     /// tests.
-    pub fn is_whole(&self) -> bool {
-        let sum = |sum: u64, (key, held): (&Key, &Held)| {
+    pub fn verify_digest(&self) -> bool {
+        let sum = |sum: u64, (key, held): (&ResourceKey, &StoredResource)| {
             sum.wrapping_add(key.hash(held.rank, &held.body))
         };
-        self.things.iter().fold(0, sum) == self.digest
+        self.resources.iter().fold(0, sum) == self.digest
     }
 
     /// Things in it.
     pub fn len(&self) -> usize {
-        self.things.len()
+        self.resources.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.things.is_empty()
+        self.resources.is_empty()
     }
 
     /// All of it as things, in one order for like states.
-    pub fn things(&self) -> impl Iterator<Item = Thing> + '_ {
-        self.things.iter().map(|(key, held)| Thing::of(key, held))
+    pub fn resources(&self) -> impl Iterator<Item = Resource> + '_ {
+        self.resources
+            .iter()
+            .map(|(key, held)| Resource::of(key, held))
     }
 
     /// One thing, if it is there.
-    pub fn get(&self, key: &Key) -> Option<Thing> {
-        self.things.get(key).map(|held| Thing::of(key, held))
+    pub fn get(&self, key: &ResourceKey) -> Option<Resource> {
+        self.resources.get(key).map(|held| Resource::of(key, held))
     }
 
     /// Members of a pool, in order of name.
-    pub fn members<'s>(&'s self, pool: &'s str) -> impl Iterator<Item = Thing> + 's {
-        let of = move |(key, _): &(&Key, &Held)| key.kind == Kind::Member && &*key.pool == pool;
-        self.things
-            .range(Key::member(pool, "")..)
+    pub fn members<'s>(&'s self, pool: &'s str) -> impl Iterator<Item = Resource> + 's {
+        let of = move |(key, _): &(&ResourceKey, &StoredResource)| {
+            key.kind == ResourceKind::Member && &*key.pool == pool
+        };
+        self.resources
+            .range(ResourceKey::member(pool, "")..)
             .take_while(of)
-            .map(|(key, held)| Thing::of(key, held))
+            .map(|(key, held)| Resource::of(key, held))
     }
 
     /// Routes in their order.
@@ -260,39 +264,39 @@
     ///
     /// # Errors
     /// A thing that cannot be read: what was applied was read before, so this is a fault of memory.
-    pub fn configuration(&self) -> Result<Configuration, Refused> {
+    pub fn configuration(&self) -> Result<Configuration, UpdateError> {
         let mut whole = Configuration {
             version: schema::VERSION,
             ..Configuration::default()
         };
         let mut pools = BTreeMap::new();
         for thing in self
-            .things()
-            .filter(|thing| thing.kind != Kind::Route as i32)
+            .resources()
+            .filter(|thing| thing.kind != ResourceKind::Route as i32)
         {
             macro_rules! put {
                 ($($kind:ident $message:ident $list:ident),*) => {
                     match thing.item()? {
-                        $(Item::$kind(read) => whole.$list.push(read),)*
-                        Item::Pool(pool) => {
+                        $(ResourceBody::$kind(read) => whole.$list.push(read),)*
+                        ResourceBody::Pool(pool) => {
                             pools.insert(pool.name.clone(), whole.pools.len());
                             whole.pools.push(pool);
                         }
-                        Item::Member { pool, member } => {
+                        ResourceBody::Member { pool, member } => {
                             let pool = pools.get(&pool).and_then(|at| whole.pools.get_mut(*at));
                             if let Some(pool) = pool {
                                 pool.members.push(member);
                             }
                         }
-                        Item::Route(_) => {}
+                        ResourceBody::Route(_) => {}
                     }
                 };
             }
             plain_kinds!(put);
         }
         for (_, name) in self.routes() {
-            if let Some(Item::Route(route)) = self
-                .get(&Key::new(Kind::Route, name))
+            if let Some(ResourceBody::Route(route)) = self
+                .get(&ResourceKey::new(ResourceKind::Route, name))
                 .map(|thing| thing.item())
                 .transpose()?
             {
@@ -311,17 +315,17 @@
         from: u64,
         to: u64,
         configuration: &Configuration,
-    ) -> Result<Delta, Refused> {
+    ) -> Result<Delta, UpdateError> {
         let wanted = self.wanted(configuration)?;
         let mut delta = Delta {
             from,
             to,
             digest: self.digest,
-            puts: Vec::new(),
+            upserts: Vec::new(),
             removals: Vec::new(),
         };
         for (key, held) in &wanted {
-            let before = self.things.get(key);
+            let before = self.resources.get(key);
             if before == Some(held) {
                 continue;
             }
@@ -331,10 +335,10 @@
                     .wrapping_sub(key.hash(before.rank, &before.body));
             }
             delta.digest = delta.digest.wrapping_add(key.hash(held.rank, &held.body));
-            delta.puts.push(Thing::of(key, held));
+            delta.upserts.push(Resource::of(key, held));
         }
         for (key, held) in self
-            .things
+            .resources
             .iter()
             .filter(|(key, _)| !wanted.contains_key(key))
         {
@@ -345,19 +349,22 @@
     }
 
     /// That configuration as things, its routes under ranks that leave as many as can be where they are.
-    fn wanted(&self, configuration: &Configuration) -> Result<BTreeMap<Key, Held>, Refused> {
+    fn wanted(
+        &self,
+        configuration: &Configuration,
+    ) -> Result<BTreeMap<ResourceKey, StoredResource>, UpdateError> {
         let mut wanted = BTreeMap::new();
-        let mut put = |key: Key, rank, body: Vec<u8>| {
+        let mut put = |key: ResourceKey, rank, body: Vec<u8>| {
             let name = key.name.to_string();
             match wanted.insert(
                 key,
-                Held {
+                StoredResource {
                     rank,
                     body: body.into(),
                 },
             ) {
                 None => Ok(()),
-                Some(_) => Err(Refused::Thing {
+                Some(_) => Err(UpdateError::InvalidResource {
                     name,
                     why: "there are two of this kind and name",
                 }),
@@ -366,7 +373,7 @@
         macro_rules! all {
             ($($kind:ident $message:ident $list:ident),*) => {
                 $(for thing in &configuration.$list {
-                    put(Key::new(Kind::$kind, &thing.name), 0, thing.encode_to_vec())?;
+                    put(ResourceKey::new(ResourceKind::$kind, &thing.name), 0, thing.encode_to_vec())?;
                 })*
             };
         }
@@ -376,10 +383,14 @@
                 members: Vec::new(),
                 ..pool.clone()
             };
-            put(Key::new(Kind::Pool, &pool.name), 0, alone.encode_to_vec())?;
+            put(
+                ResourceKey::new(ResourceKind::Pool, &pool.name),
+                0,
+                alone.encode_to_vec(),
+            )?;
             for member in &pool.members {
                 put(
-                    Key::member(&pool.name, &member.name),
+                    ResourceKey::member(&pool.name, &member.name),
                     0,
                     member.encode_to_vec(),
                 )?;
@@ -391,7 +402,7 @@
             .zip(self.ranks(&configuration.routes))
         {
             put(
-                Key::new(Kind::Route, &route.name),
+                ResourceKey::new(ResourceKind::Route, &route.name),
                 rank,
                 route.encode_to_vec(),
             )?;
@@ -403,7 +414,13 @@
     fn ranks(&self, routes: &[schema::Route]) -> Vec<u64> {
         let now: Vec<Option<u64>> = routes
             .iter()
-            .map(|route| Some(self.things.get(&Key::new(Kind::Route, &route.name))?.rank))
+            .map(|route| {
+                Some(
+                    self.resources
+                        .get(&ResourceKey::new(ResourceKind::Route, &route.name))?
+                        .rank,
+                )
+            })
             .collect();
         let mut ranks = vec![None; routes.len()];
         for at in longest_rising(&now) {
@@ -437,18 +454,18 @@
     }
 
     /// Whether a delta can be applied whole, and what the digest is then. The caller compares the digest.
-    fn check(&self, delta: &Delta) -> Result<Checked, Refused> {
+    fn check(&self, delta: &Delta) -> Result<Checked, UpdateError> {
         let mut digest = self.digest;
         let mut seen = BTreeSet::new();
-        let mut puts = Vec::with_capacity(delta.puts.len());
+        let mut puts = Vec::with_capacity(delta.upserts.len());
         let mut removals = Vec::with_capacity(delta.removals.len());
-        let refused = |name: &str, why| Refused::Thing {
+        let refused = |name: &str, why| UpdateError::InvalidResource {
             name: name.to_owned(),
             why,
         };
         for named in &delta.removals {
-            let key = Key::read(named.kind, &named.pool, &named.name)?;
-            if let Some(held) = self.things.get(&key) {
+            let key = ResourceKey::read(named.kind, &named.pool, &named.name)?;
+            if let Some(held) = self.resources.get(&key) {
                 digest = digest.wrapping_sub(key.hash(held.rank, &held.body));
             }
             if !seen.insert(key.clone()) {
@@ -457,55 +474,63 @@
             removals.push(key);
         }
         let mut ranks = BTreeSet::new();
-        for thing in &delta.puts {
+        for thing in &delta.upserts {
             thing.item()?;
-            let key = Key::read(thing.kind, &thing.pool, &thing.name)?;
-            if let Some(held) = self.things.get(&key) {
+            let key = ResourceKey::read(thing.kind, &thing.pool, &thing.name)?;
+            if let Some(held) = self.resources.get(&key) {
                 digest = digest.wrapping_sub(key.hash(held.rank, &held.body));
             }
             if !seen.insert(key.clone()) {
                 return Err(refused(&thing.name, "named twice"));
             }
-            if key.kind == Kind::Route && !ranks.insert(thing.rank) {
+            if key.kind == ResourceKind::Route && !ranks.insert(thing.rank) {
                 return Err(refused(&thing.name, "two routes at one place"));
             }
             digest = digest.wrapping_add(key.hash(thing.rank, &thing.body));
             puts.push((
                 key,
-                Held {
+                StoredResource {
                     rank: thing.rank,
                     body: (*thing.body).into(),
                 },
             ));
         }
-        for (key, held) in puts.iter().filter(|(key, _)| key.kind == Kind::Route) {
+        for (key, held) in puts
+            .iter()
+            .filter(|(key, _)| key.kind == ResourceKind::Route)
+        {
             let there = self.routes.get(&held.rank);
-            if there.is_some_and(|name| !seen.contains(&Key::new(Kind::Route, name))) {
+            if there
+                .is_some_and(|name| !seen.contains(&ResourceKey::new(ResourceKind::Route, name)))
+            {
                 return Err(refused(&key.name, "two routes at one place"));
             }
         }
         // A pool's members come and go with it.
-        let put_now: BTreeSet<&Key> = puts.iter().map(|(key, _)| key).collect();
-        for (key, _) in puts.iter().filter(|(key, _)| key.kind == Kind::Member) {
-            let pool = Key::new(Kind::Pool, &key.pool);
+        let put_now: BTreeSet<&ResourceKey> = puts.iter().map(|(key, _)| key).collect();
+        for (key, _) in puts
+            .iter()
+            .filter(|(key, _)| key.kind == ResourceKind::Member)
+        {
+            let pool = ResourceKey::new(ResourceKind::Pool, &key.pool);
             if !put_now.contains(&pool)
-                && (seen.contains(&pool) || !self.things.contains_key(&pool))
+                && (seen.contains(&pool) || !self.resources.contains_key(&pool))
             {
                 return Err(refused(&key.name, "a member of a pool that is not there"));
             }
         }
-        for pool in removals.iter().filter(|key| key.kind == Kind::Pool) {
+        for pool in removals.iter().filter(|key| key.kind == ResourceKind::Pool) {
             let mut members = self
-                .things
-                .range(Key::member(&pool.name, "")..)
+                .resources
+                .range(ResourceKey::member(&pool.name, "")..)
                 .map(|(key, _)| key)
-                .take_while(|key| key.kind == Kind::Member && key.pool == pool.name);
+                .take_while(|key| key.kind == ResourceKind::Member && key.pool == pool.name);
             if members.any(|member| !seen.contains(member)) {
                 return Err(refused(&pool.name, "a pool that goes without its members"));
             }
         }
         Ok(Checked {
-            puts,
+            upserts: puts,
             removals,
             digest,
         })
@@ -515,14 +540,14 @@
     ///
     /// # Errors
     /// It cannot be applied whole, or leads to another digest than it says.
-    pub fn would(&self, delta: &Delta) -> Result<(), Refused> {
+    pub fn validate(&self, delta: &Delta) -> Result<(), UpdateError> {
         self.checked(delta).map(drop)
     }
 
-    fn checked(&self, delta: &Delta) -> Result<Checked, Refused> {
+    fn checked(&self, delta: &Delta) -> Result<Checked, UpdateError> {
         let checked = self.check(delta)?;
         if checked.digest != delta.digest && !crate::plant::planted("digest-unread") {
-            return Err(Refused::Differs);
+            return Err(UpdateError::DigestMismatch);
         }
         Ok(checked)
     }
@@ -532,23 +557,27 @@
     ///
     /// # Errors
     /// As [`Self::would`]; the state is as it was.
-    pub fn apply(&mut self, delta: &Delta) -> Result<(), Refused> {
+    pub fn apply(&mut self, delta: &Delta) -> Result<(), UpdateError> {
         let Checked {
-            puts,
+            upserts,
             removals,
             digest,
         } = self.checked(delta)?;
-        let gone = removals.iter().chain(puts.iter().map(|(key, _)| key));
+        let gone = removals.iter().chain(upserts.iter().map(|(key, _)| key));
         for key in gone {
-            if let Some(held) = self.things.remove(key).filter(|_| key.kind == Kind::Route) {
+            if let Some(held) = self
+                .resources
+                .remove(key)
+                .filter(|_| key.kind == ResourceKind::Route)
+            {
                 self.routes.remove(&held.rank);
             }
         }
-        for (key, held) in puts {
-            if key.kind == Kind::Route {
+        for (key, held) in upserts {
+            if key.kind == ResourceKind::Route {
                 self.routes.insert(held.rank, key.name.clone());
             }
-            self.things.insert(key, held);
+            self.resources.insert(key, held);
         }
         self.digest = digest;
         Ok(())
@@ -586,24 +615,24 @@
 ///
 /// # Errors
 /// The later one does not begin where the earlier ends.
-pub fn joined(earlier: Delta, later: &Delta) -> Result<Delta, Refused> {
-    let mut all = Joined::of(earlier)?;
+pub fn merge(earlier: Delta, later: &Delta) -> Result<Delta, UpdateError> {
+    let mut all = DeltaMerger::of(earlier)?;
     all.then(later)?;
     Ok(all.finish())
 }
 
 /// Several deltas on their way to become one.
-pub struct Joined {
+pub struct DeltaMerger {
     from: u64,
     to: u64,
     digest: u64,
-    last: BTreeMap<Key, Option<Thing>>,
+    last: BTreeMap<ResourceKey, Option<Resource>>,
 }
 
-impl Joined {
+impl DeltaMerger {
     /// # Errors
     /// A kind that is not known here.
-    pub fn of(delta: Delta) -> Result<Self, Refused> {
+    pub fn of(delta: Delta) -> Result<Self, UpdateError> {
         let mut all = Self {
             from: delta.from,
             to: delta.from,
@@ -616,20 +645,22 @@
 
     /// # Errors
     /// It does not begin where this ends, or a kind is not known here.
-    pub fn then(&mut self, later: &Delta) -> Result<(), Refused> {
+    pub fn then(&mut self, later: &Delta) -> Result<(), UpdateError> {
         if later.from != self.to {
-            return Err(Refused::From {
-                made: later.from,
-                there: self.to,
+            return Err(UpdateError::VersionMismatch {
+                base: later.from,
+                current: self.to,
             });
         }
         for named in &later.removals {
-            self.last
-                .insert(Key::read(named.kind, &named.pool, &named.name)?, None);
+            self.last.insert(
+                ResourceKey::read(named.kind, &named.pool, &named.name)?,
+                None,
+            );
         }
-        for thing in &later.puts {
+        for thing in &later.upserts {
             self.last.insert(
-                Key::read(thing.kind, &thing.pool, &thing.name)?,
+                ResourceKey::read(thing.kind, &thing.pool, &thing.name)?,
                 Some(thing.clone()),
             );
         }
@@ -652,7 +683,7 @@
         };
         for (key, said) in last {
             match said {
-                Some(thing) => delta.puts.push(thing),
+                Some(thing) => delta.upserts.push(thing),
                 None => delta.removals.push(key.named()),
             }
         }
--- a/crates/config-distribution/src/frames.rs
+++ b/crates/config-distribution/src/frames.rs
@@ -1,14 +1,14 @@
 //! What travels between a control machine and a process that is attached to it: protobuf, so that later
 //! versions may add fields. Frames are cut and carried by the group's links; here they are only bytes.
 
-use crate::Refused;
+use crate::UpdateError;
 use bytes::Bytes;
 use prost::Message;
 
 /// Kinds of named things in a configuration. The numbers are sent and hashed: a number once used stays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
-pub enum Kind {
+pub enum ResourceKind {
     Unknown = 0,
     Type = 1,
     Tenant = 2,
@@ -32,8 +32,8 @@
 
 /// One named thing as it is sent: the schema's own message, encoded.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Thing {
-    #[prost(enumeration = "Kind", tag = "1")]
+pub struct Resource {
+    #[prost(enumeration = "ResourceKind", tag = "1")]
     pub kind: i32,
     #[prost(string, tag = "2")]
     pub name: String,
@@ -50,8 +50,8 @@
 
 /// Which thing, without what it says.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Named {
-    #[prost(enumeration = "Kind", tag = "1")]
+pub struct ResourceName {
+    #[prost(enumeration = "ResourceKind", tag = "1")]
     pub kind: i32,
     #[prost(string, tag = "2")]
     pub name: String,
@@ -71,21 +71,21 @@
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
     #[prost(message, repeated, tag = "4")]
-    pub puts: Vec<Thing>,
+    pub upserts: Vec<Resource>,
     /// A thing that is not there may be taken out: two deltas made into one can say so.
     #[prost(message, repeated, tag = "5")]
-    pub removals: Vec<Named>,
+    pub removals: Vec<ResourceName>,
 }
 
 /// A whole version, as it is packed, sent in pieces and kept on disks.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Whole {
+pub struct Snapshot {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
     #[prost(message, repeated, tag = "3")]
-    pub things: Vec<Thing>,
+    pub resources: Vec<Resource>,
 }
 
 /// The first frame on a link: who it is and what it holds.
@@ -104,15 +104,15 @@
     pub digest: u64,
     /// The newest schema that it reads.
     #[prost(uint32, tag = "6")]
-    pub takes: u32,
+    pub schema_version: u32,
     /// A snapshot of which it has the first `offset` bytes.
     #[prost(message, optional, tag = "7")]
-    pub partial: Option<Got>,
+    pub partial: Option<SnapshotProgress>,
 }
 
 /// So much of a packed snapshot is in hand.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Got {
+pub struct SnapshotProgress {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(fixed64, tag = "2")]
@@ -123,7 +123,7 @@
 
 /// In force, at every answer to a ping too: ACK.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Confirm {
+pub struct Ack {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(fixed64, tag = "2")]
@@ -132,30 +132,30 @@
 
 /// Not taken, and why; `holds` stays in force: NACK.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Refuse {
+pub struct Nack {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(string, tag = "2")]
     pub reason: String,
     #[prost(uint64, tag = "3")]
-    pub holds: u64,
+    pub current_version: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
-pub enum Lack {
+pub enum ResyncReason {
     Unknown = 0,
     /// What came begins at another version than the one in force.
     Gap = 1,
     /// What came leads to another digest than it says: only a snapshot helps.
-    Differs = 2,
+    Diverged = 2,
 }
 
 /// What came could not be used; this is in force.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Ask {
-    #[prost(enumeration = "Lack", tag = "1")]
-    pub lack: i32,
+pub struct ResyncRequest {
+    #[prost(enumeration = "ResyncReason", tag = "1")]
+    pub reason: i32,
     #[prost(uint64, tag = "2")]
     pub version: u64,
     #[prost(fixed64, tag = "3")]
@@ -173,7 +173,7 @@
 
 /// Not attached.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct ComeBack {
+pub struct RetryAfter {
     /// Its place among those that wait.
     #[prost(uint64, tag = "1")]
     pub after_ms: u64,
@@ -184,7 +184,7 @@
 
 /// A part of a packed snapshot.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Piece {
+pub struct SnapshotChunk {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(fixed64, tag = "2")]
@@ -209,71 +209,71 @@
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ToSource {
-    #[prost(oneof = "Up", tags = "1, 2, 3, 4, 5")]
-    pub up: Option<Up>,
+pub struct ClientEnvelope {
+    #[prost(oneof = "ClientMessage", tags = "1, 2, 3, 4, 5")]
+    pub up: Option<ClientMessage>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
-pub enum Up {
+pub enum ClientMessage {
     #[prost(message, tag = "1")]
     Attach(Attach),
     #[prost(message, tag = "2")]
-    Confirm(Confirm),
+    Ack(Ack),
     #[prost(message, tag = "3")]
-    Refuse(Refuse),
+    Nack(Nack),
     #[prost(message, tag = "4")]
-    Ask(Ask),
+    ResyncRequest(ResyncRequest),
     #[prost(message, tag = "5")]
-    Got(Got),
+    SnapshotProgress(SnapshotProgress),
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ToSubscriber {
-    #[prost(oneof = "Down", tags = "1, 2, 3, 4, 5")]
-    pub down: Option<Down>,
+pub struct ServerEnvelope {
+    #[prost(oneof = "ServerMessage", tags = "1, 2, 3, 4, 5")]
+    pub down: Option<ServerMessage>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
-pub enum Down {
+pub enum ServerMessage {
     #[prost(message, tag = "1")]
     Attached(Attached),
     #[prost(message, tag = "2")]
-    ComeBack(ComeBack),
+    RetryAfter(RetryAfter),
     #[prost(message, tag = "3")]
     Delta(Delta),
     #[prost(message, tag = "4")]
-    Piece(Piece),
+    SnapshotChunk(SnapshotChunk),
     #[prost(message, tag = "5")]
     Ping(Ping),
 }
 
-impl Up {
+impl ClientMessage {
     pub fn encoded(self) -> Bytes {
-        ToSource { up: Some(self) }.encode_to_vec().into()
+        ClientEnvelope { up: Some(self) }.encode_to_vec().into()
     }
 
     /// # Errors
     /// Bytes that are no such frame.
-    pub fn decoded(frame: Bytes) -> Result<Self, Refused> {
-        ToSource::decode(frame)
+    pub fn decoded(frame: Bytes) -> Result<Self, UpdateError> {
+        ClientEnvelope::decode(frame)
             .ok()
             .and_then(|frame| frame.up)
-            .ok_or(Refused::Frame)
+            .ok_or(UpdateError::MalformedFrame)
     }
 }
 
-impl Down {
+impl ServerMessage {
     pub fn encoded(self) -> Bytes {
-        ToSubscriber { down: Some(self) }.encode_to_vec().into()
+        ServerEnvelope { down: Some(self) }.encode_to_vec().into()
     }
 
     /// # Errors
     /// Bytes that are no such frame.
-    pub fn decoded(frame: Bytes) -> Result<Self, Refused> {
-        ToSubscriber::decode(frame)
+    pub fn decoded(frame: Bytes) -> Result<Self, UpdateError> {
+        ServerEnvelope::decode(frame)
             .ok()
             .and_then(|frame| frame.down)
-            .ok_or(Refused::Frame)
+            .ok_or(UpdateError::MalformedFrame)
     }
 }
--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -24,45 +24,48 @@
 pub mod delta;
 pub mod frames;
 pub mod plant;
+pub mod publisher;
 pub mod snapshot;
-pub mod source;
 pub mod subscriber;
 
 use std::fmt;
 
 /// Why something was not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Refused {
+pub enum UpdateError {
     /// Bytes that are no frame.
-    Frame,
+    MalformedFrame,
     /// Made from another version than the one that is there.
-    From { made: u64, there: u64 },
+    VersionMismatch { base: u64, current: u64 },
     /// Does not lead to a later version.
-    Backward,
+    NotNewer,
     /// Leads to another digest than it says.
-    Differs,
+    DigestMismatch,
     /// Too large in some way, which is said.
-    Large(&'static str),
+    TooLarge(&'static str),
     /// One thing of it cannot be taken.
-    Thing { name: String, why: &'static str },
+    InvalidResource { name: String, why: &'static str },
 }
 
-impl fmt::Display for Refused {
+impl fmt::Display for UpdateError {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Frame => out.write_str("bytes that are no frame"),
-            Self::From { made, there } => {
+            Self::MalformedFrame => out.write_str("bytes that are no frame"),
+            Self::VersionMismatch {
+                base: made,
+                current: there,
+            } => {
                 write!(
                     out,
                     "made from version {made}, but version {there} is there"
                 )
             }
-            Self::Backward => out.write_str("does not lead to a later version"),
-            Self::Differs => out.write_str("leads to another digest than it says"),
-            Self::Large(why) => out.write_str(why),
-            Self::Thing { name, why } => write!(out, "`{name}`: {why}"),
+            Self::NotNewer => out.write_str("does not lead to a later version"),
+            Self::DigestMismatch => out.write_str("leads to another digest than it says"),
+            Self::TooLarge(why) => out.write_str(why),
+            Self::InvalidResource { name, why } => write!(out, "`{name}`: {why}"),
         }
     }
 }
 
-impl std::error::Error for Refused {}
+impl std::error::Error for UpdateError {}
--- a/crates/config-distribution/src/source.rs
+++ b/crates/config-distribution/src/publisher.rs
@@ -21,14 +21,15 @@
 //! Invariants: the history is without gaps and ends at the newest version; each subscriber has at most one
 //! change on its way; a name is attached once.
 
-use crate::attach::Who;
-use crate::delta::Joined;
-use crate::delta::State;
+use crate::attach::NodeIdentity;
+use crate::delta::ConfigState;
+use crate::delta::DeltaMerger;
 use crate::frames::{
-    Ask, Attach, Attached, ComeBack, Confirm, Delta, Down, Got, Lack, Piece, Ping, Refuse, Up,
+    Ack, Attach, Attached, ClientMessage, Delta, Nack, Ping, ResyncReason, ResyncRequest,
+    RetryAfter, ServerMessage, SnapshotChunk, SnapshotProgress,
 };
 use crate::plant::planted;
-use crate::{snapshot, Refused};
+use crate::{snapshot, UpdateError};
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use nanorand::{Rng, WyRand};
@@ -65,7 +66,7 @@
 
 /// What a machine takes on. The defaults are those of `docs/design/control.md`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bounds {
+pub struct PublisherLimits {
     pub subscribers: usize,
     /// Attachments in a second, and at once.
     pub attach_a_second: u32,
@@ -80,7 +81,7 @@
     pub window: usize,
 }
 
-impl Default for Bounds {
+impl Default for PublisherLimits {
     fn default() -> Self {
         Self {
             // 630 and some room: one machine must do where five are gone.
@@ -101,7 +102,7 @@
 
 /// What the driver is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
+pub enum Effect {
     Send {
         link: Link,
         frame: Bytes,
@@ -118,35 +119,35 @@
         name: String,
         version: u64,
     },
-    Gone {
+    Disconnected {
         name: String,
     },
-    TurnedAway {
+    AttachRejected {
         name: String,
     },
-    Refused {
+    Rejected {
         name: String,
         version: u64,
         reason: String,
     },
     /// It holds something else than this version says.
-    Differs {
+    Diverged {
         name: String,
         version: u64,
     },
     /// It holds a newer version than this machine.
-    Ahead {
+    SubscriberAhead {
         name: String,
         version: u64,
     },
-    Unreadable {
+    Malformed {
         link: Link,
     },
 }
 
 /// How far one version is.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Progress {
+pub struct RolloutProgress {
     pub version: u64,
     pub committed: Duration,
     /// Things put in and taken out.
@@ -160,8 +161,8 @@
 
 /// One subscriber, as it is listed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Standing {
-    pub who: Who,
+pub struct SubscriberStatus {
+    pub who: NodeIdentity,
     pub link: Link,
     pub version: u64,
     pub refused: Option<(u64, String)>,
@@ -171,22 +172,22 @@
 pub struct Counters {
     pub committed: u64,
     pub attached: u64,
-    pub turned_away: u64,
-    pub confirmed: u64,
-    pub refused: u64,
-    pub differs: u64,
+    pub rejected_attachments: u64,
+    pub acks: u64,
+    pub nacks: u64,
+    pub divergences: u64,
     pub gaps: u64,
     pub snapshots: u64,
     pub deltas: u64,
-    pub sent_again: u64,
+    pub retransmissions: u64,
     pub packed: u64,
-    pub unreadable: u64,
+    pub malformed: u64,
     pub bytes_in: u64,
     pub bytes_out: u64,
 }
 
 #[derive(Debug)]
-struct Step {
+struct HistoryEntry {
     delta: Delta,
     bytes: usize,
     at: Duration,
@@ -201,7 +202,7 @@
 
 /// What is on its way to a subscriber.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sent {
+enum InFlight {
     Nothing,
     Delta {
         from: u64,
@@ -219,10 +220,10 @@
 
 #[derive(Debug)]
 struct Subscriber {
-    who: Who,
+    who: NodeIdentity,
     version: u64,
     digest: u64,
-    sent: Sent,
+    sent: InFlight,
     refused: Option<(u64, String)>,
     /// It found, or we did, that only a snapshot helps.
     differs: bool,
@@ -231,16 +232,16 @@
     /// How often it had to be helped since it last confirmed, and when the next time is.
     helped: u32,
     help_at: Duration,
-    partial: Option<Got>,
+    partial: Option<SnapshotProgress>,
     heard: Duration,
     pinged: Duration,
 }
 
-pub struct Source {
-    bounds: Bounds,
+pub struct Publisher {
+    bounds: PublisherLimits,
     version: u64,
-    state: State,
-    history: VecDeque<Step>,
+    state: ConfigState,
+    history: VecDeque<HistoryEntry>,
     history_bytes: usize,
     /// The newest last.
     packed: VecDeque<Packed>,
@@ -256,17 +257,17 @@
     queue: Duration,
     sweep: Duration,
     chance: WyRand,
-    orders: Vec<Order>,
+    orders: Vec<Effect>,
     counters: Counters,
 }
 
-impl Source {
+impl Publisher {
     /// With nothing committed yet: version 0, which is empty.
-    pub fn new(now: Duration, bounds: Bounds, seed: u64) -> Self {
+    pub fn new(now: Duration, bounds: PublisherLimits, seed: u64) -> Self {
         Self {
             bounds,
             version: 0,
-            state: State::default(),
+            state: ConfigState::default(),
             history: VecDeque::new(),
             history_bytes: 0,
             packed: VecDeque::new(),
@@ -288,7 +289,7 @@
     ///
     /// # Errors
     /// Too large.
-    pub fn packed(&mut self) -> Result<Bytes, Refused> {
+    pub fn packed_snapshot(&mut self) -> Result<Bytes, UpdateError> {
         if let Some(packed) = self
             .packed
             .iter()
@@ -319,7 +320,7 @@
     ///
     /// # Errors
     /// It cannot be read.
-    pub fn restored(&mut self, now: Duration, packed: Bytes) -> Result<(), Refused> {
+    pub fn restore(&mut self, now: Duration, packed: Bytes) -> Result<(), UpdateError> {
         let (version, state) = snapshot::unpacked(&packed)?;
         if version <= self.version {
             return Ok(());
@@ -337,15 +338,15 @@
     ///
     /// # Errors
     /// It is made from another version than the newest, or cannot be applied; nothing has changed then.
-    pub fn committed(&mut self, now: Duration, delta: Delta) -> Result<(), Refused> {
+    pub fn apply_committed(&mut self, now: Duration, delta: Delta) -> Result<(), UpdateError> {
         if delta.from != self.version {
-            return Err(Refused::From {
-                made: delta.from,
-                there: self.version,
+            return Err(UpdateError::VersionMismatch {
+                base: delta.from,
+                current: self.version,
             });
         }
         if delta.to <= delta.from {
-            return Err(Refused::Backward);
+            return Err(UpdateError::NotNewer);
         }
         self.state.apply(&delta)?;
         self.version = delta.to;
@@ -353,7 +354,7 @@
         self.encoded.clear();
         let bytes = prost::Message::encoded_len(&delta);
         self.history_bytes += bytes;
-        self.history.push_back(Step {
+        self.history.push_back(HistoryEntry {
             delta,
             bytes,
             at: now,
@@ -368,14 +369,14 @@
         }
         if self.version.is_multiple_of(PACK_EVERY) {
             // Too large: said to whoever publishes it, and here to those who need it.
-            let _ = self.packed();
+            let _ = self.packed_snapshot();
         }
         self.offer_all(now);
         Ok(())
     }
 
     /// The machine knew at this time that no other has a newer version: it heard from the group's leader.
-    pub fn current(&mut self, now: Duration) {
+    pub fn mark_current(&mut self, now: Duration) {
         self.current = self.current.max(now);
     }
 
@@ -385,28 +386,28 @@
 
     fn send(&mut self, link: Link, frame: Bytes) {
         self.counters.bytes_out += frame.len() as u64;
-        self.orders.push(Order::Send { link, frame });
+        self.orders.push(Effect::Send { link, frame });
     }
 
     /// A frame of a link. The first frame is its attachment; links that say nothing are for the driver to
     /// bound.
-    pub fn heard(&mut self, now: Duration, link: Link, frame: Bytes) {
+    pub fn on_frame(&mut self, now: Duration, link: Link, frame: Bytes) {
         self.counters.bytes_in += frame.len() as u64;
-        let up = Up::decoded(frame);
+        let up = ClientMessage::decoded(frame);
         let known = self
             .subscribers
             .get_mut(&link)
             .map(|subscriber| subscriber.heard = now)
             .is_some();
         match up {
-            Ok(Up::Attach(attach)) if !known => self.attach(now, link, attach),
-            Ok(Up::Confirm(confirm)) if known => self.confirm(now, link, confirm),
-            Ok(Up::Refuse(refuse)) if known => self.refuse(now, link, refuse),
-            Ok(Up::Ask(ask)) if known => self.ask(now, link, ask),
-            Ok(Up::Got(got)) if known => self.got(now, link, got),
+            Ok(ClientMessage::Attach(attach)) if !known => self.attach(now, link, attach),
+            Ok(ClientMessage::Ack(confirm)) if known => self.confirm(now, link, confirm),
+            Ok(ClientMessage::Nack(refuse)) if known => self.refuse(now, link, refuse),
+            Ok(ClientMessage::ResyncRequest(ask)) if known => self.ask(now, link, ask),
+            Ok(ClientMessage::SnapshotProgress(got)) if known => self.got(now, link, got),
             _ => {
-                self.counters.unreadable += 1;
-                self.orders.push(Order::Event(Event::Unreadable { link }));
+                self.counters.malformed += 1;
+                self.orders.push(Effect::Event(Event::Malformed { link }));
                 self.end(link);
             }
         }
@@ -419,7 +420,7 @@
             zone,
             version,
             digest,
-            takes,
+            schema_version,
             partial,
         } = attach;
         if [&name, &region, &zone]
@@ -427,13 +428,13 @@
             .any(|text| text.len() > MOST_NAME)
             || name.is_empty()
         {
-            self.counters.unreadable += 1;
-            self.orders.push(Order::Event(Event::Unreadable { link }));
+            self.counters.malformed += 1;
+            self.orders.push(Effect::Event(Event::Malformed { link }));
             return self.end(link);
         }
         let again = self.links.contains_key(&name);
-        let full =
-            !again && self.subscribers.len() >= self.bounds.subscribers || takes < schema::VERSION;
+        let full = !again && self.subscribers.len() >= self.bounds.subscribers
+            || schema_version < schema::VERSION;
         let every = Duration::from_secs(1) / self.bounds.attach_a_second.max(1);
         let at_once = every * self.bounds.attach_at_once;
         if full || self.pace > now + at_once {
@@ -443,36 +444,37 @@
                 Duration::from_nanos(self.chance.generate_range(0..=every.as_nanos() as u64));
             let after = self.queue + spread - now;
             let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-            self.counters.turned_away += 1;
-            self.orders.push(Order::Event(Event::TurnedAway { name }));
+            self.counters.rejected_attachments += 1;
+            self.orders
+                .push(Effect::Event(Event::AttachRejected { name }));
             self.send(
                 link,
-                Down::ComeBack(ComeBack {
+                ServerMessage::RetryAfter(RetryAfter {
                     after_ms,
                     elsewhere: full,
                 })
                 .encoded(),
             );
-            self.orders.push(Order::Close(link));
+            self.orders.push(Effect::Close(link));
             return;
         }
         self.pace = self.pace.max(now) + every;
         if let Some(old) = self.links.insert(name.clone(), link) {
             // The process opened a new link: what is left of the old one is nobody's.
             self.subscribers.remove(&old);
-            self.orders.push(Order::Close(old));
+            self.orders.push(Effect::Close(old));
         }
         self.counters.attached += 1;
-        self.orders.push(Order::Event(Event::Attached {
+        self.orders.push(Effect::Event(Event::Attached {
             name: name.clone(),
             version,
         }));
-        let who = Who { name, region, zone };
+        let who = NodeIdentity { name, region, zone };
         let subscriber = Subscriber {
             who,
             version,
             digest,
-            sent: Sent::Nothing,
+            sent: InFlight::Nothing,
             refused: None,
             differs: false,
             ahead: false,
@@ -486,7 +488,7 @@
         let age_ms = self.age_ms(now);
         self.send(
             link,
-            Down::Attached(Attached {
+            ServerMessage::Attached(Attached {
                 version: self.version,
                 age_ms,
             })
@@ -495,7 +497,7 @@
         self.offer(now, link);
     }
 
-    fn confirm(&mut self, now: Duration, link: Link, confirm: Confirm) {
+    fn confirm(&mut self, now: Duration, link: Link, confirm: Ack) {
         let ours = self.digest_at(confirm.version);
         let Some(subscriber) = self.subscribers.get_mut(&link) else {
             return;
@@ -505,33 +507,33 @@
             return;
         }
         if confirm.version > subscriber.version {
-            self.counters.confirmed += 1;
+            self.counters.acks += 1;
             (subscriber.helped, subscriber.help_at) = (0, now);
         }
         // What was found to differ is mended by what came since; where it is not, that is found anew.
-        let sent = matches!(subscriber.sent, Sent::Pieces { version, digest, .. }
+        let sent = matches!(subscriber.sent, InFlight::Pieces { version, digest, .. }
             if (version, digest) == (confirm.version, confirm.digest));
         if confirm.version > subscriber.version || ours == Some(confirm.digest) || sent {
             subscriber.differs = false;
         }
         (subscriber.version, subscriber.digest) = (confirm.version, confirm.digest);
         let over = match subscriber.sent {
-            Sent::Nothing => false,
+            InFlight::Nothing => false,
             // Taken, or of no more use: something else led it on meanwhile.
-            Sent::Delta { from, .. } => from != confirm.version,
-            Sent::Pieces { version, .. } => version <= confirm.version && !subscriber.differs,
+            InFlight::Delta { from, .. } => from != confirm.version,
+            InFlight::Pieces { version, .. } => version <= confirm.version && !subscriber.differs,
         };
         if over {
-            subscriber.sent = Sent::Nothing;
+            subscriber.sent = InFlight::Nothing;
         }
         self.offer(now, link);
     }
 
-    fn refuse(&mut self, now: Duration, link: Link, refuse: Refuse) {
+    fn refuse(&mut self, now: Duration, link: Link, refuse: Nack) {
         let Some(subscriber) = self.subscribers.get_mut(&link) else {
             return;
         };
-        let Refuse {
+        let Nack {
             version,
             mut reason,
             ..
@@ -543,12 +545,12 @@
                 .unwrap_or(0),
         );
         let over = match subscriber.sent {
-            Sent::Nothing => false,
-            Sent::Delta { to, .. } => to <= version,
-            Sent::Pieces { version: sent, .. } => sent <= version,
+            InFlight::Nothing => false,
+            InFlight::Delta { to, .. } => to <= version,
+            InFlight::Pieces { version: sent, .. } => sent <= version,
         };
         if over {
-            subscriber.sent = Sent::Nothing;
+            subscriber.sent = InFlight::Nothing;
         }
         if subscriber
             .refused
@@ -557,9 +559,9 @@
         {
             subscriber.refused = Some((version, reason.clone()));
         }
-        self.counters.refused += 1;
+        self.counters.nacks += 1;
         let name = subscriber.who.name.clone();
-        self.orders.push(Order::Event(Event::Refused {
+        self.orders.push(Effect::Event(Event::Rejected {
             name,
             version,
             reason,
@@ -567,19 +569,19 @@
         self.offer(now, link);
     }
 
-    fn ask(&mut self, now: Duration, link: Link, ask: Ask) {
+    fn ask(&mut self, now: Duration, link: Link, ask: ResyncRequest) {
         let Some(subscriber) = self.subscribers.get_mut(&link) else {
             return;
         };
         // What it says is what it holds, whatever was said before.
         (subscriber.version, subscriber.digest) = (ask.version, ask.digest);
-        let gap = ask.lack == Lack::Gap as i32;
-        if gap && matches!(subscriber.sent, Sent::Delta { from, .. } if from == ask.version) {
+        let gap = ask.reason == ResyncReason::Gap as i32;
+        if gap && matches!(subscriber.sent, InFlight::Delta { from, .. } if from == ask.version) {
             // What it asks for is on its way.
             self.counters.gaps += 1;
             return;
         }
-        subscriber.sent = Sent::Nothing;
+        subscriber.sent = InFlight::Nothing;
         subscriber.partial = None;
         subscriber.help_at = now
             + HELP_LEAST
@@ -602,19 +604,19 @@
             return;
         };
         subscriber.differs = true;
-        self.counters.differs += 1;
+        self.counters.divergences += 1;
         let name = subscriber.who.name.clone();
-        self.orders.push(Order::Event(Event::Differs {
+        self.orders.push(Effect::Event(Event::Diverged {
             name,
             version: subscriber.version,
         }));
     }
 
-    fn got(&mut self, now: Duration, link: Link, got: Got) {
+    fn got(&mut self, now: Duration, link: Link, got: SnapshotProgress) {
         let Some(subscriber) = self.subscribers.get_mut(&link) else {
             return;
         };
-        if let Sent::Pieces {
+        if let InFlight::Pieces {
             version,
             digest,
             got: before,
@@ -638,22 +640,22 @@
     }
 
     /// The link is over.
-    pub fn gone(&mut self, _now: Duration, link: Link) {
+    pub fn on_disconnected(&mut self, _now: Duration, link: Link) {
         if let Some(subscriber) = self.subscribers.remove(&link) {
             self.links.remove(&subscriber.who.name);
-            self.orders.push(Order::Event(Event::Gone {
+            self.orders.push(Effect::Event(Event::Disconnected {
                 name: subscriber.who.name,
             }));
         }
     }
 
     fn end(&mut self, link: Link) {
-        self.orders.push(Order::Close(link));
-        self.gone(Duration::ZERO, link);
+        self.orders.push(Effect::Close(link));
+        self.on_disconnected(Duration::ZERO, link);
     }
 
     /// When [`Self::tick`] is due.
-    pub fn due(&self) -> Option<Duration> {
+    pub fn next_deadline(&self) -> Option<Duration> {
         (!self.subscribers.is_empty()).then_some(self.sweep)
     }
 
@@ -665,7 +667,7 @@
         self.sweep = now + SWEEP;
         let links: Vec<Link> = self.subscribers.keys().copied().collect();
         let age_ms = self.age_ms(now);
-        let ping = Down::Ping(Ping {
+        let ping = ServerMessage::Ping(Ping {
             version: self.version,
             age_ms,
         })
@@ -680,23 +682,23 @@
             }
             let late = |at: Duration| now.saturating_sub(at) >= AGAIN;
             match &mut subscriber.sent {
-                Sent::Nothing => self.offer(now, link),
-                Sent::Delta { at, .. } if late(*at) => {
-                    subscriber.sent = Sent::Nothing;
-                    self.counters.sent_again += 1;
+                InFlight::Nothing => self.offer(now, link),
+                InFlight::Delta { at, .. } if late(*at) => {
+                    subscriber.sent = InFlight::Nothing;
+                    self.counters.retransmissions += 1;
                     self.offer(now, link);
                 }
-                Sent::Pieces { got, next, at, .. }
+                InFlight::Pieces { got, next, at, .. }
                     if now.saturating_sub(*at) >= AGAIN * 4 && *got == *next =>
                 {
                     // It has all of it and says nothing of it: from the beginning.
-                    (subscriber.sent, subscriber.partial) = (Sent::Nothing, None);
-                    self.counters.sent_again += 1;
+                    (subscriber.sent, subscriber.partial) = (InFlight::Nothing, None);
+                    self.counters.retransmissions += 1;
                     self.offer(now, link);
                 }
-                Sent::Pieces { got, next, at, .. } if late(*at) && *got < *next => {
+                InFlight::Pieces { got, next, at, .. } if late(*at) && *got < *next => {
                     (*next, *at) = (*got, now);
-                    self.counters.sent_again += 1;
+                    self.counters.retransmissions += 1;
                     self.pieces(now, link);
                 }
                 _ => {}
@@ -746,14 +748,14 @@
         let Some(subscriber) = self.subscribers.get(&link) else {
             return;
         };
-        if subscriber.sent != Sent::Nothing || now < subscriber.help_at {
+        if subscriber.sent != InFlight::Nothing || now < subscriber.help_at {
             return;
         }
         let (holds, digest) = (subscriber.version, subscriber.digest);
         if holds > newest {
             if !subscriber.ahead {
                 let name = subscriber.who.name.clone();
-                self.orders.push(Order::Event(Event::Ahead {
+                self.orders.push(Effect::Event(Event::SubscriberAhead {
                     name,
                     version: holds,
                 }));
@@ -781,7 +783,7 @@
                 self.counters.deltas += 1;
                 self.send(link, frame);
                 if let Some(subscriber) = self.subscribers.get_mut(&link) {
-                    subscriber.sent = Sent::Delta {
+                    subscriber.sent = InFlight::Delta {
                         from: holds,
                         to: newest,
                         at: now,
@@ -805,7 +807,7 @@
                 return None;
             }
             let mut steps = self.history.range(first..).map(|step| &step.delta);
-            let mut all = Joined::of(steps.next()?.clone()).ok()?;
+            let mut all = DeltaMerger::of(steps.next()?.clone()).ok()?;
             for step in steps {
                 all.then(step).ok()?;
             }
@@ -813,7 +815,7 @@
                 from: holds,
                 ..all.finish()
             };
-            let frame = Down::Delta(delta).encoded();
+            let frame = ServerMessage::Delta(delta).encoded();
             (frame.len() <= self.bounds.delta_bytes).then_some(frame)
         });
         if self.encoded.len() < MOST_ENCODED {
@@ -849,7 +851,7 @@
             None if self.packed_at.is_some_and(|at| now < at + PACK_WAIT) => return,
             None => {
                 self.packed_at = Some(now);
-                if self.packed().is_err() {
+                if self.packed_snapshot().is_err() {
                     return;
                 }
                 let Some(newest) = self.packed.back().cloned() else {
@@ -869,7 +871,7 @@
         } = found;
         self.counters.snapshots += 1;
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.sent = Sent::Pieces {
+            subscriber.sent = InFlight::Pieces {
                 version,
                 digest,
                 got: offset,
@@ -885,7 +887,7 @@
         let Some(subscriber) = self.subscribers.get_mut(&link) else {
             return;
         };
-        let Sent::Pieces {
+        let InFlight::Pieces {
             version,
             digest,
             got,
@@ -901,14 +903,14 @@
             .find(|packed| (packed.version, packed.digest) == (version, digest));
         let Some(kept) = kept.cloned() else {
             // Dropped while it was on its way: a newer one instead.
-            subscriber.sent = Sent::Nothing;
+            subscriber.sent = InFlight::Nothing;
             subscriber.partial = None;
             return self.offer(now, link);
         };
         let length = kept.bytes.len();
         while next < length && next < got + self.bounds.window * self.bounds.piece {
             let end = length.min(next + self.bounds.piece);
-            let piece = Piece {
+            let piece = SnapshotChunk {
                 version,
                 digest,
                 offset: next as u64,
@@ -916,10 +918,10 @@
                 bytes: kept.bytes.slice(next..end),
             };
             next = end;
-            self.send(link, Down::Piece(piece).encoded());
+            self.send(link, ServerMessage::SnapshotChunk(piece).encoded());
         }
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
-            subscriber.sent = Sent::Pieces {
+            subscriber.sent = InFlight::Pieces {
                 version,
                 digest,
                 got,
@@ -930,7 +932,7 @@
     }
 
     /// What there is to do, in order.
-    pub fn orders(&mut self) -> std::vec::Drain<'_, Order> {
+    pub fn take_effects(&mut self) -> std::vec::Drain<'_, Effect> {
         self.orders.drain(..)
     }
 
@@ -938,7 +940,7 @@
         self.version
     }
 
-    pub fn state(&self) -> &State {
+    pub fn state(&self) -> &ConfigState {
         &self.state
     }
 
@@ -946,28 +948,31 @@
         self.counters
     }
 
-    pub fn standing(&self) -> Vec<Standing> {
-        let list = self.subscribers.iter().map(|(link, subscriber)| Standing {
-            who: subscriber.who.clone(),
-            link: *link,
-            version: subscriber.version,
-            refused: subscriber.refused.clone(),
-        });
+    pub fn subscriber_statuses(&self) -> Vec<SubscriberStatus> {
+        let list = self
+            .subscribers
+            .iter()
+            .map(|(link, subscriber)| SubscriberStatus {
+                who: subscriber.who.clone(),
+                link: *link,
+                version: subscriber.version,
+                refused: subscriber.refused.clone(),
+            });
         list.collect()
     }
 
     /// The versions of the history, the newest first, `most` of them.
-    pub fn progress(&self, most: usize) -> Vec<Progress> {
+    pub fn progress(&self, most: usize) -> Vec<RolloutProgress> {
         let steps = self.history.iter().rev().take(most);
         steps.map(|step| self.progress_of(step)).collect()
     }
 
-    fn progress_of(&self, step: &Step) -> Progress {
+    fn progress_of(&self, step: &HistoryEntry) -> RolloutProgress {
         let version = step.delta.to;
-        let mut progress = Progress {
+        let mut progress = RolloutProgress {
             version,
             committed: step.at,
-            things: step.delta.puts.len() + step.delta.removals.len(),
+            things: step.delta.upserts.len() + step.delta.removals.len(),
             confirmed: 0,
             refused: 0,
             behind: 0,
--- a/crates/config-distribution/src/snapshot.rs
+++ b/crates/config-distribution/src/snapshot.rs
@@ -2,9 +2,9 @@
 //!
 //! Like states give like bytes, so that one machine's pieces go on where another's were cut off.
 
-use crate::delta::State;
-use crate::frames::{Delta, Whole};
-use crate::Refused;
+use crate::delta::ConfigState;
+use crate::frames::{Delta, Snapshot};
+use crate::UpdateError;
 use miniz_oxide::deflate::compress_to_vec;
 use miniz_oxide::inflate::decompress_to_vec_with_limit;
 use prost::Message;
@@ -18,40 +18,41 @@
 
 /// # Errors
 /// More than a subscriber would take.
-pub fn packed(version: u64, state: &State) -> Result<Vec<u8>, Refused> {
-    let whole = Whole {
+pub fn packed(version: u64, state: &ConfigState) -> Result<Vec<u8>, UpdateError> {
+    let whole = Snapshot {
         version,
         digest: state.digest(),
-        things: state.things().collect(),
+        resources: state.resources().collect(),
     };
     let bytes = whole.encode_to_vec();
     if bytes.len() > MOST_WHOLE {
-        return Err(Refused::Large("the whole is too large"));
+        return Err(UpdateError::TooLarge("the whole is too large"));
     }
     let packed = compress_to_vec(&bytes, LEVEL);
     if packed.len() > MOST_PACKED {
-        return Err(Refused::Large("the whole is too large when packed"));
+        return Err(UpdateError::TooLarge("the whole is too large when packed"));
     }
     Ok(packed)
 }
 
 /// # Errors
 /// Bytes that are no snapshot, or one whose digest is not that of what it holds.
-pub fn unpacked(packed: &[u8]) -> Result<(u64, State), Refused> {
-    let bytes = decompress_to_vec_with_limit(packed, MOST_WHOLE).map_err(|_| Refused::Frame)?;
-    let whole = Whole::decode(&*bytes).map_err(|_| Refused::Frame)?;
+pub fn unpacked(packed: &[u8]) -> Result<(u64, ConfigState), UpdateError> {
+    let bytes = decompress_to_vec_with_limit(packed, MOST_WHOLE)
+        .map_err(|_| UpdateError::MalformedFrame)?;
+    let whole = Snapshot::decode(&*bytes).map_err(|_| UpdateError::MalformedFrame)?;
     drop(bytes);
-    let Whole {
+    let Snapshot {
         version,
         digest,
-        things,
+        resources,
     } = whole;
-    let mut state = State::default();
+    let mut state = ConfigState::default();
     state.apply(&Delta {
         from: 0,
         to: version,
         digest,
-        puts: things,
+        upserts: resources,
         removals: Vec::new(),
     })?;
     Ok((version, state))
--- a/crates/config-distribution/src/subscriber.rs
+++ b/crates/config-distribution/src/subscriber.rs
@@ -13,11 +13,14 @@
 //! Invariants: `version` never goes down; what is in force is what was last confirmed by the driver; a
 //! confirmation names only a version that is in force.
 
-use crate::attach::Who;
-use crate::delta::State;
-use crate::frames::{Ask, Attach, Confirm, Delta, Down, Got, Lack, Piece, Refuse, Up};
+use crate::attach::NodeIdentity;
+use crate::delta::ConfigState;
+use crate::frames::{
+    Ack, Attach, ClientMessage, Delta, Nack, ResyncReason, ResyncRequest, ServerMessage,
+    SnapshotChunk, SnapshotProgress,
+};
 use crate::plant::planted;
-use crate::{snapshot, Refused};
+use crate::{snapshot, UpdateError};
 use bytes::Bytes;
 use rainstand_config::schema;
 use std::time::Duration;
@@ -31,12 +34,12 @@
 
 /// What the driver is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
+pub enum Effect {
     Send(Bytes),
     /// Take [`Subscriber::pending`], which is this version, and say how it went.
-    Take(u64),
+    Apply(u64),
     /// Close the link and tell the chooser.
-    ComeBack {
+    RetryAfter {
         after: Duration,
         elsewhere: bool,
     },
@@ -48,37 +51,37 @@
 /// What operators are told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    InForce {
+    Applied {
         version: u64,
     },
-    Refused {
+    Rejected {
         version: u64,
         reason: String,
     },
     /// What came led to another digest, or could not be applied: a snapshot was asked for.
-    Differs {
+    Diverged {
         version: u64,
-        why: Refused,
+        why: UpdateError,
     },
     Gap {
         holds: u64,
         from: u64,
     },
-    Unreadable,
+    Malformed,
 }
 
 /// A version that the driver is at work on.
 #[derive(Debug)]
-pub enum Pending {
+pub enum PendingUpdate {
     Delta(Delta),
-    Whole { version: u64, state: State },
+    Snapshot { version: u64, state: ConfigState },
 }
 
-impl Pending {
+impl PendingUpdate {
     pub fn version(&self) -> u64 {
         match self {
             Self::Delta(delta) => delta.to,
-            Self::Whole { version, .. } => *version,
+            Self::Snapshot { version, .. } => *version,
         }
     }
 }
@@ -95,22 +98,22 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
     pub in_force: u64,
-    pub refused: u64,
+    pub nacks: u64,
     pub stale: u64,
     pub gaps: u64,
-    pub differs: u64,
+    pub divergences: u64,
     pub busy: u64,
-    pub pieces: u64,
+    pub chunks: u64,
     pub bytes_in: u64,
     pub bytes_out: u64,
-    pub unreadable: u64,
+    pub malformed: u64,
 }
 
 pub struct Subscriber {
-    who: Who,
+    who: NodeIdentity,
     version: u64,
-    state: State,
-    pending: Option<Pending>,
+    state: ConfigState,
+    pending: Option<PendingUpdate>,
     partial: Option<Partial>,
     /// There is a link; without one nothing is sent.
     linked: bool,
@@ -123,18 +126,23 @@
     told: (u64, Duration),
     /// When the version in force was last known to be the newest.
     newest: Duration,
-    orders: Vec<Order>,
+    orders: Vec<Effect>,
     counters: Counters,
 }
 
 impl Subscriber {
     /// With nothing in hand: version 0, which is empty.
-    pub fn new(now: Duration, who: Who) -> Self {
-        Self::with(now, who, 0, State::default())
+    pub fn new(now: Duration, who: NodeIdentity) -> Self {
+        Self::with_version(now, who, 0, ConfigState::default())
     }
 
     /// With a version that is in force already, as read from a disk.
-    pub fn with(now: Duration, who: Who, version: u64, state: State) -> Self {
+    pub fn with_version(
+        now: Duration,
+        who: NodeIdentity,
+        version: u64,
+        state: ConfigState,
+    ) -> Self {
         Self {
             who,
             version,
@@ -156,7 +164,7 @@
         self.version
     }
 
-    pub fn state(&self) -> &State {
+    pub fn state(&self) -> &ConfigState {
         &self.state
     }
 
@@ -169,84 +177,85 @@
     }
 
     /// What the driver is to take: the change, or all of it.
-    pub fn pending(&self) -> Option<&Pending> {
+    pub fn pending(&self) -> Option<&PendingUpdate> {
         self.pending.as_ref()
     }
 
     /// How long ago this was last known to be the newest version.
-    pub fn age(&self, now: Duration) -> Duration {
+    pub fn staleness(&self, now: Duration) -> Duration {
         now.saturating_sub(self.newest)
     }
 
     /// What there is to do, in order.
-    pub fn orders(&mut self) -> std::vec::Drain<'_, Order> {
+    pub fn take_effects(&mut self) -> std::vec::Drain<'_, Effect> {
         self.orders.drain(..)
     }
 
     /// The machine is to be left: nothing was heard of it for too long, or it is out of touch with the
     /// others.
-    pub fn is_lost(&self, now: Duration) -> bool {
+    pub fn is_server_lost(&self, now: Duration) -> bool {
         let long = |at: Duration, most| now.saturating_sub(at) >= most;
         let stale = self.attached && long(self.since, STALE) && long(self.told.1, STALE);
         self.linked && (long(self.heard, SILENT) || stale)
     }
 
     /// A link is open: the attachment is sent on it.
-    pub fn opened(&mut self, now: Duration) {
+    pub fn on_connected(&mut self, now: Duration) {
         self.linked = true;
         self.attached = false;
         self.heard = now;
-        let partial = self.partial.as_ref().map(|partial| Got {
+        let partial = self.partial.as_ref().map(|partial| SnapshotProgress {
             version: partial.version,
             digest: partial.digest,
             offset: partial.bytes.len() as u64,
         });
-        let Who { name, region, zone } = self.who.clone();
+        let NodeIdentity { name, region, zone } = self.who.clone();
         let (version, digest) = (self.version, self.state.digest());
-        self.send(Up::Attach(Attach {
+        self.send(ClientMessage::Attach(Attach {
             name,
             region,
             zone,
             version,
             digest,
-            takes: schema::VERSION,
+            schema_version: schema::VERSION,
             partial,
         }));
     }
 
     /// The link is over. What is pending stays so: the driver is at work on it.
-    pub fn cut(&mut self) {
+    pub fn on_link_closed(&mut self) {
         self.linked = false;
         self.attached = false;
-        self.orders.retain(|order| !matches!(order, Order::Send(_)));
+        self.orders
+            .retain(|order| !matches!(order, Effect::Send(_)));
     }
 
     /// A frame of the link.
-    pub fn heard(&mut self, now: Duration, frame: Bytes) {
+    pub fn on_frame(&mut self, now: Duration, frame: Bytes) {
         self.heard = now;
         self.counters.bytes_in += frame.len() as u64;
-        match Down::decoded(frame) {
-            Ok(Down::Attached(said)) => {
+        match ServerMessage::decoded(frame) {
+            Ok(ServerMessage::Attached(said)) => {
                 (self.attached, self.since) = (true, now);
                 self.told(now, said.version, said.age_ms);
             }
-            Ok(Down::Ping(said)) => {
+            Ok(ServerMessage::Ping(said)) => {
                 self.told(now, said.version, said.age_ms);
                 self.confirm();
             }
-            Ok(Down::ComeBack(said)) => {
+            Ok(ServerMessage::RetryAfter(said)) => {
                 let after = Duration::from_millis(said.after_ms);
-                self.orders.push(Order::ComeBack {
+                self.orders.push(Effect::RetryAfter {
                     after,
                     elsewhere: said.elsewhere,
                 });
             }
-            Ok(Down::Delta(delta)) => self.delta(delta),
-            Ok(Down::Piece(piece)) => self.piece(piece),
+            Ok(ServerMessage::Delta(delta)) => self.delta(delta),
+            Ok(ServerMessage::SnapshotChunk(piece)) => self.piece(piece),
             Err(_) => {
-                self.counters.unreadable += 1;
-                self.orders.push(Order::Event(Event::Unreadable));
-                self.orders.push(Order::Close);
+                self.counters.malformed += 1;
+                self.orders.push(Effect::Event(Event::Malformed));
+                self.orders.push(Effect::Close);
             }
         }
     }
@@ -270,19 +279,19 @@
             self.confirm();
         } else if delta.from != self.version && !planted("over-a-gap") {
             self.counters.gaps += 1;
-            self.orders.push(Order::Event(Event::Gap {
+            self.orders.push(Effect::Event(Event::Gap {
                 holds: self.version,
                 from: delta.from,
             }));
-            self.ask(Lack::Gap);
-        } else if let Err(why) = self.state.would(&delta) {
+            self.ask(ResyncReason::Gap);
+        } else if let Err(why) = self.state.validate(&delta) {
             self.differs(delta.to, why);
         } else {
-            self.take(Pending::Delta(delta));
+            self.take(PendingUpdate::Delta(delta));
         }
     }
 
-    fn piece(&mut self, piece: Piece) {
+    fn piece(&mut self, piece: SnapshotChunk) {
         if self.pending.is_some() {
             self.counters.busy += 1;
             return;
@@ -299,11 +308,11 @@
         if length > snapshot::MOST_PACKED {
             self.differs(
                 piece.version,
-                Refused::Large("the snapshot is larger than is taken"),
+                UpdateError::TooLarge("the snapshot is larger than is taken"),
             );
             return;
         }
-        self.counters.pieces += 1;
+        self.counters.chunks += 1;
         let same = |kept: &Partial| {
             (kept.version, kept.digest, kept.length) == (piece.version, piece.digest, length)
         };
@@ -313,7 +322,7 @@
                 // Of another one than the one in hand, not from its beginning: it is asked for from there.
                 self.partial = kept;
                 self.counters.stale += 1;
-                return self.send(Up::Got(Got {
+                return self.send(ClientMessage::SnapshotProgress(SnapshotProgress {
                     version: piece.version,
                     digest: piece.digest,
                     offset: 0,
@@ -333,76 +342,76 @@
             self.counters.stale += 1;
         }
         let offset = partial.bytes.len() as u64;
-        let got = Got {
+        let got = SnapshotProgress {
             version: partial.version,
             digest: partial.digest,
             offset,
         };
         if partial.bytes.len() < partial.length {
             self.partial = Some(partial);
-            self.send(Up::Got(got));
+            self.send(ClientMessage::SnapshotProgress(got));
             return;
         }
         match snapshot::unpacked(&partial.bytes) {
             Ok((version, state))
                 if (version, state.digest()) == (partial.version, partial.digest) =>
             {
-                self.send(Up::Got(got));
-                self.take(Pending::Whole { version, state });
+                self.send(ClientMessage::SnapshotProgress(got));
+                self.take(PendingUpdate::Snapshot { version, state });
             }
-            Ok(_) => self.differs(partial.version, Refused::Differs),
+            Ok(_) => self.differs(partial.version, UpdateError::DigestMismatch),
             Err(why) => self.differs(partial.version, why),
         }
     }
 
-    fn differs(&mut self, version: u64, why: Refused) {
-        self.counters.differs += 1;
+    fn differs(&mut self, version: u64, why: UpdateError) {
+        self.counters.divergences += 1;
         self.orders
-            .push(Order::Event(Event::Differs { version, why }));
-        self.ask(Lack::Differs);
+            .push(Effect::Event(Event::Diverged { version, why }));
+        self.ask(ResyncReason::Diverged);
     }
 
-    fn ask(&mut self, lack: Lack) {
+    fn ask(&mut self, lack: ResyncReason) {
         let digest = self.state.digest();
-        self.send(Up::Ask(Ask {
-            lack: lack as i32,
+        self.send(ClientMessage::ResyncRequest(ResyncRequest {
+            reason: lack as i32,
             version: self.version,
             digest,
         }));
     }
 
-    fn take(&mut self, pending: Pending) {
+    fn take(&mut self, pending: PendingUpdate) {
         let version = pending.version();
-        self.orders.push(Order::Take(version));
+        self.orders.push(Effect::Apply(version));
         if planted("early-confirm") {
             let digest = match &pending {
-                Pending::Delta(delta) => delta.digest,
-                Pending::Whole { state, .. } => state.digest(),
+                PendingUpdate::Delta(delta) => delta.digest,
+                PendingUpdate::Snapshot { state, .. } => state.digest(),
             };
-            self.send(Up::Confirm(Confirm { version, digest }));
+            self.send(ClientMessage::Ack(Ack { version, digest }));
         }
         self.pending = Some(pending);
     }
 
     /// The driver has put the pending version into force: all that comes in from now on is decided by it.
-    pub fn in_force(&mut self, version: u64) {
+    pub fn on_applied(&mut self, version: u64) {
         let Some(pending) = self.pending.take_if(|pending| pending.version() == version) else {
             return;
         };
         match pending {
-            Pending::Delta(delta) => {
+            PendingUpdate::Delta(delta) => {
                 // Checked when it came, and the state is the same since; were it not, a snapshot mends it.
                 if let Err(why) = self.state.apply(&delta) {
                     return self.differs(version, why);
                 }
             }
-            Pending::Whole { state, .. } => self.state = state,
+            PendingUpdate::Snapshot { state, .. } => self.state = state,
         }
         self.version = version;
         self.partial.take_if(|partial| partial.version <= version);
         self.is_newest();
         self.counters.in_force += 1;
-        self.orders.push(Order::Event(Event::InForce { version }));
+        self.orders.push(Effect::Event(Event::Applied { version }));
         self.confirm();
     }
 
@@ -415,34 +424,34 @@
         {
             return;
         }
-        self.counters.refused += 1;
+        self.counters.nacks += 1;
         let end = (0..=MOST_REASON.min(reason.len()))
             .rev()
             .find(|end| reason.is_char_boundary(*end));
         let reason = reason[..end.unwrap_or(0)].to_owned();
-        self.orders.push(Order::Event(Event::Refused {
+        self.orders.push(Effect::Event(Event::Rejected {
             version,
             reason: reason.clone(),
         }));
-        self.send(Up::Refuse(Refuse {
+        self.send(ClientMessage::Nack(Nack {
             version,
             reason,
-            holds: self.version,
+            current_version: self.version,
         }));
     }
 
-    fn send(&mut self, up: Up) {
+    fn send(&mut self, up: ClientMessage) {
         if !self.linked {
             return;
         }
         let frame = up.encoded();
         self.counters.bytes_out += frame.len() as u64;
-        self.orders.push(Order::Send(frame));
+        self.orders.push(Effect::Send(frame));
     }
 
     fn confirm(&mut self) {
         let digest = self.state.digest();
-        self.send(Up::Confirm(Confirm {
+        self.send(ClientMessage::Ack(Ack {
             version: self.version,
             digest,
         }));
--- a/crates/config-distribution/tests/golden.rs
+++ b/crates/config-distribution/tests/golden.rs
@@ -11,10 +11,11 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Member, Pool, Route, Tenant, TrafficType, VERSION};
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::{
-    Ask, Attach, Attached, ComeBack, Confirm, Delta, Down, Got, Kind, Lack, Named, Piece, Ping,
-    Refuse, Thing, Up, Whole,
+    Ack, Attach, Attached, ClientMessage, Delta, Nack, Ping, Resource, ResourceKind, ResourceName,
+    ResyncReason, ResyncRequest, RetryAfter, ServerMessage, Snapshot, SnapshotChunk,
+    SnapshotProgress,
 };
 use rainstand_config_distribution::snapshot;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
@@ -23,23 +24,23 @@
 const SNAPSHOTS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/snapshots.hex");
 
 fn delta() -> Delta {
-    let kinds = (1..=17).map(|kind| Thing {
+    let kinds = (1..=17).map(|kind| Resource {
         kind,
         name: format!("thing-{kind}"),
-        pool: if kind == Kind::Member as i32 {
+        pool: if kind == ResourceKind::Member as i32 {
             "hall".into()
         } else {
             String::new()
         },
-        rank: if kind == Kind::Route as i32 {
+        rank: if kind == ResourceKind::Route as i32 {
             1 << 32
         } else {
             0
         },
         body: Bytes::from(vec![10, 1, b'a' + kind as u8]),
     });
-    let removal = Named {
-        kind: Kind::Member as i32,
+    let removal = ResourceName {
+        kind: ResourceKind::Member as i32,
         name: "n1".into(),
         pool: "hall".into(),
     };
@@ -47,68 +48,68 @@
         from: 6,
         to: 9,
         digest: 0x0123_4567_89ab_cdef,
-        puts: kinds.collect(),
+        upserts: kinds.collect(),
         removals: vec![removal],
     }
 }
 
-fn got() -> Got {
-    Got {
+fn got() -> SnapshotProgress {
+    SnapshotProgress {
         version: 5,
         digest: 77,
         offset: 8192,
     }
 }
 
-fn upward() -> Vec<(&'static str, Up)> {
+fn upward() -> Vec<(&'static str, ClientMessage)> {
     let attach = Attach {
         name: "f-17".into(),
         region: "north".into(),
         zone: "z2".into(),
         version: 4,
         digest: 0xfeed_beef,
-        takes: 3,
+        schema_version: 3,
         partial: Some(got()),
     };
     vec![
-        ("up-attach", Up::Attach(attach)),
+        ("up-attach", ClientMessage::Attach(attach)),
         (
             "up-confirm",
-            Up::Confirm(Confirm {
+            ClientMessage::Ack(Ack {
                 version: 9,
                 digest: 0x0123_4567_89ab_cdef,
             }),
         ),
         (
             "up-refuse",
-            Up::Refuse(Refuse {
+            ClientMessage::Nack(Nack {
                 version: 9,
                 reason: "no such pool".into(),
-                holds: 6,
+                current_version: 6,
             }),
         ),
         (
             "up-ask-gap",
-            Up::Ask(Ask {
-                lack: Lack::Gap as i32,
+            ClientMessage::ResyncRequest(ResyncRequest {
+                reason: ResyncReason::Gap as i32,
                 version: 6,
                 digest: 5,
             }),
         ),
         (
             "up-ask-differs",
-            Up::Ask(Ask {
-                lack: Lack::Differs as i32,
+            ClientMessage::ResyncRequest(ResyncRequest {
+                reason: ResyncReason::Diverged as i32,
                 version: 6,
                 digest: 5,
             }),
         ),
-        ("up-got", Up::Got(got())),
+        ("up-got", ClientMessage::SnapshotProgress(got())),
     ]
 }
 
-fn downward() -> Vec<(&'static str, Down)> {
-    let piece = Piece {
+fn downward() -> Vec<(&'static str, ServerMessage)> {
+    let piece = SnapshotChunk {
         version: 5,
         digest: 77,
         offset: 8192,
@@ -118,23 +119,23 @@
     vec![
         (
             "down-attached",
-            Down::Attached(Attached {
+            ServerMessage::Attached(Attached {
                 version: 9,
                 age_ms: 1500,
             }),
         ),
         (
             "down-come-back",
-            Down::ComeBack(ComeBack {
+            ServerMessage::RetryAfter(RetryAfter {
                 after_ms: 800,
                 elsewhere: true,
             }),
         ),
-        ("down-delta", Down::Delta(delta())),
-        ("down-piece", Down::Piece(piece)),
+        ("down-delta", ServerMessage::Delta(delta())),
+        ("down-piece", ServerMessage::SnapshotChunk(piece)),
         (
             "down-ping",
-            Down::Ping(Ping {
+            ServerMessage::Ping(Ping {
                 version: 9,
                 age_ms: 20,
             }),
@@ -158,14 +159,14 @@
     let (up, down) = (upward(), downward());
     for NamedBytes { name, bytes } in read_bytes(FILE) {
         if name.starts_with("up-") {
-            let read = Up::decoded(bytes.clone().into()).unwrap();
+            let read = ClientMessage::decoded(bytes.clone().into()).unwrap();
             assert!(
                 up.iter().any(|(known, up)| *known == name && *up == read),
                 "{name}: {read:?}"
             );
             assert_eq!(read.encoded(), bytes, "{name}");
         } else {
-            let read = Down::decoded(bytes.clone().into()).unwrap();
+            let read = ServerMessage::decoded(bytes.clone().into()).unwrap();
             assert!(
                 down.iter()
                     .any(|(known, down)| *known == name && *down == read),
@@ -209,11 +210,11 @@
 
 #[test]
 fn a_state_has_the_digest_and_the_snapshot_of_before() {
-    let state = State::of(&configuration()).unwrap();
-    let whole = Whole {
+    let state = ConfigState::from_configuration(&configuration()).unwrap();
+    let whole = Snapshot {
         version: 3,
         digest: state.digest(),
-        things: state.things().collect(),
+        resources: state.resources().collect(),
     };
     let mut changed = configuration();
     changed.pools[0].members.remove(0);
--- a/crates/config-distribution/tests/rules.rs
+++ b/crates/config-distribution/tests/rules.rs
@@ -10,14 +10,17 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Member, Pool, Route, Tenant};
-use rainstand_config_distribution::attach::{order, Chooser, Who, SPREAD, WAIT_MOST};
-use rainstand_config_distribution::delta::{joined, State};
+use rainstand_config_distribution::attach::{
+    preference_order, AttachmentPolicy, NodeIdentity, ATTACH_JITTER, MAX_RETRY_DELAY,
+};
+use rainstand_config_distribution::delta::{merge, ConfigState};
 use rainstand_config_distribution::frames::{
-    Ask, Attach, Attached, Confirm, Delta, Down, Kind, Lack, Ping, Refuse, Thing, Up,
+    Ack, Attach, Attached, ClientMessage, Delta, Nack, Ping, Resource, ResourceKind, ResyncReason,
+    ResyncRequest, ServerMessage,
 };
-use rainstand_config_distribution::source::{self, Bounds, Source};
-use rainstand_config_distribution::subscriber::{Order, Pending, Subscriber, SILENT, STALE};
-use rainstand_config_distribution::{snapshot, Refused};
+use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
+use rainstand_config_distribution::subscriber::{Effect, PendingUpdate, Subscriber, SILENT, STALE};
+use rainstand_config_distribution::{snapshot, UpdateError};
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -61,7 +64,7 @@
 
 /// Versions 1 to n, each with tenant `a` at its number.
 fn deltas(n: u64) -> Vec<Delta> {
-    let mut state = State::default();
+    let mut state = ConfigState::default();
     let made = (1..=n).map(|version| {
         let configuration = configuration(&[("a", version), ("b", 7)], &["r"]);
         let delta = state
@@ -73,8 +76,8 @@
     made.collect()
 }
 
-fn who(name: &str, region: &str, zone: &str) -> Who {
-    Who {
+fn who(name: &str, region: &str, zone: &str) -> NodeIdentity {
+    NodeIdentity {
         name: name.into(),
         region: region.into(),
         zone: zone.into(),
@@ -89,7 +92,7 @@
         .count();
     // Members are things of their own beside their pools.
     let kinds = (1..)
-        .take_while(|kind| Kind::try_from(*kind).is_ok())
+        .take_while(|kind| ResourceKind::try_from(*kind).is_ok())
         .count()
         - 1;
     assert_eq!(
@@ -103,13 +106,19 @@
     let whole = rainstand_config::load(&files, "a.rain")
         .configuration
         .expect("no errors");
-    assert_eq!(State::of(&whole).unwrap().configuration().unwrap(), whole);
+    assert_eq!(
+        ConfigState::from_configuration(&whole)
+            .unwrap()
+            .configuration()
+            .unwrap(),
+        whole
+    );
 }
 
 #[test]
 fn a_change_of_one_thing_is_a_delta_of_one_thing() {
     let before = configuration(&[("a", 1), ("b", 2), ("c", 3)], &["r1", "r2", "r3", "r4"]);
-    let state = State::of(&before).unwrap();
+    let state = ConfigState::from_configuration(&before).unwrap();
     let cases: [(&str, [usize; 2], Configuration); 5] = [
         ("nothing", [0, 0], before.clone()),
         (
@@ -138,18 +147,22 @@
     ];
     for (what, counts, after) in cases {
         let delta = state.delta_to(1, 2, &after).unwrap();
-        assert_eq!([delta.puts.len(), delta.removals.len()], counts, "{what}");
+        assert_eq!(
+            [delta.upserts.len(), delta.removals.len()],
+            counts,
+            "{what}"
+        );
         let mut changed = state.clone();
         changed.apply(&delta).unwrap();
         assert_eq!(changed.configuration().unwrap(), after, "{what}");
-        assert!(changed.is_whole(), "{what}");
+        assert!(changed.verify_digest(), "{what}");
     }
 }
 
 #[test]
 fn routes_can_be_put_in_at_one_place_for_ever() {
     let mut names: Vec<String> = vec!["first".into(), "last".into()];
-    let mut state = State::default();
+    let mut state = ConfigState::default();
     let mut large = 0;
     for k in 0..100 {
         names.insert(1, format!("r{k}"));
@@ -157,7 +170,7 @@
         let delta = state
             .delta_to(k, k + 1, &configuration(&[], &routes))
             .unwrap();
-        large += usize::from(k > 0 && delta.puts.len() > 1);
+        large += usize::from(k > 0 && delta.upserts.len() > 1);
         state.apply(&delta).unwrap();
         assert_eq!(
             state.routes().map(|(_, name)| name).collect::<Vec<_>>(),
@@ -172,11 +185,12 @@
 
 #[test]
 fn a_delta_that_cannot_be_applied_whole_changes_nothing() {
-    let state = State::of(&configuration(&[("a", 1)], &["r1", "r2"])).unwrap();
+    let state =
+        ConfigState::from_configuration(&configuration(&[("a", 1)], &["r1", "r2"])).unwrap();
     let good = state
         .delta_to(1, 2, &configuration(&[("a", 2)], &["r1", "r2"]))
         .unwrap();
-    let thing = |kind: Kind, name: &str, pool: &str, rank, body: Vec<u8>| Thing {
+    let thing = |kind: ResourceKind, name: &str, pool: &str, rank, body: Vec<u8>| Resource {
         kind: kind as i32,
         name: name.into(),
         pool: pool.into(),
@@ -197,41 +211,41 @@
         ("another digest", None),
         (
             "of a kind that is not known here",
-            Some(Thing {
+            Some(Resource {
                 kind: 99,
-                ..thing(Kind::Tenant, "x", "", 0, vec![])
+                ..thing(ResourceKind::Tenant, "x", "", 0, vec![])
             }),
         ),
         (
             "what it says cannot be read",
-            Some(thing(Kind::Tenant, "x", "", 0, vec![255])),
+            Some(thing(ResourceKind::Tenant, "x", "", 0, vec![255])),
         ),
         (
             "what it says has another name",
-            Some(thing(Kind::Tenant, "x", "", 0, encoded("y"))),
+            Some(thing(ResourceKind::Tenant, "x", "", 0, encoded("y"))),
         ),
-        ("named twice", Some(good.puts[0].clone())),
+        ("named twice", Some(good.upserts[0].clone())),
         (
             "a rank belongs to routes",
-            Some(thing(Kind::Tenant, "x", "", 4, encoded("x"))),
+            Some(thing(ResourceKind::Tenant, "x", "", 4, encoded("x"))),
         ),
         (
             "two routes at one place",
-            Some(thing(Kind::Route, "r9", "", rank, route)),
+            Some(thing(ResourceKind::Route, "r9", "", rank, route)),
         ),
         (
             "a member of a pool that is not there",
-            Some(thing(Kind::Member, "m", "nowhere", 0, member)),
+            Some(thing(ResourceKind::Member, "m", "nowhere", 0, member)),
         ),
         (
             "a pool's name belongs to members",
-            Some(thing(Kind::Tenant, "x", "p", 0, encoded("x"))),
+            Some(thing(ResourceKind::Tenant, "x", "p", 0, encoded("x"))),
         ),
     ];
     for (why, thing) in bad {
         let mut delta = good.clone();
         match thing {
-            Some(thing) => delta.puts.push(thing),
+            Some(thing) => delta.upserts.push(thing),
             None => delta.digest ^= 1,
         }
         let mut changed = state.clone();
@@ -242,13 +256,13 @@
     let mut without = good.clone();
     without
         .removals
-        .push(rainstand_config_distribution::frames::Named {
-            kind: Kind::Pool as i32,
+        .push(rainstand_config_distribution::frames::ResourceName {
+            kind: ResourceKind::Pool as i32,
             name: "p".into(),
             pool: "".into(),
         });
     assert!(state
-        .would(&without)
+        .validate(&without)
         .unwrap_err()
         .to_string()
         .contains("goes without its members"));
@@ -257,7 +271,7 @@
 #[test]
 fn deltas_made_into_one_lead_to_the_same() {
     let mut chance = WyRand::new_seed(4);
-    let mut state = State::default();
+    let mut state = ConfigState::default();
     let first = state.clone();
     let mut all: Option<Delta> = None;
     for version in 0..60u64 {
@@ -276,7 +290,7 @@
             .unwrap();
         state.apply(&delta).unwrap();
         all = Some(match all {
-            Some(before) => joined(before, &delta).unwrap(),
+            Some(before) => merge(before, &delta).unwrap(),
             None => delta,
         });
         let mut at_once = first.clone();
@@ -289,14 +303,19 @@
         ..Delta::default()
     };
     assert_eq!(
-        joined(all.unwrap(), &gap),
-        Err(Refused::From { made: 3, there: 60 })
+        merge(all.unwrap(), &gap),
+        Err(UpdateError::VersionMismatch {
+            base: 3,
+            current: 60
+        })
     );
 }
 
 #[test]
 fn a_snapshot_is_read_back_whole_or_not_at_all() {
-    let state = State::of(&configuration(&[("a", 1), ("b", 2)], &["r1", "r2"])).unwrap();
+    let state =
+        ConfigState::from_configuration(&configuration(&[("a", 1), ("b", 2)], &["r1", "r2"]))
+            .unwrap();
     let packed = snapshot::packed(5, &state).unwrap();
     assert_eq!(
         packed,
@@ -318,10 +337,10 @@
     }
 }
 
-fn sent(subscriber: &mut Subscriber) -> Vec<Up> {
-    let orders = subscriber.orders().collect::<Vec<_>>();
+fn sent(subscriber: &mut Subscriber) -> Vec<ClientMessage> {
+    let orders = subscriber.take_effects().collect::<Vec<_>>();
     let sent = orders.into_iter().filter_map(|order| match order {
-        Order::Send(frame) => Some(Up::decoded(frame).unwrap()),
+        Effect::Send(frame) => Some(ClientMessage::decoded(frame).unwrap()),
         _ => None,
     });
     sent.collect()
@@ -330,40 +349,40 @@
 /// At version 3, on a link.
 fn subscriber() -> (Subscriber, Vec<Delta>) {
     let deltas = deltas(6);
-    let mut state = State::default();
+    let mut state = ConfigState::default();
     deltas[..3]
         .iter()
         .for_each(|delta| state.apply(delta).unwrap());
-    let mut subscriber = Subscriber::with(NOW, who("n", "r", "z"), 3, state);
-    subscriber.opened(NOW);
+    let mut subscriber = Subscriber::with_version(NOW, who("n", "r", "z"), 3, state);
+    subscriber.on_connected(NOW);
     assert!(matches!(
         &sent(&mut subscriber)[..],
-        [Up::Attach(Attach { version: 3, .. })]
+        [ClientMessage::Attach(Attach { version: 3, .. })]
     ));
     (subscriber, deltas)
 }
 
 #[test]
 fn a_subscriber_takes_what_begins_at_its_version_and_nothing_else() {
-    let held = |s: &Subscriber| Confirm {
+    let held = |s: &Subscriber| Ack {
         version: s.version(),
         digest: s.state().digest(),
     };
     // Stale, twice.
     for at in [0, 2] {
         let (mut one, deltas) = subscriber();
-        one.heard(NOW, Down::Delta(deltas[at].clone()).encoded());
-        assert_eq!(sent(&mut one), [Up::Confirm(held(&one))]);
+        one.on_frame(NOW, ServerMessage::Delta(deltas[at].clone()).encoded());
+        assert_eq!(sent(&mut one), [ClientMessage::Ack(held(&one))]);
         assert_eq!((one.version(), one.counters().stale), (3, 1));
     }
     // A gap: out of order.
     let (mut one, deltas) = subscriber();
-    one.heard(NOW, Down::Delta(deltas[4].clone()).encoded());
-    let Confirm { version, digest } = held(&one);
+    one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).encoded());
+    let Ack { version, digest } = held(&one);
     assert_eq!(
         sent(&mut one),
-        [Up::Ask(Ask {
-            lack: Lack::Gap as i32,
+        [ClientMessage::ResyncRequest(ResyncRequest {
+            reason: ResyncReason::Gap as i32,
             version,
             digest
         })]
@@ -374,62 +393,69 @@
         digest: 1,
         ..deltas[3].clone()
     };
-    one.heard(NOW, Down::Delta(differs).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(differs).encoded());
     assert_eq!(
         sent(&mut one),
-        [Up::Ask(Ask {
-            lack: Lack::Differs as i32,
+        [ClientMessage::ResyncRequest(ResyncRequest {
+            reason: ResyncReason::Diverged as i32,
             version,
             digest
         })]
     );
     assert_eq!(
-        (one.version(), one.counters().gaps, one.counters().differs),
+        (
+            one.version(),
+            one.counters().gaps,
+            one.counters().divergences
+        ),
         (3, 1, 1)
     );
     // The right one: confirmed only when it is in force, and whatever comes meanwhile is left.
-    one.heard(NOW, Down::Delta(deltas[3].clone()).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(deltas[3].clone()).encoded());
     assert!(sent(&mut one).is_empty());
-    one.heard(
+    one.on_frame(
         NOW,
-        Down::Delta(joined(deltas[3].clone(), &deltas[4]).unwrap()).encoded(),
+        ServerMessage::Delta(merge(deltas[3].clone(), &deltas[4]).unwrap()).encoded(),
     );
-    one.heard(
+    one.on_frame(
         NOW,
-        Down::Ping(Ping {
+        ServerMessage::Ping(Ping {
             version: 5,
             age_ms: 0,
         })
         .encoded(),
     );
-    assert_eq!(sent(&mut one), [Up::Confirm(Confirm { version, digest })]);
-    one.in_force(9);
+    assert_eq!(
+        sent(&mut one),
+        [ClientMessage::Ack(Ack { version, digest })]
+    );
+    one.on_applied(9);
     assert_eq!(one.version(), 3, "not the version that it is at work on");
-    one.in_force(4);
-    assert_eq!(sent(&mut one), [Up::Confirm(held(&one))]);
+    one.on_applied(4);
+    assert_eq!(sent(&mut one), [ClientMessage::Ack(held(&one))]);
     assert_eq!((one.version(), one.counters().busy), (4, 1));
     // Refused: the last good one stays.
-    one.heard(NOW, Down::Delta(deltas[4].clone()).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).encoded());
     one.refused(5, "no room for it");
     assert_eq!(
         sent(&mut one),
-        [Up::Refuse(Refuse {
+        [ClientMessage::Nack(Nack {
             version: 5,
             reason: "no room for it".into(),
-            holds: 4
+            current_version: 4
         })]
     );
     assert_eq!(
-        (one.version(), one.pending().map(Pending::version)),
+        (one.version(), one.pending().map(PendingUpdate::version)),
         (4, None)
     );
     // Without a link nothing is sent.
-    one.heard(
+    one.on_frame(
         NOW,
-        Down::Delta(joined(deltas[4].clone(), &deltas[5]).unwrap()).encoded(),
+        ServerMessage::Delta(merge(deltas[4].clone(), &deltas[5]).unwrap()).encoded(),
     );
-    one.cut();
-    one.in_force(6);
+    one.on_link_closed();
+    one.on_applied(6);
     assert!(sent(&mut one).is_empty() && one.version() == 6);
 }
 
@@ -437,41 +463,41 @@
 fn a_subscriber_knows_its_age_and_leaves_who_is_silent_or_out_of_touch() {
     let after = |secs| NOW + Duration::from_secs(secs);
     let (mut one, deltas) = subscriber();
-    one.heard(
+    one.on_frame(
         after(1),
-        Down::Attached(Attached {
+        ServerMessage::Attached(Attached {
             version: 4,
             age_ms: 0,
         })
         .encoded(),
     );
     assert_eq!(
-        one.age(after(1)),
+        one.staleness(after(1)),
         Duration::from_secs(1),
         "a newer one is known of"
     );
-    one.heard(after(1), Down::Delta(deltas[3].clone()).encoded());
-    one.in_force(4);
+    one.on_frame(after(1), ServerMessage::Delta(deltas[3].clone()).encoded());
+    one.on_applied(4);
     assert_eq!(
-        one.age(after(2)),
+        one.staleness(after(2)),
         Duration::from_secs(1),
         "as new as what the machine said"
     );
-    assert!(!one.is_lost(after(1) + SILENT - Duration::from_nanos(1)));
-    assert!(one.is_lost(after(1) + SILENT));
+    assert!(!one.is_server_lost(after(1) + SILENT - Duration::from_nanos(1)));
+    assert!(one.is_server_lost(after(1) + SILENT));
     // Pings of a machine that itself hears nothing.
     for secs in 2..30u64 {
-        one.heard(
+        one.on_frame(
             after(secs),
-            Down::Ping(Ping {
+            ServerMessage::Ping(Ping {
                 version: 4,
                 age_ms: (secs - 1) * 1000,
             })
             .encoded(),
         );
-        assert_eq!(one.age(after(secs)), Duration::from_secs(secs - 1));
+        assert_eq!(one.staleness(after(secs)), Duration::from_secs(secs - 1));
         assert_eq!(
-            one.is_lost(after(secs)),
+            one.is_server_lost(after(secs)),
             Duration::from_secs(secs - 1) >= STALE,
             "{secs}"
         );
@@ -479,11 +505,11 @@
 }
 
 /// Frames to one link.
-fn to(source: &mut Source, link: u64) -> Vec<Down> {
-    let orders = source.orders().collect::<Vec<_>>();
+fn to(source: &mut Publisher, link: u64) -> Vec<ServerMessage> {
+    let orders = source.take_effects().collect::<Vec<_>>();
     let sent = orders.into_iter().filter_map(|order| match order {
-        source::Order::Send { link: to, frame } if to == link => {
-            Some(Down::decoded(frame).unwrap())
+        publisher::Effect::Send { link: to, frame } if to == link => {
+            Some(ServerMessage::decoded(frame).unwrap())
         }
         _ => None,
     });
@@ -492,11 +518,11 @@
 
 fn attach(name: &str, version: u64, digest: u64) -> Bytes {
     let takes = schema::VERSION;
-    Up::Attach(Attach {
+    ClientMessage::Attach(Attach {
         name: name.into(),
         version,
         digest,
-        takes,
+        schema_version: takes,
         ..Attach::default()
     })
     .encoded()
@@ -505,29 +531,29 @@
 #[test]
 fn a_machine_says_that_nothing_is_newer_also_while_changes_follow_each_other() {
     let deltas = deltas(100);
-    let mut source = Source::new(NOW, Bounds::default(), 1);
+    let mut source = Publisher::new(NOW, PublisherLimits::default(), 1);
     let mut one = Subscriber::new(NOW, who("n", "r", "z"));
-    one.opened(NOW);
+    one.on_connected(NOW);
     let mut now = NOW;
     for delta in deltas {
         now += Duration::from_millis(500);
-        source.current(now);
-        source.committed(now, delta).unwrap();
+        source.mark_current(now);
+        source.apply_committed(now, delta).unwrap();
         source.tick(now);
         for _ in 0..4 {
-            for order in one.orders().collect::<Vec<_>>() {
+            for order in one.take_effects().collect::<Vec<_>>() {
                 match order {
-                    Order::Send(frame) => source.heard(now, 1, frame),
-                    Order::Take(version) => one.in_force(version),
+                    Effect::Send(frame) => source.on_frame(now, 1, frame),
+                    Effect::Apply(version) => one.on_applied(version),
                     _ => {}
                 }
             }
             to(&mut source, 1)
                 .into_iter()
-                .for_each(|down| one.heard(now, down.encoded()));
+                .for_each(|down| one.on_frame(now, down.encoded()));
         }
         assert!(
-            !one.is_lost(now),
+            !one.is_server_lost(now),
             "left though it is in touch, at version {}",
             one.version()
         );
@@ -538,25 +564,25 @@
 #[test]
 fn a_slow_subscriber_gets_one_change_at_a_time_and_then_the_newest() {
     let deltas = deltas(200);
-    let mut source = Source::new(NOW, Bounds::default(), 1);
-    source.committed(NOW, deltas[0].clone()).unwrap();
-    source.heard(NOW, 7, attach("slow", 1, deltas[0].digest));
+    let mut source = Publisher::new(NOW, PublisherLimits::default(), 1);
+    source.apply_committed(NOW, deltas[0].clone()).unwrap();
+    source.on_frame(NOW, 7, attach("slow", 1, deltas[0].digest));
     assert!(matches!(
         to(&mut source, 7)[..],
-        [Down::Attached(Attached { version: 1, .. })]
+        [ServerMessage::Attached(Attached { version: 1, .. })]
     ));
     for delta in &deltas[1..199] {
-        source.committed(NOW, delta.clone()).unwrap();
+        source.apply_committed(NOW, delta.clone()).unwrap();
     }
     // The first is on its way; the others wait for its confirmation.
     assert!(matches!(
         &to(&mut source, 7)[..],
-        [Down::Delta(Delta { from: 1, to: 2, .. })]
+        [ServerMessage::Delta(Delta { from: 1, to: 2, .. })]
     ));
-    source.heard(
+    source.on_frame(
         NOW,
         7,
-        Up::Confirm(Confirm {
+        ClientMessage::Ack(Ack {
             version: 2,
             digest: deltas[1].digest,
         })
@@ -564,17 +590,17 @@
     );
     let got = to(&mut source, 7);
     assert!(
-        matches!(&got[..], [Down::Delta(Delta { from: 2, to: 199, puts, .. })] if puts.len() == 1),
+        matches!(&got[..], [ServerMessage::Delta(Delta { from: 2, to: 199, upserts, .. })] if upserts.len() == 1),
         "{got:?}"
     );
     // Refused: nothing more until there is a newer one.
-    source.heard(
+    source.on_frame(
         NOW,
         7,
-        Up::Refuse(Refuse {
+        ClientMessage::Nack(Nack {
             version: 199,
             reason: "no".into(),
-            holds: 2,
+            current_version: 2,
         })
         .encoded(),
     );
@@ -590,22 +616,24 @@
         ),
         (199, 0, 1, 0)
     );
-    source.committed(NOW, deltas[199].clone()).unwrap();
+    source.apply_committed(NOW, deltas[199].clone()).unwrap();
     assert!(matches!(
         &to(&mut source, 7)[..],
-        [Down::Delta(Delta {
+        [ServerMessage::Delta(Delta {
             from: 2,
             to: 200,
             ..
         })]
     ));
     // Made from an old version: a conflict, and nothing changes.
-    let refused = source.committed(NOW, deltas[150].clone()).unwrap_err();
+    let refused = source
+        .apply_committed(NOW, deltas[150].clone())
+        .unwrap_err();
     assert_eq!(
         refused,
-        Refused::From {
-            made: 150,
-            there: 200
+        UpdateError::VersionMismatch {
+            base: 150,
+            current: 200
         }
     );
     assert_eq!(source.version(), 200);
@@ -614,28 +642,31 @@
 #[test]
 fn who_is_further_back_than_the_history_gets_the_snapshot_on_from_where_it_was_cut() {
     let deltas = deltas(20);
-    let bounds = Bounds {
+    let bounds = PublisherLimits {
         history: 4,
         piece: 10,
         window: 2,
-        ..Bounds::default()
+        ..PublisherLimits::default()
     };
-    let mut machines = [Source::new(NOW, bounds, 1), Source::new(NOW, bounds, 2)];
+    let mut machines = [
+        Publisher::new(NOW, bounds, 1),
+        Publisher::new(NOW, bounds, 2),
+    ];
     for machine in &mut machines {
         deltas
             .iter()
-            .for_each(|delta| machine.committed(NOW, delta.clone()).unwrap());
+            .for_each(|delta| machine.apply_committed(NOW, delta.clone()).unwrap());
     }
     for (holds, delta) in [(20, None), (16, Some(16)), (15, None), (0, None)] {
         let digest = deltas
             .get((holds as usize).wrapping_sub(1))
             .map_or(0, |delta| delta.digest);
-        machines[0].heard(NOW, holds, attach(&format!("n{holds}"), holds, digest));
+        machines[0].on_frame(NOW, holds, attach(&format!("n{holds}"), holds, digest));
         let got = to(&mut machines[0], holds);
         match got.get(1) {
             None => assert_eq!(holds, 20),
-            Some(Down::Delta(got)) => assert_eq!(Some(got.from), delta),
-            Some(Down::Piece(piece)) => {
+            Some(ServerMessage::Delta(got)) => assert_eq!(Some(got.from), delta),
+            Some(ServerMessage::SnapshotChunk(piece)) => {
                 assert!(holds < 16 && piece.offset == 0 && got.len() == 3, "{got:?}")
             }
             other => panic!("{holds}: {other:?}"),
@@ -645,30 +676,30 @@
     let mut one = Subscriber::new(NOW, who("n", "r", "z"));
     let mut pieces = 0;
     for (machine, most) in [(0, 3), (1, 1_000)] {
-        one.opened(NOW);
+        one.on_connected(NOW);
         let link = 50 + machine as u64;
         while pieces < most {
-            let up: Vec<Order> = one.orders().collect();
-            if let Some(Order::Take(version)) =
-                up.iter().find(|order| matches!(order, Order::Take(_)))
+            let up: Vec<Effect> = one.take_effects().collect();
+            if let Some(Effect::Apply(version)) =
+                up.iter().find(|order| matches!(order, Effect::Apply(_)))
             {
                 assert_eq!(*version, 20);
-                one.in_force(20);
+                one.on_applied(20);
                 break;
             }
             for order in up {
-                if let Order::Send(frame) = order {
-                    machines[machine].heard(NOW, link, frame);
+                if let Effect::Send(frame) = order {
+                    machines[machine].on_frame(NOW, link, frame);
                 }
             }
             for down in to(&mut machines[machine], link) {
-                pieces += usize::from(matches!(down, Down::Piece(_)));
-                one.heard(NOW, down.encoded());
+                pieces += usize::from(matches!(down, ServerMessage::SnapshotChunk(_)));
+                one.on_frame(NOW, down.encoded());
             }
         }
-        one.cut();
+        one.on_link_closed();
     }
-    let length = machines[0].packed().unwrap().len();
+    let length = machines[0].packed_snapshot().unwrap().len();
     assert_eq!((one.version(), one.state()), (20, machines[0].state()));
     // Each byte came once, but for the window that was on its way at the cut.
     assert!(
@@ -679,20 +710,20 @@
 
 #[test]
 fn more_attachments_than_a_machine_takes_are_told_when_to_come_back_one_after_another() {
-    let mut source = Source::new(
+    let mut source = Publisher::new(
         NOW,
-        Bounds {
+        PublisherLimits {
             subscribers: 500,
-            ..Bounds::default()
+            ..PublisherLimits::default()
         },
         1,
     );
     let mut waits = Vec::new();
     for link in 0..300 {
-        source.heard(NOW, link, attach(&format!("n{link}"), 0, 0));
+        source.on_frame(NOW, link, attach(&format!("n{link}"), 0, 0));
         match to(&mut source, link)[..] {
-            [Down::Attached(_)] => assert!(waits.is_empty()),
-            [Down::ComeBack(back)] => waits.push(back.after_ms),
+            [ServerMessage::Attached(_)] => assert!(waits.is_empty()),
+            [ServerMessage::RetryAfter(back)] => waits.push(back.after_ms),
             ref other => panic!("{other:?}"),
         }
     }
@@ -701,19 +732,19 @@
     assert!(spread, "{waits:?}");
     // Those that come at their time are taken.
     for (link, after) in (1000..).zip(waits) {
-        source.heard(
+        source.on_frame(
             NOW + Duration::from_millis(after),
             link,
             attach(&format!("late{link}"), 0, 0),
         );
         assert!(
-            matches!(to(&mut source, link)[..], [Down::Attached(_)]),
+            matches!(to(&mut source, link)[..], [ServerMessage::Attached(_)]),
             "after {after} ms"
         );
     }
     // All that it takes: elsewhere.
     for link in 5000..5300 {
-        source.heard(
+        source.on_frame(
             NOW + Duration::from_secs(60 + link),
             link,
             attach(&format!("n{link}"), 0, 0),
@@ -721,14 +752,14 @@
     }
     let told = to(&mut source, 5299);
     assert!(
-        matches!(told[..], [Down::ComeBack(back)] if back.elsewhere),
+        matches!(told[..], [ServerMessage::RetryAfter(back)] if back.elsewhere),
         "{told:?}"
     );
 }
 
 #[test]
 fn machines_are_tried_near_first_and_evenly() {
-    let machines: Vec<Who> = (0..6)
+    let machines: Vec<NodeIdentity> = (0..6)
         .map(|k| who(&format!("c{k}"), &format!("r{}", k / 3), &format!("z{k}")))
         .collect();
     for k in 0..60 {
@@ -738,16 +769,18 @@
             &format!("r{}", place / 3),
             &format!("z{place}"),
         );
-        let order = order(&one, &machines);
-        assert_eq!(order[0], place, "its own zone first");
+        let preference_order = preference_order(&one, &machines);
+        assert_eq!(preference_order[0], place, "its own zone first");
         assert!(
-            order[1..3].iter().all(|machine| machine / 3 == place / 3),
+            preference_order[1..3]
+                .iter()
+                .all(|machine| machine / 3 == place / 3),
             "then its region"
         );
     }
     // The zone's machine gone: its 105 go to the other two of the region, about half each.
     let seconds: Vec<usize> = (0..105)
-        .map(|k| order(&who(&format!("n{k}"), "r0", "z0"), &machines)[1])
+        .map(|k| preference_order(&who(&format!("n{k}"), "r0", "z0"), &machines)[1])
         .collect();
     let first = seconds.iter().filter(|machine| **machine == 1).count();
     assert!((35..=70).contains(&first), "{first} of 105");
@@ -759,25 +792,28 @@
     let mut firsts = Vec::new();
     for seed in 0..200 {
         let mut now = NOW;
-        let mut chooser = Chooser::new(now, &who("n", "r", "z"), &machines, seed);
-        now = chooser.due().unwrap();
-        let first = chooser.next(now).unwrap();
-        assert_eq!(chooser.next(now), None, "one at a time");
-        chooser.attached(now);
+        let mut chooser = AttachmentPolicy::new(now, &who("n", "r", "z"), &machines, seed);
+        now = chooser.next_deadline().unwrap();
+        let first = chooser.next_server(now).unwrap();
+        assert_eq!(chooser.next_server(now), None, "one at a time");
+        chooser.on_attached(now);
         now += Duration::from_secs(30);
-        chooser.lost(now);
-        firsts.push(chooser.due().unwrap() - now);
-        let mut most = SPREAD;
+        chooser.on_disconnected(now);
+        firsts.push(chooser.next_deadline().unwrap() - now);
+        let mut most = ATTACH_JITTER;
         for k in 1..8 {
-            let wait = chooser.due().unwrap() - now;
+            let wait = chooser.next_deadline().unwrap() - now;
             assert!(wait <= most, "{wait:?} after {k}");
             now += wait;
-            assert_eq!(chooser.next(now), Some((first + k) % 2));
-            chooser.lost(now);
-            most = (most * 2).min(WAIT_MOST);
+            assert_eq!(chooser.next_server(now), Some((first + k) % 2));
+            chooser.on_disconnected(now);
+            most = (most * 2).min(MAX_RETRY_DELAY);
         }
     }
-    let early = firsts.iter().filter(|wait| **wait < SPREAD / 4).count();
+    let early = firsts
+        .iter()
+        .filter(|wait| **wait < ATTACH_JITTER / 4)
+        .count();
     assert!(
         (25..=75).contains(&early),
         "{early} of 200 in the first quarter"
--- a/crates/config-distribution/tests/virtual_clock.rs
+++ b/crates/config-distribution/tests/virtual_clock.rs
@@ -16,12 +16,12 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration};
-use rainstand_config_distribution::attach::{Chooser, Who};
-use rainstand_config_distribution::delta::State;
-use rainstand_config_distribution::frames::{Delta, Down, Up};
+use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::delta::ConfigState;
+use rainstand_config_distribution::frames::{ClientMessage, Delta, ServerMessage};
+use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
 use rainstand_config_distribution::snapshot;
-use rainstand_config_distribution::source::{self, Bounds, Source};
-use rainstand_config_distribution::subscriber::{Event, Order, Pending, Subscriber};
+use rainstand_config_distribution::subscriber::{Effect, Event, PendingUpdate, Subscriber};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet, VecDeque};
 use std::time::Duration;
@@ -103,7 +103,7 @@
 }
 
 struct Machine {
-    source: Option<Source>,
+    source: Option<Publisher>,
     life: u32,
     fed: usize,
     disk: Option<Bytes>,
@@ -113,9 +113,9 @@
 }
 
 struct Process {
-    who: Who,
+    who: NodeIdentity,
     subscriber: Subscriber,
-    chooser: Chooser,
+    chooser: AttachmentPolicy,
     life: u32,
     /// Dialled before in this life.
     dialled: bool,
@@ -156,14 +156,14 @@
     seq: u64,
     due: BinaryHeap<Reverse<Due>>,
     chance: WyRand,
-    bounds: Bounds,
+    bounds: PublisherLimits,
     machines: Vec<Machine>,
     processes: Vec<Process>,
     links: Vec<Link>,
-    names: Vec<Who>,
+    names: Vec<NodeIdentity>,
     /// The log, and the digest of each version.
     log: Vec<Delta>,
-    state: State,
+    state: ConfigState,
     configuration: Configuration,
     digests: Vec<u64>,
     /// Versions that some processes refuse.
@@ -175,8 +175,8 @@
     seen: Seen,
 }
 
-fn who(name: String, place: usize) -> Who {
-    Who {
+fn who(name: String, place: usize) -> NodeIdentity {
+    NodeIdentity {
         name,
         region: format!("r{}", place % 2),
         zone: format!("z{}", place % 6),
@@ -223,15 +223,15 @@
         } else {
             chance.generate_range(10..=90usize)
         };
-        let bounds = Bounds {
+        let bounds = PublisherLimits {
             history: chance.generate_range(3..=40usize),
             history_bytes: chance.generate_range(300..=6000usize),
             delta_bytes: chance.generate_range(150..=2000usize),
             piece: chance.generate_range(40..=400usize),
             window: chance.generate_range(1..=4usize),
-            ..Bounds::default()
+            ..PublisherLimits::default()
         };
-        let names: Vec<Who> = (0..machines)
+        let names: Vec<NodeIdentity> = (0..machines)
             .map(|k| who(format!("control-{k}"), k))
             .collect();
         let mut world = Self {
@@ -245,7 +245,7 @@
             links: Vec::new(),
             names,
             log: Vec::new(),
-            state: State::default(),
+            state: ConfigState::default(),
             configuration: first_configuration(),
             digests: vec![0],
             poison: HashSet::new(),
@@ -268,7 +268,8 @@
         }
         for k in 0..processes {
             let who = who(format!("node-{k}"), k);
-            let chooser = Chooser::new(world.now, &who, &world.names, seed ^ (k as u64) << 20);
+            let chooser =
+                AttachmentPolicy::new(world.now, &who, &world.names, seed ^ (k as u64) << 20);
             world.processes.push(Process {
                 subscriber: Subscriber::new(world.now, who.clone()),
                 who,
@@ -373,9 +374,9 @@
         let (bounds, now, seed) = (self.bounds, self.now, self.chance.generate());
         let machine = &mut self.machines[k];
         machine.life += 1;
-        let mut source = Source::new(now, bounds, seed);
+        let mut source = Publisher::new(now, bounds, seed);
         if let Some(disk) = machine.disk.clone() {
-            source.restored(now, disk).expect("its own snapshot");
+            source.restore(now, disk).expect("its own snapshot");
         }
         machine.fed = source.version() as usize;
         machine.source = Some(source);
@@ -409,7 +410,7 @@
             .delta_to(to - 1, to, &self.configuration)
             .expect("names are told apart");
         self.state.apply(&delta).expect("made from it");
-        assert!(self.state.is_whole());
+        assert!(self.state.verify_digest());
         self.digests.push(self.state.digest());
         self.log.push(delta);
         if self.happens(12) && to > 1 {
@@ -523,14 +524,14 @@
     }
 
     fn dial_when_due(&mut self, k: usize) {
-        if let Some(due) = self.processes[k].chooser.due() {
+        if let Some(due) = self.processes[k].chooser.next_deadline() {
             let life = self.processes[k].life;
             self.after(due.saturating_sub(self.now), What::Dial(k, life));
         }
     }
 
     fn dial(&mut self, k: usize) {
-        let Some(machine) = self.processes[k].chooser.next(self.now) else {
+        let Some(machine) = self.processes[k].chooser.next_server(self.now) else {
             return;
         };
         self.close(k, false);
@@ -568,7 +569,7 @@
 
     fn opened(&mut self, k: usize, machine: usize) {
         if self.machines[machine].source.is_none() || self.apart(k, machine) {
-            self.processes[k].chooser.lost(self.now);
+            self.processes[k].chooser.on_disconnected(self.now);
             return self.dial_when_due(k);
         }
         let life = self.machines[machine].life;
@@ -584,7 +585,7 @@
         self.links.push(link);
         self.processes[k].link = Some(self.links.len() - 1);
         self.processes[k].attached = false;
-        self.processes[k].subscriber.opened(self.now);
+        self.processes[k].subscriber.on_connected(self.now);
         self.obey_subscriber(k);
     }
 
@@ -593,7 +594,7 @@
         let Some(link) = self.processes[k].link.take() else {
             return;
         };
-        self.processes[k].subscriber.cut();
+        self.processes[k].subscriber.on_link_closed();
         self.processes[k].attached = false;
         self.links[link].open[0] = false;
         if !quietly && !self.links[link].silent {
@@ -604,7 +605,7 @@
 
     fn lost(&mut self, k: usize) {
         self.close(k, false);
-        self.processes[k].chooser.lost(self.now);
+        self.processes[k].chooser.on_disconnected(self.now);
         self.dial_when_due(k);
     }
 
@@ -651,10 +652,10 @@
         if !self.corrupting || !self.happens(60) {
             return frame;
         }
-        let Ok(Down::Delta(mut delta)) = Down::decoded(frame.clone()) else {
+        let Ok(ServerMessage::Delta(mut delta)) = ServerMessage::decoded(frame.clone()) else {
             return frame;
         };
-        for thing in &mut delta.puts {
+        for thing in &mut delta.upserts {
             if let Ok(mut tenant) =
                 prost::Message::decode(thing.body.clone()).map(|t: schema::Tenant| t)
             {
@@ -663,22 +664,24 @@
                 break;
             }
         }
-        Down::Delta(delta).encoded()
+        ServerMessage::Delta(delta).encoded()
     }
 
     fn obey_source(&mut self, k: usize) {
         let Some(source) = &mut self.machines[k].source else {
             return;
         };
-        for order in source.orders().collect::<Vec<_>>() {
+        for order in source.take_effects().collect::<Vec<_>>() {
             match order {
-                source::Order::Send { link, frame } => {
-                    if let Ok(Down::Piece(piece)) = Down::decoded(frame.clone()) {
+                publisher::Effect::Send { link, frame } => {
+                    if let Ok(ServerMessage::SnapshotChunk(piece)) =
+                        ServerMessage::decoded(frame.clone())
+                    {
                         self.seen.resumed += u64::from(piece.offset > 0);
                     }
                     self.carry(link as usize, frame, true);
                 }
-                source::Order::Close(link) => {
+                publisher::Effect::Close(link) => {
                     let number = link as usize;
                     let link = &mut self.links[number];
                     if std::mem::replace(&mut link.open[1], false) && link.open[0] && !link.silent {
@@ -686,8 +689,8 @@
                         self.after(wait, What::Ended(number));
                     }
                 }
-                source::Order::Event(event) => match event {
-                    source::Event::Attached { .. } => {
+                publisher::Effect::Event(event) => match event {
+                    publisher::Event::Attached { .. } => {
                         let now = self.now;
                         let machine = &mut self.machines[k];
                         machine
@@ -700,8 +703,8 @@
                             "too many attachments in a second"
                         );
                     }
-                    source::Event::Differs { .. } => self.seen.differs += 1,
-                    source::Event::Unreadable { .. } => {
+                    publisher::Event::Diverged { .. } => self.seen.differs += 1,
+                    publisher::Event::Malformed { .. } => {
                         panic!("a frame that was sent could not be read")
                     }
                     _ => {}
@@ -711,18 +714,22 @@
     }
 
     fn obey_subscriber(&mut self, k: usize) {
-        for order in self.processes[k].subscriber.orders().collect::<Vec<_>>() {
+        for order in self.processes[k]
+            .subscriber
+            .take_effects()
+            .collect::<Vec<_>>()
+        {
             match order {
-                Order::Send(frame) => {
+                Effect::Send(frame) => {
                     let holds = self.processes[k].subscriber.version();
-                    if let Ok(Up::Confirm(confirm)) = Up::decoded(frame.clone()) {
+                    if let Ok(ClientMessage::Ack(confirm)) = ClientMessage::decoded(frame.clone()) {
                         assert_eq!(confirm.version, holds, "confirmed before it was in force");
                     }
                     if let Some(link) = self.processes[k].link {
                         self.carry(link, frame, false);
                     }
                 }
-                Order::Take(version) => {
+                Effect::Apply(version) => {
                     let slow = self.processes[k].slow && !self.calm;
                     let wait = ms(self.chance.generate_range(1..if slow { 8_000 } else { 40 }));
                     let life = self.processes[k].life;
@@ -735,20 +742,20 @@
                         },
                     );
                 }
-                Order::ComeBack { after, elsewhere } => {
+                Effect::RetryAfter { after, elsewhere } => {
                     self.close(k, false);
                     self.processes[k]
                         .chooser
-                        .come_back(self.now, after, elsewhere);
+                        .on_retry_after(self.now, after, elsewhere);
                     self.dial_when_due(k);
                 }
-                Order::Close => self.lost(k),
-                Order::Event(event) => match event {
-                    Event::Differs { .. } => self.seen.differs += 1,
+                Effect::Close => self.lost(k),
+                Effect::Event(event) => match event {
+                    Event::Diverged { .. } => self.seen.differs += 1,
                     Event::Gap { .. } => self.seen.gaps += 1,
-                    Event::Refused { .. } => self.seen.refused += 1,
-                    Event::Unreadable => panic!("a frame that was sent could not be read"),
-                    Event::InForce { .. } => {}
+                    Event::Rejected { .. } => self.seen.refused += 1,
+                    Event::Malformed => panic!("a frame that was sent could not be read"),
+                    Event::Applied { .. } => {}
                 },
             }
         }
@@ -757,7 +764,7 @@
     /// The driver has put a version into force, or cannot.
     fn applied(&mut self, k: usize, version: u64) {
         let process = &mut self.processes[k];
-        if process.subscriber.pending().map(Pending::version) != Some(version) {
+        if process.subscriber.pending().map(PendingUpdate::version) != Some(version) {
             return;
         }
         let before = process.subscriber.version();
@@ -765,7 +772,7 @@
             process.subscriber.refused(version, "not here");
             assert_eq!(process.subscriber.version(), before);
         } else {
-            process.subscriber.in_force(version);
+            process.subscriber.on_applied(version);
             let (now_in_force, state) = (process.subscriber.version(), process.subscriber.state());
             assert!(now_in_force >= before, "a version went back");
             self.seen.in_force += 1;
@@ -775,7 +782,7 @@
                 "in force in part: version {version}"
             );
             if self.chance.generate_range(0..4) == 0 {
-                assert!(state.is_whole(), "in force in part: version {version}");
+                assert!(state.verify_digest(), "in force in part: version {version}");
             }
             if process.has_disk {
                 process.disk = Some(snapshot::packed(now_in_force, state).expect("small"));
@@ -792,12 +799,12 @@
         let process = &mut self.processes[k];
         process.life += 1;
         process.dialled = false;
-        process.chooser = Chooser::new(now, &process.who, &self.names, seed);
+        process.chooser = AttachmentPolicy::new(now, &process.who, &self.names, seed);
         process.subscriber = match &process.disk {
             Some(disk) => {
                 let (version, state) = snapshot::unpacked(disk).expect("its own");
                 let state = if corrupt { rotten(&state) } else { state };
-                Subscriber::with(now, process.who.clone(), version, state)
+                Subscriber::with_version(now, process.who.clone(), version, state)
             }
             None => Subscriber::new(now, process.who.clone()),
         };
@@ -838,13 +845,15 @@
                     return;
                 };
                 for delta in self.log.get(machine.fed..upto).unwrap_or_default() {
-                    source.committed(now, delta.clone()).expect("in order");
+                    source
+                        .apply_committed(now, delta.clone())
+                        .expect("in order");
                 }
                 machine.fed = machine.fed.max(upto);
                 assert_eq!(source.state().digest(), self.digests[machine.fed]);
-                source.current(now);
+                source.mark_current(now);
                 if keeps {
-                    machine.disk = Some(source.packed().expect("small"));
+                    machine.disk = Some(source.packed_snapshot().expect("small"));
                 }
                 self.obey_source(k);
             }
@@ -855,7 +864,7 @@
                     return;
                 };
                 if in_touch {
-                    source.current(self.now);
+                    source.mark_current(self.now);
                 }
                 source.tick(self.now);
                 self.obey_source(k);
@@ -863,7 +872,7 @@
             }
             What::Dial(k, life) if self.processes[k].life == life => self.dial(k),
             What::Failed(k, life) if self.processes[k].life == life => {
-                self.processes[k].chooser.lost(self.now);
+                self.processes[k].chooser.on_disconnected(self.now);
                 self.dial_when_due(k);
             }
             What::Opened {
@@ -880,15 +889,15 @@
                 let k = self.links[link].process;
                 if self.processes[k].link == Some(link) {
                     if matches!(
-                        Down::decoded(frame.clone()),
-                        Ok(Down::Delta(_) | Down::Piece(_))
+                        ServerMessage::decoded(frame.clone()),
+                        Ok(ServerMessage::Delta(_) | ServerMessage::SnapshotChunk(_))
                     ) {
                         self.processes[k].older = Some(frame.clone());
                     }
-                    self.processes[k].subscriber.heard(self.now, frame);
+                    self.processes[k].subscriber.on_frame(self.now, frame);
                     if self.processes[k].subscriber.is_attached() && !self.processes[k].attached {
                         self.processes[k].attached = true;
-                        self.processes[k].chooser.attached(self.now);
+                        self.processes[k].chooser.on_attached(self.now);
                         self.dial_when_due(k);
                         if let Some(frame) =
                             self.processes[k].older.take().filter(|_| self.happens(3))
@@ -914,14 +923,17 @@
                 if of.open[1] && self.machines[k].life == of.life {
                     let now = self.now;
                     // A process is attached once: a repeat of the first frame is no frame of a link.
-                    let again = matches!(Up::decoded(frame.clone()), Ok(Up::Attach(_)));
+                    let again = matches!(
+                        ClientMessage::decoded(frame.clone()),
+                        Ok(ClientMessage::Attach(_))
+                    );
                     if let Some(source) = &mut self.machines[k].source {
                         let known = source
-                            .standing()
+                            .subscriber_statuses()
                             .iter()
                             .any(|standing| standing.link == link as u64);
                         if known != again {
-                            source.heard(now, link as u64, frame);
+                            source.on_frame(now, link as u64, frame);
                         }
                     }
                     self.obey_source(k);
@@ -936,7 +948,7 @@
                     && self.machines[machine].life == life
                 {
                     if let Some(source) = &mut self.machines[machine].source {
-                        source.gone(self.now, link as u64);
+                        source.on_disconnected(self.now, link as u64);
                     }
                     self.obey_source(machine);
                 }
@@ -944,12 +956,12 @@
                     && self.processes[k].link == Some(link)
                 {
                     self.close(k, true);
-                    self.processes[k].chooser.lost(self.now);
+                    self.processes[k].chooser.on_disconnected(self.now);
                     self.dial_when_due(k);
                 }
             }
             What::Look(k, life) if self.processes[k].life == life => {
-                if self.processes[k].subscriber.is_lost(self.now) {
+                if self.processes[k].subscriber.is_server_lost(self.now) {
                     self.lost(k);
                 }
                 self.after(ms(1_000), What::Look(k, life));
@@ -1028,12 +1040,12 @@
 }
 
 /// The same version with one thing changed, and a digest that goes with it: a disk that says something else.
-fn rotten(state: &State) -> State {
+fn rotten(state: &ConfigState) -> ConfigState {
     let mut configuration = state.configuration().expect("what was applied can be read");
     if let Some(tenant) = configuration.tenants.first_mut() {
         tenant.share ^= 1;
     }
-    State::of(&configuration).expect("names are told apart")
+    ConfigState::from_configuration(&configuration).expect("names are told apart")
 }
 
 fn play(seed: u64) -> Seen {
@@ -1057,7 +1069,7 @@
         .filter(|process| process.subscriber.version() != newest as u64)
         .map(|process| {
             let subscriber = &process.subscriber;
-            let pending = subscriber.pending().map(Pending::version);
+            let pending = subscriber.pending().map(PendingUpdate::version);
             (
                 &process.who.name,
                 subscriber.version(),
@@ -1073,7 +1085,7 @@
     );
     for process in &world.processes {
         let state = process.subscriber.state();
-        assert!(state.is_whole(), "seed {seed}");
+        assert!(state.verify_digest(), "seed {seed}");
         assert_eq!(
             state.configuration().expect("read"),
             world.configuration,
--- a/crates/forwarder/src/published.rs
+++ b/crates/forwarder/src/published.rs
@@ -3,9 +3,9 @@
 //! A pool comes with all its members as they then are, of which this forwarder takes those that it knows; a route with the
 //! one that it then stands before. Kinds that decide nothing about tickets here are left out.
 
-use rainstand_config_distribution::delta::{Item, Key, State};
-use rainstand_config_distribution::frames::{Delta, Kind, Thing};
-use rainstand_config_distribution::Refused;
+use rainstand_config_distribution::delta::{ConfigState, ResourceBody, ResourceKey};
+use rainstand_config_distribution::frames::{Delta, Resource, ResourceKind};
+use rainstand_config_distribution::UpdateError;
 use rainstand_routing::change::{Change, Kind as Of};
 use rainstand_routing::subset::reduce_pool;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,24 +14,24 @@
 ///
 /// # Errors
 /// A thing that cannot be read: what is checked before it is handed over has none.
-pub fn changes(state: &State, delta: &Delta, me: usize) -> Result<Vec<Change>, Refused> {
+pub fn changes(state: &ConfigState, delta: &Delta, me: usize) -> Result<Vec<Change>, UpdateError> {
     let mut all = Vec::new();
     let (mut pools, mut put_pools) = (BTreeSet::new(), BTreeMap::new());
     // Members of the change, by pool; none: taken out.
-    let mut members: BTreeMap<&str, BTreeMap<&str, Option<&Thing>>> = BTreeMap::new();
+    let mut members: BTreeMap<&str, BTreeMap<&str, Option<&Resource>>> = BTreeMap::new();
     let mut routes = BTreeMap::new();
     for named in &delta.removals {
-        let kind = match Kind::try_from(named.kind) {
-            Ok(Kind::Type) => Of::Type,
-            Ok(Kind::Tenant) => Of::Tenant,
-            Ok(Kind::Pool) => Of::Pool,
-            Ok(Kind::Limits) => Of::Limits,
-            Ok(Kind::RetryAfter) => Of::RetryAfter,
-            Ok(Kind::Budget) => Of::Budget,
-            Ok(Kind::Attempts) => Of::Attempts,
-            Ok(Kind::Health) => Of::Health,
-            Ok(Kind::Route) => Of::Route,
-            Ok(Kind::Member) => {
+        let kind = match ResourceKind::try_from(named.kind) {
+            Ok(ResourceKind::Type) => Of::Type,
+            Ok(ResourceKind::Tenant) => Of::Tenant,
+            Ok(ResourceKind::Pool) => Of::Pool,
+            Ok(ResourceKind::Limits) => Of::Limits,
+            Ok(ResourceKind::RetryAfter) => Of::RetryAfter,
+            Ok(ResourceKind::Budget) => Of::Budget,
+            Ok(ResourceKind::Attempts) => Of::Attempts,
+            Ok(ResourceKind::Health) => Of::Health,
+            Ok(ResourceKind::Route) => Of::Route,
+            Ok(ResourceKind::Member) => {
                 pools.insert(&*named.pool);
                 members
                     .entry(&named.pool)
@@ -41,8 +41,8 @@
             }
             _ => continue,
         };
-        let key = Key {
-            kind: Kind::try_from(named.kind).unwrap_or_default(),
+        let key = ResourceKey {
+            kind: ResourceKind::try_from(named.kind).unwrap_or_default(),
             pool: "".into(),
             name: (*named.name).into(),
         };
@@ -51,21 +51,21 @@
             all.push(Change::Remove(kind, named.name.clone()));
         }
     }
-    for thing in &delta.puts {
+    for thing in &delta.upserts {
         all.push(match thing.item()? {
-            Item::Type(one) => Change::Type(one),
-            Item::Tenant(one) => Change::Tenant(one),
-            Item::Limits(one) => Change::Limits(one),
-            Item::RetryAfter(one) => Change::RetryAfter(one),
-            Item::Budget(one) => Change::Budget(one),
-            Item::Attempts(one) => Change::Attempts(one),
-            Item::Health(one) => Change::Health(one),
-            Item::Pool(one) => {
+            ResourceBody::Type(one) => Change::Type(one),
+            ResourceBody::Tenant(one) => Change::Tenant(one),
+            ResourceBody::Limits(one) => Change::Limits(one),
+            ResourceBody::RetryAfter(one) => Change::RetryAfter(one),
+            ResourceBody::Budget(one) => Change::Budget(one),
+            ResourceBody::Attempts(one) => Change::Attempts(one),
+            ResourceBody::Health(one) => Change::Health(one),
+            ResourceBody::Pool(one) => {
                 pools.insert(&*thing.name);
                 put_pools.insert(&*thing.name, one);
                 continue;
             }
-            Item::Member { .. } => {
+            ResourceBody::Member { .. } => {
                 pools.insert(&*thing.pool);
                 members
                     .entry(&thing.pool)
@@ -73,7 +73,7 @@
                     .insert(&thing.name, Some(thing));
                 continue;
             }
-            Item::Route(one) => {
+            ResourceBody::Route(one) => {
                 routes.insert(thing.rank, one);
                 continue;
             }
@@ -86,25 +86,25 @@
             None if delta
                 .removals
                 .iter()
-                .any(|one| one.kind == Kind::Pool as i32 && one.name == name) =>
+                .any(|one| one.kind == ResourceKind::Pool as i32 && one.name == name) =>
             {
                 None
             }
-            None => match state.get(&Key {
-                kind: Kind::Pool,
+            None => match state.get(&ResourceKey {
+                kind: ResourceKind::Pool,
                 pool: "".into(),
                 name: name.into(),
             }) {
                 Some(thing) => match thing.item()? {
-                    Item::Pool(pool) => Some(pool),
+                    ResourceBody::Pool(pool) => Some(pool),
                     _ => None,
                 },
                 None => None,
             },
         };
         let Some(mut pool) = bare else { continue };
-        let there: Vec<Thing> = state.members(name).collect();
-        let mut then: BTreeMap<&str, &Thing> =
+        let there: Vec<Resource> = state.members(name).collect();
+        let mut then: BTreeMap<&str, &Resource> =
             there.iter().map(|thing| (&*thing.name, thing)).collect();
         for (member, thing) in members.remove(name).unwrap_or_default() {
             match thing {
@@ -113,7 +113,7 @@
             };
         }
         for thing in then.into_values() {
-            if let Item::Member { member, .. } = thing.item()? {
+            if let ResourceBody::Member { member, .. } = thing.item()? {
                 pool.members.push(member);
             }
         }
@@ -121,7 +121,7 @@
         all.push(Change::Pool(pool));
     }
     if !routes.is_empty() {
-        let route = Kind::Route as i32;
+        let route = ResourceKind::Route as i32;
         let mut named: BTreeSet<&str> = delta
             .removals
             .iter()
@@ -130,7 +130,7 @@
             .collect();
         named.extend(
             delta
-                .puts
+                .upserts
                 .iter()
                 .filter(|one| one.kind == route)
                 .map(|one| &*one.name),
--- a/crates/forwarder/tests/published.rs
+++ b/crates/forwarder/tests/published.rs
@@ -11,7 +11,7 @@
 use rainstand_config::schema::{
     Configuration, Limits, Member, Pool, Route, Target, Tenant, TrafficType,
 };
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_forwarder::published::changes;
 use rainstand_routing::subset::reduce;
 use rainstand_routing::table::Table;
@@ -101,7 +101,7 @@
     let mut applied = 0;
     for round in 0..3_000 {
         let (before, after) = (drawn(&mut chance), drawn(&mut chance));
-        let mut state = State::of(&before).unwrap();
+        let mut state = ConfigState::from_configuration(&before).unwrap();
         let delta = state.delta_to(1, 2, &after).unwrap();
         let me = 1;
         let (mut small, mut whole) = (state.configuration().unwrap(), after.clone());
--- a/crates/raft/src/copies.rs
+++ b/crates/raft/src/copies.rs
@@ -21,7 +21,11 @@
 
 /// `agree`: voters known to have what the leader has, the leader with them; `differ`: those that told another
 /// checksum for the same index and term.
-pub fn judge_divergence(voters: usize, agree: usize, differ: &[(ReplicaId, u64)]) -> DivergenceVerdict {
+pub fn judge_divergence(
+    voters: usize,
+    agree: usize,
+    differ: &[(ReplicaId, u64)],
+) -> DivergenceVerdict {
     let majority = voters / 2 + 1;
     if agree >= majority {
         return DivergenceVerdict::Minority(differ.iter().map(|one| one.0).collect());
@@ -49,9 +53,24 @@
             (3, 1, &[(9, 5)], DivergenceVerdict::Undecided),
             (3, 1, &[(8, 5), (9, 5)], DivergenceVerdict::Leader(5)),
             (3, 1, &[(8, 5), (9, 6)], DivergenceVerdict::Undecided),
-            (5, 3, &[(8, 5), (9, 6)], DivergenceVerdict::Minority(vec![8, 9])),
-            (5, 2, &[(7, 5), (8, 5), (9, 5)], DivergenceVerdict::Leader(5)),
-            (5, 2, &[(7, 5), (8, 5), (9, 6)], DivergenceVerdict::Undecided),
+            (
+                5,
+                3,
+                &[(8, 5), (9, 6)],
+                DivergenceVerdict::Minority(vec![8, 9]),
+            ),
+            (
+                5,
+                2,
+                &[(7, 5), (8, 5), (9, 5)],
+                DivergenceVerdict::Leader(5),
+            ),
+            (
+                5,
+                2,
+                &[(7, 5), (8, 5), (9, 6)],
+                DivergenceVerdict::Undecided,
+            ),
             (1, 1, &[], DivergenceVerdict::Minority(vec![])),
         ];
         for (voters, agree, differ, wanted) in table {
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -29,5 +29,9 @@
 pub mod replica;
 pub mod wire;
 
-pub use replica::{MembershipChange, Ready, ProposalError, Replica, Role, PersistentState, Timeouts};
-pub use wire::{SnapshotMetadata, Membership, Entry, HardState, ReplicaId, EntryKind, Member, Message};
+pub use replica::{
+    MembershipChange, PersistentState, ProposalError, Ready, Replica, Role, Timeouts,
+};
+pub use wire::{
+    Entry, EntryKind, HardState, Member, Membership, Message, ReplicaId, SnapshotMetadata,
+};
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: `entries[k].index == base.index + 1 + k`; `sums[k]` is the running checksum up to it.
 
-use crate::wire::{SnapshotMetadata, Entry};
+use crate::wire::{Entry, SnapshotMetadata};
 use std::collections::VecDeque;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -4,8 +4,9 @@
 use crate::log::Log;
 use crate::plant::planted;
 use crate::wire::{
-    AppendRequest, AppendResponse, QuarantineNotice, SnapshotMetadata, Body, Membership, Entry, HardState, ReplicaId, EntryKind, Member, Message, SnapshotChunk,
-    Snapshot, ChunkAck, VoteRequest, VoteResponse,
+    AppendRequest, AppendResponse, Body, ChunkAck, Entry, EntryKind, HardState, Member, Membership,
+    Message, QuarantineNotice, ReplicaId, Snapshot, SnapshotChunk, SnapshotMetadata, VoteRequest,
+    VoteResponse,
 };
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
@@ -179,7 +180,13 @@
 
 impl Replica {
     /// `seed` draws the times between elections.
-    pub fn new(id: ReplicaId, times: Timeouts, seed: u64, now: Duration, state: PersistentState) -> Self {
+    pub fn new(
+        id: ReplicaId,
+        times: Timeouts,
+        seed: u64,
+        now: Duration,
+        state: PersistentState,
+    ) -> Self {
         let (base, snapshot) = state
             .snapshot
             .map_or((SnapshotMetadata::default(), Bytes::new()), |snapshot| {
@@ -381,7 +388,9 @@
             let heard = |id: ReplicaId| {
                 id == self.id || self.peers.get(&id).is_some_and(|peer| peer.heard >= since)
             };
-            if self.membership().voters().filter(|id| heard(*id)).count() < self.membership().majority() {
+            if self.membership().voters().filter(|id| heard(*id)).count()
+                < self.membership().majority()
+            {
                 self.follow(self.term, None);
                 return;
             }
@@ -575,7 +584,11 @@
     ///
     /// # Errors
     /// If this is no leader, or a change would not be safe now.
-    pub fn propose_membership_change(&mut self, now: Duration, change: &MembershipChange) -> Result<u64, ProposalError> {
+    pub fn propose_membership_change(
+        &mut self,
+        now: Duration,
+        change: &MembershipChange,
+    ) -> Result<u64, ProposalError> {
         self.now = self.now.max(now);
         if !self.is_leader() {
             return Err(ProposalError::NotLeader(
@@ -629,7 +642,11 @@
     ///
     /// # Errors
     /// If this is no leader, or the other cannot lead.
-    pub fn transfer_leadership(&mut self, now: Duration, to: ReplicaId) -> Result<(), ProposalError> {
+    pub fn transfer_leadership(
+        &mut self,
+        now: Duration,
+        to: ReplicaId,
+    ) -> Result<(), ProposalError> {
         self.now = self.now.max(now);
         if !self.is_leader() {
             return Err(ProposalError::NotLeader(self.leader));
@@ -875,7 +892,10 @@
         };
         self.based(base.clone());
         self.snapshot = data.clone();
-        Some(Snapshot { metadata: base, data })
+        Some(Snapshot {
+            metadata: base,
+            data,
+        })
     }
 
     fn based(&mut self, base: SnapshotMetadata) {
@@ -1220,7 +1240,11 @@
     }
 
     fn lay_aside(&mut self, index: u64, own: u64, most: u64) {
-        self.out.divergence = Some(Divergence { index, own_checksum: own, majority_checksum: most });
+        self.out.divergence = Some(Divergence {
+            index,
+            own_checksum: own,
+            majority_checksum: most,
+        });
         self.role = Role::Quarantined;
         self.leader = None;
         self.peers.clear();
@@ -1303,7 +1327,13 @@
         (self.commit, self.applied) = (index, index);
         self.durable = if same { self.durable.max(index) } else { index };
         self.snapshot = data.clone();
-        self.out.snapshot = Some((Snapshot { metadata: base, data }, !same));
+        self.out.snapshot = Some((
+            Snapshot {
+                metadata: base,
+                data,
+            },
+            !same,
+        ));
     }
 
     fn took(&mut self, from: ReplicaId, took: &ChunkAck) {
@@ -1338,5 +1368,6 @@
 
 /// The members that an entry names, if it is about them.
 fn config_of(entry: &Entry) -> Option<Membership> {
-    (entry.kind() == EntryKind::Config).then(|| Membership::decode(&entry.data[..]).unwrap_or_default())
+    (entry.kind() == EntryKind::Config)
+        .then(|| Membership::decode(&entry.data[..]).unwrap_or_default())
 }
--- a/crates/raft/tests/golden.rs
+++ b/crates/raft/tests/golden.rs
@@ -12,8 +12,9 @@
 use prost::Message as _;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_raft::wire::{
-    AppendRequest, AppendResponse, QuarantineNotice, SnapshotMetadata, Body, Membership, Entry, HardState, EntryKind, Member, Message, SnapshotChunk,
-    Snapshot, ChunkAck, VoteRequest, VoteResponse,
+    AppendRequest, AppendResponse, Body, ChunkAck, Entry, EntryKind, HardState, Member, Membership,
+    Message, QuarantineNotice, Snapshot, SnapshotChunk, SnapshotMetadata, VoteRequest,
+    VoteResponse,
 };
 
 const MESSAGES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/messages.hex");
--- a/crates/raft/tests/small_worlds.rs
+++ b/crates/raft/tests/small_worlds.rs
@@ -14,7 +14,8 @@
 use foldhash::{HashSet, HashSetExt};
 use rainstand_raft::wire::{HardState, Snapshot};
 use rainstand_raft::{
-    SnapshotMetadata, MembershipChange, Membership, Entry, ReplicaId, Member, Message, Ready, Replica, PersistentState, Timeouts,
+    Entry, Member, Membership, MembershipChange, Message, PersistentState, Ready, Replica,
+    ReplicaId, SnapshotMetadata, Timeouts,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -295,7 +296,11 @@
                     MembershipChange::Remove(1),
                 ];
                 for change in changes {
-                    if replica.clone().propose_membership_change(self.now, &change).is_ok() {
+                    if replica
+                        .clone()
+                        .propose_membership_change(self.now, &change)
+                        .is_ok()
+                    {
                         step(
                             Left {
                                 changes: l.changes - 1,
--- a/crates/replicated-state/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -3,7 +3,7 @@
 use crate::keys::{Command, Told};
 use crate::soft::Report;
 use bytes::Bytes;
-use rainstand_raft::{ReplicaId, Message};
+use rainstand_raft::{Message, ReplicaId};
 
 /// The first frame on a link, and again whenever something of it changed.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -133,7 +133,7 @@
             Told::Noted => (Word::Noted, Bytes::new()),
             Told::Gone => (Word::Gone, Bytes::new()),
             Told::Conflict(why) => (Word::Conflict, why.clone()),
-            Told::Refused(why) => (Word::Refused, why.clone()),
+            Told::UpdateError(why) => (Word::Refused, why.clone()),
         };
         Self {
             id,
@@ -168,7 +168,7 @@
             Word::Noted => Told::Noted,
             Word::Gone => Told::Gone,
             Word::Conflict => Told::Conflict(self.result.clone()),
-            Word::Refused => Told::Refused(self.result.clone()),
+            Word::Refused => Told::UpdateError(self.result.clone()),
             Word::Elsewhere | Word::Nothing => return None,
         })
     }
--- a/crates/replicated-state/src/keys.rs
+++ b/crates/replicated-state/src/keys.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use foldhash::HashMap;
 use prost::Message as _;
-use rainstand_config_distribution::Refused;
+use rainstand_config_distribution::UpdateError;
 use rainstand_raft::plant::planted;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -109,7 +109,7 @@
     /// A version that was made from another one than the newest; in words.
     Conflict(Bytes),
     /// A version that cannot be taken, and why.
-    Refused(Bytes),
+    UpdateError(Bytes),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
@@ -382,8 +382,10 @@
         if let Some(What::Publish(publish)) = &command.what {
             return match self.versions.publish(publish) {
                 Ok(()) => Told::Noted,
-                Err(why @ Refused::From { .. }) => Told::Conflict(why.to_string().into()),
-                Err(why) => Told::Refused(why.to_string().into()),
+                Err(why @ UpdateError::VersionMismatch { .. }) => {
+                    Told::Conflict(why.to_string().into())
+                }
+                Err(why) => Told::UpdateError(why.to_string().into()),
             };
         }
         let row = self.rows.remove(&command.key);
@@ -447,8 +449,8 @@
     ///
     /// # Errors
     /// If the bytes are none that [`Table::keep`] made.
-    pub fn restore(&mut self, data: Bytes) -> Result<(), Refused> {
-        let kept = Kept::decode(data).map_err(|_| Refused::Frame)?;
+    pub fn restore(&mut self, data: Bytes) -> Result<(), UpdateError> {
+        let kept = Kept::decode(data).map_err(|_| UpdateError::MalformedFrame)?;
         self.versions = Versions::restored(kept.versions)?;
         self.stamp = kept.stamp;
         self.ages = kept
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -25,7 +25,10 @@
 use prost::Message as _;
 use rainstand_raft::replica::Divergence;
 use rainstand_raft::wire::{Body, Snapshot};
-use rainstand_raft::{SnapshotMetadata, Membership, Entry, HardState, ReplicaId, EntryKind, Replica, PersistentState, Timeouts};
+use rainstand_raft::{
+    Entry, EntryKind, HardState, Membership, PersistentState, Replica, ReplicaId, SnapshotMetadata,
+    Timeouts,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -665,10 +668,13 @@
                 metadata: base,
                 data: Bytes::new(),
             };
-            let hard = self.shards.get(&shard).map_or(HardState::default(), |one| HardState {
-                term: one.replica.term(),
-                vote: one.replica.vote(),
-            });
+            let hard = self
+                .shards
+                .get(&shard)
+                .map_or(HardState::default(), |one| HardState {
+                    term: one.replica.term(),
+                    vote: one.replica.vote(),
+                });
             self.writes.push(Write::Save {
                 shard,
                 snapshot: snapshot.clone(),
@@ -917,7 +923,10 @@
             let Some(one) = self.shards.get_mut(&shard) else {
                 continue;
             };
-            if !one.replica.has_committed_in_term() || !one.replica.is_membership_committed() || one.replica.is_transferring_leadership() {
+            if !one.replica.has_committed_in_term()
+                || !one.replica.is_membership_committed()
+                || one.replica.is_transferring_leadership()
+            {
                 continue;
             }
             let commit = one.replica.commit();
@@ -981,7 +990,11 @@
     /// Hands over all shards that are led here to others; before a drain ends.
     pub fn hand_over(&mut self, now: Duration) {
         self.now = self.now.max(now);
-        for one in self.shards.values_mut().filter(|one| one.replica.is_leader()) {
+        for one in self
+            .shards
+            .values_mut()
+            .filter(|one| one.replica.is_leader())
+        {
             let best = one
                 .replica
                 .progress()
@@ -1519,8 +1532,8 @@
     /// committed for longer than an election takes.
     pub fn published(&self) -> Option<(&Versions, bool)> {
         let one = self.shards.get(&0)?;
-        let current =
-            one.replica.has_committed_in_term() || !one.replica.is_leader() && one.replica.leader().is_some();
+        let current = one.replica.has_committed_in_term()
+            || !one.replica.is_leader() && one.replica.leader().is_some();
         let current = current && one.replica.applied() == one.replica.commit();
         Some((one.table.versions(), current && !self.over))
     }
--- a/crates/replicated-state/src/moves.rs
+++ b/crates/replicated-state/src/moves.rs
@@ -3,7 +3,7 @@
 //! A learner comes first, catches up, votes; only then goes the one whose place it takes. A name that came back with
 //! another disk is wanted with that disk, and its old one goes like any other that is not wanted.
 
-use rainstand_raft::{MembershipChange, Membership, ReplicaId, Member};
+use rainstand_raft::{Member, Membership, MembershipChange, ReplicaId};
 
 /// What a shard's leader does next about its members.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,9 +96,10 @@
     fn each_step_is_the_one_that_is_safe_now() {
         let whole = [(1, "a", true), (2, "b", true), (3, "c", true)];
         let names = wanted(&[("a", 1), ("b", 2), ("c", 3)]);
-        let next = |members: &[(ReplicaId, &str, bool)], wanted: &[(String, Option<ReplicaId>)], caught: bool| {
-            next(&config(members), wanted, 1, |_| caught)
-        };
+        let next =
+            |members: &[(ReplicaId, &str, bool)],
+             wanted: &[(String, Option<ReplicaId>)],
+             caught: bool| { next(&config(members), wanted, 1, |_| caught) };
         assert_eq!(next(&whole, &names, true), Next::Settled);
         // `c` came back with another disk.
         let anew = wanted(&[("a", 1), ("b", 2), ("c", 9)]);
@@ -107,7 +108,10 @@
             name: "c".into(),
             is_voter: false,
         };
-        assert_eq!(next(&whole, &anew, true), Next::Change(MembershipChange::AddLearner(add)));
+        assert_eq!(
+            next(&whole, &anew, true),
+            Next::Change(MembershipChange::AddLearner(add))
+        );
         let learns = [
             (1, "a", true),
             (2, "b", true),
@@ -115,14 +119,20 @@
             (9, "c", false),
         ];
         assert_eq!(next(&learns, &anew, false), Next::Wait);
-        assert_eq!(next(&learns, &anew, true), Next::Change(MembershipChange::Promote(9)));
+        assert_eq!(
+            next(&learns, &anew, true),
+            Next::Change(MembershipChange::Promote(9))
+        );
         let both = [
             (1, "a", true),
             (2, "b", true),
             (3, "c", true),
             (9, "c", true),
         ];
-        assert_eq!(next(&both, &anew, true), Next::Change(MembershipChange::Remove(3)));
+        assert_eq!(
+            next(&both, &anew, true),
+            Next::Change(MembershipChange::Remove(3))
+        );
         assert_eq!(
             next(
                 &[(1, "a", true), (2, "b", true), (9, "c", true)],
@@ -133,7 +143,10 @@
         );
         // It changed its disk once more while it learned.
         let third = wanted(&[("a", 1), ("b", 2), ("c", 11)]);
-        assert_eq!(next(&learns, &third, true), Next::Change(MembershipChange::Remove(9)));
+        assert_eq!(
+            next(&learns, &third, true),
+            Next::Change(MembershipChange::Remove(9))
+        );
         // `c` is out of reach: its disk stays.
         assert_eq!(
             next(&whole, &wanted(&[("a", 1), ("b", 2), ("c", 0)]), true),
