--- a/crates/replicated-state/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -15,9 +15,9 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::Delta;
-use rainstand_config_distribution::{snapshot, Refused};
+use rainstand_config_distribution::{snapshot, UpdateError};
 use std::collections::VecDeque;
 use twox_hash::XxHash3_64;
 
@@ -50,10 +50,10 @@
     /// # Errors
     /// Two things of one name, or more than a change may say.
     pub fn of(
-        head: &State,
+        head: &ConfigState,
         from: u64,
         configuration: &rainstand_config::schema::Configuration,
-    ) -> Result<Self, Refused> {
+    ) -> Result<Self, UpdateError> {
         let delta = head.delta_to(from, from + 1, configuration)?;
         let encoded = delta.encode_to_vec();
         if encoded.len() <= MOST_CHANGE {
@@ -63,9 +63,9 @@
                 ..Self::default()
             });
         }
-        let whole = snapshot::packed(from + 1, &State::of(configuration)?)?;
+        let whole = snapshot::packed(from + 1, &ConfigState::from_configuration(configuration)?)?;
         if whole.len() > MOST_CHANGE {
-            return Err(Refused::Large(
+            return Err(UpdateError::TooLarge(
                 "more than one change may say, also when packed: publish it in parts",
             ));
         }
@@ -106,8 +106,8 @@
 /// All that is published.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Versions {
-    base: (u64, State),
-    head: (u64, State),
+    base: (u64, ConfigState),
+    head: (u64, ConfigState),
     history: VecDeque<Change>,
     bytes: usize,
 }
@@ -118,12 +118,12 @@
         self.head.0
     }
 
-    pub fn state(&self) -> &State {
+    pub fn state(&self) -> &ConfigState {
         &self.head.1
     }
 
     /// The oldest version from which on all changes are known.
-    pub fn base(&self) -> (u64, &State) {
+    pub fn base(&self) -> (u64, &ConfigState) {
         (self.base.0, &self.base.1)
     }
 
@@ -137,7 +137,7 @@
     ///
     /// # Errors
     /// As above; nothing has changed then.
-    pub fn publish(&mut self, publish: &Publish) -> Result<(), Refused> {
+    pub fn publish(&mut self, publish: &Publish) -> Result<(), UpdateError> {
         let (there, sum) = (self.head.0, publish.sum());
         if publish.from != there {
             let same = |change: &Change| change.delta.from == publish.from && change.sum == sum;
@@ -145,17 +145,17 @@
             return if known.is_some_and(same) {
                 Ok(())
             } else {
-                Err(Refused::From {
-                    made: publish.from,
-                    there,
+                Err(UpdateError::VersionMismatch {
+                    base: publish.from,
+                    current: there,
                 })
             };
         }
         if publish.delta.len() + publish.whole.len() > MOST_CHANGE {
-            return Err(Refused::Large("more than one change may say"));
+            return Err(UpdateError::TooLarge("more than one change may say"));
         }
         let delta = if publish.whole.is_empty() {
-            Delta::decode(publish.delta.clone()).map_err(|_| Refused::Frame)?
+            Delta::decode(publish.delta.clone()).map_err(|_| UpdateError::MalformedFrame)?
         } else {
             let (_, state) = snapshot::unpacked(&publish.whole)?;
             self.head
@@ -163,9 +163,9 @@
                 .delta_to(there, there + 1, &state.configuration()?)?
         };
         if (delta.from, delta.to) != (there, there + 1) {
-            return Err(Refused::From {
-                made: delta.from,
-                there,
+            return Err(UpdateError::VersionMismatch {
+                base: delta.from,
+                current: there,
             });
         }
         self.head.1.apply(&delta)?;
@@ -210,12 +210,12 @@
     ///
     /// # Errors
     /// If it is none that [`Versions::keep`] made.
-    pub fn restored(kept: Option<Kept>) -> Result<Self, Refused> {
+    pub fn restored(kept: Option<Kept>) -> Result<Self, UpdateError> {
         let Some(Kept { base, history }) = kept else {
             return Ok(Self::default());
         };
         let base = if base.is_empty() {
-            (0, State::default())
+            (0, ConfigState::default())
         } else {
             snapshot::unpacked(&base)?
         };
@@ -226,9 +226,9 @@
         };
         for change in history {
             if change.delta.from != all.head.0 || change.delta.to != all.head.0 + 1 {
-                return Err(Refused::From {
-                    made: change.delta.from,
-                    there: all.head.0,
+                return Err(UpdateError::VersionMismatch {
+                    base: change.delta.from,
+                    current: all.head.0,
                 });
             }
             all.head.1.apply(&change.delta)?;
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_raft::wire::{Body, Message, VoteRequest};
 use rainstand_replicated_state::frames::{
@@ -52,7 +52,7 @@
     }
 }
 
-fn publish(from: u64, head: &State, shares: &[u32]) -> Publish {
+fn publish(from: u64, head: &ConfigState, shares: &[u32]) -> Publish {
     Publish {
         at_ms: 1_700_000_000_000 + from,
         ..Publish::of(head, from, &configuration(shares)).unwrap()
@@ -94,7 +94,7 @@
             command(
                 "configuration",
                 3,
-                Said::Publish(publish(0, &State::default(), &[10, 20])),
+                Said::Publish(publish(0, &ConfigState::default(), &[10, 20])),
             ),
         ),
         (
--- a/crates/replicated-state/tests/versions.rs
+++ b/crates/replicated-state/tests/versions.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Tenant};
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_replicated_state::keys::{Claim, Command, Table, Told, What};
 use rainstand_replicated_state::versions::{Publish, MOST_CHANGE};
 
@@ -54,9 +54,12 @@
 /// A version is made from the newest one or refused, and whoever asks twice is told the same.
 #[test]
 fn each_command_makes_the_next_version_or_is_told_why_not() {
-    let states: Vec<State> = (0..4).map(|k| State::of(&with(3, k)).unwrap()).collect();
-    let made = |from: u64, head: &State, share| Publish::of(head, from, &with(3, share)).unwrap();
-    let first = made(0, &State::default(), 0);
+    let states: Vec<ConfigState> = (0..4)
+        .map(|k| ConfigState::from_configuration(&with(3, k)).unwrap())
+        .collect();
+    let made =
+        |from: u64, head: &ConfigState, share| Publish::of(head, from, &with(3, share)).unwrap();
+    let first = made(0, &ConfigState::default(), 0);
     let second = made(1, &states[0], 1);
     let other = made(1, &states[0], 2);
     let later = made(7, &states[1], 3);
@@ -134,7 +137,7 @@
         ("the first, very late", first, 3, "noted"),
     ];
     let mut copy = Table::new(10, 50);
-    let mut newest = State::default();
+    let mut newest = ConfigState::default();
     for (what, publish, version, wanted) in table {
         let mut again = restored(&copy);
         let command = command(publish);
@@ -142,7 +145,7 @@
         let word = match &told {
             Told::Noted => "noted",
             Told::Conflict(_) => "conflict",
-            Told::Refused(_) => "refused",
+            Told::UpdateError(_) => "refused",
             _ => "another",
         };
         assert_eq!(
@@ -176,7 +179,7 @@
 fn a_large_version_goes_packed_and_a_change_of_it_does_not() {
     let mut copy = Table::new(10, 50);
     let mut wanted = with(20_000, 0);
-    let whole = Publish::of(&State::default(), 0, &wanted).unwrap();
+    let whole = Publish::of(&ConfigState::default(), 0, &wanted).unwrap();
     assert!(
         whole.delta.is_empty() && whole.whole.len() <= MOST_CHANGE,
         "{}",
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -13,12 +13,12 @@
 use super::{limits, Effort, Named, Place, Row, Sizes};
 use bytes::Bytes;
 use rainstand_config::schema::Configuration;
-use rainstand_config_distribution::attach::{Chooser, Who};
-use rainstand_config_distribution::delta::State;
+use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::Delta;
-use rainstand_config_distribution::source::{self, Bounds, Source};
-use rainstand_config_distribution::subscriber::{Order, Subscriber};
-use rainstand_config_distribution::{snapshot, Refused};
+use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
+use rainstand_config_distribution::subscriber::{Effect, Subscriber};
+use rainstand_config_distribution::{snapshot, UpdateError};
 use rainstand_test_servers::size::Limited;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -115,7 +115,7 @@
 
 struct Node {
     subscriber: Subscriber,
-    chooser: Chooser,
+    chooser: AttachmentPolicy,
     link: Option<usize>,
     attached: bool,
     /// The newest version that it confirmed.
@@ -135,13 +135,13 @@
     now: Duration,
     seq: u64,
     due: BinaryHeap<Reverse<(Duration, u64, What)>>,
-    machines: Vec<Option<Source>>,
+    machines: Vec<Option<Publisher>>,
     nodes: Vec<Node>,
     links: Vec<Link>,
     /// Machines of which each link's number goes to.
     attached: Vec<VecDeque<Duration>>,
     configuration: Configuration,
-    state: State,
+    state: ConfigState,
     log: Vec<Delta>,
     /// The first version, packed.
     first: Bytes,
@@ -152,21 +152,21 @@
     seen: Seen,
 }
 
-fn who(name: &str, k: usize) -> Who {
-    Who {
+fn who(name: &str, k: usize) -> NodeIdentity {
+    NodeIdentity {
         name: format!("{name}-{k}"),
         region: format!("region-{}", k % 2),
         zone: format!("zone-{}", k % MACHINES),
     }
 }
 
-fn refused(why: Refused) -> io::Error {
+fn refused(why: UpdateError) -> io::Error {
     io::Error::other(why.to_string())
 }
 
 impl World {
     fn new(spec: &Spec, configuration: Configuration) -> io::Result<Self> {
-        let machines: Vec<Who> = (0..MACHINES).map(|k| who("control", k)).collect();
+        let machines: Vec<NodeIdentity> = (0..MACHINES).map(|k| who("control", k)).collect();
         let mut world = Self {
             now: Duration::ZERO,
             seq: 0,
@@ -176,7 +176,7 @@
             links: Vec::new(),
             attached: vec![VecDeque::new(); MACHINES],
             configuration,
-            state: State::default(),
+            state: ConfigState::default(),
             log: Vec::new(),
             first: Bytes::new(),
             committed: Vec::new(),
@@ -188,18 +188,18 @@
         world.publish()?;
         world.first = Bytes::from(snapshot::packed(1, &world.state).map_err(refused)?);
         for k in 0..MACHINES {
-            let mut source = Source::new(world.now, Bounds::default(), k as u64);
+            let mut source = Publisher::new(world.now, PublisherLimits::default(), k as u64);
             source
-                .restored(world.now, world.first.clone())
+                .restore(world.now, world.first.clone())
                 .map_err(refused)?;
             world.machines.push(Some(source));
             world.after(Duration::ZERO, What::Tick(k));
         }
         for k in 0..spec.nodes {
             let place = who("node", k);
-            let chooser = Chooser::new(world.now, &place, &machines, k as u64);
+            let chooser = AttachmentPolicy::new(world.now, &place, &machines, k as u64);
             // As from its disk: what is sent at a start with nothing in hand has a row of its own.
-            let subscriber = Subscriber::with(world.now, place, 1, world.state.clone());
+            let subscriber = Subscriber::with_version(world.now, place, 1, world.state.clone());
             world.nodes.push(Node {
                 subscriber,
                 chooser,
@@ -269,7 +269,7 @@
     }
 
     fn dial_when_due(&mut self, k: usize) {
-        if let Some(due) = self.nodes[k].chooser.due() {
+        if let Some(due) = self.nodes[k].chooser.next_deadline() {
             self.after(due.saturating_sub(self.now), What::Dial(k));
         }
     }
@@ -278,21 +278,21 @@
         let Some(link) = self.nodes[k].link.take() else {
             return;
         };
-        self.nodes[k].subscriber.cut();
+        self.nodes[k].subscriber.on_link_closed();
         self.nodes[k].attached = false;
         let machine = self.links[link].machine;
         if !std::mem::replace(&mut self.links[link].open, false) || self.apart(k, machine) {
             return;
         }
         if let Some(source) = &mut self.machines[machine] {
-            source.gone(self.now, link as u64);
+            source.on_disconnected(self.now, link as u64);
         }
         self.obey_source(machine);
     }
 
     fn lost(&mut self, k: usize) {
         self.close(k);
-        self.nodes[k].chooser.lost(self.now);
+        self.nodes[k].chooser.on_disconnected(self.now);
         self.dial_when_due(k);
     }
 
@@ -300,9 +300,9 @@
         let Some(source) = &mut self.machines[k] else {
             return;
         };
-        for order in source.orders().collect::<Vec<_>>() {
+        for order in source.take_effects().collect::<Vec<_>>() {
             match order {
-                source::Order::Send { link, frame } => {
+                publisher::Effect::Send { link, frame } => {
                     let number = link as usize;
                     let node = self.links[number].node;
                     let wait = self.under_way(number, 0);
@@ -310,18 +310,18 @@
                         self.after(wait, What::Down(number, frame));
                     }
                 }
-                source::Order::Close(link) => {
+                publisher::Effect::Close(link) => {
                     let wait = self.under_way(link as usize, 0);
                     self.after(wait, What::Ended(link as usize));
                 }
-                source::Order::Event(source::Event::Attached { .. }) => {
+                publisher::Effect::Event(publisher::Event::Attached { .. }) => {
                     let now = self.now;
                     let came = &mut self.attached[k];
                     came.retain(|at| now - *at < Duration::from_secs(1));
                     came.push_back(now);
                     self.seen.most_attached = self.seen.most_attached.max(came.len());
                 }
-                source::Order::Event(_) => {}
+                publisher::Effect::Event(_) => {}
             }
         }
     }
@@ -334,9 +334,9 @@
     }
 
     fn obey_subscriber(&mut self, k: usize) {
-        for order in self.nodes[k].subscriber.orders().collect::<Vec<_>>() {
+        for order in self.nodes[k].subscriber.take_effects().collect::<Vec<_>>() {
             match order {
-                Order::Send(frame) => {
+                Effect::Send(frame) => {
                     self.nodes[k].bytes += frame.len() as u64 + HEAD;
                     let Some(link) = self.nodes[k].link else {
                         continue;
@@ -346,20 +346,22 @@
                         self.after(wait, What::Up(link, frame));
                     }
                 }
-                Order::Take(version) => self.after(TAKES, What::Taken(k, version)),
-                Order::ComeBack { after, elsewhere } => {
+                Effect::Apply(version) => self.after(TAKES, What::Taken(k, version)),
+                Effect::RetryAfter { after, elsewhere } => {
                     self.close(k);
-                    self.nodes[k].chooser.come_back(self.now, after, elsewhere);
+                    self.nodes[k]
+                        .chooser
+                        .on_retry_after(self.now, after, elsewhere);
                     self.dial_when_due(k);
                 }
-                Order::Close => self.lost(k),
-                Order::Event(_) => {}
+                Effect::Close => self.lost(k),
+                Effect::Event(_) => {}
             }
         }
     }
 
     /// What this source does, its processor time counted.
-    fn source(&mut self, k: usize, does: impl FnOnce(&mut Source, Duration)) {
+    fn source(&mut self, k: usize, does: impl FnOnce(&mut Publisher, Duration)) {
         let now = self.now;
         if let Some(source) = &mut self.machines[k] {
             let before = own_cpu();
@@ -413,7 +415,7 @@
                     .map_or(0, |source| source.version() as usize);
                 for delta in self.log.get(at..upto).unwrap_or_default().to_vec() {
                     let mut came = Ok(());
-                    self.source(k, |source, now| came = source.committed(now, delta));
+                    self.source(k, |source, now| came = source.apply_committed(now, delta));
                     came.map_err(refused)?;
                 }
             }
@@ -421,14 +423,14 @@
                 let in_touch = self.in_touch(k);
                 self.source(k, |source, now| {
                     if in_touch {
-                        source.current(now);
+                        source.mark_current(now);
                     }
                     source.tick(now);
                 });
                 self.after(Duration::from_millis(500), What::Tick(k));
             }
             What::Dial(k) => {
-                let Some(machine) = self.nodes[k].chooser.next(self.now) else {
+                let Some(machine) = self.nodes[k].chooser.next_server(self.now) else {
                     return Ok(());
                 };
                 self.close(k);
@@ -451,7 +453,7 @@
                     last: [self.now; 2],
                 });
                 self.nodes[k].link = Some(self.links.len() - 1);
-                self.subscriber(k, |subscriber, now| subscriber.opened(now));
+                self.subscriber(k, |subscriber, now| subscriber.on_connected(now));
             }
             What::Down(link, frame) => {
                 let k = self.links[link].node;
@@ -459,17 +461,17 @@
                     return Ok(());
                 }
                 self.nodes[k].bytes += frame.len() as u64 + HEAD;
-                self.subscriber(k, |subscriber, now| subscriber.heard(now, frame));
+                self.subscriber(k, |subscriber, now| subscriber.on_frame(now, frame));
                 if self.nodes[k].subscriber.is_attached() && !self.nodes[k].attached {
                     self.nodes[k].attached = true;
-                    self.nodes[k].chooser.attached(self.now);
+                    self.nodes[k].chooser.on_attached(self.now);
                     self.dial_when_due(k);
                 }
             }
             What::Up(link, frame) => {
                 if self.links[link].open {
                     self.source(self.links[link].machine, |source, now| {
-                        source.heard(now, link as u64, frame)
+                        source.on_frame(now, link as u64, frame)
                     });
                 }
             }
@@ -480,13 +482,13 @@
                 }
             }
             What::Look(k) => {
-                if self.nodes[k].subscriber.is_lost(self.now) {
+                if self.nodes[k].subscriber.is_server_lost(self.now) {
                     self.lost(k);
                 }
                 self.after(Duration::from_millis(500), What::Look(k));
             }
             What::Taken(k, version) => {
-                self.subscriber(k, |subscriber, _| subscriber.in_force(version));
+                self.subscriber(k, |subscriber, _| subscriber.on_applied(version));
                 self.confirmed(k);
             }
             What::Kill => {
@@ -497,7 +499,7 @@
                 };
                 for machine in gone {
                     if let Some(source) = self.machines[machine].take() {
-                        self.seen.turned_away += source.counters().turned_away;
+                        self.seen.turned_away += source.counters().rejected_attachments;
                     }
                     for link in 0..self.links.len() {
                         if self.links[link].machine == machine && self.links[link].open {
@@ -510,12 +512,15 @@
             What::Back => {
                 // From the snapshot on its disk, and the log behind it, which is its history again.
                 for k in 0..MACHINES {
-                    let mut source = Source::new(self.now, Bounds::default(), 100 + k as u64);
+                    let mut source =
+                        Publisher::new(self.now, PublisherLimits::default(), 100 + k as u64);
                     source
-                        .restored(self.now, self.first.clone())
+                        .restore(self.now, self.first.clone())
                         .map_err(refused)?;
                     for delta in self.log.iter().skip(1) {
-                        source.committed(self.now, delta.clone()).map_err(refused)?;
+                        source
+                            .apply_committed(self.now, delta.clone())
+                            .map_err(refused)?;
                     }
                     self.machines[k] = Some(source);
                 }
@@ -625,7 +630,7 @@
         .machines
         .iter()
         .flatten()
-        .map(|source| source.counters().turned_away)
+        .map(|source| source.counters().rejected_attachments)
         .sum::<u64>();
     seen.confirmed.sort_by(f32::total_cmp);
     Ok(seen)
@@ -822,7 +827,7 @@
 fn whole(sizes: &Sizes, effort: &Effort, rows: &mut Vec<Row>) -> io::Result<()> {
     let mut points = Vec::new();
     for part in effort.parts.iter().copied() {
-        let state = State::of(&compiled(
+        let state = ConfigState::from_configuration(&compiled(
             &sizes.configuration(part, Limited::PerTenantOnRoutes),
         )?)
         .map_err(refused)?;
@@ -926,7 +931,7 @@
     for part in effort.parts.iter().copied() {
         let size = part * sizes.tenants as f64;
         let configuration = compiled(&sizes.configuration(part, Limited::PerTenantOnRoutes))?;
-        let state = State::of(&configuration).map_err(refused)?;
+        let state = ConfigState::from_configuration(&configuration).map_err(refused)?;
         let begun = Instant::now();
         let packed = snapshot::packed(1, &state).map_err(refused)?;
         pack.push((size, begun.elapsed().as_secs_f64() * 1e3));
@@ -935,7 +940,7 @@
         unpack.push((size, begun.elapsed().as_secs_f64() * 1e3));
         drop(read);
         let mut changed = configuration.clone();
-        let mut one = Subscriber::with(Duration::ZERO, who("node", 0), 1, state.clone());
+        let mut one = Subscriber::with_version(Duration::ZERO, who("node", 0), 1, state.clone());
         let mut next = state;
         let mut took = Duration::ZERO;
         const CHANGES: u64 = 40;
@@ -946,12 +951,13 @@
             }
             let delta = next.delta_to(k - 1, k, &changed).map_err(refused)?;
             next.apply(&delta).map_err(refused)?;
-            let frame = rainstand_config_distribution::frames::Down::Delta(delta).encoded();
+            let frame =
+                rainstand_config_distribution::frames::ServerMessage::Delta(delta).encoded();
             let begun = own_cpu();
-            one.heard(Duration::ZERO, frame);
-            one.in_force(k);
+            one.on_frame(Duration::ZERO, frame);
+            one.on_applied(k);
             took += own_cpu().saturating_sub(begun);
-            drop(one.orders());
+            drop(one.take_effects());
         }
         change.push((size, took.as_secs_f64() / CHANGES as f64 * 1e6));
     }
