--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -2,7 +2,7 @@
 
 use crate::config::replace;
 use clap::Args;
-use rainstand_cluster::attach::{keep, News, Seen, Setup};
+use rainstand_cluster::attachment::{keep, News, Seen, Setup};
 use rainstand_config::schema::{Configuration, Control, ControlMember};
 use rainstand_config_distribution::attach::NodeIdentity;
 use rainstand_config_distribution::delta::ConfigState;
--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -11,7 +11,7 @@
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::publisher::{Event, PublisherLimits};
 use rainstand_config_distribution::snapshot;
-use rainstand_replicated_state::member::News;
+use rainstand_replicated_state::member::GroupEvent;
 use rainstand_replicated_state::versions::Publish;
 use rainstand_routing::table::Table;
 use serde_json::{json, Value};
@@ -127,18 +127,28 @@
 }
 
 /// What the group has to say, for people.
-fn told(news: &News) {
+fn told(news: &GroupEvent) {
     match news {
-        News::Formed { members } => tracing::info!(event = "group_formed", members),
-        News::Leads { shard, term } => tracing::info!(event = "group_leads", shard, term),
-        News::LeadsNoMore { shard } => tracing::info!(event = "group_leads_no_more", shard),
-        News::Members { shard, config } => tracing::info!(event = "group_members", shard, config),
-        News::CaughtUp { shard, index } => tracing::info!(event = "group_caught_up", shard, index),
-        News::OldPeer { name, why, .. } => tracing::warn!(event = "group_old_peer", name, why),
-        News::OldCopy { why } => tracing::warn!(event = "group_old_copy", why),
-        News::Differs { shard, .. } => tracing::error!(event = "group_differs", shard),
-        News::DiskStandsStill => tracing::error!(event = "group_disk_stands_still"),
-        News::DiskFailed { why } => tracing::error!(event = "group_disk_failed", why),
+        GroupEvent::Formed { members } => tracing::info!(event = "group_formed", members),
+        GroupEvent::BecameLeader { shard, term } => {
+            tracing::info!(event = "group_leads", shard, term)
+        }
+        GroupEvent::LostLeadership { shard } => {
+            tracing::info!(event = "group_leads_no_more", shard)
+        }
+        GroupEvent::MembershipChanged { shard, config } => {
+            tracing::info!(event = "group_members", shard, config)
+        }
+        GroupEvent::CaughtUp { shard, index } => {
+            tracing::info!(event = "group_caught_up", shard, index)
+        }
+        GroupEvent::StalePeer { name, why, .. } => {
+            tracing::warn!(event = "group_old_peer", name, why)
+        }
+        GroupEvent::StaleDisk { why } => tracing::warn!(event = "group_old_copy", why),
+        GroupEvent::Diverged { shard, .. } => tracing::error!(event = "group_differs", shard),
+        GroupEvent::DiskStalled => tracing::error!(event = "group_disk_stands_still"),
+        GroupEvent::DiskFailed { why } => tracing::error!(event = "group_disk_failed", why),
     }
 }
 
--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -54,12 +54,12 @@
 }
 
 /// A configuration's bytes, or the exit code of what was found in it.
-type Read = io::Result<Result<Vec<u8>, Code>>;
+type ReadOutcome = io::Result<Result<Vec<u8>, Code>>;
 
 /// Reads a configuration on a thread of its own: 154,000 lines take a third of a second, for which tickets would
 /// wait, and many times the memory of what they say, all of which goes back when nothing of that thread is left.
 /// So what is read comes over as bytes.
-fn read_apart(path: &str, number: usize) -> io::Result<oneshot::Receiver<Read>> {
+fn read_apart(path: &str, number: usize) -> io::Result<oneshot::Receiver<ReadOutcome>> {
     let (done, told) = oneshot::channel();
     let path = path.to_owned();
     std::thread::Builder::new()
@@ -79,7 +79,7 @@
 
 /// # Errors
 /// Findings went to standard error; what else there is to say is told.
-fn made(read: Result<Read, RecvError>) -> Result<Configuration, String> {
+fn made(read: Result<ReadOutcome, RecvError>) -> Result<Configuration, String> {
     let bytes = read
         .map_err(|_| "reading it broke off".to_owned())?
         .map_err(|e| e.to_string())?;
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -2,9 +2,9 @@
 
 use crate::out::{bytes, line, Code};
 use clap::{Args, Subcommand};
-use rainstand_cluster::links::whole;
 use rainstand_cluster::recovery::{self, Lost};
 use rainstand_cluster::status;
+use rainstand_cluster::transport::whole;
 use serde_json::Value;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -2,9 +2,9 @@
 
 use crate::out::{json, line, Code};
 use clap::{Args, Subcommand};
-use rainstand_storage::record::{read, Read, Record, HEAD};
-use rainstand_storage::store::{mend, recover};
-use rainstand_storage::{Disk, Folder, OpenError};
+use rainstand_storage::record::{read_record, ReadOutcome, Record, RECORD_HEADER_BYTES};
+use rainstand_storage::store::{recover, repair};
+use rainstand_storage::{Disk, FolderDisk, OpenError};
 use serde_json::json;
 use std::io;
 use std::path::PathBuf;
@@ -46,7 +46,7 @@
     let (Command::Info(at) | Command::Check(at) | Command::Dump { at, .. } | Command::Mend(at)) =
         command;
     let opened = if at.folder.is_dir() {
-        Folder::open(&at.folder)
+        FolderDisk::open(&at.folder)
     } else {
         Err(io::Error::new(
             io::ErrorKind::NotFound,
@@ -64,7 +64,7 @@
         Command::Info(at) => info(&mut disk, at, true),
         Command::Check(at) => info(&mut disk, at, false),
         Command::Dump { at, last } => dump(&mut disk, at, last.unwrap_or(usize::MAX)),
-        Command::Mend(at) => match mend(&mut disk) {
+        Command::Mend(at) => match repair(&mut disk) {
             Ok(None) => line("nothing to mend").map(|()| Code::Good),
             Ok(Some(cut)) => {
                 if at.json {
@@ -83,7 +83,7 @@
     }
 }
 
-fn info(disk: &mut Folder, at: &Where, whole: bool) -> io::Result<Code> {
+fn info(disk: &mut FolderDisk, at: &Where, whole: bool) -> io::Result<Code> {
     let (identity, found) = match recover(disk) {
         Ok(found) => found,
         Err(OpenError::Damaged(damage)) => {
@@ -114,7 +114,7 @@
             json!({"shard": shard, "base": base, "last": last, "snapshot_bytes": one.snapshot.as_ref().map(|s| s.1.len())})
         })
         .collect();
-    let torn = found.torn.as_ref();
+    let torn = found.truncated_tail.as_ref();
     if at.json {
         json(
             &json!({"good": true, "format": identity.format, "disk": format!("{:016x}", identity.disk),
@@ -144,33 +144,33 @@
     Ok(Code::Good)
 }
 
-fn dump(disk: &mut Folder, at: &Where, last: usize) -> io::Result<Code> {
+fn dump(disk: &mut FolderDisk, at: &Where, last: usize) -> io::Result<Code> {
     let mut lines = std::collections::VecDeque::new();
     let names = disk.list()?;
     let mut code = Code::Good;
     for name in names.iter().filter(|name| name.starts_with("log-")) {
         let bytes = disk.read(name)?;
         // Magic, and the length of the head's records.
-        let mut offset = HEAD.min(bytes.len());
+        let mut offset = RECORD_HEADER_BYTES.min(bytes.len());
         loop {
-            let told = match read(&bytes[offset..]) {
-                Read::End => break,
-                Read::Whole(record, len) => {
+            let told = match read_record(&bytes[offset..]) {
+                ReadOutcome::End => break,
+                ReadOutcome::Complete(record, len) => {
                     let value = match record {
-                        Record::Hard { shard, data } => {
+                        Record::HardState { shard, data } => {
                             json!({"kind": "hard", "shard": shard, "bytes": data.len()})
                         }
                         Record::Entry { shard, index, data } => {
                             json!({"kind": "entry", "shard": shard, "index": index, "bytes": data.len()})
                         }
-                        Record::Base {
+                        Record::SnapshotMarker {
                             shard,
                             index,
                             alone,
                         } => {
                             json!({"kind": "base", "shard": shard, "index": index, "alone": alone})
                         }
-                        Record::Note { number, data } => {
+                        Record::Metadata { number, data } => {
                             json!({"kind": "note", "number": number, "bytes": data.len()})
                         }
                     };
@@ -178,8 +178,8 @@
                     offset += len;
                     told
                 }
-                Read::Short => (json!({"kind": "cut short"}), None),
-                Read::Wrong(why) => (json!({"kind": "damaged", "why": why}), None),
+                ReadOutcome::Truncated => (json!({"kind": "cut short"}), None),
+                ReadOutcome::Corrupt(why) => (json!({"kind": "damaged", "why": why}), None),
             };
             let (mut value, len) = told;
             value["file"] = name.as_str().into();
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -9,8 +9,8 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
-use rainstand_cluster::links::whole;
 use rainstand_cluster::status;
+use rainstand_cluster::transport::whole;
 use rainstand_config::schema::Configuration;
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_replicated_state::versions::Publish;
--- a/crates/cluster/benches/keyed.rs
+++ b/crates/cluster/benches/keyed.rs
@@ -13,7 +13,7 @@
 mod world;
 
 use rainstand_cluster::Group;
-use rainstand_replicated_state::keys::{Command, Told, What};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::mpsc::Sender;
@@ -43,18 +43,20 @@
     ask(run, number, start(), Instant::now());
 }
 
-fn ask(run: &Rc<Run>, number: u64, what: What, since: Instant) {
+fn ask(run: &Rc<Run>, number: u64, what: Operation, since: Instant) {
     let claim = run
         .group
         .see(|member| member.claim(&u128::from(number).to_be_bytes()));
     let command = Command {
         key: number.to_be_bytes().to_vec().into(),
         claim,
-        what: Some(what),
+        operation: Some(what),
     };
     let again = run.clone();
-    let tell = move |told: Option<Told>| match told {
-        Some(Told::Granted) => ask(&again, number, What::Done(vec![7; 100].into()), since),
+    let tell = move |told: Option<ClaimOutcome>| match told {
+        Some(ClaimOutcome::Granted) => {
+            ask(&again, number, Operation::Done(vec![7; 100].into()), since)
+        }
         _ => {
             again.times.borrow_mut().push(since.elapsed());
             again.open.set(again.open.get() - 1);
--- a/crates/cluster/src/attach.rs
+++ b/crates/cluster/src/attachment.rs
@@ -3,8 +3,8 @@
 //! Which machine, when, and what is taken are decisions of `rainstand-config-distribution`; here are sockets and time. Without any
 //! machine the process runs on with the version that it has.
 
-use crate::links::{OPENS, TAKES};
-use crate::serve::up;
+use crate::config_server::up;
+use crate::transport::{OPENS, TAKES};
 use prost::Message as _;
 use rainstand_config::schema;
 use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
--- a/crates/cluster/src/serve.rs
+++ b/crates/cluster/src/config_server.rs
@@ -4,8 +4,8 @@
 //! one link to the group's own address; its first frame says that it attaches. Bounds: the source's on subscribers and
 //! on attachments in a second, [`STRANGERS`] links beside them, [`WAITS`] bytes that wait for one link.
 
-use crate::host::Group;
-use crate::links::{whole, Out, OPENS, TAKES};
+use crate::driver::Group;
+use crate::transport::{whole, Out, OPENS, TAKES};
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
@@ -15,7 +15,7 @@
 use rainstand_config_distribution::snapshot;
 use rainstand_protocol::thrift::frame_within;
 use rainstand_replicated_state::frames::{Frame, What};
-use rainstand_replicated_state::member::Member;
+use rainstand_replicated_state::member::GroupMember;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -97,7 +97,7 @@
     }
 
     /// Takes over what was committed since the last time.
-    pub fn sync(&self, member: &Member) {
+    pub fn sync(&self, member: &GroupMember) {
         let Some((versions, current)) = member.published() else {
             return;
         };
--- a/crates/cluster/src/host.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,20 +3,22 @@
 //! A call into the member is followed by its effects: frames go to the links, writes to the disk's thread, answers
 //! into a line that a task of its own gives out, so that who asks is never called back from within the asking.
 
-use crate::disk::{found, record};
-use crate::links::{accept, keep, Out};
-use crate::serve::{Serving, Tell as TellEvent};
-use crate::testing::{self, Clock};
+use crate::config_server::{Serving, Tell as TellEvent};
+use crate::fault_injection::{self, Clock};
+use crate::persistence::{found, record};
+use crate::transport::{accept, keep, Out};
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
 use rainstand_config::schema;
 use rainstand_config_distribution::publisher::PublisherLimits;
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
-use rainstand_replicated_state::keys::{Command, Told};
-use rainstand_replicated_state::member::{Effects, Member, News, Options, Write, COMPACT};
-use rainstand_storage::writer::{Done, Job, Writer};
-use rainstand_storage::{Disk, Folder, Limits, OpenError, Recovered, Store};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Command};
+use rainstand_replicated_state::member::{
+    Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite, DEFAULT_COMPACTION_ENTRIES,
+};
+use rainstand_storage::writer::{WriteJob, WriteOutcome, Writer};
+use rainstand_storage::{Disk, FolderDisk, OpenError, Recovered, Store, StoreLimits};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::hash::{BuildHasher, Hasher};
@@ -37,9 +39,9 @@
 const TIMES: usize = 512;
 
 /// What is told of a question, by its number: several times, the last one final. None: its time is over.
-pub type Tell = Rc<dyn Fn(Option<Told>)>;
+pub type Tell = Rc<dyn Fn(Option<ClaimOutcome>)>;
 /// Where news go: the program's log.
-pub type Log = Box<dyn Fn(&News)>;
+pub type Log = Box<dyn Fn(&GroupEvent)>;
 
 /// What a member needs to begin.
 pub struct Setup {
@@ -57,14 +59,14 @@
     folder: PathBuf,
     testing: Option<PathBuf>,
     clock: Box<dyn Clock>,
-    member: RefCell<Member>,
+    member: RefCell<GroupMember>,
     writer: RefCell<Option<Writer>>,
-    done: mpsc::UnboundedSender<(u64, Done)>,
+    done: mpsc::UnboundedSender<(u64, WriteOutcome)>,
     /// Goes up with each disk: what an earlier one's thread tells is not this one's.
     disk: Cell<u64>,
     links: RefCell<HashMap<String, Rc<Out>>>,
     tells: RefCell<HashMap<u64, (Tell, Duration)>>,
-    line: RefCell<VecDeque<(Tell, Option<Told>)>>,
+    line: RefCell<VecDeque<(Tell, Option<ClaimOutcome>)>>,
     stir: Notify,
     again: Notify,
     log: Log,
@@ -89,8 +91,8 @@
     [draw(), draw()]
 }
 
-fn limits() -> Limits {
-    Limits::default()
+fn limits() -> StoreLimits {
+    StoreLimits::default()
 }
 
 impl Group {
@@ -110,11 +112,14 @@
             .address
             .parse()
             .map_err(|_| format!("group: address {}", own.address))?;
-        let (folder, testing) = (PathBuf::from(&own.folder), testing::file(settings.testing)?);
+        let (folder, testing) = (
+            PathBuf::from(&own.folder),
+            fault_injection::file(settings.testing)?,
+        );
         let listener = TcpListener::bind(listen)
             .await
             .map_err(|e| format!("group: listen {listen}: {e}"))?;
-        let clock = testing::clock(testing.as_deref());
+        let clock = fault_injection::clock(testing.as_deref());
         let (store, recovered, damaged) = open(&folder, testing.as_ref())?;
         let member = member(&settings, &name, &store, &recovered, clock.now())?;
         let (done, told) = mpsc::unbounded_channel();
@@ -142,7 +147,7 @@
             settings,
         });
         if let Some(why) = damaged {
-            (group.log)(&News::OldCopy { why });
+            (group.log)(&GroupEvent::StaleDisk { why });
         }
         group.begin_writing(store);
         group.keep_links();
@@ -221,7 +226,7 @@
         &self.settings
     }
 
-    fn begin_writing(&self, store: Store<Folder>) {
+    fn begin_writing(&self, store: Store<FolderDisk>) {
         let (done, disk) = (self.done.clone(), self.disk.get());
         let wait = Duration::from_nanos(self.settings.commit_wait_ns);
         let tell = move |one| drop(done.send((disk, one)));
@@ -238,14 +243,14 @@
     }
 
     /// One call into the member, with all that follows from it.
-    pub fn drive<T>(&self, call: impl FnOnce(&mut Member, Duration) -> T) -> T {
+    pub fn drive<T>(&self, call: impl FnOnce(&mut GroupMember, Duration) -> T) -> T {
         let now = self.clock.now();
         let (told, effects, wake) = {
             let mut member = self.member.borrow_mut();
-            let before = member.wake();
+            let before = member.next_deadline();
             let told = call(&mut member, now);
-            let effects = member.take();
-            (told, effects, member.wake() < before)
+            let effects = member.take_effects();
+            (told, effects, member.next_deadline() < before)
         };
         self.follow(effects);
         if wake {
@@ -255,7 +260,7 @@
     }
 
     /// A look at the member that changes nothing.
-    pub fn see<T>(&self, look: impl FnOnce(&Member) -> T) -> T {
+    pub fn see<T>(&self, look: impl FnOnce(&GroupMember) -> T) -> T {
         look(&self.member.borrow())
     }
 
@@ -263,10 +268,10 @@
         let Effects {
             frames,
             write,
-            told,
+            outcomes,
             timed_out,
-            news,
-            versions,
+            events,
+            published_changed,
         } = effects;
         if let Some((number, writes)) = write {
             self.write(number, writes);
@@ -274,8 +279,8 @@
         for (name, frame) in frames {
             self.link(&name).send(&frame);
         }
-        for (id, told) in told {
-            let last = told != Told::Running;
+        for (id, told) in outcomes {
+            let last = told != ClaimOutcome::InProgress;
             let tell = if last {
                 self.tells.borrow_mut().remove(&id)
             } else {
@@ -294,12 +299,15 @@
             }
         }
         self.stir.notify_one();
-        if let Some(serving) = self.serving().filter(|_| versions) {
+        if let Some(serving) = self.serving().filter(|_| published_changed) {
             self.see(|member| serving.sync(member));
         }
-        for one in news {
+        for one in events {
             (self.log)(&one);
-            if matches!(one, News::OldCopy { .. } | News::Differs { .. }) {
+            if matches!(
+                one,
+                GroupEvent::StaleDisk { .. } | GroupEvent::Diverged { .. }
+            ) {
                 self.begin_anew();
             }
         }
@@ -320,26 +328,26 @@
         all
     }
 
-    fn write(&self, number: u64, writes: Vec<Write>) {
+    fn write(&self, number: u64, writes: Vec<PersistentWrite>) {
         let writer = self.writer.borrow();
         let Some(writer) = &*writer else { return };
         let mut records = Vec::new();
         for write in writes {
             match write {
-                Write::Save {
+                PersistentWrite::InstallSnapshot {
                     shard,
                     snapshot,
                     alone,
                 } => {
                     if !records.is_empty() {
                         // In the order in which they were given; told once, with the last.
-                        writer.give(Job::Write {
+                        writer.submit(WriteJob::Write {
                             number: number - 1,
                             records: std::mem::take(&mut records),
                         });
                     }
                     let (index, data) = (snapshot.metadata.index, snapshot.encode_to_vec());
-                    writer.give(Job::Save {
+                    writer.submit(WriteJob::InstallSnapshot {
                         number: number - 1,
                         shard,
                         index,
@@ -350,7 +358,7 @@
                 other => records.extend(record(&other)),
             }
         }
-        writer.give(Job::Write { number, records });
+        writer.submit(WriteJob::Write { number, records });
     }
 
     /// The files are set aside, and the member begins as another disk. What waits is told that its time is over.
@@ -358,7 +366,7 @@
         self.set_asides.set(self.set_asides.get() + 1);
         self.disk.set(self.disk.get() + 1);
         if let Some(writer) = self.writer.borrow_mut().take() {
-            writer.end();
+            writer.shut_down();
         }
         let tells: Vec<(Tell, Duration)> = self
             .tells
@@ -370,8 +378,8 @@
             .borrow_mut()
             .extend(tells.into_iter().map(|(tell, _)| (tell, None)));
         let anew = || -> Result<(), String> {
-            let mut folder = Folder::open(&self.folder).map_err(|e| e.to_string())?;
-            folder.set_aside().map_err(|e| e.to_string())?;
+            let mut folder = FolderDisk::open(&self.folder).map_err(|e| e.to_string())?;
+            folder.quarantine().map_err(|e| e.to_string())?;
             drop(folder);
             let (store, recovered, _) = open(&self.folder, self.testing.as_ref())?;
             let settings = schema::Group {
@@ -388,7 +396,7 @@
                 // Who is linked hears of the new disk.
                 let names: Vec<String> = self.links.borrow().keys().cloned().collect();
                 for name in names {
-                    self.drive(|member, now| member.met(now, &name));
+                    self.drive(|member, now| member.on_connected(now, &name));
                 }
             }
             Err(why) => self.fail(why),
@@ -418,17 +426,17 @@
             .writer
             .borrow()
             .as_ref()
-            .is_none_or(|writer| writer.waiting() > JOBS);
+            .is_none_or(|writer| writer.pending_jobs() > JOBS);
         if busy || self.failed.borrow().is_some() {
             return None;
         }
         let now = self.clock.now();
         let (id, effects) = {
             let mut member = self.member.borrow_mut();
-            let id = member.ask(now, command, now + within)?;
+            let id = member.request(now, command, now + within)?;
             // Known before what follows: the answer may be among it.
             self.tells.borrow_mut().insert(id, (tell, now));
-            (id, member.take())
+            (id, member.take_effects())
         };
         self.follow(effects);
         self.again.notify_one();
@@ -442,23 +450,23 @@
     }
 
     pub fn met(&self, name: &str) {
-        self.drive(|member, now| member.met(now, name));
+        self.drive(|member, now| member.on_connected(now, name));
     }
 
     pub fn lost(&self, name: &str) {
-        self.drive(|member, now| member.lost(now, name));
+        self.drive(|member, now| member.on_disconnected(now, name));
     }
 
     pub fn receive(&self, name: &str, frame: Frame) {
-        self.drive(|member, now| member.receive(now, name, frame));
+        self.drive(|member, now| member.on_frame(now, name, frame));
     }
 
     /// Hands over what is led here; returns when that is done, or after `within`.
     pub async fn leave(&self, within: Duration) {
-        self.drive(|member, now| member.hand_over(now));
+        self.drive(|member, now| member.transfer_all_leadership(now));
         let step = Duration::from_millis(5);
         let mut left = within;
-        while self.see(Member::leading) > 0 && !left.is_zero() {
+        while self.see(GroupMember::led_shard_count) > 0 && !left.is_zero() {
             sleep(step).await;
             left = left.saturating_sub(step);
         }
@@ -473,15 +481,15 @@
         .collect()
 }
 
-type Opened = (Store<Folder>, Recovered, Option<String>);
+type Opened = (Store<FolderDisk>, Recovered, Option<String>);
 
 /// Opens a folder. What cannot be believed is set aside, and told.
 fn open(folder: &std::path::Path, testing: Option<&PathBuf>) -> Result<Opened, String> {
     let at = |why: &dyn std::fmt::Display| format!("{}: {why}", folder.display());
     let disk = || {
-        let disk = Folder::open(folder).map_err(|why| at(&why))?;
+        let disk = FolderDisk::open(folder).map_err(|why| at(&why))?;
         Ok::<_, String>(match testing {
-            Some(file) => disk.troubled(testing::trouble(file.clone())),
+            Some(file) => disk.with_fault_hook(fault_injection::trouble(file.clone())),
             None => disk,
         })
     };
@@ -490,7 +498,7 @@
         Err(OpenError::Io(why)) => Err(at(&why)),
         Err(OpenError::Damaged(damage)) => {
             let mut anew = disk()?;
-            anew.set_aside().map_err(|why| at(&why))?;
+            anew.quarantine().map_err(|why| at(&why))?;
             let (store, recovered) =
                 Store::open(anew, limits(), draws()).map_err(|why| at(&why))?;
             Ok((store, recovered, Some(damage.to_string())))
@@ -501,12 +509,12 @@
 fn member(
     settings: &schema::Group,
     name: &str,
-    store: &Store<Folder>,
+    store: &Store<FolderDisk>,
     recovered: &Recovered,
     now: Duration,
-) -> Result<Member, String> {
+) -> Result<GroupMember, String> {
     let span = Duration::from_nanos;
-    let options = Options {
+    let options = MemberConfig {
         group: settings.name.clone(),
         name: name.to_owned(),
         members: of(&settings.members),
@@ -521,10 +529,10 @@
         },
         moves: settings.moves as usize,
         keys: settings.keys as usize,
-        compact: COMPACT,
+        compact: DEFAULT_COMPACTION_ENTRIES,
         seed: draws()[0],
     };
-    Ok(Member::new(
+    Ok(GroupMember::new(
         options,
         found(store.identity(), recovered)?,
         now,
@@ -534,14 +542,14 @@
 /// The member's time.
 async fn tick(group: Rc<Group>) {
     loop {
-        let wake = group.see(Member::wake);
+        let wake = group.see(GroupMember::next_deadline);
         let left = wake.saturating_sub(group.clock.now());
         let left = group.clock.real(left).clamp(SLEEPS[1], SLEEPS[0]);
         tokio::select! {
             () = sleep(left) => {}
             () = group.again.notified() => {}
         }
-        if group.see(|member| member.wake() <= group.clock.now()) {
+        if group.see(|member| member.next_deadline() <= group.clock.now()) {
             group.drive(|member, now| member.tick(now));
         }
     }
@@ -559,23 +567,23 @@
 }
 
 /// What the disk's thread says.
-async fn written(group: Rc<Group>, mut told: mpsc::UnboundedReceiver<(u64, Done)>) {
+async fn written(group: Rc<Group>, mut told: mpsc::UnboundedReceiver<(u64, WriteOutcome)>) {
     while let Some((disk, done)) = told.recv().await {
         if disk != group.disk.get() {
             continue;
         }
         match done {
-            Done::Up { to, pressing } => {
+            WriteOutcome::Durable { to, pressing } => {
                 group.flushes.set(group.flushes.get() + 1);
                 group.drive(|member, now| {
-                    member.written(now, to);
+                    member.on_persisted(now, to);
                     if !pressing.is_empty() {
                         member.pressing(now, &pressing);
                     }
                 });
             }
-            Done::Failed(why) => {
-                (group.log)(&News::DiskFailed { why: why.clone() });
+            WriteOutcome::Failed(why) => {
+                (group.log)(&GroupEvent::DiskFailed { why: why.clone() });
                 group.fail(why);
             }
         }
--- a/crates/cluster/src/testing.rs
+++ b/crates/cluster/src/fault_injection.rs
@@ -4,7 +4,7 @@
 //! by which it jumps half a second later) and before each flush (`flush-fails`, `disk-full`, `disk-slow MS`). Where the
 //! configuration does not say `testing`, a program that is told of such a file does not start.
 
-use rainstand_storage::disk::Trouble;
+use rainstand_storage::disk::FaultHook;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -103,7 +103,7 @@
 }
 
 /// What the disk does, as the file says at that moment.
-pub fn trouble(file: PathBuf) -> Trouble {
+pub fn trouble(file: PathBuf) -> FaultHook {
     Arc::new(move || {
         let text = std::fs::read_to_string(&file).unwrap_or_default();
         for line in text.lines() {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -21,13 +21,13 @@
     reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
 )]
 
-pub mod attach;
-pub mod disk;
-pub mod host;
-pub mod links;
+pub mod attachment;
+pub mod config_server;
+pub mod driver;
+pub mod fault_injection;
+pub mod persistence;
 pub mod recovery;
-pub mod serve;
 pub mod status;
-pub mod testing;
+pub mod transport;
 
-pub use host::{Group, Setup};
+pub use driver::{Group, Setup};
--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/persistence.rs
@@ -3,9 +3,10 @@
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
 use rainstand_raft::{Entry, HardState, PersistentState};
-use rainstand_replicated_state::frames::{Form, Witness};
+use rainstand_replicated_state::frames::{BootstrapConfig, PeerIncarnations};
 use rainstand_replicated_state::member::{
-    Found, Write, NOTE_FORM, NOTE_GENERATION, NOTE_NAME, NOTE_WITNESS,
+    PersistentWrite, RecoveredState, METADATA_BOOTSTRAP, METADATA_GENERATION, METADATA_MEMBER_NAME,
+    METADATA_PEER_INCARNATIONS,
 };
 use rainstand_storage::{Disk, Identity, Record, Recovered, Store};
 use std::io;
@@ -14,17 +15,17 @@
 ///
 /// # Errors
 /// Which record cannot be read.
-pub fn found(identity: &Identity, recovered: &Recovered) -> Result<Found, String> {
-    let mut found = Found {
+pub fn found(identity: &Identity, recovered: &Recovered) -> Result<RecoveredState, String> {
+    let mut found = RecoveredState {
         disk: identity.disk,
-        boot: identity.boot,
+        incarnation: identity.boot,
         nonce: identity.nonce,
-        ..Found::default()
+        ..RecoveredState::default()
     };
     for (shard, one) in &recovered.shards {
         let flaw = |what: &str, why: prost::DecodeError| format!("shard {shard}: {what}: {why}");
         let mut state = PersistentState::default();
-        if let Some(data) = &one.hard {
+        if let Some(data) = &one.hard_state {
             state.hard_state =
                 HardState::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
         }
@@ -44,35 +45,38 @@
         }
         found.shards.insert(*shard, state);
     }
-    let note = |number: u16| recovered.notes.get(&number);
-    if let Some(data) = note(NOTE_FORM) {
-        found.form = Some(Form::decode(&data[..]).map_err(|why| format!("first members: {why}"))?);
+    let note = |number: u16| recovered.metadata.get(&number);
+    if let Some(data) = note(METADATA_BOOTSTRAP) {
+        found.bootstrap = Some(
+            BootstrapConfig::decode(&data[..]).map_err(|why| format!("first members: {why}"))?,
+        );
     }
     // Without it old copies of other disks are told later, not never.
-    found.witness = note(NOTE_WITNESS).and_then(|data| Witness::decode(&data[..]).ok());
-    found.name = note(NOTE_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
-    let generation = note(NOTE_GENERATION).and_then(|data| data[..].try_into().ok());
+    found.peer_incarnations =
+        note(METADATA_PEER_INCARNATIONS).and_then(|data| PeerIncarnations::decode(&data[..]).ok());
+    found.name = note(METADATA_MEMBER_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
+    let generation = note(METADATA_GENERATION).and_then(|data| data[..].try_into().ok());
     found.generation = generation.map_or(0, u64::from_le_bytes);
     Ok(found)
 }
 
 /// A write as a record; none for a snapshot, which is saved.
-pub fn record(write: &Write) -> Option<Record> {
+pub fn record(write: &PersistentWrite) -> Option<Record> {
     Some(match write {
-        Write::Hard { shard, hard } => Record::Hard {
+        PersistentWrite::HardState { shard, hard } => Record::HardState {
             shard: *shard,
             data: hard.encode_to_vec(),
         },
-        Write::Entry { shard, entry } => Record::Entry {
+        PersistentWrite::Entry { shard, entry } => Record::Entry {
             shard: *shard,
             index: entry.index,
             data: entry.encode_to_vec(),
         },
-        Write::Note { number, data } => Record::Note {
+        PersistentWrite::Metadata { number, data } => Record::Metadata {
             number: *number,
             data: data.to_vec(),
         },
-        Write::Save { .. } => return None,
+        PersistentWrite::InstallSnapshot { .. } => return None,
     })
 }
 
@@ -80,14 +84,14 @@
 ///
 /// # Errors
 /// If the disk fails.
-pub fn put<D: Disk>(store: &mut Store<D>, write: &Write) -> io::Result<()> {
-    if let Write::Save {
+pub fn put<D: Disk>(store: &mut Store<D>, write: &PersistentWrite) -> io::Result<()> {
+    if let PersistentWrite::InstallSnapshot {
         shard,
         snapshot,
         alone,
     } = write
     {
-        return store.save(
+        return store.install_snapshot(
             *shard,
             snapshot.metadata.index,
             &snapshot.encode_to_vec(),
@@ -95,7 +99,7 @@
         );
     }
     if let Some(record) = record(write) {
-        store.put(&record);
+        store.append(&record);
     }
     Ok(())
 }
--- a/crates/cluster/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -4,14 +4,14 @@
 //! here and may be affected is written down: keys that were started and have no end. The generation goes up, so that a
 //! disk of before that comes back is set aside instead of electing others of its kind.
 
-use crate::disk::found;
+use crate::persistence::found;
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
 use rainstand_raft::{EntryKind, Membership, SnapshotMetadata};
-use rainstand_replicated_state::frames::{Form, Formed};
-use rainstand_replicated_state::keys::{Command, Table};
-use rainstand_replicated_state::member::{NOTE_FORM, NOTE_GENERATION};
-use rainstand_storage::{Folder, Limits, OpenError, Record, Store};
+use rainstand_replicated_state::frames::{BootstrapConfig, BootstrapMember};
+use rainstand_replicated_state::idempotency::{Command, IdempotencyTable};
+use rainstand_replicated_state::member::{METADATA_BOOTSTRAP, METADATA_GENERATION};
+use rainstand_storage::{FolderDisk, OpenError, Record, Store, StoreLimits};
 use serde::Serialize;
 use std::path::Path;
 
@@ -48,14 +48,14 @@
 /// # Errors
 /// If the folder is in use, damaged, or holds no member's disk.
 pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<Lost, String> {
-    let mut disk = Folder::open(folder).map_err(|why| why.to_string())?;
+    let mut disk = FolderDisk::open(folder).map_err(|why| why.to_string())?;
     let (identity, recovered) =
         rainstand_storage::store::recover(&mut disk).map_err(|why| why.to_string())?;
     let Some(identity) = identity else {
         return Err("no disk of a member".into());
     };
     let before = found(&identity, &recovered)?;
-    let Some(form) = before.form.clone() else {
+    let Some(form) = before.bootstrap.clone() else {
         return Err("its group never began".into());
     };
     let mut lost = Lost {
@@ -92,7 +92,7 @@
         let Some(snapshot) = &state.snapshot else {
             continue;
         };
-        let mut table = Table::new(usize::MAX, 0);
+        let mut table = IdempotencyTable::new(usize::MAX, 0);
         if !snapshot.data.is_empty() {
             table
                 .restore(snapshot.data.clone())
@@ -124,7 +124,7 @@
             shard,
             Snapshot {
                 metadata: base,
-                data: table.keep(),
+                data: table.snapshot(),
             },
         ));
     }
@@ -132,35 +132,35 @@
         return Ok(lost);
     }
     drop(disk);
-    let open = || -> Result<Store<Folder>, OpenError> {
-        let disk = Folder::open(folder)?;
+    let open = || -> Result<Store<FolderDisk>, OpenError> {
+        let disk = FolderDisk::open(folder)?;
         Ok(Store::open(
             disk,
-            Limits::default(),
+            StoreLimits::default(),
             [identity.disk, identity.nonce ^ identity.boot],
         )?
         .0)
     };
     let mut store = open().map_err(|why| why.to_string())?;
-    let alone = Form {
-        members: vec![Formed {
+    let alone = BootstrapConfig {
+        members: vec![BootstrapMember {
             name: name.to_owned(),
             site: String::new(),
             disk: identity.disk,
         }],
         ..form
     };
-    store.put(&Record::Note {
-        number: NOTE_FORM,
+    store.append(&Record::Metadata {
+        number: METADATA_BOOTSTRAP,
         data: alone.encode_to_vec(),
     });
-    store.put(&Record::Note {
-        number: NOTE_GENERATION,
+    store.append(&Record::Metadata {
+        number: METADATA_GENERATION,
         data: lost.generation.to_le_bytes().to_vec(),
     });
     for (shard, snapshot) in saves {
         store
-            .save(
+            .install_snapshot(
                 shard,
                 snapshot.metadata.index,
                 &snapshot.encode_to_vec(),
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -1,8 +1,8 @@
 //! What operators are told, by any member: one question in a frame, one answer in JSON (or text, for metrics; or the
 //! published configuration, packed). A version to be published comes in a frame of its own.
 
-use crate::host::Group;
-use crate::serve::{Serving, LISTED};
+use crate::config_server::{Serving, LISTED};
+use crate::driver::Group;
 use bytes::Bytes;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::ConstCounter;
@@ -11,8 +11,8 @@
 use prost::Message as _;
 use rainstand_config_distribution::snapshot;
 use rainstand_raft::Role;
-use rainstand_replicated_state::keys::{Command, Told, What};
-use rainstand_replicated_state::member::Member;
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation};
+use rainstand_replicated_state::member::GroupMember;
 use rainstand_replicated_state::versions::Publish;
 use serde_json::{json, Value};
 use std::cell::Cell;
@@ -53,18 +53,18 @@
 pub async fn published(group: &Rc<Group>, publish: Publish) -> Vec<u8> {
     let to = publish.from + 1;
     let told = match commit(group, publish).await {
-        Ok(Told::Noted) => json!({"committed": to}),
-        Ok(Told::Conflict(why)) => json!({"conflict": String::from_utf8_lossy(&why)}),
-        Ok(Told::UpdateError(why)) => json!({"refused": String::from_utf8_lossy(&why)}),
+        Ok(ClaimOutcome::Recorded) => json!({"committed": to}),
+        Ok(ClaimOutcome::Conflict(why)) => json!({"conflict": String::from_utf8_lossy(&why)}),
+        Ok(ClaimOutcome::Rejected(why)) => json!({"refused": String::from_utf8_lossy(&why)}),
         Ok(other) => json!({"refused": outcome_word(&other)}),
         Err(why) => json!({"unknown": why}),
     };
     told.to_string().into()
 }
 
-async fn commit(group: &Rc<Group>, mut publish: Publish) -> Result<Told, &'static str> {
+async fn commit(group: &Rc<Group>, mut publish: Publish) -> Result<ClaimOutcome, &'static str> {
     if group.serving().is_none() {
-        return Ok(Told::UpdateError(
+        return Ok(ClaimOutcome::Rejected(
             "this member is no control machine".into(),
         ));
     }
@@ -76,7 +76,7 @@
     let command = Command {
         key: Bytes::from_static(b"configuration"),
         claim,
-        what: Some(What::Publish(publish)),
+        operation: Some(Operation::Publish(publish)),
     };
     let (send, told) = oneshot::channel();
     let send = Cell::new(Some(send));
@@ -86,7 +86,7 @@
         }
     };
     if group.ask(command, COMMITS, Rc::new(tell)).is_none() {
-        return Ok(Told::UpdateError(
+        return Ok(ClaimOutcome::Rejected(
             "this member takes no questions now".into(),
         ));
     }
@@ -120,7 +120,7 @@
         ("status", _) => status(group).to_string(),
         ("members", _) => members(group).to_string(),
         ("why", key) => why(group, key).to_string(),
-        ("versions", most) => versions(group, most.parse().unwrap_or(16)).to_string(),
+        ("versions", most) => published_changed(group, most.parse().unwrap_or(16)).to_string(),
         ("metrics", _) => metrics(group),
         (other, _) => {
             json!({"error": format!("{other:.40} is no question: status, members, why KEY, versions, whole, metrics")})
@@ -130,19 +130,19 @@
 }
 
 /// An outcome as the JSON output names it.
-fn outcome_word(outcome: &Told) -> &'static str {
+fn outcome_word(outcome: &ClaimOutcome) -> &'static str {
     match outcome {
-        Told::Granted => "Granted",
-        Told::Known(_) => "Known",
-        Told::Running => "Running",
-        Told::Uncertain => "Uncertain",
-        Told::Other => "Other",
-        Told::Withdrawn => "Withdrawn",
-        Told::Full => "Full",
-        Told::Noted => "Noted",
-        Told::Gone => "Gone",
-        Told::Conflict(_) => "Conflict",
-        Told::UpdateError(_) => "Refused",
+        ClaimOutcome::Granted => "Granted",
+        ClaimOutcome::Completed(_) => "Known",
+        ClaimOutcome::InProgress => "Running",
+        ClaimOutcome::Indeterminate => "Uncertain",
+        ClaimOutcome::KeyMismatch => "Other",
+        ClaimOutcome::Withdrawn => "Withdrawn",
+        ClaimOutcome::CapacityExceeded => "Full",
+        ClaimOutcome::Recorded => "Noted",
+        ClaimOutcome::NotHeld => "Gone",
+        ClaimOutcome::Conflict(_) => "Conflict",
+        ClaimOutcome::Rejected(_) => "Refused",
     }
 }
 
@@ -162,7 +162,7 @@
 }
 
 /// A disk's name as this member knows it.
-fn name_of(member: &Member, disk: u64) -> Value {
+fn name_of(member: &GroupMember, disk: u64) -> Value {
     if disk == member.disk() {
         return member.name().into();
     }
@@ -204,12 +204,12 @@
                     "keys": table.len(), "aged": table.aged(), "members": of, "peers": peers})
             })
             .collect();
-        let (known, of) = member.led();
-        json!({"name": member.name(), "disk": id(member.disk()), "stopped": member.stopped(),
+        let (known, of) = member.known_leaders();
+        json!({"name": member.name(), "disk": id(member.disk()), "stopped": member.is_stopped(),
             "failed": *group.failed.borrow(), "set_asides": group.set_asides.get(), "flushes": group.flushes.get(),
-            "unwritten": member.unwritten(), "questions": member.open_questions(),
-            "turned_away": member.turned_away, "shards_with_leader": known, "shards_in_all": of,
-            "leads": member.leading(), "commit_ms": {"median": at(0.5), "p99": at(0.99)}, "shards": shards})
+            "unwritten": member.pending_writes(), "questions": member.pending_request_count(),
+            "turned_away": member.rejected_requests, "shards_with_leader": known, "shards_in_all": of,
+            "leads": member.led_shard_count(), "commit_ms": {"median": at(0.5), "p99": at(0.99)}, "shards": shards})
     })
 }
 
@@ -231,12 +231,12 @@
     // A key is written as its type and what it is about, with a slash between.
     let key = key.replacen('/', "\0", 1);
     group.see(|member| {
-        let (shard, row) = member.row(key.as_bytes());
+        let (shard, row) = member.key_state(key.as_bytes());
         let copy = member.shards().find(|one| one.0 == shard).map(|(_, replica, table)| {
             json!({"applied": replica.applied(), "commit": replica.commit(), "log_time_ms": table.stamp() / 1_000_000})
         });
         let row = row.map(|row| {
-            json!({"state": row.word(), "holder": id(row.holder()), "holder_name": name_of(member, row.holder()),
+            json!({"state": row.state_name(), "holder": id(row.holder()), "holder_name": name_of(member, row.holder()),
                 "result_bytes": row.result().len(), "until_log_ms": row.until() / 1_000_000})
         });
         json!({"shard": shard, "copy_here": copy, "key": row, "asked": member.name(),
@@ -246,7 +246,7 @@
 }
 
 /// Published versions, and how far the processes that are attached here are.
-fn versions(group: &Group, most: usize) -> Value {
+fn published_changed(group: &Group, most: usize) -> Value {
     let members: Vec<Value> = group
         .members()
         .iter()
--- a/crates/cluster/src/links.rs
+++ b/crates/cluster/src/transport.rs
@@ -4,8 +4,8 @@
 //! Bounds: a frame has at most [`FRAME`] bytes, what waits for a link at most [`WAITS`]; a link that takes nothing is ended,
 //! and what was on it is lost, as on any network.
 
-use crate::host::Group;
-use crate::{serve, status};
+use crate::driver::Group;
+use crate::{config_server, status};
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_protocol::thrift::frame_within;
@@ -175,7 +175,7 @@
                         first,
                     }) = attaches
                     {
-                        serve::attached(&group, stream, back, first).await;
+                        config_server::attached(&group, stream, back, first).await;
                     }
                 });
             }
--- a/crates/cluster/tests/golden.rs
+++ b/crates/cluster/tests/golden.rs
@@ -12,12 +12,12 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use rainstand_cluster::links::whole;
+use rainstand_cluster::transport::whole;
 use rainstand_cluster::{recovery, status};
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes, WRITE_VARIABLE};
 use rainstand_replicated_state::frames::Frame;
-use rainstand_replicated_state::keys::{Register, Told, What};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Operation, Register};
 use rainstand_replicated_state::versions::Publish;
 use std::path::{Path, PathBuf};
 use world::{known, start, world, Running, World};
@@ -42,8 +42,8 @@
         member.tell(|group| group.see(|member| member.published().unwrap().0.state().clone()));
     let publish = Publish::of(&state, from, &configuration(tenants)).unwrap();
     assert_eq!(
-        member.ask_until_told(9, "configuration", &What::Publish(publish)),
-        Told::Noted
+        member.ask_until_told(9, "configuration", &Operation::Publish(publish)),
+        ClaimOutcome::Recorded
     );
 }
 
@@ -52,27 +52,30 @@
     let member = w.up("n1");
     w.all_led(&[&member]);
     for key in ["known", "uncertain", "started", "withdrawn"] {
-        assert_eq!(member.ask_until_told(1, key, &start()), Told::Granted);
+        assert_eq!(
+            member.ask_until_told(1, key, &start()),
+            ClaimOutcome::Granted
+        );
     }
     assert_eq!(
-        member.ask_until_told(1, "known", &What::Done("R".into())),
-        Told::Noted
+        member.ask_until_told(1, "known", &Operation::Done("R".into())),
+        ClaimOutcome::Recorded
     );
     assert_eq!(
-        member.ask_until_told(1, "uncertain", &What::Failed(true)),
-        Told::Noted
+        member.ask_until_told(1, "uncertain", &Operation::Failed(true)),
+        ClaimOutcome::Recorded
     );
     assert_eq!(
-        member.ask_until_told(1, "withdrawn", &What::Withdraw(true)),
-        Told::Noted
+        member.ask_until_told(1, "withdrawn", &Operation::Withdraw(true)),
+        ClaimOutcome::Recorded
     );
     let register = Register {
         version: 3,
         data: Bytes::from_static(b"value"),
     };
     assert_eq!(
-        member.ask_until_told(1, "register", &What::Set(register)),
-        Told::Noted
+        member.ask_until_told(1, "register", &Operation::Set(register)),
+        ClaimOutcome::Recorded
     );
     publish(&member, 0, 1);
     publish(&member, 1, 2);
@@ -80,10 +83,13 @@
     // Writes the snapshots.
     recovery::recover(&w.folder(0), "n1", true).unwrap();
     let member = w.up("n1");
-    assert_eq!(member.ask_until_told(2, "late", &start()), Told::Granted);
     assert_eq!(
-        member.ask_until_told(2, "late", &What::Done("L".into())),
-        Told::Noted
+        member.ask_until_told(2, "late", &start()),
+        ClaimOutcome::Granted
+    );
+    assert_eq!(
+        member.ask_until_told(2, "late", &Operation::Done("L".into())),
+        ClaimOutcome::Recorded
     );
     publish(&member, 2, 3);
 }
@@ -122,9 +128,12 @@
     assert_eq!(member.ask_until_told(7, "late", &start()), known("L"));
     assert_eq!(
         member.ask_until_told(7, "uncertain", &start()),
-        Told::Uncertain
+        ClaimOutcome::Indeterminate
+    );
+    assert_eq!(
+        member.ask_until_told(7, "started", &start()),
+        ClaimOutcome::InProgress
     );
-    assert_eq!(member.ask_until_told(7, "started", &start()), Told::Running);
     let identity: serde_json::Value =
         serde_json::from_slice(&std::fs::read(stored.join("identity")).unwrap()).unwrap();
     let (disk, register, version, published) = member.tell(|group| {
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -11,7 +11,7 @@
 mod world;
 
 use rainstand_cluster::{recovery, Group};
-use rainstand_replicated_state::keys::{Told, What};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Operation};
 use std::time::{Duration, Instant};
 use world::{known, start, world, HANGS};
 
@@ -20,20 +20,32 @@
     let w = world(3);
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
-    assert_eq!(n1.ask_until_told(1, "a", &start()), Told::Granted);
-    assert_eq!(n2.ask_until_told(2, "a", &start()), Told::Running);
+    assert_eq!(n1.ask_until_told(1, "a", &start()), ClaimOutcome::Granted);
     assert_eq!(
-        n1.ask_until_told(1, "a", &What::Done("R".into())),
-        Told::Noted
+        n2.ask_until_told(2, "a", &start()),
+        ClaimOutcome::InProgress
+    );
+    assert_eq!(
+        n1.ask_until_told(1, "a", &Operation::Done("R".into())),
+        ClaimOutcome::Recorded
     );
     assert_eq!(n3.ask_until_told(3, "a", &start()), known("R"));
     // One is gone, and comes back with its disk; the others go on without it.
     drop(n2);
-    assert_eq!(n3.ask_until_told(4, "b", &start()), Told::Granted);
+    assert_eq!(n3.ask_until_told(4, "b", &start()), ClaimOutcome::Granted);
     let n2 = w.up("n2");
-    assert_eq!(n2.ask_until_told(5, "b", &start()), Told::Running);
-    assert_eq!(n3.ask_until_told(4, "b", &What::Failed(true)), Told::Noted);
-    assert_eq!(n2.ask_until_told(5, "b", &start()), Told::Uncertain);
+    assert_eq!(
+        n2.ask_until_told(5, "b", &start()),
+        ClaimOutcome::InProgress
+    );
+    assert_eq!(
+        n3.ask_until_told(4, "b", &Operation::Failed(true)),
+        ClaimOutcome::Recorded
+    );
+    assert_eq!(
+        n2.ask_until_told(5, "b", &start()),
+        ClaimOutcome::Indeterminate
+    );
     // All at once.
     drop((n1, n2, n3));
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
@@ -52,10 +64,13 @@
     w.all_led(&[&n1, &n2, &n3]);
     // What timed out is taken back, whether or not it was written meanwhile.
     let begun = Instant::now();
-    while n2.ask_until_told(2, "a", &start()) != Told::Granted {
+    while n2.ask_until_told(2, "a", &start()) != ClaimOutcome::Granted {
         assert!(begun.elapsed() < HANGS, "the key is blocked");
     }
-    assert_eq!(n1.ask_until_told(1, "a", &start()), Told::Running);
+    assert_eq!(
+        n1.ask_until_told(1, "a", &start()),
+        ClaimOutcome::InProgress
+    );
 }
 
 #[test]
@@ -66,11 +81,11 @@
     for n in 0..20 {
         assert_eq!(
             n1.ask_until_told(n, &format!("k{n}"), &start()),
-            Told::Granted
+            ClaimOutcome::Granted
         );
         assert_eq!(
-            n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())),
-            Told::Noted
+            n1.ask_until_told(n, &format!("k{n}"), &Operation::Done("R".into())),
+            ClaimOutcome::Recorded
         );
     }
     drop(n3);
@@ -108,20 +123,20 @@
     let w = world(3);
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
-    assert_eq!(n2.ask_until_told(1, "a", &start()), Told::Granted);
+    assert_eq!(n2.ask_until_told(1, "a", &start()), ClaimOutcome::Granted);
     assert_eq!(
-        n2.ask_until_told(1, "a", &What::Done("R".into())),
-        Told::Noted
+        n2.ask_until_told(1, "a", &Operation::Done("R".into())),
+        ClaimOutcome::Recorded
     );
-    assert_eq!(n2.ask_until_told(2, "b", &start()), Told::Granted);
+    assert_eq!(n2.ask_until_told(2, "b", &start()), ClaimOutcome::Granted);
     // n1 must have it all before it is the only one.
     let begun = Instant::now();
     let has = |group: &Group, key: &str, word: &str| {
         group.see(|member| {
             member
-                .row(key.as_bytes())
+                .key_state(key.as_bytes())
                 .1
-                .is_some_and(|row| row.word() == word)
+                .is_some_and(|row| row.state_name() == word)
         })
     };
     while !n1.tell(move |group| has(group, "a", "known") && has(group, "b", "started")) {
@@ -140,7 +155,10 @@
     recovery::recover(&w.folder(0), "n1", true).unwrap();
     let n1 = w.up("n1");
     assert_eq!(n1.ask_until_told(4, "a", &start()), known("R"));
-    assert_eq!(n1.ask_until_told(4, "b", &start()), Told::Running);
+    assert_eq!(
+        n1.ask_until_told(4, "b", &start()),
+        ClaimOutcome::InProgress
+    );
     // n2 comes with an empty disk, n3 with its old one, which is set aside: both learn anew.
     let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
     assert_eq!(n2.ask_until_told(5, "a", &start()), known("R"));
@@ -160,11 +178,11 @@
     for n in 0..20 {
         assert_eq!(
             n1.ask_until_told(n, &format!("k{n}"), &start()),
-            Told::Granted
+            ClaimOutcome::Granted
         );
         assert_eq!(
-            n1.ask_until_told(n, &format!("k{n}"), &What::Done("R".into())),
-            Told::Noted
+            n1.ask_until_told(n, &format!("k{n}"), &Operation::Done("R".into())),
+            ClaimOutcome::Recorded
         );
     }
     w.group = all.clone();
@@ -188,7 +206,7 @@
             .collect();
         (0..4)
             .filter(|s| {
-                rainstand_replicated_state::layout::holders(&names, *s, 3)
+                rainstand_replicated_state::placement::holders(&names, *s, 3)
                     .iter()
                     .any(|k| names[*k].0 == "n4")
             })
@@ -221,10 +239,10 @@
     let w = world(3);
     let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
     w.all_led(&[&n1, &n2, &n3]);
-    assert_eq!(n1.ask_until_told(1, "a", &start()), Told::Granted);
+    assert_eq!(n1.ask_until_told(1, "a", &start()), ClaimOutcome::Granted);
     assert_eq!(
-        n1.ask_until_told(1, "a", &What::Done("R".into())),
-        Told::Noted
+        n1.ask_until_told(1, "a", &Operation::Done("R".into())),
+        ClaimOutcome::Recorded
     );
     drop((n2, n3));
     for file in std::fs::read_dir(w.folder(2)).unwrap() {
--- a/crates/cluster/tests/world/mod.rs
+++ b/crates/cluster/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 use rainstand_cluster::{Group, Setup};
 use rainstand_config::schema;
-use rainstand_replicated_state::keys::{Command, Start, Told, What};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -75,7 +75,7 @@
             drop((local, runtime));
             // The disk's own thread ends once nobody gives it anything.
             let begun = Instant::now();
-            while rainstand_storage::Folder::open(Path::new(&folder)).is_err() {
+            while rainstand_storage::FolderDisk::open(Path::new(&folder)).is_err() {
                 assert!(begun.elapsed() < HANGS, "the disk is not free");
                 std::thread::yield_now();
             }
@@ -97,14 +97,20 @@
     }
 
     /// What a command is told first; none if its time was over.
-    pub fn ask(&self, trace: u8, key: &str, what: What, within: Duration) -> Option<Told> {
+    pub fn ask(
+        &self,
+        trace: u8,
+        key: &str,
+        what: Operation,
+        within: Duration,
+    ) -> Option<ClaimOutcome> {
         let key = key.to_owned();
-        let told = self.on(move |group, answer: Sender<Option<Told>>| {
+        let told = self.on(move |group, answer: Sender<Option<ClaimOutcome>>| {
             let claim = group.see(|member| member.claim(&[trace; 16]));
             let command = Command {
                 key: key.into_bytes().into(),
                 claim,
-                what: Some(what),
+                operation: Some(what),
             };
             let back = answer.clone();
             if group
@@ -118,7 +124,7 @@
     }
 
     /// The same until something is told.
-    pub fn ask_until_told(&self, trace: u8, key: &str, what: &What) -> Told {
+    pub fn ask_until_told(&self, trace: u8, key: &str, what: &Operation) -> ClaimOutcome {
         let begun = Instant::now();
         loop {
             if let Some(told) = self.ask(trace, key, what.clone(), Duration::from_secs(2)) {
@@ -135,19 +141,19 @@
     }
 
     pub fn leads(&self) -> usize {
-        self.tell(|group| group.see(|member| member.leading()))
+        self.tell(|group| group.see(|member| member.led_shard_count()))
     }
 }
 
-pub fn start() -> What {
-    What::Start(Start {
+pub fn start() -> Operation {
+    Operation::Start(Start {
         sum: 1,
         window: 60_000_000_000,
     })
 }
 
-pub fn known(result: &'static str) -> Told {
-    Told::Known(result.into())
+pub fn known(result: &'static str) -> ClaimOutcome {
+    ClaimOutcome::Completed(result.into())
 }
 
 pub struct World {
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use rainstand::Outcome;
 use rainstand_cluster::{Group, Setup};
-use rainstand_replicated_state::keys::{Command, Start, Told, What};
-use rainstand_replicated_state::member::News;
-use rainstand_replicated_state::tickets::{step, Act, End, Event, Stage};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
+use rainstand_replicated_state::idempotent_request::{step, Act, End, Event, Stage};
+use rainstand_replicated_state::member::GroupEvent;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -138,12 +138,18 @@
 }
 
 /// Lines of the log: each has its code.
-fn tell(news: &News) {
+fn tell(news: &GroupEvent) {
     match news {
-        News::Formed { members } => note!("group_formed", "the group begins", members = members),
-        News::Leads { shard, term } => note!("shard_leads", "leads", shard = shard, term = term),
-        News::LeadsNoMore { shard } => note!("shard_leads_no_more", "leads no more", shard = shard),
-        News::Members { shard, config } => {
+        GroupEvent::Formed { members } => {
+            note!("group_formed", "the group begins", members = members)
+        }
+        GroupEvent::BecameLeader { shard, term } => {
+            note!("shard_leads", "leads", shard = shard, term = term)
+        }
+        GroupEvent::LostLeadership { shard } => {
+            note!("shard_leads_no_more", "leads no more", shard = shard)
+        }
+        GroupEvent::MembershipChanged { shard, config } => {
             note!(
                 "shard_members",
                 "members of a shard",
@@ -151,7 +157,7 @@
                 what = config
             );
         }
-        News::Differs { shard, differs } => note!(
+        GroupEvent::Diverged { shard, differs } => note!(
             "copy_differs",
             "this copy differs from most others: its files are set aside",
             shard = shard,
@@ -160,21 +166,21 @@
                 differs.index, differs.own_checksum, differs.majority_checksum
             )
         ),
-        News::OldCopy { why } => {
+        GroupEvent::StaleDisk { why } => {
             note!(
                 "copy_set_aside",
                 "the files are set aside, and this is a new member",
                 why = why
             );
         }
-        News::OldPeer { name, disk, why } => note!(
+        GroupEvent::StalePeer { name, disk, why } => note!(
             "peer_old_copy",
             "a member came with an old copy of its disk",
             name = name,
             disk = format_args!("{disk:016x}"),
             why = why
         ),
-        News::CaughtUp { shard, index } => {
+        GroupEvent::CaughtUp { shard, index } => {
             note!(
                 "shard_caught_up",
                 "caught up by a snapshot",
@@ -182,13 +188,13 @@
                 index = index
             );
         }
-        News::DiskStandsStill => {
+        GroupEvent::DiskStalled => {
             note!(
                 "disk_stands_still",
                 "the disk stands still: nothing is confirmed here"
             )
         }
-        News::DiskFailed { why } => {
+        GroupEvent::DiskFailed { why } => {
             note!(
                 "disk_failed",
                 "the disk failed: nothing is confirmed here until a new start",
@@ -203,17 +209,17 @@
         &self.group
     }
 
-    fn command(&self, trace: &Trace, key: &Bytes, what: What) -> Command {
+    fn command(&self, trace: &Trace, key: &Bytes, what: Operation) -> Command {
         let claim = self.group.see(|member| member.claim(trace));
         Command {
             key: key.clone(),
             claim,
-            what: Some(what),
+            operation: Some(what),
         }
     }
 
     /// Something that the group should know and nobody waits for.
-    fn ask_unwatched(&self, trace: &Trace, key: &Bytes, what: What) {
+    fn ask_unwatched(&self, trace: &Trace, key: &Bytes, what: Operation) {
         let command = self.command(trace, key, what);
         // Without room the key stays started until its window is over: repeats are told that it may have run.
         let _ = self.group.ask(command, UNWATCHED, Rc::new(|_| {}));
@@ -231,12 +237,12 @@
     t.run = Run::Asking;
     let left = keyed.due.saturating_duration_since(Instant::now());
     let most = Duration::from_nanos(copies.group.settings().start_within_ns);
-    let what = What::Start(Start {
+    let what = Operation::Start(Start {
         sum: keyed.sum,
         window: keyed.window.as_nanos() as u64,
     });
     let command = copies.command(&trace, &keyed.key, what);
-    let tell = move |told: Option<Told>| {
+    let tell = move |told: Option<ClaimOutcome>| {
         if let Some(hub) = hub.upgrade() {
             hub.act(|_, _, desk| {
                 if desk.ticket(ix).is_some_and(|t| t.serial == serial) {
@@ -319,9 +325,9 @@
                 owed.give_up(&counts);
             }
             let what = if act == Act::Fail {
-                What::Failed(true)
+                Operation::Failed(true)
             } else {
-                What::Withdraw(true)
+                Operation::Withdraw(true)
             };
             copies.ask_unwatched(&trace, &key, what);
             false
@@ -350,7 +356,7 @@
     };
     let (hub, kept) = (desk.hub.clone(), result.clone());
     let number = desk.keep_owed(owed);
-    let tell = move |told: Option<Told>| {
+    let tell = move |told: Option<ClaimOutcome>| {
         let Some(hub) = hub.upgrade() else { return };
         let mut core = hub.core.borrow_mut();
         let event = told.map_or(Event::TimedOut, Event::Told);
@@ -366,7 +372,7 @@
             _ => owed.give_up(&hub.counts),
         }
     };
-    let command = copies.command(&trace, key, What::Done(result));
+    let command = copies.command(&trace, key, Operation::Done(result));
     if copies.group.ask(command, left, Rc::new(tell)).is_none() {
         if let Some(owed) = desk.keeping.remove(&number) {
             owed.give_up(&desk.counts);
@@ -396,12 +402,15 @@
         sleep(OLD_LOOK).await;
         let all = std::mem::take(&mut *copies.old.borrow_mut());
         for run in all {
-            match copies.group.see(|member| member.started_here(&run.trace)) {
+            match copies
+                .group
+                .see(|member| member.key_claimed_here(&run.trace))
+            {
                 Some(key) => {
                     let what = match run.end {
-                        End::Result(result) => What::Done(result),
-                        End::Failed => What::Failed(true),
-                        End::NeverRan => What::Withdraw(true),
+                        End::Result(result) => Operation::Done(result),
+                        End::Failed => Operation::Failed(true),
+                        End::NeverRan => Operation::Withdraw(true),
                     };
                     copies.ask_unwatched(&run.trace, &key, what);
                 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -116,7 +116,7 @@
 
 impl<S: Subscriber> Layer<S> for Lines {
     fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
-        let mut told = Told::default();
+        let mut told = ClaimOutcome::default();
         event.record(&mut told);
         match self.form {
             Form::Text => (self.write)(&told.text()),
@@ -127,13 +127,13 @@
 
 /// The fields of one event.
 #[derive(Default)]
-struct Told {
+struct ClaimOutcome {
     event: String,
     words: String,
     fields: Vec<(&'static str, String)>,
 }
 
-impl Visit for Told {
+impl Visit for ClaimOutcome {
     fn record_str(&mut self, field: &Field, value: &str) {
         match field.name() {
             "event" => value.clone_into(&mut self.event),
@@ -147,7 +147,7 @@
     }
 }
 
-impl Told {
+impl ClaimOutcome {
     fn text(&self) -> String {
         let mut line = self.words.clone();
         for (name, value) in &self.fields {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -5,7 +5,7 @@
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use rainstand::{Host, Outcome};
-use rainstand_replicated_state::tickets::End;
+use rainstand_replicated_state::idempotent_request::End;
 use serde_json::Value;
 use std::time::Instant;
 
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -23,7 +23,7 @@
     reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
 )]
 
-pub mod copies;
+pub mod divergence;
 pub mod log;
 pub mod plant;
 pub mod replica;
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -1,6 +1,6 @@
 //! Elections, replication, membership, snapshots, reads.
 
-use crate::copies::{judge_divergence, DivergenceVerdict};
+use crate::divergence::{judge_divergence, DivergenceVerdict};
 use crate::log::Log;
 use crate::plant::planted;
 use crate::wire::{
--- a/crates/replicated-state/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -1,7 +1,7 @@
 //! What members send each other: protobuf, one message a frame.
 
-use crate::keys::{Command, Told};
-use crate::soft::Report;
+use crate::gossip::GossipReport;
+use crate::idempotency::{ClaimOutcome, Command};
 use bytes::Bytes;
 use rainstand_raft::{Message, ReplicaId};
 
@@ -16,17 +16,17 @@
     pub disk: ReplicaId,
     /// The start of this disk, and a draw that tells two starts under one number apart.
     #[prost(uint64, tag = "4")]
-    pub boot: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "5")]
     pub nonce: u64,
     /// Its disk holds no log of any shard.
     #[prost(bool, tag = "6")]
-    pub fresh: bool,
+    pub uninitialized: bool,
     #[prost(uint32, tag = "7")]
     pub shards: u32,
     /// How far each of its shards is.
     #[prost(message, repeated, tag = "8")]
-    pub marks: Vec<Mark>,
+    pub shard_progress: Vec<ShardProgress>,
     /// Goes up with each recovery after the loss of a majority.
     #[prost(uint64, tag = "9")]
     pub generation: u64,
@@ -34,7 +34,7 @@
 
 /// How far a copy was known to be: what it confirmed and was committed.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct Mark {
+pub struct ShardProgress {
     #[prost(uint32, tag = "1")]
     pub shard: u32,
     #[prost(uint64, tag = "2")]
@@ -45,9 +45,9 @@
 
 /// The disks with which a group begins.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Form {
+pub struct BootstrapConfig {
     #[prost(message, repeated, tag = "1")]
-    pub members: Vec<Formed>,
+    pub members: Vec<BootstrapMember>,
     #[prost(uint32, tag = "2")]
     pub shards: u32,
     #[prost(uint32, tag = "3")]
@@ -55,7 +55,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Formed {
+pub struct BootstrapMember {
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(string, tag = "2")]
@@ -76,7 +76,7 @@
 
 /// A command for a shard's leader.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Ask {
+pub struct CommandRequest {
     #[prost(uint64, tag = "1")]
     pub id: u64,
     #[prost(uint32, tag = "2")]
@@ -87,31 +87,31 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
-pub enum Word {
-    Nothing = 0,
+pub enum ResponseCode {
+    Unspecified = 0,
     Granted = 1,
-    Known = 2,
-    Running = 3,
-    Uncertain = 4,
-    Other = 5,
+    Completed = 2,
+    InProgress = 3,
+    Indeterminate = 4,
+    KeyMismatch = 5,
     Withdrawn = 6,
-    Full = 7,
-    Noted = 8,
-    Gone = 9,
+    CapacityExceeded = 7,
+    Recorded = 8,
+    NotHeld = 9,
     /// Ask the leader, or ask again later.
-    Elsewhere = 10,
+    Redirect = 10,
     /// The result says it in words.
     Conflict = 11,
-    Refused = 12,
+    Rejected = 12,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Answer {
+pub struct CommandResponse {
     #[prost(uint64, tag = "1")]
     pub id: u64,
     #[prost(uint32, tag = "2")]
     pub shard: u32,
-    #[prost(enumeration = "Word", tag = "3")]
+    #[prost(enumeration = "ResponseCode", tag = "3")]
     pub word: i32,
     #[prost(bytes = "bytes", tag = "4")]
     pub result: Bytes,
@@ -120,20 +120,20 @@
     pub leader: ReplicaId,
 }
 
-impl Answer {
-    pub fn of(id: u64, shard: u16, told: &Told) -> Self {
+impl CommandResponse {
+    pub fn of(id: u64, shard: u16, told: &ClaimOutcome) -> Self {
         let (word, result) = match told {
-            Told::Granted => (Word::Granted, Bytes::new()),
-            Told::Known(result) => (Word::Known, result.clone()),
-            Told::Running => (Word::Running, Bytes::new()),
-            Told::Uncertain => (Word::Uncertain, Bytes::new()),
-            Told::Other => (Word::Other, Bytes::new()),
-            Told::Withdrawn => (Word::Withdrawn, Bytes::new()),
-            Told::Full => (Word::Full, Bytes::new()),
-            Told::Noted => (Word::Noted, Bytes::new()),
-            Told::Gone => (Word::Gone, Bytes::new()),
-            Told::Conflict(why) => (Word::Conflict, why.clone()),
-            Told::UpdateError(why) => (Word::Refused, why.clone()),
+            ClaimOutcome::Granted => (ResponseCode::Granted, Bytes::new()),
+            ClaimOutcome::Completed(result) => (ResponseCode::Completed, result.clone()),
+            ClaimOutcome::InProgress => (ResponseCode::InProgress, Bytes::new()),
+            ClaimOutcome::Indeterminate => (ResponseCode::Indeterminate, Bytes::new()),
+            ClaimOutcome::KeyMismatch => (ResponseCode::KeyMismatch, Bytes::new()),
+            ClaimOutcome::Withdrawn => (ResponseCode::Withdrawn, Bytes::new()),
+            ClaimOutcome::CapacityExceeded => (ResponseCode::CapacityExceeded, Bytes::new()),
+            ClaimOutcome::Recorded => (ResponseCode::Recorded, Bytes::new()),
+            ClaimOutcome::NotHeld => (ResponseCode::NotHeld, Bytes::new()),
+            ClaimOutcome::Conflict(why) => (ResponseCode::Conflict, why.clone()),
+            ClaimOutcome::Rejected(why) => (ResponseCode::Rejected, why.clone()),
         };
         Self {
             id,
@@ -144,8 +144,8 @@
         }
     }
 
-    pub fn elsewhere(id: u64, shard: u16, leader: Option<ReplicaId>) -> Self {
-        let word = Word::Elsewhere.into();
+    pub fn redirect(id: u64, shard: u16, leader: Option<ReplicaId>) -> Self {
+        let word = ResponseCode::Redirect.into();
         Self {
             id,
             shard: shard.into(),
@@ -156,51 +156,51 @@
     }
 
     /// None where another is to be asked.
-    pub fn told(&self) -> Option<Told> {
+    pub fn told(&self) -> Option<ClaimOutcome> {
         Some(match self.word() {
-            Word::Granted => Told::Granted,
-            Word::Known => Told::Known(self.result.clone()),
-            Word::Running => Told::Running,
-            Word::Uncertain => Told::Uncertain,
-            Word::Other => Told::Other,
-            Word::Withdrawn => Told::Withdrawn,
-            Word::Full => Told::Full,
-            Word::Noted => Told::Noted,
-            Word::Gone => Told::Gone,
-            Word::Conflict => Told::Conflict(self.result.clone()),
-            Word::Refused => Told::UpdateError(self.result.clone()),
-            Word::Elsewhere | Word::Nothing => return None,
+            ResponseCode::Granted => ClaimOutcome::Granted,
+            ResponseCode::Completed => ClaimOutcome::Completed(self.result.clone()),
+            ResponseCode::InProgress => ClaimOutcome::InProgress,
+            ResponseCode::Indeterminate => ClaimOutcome::Indeterminate,
+            ResponseCode::KeyMismatch => ClaimOutcome::KeyMismatch,
+            ResponseCode::Withdrawn => ClaimOutcome::Withdrawn,
+            ResponseCode::CapacityExceeded => ClaimOutcome::CapacityExceeded,
+            ResponseCode::Recorded => ClaimOutcome::Recorded,
+            ResponseCode::NotHeld => ClaimOutcome::NotHeld,
+            ResponseCode::Conflict => ClaimOutcome::Conflict(self.result.clone()),
+            ResponseCode::Rejected => ClaimOutcome::Rejected(self.result.clone()),
+            ResponseCode::Redirect | ResponseCode::Unspecified => return None,
         })
     }
 }
 
 /// What a member keeps of the others, so that it knows an old copy of a disk after its own restart too.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Witness {
+pub struct PeerIncarnations {
     #[prost(message, repeated, tag = "1")]
-    pub seen: Vec<Witnessed>,
+    pub seen: Vec<PeerIncarnation>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Witnessed {
+pub struct PeerIncarnation {
     #[prost(string, tag = "1")]
     pub name: String,
     #[prost(uint64, tag = "2")]
     pub disk: ReplicaId,
     #[prost(uint64, tag = "3")]
-    pub boot: u64,
+    pub incarnation: u64,
     #[prost(uint64, tag = "4")]
     pub nonce: u64,
     #[prost(message, repeated, tag = "5")]
-    pub marks: Vec<Mark>,
+    pub shard_progress: Vec<ShardProgress>,
     /// Disks that it had before.
     #[prost(uint64, repeated, tag = "6")]
-    pub gone: Vec<ReplicaId>,
+    pub replaced_disks: Vec<ReplicaId>,
 }
 
 /// A disk is behind what it confirmed earlier: it is an old copy.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Behind {
+pub struct StaleDiskNotice {
     #[prost(uint64, tag = "1")]
     pub disk: ReplicaId,
     #[prost(string, tag = "2")]
@@ -212,17 +212,17 @@
     #[prost(message, tag = "1")]
     Hello(Hello),
     #[prost(message, tag = "2")]
-    Form(Form),
+    Form(BootstrapConfig),
     #[prost(message, tag = "3")]
     Raft(Raft),
     #[prost(message, tag = "4")]
-    Ask(Ask),
+    Ask(CommandRequest),
     #[prost(message, tag = "5")]
-    Answer(Answer),
+    Answer(CommandResponse),
     #[prost(message, tag = "6")]
-    Behind(Behind),
+    Behind(StaleDiskNotice),
     #[prost(message, tag = "7")]
-    Soft(Report),
+    Soft(GossipReport),
     /// Of a process that is attached and no member, as `rainstand-config-distribution` has it; and what it is told.
     #[prost(bytes = "bytes", tag = "8")]
     Up(Bytes),
--- a/crates/replicated-state/src/soft.rs
+++ b/crates/replicated-state/src/gossip.rs
@@ -15,27 +15,27 @@
 
 /// What one node tells of itself.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Report {
+pub struct GossipReport {
     /// The starts of its disk; later ones replace earlier ones.
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// Reports of this epoch.
     #[prost(uint64, tag = "2")]
-    pub count: u64,
+    pub sequence: u64,
     /// Charged run time by tenant, in microseconds, since the epoch began.
     #[prost(btree_map = "string, uint64", tag = "3")]
-    pub spent: BTreeMap<String, u64>,
+    pub charged_us: BTreeMap<String, u64>,
     /// What it can take more, in thousandths of a ticket at once.
     #[prost(uint64, tag = "4")]
-    pub room: u64,
+    pub spare_capacity: u64,
     /// Whose it is.
     #[prost(uint64, tag = "5")]
     pub disk: u64,
 }
 
-impl Report {
+impl GossipReport {
     /// The later of both; see the module's head.
-    pub fn join(&mut self, other: &Report) {
+    pub fn merge(&mut self, other: &GossipReport) {
         if other.epoch > self.epoch {
             *self = other.clone();
             return;
@@ -43,8 +43,8 @@
         if other.epoch < self.epoch {
             return;
         }
-        for (tenant, spent) in &other.spent {
-            let own = self.spent.entry(tenant.clone()).or_default();
+        for (tenant, spent) in &other.charged_us {
+            let own = self.charged_us.entry(tenant.clone()).or_default();
             *own = if planted("sums-twice") {
                 *own + spent
             } else {
@@ -52,28 +52,28 @@
             };
         }
         // Of two reports the later tells the room; of one report, told twice, both tell the same.
-        self.room = match other.count.cmp(&self.count) {
-            std::cmp::Ordering::Greater => other.room,
-            std::cmp::Ordering::Less => self.room,
-            std::cmp::Ordering::Equal => self.room.max(other.room),
+        self.spare_capacity = match other.sequence.cmp(&self.sequence) {
+            std::cmp::Ordering::Greater => other.spare_capacity,
+            std::cmp::Ordering::Less => self.spare_capacity,
+            std::cmp::Ordering::Equal => self.spare_capacity.max(other.spare_capacity),
         };
-        self.count = self.count.max(other.count);
+        self.sequence = self.sequence.max(other.sequence);
     }
 }
 
 /// All nodes' reports, by disk: a name that came back with another disk counts its starts anew.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Reports(BTreeMap<u64, Report>);
+pub struct GossipReports(BTreeMap<u64, GossipReport>);
 
-impl Reports {
-    pub fn join(&mut self, report: &Report) {
+impl GossipReports {
+    pub fn merge(&mut self, report: &GossipReport) {
         let disk = report.disk;
-        if report.spent.len() > TENANTS {
+        if report.charged_us.len() > TENANTS {
             return;
         }
         let room = self.0.len() < NODES;
         match self.0.get_mut(&disk) {
-            Some(known) => known.join(report),
+            Some(known) => known.merge(report),
             None if room => {
                 self.0.insert(disk, report.clone());
             }
@@ -81,7 +81,7 @@
         }
     }
 
-    pub fn get(&self, disk: u64) -> Option<&Report> {
+    pub fn get(&self, disk: u64) -> Option<&GossipReport> {
         self.0.get(&disk)
     }
 
@@ -90,25 +90,25 @@
         self.0.retain(|disk, _| known(*disk));
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (u64, &Report)> {
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &GossipReport)> {
         self.0.iter().map(|(disk, report)| (*disk, report))
     }
 }
 
 /// One reader's view: what was added since it looked last, and who is too old to count.
 #[derive(Clone, Debug, Default)]
-pub struct Reader {
-    seen: BTreeMap<u64, (Report, Duration)>,
+pub struct GossipReader {
+    seen: BTreeMap<u64, (GossipReport, Duration)>,
 }
 
-impl Reader {
+impl GossipReader {
     /// What the others charged each tenant since the last look, in microseconds. A node whose reports have not moved
     /// for `stale` adds nothing, and neither does its first report after that: when it was spent is not known.
-    pub fn added(
+    pub fn charges_since_last_read(
         &mut self,
         now: Duration,
         me: u64,
-        reports: &Reports,
+        reports: &GossipReports,
         stale: Duration,
     ) -> BTreeMap<String, u64> {
         let mut added = BTreeMap::new();
@@ -118,13 +118,13 @@
                 self.seen.insert(node, (report.clone(), now));
                 continue;
             };
-            if (seen.epoch, seen.count) == (report.epoch, report.count) {
+            if (seen.epoch, seen.sequence) == (report.epoch, report.sequence) {
                 continue;
             }
             if now.saturating_sub(*at) <= stale {
-                for (tenant, spent) in &report.spent {
+                for (tenant, spent) in &report.charged_us {
                     let before = if seen.epoch == report.epoch {
-                        seen.spent.get(tenant)
+                        seen.charged_us.get(tenant)
                     } else {
                         None
                     };
@@ -154,20 +154,20 @@
         }
     }
 
-    fn report() -> impl Strategy<Value = Report> {
+    fn report() -> impl Strategy<Value = GossipReport> {
         let spent = proptest::collection::btree_map("[abc]", 0u64..20, 0..3);
-        (0u64..3, 0u64..4, spent, 0u64..5).prop_map(|(epoch, count, spent, room)| Report {
+        (0u64..3, 0u64..4, spent, 0u64..5).prop_map(|(epoch, count, spent, room)| GossipReport {
             epoch,
-            count,
-            spent,
-            room,
+            sequence: count,
+            charged_us: spent,
+            spare_capacity: room,
             disk: 1,
         })
     }
 
-    fn joined(reports: &[&Report]) -> Report {
+    fn joined(reports: &[&GossipReport]) -> GossipReport {
         let mut all = reports[0].clone();
-        reports[1..].iter().for_each(|report| all.join(report));
+        reports[1..].iter().for_each(|report| all.merge(report));
         all
     }
 
@@ -181,19 +181,19 @@
         });
     }
 
-    fn told(disk: u64, epoch: u64, count: u64, spent: u64) -> Report {
-        Report {
+    fn told(disk: u64, epoch: u64, count: u64, spent: u64) -> GossipReport {
+        GossipReport {
             epoch,
-            count,
-            spent: [("t".to_owned(), spent)].into(),
-            room: 0,
+            sequence: count,
+            charged_us: [("t".to_owned(), spent)].into(),
+            spare_capacity: 0,
             disk,
         }
     }
 
     #[test]
     fn a_reader_counts_each_charge_once_through_restarts_and_silence() {
-        let (mut reader, mut reports) = (Reader::default(), Reports::default());
+        let (mut reader, mut reports) = (GossipReader::default(), GossipReports::default());
         let stale = Duration::from_secs(3);
         // Seconds, what n2 told, what that adds.
         let steps = [
@@ -208,9 +208,9 @@
             (61, told(2, 2, 4, 501), 1),
         ];
         for (at, report, wanted) in steps {
-            reports.join(&report);
-            reports.join(&told(1, 1, at, at));
-            let added = reader.added(Duration::from_secs(at), 1, &reports, stale);
+            reports.merge(&report);
+            reports.merge(&told(1, 1, at, at));
+            let added = reader.charges_since_last_read(Duration::from_secs(at), 1, &reports, stale);
             assert_eq!(added.get("t").copied().unwrap_or(0), wanted, "at {at} s");
         }
     }
--- a/crates/replicated-state/src/keys.rs
+++ b/crates/replicated-state/src/idempotency.rs
@@ -54,7 +54,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, prost::Oneof)]
-pub enum What {
+pub enum Operation {
     #[prost(message, tag = "3")]
     Start(Start),
     /// The run's result.
@@ -81,35 +81,35 @@
     pub key: Bytes,
     #[prost(message, required, tag = "2")]
     pub claim: Claim,
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8")]
-    pub what: Option<What>,
+    #[prost(oneof = "Operation", tags = "3, 4, 5, 6, 7, 8")]
+    pub operation: Option<Operation>,
 }
 
 /// What becomes of a command.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Told {
+pub enum ClaimOutcome {
     /// Launch it: nobody else does.
     Granted,
     /// It ran: this is its result.
-    Known(Bytes),
+    Completed(Bytes),
     /// Another claim has it, and its end is not known yet.
-    Running,
+    InProgress,
     /// It may have had its effect, and no result will tell.
-    Uncertain,
+    Indeterminate,
     /// The key stands for another body, type or tenant.
-    Other,
+    KeyMismatch,
     /// This claim was taken back before.
     Withdrawn,
     /// There is no room for another key.
-    Full,
+    CapacityExceeded,
     /// It is in the log, and so on a majority.
-    Noted,
+    Recorded,
     /// The claim does not hold the key any more.
-    Gone,
+    NotHeld,
     /// A version that was made from another one than the newest; in words.
     Conflict(Bytes),
     /// A version that cannot be taken, and why.
-    UpdateError(Bytes),
+    Rejected(Bytes),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
@@ -117,13 +117,13 @@
 enum Stage {
     Free = 0,
     Started = 1,
-    Known = 2,
-    Uncertain = 3,
+    Completed = 2,
+    Indeterminate = 3,
 }
 
 /// One key.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
-pub struct Row {
+pub struct KeyState {
     #[prost(bytes = "bytes", tag = "1")]
     key: Bytes,
     #[prost(enumeration = "Stage", tag = "2")]
@@ -143,14 +143,14 @@
     withdrawn: Vec<Claim>,
 }
 
-impl Row {
+impl KeyState {
     /// In a word, for people.
-    pub fn word(&self) -> &'static str {
+    pub fn state_name(&self) -> &'static str {
         match self.stage() {
             Stage::Free => "withdrawn",
             Stage::Started => "started",
-            Stage::Known => "known",
-            Stage::Uncertain => "uncertain",
+            Stage::Completed => "known",
+            Stage::Indeterminate => "uncertain",
         }
     }
 
@@ -179,96 +179,102 @@
 /// What one command does to one key's row; `row` is none where the key is not there or aged out.
 ///
 /// This is the whole of the rule; everything else here is book-keeping.
-pub fn step(row: Option<Row>, command: &Command, stamp: u64) -> (Option<Row>, Told) {
+pub fn transition(
+    row: Option<KeyState>,
+    command: &Command,
+    stamp: u64,
+) -> (Option<KeyState>, ClaimOutcome) {
     let claim = &command.claim;
-    let Some(what) = &command.what else {
-        return (row, Told::Gone);
+    let Some(what) = &command.operation else {
+        return (row, ClaimOutcome::NotHeld);
     };
-    let blank = |stage: Stage| Row {
+    let blank = |stage: Stage| KeyState {
         key: command.key.clone(),
         stage: stage.into(),
         claim: claim.clone(),
         until: u64::MAX,
-        ..Row::default()
+        ..KeyState::default()
     };
     match (what, row) {
-        (What::Start(start), None) => {
-            let mut row = Row {
+        (Operation::Start(start), None) => {
+            let mut row = KeyState {
                 sum: start.sum,
                 window: start.window,
                 ..blank(Stage::Started)
             };
             row.until = stamp.saturating_add(start.window);
-            (Some(row), Told::Granted)
+            (Some(row), ClaimOutcome::Granted)
         }
-        (What::Start(_), Some(row))
+        (Operation::Start(_), Some(row))
             if row.stage() == Stage::Free && row.withdrawn.contains(claim) =>
         {
-            (Some(row), Told::Withdrawn)
+            (Some(row), ClaimOutcome::Withdrawn)
         }
-        (What::Start(start), Some(row)) if row.stage() == Stage::Free => {
-            let mut next = Row {
+        (Operation::Start(start), Some(row)) if row.stage() == Stage::Free => {
+            let mut next = KeyState {
                 sum: start.sum,
                 window: start.window,
                 ..blank(Stage::Started)
             };
             next.until = stamp.saturating_add(start.window);
             next.withdrawn = row.withdrawn;
-            (Some(next), Told::Granted)
+            (Some(next), ClaimOutcome::Granted)
+        }
+        (Operation::Start(start), Some(row)) if row.sum != start.sum => {
+            (Some(row), ClaimOutcome::KeyMismatch)
         }
-        (What::Start(start), Some(row)) if row.sum != start.sum => (Some(row), Told::Other),
-        (What::Start(_), Some(row)) => {
+        (Operation::Start(_), Some(row)) => {
             let told = match row.stage() {
-                Stage::Known => Told::Known(row.result.clone()),
-                Stage::Uncertain => Told::Uncertain,
-                _ if row.claim == *claim => Told::Granted,
-                _ if planted("second-run") => Told::Granted,
-                _ => Told::Running,
+                Stage::Completed => ClaimOutcome::Completed(row.result.clone()),
+                Stage::Indeterminate => ClaimOutcome::Indeterminate,
+                _ if row.claim == *claim => ClaimOutcome::Granted,
+                _ if planted("second-run") => ClaimOutcome::Granted,
+                _ => ClaimOutcome::InProgress,
             };
             (Some(row), told)
         }
         // Aged out: the window for which repeats are told apart is over.
-        (What::Done(_), None) => (None, Told::Gone),
-        (What::Done(result), Some(mut row)) => {
+        (Operation::Done(_), None) => (None, ClaimOutcome::NotHeld),
+        (Operation::Done(result), Some(mut row)) => {
             let own = row.claim == *claim;
             match row.stage() {
-                Stage::Started | Stage::Uncertain if own => {
-                    row.stage = Stage::Known.into();
+                Stage::Started | Stage::Indeterminate if own => {
+                    row.stage = Stage::Completed.into();
                     row.result = result.clone();
                     row.until = stamp.saturating_add(row.window);
-                    (Some(row), Told::Noted)
+                    (Some(row), ClaimOutcome::Recorded)
                 }
-                Stage::Known if own => (Some(row), Told::Noted),
-                _ => (Some(row), Told::Gone),
+                Stage::Completed if own => (Some(row), ClaimOutcome::Recorded),
+                _ => (Some(row), ClaimOutcome::NotHeld),
             }
         }
-        (What::Failed(_), Some(mut row))
+        (Operation::Failed(_), Some(mut row))
             if row.claim == *claim && row.stage() == Stage::Started =>
         {
-            row.stage = Stage::Uncertain.into();
-            (Some(row), Told::Noted)
+            row.stage = Stage::Indeterminate.into();
+            (Some(row), ClaimOutcome::Recorded)
         }
-        (What::Failed(_), row) => (row, Told::Gone),
-        (What::Withdraw(_), None) => {
+        (Operation::Failed(_), row) => (row, ClaimOutcome::NotHeld),
+        (Operation::Withdraw(_), None) => {
             let mut row = blank(Stage::Free);
             row.withdraw(claim);
-            (Some(row), Told::Noted)
+            (Some(row), ClaimOutcome::Recorded)
         }
-        (What::Withdraw(_), Some(mut row)) => {
+        (Operation::Withdraw(_), Some(mut row)) => {
             if row.claim == *claim && row.stage() == Stage::Started {
                 row.stage = Stage::Free.into();
             }
             row.withdraw(claim);
-            (Some(row), Told::Noted)
+            (Some(row), ClaimOutcome::Recorded)
         }
-        (What::Set(_) | What::Publish(_), row) => (row, Told::Gone),
+        (Operation::Set(_) | Operation::Publish(_), row) => (row, ClaimOutcome::NotHeld),
     }
 }
 
 /// A shard's keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Table {
-    rows: BTreeMap<Bytes, Row>,
+pub struct IdempotencyTable {
+    rows: BTreeMap<Bytes, KeyState>,
     ages: BTreeSet<(u64, Bytes)>,
     /// Of started rows, by their claims.
     claims: HashMap<Claim, Bytes>,
@@ -285,26 +291,26 @@
 const REGISTERS: usize = 64;
 
 #[derive(Clone, PartialEq, prost::Message)]
-struct Kept {
+struct TableSnapshot {
     #[prost(message, repeated, tag = "1")]
-    rows: Vec<Row>,
+    rows: Vec<KeyState>,
     #[prost(uint64, tag = "2")]
     stamp: u64,
     #[prost(message, repeated, tag = "3")]
-    registers: Vec<Named>,
+    registers: Vec<NamedRegister>,
     #[prost(message, optional, tag = "4")]
     versions: Option<versions::Kept>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-struct Named {
+struct NamedRegister {
     #[prost(bytes = "bytes", tag = "1")]
     name: Bytes,
     #[prost(message, required, tag = "2")]
     value: Register,
 }
 
-impl Table {
+impl IdempotencyTable {
     /// At most so many keys; withdrawn ones are remembered for `linger` of log time.
     pub fn new(most: usize, linger: u64) -> Self {
         Self {
@@ -332,7 +338,7 @@
         self.stamp
     }
 
-    pub fn get(&self, key: &[u8]) -> Option<&Row> {
+    pub fn get(&self, key: &[u8]) -> Option<&KeyState> {
         self.rows.get(key).filter(|row| row.until > self.stamp)
     }
 
@@ -346,7 +352,7 @@
     }
 
     /// The key that a claim has started here, if any: looked for when an agent tells of a run nobody knows.
-    pub fn started_by(&self, claim: &Claim) -> Option<&Bytes> {
+    pub fn claimed_by(&self, claim: &Claim) -> Option<&Bytes> {
         self.claims.get(claim)
     }
 
@@ -359,7 +365,7 @@
     }
 
     /// A committed command, at its log time.
-    pub fn apply(&mut self, stamp: u64, command: &Command) -> Told {
+    pub fn apply(&mut self, stamp: u64, command: &Command) -> ClaimOutcome {
         self.stamp = self.stamp.max(stamp);
         for _ in 0..AGED {
             let Some(first) = self
@@ -376,16 +382,16 @@
             }
             self.aged += 1;
         }
-        if let Some(What::Set(register)) = &command.what {
+        if let Some(Operation::Set(register)) = &command.operation {
             return self.set(&command.key, register);
         }
-        if let Some(What::Publish(publish)) = &command.what {
+        if let Some(Operation::Publish(publish)) = &command.operation {
             return match self.versions.publish(publish) {
-                Ok(()) => Told::Noted,
+                Ok(()) => ClaimOutcome::Recorded,
                 Err(why @ UpdateError::VersionMismatch { .. }) => {
-                    Told::Conflict(why.to_string().into())
+                    ClaimOutcome::Conflict(why.to_string().into())
                 }
-                Err(why) => Told::UpdateError(why.to_string().into()),
+                Err(why) => ClaimOutcome::Rejected(why.to_string().into()),
             };
         }
         let row = self.rows.remove(&command.key);
@@ -396,9 +402,9 @@
         let row = row.filter(|row| row.until > self.stamp);
         let new = row.is_none();
         if new && self.rows.len() >= self.most {
-            return Told::Full;
+            return ClaimOutcome::CapacityExceeded;
         }
-        let (row, told) = step(row, command, self.stamp);
+        let (row, told) = transition(row, command, self.stamp);
         if let Some(mut row) = row {
             if row.until == u64::MAX {
                 row.until = self.stamp.saturating_add(self.linger);
@@ -412,31 +418,31 @@
         told
     }
 
-    fn set(&mut self, name: &Bytes, register: &Register) -> Told {
+    fn set(&mut self, name: &Bytes, register: &Register) -> ClaimOutcome {
         let before = self.registers.get(name);
         if before.is_some_and(|before| before.version >= register.version) {
             return if before == Some(register) {
-                Told::Noted
+                ClaimOutcome::Recorded
             } else {
-                Told::Gone
+                ClaimOutcome::NotHeld
             };
         }
         if before.is_none() && self.registers.len() >= REGISTERS {
-            return Told::Full;
+            return ClaimOutcome::CapacityExceeded;
         }
         self.registers.insert(name.clone(), register.clone());
-        Told::Noted
+        ClaimOutcome::Recorded
     }
 
     /// All of it, as a snapshot keeps it: the same state gives the same bytes.
-    pub fn keep(&self) -> Bytes {
+    pub fn snapshot(&self) -> Bytes {
         let registers = self.registers.iter();
-        let kept = Kept {
+        let kept = TableSnapshot {
             rows: self.rows.values().cloned().collect(),
             stamp: self.stamp,
             versions: self.versions.keep(),
             registers: registers
-                .map(|(name, value)| Named {
+                .map(|(name, value)| NamedRegister {
                     name: name.clone(),
                     value: value.clone(),
                 })
@@ -450,7 +456,7 @@
     /// # Errors
     /// If the bytes are none that [`Table::keep`] made.
     pub fn restore(&mut self, data: Bytes) -> Result<(), UpdateError> {
-        let kept = Kept::decode(data).map_err(|_| UpdateError::MalformedFrame)?;
+        let kept = TableSnapshot::decode(data).map_err(|_| UpdateError::MalformedFrame)?;
         self.versions = Versions::restored(kept.versions)?;
         self.stamp = kept.stamp;
         self.ages = kept
@@ -487,40 +493,40 @@
         }
     }
 
-    fn command(by: u64, what: What) -> Command {
+    fn command(by: u64, what: Operation) -> Command {
         Command {
             key: Bytes::from_static(b"K"),
             claim: claim(by),
-            what: Some(what),
+            operation: Some(what),
         }
     }
 
     fn start(by: u64, sum: u64) -> Command {
-        command(by, What::Start(Start { sum, window: 100 }))
+        command(by, Operation::Start(Start { sum, window: 100 }))
     }
 
     fn done(by: u64) -> Command {
-        command(by, What::Done(Bytes::from_static(b"R")))
+        command(by, Operation::Done(Bytes::from_static(b"R")))
     }
 
-    fn known() -> Told {
-        Told::Known(Bytes::from_static(b"R"))
+    fn known() -> ClaimOutcome {
+        ClaimOutcome::Completed(Bytes::from_static(b"R"))
     }
 
     #[test]
     fn each_step_of_a_key_is_told_as_the_table_says() {
-        let withdraw = |by| command(by, What::Withdraw(true));
-        let failed = |by| command(by, What::Failed(true));
-        type Case = (&'static str, Vec<(u64, Command, Told)>);
+        let withdraw = |by| command(by, Operation::Withdraw(true));
+        let failed = |by| command(by, Operation::Failed(true));
+        type Case = (&'static str, Vec<(u64, Command, ClaimOutcome)>);
         let table: Vec<Case> = vec![
             (
                 "a run and a repeat",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (1, start(1, 5), Told::Granted),
-                    (2, start(2, 5), Told::Running),
-                    (3, done(1), Told::Noted),
-                    (4, done(1), Told::Noted),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (1, start(1, 5), ClaimOutcome::Granted),
+                    (2, start(2, 5), ClaimOutcome::InProgress),
+                    (3, done(1), ClaimOutcome::Recorded),
+                    (4, done(1), ClaimOutcome::Recorded),
                     (5, start(2, 5), known()),
                     (6, start(1, 5), known()),
                 ],
@@ -528,85 +534,85 @@
             (
                 "another body, in each state",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (1, start(2, 6), Told::Other),
-                    (2, done(1), Told::Noted),
-                    (3, start(2, 6), Told::Other),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (1, start(2, 6), ClaimOutcome::KeyMismatch),
+                    (2, done(1), ClaimOutcome::Recorded),
+                    (3, start(2, 6), ClaimOutcome::KeyMismatch),
                 ],
             ),
             (
                 "a start taken back, and its late twin",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (1, withdraw(1), Told::Noted),
-                    (2, start(1, 5), Told::Withdrawn),
-                    (3, start(2, 5), Told::Granted),
-                    (4, start(1, 5), Told::Running),
-                    (5, withdraw(2), Told::Noted),
-                    (6, start(2, 5), Told::Withdrawn),
-                    (7, start(1, 5), Told::Withdrawn),
-                    (8, start(3, 6), Told::Granted),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (1, withdraw(1), ClaimOutcome::Recorded),
+                    (2, start(1, 5), ClaimOutcome::Withdrawn),
+                    (3, start(2, 5), ClaimOutcome::Granted),
+                    (4, start(1, 5), ClaimOutcome::InProgress),
+                    (5, withdraw(2), ClaimOutcome::Recorded),
+                    (6, start(2, 5), ClaimOutcome::Withdrawn),
+                    (7, start(1, 5), ClaimOutcome::Withdrawn),
+                    (8, start(3, 6), ClaimOutcome::Granted),
                 ],
             ),
             (
                 "taken back before it came",
                 vec![
-                    (0, withdraw(1), Told::Noted),
-                    (1, start(1, 5), Told::Withdrawn),
-                    (2, start(2, 5), Told::Granted),
+                    (0, withdraw(1), ClaimOutcome::Recorded),
+                    (1, start(1, 5), ClaimOutcome::Withdrawn),
+                    (2, start(2, 5), ClaimOutcome::Granted),
                 ],
             ),
             (
                 "taking back does nothing to another's run",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (1, withdraw(2), Told::Noted),
-                    (2, start(2, 5), Told::Running),
-                    (3, done(1), Told::Noted),
-                    (4, withdraw(1), Told::Noted),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (1, withdraw(2), ClaimOutcome::Recorded),
+                    (2, start(2, 5), ClaimOutcome::InProgress),
+                    (3, done(1), ClaimOutcome::Recorded),
+                    (4, withdraw(1), ClaimOutcome::Recorded),
                     (5, start(2, 5), known()),
                 ],
             ),
             (
                 "an end without a result, and one that is known after all",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (1, failed(2), Told::Gone),
-                    (2, failed(1), Told::Noted),
-                    (3, start(2, 5), Told::Uncertain),
-                    (4, done(1), Told::Noted),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (1, failed(2), ClaimOutcome::NotHeld),
+                    (2, failed(1), ClaimOutcome::Recorded),
+                    (3, start(2, 5), ClaimOutcome::Indeterminate),
+                    (4, done(1), ClaimOutcome::Recorded),
                     (5, start(2, 5), known()),
-                    (6, failed(1), Told::Gone),
+                    (6, failed(1), ClaimOutcome::NotHeld),
                 ],
             ),
             (
                 "aged out, then another's",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (99, start(2, 5), Told::Running),
-                    (100, start(2, 6), Told::Granted),
-                    (101, done(1), Told::Gone),
-                    (102, done(2), Told::Noted),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (99, start(2, 5), ClaimOutcome::InProgress),
+                    (100, start(2, 6), ClaimOutcome::Granted),
+                    (101, done(1), ClaimOutcome::NotHeld),
+                    (102, done(2), ClaimOutcome::Recorded),
                     (201, start(3, 6), known()),
-                    (202, start(3, 7), Told::Granted),
+                    (202, start(3, 7), ClaimOutcome::Granted),
                 ],
             ),
             (
                 "a result that comes after its start aged out",
                 vec![
-                    (0, start(1, 5), Told::Granted),
-                    (150, done(1), Told::Gone),
-                    (151, done(2), Told::Gone),
+                    (0, start(1, 5), ClaimOutcome::Granted),
+                    (150, done(1), ClaimOutcome::NotHeld),
+                    (151, done(2), ClaimOutcome::NotHeld),
                 ],
             ),
         ];
         for (name, steps) in table {
-            let mut table = Table::new(10, 50);
+            let mut table = IdempotencyTable::new(10, 50);
             for (k, (stamp, command, wanted)) in steps.into_iter().enumerate() {
                 assert_eq!(table.apply(stamp, &command), wanted, "{name}, step {k}");
-                let mut again = Table::new(10, 50);
-                again.restore(table.keep()).unwrap();
-                assert_eq!(again.keep(), table.keep(), "{name}, step {k}");
+                let mut again = IdempotencyTable::new(10, 50);
+                again.restore(table.snapshot()).unwrap();
+                assert_eq!(again.snapshot(), table.snapshot(), "{name}, step {k}");
                 assert_eq!(table.ages.len(), table.rows.len(), "{name}, step {k}");
             }
         }
@@ -614,18 +620,25 @@
 
     #[test]
     fn a_flood_of_keys_stays_within_the_bound_and_ages_out() {
-        let mut table = Table::new(100, 50);
+        let mut table = IdempotencyTable::new(100, 50);
         let key = |n: u64| Command {
             key: Bytes::from(n.to_be_bytes().to_vec()),
             ..start(n, 5)
         };
-        let told: Vec<Told> = (0..300).map(|n| table.apply(n / 3, &key(n))).collect();
+        let told: Vec<ClaimOutcome> = (0..300).map(|n| table.apply(n / 3, &key(n))).collect();
         assert_eq!(
-            told.iter().filter(|told| **told == Told::Granted).count(),
+            told.iter()
+                .filter(|told| **told == ClaimOutcome::Granted)
+                .count(),
             100
         );
-        assert!(told[100..].iter().all(|told| *told == Told::Full) && table.len() == 100);
-        assert_eq!(table.apply(1_000, &key(999)), Told::Granted);
+        assert!(
+            told[100..]
+                .iter()
+                .all(|told| *told == ClaimOutcome::CapacityExceeded)
+                && table.len() == 100
+        );
+        assert_eq!(table.apply(1_000, &key(999)), ClaimOutcome::Granted);
         (1_000..1_040).for_each(|n| drop(table.apply(n, &key(999))));
         assert!(
             table.len() < 5 && table.aged() > 95,
@@ -637,21 +650,21 @@
 
     #[test]
     fn a_register_only_moves_on() {
-        let mut table = Table::new(10, 50);
+        let mut table = IdempotencyTable::new(10, 50);
         let set = |version, data: &'static [u8]| {
             command(
                 1,
-                What::Set(Register {
+                Operation::Set(Register {
                     version,
                     data: Bytes::from_static(data),
                 }),
             )
         };
         let steps = [
-            (3, &b"c"[..], Told::Noted),
-            (3, b"c", Told::Noted),
-            (3, b"d", Told::Gone),
-            (2, b"b", Told::Gone),
+            (3, &b"c"[..], ClaimOutcome::Recorded),
+            (3, b"c", ClaimOutcome::Recorded),
+            (3, b"d", ClaimOutcome::NotHeld),
+            (2, b"b", ClaimOutcome::NotHeld),
         ];
         for (version, data, wanted) in steps {
             assert_eq!(
--- a/crates/replicated-state/src/tickets.rs
+++ b/crates/replicated-state/src/idempotent_request.rs
@@ -11,7 +11,7 @@
 //! From asking and waiting a ticket may be dismissed, as nothing of it ran. From running and keeping it is answered with its
 //! own result, or given up.
 
-use crate::keys::Told;
+use crate::idempotency::ClaimOutcome;
 use bytes::Bytes;
 use rainstand_raft::plant::planted;
 
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Event {
     /// The group told it of its start, or of its result.
-    Told(Told),
+    Told(ClaimOutcome),
     /// The group told nothing final within its time.
     TimedOut,
     Ended(End),
@@ -70,17 +70,26 @@
 pub fn step(stage: Stage, event: Event) -> (Option<Stage>, Act) {
     use {Event::*, Stage::*};
     match (stage, event) {
-        (Asking | Waiting, Told(self::Told::Granted)) => (Some(Running), Act::Launch),
-        (Asking | Waiting, Told(self::Told::Known(result))) => (None, Act::Answer(result)),
-        (Asking, Told(self::Told::Running)) if planted("early-launch") => {
+        (Asking | Waiting, Told(self::ClaimOutcome::Granted)) => (Some(Running), Act::Launch),
+        (Asking | Waiting, Told(self::ClaimOutcome::Completed(result))) => {
+            (None, Act::Answer(result))
+        }
+        (Asking, Told(self::ClaimOutcome::InProgress)) if planted("early-launch") => {
             (Some(Running), Act::Launch)
         }
-        (Asking | Waiting, Told(self::Told::Running)) => (Some(Waiting), Act::Nothing),
-        (Asking | Waiting, Told(self::Told::Uncertain)) => (None, Act::GiveUp),
-        (Asking | Waiting, Told(self::Told::Other)) => (None, Act::Dismiss { nowhere: true }),
-        (Asking | Waiting, Told(self::Told::Withdrawn | self::Told::Full | self::Told::Gone)) => {
-            (None, Act::Dismiss { nowhere: false })
+        (Asking | Waiting, Told(self::ClaimOutcome::InProgress)) => (Some(Waiting), Act::Nothing),
+        (Asking | Waiting, Told(self::ClaimOutcome::Indeterminate)) => (None, Act::GiveUp),
+        (Asking | Waiting, Told(self::ClaimOutcome::KeyMismatch)) => {
+            (None, Act::Dismiss { nowhere: true })
         }
+        (
+            Asking | Waiting,
+            Told(
+                self::ClaimOutcome::Withdrawn
+                | self::ClaimOutcome::CapacityExceeded
+                | self::ClaimOutcome::NotHeld,
+            ),
+        ) => (None, Act::Dismiss { nowhere: false }),
         (Asking, TimedOut) => (None, Act::Dismiss { nowhere: false }),
         // Another has it: the key may have had its effect, which a caller that comes back should not take for not run.
         (Waiting, TimedOut) => (None, Act::GiveUp),
@@ -90,8 +99,11 @@
         (Running, Ended(End::NeverRan)) => (None, Act::Refuse),
         // The run goes on, and what it brings is kept for repeats.
         (Running, Left | TimedOut) => (Some(Running), Act::Nothing),
-        (Keeping, Told(self::Told::Noted)) => (None, Act::Answer(Bytes::new())),
-        (Keeping, Told(self::Told::Gone | self::Told::Full) | TimedOut) => (None, Act::GiveUp),
+        (Keeping, Told(self::ClaimOutcome::Recorded)) => (None, Act::Answer(Bytes::new())),
+        (
+            Keeping,
+            Told(self::ClaimOutcome::NotHeld | self::ClaimOutcome::CapacityExceeded) | TimedOut,
+        ) => (None, Act::GiveUp),
         (Keeping, Left) => (Some(Keeping), Act::Nothing),
         // Told twice, or of a stage that is over: nothing follows.
         (stage, Told(_) | Ended(_)) => (Some(stage), Act::Nothing),
@@ -106,15 +118,15 @@
     fn events() -> Vec<Event> {
         let r = Bytes::from_static(b"R");
         let mut all: Vec<Event> = [
-            Told::Granted,
-            Told::Known(r.clone()),
-            Told::Running,
-            Told::Uncertain,
-            Told::Other,
-            Told::Withdrawn,
-            Told::Full,
-            Told::Noted,
-            Told::Gone,
+            ClaimOutcome::Granted,
+            ClaimOutcome::Completed(r.clone()),
+            ClaimOutcome::InProgress,
+            ClaimOutcome::Indeterminate,
+            ClaimOutcome::KeyMismatch,
+            ClaimOutcome::Withdrawn,
+            ClaimOutcome::CapacityExceeded,
+            ClaimOutcome::Recorded,
+            ClaimOutcome::NotHeld,
         ]
         .map(Event::Told)
         .to_vec();
@@ -142,7 +154,7 @@
                 let known = known
                     || matches!(
                         event,
-                        Event::Told(Told::Known(_)) | Event::Ended(End::Result(_))
+                        Event::Told(ClaimOutcome::Completed(_)) | Event::Ended(End::Result(_))
                     );
                 let (next, act) = step(stage, event.clone());
                 let (mut launched, mut answered) = (launched, answered);
--- a/crates/replicated-state/src/lib.rs
+++ b/crates/replicated-state/src/lib.rs
@@ -31,10 +31,10 @@
 )]
 
 pub mod frames;
-pub mod keys;
-pub mod layout;
+pub mod gossip;
+pub mod idempotency;
+pub mod idempotent_request;
 pub mod member;
-pub mod moves;
-pub mod soft;
-pub mod tickets;
+pub mod placement;
+pub mod reconfiguration;
 pub mod versions;
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -13,12 +13,13 @@
 //! had confirmed and was committed. It is told so, sets its files aside and begins anew as another disk.
 
 use crate::frames::{
-    Answer, Ask, Behind, Form, Formed, Frame, Hello, Mark, Raft, What, Witness, Witnessed,
+    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, Hello,
+    PeerIncarnation, PeerIncarnations, Raft, ShardProgress, StaleDiskNotice, What,
 };
-use crate::keys::{self, Claim, Command, Table, Told};
-use crate::layout::{holders, shard_of};
-use crate::moves::{next, Next};
-use crate::soft::{Report, Reports};
+use crate::gossip::{GossipReport, GossipReports};
+use crate::idempotency::{self, Claim, ClaimOutcome, Command, IdempotencyTable};
+use crate::placement::{holders, shard_of};
+use crate::reconfiguration::{next, Next};
 use crate::versions::Versions;
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
@@ -44,16 +45,16 @@
 /// Between looks at the members of shards that are led here.
 const LOOK: Duration = Duration::from_millis(50);
 /// Entries behind a snapshot from which on the next one is made, for whoever has no wish; and bytes.
-pub const COMPACT: usize = 20_000;
+pub const DEFAULT_COMPACTION_ENTRIES: usize = 20_000;
 const COMPACT_BYTES: usize = 8 << 20;
 /// Soft reports go out this often.
 const SOFT: Duration = Duration::from_millis(500);
 
 /// Notes of the store.
-pub const NOTE_FORM: u16 = 1;
-pub const NOTE_GENERATION: u16 = 2;
-pub const NOTE_WITNESS: u16 = 3;
-pub const NOTE_NAME: u16 = 4;
+pub const METADATA_BOOTSTRAP: u16 = 1;
+pub const METADATA_GENERATION: u16 = 2;
+pub const METADATA_PEER_INCARNATIONS: u16 = 3;
+pub const METADATA_MEMBER_NAME: u16 = 4;
 /// What is known of others is written down this often, if it changed: a note of some hundred bytes, with whatever else
 /// goes to the disk.
 const WITNESS: Duration = Duration::from_millis(20);
@@ -64,7 +65,7 @@
 
 /// How a member is set up.
 #[derive(Clone, Debug)]
-pub struct Options {
+pub struct MemberConfig {
     pub group: String,
     pub name: String,
     /// All members of the configuration, by name and site.
@@ -83,22 +84,22 @@
 
 /// The disk, as it was opened.
 #[derive(Clone, Debug, Default)]
-pub struct Found {
+pub struct RecoveredState {
     pub disk: ReplicaId,
-    pub boot: u64,
+    pub incarnation: u64,
     pub nonce: u64,
     pub shards: BTreeMap<u16, PersistentState>,
-    pub form: Option<Form>,
+    pub bootstrap: Option<BootstrapConfig>,
     pub generation: u64,
-    pub witness: Option<Witness>,
+    pub peer_incarnations: Option<PeerIncarnations>,
     /// Whose disk it is, by the member's name.
     pub name: Option<String>,
 }
 
 /// What goes to the disk.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Write {
-    Hard {
+pub enum PersistentWrite {
+    HardState {
         shard: u16,
         hard: HardState,
     },
@@ -107,12 +108,12 @@
         entry: Entry,
     },
     /// Replaces entries up to its index, and, `alone`, those behind it too.
-    Save {
+    InstallSnapshot {
         shard: u16,
         snapshot: Snapshot,
         alone: bool,
     },
-    Note {
+    Metadata {
         number: u16,
         data: Bytes,
     },
@@ -120,33 +121,33 @@
 
 /// What people should hear of.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum GroupEvent {
     Formed {
         members: usize,
     },
-    Leads {
+    BecameLeader {
         shard: u16,
         term: u64,
     },
-    LeadsNoMore {
+    LostLeadership {
         shard: u16,
     },
     /// The members of a shard changed.
-    Members {
+    MembershipChanged {
         shard: u16,
         config: String,
     },
     /// Files are to be set aside: this copy differs from most others.
-    Differs {
+    Diverged {
         shard: u16,
         differs: Divergence,
     },
     /// Files are to be set aside: this disk is an old copy.
-    OldCopy {
+    StaleDisk {
         why: String,
     },
     /// A met disk is an old copy, and was told so.
-    OldPeer {
+    StalePeer {
         name: String,
         disk: ReplicaId,
         why: String,
@@ -156,7 +157,7 @@
         index: u64,
     },
     /// The disk confirms nothing any more: this member takes part in nothing.
-    DiskStandsStill,
+    DiskStalled,
     /// A write or flush failed: this member confirms nothing and votes for nothing until it is started anew.
     DiskFailed {
         why: String,
@@ -169,31 +170,31 @@
     /// To whom, by name.
     pub frames: Vec<(String, Frame)>,
     /// The number under which it is told to be written.
-    pub write: Option<(u64, Vec<Write>)>,
+    pub write: Option<(u64, Vec<PersistentWrite>)>,
     /// By the number of the question. A start may be told to be running first and something else later.
-    pub told: Vec<(u64, Told)>,
+    pub outcomes: Vec<(u64, ClaimOutcome)>,
     /// Questions whose time is over; of starts nothing was or will be launched.
     pub timed_out: Vec<u64>,
-    pub news: Vec<News>,
+    pub events: Vec<GroupEvent>,
     /// The newest published version here may be another one than before.
-    pub versions: bool,
+    pub published_changed: bool,
 }
 
 /// Who waits for an entry of this leader's.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum Asker {
-    Here(u64),
-    There(String, u64),
+enum Requester {
+    Local(u64),
+    Remote(String, u64),
 }
 
 #[derive(Debug)]
 struct Shard {
     replica: Replica,
-    table: Table,
+    table: IdempotencyTable,
     /// By index: the term it was proposed in, and for whom.
-    waiting: BTreeMap<u64, (u64, Asker)>,
+    waiting: BTreeMap<u64, (u64, Requester)>,
     /// Repeats of a key that runs.
-    watchers: BTreeMap<Bytes, Vec<Asker>>,
+    watchers: BTreeMap<Bytes, Vec<Requester>>,
     led: bool,
 }
 
@@ -214,7 +215,7 @@
 
 /// A question to a shard's leader.
 #[derive(Clone, Debug)]
-struct Question {
+struct PendingRequest {
     shard: u16,
     command: Command,
     until: Duration,
@@ -225,51 +226,51 @@
 }
 
 /// What waits until all writes up to a number are durable: frames, and entries by shard, index and term.
-struct Held {
+struct AwaitingPersist {
     number: u64,
     frames: Vec<(String, Frame)>,
     confirms: Vec<(u16, u64, u64)>,
 }
 
-pub struct Member {
-    options: Options,
+pub struct GroupMember {
+    options: MemberConfig,
     disk: ReplicaId,
     boot: u64,
     nonce: u64,
     generation: u64,
     now: Duration,
     chance: WyRand,
-    form: Option<Form>,
+    form: Option<BootstrapConfig>,
     shards: BTreeMap<u16, Shard>,
     peers: BTreeMap<String, Peer>,
-    questions: BTreeMap<u64, Question>,
+    questions: BTreeMap<u64, PendingRequest>,
     next_question: u64,
     /// Who was last heard to lead a shard.
     leaders: BTreeMap<u16, ReplicaId>,
     number: u64,
     written: u64,
     /// Frames and news of entries that wait for a write.
-    held: VecDeque<Held>,
+    held: VecDeque<AwaitingPersist>,
     /// When a question is to be looked at again, at the latest.
     due: Duration,
     look: Duration,
     soft_at: Duration,
     witness_at: Duration,
-    witness: Witness,
-    own: Report,
-    pub reports: Reports,
+    witness: PeerIncarnations,
+    own: GossipReport,
+    pub reports: GossipReports,
     effects: Effects,
-    writes: Vec<Write>,
+    writes: Vec<PersistentWrite>,
     after: Vec<(String, Frame)>,
     confirms: Vec<(u16, u64, u64)>,
     /// Nothing is done any more: the files are set aside, or the disk failed.
     over: bool,
     /// Questions that were turned away for want of room.
-    pub turned_away: u64,
+    pub rejected_requests: u64,
 }
 
-impl Member {
-    pub fn new(options: Options, found: Found, now: Duration) -> Self {
+impl GroupMember {
+    pub fn new(options: MemberConfig, found: RecoveredState, now: Duration) -> Self {
         let chance = WyRand::new_seed(options.seed ^ found.nonce);
         let peers = options
             .members
@@ -278,12 +279,16 @@
         let mut peers: BTreeMap<String, Peer> = peers
             .map(|(name, _)| (name.clone(), Peer::default()))
             .collect();
-        for seen in found.witness.iter().flat_map(|witness| &witness.seen) {
+        for seen in found
+            .peer_incarnations
+            .iter()
+            .flat_map(|witness| &witness.seen)
+        {
             if let Some(peer) = peers.get_mut(&seen.name) {
-                peer.start = Some((seen.disk, seen.boot, seen.nonce));
-                peer.gone = seen.gone.iter().copied().collect();
+                peer.start = Some((seen.disk, seen.incarnation, seen.nonce));
+                peer.gone = seen.replaced_disks.iter().copied().collect();
                 peer.marks = seen
-                    .marks
+                    .shard_progress
                     .iter()
                     .map(|mark| (mark.shard as u16, (mark.term, mark.index)))
                     .collect();
@@ -291,12 +296,12 @@
         }
         let mut member = Self {
             disk: found.disk,
-            boot: found.boot,
+            boot: found.incarnation,
             nonce: found.nonce,
             generation: found.generation,
             now,
             chance,
-            form: found.form,
+            form: found.bootstrap,
             shards: BTreeMap::new(),
             peers,
             questions: BTreeMap::new(),
@@ -310,25 +315,25 @@
             look: now,
             soft_at: now,
             witness_at: now,
-            witness: Witness::default(),
-            own: Report {
-                epoch: found.boot,
+            witness: PeerIncarnations::default(),
+            own: GossipReport {
+                epoch: found.incarnation,
                 disk: found.disk,
-                ..Report::default()
+                ..GossipReport::default()
             },
-            reports: Reports::default(),
+            reports: GossipReports::default(),
             effects: Effects::default(),
             writes: Vec::new(),
             after: Vec::new(),
             confirms: Vec::new(),
             over: false,
-            turned_away: 0,
+            rejected_requests: 0,
             options,
         };
         match found.name {
             // Guards against one disk in two places: what it confirmed is the other member's.
             Some(name) if name != member.options.name => {
-                member.set_aside(News::OldCopy {
+                member.set_aside(GroupEvent::StaleDisk {
                     why: format!("this is the disk of {name}"),
                 });
                 return member;
@@ -336,8 +341,8 @@
             Some(_) => {}
             None => {
                 let data = Bytes::copy_from_slice(member.options.name.as_bytes());
-                member.writes.push(Write::Note {
-                    number: NOTE_NAME,
+                member.writes.push(PersistentWrite::Metadata {
+                    number: METADATA_MEMBER_NAME,
                     data,
                 });
             }
@@ -389,7 +394,7 @@
         self.over = true;
     }
 
-    pub fn stopped(&self) -> bool {
+    pub fn is_stopped(&self) -> bool {
         self.over
     }
 
@@ -398,12 +403,12 @@
         let snapshot = state.snapshot.clone();
         let replica = Replica::new(self.disk, self.options.times, seed, self.now, state);
         let linger = self.options.times.election_timeout[1].as_nanos() as u64 * 100;
-        let mut table = Table::new(self.options.keys, linger);
+        let mut table = IdempotencyTable::new(self.options.keys, linger);
         if let Some(snapshot) = snapshot.filter(|snapshot| !snapshot.data.is_empty()) {
-            self.effects.versions = true;
+            self.effects.published_changed = true;
             // Bytes with a good checksum that are no table were written by another program.
             if table.restore(snapshot.data).is_err() {
-                self.effects.news.push(News::OldCopy {
+                self.effects.events.push(GroupEvent::StaleDisk {
                     why: format!("shard {shard}: no table"),
                 });
                 self.over = true;
@@ -422,7 +427,7 @@
     // Links.
 
     pub fn hello(&self) -> Frame {
-        let marks = self.shards.iter().map(|(shard, one)| Mark {
+        let marks = self.shards.iter().map(|(shard, one)| ShardProgress {
             shard: u32::from(*shard),
             term: one.replica.term(),
             index: one.replica.log().last(),
@@ -431,11 +436,11 @@
             group: self.options.group.clone(),
             name: self.options.name.clone(),
             disk: self.disk,
-            boot: self.boot,
+            incarnation: self.boot,
             nonce: self.nonce,
-            fresh: self.fresh(),
+            uninitialized: self.fresh(),
             shards: u32::from(self.options.shards),
-            marks: marks.collect(),
+            shard_progress: marks.collect(),
             generation: self.generation,
         }))
     }
@@ -450,7 +455,7 @@
     }
 
     /// A link to a member is open: it hears who this is.
-    pub fn met(&mut self, now: Duration, name: &str) {
+    pub fn on_connected(&mut self, now: Duration, name: &str) {
         self.now = self.now.max(now);
         let hello = self.hello();
         if let Some(peer) = self.peers.get_mut(name) {
@@ -472,7 +477,7 @@
     }
 
     /// The link to a member broke.
-    pub fn lost(&mut self, now: Duration, name: &str) {
+    pub fn on_disconnected(&mut self, now: Duration, name: &str) {
         self.now = self.now.max(now);
         if let Some(peer) = self.peers.get_mut(name) {
             peer.here = false;
@@ -496,14 +501,14 @@
         };
         if taken || hello.disk == self.disk {
             let why = "another member has this disk".to_owned();
-            let behind = Behind {
+            let behind = StaleDiskNotice {
                 disk: hello.disk,
                 why: why.clone(),
             };
             self.effects
                 .frames
                 .push((name.to_owned(), Frame::of(What::Behind(behind))));
-            self.effects.news.push(News::OldPeer {
+            self.effects.events.push(GroupEvent::StalePeer {
                 name: name.to_owned(),
                 disk: hello.disk,
                 why,
@@ -520,14 +525,14 @@
         if let Some(why) = old_copy(peer, &hello) {
             peer.refused = Some(hello.disk);
             peer.hello = None;
-            let behind = Behind {
+            let behind = StaleDiskNotice {
                 disk: hello.disk,
                 why: why.clone(),
             };
             self.effects
                 .frames
                 .push((name.to_owned(), Frame::of(What::Behind(behind))));
-            self.effects.news.push(News::OldPeer {
+            self.effects.events.push(GroupEvent::StalePeer {
                 name: name.to_owned(),
                 disk: hello.disk,
                 why,
@@ -541,23 +546,27 @@
                 peer.gone.pop_front();
             }
         }
-        peer.start = Some((hello.disk, hello.boot, hello.nonce));
+        peer.start = Some((hello.disk, hello.incarnation, hello.nonce));
         peer.refused = None;
         let generation = hello.generation;
-        let (fresh, disk, ahead) = (hello.fresh, hello.disk, generation > self.generation);
+        let (fresh, disk, ahead) = (
+            hello.uninitialized,
+            hello.disk,
+            generation > self.generation,
+        );
         peer.hello = Some(hello);
         if ahead && self.fresh() {
             // A new disk of a group that was recovered: it learns there.
             self.generation = generation;
             let data = Bytes::copy_from_slice(&generation.to_le_bytes());
-            self.writes.push(Write::Note {
-                number: NOTE_GENERATION,
+            self.writes.push(PersistentWrite::Metadata {
+                number: METADATA_GENERATION,
                 data,
             });
             self.greet_again();
         } else if ahead {
             let why = "the group was recovered without this disk".to_owned();
-            self.set_aside(News::OldCopy { why });
+            self.set_aside(GroupEvent::StaleDisk { why });
             return;
         }
         match &self.form {
@@ -587,11 +596,11 @@
                     .get(name)
                     .and_then(|peer| peer.hello.as_ref().filter(|_| peer.here))
                 {
-                    Some(hello) if hello.fresh => hello.disk,
+                    Some(hello) if hello.uninitialized => hello.disk,
                     _ => return,
                 }
             };
-            members.push(Formed {
+            members.push(BootstrapMember {
                 name: name.clone(),
                 site: site.clone(),
                 disk,
@@ -599,7 +608,7 @@
         }
         members.sort_by(|a, b| a.name.cmp(&b.name));
         let (shards, copies) = (u32::from(self.options.shards), self.options.copies as u32);
-        self.take_form(Form {
+        self.take_form(BootstrapConfig {
             members,
             shards,
             copies,
@@ -612,7 +621,7 @@
         }
     }
 
-    fn take_form(&mut self, form: Form) {
+    fn take_form(&mut self, form: BootstrapConfig) {
         let mine = form.members.iter().any(|one| one.disk == self.disk);
         if self.form.is_some()
             || !self.fresh()
@@ -621,13 +630,13 @@
         {
             return;
         }
-        self.writes.push(Write::Note {
-            number: NOTE_FORM,
+        self.writes.push(PersistentWrite::Metadata {
+            number: METADATA_BOOTSTRAP,
             data: form.encode_to_vec().into(),
         });
         self.form = Some(form.clone());
         self.begin(&form);
-        self.effects.news.push(News::Formed {
+        self.effects.events.push(GroupEvent::Formed {
             members: form.members.len(),
         });
         let names: Vec<String> = form.members.iter().map(|one| one.name.clone()).collect();
@@ -639,7 +648,7 @@
     }
 
     /// Begins the shards that fall to this disk by a form and are not there yet.
-    fn begin(&mut self, form: &Form) {
+    fn begin(&mut self, form: &BootstrapConfig) {
         let names: Vec<(String, String)> = form
             .members
             .iter()
@@ -647,7 +656,7 @@
             .collect();
         for shard in 0..self.options.shards {
             let held = holders(&names, shard, form.copies as usize);
-            let of: Vec<&Formed> = held.iter().map(|k| &form.members[*k]).collect();
+            let of: Vec<&BootstrapMember> = held.iter().map(|k| &form.members[*k]).collect();
             let mine = of.iter().any(|one| one.disk == self.disk);
             let there = self
                 .shards
@@ -675,7 +684,7 @@
                     term: one.replica.term(),
                     vote: one.replica.vote(),
                 });
-            self.writes.push(Write::Save {
+            self.writes.push(PersistentWrite::InstallSnapshot {
                 shard,
                 snapshot: snapshot.clone(),
                 alone: true,
@@ -693,7 +702,7 @@
 
     // Frames.
 
-    pub fn receive(&mut self, now: Duration, name: &str, frame: Frame) {
+    pub fn on_frame(&mut self, now: Duration, name: &str, frame: Frame) {
         self.now = self.now.max(now);
         let Some(what) = frame.what else { return };
         if self.over || !self.peers.contains_key(name) {
@@ -706,7 +715,7 @@
             What::Ask(ask) => self.asked(name, ask),
             What::Answer(answer) => self.answered(&answer),
             What::Behind(behind) if behind.disk == self.disk => {
-                self.set_aside(News::OldCopy { why: behind.why });
+                self.set_aside(GroupEvent::StaleDisk { why: behind.why });
             }
             What::Behind(_) => {}
             // Of the links that attached processes opened, not of those among members.
@@ -714,15 +723,15 @@
             What::Soft(report) => {
                 let hello = self.peers.get(name).and_then(|peer| peer.hello.as_ref());
                 if hello.is_some_and(|hello| hello.disk == report.disk) {
-                    self.reports.join(&report);
+                    self.reports.merge(&report);
                 }
             }
         }
         self.settle();
     }
 
-    fn set_aside(&mut self, news: News) {
-        self.effects.news.push(news);
+    fn set_aside(&mut self, news: GroupEvent) {
+        self.effects.events.push(news);
         self.over = true;
     }
 
@@ -791,7 +800,7 @@
         }
         if self.now >= self.soft_at {
             self.soft_at = self.now + SOFT;
-            self.own.count += 1;
+            self.own.sequence += 1;
             self.tell_soft();
         }
         if self.now >= self.due {
@@ -808,7 +817,7 @@
     }
 
     /// When something is to be done, if nothing happens before.
-    pub fn wake(&self) -> Duration {
+    pub fn next_deadline(&self) -> Duration {
         let shards = self
             .shards
             .values()
@@ -830,36 +839,36 @@
 
     /// What this node charged a tenant, in microseconds more, and what it can take.
     pub fn spent(&mut self, tenant: &str, more: u64) {
-        *self.own.spent.entry(tenant.to_owned()).or_default() += more;
+        *self.own.charged_us.entry(tenant.to_owned()).or_default() += more;
     }
 
     pub fn room(&mut self, room: u64) {
-        self.own.room = room;
+        self.own.spare_capacity = room;
     }
 
     fn write_witness(&mut self) {
         let seen = |(name, peer): (&String, &Peer)| {
             let (disk, boot, nonce) = peer.start?;
-            let mark = |(shard, (term, index)): (&u16, &(u64, u64))| Mark {
+            let mark = |(shard, (term, index)): (&u16, &(u64, u64))| ShardProgress {
                 shard: u32::from(*shard),
                 term: *term,
                 index: *index,
             };
-            Some(Witnessed {
+            Some(PeerIncarnation {
                 name: name.clone(),
                 disk,
-                boot,
+                incarnation: boot,
                 nonce,
-                gone: peer.gone.iter().copied().collect(),
-                marks: peer.marks.iter().map(mark).collect(),
+                replaced_disks: peer.gone.iter().copied().collect(),
+                shard_progress: peer.marks.iter().map(mark).collect(),
             })
         };
-        let witness = Witness {
+        let witness = PeerIncarnations {
             seen: self.peers.iter().filter_map(seen).collect(),
         };
         if witness != self.witness {
-            self.writes.push(Write::Note {
-                number: NOTE_WITNESS,
+            self.writes.push(PersistentWrite::Metadata {
+                number: METADATA_PEER_INCARNATIONS,
                 data: witness.encode_to_vec().into(),
             });
             self.witness = witness;
@@ -873,7 +882,7 @@
             .filter_map(|peer| Some(peer.start?.0))
             .collect();
         self.reports.keep(|disk| known.contains(&disk));
-        if self.own.spent.is_empty() && self.own.room == 0 {
+        if self.own.charged_us.is_empty() && self.own.spare_capacity == 0 {
             return;
         }
         let frame = Frame::of(What::Soft(self.own.clone()));
@@ -944,7 +953,9 @@
                     if one.replica.propose_membership_change(now, &change).is_ok() {
                         learning += usize::from(adds);
                         let config = describe(one.replica.membership());
-                        self.effects.news.push(News::Members { shard, config });
+                        self.effects
+                            .events
+                            .push(GroupEvent::MembershipChanged { shard, config });
                     }
                 }
             }
@@ -958,8 +969,8 @@
                 continue;
             }
             let index = one.replica.applied();
-            if let Some(snapshot) = one.replica.compact(index, one.table.keep()) {
-                self.writes.push(Write::Save {
+            if let Some(snapshot) = one.replica.compact(index, one.table.snapshot()) {
+                self.writes.push(PersistentWrite::InstallSnapshot {
                     shard: *shard,
                     snapshot,
                     alone: false,
@@ -976,8 +987,8 @@
                 continue;
             };
             let index = one.replica.applied();
-            if let Some(snapshot) = one.replica.compact(index, one.table.keep()) {
-                self.writes.push(Write::Save {
+            if let Some(snapshot) = one.replica.compact(index, one.table.snapshot()) {
+                self.writes.push(PersistentWrite::InstallSnapshot {
                     shard: *shard,
                     snapshot,
                     alone: false,
@@ -988,7 +999,7 @@
     }
 
     /// Hands over all shards that are led here to others; before a drain ends.
-    pub fn hand_over(&mut self, now: Duration) {
+    pub fn transfer_all_leadership(&mut self, now: Duration) {
         self.now = self.now.max(now);
         for one in self
             .shards
@@ -1009,7 +1020,7 @@
     }
 
     /// Shards that are led here and not handed over.
-    pub fn leading(&self) -> usize {
+    pub fn led_shard_count(&self) -> usize {
         self.shards
             .values()
             .filter(|one| one.replica.is_leader())
@@ -1020,19 +1031,19 @@
 
     /// A command for the leader of its key's shard; the question's number. It is told with that number, or its time
     /// is over. None if too many are open.
-    pub fn ask(&mut self, now: Duration, command: Command, until: Duration) -> Option<u64> {
+    pub fn request(&mut self, now: Duration, command: Command, until: Duration) -> Option<u64> {
         self.now = self.now.max(now);
         if self.questions.len() >= ASKS {
-            self.turned_away += 1;
+            self.rejected_requests += 1;
             return None;
         }
-        let shard = match &command.what {
-            Some(keys::What::Set(_) | keys::What::Publish(_)) => 0,
+        let shard = match &command.operation {
+            Some(idempotency::Operation::Set(_) | idempotency::Operation::Publish(_)) => 0,
             _ => shard_of(&command.key, self.options.shards),
         };
         self.next_question += 1;
         let id = self.next_question;
-        let question = Question {
+        let question = PendingRequest {
             shard,
             command,
             until,
@@ -1067,8 +1078,11 @@
         question.background = true;
         question.until = now + BACKGROUND;
         question.again = now;
-        if matches!(question.command.what, Some(keys::What::Start(_))) {
-            question.command.what = Some(keys::What::Withdraw(true));
+        if matches!(
+            question.command.operation,
+            Some(idempotency::Operation::Start(_))
+        ) {
+            question.command.operation = Some(idempotency::Operation::Withdraw(true));
             self.put(id);
         }
     }
@@ -1118,7 +1132,7 @@
         question.again = self.now + AGAIN[usize::from(!here)];
         self.due = self.due.min(question.again);
         if here {
-            self.propose(shard, &command, Asker::Here(id));
+            self.propose(shard, &command, Requester::Local(id));
             return;
         }
         let led_by = self.shards.get(&shard).and_then(|one| one.replica.leader());
@@ -1143,7 +1157,7 @@
         if let Some(question) = self.questions.get_mut(&id) {
             question.again = self.now + AGAIN[0];
         }
-        let ask = Ask {
+        let ask = CommandRequest {
             id,
             shard: u32::from(shard),
             command,
@@ -1160,15 +1174,15 @@
             .map(|(name, _)| name.clone())
     }
 
-    fn asked(&mut self, name: &str, ask: Ask) {
+    fn asked(&mut self, name: &str, ask: CommandRequest) {
         self.propose(
             ask.shard as u16,
             &ask.command,
-            Asker::There(name.to_owned(), ask.id),
+            Requester::Remote(name.to_owned(), ask.id),
         );
     }
 
-    fn propose(&mut self, shard: u16, command: &Command, asker: Asker) {
+    fn propose(&mut self, shard: u16, command: &Command, asker: Requester) {
         let now = self.now;
         let proposed = self.shards.get_mut(&shard).and_then(|one| {
             if one.waiting.len() >= WAITING {
@@ -1188,18 +1202,18 @@
     }
 
     /// This is no leader, or has no room: somebody else, or later.
-    fn elsewhere(&mut self, shard: u16, asker: &Asker) {
+    fn elsewhere(&mut self, shard: u16, asker: &Requester) {
         let leader = self.shards.get(&shard).and_then(|one| one.replica.leader());
         let leader = leader.filter(|leader| *leader != self.disk);
         match asker {
-            Asker::Here(id) => {
+            Requester::Local(id) => {
                 if let Some(question) = self.questions.get_mut(id) {
                     question.again = self.now + AGAIN[1];
                     self.due = self.due.min(question.again);
                 }
             }
-            Asker::There(name, id) => {
-                let answer = Answer::elsewhere(*id, shard, leader);
+            Requester::Remote(name, id) => {
+                let answer = CommandResponse::redirect(*id, shard, leader);
                 self.effects
                     .frames
                     .push((name.clone(), Frame::of(What::Answer(answer))));
@@ -1207,7 +1221,7 @@
         }
     }
 
-    fn answered(&mut self, answer: &Answer) {
+    fn answered(&mut self, answer: &CommandResponse) {
         let (id, now) = (answer.id, self.now);
         match answer.told() {
             Some(told) => self.tell(id, told),
@@ -1227,14 +1241,21 @@
     }
 
     /// What a question came to.
-    fn tell(&mut self, id: u64, told: Told) {
+    fn tell(&mut self, id: u64, told: ClaimOutcome) {
         let Some(question) = self.questions.get_mut(&id) else {
             return;
         };
         if question.background {
             // A start that is granted after its time is taken back, as is asked already.
-            let taken_back = matches!(question.command.what, Some(keys::What::Withdraw(_)));
-            let final_ = !taken_back || matches!(told, Told::Noted | Told::Full);
+            let taken_back = matches!(
+                question.command.operation,
+                Some(idempotency::Operation::Withdraw(_))
+            );
+            let final_ = !taken_back
+                || matches!(
+                    told,
+                    ClaimOutcome::Recorded | ClaimOutcome::CapacityExceeded
+                );
             if final_ {
                 self.questions.remove(&id);
             }
@@ -1244,21 +1265,21 @@
             // Its time is over, though nobody looked yet: the answer came too late to act on.
             return;
         }
-        if told == Told::Running {
+        if told == ClaimOutcome::InProgress {
             question.again = self.now + AGAIN[0];
         } else {
             self.questions.remove(&id);
         }
-        self.effects.told.push((id, told));
+        self.effects.outcomes.push((id, told));
     }
 
     // What follows.
 
-    fn send(&mut self, asker: &Asker, shard: u16, told: Told) {
+    fn send(&mut self, asker: &Requester, shard: u16, told: ClaimOutcome) {
         match asker {
-            Asker::Here(id) => self.tell(*id, told),
-            Asker::There(name, id) => {
-                let answer = Answer::of(*id, shard, &told);
+            Requester::Local(id) => self.tell(*id, told),
+            Requester::Remote(name, id) => {
+                let answer = CommandResponse::of(*id, shard, &told);
                 self.effects
                     .frames
                     .push((name.clone(), Frame::of(What::Answer(answer))));
@@ -1287,32 +1308,32 @@
             one.led = leads;
             let term = one.replica.term();
             let news = if leads {
-                News::Leads { shard, term }
+                GroupEvent::BecameLeader { shard, term }
             } else {
-                News::LeadsNoMore { shard }
+                GroupEvent::LostLeadership { shard }
             };
-            self.effects.news.push(news);
+            self.effects.events.push(news);
         }
         if out.is_empty() && (leads || one.waiting.is_empty() && one.watchers.is_empty()) {
             return;
         }
         if let Some(hard) = out.hard_state {
-            self.writes.push(Write::Hard { shard, hard });
+            self.writes.push(PersistentWrite::HardState { shard, hard });
         }
         if let Some((snapshot, alone)) = out.snapshot {
             if !snapshot.data.is_empty() && one.table.restore(snapshot.data.clone()).is_err() {
-                self.effects.news.push(News::OldCopy {
+                self.effects.events.push(GroupEvent::StaleDisk {
                     why: format!("shard {shard}: no table came"),
                 });
                 self.over = true;
                 return;
             }
-            self.effects.versions = true;
-            self.effects.news.push(News::CaughtUp {
+            self.effects.published_changed = true;
+            self.effects.events.push(GroupEvent::CaughtUp {
                 shard,
                 index: snapshot.metadata.index,
             });
-            self.writes.push(Write::Save {
+            self.writes.push(PersistentWrite::InstallSnapshot {
                 shard,
                 snapshot,
                 alone,
@@ -1320,10 +1341,10 @@
         }
         for entry in out.entries {
             self.confirms.push((shard, entry.index, entry.term));
-            self.writes.push(Write::Entry { shard, entry });
+            self.writes.push(PersistentWrite::Entry { shard, entry });
         }
         if let Some(differs) = out.divergence {
-            self.set_aside(News::Differs { shard, differs });
+            self.set_aside(GroupEvent::Diverged { shard, differs });
             return;
         }
         let generation = self.generation;
@@ -1394,10 +1415,15 @@
         };
         let told = one.table.apply(entry.stamp, &command);
         let over = !matches!(
-            command.what,
-            Some(keys::What::Start(_) | keys::What::Set(_) | keys::What::Publish(_))
+            command.operation,
+            Some(
+                idempotency::Operation::Start(_)
+                    | idempotency::Operation::Set(_)
+                    | idempotency::Operation::Publish(_)
+            )
         );
-        self.effects.versions |= matches!(command.what, Some(keys::What::Publish(_)));
+        self.effects.published_changed |=
+            matches!(command.operation, Some(idempotency::Operation::Publish(_)));
         let watchers = if over {
             one.watchers.remove(&command.key)
         } else {
@@ -1406,12 +1432,12 @@
         let leads = one.replica.is_leader();
         // The end of a run, for the repeats that wait for it. One of a start that was taken back asks again.
         for watcher in watchers.unwrap_or_default() {
-            match (&command.what, &told) {
-                (Some(keys::What::Done(result)), Told::Noted) => {
-                    self.send(&watcher, shard, Told::Known(result.clone()));
+            match (&command.operation, &told) {
+                (Some(idempotency::Operation::Done(result)), ClaimOutcome::Recorded) => {
+                    self.send(&watcher, shard, ClaimOutcome::Completed(result.clone()));
                 }
-                (Some(keys::What::Failed(_)), Told::Noted) => {
-                    self.send(&watcher, shard, Told::Uncertain)
+                (Some(idempotency::Operation::Failed(_)), ClaimOutcome::Recorded) => {
+                    self.send(&watcher, shard, ClaimOutcome::Indeterminate)
                 }
                 _ => self.elsewhere(shard, &watcher),
             }
@@ -1421,7 +1447,7 @@
             self.elsewhere(shard, &asker);
             return;
         }
-        if told == Told::Running && leads {
+        if told == ClaimOutcome::InProgress && leads {
             if let Some(one) = self.shards.get_mut(&shard) {
                 let watchers = one.watchers.entry(command.key.clone()).or_default();
                 if watchers.len() < WATCHERS && !watchers.contains(&asker) {
@@ -1445,7 +1471,7 @@
     }
 
     /// The effects of all calls since the last one.
-    pub fn take(&mut self) -> Effects {
+    pub fn take_effects(&mut self) -> Effects {
         let mut effects = std::mem::take(&mut self.effects);
         let writes = std::mem::take(&mut self.writes);
         let (after, confirms) = (
@@ -1460,7 +1486,7 @@
             if self.written >= self.number {
                 effects.frames.extend(after);
             } else {
-                self.held.push_back(Held {
+                self.held.push_back(AwaitingPersist {
                     number: self.number,
                     frames: after,
                     confirms,
@@ -1468,14 +1494,14 @@
             }
         }
         if self.held.len() > HELD && !self.over {
-            effects.news.push(News::DiskStandsStill);
+            effects.events.push(GroupEvent::DiskStalled);
             self.over = true;
         }
         effects
     }
 
     /// Writes up to this number are durable.
-    pub fn written(&mut self, now: Duration, to: u64) {
+    pub fn on_persisted(&mut self, now: Duration, to: u64) {
         self.now = self.now.max(now);
         self.written = self.written.max(to);
         while self
@@ -1483,7 +1509,7 @@
             .front()
             .is_some_and(|held| held.number <= self.written)
         {
-            let Some(Held {
+            let Some(AwaitingPersist {
                 frames, confirms, ..
             }) = self.held.pop_front()
             else {
@@ -1500,23 +1526,23 @@
     }
 
     /// Writes that are not durable yet.
-    pub fn unwritten(&self) -> u64 {
+    pub fn pending_writes(&self) -> u64 {
         self.number - self.written
     }
 
     // For people.
 
     /// A key that this disk started under a trace, if the shard's copy here tells.
-    pub fn started_here(&self, trace: &[u8]) -> Option<Bytes> {
+    pub fn key_claimed_here(&self, trace: &[u8]) -> Option<Bytes> {
         // A claim is its disk's: what an earlier start of this program began is still this disk's.
         let claim = self.claim(trace);
         self.shards
             .values()
-            .find_map(|one| one.table.started_by(&claim).cloned())
+            .find_map(|one| one.table.claimed_by(&claim).cloned())
     }
 
     /// The row of a key in the copy here, and its shard.
-    pub fn row(&self, key: &[u8]) -> (u16, Option<&keys::Row>) {
+    pub fn key_state(&self, key: &[u8]) -> (u16, Option<&idempotency::KeyState>) {
         let shard = shard_of(key, self.options.shards);
         (
             shard,
@@ -1524,7 +1550,7 @@
         )
     }
 
-    pub fn register(&self, name: &[u8]) -> Option<&keys::Register> {
+    pub fn register(&self, name: &[u8]) -> Option<&idempotency::Register> {
         self.shards.get(&0).and_then(|one| one.table.register(name))
     }
 
@@ -1539,7 +1565,7 @@
     }
 
     /// Shards here: number, replica, table.
-    pub fn shards(&self) -> impl Iterator<Item = (u16, &Replica, &Table)> {
+    pub fn shards(&self) -> impl Iterator<Item = (u16, &Replica, &IdempotencyTable)> {
         self.shards
             .iter()
             .map(|(shard, one)| (*shard, &one.replica, &one.table))
@@ -1557,12 +1583,12 @@
         })
     }
 
-    pub fn open_questions(&self) -> usize {
+    pub fn pending_request_count(&self) -> usize {
         self.questions.len()
     }
 
     /// Shards that know who leads them, of all; by what is known here.
-    pub fn led(&self) -> (usize, usize) {
+    pub fn known_leaders(&self) -> (usize, usize) {
         let known = (0..self.options.shards).filter(|shard| {
             self.shards
                 .get(shard)
@@ -1599,15 +1625,15 @@
         return Some("another disk took its place".into());
     }
     let (_, boot, nonce) = peer.start.filter(|start| start.0 == hello.disk)?;
-    if (boot, nonce) == (hello.boot, hello.nonce) {
+    if (boot, nonce) == (hello.incarnation, hello.nonce) {
         return None;
     }
-    if hello.boot <= boot {
-        return Some(format!("start {} after start {boot}", hello.boot));
+    if hello.incarnation <= boot {
+        return Some(format!("start {} after start {boot}", hello.incarnation));
     }
     for (shard, (term, index)) in &peer.marks {
         let mark = hello
-            .marks
+            .shard_progress
             .iter()
             .find(|mark| mark.shard == u32::from(*shard));
         let (t, i) = mark.map_or((0, 0), |mark| (mark.term, mark.index));
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -15,10 +15,13 @@
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_raft::wire::{Body, Message, VoteRequest};
 use rainstand_replicated_state::frames::{
-    Answer, Ask, Behind, Form, Formed, Frame, Hello, Mark, Raft, What, Witness, Witnessed, Word,
+    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, Hello,
+    PeerIncarnation, PeerIncarnations, Raft, ResponseCode, ShardProgress, StaleDiskNotice, What,
+};
+use rainstand_replicated_state::gossip::GossipReport;
+use rainstand_replicated_state::idempotency::{
+    Claim, Command, IdempotencyTable, Operation as Said, Register, Start,
 };
-use rainstand_replicated_state::keys::{Claim, Command, Register, Start, Table, What as Said};
-use rainstand_replicated_state::soft::Report;
 use rainstand_replicated_state::versions::Publish;
 
 const FRAMES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/frames.hex");
@@ -36,7 +39,7 @@
     Command {
         key: Bytes::from_static(key.as_bytes()),
         claim: claim(holder),
-        what: Some(what),
+        operation: Some(what),
     }
 }
 
@@ -113,14 +116,14 @@
     ]
 }
 
-fn marks() -> Vec<Mark> {
+fn marks() -> Vec<ShardProgress> {
     vec![
-        Mark {
+        ShardProgress {
             shard: 0,
             term: 4,
             index: 900,
         },
-        Mark {
+        ShardProgress {
             shard: 3,
             term: 2,
             index: 17,
@@ -129,7 +132,7 @@
 }
 
 fn frames() -> Vec<(String, Frame)> {
-    let formed = |name: &str, disk| Formed {
+    let formed = |name: &str, disk| BootstrapMember {
         name: name.into(),
         site: "s1".into(),
         disk,
@@ -138,11 +141,11 @@
         group: "test".into(),
         name: "n1".into(),
         disk: 0x1122_3344_5566_7788,
-        boot: 3,
+        incarnation: 3,
         nonce: 99,
-        fresh: true,
+        uninitialized: true,
         shards: 16,
-        marks: marks(),
+        shard_progress: marks(),
         generation: 2,
     };
     let message = Message {
@@ -156,18 +159,18 @@
             wanted: false,
         })),
     };
-    let report = Report {
+    let report = GossipReport {
         epoch: 3,
-        count: 40,
-        spent: [("acme".to_owned(), 1_500), ("zeta".to_owned(), 7)].into(),
-        room: 2_500,
+        sequence: 40,
+        charged_us: [("acme".to_owned(), 1_500), ("zeta".to_owned(), 7)].into(),
+        spare_capacity: 2_500,
         disk: 0x1122,
     };
     let mut all: Vec<(String, Frame)> = vec![
         ("hello".into(), Frame::of(What::Hello(hello))),
         (
             "form".into(),
-            Frame::of(What::Form(Form {
+            Frame::of(What::Form(BootstrapConfig {
                 members: vec![formed("n1", 1), formed("n2", 2)],
                 shards: 16,
                 copies: 3,
@@ -183,7 +186,7 @@
         ),
         (
             "behind".into(),
-            Frame::of(What::Behind(Behind {
+            Frame::of(What::Behind(StaleDiskNotice {
                 disk: 7,
                 why: "start 1 after start 2".into(),
             })),
@@ -198,7 +201,7 @@
     for (name, command) in commands() {
         all.push((
             format!("ask-{name}"),
-            Frame::of(What::Ask(Ask {
+            Frame::of(What::Ask(CommandRequest {
                 id: 1 << 40,
                 shard: 5,
                 command,
@@ -206,9 +209,9 @@
         ));
     }
     for word in 0..=12 {
-        let word = Word::try_from(word).unwrap() as i32;
+        let word = ResponseCode::try_from(word).unwrap() as i32;
         let result = Bytes::from_static(b"result");
-        let answer = Answer {
+        let answer = CommandResponse {
             id: 1 << 40,
             shard: 5,
             word,
@@ -241,15 +244,15 @@
         .iter()
         .map(|(name, command)| NamedBytes::new(*name, command.encode_to_vec()))
         .collect();
-    let seen = Witnessed {
+    let seen = PeerIncarnation {
         name: "n2".into(),
         disk: 5,
-        boot: 6,
+        incarnation: 6,
         nonce: 7,
-        marks: marks(),
-        gone: vec![3, 4],
+        shard_progress: marks(),
+        replaced_disks: vec![3, 4],
     };
-    let witness = Witness { seen: vec![seen] };
+    let witness = PeerIncarnations { seen: vec![seen] };
     written.push(NamedBytes::new("witness", witness.encode_to_vec()));
     assert_bytes(COMMANDS, &written);
     let stored = read_bytes(COMMANDS);
@@ -257,12 +260,12 @@
         assert_eq!(Command::decode(&bytes[..]).unwrap(), *command, "{name}");
     }
     let last = stored.last().unwrap();
-    assert_eq!(Witness::decode(&last.bytes[..]).unwrap(), witness);
+    assert_eq!(PeerIncarnations::decode(&last.bytes[..]).unwrap(), witness);
 }
 
 /// Keys in each state, a register, and published versions.
-fn table() -> Table {
-    let mut table = Table::new(100, 1_000);
+fn table() -> IdempotencyTable {
+    let mut table = IdempotencyTable::new(100, 1_000);
     let start = |sum| {
         Said::Start(Start {
             sum,
@@ -304,14 +307,14 @@
 
 #[test]
 fn a_shard_s_snapshot_is_written_as_before() {
-    assert_bytes(TABLES, &[NamedBytes::new("table", table().keep())]);
+    assert_bytes(TABLES, &[NamedBytes::new("table", table().snapshot())]);
 }
 
 #[test]
 fn a_shard_s_snapshot_of_before_is_restored_whole() {
     let stored = read_bytes(TABLES).remove(0).bytes;
-    let mut restored = Table::new(100, 1_000);
+    let mut restored = IdempotencyTable::new(100, 1_000);
     restored.restore(stored.clone().into()).unwrap();
-    assert_eq!(restored.keep(), stored);
+    assert_eq!(restored.snapshot(), stored);
     assert_eq!(restored, table());
 }
--- a/crates/replicated-state/tests/versions.rs
+++ b/crates/replicated-state/tests/versions.rs
@@ -11,7 +11,9 @@
 use prost::Message as _;
 use rainstand_config::schema::{Configuration, Tenant};
 use rainstand_config_distribution::delta::ConfigState;
-use rainstand_replicated_state::keys::{Claim, Command, Table, Told, What};
+use rainstand_replicated_state::idempotency::{
+    Claim, ClaimOutcome, Command, IdempotencyTable, Operation,
+};
 use rainstand_replicated_state::versions::{Publish, MOST_CHANGE};
 
 /// Tenants of a share that tells versions apart.
@@ -39,15 +41,15 @@
     Command {
         key: Bytes::from_static(b"configuration"),
         claim,
-        what: Some(What::Publish(publish)),
+        operation: Some(Operation::Publish(publish)),
     }
 }
 
-fn restored(table: &Table) -> Table {
-    let mut again = Table::new(10, 50);
-    again.restore(table.keep()).unwrap();
+fn restored(table: &IdempotencyTable) -> IdempotencyTable {
+    let mut again = IdempotencyTable::new(10, 50);
+    again.restore(table.snapshot()).unwrap();
     assert_eq!(again.versions(), table.versions());
-    assert_eq!(again.keep(), table.keep());
+    assert_eq!(again.snapshot(), table.snapshot());
     again
 }
 
@@ -136,16 +138,16 @@
         ("the third", third, 3, "noted"),
         ("the first, very late", first, 3, "noted"),
     ];
-    let mut copy = Table::new(10, 50);
+    let mut copy = IdempotencyTable::new(10, 50);
     let mut newest = ConfigState::default();
     for (what, publish, version, wanted) in table {
         let mut again = restored(&copy);
         let command = command(publish);
         let told = copy.apply(1, &command);
         let word = match &told {
-            Told::Noted => "noted",
-            Told::Conflict(_) => "conflict",
-            Told::UpdateError(_) => "refused",
+            ClaimOutcome::Recorded => "noted",
+            ClaimOutcome::Conflict(_) => "conflict",
+            ClaimOutcome::Rejected(_) => "refused",
             _ => "another",
         };
         assert_eq!(
@@ -154,8 +156,8 @@
             "{what}: {told:?}"
         );
         assert_eq!(
-            (again.apply(1, &command), again.keep()),
-            (told, copy.keep()),
+            (again.apply(1, &command), again.snapshot()),
+            (told, copy.snapshot()),
             "{what}"
         );
         if word == "noted" {
@@ -177,7 +179,7 @@
 /// A first version of this size goes packed, a change of it as a change.
 #[test]
 fn a_large_version_goes_packed_and_a_change_of_it_does_not() {
-    let mut copy = Table::new(10, 50);
+    let mut copy = IdempotencyTable::new(10, 50);
     let mut wanted = with(20_000, 0);
     let whole = Publish::of(&ConfigState::default(), 0, &wanted).unwrap();
     assert!(
@@ -185,7 +187,7 @@
         "{}",
         whole.whole.len()
     );
-    assert_eq!(copy.apply(1, &command(whole)), Told::Noted);
+    assert_eq!(copy.apply(1, &command(whole)), ClaimOutcome::Recorded);
     wanted.tenants[7].share = 9;
     let change = Publish::of(copy.versions().state(), 1, &wanted).unwrap();
     assert!(
@@ -193,7 +195,7 @@
         "{}",
         change.delta.len()
     );
-    assert_eq!(copy.apply(1, &command(change)), Told::Noted);
+    assert_eq!(copy.apply(1, &command(change)), ClaimOutcome::Recorded);
     assert_eq!(
         restored(&copy).versions().state().configuration().unwrap(),
         wanted
@@ -203,10 +205,10 @@
 /// The oldest changes are folded into the base: what is kept is bounded, and what it says stays right.
 #[test]
 fn the_history_is_bounded_and_leads_from_its_base_to_the_newest() {
-    let mut copy = Table::new(10, 50);
+    let mut copy = IdempotencyTable::new(10, 50);
     for k in 0..4_200 {
         let publish = Publish::of(copy.versions().state(), u64::from(k), &with(2, k)).unwrap();
-        assert_eq!(copy.apply(1, &command(publish)), Told::Noted);
+        assert_eq!(copy.apply(1, &command(publish)), ClaimOutcome::Recorded);
     }
     for copy in [&copy, &restored(&copy)] {
         let all = copy.versions();
--- a/crates/storage/benches/commit.rs
+++ b/crates/storage/benches/commit.rs
@@ -8,7 +8,7 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
-use rainstand_storage::{Folder, Limits, Record, Store};
+use rainstand_storage::{FolderDisk, Record, Store, StoreLimits};
 use std::time::{Duration, Instant};
 
 const LASTS: Duration = Duration::from_millis(1_500);
@@ -31,11 +31,11 @@
     );
     for group in [1u64, 16, 256] {
         let folder = tempfile::tempdir().expect("a folder");
-        let disk = Folder::open(&folder.path().join("own")).expect("a folder");
-        let (mut store, _) = Store::open(disk, Limits::default(), [1, 2]).expect("a store");
+        let disk = FolderDisk::open(&folder.path().join("own")).expect("a folder");
+        let (mut store, _) = Store::open(disk, StoreLimits::default(), [1, 2]).expect("a store");
         let own = rate(|n| {
             for k in 0..group {
-                store.put(&Record::Entry {
+                store.append(&Record::Entry {
                     shard: 0,
                     index: n * group + k + 1,
                     data: data.clone(),
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 /// Folders set aside that are kept; the oldest goes when one more comes.
-const ASIDE: usize = 3;
+const MAX_QUARANTINED: usize = 3;
 const LOCK: &str = "lock";
 
 /// One folder. Names are plain file names. Bytes that were appended are durable once `flush` says so; names, once
@@ -32,7 +32,7 @@
     ///
     /// # Errors
     /// As above.
-    fn cut(&mut self, name: &str, len: u64) -> io::Result<()>;
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()>;
     /// # Errors
     /// As above.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
@@ -43,22 +43,22 @@
     ///
     /// # Errors
     /// As above.
-    fn set_aside(&mut self) -> io::Result<()>;
+    fn quarantine(&mut self) -> io::Result<()>;
 }
 
 /// What a folder is to do wrong, in tests of the whole program.
-pub type Trouble = std::sync::Arc<dyn Fn() -> io::Result<()> + Send + Sync>;
+pub type FaultHook = std::sync::Arc<dyn Fn() -> io::Result<()> + Send + Sync>;
 
 /// A folder of the system, locked against a second process.
-pub struct Folder {
+pub struct FolderDisk {
     path: PathBuf,
     open: HashMap<String, File>,
     /// Asked before each append and flush: it may wait, or say that the disk failed.
-    trouble: Option<Trouble>,
+    fault_hook: Option<FaultHook>,
     _lock: File,
 }
 
-impl Folder {
+impl FolderDisk {
     /// Makes the folder if it is not there.
     ///
     /// # Errors
@@ -81,19 +81,19 @@
         Ok(Self {
             path: path.to_owned(),
             open: HashMap::new(),
-            trouble: None,
+            fault_hook: None,
             _lock: lock,
         })
     }
 
     /// From now on it fails as it is told.
-    pub fn troubled(mut self, trouble: Trouble) -> Self {
-        self.trouble = Some(trouble);
+    pub fn with_fault_hook(mut self, trouble: FaultHook) -> Self {
+        self.fault_hook = Some(trouble);
         self
     }
 
-    fn ask_trouble(&self) -> io::Result<()> {
-        self.trouble.as_ref().map_or(Ok(()), |trouble| trouble())
+    fn check_fault_hook(&self) -> io::Result<()> {
+        self.fault_hook.as_ref().map_or(Ok(()), |trouble| trouble())
     }
 
     /// Makes the names in the folder durable.
@@ -113,7 +113,7 @@
     }
 }
 
-impl Disk for Folder {
+impl Disk for FolderDisk {
     fn list(&mut self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.path)? {
@@ -143,11 +143,11 @@
     }
 
     fn flush(&mut self, name: &str) -> io::Result<()> {
-        self.ask_trouble()?;
+        self.check_fault_hook()?;
         self.file(name)?.0.sync_data()
     }
 
-    fn cut(&mut self, name: &str, len: u64) -> io::Result<()> {
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
         self.open.remove(name);
         let file = OpenOptions::new().write(true).open(self.path.join(name))?;
         file.set_len(len)?;
@@ -166,7 +166,7 @@
         fs::remove_file(self.path.join(name))
     }
 
-    fn set_aside(&mut self) -> io::Result<()> {
+    fn quarantine(&mut self) -> io::Result<()> {
         let mut before: Vec<u64> = Vec::new();
         for entry in fs::read_dir(&self.path)? {
             let name = entry?.file_name().into_string().unwrap_or_default();
@@ -177,7 +177,10 @@
         }
         before.sort_unstable();
         let folder = |number: u64| self.path.join(format!("aside-{number:04}"));
-        for old in before.iter().take((before.len() + 1).saturating_sub(ASIDE)) {
+        for old in before
+            .iter()
+            .take((before.len() + 1).saturating_sub(MAX_QUARANTINED))
+        {
             fs::remove_dir_all(folder(*old))?;
         }
         let to = folder(before.last().map_or(1, |last| last + 1));
--- a/crates/storage/src/faulty.rs
+++ b/crates/storage/src/faulty_disk.rs
@@ -8,7 +8,7 @@
 
 /// What a crash leaves of bytes that were appended and not flushed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Leaves {
+pub enum CrashOutcome {
     /// So many bytes of all of them, in the order in which they were written; the rest is lost.
     First(usize),
     /// All of them but the first so many, which are zeros: later sectors reached the disk before earlier ones.
@@ -17,7 +17,7 @@
 
 /// What goes wrong from now on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ills {
+pub struct DiskFaults {
     /// Flushes fail, and what was appended is lost.
     pub flush_fails: bool,
     /// Appends fail, the first of them half way.
@@ -40,22 +40,22 @@
     files: BTreeMap<String, File>,
     /// Files with bytes that are not flushed, in the order of their first such byte.
     unflushed: Vec<String>,
-    ills: Ills,
+    ills: DiskFaults,
     asides: usize,
     flushes: u64,
 }
 
 /// Shared by whoever writes and whoever makes it crash.
 #[derive(Clone, Debug, Default)]
-pub struct Faulty(Rc<RefCell<State>>);
+pub struct FaultyDisk(Rc<RefCell<State>>);
 
-impl Faulty {
+impl FaultyDisk {
     /// A copy that nothing shares: what a backup holds.
     pub fn copy(&self) -> Self {
         Self(Rc::new(RefCell::new(self.0.borrow().clone())))
     }
 
-    pub fn ills(&self, ills: Ills) {
+    pub fn set_faults(&self, ills: DiskFaults) {
         self.0.borrow_mut().ills = ills;
     }
 
@@ -73,17 +73,17 @@
         self.0.borrow().flushes
     }
 
-    pub fn asides(&self) -> usize {
+    pub fn quarantine_count(&self) -> usize {
         self.0.borrow().asides
     }
 
     /// What is left after a crash; everything that is wrong is mended but for that.
-    pub fn crash(&self, leaves: Leaves) {
+    pub fn crash(&self, leaves: CrashOutcome) {
         let mut state = self.0.borrow_mut();
         let names = std::mem::take(&mut state.unflushed);
         let (mut first, mut zeros) = match leaves {
-            Leaves::First(n) => (n, 0),
-            Leaves::AllBut(n) => (usize::MAX, n),
+            CrashOutcome::First(n) => (n, 0),
+            CrashOutcome::AllBut(n) => (usize::MAX, n),
         };
         for name in names {
             let Some(file) = state.files.get_mut(&name) else {
@@ -97,7 +97,7 @@
             zeros -= zeroed;
             file.flushed = file.bytes.len();
         }
-        state.ills = Ills::default();
+        state.ills = DiskFaults::default();
     }
 
     /// Turns one bit over, at rest.
@@ -135,7 +135,7 @@
     io::Error::other(why.to_owned())
 }
 
-impl Disk for Faulty {
+impl Disk for FaultyDisk {
     fn list(&mut self) -> io::Result<Vec<String>> {
         let state = self.0.borrow();
         if state.ills.gone {
@@ -204,7 +204,7 @@
         Ok(())
     }
 
-    fn cut(&mut self, name: &str, len: u64) -> io::Result<()> {
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
         let file = state.files.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
         file.bytes.truncate(len as usize);
@@ -234,7 +234,7 @@
             .ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
-    fn set_aside(&mut self) -> io::Result<()> {
+    fn quarantine(&mut self) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
         state.files.clear();
         state.unflushed.clear();
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -24,11 +24,11 @@
 )]
 
 pub mod disk;
-pub mod faulty;
+pub mod faulty_disk;
 pub mod record;
 pub mod store;
 pub mod writer;
 
-pub use disk::{Disk, Folder};
+pub use disk::{Disk, FolderDisk};
 pub use record::Record;
-pub use store::{Damage, Identity, Limits, OpenError, Recovered, Shard, Store};
+pub use store::{Damage, Identity, OpenError, Recovered, Shard, Store, StoreLimits};
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -7,7 +7,7 @@
 //! Invariant: `hard`, `notes`, `bases` and `last` tell what a recovery of all that was written would find.
 
 use crate::disk::Disk;
-use crate::record::{read, Read, Record};
+use crate::record::{read_record, ReadOutcome, Record};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -35,14 +35,14 @@
 
 /// How much a store may hold and how it is cut.
 #[derive(Clone, Copy, Debug)]
-pub struct Limits {
+pub struct StoreLimits {
     /// Bytes from which on a new segment is begun.
     pub segment: u64,
     /// Bytes of all segments from which on shards are asked for snapshots.
     pub log: u64,
 }
 
-impl Default for Limits {
+impl Default for StoreLimits {
     fn default() -> Self {
         Self {
             segment: 16 << 20,
@@ -92,7 +92,7 @@
 /// What a recovery found of one shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Shard {
-    pub hard: Option<Vec<u8>>,
+    pub hard_state: Option<Vec<u8>>,
     /// Index and bytes.
     pub snapshot: Option<(u64, Vec<u8>)>,
     /// Index and bytes, behind the snapshot, without a gap.
@@ -103,9 +103,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Recovered {
     pub shards: BTreeMap<u16, Shard>,
-    pub notes: BTreeMap<u16, Vec<u8>>,
+    pub metadata: BTreeMap<u16, Vec<u8>>,
     /// A write that was cut short: the segment, its whole part, and the bytes taken off behind it.
-    pub torn: Option<(String, u64, u64)>,
+    pub truncated_tail: Option<(String, u64, u64)>,
     /// Segments and bytes read.
     pub segments: usize,
     pub bytes: u64,
@@ -121,7 +121,7 @@
 
 pub struct Store<D: Disk> {
     disk: D,
-    limits: Limits,
+    limits: StoreLimits,
     identity: Identity,
     segments: Vec<Segment>,
     hard: BTreeMap<u16, Vec<u8>>,
@@ -236,25 +236,25 @@
                 return Err(OpenError::Damaged(damage(name, 0, "no log of this format")));
             }
             (at, segment.bytes) = (0, 0);
-            found.torn = Some(((*name).clone(), 0, bytes.len() as u64));
+            found.truncated_tail = Some(((*name).clone(), 0, bytes.len() as u64));
         }
-        while found.torn.is_none() {
-            match read(&bytes[at..]) {
-                Read::End => break,
-                Read::Whole(record, len) => {
-                    if let Record::Base { shard, index, .. } = record {
+        while found.truncated_tail.is_none() {
+            match read_record(&bytes[at..]) {
+                ReadOutcome::End => break,
+                ReadOutcome::Complete(record, len) => {
+                    if let Record::SnapshotMarker { shard, index, .. } = record {
                         let base = bases.entry(shard).or_default();
                         *base = index.max(*base);
                     }
                     records.push((segments.len(), at, record));
                     at += len;
                 }
-                Read::Short if newest && followed(&bytes[at + 1..]) => {
+                ReadOutcome::Truncated if newest && followed(&bytes[at + 1..]) => {
                     let why = "no whole record, and whole ones behind it";
                     return Err(OpenError::Damaged(damage(name, at, why)));
                 }
                 // What stands at its head was flushed before any older segment went.
-                Read::Short
+                ReadOutcome::Truncated
                     if newest && k == 0 && *number > 1 && head.is_some_and(|head| at < head) =>
                 {
                     return Err(OpenError::Damaged(damage(
@@ -263,18 +263,19 @@
                         "cut short in its head",
                     )));
                 }
-                Read::Short if newest => {
-                    found.torn = Some(((*name).clone(), at as u64, (bytes.len() - at) as u64));
+                ReadOutcome::Truncated if newest => {
+                    found.truncated_tail =
+                        Some(((*name).clone(), at as u64, (bytes.len() - at) as u64));
                     segment.bytes = at as u64;
                 }
-                Read::Short => {
+                ReadOutcome::Truncated => {
                     return Err(OpenError::Damaged(damage(
                         name,
                         at,
                         "cut short, and not the newest",
                     )))
                 }
-                Read::Wrong(why) => return Err(OpenError::Damaged(damage(name, at, why))),
+                ReadOutcome::Corrupt(why) => return Err(OpenError::Damaged(damage(name, at, why))),
             }
         }
         found.bytes += segment.bytes;
@@ -307,7 +308,7 @@
 ///
 /// # Errors
 /// If the disk fails, or the damage is where nothing can be taken off: an older segment, a snapshot, the identity.
-pub fn mend(disk: &mut impl Disk) -> Result<Option<Damage>, OpenError> {
+pub fn repair(disk: &mut impl Disk) -> Result<Option<Damage>, OpenError> {
     let found = match recover(disk) {
         Ok(_) => return Ok(None),
         Err(OpenError::Damaged(found)) => found,
@@ -322,12 +323,12 @@
     for name in &names {
         all.push((name, disk.read(name)?));
     }
-    disk.set_aside()?;
+    disk.quarantine()?;
     for (name, bytes) in all {
         disk.append(name, &bytes)?;
         disk.flush(name)?;
     }
-    disk.cut(&found.file, found.offset)?;
+    disk.truncate(&found.file, found.offset)?;
     Ok(Some(found))
 }
 
@@ -339,7 +340,8 @@
             .first_chunk::<4>()
             .is_some_and(|len| *len != [0; 4])
     };
-    (0..bytes.len()).any(|at| begins(at) && matches!(read(&bytes[at..]), Read::Whole(..)))
+    (0..bytes.len())
+        .any(|at| begins(at) && matches!(read_record(&bytes[at..]), ReadOutcome::Complete(..)))
 }
 
 /// One record of a log that is read from its beginning.
@@ -350,12 +352,14 @@
     record: Record,
 ) -> Result<(), String> {
     match record {
-        Record::Hard { shard, data } => found.shards.entry(shard).or_default().hard = Some(data),
-        Record::Note { number, data } => {
-            found.notes.insert(number, data);
+        Record::HardState { shard, data } => {
+            found.shards.entry(shard).or_default().hard_state = Some(data)
+        }
+        Record::Metadata { number, data } => {
+            found.metadata.insert(number, data);
         }
         // Entries behind the newest base that were written before it, if that one stands alone.
-        Record::Base {
+        Record::SnapshotMarker {
             shard,
             index,
             alone,
@@ -396,7 +400,7 @@
     /// What cannot be read, or cannot be believed: then nothing was changed.
     pub fn open(
         mut disk: D,
-        limits: Limits,
+        limits: StoreLimits,
         chance: [u64; 2],
     ) -> Result<(Self, Recovered), OpenError> {
         let (before, recovered) = recover(&mut disk)?;
@@ -411,8 +415,8 @@
                 disk.remove(name)?;
             }
         }
-        if let Some((name, whole, _)) = &recovered.torn {
-            disk.cut(name, *whole)?;
+        if let Some((name, whole, _)) = &recovered.truncated_tail {
+            disk.truncate(name, *whole)?;
         }
         let identity = Identity {
             format: FORMAT,
@@ -423,7 +427,7 @@
         let mut hard = BTreeMap::new();
         let mut last = BTreeMap::new();
         for (shard, found) in &recovered.shards {
-            hard.extend(found.hard.clone().map(|data| (*shard, data)));
+            hard.extend(found.hard_state.clone().map(|data| (*shard, data)));
             let base = found.snapshot.as_ref().map_or(0, |snapshot| snapshot.0);
             last.insert(*shard, found.entries.last().map_or(base, |entry| entry.0));
         }
@@ -433,7 +437,7 @@
             identity,
             segments,
             hard,
-            notes: recovered.notes.clone(),
+            notes: recovered.metadata.clone(),
             bases,
             last,
             buffer: Vec::new(),
@@ -478,26 +482,26 @@
         let mut bytes = LOG_MAGIC.to_vec();
         bytes.extend_from_slice(&[0; 4]);
         for (shard, data) in &self.hard {
-            Record::Hard {
+            Record::HardState {
                 shard: *shard,
                 data: data.clone(),
             }
-            .write(&mut bytes);
+            .encode_into(&mut bytes);
         }
         for (number, data) in &self.notes {
-            Record::Note {
+            Record::Metadata {
                 number: *number,
                 data: data.clone(),
             }
-            .write(&mut bytes);
+            .encode_into(&mut bytes);
         }
         for (shard, index) in &self.bases {
-            Record::Base {
+            Record::SnapshotMarker {
                 shard: *shard,
                 index: *index,
                 alone: false,
             }
-            .write(&mut bytes);
+            .encode_into(&mut bytes);
         }
         let head = (bytes.len() - LOG_MAGIC.len() - 4) as u32;
         bytes[LOG_MAGIC.len()..LOG_MAGIC.len() + 4].copy_from_slice(&head.to_le_bytes());
@@ -513,18 +517,18 @@
     }
 
     /// Takes a record to be written with the next [`Store::flush`].
-    pub fn put(&mut self, record: &Record) {
+    pub fn append(&mut self, record: &Record) {
         let Some(segment) = self.segments.last_mut() else {
             return;
         };
         match record {
-            Record::Hard { shard, data } => {
+            Record::HardState { shard, data } => {
                 self.hard.insert(*shard, data.clone());
             }
-            Record::Note { number, data } => {
+            Record::Metadata { number, data } => {
                 self.notes.insert(*number, data.clone());
             }
-            Record::Base {
+            Record::SnapshotMarker {
                 shard,
                 index,
                 alone,
@@ -539,8 +543,8 @@
                 *last = (*last).max(*index);
             }
         }
-        segment.bytes += record.size() as u64;
-        record.write(&mut self.buffer);
+        segment.bytes += record.encoded_len() as u64;
+        record.encode_into(&mut self.buffer);
     }
 
     /// All that was put is durable when this returns well.
@@ -588,7 +592,13 @@
     ///
     /// # Errors
     /// As with [`Store::flush`].
-    pub fn save(&mut self, shard: u16, index: u64, data: &[u8], alone: bool) -> io::Result<()> {
+    pub fn install_snapshot(
+        &mut self,
+        shard: u16,
+        index: u64,
+        data: &[u8],
+        alone: bool,
+    ) -> io::Result<()> {
         let before = self.bases.get(&shard).copied();
         if before.is_some_and(|before| before >= index) {
             return Ok(());
@@ -603,7 +613,7 @@
             store.disk.flush(&new)?;
             store.disk.rename(&new, &name)
         })?;
-        self.put(&Record::Base {
+        self.append(&Record::SnapshotMarker {
             shard,
             index,
             alone,
@@ -634,7 +644,7 @@
     }
 
     /// Shards that should be saved, since the log is over its bound and they hold its oldest segment back.
-    pub fn pressing(&self) -> Vec<u16> {
+    pub fn needs_compaction(&self) -> Vec<u16> {
         if self.bytes() < self.limits.log {
             return Vec::new();
         }
@@ -654,11 +664,11 @@
     ///
     /// # Errors
     /// If the disk fails.
-    pub fn begin_anew(self, chance: [u64; 2]) -> Result<Self, OpenError> {
+    pub fn reinitialize(self, chance: [u64; 2]) -> Result<Self, OpenError> {
         let Self {
             mut disk, limits, ..
         } = self;
-        disk.set_aside()?;
+        disk.quarantine()?;
         Store::open(disk, limits, chance).map(|(store, _)| store)
     }
 }
--- a/crates/storage/src/writer.rs
+++ b/crates/storage/src/writer.rs
@@ -13,16 +13,16 @@
 use std::time::{Duration, Instant};
 
 /// Jobs that one flush takes at most: it bounds the time for which the first of them waits.
-const BATCH: usize = 4_096;
+const MAX_BATCH_JOBS: usize = 4_096;
 
 /// What is to be written. Numbers go up.
 #[derive(Debug)]
-pub enum Job {
+pub enum WriteJob {
     Write {
         number: u64,
         records: Vec<Record>,
     },
-    Save {
+    InstallSnapshot {
         number: u64,
         shard: u16,
         index: u64,
@@ -33,16 +33,16 @@
 
 /// What became of jobs.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Done {
+pub enum WriteOutcome {
     /// All up to this number are durable; shards that should be saved, as the log is over its bound.
-    Up { to: u64, pressing: Vec<u16> },
+    Durable { to: u64, pressing: Vec<u16> },
     /// Nothing more is written, and what was on its way may be there or not.
     Failed(String),
 }
 
 /// The program's end.
 pub struct Writer {
-    jobs: Option<Sender<Job>>,
+    jobs: Option<Sender<WriteJob>>,
     waiting: Arc<AtomicUsize>,
     thread: Option<JoinHandle<()>>,
 }
@@ -52,7 +52,7 @@
     pub fn start<D: Disk + 'static>(
         open: impl FnOnce() -> Store<D> + Send + 'static,
         wait: Duration,
-        tell: impl Fn(Done) + Send + 'static,
+        tell: impl Fn(WriteOutcome) + Send + 'static,
     ) -> Self {
         let (jobs, taken) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
@@ -66,11 +66,11 @@
     }
 
     /// Jobs not yet durable: whoever gives jobs keeps this within its bound.
-    pub fn waiting(&self) -> usize {
+    pub fn pending_jobs(&self) -> usize {
         self.waiting.load(Ordering::Relaxed)
     }
 
-    pub fn give(&self, job: Job) {
+    pub fn submit(&self, job: WriteJob) {
         self.waiting.fetch_add(1, Ordering::Relaxed);
         if let Some(jobs) = &self.jobs {
             // A thread that is gone has told so.
@@ -79,7 +79,7 @@
     }
 
     /// Waits until all that was given is written.
-    pub fn end(mut self) {
+    pub fn shut_down(mut self) {
         self.jobs.take();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -89,15 +89,15 @@
 
 fn write<D: Disk>(
     mut store: Store<D>,
-    jobs: &Receiver<Job>,
+    jobs: &Receiver<WriteJob>,
     wait: Duration,
     waiting: &AtomicUsize,
-    tell: impl Fn(Done),
+    tell: impl Fn(WriteOutcome),
 ) {
     while let Ok(first) = jobs.recv() {
         let until = Instant::now() + wait;
         let mut batch = vec![first];
-        while batch.len() < BATCH {
+        while batch.len() < MAX_BATCH_JOBS {
             match jobs.recv_timeout(until.saturating_duration_since(Instant::now())) {
                 Ok(job) => batch.push(job),
                 Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => break,
@@ -106,18 +106,18 @@
         let (count, mut to, mut failed) = (batch.len(), 0, None);
         for job in batch {
             match job {
-                Job::Write { number, records } => {
-                    records.iter().for_each(|record| store.put(record));
+                WriteJob::Write { number, records } => {
+                    records.iter().for_each(|record| store.append(record));
                     to = number;
                 }
-                Job::Save {
+                WriteJob::InstallSnapshot {
                     number,
                     shard,
                     index,
                     data,
                     alone,
                 } => {
-                    failed = failed.or(store.save(shard, index, &data, alone).err());
+                    failed = failed.or(store.install_snapshot(shard, index, &data, alone).err());
                     to = number;
                 }
             }
@@ -125,12 +125,12 @@
         failed = failed.or(store.flush().err());
         waiting.fetch_sub(count, Ordering::Relaxed);
         match failed {
-            None => tell(Done::Up {
+            None => tell(WriteOutcome::Durable {
                 to,
-                pressing: store.pressing(),
+                pressing: store.needs_compaction(),
             }),
             Some(why) => {
-                tell(Done::Failed(why.to_string()));
+                tell(WriteOutcome::Failed(why.to_string()));
                 return;
             }
         }
