--- a/crates/storage/tests/crashes.rs
+++ b/crates/storage/tests/crashes.rs
@@ -9,11 +9,11 @@
 )]
 
 use nanorand::{Rng, WyRand};
-use rainstand_storage::faulty::{Faulty, Ills, Leaves};
+use rainstand_storage::faulty_disk::{CrashOutcome, DiskFaults, FaultyDisk};
 use rainstand_storage::store::recover;
-use rainstand_storage::{Disk, Limits, OpenError, Record, Recovered, Store};
+use rainstand_storage::{Disk, OpenError, Record, Recovered, Store, StoreLimits};
 
-const SMALL: Limits = Limits {
+const SMALL: StoreLimits = StoreLimits {
     segment: 600,
     log: 2_000,
 };
@@ -27,7 +27,7 @@
 }
 
 fn hard(shard: u16, text: &str) -> Record {
-    Record::Hard {
+    Record::HardState {
         shard,
         data: text.as_bytes().to_vec(),
     }
@@ -60,7 +60,7 @@
     steps.extend((3..9).flat_map(|n| [Put(entry(0, n, &"long ".repeat(n as usize))), Flush]));
     steps.extend([
         Save(0, 5, false),
-        Put(Record::Note {
+        Put(Record::Metadata {
             number: 9,
             data: b"note".to_vec(),
         }),
@@ -83,11 +83,11 @@
     let mut found = Recovered::default();
     for step in steps {
         match step {
-            Step::Put(Record::Hard { shard, data }) => {
-                found.shards.entry(*shard).or_default().hard = Some(data.clone());
+            Step::Put(Record::HardState { shard, data }) => {
+                found.shards.entry(*shard).or_default().hard_state = Some(data.clone());
             }
-            Step::Put(Record::Note { number, data }) => {
-                found.notes.insert(*number, data.clone());
+            Step::Put(Record::Metadata { number, data }) => {
+                found.metadata.insert(*number, data.clone());
             }
             Step::Put(Record::Entry { shard, index, data }) => {
                 let entries = &mut found.shards.entry(*shard).or_default().entries;
@@ -105,14 +105,14 @@
     found
 }
 
-fn play(store: &mut Store<Faulty>, step: &Step) -> std::io::Result<()> {
+fn play(store: &mut Store<FaultyDisk>, step: &Step) -> std::io::Result<()> {
     match step {
         Step::Put(record) => {
-            store.put(record);
+            store.append(record);
             Ok(())
         }
         Step::Flush => store.flush(),
-        Step::Save(shard, index, alone) => store.save(
+        Step::Save(shard, index, alone) => store.install_snapshot(
             *shard,
             *index,
             format!("snapshot {index}").as_bytes(),
@@ -123,7 +123,7 @@
 
 fn same(found: &Recovered, wanted: &Recovered) -> bool {
     // A shard of which nothing was written is one that is not there.
-    found.notes == wanted.notes
+    found.metadata == wanted.metadata
         && found
             .shards
             .iter()
@@ -133,7 +133,7 @@
 
 /// A folder that crashes by itself: at the n-th byte that reaches it, everything after is lost.
 struct Until {
-    disk: Faulty,
+    disk: FaultyDisk,
     left: usize,
 }
 
@@ -171,9 +171,9 @@
         self.over()?;
         self.disk.flush(name)
     }
-    fn cut(&mut self, name: &str, len: u64) -> std::io::Result<()> {
+    fn truncate(&mut self, name: &str, len: u64) -> std::io::Result<()> {
         self.over()?;
-        self.disk.cut(name, len)
+        self.disk.truncate(name, len)
     }
     fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
         self.over()?;
@@ -187,8 +187,8 @@
         self.over()?;
         self.disk.remove(name)
     }
-    fn set_aside(&mut self) -> std::io::Result<()> {
-        self.disk.set_aside()
+    fn quarantine(&mut self) -> std::io::Result<()> {
+        self.disk.quarantine()
     }
 }
 
@@ -197,7 +197,7 @@
     let steps = script();
     let (mut at, mut crashes, mut ends) = (1, 0, false);
     while !ends {
-        let disk = Faulty::default();
+        let disk = FaultyDisk::default();
         let opened = Store::open(
             Until {
                 disk: disk.clone(),
@@ -212,11 +212,11 @@
             for (k, step) in steps.iter().enumerate() {
                 let done = match step {
                     Step::Put(record) => {
-                        store.put(record);
+                        store.append(record);
                         Ok(())
                     }
                     Step::Flush => store.flush(),
-                    Step::Save(shard, index, alone) => store.save(
+                    Step::Save(shard, index, alone) => store.install_snapshot(
                         *shard,
                         *index,
                         format!("snapshot {index}").as_bytes(),
@@ -236,7 +236,7 @@
             ends = false;
         }
         // Everything that reached the disk stays, or nothing that was not flushed.
-        for leaves in [Leaves::First(usize::MAX), Leaves::First(0)] {
+        for leaves in [CrashOutcome::First(usize::MAX), CrashOutcome::First(0)] {
             let left = disk.copy();
             left.crash(leaves);
             let (_, found) =
@@ -268,19 +268,19 @@
     let steps = script();
     let mut damaged = 0;
     for zeros in (1..200).step_by(3) {
-        let disk = Faulty::default();
-        let (mut store, _) = Store::open(disk.clone(), Limits::default(), [7, 1]).unwrap();
+        let disk = FaultyDisk::default();
+        let (mut store, _) = Store::open(disk.clone(), StoreLimits::default(), [7, 1]).unwrap();
         steps[..10]
             .iter()
             .for_each(|step| play(&mut store, step).unwrap());
-        disk.ills(Ills {
+        disk.set_faults(DiskFaults {
             lies: true,
-            ..Ills::default()
+            ..DiskFaults::default()
         });
         steps[10..16]
             .iter()
             .for_each(|step| play(&mut store, step).unwrap());
-        disk.crash(Leaves::AllBut(zeros));
+        disk.crash(CrashOutcome::AllBut(zeros));
         match recover(&mut disk.clone()) {
             Err(OpenError::Damaged(damage)) => {
                 damaged += 1;
@@ -297,7 +297,7 @@
 #[test]
 fn a_bit_that_turned_over_is_named_and_never_believed() {
     let (steps, mut chance) = (script(), WyRand::new_seed(3));
-    let disk = Faulty::default();
+    let disk = FaultyDisk::default();
     let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
     steps
         .iter()
@@ -316,7 +316,7 @@
         match recover(&mut bad.clone()) {
             Err(OpenError::Damaged(_)) => named += 1,
             // A length that grew looks like a write cut short, if it is the newest segment's: a beginning is left.
-            Ok((_, found)) if found.torn.is_some() => {
+            Ok((_, found)) if found.truncated_tail.is_some() => {
                 assert!(
                     (0..=steps.len()).any(|n| same(&found, &wanted(&steps[..n]))),
                     "{name} {byte}"
@@ -335,38 +335,38 @@
 #[test]
 fn after_a_flush_that_failed_nothing_is_confirmed_any_more() {
     for ills in [
-        Ills {
+        DiskFaults {
             flush_fails: true,
-            ..Ills::default()
+            ..DiskFaults::default()
         },
-        Ills {
+        DiskFaults {
             full: true,
-            ..Ills::default()
+            ..DiskFaults::default()
         },
-        Ills {
+        DiskFaults {
             gone: true,
-            ..Ills::default()
+            ..DiskFaults::default()
         },
     ] {
-        let disk = Faulty::default();
+        let disk = FaultyDisk::default();
         let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
-        store.put(&entry(0, 1, "kept"));
+        store.append(&entry(0, 1, "kept"));
         store.flush().unwrap();
-        disk.ills(ills);
-        store.put(&entry(0, 2, "lost"));
+        disk.set_faults(ills);
+        store.append(&entry(0, 2, "lost"));
         assert!(
             store.flush().is_err() && store.failed().is_some(),
             "{ills:?}"
         );
         // The disk is well again, and still nothing is confirmed: what it holds is not known.
-        disk.ills(Ills::default());
-        store.put(&entry(0, 3, "never"));
+        disk.set_faults(DiskFaults::default());
+        store.append(&entry(0, 3, "never"));
         assert!(
-            store.flush().is_err() && store.save(0, 1, b"s", false).is_err(),
+            store.flush().is_err() && store.install_snapshot(0, 1, b"s", false).is_err(),
             "{ills:?}"
         );
         drop(store);
-        disk.crash(Leaves::First(usize::MAX));
+        disk.crash(CrashOutcome::First(usize::MAX));
         let (_, found) = recover(&mut disk.clone()).unwrap();
         assert_eq!(
             found.shards[&0].entries,
@@ -378,19 +378,19 @@
 
 #[test]
 fn segments_go_once_they_are_in_snapshots_and_idle_shards_are_asked_for_theirs() {
-    let disk = Faulty::default();
+    let disk = FaultyDisk::default();
     let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
-    store.put(&entry(5, 1, "idle"));
+    store.append(&entry(5, 1, "idle"));
     let mut pressed = false;
     for n in 1..400 {
-        store.put(&entry(0, n, &"z".repeat(50)));
+        store.append(&entry(0, n, &"z".repeat(50)));
         store.flush().unwrap();
         if n % 20 == 0 {
-            store.save(0, n - 5, b"all", false).unwrap();
+            store.install_snapshot(0, n - 5, b"all", false).unwrap();
         }
-        if store.pressing().contains(&5) {
+        if store.needs_compaction().contains(&5) {
             pressed = true;
-            store.save(5, 1, b"idle", false).unwrap();
+            store.install_snapshot(5, 1, b"idle", false).unwrap();
         }
         assert!(store.bytes() < 6_000, "{n}: {}", store.bytes());
     }
@@ -415,9 +415,13 @@
             .count()
             == 2
     );
-    let anew = store.begin_anew([11, 3]).unwrap();
+    let anew = store.reinitialize([11, 3]).unwrap();
     assert_eq!(
-        (anew.identity().disk, anew.identity().boot, disk.asides()),
+        (
+            anew.identity().disk,
+            anew.identity().boot,
+            disk.quarantine_count()
+        ),
         (11, 1, 1)
     );
 }
@@ -428,16 +432,16 @@
     let path = folder.path().join("disk");
     let open = |chance| {
         Store::open(
-            rainstand_storage::Folder::open(&path).unwrap(),
+            rainstand_storage::FolderDisk::open(&path).unwrap(),
             SMALL,
             [chance, chance],
         )
     };
     let (mut store, _) = open(1).unwrap();
-    assert!(rainstand_storage::Folder::open(&path).is_err());
-    store.put(&entry(0, 1, "one"));
+    assert!(rainstand_storage::FolderDisk::open(&path).is_err());
+    store.append(&entry(0, 1, "one"));
     store.flush().unwrap();
-    store.save(0, 1, b"snapshot", false).unwrap();
+    store.install_snapshot(0, 1, b"snapshot", false).unwrap();
     drop(store);
     let (mut store, found) = open(2).unwrap();
     assert_eq!(
@@ -449,7 +453,7 @@
         (1, 1, 2)
     );
     for n in 10..15 {
-        store = store.begin_anew([n, n]).unwrap();
+        store = store.reinitialize([n, n]).unwrap();
         assert_eq!(store.identity().disk, n);
     }
     let asides = std::fs::read_dir(&path)
--- a/crates/storage/tests/golden.rs
+++ b/crates/storage/tests/golden.rs
@@ -8,9 +8,9 @@
 )]
 
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
-use rainstand_storage::record::{read, Read, Record};
+use rainstand_storage::record::{read_record, ReadOutcome, Record};
 use rainstand_storage::store::recover;
-use rainstand_storage::{Disk, Folder, Limits, Store};
+use rainstand_storage::{Disk, FolderDisk, Store, StoreLimits};
 use std::path::Path;
 
 const RECORDS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/records.hex");
@@ -20,7 +20,7 @@
     vec![
         (
             "hard",
-            Record::Hard {
+            Record::HardState {
                 shard: 3,
                 data: b"hard".to_vec(),
             },
@@ -35,7 +35,7 @@
         ),
         (
             "base",
-            Record::Base {
+            Record::SnapshotMarker {
                 shard: 3,
                 index: 299,
                 alone: false,
@@ -43,7 +43,7 @@
         ),
         (
             "base-alone",
-            Record::Base {
+            Record::SnapshotMarker {
                 shard: 3,
                 index: 299,
                 alone: true,
@@ -51,7 +51,7 @@
         ),
         (
             "note",
-            Record::Note {
+            Record::Metadata {
                 number: 2,
                 data: b"note".to_vec(),
             },
@@ -63,55 +63,63 @@
 fn records_are_written_as_before_and_read_back() {
     let written = records().into_iter().map(|(name, record)| {
         let mut bytes = Vec::new();
-        record.write(&mut bytes);
-        assert_eq!(bytes.len(), record.size(), "{name}");
+        record.encode_into(&mut bytes);
+        assert_eq!(bytes.len(), record.encoded_len(), "{name}");
         NamedBytes::new(name, bytes)
     });
     assert_bytes(RECORDS, &written.collect::<Vec<_>>());
     for (NamedBytes { name, bytes }, (_, record)) in read_bytes(RECORDS).into_iter().zip(records())
     {
-        assert_eq!(read(&bytes), Read::Whole(record, bytes.len()), "{name}");
+        assert_eq!(
+            read_record(&bytes),
+            ReadOutcome::Complete(record, bytes.len()),
+            "{name}"
+        );
     }
 }
 
 /// Two starts of a store with entries of two shards, notes, and a snapshot of one.
 fn write_store(folder: &Path) {
     let open = |draws| {
-        Store::open(Folder::open(folder).unwrap(), Limits::default(), draws)
-            .unwrap()
-            .0
+        Store::open(
+            FolderDisk::open(folder).unwrap(),
+            StoreLimits::default(),
+            draws,
+        )
+        .unwrap()
+        .0
     };
     let mut store = open([0x1122_3344_5566_7788, 5]);
-    store.put(&Record::Note {
+    store.append(&Record::Metadata {
         number: 4,
         data: b"n1".to_vec(),
     });
-    store.put(&Record::Hard {
+    store.append(&Record::HardState {
         shard: 0,
         data: b"term 1".to_vec(),
     });
     for index in 1..=4 {
-        store.put(&Record::Entry {
+        store.append(&Record::Entry {
             shard: 0,
             index,
             data: format!("entry {index}").into_bytes(),
         });
-        store.put(&Record::Entry {
+        store.append(&Record::Entry {
             shard: 1,
             index,
             data: format!("other {index}").into_bytes(),
         });
     }
     store.flush().unwrap();
-    store.save(0, 3, b"snapshot", false).unwrap();
-    store.put(&Record::Hard {
+    store.install_snapshot(0, 3, b"snapshot", false).unwrap();
+    store.append(&Record::HardState {
         shard: 0,
         data: b"term 2".to_vec(),
     });
     store.flush().unwrap();
     drop(store);
     let mut store = open([9, 6]);
-    store.put(&Record::Entry {
+    store.append(&Record::Entry {
         shard: 0,
         index: 5,
         data: b"entry 5".to_vec(),
@@ -123,7 +131,7 @@
 fn files_are_written_as_before() {
     let folder = tempfile::tempdir().unwrap();
     write_store(folder.path());
-    let mut disk = Folder::open(folder.path()).unwrap();
+    let mut disk = FolderDisk::open(folder.path()).unwrap();
     let names = disk.list().unwrap();
     let files = names.into_iter().map(|name| {
         let bytes = disk.read(&name).unwrap();
@@ -139,7 +147,7 @@
         std::fs::write(before.path().join(name), bytes).unwrap();
     }
     write_store(now.path());
-    let recovered = |folder: &Path| recover(&mut Folder::open(folder).unwrap()).unwrap();
+    let recovered = |folder: &Path| recover(&mut FolderDisk::open(folder).unwrap()).unwrap();
     let (identity, found) = recovered(before.path());
     assert_eq!((identity.clone(), found.clone()), recovered(now.path()));
     let identity = identity.unwrap();
@@ -147,9 +155,9 @@
         (identity.disk, identity.boot, identity.nonce),
         (0x1122_3344_5566_7788, 2, 6)
     );
-    assert_eq!(found.shards[&0].hard.as_deref(), Some(&b"term 2"[..]));
+    assert_eq!(found.shards[&0].hard_state.as_deref(), Some(&b"term 2"[..]));
     assert_eq!(found.shards[&0].snapshot, Some((3, b"snapshot".to_vec())));
     let last = found.shards[&0].entries.last().unwrap();
     assert_eq!(*last, (5, b"entry 5".to_vec()));
-    assert_eq!(found.notes[&4], b"n1");
+    assert_eq!(found.metadata[&4], b"n1");
 }
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -116,9 +116,9 @@
 }
 
 #[derive(Default)]
-struct Found(Vec<Break>);
+struct RecoveredState(Vec<Break>);
 
-impl Found {
+impl RecoveredState {
     fn tell(
         &mut self,
         (rule, check): (u8, &'static str),
@@ -143,7 +143,7 @@
 
 /// Reads a whole history.
 pub fn check(history: &[Seen]) -> Verdict {
-    let mut found = Found::default();
+    let mut found = RecoveredState::default();
     let mut tally = Tally::default();
     let mut tickets: Vec<Asked<'_>> = Vec::new();
     // A ticket's name is its caller's: two callers may count alike.
@@ -291,7 +291,7 @@
     tickets: &[Asked<'_>],
     runs: &[(Option<&str>, Run<'_>)],
     tally: &mut Tally,
-    found: &mut Found,
+    found: &mut RecoveredState,
 ) {
     let mut keys: HashMap<&str, Key<'_, '_>> = HashMap::new();
     for asked in tickets {
@@ -340,7 +340,7 @@
     }
 }
 
-fn whose(key: &str, seen: &Key<'_, '_>, run: &Run<'_>, found: &mut Found) {
+fn whose(key: &str, seen: &Key<'_, '_>, run: &Run<'_>, found: &mut RecoveredState) {
     let of = candidates(seen, run);
     if of.is_empty() {
         let before = seen.tickets.iter().filter(|asked| asked.at <= run.at);
@@ -390,7 +390,7 @@
     }
 }
 
-fn answers(key: &str, seen: &Key<'_, '_>, found: &mut Found) {
+fn answers(key: &str, seen: &Key<'_, '_>, found: &mut RecoveredState) {
     let mut first: Option<(&Asked<'_>, usize, &str)> = None;
     let mut answered: Vec<_> = seen
         .tickets
@@ -437,7 +437,11 @@
 
 /// The four rules as all other runs of the project are held to them, over the same history. What the checks above
 /// found is told once; this finds what they overlooked.
-fn by_the_rules(tickets: &[Asked<'_>], runs: &[(Option<&str>, Run<'_>)], found: &mut Found) {
+fn by_the_rules(
+    tickets: &[Asked<'_>],
+    runs: &[(Option<&str>, Run<'_>)],
+    found: &mut RecoveredState,
+) {
     if !found.0.is_empty() {
         return;
     }
--- a/crates/testbed/src/scale/groups.rs
+++ b/crates/testbed/src/scale/groups.rs
@@ -7,7 +7,7 @@
 use super::{limits, settings, Effort, Named, Place, Row, Sizes};
 use crate::process::{free_port, program};
 use crate::proxy::Proxy;
-use rainstand_cluster::{links::whole, status};
+use rainstand_cluster::{status, transport::whole};
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::Memory;
 use std::collections::BTreeMap;
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -11,7 +11,9 @@
 use prost::Message as _;
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::{Frame, What};
-use rainstand_replicated_state::member::{Effects, Found, Member, Options, COMPACT};
+use rainstand_replicated_state::member::{
+    Effects, GroupMember, MemberConfig, RecoveredState, DEFAULT_COMPACTION_ENTRIES,
+};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
@@ -109,7 +111,7 @@
 }
 
 struct World {
-    members: Vec<Member>,
+    members: Vec<GroupMember>,
     wakes: Vec<Duration>,
     /// By time and order; what happens stands in `what`.
     heap: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -134,7 +136,7 @@
             .map(|k| (name(k), String::new()))
             .collect();
         let one = |k: usize| {
-            let options = Options {
+            let options = MemberConfig {
                 group: "scale".into(),
                 name: name(k),
                 members: members.clone(),
@@ -146,19 +148,19 @@
                 },
                 moves: 2,
                 keys: 1_000_000,
-                compact: COMPACT,
+                compact: DEFAULT_COMPACTION_ENTRIES,
                 seed: spec.seed.wrapping_add(k as u64),
             };
             // As wide as those that a disk draws: numbers on the wire are as long as they are large.
             let mut chance = WyRand::new_seed(spec.seed << 20 | k as u64);
             let (disk, nonce) = (chance.generate::<u64>().max(1), chance.generate());
-            let found = Found {
+            let found = RecoveredState {
                 disk,
-                boot: 1,
+                incarnation: 1,
                 nonce,
-                ..Found::default()
+                ..RecoveredState::default()
             };
-            let mut member = Member::new(options, found, Duration::ZERO);
+            let mut member = GroupMember::new(options, found, Duration::ZERO);
             for tenant in 0..spec.charged {
                 member.spent(&format!("t{tenant}"), 40_000);
             }
@@ -176,7 +178,7 @@
         };
         for k in 0..spec.members {
             for other in (0..spec.members).filter(|other| *other != k) {
-                world.with(k, |member, now| member.met(now, &name(other)));
+                world.with(k, |member, now| member.on_connected(now, &name(other)));
             }
         }
         world
@@ -188,11 +190,11 @@
         self.what.insert(self.order, what);
     }
 
-    fn with(&mut self, k: usize, call: impl FnOnce(&mut Member, Duration)) {
-        let before = self.members[k].leading();
+    fn with(&mut self, k: usize, call: impl FnOnce(&mut GroupMember, Duration)) {
+        let before = self.members[k].led_shard_count();
         call(&mut self.members[k], self.now);
-        let Effects { frames, write, .. } = self.members[k].take();
-        self.led = self.led + self.members[k].leading() - before;
+        let Effects { frames, write, .. } = self.members[k].take_effects();
+        self.led = self.led + self.members[k].led_shard_count() - before;
         if let Some((number, _)) = write {
             self.counts.writes += 1;
             self.later(self.now + FLUSH, Event::Written { member: k, number });
@@ -219,7 +221,7 @@
             );
         }
         let wake = self.members[k]
-            .wake()
+            .next_deadline()
             .min(self.now + SLEEPS[0])
             .max(self.now + SLEEPS[1]);
         if wake < self.wakes[k] || self.wakes[k] <= self.now {
@@ -238,15 +240,15 @@
             }
             self.now = at;
             match self.what.remove(&order) {
-                Some(Event::Wake(k)) if self.wakes[k] == at => self.with(k, Member::tick),
+                Some(Event::Wake(k)) if self.wakes[k] == at => self.with(k, GroupMember::tick),
                 // Put off by an earlier one.
                 Some(Event::Wake(_)) | None => {}
                 Some(Event::Written { member, number }) => {
-                    self.with(member, |member, now| member.written(now, number));
+                    self.with(member, |member, now| member.on_persisted(now, number));
                 }
                 Some(Event::Arrive { from, to, frame }) => {
                     let frame = Frame::decode(&frame[..]).map_err(io::Error::other)?;
-                    self.with(to, |member, now| member.receive(now, &name(from), frame));
+                    self.with(to, |member, now| member.on_frame(now, &name(from), frame));
                 }
             }
             if done(self) {
@@ -275,11 +277,11 @@
     world.play(world.now + SETTLES, |_| false)?;
     let (before, cpu) = (world.counts, own_cpu());
     world.play(world.now + spec.window, |_| false)?;
-    let kept = |member: &Member| {
+    let kept = |member: &GroupMember| {
         let most = member
             .reports
             .iter()
-            .map(|(_, report)| report.spent.len())
+            .map(|(_, report)| report.charged_us.len())
             .max()
             .unwrap_or(0);
         (member.reports.iter().count(), most)
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -7,14 +7,16 @@
 use foldhash::HashMap;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_cluster::disk::{found, put};
+use rainstand_cluster::persistence::{found, put};
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
-use rainstand_replicated_state::keys::{Command, Start, Told, What};
-use rainstand_replicated_state::member::{Effects, Member, News, Options, Write};
-use rainstand_replicated_state::tickets::{self, Act, Stage};
-use rainstand_storage::faulty::{Faulty, Ills, Leaves};
-use rainstand_storage::{Limits, OpenError, Recovered, Store};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
+use rainstand_replicated_state::idempotent_request::{self, Act, Stage};
+use rainstand_replicated_state::member::{
+    Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite,
+};
+use rainstand_storage::faulty_disk::{CrashOutcome, DiskFaults, FaultyDisk};
+use rainstand_storage::{OpenError, Recovered, Store, StoreLimits};
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
@@ -154,10 +156,10 @@
 }
 
 struct Node {
-    disk: Faulty,
-    backup: Option<Faulty>,
-    store: Option<Store<Faulty>>,
-    member: Option<Member>,
+    disk: FaultyDisk,
+    backup: Option<FaultyDisk>,
+    store: Option<Store<FaultyDisk>>,
+    member: Option<GroupMember>,
     /// Goes up with each start and stop: what was meant for an earlier one is lost.
     life: u64,
     stopped: bool,
@@ -165,7 +167,7 @@
     /// Rate of its clock in thousandths, the true time and its own time when that began.
     clock: (u64, u64, u64),
     /// Jobs of the disk, oldest first; one flush at a time.
-    jobs: VecDeque<(u64, Vec<Write>)>,
+    jobs: VecDeque<(u64, Vec<PersistentWrite>)>,
     flushing: bool,
     wake: u64,
     /// Questions to tickets.
@@ -287,7 +289,7 @@
     fn set_up(&mut self) {
         for node in 0..self.world.nodes {
             self.nodes.push(Node {
-                disk: Faulty::default(),
+                disk: FaultyDisk::default(),
                 backup: None,
                 store: None,
                 member: None,
@@ -346,7 +348,7 @@
                         frame,
                     });
                 } else if self.nodes[from].member.is_some() || self.draw(2) == 0 {
-                    self.with(to, |member, now| member.receive(now, &name(from), frame));
+                    self.with(to, |member, now| member.on_frame(now, &name(from), frame));
                 }
             }
             Step::Wake { .. } | Step::Flushed { .. } | Step::Arrive { .. } => {}
@@ -433,8 +435,8 @@
         self.later(after, Step::Apart { node: usize::MAX });
     }
 
-    fn options(&mut self, node: usize) -> Options {
-        Options {
+    fn options(&mut self, node: usize) -> MemberConfig {
+        MemberConfig {
             group: "sim".into(),
             name: name(node),
             members: self.members(),
@@ -457,7 +459,7 @@
         }
         let chance = [self.draw(u64::MAX - 1) + 1, self.draw(u64::MAX)];
         let disk = self.nodes[node].disk.clone();
-        let limits = Limits {
+        let limits = StoreLimits {
             segment: 20_000,
             log: 100_000,
         };
@@ -466,7 +468,7 @@
             Err(OpenError::Damaged(_)) => {
                 // As the program does: what cannot be believed is set aside, and the disk begins anew.
                 let mut folder = disk.clone();
-                let _ = rainstand_storage::Disk::set_aside(&mut folder);
+                let _ = rainstand_storage::Disk::quarantine(&mut folder);
                 match Store::open(folder, limits, chance) {
                     Ok(opened) => opened,
                     Err(why) => {
@@ -482,7 +484,7 @@
         self.begin(node, store, found);
     }
 
-    fn begin(&mut self, node: usize, store: Store<Faulty>, recovered: Recovered) {
+    fn begin(&mut self, node: usize, store: Store<FaultyDisk>, recovered: Recovered) {
         let identity = store.identity();
         self.trace(|| {
             format!(
@@ -498,7 +500,7 @@
             Ok(found) => found,
             Err(why) => return self.out.wrong.push(format!("{}: {why}", name(node))),
         };
-        let member = Member::new(options, found, now);
+        let member = GroupMember::new(options, found, now);
         let one = &mut self.nodes[node];
         (one.store, one.member) = (Some(store), Some(member));
         one.life += 1;
@@ -534,7 +536,7 @@
         if !self.passes(from, to) || self.nodes[from].stopped {
             return self.later(100 * MS, Step::Link { from, to });
         }
-        self.with(from, |member, now| member.met(now, &name(to)));
+        self.with(from, |member, now| member.on_connected(now, &name(to)));
     }
 
     fn trace(&self, what: impl FnOnce() -> String) {
@@ -551,7 +553,7 @@
         (one.member, one.store) = (None, None);
         one.life += 1;
         one.stopped = false;
-        one.disk.crash(Leaves::First(left));
+        one.disk.crash(CrashOutcome::First(left));
         for ticket in &mut self.tickets {
             if ticket.node == node {
                 ticket.disturbed = true;
@@ -565,26 +567,28 @@
             self.say(ticket, End::Gone, None);
         }
         for other in (0..self.world.nodes).filter(|other| *other != node) {
-            self.with(other, |member, now| member.lost(now, &name(node)));
+            self.with(other, |member, now| {
+                member.on_disconnected(now, &name(node))
+            });
         }
     }
 
     /// Calls into a member, and what follows from it.
-    fn with(&mut self, node: usize, call: impl FnOnce(&mut Member, Duration)) {
+    fn with(&mut self, node: usize, call: impl FnOnce(&mut GroupMember, Duration)) {
         let now = self.clock(node);
         let Some(member) = &mut self.nodes[node].member else {
             return;
         };
         call(member, now);
-        let effects = member.take();
-        let wake = member.wake();
-        let stopped = member.stopped();
+        let effects = member.take_effects();
+        let wake = member.next_deadline();
+        let stopped = member.is_stopped();
         self.follow(node, effects);
         if stopped
             && self.nodes[node]
                 .member
                 .as_ref()
-                .is_some_and(|member| member.stopped())
+                .is_some_and(|member| member.is_stopped())
         {
             return;
         }
@@ -602,10 +606,10 @@
         let Effects {
             frames,
             write,
-            told,
+            outcomes,
             timed_out,
-            news,
-            versions: _,
+            events,
+            published_changed: _,
         } = effects;
         if let Some(write) = write {
             self.nodes[node].jobs.push_back(write);
@@ -618,12 +622,15 @@
             let to = to[1..].parse::<usize>().map_or(0, |n| n - 1);
             self.send(node, to, frame);
         }
-        for one in news {
+        for one in events {
             self.trace(|| format!("{} {one:?}", name(node)));
             match one {
-                News::Leads { shard, term } => {
+                GroupEvent::BecameLeader { shard, term } => {
                     self.out.elections += 1;
-                    let disk = self.nodes[node].member.as_ref().map_or(0, Member::disk);
+                    let disk = self.nodes[node]
+                        .member
+                        .as_ref()
+                        .map_or(0, GroupMember::disk);
                     let before = self.leaders.insert((shard, term), disk);
                     if before.is_some_and(|before| before != disk) {
                         self.out
@@ -631,25 +638,25 @@
                             .push(format!("two lead shard {shard} in term {term}"));
                     }
                 }
-                News::Differs { .. } => {
+                GroupEvent::Diverged { .. } => {
                     self.out.wrong.push(format!("{}: {one:?}", name(node)));
                     self.anew(node);
                 }
-                News::OldCopy { .. } => self.anew(node),
+                GroupEvent::StaleDisk { .. } => self.anew(node),
                 _ => {}
             }
         }
-        for (id, told) in told {
+        for (id, told) in outcomes {
             if let Some(ticket) = self.nodes[node].asked.get(&id).copied() {
-                if told != Told::Running {
+                if told != ClaimOutcome::InProgress {
                     self.nodes[node].asked.remove(&id);
                 }
-                self.step(ticket, tickets::Event::Told(told));
+                self.step(ticket, idempotent_request::Event::Told(told));
             }
         }
         for id in timed_out {
             if let Some(ticket) = self.nodes[node].asked.remove(&id) {
-                self.step(ticket, tickets::Event::TimedOut);
+                self.step(ticket, idempotent_request::Event::TimedOut);
             }
         }
     }
@@ -658,7 +665,7 @@
     fn anew(&mut self, node: usize) {
         self.out.swaps += 1;
         self.crash(node);
-        let _ = rainstand_storage::Disk::set_aside(&mut self.nodes[node].disk);
+        let _ = rainstand_storage::Disk::quarantine(&mut self.nodes[node].disk);
         self.later(50 * MS, Step::Up { node });
     }
 
@@ -708,10 +715,10 @@
                 },
             );
         }
-        let pressing = store.pressing();
+        let pressing = store.needs_compaction();
         self.nodes[node].flushing = false;
         self.with(node, |member, now| {
-            member.written(now, number);
+            member.on_persisted(now, number);
             if !pressing.is_empty() {
                 member.pressing(now, &pressing);
             }
@@ -846,10 +853,10 @@
             Ill::DiskSlow(node) => self.nodes[node].slow = 30 * MS,
             Ill::DiskFails(node) => {
                 let full = self.draw(2) == 0;
-                self.nodes[node].disk.ills(Ills {
+                self.nodes[node].disk.set_faults(DiskFaults {
                     flush_fails: !full,
                     full,
-                    ..Ills::default()
+                    ..DiskFaults::default()
                 });
             }
             Ill::Clock(node) => {
@@ -874,10 +881,14 @@
             .nodes
             .iter()
             .filter_map(|one| one.member.as_ref())
-            .map(Member::disk)
+            .map(GroupMember::disk)
             .collect();
         let up = |one: &Node| {
-            !one.stopped && one.member.as_ref().is_some_and(|member| !member.stopped())
+            !one.stopped
+                && one
+                    .member
+                    .as_ref()
+                    .is_some_and(|member| !member.is_stopped())
         };
         let mut led = 0;
         for member in self.nodes.iter().filter_map(|one| one.member.as_ref()) {
@@ -906,7 +917,7 @@
         self.nodes[node]
             .member
             .as_ref()
-            .is_some_and(|member| member.leading() > 0)
+            .is_some_and(|member| member.led_shard_count() > 0)
     }
 
     /// It comes back with an empty disk, or with an old copy of its own.
@@ -926,10 +937,10 @@
         match self.nodes[node].backup.clone().filter(|_| !empty) {
             Some(backup) => {
                 let copy = backup.copy();
-                copy.crash(Leaves::First(usize::MAX));
+                copy.crash(CrashOutcome::First(usize::MAX));
                 self.nodes[node].disk = copy;
             }
-            None => self.nodes[node].disk = Faulty::default(),
+            None => self.nodes[node].disk = FaultyDisk::default(),
         }
         self.later(100 * MS, Step::Up { node });
         // While it learns, it may be all that a leader still reaches.
@@ -941,11 +952,11 @@
         if fault >= usize::MAX - self.world.nodes {
             // A node whose disk failed is started anew.
             let node = usize::MAX - fault;
-            self.nodes[node].disk.ills(Ills::default());
+            self.nodes[node].disk.set_faults(DiskFaults::default());
             if self.nodes[node]
                 .member
                 .as_ref()
-                .is_some_and(Member::stopped)
+                .is_some_and(GroupMember::is_stopped)
             {
                 self.crash(node);
                 self.later(50 * MS, Step::Up { node });
@@ -966,7 +977,7 @@
             }
             Ill::Down(node) => self.later(MS, Step::Up { node }),
             Ill::DiskSlow(node) => self.nodes[node].slow = 0,
-            Ill::DiskFails(node) => self.nodes[node].disk.ills(Ills::default()),
+            Ill::DiskFails(node) => self.nodes[node].disk.set_faults(DiskFaults::default()),
             Ill::Clock(node) => self.set_rate(node, 1_000),
             Ill::Part { .. } => {
                 // Links come back: each opener says hello again.
@@ -1049,14 +1060,14 @@
         if stopped {
             return;
         }
-        let start = What::Start(Start {
+        let start = Operation::Start(Start {
             sum,
             window: WINDOW,
         });
         let command = Command {
             key: Bytes::from(format!("k{key}")),
             claim,
-            what: Some(start),
+            operation: Some(start),
         };
         self.question(node, ticket, command, START_WITHIN);
     }
@@ -1064,11 +1075,11 @@
     fn question(&mut self, node: usize, ticket: usize, command: Command, within: u64) {
         let mut id = None;
         self.with_asked(node, ticket, |member, now| {
-            id = member.ask(now, command, now + Duration::from_nanos(within));
+            id = member.request(now, command, now + Duration::from_nanos(within));
             id
         });
         if id.is_none() {
-            self.step(ticket, tickets::Event::TimedOut);
+            self.step(ticket, idempotent_request::Event::TimedOut);
         }
     }
 
@@ -1077,7 +1088,7 @@
         &mut self,
         node: usize,
         ticket: usize,
-        call: impl FnOnce(&mut Member, Duration) -> Option<u64>,
+        call: impl FnOnce(&mut GroupMember, Duration) -> Option<u64>,
     ) {
         let now = self.clock(node);
         let Some(member) = &mut self.nodes[node].member else {
@@ -1090,11 +1101,11 @@
         self.with(node, |_, _| {});
     }
 
-    fn step(&mut self, ticket: usize, event: tickets::Event) {
+    fn step(&mut self, ticket: usize, event: idempotent_request::Event) {
         let Some(stage) = self.tickets[ticket].stage else {
             return;
         };
-        let (next, act) = tickets::step(stage, event);
+        let (next, act) = idempotent_request::step(stage, event);
         self.tickets[ticket].stage = next;
         let node = self.tickets[ticket].node;
         match act {
@@ -1105,7 +1116,7 @@
             }
             Act::Keep(result) => {
                 let left = (self.tickets[ticket].asked + WITHIN).saturating_sub(self.now);
-                let command = self.command(ticket, What::Done(result));
+                let command = self.command(ticket, Operation::Done(result));
                 self.question(node, ticket, command, left.saturating_sub(20 * MS));
             }
             Act::Answer(result) => {
@@ -1118,7 +1129,7 @@
         }
     }
 
-    fn command(&self, ticket: usize, what: What) -> Command {
+    fn command(&self, ticket: usize, what: Operation) -> Command {
         let one = &self.tickets[ticket];
         let trace = (ticket as u128).to_be_bytes();
         let member = self.nodes[one.node].member.as_ref();
@@ -1128,7 +1139,7 @@
         Command {
             key: Bytes::from(format!("k{}", one.key)),
             claim,
-            what: Some(what),
+            operation: Some(what),
         }
     }
 
@@ -1172,18 +1183,21 @@
             if let Some(member) = &mut self.nodes[node].member {
                 member.spent("acme", 1 + ticket as u64 % 7);
             }
-            return self.step(ticket, tickets::Event::Ended(tickets::End::Result(result)));
+            return self.step(
+                ticket,
+                idempotent_request::Event::Ended(idempotent_request::End::Result(result)),
+            );
         }
         // A run of an earlier start: its key is in the copies here, or nobody hears of it.
         let trace = (ticket as u128).to_be_bytes();
         let key = self.nodes[node]
             .member
             .as_ref()
-            .and_then(|member| member.started_here(&trace));
+            .and_then(|member| member.key_claimed_here(&trace));
         if key.is_some() {
-            let command = self.command(ticket, What::Done(result));
+            let command = self.command(ticket, Operation::Done(result));
             self.with(node, |member, now| {
-                let _ = member.ask(now, command, now + Duration::from_secs(5));
+                let _ = member.request(now, command, now + Duration::from_secs(5));
             });
         }
     }
@@ -1239,7 +1253,7 @@
                 continue;
             };
             for (disk, report) in member.reports.iter() {
-                let told = report.spent.get("acme").copied().unwrap_or(0);
+                let told = report.charged_us.get("acme").copied().unwrap_or(0);
                 let truth = self
                     .charged
                     .get(&(disk, report.epoch))
@@ -1258,7 +1272,7 @@
                     continue;
                 }
                 let sum = replica.log().sum(replica.applied()).unwrap_or(0);
-                let state = twox_hash::XxHash3_64::oneshot(&table.keep());
+                let state = twox_hash::XxHash3_64::oneshot(&table.snapshot());
                 let members = twox_hash::XxHash3_64::oneshot(&replica.membership().encode_to_vec());
                 let members = replica.is_membership_committed().then_some(members);
                 let entry = seen
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -7,7 +7,7 @@
 use crate::plan::{Act, Disk, Link, Step, Trouble, AFTER};
 use crate::process::{free_port, program, starts, Process, COMES_UP};
 use crate::proxy::Proxy;
-use rainstand_cluster::{links::whole, status};
+use rainstand_cluster::{status, transport::whole};
 use rainstand_config::schema::{self, Configuration, Rig};
 use rustix::process::Signal;
 use serde::Serialize;
