--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -2,7 +2,9 @@
 
 use crate::config::replace;
 use clap::Args;
-use rainstand_cluster::attachment::{keep, News, Seen, Setup};
+use rainstand_cluster::attachment::{
+    run_attachment, AttachmentEvent, AttachmentOptions, AttachmentStatus,
+};
 use rainstand_config::schema::{Configuration, Control, ControlMember};
 use rainstand_config_distribution::attach::NodeIdentity;
 use rainstand_config_distribution::delta::ConfigState;
@@ -125,7 +127,7 @@
 
     /// Keeps the attachment from now on.
     pub fn begin(self, hub: &Rc<Hub>, last: Option<Last>) {
-        let seen = Rc::new(RefCell::new(Seen::default()));
+        let seen = Rc::new(RefCell::new(AttachmentStatus::default()));
         let subscriber = match last {
             Some((version, state)) => {
                 Subscriber::with_version(Duration::ZERO, self.who.clone(), version, state)
@@ -180,7 +182,7 @@
                 }
             });
         };
-        let setup = Setup {
+        let setup = AttachmentOptions {
             who: self.who,
             machines: self.machines,
             subscriber,
@@ -190,7 +192,7 @@
             look: Box::new(look),
             seen,
         };
-        spawn_local(keep(setup));
+        spawn_local(run_attachment(setup));
     }
 }
 
@@ -212,7 +214,7 @@
     replace(path, &packed).map_err(|error| error.to_string())
 }
 
-fn line(seen: &Seen, since: Instant) -> ControlLine {
+fn line(seen: &AttachmentStatus, since: Instant) -> ControlLine {
     let age = seen.newest.unwrap_or(since).elapsed();
     ControlLine {
         version: seen.version,
@@ -231,26 +233,30 @@
     }
 }
 
-fn tell(news: &News, subscriber: &Subscriber) {
+fn tell(news: &AttachmentEvent, subscriber: &Subscriber) {
     let holds = subscriber.version();
     match news {
-        News::Attached { machine } => tracing::info!(event = "attached", machine, version = holds),
-        News::Lost { machine, why } => {
+        AttachmentEvent::Attached { machine } => {
+            tracing::info!(event = "attached", machine, version = holds)
+        }
+        AttachmentEvent::Lost { machine, why } => {
             tracing::warn!(event = "attachment_lost", machine, why, version = holds)
         }
-        News::Version(Event::Applied { version }) => {
+        AttachmentEvent::Version(Event::Applied { version }) => {
             let digest = format!("{:016x}", subscriber.state().digest());
             tracing::info!(event = "version_in_force", version, digest);
         }
-        News::Version(Event::Rejected { version, reason }) => {
+        AttachmentEvent::Version(Event::Rejected { version, reason }) => {
             tracing::warn!(event = "version_refused", version, why = reason, holds);
         }
-        News::Version(Event::Diverged { version, why }) => {
+        AttachmentEvent::Version(Event::Diverged { version, why }) => {
             tracing::error!(event = "version_differs", version, why = %why, holds);
         }
-        News::Version(Event::Gap { holds, from }) => {
+        AttachmentEvent::Version(Event::Gap { holds, from }) => {
             tracing::warn!(event = "version_gap", from, holds)
         }
-        News::Version(Event::Malformed) => tracing::warn!(event = "control_unreadable", holds),
+        AttachmentEvent::Version(Event::Malformed) => {
+            tracing::warn!(event = "control_unreadable", holds)
+        }
     }
 }
--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -5,7 +5,7 @@
 use crate::pcap::trouble;
 use crate::replica::exchange;
 use clap::Args;
-use rainstand_cluster::{status, Group, Setup};
+use rainstand_cluster::{status, ClusterMember, MemberOptions};
 use rainstand_config::diff::diff;
 use rainstand_config::schema::{Configuration, VERSION};
 use rainstand_config_distribution::delta::ConfigState;
@@ -91,8 +91,8 @@
     LocalSet::new().block_on(&runtime, async {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let mut hup = signal(SignalKind::hangup())?;
-        let setup = Setup { name: options.name.clone(), group, log: Box::new(told) };
-        let group = match Group::start(setup).await {
+        let setup = MemberOptions { name: options.name.clone(), group, log: Box::new(told) };
+        let group = match ClusterMember::start(setup).await {
             Ok(group) => group,
             Err(why) => return Ok(trouble(&options.config, why)),
         };
@@ -129,7 +129,7 @@
 /// What the group has to say, for people.
 fn told(news: &GroupEvent) {
     match news {
-        GroupEvent::Formed { members } => tracing::info!(event = "group_formed", members),
+        GroupEvent::Bootstrapped { members } => tracing::info!(event = "group_formed", members),
         GroupEvent::BecameLeader { shard, term } => {
             tracing::info!(event = "group_leads", shard, term)
         }
@@ -178,7 +178,8 @@
 }
 
 fn asked(at: SocketAddr, words: &str) -> Result<Value, String> {
-    let answer = exchange(at, &status::ask(words)).map_err(|error| error.to_string())?;
+    let answer =
+        exchange(at, &status::encode_question(words)).map_err(|error| error.to_string())?;
     let value: Value = serde_json::from_slice(&answer).map_err(|error| error.to_string())?;
     match value["error"].as_str() {
         Some(why) => Err(why.to_owned()),
@@ -188,7 +189,8 @@
 
 /// The newest version there.
 fn newest(at: SocketAddr) -> Result<(u64, ConfigState), String> {
-    let packed = exchange(at, &status::ask("whole")).map_err(|error| error.to_string())?;
+    let packed =
+        exchange(at, &status::encode_question("whole")).map_err(|error| error.to_string())?;
     if packed.is_empty() {
         return Ok((0, ConfigState::default()));
     }
@@ -232,7 +234,7 @@
     if asks.dry_run {
         return outcome(&json!({ "would": from + 1 }), asks.json);
     }
-    let answer = exchange(asks.at, &status::ask_publish(&publish));
+    let answer = exchange(asks.at, &status::encode_publish(&publish));
     let answer =
         answer.and_then(|answer| serde_json::from_slice(&answer).map_err(io::Error::other));
     match answer {
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -2,9 +2,9 @@
 
 use crate::out::{bytes, line, Code};
 use clap::{Args, Subcommand};
-use rainstand_cluster::recovery::{self, Lost};
+use rainstand_cluster::recovery::{self, RecoveryReport};
 use rainstand_cluster::status;
-use rainstand_cluster::transport::whole;
+use rainstand_cluster::transport::with_length_prefix;
 use serde_json::Value;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -84,7 +84,7 @@
             };
         }
     };
-    let answer = match ask(at.at, &words) {
+    let answer = match encode_question(at.at, &words) {
         Ok(answer) => answer,
         Err(why) => {
             eprintln!("{}: {why}", at.at);
@@ -112,15 +112,15 @@
     })
 }
 
-fn ask(at: SocketAddr, words: &str) -> io::Result<String> {
-    String::from_utf8(exchange(at, &status::ask(words))?).map_err(io::Error::other)
+fn encode_question(at: SocketAddr, words: &str) -> io::Result<String> {
+    String::from_utf8(exchange(at, &status::encode_question(words))?).map_err(io::Error::other)
 }
 
 /// One frame to a member, and its answer.
 pub fn exchange(at: SocketAddr, message: &[u8]) -> io::Result<Vec<u8>> {
     let mut stream = TcpStream::connect_timeout(&at, WITHIN)?;
     stream.set_read_timeout(Some(WITHIN))?;
-    stream.write_all(&whole(message))?;
+    stream.write_all(&with_length_prefix(message))?;
     let mut head = [0; 4];
     stream.read_exact(&mut head)?;
     let len = u32::from_be_bytes(head) as usize;
@@ -230,7 +230,7 @@
     Ok(())
 }
 
-fn told_lost(lost: &Lost, done: bool, json: bool) -> io::Result<Code> {
+fn told_lost(lost: &RecoveryReport, done: bool, json: bool) -> io::Result<Code> {
     if json {
         crate::out::json(lost)?;
         return Ok(Code::Good);
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -10,7 +10,7 @@
 )]
 
 use rainstand_cluster::status;
-use rainstand_cluster::transport::whole;
+use rainstand_cluster::transport::with_length_prefix;
 use rainstand_config::schema::Configuration;
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_replicated_state::versions::Publish;
@@ -231,7 +231,7 @@
     fn ask(&self, at: usize, message: &[u8]) -> Value {
         let mut stream = TcpStream::connect(&self.at[at]).unwrap();
         stream.set_read_timeout(Some(HANGS)).unwrap();
-        stream.write_all(&whole(message)).unwrap();
+        stream.write_all(&with_length_prefix(message)).unwrap();
         let mut head = [0; 4];
         stream.read_exact(&mut head).unwrap();
         let mut body = vec![0; u32::from_be_bytes(head) as usize];
@@ -309,7 +309,7 @@
         ..Configuration::default()
     };
     let late = Publish::of(&ConfigState::from_configuration(&late).unwrap(), 0, &late).unwrap();
-    let told = world.ask(2, &status::ask_publish(&late));
+    let told = world.ask(2, &status::encode_publish(&late));
     assert!(told["conflict"].is_string(), "{told}");
 
     // The change as a change, in force at both with one digest.
--- a/crates/cluster/benches/keyed.rs
+++ b/crates/cluster/benches/keyed.rs
@@ -12,7 +12,7 @@
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use rainstand_cluster::Group;
+use rainstand_cluster::ClusterMember;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 
 /// All that is asked by one run.
 struct Run {
-    group: Rc<Group>,
+    group: Rc<ClusterMember>,
     left: Cell<u64>,
     open: Cell<u64>,
     prefix: u64,
@@ -46,7 +46,7 @@
 fn ask(run: &Rc<Run>, number: u64, what: Operation, since: Instant) {
     let claim = run
         .group
-        .see(|member| member.claim(&u128::from(number).to_be_bytes()));
+        .inspect(|member| member.claim(&u128::from(number).to_be_bytes()));
     let command = Command {
         key: number.to_be_bytes().to_vec().into(),
         claim,
@@ -65,7 +65,7 @@
     };
     assert!(
         run.group
-            .ask(command, Duration::from_secs(20), Rc::new(tell))
+            .request(command, Duration::from_secs(20), Rc::new(tell))
             .is_some(),
         "room for a question"
     );
@@ -121,8 +121,8 @@
     std::fs::remove_dir_all(w.folder(2)).expect("its disk");
     let begun = Instant::now();
     let n3 = w.up("n3");
-    let known = |group: &Group| {
-        group.see(|member| {
+    let known = |group: &ClusterMember| {
+        group.inspect(|member| {
             member
                 .shards()
                 .map(|(_, _, table)| table.len() as u64)
--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -10,7 +10,7 @@
 use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
 use rainstand_config_distribution::subscriber::{Counters, Effect, Event, Subscriber};
 use rainstand_protocol::thrift::frame_within;
-use rainstand_replicated_state::frames::{Frame, What};
+use rainstand_replicated_state::frames::{Frame, FrameBody};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,7 +25,7 @@
 
 /// What is told of an attachment, whoever asks.
 #[derive(Clone, Debug, Default)]
-pub struct Seen {
+pub struct AttachmentStatus {
     /// The version in force; 0: none that a machine told.
     pub version: u64,
     pub digest: u64,
@@ -44,36 +44,36 @@
 
 /// What people should hear of.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum News {
+pub enum AttachmentEvent {
     Attached { machine: String },
     Lost { machine: String, why: &'static str },
     Version(Event),
 }
 
 /// Puts the subscriber's pending version into force, or says why it cannot be.
-pub type Take = Box<dyn FnMut(&Subscriber) -> Result<(), String>>;
+pub type ApplyCallback = Box<dyn FnMut(&Subscriber) -> Result<(), String>>;
 
 /// Where news go: the program's log.
-pub type Tell = Box<dyn Fn(&News, &Subscriber)>;
+pub type Tell = Box<dyn Fn(&AttachmentEvent, &Subscriber)>;
 /// Called now and then while attached, and, with true, when an attachment is lost: for who keeps the version in force.
-pub type Look = Box<dyn FnMut(&Subscriber, bool)>;
+pub type StatusCallback = Box<dyn FnMut(&Subscriber, bool)>;
 
 /// What an attachment needs.
-pub struct Setup {
+pub struct AttachmentOptions {
     pub who: NodeIdentity,
     pub machines: Vec<schema::ControlMember>,
     /// What is in force already, as read from a disk: none for [`Subscriber::new`].
     pub subscriber: Subscriber,
     pub seed: u64,
-    pub take: Take,
+    pub take: ApplyCallback,
     pub tell: Tell,
-    pub look: Look,
-    pub seen: Rc<RefCell<Seen>>,
+    pub look: StatusCallback,
+    pub seen: Rc<RefCell<AttachmentStatus>>,
 }
 
 /// Why a link is over.
 enum Over {
-    Lost(&'static str),
+    RecoveryReport(&'static str),
     ComeBack {
         after: Duration,
         elsewhere: bool,
@@ -87,15 +87,15 @@
     chooser: AttachmentPolicy,
     machines: Vec<schema::ControlMember>,
     started: Instant,
-    take: Take,
+    take: ApplyCallback,
     tell: Tell,
-    look: Look,
-    seen: Rc<RefCell<Seen>>,
+    look: StatusCallback,
+    seen: Rc<RefCell<AttachmentStatus>>,
 }
 
 /// Keeps one attachment, for ever.
-pub async fn keep(setup: Setup) {
-    let Setup {
+pub async fn run_attachment(setup: AttachmentOptions) {
+    let AttachmentOptions {
         who,
         machines,
         subscriber,
@@ -156,15 +156,15 @@
         {
             Ok(to) => match timeout(OPENS, TcpStream::connect(to)).await {
                 Ok(Ok(stream)) => self.talk(stream, &name).await,
-                _ => Over::Lost("no connection"),
+                _ => Over::RecoveryReport("no connection"),
             },
-            Err(_) => Over::Lost("no address"),
+            Err(_) => Over::RecoveryReport("no address"),
         };
         self.subscriber.on_link_closed();
         let now = self.now();
         let was = self.seen.borrow_mut().machine.take();
         let why = match over {
-            Over::Lost(why) => {
+            Over::RecoveryReport(why) => {
                 self.chooser.on_disconnected(now);
                 why
             }
@@ -178,7 +178,10 @@
         if was.is_some() {
             self.seen.borrow_mut().lost += 1;
             (self.look)(&self.subscriber, true);
-            (self.tell)(&News::Lost { machine: name, why }, &self.subscriber);
+            (self.tell)(
+                &AttachmentEvent::Lost { machine: name, why },
+                &self.subscriber,
+            );
         }
     }
 
@@ -196,7 +199,7 @@
                     .await
                     .is_ok_and(|sent| sent.is_ok())
             {
-                return Over::Lost("it takes nothing");
+                return Over::RecoveryReport("it takes nothing");
             }
             if let Some(over) = over {
                 return over;
@@ -204,7 +207,7 @@
             self.look(name);
             let now = self.now();
             if self.subscriber.is_server_lost(now) {
-                return Over::Lost("silent, or out of touch with the others");
+                return Over::RecoveryReport("silent, or out of touch with the others");
             }
             if self.chooser.next_deadline().is_some_and(|due| due <= now) {
                 return Over::Home;
@@ -212,22 +215,22 @@
             let until = tokio::time::Instant::now() + LOOK;
             match timeout_at(until, read.read(&mut chunk)).await {
                 Err(_) => continue,
-                Ok(Ok(0) | Err(_)) => return Over::Lost("the link ended"),
+                Ok(Ok(0) | Err(_)) => return Over::RecoveryReport("the link ended"),
                 Ok(Ok(n)) => back.extend_from_slice(&chunk[..n]),
             }
             let mut at = 0;
             loop {
                 let Ok(length) = frame_within(&back[at..], DOWN) else {
-                    return Over::Lost("no frame");
+                    return Over::RecoveryReport("no frame");
                 };
                 let Some(length) = length else { break };
                 let frame = Frame::decode(&back[at + 4..at + 4 + length]);
                 at += 4 + length;
                 let Ok(Frame {
-                    what: Some(What::Down(frame)),
+                    body: Some(FrameBody::ToSubscriber(frame)),
                 }) = frame
                 else {
-                    return Over::Lost("no frame of a control machine");
+                    return Over::RecoveryReport("no frame of a control machine");
                 };
                 let now = self.now();
                 self.subscriber.on_frame(now, frame);
@@ -254,7 +257,9 @@
                     Effect::RetryAfter { after, elsewhere } => {
                         over = Some(Over::ComeBack { after, elsewhere })
                     }
-                    Effect::Close => over = Some(Over::Lost("no frame of a control machine")),
+                    Effect::Close => {
+                        over = Some(Over::RecoveryReport("no frame of a control machine"))
+                    }
                     Effect::Event(event) => {
                         match &event {
                             Event::Rejected { version, reason } => {
@@ -263,7 +268,7 @@
                             Event::Applied { .. } => self.seen.borrow_mut().refused = None,
                             _ => {}
                         }
-                        (self.tell)(&News::Version(event), &self.subscriber);
+                        (self.tell)(&AttachmentEvent::Version(event), &self.subscriber);
                     }
                 }
             }
@@ -288,7 +293,7 @@
             drop(seen);
             self.chooser.on_attached(now);
             (self.tell)(
-                &News::Attached {
+                &AttachmentEvent::Attached {
                     machine: name.to_owned(),
                 },
                 &self.subscriber,
--- a/crates/cluster/src/config_server.rs
+++ b/crates/cluster/src/config_server.rs
@@ -4,8 +4,8 @@
 //! one link to the group's own address; its first frame says that it attaches. Bounds: the source's on subscribers and
 //! on attachments in a second, [`STRANGERS`] links beside them, [`WAITS`] bytes that wait for one link.
 
-use crate::driver::Group;
-use crate::transport::{whole, Out, OPENS, TAKES};
+use crate::driver::ClusterMember;
+use crate::transport::{with_length_prefix, Outbox, OPENS, TAKES};
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
@@ -14,7 +14,7 @@
 };
 use rainstand_config_distribution::snapshot;
 use rainstand_protocol::thrift::frame_within;
-use rainstand_replicated_state::frames::{Frame, What};
+use rainstand_replicated_state::frames::{Frame, FrameBody};
 use rainstand_replicated_state::member::GroupMember;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -36,17 +36,17 @@
 pub const LISTED: usize = 256;
 
 /// Where events go: the program's log.
-pub type Tell = Box<dyn Fn(&Event)>;
+pub type EventCallback = Box<dyn Fn(&Event)>;
 
 /// What goes to one subscriber.
 struct Line {
-    out: Out,
+    out: Outbox,
     over: Cell<bool>,
 }
 
 /// Counters, since the start.
 #[derive(Debug, Default)]
-pub struct Counts {
+pub struct ServerCounters {
     /// Turned away: too many links, or no copy of what is published here.
     pub full: Cell<u64>,
     pub not_here: Cell<u64>,
@@ -54,23 +54,28 @@
     pub slow: Cell<u64>,
 }
 
-pub struct Serving {
+pub struct ConfigServer {
     source: RefCell<Publisher>,
     bounds: PublisherLimits,
     started: Instant,
     lines: RefCell<HashMap<Link, Rc<Line>>>,
     next: Cell<Link>,
-    tell: Tell,
-    pub counts: Counts,
+    tell: EventCallback,
+    pub counts: ServerCounters,
 }
 
 fn count(what: &Cell<u64>) {
     what.set(what.get() + 1);
 }
 
-impl Serving {
+impl ConfigServer {
     /// Begins to serve what a group publishes.
-    pub fn begin(group: &Rc<Group>, bounds: PublisherLimits, seed: u64, tell: Tell) -> Rc<Self> {
+    pub fn begin(
+        group: &Rc<ClusterMember>,
+        bounds: PublisherLimits,
+        seed: u64,
+        tell: EventCallback,
+    ) -> Rc<Self> {
         let serving = Rc::new(Self {
             source: RefCell::new(Publisher::new(Duration::ZERO, bounds, seed)),
             bounds,
@@ -78,12 +83,12 @@
             lines: RefCell::new(HashMap::new()),
             next: Cell::new(0),
             tell,
-            counts: Counts::default(),
+            counts: ServerCounters::default(),
         });
         let (looking, of) = (serving.clone(), group.clone());
         spawn_local(async move {
             loop {
-                of.see(|member| looking.sync(member));
+                of.inspect(|member| looking.sync(member));
                 looking.source.borrow_mut().tick(looking.now());
                 looking.follow();
                 sleep(LOOK).await;
@@ -142,7 +147,7 @@
         let line = self.lines.borrow().get(&link).cloned();
         let Some(line) = line else { return };
         let lost = line.out.lost.get();
-        line.out.send(&Frame::of(What::Down(frame)));
+        line.out.send(&Frame::of(FrameBody::ToSubscriber(frame)));
         if line.out.lost.get() > lost {
             count(&self.counts.slow);
             self.close(link);
@@ -172,17 +177,22 @@
     }
 
     /// A look at the source.
-    pub fn see<T>(&self, look: impl FnOnce(&Publisher) -> T) -> T {
+    pub fn inspect<T>(&self, look: impl FnOnce(&Publisher) -> T) -> T {
         look(&self.source.borrow())
     }
 }
 
 /// One attached process, from its first frame to its link's end. `back` is what was read behind that frame.
-pub async fn attached(group: &Rc<Group>, stream: TcpStream, mut back: Vec<u8>, first: Bytes) {
+pub async fn attached(
+    group: &Rc<ClusterMember>,
+    stream: TcpStream,
+    mut back: Vec<u8>,
+    first: Bytes,
+) {
     let Some(serving) = group.serving() else {
         return;
     };
-    if group.see(|member| member.published().is_none()) {
+    if group.inspect(|member| member.published().is_none()) {
         count(&serving.counts.not_here);
         return;
     }
@@ -193,7 +203,7 @@
     let link = serving.next.get() + 1;
     serving.next.set(link);
     let line = Rc::new(Line {
-        out: Out::bounded(WAITS),
+        out: Outbox::bounded(WAITS),
         over: Cell::new(false),
     });
     line.out.open.set(true);
@@ -208,7 +218,7 @@
                 let frame = Frame::decode(&back[at + 4..at + 4 + length]);
                 at += 4 + length;
                 let Ok(Frame {
-                    what: Some(What::Up(frame)),
+                    body: Some(FrameBody::FromSubscriber(frame)),
                 }) = frame
                 else {
                     return;
@@ -261,5 +271,5 @@
 
 /// A frame of an attached process, as it goes on a link.
 pub fn up(frame: Bytes) -> Vec<u8> {
-    whole(&Frame::of(What::Up(frame)).encode_to_vec())
+    with_length_prefix(&Frame::of(FrameBody::FromSubscriber(frame)).encode_to_vec())
 }
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,10 +3,10 @@
 //! A call into the member is followed by its effects: frames go to the links, writes to the disk's thread, answers
 //! into a line that a task of its own gives out, so that who asks is never called back from within the asking.
 
-use crate::config_server::{Serving, Tell as TellEvent};
+use crate::config_server::{ConfigServer, EventCallback as TellEvent};
 use crate::fault_injection::{self, Clock};
 use crate::persistence::{found, record};
-use crate::transport::{accept, keep, Out};
+use crate::transport::{accept, maintain_link, Outbox};
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
 use rainstand_config::schema;
@@ -39,19 +39,19 @@
 const TIMES: usize = 512;
 
 /// What is told of a question, by its number: several times, the last one final. None: its time is over.
-pub type Tell = Rc<dyn Fn(Option<ClaimOutcome>)>;
+pub type ReplyCallback = Rc<dyn Fn(Option<ClaimOutcome>)>;
 /// Where news go: the program's log.
 pub type Log = Box<dyn Fn(&GroupEvent)>;
 
 /// What a member needs to begin.
-pub struct Setup {
+pub struct MemberOptions {
     pub name: String,
     pub group: schema::Group,
     pub log: Log,
 }
 
 /// A member on sockets and a disk.
-pub struct Group {
+pub struct ClusterMember {
     name: String,
     settings: schema::Group,
     /// Those of the newest configuration.
@@ -64,9 +64,9 @@
     done: mpsc::UnboundedSender<(u64, WriteOutcome)>,
     /// Goes up with each disk: what an earlier one's thread tells is not this one's.
     disk: Cell<u64>,
-    links: RefCell<HashMap<String, Rc<Out>>>,
-    tells: RefCell<HashMap<u64, (Tell, Duration)>>,
-    line: RefCell<VecDeque<(Tell, Option<ClaimOutcome>)>>,
+    links: RefCell<HashMap<String, Rc<Outbox>>>,
+    tells: RefCell<HashMap<u64, (ReplyCallback, Duration)>>,
+    line: RefCell<VecDeque<(ReplyCallback, Option<ClaimOutcome>)>>,
     stir: Notify,
     again: Notify,
     log: Log,
@@ -74,10 +74,10 @@
     pub failed: RefCell<Option<String>>,
     /// From the question to what was told, newest last.
     times: RefCell<VecDeque<Duration>>,
-    pub set_asides: Cell<u64>,
+    pub quarantines: Cell<u64>,
     pub flushes: Cell<u64>,
     /// Where this member is a control machine.
-    serving: RefCell<Option<Rc<Serving>>>,
+    serving: RefCell<Option<Rc<ConfigServer>>>,
 }
 
 /// Draws that no other start makes: the system's own chance, through the standard library.
@@ -95,13 +95,13 @@
     StoreLimits::default()
 }
 
-impl Group {
+impl ClusterMember {
     /// Opens the disk, listens, and begins to talk to the others.
     ///
     /// # Errors
     /// If the configuration names no such member, or its folder or address cannot be had.
-    pub async fn start(setup: Setup) -> Result<Rc<Self>, String> {
-        let Setup {
+    pub async fn start(setup: MemberOptions) -> Result<Rc<Self>, String> {
+        let MemberOptions {
             name,
             group: settings,
             log,
@@ -140,7 +140,7 @@
             log,
             failed: RefCell::new(None),
             times: RefCell::default(),
-            set_asides: Cell::new(u64::from(damaged.is_some())),
+            quarantines: Cell::new(u64::from(damaged.is_some())),
             flushes: Cell::new(0),
             serving: RefCell::new(None),
             members: RefCell::new(settings.members.clone()),
@@ -170,7 +170,7 @@
         for name in names.into_iter().filter(|name| *name != self.name) {
             if !self.links.borrow().contains_key(&name) {
                 self.link(&name);
-                spawn_local(keep(self.clone(), name));
+                spawn_local(maintain_link(self.clone(), name));
             }
         }
     }
@@ -214,11 +214,11 @@
 
     /// From now on processes that are no members may attach and hear of what is published.
     pub fn serve(self: &Rc<Self>, bounds: PublisherLimits, tell: TellEvent) {
-        let serving = Serving::begin(self, bounds, draws()[0], tell);
+        let serving = ConfigServer::begin(self, bounds, draws()[0], tell);
         self.serving.replace(Some(serving));
     }
 
-    pub fn serving(&self) -> Option<Rc<Serving>> {
+    pub fn serving(&self) -> Option<Rc<ConfigServer>> {
         self.serving.borrow().clone()
     }
 
@@ -234,7 +234,7 @@
     }
 
     /// What goes to a member.
-    pub fn link(&self, name: &str) -> Rc<Out> {
+    pub fn link(&self, name: &str) -> Rc<Outbox> {
         self.links
             .borrow_mut()
             .entry(name.to_owned())
@@ -260,7 +260,7 @@
     }
 
     /// A look at the member that changes nothing.
-    pub fn see<T>(&self, look: impl FnOnce(&GroupMember) -> T) -> T {
+    pub fn inspect<T>(&self, look: impl FnOnce(&GroupMember) -> T) -> T {
         look(&self.member.borrow())
     }
 
@@ -300,7 +300,7 @@
         }
         self.stir.notify_one();
         if let Some(serving) = self.serving().filter(|_| published_changed) {
-            self.see(|member| serving.sync(member));
+            self.inspect(|member| serving.sync(member));
         }
         for one in events {
             (self.log)(&one);
@@ -308,7 +308,7 @@
                 one,
                 GroupEvent::StaleDisk { .. } | GroupEvent::Diverged { .. }
             ) {
-                self.begin_anew();
+                self.reinitialize();
             }
         }
     }
@@ -362,13 +362,13 @@
     }
 
     /// The files are set aside, and the member begins as another disk. What waits is told that its time is over.
-    fn begin_anew(&self) {
-        self.set_asides.set(self.set_asides.get() + 1);
+    fn reinitialize(&self) {
+        self.quarantines.set(self.quarantines.get() + 1);
         self.disk.set(self.disk.get() + 1);
         if let Some(writer) = self.writer.borrow_mut().take() {
             writer.shut_down();
         }
-        let tells: Vec<(Tell, Duration)> = self
+        let tells: Vec<(ReplyCallback, Duration)> = self
             .tells
             .borrow_mut()
             .drain()
@@ -407,7 +407,7 @@
     fn fail(&self, why: String) {
         self.member.borrow_mut().stop();
         self.failed.borrow_mut().get_or_insert(why);
-        let tells: Vec<(Tell, Duration)> = self
+        let tells: Vec<(ReplyCallback, Duration)> = self
             .tells
             .borrow_mut()
             .drain()
@@ -421,7 +421,7 @@
 
     /// A question to a key's leader; `tell` is called later, from a task of its own, never from in here. None if it
     /// cannot be taken: nothing was or will be done then.
-    pub fn ask(&self, command: Command, within: Duration, tell: Tell) -> Option<u64> {
+    pub fn request(&self, command: Command, within: Duration, tell: ReplyCallback) -> Option<u64> {
         let busy = self
             .writer
             .borrow()
@@ -449,15 +449,15 @@
         self.drive(|member, now| member.forget(now, id));
     }
 
-    pub fn met(&self, name: &str) {
+    pub fn on_connected(&self, name: &str) {
         self.drive(|member, now| member.on_connected(now, name));
     }
 
-    pub fn lost(&self, name: &str) {
+    pub fn on_disconnected(&self, name: &str) {
         self.drive(|member, now| member.on_disconnected(now, name));
     }
 
-    pub fn receive(&self, name: &str, frame: Frame) {
+    pub fn on_frame(&self, name: &str, frame: Frame) {
         self.drive(|member, now| member.on_frame(now, name, frame));
     }
 
@@ -466,7 +466,7 @@
         self.drive(|member, now| member.transfer_all_leadership(now));
         let step = Duration::from_millis(5);
         let mut left = within;
-        while self.see(GroupMember::led_shard_count) > 0 && !left.is_zero() {
+        while self.inspect(GroupMember::led_shard_count) > 0 && !left.is_zero() {
             sleep(step).await;
             left = left.saturating_sub(step);
         }
@@ -489,7 +489,7 @@
     let disk = || {
         let disk = FolderDisk::open(folder).map_err(|why| at(&why))?;
         Ok::<_, String>(match testing {
-            Some(file) => disk.with_fault_hook(fault_injection::trouble(file.clone())),
+            Some(file) => disk.with_fault_hook(fault_injection::fault_hook(file.clone())),
             None => disk,
         })
     };
@@ -540,23 +540,23 @@
 }
 
 /// The member's time.
-async fn tick(group: Rc<Group>) {
+async fn tick(group: Rc<ClusterMember>) {
     loop {
-        let wake = group.see(GroupMember::next_deadline);
+        let wake = group.inspect(GroupMember::next_deadline);
         let left = wake.saturating_sub(group.clock.now());
         let left = group.clock.real(left).clamp(SLEEPS[1], SLEEPS[0]);
         tokio::select! {
             () = sleep(left) => {}
             () = group.again.notified() => {}
         }
-        if group.see(|member| member.next_deadline() <= group.clock.now()) {
+        if group.inspect(|member| member.next_deadline() <= group.clock.now()) {
             group.drive(|member, now| member.tick(now));
         }
     }
 }
 
 /// Gives out what was told.
-async fn tell(group: Rc<Group>) {
+async fn tell(group: Rc<ClusterMember>) {
     loop {
         let next = group.line.borrow_mut().pop_front();
         match next {
@@ -567,7 +567,7 @@
 }
 
 /// What the disk's thread says.
-async fn written(group: Rc<Group>, mut told: mpsc::UnboundedReceiver<(u64, WriteOutcome)>) {
+async fn written(group: Rc<ClusterMember>, mut told: mpsc::UnboundedReceiver<(u64, WriteOutcome)>) {
     while let Some((disk, done)) = told.recv().await {
         if disk != group.disk.get() {
             continue;
--- a/crates/cluster/src/fault_injection.rs
+++ b/crates/cluster/src/fault_injection.rs
@@ -24,15 +24,15 @@
 }
 
 /// The machine's.
-pub struct Plain(Instant);
+pub struct SystemClock(Instant);
 
-impl Default for Plain {
+impl Default for SystemClock {
     fn default() -> Self {
         Self(Instant::now())
     }
 }
 
-impl Clock for Plain {
+impl Clock for SystemClock {
     fn now(&self) -> Duration {
         self.0.elapsed()
     }
@@ -43,13 +43,13 @@
 }
 
 /// One that runs at another pace, and jumps.
-pub struct Wrong {
+pub struct SkewedClock {
     start: Instant,
     rate: u32,
     step: Duration,
 }
 
-impl Clock for Wrong {
+impl Clock for SkewedClock {
     fn now(&self) -> Duration {
         let passed = self.start.elapsed();
         let step = if passed > STEPS_AFTER {
@@ -92,18 +92,18 @@
     match (numbers.next(), numbers.next()) {
         (Some(rate), Some(step)) => {
             let rate = u32::try_from(rate).unwrap_or(1_000).clamp(1, 100_000);
-            Box::new(Wrong {
+            Box::new(SkewedClock {
                 start: Instant::now(),
                 rate,
                 step: Duration::from_millis(step),
             })
         }
-        _ => Box::new(Plain::default()),
+        _ => Box::new(SystemClock::default()),
     }
 }
 
 /// What the disk does, as the file says at that moment.
-pub fn trouble(file: PathBuf) -> FaultHook {
+pub fn fault_hook(file: PathBuf) -> FaultHook {
     Arc::new(move || {
         let text = std::fs::read_to_string(&file).unwrap_or_default();
         for line in text.lines() {
@@ -128,7 +128,7 @@
 
     #[test]
     fn a_wrong_clock_never_goes_back_and_runs_at_its_pace() {
-        let fast = Wrong {
+        let fast = SkewedClock {
             start: Instant::now(),
             rate: 1_500,
             step: Duration::from_secs(3_600),
@@ -150,7 +150,7 @@
     fn a_disk_fails_as_the_file_says_just_then() {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("testing");
-        let trouble = trouble(path.clone());
+        let trouble = fault_hook(path.clone());
         assert!(trouble().is_ok());
         std::fs::write(&path, "clock 1500 0\nflush-fails\n").unwrap();
         assert!(trouble().is_err());
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -30,4 +30,4 @@
 pub mod status;
 pub mod transport;
 
-pub use driver::{Group, Setup};
+pub use driver::{ClusterMember, MemberOptions};
--- a/crates/cluster/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -19,7 +19,7 @@
 const NAMED: usize = 1_000;
 
 #[derive(Debug, Serialize)]
-pub struct LostShard {
+pub struct ShardLoss {
     pub shard: u16,
     pub last: u64,
     /// Up to here the snapshot proves it; what is behind it may have been committed or not.
@@ -31,9 +31,9 @@
 
 /// What may be lost.
 #[derive(Debug, Serialize)]
-pub struct Lost {
+pub struct RecoveryReport {
     pub generation: u64,
-    pub shards: Vec<LostShard>,
+    pub shards: Vec<ShardLoss>,
     /// Shards of which this disk has no copy.
     pub missing: Vec<u16>,
 }
@@ -47,7 +47,7 @@
 ///
 /// # Errors
 /// If the folder is in use, damaged, or holds no member's disk.
-pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<Lost, String> {
+pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<RecoveryReport, String> {
     let mut disk = FolderDisk::open(folder).map_err(|why| why.to_string())?;
     let (identity, recovered) =
         rainstand_storage::store::recover(&mut disk).map_err(|why| why.to_string())?;
@@ -58,7 +58,7 @@
     let Some(form) = before.bootstrap.clone() else {
         return Err("its group never began".into());
     };
-    let mut lost = Lost {
+    let mut lost = RecoveryReport {
         generation: before.generation + 1,
         shards: Vec::new(),
         missing: Vec::new(),
@@ -110,7 +110,7 @@
                 }
             }
         }
-        lost.shards.push(LostShard {
+        lost.shards.push(ShardLoss {
             shard,
             last: base.index,
             committed: snapshot.metadata.index,
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -1,8 +1,8 @@
 //! What operators are told, by any member: one question in a frame, one answer in JSON (or text, for metrics; or the
 //! published configuration, packed). A version to be published comes in a frame of its own.
 
-use crate::config_server::{Serving, LISTED};
-use crate::driver::Group;
+use crate::config_server::{ConfigServer, LISTED};
+use crate::driver::ClusterMember;
 use bytes::Bytes;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::ConstCounter;
@@ -28,29 +28,29 @@
 const COMMITS: Duration = Duration::from_secs(5);
 
 /// A question's words, if it is one.
-pub fn question(frame: &[u8]) -> Option<&str> {
+pub fn decode_question(frame: &[u8]) -> Option<&str> {
     std::str::from_utf8(frame.strip_prefix(MARK)?)
         .ok()
         .filter(|words| words.len() <= 4_096)
 }
 
 /// A question as a frame's message.
-pub fn ask(words: &str) -> Vec<u8> {
+pub fn encode_question(words: &str) -> Vec<u8> {
     [MARK, words.as_bytes()].concat()
 }
 
 /// A version to be published as a frame's message.
-pub fn ask_publish(publish: &Publish) -> Vec<u8> {
+pub fn encode_publish(publish: &Publish) -> Vec<u8> {
     [PUBLISH, &publish.encode_to_vec()].concat()
 }
 
 /// The version that is to be published, if the frame says one.
-pub fn publish(frame: &[u8]) -> Option<Publish> {
+pub fn decode_publish(frame: &[u8]) -> Option<Publish> {
     Publish::decode(frame.strip_prefix(PUBLISH)?).ok()
 }
 
 /// Has a version committed: what became of it, in JSON.
-pub async fn published(group: &Rc<Group>, publish: Publish) -> Vec<u8> {
+pub async fn commit_version(group: &Rc<ClusterMember>, publish: Publish) -> Vec<u8> {
     let to = publish.from + 1;
     let told = match commit(group, publish).await {
         Ok(ClaimOutcome::Recorded) => json!({"committed": to}),
@@ -62,7 +62,10 @@
     told.to_string().into()
 }
 
-async fn commit(group: &Rc<Group>, mut publish: Publish) -> Result<ClaimOutcome, &'static str> {
+async fn commit(
+    group: &Rc<ClusterMember>,
+    mut publish: Publish,
+) -> Result<ClaimOutcome, &'static str> {
     if group.serving().is_none() {
         return Ok(ClaimOutcome::Rejected(
             "this member is no control machine".into(),
@@ -72,7 +75,7 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
     publish.at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
-    let claim = group.see(|member| member.claim(&[]));
+    let claim = group.inspect(|member| member.claim(&[]));
     let command = Command {
         key: Bytes::from_static(b"configuration"),
         claim,
@@ -85,7 +88,7 @@
             let _ = send.send(told);
         }
     };
-    if group.ask(command, COMMITS, Rc::new(tell)).is_none() {
+    if group.request(command, COMMITS, Rc::new(tell)).is_none() {
         return Ok(ClaimOutcome::Rejected(
             "this member takes no questions now".into(),
         ));
@@ -97,16 +100,16 @@
 }
 
 /// What is told to a question.
-pub fn answer(group: &Group, question: &str) -> Vec<u8> {
+pub fn answer_question(group: &ClusterMember, question: &str) -> Vec<u8> {
     if question == "whole" {
-        return whole(group);
+        return with_length_prefix(group);
     }
     words(group, question).into_bytes()
 }
 
 /// The newest published version, packed; nothing: there is none, or no copy of it here.
-fn whole(group: &Group) -> Vec<u8> {
-    group.see(|member| {
+fn with_length_prefix(group: &ClusterMember) -> Vec<u8> {
+    group.inspect(|member| {
         let versions = member.published().map(|(versions, _)| versions);
         let versions = versions.filter(|versions| versions.version() > 0);
         versions
@@ -115,7 +118,7 @@
     })
 }
 
-fn words(group: &Group, question: &str) -> String {
+fn words(group: &ClusterMember, question: &str) -> String {
     match question.split_once(' ').unwrap_or((question, "")) {
         ("status", _) => status(group).to_string(),
         ("members", _) => members(group).to_string(),
@@ -172,13 +175,13 @@
         .map_or(Value::Null, |peer| peer.0.into())
 }
 
-fn status(group: &Group) -> Value {
+fn status(group: &ClusterMember) -> Value {
     let times = group.commit_times();
     let at = |share: f64| {
         let at = ((times.len() as f64 * share) as usize).min(times.len().saturating_sub(1));
         times.get(at).map(|time| time.as_secs_f64() * 1e3)
     };
-    group.see(|member| {
+    group.inspect(|member| {
         let now = member.now();
         let shards: Vec<Value> = member
             .shards()
@@ -206,15 +209,15 @@
             .collect();
         let (known, of) = member.known_leaders();
         json!({"name": member.name(), "disk": id(member.disk()), "stopped": member.is_stopped(),
-            "failed": *group.failed.borrow(), "set_asides": group.set_asides.get(), "flushes": group.flushes.get(),
+            "failed": *group.failed.borrow(), "set_asides": group.quarantines.get(), "flushes": group.flushes.get(),
             "unwritten": member.pending_writes(), "questions": member.pending_request_count(),
             "turned_away": member.rejected_requests, "shards_with_leader": known, "shards_in_all": of,
             "leads": member.led_shard_count(), "commit_ms": {"median": at(0.5), "p99": at(0.99)}, "shards": shards})
     })
 }
 
-fn members(group: &Group) -> Value {
-    group.see(|member| {
+fn members(group: &ClusterMember) -> Value {
+    group.inspect(|member| {
         let peers: Vec<Value> = member
             .peers()
             .map(|(name, here, disk, refused)| {
@@ -227,10 +230,10 @@
     })
 }
 
-fn why(group: &Group, key: &str) -> Value {
+fn why(group: &ClusterMember, key: &str) -> Value {
     // A key is written as its type and what it is about, with a slash between.
     let key = key.replacen('/', "\0", 1);
-    group.see(|member| {
+    group.inspect(|member| {
         let (shard, row) = member.key_state(key.as_bytes());
         let copy = member.shards().find(|one| one.0 == shard).map(|(_, replica, table)| {
             json!({"applied": replica.applied(), "commit": replica.commit(), "log_time_ms": table.stamp() / 1_000_000})
@@ -246,7 +249,7 @@
 }
 
 /// Published versions, and how far the processes that are attached here are.
-fn published_changed(group: &Group, most: usize) -> Value {
+fn published_changed(group: &ClusterMember, most: usize) -> Value {
     let members: Vec<Value> = group
         .members()
         .iter()
@@ -255,7 +258,7 @@
     let Some(serving) = group.serving() else {
         return json!({"error": "this member is no control machine"});
     };
-    let name = group.see(|member| member.name().to_owned());
+    let name = group.inspect(|member| member.name().to_owned());
     let standing = serving.standing();
     let refusals = standing.iter().filter_map(|one| {
         let (version, reason) = one.refused.as_ref()?;
@@ -264,7 +267,7 @@
         )
     });
     let refusals: Vec<Value> = refusals.take(LISTED).collect();
-    group.see(|member| {
+    group.inspect(|member| {
         let Some((all, current)) = member.published() else {
             return json!({"name": name, "members": members, "here": false});
         };
@@ -283,8 +286,8 @@
 }
 
 /// Of a control machine.
-fn serving_metrics(registry: &mut Registry, serving: &Serving) {
-    let (version, c) = serving.see(|source| (source.version(), source.counters()));
+fn serving_metrics(registry: &mut Registry, serving: &ConfigServer) {
+    let (version, c) = serving.inspect(|source| (source.version(), source.counters()));
     let counts = &serving.counts;
     let attached = serving.standing().len();
     let gauges = [
@@ -361,7 +364,7 @@
 }
 
 /// Counters and gauges in the OpenMetrics text format.
-fn metrics(group: &Group) -> String {
+fn metrics(group: &ClusterMember) -> String {
     let mut registry = Registry::with_prefix("rainstand_group");
     let status = status(group);
     let number = |of: &Value| of.as_i64().unwrap_or(0);
@@ -422,7 +425,7 @@
     registry.register(
         "set_asides",
         "Times that files were set aside",
-        ConstCounter::new(group.set_asides.get()),
+        ConstCounter::new(group.quarantines.get()),
     );
     if let Some(serving) = group.serving() {
         serving_metrics(&mut registry, &serving);
--- a/crates/cluster/src/transport.rs
+++ b/crates/cluster/src/transport.rs
@@ -4,12 +4,12 @@
 //! Bounds: a frame has at most [`FRAME`] bytes, what waits for a link at most [`WAITS`]; a link that takes nothing is ended,
 //! and what was on it is lost, as on any network.
 
-use crate::driver::Group;
+use crate::driver::ClusterMember;
 use crate::{config_server, status};
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_protocol::thrift::frame_within;
-use rainstand_replicated_state::frames::{Frame, What};
+use rainstand_replicated_state::frames::{Frame, FrameBody};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -39,7 +39,7 @@
 const QUIET: Duration = Duration::from_secs(60);
 
 /// What goes to one member.
-pub struct Out {
+pub struct Outbox {
     most: usize,
     pub(crate) open: Cell<bool>,
     frames: RefCell<VecDeque<Vec<u8>>>,
@@ -49,13 +49,13 @@
     pub lost: Cell<u64>,
 }
 
-impl Default for Out {
+impl Default for Outbox {
     fn default() -> Self {
         Self::bounded(WAITS)
     }
 }
 
-impl Out {
+impl Outbox {
     /// At most so many bytes wait.
     pub fn bounded(most: usize) -> Self {
         Self {
@@ -71,7 +71,7 @@
 
     /// Sends a frame if the link is open and takes it.
     pub fn send(&self, frame: &Frame) {
-        let bytes = whole(&frame.encode_to_vec());
+        let bytes = with_length_prefix(&frame.encode_to_vec());
         if !self.open.get() || self.bytes.get() + bytes.len() > self.most {
             self.lost.set(self.lost.get() + 1);
             return;
@@ -89,7 +89,7 @@
 }
 
 /// A message with its length before it.
-pub fn whole(message: &[u8]) -> Vec<u8> {
+pub fn with_length_prefix(message: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(4 + message.len());
     bytes.extend_from_slice(&(message.len() as u32).to_be_bytes());
     bytes.extend_from_slice(message);
@@ -97,7 +97,7 @@
 }
 
 /// Keeps the link to one member.
-pub async fn keep(group: Rc<Group>, name: String) {
+pub async fn maintain_link(group: Rc<ClusterMember>, name: String) {
     let out = group.link(&name);
     let mut pause = AGAIN[0];
     loop {
@@ -112,12 +112,12 @@
             let _ = stream.set_nodelay(true);
             pause = AGAIN[0];
             out.open.set(true);
-            group.met(&name);
+            group.on_connected(&name);
             write(&out, stream).await;
             out.open.set(false);
             out.frames.borrow_mut().clear();
             out.bytes.set(0);
-            group.lost(&name);
+            group.on_disconnected(&name);
         }
         sleep(pause).await;
         pause = (pause * 2).min(AGAIN[1]);
@@ -125,7 +125,7 @@
 }
 
 /// Writes until the link ends. The other side says nothing on it, so whatever can be read is its end.
-async fn write(out: &Out, stream: TcpStream) {
+async fn write(out: &Outbox, stream: TcpStream) {
     let (mut read, mut write) = stream.into_split();
     let ended = async {
         let mut some = [0; 64];
@@ -158,7 +158,7 @@
 }
 
 /// Takes connections of other members and of operators.
-pub async fn accept(group: Rc<Group>, listener: TcpListener) {
+pub async fn accept(group: Rc<ClusterMember>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0));
     loop {
         match listener.accept().await {
@@ -193,7 +193,7 @@
 }
 
 /// Reads frames of one member, or an operator's questions, until the link ends or says something that cannot be.
-async fn read(group: &Rc<Group>, mut stream: TcpStream) -> Option<Attaches> {
+async fn read(group: &Rc<ClusterMember>, mut stream: TcpStream) -> Option<Attaches> {
     let (mut back, mut chunk) = (Vec::new(), vec![0; 64 << 10]);
     let mut name: Option<String> = None;
     loop {
@@ -213,13 +213,13 @@
             let Some(length) = length else { break };
             let body = &back[at + 4..at + 4 + length];
             at += 4 + length;
-            let answer = match (status::question(body), status::publish(body)) {
-                (Some(question), _) => Some(status::answer(group, question)),
-                (_, Some(publish)) => Some(status::published(group, publish).await),
+            let answer = match (status::decode_question(body), status::decode_publish(body)) {
+                (Some(question), _) => Some(status::answer_question(group, question)),
+                (_, Some(publish)) => Some(status::commit_version(group, publish).await),
                 _ => None,
             };
             if let Some(answer) = answer {
-                if !timeout(ANSWER, stream.write_all(&whole(&answer)))
+                if !timeout(ANSWER, stream.write_all(&with_length_prefix(&answer)))
                     .await
                     .is_ok_and(|sent| sent.is_ok())
                 {
@@ -229,7 +229,7 @@
                 continue;
             }
             let frame = Frame::decode(body).ok()?;
-            if let (Some(What::Up(first)), None) = (&frame.what, &name) {
+            if let (Some(FrameBody::FromSubscriber(first)), None) = (&frame.body, &name) {
                 let (first, back) = (first.clone(), back.split_off(at));
                 return Some(Attaches {
                     stream,
@@ -237,11 +237,11 @@
                     first,
                 });
             }
-            if let Some(What::Hello(hello)) = &frame.what {
+            if let Some(FrameBody::Hello(hello)) = &frame.body {
                 name = Some(hello.name.clone());
             }
             let name = name.as_ref()?;
-            group.receive(name, frame);
+            group.on_frame(name, frame);
         }
         back.drain(..at);
     }
@@ -264,7 +264,7 @@
                 .await
                 .unwrap();
             let (_reads_nothing, _) = listener.accept().await.unwrap();
-            let out = Out::default();
+            let out = Outbox::default();
             // More than the system's buffers of both sides take.
             out.frames
                 .borrow_mut()
--- a/crates/cluster/tests/golden.rs
+++ b/crates/cluster/tests/golden.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use rainstand_cluster::transport::whole;
+use rainstand_cluster::transport::with_length_prefix;
 use rainstand_cluster::{recovery, status};
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes, WRITE_VARIABLE};
@@ -39,7 +39,7 @@
 
 fn publish(member: &Running, from: u64, tenants: usize) {
     let state =
-        member.tell(|group| group.see(|member| member.published().unwrap().0.state().clone()));
+        member.tell(|group| group.inspect(|member| member.published().unwrap().0.state().clone()));
     let publish = Publish::of(&state, from, &configuration(tenants)).unwrap();
     assert_eq!(
         member.ask_until_told(9, "configuration", &Operation::Publish(publish)),
@@ -123,7 +123,7 @@
     }
     let member = w.up("n1");
     w.all_led(&[&member]);
-    assert_eq!(member.tell(|group| group.set_asides.get()), 0);
+    assert_eq!(member.tell(|group| group.quarantines.get()), 0);
     assert_eq!(member.ask_until_told(7, "known", &start()), known("R"));
     assert_eq!(member.ask_until_told(7, "late", &start()), known("L"));
     assert_eq!(
@@ -137,7 +137,7 @@
     let identity: serde_json::Value =
         serde_json::from_slice(&std::fs::read(stored.join("identity")).unwrap()).unwrap();
     let (disk, register, version, published) = member.tell(|group| {
-        group.see(|member| {
+        group.inspect(|member| {
             let (versions, _) = member.published().unwrap();
             let register = member.register(b"register").unwrap().clone();
             (
@@ -165,16 +165,19 @@
     assert_bytes(
         QUESTIONS,
         &[
-            NamedBytes::new("ask", status::ask("why register/K-17")),
-            NamedBytes::new("publish", status::ask_publish(&publish)),
-            NamedBytes::new("frame", whole(&frame)),
-            NamedBytes::new("asked", whole(&status::ask("status"))),
+            NamedBytes::new("ask", status::encode_question("why register/K-17")),
+            NamedBytes::new("publish", status::encode_publish(&publish)),
+            NamedBytes::new("frame", with_length_prefix(&frame)),
+            NamedBytes::new(
+                "asked",
+                with_length_prefix(&status::encode_question("status")),
+            ),
         ],
     );
     let stored = read_bytes(QUESTIONS);
     assert_eq!(
-        status::question(&stored[0].bytes),
+        status::decode_question(&stored[0].bytes),
         Some("why register/K-17")
     );
-    assert_eq!(status::publish(&stored[1].bytes), Some(publish));
+    assert_eq!(status::decode_publish(&stored[1].bytes), Some(publish));
 }
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -10,7 +10,7 @@
 
 mod world;
 
-use rainstand_cluster::{recovery, Group};
+use rainstand_cluster::{recovery, ClusterMember};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Operation};
 use std::time::{Duration, Instant};
 use world::{known, start, world, HANGS};
@@ -92,8 +92,8 @@
     std::fs::remove_dir_all(w.folder(2)).unwrap();
     let n3 = w.up("n3");
     let begun = Instant::now();
-    let votes = |group: &Group| {
-        group.see(|member| {
+    let votes = |group: &ClusterMember| {
+        group.inspect(|member| {
             let own = member.disk();
             let in_all = |config: &rainstand_raft::Membership| {
                 config.is_voter(own) && config.members.len() == 3
@@ -131,8 +131,8 @@
     assert_eq!(n2.ask_until_told(2, "b", &start()), ClaimOutcome::Granted);
     // n1 must have it all before it is the only one.
     let begun = Instant::now();
-    let has = |group: &Group, key: &str, word: &str| {
-        group.see(|member| {
+    let has = |group: &ClusterMember, key: &str, word: &str| {
+        group.inspect(|member| {
             member
                 .key_state(key.as_bytes())
                 .1
@@ -163,7 +163,7 @@
     let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
     assert_eq!(n2.ask_until_told(5, "a", &start()), known("R"));
     assert_eq!(n3.ask_until_told(6, "a", &start()), known("R"));
-    let asides = n3.tell(|group| group.set_asides.get());
+    let asides = n3.tell(|group| group.quarantines.get());
     assert_eq!(asides, 1);
 }
 
@@ -213,8 +213,8 @@
             .count()
     };
     let begun = Instant::now();
-    let votes = |group: &Group| {
-        group.see(|member| {
+    let votes = |group: &ClusterMember| {
+        group.inspect(|member| {
             let own = member.disk();
             member
                 .shards()
@@ -255,8 +255,8 @@
     let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
     assert_eq!(n3.ask_until_told(2, "a", &start()), known("R"));
     assert_eq!(n2.ask_until_told(3, "a", &start()), known("R"));
-    let disks =
-        [&n2, &n3].map(|one| one.tell(|group| (group.see(|m| m.disk()), group.set_asides.get())));
+    let disks = [&n2, &n3]
+        .map(|one| one.tell(|group| (group.inspect(|m| m.disk()), group.quarantines.get())));
     assert!(
         disks[0].0 != disks[1].0 && disks[0].1 == 0 && disks[1].1 == 1,
         "{disks:?}"
--- a/crates/cluster/tests/world/mod.rs
+++ b/crates/cluster/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! Members, each with a thread, a runtime and a disk of its own; for tests and the bench.
 #![allow(dead_code)] // neither uses all of it
 
-use rainstand_cluster::{Group, Setup};
+use rainstand_cluster::{ClusterMember, MemberOptions};
 use rainstand_config::schema;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
 use std::path::{Path, PathBuf};
@@ -15,7 +15,7 @@
 /// Only what hangs is caught by this; nothing is timed.
 pub const HANGS: Duration = Duration::from_secs(30);
 
-type Job = Box<dyn FnOnce(Rc<Group>) + Send>;
+type Job = Box<dyn FnOnce(Rc<ClusterMember>) + Send>;
 
 pub struct Running {
     jobs: Option<UnboundedSender<Job>>,
@@ -55,12 +55,12 @@
                 // The port was this member's before, and may be lent to somebody's connection just now.
                 let begun = Instant::now();
                 let group = loop {
-                    let setup = Setup {
+                    let setup = MemberOptions {
                         name: name.clone(),
                         group: group.clone(),
                         log: Box::new(|_| {}),
                     };
-                    match Group::start(setup).await {
+                    match ClusterMember::start(setup).await {
                         Ok(group) => break group,
                         Err(why) => {
                             assert!(why.contains("in use") && begun.elapsed() < HANGS, "{why}")
@@ -88,7 +88,7 @@
 
     pub fn on<T: Send + 'static>(
         &self,
-        what: impl FnOnce(Rc<Group>, Sender<T>) + Send + 'static,
+        what: impl FnOnce(Rc<ClusterMember>, Sender<T>) + Send + 'static,
     ) -> Receiver<T> {
         let (answer, told) = channel();
         let job: Job = Box::new(move |group| what(group, answer));
@@ -106,7 +106,7 @@
     ) -> Option<ClaimOutcome> {
         let key = key.to_owned();
         let told = self.on(move |group, answer: Sender<Option<ClaimOutcome>>| {
-            let claim = group.see(|member| member.claim(&[trace; 16]));
+            let claim = group.inspect(|member| member.claim(&[trace; 16]));
             let command = Command {
                 key: key.into_bytes().into(),
                 claim,
@@ -114,7 +114,7 @@
             };
             let back = answer.clone();
             if group
-                .ask(command, within, Rc::new(move |told| drop(back.send(told))))
+                .request(command, within, Rc::new(move |told| drop(back.send(told))))
                 .is_none()
             {
                 let _ = answer.send(None);
@@ -135,13 +135,16 @@
     }
 
     /// What a look at the member tells.
-    pub fn tell<T: Send + 'static>(&self, look: impl FnOnce(&Group) -> T + Send + 'static) -> T {
+    pub fn tell<T: Send + 'static>(
+        &self,
+        look: impl FnOnce(&ClusterMember) -> T + Send + 'static,
+    ) -> T {
         let told = self.on(move |group, answer| assert!(answer.send(look(&group)).is_ok()));
         told.recv_timeout(HANGS).expect("an answer")
     }
 
     pub fn leads(&self) -> usize {
-        self.tell(|group| group.see(|member| member.led_shard_count()))
+        self.tell(|group| group.inspect(|member| member.led_shard_count()))
     }
 }
 
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -11,7 +11,7 @@
 use crate::{descriptors, note, send, Hub};
 use bytes::Bytes;
 use rainstand::Outcome;
-use rainstand_cluster::{Group, Setup};
+use rainstand_cluster::{ClusterMember, MemberOptions};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
 use rainstand_replicated_state::idempotent_request::{step, Act, End, Event, Stage};
 use rainstand_replicated_state::member::GroupEvent;
@@ -57,7 +57,7 @@
 
 /// What of the group the node's books need.
 pub struct Copies {
-    group: Rc<Group>,
+    group: Rc<ClusterMember>,
     old: RefCell<VecDeque<OldRun>>,
 }
 
@@ -87,12 +87,12 @@
 /// If the member cannot begin.
 pub async fn join(hub: &Rc<Hub>, group: rainstand_config::schema::Group) -> Result<(), String> {
     hub.kept.set(kept(group.members.len()));
-    let setup = Setup {
+    let setup = MemberOptions {
         name: hub.config.name.clone(),
         group,
         log: Box::new(tell),
     };
-    let group = Group::start(setup).await?;
+    let group = ClusterMember::start(setup).await?;
     let copies = Rc::new(Copies {
         group,
         old: RefCell::default(),
@@ -140,7 +140,7 @@
 /// Lines of the log: each has its code.
 fn tell(news: &GroupEvent) {
     match news {
-        GroupEvent::Formed { members } => {
+        GroupEvent::Bootstrapped { members } => {
             note!("group_formed", "the group begins", members = members)
         }
         GroupEvent::BecameLeader { shard, term } => {
@@ -205,12 +205,12 @@
 }
 
 impl Copies {
-    pub fn group(&self) -> &Rc<Group> {
+    pub fn group(&self) -> &Rc<ClusterMember> {
         &self.group
     }
 
     fn command(&self, trace: &Trace, key: &Bytes, what: Operation) -> Command {
-        let claim = self.group.see(|member| member.claim(trace));
+        let claim = self.group.inspect(|member| member.claim(trace));
         Command {
             key: key.clone(),
             claim,
@@ -222,7 +222,7 @@
     fn ask_unwatched(&self, trace: &Trace, key: &Bytes, what: Operation) {
         let command = self.command(trace, key, what);
         // Without room the key stays started until its window is over: repeats are told that it may have run.
-        let _ = self.group.ask(command, UNWATCHED, Rc::new(|_| {}));
+        let _ = self.group.request(command, UNWATCHED, Rc::new(|_| {}));
     }
 }
 
@@ -251,7 +251,9 @@
             });
         }
     };
-    keyed.question = copies.group.ask(command, most.min(left / 2), Rc::new(tell));
+    keyed.question = copies
+        .group
+        .request(command, most.min(left / 2), Rc::new(tell));
     if keyed.question.is_none() {
         happened(desk, ix, Event::TimedOut);
     }
@@ -373,7 +375,7 @@
         }
     };
     let command = copies.command(&trace, key, Operation::Done(result));
-    if copies.group.ask(command, left, Rc::new(tell)).is_none() {
+    if copies.group.request(command, left, Rc::new(tell)).is_none() {
         if let Some(owed) = desk.keeping.remove(&number) {
             owed.give_up(&desk.counts);
         }
@@ -404,7 +406,7 @@
         for run in all {
             match copies
                 .group
-                .see(|member| member.key_claimed_here(&run.trace))
+                .inspect(|member| member.key_claimed_here(&run.trace))
             {
                 Some(key) => {
                     let what = match run.end {
--- a/crates/replicated-state/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -112,7 +112,7 @@
     #[prost(uint32, tag = "2")]
     pub shard: u32,
     #[prost(enumeration = "ResponseCode", tag = "3")]
-    pub word: i32,
+    pub code: i32,
     #[prost(bytes = "bytes", tag = "4")]
     pub result: Bytes,
     /// Who leads, by disk, if that is known.
@@ -138,7 +138,7 @@
         Self {
             id,
             shard: shard.into(),
-            word: word.into(),
+            code: word.into(),
             result,
             leader: 0,
         }
@@ -149,15 +149,15 @@
         Self {
             id,
             shard: shard.into(),
-            word,
+            code: word,
             result: Bytes::new(),
             leader: leader.unwrap_or(0),
         }
     }
 
     /// None where another is to be asked.
-    pub fn told(&self) -> Option<ClaimOutcome> {
-        Some(match self.word() {
+    pub fn outcome(&self) -> Option<ClaimOutcome> {
+        Some(match self.code() {
             ResponseCode::Granted => ClaimOutcome::Granted,
             ResponseCode::Completed => ClaimOutcome::Completed(self.result.clone()),
             ResponseCode::InProgress => ClaimOutcome::InProgress,
@@ -208,36 +208,36 @@
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
-pub enum What {
+pub enum FrameBody {
     #[prost(message, tag = "1")]
     Hello(Hello),
     #[prost(message, tag = "2")]
-    Form(BootstrapConfig),
+    Bootstrap(BootstrapConfig),
     #[prost(message, tag = "3")]
     Raft(Raft),
     #[prost(message, tag = "4")]
-    Ask(CommandRequest),
+    Request(CommandRequest),
     #[prost(message, tag = "5")]
-    Answer(CommandResponse),
+    Response(CommandResponse),
     #[prost(message, tag = "6")]
-    Behind(StaleDiskNotice),
+    StaleDisk(StaleDiskNotice),
     #[prost(message, tag = "7")]
-    Soft(GossipReport),
+    Gossip(GossipReport),
     /// Of a process that is attached and no member, as `rainstand-config-distribution` has it; and what it is told.
     #[prost(bytes = "bytes", tag = "8")]
-    Up(Bytes),
+    FromSubscriber(Bytes),
     #[prost(bytes = "bytes", tag = "9")]
-    Down(Bytes),
+    ToSubscriber(Bytes),
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
-    pub what: Option<What>,
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    pub body: Option<FrameBody>,
 }
 
 impl Frame {
-    pub fn of(what: What) -> Self {
-        Self { what: Some(what) }
+    pub fn of(what: FrameBody) -> Self {
+        Self { body: Some(what) }
     }
 }
--- a/crates/replicated-state/src/idempotency.rs
+++ b/crates/replicated-state/src/idempotency.rs
@@ -299,7 +299,7 @@
     #[prost(message, repeated, tag = "3")]
     registers: Vec<NamedRegister>,
     #[prost(message, optional, tag = "4")]
-    versions: Option<versions::Kept>,
+    versions: Option<versions::VersionsSnapshot>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -13,8 +13,8 @@
 //! had confirmed and was committed. It is told so, sets its files aside and begins anew as another disk.
 
 use crate::frames::{
-    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, Hello,
-    PeerIncarnation, PeerIncarnations, Raft, ShardProgress, StaleDiskNotice, What,
+    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, FrameBody, Hello,
+    PeerIncarnation, PeerIncarnations, Raft, ShardProgress, StaleDiskNotice,
 };
 use crate::gossip::{GossipReport, GossipReports};
 use crate::idempotency::{self, Claim, ClaimOutcome, Command, IdempotencyTable};
@@ -122,7 +122,7 @@
 /// What people should hear of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GroupEvent {
-    Formed {
+    Bootstrapped {
         members: usize,
     },
     BecameLeader {
@@ -432,7 +432,7 @@
             term: one.replica.term(),
             index: one.replica.log().last(),
         });
-        Frame::of(What::Hello(Hello {
+        Frame::of(FrameBody::Hello(Hello {
             group: self.options.group.clone(),
             name: self.options.name.clone(),
             disk: self.disk,
@@ -507,7 +507,7 @@
             };
             self.effects
                 .frames
-                .push((name.to_owned(), Frame::of(What::Behind(behind))));
+                .push((name.to_owned(), Frame::of(FrameBody::StaleDisk(behind))));
             self.effects.events.push(GroupEvent::StalePeer {
                 name: name.to_owned(),
                 disk: hello.disk,
@@ -531,7 +531,7 @@
             };
             self.effects
                 .frames
-                .push((name.to_owned(), Frame::of(What::Behind(behind))));
+                .push((name.to_owned(), Frame::of(FrameBody::StaleDisk(behind))));
             self.effects.events.push(GroupEvent::StalePeer {
                 name: name.to_owned(),
                 disk: hello.disk,
@@ -571,9 +571,10 @@
         }
         match &self.form {
             Some(form) if fresh && form.members.iter().any(|one| one.disk == disk) => {
-                self.effects
-                    .frames
-                    .push((name.to_owned(), Frame::of(What::Form(form.clone()))));
+                self.effects.frames.push((
+                    name.to_owned(),
+                    Frame::of(FrameBody::Bootstrap(form.clone())),
+                ));
             }
             None => self.form_if_all_are_fresh(),
             Some(_) => {}
@@ -636,14 +637,14 @@
         });
         self.form = Some(form.clone());
         self.begin(&form);
-        self.effects.events.push(GroupEvent::Formed {
+        self.effects.events.push(GroupEvent::Bootstrapped {
             members: form.members.len(),
         });
         let names: Vec<String> = form.members.iter().map(|one| one.name.clone()).collect();
         for name in names.into_iter().filter(|name| *name != self.options.name) {
             self.effects
                 .frames
-                .push((name, Frame::of(What::Form(form.clone()))));
+                .push((name, Frame::of(FrameBody::Bootstrap(form.clone()))));
         }
     }
 
@@ -704,23 +705,23 @@
 
     pub fn on_frame(&mut self, now: Duration, name: &str, frame: Frame) {
         self.now = self.now.max(now);
-        let Some(what) = frame.what else { return };
+        let Some(what) = frame.body else { return };
         if self.over || !self.peers.contains_key(name) {
             return;
         }
         match what {
-            What::Hello(hello) => self.hello_from(name, hello),
-            What::Form(form) => self.take_form(form),
-            What::Raft(raft) => self.raft(name, raft),
-            What::Ask(ask) => self.asked(name, ask),
-            What::Answer(answer) => self.answered(&answer),
-            What::Behind(behind) if behind.disk == self.disk => {
+            FrameBody::Hello(hello) => self.hello_from(name, hello),
+            FrameBody::Bootstrap(form) => self.take_form(form),
+            FrameBody::Raft(raft) => self.raft(name, raft),
+            FrameBody::Request(ask) => self.asked(name, ask),
+            FrameBody::Response(answer) => self.answered(&answer),
+            FrameBody::StaleDisk(behind) if behind.disk == self.disk => {
                 self.set_aside(GroupEvent::StaleDisk { why: behind.why });
             }
-            What::Behind(_) => {}
+            FrameBody::StaleDisk(_) => {}
             // Of the links that attached processes opened, not of those among members.
-            What::Up(_) | What::Down(_) => {}
-            What::Soft(report) => {
+            FrameBody::FromSubscriber(_) | FrameBody::ToSubscriber(_) => {}
+            FrameBody::Gossip(report) => {
                 let hello = self.peers.get(name).and_then(|peer| peer.hello.as_ref());
                 if hello.is_some_and(|hello| hello.disk == report.disk) {
                     self.reports.merge(&report);
@@ -885,7 +886,7 @@
         if self.own.charged_us.is_empty() && self.own.spare_capacity == 0 {
             return;
         }
-        let frame = Frame::of(What::Soft(self.own.clone()));
+        let frame = Frame::of(FrameBody::Gossip(self.own.clone()));
         for (name, peer) in &self.peers {
             if peer.here {
                 self.effects.frames.push((name.clone(), frame.clone()));
@@ -1162,7 +1163,9 @@
             shard: u32::from(shard),
             command,
         };
-        self.effects.frames.push((name, Frame::of(What::Ask(ask))));
+        self.effects
+            .frames
+            .push((name, Frame::of(FrameBody::Request(ask))));
     }
 
     fn name_of(&self, disk: ReplicaId) -> Option<String> {
@@ -1216,14 +1219,14 @@
                 let answer = CommandResponse::redirect(*id, shard, leader);
                 self.effects
                     .frames
-                    .push((name.clone(), Frame::of(What::Answer(answer))));
+                    .push((name.clone(), Frame::of(FrameBody::Response(answer))));
             }
         }
     }
 
     fn answered(&mut self, answer: &CommandResponse) {
         let (id, now) = (answer.id, self.now);
-        match answer.told() {
+        match answer.outcome() {
             Some(told) => self.tell(id, told),
             None => {
                 let shard = answer.shard as u16;
@@ -1282,7 +1285,7 @@
                 let answer = CommandResponse::of(*id, shard, &told);
                 self.effects
                     .frames
-                    .push((name.clone(), Frame::of(What::Answer(answer))));
+                    .push((name.clone(), Frame::of(FrameBody::Response(answer))));
             }
         }
     }
@@ -1352,7 +1355,7 @@
             let to = message.to;
             (
                 to,
-                Frame::of(What::Raft(Raft {
+                Frame::of(FrameBody::Raft(Raft {
                     shard: u32::from(shard),
                     message,
                     generation,
--- a/crates/replicated-state/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -26,7 +26,7 @@
 const HISTORY_BYTES: usize = 4 << 20;
 /// Bytes of one change in the log: two of them fit a link's frame. The whole of 5,400 routes and 23,000 tenants packed
 /// is about half of it.
-pub const MOST_CHANGE: usize = 240 << 10;
+pub const MAX_CHANGE_BYTES: usize = 240 << 10;
 
 /// A version that somebody made.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
@@ -56,7 +56,7 @@
     ) -> Result<Self, UpdateError> {
         let delta = head.delta_to(from, from + 1, configuration)?;
         let encoded = delta.encode_to_vec();
-        if encoded.len() <= MOST_CHANGE {
+        if encoded.len() <= MAX_CHANGE_BYTES {
             return Ok(Self {
                 from,
                 delta: encoded.into(),
@@ -64,7 +64,7 @@
             });
         }
         let whole = snapshot::packed(from + 1, &ConfigState::from_configuration(configuration)?)?;
-        if whole.len() > MOST_CHANGE {
+        if whole.len() > MAX_CHANGE_BYTES {
             return Err(UpdateError::TooLarge(
                 "more than one change may say, also when packed: publish it in parts",
             ));
@@ -95,7 +95,7 @@
 
 /// As a snapshot of the log keeps it.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Kept {
+pub struct VersionsSnapshot {
     /// The base, packed; empty for version 0.
     #[prost(bytes = "bytes", tag = "1")]
     base: Bytes,
@@ -151,7 +151,7 @@
                 })
             };
         }
-        if publish.delta.len() + publish.whole.len() > MOST_CHANGE {
+        if publish.delta.len() + publish.whole.len() > MAX_CHANGE_BYTES {
             return Err(UpdateError::TooLarge("more than one change may say"));
         }
         let delta = if publish.whole.is_empty() {
@@ -189,7 +189,7 @@
     }
 
     /// None where nothing was published. The same state gives the same bytes.
-    pub fn keep(&self) -> Option<Kept> {
+    pub fn keep(&self) -> Option<VersionsSnapshot> {
         if self.head.0 == 0 {
             return None;
         }
@@ -200,7 +200,7 @@
         } else {
             snapshot::packed(*version, state).unwrap_or_default()
         };
-        Some(Kept {
+        Some(VersionsSnapshot {
             base: base.into(),
             history: self.history.iter().cloned().collect(),
         })
@@ -210,8 +210,8 @@
     ///
     /// # Errors
     /// If it is none that [`Versions::keep`] made.
-    pub fn restored(kept: Option<Kept>) -> Result<Self, UpdateError> {
-        let Some(Kept { base, history }) = kept else {
+    pub fn restored(kept: Option<VersionsSnapshot>) -> Result<Self, UpdateError> {
+        let Some(VersionsSnapshot { base, history }) = kept else {
             return Ok(Self::default());
         };
         let base = if base.is_empty() {
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -15,8 +15,8 @@
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_raft::wire::{Body, Message, VoteRequest};
 use rainstand_replicated_state::frames::{
-    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, Hello,
-    PeerIncarnation, PeerIncarnations, Raft, ResponseCode, ShardProgress, StaleDiskNotice, What,
+    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, FrameBody, Hello,
+    PeerIncarnation, PeerIncarnations, Raft, ResponseCode, ShardProgress, StaleDiskNotice,
 };
 use rainstand_replicated_state::gossip::GossipReport;
 use rainstand_replicated_state::idempotency::{
@@ -167,10 +167,10 @@
         disk: 0x1122,
     };
     let mut all: Vec<(String, Frame)> = vec![
-        ("hello".into(), Frame::of(What::Hello(hello))),
+        ("hello".into(), Frame::of(FrameBody::Hello(hello))),
         (
             "form".into(),
-            Frame::of(What::Form(BootstrapConfig {
+            Frame::of(FrameBody::Bootstrap(BootstrapConfig {
                 members: vec![formed("n1", 1), formed("n2", 2)],
                 shards: 16,
                 copies: 3,
@@ -178,7 +178,7 @@
         ),
         (
             "raft".into(),
-            Frame::of(What::Raft(Raft {
+            Frame::of(FrameBody::Raft(Raft {
                 shard: 5,
                 message,
                 generation: 2,
@@ -186,22 +186,25 @@
         ),
         (
             "behind".into(),
-            Frame::of(What::Behind(StaleDiskNotice {
+            Frame::of(FrameBody::StaleDisk(StaleDiskNotice {
                 disk: 7,
                 why: "start 1 after start 2".into(),
             })),
         ),
-        ("soft".into(), Frame::of(What::Soft(report))),
-        ("up".into(), Frame::of(What::Up(Bytes::from_static(b"up")))),
+        ("soft".into(), Frame::of(FrameBody::Gossip(report))),
+        (
+            "up".into(),
+            Frame::of(FrameBody::FromSubscriber(Bytes::from_static(b"up"))),
+        ),
         (
             "down".into(),
-            Frame::of(What::Down(Bytes::from_static(b"down"))),
+            Frame::of(FrameBody::ToSubscriber(Bytes::from_static(b"down"))),
         ),
     ];
     for (name, command) in commands() {
         all.push((
             format!("ask-{name}"),
-            Frame::of(What::Ask(CommandRequest {
+            Frame::of(FrameBody::Request(CommandRequest {
                 id: 1 << 40,
                 shard: 5,
                 command,
@@ -214,11 +217,14 @@
         let answer = CommandResponse {
             id: 1 << 40,
             shard: 5,
-            word,
+            code: word,
             result,
             leader: 9,
         };
-        all.push((format!("answer-{word}"), Frame::of(What::Answer(answer))));
+        all.push((
+            format!("answer-{word}"),
+            Frame::of(FrameBody::Response(answer)),
+        ));
     }
     all
 }
--- a/crates/replicated-state/tests/versions.rs
+++ b/crates/replicated-state/tests/versions.rs
@@ -14,7 +14,7 @@
 use rainstand_replicated_state::idempotency::{
     Claim, ClaimOutcome, Command, IdempotencyTable, Operation,
 };
-use rainstand_replicated_state::versions::{Publish, MOST_CHANGE};
+use rainstand_replicated_state::versions::{Publish, MAX_CHANGE_BYTES};
 
 /// Tenants of a share that tells versions apart.
 fn with(tenants: u32, share: u32) -> Configuration {
@@ -94,7 +94,7 @@
     };
     let large = Publish {
         from: 2,
-        delta: vec![0; MOST_CHANGE + 1].into(),
+        delta: vec![0; MAX_CHANGE_BYTES + 1].into(),
         ..Publish::default()
     };
     let third = made(2, &states[1], 3);
@@ -183,7 +183,7 @@
     let mut wanted = with(20_000, 0);
     let whole = Publish::of(&ConfigState::default(), 0, &wanted).unwrap();
     assert!(
-        whole.delta.is_empty() && whole.whole.len() <= MOST_CHANGE,
+        whole.delta.is_empty() && whole.whole.len() <= MAX_CHANGE_BYTES,
         "{}",
         whole.whole.len()
     );
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -815,7 +815,7 @@
         Some(burst.snapshots as f64),
     ));
 
-    whole(sizes, effort, &mut rows)?;
+    with_length_prefix(sizes, effort, &mut rows)?;
     if !effort.counts_only {
         by_nodes(sizes, &small, changes, &mut rows)?;
         costs(sizes, effort, &mut rows)?;
@@ -824,7 +824,7 @@
 }
 
 /// The whole at each change, to compare with: packed bytes by size.
-fn whole(sizes: &Sizes, effort: &Effort, rows: &mut Vec<Row>) -> io::Result<()> {
+fn with_length_prefix(sizes: &Sizes, effort: &Effort, rows: &mut Vec<Row>) -> io::Result<()> {
     let mut points = Vec::new();
     for part in effort.parts.iter().copied() {
         let state = ConfigState::from_configuration(&compiled(
--- a/crates/testbed/src/scale/groups.rs
+++ b/crates/testbed/src/scale/groups.rs
@@ -7,7 +7,7 @@
 use super::{limits, settings, Effort, Named, Place, Row, Sizes};
 use crate::process::{free_port, program};
 use crate::proxy::Proxy;
-use rainstand_cluster::{status, transport::whole};
+use rainstand_cluster::{status, transport::with_length_prefix};
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::Memory;
 use std::collections::BTreeMap;
@@ -138,7 +138,9 @@
     async fn ask(&self, n: usize, question: &str) -> io::Result<serde_json::Value> {
         let asked = async {
             let mut stream = TcpStream::connect(self.peers[n]).await?;
-            stream.write_all(&whole(&status::ask(question))).await?;
+            stream
+                .write_all(&with_length_prefix(&status::encode_question(question)))
+                .await?;
             let mut head = [0; 4];
             stream.read_exact(&mut head).await?;
             let mut body = vec![0; (u32::from_be_bytes(head) as usize).min(16 << 20)];
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -10,7 +10,7 @@
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
 use rainstand_raft::Timeouts;
-use rainstand_replicated_state::frames::{Frame, What};
+use rainstand_replicated_state::frames::{Frame, FrameBody};
 use rainstand_replicated_state::member::{
     Effects, GroupMember, MemberConfig, RecoveredState, DEFAULT_COMPACTION_ENTRIES,
 };
@@ -203,9 +203,9 @@
             let bytes = frame.encode_to_vec();
             self.counts.frames += 1;
             self.counts.bytes += (LENGTH + bytes.len()) as u64;
-            match &frame.what {
-                Some(What::Hello(_)) => self.counts.greetings += 1,
-                Some(What::Soft(_)) => {
+            match &frame.body {
+                Some(FrameBody::Hello(_)) => self.counts.greetings += 1,
+                Some(FrameBody::Gossip(_)) => {
                     self.counts.soft += 1;
                     self.counts.soft_bytes += (LENGTH + bytes.len()) as u64;
                 }
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -742,11 +742,11 @@
         let lossy = self.ills.contains(&Some(Ill::Lossy));
         let slow = self.ills.contains(&Some(Ill::Slow));
         // A link that loses these breaks, and says them again when it is back.
-        use rainstand_replicated_state::frames::What as Said;
+        use rainstand_replicated_state::frames::FrameBody as Said;
         let lossy = lossy
             && !matches!(
-                frame.what,
-                Some(Said::Hello(_) | Said::Behind(_) | Said::Form(_))
+                frame.body,
+                Some(Said::Hello(_) | Said::StaleDisk(_) | Said::Bootstrap(_))
             );
         if !self.passes(from, to) || self.nodes[to].member.is_none() || lossy && self.draw(5) == 0 {
             return;
@@ -1303,8 +1303,8 @@
 
 /// Whether a frame grants a vote.
 fn votes(frame: &Frame) -> bool {
-    let body = match &frame.what {
-        Some(rainstand_replicated_state::frames::What::Raft(raft)) => &raft.message.body,
+    let body = match &frame.body {
+        Some(rainstand_replicated_state::frames::FrameBody::Raft(raft)) => &raft.message.body,
         _ => return false,
     };
     matches!(body, Some(rainstand_raft::wire::Body::Voted(voted)) if voted.granted && !voted.pre)
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -7,7 +7,7 @@
 use crate::plan::{Act, Disk, Link, Step, Trouble, AFTER};
 use crate::process::{free_port, program, starts, Process, COMES_UP};
 use crate::proxy::Proxy;
-use rainstand_cluster::{status, transport::whole};
+use rainstand_cluster::{status, transport::with_length_prefix};
 use rainstand_config::schema::{self, Configuration, Rig};
 use rustix::process::Signal;
 use serde::Serialize;
@@ -581,7 +581,7 @@
         let asked = async {
             let mut stream = TcpStream::connect(peer).await.ok()?;
             stream
-                .write_all(&whole(&status::ask("status")))
+                .write_all(&with_length_prefix(&status::encode_question("status")))
                 .await
                 .ok()?;
             let mut head = [0; 4];
