--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -188,10 +188,10 @@
             .map(|(shard, replica, table)| {
                 let peers: Vec<Value> = replica
                     .progress()
-                    .map(|(disk, matched, heard)| {
-                        json!({"disk": id(disk), "name": name_of(member, disk),
-                            "behind": replica.log().last().saturating_sub(matched),
-                            "heard_ms": now.saturating_sub(heard).as_millis() as u64})
+                    .map(|peer| {
+                        json!({"disk": id(peer.id), "name": name_of(member, peer.id),
+                            "behind": replica.log().last_index().saturating_sub(peer.match_index),
+                            "heard_ms": now.saturating_sub(peer.last_contact).as_millis() as u64})
                     })
                     .collect();
                 let of: Vec<Value> = replica
@@ -203,7 +203,7 @@
                 json!({"shard": shard, "role": role_word(replica.role()),
                     "leader": replica.leader().map(|disk| name_of(member, disk)),
                     "term": replica.term(), "commit": replica.commit(), "applied": replica.applied(),
-                    "last": replica.log().last(), "base": replica.log().base().index,
+                    "last": replica.log().last_index(), "base": replica.log().base().index,
                     "keys": table.len(), "aged": table.aged(), "members": of, "peers": peers})
             })
             .collect();
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -1,27 +1,21 @@
 //! A replicated log without I/O (Raft: D. Ongaro, "Consensus: Bridging Theory and Practice", 2014; chapters 3, 4, 6, 9).
 //!
-//! | module | what it is |
+//! | module | contents |
 //! | --- | --- |
-//! | [`wire`] | entries, messages, configurations, as they are sent and kept |
-//! | [`log`] | the entries in memory, behind a snapshot, with their running checksum |
+//! | [`wire`] | entries, messages and memberships, as they are sent and stored |
+//! | [`log`] | the entries in memory, behind a snapshot, with their running checksums |
 //! | [`replica`] | the decisions: elections, replication, membership, snapshots, reads |
-//! | [`copies`] | the rule for copies that differ; a table |
-//! | [`plant`] | bugs by name, for those who look whether they are found |
+//! | [`divergence`] | the rule for replicas whose logs diverged |
+//! | [`plant`] | bugs that can be planted by name, for tests |
 //!
-//! How it is driven: [`Replica::tick`], [`Replica::receive`], [`Replica::propose`] and the rest change the state;
-//! [`Replica::take`] then gives what follows from it. Writes go to the disk in order; messages in `after` wait until all
-//! writes given up to then are durable, which [`Replica::written`] tells back; those in `now` need not.
-//! Time and chance are handed in, so that the same calls give the same log.
+//! How it is driven: [`Replica::tick`], [`Replica::step`], [`Replica::propose`] and the other methods change the state;
+//! [`Replica::take_ready`] then returns the effects. Writes go to the disk in the order of the calls: the hard state, the
+//! snapshot, the entries. Messages in [`Ready::messages`] may be sent at once; those in
+//! [`Ready::messages_after_persist`] wait until all writes handed out so far are durable, which the caller reports with
+//! [`Replica::on_persisted`]. Time and the random seed are handed in, so that the same calls have the same effects.
 //!
-//! A member is a disk, not a name: a name that comes back with another disk is another member, and no vote is
-//! inherited.
-
-#![allow(
-    missing_docs,
-    unreachable_pub,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
-)]
+//! A member is identified by its disk, not by its name: a node that comes back with another disk is another member, and
+//! inherits no vote.
 
 pub mod divergence;
 pub mod log;
@@ -30,7 +24,8 @@
 pub mod wire;
 
 pub use replica::{
-    MembershipChange, PersistentState, ProposalError, Ready, Replica, Role, Timeouts,
+    CampaignKind, FollowerProgress, MembershipChange, PersistentState, ProposalError, ReadState,
+    Ready, Replica, Role, SnapshotInstall, Timeouts,
 };
 pub use wire::{
     Entry, EntryKind, HardState, Member, Membership, Message, ReplicaId, SnapshotMetadata,
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -1,24 +1,27 @@
-//! The entries in memory, behind a snapshot, with their running checksum.
+//! The entries in memory, behind a snapshot, with their running checksums.
 //!
-//! Invariant: `entries[k].index == base.index + 1 + k`; `sums[k]` is the running checksum up to it.
+//! Invariant: `entries[k].index == base.index + 1 + k`, and `checksums[k]` is the running checksum up to it.
 
 use crate::wire::{Entry, SnapshotMetadata};
 use std::collections::VecDeque;
 
+/// Consecutive entries behind a base, which is a snapshot or the beginning of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Log {
     base: SnapshotMetadata,
     entries: VecDeque<Entry>,
-    sums: VecDeque<u64>,
+    checksums: VecDeque<u64>,
+    /// Bytes of data in the entries.
     bytes: usize,
 }
 
 impl Log {
+    /// A log behind `base`; the first of the entries has the index behind the base's.
     pub fn new(base: SnapshotMetadata, entries: impl IntoIterator<Item = Entry>) -> Self {
         let mut log = Self {
             base,
             entries: VecDeque::new(),
-            sums: VecDeque::new(),
+            checksums: VecDeque::new(),
             bytes: 0,
         };
         for entry in entries {
@@ -27,20 +30,24 @@
         log
     }
 
+    /// The snapshot that the entries follow; all zero if they begin the log.
     pub fn base(&self) -> &SnapshotMetadata {
         &self.base
     }
 
-    pub fn last(&self) -> u64 {
+    /// Index of the last entry, or that of the base.
+    pub fn last_index(&self) -> u64 {
         self.base.index + self.entries.len() as u64
     }
 
+    /// Term of the last entry, or that of the base.
     pub fn last_term(&self) -> u64 {
         self.entries
             .back()
             .map_or(self.base.term, |entry| entry.term)
     }
 
+    /// Log time of the last entry, or that of the base, in nanoseconds.
     pub fn last_stamp(&self) -> u64 {
         self.entries
             .back()
@@ -52,24 +59,28 @@
         self.bytes
     }
 
+    /// Number of entries behind the base.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// Whether no entry stands behind the base.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    fn at(&self, index: u64) -> Option<usize> {
-        let at = index.checked_sub(self.base.index + 1)? as usize;
-        (at < self.entries.len()).then_some(at)
+    /// Position of an index in `entries`.
+    fn position(&self, index: u64) -> Option<usize> {
+        let position = index.checked_sub(self.base.index + 1)? as usize;
+        (position < self.entries.len()).then_some(position)
     }
 
+    /// The entry of an index, if it stands behind the base.
     pub fn entry(&self, index: u64) -> Option<&Entry> {
-        self.entries.get(self.at(index)?)
+        self.entries.get(self.position(index)?)
     }
 
-    /// Of the base too; none for what is before it or not there yet.
+    /// The term of an entry or of the base; `None` before the base and behind the last entry.
     pub fn term(&self, index: u64) -> Option<u64> {
         if index == self.base.index {
             return Some(self.base.term);
@@ -77,49 +88,55 @@
         self.entry(index).map(|entry| entry.term)
     }
 
-    /// The running checksum up to an index.
-    pub fn sum(&self, index: u64) -> Option<u64> {
+    /// The running checksum up to an entry or the base; `None` before the base and behind the last entry.
+    pub fn checksum(&self, index: u64) -> Option<u64> {
         if index == self.base.index {
             return Some(self.base.checksum);
         }
-        self.sums.get(self.at(index)?).copied()
+        self.checksums.get(self.position(index)?).copied()
     }
 
-    /// Entries from an index on: at most so many, and as many as fit the bytes, but one.
-    pub fn from(&self, index: u64, most: usize, bytes: usize) -> Vec<Entry> {
-        let Some(at) = self.at(index) else {
+    /// Consecutive entries from an index on: at most `max_entries`, and at most `max_bytes` of data unless the first
+    /// entry alone is larger.
+    pub fn entries_from(&self, index: u64, max_entries: usize, max_bytes: usize) -> Vec<Entry> {
+        let Some(position) = self.position(index) else {
             return Vec::new();
         };
-        let (mut all, mut size) = (Vec::new(), 0);
-        for entry in self.entries.range(at..) {
-            size += entry.data.len();
-            if !all.is_empty() && (size > bytes || all.len() >= most) {
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        for entry in self.entries.range(position..) {
+            bytes += entry.data.len();
+            if !entries.is_empty() && (bytes > max_bytes || entries.len() >= max_entries) {
                 break;
             }
-            all.push(entry.clone());
+            entries.push(entry.clone());
         }
-        all
+        entries
     }
 
-    /// The next entry; its index must be the one behind the last.
+    /// Appends an entry, whose index must be the one behind the last.
     pub fn push(&mut self, entry: Entry) {
-        debug_assert_eq!(entry.index, self.last() + 1, "entries without a gap");
-        let before = self.sums.back().copied().unwrap_or(self.base.checksum);
-        self.sums.push_back(entry.checksum(before));
+        debug_assert_eq!(
+            entry.index,
+            self.last_index() + 1,
+            "entries are consecutive"
+        );
+        let previous = self.checksums.back().copied().unwrap_or(self.base.checksum);
+        self.checksums.push_back(entry.checksum(previous));
         self.bytes += entry.data.len();
         self.entries.push_back(entry);
     }
 
-    /// Takes off all from an index on.
-    pub fn cut(&mut self, index: u64) {
-        let keep = index.saturating_sub(self.base.index + 1) as usize;
-        while self.entries.len() > keep {
+    /// Removes the entries from an index on.
+    pub fn truncate_from(&mut self, index: u64) {
+        let remaining = index.saturating_sub(self.base.index + 1) as usize;
+        while self.entries.len() > remaining {
             self.bytes -= self.entries.pop_back().map_or(0, |entry| entry.data.len());
-            self.sums.pop_back();
+            self.checksums.pop_back();
         }
     }
 
-    /// Takes off all up to the base's index, which stands for it from now on.
+    /// Removes the entries up to the index of `base`, which replaces them.
     pub fn compact(&mut self, base: SnapshotMetadata) {
         while self
             .entries
@@ -127,13 +144,13 @@
             .is_some_and(|entry| entry.index <= base.index)
         {
             self.bytes -= self.entries.pop_front().map_or(0, |entry| entry.data.len());
-            self.sums.pop_front();
+            self.checksums.pop_front();
         }
         self.base = base;
     }
 
-    /// The smallest index whose term is that of this one: a whole term is stepped over at once.
-    pub fn first_of_term(&self, index: u64) -> u64 {
+    /// The first index of the term that an index belongs to, so that a leader can probe term by term.
+    pub fn first_index_of_term(&self, index: u64) -> u64 {
         let Some(term) = self.term(index) else {
             return index;
         };
--- a/crates/raft/src/plant.rs
+++ b/crates/raft/src/plant.rs
@@ -1,66 +1,78 @@
-//! Bugs that are planted by name, to see whether the rig, the simulation and the searches find them.
+//! Bugs that can be planted by name, to test that simulations and searches find them.
 //!
-//! Without the feature `planted` every question is answered no by the compiler, and nothing of it is in the program.
+//! Without the feature `planted` the compiler answers every question with no, and the bugs are not in the program.
 
-/// All bugs that can be planted, and what each does.
-pub const BUGS: &[(&str, &str)] = &[
-    (
-        "early-answer",
-        "committed as soon as the leader has it, before the quorum does",
-    ),
-    (
-        "vote-forgotten",
-        "the vote is not written down, so a restart forgets it",
-    ),
-    (
-        "tail-kept",
-        "an uncommitted tail that differs from the leader's stays",
-    ),
-    (
-        "config-lost",
-        "a snapshot is taken over without the members it names",
-    ),
-    (
-        "vote-too-soon",
-        "a learner that catches up counts towards the majority as if it voted",
-    ),
-    (
-        "second-run",
-        "a start whose holder is not heard of is granted again",
-    ),
-    (
-        "early-launch",
-        "a ticket is launched before its start is durable on a majority",
-    ),
-    ("sums-twice", "soft sums are added instead of joined"),
+/// A bug that can be planted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlantedBug {
+    /// How it is named on command lines and in the environment variable `RAINSTAND_PLANT`.
+    pub name: &'static str,
+    /// What the program does with it.
+    pub effect: &'static str,
+}
+
+/// All bugs that can be planted.
+pub const BUGS: &[PlantedBug] = &[
+    PlantedBug {
+        name: "early-answer",
+        effect: "an entry is committed when the leader holds it, before a majority does",
+    },
+    PlantedBug {
+        name: "vote-forgotten",
+        effect: "the vote is not written, so that a restart forgets it",
+    },
+    PlantedBug {
+        name: "tail-kept",
+        effect: "an uncommitted suffix that differs from the leader's stays",
+    },
+    PlantedBug {
+        name: "config-lost",
+        effect: "a snapshot is installed without its membership",
+    },
+    PlantedBug {
+        name: "vote-too-soon",
+        effect: "a learner counts towards the majority as if it voted",
+    },
+    PlantedBug {
+        name: "second-run",
+        effect: "a claim whose holder is out of contact is granted again",
+    },
+    PlantedBug {
+        name: "early-launch",
+        effect: "a request is dispatched before its claim is durable on a majority",
+    },
+    PlantedBug {
+        name: "sums-twice",
+        effect: "gossiped counters are added instead of merged",
+    },
 ];
 
 #[cfg(all(feature = "planted", not(debug_assertions)))]
 compile_error!("bugs are planted in debug builds only");
 
 #[cfg(feature = "planted")]
-mod on {
+mod planting {
     use std::cell::RefCell;
 
     thread_local! {
-        static BUG: RefCell<Option<String>> = RefCell::new(std::env::var("RAINSTAND_PLANT").ok());
+        static PLANTED: RefCell<Option<String>> = RefCell::new(std::env::var("RAINSTAND_PLANT").ok());
     }
 
     /// Whether this bug is planted on this thread.
     pub fn planted(bug: &str) -> bool {
-        BUG.with(|planted| planted.borrow().as_deref() == Some(bug))
+        PLANTED.with(|planted| planted.borrow().as_deref() == Some(bug))
     }
 
-    /// Plants a bug on this thread, or none.
+    /// Plants a bug on this thread; `None` removes it.
     pub fn plant(bug: Option<&str>) {
-        BUG.with(|planted| *planted.borrow_mut() = bug.map(str::to_owned));
+        PLANTED.with(|planted| *planted.borrow_mut() = bug.map(str::to_owned));
     }
 }
 
 #[cfg(feature = "planted")]
-pub use on::{plant, planted};
+pub use planting::{plant, planted};
 
-/// Never: this program was built without bugs.
+/// Whether this bug is planted: never in this build.
 #[cfg(not(feature = "planted"))]
 #[inline]
 pub const fn planted(_: &str) -> bool {
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -1,410 +1,324 @@
-//! Elections, replication, membership, snapshots, reads.
+//! One replica of a replicated log: its state, its clock and the messages that it receives.
+//!
+//! The decisions live in submodules, each of which adds methods to [`Replica`]. Invariants: `applied_index <=
+//! commit_index <= log.last_index()`; `role` changes in `transition_to` only; `peers` is empty unless the replica leads.
 
 mod elections;
 mod leadership_transfer;
 mod log_time;
 mod membership;
+mod progress;
 mod quarantine;
 mod reads;
+mod ready;
 mod replication;
 mod snapshots;
 
+pub use elections::CampaignKind;
+pub use membership::MembershipChange;
+pub use progress::FollowerProgress;
+pub use quarantine::Divergence;
+pub use reads::ReadState;
+pub use ready::{Ready, SnapshotInstall};
+
 use crate::log::Log;
-use crate::plant::planted;
 use crate::wire::{
-    AppendResponse, Body, Entry, EntryKind, HardState, Member, Membership, Message, ReplicaId,
-    Snapshot, SnapshotMetadata,
+    AppendResponse, Body, Entry, HardState, Membership, Message, ReplicaId, Snapshot,
+    SnapshotMetadata,
 };
 use bytes::Bytes;
+use leadership_transfer::LeadershipTransfer;
+use log_time::LogClock;
+use membership::{membership_of, IndexedMembership};
 use nanorand::WyRand;
-use prost::Message as _;
+use progress::PeerProgress;
+use reads::PendingRead;
+use snapshots::IncomingSnapshot;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Entries and bytes of one message: some milliseconds of a disk, and far under a link's frame.
-const BATCH: usize = 512;
-const BATCH_BYTES: usize = 128 << 10;
-/// Bytes of one piece of a snapshot: two of them fit a link's frame.
-const PIECE: usize = 128 << 10;
-/// The longest snapshot that is taken in: far past what a shard's bound on keys allows.
-const SNAPSHOT_MOST: u64 = 4 << 30;
-/// Bytes of entries that are proposed and not committed, past which nothing more is taken.
-const UNCOMMITTED: usize = 8 << 20;
-/// Reads that wait for a majority.
-const READS: usize = 1_024;
-/// Heartbeats after which what is on its way to a peer counts as lost.
-const LOST: u32 = 2;
-
-/// How long things take.
+/// The intervals that a replica works with. All members of a group should use the same ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Timeouts {
+    /// Time between two heartbeats of a leader, and between two rounds of vote requests of a candidate.
     pub heartbeat_interval: Duration,
-    /// A follower waits for a leader between these; drawn anew each time.
+    /// Shortest and longest time for which a follower waits for a leader; drawn at random each time.
     pub election_timeout: [Duration; 2],
 }
 
+impl Timeouts {
+    fn min_election_timeout(&self) -> Duration {
+        self.election_timeout[0]
+    }
+
+    fn max_election_timeout(&self) -> Duration {
+        self.election_timeout[1]
+    }
+}
+
+/// The part that a replica plays in its term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Role {
+    /// Follows a leader, or waits for one.
     Follower,
-    /// Asks whether it would be elected.
+    /// Requests pre-votes: would a majority elect it? Its term has not changed yet.
     PreCandidate,
+    /// Requests votes in a term of its own.
     Candidate,
+    /// Leads its term.
     Leader,
-    /// Its copy was set aside: it takes part in nothing.
+    /// Its log diverged from the majority's: it takes part in nothing until it is rebuilt. Final.
     Quarantined,
 }
 
-/// What is found on the disk at a start.
+/// What a replica finds on its disk when it starts.
 #[derive(Clone, Debug, Default)]
 pub struct PersistentState {
+    /// The last term and vote that were written.
     pub hard_state: HardState,
+    /// The newest snapshot, if there is one.
     pub snapshot: Option<Snapshot>,
+    /// The entries behind the snapshot, without a gap.
     pub entries: Vec<Entry>,
 }
 
-/// A change of the members, one at a time.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MembershipChange {
-    /// As a learner.
-    AddLearner(Member),
-    /// A learner that has caught up votes from now on.
-    Promote(ReplicaId),
-    Remove(ReplicaId),
-}
-
-/// Why something was not taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why a replica refused a request.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ProposalError {
-    /// Another leads, if that is known.
+    /// Another replica leads; which one, if that is known.
+    #[error("this replica does not lead")]
     NotLeader(Option<ReplicaId>),
-    /// Too much is on its way, or leadership is being handed over.
+    /// Too much is in flight, or leadership is being transferred. A later retry may succeed.
+    #[error("too much is in flight, or leadership is being transferred")]
     Busy,
-    /// A change of members that is not safe now.
-    NotNow(&'static str),
-}
-
-/// A copy that was set aside, and why.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Divergence {
-    pub index: u64,
-    pub own_checksum: u64,
-    pub majority_checksum: u64,
+    /// The previous membership change is not committed yet.
+    #[error("a membership change is in progress")]
+    ChangeInProgress,
+    /// The leader has not committed an entry of its own term yet.
+    #[error("the leader has not committed an entry in its term yet")]
+    NoCommitInTerm,
+    /// The replica to add is a member already.
+    #[error("the replica is a member already")]
+    AlreadyMember,
+    /// The replica to promote is not a member.
+    #[error("the replica is not a member")]
+    NotMember,
+    /// The learner to promote does not hold all committed entries yet.
+    #[error("the learner has not caught up")]
+    NotCaughtUp,
+    /// The only voter cannot be removed.
+    #[error("the last voter cannot be removed")]
+    LastVoter,
+    /// Leadership goes to another voter only.
+    #[error("leadership can be transferred to another voter only")]
+    InvalidTransferTarget,
 }
 
-/// What follows from what happened. See the crate's head for the order in which it is to be done.
-#[derive(Clone, Debug, Default)]
-pub struct Ready {
-    pub hard_state: Option<HardState>,
-    /// A snapshot taken over from the leader, to be kept in place of all there is up to its index; and whether what
-    /// stands behind it goes too.
-    pub snapshot: Option<(Snapshot, bool)>,
-    /// They replace all from the first one's index on.
-    pub entries: Vec<Entry>,
-    pub messages: Vec<Message>,
-    pub messages_after_persist: Vec<Message>,
-    /// To be applied, in order, after `snapshot`.
-    pub committed: Vec<Entry>,
-    /// Reads that may be answered once this index was applied.
-    pub reads: Vec<(u64, u64)>,
-    pub divergence: Option<Divergence>,
-}
-
-impl Ready {
-    pub fn is_empty(&self) -> bool {
-        self.hard_state.is_none()
-            && self.snapshot.is_none()
-            && self.entries.is_empty()
-            && self.messages.is_empty()
-            && self.messages_after_persist.is_empty()
-            && self.committed.is_empty()
-            && self.reads.is_empty()
-            && self.divergence.is_none()
-    }
-
-    /// Whether anything of it goes to the disk.
-    pub fn writes(&self) -> bool {
-        self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
-    }
-}
-
-/// What a leader knows of another member.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Peer {
-    next: u64,
-    matched: u64,
-    /// Something is on its way since then.
-    waiting: Option<Duration>,
-    /// Bytes of the snapshot that are there.
-    piece: Option<(u64, u64)>,
-    heard: Duration,
-    round: u64,
-    /// The running checksum that it has in place of the leader's.
-    differs: Option<(u64, u64)>,
-}
-
-/// A snapshot that comes in pieces.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Incoming {
-    base: SnapshotMetadata,
-    total: u64,
-    data: Vec<u8>,
-}
-
-/// One member of one replicated log.
+/// One replica of one replicated log. See the crate's documentation for how it is driven.
 #[derive(Clone, Debug)]
 pub struct Replica {
     id: ReplicaId,
-    times: Timeouts,
-    chance: WyRand,
+    timeouts: Timeouts,
+    rng: WyRand,
     now: Duration,
     term: u64,
+    /// Voted for in this term; 0: nobody.
     vote: ReplicaId,
     role: Role,
     leader: Option<ReplicaId>,
-    /// When the leader was last heard.
-    heard: Option<Duration>,
+    last_leader_contact: Option<Duration>,
     log: Log,
-    /// Configurations of the log by index, the one of the base first.
-    configs: Vec<(u64, Membership)>,
-    snapshot: Bytes,
-    commit: u64,
-    applied: u64,
-    durable: u64,
-    deadline: Duration,
-    beat: Duration,
+    /// The memberships that the log holds, by index; the first one is that of the log's base.
+    memberships: Vec<IndexedMembership>,
+    /// Data of the snapshot that the log's base describes.
+    snapshot_data: Bytes,
+    commit_index: u64,
+    applied_index: u64,
+    /// All entries up to here are durable on the own disk.
+    persisted_index: u64,
+    /// When the next election starts; for a leader, when it next checks that a majority is in contact.
+    election_deadline: Duration,
+    /// When the next heartbeats, or repeated vote requests, are due.
+    heartbeat_deadline: Duration,
+    /// Voters that granted the vote or pre-vote in the election that is under way.
     votes: BTreeSet<ReplicaId>,
-    peers: BTreeMap<ReplicaId, Peer>,
-    incoming: Option<Incoming>,
-    reads: VecDeque<(u64, u64, u64)>,
-    round: u64,
-    /// Leadership is being handed to it, until then.
-    handing: Option<(ReplicaId, Duration)>,
-    /// Log time, and when it was that.
-    stamp: (u64, Duration),
-    uncommitted: usize,
-    out: Ready,
+    /// Of a leader: the other members.
+    peers: BTreeMap<ReplicaId, PeerProgress>,
+    incoming_snapshot: Option<IncomingSnapshot>,
+    pending_reads: VecDeque<PendingRead>,
+    /// Number of the newest read; sent with each heartbeat, and confirmed by each response.
+    read_round: u64,
+    leadership_transfer: Option<LeadershipTransfer>,
+    log_clock: LogClock,
+    /// Bytes of data that were proposed here and are not committed.
+    uncommitted_bytes: usize,
+    /// Effects since the last [`Replica::take_ready`].
+    ready: Ready,
 }
 
 impl Replica {
-    /// `seed` draws the times between elections.
+    /// A follower with the state that its disk holds. `seed` determines its election timeouts; `now` is the time on
+    /// the clock that all later calls use.
     pub fn new(
         id: ReplicaId,
-        times: Timeouts,
+        timeouts: Timeouts,
         seed: u64,
         now: Duration,
         state: PersistentState,
     ) -> Self {
-        let (base, snapshot) = state
+        let (base, snapshot_data) = state
             .snapshot
             .map_or((SnapshotMetadata::default(), Bytes::new()), |snapshot| {
                 (snapshot.metadata, snapshot.data)
             });
-        let mut configs = vec![(base.index, base.config.clone())];
-        let commit = base.index;
+        let base_index = base.index;
+        let base_membership = IndexedMembership::new(base_index, base.config.clone());
         let log = Log::new(base, state.entries);
-        for index in commit + 1..=log.last() {
-            configs.extend(
-                log.entry(index)
-                    .and_then(config_of)
-                    .map(|config| (index, config)),
-            );
-        }
-        let (durable, stamp) = (log.last(), (log.last_stamp(), now));
         let mut replica = Self {
             id,
-            times,
-            chance: WyRand::new_seed(seed),
+            timeouts,
+            rng: WyRand::new_seed(seed),
             now,
             term: state.hard_state.term,
             vote: state.hard_state.vote,
             role: Role::Follower,
             leader: None,
-            heard: None,
-            log,
-            configs,
-            snapshot,
-            commit,
-            applied: commit,
-            durable,
-            deadline: now,
-            beat: now,
+            last_leader_contact: None,
+            memberships: memberships_of(&log, base_membership),
+            snapshot_data,
+            commit_index: base_index,
+            applied_index: base_index,
+            persisted_index: log.last_index(),
+            election_deadline: now,
+            heartbeat_deadline: now,
             votes: BTreeSet::new(),
             peers: BTreeMap::new(),
-            incoming: None,
-            reads: VecDeque::new(),
-            round: 0,
-            handing: None,
-            stamp,
-            uncommitted: 0,
-            out: Ready::default(),
+            incoming_snapshot: None,
+            pending_reads: VecDeque::new(),
+            read_round: 0,
+            leadership_transfer: None,
+            log_clock: LogClock::new(log.last_stamp(), now),
+            uncommitted_bytes: 0,
+            ready: Ready::default(),
+            log,
         };
-        replica.draw_deadline();
+        replica.reset_election_deadline();
         replica
     }
 
+    /// The replica's identity.
     pub fn id(&self) -> ReplicaId {
         self.id
     }
 
+    /// The part that the replica plays in its term.
     pub fn role(&self) -> Role {
         self.role
     }
 
+    /// Whether the replica leads its term, as far as it knows.
     pub fn is_leader(&self) -> bool {
         self.role == Role::Leader
     }
 
+    /// The leader of the term, if it is known.
     pub fn leader(&self) -> Option<ReplicaId> {
         self.leader
     }
 
+    /// The newest term that the replica has seen.
     pub fn term(&self) -> u64 {
         self.term
     }
 
+    /// Which replica got the vote in this term; 0: none.
     pub fn vote(&self) -> ReplicaId {
         self.vote
     }
 
+    /// The index up to which entries are known to be committed.
     pub fn commit(&self) -> u64 {
-        self.commit
+        self.commit_index
     }
 
+    /// The index up to which entries were handed out by [`Replica::take_ready`].
     pub fn applied(&self) -> u64 {
-        self.applied
+        self.applied_index
     }
 
+    /// The log, committed or not.
     pub fn log(&self) -> &Log {
         &self.log
     }
 
-    /// The members as the newest entry has them, committed or not.
-    pub fn membership(&self) -> &Membership {
-        let last = self.configs.last().expect("the base's configuration");
-        &last.1
-    }
-
-    /// Whether the newest configuration is committed.
-    pub fn is_membership_committed(&self) -> bool {
-        self.configs
-            .last()
-            .is_some_and(|last| last.0 <= self.commit)
-    }
-
-    /// Whether this leader has committed an entry of its own term: only then it knows what is committed.
-    pub fn has_committed_in_term(&self) -> bool {
-        self.is_leader() && self.log.term(self.commit) == Some(self.term)
-    }
-
-    /// Of a leader: how far each other member is, and when it was last heard.
-    pub fn progress(&self) -> impl Iterator<Item = (ReplicaId, u64, Duration)> + '_ {
-        self.peers
-            .iter()
-            .map(|(id, peer)| (*id, peer.matched, peer.heard))
-    }
-
-    pub fn is_transferring_leadership(&self) -> bool {
-        self.handing.is_some()
+    /// Of a leader: the progress of each other member, in order of identity. Of any other role: nothing.
+    pub fn progress(&self) -> impl Iterator<Item = FollowerProgress> + '_ {
+        self.peers.iter().map(|(id, peer)| FollowerProgress {
+            id: *id,
+            match_index: peer.match_index,
+            last_contact: peer.last_contact,
+        })
     }
 
-    /// When something is to be done again, if nothing happens before.
+    /// When [`Replica::tick`] is next due, if nothing happens before.
     pub fn next_deadline(&self) -> Duration {
         match self.role {
-            Role::Leader | Role::PreCandidate | Role::Candidate => self.beat.min(self.deadline),
+            Role::Leader | Role::PreCandidate | Role::Candidate => {
+                self.heartbeat_deadline.min(self.election_deadline)
+            }
             Role::Quarantined => Duration::MAX,
-            _ => self.deadline,
+            Role::Follower => self.election_deadline,
         }
     }
 
-    /// All that follows from the calls since the last one.
+    /// Drains the effects of all calls since the last one. See the crate's documentation for the order in which they
+    /// are to be carried out.
     pub fn take_ready(&mut self) -> Ready {
-        while self.applied < self.commit {
-            let Some(entry) = self.log.entry(self.applied + 1) else {
+        while self.applied_index < self.commit_index {
+            let Some(entry) = self.log.entry(self.applied_index + 1) else {
                 break;
             };
-            self.applied += 1;
-            self.out.committed.push(entry.clone());
+            self.applied_index += 1;
+            self.ready.committed.push(entry.clone());
         }
-        std::mem::take(&mut self.out)
+        std::mem::take(&mut self.ready)
     }
 
-    /// The state without its times and chance, for searches that go over all orders of events.
+    /// Hashes the state without its clock and random numbers, so that a search over all orders of events can tell
+    /// states that it has seen.
     pub fn fingerprint(&self, into: &mut impl std::hash::Hasher) {
         use std::hash::Hash;
-        (
-            self.id,
-            self.term,
-            self.vote,
-            self.role,
-            self.leader,
-            &self.log,
-            &self.configs,
-        )
-            .hash(into);
-        (
-            self.commit,
-            self.applied,
-            self.durable,
-            &self.votes,
-            &self.incoming,
-            &self.snapshot,
-        )
-            .hash(into);
+        (self.id, self.term, self.vote, self.role, self.leader).hash(into);
+        (&self.log, &self.memberships).hash(into);
+        (self.commit_index, self.applied_index, self.persisted_index).hash(into);
+        (&self.votes, &self.incoming_snapshot, &self.snapshot_data).hash(into);
         for (id, peer) in &self.peers {
-            (
-                id,
-                peer.next,
-                peer.matched,
-                peer.waiting.is_some(),
-                peer.piece,
-                peer.differs,
-            )
-                .hash(into);
+            id.hash(into);
+            (peer.next_index, peer.match_index).hash(into);
+            peer.in_flight_since.is_some().hash(into);
+            (peer.snapshot_position, peer.divergence).hash(into);
         }
     }
 
+    /// Advances the clock and does what is due: elections, heartbeats, repeated requests. `now` never goes back; an
+    /// earlier time counts as the latest one seen.
     pub fn tick(&mut self, now: Duration) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
+        let heartbeat_due = self.now >= self.heartbeat_deadline;
         match self.role {
             Role::Quarantined => {}
-            Role::Leader => self.lead_on(),
-            _ if self.now >= self.deadline => self.ask(),
-            // What was lost on its way is asked once more.
-            Role::PreCandidate if self.now >= self.beat => self.ask_all(true, false, self.term + 1),
-            Role::Candidate if self.now >= self.beat => self.ask_all(false, false, self.term),
+            Role::Leader => self.tick_leader(),
+            _ if self.now >= self.election_deadline => self.start_pre_vote(),
+            // Requests may have been lost on the way.
+            Role::PreCandidate if heartbeat_due => self.request_pre_votes(),
+            Role::Candidate if heartbeat_due => self.request_votes(CampaignKind::Election),
             _ => {}
         }
     }
 
-    fn lead_on(&mut self) {
-        if self.handing.is_some_and(|(_, until)| self.now >= until) {
-            self.handing = None;
-        }
-        if self.now >= self.deadline {
-            // Guards against a leader that nobody hears: without a majority it leads nothing.
-            let since = self.now.saturating_sub(self.times.election_timeout[1]);
-            let heard = |id: ReplicaId| {
-                id == self.id || self.peers.get(&id).is_some_and(|peer| peer.heard >= since)
-            };
-            if self.membership().voters().filter(|id| heard(*id)).count()
-                < self.membership().majority()
-            {
-                self.follow(self.term, None);
-                return;
-            }
-            self.deadline = self.now + self.times.election_timeout[0];
-        }
-        if self.now >= self.beat {
-            self.beat = self.now + self.times.heartbeat_interval;
-            let ids: Vec<ReplicaId> = self.peers.keys().copied().collect();
-            for id in ids {
-                self.send(id, true);
-            }
-        }
-    }
-
+    /// Processes a message of another replica. Messages for another recipient are ignored.
     pub fn step(&mut self, now: Duration, message: Message) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let Message {
             to,
             from,
@@ -415,49 +329,102 @@
         if to != self.id || self.role == Role::Quarantined {
             return;
         }
-        if term > self.term && !self.newer(from, term, &body) {
+        if term > self.term && !self.accept_newer_term(from, term, &body) {
             return;
         }
         if term < self.term {
-            self.older(from, &body);
+            self.reply_to_older_term(from, &body);
             return;
         }
         match body {
-            Body::Vote(vote) => self.asked(from, term, &vote),
-            Body::Voted(voted) => self.told(from, &voted),
-            Body::Append(append) => self.appended(from, append),
-            Body::Appended(told) => self.confirmed(from, &told),
-            Body::Piece(piece) => self.piece(from, piece),
-            Body::Took(took) => self.took(from, &took),
-            Body::Now(_) if self.role == Role::Follower && self.leader == Some(from) => {
-                self.campaign(now, true)
+            Body::VoteRequest(request) => self.handle_vote_request(from, term, &request),
+            Body::VoteResponse(response) => self.handle_vote_response(from, &response),
+            Body::AppendRequest(request) => self.handle_append_request(from, request),
+            Body::AppendResponse(response) => self.handle_append_response(from, &response),
+            Body::SnapshotChunk(chunk) => self.handle_snapshot_chunk(from, chunk),
+            Body::ChunkAck(ack) => self.handle_chunk_ack(from, &ack),
+            Body::TimeoutNow(_) => self.handle_timeout_now(from),
+            Body::QuarantineNotice(notice) => self.handle_quarantine_notice(&notice),
+        }
+    }
+
+    /// The only place where the role changes. What only a leader knows goes when it stops leading.
+    fn transition_to(&mut self, role: Role) {
+        match role {
+            Role::Follower if self.is_leader() => {
+                self.peers.clear();
+                self.pending_reads.clear();
+                self.leadership_transfer = None;
+                self.uncommitted_bytes = 0;
+            }
+            Role::Leader => {
+                self.peers.clear();
+                self.uncommitted_bytes = 0;
             }
-            Body::Now(_) => {}
-            Body::Aside(aside) => self.set_aside(&aside),
+            Role::Quarantined => {
+                self.peers.clear();
+                self.pending_reads.clear();
+            }
+            Role::Follower | Role::PreCandidate | Role::Candidate => {}
+        }
+        self.role = role;
+    }
+
+    fn advance_clock(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    fn ensure_leader(&self) -> Result<(), ProposalError> {
+        if self.is_leader() {
+            return Ok(());
         }
+        let leader = self.leader.filter(|leader| *leader != self.id);
+        Err(ProposalError::NotLeader(leader))
     }
 
-    fn reply(&mut self, to: ReplicaId, body: Body) {
-        self.out.messages_after_persist.push(Message {
+    fn message(&self, to: ReplicaId, body: Body) -> Message {
+        Message {
             to,
             from: self.id,
             term: self.term,
             body: Some(body),
-        });
+        }
+    }
+
+    /// Sends at once, without waiting for the own disk.
+    fn send(&mut self, to: ReplicaId, body: Body) {
+        let message = self.message(to, body);
+        self.ready.messages.push(message);
     }
-}
 
-fn appended(good: bool, index: u64, round: u64) -> Body {
-    Body::Appended(AppendResponse {
-        good,
-        index,
-        round,
-        differs: 0,
-    })
+    /// Sends once all that was written so far is durable.
+    fn send_after_persist(&mut self, to: ReplicaId, body: Body) {
+        let message = self.message(to, body);
+        self.ready.messages_after_persist.push(message);
+    }
+
+    fn send_append_response(&mut self, to: ReplicaId, response: AppendResponse) {
+        self.send_after_persist(to, Body::AppendResponse(response));
+    }
+
+    fn peer_ids(&self) -> Vec<ReplicaId> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Whether a majority of the voters meets a condition.
+    fn has_majority(&self, mut condition: impl FnMut(ReplicaId) -> bool) -> bool {
+        let membership = self.membership();
+        membership.voters().filter(|id| condition(*id)).count() >= membership.majority()
+    }
 }
 
-/// The members that an entry names, if it is about them.
-fn config_of(entry: &Entry) -> Option<Membership> {
-    (entry.kind() == EntryKind::Config)
-        .then(|| Membership::decode(&entry.data[..]).unwrap_or_default())
+/// The memberships of a log by index, that of its base first.
+fn memberships_of(log: &Log, base: IndexedMembership) -> Vec<IndexedMembership> {
+    let first_index = base.index + 1;
+    let mut memberships = vec![base];
+    for index in first_index..=log.last_index() {
+        let membership: Option<Membership> = log.entry(index).and_then(membership_of);
+        memberships.extend(membership.map(|membership| IndexedMembership::new(index, membership)));
+    }
+    memberships
 }
--- a/crates/raft/src/replica/elections.rs
+++ b/crates/raft/src/replica/elections.rs
@@ -1,230 +1,304 @@
-//! Terms, votes and the role of a replica.
+//! Terms, votes and the election of a leader.
 
-use super::{planted, Replica, Role};
-use crate::replica::appended;
-use crate::wire::{Body, EntryKind, HardState, Message, ReplicaId, VoteRequest, VoteResponse};
+use super::{Replica, Role};
+use crate::plant::planted;
+use crate::wire::{
+    AppendResponse, Body, EntryKind, HardState, ReplicaId, VoteRequest, VoteResponse,
+};
 use bytes::Bytes;
 use nanorand::Rng;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-impl Replica {
-    pub(super) fn draw_deadline(&mut self) {
-        let [least, most] = self.times.election_timeout;
-        let span = (most.saturating_sub(least).as_micros() as u64).max(1);
-        self.deadline =
-            self.now + least + Duration::from_micros(self.chance.generate_range(0..span));
-    }
-
-    pub(super) fn keep_hard(&mut self) {
-        self.out.hard_state = Some(HardState {
-            term: self.term,
-            vote: self.vote,
-        });
-        if planted("vote-forgotten") {
-            self.out.hard_state = Some(HardState {
-                term: self.term,
-                vote: 0,
-            });
-        }
-    }
+/// Why a replica starts an election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CampaignKind {
+    /// No leader is in contact.
+    Election,
+    /// The leader asked for it: voters grant the vote even though they are in contact with a leader.
+    LeadershipTransfer,
+}
 
-    pub(super) fn follow(&mut self, term: u64, leader: Option<ReplicaId>) {
-        if self.role == Role::Quarantined {
+impl Replica {
+    /// Starts an election in a new term, whether a leader is known or not. Does nothing on a replica that has no vote.
+    pub fn campaign(&mut self, now: Duration, kind: CampaignKind) {
+        self.advance_clock(now);
+        if self.role == Role::Quarantined || !self.membership().is_voter(self.id) {
             return;
         }
-        let newer = term > self.term;
-        if newer {
-            (self.term, self.vote) = (term, 0);
-            self.keep_hard();
-        }
-        if self.is_leader() {
-            self.reads.clear();
-            self.peers.clear();
-            self.handing = None;
-            self.uncommitted = 0;
-        }
-        self.role = Role::Follower;
-        if leader.is_some() || self.leader == Some(self.id) || newer {
-            self.leader = leader;
-        }
-        self.draw_deadline();
+        self.transition_to(Role::Candidate);
+        self.leader = None;
+        self.term += 1;
+        self.vote = self.id;
+        self.persist_hard_state();
+        self.votes = BTreeSet::from([self.id]);
+        self.reset_election_deadline();
+        self.request_votes(kind);
+        self.tally_votes();
     }
 
-    /// Asks the voters whether they would elect it. Guards against one that hears nobody and deposes a leader who is
-    /// well, again and again, each time its links come back.
-    pub(super) fn ask(&mut self) {
-        self.draw_deadline();
+    /// Asks the voters whether they would elect this replica, before its term changes. A replica that was cut off
+    /// would otherwise depose a working leader each time its links come back.
+    pub(super) fn start_pre_vote(&mut self) {
+        self.reset_election_deadline();
         if !self.membership().is_voter(self.id) {
             return;
         }
         self.leader = None;
-        self.role = Role::PreCandidate;
+        self.transition_to(Role::PreCandidate);
         self.votes = BTreeSet::from([self.id]);
-        self.ask_all(true, false, self.term + 1);
-        self.counted();
+        self.request_pre_votes();
+        self.tally_votes();
     }
 
-    /// Stands for election at once, whatever is known of a leader.
-    pub fn campaign(&mut self, now: Duration, wanted: bool) {
-        self.now = self.now.max(now);
-        if self.role == Role::Quarantined || !self.membership().is_voter(self.id) {
-            return;
+    pub(super) fn request_pre_votes(&mut self) {
+        let request = VoteRequest {
+            pre_vote: true,
+            ..self.vote_request()
+        };
+        self.send_vote_requests(self.term + 1, &request);
+    }
+
+    pub(super) fn request_votes(&mut self, kind: CampaignKind) {
+        let request = VoteRequest {
+            leadership_transfer: kind == CampaignKind::LeadershipTransfer,
+            ..self.vote_request()
+        };
+        self.send_vote_requests(self.term, &request);
+    }
+
+    fn vote_request(&self) -> VoteRequest {
+        VoteRequest {
+            pre_vote: false,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            leadership_transfer: false,
         }
-        self.role = Role::Candidate;
-        self.leader = None;
-        (self.term, self.vote) = (self.term + 1, self.id);
-        self.keep_hard();
-        self.votes = BTreeSet::from([self.id]);
-        self.draw_deadline();
-        self.ask_all(false, wanted, self.term);
-        self.counted();
     }
 
-    pub(super) fn ask_all(&mut self, pre: bool, wanted: bool, term: u64) {
-        self.beat = self.now + self.times.heartbeat_interval;
-        let (last_index, last_term) = (self.log.last(), self.log.last_term());
-        let others: Vec<ReplicaId> = self
+    /// To all voters that have not granted their vote yet.
+    fn send_vote_requests(&mut self, term: u64, request: &VoteRequest) {
+        self.heartbeat_deadline = self.now + self.timeouts.heartbeat_interval;
+        let recipients: Vec<ReplicaId> = self
             .membership()
             .voters()
             .filter(|id| !self.votes.contains(id))
             .collect();
-        for to in others {
-            let body = Body::Vote(VoteRequest {
-                pre,
-                last_index,
-                last_term,
-                wanted,
-            });
-            self.out.messages_after_persist.push(Message {
-                to,
-                from: self.id,
-                term,
-                body: Some(body),
-            });
-        }
-    }
-
-    pub(super) fn counted(&mut self) {
-        let config = self.membership();
-        let yes = config.voters().filter(|id| self.votes.contains(id)).count();
-        if yes < config.majority() {
+        for to in recipients {
+            let mut message = self.message(to, Body::VoteRequest(request.clone()));
+            message.term = term;
+            self.ready.messages_after_persist.push(message);
+        }
+    }
+
+    fn tally_votes(&mut self) {
+        if !self.has_majority(|id| self.votes.contains(&id)) {
             return;
         }
         match self.role {
-            Role::PreCandidate => self.campaign(self.now, false),
-            Role::Candidate => self.lead(),
-            _ => {}
+            Role::PreCandidate => self.campaign(self.now, CampaignKind::Election),
+            Role::Candidate => self.become_leader(),
+            Role::Follower | Role::Leader | Role::Quarantined => {}
         }
     }
 
-    pub(super) fn lead(&mut self) {
-        self.role = Role::Leader;
+    fn become_leader(&mut self) {
+        self.transition_to(Role::Leader);
         self.leader = Some(self.id);
-        self.deadline = self.now + self.times.election_timeout[1];
-        self.beat = self.now;
-        self.peers.clear();
-        self.uncommitted = 0;
-        self.meet_members();
-        self.append(EntryKind::NoOp, Bytes::new());
-        self.lead_on();
+        self.election_deadline = self.now + self.timeouts.max_election_timeout();
+        self.heartbeat_deadline = self.now;
+        self.sync_peers();
+        self.append_as_leader(EntryKind::NoOp, Bytes::new());
+        self.tick_leader();
     }
 
-    /// Whether a leader was heard so lately that no other is wanted.
-    pub(super) fn led(&self) -> bool {
+    /// Follows in a term: this one, or a newer one, in which the vote is free again. `leader`: its leader, if known.
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<ReplicaId>) {
+        if self.role == Role::Quarantined {
+            return;
+        }
+        let is_newer = term > self.term;
+        if is_newer {
+            self.term = term;
+            self.vote = 0;
+            self.persist_hard_state();
+        }
+        self.transition_to(Role::Follower);
+        if leader.is_some() || self.leader == Some(self.id) || is_newer {
+            self.leader = leader;
+        }
+        self.reset_election_deadline();
+    }
+
+    /// What a leader does as time passes: quorum check and heartbeats.
+    pub(super) fn tick_leader(&mut self) {
+        self.expire_leadership_transfer();
+        if self.now >= self.election_deadline {
+            if !self.has_quorum_contact() {
+                self.become_follower(self.term, None);
+                return;
+            }
+            self.election_deadline = self.now + self.timeouts.min_election_timeout();
+        }
+        if self.now >= self.heartbeat_deadline {
+            self.heartbeat_deadline = self.now + self.timeouts.heartbeat_interval;
+            self.send_heartbeats();
+        }
+    }
+
+    /// Whether a majority was in contact within the longest election timeout. A leader that is cut off steps down, so
+    /// that its clients look for another one.
+    fn has_quorum_contact(&self) -> bool {
+        let oldest_contact = self
+            .now
+            .saturating_sub(self.timeouts.max_election_timeout());
+        self.has_majority(|id| {
+            id == self.id
+                || self
+                    .peers
+                    .get(&id)
+                    .is_some_and(|peer| peer.last_contact >= oldest_contact)
+        })
+    }
+
+    /// Whether a leader was in contact so recently that no election is due.
+    fn has_recent_leader(&self) -> bool {
         self.is_leader()
             || self
-                .heard
-                .is_some_and(|at| self.now < at + self.times.election_timeout[0])
+                .last_leader_contact
+                .is_some_and(|contact| self.now < contact + self.timeouts.min_election_timeout())
+    }
+
+    /// Draws a new election timeout.
+    pub(super) fn reset_election_deadline(&mut self) {
+        let min = self.timeouts.min_election_timeout();
+        let max = self.timeouts.max_election_timeout();
+        let span = (max.saturating_sub(min).as_micros() as u64).max(1);
+        let jitter = Duration::from_micros(self.rng.generate_range(0..span));
+        self.election_deadline = self.now + min + jitter;
     }
 
-    /// A later term than this one's; whether the message is to be taken.
-    pub(super) fn newer(&mut self, from: ReplicaId, term: u64, body: &Body) -> bool {
+    fn persist_hard_state(&mut self) {
+        let vote = if planted("vote-forgotten") {
+            0
+        } else {
+            self.vote
+        };
+        self.ready.hard_state = Some(HardState {
+            term: self.term,
+            vote,
+        });
+    }
+
+    /// The leader of this term was in contact.
+    pub(super) fn record_leader_contact(&mut self, from: ReplicaId) {
+        if self.role != Role::Follower {
+            self.become_follower(self.term, Some(from));
+        }
+        self.leader = Some(from);
+        self.last_leader_contact = Some(self.now);
+        self.reset_election_deadline();
+    }
+
+    /// A message of a newer term arrived; whether it is to be processed.
+    pub(super) fn accept_newer_term(&mut self, from: ReplicaId, term: u64, body: &Body) -> bool {
         match body {
-            Body::Vote(vote) if !vote.wanted && self.led() => {
-                if vote.pre {
-                    self.reply(
-                        from,
-                        Body::Voted(VoteResponse {
-                            pre: true,
-                            granted: false,
-                        }),
-                    );
+            Body::VoteRequest(request)
+                if !request.leadership_transfer && self.has_recent_leader() =>
+            {
+                if request.pre_vote {
+                    self.deny_vote(from, true);
                 }
                 false
             }
-            // Of a term that does not exist yet.
-            Body::Vote(vote) if vote.pre => true,
-            Body::Voted(voted) if voted.pre && voted.granted => true,
-            Body::Append(_) | Body::Piece(_) => {
-                self.follow(term, Some(from));
+            // A pre-vote is about a term that does not exist yet.
+            Body::VoteRequest(request) if request.pre_vote => true,
+            Body::VoteResponse(response) if response.pre_vote && response.granted => true,
+            Body::AppendRequest(_) | Body::SnapshotChunk(_) => {
+                self.become_follower(term, Some(from));
                 true
             }
             _ => {
-                self.follow(term, None);
+                self.become_follower(term, None);
                 true
             }
         }
     }
 
-    /// An earlier term than this one's: a leader of that time must hear of the later one.
-    pub(super) fn older(&mut self, from: ReplicaId, body: &Body) {
+    /// A message of an older term arrived: its sender has to learn of the newer one.
+    pub(super) fn reply_to_older_term(&mut self, from: ReplicaId, body: &Body) {
+        let last_index = self.log.last_index();
         match body {
-            Body::Append(append) => {
-                self.reply(from, appended(false, self.log.last(), append.round))
+            Body::AppendRequest(request) => {
+                let response = AppendResponse::mismatch(last_index, request.read_round);
+                self.send_append_response(from, response);
             }
-            Body::Piece(piece) => self.reply(from, appended(false, self.log.last(), piece.round)),
-            Body::Vote(vote) => self.reply(
-                from,
-                Body::Voted(VoteResponse {
-                    pre: vote.pre,
-                    granted: false,
-                }),
-            ),
+            Body::SnapshotChunk(chunk) => {
+                let response = AppendResponse::mismatch(last_index, chunk.read_round);
+                self.send_append_response(from, response);
+            }
+            Body::VoteRequest(request) => self.deny_vote(from, request.pre_vote),
             _ => {}
         }
     }
 
-    pub(super) fn asked(&mut self, from: ReplicaId, term: u64, vote: &VoteRequest) {
-        let own = (self.log.last_term(), self.log.last());
-        let as_new = (vote.last_term, vote.last_index) >= own;
-        if vote.pre {
-            let granted = as_new && term > self.term && !self.led();
-            let term = if granted { term } else { self.term };
-            let body = Some(Body::Voted(VoteResponse { pre: true, granted }));
-            self.out.messages_after_persist.push(Message {
-                to: from,
-                from: self.id,
-                term,
-                body,
-            });
+    fn deny_vote(&mut self, to: ReplicaId, pre_vote: bool) {
+        let response = VoteResponse {
+            pre_vote,
+            granted: false,
+        };
+        self.send_after_persist(to, Body::VoteResponse(response));
+    }
+
+    pub(super) fn handle_vote_request(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        request: &VoteRequest,
+    ) {
+        let own_position = (self.log.last_term(), self.log.last_index());
+        let is_up_to_date = (request.last_term, request.last_index) >= own_position;
+        if request.pre_vote {
+            self.answer_pre_vote(from, term, is_up_to_date);
             return;
         }
-        let free = self.vote == 0 || self.vote == from;
-        let granted = as_new && free && self.role != Role::Leader;
+        let vote_is_free = self.vote == 0 || self.vote == from;
+        let granted = is_up_to_date && vote_is_free && self.role != Role::Leader;
         if granted {
             self.vote = from;
-            self.keep_hard();
-            self.draw_deadline();
+            self.persist_hard_state();
+            self.reset_election_deadline();
+        }
+        let response = VoteResponse {
+            pre_vote: false,
+            granted,
+        };
+        self.send_after_persist(from, Body::VoteResponse(response));
+    }
+
+    /// A granted pre-vote carries the term that was asked about, a denied one the own term.
+    fn answer_pre_vote(&mut self, from: ReplicaId, term: u64, is_up_to_date: bool) {
+        let granted = is_up_to_date && term > self.term && !self.has_recent_leader();
+        let response = VoteResponse {
+            pre_vote: true,
+            granted,
+        };
+        let mut message = self.message(from, Body::VoteResponse(response));
+        if granted {
+            message.term = term;
         }
-        self.reply(
-            from,
-            Body::Voted(VoteResponse {
-                pre: false,
-                granted,
-            }),
-        );
+        self.ready.messages_after_persist.push(message);
     }
 
-    pub(super) fn told(&mut self, from: ReplicaId, voted: &VoteResponse) {
-        let wanted = if voted.pre {
+    pub(super) fn handle_vote_response(&mut self, from: ReplicaId, response: &VoteResponse) {
+        let expected_role = if response.pre_vote {
             Role::PreCandidate
         } else {
             Role::Candidate
         };
-        if self.role == wanted && voted.granted {
+        if self.role == expected_role && response.granted {
             self.votes.insert(from);
-            self.counted();
+            self.tally_votes();
         }
     }
 }
--- a/crates/raft/src/replica/leadership_transfer.rs
+++ b/crates/raft/src/replica/leadership_transfer.rs
@@ -1,45 +1,72 @@
-//! A leader hands its leadership to another voter.
+//! A leader transfers its leadership to another voter.
 
-use super::{ProposalError, Replica};
-use crate::wire::{Body, Message, ReplicaId};
+use super::{CampaignKind, ProposalError, Replica, Role};
+use crate::wire::{Body, ReplicaId};
 use std::time::Duration;
 
+/// A transfer that is under way; no proposals are accepted meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeadershipTransfer {
+    target: ReplicaId,
+    /// When the leader gives the transfer up.
+    deadline: Duration,
+}
+
 impl Replica {
-    /// Hands leadership to a voter, once it has everything.
+    /// Transfers leadership to a voter, once it holds the whole log. The leader gives up after the shortest election
+    /// timeout and accepts proposals again.
     ///
     /// # Errors
-    /// If this is no leader, or the other cannot lead.
+    /// [`ProposalError::NotLeader`], or [`ProposalError::InvalidTransferTarget`] if `to` is no other voter.
     pub fn transfer_leadership(
         &mut self,
         now: Duration,
         to: ReplicaId,
     ) -> Result<(), ProposalError> {
-        self.now = self.now.max(now);
-        if !self.is_leader() {
-            return Err(ProposalError::NotLeader(self.leader));
-        }
+        self.advance_clock(now);
+        self.ensure_leader()?;
         if !self.membership().is_voter(to) || to == self.id {
-            return Err(ProposalError::NotNow("it is no other voter"));
+            return Err(ProposalError::InvalidTransferTarget);
         }
-        self.handing = Some((to, self.now + self.times.election_timeout[0]));
-        self.hand_over(to);
+        self.leadership_transfer = Some(LeadershipTransfer {
+            target: to,
+            deadline: self.now + self.timeouts.min_election_timeout(),
+        });
+        self.send_timeout_now(to);
         Ok(())
     }
 
-    pub(super) fn hand_over(&mut self, to: ReplicaId) {
-        if self.handing.is_some_and(|(id, _)| id == to)
-            && self
-                .peers
-                .get(&to)
-                .is_some_and(|peer| peer.matched == self.log.last())
-        {
-            let message = Message {
-                to,
-                from: self.id,
-                term: self.term,
-                body: Some(Body::Now(true)),
-            };
-            self.out.messages.push(message);
+    /// Whether this leader is transferring its leadership.
+    pub fn is_transferring_leadership(&self) -> bool {
+        self.leadership_transfer.is_some()
+    }
+
+    pub(super) fn expire_leadership_transfer(&mut self) {
+        let expired = self
+            .leadership_transfer
+            .is_some_and(|transfer| self.now >= transfer.deadline);
+        if expired {
+            self.leadership_transfer = None;
+        }
+    }
+
+    /// Tells `to` to campaign, if leadership goes to it and it holds the whole log.
+    pub(super) fn send_timeout_now(&mut self, to: ReplicaId) {
+        let is_target = self
+            .leadership_transfer
+            .is_some_and(|transfer| transfer.target == to);
+        let holds_whole_log = self
+            .peers
+            .get(&to)
+            .is_some_and(|peer| peer.match_index == self.log.last_index());
+        if is_target && holds_whole_log {
+            self.send(to, Body::TimeoutNow(true));
+        }
+    }
+
+    pub(super) fn handle_timeout_now(&mut self, from: ReplicaId) {
+        if self.role == Role::Follower && self.leader == Some(from) {
+            self.campaign(self.now, CampaignKind::LeadershipTransfer);
         }
     }
 }
--- a/crates/raft/src/replica/log_time.rs
+++ b/crates/raft/src/replica/log_time.rs
@@ -1,19 +1,33 @@
-//! Log time: nanoseconds that never go back and stand still while there is no leader.
+//! Log time: nanoseconds that never go back, and stand still while there is no leader.
 
 use super::Replica;
+use std::time::Duration;
+
+/// The newest stamp of the log, and when it was seen on the local clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LogClock {
+    /// Log time, in nanoseconds.
+    stamp: u64,
+    observed_at: Duration,
+}
+
+impl LogClock {
+    pub(super) fn new(stamp: u64, observed_at: Duration) -> Self {
+        Self { stamp, observed_at }
+    }
+}
 
 impl Replica {
-    /// Log time: the newest stamp seen, and what has passed since on this clock.
+    /// The newest stamp, and the local time that has passed since.
     pub(super) fn log_time(&self) -> u64 {
-        let passed = self.now.saturating_sub(self.stamp.1).as_nanos();
-        self.stamp
-            .0
-            .saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
+        let elapsed = self.now.saturating_sub(self.log_clock.observed_at);
+        let elapsed_nanos = u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX);
+        self.log_clock.stamp.saturating_add(elapsed_nanos)
     }
 
-    pub(super) fn saw_stamp(&mut self, stamp: u64) {
-        if stamp >= self.stamp.0 {
-            self.stamp = (stamp, self.now);
+    pub(super) fn observe_stamp(&mut self, stamp: u64) {
+        if stamp >= self.log_clock.stamp {
+            self.log_clock = LogClock::new(stamp, self.now);
         }
     }
 }
--- a/crates/raft/src/replica/quarantine.rs
+++ b/crates/raft/src/replica/quarantine.rs
@@ -1,77 +1,99 @@
-//! Replicas whose log diverged behind the program's back.
+//! Quarantine of replicas whose log diverged from the majority's. See [`crate::divergence`] for the rule.
 
-use super::{Divergence, Replica, Role};
-use crate::divergence::{judge_divergence, DivergenceVerdict};
-use crate::wire::{Body, Message, QuarantineNotice, ReplicaId};
+use super::{Replica, Role};
+use crate::divergence::{judge_divergence, DivergenceVerdict, DivergentReplica};
+use crate::wire::{Body, QuarantineNotice, ReplicaId};
+
+/// Where a replica's log diverged from the majority's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Divergence {
+    /// Index of the entry at which the running checksums were compared.
+    pub index: u64,
+    /// The replica's own running checksum up to it.
+    pub own_checksum: u64,
+    /// The majority's running checksum up to it.
+    pub majority_checksum: u64,
+}
 
 impl Replica {
-    /// Some copy differs: see `copies.rs`.
-    pub(super) fn count_copies(&mut self) {
-        let differ: Vec<(ReplicaId, u64)> = self
-            .peers
-            .iter()
-            .filter_map(|(id, peer)| Some((*id, peer.differs?.1)))
-            .collect();
-        let Some(index) = self
-            .peers
-            .values()
-            .filter_map(|peer| Some(peer.differs?.0))
-            .min()
-        else {
+    /// Some peer holds another running checksum: decides which replicas are to be quarantined.
+    pub(super) fn resolve_divergence(&mut self) {
+        let Some(index) = self.first_divergent_index() else {
             return;
         };
-        let agrees = |id: &ReplicaId| {
-            *id == self.id
-                || self
-                    .peers
-                    .get(id)
-                    .is_some_and(|peer| peer.differs.is_none() && peer.matched >= index)
+        let Some(own_checksum) = self.log.checksum(index) else {
+            return;
         };
-        let config = self.membership();
-        let (voters, agree) = (
-            config.voters().count(),
-            config.voters().filter(agrees).count(),
-        );
-        let of_voters: Vec<_> = differ
+        let divergent = self.divergent_peers();
+        let membership = self.membership();
+        let voters = membership.voters().count();
+        let agreeing = membership
+            .voters()
+            .filter(|id| self.agrees_up_to(*id, index))
+            .count();
+        let divergent_voters: Vec<DivergentReplica> = divergent
             .iter()
-            .filter(|one| config.is_voter(one.0))
+            .filter(|peer| membership.is_voter(peer.id))
             .copied()
             .collect();
-        let Some(own) = self.log.sum(index) else {
-            return;
-        };
-        match judge_divergence(voters, agree, &of_voters) {
+        match judge_divergence(voters, agreeing, &divergent_voters) {
             DivergenceVerdict::Undecided => {}
-            DivergenceVerdict::Leader(most) => self.lay_aside(index, own, most),
+            DivergenceVerdict::Leader(majority_checksum) => self.quarantine(Divergence {
+                index,
+                own_checksum,
+                majority_checksum,
+            }),
             DivergenceVerdict::Minority(_) => {
-                for (to, _) in differ {
-                    let body = Some(Body::Aside(QuarantineNotice { index, most: own }));
-                    self.out.messages.push(Message {
-                        to,
-                        from: self.id,
-                        term: self.term,
-                        body,
-                    });
+                for peer in divergent {
+                    let notice = QuarantineNotice {
+                        index,
+                        majority_checksum: own_checksum,
+                    };
+                    self.send(peer.id, Body::QuarantineNotice(notice));
                 }
             }
         }
     }
 
-    pub(super) fn set_aside(&mut self, aside: &QuarantineNotice) {
-        if let Some(own) = self.log.sum(aside.index).filter(|own| *own != aside.most) {
-            self.lay_aside(aside.index, own, aside.most);
+    fn first_divergent_index(&self) -> Option<u64> {
+        let divergences = self.peers.values().filter_map(|peer| peer.divergence);
+        divergences.map(|divergence| divergence.index).min()
+    }
+
+    fn divergent_peers(&self) -> Vec<DivergentReplica> {
+        let divergent = |(id, peer): (&ReplicaId, &super::PeerProgress)| {
+            peer.divergence.map(|divergence| DivergentReplica {
+                id: *id,
+                checksum: divergence.checksum,
+            })
+        };
+        self.peers.iter().filter_map(divergent).collect()
+    }
+
+    fn agrees_up_to(&self, id: ReplicaId, index: u64) -> bool {
+        id == self.id
+            || self
+                .peers
+                .get(&id)
+                .is_some_and(|peer| peer.divergence.is_none() && peer.match_index >= index)
+    }
+
+    pub(super) fn handle_quarantine_notice(&mut self, notice: &QuarantineNotice) {
+        let Some(own_checksum) = self.log.checksum(notice.index) else {
+            return;
+        };
+        if own_checksum != notice.majority_checksum {
+            self.quarantine(Divergence {
+                index: notice.index,
+                own_checksum,
+                majority_checksum: notice.majority_checksum,
+            });
         }
     }
 
-    pub(super) fn lay_aside(&mut self, index: u64, own: u64, most: u64) {
-        self.out.divergence = Some(Divergence {
-            index,
-            own_checksum: own,
-            majority_checksum: most,
-        });
-        self.role = Role::Quarantined;
+    fn quarantine(&mut self, divergence: Divergence) {
+        self.ready.divergence = Some(divergence);
+        self.transition_to(Role::Quarantined);
         self.leader = None;
-        self.peers.clear();
-        self.reads.clear();
     }
 }
--- a/crates/raft/src/replica/reads.rs
+++ b/crates/raft/src/replica/reads.rs
@@ -1,44 +1,71 @@
-//! Linearizable reads without a log entry (read index).
+//! Linearizable reads without a log entry: the leader notes its commit index, and confirms with a round of heartbeats
+//! that it still leads.
 
-use super::{ProposalError, Replica, READS};
-use crate::wire::ReplicaId;
+use super::{ProposalError, Replica};
 use std::time::Duration;
 
+/// Bound on the reads that wait for a majority.
+const MAX_PENDING_READS: usize = 1_024;
+
+/// A read that the leader confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadState {
+    /// As handed to [`Replica::read`].
+    pub token: u64,
+    /// The read may be served once this index is applied.
+    pub index: u64,
+}
+
+/// A read that waits until a majority has confirmed its round.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingRead {
+    token: u64,
+    index: u64,
+    round: u64,
+}
+
 impl Replica {
-    /// A read that sees everything committed before it; `token` comes back in [`Out::reads`].
+    /// Starts a read that sees everything committed before it. `token` comes back in
+    /// [`Ready::reads`](super::Ready::reads); reads that are pending when leadership ends are dropped.
     ///
     /// # Errors
-    /// If this is no leader that knows what is committed.
+    /// [`ProposalError::NotLeader`]; [`ProposalError::Busy`] if the leader has not committed an entry in its term yet
+    /// or too many reads are pending.
     pub fn read(&mut self, now: Duration, token: u64) -> Result<(), ProposalError> {
-        self.now = self.now.max(now);
-        if !self.is_leader() {
-            return Err(ProposalError::NotLeader(
-                self.leader.filter(|leader| *leader != self.id),
-            ));
-        }
-        if !self.has_committed_in_term() || self.reads.len() >= READS {
+        self.advance_clock(now);
+        self.ensure_leader()?;
+        if !self.has_committed_in_term() || self.pending_reads.len() >= MAX_PENDING_READS {
             return Err(ProposalError::Busy);
         }
-        self.round += 1;
-        self.reads.push_back((token, self.commit, self.round));
-        let ids: Vec<ReplicaId> = self.peers.keys().copied().collect();
-        for id in ids {
-            self.send(id, true);
-        }
-        self.answer_reads();
+        self.read_round += 1;
+        self.pending_reads.push_back(PendingRead {
+            token,
+            index: self.commit_index,
+            round: self.read_round,
+        });
+        self.send_heartbeats();
+        self.confirm_reads();
         Ok(())
     }
 
-    pub(super) fn answer_reads(&mut self) {
-        while let Some(&(token, index, round)) = self.reads.front() {
-            let told = |id: &ReplicaId| {
-                *id == self.id || self.peers.get(id).is_some_and(|peer| peer.round >= round)
-            };
-            if self.membership().voters().filter(told).count() < self.membership().majority() {
+    /// Releases the reads whose round a majority has confirmed.
+    pub(super) fn confirm_reads(&mut self) {
+        while let Some(read) = self.pending_reads.front().copied() {
+            let confirmed = self.has_majority(|id| {
+                id == self.id
+                    || self
+                        .peers
+                        .get(&id)
+                        .is_some_and(|peer| peer.read_round >= read.round)
+            });
+            if !confirmed {
                 break;
             }
-            self.reads.pop_front();
-            self.out.reads.push((token, index));
+            self.pending_reads.pop_front();
+            self.ready.reads.push(ReadState {
+                token: read.token,
+                index: read.index,
+            });
         }
     }
 }
--- a/crates/raft/src/replica/replication.rs
+++ b/crates/raft/src/replica/replication.rs
@@ -1,285 +1,309 @@
-//! Entries from the leader to its followers, and the commit index.
+//! Replication of entries from the leader to its followers, and the commit index.
 
-use super::{
-    appended, config_of, planted, ProposalError, Replica, Role, BATCH, BATCH_BYTES, LOST,
-    UNCOMMITTED,
-};
-use crate::wire::{
-    AppendRequest, AppendResponse, Body, Entry, EntryKind, Member, Message, ReplicaId,
-};
+use super::membership::{membership_of, IndexedMembership};
+use super::progress::PeerDivergence;
+use super::{ProposalError, Replica};
+use crate::plant::planted;
+use crate::wire::{AppendRequest, AppendResponse, Body, Entry, EntryKind, Member, ReplicaId};
 use bytes::Bytes;
 use std::time::Duration;
 
+/// Bound on the entries of one message: some milliseconds of a disk.
+const MAX_BATCH_ENTRIES: usize = 512;
+/// Bound on the data of one message, in bytes, unless a single entry is larger: far below the largest frame of a link.
+const MAX_BATCH_BYTES: usize = 128 << 10;
+/// Bound on the data that is proposed and not committed, in bytes: a leader without a majority refuses more.
+const MAX_UNCOMMITTED_BYTES: usize = 8 << 20;
+/// Heartbeat intervals after which an unacknowledged message counts as lost.
+const IN_FLIGHT_TIMEOUT_HEARTBEATS: u32 = 2;
+
+/// Why a leader sends an append request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AppendReason {
+    /// There may be new entries.
+    Entries,
+    /// The follower is to be contacted now, with entries or without.
+    Heartbeat,
+}
+
+/// An entry does not follow the one before it, so that the request is no leader's.
+struct IndexGap;
+
 impl Replica {
-    /// Adds an entry, if this is the leader and there is room; its index.
+    /// Appends an entry with `data` and replicates it; returns its index. The entry is not committed yet.
     ///
     /// # Errors
-    /// Who leads, or that too much is on its way.
+    /// [`ProposalError::NotLeader`], or [`ProposalError::Busy`] while leadership is transferred or too much data is
+    /// uncommitted.
     pub fn propose(&mut self, now: Duration, data: Bytes) -> Result<u64, ProposalError> {
-        self.now = self.now.max(now);
-        if !self.is_leader() {
-            return Err(ProposalError::NotLeader(
-                self.leader.filter(|leader| *leader != self.id),
-            ));
-        }
-        if self.handing.is_some() || self.uncommitted + data.len() > UNCOMMITTED {
+        self.advance_clock(now);
+        self.ensure_leader()?;
+        let uncommitted_bytes = self.uncommitted_bytes + data.len();
+        if self.leadership_transfer.is_some() || uncommitted_bytes > MAX_UNCOMMITTED_BYTES {
             return Err(ProposalError::Busy);
         }
-        self.uncommitted += data.len();
-        let index = self.append(EntryKind::Data, data);
-        self.spread();
+        self.uncommitted_bytes = uncommitted_bytes;
+        let index = self.append_as_leader(EntryKind::Data, data);
+        self.replicate_to_all();
         Ok(index)
     }
 
-    pub(super) fn append(&mut self, kind: EntryKind, data: Bytes) -> u64 {
-        let stamp = self.log_time();
-        let entry = Entry {
-            index: self.log.last() + 1,
+    /// Whether this leader has committed an entry in its own term; before that it does not know what is committed.
+    pub fn has_committed_in_term(&self) -> bool {
+        self.is_leader() && self.log.term(self.commit_index) == Some(self.term)
+    }
+
+    /// All entries up to the one of this index and term are durable on the own disk.
+    pub fn on_persisted(&mut self, index: u64, term: u64) {
+        // An entry that was overwritten meanwhile has another term.
+        if self.log.term(index) == Some(term) {
+            self.persisted_index = self.persisted_index.max(index);
+            self.advance_commit();
+        }
+    }
+
+    pub(super) fn append_as_leader(&mut self, kind: EntryKind, data: Bytes) -> u64 {
+        let index = self.log.last_index() + 1;
+        self.push_entry(Entry {
+            index,
             term: self.term,
-            stamp,
+            stamp: self.log_time(),
             kind: kind.into(),
             data,
-        };
-        self.saw_stamp(stamp);
-        let index = entry.index;
-        if let Some(config) = config_of(&entry) {
-            self.configs.push((index, config));
-        }
-        self.log.push(entry.clone());
-        self.out.entries.push(entry);
+        });
         if kind == EntryKind::Config {
-            self.meet_members();
+            self.sync_peers();
         }
         if planted("early-answer") {
-            self.commit = index;
+            self.commit_index = index;
         }
         index
     }
 
-    pub(super) fn spread(&mut self) {
-        let ids: Vec<ReplicaId> = self.peers.keys().copied().collect();
-        for id in ids {
-            self.send(id, false);
+    /// Adds an entry to the log, to be written.
+    fn push_entry(&mut self, entry: Entry) {
+        self.observe_stamp(entry.stamp);
+        if let Some(membership) = membership_of(&entry) {
+            self.memberships
+                .push(IndexedMembership::new(entry.index, membership));
+        }
+        self.ready.entries.push(entry.clone());
+        self.log.push(entry);
+    }
+
+    pub(super) fn replicate_to_all(&mut self) {
+        for id in self.peer_ids() {
+            self.replicate(id, AppendReason::Entries);
+        }
+    }
+
+    pub(super) fn send_heartbeats(&mut self) {
+        for id in self.peer_ids() {
+            self.replicate(id, AppendReason::Heartbeat);
         }
     }
 
-    /// What a peer needs next. One message is on its way to each; `beat`: it is to hear something now.
-    pub(super) fn send(&mut self, to: ReplicaId, beat: bool) {
-        let lost = self.times.heartbeat_interval * LOST;
-        let (now, last, base) = (self.now, self.log.last(), self.log.base().index);
+    /// Sends a peer the entries or the snapshot chunk that it needs next. Only one of them is in flight at a time.
+    pub(super) fn replicate(&mut self, to: ReplicaId, reason: AppendReason) {
+        let in_flight_timeout = self.timeouts.heartbeat_interval * IN_FLIGHT_TIMEOUT_HEARTBEATS;
+        let base_index = self.log.base().index;
         let Some(peer) = self.peers.get_mut(&to) else {
             return;
         };
-        if peer.waiting.is_some_and(|since| now >= since + lost) {
-            peer.waiting = None;
+        peer.expire_in_flight(self.now, in_flight_timeout);
+        let in_flight = peer.in_flight_since.is_some();
+        let is_heartbeat = reason == AppendReason::Heartbeat;
+        let is_blocked = in_flight && (!is_heartbeat || peer.snapshot_position.is_some());
+        let has_entries = peer.next_index <= self.log.last_index();
+        if is_blocked || !is_heartbeat && !has_entries {
+            return;
         }
-        let waits = peer.waiting.is_some();
-        if waits && (!beat || peer.piece.is_some()) || !beat && peer.next > last {
+        if in_flight {
+            // The probed entry is one that the peer surely holds.
+            let prev_index = peer.match_index.max(base_index);
+            self.send_append_request(to, prev_index, Vec::new());
             return;
         }
-        if !waits && peer.next <= base {
-            self.send_piece(to);
+        if peer.next_index <= base_index {
+            self.send_snapshot_chunk(to);
             return;
         }
-        // While something is on its way, a heartbeat asks about what is surely there.
-        let prev = if waits {
-            peer.matched.max(base)
-        } else {
-            peer.next - 1
-        };
-        let entries = if waits {
-            Vec::new()
-        } else {
-            self.log.from(prev + 1, BATCH, BATCH_BYTES)
-        };
-        if !waits && !entries.is_empty() {
-            peer.waiting = Some(now);
+        let next_index = peer.next_index;
+        let entries = self
+            .log
+            .entries_from(next_index, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES);
+        if !entries.is_empty() {
+            peer.in_flight_since = Some(self.now);
         }
-        let body = Body::Append(AppendRequest {
-            prev_index: prev,
-            prev_term: self.log.term(prev).unwrap_or(0),
-            prev_sum: self.log.sum(prev).unwrap_or(0),
-            commit: self.commit,
-            round: self.round,
-            entries,
-        });
-        self.out.messages.push(Message {
-            to,
-            from: self.id,
-            term: self.term,
-            body: Some(body),
-        });
+        self.send_append_request(to, next_index - 1, entries);
     }
 
-    /// The disk has all up to an entry of this index and term.
-    pub fn on_persisted(&mut self, index: u64, term: u64) {
-        // What was overwritten meanwhile is another entry.
-        if self.log.term(index) == Some(term) {
-            self.durable = self.durable.max(index);
-            self.advance();
-        }
+    fn send_append_request(&mut self, to: ReplicaId, prev_index: u64, entries: Vec<Entry>) {
+        let request = AppendRequest {
+            prev_index,
+            prev_term: self.log.term(prev_index).unwrap_or(0),
+            prev_checksum: self.log.checksum(prev_index).unwrap_or(0),
+            commit: self.commit_index,
+            read_round: self.read_round,
+            entries,
+        };
+        self.send(to, Body::AppendRequest(request));
     }
 
-    /// What a majority has durably is committed, if it is of this term.
-    pub(super) fn advance(&mut self) {
+    /// Commits what a majority holds durably, if it is of this term.
+    fn advance_commit(&mut self) {
         if !self.is_leader() {
             return;
         }
-        let has = |id: ReplicaId| {
-            if id == self.id {
-                self.durable
-            } else {
-                self.peers.get(&id).map_or(0, |peer| peer.matched)
-            }
-        };
-        let counts = |member: &&Member| member.is_voter || planted("vote-too-soon");
-        let members = self.membership().members.iter().filter(counts);
-        let mut all: Vec<u64> = members.map(|member| has(member.id)).collect();
-        all.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = all.get(self.membership().majority() - 1) else {
+        let Some(index) = self.majority_index() else {
             return;
         };
-        if index > self.commit && self.log.term(index) == Some(self.term) {
-            for index in self.commit + 1..=index {
-                let done = self
-                    .log
-                    .entry(index)
-                    .filter(|entry| entry.kind() == EntryKind::Data);
-                let done = done.map_or(0, |entry| entry.data.len());
-                self.uncommitted = self.uncommitted.saturating_sub(done);
-            }
-            self.commit = index;
-            // A leader that is no member any more has done its part once that is known to most.
-            if self.membership().member(self.id).is_none() {
-                self.follow(self.term, None);
-            }
+        if index <= self.commit_index || self.log.term(index) != Some(self.term) {
+            return;
+        }
+        for index in self.commit_index + 1..=index {
+            let data_bytes = self
+                .log
+                .entry(index)
+                .filter(|entry| entry.kind() == EntryKind::Data)
+                .map_or(0, |entry| entry.data.len());
+            self.uncommitted_bytes = self.uncommitted_bytes.saturating_sub(data_bytes);
+        }
+        self.commit_index = index;
+        // A leader that was removed steps down once a majority holds its removal.
+        if self.membership().member(self.id).is_none() {
+            self.become_follower(self.term, None);
         }
     }
 
-    /// The leader of this term was heard.
-    pub(super) fn heard_leader(&mut self, from: ReplicaId) {
-        if self.role != Role::Follower {
-            self.follow(self.term, Some(from));
-        }
-        self.leader = Some(from);
-        self.heard = Some(self.now);
-        self.draw_deadline();
+    /// Highest index that a majority of the voters holds durably.
+    fn majority_index(&self) -> Option<u64> {
+        let durable_index = |id: ReplicaId| {
+            if id == self.id {
+                self.persisted_index
+            } else {
+                self.peers.get(&id).map_or(0, |peer| peer.match_index)
+            }
+        };
+        let counts = |member: &&Member| member.is_voter || planted("vote-too-soon");
+        let membership = self.membership();
+        let members = membership.members.iter().filter(counts);
+        let mut indexes: Vec<u64> = members.map(|member| durable_index(member.id)).collect();
+        indexes.sort_unstable_by(|a, b| b.cmp(a));
+        indexes.get(membership.majority() - 1).copied()
     }
 
-    pub(super) fn appended(&mut self, from: ReplicaId, append: AppendRequest) {
+    pub(super) fn handle_append_request(&mut self, from: ReplicaId, request: AppendRequest) {
         if self.is_leader() {
             return;
         }
-        self.heard_leader(from);
-        let (prev, round) = (append.prev_index, append.round);
-        let base = self.log.base().index;
-        if prev < base {
-            // All up to the base is committed: the leader goes on from there.
-            self.reply(from, appended(true, base, round));
+        self.record_leader_contact(from);
+        if let Some(response) = self.check_previous_entry(&request) {
+            self.send_append_response(from, response);
             return;
         }
-        match self.log.term(prev) {
-            None => return self.reply(from, appended(false, self.log.last(), round)),
-            // No leader's log differs in what is committed.
-            Some(term) if term != append.prev_term && prev <= self.commit => {
-                let differs = self.log.sum(prev).unwrap_or(0).max(1);
-                let body = AppendResponse {
-                    good: false,
-                    index: prev,
-                    round,
-                    differs,
-                };
-                return self.reply(from, Body::Appended(body));
-            }
-            Some(term) if term != append.prev_term => {
-                let before = self
-                    .log
-                    .first_of_term(prev)
-                    .saturating_sub(1)
-                    .max(self.commit);
-                return self.reply(from, appended(false, before, round));
+        let last_index = request.prev_index + request.entries.len() as u64;
+        if let Err(IndexGap) = self.store_entries(request.prev_index, request.entries) {
+            return;
+        }
+        self.commit_index = self.commit_index.max(request.commit.min(last_index));
+        let response = AppendResponse::success(last_index, request.read_round);
+        self.send_append_response(from, response);
+    }
+
+    /// The response to a request whose entries do not follow directly from an entry of this log.
+    fn check_previous_entry(&self, request: &AppendRequest) -> Option<AppendResponse> {
+        let (prev_index, read_round) = (request.prev_index, request.read_round);
+        let base_index = self.log.base().index;
+        if prev_index < base_index {
+            // All up to the base is committed, so that the leader can go on from there.
+            return Some(AppendResponse::success(base_index, read_round));
+        }
+        let Some(prev_term) = self.log.term(prev_index) else {
+            let last_index = self.log.last_index();
+            return Some(AppendResponse::mismatch(last_index, read_round));
+        };
+        if prev_term != request.prev_term {
+            return Some(if prev_index <= self.commit_index {
+                // No two leaders commit different entries at one index.
+                let checksum = self.log.checksum(prev_index).unwrap_or(0).max(1);
+                AppendResponse::divergence(prev_index, checksum, read_round)
+            } else {
+                let before_term = self.log.first_index_of_term(prev_index).saturating_sub(1);
+                AppendResponse::mismatch(before_term.max(self.commit_index), read_round)
+            });
+        }
+        self.log
+            .checksum(prev_index)
+            .filter(|checksum| *checksum != request.prev_checksum)
+            .map(|checksum| AppendResponse::divergence(prev_index, checksum, read_round))
+    }
+
+    fn store_entries(&mut self, prev_index: u64, entries: Vec<Entry>) -> Result<(), IndexGap> {
+        for (expected_index, entry) in (prev_index + 1..).zip(entries) {
+            if entry.index != expected_index {
+                return Err(IndexGap);
             }
-            Some(_) => {}
+            self.store_entry(entry);
         }
-        if let Some(own) = self.log.sum(prev).filter(|own| *own != append.prev_sum) {
-            let body = AppendResponse {
-                good: false,
-                index: prev,
-                round,
-                differs: own,
-            };
-            return self.reply(from, Body::Appended(body));
+        Ok(())
+    }
+
+    /// Stores an entry of the leader, in place of an uncommitted one of another term.
+    fn store_entry(&mut self, entry: Entry) {
+        if self.log.term(entry.index) == Some(entry.term) {
+            return;
         }
-        let last = prev + append.entries.len() as u64;
-        for (k, entry) in append.entries.into_iter().enumerate() {
-            // What cannot follow is no entry of a leader's.
-            if entry.index != prev + 1 + k as u64 {
+        if self.log.last_index() >= entry.index {
+            if planted("tail-kept") {
                 return;
             }
-            if self.log.term(entry.index) == Some(entry.term) {
-                continue;
-            }
-            if self.log.last() >= entry.index {
-                if planted("tail-kept") {
-                    continue;
-                }
-                self.cut(entry.index);
-            }
-            self.saw_stamp(entry.stamp);
-            if let Some(config) = config_of(&entry) {
-                self.configs.push((entry.index, config));
-            }
-            self.out.entries.push(entry.clone());
-            self.log.push(entry);
+            self.truncate_log(entry.index);
         }
-        self.commit = self.commit.max(append.commit.min(last));
-        self.reply(from, appended(true, last, round));
+        self.push_entry(entry);
     }
 
-    /// An uncommitted tail gives way.
-    pub(super) fn cut(&mut self, from: u64) {
+    /// Removes the uncommitted entries from `from_index` on.
+    fn truncate_log(&mut self, from_index: u64) {
         debug_assert!(
-            from > self.commit || cfg!(feature = "planted"),
-            "what is committed stays"
+            from_index > self.commit_index || cfg!(feature = "planted"),
+            "committed entries are never removed"
         );
-        self.log.cut(from);
-        self.configs.retain(|config| config.0 < from);
-        self.out.entries.retain(|entry| entry.index < from);
-        self.durable = self.durable.min(from - 1);
+        self.log.truncate_from(from_index);
+        self.memberships.retain(|one| one.index < from_index);
+        self.ready.entries.retain(|entry| entry.index < from_index);
+        self.persisted_index = self.persisted_index.min(from_index - 1);
     }
 
-    pub(super) fn confirmed(&mut self, from: ReplicaId, told: &AppendResponse) {
+    pub(super) fn handle_append_response(&mut self, from: ReplicaId, response: &AppendResponse) {
         if !self.is_leader() {
             return;
         }
-        let (now, last) = (self.now, self.log.last());
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
-        peer.heard = now;
-        peer.round = peer.round.max(told.round);
-        if told.good {
-            if told.index > last {
+        peer.record_contact(self.now, response.read_round);
+        if response.success {
+            if response.index > self.log.last_index() {
                 return;
             }
-            peer.matched = peer.matched.max(told.index);
-            peer.next = peer.next.max(peer.matched + 1);
-            (peer.waiting, peer.piece, peer.differs) = (None, None, None);
-            self.advance();
-            self.hand_over(from);
-        } else if told.differs != 0 {
-            peer.differs = Some((told.index, told.differs));
-            peer.waiting = Some(now);
-            self.count_copies();
-        } else if peer.piece.is_none() {
-            peer.next = (told.index + 1)
-                .min(peer.next.max(2) - 1)
-                .max(peer.matched + 1);
-            peer.waiting = None;
+            peer.record_match(response.index);
+            self.advance_commit();
+            self.send_timeout_now(from);
+        } else if response.divergent_checksum != 0 {
+            peer.divergence = Some(PeerDivergence {
+                index: response.index,
+                checksum: response.divergent_checksum,
+            });
+            peer.in_flight_since = Some(self.now);
+            self.resolve_divergence();
+        } else if peer.snapshot_position.is_none() {
+            peer.record_mismatch(response.index);
         }
-        self.answer_reads();
+        self.confirm_reads();
+        // A leader may have stepped down or been quarantined meanwhile.
         if self.is_leader() {
-            self.send(from, false);
+            self.replicate(from, AppendReason::Entries);
         }
     }
 }
--- a/crates/raft/src/replica/snapshots.rs
+++ b/crates/raft/src/replica/snapshots.rs
@@ -1,183 +1,186 @@
-//! Compaction of the log, and snapshots for followers whose entries were compacted.
+//! Compaction of the log, and the transfer of snapshots to followers whose next entry was compacted.
 
-use super::{appended, planted, Incoming, Replica, PIECE, SNAPSHOT_MOST};
-use crate::wire::{Body, ChunkAck, Message, ReplicaId, Snapshot, SnapshotChunk, SnapshotMetadata};
+use super::membership::IndexedMembership;
+use super::progress::SnapshotPosition;
+use super::replication::AppendReason;
+use super::{Replica, SnapshotInstall};
+use crate::plant::planted;
+use crate::wire::{
+    AppendResponse, Body, ChunkAck, ReplicaId, Snapshot, SnapshotChunk, SnapshotMetadata,
+};
 use bytes::Bytes;
 
-impl Replica {
-    pub(super) fn send_piece(&mut self, to: ReplicaId) {
-        let base = self.log.base().clone();
-        let total = self.snapshot.len() as u64;
-        let Some(peer) = self.peers.get_mut(&to) else {
-            return;
-        };
-        let (_, offset) = peer
-            .piece
-            .filter(|piece| piece.0 == base.index)
-            .unwrap_or((base.index, 0));
-        let offset = offset.min(total);
-        peer.piece = Some((base.index, offset));
-        peer.waiting = Some(self.now);
-        let end = (offset + PIECE as u64).min(total);
-        let data = self.snapshot.slice(offset as usize..end as usize);
-        let body = Body::Piece(SnapshotChunk {
-            base,
-            total,
-            offset,
-            data,
-            round: self.round,
-        });
-        self.out.messages.push(Message {
-            to,
-            from: self.id,
-            term: self.term,
-            body: Some(body),
-        });
-    }
+/// Bytes of one chunk of a snapshot: two of them fit into the largest frame of a link.
+const SNAPSHOT_CHUNK_BYTES: usize = 128 << 10;
+/// Largest snapshot that is accepted, in bytes: far past what a shard's bound on keys allows.
+const MAX_SNAPSHOT_BYTES: u64 = 4 << 30;
+
+/// A snapshot that is being received in chunks.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct IncomingSnapshot {
+    metadata: SnapshotMetadata,
+    total_bytes: u64,
+    data: Vec<u8>,
+}
 
-    /// The state up to an applied index, in place of the entries; what is to be kept of it.
+impl Replica {
+    /// Replaces the entries up to an applied index by a snapshot with `data`; returns the snapshot, to be stored.
+    /// `None` if the log does not hold the index, or it is not applied yet.
     pub fn compact(&mut self, index: u64, data: Bytes) -> Option<Snapshot> {
-        let (stamp, term) = (self.log.entry(index)?.stamp, self.log.term(index)?);
-        if index > self.applied {
+        let entry = self.log.entry(index)?;
+        if index > self.applied_index {
             return None;
         }
-        let config = self
-            .configs
-            .iter()
-            .rev()
-            .find(|config| config.0 <= index)?
-            .1
-            .clone();
-        let base = SnapshotMetadata {
+        let membership = self.memberships.iter().rev().find(|one| one.index <= index);
+        let metadata = SnapshotMetadata {
             index,
-            term,
-            stamp,
-            checksum: self.log.sum(index)?,
-            config,
+            term: entry.term,
+            stamp: entry.stamp,
+            checksum: self.log.checksum(index)?,
+            config: membership?.membership.clone(),
         };
-        self.based(base.clone());
-        self.snapshot = data.clone();
-        Some(Snapshot {
-            metadata: base,
-            data,
-        })
+        self.rebase_log(metadata.clone());
+        self.snapshot_data = data.clone();
+        Some(Snapshot { metadata, data })
     }
 
-    pub(super) fn based(&mut self, base: SnapshotMetadata) {
-        let later = self
-            .configs
-            .iter()
-            .filter(|config| config.0 > base.index)
-            .cloned();
-        let configs: Vec<_> = std::iter::once((base.index, base.config.clone()))
-            .chain(later)
-            .collect();
-        self.configs = configs;
+    /// Makes a snapshot the base of the log.
+    fn rebase_log(&mut self, base: SnapshotMetadata) {
+        self.memberships.retain(|one| one.index > base.index);
+        let base_membership = IndexedMembership::new(base.index, base.config.clone());
+        self.memberships.insert(0, base_membership);
         self.log.compact(base);
     }
 
-    pub(super) fn piece(&mut self, from: ReplicaId, piece: SnapshotChunk) {
-        if self.is_leader() {
+    /// Sends the chunk that a peer needs next.
+    pub(super) fn send_snapshot_chunk(&mut self, to: ReplicaId) {
+        let metadata = self.log.base().clone();
+        let total_bytes = self.snapshot_data.len() as u64;
+        let Some(peer) = self.peers.get_mut(&to) else {
             return;
-        }
-        self.heard_leader(from);
-        let SnapshotChunk {
-            base,
-            total,
+        };
+        let offset = peer
+            .snapshot_position
+            .filter(|position| position.index == metadata.index)
+            .map_or(0, |position| position.offset)
+            .min(total_bytes);
+        peer.snapshot_position = Some(SnapshotPosition {
+            index: metadata.index,
             offset,
-            data,
-            round,
-        } = piece;
-        if base.index <= self.commit {
-            return self.reply(from, appended(true, self.commit, round));
-        }
-        if total > SNAPSHOT_MOST {
+        });
+        peer.in_flight_since = Some(self.now);
+        let end = (offset + SNAPSHOT_CHUNK_BYTES as u64).min(total_bytes);
+        let chunk = SnapshotChunk {
+            metadata,
+            total_bytes,
+            offset,
+            data: self.snapshot_data.slice(offset as usize..end as usize),
+            read_round: self.read_round,
+        };
+        self.send(to, Body::SnapshotChunk(chunk));
+    }
+
+    pub(super) fn handle_snapshot_chunk(&mut self, from: ReplicaId, chunk: SnapshotChunk) {
+        if self.is_leader() {
             return;
         }
-        let same = self
-            .incoming
-            .as_ref()
-            .is_some_and(|one| one.base == base && one.total == total);
-        if !same {
-            self.incoming = Some(Incoming {
-                base: base.clone(),
-                total,
-                data: Vec::new(),
-            });
+        self.record_leader_contact(from);
+        let (index, read_round) = (chunk.metadata.index, chunk.read_round);
+        if index <= self.commit_index {
+            let response = AppendResponse::success(self.commit_index, read_round);
+            self.send_append_response(from, response);
+            return;
         }
-        let Some(incoming) = &mut self.incoming else {
+        if chunk.total_bytes > MAX_SNAPSHOT_BYTES {
             return;
-        };
-        if offset == incoming.data.len() as u64 && offset + data.len() as u64 <= total {
-            incoming.data.extend_from_slice(&data);
         }
-        let there = incoming.data.len() as u64;
-        if there < total {
-            return self.reply(
-                from,
-                Body::Took(ChunkAck {
-                    index: base.index,
-                    offset: there,
-                    round,
-                }),
-            );
+        let snapshot = self.receive_chunk(chunk);
+        let received_bytes = snapshot.data.len() as u64;
+        if received_bytes < snapshot.total_bytes {
+            self.incoming_snapshot = Some(snapshot);
+            let ack = ChunkAck {
+                index,
+                offset: received_bytes,
+                read_round,
+            };
+            self.send_after_persist(from, Body::ChunkAck(ack));
+            return;
         }
-        let whole = self
-            .incoming
+        self.install_snapshot(snapshot.metadata, snapshot.data.into());
+        let response = AppendResponse::success(self.commit_index, read_round);
+        self.send_append_response(from, response);
+    }
+
+    /// Adds a chunk to the snapshot that it belongs to: the one being received, or a new one.
+    fn receive_chunk(&mut self, chunk: SnapshotChunk) -> IncomingSnapshot {
+        let mut snapshot = self
+            .incoming_snapshot
             .take()
-            .map(|incoming| Bytes::from(incoming.data))
-            .unwrap_or_default();
-        self.take_over(base, whole);
-        self.reply(from, appended(true, self.commit, round));
+            .filter(|snapshot| {
+                snapshot.metadata == chunk.metadata && snapshot.total_bytes == chunk.total_bytes
+            })
+            .unwrap_or_else(|| IncomingSnapshot {
+                metadata: chunk.metadata,
+                total_bytes: chunk.total_bytes,
+                data: Vec::new(),
+            });
+        let follows = chunk.offset == snapshot.data.len() as u64;
+        if follows && chunk.offset + chunk.data.len() as u64 <= snapshot.total_bytes {
+            snapshot.data.extend_from_slice(&chunk.data);
+        }
+        snapshot
     }
 
-    /// A whole snapshot of the leader's, in place of what is here.
-    pub(super) fn take_over(&mut self, base: SnapshotMetadata, data: Bytes) {
-        let mut base = base;
+    /// Takes over a leader's snapshot, in place of everything up to its index.
+    fn install_snapshot(&mut self, mut metadata: SnapshotMetadata, data: Bytes) {
         if planted("config-lost") {
-            base.config = self.membership().clone();
+            metadata.config = self.membership().clone();
         }
-        // Entries behind it stay only if they are of the same history.
-        let same = self.log.term(base.index) == Some(base.term);
-        if !same {
-            self.log.cut(self.log.base().index + 1);
-            self.configs.truncate(1);
-            self.out.entries.clear();
+        let index = metadata.index;
+        // Entries behind the snapshot stay only if they are of the same history.
+        let same_history = self.log.term(index) == Some(metadata.term);
+        if !same_history {
+            self.log.truncate_from(self.log.base().index + 1);
+            self.memberships.truncate(1);
+            self.ready.entries.clear();
         }
-        self.out.entries.retain(|entry| entry.index > base.index);
-        self.saw_stamp(base.stamp);
-        let index = base.index;
-        self.based(base.clone());
-        self.out.committed.clear();
-        (self.commit, self.applied) = (index, index);
-        self.durable = if same { self.durable.max(index) } else { index };
-        self.snapshot = data.clone();
-        self.out.snapshot = Some((
-            Snapshot {
-                metadata: base,
-                data,
-            },
-            !same,
-        ));
+        self.ready.entries.retain(|entry| entry.index > index);
+        self.observe_stamp(metadata.stamp);
+        self.rebase_log(metadata.clone());
+        self.ready.committed.clear();
+        self.commit_index = index;
+        self.applied_index = index;
+        self.persisted_index = if same_history {
+            self.persisted_index.max(index)
+        } else {
+            index
+        };
+        self.snapshot_data = data.clone();
+        self.ready.snapshot = Some(SnapshotInstall {
+            snapshot: Snapshot { metadata, data },
+            discard_suffix: !same_history,
+        });
     }
 
-    pub(super) fn took(&mut self, from: ReplicaId, took: &ChunkAck) {
+    pub(super) fn handle_chunk_ack(&mut self, from: ReplicaId, ack: &ChunkAck) {
         if !self.is_leader() {
             return;
         }
-        let (now, base) = (self.now, self.log.base().index);
+        let base_index = self.log.base().index;
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
-        peer.heard = now;
-        peer.round = peer.round.max(took.round);
-        peer.waiting = None;
-        if took.index == base {
-            peer.piece = Some((base, took.offset));
+        peer.record_contact(self.now, ack.read_round);
+        peer.in_flight_since = None;
+        if ack.index == base_index {
+            peer.snapshot_position = Some(SnapshotPosition {
+                index: base_index,
+                offset: ack.offset,
+            });
         }
-        self.answer_reads();
+        self.confirm_reads();
         if self.is_leader() {
-            self.send(from, true);
+            self.replicate(from, AppendReason::Heartbeat);
         }
     }
 }
--- a/crates/raft/src/wire.rs
+++ b/crates/raft/src/wire.rs
@@ -1,65 +1,82 @@
-//! Entries, messages and configurations, as they are sent and kept: protobuf, so that later versions may add fields.
+//! Entries, messages and memberships as they are sent and stored.
+//!
+//! All are protobuf, so that later versions may add fields; field numbers and types never change.
 
 use bytes::Bytes;
 use twox_hash::XxHash3_64;
 
-/// A disk: drawn when it was first used, never 0.
+/// Identity of a replica's disk: drawn when the disk was first used, never 0. A member that comes back with another
+/// disk is another replica.
 pub type ReplicaId = u64;
 
+/// What an entry holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum EntryKind {
-    /// A new leader's first entry: it says nothing, and what came before it commits with it.
+    /// Nothing: a new leader's first entry, with which all entries before it are committed.
     NoOp = 0,
+    /// A command of the state machine.
     Data = 1,
+    /// An encoded [`Membership`].
     Config = 2,
 }
 
+/// One entry of the log.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Entry {
+    /// Position in the log; the first entry has 1.
     #[prost(uint64, tag = "1")]
     pub index: u64,
+    /// Term of the leader that created it.
     #[prost(uint64, tag = "2")]
     pub term: u64,
-    /// Log time, in nanoseconds: it never goes back, and stands still while there is no leader.
+    /// Log time in nanoseconds: it never goes back, and stands still while there is no leader.
     #[prost(uint64, tag = "3")]
     pub stamp: u64,
+    /// An [`EntryKind`].
     #[prost(enumeration = "EntryKind", tag = "4")]
     pub kind: i32,
+    /// By kind.
     #[prost(bytes = "bytes", tag = "5")]
     pub data: Bytes,
 }
 
 impl Entry {
-    /// The running checksum with this entry behind the ones of `before`.
-    pub fn checksum(&self, before: u64) -> u64 {
+    /// The running checksum up to this entry, given the one up to the entry before it.
+    pub fn checksum(&self, previous: u64) -> u64 {
         let mut head = [0; 32];
-        head[..8].copy_from_slice(&before.to_le_bytes());
+        head[..8].copy_from_slice(&previous.to_le_bytes());
         head[8..16].copy_from_slice(&self.index.to_le_bytes());
         head[16..24].copy_from_slice(&self.term.to_le_bytes());
-        head[24..].copy_from_slice(&(self.stamp ^ (self.kind as u64) << 56).to_le_bytes());
+        head[24..].copy_from_slice(&(self.stamp ^ ((self.kind as u64) << 56)).to_le_bytes());
         XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(&head), &self.data)
     }
 }
 
+/// A member of the group.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
 pub struct Member {
+    /// Identity of its disk.
     #[prost(uint64, tag = "1")]
     pub id: ReplicaId,
+    /// Name of the node that it runs on.
     #[prost(string, tag = "2")]
     pub name: String,
+    /// Whether it votes; a member that does not is a learner.
     #[prost(bool, tag = "3")]
     pub is_voter: bool,
 }
 
-/// Members in order of their disks.
+/// The members of the group.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Membership {
+    /// In order of identity.
     #[prost(message, repeated, tag = "1")]
     pub members: Vec<Member>,
 }
 
 impl Membership {
+    /// Members that all vote, by identity and name.
     pub fn from_voters(members: impl IntoIterator<Item = (ReplicaId, String)>) -> Self {
         let members = members.into_iter().map(|(id, name)| Member {
             id,
@@ -71,6 +88,7 @@
         Self { members }
     }
 
+    /// The identities of the members that vote.
     pub fn voters(&self) -> impl Iterator<Item = ReplicaId> + '_ {
         self.members
             .iter()
@@ -78,171 +96,251 @@
             .map(|member| member.id)
     }
 
+    /// Whether `id` is a member that votes.
     pub fn is_voter(&self, id: ReplicaId) -> bool {
         self.voters().any(|voter| voter == id)
     }
 
+    /// The member with this identity, voter or learner.
     pub fn member(&self, id: ReplicaId) -> Option<&Member> {
         self.members.iter().find(|member| member.id == id)
     }
 
-    /// How many of the voters decide.
+    /// How many voters make a majority.
     pub fn majority(&self) -> usize {
         self.voters().count() / 2 + 1
     }
 }
 
-/// What a replica must not forget.
+/// What a replica must have on its disk before it answers.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct HardState {
+    /// The newest term that it has seen.
     #[prost(uint64, tag = "1")]
     pub term: u64,
-    /// 0: nobody's.
+    /// Which replica got its vote in that term; 0: none.
     #[prost(uint64, tag = "2")]
     pub vote: ReplicaId,
 }
 
-/// Where a log begins: what the snapshot before it stands for.
+/// What a snapshot stands for, and so where the log behind it begins.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct SnapshotMetadata {
+    /// Index of the last entry that it replaces.
     #[prost(uint64, tag = "1")]
     pub index: u64,
+    /// Term of that entry.
     #[prost(uint64, tag = "2")]
     pub term: u64,
+    /// Log time of that entry, in nanoseconds.
     #[prost(uint64, tag = "3")]
     pub stamp: u64,
-    /// Running checksum up to the index.
+    /// Running checksum up to that entry.
     #[prost(uint64, tag = "4")]
     pub checksum: u64,
+    /// Membership as of that entry.
     #[prost(message, required, tag = "5")]
     pub config: Membership,
 }
 
-/// A snapshot as it is kept.
+/// A snapshot as it is stored.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Snapshot {
+    /// What it stands for.
     #[prost(message, required, tag = "1")]
     pub metadata: SnapshotMetadata,
+    /// The encoded state machine.
     #[prost(bytes = "bytes", tag = "2")]
     pub data: Bytes,
 }
 
+/// Requests a vote, or a pre-vote.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct VoteRequest {
-    /// Only asks whether it would be elected: nobody's term or vote changes.
+    /// Only asks whether the vote would be granted: nobody's term or vote changes.
     #[prost(bool, tag = "1")]
-    pub pre: bool,
+    pub pre_vote: bool,
+    /// Index of the candidate's last entry.
     #[prost(uint64, tag = "2")]
     pub last_index: u64,
+    /// Term of the candidate's last entry.
     #[prost(uint64, tag = "3")]
     pub last_term: u64,
-    /// The leader itself wants it: it is granted though the leader is well.
+    /// The leader transfers its leadership: the vote is granted though the leader is in contact.
     #[prost(bool, tag = "4")]
-    pub wanted: bool,
+    pub leadership_transfer: bool,
 }
 
+/// Answers a [`VoteRequest`].
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct VoteResponse {
+    /// As in the request.
     #[prost(bool, tag = "1")]
-    pub pre: bool,
+    pub pre_vote: bool,
+    /// Whether the vote is the candidate's.
     #[prost(bool, tag = "2")]
     pub granted: bool,
 }
 
+/// Entries of the leader; without any, a heartbeat.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct AppendRequest {
+    /// Index of the entry before the first one sent.
     #[prost(uint64, tag = "1")]
     pub prev_index: u64,
+    /// Term of that entry.
     #[prost(uint64, tag = "2")]
     pub prev_term: u64,
+    /// Running checksum up to that entry.
     #[prost(uint64, tag = "3")]
-    pub prev_sum: u64,
+    pub prev_checksum: u64,
+    /// The leader's commit index.
     #[prost(uint64, tag = "4")]
     pub commit: u64,
-    /// Goes up with each read that waits; told back.
+    /// The leader's newest read round; the response confirms it.
     #[prost(uint64, tag = "5")]
-    pub round: u64,
+    pub read_round: u64,
+    /// Consecutive entries.
     #[prost(message, repeated, tag = "6")]
     pub entries: Vec<Entry>,
 }
 
+/// Answers an [`AppendRequest`], and a [`SnapshotChunk`] that completed a snapshot or was not needed.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct AppendResponse {
+    /// Whether the logs match up to `index`.
     #[prost(bool, tag = "1")]
-    pub good: bool,
-    /// Good: all up to here is as the leader has it. Else: where the leader should look next.
+    pub success: bool,
+    /// On success, the index up to which the logs match; else the index that the leader should probe next.
     #[prost(uint64, tag = "2")]
     pub index: u64,
+    /// As in the request.
     #[prost(uint64, tag = "3")]
-    pub round: u64,
-    /// The copies differ at the index: this is the running checksum here. 0: they do not.
+    pub read_round: u64,
+    /// The follower's running checksum up to `index`, if the logs diverged there; 0: they did not.
     #[prost(uint64, tag = "4")]
-    pub differs: u64,
+    pub divergent_checksum: u64,
 }
 
+impl AppendResponse {
+    /// The logs match up to `index`.
+    pub(crate) fn success(index: u64, read_round: u64) -> Self {
+        Self {
+            success: true,
+            index,
+            read_round,
+            divergent_checksum: 0,
+        }
+    }
+
+    /// The logs do not match; `index` is to be probed next.
+    pub(crate) fn mismatch(index: u64, read_round: u64) -> Self {
+        Self {
+            success: false,
+            index,
+            read_round,
+            divergent_checksum: 0,
+        }
+    }
+
+    /// The logs should match up to `index` and do not: the follower's running checksum is `checksum`.
+    pub(crate) fn divergence(index: u64, checksum: u64, read_round: u64) -> Self {
+        Self {
+            success: false,
+            index,
+            read_round,
+            divergent_checksum: checksum,
+        }
+    }
+}
+
+/// A part of a snapshot.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct SnapshotChunk {
+    /// What the snapshot stands for.
     #[prost(message, required, tag = "1")]
-    pub base: SnapshotMetadata,
+    pub metadata: SnapshotMetadata,
+    /// Bytes of the complete snapshot.
     #[prost(uint64, tag = "2")]
-    pub total: u64,
+    pub total_bytes: u64,
+    /// Position of the first byte of `data`.
     #[prost(uint64, tag = "3")]
     pub offset: u64,
+    /// Bytes of the snapshot.
     #[prost(bytes = "bytes", tag = "4")]
     pub data: Bytes,
+    /// The leader's newest read round; the response confirms it.
     #[prost(uint64, tag = "5")]
-    pub round: u64,
+    pub read_round: u64,
 }
 
+/// Answers a [`SnapshotChunk`] that did not complete its snapshot.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct ChunkAck {
+    /// Index of the snapshot.
     #[prost(uint64, tag = "1")]
     pub index: u64,
-    /// Bytes that are there: the next piece begins here, also after a cut.
+    /// Bytes that the follower holds: the next chunk begins here.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
+    /// As in the chunk.
     #[prost(uint64, tag = "3")]
-    pub round: u64,
+    pub read_round: u64,
 }
 
-/// Two copies differ, and most have what the sender has.
+/// The receiver's log diverged from that of the majority.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct QuarantineNotice {
+    /// Index of the entry at which the running checksums differ.
     #[prost(uint64, tag = "1")]
     pub index: u64,
+    /// The majority's running checksum up to it.
     #[prost(uint64, tag = "2")]
-    pub most: u64,
+    pub majority_checksum: u64,
 }
 
+/// What a message carries.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Oneof)]
 pub enum Body {
+    /// From a candidate to a voter.
     #[prost(message, tag = "4")]
-    Vote(VoteRequest),
+    VoteRequest(VoteRequest),
+    /// From a voter to a candidate.
     #[prost(message, tag = "5")]
-    Voted(VoteResponse),
+    VoteResponse(VoteResponse),
+    /// From a leader to a member.
     #[prost(message, tag = "6")]
-    Append(AppendRequest),
+    AppendRequest(AppendRequest),
+    /// From a member to its leader.
     #[prost(message, tag = "7")]
-    Appended(AppendResponse),
+    AppendResponse(AppendResponse),
+    /// From a leader to a member whose next entry was compacted.
     #[prost(message, tag = "8")]
-    Piece(SnapshotChunk),
+    SnapshotChunk(SnapshotChunk),
+    /// From a member to its leader.
     #[prost(message, tag = "9")]
-    Took(ChunkAck),
-    /// Stand for election at once.
+    ChunkAck(ChunkAck),
+    /// From a leader to the voter that is to campaign at once. The value means nothing.
     #[prost(bool, tag = "10")]
-    Now(bool),
+    TimeoutNow(bool),
+    /// From a leader to a member whose log diverged.
     #[prost(message, tag = "11")]
-    Aside(QuarantineNotice),
+    QuarantineNotice(QuarantineNotice),
 }
 
+/// A message between two replicas.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Message {
+    /// The receiver.
     #[prost(uint64, tag = "1")]
     pub to: ReplicaId,
+    /// The sender.
     #[prost(uint64, tag = "2")]
     pub from: ReplicaId,
+    /// The sender's term; of a pre-vote that is requested or granted, the term that it is about.
     #[prost(uint64, tag = "3")]
     pub term: u64,
+    /// Messages without a body that this version knows are ignored.
     #[prost(oneof = "Body", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<Body>,
 }
--- a/crates/raft/tests/golden.rs
+++ b/crates/raft/tests/golden.rs
@@ -64,64 +64,64 @@
     let bodies = vec![
         (
             "vote",
-            Body::Vote(VoteRequest {
-                pre: true,
+            Body::VoteRequest(VoteRequest {
+                pre_vote: true,
                 last_index: 299,
                 last_term: 6,
-                wanted: true,
+                leadership_transfer: true,
             }),
         ),
         (
             "voted",
-            Body::Voted(VoteResponse {
-                pre: true,
+            Body::VoteResponse(VoteResponse {
+                pre_vote: true,
                 granted: true,
             }),
         ),
         (
             "append",
-            Body::Append(AppendRequest {
+            Body::AppendRequest(AppendRequest {
                 prev_index: 299,
                 prev_term: 6,
-                prev_sum: 5,
+                prev_checksum: 5,
                 commit: 298,
-                round: 12,
+                read_round: 12,
                 entries,
             }),
         ),
         (
             "appended",
-            Body::Appended(AppendResponse {
-                good: true,
+            Body::AppendResponse(AppendResponse {
+                success: true,
                 index: 302,
-                round: 12,
-                differs: 44,
+                read_round: 12,
+                divergent_checksum: 44,
             }),
         ),
         (
             "piece",
-            Body::Piece(SnapshotChunk {
-                base: base(),
-                total: 900,
+            Body::SnapshotChunk(SnapshotChunk {
+                metadata: base(),
+                total_bytes: 900,
                 offset: 512,
                 data: Bytes::from_static(b"piece"),
-                round: 3,
+                read_round: 3,
             }),
         ),
         (
             "took",
-            Body::Took(ChunkAck {
+            Body::ChunkAck(ChunkAck {
                 index: 250,
                 offset: 517,
-                round: 3,
+                read_round: 3,
             }),
         ),
-        ("now", Body::Now(true)),
+        ("now", Body::TimeoutNow(true)),
         (
             "aside",
-            Body::Aside(QuarantineNotice {
+            Body::QuarantineNotice(QuarantineNotice {
                 index: 300,
-                most: 4,
+                majority_checksum: 4,
             }),
         ),
     ];
--- a/crates/raft/tests/small_worlds.rs
+++ b/crates/raft/tests/small_worlds.rs
@@ -14,8 +14,8 @@
 use foldhash::{HashSet, HashSetExt};
 use rainstand_raft::wire::{HardState, Snapshot};
 use rainstand_raft::{
-    Entry, Member, Membership, MembershipChange, Message, PersistentState, Ready, Replica,
-    ReplicaId, SnapshotMetadata, Timeouts,
+    CampaignKind, Entry, Member, Membership, MembershipChange, Message, PersistentState, Ready,
+    Replica, ReplicaId, SnapshotMetadata, Timeouts,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -120,11 +120,12 @@
         if let Some(hard) = out.hard_state {
             self.state.hard_state = hard;
         }
-        if let Some((snapshot, alone)) = &out.snapshot {
+        if let Some(install) = &out.snapshot {
+            let index = install.snapshot.metadata.index;
             self.state
                 .entries
-                .retain(|entry| entry.index > snapshot.metadata.index && !alone);
-            self.state.snapshot = Some(snapshot.clone());
+                .retain(|entry| entry.index > index && !install.discard_suffix);
+            self.state.snapshot = Some(install.snapshot.clone());
         }
         for entry in &out.entries {
             self.state.entries.retain(|one| one.index < entry.index);
@@ -236,7 +237,9 @@
                         ..l
                     },
                     &|w| {
-                        w.nodes[k].0.campaign(w.now, true);
+                        w.nodes[k]
+                            .0
+                            .campaign(w.now, CampaignKind::LeadershipTransfer);
                         w.settle(k)
                     },
                 );
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -27,8 +27,8 @@
 use rainstand_raft::replica::Divergence;
 use rainstand_raft::wire::{Body, Snapshot};
 use rainstand_raft::{
-    Entry, EntryKind, HardState, Membership, PersistentState, Replica, ReplicaId, SnapshotMetadata,
-    Timeouts,
+    Entry, EntryKind, HardState, Membership, PersistentState, Replica, ReplicaId, SnapshotInstall,
+    SnapshotMetadata, Timeouts,
 };
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -430,7 +430,7 @@
         let marks = self.shards.iter().map(|(shard, one)| ShardProgress {
             shard: u32::from(*shard),
             term: one.replica.term(),
-            index: one.replica.log().last(),
+            index: one.replica.log().last_index(),
         });
         Frame::of(FrameBody::Hello(Hello {
             group: self.options.group.clone(),
@@ -451,7 +451,7 @@
             && self
                 .shards
                 .values()
-                .all(|one| one.replica.log().last() == 0)
+                .all(|one| one.replica.log().last_index() == 0)
     }
 
     /// A link to a member is open: it hears who this is.
@@ -662,7 +662,7 @@
             let there = self
                 .shards
                 .get(&shard)
-                .is_some_and(|one| one.replica.log().last() > 0);
+                .is_some_and(|one| one.replica.log().last_index() > 0);
             if !mine || there {
                 continue;
             }
@@ -760,9 +760,14 @@
         }
         // These are sent when their term is durable there.
         let durable = match &message.body {
-            Some(Body::Vote(vote)) => !vote.pre,
-            Some(Body::Voted(voted)) => !voted.pre,
-            Some(Body::Appended(_) | Body::Took(_) | Body::Append(_) | Body::Piece(_)) => true,
+            Some(Body::VoteRequest(request)) => !request.pre_vote,
+            Some(Body::VoteResponse(response)) => !response.pre_vote,
+            Some(
+                Body::AppendResponse(_)
+                | Body::ChunkAck(_)
+                | Body::AppendRequest(_)
+                | Body::SnapshotChunk(_),
+            ) => true,
             _ => false,
         };
         if durable {
@@ -940,8 +945,11 @@
                 continue;
             }
             let commit = one.replica.commit();
-            let matched: BTreeMap<ReplicaId, u64> =
-                one.replica.progress().map(|(id, at, _)| (id, at)).collect();
+            let matched: BTreeMap<ReplicaId, u64> = one
+                .replica
+                .progress()
+                .map(|peer| (peer.id, peer.match_index))
+                .collect();
             let caught_up = |id: ReplicaId| matched.get(&id).is_some_and(|at| *at >= commit);
             match next(one.replica.membership(), &wanted, me, caught_up) {
                 Next::Settled | Next::Wait => {}
@@ -1010,9 +1018,9 @@
             let best = one
                 .replica
                 .progress()
-                .filter(|(id, ..)| one.replica.membership().is_voter(*id))
-                .max_by_key(|(_, matched, heard)| (*matched, *heard))
-                .map(|(id, ..)| id);
+                .filter(|peer| one.replica.membership().is_voter(peer.id))
+                .max_by_key(|peer| (peer.match_index, peer.last_contact))
+                .map(|peer| peer.id);
             if let Some(id) = best {
                 let _ = one.replica.transfer_leadership(now, id);
             }
@@ -1323,7 +1331,11 @@
         if let Some(hard) = out.hard_state {
             self.writes.push(PersistentWrite::HardState { shard, hard });
         }
-        if let Some((snapshot, alone)) = out.snapshot {
+        if let Some(SnapshotInstall {
+            snapshot,
+            discard_suffix: alone,
+        }) = out.snapshot
+        {
             if !snapshot.data.is_empty() && one.table.restore(snapshot.data.clone()).is_err() {
                 self.effects.events.push(GroupEvent::StaleDisk {
                     why: format!("shard {shard}: no table came"),
@@ -1393,7 +1405,7 @@
         let marks: Vec<(ReplicaId, u64)> = one
             .replica
             .progress()
-            .map(|(id, matched, _)| (id, matched.min(commit)))
+            .map(|peer| (peer.id, peer.match_index.min(commit)))
             .collect();
         for (id, index) in marks.into_iter().filter(|mark| mark.1 > 0) {
             let of = |peer: &&mut Peer| peer.hello.as_ref().is_some_and(|hello| hello.disk == id);
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -152,11 +152,11 @@
         to: 1,
         from: 2,
         term: 3,
-        body: Some(Body::Vote(VoteRequest {
-            pre: false,
+        body: Some(Body::VoteRequest(VoteRequest {
+            pre_vote: false,
             last_index: 9,
             last_term: 2,
-            wanted: false,
+            leadership_transfer: false,
         })),
     };
     let report = GossipReport {
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -900,7 +900,7 @@
                 let there = |one: &rainstand_raft::Member| one.is_voter && disks.contains(&one.id);
                 let caught_up = replica
                     .progress()
-                    .all(|(_, matched, _)| matched >= replica.commit());
+                    .all(|peer| peer.match_index >= replica.commit());
                 let config = replica.membership();
                 if !caught_up
                     || config.members.len() != self.world.copies
@@ -1271,7 +1271,7 @@
                 if replica.membership().member(replica.id()).is_none() {
                     continue;
                 }
-                let sum = replica.log().sum(replica.applied()).unwrap_or(0);
+                let sum = replica.log().checksum(replica.applied()).unwrap_or(0);
                 let state = twox_hash::XxHash3_64::oneshot(&table.snapshot());
                 let members = twox_hash::XxHash3_64::oneshot(&replica.membership().encode_to_vec());
                 let members = replica.is_membership_committed().then_some(members);
@@ -1307,5 +1307,5 @@
         Some(rainstand_replicated_state::frames::FrameBody::Raft(raft)) => &raft.message.body,
         _ => return false,
     };
-    matches!(body, Some(rainstand_raft::wire::Body::Voted(voted)) if voted.granted && !voted.pre)
+    matches!(body, Some(rainstand_raft::wire::Body::VoteResponse(response)) if response.granted && !response.pre_vote)
 }
