--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -1,22 +1,28 @@
-//! `rainstand store`: what is on a member's disk, whether it can be believed, and its mending by hand.
+//! `rainstand store`: inspects, checks and repairs the files of a member's store.
 
 use crate::out::{json, line, Code};
 use clap::{Args, Subcommand};
 use rainstand_storage::record::{read_record, ReadOutcome, Record, RECORD_HEADER_BYTES};
-use rainstand_storage::store::{recover, repair};
-use rainstand_storage::{Disk, FolderDisk, OpenError};
-use serde_json::json;
+use rainstand_storage::recovery::StoreContents;
+use rainstand_storage::{
+    recover, repair, Damage, Disk, FolderDisk, Identity, LogSuffix, OpenError, Recovered,
+    RecoveredShard, TruncatedTail,
+};
+use serde_json::{json, Value};
+use std::collections::VecDeque;
 use std::io;
 use std::path::PathBuf;
 
+/// The store that a command is about, and the form of its output.
 #[derive(Args)]
-pub struct Where {
+pub struct StoreArgs {
     /// The folder of the disk; its node must be stopped
     folder: PathBuf,
     #[arg(long)]
     json: bool,
 }
 
+/// The subcommands. Doc comments of the variants are help texts.
 #[derive(Subcommand)]
 #[command(after_help = "\
 Examples:
@@ -27,179 +33,260 @@
 Exit codes: 0 good, 1 damage was found, 2 wrong use or a folder that cannot be read or is in use.")]
 pub enum Command {
     /// Which disk it is, and what it holds
-    Info(Where),
+    Info(StoreArgs),
     /// Whether all of it can be believed
-    Check(Where),
+    Check(StoreArgs),
     /// Its records, one a line
     Dump {
         #[command(flatten)]
-        at: Where,
+        store: StoreArgs,
         /// Only so many, the newest
         #[arg(long)]
         last: Option<usize>,
     },
     /// Takes off what cannot be read, from its first byte on; the whole of it is kept beside, set aside
-    Mend(Where),
+    #[command(name = "mend")]
+    Repair(StoreArgs),
 }
 
+impl Command {
+    fn store(&self) -> &StoreArgs {
+        match self {
+            Command::Info(store)
+            | Command::Check(store)
+            | Command::Dump { store, .. }
+            | Command::Repair(store) => store,
+        }
+    }
+}
+
+/// Runs a subcommand.
+///
+/// # Errors
+/// If standard output cannot be written, or a file cannot be read in the middle of a dump.
 pub fn run(command: &Command) -> io::Result<Code> {
-    let (Command::Info(at) | Command::Check(at) | Command::Dump { at, .. } | Command::Mend(at)) =
-        command;
-    let opened = if at.folder.is_dir() {
-        FolderDisk::open(&at.folder)
-    } else {
-        Err(io::Error::new(
-            io::ErrorKind::NotFound,
-            format!("{}: no folder", at.folder.display()),
-        ))
-    };
-    let mut disk = match opened {
+    let args = command.store();
+    let mut disk = match open_folder(args) {
         Ok(disk) => disk,
-        Err(why) => {
-            eprintln!("{why}");
+        Err(error) => {
+            eprintln!("{error}");
             return Ok(Code::Use);
         }
     };
     match command {
-        Command::Info(at) => info(&mut disk, at, true),
-        Command::Check(at) => info(&mut disk, at, false),
-        Command::Dump { at, last } => dump(&mut disk, at, last.unwrap_or(usize::MAX)),
-        Command::Mend(at) => match repair(&mut disk) {
-            Ok(None) => line("nothing to mend").map(|()| Code::Good),
-            Ok(Some(cut)) => {
-                if at.json {
-                    json(&json!({"file": cut.file, "offset": cut.offset, "why": cut.why}))?;
-                } else {
-                    line(&format!("taken off from there on: {cut}"))?;
-                    line("what this copy confirmed may be gone: it must come back as a new member, or not at all")?;
-                }
-                Ok(Code::Found)
-            }
-            Err(why) => {
-                eprintln!("{}: {why}", at.folder.display());
-                Ok(Code::Use)
-            }
-        },
+        Command::Info(_) => inspect(&mut disk, args, Detail::Shards),
+        Command::Check(_) => inspect(&mut disk, args, Detail::Verdict),
+        Command::Dump { last, .. } => dump(&mut disk, args, last.unwrap_or(usize::MAX)),
+        Command::Repair(_) => run_repair(&mut disk, args),
     }
 }
 
-fn info(disk: &mut FolderDisk, at: &Where, whole: bool) -> io::Result<Code> {
-    let (identity, found) = match recover(disk) {
-        Ok(found) => found,
+fn open_folder(args: &StoreArgs) -> io::Result<FolderDisk> {
+    if args.folder.is_dir() {
+        return FolderDisk::open(&args.folder);
+    }
+    Err(io::Error::new(
+        io::ErrorKind::NotFound,
+        format!("{}: no folder", args.folder.display()),
+    ))
+}
+
+/// Reports on standard error what is wrong with the folder.
+fn wrong_use(args: &StoreArgs, reason: &dyn std::fmt::Display) -> Code {
+    eprintln!("{}: {reason}", args.folder.display());
+    Code::Use
+}
+
+fn run_repair(disk: &mut FolderDisk, args: &StoreArgs) -> io::Result<Code> {
+    match repair(disk) {
+        Ok(None) => line("nothing to mend").map(|()| Code::Good),
+        Ok(Some(damage)) => report_repair(args, &damage).map(|()| Code::Found),
+        Err(error) => Ok(wrong_use(args, &error)),
+    }
+}
+
+fn report_repair(args: &StoreArgs, damage: &Damage) -> io::Result<()> {
+    if args.json {
+        return json(&json!({"file": damage.file, "offset": damage.offset, "why": damage.reason}));
+    }
+    line(&format!("taken off from there on: {damage}"))?;
+    line("what this copy confirmed may be gone: it must come back as a new member, or not at all")
+}
+
+/// How much of a good store is printed as text.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Detail {
+    /// Only that it is good.
+    Verdict,
+    /// Its identity and its shards too.
+    Shards,
+}
+
+fn inspect(disk: &mut FolderDisk, args: &StoreArgs, detail: Detail) -> io::Result<Code> {
+    let contents = match recover(disk) {
+        Ok(contents) => contents,
         Err(OpenError::Damaged(damage)) => {
-            if at.json {
-                json(
-                    &json!({"good": false, "file": damage.file, "offset": damage.offset, "why": damage.why}),
-                )?;
-            } else {
-                line(&format!("damaged: {damage}"))?;
-            }
-            return Ok(Code::Found);
-        }
-        Err(OpenError::Io(why)) => {
-            eprintln!("{}: {why}", at.folder.display());
-            return Ok(Code::Use);
+            return report_damage(args, &damage).map(|()| Code::Found)
         }
+        Err(OpenError::Io(error)) => return Ok(wrong_use(args, &error)),
     };
+    let StoreContents {
+        identity,
+        recovered,
+    } = contents;
     let Some(identity) = identity else {
-        eprintln!("{}: no store", at.folder.display());
-        return Ok(Code::Use);
+        return Ok(wrong_use(args, &"no store"));
     };
-    let shards: Vec<_> = found
-        .shards
-        .iter()
-        .map(|(shard, one)| {
-            let base = one.snapshot.as_ref().map_or(0, |snapshot| snapshot.0);
-            let last = one.entries.last().map_or(base, |entry| entry.0);
-            json!({"shard": shard, "base": base, "last": last, "snapshot_bytes": one.snapshot.as_ref().map(|s| s.1.len())})
-        })
-        .collect();
-    let torn = found.truncated_tail.as_ref();
-    if at.json {
-        json(
-            &json!({"good": true, "format": identity.format, "disk": format!("{:016x}", identity.disk),
-            "boot": identity.boot, "segments": found.segments, "bytes": found.bytes,
-            "cut_short": torn.map(|torn| json!({"file": torn.0, "offset": torn.1, "bytes": torn.2})), "shards": shards}),
-        )?;
-        return Ok(Code::Good);
+    if args.json {
+        json(&contents_json(&identity, &recovered))?;
+    } else {
+        print_contents(&identity, &recovered, detail)?;
+    }
+    Ok(Code::Good)
+}
+
+fn report_damage(args: &StoreArgs, damage: &Damage) -> io::Result<()> {
+    if !args.json {
+        return line(&format!("damaged: {damage}"));
     }
-    if whole {
+    json(
+        &json!({"good": false, "file": damage.file, "offset": damage.offset, "why": damage.reason}),
+    )
+}
+
+fn contents_json(identity: &Identity, recovered: &Recovered) -> Value {
+    let tail_json = |tail: &TruncatedTail| json!({"file": tail.file, "offset": tail.offset, "bytes": tail.bytes});
+    let shards: Vec<Value> = recovered.shards.iter().map(shard_json).collect();
+    json!({
+        "good": true,
+        "format": identity.format,
+        "disk": format!("{:016x}", identity.disk),
+        "boot": identity.incarnation,
+        "segments": recovered.segments,
+        "bytes": recovered.bytes,
+        "cut_short": recovered.truncated_tail.as_ref().map(tail_json),
+        "shards": shards,
+    })
+}
+
+fn shard_json((number, shard): (&u16, &RecoveredShard)) -> Value {
+    let snapshot_bytes = shard.snapshot.as_ref().map(|snapshot| snapshot.data.len());
+    json!({
+        "shard": number,
+        "base": shard.snapshot_index(),
+        "last": shard.last_index(),
+        "snapshot_bytes": snapshot_bytes,
+    })
+}
+
+fn print_contents(identity: &Identity, recovered: &Recovered, detail: Detail) -> io::Result<()> {
+    if detail == Detail::Shards {
         line(&format!(
             "disk {:016x}, start {}, format {}: {} segments, {} bytes",
-            identity.disk, identity.boot, identity.format, found.segments, found.bytes
+            identity.disk,
+            identity.incarnation,
+            identity.format,
+            recovered.segments,
+            recovered.bytes
         ))?;
-        for shard in &shards {
+        for (number, shard) in &recovered.shards {
             line(&format!(
-                "shard {}: snapshot at {}, entries to {}",
-                shard["shard"], shard["base"], shard["last"]
+                "shard {number}: snapshot at {}, entries to {}",
+                shard.snapshot_index(),
+                shard.last_index()
             ))?;
         }
     }
-    if let Some((file, offset, bytes)) = torn {
+    if let Some(TruncatedTail {
+        file,
+        offset,
+        bytes,
+    }) = &recovered.truncated_tail
+    {
         line(&format!(
             "{file} was cut short at byte {offset}: {bytes} bytes that nobody confirmed will be taken off"
         ))?;
     }
-    line("good")?;
-    Ok(Code::Good)
+    line("good")
 }
 
-fn dump(disk: &mut FolderDisk, at: &Where, last: usize) -> io::Result<Code> {
-    let mut lines = std::collections::VecDeque::new();
-    let names = disk.list()?;
+/// Prints the last records of the log, and what cannot be read of it.
+fn dump(disk: &mut FolderDisk, args: &StoreArgs, last: usize) -> io::Result<Code> {
+    let mut rows = VecDeque::new();
     let mut code = Code::Good;
+    let names = disk.list()?;
     for name in names.iter().filter(|name| name.starts_with("log-")) {
         let bytes = disk.read(name)?;
-        // Magic, and the length of the head's records.
-        let mut offset = RECORD_HEADER_BYTES.min(bytes.len());
-        loop {
-            let told = match read_record(&bytes[offset..]) {
-                ReadOutcome::End => break,
-                ReadOutcome::Complete(record, len) => {
-                    let value = match record {
-                        Record::HardState { shard, data } => {
-                            json!({"kind": "hard", "shard": shard, "bytes": data.len()})
-                        }
-                        Record::Entry { shard, index, data } => {
-                            json!({"kind": "entry", "shard": shard, "index": index, "bytes": data.len()})
-                        }
-                        Record::SnapshotMarker {
-                            shard,
-                            index,
-                            alone,
-                        } => {
-                            json!({"kind": "base", "shard": shard, "index": index, "alone": alone})
-                        }
-                        Record::Metadata { number, data } => {
-                            json!({"kind": "note", "number": number, "bytes": data.len()})
-                        }
-                    };
-                    let told = (value, Some(len));
-                    offset += len;
-                    told
-                }
-                ReadOutcome::Truncated => (json!({"kind": "cut short"}), None),
-                ReadOutcome::Corrupt(why) => (json!({"kind": "damaged", "why": why}), None),
-            };
-            let (mut value, len) = told;
-            value["file"] = name.as_str().into();
-            value["offset"] = (offset - len.unwrap_or(0)).into();
-            lines.push_back(value);
-            if lines.len() > last {
-                lines.pop_front();
-            }
-            if len.is_none() {
-                code = Code::Found;
-                break;
-            }
+        if dump_segment(name, &bytes, last, &mut rows) == SegmentState::Unreadable {
+            code = Code::Found;
         }
     }
-    for value in lines {
-        if at.json {
-            json(&value)?;
+    for row in rows {
+        if args.json {
+            json(&row)?;
         } else {
-            line(&value.to_string())?;
+            line(&row.to_string())?;
         }
     }
     Ok(code)
 }
+
+/// Whether all of a segment could be read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SegmentState {
+    Readable,
+    Unreadable,
+}
+
+/// Adds the records of a segment to the rows, of which the newest `last` are retained.
+fn dump_segment(name: &str, bytes: &[u8], last: usize, rows: &mut VecDeque<Value>) -> SegmentState {
+    let mut push_row = |mut row: Value, offset: usize| {
+        row["file"] = name.into();
+        row["offset"] = offset.into();
+        rows.push_back(row);
+        if rows.len() > last {
+            rows.pop_front();
+        }
+    };
+    // The magic number and the length of the header's records take as many bytes as the header of a record.
+    let mut offset = RECORD_HEADER_BYTES.min(bytes.len());
+    loop {
+        match read_record(&bytes[offset..]) {
+            ReadOutcome::Empty => return SegmentState::Readable,
+            ReadOutcome::Complete { record, len } => {
+                push_row(record_json(&record), offset);
+                offset += len;
+            }
+            ReadOutcome::Truncated => {
+                push_row(json!({"kind": "cut short"}), offset);
+                return SegmentState::Unreadable;
+            }
+            ReadOutcome::Corrupt(fault) => {
+                push_row(json!({"kind": "damaged", "why": fault.to_string()}), offset);
+                return SegmentState::Unreadable;
+            }
+        }
+    }
+}
+
+fn record_json(record: &Record) -> Value {
+    match record {
+        Record::HardState { shard, data } => {
+            json!({"kind": "hard", "shard": shard, "bytes": data.len()})
+        }
+        Record::Entry { shard, index, data } => {
+            json!({"kind": "entry", "shard": shard, "index": index, "bytes": data.len()})
+        }
+        Record::SnapshotMarker {
+            shard,
+            index,
+            suffix,
+        } => {
+            let discards_suffix = *suffix == LogSuffix::Discard;
+            json!({"kind": "base", "shard": shard, "index": index, "alone": discards_suffix})
+        }
+        Record::Metadata { number, data } => {
+            json!({"kind": "note", "number": number, "bytes": data.len()})
+        }
+    }
+}
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::config_server::{ConfigServer, EventCallback as TellEvent};
 use crate::fault_injection::{self, Clock};
-use crate::persistence::{found, record};
+use crate::persistence::{found, log_suffix, record};
 use crate::transport::{accept, maintain_link, Outbox};
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
@@ -18,7 +18,7 @@
     Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite, DEFAULT_COMPACTION_ENTRIES,
 };
 use rainstand_storage::writer::{WriteJob, WriteOutcome, Writer};
-use rainstand_storage::{Disk, FolderDisk, OpenError, Recovered, Store, StoreLimits};
+use rainstand_storage::{Disk, FolderDisk, IdentitySeed, OpenError, Recovered, Store, StoreLimits};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::hash::{BuildHasher, Hasher};
@@ -81,14 +81,17 @@
 }
 
 /// Draws that no other start makes: the system's own chance, through the standard library.
-fn draws() -> [u64; 2] {
+fn draws() -> IdentitySeed {
     let draw = || {
         let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
         hasher.write_u8(1);
         // 0 is nobody.
         hasher.finish().max(1)
     };
-    [draw(), draw()]
+    IdentitySeed {
+        disk: draw(),
+        nonce: draw(),
+    }
 }
 
 fn limits() -> StoreLimits {
@@ -214,7 +217,7 @@
 
     /// From now on processes that are no members may attach and hear of what is published.
     pub fn serve(self: &Rc<Self>, bounds: PublisherLimits, tell: TellEvent) {
-        let serving = ConfigServer::begin(self, bounds, draws()[0], tell);
+        let serving = ConfigServer::begin(self, bounds, draws().disk, tell);
         self.serving.replace(Some(serving));
     }
 
@@ -352,7 +355,7 @@
                         shard,
                         index,
                         data,
-                        alone,
+                        suffix: log_suffix(alone),
                     });
                 }
                 other => records.extend(record(&other)),
@@ -530,7 +533,7 @@
         moves: settings.moves as usize,
         keys: settings.keys as usize,
         compact: DEFAULT_COMPACTION_ENTRIES,
-        seed: draws()[0],
+        seed: draws().disk,
     };
     Ok(GroupMember::new(
         options,
@@ -573,12 +576,15 @@
             continue;
         }
         match done {
-            WriteOutcome::Durable { to, pressing } => {
+            WriteOutcome::Durable {
+                up_to,
+                needs_compaction,
+            } => {
                 group.flushes.set(group.flushes.get() + 1);
                 group.drive(|member, now| {
-                    member.on_persisted(now, to);
-                    if !pressing.is_empty() {
-                        member.pressing(now, &pressing);
+                    member.on_persisted(now, up_to);
+                    if !needs_compaction.is_empty() {
+                        member.pressing(now, &needs_compaction);
                     }
                 });
             }
--- a/crates/cluster/src/persistence.rs
+++ b/crates/cluster/src/persistence.rs
@@ -8,7 +8,7 @@
     PersistentWrite, RecoveredState, METADATA_BOOTSTRAP, METADATA_GENERATION, METADATA_MEMBER_NAME,
     METADATA_PEER_INCARNATIONS,
 };
-use rainstand_storage::{Disk, Identity, Record, Recovered, Store};
+use rainstand_storage::{Disk, Identity, LogSuffix, Record, Recovered, Store, StoredEntry};
 use std::io;
 
 /// What a recovery found. A record whose bytes are none of a member's was written by another program: it is told.
@@ -18,7 +18,7 @@
 pub fn found(identity: &Identity, recovered: &Recovered) -> Result<RecoveredState, String> {
     let mut found = RecoveredState {
         disk: identity.disk,
-        incarnation: identity.boot,
+        incarnation: identity.incarnation,
         nonce: identity.nonce,
         ..RecoveredState::default()
     };
@@ -29,11 +29,11 @@
             state.hard_state =
                 HardState::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
         }
-        if let Some((_, data)) = &one.snapshot {
+        if let Some(snapshot) = &one.snapshot {
             state.snapshot =
-                Some(Snapshot::decode(&data[..]).map_err(|why| flaw("snapshot", why))?);
+                Some(Snapshot::decode(&snapshot.data[..]).map_err(|why| flaw("snapshot", why))?);
         }
-        for (index, data) in &one.entries {
+        for StoredEntry { index, data } in &one.entries {
             let entry = Entry::decode(&data[..]).map_err(|why| flaw("entry", why))?;
             if entry.index != *index {
                 return Err(format!(
@@ -80,6 +80,15 @@
     })
 }
 
+/// What becomes of the entries behind a snapshot.
+pub fn log_suffix(discard: bool) -> LogSuffix {
+    if discard {
+        LogSuffix::Discard
+    } else {
+        LogSuffix::Retain
+    }
+}
+
 /// Puts a write; a snapshot is durable when this returns.
 ///
 /// # Errors
@@ -95,7 +104,7 @@
             *shard,
             snapshot.metadata.index,
             &snapshot.encode_to_vec(),
-            *alone,
+            log_suffix(*alone),
         );
     }
     if let Some(record) = record(write) {
--- a/crates/cluster/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -11,7 +11,10 @@
 use rainstand_replicated_state::frames::{BootstrapConfig, BootstrapMember};
 use rainstand_replicated_state::idempotency::{Command, IdempotencyTable};
 use rainstand_replicated_state::member::{METADATA_BOOTSTRAP, METADATA_GENERATION};
-use rainstand_storage::{FolderDisk, OpenError, Record, Store, StoreLimits};
+use rainstand_storage::recovery::StoreContents;
+use rainstand_storage::{
+    FolderDisk, IdentitySeed, LogSuffix, OpenError, Record, Store, StoreLimits,
+};
 use serde::Serialize;
 use std::path::Path;
 
@@ -49,8 +52,10 @@
 /// If the folder is in use, damaged, or holds no member's disk.
 pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<RecoveryReport, String> {
     let mut disk = FolderDisk::open(folder).map_err(|why| why.to_string())?;
-    let (identity, recovered) =
-        rainstand_storage::store::recover(&mut disk).map_err(|why| why.to_string())?;
+    let StoreContents {
+        identity,
+        recovered,
+    } = rainstand_storage::recover(&mut disk).map_err(|why| why.to_string())?;
     let Some(identity) = identity else {
         return Err("no disk of a member".into());
     };
@@ -137,7 +142,10 @@
         Ok(Store::open(
             disk,
             StoreLimits::default(),
-            [identity.disk, identity.nonce ^ identity.boot],
+            IdentitySeed {
+                disk: identity.disk,
+                nonce: identity.nonce ^ identity.incarnation,
+            },
         )?
         .0)
     };
@@ -164,7 +172,7 @@
                 shard,
                 snapshot.metadata.index,
                 &snapshot.encode_to_vec(),
-                true,
+                LogSuffix::Discard,
             )
             .map_err(|why| format!("shard {shard}: {why}"))?;
     }
--- a/crates/storage/benches/commit.rs
+++ b/crates/storage/benches/commit.rs
@@ -8,7 +8,7 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
-use rainstand_storage::{FolderDisk, Record, Store, StoreLimits};
+use rainstand_storage::{FolderDisk, IdentitySeed, Record, Store, StoreLimits};
 use std::time::{Duration, Instant};
 
 const LASTS: Duration = Duration::from_millis(1_500);
@@ -32,7 +32,12 @@
     for group in [1u64, 16, 256] {
         let folder = tempfile::tempdir().expect("a folder");
         let disk = FolderDisk::open(&folder.path().join("own")).expect("a folder");
-        let (mut store, _) = Store::open(disk, StoreLimits::default(), [1, 2]).expect("a store");
+        let (mut store, _) = Store::open(
+            disk,
+            StoreLimits::default(),
+            IdentitySeed { disk: 1, nonce: 2 },
+        )
+        .expect("a store");
         let own = rate(|n| {
             for k in 0..group {
                 store.append(&Record::Entry {
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -1,115 +1,164 @@
-//! What a store asks of a folder of files.
+//! The operations that a store needs of a folder of files, and a folder of the file system.
 
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
-/// Folders set aside that are kept; the oldest goes when one more comes.
+/// Bound on the quarantine folders that are retained: beyond it the oldest ones are removed.
 const MAX_QUARANTINED: usize = 3;
-const LOCK: &str = "lock";
+/// Begins the names of quarantine folders; a number follows.
+const QUARANTINE_PREFIX: &str = "aside-";
+/// The file that is locked against a second process.
+const LOCK_FILE: &str = "lock";
 
-/// One folder. Names are plain file names. Bytes that were appended are durable once `flush` says so; names, once
-/// the `flush` of a new file or `rename` do.
+/// A folder of files, by plain file names. Appended bytes are durable once [`Disk::flush`] returns; a file's name is
+/// durable once the first `flush` of the file or its [`Disk::rename`] returns.
 pub trait Disk {
-    /// All files, in order of name.
+    /// The names of all files, in order.
     ///
     /// # Errors
-    /// Those of the system, as with everything here.
+    /// If the folder cannot be read.
     fn list(&mut self) -> io::Result<Vec<String>>;
+
+    /// All bytes of a file.
+    ///
     /// # Errors
-    /// As above.
+    /// If the file does not exist or cannot be read.
     fn read(&mut self, name: &str) -> io::Result<Vec<u8>>;
-    /// Makes the file if it is not there.
+
+    /// Appends bytes to a file, which is created if it does not exist. They are not durable when this returns.
     ///
     /// # Errors
-    /// As above.
+    /// If the bytes cannot be written; some of them may have been.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes all bytes that were appended to a file durable.
+    ///
     /// # Errors
-    /// As above; what was appended since the last flush may be there or not.
+    /// If they cannot be flushed; what was appended since the last flush may be there or not.
     fn flush(&mut self, name: &str) -> io::Result<()>;
-    /// Shortens a file, durably.
+
+    /// Shortens a file to `len` bytes, durably.
     ///
     /// # Errors
-    /// As above.
+    /// If the file does not exist or cannot be shortened.
     fn truncate(&mut self, name: &str, len: u64) -> io::Result<()>;
+
+    /// Renames a file, durably and atomically, in place of a file of the new name.
+    ///
     /// # Errors
-    /// As above.
+    /// If the file does not exist or cannot be renamed.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file. After a crash it may be back.
+    ///
     /// # Errors
-    /// As above.
+    /// If the file does not exist or cannot be removed.
     fn remove(&mut self, name: &str) -> io::Result<()>;
-    /// Moves all files away, where a person can look at them; the folder is empty after it.
+
+    /// Moves all files to a place where a person can inspect them. The folder is empty afterwards.
     ///
     /// # Errors
-    /// As above.
+    /// If a file cannot be moved.
     fn quarantine(&mut self) -> io::Result<()>;
 }
 
-/// What a folder is to do wrong, in tests of the whole program.
+/// Injects faults into a [`FolderDisk`], in tests of the whole program. It is called before each flush, and may block or
+/// return the error with which the flush fails.
 pub type FaultHook = std::sync::Arc<dyn Fn() -> io::Result<()> + Send + Sync>;
 
-/// A folder of the system, locked against a second process.
+/// A folder of the file system, locked against a second process.
 pub struct FolderDisk {
     path: PathBuf,
-    open: HashMap<String, File>,
-    /// Asked before each append and flush: it may wait, or say that the disk failed.
+    /// Files that are open for appending, by name.
+    open_files: HashMap<String, File>,
     fault_hook: Option<FaultHook>,
     _lock: File,
 }
 
+/// A file that is open for appending.
+struct AppendFile<'a> {
+    file: &'a mut File,
+    is_new: bool,
+}
+
 impl FolderDisk {
-    /// Makes the folder if it is not there.
+    /// Opens a folder, which is created if it does not exist.
     ///
     /// # Errors
-    /// If it cannot be made or read, or another process has it.
+    /// If it cannot be created or read, or another process holds its lock.
     pub fn open(path: &Path) -> io::Result<Self> {
         fs::create_dir_all(path)?;
         let lock = OpenOptions::new()
             .create(true)
             .truncate(false)
             .write(true)
-            .open(path.join(LOCK))?;
+            .open(path.join(LOCK_FILE))?;
         match lock.try_lock() {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => {
-                let why = format!("{}: another process has this folder", path.display());
-                return Err(io::Error::new(io::ErrorKind::ResourceBusy, why));
+                let text = format!("{}: another process has this folder", path.display());
+                return Err(io::Error::new(io::ErrorKind::ResourceBusy, text));
             }
-            Err(TryLockError::Error(why)) => return Err(why),
+            Err(TryLockError::Error(error)) => return Err(error),
         }
         Ok(Self {
             path: path.to_owned(),
-            open: HashMap::new(),
+            open_files: HashMap::new(),
             fault_hook: None,
             _lock: lock,
         })
     }
 
-    /// From now on it fails as it is told.
-    pub fn with_fault_hook(mut self, trouble: FaultHook) -> Self {
-        self.fault_hook = Some(trouble);
+    /// Injects faults from now on.
+    #[must_use]
+    pub fn with_fault_hook(mut self, fault_hook: FaultHook) -> Self {
+        self.fault_hook = Some(fault_hook);
         self
     }
 
-    fn check_fault_hook(&self) -> io::Result<()> {
-        self.fault_hook.as_ref().map_or(Ok(()), |trouble| trouble())
+    fn run_fault_hook(&self) -> io::Result<()> {
+        self.fault_hook
+            .as_ref()
+            .map_or(Ok(()), |fault_hook| fault_hook())
     }
 
     /// Makes the names in the folder durable.
-    fn flush_names(&self) -> io::Result<()> {
+    fn sync_folder(&self) -> io::Result<()> {
         File::open(&self.path)?.sync_all()
     }
 
-    fn file(&mut self, name: &str) -> io::Result<(&mut File, bool)> {
+    /// The file of a name, opened for appending or created.
+    fn append_file(&mut self, name: &str) -> io::Result<AppendFile<'_>> {
         let path = self.path.join(name);
-        let new = !self.open.contains_key(name) && !path.exists();
-        if !self.open.contains_key(name) {
+        let is_open = self.open_files.contains_key(name);
+        let is_new = !is_open && !path.exists();
+        if !is_open {
             let file = OpenOptions::new().create(true).append(true).open(&path)?;
-            self.open.insert(name.to_owned(), file);
+            self.open_files.insert(name.to_owned(), file);
+        }
+        let file = self
+            .open_files
+            .get_mut(name)
+            .ok_or(io::ErrorKind::NotFound)?;
+        Ok(AppendFile { file, is_new })
+    }
+
+    /// Numbers of the quarantine folders, in order.
+    fn quarantine_numbers(&self) -> io::Result<Vec<u64>> {
+        let mut numbers: Vec<u64> = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name().into_string().unwrap_or_default();
+            let number = name.strip_prefix(QUARANTINE_PREFIX);
+            numbers.extend(number.and_then(|number| number.parse::<u64>().ok()));
         }
-        let file = self.open.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
-        Ok((file, new))
+        numbers.sort_unstable();
+        Ok(numbers)
+    }
+
+    fn quarantine_folder(&self, number: u64) -> PathBuf {
+        self.path.join(format!("{QUARANTINE_PREFIX}{number:04}"))
     }
 }
 
@@ -119,7 +168,7 @@
         for entry in fs::read_dir(&self.path)? {
             let entry = entry?;
             let name = entry.file_name().into_string().unwrap_or_default();
-            if entry.file_type()?.is_file() && name != LOCK && !name.is_empty() {
+            if entry.file_type()?.is_file() && name != LOCK_FILE && !name.is_empty() {
                 names.push(name);
             }
         }
@@ -134,62 +183,51 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let (file, new) = self.file(name)?;
-        io::Write::write_all(file, bytes)?;
-        if new {
-            self.flush_names()?;
+        let AppendFile { file, is_new } = self.append_file(name)?;
+        file.write_all(bytes)?;
+        if is_new {
+            self.sync_folder()?;
         }
         Ok(())
     }
 
     fn flush(&mut self, name: &str) -> io::Result<()> {
-        self.check_fault_hook()?;
-        self.file(name)?.0.sync_data()
+        self.run_fault_hook()?;
+        self.append_file(name)?.file.sync_data()
     }
 
     fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
-        self.open.remove(name);
+        self.open_files.remove(name);
         let file = OpenOptions::new().write(true).open(self.path.join(name))?;
         file.set_len(len)?;
         file.sync_all()
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        self.open.remove(from);
-        self.open.remove(to);
+        self.open_files.remove(from);
+        self.open_files.remove(to);
         fs::rename(self.path.join(from), self.path.join(to))?;
-        self.flush_names()
+        self.sync_folder()
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        self.open.remove(name);
+        self.open_files.remove(name);
         fs::remove_file(self.path.join(name))
     }
 
     fn quarantine(&mut self) -> io::Result<()> {
-        let mut before: Vec<u64> = Vec::new();
-        for entry in fs::read_dir(&self.path)? {
-            let name = entry?.file_name().into_string().unwrap_or_default();
-            before.extend(
-                name.strip_prefix("aside-")
-                    .and_then(|number| number.parse::<u64>().ok()),
-            );
-        }
-        before.sort_unstable();
-        let folder = |number: u64| self.path.join(format!("aside-{number:04}"));
-        for old in before
-            .iter()
-            .take((before.len() + 1).saturating_sub(MAX_QUARANTINED))
-        {
-            fs::remove_dir_all(folder(*old))?;
+        let numbers = self.quarantine_numbers()?;
+        let surplus = (numbers.len() + 1).saturating_sub(MAX_QUARANTINED);
+        for number in &numbers[..surplus.min(numbers.len())] {
+            fs::remove_dir_all(self.quarantine_folder(*number))?;
         }
-        let to = folder(before.last().map_or(1, |last| last + 1));
-        fs::create_dir(&to)?;
+        let destination = self.quarantine_folder(numbers.last().map_or(1, |last| last + 1));
+        fs::create_dir(&destination)?;
         let names = self.list()?;
-        self.open.clear();
+        self.open_files.clear();
         for name in names {
-            fs::rename(self.path.join(&name), to.join(&name))?;
+            fs::rename(self.path.join(&name), destination.join(&name))?;
         }
-        self.flush_names()
+        self.sync_folder()
     }
 }
--- a/crates/storage/src/faulty_disk.rs
+++ b/crates/storage/src/faulty_disk.rs
@@ -1,4 +1,5 @@
-//! A folder in memory that does what disks do: it keeps what was flushed, and of the rest what a crash leaves.
+//! A folder in memory for tests: it retains what was flushed, and of the rest what a crash is to leave; and it fails on
+//! demand.
 
 use crate::disk::Disk;
 use std::cell::RefCell;
@@ -9,29 +10,33 @@
 /// What a crash leaves of bytes that were appended and not flushed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashOutcome {
-    /// So many bytes of all of them, in the order in which they were written; the rest is lost.
+    /// The first bytes, in the order in which they were written; the rest is lost.
     First(usize),
-    /// All of them but the first so many, which are zeros: later sectors reached the disk before earlier ones.
+    /// All of them, with zeros in place of the first ones: later sectors reached the disk before earlier ones.
     AllBut(usize),
 }
 
-/// What goes wrong from now on.
+/// The faults of a disk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each fault is there or not, whatever the others are"
+)]
 pub struct DiskFaults {
-    /// Flushes fail, and what was appended is lost.
+    /// Flushes fail, and the unflushed bytes are lost.
     pub flush_fails: bool,
-    /// Appends fail, the first of them half way.
+    /// Appends write half of their bytes and fail.
     pub full: bool,
     /// Nothing can be read or written.
-    pub gone: bool,
-    /// Flushes say that they are done and are not.
-    pub lies: bool,
+    pub unavailable: bool,
+    /// Flushes return without effect.
+    pub ignores_flushes: bool,
 }
 
 #[derive(Clone, Debug, Default)]
 struct File {
-    /// What is there, and how much of it was flushed.
     bytes: Vec<u8>,
+    /// How many of the bytes were flushed.
     flushed: usize,
 }
 
@@ -40,27 +45,29 @@
     files: BTreeMap<String, File>,
     /// Files with bytes that are not flushed, in the order of their first such byte.
     unflushed: Vec<String>,
-    ills: DiskFaults,
-    asides: usize,
+    faults: DiskFaults,
+    quarantines: usize,
     flushes: u64,
 }
 
-/// Shared by whoever writes and whoever makes it crash.
+/// The folder. Its clones share the files, so that a test can keep one and make it crash; see also [`FaultyDisk::copy`].
 #[derive(Clone, Debug, Default)]
 pub struct FaultyDisk(Rc<RefCell<State>>);
 
 impl FaultyDisk {
-    /// A copy that nothing shares: what a backup holds.
+    /// A copy that shares nothing with this one.
+    #[must_use]
     pub fn copy(&self) -> Self {
         Self(Rc::new(RefCell::new(self.0.borrow().clone())))
     }
 
-    pub fn set_faults(&self, ills: DiskFaults) {
-        self.0.borrow_mut().ills = ills;
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: DiskFaults) {
+        self.0.borrow_mut().faults = faults;
     }
 
-    /// Bytes that a crash may lose.
-    pub fn at_risk(&self) -> usize {
+    /// Number of bytes that are not flushed.
+    pub fn unflushed_bytes(&self) -> usize {
         let state = self.0.borrow();
         state
             .files
@@ -69,46 +76,49 @@
             .sum()
     }
 
+    /// How often [`Disk::flush`] was called.
     pub fn flushes(&self) -> u64 {
         self.0.borrow().flushes
     }
 
+    /// How often the files were quarantined.
     pub fn quarantine_count(&self) -> usize {
-        self.0.borrow().asides
+        self.0.borrow().quarantines
     }
 
-    /// What is left after a crash; everything that is wrong is mended but for that.
-    pub fn crash(&self, leaves: CrashOutcome) {
+    /// Crashes: of the unflushed bytes the outcome is left. All faults end.
+    pub fn crash(&self, outcome: CrashOutcome) {
         let mut state = self.0.borrow_mut();
         let names = std::mem::take(&mut state.unflushed);
-        let (mut first, mut zeros) = match leaves {
-            CrashOutcome::First(n) => (n, 0),
-            CrashOutcome::AllBut(n) => (usize::MAX, n),
+        let (mut retained_bytes, mut zeroed_bytes) = match outcome {
+            CrashOutcome::First(bytes) => (bytes, 0),
+            CrashOutcome::AllBut(bytes) => (usize::MAX, bytes),
         };
         for name in names {
             let Some(file) = state.files.get_mut(&name) else {
                 continue;
             };
-            let kept = first.min(file.bytes.len() - file.flushed);
-            first -= kept;
-            file.bytes.truncate(file.flushed + kept);
-            let zeroed = zeros.min(kept);
+            let retained = retained_bytes.min(file.bytes.len() - file.flushed);
+            retained_bytes -= retained;
+            file.bytes.truncate(file.flushed + retained);
+            let zeroed = zeroed_bytes.min(retained);
             file.bytes[file.flushed..file.flushed + zeroed].fill(0);
-            zeros -= zeroed;
+            zeroed_bytes -= zeroed;
             file.flushed = file.bytes.len();
         }
-        state.ills = DiskFaults::default();
+        state.faults = DiskFaults::default();
     }
 
-    /// Turns one bit over, at rest.
+    /// Flips one bit of a stored byte.
     ///
     /// # Panics
     /// If there is no such byte.
     pub fn flip(&self, name: &str, byte: usize, bit: u8) {
         let mut state = self.0.borrow_mut();
-        state.files.get_mut(name).expect("a file")[byte] ^= 1 << (bit % 8);
+        state.files.get_mut(name).expect("a file").bytes[byte] ^= 1 << (bit % 8);
     }
 
+    /// Bytes of a file; 0 if it does not exist.
     pub fn size(&self, name: &str) -> usize {
         self.0
             .borrow()
@@ -118,37 +128,25 @@
     }
 }
 
-impl std::ops::Index<usize> for File {
-    type Output = u8;
-    fn index(&self, at: usize) -> &u8 {
-        &self.bytes[at]
-    }
-}
-
-impl std::ops::IndexMut<usize> for File {
-    fn index_mut(&mut self, at: usize) -> &mut u8 {
-        &mut self.bytes[at]
+impl State {
+    fn ensure_available(&self) -> io::Result<()> {
+        if self.faults.unavailable {
+            return Err(io::Error::other("gone"));
+        }
+        Ok(())
     }
 }
 
-fn ill(why: &str) -> io::Error {
-    io::Error::other(why.to_owned())
-}
-
 impl Disk for FaultyDisk {
     fn list(&mut self) -> io::Result<Vec<String>> {
         let state = self.0.borrow();
-        if state.ills.gone {
-            return Err(ill("gone"));
-        }
+        state.ensure_available()?;
         Ok(state.files.keys().cloned().collect())
     }
 
     fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
         let state = self.0.borrow();
-        if state.ills.gone {
-            return Err(ill("gone"));
-        }
+        state.ensure_available()?;
         state
             .files
             .get(name)
@@ -158,11 +156,9 @@
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
-        if state.ills.gone {
-            return Err(ill("gone"));
-        }
-        let full = state.ills.full;
-        let taken = if full {
+        state.ensure_available()?;
+        let is_full = state.faults.full;
+        let written = if is_full {
             &bytes[..bytes.len() / 2]
         } else {
             bytes
@@ -172,11 +168,11 @@
             .entry(name.to_owned())
             .or_default()
             .bytes
-            .extend_from_slice(taken);
+            .extend_from_slice(written);
         if !state.unflushed.iter().any(|one| one == name) {
             state.unflushed.push(name.to_owned());
         }
-        if full {
+        if is_full {
             return Err(io::ErrorKind::StorageFull.into());
         }
         Ok(())
@@ -185,19 +181,17 @@
     fn flush(&mut self, name: &str) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
         state.flushes += 1;
-        if state.ills.gone {
-            return Err(ill("gone"));
-        }
-        if state.ills.lies {
+        state.ensure_available()?;
+        if state.faults.ignores_flushes {
             return Ok(());
         }
-        let fails = state.ills.flush_fails;
+        let fails = state.faults.flush_fails;
         let file = state.files.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
         if fails {
-            // As some systems do: the pages are marked clean, and what they held is nowhere.
+            // As some kernels do: the pages are marked clean though their data was not written.
             file.bytes.truncate(file.flushed);
             state.unflushed.retain(|one| one != name);
-            return Err(ill("flush failed"));
+            return Err(io::Error::other("flush failed"));
         }
         file.flushed = file.bytes.len();
         state.unflushed.retain(|one| one != name);
@@ -214,9 +208,7 @@
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
-        if state.ills.gone {
-            return Err(ill("gone"));
-        }
+        state.ensure_available()?;
         let file = state.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
         state.files.insert(to.to_owned(), file);
         Ok(())
@@ -224,9 +216,7 @@
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
         let mut state = self.0.borrow_mut();
-        if state.ills.gone {
-            return Err(ill("gone"));
-        }
+        state.ensure_available()?;
         state
             .files
             .remove(name)
@@ -238,7 +228,7 @@
         let mut state = self.0.borrow_mut();
         state.files.clear();
         state.unflushed.clear();
-        state.asides += 1;
+        state.quarantines += 1;
         Ok(())
     }
 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,34 +1,39 @@
 //! A log on disk that survives crashes.
 //!
-//! | module | what it is |
+//! | module | contents |
 //! | --- | --- |
-//! | [`disk`] | the few things a store asks of a folder, and the folder itself |
-//! | [`faulty`] | a folder in memory that crashes, lies and fills up as told |
-//! | [`record`] | records as bytes, with their checksums; pure |
-//! | [`store`] | segments, snapshots, identity, recovery |
-//! | [`writer`] | the thread that writes and flushes for a program which may not wait |
+//! | [`disk`] | the operations that a store needs of a folder, and the folder itself |
+//! | [`faulty_disk`] | a folder in memory that crashes, fills up and fails on demand, for tests |
+//! | [`record`] | records as bytes, with their checksums |
+//! | [`store`] | the store: segments, snapshots, identity |
+//! | [`recovery`] | what a store's files hold |
+//! | [`writer`] | the thread that writes and flushes for a program that may not block |
 //!
-//! What is promised (`docs/design/copies.md` has the options weighed):
+//! Guarantees (`docs/design/copies.md` weighs the alternatives):
 //!
-//! - What a flush confirmed is there after a crash, whole and in order; of what it did not confirm, a beginning is.
-//! - A write cut short at the end of the newest segment is taken off. Anything else that cannot be read is damage: it is
-//!   named with file and offset, and nothing is opened until somebody mends it or sets the folder aside.
-//! - After a flush or write that failed, nothing more is written and nothing is confirmed: what the disk holds is not
+//! - What a flush confirmed is there after a crash, complete and in order; of what it did not confirm, a prefix is.
+//! - A write that a crash cut short, at the end of the newest segment, is removed. Anything else that cannot be read is
+//!   damage: it is reported with file and offset, and the store is not opened until it is repaired or quarantined.
+//! - After a write or flush that failed, nothing more is written and nothing is confirmed: what the disk holds is not
 //!   known until it is read again.
 
-#![allow(
-    missing_docs,
-    unreachable_pub,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
-)]
-
 pub mod disk;
+mod error;
 pub mod faulty_disk;
+mod identity;
 pub mod record;
+pub mod recovery;
+mod repair;
+mod segment;
+mod snapshot_file;
 pub mod store;
 pub mod writer;
 
 pub use disk::{Disk, FolderDisk};
-pub use record::Record;
-pub use store::{Damage, Identity, OpenError, Recovered, Shard, Store, StoreLimits};
+pub use error::{Damage, OpenError};
+pub use identity::{Identity, IdentitySeed, FORMAT};
+pub use record::{LogSuffix, Record};
+pub use recovery::{recover, Recovered, RecoveredShard, StoredEntry, StoredSnapshot};
+pub use repair::repair;
+pub use segment::TruncatedTail;
+pub use store::{Store, StoreLimits};
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -1,156 +1,248 @@
-//! Records as bytes: a length, a checksum over all that follows, a kind, a shard, and what it says.
+//! Records as bytes.
 //!
-//! | bytes | what |
+//! | bytes | contents |
 //! | --- | --- |
 //! | 4 | length of what follows the checksum, little-endian |
-//! | 8 | XXH3 of what follows, seeded with the length |
+//! | 8 | XXH3 of what follows the checksum, seeded with the length, little-endian |
 //! | 1 | kind |
-//! | 2 | shard |
-//! | the rest | by kind; an entry begins with its index, 8 bytes |
+//! | 2 | shard, or number of the metadata, little-endian |
+//! | 8 | index, little-endian; entries and snapshot markers only |
+//! | rest | data; of a snapshot marker, one byte if the suffix is discarded and none if it is retained |
 
 use twox_hash::XxHash3_64;
 
-/// The longest record, in bytes: a batch of the largest results, many times over.
+/// Largest length of what follows the checksum, in bytes: a batch of the largest results, many times over.
 pub const MAX_RECORD_BYTES: usize = 16 << 20;
-/// Length and checksum.
-pub const RECORD_HEADER_BYTES: usize = 12;
+/// Bytes of length and checksum.
+pub const RECORD_HEADER_BYTES: usize = LENGTH_BYTES + 8;
 
-/// What a log holds. The store does not look into the bytes.
+const LENGTH_BYTES: usize = 4;
+/// Bytes of kind and shard: the shortest possible rest of a record.
+const KIND_AND_SHARD_BYTES: usize = 3;
+const INDEX_BYTES: usize = 8;
+
+const KIND_HARD_STATE: u8 = 1;
+const KIND_ENTRY: u8 = 2;
+const KIND_SNAPSHOT_MARKER: u8 = 3;
+const KIND_METADATA: u8 = 4;
+
+/// What becomes of the entries behind a new snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogSuffix {
+    /// They follow the snapshot and stay.
+    Retain,
+    /// They belong to another history and go.
+    Discard,
+}
+
+/// What a log holds. The store does not interpret the data.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
-    /// Replaces the one before of this shard: a term and a vote.
-    HardState { shard: u16, data: Vec<u8> },
-    /// Replaces all of this shard from its index on.
+    /// Replaces the hard state of its shard.
+    HardState {
+        /// The shard.
+        shard: u16,
+        /// Term and vote.
+        data: Vec<u8>,
+    },
+    /// Replaces the entries of its shard from its index on.
     Entry {
+        /// The shard.
+        shard: u16,
+        /// Position in the shard's log.
+        index: u64,
+        /// The entry.
+        data: Vec<u8>,
+    },
+    /// The entries of its shard up to its index are in a snapshot.
+    SnapshotMarker {
+        /// The shard.
         shard: u16,
+        /// Index of the last entry in the snapshot.
         index: u64,
+        /// What becomes of the entries behind it.
+        suffix: LogSuffix,
+    },
+    /// Replaces the metadata of its number.
+    Metadata {
+        /// Which metadata.
+        number: u16,
+        /// The metadata.
         data: Vec<u8>,
     },
-    /// What stands up to this index is in a snapshot; `alone`: nothing stands behind it either.
-    SnapshotMarker { shard: u16, index: u64, alone: bool },
-    /// Replaces the one before of this number.
-    Metadata { number: u16, data: Vec<u8> },
 }
 
-const HARD: u8 = 1;
-const ENTRY: u8 = 2;
-const BASE: u8 = 3;
-const NOTE: u8 = 4;
+/// Why bytes are no record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RecordFault {
+    /// The length is impossible.
+    #[error("length")]
+    Length,
+    /// The checksum does not match.
+    #[error("checksum")]
+    Checksum,
+    /// The kind is unknown, or the record too short for its kind.
+    #[error("kind")]
+    Kind,
+}
 
 /// What stands at the beginning of some bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
-    /// A record, and how many bytes it takes.
-    Complete(Record, usize),
-    /// The beginning of one, or nothing but zeros: a write that was cut short.
+    /// A record.
+    Complete {
+        /// The record.
+        record: Record,
+        /// Bytes that it takes.
+        len: usize,
+    },
+    /// The beginning of a record, or nothing but zeros: a write that was cut short.
     Truncated,
-    /// No record, and why.
-    Corrupt(&'static str),
-    End,
+    /// No record.
+    Corrupt(RecordFault),
+    /// There are no bytes.
+    Empty,
+}
+
+/// The parts that records of all kinds have.
+struct RecordParts<'a> {
+    kind: u8,
+    shard_or_number: u16,
+    index: Option<u64>,
+    data: &'a [u8],
 }
 
 impl Record {
+    /// Appends the record to some bytes.
     pub fn encode_into(&self, out: &mut Vec<u8>) {
+        let parts = self.parts();
         let start = out.len();
-        out.extend_from_slice(&[0; RECORD_HEADER_BYTES]);
-        let (kind, shard, index, data): (u8, u16, Option<u64>, &[u8]) = match self {
-            Record::HardState { shard, data } => (HARD, *shard, None, data),
-            Record::Entry { shard, index, data } => (ENTRY, *shard, Some(*index), data),
-            Record::SnapshotMarker {
-                shard,
-                index,
-                alone,
-            } => (
-                BASE,
-                *shard,
-                Some(*index),
-                &[u8::from(*alone)][..usize::from(*alone)],
-            ),
-            Record::Metadata { number, data } => (NOTE, *number, None, data),
-        };
-        out.push(kind);
-        out.extend_from_slice(&shard.to_le_bytes());
-        if let Some(index) = index {
+        let body_start = start + RECORD_HEADER_BYTES;
+        out.resize(body_start, 0);
+        out.push(parts.kind);
+        out.extend_from_slice(&parts.shard_or_number.to_le_bytes());
+        if let Some(index) = parts.index {
             out.extend_from_slice(&index.to_le_bytes());
         }
-        out.extend_from_slice(data);
-        let len = out.len() - start - RECORD_HEADER_BYTES;
-        let sum = XxHash3_64::oneshot_with_seed(len as u64, &out[start + RECORD_HEADER_BYTES..]);
-        out[start..start + 4].copy_from_slice(&(len as u32).to_le_bytes());
-        out[start + 4..start + RECORD_HEADER_BYTES].copy_from_slice(&sum.to_le_bytes());
+        out.extend_from_slice(parts.data);
+        let len = out.len() - body_start;
+        let checksum = checksum(&out[body_start..]);
+        out[start..start + LENGTH_BYTES].copy_from_slice(&(len as u32).to_le_bytes());
+        out[start + LENGTH_BYTES..body_start].copy_from_slice(&checksum.to_le_bytes());
     }
 
-    /// How many bytes it takes.
+    /// Bytes that the record takes when it is encoded.
     pub fn encoded_len(&self) -> usize {
-        RECORD_HEADER_BYTES
-            + 3
-            + match self {
-                Record::HardState { data, .. } | Record::Metadata { data, .. } => data.len(),
-                Record::Entry { data, .. } => 8 + data.len(),
-                Record::SnapshotMarker { alone, .. } => 8 + usize::from(*alone),
+        let parts = self.parts();
+        let index_bytes = parts.index.map_or(0, |_| INDEX_BYTES);
+        RECORD_HEADER_BYTES + KIND_AND_SHARD_BYTES + index_bytes + parts.data.len()
+    }
+
+    fn parts(&self) -> RecordParts<'_> {
+        let (kind, shard_or_number, index, data): (u8, u16, Option<u64>, &[u8]) = match self {
+            Record::HardState { shard, data } => (KIND_HARD_STATE, *shard, None, data),
+            Record::Entry { shard, index, data } => (KIND_ENTRY, *shard, Some(*index), data),
+            Record::SnapshotMarker {
+                shard,
+                index,
+                suffix,
+            } => {
+                let data: &[u8] = match suffix {
+                    LogSuffix::Retain => &[],
+                    LogSuffix::Discard => &[1],
+                };
+                (KIND_SNAPSHOT_MARKER, *shard, Some(*index), data)
             }
+            Record::Metadata { number, data } => (KIND_METADATA, *number, None, data),
+        };
+        RecordParts {
+            kind,
+            shard_or_number,
+            index,
+            data,
+        }
     }
 }
 
-/// The first record of some bytes.
+fn checksum(body: &[u8]) -> u64 {
+    XxHash3_64::oneshot_with_seed(body.len() as u64, body)
+}
+
+/// Reads the first record of some bytes.
 ///
 /// ```
-/// use rainstand_storage::record::{read, Read, Record};
-/// let (record, mut bytes) = (Record::Base { shard: 3, index: 7, alone: false }, Vec::new());
-/// record.write(&mut bytes);
-/// assert_eq!(read(&bytes), Read::Whole(record, bytes.len()));
-/// assert_eq!(read(&bytes[..bytes.len() - 1]), Read::Short);
+/// use rainstand_storage::record::{read_record, LogSuffix, ReadOutcome, Record, RecordFault};
+/// let record = Record::SnapshotMarker { shard: 3, index: 7, suffix: LogSuffix::Retain };
+/// let mut bytes = Vec::new();
+/// record.encode_into(&mut bytes);
+/// assert_eq!(read_record(&bytes), ReadOutcome::Complete { record, len: bytes.len() });
+/// assert_eq!(read_record(&bytes[..bytes.len() - 1]), ReadOutcome::Truncated);
 /// bytes[14] ^= 1;
-/// assert_eq!(read(&bytes), Read::Wrong("checksum"));
+/// assert_eq!(read_record(&bytes), ReadOutcome::Corrupt(RecordFault::Checksum));
 /// ```
 pub fn read_record(bytes: &[u8]) -> ReadOutcome {
     if bytes.is_empty() {
-        return ReadOutcome::End;
+        return ReadOutcome::Empty;
     }
-    let Some(head) = bytes.first_chunk::<RECORD_HEADER_BYTES>() else {
+    let Some((header, rest)) = bytes.split_first_chunk::<RECORD_HEADER_BYTES>() else {
         return ReadOutcome::Truncated;
     };
-    let len = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
-    if len == 0 && bytes.iter().all(|b| *b == 0) {
-        // The file system made the file longer, and the bytes never came.
+    let [l0, l1, l2, l3, stored_checksum @ ..] = *header;
+    let len = u32::from_le_bytes([l0, l1, l2, l3]) as usize;
+    if len == 0 && bytes.iter().all(|byte| *byte == 0) {
+        // The file system extended the file, and the data never reached the disk.
         return ReadOutcome::Truncated;
     }
-    if !(3..=MAX_RECORD_BYTES).contains(&len) {
-        return ReadOutcome::Corrupt("length");
+    if !(KIND_AND_SHARD_BYTES..=MAX_RECORD_BYTES).contains(&len) {
+        return ReadOutcome::Corrupt(RecordFault::Length);
     }
-    let Some(body) = bytes[RECORD_HEADER_BYTES..].get(..len) else {
+    let Some(body) = rest.get(..len) else {
         return ReadOutcome::Truncated;
     };
-    let sum = u64::from_le_bytes([
-        head[4], head[5], head[6], head[7], head[8], head[9], head[10], head[11],
-    ]);
-    if XxHash3_64::oneshot_with_seed(len as u64, body) != sum {
-        return ReadOutcome::Corrupt("checksum");
+    if checksum(body) != u64::from_le_bytes(stored_checksum) {
+        return ReadOutcome::Corrupt(RecordFault::Checksum);
     }
-    let (kind, shard, rest) = (body[0], u16::from_le_bytes([body[1], body[2]]), &body[3..]);
-    let index = rest
-        .first_chunk::<8>()
-        .map(|bytes| u64::from_le_bytes(*bytes));
-    let record = match (kind, index) {
-        (HARD, _) => Record::HardState {
-            shard,
-            data: rest.to_vec(),
-        },
-        (ENTRY, Some(index)) => Record::Entry {
-            shard,
-            index,
-            data: rest[8..].to_vec(),
+    match decode_body(body) {
+        Some(record) => ReadOutcome::Complete {
+            record,
+            len: RECORD_HEADER_BYTES + len,
         },
-        (BASE, Some(index)) => Record::SnapshotMarker {
+        None => ReadOutcome::Corrupt(RecordFault::Kind),
+    }
+}
+
+fn decode_body(body: &[u8]) -> Option<Record> {
+    let ([kind, shard @ ..], rest) = body.split_first_chunk::<KIND_AND_SHARD_BYTES>()?;
+    let shard = u16::from_le_bytes(*shard);
+    match *kind {
+        KIND_HARD_STATE => Some(Record::HardState {
             shard,
-            index,
-            alone: rest.len() > 8,
-        },
-        (NOTE, _) => Record::Metadata {
+            data: rest.to_vec(),
+        }),
+        KIND_METADATA => Some(Record::Metadata {
             number: shard,
             data: rest.to_vec(),
-        },
-        _ => return ReadOutcome::Corrupt("kind"),
-    };
-    ReadOutcome::Complete(record, RECORD_HEADER_BYTES + len)
+        }),
+        KIND_ENTRY => {
+            let (index, data) = rest.split_first_chunk::<INDEX_BYTES>()?;
+            Some(Record::Entry {
+                shard,
+                index: u64::from_le_bytes(*index),
+                data: data.to_vec(),
+            })
+        }
+        KIND_SNAPSHOT_MARKER => {
+            let (index, data) = rest.split_first_chunk::<INDEX_BYTES>()?;
+            Some(Record::SnapshotMarker {
+                shard,
+                index: u64::from_le_bytes(*index),
+                suffix: if data.is_empty() {
+                    LogSuffix::Retain
+                } else {
+                    LogSuffix::Discard
+                },
+            })
+        }
+        _ => None,
+    }
 }
--- a/crates/storage/tests/crashes.rs
+++ b/crates/storage/tests/crashes.rs
@@ -1,5 +1,5 @@
-//! A scripted history of writes, cut at every byte: what recovery finds is a beginning of what was written, and all
-//! that a flush confirmed.
+//! A scripted history of writes with a crash at every byte: recovery finds a prefix of what was written, with all that
+//! a flush confirmed.
 
 #![allow(
     missing_docs,
@@ -10,14 +10,20 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand_storage::faulty_disk::{CrashOutcome, DiskFaults, FaultyDisk};
-use rainstand_storage::store::recover;
-use rainstand_storage::{Disk, OpenError, Record, Recovered, Store, StoreLimits};
+use rainstand_storage::{
+    recover, Disk, IdentitySeed, LogSuffix, OpenError, Record, Recovered, Store, StoreLimits,
+    StoredEntry, StoredSnapshot,
+};
 
 const SMALL: StoreLimits = StoreLimits {
-    segment: 600,
-    log: 2_000,
+    segment_bytes: 600,
+    log_bytes: 2_000,
 };
 
+fn seed(disk: u64, nonce: u64) -> IdentitySeed {
+    IdentitySeed { disk, nonce }
+}
+
 fn entry(shard: u16, index: u64, text: &str) -> Record {
     Record::Entry {
         shard,
@@ -35,71 +41,79 @@
 
 #[derive(Clone)]
 enum Step {
-    Put(Record),
+    Append(Record),
     Flush,
-    Save(u16, u64, bool),
+    InstallSnapshot(u16, u64, LogSuffix),
 }
 
-/// Two shards, a change of mind about a tail, snapshots, a note.
+/// Two shards, a suffix that is replaced, snapshots, metadata.
 fn script() -> Vec<Step> {
     use Step::*;
     let mut steps = vec![
-        Put(hard(0, "t1")),
-        Put(entry(0, 1, "a")),
-        Put(entry(1, 1, "x")),
+        Append(hard(0, "t1")),
+        Append(entry(0, 1, "a")),
+        Append(entry(1, 1, "x")),
         Flush,
     ];
     steps.extend([
-        Put(entry(0, 2, "b")),
-        Put(entry(0, 3, "c")),
+        Append(entry(0, 2, "b")),
+        Append(entry(0, 3, "c")),
         Flush,
-        Put(entry(0, 2, "B")),
-        Put(hard(0, "t2")),
+        Append(entry(0, 2, "B")),
+        Append(hard(0, "t2")),
         Flush,
     ]);
-    steps.extend((3..9).flat_map(|n| [Put(entry(0, n, &"long ".repeat(n as usize))), Flush]));
+    steps.extend((3..9).flat_map(|n| [Append(entry(0, n, &"long ".repeat(n as usize))), Flush]));
     steps.extend([
-        Save(0, 5, false),
-        Put(Record::Metadata {
+        InstallSnapshot(0, 5, LogSuffix::Retain),
+        Append(Record::Metadata {
             number: 9,
             data: b"note".to_vec(),
         }),
         Flush,
     ]);
-    steps.extend((2..7).flat_map(|n| [Put(entry(1, n, &"y".repeat(40))), Flush]));
+    steps.extend((2..7).flat_map(|n| [Append(entry(1, n, &"y".repeat(40))), Flush]));
     steps.extend([
-        Save(1, 6, false),
-        Put(entry(0, 9, "tail")),
+        InstallSnapshot(1, 6, LogSuffix::Retain),
+        Append(entry(0, 9, "tail")),
         Flush,
-        Save(0, 20, true),
-        Put(entry(0, 21, "after")),
+        InstallSnapshot(0, 20, LogSuffix::Discard),
+        Append(entry(0, 21, "after")),
         Flush,
     ]);
     steps
 }
 
-/// The store as it stands in memory after so many steps, for comparing.
-fn wanted(steps: &[Step]) -> Recovered {
+/// What a recovery should find after these steps.
+fn expected(steps: &[Step]) -> Recovered {
     let mut found = Recovered::default();
     for step in steps {
         match step {
-            Step::Put(Record::HardState { shard, data }) => {
+            Step::Append(Record::HardState { shard, data }) => {
                 found.shards.entry(*shard).or_default().hard_state = Some(data.clone());
             }
-            Step::Put(Record::Metadata { number, data }) => {
+            Step::Append(Record::Metadata { number, data }) => {
                 found.metadata.insert(*number, data.clone());
             }
-            Step::Put(Record::Entry { shard, index, data }) => {
+            Step::Append(Record::Entry { shard, index, data }) => {
                 let entries = &mut found.shards.entry(*shard).or_default().entries;
-                entries.retain(|entry| entry.0 < *index);
-                entries.push((*index, data.clone()));
+                entries.retain(|entry| entry.index < *index);
+                entries.push(StoredEntry {
+                    index: *index,
+                    data: data.clone(),
+                });
             }
-            Step::Save(shard, index, alone) => {
+            Step::InstallSnapshot(shard, index, suffix) => {
                 let shard = found.shards.entry(*shard).or_default();
-                shard.snapshot = Some((*index, format!("snapshot {index}").into_bytes()));
-                shard.entries.retain(|entry| entry.0 > *index && !alone);
+                shard.snapshot = Some(StoredSnapshot {
+                    index: *index,
+                    data: format!("snapshot {index}").into_bytes(),
+                });
+                shard
+                    .entries
+                    .retain(|entry| entry.index > *index && *suffix == LogSuffix::Retain);
             }
-            Step::Put(_) | Step::Flush => {}
+            Step::Append(_) | Step::Flush => {}
         }
     }
     found
@@ -107,44 +121,44 @@
 
 fn play(store: &mut Store<FaultyDisk>, step: &Step) -> std::io::Result<()> {
     match step {
-        Step::Put(record) => {
+        Step::Append(record) => {
             store.append(record);
             Ok(())
         }
         Step::Flush => store.flush(),
-        Step::Save(shard, index, alone) => store.install_snapshot(
+        Step::InstallSnapshot(shard, index, suffix) => store.install_snapshot(
             *shard,
             *index,
             format!("snapshot {index}").as_bytes(),
-            *alone,
+            *suffix,
         ),
     }
 }
 
-fn same(found: &Recovered, wanted: &Recovered) -> bool {
+fn same(found: &Recovered, expected: &Recovered) -> bool {
     // A shard of which nothing was written is one that is not there.
-    found.metadata == wanted.metadata
+    found.metadata == expected.metadata
         && found
             .shards
             .iter()
-            .all(|(shard, one)| wanted.shards.get(shard).is_some_and(|other| one == other))
-        && found.shards.len() == wanted.shards.len()
+            .all(|(shard, one)| expected.shards.get(shard).is_some_and(|other| one == other))
+        && found.shards.len() == expected.shards.len()
 }
 
-/// A folder that crashes by itself: at the n-th byte that reaches it, everything after is lost.
-struct Until {
+/// A folder that crashes by itself once so many bytes and operations reached it.
+struct CrashingDisk {
     disk: FaultyDisk,
     left: usize,
 }
 
-impl Until {
+impl CrashingDisk {
     fn spend(&mut self, n: usize) -> std::io::Result<usize> {
         let taken = n.min(self.left);
         self.left -= taken;
         Ok(taken)
     }
 
-    fn over(&self) -> std::io::Result<()> {
+    fn ensure_running(&self) -> std::io::Result<()> {
         if self.left == 0 {
             return Err(std::io::Error::other("crashed"));
         }
@@ -152,7 +166,7 @@
     }
 }
 
-impl Disk for Until {
+impl Disk for CrashingDisk {
     fn list(&mut self) -> std::io::Result<Vec<String>> {
         self.disk.list()
     }
@@ -160,31 +174,31 @@
         self.disk.read(name)
     }
     fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        self.over()?;
+        self.ensure_running()?;
         let n = self.spend(bytes.len())?;
         self.disk.append(name, &bytes[..n])?;
-        self.over()
+        self.ensure_running()
     }
     fn flush(&mut self, name: &str) -> std::io::Result<()> {
-        self.over()?;
+        self.ensure_running()?;
         self.spend(1)?;
-        self.over()?;
+        self.ensure_running()?;
         self.disk.flush(name)
     }
     fn truncate(&mut self, name: &str, len: u64) -> std::io::Result<()> {
-        self.over()?;
+        self.ensure_running()?;
         self.disk.truncate(name, len)
     }
     fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
-        self.over()?;
+        self.ensure_running()?;
         self.spend(1)?;
-        self.over()?;
+        self.ensure_running()?;
         self.disk.rename(from, to)
     }
     fn remove(&mut self, name: &str) -> std::io::Result<()> {
-        self.over()?;
+        self.ensure_running()?;
         self.spend(1)?;
-        self.over()?;
+        self.ensure_running()?;
         self.disk.remove(name)
     }
     fn quarantine(&mut self) -> std::io::Result<()> {
@@ -193,38 +207,38 @@
 }
 
 #[test]
-fn cut_at_every_byte_a_beginning_is_found_and_all_that_was_confirmed() {
+fn a_crash_at_any_byte_recovers_a_prefix_with_all_confirmed_writes() {
     let steps = script();
     let (mut at, mut crashes, mut ends) = (1, 0, false);
     while !ends {
         let disk = FaultyDisk::default();
         let opened = Store::open(
-            Until {
+            CrashingDisk {
                 disk: disk.clone(),
                 left: at,
             },
             SMALL,
-            [7, 1],
+            seed(7, 1),
         );
         let mut confirmed = 0;
         ends = true;
         if let Ok((mut store, _)) = opened {
             for (k, step) in steps.iter().enumerate() {
                 let done = match step {
-                    Step::Put(record) => {
+                    Step::Append(record) => {
                         store.append(record);
                         Ok(())
                     }
                     Step::Flush => store.flush(),
-                    Step::Save(shard, index, alone) => store.install_snapshot(
+                    Step::InstallSnapshot(shard, index, suffix) => store.install_snapshot(
                         *shard,
                         *index,
                         format!("snapshot {index}").as_bytes(),
-                        *alone,
+                        *suffix,
                     ),
                 };
                 match done {
-                    Ok(()) if !matches!(step, Step::Put(_)) => confirmed = k + 1,
+                    Ok(()) if !matches!(step, Step::Append(_)) => confirmed = k + 1,
                     Ok(()) => {}
                     Err(_) => {
                         ends = false;
@@ -239,21 +253,19 @@
         for leaves in [CrashOutcome::First(usize::MAX), CrashOutcome::First(0)] {
             let left = disk.copy();
             left.crash(leaves);
-            let (_, found) =
+            let contents =
                 recover(&mut left.clone()).unwrap_or_else(|why| panic!("byte {at}: {why}"));
-            let fits = (confirmed..=steps.len()).any(|n| same(&found, &wanted(&steps[..n])));
+            let (identity, found) = (contents.identity, contents.recovered);
+            let fits = (confirmed..=steps.len()).any(|n| same(&found, &expected(&steps[..n])));
             assert!(fits, "byte {at}, confirmed {confirmed}: {found:#?}");
             // And it goes on from there, as the same disk.
-            let boots = recover(&mut left.clone())
-                .unwrap()
-                .0
-                .map_or(0, |identity| identity.boot);
-            let (store, again) = Store::open(left, SMALL, [8, 2]).unwrap();
+            let starts = identity.map_or(0, |identity| identity.incarnation);
+            let (store, again) = Store::open(left, SMALL, seed(8, 2)).unwrap();
             assert!(same(&again, &found), "byte {at}");
-            assert_eq!(store.identity().boot, boots + 1, "byte {at}");
+            assert_eq!(store.identity().incarnation, starts + 1, "byte {at}");
             assert_eq!(
                 store.identity().disk,
-                if boots > 0 { 7 } else { 8 },
+                if starts > 0 { 7 } else { 8 },
                 "byte {at}"
             );
         }
@@ -264,17 +276,17 @@
 }
 
 #[test]
-fn writes_that_came_in_another_order_are_damage_or_a_beginning() {
+fn reordered_writes_are_damage_or_a_prefix() {
     let steps = script();
     let mut damaged = 0;
     for zeros in (1..200).step_by(3) {
         let disk = FaultyDisk::default();
-        let (mut store, _) = Store::open(disk.clone(), StoreLimits::default(), [7, 1]).unwrap();
+        let (mut store, _) = Store::open(disk.clone(), StoreLimits::default(), seed(7, 1)).unwrap();
         steps[..10]
             .iter()
             .for_each(|step| play(&mut store, step).unwrap());
         disk.set_faults(DiskFaults {
-            lies: true,
+            ignores_flushes: true,
             ..DiskFaults::default()
         });
         steps[10..16]
@@ -286,7 +298,9 @@
                 damaged += 1;
                 assert!(damage.file.starts_with("log-"), "{damage}");
             }
-            Ok((_, found)) => assert!((10..=16).any(|n| same(&found, &wanted(&steps[..n])))),
+            Ok(contents) => {
+                assert!((10..=16).any(|n| same(&contents.recovered, &expected(&steps[..n]))))
+            }
             Err(why) => panic!("{why}"),
         }
     }
@@ -295,14 +309,14 @@
 
 /// One bit turned over anywhere in what was flushed is named, or is in bytes that nothing needs any more.
 #[test]
-fn a_bit_that_turned_over_is_named_and_never_believed() {
+fn a_flipped_bit_is_reported_and_never_accepted() {
     let (steps, mut chance) = (script(), WyRand::new_seed(3));
     let disk = FaultyDisk::default();
-    let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
+    let (mut store, _) = Store::open(disk.clone(), SMALL, seed(7, 1)).unwrap();
     steps
         .iter()
         .for_each(|step| play(&mut store, step).unwrap());
-    let whole = wanted(&steps);
+    let whole = expected(&steps);
     let names: Vec<String> = disk.clone().list().unwrap();
     let mut named = 0;
     for _ in 0..2_000 {
@@ -316,13 +330,15 @@
         match recover(&mut bad.clone()) {
             Err(OpenError::Damaged(_)) => named += 1,
             // A length that grew looks like a write cut short, if it is the newest segment's: a beginning is left.
-            Ok((_, found)) if found.truncated_tail.is_some() => {
+            Ok(contents) if contents.recovered.truncated_tail.is_some() => {
+                let found = &contents.recovered;
                 assert!(
-                    (0..=steps.len()).any(|n| same(&found, &wanted(&steps[..n]))),
+                    (0..=steps.len()).any(|n| same(found, &expected(&steps[..n]))),
                     "{name} {byte}"
                 );
             }
-            Ok((identity, found)) => {
+            Ok(contents) => {
+                let (identity, found) = (contents.identity, contents.recovered);
                 assert!(same(&found, &whole), "{name} {byte} {bit}: {found:#?}");
                 assert!(name == "identity" || identity.is_some_and(|identity| identity.disk == 7));
             }
@@ -333,8 +349,8 @@
 }
 
 #[test]
-fn after_a_flush_that_failed_nothing_is_confirmed_any_more() {
-    for ills in [
+fn nothing_is_confirmed_after_a_failed_flush() {
+    for faults in [
         DiskFaults {
             flush_fails: true,
             ..DiskFaults::default()
@@ -344,66 +360,86 @@
             ..DiskFaults::default()
         },
         DiskFaults {
-            gone: true,
+            unavailable: true,
             ..DiskFaults::default()
         },
     ] {
         let disk = FaultyDisk::default();
-        let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
+        let (mut store, _) = Store::open(disk.clone(), SMALL, seed(7, 1)).unwrap();
         store.append(&entry(0, 1, "kept"));
         store.flush().unwrap();
-        disk.set_faults(ills);
+        disk.set_faults(faults);
         store.append(&entry(0, 2, "lost"));
         assert!(
-            store.flush().is_err() && store.failed().is_some(),
-            "{ills:?}"
+            store.flush().is_err() && store.failure().is_some(),
+            "{faults:?}"
         );
         // The disk is well again, and still nothing is confirmed: what it holds is not known.
         disk.set_faults(DiskFaults::default());
         store.append(&entry(0, 3, "never"));
         assert!(
-            store.flush().is_err() && store.install_snapshot(0, 1, b"s", false).is_err(),
-            "{ills:?}"
+            store.flush().is_err()
+                && store
+                    .install_snapshot(0, 1, b"s", LogSuffix::Retain)
+                    .is_err(),
+            "{faults:?}"
         );
         drop(store);
         disk.crash(CrashOutcome::First(usize::MAX));
-        let (_, found) = recover(&mut disk.clone()).unwrap();
+        let found = recover(&mut disk.clone()).unwrap().recovered;
         assert_eq!(
             found.shards[&0].entries,
-            [(1, b"kept".to_vec())],
-            "{ills:?}"
+            [StoredEntry {
+                index: 1,
+                data: b"kept".to_vec()
+            }],
+            "{faults:?}"
         );
     }
 }
 
 #[test]
-fn segments_go_once_they_are_in_snapshots_and_idle_shards_are_asked_for_theirs() {
+fn segments_in_snapshots_are_removed_and_idle_shards_need_compaction() {
     let disk = FaultyDisk::default();
-    let (mut store, _) = Store::open(disk.clone(), SMALL, [7, 1]).unwrap();
+    let (mut store, _) = Store::open(disk.clone(), SMALL, seed(7, 1)).unwrap();
     store.append(&entry(5, 1, "idle"));
     let mut pressed = false;
     for n in 1..400 {
         store.append(&entry(0, n, &"z".repeat(50)));
         store.flush().unwrap();
         if n % 20 == 0 {
-            store.install_snapshot(0, n - 5, b"all", false).unwrap();
+            store
+                .install_snapshot(0, n - 5, b"all", LogSuffix::Retain)
+                .unwrap();
         }
         if store.needs_compaction().contains(&5) {
             pressed = true;
-            store.install_snapshot(5, 1, b"idle", false).unwrap();
+            store
+                .install_snapshot(5, 1, b"idle", LogSuffix::Retain)
+                .unwrap();
         }
-        assert!(store.bytes() < 6_000, "{n}: {}", store.bytes());
+        assert!(store.log_bytes() < 6_000, "{n}: {}", store.log_bytes());
     }
     assert!(pressed);
     drop(store);
-    let (store, found) = Store::open(disk.clone(), SMALL, [9, 2]).unwrap();
+    let (store, found) = Store::open(disk.clone(), SMALL, seed(9, 2)).unwrap();
     assert_eq!(
-        found.shards[&0].entries.last().map(|entry| entry.0),
+        found.shards[&0].entries.last().map(|entry| entry.index),
         Some(399)
     );
-    assert_eq!(found.shards[&5].snapshot, Some((1, b"idle".to_vec())));
     assert_eq!(
-        (store.identity().disk, store.identity().boot, store.last(0)),
+        found.shards[&5].snapshot,
+        Some(StoredSnapshot {
+            index: 1,
+            data: b"idle".to_vec()
+        })
+    );
+    assert_eq!(
+        (
+            store.identity().disk,
+            store.identity().incarnation,
+            store.last_index(0)
+        ),
         (7, 2, 399)
     );
     assert!(
@@ -415,11 +451,11 @@
             .count()
             == 2
     );
-    let anew = store.reinitialize([11, 3]).unwrap();
+    let reinitialized = store.reinitialize(seed(11, 3)).unwrap();
     assert_eq!(
         (
-            anew.identity().disk,
-            anew.identity().boot,
+            reinitialized.identity().disk,
+            reinitialized.identity().incarnation,
             disk.quarantine_count()
         ),
         (11, 1, 1)
@@ -427,38 +463,40 @@
 }
 
 #[test]
-fn a_folder_is_one_process_s_and_what_was_set_aside_is_kept_a_few_times() {
+fn a_folder_is_locked_and_retains_three_quarantines() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("disk");
-    let open = |chance| {
+    let open = |draw| {
         Store::open(
             rainstand_storage::FolderDisk::open(&path).unwrap(),
             SMALL,
-            [chance, chance],
+            seed(draw, draw),
         )
     };
     let (mut store, _) = open(1).unwrap();
     assert!(rainstand_storage::FolderDisk::open(&path).is_err());
     store.append(&entry(0, 1, "one"));
     store.flush().unwrap();
-    store.install_snapshot(0, 1, b"snapshot", false).unwrap();
+    store
+        .install_snapshot(0, 1, b"snapshot", LogSuffix::Retain)
+        .unwrap();
     drop(store);
     let (mut store, found) = open(2).unwrap();
     assert_eq!(
         (
-            found.shards[&0].snapshot.as_ref().unwrap().0,
+            found.shards[&0].snapshot_index(),
             store.identity().disk,
-            store.identity().boot
+            store.identity().incarnation
         ),
         (1, 1, 2)
     );
     for n in 10..15 {
-        store = store.reinitialize([n, n]).unwrap();
+        store = store.reinitialize(seed(n, n)).unwrap();
         assert_eq!(store.identity().disk, n);
     }
-    let asides = std::fs::read_dir(&path)
+    let quarantines = std::fs::read_dir(&path)
         .unwrap()
         .filter(|e| e.as_ref().unwrap().path().is_dir())
         .count();
-    assert_eq!(asides, 3);
+    assert_eq!(quarantines, 3);
 }
--- a/crates/storage/tests/golden.rs
+++ b/crates/storage/tests/golden.rs
@@ -9,8 +9,10 @@
 
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 use rainstand_storage::record::{read_record, ReadOutcome, Record};
-use rainstand_storage::store::recover;
-use rainstand_storage::{Disk, FolderDisk, Store, StoreLimits};
+use rainstand_storage::{
+    recover, Disk, FolderDisk, IdentitySeed, LogSuffix, Store, StoreLimits, StoredEntry,
+    StoredSnapshot,
+};
 use std::path::Path;
 
 const RECORDS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/records.hex");
@@ -38,7 +40,7 @@
             Record::SnapshotMarker {
                 shard: 3,
                 index: 299,
-                alone: false,
+                suffix: LogSuffix::Retain,
             },
         ),
         (
@@ -46,7 +48,7 @@
             Record::SnapshotMarker {
                 shard: 3,
                 index: 299,
-                alone: true,
+                suffix: LogSuffix::Discard,
             },
         ),
         (
@@ -72,7 +74,10 @@
     {
         assert_eq!(
             read_record(&bytes),
-            ReadOutcome::Complete(record, bytes.len()),
+            ReadOutcome::Complete {
+                record,
+                len: bytes.len()
+            },
             "{name}"
         );
     }
@@ -80,16 +85,16 @@
 
 /// Two starts of a store with entries of two shards, notes, and a snapshot of one.
 fn write_store(folder: &Path) {
-    let open = |draws| {
+    let open = |disk, nonce| {
         Store::open(
             FolderDisk::open(folder).unwrap(),
             StoreLimits::default(),
-            draws,
+            IdentitySeed { disk, nonce },
         )
         .unwrap()
         .0
     };
-    let mut store = open([0x1122_3344_5566_7788, 5]);
+    let mut store = open(0x1122_3344_5566_7788, 5);
     store.append(&Record::Metadata {
         number: 4,
         data: b"n1".to_vec(),
@@ -111,14 +116,16 @@
         });
     }
     store.flush().unwrap();
-    store.install_snapshot(0, 3, b"snapshot", false).unwrap();
+    store
+        .install_snapshot(0, 3, b"snapshot", LogSuffix::Retain)
+        .unwrap();
     store.append(&Record::HardState {
         shard: 0,
         data: b"term 2".to_vec(),
     });
     store.flush().unwrap();
     drop(store);
-    let mut store = open([9, 6]);
+    let mut store = open(9, 6);
     store.append(&Record::Entry {
         shard: 0,
         index: 5,
@@ -148,16 +155,28 @@
     }
     write_store(now.path());
     let recovered = |folder: &Path| recover(&mut FolderDisk::open(folder).unwrap()).unwrap();
-    let (identity, found) = recovered(before.path());
-    assert_eq!((identity.clone(), found.clone()), recovered(now.path()));
-    let identity = identity.unwrap();
+    let contents = recovered(before.path());
+    assert_eq!(contents, recovered(now.path()));
+    let (identity, found) = (contents.identity.unwrap(), contents.recovered);
     assert_eq!(
-        (identity.disk, identity.boot, identity.nonce),
+        (identity.disk, identity.incarnation, identity.nonce),
         (0x1122_3344_5566_7788, 2, 6)
     );
     assert_eq!(found.shards[&0].hard_state.as_deref(), Some(&b"term 2"[..]));
-    assert_eq!(found.shards[&0].snapshot, Some((3, b"snapshot".to_vec())));
+    assert_eq!(
+        found.shards[&0].snapshot,
+        Some(StoredSnapshot {
+            index: 3,
+            data: b"snapshot".to_vec()
+        })
+    );
     let last = found.shards[&0].entries.last().unwrap();
-    assert_eq!(*last, (5, b"entry 5".to_vec()));
+    assert_eq!(
+        *last,
+        StoredEntry {
+            index: 5,
+            data: b"entry 5".to_vec()
+        }
+    );
     assert_eq!(found.metadata[&4], b"n1");
 }
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -16,7 +16,7 @@
     Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite,
 };
 use rainstand_storage::faulty_disk::{CrashOutcome, DiskFaults, FaultyDisk};
-use rainstand_storage::{OpenError, Recovered, Store, StoreLimits};
+use rainstand_storage::{IdentitySeed, OpenError, Recovered, Store, StoreLimits};
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
@@ -457,19 +457,22 @@
         if self.nodes[node].member.is_some() || self.ills.contains(&Some(Ill::Down(node))) {
             return;
         }
-        let chance = [self.draw(u64::MAX - 1) + 1, self.draw(u64::MAX)];
+        let seed = IdentitySeed {
+            disk: self.draw(u64::MAX - 1) + 1,
+            nonce: self.draw(u64::MAX),
+        };
         let disk = self.nodes[node].disk.clone();
         let limits = StoreLimits {
-            segment: 20_000,
-            log: 100_000,
+            segment_bytes: 20_000,
+            log_bytes: 100_000,
         };
-        let (store, found) = match Store::open(disk.clone(), limits, chance) {
+        let (store, found) = match Store::open(disk.clone(), limits, seed) {
             Ok(opened) => opened,
             Err(OpenError::Damaged(_)) => {
                 // As the program does: what cannot be believed is set aside, and the disk begins anew.
                 let mut folder = disk.clone();
                 let _ = rainstand_storage::Disk::quarantine(&mut folder);
-                match Store::open(folder, limits, chance) {
+                match Store::open(folder, limits, seed) {
                     Ok(opened) => opened,
                     Err(why) => {
                         return self
@@ -491,7 +494,7 @@
                 "{} starts, disk {:08x} start {}",
                 name(node),
                 identity.disk as u32,
-                identity.boot
+                identity.incarnation
             )
         });
         let options = self.options(node);
@@ -547,8 +550,8 @@
 
     fn crash(&mut self, node: usize) {
         self.trace(|| format!("{} dies", name(node)));
-        let at_risk = self.nodes[node].disk.at_risk() as u64;
-        let left = self.draw(at_risk + 1) as usize;
+        let unflushed_bytes = self.nodes[node].disk.unflushed_bytes() as u64;
+        let left = self.draw(unflushed_bytes + 1) as usize;
         let one = &mut self.nodes[node];
         (one.member, one.store) = (None, None);
         one.life += 1;
@@ -1177,7 +1180,7 @@
             if let Some(identity) = self.nodes[node].store.as_ref().map(Store::identity) {
                 *self
                     .charged
-                    .entry((identity.disk, identity.boot))
+                    .entry((identity.disk, identity.incarnation))
                     .or_default() += 1 + ticket as u64 % 7;
             }
             if let Some(member) = &mut self.nodes[node].member {
