--- a/crates/fleet-model/src/node.rs
+++ b/crates/fleet-model/src/node.rs
@@ -8,8 +8,8 @@
 use crate::plan::{NodeKind, NodePlan, TypePlan};
 use foldhash::{HashMap, HashMapExt};
 use rainstand::{
-    Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node as Decides, Outcome, Repeats, Say,
-    Voice,
+    AdmissionController as Decides, Arrival, ConcurrencyLimiter, DownstreamLimiter, Gauges, Host,
+    InFlightRequests, LoadAdvertiser, LoadSignal, Outcome, Parts, Repeatability, TenantQuotas,
 };
 use rainstand_invariants::Kind;
 use std::collections::VecDeque;
@@ -106,14 +106,14 @@
     fn run(&mut self, ix: usize) {
         self.order(ix, Order::Run);
     }
-    fn take_off(&mut self, ix: usize) {
+    fn cancel_run(&mut self, ix: usize) {
         self.order(ix, Order::TakeOff);
     }
     // Tickets here carry no name of what they are about, so none is a repeat of another.
-    fn reuse(&mut self, _: usize) {}
+    fn reply_from_cache(&mut self, _: usize) {}
     fn keep(&mut self, _: usize, _: Duration) {}
     fn forget(&mut self, _: usize) {}
-    fn dismiss(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
+    fn reject(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
         self.order(ix, |number| Order::Dismiss(number, come_back, nowhere_else));
     }
     fn give_up(&mut self, ix: usize) {
@@ -122,18 +122,18 @@
     fn call(&mut self, ix: usize, until: Duration) {
         self.order(ix, |number| Order::Call(number, until));
     }
-    fn answer_poorer(&mut self, ix: usize) {
+    fn reply_degraded(&mut self, ix: usize) {
         self.order(ix, Order::Poorer);
     }
     // Callers hear no value beside answers.
-    fn say(&mut self, _: f64) {}
-    fn checks(&mut self, _: bool) {}
+    fn advertise_load(&mut self, _: f64) {}
+    fn set_health(&mut self, _: bool) {}
     fn close_idle_after(&mut self, _: Duration) {}
     fn wake(&mut self, span: Duration) {
         let at = self.now + span.as_nanos() as u64;
         self.wake = Some(self.wake.map_or(at, |before| before.min(at)));
     }
-    fn over(&mut self, ix: usize) {
+    fn release(&mut self, ix: usize) {
         if let Some(number) = self.tries.get_mut(ix).and_then(Option::take) {
             self.index.remove(&number);
             self.orders.push(Order::Over(number));
@@ -171,35 +171,35 @@
 }
 
 fn ours(plan: &NodePlan, types: &[TypePlan], shares: &[f64], rate: f64, seed: u64) -> Box<Ours> {
-    let kinds = types.iter().map(|one| rainstand::TrafficType {
-        goal_time: one.goal,
-        outer_limit: one.outer_limit,
-        benefit: 1.0,
-        late: 0.2,
-        poorer: one.poorer,
+    let kinds = types.iter().map(|one| rainstand::RequestClass {
+        latency_objective: one.goal,
+        deadline: one.outer_limit,
+        value: 1.0,
+        late_share: 0.2,
+        degraded_share: one.poorer,
         repeats: match one.kind {
-            Kind::Rerunnable => Repeats::Rerunnable,
-            Kind::Ticketed => Repeats::Ticketed(one.outer_limit),
-            Kind::Exclusive => Repeats::Exclusive,
+            Kind::Rerunnable => Repeatability::Idempotent,
+            Kind::Ticketed => Repeatability::IdempotentWithKey(one.outer_limit),
+            Kind::Exclusive => Repeatability::NonIdempotent,
         },
     });
     let quotas: Vec<f64> = shares.iter().map(|share| share * rate).collect();
     let cold = plan
         .cold
         .map(|(span, slower)| (span, 1.0 / slower.max(1.0), span));
-    let parts = (
-        Ledger::new(&quotas, plan.count as usize),
-        Limit::new(seed, plan.cores as usize, 4.0, cold),
-        Hand::new(MEMORY_KB, 4.0, ENTRY_KB),
-        Below::new(None),
-        Voice::new(
-            Say::Nothing,
+    let parts = Parts {
+        quotas: TenantQuotas::new(&quotas, plan.count as usize),
+        limit: ConcurrencyLimiter::new(seed, plan.cores as usize, 4.0, cold),
+        in_flight: InFlightRequests::new(MEMORY_KB, 4.0, ENTRY_KB),
+        downstream: DownstreamLimiter::new(None),
+        advertiser: LoadAdvertiser::new(
+            LoadSignal::Nothing,
             Duration::from_secs(1),
             Duration::from_secs(2),
             true,
             (64, Duration::from_secs(8)),
         ),
-    );
+    };
     Box::new(Ours {
         node: Decides::new(kinds.collect(), false, parts),
         desk: Desk::default(),
@@ -388,7 +388,7 @@
                     again: task.again,
                     ..Arrival::default()
                 };
-                node.arrived(Duration::from_nanos(now), desk, ix, arrival);
+                node.on_arrival(Duration::from_nanos(now), desk, ix, arrival);
                 self.carry_out(now);
             }
         }
@@ -418,7 +418,7 @@
                 let Ours { node, desk } = &mut **ours;
                 desk.now = now;
                 if let Some(ix) = desk.index.get(&number).copied() {
-                    node.gone(Duration::from_nanos(now), desk, ix);
+                    node.on_caller_gone(Duration::from_nanos(now), desk, ix);
                 }
                 self.carry_out(now);
             }
@@ -451,7 +451,7 @@
                     on_cores: Some(running),
                     ..Gauges::default()
                 };
-                node.woken(Duration::from_nanos(now), desk, gauges);
+                node.on_tick(Duration::from_nanos(now), desk, gauges);
                 self.carry_out(now);
             }
         }
@@ -477,7 +477,7 @@
                 desk.now = now;
                 self.said.push(Said::Done(number));
                 match desk.index.get(&number).copied() {
-                    Some(ix) => node.ended(Duration::from_nanos(now), desk, ix, Outcome::Done),
+                    Some(ix) => node.ended(Duration::from_nanos(now), desk, ix, Outcome::Succeeded),
                     None => drop(self.taken.remove(&number)),
                 }
                 self.carry_out(now);
@@ -495,7 +495,7 @@
                 let Ours { node, desk } = &mut **ours;
                 desk.now = now;
                 match desk.index.get(&number).copied() {
-                    Some(ix) => node.at_call(Duration::from_nanos(now), desk, ix),
+                    Some(ix) => node.on_downstream_call(Duration::from_nanos(now), desk, ix),
                     // Its ticket is over: so is the run, at its call.
                     None => drop(self.taken.remove(&number)),
                 }
@@ -515,7 +515,7 @@
         };
         match &mut self.mind {
             Mind::Plain { .. } => {
-                if outcome == Outcome::Done {
+                if outcome == Outcome::Succeeded {
                     taken.phase = Phase::After;
                     self.start(now, number);
                 } else {
@@ -527,9 +527,9 @@
                 let Ours { node, desk } = &mut **ours;
                 desk.now = now;
                 if let Some(ix) = desk.index.get(&number).copied() {
-                    node.call_ended(Duration::from_nanos(now), desk, ix, outcome);
+                    node.on_call_finished(Duration::from_nanos(now), desk, ix, outcome);
                 }
-                let goes_on = outcome == Outcome::Done && desk.index.contains_key(&number);
+                let goes_on = outcome == Outcome::Succeeded && desk.index.contains_key(&number);
                 if goes_on {
                     self.go_on(now, number);
                 }
@@ -594,7 +594,7 @@
                             .get(&number)
                             .is_some_and(|one| !one.task.exclusive)
                         {
-                            self.cut(now, number, Outcome::Stopped);
+                            self.cut(now, number, Outcome::Cancelled);
                         }
                     }
                     Order::Call(number, until) => {
@@ -616,7 +616,7 @@
                             .is_some_and(|one| one.phase == Phase::AtCall)
                         {
                             self.said.push(Said::Forgoes(number));
-                            self.cut(now, number, Outcome::CutOff);
+                            self.cut(now, number, Outcome::Disconnected);
                         }
                     }
                     Order::Over(number) => {
--- a/crates/fleet-model/src/world.rs
+++ b/crates/fleet-model/src/world.rs
@@ -71,7 +71,7 @@
     /// It sends a second copy.
     Copy(u32),
     /// A job's outer limit.
-    Limit(u32),
+    ConcurrencyLimiter(u32),
     /// A node hears that nobody waits.
     Leaves(u32, u32),
     Look(u32),
@@ -675,7 +675,7 @@
                     self.ask(now, job, true);
                 }
             }
-            Event::Limit(job) => self.limit(job),
+            Event::ConcurrencyLimiter(job) => self.limit(job),
             Event::Leaves(place, number) => {
                 let one = &mut self.places[place as usize];
                 if one.alive && !one.hangs {
@@ -724,7 +724,7 @@
                     return;
                 };
                 self.call_of.remove(&one.number);
-                self.measured.second(now).calls_done += u64::from(outcome == Outcome::Done);
+                self.measured.second(now).calls_done += u64::from(outcome == Outcome::Succeeded);
                 let place = &mut self.places[one.place as usize];
                 if place.alive {
                     place.node.call_back(now, one.number, outcome);
@@ -818,7 +818,8 @@
         self.measured.by_type[usize::from(traffic)].asked += 1;
         self.measured.by_tenant[usize::from(tenant)].asked += 1;
         self.measured.second(now).jobs.asked += 1;
-        self.queue.after(ns(kind.outer_limit), Event::Limit(job));
+        self.queue
+            .after(ns(kind.outer_limit), Event::ConcurrencyLimiter(job));
         if let Some(span) = plan
             .habits
             .second_copy
@@ -1168,7 +1169,8 @@
         second.most_calls = second.most_calls.max(out);
         let way = self.way(0, 0).unwrap_or(0);
         if at == NOBODY {
-            self.queue.after(way, Event::CallBack(call, Outcome::Done));
+            self.queue
+                .after(way, Event::CallBack(call, Outcome::Succeeded));
             return;
         }
         self.queue.after(way, Event::AtBelow(call));
@@ -1194,7 +1196,7 @@
             under.held.push_back(call);
         } else {
             self.queue
-                .after(way, Event::CallBack(call, Outcome::Bounced));
+                .after(way, Event::CallBack(call, Outcome::Rejected));
         }
         self.below_next(now, at);
     }
@@ -1215,7 +1217,8 @@
     fn below_ends(&mut self, now: u64, at: u32) {
         let way = ns(self.plan.net.delay.0);
         while let Some(call) = self.under[at as usize].machine.ended(now) {
-            self.queue.after(way, Event::CallBack(call, Outcome::Done));
+            self.queue
+                .after(way, Event::CallBack(call, Outcome::Succeeded));
         }
         self.below_fills(now, at);
     }
@@ -1265,7 +1268,7 @@
         for call in lost {
             self.queue.after(
                 ns(self.plan.net.delay.0),
-                Event::CallBack(call, Outcome::CutOff),
+                Event::CallBack(call, Outcome::Disconnected),
             );
         }
         self.below_next(now, at);
--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -3,7 +3,7 @@
 use crate::book::{count, sum_of, Conn, Kept, Key, Owed, Run, Ticket};
 use crate::keyed::Keyed;
 use crate::{thrift, Hub};
-use rainstand::{Arrival, Host, Repeat};
+use rainstand::{Arrival, Host, RetryOf};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -81,7 +81,7 @@
     hub.act(|node, now, desk| {
         if let Some(t) = desk.ticket(ix) {
             t.owed = None;
-            node.gone(now, desk, ix);
+            node.on_caller_gone(now, desk, ix);
         }
     });
 }
@@ -92,7 +92,7 @@
     while let Some((_, ix)) = first() {
         hub.act(|node, now, desk| {
             desk.give_up(ix);
-            node.gone(now, desk, ix);
+            node.on_caller_gone(now, desk, ix);
         });
     }
 }
@@ -203,15 +203,16 @@
     let kept = kept.is_some_and(|kept| kept.0 != Kept::Open);
     let repeat = open
         .filter(|_| !kept)
-        .map_or(if kept { Repeat::Past } else { Repeat::No }, Repeat::Of);
-    if repeat != Repeat::No {
+        .map_or(if kept { RetryOf::Past } else { RetryOf::No }, RetryOf::Of);
+    if repeat != RetryOf::No {
         count(&hub.counts.repeats);
     }
     let owed = Owed {
         conn: conn.clone(),
         seq,
     };
-    let no_room = |key: &Key| repeat == Repeat::No && window.is_some() && !desk.keys.room(now, key);
+    let no_room =
+        |key: &Key| repeat == RetryOf::No && window.is_some() && !desk.keys.room(now, key);
     // The agent is not up, or bodies in hand or kept keys fill their part of the memory: nothing of it was run.
     if !begun
         || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART
@@ -248,7 +249,7 @@
         held_kb,
         again,
     };
-    hub.act(|node, now, desk| node.arrived(now, desk, ix, arrival));
+    hub.act(|node, now, desk| node.on_arrival(now, desk, ix, arrival));
     Ok(())
 }
 
--- a/crates/node/src/below.rs
+++ b/crates/node/src/below.rs
@@ -79,7 +79,7 @@
         let request = request(trace, left, addr, body);
         match timeout(left + LAST_WORD, exchange(&stream, &request, tape.as_ref())).await {
             Err(_) => (Outcome::TimedOut, Vec::new()),
-            Ok(Err(_)) => (Outcome::CutOff, Vec::new()),
+            Ok(Err(_)) => (Outcome::Disconnected, Vec::new()),
             Ok(Ok((reply, body))) => (outcome(&reply), body),
         }
     }
@@ -132,11 +132,11 @@
 
 fn outcome(reply: &http::Reply) -> Outcome {
     match (reply.status, reply.never_started) {
-        (200, _) => Outcome::Done,
-        (503, true) => Outcome::Bounced,
-        (409, true) => Outcome::Moot,
+        (200, _) => Outcome::Succeeded,
+        (503, true) => Outcome::Rejected,
+        (409, true) => Outcome::NeverStarted,
         (504, _) => Outcome::TimedOut,
-        _ => Outcome::Erred,
+        _ => Outcome::Failed,
     }
 }
 
@@ -147,15 +147,15 @@
     #[test]
     fn only_a_word_that_it_never_started_proves_it() {
         let cases = [
-            (200, false, Outcome::Done),
-            (503, true, Outcome::Bounced),
-            (409, true, Outcome::Moot),
-            (503, false, Outcome::Erred),
-            (500, false, Outcome::Erred),
+            (200, false, Outcome::Succeeded),
+            (503, true, Outcome::Rejected),
+            (409, true, Outcome::NeverStarted),
+            (503, false, Outcome::Failed),
+            (500, false, Outcome::Failed),
             (504, false, Outcome::TimedOut),
-            (302, false, Outcome::Erred),
+            (302, false, Outcome::Failed),
             // Where the state speaks against the word, nothing is proved.
-            (500, true, Outcome::Erred),
+            (500, true, Outcome::Failed),
             (504, true, Outcome::TimedOut),
         ];
         for (status, never_started, expected) in cases {
--- a/crates/node/src/book.rs
+++ b/crates/node/src/book.rs
@@ -495,8 +495,8 @@
         };
         t.keeps = false;
         match (&t.key, end) {
-            (Some(key), Outcome::Done) => self.keys.close(key, Some(result)),
-            (Some(key), Outcome::Moot) => self.keys.drop(key),
+            (Some(key), Outcome::Succeeded) => self.keys.close(key, Some(result)),
+            (Some(key), Outcome::NeverStarted) => self.keys.drop(key),
             // Guards against a second effect: what failed or was stopped may have had its own.
             (Some(key), _) => self.keys.close(key, None),
             (None, _) => {}
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -96,6 +96,6 @@
         let kill_in = kill
             .saturating_duration_since(desk.started)
             .saturating_sub(at);
-        node.leaving(at, desk, kill_in);
+        node.on_shutdown_notice(at, desk, kill_in);
     });
 }
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -336,7 +336,7 @@
         }
     };
     if never_ran {
-        desk.ends.push_back((ix, Outcome::Moot));
+        desk.ends.push_back((ix, Outcome::NeverStarted));
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,7 +35,7 @@
 
 use book::{count, Conn, Counts, Desk};
 use config::{Config, Peers};
-use rainstand::{Gauges, Host, Node};
+use rainstand::{AdmissionController, Gauges, Host};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -66,7 +66,7 @@
 /// The decision module and the books it works on.
 pub struct Core {
     /// None until the agent has greeted.
-    pub node: Option<Node>,
+    pub node: Option<AdmissionController>,
     pub desk: Desk,
 }
 
@@ -158,7 +158,7 @@
     }
 
     /// One call into the decision module, with all that follows from it.
-    pub fn act(&self, call: impl FnOnce(&mut Node, Duration, &mut Desk)) {
+    pub fn act(&self, call: impl FnOnce(&mut AdmissionController, Duration, &mut Desk)) {
         let mut core = self.core.borrow_mut();
         let Core { node, desk } = &mut *core;
         let Some(node) = node else { return };
@@ -221,7 +221,7 @@
             count(&self.counts.unsettled);
             self.act(|node, now, desk| {
                 desk.give_up(ix);
-                node.gone(now, desk, ix);
+                node.on_caller_gone(now, desk, ix);
             });
         }
     }
@@ -298,7 +298,7 @@
                 count(&desk.counts.stale_gauges);
             }
             let gauges = desk.gauges;
-            node.woken(now, desk, gauges);
+            node.on_tick(now, desk, gauges);
         });
         hub.answer_overdue();
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -16,7 +16,7 @@
         let Some(t) = self.ticket(ix) else { return };
         let (owed, waiters) = (t.owed.take(), std::mem::take(&mut t.waiters));
         match (owed, end) {
-            (Some(owed), Outcome::Done) => owed.honour(&counts, result),
+            (Some(owed), Outcome::Succeeded) => owed.honour(&counts, result),
             (Some(owed), _) => {
                 often!(
                     "ticket_given_up",
@@ -75,13 +75,13 @@
         ("request", ..) => {
             hub.act(|node, now, desk| {
                 desk.give_up(ix);
-                node.gone(now, desk, ix);
+                node.on_caller_gone(now, desk, ix);
             });
         }
-        ("outcome", "fine", Some(result)) => run_ended(hub, ix, Outcome::Done, &result),
-        ("outcome", "broken_off", _) => run_ended(hub, ix, Outcome::Stopped, &[]),
-        ("outcome", "late", _) => run_ended(hub, ix, Outcome::Moot, &[]),
-        ("outcome", ..) => run_ended(hub, ix, Outcome::Erred, &[]),
+        ("outcome", "fine", Some(result)) => run_ended(hub, ix, Outcome::Succeeded, &result),
+        ("outcome", "broken_off", _) => run_ended(hub, ix, Outcome::Cancelled, &[]),
+        ("outcome", "late", _) => run_ended(hub, ix, Outcome::NeverStarted, &[]),
+        ("outcome", ..) => run_ended(hub, ix, Outcome::Failed, &[]),
         ("refusal", "launch", _) => {
             // Nothing ran: no run failed, and no tenant is charged.
             often!(
@@ -90,7 +90,7 @@
                 what = "launch",
                 req = text("req")
             );
-            run_ended(hub, ix, Outcome::Moot, &[]);
+            run_ended(hub, ix, Outcome::NeverStarted, &[]);
         }
         ("refusal", what, _) => {
             often!(
@@ -143,10 +143,10 @@
         // Whether it ran is not known: a key says so.
         hub.act(|_, _, desk| {
             keyed::ended(desk, ix, End::Failed);
-            desk.close_key(ix, Outcome::Stopped, &[]);
+            desk.close_key(ix, Outcome::Cancelled, &[]);
         });
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
-        run_ended(hub, ix, Outcome::Moot, &[]);
+        run_ended(hub, ix, Outcome::NeverStarted, &[]);
     }
 }
 
@@ -162,12 +162,12 @@
         let Some(t) = desk.ticket(ix) else { return };
         if t.keyed.is_some() {
             let how = match end {
-                Outcome::Done => End::Result(Bytes::copy_from_slice(result)),
-                Outcome::Moot => End::NeverRan,
+                Outcome::Succeeded => End::Result(Bytes::copy_from_slice(result)),
+                Outcome::NeverStarted => End::NeverRan,
                 _ => End::Failed,
             };
             keyed::ended(desk, ix, how);
-        } else if end != Outcome::Stopped {
+        } else if end != Outcome::Cancelled {
             desk.finish(ix, end, result);
         }
         node.ended(now, desk, ix, end);
@@ -182,7 +182,7 @@
         if let Some((_, _, Call::Out(task))) = t.call.replace((offset, body.into(), Call::Waits)) {
             task.abort();
         }
-        node.at_call(now, desk, ix);
+        node.on_downstream_call(now, desk, ix);
     });
 }
 
@@ -196,15 +196,15 @@
         let Some((_, _, call @ Call::Out(_))) = &mut t.call else {
             return;
         };
-        *call = if end == Outcome::Done {
+        *call = if end == Outcome::Succeeded {
             Call::Delivered(reply)
         } else {
             Call::Waits
         };
-        if end == Outcome::Done {
+        if end == Outcome::Succeeded {
             count(&counts.delivered);
             send::call_result(&agent, t);
         }
-        node.call_ended(now, desk, ix, end);
+        node.on_call_finished(now, desk, ix, end);
     });
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -99,7 +99,7 @@
     hub.longest_pause.set(start.longest_pause);
     hub.listed_by_state.set(start.listed_by_state);
     if let Some(node) = node {
-        node.retune(start.node);
+        node.reconfigure(start.node);
     }
     note!(
         "retune",
--- a/crates/node/src/route.rs
+++ b/crates/node/src/route.rs
@@ -27,7 +27,7 @@
         }
     }
 
-    fn take_off(&mut self, ix: usize) {
+    fn cancel_run(&mut self, ix: usize) {
         let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_stop);
         if self.ticket(ix).is_some_and(|t| t.keyed.is_some()) {
             return keyed::left(self, ix);
@@ -43,20 +43,20 @@
     }
 
     /// From what is kept at once, or from the open ticket once its run is over.
-    fn reuse(&mut self, ix: usize) {
+    fn reply_from_cache(&mut self, ix: usize) {
         let Some(t) = self.ticket(ix) else { return };
         let (key, prior, serial) = (t.key.clone(), t.prior, t.serial);
         let kept = key
             .and_then(|key| self.keys.get(Instant::now(), &key))
             .map(|kept| kept.0);
         if let Some(Kept::Result(result)) = kept {
-            self.finish(ix, Outcome::Done, &result);
-            self.ends.push_back((ix, Outcome::Done));
+            self.finish(ix, Outcome::Succeeded, &result);
+            self.ends.push_back((ix, Outcome::Succeeded));
         } else if let Some(prior) = prior.and_then(|prior| self.ticket(prior)) {
             prior.waiters.push((ix, serial));
         } else {
-            self.finish(ix, Outcome::Erred, &[]);
-            self.ends.push_back((ix, Outcome::Erred));
+            self.finish(ix, Outcome::Failed, &[]);
+            self.ends.push_back((ix, Outcome::Failed));
         }
     }
 
@@ -72,10 +72,10 @@
     }
 
     fn forget(&mut self, ix: usize) {
-        self.close_key(ix, Outcome::Moot, &[]);
+        self.close_key(ix, Outcome::NeverStarted, &[]);
     }
 
-    fn dismiss(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
+    fn reject(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
         if let Some(owed) = self.ticket(ix).and_then(|t| t.owed.take()) {
             owed.dismiss(&self.counts, come_back, nowhere_else);
         }
@@ -98,7 +98,7 @@
         send::call(self, ix, left);
     }
 
-    fn answer_poorer(&mut self, ix: usize) {
+    fn reply_degraded(&mut self, ix: usize) {
         let (agent, counts) = (self.agent.clone(), self.counts.clone());
         let Some(t) = self.ticket(ix) else { return };
         if let Some((_, _, call)) = &mut t.call {
@@ -111,9 +111,9 @@
     }
 
     /// No field of the protocol carries the value yet.
-    fn say(&mut self, _: f64) {}
+    fn advertise_load(&mut self, _: f64) {}
 
-    fn checks(&mut self, good: bool) {
+    fn set_health(&mut self, good: bool) {
         self.good = good;
         note!("checks", "checks", good = good);
     }
@@ -127,9 +127,9 @@
         self.wake_at = Some(self.wake_at.map_or(at, |before| before.min(at)));
     }
 
-    fn over(&mut self, ix: usize) {
+    fn release(&mut self, ix: usize) {
         // One that leaves with its key still open never ran.
-        self.close_key(ix, Outcome::Moot, &[]);
+        self.close_key(ix, Outcome::NeverStarted, &[]);
         let Some(mut ticket) = self.take(ix) else {
             return;
         };
@@ -142,7 +142,7 @@
             owed.give_up(&self.counts);
         }
         for waiter in ticket.waiters {
-            self.finish_waiter(waiter, Outcome::Erred, &[]);
+            self.finish_waiter(waiter, Outcome::Failed, &[]);
         }
     }
 }
--- a/crates/node/src/send.rs
+++ b/crates/node/src/send.rs
@@ -69,7 +69,7 @@
     let Some(t) = desk.ticket(ix) else { return };
     let (serial, trace) = (t.serial, t.trace);
     let Some((_, body, made)) = &mut t.call else {
-        desk.ends.push_back((ix, Outcome::Moot));
+        desk.ends.push_back((ix, Outcome::NeverStarted));
         return;
     };
     count(&counts.calls);
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -158,8 +158,9 @@
         |w| async move {
             let (mut agent, mut caller) = w.up().await;
             // A clock past all reckoning: sums of time overflow from here on.
-            w.hub
-                .act(|node, _, desk| node.woken(Duration::MAX, desk, rainstand::Gauges::default()));
+            w.hub.act(|node, _, desk| {
+                node.on_tick(Duration::MAX, desk, rainstand::Gauges::default())
+            });
             let panics = w.hub.counts.panics.get();
             assert!(panics > 0, "the module was to be broken");
             // Late, the next wake-up adds to those sums before it asks for another one.
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -300,7 +300,7 @@
             let seq = w.ask(&mut caller, "check", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
             let order = |order: fn(&mut Desk)| order(&mut w.hub.core.borrow_mut().desk);
-            order(|desk| desk.take_off(0));
+            order(|desk| desk.cancel_run(0));
             assert_eq!(w.expect(&mut agent, "freeze").await, req);
             order(|desk| desk.run(0));
             assert_eq!(w.expect(&mut agent, "thaw").await, req);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,14 +10,17 @@
 pub mod fields;
 
 use fields::{flag, list, number, object, optional, span, text_of, whole, Fields};
-use rainstand::{Below, Hand, Ledger, Limit, Node, Repeats, Say, TrafficType, Voice};
+use rainstand::{
+    AdmissionController, ConcurrencyLimiter, DownstreamLimiter, InFlightRequests, LoadAdvertiser,
+    LoadSignal, Parts, Repeatability, RequestClass, TenantQuotas,
+};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// All that a program around the module takes from the settings.
 pub struct Start {
-    pub node: Node,
+    pub node: AdmissionController,
     /// Traffic types by name.
     pub types: BTreeMap<String, usize>,
     /// Tenants by name.
@@ -120,27 +123,27 @@
             names.insert(text_of(class, "name")?.to_owned(), k);
             let calls = calls.get(k).and_then(Value::as_bool).unwrap_or(true);
             let skip = skips.get(k).and_then(Value::as_f64).unwrap_or(0.0);
-            types.push(TrafficType {
-                goal_time: span(class, "aimS")?,
-                outer_limit: span(class, "deadlineS")?,
-                benefit: number(class, "value")?,
-                late: optional(class, "lateWorth")?.unwrap_or(0.0),
-                poorer: if calls { skip } else { 0.0 },
+            types.push(RequestClass {
+                latency_objective: span(class, "aimS")?,
+                deadline: span(class, "deadlineS")?,
+                value: number(class, "value")?,
+                late_share: optional(class, "lateWorth")?.unwrap_or(0.0),
+                degraded_share: if calls { skip } else { 0.0 },
                 repeats: match text_of(class, "effect")? {
-                    "free" => Repeats::Rerunnable,
-                    "guarded" => Repeats::Ticketed(span(class, "windowS")?),
-                    "single_shot" => Repeats::Exclusive,
+                    "free" => Repeatability::Idempotent,
+                    "guarded" => Repeatability::IdempotentWithKey(span(class, "windowS")?),
+                    "single_shot" => Repeatability::NonIdempotent,
                     other => return Err(format!("effect: {other} is not known")),
                 },
             });
         }
-        let window = |kind: &TrafficType| match kind.repeats {
-            Repeats::Ticketed(window) => Some(window),
+        let window = |kind: &RequestClass| match kind.repeats {
+            Repeatability::IdempotentWithKey(window) => Some(window),
             _ => None,
         };
         let kinds = types
             .iter()
-            .map(|kind| (kind.outer_limit, window(kind)))
+            .map(|kind| (kind.deadline, window(kind)))
             .collect();
         let mut tenants = BTreeMap::new();
         let mut quotas = Vec::new();
@@ -168,10 +171,10 @@
             _ => None,
         };
         let say = match text_of(family, "say")? {
-            "level" => Say::Level,
-            "credit" => Say::Credit,
-            "weight" => Say::Weight,
-            _ => Say::Nothing,
+            "level" => LoadSignal::Level,
+            "credit" => LoadSignal::Credit,
+            "weight" => LoadSignal::Weight,
+            _ => LoadSignal::Nothing,
         };
         let longest = if flag(permits, "retryAfter") {
             span(permits, "maxRetryAfterS")?
@@ -184,20 +187,26 @@
         let callers = (whole(family, "callers")? as usize, span(family, "idleS")?);
         let factor = number(duties, "overloadFactor")?;
         let by_work = facts.get("countedBy").and_then(Value::as_str) == Some("work");
-        let hand = Hand::new(
+        let hand = InFlightRequests::new(
             number(family, "ramKb")?,
             number(family, "runMemFactor")?,
             optional(family, "entryKb")?.unwrap_or(0.0),
         );
-        let parts = (
-            Ledger::new(&quotas, servers),
-            Limit::new(seed, cores, factor, cold),
-            hand,
-            Below::new(share),
-            Voice::new(say, longest, span(duties, "drainGraceS")?, marked, callers),
-        );
+        let parts = Parts {
+            quotas: TenantQuotas::new(&quotas, servers),
+            limit: ConcurrencyLimiter::new(seed, cores, factor, cold),
+            in_flight: hand,
+            downstream: DownstreamLimiter::new(share),
+            advertiser: LoadAdvertiser::new(
+                say,
+                longest,
+                span(duties, "drainGraceS")?,
+                marked,
+                callers,
+            ),
+        };
         Ok(Self {
-            node: Node::new(types, by_work, parts),
+            node: AdmissionController::new(types, by_work, parts),
             types: names,
             tenants,
             kinds,
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! One message at a time: events into calls, orders into actions.
 
-use rainstand::{Arrival, Gauges, Host, Node, Outcome, Repeat};
+use rainstand::{AdmissionController, Arrival, Gauges, Host, Outcome, RetryOf};
 use rainstand_settings::fields::{flag, object, optional, seconds, span, text_of, whole, Fields};
 use rainstand_settings::Start;
 use serde_json::Value;
@@ -16,7 +16,7 @@
 }
 
 struct Instance {
-    node: Node,
+    node: AdmissionController,
     door: Door,
     types: BTreeMap<String, usize>,
     tenants: BTreeMap<String, usize>,
@@ -110,7 +110,7 @@
     fn event(&mut self, now: Duration, msg: &str, fields: &Fields) -> Result<(), String> {
         let (node, door) = (&mut self.node, &mut self.door);
         match msg {
-            "quiesce" => node.leaving(now, door, span(fields, "patienceLeftS")?),
+            "quiesce" => node.on_shutdown_notice(now, door, span(fields, "patienceLeftS")?),
             "reminder" => {
                 let gauge = object(fields, "gauge")?;
                 let gauges = Gauges {
@@ -119,18 +119,18 @@
                     memory: optional(gauge, "heap_share")?,
                     links: optional(gauge, "links")?,
                 };
-                node.woken(now, door, gauges);
+                node.on_tick(now, door, gauges);
             }
             "ask" => {
                 let id = whole(fields, "req")?;
                 let kind = text_of(fields, "type")?;
                 let traffic = self.types.get(kind).copied();
                 let prior = match fields.get("prior").and_then(Value::as_u64).unwrap_or(0) {
-                    0 => Repeat::No,
+                    0 => RetryOf::No,
                     prior => door
                         .index
                         .get(&prior)
-                        .map_or(Repeat::Past, |&ix| Repeat::Of(ix)),
+                        .map_or(RetryOf::Past, |&ix| RetryOf::Of(ix)),
                 };
                 let billing = fields.get("billing").and_then(Value::as_str);
                 let arrival = Arrival {
@@ -150,7 +150,7 @@
                     again: flag(fields, "againByClient"),
                 };
                 let ix = door.admit(id);
-                node.arrived(now, door, ix, arrival);
+                node.on_arrival(now, door, ix, arrival);
             }
             _ => {
                 let id = whole(fields, "req")?;
@@ -159,9 +159,9 @@
                 };
                 match msg {
                     "completed" => node.ended(now, door, ix, outcome(fields)?),
-                    "callEnded" => node.call_ended(now, door, ix, outcome(fields)?),
-                    "stalledOnCall" => node.at_call(now, door, ix),
-                    _ => node.gone(now, door, ix),
+                    "callEnded" => node.on_call_finished(now, door, ix, outcome(fields)?),
+                    "stalledOnCall" => node.on_downstream_call(now, door, ix),
+                    _ => node.on_caller_gone(now, door, ix),
                 }
             }
         }
@@ -201,13 +201,13 @@
         self.on_ticket("process", ticket, format_args!(""));
     }
 
-    fn take_off(&mut self, ticket: usize) {
+    fn cancel_run(&mut self, ticket: usize) {
         if self.can_stop {
             self.on_ticket("takeOff", ticket, format_args!(""));
         }
     }
 
-    fn reuse(&mut self, ticket: usize) {
+    fn reply_from_cache(&mut self, ticket: usize) {
         self.on_ticket("reuse", ticket, format_args!(""));
     }
 
@@ -220,7 +220,7 @@
         self.on_ticket("erase", ticket, format_args!(""));
     }
 
-    fn dismiss(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool) {
+    fn reject(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool) {
         let s = come_back.as_secs_f64();
         let rest = format_args!(",\"backoffS\":{s},\"terminal\":{nowhere_else}");
         self.on_ticket("pushBack", ticket, rest);
@@ -235,15 +235,15 @@
         self.on_ticket("call", ticket, format_args!(",\"notPastS\":{s}"));
     }
 
-    fn answer_poorer(&mut self, ticket: usize) {
+    fn reply_degraded(&mut self, ticket: usize) {
         self.on_ticket("degrade", ticket, format_args!(""));
     }
 
-    fn say(&mut self, amount: f64) {
+    fn advertise_load(&mut self, amount: f64) {
         self.action("announce", format_args!(",\"amount\":{amount}"));
     }
 
-    fn checks(&mut self, good: bool) {
+    fn set_health(&mut self, good: bool) {
         self.action(
             "reportHealth",
             format_args!(",\"on\":{good},\"shallow\":true"),
@@ -260,7 +260,7 @@
         self.action("schedule", format_args!(",\"spanS\":{s},\"handle\":0"));
     }
 
-    fn over(&mut self, ticket: usize) {
+    fn release(&mut self, ticket: usize) {
         self.index.remove(&self.ids[ticket]);
         self.free.push(ticket);
     }
@@ -268,14 +268,14 @@
 
 fn outcome(fields: &Fields) -> Result<Outcome, String> {
     Ok(match text_of(fields, "reason")? {
-        "done" => Outcome::Done,
-        "err" => Outcome::Erred,
-        "busy" => Outcome::Bounced,
+        "done" => Outcome::Succeeded,
+        "err" => Outcome::Failed,
+        "busy" => Outcome::Rejected,
         "etimedout" => Outcome::TimedOut,
         "econnrefused" => Outcome::Unreachable,
-        "econnreset" => Outcome::CutOff,
-        "ecanceled" => Outcome::Stopped,
-        "skipped" => Outcome::Moot,
+        "econnreset" => Outcome::Disconnected,
+        "ecanceled" => Outcome::Cancelled,
+        "skipped" => Outcome::NeverStarted,
         other => return Err(format!("reason: {other} is not known")),
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,13 +1,12 @@
 //! Every decision of a node, with its tables and tuned values.
 //!
-//! How it is called: [`Node::arrived`] when a ticket was read, [`Node::ended`] when a run or reuse is
-//! over, [`Node::at_call`] and [`Node::call_ended`] round a call below, [`Node::gone`] when a caller
-//! left, [`Node::woken`] when a wake-up asked for is due, [`Node::leaving`] on the notice to leave.
-//! Orders go out through the trait `Host`; it and the types at the edge stand in `ticket.rs`.
+//! Calls: [`AdmissionController::on_arrival`] when a request was read, `on_run_finished` when a run or a
+//! cached reply is over, `on_downstream_call` and `on_call_finished` round a call to the tier below,
+//! `on_caller_gone` when a caller left, `on_tick` when a tick is due, `on_shutdown_notice` on the notice to
+//! leave. Orders go out through the trait `Host`; it and the types at the edge stand in `ticket.rs`.
 //!
-//! The design (docs/design.md): each tenant is charged its run time per window; while the node is
-//! pressed an overspender's later tickets are dismissed with the delay left; a learned limit bounds
-//! what runs. Beside it stand six mechanisms:
+//! The design (docs/design.md): each tenant is charged its run time per window; while the node is pressed an
+//! overspender's later requests are rejected with the delay left; a learned limit bounds what runs. Beside:
 //! 1. the hold: a line for each traffic type, taking turns by weight, tenants within their share first;
 //! 2. the alarm: every ticket in hand has one time at which it is answered, come what may;
 //! 3. the crowd and memory bounds, from the figures told at start;
@@ -16,8 +15,9 @@
 //! 6. connections: the more stand open, the sooner idle ones close.
 
 use crate::decay::{Decaying, Mean};
-use crate::hand::{Hand, Stage, Ticket};
-use crate::ticket::{Arrival, Gauges, Host, Outcome, Repeat, Repeats, Say, TrafficType};
+use crate::in_flight::{InFlightRequests, Request, Stage};
+use crate::parts::Parts;
+use crate::ticket::{Arrival, Gauges, Host, LoadSignal, Outcome, Repeatability, RequestClass, RetryOf};
 use nanorand::{Rng, WyRand};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -102,7 +102,7 @@
 const TRIM: [f64; 2] = [0.5, 2.0];
 
 /// What each tenant spent, and what it may: the design's quota.
-pub struct Ledger {
+pub struct TenantQuotas {
     quotas: Vec<f64>,
     spent: Vec<Decaying>,
     asked: Vec<Decaying>,
@@ -110,7 +110,7 @@
     charge: Mean,
 }
 
-impl Ledger {
+impl TenantQuotas {
     /// `quotas` in tickets a second over the fleet; the last account is for tickets of no tenant.
     pub fn new(quotas: &[f64], servers: usize) -> Self {
         let n = quotas.len() + 1;
@@ -146,7 +146,7 @@
 }
 
 /// How many may run at once: the learned limit under the crowd that a node survives.
-pub struct Limit {
+pub struct ConcurrencyLimiter {
     cores: usize,
     factor: f64,
     cold: Option<(Duration, f64, Duration)>,
@@ -162,26 +162,23 @@
     chance: WyRand,
 }
 
-impl Limit {
+impl ConcurrencyLimiter {
     /// `factor`: survived tickets a core when warm; `cold`: born at, share of speed then, full after.
     pub fn new(seed: u64, cores: usize, factor: f64, cold: Option<(Duration, f64, Duration)>) -> Self {
-        let (chance, pay) = (WyRand::new_seed(seed), [Mean::default(); STEPS.len()]);
-        let (arm, survived, ends, whole_round, reading, round) = (0, 0, 0, false, 0, Duration::ZERO);
-        let (waits, waited) = (0, Mean::default());
         Self {
             cores,
             factor,
             cold,
-            arm,
-            survived,
-            pay,
-            round,
-            ends,
-            whole_round,
-            reading,
-            waits,
-            waited,
-            chance,
+            arm: 0,
+            survived: 0,
+            pay: [Mean::default(); STEPS.len()],
+            round: Duration::ZERO,
+            ends: 0,
+            whole_round: false,
+            reading: 0,
+            waits: 0,
+            waited: Mean::default(),
+            chance: WyRand::new_seed(seed),
         }
     }
 
@@ -242,7 +239,7 @@
 
 /// The pace of calls below, and this node's part of what they all may load there.
 #[derive(Default)]
-pub struct Below {
+pub struct DownstreamLimiter {
     share: Option<(f64, Duration, Duration)>,
     rate: f64,
     saved: f64,
@@ -256,7 +253,7 @@
     pledged: Duration,
 }
 
-impl Below {
+impl DownstreamLimiter {
     /// `share`: where all nodes share what lies below, this node's calls at once, the window of that
     /// mean, and how long a call given up stays there.
     pub fn new(share: Option<(f64, Duration, Duration)>) -> Self {
@@ -303,13 +300,13 @@
         if let Some((_, _, lingers)) = self.share {
             self.pledged = self.pledged.saturating_sub(until.saturating_sub(made) + lingers);
             let stays =
-                if outcome.never_ran() || outcome == Outcome::Done { Duration::ZERO } else { lingers };
+                if outcome.never_ran() || outcome == Outcome::Succeeded { Duration::ZERO } else { lingers };
             self.past.push_back((now + stays, took + stays));
             self.spent += took + stays;
         }
         let took = took.as_secs_f64();
         self.ends.add(now, 1.0, RECENT);
-        if outcome == Outcome::Done {
+        if outcome == Outcome::Succeeded {
             self.back.add(now, 1.0, RECENT);
             self.recent.add(now, took, RECENT);
             self.usual.add(now, took, MEAN_SPAN);
@@ -317,8 +314,8 @@
         let usual = self.usual.read().unwrap_or(0.0);
         let slowed = self.recent.read().unwrap_or(0.0) > SLOWED * usual;
         // Guards against a pace that feeds on itself: what had no time proves nothing, what comes back does.
-        if outcome != Outcome::Stopped && (outcome != Outcome::TimedOut || took >= usual) {
-            let by = PACE_STEPS[usize::from(outcome == Outcome::Done && !slowed)];
+        if outcome != Outcome::Cancelled && (outcome != Outcome::TimedOut || took >= usual) {
+            let by = PACE_STEPS[usize::from(outcome == Outcome::Succeeded && !slowed)];
             let back = self.back.read(now, RECENT) / RECENT.as_secs_f64() * PACE_STEPS[0];
             // Hundreds of nodes at one call a second each may be far more than a slow thing below can do.
             let least = self.share.map_or(PACE[0], |share| PACE[0].min(share.1.as_secs_f64().recip()));
@@ -332,8 +329,8 @@
 
 /// What callers are told: advice, level, checks; and the notice to leave.
 #[derive(Default)]
-pub struct Voice {
-    say: Say,
+pub struct LoadAdvertiser {
+    say: LoadSignal,
     longest: Duration,
     grace: Duration,
     marked: bool,
@@ -345,11 +342,17 @@
     looked: Duration,
 }
 
-impl Voice {
+impl LoadAdvertiser {
     /// `longest`: the longest advice that is heeded; `grace`: arrivals later than this after the notice
     /// are not run; `marked`: further tries are marked as such; `links`: callers, and how long each keeps
     /// an unused connection.
-    pub fn new(say: Say, longest: Duration, grace: Duration, marked: bool, links: (usize, Duration)) -> Self {
+    pub fn new(
+        say: LoadSignal,
+        longest: Duration,
+        grace: Duration,
+        marked: bool,
+        links: (usize, Duration),
+    ) -> Self {
         Self { say, longest, grace, marked, links, stay: links.1, ..Self::default() }
     }
 
@@ -369,27 +372,27 @@
     }
 
     /// Asks callers to keep away, or to come again.
-    fn keep_away(&mut self, host: &mut dyn Host, away: bool) {
+    fn set_unavailable(&mut self, host: &mut dyn Host, away: bool) {
         if std::mem::replace(&mut self.away, away) == away {
             return;
         }
-        host.checks(!away);
+        host.set_health(!away);
         if let Some(value) = self.say.to_all(away) {
-            host.say(value);
+            host.advertise_load(value);
         }
     }
 }
 
 /// Whether runs end, and end well.
 #[derive(Default)]
-struct Health {
+struct HealthMonitor {
     failed: Mean,
     last_end: Duration,
     sick: bool,
     let_through: Duration,
 }
 
-impl Health {
+impl HealthMonitor {
     fn look(&mut self, now: Duration, working: bool, usual_run: Duration) {
         if !working {
             self.last_end = now;
@@ -408,7 +411,7 @@
 
 /// One traffic type's line, a queue for each account.
 #[derive(Clone, Default)]
-struct Line {
+struct ClassQueue {
     queues: Vec<VecDeque<usize>>,
     passed: f64,
     run: Mean,
@@ -419,33 +422,30 @@
 /// When a run began, and how long the process had stood still by then.
 type Since = [Duration; 2];
 
-/// What a node is made of, each part from its own few settings.
-pub type Parts = (Ledger, Limit, Hand<Node>, Below, Voice);
-
 /// The decisions of one node.
-pub struct Node {
-    types: Vec<TrafficType>,
+pub struct AdmissionController {
+    types: Vec<RequestClass>,
     by_work: bool,
-    ledger: Ledger,
-    limit: Limit,
-    hand: Hand<Node>,
-    below: Below,
-    voice: Voice,
-    health: Health,
-    lines: Vec<Line>,
+    ledger: TenantQuotas,
+    limit: ConcurrencyLimiter,
+    hand: InFlightRequests<AdmissionController>,
+    below: DownstreamLimiter,
+    voice: LoadAdvertiser,
+    health: HealthMonitor,
+    lines: Vec<ClassQueue>,
     standing: VecDeque<usize>,
     busy: bool,
     stalled: Duration,
     beat: Duration,
 }
 
-impl Node {
+impl AdmissionController {
     /// `by_work`: benefit is counted for each unit of work.
-    pub fn new(types: Vec<TrafficType>, by_work: bool, parts: Parts) -> Self {
-        let (ledger, limit, hand, below, voice) = parts;
-        let line = Line { queues: vec![VecDeque::new(); ledger.spent.len()], ..Line::default() };
+    pub fn new(types: Vec<RequestClass>, by_work: bool, parts: Parts) -> Self {
+        let Parts { quotas: ledger, limit, in_flight: hand, downstream: below, advertiser: voice } = parts;
+        let line = ClassQueue { queues: vec![VecDeque::new(); ledger.spent.len()], ..ClassQueue::default() };
         let lines = vec![line; types.len()];
-        let (health, standing, busy) = (Health::default(), VecDeque::new(), false);
+        let (health, standing, busy) = (HealthMonitor::default(), VecDeque::new(), false);
         let (stalled, beat) = (Duration::ZERO, Duration::MAX);
         #[rustfmt::skip]
         return Self {
@@ -456,7 +456,7 @@
     /// New settings under load: what they decide is taken from `fresh`, made from them; what is in hand,
     /// learned or owed stays, so nothing read is lost or run twice. Types and tenants stay as they are:
     /// their count is checked by whoever reads the settings, and the books are laid out by them.
-    pub fn retune(&mut self, fresh: Node) {
+    pub fn reconfigure(&mut self, fresh: AdmissionController) {
         let same =
             fresh.types.len() == self.types.len() && fresh.ledger.quotas.len() == self.ledger.quotas.len();
         if same {
@@ -466,7 +466,7 @@
         (self.limit.factor, self.below.share) = (fresh.limit.factor, fresh.below.share);
         // Guards against pledges that stay, or are missing, where what is below turns shared or back.
         let lingers = fresh.below.share.map(|share| share.2 * self.hand.count(Stage::Calling) as u32);
-        self.below.pledged = lingers.map_or(Duration::ZERO, |lingers| self.hand.pledged() + lingers);
+        self.below.pledged = lingers.map_or(Duration::ZERO, |lingers| self.hand.reserved() + lingers);
         let stay = self.voice.stay.min(fresh.voice.links.1);
         let voice = fresh.voice;
         (self.voice.say, self.voice.longest, self.voice.grace) = (voice.say, voice.longest, voice.grace);
@@ -475,32 +475,32 @@
 
     /// The first call: checks are answered from store, and the first wake-up is asked for.
     pub fn begin(&mut self, now: Duration, host: &mut dyn Host) {
-        host.checks(true);
+        host.set_health(true);
         host.wake(BEAT);
         self.beat = now + BEAT;
         self.health.last_end = now;
         self.limit.start_round(now);
     }
 
-    pub fn arrived(&mut self, now: Duration, host: &mut dyn Host, ix: usize, a: Arrival) {
+    pub fn on_arrival(&mut self, now: Duration, host: &mut dyn Host, ix: usize, a: Arrival) {
         let kind = self.types[a.traffic];
-        let (repeats, goal) = (kind.repeats, kind.goal_time);
+        let (repeats, goal) = (kind.repeats, kind.latency_objective);
         let arrived = now.saturating_sub(a.waited);
-        let due = a.patience.map_or((arrived + kind.outer_limit).max(now), |left| now + left);
+        let due = a.patience.map_or((arrived + kind.deadline).max(now), |left| now + left);
         let due = self.voice.leaving.map_or(due, |(_, kill)| due.min(kill)).saturating_sub(MARGIN);
         let account = a.tenant.unwrap_or(usize::MAX).min(self.ledger.quotas.len());
         // Guards against a shed that feeds on itself: the further tries of what was shed are not asked anew.
         self.ledger.asked[account].add(now, if a.again { 0.0 } else { 1.0 }, WINDOW);
         self.voice.again.add(now, if a.again { 1.0 } else { 0.0 }, RECENT);
-        self.hand.put(ix, Ticket::new(&a, kind, account, [arrived, due]));
-        if repeats != Repeats::Rerunnable && a.repeat != Repeat::No {
+        self.hand.insert(ix, Request::new(&a, kind, account, [arrived, due]));
+        if repeats != Repeatability::Idempotent && a.repeat != RetryOf::No {
             // Guards against a second effect: a repeat takes the first try's result, never a run.
-            self.hand.move_to(ix, Stage::Reusing);
-            self.hand.at(ix).after_run = Some(Box::new(|node, _, host, ix, _| node.close(host, ix)));
-            host.reuse(ix);
-            return self.sound(now, host);
+            self.hand.set_stage(ix, Stage::AwaitingResult);
+            self.hand.expect(ix).after_run = Some(Box::new(|node, _, host, ix, _| node.close(host, ix)));
+            host.reply_from_cache(ix);
+            return self.expire_deadlines(now, host);
         }
-        if let Repeats::Ticketed(window) = repeats {
+        if let Repeatability::IdempotentWithKey(window) = repeats {
             let span = (window + MARGIN).saturating_sub(a.waited);
             host.keep(ix, span);
             self.hand.keep(ix, now + span);
@@ -524,7 +524,7 @@
             return self.dismiss(now, host, ix, delay);
         }
         self.lines[a.traffic].queues[account].push_back(ix);
-        self.hand.set_alarm(ix, Some(start_by.max(now + BEAT).min(due)));
+        self.hand.set_timer(ix, Some(start_by.max(now + BEAT).min(due)));
         self.shed(now, host);
         self.fill(now, host);
     }
@@ -537,7 +537,7 @@
         self.fill(now, host);
     }
 
-    pub fn at_call(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
+    pub fn on_downstream_call(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         if let Some(t) = self.hand.get(ix).filter(|t| t.stage == Stage::Running && !t.answered) {
             (t.call_since, t.call_tries) = (now, 0);
             self.stand(ix);
@@ -545,7 +545,7 @@
         self.fill(now, host);
     }
 
-    pub fn call_ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, outcome: Outcome) {
+    pub fn on_call_finished(&mut self, now: Duration, host: &mut dyn Host, ix: usize, outcome: Outcome) {
         if let Some(next) = self.hand.get(ix).and_then(|t| t.after_call.take()) {
             next(self, now, host, ix, outcome);
         }
@@ -553,20 +553,20 @@
     }
 
     /// The caller has left: nothing is owed.
-    pub fn gone(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
+    pub fn on_caller_gone(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         self.done_with(host, ix);
         self.fill(now, host);
     }
 
-    pub fn leaving(&mut self, now: Duration, host: &mut dyn Host, kill_in: Duration) {
+    pub fn on_shutdown_notice(&mut self, now: Duration, host: &mut dyn Host, kill_in: Duration) {
         let kill = now + kill_in.saturating_sub(MARGIN);
         self.voice.leaving = Some((now, kill));
-        self.voice.keep_away(host, true);
-        self.hand.none_later(kill.saturating_sub(MARGIN));
-        self.sound(now, host);
+        self.voice.set_unavailable(host, true);
+        self.hand.cap_deadlines(kill.saturating_sub(MARGIN));
+        self.expire_deadlines(now, host);
     }
 
-    pub fn woken(&mut self, now: Duration, host: &mut dyn Host, gauges: Gauges) {
+    pub fn on_tick(&mut self, now: Duration, host: &mut dyn Host, gauges: Gauges) {
         // Guards against charging, or taking for hung, runs that stood still with the whole process.
         let late = now.saturating_sub(self.beat);
         if late > BEAT {
@@ -576,13 +576,13 @@
         self.beat = now + BEAT;
         host.wake(BEAT);
         self.busy = gauges.cores_busy.is_none_or(|busy| busy >= BUSY);
-        let (held, running) = (self.hand.count(Stage::Held), self.hand.count(Stage::Running));
+        let (held, running) = (self.hand.count(Stage::Queued), self.hand.count(Stage::Running));
         self.limit.beat(now, gauges, running, held > 0);
         let usual = (0..self.lines.len()).map(|k| self.usual_run(k, None)).max().unwrap_or_default();
         self.health.look(now, running > 0, usual);
         self.voice.trim(now, host, gauges.links.unwrap_or(0.0), self.limit.cores);
-        self.voice.keep_away(host, self.health.sick || self.voice.leaving.is_some());
-        self.sound(now, host);
+        self.voice.set_unavailable(host, self.health.sick || self.voice.leaving.is_some());
+        self.expire_deadlines(now, host);
         self.fill(now, host);
     }
 
@@ -596,22 +596,22 @@
     /// How long until the cores have worked off what is held.
     fn wait(&self) -> Duration {
         let charge = self.ledger.charge.read().unwrap_or(0.0);
-        let held = self.hand.count(Stage::Held) as f64;
+        let held = self.hand.count(Stage::Queued) as f64;
         Duration::from_secs_f64(held * charge / self.limit.cores.max(1) as f64)
     }
 
     /// Rings every alarm that is due: no ticket is lost, whatever keeps it.
-    fn sound(&mut self, now: Duration, host: &mut dyn Host) {
-        while let Some(ix) = self.hand.ring(now) {
-            let t = self.hand.at(ix);
-            let (stage, due, poorer) = (t.stage, t.due, t.kind.poorer > 0.0);
-            if stage == Stage::Standing {
+    fn expire_deadlines(&mut self, now: Duration, host: &mut dyn Host) {
+        while let Some(ix) = self.hand.next_expired(now) {
+            let t = self.hand.expect(ix);
+            let (stage, due, poorer) = (t.stage, t.due, t.kind.degraded_share > 0.0);
+            if stage == Stage::AwaitingCall {
                 self.lines[t.traffic].short.add(now, 1.0, MEAN_SPAN);
             }
             match stage {
-                Stage::Held => self.dismiss(now, host, ix, self.wait()),
-                Stage::Standing if now < due && poorer => self.leave_call_out(now, host, ix),
-                Stage::Calling if now < due => self.hand.alarm_when_due(ix),
+                Stage::Queued => self.dismiss(now, host, ix, self.wait()),
+                Stage::AwaitingCall if now < due && poorer => self.leave_call_out(now, host, ix),
+                Stage::Calling if now < due => self.hand.set_timer_to_deadline(ix),
                 _ => self.give_up(host, ix),
             }
         }
@@ -625,13 +625,13 @@
 
     /// Nothing is owed any more: frees what can be freed now, the rest when its end comes.
     fn done_with(&mut self, host: &mut dyn Host, ix: usize) {
-        self.hand.set_alarm(ix, None);
+        self.hand.set_timer(ix, None);
         let Some(t) = self.hand.get(ix) else { return };
         t.answered = true;
         match t.stage {
-            Stage::Held | Stage::Reusing => self.close(host, ix),
-            Stage::Running => host.take_off(ix),
-            Stage::Standing => self.standing.retain(|&other| other != ix),
+            Stage::Queued | Stage::AwaitingResult => self.close(host, ix),
+            Stage::Running => host.cancel_run(ix),
+            Stage::AwaitingCall => self.standing.retain(|&other| other != ix),
             Stage::Calling => {}
         }
     }
@@ -640,30 +640,30 @@
     fn dismiss(&mut self, now: Duration, host: &mut dyn Host, ix: usize, come_back: Duration) {
         // Many further tries say that other nodes are full too; where none are marked, assume it.
         let fleet = !self.voice.marked || self.voice.again.read() > Some(AGAIN);
-        let nowhere_else = (self.hand.at(ix).again || (self.busy && fleet)) && !self.voice.away;
+        let nowhere_else = (self.hand.expect(ix).again || (self.busy && fleet)) && !self.voice.away;
         if self.hand.forget(now, ix) {
             host.forget(ix);
         }
-        host.dismiss(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
+        host.reject(ix, come_back.min(self.voice.longest).min(WINDOW), nowhere_else);
         self.close(host, ix);
     }
 
     /// Takes a ticket out of all books; its index goes back.
     fn close(&mut self, host: &mut dyn Host, ix: usize) {
-        if let Some(t) = self.hand.take(ix) {
+        if let Some(t) = self.hand.remove(ix) {
             match t.stage {
-                Stage::Held => self.lines[t.traffic].queues[t.account].retain(|&other| other != ix),
-                Stage::Standing => self.standing.retain(|&other| other != ix),
+                Stage::Queued => self.lines[t.traffic].queues[t.account].retain(|&other| other != ix),
+                Stage::AwaitingCall => self.standing.retain(|&other| other != ix),
                 _ => {}
             }
-            host.over(ix);
+            host.release(ix);
         }
     }
 
     /// Guards against dying of memory, and against a flood that takes the room of the others: the newest
     /// goes of who asks for most over T, as its share is met where nodes are faster than this one.
     fn shed(&mut self, now: Duration, host: &mut dyn Host) {
-        let goal = self.types.iter().map(|kind| kind.goal_time).min().unwrap_or_default();
+        let goal = self.types.iter().map(|kind| kind.latency_objective).min().unwrap_or_default();
         loop {
             let short = self.hand.memory_with(now, None) > SAFE;
             let pressed = self.busy && self.wait() > goal.mul_f64(PRESSED);
@@ -683,8 +683,8 @@
     /// Starts what may start: tenants within their share first, lines by turns.
     fn fill(&mut self, now: Duration, host: &mut dyn Host) {
         self.make_calls(now, host);
-        while self.hand.count(Stage::Held) > 0 && self.hand.count(Stage::Running) < self.limit.allowed(now) {
-            let out = self.hand.count(Stage::Standing) + self.hand.count(Stage::Calling);
+        while self.hand.any(Stage::Queued) && self.hand.count(Stage::Running) < self.limit.allowed(now) {
+            let out = self.hand.count(Stage::AwaitingCall) + self.hand.count(Stage::Calling);
             if self.hand.count(Stage::Running) + out >= self.limit.ceiling(now) * OUT_MORE {
                 return;
             }
@@ -708,8 +708,8 @@
 
     fn start(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         let stalled = self.stalled;
-        self.hand.move_to(ix, Stage::Running);
-        let t = self.hand.at(ix);
+        self.hand.set_stage(ix, Stage::Running);
+        let t = self.hand.expect(ix);
         t.after_run = Some(Box::new(move |node, at, host, ix, end| {
             node.run_ended(at, host, ix, end, [now, stalled]);
         }));
@@ -717,24 +717,24 @@
         line.queues[t.account].retain(|&other| other != ix);
         let size = t.hint.map_or(line.run.read().unwrap_or(1.0), |hint| hint.as_secs_f64());
         let turn = if self.by_work { size } else { 1.0 };
-        line.passed += turn / self.types[t.traffic].benefit.max(f64::MIN_POSITIVE);
-        self.hand.alarm_when_due(ix);
+        line.passed += turn / self.types[t.traffic].value.max(f64::MIN_POSITIVE);
+        self.hand.set_timer_to_deadline(ix);
         host.run(ix);
     }
 
     fn run_ended(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome, since: Since) {
         let [begun, stalled] = since;
-        let (running, t) = (self.hand.count(Stage::Running).max(1), self.hand.at(ix));
+        let (running, t) = (self.hand.count(Stage::Running).max(1), self.hand.expect(ix));
         let call = now.saturating_sub(t.call_since);
         let calls = t.call_waits + call * u32::from(t.stage != Stage::Running);
-        if end == Outcome::Stopped && !t.answered {
+        if end == Outcome::Cancelled && !t.answered {
             // Taken off by no order of ours: it ran, so only an error is left.
             host.give_up(ix);
         }
         if t.stage == Stage::Calling {
-            self.below.ended(now, t.call, Outcome::Stopped);
+            self.below.ended(now, t.call, Outcome::Cancelled);
         }
-        if end == Outcome::Moot {
+        if end == Outcome::NeverStarted {
             // Against made-up tickets: what could not run is asked for by no tenant, and tells no time.
             self.ledger.asked[t.account].add(now, -1.0, WINDOW);
             return self.close(host, ix);
@@ -742,14 +742,14 @@
         let spent = now.saturating_sub(begun + calls + (self.stalled - stalled)).as_secs_f64();
         let part = (self.limit.cores as f64 / running as f64).min(1.0);
         self.ledger.bill(now, t.account, spent * part);
-        if matches!(end, Outcome::Done | Outcome::Erred) {
+        if matches!(end, Outcome::Succeeded | Outcome::Failed) {
             self.health.last_end = now;
-            self.health.failed.add(now, if end == Outcome::Erred { 1.0 } else { 0.0 }, RECENT);
+            self.health.failed.add(now, if end == Outcome::Failed { 1.0 } else { 0.0 }, RECENT);
         }
         let (line, run) = (&mut self.lines[t.traffic], now.saturating_sub(begun).as_secs_f64());
-        self.limit.ends += u32::from(end == Outcome::Done);
+        self.limit.ends += u32::from(end == Outcome::Succeeded);
         // A run cut off counts where it already took longer than usual, else only short ones would.
-        if end == Outcome::Done || Some(run) > line.run.read() {
+        if end == Outcome::Succeeded || Some(run) > line.run.read() {
             line.run.add(now, run, MEAN_SPAN);
             t.hint.iter().for_each(|h| line.hint.add(now, h.as_secs_f64().max(f64::MIN_POSITIVE), MEAN_SPAN));
         }
@@ -758,49 +758,49 @@
 
     /// The latest a call may take: where a poorer answer is worth something, in time for the goal time.
     fn call_until(&mut self, ix: usize) -> Duration {
-        let t = self.hand.at(ix);
+        let t = self.hand.expect(ix);
         let (arrived, due, kind, traffic) = (t.arrived, t.due, t.kind, t.traffic);
-        if kind.poorer == 0.0 {
+        if kind.degraded_share == 0.0 {
             return due;
         }
         let rest = self.usual_run(traffic, None).mul_f64(AFTER_CALL);
-        (arrived + kind.goal_time).saturating_sub(rest).min(due)
+        (arrived + kind.latency_objective).saturating_sub(rest).min(due)
     }
 
     /// Guards against a pace that feeds on itself: a call made with too little time left only fails.
     fn stand(&mut self, ix: usize) {
         let usual = Duration::from_secs_f64(self.below.usual.read().unwrap_or(0.0));
         let mut until = self.call_until(ix).saturating_sub(usual);
-        let t = self.hand.at(ix);
-        if t.kind.poorer > 0.0 {
+        let t = self.hand.expect(ix);
+        if t.kind.degraded_share > 0.0 {
             until = until.min(t.call_since + usual.mul_f64(LONG_CALL).max(BEAT));
         }
-        self.hand.move_to(ix, Stage::Standing);
-        self.hand.set_alarm(ix, Some(until));
+        self.hand.set_stage(ix, Stage::AwaitingCall);
+        self.hand.set_timer(ix, Some(until));
         self.standing.push_back(ix);
     }
 
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
         while let Some(longest) = self.below.may(now) {
             // Guards against a tier below that drowns: first where most is lost without, then the newest.
-            let stakes = self.standing.iter().map(|&ix| self.hand.at(ix).kind.call_worth());
+            let stakes = self.standing.iter().map(|&ix| self.hand.expect(ix).kind.call_value());
             let best = stakes.enumerate().max_by(|a, b| a.1.total_cmp(&b.1));
             // Guards the tickets that lose most without their call: while these go short, others go without.
             let dearer_short = |worth| {
                 let mut kinds =
-                    self.types.iter().zip(&self.lines).filter(|(kind, _)| kind.call_worth() > worth);
+                    self.types.iter().zip(&self.lines).filter(|(kind, _)| kind.call_value() > worth);
                 kinds.any(|(_, line)| line.short.known(now, MEAN_SPAN, STALE) > Some(SHORT))
             };
             let best = best.filter(|best| self.below.calm() || !dearer_short(best.1));
             let Some(ix) = best.and_then(|(at, _)| self.standing.remove(at)) else { return };
             let until = self.call_until(ix).max(now + BEAT).min(now.saturating_add(longest));
-            self.hand.move_to(ix, Stage::Calling);
-            let t = self.hand.at(ix);
+            self.hand.set_stage(ix, Stage::Calling);
+            let t = self.hand.expect(ix);
             let until = until.min(t.due);
             t.call = [now, until];
             t.call_tries += 1;
             t.after_call = Some(Box::new(|node, at, host, ix, end| node.call_back(at, host, ix, end)));
-            self.hand.alarm_when_due(ix);
+            self.hand.set_timer_to_deadline(ix);
             self.below.made(now, until);
             host.call(ix, until);
         }
@@ -808,20 +808,20 @@
 
     fn call_back(&mut self, now: Duration, host: &mut dyn Host, ix: usize, end: Outcome) {
         let until = self.call_until(ix);
-        let t = self.hand.at(ix);
+        let t = self.hand.expect(ix);
         self.below.ended(now, t.call, end);
-        self.lines[t.traffic].short.add(now, if end == Outcome::Done { 0.0 } else { 1.0 }, MEAN_SPAN);
+        self.lines[t.traffic].short.add(now, if end == Outcome::Succeeded { 0.0 } else { 1.0 }, MEAN_SPAN);
         let kind = t.kind;
         // Guards against a second effect below: only a call proved not run is made again.
-        let poorer = kind.poorer > 0.0;
-        let again = end.never_ran() || kind.repeats == Repeats::Rerunnable;
+        let poorer = kind.degraded_share > 0.0;
+        let again = end.never_ran() || kind.repeats == Repeatability::Idempotent;
         let again = again && now < until && (t.call_tries < CALL_TRIES || (end.never_ran() && !poorer));
-        if end == Outcome::Done {
+        if end == Outcome::Succeeded {
             t.call_waits += now.saturating_sub(t.call_since);
-            return self.hand.move_to(ix, Stage::Running);
+            return self.hand.set_stage(ix, Stage::Running);
         }
-        self.hand.move_to(ix, Stage::Standing);
-        match (self.hand.at(ix).answered, again, poorer) {
+        self.hand.set_stage(ix, Stage::AwaitingCall);
+        match (self.hand.expect(ix).answered, again, poorer) {
             (true, ..) => {}
             (_, true, _) => self.stand(ix),
             (.., true) => self.leave_call_out(now, host, ix),
@@ -831,10 +831,10 @@
 
     fn leave_call_out(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         self.standing.retain(|&other| other != ix);
-        self.hand.move_to(ix, Stage::Running);
-        let t = self.hand.at(ix);
+        self.hand.set_stage(ix, Stage::Running);
+        let t = self.hand.expect(ix);
         t.call_waits += now.saturating_sub(t.call_since);
-        self.hand.alarm_when_due(ix);
-        host.answer_poorer(ix);
+        self.hand.set_timer_to_deadline(ix);
+        host.reply_degraded(ix);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,9 @@
 //! Admission and scheduling for the servers behind other people's balancers.
 //!
-//! A [`Node`] decides for one server which tickets it takes, runs and turns
-//! away. It does no I/O and never reads a clock: the program around it calls in
-//! with the time since start, and gets its orders through the [`Host`] trait.
-//! All decisions live in [`choice`]; `ticket` holds the types at its edge,
-//! `hand` the books of the tickets in hand, `decay` the sums it measures with.
+//! An [`AdmissionController`] decides for one server which requests it admits, runs and rejects. It does no I/O
+//! and never reads a clock: the program around it calls in with the time since start, and gets its orders through
+//! the [`Host`] trait. All decisions live in [`choice`]; [`ticket`] holds the types at its edge, [`in_flight`] the
+//! requests in hand, [`decay`] the sums it measures with, [`parts`] what a controller is made of.
 
 #![allow(
     missing_docs,
@@ -15,9 +14,11 @@
 
 pub mod choice;
 pub mod decay;
-pub mod hand;
+pub mod in_flight;
+pub mod parts;
 pub mod ticket;
 
-pub use choice::{Below, Ledger, Limit, Node, Voice};
-pub use hand::Hand;
-pub use ticket::{Arrival, Gauges, Host, Outcome, Repeat, Repeats, Say, TrafficType};
+pub use choice::{AdmissionController, ConcurrencyLimiter, DownstreamLimiter, LoadAdvertiser, TenantQuotas};
+pub use in_flight::InFlightRequests;
+pub use parts::Parts;
+pub use ticket::{Arrival, Gauges, Host, LoadSignal, Outcome, Repeatability, RequestClass, RetryOf};
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -4,38 +4,38 @@
 
 /// Whether work of a traffic type may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeats {
+pub enum Repeatability {
     /// May run any number of times.
-    Rerunnable,
+    Idempotent,
     /// Carries a mark that tells a repeat apart, for this long after arrival.
-    Ticketed(Duration),
+    IdempotentWithKey(Duration),
     /// Must never run twice.
-    Exclusive,
+    NonIdempotent,
 }
 
 /// What is known at start of one traffic type.
 #[derive(Clone, Copy, Debug)]
-pub struct TrafficType {
-    pub goal_time: Duration,
-    pub outer_limit: Duration,
-    pub benefit: f64,
+pub struct RequestClass {
+    pub latency_objective: Duration,
+    pub deadline: Duration,
+    pub value: f64,
     /// Share of the benefit that an answer past the goal time still earns.
-    pub late: f64,
+    pub late_share: f64,
     /// Share of the benefit that an answer without its call still earns.
-    pub poorer: f64,
-    pub repeats: Repeats,
+    pub degraded_share: f64,
+    pub repeats: Repeatability,
 }
 
-impl TrafficType {
+impl RequestClass {
     /// What is lost of the benefit when the call is left out.
-    pub fn call_worth(&self) -> f64 {
-        self.benefit * (1.0 - self.poorer)
+    pub fn call_value(&self) -> f64 {
+        self.value * (1.0 - self.degraded_share)
     }
 }
 
 /// Which earlier ticket an arrival repeats, where a mark tells.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Repeat {
+pub enum RetryOf {
     #[default]
     No,
     /// One still in hand here.
@@ -53,7 +53,7 @@
     pub waited: Duration,
     /// How long its caller still waits, where that is told.
     pub patience: Option<Duration>,
-    pub repeat: Repeat,
+    pub repeat: RetryOf,
     /// A guess of its core time.
     pub hint: Option<Duration>,
     pub held_kb: f64,
@@ -64,20 +64,20 @@
 /// How a run, a reuse or a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    Done,
-    Erred,
-    Bounced,
+    Succeeded,
+    Failed,
+    Rejected,
     TimedOut,
     Unreachable,
-    CutOff,
-    Stopped,
-    Moot,
+    Disconnected,
+    Cancelled,
+    NeverStarted,
 }
 
 impl Outcome {
     /// Whether it is proved that nothing ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Self::Bounced | Self::Unreachable | Self::Moot)
+        matches!(self, Self::Rejected | Self::Unreachable | Self::NeverStarted)
     }
 }
 
@@ -96,7 +96,7 @@
 
 /// What callers make of the value that rides on answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Say {
+pub enum LoadSignal {
     #[default]
     Nothing,
     Level,
@@ -104,7 +104,7 @@
     Weight,
 }
 
-impl Say {
+impl LoadSignal {
     /// The value that keeps all callers away, or none of them.
     pub fn to_all(self, away: bool) -> Option<f64> {
         match self {
@@ -120,22 +120,22 @@
 /// `Node::arrived` returned; [`Host::over`] hands an index back for reuse.
 pub trait Host {
     fn run(&mut self, ticket: usize);
-    fn take_off(&mut self, ticket: usize);
-    fn reuse(&mut self, ticket: usize);
+    fn cancel_run(&mut self, ticket: usize);
+    fn reply_from_cache(&mut self, ticket: usize);
     fn keep(&mut self, ticket: usize, span: Duration);
     fn forget(&mut self, ticket: usize);
     /// Turn away for good, unrun: when to come back, and whether to try nowhere else.
-    fn dismiss(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool);
+    fn reject(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool);
     /// A final error, with no promise that nothing ran.
     fn give_up(&mut self, ticket: usize);
     fn call(&mut self, ticket: usize, until: Duration);
-    fn answer_poorer(&mut self, ticket: usize);
-    fn say(&mut self, amount: f64);
+    fn reply_degraded(&mut self, ticket: usize);
+    fn advertise_load(&mut self, amount: f64);
     /// How health checks are answered from now on, from store.
-    fn checks(&mut self, good: bool);
+    fn set_health(&mut self, good: bool);
     fn close_idle_after(&mut self, span: Duration);
     /// Ask for one `Node::woken` this far from now.
     fn wake(&mut self, span: Duration);
     /// Nothing more comes of this ticket; its index may serve again.
-    fn over(&mut self, ticket: usize);
+    fn release(&mut self, ticket: usize);
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,11 @@
 //! A node with a host that writes down its orders.
 #![allow(dead_code)] // no file of tests uses all of it
 
-use rainstand::{Arrival, Below, Gauges, Hand, Host, Ledger, Limit, Node, Outcome, Repeats, Say};
-use rainstand::{TrafficType, Voice};
+use rainstand::{
+    AdmissionController, Arrival, ConcurrencyLimiter, DownstreamLimiter, Gauges, Host,
+    InFlightRequests, LoadSignal, Outcome, Parts, Repeatability, TenantQuotas,
+};
+use rainstand::{LoadAdvertiser, RequestClass};
 use std::time::Duration;
 
 pub fn ms(n: u64) -> Duration {
@@ -23,25 +26,25 @@
 
 notes! {
     run(t: usize) "run {t}";
-    take_off(t: usize) "take_off {t}";
-    reuse(t: usize) "reuse {t}";
+    cancel_run(t: usize) "cancel_run {t}";
+    reply_from_cache(t: usize) "reply_from_cache {t}";
     keep(t: usize, span: Duration) "keep {t} {}" (span.as_millis());
     forget(t: usize) "forget {t}";
-    dismiss(t: usize, back: Duration, not: bool) "dismiss {t} {}{}" (back.as_millis(), NOWHERE[usize::from(not)]);
+    reject(t: usize, back: Duration, not: bool) "reject {t} {}{}" (back.as_millis(), NOWHERE[usize::from(not)]);
     give_up(t: usize) "give_up {t}";
     call(t: usize, until: Duration) "call {t} {}" (until.as_millis());
-    answer_poorer(t: usize) "answer_poorer {t}";
-    say(amount: f64) "say {amount}";
-    checks(good: bool) "checks {good}";
+    reply_degraded(t: usize) "reply_degraded {t}";
+    advertise_load(amount: f64) "advertise_load {amount}";
+    set_health(good: bool) "set_health {good}";
     close_idle_after(span: Duration) "close_idle_after {}" (span.as_millis());
-    over(t: usize) "over {t}";
+    release(t: usize) "release {t}";
 }
 
 const NOWHERE: [&str; 2] = ["", " nowhere_else"];
 
 /// Two cores, two tenants of one ticket a second over two servers, types by `Repeats`.
 pub struct Rig {
-    pub node: Node,
+    pub node: AdmissionController,
     pub orders: Orders,
     pub now: Duration,
     pub busy: f64,
@@ -54,7 +57,7 @@
     pub quotas: &'static [f64],
     pub servers: usize,
     pub cores: usize,
-    pub repeats: Repeats,
+    pub repeats: Repeatability,
     pub poorer: f64,
     pub factor: f64,
     pub cold: Option<(Duration, f64, Duration)>,
@@ -68,7 +71,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        let (quotas, servers, cores, repeats) = (&[1.0, 1.0], 2, 2, Repeats::Rerunnable);
+        let (quotas, servers, cores, repeats) = (&[1.0, 1.0], 2, 2, Repeatability::Idempotent);
         let (poorer, factor, cold, memory_kb, share, marked) =
             (0.0, 6.0, None, 10_000.0, None, true);
         let (callers, dear) = (900, false);
@@ -91,38 +94,38 @@
 
 impl Rig {
     /// A module with these settings, not begun.
-    pub fn module(s: Settings) -> Node {
+    pub fn module(s: Settings) -> AdmissionController {
         let (goal_time, outer_limit, poorer, repeats) = (ms(2_000), ms(5_000), s.poorer, s.repeats);
-        let kind = TrafficType {
-            goal_time,
-            outer_limit,
-            benefit: 1.0,
-            late: 0.0,
-            poorer,
+        let kind = RequestClass {
+            latency_objective: goal_time,
+            deadline: outer_limit,
+            value: 1.0,
+            late_share: 0.0,
+            degraded_share: poorer,
             repeats,
         };
-        let parts = (
-            Ledger::new(s.quotas, s.servers),
-            Limit::new(7, s.cores, s.factor, s.cold),
-            Hand::new(s.memory_kb, 4.0, 10.0),
-            Below::new(s.share),
-            Voice::new(
-                Say::Level,
+        let parts = Parts {
+            quotas: TenantQuotas::new(s.quotas, s.servers),
+            limit: ConcurrencyLimiter::new(7, s.cores, s.factor, s.cold),
+            in_flight: InFlightRequests::new(s.memory_kb, 4.0, 10.0),
+            downstream: DownstreamLimiter::new(s.share),
+            advertiser: LoadAdvertiser::new(
+                LoadSignal::Level,
                 ms(1_000),
                 ms(2_000),
                 s.marked,
                 (s.callers, ms(30_000)),
             ),
-        );
+        };
         let mut types = vec![kind];
         if s.dear {
-            types.push(TrafficType {
-                benefit: 3.0,
-                poorer: 0.0,
+            types.push(RequestClass {
+                value: 3.0,
+                degraded_share: 0.0,
                 ..types[0]
             });
         }
-        Node::new(types, false, parts)
+        AdmissionController::new(types, false, parts)
     }
 
     pub fn new(s: Settings) -> Self {
@@ -140,7 +143,7 @@
     }
 
     pub fn arrive(&mut self, ix: usize, a: Arrival) {
-        self.node.arrived(
+        self.node.on_arrival(
             self.now,
             &mut self.orders,
             ix,
@@ -183,16 +186,16 @@
     pub fn serve(&mut self, a: Arrival, span: u64) {
         self.arrive(0, a);
         self.pass(ms(span));
-        self.end(0, Outcome::Done);
+        self.end(0, Outcome::Succeeded);
     }
 
     pub fn at_call(&mut self, ix: usize) {
-        self.node.at_call(self.now, &mut self.orders, ix);
+        self.node.on_downstream_call(self.now, &mut self.orders, ix);
     }
 
     pub fn call_ended(&mut self, ix: usize, outcome: Outcome) {
         self.node
-            .call_ended(self.now, &mut self.orders, ix, outcome);
+            .on_call_finished(self.now, &mut self.orders, ix, outcome);
     }
 
     /// Time passes in beats of 20 ms, each with the gauge.
@@ -207,7 +210,7 @@
                 on_cores: self.on_cores,
                 ..Gauges::default()
             };
-            self.node.woken(self.now, &mut self.orders, gauges);
+            self.node.on_tick(self.now, &mut self.orders, gauges);
         }
     }
 
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -57,7 +57,7 @@
             },
         );
         assert_eq!(
-            rig.count("dismiss 5") == 1,
+            rig.count("reject 5") == 1,
             dismissed,
             "{spent:?} {busy} {waited} {tenant}"
         );
@@ -89,7 +89,7 @@
                 ..Arrival::default()
             },
         );
-        assert_eq!(rig.count("dismiss") == 1, dismissed, "{runs}");
+        assert_eq!(rig.count("reject") == 1, dismissed, "{runs}");
     }
 }
 
@@ -109,7 +109,7 @@
                 ..Arrival::default()
             },
         );
-        let this = format!("dismiss {ix} ");
+        let this = format!("reject {ix} ");
         let delay = |o: &String| o.strip_prefix(&this)?.split(' ').next()?.parse().ok();
         last = rig.take().iter().find_map(delay).unwrap_or(0);
         told.push(last);
@@ -145,7 +145,7 @@
                 ..Arrival::default()
             },
         );
-        assert_eq!(rig.count("dismiss"), 0, "{tenant:?}");
+        assert_eq!(rig.count("reject"), 0, "{tenant:?}");
     }
 }
 
@@ -165,9 +165,9 @@
             } else if tenant == 0 {
                 rig.at_call(0);
                 rig.pass(ms(1_000));
-                rig.call_ended(0, Outcome::Done);
+                rig.call_ended(0, Outcome::Succeeded);
             }
-            rig.end(0, Outcome::Done);
+            rig.end(0, Outcome::Succeeded);
         }
         // Even spenders in turn overshoot by a quarter at most; a second of waits each would show.
         rig.pass(ms(1_180));
@@ -180,7 +180,7 @@
                 ..Arrival::default()
             },
         );
-        assert_eq!(rig.count("dismiss"), 0, "stall: {stall}");
+        assert_eq!(rig.count("reject"), 0, "stall: {stall}");
     }
 }
 
@@ -215,8 +215,8 @@
     spend(&mut rig, &[(0, 900), (1, 100)]);
     (0..4).for_each(|ix| rig.tenant(ix, usize::from(ix == 3)));
     rig.take();
-    rig.end(0, Outcome::Done);
-    assert_eq!(rig.take(), ["over 0", "run 3"]);
+    rig.end(0, Outcome::Succeeded);
+    assert_eq!(rig.take(), ["release 0", "run 3"]);
 }
 
 #[test]
@@ -255,7 +255,7 @@
         );
         most = most.max(running.len());
         if let Some(done) = running.pop_front() {
-            rig.end(done, Outcome::Done);
+            rig.end(done, Outcome::Succeeded);
         }
     }
     assert!(
@@ -302,7 +302,7 @@
             },
             20,
         );
-        assert_eq!(rig.count("dismiss"), 0, "{k}");
+        assert_eq!(rig.count("reject"), 0, "{k}");
         assert!(
             begun.elapsed() < Duration::from_secs(60),
             "{} tickets in {:?}",
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -10,7 +10,7 @@
 mod common;
 
 use common::{ms, Rig, Settings};
-use rainstand::{Arrival, Gauges, Outcome, Repeats};
+use rainstand::{Arrival, Gauges, Outcome, Parts, Repeatability};
 
 #[test]
 fn a_node_whose_runs_fail_keeps_tickets_away_but_for_a_trickle() {
@@ -18,17 +18,20 @@
     for _ in 0..6 {
         rig.tenant(0, 0);
         rig.pass(ms(20));
-        rig.end(0, Outcome::Erred);
+        rig.end(0, Outcome::Failed);
     }
     rig.pass(ms(20));
-    assert!(rig.take().join(", ").contains("checks false, say 1"));
+    assert!(rig
+        .take()
+        .join(", ")
+        .contains("set_health false, advertise_load 1"));
     // Two seconds of a ticket each 100 ms: about one in five is let through.
     let mut through = 0;
     for _ in 0..20 {
         rig.tenant(0, 0);
         if rig.count("run") == 1 {
             through += 1;
-            rig.end(0, Outcome::Done);
+            rig.end(0, Outcome::Succeeded);
         }
         rig.pass(ms(100));
     }
@@ -44,7 +47,7 @@
         )
     });
     let orders = rig.take().join(", ");
-    assert!(orders.contains("checks true, say 0"), "{orders}");
+    assert!(orders.contains("set_health true, advertise_load 0"), "{orders}");
 }
 
 #[test]
@@ -53,7 +56,7 @@
     let mut rig = Rig::new(Settings::default());
     for _ in 0..30 {
         rig.tenant(0, 0);
-        rig.end(0, Outcome::Moot);
+        rig.end(0, Outcome::NeverStarted);
     }
     (0..6).for_each(|_| {
         rig.serve(
@@ -67,7 +70,7 @@
     rig.gauge(1.0);
     (0..6).for_each(|ix| rig.tenant(ix, 0));
     rig.pass(ms(40));
-    assert_eq!(rig.count("dismiss"), 0);
+    assert_eq!(rig.count("reject"), 0);
 }
 
 #[test]
@@ -77,19 +80,19 @@
     rig.pass(ms(1_400));
     rig.take();
     rig.tenant(1, 0);
-    assert_eq!(rig.count("dismiss 1"), 0, "not yet");
+    assert_eq!(rig.count("reject 1"), 0, "not yet");
     rig.pass(ms(300));
     rig.take();
     rig.tenant(2, 0);
     rig.tenant(3, 0);
-    assert!(rig.count("dismiss") >= 1);
+    assert!(rig.count("reject") >= 1);
     // A standstill of the whole process is no hang.
     let mut rig = Rig::new(Settings::default());
     rig.tenant(0, 0);
     rig.pass(ms(1_000));
     rig.now += ms(2_000);
     rig.pass(ms(100));
-    assert_eq!(rig.count("checks false"), 0);
+    assert_eq!(rig.count("set_health false"), 0);
 }
 
 #[test]
@@ -106,7 +109,7 @@
                 ..Arrival::default()
             },
         );
-        assert_eq!(rig.count("dismiss"), dismissed, "{busy} {waited}");
+        assert_eq!(rig.count("reject"), dismissed, "{busy} {waited}");
     }
 }
 
@@ -198,7 +201,7 @@
             on_cores: Some(reading),
             ..Gauges::default()
         };
-        rig.node.woken(rig.now, &mut rig.orders, gauges);
+        rig.node.on_tick(rig.now, &mut rig.orders, gauges);
         (0..5).for_each(|ix| rig.arrive(ix, Arrival::default()));
         assert_eq!(rig.count("run"), runs, "{reading}");
     }
@@ -214,8 +217,8 @@
     for _ in 0..10 {
         rig.calling(0, 0);
         rig.pass(ms(40));
-        rig.call_ended(0, Outcome::Done);
-        rig.end(0, Outcome::Done);
+        rig.call_ended(0, Outcome::Succeeded);
+        rig.end(0, Outcome::Succeeded);
     }
     rig.take();
     rig.calling(0, 0);
@@ -227,7 +230,7 @@
     );
     rig.pass(ms(1_990));
     rig.call_ended(0, Outcome::TimedOut);
-    assert_eq!(rig.count("answer_poorer 0"), 1);
+    assert_eq!(rig.count("reply_degraded 0"), 1);
 }
 
 #[test]
@@ -249,14 +252,14 @@
                 rig.call_ended(
                     0,
                     if well {
-                        Outcome::Done
+                        Outcome::Succeeded
                     } else {
                         Outcome::TimedOut
                     },
                 );
             }
             rig.pass(ms(200));
-            rig.end(0, Outcome::Done);
+            rig.end(0, Outcome::Succeeded);
         }
         rig.take();
         // One after another: what can do without its call does not stand for long.
@@ -273,7 +276,7 @@
 fn the_pace_stays_with_what_comes_back_and_calls_without_time_prove_nothing() {
     // How calls that took 100 ms come back later on, and the least of ten made in the second after.
     let cases = [
-        (1_500, Outcome::Done, 4),
+        (1_500, Outcome::Succeeded, 4),
         (20, Outcome::TimedOut, 10),
         (480, Outcome::TimedOut, 1),
     ];
@@ -281,7 +284,7 @@
         let mut rig = Rig::new(Settings::default()).at(0.0);
         for round in 0..32 {
             let (span, outcome) = if round < 20 {
-                (100, Outcome::Done)
+                (100, Outcome::Succeeded)
             } else {
                 (span, outcome)
             };
@@ -289,7 +292,7 @@
             rig.pass(ms(span));
             (0..10).for_each(|ix| rig.call_ended(ix, outcome));
             rig.pass(ms(100));
-            (0..10).for_each(|ix| rig.end(ix, Outcome::Done));
+            (0..10).for_each(|ix| rig.end(ix, Outcome::Succeeded));
         }
         rig.take();
         (0..10).for_each(|ix| rig.calling(ix, 0));
@@ -304,7 +307,10 @@
 
 #[test]
 fn an_exclusive_ticket_with_no_time_left_for_its_call_is_given_up_and_the_newest_calls_first() {
-    let (repeats, share) = (Repeats::Exclusive, Some((0.4, ms(5_000), ms(200))));
+    let (repeats, share) = (
+        Repeatability::NonIdempotent,
+        Some((0.4, ms(5_000), ms(200))),
+    );
     let mut rig = Rig::new(Settings {
         repeats,
         share,
@@ -313,12 +319,12 @@
     .at(0.0);
     rig.calling(0, 0);
     rig.pass(ms(400));
-    rig.call_ended(0, Outcome::Done);
-    rig.end(0, Outcome::Done);
+    rig.call_ended(0, Outcome::Succeeded);
+    rig.end(0, Outcome::Succeeded);
     rig.calling(0, 0);
     (1..3).for_each(|ix| rig.calling(ix, 0));
     rig.take();
-    rig.call_ended(0, Outcome::Done);
+    rig.call_ended(0, Outcome::Succeeded);
     let calls: Vec<String> = rig
         .take()
         .into_iter()
@@ -365,7 +371,7 @@
         .at(0.0);
         (0..2).for_each(|ix| rig.calling(ix, 0));
         assert_eq!(rig.count("call "), at_once);
-        rig.call_ended(0, Outcome::Done);
+        rig.call_ended(0, Outcome::Succeeded);
         assert_eq!(
             rig.count("call 1"),
             2 - at_once,
@@ -379,8 +385,11 @@
 #[test]
 fn cheaper_calls_stand_while_dearer_ones_go_short_and_the_share_fills() {
     // (how the dear calls come back, whether a cheap one is made after them)
-    for (end, made) in [(Outcome::TimedOut, 0), (Outcome::Done, 1)] {
-        let (share, repeats) = (Some((0.54, ms(5_000), ms(200))), Repeats::Exclusive);
+    for (end, made) in [(Outcome::TimedOut, 0), (Outcome::Succeeded, 1)] {
+        let (share, repeats) = (
+            Some((0.54, ms(5_000), ms(200))),
+            Repeatability::NonIdempotent,
+        );
         let settings = Settings {
             poorer: 0.5,
             share,
@@ -398,7 +407,7 @@
             rig.at_call(ix);
             rig.pass(ms(300));
             rig.call_ended(ix, end);
-            rig.end(ix, Outcome::Done);
+            rig.end(ix, Outcome::Succeeded);
         }
         rig.take();
         rig.calling(2, 0);
@@ -412,8 +421,8 @@
             rig.pass(ms(20_000));
             rig.calling(4, 0);
             rig.pass(ms(700));
-            rig.call_ended(4, Outcome::Done);
-            rig.end(4, Outcome::Done);
+            rig.call_ended(4, Outcome::Succeeded);
+            rig.end(4, Outcome::Succeeded);
             rig.take();
             rig.calling(5, 0);
             assert_eq!(rig.count("call 5"), 1, "none dear is about");
@@ -452,7 +461,7 @@
                     ..Arrival::default()
                 },
             );
-            rig.end(0, Outcome::Done);
+            rig.end(0, Outcome::Succeeded);
             let asked = rig
                 .take()
                 .iter()
@@ -500,7 +509,7 @@
         );
     }
     let orders = rig.take();
-    let number = |o: &String| o.strip_prefix("dismiss ")?.split(' ').next()?.parse().ok();
+    let number = |o: &String| o.strip_prefix("reject ")?.split(' ').next()?.parse().ok();
     orders.iter().filter_map(number).collect()
 }
 
@@ -538,7 +547,7 @@
                 },
             );
             rig.pass(ms(200));
-            rig.end(turn, Outcome::Done);
+            rig.end(turn, Outcome::Succeeded);
         }
         assert_eq!(
             rig.count("run") > 0,
@@ -550,7 +559,10 @@
 
 #[test]
 fn new_settings_keep_what_is_in_hand_and_their_advice_holds_from_then_on() {
-    use rainstand::{Below, Hand, Ledger, Limit, Node, Say, TrafficType, Voice};
+    use rainstand::{
+        AdmissionController, ConcurrencyLimiter, DownstreamLimiter, InFlightRequests,
+        LoadAdvertiser, LoadSignal, RequestClass, TenantQuotas,
+    };
     // Two of three run on two cores, the third is held; then callers may be asked to wait three seconds.
     let mut rig = Rig::new(Settings::default()).at(1.0);
     (0..3).for_each(|ix| rig.arrive(ix, Arrival::default()));
@@ -562,23 +574,30 @@
             ..Arrival::default()
         },
     );
-    assert!(rig.take().contains(&"dismiss 3 1000".to_owned()));
-    let kind = TrafficType {
-        goal_time: ms(2_000),
-        outer_limit: ms(5_000),
-        benefit: 1.0,
-        late: 0.0,
-        poorer: 0.0,
-        repeats: Repeats::Rerunnable,
+    assert!(rig.take().contains(&"reject 3 1000".to_owned()));
+    let kind = RequestClass {
+        latency_objective: ms(2_000),
+        deadline: ms(5_000),
+        value: 1.0,
+        late_share: 0.0,
+        degraded_share: 0.0,
+        repeats: Repeatability::Idempotent,
     };
-    let parts = (
-        Ledger::new(&[1.0, 1.0], 2),
-        Limit::new(7, 2, 6.0, None),
-        Hand::new(10_000.0, 4.0, 10.0),
-        Below::new(None),
-        Voice::new(Say::Level, ms(3_000), ms(2_000), true, (900, ms(30_000))),
-    );
-    rig.node.retune(Node::new(vec![kind], false, parts));
+    let parts = Parts {
+        quotas: TenantQuotas::new(&[1.0, 1.0], 2),
+        limit: ConcurrencyLimiter::new(7, 2, 6.0, None),
+        in_flight: InFlightRequests::new(10_000.0, 4.0, 10.0),
+        downstream: DownstreamLimiter::new(None),
+        advertiser: LoadAdvertiser::new(
+            LoadSignal::Level,
+            ms(3_000),
+            ms(2_000),
+            true,
+            (900, ms(30_000)),
+        ),
+    };
+    rig.node
+        .reconfigure(AdmissionController::new(vec![kind], false, parts));
     rig.arrive(
         4,
         Arrival {
@@ -587,11 +606,11 @@
         },
     );
     assert!(
-        rig.take().contains(&"dismiss 4 3000".to_owned()),
+        rig.take().contains(&"reject 4 3000".to_owned()),
         "the new longest advice"
     );
     // What was held before the change is neither lost nor run twice.
-    rig.end(0, Outcome::Done);
+    rig.end(0, Outcome::Succeeded);
     let orders = rig.take();
     assert_eq!(
         orders.iter().filter(|o| o.as_str() == "run 2").count(),
@@ -605,7 +624,7 @@
 #[test]
 fn a_ticket_in_hand_keeps_the_terms_it_came_under() {
     let exclusive = || Settings {
-        repeats: Repeats::Exclusive,
+        repeats: Repeatability::NonIdempotent,
         ..Settings::default()
     };
     let rerunnable = || Settings {
@@ -622,9 +641,9 @@
     for (came, new, wanted) in cases {
         let mut rig = Rig::new(came);
         rig.calling(0, 0);
-        rig.node.retune(Rig::module(new));
+        rig.node.reconfigure(Rig::module(new));
         rig.take();
-        rig.call_ended(0, Outcome::CutOff);
+        rig.call_ended(0, Outcome::Disconnected);
         let orders = rig.take();
         assert!(
             orders.iter().any(|order| order.starts_with(wanted)),
@@ -647,15 +666,15 @@
         let mut rig = Rig::new(first);
         for ix in 0..20 {
             rig.calling(ix, 0);
-            rig.call_ended(ix, Outcome::Done);
-            rig.end(ix, Outcome::Done);
+            rig.call_ended(ix, Outcome::Succeeded);
+            rig.end(ix, Outcome::Succeeded);
             rig.pass(ms(100));
         }
         rig.calling(20, 0);
-        rig.node.retune(Rig::module(second));
-        rig.node.retune(Rig::module(shared()));
-        rig.call_ended(20, Outcome::Done);
-        rig.end(20, Outcome::Done);
+        rig.node.reconfigure(Rig::module(second));
+        rig.node.reconfigure(Rig::module(shared()));
+        rig.call_ended(20, Outcome::Succeeded);
+        rig.end(20, Outcome::Succeeded);
         rig.pass(ms(100));
         rig.take();
         rig.calling(21, 0);
@@ -667,19 +686,19 @@
 #[test]
 fn a_known_repeat_of_an_exclusive_ticket_is_not_run() {
     let mut rig = Rig::new(Settings {
-        repeats: Repeats::Exclusive,
+        repeats: Repeatability::NonIdempotent,
         ..Settings::default()
     });
     rig.arrive(
         0,
         Arrival {
-            repeat: rainstand::Repeat::Past,
+            repeat: rainstand::RetryOf::Past,
             ..Arrival::default()
         },
     );
     let orders = rig.take();
     assert!(
-        orders.iter().any(|order| order == "reuse 0")
+        orders.iter().any(|order| order == "reply_from_cache 0")
             && !orders.iter().any(|order| order == "run 0"),
         "{orders:?}"
     );
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,7 +10,7 @@
 mod common;
 
 use common::{ms, Rig, Settings};
-use rainstand::{Arrival, Outcome, Repeat, Repeats};
+use rainstand::{Arrival, Outcome, Repeatability, RetryOf};
 
 fn tries(patience: Option<u64>, waited: u64) -> Arrival {
     Arrival {
@@ -36,7 +36,7 @@
         rig.take();
         rig.arrive(2, tries(patience, waited));
         rig.pass(ms(due - 20));
-        assert_eq!(rig.count("dismiss 2"), 1, "held: {patience:?} {waited}");
+        assert_eq!(rig.count("reject 2"), 1, "held: {patience:?} {waited}");
         // Running, and at a call that was made or still stands.
         for at_call in [false, true] {
             let mut rig = Rig::new(Settings::default()).at(0.0);
@@ -66,9 +66,9 @@
 #[test]
 fn a_ticket_due_when_read_is_dismissed_at_once_and_forgotten() {
     for repeats in [
-        Repeats::Rerunnable,
-        Repeats::Exclusive,
-        Repeats::Ticketed(ms(3_000)),
+        Repeatability::Idempotent,
+        Repeatability::NonIdempotent,
+        Repeatability::IdempotentWithKey(ms(3_000)),
     ] {
         for a in [tries(Some(20), 0), tries(None, 4_990), tries(None, 9_000)] {
             let mut rig = Rig::new(Settings {
@@ -77,7 +77,7 @@
             });
             rig.arrive(0, a);
             let orders = rig.take().join(", ");
-            assert!(orders.ends_with("dismiss 0 1000, over 0"), "{orders}");
+            assert!(orders.ends_with("reject 0 1000, release 0"), "{orders}");
             assert_eq!(
                 orders.contains("keep 0 3040"),
                 orders.contains("forget 0"),
@@ -89,8 +89,8 @@
 
 #[test]
 fn a_repeat_of_a_ticketed_ticket_never_runs_and_is_never_dismissed() {
-    let window = Repeats::Ticketed(ms(3_000));
-    for repeat in [Repeat::Of(0), Repeat::Past] {
+    let window = Repeatability::IdempotentWithKey(ms(3_000));
+    for repeat in [RetryOf::Of(0), RetryOf::Past] {
         let mut rig = Rig::new(Settings {
             repeats: window,
             ..Settings::default()
@@ -99,8 +99,8 @@
         rig.arrive(0, tries(None, 500));
         // Kept for what is left of the window, counted from its arrival.
         assert_eq!(rig.take()[1..], ["keep 0 2540", "run 0"]);
-        if repeat == Repeat::Past {
-            rig.end(0, Outcome::Done);
+        if repeat == RetryOf::Past {
+            rig.end(0, Outcome::Succeeded);
             rig.take();
         }
         rig.arrive(
@@ -110,12 +110,12 @@
                 ..Arrival::default()
             },
         );
-        assert_eq!(rig.take(), ["reuse 1"]);
+        assert_eq!(rig.take(), ["reply_from_cache 1"]);
         rig.pass(ms(4_980));
         let orders = rig.take().join(", ");
         assert!(orders.contains("give_up 1"), "{orders}");
         assert!(
-            !orders.contains("run 1") && !orders.contains("dismiss 1"),
+            !orders.contains("run 1") && !orders.contains("reject 1"),
             "{orders}"
         );
     }
@@ -123,7 +123,10 @@
 
 #[test]
 fn what_ran_and_may_not_run_again_is_given_up_and_never_dismissed() {
-    for repeats in [Repeats::Exclusive, Repeats::Ticketed(ms(3_000))] {
+    for repeats in [
+        Repeatability::NonIdempotent,
+        Repeatability::IdempotentWithKey(ms(3_000)),
+    ] {
         let mut rig = Rig::new(Settings {
             repeats,
             ..Settings::default()
@@ -132,9 +135,9 @@
         rig.pass(ms(5_000));
         let mut orders = rig.take();
         orders.retain(|o| o.ends_with(" 0"));
-        assert_eq!(orders, ["run 0", "give_up 0", "take_off 0"]);
-        rig.end(0, Outcome::Stopped);
-        assert_eq!(rig.take(), ["over 0"]);
+        assert_eq!(orders, ["run 0", "give_up 0", "cancel_run 0"]);
+        rig.end(0, Outcome::Cancelled);
+        assert_eq!(rig.take(), ["release 0"]);
     }
 }
 
@@ -142,24 +145,44 @@
 fn a_call_is_repeated_only_where_that_is_safe() {
     // (repeats, poorer, outcome, next order)
     let cases = [
-        (Repeats::Exclusive, 0.0, Outcome::Bounced, "call 0"),
-        (Repeats::Exclusive, 0.0, Outcome::Unreachable, "call 0"),
-        (Repeats::Exclusive, 0.0, Outcome::Erred, "give_up 0"),
-        (Repeats::Exclusive, 0.0, Outcome::TimedOut, "give_up 0"),
         (
-            Repeats::Ticketed(ms(3_000)),
+            Repeatability::NonIdempotent,
+            0.0,
+            Outcome::Rejected,
+            "call 0",
+        ),
+        (
+            Repeatability::NonIdempotent,
+            0.0,
+            Outcome::Unreachable,
+            "call 0",
+        ),
+        (
+            Repeatability::NonIdempotent,
+            0.0,
+            Outcome::Failed,
+            "give_up 0",
+        ),
+        (
+            Repeatability::NonIdempotent,
+            0.0,
+            Outcome::TimedOut,
+            "give_up 0",
+        ),
+        (
+            Repeatability::IdempotentWithKey(ms(3_000)),
             0.0,
-            Outcome::CutOff,
+            Outcome::Disconnected,
             "give_up 0",
         ),
         (
-            Repeats::Ticketed(ms(3_000)),
+            Repeatability::IdempotentWithKey(ms(3_000)),
             0.5,
-            Outcome::CutOff,
-            "answer_poorer 0",
+            Outcome::Disconnected,
+            "reply_degraded 0",
         ),
-        (Repeats::Rerunnable, 0.0, Outcome::TimedOut, "call 0"),
-        (Repeats::Rerunnable, 0.5, Outcome::Erred, "call 0"),
+        (Repeatability::Idempotent, 0.0, Outcome::TimedOut, "call 0"),
+        (Repeatability::Idempotent, 0.5, Outcome::Failed, "call 0"),
     ];
     for (repeats, poorer, outcome, next) in cases {
         let mut rig = Rig::new(Settings {
@@ -181,8 +204,9 @@
         let mut rig = Rig::new(Settings::default());
         rig.tenant(9, 0);
         rig.take();
-        rig.node.leaving(rig.now, &mut rig.orders, ms(4_000));
-        assert_eq!(rig.take(), ["checks false", "say 1"]);
+        rig.node
+            .on_shutdown_notice(rig.now, &mut rig.orders, ms(4_000));
+        assert_eq!(rig.take(), ["set_health false", "advertise_load 1"]);
         rig.pass(ms(2_500));
         rig.take();
         rig.arrive(0, tries(None, 2_500 - after));
@@ -233,7 +257,7 @@
         rig.tenant(ix, 0);
         let orders = rig.take();
         let count = |order: &str| orders.iter().filter(|o| o.starts_with(order)).count();
-        held = held + 1 - count("dismiss") - count("run");
+        held = held + 1 - count("reject") - count("run");
         ran += count("run");
         assert!(held * 20 + ran * 80 <= 200, "{held} held, {ran} running");
     }
@@ -249,7 +273,7 @@
         // (how long calls take, or none that ever comes back)
         for takes in [Some(15), Some(400), None] {
             let told = Some((share, over, lingers));
-            let (repeats, poorer) = (Repeats::Rerunnable, 0.5);
+            let (repeats, poorer) = (Repeatability::Idempotent, 0.5);
             let mut rig = Rig::new(Settings {
                 share: told,
                 repeats,
@@ -275,8 +299,8 @@
                         let stays = back.map_or(until + 200, |takes| now + takes);
                         held.push((now, stays));
                         out.push((ix, back.map_or(until, |takes| now + takes)));
-                    } else if order.starts_with("answer_poorer") {
-                        rig.end(ix, Outcome::Done);
+                    } else if order.starts_with("reply_degraded") {
+                        rig.end(ix, Outcome::Succeeded);
                     } else if order.starts_with("run ")
                         && !std::mem::replace(&mut stalled[ix], true)
                     {
@@ -289,13 +313,13 @@
                     rig.call_ended(
                         ix,
                         if takes.is_some() {
-                            Outcome::Done
+                            Outcome::Succeeded
                         } else {
                             Outcome::TimedOut
                         },
                     );
                     if takes.is_some() {
-                        rig.end(ix, Outcome::Done);
+                        rig.end(ix, Outcome::Succeeded);
                     }
                 }
             }
--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -12,7 +12,7 @@
 mod common;
 
 use common::{ms, Rig, Settings};
-use rainstand::{Outcome, Repeats};
+use rainstand::{Outcome, Repeatability};
 
 /// The window of that mean, and how long a call given up stays below, ms.
 const OVER: u64 = 5_000;
@@ -48,7 +48,7 @@
     let share = Some((case.share, ms(OVER), ms(LINGERS)));
     let mut rig = Rig::new(Settings {
         share,
-        repeats: Repeats::Rerunnable,
+        repeats: Repeatability::Idempotent,
         poorer: 0.5,
         ..Settings::default()
     })
@@ -98,14 +98,14 @@
                     let takes = (case.takes as f64 * long / age.clamp(0.05, 1.0)) as u64;
                     let fails = case.fails > 0 && made.is_multiple_of(case.fails);
                     let (ends, stays, outcome) = match now + takes {
-                        back if back <= until && fails => (back, back + LINGERS, Outcome::Erred),
-                        back if back <= until => (back, back, Outcome::Done),
+                        back if back <= until && fails => (back, back + LINGERS, Outcome::Failed),
+                        back if back <= until => (back, back, Outcome::Succeeded),
                         _ => (until, until + LINGERS, Outcome::TimedOut),
                     };
                     held.push((k, now, stays));
                     node.out.push((ix, ends, outcome));
-                } else if order.starts_with("answer_poorer") {
-                    node.rig.end(ix, Outcome::Done);
+                } else if order.starts_with("reply_degraded") {
+                    node.rig.end(ix, Outcome::Succeeded);
                 } else if order.starts_with("run ")
                     && !std::mem::replace(&mut node.stalled[ix], true)
                 {
@@ -116,8 +116,8 @@
             node.out = still;
             for (ix, _, outcome) in due {
                 node.rig.call_ended(ix, outcome);
-                if outcome == Outcome::Done {
-                    node.rig.end(ix, Outcome::Done);
+                if outcome == Outcome::Succeeded {
+                    node.rig.end(ix, Outcome::Succeeded);
                 }
             }
         }
