--- a/crates/fleet-model/src/world.rs
+++ b/crates/fleet-model/src/world.rs
@@ -71,7 +71,7 @@
     /// It sends a second copy.
     Copy(u32),
     /// A job's outer limit.
-    ConcurrencyLimiter(u32),
+    Deadline(u32),
     /// A node hears that nobody waits.
     Leaves(u32, u32),
     Look(u32),
@@ -675,7 +675,7 @@
                     self.ask(now, job, true);
                 }
             }
-            Event::ConcurrencyLimiter(job) => self.limit(job),
+            Event::Deadline(job) => self.limit(job),
             Event::Leaves(place, number) => {
                 let one = &mut self.places[place as usize];
                 if one.alive && !one.hangs {
@@ -818,8 +818,7 @@
         self.measured.by_type[usize::from(traffic)].asked += 1;
         self.measured.by_tenant[usize::from(tenant)].asked += 1;
         self.measured.second(now).jobs.asked += 1;
-        self.queue
-            .after(ns(kind.outer_limit), Event::ConcurrencyLimiter(job));
+        self.queue.after(ns(kind.outer_limit), Event::Deadline(job));
         if let Some(span) = plan
             .habits
             .second_copy
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -47,7 +47,10 @@
         )
     });
     let orders = rig.take().join(", ");
-    assert!(orders.contains("set_health true, advertise_load 0"), "{orders}");
+    assert!(
+        orders.contains("set_health true, advertise_load 0"),
+        "{orders}"
+    );
 }
 
 #[test]
