--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -1,5 +1,6 @@
 //! The identity of a store: which disk it is, and how often it was opened.
 
+use crate::atomic_file::write_atomically;
 use crate::disk::Disk;
 use crate::error::{Damage, OpenError};
 use serde::{Deserialize, Serialize};
@@ -68,10 +69,7 @@
     /// Stores the identity, durably.
     pub(crate) fn write(&self, disk: &mut impl Disk) -> io::Result<()> {
         let bytes = serde_json::to_vec(self)?;
-        let temporary = format!("{IDENTITY_FILE}{TEMPORARY_SUFFIX}");
-        disk.append(&temporary, &bytes)?;
-        disk.flush(&temporary)?;
-        disk.rename(&temporary, IDENTITY_FILE)
+        write_atomically(disk, IDENTITY_FILE, &bytes)
     }
 
     /// The damage of a store that has a log and no identity.
@@ -80,6 +78,3 @@
         Damage::new(IDENTITY_FILE, 0, reason)
     }
 }
-
-/// Ends the names of files that are being written; what is left of them after a crash is removed.
-pub(crate) const TEMPORARY_SUFFIX: &str = ".new";
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -17,6 +17,7 @@
 //! - After a write or flush that failed, nothing more is written and nothing is confirmed: what the disk holds is not
 //!   known until it is read again.
 
+mod atomic_file;
 pub mod disk;
 mod error;
 pub mod faulty_disk;
--- a/crates/storage/src/snapshot_file.rs
+++ b/crates/storage/src/snapshot_file.rs
@@ -1,8 +1,8 @@
 //! Snapshots as files: a magic number, a checksum, the data. One file for each shard, named by shard and index.
 
+use crate::atomic_file::write_atomically;
 use crate::disk::Disk;
 use crate::error::Damage;
-use crate::identity::TEMPORARY_SUFFIX;
 use std::io;
 use twox_hash::XxHash3_64;
 
@@ -40,14 +40,10 @@
     name: SnapshotName,
     data: &[u8],
 ) -> io::Result<()> {
-    let file_name = name.file_name();
-    let temporary = format!("{file_name}{TEMPORARY_SUFFIX}");
     let mut bytes = SNAPSHOT_MAGIC.to_vec();
     bytes.extend_from_slice(&XxHash3_64::oneshot(data).to_le_bytes());
     bytes.extend_from_slice(data);
-    disk.append(&temporary, &bytes)?;
-    disk.flush(&temporary)?;
-    disk.rename(&temporary, &file_name)
+    write_atomically(disk, &name.file_name(), &bytes)
 }
 
 /// The data of a snapshot file with these bytes.
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -4,9 +4,10 @@
 //! start). Invariant: `hard_states`, `metadata`, `snapshot_indexes` and `last_indexes` are what a recovery of all that
 //! was appended would find.
 
+use crate::atomic_file::is_temporary;
 use crate::disk::Disk;
 use crate::error::OpenError;
-use crate::identity::{Identity, IdentitySeed, TEMPORARY_SUFFIX};
+use crate::identity::{Identity, IdentitySeed};
 use crate::record::{LogSuffix, Record};
 use crate::recovery::{read_log, recover, Recovered};
 use crate::segment::{encode_header, Segment};
@@ -66,7 +67,7 @@
         let contents = recover(&mut disk)?;
         let recovered = contents.recovered;
         let names = disk.list()?;
-        for name in names.iter().filter(|name| name.ends_with(TEMPORARY_SUFFIX)) {
+        for name in names.iter().filter(|name| is_temporary(name)) {
             disk.remove(name)?;
         }
         let log = read_log(&mut disk, &names)?;
