Raft: names and comments of the exhaustive search in plain terms

no_order_of_events_breaks_a_rule_in_a_small_world is now every_order_of_events_keeps_the_guarantees_in_a_small_world.

--- a/crates/raft/tests/small_worlds.rs
+++ b/crates/raft/tests/small_worlds.rs
@@ -1,8 +1,8 @@
-//! Exhaustive search over small worlds: every order of elections, deliveries, losses, repeats, flushes, crashes, a
-//! proposal and a change of members, up to stated numbers of each. Of every state: no two leaders in a term, no two
-//! committed entries at one index, and every new leader holds all that was committed.
+//! Exhaustive search over small clusters: every order of elections, deliveries, losses, duplicates, flushes, crashes, a
+//! proposal and membership changes, up to stated numbers of each. In every state: at most one leader in a term, at most
+//! one committed entry at an index, and every new leader holds all committed entries.
 //!
-//! Elections come at any moment, without regard for a leader that is well: the search allows more than the program does.
+//! An election may start at any time, even while a leader is in contact: the search allows more than the program does.
 
 #![allow(
     missing_docs,
@@ -21,29 +21,29 @@
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
-/// How often each thing may happen.
+/// How often each event may still happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Left {
-    stands: u8,
+struct Budget {
+    elections: u8,
     drops: u8,
-    repeats: u8,
+    duplicates: u8,
     crashes: u8,
     proposals: u8,
-    beats: u8,
-    changes: u8,
+    heartbeats: u8,
+    membership_changes: u8,
 }
 
-const NONE: Left = Left {
-    stands: 0,
+const NONE: Budget = Budget {
+    elections: 0,
     drops: 0,
-    repeats: 0,
+    duplicates: 0,
     crashes: 0,
     proposals: 0,
-    beats: 0,
-    changes: 0,
+    heartbeats: 0,
+    membership_changes: 0,
 };
 
-/// A disk: what is durable, and writes that are on their way with what waits for them.
+/// A disk: what is durable, and the writes in flight with the messages that wait for them.
 #[derive(Clone, Debug, Default)]
 struct Disk {
     state: PersistentState,
@@ -54,28 +54,29 @@
 struct World {
     now: Duration,
     nodes: Vec<(Replica, Disk)>,
-    net: Vec<Message>,
-    left: Left,
-    /// Whoever led each term, and what was committed at each index by term.
+    network: Vec<Message>,
+    budget: Budget,
+    /// The leader of each term, and the term and checksum of each committed entry by index.
     leaders: BTreeMap<u64, ReplicaId>,
     committed: BTreeMap<u64, (u64, u64)>,
     /// The earliest term in which each index was committed.
-    in_term: BTreeMap<u64, u64>,
-    /// Flushes are steps of their own.
+    first_committed_term: BTreeMap<u64, u64>,
+    /// Flushes are events of their own.
     slow_disks: bool,
-    /// Only who is elected is looked at: what leaders send goes nowhere.
-    only_votes: bool,
+    /// Only elections are searched: what leaders send is dropped.
+    votes_only: bool,
 }
 
-fn times() -> Timeouts {
+fn timeouts() -> Timeouts {
     let long = Duration::from_secs(1_000_000);
     Timeouts {
         heartbeat_interval: Duration::from_millis(1),
-        election_timeout: [long, long * 2],
+        min_election_timeout: long,
+        max_election_timeout: long * 2,
     }
 }
 
-fn world(left: Left, slow_disks: bool, nodes: u64) -> World {
+fn world(budget: Budget, slow_disks: bool, nodes: u64) -> World {
     let config = Membership::from_voters((1..=3).map(|id| (id, format!("n{id}"))));
     let base = SnapshotMetadata {
         index: 1,
@@ -95,7 +96,7 @@
             entries: Vec::new(),
         };
         (
-            Replica::new(id, times(), id, Duration::ZERO, state.clone()),
+            Replica::new(id, timeouts(), id, Duration::ZERO, state.clone()),
             Disk {
                 state,
                 pending: Vec::new(),
@@ -105,13 +106,13 @@
     World {
         now: Duration::ZERO,
         nodes: (1..=nodes).map(node).collect(),
-        net: Vec::new(),
-        left,
+        network: Vec::new(),
+        budget,
         leaders: BTreeMap::new(),
         committed: BTreeMap::new(),
-        in_term: BTreeMap::new(),
+        first_committed_term: BTreeMap::new(),
         slow_disks,
-        only_votes: slow_disks,
+        votes_only: slow_disks,
     }
 }
 
@@ -135,7 +136,7 @@
 }
 
 impl World {
-    fn key(&self) -> u64 {
+    fn fingerprint(&self) -> u64 {
         let mut hasher = std::hash::DefaultHasher::new();
         for (replica, disk) in &self.nodes {
             replica.fingerprint(&mut hasher);
@@ -149,31 +150,31 @@
                 (out.hard_state, &out.entries, after).hash(&mut hasher);
             }
         }
-        // The order in which messages were sent means nothing.
-        let mut net: Vec<u64> = self.net.iter().map(sum).collect();
-        net.sort_unstable();
+        // The order in which messages were sent does not matter.
+        let mut network: Vec<u64> = self.network.iter().map(message_hash).collect();
+        network.sort_unstable();
         (
-            net,
-            self.left,
+            network,
+            self.budget,
             &self.leaders,
             &self.committed,
-            &self.in_term,
+            &self.first_committed_term,
         )
             .hash(&mut hasher);
         hasher.finish()
     }
 
-    /// What follows from a call, and whether a rule broke.
-    fn settle(&mut self, k: usize) -> Result<(), String> {
+    /// Collects the effects of a call and checks the guarantees.
+    fn collect_effects(&mut self, k: usize) -> Result<(), String> {
         let out = self.nodes[k].0.take_ready();
         let id = self.nodes[k].0.id();
         for entry in &out.committed {
-            let this = (entry.term, sum_of(entry));
-            if *self.committed.entry(entry.index).or_insert(this) != this {
+            let found_entry = (entry.term, entry_hash(entry));
+            if *self.committed.entry(entry.index).or_insert(found_entry) != found_entry {
                 return Err(format!("{id} committed another entry {}", entry.index));
             }
             let term = self.nodes[k].0.term();
-            let first = self.in_term.entry(entry.index).or_insert(term);
+            let first = self.first_committed_term.entry(entry.index).or_insert(term);
             *first = term.min(*first);
         }
         if self.nodes[k].0.is_leader() {
@@ -184,15 +185,18 @@
             let log = self.nodes[k].0.log();
             let own = self.nodes[k].0.term();
             for (index, (term, _)) in &self.committed {
-                // A leader of before, that has not heard of the later one, need not have it.
-                let before = self.in_term.get(index).is_some_and(|first| *first < own);
+                // A leader of an older term may not know of entries that a newer term committed.
+                let before = self
+                    .first_committed_term
+                    .get(index)
+                    .is_some_and(|first| *first < own);
                 if before && *index > log.base().index && log.term(*index) != Some(*term) {
                     return Err(format!("{id} leads without the committed entry {index}"));
                 }
             }
         }
-        if !self.only_votes {
-            self.net.extend(out.messages.iter().cloned());
+        if !self.votes_only {
+            self.network.extend(out.messages.iter().cloned());
         }
         let after = out.messages_after_persist.clone();
         if out.writes() || !self.nodes[k].1.pending.is_empty() {
@@ -201,7 +205,7 @@
                 return self.flush(k);
             }
         } else {
-            self.net.extend(after);
+            self.network.extend(after);
         }
         Ok(())
     }
@@ -210,85 +214,88 @@
         let pending = std::mem::take(&mut self.nodes[k].1.pending);
         for (out, after) in pending {
             self.nodes[k].1.write(&out);
-            self.net.extend(after);
+            self.network.extend(after);
             for entry in &out.entries {
                 self.nodes[k].0.on_persisted(entry.index, entry.term);
             }
         }
-        self.settle(k)
+        self.collect_effects(k)
     }
 
-    /// All worlds that one step leads to.
-    fn next(&self) -> Vec<Result<World, String>> {
+    /// All worlds that one event leads to.
+    fn successors(&self) -> Vec<Result<World, String>> {
         let mut all = Vec::new();
-        let mut step = |left: Left, what: &dyn Fn(&mut World) -> Result<(), String>| {
+        let mut step = |budget: Budget, what: &dyn Fn(&mut World) -> Result<(), String>| {
             let mut next = self.clone();
-            next.left = left;
+            next.budget = budget;
             let done = what(&mut next);
             all.push(done.map(|()| next));
         };
-        let l = self.left;
+        let budget = self.budget;
         for k in 0..self.nodes.len() {
             let (replica, disk) = &self.nodes[k];
-            if l.stands > 0 && !replica.is_leader() && replica.membership().is_voter(replica.id()) {
+            if budget.elections > 0
+                && !replica.is_leader()
+                && replica.membership().is_voter(replica.id())
+            {
                 step(
-                    Left {
-                        stands: l.stands - 1,
-                        ..l
+                    Budget {
+                        elections: budget.elections - 1,
+                        ..budget
                     },
                     &|w| {
                         w.nodes[k]
                             .0
                             .campaign(w.now, CampaignKind::LeadershipTransfer);
-                        w.settle(k)
+                        w.collect_effects(k)
                     },
                 );
             }
-            if l.proposals > 0 && replica.is_leader() {
+            if budget.proposals > 0 && replica.is_leader() {
                 step(
-                    Left {
-                        proposals: l.proposals - 1,
-                        ..l
+                    Budget {
+                        proposals: budget.proposals - 1,
+                        ..budget
                     },
                     &|w| {
-                        let data = vec![k as u8, w.left.proposals].into();
+                        let data = vec![k as u8, w.budget.proposals].into();
                         let _ = w.nodes[k].0.propose(w.now, data);
-                        w.settle(k)
+                        w.collect_effects(k)
                     },
                 );
             }
-            if l.beats > 0 && replica.is_leader() {
+            if budget.heartbeats > 0 && replica.is_leader() {
                 step(
-                    Left {
-                        beats: l.beats - 1,
-                        ..l
+                    Budget {
+                        heartbeats: budget.heartbeats - 1,
+                        ..budget
                     },
                     &|w| {
                         w.now += Duration::from_millis(4);
                         let now = w.now;
                         w.nodes[k].0.tick(now);
-                        w.settle(k)
+                        w.collect_effects(k)
                     },
                 );
             }
             if !disk.pending.is_empty() {
-                step(l, &|w| w.flush(k));
+                step(budget, &|w| w.flush(k));
             }
-            if l.crashes > 0 {
+            if budget.crashes > 0 {
                 step(
-                    Left {
-                        crashes: l.crashes - 1,
-                        ..l
+                    Budget {
+                        crashes: budget.crashes - 1,
+                        ..budget
                     },
                     &|w| {
                         let state = w.nodes[k].1.state.clone();
                         w.nodes[k].1.pending.clear();
-                        w.nodes[k].0 = Replica::new(k as u64 + 1, times(), 9, w.now, state);
-                        w.settle(k)
+                        w.nodes[k].0 = Replica::new(k as u64 + 1, timeouts(), 9, w.now, state);
+                        w.collect_effects(k)
                     },
                 );
             }
-            if l.changes > 0 && replica.is_leader() {
+            if budget.membership_changes > 0 && replica.is_leader() {
                 let changes = [
                     MembershipChange::AddLearner(Member {
                         id: 4,
@@ -305,49 +312,49 @@
                         .is_ok()
                     {
                         step(
-                            Left {
-                                changes: l.changes - 1,
-                                ..l
+                            Budget {
+                                membership_changes: budget.membership_changes - 1,
+                                ..budget
                             },
                             &|w| {
                                 let now = w.now;
                                 let _ = w.nodes[k].0.propose_membership_change(now, &change);
-                                w.settle(k)
+                                w.collect_effects(k)
                             },
                         );
                     }
                 }
             }
         }
-        for m in 0..self.net.len() {
-            let to = self.net[m].to as usize - 1;
-            step(l, &|w| {
-                let message = w.net.swap_remove(m);
+        for m in 0..self.network.len() {
+            let to = self.network[m].to as usize - 1;
+            step(budget, &|w| {
+                let message = w.network.swap_remove(m);
                 w.nodes[to].0.step(w.now, message);
-                w.settle(to)
+                w.collect_effects(to)
             });
-            if l.drops > 0 {
+            if budget.drops > 0 {
                 step(
-                    Left {
-                        drops: l.drops - 1,
-                        ..l
+                    Budget {
+                        drops: budget.drops - 1,
+                        ..budget
                     },
                     &|w| {
-                        w.net.swap_remove(m);
+                        w.network.swap_remove(m);
                         Ok(())
                     },
                 );
             }
-            if l.repeats > 0 {
+            if budget.duplicates > 0 {
                 step(
-                    Left {
-                        repeats: l.repeats - 1,
-                        ..l
+                    Budget {
+                        duplicates: budget.duplicates - 1,
+                        ..budget
                     },
                     &|w| {
-                        let message = w.net[m].clone();
+                        let message = w.network[m].clone();
                         w.nodes[to].0.step(w.now, message);
-                        w.settle(to)
+                        w.collect_effects(to)
                     },
                 );
             }
@@ -356,50 +363,58 @@
     }
 }
 
-fn sum(message: &Message) -> u64 {
+fn message_hash(message: &Message) -> u64 {
     let mut hasher = std::hash::DefaultHasher::new();
     message.hash(&mut hasher);
     hasher.finish()
 }
 
-fn sum_of(entry: &Entry) -> u64 {
+fn entry_hash(entry: &Entry) -> u64 {
     entry.checksum(0)
 }
 
-/// Goes over all states; how many there were, and how many were committed in. Stops at the first that breaks a rule.
-fn search(world: World, most: usize) -> Result<(usize, usize), String> {
+/// Visits all states; returns how many there are, and in how many something is committed. Fails at the first one that
+/// breaks a guarantee.
+fn search(world: World, max_states: usize) -> Result<(usize, usize), String> {
     let mut seen = HashSet::new();
     let mut open = VecDeque::from([world]);
     let mut committed = 0;
     while let Some(world) = open.pop_front() {
-        for next in world.next() {
+        for next in world.successors() {
             let next = next?;
-            if seen.insert(next.key()) {
+            if seen.insert(next.fingerprint()) {
                 committed += usize::from(!next.committed.is_empty());
                 open.push_back(next);
             }
         }
-        assert!(seen.len() < most, "more than {most} states");
+        assert!(seen.len() < max_states, "more than {max_states} states");
     }
     Ok((seen.len(), committed))
 }
 
-/// Worlds that are gone over whole, and about how many states each has at least.
+/// Worlds that are searched completely, and a lower bound on the states of each.
 fn worlds() -> Vec<(&'static str, World, usize)> {
     vec![
         (
             "two elections",
-            world(Left { stands: 2, ..NONE }, false, 3),
+            world(
+                Budget {
+                    elections: 2,
+                    ..NONE
+                },
+                false,
+                3,
+            ),
             10_000,
         ),
         (
             "one election, a loss, a repeat, a heartbeat",
             world(
-                Left {
-                    stands: 1,
+                Budget {
+                    elections: 1,
                     drops: 1,
-                    repeats: 1,
-                    beats: 1,
+                    duplicates: 1,
+                    heartbeats: 1,
                     ..NONE
                 },
                 false,
@@ -410,8 +425,8 @@
         (
             "one election, a proposal, a loss",
             world(
-                Left {
-                    stands: 1,
+                Budget {
+                    elections: 1,
                     proposals: 1,
                     drops: 1,
                     ..NONE
@@ -424,8 +439,8 @@
         (
             "two elections, slow disks, a crash; votes alone",
             world(
-                Left {
-                    stands: 2,
+                Budget {
+                    elections: 2,
                     crashes: 1,
                     ..NONE
                 },
@@ -437,9 +452,9 @@
         (
             "one election, two changes of members",
             world(
-                Left {
-                    stands: 1,
-                    changes: 2,
+                Budget {
+                    elections: 1,
+                    membership_changes: 2,
                     ..NONE
                 },
                 false,
@@ -451,10 +466,10 @@
 }
 
 #[test]
-fn no_order_of_events_breaks_a_rule_in_a_small_world() {
-    for (name, world, least) in worlds() {
+fn every_order_of_events_keeps_the_guarantees_in_a_small_world() {
+    for (name, world, min_states) in worlds() {
         let begun = std::time::Instant::now();
-        let votes = world.only_votes;
+        let votes = world.votes_only;
         let found = search(world, 3_000_000);
         let (states, committed) = found.unwrap_or_else(|why| panic!("{name}: {why}"));
         println!(
@@ -462,7 +477,7 @@
             begun.elapsed()
         );
         assert!(
-            states >= least && (committed > 0 || votes),
+            states >= min_states && (committed > 0 || votes),
             "{name}: {states} states, {committed} committed"
         );
     }
