--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -525,10 +525,8 @@
         copies: settings.copies as usize,
         times: Timeouts {
             heartbeat_interval: span(settings.heartbeat_ns),
-            election_timeout: [
-                span(settings.election_least_ns),
-                span(settings.election_most_ns),
-            ],
+            min_election_timeout: span(settings.election_least_ns),
+            max_election_timeout: span(settings.election_most_ns),
         },
         moves: settings.moves as usize,
         keys: settings.keys as usize,
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -42,18 +42,10 @@
 pub struct Timeouts {
     /// Time between two heartbeats of a leader, and between two rounds of vote requests of a candidate.
     pub heartbeat_interval: Duration,
-    /// Shortest and longest time for which a follower waits for a leader; drawn at random each time.
-    pub election_timeout: [Duration; 2],
-}
-
-impl Timeouts {
-    fn min_election_timeout(&self) -> Duration {
-        self.election_timeout[0]
-    }
-
-    fn max_election_timeout(&self) -> Duration {
-        self.election_timeout[1]
-    }
+    /// Shortest time for which a follower waits for a leader; the time is drawn at random each time.
+    pub min_election_timeout: Duration,
+    /// Longest time for which a follower waits for a leader.
+    pub max_election_timeout: Duration,
 }
 
 /// The part that a replica plays in its term.
--- a/crates/raft/src/replica/elections.rs
+++ b/crates/raft/src/replica/elections.rs
@@ -105,7 +105,7 @@
     fn become_leader(&mut self) {
         self.transition_to(Role::Leader);
         self.leader = Some(self.id);
-        self.election_deadline = self.now + self.timeouts.max_election_timeout();
+        self.election_deadline = self.now + self.timeouts.max_election_timeout;
         self.heartbeat_deadline = self.now;
         self.sync_peers();
         self.append_as_leader(EntryKind::NoOp, Bytes::new());
@@ -138,7 +138,7 @@
                 self.become_follower(self.term, None);
                 return;
             }
-            self.election_deadline = self.now + self.timeouts.min_election_timeout();
+            self.election_deadline = self.now + self.timeouts.min_election_timeout;
         }
         if self.now >= self.heartbeat_deadline {
             self.heartbeat_deadline = self.now + self.timeouts.heartbeat_interval;
@@ -149,9 +149,7 @@
     /// Whether a majority was in contact within the longest election timeout. A leader that is cut off steps down, so
     /// that its clients look for another one.
     fn has_quorum_contact(&self) -> bool {
-        let oldest_contact = self
-            .now
-            .saturating_sub(self.timeouts.max_election_timeout());
+        let oldest_contact = self.now.saturating_sub(self.timeouts.max_election_timeout);
         self.has_majority(|id| {
             id == self.id
                 || self
@@ -166,13 +164,13 @@
         self.is_leader()
             || self
                 .last_leader_contact
-                .is_some_and(|contact| self.now < contact + self.timeouts.min_election_timeout())
+                .is_some_and(|contact| self.now < contact + self.timeouts.min_election_timeout)
     }
 
     /// Draws a new election timeout.
     pub(super) fn reset_election_deadline(&mut self) {
-        let min = self.timeouts.min_election_timeout();
-        let max = self.timeouts.max_election_timeout();
+        let min = self.timeouts.min_election_timeout;
+        let max = self.timeouts.max_election_timeout;
         let span = (max.saturating_sub(min).as_micros() as u64).max(1);
         let jitter = Duration::from_micros(self.rng.generate_range(0..span));
         self.election_deadline = self.now + min + jitter;
--- a/crates/raft/src/replica/leadership_transfer.rs
+++ b/crates/raft/src/replica/leadership_transfer.rs
@@ -30,7 +30,7 @@
         }
         self.leadership_transfer = Some(LeadershipTransfer {
             target: to,
-            deadline: self.now + self.timeouts.min_election_timeout(),
+            deadline: self.now + self.timeouts.min_election_timeout,
         });
         self.send_timeout_now(to);
         Ok(())
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -402,7 +402,7 @@
         let seed = self.chance.generate::<u64>();
         let snapshot = state.snapshot.clone();
         let replica = Replica::new(self.disk, self.options.times, seed, self.now, state);
-        let linger = self.options.times.election_timeout[1].as_nanos() as u64 * 100;
+        let linger = self.options.times.max_election_timeout.as_nanos() as u64 * 100;
         let mut table = IdempotencyTable::new(self.options.keys, linger);
         if let Some(snapshot) = snapshot.filter(|snapshot| !snapshot.data.is_empty()) {
             self.effects.published_changed = true;
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -144,7 +144,8 @@
                 copies: COPIES,
                 times: Timeouts {
                     heartbeat_interval: HEARTBEAT,
-                    election_timeout: ELECTION,
+                    min_election_timeout: ELECTION[0],
+                    max_election_timeout: ELECTION[1],
                 },
                 moves: 2,
                 keys: 1_000_000,
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -444,7 +444,8 @@
             copies: self.world.copies,
             times: Timeouts {
                 heartbeat_interval: Duration::from_millis(30),
-                election_timeout: [Duration::from_millis(150), Duration::from_millis(300)],
+                min_election_timeout: Duration::from_millis(150),
+                max_election_timeout: Duration::from_millis(300),
             },
             moves: 2,
             keys: 100_000,
