--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,8 +1,8 @@
 //! The link to the render farm agent: one JSON object a line, notices numbered, replayed after a break.
 
-use crate::book::{count, Counts};
-use crate::ring::{Filled, OnSocket, Ring};
-use crate::{descriptors, note, relay, send, Hub};
+use crate::request_table::{count, Counts};
+use crate::socket_buffer::{Filled, OnSocket, Ring};
+use crate::{descriptors, note, completion, dispatch, Hub};
 use rainstand::Gauges;
 use rainstand_traffic_recorder::Tape;
 use serde_json::Value;
@@ -246,7 +246,7 @@
             if token == Some(link.asked.get().to_string().as_str()) {
                 link.waiting.set(None);
                 if !link.ready.replace(true) {
-                    send::resend(&mut hub.core.borrow_mut().desk);
+                    dispatch::resend(&mut hub.core.borrow_mut().desk);
                 }
             }
             let load = message
@@ -266,13 +266,13 @@
             // What was read on an earlier link is not taken twice.
             if offset > link.last.get() {
                 let again = link.odd.get() == Some(link.last.get());
-                relay::notice(hub, cmd, offset, message, again)?;
+                completion::notice(hub, cmd, offset, message, again)?;
                 link.last.set(offset);
             }
         }
         "refusal" => {
             count(&hub.counts.refusals);
-            relay::notice(hub, cmd, 0, message, true)?;
+            completion::notice(hub, cmd, 0, message, true)?;
         }
         _ => {}
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/completion.rs
@@ -1,7 +1,7 @@
 //! Outcomes: of runs to the one answer, of calls back to the run that waits.
 
-use crate::book::{count, Call, Desk};
-use crate::{keyed, note, often, send, Hub};
+use crate::request_table::{count, Call, Desk};
+use crate::{idempotency, note, often, dispatch, Hub};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use rainstand::{Host, Outcome};
@@ -119,7 +119,7 @@
         ("outcome", _) => End::Failed,
         _ => return,
     };
-    keyed::old_run(hub, trace, end);
+    idempotency::old_run(hub, trace, end);
 }
 
 /// Ends in the books what nothing will tell the end of.
@@ -142,7 +142,7 @@
         );
         // Whether it ran is not known: a key says so.
         hub.act(|_, _, desk| {
-            keyed::ended(desk, ix, End::Failed);
+            idempotency::ended(desk, ix, End::Failed);
             desk.close_key(ix, Outcome::Cancelled, &[]);
         });
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
@@ -166,7 +166,7 @@
                 Outcome::NeverStarted => End::NeverRan,
                 _ => End::Failed,
             };
-            keyed::ended(desk, ix, how);
+            idempotency::ended(desk, ix, how);
         } else if end != Outcome::Cancelled {
             desk.finish(ix, end, result);
         }
@@ -203,7 +203,7 @@
         };
         if end == Outcome::Succeeded {
             count(&counts.delivered);
-            send::call_result(&agent, t);
+            dispatch::call_result(&agent, t);
         }
         node.on_call_finished(now, desk, ix, end);
     });
--- a/crates/node/src/take_in.rs
+++ b/crates/node/src/connections.rs
@@ -1,8 +1,8 @@
 //! Connections of the dispatchers: accepting them, reading frames, writing answers, ending them.
 
-use crate::book::{count, Conn};
-use crate::ring::{Filled, OnSocket, Ring};
-use crate::{admit, descriptors, note, often, relay, thrift, Hub};
+use crate::request_table::{count, Conn};
+use crate::socket_buffer::{Filled, OnSocket, Ring};
+use crate::{ingress, descriptors, note, often, completion, thrift, Hub};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -222,7 +222,7 @@
         let open: Vec<i32> = self.conn.open.borrow().keys().copied().collect();
         self.open += open.len();
         open.into_iter()
-            .for_each(|seq| admit::gone(&self.hub, &self.conn, seq));
+            .for_each(|seq| ingress::gone(&self.hub, &self.conn, seq));
     }
 }
 
@@ -372,7 +372,7 @@
             () = conn.stir.notified() => {}
             () = sleep_until(by.unwrap_or_else(Instant::now).into()), if by.is_some() => {
                 if read.last.is_some() {
-                    admit::cut_short(hub, conn);
+                    ingress::cut_short(hub, conn);
                     read.patience.answers_by = None;
                 } else if read.back.is_empty() && !conn.open.borrow().is_empty() {
                     // Its first ticket is still in hand.
@@ -451,7 +451,7 @@
         }
         count(&hub.counts.frames);
         whole += 1;
-        let taken = admit::frame(hub, conn, &back.bytes()[4..4 + len]);
+        let taken = ingress::frame(hub, conn, &back.bytes()[4..4 + len]);
         back.drop_front(4 + len);
         taken?;
     }
@@ -480,7 +480,7 @@
 pub async fn look_after(hub: Rc<Hub>) {
     loop {
         sleep(LOOK).await;
-        relay::end_orphans(&hub, Instant::now());
+        completion::end_orphans(&hub, Instant::now());
         let (stay, idle) = (hub.core.borrow().desk.stay, hub.idle.get());
         let now = Instant::now();
         for conn in hub.conns.borrow().values() {
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -5,8 +5,8 @@
 //! waits, and with each look the connection that rests longest is closed at once. Connections that are owed an
 //! answer are never closed for it.
 
-use crate::book::count;
-use crate::{often, take_in, Hub};
+use crate::request_table::count;
+use crate::{often, connections, Hub};
 use rustix::process::{getrlimit, Resource};
 use std::future::Future;
 use std::io;
@@ -61,7 +61,7 @@
         if tries == 1 {
             often!("descriptors_out", "out of descriptors", wanted = what);
         }
-        take_in::give_way(hub);
+        connections::give_way(hub);
         sleep(AGAIN).await;
     }
 }
--- a/crates/node/src/send.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! What goes out: commands to the agent, and calls to the tier below.
 
 use crate::agent::Link;
-use crate::book::{count, Call, Desk, Run, Ticket};
-use crate::relay;
+use crate::request_table::{count, Call, Desk, Run, Ticket};
+use crate::completion;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::Outcome;
 use std::time::Duration;
@@ -77,7 +77,7 @@
     let task = tokio::task::spawn_local(async move {
         let Some(hub) = hub.upgrade() else { return };
         let (outcome, reply) = pool.call(&hub, &trace, left, &body).await;
-        relay::call_ended(&hub, ix, serial, outcome, reply);
+        completion::call_ended(&hub, ix, serial, outcome, reply);
     });
     if let Call::Out(before) = std::mem::replace(made, Call::Out(task.abort_handle())) {
         before.abort();
--- a/crates/node/src/below.rs
+++ b/crates/node/src/downstream.rs
@@ -3,9 +3,9 @@
 //! On a connection that served before, a reset does not tell whether the call ran, and what came too
 //! much behind the last reply would answer this one. A calm day shows no cost of opening one each time.
 
-use crate::record::Record;
-use crate::ring::{Filled, OnSocket, Ring};
-use crate::{descriptors, http, take_in, Hub};
+use crate::recording::Record;
+use crate::socket_buffer::{Filled, OnSocket, Ring};
+use crate::{descriptors, http, connections, Hub};
 use rainstand::Outcome;
 use rainstand_traffic_recorder::Tape;
 use std::cell::{Cell, OnceCell};
@@ -68,7 +68,7 @@
         let _place = Place(&self.out);
         let ends = Instant::now() + left;
         // Nothing was written yet, so whatever goes wrong here nothing ran.
-        take_in::room_for_call(hub).await;
+        connections::room_for_call(hub).await;
         let opening = descriptors::have(hub, "call", || TcpStream::connect(addr));
         let Ok(Ok(stream)) = timeout(left, opening).await else {
             return (Outcome::Unreachable, Vec::new());
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/idempotency.rs
@@ -6,9 +6,9 @@
 //!
 //! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
 
-use crate::book::{count, Desk, Owed, Run, Trace};
+use crate::request_table::{count, Desk, Owed, Run, Trace};
 use crate::settings::Settings;
-use crate::{descriptors, note, send, Hub};
+use crate::{descriptors, note, dispatch, Hub};
 use bytes::Bytes;
 use rainstand::Outcome;
 use rainstand_cluster::{ClusterMember, MemberOptions};
@@ -289,7 +289,7 @@
         Act::Launch => {
             t.run = Run::Launched;
             count(&counts.launched);
-            send::launch(&desk.agent, t, &desk.type_names);
+            dispatch::launch(&desk.agent, t, &desk.type_names);
             false
         }
         Act::Keep(result) => {
--- a/crates/node/src/admit.rs
+++ b/crates/node/src/ingress.rs
@@ -1,7 +1,7 @@
 //! From a frame to the decision module: names to indices, repeats, what bad input gets.
 
-use crate::book::{count, sum_of, Conn, Kept, Key, Owed, Run, Ticket};
-use crate::keyed::Keyed;
+use crate::request_table::{count, sum_of, Conn, Kept, Key, Owed, Run, Ticket};
+use crate::idempotency::Keyed;
 use crate::{thrift, Hub};
 use rainstand::{Arrival, Host, RetryOf};
 use std::collections::BTreeMap;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,28 +12,28 @@
     reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
 )]
 
-pub mod admit;
+pub mod ingress;
 pub mod agent;
-pub mod announce;
-pub mod below;
-pub mod book;
+pub mod registration;
+pub mod downstream;
+pub mod request_table;
 pub mod config;
 pub mod descriptors;
 pub mod drain;
-pub mod keyed;
+pub mod idempotency;
 pub mod log;
-pub mod record;
-pub mod relay;
+pub mod recording;
+pub mod completion;
 pub mod reload;
-pub mod ring;
-pub mod route;
-pub mod send;
+pub mod socket_buffer;
+pub mod policy_host;
+pub mod dispatch;
 pub mod settings;
-pub mod take_in;
+pub mod connections;
 
 pub use rainstand_protocol::{http, thrift};
 
-use book::{count, Conn, Counts, Desk};
+use request_table::{count, Conn, Counts, Desk};
 use config::{Config, Peers};
 use rainstand::{AdmissionController, Gauges, Host};
 use std::cell::{Cell, OnceCell, RefCell};
@@ -84,7 +84,7 @@
     pub ends: RefCell<BTreeMap<&'static str, u64>>,
     pub link: Rc<agent::Link>,
     /// Where the node's traffic is recorded, if it is.
-    pub record: OnceCell<Rc<record::Record>>,
+    pub record: OnceCell<Rc<recording::Record>>,
     gauge_names: RefCell<Vec<String>>,
     /// These four, and the module's settings, follow a new configuration file: see `reload::retune`.
     pub idle: Cell<Duration>,
@@ -119,7 +119,7 @@
         config.sockets = given;
         let start = config.start(Duration::ZERO, false)?;
         let (counts, link) = (Rc::new(Counts::default()), Rc::new(agent::Link::default()));
-        let pool = Rc::new(below::Pool::new(config.peers.below));
+        let pool = Rc::new(downstream::Pool::new(config.peers.below));
         let mut names: Vec<(&String, &usize)> = start.types.iter().collect();
         names.sort_by_key(|name| name.1);
         let type_names = names
@@ -129,7 +129,7 @@
         Ok(Rc::new_cyclic(|hub| {
             let mut desk = Desk::new(hub.clone(), counts.clone(), link.clone(), pool);
             desk.type_names = type_names;
-            desk.keys = book::Keys::within(config.memory);
+            desk.keys = request_table::Keys::within(config.memory);
             (desk.types, desk.tenants) = (start.types, start.tenants);
             (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
             desk.kinds = start.kinds;
@@ -310,16 +310,16 @@
     let of = |hub: &Rc<Hub>| hub.clone();
     let [one, two, three, four] = [of(&hub), of(&hub), of(&hub), of(&hub)];
     spawn_local(watch(of(&hub), "accept", move || {
-        take_in::accept(one.clone())
+        connections::accept(one.clone())
     }));
     spawn_local(watch(of(&hub), "look_after", move || {
-        take_in::look_after(two.clone())
+        connections::look_after(two.clone())
     }));
     spawn_local(watch(of(&hub), "agent", move || {
         agent::keep_link(three.clone())
     }));
     spawn_local(watch(of(&hub), "announce", move || {
-        announce::keep_reporting(four.clone())
+        registration::keep_reporting(four.clone())
     }));
     leave.await;
     drain::drain(&hub).await;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -10,7 +10,7 @@
 use rainstand_node::config::Config;
 use rainstand_node::log::Lines;
 use rainstand_node::settings::Settings;
-use rainstand_node::{keyed, note, record, reload, run, Hub};
+use rainstand_node::{idempotency, note, recording, reload, run, Hub};
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -82,7 +82,7 @@
     }
     let hub = Hub::new(config)?;
     if let Some(recording) = &settings.recording {
-        record::start(&hub, recording)?;
+        recording::start(&hub, recording)?;
     }
     LocalSet::new().block_on(&runtime, async move {
         let listen = hub.config.listen;
@@ -93,7 +93,7 @@
         let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
         // Before the line that says the node is up: it has all its addresses then.
         if let Some(group) = settings.group {
-            keyed::join(&hub, group).await?;
+            idempotency::join(&hub, group).await?;
         }
         let (name, agent) = (&hub.config.name, hub.config.peers.agent);
         note!(
--- a/crates/node/src/route.rs
+++ b/crates/node/src/policy_host.rs
@@ -1,7 +1,7 @@
 //! Orders of the decision module, carried out: commands to the agent, calls below, answers.
 
-use crate::book::{count, sum_of, Call, Desk, Kept, Run};
-use crate::{keyed, note, often, send};
+use crate::request_table::{count, sum_of, Call, Desk, Kept, Run};
+use crate::{idempotency, note, often, dispatch};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
 
@@ -12,16 +12,16 @@
             return;
         };
         match t.run {
-            Run::Held if t.keyed.is_some() => keyed::start(self, ix),
+            Run::Held if t.keyed.is_some() => idempotency::start(self, ix),
             Run::Held => {
                 t.run = Run::Launched;
                 count(&counts.launched);
-                send::launch(&agent, t, &self.type_names);
+                dispatch::launch(&agent, t, &self.type_names);
             }
             Run::Frozen => {
                 t.run = Run::Launched;
                 count(&counts.thawed);
-                send::about(&agent, "thaw", t);
+                dispatch::about(&agent, "thaw", t);
             }
             Run::Launched | Run::Asking => {}
         }
@@ -30,7 +30,7 @@
     fn cancel_run(&mut self, ix: usize) {
         let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_stop);
         if self.ticket(ix).is_some_and(|t| t.keyed.is_some()) {
-            return keyed::left(self, ix);
+            return idempotency::left(self, ix);
         }
         if let Some(t) = self
             .ticket(ix)
@@ -38,7 +38,7 @@
         {
             t.run = Run::Frozen;
             count(&counts.frozen);
-            send::about(&agent, "freeze", t);
+            dispatch::about(&agent, "freeze", t);
         }
     }
 
@@ -95,7 +95,7 @@
 
     fn call(&mut self, ix: usize, until: Duration) {
         let left = until.saturating_sub(self.now());
-        send::call(self, ix, left);
+        dispatch::call(self, ix, left);
     }
 
     fn reply_degraded(&mut self, ix: usize) {
@@ -106,7 +106,7 @@
             if let Call::Out(task) = std::mem::replace(call, Call::Forgone) {
                 task.abort();
             }
-            send::call_result(&agent, t);
+            dispatch::call_result(&agent, t);
         }
     }
 
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/registration.rs
@@ -1,7 +1,7 @@
 //! Reports to the announce service: the node stays listed while it reports.
 
-use crate::book::count;
-use crate::{below, descriptors, note, Hub};
+use crate::request_table::count;
+use crate::{downstream, descriptors, note, Hub};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,7 +48,7 @@
                 Some(open) => open,
                 None => descriptors::have(&hub, "announce", || TcpStream::connect(addr)).await?,
             };
-            let (reply, _) = below::exchange(&open, request.as_bytes(), None).await?;
+            let (reply, _) = downstream::exchange(&open, request.as_bytes(), None).await?;
             match (reply.status, reply.closes) {
                 (204, true) => Ok(None),
                 (204, false) => Ok(Some(open)),
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -6,9 +6,9 @@
 //! in hand, under the terms it came under; what cannot be taken leaves the old file in force. The way back is the
 //! same step with the old file.
 
-use crate::book::count;
+use crate::request_table::count;
 use crate::config::{Config, Peers};
-use crate::{descriptors, keyed, note, Core, Hub};
+use crate::{descriptors, idempotency, note, Core, Hub};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 /// Reads the file again at each signal, also while draining.
 pub async fn keep_reloading(hub: Rc<Hub>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
-        keyed::reload(&hub).await;
+        idempotency::reload(&hub).await;
         let read =
             descriptors::have(&hub, "configuration", || async { std::fs::read(&path) }).await;
         let read = read
--- a/crates/node/src/book.rs
+++ b/crates/node/src/request_table.rs
@@ -1,8 +1,8 @@
 //! The books: tickets in hand, connections, kept results, and counts of it all.
 
-use crate::below::Pool;
-use crate::keyed::{Copies, Keyed};
-use crate::ring::Ring;
+use crate::downstream::Pool;
+use crate::idempotency::{Copies, Keyed};
+use crate::socket_buffer::Ring;
 use crate::{agent, thrift, Hub};
 use rainstand::{Gauges, Outcome};
 use rainstand_traffic_recorder::Tape;
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -11,7 +11,7 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand::Host;
-use rainstand_node::{book::Desk, config::Config, config::Peers, http, relay, reload, thrift};
+use rainstand_node::{request_table::Desk, config::Config, config::Peers, http, completion, reload, thrift};
 use serde_json::{json, Value};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
@@ -619,11 +619,11 @@
             w.expect(&mut agent, "freeze").await;
             let (now, later) = (std::time::Instant::now(), Duration::from_secs(61));
             let left = || w.hub.core.borrow().desk.tickets.iter().flatten().count();
-            relay::end_orphans(&w.hub, now);
+            completion::end_orphans(&w.hub, now);
             assert_eq!(left(), 2);
             // The one that is still waited for stays, however long it takes.
-            relay::end_orphans(&w.hub, now + later);
-            relay::end_orphans(&w.hub, now + later * 3);
+            completion::end_orphans(&w.hub, now + later);
+            completion::end_orphans(&w.hub, now + later * 3);
             assert_eq!((left(), w.hub.counts.orphans.get()), (1, 1));
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(waits, "honoured", "r"));
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -14,7 +14,7 @@
 use rainstand_capture::tickets::{Event, Ticket};
 use rainstand_node::log::Form;
 use rainstand_node::settings::Settings;
-use rainstand_node::{config::Config, record, run, Hub};
+use rainstand_node::{config::Config, recording, run, Hub};
 use rainstand_traffic_recorder::disk::Disk;
 use rainstand_traffic_recorder::Limits;
 use serde_json::{json, Value};
@@ -38,7 +38,7 @@
 fn play(folder: &Path) -> Vec<(usize, Said)> {
     play_with(|hub| {
         let settings = Settings::read(&settings(folder)).unwrap();
-        record::start(hub, &settings.recording.unwrap()).unwrap();
+        recording::start(hub, &settings.recording.unwrap()).unwrap();
     })
 }
 
@@ -257,7 +257,7 @@
         },
     ] {
         // With the second one the node answers, drains and ends though no write ever returns.
-        let seen = play_with(|hub| record::start_on(hub, bad, limits, true).unwrap());
+        let seen = play_with(|hub| recording::start_on(hub, bad, limits, true).unwrap());
         assert_eq!(
             seen.iter().filter(|(_, said)| said.1 == "honoured").count(),
             12
