--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -2,7 +2,7 @@
 
 use crate::request_table::{count, Counts};
 use crate::socket_buffer::{Filled, OnSocket, Ring};
-use crate::{descriptors, note, completion, dispatch, Hub};
+use crate::{completion, descriptors, dispatch, note, NodeContext};
 use rainstand::Gauges;
 use rainstand_traffic_recorder::Tape;
 use serde_json::Value;
@@ -91,12 +91,12 @@
 }
 
 /// Connects, and again whenever the link ends; each end leaves a line with its reason.
-pub async fn keep_link(hub: Rc<Hub>) {
+pub async fn keep_link(hub: Rc<NodeContext>) {
     let (mut pause, mut before) = (AGAIN[0], "");
     loop {
         let link = hub.link.clone();
         let opened = Instant::now();
-        let agent = hub.peers.get().agent;
+        let agent = hub.peer_addresses.get().agent;
         let opening = descriptors::have(&hub, "agent", || TcpStream::connect(agent));
         let opening = timeout(SILENT, opening);
         let opening = tokio::select! {
@@ -116,7 +116,7 @@
                     link.last.get()
                 ));
                 // Only the first greeting may take as long as the agent takes to start.
-                let begun = hub.core.borrow().node.is_some();
+                let begun = hub.core.borrow().controller.is_some();
                 link.patience.set(if begun { SILENT } else { FIRST });
                 link.waiting.set(Some(Instant::now()));
                 serve(&hub, &link, &stream).await
@@ -155,7 +155,7 @@
     }
 }
 
-async fn serve(hub: &Rc<Hub>, link: &Link, stream: &TcpStream) -> &'static str {
+async fn serve(hub: &Rc<NodeContext>, link: &Link, stream: &TcpStream) -> &'static str {
     let mut back = Ring::default();
     loop {
         match link.out.borrow_mut().flush(stream) {
@@ -187,7 +187,7 @@
 }
 
 /// Takes all whole lines.
-fn lines(hub: &Rc<Hub>, link: &Link, back: &mut Ring) -> Result<(), &'static str> {
+fn lines(hub: &Rc<NodeContext>, link: &Link, back: &mut Ring) -> Result<(), &'static str> {
     let mut used = 0;
     let bytes = back.bytes();
     while let Some(len) = bytes[used..].iter().position(|&b| b == b'\n') {
@@ -222,7 +222,7 @@
     Ok(())
 }
 
-fn take(hub: &Rc<Hub>, link: &Link, message: &Value) -> Result<(), &'static str> {
+fn take(hub: &Rc<NodeContext>, link: &Link, message: &Value) -> Result<(), &'static str> {
     let cmd = message
         .get("cmd")
         .and_then(Value::as_str)
@@ -234,7 +234,7 @@
                 .and_then(Value::as_f64)
                 .unwrap_or(0.0);
             let ago = Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default();
-            hub.begin(
+            hub.start_policy(
                 ago,
                 message.get("result").and_then(Value::as_str) == Some("starting"),
             )?;
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -1,7 +1,7 @@
 //! Outcomes: of runs to the one answer, of calls back to the run that waits.
 
-use crate::request_table::{count, Call, Desk};
-use crate::{idempotency, note, often, dispatch, Hub};
+use crate::request_table::{count, CallState, RequestTable};
+use crate::{dispatch, idempotency, note, often, NodeContext};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use rainstand::{Host, Outcome};
@@ -9,21 +9,21 @@
 use serde_json::Value;
 use std::time::Instant;
 
-impl Desk {
+impl RequestTable {
     /// Gives a ticket, and those that wait for it, what its run or reuse brought.
     pub fn finish(&mut self, ix: usize, end: Outcome, result: &[u8]) {
         let counts = self.counts.clone();
         let Some(t) = self.ticket(ix) else { return };
-        let (owed, waiters) = (t.owed.take(), std::mem::take(&mut t.waiters));
+        let (owed, waiters) = (t.reply.take(), std::mem::take(&mut t.waiters));
         match (owed, end) {
-            (Some(owed), Outcome::Succeeded) => owed.honour(&counts, result),
+            (Some(owed), Outcome::Succeeded) => owed.serve(&counts, result),
             (Some(owed), _) => {
                 often!(
                     "ticket_given_up",
                     "ticket given up",
                     trace = t.trace.escape_ascii()
                 );
-                owed.give_up(&counts);
+                owed.fail(&counts);
             }
             _ => {}
         }
@@ -36,7 +36,7 @@
     pub fn finish_waiter(&mut self, (ix, serial): (usize, u64), end: Outcome, result: &[u8]) {
         if self.ticket(ix).is_some_and(|t| t.serial == serial) {
             self.finish(ix, end, result);
-            self.ends.push_back((ix, end));
+            self.run_ends.push_back((ix, end));
         }
     }
 }
@@ -44,7 +44,7 @@
 /// A notice that names a ticket. What it names and is no longer in the books is passed over; `again`: it
 /// could not be read before, and is not asked for once more.
 pub fn notice(
-    hub: &Hub,
+    hub: &NodeContext,
     cmd: &str,
     offset: u64,
     notice: &Value,
@@ -73,7 +73,7 @@
         ("request", _, Some(body)) => at_call(hub, ix, offset, body),
         ("request", ..) | ("outcome", "fine", None) if !again => return Err("agent_nonsense"),
         ("request", ..) => {
-            hub.act(|node, now, desk| {
+            hub.drive_policy(|node, now, desk| {
                 desk.give_up(ix);
                 node.on_caller_gone(now, desk, ix);
             });
@@ -106,7 +106,7 @@
 }
 
 /// An outcome of a run that nobody here knows.
-fn old_run(hub: &Hub, cmd: &str, result: &str, req: &str, payload: &str) {
+fn old_run(hub: &NodeContext, cmd: &str, result: &str, req: &str, payload: &str) {
     let Ok(trace) = req.as_bytes().try_into() else {
         return;
     };
@@ -123,7 +123,7 @@
 }
 
 /// Ends in the books what nothing will tell the end of.
-pub fn end_orphans(hub: &Hub, now: Instant) {
+pub fn end_orphans(hub: &NodeContext, now: Instant) {
     let orphans = hub.core.borrow_mut().desk.orphans(now);
     for ix in orphans {
         count(&hub.counts.orphans);
@@ -141,7 +141,7 @@
             trace = trace
         );
         // Whether it ran is not known: a key says so.
-        hub.act(|_, _, desk| {
+        hub.drive_policy(|_, _, desk| {
             idempotency::ended(desk, ix, End::Failed);
             desk.close_key(ix, Outcome::Cancelled, &[]);
         });
@@ -150,17 +150,17 @@
     }
 }
 
-fn run_ended(hub: &Hub, ix: usize, end: Outcome, result: &[u8]) {
-    hub.act(|node, now, desk| {
+fn run_ended(hub: &NodeContext, ix: usize, end: Outcome, result: &[u8]) {
+    hub.drive_policy(|node, now, desk| {
         let Some(t) = desk.ticket(ix).filter(|t| t.is_run()) else {
             return;
         };
-        if let Some((_, _, Call::Out(task))) = t.call.take() {
+        if let Some((_, _, CallState::InProgress(task))) = t.call.take() {
             task.abort();
         }
         desk.close_key(ix, end, result);
         let Some(t) = desk.ticket(ix) else { return };
-        if t.keyed.is_some() {
+        if t.claim.is_some() {
             let how = match end {
                 Outcome::Succeeded => End::Result(Bytes::copy_from_slice(result)),
                 Outcome::NeverStarted => End::NeverRan,
@@ -174,12 +174,14 @@
     });
 }
 
-fn at_call(hub: &Hub, ix: usize, offset: u64, body: Vec<u8>) {
-    hub.act(|node, now, desk| {
+fn at_call(hub: &NodeContext, ix: usize, offset: u64, body: Vec<u8>) {
+    hub.drive_policy(|node, now, desk| {
         let Some(t) = desk.ticket(ix).filter(|t| t.is_run()) else {
             return;
         };
-        if let Some((_, _, Call::Out(task))) = t.call.replace((offset, body.into(), Call::Waits)) {
+        if let Some((_, _, CallState::InProgress(task))) =
+            t.call.replace((offset, body.into(), CallState::Pending))
+        {
             task.abort();
         }
         node.on_downstream_call(now, desk, ix);
@@ -187,19 +189,19 @@
 }
 
 /// `serial` tells whether the ticket is still the one that the call was made for.
-pub fn call_ended(hub: &Hub, ix: usize, serial: u64, end: Outcome, reply: Vec<u8>) {
-    hub.act(|node, now, desk| {
+pub fn call_ended(hub: &NodeContext, ix: usize, serial: u64, end: Outcome, reply: Vec<u8>) {
+    hub.drive_policy(|node, now, desk| {
         let (agent, counts) = (desk.agent.clone(), desk.counts.clone());
         let Some(t) = desk.ticket(ix).filter(|t| t.serial == serial) else {
             return;
         };
-        let Some((_, _, call @ Call::Out(_))) = &mut t.call else {
+        let Some((_, _, call @ CallState::InProgress(_))) = &mut t.call else {
             return;
         };
         *call = if end == Outcome::Succeeded {
-            Call::Delivered(reply)
+            CallState::Delivered(reply)
         } else {
-            Call::Waits
+            CallState::Pending
         };
         if end == Outcome::Succeeded {
             count(&counts.delivered);
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -1,8 +1,8 @@
 //! Connections of the dispatchers: accepting them, reading frames, writing answers, ending them.
 
-use crate::request_table::{count, Conn};
+use crate::request_table::{count, Connection};
 use crate::socket_buffer::{Filled, OnSocket, Ring};
-use crate::{ingress, descriptors, note, often, completion, thrift, Hub};
+use crate::{completion, descriptors, ingress, note, often, thrift, NodeContext};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -58,7 +58,7 @@
 /// How many connections of dispatchers may stand beside so many calls below, of all descriptors.
 ///
 /// ```
-/// use rainstand_node::take_in::room;
+/// use rainstand_node::connections::room;
 /// assert_eq!([room(384, 0), room(384, 100), room(384, 300)], [272, 220, 192]);
 /// ```
 pub fn room(sockets: usize, calls: usize) -> usize {
@@ -68,14 +68,14 @@
 }
 
 /// Accepts until the end of listening; the listener is closed once all that the system accepted before is taken.
-pub async fn accept(hub: Rc<Hub>) {
+pub async fn accept(hub: Rc<NodeContext>) {
     let Some(listener) = hub.listener.borrow().clone() else {
         return;
     };
     let mut failing = false;
     loop {
         tokio::select! {
-            () = hub.deaf.notified() => break,
+            () = hub.stop_listening.notified() => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     failing = false;
@@ -110,7 +110,7 @@
 }
 
 /// After an accept that failed, as it does when descriptors run out; whether a connection makes room for the next.
-async fn accept_failed(hub: &Hub, why: &std::io::Error, failing: &mut bool) -> bool {
+async fn accept_failed(hub: &NodeContext, why: &std::io::Error, failing: &mut bool) -> bool {
     count(&hub.counts.accept_errors);
     if !std::mem::replace(failing, true) {
         note!("accept_fails", "accept fails", why = why);
@@ -125,7 +125,7 @@
     room
 }
 
-fn take(hub: &Rc<Hub>, stream: TcpStream, peer: SocketAddr) {
+fn take(hub: &Rc<NodeContext>, stream: TcpStream, peer: SocketAddr) {
     count(&hub.counts.accepted);
     let _ = stream.set_nodelay(true);
     let id = hub.counts.accepted.get();
@@ -145,60 +145,66 @@
         .record
         .get()
         .map(|record| record.recorder.tape(peer, hub.config.listen));
-    let conn = Rc::new(Conn::new(id, peer, stream, tape));
-    hub.conns.borrow_mut().insert(id, conn.clone());
+    let conn = Rc::new(Connection::new(id, peer, stream, tape));
+    hub.connections.borrow_mut().insert(id, conn.clone());
     tokio::task::spawn_local(serve(hub.clone(), conn));
 }
 
 /// Connections that may still be opened; below 0, so many too many stand.
-fn room_left(hub: &Hub) -> isize {
-    let calls = hub.core.borrow().desk.pool.out.get();
+fn room_left(hub: &NodeContext) -> isize {
+    let calls = hub.core.borrow().desk.downstream.out.get();
     // One that is told to close is about to: guards against a second that is closed for the same need.
-    let told = |conn: &&Rc<Conn>| conn.close.get().is_some() && !conn.going.get();
-    let told = hub.conns.borrow().values().filter(told).count();
-    let stand = hub.conns.borrow().len() - told - going(hub).min(GOING_MOST);
-    let sockets = hub.config.sockets.saturating_sub(hub.kept.get());
+    let told = |conn: &&Rc<Connection>| conn.close_reason.get().is_some() && !conn.closing.get();
+    let told = hub.connections.borrow().values().filter(told).count();
+    let stand = hub.connections.borrow().len() - told - going(hub).min(GOING_MOST);
+    let sockets = hub
+        .config
+        .sockets
+        .saturating_sub(hub.reserved_descriptors.get());
     room(sockets, calls) as isize - stand as isize
 }
 
 /// Connections that only wait for the other side's end.
-fn going(hub: &Hub) -> usize {
-    hub.conns
+fn going(hub: &NodeContext) -> usize {
+    hub.connections
         .borrow()
         .values()
-        .filter(|conn| conn.going.get())
+        .filter(|conn| conn.closing.get())
         .count()
 }
 
 /// Ends the connection that was unused for longest, if need be; false if all are in use. Guards against a
 /// crowd that says nothing: whoever never said a word goes before all dispatchers.
-fn make_room(hub: &Hub, code: &'static str) -> bool {
-    let conns = hub.conns.borrow();
+fn make_room(hub: &NodeContext, code: &'static str) -> bool {
+    let conns = hub.connections.borrow();
     // One that is on its way out makes no further room.
-    let free = |conn: &&Rc<Conn>| conn.settled() && conn.close.get().is_none() && !conn.going.get();
+    let free = |conn: &&Rc<Connection>| {
+        conn.is_idle() && conn.close_reason.get().is_none() && !conn.closing.get()
+    };
     let unused = conns.values().filter(free);
-    let Some(conn) = unused.min_by_key(|conn| (conn.used.get(), conn.moved.get())) else {
+    let Some(conn) = unused.min_by_key(|conn| (conn.is_known.get(), conn.last_activity.get()))
+    else {
         return false;
     };
-    conn.end(code);
+    conn.close_with(code);
     true
 }
 
 /// Ends the connection that was unused for longest, at once, for a need of the node's own; false if all are in use.
-pub fn give_way(hub: &Hub) -> bool {
+pub fn give_way(hub: &NodeContext) -> bool {
     make_room(hub, GIVES_WAY)
 }
 
 /// Guards against a bunch of calls below that comes sooner than the next look: each call past what is put by is made
 /// once an unused connection has made room for it.
-pub async fn room_for_call(hub: &Hub) {
+pub async fn room_for_call(hub: &NodeContext) {
     let mut made = room_left(hub) < 0 && make_room(hub, ROOM);
     // Under few descriptors half of them is more than calls leave.
     let (stand, calls) = (
-        hub.conns.borrow().len(),
-        hub.core.borrow().desk.pool.out.get(),
+        hub.connections.borrow().len(),
+        hub.core.borrow().desk.downstream.out.get(),
     );
-    if stand + calls + AT_WORK + hub.kept.get() > hub.config.sockets {
+    if stand + calls + AT_WORK + hub.reserved_descriptors.get() > hub.config.sockets {
         made |= give_way(hub);
     }
     if made {
@@ -208,8 +214,8 @@
 
 /// What is due at a connection's end, however it ends: also where serving it ended in a panic.
 struct Ending {
-    hub: Rc<Hub>,
-    conn: Rc<Conn>,
+    hub: Rc<NodeContext>,
+    conn: Rc<Connection>,
     opened: Instant,
     code: Option<&'static str>,
     open: usize,
@@ -218,8 +224,8 @@
 impl Ending {
     /// Its callers are gone; nothing more is taken from it.
     fn leave(&mut self) {
-        self.conn.going.set(true);
-        let open: Vec<i32> = self.conn.open.borrow().keys().copied().collect();
+        self.conn.closing.set(true);
+        let open: Vec<i32> = self.conn.open_requests.borrow().keys().copied().collect();
         self.open += open.len();
         open.into_iter()
             .for_each(|seq| ingress::gone(&self.hub, &self.conn, seq));
@@ -237,7 +243,7 @@
                 "panic"
             }
         };
-        self.hub.conns.borrow_mut().remove(&self.conn.id);
+        self.hub.connections.borrow_mut().remove(&self.conn.id);
         count(&self.hub.counts.closed);
         *self.hub.ends.borrow_mut().entry(code).or_default() += 1;
         let (id, peer, ms) = (
@@ -257,7 +263,7 @@
     }
 }
 
-async fn serve(hub: Rc<Hub>, conn: Rc<Conn>) {
+async fn serve(hub: Rc<NodeContext>, conn: Rc<Connection>) {
     let opened = Instant::now();
     let mut ending = Ending {
         hub: hub.clone(),
@@ -284,7 +290,12 @@
 
 impl Reading {
     /// What a read from the socket brought, and the whole frames in it; whether more came than others should wait for.
-    fn take(&mut self, hub: &Hub, conn: &Rc<Conn>, last_look: bool) -> std::io::Result<bool> {
+    fn take(
+        &mut self,
+        hub: &NodeContext,
+        conn: &Rc<Connection>,
+        last_look: bool,
+    ) -> std::io::Result<bool> {
         let was_empty = self.back.is_empty();
         let back = &mut self.back;
         match if last_look {
@@ -292,7 +303,7 @@
         } else {
             back.fill(&conn.stream)
         }? {
-            Filled::Some => conn.moved.set(Instant::now()),
+            Filled::Some => conn.last_activity.set(Instant::now()),
             Filled::Nothing => {}
             Filled::End => {
                 self.last = Some(if self.back.is_empty() {
@@ -315,46 +326,46 @@
 }
 
 /// Serves until the connection's end; the reason code, and whether it is past saying good-bye.
-async fn talk(hub: &Rc<Hub>, conn: &Rc<Conn>) -> (&'static str, bool) {
+async fn talk(hub: &Rc<NodeContext>, conn: &Rc<Connection>) -> (&'static str, bool) {
     let mut read = Reading {
         back: Ring::default(),
         last: None,
         patience: Patience::new(Instant::now()),
     };
     loop {
-        let before = conn.out.borrow().len();
+        let before = conn.outgoing.borrow().len();
         if before > 0 {
-            if conn.out.borrow_mut().flush(&conn.stream).is_err() {
+            if conn.outgoing.borrow_mut().flush(&conn.stream).is_err() {
                 return ("reset", true);
             }
-            if conn.out.borrow().len() < before {
-                conn.moved.set(Instant::now());
+            if conn.outgoing.borrow().len() < before {
+                conn.last_activity.set(Instant::now());
             }
         }
-        if let Some(code) = read.last.filter(|_| conn.settled()) {
+        if let Some(code) = read.last.filter(|_| conn.is_idle()) {
             return (code, false);
         }
-        if let Some(code) = conn.close.take() {
+        if let Some(code) = conn.close_reason.take() {
             if CUTS.contains(&code) {
-                return (code, !conn.settled());
+                return (code, !conn.is_idle());
             }
             // Guards against a ticket cut off by a close that it crossed: it may lie in the socket, unread for as long
             // as the process was busy, or be half here.
-            if read.last.is_none() && conn.settled() && read.take(hub, conn, true).is_err() {
+            if read.last.is_none() && conn.is_idle() && read.take(hub, conn, true).is_err() {
                 return ("reset", true);
             }
-            if conn.settled() && read.back.is_empty() && read.last.is_none() {
+            if conn.is_idle() && read.back.is_empty() && read.last.is_none() {
                 // Guards against a flood of connections: a long good-bye would keep the descriptor that is wanted
                 // now. A caller that was of use may have an answer on its way, which a reset would take along.
-                let crowd = !conn.used.get() || going(hub) >= GOING_MOST;
+                let crowd = !conn.is_known.get() || going(hub) >= GOING_MOST;
                 return (code, code == GIVES_WAY || code == ROOM && crowd);
             }
             continue;
         }
-        let unread = conn.out.borrow().len();
+        let unread = conn.outgoing.borrow().len();
         let reading = read.last.is_none() && unread < UNREAD_MOST;
         let by = if reading {
-            read.patience.frame_by(conn.used.get())
+            read.patience.frame_by(conn.is_known.get())
         } else {
             read.patience.answers_by
         };
@@ -369,12 +380,12 @@
                 }
             }
             _ = conn.stream.writable(), if unread > 0 => {}
-            () = conn.stir.notified() => {}
+            () = conn.wakeup.notified() => {}
             () = sleep_until(by.unwrap_or_else(Instant::now).into()), if by.is_some() => {
                 if read.last.is_some() {
                     ingress::cut_short(hub, conn);
                     read.patience.answers_by = None;
-                } else if read.back.is_empty() && !conn.open.borrow().is_empty() {
+                } else if read.back.is_empty() && !conn.open_requests.borrow().is_empty() {
                     // Its first ticket is still in hand.
                     read.patience.strange_since = Instant::now();
                 } else {
@@ -432,7 +443,11 @@
 }
 
 /// Takes all whole frames; how many there were.
-fn frames(hub: &Hub, conn: &Rc<Conn>, back: &mut Ring) -> Result<usize, thrift::Flaw> {
+fn frames(
+    hub: &NodeContext,
+    conn: &Rc<Connection>,
+    back: &mut Ring,
+) -> Result<usize, thrift::Flaw> {
     let mut whole = 0;
     loop {
         let len = match thrift::frame(back.bytes()) {
@@ -440,13 +455,13 @@
             Ok(None) => return Ok(whole),
             Err(flaw) => {
                 // What cannot be read is part of the story, too.
-                if let Some(tape) = &conn.tape {
+                if let Some(tape) = &conn.recording {
                     tape.said(0, back.bytes());
                 }
                 return Err(flaw);
             }
         };
-        if let Some(tape) = &conn.tape {
+        if let Some(tape) = &conn.recording {
             tape.said(0, &back.bytes()[..4 + len]);
         }
         count(&hub.counts.frames);
@@ -477,27 +492,27 @@
 }
 
 /// Ends connections that are unused for longer than wanted, stuck, or forsaken.
-pub async fn look_after(hub: Rc<Hub>) {
+pub async fn look_after(hub: Rc<NodeContext>) {
     loop {
         sleep(LOOK).await;
         completion::end_orphans(&hub, Instant::now());
-        let (stay, idle) = (hub.core.borrow().desk.stay, hub.idle.get());
+        let (stay, idle) = (hub.core.borrow().desk.idle_limit, hub.idle_timeout.get());
         let now = Instant::now();
-        for conn in hub.conns.borrow().values() {
-            let quiet = now.duration_since(conn.moved.get());
-            if !conn.settled() {
-                if quiet > STUCK && !conn.out.borrow().is_empty() {
-                    conn.end("unread");
+        for conn in hub.connections.borrow().values() {
+            let quiet = now.duration_since(conn.last_activity.get());
+            if !conn.is_idle() {
+                if quiet > STUCK && !conn.outgoing.borrow().is_empty() {
+                    conn.close_with("unread");
                 }
             } else if conn
-                .told
+                .shutdown_sent_at
                 .get()
                 .is_some_and(|told| now.duration_since(told) > TOLD_MOST)
             {
-                conn.end("idle");
+                conn.close_with("idle");
             } else if quiet > stay.min(idle + FORSAKEN) && (stay < idle || quiet > idle + FORSAKEN)
             {
-                conn.tell_shutdown();
+                conn.send_shutdown();
             }
         }
         // Calls below came into the room that connections took while there were none.
@@ -505,11 +520,11 @@
             make_room(&hub, ROOM);
         }
         // Guards against many that ask and do not read: the one that is furthest behind goes.
-        let conns = hub.conns.borrow();
-        let unread = |conn: &Rc<Conn>| conn.out.borrow().len();
+        let conns = hub.connections.borrow();
+        let unread = |conn: &Rc<Connection>| conn.outgoing.borrow().len();
         if conns.values().map(unread).sum::<usize>() > hub.config.memory / UNREAD_PART {
             if let Some(conn) = conns.values().max_by_key(|&conn| unread(conn)) {
-                conn.end("unread");
+                conn.close_with("unread");
             }
         }
     }
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -6,7 +6,7 @@
 //! answer are never closed for it.
 
 use crate::request_table::count;
-use crate::{often, connections, Hub};
+use crate::{connections, often, NodeContext};
 use rustix::process::{getrlimit, Resource};
 use std::future::Future;
 use std::io;
@@ -46,7 +46,11 @@
 ///
 /// # Errors
 /// Those of `attempt`, for want of descriptors only after [`TRIES`].
-pub async fn have<T, F>(hub: &Hub, what: &'static str, attempt: impl Fn() -> F) -> io::Result<T>
+pub async fn have<T, F>(
+    hub: &NodeContext,
+    what: &'static str,
+    attempt: impl Fn() -> F,
+) -> io::Result<T>
 where
     F: Future<Output = io::Result<T>>,
 {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,14 +1,14 @@
 //! What goes out: commands to the agent, and calls to the tier below.
 
 use crate::agent::Link;
-use crate::request_table::{count, Call, Desk, Run, Ticket};
 use crate::completion;
+use crate::request_table::{count, CallState, Request, RequestTable, RunState};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::Outcome;
 use std::time::Duration;
 
-pub fn launch(agent: &Link, t: &Ticket, type_names: &[String]) {
-    let (trace, method) = (String::from_utf8_lossy(&t.trace), &type_names[t.traffic]);
+pub fn launch(agent: &Link, t: &Request, type_names: &[String]) {
+    let (trace, method) = (String::from_utf8_lossy(&t.trace), &type_names[t.class]);
     let payload = BASE64_STANDARD.encode(&t.body);
     agent.command(format_args!(
         "{{\"cmd\":\"launch\",\"req\":\"{trace}\",\"method\":{method},\"payload\":\"{payload}\"}}\n"
@@ -16,22 +16,22 @@
 }
 
 /// A command that needs no more than the ticket's name.
-pub fn about(agent: &Link, cmd: &str, t: &Ticket) {
+pub fn about(agent: &Link, cmd: &str, t: &Request) {
     let trace = String::from_utf8_lossy(&t.trace);
     agent.command(format_args!("{{\"cmd\":\"{cmd}\",\"req\":\"{trace}\"}}\n"));
 }
 
 /// What became of the call, to the run that waits for it.
-pub fn call_result(agent: &Link, t: &Ticket) {
+pub fn call_result(agent: &Link, t: &Request) {
     let trace = String::from_utf8_lossy(&t.trace);
     match &t.call {
-        Some((_, _, Call::Delivered(body))) => {
+        Some((_, _, CallState::Delivered(body))) => {
             let payload = BASE64_STANDARD.encode(body);
             agent.command(format_args!(
                 "{{\"cmd\":\"deliver\",\"req\":\"{trace}\",\"payload\":\"{payload}\"}}\n"
             ));
         }
-        Some((offset, _, Call::Forgone)) => agent.command(format_args!(
+        Some((offset, _, CallState::Skipped)) => agent.command(format_args!(
             "{{\"cmd\":\"forgo\",\"req\":\"{trace}\",\"offset\":{offset}}}\n"
         )),
         _ => {}
@@ -40,9 +40,9 @@
 
 /// After a link came back and its replay was read: all commands of which no notice tells that they
 /// came through. A run that the replay told to be over is no longer in the books.
-pub fn resend(desk: &mut Desk) {
+pub fn resend(desk: &mut RequestTable) {
     let (agent, counts) = (desk.agent.clone(), desk.counts.clone());
-    let mut running: Vec<&Ticket> = desk
+    let mut running: Vec<&Request> = desk
         .tickets
         .iter()
         .flatten()
@@ -52,24 +52,28 @@
     for t in running {
         count(&counts.resent);
         if t.call.is_none() {
-            launch(&agent, t, &desk.type_names);
+            launch(&agent, t, &desk.class_names);
         }
         // Guards against a run that is waited for and was never begun: the launch above goes out for one
         // taken off too, and brings `late` where nothing ran.
         match t.run {
-            Run::Frozen => about(&agent, "freeze", t),
+            RunState::Paused => about(&agent, "freeze", t),
             _ => call_result(&agent, t),
         }
     }
 }
 
 /// Makes the call that a run waits for; the task leaves its outcome to the relay.
-pub fn call(desk: &mut Desk, ix: usize, left: Duration) {
-    let (pool, hub, counts) = (desk.pool.clone(), desk.hub.clone(), desk.counts.clone());
+pub fn call(desk: &mut RequestTable, ix: usize, left: Duration) {
+    let (pool, hub, counts) = (
+        desk.downstream.clone(),
+        desk.context.clone(),
+        desk.counts.clone(),
+    );
     let Some(t) = desk.ticket(ix) else { return };
     let (serial, trace) = (t.serial, t.trace);
     let Some((_, body, made)) = &mut t.call else {
-        desk.ends.push_back((ix, Outcome::NeverStarted));
+        desk.run_ends.push_back((ix, Outcome::NeverStarted));
         return;
     };
     count(&counts.calls);
@@ -79,7 +83,9 @@
         let (outcome, reply) = pool.call(&hub, &trace, left, &body).await;
         completion::call_ended(&hub, ix, serial, outcome, reply);
     });
-    if let Call::Out(before) = std::mem::replace(made, Call::Out(task.abort_handle())) {
+    if let CallState::InProgress(before) =
+        std::mem::replace(made, CallState::InProgress(task.abort_handle()))
+    {
         before.abort();
     }
 }
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -5,7 +5,7 @@
 
 use crate::recording::Record;
 use crate::socket_buffer::{Filled, OnSocket, Ring};
-use crate::{descriptors, http, connections, Hub};
+use crate::{connections, descriptors, http, NodeContext};
 use rainstand::Outcome;
 use rainstand_traffic_recorder::Tape;
 use std::cell::{Cell, OnceCell};
@@ -56,7 +56,7 @@
     /// the call up.
     pub async fn call(
         &self,
-        hub: &Hub,
+        hub: &NodeContext,
         trace: &[u8],
         left: Duration,
         body: &[u8],
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -1,6 +1,6 @@
 //! The notice to leave: everything read is answered, then the process ends.
 
-use crate::{note, Hub};
+use crate::{note, NodeContext};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -18,13 +18,13 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// From the notice on; returns when nothing is owed any more, or when the kill is near.
-pub async fn drain(hub: &Rc<Hub>) {
+pub async fn drain(hub: &Rc<NodeContext>) {
     let (noticed, stop) = (Instant::now(), hub.config.stop);
     let ends = noticed + stop.saturating_sub(BEFORE_KILL[1]);
     hub.leaving.set(Some(noticed));
-    hub.report_now.notify_one();
-    let owing = hub.core.borrow().desk.owing();
-    let conns = hub.conns.borrow().len();
+    hub.report_wakeup.notify_one();
+    let owing = hub.core.borrow().desk.pending_reply_count();
+    let conns = hub.connections.borrow().len();
     note!(
         "drain_begins",
         "drain begins",
@@ -32,38 +32,38 @@
         conns = conns,
         stop_ms = stop.as_millis()
     );
-    hub.conns
+    hub.connections
         .borrow()
         .values()
-        .for_each(|conn| conn.tell_shutdown());
+        .for_each(|conn| conn.send_shutdown());
     // Others lead the shards from here on, while what is in hand is still served.
-    let copies = hub.core.borrow().desk.copies.clone();
+    let copies = hub.core.borrow().desk.group.clone();
     if let Some(copies) = copies {
         tokio::task::spawn_local(async move { copies.group().leave(HANDS_OVER).await });
     }
     tell_module(hub);
     // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
-    let begun = hub.core.borrow().node.is_some();
+    let begun = hub.core.borrow().controller.is_some();
     let deaf_at = noticed
         + if begun {
-            hub.grace.get().min(stop.mul_f64(LISTENING))
+            hub.drain_grace.get().min(stop.mul_f64(LISTENING))
         } else {
             Duration::ZERO
         };
     sleep(deaf_at.saturating_duration_since(Instant::now())).await;
-    hub.deaf.notify_one();
+    hub.stop_listening.notify_one();
     let deaf_at = Instant::now();
     // Each connection says good-bye once nothing is owed on it, and is waited for: an end of the process beside it
     // would cut off an answer on its way, or a ticket that lies unread.
     while Instant::now() < ends && says_goodbye(hub, deaf_at.elapsed()) {
         sleep(LOOK).await;
     }
-    let owing = hub.core.borrow_mut().desk.give_up_all();
+    let owing = hub.core.borrow_mut().desk.fail_all();
     sleep(LOOK).await;
-    hub.conns
+    hub.connections
         .borrow()
         .values()
-        .for_each(|conn| conn.end("kill"));
+        .for_each(|conn| conn.close_with("kill"));
     sleep(LOOK).await;
     note!(
         "drain_ends",
@@ -74,23 +74,23 @@
 }
 
 /// Whether connections are still waited for, so long after the end of listening.
-fn says_goodbye(hub: &Hub, deaf_for: Duration) -> bool {
-    let (listening, conns) = (hub.listener.borrow().is_some(), hub.conns.borrow());
+fn says_goodbye(hub: &NodeContext, deaf_for: Duration) -> bool {
+    let (listening, conns) = (hub.listener.borrow().is_some(), hub.connections.borrow());
     for conn in conns.values() {
-        conn.tell_shutdown();
-        if conn.settled() && !listening && deaf_for > CROSSING {
-            conn.end("drain");
+        conn.send_shutdown();
+        if conn.is_idle() && !listening && deaf_for > CROSSING {
+            conn.close_with("drain");
         }
     }
     listening || !conns.is_empty()
 }
 
 /// The module hears of the notice, at once or as it begins, with the time at which the notice came.
-pub fn tell_module(hub: &Hub) {
+pub fn tell_module(hub: &NodeContext) {
     let Some(noticed) = hub.leaving.get() else {
         return;
     };
-    hub.act(|node, _, desk| {
+    hub.drive_policy(|node, _, desk| {
         let at = noticed.saturating_duration_since(desk.started);
         let kill = noticed + hub.config.stop.saturating_sub(BEFORE_KILL[0]);
         let kill_in = kill
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -6,9 +6,9 @@
 //!
 //! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
 
-use crate::request_table::{count, Desk, Owed, Run, Trace};
+use crate::request_table::{count, PendingReply, RequestTable, RunState, Trace};
 use crate::settings::Settings;
-use crate::{descriptors, note, dispatch, Hub};
+use crate::{descriptors, dispatch, note, NodeContext};
 use bytes::Bytes;
 use rainstand::Outcome;
 use rainstand_cluster::{ClusterMember, MemberOptions};
@@ -85,8 +85,11 @@
 ///
 /// # Errors
 /// If the member cannot begin.
-pub async fn join(hub: &Rc<Hub>, group: rainstand_config::schema::Group) -> Result<(), String> {
-    hub.kept.set(kept(group.members.len()));
+pub async fn join(
+    hub: &Rc<NodeContext>,
+    group: rainstand_config::schema::Group,
+) -> Result<(), String> {
+    hub.reserved_descriptors.set(kept(group.members.len()));
     let setup = MemberOptions {
         name: hub.config.name.clone(),
         group,
@@ -97,15 +100,15 @@
         group,
         old: RefCell::default(),
     });
-    hub.core.borrow_mut().desk.copies = Some(copies.clone());
+    hub.core.borrow_mut().desk.group = Some(copies.clone());
     tokio::task::spawn_local(tell_old_runs(copies));
     Ok(())
 }
 
 /// A new configuration, read again at SIGHUP: its members hold from here on.
-pub async fn reload(hub: &Hub) {
+pub async fn reload(hub: &NodeContext) {
     let (Some(copies), Some(path)) = (
-        hub.core.borrow().desk.copies.clone(),
+        hub.core.borrow().desk.group.clone(),
         std::env::var_os("RAINSTAND_SETTINGS"),
     ) else {
         return;
@@ -120,7 +123,7 @@
         .and_then(|all| all.group.ok_or("no group".into()));
     match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
         Ok(group) => {
-            hub.kept.set(kept(group.members.len()));
+            hub.reserved_descriptors.set(kept(group.members.len()));
             note!(
                 "group_reload",
                 "members of the group",
@@ -227,14 +230,14 @@
 }
 
 /// The module's order to run a keyed ticket: the group is asked first.
-pub fn start(desk: &mut Desk, ix: usize) {
-    let (Some(copies), hub) = (desk.copies.clone(), desk.hub.clone()) else {
+pub fn start(desk: &mut RequestTable, ix: usize) {
+    let (Some(copies), hub) = (desk.group.clone(), desk.context.clone()) else {
         return;
     };
     let Some(t) = desk.ticket(ix) else { return };
     let (serial, trace) = (t.serial, t.trace);
-    let Some(keyed) = &mut t.keyed else { return };
-    t.run = Run::Asking;
+    let Some(keyed) = &mut t.claim else { return };
+    t.run = RunState::Claiming;
     let left = keyed.due.saturating_duration_since(Instant::now());
     let most = Duration::from_nanos(copies.group.settings().start_within_ns);
     let what = Operation::Start(Start {
@@ -244,7 +247,7 @@
     let command = copies.command(&trace, &keyed.key, what);
     let tell = move |told: Option<ClaimOutcome>| {
         if let Some(hub) = hub.upgrade() {
-            hub.act(|_, _, desk| {
+            hub.drive_policy(|_, _, desk| {
                 if desk.ticket(ix).is_some_and(|t| t.serial == serial) {
                     happened(desk, ix, told.map_or(Event::TimedOut, Event::Told));
                 }
@@ -260,24 +263,24 @@
 }
 
 /// Nobody waits for the ticket any more. A run goes on: what it brings serves repeats.
-pub fn left(desk: &mut Desk, ix: usize) {
+pub fn left(desk: &mut RequestTable, ix: usize) {
     happened(desk, ix, Event::Left);
 }
 
 /// The run of a keyed ticket is over; the module is told as of any other.
-pub fn ended(desk: &mut Desk, ix: usize, end: End) {
+pub fn ended(desk: &mut RequestTable, ix: usize, end: End) {
     happened(desk, ix, Event::Ended(end));
 }
 
-fn happened(desk: &mut Desk, ix: usize, event: Event) {
-    let Some(copies) = desk.copies.clone() else {
+fn happened(desk: &mut RequestTable, ix: usize, event: Event) {
+    let Some(copies) = desk.group.clone() else {
         return;
     };
     let counts = desk.counts.clone();
     let Some(t) = desk.tickets.get_mut(ix).and_then(Option::as_mut) else {
         return;
     };
-    let Some(keyed) = &mut t.keyed else { return };
+    let Some(keyed) = &mut t.claim else { return };
     let (trace, key) = (t.trace, keyed.key.clone());
     let (next, act) = step(keyed.stage, event);
     if let Some(next) = next {
@@ -287,32 +290,32 @@
     let never_ran = match act {
         Act::Nothing => false,
         Act::Launch => {
-            t.run = Run::Launched;
+            t.run = RunState::Launched;
             count(&counts.launched);
-            dispatch::launch(&desk.agent, t, &desk.type_names);
+            dispatch::launch(&desk.agent, t, &desk.class_names);
             false
         }
         Act::Keep(result) => {
-            let (owed, due) = (t.owed.take(), keyed.due);
+            let (owed, due) = (t.reply.take(), keyed.due);
             keep(desk, &copies, trace, &key, result, owed, due);
             false
         }
         Act::Answer(result) => {
-            if let Some(owed) = t.owed.take() {
-                owed.honour(&counts, &result);
+            if let Some(owed) = t.reply.take() {
+                owed.serve(&counts, &result);
             }
             true
         }
         Act::Dismiss { nowhere } => {
             let come_back = Duration::from_nanos(copies.group.settings().come_back_ns);
-            if let Some(owed) = t.owed.take() {
-                owed.dismiss(&counts, come_back, nowhere);
+            if let Some(owed) = t.reply.take() {
+                owed.reject(&counts, come_back, nowhere);
             }
             true
         }
         Act::GiveUp => {
-            if let Some(owed) = t.owed.take() {
-                owed.give_up(&counts);
+            if let Some(owed) = t.reply.take() {
+                owed.fail(&counts);
             }
             true
         }
@@ -323,8 +326,8 @@
             true
         }
         Act::Fail | Act::Refuse => {
-            if let Some(owed) = t.owed.take() {
-                owed.give_up(&counts);
+            if let Some(owed) = t.reply.take() {
+                owed.fail(&counts);
             }
             let what = if act == Act::Fail {
                 Operation::Failed(true)
@@ -336,18 +339,18 @@
         }
     };
     if never_ran {
-        desk.ends.push_back((ix, Outcome::NeverStarted));
+        desk.run_ends.push_back((ix, Outcome::NeverStarted));
     }
 }
 
 /// Agrees on a result; what is owed is answered then, or given up in time.
 fn keep(
-    desk: &mut Desk,
+    desk: &mut RequestTable,
     copies: &Copies,
     trace: Trace,
     key: &Bytes,
     result: Bytes,
-    owed: Option<Owed>,
+    owed: Option<PendingReply>,
     due: Instant,
 ) {
     let left = due.saturating_duration_since(Instant::now());
@@ -356,8 +359,8 @@
     } else {
         UNWATCHED
     };
-    let (hub, kept) = (desk.hub.clone(), result.clone());
-    let number = desk.keep_owed(owed);
+    let (hub, kept) = (desk.context.clone(), result.clone());
+    let number = desk.retain_reply(owed);
     let tell = move |told: Option<ClaimOutcome>| {
         let Some(hub) = hub.upgrade() else { return };
         let mut core = hub.core.borrow_mut();
@@ -366,25 +369,25 @@
         if next.is_some() {
             return;
         }
-        let Some(owed) = core.desk.keeping.remove(&number) else {
+        let Some(owed) = core.desk.awaiting_commit.remove(&number) else {
             return;
         };
         match act {
-            Act::Answer(_) => owed.honour(&hub.counts, &kept),
-            _ => owed.give_up(&hub.counts),
+            Act::Answer(_) => owed.serve(&hub.counts, &kept),
+            _ => owed.fail(&hub.counts),
         }
     };
     let command = copies.command(&trace, key, Operation::Done(result));
     if copies.group.request(command, left, Rc::new(tell)).is_none() {
-        if let Some(owed) = desk.keeping.remove(&number) {
-            owed.give_up(&desk.counts);
+        if let Some(owed) = desk.awaiting_commit.remove(&number) {
+            owed.fail(&desk.counts);
         }
     }
 }
 
 /// The agent tells of a run that nobody here knows: perhaps an earlier start of this node began it.
-pub fn old_run(hub: &Hub, trace: Trace, end: End) {
-    let Some(copies) = hub.core.borrow().desk.copies.clone() else {
+pub fn old_run(hub: &NodeContext, trace: Trace, end: End) {
+    let Some(copies) = hub.core.borrow().desk.group.clone() else {
         return;
     };
     let mut old = copies.old.borrow_mut();
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,8 +1,10 @@
 //! From a frame to the decision module: names to indices, repeats, what bad input gets.
 
-use crate::request_table::{count, sum_of, Conn, Kept, Key, Owed, Run, Ticket};
 use crate::idempotency::Keyed;
-use crate::{thrift, Hub};
+use crate::request_table::{
+    body_checksum, count, CachedResult, Connection, IdempotencyKey, PendingReply, Request, RunState,
+};
+use crate::{thrift, NodeContext};
 use rainstand::{Arrival, Host, RetryOf};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -25,7 +27,7 @@
 const BORN_WITHIN: Duration = Duration::from_secs(600);
 
 /// One frame. An error is the reason code for which the connection is to end.
-pub fn frame(hub: &Hub, conn: &Rc<Conn>, frame: &[u8]) -> Result<(), thrift::Flaw> {
+pub fn frame(hub: &NodeContext, conn: &Rc<Connection>, frame: &[u8]) -> Result<(), thrift::Flaw> {
     let message = thrift::message(frame)?;
     let (name, seq) = (message.name, message.seq);
     let except = |code, why: &str| {
@@ -43,7 +45,7 @@
         b"process" if message.oneway => count(&hub.counts.exceptions),
         b"process" => {
             let (fields, body) = thrift::process_args(message.args).map_err(unreadable)?;
-            if conn.open.borrow().contains_key(&seq) {
+            if conn.open_requests.borrow().contains_key(&seq) {
                 return Err("seq_repeated");
             }
             if let Err(why) = ticket(hub, conn, seq, fields, body) {
@@ -57,8 +59,8 @@
         b"probe" => {
             thrift::probe_args(message.args).map_err(unreadable)?;
             count(&hub.counts.probes);
-            conn.used.set(true);
-            let good = hub.core.borrow().desk.good;
+            conn.is_known.set(true);
+            let good = hub.core.borrow().desk.healthy;
             if !message.oneway {
                 conn.send(&thrift::answer(b"probe", seq, &[], good));
             }
@@ -66,31 +68,31 @@
         _ => except(thrift::UNKNOWN_METHOD, "no such method"),
     }
     // Guards against one that sends the same nonsense again as soon as it is told so.
-    if !conn.used.get() && conn.exceptions.get() >= EXCEPTIONS_MOST {
+    if !conn.is_known.get() && conn.exceptions.get() >= EXCEPTIONS_MOST {
         return Err("bad_input");
     }
     Ok(())
 }
 
 /// The caller no longer waits for the answer of this number.
-pub fn gone(hub: &Hub, conn: &Conn, seq: i32) {
-    let Some(ix) = conn.open.borrow_mut().remove(&seq) else {
+pub fn gone(hub: &NodeContext, conn: &Connection, seq: i32) {
+    let Some(ix) = conn.open_requests.borrow_mut().remove(&seq) else {
         return;
     };
     count(&hub.counts.left);
-    hub.act(|node, now, desk| {
+    hub.drive_policy(|node, now, desk| {
         if let Some(t) = desk.ticket(ix) {
-            t.owed = None;
+            t.reply = None;
             node.on_caller_gone(now, desk, ix);
         }
     });
 }
 
 /// Gives up all that is open on a connection that is to end: its caller sent what cannot be read.
-pub fn cut_short(hub: &Hub, conn: &Conn) {
-    let first = || conn.open.borrow_mut().pop_first();
+pub fn cut_short(hub: &NodeContext, conn: &Connection) {
+    let first = || conn.open_requests.borrow_mut().pop_first();
     while let Some((_, ix)) = first() {
-        hub.act(|node, now, desk| {
+        hub.drive_policy(|node, now, desk| {
             desk.give_up(ix);
             node.on_caller_gone(now, desk, ix);
         });
@@ -98,8 +100,8 @@
 }
 
 fn ticket(
-    hub: &Hub,
-    conn: &Rc<Conn>,
+    hub: &NodeContext,
+    conn: &Rc<Connection>,
     seq: i32,
     fields: Option<Vec<(&[u8], &[u8])>>,
     body: Option<&[u8]>,
@@ -154,15 +156,15 @@
     if again && text("redo") != Some("1") {
         return Err("redo: neither 1 nor absent");
     }
-    if conn.open.borrow().len() >= OPEN_MOST {
+    if conn.open_requests.borrow().len() >= OPEN_MOST {
         return Err("too many open tickets on this connection");
     }
 
     let mut core = hub.core.borrow_mut();
-    let begun = core.node.is_some();
+    let begun = core.controller.is_some();
     let desk = &mut core.desk;
     let known = |names: &BTreeMap<String, usize>, name: &str| names.get(name).copied();
-    let traffic = known(&desk.types, route).ok_or("route: no such traffic type")?;
+    let traffic = known(&desk.classes, route).ok_or("route: no such traffic type")?;
     let tenant = text("customer").and_then(|name| known(&desk.tenants, name));
     if tenant.is_none() && (given("customer") || !desk.tenants.is_empty()) {
         return Err("customer: no such tenant");
@@ -173,10 +175,10 @@
     let now = Instant::now();
     // What tells a repeat: all tries of a ticketed one carry the same nonce. A name that comes without is what
     // the ticket is about, which is as much where the type is ticketed.
-    let (outer_limit, window) = desk.kinds.get(traffic).copied().unwrap_or_default();
+    let (outer_limit, window) = desk.class_limits.get(traffic).copied().unwrap_or_default();
     let name = nonce.or(entity.filter(|_| window.is_some()));
     // Where the node is in a group, it is the group that knows what a ticketed one repeats.
-    let agreed = window.filter(|_| desk.copies.is_some()).zip(name);
+    let agreed = window.filter(|_| desk.group.is_some()).zip(name);
     let keyed = agreed.map(|(window, name)| {
         let due = now + patience.unwrap_or(outer_limit.saturating_sub(waited));
         let tenant = text("customer").unwrap_or("").as_bytes();
@@ -188,56 +190,60 @@
         )
     });
     let name = name.filter(|_| keyed.is_none());
-    let key = name.map(|name| Key {
+    let key = name.map(|name| IdempotencyKey {
         traffic,
         tenant,
         name: name.as_bytes().into(),
     });
-    let kept = key.as_ref().and_then(|key| desk.keys.get(now, key));
+    let kept = key.as_ref().and_then(|key| desk.result_cache.get(now, key));
     // Guards against the result of one ticket for another under its name, and against a second run under it.
-    if kept.as_ref().is_some_and(|kept| kept.1 != sum_of(body)) {
+    if kept
+        .as_ref()
+        .is_some_and(|kept| kept.1 != body_checksum(body))
+    {
         return Err("nonce: that of a ticket with another body");
     }
     count(&hub.counts.tickets);
-    let open = key.as_ref().and_then(|key| desk.reads.get(key).copied());
-    let kept = kept.is_some_and(|kept| kept.0 != Kept::Open);
+    let open = key.as_ref().and_then(|key| desk.by_key.get(key).copied());
+    let kept = kept.is_some_and(|kept| kept.0 != CachedResult::InProgress);
     let repeat = open
         .filter(|_| !kept)
         .map_or(if kept { RetryOf::Past } else { RetryOf::No }, RetryOf::Of);
     if repeat != RetryOf::No {
         count(&hub.counts.repeats);
     }
-    let owed = Owed {
+    let owed = PendingReply {
         conn: conn.clone(),
         seq,
     };
-    let no_room =
-        |key: &Key| repeat == RetryOf::No && window.is_some() && !desk.keys.room(now, key);
+    let no_room = |key: &IdempotencyKey| {
+        repeat == RetryOf::No && window.is_some() && !desk.result_cache.has_capacity(now, key)
+    };
     // The agent is not up, or bodies in hand or kept keys fill their part of the memory: nothing of it was run.
     if !begun
         || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART
         || key.as_ref().is_some_and(no_room)
     {
-        owed.dismiss(&hub.counts, hub.longest_pause.get(), false);
+        owed.reject(&hub.counts, hub.max_retry_after.get(), false);
         return Ok(());
     }
-    let ix = desk.put(Ticket {
+    let ix = desk.put(Request {
         serial: 0,
         trace,
-        owed: Some(owed),
-        due: now + patience.unwrap_or(outer_limit.saturating_sub(waited)),
-        traffic,
+        reply: Some(owed),
+        deadline: now + patience.unwrap_or(outer_limit.saturating_sub(waited)),
+        class: traffic,
         body: body.into(),
-        run: Run::Held,
+        run: RunState::Queued,
         call: None,
         key,
-        keeps: false,
-        keyed,
-        prior: open,
+        caches_result: false,
+        claim: keyed,
+        retry_of: open,
         waiters: Vec::new(),
         orphan_since: None,
     });
-    conn.open.borrow_mut().insert(seq, ix);
+    conn.open_requests.borrow_mut().insert(seq, ix);
     drop(core);
     let arrival = Arrival {
         traffic,
@@ -249,7 +255,7 @@
         held_kb,
         again,
     };
-    hub.act(|node, now, desk| node.on_arrival(now, desk, ix, arrival));
+    hub.drive_policy(|node, now, desk| node.on_arrival(now, desk, ix, arrival));
     Ok(())
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,30 +12,30 @@
     reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
 )]
 
-pub mod ingress;
 pub mod agent;
-pub mod registration;
-pub mod downstream;
-pub mod request_table;
+pub mod completion;
 pub mod config;
+pub mod connections;
 pub mod descriptors;
+pub mod dispatch;
+pub mod downstream;
 pub mod drain;
 pub mod idempotency;
+pub mod ingress;
 pub mod log;
+pub mod policy_host;
 pub mod recording;
-pub mod completion;
+pub mod registration;
 pub mod reload;
-pub mod socket_buffer;
-pub mod policy_host;
-pub mod dispatch;
+pub mod request_table;
 pub mod settings;
-pub mod connections;
+pub mod socket_buffer;
 
 pub use rainstand_protocol::{http, thrift};
 
-use request_table::{count, Conn, Counts, Desk};
 use config::{Config, Peers};
 use rainstand::{AdmissionController, Gauges, Host};
+use request_table::{count, Connection, Counts, RequestTable};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -48,37 +48,37 @@
 use tokio::time::{sleep, sleep_until};
 
 /// A wake-up that comes this much late is counted: the process or its machine stood still.
-const LATE: Duration = Duration::from_millis(20);
+const LATE_TICK: Duration = Duration::from_millis(20);
 
 /// The gauges are asked for this long before a wake-up is due; it comes with the answer, or when due.
 /// Ten times what the agent takes to tell them, in whole steps of the clock.
-const ASK_AHEAD: Duration = Duration::from_millis(2);
+const GAUGE_LEAD_TIME: Duration = Duration::from_millis(2);
 
 /// Older gauges are counted: half of what lies between two wake-ups.
-const FRESH: Duration = Duration::from_millis(10);
+const MAX_GAUGE_AGE: Duration = Duration::from_millis(10);
 
 /// To the next wake-up where the module asked for none: as often as it asks by itself.
-const UNASKED: Duration = Duration::from_millis(20);
+const DEFAULT_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Before a watch that ended in a panic begins anew: it costs little, however often it ends so.
-const WATCH_AGAIN: Duration = Duration::from_millis(100);
+const SUPERVISOR_RESTART_DELAY: Duration = Duration::from_millis(100);
 
 /// The decision module and the books it works on.
 pub struct Core {
     /// None until the agent has greeted.
-    pub node: Option<AdmissionController>,
-    pub desk: Desk,
+    pub controller: Option<AdmissionController>,
+    pub desk: RequestTable,
 }
 
 /// What the tasks of one node share.
-pub struct Hub {
+pub struct NodeContext {
     pub config: Config,
     /// The newest file whose settings were taken, for a module that begins after it.
-    pub tuned: RefCell<Option<Config>>,
+    pub reloaded_config: RefCell<Option<Config>>,
     /// Those of the newest configuration file.
-    pub peers: Cell<Peers>,
+    pub peer_addresses: Cell<Peers>,
     pub core: RefCell<Core>,
-    pub conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
+    pub connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     pub counts: Rc<Counts>,
     /// How many connections of dispatchers ended, by reason code.
     pub ends: RefCell<BTreeMap<&'static str, u64>>,
@@ -87,25 +87,25 @@
     pub record: OnceCell<Rc<recording::Record>>,
     gauge_names: RefCell<Vec<String>>,
     /// These four, and the module's settings, follow a new configuration file: see `reload::retune`.
-    pub idle: Cell<Duration>,
-    pub grace: Cell<Duration>,
+    pub idle_timeout: Cell<Duration>,
+    pub drain_grace: Cell<Duration>,
     /// The longest wait that callers are asked for.
-    pub longest_pause: Cell<Duration>,
+    pub max_retry_after: Cell<Duration>,
     /// The list of nodes follows what is reported, not only that something is.
-    pub listed_by_state: Cell<bool>,
+    pub registry_follows_health: Cell<bool>,
     /// When the notice to leave came.
     pub leaving: Cell<Option<Instant>>,
     /// Until everything that came in before the end of listening is taken.
     pub listener: RefCell<Option<Rc<TcpListener>>>,
     /// Wakes the reports: at the notice to leave, and when the announce service moved.
-    pub report_now: Notify,
+    pub report_wakeup: Notify,
     /// Ends the listening.
-    pub deaf: Notify,
+    pub stop_listening: Notify,
     /// Descriptors that the group's links and store keep, out of all.
-    pub kept: Cell<usize>,
+    pub reserved_descriptors: Cell<usize>,
 }
 
-impl Hub {
+impl NodeContext {
     pub fn new(mut config: Config) -> Result<Rc<Self>, String> {
         let (configured, given) = (config.sockets, descriptors::within(config.sockets));
         if given < configured {
@@ -127,46 +127,52 @@
             .map(|name| serde_json::Value::from(name.0.as_str()).to_string())
             .collect();
         Ok(Rc::new_cyclic(|hub| {
-            let mut desk = Desk::new(hub.clone(), counts.clone(), link.clone(), pool);
-            desk.type_names = type_names;
-            desk.keys = request_table::Keys::within(config.memory);
-            (desk.types, desk.tenants) = (start.types, start.tenants);
-            (desk.fresh, desk.can_stop) = (start.fresh, start.can_stop);
-            desk.kinds = start.kinds;
+            let mut desk = RequestTable::new(hub.clone(), counts.clone(), link.clone(), pool);
+            desk.class_names = type_names;
+            desk.result_cache = request_table::ResultCache::within(config.memory);
+            (desk.classes, desk.tenants) = (start.types, start.tenants);
+            (desk.fresh, desk.can_pause) = (start.fresh, start.can_stop);
+            desk.class_limits = start.kinds;
             Self {
-                peers: Cell::new(config.peers),
-                tuned: RefCell::new(None),
+                peer_addresses: Cell::new(config.peers),
+                reloaded_config: RefCell::new(None),
                 config,
-                core: RefCell::new(Core { node: None, desk }),
-                conns: RefCell::default(),
+                core: RefCell::new(Core {
+                    controller: None,
+                    desk,
+                }),
+                connections: RefCell::default(),
                 counts,
                 ends: RefCell::default(),
                 link,
                 record: OnceCell::new(),
                 gauge_names: RefCell::new(start.gauges),
-                idle: Cell::new(start.idle),
-                grace: Cell::new(start.grace),
-                longest_pause: Cell::new(start.longest_pause),
-                listed_by_state: Cell::new(start.listed_by_state),
+                idle_timeout: Cell::new(start.idle),
+                drain_grace: Cell::new(start.grace),
+                max_retry_after: Cell::new(start.longest_pause),
+                registry_follows_health: Cell::new(start.listed_by_state),
                 leaving: Cell::new(None),
                 listener: RefCell::new(None),
-                report_now: Notify::new(),
-                deaf: Notify::new(),
-                kept: Cell::new(0),
+                report_wakeup: Notify::new(),
+                stop_listening: Notify::new(),
+                reserved_descriptors: Cell::new(0),
             }
         }))
     }
 
     /// One call into the decision module, with all that follows from it.
-    pub fn act(&self, call: impl FnOnce(&mut AdmissionController, Duration, &mut Desk)) {
+    pub fn drive_policy(
+        &self,
+        call: impl FnOnce(&mut AdmissionController, Duration, &mut RequestTable),
+    ) {
         let mut core = self.core.borrow_mut();
-        let Core { node, desk } = &mut *core;
-        let Some(node) = node else { return };
+        let Core { controller, desk } = &mut *core;
+        let Some(node) = controller else { return };
         let now = desk.now();
         // Guards against a defect met by one ticket that would end the process, and all others with it.
         let all = AssertUnwindSafe(|| {
             call(node, now, desk);
-            while let Some((ix, end)) = desk.ends.pop_front() {
+            while let Some((ix, end)) = desk.run_ends.pop_front() {
                 node.ended(now, desk, ix, end);
             }
         });
@@ -181,18 +187,18 @@
     }
 
     /// The agent is up, since `ago`: the decision module begins, once.
-    pub fn begin(self: &Rc<Self>, ago: Duration, cold: bool) -> Result<(), &'static str> {
+    pub fn start_policy(self: &Rc<Self>, ago: Duration, cold: bool) -> Result<(), &'static str> {
         let mut core = self.core.borrow_mut();
-        if core.node.is_some() {
+        if core.controller.is_some() {
             return Ok(());
         }
         // The module's clock starts with the agent, so that warming is counted from there.
         if let Some(started) = Instant::now().checked_sub(ago) {
             core.desk.started = started;
         }
-        let Core { node, desk } = &mut *core;
+        let Core { controller, desk } = &mut *core;
         let now = desk.now();
-        let tuned = self.tuned.borrow();
+        let tuned = self.reloaded_config.borrow();
         let config = tuned.as_ref().unwrap_or(&self.config);
         let start = config
             .start(now.saturating_sub(ago), cold)
@@ -204,22 +210,22 @@
             since_ms = ago.as_millis(),
             cold = cold
         );
-        node.insert(start.node).begin(now, desk);
+        controller.insert(start.node).begin(now, desk);
         drop(core);
         // Guards against tickets that are run past the kill: a module that begins late hears of it too.
         drain::tell_module(self);
         let hub = self.clone();
-        spawn_local(watch(self.clone(), "beat", move || beat(hub.clone())));
+        spawn_local(supervise(self.clone(), "beat", move || tick(hub.clone())));
         Ok(())
     }
 
     /// Gives up what is due and was not answered. Guards against a ticket that the module lost in a panic: whatever
     /// became of it there, the program owes its answer.
-    fn answer_overdue(&self) {
+    fn fail_overdue(&self) {
         let overdue = self.core.borrow().desk.overdue(Instant::now());
         for ix in overdue {
             count(&self.counts.unsettled);
-            self.act(|node, now, desk| {
+            self.drive_policy(|node, now, desk| {
                 desk.give_up(ix);
                 node.on_caller_gone(now, desk, ix);
             });
@@ -233,7 +239,7 @@
     /// One line of all counters.
     pub fn print_counts(&self) {
         let core = self.core.borrow();
-        let (books, conns) = (core.desk.state(), self.conns.borrow().len());
+        let (books, conns) = (core.desk.state(), self.connections.borrow().len());
         let agent = agent::state(&self.link, &self.counts);
         let ends: String = self
             .ends
@@ -257,8 +263,8 @@
 
 /// What must go on for as long as the process lives. Guards against a watch that dies in silence: one that ends in a
 /// panic is counted, said, and begun anew; one that returns is done.
-pub async fn watch<F: Future<Output = ()> + 'static>(
-    hub: Rc<Hub>,
+pub async fn supervise<F: Future<Output = ()> + 'static>(
+    hub: Rc<NodeContext>,
     name: &'static str,
     begin: impl Fn() -> F,
 ) {
@@ -269,56 +275,56 @@
             "panic in a watch, which begins anew:",
             name = name
         );
-        sleep(WATCH_AGAIN).await;
+        sleep(SUPERVISOR_RESTART_DELAY).await;
     }
 }
 
 /// Wake-ups of the decision module, never later than due: with the gauges just told, or the last known.
-async fn beat(hub: Rc<Hub>) {
+async fn tick(hub: Rc<NodeContext>) {
     loop {
         // Guards against a module that nobody wakes any more, as it ended in a panic before it asked for that.
         let asked = hub.core.borrow_mut().desk.wake_at.take();
         let at = asked.unwrap_or_else(|| {
             count(&hub.counts.unasked_beats);
-            Instant::now() + UNASKED
+            Instant::now() + DEFAULT_TICK_INTERVAL
         });
         // Guards against old gauges: set beside what runs now, they tell of reading that was none.
-        sleep_until(at.checked_sub(ASK_AHEAD).unwrap_or(at).into()).await;
+        sleep_until(at.checked_sub(GAUGE_LEAD_TIME).unwrap_or(at).into()).await;
         hub.link.sample();
         tokio::select! {
             () = hub.link.sampled.notified() => {}
             () = sleep_until(at.into()) => {}
         }
         count(&hub.counts.beats);
-        if at.elapsed() > LATE {
+        if at.elapsed() > LATE_TICK {
             count(&hub.counts.late_beats);
         }
-        hub.act(|node, now, desk| {
-            if desk.gauges_at.is_none_or(|at| at.elapsed() > FRESH) {
+        hub.drive_policy(|node, now, desk| {
+            if desk.gauges_at.is_none_or(|at| at.elapsed() > MAX_GAUGE_AGE) {
                 count(&desk.counts.stale_gauges);
             }
             let gauges = desk.gauges;
             node.on_tick(now, desk, gauges);
         });
-        hub.answer_overdue();
+        hub.fail_overdue();
     }
 }
 
 /// Serves on this listener until `leave` is done and everything is answered.
-pub async fn run(hub: Rc<Hub>, listener: TcpListener, leave: impl Future<Output = ()>) {
+pub async fn run(hub: Rc<NodeContext>, listener: TcpListener, leave: impl Future<Output = ()>) {
     *hub.listener.borrow_mut() = Some(Rc::new(listener));
-    let of = |hub: &Rc<Hub>| hub.clone();
+    let of = |hub: &Rc<NodeContext>| hub.clone();
     let [one, two, three, four] = [of(&hub), of(&hub), of(&hub), of(&hub)];
-    spawn_local(watch(of(&hub), "accept", move || {
+    spawn_local(supervise(of(&hub), "accept", move || {
         connections::accept(one.clone())
     }));
-    spawn_local(watch(of(&hub), "look_after", move || {
+    spawn_local(supervise(of(&hub), "look_after", move || {
         connections::look_after(two.clone())
     }));
-    spawn_local(watch(of(&hub), "agent", move || {
+    spawn_local(supervise(of(&hub), "agent", move || {
         agent::keep_link(three.clone())
     }));
-    spawn_local(watch(of(&hub), "announce", move || {
+    spawn_local(supervise(of(&hub), "announce", move || {
         registration::keep_reporting(four.clone())
     }));
     leave.await;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -10,7 +10,7 @@
 use rainstand_node::config::Config;
 use rainstand_node::log::Lines;
 use rainstand_node::settings::Settings;
-use rainstand_node::{idempotency, note, recording, reload, run, Hub};
+use rainstand_node::{idempotency, note, recording, reload, run, NodeContext};
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -80,7 +80,7 @@
             what = "is not known and does nothing"
         );
     }
-    let hub = Hub::new(config)?;
+    let hub = NodeContext::new(config)?;
     if let Some(recording) = &settings.recording {
         recording::start(&hub, recording)?;
     }
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -1,42 +1,42 @@
 //! Orders of the decision module, carried out: commands to the agent, calls below, answers.
 
-use crate::request_table::{count, sum_of, Call, Desk, Kept, Run};
-use crate::{idempotency, note, often, dispatch};
+use crate::request_table::{body_checksum, count, CachedResult, CallState, RequestTable, RunState};
+use crate::{dispatch, idempotency, note, often};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
 
-impl Host for Desk {
+impl Host for RequestTable {
     fn run(&mut self, ix: usize) {
         let (agent, counts) = (self.agent.clone(), self.counts.clone());
         let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) else {
             return;
         };
         match t.run {
-            Run::Held if t.keyed.is_some() => idempotency::start(self, ix),
-            Run::Held => {
-                t.run = Run::Launched;
+            RunState::Queued if t.claim.is_some() => idempotency::start(self, ix),
+            RunState::Queued => {
+                t.run = RunState::Launched;
                 count(&counts.launched);
-                dispatch::launch(&agent, t, &self.type_names);
+                dispatch::launch(&agent, t, &self.class_names);
             }
-            Run::Frozen => {
-                t.run = Run::Launched;
+            RunState::Paused => {
+                t.run = RunState::Launched;
                 count(&counts.thawed);
                 dispatch::about(&agent, "thaw", t);
             }
-            Run::Launched | Run::Asking => {}
+            RunState::Launched | RunState::Claiming => {}
         }
     }
 
     fn cancel_run(&mut self, ix: usize) {
-        let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_stop);
-        if self.ticket(ix).is_some_and(|t| t.keyed.is_some()) {
+        let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_pause);
+        if self.ticket(ix).is_some_and(|t| t.claim.is_some()) {
             return idempotency::left(self, ix);
         }
         if let Some(t) = self
             .ticket(ix)
-            .filter(|t| can_stop && t.run == Run::Launched)
+            .filter(|t| can_stop && t.run == RunState::Launched)
         {
-            t.run = Run::Frozen;
+            t.run = RunState::Paused;
             count(&counts.frozen);
             dispatch::about(&agent, "freeze", t);
         }
@@ -45,18 +45,18 @@
     /// From what is kept at once, or from the open ticket once its run is over.
     fn reply_from_cache(&mut self, ix: usize) {
         let Some(t) = self.ticket(ix) else { return };
-        let (key, prior, serial) = (t.key.clone(), t.prior, t.serial);
+        let (key, prior, serial) = (t.key.clone(), t.retry_of, t.serial);
         let kept = key
-            .and_then(|key| self.keys.get(Instant::now(), &key))
+            .and_then(|key| self.result_cache.get(Instant::now(), &key))
             .map(|kept| kept.0);
-        if let Some(Kept::Result(result)) = kept {
+        if let Some(CachedResult::Result(result)) = kept {
             self.finish(ix, Outcome::Succeeded, &result);
-            self.ends.push_back((ix, Outcome::Succeeded));
+            self.run_ends.push_back((ix, Outcome::Succeeded));
         } else if let Some(prior) = prior.and_then(|prior| self.ticket(prior)) {
             prior.waiters.push((ix, serial));
         } else {
             self.finish(ix, Outcome::Failed, &[]);
-            self.ends.push_back((ix, Outcome::Failed));
+            self.run_ends.push_back((ix, Outcome::Failed));
         }
     }
 
@@ -64,10 +64,10 @@
     fn keep(&mut self, ix: usize, span: Duration) {
         let now = Instant::now();
         if let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) {
-            t.keeps = t
-                .key
-                .as_ref()
-                .is_some_and(|key| self.keys.open(now, key, now + span, sum_of(&t.body)));
+            t.caches_result = t.key.as_ref().is_some_and(|key| {
+                self.result_cache
+                    .open(now, key, now + span, body_checksum(&t.body))
+            });
         }
     }
 
@@ -76,20 +76,20 @@
     }
 
     fn reject(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
-        if let Some(owed) = self.ticket(ix).and_then(|t| t.owed.take()) {
-            owed.dismiss(&self.counts, come_back, nowhere_else);
+        if let Some(owed) = self.ticket(ix).and_then(|t| t.reply.take()) {
+            owed.reject(&self.counts, come_back, nowhere_else);
         }
     }
 
     fn give_up(&mut self, ix: usize) {
         let Some(t) = self.ticket(ix) else { return };
-        if let Some(owed) = t.owed.take() {
+        if let Some(owed) = t.reply.take() {
             often!(
                 "ticket_given_up",
                 "ticket given up",
                 trace = t.trace.escape_ascii()
             );
-            owed.give_up(&self.counts);
+            owed.fail(&self.counts);
         }
     }
 
@@ -103,7 +103,7 @@
         let Some(t) = self.ticket(ix) else { return };
         if let Some((_, _, call)) = &mut t.call {
             count(&counts.forgone);
-            if let Call::Out(task) = std::mem::replace(call, Call::Forgone) {
+            if let CallState::InProgress(task) = std::mem::replace(call, CallState::Skipped) {
                 task.abort();
             }
             dispatch::call_result(&agent, t);
@@ -114,12 +114,12 @@
     fn advertise_load(&mut self, _: f64) {}
 
     fn set_health(&mut self, good: bool) {
-        self.good = good;
+        self.healthy = good;
         note!("checks", "checks", good = good);
     }
 
     fn close_idle_after(&mut self, span: Duration) {
-        self.stay = span;
+        self.idle_limit = span;
     }
 
     fn wake(&mut self, span: Duration) {
@@ -133,13 +133,13 @@
         let Some(mut ticket) = self.take(ix) else {
             return;
         };
-        if let Some((_, _, Call::Out(task))) = ticket.call.take() {
+        if let Some((_, _, CallState::InProgress(task))) = ticket.call.take() {
             task.abort();
         }
         // Guards against a ticket that leaves the books unanswered: an error is better than silence.
-        if let Some(owed) = ticket.owed.take() {
+        if let Some(owed) = ticket.reply.take() {
             count(&self.counts.unsettled);
-            owed.give_up(&self.counts);
+            owed.fail(&self.counts);
         }
         for waiter in ticket.waiters {
             self.finish_waiter(waiter, Outcome::Failed, &[]);
--- a/crates/node/src/recording.rs
+++ b/crates/node/src/recording.rs
@@ -1,7 +1,7 @@
 //! Recording of the node's own traffic, if its settings ask for it: dispatchers' connections, and the links
 //! to the agent and to the tier below.
 
-use crate::Hub;
+use crate::NodeContext;
 use rainstand_config::schema::Recording;
 use rainstand_traffic_recorder::disk::{Disk, Folder};
 use rainstand_traffic_recorder::{Limits, Recorder, Tape};
@@ -27,7 +27,7 @@
 ///
 /// # Errors
 /// No thread could be started for it.
-pub fn start(hub: &Hub, recording: &Recording) -> Result<(), String> {
+pub fn start(hub: &NodeContext, recording: &Recording) -> Result<(), String> {
     let start = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
@@ -49,7 +49,7 @@
 /// # Errors
 /// No thread could be started for it.
 pub fn start_on(
-    hub: &Hub,
+    hub: &NodeContext,
     disk: impl Disk + Send + 'static,
     limits: Limits,
     links: bool,
@@ -57,7 +57,7 @@
     let program = concat!("rainstand-node ", env!("CARGO_PKG_VERSION"));
     let recorder = Recorder::start(disk, limits, program).map_err(|e| format!("recording: {e}"))?;
     let record = Rc::new(Record { recorder, links });
-    let _ = hub.core.borrow().desk.pool.record.set(record.clone());
+    let _ = hub.core.borrow().desk.downstream.record.set(record.clone());
     let _ = hub.record.set(record);
     Ok(())
 }
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -1,7 +1,7 @@
 //! Reports to the announce service: the node stays listed while it reports.
 
 use crate::request_table::count;
-use crate::{downstream, descriptors, note, Hub};
+use crate::{descriptors, downstream, note, NodeContext};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,24 +19,24 @@
 
 /// Reports until the node leaves, and then falls silent, so that it is struck off. Where the list follows
 /// the state, it says `false` once before; elsewhere that would only keep it on the list for longer.
-pub async fn keep_reporting(hub: Rc<Hub>) {
+pub async fn keep_reporting(hub: Rc<NodeContext>) {
     let (mut stream, mut down, mut last) = (None, false, None);
     let mut answered = Instant::now();
     loop {
-        let peer = hub.peers.get().announce;
+        let peer = hub.peer_addresses.get().announce;
         // A connection to where the service no longer is would still be answered for a while.
         if std::mem::replace(&mut last, peer) != peer {
             stream = None;
         }
         let Some(addr) = peer else {
-            hub.report_now.notified().await;
+            hub.report_wakeup.notified().await;
             continue;
         };
         let leaving = hub.leaving.get().is_some();
-        if leaving && !hub.listed_by_state.get() {
+        if leaving && !hub.registry_follows_health.get() {
             return;
         }
-        let accepting = !leaving && hub.core.borrow().desk.good;
+        let accepting = !leaving && hub.core.borrow().desk.healthy;
         let body = format!("{{\"accepting\":\"{accepting}\"}}");
         let request = format!(
             "PUT /announce/{} HTTP/1.1\r\nHost: {addr}\r\nContent-Length: {}\r\n\r\n{body}",
@@ -94,7 +94,7 @@
         };
         tokio::select! {
             () = sleep(if sent { EVERY } else { pause }) => {}
-            () = hub.report_now.notified() => {}
+            () = hub.report_wakeup.notified() => {}
         }
     }
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -6,16 +6,16 @@
 //! in hand, under the terms it came under; what cannot be taken leaves the old file in force. The way back is the
 //! same step with the old file.
 
-use crate::request_table::count;
 use crate::config::{Config, Peers};
-use crate::{descriptors, idempotency, note, Core, Hub};
+use crate::request_table::count;
+use crate::{descriptors, idempotency, note, Core, NodeContext};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 
 /// Reads the file again at each signal, also while draining.
-pub async fn keep_reloading(hub: Rc<Hub>, path: PathBuf, mut signals: Signal) {
+pub async fn keep_reloading(hub: Rc<NodeContext>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
         idempotency::reload(&hub).await;
         let read =
@@ -61,8 +61,8 @@
 }
 
 /// Whoever talks to an address that is no longer named turns to the new one at once.
-pub fn take(hub: &Hub, new: Peers) {
-    let old = hub.peers.replace(new);
+pub fn take(hub: &NodeContext, new: Peers) {
+    let old = hub.peer_addresses.replace(new);
     let shown = |peer: Option<SocketAddr>| peer.map_or("none".to_owned(), |addr| addr.to_string());
     let (below, announce) = (shown(new.below), shown(new.announce));
     note!(
@@ -76,10 +76,10 @@
         hub.link.moved.notify_one();
     }
     if old.below != new.below {
-        hub.core.borrow().desk.pool.move_to(new.below);
+        hub.core.borrow().desk.downstream.move_to(new.below);
     }
     if old.announce != new.announce {
-        hub.report_now.notify_one();
+        hub.report_wakeup.notify_one();
     }
 }
 
@@ -87,18 +87,18 @@
 ///
 /// # Errors
 /// Where the new settings name other traffic types or tenants: the books are laid out by them.
-pub fn retune(hub: &Hub, mut config: Config) -> Result<(), String> {
+pub fn retune(hub: &NodeContext, mut config: Config) -> Result<(), String> {
     let mut core = hub.core.borrow_mut();
-    let Core { node, desk } = &mut *core;
-    config.settings = rainstand_settings::in_order(&config.settings, &desk.types, &desk.tenants)?;
+    let Core { controller, desk } = &mut *core;
+    config.settings = rainstand_settings::in_order(&config.settings, &desk.classes, &desk.tenants)?;
     let start = config.start(desk.now(), false)?;
-    (desk.fresh, desk.can_stop, desk.kinds) = (start.fresh, start.can_stop, start.kinds);
+    (desk.fresh, desk.can_pause, desk.class_limits) = (start.fresh, start.can_stop, start.kinds);
     *hub.gauge_names.borrow_mut() = start.gauges;
-    hub.idle.set(start.idle);
-    hub.grace.set(start.grace);
-    hub.longest_pause.set(start.longest_pause);
-    hub.listed_by_state.set(start.listed_by_state);
-    if let Some(node) = node {
+    hub.idle_timeout.set(start.idle);
+    hub.drain_grace.set(start.grace);
+    hub.max_retry_after.set(start.longest_pause);
+    hub.registry_follows_health.set(start.listed_by_state);
+    if let Some(node) = controller {
         node.reconfigure(start.node);
     }
     note!(
@@ -108,6 +108,6 @@
         longest_ms = start.longest_pause.as_millis()
     );
     drop(core);
-    *hub.tuned.borrow_mut() = Some(config);
+    *hub.reloaded_config.borrow_mut() = Some(config);
     Ok(())
 }
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -38,11 +38,11 @@
                 let (mut agent, mut caller) = w.up().await;
                 let probe = caller.probe().await;
                 assert_eq!(caller.next().await, said(probe, "probe", "good"));
-                let conn = w.hub.conns.borrow().values().next().cloned().unwrap();
+                let conn = w.hub.connections.borrow().values().next().cloned().unwrap();
                 // Written, and the close ordered, with no chance for the node to read in between.
                 let ticket = whole_ticket(2, "00000000000000aa");
                 assert_eq!(caller.stream.try_write(&ticket).unwrap(), ticket.len());
-                conn.end(code);
+                conn.close_with(code);
                 let req = w.expect(&mut agent, "launch").await;
                 agent.outcome(1, &req, "fine", b"r").await;
                 assert_eq!(caller.next().await, said(2, "honoured", "r"), "{code}");
@@ -62,7 +62,7 @@
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
             assert!(w
                 .hub
-                .conns
+                .connections
                 .borrow()
                 .values()
                 .all(|conn| conn.stream.nodelay().unwrap()));
@@ -126,7 +126,7 @@
                     stream
                 })
                 .collect();
-            w.hub.deaf.notify_one();
+            w.hub.stop_listening.notify_one();
             w.leave.notify_one();
             for stream in crowd {
                 let mut caller = Caller::over(TcpStream::from_std(stream).unwrap());
@@ -158,7 +158,7 @@
         |w| async move {
             let (mut agent, mut caller) = w.up().await;
             // A clock past all reckoning: sums of time overflow from here on.
-            w.hub.act(|node, _, desk| {
+            w.hub.drive_policy(|node, _, desk| {
                 node.on_tick(Duration::MAX, desk, rainstand::Gauges::default())
             });
             let panics = w.hub.counts.panics.get();
@@ -186,14 +186,14 @@
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
             {
                 // The look after connections meets books that are held, time and again.
-                let _held = w.hub.conns.borrow_mut();
+                let _held = w.hub.connections.borrow_mut();
                 while w.hub.counts.watches_again.get() < 2 {
                     yield_now().await;
                 }
             }
-            let conn = w.hub.conns.borrow().values().next().cloned().unwrap();
+            let conn = w.hub.connections.borrow().values().next().cloned().unwrap();
             {
-                let _held = conn.out.borrow_mut();
+                let _held = conn.outgoing.borrow_mut();
                 caller.probe().await;
                 while !w.hub.ends.borrow().contains_key("panic") {
                     yield_now().await;
@@ -201,12 +201,12 @@
             }
             drop(conn);
             assert_eq!(caller.next().await, None);
-            assert!(w.hub.conns.borrow().is_empty());
+            assert!(w.hub.connections.borrow().is_empty());
             // Connections are still looked after: one that is unused for too long is told.
             let mut idle = Caller::connect(w.addr).await;
             idle.probe().await;
             assert!(idle.next().await.is_some());
-            w.hub.core.borrow_mut().desk.stay = Duration::from_millis(20);
+            w.hub.core.borrow_mut().desk.idle_limit = Duration::from_millis(20);
             assert_eq!(idle.next().await, said(0, "shutdown", ""));
         },
     );
@@ -232,7 +232,7 @@
             assert_eq!(caller.next().await, said(0, "shutdown", ""));
             agent.greet().await;
             let noticed = born();
-            while w.hub.core.borrow().node.is_none() || born() == noticed {
+            while w.hub.core.borrow().controller.is_none() || born() == noticed {
                 yield_now().await;
             }
             // Its other half is of a ticket that was born after the notice.
@@ -519,7 +519,7 @@
         agent.outcome(2, &req, "broken_off", b"").await;
         assert_eq!(caller.next().await, said(waits, "given up", ""));
         assert!(started.elapsed() < HANGS);
-        assert_eq!(w.hub.core.borrow().desk.owing(), 0);
+        assert_eq!(w.hub.core.borrow().desk.pending_reply_count(), 0);
     });
 }
 
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -11,7 +11,9 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand::Host;
-use rainstand_node::{request_table::Desk, config::Config, config::Peers, http, completion, reload, thrift};
+use rainstand_node::{
+    completion, config::Config, config::Peers, http, reload, request_table::RequestTable, thrift,
+};
 use serde_json::{json, Value};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
@@ -299,7 +301,7 @@
             let (mut agent, mut caller) = w.up().await;
             let seq = w.ask(&mut caller, "check", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
-            let order = |order: fn(&mut Desk)| order(&mut w.hub.core.borrow_mut().desk);
+            let order = |order: fn(&mut RequestTable)| order(&mut w.hub.core.borrow_mut().desk);
             order(|desk| desk.cancel_run(0));
             assert_eq!(w.expect(&mut agent, "freeze").await, req);
             order(|desk| desk.run(0));
@@ -593,13 +595,15 @@
                 agent.outcome(round + 1, &req, end, b"r").await;
             }
             let desk = || std::cell::Ref::map(w.hub.core.borrow(), |core| &core.desk);
-            while desk().tickets.iter().flatten().count() > 0 || w.hub.conns.borrow().len() > 1 {
+            while desk().tickets.iter().flatten().count() > 0
+                || w.hub.connections.borrow().len() > 1
+            {
                 tokio::task::yield_now().await;
             }
             let desk = desk();
-            assert!(desk.by_trace.is_empty() && desk.reads.is_empty() && desk.ends.is_empty());
+            assert!(desk.by_trace.is_empty() && desk.by_key.is_empty() && desk.run_ends.is_empty());
             assert!(desk.tickets.len() < 50, "{}", desk.tickets.len());
-            assert_eq!((desk.body_bytes, desk.pool.out.get()), (0, 0));
+            assert_eq!((desk.body_bytes, desk.downstream.out.get()), (0, 0));
             assert_eq!(w.hub.ends.borrow().values().sum::<u64>(), 200);
         },
     );
@@ -643,7 +647,7 @@
             for _ in 0..40 {
                 crowd.push(Caller::connect(w.addr).await);
             }
-            while w.hub.counts.accepted.get() < 41 || w.hub.conns.borrow().len() > 8 {
+            while w.hub.counts.accepted.get() < 41 || w.hub.connections.borrow().len() > 8 {
                 tokio::task::yield_now().await;
             }
             let probe = used.probe().await;
@@ -744,7 +748,7 @@
                 (w.hub.counts.left.get(), w.hub.counts.given_up.get()),
                 (1, 0)
             );
-            assert_eq!(w.hub.core.borrow().desk.owing(), 0);
+            assert_eq!(w.hub.core.borrow().desk.pending_reply_count(), 0);
         },
     );
 }
@@ -794,10 +798,10 @@
             caller.stream.shutdown().await.unwrap();
             while w
                 .hub
-                .conns
+                .connections
                 .borrow()
                 .values()
-                .any(|conn| conn.open.borrow().is_empty())
+                .any(|conn| conn.open_requests.borrow().is_empty())
             {
                 tokio::task::yield_now().await;
             }
@@ -816,15 +820,15 @@
             let (mut agent, mut caller) = w.up().await;
             let seq = w.ask(&mut caller, "register", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
-            let conn = w.hub.conns.borrow().values().next().cloned().unwrap();
+            let conn = w.hub.connections.borrow().values().next().cloned().unwrap();
             for code in ["idle", "room", "forsaken"] {
-                conn.end(code);
+                conn.close_with(code);
                 let probe = caller.probe().await;
                 assert_eq!(caller.next().await, said(probe, "probe", "good"), "{code}");
             }
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
-            conn.end("idle");
+            conn.close_with("idle");
             assert_eq!(caller.next().await, None);
         },
     );
@@ -851,10 +855,10 @@
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
             let unread = w
                 .hub
-                .conns
+                .connections
                 .borrow()
                 .values()
-                .map(|conn| conn.out.borrow().len())
+                .map(|conn| conn.outgoing.borrow().len())
                 .max();
             assert!(unread < Some(1024 * 1024), "{unread:?}");
         },
@@ -904,7 +908,7 @@
                 other.probe().await;
                 assert!(other.next().await.is_some());
                 others.push(other);
-                while w.hub.conns.borrow().len() > 8 {
+                while w.hub.connections.borrow().len() > 8 {
                     tokio::task::yield_now().await;
                 }
             }
@@ -1019,7 +1023,7 @@
         let req = w.expect(&mut agent, "launch").await;
         agent.outcome(6, &req, "fine", b"r4").await;
         assert_eq!(caller.next().await, said(again, "honoured", "r4"));
-        assert_eq!(w.hub.core.borrow().desk.keys.len(), 5);
+        assert_eq!(w.hub.core.borrow().desk.result_cache.len(), 5);
     });
 }
 
@@ -1117,7 +1121,7 @@
             assert_eq!(
                 (
                     w.hub.counts.unsettled.get(),
-                    w.hub.core.borrow().desk.owing()
+                    w.hub.core.borrow().desk.pending_reply_count()
                 ),
                 (0, 0)
             );
@@ -1270,7 +1274,7 @@
                 &w.hub,
                 Peers {
                     agent: agents.local_addr().unwrap(),
-                    ..w.hub.peers.get()
+                    ..w.hub.peer_addresses.get()
                 },
             );
             let mut agent = Agent::accept(&agents).await;
@@ -1309,14 +1313,14 @@
             );
             moved.settings["permissions"]["maxRetryAfterS"] = json!(3.0);
             reload::retune(&w.hub, moved).unwrap();
-            assert!(!w.hub.core.borrow().desk.can_stop);
-            assert_eq!(w.hub.longest_pause.get(), Duration::from_secs(3));
+            assert!(!w.hub.core.borrow().desk.can_pause);
+            assert_eq!(w.hub.max_retry_after.get(), Duration::from_secs(3));
             // What was read before goes on where it was, and is answered once.
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(first, "honoured", "r"));
             reload::retune(&w.hub, w.hub.config.clone()).unwrap();
-            assert!(w.hub.core.borrow().desk.can_stop);
-            assert_eq!(w.hub.longest_pause.get(), Duration::from_secs(1));
+            assert!(w.hub.core.borrow().desk.can_pause);
+            assert_eq!(w.hub.max_retry_after.get(), Duration::from_secs(1));
             let second = w.ask(&mut caller, "check", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
             agent.outcome(2, &req, "fine", b"r").await;
@@ -1329,7 +1333,7 @@
             odd.settings["familyInfo"]["halt"] = json!("sometimes");
             assert!(reload::retune(&w.hub, odd).unwrap_err().contains("halt"));
             assert!(
-                w.hub.core.borrow().desk.can_stop,
+                w.hub.core.borrow().desk.can_pause,
                 "a refused file changes nothing"
             );
         },
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -14,7 +14,7 @@
 use rainstand_capture::tickets::{Event, Ticket};
 use rainstand_node::log::Form;
 use rainstand_node::settings::Settings;
-use rainstand_node::{config::Config, recording, run, Hub};
+use rainstand_node::{config::Config, recording, run, NodeContext};
 use rainstand_traffic_recorder::disk::Disk;
 use rainstand_traffic_recorder::Limits;
 use serde_json::{json, Value};
@@ -43,7 +43,7 @@
 }
 
 /// A node that records as told, twenty tickets on two connections, and what the callers saw.
-fn play_with(start: impl FnOnce(&Hub)) -> Vec<(usize, Said)> {
+fn play_with(start: impl FnOnce(&NodeContext)) -> Vec<(usize, Said)> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -67,14 +67,14 @@
         ] {
             config[key] = json!(of.local_addr().unwrap().to_string());
         }
-        let hub = Hub::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
+        let hub = NodeContext::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
         start(&hub);
         let (addr, leave) = (node.local_addr().unwrap(), Rc::new(Notify::new()));
         let left = leave.clone();
         let ended = spawn_local(run(hub.clone(), node, async move { left.notified().await }));
         let mut agent = Agent::accept(&agents).await;
         agent.greet().await;
-        while hub.core.borrow().node.is_none() {
+        while hub.core.borrow().controller.is_none() {
             tokio::task::yield_now().await;
         }
         let mut callers = [Caller::connect(addr).await, Caller::connect(addr).await];
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -4,7 +4,7 @@
 #[path = "../../../../examples/toy/stand_ins.rs"]
 pub mod stand_ins;
 
-use rainstand_node::{config::Config, run, thrift, Hub};
+use rainstand_node::{config::Config, run, thrift, NodeContext};
 use serde_json::{json, Value};
 use stand_ins::{Agent, Caller, Said};
 use std::cell::Cell;
@@ -25,7 +25,7 @@
 
 /// One node, and listeners for all that it talks to.
 pub struct World {
-    pub hub: Rc<Hub>,
+    pub hub: Rc<NodeContext>,
     pub addr: SocketAddr,
     pub agents: TcpListener,
     pub below: TcpListener,
@@ -66,7 +66,7 @@
             config[key] = json!(of.local_addr().unwrap().to_string());
         }
         change(&mut config);
-        let hub = Hub::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
+        let hub = NodeContext::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
         let (addr, leave) = (node.local_addr().unwrap(), Rc::new(Notify::new()));
         let left = leave.clone();
         let node = spawn_local(run(hub.clone(), node, async move { left.notified().await }));
@@ -196,7 +196,7 @@
     pub async fn up(&self) -> (Agent, Caller) {
         let mut agent = Agent::accept(&self.agents).await;
         agent.greet().await;
-        while self.hub.core.borrow().node.is_none() {
+        while self.hub.core.borrow().controller.is_none() {
             tokio::task::yield_now().await;
         }
         (agent, Caller::connect(self.addr).await)
