--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -224,7 +224,7 @@
     };
     let changes = diff(&before, &configuration);
     tell_changes(&changes, asks.json)?;
-    let publish = match Publish::of(&state, from, &configuration) {
+    let publish = match Publish::from_configuration(&state, from, &configuration) {
         Ok(publish) => publish,
         Err(why) => return outcome(&json!({"refused": why.to_string()}), asks.json),
     };
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -308,7 +308,9 @@
         version: 1,
         ..Configuration::default()
     };
-    let late = Publish::of(&ConfigState::from_configuration(&late).unwrap(), 0, &late).unwrap();
+    let late =
+        Publish::from_configuration(&ConfigState::from_configuration(&late).unwrap(), 0, &late)
+            .unwrap();
     let told = world.ask(2, &status::encode_publish(&late));
     assert!(told["conflict"].is_string(), "{told}");
 
--- a/crates/cluster/benches/keyed.rs
+++ b/crates/cluster/benches/keyed.rs
@@ -125,7 +125,7 @@
         group.inspect(|member| {
             member
                 .shards()
-                .map(|(_, _, table)| table.len() as u64)
+                .map(|view| view.table.len() as u64)
                 .sum::<u64>()
         })
     };
--- a/crates/cluster/src/config_server.rs
+++ b/crates/cluster/src/config_server.rs
@@ -103,23 +103,28 @@
 
     /// Takes over what was committed since the last time.
     pub fn sync(&self, member: &GroupMember) {
-        let Some((versions, current)) = member.published() else {
+        let Some(published) = member.published() else {
             return;
         };
+        let versions = published.versions;
         let now = self.now();
         {
             let mut source = self.source.borrow_mut();
-            let (base, state) = versions.base();
-            if source.version() < base {
-                if let Ok(packed) = snapshot::packed(base, state) {
+            let base = versions.base();
+            if source.version() < base.version {
+                if let Ok(packed) = snapshot::packed(base.version, &base.state) {
                     let _ = source.restore(now, packed.into());
                 }
             }
-            for change in versions.since(source.version()).into_iter().flatten() {
+            for change in versions
+                .changes_since(source.version())
+                .into_iter()
+                .flatten()
+            {
                 // Applied here as it was in the log's own copy.
                 let _ = source.apply_committed(now, change.delta.clone());
             }
-            if current && source.version() == versions.version() {
+            if published.is_current && source.version() == versions.version() {
                 source.mark_current(now);
             }
         }
@@ -147,7 +152,8 @@
         let line = self.lines.borrow().get(&link).cloned();
         let Some(line) = line else { return };
         let lost = line.out.lost.get();
-        line.out.send(&Frame::of(FrameBody::ToSubscriber(frame)));
+        line.out
+            .send(&Frame::from_body(FrameBody::ToSubscriber(frame)));
         if line.out.lost.get() > lost {
             count(&self.counts.slow);
             self.close(link);
@@ -271,5 +277,5 @@
 
 /// A frame of an attached process, as it goes on a link.
 pub fn up(frame: Bytes) -> Vec<u8> {
-    with_length_prefix(&Frame::of(FrameBody::FromSubscriber(frame)).encode_to_vec())
+    with_length_prefix(&Frame::from_body(FrameBody::FromSubscriber(frame)).encode_to_vec())
 }
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -15,8 +15,10 @@
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command};
 use rainstand_replicated_state::member::{
-    Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite, DEFAULT_COMPACTION_ENTRIES,
+    Effects, GroupEvent, GroupMember, MemberConfig, OutgoingFrame, PersistentWrite, RequestOutcome,
+    WriteBatch, DEFAULT_COMPACTION_ENTRIES,
 };
+use rainstand_replicated_state::placement::MemberPlacement;
 use rainstand_storage::writer::{WriteJob, WriteOutcome, Writer};
 use rainstand_storage::{Disk, FolderDisk, OpenError, Recovered, Store, StoreLimits};
 use std::cell::{Cell, RefCell};
@@ -273,13 +275,13 @@
             events,
             published_changed,
         } = effects;
-        if let Some((number, writes)) = write {
-            self.write(number, writes);
+        if let Some(batch) = write {
+            self.write(batch);
         }
-        for (name, frame) in frames {
-            self.link(&name).send(&frame);
+        for OutgoingFrame { to, frame } in frames {
+            self.link(&to).send(&frame);
         }
-        for (id, told) in outcomes {
+        for RequestOutcome { id, outcome: told } in outcomes {
             let last = told != ClaimOutcome::InProgress;
             let tell = if last {
                 self.tells.borrow_mut().remove(&id)
@@ -328,7 +330,8 @@
         all
     }
 
-    fn write(&self, number: u64, writes: Vec<PersistentWrite>) {
+    fn write(&self, batch: WriteBatch) {
+        let WriteBatch { number, writes } = batch;
         let writer = self.writer.borrow();
         let Some(writer) = &*writer else { return };
         let mut records = Vec::new();
@@ -446,7 +449,7 @@
     /// Nobody waits for a question any more.
     pub fn forget(&self, id: u64) {
         self.tells.borrow_mut().remove(&id);
-        self.drive(|member, now| member.forget(now, id));
+        self.drive(|member, now| member.abandon_request(now, id));
     }
 
     pub fn on_connected(&self, name: &str) {
@@ -474,10 +477,13 @@
 }
 
 /// Names and sites.
-fn of(members: &[schema::GroupMember]) -> Vec<(String, String)> {
+fn of(members: &[schema::GroupMember]) -> Vec<MemberPlacement> {
     members
         .iter()
-        .map(|member| (member.name.clone(), member.site.clone()))
+        .map(|member| MemberPlacement {
+            name: member.name.clone(),
+            site: member.site.clone(),
+        })
         .collect()
 }
 
@@ -519,17 +525,17 @@
         name: name.to_owned(),
         members: of(&settings.members),
         shards: settings.shards as u16,
-        copies: settings.copies as usize,
-        times: Timeouts {
+        replicas_per_shard: settings.copies as usize,
+        timeouts: Timeouts {
             heartbeat_interval: span(settings.heartbeat_ns),
             election_timeout: [
                 span(settings.election_least_ns),
                 span(settings.election_most_ns),
             ],
         },
-        moves: settings.moves as usize,
-        keys: settings.keys as usize,
-        compact: DEFAULT_COMPACTION_ENTRIES,
+        max_concurrent_learners: settings.moves as usize,
+        max_keys_per_shard: settings.keys as usize,
+        compaction_entries: DEFAULT_COMPACTION_ENTRIES,
         seed: draws()[0],
     };
     Ok(GroupMember::new(
@@ -578,7 +584,7 @@
                 group.drive(|member, now| {
                     member.on_persisted(now, to);
                     if !pressing.is_empty() {
-                        member.pressing(now, &pressing);
+                        member.compact_shards(now, &pressing);
                     }
                 });
             }
--- a/crates/cluster/src/persistence.rs
+++ b/crates/cluster/src/persistence.rs
@@ -54,7 +54,8 @@
     // Without it old copies of other disks are told later, not never.
     found.peer_incarnations =
         note(METADATA_PEER_INCARNATIONS).and_then(|data| PeerIncarnations::decode(&data[..]).ok());
-    found.name = note(METADATA_MEMBER_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
+    found.member_name =
+        note(METADATA_MEMBER_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
     let generation = note(METADATA_GENERATION).and_then(|data| data[..].try_into().ok());
     found.generation = generation.map_or(0, u64::from_le_bytes);
     Ok(found)
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -12,7 +12,7 @@
 use rainstand_config_distribution::snapshot;
 use rainstand_raft::Role;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation};
-use rainstand_replicated_state::member::GroupMember;
+use rainstand_replicated_state::member::{GroupMember, KeyLookup, PublishedVersions, ShardView};
 use rainstand_replicated_state::versions::Publish;
 use serde_json::{json, Value};
 use std::cell::Cell;
@@ -74,7 +74,7 @@
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    publish.at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    publish.published_at_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
     let claim = group.inspect(|member| member.claim(&[]));
     let command = Command {
         key: Bytes::from_static(b"configuration"),
@@ -110,7 +110,7 @@
 /// The newest published version, packed; nothing: there is none, or no copy of it here.
 fn with_length_prefix(group: &ClusterMember) -> Vec<u8> {
     group.inspect(|member| {
-        let versions = member.published().map(|(versions, _)| versions);
+        let versions = member.published().map(|published| published.versions);
         let versions = versions.filter(|versions| versions.version() > 0);
         versions
             .and_then(|all| snapshot::packed(all.version(), all.state()).ok())
@@ -171,8 +171,8 @@
     }
     let mut peers = member.peers();
     peers
-        .find(|peer| peer.2 == Some(disk))
-        .map_or(Value::Null, |peer| peer.0.into())
+        .find(|peer| peer.disk == Some(disk))
+        .map_or(Value::Null, |peer| peer.name.into())
 }
 
 fn status(group: &ClusterMember) -> Value {
@@ -185,7 +185,12 @@
         let now = member.now();
         let shards: Vec<Value> = member
             .shards()
-            .map(|(shard, replica, table)| {
+            .map(|view| {
+                let ShardView {
+                    shard,
+                    replica,
+                    table,
+                } = view;
                 let peers: Vec<Value> = replica
                     .progress()
                     .map(|(disk, matched, heard)| {
@@ -204,14 +209,14 @@
                     "leader": replica.leader().map(|disk| name_of(member, disk)),
                     "term": replica.term(), "commit": replica.commit(), "applied": replica.applied(),
                     "last": replica.log().last(), "base": replica.log().base().index,
-                    "keys": table.len(), "aged": table.aged(), "members": of, "peers": peers})
+                    "keys": table.len(), "aged": table.expired_count(), "members": of, "peers": peers})
             })
             .collect();
-        let (known, of) = member.known_leaders();
+        let leaders = member.known_leaders();
         json!({"name": member.name(), "disk": id(member.disk()), "stopped": member.is_stopped(),
             "failed": *group.failed.borrow(), "set_asides": group.quarantines.get(), "flushes": group.flushes.get(),
             "unwritten": member.pending_writes(), "questions": member.pending_request_count(),
-            "turned_away": member.rejected_requests, "shards_with_leader": known, "shards_in_all": of,
+            "turned_away": member.rejected_requests, "shards_with_leader": leaders.known, "shards_in_all": leaders.total,
             "leads": member.led_shard_count(), "commit_ms": {"median": at(0.5), "p99": at(0.99)}, "shards": shards})
     })
 }
@@ -220,9 +225,9 @@
     group.inspect(|member| {
         let peers: Vec<Value> = member
             .peers()
-            .map(|(name, here, disk, refused)| {
-                let out = group.link(name);
-                json!({"name": name, "link": here, "disk": disk.map(id), "old_copy": refused,
+            .map(|peer| {
+                let out = group.link(peer.name);
+                json!({"name": peer.name, "link": peer.is_connected, "disk": peer.disk.map(id), "old_copy": peer.is_stale,
                     "sent_bytes": out.sent.get(), "frames_lost": out.lost.get()})
             })
             .collect();
@@ -234,13 +239,13 @@
     // A key is written as its type and what it is about, with a slash between.
     let key = key.replacen('/', "\0", 1);
     group.inspect(|member| {
-        let (shard, row) = member.key_state(key.as_bytes());
-        let copy = member.shards().find(|one| one.0 == shard).map(|(_, replica, table)| {
-            json!({"applied": replica.applied(), "commit": replica.commit(), "log_time_ms": table.stamp() / 1_000_000})
+        let KeyLookup { shard, state: row } = member.key_state(key.as_bytes());
+        let copy = member.shards().find(|view| view.shard == shard).map(|ShardView { replica, table, .. }| {
+            json!({"applied": replica.applied(), "commit": replica.commit(), "log_time_ms": table.log_time_ns() / 1_000_000})
         });
         let row = row.map(|row| {
             json!({"state": row.state_name(), "holder": id(row.holder()), "holder_name": name_of(member, row.holder()),
-                "result_bytes": row.result().len(), "until_log_ms": row.until() / 1_000_000})
+                "result_bytes": row.result().len(), "until_log_ms": row.expires_at() / 1_000_000})
         });
         json!({"shard": shard, "copy_here": copy, "key": row, "asked": member.name(),
             "says": if copy.is_none() { "this member holds no copy of the shard" }
@@ -268,12 +273,12 @@
     });
     let refusals: Vec<Value> = refusals.take(LISTED).collect();
     group.inspect(|member| {
-        let Some((all, current)) = member.published() else {
+        let Some(PublishedVersions { versions: all, is_current: current }) = member.published() else {
             return json!({"name": name, "members": members, "here": false});
         };
         let rows = serving.progress(most).into_iter().map(|progress| {
-            let change = progress.version.checked_sub(1).and_then(|before| all.since(before)?.next());
-            json!({"version": progress.version, "at_ms": change.map(|change| change.at_ms),
+            let change = progress.version.checked_sub(1).and_then(|before| all.changes_since(before)?.next());
+            json!({"version": progress.version, "at_ms": change.map(|change| change.published_at_ms),
                 "things": progress.things, "confirmed": progress.confirmed, "refused": progress.refused,
                 "behind": progress.behind,
                 "slowest": progress.slowest.map(|(name, version)| json!({"name": name, "version": version}))})
--- a/crates/cluster/tests/golden.rs
+++ b/crates/cluster/tests/golden.rs
@@ -38,9 +38,9 @@
 }
 
 fn publish(member: &Running, from: u64, tenants: usize) {
-    let state =
-        member.tell(|group| group.inspect(|member| member.published().unwrap().0.state().clone()));
-    let publish = Publish::of(&state, from, &configuration(tenants)).unwrap();
+    let state = member
+        .tell(|group| group.inspect(|member| member.published().unwrap().versions.state().clone()));
+    let publish = Publish::from_configuration(&state, from, &configuration(tenants)).unwrap();
     assert_eq!(
         member.ask_until_told(9, "configuration", &Operation::Publish(publish)),
         ClaimOutcome::Recorded
@@ -138,7 +138,7 @@
         serde_json::from_slice(&std::fs::read(stored.join("identity")).unwrap()).unwrap();
     let (disk, register, version, published) = member.tell(|group| {
         group.inspect(|member| {
-            let (versions, _) = member.published().unwrap();
+            let versions = member.published().unwrap().versions;
             let register = member.register(b"register").unwrap().clone();
             (
                 member.disk(),
@@ -157,9 +157,9 @@
 fn questions_of_operators_and_frames_are_carried_as_before() {
     let publish = Publish {
         from: 4,
-        at_ms: 5,
+        published_at_ms: 5,
         delta: Bytes::from_static(b"delta"),
-        whole: Bytes::new(),
+        snapshot: Bytes::new(),
     };
     let frame = Frame::default().encode_to_vec();
     assert_bytes(
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -12,6 +12,7 @@
 
 use rainstand_cluster::{recovery, ClusterMember};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Operation};
+use rainstand_replicated_state::placement::{holders, MemberPlacement};
 use std::time::{Duration, Instant};
 use world::{known, start, world, HANGS};
 
@@ -99,8 +100,8 @@
                 config.is_voter(own) && config.members.len() == 3
             };
             member.shards().count() == 2
-                && member.shards().all(|(_, replica, _)| {
-                    replica.is_membership_committed() && in_all(replica.membership())
+                && member.shards().all(|view| {
+                    view.replica.is_membership_committed() && in_all(view.replica.membership())
                 })
         })
     };
@@ -135,7 +136,7 @@
         group.inspect(|member| {
             member
                 .key_state(key.as_bytes())
-                .1
+                .state
                 .is_some_and(|row| row.state_name() == word)
         })
     };
@@ -199,16 +200,19 @@
         .unwrap();
     }
     let wanted: usize = {
-        let names: Vec<(String, String)> = all
+        let names: Vec<MemberPlacement> = all
             .members
             .iter()
-            .map(|m| (m.name.clone(), m.site.clone()))
+            .map(|m| MemberPlacement {
+                name: m.name.clone(),
+                site: m.site.clone(),
+            })
             .collect();
         (0..4)
             .filter(|s| {
-                rainstand_replicated_state::placement::holders(&names, *s, 3)
+                holders(&names, *s, 3)
                     .iter()
-                    .any(|k| names[*k].0 == "n4")
+                    .any(|k| names[*k].name == "n4")
             })
             .count()
     };
@@ -218,7 +222,9 @@
             let own = member.disk();
             member
                 .shards()
-                .filter(|one| one.1.is_membership_committed() && one.1.membership().is_voter(own))
+                .filter(|one| {
+                    one.replica.is_membership_committed() && one.replica.membership().is_voter(own)
+                })
                 .count()
         })
     };
--- a/crates/cluster/tests/world/mod.rs
+++ b/crates/cluster/tests/world/mod.rs
@@ -150,8 +150,8 @@
 
 pub fn start() -> Operation {
     Operation::Start(Start {
-        sum: 1,
-        window: 60_000_000_000,
+        fingerprint: 1,
+        window_ns: 60_000_000_000,
     })
 }
 
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -13,7 +13,9 @@
 use rainstand::Outcome;
 use rainstand_cluster::{ClusterMember, MemberOptions};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
-use rainstand_replicated_state::idempotent_request::{step, Act, End, Event, Stage};
+use rainstand_replicated_state::idempotent_request::{
+    transition, RequestAction, RequestEvent, RequestStage, RunEnd,
+};
 use rainstand_replicated_state::member::GroupEvent;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -44,14 +46,14 @@
     sum: u64,
     window: Duration,
     due: Instant,
-    stage: Stage,
+    stage: RequestStage,
     question: Option<u64>,
 }
 
 /// A run of which nobody here knows, as the agent tells it again.
 struct OldRun {
     trace: Trace,
-    end: End,
+    end: RunEnd,
     since: Instant,
 }
 
@@ -75,7 +77,7 @@
             sum: twox_hash::XxHash3_64::oneshot(&all),
             window,
             due,
-            stage: Stage::Asking,
+            stage: RequestStage::Claiming,
             question: None,
         }
     }
@@ -157,13 +159,13 @@
                 what = config
             );
         }
-        GroupEvent::Diverged { shard, differs } => note!(
+        GroupEvent::Diverged { shard, divergence } => note!(
             "copy_differs",
             "this copy differs from most others: its files are set aside",
             shard = shard,
             what = format_args!(
                 "entry {}: {:016x} here, {:016x} there",
-                differs.index, differs.own_checksum, differs.majority_checksum
+                divergence.index, divergence.own_checksum, divergence.majority_checksum
             )
         ),
         GroupEvent::StaleDisk { why } => {
@@ -238,15 +240,19 @@
     let left = keyed.due.saturating_duration_since(Instant::now());
     let most = Duration::from_nanos(copies.group.settings().start_within_ns);
     let what = Operation::Start(Start {
-        sum: keyed.sum,
-        window: keyed.window.as_nanos() as u64,
+        fingerprint: keyed.sum,
+        window_ns: keyed.window.as_nanos() as u64,
     });
     let command = copies.command(&trace, &keyed.key, what);
     let tell = move |told: Option<ClaimOutcome>| {
         if let Some(hub) = hub.upgrade() {
             hub.act(|_, _, desk| {
                 if desk.ticket(ix).is_some_and(|t| t.serial == serial) {
-                    happened(desk, ix, told.map_or(Event::TimedOut, Event::Told));
+                    happened(
+                        desk,
+                        ix,
+                        told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome),
+                    );
                 }
             });
         }
@@ -255,21 +261,21 @@
         .group
         .request(command, most.min(left / 2), Rc::new(tell));
     if keyed.question.is_none() {
-        happened(desk, ix, Event::TimedOut);
+        happened(desk, ix, RequestEvent::TimedOut);
     }
 }
 
 /// Nobody waits for the ticket any more. A run goes on: what it brings serves repeats.
 pub fn left(desk: &mut Desk, ix: usize) {
-    happened(desk, ix, Event::Left);
+    happened(desk, ix, RequestEvent::CallerLeft);
 }
 
 /// The run of a keyed ticket is over; the module is told as of any other.
-pub fn ended(desk: &mut Desk, ix: usize, end: End) {
-    happened(desk, ix, Event::Ended(end));
+pub fn ended(desk: &mut Desk, ix: usize, end: RunEnd) {
+    happened(desk, ix, RequestEvent::RunFinished(end));
 }
 
-fn happened(desk: &mut Desk, ix: usize, event: Event) {
+fn happened(desk: &mut Desk, ix: usize, event: RequestEvent) {
     let Some(copies) = desk.copies.clone() else {
         return;
     };
@@ -279,54 +285,54 @@
     };
     let Some(keyed) = &mut t.keyed else { return };
     let (trace, key) = (t.trace, keyed.key.clone());
-    let (next, act) = step(keyed.stage, event);
+    let (next, act) = transition(keyed.stage, event);
     if let Some(next) = next {
         keyed.stage = next;
     }
     // Turned away before anything was launched: to the module it never ran.
     let never_ran = match act {
-        Act::Nothing => false,
-        Act::Launch => {
+        RequestAction::None => false,
+        RequestAction::Launch => {
             t.run = Run::Launched;
             count(&counts.launched);
             send::launch(&desk.agent, t, &desk.type_names);
             false
         }
-        Act::Keep(result) => {
+        RequestAction::ReplicateResult(result) => {
             let (owed, due) = (t.owed.take(), keyed.due);
             keep(desk, &copies, trace, &key, result, owed, due);
             false
         }
-        Act::Answer(result) => {
+        RequestAction::Respond(result) => {
             if let Some(owed) = t.owed.take() {
                 owed.honour(&counts, &result);
             }
             true
         }
-        Act::Dismiss { nowhere } => {
+        RequestAction::Reject { permanent } => {
             let come_back = Duration::from_nanos(copies.group.settings().come_back_ns);
             if let Some(owed) = t.owed.take() {
-                owed.dismiss(&counts, come_back, nowhere);
+                owed.dismiss(&counts, come_back, permanent);
             }
             true
         }
-        Act::GiveUp => {
+        RequestAction::Fail => {
             if let Some(owed) = t.owed.take() {
                 owed.give_up(&counts);
             }
             true
         }
-        Act::Withdraw => {
+        RequestAction::Withdraw => {
             if let Some(question) = keyed.question.take() {
                 copies.group.forget(question);
             }
             true
         }
-        Act::Fail | Act::Refuse => {
+        RequestAction::FailAndRecord | RequestAction::FailAndRelease => {
             if let Some(owed) = t.owed.take() {
                 owed.give_up(&counts);
             }
-            let what = if act == Act::Fail {
+            let what = if act == RequestAction::FailAndRecord {
                 Operation::Failed(true)
             } else {
                 Operation::Withdraw(true)
@@ -361,8 +367,8 @@
     let tell = move |told: Option<ClaimOutcome>| {
         let Some(hub) = hub.upgrade() else { return };
         let mut core = hub.core.borrow_mut();
-        let event = told.map_or(Event::TimedOut, Event::Told);
-        let (next, act) = step(Stage::Keeping, event);
+        let event = told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome);
+        let (next, act) = transition(RequestStage::Replicating, event);
         if next.is_some() {
             return;
         }
@@ -370,7 +376,7 @@
             return;
         };
         match act {
-            Act::Answer(_) => owed.honour(&hub.counts, &kept),
+            RequestAction::Respond(_) => owed.honour(&hub.counts, &kept),
             _ => owed.give_up(&hub.counts),
         }
     };
@@ -383,7 +389,7 @@
 }
 
 /// The agent tells of a run that nobody here knows: perhaps an earlier start of this node began it.
-pub fn old_run(hub: &Hub, trace: Trace, end: End) {
+pub fn old_run(hub: &Hub, trace: Trace, end: RunEnd) {
     let Some(copies) = hub.core.borrow().desk.copies.clone() else {
         return;
     };
@@ -410,9 +416,9 @@
             {
                 Some(key) => {
                     let what = match run.end {
-                        End::Result(result) => Operation::Done(result),
-                        End::Failed => Operation::Failed(true),
-                        End::NeverRan => Operation::Withdraw(true),
+                        RunEnd::Result(result) => Operation::Done(result),
+                        RunEnd::Failed => Operation::Failed(true),
+                        RunEnd::NeverRan => Operation::Withdraw(true),
                     };
                     copies.ask_unwatched(&run.trace, &key, what);
                 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -5,7 +5,7 @@
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use rainstand::{Host, Outcome};
-use rainstand_replicated_state::idempotent_request::End;
+use rainstand_replicated_state::idempotent_request::RunEnd;
 use serde_json::Value;
 use std::time::Instant;
 
@@ -112,11 +112,11 @@
     };
     let end = match (cmd, result) {
         ("outcome", "fine") => match BASE64_STANDARD.decode(payload) {
-            Ok(result) => End::Result(result.into()),
-            Err(_) => End::Failed,
+            Ok(result) => RunEnd::Result(result.into()),
+            Err(_) => RunEnd::Failed,
         },
-        ("outcome", "late") => End::NeverRan,
-        ("outcome", _) => End::Failed,
+        ("outcome", "late") => RunEnd::NeverRan,
+        ("outcome", _) => RunEnd::Failed,
         _ => return,
     };
     keyed::old_run(hub, trace, end);
@@ -142,7 +142,7 @@
         );
         // Whether it ran is not known: a key says so.
         hub.act(|_, _, desk| {
-            keyed::ended(desk, ix, End::Failed);
+            keyed::ended(desk, ix, RunEnd::Failed);
             desk.close_key(ix, Outcome::Stopped, &[]);
         });
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
@@ -162,9 +162,9 @@
         let Some(t) = desk.ticket(ix) else { return };
         if t.keyed.is_some() {
             let how = match end {
-                Outcome::Done => End::Result(Bytes::copy_from_slice(result)),
-                Outcome::Moot => End::NeverRan,
-                _ => End::Failed,
+                Outcome::Done => RunEnd::Result(Bytes::copy_from_slice(result)),
+                Outcome::Moot => RunEnd::NeverRan,
+                _ => RunEnd::Failed,
             };
             keyed::ended(desk, ix, how);
         } else if end != Outcome::Stopped {
--- a/crates/replicated-state/src/idempotent_request.rs
+++ b/crates/replicated-state/src/idempotent_request.rs
@@ -1,195 +1,151 @@
-//! One keyed ticket at the node that it came to: what is done at each step. A table, for the node and for the
-//! simulation alike.
+//! The state machine of one idempotent request at the node that received it, shared by the node and the simulation.
 //!
-//! | stage | it means |
+//! | stage | meaning |
 //! | --- | --- |
-//! | asking | its start is being agreed on; nothing was launched |
-//! | waiting | another claim runs its key; nothing was launched here |
-//! | running | granted and launched: from here on it may have had its effect |
-//! | keeping | it ran; its result is being agreed on, and the answer waits for that |
+//! | claiming | the claim of its key is being replicated; nothing was launched |
+//! | awaiting other | another claim runs the key; nothing was launched here |
+//! | running | the claim was granted and the run launched: from here on it may have had its effect |
+//! | replicating | the run ended; its result is being replicated, and the response waits for that |
 //!
-//! From asking and waiting a ticket may be dismissed, as nothing of it ran. From running and keeping it is answered with its
-//! own result, or given up.
+//! Invariants: a request is launched at most once and answered at most once. It is rejected only while nothing was
+//! launched; after that it is answered with its own result, or failed.
 
 use crate::idempotency::ClaimOutcome;
 use bytes::Bytes;
 use rainstand_raft::plant::planted;
 
+/// Stage of a request that has not been answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Stage {
-    Asking,
-    Waiting,
+pub enum RequestStage {
+    /// The claim of its key is being replicated.
+    Claiming,
+    /// Another claim runs the key.
+    AwaitingOther,
+    /// The run was launched.
     Running,
-    Keeping,
+    /// The run's result is being replicated.
+    Replicating,
 }
 
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum End {
+pub enum RunEnd {
+    /// With a result.
     Result(Bytes),
-    /// It may have had its effect.
+    /// Without a result; it may have had its effect.
     Failed,
-    /// It is proved that nothing ran.
+    /// It is certain that nothing ran.
     NeverRan,
 }
 
+/// Something that happened to a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Event {
-    /// The group told it of its start, or of its result.
-    Told(ClaimOutcome),
-    /// The group told nothing final within its time.
+pub enum RequestEvent {
+    /// The group reported the outcome of its claim, or of replicating its result.
+    Outcome(ClaimOutcome),
+    /// The group reported no final outcome in time.
     TimedOut,
-    Ended(End),
-    /// The caller left, or was answered meanwhile: nothing is owed.
-    Left,
+    /// The run ended.
+    RunFinished(RunEnd),
+    /// The caller left, or was answered by other means: no response is due.
+    CallerLeft,
 }
 
-/// What is to be done. At most one of the answers comes of one ticket.
+/// What is to be done for a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Act {
-    Nothing,
+pub enum RequestAction {
+    /// Nothing.
+    None,
+    /// Launch the run.
     Launch,
-    /// Agree on the run's result, then answer.
-    Keep(Bytes),
-    Answer(Bytes),
-    /// Nothing of it ran: come back later, or, `nowhere`, not with this body.
-    Dismiss {
-        nowhere: bool,
+    /// Replicate the run's result, then respond.
+    ReplicateResult(Bytes),
+    /// Respond with this result; it is empty if the node holds the result itself.
+    Respond(Bytes),
+    /// Reject: nothing ran.
+    Reject {
+        /// Whether a retry with the same body would be rejected too.
+        permanent: bool,
     },
-    /// It may have had its effect.
-    GiveUp,
-    /// Given up, and the group is told that no result will come.
+    /// Fail: the run may have had its effect.
     Fail,
-    /// Nothing was launched, and the group is told so.
+    /// Fail, and record in the group that no result will come.
+    FailAndRecord,
+    /// Withdraw the claim in the group: nothing was launched, and no response is due.
     Withdraw,
-    /// Given up unrun, and the group is told so.
-    Refuse,
+    /// Fail, and release the claim in the group: nothing ran.
+    FailAndRelease,
 }
 
-/// The next stage, none once the ticket is over here, and what is to be done.
-pub fn step(stage: Stage, event: Event) -> (Option<Stage>, Act) {
-    use {Event::*, Stage::*};
-    match (stage, event) {
-        (Asking | Waiting, Told(self::ClaimOutcome::Granted)) => (Some(Running), Act::Launch),
-        (Asking | Waiting, Told(self::ClaimOutcome::Completed(result))) => {
-            (None, Act::Answer(result))
+/// The next stage, none once the request is finished here, and what is to be done.
+pub fn transition(
+    stage: RequestStage,
+    event: RequestEvent,
+) -> (Option<RequestStage>, RequestAction) {
+    match stage {
+        RequestStage::Claiming | RequestStage::AwaitingOther => before_launch(stage, event),
+        RequestStage::Running => while_running(event),
+        RequestStage::Replicating => while_replicating(&event),
+    }
+}
+
+fn before_launch(
+    stage: RequestStage,
+    event: RequestEvent,
+) -> (Option<RequestStage>, RequestAction) {
+    let outcome = match event {
+        RequestEvent::Outcome(outcome) => outcome,
+        RequestEvent::TimedOut if stage == RequestStage::Claiming => {
+            return (None, RequestAction::Reject { permanent: false });
+        }
+        // The other claim's run may have had its effect: the caller must not take the request for not run.
+        RequestEvent::TimedOut => return (None, RequestAction::Fail),
+        RequestEvent::CallerLeft => return (None, RequestAction::Withdraw),
+        RequestEvent::RunFinished(_) => return (Some(stage), RequestAction::None),
+    };
+    match outcome {
+        ClaimOutcome::Granted => (Some(RequestStage::Running), RequestAction::Launch),
+        ClaimOutcome::Completed(result) => (None, RequestAction::Respond(result)),
+        ClaimOutcome::InProgress if stage == RequestStage::Claiming && planted("early-launch") => {
+            (Some(RequestStage::Running), RequestAction::Launch)
         }
-        (Asking, Told(self::ClaimOutcome::InProgress)) if planted("early-launch") => {
-            (Some(Running), Act::Launch)
+        ClaimOutcome::InProgress => (Some(RequestStage::AwaitingOther), RequestAction::None),
+        ClaimOutcome::Indeterminate => (None, RequestAction::Fail),
+        ClaimOutcome::KeyMismatch => (None, RequestAction::Reject { permanent: true }),
+        ClaimOutcome::Withdrawn | ClaimOutcome::CapacityExceeded | ClaimOutcome::NotHeld => {
+            (None, RequestAction::Reject { permanent: false })
         }
-        (Asking | Waiting, Told(self::ClaimOutcome::InProgress)) => (Some(Waiting), Act::Nothing),
-        (Asking | Waiting, Told(self::ClaimOutcome::Indeterminate)) => (None, Act::GiveUp),
-        (Asking | Waiting, Told(self::ClaimOutcome::KeyMismatch)) => {
-            (None, Act::Dismiss { nowhere: true })
+        // These are no outcomes of a claim.
+        ClaimOutcome::Recorded | ClaimOutcome::Conflict(_) | ClaimOutcome::Rejected(_) => {
+            (Some(stage), RequestAction::None)
         }
-        (
-            Asking | Waiting,
-            Told(
-                self::ClaimOutcome::Withdrawn
-                | self::ClaimOutcome::CapacityExceeded
-                | self::ClaimOutcome::NotHeld,
-            ),
-        ) => (None, Act::Dismiss { nowhere: false }),
-        (Asking, TimedOut) => (None, Act::Dismiss { nowhere: false }),
-        // Another has it: the key may have had its effect, which a caller that comes back should not take for not run.
-        (Waiting, TimedOut) => (None, Act::GiveUp),
-        (Asking | Waiting, Left) => (None, Act::Withdraw),
-        (Running, Ended(End::Result(result))) => (Some(Keeping), Act::Keep(result)),
-        (Running, Ended(End::Failed)) => (None, Act::Fail),
-        (Running, Ended(End::NeverRan)) => (None, Act::Refuse),
-        // The run goes on, and what it brings is kept for repeats.
-        (Running, Left | TimedOut) => (Some(Running), Act::Nothing),
-        (Keeping, Told(self::ClaimOutcome::Recorded)) => (None, Act::Answer(Bytes::new())),
-        (
-            Keeping,
-            Told(self::ClaimOutcome::NotHeld | self::ClaimOutcome::CapacityExceeded) | TimedOut,
-        ) => (None, Act::GiveUp),
-        (Keeping, Left) => (Some(Keeping), Act::Nothing),
-        // Told twice, or of a stage that is over: nothing follows.
-        (stage, Told(_) | Ended(_)) => (Some(stage), Act::Nothing),
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::collections::{HashSet, VecDeque};
-
-    fn events() -> Vec<Event> {
-        let r = Bytes::from_static(b"R");
-        let mut all: Vec<Event> = [
-            ClaimOutcome::Granted,
-            ClaimOutcome::Completed(r.clone()),
-            ClaimOutcome::InProgress,
-            ClaimOutcome::Indeterminate,
-            ClaimOutcome::KeyMismatch,
-            ClaimOutcome::Withdrawn,
-            ClaimOutcome::CapacityExceeded,
-            ClaimOutcome::Recorded,
-            ClaimOutcome::NotHeld,
-        ]
-        .map(Event::Told)
-        .to_vec();
-        all.extend([Event::TimedOut, Event::Left]);
-        all.extend([End::Result(r), End::Failed, End::NeverRan].map(Event::Ended));
-        all
+fn while_running(event: RequestEvent) -> (Option<RequestStage>, RequestAction) {
+    match event {
+        RequestEvent::RunFinished(RunEnd::Result(result)) => (
+            Some(RequestStage::Replicating),
+            RequestAction::ReplicateResult(result),
+        ),
+        RequestEvent::RunFinished(RunEnd::Failed) => (None, RequestAction::FailAndRecord),
+        RequestEvent::RunFinished(RunEnd::NeverRan) => (None, RequestAction::FailAndRelease),
+        // The run continues, and its result is replicated for repeats. A repeated outcome changes nothing.
+        RequestEvent::CallerLeft | RequestEvent::TimedOut | RequestEvent::Outcome(_) => {
+            (Some(RequestStage::Running), RequestAction::None)
+        }
     }
+}
 
-    /// Over all orders of events: one launch at most, one answer at most, no dismissal after a launch, and an answer
-    /// with a result only where one was told or brought.
-    #[test]
-    fn no_order_of_events_breaks_a_rule() {
-        // Stage, launched, answered, a result was told or kept.
-        let mut seen = HashSet::new();
-        let mut open = VecDeque::from([(Some(Stage::Asking), false, false, false)]);
-        let mut steps = 0;
-        while let Some((stage, launched, answered, known)) = open.pop_front() {
-            let Some(stage) = stage else { continue };
-            for event in events() {
-                let ended = matches!(event, Event::Ended(_));
-                if ended && !launched {
-                    continue;
-                }
-                steps += 1;
-                let known = known
-                    || matches!(
-                        event,
-                        Event::Told(ClaimOutcome::Completed(_)) | Event::Ended(End::Result(_))
-                    );
-                let (next, act) = step(stage, event.clone());
-                let (mut launched, mut answered) = (launched, answered);
-                match act {
-                    Act::Launch => {
-                        assert!(!launched, "{stage:?} {event:?}");
-                        launched = true;
-                    }
-                    Act::Dismiss { .. } | Act::Withdraw => {
-                        assert!(
-                            !launched && !answered && next.is_none(),
-                            "{stage:?} {event:?}"
-                        );
-                        answered = true;
-                    }
-                    Act::Answer(_) => {
-                        assert!(!answered && known && next.is_none(), "{stage:?} {event:?}");
-                        answered = true;
-                    }
-                    Act::GiveUp | Act::Fail | Act::Refuse => {
-                        assert!(!answered && next.is_none(), "{stage:?} {event:?}");
-                        answered = true;
-                    }
-                    Act::Keep(_) => assert!(launched),
-                    Act::Nothing => assert!(next.is_some(), "{stage:?} {event:?}"),
-                }
-                let state = (next, launched, answered, known);
-                if seen.insert(state) {
-                    open.push_back(state);
-                }
-            }
+fn while_replicating(event: &RequestEvent) -> (Option<RequestStage>, RequestAction) {
+    match event {
+        RequestEvent::Outcome(ClaimOutcome::Recorded) => {
+            (None, RequestAction::Respond(Bytes::new()))
+        }
+        RequestEvent::Outcome(ClaimOutcome::NotHeld | ClaimOutcome::CapacityExceeded)
+        | RequestEvent::TimedOut => (None, RequestAction::Fail),
+        RequestEvent::CallerLeft | RequestEvent::Outcome(_) | RequestEvent::RunFinished(_) => {
+            (Some(RequestStage::Replicating), RequestAction::None)
         }
-        assert!(
-            steps > 40 && seen.iter().any(|s| s.0 == Some(Stage::Keeping)),
-            "{steps} {seen:?}"
-        );
     }
 }
--- a/crates/replicated-state/src/lib.rs
+++ b/crates/replicated-state/src/lib.rs
@@ -1,34 +1,27 @@
-//! What a group of nodes copies and how, without I/O.
+//! The state that a group of nodes replicates, and how, without I/O.
 //!
-//! | module | what it is |
+//! | module | job |
 //! | --- | --- |
-//! | [`keys`] | one shard's keyed tickets: commands of the log to states and results |
-//! | [`versions`] | the configuration that is published: numbered versions and a bounded history |
-//! | [`tickets`] | one keyed ticket at the node it came to: a table of stages |
-//! | [`layout`] | which members hold which shard |
-//! | [`moves`] | the next change of a shard's members, one at a time |
-//! | [`soft`] | sums that are merged without waiting |
+//! | [`idempotency`] | the idempotency keys of one shard: commands of the log to states and outcomes |
+//! | [`versions`] | the published configuration: numbered versions and a bounded history |
+//! | [`idempotent_request`] | one idempotent request at the node that received it: a state machine |
+//! | [`placement`] | which members hold which shard |
+//! | [`reconfiguration`] | the next membership change of a shard |
+//! | [`gossip`] | sums that are merged without consensus |
 //! | [`frames`] | what members send each other |
-//! | [`member`] | one member of the group: its shards, its questions, its writes |
+//! | [`member`] | one member of the group: its shards, its requests, its writes |
 //!
-//! | state | how it is copied | why |
+//! | state | how it is replicated | why |
 //! | --- | --- | --- |
-//! | keyed tickets: start, result | through the log of the key's shard | a second run or another result breaks rule 2 |
-//! | members of each shard | through its log | two majorities must never be apart |
-//! | published versions of a configuration | through the log of shard 0 | all count them alike, and none is made from an old one |
-//! | registers, such as the configuration version in force | through the log of shard 0 | all go by the same one |
-//! | tenants' charged run time, what each node can take | joined without waiting | late by a second costs little, waiting costs each ticket |
-//! | queues, tickets in hand | not | they end with their node and its agent |
-//! | learned limits | not | they are about one machine |
+//! | idempotency keys: claim, result | through the log of the key's shard | a second run or a second result would break the promise to the caller |
+//! | members of each shard | through its log | two majorities must always overlap |
+//! | published versions of a configuration | through the log of shard 0 | all replicas number them alike, and none is made from an outdated one |
+//! | registers, such as the configuration version in force | through the log of shard 0 | all nodes use the same one |
+//! | tenants' charged run time, each node's spare capacity | merged without consensus | a delay of a second costs little, waiting would cost every request |
+//! | queues, requests in flight | not | they end with their node and its agent |
+//! | learned limits | not | they concern one machine |
 //!
-//! Time, chance and finished writes are handed in: the same calls give the same effects.
-
-#![allow(
-    missing_docs,
-    unreachable_pub,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
-)]
+//! Time, randomness and finished writes are passed in: the same calls give the same effects.
 
 pub mod frames;
 pub mod gossip;
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -1,18 +1,17 @@
-//! One member of the group: its shards, its questions to their leaders, its writes and what waits for them.
+//! One member of a replicated group, as a state machine without I/O.
 //!
-//! How it is driven: [`Member::tick`], [`Member::receive`], [`Member::met`] and [`Member::lost`], [`Member::ask`],
-//! [`Member::written`]; after each, [`Member::take`] gives the effects. Writes go to the disk in order of their numbers;
-//! frames that wait for writes are given out by `written`.
+//! The driver reports what happens with [`GroupMember::tick`], [`GroupMember::on_frame`],
+//! [`GroupMember::on_connected`], [`GroupMember::on_disconnected`], [`GroupMember::request`] and
+//! [`GroupMember::on_persisted`], and after each call carries out the [`Effects`] that [`GroupMember::take_effects`]
+//! returns. Time, randomness and finished writes are passed in: the same calls give the same effects.
 //!
-//! **How a group begins.** Nobody has a log. Once every configured member was met and all are fresh, the first by name
-//! names all their disks (`Form`), and each that hears of it begins its shards with just these. A member whose disk is
-//! not among them, or which came back with another one, holds nothing and votes for nothing until a shard's leader takes it
-//! in as a learner.
-//!
-//! **An old copy of a disk** is known by those who met it: a start under a number that was used, or a log behind what it
-//! had confirmed and was committed. It is told so, sets its files aside and begins anew as another disk.
+//! Invariants: write batches are numbered without gaps and become durable in that order; a frame that promises
+//! something is handed out only after the writes that it depends on are durable; a stopped member sends nothing new.
 
+mod apply;
 mod bootstrap;
+mod config;
+mod effects;
 mod gossip;
 mod membership;
 mod peers;
@@ -21,361 +20,151 @@
 mod requests;
 mod shards;
 
-use crate::frames::{
-    BootstrapConfig, BootstrapMember, CommandRequest, CommandResponse, Frame, FrameBody, Hello,
-    PeerIncarnation, PeerIncarnations, Raft, ShardProgress, StaleDiskNotice,
+pub use config::{
+    MemberConfig, RecoveredState, DEFAULT_COMPACTION_ENTRIES, METADATA_BOOTSTRAP,
+    METADATA_GENERATION, METADATA_MEMBER_NAME, METADATA_PEER_INCARNATIONS,
+};
+pub use effects::{
+    Effects, GroupEvent, OutgoingFrame, PersistentWrite, RequestOutcome, WriteBatch,
 };
+pub use queries::{KeyLookup, LeaderCoverage, PeerStatus, PublishedVersions, ShardView};
+
+use crate::frames::{BootstrapConfig, Frame, FrameBody, PeerIncarnations};
 use crate::gossip::{GossipReport, GossipReports};
-use crate::idempotency::{self, Claim, ClaimOutcome, Command, IdempotencyTable};
-use crate::placement::{holders, shard_of};
-use crate::reconfiguration::{next, Next};
-use crate::versions::Versions;
+use crate::idempotency::Claim;
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
-use prost::Message as _;
-use rainstand_raft::replica::Divergence;
-use rainstand_raft::wire::{Body, Snapshot};
-use rainstand_raft::{
-    Entry, EntryKind, HardState, Membership, PersistentState, Replica, ReplicaId, SnapshotMetadata,
-    Timeouts,
-};
+use peers::Peer;
+use persistence::{AwaitingPersist, PendingEntry};
+use rainstand_raft::ReplicaId;
+use requests::PendingRequest;
+use shards::{Proposal, Shard};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Questions that are open here, those in the background with them; and what one leader has open for others.
-const ASKS: usize = 8_192;
-const WAITING: usize = 32_768;
-/// Repeats that wait at the leader for one key's end.
-const WATCHERS: usize = 32;
-/// Between two tries of one question: at a leader that is known to be there, and where none is.
-const AGAIN: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(25)];
-/// A start that timed out is taken back for so long, and a result kept being told.
-const BACKGROUND: Duration = Duration::from_secs(60);
-/// Between looks at the members of shards that are led here.
-const LOOK: Duration = Duration::from_millis(50);
-/// Entries behind a snapshot from which on the next one is made, for whoever has no wish; and bytes.
-pub const DEFAULT_COMPACTION_ENTRIES: usize = 20_000;
-const COMPACT_BYTES: usize = 8 << 20;
-/// Soft reports go out this often.
-const SOFT: Duration = Duration::from_millis(500);
-
-/// Notes of the store.
-pub const METADATA_BOOTSTRAP: u16 = 1;
-pub const METADATA_GENERATION: u16 = 2;
-pub const METADATA_PEER_INCARNATIONS: u16 = 3;
-pub const METADATA_MEMBER_NAME: u16 = 4;
-/// What is known of others is written down this often, if it changed: a note of some hundred bytes, with whatever else
-/// goes to the disk.
-const WITNESS: Duration = Duration::from_millis(20);
-/// Disks of before that are remembered of one name: one a replacement.
-const GONE: usize = 32;
-/// Sets of frames that wait for the disk: past it the disk is taken to stand still for good.
-const HELD: usize = 20_000;
-
-/// How a member is set up.
-#[derive(Clone, Debug)]
-pub struct MemberConfig {
-    pub group: String,
-    pub name: String,
-    /// All members of the configuration, by name and site.
-    pub members: Vec<(String, String)>,
-    pub shards: u16,
-    pub copies: usize,
-    pub times: Timeouts,
-    /// Shards with a learner at once, of those that are led here.
-    pub moves: usize,
-    /// Keys of one shard.
-    pub keys: usize,
-    /// Entries behind a snapshot from which on the next one is made.
-    pub compact: usize,
-    pub seed: u64,
-}
-
-/// The disk, as it was opened.
-#[derive(Clone, Debug, Default)]
-pub struct RecoveredState {
-    pub disk: ReplicaId,
-    pub incarnation: u64,
-    pub nonce: u64,
-    pub shards: BTreeMap<u16, PersistentState>,
-    pub bootstrap: Option<BootstrapConfig>,
-    pub generation: u64,
-    pub peer_incarnations: Option<PeerIncarnations>,
-    /// Whose disk it is, by the member's name.
-    pub name: Option<String>,
-}
-
-/// What goes to the disk.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PersistentWrite {
-    HardState {
-        shard: u16,
-        hard: HardState,
-    },
-    Entry {
-        shard: u16,
-        entry: Entry,
-    },
-    /// Replaces entries up to its index, and, `alone`, those behind it too.
-    InstallSnapshot {
-        shard: u16,
-        snapshot: Snapshot,
-        alone: bool,
-    },
-    Metadata {
-        number: u16,
-        data: Bytes,
-    },
-}
-
-/// What people should hear of.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GroupEvent {
-    Bootstrapped {
-        members: usize,
-    },
-    BecameLeader {
-        shard: u16,
-        term: u64,
-    },
-    LostLeadership {
-        shard: u16,
-    },
-    /// The members of a shard changed.
-    MembershipChanged {
-        shard: u16,
-        config: String,
-    },
-    /// Files are to be set aside: this copy differs from most others.
-    Diverged {
-        shard: u16,
-        differs: Divergence,
-    },
-    /// Files are to be set aside: this disk is an old copy.
-    StaleDisk {
-        why: String,
-    },
-    /// A met disk is an old copy, and was told so.
-    StalePeer {
-        name: String,
-        disk: ReplicaId,
-        why: String,
-    },
-    CaughtUp {
-        shard: u16,
-        index: u64,
-    },
-    /// The disk confirms nothing any more: this member takes part in nothing.
-    DiskStalled,
-    /// A write or flush failed: this member confirms nothing and votes for nothing until it is started anew.
-    DiskFailed {
-        why: String,
-    },
-}
-
-/// What follows from what happened.
-#[derive(Debug, Default)]
-pub struct Effects {
-    /// To whom, by name.
-    pub frames: Vec<(String, Frame)>,
-    /// The number under which it is told to be written.
-    pub write: Option<(u64, Vec<PersistentWrite>)>,
-    /// By the number of the question. A start may be told to be running first and something else later.
-    pub outcomes: Vec<(u64, ClaimOutcome)>,
-    /// Questions whose time is over; of starts nothing was or will be launched.
-    pub timed_out: Vec<u64>,
-    pub events: Vec<GroupEvent>,
-    /// The newest published version here may be another one than before.
-    pub published_changed: bool,
-}
-
-/// Who waits for an entry of this leader's.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Requester {
-    Local(u64),
-    Remote(String, u64),
-}
-
-#[derive(Debug)]
-struct Shard {
-    replica: Replica,
-    table: IdempotencyTable,
-    /// By index: the term it was proposed in, and for whom.
-    waiting: BTreeMap<u64, (u64, Requester)>,
-    /// Repeats of a key that runs.
-    watchers: BTreeMap<Bytes, Vec<Requester>>,
-    led: bool,
-}
-
-/// What is known of another member.
-#[derive(Clone, Debug, Default)]
-struct Peer {
-    here: bool,
-    hello: Option<Hello>,
-    /// The newest start that was heard of: disk, number, draw.
-    start: Option<(ReplicaId, u64, u64)>,
-    /// How far each shard's copy on its disk is known to be: confirmed, and committed.
-    marks: BTreeMap<u16, (u64, u64)>,
-    /// Disks that this name had before another one: their copies are of another time, whatever they say.
-    gone: VecDeque<ReplicaId>,
-    /// It is an old copy: nothing of it counts.
-    refused: Option<ReplicaId>,
-}
-
-/// A question to a shard's leader.
-#[derive(Clone, Debug)]
-struct PendingRequest {
-    shard: u16,
-    command: Command,
-    until: Duration,
-    again: Duration,
-    /// Nobody waits for it any more.
-    background: bool,
-    tries: u32,
-}
-
-/// What waits until all writes up to a number are durable: frames, and entries by shard, index and term.
-struct AwaitingPersist {
-    number: u64,
-    frames: Vec<(String, Frame)>,
-    confirms: Vec<(u16, u64, u64)>,
-}
+/// Between two checks of the membership and the log size of the shards here.
+const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Between two gossip reports: quotas that are summed from them lag by about as much.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Between two writes of what is known of the peers, if it changed: some hundred bytes, flushed with other writes.
+const INCARNATION_WRITE_INTERVAL: Duration = Duration::from_millis(20);
+/// Bits that the request numbers of one start can use before they reach those of another nonce.
+const REQUEST_ID_BITS: u32 = 20;
 
+/// One member of a replicated group: its shards, its requests to their leaders, and its writes.
 pub struct GroupMember {
-    options: MemberConfig,
+    config: MemberConfig,
     disk: ReplicaId,
-    boot: u64,
+    incarnation: u64,
     nonce: u64,
     generation: u64,
     now: Duration,
-    chance: WyRand,
-    form: Option<BootstrapConfig>,
+    rng: WyRand,
+    bootstrap: Option<BootstrapConfig>,
     shards: BTreeMap<u16, Shard>,
     peers: BTreeMap<String, Peer>,
-    questions: BTreeMap<u64, PendingRequest>,
-    next_question: u64,
-    /// Who was last heard to lead a shard.
-    leaders: BTreeMap<u16, ReplicaId>,
-    number: u64,
-    written: u64,
-    /// Frames and news of entries that wait for a write.
-    held: VecDeque<AwaitingPersist>,
-    /// When a question is to be looked at again, at the latest.
-    due: Duration,
-    look: Duration,
-    soft_at: Duration,
-    witness_at: Duration,
-    witness: PeerIncarnations,
-    own: GossipReport,
+    requests: BTreeMap<u64, PendingRequest>,
+    last_request_id: u64,
+    /// Leaders of shards, from responses of other members.
+    leader_hints: BTreeMap<u16, ReplicaId>,
+    /// Number of the last write batch that was handed out.
+    last_batch: u64,
+    /// Number of the last write batch that is durable.
+    persisted_batch: u64,
+    awaiting_persist: VecDeque<AwaitingPersist>,
+    /// When the first request may time out or be due for a retry.
+    requests_due_at: Duration,
+    membership_check_at: Duration,
+    gossip_at: Duration,
+    incarnation_write_at: Duration,
+    written_peer_incarnations: PeerIncarnations,
+    own_report: GossipReport,
+    /// Gossip reports of the other members.
     pub reports: GossipReports,
     effects: Effects,
+    /// Writes that were not handed out yet.
     writes: Vec<PersistentWrite>,
-    after: Vec<(String, Frame)>,
-    confirms: Vec<(u16, u64, u64)>,
-    /// Nothing is done any more: the files are set aside, or the disk failed.
-    over: bool,
-    /// Questions that were turned away for want of room.
+    /// Frames that depend on `writes` or on earlier writes.
+    frames_after_persist: Vec<OutgoingFrame>,
+    /// Entries among `writes`.
+    pending_entries: Vec<PendingEntry>,
+    /// Nothing is done any more: the files are to be quarantined, the disk failed, or the driver stopped the member.
+    stopped: bool,
+    /// Requests that were rejected because too many were pending.
     pub rejected_requests: u64,
 }
 
 impl GroupMember {
-    pub fn new(options: MemberConfig, found: RecoveredState, now: Duration) -> Self {
-        let chance = WyRand::new_seed(options.seed ^ found.nonce);
-        let peers = options
-            .members
-            .iter()
-            .filter(|(name, _)| *name != options.name);
-        let mut peers: BTreeMap<String, Peer> = peers
-            .map(|(name, _)| (name.clone(), Peer::default()))
-            .collect();
-        for seen in found
-            .peer_incarnations
-            .iter()
-            .flat_map(|witness| &witness.seen)
-        {
-            if let Some(peer) = peers.get_mut(&seen.name) {
-                peer.start = Some((seen.disk, seen.incarnation, seen.nonce));
-                peer.gone = seen.replaced_disks.iter().copied().collect();
-                peer.marks = seen
-                    .shard_progress
-                    .iter()
-                    .map(|mark| (mark.shard as u16, (mark.term, mark.index)))
-                    .collect();
-            }
-        }
+    /// Starts a member with what its disk held.
+    ///
+    /// A member whose disk belongs to another one, or holds a snapshot that cannot be decoded, is stopped from the
+    /// start, and its first effects report [`GroupEvent::StaleDisk`].
+    pub fn new(config: MemberConfig, recovered: RecoveredState, now: Duration) -> Self {
         let mut member = Self {
-            disk: found.disk,
-            boot: found.incarnation,
-            nonce: found.nonce,
-            generation: found.generation,
+            disk: recovered.disk,
+            incarnation: recovered.incarnation,
+            nonce: recovered.nonce,
+            generation: recovered.generation,
             now,
-            chance,
-            form: found.bootstrap,
+            rng: WyRand::new_seed(config.seed ^ recovered.nonce),
+            bootstrap: recovered.bootstrap,
             shards: BTreeMap::new(),
-            peers,
-            questions: BTreeMap::new(),
-            // Numbers of an earlier start are not used again: an answer to it may still be on its way.
-            next_question: found.nonce << 20,
-            leaders: BTreeMap::new(),
-            number: 0,
-            written: 0,
-            held: VecDeque::new(),
-            due: now,
-            look: now,
-            soft_at: now,
-            witness_at: now,
-            witness: PeerIncarnations::default(),
-            own: GossipReport {
-                epoch: found.incarnation,
-                disk: found.disk,
+            peers: initial_peers(&config, recovered.peer_incarnations.as_ref()),
+            requests: BTreeMap::new(),
+            // A response to a request of an earlier start may still arrive: its number must not be used again.
+            last_request_id: recovered.nonce << REQUEST_ID_BITS,
+            leader_hints: BTreeMap::new(),
+            last_batch: 0,
+            persisted_batch: 0,
+            awaiting_persist: VecDeque::new(),
+            requests_due_at: now,
+            membership_check_at: now,
+            gossip_at: now,
+            incarnation_write_at: now,
+            written_peer_incarnations: PeerIncarnations::default(),
+            own_report: GossipReport {
+                epoch: recovered.incarnation,
+                disk: recovered.disk,
                 ..GossipReport::default()
             },
             reports: GossipReports::default(),
             effects: Effects::default(),
             writes: Vec::new(),
-            after: Vec::new(),
-            confirms: Vec::new(),
-            over: false,
+            frames_after_persist: Vec::new(),
+            pending_entries: Vec::new(),
+            stopped: false,
             rejected_requests: 0,
-            options,
+            config,
         };
-        match found.name {
-            // Guards against one disk in two places: what it confirmed is the other member's.
-            Some(name) if name != member.options.name => {
-                member.set_aside(GroupEvent::StaleDisk {
-                    why: format!("this is the disk of {name}"),
-                });
+        match recovered.member_name {
+            // One disk in two places: what it confirmed was the other member's to confirm.
+            Some(owner) if owner != member.config.name => {
+                let why = format!("this is the disk of {owner}");
+                member.stop_with(GroupEvent::StaleDisk { why });
                 return member;
             }
             Some(_) => {}
-            None => {
-                let data = Bytes::copy_from_slice(member.options.name.as_bytes());
-                member.writes.push(PersistentWrite::Metadata {
-                    number: METADATA_MEMBER_NAME,
-                    data,
-                });
-            }
+            None => member.write_member_name(),
         }
-        for (shard, state) in found.shards {
-            member.open(shard, state);
+        for (shard, state) in recovered.shards {
+            member.open_shard(shard, state);
         }
-        // A form that was kept, with shards whose beginning was cut off by a crash.
-        if let Some(form) = member.form.clone() {
-            member.begin(&form);
+        // A crash may have come between the bootstrap record and the shards that follow from it.
+        if let Some(bootstrap) = member.bootstrap.clone() {
+            member.create_bootstrap_shards(&bootstrap);
         }
-        member.alone();
+        member.bootstrap_single_member();
         member
     }
 
-    pub fn disk(&self) -> ReplicaId {
-        self.disk
-    }
-
-    pub fn name(&self) -> &str {
-        &self.options.name
+    fn write_member_name(&mut self) {
+        self.writes.push(PersistentWrite::Metadata {
+            number: METADATA_MEMBER_NAME,
+            data: Bytes::copy_from_slice(self.config.name.as_bytes()),
+        });
     }
 
-    /// A claim of this disk's for the ticket of a trace.
+    /// A claim of this member's disk for the request with a trace.
     pub fn claim(&self, trace: &[u8]) -> Claim {
         Claim {
             holder: self.disk,
@@ -383,36 +172,44 @@
         }
     }
 
-    /// Takes part in nothing any more.
+    /// Stops the member: it takes part in nothing any more.
     pub fn stop(&mut self) {
-        self.over = true;
+        self.stopped = true;
     }
 
+    /// Whether the member has stopped, of its own accord or by [`GroupMember::stop`].
     pub fn is_stopped(&self) -> bool {
-        self.over
+        self.stopped
+    }
+
+    /// Stops the member and reports why.
+    fn stop_with(&mut self, reason: GroupEvent) {
+        self.effects.events.push(reason);
+        self.stopped = true;
     }
 
+    /// A frame from a connected member. Frames from names that are not members are ignored.
     pub fn on_frame(&mut self, now: Duration, name: &str, frame: Frame) {
-        self.now = self.now.max(now);
-        let Some(what) = frame.body else { return };
-        if self.over || !self.peers.contains_key(name) {
+        self.advance_time(now);
+        let Some(body) = frame.body else { return };
+        if self.stopped || !self.peers.contains_key(name) {
             return;
         }
-        match what {
-            FrameBody::Hello(hello) => self.hello_from(name, hello),
-            FrameBody::Bootstrap(form) => self.take_form(form),
-            FrameBody::Raft(raft) => self.raft(name, raft),
-            FrameBody::Request(ask) => self.asked(name, ask),
-            FrameBody::Response(answer) => self.answered(&answer),
-            FrameBody::StaleDisk(behind) if behind.disk == self.disk => {
-                self.set_aside(GroupEvent::StaleDisk { why: behind.why });
+        match body {
+            FrameBody::Hello(hello) => self.on_hello(name, hello),
+            FrameBody::Bootstrap(bootstrap) => self.adopt_bootstrap(&bootstrap),
+            FrameBody::Raft(raft) => self.on_raft(name, raft),
+            FrameBody::Request(request) => self.on_request(name, &request),
+            FrameBody::Response(response) => self.on_response(&response),
+            FrameBody::StaleDisk(notice) if notice.disk == self.disk => {
+                self.stop_with(GroupEvent::StaleDisk { why: notice.why });
+            }
+            // A notice about an earlier disk of this member, or a frame that belongs on a subscriber's connection.
+            FrameBody::StaleDisk(_) | FrameBody::FromSubscriber(_) | FrameBody::ToSubscriber(_) => {
             }
-            FrameBody::StaleDisk(_) => {}
-            // Of the links that attached processes opened, not of those among members.
-            FrameBody::FromSubscriber(_) | FrameBody::ToSubscriber(_) => {}
             FrameBody::Gossip(report) => {
-                let hello = self.peers.get(name).and_then(|peer| peer.hello.as_ref());
-                if hello.is_some_and(|hello| hello.disk == report.disk) {
+                let peer = self.peers.get(name);
+                if peer.is_some_and(|peer| peer.has_disk(report.disk)) {
                     self.reports.merge(&report);
                 }
             }
@@ -420,71 +217,90 @@
         self.settle();
     }
 
-    fn set_aside(&mut self, news: GroupEvent) {
-        self.effects.events.push(news);
-        self.over = true;
-    }
-
+    /// Time passed: does what is due. To be called at [`GroupMember::next_deadline`] at the latest.
     pub fn tick(&mut self, now: Duration) {
-        self.now = self.now.max(now);
-        if self.over {
-            self.end_questions();
+        self.advance_time(now);
+        if self.stopped {
+            self.expire_requests();
             return;
         }
-        for one in self.shards.values_mut() {
-            if one.replica.next_deadline() <= self.now {
-                one.replica.tick(self.now);
+        for state in self.shards.values_mut() {
+            if state.replica.next_deadline() <= self.now {
+                state.replica.tick(self.now);
             }
         }
-        if self.now >= self.look {
-            self.look = self.now + LOOK;
-            self.look_at_members();
-            self.compact();
+        if self.now >= self.membership_check_at {
+            self.membership_check_at = self.now + MEMBERSHIP_CHECK_INTERVAL;
+            self.check_membership();
+            self.compact_grown_logs();
         }
-        if self.now >= self.witness_at {
-            self.witness_at = self.now + WITNESS;
-            self.write_witness();
+        if self.now >= self.incarnation_write_at {
+            self.incarnation_write_at = self.now + INCARNATION_WRITE_INTERVAL;
+            self.write_peer_incarnations();
         }
-        if self.now >= self.soft_at {
-            self.soft_at = self.now + SOFT;
-            self.own.sequence += 1;
-            self.tell_soft();
+        if self.now >= self.gossip_at {
+            self.gossip_at = self.now + GOSSIP_INTERVAL;
+            self.own_report.sequence += 1;
+            self.send_gossip();
         }
-        if self.now >= self.due {
-            self.end_questions();
-            self.put_again();
-            let due = self
-                .questions
-                .values()
-                .map(|one| one.again.min(one.until))
-                .min();
-            self.due = due.unwrap_or(Duration::MAX);
+        if self.now >= self.requests_due_at {
+            self.process_due_requests();
         }
         self.settle();
     }
 
-    /// When something is to be done, if nothing happens before.
+    /// When [`GroupMember::tick`] is to be called next, unless something happens before.
     pub fn next_deadline(&self) -> Duration {
-        let shards = self
+        let replicas = self
             .shards
             .values()
-            .map(|one| one.replica.next_deadline())
+            .map(|state| state.replica.next_deadline())
             .min()
             .unwrap_or(Duration::MAX);
-        let own = if self.over {
+        let periodic = if self.stopped {
             Duration::MAX
         } else {
-            shards.min(self.look).min(self.soft_at)
+            replicas.min(self.membership_check_at).min(self.gossip_at)
         };
-        let questions = if self.questions.is_empty() {
+        let requests = if self.requests.is_empty() {
             Duration::MAX
         } else {
-            self.due
+            self.requests_due_at
         };
-        own.min(questions)
+        periodic.min(requests)
+    }
+
+    /// Time never runs backwards, whatever the caller's clock does.
+    fn advance_time(&mut self, now: Duration) {
+        self.now = self.now.max(now);
     }
 
-    pub fn now(&self) -> Duration {
-        self.now
+    /// A seed for one replica's random timeouts.
+    fn next_seed(&mut self) -> u64 {
+        self.rng.generate::<u64>()
+    }
+
+    /// Sends a frame to a member, without waiting for any write.
+    fn send_to(&mut self, name: &str, body: FrameBody) {
+        self.effects.send(name, Frame::from_body(body));
+    }
+}
+
+/// The other configured members, with what was recorded of them before a restart.
+fn initial_peers(
+    config: &MemberConfig,
+    recorded: Option<&PeerIncarnations>,
+) -> BTreeMap<String, Peer> {
+    let mut peers: BTreeMap<String, Peer> = config
+        .members
+        .iter()
+        .filter(|member| member.name != config.name)
+        .map(|member| (member.name.clone(), Peer::default()))
+        .collect();
+    for incarnation in recorded.iter().flat_map(|recorded| &recorded.seen) {
+        if let Some(peer) = peers.get_mut(&incarnation.name) {
+            peer.restore(incarnation);
+        }
     }
+    peers
 }
--- a/crates/replicated-state/src/member/gossip.rs
+++ b/crates/replicated-state/src/member/gossip.rs
@@ -1,31 +1,39 @@
-//! Gossip reports of this member.
+//! Gossip reports of this member: charged run time and spare capacity, sent to all connected peers.
 
-use super::*;
+use super::GroupMember;
+use crate::frames::{Frame, FrameBody};
+use rainstand_raft::ReplicaId;
 
 impl GroupMember {
-    /// What this node charged a tenant, in microseconds more, and what it can take.
-    pub fn spent(&mut self, tenant: &str, more: u64) {
-        *self.own.charged_us.entry(tenant.to_owned()).or_default() += more;
+    /// Adds to the run time that this node charged a tenant, in microseconds.
+    pub fn add_charge(&mut self, tenant: &str, charged_us: u64) {
+        *self
+            .own_report
+            .charged_us
+            .entry(tenant.to_owned())
+            .or_default() += charged_us;
     }
 
-    pub fn room(&mut self, room: u64) {
-        self.own.spare_capacity = room;
+    /// Sets the spare capacity that this node reports, in thousandths of a concurrent request.
+    pub fn set_spare_capacity(&mut self, spare_capacity: u64) {
+        self.own_report.spare_capacity = spare_capacity;
     }
 
-    pub(super) fn tell_soft(&mut self) {
+    /// Drops the reports of replaced disks, and sends this member's own one if there is anything in it.
+    pub(super) fn send_gossip(&mut self) {
         let known: Vec<ReplicaId> = self
             .peers
             .values()
-            .filter_map(|peer| Some(peer.start?.0))
+            .filter_map(|peer| Some(peer.incarnation?.disk))
             .collect();
-        self.reports.keep(|disk| known.contains(&disk));
-        if self.own.charged_us.is_empty() && self.own.spare_capacity == 0 {
+        self.reports.retain(|disk| known.contains(&disk));
+        if self.own_report.charged_us.is_empty() && self.own_report.spare_capacity == 0 {
             return;
         }
-        let frame = Frame::of(FrameBody::Gossip(self.own.clone()));
+        let frame = Frame::from_body(FrameBody::Gossip(self.own_report.clone()));
         for (name, peer) in &self.peers {
-            if peer.here {
-                self.effects.frames.push((name.clone(), frame.clone()));
+            if peer.connected {
+                self.effects.send(name, frame.clone());
             }
         }
     }
--- a/crates/replicated-state/src/member/queries.rs
+++ b/crates/replicated-state/src/member/queries.rs
@@ -1,71 +1,163 @@
-//! Queries for operators.
+//! Read-only views of a member, for operators and for the node above it.
 
-use super::*;
+use super::GroupMember;
+use crate::idempotency::{IdempotencyTable, KeyState, Register};
+use crate::placement::shard_of;
+use crate::versions::Versions;
+use bytes::Bytes;
+use rainstand_raft::{Replica, ReplicaId};
+use std::time::Duration;
+
+/// A shard that has a replica here.
+#[derive(Clone, Copy, Debug)]
+pub struct ShardView<'a> {
+    /// Number of the shard.
+    pub shard: u16,
+    /// Its replica here.
+    pub replica: &'a Replica,
+    /// Its state, as far as the log is applied here.
+    pub table: &'a IdempotencyTable,
+}
+
+/// Another member, as this one knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerStatus<'a> {
+    /// Name of the member.
+    pub name: &'a str,
+    /// Whether the connection to it is open.
+    pub is_connected: bool,
+    /// The disk that it last introduced itself with.
+    pub disk: Option<ReplicaId>,
+    /// Whether it last connected with an old copy of its disk.
+    pub is_stale: bool,
+}
+
+/// A key in the replica here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyLookup<'a> {
+    /// The shard of the key.
+    pub shard: u16,
+    /// State of the key; none where it is not known, or where the shard has no replica here.
+    pub state: Option<&'a KeyState>,
+}
+
+/// Published versions of the configuration, as far as they are applied here.
+#[derive(Clone, Copy, Debug)]
+pub struct PublishedVersions<'a> {
+    /// The versions.
+    pub versions: &'a Versions,
+    /// Whether a leader is known and all that is known to be committed is applied: a newer version can have been
+    /// committed elsewhere for no longer than an election takes.
+    pub is_current: bool,
+}
+
+/// How many shards have a leader that is known here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaderCoverage {
+    /// Shards with a known leader.
+    pub known: usize,
+    /// All shards.
+    pub total: usize,
+}
 
 impl GroupMember {
-    /// A key that this disk started under a trace, if the shard's copy here tells.
+    /// Identity of this member's disk.
+    pub fn disk(&self) -> ReplicaId {
+        self.disk
+    }
+
+    /// Name of this member.
+    pub fn name(&self) -> &str {
+        &self.config.name
+    }
+
+    /// The latest time that was passed in.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The key that this disk claimed for a request's trace, also before a restart, if the replica here knows it.
     pub fn key_claimed_here(&self, trace: &[u8]) -> Option<Bytes> {
-        // A claim is its disk's: what an earlier start of this program began is still this disk's.
         let claim = self.claim(trace);
         self.shards
             .values()
-            .find_map(|one| one.table.claimed_by(&claim).cloned())
+            .find_map(|state| state.table.claimed_by(&claim).cloned())
     }
 
-    /// The row of a key in the copy here, and its shard.
-    pub fn key_state(&self, key: &[u8]) -> (u16, Option<&idempotency::KeyState>) {
-        let shard = shard_of(key, self.options.shards);
-        (
+    /// The state of a key in the replica here.
+    pub fn key_state(&self, key: &[u8]) -> KeyLookup<'_> {
+        let shard = shard_of(key, self.config.shards);
+        KeyLookup {
             shard,
-            self.shards.get(&shard).and_then(|one| one.table.get(key)),
-        )
+            state: self
+                .shards
+                .get(&shard)
+                .and_then(|state| state.table.get(key)),
+        }
     }
 
-    pub fn register(&self, name: &[u8]) -> Option<&idempotency::Register> {
-        self.shards.get(&0).and_then(|one| one.table.register(name))
+    /// A register; none where it was never set, or where shard 0 has no replica here.
+    pub fn register(&self, name: &[u8]) -> Option<&Register> {
+        self.shards
+            .get(&0)
+            .and_then(|state| state.table.register(name))
     }
 
-    /// What was published, where there is a copy of it here; and whether a leader is known, so that nothing newer is
-    /// committed for longer than an election takes.
-    pub fn published(&self) -> Option<(&Versions, bool)> {
-        let one = self.shards.get(&0)?;
-        let current = one.replica.has_committed_in_term()
-            || !one.replica.is_leader() && one.replica.leader().is_some();
-        let current = current && one.replica.applied() == one.replica.commit();
-        Some((one.table.versions(), current && !self.over))
+    /// The published versions; none where shard 0 has no replica here.
+    pub fn published(&self) -> Option<PublishedVersions<'_>> {
+        let state = self.shards.get(&0)?;
+        let replica = &state.replica;
+        let knows_leader =
+            replica.has_committed_in_term() || !replica.is_leader() && replica.leader().is_some();
+        let has_applied_all = replica.applied() == replica.commit();
+        Some(PublishedVersions {
+            versions: state.table.versions(),
+            is_current: knows_leader && has_applied_all && !self.stopped,
+        })
     }
 
-    /// Shards here: number, replica, table.
-    pub fn shards(&self) -> impl Iterator<Item = (u16, &Replica, &IdempotencyTable)> {
-        self.shards
-            .iter()
-            .map(|(shard, one)| (*shard, &one.replica, &one.table))
+    /// All shards that have a replica here, by number.
+    pub fn shards(&self) -> impl Iterator<Item = ShardView<'_>> {
+        self.shards.iter().map(|(shard, state)| ShardView {
+            shard: *shard,
+            replica: &state.replica,
+            table: &state.table,
+        })
     }
 
-    /// Members by name: whether a link is open, and the disk last heard.
-    pub fn peers(&self) -> impl Iterator<Item = (&str, bool, Option<ReplicaId>, bool)> {
-        self.peers.iter().map(|(name, peer)| {
-            (
-                name.as_str(),
-                peer.here,
-                peer.hello.as_ref().map(|hello| hello.disk),
-                peer.refused.is_some(),
-            )
+    /// All other members, by name.
+    pub fn peers(&self) -> impl Iterator<Item = PeerStatus<'_>> {
+        self.peers.iter().map(|(name, peer)| PeerStatus {
+            name,
+            is_connected: peer.connected,
+            disk: peer.hello.as_ref().map(|hello| hello.disk),
+            is_stale: peer.stale_disk.is_some(),
         })
     }
 
+    /// Number of requests without a final outcome, those in the background included.
     pub fn pending_request_count(&self) -> usize {
-        self.questions.len()
+        self.requests.len()
+    }
+
+    /// How many shards have a leader that this member knows, from its own replicas or from responses.
+    pub fn known_leaders(&self) -> LeaderCoverage {
+        let has_leader = |shard: &u16| {
+            let state = self.shards.get(shard);
+            state.is_some_and(|state| state.replica.leader().is_some())
+                || self.leader_hints.contains_key(shard)
+        };
+        LeaderCoverage {
+            known: (0..self.config.shards).filter(has_leader).count(),
+            total: usize::from(self.config.shards),
+        }
     }
 
-    /// Shards that know who leads them, of all; by what is known here.
-    pub fn known_leaders(&self) -> (usize, usize) {
-        let known = (0..self.options.shards).filter(|shard| {
-            self.shards
-                .get(shard)
-                .is_some_and(|one| one.replica.leader().is_some())
-                || self.leaders.contains_key(shard)
-        });
-        (known.count(), usize::from(self.options.shards))
+    /// Number of shards that are led here.
+    pub fn led_shard_count(&self) -> usize {
+        self.shards
+            .values()
+            .filter(|state| state.replica.is_leader())
+            .count()
     }
 }
--- a/crates/replicated-state/src/member/requests.rs
+++ b/crates/replicated-state/src/member/requests.rs
@@ -1,266 +1,324 @@
-//! Requests to the leaders of shards.
+//! Requests to the leaders of shards: sent, retried and timed out here, and proposed where they arrive.
+//!
+//! A request that timed out or was abandoned goes on in the background: a start is withdrawn, so that nothing is
+//! granted to a caller that left, and any other command is retried until it is recorded.
 
-use super::*;
+use super::shards::Proposal;
+use super::GroupMember;
+use crate::frames::{CommandRequest, CommandResponse, FrameBody};
+use crate::idempotency::{ClaimOutcome, Command, Operation};
+use crate::placement::shard_of;
+use prost::Message as _;
+use std::time::Duration;
+
+/// Requests without a final outcome, those in the background included.
+const MAX_PENDING_REQUESTS: usize = 8_192;
+/// Commands that one shard's leader has proposed and not applied yet.
+const MAX_WAITING_PROPOSALS: usize = 32_768;
+/// Between two attempts of a request whose leader is known: several round trips and flushes.
+const LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Between two attempts of a request while no leader is known: part of an election.
+const NO_LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(25);
+/// How long a request is retried in the background.
+const BACKGROUND_TIMEOUT: Duration = Duration::from_mins(1);
+/// The shard of registers and published versions.
+const SHARD_OF_REGISTERS: u16 = 0;
+
+/// Who waits for the outcome of a command that was proposed here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Requester {
+    /// A request of this member, by its number.
+    Local(u64),
+    /// A request of another member.
+    Remote { member: String, id: u64 },
+}
+
+/// A request without a final outcome.
+#[derive(Clone, Debug)]
+pub(super) struct PendingRequest {
+    shard: u16,
+    command: Command,
+    /// When it times out, or, in the background, is given up.
+    deadline: Duration,
+    retry_at: Duration,
+    /// Nobody waits for the outcome any more.
+    in_background: bool,
+    attempts: u32,
+}
 
 impl GroupMember {
-    /// A command for the leader of its key's shard; the question's number. It is told with that number, or its time
-    /// is over. None if too many are open.
-    pub fn request(&mut self, now: Duration, command: Command, until: Duration) -> Option<u64> {
-        self.now = self.now.max(now);
-        if self.questions.len() >= ASKS {
+    /// Sends a command to the leader of its key's shard, and returns the number of the request.
+    ///
+    /// The effects report its outcome under that number, or that it timed out at `deadline`. None if too many requests
+    /// are pending.
+    pub fn request(&mut self, now: Duration, command: Command, deadline: Duration) -> Option<u64> {
+        self.advance_time(now);
+        if self.requests.len() >= MAX_PENDING_REQUESTS {
             self.rejected_requests += 1;
             return None;
         }
         let shard = match &command.operation {
-            Some(idempotency::Operation::Set(_) | idempotency::Operation::Publish(_)) => 0,
-            _ => shard_of(&command.key, self.options.shards),
+            Some(Operation::Set(_) | Operation::Publish(_)) => SHARD_OF_REGISTERS,
+            _ => shard_of(&command.key, self.config.shards),
         };
-        self.next_question += 1;
-        let id = self.next_question;
-        let question = PendingRequest {
+        self.last_request_id += 1;
+        let id = self.last_request_id;
+        let request = PendingRequest {
             shard,
             command,
-            until,
-            again: self.now,
-            background: false,
-            tries: 0,
+            deadline,
+            retry_at: self.now,
+            in_background: false,
+            attempts: 0,
         };
-        self.questions.insert(id, question);
-        self.put(id);
-        self.due = self.due.min(until);
+        self.requests.insert(id, request);
+        self.send_request(id);
+        self.requests_due_at = self.requests_due_at.min(deadline);
         self.settle();
         Some(id)
     }
 
-    /// Nobody waits for it any more: a start is taken back.
-    pub fn forget(&mut self, now: Duration, id: u64) {
-        self.now = self.now.max(now);
-        self.go_on_without(id);
+    /// Nobody waits for the outcome of a request any more: a start is withdrawn.
+    pub fn abandon_request(&mut self, now: Duration, id: u64) {
+        self.advance_time(now);
+        self.move_to_background(id);
         self.settle();
     }
 
-    /// What goes on without anybody that waits: starts are taken back, the rest is told until it is noted.
-    pub(super) fn go_on_without(&mut self, id: u64) {
+    /// Withdraws a start; any other command is retried until it is recorded.
+    fn move_to_background(&mut self, id: u64) {
         let now = self.now;
-        let Some(question) = self
-            .questions
-            .get_mut(&id)
-            .filter(|question| !question.background)
-        else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        question.background = true;
-        question.until = now + BACKGROUND;
-        question.again = now;
-        if matches!(
-            question.command.operation,
-            Some(idempotency::Operation::Start(_))
-        ) {
-            question.command.operation = Some(idempotency::Operation::Withdraw(true));
-            self.put(id);
+        if request.in_background {
+            return;
+        }
+        request.in_background = true;
+        request.deadline = now + BACKGROUND_TIMEOUT;
+        request.retry_at = now;
+        if matches!(request.command.operation, Some(Operation::Start(_))) {
+            request.command.operation = Some(Operation::Withdraw(true));
+            self.send_request(id);
         }
     }
 
-    pub(super) fn end_questions(&mut self) {
-        let over: Vec<u64> = self
-            .questions
+    /// Times out the requests whose deadline has passed.
+    pub(super) fn expire_requests(&mut self) {
+        let expired: Vec<(u64, bool)> = self
+            .requests
             .iter()
-            .filter(|(_, one)| one.until <= self.now)
-            .map(|(id, _)| *id)
+            .filter(|(_, request)| request.deadline <= self.now)
+            .map(|(id, request)| (*id, request.in_background))
             .collect();
-        for id in over {
-            let background = self
-                .questions
-                .get(&id)
-                .is_none_or(|question| question.background);
-            if background {
-                self.questions.remove(&id);
+        for (id, in_background) in expired {
+            if in_background {
+                self.requests.remove(&id);
             } else {
                 self.effects.timed_out.push(id);
-                self.go_on_without(id);
+                self.move_to_background(id);
             }
         }
     }
 
-    pub(super) fn put_again(&mut self) {
+    /// Times out and retries what is due, and sets when to look next.
+    pub(super) fn process_due_requests(&mut self) {
+        self.expire_requests();
         let due: Vec<u64> = self
-            .questions
+            .requests
             .iter()
-            .filter(|(_, one)| one.again <= self.now)
+            .filter(|(_, request)| request.retry_at <= self.now)
             .map(|(id, _)| *id)
             .collect();
-        due.into_iter().for_each(|id| self.put(id));
+        for id in due {
+            self.send_request(id);
+        }
+        let next_due = self
+            .requests
+            .values()
+            .map(|request| request.retry_at.min(request.deadline))
+            .min();
+        self.requests_due_at = next_due.unwrap_or(Duration::MAX);
     }
 
-    /// Puts a question to the leader, or to whoever may know it.
-    pub(super) fn put(&mut self, id: u64) {
-        let Some(question) = self.questions.get_mut(&id) else {
+    /// Sends a request to the leader, or to a member that may know it.
+    fn send_request(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        question.tries += 1;
-        let (shard, command, tries) = (question.shard, question.command.clone(), question.tries);
-        let here = self
-            .shards
-            .get(&shard)
-            .is_some_and(|one| one.replica.is_leader());
-        question.again = self.now + AGAIN[usize::from(!here)];
-        self.due = self.due.min(question.again);
-        if here {
-            self.propose(shard, &command, Requester::Local(id));
+        request.attempts += 1;
+        let shard = request.shard;
+        let attempts = request.attempts;
+        let command = request.command.clone();
+        if self.leads(shard) {
+            self.retry_within(id, LEADER_RETRY_INTERVAL);
+            self.propose(shard, &command, &Requester::Local(id));
             return;
         }
-        let led_by = self.shards.get(&shard).and_then(|one| one.replica.leader());
-        // Whoever did not answer may be out of reach: every second try goes round.
-        let told = self.leaders.get(&shard).copied().filter(|_| tries % 2 == 1);
-        let led_by = led_by.or(told);
-        let name = led_by.and_then(|disk| self.name_of(disk)).or_else(|| {
-            // Nobody is known to lead: the holders are asked in turn.
-            let held = holders(&self.options.members, shard, self.options.copies);
-            let others: Vec<usize> = held
-                .into_iter()
-                .filter(|k| self.options.members[*k].0 != self.options.name)
-                .collect();
-            let k = others.get(tries as usize % others.len().max(1))?;
-            Some(self.options.members[*k].0.clone())
-        });
-        let Some(name) = name.filter(|name| self.peers.get(name).is_some_and(|peer| peer.here))
-        else {
-            self.leaders.remove(&shard);
+        self.retry_within(id, NO_LEADER_RETRY_INTERVAL);
+        let target = self
+            .request_target(shard, attempts)
+            .filter(|name| self.peers.get(name).is_some_and(|peer| peer.connected));
+        let Some(target) = target else {
+            self.leader_hints.remove(&shard);
             return;
         };
-        if let Some(question) = self.questions.get_mut(&id) {
-            question.again = self.now + AGAIN[0];
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.retry_at = self.now + LEADER_RETRY_INTERVAL;
         }
-        let ask = CommandRequest {
+        let request = CommandRequest {
             id,
             shard: u32::from(shard),
             command,
         };
-        self.effects
-            .frames
-            .push((name, Frame::of(FrameBody::Request(ask))));
+        self.send_to(&target, FrameBody::Request(request));
     }
 
-    pub(super) fn asked(&mut self, name: &str, ask: CommandRequest) {
-        self.propose(
-            ask.shard as u16,
-            &ask.command,
-            Requester::Remote(name.to_owned(), ask.id),
-        );
+    fn leads(&self, shard: u16) -> bool {
+        let state = self.shards.get(&shard);
+        state.is_some_and(|state| state.replica.is_leader())
     }
 
-    pub(super) fn propose(&mut self, shard: u16, command: &Command, asker: Requester) {
+    /// Sets the next attempt of a request, and when to look at the requests again.
+    fn retry_within(&mut self, id: u64, interval: Duration) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.retry_at = self.now + interval;
+            self.requests_due_at = self.requests_due_at.min(request.retry_at);
+        }
+    }
+
+    /// The member to send a request to: the leader, or else the holders of the shard in turn.
+    fn request_target(&self, shard: u16, attempts: u32) -> Option<String> {
+        let state = self.shards.get(&shard);
+        let known_leader = state.and_then(|state| state.replica.leader());
+        // The hinted leader may be out of reach: every second attempt goes to another holder.
+        let hint = self.leader_hints.get(&shard).copied();
+        let leader = known_leader.or(hint.filter(|_| attempts % 2 == 1));
+        if let Some(name) = leader.and_then(|disk| self.connected_peer_with(disk)) {
+            return Some(name);
+        }
+        let holders: Vec<&String> = self
+            .shard_holders(shard)
+            .into_iter()
+            .map(|position| &self.config.members[position].name)
+            .filter(|name| **name != self.config.name)
+            .collect();
+        let position = attempts as usize % holders.len().max(1);
+        holders.get(position).map(|name| (*name).clone())
+    }
+
+    /// Proposes a command to the shard's replica here; the requester is redirected if it does not lead or has too many
+    /// proposals.
+    pub(super) fn propose(&mut self, shard: u16, command: &Command, requester: &Requester) {
+        if self.try_propose(shard, command, requester).is_none() {
+            self.redirect(requester, shard);
+        }
+    }
+
+    /// The log index of the proposal.
+    fn try_propose(&mut self, shard: u16, command: &Command, requester: &Requester) -> Option<u64> {
         let now = self.now;
-        let proposed = self.shards.get_mut(&shard).and_then(|one| {
-            if one.waiting.len() >= WAITING {
-                return None;
-            }
-            let index = one
-                .replica
-                .propose(now, command.encode_to_vec().into())
-                .ok()?;
-            one.waiting
-                .insert(index, (one.replica.term(), asker.clone()));
-            Some(index)
-        });
-        if proposed.is_none() {
-            self.elsewhere(shard, &asker);
+        let state = self.shards.get_mut(&shard)?;
+        if state.proposals.len() >= MAX_WAITING_PROPOSALS {
+            return None;
         }
+        let data = command.encode_to_vec().into();
+        let index = state.replica.propose(now, data).ok()?;
+        let proposal = Proposal {
+            term: state.replica.term(),
+            requester: requester.clone(),
+        };
+        state.proposals.insert(index, proposal);
+        Some(index)
     }
 
-    /// This is no leader, or has no room: somebody else, or later.
-    pub(super) fn elsewhere(&mut self, shard: u16, asker: &Requester) {
-        let leader = self.shards.get(&shard).and_then(|one| one.replica.leader());
-        let leader = leader.filter(|leader| *leader != self.disk);
-        match asker {
-            Requester::Local(id) => {
-                if let Some(question) = self.questions.get_mut(id) {
-                    question.again = self.now + AGAIN[1];
-                    self.due = self.due.min(question.again);
-                }
-            }
-            Requester::Remote(name, id) => {
-                let answer = CommandResponse::redirect(*id, shard, leader);
-                self.effects
-                    .frames
-                    .push((name.clone(), Frame::of(FrameBody::Response(answer))));
-            }
+    /// Another member sent a request.
+    pub(super) fn on_request(&mut self, name: &str, request: &CommandRequest) {
+        let requester = Requester::Remote {
+            member: name.to_owned(),
+            id: request.id,
+        };
+        self.propose(request.shard as u16, &request.command, &requester);
+    }
+
+    /// Another member answered a request.
+    pub(super) fn on_response(&mut self, response: &CommandResponse) {
+        match response.outcome() {
+            Some(outcome) => self.deliver_outcome(response.id, outcome),
+            None => self.on_redirect(response),
         }
     }
 
-    pub(super) fn answered(&mut self, answer: &CommandResponse) {
-        let (id, now) = (answer.id, self.now);
-        match answer.outcome() {
-            Some(told) => self.tell(id, told),
-            None => {
-                let shard = answer.shard as u16;
-                if answer.leader == 0 {
-                    self.leaders.remove(&shard);
-                } else {
-                    self.leaders.insert(shard, answer.leader);
-                }
-                if let Some(question) = self.questions.get_mut(&id) {
-                    question.again = question.again.min(now + AGAIN[1]);
-                    self.due = self.due.min(question.again);
-                }
-            }
+    fn on_redirect(&mut self, response: &CommandResponse) {
+        let shard = response.shard as u16;
+        if response.leader == 0 {
+            self.leader_hints.remove(&shard);
+        } else {
+            self.leader_hints.insert(shard, response.leader);
+        }
+        let retry_at = self.now + NO_LEADER_RETRY_INTERVAL;
+        if let Some(request) = self.requests.get_mut(&response.id) {
+            request.retry_at = request.retry_at.min(retry_at);
+            self.requests_due_at = self.requests_due_at.min(request.retry_at);
         }
     }
 
-    /// What a question came to.
-    pub(super) fn tell(&mut self, id: u64, told: ClaimOutcome) {
-        let Some(question) = self.questions.get_mut(&id) else {
+    /// The outcome of a request of this member.
+    fn deliver_outcome(&mut self, id: u64, outcome: ClaimOutcome) {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        if question.background {
-            // A start that is granted after its time is taken back, as is asked already.
-            let taken_back = matches!(
-                question.command.operation,
-                Some(idempotency::Operation::Withdraw(_))
-            );
-            let final_ = !taken_back
-                || matches!(
-                    told,
-                    ClaimOutcome::Recorded | ClaimOutcome::CapacityExceeded
-                );
-            if final_ {
-                self.questions.remove(&id);
+        if request.in_background {
+            if is_final_in_background(&request.command, &outcome) {
+                self.requests.remove(&id);
             }
             return;
         }
-        if question.until <= self.now {
-            // Its time is over, though nobody looked yet: the answer came too late to act on.
+        if request.deadline <= self.now {
+            // It is about to be reported as timed out.
             return;
         }
-        if told == ClaimOutcome::InProgress {
-            question.again = self.now + AGAIN[0];
+        if outcome == ClaimOutcome::InProgress {
+            request.retry_at = self.now + LEADER_RETRY_INTERVAL;
         } else {
-            self.questions.remove(&id);
+            self.requests.remove(&id);
         }
-        self.effects.outcomes.push((id, told));
+        self.effects.report_outcome(id, outcome);
     }
 
-    pub(super) fn send(&mut self, asker: &Requester, shard: u16, told: ClaimOutcome) {
-        match asker {
-            Requester::Local(id) => self.tell(*id, told),
-            Requester::Remote(name, id) => {
-                let answer = CommandResponse::of(*id, shard, &told);
-                self.effects
-                    .frames
-                    .push((name.clone(), Frame::of(FrameBody::Response(answer))));
+    /// Answers a requester.
+    pub(super) fn respond(&mut self, requester: &Requester, shard: u16, outcome: ClaimOutcome) {
+        match requester {
+            Requester::Local(id) => self.deliver_outcome(*id, outcome),
+            Requester::Remote { member, id } => {
+                let response = CommandResponse::from_outcome(*id, shard, &outcome);
+                self.send_to(member, FrameBody::Response(response));
             }
         }
     }
 
-    /// Leadership went: whoever waits asks the next leader.
-    pub(super) fn dismiss_waiting(&mut self, shard: u16) {
-        let Some(one) = self.shards.get_mut(&shard) else {
-            return;
-        };
-        let waiting = std::mem::take(&mut one.waiting);
-        one.watchers.clear();
-        for (_, asker) in waiting.into_values() {
-            self.elsewhere(shard, &asker);
+    /// Sends a requester to the leader, if one is known; otherwise it tries again soon.
+    pub(super) fn redirect(&mut self, requester: &Requester, shard: u16) {
+        match requester {
+            Requester::Local(id) => self.retry_within(*id, NO_LEADER_RETRY_INTERVAL),
+            Requester::Remote { member, id } => {
+                let state = self.shards.get(&shard);
+                let leader = state
+                    .and_then(|state| state.replica.leader())
+                    .filter(|leader| *leader != self.disk);
+                let response = CommandResponse::redirect(*id, shard, leader);
+                self.send_to(member, FrameBody::Response(response));
+            }
         }
     }
 }
+
+/// A withdrawn start may still be answered by the grant that it was overtaken by: that one does not end it.
+fn is_final_in_background(command: &Command, outcome: &ClaimOutcome) -> bool {
+    let is_withdrawal = matches!(command.operation, Some(Operation::Withdraw(_)));
+    !is_withdrawal
+        || matches!(
+            outcome,
+            ClaimOutcome::Recorded | ClaimOutcome::CapacityExceeded
+        )
+}
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -1,35 +1,76 @@
-//! The shards of this member.
+//! The shards of this member: opens their replicas, steps them, and carries out what they ask for.
 
-use super::*;
+use super::requests::Requester;
+use super::{GroupEvent, GroupMember, OutgoingFrame, PendingEntry, PersistentWrite};
+use crate::frames::{Frame, FrameBody, Raft};
+use crate::idempotency::IdempotencyTable;
+use bytes::Bytes;
+use rainstand_config_distribution::UpdateError;
+use rainstand_raft::wire::{Body, Snapshot};
+use rainstand_raft::{Entry, Message, PersistentState, Replica, ReplicaId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Bytes of a shard's log that make a snapshot due, whatever the number of entries.
+const COMPACTION_BYTES: usize = 8 << 20;
+/// A withdrawn key is remembered for this many maximal election timeouts of log time: a start that was delayed on its
+/// way arrives well within that.
+const WITHDRAWN_RETENTION_ELECTIONS: u64 = 100;
+
+/// A command that was proposed here and is not applied yet.
+#[derive(Clone, Debug)]
+pub(super) struct Proposal {
+    /// The term in which it was proposed; another term's entry may take its index.
+    pub term: u64,
+    pub requester: Requester,
+}
+
+/// One shard's replica, its state, and who waits for it.
+#[derive(Debug)]
+pub(super) struct Shard {
+    pub replica: Replica,
+    pub table: IdempotencyTable,
+    /// Proposals by log index.
+    pub proposals: BTreeMap<u64, Proposal>,
+    /// By key: requesters that wait for the end of another claim's run.
+    pub watchers: BTreeMap<Bytes, Vec<Requester>>,
+    /// Whether the replica was the leader when it was last settled.
+    pub was_leader: bool,
+}
 
 impl GroupMember {
-    pub(super) fn open(&mut self, shard: u16, state: PersistentState) {
-        let seed = self.chance.generate::<u64>();
+    /// Opens a shard's replica with what its disk held.
+    pub(super) fn open_shard(&mut self, shard: u16, state: PersistentState) {
+        let seed = self.next_seed();
         let snapshot = state.snapshot.clone();
-        let replica = Replica::new(self.disk, self.options.times, seed, self.now, state);
-        let linger = self.options.times.election_timeout[1].as_nanos() as u64 * 100;
-        let mut table = IdempotencyTable::new(self.options.keys, linger);
+        let timeouts = self.config.timeouts;
+        let replica = Replica::new(self.disk, timeouts, seed, self.now, state);
+        let election_timeout_ns = timeouts.election_timeout[1].as_nanos() as u64;
+        let mut table = IdempotencyTable::new(
+            self.config.max_keys_per_shard,
+            election_timeout_ns * WITHDRAWN_RETENTION_ELECTIONS,
+        );
         if let Some(snapshot) = snapshot.filter(|snapshot| !snapshot.data.is_empty()) {
             self.effects.published_changed = true;
-            // Bytes with a good checksum that are no table were written by another program.
+            // The checksum held, so another program wrote these bytes.
             if table.restore(snapshot.data).is_err() {
-                self.effects.events.push(GroupEvent::StaleDisk {
+                self.stop_with(GroupEvent::StaleDisk {
                     why: format!("shard {shard}: no table"),
                 });
-                self.over = true;
             }
         }
-        let shard_ = Shard {
+        let state = Shard {
             replica,
             table,
-            waiting: BTreeMap::new(),
+            proposals: BTreeMap::new(),
             watchers: BTreeMap::new(),
-            led: false,
+            was_leader: false,
         };
-        self.shards.insert(shard, shard_);
+        self.shards.insert(shard, state);
     }
 
-    pub(super) fn raft(&mut self, name: &str, raft: Raft) {
+    /// A message from a replica at another member.
+    pub(super) fn on_raft(&mut self, name: &str, raft: Raft) {
         let Raft {
             shard,
             message,
@@ -38,271 +79,237 @@
         let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
-        // Only from the disk that said hello, so that an old copy's words count for nothing.
-        let known = peer
-            .hello
-            .as_ref()
-            .is_some_and(|hello| hello.disk == message.from);
         let shard = shard as u16;
-        if !known
+        // Only the disk that introduced itself counts: a stale one has no accepted greeting.
+        if !peer.has_disk(message.from)
             || message.to != self.disk
             || generation != self.generation
-            || shard >= self.options.shards
+            || shard >= self.config.shards
         {
             return;
         }
-        // These are sent when their term is durable there.
-        let durable = match &message.body {
-            Some(Body::Vote(vote)) => !vote.pre,
-            Some(Body::Voted(voted)) => !voted.pre,
-            Some(Body::Appended(_) | Body::Took(_) | Body::Append(_) | Body::Piece(_)) => true,
-            _ => false,
-        };
-        if durable {
-            let mark = peer.marks.entry(shard).or_default();
-            mark.0 = mark.0.max(message.term);
+        if proves_durable_term(&message) {
+            peer.raise_durable_term(shard, message.term);
         }
         if !self.shards.contains_key(&shard) {
-            self.open(shard, PersistentState::default());
+            self.open_shard(shard, PersistentState::default());
         }
-        if let Some(one) = self.shards.get_mut(&shard) {
-            one.replica.step(self.now, message);
+        if let Some(state) = self.shards.get_mut(&shard) {
+            state.replica.step(self.now, message);
         }
     }
 
-    /// Takes what all shards have to say, until none says anything more.
+    /// Carries out what all replicas are ready for.
     pub(super) fn settle(&mut self) {
-        let ids: Vec<u16> = self.shards.keys().copied().collect();
-        for shard in ids {
+        let shards: Vec<u16> = self.shards.keys().copied().collect();
+        for shard in shards {
             self.settle_shard(shard);
-            if self.over {
+            if self.stopped {
                 return;
             }
         }
     }
 
-    pub(super) fn settle_shard(&mut self, shard: u16) {
-        let Some(one) = self.shards.get_mut(&shard) else {
+    fn settle_shard(&mut self, shard: u16) {
+        let Some(state) = self.shards.get_mut(&shard) else {
             return;
         };
-        let out = one.replica.take_ready();
-        let leads = one.replica.is_leader();
-        if leads != one.led {
-            one.led = leads;
-            let term = one.replica.term();
-            let news = if leads {
-                GroupEvent::BecameLeader { shard, term }
-            } else {
-                GroupEvent::LostLeadership { shard }
-            };
-            self.effects.events.push(news);
-        }
-        if out.is_empty() && (leads || one.waiting.is_empty() && one.watchers.is_empty()) {
+        let ready = state.replica.take_ready();
+        let is_leader = state.replica.is_leader();
+        let has_requesters = !state.proposals.is_empty() || !state.watchers.is_empty();
+        self.report_leadership(shard, is_leader);
+        if ready.is_empty() && (is_leader || !has_requesters) {
             return;
         }
-        if let Some(hard) = out.hard_state {
+        if let Some(hard) = ready.hard_state {
             self.writes.push(PersistentWrite::HardState { shard, hard });
         }
-        if let Some((snapshot, alone)) = out.snapshot {
-            if !snapshot.data.is_empty() && one.table.restore(snapshot.data.clone()).is_err() {
-                self.effects.events.push(GroupEvent::StaleDisk {
+        if let Some((snapshot, alone)) = ready.snapshot {
+            if self.install_snapshot(shard, snapshot, alone).is_err() {
+                self.stop_with(GroupEvent::StaleDisk {
                     why: format!("shard {shard}: no table came"),
                 });
-                self.over = true;
                 return;
             }
-            self.effects.published_changed = true;
-            self.effects.events.push(GroupEvent::CaughtUp {
-                shard,
-                index: snapshot.metadata.index,
-            });
-            self.writes.push(PersistentWrite::InstallSnapshot {
-                shard,
-                snapshot,
-                alone,
-            });
         }
-        for entry in out.entries {
-            self.confirms.push((shard, entry.index, entry.term));
-            self.writes.push(PersistentWrite::Entry { shard, entry });
-        }
-        if let Some(differs) = out.divergence {
-            self.set_aside(GroupEvent::Diverged { shard, differs });
+        self.write_entries(shard, ready.entries);
+        if let Some(divergence) = ready.divergence {
+            self.stop_with(GroupEvent::Diverged { shard, divergence });
             return;
         }
-        let generation = self.generation;
-        let wrap = |message: rainstand_raft::Message| {
-            let to = message.to;
-            (
-                to,
-                Frame::of(FrameBody::Raft(Raft {
-                    shard: u32::from(shard),
-                    message,
-                    generation,
-                })),
-            )
-        };
-        let now: Vec<_> = out.messages.into_iter().map(wrap).collect();
-        let after: Vec<_> = out.messages_after_persist.into_iter().map(wrap).collect();
-        for (to, frame) in now {
-            if let Some(name) = self.name_of(to) {
-                self.effects.frames.push((name, frame));
-            }
-        }
-        for (to, frame) in after {
-            if let Some(name) = self.name_of(to) {
-                self.after.push((name, frame));
-            }
-        }
-        for entry in out.committed {
+        let frames = self.raft_frames(shard, ready.messages);
+        self.effects.frames.extend(frames);
+        let frames = self.raft_frames(shard, ready.messages_after_persist);
+        self.frames_after_persist.extend(frames);
+        for entry in ready.committed {
             self.apply(shard, &entry);
         }
-        if !leads {
-            self.dismiss_waiting(shard);
+        if is_leader {
+            self.record_follower_progress(shard);
         } else {
-            self.mark(shard);
+            self.redirect_requesters(shard);
         }
     }
 
-    /// What a leader knows of how far the others are, for telling an old copy of a disk.
-    pub(super) fn mark(&mut self, shard: u16) {
-        let Some(one) = self.shards.get(&shard) else {
+    fn report_leadership(&mut self, shard: u16, is_leader: bool) {
+        let Some(state) = self.shards.get_mut(&shard) else {
             return;
         };
-        let (term, commit) = (one.replica.term(), one.replica.commit());
-        let marks: Vec<(ReplicaId, u64)> = one
-            .replica
-            .progress()
-            .map(|(id, matched, _)| (id, matched.min(commit)))
-            .collect();
-        for (id, index) in marks.into_iter().filter(|mark| mark.1 > 0) {
-            let of = |peer: &&mut Peer| peer.hello.as_ref().is_some_and(|hello| hello.disk == id);
-            if let Some(peer) = self.peers.values_mut().find(of) {
-                let known = peer.marks.entry(shard).or_default();
-                *known = (known.0.max(term), known.1.max(index));
+        if state.was_leader == is_leader {
+            return;
+        }
+        state.was_leader = is_leader;
+        let term = state.replica.term();
+        self.effects.events.push(if is_leader {
+            GroupEvent::BecameLeader { shard, term }
+        } else {
+            GroupEvent::LostLeadership { shard }
+        });
+    }
+
+    /// Takes over a snapshot that the leader sent.
+    fn install_snapshot(
+        &mut self,
+        shard: u16,
+        snapshot: Snapshot,
+        alone: bool,
+    ) -> Result<(), UpdateError> {
+        if let Some(state) = self.shards.get_mut(&shard) {
+            if !snapshot.data.is_empty() {
+                state.table.restore(snapshot.data.clone())?;
             }
         }
+        self.effects.published_changed = true;
+        self.effects.events.push(GroupEvent::CaughtUp {
+            shard,
+            index: snapshot.metadata.index,
+        });
+        self.writes.push(PersistentWrite::InstallSnapshot {
+            shard,
+            snapshot,
+            alone,
+        });
+        Ok(())
     }
 
-    pub(super) fn apply(&mut self, shard: u16, entry: &Entry) {
-        let Some(one) = self.shards.get_mut(&shard) else {
-            return;
-        };
-        let waiting = one.waiting.remove(&entry.index);
-        if entry.kind() != EntryKind::Data {
-            return;
+    fn write_entries(&mut self, shard: u16, entries: Vec<Entry>) {
+        for entry in entries {
+            self.pending_entries.push(PendingEntry {
+                shard,
+                index: entry.index,
+                term: entry.term,
+            });
+            self.writes.push(PersistentWrite::Entry { shard, entry });
         }
-        // What cannot be read was proposed by a later version: every copy passes over it alike.
-        let Ok(command) = Command::decode(entry.data.clone()) else {
-            return;
+    }
+
+    /// Wraps a replica's messages; those to disks that are not connected are dropped.
+    fn raft_frames(&self, shard: u16, messages: Vec<Message>) -> Vec<OutgoingFrame> {
+        let frame = |message: Message| {
+            Some(OutgoingFrame {
+                to: self.connected_peer_with(message.to)?,
+                frame: Frame::from_body(FrameBody::Raft(Raft {
+                    shard: u32::from(shard),
+                    message,
+                    generation: self.generation,
+                })),
+            })
         };
-        let told = one.table.apply(entry.stamp, &command);
-        let over = !matches!(
-            command.operation,
-            Some(
-                idempotency::Operation::Start(_)
-                    | idempotency::Operation::Set(_)
-                    | idempotency::Operation::Publish(_)
-            )
-        );
-        self.effects.published_changed |=
-            matches!(command.operation, Some(idempotency::Operation::Publish(_)));
-        let watchers = if over {
-            one.watchers.remove(&command.key)
-        } else {
-            None
+        messages.into_iter().filter_map(frame).collect()
+    }
+
+    /// Records how far the followers are known to be durable, to recognize an old copy of a disk later.
+    fn record_follower_progress(&mut self, shard: u16) {
+        let Some(state) = self.shards.get(&shard) else {
+            return;
         };
-        let leads = one.replica.is_leader();
-        // The end of a run, for the repeats that wait for it. One of a start that was taken back asks again.
-        for watcher in watchers.unwrap_or_default() {
-            match (&command.operation, &told) {
-                (Some(idempotency::Operation::Done(result)), ClaimOutcome::Recorded) => {
-                    self.send(&watcher, shard, ClaimOutcome::Completed(result.clone()));
-                }
-                (Some(idempotency::Operation::Failed(_)), ClaimOutcome::Recorded) => {
-                    self.send(&watcher, shard, ClaimOutcome::Indeterminate)
-                }
-                _ => self.elsewhere(shard, &watcher),
+        let (term, commit) = (state.replica.term(), state.replica.commit());
+        for (disk, matched, _) in state.replica.progress() {
+            let index = matched.min(commit);
+            if index == 0 {
+                continue;
             }
-        }
-        let Some((term, asker)) = waiting else { return };
-        if term != entry.term {
-            self.elsewhere(shard, &asker);
-            return;
-        }
-        if told == ClaimOutcome::InProgress && leads {
-            if let Some(one) = self.shards.get_mut(&shard) {
-                let watchers = one.watchers.entry(command.key.clone()).or_default();
-                if watchers.len() < WATCHERS && !watchers.contains(&asker) {
-                    watchers.push(asker.clone());
-                }
+            if let Some(peer) = self.peers.values_mut().find(|peer| peer.has_disk(disk)) {
+                let durable = peer.durable.entry(shard).or_default();
+                durable.term = durable.term.max(term);
+                durable.index = durable.index.max(index);
             }
         }
-        self.send(&asker, shard, told);
     }
 
-    pub(super) fn compact(&mut self) {
-        for (shard, one) in &mut self.shards {
-            let log = one.replica.log();
-            if log.len() < self.options.compact && log.bytes() < COMPACT_BYTES {
-                continue;
-            }
-            let index = one.replica.applied();
-            if let Some(snapshot) = one.replica.compact(index, one.table.snapshot()) {
-                self.writes.push(PersistentWrite::InstallSnapshot {
-                    shard: *shard,
-                    snapshot,
-                    alone: false,
-                });
-            }
+    /// Makes a snapshot of each shard whose log has grown past the bounds.
+    pub(super) fn compact_grown_logs(&mut self) {
+        let max_entries = self.config.compaction_entries;
+        let is_grown = |state: &Shard| {
+            let log = state.replica.log();
+            log.len() >= max_entries || log.bytes() >= COMPACTION_BYTES
+        };
+        let grown: Vec<u16> = self
+            .shards
+            .iter()
+            .filter(|(_, state)| is_grown(state))
+            .map(|(shard, _)| *shard)
+            .collect();
+        for shard in grown {
+            self.compact_shard(shard);
         }
     }
 
-    /// Shards whose entries hold the store's oldest segment back are saved now.
-    pub fn pressing(&mut self, now: Duration, shards: &[u16]) {
-        self.now = self.now.max(now);
+    /// Makes snapshots of shards now, because their entries keep the oldest segment of the write-ahead log in use.
+    pub fn compact_shards(&mut self, now: Duration, shards: &[u16]) {
+        self.advance_time(now);
         for shard in shards {
-            let Some(one) = self.shards.get_mut(shard) else {
-                continue;
-            };
-            let index = one.replica.applied();
-            if let Some(snapshot) = one.replica.compact(index, one.table.snapshot()) {
-                self.writes.push(PersistentWrite::InstallSnapshot {
-                    shard: *shard,
-                    snapshot,
-                    alone: false,
-                });
-            }
+            self.compact_shard(*shard);
         }
         self.settle();
     }
 
-    /// Hands over all shards that are led here to others; before a drain ends.
+    fn compact_shard(&mut self, shard: u16) {
+        let Some(state) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        let index = state.replica.applied();
+        if let Some(snapshot) = state.replica.compact(index, state.table.snapshot()) {
+            self.writes.push(PersistentWrite::InstallSnapshot {
+                shard,
+                snapshot,
+                alone: false,
+            });
+        }
+    }
+
+    /// Transfers the leadership of all shards that are led here, before a drain ends. Each goes to the voter that is
+    /// furthest ahead.
     pub fn transfer_all_leadership(&mut self, now: Duration) {
-        self.now = self.now.max(now);
-        for one in self
-            .shards
-            .values_mut()
-            .filter(|one| one.replica.is_leader())
-        {
-            let best = one
-                .replica
-                .progress()
-                .filter(|(id, ..)| one.replica.membership().is_voter(*id))
-                .max_by_key(|(_, matched, heard)| (*matched, *heard))
-                .map(|(id, ..)| id);
-            if let Some(id) = best {
-                let _ = one.replica.transfer_leadership(now, id);
+        self.advance_time(now);
+        for state in self.shards.values_mut() {
+            if !state.replica.is_leader() {
+                continue;
+            }
+            if let Some(successor) = best_successor(&state.replica) {
+                // A transfer that is not possible now leaves the leadership here until the drain ends.
+                let _ = state.replica.transfer_leadership(now, successor);
             }
         }
         self.settle();
     }
+}
 
-    /// Shards that are led here and not handed over.
-    pub fn led_shard_count(&self) -> usize {
-        self.shards
-            .values()
-            .filter(|one| one.replica.is_leader())
-            .count()
+/// Whether a message is sent only after its term is durable at the sender.
+fn proves_durable_term(message: &Message) -> bool {
+    match &message.body {
+        Some(Body::Vote(vote)) => !vote.pre,
+        Some(Body::Voted(voted)) => !voted.pre,
+        Some(Body::Appended(_) | Body::Took(_) | Body::Append(_) | Body::Piece(_)) => true,
+        _ => false,
     }
 }
+
+/// The voter with the most entries; of several, the one heard from last.
+fn best_successor(replica: &Replica) -> Option<ReplicaId> {
+    replica
+        .progress()
+        .filter(|(id, ..)| replica.membership().is_voter(*id))
+        .max_by_key(|(_, matched, heard)| (*matched, *heard))
+        .map(|(id, ..)| id)
+}
--- a/crates/replicated-state/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -1,99 +1,107 @@
-//! The configuration that a group publishes, as the log's commands make it: numbered versions, each made from the one
-//! before it.
+//! The configuration that a group publishes: numbered versions, each made from the one before it.
 //!
-//! | command | what becomes of it |
+//! | command | outcome |
 //! | --- | --- |
-//! | made from the newest version, and it can be applied whole | the next version |
-//! | the same once more, as a member that heard no answer asks again | noted, changes nothing |
-//! | made from another version | a conflict: whoever made it did not know of what came since |
-//! | it cannot be applied, or is too large | refused, with the reason |
+//! | made from the newest version, and applicable | becomes the next version |
+//! | the same command again, from a member that received no response | recorded, changes nothing |
+//! | made from another version | conflict: its author did not know the versions since |
+//! | not applicable, or too large | rejected, with the reason |
 //!
-//! What is kept is the oldest version from which on each change is known (`base`), the changes since, and the newest
-//! (`head`). Each member's copy does the same with the same entry, and a new one learns all of it with the snapshot.
+//! Held are the oldest version from which on every change is known (`base`), the changes since, and the newest version
+//! (`head`). Every replica does the same at the same entry; a new one receives all of it with the log's snapshot.
 //!
-//! Invariants: the changes are without a gap and lead from `base` to `head`; their number and bytes are bounded.
+//! Invariants: the changes lead from `base` to `head` without a gap; their number and their bytes are bounded.
 
 use bytes::Bytes;
 use prost::Message as _;
+use rainstand_config::schema::Configuration;
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::Delta;
 use rainstand_config_distribution::{snapshot, UpdateError};
 use std::collections::VecDeque;
 use twox_hash::XxHash3_64;
 
-/// Changes that are kept, and their bytes: what a control machine's own history holds.
-const HISTORY: usize = 4_096;
-const HISTORY_BYTES: usize = 4 << 20;
-/// Bytes of one change in the log: two of them fit a link's frame. The whole of 5,400 routes and 23,000 tenants packed
-/// is about half of it.
+/// Changes of the history: as many as a config server's own history holds.
+const MAX_HISTORY_CHANGES: usize = 4_096;
+/// Encoded bytes of the changes of the history.
+const MAX_HISTORY_BYTES: usize = 4 << 20;
+/// Encoded bytes of one change in the log: two of them fit a frame of a connection. A packed snapshot of 5,400 routes
+/// and 23,000 tenants has about half of it.
 pub const MAX_CHANGE_BYTES: usize = 240 << 10;
 
-/// A version that somebody made.
+/// A command that publishes a version.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Publish {
     /// The version that it was made from.
     #[prost(uint64, tag = "1")]
     pub from: u64,
-    /// When, by the clock of the machine that took it, in milliseconds since 1970: for people.
+    /// When the publishing member received it, in milliseconds since 1970; informational.
     #[prost(uint64, tag = "2")]
-    pub at_ms: u64,
-    /// The change, encoded; or, where that is large, nothing and the whole packed instead.
+    pub published_at_ms: u64,
+    /// The encoded change; empty if that is too large, and `snapshot` is sent instead.
     #[prost(bytes = "bytes", tag = "3")]
     pub delta: Bytes,
+    /// The whole next version, packed; empty unless `delta` would be too large.
     #[prost(bytes = "bytes", tag = "4")]
-    pub whole: Bytes,
+    pub snapshot: Bytes,
 }
 
 impl Publish {
-    /// What leads from a state, numbered `from`, to a configuration.
+    /// The command that turns version `from`, whose state is `head`, into a configuration.
     ///
     /// # Errors
-    /// Two things of one name, or more than a change may say.
-    pub fn of(
+    ///
+    /// If two resources of the configuration have the same name, or the change is too large for one command.
+    pub fn from_configuration(
         head: &ConfigState,
         from: u64,
-        configuration: &rainstand_config::schema::Configuration,
+        configuration: &Configuration,
     ) -> Result<Self, UpdateError> {
-        let delta = head.delta_to(from, from + 1, configuration)?;
-        let encoded = delta.encode_to_vec();
-        if encoded.len() <= MAX_CHANGE_BYTES {
+        let delta = head
+            .delta_to(from, from + 1, configuration)?
+            .encode_to_vec();
+        if delta.len() <= MAX_CHANGE_BYTES {
             return Ok(Self {
                 from,
-                delta: encoded.into(),
+                delta: delta.into(),
                 ..Self::default()
             });
         }
-        let whole = snapshot::packed(from + 1, &ConfigState::from_configuration(configuration)?)?;
-        if whole.len() > MAX_CHANGE_BYTES {
+        let state = ConfigState::from_configuration(configuration)?;
+        let packed = snapshot::packed(from + 1, &state)?;
+        if packed.len() > MAX_CHANGE_BYTES {
             return Err(UpdateError::TooLarge(
                 "more than one change may say, also when packed: publish it in parts",
             ));
         }
         Ok(Self {
             from,
-            whole: whole.into(),
+            snapshot: packed.into(),
             ..Self::default()
         })
     }
 
-    /// The same command has the same sum, whenever it was taken.
-    fn sum(&self) -> u64 {
-        XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(&self.delta), &self.whole)
+    /// Hash of the contents; repetitions of one command have the same.
+    fn fingerprint(&self) -> u64 {
+        XxHash3_64::oneshot_with_seed(XxHash3_64::oneshot(&self.delta), &self.snapshot)
     }
 }
 
 /// One version of the history.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Change {
+    /// What it changed.
     #[prost(message, required, tag = "1")]
     pub delta: Delta,
+    /// When it was published, in milliseconds since 1970; informational.
     #[prost(uint64, tag = "2")]
-    pub at_ms: u64,
+    pub published_at_ms: u64,
+    /// Fingerprint of the command that published it.
     #[prost(fixed64, tag = "3")]
-    sum: u64,
+    fingerprint: u64,
 }
 
-/// As a snapshot of the log keeps it.
+/// The published versions as a snapshot of the log holds them.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VersionsSnapshot {
     /// The base, packed; empty for version 0.
@@ -103,98 +111,143 @@
     history: Vec<Change>,
 }
 
-/// All that is published.
+/// A version of the configuration with its contents.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionedState {
+    /// Number of the version; 0 before the first one was published.
+    pub version: u64,
+    /// Its contents.
+    pub state: ConfigState,
+}
+
+impl VersionedState {
+    fn apply(&mut self, delta: &Delta) -> Result<(), UpdateError> {
+        self.state.apply(delta)?;
+        self.version = delta.to;
+        Ok(())
+    }
+
+    /// Whether a change leads from this version to the next.
+    fn precedes(&self, delta: &Delta) -> bool {
+        (delta.from, delta.to) == (self.version, self.version + 1)
+    }
+
+    fn mismatch(&self, base: u64) -> UpdateError {
+        UpdateError::VersionMismatch {
+            base,
+            current: self.version,
+        }
+    }
+}
+
+/// The published versions: base, history and newest version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Versions {
-    base: (u64, ConfigState),
-    head: (u64, ConfigState),
+    base: VersionedState,
+    head: VersionedState,
     history: VecDeque<Change>,
-    bytes: usize,
+    history_bytes: usize,
 }
 
 impl Versions {
-    /// The newest version's number; 0: nothing was published.
+    /// Number of the newest version; 0 before the first one was published.
     pub fn version(&self) -> u64 {
-        self.head.0
+        self.head.version
     }
 
+    /// Contents of the newest version.
     pub fn state(&self) -> &ConfigState {
-        &self.head.1
+        &self.head.state
     }
 
-    /// The oldest version from which on all changes are known.
-    pub fn base(&self) -> (u64, &ConfigState) {
-        (self.base.0, &self.base.1)
+    /// The oldest version from which on every change is known.
+    pub fn base(&self) -> &VersionedState {
+        &self.base
     }
 
-    /// The changes that lead from a version to the newest, oldest first; none if they are not known any more.
-    pub fn since(&self, version: u64) -> Option<impl DoubleEndedIterator<Item = &Change>> {
-        let skip = usize::try_from(version.checked_sub(self.base.0)?).ok()?;
+    /// The changes that lead from a version to the newest, oldest first; none if they are not known any more, or the
+    /// version is not published yet.
+    pub fn changes_since(&self, version: u64) -> Option<impl DoubleEndedIterator<Item = &Change>> {
+        let skip = usize::try_from(version.checked_sub(self.base.version)?).ok()?;
         (skip <= self.history.len()).then(|| self.history.range(skip..))
     }
 
-    /// A committed command: the newest version's number, or a conflict with it, or why it is refused.
+    /// Applies a committed command.
     ///
     /// # Errors
-    /// As above; nothing has changed then.
+    ///
+    /// [`UpdateError::VersionMismatch`] if it was made from another version than the newest; other errors if it is too
+    /// large, cannot be decoded or cannot be applied. Nothing has changed then.
     pub fn publish(&mut self, publish: &Publish) -> Result<(), UpdateError> {
-        let (there, sum) = (self.head.0, publish.sum());
-        if publish.from != there {
-            let same = |change: &Change| change.delta.from == publish.from && change.sum == sum;
-            let known = self.since(publish.from).and_then(|mut since| since.next());
-            return if known.is_some_and(same) {
+        if publish.from != self.head.version {
+            return if self.is_repetition(publish) {
                 Ok(())
             } else {
-                Err(UpdateError::VersionMismatch {
-                    base: publish.from,
-                    current: there,
-                })
+                Err(self.head.mismatch(publish.from))
             };
         }
-        if publish.delta.len() + publish.whole.len() > MAX_CHANGE_BYTES {
-            return Err(UpdateError::TooLarge("more than one change may say"));
+        let delta = self.decode_delta(publish)?;
+        if !self.head.precedes(&delta) {
+            return Err(self.head.mismatch(delta.from));
         }
-        let delta = if publish.whole.is_empty() {
-            Delta::decode(publish.delta.clone()).map_err(|_| UpdateError::MalformedFrame)?
-        } else {
-            let (_, state) = snapshot::unpacked(&publish.whole)?;
-            self.head
-                .1
-                .delta_to(there, there + 1, &state.configuration()?)?
-        };
-        if (delta.from, delta.to) != (there, there + 1) {
-            return Err(UpdateError::VersionMismatch {
-                base: delta.from,
-                current: there,
-            });
-        }
-        self.head.1.apply(&delta)?;
-        self.head.0 = delta.to;
-        self.bytes += delta.encoded_len();
-        self.history.push_back(Change {
+        self.head.apply(&delta)?;
+        self.push_change(Change {
             delta,
-            at_ms: publish.at_ms,
-            sum,
+            published_at_ms: publish.published_at_ms,
+            fingerprint: publish.fingerprint(),
         });
-        while self.history.len() > HISTORY || self.bytes > HISTORY_BYTES {
+        self.trim_history()
+    }
+
+    /// Whether a command that was not made from the newest version is in the history.
+    fn is_repetition(&self, publish: &Publish) -> bool {
+        let known = self
+            .changes_since(publish.from)
+            .and_then(|mut changes| changes.next());
+        known.is_some_and(|change| {
+            change.delta.from == publish.from && change.fingerprint == publish.fingerprint()
+        })
+    }
+
+    fn decode_delta(&self, publish: &Publish) -> Result<Delta, UpdateError> {
+        if publish.delta.len() + publish.snapshot.len() > MAX_CHANGE_BYTES {
+            return Err(UpdateError::TooLarge("more than one change may say"));
+        }
+        if publish.snapshot.is_empty() {
+            return Delta::decode(publish.delta.clone()).map_err(|_| UpdateError::MalformedFrame);
+        }
+        let (_, next) = snapshot::unpacked(&publish.snapshot)?;
+        let version = self.head.version;
+        self.head
+            .state
+            .delta_to(version, version + 1, &next.configuration()?)
+    }
+
+    fn push_change(&mut self, change: Change) {
+        self.history_bytes += change.delta.encoded_len();
+        self.history.push_back(change);
+    }
+
+    /// Moves the base forward until the history is within its bounds.
+    fn trim_history(&mut self) -> Result<(), UpdateError> {
+        while self.history.len() > MAX_HISTORY_CHANGES || self.history_bytes > MAX_HISTORY_BYTES {
             let Some(oldest) = self.history.pop_front() else {
                 break;
             };
-            self.bytes -= oldest.delta.encoded_len();
-            // It was applied to the same state before.
-            self.base.1.apply(&oldest.delta)?;
-            self.base.0 = oldest.delta.to;
+            self.history_bytes -= oldest.delta.encoded_len();
+            // It was applied to the same state once before.
+            self.base.apply(&oldest.delta)?;
         }
         Ok(())
     }
 
-    /// None where nothing was published. The same state gives the same bytes.
-    pub fn keep(&self) -> Option<VersionsSnapshot> {
-        if self.head.0 == 0 {
+    /// As a snapshot of the log holds them; none if nothing was published. Equal versions give equal bytes.
+    pub fn snapshot(&self) -> Option<VersionsSnapshot> {
+        if self.head.version == 0 {
             return None;
         }
-        let (version, state) = &self.base;
-        // One that is too large to be packed could not have come in: a whole is packed by whoever publishes it.
+        let VersionedState { version, state } = &self.base;
+        // A state that is too large to be packed could not have been published.
         let base = if *version == 0 {
             Vec::new()
         } else {
@@ -206,36 +259,33 @@
         })
     }
 
-    /// What a snapshot kept.
+    /// The versions that a snapshot of the log holds.
     ///
     /// # Errors
-    /// If it is none that [`Versions::keep`] made.
-    pub fn restored(kept: Option<VersionsSnapshot>) -> Result<Self, UpdateError> {
-        let Some(VersionsSnapshot { base, history }) = kept else {
+    ///
+    /// If it is not one that [`Versions::snapshot`] made.
+    pub fn from_snapshot(snapshot: Option<VersionsSnapshot>) -> Result<Self, UpdateError> {
+        let Some(VersionsSnapshot { base, history }) = snapshot else {
             return Ok(Self::default());
         };
         let base = if base.is_empty() {
-            (0, ConfigState::default())
+            VersionedState::default()
         } else {
-            snapshot::unpacked(&base)?
+            let (version, state) = snapshot::unpacked(&base)?;
+            VersionedState { version, state }
         };
-        let mut all = Self {
+        let mut versions = Self {
             head: base.clone(),
             base,
             ..Self::default()
         };
         for change in history {
-            if change.delta.from != all.head.0 || change.delta.to != all.head.0 + 1 {
-                return Err(UpdateError::VersionMismatch {
-                    base: change.delta.from,
-                    current: all.head.0,
-                });
+            if !versions.head.precedes(&change.delta) {
+                return Err(versions.head.mismatch(change.delta.from));
             }
-            all.head.1.apply(&change.delta)?;
-            all.head.0 = change.delta.to;
-            all.bytes += change.delta.encoded_len();
-            all.history.push_back(change);
+            versions.head.apply(&change.delta)?;
+            versions.push_change(change);
         }
-        Ok(all)
+        Ok(versions)
     }
 }
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -20,7 +20,7 @@
 };
 use rainstand_replicated_state::gossip::GossipReport;
 use rainstand_replicated_state::idempotency::{
-    Claim, Command, IdempotencyTable, Operation as Said, Register, Start,
+    Claim, Command, IdempotencyTable, Operation, Register, Start,
 };
 use rainstand_replicated_state::versions::Publish;
 
@@ -35,11 +35,11 @@
     }
 }
 
-fn command(key: &'static str, holder: u64, what: Said) -> Command {
+fn command(key: &'static str, holder: u64, operation: Operation) -> Command {
     Command {
         key: Bytes::from_static(key.as_bytes()),
         claim: claim(holder),
-        operation: Some(what),
+        operation: Some(operation),
     }
 }
 
@@ -57,8 +57,8 @@
 
 fn publish(from: u64, head: &ConfigState, shares: &[u32]) -> Publish {
     Publish {
-        at_ms: 1_700_000_000_000 + from,
-        ..Publish::of(head, from, &configuration(shares)).unwrap()
+        published_at_ms: 1_700_000_000_000 + from,
+        ..Publish::from_configuration(head, from, &configuration(shares)).unwrap()
     }
 }
 
@@ -69,24 +69,24 @@
             command(
                 "K",
                 3,
-                Said::Start(Start {
-                    sum: 0xfeed,
-                    window: 60_000_000_000,
+                Operation::Start(Start {
+                    fingerprint: 0xfeed,
+                    window_ns: 60_000_000_000,
                 }),
             ),
         ),
         (
             "done",
-            command("K", 3, Said::Done(Bytes::from_static(b"result"))),
+            command("K", 3, Operation::Done(Bytes::from_static(b"result"))),
         ),
-        ("failed", command("K", 3, Said::Failed(true))),
-        ("withdraw", command("K", 3, Said::Withdraw(true))),
+        ("failed", command("K", 3, Operation::Failed(true))),
+        ("withdraw", command("K", 3, Operation::Withdraw(true))),
         (
             "set",
             command(
                 "name",
                 3,
-                Said::Set(Register {
+                Operation::Set(Register {
                     version: 4,
                     data: Bytes::from_static(b"data"),
                 }),
@@ -97,7 +97,7 @@
             command(
                 "configuration",
                 3,
-                Said::Publish(publish(0, &ConfigState::default(), &[10, 20])),
+                Operation::Publish(publish(0, &ConfigState::default(), &[10, 20])),
             ),
         ),
         (
@@ -105,18 +105,18 @@
             command(
                 "configuration",
                 3,
-                Said::Publish(Publish {
+                Operation::Publish(Publish {
                     from: 2,
-                    at_ms: 5,
+                    published_at_ms: 5,
                     delta: Bytes::new(),
-                    whole: Bytes::from_static(b"packed"),
+                    snapshot: Bytes::from_static(b"packed"),
                 }),
             ),
         ),
     ]
 }
 
-fn marks() -> Vec<ShardProgress> {
+fn shard_progress() -> Vec<ShardProgress> {
     vec![
         ShardProgress {
             shard: 0,
@@ -132,7 +132,7 @@
 }
 
 fn frames() -> Vec<(String, Frame)> {
-    let formed = |name: &str, disk| BootstrapMember {
+    let bootstrap_member = |name: &str, disk| BootstrapMember {
         name: name.into(),
         site: "s1".into(),
         disk,
@@ -145,7 +145,7 @@
         nonce: 99,
         uninitialized: true,
         shards: 16,
-        shard_progress: marks(),
+        shard_progress: shard_progress(),
         generation: 2,
     };
     let message = Message {
@@ -167,18 +167,18 @@
         disk: 0x1122,
     };
     let mut all: Vec<(String, Frame)> = vec![
-        ("hello".into(), Frame::of(FrameBody::Hello(hello))),
+        ("hello".into(), Frame::from_body(FrameBody::Hello(hello))),
         (
             "form".into(),
-            Frame::of(FrameBody::Bootstrap(BootstrapConfig {
-                members: vec![formed("n1", 1), formed("n2", 2)],
+            Frame::from_body(FrameBody::Bootstrap(BootstrapConfig {
+                members: vec![bootstrap_member("n1", 1), bootstrap_member("n2", 2)],
                 shards: 16,
                 copies: 3,
             })),
         ),
         (
             "raft".into(),
-            Frame::of(FrameBody::Raft(Raft {
+            Frame::from_body(FrameBody::Raft(Raft {
                 shard: 5,
                 message,
                 generation: 2,
@@ -186,51 +186,51 @@
         ),
         (
             "behind".into(),
-            Frame::of(FrameBody::StaleDisk(StaleDiskNotice {
+            Frame::from_body(FrameBody::StaleDisk(StaleDiskNotice {
                 disk: 7,
                 why: "start 1 after start 2".into(),
             })),
         ),
-        ("soft".into(), Frame::of(FrameBody::Gossip(report))),
+        ("soft".into(), Frame::from_body(FrameBody::Gossip(report))),
         (
             "up".into(),
-            Frame::of(FrameBody::FromSubscriber(Bytes::from_static(b"up"))),
+            Frame::from_body(FrameBody::FromSubscriber(Bytes::from_static(b"up"))),
         ),
         (
             "down".into(),
-            Frame::of(FrameBody::ToSubscriber(Bytes::from_static(b"down"))),
+            Frame::from_body(FrameBody::ToSubscriber(Bytes::from_static(b"down"))),
         ),
     ];
     for (name, command) in commands() {
         all.push((
             format!("ask-{name}"),
-            Frame::of(FrameBody::Request(CommandRequest {
+            Frame::from_body(FrameBody::Request(CommandRequest {
                 id: 1 << 40,
                 shard: 5,
                 command,
             })),
         ));
     }
-    for word in 0..=12 {
-        let word = ResponseCode::try_from(word).unwrap() as i32;
+    for number in 0..=12 {
+        let code = ResponseCode::try_from(number).unwrap() as i32;
         let result = Bytes::from_static(b"result");
-        let answer = CommandResponse {
+        let response = CommandResponse {
             id: 1 << 40,
             shard: 5,
-            code: word,
+            code,
             result,
             leader: 9,
         };
         all.push((
-            format!("answer-{word}"),
-            Frame::of(FrameBody::Response(answer)),
+            format!("answer-{number}"),
+            Frame::from_body(FrameBody::Response(response)),
         ));
     }
     all
 }
 
 #[test]
-fn frames_are_written_as_before_and_read_back() {
+fn frames_are_encoded_as_before_and_decoded() {
     let known = frames();
     let written = known
         .iter()
@@ -244,7 +244,7 @@
 }
 
 #[test]
-fn commands_and_notes_are_written_as_before_and_read_back() {
+fn commands_and_metadata_are_encoded_as_before_and_decoded() {
     let known = commands();
     let mut written: Vec<_> = known
         .iter()
@@ -255,45 +255,48 @@
         disk: 5,
         incarnation: 6,
         nonce: 7,
-        shard_progress: marks(),
+        shard_progress: shard_progress(),
         replaced_disks: vec![3, 4],
     };
-    let witness = PeerIncarnations { seen: vec![seen] };
-    written.push(NamedBytes::new("witness", witness.encode_to_vec()));
+    let incarnations = PeerIncarnations { seen: vec![seen] };
+    written.push(NamedBytes::new("witness", incarnations.encode_to_vec()));
     assert_bytes(COMMANDS, &written);
     let stored = read_bytes(COMMANDS);
     for (NamedBytes { name, bytes }, (_, command)) in stored.iter().zip(&known) {
         assert_eq!(Command::decode(&bytes[..]).unwrap(), *command, "{name}");
     }
     let last = stored.last().unwrap();
-    assert_eq!(PeerIncarnations::decode(&last.bytes[..]).unwrap(), witness);
+    assert_eq!(
+        PeerIncarnations::decode(&last.bytes[..]).unwrap(),
+        incarnations
+    );
 }
 
 /// Keys in each state, a register, and published versions.
 fn table() -> IdempotencyTable {
     let mut table = IdempotencyTable::new(100, 1_000);
-    let start = |sum| {
-        Said::Start(Start {
-            sum,
-            window: 60_000,
+    let start = |fingerprint| {
+        Operation::Start(Start {
+            fingerprint,
+            window_ns: 60_000,
         })
     };
     table.apply(10, &command("started", 1, start(1)));
     table.apply(11, &command("known", 2, start(2)));
     table.apply(
         12,
-        &command("known", 2, Said::Done(Bytes::from_static(b"result"))),
+        &command("known", 2, Operation::Done(Bytes::from_static(b"result"))),
     );
     table.apply(13, &command("uncertain", 3, start(3)));
-    table.apply(14, &command("uncertain", 3, Said::Failed(true)));
+    table.apply(14, &command("uncertain", 3, Operation::Failed(true)));
     table.apply(15, &command("withdrawn", 4, start(4)));
-    table.apply(16, &command("withdrawn", 4, Said::Withdraw(true)));
+    table.apply(16, &command("withdrawn", 4, Operation::Withdraw(true)));
     table.apply(
         17,
         &command(
             "register",
             5,
-            Said::Set(Register {
+            Operation::Set(Register {
                 version: 2,
                 data: Bytes::from_static(b"v"),
             }),
@@ -304,7 +307,7 @@
         let publish = publish(from, table.versions().state(), &shares);
         table.apply(
             20 + from,
-            &command("configuration", 6, Said::Publish(publish)),
+            &command("configuration", 6, Operation::Publish(publish)),
         );
     }
     assert_eq!(table.versions().version(), 3);
@@ -312,12 +315,12 @@
 }
 
 #[test]
-fn a_shard_s_snapshot_is_written_as_before() {
+fn snapshot_of_a_shard_is_encoded_as_before() {
     assert_bytes(TABLES, &[NamedBytes::new("table", table().snapshot())]);
 }
 
 #[test]
-fn a_shard_s_snapshot_of_before_is_restored_whole() {
+fn snapshot_of_an_earlier_version_is_restored() {
     let stored = read_bytes(TABLES).remove(0).bytes;
     let mut restored = IdempotencyTable::new(100, 1_000);
     restored.restore(stored.clone().into()).unwrap();
--- a/crates/replicated-state/tests/versions.rs
+++ b/crates/replicated-state/tests/versions.rs
@@ -1,4 +1,4 @@
-//! Published versions by table: what each command of the log makes of them, on a copy and on one that was restored.
+//! Published versions, case by case: the outcome of each command of the log, on a table and on a restored one.
 
 #![allow(
     missing_docs,
@@ -16,8 +16,8 @@
 };
 use rainstand_replicated_state::versions::{Publish, MAX_CHANGE_BYTES};
 
-/// Tenants of a share that tells versions apart.
-fn with(tenants: u32, share: u32) -> Configuration {
+/// A configuration whose tenants' shares tell versions apart.
+fn configuration(tenants: u32, share: u32) -> Configuration {
     let tenant = |k| Tenant {
         name: format!("tenant-{k}"),
         share: u64::from(share + k),
@@ -53,20 +53,21 @@
     again
 }
 
-/// A version is made from the newest one or refused, and whoever asks twice is told the same.
+/// A version is made from the newest one or not accepted, and a repeated command has the same outcome.
 #[test]
-fn each_command_makes_the_next_version_or_is_told_why_not() {
+fn each_command_makes_the_next_version_or_is_rejected_with_a_reason() {
     let states: Vec<ConfigState> = (0..4)
-        .map(|k| ConfigState::from_configuration(&with(3, k)).unwrap())
+        .map(|k| ConfigState::from_configuration(&configuration(3, k)).unwrap())
         .collect();
-    let made =
-        |from: u64, head: &ConfigState, share| Publish::of(head, from, &with(3, share)).unwrap();
+    let made = |from: u64, head: &ConfigState, share| {
+        Publish::from_configuration(head, from, &configuration(3, share)).unwrap()
+    };
     let first = made(0, &ConfigState::default(), 0);
     let second = made(1, &states[0], 1);
     let other = made(1, &states[0], 2);
     let later = made(7, &states[1], 3);
     let wrong_digest = {
-        let mut delta = states[1].delta_to(2, 3, &with(3, 3)).unwrap();
+        let mut delta = states[1].delta_to(2, 3, &configuration(3, 3)).unwrap();
         delta.digest += 1;
         Publish {
             from: 2,
@@ -81,11 +82,11 @@
     };
     let no_snapshot = Publish {
         from: 2,
-        whole: Bytes::from_static(&[0xff; 9]),
+        snapshot: Bytes::from_static(&[0xff; 9]),
         ..Publish::default()
     };
     let skips = {
-        let delta = states[1].delta_to(2, 4, &with(3, 3)).unwrap();
+        let delta = states[1].delta_to(2, 4, &configuration(3, 3)).unwrap();
         Publish {
             from: 2,
             delta: delta.encode_to_vec().into(),
@@ -98,31 +99,36 @@
         ..Publish::default()
     };
     let third = made(2, &states[1], 3);
-    // The command, the newest version after it, and what is told.
+    // The command, the newest version after it, and the outcome.
     let table: Vec<(&str, Publish, u64, &str)> = vec![
         (
-            "made from something before anything was",
+            "made from version 1 before anything was published",
             made(1, &states[0], 1),
             0,
             "conflict",
         ),
-        ("the first", first.clone(), 1, "noted"),
+        ("the first", first.clone(), 1, "recorded"),
         (
-            "the first again, as no answer was heard",
+            "the first again, as no response was received",
             first.clone(),
             1,
-            "noted",
+            "recorded",
         ),
-        ("the second", second.clone(), 2, "noted"),
-        ("another second, of who did not know", other, 2, "conflict"),
+        ("the second", second.clone(), 2, "recorded"),
         (
-            "the second again, taken at another time",
+            "another second, by an author who did not know the second",
+            other,
+            2,
+            "conflict",
+        ),
+        (
+            "the second again, received at another time",
             Publish {
-                at_ms: 77,
+                published_at_ms: 77,
                 ..second
             },
             2,
-            "noted",
+            "recorded",
         ),
         (
             "made from a version that is not there yet",
@@ -130,68 +136,68 @@
             2,
             "conflict",
         ),
-        ("what leads to another digest", wrong_digest, 2, "refused"),
-        ("bytes that are no change", unreadable, 2, "refused"),
-        ("bytes that are no whole", no_snapshot, 2, "refused"),
+        ("a delta with a wrong digest", wrong_digest, 2, "rejected"),
+        ("bytes that are no change", unreadable, 2, "rejected"),
+        ("bytes that are no snapshot", no_snapshot, 2, "rejected"),
         ("a number left out", skips, 2, "conflict"),
-        ("too large", large, 2, "refused"),
-        ("the third", third, 3, "noted"),
-        ("the first, very late", first, 3, "noted"),
+        ("too large", large, 2, "rejected"),
+        ("the third", third, 3, "recorded"),
+        ("the first, very late", first, 3, "recorded"),
     ];
     let mut copy = IdempotencyTable::new(10, 50);
     let mut newest = ConfigState::default();
     for (what, publish, version, wanted) in table {
-        let mut again = restored(&copy);
+        let mut restored_copy = restored(&copy);
         let command = command(publish);
-        let told = copy.apply(1, &command);
-        let word = match &told {
-            ClaimOutcome::Recorded => "noted",
+        let outcome = copy.apply(1, &command);
+        let class = match &outcome {
+            ClaimOutcome::Recorded => "recorded",
             ClaimOutcome::Conflict(_) => "conflict",
-            ClaimOutcome::Rejected(_) => "refused",
+            ClaimOutcome::Rejected(_) => "rejected",
             _ => "another",
         };
         assert_eq!(
-            (word, copy.versions().version()),
+            (class, copy.versions().version()),
             (wanted, version),
-            "{what}: {told:?}"
+            "{what}: {outcome:?}"
         );
         assert_eq!(
-            (again.apply(1, &command), again.snapshot()),
-            (told, copy.snapshot()),
+            (restored_copy.apply(1, &command), restored_copy.snapshot()),
+            (outcome, copy.snapshot()),
             "{what}"
         );
-        if word == "noted" {
+        if class == "recorded" {
             newest = copy.versions().state().clone();
         }
-        // What was not taken changed nothing.
+        // A command that was not recorded changed nothing.
         assert_eq!(copy.versions().state(), &newest, "{what}");
     }
-    assert_eq!(newest.configuration().unwrap(), with(3, 3));
+    assert_eq!(newest.configuration().unwrap(), configuration(3, 3));
     let numbers: Vec<u64> = copy
         .versions()
-        .since(1)
+        .changes_since(1)
         .unwrap()
         .map(|change| change.delta.to)
         .collect();
     assert_eq!(numbers, [2, 3]);
 }
 
-/// A first version of this size goes packed, a change of it as a change.
+/// A first version of this size is sent packed, a small change of it as a delta.
 #[test]
-fn a_large_version_goes_packed_and_a_change_of_it_does_not() {
+fn large_version_is_sent_as_a_packed_snapshot_and_its_change_as_a_delta() {
     let mut copy = IdempotencyTable::new(10, 50);
-    let mut wanted = with(20_000, 0);
-    let whole = Publish::of(&ConfigState::default(), 0, &wanted).unwrap();
+    let mut wanted = configuration(20_000, 0);
+    let first = Publish::from_configuration(&ConfigState::default(), 0, &wanted).unwrap();
     assert!(
-        whole.delta.is_empty() && whole.whole.len() <= MAX_CHANGE_BYTES,
+        first.delta.is_empty() && first.snapshot.len() <= MAX_CHANGE_BYTES,
         "{}",
-        whole.whole.len()
+        first.snapshot.len()
     );
-    assert_eq!(copy.apply(1, &command(whole)), ClaimOutcome::Recorded);
+    assert_eq!(copy.apply(1, &command(first)), ClaimOutcome::Recorded);
     wanted.tenants[7].share = 9;
-    let change = Publish::of(copy.versions().state(), 1, &wanted).unwrap();
+    let change = Publish::from_configuration(copy.versions().state(), 1, &wanted).unwrap();
     assert!(
-        change.whole.is_empty() && change.delta.len() < 200,
+        change.snapshot.is_empty() && change.delta.len() < 200,
         "{}",
         change.delta.len()
     );
@@ -202,25 +208,33 @@
     );
 }
 
-/// The oldest changes are folded into the base: what is kept is bounded, and what it says stays right.
+/// The oldest changes are applied to the base: the history is bounded, and still leads to the newest version.
 #[test]
-fn the_history_is_bounded_and_leads_from_its_base_to_the_newest() {
+fn history_is_bounded_and_leads_from_its_base_to_the_newest_version() {
     let mut copy = IdempotencyTable::new(10, 50);
     for k in 0..4_200 {
-        let publish = Publish::of(copy.versions().state(), u64::from(k), &with(2, k)).unwrap();
+        let publish = Publish::from_configuration(
+            copy.versions().state(),
+            u64::from(k),
+            &configuration(2, k),
+        )
+        .unwrap();
         assert_eq!(copy.apply(1, &command(publish)), ClaimOutcome::Recorded);
     }
     for copy in [&copy, &restored(&copy)] {
         let all = copy.versions();
-        let (base, state) = all.base();
+        let base = all.base().version;
         assert_eq!((all.version(), base), (4_200, 4_200 - 4_096));
-        assert!(all.since(base - 1).is_none() && all.since(4_201).is_none());
-        let mut state = state.clone();
-        assert_eq!(state.configuration().unwrap(), with(2, base as u32 - 1));
-        all.since(base)
+        assert!(all.changes_since(base - 1).is_none() && all.changes_since(4_201).is_none());
+        let mut state = all.base().state.clone();
+        assert_eq!(
+            state.configuration().unwrap(),
+            configuration(2, base as u32 - 1)
+        );
+        all.changes_since(base)
             .unwrap()
             .for_each(|change| state.apply(&change.delta).unwrap());
         assert_eq!(&state, all.state());
-        assert_eq!(all.since(4_200).unwrap().count(), 0);
+        assert_eq!(all.changes_since(4_200).unwrap().count(), 0);
     }
 }
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -12,8 +12,10 @@
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::{Frame, FrameBody};
 use rainstand_replicated_state::member::{
-    Effects, GroupMember, MemberConfig, RecoveredState, DEFAULT_COMPACTION_ENTRIES,
+    Effects, GroupMember, MemberConfig, OutgoingFrame, RecoveredState, WriteBatch,
+    DEFAULT_COMPACTION_ENTRIES,
 };
+use rainstand_replicated_state::placement::MemberPlacement;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
@@ -132,8 +134,11 @@
 
 impl World {
     fn new(spec: &Spec) -> Self {
-        let members: Vec<(String, String)> = (0..spec.members)
-            .map(|k| (name(k), String::new()))
+        let members: Vec<MemberPlacement> = (0..spec.members)
+            .map(|k| MemberPlacement {
+                name: name(k),
+                site: String::new(),
+            })
             .collect();
         let one = |k: usize| {
             let options = MemberConfig {
@@ -141,14 +146,14 @@
                 name: name(k),
                 members: members.clone(),
                 shards: spec.shards,
-                copies: COPIES,
-                times: Timeouts {
+                replicas_per_shard: COPIES,
+                timeouts: Timeouts {
                     heartbeat_interval: HEARTBEAT,
                     election_timeout: ELECTION,
                 },
-                moves: 2,
-                keys: 1_000_000,
-                compact: DEFAULT_COMPACTION_ENTRIES,
+                max_concurrent_learners: 2,
+                max_keys_per_shard: 1_000_000,
+                compaction_entries: DEFAULT_COMPACTION_ENTRIES,
                 seed: spec.seed.wrapping_add(k as u64),
             };
             // As wide as those that a disk draws: numbers on the wire are as long as they are large.
@@ -162,7 +167,7 @@
             };
             let mut member = GroupMember::new(options, found, Duration::ZERO);
             for tenant in 0..spec.charged {
-                member.spent(&format!("t{tenant}"), 40_000);
+                member.add_charge(&format!("t{tenant}"), 40_000);
             }
             member
         };
@@ -195,11 +200,11 @@
         call(&mut self.members[k], self.now);
         let Effects { frames, write, .. } = self.members[k].take_effects();
         self.led = self.led + self.members[k].led_shard_count() - before;
-        if let Some((number, _)) = write {
+        if let Some(WriteBatch { number, .. }) = write {
             self.counts.writes += 1;
             self.later(self.now + FLUSH, Event::Written { member: k, number });
         }
-        for (to, frame) in frames {
+        for OutgoingFrame { to, frame } in frames {
             let bytes = frame.encode_to_vec();
             self.counts.frames += 1;
             self.counts.bytes += (LENGTH + bytes.len()) as u64;
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -11,10 +11,14 @@
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
-use rainstand_replicated_state::idempotent_request::{self, Act, Stage};
+use rainstand_replicated_state::idempotent_request::{
+    transition, RequestAction, RequestEvent, RequestStage, RunEnd,
+};
 use rainstand_replicated_state::member::{
-    Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite,
+    Effects, GroupEvent, GroupMember, MemberConfig, OutgoingFrame, RequestOutcome, ShardView,
+    WriteBatch,
 };
+use rainstand_replicated_state::placement::MemberPlacement;
 use rainstand_storage::faulty_disk::{CrashOutcome, DiskFaults, FaultyDisk};
 use rainstand_storage::{OpenError, Recovered, Store, StoreLimits};
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -167,7 +171,7 @@
     /// Rate of its clock in thousandths, the true time and its own time when that began.
     clock: (u64, u64, u64),
     /// Jobs of the disk, oldest first; one flush at a time.
-    jobs: VecDeque<(u64, Vec<PersistentWrite>)>,
+    jobs: VecDeque<WriteBatch>,
     flushing: bool,
     wake: u64,
     /// Questions to tickets.
@@ -179,7 +183,7 @@
     key: usize,
     node: usize,
     life: u64,
-    stage: Option<Stage>,
+    stage: Option<RequestStage>,
     open: bool,
     /// Known only to the agent.
     result: Option<String>,
@@ -366,8 +370,8 @@
                     let members = self.nodes.iter().filter_map(|node| node.member.as_ref());
                     let shards = members
                         .flat_map(|member| member.shards())
-                        .filter(|shard| shard.1.is_leader());
-                    let mut all = shards.flat_map(|shard| &shard.1.membership().members);
+                        .filter(|shard| shard.replica.is_leader());
+                    let mut all = shards.flat_map(|shard| &shard.replica.membership().members);
                     let id = all.find(|member| !member.is_voter)?.id;
                     let is = |node: &Node| {
                         node.member
@@ -418,10 +422,14 @@
 
     // Processes and disks.
 
-    fn members(&self) -> Vec<(String, String)> {
+    fn members(&self) -> Vec<MemberPlacement> {
         let sites = self.world.sites.max(1);
         let all = (0..self.world.nodes).filter(|k| self.retired != Some(*k));
-        all.map(|k| (name(k), format!("s{}", k % sites))).collect()
+        all.map(|k| MemberPlacement {
+            name: name(k),
+            site: format!("s{}", k % sites),
+        })
+        .collect()
     }
 
     fn retire(&mut self, node: Option<usize>) {
@@ -441,14 +449,14 @@
             name: name(node),
             members: self.members(),
             shards: self.world.shards,
-            copies: self.world.copies,
-            times: Timeouts {
+            replicas_per_shard: self.world.copies,
+            timeouts: Timeouts {
                 heartbeat_interval: Duration::from_millis(30),
                 election_timeout: [Duration::from_millis(150), Duration::from_millis(300)],
             },
-            moves: 2,
-            keys: 100_000,
-            compact: 60,
+            max_concurrent_learners: 2,
+            max_keys_per_shard: 100_000,
+            compaction_entries: 60,
             seed: self.draw(u64::MAX),
         }
     }
@@ -615,7 +623,7 @@
             self.nodes[node].jobs.push_back(write);
             self.flush(node);
         }
-        for (to, frame) in frames {
+        for OutgoingFrame { to, frame } in frames {
             if votes(&frame) && self.ills.contains(&Some(Ill::Jumpy)) && self.draw(3) == 0 {
                 self.later(MS / 5, Step::Bounce { node });
             }
@@ -646,17 +654,17 @@
                 _ => {}
             }
         }
-        for (id, told) in outcomes {
+        for RequestOutcome { id, outcome: told } in outcomes {
             if let Some(ticket) = self.nodes[node].asked.get(&id).copied() {
                 if told != ClaimOutcome::InProgress {
                     self.nodes[node].asked.remove(&id);
                 }
-                self.step(ticket, idempotent_request::Event::Told(told));
+                self.step(ticket, RequestEvent::Outcome(told));
             }
         }
         for id in timed_out {
             if let Some(ticket) = self.nodes[node].asked.remove(&id) {
-                self.step(ticket, idempotent_request::Event::TimedOut);
+                self.step(ticket, RequestEvent::TimedOut);
             }
         }
     }
@@ -677,7 +685,7 @@
         let Some(store) = &mut one.store else { return };
         let mut to = 0;
         let mut failed = false;
-        for (number, writes) in one.jobs.drain(..) {
+        for WriteBatch { number, writes } in one.jobs.drain(..) {
             to = number;
             for write in writes {
                 failed |= put(store, &write).is_err();
@@ -720,7 +728,7 @@
         self.with(node, |member, now| {
             member.on_persisted(now, number);
             if !pressing.is_empty() {
-                member.pressing(now, &pressing);
+                member.compact_shards(now, &pressing);
             }
         });
         self.flush(node);
@@ -892,10 +900,12 @@
         };
         let mut led = 0;
         for member in self.nodes.iter().filter_map(|one| one.member.as_ref()) {
-            if member.peers().any(|peer| peer.3) {
+            if member.peers().any(|peer| peer.is_stale) {
                 return false;
             }
-            for (_, replica, _) in member.shards().filter(|shard| shard.1.is_leader()) {
+            for ShardView { replica, .. } in
+                member.shards().filter(|shard| shard.replica.is_leader())
+            {
                 led += 1;
                 let there = |one: &rainstand_raft::Member| one.is_voter && disks.contains(&one.id);
                 let caught_up = replica
@@ -1041,7 +1051,7 @@
             key,
             node,
             life: self.nodes[node].life,
-            stage: Some(Stage::Asking),
+            stage: Some(RequestStage::Claiming),
             open: true,
             result: None,
             asked: self.now,
@@ -1061,8 +1071,8 @@
             return;
         }
         let start = Operation::Start(Start {
-            sum,
-            window: WINDOW,
+            fingerprint: sum,
+            window_ns: WINDOW,
         });
         let command = Command {
             key: Bytes::from(format!("k{key}")),
@@ -1079,7 +1089,7 @@
             id
         });
         if id.is_none() {
-            self.step(ticket, idempotent_request::Event::TimedOut);
+            self.step(ticket, RequestEvent::TimedOut);
         }
     }
 
@@ -1101,31 +1111,35 @@
         self.with(node, |_, _| {});
     }
 
-    fn step(&mut self, ticket: usize, event: idempotent_request::Event) {
+    fn step(&mut self, ticket: usize, event: RequestEvent) {
         let Some(stage) = self.tickets[ticket].stage else {
             return;
         };
-        let (next, act) = idempotent_request::step(stage, event);
+        let (next, act) = transition(stage, event);
         self.tickets[ticket].stage = next;
         let node = self.tickets[ticket].node;
         match act {
-            Act::Nothing => {}
-            Act::Launch => {
+            RequestAction::None => {}
+            RequestAction::Launch => {
                 let takes = MS + self.draw(8 * MS);
                 self.later(takes, Step::RunEnds { node, ticket });
             }
-            Act::Keep(result) => {
+            RequestAction::ReplicateResult(result) => {
                 let left = (self.tickets[ticket].asked + WITHIN).saturating_sub(self.now);
                 let command = self.command(ticket, Operation::Done(result));
                 self.question(node, ticket, command, left.saturating_sub(20 * MS));
             }
-            Act::Answer(result) => {
+            RequestAction::Respond(result) => {
                 let own = self.tickets[ticket].result.clone();
                 let result = own.unwrap_or_else(|| String::from_utf8_lossy(&result).into_owned());
                 self.say(ticket, End::Answer, Some(result));
             }
-            Act::Dismiss { .. } | Act::Withdraw => self.say(ticket, End::Dismissed, None),
-            Act::GiveUp | Act::Fail | Act::Refuse => self.say(ticket, End::GivenUp, None),
+            RequestAction::Reject { .. } | RequestAction::Withdraw => {
+                self.say(ticket, End::Dismissed, None)
+            }
+            RequestAction::Fail | RequestAction::FailAndRecord | RequestAction::FailAndRelease => {
+                self.say(ticket, End::GivenUp, None)
+            }
         }
     }
 
@@ -1181,12 +1195,9 @@
                     .or_default() += 1 + ticket as u64 % 7;
             }
             if let Some(member) = &mut self.nodes[node].member {
-                member.spent("acme", 1 + ticket as u64 % 7);
+                member.add_charge("acme", 1 + ticket as u64 % 7);
             }
-            return self.step(
-                ticket,
-                idempotent_request::Event::Ended(idempotent_request::End::Result(result)),
-            );
+            return self.step(ticket, RequestEvent::RunFinished(RunEnd::Result(result)));
         }
         // A run of an earlier start: its key is in the copies here, or nobody hears of it.
         let trace = (ticket as u128).to_be_bytes();
@@ -1212,7 +1223,7 @@
         // As the node's own alarm does, just in time.
         let launched = matches!(
             self.tickets[ticket].stage,
-            Some(Stage::Running | Stage::Keeping | Stage::Waiting)
+            Some(RequestStage::Running | RequestStage::Replicating | RequestStage::AwaitingOther)
         );
         self.say(
             ticket,
@@ -1266,7 +1277,12 @@
                     ));
                 }
             }
-            for (shard, replica, table) in member.shards() {
+            for ShardView {
+                shard,
+                replica,
+                table,
+            } in member.shards()
+            {
                 // Of disks that hold a copy no more, nothing is asked.
                 if replica.membership().member(replica.id()).is_none() {
                     continue;
