Command line: replica's subcommands as one function each; the client to members in a module

One function parsed, asked and printed for all subcommands, and the exchange with a member stood in it though `rainstand control` uses it too. Texts, JSON and exit codes stay.

--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -1,9 +1,9 @@
 //! `rainstand control`: a control machine; and what operators do with one: publish a version, look how far each is.
 
+use crate::cluster_client::exchange;
 use crate::config::{read, tell_changes};
 use crate::out::{json as json_line, line, Code};
 use crate::pcap::trouble;
-use crate::replica::exchange;
 use clap::Args;
 use rainstand_cluster::{status, ClusterMember, MemberOptions};
 use rainstand_config::diff::diff;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 
 mod ask;
 mod attach;
+mod cluster_client;
 mod config;
 mod control;
 mod export;
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -1,26 +1,22 @@
-//! `rainstand replica`: what a group's members tell of their copies, and the way back from the loss of a majority.
+//! `rainstand replica`: shows what a group's members report of their replicas, and recovers from the loss of a majority.
 
+use crate::cluster_client::exchange;
 use crate::out::{bytes, line, Code};
 use clap::{Args, Subcommand};
 use rainstand_cluster::recovery::{self, RecoveryReport};
 use rainstand_cluster::status;
-use rainstand_cluster::transport::with_length_prefix;
 use serde_json::Value;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::time::Duration;
-
-/// A member that answers does so within this.
-const WITHIN: Duration = Duration::from_secs(8);
-/// The longest answer read, bytes: a thousand shards of some peers.
-const MOST: usize = 64 << 20;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
+// Options of all subcommands that ask a running member. Doc comments here and below are help texts.
 #[derive(Args, Clone)]
-pub struct At {
+pub(crate) struct Target {
     /// The address of a member in its `group` block
-    #[arg(long)]
-    at: SocketAddr,
+    #[arg(long = "at", value_name = "AT")]
+    member: SocketAddr,
     /// As JSON
     #[arg(long)]
     json: bool,
@@ -34,20 +30,20 @@
   rainstand replica recover /var/lib/rainstand/n1 --name n1 --accept-loss
 
 Exit codes: 0 answered, 1 a shard has no leader or a member confirms nothing, 2 nobody answers there.")]
-pub enum Command {
+pub(crate) enum Command {
     /// Each shard here: who leads it, how far it is, how far behind the others are
-    Status(At),
+    Status(Target),
     /// The other members: whether they are linked, and their disks
-    Members(At),
+    Members(Target),
     /// What the copies here say of a key
     Why {
         /// Type and key with a slash between, such as register/K-17
         key: String,
         #[command(flatten)]
-        at: At,
+        target: Target,
     },
     /// Counters and gauges in the OpenMetrics text format
-    Metrics(At),
+    Metrics(Target),
     /// After the loss of a majority: this stopped member's copies alone begin the group anew
     Recover {
         /// The folder of the member's disk; its node must be stopped
@@ -63,179 +59,249 @@
     },
 }
 
-pub fn run(command: Command) -> io::Result<Code> {
-    let (at, words) = match &command {
-        Command::Status(at) => (at, "status".to_owned()),
-        Command::Members(at) => (at, "members".to_owned()),
-        Command::Why { key, at } => (at, format!("why {key}")),
-        Command::Metrics(at) => (at, "metrics".to_owned()),
+/// Runs one subcommand.
+///
+/// # Errors
+///
+/// If standard output cannot be written, or a member responds with something other than JSON.
+pub(crate) fn run(command: Command) -> io::Result<Code> {
+    match command {
+        Command::Status(target) => show_status(&target),
+        Command::Members(target) => show_members(&target),
+        Command::Why { key, target } => show_key(&target, &key),
+        Command::Metrics(target) => show_metrics(&target),
         Command::Recover {
             folder,
             name,
             accept_loss,
             json,
-        } => {
-            return match recovery::recover(folder, name, *accept_loss) {
-                Ok(lost) => told_lost(&lost, *accept_loss, *json),
-                Err(why) => {
-                    eprintln!("{}: {why}", folder.display());
-                    Ok(Code::Use)
-                }
-            };
-        }
-    };
-    let answer = match encode_question(at.at, &words) {
-        Ok(answer) => answer,
-        Err(why) => {
-            eprintln!("{}: {why}", at.at);
-            return Ok(Code::Use);
+        } => recover(&folder, &name, accept_loss, json),
+    }
+}
+
+/// The response to a query; none if there is none, which is reported on standard error.
+fn query(target: &Target, words: &str) -> Option<String> {
+    let response = exchange(target.member, &status::encode_question(words))
+        .and_then(|body| String::from_utf8(body).map_err(io::Error::other));
+    match response {
+        Ok(response) => Some(response),
+        Err(error) => {
+            eprintln!("{}: {error}", target.member);
+            None
         }
-    };
-    if matches!(command, Command::Metrics(_)) {
-        return bytes(answer.as_bytes());
     }
-    let value: Value = serde_json::from_str(&answer).map_err(io::Error::other)?;
-    if at.json {
-        line(&answer)?;
+}
+
+/// Prints a JSON response as it is, or, without `--json`, by the given function.
+fn show(
+    target: &Target,
+    response: &str,
+    print: impl FnOnce(&Value) -> io::Result<()>,
+) -> io::Result<Value> {
+    let value: Value = serde_json::from_str(response).map_err(io::Error::other)?;
+    if target.json {
+        line(response)?;
     } else {
-        match &command {
-            Command::Status(_) => shards(&value)?,
-            Command::Members(_) => members(&value)?,
-            _ => line(&serde_json::to_string_pretty(&value)?)?,
-        }
+        print(&value)?;
     }
-    let ill = value["stopped"] == true || value["shards_with_leader"] != value["shards_in_all"];
-    Ok(if matches!(command, Command::Status(_)) && ill {
+    Ok(value)
+}
+
+fn show_status(target: &Target) -> io::Result<Code> {
+    let Some(response) = query(target, "status") else {
+        return Ok(Code::Use);
+    };
+    let status = show(target, &response, print_status)?;
+    let is_stopped = status["stopped"] == true;
+    let all_have_leaders = status["shards_with_leader"] == status["shards_in_all"];
+    Ok(if is_stopped || !all_have_leaders {
         Code::Found
     } else {
         Code::Good
     })
 }
 
-fn encode_question(at: SocketAddr, words: &str) -> io::Result<String> {
-    String::from_utf8(exchange(at, &status::encode_question(words))?).map_err(io::Error::other)
+fn show_members(target: &Target) -> io::Result<Code> {
+    let Some(response) = query(target, "members") else {
+        return Ok(Code::Use);
+    };
+    show(target, &response, print_members)?;
+    Ok(Code::Good)
+}
+
+fn show_key(target: &Target, key: &str) -> io::Result<Code> {
+    let Some(response) = query(target, &format!("why {key}")) else {
+        return Ok(Code::Use);
+    };
+    show(target, &response, |value| {
+        line(&serde_json::to_string_pretty(value)?)
+    })?;
+    Ok(Code::Good)
 }
 
-/// One frame to a member, and its answer.
-pub fn exchange(at: SocketAddr, message: &[u8]) -> io::Result<Vec<u8>> {
-    let mut stream = TcpStream::connect_timeout(&at, WITHIN)?;
-    stream.set_read_timeout(Some(WITHIN))?;
-    stream.write_all(&with_length_prefix(message))?;
-    let mut head = [0; 4];
-    stream.read_exact(&mut head)?;
-    let len = u32::from_be_bytes(head) as usize;
-    if len > MOST {
-        return Err(io::Error::other(format!("an answer of {len} bytes")));
+fn show_metrics(target: &Target) -> io::Result<Code> {
+    match query(target, "metrics") {
+        Some(response) => bytes(response.as_bytes()),
+        None => Ok(Code::Use),
     }
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body)?;
-    Ok(body)
 }
 
-fn text(of: &Value) -> String {
-    match of {
+fn recover(folder: &Path, name: &str, accept_loss: bool, json: bool) -> io::Result<Code> {
+    match recovery::recover(folder, name, accept_loss) {
+        Ok(report) if json => {
+            crate::out::json(&report)?;
+            Ok(Code::Good)
+        }
+        Ok(report) => {
+            print_recovery_report(&report, accept_loss)?;
+            Ok(Code::Good)
+        }
+        Err(error) => {
+            eprintln!("{}: {error}", folder.display());
+            Ok(Code::Use)
+        }
+    }
+}
+
+/// A JSON value as a cell of a table: strings without quotes, and a dash for what is missing.
+fn cell(value: &Value) -> String {
+    match value {
         Value::Null => "-".into(),
         Value::String(text) => text.clone(),
         other => other.to_string(),
     }
 }
 
-fn shards(status: &Value) -> io::Result<()> {
-    let row = |cells: [&str; 8]| {
-        line(&format!(
+/// The elements of a JSON array; none if it is something else.
+fn elements(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
+
+/// A row of the table of shards.
+struct ShardRow {
+    shard: String,
+    role: String,
+    leader: String,
+    term: String,
+    commit: String,
+    last: String,
+    keys: String,
+    members: String,
+}
+
+impl ShardRow {
+    fn header() -> Self {
+        Self {
+            shard: "shard".into(),
+            role: "role".into(),
+            leader: "leader".into(),
+            term: "term".into(),
+            commit: "commit".into(),
+            last: "last".into(),
+            keys: "keys".into(),
+            members: "members, and entries they are behind".into(),
+        }
+    }
+
+    fn from_shard(shard: &Value) -> Self {
+        let members: Vec<String> = elements(&shard["members"])
+            .map(|member| describe_shard_member(shard, member))
+            .collect();
+        Self {
+            shard: cell(&shard["shard"]),
+            role: cell(&shard["role"]),
+            leader: cell(&shard["leader"]),
+            term: cell(&shard["term"]),
+            commit: cell(&shard["commit"]),
+            last: cell(&shard["last"]),
+            keys: cell(&shard["keys"]),
+            members: members.join(", "),
+        }
+    }
+}
+
+impl fmt::Display for ShardRow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
             "{:>5}  {:<9} {:<8} {:>6} {:>10} {:>10} {:>8}  {}",
-            cells[0], cells[1], cells[2], cells[3], cells[4], cells[5], cells[6], cells[7]
-        ))
+            self.shard,
+            self.role,
+            self.leader,
+            self.term,
+            self.commit,
+            self.last,
+            self.keys,
+            self.members
+        )
+    }
+}
+
+/// A member of a shard: its name, whether it is a learner, and, from the leader, how far behind it is.
+fn describe_shard_member(shard: &Value, member: &Value) -> String {
+    let learner_mark = if member["votes"] == true {
+        ""
+    } else {
+        " learns"
     };
+    let lag = elements(&shard["peers"])
+        .find(|peer| peer["disk"] == member["disk"])
+        .map_or(String::new(), |peer| format!(" (-{})", peer["behind"]));
+    format!("{}{learner_mark}{lag}", cell(&member["name"]))
+}
+
+fn print_status(status: &Value) -> io::Result<()> {
     line(&format!(
         "{} disk {}  leads {}, {} of {} shards have a leader known here; median commit {} ms, p99 {} ms",
-        text(&status["name"]),
-        text(&status["disk"]),
+        cell(&status["name"]),
+        cell(&status["disk"]),
         status["leads"],
         status["shards_with_leader"],
         status["shards_in_all"],
-        text(&status["commit_ms"]["median"]),
-        text(&status["commit_ms"]["p99"])
+        cell(&status["commit_ms"]["median"]),
+        cell(&status["commit_ms"]["p99"])
     ))?;
     if status["stopped"] == true {
         line(&format!(
             "nothing is confirmed here: {}",
-            text(&status["failed"])
+            cell(&status["failed"])
         ))?;
     }
-    row([
-        "shard",
-        "role",
-        "leader",
-        "term",
-        "commit",
-        "last",
-        "keys",
-        "members, and entries they are behind",
-    ])?;
-    for shard in status["shards"].as_array().into_iter().flatten() {
-        let peers = shard["peers"].as_array();
-        let behind = |disk: &Value| {
-            let of = peers
-                .into_iter()
-                .flatten()
-                .find(|peer| peer["disk"] == *disk);
-            of.map_or(String::new(), |peer| format!(" (-{})", peer["behind"]))
-        };
-        let all = shard["members"]
-            .as_array()
-            .into_iter()
-            .flatten()
-            .map(|one| {
-                let learns = if one["votes"] == true { "" } else { " learns" };
-                format!("{}{learns}{}", text(&one["name"]), behind(&one["disk"]))
-            });
-        row([
-            &text(&shard["shard"]),
-            &text(&shard["role"]),
-            &text(&shard["leader"]),
-            &text(&shard["term"]),
-            &text(&shard["commit"]),
-            &text(&shard["last"]),
-            &text(&shard["keys"]),
-            &all.collect::<Vec<_>>().join(", "),
-        ])?;
+    line(&ShardRow::header().to_string())?;
+    for shard in elements(&status["shards"]) {
+        line(&ShardRow::from_shard(shard).to_string())?;
     }
     Ok(())
 }
 
-fn members(value: &Value) -> io::Result<()> {
+fn print_members(response: &Value) -> io::Result<()> {
     line(&format!(
         "{} disk {}",
-        text(&value["name"]),
-        text(&value["disk"])
+        cell(&response["name"]),
+        cell(&response["disk"])
     ))?;
-    for peer in value["peers"].as_array().into_iter().flatten() {
-        let link = if peer["link"] == true {
+    for peer in elements(&response["peers"]) {
+        let connection = if peer["link"] == true {
             "linked"
         } else {
             "no link"
         };
-        let old = if peer["old_copy"] == true {
+        let stale_mark = if peer["old_copy"] == true {
             "  came with an old copy of its disk"
         } else {
             ""
         };
         line(&format!(
-            "{:<12} disk {:<16}  {link}{old}",
-            text(&peer["name"]),
-            text(&peer["disk"])
+            "{:<12} disk {:<16}  {connection}{stale_mark}",
+            cell(&peer["name"]),
+            cell(&peer["disk"])
         ))?;
     }
     Ok(())
 }
 
-fn told_lost(lost: &RecoveryReport, done: bool, json: bool) -> io::Result<Code> {
-    if json {
-        crate::out::json(lost)?;
-        return Ok(Code::Good);
-    }
-    for shard in &lost.shards {
+fn print_recovery_report(report: &RecoveryReport, loss_accepted: bool) -> io::Result<()> {
+    for shard in &report.shards {
         line(&format!(
             "shard {}: {} entries here, {} of them known to be committed; {} keys, {} started and without an end: {}",
             shard.shard,
@@ -246,21 +312,21 @@
             shard.started.join(" ")
         ))?;
     }
-    for shard in &lost.missing {
+    for shard in &report.missing {
         line(&format!(
             "shard {shard}: no copy here, all its keys are lost"
         ))?;
     }
-    line(&if done {
-        format!(
+    if loss_accepted {
+        line(&format!(
             "generation {}: the group begins anew from this disk. Start its node; disks of before that come back are \
              set aside and learn anew.",
-            lost.generation
-        )
+            report.generation
+        ))
     } else {
-        "nothing was changed: what the lost copies knew beyond this is lost with --accept-loss. Only where they are \
-         surely gone: two groups would serve the same keys else."
-            .to_owned()
-    })?;
-    Ok(Code::Good)
+        line(
+            "nothing was changed: what the lost copies knew beyond this is lost with --accept-loss. Only where they \
+             are surely gone: two groups would serve the same keys else.",
+        )
+    }
 }
