--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -6,7 +6,7 @@
     run_attachment, AttachmentEvent, AttachmentOptions, AttachmentStatus,
 };
 use rainstand_config::schema::{Configuration, Control, ControlMember};
-use rainstand_config_distribution::attach::NodeIdentity;
+use rainstand_config_distribution::attachment::NodeIdentity;
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::snapshot;
 use rainstand_config_distribution::subscriber::{Event, PendingUpdate, Subscriber};
@@ -112,9 +112,9 @@
                 return None;
             }
         };
-        let whole = snapshot::unpacked(&read).and_then(|last| {
-            let configuration = last.1.configuration()?;
-            Ok((last, configuration))
+        let whole = snapshot::decode(&read).and_then(|last| {
+            let configuration = last.state.configuration()?;
+            Ok(((last.version, last.state), configuration))
         });
         match whole {
             Ok(whole) => Some(whole),
@@ -210,7 +210,7 @@
 }
 
 fn write(path: &Path, version: u64, state: &ConfigState) -> Result<(), String> {
-    let packed = snapshot::packed(version, state).map_err(|why| why.to_string())?;
+    let packed = snapshot::encode(version, state).map_err(|why| why.to_string())?;
     replace(path, &packed).map_err(|error| error.to_string())
 }
 
--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -194,7 +194,8 @@
     if packed.is_empty() {
         return Ok((0, ConfigState::default()));
     }
-    snapshot::unpacked(&packed).map_err(|why| why.to_string())
+    let decoded = snapshot::decode(&packed).map_err(|why| why.to_string())?;
+    Ok((decoded.version, decoded.state))
 }
 
 pub fn publish(asks: &Publishing) -> io::Result<Code> {
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -365,9 +365,9 @@
     let kept = world.folder.path().join("kept-f2").join("version.packed");
     let begun = Instant::now();
     let held = || {
-        rainstand_config_distribution::snapshot::unpacked(&std::fs::read(&kept).unwrap_or_default())
+        rainstand_config_distribution::snapshot::decode(&std::fs::read(&kept).unwrap_or_default())
     };
-    while held().map(|(version, _)| version) != Ok(3) {
+    while held().map(|kept| kept.version) != Ok(3) {
         assert!(begun.elapsed() < HANGS, "version 3 is not kept");
         std::thread::yield_now();
     }
--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -7,7 +7,7 @@
 use crate::transport::{OPENS, TAKES};
 use prost::Message as _;
 use rainstand_config::schema;
-use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::attachment::{AttachmentPolicy, NodeIdentity, RetryTarget};
 use rainstand_config_distribution::subscriber::{Counters, Effect, Event, Subscriber};
 use rainstand_protocol::thrift::frame_within;
 use rainstand_replicated_state::frames::{Frame, FrameBody};
@@ -76,7 +76,7 @@
     RecoveryReport(&'static str),
     ComeBack {
         after: Duration,
-        elsewhere: bool,
+        target: RetryTarget,
     },
     /// A nearer machine is tried again.
     Home,
@@ -168,8 +168,8 @@
                 self.chooser.on_disconnected(now);
                 why
             }
-            Over::ComeBack { after, elsewhere } => {
-                self.chooser.on_retry_after(now, after, elsewhere);
+            Over::ComeBack { after, target } => {
+                self.chooser.on_retry_after(now, after, target);
                 "told to come back"
             }
             // The chooser says which one when it is asked next.
@@ -254,8 +254,8 @@
                         Ok(()) => self.subscriber.on_applied(version),
                         Err(why) => self.subscriber.refused(version, &why),
                     },
-                    Effect::RetryAfter { after, elsewhere } => {
-                        over = Some(Over::ComeBack { after, elsewhere })
+                    Effect::RetryAfter { after, target } => {
+                        over = Some(Over::ComeBack { after, target })
                     }
                     Effect::Close => {
                         over = Some(Over::RecoveryReport("no frame of a control machine"))
--- a/crates/cluster/src/config_server.rs
+++ b/crates/cluster/src/config_server.rs
@@ -111,7 +111,7 @@
             let mut source = self.source.borrow_mut();
             let (base, state) = versions.base();
             if source.version() < base {
-                if let Ok(packed) = snapshot::packed(base, state) {
+                if let Ok(packed) = snapshot::encode(base, state) {
                     let _ = source.restore(now, packed.into());
                 }
             }
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -113,7 +113,7 @@
         let versions = member.published().map(|(versions, _)| versions);
         let versions = versions.filter(|versions| versions.version() > 0);
         versions
-            .and_then(|all| snapshot::packed(all.version(), all.state()).ok())
+            .and_then(|all| snapshot::encode(all.version(), all.state()).ok())
             .unwrap_or_default()
     })
 }
--- a/crates/config-distribution/src/delta.rs
+++ b/crates/config-distribution/src/delta.rs
@@ -8,7 +8,8 @@
 //! Invariants: `digest` is that sum; every member's pool is there; no two routes have one rank.
 
 use crate::frames::{Delta, Resource, ResourceKind, ResourceName};
-use crate::UpdateError;
+use crate::planted_bugs::{is_planted, PlantedBug};
+use crate::{ResourceError, UpdateError};
 use bytes::Bytes;
 use prost::Message;
 use rainstand_config::schema::{self, Configuration};
@@ -91,14 +92,14 @@
     fn read(kind: i32, pool: &str, name: &str) -> Result<Self, UpdateError> {
         let refused = |why| UpdateError::InvalidResource {
             name: name.to_owned(),
-            why,
+            reason: why,
         };
         let kind = ResourceKind::try_from(kind)
             .ok()
             .filter(|kind| *kind != ResourceKind::Unknown);
-        let kind = kind.ok_or_else(|| refused("of a kind that is not known here"))?;
+        let kind = kind.ok_or_else(|| refused(ResourceError::UnknownKind))?;
         if (kind == ResourceKind::Member) == pool.is_empty() {
-            return Err(refused("a pool's name belongs to members"));
+            return Err(refused(ResourceError::UnexpectedPool));
         }
         Ok(Self {
             kind,
@@ -146,18 +147,18 @@
     pub fn item(&self) -> Result<ResourceBody, UpdateError> {
         let refused = |why| UpdateError::InvalidResource {
             name: self.name.clone(),
-            why,
+            reason: why,
         };
         let key = ResourceKey::read(self.kind, &self.pool, &self.name)?;
         if key.kind != ResourceKind::Route && self.rank != 0 {
-            return Err(refused("a rank belongs to routes"));
+            return Err(refused(ResourceError::UnexpectedRank));
         }
         macro_rules! read {
             ($($kind:ident $message:ident $list:ident),*) => {
                 match key.kind {
                     $(ResourceKind::$kind => schema::$message::decode(self.body.clone())
                         .map(|read| (read.name == self.name, ResourceBody::$kind(read))),)*
-                    ResourceKind::Unknown => return Err(refused("of a kind that is not known here")),
+                    ResourceKind::Unknown => return Err(refused(ResourceError::UnknownKind)),
                     ResourceKind::Pool => schema::Pool::decode(self.body.clone())
                         .map(|read| (read.name == self.name && read.members.is_empty(), ResourceBody::Pool(read))),
                     ResourceKind::Member => schema::Member::decode(self.body.clone()).map(|read| {
@@ -170,8 +171,8 @@
         }
         match plain_kinds!(read) {
             Ok((true, item)) => Ok(item),
-            Ok((false, _)) => Err(refused("what it says has another name")),
-            Err(_) => Err(refused("what it says cannot be read")),
+            Ok((false, _)) => Err(refused(ResourceError::NameMismatch)),
+            Err(_) => Err(refused(ResourceError::UndecodableBody)),
         }
     }
 }
@@ -366,7 +367,7 @@
                 None => Ok(()),
                 Some(_) => Err(UpdateError::InvalidResource {
                     name,
-                    why: "there are two of this kind and name",
+                    reason: ResourceError::DuplicateName,
                 }),
             }
         };
@@ -461,7 +462,7 @@
         let mut removals = Vec::with_capacity(delta.removals.len());
         let refused = |name: &str, why| UpdateError::InvalidResource {
             name: name.to_owned(),
-            why,
+            reason: why,
         };
         for named in &delta.removals {
             let key = ResourceKey::read(named.kind, &named.pool, &named.name)?;
@@ -469,7 +470,7 @@
                 digest = digest.wrapping_sub(key.hash(held.rank, &held.body));
             }
             if !seen.insert(key.clone()) {
-                return Err(refused(&named.name, "named twice"));
+                return Err(refused(&named.name, ResourceError::RepeatedInDelta));
             }
             removals.push(key);
         }
@@ -481,10 +482,10 @@
                 digest = digest.wrapping_sub(key.hash(held.rank, &held.body));
             }
             if !seen.insert(key.clone()) {
-                return Err(refused(&thing.name, "named twice"));
+                return Err(refused(&thing.name, ResourceError::RepeatedInDelta));
             }
             if key.kind == ResourceKind::Route && !ranks.insert(thing.rank) {
-                return Err(refused(&thing.name, "two routes at one place"));
+                return Err(refused(&thing.name, ResourceError::RankConflict));
             }
             digest = digest.wrapping_add(key.hash(thing.rank, &thing.body));
             puts.push((
@@ -503,7 +504,7 @@
             if there
                 .is_some_and(|name| !seen.contains(&ResourceKey::new(ResourceKind::Route, name)))
             {
-                return Err(refused(&key.name, "two routes at one place"));
+                return Err(refused(&key.name, ResourceError::RankConflict));
             }
         }
         // A pool's members come and go with it.
@@ -516,7 +517,7 @@
             if !put_now.contains(&pool)
                 && (seen.contains(&pool) || !self.resources.contains_key(&pool))
             {
-                return Err(refused(&key.name, "a member of a pool that is not there"));
+                return Err(refused(&key.name, ResourceError::MissingPool));
             }
         }
         for pool in removals.iter().filter(|key| key.kind == ResourceKind::Pool) {
@@ -526,7 +527,7 @@
                 .map(|(key, _)| key)
                 .take_while(|key| key.kind == ResourceKind::Member && key.pool == pool.name);
             if members.any(|member| !seen.contains(member)) {
-                return Err(refused(&pool.name, "a pool that goes without its members"));
+                return Err(refused(&pool.name, ResourceError::OrphanedMembers));
             }
         }
         Ok(Checked {
@@ -546,7 +547,7 @@
 
     fn checked(&self, delta: &Delta) -> Result<Checked, UpdateError> {
         let checked = self.check(delta)?;
-        if checked.digest != delta.digest && !crate::plant::planted("digest-unread") {
+        if checked.digest != delta.digest && !is_planted(PlantedBug::DigestIgnored) {
             return Err(UpdateError::DigestMismatch);
         }
         Ok(checked)
--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -1,71 +1,43 @@
-//! A configuration in numbered versions, on its way from up to six control machines to a fleet: decisions
-//! alone, without I/O. Time, chance and frames are handed in; frames and orders come out.
+//! Distribution of a versioned configuration from up to six config servers to a fleet of subscribers.
+//!
+//! This crate makes decisions only and does no I/O: time, random seeds and frames are passed in, and effects (frames to
+//! send, versions to apply, links to close) are drained by a driver.
 //!
 //! | module | job |
 //! | --- | --- |
-//! | [`frames`] | what is sent |
-//! | [`delta`] | a configuration as named things; what changed; the running digest; whole or not at all |
-//! | [`snapshot`] | a whole version packed, for links and disks |
-//! | [`source`] | a control machine: the newest version, a bounded history, who holds what |
-//! | [`subscriber`] | a process: the version in force, what it takes, what it refuses |
-//! | [`attach`] | which control machine a process goes to, and when |
+//! | [`frames`] | the messages on the wire |
+//! | [`delta`] | a configuration as a set of resources, deltas between versions, the incremental digest |
+//! | [`snapshot`] | a full version, compressed, for links and disks |
+//! | [`publisher`] | a config server: the newest version, a bounded history, and what each subscriber holds |
+//! | [`subscriber`] | a process: the version in force, what it accepts and what it rejects |
+//! | [`attachment`] | which config server a process attaches to, and when |
+//! | [`planted_bugs`] | deliberate bugs that show that the simulation tests detect them |
 //!
-//! Who numbers the versions: the group's log. A committed change is a [`frames::Delta`] from the version
-//! before it; one made from an older version is refused alike on each machine, since each sees the same log.
+//! Versions are numbered by the replicated log. A committed change is a [`frames::Delta`] from the version before it; a
+//! delta made from any other version is rejected identically on every server, since all apply the same log.
 
-#![allow(
+pub mod attachment;
+#[allow(
     missing_docs,
-    unreachable_pub,
     clippy::pedantic,
-    reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
+    reason = "not yet brought to the workspace's lints"
 )]
-
-pub mod attach;
 pub mod delta;
+mod error;
 pub mod frames;
-pub mod plant;
+pub mod planted_bugs;
+#[allow(
+    missing_docs,
+    clippy::pedantic,
+    reason = "not yet brought to the workspace's lints"
+)]
 pub mod publisher;
 pub mod snapshot;
+#[allow(
+    missing_docs,
+    clippy::pedantic,
+    reason = "not yet brought to the workspace's lints"
+)]
 pub mod subscriber;
 
-use std::fmt;
-
-/// Why something was not taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum UpdateError {
-    /// Bytes that are no frame.
-    MalformedFrame,
-    /// Made from another version than the one that is there.
-    VersionMismatch { base: u64, current: u64 },
-    /// Does not lead to a later version.
-    NotNewer,
-    /// Leads to another digest than it says.
-    DigestMismatch,
-    /// Too large in some way, which is said.
-    TooLarge(&'static str),
-    /// One thing of it cannot be taken.
-    InvalidResource { name: String, why: &'static str },
-}
-
-impl fmt::Display for UpdateError {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::MalformedFrame => out.write_str("bytes that are no frame"),
-            Self::VersionMismatch {
-                base: made,
-                current: there,
-            } => {
-                write!(
-                    out,
-                    "made from version {made}, but version {there} is there"
-                )
-            }
-            Self::NotNewer => out.write_str("does not lead to a later version"),
-            Self::DigestMismatch => out.write_str("leads to another digest than it says"),
-            Self::TooLarge(why) => out.write_str(why),
-            Self::InvalidResource { name, why } => write!(out, "`{name}`: {why}"),
-        }
-    }
-}
-
-impl std::error::Error for UpdateError {}
+pub use error::{ResourceError, UpdateError};
--- a/crates/config-distribution/src/publisher.rs
+++ b/crates/config-distribution/src/publisher.rs
@@ -21,14 +21,14 @@
 //! Invariants: the history is without gaps and ends at the newest version; each subscriber has at most one
 //! change on its way; a name is attached once.
 
-use crate::attach::NodeIdentity;
+use crate::attachment::NodeIdentity;
 use crate::delta::ConfigState;
 use crate::delta::DeltaMerger;
 use crate::frames::{
     Ack, Attach, Attached, ClientMessage, Delta, Nack, Ping, ResyncReason, ResyncRequest,
     RetryAfter, ServerMessage, SnapshotChunk, SnapshotProgress,
 };
-use crate::plant::planted;
+use crate::planted_bugs::{is_planted, PlantedBug};
 use crate::{snapshot, UpdateError};
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
@@ -297,7 +297,7 @@
         {
             return Ok(packed.bytes.clone());
         }
-        let bytes = Bytes::from(snapshot::packed(self.version, &self.state)?);
+        let bytes = Bytes::from(snapshot::encode(self.version, &self.state)?);
         self.counters.packed += 1;
         self.keep(bytes.clone());
         Ok(bytes)
@@ -321,7 +321,7 @@
     /// # Errors
     /// It cannot be read.
     pub fn restore(&mut self, now: Duration, packed: Bytes) -> Result<(), UpdateError> {
-        let (version, state) = snapshot::unpacked(&packed)?;
+        let snapshot::DecodedSnapshot { version, state } = snapshot::decode(&packed)?;
         if version <= self.version {
             return Ok(());
         }
@@ -393,7 +393,7 @@
     /// bound.
     pub fn on_frame(&mut self, now: Duration, link: Link, frame: Bytes) {
         self.counters.bytes_in += frame.len() as u64;
-        let up = ClientMessage::decoded(frame);
+        let up = ClientMessage::from_frame(frame);
         let known = self
             .subscribers
             .get_mut(&link)
@@ -453,7 +453,7 @@
                     after_ms,
                     elsewhere: full,
                 })
-                .encoded(),
+                .into_frame(),
             );
             self.orders.push(Effect::Close(link));
             return;
@@ -492,7 +492,7 @@
                 version: self.version,
                 age_ms,
             })
-            .encoded(),
+            .into_frame(),
         );
         self.offer(now, link);
     }
@@ -671,7 +671,7 @@
             version: self.version,
             age_ms,
         })
-        .encoded();
+        .into_frame();
         for link in links {
             let Some(subscriber) = self.subscribers.get_mut(&link) else {
                 continue;
@@ -736,7 +736,7 @@
             .history
             .partition_point(|step| step.delta.from < version);
         let step = self.history.get(first)?;
-        if planted("history-off-by-one") && first == 0 && step.delta.from == version + 1 {
+        if is_planted(PlantedBug::HistoryOffByOne) && first == 0 && step.delta.from == version + 1 {
             return Some(first);
         }
         (step.delta.from == version).then_some(first)
@@ -815,7 +815,7 @@
                 from: holds,
                 ..all.finish()
             };
-            let frame = ServerMessage::Delta(delta).encoded();
+            let frame = ServerMessage::Delta(delta).into_frame();
             (frame.len() <= self.bounds.delta_bytes).then_some(frame)
         });
         if self.encoded.len() < MOST_ENCODED {
@@ -918,7 +918,7 @@
                 bytes: kept.bytes.slice(next..end),
             };
             next = end;
-            self.send(link, ServerMessage::SnapshotChunk(piece).encoded());
+            self.send(link, ServerMessage::SnapshotChunk(piece).into_frame());
         }
         if let Some(subscriber) = self.subscribers.get_mut(&link) {
             subscriber.sent = InFlight::Pieces {
--- a/crates/config-distribution/src/snapshot.rs
+++ b/crates/config-distribution/src/snapshot.rs
@@ -1,6 +1,6 @@
-//! A whole version as bytes: packed for links and disks, read back only if all of it is right.
+//! A full version as compressed bytes, for links and disks. Decoding accepts all of a snapshot or nothing.
 //!
-//! Like states give like bytes, so that one machine's pieces go on where another's were cut off.
+//! Equal states encode to equal bytes, so that a transfer that was begun by one server can be resumed by another.
 
 use crate::delta::ConfigState;
 use crate::frames::{Delta, Snapshot};
@@ -9,44 +9,59 @@
 use miniz_oxide::inflate::decompress_to_vec_with_limit;
 use prost::Message;
 
-/// Past it, a level more costs time and saves little: measured in `docs/design/control.md`.
-const LEVEL: u8 = 6;
-/// Packed: ten times the size of two years.
-pub const MOST_PACKED: usize = 4 << 20;
-/// Unpacked: some forty times the size of two years, and what a bad sender can make a process hold.
-pub const MOST_WHOLE: usize = 64 << 20;
+/// Deflate level (0 to 10). Higher ones cost time and save little: see the measurements in `docs/design/control.md`.
+const COMPRESSION_LEVEL: u8 = 6;
+/// Largest compressed snapshot, in bytes: ten times the size expected after two years of growth.
+pub const MAX_COMPRESSED_BYTES: usize = 4 << 20;
+/// Largest decompressed snapshot, in bytes: some forty times the size expected after two years of growth. Bounds the
+/// memory that a malicious sender can make a process allocate.
+pub const MAX_DECOMPRESSED_BYTES: usize = 64 << 20;
 
+/// A snapshot that was decoded and verified.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DecodedSnapshot {
+    /// Number of the version.
+    pub version: u64,
+    /// All resources of the version.
+    pub state: ConfigState,
+}
+
+/// Encodes and compresses `state` as version `version`.
+///
 /// # Errors
-/// More than a subscriber would take.
-pub fn packed(version: u64, state: &ConfigState) -> Result<Vec<u8>, UpdateError> {
-    let whole = Snapshot {
+/// [`UpdateError::TooLarge`] if it exceeds [`MAX_DECOMPRESSED_BYTES`], or [`MAX_COMPRESSED_BYTES`] once compressed.
+pub fn encode(version: u64, state: &ConfigState) -> Result<Vec<u8>, UpdateError> {
+    let snapshot = Snapshot {
         version,
         digest: state.digest(),
         resources: state.resources().collect(),
     };
-    let bytes = whole.encode_to_vec();
-    if bytes.len() > MOST_WHOLE {
+    let bytes = snapshot.encode_to_vec();
+    if bytes.len() > MAX_DECOMPRESSED_BYTES {
         return Err(UpdateError::TooLarge("the whole is too large"));
     }
-    let packed = compress_to_vec(&bytes, LEVEL);
-    if packed.len() > MOST_PACKED {
+    let compressed = compress_to_vec(&bytes, COMPRESSION_LEVEL);
+    if compressed.len() > MAX_COMPRESSED_BYTES {
         return Err(UpdateError::TooLarge("the whole is too large when packed"));
     }
-    Ok(packed)
+    Ok(compressed)
 }
 
+/// Decompresses, decodes and verifies a snapshot.
+///
 /// # Errors
-/// Bytes that are no snapshot, or one whose digest is not that of what it holds.
-pub fn unpacked(packed: &[u8]) -> Result<(u64, ConfigState), UpdateError> {
-    let bytes = decompress_to_vec_with_limit(packed, MOST_WHOLE)
+/// [`UpdateError::MalformedFrame`] for bytes that are no snapshot, [`UpdateError::DigestMismatch`] or another reason if
+/// the resources do not form a consistent state with the digest that the snapshot names.
+pub fn decode(compressed: &[u8]) -> Result<DecodedSnapshot, UpdateError> {
+    let bytes = decompress_to_vec_with_limit(compressed, MAX_DECOMPRESSED_BYTES)
         .map_err(|_| UpdateError::MalformedFrame)?;
-    let whole = Snapshot::decode(&*bytes).map_err(|_| UpdateError::MalformedFrame)?;
+    let snapshot = Snapshot::decode(&*bytes).map_err(|_| UpdateError::MalformedFrame)?;
     drop(bytes);
     let Snapshot {
         version,
         digest,
         resources,
-    } = whole;
+    } = snapshot;
     let mut state = ConfigState::default();
     state.apply(&Delta {
         from: 0,
@@ -55,5 +70,5 @@
         upserts: resources,
         removals: Vec::new(),
     })?;
-    Ok((version, state))
+    Ok(DecodedSnapshot { version, state })
 }
--- a/crates/config-distribution/src/subscriber.rs
+++ b/crates/config-distribution/src/subscriber.rs
@@ -13,13 +13,13 @@
 //! Invariants: `version` never goes down; what is in force is what was last confirmed by the driver; a
 //! confirmation names only a version that is in force.
 
-use crate::attach::NodeIdentity;
+use crate::attachment::{NodeIdentity, RetryTarget};
 use crate::delta::ConfigState;
 use crate::frames::{
     Ack, Attach, ClientMessage, Delta, Nack, ResyncReason, ResyncRequest, ServerMessage,
     SnapshotChunk, SnapshotProgress,
 };
-use crate::plant::planted;
+use crate::planted_bugs::{is_planted, PlantedBug};
 use crate::{snapshot, UpdateError};
 use bytes::Bytes;
 use rainstand_config::schema;
@@ -41,7 +41,7 @@
     /// Close the link and tell the chooser.
     RetryAfter {
         after: Duration,
-        elsewhere: bool,
+        target: RetryTarget,
     },
     /// Close the link and tell the chooser that it was lost: what came was no frame.
     Close,
@@ -234,7 +234,7 @@
     pub fn on_frame(&mut self, now: Duration, frame: Bytes) {
         self.heard = now;
         self.counters.bytes_in += frame.len() as u64;
-        match ServerMessage::decoded(frame) {
+        match ServerMessage::from_frame(frame) {
             Ok(ServerMessage::Attached(said)) => {
                 (self.attached, self.since) = (true, now);
                 self.told(now, said.version, said.age_ms);
@@ -247,7 +247,11 @@
                 let after = Duration::from_millis(said.after_ms);
                 self.orders.push(Effect::RetryAfter {
                     after,
-                    elsewhere: said.elsewhere,
+                    target: if said.elsewhere {
+                        RetryTarget::OtherServer
+                    } else {
+                        RetryTarget::SameServer
+                    },
                 });
             }
             Ok(ServerMessage::Delta(delta)) => self.delta(delta),
@@ -277,7 +281,7 @@
         } else if delta.to <= self.version {
             self.counters.stale += 1;
             self.confirm();
-        } else if delta.from != self.version && !planted("over-a-gap") {
+        } else if delta.from != self.version && !is_planted(PlantedBug::DeltaOverGap) {
             self.counters.gaps += 1;
             self.orders.push(Effect::Event(Event::Gap {
                 holds: self.version,
@@ -305,7 +309,7 @@
             return;
         }
         let length = usize::try_from(piece.length).unwrap_or(usize::MAX);
-        if length > snapshot::MOST_PACKED {
+        if length > snapshot::MAX_COMPRESSED_BYTES {
             self.differs(
                 piece.version,
                 UpdateError::TooLarge("the snapshot is larger than is taken"),
@@ -352,8 +356,8 @@
             self.send(ClientMessage::SnapshotProgress(got));
             return;
         }
-        match snapshot::unpacked(&partial.bytes) {
-            Ok((version, state))
+        match snapshot::decode(&partial.bytes) {
+            Ok(snapshot::DecodedSnapshot { version, state })
                 if (version, state.digest()) == (partial.version, partial.digest) =>
             {
                 self.send(ClientMessage::SnapshotProgress(got));
@@ -383,7 +387,7 @@
     fn take(&mut self, pending: PendingUpdate) {
         let version = pending.version();
         self.orders.push(Effect::Apply(version));
-        if planted("early-confirm") {
+        if is_planted(PlantedBug::EarlyAck) {
             let digest = match &pending {
                 PendingUpdate::Delta(delta) => delta.digest,
                 PendingUpdate::Snapshot { state, .. } => state.digest(),
@@ -444,7 +448,7 @@
         if !self.linked {
             return;
         }
-        let frame = up.encoded();
+        let frame = up.into_frame();
         self.counters.bytes_out += frame.len() as u64;
         self.orders.push(Effect::Send(frame));
     }
--- a/crates/config-distribution/tests/golden.rs
+++ b/crates/config-distribution/tests/golden.rs
@@ -17,7 +17,7 @@
     ResyncReason, ResyncRequest, RetryAfter, ServerMessage, Snapshot, SnapshotChunk,
     SnapshotProgress,
 };
-use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes};
 
 const FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden/frames.hex");
@@ -147,10 +147,10 @@
 fn frames_are_written_as_before() {
     let up = upward()
         .into_iter()
-        .map(|(name, up)| NamedBytes::new(name, up.encoded()));
+        .map(|(name, up)| NamedBytes::new(name, up.into_frame()));
     let down = downward()
         .into_iter()
-        .map(|(name, down)| NamedBytes::new(name, down.encoded()));
+        .map(|(name, down)| NamedBytes::new(name, down.into_frame()));
     assert_bytes(FILE, &up.chain(down).collect::<Vec<_>>());
 }
 
@@ -159,20 +159,20 @@
     let (up, down) = (upward(), downward());
     for NamedBytes { name, bytes } in read_bytes(FILE) {
         if name.starts_with("up-") {
-            let read = ClientMessage::decoded(bytes.clone().into()).unwrap();
+            let read = ClientMessage::from_frame(bytes.clone().into()).unwrap();
             assert!(
                 up.iter().any(|(known, up)| *known == name && *up == read),
                 "{name}: {read:?}"
             );
-            assert_eq!(read.encoded(), bytes, "{name}");
+            assert_eq!(read.into_frame(), bytes, "{name}");
         } else {
-            let read = ServerMessage::decoded(bytes.clone().into()).unwrap();
+            let read = ServerMessage::from_frame(bytes.clone().into()).unwrap();
             assert!(
                 down.iter()
                     .any(|(known, down)| *known == name && *down == read),
                 "{name}: {read:?}"
             );
-            assert_eq!(read.encoded(), bytes, "{name}");
+            assert_eq!(read.into_frame(), bytes, "{name}");
         }
     }
 }
@@ -227,7 +227,7 @@
         &[
             NamedBytes::new("digest", state.digest().to_be_bytes()),
             NamedBytes::new("whole", whole.encode_to_vec()),
-            NamedBytes::new("packed", snapshot::packed(3, &state).unwrap()),
+            NamedBytes::new("packed", snapshot::encode(3, &state).unwrap()),
             NamedBytes::new(
                 "change",
                 state.delta_to(3, 4, &changed).unwrap().encode_to_vec(),
@@ -240,13 +240,13 @@
 fn a_snapshot_and_a_change_of_before_lead_to_the_same_states() {
     let stored = read_bytes(SNAPSHOTS);
     let of = |name: &str| &stored.iter().find(|one| one.name == name).unwrap().bytes;
-    let (version, mut state) = snapshot::unpacked(of("packed")).unwrap();
+    let DecodedSnapshot { version, mut state } = snapshot::decode(of("packed")).unwrap();
     assert_eq!(
         (version, &state.digest().to_be_bytes()[..]),
         (3, &of("digest")[..])
     );
     assert_eq!(state.configuration().unwrap(), configuration());
-    assert_eq!(&snapshot::packed(version, &state).unwrap(), of("packed"));
+    assert_eq!(&snapshot::encode(version, &state).unwrap(), of("packed"));
     let change = Delta::decode(&of("change")[..]).unwrap();
     state.apply(&change).unwrap();
     assert_eq!(state.digest(), change.digest);
--- a/crates/config-distribution/tests/rules.rs
+++ b/crates/config-distribution/tests/rules.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Member, Pool, Route, Tenant};
-use rainstand_config_distribution::attach::{
+use rainstand_config_distribution::attachment::{
     preference_order, AttachmentPolicy, NodeIdentity, ATTACH_JITTER, MAX_RETRY_DELAY,
 };
 use rainstand_config_distribution::delta::{merge, ConfigState};
@@ -19,8 +19,9 @@
     ResyncRequest, ServerMessage,
 };
 use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
+use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
 use rainstand_config_distribution::subscriber::{Effect, PendingUpdate, Subscriber, SILENT, STALE};
-use rainstand_config_distribution::{snapshot, UpdateError};
+use rainstand_config_distribution::UpdateError;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -316,21 +317,24 @@
     let state =
         ConfigState::from_configuration(&configuration(&[("a", 1), ("b", 2)], &["r1", "r2"]))
             .unwrap();
-    let packed = snapshot::packed(5, &state).unwrap();
+    let packed = snapshot::encode(5, &state).unwrap();
     assert_eq!(
         packed,
-        snapshot::packed(5, &state.clone()).unwrap(),
+        snapshot::encode(5, &state.clone()).unwrap(),
         "like states give like bytes"
     );
-    let (version, read) = snapshot::unpacked(&packed).unwrap();
+    let DecodedSnapshot {
+        version,
+        state: read,
+    } = snapshot::decode(&packed).unwrap();
     assert_eq!((version, &read), (5, &state));
     for cut in 0..packed.len() {
-        assert!(snapshot::unpacked(&packed[..cut]).is_err(), "cut at {cut}");
+        assert!(snapshot::decode(&packed[..cut]).is_err(), "cut at {cut}");
     }
     for at in 0..packed.len() {
         let mut turned = packed.clone();
         turned[at] ^= 4;
-        if let Ok((_, read)) = snapshot::unpacked(&turned) {
+        if let Ok(DecodedSnapshot { state: read, .. }) = snapshot::decode(&turned) {
             // A bit of the version's number is told by the frame around it.
             assert_eq!(read, state, "a bit that turned over at {at} was taken");
         }
@@ -340,7 +344,7 @@
 fn sent(subscriber: &mut Subscriber) -> Vec<ClientMessage> {
     let orders = subscriber.take_effects().collect::<Vec<_>>();
     let sent = orders.into_iter().filter_map(|order| match order {
-        Effect::Send(frame) => Some(ClientMessage::decoded(frame).unwrap()),
+        Effect::Send(frame) => Some(ClientMessage::from_frame(frame).unwrap()),
         _ => None,
     });
     sent.collect()
@@ -371,13 +375,13 @@
     // Stale, twice.
     for at in [0, 2] {
         let (mut one, deltas) = subscriber();
-        one.on_frame(NOW, ServerMessage::Delta(deltas[at].clone()).encoded());
+        one.on_frame(NOW, ServerMessage::Delta(deltas[at].clone()).into_frame());
         assert_eq!(sent(&mut one), [ClientMessage::Ack(held(&one))]);
         assert_eq!((one.version(), one.counters().stale), (3, 1));
     }
     // A gap: out of order.
     let (mut one, deltas) = subscriber();
-    one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).into_frame());
     let Ack { version, digest } = held(&one);
     assert_eq!(
         sent(&mut one),
@@ -393,7 +397,7 @@
         digest: 1,
         ..deltas[3].clone()
     };
-    one.on_frame(NOW, ServerMessage::Delta(differs).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(differs).into_frame());
     assert_eq!(
         sent(&mut one),
         [ClientMessage::ResyncRequest(ResyncRequest {
@@ -411,11 +415,11 @@
         (3, 1, 1)
     );
     // The right one: confirmed only when it is in force, and whatever comes meanwhile is left.
-    one.on_frame(NOW, ServerMessage::Delta(deltas[3].clone()).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(deltas[3].clone()).into_frame());
     assert!(sent(&mut one).is_empty());
     one.on_frame(
         NOW,
-        ServerMessage::Delta(merge(deltas[3].clone(), &deltas[4]).unwrap()).encoded(),
+        ServerMessage::Delta(merge(deltas[3].clone(), &deltas[4]).unwrap()).into_frame(),
     );
     one.on_frame(
         NOW,
@@ -423,7 +427,7 @@
             version: 5,
             age_ms: 0,
         })
-        .encoded(),
+        .into_frame(),
     );
     assert_eq!(
         sent(&mut one),
@@ -435,7 +439,7 @@
     assert_eq!(sent(&mut one), [ClientMessage::Ack(held(&one))]);
     assert_eq!((one.version(), one.counters().busy), (4, 1));
     // Refused: the last good one stays.
-    one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).encoded());
+    one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).into_frame());
     one.refused(5, "no room for it");
     assert_eq!(
         sent(&mut one),
@@ -452,7 +456,7 @@
     // Without a link nothing is sent.
     one.on_frame(
         NOW,
-        ServerMessage::Delta(merge(deltas[4].clone(), &deltas[5]).unwrap()).encoded(),
+        ServerMessage::Delta(merge(deltas[4].clone(), &deltas[5]).unwrap()).into_frame(),
     );
     one.on_link_closed();
     one.on_applied(6);
@@ -469,14 +473,17 @@
             version: 4,
             age_ms: 0,
         })
-        .encoded(),
+        .into_frame(),
     );
     assert_eq!(
         one.staleness(after(1)),
         Duration::from_secs(1),
         "a newer one is known of"
     );
-    one.on_frame(after(1), ServerMessage::Delta(deltas[3].clone()).encoded());
+    one.on_frame(
+        after(1),
+        ServerMessage::Delta(deltas[3].clone()).into_frame(),
+    );
     one.on_applied(4);
     assert_eq!(
         one.staleness(after(2)),
@@ -493,7 +500,7 @@
                 version: 4,
                 age_ms: (secs - 1) * 1000,
             })
-            .encoded(),
+            .into_frame(),
         );
         assert_eq!(one.staleness(after(secs)), Duration::from_secs(secs - 1));
         assert_eq!(
@@ -509,7 +516,7 @@
     let orders = source.take_effects().collect::<Vec<_>>();
     let sent = orders.into_iter().filter_map(|order| match order {
         publisher::Effect::Send { link: to, frame } if to == link => {
-            Some(ServerMessage::decoded(frame).unwrap())
+            Some(ServerMessage::from_frame(frame).unwrap())
         }
         _ => None,
     });
@@ -525,7 +532,7 @@
         schema_version: takes,
         ..Attach::default()
     })
-    .encoded()
+    .into_frame()
 }
 
 #[test]
@@ -550,7 +557,7 @@
             }
             to(&mut source, 1)
                 .into_iter()
-                .for_each(|down| one.on_frame(now, down.encoded()));
+                .for_each(|down| one.on_frame(now, down.into_frame()));
         }
         assert!(
             !one.is_server_lost(now),
@@ -586,7 +593,7 @@
             version: 2,
             digest: deltas[1].digest,
         })
-        .encoded(),
+        .into_frame(),
     );
     let got = to(&mut source, 7);
     assert!(
@@ -602,7 +609,7 @@
             reason: "no".into(),
             current_version: 2,
         })
-        .encoded(),
+        .into_frame(),
     );
     source.tick(NOW + Duration::from_secs(1));
     assert!(to(&mut source, 7).is_empty());
@@ -694,7 +701,7 @@
             }
             for down in to(&mut machines[machine], link) {
                 pieces += usize::from(matches!(down, ServerMessage::SnapshotChunk(_)));
-                one.on_frame(NOW, down.encoded());
+                one.on_frame(NOW, down.into_frame());
             }
         }
         one.on_link_closed();
--- a/crates/config-distribution/tests/virtual_clock.rs
+++ b/crates/config-distribution/tests/virtual_clock.rs
@@ -16,11 +16,11 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration};
-use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::attachment::{AttachmentPolicy, NodeIdentity};
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::{ClientMessage, Delta, ServerMessage};
 use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
-use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
 use rainstand_config_distribution::subscriber::{Effect, Event, PendingUpdate, Subscriber};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet, VecDeque};
@@ -652,7 +652,7 @@
         if !self.corrupting || !self.happens(60) {
             return frame;
         }
-        let Ok(ServerMessage::Delta(mut delta)) = ServerMessage::decoded(frame.clone()) else {
+        let Ok(ServerMessage::Delta(mut delta)) = ServerMessage::from_frame(frame.clone()) else {
             return frame;
         };
         for thing in &mut delta.upserts {
@@ -664,7 +664,7 @@
                 break;
             }
         }
-        ServerMessage::Delta(delta).encoded()
+        ServerMessage::Delta(delta).into_frame()
     }
 
     fn obey_source(&mut self, k: usize) {
@@ -675,7 +675,7 @@
             match order {
                 publisher::Effect::Send { link, frame } => {
                     if let Ok(ServerMessage::SnapshotChunk(piece)) =
-                        ServerMessage::decoded(frame.clone())
+                        ServerMessage::from_frame(frame.clone())
                     {
                         self.seen.resumed += u64::from(piece.offset > 0);
                     }
@@ -722,7 +722,9 @@
             match order {
                 Effect::Send(frame) => {
                     let holds = self.processes[k].subscriber.version();
-                    if let Ok(ClientMessage::Ack(confirm)) = ClientMessage::decoded(frame.clone()) {
+                    if let Ok(ClientMessage::Ack(confirm)) =
+                        ClientMessage::from_frame(frame.clone())
+                    {
                         assert_eq!(confirm.version, holds, "confirmed before it was in force");
                     }
                     if let Some(link) = self.processes[k].link {
@@ -742,11 +744,11 @@
                         },
                     );
                 }
-                Effect::RetryAfter { after, elsewhere } => {
+                Effect::RetryAfter { after, target } => {
                     self.close(k, false);
                     self.processes[k]
                         .chooser
-                        .on_retry_after(self.now, after, elsewhere);
+                        .on_retry_after(self.now, after, target);
                     self.dial_when_due(k);
                 }
                 Effect::Close => self.lost(k),
@@ -785,7 +787,7 @@
                 assert!(state.verify_digest(), "in force in part: version {version}");
             }
             if process.has_disk {
-                process.disk = Some(snapshot::packed(now_in_force, state).expect("small"));
+                process.disk = Some(snapshot::encode(now_in_force, state).expect("small"));
             }
         }
         self.obey_subscriber(k);
@@ -802,7 +804,7 @@
         process.chooser = AttachmentPolicy::new(now, &process.who, &self.names, seed);
         process.subscriber = match &process.disk {
             Some(disk) => {
-                let (version, state) = snapshot::unpacked(disk).expect("its own");
+                let DecodedSnapshot { version, state } = snapshot::decode(disk).expect("its own");
                 let state = if corrupt { rotten(&state) } else { state };
                 Subscriber::with_version(now, process.who.clone(), version, state)
             }
@@ -889,7 +891,7 @@
                 let k = self.links[link].process;
                 if self.processes[k].link == Some(link) {
                     if matches!(
-                        ServerMessage::decoded(frame.clone()),
+                        ServerMessage::from_frame(frame.clone()),
                         Ok(ServerMessage::Delta(_) | ServerMessage::SnapshotChunk(_))
                     ) {
                         self.processes[k].older = Some(frame.clone());
@@ -924,7 +926,7 @@
                     let now = self.now;
                     // A process is attached once: a repeat of the first frame is no frame of a link.
                     let again = matches!(
-                        ClientMessage::decoded(frame.clone()),
+                        ClientMessage::from_frame(frame.clone()),
                         Ok(ClientMessage::Attach(_))
                     );
                     if let Some(source) = &mut self.machines[k].source {
@@ -1147,15 +1149,14 @@
 #[cfg(feature = "planted")]
 #[test]
 fn planted_bugs_are_found() {
-    use rainstand_config_distribution::plant::{plant, BUGS};
-    let says = |bug: &str| match bug {
-        "over-a-gap" | "history-off-by-one" => "something differed",
-        "digest-unread" => "in force in part",
-        "early-confirm" => "confirmed before it was in force",
-        "no-spread" => "came to one machine",
-        other => panic!("no check is named for {other}"),
+    use rainstand_config_distribution::planted_bugs::{plant, PlantedBug};
+    let expected_failure = |bug: PlantedBug| match bug {
+        PlantedBug::DeltaOverGap | PlantedBug::HistoryOffByOne => "something differed",
+        PlantedBug::DigestIgnored => "in force in part",
+        PlantedBug::EarlyAck => "confirmed before it was in force",
+        PlantedBug::NoJitter => "came to one machine",
     };
-    for (bug, what) in BUGS {
+    for bug in PlantedBug::ALL {
         let mut found = None;
         for seed in 0..seeds() {
             plant(Some(bug));
@@ -1168,14 +1169,14 @@
                         .downcast_ref::<&str>()
                         .map(|words| (*words).to_owned())
                 });
-                println!("{bug}: {what}: seed {seed}: {found:?}");
+                println!("{bug:?}: seed {seed}: {found:?}");
                 break;
             }
         }
-        let found = found.unwrap_or_else(|| panic!("{bug} was not found in {} seeds", seeds()));
+        let found = found.unwrap_or_else(|| panic!("{bug:?} was not found in {} seeds", seeds()));
         assert!(
-            found.contains(says(bug)),
-            "{bug} was found by another check: {found}"
+            found.contains(expected_failure(bug)),
+            "{bug:?} was found by another check: {found}"
         );
     }
 }
--- a/crates/replicated-state/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -63,7 +63,7 @@
                 ..Self::default()
             });
         }
-        let whole = snapshot::packed(from + 1, &ConfigState::from_configuration(configuration)?)?;
+        let whole = snapshot::encode(from + 1, &ConfigState::from_configuration(configuration)?)?;
         if whole.len() > MAX_CHANGE_BYTES {
             return Err(UpdateError::TooLarge(
                 "more than one change may say, also when packed: publish it in parts",
@@ -157,7 +157,7 @@
         let delta = if publish.whole.is_empty() {
             Delta::decode(publish.delta.clone()).map_err(|_| UpdateError::MalformedFrame)?
         } else {
-            let (_, state) = snapshot::unpacked(&publish.whole)?;
+            let state = snapshot::decode(&publish.whole)?.state;
             self.head
                 .1
                 .delta_to(there, there + 1, &state.configuration()?)?
@@ -198,7 +198,7 @@
         let base = if *version == 0 {
             Vec::new()
         } else {
-            snapshot::packed(*version, state).unwrap_or_default()
+            snapshot::encode(*version, state).unwrap_or_default()
         };
         Some(VersionsSnapshot {
             base: base.into(),
@@ -217,7 +217,8 @@
         let base = if base.is_empty() {
             (0, ConfigState::default())
         } else {
-            snapshot::unpacked(&base)?
+            let decoded = snapshot::decode(&base)?;
+            (decoded.version, decoded.state)
         };
         let mut all = Self {
             head: base.clone(),
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -13,7 +13,7 @@
 use super::{limits, Effort, Named, Place, Row, Sizes};
 use bytes::Bytes;
 use rainstand_config::schema::Configuration;
-use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::attachment::{AttachmentPolicy, NodeIdentity};
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::Delta;
 use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
@@ -186,7 +186,7 @@
             seen: Seen::default(),
         };
         world.publish()?;
-        world.first = Bytes::from(snapshot::packed(1, &world.state).map_err(refused)?);
+        world.first = Bytes::from(snapshot::encode(1, &world.state).map_err(refused)?);
         for k in 0..MACHINES {
             let mut source = Publisher::new(world.now, PublisherLimits::default(), k as u64);
             source
@@ -347,11 +347,11 @@
                     }
                 }
                 Effect::Apply(version) => self.after(TAKES, Operation::Taken(k, version)),
-                Effect::RetryAfter { after, elsewhere } => {
+                Effect::RetryAfter { after, target } => {
                     self.close(k);
                     self.nodes[k]
                         .chooser
-                        .on_retry_after(self.now, after, elsewhere);
+                        .on_retry_after(self.now, after, target);
                     self.dial_when_due(k);
                 }
                 Effect::Close => self.lost(k),
@@ -833,7 +833,7 @@
         .map_err(refused)?;
         points.push((
             part * sizes.tenants as f64,
-            snapshot::packed(1, &state).map_err(refused)?.len() as f64,
+            snapshot::encode(1, &state).map_err(refused)?.len() as f64,
         ));
     }
     let size = sizes.tenants as f64;
@@ -933,10 +933,10 @@
         let configuration = compiled(&sizes.configuration(part, Limited::PerTenantOnRoutes))?;
         let state = ConfigState::from_configuration(&configuration).map_err(refused)?;
         let begun = Instant::now();
-        let packed = snapshot::packed(1, &state).map_err(refused)?;
+        let packed = snapshot::encode(1, &state).map_err(refused)?;
         pack.push((size, begun.elapsed().as_secs_f64() * 1e3));
         let begun = Instant::now();
-        let read = snapshot::unpacked(&packed).map_err(refused)?;
+        let read = snapshot::decode(&packed).map_err(refused)?;
         unpack.push((size, begun.elapsed().as_secs_f64() * 1e3));
         drop(read);
         let mut changed = configuration.clone();
@@ -952,7 +952,7 @@
             let delta = next.delta_to(k - 1, k, &changed).map_err(refused)?;
             next.apply(&delta).map_err(refused)?;
             let frame =
-                rainstand_config_distribution::frames::ServerMessage::Delta(delta).encoded();
+                rainstand_config_distribution::frames::ServerMessage::Delta(delta).into_frame();
             let begun = own_cpu();
             one.on_frame(Duration::ZERO, frame);
             one.on_applied(k);
