Config distribution: split delta into keys, bodies, state, ranks, diff, checks and merging

It is now one small module for each concern, under the same public paths; a delta is checked by named steps in the order of before. Resource::item is decode_body, DeltaMerger::of and then are new and push, and routes() yields RankedRoute in place of a pair.

--- a/crates/config-distribution/src/error.rs
+++ b/crates/config-distribution/src/error.rs
@@ -35,6 +35,15 @@
     },
 }
 
+impl UpdateError {
+    pub(crate) fn invalid_resource(name: &str, reason: ResourceError) -> Self {
+        Self::InvalidResource {
+            name: name.to_owned(),
+            reason,
+        }
+    }
+}
+
 /// Why a single resource is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ResourceError {
--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -17,11 +17,6 @@
 //! delta made from any other version is rejected identically on every server, since all apply the same log.
 
 pub mod attachment;
-#[allow(
-    missing_docs,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints"
-)]
 pub mod delta;
 mod error;
 pub mod frames;
--- a/crates/config-distribution/src/publisher.rs
+++ b/crates/config-distribution/src/publisher.rs
@@ -807,9 +807,9 @@
                 return None;
             }
             let mut steps = self.history.range(first..).map(|step| &step.delta);
-            let mut all = DeltaMerger::of(steps.next()?.clone()).ok()?;
+            let mut all = DeltaMerger::new(steps.next()?).ok()?;
             for step in steps {
-                all.then(step).ok()?;
+                all.push(step).ok()?;
             }
             let delta = Delta {
                 from: holds,
--- a/crates/config-distribution/tests/rules.rs
+++ b/crates/config-distribution/tests/rules.rs
@@ -174,7 +174,7 @@
         large += usize::from(k > 0 && delta.upserts.len() > 1);
         state.apply(&delta).unwrap();
         assert_eq!(
-            state.routes().map(|(_, name)| name).collect::<Vec<_>>(),
+            state.routes().map(|route| route.name).collect::<Vec<_>>(),
             routes
         );
     }
@@ -207,7 +207,7 @@
         name: "m".into(),
         ..Member::default()
     });
-    let rank = state.routes().next().unwrap().0;
+    let rank = state.routes().next().unwrap().rank;
     let bad = [
         ("another digest", None),
         (
@@ -291,7 +291,7 @@
             .unwrap();
         state.apply(&delta).unwrap();
         all = Some(match all {
-            Some(before) => merge(before, &delta).unwrap(),
+            Some(before) => merge(&before, &delta).unwrap(),
             None => delta,
         });
         let mut at_once = first.clone();
@@ -304,7 +304,7 @@
         ..Delta::default()
     };
     assert_eq!(
-        merge(all.unwrap(), &gap),
+        merge(&all.unwrap(), &gap),
         Err(UpdateError::VersionMismatch {
             base: 3,
             current: 60
@@ -419,7 +419,7 @@
     assert!(sent(&mut one).is_empty());
     one.on_frame(
         NOW,
-        ServerMessage::Delta(merge(deltas[3].clone(), &deltas[4]).unwrap()).into_frame(),
+        ServerMessage::Delta(merge(&deltas[3], &deltas[4]).unwrap()).into_frame(),
     );
     one.on_frame(
         NOW,
@@ -456,7 +456,7 @@
     // Without a link nothing is sent.
     one.on_frame(
         NOW,
-        ServerMessage::Delta(merge(deltas[4].clone(), &deltas[5]).unwrap()).into_frame(),
+        ServerMessage::Delta(merge(&deltas[4], &deltas[5]).unwrap()).into_frame(),
     );
     one.on_link_closed();
     one.on_applied(6);
--- a/crates/forwarder/src/published.rs
+++ b/crates/forwarder/src/published.rs
@@ -52,7 +52,7 @@
         }
     }
     for thing in &delta.upserts {
-        all.push(match thing.item()? {
+        all.push(match thing.decode_body()? {
             ResourceBody::Type(one) => Change::Type(one),
             ResourceBody::Tenant(one) => Change::Tenant(one),
             ResourceBody::Limits(one) => Change::Limits(one),
@@ -95,7 +95,7 @@
                 pool: "".into(),
                 name: name.into(),
             }) {
-                Some(thing) => match thing.item()? {
+                Some(thing) => match thing.decode_body()? {
                     ResourceBody::Pool(pool) => Some(pool),
                     _ => None,
                 },
@@ -113,7 +113,7 @@
             };
         }
         for thing in then.into_values() {
-            if let ResourceBody::Member { member, .. } = thing.item()? {
+            if let ResourceBody::Member { member, .. } = thing.decode_body()? {
                 pool.members.push(member);
             }
         }
@@ -137,7 +137,8 @@
         );
         let mut order: BTreeMap<u64, &str> = state
             .routes()
-            .filter(|(_, name)| !named.contains(name))
+            .filter(|route| !named.contains(route.name))
+            .map(|route| (route.rank, route.name))
             .collect();
         order.extend(routes.iter().map(|(rank, route)| (*rank, &*route.name)));
         // In order of rank: those in front come first.
