--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -225,7 +225,7 @@
         attachments: seen.attachments,
         lost: seen.lost,
         dials: seen.dials,
-        in_force: seen.counters.in_force,
+        in_force: seen.counters.applied,
         refusals: seen.counters.nacks,
         differs: seen.counters.divergences,
         bytes_in: seen.counters.bytes_in,
@@ -249,11 +249,11 @@
         AttachmentEvent::Version(Event::Rejected { version, reason }) => {
             tracing::warn!(event = "version_refused", version, why = reason, holds);
         }
-        AttachmentEvent::Version(Event::Diverged { version, why }) => {
-            tracing::error!(event = "version_differs", version, why = %why, holds);
+        AttachmentEvent::Version(Event::Diverged { version, reason }) => {
+            tracing::error!(event = "version_differs", version, why = %reason, holds);
         }
-        AttachmentEvent::Version(Event::Gap { holds, from }) => {
-            tracing::warn!(event = "version_gap", from, holds)
+        AttachmentEvent::Version(Event::Gap { current, from }) => {
+            tracing::warn!(event = "version_gap", from, holds = current)
         }
         AttachmentEvent::Version(Event::Malformed) => {
             tracing::warn!(event = "control_unreadable", holds)
--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -252,7 +252,7 @@
                     Effect::Send(frame) => bytes.extend(up(frame)),
                     Effect::Apply(version) => match (self.take)(&self.subscriber) {
                         Ok(()) => self.subscriber.on_applied(version),
-                        Err(why) => self.subscriber.refused(version, &why),
+                        Err(why) => self.subscriber.on_rejected(version, &why),
                     },
                     Effect::RetryAfter { after, target } => {
                         over = Some(Over::ComeBack { after, target })
--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -28,11 +28,6 @@
 )]
 pub mod publisher;
 pub mod snapshot;
-#[allow(
-    missing_docs,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints"
-)]
 pub mod subscriber;
 
 pub use error::{ResourceError, UpdateError};
--- a/crates/config-distribution/tests/rules.rs
+++ b/crates/config-distribution/tests/rules.rs
@@ -20,7 +20,9 @@
 };
 use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
 use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
-use rainstand_config_distribution::subscriber::{Effect, PendingUpdate, Subscriber, SILENT, STALE};
+use rainstand_config_distribution::subscriber::{
+    Effect, PendingUpdate, Subscriber, SERVER_STALE_AFTER, SERVER_TIMEOUT,
+};
 use rainstand_config_distribution::UpdateError;
 use std::time::Duration;
 
@@ -440,7 +442,7 @@
     assert_eq!((one.version(), one.counters().busy), (4, 1));
     // Refused: the last good one stays.
     one.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).into_frame());
-    one.refused(5, "no room for it");
+    one.on_rejected(5, "no room for it");
     assert_eq!(
         sent(&mut one),
         [ClientMessage::Nack(Nack {
@@ -490,8 +492,8 @@
         Duration::from_secs(1),
         "as new as what the machine said"
     );
-    assert!(!one.is_server_lost(after(1) + SILENT - Duration::from_nanos(1)));
-    assert!(one.is_server_lost(after(1) + SILENT));
+    assert!(!one.is_server_lost(after(1) + SERVER_TIMEOUT - Duration::from_nanos(1)));
+    assert!(one.is_server_lost(after(1) + SERVER_TIMEOUT));
     // Pings of a machine that itself hears nothing.
     for secs in 2..30u64 {
         one.on_frame(
@@ -505,7 +507,7 @@
         assert_eq!(one.staleness(after(secs)), Duration::from_secs(secs - 1));
         assert_eq!(
             one.is_server_lost(after(secs)),
-            Duration::from_secs(secs - 1) >= STALE,
+            Duration::from_secs(secs - 1) >= SERVER_STALE_AFTER,
             "{secs}"
         );
     }
--- a/crates/config-distribution/tests/virtual_clock.rs
+++ b/crates/config-distribution/tests/virtual_clock.rs
@@ -771,7 +771,7 @@
         }
         let before = process.subscriber.version();
         if self.poison.contains(&version) && k.is_multiple_of(3) {
-            process.subscriber.refused(version, "not here");
+            process.subscriber.on_rejected(version, "not here");
             assert_eq!(process.subscriber.version(), before);
         } else {
             process.subscriber.on_applied(version);
