--- a/crates/cluster/src/config_server.rs
+++ b/crates/cluster/src/config_server.rs
@@ -151,7 +151,7 @@
         if line.out.lost.get() > lost {
             count(&self.counts.slow);
             self.close(link);
-            self.source.borrow_mut().on_disconnected(self.now(), link);
+            self.source.borrow_mut().on_disconnected(link);
         }
     }
 
@@ -196,7 +196,7 @@
         count(&serving.counts.not_here);
         return;
     }
-    if serving.lines.borrow().len() >= serving.bounds.subscribers + STRANGERS {
+    if serving.lines.borrow().len() >= serving.bounds.max_subscribers + STRANGERS {
         count(&serving.counts.full);
         return;
     }
@@ -262,10 +262,7 @@
         () = writing => {}
     }
     serving.close(link);
-    serving
-        .source
-        .borrow_mut()
-        .on_disconnected(serving.now(), link);
+    serving.source.borrow_mut().on_disconnected(link);
     serving.follow();
 }
 
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -261,9 +261,9 @@
     let name = group.inspect(|member| member.name().to_owned());
     let standing = serving.standing();
     let refusals = standing.iter().filter_map(|one| {
-        let (version, reason) = one.refused.as_ref()?;
-        (one.version < *version).then(
-            || json!({"name": one.who.name, "version": version, "reason": reason, "holds": one.version}),
+        let rejected = one.rejected.as_ref()?;
+        (one.version < rejected.version).then(
+            || json!({"name": one.identity.name, "version": rejected.version, "reason": rejected.reason, "holds": one.version}),
         )
     });
     let refusals: Vec<Value> = refusals.take(LISTED).collect();
@@ -274,9 +274,9 @@
         let rows = serving.progress(most).into_iter().map(|progress| {
             let change = progress.version.checked_sub(1).and_then(|before| all.since(before)?.next());
             json!({"version": progress.version, "at_ms": change.map(|change| change.at_ms),
-                "things": progress.things, "confirmed": progress.confirmed, "refused": progress.refused,
+                "things": progress.changed_resources, "confirmed": progress.acknowledged, "refused": progress.rejected,
                 "behind": progress.behind,
-                "slowest": progress.slowest.map(|(name, version)| json!({"name": name, "version": version}))})
+                "slowest": progress.slowest.map(|slowest| json!({"name": slowest.name, "version": slowest.version}))})
         });
         let rows: Vec<Value> = rows.collect();
         json!({"name": name, "members": members, "here": true, "current": current, "version": all.version(),
--- a/crates/config-distribution/src/lib.rs
+++ b/crates/config-distribution/src/lib.rs
@@ -21,11 +21,6 @@
 mod error;
 pub mod frames;
 pub mod planted_bugs;
-#[allow(
-    missing_docs,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints"
-)]
 pub mod publisher;
 pub mod snapshot;
 pub mod subscriber;
--- a/crates/config-distribution/tests/rules.rs
+++ b/crates/config-distribution/tests/rules.rs
@@ -619,8 +619,8 @@
     assert_eq!(
         (
             progress.version,
-            progress.confirmed,
-            progress.refused,
+            progress.acknowledged,
+            progress.rejected,
             progress.behind
         ),
         (199, 0, 1, 0)
@@ -652,9 +652,9 @@
 fn who_is_further_back_than_the_history_gets_the_snapshot_on_from_where_it_was_cut() {
     let deltas = deltas(20);
     let bounds = PublisherLimits {
-        history: 4,
-        piece: 10,
-        window: 2,
+        max_history_entries: 4,
+        chunk_bytes: 10,
+        window_chunks: 2,
         ..PublisherLimits::default()
     };
     let mut machines = [
@@ -708,7 +708,7 @@
         }
         one.on_link_closed();
     }
-    let length = machines[0].packed_snapshot().unwrap().len();
+    let length = machines[0].compressed_snapshot().unwrap().len();
     assert_eq!((one.version(), one.state()), (20, machines[0].state()));
     // Each byte came once, but for the window that was on its way at the cut.
     assert!(
@@ -722,7 +722,7 @@
     let mut source = Publisher::new(
         NOW,
         PublisherLimits {
-            subscribers: 500,
+            max_subscribers: 500,
             ..PublisherLimits::default()
         },
         1,
--- a/crates/config-distribution/tests/virtual_clock.rs
+++ b/crates/config-distribution/tests/virtual_clock.rs
@@ -224,11 +224,11 @@
             chance.generate_range(10..=90usize)
         };
         let bounds = PublisherLimits {
-            history: chance.generate_range(3..=40usize),
-            history_bytes: chance.generate_range(300..=6000usize),
-            delta_bytes: chance.generate_range(150..=2000usize),
-            piece: chance.generate_range(40..=400usize),
-            window: chance.generate_range(1..=4usize),
+            max_history_entries: chance.generate_range(3..=40usize),
+            max_history_bytes: chance.generate_range(300..=6000usize),
+            max_delta_bytes: chance.generate_range(150..=2000usize),
+            chunk_bytes: chance.generate_range(40..=400usize),
+            window_chunks: chance.generate_range(1..=4usize),
             ..PublisherLimits::default()
         };
         let names: Vec<NodeIdentity> = (0..machines)
@@ -623,8 +623,9 @@
             if down {
                 let frame = self.corrupted(frame.clone());
                 self.links[link].down += frame.len();
-                let most =
-                    self.bounds.delta_bytes + self.bounds.window * (self.bounds.piece + 64) + 256;
+                let most = self.bounds.max_delta_bytes
+                    + self.bounds.window_chunks * (self.bounds.chunk_bytes + 64)
+                    + 256;
                 let over = self.links[link].down.saturating_sub(most * times);
                 self.seen.most_down = self.seen.most_down.max(over);
                 self.after(
@@ -697,7 +698,8 @@
                             .taken
                             .retain(|at| now.saturating_sub(*at) < Duration::from_secs(1));
                         machine.taken.push_back(now);
-                        let most = self.bounds.attach_a_second + self.bounds.attach_at_once + 1;
+                        let most =
+                            self.bounds.attachments_per_second + self.bounds.attachment_burst + 1;
                         assert!(
                             machine.taken.len() <= most as usize,
                             "too many attachments in a second"
@@ -855,7 +857,7 @@
                 assert_eq!(source.state().digest(), self.digests[machine.fed]);
                 source.mark_current(now);
                 if keeps {
-                    machine.disk = Some(source.packed_snapshot().expect("small"));
+                    machine.disk = Some(source.compressed_snapshot().expect("small"));
                 }
                 self.obey_source(k);
             }
@@ -950,7 +952,7 @@
                     && self.machines[machine].life == life
                 {
                     if let Some(source) = &mut self.machines[machine].source {
-                        source.on_disconnected(self.now, link as u64);
+                        source.on_disconnected(link as u64);
                     }
                     self.obey_source(machine);
                 }
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -285,7 +285,7 @@
             return;
         }
         if let Some(source) = &mut self.machines[machine] {
-            source.on_disconnected(self.now, link as u64);
+            source.on_disconnected(link as u64);
         }
         self.obey_source(machine);
     }
