--- a/crates/cluster/src/config_server.rs
+++ b/crates/cluster/src/config_server.rs
@@ -112,7 +112,7 @@
             let mut source = self.source.borrow_mut();
             let base = versions.base();
             if source.version() < base.version {
-                if let Ok(packed) = snapshot::packed(base.version, &base.state) {
+                if let Ok(packed) = snapshot::encode(base.version, &base.state) {
                     let _ = source.restore(now, packed.into());
                 }
             }
@@ -157,7 +157,7 @@
         if line.out.lost.get() > lost {
             count(&self.counts.slow);
             self.close(link);
-            self.source.borrow_mut().on_disconnected(self.now(), link);
+            self.source.borrow_mut().on_disconnected(link);
         }
     }
 
@@ -202,7 +202,7 @@
         count(&serving.counts.not_here);
         return;
     }
-    if serving.lines.borrow().len() >= serving.bounds.subscribers + STRANGERS {
+    if serving.lines.borrow().len() >= serving.bounds.max_subscribers + STRANGERS {
         count(&serving.counts.full);
         return;
     }
@@ -268,10 +268,7 @@
         () = writing => {}
     }
     serving.close(link);
-    serving
-        .source
-        .borrow_mut()
-        .on_disconnected(serving.now(), link);
+    serving.source.borrow_mut().on_disconnected(link);
     serving.follow();
 }
 
--- a/crates/replicated-state/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -68,7 +68,7 @@
             });
         }
         let state = ConfigState::from_configuration(configuration)?;
-        let packed = snapshot::packed(from + 1, &state)?;
+        let packed = snapshot::encode(from + 1, &state)?;
         if packed.len() > MAX_CHANGE_BYTES {
             return Err(UpdateError::TooLarge(
                 "more than one change may say, also when packed: publish it in parts",
@@ -216,7 +216,7 @@
         if publish.snapshot.is_empty() {
             return Delta::decode(publish.delta.clone()).map_err(|_| UpdateError::MalformedFrame);
         }
-        let (_, next) = snapshot::unpacked(&publish.snapshot)?;
+        let next = snapshot::decode(&publish.snapshot)?.state;
         let version = self.head.version;
         self.head
             .state
@@ -251,7 +251,7 @@
         let base = if *version == 0 {
             Vec::new()
         } else {
-            snapshot::packed(*version, state).unwrap_or_default()
+            snapshot::encode(*version, state).unwrap_or_default()
         };
         Some(VersionsSnapshot {
             base: base.into(),
@@ -271,8 +271,11 @@
         let base = if base.is_empty() {
             VersionedState::default()
         } else {
-            let (version, state) = snapshot::unpacked(&base)?;
-            VersionedState { version, state }
+            let decoded = snapshot::decode(&base)?;
+            VersionedState {
+                version: decoded.version,
+                state: decoded.state,
+            }
         };
         let mut versions = Self {
             head: base.clone(),
