--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,6 +1,6 @@
 //! The link to the render farm agent: one JSON object a line, notices numbered, replayed after a break.
 
-use crate::request_table::{count, Counts};
+use crate::counters::{count, Counts};
 use crate::socket_buffer::{Filled, OnSocket, Ring};
 use crate::{completion, descriptors, dispatch, note, NodeContext};
 use rainstand::Gauges;
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -1,6 +1,8 @@
 //! Outcomes: of runs to the one answer, of calls back to the run that waits.
 
-use crate::request_table::{count, CallState, RequestTable};
+use crate::counters::count;
+use crate::request::CallState;
+use crate::request_table::RequestTable;
 use crate::{dispatch, idempotency, note, often, NodeContext};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -1,6 +1,7 @@
 //! Connections of the dispatchers: accepting them, reading frames, writing answers, ending them.
 
-use crate::request_table::{count, Connection};
+use crate::connection::Connection;
+use crate::counters::count;
 use crate::socket_buffer::{Filled, OnSocket, Ring};
 use crate::{completion, descriptors, ingress, note, often, thrift, NodeContext};
 use socket2::SockRef;
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -5,7 +5,7 @@
 //! waits, and with each look the connection that rests longest is closed at once. Connections that are owed an
 //! answer are never closed for it.
 
-use crate::request_table::count;
+use crate::counters::count;
 use crate::{connections, often, NodeContext};
 use rustix::process::{getrlimit, Resource};
 use std::future::Future;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -2,7 +2,9 @@
 
 use crate::agent::Link;
 use crate::completion;
-use crate::request_table::{count, CallState, Request, RequestTable, RunState};
+use crate::counters::count;
+use crate::request::{CallState, Request, RunState};
+use crate::request_table::RequestTable;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::Outcome;
 use std::time::Duration;
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -6,7 +6,10 @@
 //!
 //! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
 
-use crate::request_table::{count, PendingReply, RequestTable, RunState, Trace};
+use crate::counters::count;
+use crate::pending_reply::PendingReply;
+use crate::request::{RunState, Trace};
+use crate::request_table::RequestTable;
 use crate::settings::Settings;
 use crate::{descriptors, dispatch, note, NodeContext};
 use bytes::Bytes;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,9 +1,11 @@
 //! From a frame to the decision module: names to indices, repeats, what bad input gets.
 
+use crate::connection::Connection;
+use crate::counters::count;
 use crate::idempotency::Keyed;
-use crate::request_table::{
-    body_checksum, count, CachedResult, Connection, IdempotencyKey, PendingReply, Request, RunState,
-};
+use crate::pending_reply::PendingReply;
+use crate::request::{Request, RunState};
+use crate::result_cache::{body_checksum, CachedResult, IdempotencyKey};
 use crate::{thrift, NodeContext};
 use rainstand::{Arrival, Host, RetryOf};
 use std::collections::BTreeMap;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,9 @@
 pub mod agent;
 pub mod completion;
 pub mod config;
+pub mod connection;
 pub mod connections;
+pub mod counters;
 pub mod descriptors;
 pub mod dispatch;
 pub mod downstream;
@@ -23,19 +25,24 @@
 pub mod idempotency;
 pub mod ingress;
 pub mod log;
+pub mod pending_reply;
 pub mod policy_host;
 pub mod recording;
 pub mod registration;
 pub mod reload;
+pub mod request;
 pub mod request_table;
+pub mod result_cache;
 pub mod settings;
 pub mod socket_buffer;
 
 pub use rainstand_protocol::{http, thrift};
 
 use config::{Config, Peers};
+use connection::Connection;
+use counters::{count, Counts};
 use rainstand::{AdmissionController, Gauges, Host};
-use request_table::{count, Connection, Counts, RequestTable};
+use request_table::RequestTable;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -129,7 +136,7 @@
         Ok(Rc::new_cyclic(|hub| {
             let mut desk = RequestTable::new(hub.clone(), counts.clone(), link.clone(), pool);
             desk.class_names = type_names;
-            desk.result_cache = request_table::ResultCache::within(config.memory);
+            desk.result_cache = result_cache::ResultCache::within(config.memory);
             (desk.classes, desk.tenants) = (start.types, start.tenants);
             (desk.fresh, desk.can_pause) = (start.fresh, start.can_stop);
             desk.class_limits = start.kinds;
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -1,6 +1,9 @@
 //! Orders of the decision module, carried out: commands to the agent, calls below, answers.
 
-use crate::request_table::{body_checksum, count, CachedResult, CallState, RequestTable, RunState};
+use crate::counters::count;
+use crate::request::{CallState, RunState};
+use crate::request_table::RequestTable;
+use crate::result_cache::{body_checksum, CachedResult};
 use crate::{dispatch, idempotency, note, often};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -1,6 +1,6 @@
 //! Reports to the announce service: the node stays listed while it reports.
 
-use crate::request_table::count;
+use crate::counters::count;
 use crate::{descriptors, downstream, note, NodeContext};
 use std::io;
 use std::rc::Rc;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -7,7 +7,7 @@
 //! same step with the old file.
 
 use crate::config::{Config, Peers};
-use crate::request_table::count;
+use crate::counters::count;
 use crate::{descriptors, idempotency, note, Core, NodeContext};
 use std::net::SocketAddr;
 use std::path::PathBuf;
