Replicated state: transitions, gossip reports and events with named parts and accessors

transition() returned a pair, reports and a counter were public fields, and events said why and config where they mean a reason and a membership. The keys of log lines stay. One key's transition is the table's own matter now.

--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -136,19 +136,21 @@
         GroupEvent::LostLeadership { shard } => {
             tracing::info!(event = "group_leads_no_more", shard)
         }
-        GroupEvent::MembershipChanged { shard, config } => {
-            tracing::info!(event = "group_members", shard, config)
+        GroupEvent::MembershipChanged { shard, membership } => {
+            tracing::info!(event = "group_members", shard, config = membership)
         }
         GroupEvent::CaughtUp { shard, index } => {
             tracing::info!(event = "group_caught_up", shard, index)
         }
-        GroupEvent::StalePeer { name, why, .. } => {
-            tracing::warn!(event = "group_old_peer", name, why)
+        GroupEvent::StalePeer { name, reason, .. } => {
+            tracing::warn!(event = "group_old_peer", name, why = reason)
         }
-        GroupEvent::StaleDisk { why } => tracing::warn!(event = "group_old_copy", why),
+        GroupEvent::StaleDisk { reason } => tracing::warn!(event = "group_old_copy", why = reason),
         GroupEvent::Diverged { shard, .. } => tracing::error!(event = "group_differs", shard),
         GroupEvent::DiskStalled => tracing::error!(event = "group_disk_stands_still"),
-        GroupEvent::DiskFailed { why } => tracing::error!(event = "group_disk_failed", why),
+        GroupEvent::DiskFailed { reason } => {
+            tracing::error!(event = "group_disk_failed", why = reason)
+        }
     }
 }
 
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -148,8 +148,8 @@
             members: RefCell::new(settings.members.clone()),
             settings,
         });
-        if let Some(why) = damaged {
-            (group.log)(&GroupEvent::StaleDisk { why });
+        if let Some(reason) = damaged {
+            (group.log)(&GroupEvent::StaleDisk { reason });
         }
         group.begin_writing(store);
         group.keep_links();
@@ -589,7 +589,9 @@
                 });
             }
             WriteOutcome::Failed(why) => {
-                (group.log)(&GroupEvent::DiskFailed { why: why.clone() });
+                (group.log)(&GroupEvent::DiskFailed {
+                    reason: why.clone(),
+                });
                 group.fail(why);
             }
         }
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -216,7 +216,7 @@
         json!({"name": member.name(), "disk": id(member.disk()), "stopped": member.is_stopped(),
             "failed": *group.failed.borrow(), "set_asides": group.quarantines.get(), "flushes": group.flushes.get(),
             "unwritten": member.pending_writes(), "questions": member.pending_request_count(),
-            "turned_away": member.rejected_requests, "shards_with_leader": leaders.known, "shards_in_all": leaders.total,
+            "turned_away": member.rejected_request_count(), "shards_with_leader": leaders.known, "shards_in_all": leaders.total,
             "leads": member.led_shard_count(), "commit_ms": {"median": at(0.5), "p99": at(0.99)}, "shards": shards})
     })
 }
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -14,7 +14,7 @@
 use rainstand_cluster::{ClusterMember, MemberOptions};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
 use rainstand_replicated_state::idempotent_request::{
-    transition, RequestAction, RequestEvent, RequestStage, RunEnd,
+    transition, RequestAction, RequestEvent, RequestStage, RunEnd, Transition,
 };
 use rainstand_replicated_state::member::GroupEvent;
 use std::cell::RefCell;
@@ -151,12 +151,12 @@
         GroupEvent::LostLeadership { shard } => {
             note!("shard_leads_no_more", "leads no more", shard = shard)
         }
-        GroupEvent::MembershipChanged { shard, config } => {
+        GroupEvent::MembershipChanged { shard, membership } => {
             note!(
                 "shard_members",
                 "members of a shard",
                 shard = shard,
-                what = config
+                what = membership
             );
         }
         GroupEvent::Diverged { shard, divergence } => note!(
@@ -168,19 +168,19 @@
                 divergence.index, divergence.own_checksum, divergence.majority_checksum
             )
         ),
-        GroupEvent::StaleDisk { why } => {
+        GroupEvent::StaleDisk { reason } => {
             note!(
                 "copy_set_aside",
                 "the files are set aside, and this is a new member",
-                why = why
+                why = reason
             );
         }
-        GroupEvent::StalePeer { name, disk, why } => note!(
+        GroupEvent::StalePeer { name, disk, reason } => note!(
             "peer_old_copy",
             "a member came with an old copy of its disk",
             name = name,
             disk = format_args!("{disk:016x}"),
-            why = why
+            why = reason
         ),
         GroupEvent::CaughtUp { shard, index } => {
             note!(
@@ -196,11 +196,11 @@
                 "the disk stands still: nothing is confirmed here"
             )
         }
-        GroupEvent::DiskFailed { why } => {
+        GroupEvent::DiskFailed { reason } => {
             note!(
                 "disk_failed",
                 "the disk failed: nothing is confirmed here until a new start",
-                why = why
+                why = reason
             );
         }
     }
@@ -285,7 +285,7 @@
     };
     let Some(keyed) = &mut t.keyed else { return };
     let (trace, key) = (t.trace, keyed.key.clone());
-    let (next, act) = transition(keyed.stage, event);
+    let Transition { next, action: act } = transition(keyed.stage, event);
     if let Some(next) = next {
         keyed.stage = next;
     }
@@ -368,7 +368,7 @@
         let Some(hub) = hub.upgrade() else { return };
         let mut core = hub.core.borrow_mut();
         let event = told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome);
-        let (next, act) = transition(RequestStage::Replicating, event);
+        let Transition { next, action: act } = transition(RequestStage::Replicating, event);
         if next.is_some() {
             return;
         }
--- a/crates/replicated-state/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -62,7 +62,7 @@
     pub shards: u32,
     /// Replicas of each shard.
     #[prost(uint32, tag = "3")]
-    pub copies: u32,
+    pub replicas_per_shard: u32,
 }
 
 /// A member that a group is formed with.
@@ -253,7 +253,7 @@
     pub disk: ReplicaId,
     /// The reason, for operators.
     #[prost(string, tag = "2")]
-    pub why: String,
+    pub reason: String,
 }
 
 /// Contents of a frame.
--- a/crates/replicated-state/src/gossip.rs
+++ b/crates/replicated-state/src/gossip.rs
@@ -94,9 +94,9 @@
         self.0.retain(|disk, _| is_known(*disk));
     }
 
-    /// All merged reports with their disks.
-    pub fn iter(&self) -> impl Iterator<Item = (u64, &GossipReport)> {
-        self.0.iter().map(|(disk, report)| (*disk, report))
+    /// All merged reports, by disk.
+    pub fn iter(&self) -> impl Iterator<Item = &GossipReport> {
+        self.0.values()
     }
 }
 
@@ -137,7 +137,8 @@
     ) -> BTreeMap<String, u64> {
         let mut added = BTreeMap::new();
         self.seen.retain(|disk, _| reports.get(*disk).is_some());
-        for (disk, report) in reports.iter().filter(|(disk, _)| *disk != own_disk) {
+        for report in reports.iter().filter(|report| report.disk != own_disk) {
+            let disk = report.disk;
             if let Some(seen) = self.seen.get(&disk) {
                 let position = (report.epoch, report.sequence);
                 if (seen.report.epoch, seen.report.sequence) == position {
--- a/crates/replicated-state/src/idempotency.rs
+++ b/crates/replicated-state/src/idempotency.rs
@@ -16,5 +16,5 @@
 mod table;
 
 pub use command::{Claim, ClaimOutcome, Command, Operation, Register, Start};
-pub use key_state::{transition, KeyState};
+pub use key_state::KeyState;
 pub use table::IdempotencyTable;
--- a/crates/replicated-state/src/idempotency/command.rs
+++ b/crates/replicated-state/src/idempotency/command.rs
@@ -45,10 +45,10 @@
     /// Records the run's result.
     #[prost(bytes = "bytes", tag = "4")]
     Done(Bytes),
-    /// Records that the run ended without a result and may have had its effect.
+    /// Records that the run ended without a result and may have had its effect. The value is always true.
     #[prost(bool, tag = "5")]
     Failed(bool),
-    /// Withdraws the claim: nothing was launched and nothing will be.
+    /// Withdraws the claim: nothing was launched and nothing will be. The value is always true.
     #[prost(bool, tag = "6")]
     Withdraw(bool),
     /// Sets the register that the key names.
--- a/crates/replicated-state/src/idempotency/key_state.rs
+++ b/crates/replicated-state/src/idempotency/key_state.rs
@@ -110,7 +110,7 @@
 /// The state of a key after a command, and the command's outcome.
 ///
 /// `state` is none where the key is absent or expired. `log_time` is the command's, in nanoseconds.
-pub fn transition(
+pub(super) fn transition(
     state: Option<KeyState>,
     command: &Command,
     log_time: u64,
--- a/crates/replicated-state/src/idempotency/table.rs
+++ b/crates/replicated-state/src/idempotency/table.rs
@@ -1,7 +1,7 @@
 //! The replicated state of one shard: its idempotency keys, and on shard 0 the registers and published versions.
 
-use super::key_state::EXPIRY_BY_RETENTION;
-use super::{transition, Claim, ClaimOutcome, Command, KeyState, Operation, Register};
+use super::key_state::{transition, EXPIRY_BY_RETENTION};
+use super::{Claim, ClaimOutcome, Command, KeyState, Operation, Register};
 use crate::versions::{Publish, Versions, VersionsSnapshot};
 use bytes::Bytes;
 use foldhash::HashMap;
--- a/crates/replicated-state/src/idempotent_request.rs
+++ b/crates/replicated-state/src/idempotent_request.rs
@@ -77,11 +77,34 @@
     FailAndRelease,
 }
 
-/// The next stage, none once the request is finished here, and what is to be done.
-pub fn transition(
-    stage: RequestStage,
-    event: RequestEvent,
-) -> (Option<RequestStage>, RequestAction) {
+/// What follows from an event.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Transition {
+    /// The next stage; none once the request is finished here.
+    pub next: Option<RequestStage>,
+    /// What is to be done.
+    pub action: RequestAction,
+}
+
+impl Transition {
+    fn to(next: RequestStage, action: RequestAction) -> Self {
+        Self {
+            next: Some(next),
+            action,
+        }
+    }
+
+    fn finish(action: RequestAction) -> Self {
+        Self { next: None, action }
+    }
+
+    fn stay(stage: RequestStage) -> Self {
+        Self::to(stage, RequestAction::None)
+    }
+}
+
+/// What follows from an event at a stage.
+pub fn transition(stage: RequestStage, event: RequestEvent) -> Transition {
     match stage {
         RequestStage::Claiming | RequestStage::AwaitingOther => before_launch(stage, event),
         RequestStage::Running => while_running(event),
@@ -89,63 +112,64 @@
     }
 }
 
-fn before_launch(
-    stage: RequestStage,
-    event: RequestEvent,
-) -> (Option<RequestStage>, RequestAction) {
+fn before_launch(stage: RequestStage, event: RequestEvent) -> Transition {
     let outcome = match event {
         RequestEvent::Outcome(outcome) => outcome,
         RequestEvent::TimedOut if stage == RequestStage::Claiming => {
-            return (None, RequestAction::Reject { permanent: false });
+            return Transition::finish(RequestAction::Reject { permanent: false });
         }
         // The other claim's run may have had its effect: the caller must not take the request for not run.
-        RequestEvent::TimedOut => return (None, RequestAction::Fail),
-        RequestEvent::CallerLeft => return (None, RequestAction::Withdraw),
-        RequestEvent::RunFinished(_) => return (Some(stage), RequestAction::None),
+        RequestEvent::TimedOut => return Transition::finish(RequestAction::Fail),
+        RequestEvent::CallerLeft => return Transition::finish(RequestAction::Withdraw),
+        RequestEvent::RunFinished(_) => return Transition::stay(stage),
     };
     match outcome {
-        ClaimOutcome::Granted => (Some(RequestStage::Running), RequestAction::Launch),
-        ClaimOutcome::Completed(result) => (None, RequestAction::Respond(result)),
+        ClaimOutcome::Granted => Transition::to(RequestStage::Running, RequestAction::Launch),
+        ClaimOutcome::Completed(result) => Transition::finish(RequestAction::Respond(result)),
         ClaimOutcome::InProgress if stage == RequestStage::Claiming && planted("early-launch") => {
-            (Some(RequestStage::Running), RequestAction::Launch)
+            Transition::to(RequestStage::Running, RequestAction::Launch)
         }
-        ClaimOutcome::InProgress => (Some(RequestStage::AwaitingOther), RequestAction::None),
-        ClaimOutcome::Indeterminate => (None, RequestAction::Fail),
-        ClaimOutcome::KeyMismatch => (None, RequestAction::Reject { permanent: true }),
+        ClaimOutcome::InProgress => Transition::stay(RequestStage::AwaitingOther),
+        ClaimOutcome::Indeterminate => Transition::finish(RequestAction::Fail),
+        ClaimOutcome::KeyMismatch => Transition::finish(RequestAction::Reject { permanent: true }),
         ClaimOutcome::Withdrawn | ClaimOutcome::CapacityExceeded | ClaimOutcome::NotHeld => {
-            (None, RequestAction::Reject { permanent: false })
+            Transition::finish(RequestAction::Reject { permanent: false })
         }
         // These are no outcomes of a claim.
         ClaimOutcome::Recorded | ClaimOutcome::Conflict(_) | ClaimOutcome::Rejected(_) => {
-            (Some(stage), RequestAction::None)
+            Transition::stay(stage)
         }
     }
 }
 
-fn while_running(event: RequestEvent) -> (Option<RequestStage>, RequestAction) {
+fn while_running(event: RequestEvent) -> Transition {
     match event {
-        RequestEvent::RunFinished(RunEnd::Result(result)) => (
-            Some(RequestStage::Replicating),
+        RequestEvent::RunFinished(RunEnd::Result(result)) => Transition::to(
+            RequestStage::Replicating,
             RequestAction::ReplicateResult(result),
         ),
-        RequestEvent::RunFinished(RunEnd::Failed) => (None, RequestAction::FailAndRecord),
-        RequestEvent::RunFinished(RunEnd::NeverRan) => (None, RequestAction::FailAndRelease),
+        RequestEvent::RunFinished(RunEnd::Failed) => {
+            Transition::finish(RequestAction::FailAndRecord)
+        }
+        RequestEvent::RunFinished(RunEnd::NeverRan) => {
+            Transition::finish(RequestAction::FailAndRelease)
+        }
         // The run continues, and its result is replicated for repeats. A repeated outcome changes nothing.
         RequestEvent::CallerLeft | RequestEvent::TimedOut | RequestEvent::Outcome(_) => {
-            (Some(RequestStage::Running), RequestAction::None)
+            Transition::stay(RequestStage::Running)
         }
     }
 }
 
-fn while_replicating(event: &RequestEvent) -> (Option<RequestStage>, RequestAction) {
+fn while_replicating(event: &RequestEvent) -> Transition {
     match event {
         RequestEvent::Outcome(ClaimOutcome::Recorded) => {
-            (None, RequestAction::Respond(Bytes::new()))
+            Transition::finish(RequestAction::Respond(Bytes::new()))
         }
         RequestEvent::Outcome(ClaimOutcome::NotHeld | ClaimOutcome::CapacityExceeded)
-        | RequestEvent::TimedOut => (None, RequestAction::Fail),
+        | RequestEvent::TimedOut => Transition::finish(RequestAction::Fail),
         RequestEvent::CallerLeft | RequestEvent::Outcome(_) | RequestEvent::RunFinished(_) => {
-            (Some(RequestStage::Replicating), RequestAction::None)
+            Transition::stay(RequestStage::Replicating)
         }
     }
 }
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -80,7 +80,7 @@
     written_peer_incarnations: PeerIncarnations,
     own_report: GossipReport,
     /// Gossip reports of the other members.
-    pub reports: GossipReports,
+    gossip_reports: GossipReports,
     effects: Effects,
     /// Writes that were not handed out yet.
     writes: Vec<PersistentWrite>,
@@ -91,7 +91,7 @@
     /// Nothing is done any more: the files are to be quarantined, the disk failed, or the driver stopped the member.
     stopped: bool,
     /// Requests that were rejected because too many were pending.
-    pub rejected_requests: u64,
+    rejected_request_count: u64,
 }
 
 impl GroupMember {
@@ -127,20 +127,20 @@
                 disk: recovered.disk,
                 ..GossipReport::default()
             },
-            reports: GossipReports::default(),
+            gossip_reports: GossipReports::default(),
             effects: Effects::default(),
             writes: Vec::new(),
             frames_after_persist: Vec::new(),
             pending_entries: Vec::new(),
             stopped: false,
-            rejected_requests: 0,
+            rejected_request_count: 0,
             config,
         };
         match recovered.member_name {
             // One disk in two places: what it confirmed was the other member's to confirm.
             Some(owner) if owner != member.config.name => {
-                let why = format!("this is the disk of {owner}");
-                member.stop_with(GroupEvent::StaleDisk { why });
+                let reason = format!("this is the disk of {owner}");
+                member.stop_with(GroupEvent::StaleDisk { reason });
                 return member;
             }
             Some(_) => {}
@@ -183,8 +183,8 @@
     }
 
     /// Stops the member and reports why.
-    fn stop_with(&mut self, reason: GroupEvent) {
-        self.effects.events.push(reason);
+    fn stop_with(&mut self, event: GroupEvent) {
+        self.effects.events.push(event);
         self.stopped = true;
     }
 
@@ -202,7 +202,9 @@
             FrameBody::Request(request) => self.on_request(name, &request),
             FrameBody::Response(response) => self.on_response(&response),
             FrameBody::StaleDisk(notice) if notice.disk == self.disk => {
-                self.stop_with(GroupEvent::StaleDisk { why: notice.why });
+                self.stop_with(GroupEvent::StaleDisk {
+                    reason: notice.reason,
+                });
             }
             // A notice about an earlier disk of this member, or a frame that belongs on a subscriber's connection.
             FrameBody::StaleDisk(_) | FrameBody::FromSubscriber(_) | FrameBody::ToSubscriber(_) => {
@@ -210,7 +212,7 @@
             FrameBody::Gossip(report) => {
                 let peer = self.peers.get(name);
                 if peer.is_some_and(|peer| peer.has_disk(report.disk)) {
-                    self.reports.merge(&report);
+                    self.gossip_reports.merge(&report);
                 }
             }
         }
--- a/crates/replicated-state/src/member/bootstrap.rs
+++ b/crates/replicated-state/src/member/bootstrap.rs
@@ -32,7 +32,7 @@
         self.adopt_bootstrap(&BootstrapConfig {
             members,
             shards: u32::from(self.config.shards),
-            copies: self.config.replicas_per_shard as u32,
+            replicas_per_shard: self.config.replicas_per_shard as u32,
         });
     }
 
@@ -105,7 +105,7 @@
             .collect();
         for shard in 0..self.config.shards {
             let shard_members: Vec<&BootstrapMember> =
-                holders(&placements, shard, bootstrap.copies as usize)
+                holders(&placements, shard, bootstrap.replicas_per_shard as usize)
                     .into_iter()
                     .map(|position| &bootstrap.members[position])
                     .collect();
--- a/crates/replicated-state/src/member/effects.rs
+++ b/crates/replicated-state/src/member/effects.rs
@@ -76,7 +76,7 @@
         /// The shard.
         shard: u16,
         /// The new membership, for people.
-        config: String,
+        membership: String,
     },
     /// This replica differs from the majority: the files are to be quarantined.
     Diverged {
@@ -88,7 +88,7 @@
     /// This disk is an old copy: the files are to be quarantined.
     StaleDisk {
         /// The reason.
-        why: String,
+        reason: String,
     },
     /// The disk of another member is an old copy, and that member was notified.
     StalePeer {
@@ -97,7 +97,7 @@
         /// Identity of the disk.
         disk: ReplicaId,
         /// The reason.
-        why: String,
+        reason: String,
     },
     /// A replica here installed a snapshot from its leader.
     CaughtUp {
@@ -111,7 +111,7 @@
     /// A write or flush failed: this member confirms nothing and does not vote until it is restarted.
     DiskFailed {
         /// The error.
-        why: String,
+        reason: String,
     },
 }
 
--- a/crates/replicated-state/src/member/gossip.rs
+++ b/crates/replicated-state/src/member/gossip.rs
@@ -26,7 +26,7 @@
             .values()
             .filter_map(|peer| Some(peer.incarnation?.disk))
             .collect();
-        self.reports.retain(|disk| known.contains(&disk));
+        self.gossip_reports.retain(|disk| known.contains(&disk));
         if self.own_report.charged_us.is_empty() && self.own_report.spare_capacity == 0 {
             return;
         }
--- a/crates/replicated-state/src/member/membership.rs
+++ b/crates/replicated-state/src/member/membership.rs
@@ -106,8 +106,8 @@
         {
             return false;
         }
-        let config = describe(state.replica.membership());
-        let event = GroupEvent::MembershipChanged { shard, config };
+        let membership = describe(state.replica.membership());
+        let event = GroupEvent::MembershipChanged { shard, membership };
         self.effects.events.push(event);
         true
     }
--- a/crates/replicated-state/src/member/peers.rs
+++ b/crates/replicated-state/src/member/peers.rs
@@ -220,8 +220,8 @@
             return;
         }
         if self.is_disk_of_another_member(name, hello.disk) {
-            let why = "another member has this disk".to_owned();
-            self.report_stale_peer(name, hello.disk, why);
+            let reason = "another member has this disk".to_owned();
+            self.report_stale_peer(name, hello.disk, reason);
             return;
         }
         let Some(peer) = self.peers.get_mut(name) else {
@@ -233,10 +233,10 @@
                 peer.raise_durable_term(*shard, state.replica.term());
             }
         }
-        if let Some(why) = peer.stale_reason(&hello) {
+        if let Some(reason) = peer.stale_reason(&hello) {
             peer.stale_disk = Some(hello.disk);
             peer.hello = None;
-            self.report_stale_peer(name, hello.disk, why);
+            self.report_stale_peer(name, hello.disk, reason);
             return;
         }
         let (disk, generation) = (hello.disk, hello.generation);
@@ -244,8 +244,8 @@
         peer.accept(hello);
         if generation > self.generation {
             if !self.is_uninitialized() {
-                let why = "the group was recovered without this disk".to_owned();
-                self.stop_with(GroupEvent::StaleDisk { why });
+                let reason = "the group was recovered without this disk".to_owned();
+                self.stop_with(GroupEvent::StaleDisk { reason });
                 return;
             }
             self.adopt_generation(generation);
@@ -268,16 +268,16 @@
             || others.any(|(_, peer)| peer.incarnation.is_some_and(|known| known.disk == disk))
     }
 
-    fn report_stale_peer(&mut self, name: &str, disk: ReplicaId, why: String) {
+    fn report_stale_peer(&mut self, name: &str, disk: ReplicaId, reason: String) {
         let notice = StaleDiskNotice {
             disk,
-            why: why.clone(),
+            reason: reason.clone(),
         };
         self.send_to(name, FrameBody::StaleDisk(notice));
         self.effects.events.push(GroupEvent::StalePeer {
             name: name.to_owned(),
             disk,
-            why,
+            reason,
         });
     }
 
--- a/crates/replicated-state/src/member/queries.rs
+++ b/crates/replicated-state/src/member/queries.rs
@@ -1,6 +1,7 @@
 //! Read-only views of a member, for operators and for the node above it.
 
 use super::GroupMember;
+use crate::gossip::GossipReports;
 use crate::idempotency::{IdempotencyTable, KeyState, Register};
 use crate::placement::shard_of;
 use crate::versions::Versions;
@@ -140,6 +141,16 @@
         self.requests.len()
     }
 
+    /// Number of requests that were rejected because too many were pending.
+    pub fn rejected_request_count(&self) -> u64 {
+        self.rejected_request_count
+    }
+
+    /// Gossip reports of the other members.
+    pub fn gossip_reports(&self) -> &GossipReports {
+        &self.gossip_reports
+    }
+
     /// How many shards have a leader that this member knows, from its own replicas or from responses.
     pub fn known_leaders(&self) -> LeaderCoverage {
         let has_leader = |shard: &u16| {
--- a/crates/replicated-state/src/member/requests.rs
+++ b/crates/replicated-state/src/member/requests.rs
@@ -54,7 +54,7 @@
     pub fn request(&mut self, now: Duration, command: Command, deadline: Duration) -> Option<u64> {
         self.advance_time(now);
         if self.requests.len() >= MAX_PENDING_REQUESTS {
-            self.rejected_requests += 1;
+            self.rejected_request_count += 1;
             return None;
         }
         let shard = match &command.operation {
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -55,7 +55,7 @@
             // The checksum held, so another program wrote these bytes.
             if table.restore(snapshot.data).is_err() {
                 self.stop_with(GroupEvent::StaleDisk {
-                    why: format!("shard {shard}: no table"),
+                    reason: format!("shard {shard}: no table"),
                 });
             }
         }
@@ -127,7 +127,7 @@
         if let Some((snapshot, alone)) = ready.snapshot {
             if self.install_snapshot(shard, snapshot, alone).is_err() {
                 self.stop_with(GroupEvent::StaleDisk {
-                    why: format!("shard {shard}: no table came"),
+                    reason: format!("shard {shard}: no table came"),
                 });
                 return;
             }
--- a/crates/replicated-state/tests/golden.rs
+++ b/crates/replicated-state/tests/golden.rs
@@ -173,7 +173,7 @@
             Frame::from_body(FrameBody::Bootstrap(BootstrapConfig {
                 members: vec![bootstrap_member("n1", 1), bootstrap_member("n2", 2)],
                 shards: 16,
-                copies: 3,
+                replicas_per_shard: 3,
             })),
         ),
         (
@@ -188,7 +188,7 @@
             "behind".into(),
             Frame::from_body(FrameBody::StaleDisk(StaleDiskNotice {
                 disk: 7,
-                why: "start 1 after start 2".into(),
+                reason: "start 1 after start 2".into(),
             })),
         ),
         ("soft".into(), Frame::from_body(FrameBody::Gossip(report))),
--- a/crates/replicated-state/tests/idempotent_request.rs
+++ b/crates/replicated-state/tests/idempotent_request.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use rainstand_replicated_state::idempotency::ClaimOutcome;
 use rainstand_replicated_state::idempotent_request::{
-    transition, RequestAction, RequestEvent, RequestStage, RunEnd,
+    transition, RequestAction, RequestEvent, RequestStage, RunEnd, Transition,
 };
 use std::collections::{HashSet, VecDeque};
 
@@ -58,7 +58,7 @@
                     RequestEvent::Outcome(ClaimOutcome::Completed(_))
                         | RequestEvent::RunFinished(RunEnd::Result(_))
                 );
-            let (next, action) = transition(stage, event.clone());
+            let Transition { next, action } = transition(stage, event.clone());
             let (mut launched, mut answered) = (launched, answered);
             match action {
                 RequestAction::Launch => {
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -284,12 +284,12 @@
     world.play(world.now + spec.window, |_| false)?;
     let kept = |member: &GroupMember| {
         let most = member
-            .reports
+            .gossip_reports()
             .iter()
-            .map(|(_, report)| report.charged_us.len())
+            .map(|report| report.charged_us.len())
             .max()
             .unwrap_or(0);
-        (member.reports.iter().count(), most)
+        (member.gossip_reports().iter().count(), most)
     };
     let kept = world.members.iter().map(kept).max().unwrap_or_default();
     Ok(Seen {
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -12,7 +12,7 @@
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
 use rainstand_replicated_state::idempotent_request::{
-    transition, RequestAction, RequestEvent, RequestStage, RunEnd,
+    transition, RequestAction, RequestEvent, RequestStage, RunEnd, Transition,
 };
 use rainstand_replicated_state::member::{
     Effects, GroupEvent, GroupMember, MemberConfig, OutgoingFrame, RequestOutcome, ShardView,
@@ -1115,7 +1115,7 @@
         let Some(stage) = self.tickets[ticket].stage else {
             return;
         };
-        let (next, act) = transition(stage, event);
+        let Transition { next, action: act } = transition(stage, event);
         self.tickets[ticket].stage = next;
         let node = self.tickets[ticket].node;
         match act {
@@ -1263,7 +1263,8 @@
                 wrong.push(format!("{} is not up at the end", name(k)));
                 continue;
             };
-            for (disk, report) in member.reports.iter() {
+            for report in member.gossip_reports().iter() {
+                let disk = report.disk;
                 let told = report.charged_us.get("acme").copied().unwrap_or(0);
                 let truth = self
                     .charged
