--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/keyed.rs
@@ -342,7 +342,7 @@
         }
     };
     if never_ran {
-        desk.ends.push_back((ix, Outcome::Moot));
+        desk.ends.push_back((ix, Outcome::NeverStarted));
     }
 }
 
