--- a/crates/replicated-state/src/member/bootstrap.rs
+++ b/crates/replicated-state/src/member/bootstrap.rs
@@ -15,7 +15,7 @@
 impl GroupMember {
     /// Whether this disk holds no log.
     pub(super) fn is_uninitialized(&self) -> bool {
-        let has_empty_log = |shard: &super::Shard| shard.replica.log().last() == 0;
+        let has_empty_log = |shard: &super::Shard| shard.replica.log().last_index() == 0;
         self.bootstrap.is_none() && self.shards.values().all(has_empty_log)
     }
 
@@ -113,7 +113,7 @@
             let has_log = self
                 .shards
                 .get(&shard)
-                .is_some_and(|state| state.replica.log().last() > 0);
+                .is_some_and(|state| state.replica.log().last_index() > 0);
             if is_holder && !has_log {
                 self.create_shard(shard, &shard_members);
             }
--- a/crates/replicated-state/src/member/membership.rs
+++ b/crates/replicated-state/src/member/membership.rs
@@ -81,7 +81,7 @@
         let commit = replica.commit();
         let matched: BTreeMap<ReplicaId, u64> = replica
             .progress()
-            .map(|(id, matched, _)| (id, matched))
+            .map(|follower| (follower.id, follower.match_index))
             .collect();
         let is_caught_up =
             |id: ReplicaId| matched.get(&id).is_some_and(|matched| *matched >= commit);
--- a/crates/replicated-state/src/member/peers.rs
+++ b/crates/replicated-state/src/member/peers.rs
@@ -164,7 +164,7 @@
         let progress = self.shards.iter().map(|(shard, state)| ShardProgress {
             shard: u32::from(*shard),
             term: state.replica.term(),
-            index: state.replica.log().last(),
+            index: state.replica.log().last_index(),
         });
         Frame::from_body(FrameBody::Hello(Hello {
             group: self.config.group.clone(),
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -124,7 +124,8 @@
         if let Some(hard) = ready.hard_state {
             self.writes.push(PersistentWrite::HardState { shard, hard });
         }
-        if let Some((snapshot, alone)) = ready.snapshot {
+        if let Some(install) = ready.snapshot {
+            let (snapshot, alone) = (install.snapshot, install.discard_suffix);
             if self.install_snapshot(shard, snapshot, alone).is_err() {
                 self.stop_with(GroupEvent::StaleDisk {
                     reason: format!("shard {shard}: no table came"),
@@ -224,7 +225,8 @@
             return;
         };
         let (term, commit) = (state.replica.term(), state.replica.commit());
-        for (disk, matched, _) in state.replica.progress() {
+        for follower in state.replica.progress() {
+            let (disk, matched) = (follower.id, follower.match_index);
             let index = matched.min(commit);
             if index == 0 {
                 continue;
@@ -298,9 +300,14 @@
 /// Whether a message is sent only after its term is durable at the sender.
 fn proves_durable_term(message: &Message) -> bool {
     match &message.body {
-        Some(Body::Vote(vote)) => !vote.pre,
-        Some(Body::Voted(voted)) => !voted.pre,
-        Some(Body::Appended(_) | Body::Took(_) | Body::Append(_) | Body::Piece(_)) => true,
+        Some(Body::VoteRequest(request)) => !request.pre_vote,
+        Some(Body::VoteResponse(response)) => !response.pre_vote,
+        Some(
+            Body::AppendResponse(_)
+            | Body::ChunkAck(_)
+            | Body::AppendRequest(_)
+            | Body::SnapshotChunk(_),
+        ) => true,
         _ => false,
     }
 }
@@ -309,7 +316,7 @@
 fn best_successor(replica: &Replica) -> Option<ReplicaId> {
     replica
         .progress()
-        .filter(|(id, ..)| replica.membership().is_voter(*id))
-        .max_by_key(|(_, matched, heard)| (*matched, *heard))
-        .map(|(id, ..)| id)
+        .filter(|follower| replica.membership().is_voter(follower.id))
+        .max_by_key(|follower| (follower.match_index, follower.last_contact))
+        .map(|follower| follower.id)
 }
