--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -1,9 +1,9 @@
 //! `rainstand control`: a control machine; and what operators do with one: publish a version, look how far each is.
 
+use crate::cluster_client::exchange;
 use crate::config::{read, tell_changes};
 use crate::out::{json as json_line, line, Code};
 use crate::pcap::trouble;
-use crate::replica::exchange;
 use clap::Args;
 use rainstand_cluster::{status, ClusterMember, MemberOptions};
 use rainstand_config::diff::diff;
@@ -136,19 +136,21 @@
         GroupEvent::LostLeadership { shard } => {
             tracing::info!(event = "group_leads_no_more", shard)
         }
-        GroupEvent::MembershipChanged { shard, config } => {
-            tracing::info!(event = "group_members", shard, config)
+        GroupEvent::MembershipChanged { shard, membership } => {
+            tracing::info!(event = "group_members", shard, config = membership)
         }
         GroupEvent::CaughtUp { shard, index } => {
             tracing::info!(event = "group_caught_up", shard, index)
         }
-        GroupEvent::StalePeer { name, why, .. } => {
-            tracing::warn!(event = "group_old_peer", name, why)
+        GroupEvent::StalePeer { name, reason, .. } => {
+            tracing::warn!(event = "group_old_peer", name, why = reason)
         }
-        GroupEvent::StaleDisk { why } => tracing::warn!(event = "group_old_copy", why),
+        GroupEvent::StaleDisk { reason } => tracing::warn!(event = "group_old_copy", why = reason),
         GroupEvent::Diverged { shard, .. } => tracing::error!(event = "group_differs", shard),
         GroupEvent::DiskStalled => tracing::error!(event = "group_disk_stands_still"),
-        GroupEvent::DiskFailed { why } => tracing::error!(event = "group_disk_failed", why),
+        GroupEvent::DiskFailed { reason } => {
+            tracing::error!(event = "group_disk_failed", why = reason)
+        }
     }
 }
 
@@ -194,7 +196,8 @@
     if packed.is_empty() {
         return Ok((0, ConfigState::default()));
     }
-    snapshot::unpacked(&packed).map_err(|why| why.to_string())
+    let decoded = snapshot::decode(&packed).map_err(|why| why.to_string())?;
+    Ok((decoded.version, decoded.state))
 }
 
 pub fn publish(asks: &Publishing) -> io::Result<Code> {
@@ -224,7 +227,7 @@
     };
     let changes = diff(&before, &configuration);
     tell_changes(&changes, asks.json)?;
-    let publish = match Publish::of(&state, from, &configuration) {
+    let publish = match Publish::from_configuration(&state, from, &configuration) {
         Ok(publish) => publish,
         Err(why) => return outcome(&json!({"refused": why.to_string()}), asks.json),
     };
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -15,8 +15,10 @@
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command};
 use rainstand_replicated_state::member::{
-    Effects, GroupEvent, GroupMember, MemberConfig, PersistentWrite, DEFAULT_COMPACTION_ENTRIES,
+    Effects, GroupEvent, GroupMember, MemberConfig, OutgoingFrame, PersistentWrite, RequestOutcome,
+    WriteBatch, DEFAULT_COMPACTION_ENTRIES,
 };
+use rainstand_replicated_state::placement::MemberPlacement;
 use rainstand_storage::writer::{WriteJob, WriteOutcome, Writer};
 use rainstand_storage::{Disk, FolderDisk, IdentitySeed, OpenError, Recovered, Store, StoreLimits};
 use std::cell::{Cell, RefCell};
@@ -149,8 +151,8 @@
             members: RefCell::new(settings.members.clone()),
             settings,
         });
-        if let Some(why) = damaged {
-            (group.log)(&GroupEvent::StaleDisk { why });
+        if let Some(reason) = damaged {
+            (group.log)(&GroupEvent::StaleDisk { reason });
         }
         group.begin_writing(store);
         group.keep_links();
@@ -276,13 +278,13 @@
             events,
             published_changed,
         } = effects;
-        if let Some((number, writes)) = write {
-            self.write(number, writes);
+        if let Some(batch) = write {
+            self.write(batch);
         }
-        for (name, frame) in frames {
-            self.link(&name).send(&frame);
+        for OutgoingFrame { to, frame } in frames {
+            self.link(&to).send(&frame);
         }
-        for (id, told) in outcomes {
+        for RequestOutcome { id, outcome: told } in outcomes {
             let last = told != ClaimOutcome::InProgress;
             let tell = if last {
                 self.tells.borrow_mut().remove(&id)
@@ -331,7 +333,8 @@
         all
     }
 
-    fn write(&self, number: u64, writes: Vec<PersistentWrite>) {
+    fn write(&self, batch: WriteBatch) {
+        let WriteBatch { number, writes } = batch;
         let writer = self.writer.borrow();
         let Some(writer) = &*writer else { return };
         let mut records = Vec::new();
@@ -449,7 +452,7 @@
     /// Nobody waits for a question any more.
     pub fn forget(&self, id: u64) {
         self.tells.borrow_mut().remove(&id);
-        self.drive(|member, now| member.forget(now, id));
+        self.drive(|member, now| member.abandon_request(now, id));
     }
 
     pub fn on_connected(&self, name: &str) {
@@ -477,10 +480,13 @@
 }
 
 /// Names and sites.
-fn of(members: &[schema::GroupMember]) -> Vec<(String, String)> {
+fn of(members: &[schema::GroupMember]) -> Vec<MemberPlacement> {
     members
         .iter()
-        .map(|member| (member.name.clone(), member.site.clone()))
+        .map(|member| MemberPlacement {
+            name: member.name.clone(),
+            site: member.site.clone(),
+        })
         .collect()
 }
 
@@ -522,15 +528,15 @@
         name: name.to_owned(),
         members: of(&settings.members),
         shards: settings.shards as u16,
-        copies: settings.copies as usize,
-        times: Timeouts {
+        replicas_per_shard: settings.copies as usize,
+        timeouts: Timeouts {
             heartbeat_interval: span(settings.heartbeat_ns),
             min_election_timeout: span(settings.election_least_ns),
             max_election_timeout: span(settings.election_most_ns),
         },
-        moves: settings.moves as usize,
-        keys: settings.keys as usize,
-        compact: DEFAULT_COMPACTION_ENTRIES,
+        max_concurrent_learners: settings.moves as usize,
+        max_keys_per_shard: settings.keys as usize,
+        compaction_entries: DEFAULT_COMPACTION_ENTRIES,
         seed: draws().disk,
     };
     Ok(GroupMember::new(
@@ -582,12 +588,14 @@
                 group.drive(|member, now| {
                     member.on_persisted(now, up_to);
                     if !needs_compaction.is_empty() {
-                        member.pressing(now, &needs_compaction);
+                        member.compact_shards(now, &needs_compaction);
                     }
                 });
             }
             WriteOutcome::Failed(why) => {
-                (group.log)(&GroupEvent::DiskFailed { why: why.clone() });
+                (group.log)(&GroupEvent::DiskFailed {
+                    reason: why.clone(),
+                });
                 group.fail(why);
             }
         }
--- a/crates/config-distribution/tests/virtual_clock.rs
+++ b/crates/config-distribution/tests/virtual_clock.rs
@@ -16,11 +16,11 @@
 use bytes::Bytes;
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration};
-use rainstand_config_distribution::attach::{AttachmentPolicy, NodeIdentity};
+use rainstand_config_distribution::attachment::{AttachmentPolicy, NodeIdentity};
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_config_distribution::frames::{ClientMessage, Delta, ServerMessage};
 use rainstand_config_distribution::publisher::{self, Publisher, PublisherLimits};
-use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
 use rainstand_config_distribution::subscriber::{Effect, Event, PendingUpdate, Subscriber};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet, VecDeque};
@@ -224,11 +224,11 @@
             chance.generate_range(10..=90usize)
         };
         let bounds = PublisherLimits {
-            history: chance.generate_range(3..=40usize),
-            history_bytes: chance.generate_range(300..=6000usize),
-            delta_bytes: chance.generate_range(150..=2000usize),
-            piece: chance.generate_range(40..=400usize),
-            window: chance.generate_range(1..=4usize),
+            max_history_entries: chance.generate_range(3..=40usize),
+            max_history_bytes: chance.generate_range(300..=6000usize),
+            max_delta_bytes: chance.generate_range(150..=2000usize),
+            chunk_bytes: chance.generate_range(40..=400usize),
+            window_chunks: chance.generate_range(1..=4usize),
             ..PublisherLimits::default()
         };
         let names: Vec<NodeIdentity> = (0..machines)
@@ -623,8 +623,9 @@
             if down {
                 let frame = self.corrupted(frame.clone());
                 self.links[link].down += frame.len();
-                let most =
-                    self.bounds.delta_bytes + self.bounds.window * (self.bounds.piece + 64) + 256;
+                let most = self.bounds.max_delta_bytes
+                    + self.bounds.window_chunks * (self.bounds.chunk_bytes + 64)
+                    + 256;
                 let over = self.links[link].down.saturating_sub(most * times);
                 self.seen.most_down = self.seen.most_down.max(over);
                 self.after(
@@ -652,7 +653,7 @@
         if !self.corrupting || !self.happens(60) {
             return frame;
         }
-        let Ok(ServerMessage::Delta(mut delta)) = ServerMessage::decoded(frame.clone()) else {
+        let Ok(ServerMessage::Delta(mut delta)) = ServerMessage::from_frame(frame.clone()) else {
             return frame;
         };
         for thing in &mut delta.upserts {
@@ -664,7 +665,7 @@
                 break;
             }
         }
-        ServerMessage::Delta(delta).encoded()
+        ServerMessage::Delta(delta).into_frame()
     }
 
     fn obey_source(&mut self, k: usize) {
@@ -675,7 +676,7 @@
             match order {
                 publisher::Effect::Send { link, frame } => {
                     if let Ok(ServerMessage::SnapshotChunk(piece)) =
-                        ServerMessage::decoded(frame.clone())
+                        ServerMessage::from_frame(frame.clone())
                     {
                         self.seen.resumed += u64::from(piece.offset > 0);
                     }
@@ -697,7 +698,8 @@
                             .taken
                             .retain(|at| now.saturating_sub(*at) < Duration::from_secs(1));
                         machine.taken.push_back(now);
-                        let most = self.bounds.attach_a_second + self.bounds.attach_at_once + 1;
+                        let most =
+                            self.bounds.attachments_per_second + self.bounds.attachment_burst + 1;
                         assert!(
                             machine.taken.len() <= most as usize,
                             "too many attachments in a second"
@@ -722,7 +724,9 @@
             match order {
                 Effect::Send(frame) => {
                     let holds = self.processes[k].subscriber.version();
-                    if let Ok(ClientMessage::Ack(confirm)) = ClientMessage::decoded(frame.clone()) {
+                    if let Ok(ClientMessage::Ack(confirm)) =
+                        ClientMessage::from_frame(frame.clone())
+                    {
                         assert_eq!(confirm.version, holds, "confirmed before it was in force");
                     }
                     if let Some(link) = self.processes[k].link {
@@ -742,11 +746,11 @@
                         },
                     );
                 }
-                Effect::RetryAfter { after, elsewhere } => {
+                Effect::RetryAfter { after, target } => {
                     self.close(k, false);
                     self.processes[k]
                         .chooser
-                        .on_retry_after(self.now, after, elsewhere);
+                        .on_retry_after(self.now, after, target);
                     self.dial_when_due(k);
                 }
                 Effect::Close => self.lost(k),
@@ -769,7 +773,7 @@
         }
         let before = process.subscriber.version();
         if self.poison.contains(&version) && k.is_multiple_of(3) {
-            process.subscriber.refused(version, "not here");
+            process.subscriber.on_rejected(version, "not here");
             assert_eq!(process.subscriber.version(), before);
         } else {
             process.subscriber.on_applied(version);
@@ -785,7 +789,7 @@
                 assert!(state.verify_digest(), "in force in part: version {version}");
             }
             if process.has_disk {
-                process.disk = Some(snapshot::packed(now_in_force, state).expect("small"));
+                process.disk = Some(snapshot::encode(now_in_force, state).expect("small"));
             }
         }
         self.obey_subscriber(k);
@@ -802,7 +806,7 @@
         process.chooser = AttachmentPolicy::new(now, &process.who, &self.names, seed);
         process.subscriber = match &process.disk {
             Some(disk) => {
-                let (version, state) = snapshot::unpacked(disk).expect("its own");
+                let DecodedSnapshot { version, state } = snapshot::decode(disk).expect("its own");
                 let state = if corrupt { rotten(&state) } else { state };
                 Subscriber::with_version(now, process.who.clone(), version, state)
             }
@@ -853,7 +857,7 @@
                 assert_eq!(source.state().digest(), self.digests[machine.fed]);
                 source.mark_current(now);
                 if keeps {
-                    machine.disk = Some(source.packed_snapshot().expect("small"));
+                    machine.disk = Some(source.compressed_snapshot().expect("small"));
                 }
                 self.obey_source(k);
             }
@@ -889,7 +893,7 @@
                 let k = self.links[link].process;
                 if self.processes[k].link == Some(link) {
                     if matches!(
-                        ServerMessage::decoded(frame.clone()),
+                        ServerMessage::from_frame(frame.clone()),
                         Ok(ServerMessage::Delta(_) | ServerMessage::SnapshotChunk(_))
                     ) {
                         self.processes[k].older = Some(frame.clone());
@@ -924,7 +928,7 @@
                     let now = self.now;
                     // A process is attached once: a repeat of the first frame is no frame of a link.
                     let again = matches!(
-                        ClientMessage::decoded(frame.clone()),
+                        ClientMessage::from_frame(frame.clone()),
                         Ok(ClientMessage::Attach(_))
                     );
                     if let Some(source) = &mut self.machines[k].source {
@@ -948,7 +952,7 @@
                     && self.machines[machine].life == life
                 {
                     if let Some(source) = &mut self.machines[machine].source {
-                        source.on_disconnected(self.now, link as u64);
+                        source.on_disconnected(link as u64);
                     }
                     self.obey_source(machine);
                 }
@@ -1147,15 +1151,14 @@
 #[cfg(feature = "planted")]
 #[test]
 fn planted_bugs_are_found() {
-    use rainstand_config_distribution::plant::{plant, BUGS};
-    let says = |bug: &str| match bug {
-        "over-a-gap" | "history-off-by-one" => "something differed",
-        "digest-unread" => "in force in part",
-        "early-confirm" => "confirmed before it was in force",
-        "no-spread" => "came to one machine",
-        other => panic!("no check is named for {other}"),
+    use rainstand_config_distribution::planted_bugs::{plant, PlantedBug};
+    let expected_failure = |bug: PlantedBug| match bug {
+        PlantedBug::DeltaOverGap | PlantedBug::HistoryOffByOne => "something differed",
+        PlantedBug::DigestIgnored => "in force in part",
+        PlantedBug::EarlyAck => "confirmed before it was in force",
+        PlantedBug::NoJitter => "came to one machine",
     };
-    for (bug, what) in BUGS {
+    for bug in PlantedBug::ALL {
         let mut found = None;
         for seed in 0..seeds() {
             plant(Some(bug));
@@ -1168,14 +1171,14 @@
                         .downcast_ref::<&str>()
                         .map(|words| (*words).to_owned())
                 });
-                println!("{bug}: {what}: seed {seed}: {found:?}");
+                println!("{bug:?}: seed {seed}: {found:?}");
                 break;
             }
         }
-        let found = found.unwrap_or_else(|| panic!("{bug} was not found in {} seeds", seeds()));
+        let found = found.unwrap_or_else(|| panic!("{bug:?} was not found in {} seeds", seeds()));
         assert!(
-            found.contains(says(bug)),
-            "{bug} was found by another check: {found}"
+            found.contains(expected_failure(bug)),
+            "{bug:?} was found by another check: {found}"
         );
     }
 }
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -5,8 +5,8 @@
 //! waits, and with each look the connection that rests longest is closed at once. Connections that are owed an
 //! answer are never closed for it.
 
-use crate::book::count;
-use crate::{often, take_in, Hub};
+use crate::counters::count;
+use crate::{connections, often, NodeContext};
 use rustix::process::{getrlimit, Resource};
 use std::future::Future;
 use std::io;
@@ -46,7 +46,11 @@
 ///
 /// # Errors
 /// Those of `attempt`, for want of descriptors only after [`TRIES`].
-pub async fn have<T, F>(hub: &Hub, what: &'static str, attempt: impl Fn() -> F) -> io::Result<T>
+pub async fn have<T, F>(
+    hub: &NodeContext,
+    what: &'static str,
+    attempt: impl Fn() -> F,
+) -> io::Result<T>
 where
     F: Future<Output = io::Result<T>>,
 {
@@ -61,7 +65,7 @@
         if tries == 1 {
             often!("descriptors_out", "out of descriptors", wanted = what);
         }
-        take_in::give_way(hub);
+        connections::give_way(hub);
         sleep(AGAIN).await;
     }
 }
--- a/crates/node/src/keyed.rs
+++ b/crates/node/src/idempotency.rs
@@ -6,14 +6,19 @@
 //!
 //! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
 
-use crate::book::{count, Desk, Owed, Run, Trace};
+use crate::counters::count;
+use crate::pending_reply::PendingReply;
+use crate::request::{RunState, Trace};
+use crate::request_table::RequestTable;
 use crate::settings::Settings;
-use crate::{descriptors, note, send, Hub};
+use crate::{descriptors, dispatch, note, NodeContext};
 use bytes::Bytes;
 use rainstand::Outcome;
 use rainstand_cluster::{ClusterMember, MemberOptions};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
-use rainstand_replicated_state::idempotent_request::{step, Act, End, Event, Stage};
+use rainstand_replicated_state::idempotent_request::{
+    transition, RequestAction, RequestEvent, RequestStage, RunEnd, Transition,
+};
 use rainstand_replicated_state::member::GroupEvent;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -44,14 +49,14 @@
     sum: u64,
     window: Duration,
     due: Instant,
-    stage: Stage,
+    stage: RequestStage,
     question: Option<u64>,
 }
 
 /// A run of which nobody here knows, as the agent tells it again.
 struct OldRun {
     trace: Trace,
-    end: End,
+    end: RunEnd,
     since: Instant,
 }
 
@@ -75,7 +80,7 @@
             sum: twox_hash::XxHash3_64::oneshot(&all),
             window,
             due,
-            stage: Stage::Asking,
+            stage: RequestStage::Claiming,
             question: None,
         }
     }
@@ -85,8 +90,11 @@
 ///
 /// # Errors
 /// If the member cannot begin.
-pub async fn join(hub: &Rc<Hub>, group: rainstand_config::schema::Group) -> Result<(), String> {
-    hub.kept.set(kept(group.members.len()));
+pub async fn join(
+    hub: &Rc<NodeContext>,
+    group: rainstand_config::schema::Group,
+) -> Result<(), String> {
+    hub.reserved_descriptors.set(kept(group.members.len()));
     let setup = MemberOptions {
         name: hub.config.name.clone(),
         group,
@@ -97,15 +105,15 @@
         group,
         old: RefCell::default(),
     });
-    hub.core.borrow_mut().desk.copies = Some(copies.clone());
+    hub.core.borrow_mut().desk.group = Some(copies.clone());
     tokio::task::spawn_local(tell_old_runs(copies));
     Ok(())
 }
 
 /// A new configuration, read again at SIGHUP: its members hold from here on.
-pub async fn reload(hub: &Hub) {
+pub async fn reload(hub: &NodeContext) {
     let (Some(copies), Some(path)) = (
-        hub.core.borrow().desk.copies.clone(),
+        hub.core.borrow().desk.group.clone(),
         std::env::var_os("RAINSTAND_SETTINGS"),
     ) else {
         return;
@@ -120,7 +128,7 @@
         .and_then(|all| all.group.ok_or("no group".into()));
     match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
         Ok(group) => {
-            hub.kept.set(kept(group.members.len()));
+            hub.reserved_descriptors.set(kept(group.members.len()));
             note!(
                 "group_reload",
                 "members of the group",
@@ -149,36 +157,36 @@
         GroupEvent::LostLeadership { shard } => {
             note!("shard_leads_no_more", "leads no more", shard = shard)
         }
-        GroupEvent::MembershipChanged { shard, config } => {
+        GroupEvent::MembershipChanged { shard, membership } => {
             note!(
                 "shard_members",
                 "members of a shard",
                 shard = shard,
-                what = config
+                what = membership
             );
         }
-        GroupEvent::Diverged { shard, differs } => note!(
+        GroupEvent::Diverged { shard, divergence } => note!(
             "copy_differs",
             "this copy differs from most others: its files are set aside",
             shard = shard,
             what = format_args!(
                 "entry {}: {:016x} here, {:016x} there",
-                differs.index, differs.own_checksum, differs.majority_checksum
+                divergence.index, divergence.own_checksum, divergence.majority_checksum
             )
         ),
-        GroupEvent::StaleDisk { why } => {
+        GroupEvent::StaleDisk { reason } => {
             note!(
                 "copy_set_aside",
                 "the files are set aside, and this is a new member",
-                why = why
+                why = reason
             );
         }
-        GroupEvent::StalePeer { name, disk, why } => note!(
+        GroupEvent::StalePeer { name, disk, reason } => note!(
             "peer_old_copy",
             "a member came with an old copy of its disk",
             name = name,
             disk = format_args!("{disk:016x}"),
-            why = why
+            why = reason
         ),
         GroupEvent::CaughtUp { shard, index } => {
             note!(
@@ -194,11 +202,11 @@
                 "the disk stands still: nothing is confirmed here"
             )
         }
-        GroupEvent::DiskFailed { why } => {
+        GroupEvent::DiskFailed { reason } => {
             note!(
                 "disk_failed",
                 "the disk failed: nothing is confirmed here until a new start",
-                why = why
+                why = reason
             );
         }
     }
@@ -227,26 +235,30 @@
 }
 
 /// The module's order to run a keyed ticket: the group is asked first.
-pub fn start(desk: &mut Desk, ix: usize) {
-    let (Some(copies), hub) = (desk.copies.clone(), desk.hub.clone()) else {
+pub fn start(desk: &mut RequestTable, ix: usize) {
+    let (Some(copies), hub) = (desk.group.clone(), desk.context.clone()) else {
         return;
     };
     let Some(t) = desk.ticket(ix) else { return };
     let (serial, trace) = (t.serial, t.trace);
-    let Some(keyed) = &mut t.keyed else { return };
-    t.run = Run::Asking;
+    let Some(keyed) = &mut t.claim else { return };
+    t.run = RunState::Claiming;
     let left = keyed.due.saturating_duration_since(Instant::now());
     let most = Duration::from_nanos(copies.group.settings().start_within_ns);
     let what = Operation::Start(Start {
-        sum: keyed.sum,
-        window: keyed.window.as_nanos() as u64,
+        fingerprint: keyed.sum,
+        window_ns: keyed.window.as_nanos() as u64,
     });
     let command = copies.command(&trace, &keyed.key, what);
     let tell = move |told: Option<ClaimOutcome>| {
         if let Some(hub) = hub.upgrade() {
-            hub.act(|_, _, desk| {
+            hub.drive_policy(|_, _, desk| {
                 if desk.ticket(ix).is_some_and(|t| t.serial == serial) {
-                    happened(desk, ix, told.map_or(Event::TimedOut, Event::Told));
+                    happened(
+                        desk,
+                        ix,
+                        told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome),
+                    );
                 }
             });
         }
@@ -255,78 +267,78 @@
         .group
         .request(command, most.min(left / 2), Rc::new(tell));
     if keyed.question.is_none() {
-        happened(desk, ix, Event::TimedOut);
+        happened(desk, ix, RequestEvent::TimedOut);
     }
 }
 
 /// Nobody waits for the ticket any more. A run goes on: what it brings serves repeats.
-pub fn left(desk: &mut Desk, ix: usize) {
-    happened(desk, ix, Event::Left);
+pub fn left(desk: &mut RequestTable, ix: usize) {
+    happened(desk, ix, RequestEvent::CallerLeft);
 }
 
 /// The run of a keyed ticket is over; the module is told as of any other.
-pub fn ended(desk: &mut Desk, ix: usize, end: End) {
-    happened(desk, ix, Event::Ended(end));
+pub fn ended(desk: &mut RequestTable, ix: usize, end: RunEnd) {
+    happened(desk, ix, RequestEvent::RunFinished(end));
 }
 
-fn happened(desk: &mut Desk, ix: usize, event: Event) {
-    let Some(copies) = desk.copies.clone() else {
+fn happened(desk: &mut RequestTable, ix: usize, event: RequestEvent) {
+    let Some(copies) = desk.group.clone() else {
         return;
     };
     let counts = desk.counts.clone();
     let Some(t) = desk.tickets.get_mut(ix).and_then(Option::as_mut) else {
         return;
     };
-    let Some(keyed) = &mut t.keyed else { return };
+    let Some(keyed) = &mut t.claim else { return };
     let (trace, key) = (t.trace, keyed.key.clone());
-    let (next, act) = step(keyed.stage, event);
+    let Transition { next, action: act } = transition(keyed.stage, event);
     if let Some(next) = next {
         keyed.stage = next;
     }
     // Turned away before anything was launched: to the module it never ran.
     let never_ran = match act {
-        Act::Nothing => false,
-        Act::Launch => {
-            t.run = Run::Launched;
+        RequestAction::None => false,
+        RequestAction::Launch => {
+            t.run = RunState::Launched;
             count(&counts.launched);
-            send::launch(&desk.agent, t, &desk.type_names);
+            dispatch::launch(&desk.agent, t, &desk.class_names);
             false
         }
-        Act::Keep(result) => {
-            let (owed, due) = (t.owed.take(), keyed.due);
+        RequestAction::ReplicateResult(result) => {
+            let (owed, due) = (t.reply.take(), keyed.due);
             keep(desk, &copies, trace, &key, result, owed, due);
             false
         }
-        Act::Answer(result) => {
-            if let Some(owed) = t.owed.take() {
-                owed.honour(&counts, &result);
+        RequestAction::Respond(result) => {
+            if let Some(owed) = t.reply.take() {
+                owed.serve(&counts, &result);
             }
             true
         }
-        Act::Dismiss { nowhere } => {
+        RequestAction::Reject { permanent } => {
             let come_back = Duration::from_nanos(copies.group.settings().come_back_ns);
-            if let Some(owed) = t.owed.take() {
-                owed.dismiss(&counts, come_back, nowhere);
+            if let Some(owed) = t.reply.take() {
+                owed.reject(&counts, come_back, permanent);
             }
             true
         }
-        Act::GiveUp => {
-            if let Some(owed) = t.owed.take() {
-                owed.give_up(&counts);
+        RequestAction::Fail => {
+            if let Some(owed) = t.reply.take() {
+                owed.fail(&counts);
             }
             true
         }
-        Act::Withdraw => {
+        RequestAction::Withdraw => {
             if let Some(question) = keyed.question.take() {
                 copies.group.forget(question);
             }
             true
         }
-        Act::Fail | Act::Refuse => {
-            if let Some(owed) = t.owed.take() {
-                owed.give_up(&counts);
+        RequestAction::FailAndRecord | RequestAction::FailAndRelease => {
+            if let Some(owed) = t.reply.take() {
+                owed.fail(&counts);
             }
-            let what = if act == Act::Fail {
+            let what = if act == RequestAction::FailAndRecord {
                 Operation::Failed(true)
             } else {
                 Operation::Withdraw(true)
@@ -336,18 +348,18 @@
         }
     };
     if never_ran {
-        desk.ends.push_back((ix, Outcome::NeverStarted));
+        desk.run_ends.push_back((ix, Outcome::NeverStarted));
     }
 }
 
 /// Agrees on a result; what is owed is answered then, or given up in time.
 fn keep(
-    desk: &mut Desk,
+    desk: &mut RequestTable,
     copies: &Copies,
     trace: Trace,
     key: &Bytes,
     result: Bytes,
-    owed: Option<Owed>,
+    owed: Option<PendingReply>,
     due: Instant,
 ) {
     let left = due.saturating_duration_since(Instant::now());
@@ -356,35 +368,35 @@
     } else {
         UNWATCHED
     };
-    let (hub, kept) = (desk.hub.clone(), result.clone());
-    let number = desk.keep_owed(owed);
+    let (hub, kept) = (desk.context.clone(), result.clone());
+    let number = desk.retain_reply(owed);
     let tell = move |told: Option<ClaimOutcome>| {
         let Some(hub) = hub.upgrade() else { return };
         let mut core = hub.core.borrow_mut();
-        let event = told.map_or(Event::TimedOut, Event::Told);
-        let (next, act) = step(Stage::Keeping, event);
+        let event = told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome);
+        let Transition { next, action: act } = transition(RequestStage::Replicating, event);
         if next.is_some() {
             return;
         }
-        let Some(owed) = core.desk.keeping.remove(&number) else {
+        let Some(owed) = core.desk.awaiting_commit.remove(&number) else {
             return;
         };
         match act {
-            Act::Answer(_) => owed.honour(&hub.counts, &kept),
-            _ => owed.give_up(&hub.counts),
+            RequestAction::Respond(_) => owed.serve(&hub.counts, &kept),
+            _ => owed.fail(&hub.counts),
         }
     };
     let command = copies.command(&trace, key, Operation::Done(result));
     if copies.group.request(command, left, Rc::new(tell)).is_none() {
-        if let Some(owed) = desk.keeping.remove(&number) {
-            owed.give_up(&desk.counts);
+        if let Some(owed) = desk.awaiting_commit.remove(&number) {
+            owed.fail(&desk.counts);
         }
     }
 }
 
 /// The agent tells of a run that nobody here knows: perhaps an earlier start of this node began it.
-pub fn old_run(hub: &Hub, trace: Trace, end: End) {
-    let Some(copies) = hub.core.borrow().desk.copies.clone() else {
+pub fn old_run(hub: &NodeContext, trace: Trace, end: RunEnd) {
+    let Some(copies) = hub.core.borrow().desk.group.clone() else {
         return;
     };
     let mut old = copies.old.borrow_mut();
@@ -410,9 +422,9 @@
             {
                 Some(key) => {
                     let what = match run.end {
-                        End::Result(result) => Operation::Done(result),
-                        End::Failed => Operation::Failed(true),
-                        End::NeverRan => Operation::Withdraw(true),
+                        RunEnd::Result(result) => Operation::Done(result),
+                        RunEnd::Failed => Operation::Failed(true),
+                        RunEnd::NeverRan => Operation::Withdraw(true),
                     };
                     copies.ask_unwatched(&run.trace, &key, what);
                 }
