--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -3,7 +3,7 @@
 use crate::config::replace;
 use clap::Args;
 use rainstand_cluster::attachment::{
-    run_attachment, AttachmentEvent, AttachmentOptions, AttachmentStatus,
+    run_attachment, AttachmentEvent, AttachmentOptions, AttachmentPhase, AttachmentStatus,
 };
 use rainstand_config::schema::{Configuration, Control, ControlMember};
 use rainstand_config_distribution::attachment::NodeIdentity;
@@ -162,7 +162,8 @@
         };
         let (folder, mut kept, mut at) = (self.folder, subscriber.version(), None::<Instant>);
         let busy = Rc::new(Cell::new(false));
-        let look = move |subscriber: &Subscriber, lost: bool| {
+        let look = move |subscriber: &Subscriber, phase: AttachmentPhase| {
+            let lost = phase == AttachmentPhase::Lost;
             let Some(folder) = &folder else { return };
             let (version, early) = (
                 subscriber.version(),
@@ -183,14 +184,14 @@
             });
         };
         let setup = AttachmentOptions {
-            who: self.who,
+            identity: self.who,
             machines: self.machines,
             subscriber,
             seed: self.seed,
-            take: Box::new(take),
-            tell: Box::new(tell),
-            look: Box::new(look),
-            seen,
+            apply: Box::new(take),
+            on_event: Box::new(tell),
+            on_status: Box::new(look),
+            status: seen,
         };
         spawn_local(run_attachment(setup));
     }
@@ -215,16 +216,16 @@
 }
 
 fn line(seen: &AttachmentStatus, since: Instant) -> ControlLine {
-    let age = seen.newest.unwrap_or(since).elapsed();
+    let age = seen.known_newest_at.unwrap_or(since).elapsed();
     ControlLine {
         version: seen.version,
         digest: format!("{:016x}", seen.digest),
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         machine: seen.machine.clone(),
-        refused: seen.refused.clone(),
+        refused: seen.rejected.clone().map(|one| (one.version, one.reason)),
         attachments: seen.attachments,
-        lost: seen.lost,
-        dials: seen.dials,
+        lost: seen.lost_attachments,
+        dials: seen.connection_attempts,
         in_force: seen.counters.applied,
         refusals: seen.counters.nacks,
         differs: seen.counters.divergences,
@@ -239,7 +240,10 @@
         AttachmentEvent::Attached { machine } => {
             tracing::info!(event = "attached", machine, version = holds)
         }
-        AttachmentEvent::Lost { machine, why } => {
+        AttachmentEvent::Lost {
+            machine,
+            reason: why,
+        } => {
             tracing::warn!(event = "attachment_lost", machine, why, version = holds)
         }
         AttachmentEvent::Version(Event::Applied { version }) => {
--- a/crates/cli/src/cluster_client.rs
+++ b/crates/cli/src/cluster_client.rs
@@ -1,6 +1,6 @@
 //! Sends one request to a member of a group and reads its response.
 
-use rainstand_cluster::transport::with_length_prefix;
+use rainstand_cluster::framing::with_length_prefix;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -5,7 +5,7 @@
 use crate::out::{json as json_line, line, Code};
 use crate::pcap::trouble;
 use clap::Args;
-use rainstand_cluster::{status, ClusterMember, MemberOptions};
+use rainstand_cluster::{status, MemberOptions};
 use rainstand_config::diff::diff;
 use rainstand_config::schema::{Configuration, VERSION};
 use rainstand_config_distribution::delta::ConfigState;
@@ -92,11 +92,11 @@
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let mut hup = signal(SignalKind::hangup())?;
         let setup = MemberOptions { name: options.name.clone(), group, log: Box::new(told) };
-        let group = match ClusterMember::start(setup).await {
+        let group = match rainstand_cluster::start(setup).await {
             Ok(group) => group,
             Err(why) => return Ok(trouble(&options.config, why)),
         };
-        group.serve(PublisherLimits::default(), Box::new(event));
+        group.serve_configuration(PublisherLimits::default(), Box::new(event));
         let listen = group.address(&options.name).map(|address| address.to_string()).unwrap_or_default();
         tracing::info!(event = "start", name = %options.name, listen = %listen, config = %options.config);
         let (again, path) = (group.clone(), options.config.clone());
@@ -104,7 +104,9 @@
             while hup.recv().await.is_some() {
                 let taken = match read(&path, false) {
                     Ok(Ok((configuration, ..))) => match configuration.groups.first() {
-                        Some(group) => again.set_members(group),
+                        Some(group) => again
+                            .set_members(group)
+                            .map_err(|error| error.to_string()),
                         None => Err("no `group` block".to_owned()),
                     },
                     Ok(Err(_)) => Err("the configuration has errors".to_owned()),
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -9,8 +9,8 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
+use rainstand_cluster::framing::with_length_prefix;
 use rainstand_cluster::status;
-use rainstand_cluster::transport::with_length_prefix;
 use rainstand_config::schema::Configuration;
 use rainstand_config_distribution::delta::ConfigState;
 use rainstand_replicated_state::versions::Publish;
--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -1,303 +1,360 @@
-//! A process's own side of its attachment: one link at a time to a control machine, and versions put into force.
+//! A subscriber's own side of its attachment: one link at a time to a control machine, and versions put into force.
 //!
-//! Which machine, when, and what is taken are decisions of `rainstand-config-distribution`; here are sockets and time. Without any
-//! machine the process runs on with the version that it has.
+//! Which machine, when, and what is accepted are decisions of `rainstand-config-distribution`; this module has the
+//! sockets and the time. Without any machine the process goes on with the version that it has.
 
-use crate::config_server::up;
-use crate::transport::{OPENS, TAKES};
+use crate::framing::{subscriber_frame, FrameBuffer, OPEN_TIMEOUT, WRITE_TIMEOUT};
 use prost::Message as _;
 use rainstand_config::schema;
 use rainstand_config_distribution::attachment::{AttachmentPolicy, NodeIdentity, RetryTarget};
 use rainstand_config_distribution::subscriber::{Counters, Effect, Event, Subscriber};
-use rainstand_protocol::thrift::frame_within;
 use rainstand_replicated_state::frames::{Frame, FrameBody};
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at};
 
-/// A machine's frame: a delta or a piece of a snapshot, with room.
-const DOWN: usize = 128 << 10;
-/// Between looks at a link on which nothing comes.
-const LOOK: Duration = Duration::from_millis(500);
+/// The longest frame of a control machine: a delta or a chunk of a snapshot, with room to spare.
+const MAX_SERVER_FRAME_BYTES: usize = 128 << 10;
+/// Between two looks at a link on which nothing comes.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Bytes that are read with one call.
+const READ_CHUNK_BYTES: usize = 8 << 10;
 
-/// What is told of an attachment, whoever asks.
+/// The state of an attachment, for whoever reports it.
 #[derive(Clone, Debug, Default)]
 pub struct AttachmentStatus {
-    /// The version in force; 0: none that a machine told.
+    /// The version in force; 0 if none came from a control machine.
     pub version: u64,
+    /// Digest of the version in force.
     pub digest: u64,
-    /// The machine it is attached to.
+    /// The control machine that this process is attached to.
     pub machine: Option<String>,
-    /// When the version in force was last known to be the newest; none: never yet.
-    pub newest: Option<Instant>,
-    /// The last version that was refused here, and why; none once a later one is in force.
-    pub refused: Option<(u64, String)>,
+    /// When the version in force was last known to be the newest; none if it never was.
+    pub known_newest_at: Option<Instant>,
+    /// The last version that was rejected here; none once a later one is in force.
+    pub rejected: Option<RejectedVersion>,
+    /// Counters of the subscriber.
     pub counters: Counters,
-    /// Links that were tried, that attached, and that ended.
-    pub dials: u64,
+    /// Attempts to connect to a control machine.
+    pub connection_attempts: u64,
+    /// Links on which this process was attached.
     pub attachments: u64,
-    pub lost: u64,
+    /// Attachments that ended.
+    pub lost_attachments: u64,
 }
 
-/// What people should hear of.
+/// A version that could not be put into force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RejectedVersion {
+    /// The version.
+    pub version: u64,
+    /// Why it could not.
+    pub reason: String,
+}
+
+/// What operators should hear of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttachmentEvent {
-    Attached { machine: String },
-    Lost { machine: String, why: &'static str },
+    /// Attached to a control machine.
+    Attached {
+        /// The machine's name.
+        machine: String,
+    },
+    /// The attachment ended.
+    Lost {
+        /// The machine's name.
+        machine: String,
+        /// Why it ended.
+        reason: &'static str,
+    },
+    /// An event of the subscriber.
     Version(Event),
 }
 
-/// Puts the subscriber's pending version into force, or says why it cannot be.
-pub type ApplyCallback = Box<dyn FnMut(&Subscriber) -> Result<(), String>>;
+/// Whether an attachment goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttachmentPhase {
+    /// The link is open.
+    Linked,
+    /// An attachment has just ended.
+    Lost,
+}
 
-/// Where news go: the program's log.
-pub type Tell = Box<dyn Fn(&AttachmentEvent, &Subscriber)>;
-/// Called now and then while attached, and, with true, when an attachment is lost: for who keeps the version in force.
-pub type StatusCallback = Box<dyn FnMut(&Subscriber, bool)>;
+/// Puts the subscriber's pending version into force, or returns the reason why it cannot be.
+pub type ApplyCallback = Box<dyn FnMut(&Subscriber) -> Result<(), String>>;
+/// Receives events: the program's log.
+pub type EventCallback = Box<dyn Fn(&AttachmentEvent, &Subscriber)>;
+/// Called at least every 500 ms while a link is open, and when an attachment is lost: for whoever stores the version in
+/// force.
+pub type StatusCallback = Box<dyn FnMut(&Subscriber, AttachmentPhase)>;
 
 /// What an attachment needs.
 pub struct AttachmentOptions {
-    pub who: NodeIdentity,
+    /// This process.
+    pub identity: NodeIdentity,
+    /// The control machines.
     pub machines: Vec<schema::ControlMember>,
-    /// What is in force already, as read from a disk: none for [`Subscriber::new`].
+    /// With the version that is in force already, as read from a disk, or a new one.
     pub subscriber: Subscriber,
+    /// For the waits that are drawn.
     pub seed: u64,
-    pub take: ApplyCallback,
-    pub tell: Tell,
-    pub look: StatusCallback,
-    pub seen: Rc<RefCell<AttachmentStatus>>,
+    /// Puts versions into force.
+    pub apply: ApplyCallback,
+    /// Receives events.
+    pub on_event: EventCallback,
+    /// Called regularly.
+    pub on_status: StatusCallback,
+    /// Kept up to date by the attachment.
+    pub status: Rc<RefCell<AttachmentStatus>>,
 }
 
-/// Why a link is over.
-enum Over {
-    RecoveryReport(&'static str),
-    ComeBack {
+/// Why a link ended.
+enum LinkEnd {
+    Lost(&'static str),
+    RetryAfter {
         after: Duration,
         target: RetryTarget,
     },
-    /// A nearer machine is tried again.
-    Home,
+    /// A preferred machine is tried again.
+    Failback,
 }
 
 struct Attachment {
     subscriber: Subscriber,
-    chooser: AttachmentPolicy,
+    policy: AttachmentPolicy,
     machines: Vec<schema::ControlMember>,
     started: Instant,
-    take: ApplyCallback,
-    tell: Tell,
-    look: StatusCallback,
-    seen: Rc<RefCell<AttachmentStatus>>,
+    apply: ApplyCallback,
+    on_event: EventCallback,
+    on_status: StatusCallback,
+    status: Rc<RefCell<AttachmentStatus>>,
 }
 
-/// Keeps one attachment, for ever.
-pub async fn run_attachment(setup: AttachmentOptions) {
-    let AttachmentOptions {
-        who,
-        machines,
-        subscriber,
-        seed,
-        take,
-        tell,
-        look,
-        seen,
-    } = setup;
-    let places: Vec<NodeIdentity> = machines
-        .iter()
-        .map(|one| NodeIdentity {
-            name: one.name.clone(),
-            region: one.region.clone(),
-            zone: one.zone.clone(),
-        })
-        .collect();
-    let chooser = AttachmentPolicy::new(Duration::ZERO, &who, &places, seed);
-    let started = Instant::now();
-    let mut one = Attachment {
-        subscriber,
-        chooser,
-        machines,
-        started,
-        take,
-        tell,
-        look,
-        seen,
-    };
-    loop {
-        let now = one.now();
-        let Some(due) = one.chooser.next_deadline() else {
-            return;
-        };
-        if now < due {
-            sleep(due - now).await;
+/// Keeps one attachment, for ever; returns only if there are no machines.
+pub async fn run_attachment(options: AttachmentOptions) {
+    let mut attachment = Attachment::new(options);
+    while let Some(deadline) = attachment.policy.next_deadline() {
+        sleep(deadline.saturating_sub(attachment.now())).await;
+        let now = attachment.now();
+        if let Some(machine) = attachment.policy.next_server(now) {
+            attachment.run_link(machine).await;
         }
-        let now = one.now();
-        let Some(machine) = one.chooser.next_server(now) else {
-            continue;
-        };
-        one.link(machine).await;
     }
 }
 
 impl Attachment {
+    fn new(options: AttachmentOptions) -> Self {
+        let identities: Vec<NodeIdentity> = options
+            .machines
+            .iter()
+            .map(|machine| NodeIdentity {
+                name: machine.name.clone(),
+                region: machine.region.clone(),
+                zone: machine.zone.clone(),
+            })
+            .collect();
+        let policy =
+            AttachmentPolicy::new(Duration::ZERO, &options.identity, &identities, options.seed);
+        Self {
+            subscriber: options.subscriber,
+            policy,
+            machines: options.machines,
+            started: Instant::now(),
+            apply: options.apply,
+            on_event: options.on_event,
+            on_status: options.on_status,
+            status: options.status,
+        }
+    }
+
     fn now(&self) -> Duration {
         self.started.elapsed()
     }
 
     /// One link, from its opening to its end.
-    async fn link(&mut self, machine: usize) {
+    async fn run_link(&mut self, machine: usize) {
         let name = self.machines[machine].name.clone();
-        self.seen.borrow_mut().dials += 1;
-        let over = match self.machines[machine]
-            .address
-            .parse::<std::net::SocketAddr>()
-        {
-            Ok(to) => match timeout(OPENS, TcpStream::connect(to)).await {
-                Ok(Ok(stream)) => self.talk(stream, &name).await,
-                _ => Over::RecoveryReport("no connection"),
-            },
-            Err(_) => Over::RecoveryReport("no address"),
+        self.status.borrow_mut().connection_attempts += 1;
+        let end = match connect(&self.machines[machine].address).await {
+            Ok(stream) => self.exchange_frames(stream, &name).await,
+            Err(reason) => LinkEnd::Lost(reason),
         };
         self.subscriber.on_link_closed();
         let now = self.now();
-        let was = self.seen.borrow_mut().machine.take();
-        let why = match over {
-            Over::RecoveryReport(why) => {
-                self.chooser.on_disconnected(now);
-                why
+        let was_attached = self.status.borrow_mut().machine.take().is_some();
+        let reason = match end {
+            LinkEnd::Lost(reason) => {
+                self.policy.on_disconnected(now);
+                reason
             }
-            Over::ComeBack { after, target } => {
-                self.chooser.on_retry_after(now, after, target);
+            LinkEnd::RetryAfter { after, target } => {
+                self.policy.on_retry_after(now, after, target);
                 "told to come back"
             }
-            // The chooser says which one when it is asked next.
-            Over::Home => "a nearer one is tried",
+            // The policy names the machine when it is asked next.
+            LinkEnd::Failback => "a nearer one is tried",
         };
-        if was.is_some() {
-            self.seen.borrow_mut().lost += 1;
-            (self.look)(&self.subscriber, true);
-            (self.tell)(
-                &AttachmentEvent::Lost { machine: name, why },
-                &self.subscriber,
-            );
+        if was_attached {
+            self.status.borrow_mut().lost_attachments += 1;
+            (self.on_status)(&self.subscriber, AttachmentPhase::Lost);
+            let event = AttachmentEvent::Lost {
+                machine: name,
+                reason,
+            };
+            (self.on_event)(&event, &self.subscriber);
         }
     }
 
-    async fn talk(&mut self, stream: TcpStream, name: &str) -> Over {
+    async fn exchange_frames(&mut self, stream: TcpStream, machine: &str) -> LinkEnd {
         let _ = stream.set_nodelay(true);
         let (mut read, mut write) = stream.into_split();
-        let (mut back, mut chunk) = (Vec::new(), vec![0; 8 << 10]);
-        let now = self.now();
-        self.subscriber.on_connected(now);
+        let mut frames = FrameBuffer::new(MAX_SERVER_FRAME_BYTES);
+        self.subscriber.on_connected(self.started.elapsed());
         loop {
-            let mut bytes = Vec::new();
-            let over = self.follow(&mut bytes);
-            if !bytes.is_empty()
-                && !timeout(TAKES, write.write_all(&bytes))
-                    .await
-                    .is_ok_and(|sent| sent.is_ok())
-            {
-                return Over::RecoveryReport("it takes nothing");
-            }
-            if let Some(over) = over {
-                return over;
+            if let Err(end) = self.send_effects(&mut write).await {
+                return end;
             }
-            self.look(name);
+            self.update_status(machine);
             let now = self.now();
             if self.subscriber.is_server_lost(now) {
-                return Over::RecoveryReport("silent, or out of touch with the others");
+                return LinkEnd::Lost("silent, or out of touch with the others");
             }
-            if self.chooser.next_deadline().is_some_and(|due| due <= now) {
-                return Over::Home;
+            let deadline = self.policy.next_deadline();
+            if deadline.is_some_and(|deadline| deadline <= now) {
+                return LinkEnd::Failback;
             }
-            let until = tokio::time::Instant::now() + LOOK;
-            match timeout_at(until, read.read(&mut chunk)).await {
-                Err(_) => continue,
-                Ok(Ok(0) | Err(_)) => return Over::RecoveryReport("the link ended"),
-                Ok(Ok(n)) => back.extend_from_slice(&chunk[..n]),
+            if let Err(reason) = read_some(&mut read, &mut frames).await {
+                return LinkEnd::Lost(reason);
             }
-            let mut at = 0;
-            loop {
-                let Ok(length) = frame_within(&back[at..], DOWN) else {
-                    return Over::RecoveryReport("no frame");
-                };
-                let Some(length) = length else { break };
-                let frame = Frame::decode(&back[at + 4..at + 4 + length]);
-                at += 4 + length;
-                let Ok(Frame {
-                    body: Some(FrameBody::ToSubscriber(frame)),
-                }) = frame
-                else {
-                    return Over::RecoveryReport("no frame of a control machine");
-                };
-                let now = self.now();
-                self.subscriber.on_frame(now, frame);
+            if let Err(reason) = self.handle_frames(&mut frames) {
+                return LinkEnd::Lost(reason);
             }
-            back.drain(..at);
         }
     }
 
-    /// Carries out what the subscriber wants done; bytes for the link, and whether it is over.
-    fn follow(&mut self, bytes: &mut Vec<u8>) -> Option<Over> {
-        let mut over = None;
+    /// Carries out what the subscriber wants done, and writes its frames.
+    async fn send_effects(&mut self, write: &mut OwnedWriteHalf) -> Result<(), LinkEnd> {
+        let mut bytes = Vec::new();
+        let end = self.carry_out_effects(&mut bytes);
+        if !bytes.is_empty() {
+            let written = timeout(WRITE_TIMEOUT, write.write_all(&bytes)).await;
+            if !written.is_ok_and(|written| written.is_ok()) {
+                return Err(LinkEnd::Lost("it takes nothing"));
+            }
+        }
+        end.map_or(Ok(()), Err)
+    }
+
+    fn handle_frames(&mut self, frames: &mut FrameBuffer) -> Result<(), &'static str> {
+        while let Some(frame) = frames.next_frame().map_err(|_| "no frame")? {
+            let Ok(Frame {
+                body: Some(FrameBody::ToSubscriber(frame)),
+            }) = Frame::decode(frame)
+            else {
+                return Err("no frame of a control machine");
+            };
+            self.subscriber.on_frame(self.started.elapsed(), frame);
+        }
+        Ok(())
+    }
+
+    /// Frames are appended to `bytes`; the result is why the link has to end, if it has to.
+    fn carry_out_effects(&mut self, bytes: &mut Vec<u8>) -> Option<LinkEnd> {
+        let mut end = None;
         loop {
-            let orders: Vec<Effect> = self.subscriber.take_effects().collect();
-            if orders.is_empty() {
-                return over;
+            let effects: Vec<Effect> = self.subscriber.take_effects().collect();
+            if effects.is_empty() {
+                return end;
             }
-            for order in orders {
-                match order {
-                    Effect::Send(frame) => bytes.extend(up(frame)),
-                    Effect::Apply(version) => match (self.take)(&self.subscriber) {
+            for effect in effects {
+                match effect {
+                    Effect::Send(frame) => bytes.extend(subscriber_frame(frame)),
+                    Effect::Apply(version) => match (self.apply)(&self.subscriber) {
                         Ok(()) => self.subscriber.on_applied(version),
-                        Err(why) => self.subscriber.on_rejected(version, &why),
+                        Err(reason) => self.subscriber.on_rejected(version, &reason),
                     },
                     Effect::RetryAfter { after, target } => {
-                        over = Some(Over::ComeBack { after, target })
-                    }
-                    Effect::Close => {
-                        over = Some(Over::RecoveryReport("no frame of a control machine"))
-                    }
-                    Effect::Event(event) => {
-                        match &event {
-                            Event::Rejected { version, reason } => {
-                                self.seen.borrow_mut().refused = Some((*version, reason.clone()));
-                            }
-                            Event::Applied { .. } => self.seen.borrow_mut().refused = None,
-                            _ => {}
-                        }
-                        (self.tell)(&AttachmentEvent::Version(event), &self.subscriber);
+                        end = Some(LinkEnd::RetryAfter { after, target });
                     }
+                    Effect::Close => end = Some(LinkEnd::Lost("no frame of a control machine")),
+                    Effect::Event(event) => self.report(event),
                 }
             }
         }
     }
 
-    /// Brings what is told up to date, and the chooser.
-    fn look(&mut self, name: &str) {
-        (self.look)(&self.subscriber, false);
+    fn report(&self, event: Event) {
+        match &event {
+            Event::Rejected { version, reason } => {
+                self.status.borrow_mut().rejected = Some(RejectedVersion {
+                    version: *version,
+                    reason: reason.clone(),
+                });
+            }
+            Event::Applied { .. } => self.status.borrow_mut().rejected = None,
+            _ => {}
+        }
+        (self.on_event)(&AttachmentEvent::Version(event), &self.subscriber);
+    }
+
+    /// Brings the status up to date; notices when this process is attached.
+    fn update_status(&mut self, machine: &str) {
+        (self.on_status)(&self.subscriber, AttachmentPhase::Linked);
         let now = self.now();
-        let attached = self.subscriber.is_attached();
-        let mut seen = self.seen.borrow_mut();
-        seen.version = self.subscriber.version();
-        seen.digest = self.subscriber.state().digest();
-        seen.counters = self.subscriber.counters();
-        if attached {
-            seen.newest = Instant::now().checked_sub(self.subscriber.staleness(now));
+        let is_attached = self.subscriber.is_attached();
+        let is_new = {
+            let mut status = self.status.borrow_mut();
+            status.version = self.subscriber.version();
+            status.digest = self.subscriber.state().digest();
+            status.counters = self.subscriber.counters();
+            if is_attached {
+                let staleness = self.subscriber.staleness(now);
+                status.known_newest_at = Instant::now().checked_sub(staleness);
+            }
+            is_attached && status.machine.is_none()
+        };
+        if is_new {
+            self.on_attached(now, machine);
         }
-        if attached && seen.machine.is_none() {
-            seen.machine = Some(name.to_owned());
-            seen.attachments += 1;
-            drop(seen);
-            self.chooser.on_attached(now);
-            (self.tell)(
-                &AttachmentEvent::Attached {
-                    machine: name.to_owned(),
-                },
-                &self.subscriber,
-            );
+    }
+
+    fn on_attached(&mut self, now: Duration, machine: &str) {
+        {
+            let mut status = self.status.borrow_mut();
+            status.machine = Some(machine.to_owned());
+            status.attachments += 1;
+        }
+        self.policy.on_attached(now);
+        let event = AttachmentEvent::Attached {
+            machine: machine.to_owned(),
+        };
+        (self.on_event)(&event, &self.subscriber);
+    }
+}
+
+async fn connect(address: &str) -> Result<TcpStream, &'static str> {
+    let address: SocketAddr = address.parse().map_err(|_| "no address")?;
+    match timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        _ => Err("no connection"),
+    }
+}
+
+/// Waits for bytes, at most for [`POLL_INTERVAL`].
+async fn read_some(read: &mut OwnedReadHalf, frames: &mut FrameBuffer) -> Result<(), &'static str> {
+    let mut chunk = vec![0; READ_CHUNK_BYTES];
+    let until = tokio::time::Instant::now() + POLL_INTERVAL;
+    match timeout_at(until, read.read(&mut chunk)).await {
+        Err(_) => Ok(()),
+        Ok(Ok(n)) if n > 0 => {
+            frames.extend(&chunk[..n]);
+            Ok(())
         }
+        Ok(_) => Err("the link ended"),
     }
 }
--- a/crates/cluster/src/config_server.rs
+++ b/crates/cluster/src/config_server.rs
@@ -1,11 +1,12 @@
-//! A control machine's side of attachments: what the group committed goes to processes that are no members.
+//! A control machine's side of attachments: what the group committed is sent to processes that are no members.
 //!
-//! Who gets what, and when, is decided by [`Source`]; here are sockets, time and the log of the group. A process opens
-//! one link to the group's own address; its first frame says that it attaches. Bounds: the source's on subscribers and
-//! on attachments in a second, [`STRANGERS`] links beside them, [`WAITS`] bytes that wait for one link.
+//! Which subscriber gets what, and when, is decided by [`Publisher`]; this module has the sockets and the time. A process
+//! opens one link to the member's own address; its first frame says that it attaches. Bounds: the publisher's on
+//! subscribers and attachments a second, [`MAX_EXTRA_LINKS`] links beside them, [`MAX_QUEUED_BYTES`] bytes that wait for
+//! one link.
 
-use crate::driver::ClusterMember;
-use crate::transport::{with_length_prefix, Outbox, OPENS, TAKES};
+use crate::framing::{FrameBuffer, OPEN_TIMEOUT, WRITE_TIMEOUT};
+use crate::outbox::Outbox;
 use bytes::Bytes;
 use foldhash::{HashMap, HashMapExt};
 use prost::Message as _;
@@ -13,266 +14,280 @@
     Effect, Event, Link, Publisher, PublisherLimits, RolloutProgress, SubscriberStatus,
 };
 use rainstand_config_distribution::snapshot;
-use rainstand_protocol::thrift::frame_within;
 use rainstand_replicated_state::frames::{Frame, FrameBody};
-use rainstand_replicated_state::member::GroupMember;
+use rainstand_replicated_state::member::PublishedVersions;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// A subscriber's frame: a name, a zone, a region and a reason, with room.
-const UP: usize = 4 << 10;
-/// For one link: a window of pieces and a delta, with room. Whoever takes less is ended, and comes back.
-const WAITS: usize = 256 << 10;
-/// Links beyond the subscribers: those that are told to come back, on their way out.
-const STRANGERS: usize = 256;
-/// Between looks at all subscribers.
-const LOOK: Duration = Duration::from_millis(250);
-/// Versions that an answer lists at most.
-pub const LISTED: usize = 256;
+/// A subscriber's frame: a name, a zone, a region and a reason, with room to spare.
+const MAX_SUBSCRIBER_FRAME_BYTES: usize = 4 << 10;
+/// For one link: a window of chunks and a delta, with room to spare. A subscriber that reads more slowly is closed, and
+/// attaches again.
+const MAX_QUEUED_BYTES: usize = 256 << 10;
+/// Links beyond the subscribers: those that are told to retry, until they are closed.
+const MAX_EXTRA_LINKS: usize = 256;
+/// Between two ticks of the publisher.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Versions that an answer to operators lists at most.
+pub const MAX_LISTED_VERSIONS: usize = 256;
 
-/// Where events go: the program's log.
+/// Receives the publisher's events: the program's log.
 pub type EventCallback = Box<dyn Fn(&Event)>;
 
-/// What goes to one subscriber.
-struct Line {
-    out: Outbox,
-    over: Cell<bool>,
+/// One subscriber's link.
+struct SubscriberLink {
+    outbox: Outbox,
+    /// The link ends once everything queued is written.
+    closing: Cell<bool>,
 }
 
-/// Counters, since the start.
+/// Links that were closed by the server, since the start.
 #[derive(Debug, Default)]
 pub struct ServerCounters {
-    /// Turned away: too many links, or no copy of what is published here.
+    /// Rejected, as there were too many links.
     pub full: Cell<u64>,
-    pub not_here: Cell<u64>,
-    /// Ended, as what waited for them was too much.
+    /// Rejected, as this member holds no replica of the published versions.
+    pub no_replica: Cell<u64>,
+    /// Closed, as too much waited for them.
     pub slow: Cell<u64>,
 }
 
+/// Serves the published versions of a configuration to subscribers.
 pub struct ConfigServer {
-    source: RefCell<Publisher>,
-    bounds: PublisherLimits,
+    publisher: RefCell<Publisher>,
+    limits: PublisherLimits,
     started: Instant,
-    lines: RefCell<HashMap<Link, Rc<Line>>>,
-    next: Cell<Link>,
-    tell: EventCallback,
-    pub counts: ServerCounters,
+    links: RefCell<HashMap<Link, Rc<SubscriberLink>>>,
+    last_link: Cell<Link>,
+    on_event: EventCallback,
+    counters: ServerCounters,
 }
 
-fn count(what: &Cell<u64>) {
-    what.set(what.get() + 1);
+fn increment(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
 }
 
 impl ConfigServer {
-    /// Begins to serve what a group publishes.
-    pub fn begin(
-        group: &Rc<ClusterMember>,
-        bounds: PublisherLimits,
+    /// Starts to serve. `synchronize` is called at each tick and has to call [`ConfigServer::synchronize`] with what the
+    /// member has.
+    pub(crate) fn start(
+        limits: PublisherLimits,
         seed: u64,
-        tell: EventCallback,
+        on_event: EventCallback,
+        synchronize: impl Fn(&Self) + 'static,
     ) -> Rc<Self> {
-        let serving = Rc::new(Self {
-            source: RefCell::new(Publisher::new(Duration::ZERO, bounds, seed)),
-            bounds,
+        let server = Rc::new(Self {
+            publisher: RefCell::new(Publisher::new(Duration::ZERO, limits, seed)),
+            limits,
             started: Instant::now(),
-            lines: RefCell::new(HashMap::new()),
-            next: Cell::new(0),
-            tell,
-            counts: ServerCounters::default(),
+            links: RefCell::new(HashMap::new()),
+            last_link: Cell::new(0),
+            on_event,
+            counters: ServerCounters::default(),
         });
-        let (looking, of) = (serving.clone(), group.clone());
+        let ticking = server.clone();
         spawn_local(async move {
             loop {
-                of.inspect(|member| looking.sync(member));
-                looking.source.borrow_mut().tick(looking.now());
-                looking.follow();
-                sleep(LOOK).await;
+                synchronize(&ticking);
+                ticking.publisher.borrow_mut().tick(ticking.now());
+                ticking.carry_out_effects();
+                sleep(TICK_INTERVAL).await;
             }
         });
-        serving
+        server
     }
 
     fn now(&self) -> Duration {
         self.started.elapsed()
     }
 
-    /// Takes over what was committed since the last time.
-    pub fn sync(&self, member: &GroupMember) {
-        let Some(published) = member.published() else {
-            return;
-        };
+    /// Takes over what was committed since the last call.
+    pub(crate) fn synchronize(&self, published: &PublishedVersions) {
         let versions = published.versions;
         let now = self.now();
         {
-            let mut source = self.source.borrow_mut();
+            let mut publisher = self.publisher.borrow_mut();
             let base = versions.base();
-            if source.version() < base.version {
+            if publisher.version() < base.version {
                 if let Ok(packed) = snapshot::encode(base.version, &base.state) {
-                    let _ = source.restore(now, packed.into());
+                    let _ = publisher.restore(now, packed.into());
                 }
             }
-            for change in versions
-                .changes_since(source.version())
-                .into_iter()
-                .flatten()
-            {
-                // Applied here as it was in the log's own copy.
-                let _ = source.apply_committed(now, change.delta.clone());
+            let changes = versions.changes_since(publisher.version());
+            for change in changes.into_iter().flatten() {
+                // It was applied to the log's own replica before, so it applies here too.
+                let _ = publisher.apply_committed(now, change.delta.clone());
             }
-            if published.is_current && source.version() == versions.version() {
-                source.mark_current(now);
+            if published.is_current && publisher.version() == versions.version() {
+                publisher.mark_current(now);
             }
         }
-        self.follow();
+        self.carry_out_effects();
     }
 
-    /// Carries out what the source wants done.
-    fn follow(&self) {
+    fn carry_out_effects(&self) {
         loop {
-            let orders: Vec<Effect> = self.source.borrow_mut().take_effects().collect();
-            if orders.is_empty() {
+            let effects: Vec<Effect> = self.publisher.borrow_mut().take_effects().collect();
+            if effects.is_empty() {
                 return;
             }
-            for order in orders {
-                match order {
+            for effect in effects {
+                match effect {
                     Effect::Send { link, frame } => self.send(link, frame),
                     Effect::Close(link) => self.close(link),
-                    Effect::Event(event) => (self.tell)(&event),
+                    Effect::Event(event) => (self.on_event)(&event),
                 }
             }
         }
     }
 
     fn send(&self, link: Link, frame: Bytes) {
-        let line = self.lines.borrow().get(&link).cloned();
-        let Some(line) = line else { return };
-        let lost = line.out.lost.get();
-        line.out
-            .send(&Frame::from_body(FrameBody::ToSubscriber(frame)));
-        if line.out.lost.get() > lost {
-            count(&self.counts.slow);
+        let subscriber = self.links.borrow().get(&link).cloned();
+        let Some(subscriber) = subscriber else { return };
+        let dropped = subscriber.outbox.dropped_frames();
+        let frame = Frame::from_body(FrameBody::ToSubscriber(frame));
+        subscriber.outbox.send(&frame);
+        if subscriber.outbox.dropped_frames() > dropped {
+            increment(&self.counters.slow);
             self.close(link);
-            self.source.borrow_mut().on_disconnected(link);
+            self.publisher.borrow_mut().on_disconnected(link);
         }
     }
 
     fn close(&self, link: Link) {
-        if let Some(line) = self.lines.borrow_mut().remove(&link) {
-            line.over.set(true);
-            line.out.stir.notify_one();
+        if let Some(subscriber) = self.links.borrow_mut().remove(&link) {
+            subscriber.closing.set(true);
+            subscriber.outbox.notify();
         }
     }
 
-    fn heard(&self, link: Link, frame: Bytes) {
-        self.source.borrow_mut().on_frame(self.now(), link, frame);
-        self.follow();
+    fn on_frame(&self, link: Link, frame: Bytes) {
+        self.publisher
+            .borrow_mut()
+            .on_frame(self.now(), link, frame);
+        self.carry_out_effects();
     }
 
-    /// How far the newest versions are, the newest first.
-    pub fn progress(&self, most: usize) -> Vec<RolloutProgress> {
-        self.source.borrow().progress(most.min(LISTED))
+    /// How far the newest versions are rolled out, the newest first; at most [`MAX_LISTED_VERSIONS`].
+    pub fn progress(&self, max_versions: usize) -> Vec<RolloutProgress> {
+        self.publisher
+            .borrow()
+            .progress(max_versions.min(MAX_LISTED_VERSIONS))
     }
 
-    pub fn standing(&self) -> Vec<SubscriberStatus> {
-        self.source.borrow().subscriber_statuses()
+    /// All attached subscribers.
+    pub fn subscribers(&self) -> Vec<SubscriberStatus> {
+        self.publisher.borrow().subscriber_statuses()
     }
 
-    /// A look at the source.
-    pub fn inspect<T>(&self, look: impl FnOnce(&Publisher) -> T) -> T {
-        look(&self.source.borrow())
+    /// Reads the publisher's state.
+    pub fn inspect<T>(&self, read: impl FnOnce(&Publisher) -> T) -> T {
+        read(&self.publisher.borrow())
+    }
+
+    /// Links that were closed by the server.
+    pub fn counters(&self) -> &ServerCounters {
+        &self.counters
+    }
+
+    /// Counts a process that cannot attach, as this member holds no replica of the published versions.
+    pub(crate) fn reject_without_replica(&self) {
+        increment(&self.counters.no_replica);
+    }
+
+    /// A new link, unless there are too many.
+    fn open_link(&self) -> Option<(Link, Rc<SubscriberLink>)> {
+        if self.links.borrow().len() >= self.limits.max_subscribers + MAX_EXTRA_LINKS {
+            increment(&self.counters.full);
+            return None;
+        }
+        let link = self.last_link.get() + 1;
+        self.last_link.set(link);
+        let subscriber = Rc::new(SubscriberLink {
+            outbox: Outbox::with_capacity(MAX_QUEUED_BYTES),
+            closing: Cell::new(false),
+        });
+        subscriber.outbox.open();
+        self.links.borrow_mut().insert(link, subscriber.clone());
+        Some((link, subscriber))
     }
 }
 
-/// One attached process, from its first frame to its link's end. `back` is what was read behind that frame.
-pub async fn attached(
-    group: &Rc<ClusterMember>,
+/// Serves one attached process from its first frame to its link's end. `received` is what was read behind that frame.
+pub(crate) async fn serve_subscriber(
+    server: &ConfigServer,
     stream: TcpStream,
-    mut back: Vec<u8>,
+    received: Vec<u8>,
     first: Bytes,
 ) {
-    let Some(serving) = group.serving() else {
+    let Some((link, subscriber)) = server.open_link() else {
         return;
     };
-    if group.inspect(|member| member.published().is_none()) {
-        count(&serving.counts.not_here);
-        return;
-    }
-    if serving.lines.borrow().len() >= serving.bounds.max_subscribers + STRANGERS {
-        count(&serving.counts.full);
-        return;
+    server.on_frame(link, first);
+    let (read, write) = stream.into_split();
+    tokio::select! {
+        () = read_frames(server, link, read, received) => {}
+        () = write_frames(&subscriber, write) => {}
     }
-    let link = serving.next.get() + 1;
-    serving.next.set(link);
-    let line = Rc::new(Line {
-        out: Outbox::bounded(WAITS),
-        over: Cell::new(false),
-    });
-    line.out.open.set(true);
-    serving.lines.borrow_mut().insert(link, line.clone());
-    serving.heard(link, first);
-    let (mut read, mut write) = stream.into_split();
-    let reading = async {
-        let mut chunk = [0; 1 << 10];
+    server.close(link);
+    server.publisher.borrow_mut().on_disconnected(link);
+    server.carry_out_effects();
+}
+
+/// Reads until the link ends or carries something else than a subscriber's frames. Silent subscribers are closed by the
+/// publisher.
+async fn read_frames(
+    server: &ConfigServer,
+    link: Link,
+    mut read: OwnedReadHalf,
+    received: Vec<u8>,
+) {
+    let mut frames = FrameBuffer::with_received(received, MAX_SUBSCRIBER_FRAME_BYTES);
+    let mut chunk = [0; 1 << 10];
+    loop {
         loop {
-            let mut at = 0;
-            while let Ok(Some(length)) = frame_within(&back[at..], UP) {
-                let frame = Frame::decode(&back[at + 4..at + 4 + length]);
-                at += 4 + length;
-                let Ok(Frame {
-                    body: Some(FrameBody::FromSubscriber(frame)),
-                }) = frame
-                else {
-                    return;
-                };
-                serving.heard(link, frame);
-            }
-            back.drain(..at);
-            if frame_within(&back, UP).is_err() {
+            let frame = match frames.next_frame() {
+                Ok(Some(frame)) => Frame::decode(frame),
+                Ok(None) => break,
+                Err(_) => return,
+            };
+            let Ok(Frame {
+                body: Some(FrameBody::FromSubscriber(frame)),
+            }) = frame
+            else {
                 return;
-            }
-            // Who says nothing is ended by the source.
-            match read.read(&mut chunk).await {
-                Ok(0) | Err(_) => return,
-                Ok(n) => back.extend_from_slice(&chunk[..n]),
-            }
+            };
+            server.on_frame(link, frame);
         }
-    };
-    let writing = async {
-        loop {
-            match line.out.next() {
-                Some(bytes) => {
-                    if !timeout(TAKES, write.write_all(&bytes))
-                        .await
-                        .is_ok_and(|written| written.is_ok())
-                    {
-                        return;
-                    }
-                    line.out.sent.set(line.out.sent.get() + bytes.len() as u64);
-                }
-                None if line.over.get() => {
-                    // The end is told after the last word; whoever keeps its own side open is not waited for.
-                    let _ = timeout(OPENS, write.shutdown()).await;
+        match read.read(&mut chunk).await {
+            Ok(0) | Err(_) => return,
+            Ok(n) => frames.extend(&chunk[..n]),
+        }
+    }
+}
+
+async fn write_frames(subscriber: &SubscriberLink, mut write: OwnedWriteHalf) {
+    loop {
+        match subscriber.outbox.next() {
+            Some(bytes) => {
+                let written = timeout(WRITE_TIMEOUT, write.write_all(&bytes)).await;
+                if !written.is_ok_and(|written| written.is_ok()) {
                     return;
                 }
-                None => line.out.stir.notified().await,
+                subscriber.outbox.add_sent(bytes.len());
+            }
+            None if subscriber.closing.get() => {
+                // A peer that keeps its own side open is not waited for.
+                let _ = timeout(OPEN_TIMEOUT, write.shutdown()).await;
+                return;
             }
+            None => subscriber.outbox.notified().await,
         }
-    };
-    tokio::select! {
-        () = reading => {}
-        () = writing => {}
     }
-    serving.close(link);
-    serving.source.borrow_mut().on_disconnected(link);
-    serving.follow();
-}
-
-/// A frame of an attached process, as it goes on a link.
-pub fn up(frame: Bytes) -> Vec<u8> {
-    with_length_prefix(&Frame::from_body(FrameBody::FromSubscriber(frame)).encode_to_vec())
 }
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -1,275 +1,247 @@
-//! Drives a member: its time, its links, its writes and its answers.
+//! Drives a [`GroupMember`]: its time, its links, its writes and its replies.
 //!
-//! A call into the member is followed by its effects: frames go to the links, writes to the disk's thread, answers
-//! into a line that a task of its own gives out, so that who asks is never called back from within the asking.
-
-use crate::config_server::{ConfigServer, EventCallback as TellEvent};
-use crate::fault_injection::{self, Clock};
-use crate::persistence::{found, log_suffix, record};
-use crate::transport::{accept, maintain_link, Outbox};
-use foldhash::{HashMap, HashMapExt};
-use prost::Message as _;
+//! Each call into the group member is followed by its effects: frames go to the outboxes, writes to the storage thread,
+//! and replies into a queue that a task of its own hands out, so that a requester is never called back from within its
+//! own request.
+//!
+//! Invariants: the group member is never borrowed across an await or a callback; a reply callback is removed with the
+//! final outcome, so that it gets one.
+
+mod startup;
+mod tasks;
+
+use crate::config_server::{ConfigServer, EventCallback};
+use crate::error::ClusterError;
+use crate::fault_injection::Clock;
+use crate::outbox::Outbox;
+use crate::persistence;
+use crate::transport::{maintain_link, LinkObserver};
+use foldhash::HashMap;
 use rainstand_config::schema;
 use rainstand_config_distribution::publisher::PublisherLimits;
-use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command};
 use rainstand_replicated_state::member::{
-    Effects, GroupEvent, GroupMember, MemberConfig, OutgoingFrame, PersistentWrite, RequestOutcome,
-    WriteBatch, DEFAULT_COMPACTION_ENTRIES,
+    Effects, GroupEvent, GroupMember, OutgoingFrame, RequestOutcome, WriteBatch,
 };
-use rainstand_replicated_state::placement::MemberPlacement;
-use rainstand_storage::writer::{WriteJob, WriteOutcome, Writer};
-use rainstand_storage::{Disk, FolderDisk, IdentitySeed, OpenError, Recovered, Store, StoreLimits};
+use rainstand_storage::writer::{WriteOutcome, Writer};
+use rainstand_storage::{Disk, FolderDisk, Store};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// Writes that wait for the disk, in jobs: past it no question is taken.
-const JOBS: usize = 16_384;
-/// The longest sleep of the loop, and the shortest.
-const SLEEPS: [Duration; 2] = [Duration::from_millis(500), Duration::from_micros(200)];
-/// Commit times that are kept for the figures.
-const TIMES: usize = 512;
+/// Jobs that may wait for the disk; beyond that no request is accepted.
+const MAX_PENDING_JOBS: usize = 16_384;
+/// Commit times that are remembered for the figures.
+const MAX_COMMIT_TIMES: usize = 512;
+/// Between two looks whether all leadership was handed over.
+const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// What is told of a question, by its number: several times, the last one final. None: its time is over.
+/// Receives the outcomes of a request: [`ClaimOutcome::InProgress`] may be followed by another one, all others are final.
+/// None: its time is over.
 pub type ReplyCallback = Rc<dyn Fn(Option<ClaimOutcome>)>;
-/// Where news go: the program's log.
+/// Receives the group's events: the program's log.
 pub type Log = Box<dyn Fn(&GroupEvent)>;
 
-/// What a member needs to begin.
+/// What a member needs to start.
 pub struct MemberOptions {
+    /// The member's name in the group's configuration.
     pub name: String,
+    /// The group's configuration.
     pub group: schema::Group,
+    /// Receives the group's events.
     pub log: Log,
 }
 
-/// A member on sockets and a disk.
+/// Who waits for a request.
+struct Requester {
+    reply: ReplyCallback,
+    /// By the member's clock.
+    requested_at: Duration,
+}
+
+/// A reply that is to be handed out.
+struct Reply {
+    callback: ReplyCallback,
+    outcome: Option<ClaimOutcome>,
+}
+
+/// What the storage thread reports, and for which of the member's stores.
+struct StorageReport {
+    store_number: u64,
+    outcome: WriteOutcome,
+}
+
+/// A member of a group on sockets and a disk. It runs on the thread of the `LocalSet` that started it.
 pub struct ClusterMember {
     name: String,
     settings: schema::Group,
     /// Those of the newest configuration.
     members: RefCell<Vec<schema::GroupMember>>,
     folder: PathBuf,
-    testing: Option<PathBuf>,
+    fault_file: Option<PathBuf>,
     clock: Box<dyn Clock>,
-    member: RefCell<GroupMember>,
+    state: RefCell<GroupMember>,
     writer: RefCell<Option<Writer>>,
-    done: mpsc::UnboundedSender<(u64, WriteOutcome)>,
-    /// Goes up with each disk: what an earlier one's thread tells is not this one's.
-    disk: Cell<u64>,
-    links: RefCell<HashMap<String, Rc<Outbox>>>,
-    tells: RefCell<HashMap<u64, (ReplyCallback, Duration)>>,
-    line: RefCell<VecDeque<(ReplyCallback, Option<ClaimOutcome>)>>,
-    stir: Notify,
-    again: Notify,
+    storage_reports: mpsc::UnboundedSender<StorageReport>,
+    /// Counts the stores that were opened: reports of an earlier one's thread are ignored.
+    store_number: Cell<u64>,
+    outboxes: RefCell<HashMap<String, Rc<Outbox>>>,
+    requesters: RefCell<HashMap<u64, Requester>>,
+    replies: RefCell<VecDeque<Reply>>,
+    replies_queued: Notify,
+    deadline_moved: Notify,
     log: Log,
-    /// Why nothing is confirmed any more.
-    pub failed: RefCell<Option<String>>,
-    /// From the question to what was told, newest last.
-    times: RefCell<VecDeque<Duration>>,
-    pub quarantines: Cell<u64>,
-    pub flushes: Cell<u64>,
+    failure: RefCell<Option<String>>,
+    /// From a request to its final outcome, newest last.
+    commit_times: RefCell<VecDeque<Duration>>,
+    quarantines: Cell<u64>,
+    flushes: Cell<u64>,
     /// Where this member is a control machine.
-    serving: RefCell<Option<Rc<ConfigServer>>>,
+    config_server: RefCell<Option<Rc<ConfigServer>>>,
 }
 
-/// Draws that no other start makes: the system's own chance, through the standard library.
-fn draws() -> IdentitySeed {
-    let draw = || {
-        let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
-        hasher.write_u8(1);
-        // 0 is nobody.
-        hasher.finish().max(1)
-    };
-    IdentitySeed {
-        disk: draw(),
-        nonce: draw(),
+impl LinkObserver for ClusterMember {
+    fn peer_address(&self, peer: &str) -> Option<SocketAddr> {
+        self.address(peer)
     }
-}
 
-fn limits() -> StoreLimits {
-    StoreLimits::default()
+    fn on_link_open(&self, peer: &str) {
+        self.drive(|state, now| state.on_connected(now, peer));
+    }
+
+    fn on_link_closed(&self, peer: &str) {
+        self.drive(|state, now| state.on_disconnected(now, peer));
+    }
 }
 
 impl ClusterMember {
-    /// Opens the disk, listens, and begins to talk to the others.
-    ///
-    /// # Errors
-    /// If the configuration names no such member, or its folder or address cannot be had.
-    pub async fn start(setup: MemberOptions) -> Result<Rc<Self>, String> {
-        let MemberOptions {
-            name,
-            group: settings,
-            log,
-        } = setup;
-        let own = settings.members.iter().find(|member| member.name == name);
-        let own = own.ok_or_else(|| format!("group {}: no member {name}", settings.name))?;
-        let listen: SocketAddr = own
-            .address
-            .parse()
-            .map_err(|_| format!("group: address {}", own.address))?;
-        let (folder, testing) = (
-            PathBuf::from(&own.folder),
-            fault_injection::file(settings.testing)?,
-        );
-        let listener = TcpListener::bind(listen)
-            .await
-            .map_err(|e| format!("group: listen {listen}: {e}"))?;
-        let clock = fault_injection::clock(testing.as_deref());
-        let (store, recovered, damaged) = open(&folder, testing.as_ref())?;
-        let member = member(&settings, &name, &store, &recovered, clock.now())?;
-        let (done, told) = mpsc::unbounded_channel();
-        let group = Rc::new(Self {
-            name,
-            folder,
-            testing,
-            clock,
-            member: RefCell::new(member),
-            writer: RefCell::new(None),
-            done,
-            disk: Cell::new(0),
-            links: RefCell::new(HashMap::new()),
-            tells: RefCell::new(HashMap::new()),
-            line: RefCell::default(),
-            stir: Notify::new(),
-            again: Notify::new(),
-            log,
-            failed: RefCell::new(None),
-            times: RefCell::default(),
-            quarantines: Cell::new(u64::from(damaged.is_some())),
-            flushes: Cell::new(0),
-            serving: RefCell::new(None),
-            members: RefCell::new(settings.members.clone()),
-            settings,
-        });
-        if let Some(reason) = damaged {
-            (group.log)(&GroupEvent::StaleDisk { reason });
-        }
-        group.begin_writing(store);
-        group.keep_links();
-        spawn_local(accept(group.clone(), listener));
-        spawn_local(tick(group.clone()));
-        spawn_local(tell(group.clone()));
-        spawn_local(written(group.clone(), told));
-        group.drive(|_, _| {});
-        Ok(group)
-    }
-
-    /// A link to each member that has none yet.
-    fn keep_links(self: &Rc<Self>) {
-        let names = self
-            .members
-            .borrow()
-            .iter()
-            .map(|member| member.name.clone())
-            .collect::<Vec<_>>();
+    /// Maintains a link to each member that has none yet.
+    fn open_links(self: &Rc<Self>) {
+        let names: Vec<String> = {
+            let members = self.members.borrow();
+            members.iter().map(|member| member.name.clone()).collect()
+        };
         for name in names.into_iter().filter(|name| *name != self.name) {
-            if !self.links.borrow().contains_key(&name) {
-                self.link(&name);
-                spawn_local(maintain_link(self.clone(), name));
+            if !self.outboxes.borrow().contains_key(&name) {
+                let outbox = self.outbox(&name);
+                spawn_local(maintain_link(self.clone(), outbox, name));
             }
         }
     }
 
-    /// Where a member is found, by the newest configuration.
+    /// Where a member is reached, by the newest configuration; none if it is not in the group.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
-        self.members
-            .borrow()
-            .iter()
-            .find(|member| member.name == name)?
-            .address
-            .parse()
-            .ok()
+        let members = self.members.borrow();
+        let member = members.iter().find(|member| member.name == name)?;
+        member.address.parse().ok()
     }
 
+    /// The members of the newest configuration.
     pub fn members(&self) -> Vec<schema::GroupMember> {
         self.members.borrow().clone()
     }
 
-    /// Members of a new configuration: who is new is linked, and shards move, one safe step at a time. All else of a group
-    /// holds until the next start.
+    /// Takes over the members of a new configuration: links to new ones are opened, and shards move one safe step at a
+    /// time. All other settings of the group hold until the next start.
     ///
     /// # Errors
-    /// If it is another group, or this member is not in it.
-    pub fn set_members(self: &Rc<Self>, group: &schema::Group) -> Result<(), String> {
+    /// If it is another group, another number of shards, or this member is not in it.
+    pub fn set_members(self: &Rc<Self>, group: &schema::Group) -> Result<(), ClusterError> {
         if group.name != self.settings.name || group.shards != self.settings.shards {
-            return Err(format!(
-                "group {}: name and shards change only at a start",
-                group.name
-            ));
+            return Err(ClusterError::FixedSettings {
+                group: group.name.clone(),
+            });
         }
         if !group.members.iter().any(|member| member.name == self.name) {
-            return Err(format!("group {}: no member {}", group.name, self.name));
+            return Err(ClusterError::UnknownMember {
+                group: group.name.clone(),
+                member: self.name.clone(),
+            });
         }
         (*self.members.borrow_mut()).clone_from(&group.members);
-        self.keep_links();
-        let members = of(&group.members);
-        self.drive(|member, now| member.set_members(now, members));
+        self.open_links();
+        let members = startup::placements(&group.members);
+        self.drive(|state, now| state.set_members(now, members));
         Ok(())
     }
 
-    /// From now on processes that are no members may attach and hear of what is published.
-    pub fn serve(self: &Rc<Self>, bounds: PublisherLimits, tell: TellEvent) {
-        let serving = ConfigServer::begin(self, bounds, draws().disk, tell);
-        self.serving.replace(Some(serving));
+    /// From now on subscribers of the configuration may attach.
+    pub fn serve_configuration(self: &Rc<Self>, limits: PublisherLimits, on_event: EventCallback) {
+        let member = self.clone();
+        let synchronize = move |server: &ConfigServer| member.synchronize(server);
+        let seed = startup::draw_seed().disk;
+        let server = ConfigServer::start(limits, seed, on_event, synchronize);
+        self.config_server.replace(Some(server));
     }
 
-    pub fn serving(&self) -> Option<Rc<ConfigServer>> {
-        self.serving.borrow().clone()
+    fn synchronize(&self, server: &ConfigServer) {
+        let state = self.state.borrow();
+        if let Some(published) = state.published() {
+            server.synchronize(&published);
+        }
+    }
+
+    /// The server of the published configuration, where this member is a control machine.
+    pub fn config_server(&self) -> Option<Rc<ConfigServer>> {
+        self.config_server.borrow().clone()
     }
 
+    /// The group's configuration as of the start.
     pub fn settings(&self) -> &schema::Group {
         &self.settings
     }
 
-    fn begin_writing(&self, store: Store<FolderDisk>) {
-        let (done, disk) = (self.done.clone(), self.disk.get());
-        let wait = Duration::from_nanos(self.settings.commit_wait_ns);
-        let tell = move |one| drop(done.send((disk, one)));
-        *self.writer.borrow_mut() = Some(Writer::start(move || store, wait, tell));
+    /// Why nothing is confirmed any more, if so.
+    pub fn failure(&self) -> Option<String> {
+        self.failure.borrow().clone()
+    }
+
+    /// How often this member's files were quarantined since its start.
+    pub fn quarantines(&self) -> u64 {
+        self.quarantines.get()
     }
 
-    /// What goes to a member.
-    pub fn link(&self, name: &str) -> Rc<Outbox> {
-        self.links
-            .borrow_mut()
-            .entry(name.to_owned())
-            .or_default()
-            .clone()
+    /// Flushes of the disk since the start.
+    pub fn flushes(&self) -> u64 {
+        self.flushes.get()
     }
 
-    /// One call into the member, with all that follows from it.
+    /// What is sent to a member.
+    pub fn outbox(&self, name: &str) -> Rc<Outbox> {
+        let mut outboxes = self.outboxes.borrow_mut();
+        outboxes.entry(name.to_owned()).or_default().clone()
+    }
+
+    /// Calls into the group member, and carries out all that follows from it.
     pub fn drive<T>(&self, call: impl FnOnce(&mut GroupMember, Duration) -> T) -> T {
         let now = self.clock.now();
-        let (told, effects, wake) = {
-            let mut member = self.member.borrow_mut();
-            let before = member.next_deadline();
-            let told = call(&mut member, now);
-            let effects = member.take_effects();
-            (told, effects, member.next_deadline() < before)
+        let (result, effects, is_sooner) = {
+            let mut state = self.state.borrow_mut();
+            let deadline = state.next_deadline();
+            let result = call(&mut state, now);
+            let effects = state.take_effects();
+            (result, effects, state.next_deadline() < deadline)
         };
-        self.follow(effects);
-        if wake {
-            self.again.notify_one();
+        self.carry_out(effects);
+        if is_sooner {
+            self.deadline_moved.notify_one();
         }
-        told
+        result
     }
 
-    /// A look at the member that changes nothing.
-    pub fn inspect<T>(&self, look: impl FnOnce(&GroupMember) -> T) -> T {
-        look(&self.member.borrow())
+    /// Reads the group member's state.
+    pub fn inspect<T>(&self, read: impl FnOnce(&GroupMember) -> T) -> T {
+        read(&self.state.borrow())
     }
 
-    fn follow(&self, effects: Effects) {
+    fn carry_out(&self, effects: Effects) {
         let Effects {
             frames,
             write,
@@ -282,322 +254,196 @@
             self.write(batch);
         }
         for OutgoingFrame { to, frame } in frames {
-            self.link(&to).send(&frame);
+            self.outbox(&to).send(&frame);
         }
-        for RequestOutcome { id, outcome: told } in outcomes {
-            let last = told != ClaimOutcome::InProgress;
-            let tell = if last {
-                self.tells.borrow_mut().remove(&id)
-            } else {
-                self.tells.borrow().get(&id).cloned()
-            };
-            if let Some((tell, since)) = tell {
-                if last {
-                    self.took(self.clock.now().saturating_sub(since));
-                }
-                self.line.borrow_mut().push_back((tell, Some(told)));
-            }
+        for RequestOutcome { id, outcome } in outcomes {
+            self.queue_outcome(id, outcome);
         }
         for id in timed_out {
-            if let Some((tell, _)) = self.tells.borrow_mut().remove(&id) {
-                self.line.borrow_mut().push_back((tell, None));
+            if let Some(requester) = self.requesters.borrow_mut().remove(&id) {
+                self.queue_reply(requester.reply, None);
             }
         }
-        self.stir.notify_one();
-        if let Some(serving) = self.serving().filter(|_| published_changed) {
-            self.inspect(|member| serving.sync(member));
+        self.replies_queued.notify_one();
+        if let Some(server) = self.config_server().filter(|_| published_changed) {
+            self.synchronize(&server);
+        }
+        for event in events {
+            self.handle_event(&event);
         }
-        for one in events {
-            (self.log)(&one);
-            if matches!(
-                one,
-                GroupEvent::StaleDisk { .. } | GroupEvent::Diverged { .. }
-            ) {
-                self.reinitialize();
+    }
+
+    fn queue_outcome(&self, id: u64, outcome: ClaimOutcome) {
+        let mut requesters = self.requesters.borrow_mut();
+        if outcome == ClaimOutcome::InProgress {
+            if let Some(requester) = requesters.get(&id) {
+                self.queue_reply(requester.reply.clone(), Some(outcome));
             }
+        } else if let Some(requester) = requesters.remove(&id) {
+            self.record_commit_time(self.clock.now().saturating_sub(requester.requested_at));
+            self.queue_reply(requester.reply, Some(outcome));
         }
     }
 
-    fn took(&self, time: Duration) {
-        let mut times = self.times.borrow_mut();
+    fn queue_reply(&self, callback: ReplyCallback, outcome: Option<ClaimOutcome>) {
+        let reply = Reply { callback, outcome };
+        self.replies.borrow_mut().push_back(reply);
+    }
+
+    fn handle_event(&self, event: &GroupEvent) {
+        (self.log)(event);
+        let starts_over = matches!(
+            event,
+            GroupEvent::StaleDisk { .. } | GroupEvent::Diverged { .. }
+        );
+        if starts_over {
+            self.reinitialize();
+        }
+    }
+
+    fn record_commit_time(&self, time: Duration) {
+        let mut times = self.commit_times.borrow_mut();
         times.push_back(time);
-        if times.len() > TIMES {
+        if times.len() > MAX_COMMIT_TIMES {
             times.pop_front();
         }
     }
 
-    /// Of the last questions, in order of size.
+    /// From request to outcome, of the last requests in ascending order.
     pub fn commit_times(&self) -> Vec<Duration> {
-        let mut all: Vec<Duration> = self.times.borrow().iter().copied().collect();
-        all.sort_unstable();
-        all
+        let mut times: Vec<Duration> = self.commit_times.borrow().iter().copied().collect();
+        times.sort_unstable();
+        times
     }
 
     fn write(&self, batch: WriteBatch) {
-        let WriteBatch { number, writes } = batch;
-        let writer = self.writer.borrow();
-        let Some(writer) = &*writer else { return };
-        let mut records = Vec::new();
-        for write in writes {
-            match write {
-                PersistentWrite::InstallSnapshot {
-                    shard,
-                    snapshot,
-                    alone,
-                } => {
-                    if !records.is_empty() {
-                        // In the order in which they were given; told once, with the last.
-                        writer.submit(WriteJob::Write {
-                            number: number - 1,
-                            records: std::mem::take(&mut records),
-                        });
-                    }
-                    let (index, data) = (snapshot.metadata.index, snapshot.encode_to_vec());
-                    writer.submit(WriteJob::InstallSnapshot {
-                        number: number - 1,
-                        shard,
-                        index,
-                        data,
-                        suffix: log_suffix(alone),
-                    });
-                }
-                other => records.extend(record(&other)),
-            }
+        if let Some(writer) = &*self.writer.borrow() {
+            persistence::submit(writer, batch);
         }
-        writer.submit(WriteJob::Write { number, records });
     }
 
-    /// The files are set aside, and the member begins as another disk. What waits is told that its time is over.
+    fn start_writer(&self, store: Store<FolderDisk>) {
+        let (reports, store_number) = (self.storage_reports.clone(), self.store_number.get());
+        let commit_wait = Duration::from_nanos(self.settings.commit_wait_ns);
+        let report = move |outcome| {
+            // The member is gone if nobody receives.
+            let _ = reports.send(StorageReport {
+                store_number,
+                outcome,
+            });
+        };
+        let writer = Writer::start(move || store, commit_wait, report);
+        self.writer.replace(Some(writer));
+    }
+
+    /// Quarantines the files and starts over as another disk. Open requests time out.
     fn reinitialize(&self) {
         self.quarantines.set(self.quarantines.get() + 1);
-        self.disk.set(self.disk.get() + 1);
-        if let Some(writer) = self.writer.borrow_mut().take() {
+        self.store_number.set(self.store_number.get() + 1);
+        if let Some(writer) = self.writer.take() {
             writer.shut_down();
         }
-        let tells: Vec<(ReplyCallback, Duration)> = self
-            .tells
-            .borrow_mut()
-            .drain()
-            .map(|(_, tell)| tell)
-            .collect();
-        self.line
-            .borrow_mut()
-            .extend(tells.into_iter().map(|(tell, _)| (tell, None)));
-        let anew = || -> Result<(), String> {
-            let mut folder = FolderDisk::open(&self.folder).map_err(|e| e.to_string())?;
-            folder.quarantine().map_err(|e| e.to_string())?;
-            drop(folder);
-            let (store, recovered, _) = open(&self.folder, self.testing.as_ref())?;
-            let settings = schema::Group {
-                members: self.members.borrow().clone(),
-                ..self.settings.clone()
-            };
-            let member = member(&settings, &self.name, &store, &recovered, self.clock.now())?;
-            *self.member.borrow_mut() = member;
-            self.begin_writing(store);
-            Ok(())
-        };
-        match anew() {
-            Ok(()) => {
-                // Who is linked hears of the new disk.
-                let names: Vec<String> = self.links.borrow().keys().cloned().collect();
-                for name in names {
-                    self.drive(|member, now| member.on_connected(now, &name));
-                }
-            }
-            Err(why) => self.fail(why),
+        self.time_out_requests();
+        match self.open_new_store() {
+            Ok(()) => self.greet_peers(),
+            Err(error) => self.fail(error.to_string()),
         }
     }
 
-    /// Nothing is confirmed from now on.
-    fn fail(&self, why: String) {
-        self.member.borrow_mut().stop();
-        self.failed.borrow_mut().get_or_insert(why);
-        let tells: Vec<(ReplyCallback, Duration)> = self
-            .tells
-            .borrow_mut()
-            .drain()
-            .map(|(_, tell)| tell)
-            .collect();
-        self.line
-            .borrow_mut()
-            .extend(tells.into_iter().map(|(tell, _)| (tell, None)));
-        self.stir.notify_one();
-    }
-
-    /// A question to a key's leader; `tell` is called later, from a task of its own, never from in here. None if it
-    /// cannot be taken: nothing was or will be done then.
-    pub fn request(&self, command: Command, within: Duration, tell: ReplyCallback) -> Option<u64> {
-        let busy = self
-            .writer
-            .borrow()
-            .as_ref()
-            .is_none_or(|writer| writer.pending_jobs() > JOBS);
-        if busy || self.failed.borrow().is_some() {
-            return None;
-        }
-        let now = self.clock.now();
-        let (id, effects) = {
-            let mut member = self.member.borrow_mut();
-            let id = member.request(now, command, now + within)?;
-            // Known before what follows: the answer may be among it.
-            self.tells.borrow_mut().insert(id, (tell, now));
-            (id, member.take_effects())
+    fn open_new_store(&self) -> Result<(), ClusterError> {
+        let mut disk = FolderDisk::open(&self.folder)?;
+        disk.quarantine()?;
+        drop(disk);
+        let opened = startup::open_store(&self.folder, self.fault_file.as_deref())?;
+        let settings = schema::Group {
+            members: self.members.borrow().clone(),
+            ..self.settings.clone()
         };
-        self.follow(effects);
-        self.again.notify_one();
-        Some(id)
-    }
-
-    /// Nobody waits for a question any more.
-    pub fn forget(&self, id: u64) {
-        self.tells.borrow_mut().remove(&id);
-        self.drive(|member, now| member.abandon_request(now, id));
-    }
-
-    pub fn on_connected(&self, name: &str) {
-        self.drive(|member, now| member.on_connected(now, name));
+        let state = startup::group_member(&settings, &self.name, &opened, self.clock.now())?;
+        self.state.replace(state);
+        self.start_writer(opened.store);
+        Ok(())
     }
 
-    pub fn on_disconnected(&self, name: &str) {
-        self.drive(|member, now| member.on_disconnected(now, name));
+    /// Peers that are linked hear of the new disk.
+    fn greet_peers(&self) {
+        let names: Vec<String> = self.outboxes.borrow().keys().cloned().collect();
+        for name in names {
+            self.drive(|state, now| state.on_connected(now, &name));
+        }
     }
 
-    pub fn on_frame(&self, name: &str, frame: Frame) {
-        self.drive(|member, now| member.on_frame(now, name, frame));
+    /// Nothing is confirmed from now on.
+    fn fail(&self, reason: String) {
+        self.state.borrow_mut().stop();
+        self.failure.borrow_mut().get_or_insert(reason);
+        self.time_out_requests();
+        self.replies_queued.notify_one();
     }
 
-    /// Hands over what is led here; returns when that is done, or after `within`.
-    pub async fn leave(&self, within: Duration) {
-        self.drive(|member, now| member.transfer_all_leadership(now));
-        let step = Duration::from_millis(5);
-        let mut left = within;
-        while self.inspect(GroupMember::led_shard_count) > 0 && !left.is_zero() {
-            sleep(step).await;
-            left = left.saturating_sub(step);
+    fn time_out_requests(&self) {
+        let requesters: Vec<Requester> = {
+            let mut open = self.requesters.borrow_mut();
+            open.drain().map(|(_, requester)| requester).collect()
+        };
+        for requester in requesters {
+            self.queue_reply(requester.reply, None);
         }
     }
-}
 
-/// Names and sites.
-fn of(members: &[schema::GroupMember]) -> Vec<MemberPlacement> {
-    members
-        .iter()
-        .map(|member| MemberPlacement {
-            name: member.name.clone(),
-            site: member.site.clone(),
-        })
-        .collect()
-}
-
-type Opened = (Store<FolderDisk>, Recovered, Option<String>);
-
-/// Opens a folder. What cannot be believed is set aside, and told.
-fn open(folder: &std::path::Path, testing: Option<&PathBuf>) -> Result<Opened, String> {
-    let at = |why: &dyn std::fmt::Display| format!("{}: {why}", folder.display());
-    let disk = || {
-        let disk = FolderDisk::open(folder).map_err(|why| at(&why))?;
-        Ok::<_, String>(match testing {
-            Some(file) => disk.with_fault_hook(fault_injection::fault_hook(file.clone())),
-            None => disk,
-        })
-    };
-    match Store::open(disk()?, limits(), draws()) {
-        Ok((store, recovered)) => Ok((store, recovered, None)),
-        Err(OpenError::Io(why)) => Err(at(&why)),
-        Err(OpenError::Damaged(damage)) => {
-            let mut anew = disk()?;
-            anew.quarantine().map_err(|why| at(&why))?;
-            let (store, recovered) =
-                Store::open(anew, limits(), draws()).map_err(|why| at(&why))?;
-            Ok((store, recovered, Some(damage.to_string())))
+    /// Requests a command from the leader of its key's shard; returns the request's number. `reply` is called later, from
+    /// a task of its own. None if the request cannot be accepted: nothing was or will be done then.
+    pub fn request(
+        &self,
+        command: Command,
+        timeout: Duration,
+        reply: ReplyCallback,
+    ) -> Option<u64> {
+        if self.is_overloaded() || self.failure.borrow().is_some() {
+            return None;
         }
+        let now = self.clock.now();
+        let (id, effects) = {
+            let mut state = self.state.borrow_mut();
+            let id = state.request(now, command, now + timeout)?;
+            // Known before the effects are carried out: its outcome may be among them.
+            let requester = Requester {
+                reply,
+                requested_at: now,
+            };
+            self.requesters.borrow_mut().insert(id, requester);
+            (id, state.take_effects())
+        };
+        self.carry_out(effects);
+        self.deadline_moved.notify_one();
+        Some(id)
     }
-}
 
-fn member(
-    settings: &schema::Group,
-    name: &str,
-    store: &Store<FolderDisk>,
-    recovered: &Recovered,
-    now: Duration,
-) -> Result<GroupMember, String> {
-    let span = Duration::from_nanos;
-    let options = MemberConfig {
-        group: settings.name.clone(),
-        name: name.to_owned(),
-        members: of(&settings.members),
-        shards: settings.shards as u16,
-        replicas_per_shard: settings.copies as usize,
-        timeouts: Timeouts {
-            heartbeat_interval: span(settings.heartbeat_ns),
-            min_election_timeout: span(settings.election_least_ns),
-            max_election_timeout: span(settings.election_most_ns),
-        },
-        max_concurrent_learners: settings.moves as usize,
-        max_keys_per_shard: settings.keys as usize,
-        compaction_entries: DEFAULT_COMPACTION_ENTRIES,
-        seed: draws().disk,
-    };
-    Ok(GroupMember::new(
-        options,
-        found(store.identity(), recovered)?,
-        now,
-    ))
-}
+    fn is_overloaded(&self) -> bool {
+        let writer = self.writer.borrow();
+        writer
+            .as_ref()
+            .is_none_or(|writer| writer.pending_jobs() > MAX_PENDING_JOBS)
+    }
 
-/// The member's time.
-async fn tick(group: Rc<ClusterMember>) {
-    loop {
-        let wake = group.inspect(GroupMember::next_deadline);
-        let left = wake.saturating_sub(group.clock.now());
-        let left = group.clock.real(left).clamp(SLEEPS[1], SLEEPS[0]);
-        tokio::select! {
-            () = sleep(left) => {}
-            () = group.again.notified() => {}
-        }
-        if group.inspect(|member| member.next_deadline() <= group.clock.now()) {
-            group.drive(|member, now| member.tick(now));
-        }
+    /// The requester no longer waits for an outcome.
+    pub fn forget(&self, id: u64) {
+        self.requesters.borrow_mut().remove(&id);
+        self.drive(|state, now| state.abandon_request(now, id));
     }
-}
 
-/// Gives out what was told.
-async fn tell(group: Rc<ClusterMember>) {
-    loop {
-        let next = group.line.borrow_mut().pop_front();
-        match next {
-            Some((tell, told)) => tell(told),
-            None => group.stir.notified().await,
-        }
+    /// A frame of a member.
+    pub(crate) fn on_frame(&self, name: &str, frame: Frame) {
+        self.drive(|state, now| state.on_frame(now, name, frame));
     }
-}
 
-/// What the disk's thread says.
-async fn written(group: Rc<ClusterMember>, mut told: mpsc::UnboundedReceiver<(u64, WriteOutcome)>) {
-    while let Some((disk, done)) = told.recv().await {
-        if disk != group.disk.get() {
-            continue;
-        }
-        match done {
-            WriteOutcome::Durable {
-                up_to,
-                needs_compaction,
-            } => {
-                group.flushes.set(group.flushes.get() + 1);
-                group.drive(|member, now| {
-                    member.on_persisted(now, up_to);
-                    if !needs_compaction.is_empty() {
-                        member.compact_shards(now, &needs_compaction);
-                    }
-                });
-            }
-            WriteOutcome::Failed(why) => {
-                (group.log)(&GroupEvent::DiskFailed {
-                    reason: why.clone(),
-                });
-                group.fail(why);
-            }
+    /// Transfers the leadership of all shards that are led here; returns when that is done, or after `timeout`.
+    pub async fn leave(&self, timeout: Duration) {
+        self.drive(GroupMember::transfer_all_leadership);
+        let mut left = timeout;
+        while self.inspect(GroupMember::led_shard_count) > 0 && !left.is_zero() {
+            sleep(LEAVE_POLL_INTERVAL).await;
+            left = left.saturating_sub(LEAVE_POLL_INTERVAL);
         }
     }
 }
--- a/crates/cluster/src/fault_injection.rs
+++ b/crates/cluster/src/fault_injection.rs
@@ -1,29 +1,39 @@
-//! Clocks and disks that go wrong on purpose, for tests that start the whole program.
+//! Clocks and disks that fail on purpose, for tests that start the whole program.
 //!
-//! `RAINSTAND_TESTING` names a file. Its lines are read at the start (`clock RATE STEP`: thousandths, and milliseconds
-//! by which it jumps half a second later) and before each flush (`flush-fails`, `disk-full`, `disk-slow MS`). Where the
-//! configuration does not say `testing`, a program that is told of such a file does not start.
+//! `RAINSTAND_TESTING` names a file. Its lines are read at the start (`clock RATE STEP`: rate in thousandths, and
+//! milliseconds by which the clock jumps half a second later) and before each flush (`flush-fails`, `disk-full`,
+//! `disk-slow MS`). Where the group's configuration does not say `testing`, a program for which the variable is set does
+//! not start.
 
+use crate::error::ClusterError;
 use rainstand_storage::disk::FaultHook;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The variable that names the file.
+/// The environment variable that names the file.
 pub const VARIABLE: &str = "RAINSTAND_TESTING";
-/// A stepped clock jumps this long after its start.
-const STEPS_AFTER: Duration = Duration::from_millis(500);
+/// A skewed clock jumps so long after its start.
+pub const STEP_DELAY: Duration = Duration::from_millis(500);
+
+/// The longest delay that a file can ask for before a flush, in milliseconds.
+const MAX_FLUSH_DELAY_MS: u64 = 10_000;
+/// Slowest and fastest rate of a skewed clock, in thousandths.
+const MIN_RATE: u32 = 1;
+const MAX_RATE: u32 = 100_000;
+/// The rate of the system's clock, in thousandths.
+const UNIT_RATE: u32 = 1_000;
 
 /// The only clock of a member.
 pub trait Clock {
-    /// Since any fixed start; never goes back.
+    /// Time since any fixed start; never decreases.
     fn now(&self) -> Duration;
-    /// How long that span of this clock takes by the machine's.
+    /// How long a span of this clock takes by the system's clock.
     fn real(&self, span: Duration) -> Duration;
 }
 
-/// The machine's.
+/// The system's monotonic clock.
 pub struct SystemClock(Instant);
 
 impl Default for SystemClock {
@@ -42,45 +52,54 @@
     }
 }
 
-/// One that runs at another pace, and jumps.
+/// A clock that runs at another rate, and jumps forward once, [`STEP_DELAY`] after its start.
 pub struct SkewedClock {
     start: Instant,
     rate: u32,
     step: Duration,
 }
 
+impl SkewedClock {
+    /// Starts now. `rate` is in thousandths of the system's clock.
+    pub fn new(rate: u32, step: Duration) -> Self {
+        Self {
+            start: Instant::now(),
+            rate: rate.clamp(MIN_RATE, MAX_RATE),
+            step,
+        }
+    }
+}
+
 impl Clock for SkewedClock {
     fn now(&self) -> Duration {
         let passed = self.start.elapsed();
-        let step = if passed > STEPS_AFTER {
+        let step = if passed > STEP_DELAY {
             self.step
         } else {
             Duration::ZERO
         };
-        passed * self.rate / 1_000 + step
+        passed * self.rate / UNIT_RATE + step
     }
 
     fn real(&self, span: Duration) -> Duration {
-        span * 1_000 / self.rate.max(1)
+        span * UNIT_RATE / self.rate
     }
 }
 
-/// The file that is named, if any.
+/// The file that the environment names, if any.
 ///
 /// # Errors
 /// If one is named and the configuration does not allow it.
-pub fn file(testing: bool) -> Result<Option<PathBuf>, String> {
+pub(crate) fn file(is_allowed: bool) -> Result<Option<PathBuf>, ClusterError> {
     match std::env::var_os(VARIABLE) {
         None => Ok(None),
-        Some(_) if !testing => Err(format!(
-            "{VARIABLE} is set, and the group does not say `testing: yes`"
-        )),
+        Some(_) if !is_allowed => Err(ClusterError::FaultInjectionForbidden { variable: VARIABLE }),
         Some(path) => Ok(Some(path.into())),
     }
 }
 
 /// The clock that the file asks for.
-pub fn clock(file: Option<&Path>) -> Box<dyn Clock> {
+pub(crate) fn clock(file: Option<&Path>) -> Box<dyn Clock> {
     let text = file
         .and_then(|file| std::fs::read_to_string(file).ok())
         .unwrap_or_default();
@@ -91,18 +110,14 @@
         .filter_map(|word| word.parse::<u64>().ok());
     match (numbers.next(), numbers.next()) {
         (Some(rate), Some(step)) => {
-            let rate = u32::try_from(rate).unwrap_or(1_000).clamp(1, 100_000);
-            Box::new(SkewedClock {
-                start: Instant::now(),
-                rate,
-                step: Duration::from_millis(step),
-            })
+            let rate = u32::try_from(rate).unwrap_or(UNIT_RATE);
+            Box::new(SkewedClock::new(rate, Duration::from_millis(step)))
         }
         _ => Box::new(SystemClock::default()),
     }
 }
 
-/// What the disk does, as the file says at that moment.
+/// Faults as the file asks for them at the moment of each flush.
 pub fn fault_hook(file: PathBuf) -> FaultHook {
     Arc::new(move || {
         let text = std::fs::read_to_string(&file).unwrap_or_default();
@@ -113,7 +128,9 @@
                 }
                 ("disk-full", _) => return Err(io::ErrorKind::StorageFull.into()),
                 ("disk-slow", ms) => {
-                    std::thread::sleep(Duration::from_millis(ms.parse().unwrap_or(0).min(10_000)));
+                    std::thread::sleep(Duration::from_millis(
+                        ms.parse().unwrap_or(0).min(MAX_FLUSH_DELAY_MS),
+                    ));
                 }
                 _ => {}
             }
@@ -121,40 +138,3 @@
         Ok(())
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_wrong_clock_never_goes_back_and_runs_at_its_pace() {
-        let fast = SkewedClock {
-            start: Instant::now(),
-            rate: 1_500,
-            step: Duration::from_secs(3_600),
-        };
-        let mut before = Duration::ZERO;
-        while fast.start.elapsed() < STEPS_AFTER + Duration::from_millis(20) {
-            let now = fast.now();
-            assert!(now >= before);
-            before = now;
-        }
-        assert!(before > Duration::from_secs(3_600));
-        assert_eq!(
-            fast.real(Duration::from_millis(150)),
-            Duration::from_millis(100)
-        );
-    }
-
-    #[test]
-    fn a_disk_fails_as_the_file_says_just_then() {
-        let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("testing");
-        let trouble = fault_hook(path.clone());
-        assert!(trouble().is_ok());
-        std::fs::write(&path, "clock 1500 0\nflush-fails\n").unwrap();
-        assert!(trouble().is_err());
-        std::fs::write(&path, "").unwrap();
-        assert!(trouble().is_ok());
-    }
-}
--- a/crates/cluster/src/persistence.rs
+++ b/crates/cluster/src/persistence.rs
@@ -1,68 +1,84 @@
-//! A member's writes as records of the store, and what a recovery found as a member takes it.
+//! A group member's writes as records of the store, and what a recovery found as the member takes it.
 
+use crate::error::RecordError;
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
 use rainstand_raft::{Entry, HardState, PersistentState};
 use rainstand_replicated_state::frames::{BootstrapConfig, PeerIncarnations};
 use rainstand_replicated_state::member::{
-    PersistentWrite, RecoveredState, METADATA_BOOTSTRAP, METADATA_GENERATION, METADATA_MEMBER_NAME,
-    METADATA_PEER_INCARNATIONS,
+    PersistentWrite, RecoveredState, WriteBatch, METADATA_BOOTSTRAP, METADATA_GENERATION,
+    METADATA_MEMBER_NAME, METADATA_PEER_INCARNATIONS,
+};
+use rainstand_storage::writer::{WriteJob, Writer};
+use rainstand_storage::{
+    Disk, Identity, LogSuffix, Record, Recovered, RecoveredShard, Store, StoredEntry,
 };
-use rainstand_storage::{Disk, Identity, LogSuffix, Record, Recovered, Store, StoredEntry};
 use std::io;
 
-/// What a recovery found. A record whose bytes are none of a member's was written by another program: it is told.
+/// Decodes what a recovery found.
 ///
 /// # Errors
-/// Which record cannot be read.
-pub fn found(identity: &Identity, recovered: &Recovered) -> Result<RecoveredState, String> {
-    let mut found = RecoveredState {
+/// The first record that does not hold what a group member writes: another program wrote it.
+pub fn decode_recovered(
+    identity: &Identity,
+    recovered: &Recovered,
+) -> Result<RecoveredState, RecordError> {
+    let mut state = RecoveredState {
         disk: identity.disk,
         incarnation: identity.incarnation,
         nonce: identity.nonce,
         ..RecoveredState::default()
     };
-    for (shard, one) in &recovered.shards {
-        let flaw = |what: &str, why: prost::DecodeError| format!("shard {shard}: {what}: {why}");
-        let mut state = PersistentState::default();
-        if let Some(data) = &one.hard_state {
-            state.hard_state =
-                HardState::decode(&data[..]).map_err(|why| flaw("term and vote", why))?;
-        }
-        if let Some(snapshot) = &one.snapshot {
-            state.snapshot =
-                Some(Snapshot::decode(&snapshot.data[..]).map_err(|why| flaw("snapshot", why))?);
-        }
-        for StoredEntry { index, data } in &one.entries {
-            let entry = Entry::decode(&data[..]).map_err(|why| flaw("entry", why))?;
-            if entry.index != *index {
-                return Err(format!(
-                    "shard {shard}: entry {index} says that it is {}",
-                    entry.index
-                ));
-            }
-            state.entries.push(entry);
+    for (shard, stored) in &recovered.shards {
+        state.shards.insert(*shard, decode_shard(*shard, stored)?);
+    }
+    let metadata = |number: u16| recovered.metadata.get(&number);
+    if let Some(data) = metadata(METADATA_BOOTSTRAP) {
+        let bootstrap = BootstrapConfig::decode(&data[..]).map_err(RecordError::Bootstrap)?;
+        state.bootstrap = Some(bootstrap);
+    }
+    // Without it stale copies of other disks are recognized later, but are recognized.
+    state.peer_incarnations = metadata(METADATA_PEER_INCARNATIONS)
+        .and_then(|data| PeerIncarnations::decode(&data[..]).ok());
+    state.member_name =
+        metadata(METADATA_MEMBER_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
+    let generation = metadata(METADATA_GENERATION).and_then(|data| data[..].try_into().ok());
+    state.generation = generation.map_or(0, u64::from_le_bytes);
+    Ok(state)
+}
+
+fn decode_shard(shard: u16, stored: &RecoveredShard) -> Result<PersistentState, RecordError> {
+    let invalid = |kind: &'static str| {
+        move |source: prost::DecodeError| RecordError::Shard {
+            shard,
+            kind,
+            source,
         }
-        found.shards.insert(*shard, state);
+    };
+    let mut state = PersistentState::default();
+    if let Some(data) = &stored.hard_state {
+        state.hard_state = HardState::decode(&data[..]).map_err(invalid("term and vote"))?;
+    }
+    if let Some(snapshot) = &stored.snapshot {
+        let snapshot = Snapshot::decode(&snapshot.data[..]).map_err(invalid("snapshot"))?;
+        state.snapshot = Some(snapshot);
     }
-    let note = |number: u16| recovered.metadata.get(&number);
-    if let Some(data) = note(METADATA_BOOTSTRAP) {
-        found.bootstrap = Some(
-            BootstrapConfig::decode(&data[..]).map_err(|why| format!("first members: {why}"))?,
-        );
+    for StoredEntry { index, data } in &stored.entries {
+        let entry = Entry::decode(&data[..]).map_err(invalid("entry"))?;
+        if entry.index != *index {
+            return Err(RecordError::EntryIndex {
+                shard,
+                stored: *index,
+                own: entry.index,
+            });
+        }
+        state.entries.push(entry);
     }
-    // Without it old copies of other disks are told later, not never.
-    found.peer_incarnations =
-        note(METADATA_PEER_INCARNATIONS).and_then(|data| PeerIncarnations::decode(&data[..]).ok());
-    found.member_name =
-        note(METADATA_MEMBER_NAME).and_then(|data| String::from_utf8(data.clone()).ok());
-    let generation = note(METADATA_GENERATION).and_then(|data| data[..].try_into().ok());
-    found.generation = generation.map_or(0, u64::from_le_bytes);
-    Ok(found)
+    Ok(state)
 }
 
-/// A write as a record; none for a snapshot, which is saved.
-pub fn record(write: &PersistentWrite) -> Option<Record> {
+/// A write as a record; none for a snapshot, which is installed.
+fn encode_record(write: &PersistentWrite) -> Option<Record> {
     Some(match write {
         PersistentWrite::HardState { shard, hard } => Record::HardState {
             shard: *shard,
@@ -82,7 +98,7 @@
 }
 
 /// What becomes of the entries behind a snapshot.
-pub fn log_suffix(discard: bool) -> LogSuffix {
+fn log_suffix(discard: bool) -> LogSuffix {
     if discard {
         LogSuffix::Discard
     } else {
@@ -90,25 +106,53 @@
     }
 }
 
-/// Puts a write; a snapshot is durable when this returns.
+/// Gives a batch of writes to the storage thread, in order. The batch's number is reported with its last job.
+pub(crate) fn submit(writer: &Writer, batch: WriteBatch) {
+    let WriteBatch { number, writes } = batch;
+    let mut records = Vec::new();
+    for write in writes {
+        let PersistentWrite::InstallSnapshot {
+            shard,
+            snapshot,
+            alone,
+        } = write
+        else {
+            records.extend(encode_record(&write));
+            continue;
+        };
+        if !records.is_empty() {
+            writer.submit(WriteJob::Write {
+                number: number - 1,
+                records: std::mem::take(&mut records),
+            });
+        }
+        writer.submit(WriteJob::InstallSnapshot {
+            number: number - 1,
+            shard,
+            index: snapshot.metadata.index,
+            data: snapshot.encode_to_vec(),
+            suffix: log_suffix(alone),
+        });
+    }
+    writer.submit(WriteJob::Write { number, records });
+}
+
+/// Appends a write to a store; a snapshot is durable when this returns. For simulations, which have no storage thread.
 ///
 /// # Errors
 /// If the disk fails.
-pub fn put<D: Disk>(store: &mut Store<D>, write: &PersistentWrite) -> io::Result<()> {
+pub fn append<D: Disk>(store: &mut Store<D>, write: &PersistentWrite) -> io::Result<()> {
     if let PersistentWrite::InstallSnapshot {
         shard,
         snapshot,
         alone,
     } = write
     {
-        return store.install_snapshot(
-            *shard,
-            snapshot.metadata.index,
-            &snapshot.encode_to_vec(),
-            log_suffix(*alone),
-        );
+        let data = snapshot.encode_to_vec();
+        let index = snapshot.metadata.index;
+        return store.install_snapshot(*shard, index, &data, log_suffix(*alone));
     }
-    if let Some(record) = record(write) {
+    if let Some(record) = encode_record(write) {
         store.append(&record);
     }
     Ok(())
--- a/crates/cluster/src/recovery.rs
+++ b/crates/cluster/src/recovery.rs
@@ -1,181 +1,223 @@
-//! The way back from the loss of a majority: one stopped member's copies alone begin the group anew.
+//! The way back from the loss of a majority: the replicas of one stopped member start the group anew.
 //!
-//! What the lost copies had committed and this one had not is lost, and nobody can tell what that was; what is
-//! here and may be affected is written down: keys that were started and have no end. The generation goes up, so that a
-//! disk of before that comes back is set aside instead of electing others of its kind.
+//! What the lost replicas had committed and this one had not is lost, and nothing can tell what that was. What is here
+//! and may be affected is listed: keys that were started and have no end. The generation goes up, so that a disk of
+//! before that comes back is quarantined instead of electing others of its kind.
 
-use crate::persistence::found;
+use crate::error::ClusterError;
+use crate::persistence::decode_recovered;
 use prost::Message as _;
 use rainstand_raft::wire::Snapshot;
-use rainstand_raft::{EntryKind, Membership, SnapshotMetadata};
+use rainstand_raft::{EntryKind, Membership, PersistentState, SnapshotMetadata};
 use rainstand_replicated_state::frames::{BootstrapConfig, BootstrapMember};
 use rainstand_replicated_state::idempotency::{Command, IdempotencyTable};
 use rainstand_replicated_state::member::{METADATA_BOOTSTRAP, METADATA_GENERATION};
 use rainstand_storage::recovery::StoreContents;
 use rainstand_storage::{
-    FolderDisk, IdentitySeed, LogSuffix, OpenError, Record, Store, StoreLimits,
+    FolderDisk, Identity, IdentitySeed, LogSuffix, OpenError, Record, Store, StoreLimits,
 };
 use serde::Serialize;
 use std::path::Path;
 
-/// Keys without an end that are named, a shard.
-const NAMED: usize = 1_000;
+/// Keys without an end that are listed, a shard.
+const MAX_LISTED_KEYS: usize = 1_000;
 
+/// What may be lost of one shard. The field names are those of the JSON output.
 #[derive(Debug, Serialize)]
 pub struct ShardLoss {
+    /// The shard.
     pub shard: u16,
+    /// Index of the last entry here.
     pub last: u64,
-    /// Up to here the snapshot proves it; what is behind it may have been committed or not.
+    /// Entries up to this index are proved to be committed by the snapshot; later ones may have been or not.
     pub committed: u64,
+    /// Keys here.
     pub keys: usize,
-    /// Keys that were started and have no end here.
+    /// Keys that were started and have no end here, at most 1,000 of them.
     pub started: Vec<String>,
 }
 
-/// What may be lost.
+/// What may be lost. The field names are those of the JSON output.
 #[derive(Debug, Serialize)]
 pub struct RecoveryReport {
+    /// The group's generation after the recovery.
     pub generation: u64,
+    /// The shards of which there is a replica here.
     pub shards: Vec<ShardLoss>,
-    /// Shards of which this disk has no copy.
+    /// Shards of which this disk has no replica: they begin empty.
     pub missing: Vec<u16>,
 }
 
-fn shown(key: &[u8]) -> String {
-    String::from_utf8_lossy(key).replacen('\0', "/", 1)
+/// A snapshot that replaces a shard's log.
+struct ReplacementSnapshot {
+    shard: u16,
+    snapshot: Snapshot,
 }
 
-/// Tells what would be lost and, if that is accepted, makes this disk the group's only one. Every entry that is here is
-/// taken for committed: a start or result that was on its way is better known than forgotten.
+/// Reports what would be lost and, if that is accepted, makes this disk the group's only one. Every entry that is here
+/// counts as committed: a start or result whose commit is not known is better kept than forgotten.
 ///
 /// # Errors
-/// If the folder is in use, damaged, or holds no member's disk.
-pub fn recover(folder: &Path, name: &str, accept: bool) -> Result<RecoveryReport, String> {
-    let mut disk = FolderDisk::open(folder).map_err(|why| why.to_string())?;
+/// If the folder is in use, damaged, or holds no member's store.
+pub fn recover(
+    folder: &Path,
+    name: &str,
+    accept_loss: bool,
+) -> Result<RecoveryReport, ClusterError> {
+    let mut disk = FolderDisk::open(folder)?;
     let StoreContents {
         identity,
         recovered,
-    } = rainstand_storage::recover(&mut disk).map_err(|why| why.to_string())?;
-    let Some(identity) = identity else {
-        return Err("no disk of a member".into());
-    };
-    let before = found(&identity, &recovered)?;
-    let Some(form) = before.bootstrap.clone() else {
-        return Err("its group never began".into());
-    };
-    let mut lost = RecoveryReport {
+    } = rainstand_storage::recover(&mut disk)?;
+    let identity = identity.ok_or(ClusterError::NoStore)?;
+    let before = decode_recovered(&identity, &recovered)?;
+    let bootstrap = before.bootstrap.ok_or(ClusterError::NeverBootstrapped)?;
+    let mut report = RecoveryReport {
         generation: before.generation + 1,
         shards: Vec::new(),
         missing: Vec::new(),
     };
-    let mut saves = Vec::new();
-    for shard in 0..form.shards as u16 {
-        let Some(state) = before
-            .shards
-            .get(&shard)
-            .filter(|state| state.snapshot.is_some())
-        else {
-            lost.missing.push(shard);
-            // Begins empty, as at the group's beginning.
-            let config = Membership::from_voters([(identity.disk, name.to_owned())]);
-            let base = SnapshotMetadata {
-                index: 1,
-                term: 1,
-                stamp: 0,
-                checksum: 1,
-                config,
-            };
-            saves.push((
-                shard,
-                Snapshot {
-                    metadata: base,
-                    data: Vec::new().into(),
-                },
-            ));
-            continue;
+    let only_voter = Membership::from_voters([(identity.disk, name.to_owned())]);
+    let mut replacements = Vec::new();
+    for shard in 0..bootstrap.shards as u16 {
+        let state = before.shards.get(&shard);
+        let snapshot = if let Some(found) = state.and_then(RecoverableShard::from_state) {
+            let (loss, snapshot) = found.replay(shard, only_voter.clone())?;
+            report.shards.push(loss);
+            snapshot
+        } else {
+            report.missing.push(shard);
+            empty_snapshot(only_voter.clone())
         };
-        let Some(snapshot) = &state.snapshot else {
-            continue;
+        replacements.push(ReplacementSnapshot { shard, snapshot });
+    }
+    drop(disk);
+    if accept_loss {
+        let bootstrap = BootstrapConfig {
+            members: vec![BootstrapMember {
+                name: name.to_owned(),
+                site: String::new(),
+                disk: identity.disk,
+            }],
+            ..bootstrap
         };
+        rewrite_store(
+            folder,
+            &identity,
+            &bootstrap,
+            report.generation,
+            replacements,
+        )?;
+    }
+    Ok(report)
+}
+
+/// A shard of which there is a snapshot.
+struct RecoverableShard<'a> {
+    state: &'a PersistentState,
+    snapshot: &'a Snapshot,
+}
+
+impl<'a> RecoverableShard<'a> {
+    fn from_state(state: &'a PersistentState) -> Option<Self> {
+        let snapshot = state.snapshot.as_ref()?;
+        Some(Self { state, snapshot })
+    }
+
+    /// Applies all entries behind the snapshot.
+    fn replay(
+        &self,
+        shard: u16,
+        membership: Membership,
+    ) -> Result<(ShardLoss, Snapshot), ClusterError> {
         let mut table = IdempotencyTable::new(usize::MAX, 0);
-        if !snapshot.data.is_empty() {
+        if !self.snapshot.data.is_empty() {
             table
-                .restore(snapshot.data.clone())
-                .map_err(|why| format!("shard {shard}: {why}"))?;
+                .restore(self.snapshot.data.clone())
+                .map_err(|source| ClusterError::Snapshot { shard, source })?;
         }
-        let mut base = snapshot.metadata.clone();
-        let mut sum = base.checksum;
-        for entry in &state.entries {
-            sum = entry.checksum(sum);
-            (base.index, base.term, base.stamp, base.checksum) =
-                (entry.index, entry.term, entry.stamp, sum);
+        let mut metadata = self.snapshot.metadata.clone();
+        for entry in &self.state.entries {
+            metadata.checksum = entry.checksum(metadata.checksum);
+            metadata.index = entry.index;
+            metadata.term = entry.term;
+            metadata.stamp = entry.stamp;
             if entry.kind() == EntryKind::Data {
                 if let Ok(command) = Command::decode(entry.data.clone()) {
                     table.apply(entry.stamp, &command);
                 }
             }
         }
-        lost.shards.push(ShardLoss {
+        let loss = ShardLoss {
             shard,
-            last: base.index,
-            committed: snapshot.metadata.index,
+            last: metadata.index,
+            committed: self.snapshot.metadata.index,
             keys: table.len(),
-            started: table.started().take(NAMED).map(|key| shown(key)).collect(),
-        });
-        base.config = Membership::from_voters([(identity.disk, name.to_owned())]);
-        // Behind all that was: no entry of before has this index and another content.
-        (base.index, base.term) = (base.index + 1, base.term.max(state.hard_state.term) + 1);
-        saves.push((
-            shard,
-            Snapshot {
-                metadata: base,
-                data: table.snapshot(),
-            },
-        ));
+            started: started_keys(&table),
+        };
+        metadata.config = membership;
+        // Behind everything before: no earlier entry has this index and another content.
+        metadata.index += 1;
+        metadata.term = metadata.term.max(self.state.hard_state.term) + 1;
+        let snapshot = Snapshot {
+            metadata,
+            data: table.snapshot(),
+        };
+        Ok((loss, snapshot))
     }
-    if !accept {
-        return Ok(lost);
+}
+
+/// Keys without an end as `type/name`.
+fn started_keys(table: &IdempotencyTable) -> Vec<String> {
+    let shown = |key: &[u8]| String::from_utf8_lossy(key).replacen('\0', "/", 1);
+    table
+        .started()
+        .take(MAX_LISTED_KEYS)
+        .map(|key| shown(key))
+        .collect()
+}
+
+/// The snapshot with which a shard of a new group begins.
+fn empty_snapshot(membership: Membership) -> Snapshot {
+    Snapshot {
+        metadata: SnapshotMetadata {
+            index: 1,
+            term: 1,
+            stamp: 0,
+            checksum: 1,
+            config: membership,
+        },
+        data: Vec::new().into(),
     }
-    drop(disk);
-    let open = || -> Result<Store<FolderDisk>, OpenError> {
-        let disk = FolderDisk::open(folder)?;
-        Ok(Store::open(
-            disk,
-            StoreLimits::default(),
-            IdentitySeed {
-                disk: identity.disk,
-                nonce: identity.nonce ^ identity.incarnation,
-            },
-        )?
-        .0)
-    };
-    let mut store = open().map_err(|why| why.to_string())?;
-    let alone = BootstrapConfig {
-        members: vec![BootstrapMember {
-            name: name.to_owned(),
-            site: String::new(),
-            disk: identity.disk,
-        }],
-        ..form
+}
+
+fn rewrite_store(
+    folder: &Path,
+    identity: &Identity,
+    bootstrap: &BootstrapConfig,
+    generation: u64,
+    replacements: Vec<ReplacementSnapshot>,
+) -> Result<(), ClusterError> {
+    let disk = FolderDisk::open(folder).map_err(OpenError::Io)?;
+    let seed = IdentitySeed {
+        disk: identity.disk,
+        nonce: identity.nonce ^ identity.incarnation,
     };
+    let (mut store, _) = Store::open(disk, StoreLimits::default(), seed)?;
     store.append(&Record::Metadata {
         number: METADATA_BOOTSTRAP,
-        data: alone.encode_to_vec(),
+        data: bootstrap.encode_to_vec(),
     });
     store.append(&Record::Metadata {
         number: METADATA_GENERATION,
-        data: lost.generation.to_le_bytes().to_vec(),
+        data: generation.to_le_bytes().to_vec(),
     });
-    for (shard, snapshot) in saves {
+    for ReplacementSnapshot { shard, snapshot } in replacements {
+        let (index, data) = (snapshot.metadata.index, snapshot.encode_to_vec());
         store
-            .install_snapshot(
-                shard,
-                snapshot.metadata.index,
-                &snapshot.encode_to_vec(),
-                LogSuffix::Discard,
-            )
-            .map_err(|why| format!("shard {shard}: {why}"))?;
+            .install_snapshot(shard, index, &data, LogSuffix::Discard)
+            .map_err(|source| ClusterError::WriteSnapshot { shard, source })?;
     }
-    store.flush().map_err(|why| why.to_string())?;
-    Ok(lost)
+    store.flush()?;
+    Ok(())
 }
--- /dev/null
+++ b/crates/cluster/src/status/report.rs
@@ -0,0 +1,281 @@
+//! A member's answers about itself, its peers and a key. The serialized names are those of the JSON output.
+
+use super::disk_text;
+use crate::driver::ClusterMember;
+use rainstand_raft::{ReplicaId, Role};
+use rainstand_replicated_state::idempotency::KeyState;
+use rainstand_replicated_state::member::{GroupMember, KeyLookup, ShardView};
+use serde::Serialize;
+use std::time::Duration;
+
+/// The answer to `status`.
+#[derive(Serialize)]
+pub(super) struct MemberReport {
+    name: String,
+    disk: String,
+    pub(super) stopped: bool,
+    failed: Option<String>,
+    #[serde(rename = "set_asides")]
+    quarantines: u64,
+    flushes: u64,
+    #[serde(rename = "unwritten")]
+    pub(super) pending_writes: u64,
+    #[serde(rename = "questions")]
+    pub(super) pending_requests: usize,
+    #[serde(rename = "turned_away")]
+    rejected_requests: u64,
+    pub(super) shards_with_leader: usize,
+    #[serde(rename = "shards_in_all")]
+    pub(super) shards_total: usize,
+    #[serde(rename = "leads")]
+    pub(super) led_shards: usize,
+    pub(super) commit_ms: CommitTimes,
+    pub(super) shards: Vec<ShardReport>,
+}
+
+/// From request to outcome, in milliseconds; none before the first request.
+#[derive(Serialize)]
+pub(super) struct CommitTimes {
+    median: Option<f64>,
+    pub(super) p99: Option<f64>,
+}
+
+/// One shard of which there is a replica here.
+#[derive(Serialize)]
+pub(super) struct ShardReport {
+    shard: u16,
+    role: &'static str,
+    /// None if no leader is known, or not which member has its disk.
+    leader: Option<String>,
+    pub(super) term: u64,
+    commit: u64,
+    applied: u64,
+    last: u64,
+    base: u64,
+    pub(super) keys: usize,
+    #[serde(rename = "aged")]
+    expired: u64,
+    members: Vec<ShardMember>,
+    pub(super) peers: Vec<FollowerReport>,
+}
+
+/// A member of a shard.
+#[derive(Serialize)]
+struct ShardMember {
+    name: String,
+    disk: String,
+    #[serde(rename = "votes")]
+    is_voter: bool,
+}
+
+/// What a leader knows of a follower.
+#[derive(Serialize)]
+pub(super) struct FollowerReport {
+    disk: String,
+    name: Option<String>,
+    pub(super) behind: u64,
+    #[serde(rename = "heard_ms")]
+    last_contact_ms: u64,
+}
+
+/// The answer to `members`.
+#[derive(Serialize)]
+pub(super) struct PeersReport {
+    name: String,
+    disk: String,
+    peers: Vec<PeerReport>,
+}
+
+/// Another member of the group.
+#[derive(Serialize)]
+struct PeerReport {
+    name: String,
+    #[serde(rename = "link")]
+    is_connected: bool,
+    disk: Option<String>,
+    #[serde(rename = "old_copy")]
+    is_stale: bool,
+    sent_bytes: u64,
+    #[serde(rename = "frames_lost")]
+    dropped_frames: u64,
+}
+
+/// The answer to `why`.
+#[derive(Serialize)]
+pub(super) struct KeyReport {
+    shard: u16,
+    #[serde(rename = "copy_here")]
+    replica: Option<ReplicaReport>,
+    key: Option<KeyStateReport>,
+    #[serde(rename = "asked")]
+    member: String,
+    #[serde(rename = "says")]
+    explanation: &'static str,
+}
+
+/// How far the replica is from which a key was read.
+#[derive(Serialize)]
+struct ReplicaReport {
+    applied: u64,
+    commit: u64,
+    log_time_ms: u64,
+}
+
+/// A key as the replica here has it.
+#[derive(Serialize)]
+struct KeyStateReport {
+    state: &'static str,
+    holder: String,
+    holder_name: Option<String>,
+    result_bytes: usize,
+    #[serde(rename = "until_log_ms")]
+    expires_at_log_ms: u64,
+}
+
+/// A role as the JSON output names it.
+fn role_word(role: Role) -> &'static str {
+    match role {
+        Role::Follower => "follower",
+        Role::PreCandidate => "asking",
+        Role::Candidate => "candidate",
+        Role::Leader => "leader",
+        Role::Quarantined => "aside",
+    }
+}
+
+/// The member that has a disk, as far as this member knows.
+fn member_of(state: &GroupMember, disk: ReplicaId) -> Option<String> {
+    if disk == state.disk() {
+        return Some(state.name().to_owned());
+    }
+    let mut peers = state.peers();
+    let peer = peers.find(|peer| peer.disk == Some(disk))?;
+    Some(peer.name.to_owned())
+}
+
+pub(super) fn member(member: &ClusterMember) -> MemberReport {
+    let times = member.commit_times();
+    member.inspect(|state| {
+        let leaders = state.known_leaders();
+        MemberReport {
+            name: state.name().to_owned(),
+            disk: disk_text(state.disk()),
+            stopped: state.is_stopped(),
+            failed: member.failure(),
+            quarantines: member.quarantines(),
+            flushes: member.flushes(),
+            pending_writes: state.pending_writes(),
+            pending_requests: state.pending_request_count(),
+            rejected_requests: state.rejected_request_count(),
+            shards_with_leader: leaders.known,
+            shards_total: leaders.total,
+            led_shards: state.led_shard_count(),
+            commit_ms: CommitTimes {
+                median: quantile_ms(&times, 0.5),
+                p99: quantile_ms(&times, 0.99),
+            },
+            shards: state.shards().map(|view| shard(state, &view)).collect(),
+        }
+    })
+}
+
+/// A quantile of times in ascending order.
+fn quantile_ms(times: &[Duration], quantile: f64) -> Option<f64> {
+    let index = ((times.len() as f64 * quantile) as usize).min(times.len().saturating_sub(1));
+    times.get(index).map(|time| time.as_secs_f64() * 1e3)
+}
+
+fn shard(state: &GroupMember, view: &ShardView) -> ShardReport {
+    let (replica, table) = (view.replica, view.table);
+    let last = replica.log().last_index();
+    let follower = |follower: rainstand_raft::FollowerProgress| FollowerReport {
+        disk: disk_text(follower.id),
+        name: member_of(state, follower.id),
+        behind: last.saturating_sub(follower.match_index),
+        last_contact_ms: state
+            .now()
+            .saturating_sub(follower.last_contact)
+            .as_millis() as u64,
+    };
+    let member = |member: &rainstand_raft::Member| ShardMember {
+        name: member.name.clone(),
+        disk: disk_text(member.id),
+        is_voter: member.is_voter,
+    };
+    ShardReport {
+        shard: view.shard,
+        role: role_word(replica.role()),
+        leader: replica.leader().and_then(|disk| member_of(state, disk)),
+        term: replica.term(),
+        commit: replica.commit(),
+        applied: replica.applied(),
+        last,
+        base: replica.log().base().index,
+        keys: table.len(),
+        expired: table.expired_count(),
+        members: replica.membership().members.iter().map(member).collect(),
+        peers: replica.progress().map(follower).collect(),
+    }
+}
+
+pub(super) fn peers(member: &ClusterMember) -> PeersReport {
+    member.inspect(|state| PeersReport {
+        name: state.name().to_owned(),
+        disk: disk_text(state.disk()),
+        peers: state
+            .peers()
+            .map(|peer| {
+                let outbox = member.outbox(peer.name);
+                PeerReport {
+                    name: peer.name.to_owned(),
+                    is_connected: peer.is_connected,
+                    disk: peer.disk.map(disk_text),
+                    is_stale: peer.is_stale,
+                    sent_bytes: outbox.sent_bytes(),
+                    dropped_frames: outbox.dropped_frames(),
+                }
+            })
+            .collect(),
+    })
+}
+
+/// `key` is written as its type and its name with a slash between.
+pub(super) fn key(member: &ClusterMember, key: &str) -> KeyReport {
+    let key = key.replacen('/', "\0", 1);
+    member.inspect(|state| {
+        let KeyLookup {
+            shard,
+            state: found,
+        } = state.key_state(key.as_bytes());
+        let view = state.shards().find(|view| view.shard == shard);
+        KeyReport {
+            shard,
+            explanation: explanation(view.is_some(), found.is_some()),
+            replica: view.map(|view| ReplicaReport {
+                applied: view.replica.applied(),
+                commit: view.replica.commit(),
+                log_time_ms: view.table.log_time_ns() / 1_000_000,
+            }),
+            key: found.map(|found| key_state(state, found)),
+            member: state.name().to_owned(),
+        }
+    })
+}
+
+fn key_state(state: &GroupMember, found: &KeyState) -> KeyStateReport {
+    KeyStateReport {
+        state: found.state_name(),
+        holder: disk_text(found.holder()),
+        holder_name: member_of(state, found.holder()),
+        result_bytes: found.result().len(),
+        expires_at_log_ms: found.expires_at() / 1_000_000,
+    }
+}
+
+fn explanation(has_replica: bool, has_key: bool) -> &'static str {
+    match (has_replica, has_key) {
+        (false, _) => "this member holds no copy of the shard",
+        (true, false) => "not there: never asked, or aged out",
+        (true, true) => "as of the entry applied here",
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/status/rollout.rs
@@ -0,0 +1,76 @@
+//! The answer to `versions`: published versions, and how far the attached subscribers are.
+
+use super::disk_text;
+use crate::config_server::{ConfigServer, MAX_LISTED_VERSIONS};
+use crate::driver::ClusterMember;
+use rainstand_config_distribution::publisher::{RolloutProgress, SubscriberStatus};
+use rainstand_replicated_state::versions::Versions;
+use serde_json::{json, Value};
+
+pub(super) fn answer(member: &ClusterMember, max_versions: usize) -> Value {
+    let Some(server) = member.config_server() else {
+        return json!({"error": "this member is no control machine"});
+    };
+    let members: Vec<Value> = member
+        .members()
+        .iter()
+        .map(|member| json!({"name": member.name, "address": member.address}))
+        .collect();
+    let subscribers = server.subscribers();
+    let rejections = subscribers.iter().filter_map(rejection);
+    let rejections: Vec<Value> = rejections.take(MAX_LISTED_VERSIONS).collect();
+    member.inspect(|state| {
+        let Some(published) = state.published() else {
+            return json!({"name": state.name(), "members": members, "here": false});
+        };
+        let versions = published.versions;
+        json!({
+            "name": state.name(),
+            "members": members,
+            "here": true,
+            "current": published.is_current,
+            "version": versions.version(),
+            "digest": disk_text(versions.state().digest()),
+            "things": versions.state().len(),
+            "attached": subscribers.len(),
+            "versions": rows(&server, versions, max_versions),
+            "refusals": rejections,
+        })
+    })
+}
+
+/// A subscriber that holds on to an older version than the one that it rejected.
+fn rejection(subscriber: &SubscriberStatus) -> Option<Value> {
+    let rejected = subscriber.rejected.as_ref()?;
+    if subscriber.version >= rejected.version {
+        return None;
+    }
+    Some(json!({
+        "name": subscriber.identity.name,
+        "version": rejected.version,
+        "reason": rejected.reason,
+        "holds": subscriber.version,
+    }))
+}
+
+fn rows(server: &ConfigServer, versions: &Versions, max_versions: usize) -> Vec<Value> {
+    let progress = server.progress(max_versions);
+    progress.into_iter().map(|one| row(versions, one)).collect()
+}
+
+fn row(versions: &Versions, progress: RolloutProgress) -> Value {
+    let before = progress.version.checked_sub(1);
+    let change = before.and_then(|before| versions.changes_since(before)?.next());
+    let slowest = progress
+        .slowest
+        .map(|slowest| json!({"name": slowest.name, "version": slowest.version}));
+    json!({
+        "version": progress.version,
+        "at_ms": change.map(|change| change.published_at_ms),
+        "things": progress.changed_resources,
+        "confirmed": progress.acknowledged,
+        "refused": progress.rejected,
+        "behind": progress.behind,
+        "slowest": slowest,
+    })
+}
--- a/crates/cluster/tests/golden.rs
+++ b/crates/cluster/tests/golden.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use prost::Message as _;
-use rainstand_cluster::transport::with_length_prefix;
+use rainstand_cluster::framing::with_length_prefix;
 use rainstand_cluster::{recovery, status};
 use rainstand_config::schema::{Configuration, Tenant, VERSION};
 use rainstand_golden_files::{assert_bytes, read_bytes, NamedBytes, WRITE_VARIABLE};
@@ -123,7 +123,7 @@
     }
     let member = w.up("n1");
     w.all_led(&[&member]);
-    assert_eq!(member.tell(|group| group.quarantines.get()), 0);
+    assert_eq!(member.tell(|group| group.quarantines()), 0);
     assert_eq!(member.ask_until_told(7, "known", &start()), known("R"));
     assert_eq!(member.ask_until_told(7, "late", &start()), known("L"));
     assert_eq!(
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -164,7 +164,7 @@
     let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
     assert_eq!(n2.ask_until_told(5, "a", &start()), known("R"));
     assert_eq!(n3.ask_until_told(6, "a", &start()), known("R"));
-    let asides = n3.tell(|group| group.quarantines.get());
+    let asides = n3.tell(|group| group.quarantines());
     assert_eq!(asides, 1);
 }
 
@@ -261,8 +261,8 @@
     let [n2, n3] = ["n2", "n3"].map(|name| w.up(name));
     assert_eq!(n3.ask_until_told(2, "a", &start()), known("R"));
     assert_eq!(n2.ask_until_told(3, "a", &start()), known("R"));
-    let disks = [&n2, &n3]
-        .map(|one| one.tell(|group| (group.inspect(|m| m.disk()), group.quarantines.get())));
+    let disks =
+        [&n2, &n3].map(|one| one.tell(|group| (group.inspect(|m| m.disk()), group.quarantines())));
     assert!(
         disks[0].0 != disks[1].0 && disks[0].1 == 0 && disks[1].1 == 1,
         "{disks:?}"
--- a/crates/cluster/tests/world/mod.rs
+++ b/crates/cluster/tests/world/mod.rs
@@ -60,10 +60,13 @@
                         group: group.clone(),
                         log: Box::new(|_| {}),
                     };
-                    match ClusterMember::start(setup).await {
+                    match rainstand_cluster::start(setup).await {
                         Ok(group) => break group,
                         Err(why) => {
-                            assert!(why.contains("in use") && begun.elapsed() < HANGS, "{why}")
+                            assert!(
+                                why.to_string().contains("in use") && begun.elapsed() < HANGS,
+                                "{why}"
+                            )
                         }
                     }
                     tokio::task::yield_now().await;
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -100,7 +100,9 @@
         group,
         log: Box::new(tell),
     };
-    let group = ClusterMember::start(setup).await?;
+    let group = rainstand_cluster::start(setup)
+        .await
+        .map_err(|error| error.to_string())?;
     let copies = Rc::new(Copies {
         group,
         old: RefCell::default(),
@@ -126,7 +128,11 @@
     let group = read
         .and_then(|text| Settings::read(&text))
         .and_then(|all| all.group.ok_or("no group".into()));
-    match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
+    let taken = group.and_then(|group| {
+        let taken = copies.group.set_members(&group);
+        taken.map(|()| group).map_err(|error| error.to_string())
+    });
+    match taken {
         Ok(group) => {
             hub.reserved_descriptors.set(kept(group.members.len()));
             note!(
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -7,7 +7,7 @@
 use foldhash::HashMap;
 use nanorand::{Rng, WyRand};
 use prost::Message as _;
-use rainstand_cluster::persistence::{found, put};
+use rainstand_cluster::persistence::{append, decode_recovered};
 use rainstand_raft::Timeouts;
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
@@ -508,7 +508,7 @@
         });
         let options = self.options(node);
         let now = self.clock(node);
-        let found = match found(store.identity(), &recovered) {
+        let found = match decode_recovered(store.identity(), &recovered) {
             Ok(found) => found,
             Err(why) => return self.out.wrong.push(format!("{}: {why}", name(node))),
         };
@@ -692,7 +692,7 @@
         for WriteBatch { number, writes } in one.jobs.drain(..) {
             to = number;
             for write in writes {
-                failed |= put(store, &write).is_err();
+                failed |= append(store, &write).is_err();
             }
         }
         one.flushing = true;
