--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -343,7 +343,7 @@
                 PersistentWrite::InstallSnapshot {
                     shard,
                     snapshot,
-                    alone,
+                    discard_suffix,
                 } => {
                     if !records.is_empty() {
                         // In the order in which they were given; told once, with the last.
@@ -358,7 +358,7 @@
                         shard,
                         index,
                         data,
-                        suffix: log_suffix(alone),
+                        suffix: log_suffix(discard_suffix),
                     });
                 }
                 other => records.extend(record(&other)),
--- a/crates/cluster/src/persistence.rs
+++ b/crates/cluster/src/persistence.rs
@@ -98,14 +98,14 @@
     if let PersistentWrite::InstallSnapshot {
         shard,
         snapshot,
-        alone,
+        discard_suffix,
     } = write
     {
         return store.install_snapshot(
             *shard,
             snapshot.metadata.index,
             &snapshot.encode_to_vec(),
-            log_suffix(*alone),
+            log_suffix(*discard_suffix),
         );
     }
     if let Some(record) = record(write) {
--- a/crates/replicated-state/src/member/bootstrap.rs
+++ b/crates/replicated-state/src/member/bootstrap.rs
@@ -145,7 +145,7 @@
         self.writes.push(PersistentWrite::InstallSnapshot {
             shard,
             snapshot: snapshot.clone(),
-            alone: true,
+            discard_suffix: true,
         });
         let state = PersistentState {
             hard_state,
--- a/crates/replicated-state/src/member/effects.rs
+++ b/crates/replicated-state/src/member/effects.rs
@@ -30,8 +30,8 @@
         shard: u16,
         /// The snapshot.
         snapshot: Snapshot,
-        /// Whether the entries behind the snapshot's index are removed too.
-        alone: bool,
+        /// Whether the entries behind the snapshot's index are removed too: they belong to another history.
+        discard_suffix: bool,
     },
     /// A metadata record of the whole disk; it replaces the earlier one of the same number.
     Metadata {
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -6,8 +6,8 @@
 use crate::idempotency::IdempotencyTable;
 use bytes::Bytes;
 use rainstand_config_distribution::UpdateError;
-use rainstand_raft::wire::{Body, Snapshot};
-use rainstand_raft::{Entry, Message, PersistentState, Replica, ReplicaId};
+use rainstand_raft::wire::Body;
+use rainstand_raft::{Entry, Message, PersistentState, Replica, ReplicaId, SnapshotInstall};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -125,8 +125,7 @@
             self.writes.push(PersistentWrite::HardState { shard, hard });
         }
         if let Some(install) = ready.snapshot {
-            let (snapshot, alone) = (install.snapshot, install.discard_suffix);
-            if self.install_snapshot(shard, snapshot, alone).is_err() {
+            if self.install_snapshot(shard, install).is_err() {
                 self.stop_with(GroupEvent::StaleDisk {
                     reason: format!("shard {shard}: no table came"),
                 });
@@ -172,9 +171,12 @@
     fn install_snapshot(
         &mut self,
         shard: u16,
-        snapshot: Snapshot,
-        alone: bool,
+        install: SnapshotInstall,
     ) -> Result<(), UpdateError> {
+        let SnapshotInstall {
+            snapshot,
+            discard_suffix,
+        } = install;
         if let Some(state) = self.shards.get_mut(&shard) {
             if !snapshot.data.is_empty() {
                 state.table.restore(snapshot.data.clone())?;
@@ -188,7 +190,7 @@
         self.writes.push(PersistentWrite::InstallSnapshot {
             shard,
             snapshot,
-            alone,
+            discard_suffix,
         });
         Ok(())
     }
@@ -226,12 +228,15 @@
         };
         let (term, commit) = (state.replica.term(), state.replica.commit());
         for follower in state.replica.progress() {
-            let (disk, matched) = (follower.id, follower.match_index);
-            let index = matched.min(commit);
+            let index = follower.match_index.min(commit);
             if index == 0 {
                 continue;
             }
-            if let Some(peer) = self.peers.values_mut().find(|peer| peer.has_disk(disk)) {
+            if let Some(peer) = self
+                .peers
+                .values_mut()
+                .find(|peer| peer.has_disk(follower.id))
+            {
                 let durable = peer.durable.entry(shard).or_default();
                 durable.term = durable.term.max(term);
                 durable.index = durable.index.max(index);
@@ -275,7 +280,7 @@
             self.writes.push(PersistentWrite::InstallSnapshot {
                 shard,
                 snapshot,
-                alone: false,
+                discard_suffix: false,
             });
         }
     }
