--- a/crates/cluster/src/persistence.rs
+++ b/crates/cluster/src/persistence.rs
@@ -114,7 +114,7 @@
         let PersistentWrite::InstallSnapshot {
             shard,
             snapshot,
-            alone,
+            discard_suffix,
         } = write
         else {
             records.extend(encode_record(&write));
@@ -131,7 +131,7 @@
             shard,
             index: snapshot.metadata.index,
             data: snapshot.encode_to_vec(),
-            suffix: log_suffix(alone),
+            suffix: log_suffix(discard_suffix),
         });
     }
     writer.submit(WriteJob::Write { number, records });
@@ -145,12 +145,12 @@
     if let PersistentWrite::InstallSnapshot {
         shard,
         snapshot,
-        alone,
+        discard_suffix,
     } = write
     {
         let data = snapshot.encode_to_vec();
         let index = snapshot.metadata.index;
-        return store.install_snapshot(*shard, index, &data, log_suffix(*alone));
+        return store.install_snapshot(*shard, index, &data, log_suffix(*discard_suffix));
     }
     if let Some(record) = encode_record(write) {
         store.append(&record);
