--- a/crates/config-distribution/tests/golden.rs
+++ b/crates/config-distribution/tests/golden.rs
@@ -53,7 +53,7 @@
     }
 }
 
-fn got() -> SnapshotProgress {
+fn progress() -> SnapshotProgress {
     SnapshotProgress {
         version: 5,
         digest: 77,
@@ -61,7 +61,7 @@
     }
 }
 
-fn upward() -> Vec<(&'static str, ClientMessage)> {
+fn client_messages() -> Vec<(&'static str, ClientMessage)> {
     let attach = Attach {
         name: "f-17".into(),
         region: "north".into(),
@@ -69,7 +69,7 @@
         version: 4,
         digest: 0xfeed_beef,
         schema_version: 3,
-        partial: Some(got()),
+        partial: Some(progress()),
     };
     vec![
         ("up-attach", ClientMessage::Attach(attach)),
@@ -104,11 +104,11 @@
                 digest: 5,
             }),
         ),
-        ("up-got", ClientMessage::SnapshotProgress(got())),
+        ("up-got", ClientMessage::SnapshotProgress(progress())),
     ]
 }
 
-fn downward() -> Vec<(&'static str, ServerMessage)> {
+fn server_messages() -> Vec<(&'static str, ServerMessage)> {
     let piece = SnapshotChunk {
         version: 5,
         digest: 77,
@@ -144,19 +144,19 @@
 }
 
 #[test]
-fn frames_are_written_as_before() {
-    let up = upward()
+fn frames_match_golden_bytes() {
+    let up = client_messages()
         .into_iter()
         .map(|(name, up)| NamedBytes::new(name, up.into_frame()));
-    let down = downward()
+    let down = server_messages()
         .into_iter()
         .map(|(name, down)| NamedBytes::new(name, down.into_frame()));
     assert_bytes(FILE, &up.chain(down).collect::<Vec<_>>());
 }
 
 #[test]
-fn frames_of_before_are_read_and_written_back() {
-    let (up, down) = (upward(), downward());
+fn golden_frames_round_trip() {
+    let (up, down) = (client_messages(), server_messages());
     for NamedBytes { name, bytes } in read_bytes(FILE) {
         if name.starts_with("up-") {
             let read = ClientMessage::from_frame(bytes.clone().into()).unwrap();
@@ -209,7 +209,7 @@
 }
 
 #[test]
-fn a_state_has_the_digest_and_the_snapshot_of_before() {
+fn digest_and_snapshot_match_golden_bytes() {
     let state = ConfigState::from_configuration(&configuration()).unwrap();
     let whole = Snapshot {
         version: 3,
@@ -237,7 +237,7 @@
 }
 
 #[test]
-fn a_snapshot_and_a_change_of_before_lead_to_the_same_states() {
+fn golden_snapshot_and_delta_lead_to_the_same_states() {
     let stored = read_bytes(SNAPSHOTS);
     let of = |name: &str| &stored.iter().find(|one| one.name == name).unwrap().bytes;
     let DecodedSnapshot { version, mut state } = snapshot::decode(of("packed")).unwrap();
