--- a/crates/cli/src/control.rs
+++ b/crates/cli/src/control.rs
@@ -1,9 +1,9 @@
 //! `rainstand control`: a control machine; and what operators do with one: publish a version, look how far each is.
 
+use crate::cluster_client::exchange;
 use crate::config::{read, tell_changes};
 use crate::out::{json as json_line, line, Code};
 use crate::pcap::trouble;
-use crate::replica::exchange;
 use clap::Args;
 use rainstand_cluster::{status, ClusterMember, MemberOptions};
 use rainstand_config::diff::diff;
@@ -225,7 +225,7 @@
     };
     let changes = diff(&before, &configuration);
     tell_changes(&changes, asks.json)?;
-    let publish = match Publish::of(&state, from, &configuration) {
+    let publish = match Publish::from_configuration(&state, from, &configuration) {
         Ok(publish) => publish,
         Err(why) => return outcome(&json!({"refused": why.to_string()}), asks.json),
     };
