--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -11,7 +11,7 @@
 use rainstand_config_distribution::snapshot;
 use rainstand_config_distribution::subscriber::{Event, PendingUpdate, Subscriber};
 use rainstand_forwarder::admin::ControlLine;
-use rainstand_forwarder::published::changes;
+use rainstand_forwarder::config_updates::table_changes;
 use rainstand_forwarder::Hub;
 use rainstand_routing::subset::reduce;
 use std::cell::{Cell, RefCell};
@@ -146,7 +146,7 @@
             if let Some(PendingUpdate::Delta(delta)) = subscriber.pending() {
                 // At the cost of what it says. A first one, from nothing, is a whole.
                 if subscriber.version() > 0 {
-                    let changes = changes(subscriber.state(), delta, number)
+                    let changes = table_changes(subscriber.state(), delta, number)
                         .map_err(|why| why.to_string())?;
                     match taker.apply(&changes) {
                         Ok(_) => return Ok(()),
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -23,8 +23,8 @@
 
 pub mod admin;
 pub mod back;
+pub mod config_updates;
 pub mod front;
-pub mod published;
 pub mod room;
 pub mod seen;
 
--- a/crates/forwarder/tests/published.rs
+++ b/crates/forwarder/tests/config_updates.rs
@@ -12,7 +12,7 @@
     Configuration, Limits, Member, Pool, Route, Target, Tenant, TrafficType,
 };
 use rainstand_config_distribution::delta::ConfigState;
-use rainstand_forwarder::published::changes;
+use rainstand_forwarder::config_updates::table_changes;
 use rainstand_routing::subset::reduce;
 use rainstand_routing::table::Table;
 
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn a_change_leads_to_what_the_whole_says() {
+fn applying_a_delta_equals_replacing_the_configuration() {
     let mut chance = WyRand::new_seed(7);
     let mut applied = 0;
     for round in 0..3_000 {
@@ -108,7 +108,7 @@
         reduce(&mut small, me);
         reduce(&mut whole, me);
         let mut table = Table::of(small).unwrap();
-        let changes = changes(&state, &delta, me).unwrap();
+        let changes = table_changes(&state, &delta, me).unwrap();
         table
             .apply(&changes)
             .unwrap_or_else(|why| panic!("round {round}: {why:?}\n{changes:#?}"));
