Command line: config server and its clients in modules with typed answers; log events renamed

control.rs indexed bare JSON values and held the server, publishing and the listing of versions. It is a module for each, answers are serde structs and enums with the same JSON, and errors are typed. The attachment's closures are functions. Names that nodes share (group_*, version_refused, version_kept) stay.

--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -1,15 +1,17 @@
-//! A forwarder's attachment to control machines: whom it asks, how a version comes into force, what it keeps of it.
+//! A forwarder's attachment to config servers: its options, how a version is applied, and how it is stored on disk.
 
 use crate::config::replace;
 use clap::Args;
 use rainstand_cluster::attachment::{
-    run_attachment, AttachmentEvent, AttachmentOptions, AttachmentStatus,
+    run_attachment, ApplyCallback, AttachmentEvent, AttachmentOptions, AttachmentStatus,
+    StatusCallback,
 };
 use rainstand_config::schema::{Configuration, Control, ControlMember};
 use rainstand_config_distribution::attachment::NodeIdentity;
 use rainstand_config_distribution::delta::ConfigState;
-use rainstand_config_distribution::snapshot;
+use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
 use rainstand_config_distribution::subscriber::{Event, PendingUpdate, Subscriber};
+use rainstand_config_distribution::UpdateError;
 use rainstand_forwarder::admin::ControlLine;
 use rainstand_forwarder::config_updates::table_changes;
 use rainstand_forwarder::Hub;
@@ -22,14 +24,15 @@
 use std::time::{Duration, Instant};
 use tokio::task::{spawn_blocking, spawn_local};
 
-/// Where the last version is kept, in its folder.
-const FILE: &str = "version.packed";
-/// Between two writes of it: all of it is packed each time, beside the thread that serves.
-const KEEP: Duration = Duration::from_secs(10);
+/// File in the version folder that holds the last version.
+const SNAPSHOT_FILE: &str = "version.packed";
+/// Minimum time between two writes of that file: each compresses the full version, on a thread beside the one that
+/// serves.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(10);
 
 #[derive(Args, Clone, Default)]
 #[group(id = "attachment")]
-pub struct Options {
+pub(crate) struct Options {
     /// Control machines to hear of new versions from, instead of those in the file's `control` block
     #[arg(long, value_delimiter = ',')]
     control: Vec<SocketAddr>,
@@ -44,161 +47,157 @@
     region: String,
 }
 
-/// Whom a process asks.
-pub struct Plan {
-    who: NodeIdentity,
-    machines: Vec<ControlMember>,
+/// The attachment of a process: to which servers, and as which process.
+pub(crate) struct AttachmentPlan {
+    identity: NodeIdentity,
+    servers: Vec<ControlMember>,
     folder: Option<PathBuf>,
-    number: usize,
+    /// Number of this forwarder, which selects its subset of each pool.
+    forwarder_number: usize,
     seed: u64,
 }
 
-/// A version that was in force before this start.
-pub type Last = (u64, ConfigState);
+/// A version that was read from the disk at the start.
+pub(crate) struct StoredVersion {
+    pub(crate) snapshot: DecodedSnapshot,
+    /// The snapshot's state as a configuration.
+    pub(crate) configuration: Configuration,
+}
 
 impl Options {
-    /// None where nothing names a control machine.
+    /// The attachment that the options and the `control` block ask for; `None` if neither names a config server.
     ///
     /// # Errors
-    /// If there are some and this process has no name.
-    pub fn plan(
+    /// If there are config servers and this process has no name.
+    pub(crate) fn plan(
         &self,
         block: Option<&Control>,
         zone: &str,
-        number: usize,
+        forwarder_number: usize,
         seed: u64,
-    ) -> Result<Option<Plan>, String> {
-        let named = |address: &SocketAddr| ControlMember {
+    ) -> Result<Option<AttachmentPlan>, String> {
+        let by_address = |address: &SocketAddr| ControlMember {
             name: address.to_string(),
             address: address.to_string(),
             ..ControlMember::default()
         };
-        let machines: Vec<ControlMember> = match block {
-            _ if !self.control.is_empty() => self.control.iter().map(named).collect(),
+        let servers: Vec<ControlMember> = match block {
+            _ if !self.control.is_empty() => self.control.iter().map(by_address).collect(),
             Some(block) => block.members.clone(),
             None => return Ok(None),
         };
         if self.name.is_empty() {
             return Err("with control machines, `--name` says which process this is".to_owned());
         }
-        let folder = block
+        let configured_folder = block
             .map(|block| &block.folder)
             .filter(|folder| !folder.is_empty());
-        let folder = self.control_folder.clone().or(folder.map(PathBuf::from));
-        let who = NodeIdentity {
-            name: self.name.clone(),
-            region: self.region.clone(),
-            zone: zone.to_owned(),
-        };
-        Ok(Some(Plan {
-            who,
-            machines,
+        let folder = self
+            .control_folder
+            .clone()
+            .or(configured_folder.map(PathBuf::from));
+        Ok(Some(AttachmentPlan {
+            identity: NodeIdentity {
+                name: self.name.clone(),
+                region: self.region.clone(),
+                zone: zone.to_owned(),
+            },
+            servers,
             folder,
-            number,
+            forwarder_number,
             seed,
         }))
     }
 }
 
-impl Plan {
-    /// The last version that was kept, and as the configuration to begin with. What cannot be read is told and left.
-    pub fn last(&self) -> Option<(Last, Configuration)> {
-        let path = self.folder.as_ref()?.join(FILE);
-        let read = match std::fs::read(&path) {
-            Ok(read) => read,
+impl AttachmentPlan {
+    /// The version that was in force before this start. One that cannot be read is logged and ignored.
+    pub(crate) fn stored_version(&self) -> Option<StoredVersion> {
+        let path = self.folder.as_ref()?.join(SNAPSHOT_FILE);
+        let bytes = match std::fs::read(&path) {
+            Ok(bytes) => bytes,
             Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
             Err(error) => {
-                tracing::warn!(event = "version_unread", file = %path.display(), why = %error);
+                tracing::warn!(event = "version_unreadable", file = %path.display(), why = %error);
                 return None;
             }
         };
-        let whole = snapshot::decode(&read).and_then(|last| {
-            let configuration = last.state.configuration()?;
-            Ok(((last.version, last.state), configuration))
-        });
-        match whole {
-            Ok(whole) => Some(whole),
-            Err(why) => {
-                tracing::warn!(event = "version_unread", file = %path.display(), why = %why);
+        match decode_stored(&bytes) {
+            Ok(stored) => Some(stored),
+            Err(error) => {
+                tracing::warn!(event = "version_unreadable", file = %path.display(), why = %error);
                 None
             }
         }
     }
 
-    /// Keeps the attachment from now on.
-    pub fn begin(self, hub: &Rc<Hub>, last: Option<Last>) {
-        let seen = Rc::new(RefCell::new(AttachmentStatus::default()));
-        let subscriber = match last {
-            Some((version, state)) => {
-                Subscriber::with_version(Duration::ZERO, self.who.clone(), version, state)
-            }
-            None => Subscriber::new(Duration::ZERO, self.who.clone()),
-        };
-        {
-            let mut seen = seen.borrow_mut();
-            (seen.version, seen.digest) = (subscriber.version(), subscriber.state().digest());
-        }
-        let (told, since) = (seen.clone(), Instant::now());
-        hub.control
-            .replace(Some(Box::new(move || line(&told.borrow(), since))));
-        let (taker, number) = (hub.clone(), self.number);
-        let take = move |subscriber: &Subscriber| -> Result<(), String> {
-            if let Some(PendingUpdate::Delta(delta)) = subscriber.pending() {
-                // At the cost of what it says. A first one, from nothing, is a whole.
-                if subscriber.version() > 0 {
-                    let changes = table_changes(subscriber.state(), delta, number)
-                        .map_err(|why| why.to_string())?;
-                    match taker.apply(&changes) {
-                        Ok(_) => return Ok(()),
-                        Err(why) => {
-                            tracing::warn!(event = "version_as_whole", version = delta.to, why = %why)
-                        }
-                    }
-                }
-            }
-            let mut configuration = pending(subscriber)?;
-            reduce(&mut configuration, number);
-            taker.replace(configuration).map(drop)
-        };
-        let (folder, mut kept, mut at) = (self.folder, subscriber.version(), None::<Instant>);
-        let busy = Rc::new(Cell::new(false));
-        let look = move |subscriber: &Subscriber, lost: bool| {
-            let Some(folder) = &folder else { return };
-            let (version, early) = (
-                subscriber.version(),
-                at.is_some_and(|at| at.elapsed() < KEEP),
-            );
-            if version == kept || early && !lost || busy.get() {
-                return;
+    /// Starts the attachment in the background, from the `stored` version on if there is one.
+    pub(crate) fn start(self, hub: &Rc<Hub>, stored: Option<DecodedSnapshot>) {
+        let identity = self.identity.clone();
+        let subscriber = match stored {
+            Some(DecodedSnapshot { version, state }) => {
+                Subscriber::with_version(Duration::ZERO, identity, version, state)
             }
-            (kept, at) = (version, Some(Instant::now()));
-            busy.set(true);
-            let (state, path, busy) = (subscriber.state().clone(), folder.join(FILE), busy.clone());
-            spawn_local(async move {
-                let written = spawn_blocking(move || write(&path, version, &state)).await;
-                busy.set(false);
-                if let Err(why) = written.unwrap_or_else(|why| Err(why.to_string())) {
-                    tracing::warn!(event = "version_not_kept", version, why = %why);
-                }
-            });
+            None => Subscriber::new(Duration::ZERO, identity),
         };
-        let setup = AttachmentOptions {
-            who: self.who,
-            machines: self.machines,
-            subscriber,
+        let status = Rc::new(RefCell::new(AttachmentStatus {
+            version: subscriber.version(),
+            digest: subscriber.state().digest(),
+            ..AttachmentStatus::default()
+        }));
+        let (reported_status, started) = (status.clone(), Instant::now());
+        hub.control.replace(Some(Box::new(move || {
+            status_line(&reported_status.borrow(), started)
+        })));
+        let options = AttachmentOptions {
+            who: self.identity,
+            machines: self.servers,
             seed: self.seed,
-            take: Box::new(take),
-            tell: Box::new(tell),
-            look: Box::new(look),
-            seen,
+            take: apply_callback(hub.clone(), self.forwarder_number),
+            tell: Box::new(log_event),
+            look: store_callback(self.folder, subscriber.version()),
+            seen: status,
+            subscriber,
         };
-        spawn_local(run_attachment(setup));
+        spawn_local(run_attachment(options));
     }
 }
 
-/// What is to come into force, whole.
-fn pending(subscriber: &Subscriber) -> Result<Configuration, String> {
-    let whole = match subscriber.pending() {
+fn decode_stored(bytes: &[u8]) -> Result<StoredVersion, UpdateError> {
+    let snapshot = snapshot::decode(bytes)?;
+    let configuration = snapshot.state.configuration()?;
+    Ok(StoredVersion {
+        snapshot,
+        configuration,
+    })
+}
+
+/// Applies the pending update to the forwarder: a delta by its own cost where that is possible, and the full
+/// configuration otherwise.
+fn apply_callback(hub: Rc<Hub>, forwarder_number: usize) -> ApplyCallback {
+    Box::new(move |subscriber| {
+        if let Some(PendingUpdate::Delta(delta)) = subscriber.pending() {
+            // The first version is a full configuration, whatever it is sent as.
+            if subscriber.version() > 0 {
+                let changes = table_changes(subscriber.state(), delta, forwarder_number)
+                    .map_err(|error| error.to_string())?;
+                match hub.apply(&changes) {
+                    Ok(_) => return Ok(()),
+                    Err(error) => {
+                        tracing::warn!(event = "delta_not_applied", version = delta.to, why = %error);
+                    }
+                }
+            }
+        }
+        let mut configuration = pending_configuration(subscriber)?;
+        reduce(&mut configuration, forwarder_number);
+        hub.replace(configuration).map(drop)
+    })
+}
+
+/// The full configuration that the pending update leads to.
+fn pending_configuration(subscriber: &Subscriber) -> Result<Configuration, String> {
+    let configuration = match subscriber.pending() {
         Some(PendingUpdate::Snapshot { state, .. }) => state.configuration(),
         Some(PendingUpdate::Delta(delta)) => {
             let mut state = subscriber.state().clone();
@@ -206,57 +205,92 @@
         }
         None => return Err("nothing is pending".to_owned()),
     };
-    whole.map_err(|why| why.to_string())
+    configuration.map_err(|error| error.to_string())
+}
+
+/// Writes the version in force to `folder`, at most once in [`SNAPSHOT_INTERVAL`] and when the attachment ends. One write
+/// runs at a time.
+fn store_callback(folder: Option<PathBuf>, stored_version: u64) -> StatusCallback {
+    let mut stored_version = stored_version;
+    let mut stored_at = None::<Instant>;
+    let is_writing = Rc::new(Cell::new(false));
+    Box::new(move |subscriber, is_disconnected| {
+        let Some(folder) = &folder else { return };
+        let version = subscriber.version();
+        let is_early = stored_at.is_some_and(|at| at.elapsed() < SNAPSHOT_INTERVAL);
+        if version == stored_version || is_early && !is_disconnected || is_writing.get() {
+            return;
+        }
+        stored_version = version;
+        stored_at = Some(Instant::now());
+        is_writing.set(true);
+        let state = subscriber.state().clone();
+        let path = folder.join(SNAPSHOT_FILE);
+        let is_writing = is_writing.clone();
+        spawn_local(async move {
+            let written = spawn_blocking(move || write_snapshot(&path, version, &state)).await;
+            is_writing.set(false);
+            if let Err(error) = written.unwrap_or_else(|error| Err(error.to_string())) {
+                tracing::warn!(event = "version_write_failed", version, why = %error);
+            }
+        });
+    })
 }
 
-fn write(path: &Path, version: u64, state: &ConfigState) -> Result<(), String> {
-    let packed = snapshot::encode(version, state).map_err(|why| why.to_string())?;
-    replace(path, &packed).map_err(|error| error.to_string())
+fn write_snapshot(path: &Path, version: u64, state: &ConfigState) -> Result<(), String> {
+    let bytes = snapshot::encode(version, state).map_err(|error| error.to_string())?;
+    replace(path, &bytes).map_err(|error| error.to_string())
 }
 
-fn line(seen: &AttachmentStatus, since: Instant) -> ControlLine {
-    let age = seen.newest.unwrap_or(since).elapsed();
+fn status_line(status: &AttachmentStatus, started: Instant) -> ControlLine {
+    let age = status.newest.unwrap_or(started).elapsed();
     ControlLine {
-        version: seen.version,
-        digest: format!("{:016x}", seen.digest),
+        version: status.version,
+        digest: format!("{:016x}", status.digest),
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        machine: seen.machine.clone(),
-        refused: seen.refused.clone(),
-        attachments: seen.attachments,
-        lost: seen.lost,
-        dials: seen.dials,
-        in_force: seen.counters.applied,
-        refusals: seen.counters.nacks,
-        differs: seen.counters.divergences,
-        bytes_in: seen.counters.bytes_in,
-        bytes_out: seen.counters.bytes_out,
+        machine: status.machine.clone(),
+        refused: status.refused.clone(),
+        attachments: status.attachments,
+        lost: status.lost,
+        dials: status.dials,
+        in_force: status.counters.applied,
+        refusals: status.counters.nacks,
+        differs: status.counters.divergences,
+        bytes_in: status.counters.bytes_in,
+        bytes_out: status.counters.bytes_out,
     }
 }
 
-fn tell(news: &AttachmentEvent, subscriber: &Subscriber) {
+/// Logs an event of the attachment. The names are documented in `docs/control.md`.
+fn log_event(event: &AttachmentEvent, subscriber: &Subscriber) {
     let holds = subscriber.version();
-    match news {
+    match event {
         AttachmentEvent::Attached { machine } => {
-            tracing::info!(event = "attached", machine, version = holds)
+            tracing::info!(event = "attached", machine, version = holds);
         }
         AttachmentEvent::Lost { machine, why } => {
-            tracing::warn!(event = "attachment_lost", machine, why, version = holds)
+            tracing::warn!(event = "server_disconnected", machine, why, version = holds);
         }
-        AttachmentEvent::Version(Event::Applied { version }) => {
+        AttachmentEvent::Version(event) => log_version_event(event, subscriber),
+    }
+}
+
+fn log_version_event(event: &Event, subscriber: &Subscriber) {
+    let holds = subscriber.version();
+    match event {
+        Event::Applied { version } => {
             let digest = format!("{:016x}", subscriber.state().digest());
-            tracing::info!(event = "version_in_force", version, digest);
+            tracing::info!(event = "version_applied", version, digest);
         }
-        AttachmentEvent::Version(Event::Rejected { version, reason }) => {
+        Event::Rejected { version, reason } => {
             tracing::warn!(event = "version_refused", version, why = reason, holds);
         }
-        AttachmentEvent::Version(Event::Diverged { version, reason }) => {
-            tracing::error!(event = "version_differs", version, why = %reason, holds);
-        }
-        AttachmentEvent::Version(Event::Gap { current, from }) => {
-            tracing::warn!(event = "version_gap", from, holds = current)
+        Event::Diverged { version, reason } => {
+            tracing::error!(event = "version_diverged", version, why = %reason, holds);
         }
-        AttachmentEvent::Version(Event::Malformed) => {
-            tracing::warn!(event = "control_unreadable", holds)
+        Event::Gap { current, from } => {
+            tracing::warn!(event = "version_gap", from, holds = current);
         }
+        Event::Malformed => tracing::warn!(event = "server_malformed_frame", holds),
     }
 }
--- /dev/null
+++ b/crates/cli/src/control/events.rs
@@ -0,0 +1,57 @@
+//! Log lines of a config server. The names are documented in `docs/control.md` and `docs/copies.md`.
+
+use rainstand_config_distribution::publisher::Event;
+use rainstand_replicated_state::member::GroupEvent;
+
+/// Logs an event of the cluster. The names are those that nodes use for the same events.
+pub(super) fn log_group_event(event: &GroupEvent) {
+    match event {
+        GroupEvent::Bootstrapped { members } => tracing::info!(event = "group_formed", members),
+        GroupEvent::BecameLeader { shard, term } => {
+            tracing::info!(event = "group_leads", shard, term);
+        }
+        GroupEvent::LostLeadership { shard } => {
+            tracing::info!(event = "group_leads_no_more", shard);
+        }
+        GroupEvent::MembershipChanged { shard, config } => {
+            tracing::info!(event = "group_members", shard, config);
+        }
+        GroupEvent::CaughtUp { shard, index } => {
+            tracing::info!(event = "group_caught_up", shard, index);
+        }
+        GroupEvent::StalePeer { name, why, .. } => {
+            tracing::warn!(event = "group_old_peer", name, why)
+        }
+        GroupEvent::StaleDisk { why } => tracing::warn!(event = "group_old_copy", why),
+        GroupEvent::Diverged { shard, .. } => tracing::error!(event = "group_differs", shard),
+        GroupEvent::DiskStalled => tracing::error!(event = "group_disk_stands_still"),
+        GroupEvent::DiskFailed { why } => tracing::error!(event = "group_disk_failed", why),
+    }
+}
+
+/// Logs an event of an attached process.
+pub(super) fn log_publisher_event(event: &Event) {
+    match event {
+        Event::Attached { name, version } => {
+            tracing::info!(event = "subscriber_attached", name, version);
+        }
+        Event::Disconnected { name } => tracing::info!(event = "subscriber_disconnected", name),
+        Event::AttachRejected { name } => tracing::info!(event = "attachment_rejected", name),
+        Event::Rejected {
+            name,
+            version,
+            reason,
+        } => {
+            tracing::warn!(event = "subscriber_rejected_version", name, version, reason);
+        }
+        Event::Diverged { name, version } => {
+            tracing::error!(event = "subscriber_diverged", name, version);
+        }
+        Event::SubscriberAhead { name, version } => {
+            tracing::warn!(event = "subscriber_ahead", name, version);
+        }
+        Event::Malformed { link } => {
+            tracing::warn!(event = "subscriber_malformed_frame", link);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/control/publish.rs
@@ -0,0 +1,152 @@
+//! `rainstand config publish`: commits a configuration as the next version.
+
+use super::client::{fetch_newest, query_versions, QueryError};
+use crate::cluster_client::exchange;
+use crate::config::{read, tell_changes};
+use crate::out::{json as json_line, line, Code};
+use crate::pcap::trouble;
+use clap::Args;
+use rainstand_cluster::status;
+use rainstand_config::diff::diff;
+use rainstand_config::schema::{Configuration, VERSION};
+use rainstand_config_distribution::snapshot::DecodedSnapshot;
+use rainstand_replicated_state::versions::Publish;
+use rainstand_routing::table::Table;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::io;
+use std::net::SocketAddr;
+
+#[derive(Args)]
+pub(crate) struct Publishing {
+    /// A `.rain` file, or a compiled one
+    file: String,
+    /// The address of a control machine in its `group` block
+    #[arg(long)]
+    at: SocketAddr,
+    /// The version that the file was made from; the newest if not said
+    #[arg(long)]
+    from: Option<u64>,
+    /// Show what would change, and change nothing
+    #[arg(long)]
+    dry_run: bool,
+    /// As JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// What became of a configuration that was to be published. Each variant is a JSON object with one key.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum PublishOutcome {
+    /// Committed as this version.
+    Committed(u64),
+    /// Equal to this version, which is the newest.
+    Unchanged(u64),
+    /// A dry run: it would become this version.
+    #[serde(rename = "would")]
+    WouldCommit(u64),
+    /// It was made from another version than the newest.
+    Conflict(String),
+    #[serde(rename = "refused")]
+    Rejected(String),
+    /// It was sent, and whether it is committed is not known.
+    Unknown(String),
+    /// Another answer of the server, printed as it is.
+    #[serde(untagged)]
+    Other(Value),
+}
+
+/// Publishes a configuration.
+pub(crate) fn publish(options: &Publishing) -> io::Result<Code> {
+    let configuration = match read(&options.file, options.json)? {
+        Ok((configuration, ..)) => configuration,
+        Err(code) => return Ok(code),
+    };
+    // A configuration that the attached processes would reject is rejected here.
+    if let Err(error) = Table::new(&configuration) {
+        eprintln!("rainstand: {}: {error}", options.file);
+        return Ok(Code::Found);
+    }
+    let newest = match newest_version(options.at) {
+        Ok(newest) => newest,
+        Err(error) => return Ok(trouble(&options.at.to_string(), error)),
+    };
+    let outcome = publish_onto(options, &newest, &configuration)?;
+    print_outcome(&outcome, options.json)
+}
+
+/// The newest version of a server that holds a copy of the versions.
+fn newest_version(server: SocketAddr) -> Result<DecodedSnapshot, QueryError> {
+    query_versions(server, 1)?;
+    fetch_newest(server)
+}
+
+fn publish_onto(
+    options: &Publishing,
+    newest: &DecodedSnapshot,
+    configuration: &Configuration,
+) -> io::Result<PublishOutcome> {
+    let version = newest.version;
+    let from = options.from.unwrap_or(version);
+    if from != version {
+        return Ok(PublishOutcome::Conflict(format!(
+            "made from version {from}, but version {version} is there"
+        )));
+    }
+    let before = newest.state.configuration().map_err(io::Error::other)?;
+    let before = Configuration {
+        version: VERSION,
+        ..before
+    };
+    let changes = diff(&before, configuration);
+    tell_changes(&changes, options.json)?;
+    let request = match Publish::from_configuration(&newest.state, from, configuration) {
+        Ok(request) => request,
+        Err(error) => return Ok(PublishOutcome::Rejected(error.to_string())),
+    };
+    if changes.is_empty() && before == *configuration {
+        return Ok(PublishOutcome::Unchanged(version));
+    }
+    if options.dry_run {
+        return Ok(PublishOutcome::WouldCommit(from + 1));
+    }
+    // After an error it is not known whether the request arrived.
+    let outcome = send(options.at, &request);
+    Ok(outcome.unwrap_or_else(|error| PublishOutcome::Unknown(error.to_string())))
+}
+
+fn send(server: SocketAddr, request: &Publish) -> io::Result<PublishOutcome> {
+    let response = exchange(server, &status::encode_publish(request))?;
+    serde_json::from_slice(&response).map_err(io::Error::other)
+}
+
+fn print_outcome(outcome: &PublishOutcome, json: bool) -> io::Result<Code> {
+    let code = match outcome {
+        PublishOutcome::Unknown(_) => Code::Use,
+        PublishOutcome::Conflict(_) | PublishOutcome::Rejected(_) => Code::Found,
+        _ => Code::Good,
+    };
+    if json {
+        json_line(outcome)?;
+        return Ok(code);
+    }
+    match outcome {
+        PublishOutcome::Committed(version) => line(&format!("version {version} is committed"))?,
+        PublishOutcome::Unchanged(version) => {
+            line(&format!("nothing changes: version {version} says the same"))?;
+        }
+        PublishOutcome::WouldCommit(version) => {
+            line(&format!("would be version {version}; nothing was changed"))?;
+        }
+        PublishOutcome::Conflict(reason) => eprintln!("rainstand: conflict: {reason}"),
+        PublishOutcome::Rejected(reason) => eprintln!("rainstand: refused: {reason}"),
+        PublishOutcome::Unknown(error) => print_unknown(error),
+        PublishOutcome::Other(_) => print_unknown(""),
+    }
+    Ok(code)
+}
+
+fn print_unknown(error: &str) {
+    eprintln!("rainstand: not known whether it is committed: {error}");
+}
--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -113,9 +113,12 @@
         Err(why) => return Ok(trouble(&options.config, why)),
     };
     let mut last = None;
-    if let Some((version, whole)) = plan.as_ref().and_then(attach::Plan::last) {
-        tracing::info!(event = "version_kept", version = version.0);
-        (last, configuration) = (Some(version), whole);
+    if let Some(stored) = plan
+        .as_ref()
+        .and_then(attach::AttachmentPlan::stored_version)
+    {
+        tracing::info!(event = "version_kept", version = stored.snapshot.version);
+        (last, configuration) = (Some(stored.snapshot), stored.configuration);
         reduce(&mut configuration, options.number);
     }
     let hub = match Hub::of(configuration, &options.zone, seed) {
@@ -150,7 +153,7 @@
         tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
         let attached = plan.is_some();
         if let Some(plan) = plan {
-            plan.begin(&hub, last);
+            plan.start(&hub, last);
         }
         let (again, path, number) = (hub.clone(), options.config.clone(), options.number);
         spawn_local(async move {
--- a/crates/cli/tests/control.rs
+++ b/crates/cli/tests/control.rs
@@ -281,8 +281,8 @@
         code == 0 && told.contains("version 1 is committed"),
         "{told}"
     );
-    one.says(&["version_in_force", "version=1"]);
-    two.says(&["version_in_force", "version=1"]);
+    one.says(&["version_applied", "version=1"]);
+    two.says(&["version_applied", "version=1"]);
     let told = world.confirmed(0, 1, 2);
     assert!(told["versions"][0]["at_ms"].as_u64() > Some(0), "{told}");
 
@@ -317,8 +317,8 @@
     // The change as a change, in force at both with one digest.
     let (code, told) = world.publish("second.rain", 0, &["--from", "1"]);
     assert!(code == 0 && told.contains("share"), "{told}");
-    one.says(&["version_in_force", "version=2"]);
-    two.says(&["version_in_force", "version=2"]);
+    one.says(&["version_applied", "version=2"]);
+    two.says(&["version_applied", "version=2"]);
     let told = world.confirmed(2, 2, 2);
     for at in [&one_at, &two_at] {
         let status = world.status(at);
@@ -330,28 +330,28 @@
 
     // The machine that the first is attached to goes: it comes to another one and hears of the next version there.
     world.machines[0] = None;
-    one.says(&["attachment_lost", "c1"]);
+    one.says(&["server_disconnected", "c1"]);
     one.says(&["event=\"attached\"", "version=2"]);
     let begun = Instant::now();
     while world.publish("third.rain", 1, &[]).0 == 2 {
         assert!(begun.elapsed() < HANGS, "no majority of the two");
     }
-    one.says(&["version_in_force", "version=3"]);
-    two.says(&["version_in_force", "version=3"]);
+    one.says(&["version_applied", "version=3"]);
+    two.says(&["version_applied", "version=3"]);
 
     // Changes were applied as changes.
     for forwarder in [&one, &two] {
         let lines = forwarder.lines.0.lock().unwrap();
         assert!(
-            !lines.iter().any(|line| line.contains("version_as_whole")),
+            !lines.iter().any(|line| line.contains("delta_not_applied")),
             "{lines:?}"
         );
     }
 
     // All machines gone: both run on with what they have and say how old it is.
     world.machines.clear();
-    one.says(&["attachment_lost"]);
-    two.says(&["attachment_lost"]);
+    one.says(&["server_disconnected"]);
+    two.says(&["server_disconnected"]);
     let status = world.status(&one_at);
     assert_eq!(
         (&status["version"], &status["machine"]),
--- a/crates/cli/tests/golden.rs
+++ b/crates/cli/tests/golden.rs
@@ -397,7 +397,7 @@
     while run(folder.path(), &publish).0 == 2 {
         assert!(begun.elapsed() < HANGS, "it is not committed");
     }
-    forwarder.says("version_in_force");
+    forwarder.says("version_applied");
 
     let mut shapes = BTreeSet::new();
     let mut add = |name: &str, arguments: &[&str]| {
