--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -193,10 +193,10 @@
                 } = view;
                 let peers: Vec<Value> = replica
                     .progress()
-                    .map(|(disk, matched, heard)| {
-                        json!({"disk": id(disk), "name": name_of(member, disk),
-                            "behind": replica.log().last().saturating_sub(matched),
-                            "heard_ms": now.saturating_sub(heard).as_millis() as u64})
+                    .map(|peer| {
+                        json!({"disk": id(peer.id), "name": name_of(member, peer.id),
+                            "behind": replica.log().last_index().saturating_sub(peer.match_index),
+                            "heard_ms": now.saturating_sub(peer.last_contact).as_millis() as u64})
                     })
                     .collect();
                 let of: Vec<Value> = replica
@@ -208,7 +208,7 @@
                 json!({"shard": shard, "role": role_word(replica.role()),
                     "leader": replica.leader().map(|disk| name_of(member, disk)),
                     "term": replica.term(), "commit": replica.commit(), "applied": replica.applied(),
-                    "last": replica.log().last(), "base": replica.log().base().index,
+                    "last": replica.log().last_index(), "base": replica.log().base().index,
                     "keys": table.len(), "aged": table.expired_count(), "members": of, "peers": peers})
             })
             .collect();
@@ -216,7 +216,7 @@
         json!({"name": member.name(), "disk": id(member.disk()), "stopped": member.is_stopped(),
             "failed": *group.failed.borrow(), "set_asides": group.quarantines.get(), "flushes": group.flushes.get(),
             "unwritten": member.pending_writes(), "questions": member.pending_request_count(),
-            "turned_away": member.rejected_requests, "shards_with_leader": leaders.known, "shards_in_all": leaders.total,
+            "turned_away": member.rejected_request_count(), "shards_with_leader": leaders.known, "shards_in_all": leaders.total,
             "leads": member.led_shard_count(), "commit_ms": {"median": at(0.5), "p99": at(0.99)}, "shards": shards})
     })
 }
--- a/crates/replicated-state/src/member/bootstrap.rs
+++ b/crates/replicated-state/src/member/bootstrap.rs
@@ -15,7 +15,7 @@
 impl GroupMember {
     /// Whether this disk holds no log.
     pub(super) fn is_uninitialized(&self) -> bool {
-        let has_empty_log = |shard: &super::Shard| shard.replica.log().last() == 0;
+        let has_empty_log = |shard: &super::Shard| shard.replica.log().last_index() == 0;
         self.bootstrap.is_none() && self.shards.values().all(has_empty_log)
     }
 
@@ -32,7 +32,7 @@
         self.adopt_bootstrap(&BootstrapConfig {
             members,
             shards: u32::from(self.config.shards),
-            copies: self.config.replicas_per_shard as u32,
+            replicas_per_shard: self.config.replicas_per_shard as u32,
         });
     }
 
@@ -105,7 +105,7 @@
             .collect();
         for shard in 0..self.config.shards {
             let shard_members: Vec<&BootstrapMember> =
-                holders(&placements, shard, bootstrap.copies as usize)
+                holders(&placements, shard, bootstrap.replicas_per_shard as usize)
                     .into_iter()
                     .map(|position| &bootstrap.members[position])
                     .collect();
@@ -113,7 +113,7 @@
             let has_log = self
                 .shards
                 .get(&shard)
-                .is_some_and(|state| state.replica.log().last() > 0);
+                .is_some_and(|state| state.replica.log().last_index() > 0);
             if is_holder && !has_log {
                 self.create_shard(shard, &shard_members);
             }
