--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -6,7 +6,7 @@
 //! | [`front`] | dispatchers' connections: frames in, answers out |
 //! | [`room`] | who in front makes room where descriptors run out |
 //! | [`back`] | connections to members: tries out, what came of them in |
-//! | [`published`] | a change that control machines told, as changes here |
+//! | [`config_updates`] | a delta from the config servers as changes of the routing table |
 //! | [`seen`] | counters and times of what went on, on a metrics library |
 //! | [`admin`] | metrics, members and the last decisions, on request |
 //! | here | tickets in hand, the steps of the [`Fleet`], the drain |
