--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -531,10 +531,8 @@
         replicas_per_shard: settings.copies as usize,
         timeouts: Timeouts {
             heartbeat_interval: span(settings.heartbeat_ns),
-            election_timeout: [
-                span(settings.election_least_ns),
-                span(settings.election_most_ns),
-            ],
+            min_election_timeout: span(settings.election_least_ns),
+            max_election_timeout: span(settings.election_most_ns),
         },
         max_concurrent_learners: settings.moves as usize,
         max_keys_per_shard: settings.keys as usize,
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -45,7 +45,7 @@
         let snapshot = state.snapshot.clone();
         let timeouts = self.config.timeouts;
         let replica = Replica::new(self.disk, timeouts, seed, self.now, state);
-        let election_timeout_ns = timeouts.election_timeout[1].as_nanos() as u64;
+        let election_timeout_ns = timeouts.max_election_timeout.as_nanos() as u64;
         let mut table = IdempotencyTable::new(
             self.config.max_keys_per_shard,
             election_timeout_ns * WITHDRAWN_RETENTION_ELECTIONS,
--- a/crates/testbed/src/scale/hollow.rs
+++ b/crates/testbed/src/scale/hollow.rs
@@ -149,7 +149,8 @@
                 replicas_per_shard: COPIES,
                 timeouts: Timeouts {
                     heartbeat_interval: HEARTBEAT,
-                    election_timeout: ELECTION,
+                    min_election_timeout: ELECTION[0],
+                    max_election_timeout: ELECTION[1],
                 },
                 max_concurrent_learners: 2,
                 max_keys_per_shard: 1_000_000,
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -452,7 +452,8 @@
             replicas_per_shard: self.world.copies,
             timeouts: Timeouts {
                 heartbeat_interval: Duration::from_millis(30),
-                election_timeout: [Duration::from_millis(150), Duration::from_millis(300)],
+                min_election_timeout: Duration::from_millis(150),
+                max_election_timeout: Duration::from_millis(300),
             },
             max_concurrent_learners: 2,
             max_keys_per_shard: 100_000,
