--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 //! Calls: [`AdmissionController::on_arrival`] when a request was read, `on_run_finished` when a run or a
 //! cached reply is over, `on_downstream_call` and `on_call_finished` round a call to the tier below,
 //! `on_caller_gone` when a caller left, `on_tick` when a tick is due, `on_shutdown_notice` on the notice to
-//! leave. Orders go out through the trait `Host`; it and the types at the edge stand in `ticket.rs`.
+//! leave. Orders go out through the trait `Host`; it and the types at the edge stand in `host.rs`.
 //!
 //! The design (docs/design.md): each tenant is charged its run time per window; while the node is pressed an
 //! overspender's later requests are rejected with the delay left; a learned limit bounds what runs. Beside:
@@ -15,9 +15,9 @@
 //! 6. connections: the more stand open, the sooner idle ones close.
 
 use crate::decay::{Decaying, Mean};
+use crate::host::{Arrival, Gauges, Host, LoadSignal, Outcome, Repeatability, RequestClass, RetryOf};
 use crate::in_flight::{InFlightRequests, Request, Stage};
 use crate::parts::Parts;
-use crate::ticket::{Arrival, Gauges, Host, LoadSignal, Outcome, Repeatability, RequestClass, RetryOf};
 use nanorand::{Rng, WyRand};
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/src/in_flight.rs
+++ b/src/in_flight.rs
@@ -1,6 +1,6 @@
 //! The tickets in hand: their stages, their alarms and the memory they take.
 
-use crate::ticket::{Arrival, Host, Outcome, RequestClass};
+use crate::host::{Arrival, Host, Outcome, RequestClass};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
