--- a/crates/fleet-model/src/node.rs
+++ b/crates/fleet-model/src/node.rs
@@ -8,8 +8,9 @@
 use crate::plan::{NodeKind, NodePlan, TypePlan};
 use foldhash::{HashMap, HashMapExt};
 use rainstand::{
-    AdmissionController as Decides, Arrival, ConcurrencyLimiter, DownstreamLimiter, Gauges, Host,
-    InFlightRequests, LoadAdvertiser, LoadSignal, Outcome, Parts, Repeatability, TenantQuotas,
+    AdmissionController as Decides, AdvertiserOptions, Arrival, ClientConnections,
+    ConcurrencyLimiter, DownstreamLimiter, Gauges, Host, InFlightRequests, LoadAdvertiser,
+    LoadSignal, Outcome, Parts, Repeatability, TenantQuotas,
 };
 use rainstand_invariants::Kind;
 use std::collections::VecDeque;
@@ -111,16 +112,16 @@
     }
     // Tickets here carry no name of what they are about, so none is a repeat of another.
     fn reply_from_cache(&mut self, _: usize) {}
-    fn keep(&mut self, _: usize, _: Duration) {}
-    fn forget(&mut self, _: usize) {}
-    fn reject(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
-        self.order(ix, |number| Order::Dismiss(number, come_back, nowhere_else));
+    fn cache_result(&mut self, _: usize, _: Duration) {}
+    fn discard_result(&mut self, _: usize) {}
+    fn reject(&mut self, ix: usize, retry_after: Duration, terminal: bool) {
+        self.order(ix, |number| Order::Dismiss(number, retry_after, terminal));
     }
-    fn give_up(&mut self, ix: usize) {
+    fn fail(&mut self, ix: usize) {
         self.order(ix, Order::GiveUp);
     }
-    fn call(&mut self, ix: usize, until: Duration) {
-        self.order(ix, |number| Order::Call(number, until));
+    fn call_downstream(&mut self, ix: usize, deadline: Duration) {
+        self.order(ix, |number| Order::Call(number, deadline));
     }
     fn reply_degraded(&mut self, ix: usize) {
         self.order(ix, Order::Poorer);
@@ -177,28 +178,33 @@
         value: 1.0,
         late_share: 0.2,
         degraded_share: one.poorer,
-        repeats: match one.kind {
+        repeatability: match one.kind {
             Kind::Rerunnable => Repeatability::Idempotent,
             Kind::Ticketed => Repeatability::IdempotentWithKey(one.outer_limit),
             Kind::Exclusive => Repeatability::NonIdempotent,
         },
     });
     let quotas: Vec<f64> = shares.iter().map(|share| share * rate).collect();
-    let cold = plan
-        .cold
-        .map(|(span, slower)| (span, 1.0 / slower.max(1.0), span));
+    let cold = plan.cold.map(|(span, slower)| rainstand::ColdStart {
+        began: span,
+        initial_speed: 1.0 / slower.max(1.0),
+        warm_up: span,
+    });
     let parts = Parts {
         quotas: TenantQuotas::new(&quotas, plan.count as usize),
         limit: ConcurrencyLimiter::new(seed, plan.cores as usize, 4.0, cold),
         in_flight: InFlightRequests::new(MEMORY_KB, 4.0, ENTRY_KB),
         downstream: DownstreamLimiter::new(None),
-        advertiser: LoadAdvertiser::new(
-            LoadSignal::Nothing,
-            Duration::from_secs(1),
-            Duration::from_secs(2),
-            true,
-            (64, Duration::from_secs(8)),
-        ),
+        advertiser: LoadAdvertiser::new(AdvertiserOptions {
+            signal: LoadSignal::Nothing,
+            max_retry_after: Duration::from_secs(1),
+            drain_grace: Duration::from_secs(2),
+            retries_marked: true,
+            clients: ClientConnections {
+                callers: 64,
+                idle_timeout: Duration::from_secs(8),
+            },
+        }),
     };
     Box::new(Ours {
         node: Decides::new(kinds.collect(), false, parts),
@@ -381,14 +387,14 @@
                 desk.tries[ix] = Some(number);
                 desk.index.insert(number, ix);
                 let arrival = Arrival {
-                    traffic: usize::from(task.traffic),
+                    class: usize::from(task.traffic),
                     tenant: task.tenant.map(usize::from),
                     waited: Duration::from_nanos(now - task.came),
                     held_kb: ENTRY_KB,
-                    again: task.again,
+                    is_retry: task.again,
                     ..Arrival::default()
                 };
-                node.on_arrival(Duration::from_nanos(now), desk, ix, arrival);
+                node.on_arrival(Duration::from_nanos(now), desk, ix, &arrival);
                 self.carry_out(now);
             }
         }
@@ -448,7 +454,7 @@
                 desk.now = now;
                 let gauges = Gauges {
                     cores_busy: Some(busy),
-                    on_cores: Some(running),
+                    runnable: Some(running),
                     ..Gauges::default()
                 };
                 node.on_tick(Duration::from_nanos(now), desk, gauges);
@@ -477,7 +483,12 @@
                 desk.now = now;
                 self.said.push(Said::Done(number));
                 match desk.index.get(&number).copied() {
-                    Some(ix) => node.ended(Duration::from_nanos(now), desk, ix, Outcome::Succeeded),
+                    Some(ix) => node.on_run_finished(
+                        Duration::from_nanos(now),
+                        desk,
+                        ix,
+                        Outcome::Succeeded,
+                    ),
                     None => drop(self.taken.remove(&number)),
                 }
                 self.carry_out(now);
@@ -556,7 +567,7 @@
         if let Mind::Ours(ours) = &mut self.mind {
             let Ours { node, desk } = &mut **ours;
             if let Some(ix) = desk.index.get(&number).copied() {
-                node.ended(Duration::from_nanos(now), desk, ix, outcome);
+                node.on_run_finished(Duration::from_nanos(now), desk, ix, outcome);
             }
         }
     }
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -287,9 +287,9 @@
     };
     Gauges {
         cores_busy: value("core_use"),
-        on_cores: value("on_cores"),
+        runnable: value("on_cores"),
         memory: value("heap_share"),
-        links: value("links"),
+        connections: value("links"),
     }
 }
 
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -76,7 +76,7 @@
         ("request", ..) | ("outcome", "fine", None) if !again => return Err("agent_nonsense"),
         ("request", ..) => {
             hub.drive_policy(|node, now, desk| {
-                desk.give_up(ix);
+                desk.fail(ix);
                 node.on_caller_gone(now, desk, ix);
             });
         }
@@ -172,7 +172,7 @@
         } else if end != Outcome::Cancelled {
             desk.finish(ix, end, result);
         }
-        node.ended(now, desk, ix, end);
+        node.on_run_finished(now, desk, ix, end);
     });
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -95,7 +95,7 @@
     let first = || conn.open_requests.borrow_mut().pop_first();
     while let Some((_, ix)) = first() {
         hub.drive_policy(|node, now, desk| {
-            desk.give_up(ix);
+            desk.fail(ix);
             node.on_caller_gone(now, desk, ix);
         });
     }
@@ -248,16 +248,16 @@
     conn.open_requests.borrow_mut().insert(seq, ix);
     drop(core);
     let arrival = Arrival {
-        traffic,
+        class: traffic,
         tenant,
         waited,
-        patience,
-        repeat,
-        hint: None,
+        caller_timeout: patience,
+        retry_of: repeat,
+        size_hint: None,
         held_kb,
-        again,
+        is_retry: again,
     };
-    hub.drive_policy(|node, now, desk| node.on_arrival(now, desk, ix, arrival));
+    hub.drive_policy(|node, now, desk| node.on_arrival(now, desk, ix, &arrival));
     Ok(())
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -180,7 +180,7 @@
         let all = AssertUnwindSafe(|| {
             call(node, now, desk);
             while let Some((ix, end)) = desk.run_ends.pop_front() {
-                node.ended(now, desk, ix, end);
+                node.on_run_finished(now, desk, ix, end);
             }
         });
         if catch_unwind(all).is_err() {
@@ -233,7 +233,7 @@
         for ix in overdue {
             count(&self.counts.unsettled);
             self.drive_policy(|node, now, desk| {
-                desk.give_up(ix);
+                desk.fail(ix);
                 node.on_caller_gone(now, desk, ix);
             });
         }
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -64,7 +64,7 @@
     }
 
     /// There is room for it: that was looked at before the module heard of the ticket.
-    fn keep(&mut self, ix: usize, span: Duration) {
+    fn cache_result(&mut self, ix: usize, span: Duration) {
         let now = Instant::now();
         if let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) {
             t.caches_result = t.key.as_ref().is_some_and(|key| {
@@ -74,7 +74,7 @@
         }
     }
 
-    fn forget(&mut self, ix: usize) {
+    fn discard_result(&mut self, ix: usize) {
         self.close_key(ix, Outcome::NeverStarted, &[]);
     }
 
@@ -84,7 +84,7 @@
         }
     }
 
-    fn give_up(&mut self, ix: usize) {
+    fn fail(&mut self, ix: usize) {
         let Some(t) = self.ticket(ix) else { return };
         if let Some(owed) = t.reply.take() {
             often!(
@@ -96,8 +96,8 @@
         }
     }
 
-    fn call(&mut self, ix: usize, until: Duration) {
-        let left = until.saturating_sub(self.now());
+    fn call_downstream(&mut self, ix: usize, deadline: Duration) {
+        let left = deadline.saturating_sub(self.now());
         dispatch::call(self, ix, left);
     }
 
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -229,7 +229,7 @@
             self.body_bytes,
             self.result_cache.len(),
             self.gauges_at.map_or(-1, |at| at.elapsed().as_millis() as i64),
-            self.gauges.on_cores.unwrap_or(-1.0),
+            self.gauges.runnable.unwrap_or(-1.0),
         )
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,8 +11,9 @@
 
 use fields::{flag, list, number, object, optional, span, text_of, whole, Fields};
 use rainstand::{
-    AdmissionController, ConcurrencyLimiter, DownstreamLimiter, InFlightRequests, LoadAdvertiser,
-    LoadSignal, Parts, Repeatability, RequestClass, TenantQuotas,
+    AdmissionController, AdvertiserOptions, ClientConnections, ColdStart, ConcurrencyLimiter,
+    DownstreamLimiter, DownstreamShare, InFlightRequests, LoadAdvertiser, LoadSignal, Parts,
+    Repeatability, RequestClass, TenantQuotas,
 };
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -129,7 +130,7 @@
                 value: number(class, "value")?,
                 late_share: optional(class, "lateWorth")?.unwrap_or(0.0),
                 degraded_share: if calls { skip } else { 0.0 },
-                repeats: match text_of(class, "effect")? {
+                repeatability: match text_of(class, "effect")? {
                     "free" => Repeatability::Idempotent,
                     "guarded" => Repeatability::IdempotentWithKey(span(class, "windowS")?),
                     "single_shot" => Repeatability::NonIdempotent,
@@ -137,7 +138,7 @@
                 },
             });
         }
-        let window = |kind: &RequestClass| match kind.repeats {
+        let window = |kind: &RequestClass| match kind.repeatability {
             Repeatability::IdempotentWithKey(window) => Some(window),
             _ => None,
         };
@@ -154,20 +155,20 @@
         }
         let servers = whole(facts, "groupSize")? as usize;
         let cold = if cold || flag(family, "cold") {
-            Some((
-                born,
-                number(duties, "coldShare")?,
-                span(duties, "rampTimeS")?,
-            ))
+            Some(ColdStart {
+                began: born,
+                initial_speed: number(duties, "coldShare")?,
+                warm_up: span(duties, "rampTimeS")?,
+            })
         } else {
             None
         };
         let share = match text_of(family, "below")? {
-            "shared" => Some((
-                number(family, "callShare")?,
-                span(family, "callsOverS")?,
-                span(family, "lingersS")?,
-            )),
+            "shared" => Some(DownstreamShare {
+                concurrency: number(family, "callShare")?,
+                window: span(family, "callsOverS")?,
+                linger: span(family, "lingersS")?,
+            }),
             _ => None,
         };
         let say = match text_of(family, "say")? {
@@ -184,7 +185,10 @@
         let clients = object(facts, "clients")?;
         let marked = flag(clients, "marksRetry");
         let cores = whole(family, "cores")? as usize;
-        let callers = (whole(family, "callers")? as usize, span(family, "idleS")?);
+        let clients = ClientConnections {
+            callers: whole(family, "callers")? as usize,
+            idle_timeout: span(family, "idleS")?,
+        };
         let factor = number(duties, "overloadFactor")?;
         let by_work = facts.get("countedBy").and_then(Value::as_str) == Some("work");
         let hand = InFlightRequests::new(
@@ -197,13 +201,13 @@
             limit: ConcurrencyLimiter::new(seed, cores, factor, cold),
             in_flight: hand,
             downstream: DownstreamLimiter::new(share),
-            advertiser: LoadAdvertiser::new(
-                say,
-                longest,
-                span(duties, "drainGraceS")?,
-                marked,
-                callers,
-            ),
+            advertiser: LoadAdvertiser::new(AdvertiserOptions {
+                signal: say,
+                max_retry_after: longest,
+                drain_grace: span(duties, "drainGraceS")?,
+                retries_marked: marked,
+                clients,
+            }),
         };
         Ok(Self {
             node: AdmissionController::new(types, by_work, parts),
@@ -218,7 +222,7 @@
                 .collect(),
             fresh: Duration::try_from_secs_f64(optional(family, "freshS")?.unwrap_or(0.0))
                 .unwrap_or_default(),
-            idle: callers.1,
+            idle: clients.idle_timeout,
             listed_by_state: flag(family, "readiness"),
             grace: span(duties, "drainGraceS")?,
             longest_pause: longest,
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -115,9 +115,9 @@
                 let gauge = object(fields, "gauge")?;
                 let gauges = Gauges {
                     cores_busy: optional(gauge, "core_use")?,
-                    on_cores: optional(gauge, "on_cores")?,
+                    runnable: optional(gauge, "on_cores")?,
                     memory: optional(gauge, "heap_share")?,
-                    links: optional(gauge, "links")?,
+                    connections: optional(gauge, "links")?,
                 };
                 node.on_tick(now, door, gauges);
             }
@@ -134,23 +134,23 @@
                 };
                 let billing = fields.get("billing").and_then(Value::as_str);
                 let arrival = Arrival {
-                    traffic: traffic.ok_or_else(|| format!("type {kind} is not known"))?,
+                    class: traffic.ok_or_else(|| format!("type {kind} is not known"))?,
                     tenant: billing.and_then(|name| self.tenants.get(name).copied()),
                     waited: span(fields, "layS")?,
-                    patience: optional(fields, "patienceLeftS")?
+                    caller_timeout: optional(fields, "patienceLeftS")?
                         .filter(|left| *left > 0.0)
                         .map(seconds)
                         .transpose()?,
-                    repeat: prior,
-                    hint: optional(fields, "sizeHintS")?
+                    retry_of: prior,
+                    size_hint: optional(fields, "sizeHintS")?
                         .filter(|hint| *hint > 0.0)
                         .map(seconds)
                         .transpose()?,
                     held_kb: optional(fields, "heldKb")?.unwrap_or(0.0),
-                    again: flag(fields, "againByClient"),
+                    is_retry: flag(fields, "againByClient"),
                 };
                 let ix = door.admit(id);
-                node.on_arrival(now, door, ix, arrival);
+                node.on_arrival(now, door, ix, &arrival);
             }
             _ => {
                 let id = whole(fields, "req")?;
@@ -158,7 +158,7 @@
                     return Ok(());
                 };
                 match msg {
-                    "completed" => node.ended(now, door, ix, outcome(fields)?),
+                    "completed" => node.on_run_finished(now, door, ix, outcome(fields)?),
                     "callEnded" => node.on_call_finished(now, door, ix, outcome(fields)?),
                     "stalledOnCall" => node.on_downstream_call(now, door, ix),
                     _ => node.on_caller_gone(now, door, ix),
@@ -190,53 +190,53 @@
         written.expect("writing to memory");
     }
 
-    fn on_ticket(&mut self, msg: &str, ticket: usize, rest: std::fmt::Arguments) {
-        let id = self.ids[ticket];
+    fn on_ticket(&mut self, msg: &str, request: usize, rest: std::fmt::Arguments) {
+        let id = self.ids[request];
         self.action(msg, format_args!(",\"req\":{id}{rest}"));
     }
 }
 
 impl Host for Door {
-    fn run(&mut self, ticket: usize) {
-        self.on_ticket("process", ticket, format_args!(""));
+    fn run(&mut self, request: usize) {
+        self.on_ticket("process", request, format_args!(""));
     }
 
-    fn cancel_run(&mut self, ticket: usize) {
+    fn cancel_run(&mut self, request: usize) {
         if self.can_stop {
-            self.on_ticket("takeOff", ticket, format_args!(""));
+            self.on_ticket("takeOff", request, format_args!(""));
         }
     }
 
-    fn reply_from_cache(&mut self, ticket: usize) {
-        self.on_ticket("reuse", ticket, format_args!(""));
+    fn reply_from_cache(&mut self, request: usize) {
+        self.on_ticket("reuse", request, format_args!(""));
     }
 
-    fn keep(&mut self, ticket: usize, span: Duration) {
+    fn cache_result(&mut self, request: usize, span: Duration) {
         let s = span.as_secs_f64();
-        self.on_ticket("keep", ticket, format_args!(",\"spanS\":{s}"));
+        self.on_ticket("keep", request, format_args!(",\"spanS\":{s}"));
     }
 
-    fn forget(&mut self, ticket: usize) {
-        self.on_ticket("erase", ticket, format_args!(""));
+    fn discard_result(&mut self, request: usize) {
+        self.on_ticket("erase", request, format_args!(""));
     }
 
-    fn reject(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool) {
-        let s = come_back.as_secs_f64();
-        let rest = format_args!(",\"backoffS\":{s},\"terminal\":{nowhere_else}");
-        self.on_ticket("pushBack", ticket, rest);
+    fn reject(&mut self, request: usize, retry_after: Duration, terminal: bool) {
+        let s = retry_after.as_secs_f64();
+        let rest = format_args!(",\"backoffS\":{s},\"terminal\":{terminal}");
+        self.on_ticket("pushBack", request, rest);
     }
 
-    fn give_up(&mut self, ticket: usize) {
-        self.on_ticket("abort", ticket, format_args!(""));
+    fn fail(&mut self, request: usize) {
+        self.on_ticket("abort", request, format_args!(""));
     }
 
-    fn call(&mut self, ticket: usize, until: Duration) {
-        let s = until.as_secs_f64();
-        self.on_ticket("call", ticket, format_args!(",\"notPastS\":{s}"));
+    fn call_downstream(&mut self, request: usize, deadline: Duration) {
+        let s = deadline.as_secs_f64();
+        self.on_ticket("call", request, format_args!(",\"notPastS\":{s}"));
     }
 
-    fn reply_degraded(&mut self, ticket: usize) {
-        self.on_ticket("degrade", ticket, format_args!(""));
+    fn reply_degraded(&mut self, request: usize) {
+        self.on_ticket("degrade", request, format_args!(""));
     }
 
     fn advertise_load(&mut self, amount: f64) {
@@ -260,9 +260,9 @@
         self.action("schedule", format_args!(",\"spanS\":{s},\"handle\":0"));
     }
 
-    fn release(&mut self, ticket: usize) {
-        self.index.remove(&self.ids[ticket]);
-        self.free.push(ticket);
+    fn release(&mut self, request: usize) {
+        self.index.remove(&self.ids[request]);
+        self.free.push(request);
     }
 }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,141 +1,181 @@
-//! What crosses the edge of the decision module: calls in, orders out.
+//! The edge of the admission policy: what calls bring in, and the [`Host`] trait that orders go out through.
 
 use std::time::Duration;
 
-/// Whether work of a traffic type may run again.
+/// Whether requests of a class may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeatability {
     /// May run any number of times.
     Idempotent,
-    /// Carries a mark that tells a repeat apart, for this long after arrival.
+    /// Carries a key that identifies a repeat, for this long after arrival.
     IdempotentWithKey(Duration),
     /// Must never run twice.
     NonIdempotent,
 }
 
-/// What is known at start of one traffic type.
+/// The settings of one request class.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestClass {
+    /// Time after arrival within which an answer has its full value.
     pub latency_objective: Duration,
+    /// Time after arrival by which an answer must be given.
     pub deadline: Duration,
+    /// Value of an answer within the objective: the weight of the class.
     pub value: f64,
-    /// Share of the benefit that an answer past the goal time still earns.
+    /// Share of the value that an answer later than the objective still has.
     pub late_share: f64,
-    /// Share of the benefit that an answer without its call still earns.
+    /// Share of the value that an answer without its downstream call still has; zero where the call is required.
     pub degraded_share: f64,
-    pub repeats: Repeatability,
+    /// Whether a request may run again.
+    pub repeatability: Repeatability,
 }
 
 impl RequestClass {
-    /// What is lost of the benefit when the call is left out.
+    /// The value that is lost when the downstream call is skipped.
     pub fn call_value(&self) -> f64 {
         self.value * (1.0 - self.degraded_share)
     }
+
+    /// Whether an answer without the downstream call has any value.
+    pub fn is_degradable(&self) -> bool {
+        self.degraded_share > 0.0
+    }
 }
 
-/// Which earlier ticket an arrival repeats, where a mark tells.
+/// Which earlier request an arrival repeats, where a key tells.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RetryOf {
+    /// None, or none that is known.
     #[default]
     No,
-    /// One still in hand here.
+    /// One that is still in flight here, by its index.
     Of(usize),
-    /// One no longer in hand.
+    /// One that is no longer in flight.
     Past,
 }
 
-/// A ticket as it is read.
+/// A request as it is read.
 #[derive(Clone, Debug, Default)]
 pub struct Arrival {
-    pub traffic: usize,
+    /// Index of its request class.
+    pub class: usize,
+    /// Index of its tenant, if it has a known one.
     pub tenant: Option<usize>,
     /// Time since it reached the machine.
     pub waited: Duration,
-    /// How long its caller still waits, where that is told.
-    pub patience: Option<Duration>,
-    pub repeat: RetryOf,
-    /// A guess of its core time.
-    pub hint: Option<Duration>,
+    /// How long its caller still waits, where it says so.
+    pub caller_timeout: Option<Duration>,
+    /// The request that it repeats.
+    pub retry_of: RetryOf,
+    /// An estimate of its core time.
+    pub size_hint: Option<Duration>,
+    /// Memory that it takes while it is not run, in KiB.
     pub held_kb: f64,
-    /// Marked as a further try.
-    pub again: bool,
+    /// Whether its caller marked it as a retry.
+    pub is_retry: bool,
 }
 
-/// How a run, a reuse or a call ended.
+/// How a run, a cached reply or a downstream call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// With a good result.
     Succeeded,
+    /// With an error after it ran.
     Failed,
+    /// Rejected before it ran.
     Rejected,
+    /// No result in time: it may have run.
     TimedOut,
+    /// No connection was made: nothing ran.
     Unreachable,
+    /// The connection broke: it may have run.
     Disconnected,
+    /// Cancelled: it may have run in part.
     Cancelled,
+    /// It could not be started: nothing ran.
     NeverStarted,
 }
 
 impl Outcome {
-    /// Whether it is proved that nothing ran.
+    /// Whether it is certain that nothing ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Rejected | Self::Unreachable | Self::NeverStarted)
     }
+
+    /// Whether a call that ended so may still occupy the downstream tier.
+    pub fn may_still_run(self) -> bool {
+        !self.never_ran() && self != Self::Succeeded
+    }
 }
 
 /// The machine's own gauges; `None` where it has no such gauge.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauges {
-    /// Share of the cores busy.
+    /// Share of the cores that is busy.
     pub cores_busy: Option<f64>,
-    /// How many want a core just now.
-    pub on_cores: Option<f64>,
+    /// Number of threads that run or wait for a core now.
+    pub runnable: Option<f64>,
     /// Share of the memory in use.
     pub memory: Option<f64>,
     /// Open connections.
-    pub links: Option<f64>,
+    pub connections: Option<f64>,
 }
 
-/// What callers make of the value that rides on answers.
+/// What callers make of the value that answers carry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LoadSignal {
+    /// Nothing: no value is sent.
     #[default]
     Nothing,
+    /// A load level, 0 (idle) to 1 (full).
     Level,
+    /// A number of further requests that are welcome.
     Credit,
+    /// A weight for the balancer, 0 (no requests) to 1.
     Weight,
 }
 
 impl LoadSignal {
     /// The value that keeps all callers away, or none of them.
-    pub fn to_all(self, away: bool) -> Option<f64> {
+    pub fn value_for(self, unavailable: bool) -> Option<f64> {
         match self {
             Self::Nothing => None,
-            Self::Level => Some(if away { 1.0 } else { 0.0 }),
-            Self::Weight => Some(if away { 0.0 } else { 1.0 }),
-            Self::Credit => Some(if away { 0.0 } else { f64::from(u32::MAX) }),
+            Self::Level => Some(if unavailable { 1.0 } else { 0.0 }),
+            Self::Weight => Some(if unavailable { 0.0 } else { 1.0 }),
+            Self::Credit => Some(if unavailable { 0.0 } else { f64::from(u32::MAX) }),
         }
     }
 }
 
-/// Orders to the program around the module. Indices are those that
-/// `Node::arrived` returned; [`Host::over`] hands an index back for reuse.
+/// Orders to the program around the policy. A `request` is the index under which it was passed to
+/// [`AdmissionController::on_arrival`](crate::AdmissionController::on_arrival); [`Host::release`] hands an index back.
 pub trait Host {
-    fn run(&mut self, ticket: usize);
-    fn cancel_run(&mut self, ticket: usize);
-    fn reply_from_cache(&mut self, ticket: usize);
-    fn keep(&mut self, ticket: usize, span: Duration);
-    fn forget(&mut self, ticket: usize);
-    /// Turn away for good, unrun: when to come back, and whether to try nowhere else.
-    fn reject(&mut self, ticket: usize, come_back: Duration, nowhere_else: bool);
-    /// A final error, with no promise that nothing ran.
-    fn give_up(&mut self, ticket: usize);
-    fn call(&mut self, ticket: usize, until: Duration);
-    fn reply_degraded(&mut self, ticket: usize);
+    /// Start a request's run.
+    fn run(&mut self, request: usize);
+    /// Stop a run whose result nobody waits for, where runs can be stopped.
+    fn cancel_run(&mut self, request: usize);
+    /// Answer with the result of the request that this one repeats, without a run.
+    fn reply_from_cache(&mut self, request: usize);
+    /// Cache the request's result for repeats, for `span` from now.
+    fn cache_result(&mut self, request: usize, span: Duration);
+    /// Discard the cached result: the request never ran.
+    fn discard_result(&mut self, request: usize);
+    /// Answer that the request was not run, when to retry, and whether not to retry on another node.
+    fn reject(&mut self, request: usize, retry_after: Duration, terminal: bool);
+    /// Answer with a final error, which does not promise that nothing ran.
+    fn fail(&mut self, request: usize);
+    /// Make the request's downstream call, to be cancelled at `deadline` on the controller's clock.
+    fn call_downstream(&mut self, request: usize, deadline: Duration);
+    /// Let the run go on without its downstream call.
+    fn reply_degraded(&mut self, request: usize);
+    /// Send this value with answers from now on, see [`LoadSignal`].
     fn advertise_load(&mut self, amount: f64);
-    /// How health checks are answered from now on, from store.
-    fn set_health(&mut self, good: bool);
+    /// How health checks are answered from now on, without asking the controller.
+    fn set_health(&mut self, healthy: bool);
+    /// Close connections that are idle for longer than this, from now on.
     fn close_idle_after(&mut self, span: Duration);
-    /// Ask for one `Node::woken` this far from now.
+    /// Call [`AdmissionController::on_tick`](crate::AdmissionController::on_tick) once, this far from now.
     fn wake(&mut self, span: Duration);
-    /// Nothing more comes of this ticket; its index may serve again.
-    fn release(&mut self, ticket: usize);
+    /// Nothing more follows for this request; its index may be used again.
+    fn release(&mut self, request: usize);
 }
--- a/src/in_flight.rs
+++ b/src/in_flight.rs
@@ -1,84 +1,130 @@
-//! The tickets in hand: their stages, their alarms and the memory they take.
+//! The requests in flight: their stages, their timers and the memory they take.
+//!
+//! Bookkeeping alone: what happens to a request is decided in [`choice`](crate::choice).
 
 use crate::host::{Arrival, Host, Outcome, RequestClass};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// What a step leaves behind: what to do with its result.
-pub type Next<N> = Box<dyn FnOnce(&mut N, Duration, &mut dyn Host, usize, Outcome)>;
+/// What follows a run, a cached reply or a call: called with its outcome.
+pub type Continuation<N> = Box<dyn FnOnce(&mut N, Duration, &mut dyn Host, usize, Outcome)>;
 
+/// Where a request in flight stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// In a line, not started.
+    /// In a queue, not started.
     Queued,
-    /// Waits on the result of the ticket that it repeats.
+    /// Waits for the result of the request that it repeats.
     AwaitingResult,
-    /// On the cores, or at a disk wait nobody tells of.
+    /// On the cores, or at a disk wait that no gauge shows.
     Running,
-    /// At a call that is not made yet.
+    /// At a downstream call that is not made yet.
     AwaitingCall,
-    /// At a call that is out.
+    /// At a downstream call that is in progress.
     Calling,
 }
 
+/// Number of stages, for counts by stage.
+const STAGES: usize = 5;
+
+/// One attempt of a downstream call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DownstreamCall {
+    /// When the attempt was made.
+    pub started: Duration,
+    /// When it is cancelled.
+    pub deadline: Duration,
+}
+
+impl DownstreamCall {
+    /// The longest that the attempt may take.
+    pub fn time_limit(&self) -> Duration {
+        self.deadline.saturating_sub(self.started)
+    }
+}
+
+/// A request in flight; times are on the clock that the controller is called with.
 pub struct Request<N> {
-    pub traffic: usize,
-    /// Its type as it was when the ticket came: what was promised then holds to its end.
-    pub kind: RequestClass,
+    /// Index of its class.
+    pub class_index: usize,
+    /// Its class as it was on arrival: what was promised then holds to its end.
+    pub class: RequestClass,
+    /// Index of its tenant's quota account.
     pub account: usize,
+    /// When it reached the machine.
     pub arrived: Duration,
     /// The last moment for its answer.
-    pub due: Duration,
-    pub kb: f64,
-    pub hint: Option<Duration>,
-    pub again: bool,
+    pub deadline: Duration,
+    /// Memory that it takes while it is not run, in KiB.
+    pub held_kb: f64,
+    /// An estimate of its core time.
+    pub size_hint: Option<Duration>,
+    /// Whether its caller marked it as a retry.
+    pub is_retry: bool,
+    /// Where it stands; changed by [`InFlightRequests::set_stage`] alone.
     pub stage: Stage,
+    /// Whether it was ever run.
     pub ran: bool,
+    /// Whether its caller has an answer, or left.
     pub answered: bool,
-    pub kept: Option<Duration>,
-    pub call_since: Duration,
-    pub call_waits: Duration,
-    pub call_tries: u32,
-    /// When its call was made, and the time at which that is given up.
-    pub call: [Duration; 2],
-    pub after_run: Option<Next<N>>,
-    pub after_call: Option<Next<N>>,
-    alarm: Option<Duration>,
+    /// Until when its result is cached for repeats.
+    pub cached_until: Option<Duration>,
+    /// When it last came to a downstream call.
+    pub call_requested: Duration,
+    /// Time it has spent at downstream calls that are over.
+    pub call_wait: Duration,
+    /// Attempts of its current downstream call.
+    pub call_attempts: u32,
+    /// The last attempt of a downstream call.
+    pub call: DownstreamCall,
+    /// What follows its run or cached reply.
+    pub after_run: Option<Continuation<N>>,
+    /// What follows the attempt of a downstream call.
+    pub after_call: Option<Continuation<N>>,
+    timer: Option<Duration>,
 }
 
 impl<N> Request<N> {
-    pub fn new(a: &Arrival, kind: RequestClass, account: usize, times: [Duration; 2]) -> Self {
-        let [arrived, due] = times;
+    /// A request of `class` that has just arrived, with `arrived` and `deadline` on the controller's clock.
+    pub fn new(
+        arrival: &Arrival,
+        class: RequestClass,
+        account: usize,
+        arrived: Duration,
+        deadline: Duration,
+    ) -> Self {
         Self {
-            traffic: a.traffic,
-            kind,
+            class_index: arrival.class,
+            class,
             account,
             arrived,
-            due,
-            kb: a.held_kb,
-            hint: a.hint,
-            again: a.again,
+            deadline,
+            held_kb: arrival.held_kb,
+            size_hint: arrival.size_hint,
+            is_retry: arrival.is_retry,
             stage: Stage::Queued,
             ran: false,
             answered: false,
-            kept: None,
-            call_since: arrived,
-            call_waits: Duration::ZERO,
-            call_tries: 0,
-            call: [arrived; 2],
+            cached_until: None,
+            call_requested: arrived,
+            call_wait: Duration::ZERO,
+            call_attempts: 0,
+            call: DownstreamCall { started: arrived, deadline: arrived },
             after_run: None,
             after_call: None,
-            alarm: None,
+            timer: None,
         }
     }
 }
 
-/// All tickets in hand, by their small indices.
+/// All requests in flight, by their small indices, with their timers and the memory they take.
+///
+/// Each request has at most one timer; counts, timers and memory always match the requests held.
 pub struct InFlightRequests<N> {
-    tickets: Vec<Option<Request<N>>>,
-    alarms: BTreeSet<(Duration, usize)>,
-    entries: BTreeSet<(Duration, usize)>,
-    counts: [usize; 5],
+    requests: Vec<Option<Request<N>>>,
+    timers: BTreeSet<(Duration, usize)>,
+    cached: BTreeSet<(Duration, usize)>,
+    counts: [usize; STAGES],
     used_kb: f64,
     memory_kb: f64,
     run_factor: f64,
@@ -86,119 +132,157 @@
 }
 
 impl<N> InFlightRequests<N> {
-    /// The memory all share, what running takes over holding, what a kept entry takes.
+    /// `memory_kb`: memory that all requests share; `run_factor`: memory of a run over that of the held
+    /// request; `entry_kb`: memory of a cached result.
     pub fn new(memory_kb: f64, run_factor: f64, entry_kb: f64) -> Self {
-        let (tickets, alarms, entries) = (Vec::new(), BTreeSet::new(), BTreeSet::new());
-        Self { tickets, alarms, entries, counts: [0; 5], used_kb: 0.0, memory_kb, run_factor, entry_kb }
+        let (requests, timers, cached) = (Vec::new(), BTreeSet::new(), BTreeSet::new());
+        Self { requests, timers, cached, counts: [0; STAGES], used_kb: 0.0, memory_kb, run_factor, entry_kb }
     }
 
-    pub fn insert(&mut self, ix: usize, ticket: Request<N>) {
-        if self.tickets.len() <= ix {
-            self.tickets.resize_with(ix + 1, || None);
+    /// Adds a request under a free index, with its timer at its deadline.
+    pub fn insert(&mut self, ix: usize, request: Request<N>) {
+        if self.requests.len() <= ix {
+            self.requests.resize_with(ix + 1, || None);
         }
-        self.used_kb += ticket.kb;
-        self.counts[ticket.stage as usize] += 1;
-        self.tickets[ix] = Some(ticket);
+        self.used_kb += request.held_kb;
+        self.counts[request.stage as usize] += 1;
+        self.requests[ix] = Some(request);
         self.set_timer_to_deadline(ix);
     }
 
+    /// The request of an index, unless it was removed.
     pub fn get(&mut self, ix: usize) -> Option<&mut Request<N>> {
-        self.tickets.get_mut(ix).and_then(Option::as_mut)
+        self.requests.get_mut(ix).and_then(Option::as_mut)
     }
 
-    /// A ticket known to be in hand.
+    /// A request known to be in flight.
+    ///
+    /// # Panics
+    /// If it is not.
     pub fn expect(&mut self, ix: usize) -> &mut Request<N> {
-        self.get(ix).expect("a ticket in hand")
+        self.get(ix).expect("a request in flight")
     }
 
+    /// Number of requests in a stage.
     pub fn count(&self, stage: Stage) -> usize {
         self.counts[stage as usize]
     }
 
-    /// Whether at least one request is in a stage.
-    pub fn any(&self, stage: Stage) -> bool {
-        self.count(stage) > 0
+    /// Number of requests that wait in a queue.
+    pub fn queued(&self) -> usize {
+        self.count(Stage::Queued)
+    }
+
+    /// Number of requests that run.
+    pub fn running(&self) -> usize {
+        self.count(Stage::Running)
+    }
+
+    /// Number of requests whose downstream call is in progress.
+    pub fn calling(&self) -> usize {
+        self.count(Stage::Calling)
+    }
+
+    /// Number of requests that run, or are at a downstream call.
+    pub fn outstanding(&self) -> usize {
+        self.running() + self.count(Stage::AwaitingCall) + self.calling()
     }
 
+    /// Moves a request to a stage; its first run takes its memory.
+    ///
+    /// # Panics
+    /// If it is not in flight.
     pub fn set_stage(&mut self, ix: usize, stage: Stage) {
         let factor = self.run_factor;
-        let t = self.expect(ix);
-        let (was, kb) = (t.stage, t.kb);
-        t.stage = stage;
-        if stage == Stage::Running && !t.ran {
-            t.ran = true;
-            self.used_kb += kb * (factor - 1.0);
+        let request = self.expect(ix);
+        let (before, held_kb) = (request.stage, request.held_kb);
+        request.stage = stage;
+        if stage == Stage::Running && !request.ran {
+            request.ran = true;
+            self.used_kb += held_kb * (factor - 1.0);
         }
-        self.counts[was as usize] -= 1;
+        self.counts[before as usize] -= 1;
         self.counts[stage as usize] += 1;
     }
 
+    /// Removes a request with its timer and memory; a cached result stays until its time.
     pub fn remove(&mut self, ix: usize) -> Option<Request<N>> {
         self.set_timer(ix, None);
-        let ticket = self.tickets.get_mut(ix)?.take()?;
-        self.counts[ticket.stage as usize] -= 1;
-        self.used_kb -= ticket.kb * if ticket.ran { self.run_factor } else { 1.0 };
-        Some(ticket)
+        let request = self.requests.get_mut(ix)?.take()?;
+        self.counts[request.stage as usize] -= 1;
+        self.used_kb -= request.held_kb * if request.ran { self.run_factor } else { 1.0 };
+        Some(request)
     }
 
-    /// One alarm a ticket; a new one replaces it.
+    /// Sets the timer of a request, in place of the one before; `None` clears it.
     pub fn set_timer(&mut self, ix: usize, at: Option<Duration>) {
-        let Some(ticket) = self.get(ix) else { return };
-        let before = std::mem::replace(&mut ticket.alarm, at);
+        let Some(request) = self.get(ix) else { return };
+        let before = std::mem::replace(&mut request.timer, at);
         if let Some(before) = before {
-            self.alarms.remove(&(before, ix));
+            self.timers.remove(&(before, ix));
         }
         if let Some(at) = at {
-            self.alarms.insert((at, ix));
+            self.timers.insert((at, ix));
         }
     }
 
+    /// Sets the timer of a request to its deadline.
     pub fn set_timer_to_deadline(&mut self, ix: usize) {
-        let due = self.get(ix).map(|t| t.due);
-        self.set_timer(ix, due);
+        let deadline = self.get(ix).map(|request| request.deadline);
+        self.set_timer(ix, deadline);
     }
 
-    /// What calls that are out may still hold below, but for what lingers.
+    /// The longest that all calls in progress may occupy the downstream tier together, linger not counted.
     pub fn reserved(&self) -> Duration {
-        let calling = self.tickets.iter().flatten().filter(|t| t.stage == Stage::Calling);
-        calling.map(|t| t.call[1].saturating_sub(t.call[0])).sum()
+        let calling = self.requests.iter().flatten().filter(|request| request.stage == Stage::Calling);
+        calling.map(|request| request.call.time_limit()).sum()
     }
 
-    /// No unanswered ticket is due, nor its alarm rings, later than this.
-    pub fn cap_deadlines(&mut self, due: Duration) {
-        for ix in 0..self.tickets.len() {
-            let Some(t) = self.get(ix).filter(|t| !t.answered) else { continue };
-            t.due = t.due.min(due);
-            if t.alarm.is_none_or(|at| at > due) {
-                self.set_timer(ix, Some(due));
+    /// Brings deadlines and timers of all unanswered requests forward to `latest` where they are later.
+    pub fn cap_deadlines(&mut self, latest: Duration) {
+        for ix in 0..self.requests.len() {
+            let Some(request) = self.get(ix).filter(|request| !request.answered) else { continue };
+            request.deadline = request.deadline.min(latest);
+            if request.timer.is_none_or(|at| at > latest) {
+                self.set_timer(ix, Some(latest));
             }
         }
     }
 
-    /// The next ticket whose alarm is due; the alarm is spent.
+    /// The next request whose timer has expired; the timer is cleared.
     pub fn next_expired(&mut self, now: Duration) -> Option<usize> {
-        let ix = self.alarms.first().filter(|alarm| alarm.0 <= now)?.1;
+        let ix = self.timers.first().filter(|timer| timer.0 <= now)?.1;
         self.set_timer(ix, None);
         Some(ix)
     }
 
-    pub fn keep(&mut self, ix: usize, until: Duration) {
-        self.expect(ix).kept = Some(until);
-        self.entries.insert((until, ix));
+    /// Counts the memory of a cached result, until its time.
+    ///
+    /// # Panics
+    /// If the request is not in flight.
+    pub fn cache_result(&mut self, ix: usize, until: Duration) {
+        self.expect(ix).cached_until = Some(until);
+        self.cached.insert((until, ix));
     }
 
-    /// Whether an entry was still kept, which it no longer is.
-    pub fn forget(&mut self, now: Duration, ix: usize) -> bool {
-        let kept = self.expect(ix).kept.take();
-        kept.is_some_and(|until| self.entries.remove(&(until, ix)) && until > now)
+    /// Discards a cached result; whether there was one whose time had not passed.
+    ///
+    /// # Panics
+    /// If the request is not in flight.
+    pub fn discard_result(&mut self, now: Duration, ix: usize) -> bool {
+        let cached_until = self.expect(ix).cached_until.take();
+        cached_until.is_some_and(|until| self.cached.remove(&(until, ix)) && until > now)
     }
 
-    /// Share of the memory in use, were this ticket to run too.
+    /// Share of the memory in use, were request `running` to run too.
+    ///
+    /// # Panics
+    /// If that request is not in flight.
     pub fn memory_with(&mut self, now: Duration, running: Option<usize>) -> f64 {
-        while self.entries.first().is_some_and(|entry| entry.0 < now) {
-            self.entries.pop_first();
+        while self.cached.first().is_some_and(|entry| entry.0 < now) {
+            self.cached.pop_first();
         }
-        let more = running.map_or(0.0, |ix| self.expect(ix).kb) * (self.run_factor - 1.0);
-        (self.used_kb + more + self.entries.len() as f64 * self.entry_kb) / self.memory_kb
+        let more = running.map_or(0.0, |ix| self.expect(ix).held_kb) * (self.run_factor - 1.0);
+        (self.used_kb + more + self.cached.len() as f64 * self.entry_kb) / self.memory_kb
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,12 +2,22 @@
 #![allow(dead_code)] // no file of tests uses all of it
 
 use rainstand::{
-    AdmissionController, Arrival, ConcurrencyLimiter, DownstreamLimiter, Gauges, Host,
-    InFlightRequests, LoadSignal, Outcome, Parts, Repeatability, TenantQuotas,
+    AdmissionController, AdvertiserOptions, Arrival, ClientConnections, ColdStart,
+    ConcurrencyLimiter, DownstreamLimiter, DownstreamShare, Gauges, Host, InFlightRequests,
+    LoadSignal, Outcome, Parts, Repeatability, TenantQuotas,
 };
 use rainstand::{LoadAdvertiser, RequestClass};
 use std::time::Duration;
 
+/// A share of the downstream tier, for settings.
+pub fn shared(concurrency: f64, window: Duration, linger: Duration) -> Option<DownstreamShare> {
+    Some(DownstreamShare {
+        concurrency,
+        window,
+        linger,
+    })
+}
+
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -28,11 +38,11 @@
     run(t: usize) "run {t}";
     cancel_run(t: usize) "cancel_run {t}";
     reply_from_cache(t: usize) "reply_from_cache {t}";
-    keep(t: usize, span: Duration) "keep {t} {}" (span.as_millis());
-    forget(t: usize) "forget {t}";
+    cache_result(t: usize, span: Duration) "keep {t} {}" (span.as_millis());
+    discard_result(t: usize) "forget {t}";
     reject(t: usize, back: Duration, not: bool) "reject {t} {}{}" (back.as_millis(), NOWHERE[usize::from(not)]);
-    give_up(t: usize) "give_up {t}";
-    call(t: usize, until: Duration) "call {t} {}" (until.as_millis());
+    fail(t: usize) "give_up {t}";
+    call_downstream(t: usize, deadline: Duration) "call {t} {}" (deadline.as_millis());
     reply_degraded(t: usize) "reply_degraded {t}";
     advertise_load(amount: f64) "advertise_load {amount}";
     set_health(good: bool) "set_health {good}";
@@ -60,9 +70,9 @@
     pub repeats: Repeatability,
     pub poorer: f64,
     pub factor: f64,
-    pub cold: Option<(Duration, f64, Duration)>,
+    pub cold: Option<ColdStart>,
     pub memory_kb: f64,
-    pub share: Option<(f64, Duration, Duration)>,
+    pub share: Option<DownstreamShare>,
     pub marked: bool,
     pub callers: usize,
     /// A second traffic type, of three times the benefit, that is nothing without its call.
@@ -102,20 +112,23 @@
             value: 1.0,
             late_share: 0.0,
             degraded_share: poorer,
-            repeats,
+            repeatability: repeats,
         };
         let parts = Parts {
             quotas: TenantQuotas::new(s.quotas, s.servers),
             limit: ConcurrencyLimiter::new(7, s.cores, s.factor, s.cold),
             in_flight: InFlightRequests::new(s.memory_kb, 4.0, 10.0),
             downstream: DownstreamLimiter::new(s.share),
-            advertiser: LoadAdvertiser::new(
-                LoadSignal::Level,
-                ms(1_000),
-                ms(2_000),
-                s.marked,
-                (s.callers, ms(30_000)),
-            ),
+            advertiser: LoadAdvertiser::new(AdvertiserOptions {
+                signal: LoadSignal::Level,
+                max_retry_after: ms(1_000),
+                drain_grace: ms(2_000),
+                retries_marked: s.marked,
+                clients: ClientConnections {
+                    callers: s.callers,
+                    idle_timeout: ms(30_000),
+                },
+            }),
         };
         let mut types = vec![kind];
         if s.dear {
@@ -147,7 +160,7 @@
             self.now,
             &mut self.orders,
             ix,
-            Arrival { held_kb: 20.0, ..a },
+            &Arrival { held_kb: 20.0, ..a },
         );
     }
 
@@ -162,7 +175,8 @@
     }
 
     pub fn end(&mut self, ix: usize, outcome: Outcome) {
-        self.node.ended(self.now, &mut self.orders, ix, outcome);
+        self.node
+            .on_run_finished(self.now, &mut self.orders, ix, outcome);
     }
 
     pub fn at(mut self, busy: f64) -> Self {
@@ -203,11 +217,11 @@
         let until = self.now + span;
         while self.now < until {
             self.now += ms(20);
-            let (cores_busy, links) = (Some(self.busy), Some(self.links));
+            let (cores_busy, connections) = (Some(self.busy), Some(self.links));
             let gauges = Gauges {
                 cores_busy,
-                links,
-                on_cores: self.on_cores,
+                connections,
+                runnable: self.on_cores,
                 ..Gauges::default()
             };
             self.node.on_tick(self.now, &mut self.orders, gauges);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -9,7 +9,7 @@
 
 mod common;
 
-use common::{ms, Rig, Settings};
+use common::{ms, shared, Rig, Settings};
 use rainstand::{Arrival, Gauges, Outcome, Parts, Repeatability};
 
 #[test]
@@ -131,7 +131,7 @@
     ];
     for (usual, busy, hint, patience, begun) in cases {
         let hinted = |hint| Arrival {
-            hint: Some(ms(hint)),
+            size_hint: Some(ms(hint)),
             ..Arrival::default()
         };
         let mut rig = Rig::new(Settings::default()).at(0.3);
@@ -140,7 +140,7 @@
         rig.arrive(
             0,
             Arrival {
-                patience: Some(ms(patience)),
+                caller_timeout: Some(ms(patience)),
                 ..hinted(hint)
             },
         );
@@ -171,7 +171,7 @@
             rig.arrive(
                 ix,
                 Arrival {
-                    again: many && ix % 2 == 0,
+                    is_retry: many && ix % 2 == 0,
                     ..Arrival::default()
                 },
             )
@@ -180,8 +180,8 @@
         rig.arrive(
             8,
             Arrival {
-                again,
-                patience: Some(ms(10)),
+                is_retry: again,
+                caller_timeout: Some(ms(10)),
                 ..Arrival::default()
             },
         );
@@ -201,7 +201,7 @@
         let mut rig = Rig::new(Settings::default());
         let gauges = Gauges {
             cores_busy: Some(1.0),
-            on_cores: Some(reading),
+            runnable: Some(reading),
             ..Gauges::default()
         };
         rig.node.on_tick(rig.now, &mut rig.orders, gauges);
@@ -312,7 +312,7 @@
 fn an_exclusive_ticket_with_no_time_left_for_its_call_is_given_up_and_the_newest_calls_first() {
     let (repeats, share) = (
         Repeatability::NonIdempotent,
-        Some((0.4, ms(5_000), ms(200))),
+        shared(0.4, ms(5_000), ms(200)),
     );
     let mut rig = Rig::new(Settings {
         repeats,
@@ -348,7 +348,7 @@
 #[test]
 fn a_call_with_too_little_time_left_is_not_made_and_the_dearest_goes_first() {
     // A share of calls at once that is used up: the last one stands until it is left out, uncalled.
-    let share = Some((0.6, ms(5_000), ms(200)));
+    let share = shared(0.6, ms(5_000), ms(200));
     let mut rig = Rig::new(Settings {
         poorer: 0.5,
         share,
@@ -365,7 +365,7 @@
 fn past_a_quarter_of_the_share_calls_go_one_at_a_time() {
     // (share, calls out at once of two tickets that stand)
     for (share, at_once) in [(0.75, 1), (8.0, 2)] {
-        let share = Some((share, ms(5_000), ms(200)));
+        let share = shared(share, ms(5_000), ms(200));
         let mut rig = Rig::new(Settings {
             poorer: 0.5,
             share,
@@ -390,7 +390,7 @@
     // (how the dear calls come back, whether a cheap one is made after them)
     for (end, made) in [(Outcome::TimedOut, 0), (Outcome::Succeeded, 1)] {
         let (share, repeats) = (
-            Some((0.54, ms(5_000), ms(200))),
+            shared(0.54, ms(5_000), ms(200)),
             Repeatability::NonIdempotent,
         );
         let settings = Settings {
@@ -402,7 +402,7 @@
         };
         let mut rig = Rig::new(settings).at(0.0);
         let dear = Arrival {
-            traffic: 1,
+            class: 1,
             ..Arrival::default()
         };
         for ix in 0..2 {
@@ -460,7 +460,7 @@
             rig.arrive(
                 0,
                 Arrival {
-                    patience,
+                    caller_timeout: patience,
                     ..Arrival::default()
                 },
             );
@@ -506,7 +506,7 @@
             ix,
             Arrival {
                 tenant: Some(tenant),
-                again,
+                is_retry: again,
                 ..Arrival::default()
             },
         );
@@ -563,8 +563,9 @@
 #[test]
 fn new_settings_keep_what_is_in_hand_and_their_advice_holds_from_then_on() {
     use rainstand::{
-        AdmissionController, ConcurrencyLimiter, DownstreamLimiter, InFlightRequests,
-        LoadAdvertiser, LoadSignal, RequestClass, TenantQuotas,
+        AdmissionController, AdvertiserOptions, ClientConnections, ConcurrencyLimiter,
+        DownstreamLimiter, InFlightRequests, LoadAdvertiser, LoadSignal, RequestClass,
+        TenantQuotas,
     };
     // Two of three run on two cores, the third is held; then callers may be asked to wait three seconds.
     let mut rig = Rig::new(Settings::default()).at(1.0);
@@ -573,7 +574,7 @@
     rig.arrive(
         3,
         Arrival {
-            patience: Some(ms(10)),
+            caller_timeout: Some(ms(10)),
             ..Arrival::default()
         },
     );
@@ -584,27 +585,30 @@
         value: 1.0,
         late_share: 0.0,
         degraded_share: 0.0,
-        repeats: Repeatability::Idempotent,
+        repeatability: Repeatability::Idempotent,
     };
     let parts = Parts {
         quotas: TenantQuotas::new(&[1.0, 1.0], 2),
         limit: ConcurrencyLimiter::new(7, 2, 6.0, None),
         in_flight: InFlightRequests::new(10_000.0, 4.0, 10.0),
         downstream: DownstreamLimiter::new(None),
-        advertiser: LoadAdvertiser::new(
-            LoadSignal::Level,
-            ms(3_000),
-            ms(2_000),
-            true,
-            (900, ms(30_000)),
-        ),
+        advertiser: LoadAdvertiser::new(AdvertiserOptions {
+            signal: LoadSignal::Level,
+            max_retry_after: ms(3_000),
+            drain_grace: ms(2_000),
+            retries_marked: true,
+            clients: ClientConnections {
+                callers: 900,
+                idle_timeout: ms(30_000),
+            },
+        }),
     };
     rig.node
         .reconfigure(AdmissionController::new(vec![kind], false, parts));
     rig.arrive(
         4,
         Arrival {
-            patience: Some(ms(10)),
+            caller_timeout: Some(ms(10)),
             ..Arrival::default()
         },
     );
@@ -659,7 +663,7 @@
 #[test]
 fn calls_go_on_when_what_is_below_turns_shared_and_back() {
     let shared = || Settings {
-        share: Some((4.0, ms(5_000), ms(200))),
+        share: shared(4.0, ms(5_000), ms(200)),
         ..Settings::default()
     };
     for (first, second) in [
@@ -695,7 +699,7 @@
     rig.arrive(
         0,
         Arrival {
-            repeat: rainstand::RetryOf::Past,
+            retry_of: rainstand::RetryOf::Past,
             ..Arrival::default()
         },
     );
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -9,12 +9,12 @@
 
 mod common;
 
-use common::{ms, Rig, Settings};
-use rainstand::{Arrival, Outcome, Repeatability, RetryOf};
+use common::{ms, shared, Rig, Settings};
+use rainstand::{Arrival, ColdStart, Outcome, Repeatability, RetryOf};
 
 fn tries(patience: Option<u64>, waited: u64) -> Arrival {
     Arrival {
-        patience: patience.map(ms),
+        caller_timeout: patience.map(ms),
         waited: ms(waited),
         ..Arrival::default()
     }
@@ -106,7 +106,7 @@
         rig.arrive(
             1,
             Arrival {
-                repeat,
+                retry_of: repeat,
                 ..Arrival::default()
             },
         );
@@ -228,7 +228,15 @@
     let cases = [
         (6.0, None, 6),
         (1.5, None, 2),
-        (6.0, Some((ms(1_000), 0.2, ms(1_000_000))), 3),
+        (
+            6.0,
+            Some(ColdStart {
+                began: ms(1_000),
+                initial_speed: 0.2,
+                warm_up: ms(1_000_000),
+            }),
+            3,
+        ),
     ];
     for (factor, cold, most) in cases {
         let mut rig = Rig::new(Settings {
@@ -272,7 +280,7 @@
     for share in [0.3, 0.54, 1.0, 4.0] {
         // (how long calls take, or none that ever comes back)
         for takes in [Some(15), Some(400), None] {
-            let told = Some((share, over, lingers));
+            let told = shared(share, over, lingers);
             let (repeats, poorer) = (Repeatability::Idempotent, 0.5);
             let mut rig = Rig::new(Settings {
                 share: told,
--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -11,7 +11,7 @@
 
 mod common;
 
-use common::{ms, Rig, Settings};
+use common::{ms, shared, Rig, Settings};
 use rainstand::{Outcome, Repeatability};
 
 /// The window of that mean, and how long a call given up stays below, ms.
@@ -45,7 +45,7 @@
 }
 
 fn one(case: &Case, at: u64) -> One {
-    let share = Some((case.share, ms(OVER), ms(LINGERS)));
+    let share = shared(case.share, ms(OVER), ms(LINGERS));
     let mut rig = Rig::new(Settings {
         share,
         repeats: Repeatability::Idempotent,
