--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -3,7 +3,7 @@
 use crate::config::replace;
 use clap::Args;
 use rainstand_cluster::attachment::{
-    run_attachment, ApplyCallback, AttachmentEvent, AttachmentOptions, AttachmentPhase,
+    run_attachment, ApplyCallback, ApplyError, AttachmentEvent, AttachmentOptions, AttachmentPhase,
     AttachmentStatus, StatusCallback,
 };
 use rainstand_config::schema::{Configuration, Control, ControlMember};
@@ -180,7 +180,7 @@
             // The first version is a full configuration, whatever it is sent as.
             if subscriber.version() > 0 {
                 let changes = table_changes(subscriber.state(), delta, forwarder_number)
-                    .map_err(|error| error.to_string())?;
+                    .map_err(ApplyError::new)?;
                 match hub.apply(&changes) {
                     Ok(_) => return Ok(()),
                     Err(error) => {
@@ -189,9 +189,11 @@
                 }
             }
         }
-        let mut configuration = pending_configuration(subscriber)?;
+        let mut configuration = pending_configuration(subscriber).map_err(ApplyError::new)?;
         reduce(&mut configuration, forwarder_number);
-        hub.replace(configuration).map(drop)
+        hub.replace(configuration)
+            .map(drop)
+            .map_err(ApplyError::new)
     })
 }
 
--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -85,8 +85,25 @@
     Lost,
 }
 
-/// Puts the subscriber's pending version into force, or returns the reason why it cannot be.
-pub type ApplyCallback = Box<dyn FnMut(&Subscriber) -> Result<(), String>>;
+/// Why a version cannot be put into force.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}")]
+pub struct ApplyError {
+    /// For operators.
+    pub reason: String,
+}
+
+impl ApplyError {
+    /// With the text of another error.
+    pub fn new(error: impl std::fmt::Display) -> Self {
+        Self {
+            reason: error.to_string(),
+        }
+    }
+}
+
+/// Puts the subscriber's pending version into force, or returns why it cannot be.
+pub type ApplyCallback = Box<dyn FnMut(&Subscriber) -> Result<(), ApplyError>>;
 /// Receives events: the program's log.
 pub type EventCallback = Box<dyn Fn(&AttachmentEvent, &Subscriber)>;
 /// Called at least every 500 ms while a link is open, and when an attachment is lost: for whoever stores the version in
@@ -276,7 +293,7 @@
                     Effect::Send(frame) => bytes.extend(subscriber_frame(frame)),
                     Effect::Apply(version) => match (self.apply)(&self.subscriber) {
                         Ok(()) => self.subscriber.on_applied(version),
-                        Err(reason) => self.subscriber.on_rejected(version, &reason),
+                        Err(error) => self.subscriber.on_rejected(version, &error.reason),
                     },
                     Effect::RetryAfter { after, target } => {
                         end = Some(LinkEnd::RetryAfter { after, target });
