--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -177,7 +177,8 @@
     let now = Instant::now();
     // What tells a repeat: all tries of a ticketed one carry the same nonce. A name that comes without is what
     // the ticket is about, which is as much where the type is ticketed.
-    let (outer_limit, window) = desk.class_limits.get(traffic).copied().unwrap_or_default();
+    let limits = desk.class_limits.get(traffic).copied().unwrap_or_default();
+    let (outer_limit, window) = (limits.deadline, limits.key_window);
     let name = nonce.or(entity.filter(|_| window.is_some()));
     // Where the node is in a group, it is the group that knows what a ticketed one repeats.
     let agreed = window.filter(|_| desk.group.is_some()).zip(name);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -127,7 +127,7 @@
         let start = config.start(Duration::ZERO, false)?;
         let (counts, link) = (Rc::new(Counts::default()), Rc::new(agent::Link::default()));
         let pool = Rc::new(downstream::Pool::new(config.peers.below));
-        let mut names: Vec<(&String, &usize)> = start.types.iter().collect();
+        let mut names: Vec<(&String, &usize)> = start.classes.iter().collect();
         names.sort_by_key(|name| name.1);
         let type_names = names
             .iter()
@@ -137,9 +137,9 @@
             let mut desk = RequestTable::new(hub.clone(), counts.clone(), link.clone(), pool);
             desk.class_names = type_names;
             desk.result_cache = result_cache::ResultCache::within(config.memory);
-            (desk.classes, desk.tenants) = (start.types, start.tenants);
-            (desk.fresh, desk.can_pause) = (start.fresh, start.can_stop);
-            desk.class_limits = start.kinds;
+            (desk.classes, desk.tenants) = (start.classes, start.tenants);
+            (desk.fresh, desk.can_pause) = (start.max_result_age, start.can_cancel_runs);
+            desk.class_limits = start.class_limits;
             Self {
                 peer_addresses: Cell::new(config.peers),
                 reloaded_config: RefCell::new(None),
@@ -154,10 +154,10 @@
                 link,
                 record: OnceCell::new(),
                 gauge_names: RefCell::new(start.gauges),
-                idle_timeout: Cell::new(start.idle),
-                drain_grace: Cell::new(start.grace),
-                max_retry_after: Cell::new(start.longest_pause),
-                registry_follows_health: Cell::new(start.listed_by_state),
+                idle_timeout: Cell::new(start.idle_timeout),
+                drain_grace: Cell::new(start.drain_grace),
+                max_retry_after: Cell::new(start.max_retry_after),
+                registry_follows_health: Cell::new(start.registry_follows_health),
                 leaving: Cell::new(None),
                 listener: RefCell::new(None),
                 report_wakeup: Notify::new(),
@@ -217,7 +217,7 @@
             since_ms = ago.as_millis(),
             cold = cold
         );
-        controller.insert(start.node).begin(now, desk);
+        controller.insert(start.controller).begin(now, desk);
         drop(core);
         // Guards against tickets that are run past the kill: a module that begins late hears of it too.
         drain::tell_module(self);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -90,22 +90,25 @@
 pub fn retune(hub: &NodeContext, mut config: Config) -> Result<(), String> {
     let mut core = hub.core.borrow_mut();
     let Core { controller, desk } = &mut *core;
-    config.settings = rainstand_settings::in_order(&config.settings, &desk.classes, &desk.tenants)?;
+    config.settings =
+        rainstand_settings::align_names(&config.settings, &desk.classes, &desk.tenants)?;
     let start = config.start(desk.now(), false)?;
-    (desk.fresh, desk.can_pause, desk.class_limits) = (start.fresh, start.can_stop, start.kinds);
+    (desk.fresh, desk.can_pause) = (start.max_result_age, start.can_cancel_runs);
+    desk.class_limits = start.class_limits;
     *hub.gauge_names.borrow_mut() = start.gauges;
-    hub.idle_timeout.set(start.idle);
-    hub.drain_grace.set(start.grace);
-    hub.max_retry_after.set(start.longest_pause);
-    hub.registry_follows_health.set(start.listed_by_state);
+    hub.idle_timeout.set(start.idle_timeout);
+    hub.drain_grace.set(start.drain_grace);
+    hub.max_retry_after.set(start.max_retry_after);
+    hub.registry_follows_health
+        .set(start.registry_follows_health);
     if let Some(node) = controller {
-        node.reconfigure(start.node);
+        node.reconfigure(start.controller);
     }
     note!(
         "retune",
         "settings taken",
-        can_stop = start.can_stop,
-        longest_ms = start.longest_pause.as_millis()
+        can_stop = start.can_cancel_runs,
+        longest_ms = start.max_retry_after.as_millis()
     );
     drop(core);
     *hub.reloaded_config.borrow_mut() = Some(config);
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -8,6 +8,7 @@
 use crate::result_cache::{IdempotencyKey, ResultCache};
 use crate::{agent, NodeContext};
 use rainstand::{Gauges, Outcome};
+use rainstand_settings::ClassLimits;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -32,7 +33,7 @@
     /// What is owed once a result is agreed on.
     pub awaiting_commit: HashMap<u64, PendingReply>,
     /// Of each traffic type: its outer limit, and the window of a ticketed one.
-    pub class_limits: Vec<(Duration, Option<Duration>)>,
+    pub class_limits: Vec<ClassLimits>,
     /// What the bodies of all tickets in hand take.
     pub body_bytes: usize,
     /// Ends that the node itself brought about, still to be told to the decision module.
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -1,52 +1,111 @@
 //! Reading one field of a JSON object, with an error that names it.
 
+use crate::SettingsError;
 use serde_json::{Map, Value};
 use std::time::Duration;
 
+/// The fields of a JSON object.
 pub type Fields = Map<String, Value>;
 
-pub fn text_of<'a>(fields: &'a Fields, key: &str) -> Result<&'a str, String> {
+/// A text field.
+///
+/// # Errors
+/// If it is missing or no text.
+pub fn text_of<'a>(fields: &'a Fields, key: &str) -> Result<&'a str, SettingsError> {
     let value = fields.get(key).and_then(Value::as_str);
-    value.ok_or_else(|| format!("{key}: no text there"))
+    value.ok_or_else(|| SettingsError::MissingText {
+        key: key.to_owned(),
+    })
 }
 
-pub fn object<'a>(fields: &'a Fields, key: &str) -> Result<&'a Fields, String> {
+/// An object.
+///
+/// # Errors
+/// If it is missing or no object.
+pub fn object<'a>(fields: &'a Fields, key: &str) -> Result<&'a Fields, SettingsError> {
     let value = fields.get(key).and_then(Value::as_object);
-    value.ok_or_else(|| format!("{key}: no object there"))
+    value.ok_or_else(|| SettingsError::MissingObject {
+        key: key.to_owned(),
+    })
 }
 
+/// A list, empty if it is missing or no list.
 pub fn list<'a>(fields: &'a Fields, key: &str) -> &'a [Value] {
     let value = fields.get(key).and_then(Value::as_array);
     value.map_or(&[], Vec::as_slice)
 }
 
-pub fn optional(fields: &Fields, key: &str) -> Result<Option<f64>, String> {
+/// An entry of a list as an object.
+///
+/// # Errors
+/// If it is no object; the error names the list by `key`.
+pub fn entry_object<'a>(entry: &'a Value, key: &str) -> Result<&'a Fields, SettingsError> {
+    let value = entry.as_object();
+    value.ok_or_else(|| SettingsError::EntryNotAnObject {
+        key: key.to_owned(),
+    })
+}
+
+/// A number that may be missing or null.
+///
+/// # Errors
+/// If it is there and no number.
+pub fn optional(fields: &Fields, key: &str) -> Result<Option<f64>, SettingsError> {
     match fields.get(key) {
         None | Some(Value::Null) => Ok(None),
         Some(value) => match value.as_f64() {
             Some(number) => Ok(Some(number)),
-            None => Err(format!("{key}: not a number")),
+            None => Err(SettingsError::NotANumber {
+                key: key.to_owned(),
+            }),
         },
     }
 }
 
-pub fn number(fields: &Fields, key: &str) -> Result<f64, String> {
-    optional(fields, key)?.ok_or_else(|| format!("{key}: no number there"))
+/// A number.
+///
+/// # Errors
+/// If it is missing or no number.
+pub fn number(fields: &Fields, key: &str) -> Result<f64, SettingsError> {
+    optional(fields, key)?.ok_or_else(|| SettingsError::MissingNumber {
+        key: key.to_owned(),
+    })
 }
 
-pub fn whole(fields: &Fields, key: &str) -> Result<u64, String> {
+/// An unsigned integer.
+///
+/// # Errors
+/// If it is missing, or no integer of 0 or more.
+pub fn unsigned(fields: &Fields, key: &str) -> Result<u64, SettingsError> {
     let value = fields.get(key).and_then(Value::as_u64);
-    value.ok_or_else(|| format!("{key}: no whole number there"))
+    value.ok_or_else(|| SettingsError::MissingUnsigned {
+        key: key.to_owned(),
+    })
 }
 
+/// A flag, false if it is missing or no boolean.
 pub fn flag(fields: &Fields, key: &str) -> bool {
     fields.get(key).and_then(Value::as_bool).unwrap_or(false)
 }
 
-pub fn seconds(s: f64) -> Result<Duration, String> {
-    Duration::try_from_secs_f64(s).map_err(|e| format!("{s} s: {e}"))
+/// A duration of that many seconds.
+///
+/// # Errors
+/// If the number is negative, not finite or too large.
+pub fn seconds(number: f64) -> Result<Duration, SettingsError> {
+    Duration::try_from_secs_f64(number).map_err(|source| SettingsError::InvalidDuration {
+        seconds: number,
+        source,
+    })
 }
 
-pub fn span(fields: &Fields, key: &str) -> Result<Duration, String> {
-    seconds(number(fields, key)?).map_err(|e| format!("{key}: {e}"))
+/// A duration from a number of seconds.
+///
+/// # Errors
+/// If it is missing, no number, or no duration.
+pub fn duration(fields: &Fields, key: &str) -> Result<Duration, SettingsError> {
+    seconds(number(fields, key)?).map_err(|source| SettingsError::InvalidDurationField {
+        key: key.to_owned(),
+        source: Box::new(source),
+    })
 }
--- /dev/null
+++ b/crates/simhost/src/fleet.rs
@@ -0,0 +1,81 @@
+//! The simulated nodes of one process, and which of them a message is for.
+
+use crate::node::Node;
+use crate::MessageError;
+use rainstand_settings::fields::{duration, text_of, Fields};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The nodes of this process; they share nothing but the clock.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    now: Duration,
+    nodes: BTreeMap<String, Node>,
+}
+
+/// What a message was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Handled {
+    /// An event; more of its batch follow.
+    Event,
+    /// The end of a batch: its answer is complete.
+    EndOfBatch,
+}
+
+impl Fleet {
+    /// Handles one message, and appends what it is answered with to `reply`. Unknown messages are ignored.
+    pub(crate) fn handle(
+        &mut self,
+        text: &[u8],
+        reply: &mut Vec<u8>,
+    ) -> Result<Handled, MessageError> {
+        let value: Value = serde_json::from_slice(text).map_err(MessageError::NotJson)?;
+        let Value::Object(fields) = value else {
+            return Err(MessageError::NotAnObject);
+        };
+        let message = text_of(&fields, "msg")?;
+        match message {
+            "clock" => self.now = duration(&fields, "atTimeS")?,
+            "go" => {
+                reply.extend_from_slice(b"{\"msg\":\"done\"}\n");
+                return Ok(Handled::EndOfBatch);
+            }
+            "born" => self.start_node(&fields, reply)?,
+            "halt" => {
+                self.nodes.remove(text_of(&fields, "nodeId")?);
+            }
+            "ask" | "completed" | "quiesce" | "reminder" | "stalledOnCall" | "clientLeft"
+            | "callEnded" => self.node_event(message, &fields, reply)?,
+            _ => {}
+        }
+        Ok(Handled::Event)
+    }
+
+    fn start_node(&mut self, fields: &Fields, reply: &mut Vec<u8>) -> Result<(), MessageError> {
+        let name = text_of(fields, "nodeId")?.to_owned();
+        let started = Node::start(name.clone(), self.now, fields);
+        let mut node = started.map_err(|error| error.in_event("born"))?;
+        node.take_orders(reply);
+        self.nodes.insert(name, node);
+        Ok(())
+    }
+
+    fn node_event(
+        &mut self,
+        event: &str,
+        fields: &Fields,
+        reply: &mut Vec<u8>,
+    ) -> Result<(), MessageError> {
+        let name = text_of(fields, "nodeId")?;
+        let unknown = || MessageError::UnknownNode {
+            event: event.to_owned(),
+            node: name.to_owned(),
+        };
+        let node = self.nodes.get_mut(name).ok_or_else(unknown)?;
+        let handled = node.handle(self.now, event, fields);
+        handled.map_err(|error| error.in_event(event))?;
+        node.take_orders(reply);
+        Ok(())
+    }
+}
