--- /dev/null
+++ b/crates/invariants/src/checker.rs
@@ -0,0 +1,388 @@
+//! The checker: the state of each request, and the rules over it.
+
+use crate::{Answer, Broken, Kind, Step};
+use foldhash::HashMap;
+use std::time::Duration;
+
+/// Steps stored of one request: its arrival, and a run and an answer for each of some attempts.
+pub const STEPS: usize = 24;
+
+/// Rule 1: no request is lost.
+const NO_REQUEST_LOST: u8 = 1;
+/// Rule 2: no effect happens twice.
+const NO_EFFECT_TWICE: u8 = 2;
+/// Rule 3: a front drains before it is gone.
+const SAFE_DRAIN: u8 = 3;
+/// Rule 4: whatever has a bound stays within it.
+const WITHIN_BOUNDS: u8 = 4;
+
+/// What is known of one request.
+#[derive(Debug)]
+struct RequestState {
+    kind: Kind,
+    deadline: Duration,
+    front: u32,
+    runs: u32,
+    shared: bool,
+    /// Runs that no mark excuses.
+    unmarked_runs: u32,
+    answer: Option<Answer>,
+    caller_left: bool,
+    steps: Vec<(Duration, Step)>,
+}
+
+impl RequestState {
+    fn is_open(&self) -> bool {
+        self.answer.is_none() && !self.caller_left
+    }
+
+    fn is_open_at(&self, front: u32) -> bool {
+        self.front == front && self.is_open()
+    }
+
+    fn was_served(&self) -> bool {
+        self.runs > 0 || self.shared
+    }
+}
+
+/// Counts of the steps of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests.
+    pub asked: u64,
+    /// Attempts at members.
+    pub tried: u64,
+    /// Runs.
+    pub ran: u64,
+    /// Requests answered with a result.
+    pub honoured: u64,
+    /// Requests answered as rejected.
+    pub dismissed: u64,
+    /// Requests answered as failed.
+    pub given_up: u64,
+    /// Requests answered with an application exception.
+    pub exceptions: u64,
+    /// Requests whose caller left before an answer.
+    pub left: u64,
+}
+
+/// The checker of the four rules, see the crate's documentation.
+#[derive(Debug, Default)]
+pub struct Rules {
+    requests: HashMap<u64, RequestState>,
+    open: u64,
+    tally: Tally,
+    /// Open requests of each front.
+    open_by_front: HashMap<u32, u64>,
+    first_violation: Option<Broken>,
+    /// Requests that are over are dropped so long after their deadline; none: never.
+    retention: Option<Duration>,
+}
+
+impl Rules {
+    /// For long runs: requests that are over are dropped `after` their deadline, so a run that comes even later
+    /// would not be seen. It should be the longest that anything may take.
+    pub fn forgetting(after: Duration) -> Self {
+        Self {
+            retention: Some(after),
+            ..Self::default()
+        }
+    }
+
+    /// Requests without an answer whose caller waits.
+    pub fn open(&self) -> u64 {
+        self.open
+    }
+
+    /// Counts of all steps so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Requests whose state is stored.
+    pub fn known(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The first violation.
+    pub fn broken(&self) -> Option<&Broken> {
+        self.first_violation.as_ref()
+    }
+
+    /// The answer to a request, if it has one.
+    pub fn answer(&self, ticket: u64) -> Option<Answer> {
+        self.requests.get(&ticket)?.answer
+    }
+
+    fn violation(
+        &mut self,
+        rule: u8,
+        at: Duration,
+        request: Option<u64>,
+        why: impl Into<String>,
+    ) -> Result<(), Broken> {
+        let state = request.and_then(|request| self.requests.get(&request));
+        let steps = state.map(|state| state.steps.clone()).unwrap_or_default();
+        let broken = Broken {
+            rule,
+            at,
+            ticket: request,
+            why: why.into(),
+            steps,
+        };
+        self.first_violation.get_or_insert(broken.clone());
+        Err(broken)
+    }
+
+    /// One step of one request.
+    ///
+    /// # Errors
+    /// The rule that it violates.
+    pub fn saw(&mut self, at: Duration, ticket: u64, step: Step) -> Result<(), Broken> {
+        if let Step::Asked { kind, due, front } = step {
+            return self.on_asked(at, ticket, kind, due, front);
+        }
+        let Some(state) = self.requests.get_mut(&ticket) else {
+            // A request that was dropped may still be tried or run: late, and known to be over.
+            return match step {
+                Step::Answered(_) => {
+                    let why = "an answer to nothing that was asked";
+                    self.violation(NO_REQUEST_LOST, at, Some(ticket), why)
+                }
+                _ => Ok(()),
+            };
+        };
+        if state.steps.len() < STEPS {
+            state.steps.push((at, step));
+        }
+        match step {
+            Step::Asked { .. } => Ok(()),
+            Step::Tried { .. } => {
+                self.tally.tried += 1;
+                Ok(())
+            }
+            Step::Ran { marked, .. } => self.on_ran(at, ticket, marked),
+            Step::Shared => {
+                state.shared = true;
+                Ok(())
+            }
+            Step::Left => {
+                if state.is_open() {
+                    state.caller_left = true;
+                    self.tally.left += 1;
+                    self.close(ticket);
+                }
+                Ok(())
+            }
+            Step::Answered(answer) => self.on_answered(at, ticket, answer),
+        }
+    }
+
+    fn on_asked(
+        &mut self,
+        at: Duration,
+        request: u64,
+        kind: Kind,
+        deadline: Duration,
+        front: u32,
+    ) -> Result<(), Broken> {
+        if self.requests.contains_key(&request) {
+            return self.violation(
+                NO_REQUEST_LOST,
+                at,
+                Some(request),
+                "asked twice under one number",
+            );
+        }
+        let state = RequestState {
+            kind,
+            deadline,
+            front,
+            runs: 0,
+            shared: false,
+            unmarked_runs: 0,
+            answer: None,
+            caller_left: false,
+            steps: vec![(
+                at,
+                Step::Asked {
+                    kind,
+                    due: deadline,
+                    front,
+                },
+            )],
+        };
+        self.requests.insert(request, state);
+        self.tally.asked += 1;
+        self.open += 1;
+        *self.open_by_front.entry(front).or_default() += 1;
+        Ok(())
+    }
+
+    fn on_ran(&mut self, at: Duration, request: u64, marked: bool) -> Result<(), Broken> {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return Ok(());
+        };
+        self.tally.ran += 1;
+        state.runs += 1;
+        state.unmarked_runs += u32::from(!marked);
+        let (runs, unmarked) = (state.runs, state.unmarked_runs);
+        let rejected = state.answer == Some(Answer::Dismissed);
+        let why = match state.kind {
+            Kind::Rerunnable => return Ok(()),
+            _ if rejected => "ran after it was dismissed".to_owned(),
+            Kind::Exclusive if runs > 1 => format!("an exclusive ticket ran {runs} times"),
+            Kind::Ticketed if unmarked > 1 => {
+                format!("a ticketed one ran {unmarked} times without a mark")
+            }
+            Kind::Ticketed | Kind::Exclusive => return Ok(()),
+        };
+        self.violation(NO_EFFECT_TWICE, at, Some(request), why)
+    }
+
+    fn on_answered(&mut self, at: Duration, request: u64, answer: Answer) -> Result<(), Broken> {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return Ok(());
+        };
+        if state.caller_left {
+            // The answer and the caller's leaving crossed: nobody reads it.
+            return Ok(());
+        }
+        if state.answer.is_some() {
+            return self.violation(NO_REQUEST_LOST, at, Some(request), "a second answer");
+        }
+        state.answer = Some(answer);
+        let (kind, runs, deadline) = (state.kind, state.runs, state.deadline);
+        let served = state.was_served();
+        self.count(answer);
+        self.close(request);
+        if at > deadline {
+            let why = format!("answered after {deadline:?}, its due time");
+            return self.violation(NO_REQUEST_LOST, at, Some(request), why);
+        }
+        if answer == Answer::Dismissed && kind != Kind::Rerunnable && runs > 0 {
+            return self.violation(
+                NO_EFFECT_TWICE,
+                at,
+                Some(request),
+                "dismissed though it ran",
+            );
+        }
+        if answer == Answer::Honoured && !served {
+            return self.violation(
+                NO_REQUEST_LOST,
+                at,
+                Some(request),
+                "honoured though it never ran",
+            );
+        }
+        Ok(())
+    }
+
+    fn count(&mut self, answer: Answer) {
+        let count = match answer {
+            Answer::Honoured => &mut self.tally.honoured,
+            Answer::Dismissed => &mut self.tally.dismissed,
+            Answer::GivenUp => &mut self.tally.given_up,
+            Answer::Exception => &mut self.tally.exceptions,
+        };
+        *count += 1;
+    }
+
+    fn close(&mut self, request: u64) {
+        self.open -= 1;
+        let front = self.requests.get(&request).map(|state| state.front);
+        if let Some(open) = front.and_then(|front| self.open_by_front.get_mut(&front)) {
+            *open -= 1;
+        }
+    }
+
+    /// The lowest number of a request that `matches`: the same run reports the same request, whatever the order
+    /// of the map.
+    fn lowest(&self, matches: impl Fn(&RequestState) -> bool) -> Option<u64> {
+        let matching = self.requests.iter().filter(|(_, state)| matches(state));
+        matching.map(|(request, _)| *request).min()
+    }
+
+    /// Time passed: a request without an answer past its deadline is lost. Goes through all requests stored.
+    ///
+    /// # Errors
+    /// The first that is lost.
+    pub fn look(&mut self, now: Duration) -> Result<(), Broken> {
+        if let Some(lost) = self.lowest(|state| state.is_open() && state.deadline < now) {
+            return self.violation(
+                NO_REQUEST_LOST,
+                now,
+                Some(lost),
+                "no answer by its due time",
+            );
+        }
+        if let Some(retention) = self.retention {
+            self.requests
+                .retain(|_, state| state.is_open() || state.deadline + retention > now);
+        }
+        Ok(())
+    }
+
+    /// A front that drained is gone: no request there may be open. Callers whose connections it closed have left.
+    ///
+    /// # Errors
+    /// How many requests are open there.
+    pub fn gone(&mut self, at: Duration, front: u32) -> Result<(), Broken> {
+        let open = self.open_by_front.get(&front).copied().unwrap_or(0);
+        if open == 0 {
+            return Ok(());
+        }
+        let first = self.lowest(|state| state.is_open_at(front));
+        let why = format!("front {front} is gone and owes {open} answers");
+        self.violation(SAFE_DRAIN, at, first, why)
+    }
+
+    /// Something that has a bound, by its name for people.
+    ///
+    /// # Errors
+    /// If it is past its bound.
+    pub fn within(
+        &mut self,
+        at: Duration,
+        what: &str,
+        size: u64,
+        bound: u64,
+    ) -> Result<(), Broken> {
+        if size <= bound {
+            return Ok(());
+        }
+        let why = format!("{what}: {size}, its bound is {bound}");
+        self.violation(WITHIN_BOUNDS, at, None, why)
+    }
+
+    /// Retries of one program against their budget: `share` of first attempts, and `start` more.
+    ///
+    /// # Errors
+    /// If there were more.
+    pub fn budget(
+        &mut self,
+        at: Duration,
+        first: u64,
+        further: u64,
+        share: f64,
+        start: u64,
+    ) -> Result<(), Broken> {
+        let bound = start + (first as f64 * share) as u64;
+        self.within(at, "further tries", further, bound)
+    }
+
+    /// The run is over: every request has its answer, or its caller left.
+    ///
+    /// # Errors
+    /// The first violation of the whole run, or a request without an answer.
+    pub fn over(&mut self, at: Duration) -> Result<Tally, Broken> {
+        if self.open > 0 {
+            let first = self.lowest(RequestState::is_open);
+            let why = format!("{} tickets without an answer at the end", self.open);
+            // It counts only if it is the first violation, which is returned below.
+            let _ = self.violation(NO_REQUEST_LOST, at, first, why);
+        }
+        self.first_violation.clone().map_or(Ok(self.tally), Err)
+    }
+}
