--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -38,11 +38,11 @@
     run(t: usize) "run {t}";
     cancel_run(t: usize) "cancel_run {t}";
     reply_from_cache(t: usize) "reply_from_cache {t}";
-    cache_result(t: usize, span: Duration) "keep {t} {}" (span.as_millis());
-    discard_result(t: usize) "forget {t}";
-    reject(t: usize, back: Duration, not: bool) "reject {t} {}{}" (back.as_millis(), NOWHERE[usize::from(not)]);
-    fail(t: usize) "give_up {t}";
-    call_downstream(t: usize, deadline: Duration) "call {t} {}" (deadline.as_millis());
+    cache_result(t: usize, span: Duration) "cache_result {t} {}" (span.as_millis());
+    discard_result(t: usize) "discard_result {t}";
+    reject(t: usize, back: Duration, not: bool) "reject {t} {}{}" (back.as_millis(), TERMINAL[usize::from(not)]);
+    fail(t: usize) "fail {t}";
+    call_downstream(t: usize, deadline: Duration) "call_downstream {t} {}" (deadline.as_millis());
     reply_degraded(t: usize) "reply_degraded {t}";
     advertise_load(amount: f64) "advertise_load {amount}";
     set_health(good: bool) "set_health {good}";
@@ -50,7 +50,7 @@
     release(t: usize) "release {t}";
 }
 
-const NOWHERE: [&str; 2] = ["", " nowhere_else"];
+const TERMINAL: [&str; 2] = ["", " terminal"];
 
 /// Two cores, two tenants of one ticket a second over two servers, types by `Repeats`.
 pub struct Rig {
@@ -68,7 +68,7 @@
     pub servers: usize,
     pub cores: usize,
     pub repeats: Repeatability,
-    pub poorer: f64,
+    pub degraded_share: f64,
     pub factor: f64,
     pub cold: Option<ColdStart>,
     pub memory_kb: f64,
@@ -82,7 +82,7 @@
 impl Default for Settings {
     fn default() -> Self {
         let (quotas, servers, cores, repeats) = (&[1.0, 1.0], 2, 2, Repeatability::Idempotent);
-        let (poorer, factor, cold, memory_kb, share, marked) =
+        let (degraded_share, factor, cold, memory_kb, share, marked) =
             (0.0, 6.0, None, 10_000.0, None, true);
         let (callers, dear) = (900, false);
         Self {
@@ -90,7 +90,7 @@
             servers,
             cores,
             repeats,
-            poorer,
+            degraded_share,
             factor,
             cold,
             memory_kb,
@@ -105,13 +105,14 @@
 impl Rig {
     /// A module with these settings, not begun.
     pub fn module(s: Settings) -> AdmissionController {
-        let (goal_time, outer_limit, poorer, repeats) = (ms(2_000), ms(5_000), s.poorer, s.repeats);
+        let (latency_objective, deadline, degraded_share, repeats) =
+            (ms(2_000), ms(5_000), s.degraded_share, s.repeats);
         let kind = RequestClass {
-            latency_objective: goal_time,
-            deadline: outer_limit,
+            latency_objective,
+            deadline,
             value: 1.0,
             late_share: 0.0,
-            degraded_share: poorer,
+            degraded_share,
             repeatability: repeats,
         };
         let parts = Parts {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn only_an_overspender_is_dismissed_and_only_while_pressed() {
+fn only_a_tenant_over_its_quota_is_rejected_and_only_under_overload() {
     // (what was spent by tenant, busy, waited unread, tenant, dismissed)
     let cases: [Case; 5] = [
         (&[(0, 900), (1, 100)], true, 400, 0, true),
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn where_the_slice_holds_few_charges_one_more_proves_nothing() {
+fn one_charge_beyond_a_small_quota_is_tolerated() {
     // (runs in a row by a tenant whose slice holds two, dismissed)
     for (runs, dismissed) in [(3, false), (6, true)] {
         let mut rig = Rig::new(Settings::default()).at(0.0);
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn the_delay_told_is_what_is_left_of_x() {
+fn retry_after_is_the_remaining_quota_delay() {
     // Nine tenths of all was spent by a tenant of half the quota: X = (0.9 / 0.5 - 1) W, 3.2 s at
     // most and fading with its runs; 1 s is the longest that is heeded.
     let mut rig = Rig::new(Settings::default());
@@ -124,7 +124,7 @@
 }
 
 #[test]
-fn before_the_charge_is_known_and_without_tenants_nobody_is_dismissed_for_it() {
+fn nobody_is_rejected_before_the_mean_charge_is_known_or_without_a_tenant() {
     for (tenant, runs) in [(Some(0), 1), (None, 9)] {
         let mut rig = Rig::new(Settings::default());
         (0..runs).for_each(|_| {
@@ -185,7 +185,7 @@
 }
 
 #[test]
-fn the_limit_starts_at_the_cores_and_climbs_while_they_sit_free() {
+fn the_limit_starts_at_the_cores_and_climbs_while_they_are_idle() {
     // (gauge, whether more of thirty run after 900 ms); ten cores, so that a step of a tenth adds one
     for (busy, more) in [(1.0, false), (0.5, true)] {
         let mut rig = Rig::new(Settings {
@@ -210,7 +210,7 @@
 }
 
 #[test]
-fn a_tenant_within_its_share_goes_first() {
+fn a_tenant_within_its_quota_is_served_first() {
     let mut rig = Rig::new(Settings::default());
     spend(&mut rig, &[(0, 900), (1, 100)]);
     (0..4).for_each(|ix| rig.tenant(ix, usize::from(ix == 3)));
@@ -220,7 +220,7 @@
 }
 
 #[test]
-fn the_limit_never_climbs_past_one_and_a_half_tickets_a_core() {
+fn the_limit_never_exceeds_one_and_a_half_requests_per_core() {
     // Free cores for a long while, work held all along, runs ending: on the machines of the move a crowd
     // past that gets much less done in all, and waits on calls do not show it as busy cores.
     let mut rig = Rig::new(Settings {
@@ -266,7 +266,7 @@
 
 /// itajai-exchange, archiv-lehota-later: half of a run waits on disk, and cores stood free behind a full limit.
 #[test]
-fn runs_that_mostly_wait_on_disk_leave_room_and_a_gauge_that_lags_once_does_not() {
+fn disk_waits_raise_the_limit_but_a_single_lagging_gauge_does_not() {
     // (how many of ten beats show one of two runs off the cores, runs that go in hand of the tickets that wait)
     for (off, ran) in [(0, 2), (2, 2), (10, 3)] {
         let mut rig = Rig::new(Settings::default());
@@ -286,7 +286,7 @@
 /// With a walk over all tenants for each of them one of these tickets took seconds, and a minute is a hundred times
 /// what all of them take.
 #[test]
-fn among_many_tenants_a_ticket_costs_no_walk_over_them_for_each() {
+fn the_cost_of_a_request_does_not_grow_with_the_square_of_tenants() {
     static QUOTAS: [f64; 23_000] = [1.0; 23_000];
     let begun = Instant::now();
     let mut rig = Rig::new(Settings {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -13,7 +13,7 @@
 use rainstand::{Arrival, Gauges, Outcome, Parts, Repeatability};
 
 #[test]
-fn a_node_whose_runs_fail_keeps_tickets_away_but_for_a_trickle() {
+fn an_unhealthy_node_rejects_all_but_probe_requests() {
     let mut rig = Rig::new(Settings::default()).at(0.2);
     for _ in 0..6 {
         rig.tenant(0, 0);
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn made_up_tickets_take_no_tenants_room_and_teach_no_run_time() {
+fn requests_that_never_start_use_no_quota_and_no_run_time_sample() {
     // The flood would make an overspender many times over of the tenant whose name it bears.
     let mut rig = Rig::new(Settings::default());
     for _ in 0..30 {
@@ -77,7 +77,7 @@
 }
 
 #[test]
-fn a_node_whose_work_hangs_sends_tickets_on() {
+fn a_node_with_hung_runs_rejects_requests() {
     let mut rig = Rig::new(Settings::default());
     rig.tenant(0, 0);
     rig.pass(ms(1_400));
@@ -99,7 +99,7 @@
 }
 
 #[test]
-fn what_was_read_too_old_for_its_goal_time_yields_on_a_busy_node() {
+fn a_request_read_too_late_for_its_objective_is_rejected_on_busy_cores() {
     // (gauge, waited unread, dismissed); runs take 500 ms of a goal time of 2 s
     for (busy, waited, dismissed) in [(1.0, 1_600, 1), (1.0, 200, 0), (0.3, 1_600, 0)] {
         let mut rig = Rig::new(Settings::default()).at(0.3);
@@ -117,7 +117,7 @@
 }
 
 #[test]
-fn what_would_be_cut_off_undone_is_not_begun_on_full_cores() {
+fn a_request_without_time_for_its_usual_run_is_rejected_on_busy_cores() {
     // (usual hint, gauge, hint of the size, patience, begun); a usual one runs 400 ms. A start needs one
     // and a half usual runs before it is due: runs spread far above their mean on two slowed cores, and
     // on lakes-preview and sicily-prices at full size a fifth of the answers came after the goal time.
@@ -153,7 +153,7 @@
 }
 
 #[test]
-fn a_ticket_is_asked_to_go_nowhere_else_only_where_the_fleet_seems_full() {
+fn a_rejection_is_terminal_only_when_the_fleet_seems_overloaded() {
     // (tries are marked, this one is a further try, many before were, nowhere else)
     let cases = [
         (true, false, false, false),
@@ -161,7 +161,7 @@
         (true, false, true, true),
         (false, false, false, true),
     ];
-    for (marked, again, many, nowhere_else) in cases {
+    for (marked, again, many, terminal) in cases {
         let mut rig = Rig::new(Settings {
             marked,
             ..Settings::default()
@@ -187,15 +187,15 @@
         );
         let orders = rig.take();
         assert_eq!(
-            orders[0].ends_with("nowhere_else"),
-            nowhere_else,
+            orders[0].ends_with("terminal"),
+            terminal,
             "{marked} {again} {many}: {orders:?}"
         );
     }
 }
 
 #[test]
-fn what_is_being_read_counts_against_the_limit() {
+fn threads_that_read_requests_count_against_the_limit() {
     // (wanting a core beside the runs, how many of five run on two cores)
     for (reading, runs) in [(0.0, 2), (1.0, 1), (9.0, 1)] {
         let mut rig = Rig::new(Settings::default());
@@ -211,9 +211,9 @@
 }
 
 #[test]
-fn a_call_below_that_slows_is_paced_and_left_out_in_time() {
+fn slow_downstream_calls_are_rate_limited_and_skipped_in_time() {
     let mut rig = Rig::new(Settings {
-        poorer: 0.5,
+        degraded_share: 0.5,
         ..Settings::default()
     })
     .at(0.0);
@@ -226,7 +226,11 @@
     rig.take();
     rig.calling(0, 0);
     let orders = rig.take();
-    let until: u64 = orders[1].strip_prefix("call 0 ").unwrap().parse().unwrap();
+    let until: u64 = orders[1]
+        .strip_prefix("call_downstream 0 ")
+        .unwrap()
+        .parse()
+        .unwrap();
     assert!(
         until < rig.now.as_millis() as u64 + 2_000,
         "in time for the goal time"
@@ -237,18 +241,18 @@
 }
 
 #[test]
-fn the_pace_outlives_a_third_of_calls_unanswered_but_not_most() {
+fn the_call_rate_survives_a_third_of_calls_timing_out_but_not_most() {
     // (one call in so many is answered, least and most of ten calls made in the second after)
     for (answered, least, most) in [((2, 3), 4, 10), ((1, 4), 1, 6)] {
         let mut rig = Rig::new(Settings {
-            poorer: 0.5,
+            degraded_share: 0.5,
             ..Settings::default()
         })
         .at(0.0);
         let mut calls = 0;
         for _ in 0..90 {
             rig.calling(0, 0);
-            while rig.count("call") > 0 {
+            while rig.count("call_downstream") > 0 {
                 rig.pass(ms(60));
                 calls += 1;
                 let well = calls % answered.1 < answered.0;
@@ -270,13 +274,13 @@
             rig.calling(ix, 0);
             rig.pass(ms(100));
         }
-        let made = rig.count("call");
+        let made = rig.count("call_downstream");
         assert!(made >= least && made <= most, "{answered:?}: {made}");
     }
 }
 
 #[test]
-fn the_pace_stays_with_what_comes_back_and_calls_without_time_prove_nothing() {
+fn the_call_rate_follows_successes_and_ignores_calls_without_time() {
     // How calls that took 100 ms come back later on, and the least of ten made in the second after.
     let cases = [
         (1_500, Outcome::Succeeded, 4),
@@ -300,7 +304,7 @@
         rig.take();
         (0..10).for_each(|ix| rig.calling(ix, 0));
         rig.pass(ms(1_100));
-        let made = rig.count("call");
+        let made = rig.count("call_downstream");
         assert!(
             made >= least && (least > 1 || made < 10),
             "{span} {outcome:?}: {made}"
@@ -309,7 +313,7 @@
 }
 
 #[test]
-fn an_exclusive_ticket_with_no_time_left_for_its_call_is_given_up_and_the_newest_calls_first() {
+fn a_non_idempotent_request_without_time_for_its_call_fails_and_the_newest_calls_first() {
     let (repeats, share) = (
         Repeatability::NonIdempotent,
         shared(0.4, ms(5_000), ms(200)),
@@ -331,32 +335,32 @@
     let calls: Vec<String> = rig
         .take()
         .into_iter()
-        .filter(|order| order.starts_with("call"))
+        .filter(|order| order.starts_with("call_downstream"))
         .collect();
     assert!(
-        calls.len() == 1 && calls[0].starts_with("call 2"),
+        calls.len() == 1 && calls[0].starts_with("call_downstream 2"),
         "{calls:?}"
     );
     rig.pass(ms(4_800));
     assert_eq!(
-        rig.count("give_up 1"),
+        rig.count("fail 1"),
         1,
         "400 ms before it is due, not when it is"
     );
 }
 
 #[test]
-fn a_call_with_too_little_time_left_is_not_made_and_the_dearest_goes_first() {
+fn a_call_with_too_little_time_is_not_made_and_the_most_valuable_goes_first() {
     // A share of calls at once that is used up: the last one stands until it is left out, uncalled.
     let share = shared(0.6, ms(5_000), ms(200));
     let mut rig = Rig::new(Settings {
-        poorer: 0.5,
+        degraded_share: 0.5,
         share,
         ..Settings::default()
     });
     (0..3).for_each(|ix| rig.calling(ix, 0));
     rig.pass(ms(2_020));
-    assert_eq!(rig.count("call 2"), 0);
+    assert_eq!(rig.count("call_downstream 2"), 0);
 }
 
 /// Incident i889ff1: two calls a node in one second crowded what is below thirteen times over, and used up
@@ -367,16 +371,16 @@
     for (share, at_once) in [(0.75, 1), (8.0, 2)] {
         let share = shared(share, ms(5_000), ms(200));
         let mut rig = Rig::new(Settings {
-            poorer: 0.5,
+            degraded_share: 0.5,
             share,
             ..Settings::default()
         })
         .at(0.0);
         (0..2).for_each(|ix| rig.calling(ix, 0));
-        assert_eq!(rig.count("call "), at_once);
+        assert_eq!(rig.count("call_downstream "), at_once);
         rig.call_ended(0, Outcome::Succeeded);
         assert_eq!(
-            rig.count("call 1"),
+            rig.count("call_downstream 1"),
             2 - at_once,
             "the second as the first is back"
         );
@@ -386,7 +390,7 @@
 /// mvd-reparti at full size: types that keep most of their benefit without a call took two thirds of the
 /// calls while the one that loses all without went short.
 #[test]
-fn cheaper_calls_stand_while_dearer_ones_go_short_and_the_share_fills() {
+fn less_valuable_calls_wait_while_more_valuable_ones_are_short() {
     // (how the dear calls come back, whether a cheap one is made after them)
     for (end, made) in [(Outcome::TimedOut, 0), (Outcome::Succeeded, 1)] {
         let (share, repeats) = (
@@ -394,7 +398,7 @@
             Repeatability::NonIdempotent,
         );
         let settings = Settings {
-            poorer: 0.5,
+            degraded_share: 0.5,
             share,
             repeats,
             dear: true,
@@ -414,11 +418,11 @@
         }
         rig.take();
         rig.calling(2, 0);
-        assert_eq!(rig.count("call 2"), made, "{end:?}");
+        assert_eq!(rig.count("call_downstream 2"), made, "{end:?}");
         if made == 0 {
             rig.arrive(3, dear);
             rig.at_call(3);
-            assert_eq!(rig.count("call 3"), 1, "the dear one goes");
+            assert_eq!(rig.count("call_downstream 3"), 1, "the dear one goes");
             rig.call_ended(3, end);
             // Long after the last dear one, what went short then holds nobody back.
             rig.pass(ms(20_000));
@@ -428,13 +432,13 @@
             rig.end(4, Outcome::Succeeded);
             rig.take();
             rig.calling(5, 0);
-            assert_eq!(rig.count("call 5"), 1, "none dear is about");
+            assert_eq!(rig.count("call_downstream 5"), 1, "none dear is about");
         }
     }
 }
 
 #[test]
-fn idle_connections_close_sooner_while_many_are_open_even_if_much_is_dismissed() {
+fn idle_connections_close_sooner_while_many_are_open_even_if_much_is_rejected() {
     // (callers, cores gauge, open connections, dismissed of four, the span asked for last, ms)
     // Hundreds of callers each come seldom: a table kept full while dismissing only slows the node and
     // turns callers away unread (lakes-preview and sicily-prices at full size).
@@ -476,7 +480,7 @@
 }
 
 #[test]
-fn who_asks_for_far_more_than_its_share_is_shed_first() {
+fn the_tenant_with_the_most_excess_demand_is_shed_first() {
     // (tickets of tenant 0 that come after five of tenant 1, whether any of its own is dismissed)
     for (asked, sheds) in [(30, true), (3, false)] {
         let (shed, repeat) = (far_more(asked, false), far_more(asked, true));
@@ -517,7 +521,7 @@
 }
 
 #[test]
-fn start_settings_at_the_edges_give_sane_decisions() {
+fn extreme_settings_give_sane_decisions() {
     // (quotas over the fleet, servers, cores, survived tickets a core, memory in kB, begins tickets)
     type Case = (&'static [f64], usize, usize, f64, f64, bool);
     let cases: [Case; 7] = [
@@ -561,7 +565,7 @@
 }
 
 #[test]
-fn new_settings_keep_what_is_in_hand_and_their_advice_holds_from_then_on() {
+fn reconfiguration_preserves_requests_in_flight_and_changes_retry_after() {
     use rainstand::{
         AdmissionController, AdvertiserOptions, ClientConnections, ConcurrencyLimiter,
         DownstreamLimiter, InFlightRequests, LoadAdvertiser, LoadSignal, RequestClass,
@@ -629,21 +633,21 @@
 /// What a ticket was taken in as holds to its end: new settings that give its type another effect, or another worth without
 /// its call, are for tickets that come after them.
 #[test]
-fn a_ticket_in_hand_keeps_the_terms_it_came_under() {
+fn a_request_in_flight_is_handled_by_the_class_it_arrived_with() {
     let exclusive = || Settings {
         repeats: Repeatability::NonIdempotent,
         ..Settings::default()
     };
     let rerunnable = || Settings {
-        poorer: 0.5,
+        degraded_share: 0.5,
         ..Settings::default()
     };
     // Came under, new settings, and what follows a call that was cut off: it may have had its effect.
     let cases = [
-        (exclusive(), rerunnable(), "give_up 0"),
-        (exclusive(), exclusive(), "give_up 0"),
-        (rerunnable(), exclusive(), "call 0"),
-        (rerunnable(), rerunnable(), "call 0"),
+        (exclusive(), rerunnable(), "fail 0"),
+        (exclusive(), exclusive(), "fail 0"),
+        (rerunnable(), exclusive(), "call_downstream 0"),
+        (rerunnable(), rerunnable(), "call_downstream 0"),
     ];
     for (came, new, wanted) in cases {
         let mut rig = Rig::new(came);
@@ -661,7 +665,7 @@
 
 /// Calls that were out when what is below turned shared, or was so, are counted once and come off the books.
 #[test]
-fn calls_go_on_when_what_is_below_turns_shared_and_back() {
+fn calls_continue_when_the_downstream_tier_becomes_shared_and_unshared() {
     let shared = || Settings {
         share: shared(4.0, ms(5_000), ms(200)),
         ..Settings::default()
@@ -685,13 +689,13 @@
         rig.pass(ms(100));
         rig.take();
         rig.calling(21, 0);
-        assert_eq!(rig.count("call"), 1);
+        assert_eq!(rig.count("call_downstream"), 1);
     }
 }
 
 /// A type that was ticketed may be exclusive by new settings: what is known to have run is not run again.
 #[test]
-fn a_known_repeat_of_an_exclusive_ticket_is_not_run() {
+fn a_known_repeat_of_a_non_idempotent_request_is_not_run() {
     let mut rig = Rig::new(Settings {
         repeats: Repeatability::NonIdempotent,
         ..Settings::default()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn each_ticket_is_answered_before_it_is_due() {
+fn each_request_is_answered_before_its_deadline() {
     // (patience, waited unread, due this long after its reading)
     for (patience, waited, due) in [
         (Some(900), 0, 900),
@@ -45,17 +45,17 @@
             assert_eq!(rig.count("run 0"), 1, "{patience:?} {waited}");
             if at_call {
                 rig.at_call(0);
-                assert_eq!(rig.count("call 0"), 1);
+                assert_eq!(rig.count("call_downstream 0"), 1);
             }
             rig.pass(ms(due - 80));
             assert_eq!(
-                rig.count("give_up 0"),
+                rig.count("fail 0"),
                 0,
                 "not before it must: {patience:?} {waited}"
             );
             rig.pass(ms(60));
             assert_eq!(
-                rig.count("give_up 0"),
+                rig.count("fail 0"),
                 1,
                 "{patience:?} {waited} at a call: {at_call}"
             );
@@ -64,7 +64,7 @@
 }
 
 #[test]
-fn a_ticket_due_when_read_is_dismissed_at_once_and_forgotten() {
+fn a_request_past_its_deadline_when_read_is_rejected_and_its_cached_result_discarded() {
     for repeats in [
         Repeatability::Idempotent,
         Repeatability::NonIdempotent,
@@ -79,8 +79,8 @@
             let orders = rig.take().join(", ");
             assert!(orders.ends_with("reject 0 1000, release 0"), "{orders}");
             assert_eq!(
-                orders.contains("keep 0 3040"),
-                orders.contains("forget 0"),
+                orders.contains("cache_result 0 3040"),
+                orders.contains("discard_result 0"),
                 "{orders}"
             );
         }
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn a_repeat_of_a_ticketed_ticket_never_runs_and_is_never_dismissed() {
+fn a_repeat_of_a_keyed_request_never_runs_and_is_never_rejected() {
     let window = Repeatability::IdempotentWithKey(ms(3_000));
     for repeat in [RetryOf::Of(0), RetryOf::Past] {
         let mut rig = Rig::new(Settings {
@@ -98,7 +98,7 @@
         .at(0.0);
         rig.arrive(0, tries(None, 500));
         // Kept for what is left of the window, counted from its arrival.
-        assert_eq!(rig.take()[1..], ["keep 0 2540", "run 0"]);
+        assert_eq!(rig.take()[1..], ["cache_result 0 2540", "run 0"]);
         if repeat == RetryOf::Past {
             rig.end(0, Outcome::Succeeded);
             rig.take();
@@ -113,7 +113,7 @@
         assert_eq!(rig.take(), ["reply_from_cache 1"]);
         rig.pass(ms(4_980));
         let orders = rig.take().join(", ");
-        assert!(orders.contains("give_up 1"), "{orders}");
+        assert!(orders.contains("fail 1"), "{orders}");
         assert!(
             !orders.contains("run 1") && !orders.contains("reject 1"),
             "{orders}"
@@ -122,7 +122,7 @@
 }
 
 #[test]
-fn what_ran_and_may_not_run_again_is_given_up_and_never_dismissed() {
+fn a_non_repeatable_request_that_ran_fails_and_is_never_rejected() {
     for repeats in [
         Repeatability::NonIdempotent,
         Repeatability::IdempotentWithKey(ms(3_000)),
@@ -135,7 +135,7 @@
         rig.pass(ms(5_000));
         let mut orders = rig.take();
         orders.retain(|o| o.ends_with(" 0"));
-        assert_eq!(orders, ["run 0", "give_up 0", "cancel_run 0"]);
+        assert_eq!(orders, ["run 0", "fail 0", "cancel_run 0"]);
         rig.end(0, Outcome::Cancelled);
         assert_eq!(rig.take(), ["release 0"]);
     }
@@ -143,37 +143,32 @@
 
 #[test]
 fn a_call_is_repeated_only_where_that_is_safe() {
-    // (repeats, poorer, outcome, next order)
+    // (repeats, degraded_share, outcome, next order)
     let cases = [
         (
             Repeatability::NonIdempotent,
             0.0,
             Outcome::Rejected,
-            "call 0",
+            "call_downstream 0",
         ),
         (
             Repeatability::NonIdempotent,
             0.0,
             Outcome::Unreachable,
-            "call 0",
-        ),
-        (
-            Repeatability::NonIdempotent,
-            0.0,
-            Outcome::Failed,
-            "give_up 0",
+            "call_downstream 0",
         ),
+        (Repeatability::NonIdempotent, 0.0, Outcome::Failed, "fail 0"),
         (
             Repeatability::NonIdempotent,
             0.0,
             Outcome::TimedOut,
-            "give_up 0",
+            "fail 0",
         ),
         (
             Repeatability::IdempotentWithKey(ms(3_000)),
             0.0,
             Outcome::Disconnected,
-            "give_up 0",
+            "fail 0",
         ),
         (
             Repeatability::IdempotentWithKey(ms(3_000)),
@@ -181,24 +176,38 @@
             Outcome::Disconnected,
             "reply_degraded 0",
         ),
-        (Repeatability::Idempotent, 0.0, Outcome::TimedOut, "call 0"),
-        (Repeatability::Idempotent, 0.5, Outcome::Failed, "call 0"),
+        (
+            Repeatability::Idempotent,
+            0.0,
+            Outcome::TimedOut,
+            "call_downstream 0",
+        ),
+        (
+            Repeatability::Idempotent,
+            0.5,
+            Outcome::Failed,
+            "call_downstream 0",
+        ),
     ];
-    for (repeats, poorer, outcome, next) in cases {
+    for (repeats, degraded_share, outcome, next) in cases {
         let mut rig = Rig::new(Settings {
             repeats,
-            poorer,
+            degraded_share,
             ..Settings::default()
         });
         rig.calling(0, 0);
         rig.take();
         rig.call_ended(0, outcome);
-        assert_eq!(rig.count(next), 1, "{repeats:?} {poorer} {outcome:?}");
+        assert_eq!(
+            rig.count(next),
+            1,
+            "{repeats:?} {degraded_share} {outcome:?}"
+        );
     }
 }
 
 #[test]
-fn a_leaving_node_runs_nothing_past_the_grace_and_answers_all() {
+fn a_stopping_node_runs_nothing_past_its_grace_and_answers_all() {
     // (reached the machine so long after the notice, runs)
     for (after, runs) in [(1_900u64, 1), (2_020, 0)] {
         let mut rig = Rig::new(Settings::default());
@@ -213,9 +222,9 @@
         assert_eq!(rig.count("run 0"), runs, "{after}");
         rig.pass(ms(1_440));
         let orders = rig.take();
-        assert!(orders.contains(&"give_up 9".to_string()), "{orders:?}");
+        assert!(orders.contains(&"fail 9".to_string()), "{orders:?}");
         assert_eq!(
-            orders.contains(&"give_up 0".to_string()),
+            orders.contains(&"fail 0".to_string()),
             runs == 1,
             "{orders:?}"
         );
@@ -223,7 +232,7 @@
 }
 
 #[test]
-fn the_crowd_stays_under_what_is_survived() {
+fn concurrency_stays_below_the_survivable_ceiling() {
     // (factor, born cold, most that run with the gauge idle all along)
     let cases = [
         (6.0, None, 6),
@@ -253,7 +262,7 @@
 }
 
 #[test]
-fn memory_is_never_overdrawn() {
+fn memory_use_never_exceeds_its_bound() {
     // 20 kB a ticket held, 80 kB running, of 200 kB; four fifths are used.
     let mut rig = Rig::new(Settings {
         memory_kb: 200.0,
@@ -275,17 +284,17 @@
 /// Full days of mvd-reparti: the ledger, up to eight times slower, held more than all shares add up to for
 /// five seconds, as each node of 212 with a share of 0.54 held one call for as long as its ticket had time.
 #[test]
-fn calls_held_below_stay_under_the_own_share_in_every_window() {
+fn downstream_usage_stays_below_the_nodes_share_in_every_window() {
     let (over, lingers) = (ms(5_000), ms(200));
     for share in [0.3, 0.54, 1.0, 4.0] {
         // (how long calls take, or none that ever comes back)
         for takes in [Some(15), Some(400), None] {
             let told = shared(share, over, lingers);
-            let (repeats, poorer) = (Repeatability::Idempotent, 0.5);
+            let (repeats, degraded_share) = (Repeatability::Idempotent, 0.5);
             let mut rig = Rig::new(Settings {
                 share: told,
                 repeats,
-                poorer,
+                degraded_share,
                 ..Settings::default()
             })
             .at(0.0);
@@ -301,7 +310,7 @@
                         .skip(1)
                         .map(|word| word.parse::<u64>().unwrap_or(0));
                     let ix = words.next().unwrap_or(0) as usize;
-                    if order.starts_with("call ") {
+                    if order.starts_with("call_downstream ") {
                         let until = words.next().unwrap();
                         let back = takes.filter(|takes| now + takes <= until);
                         let stays = back.map_or(until + 200, |takes| now + takes);
--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -49,7 +49,7 @@
     let mut rig = Rig::new(Settings {
         share,
         repeats: Repeatability::Idempotent,
-        poorer: 0.5,
+        degraded_share: 0.5,
         ..Settings::default()
     })
     .at(0.0);
@@ -89,7 +89,7 @@
                     .skip(1)
                     .map(|word| word.parse::<u64>().unwrap_or(0));
                 let ix = words.next().unwrap_or(0) as usize;
-                if order.starts_with("call ") {
+                if order.starts_with("call_downstream ") {
                     let until = words.next().unwrap() - 10_000;
                     made += 1;
                     let age = now as f64 / case.warm_up as f64;
@@ -150,7 +150,7 @@
 }
 
 #[test]
-fn what_all_nodes_hold_at_a_cold_server_stays_within_their_parts() {
+fn the_fleets_usage_of_a_cold_downstream_server_stays_within_its_shares() {
     for nodes in [20, 30] {
         for share in [0.3, 0.54] {
             for (takes, warm_up, fails) in [(150, 8_000, 2), (1_500, 3_000, 0)] {
