--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -286,3 +286,30 @@
     }
     assert!(checked >= 40, "only {checked} names were found");
 }
+
+/// Paths of source files that a text names between backticks or as they are.
+fn source_paths(text: &str) -> Vec<&str> {
+    let is_part = |c: char| c.is_alphanumeric() || "/_-.".contains(c);
+    let words = text.split(|c: char| !is_part(c));
+    let words = words.map(|word| word.trim_end_matches('.'));
+    words
+        .filter(|word| {
+            word.ends_with(".rs")
+                && ["crates/", "src/", "tests/"]
+                    .iter()
+                    .any(|start| word.starts_with(start))
+        })
+        .collect()
+}
+
+#[test]
+fn source_files_that_pages_name_are_there() {
+    let mut checked = 0;
+    for (page, text) in pages() {
+        for path in source_paths(&text) {
+            assert!(root().join(path).exists(), "{page}: {path}");
+            checked += 1;
+        }
+    }
+    assert!(checked >= 30, "only {checked} paths were found");
+}
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -1,6 +1,6 @@
 //! Descriptors: how many there are, and how the node has one for its own needs once they have run out.
 //!
-//! What the system's limit and the configuration leave is shared out by `take_in::room`: the node's own needs and the
+//! What the system's limit and the configuration leave is shared out by `connections::room`: the node's own needs and the
 //! calls below come first, and whoever rests makes room. Where all that was not enough, who wants a descriptor here
 //! waits, and with each look the connection that rests longest is closed at once. Connections that are owed an
 //! answer are never closed for it.
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -694,8 +694,9 @@
         Trouble::AllKilled(Duration::from_secs(30)),
     )?;
     let parted = run((changes / 24).max(4), day, Trouble::Parted)?;
-    let note = "hollow, virtual clock; crates/config-distribution/src/source.rs, subscriber.rs";
-    let attach = "hollow, virtual clock; crates/config-distribution/src/attach.rs";
+    let note =
+        "hollow, virtual clock; crates/config-distribution/src/publisher/mod.rs, subscriber.rs";
+    let attach = "hollow, virtual clock; crates/config-distribution/src/attachment.rs";
     let times = [
         (
             "a change, one in half a minute: commit to the last confirmation, 99th of 100",
@@ -899,7 +900,7 @@
     }
     let size = sizes.nodes as f64;
     let note =
-        "hollow: the deciding code and its frames, without sockets; crates/config-distribution/src/source.rs";
+        "hollow: the deciding code and its frames, without sockets; crates/config-distribution/src/publisher/mod.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a machine of six";
     let named = Named {
         role: "control machine",
@@ -908,7 +909,7 @@
     };
     rows.push(Row::fitted(&named, &machines, size, Grows::Line, 1.0));
     let note =
-        "hollow, without putting it into force; crates/config-distribution/src/subscriber.rs";
+        "hollow, without putting it into force; crates/config-distribution/src/subscriber/mod.rs";
     let what = "a burst of 100 changes a minute: time of the deciding code, a process";
     let named = Named {
         counted: false,
@@ -962,7 +963,7 @@
         change.push((size, took.as_secs_f64() / CHANGES as f64 * 1e6));
     }
     let size = sizes.tenants as f64;
-    let state = "crates/config-distribution/src/delta.rs";
+    let state = "crates/config-distribution/src/delta/mod.rs";
     let named = |what, unit, note| Named {
         counted: false,
         ..node(what, unit, "tenants", None, note)
--- a/crates/testbed/src/scale/groups.rs
+++ b/crates/testbed/src/scale/groups.rs
@@ -341,7 +341,7 @@
         .iter()
         .map(|(n, seen)| (*n, seen.own - first))
         .collect();
-    let links = "crates/cluster/src/links.rs, each linked to each";
+    let links = "crates/cluster/src/transport.rs, each linked to each";
     let mut rows = vec![
         Row::fitted(
             &named(
--- a/crates/testbed/src/scale/nodes.rs
+++ b/crates/testbed/src/scale/nodes.rs
@@ -292,7 +292,7 @@
                 by: "callers",
                 limit: None,
                 note: if role == "node" {
-                    "crates/node/src/take_in.rs"
+                    "crates/node/src/connections.rs"
                 } else {
                     "crates/forwarder/src/front.rs"
                 },
@@ -409,7 +409,8 @@
         counted: false,
     };
     let core = |points: &[(f64, f64)], what| {
-        let note = "the line's slope times the requests of a second; crates/node/src/take_in.rs";
+        let note =
+            "the line's slope times the requests of a second; crates/node/src/connections.rs";
         let mut row = Row::fitted(
             &named(what, "% of a core", None, note),
             points,
