--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -116,9 +116,9 @@
 }
 
 #[derive(Default)]
-struct RecoveredState(Vec<Break>);
+struct Violations(Vec<Break>);
 
-impl RecoveredState {
+impl Violations {
     fn tell(
         &mut self,
         (rule, check): (u8, &'static str),
@@ -143,7 +143,7 @@
 
 /// Reads a whole history.
 pub fn check(history: &[Seen]) -> Verdict {
-    let mut found = RecoveredState::default();
+    let mut found = Violations::default();
     let mut tally = Tally::default();
     let mut tickets: Vec<Asked<'_>> = Vec::new();
     // A ticket's name is its caller's: two callers may count alike.
@@ -291,7 +291,7 @@
     tickets: &[Asked<'_>],
     runs: &[(Option<&str>, Run<'_>)],
     tally: &mut Tally,
-    found: &mut RecoveredState,
+    found: &mut Violations,
 ) {
     let mut keys: HashMap<&str, Key<'_, '_>> = HashMap::new();
     for asked in tickets {
@@ -340,7 +340,7 @@
     }
 }
 
-fn whose(key: &str, seen: &Key<'_, '_>, run: &Run<'_>, found: &mut RecoveredState) {
+fn whose(key: &str, seen: &Key<'_, '_>, run: &Run<'_>, found: &mut Violations) {
     let of = candidates(seen, run);
     if of.is_empty() {
         let before = seen.tickets.iter().filter(|asked| asked.at <= run.at);
@@ -390,7 +390,7 @@
     }
 }
 
-fn answers(key: &str, seen: &Key<'_, '_>, found: &mut RecoveredState) {
+fn answers(key: &str, seen: &Key<'_, '_>, found: &mut Violations) {
     let mut first: Option<(&Asked<'_>, usize, &str)> = None;
     let mut answered: Vec<_> = seen
         .tickets
@@ -437,11 +437,7 @@
 
 /// The four rules as all other runs of the project are held to them, over the same history. What the checks above
 /// found is told once; this finds what they overlooked.
-fn by_the_rules(
-    tickets: &[Asked<'_>],
-    runs: &[(Option<&str>, Run<'_>)],
-    found: &mut RecoveredState,
-) {
+fn by_the_rules(tickets: &[Asked<'_>], runs: &[(Option<&str>, Run<'_>)], found: &mut Violations) {
     if !found.0.is_empty() {
         return;
     }
--- a/crates/testbed/src/ready.rs
+++ b/crates/testbed/src/ready.rs
@@ -429,7 +429,7 @@
     entity: String,
 }
 
-enum ClaimOutcome {
+enum Reply {
     Honoured(Vec<u8>),
     Else {
         pause: Duration,
@@ -460,7 +460,7 @@
         })
     }
 
-    async fn ask(&mut self, question: &Question) -> io::Result<ClaimOutcome> {
+    async fn ask(&mut self, question: &Question) -> io::Result<Reply> {
         self.seq += 1;
         let ticket = TICKETS.with(|tickets| tickets.replace(tickets.get() + 1));
         let trace = format!("{ticket:016x}");
@@ -490,7 +490,7 @@
                 let answered = thrift::answered(&frame).map_err(io::Error::other)?;
                 let (mut pause, mut exception) = (AGAIN, None);
                 match answered.what {
-                    What::Answer { body, .. } => return Ok(ClaimOutcome::Honoured(body.to_vec())),
+                    What::Answer { body, .. } => return Ok(Reply::Honoured(body.to_vec())),
                     What::Backoff(texts) => {
                         let told = texts
                             .iter()
@@ -504,7 +504,7 @@
                     }
                     What::Lost => {}
                 }
-                return Ok(ClaimOutcome::Else { pause, exception });
+                return Ok(Reply::Else { pause, exception });
             }
             if self.stream.read_buf(&mut self.back).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
@@ -571,7 +571,7 @@
                     seen.borrow_mut().listens.get_or_insert(begun.elapsed());
                     // A connection that breaks is opened anew: its process may be gone.
                     while let Ok(told) = line.ask(question).await {
-                        let ClaimOutcome::Else { pause, exception } = told else {
+                        let Reply::Else { pause, exception } = told else {
                             seen.borrow_mut().answered = Some(begun.elapsed());
                             return true;
                         };
@@ -938,8 +938,8 @@
 async fn honoured(line: &mut Line, question: &Question) -> io::Result<Vec<u8>> {
     loop {
         match line.ask(question).await? {
-            ClaimOutcome::Honoured(result) => return Ok(result),
-            ClaimOutcome::Else { pause, .. } => sleep(pause).await,
+            Reply::Honoured(result) => return Ok(result),
+            Reply::Else { pause, .. } => sleep(pause).await,
         }
     }
 }
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -96,7 +96,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Operation {
+enum Event {
     Commit,
     Feed(usize, usize),
     Tick(usize),
@@ -134,7 +134,7 @@
 struct World {
     now: Duration,
     seq: u64,
-    due: BinaryHeap<Reverse<(Duration, u64, Operation)>>,
+    due: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     machines: Vec<Option<Publisher>>,
     nodes: Vec<Node>,
     links: Vec<Link>,
@@ -193,7 +193,7 @@
                 .restore(world.now, world.first.clone())
                 .map_err(refused)?;
             world.machines.push(Some(source));
-            world.after(Duration::ZERO, Operation::Tick(k));
+            world.after(Duration::ZERO, Event::Tick(k));
         }
         for k in 0..spec.nodes {
             let place = who("node", k);
@@ -209,12 +209,12 @@
                 bytes: 0,
             });
             world.dial_when_due(k);
-            world.after(Duration::ZERO, Operation::Look(k));
+            world.after(Duration::ZERO, Event::Look(k));
         }
         Ok(world)
     }
 
-    fn after(&mut self, wait: Duration, what: Operation) {
+    fn after(&mut self, wait: Duration, what: Event) {
         self.seq += 1;
         self.due.push(Reverse((self.now + wait, self.seq, what)));
     }
@@ -270,7 +270,7 @@
 
     fn dial_when_due(&mut self, k: usize) {
         if let Some(due) = self.nodes[k].chooser.next_deadline() {
-            self.after(due.saturating_sub(self.now), Operation::Dial(k));
+            self.after(due.saturating_sub(self.now), Event::Dial(k));
         }
     }
 
@@ -307,12 +307,12 @@
                     let node = self.links[number].node;
                     let wait = self.under_way(number, 0);
                     if !self.apart(node, k) {
-                        self.after(wait, Operation::Down(number, frame));
+                        self.after(wait, Event::Down(number, frame));
                     }
                 }
                 publisher::Effect::Close(link) => {
                     let wait = self.under_way(link as usize, 0);
-                    self.after(wait, Operation::Ended(link as usize));
+                    self.after(wait, Event::Ended(link as usize));
                 }
                 publisher::Effect::Event(publisher::Event::Attached { .. }) => {
                     let now = self.now;
@@ -343,10 +343,10 @@
                     };
                     let wait = self.under_way(link, 1);
                     if !self.apart(k, self.links[link].machine) {
-                        self.after(wait, Operation::Up(link, frame));
+                        self.after(wait, Event::Up(link, frame));
                     }
                 }
-                Effect::Apply(version) => self.after(TAKES, Operation::Taken(k, version)),
+                Effect::Apply(version) => self.after(TAKES, Event::Taken(k, version)),
                 Effect::RetryAfter { after, target } => {
                     self.close(k);
                     self.nodes[k]
@@ -398,18 +398,18 @@
         node.confirmed = version;
     }
 
-    fn step(&mut self, what: Operation) -> io::Result<()> {
+    fn step(&mut self, what: Event) -> io::Result<()> {
         match what {
-            Operation::Commit => {
+            Event::Commit => {
                 self.publish()?;
                 for k in (0..MACHINES)
                     .filter(|k| self.in_touch(*k))
                     .collect::<Vec<_>>()
                 {
-                    self.after(Self::way(0, k), Operation::Feed(k, self.log.len()));
+                    self.after(Self::way(0, k), Event::Feed(k, self.log.len()));
                 }
             }
-            Operation::Feed(k, upto) => {
+            Event::Feed(k, upto) => {
                 let at = self.machines[k]
                     .as_ref()
                     .map_or(0, |source| source.version() as usize);
@@ -419,7 +419,7 @@
                     came.map_err(refused)?;
                 }
             }
-            Operation::Tick(k) => {
+            Event::Tick(k) => {
                 let in_touch = self.in_touch(k);
                 self.source(k, |source, now| {
                     if in_touch {
@@ -427,21 +427,21 @@
                     }
                     source.tick(now);
                 });
-                self.after(Duration::from_millis(500), Operation::Tick(k));
+                self.after(Duration::from_millis(500), Event::Tick(k));
             }
-            Operation::Dial(k) => {
+            Event::Dial(k) => {
                 let Some(machine) = self.nodes[k].chooser.next_server(self.now) else {
                     return Ok(());
                 };
                 self.close(k);
                 if self.apart(k, machine) {
-                    self.after(DIALS, Operation::Failed(k));
+                    self.after(DIALS, Event::Failed(k));
                 } else {
-                    self.after(Self::way(k, machine) * 2, Operation::Opened(k, machine));
+                    self.after(Self::way(k, machine) * 2, Event::Opened(k, machine));
                 }
             }
-            Operation::Failed(k) => self.lost(k),
-            Operation::Opened(k, machine) => {
+            Event::Failed(k) => self.lost(k),
+            Event::Opened(k, machine) => {
                 if self.machines[machine].is_none() || self.apart(k, machine) {
                     self.lost(k);
                     return Ok(());
@@ -455,7 +455,7 @@
                 self.nodes[k].link = Some(self.links.len() - 1);
                 self.subscriber(k, |subscriber, now| subscriber.on_connected(now));
             }
-            Operation::Down(link, frame) => {
+            Event::Down(link, frame) => {
                 let k = self.links[link].node;
                 if self.nodes[k].link != Some(link) {
                     return Ok(());
@@ -468,30 +468,30 @@
                     self.dial_when_due(k);
                 }
             }
-            Operation::Up(link, frame) => {
+            Event::Up(link, frame) => {
                 if self.links[link].open {
                     self.source(self.links[link].machine, |source, now| {
                         source.on_frame(now, link as u64, frame)
                     });
                 }
             }
-            Operation::Ended(link) => {
+            Event::Ended(link) => {
                 let k = self.links[link].node;
                 if self.nodes[k].link == Some(link) {
                     self.lost(k);
                 }
             }
-            Operation::Look(k) => {
+            Event::Look(k) => {
                 if self.nodes[k].subscriber.is_server_lost(self.now) {
                     self.lost(k);
                 }
-                self.after(Duration::from_millis(500), Operation::Look(k));
+                self.after(Duration::from_millis(500), Event::Look(k));
             }
-            Operation::Taken(k, version) => {
+            Event::Taken(k, version) => {
                 self.subscriber(k, |subscriber, _| subscriber.on_applied(version));
                 self.confirmed(k);
             }
-            Operation::Kill => {
+            Event::Kill => {
                 let gone = if self.trouble == Trouble::OneKilled {
                     0..1
                 } else {
@@ -504,12 +504,12 @@
                     for link in 0..self.links.len() {
                         if self.links[link].machine == machine && self.links[link].open {
                             let wait = self.under_way(link, 0);
-                            self.after(wait, Operation::Ended(link));
+                            self.after(wait, Event::Ended(link));
                         }
                     }
                 }
             }
-            Operation::Back => {
+            Event::Back => {
                 // From the snapshot on its disk, and the log behind it, which is its history again.
                 for k in 0..MACHINES {
                     let mut source =
@@ -525,10 +525,10 @@
                     self.machines[k] = Some(source);
                 }
             }
-            Operation::Heal => {
+            Event::Heal => {
                 (self.parted, self.healed) = (false, Some(self.now));
                 for k in 0..MACHINES {
-                    self.after(FAR, Operation::Feed(k, self.log.len()));
+                    self.after(FAR, Event::Feed(k, self.log.len()));
                 }
             }
         }
@@ -576,15 +576,15 @@
     for k in 0..spec.changes {
         world.after(
             spec.every * u32::try_from(k).unwrap_or(u32::MAX),
-            Operation::Commit,
+            Event::Commit,
         );
     }
     match spec.trouble {
         Trouble::None => {}
-        Trouble::OneKilled => world.after(lasts / 2, Operation::Kill),
+        Trouble::OneKilled => world.after(lasts / 2, Event::Kill),
         Trouble::AllKilled(away) => {
-            world.after(lasts / 2, Operation::Kill);
-            world.after(lasts / 2 + away, Operation::Back);
+            world.after(lasts / 2, Event::Kill);
+            world.after(lasts / 2 + away, Event::Back);
         }
         Trouble::Parted => {
             world.parted = true;
@@ -593,7 +593,7 @@
                 world.links[link].open &=
                     !world.apart(world.links[link].node, world.links[link].machine);
             }
-            world.after(lasts, Operation::Heal);
+            world.after(lasts, Event::Heal);
         }
     }
     world.run_to(start + lasts)?;
@@ -816,7 +816,7 @@
         Some(burst.snapshots as f64),
     ));
 
-    with_length_prefix(sizes, effort, &mut rows)?;
+    measure_snapshots(sizes, effort, &mut rows)?;
     if !effort.counts_only {
         by_nodes(sizes, &small, changes, &mut rows)?;
         costs(sizes, effort, &mut rows)?;
@@ -825,7 +825,7 @@
 }
 
 /// The whole at each change, to compare with: packed bytes by size.
-fn with_length_prefix(sizes: &Sizes, effort: &Effort, rows: &mut Vec<Row>) -> io::Result<()> {
+fn measure_snapshots(sizes: &Sizes, effort: &Effort, rows: &mut Vec<Row>) -> io::Result<()> {
     let mut points = Vec::new();
     for part in effort.parts.iter().copied() {
         let state = ConfigState::from_configuration(&compiled(
--- a/crates/testbed/src/scale/nodes.rs
+++ b/crates/testbed/src/scale/nodes.rs
@@ -106,7 +106,7 @@
 }
 
 /// Asks on a connection and waits for the answer; whether it was honoured.
-fn encode_question(stream: &mut TcpStream, seq: i32) -> io::Result<bool> {
+fn send_request(stream: &mut TcpStream, seq: i32) -> io::Result<bool> {
     let trace = format!("{seq:016x}");
     let born = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -144,7 +144,7 @@
     let (until, mut stream, mut seq) = (Instant::now() + PATIENCE, connect(to)?, 0);
     loop {
         seq += 1;
-        if encode_question(&mut stream, seq)? {
+        if send_request(&mut stream, seq)? {
             return Ok(());
         }
         if Instant::now() > until {
@@ -272,7 +272,7 @@
         for idle in &effort.idle {
             while open.len() < (*idle).min(descriptors()) {
                 let mut stream = connect(addr)?;
-                let asked = encode_question(&mut stream, open.len() as i32 + 1_000);
+                let asked = send_request(&mut stream, open.len() as i32 + 1_000);
                 asked.map_err(|why| {
                     io::Error::new(
                         why.kind(),
@@ -350,15 +350,15 @@
 /// One request after the other: all on one connection, or each on its own.
 fn requests(node: &Node, many: usize, each_its_own: bool) -> io::Result<Asked> {
     let mut kept = connect(node.addr)?;
-    encode_question(&mut kept, 1)?;
+    send_request(&mut kept, 1)?;
     let before = node.process.cpu()?;
     let mut times = Vec::with_capacity(many);
     for k in 0..many {
         let began = Instant::now();
         let honoured = if each_its_own {
-            encode_question(&mut connect(node.addr)?, k as i32 + 2)?
+            send_request(&mut connect(node.addr)?, k as i32 + 2)?
         } else {
-            encode_question(&mut kept, k as i32 + 2)?
+            send_request(&mut kept, k as i32 + 2)?
         };
         times.push(began.elapsed());
         if !honoured {
