--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,8 +1,8 @@
 //! The link to the render farm agent: one JSON object a line, notices numbered, replayed after a break.
 
 use crate::counters::{count, Counts};
-use crate::socket_buffer::{Filled, OnSocket, Ring};
-use crate::{completion, descriptors, dispatch, note, NodeContext};
+use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
+use crate::{completion, descriptors, dispatch, log_event, NodeContext};
 use rainstand::Gauges;
 use rainstand_traffic_recorder::Tape;
 use serde_json::Value;
@@ -16,9 +16,9 @@
 use tokio::time::{sleep_until, timeout};
 
 /// The longest line taken, in bytes: a result of 4 KiB in base64, ten times over.
-const LINE_MOST: usize = 64 * 1024;
+const MAX_LINE_BYTES: usize = 64 * 1024;
 /// Commands not yet taken by the agent, in bytes: past some hundred launches the link is of no use.
-const OUT_MOST: usize = 1024 * 1024;
+const MAX_OUTGOING_BYTES: usize = 1024 * 1024;
 /// Pause before the next try to connect, at first and at most.
 const AGAIN: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(500)];
 /// No gauges for so long on a link that was greeted, or no greeting by an agent known to be up: it is dead,
@@ -34,7 +34,7 @@
 
 /// What the rest of the node sees of the link.
 #[derive(Default)]
-pub struct Link {
+pub struct AgentLink {
     out: RefCell<Ring>,
     /// Where this link is recorded, if it is.
     tape: RefCell<Option<Tape>>,
@@ -55,7 +55,7 @@
     pub moved: Notify,
 }
 
-impl Link {
+impl AgentLink {
     pub fn command(&self, line: fmt::Arguments) {
         if self.ready.get() {
             self.write(line);
@@ -91,13 +91,13 @@
 }
 
 /// Connects, and again whenever the link ends; each end leaves a line with its reason.
-pub async fn keep_link(hub: Rc<NodeContext>) {
+pub async fn run_link(context: Rc<NodeContext>) {
     let (mut pause, mut before) = (AGAIN[0], "");
     loop {
-        let link = hub.link.clone();
+        let link = context.link.clone();
         let opened = Instant::now();
-        let agent = hub.peer_addresses.get().agent;
-        let opening = descriptors::have(&hub, "agent", || TcpStream::connect(agent));
+        let agent = context.peer_addresses.get().agent;
+        let opening = descriptors::have(&context, "agent", || TcpStream::connect(agent));
         let opening = timeout(SILENT, opening);
         let opening = tokio::select! {
             opening = opening => Some(opening),
@@ -106,20 +106,20 @@
         let why = match opening {
             None => MOVED,
             Some(Ok(Ok(stream))) => {
-                count(&hub.counts.agent_links);
+                count(&context.counts.agent_links);
                 let _ = stream.set_nodelay(true);
                 link.out.borrow_mut().clear();
-                let tape = hub.record.get().and_then(|record| record.link(&stream));
+                let tape = context.record.get().and_then(|record| record.link(&stream));
                 *link.tape.borrow_mut() = tape;
                 link.write(format_args!(
                     "{{\"cmd\":\"subscribe\",\"offset\":{}}}\n",
                     link.last.get()
                 ));
                 // Only the first greeting may take as long as the agent takes to start.
-                let begun = hub.core.borrow().controller.is_some();
+                let begun = context.core.borrow().controller.is_some();
                 link.patience.set(if begun { SILENT } else { FIRST });
                 link.waiting.set(Some(Instant::now()));
-                serve(&hub, &link, &stream).await
+                serve(&context, &link, &stream).await
             }
             Some(Ok(Err(_)) | Err(_)) => UNREACHABLE,
         };
@@ -129,7 +129,7 @@
         // One line tells that nobody listens, not one for each try.
         if why != UNREACHABLE || before != UNREACHABLE {
             let after = opened.elapsed().as_millis();
-            note!(
+            log_event!(
                 "link_end",
                 "end",
                 link = "agent",
@@ -155,12 +155,12 @@
     }
 }
 
-async fn serve(hub: &Rc<NodeContext>, link: &Link, stream: &TcpStream) -> &'static str {
+async fn serve(context: &Rc<NodeContext>, link: &AgentLink, stream: &TcpStream) -> &'static str {
     let mut back = Ring::default();
     loop {
         match link.out.borrow_mut().flush(stream) {
             Err(_) => return "agent_reset",
-            Ok(false) if link.out.borrow().len() > OUT_MOST => return "agent_unread",
+            Ok(false) if link.out.borrow().len() > MAX_OUTGOING_BYTES => return "agent_unread",
             Ok(_) => {}
         }
         let blocked = !link.out.borrow().is_empty();
@@ -170,11 +170,11 @@
             biased;
             ready = stream.readable() => {
                 match ready.and_then(|()| back.fill(stream)) {
-                    Ok(Filled::End) => return "agent_closed",
+                    Ok(ReadOutcome::End) => return "agent_closed",
                     Ok(_) => {}
                     Err(_) => return "agent_reset",
                 }
-                if let Err(code) = lines(hub, link, &mut back) {
+                if let Err(code) = lines(context, link, &mut back) {
                     return code;
                 }
             }
@@ -187,7 +187,7 @@
 }
 
 /// Takes all whole lines.
-fn lines(hub: &Rc<NodeContext>, link: &Link, back: &mut Ring) -> Result<(), &'static str> {
+fn lines(context: &Rc<NodeContext>, link: &AgentLink, back: &mut Ring) -> Result<(), &'static str> {
     let mut used = 0;
     let bytes = back.bytes();
     while let Some(len) = bytes[used..].iter().position(|&b| b == b'\n') {
@@ -198,15 +198,15 @@
         used += len + 1;
         if !line.trim_ascii().is_empty() {
             let value = serde_json::from_slice(line).map_err(|_| "agent_nonsense");
-            if let Err(code) = value.and_then(|value| take(hub, link, &value)) {
+            if let Err(code) = value.and_then(|value| take(context, link, &value)) {
                 // Guards against a link that one odd notice breaks for ever: asked for once more, it is
                 // passed over when it comes as odd again.
                 let at = Some(link.last.get());
                 if link.odd.replace(at) != at {
                     return Err(code);
                 }
-                count(&hub.counts.agent_odd);
-                note!(
+                count(&context.counts.agent_odd);
+                log_event!(
                     "agent_line_passed_over",
                     "agent line passed over behind notice",
                     what = link.last.get()
@@ -216,13 +216,13 @@
     }
     let rest = bytes.len() - used;
     back.drop_front(used);
-    if rest > LINE_MOST {
+    if rest > MAX_LINE_BYTES {
         return Err("agent_nonsense");
     }
     Ok(())
 }
 
-fn take(hub: &Rc<NodeContext>, link: &Link, message: &Value) -> Result<(), &'static str> {
+fn take(context: &Rc<NodeContext>, link: &AgentLink, message: &Value) -> Result<(), &'static str> {
     let cmd = message
         .get("cmd")
         .and_then(Value::as_str)
@@ -234,7 +234,7 @@
                 .and_then(Value::as_f64)
                 .unwrap_or(0.0);
             let ago = Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default();
-            hub.start_policy(
+            context.start_policy(
                 ago,
                 message.get("result").and_then(Value::as_str) == Some("starting"),
             )?;
@@ -246,15 +246,15 @@
             if token == Some(link.asked.get().to_string().as_str()) {
                 link.waiting.set(None);
                 if !link.ready.replace(true) {
-                    dispatch::resend(&mut hub.core.borrow_mut().desk);
+                    dispatch::resend(&mut context.core.borrow_mut().table);
                 }
             }
             let load = message
                 .get("load")
                 .and_then(Value::as_array)
                 .ok_or("agent_nonsense")?;
-            let desk = &mut hub.core.borrow_mut().desk;
-            (desk.gauges, desk.gauges_at) = (hub.gauges(load), Some(Instant::now()));
+            let table = &mut context.core.borrow_mut().table;
+            (table.gauges, table.gauges_at) = (context.gauges(load), Some(Instant::now()));
             link.sampled.notify_waiters();
         }
         "outcome" | "request" | "aside" => {
@@ -262,17 +262,17 @@
                 .get("offset")
                 .and_then(Value::as_u64)
                 .ok_or("agent_nonsense")?;
-            count(&hub.counts.notices);
+            count(&context.counts.notices);
             // What was read on an earlier link is not taken twice.
             if offset > link.last.get() {
                 let again = link.odd.get() == Some(link.last.get());
-                completion::notice(hub, cmd, offset, message, again)?;
+                completion::notice(context, cmd, offset, message, again)?;
                 link.last.set(offset);
             }
         }
         "refusal" => {
-            count(&hub.counts.refusals);
-            completion::notice(hub, cmd, 0, message, true)?;
+            count(&context.counts.refusals);
+            completion::notice(context, cmd, 0, message, true)?;
         }
         _ => {}
     }
@@ -294,7 +294,7 @@
 }
 
 /// Printed with the counters.
-pub fn state(link: &Link, counts: &Counts) -> String {
+pub fn state(link: &AgentLink, counts: &Counts) -> String {
     format!(
         "ready={} last={} links={}",
         link.ready.get(),
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -3,7 +3,7 @@
 use crate::counters::count;
 use crate::request::CallState;
 use crate::request_table::RequestTable;
-use crate::{dispatch, idempotency, note, often, NodeContext};
+use crate::{dispatch, idempotency, log_event, log_frequent, NodeContext};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use rainstand::{Host, Outcome};
@@ -13,17 +13,19 @@
 
 impl RequestTable {
     /// Gives a ticket, and those that wait for it, what its run or reuse brought.
-    pub fn finish(&mut self, ix: usize, end: Outcome, result: &[u8]) {
+    pub fn finish(&mut self, index: usize, end: Outcome, result: &[u8]) {
         let counts = self.counts.clone();
-        let Some(t) = self.ticket(ix) else { return };
-        let (owed, waiters) = (t.reply.take(), std::mem::take(&mut t.waiters));
+        let Some(request) = self.request_mut(index) else {
+            return;
+        };
+        let (owed, waiters) = (request.reply.take(), std::mem::take(&mut request.waiters));
         match (owed, end) {
             (Some(owed), Outcome::Succeeded) => owed.serve(&counts, result),
             (Some(owed), _) => {
-                often!(
+                log_frequent!(
                     "ticket_given_up",
                     "ticket given up",
-                    trace = t.trace.escape_ascii()
+                    trace = request.trace.escape_ascii()
                 );
                 owed.fail(&counts);
             }
@@ -35,10 +37,13 @@
     }
 
     /// The same for one that waits on another, unless it left: its index may be another's by now.
-    pub fn finish_waiter(&mut self, (ix, serial): (usize, u64), end: Outcome, result: &[u8]) {
-        if self.ticket(ix).is_some_and(|t| t.serial == serial) {
-            self.finish(ix, end, result);
-            self.run_ends.push_back((ix, end));
+    pub fn finish_waiter(&mut self, (index, serial): (usize, u64), end: Outcome, result: &[u8]) {
+        if self
+            .request_mut(index)
+            .is_some_and(|request| request.serial == serial)
+        {
+            self.finish(index, end, result);
+            self.run_ends.push_back((index, end));
         }
     }
 }
@@ -46,23 +51,23 @@
 /// A notice that names a ticket. What it names and is no longer in the books is passed over; `again`: it
 /// could not be read before, and is not asked for once more.
 pub fn notice(
-    hub: &NodeContext,
+    context: &NodeContext,
     cmd: &str,
     offset: u64,
     notice: &Value,
     again: bool,
 ) -> Result<(), &'static str> {
     let text = |key: &str| notice.get(key).and_then(Value::as_str).unwrap_or_default();
-    let ix = {
-        let core = hub.core.borrow();
+    let index = {
+        let core = context.core.borrow();
         text("req")
             .as_bytes()
             .try_into()
             .ok()
-            .and_then(|trace: [u8; 16]| core.desk.by_trace.get(&trace).copied())
+            .and_then(|trace: [u8; 16]| core.table.by_trace.get(&trace).copied())
     };
-    let Some(ix) = ix else {
-        old_run(hub, cmd, text("result"), text("req"), text("payload"));
+    let Some(index) = index else {
+        report_prior_run(context, cmd, text("result"), text("req"), text("payload"));
         return Ok(());
     };
     let payload = notice
@@ -72,30 +77,30 @@
     match (cmd, text("result"), payload) {
         // Guards against a call with another body than the run gave: the notice is asked for again, and
         // the run given up if it is no better then.
-        ("request", _, Some(body)) => at_call(hub, ix, offset, body),
+        ("request", _, Some(body)) => on_call_requested(context, index, offset, body),
         ("request", ..) | ("outcome", "fine", None) if !again => return Err("agent_nonsense"),
         ("request", ..) => {
-            hub.drive_policy(|node, now, desk| {
-                desk.give_up(ix);
-                node.on_caller_gone(now, desk, ix);
+            context.drive_policy(|node, now, table| {
+                table.give_up(index);
+                node.on_caller_gone(now, table, index);
             });
         }
-        ("outcome", "fine", Some(result)) => run_ended(hub, ix, Outcome::Succeeded, &result),
-        ("outcome", "broken_off", _) => run_ended(hub, ix, Outcome::Cancelled, &[]),
-        ("outcome", "late", _) => run_ended(hub, ix, Outcome::NeverStarted, &[]),
-        ("outcome", ..) => run_ended(hub, ix, Outcome::Failed, &[]),
+        ("outcome", "fine", Some(result)) => run_ended(context, index, Outcome::Succeeded, &result),
+        ("outcome", "broken_off", _) => run_ended(context, index, Outcome::Cancelled, &[]),
+        ("outcome", "late", _) => run_ended(context, index, Outcome::NeverStarted, &[]),
+        ("outcome", ..) => run_ended(context, index, Outcome::Failed, &[]),
         ("refusal", "launch", _) => {
             // Nothing ran: no run failed, and no tenant is charged.
-            often!(
+            log_frequent!(
                 "agent_refused",
                 "agent refused",
                 what = "launch",
                 req = text("req")
             );
-            run_ended(hub, ix, Outcome::NeverStarted, &[]);
+            run_ended(context, index, Outcome::NeverStarted, &[]);
         }
         ("refusal", what, _) => {
-            often!(
+            log_frequent!(
                 "agent_refused",
                 "agent refused",
                 what = format_args!("{what:.20}"),
@@ -108,7 +113,7 @@
 }
 
 /// An outcome of a run that nobody here knows.
-fn old_run(hub: &NodeContext, cmd: &str, result: &str, req: &str, payload: &str) {
+fn report_prior_run(context: &NodeContext, cmd: &str, result: &str, req: &str, payload: &str) {
     let Ok(trace) = req.as_bytes().try_into() else {
         return;
     };
@@ -121,83 +126,90 @@
         ("outcome", _) => RunEnd::Failed,
         _ => return,
     };
-    idempotency::old_run(hub, trace, end);
+    idempotency::report_prior_run(context, trace, end);
 }
 
 /// Ends in the books what nothing will tell the end of.
-pub fn end_orphans(hub: &NodeContext, now: Instant) {
-    let orphans = hub.core.borrow_mut().desk.orphans(now);
-    for ix in orphans {
-        count(&hub.counts.orphans);
-        let trace = hub
+pub fn end_orphans(context: &NodeContext, now: Instant) {
+    let orphans = context.core.borrow_mut().table.orphans(now);
+    for index in orphans {
+        count(&context.counts.orphans);
+        let trace = context
             .core
             .borrow_mut()
-            .desk
-            .ticket(ix)
-            .map(|t| String::from_utf8_lossy(&t.trace).into_owned());
+            .table
+            .request_mut(index)
+            .map(|request| String::from_utf8_lossy(&request.trace).into_owned());
         let trace = trace.unwrap_or_default();
-        note!(
+        log_event!(
             "run_without_end",
             "run without an end taken out of the books",
-            ticket = ix,
+            ticket = index,
             trace = trace
         );
         // Whether it ran is not known: a key says so.
-        hub.drive_policy(|_, _, desk| {
-            idempotency::ended(desk, ix, RunEnd::Failed);
-            desk.close_key(ix, Outcome::Cancelled, &[]);
+        context.drive_policy(|_, _, table| {
+            idempotency::ended(table, index, RunEnd::Failed);
+            table.close_key(index, Outcome::Cancelled, &[]);
         });
         // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
-        run_ended(hub, ix, Outcome::NeverStarted, &[]);
+        run_ended(context, index, Outcome::NeverStarted, &[]);
     }
 }
 
-fn run_ended(hub: &NodeContext, ix: usize, end: Outcome, result: &[u8]) {
-    hub.drive_policy(|node, now, desk| {
-        let Some(t) = desk.ticket(ix).filter(|t| t.is_run()) else {
+fn run_ended(context: &NodeContext, index: usize, end: Outcome, result: &[u8]) {
+    context.drive_policy(|node, now, table| {
+        let Some(request) = table.request_mut(index).filter(|request| request.is_run()) else {
             return;
         };
-        if let Some((_, _, CallState::InProgress(task))) = t.call.take() {
+        if let Some((_, _, CallState::InProgress(task))) = request.call.take() {
             task.abort();
         }
-        desk.close_key(ix, end, result);
-        let Some(t) = desk.ticket(ix) else { return };
-        if t.claim.is_some() {
+        table.close_key(index, end, result);
+        let Some(request) = table.request_mut(index) else {
+            return;
+        };
+        if request.claim.is_some() {
             let how = match end {
                 Outcome::Succeeded => RunEnd::Result(Bytes::copy_from_slice(result)),
                 Outcome::NeverStarted => RunEnd::NeverRan,
                 _ => RunEnd::Failed,
             };
-            idempotency::ended(desk, ix, how);
+            idempotency::ended(table, index, how);
         } else if end != Outcome::Cancelled {
-            desk.finish(ix, end, result);
+            table.finish(index, end, result);
         }
-        node.ended(now, desk, ix, end);
+        node.ended(now, table, index, end);
     });
 }
 
-fn at_call(hub: &NodeContext, ix: usize, offset: u64, body: Vec<u8>) {
-    hub.drive_policy(|node, now, desk| {
-        let Some(t) = desk.ticket(ix).filter(|t| t.is_run()) else {
+fn on_call_requested(context: &NodeContext, index: usize, offset: u64, body: Vec<u8>) {
+    context.drive_policy(|node, now, table| {
+        let Some(request) = table.request_mut(index).filter(|request| request.is_run()) else {
             return;
         };
         if let Some((_, _, CallState::InProgress(task))) =
-            t.call.replace((offset, body.into(), CallState::Pending))
+            request
+                .call
+                .replace((offset, body.into(), CallState::Pending))
         {
             task.abort();
         }
-        node.on_downstream_call(now, desk, ix);
+        node.on_downstream_call(now, table, index);
     });
 }
 
 /// `serial` tells whether the ticket is still the one that the call was made for.
-pub fn call_ended(hub: &NodeContext, ix: usize, serial: u64, end: Outcome, reply: Vec<u8>) {
-    hub.drive_policy(|node, now, desk| {
-        let (agent, counts) = (desk.agent.clone(), desk.counts.clone());
-        let Some(t) = desk.ticket(ix).filter(|t| t.serial == serial) else {
+pub fn call_ended(context: &NodeContext, index: usize, serial: u64, end: Outcome, reply: Vec<u8>) {
+    context.drive_policy(|node, now, table| {
+        let (agent, counts) = (table.agent.clone(), table.counts.clone());
+        let Some(request) = table
+            .request_mut(index)
+            .filter(|request| request.serial == serial)
+        else {
             return;
         };
-        let Some((_, _, call @ CallState::InProgress(_))) = &mut t.call else {
+        let Some((_, _, call @ CallState::InProgress(_))) = &mut request.call else {
             return;
         };
         *call = if end == Outcome::Succeeded {
@@ -207,8 +219,8 @@
         };
         if end == Outcome::Succeeded {
             count(&counts.delivered);
-            dispatch::call_result(&agent, t);
+            dispatch::call_result(&agent, request);
         }
-        node.on_call_finished(now, desk, ix, end);
+        node.on_call_finished(now, table, index, end);
     });
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -35,7 +35,7 @@
     "name", "listen", "agent", "announce", "db", "seed", "stop_ms", "limits", "settings",
 ];
 /// Unknown keys that are named: a file of nothing else is told by those that are missing.
-const MOST_UNKNOWN: usize = 8;
+const MAX_UNKNOWN_KEYS: usize = 8;
 
 impl Config {
     /// ```
@@ -88,7 +88,7 @@
 
 fn unknown(all: &Fields) -> Vec<String> {
     let odd = all.keys().filter(|key| !KEYS.contains(&key.as_str()));
-    odd.take(MOST_UNKNOWN)
+    odd.take(MAX_UNKNOWN_KEYS)
         .map(|key| key.escape_debug().take(40).collect())
         .collect()
 }
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -2,8 +2,8 @@
 
 use crate::connection::Connection;
 use crate::counters::count;
-use crate::socket_buffer::{Filled, OnSocket, Ring};
-use crate::{completion, descriptors, ingress, note, often, thrift, NodeContext};
+use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
+use crate::{completion, descriptors, ingress, log_event, log_frequent, thrift, NodeContext};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -69,23 +69,23 @@
 }
 
 /// Accepts until the end of listening; the listener is closed once all that the system accepted before is taken.
-pub async fn accept(hub: Rc<NodeContext>) {
-    let Some(listener) = hub.listener.borrow().clone() else {
+pub async fn accept(context: Rc<NodeContext>) {
+    let Some(listener) = context.listener.borrow().clone() else {
         return;
     };
     let mut failing = false;
     loop {
         tokio::select! {
-            () = hub.stop_listening.notified() => break,
+            () = context.stop_listening.notified() => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     failing = false;
-                    take(&hub, stream, peer);
+                    take(&context, stream, peer);
                     // Guards against a crowd that comes at once: what made room for it lets go first.
                     tokio::task::yield_now().await;
                 }
                 Err(why) => {
-                    accept_failed(&hub, &why, &mut failing).await;
+                    accept_failed(&context, &why, &mut failing).await;
                 }
             }
         }
@@ -96,27 +96,27 @@
         match timeout(Duration::ZERO, listener.accept()).await {
             Ok(Ok((stream, peer))) => {
                 errors = 0;
-                take(&hub, stream, peer);
+                take(&context, stream, peer);
                 // Guards against an end that comes too soon: the runtime lets a task take so many in one go.
                 tokio::task::yield_now().await;
             }
             // An error for which a connection made room is none of those in a row: there are only so many of them.
             Ok(Err(why)) => {
-                errors += usize::from(!accept_failed(&hub, &why, &mut failing).await);
+                errors += usize::from(!accept_failed(&context, &why, &mut failing).await);
             }
             Err(_) => break,
         }
     }
-    hub.listener.take();
+    context.listener.take();
 }
 
 /// After an accept that failed, as it does when descriptors run out; whether a connection makes room for the next.
-async fn accept_failed(hub: &NodeContext, why: &std::io::Error, failing: &mut bool) -> bool {
-    count(&hub.counts.accept_errors);
+async fn accept_failed(context: &NodeContext, why: &std::io::Error, failing: &mut bool) -> bool {
+    count(&context.counts.accept_errors);
     if !std::mem::replace(failing, true) {
-        note!("accept_fails", "accept fails", why = why);
+        log_event!("accept_fails", "accept fails", why = why);
     }
-    let room = descriptors::none_left(why) && give_way(hub);
+    let room = descriptors::is_exhausted(why) && evict_for_descriptor(context);
     sleep(if room {
         descriptors::AGAIN
     } else {
@@ -126,14 +126,14 @@
     room
 }
 
-fn take(hub: &Rc<NodeContext>, stream: TcpStream, peer: SocketAddr) {
-    count(&hub.counts.accepted);
+fn take(context: &Rc<NodeContext>, stream: TcpStream, peer: SocketAddr) {
+    count(&context.counts.accepted);
     let _ = stream.set_nodelay(true);
-    let id = hub.counts.accepted.get();
-    if room_left(hub) <= 0 && !make_room(hub, ROOM) {
-        count(&hub.counts.closed);
-        *hub.ends.borrow_mut().entry("full").or_default() += 1;
-        often!(
+    let id = context.counts.accepted.get();
+    if remaining_capacity(context) <= 0 && !evict_idle(context, ROOM) {
+        count(&context.counts.closed);
+        *context.ends.borrow_mut().entry("full").or_default() += 1;
+        log_frequent!(
             "connection_end",
             "end",
             conn = id,
@@ -142,32 +142,33 @@
         );
         return;
     }
-    let tape = hub
+    let tape = context
         .record
         .get()
-        .map(|record| record.recorder.tape(peer, hub.config.listen));
+        .map(|record| record.recorder.tape(peer, context.config.listen));
     let conn = Rc::new(Connection::new(id, peer, stream, tape));
-    hub.connections.borrow_mut().insert(id, conn.clone());
-    tokio::task::spawn_local(serve(hub.clone(), conn));
+    context.connections.borrow_mut().insert(id, conn.clone());
+    tokio::task::spawn_local(serve(context.clone(), conn));
 }
 
 /// Connections that may still be opened; below 0, so many too many stand.
-fn room_left(hub: &NodeContext) -> isize {
-    let calls = hub.core.borrow().desk.downstream.out.get();
+fn remaining_capacity(context: &NodeContext) -> isize {
+    let calls = context.core.borrow().table.downstream.out.get();
     // One that is told to close is about to: guards against a second that is closed for the same need.
     let told = |conn: &&Rc<Connection>| conn.close_reason.get().is_some() && !conn.closing.get();
-    let told = hub.connections.borrow().values().filter(told).count();
-    let stand = hub.connections.borrow().len() - told - going(hub).min(GOING_MOST);
-    let sockets = hub
+    let told = context.connections.borrow().values().filter(told).count();
+    let stand = context.connections.borrow().len() - told - going(context).min(GOING_MOST);
+    let sockets = context
         .config
         .sockets
-        .saturating_sub(hub.reserved_descriptors.get());
+        .saturating_sub(context.reserved_descriptors.get());
     room(sockets, calls) as isize - stand as isize
 }
 
 /// Connections that only wait for the other side's end.
-fn going(hub: &NodeContext) -> usize {
-    hub.connections
+fn going(context: &NodeContext) -> usize {
+    context
+        .connections
         .borrow()
         .values()
         .filter(|conn| conn.closing.get())
@@ -176,8 +177,8 @@
 
 /// Ends the connection that was unused for longest, if need be; false if all are in use. Guards against a
 /// crowd that says nothing: whoever never said a word goes before all dispatchers.
-fn make_room(hub: &NodeContext, code: &'static str) -> bool {
-    let conns = hub.connections.borrow();
+fn evict_idle(context: &NodeContext, code: &'static str) -> bool {
+    let conns = context.connections.borrow();
     // One that is on its way out makes no further room.
     let free = |conn: &&Rc<Connection>| {
         conn.is_idle() && conn.close_reason.get().is_none() && !conn.closing.get()
@@ -192,21 +193,21 @@
 }
 
 /// Ends the connection that was unused for longest, at once, for a need of the node's own; false if all are in use.
-pub fn give_way(hub: &NodeContext) -> bool {
-    make_room(hub, GIVES_WAY)
+pub fn evict_for_descriptor(context: &NodeContext) -> bool {
+    evict_idle(context, GIVES_WAY)
 }
 
 /// Guards against a bunch of calls below that comes sooner than the next look: each call past what is put by is made
 /// once an unused connection has made room for it.
-pub async fn room_for_call(hub: &NodeContext) {
-    let mut made = room_left(hub) < 0 && make_room(hub, ROOM);
+pub async fn reserve_for_call(context: &NodeContext) {
+    let mut made = remaining_capacity(context) < 0 && evict_idle(context, ROOM);
     // Under few descriptors half of them is more than calls leave.
     let (stand, calls) = (
-        hub.connections.borrow().len(),
-        hub.core.borrow().desk.downstream.out.get(),
+        context.connections.borrow().len(),
+        context.core.borrow().table.downstream.out.get(),
     );
-    if stand + calls + AT_WORK + hub.reserved_descriptors.get() > hub.config.sockets {
-        made |= give_way(hub);
+    if stand + calls + AT_WORK + context.reserved_descriptors.get() > context.config.sockets {
+        made |= evict_for_descriptor(context);
     }
     if made {
         tokio::task::yield_now().await;
@@ -214,26 +215,26 @@
 }
 
 /// What is due at a connection's end, however it ends: also where serving it ended in a panic.
-struct Ending {
-    hub: Rc<NodeContext>,
+struct ConnectionGuard {
+    context: Rc<NodeContext>,
     conn: Rc<Connection>,
     opened: Instant,
     code: Option<&'static str>,
     open: usize,
 }
 
-impl Ending {
+impl ConnectionGuard {
     /// Its callers are gone; nothing more is taken from it.
     fn leave(&mut self) {
         self.conn.closing.set(true);
         let open: Vec<i32> = self.conn.open_requests.borrow().keys().copied().collect();
         self.open += open.len();
         open.into_iter()
-            .for_each(|seq| ingress::gone(&self.hub, &self.conn, seq));
+            .for_each(|seq| ingress::gone(&self.context, &self.conn, seq));
     }
 }
 
-impl Drop for Ending {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         let code = match self.code {
             Some(code) => code,
@@ -244,15 +245,15 @@
                 "panic"
             }
         };
-        self.hub.connections.borrow_mut().remove(&self.conn.id);
-        count(&self.hub.counts.closed);
-        *self.hub.ends.borrow_mut().entry(code).or_default() += 1;
+        self.context.connections.borrow_mut().remove(&self.conn.id);
+        count(&self.context.counts.closed);
+        *self.context.ends.borrow_mut().entry(code).or_default() += 1;
         let (id, peer, ms) = (
             self.conn.id,
             self.conn.peer,
             self.opened.elapsed().as_millis(),
         );
-        often!(
+        log_frequent!(
             "connection_end",
             "end",
             conn = id,
@@ -264,16 +265,16 @@
     }
 }
 
-async fn serve(hub: Rc<NodeContext>, conn: Rc<Connection>) {
+async fn serve(context: Rc<NodeContext>, conn: Rc<Connection>) {
     let opened = Instant::now();
-    let mut ending = Ending {
-        hub: hub.clone(),
+    let mut ending = ConnectionGuard {
+        context: context.clone(),
         conn: conn.clone(),
         opened,
         code: None,
         open: 0,
     };
-    let (code, cut) = talk(&hub, &conn).await;
+    let (code, cut) = talk(&context, &conn).await;
     ending.code = Some(code);
     ending.leave();
     if !cut {
@@ -282,18 +283,18 @@
 }
 
 /// What was read of a connection and not taken yet, and how long it is waited for.
-struct Reading {
+struct FrameReader {
     back: Ring,
     /// Set once nothing more is read: by the other side's end, or by a frame that cannot be read.
     last: Option<&'static str>,
-    patience: Patience,
+    patience: ReadDeadlines,
 }
 
-impl Reading {
+impl FrameReader {
     /// What a read from the socket brought, and the whole frames in it; whether more came than others should wait for.
     fn take(
         &mut self,
-        hub: &NodeContext,
+        context: &NodeContext,
         conn: &Rc<Connection>,
         last_look: bool,
     ) -> std::io::Result<bool> {
@@ -304,9 +305,9 @@
         } else {
             back.fill(&conn.stream)
         }? {
-            Filled::Some => conn.last_activity.set(Instant::now()),
-            Filled::Nothing => {}
-            Filled::End => {
+            ReadOutcome::Some => conn.last_activity.set(Instant::now()),
+            ReadOutcome::Nothing => {}
+            ReadOutcome::End => {
                 self.last = Some(if self.back.is_empty() {
                     "eof"
                 } else {
@@ -315,7 +316,7 @@
             }
         }
         let flood = self.back.len() > FLOOD;
-        match frames(hub, conn, &mut self.back) {
+        match frames(context, conn, &mut self.back) {
             Err(code) => self.last = Some(self.patience.over(Instant::now(), code)),
             Ok(whole) => {
                 self.patience
@@ -327,11 +328,11 @@
 }
 
 /// Serves until the connection's end; the reason code, and whether it is past saying good-bye.
-async fn talk(hub: &Rc<NodeContext>, conn: &Rc<Connection>) -> (&'static str, bool) {
-    let mut read = Reading {
+async fn talk(context: &Rc<NodeContext>, conn: &Rc<Connection>) -> (&'static str, bool) {
+    let mut read = FrameReader {
         back: Ring::default(),
         last: None,
-        patience: Patience::new(Instant::now()),
+        patience: ReadDeadlines::new(Instant::now()),
     };
     loop {
         let before = conn.outgoing.borrow().len();
@@ -352,13 +353,13 @@
             }
             // Guards against a ticket cut off by a close that it crossed: it may lie in the socket, unread for as long
             // as the process was busy, or be half here.
-            if read.last.is_none() && conn.is_idle() && read.take(hub, conn, true).is_err() {
+            if read.last.is_none() && conn.is_idle() && read.take(context, conn, true).is_err() {
                 return ("reset", true);
             }
             if conn.is_idle() && read.back.is_empty() && read.last.is_none() {
                 // Guards against a flood of connections: a long good-bye would keep the descriptor that is wanted
                 // now. A caller that was of use may have an answer on its way, which a reset would take along.
-                let crowd = !conn.is_known.get() || going(hub) >= GOING_MOST;
+                let crowd = !conn.is_known.get() || going(context) >= GOING_MOST;
                 return (code, code == GIVES_WAY || code == ROOM && crowd);
             }
             continue;
@@ -374,7 +375,7 @@
         tokio::select! {
             biased;
             ready = conn.stream.readable(), if reading => {
-                match ready.and_then(|()| read.take(hub, conn, false)) {
+                match ready.and_then(|()| read.take(context, conn, false)) {
                     Err(_) => return ("reset", true),
                     Ok(true) => tokio::task::yield_now().await,
                     Ok(false) => {}
@@ -384,7 +385,7 @@
             () = conn.wakeup.notified() => {}
             () = sleep_until(by.unwrap_or_else(Instant::now).into()), if by.is_some() => {
                 if read.last.is_some() {
-                    ingress::cut_short(hub, conn);
+                    ingress::cancel_all(context, conn);
                     read.patience.answers_by = None;
                 } else if read.back.is_empty() && !conn.open_requests.borrow().is_empty() {
                     // Its first ticket is still in hand.
@@ -399,7 +400,7 @@
 }
 
 /// How long a connection is waited for.
-struct Patience {
+struct ReadDeadlines {
     /// Its opening, or the last look at which its first ticket was still in hand.
     strange_since: Instant,
     /// Since when a frame is begun and not whole.
@@ -408,7 +409,7 @@
     answers_by: Option<Instant>,
 }
 
-impl Patience {
+impl ReadDeadlines {
     fn new(opened: Instant) -> Self {
         Self {
             strange_since: opened,
@@ -445,7 +446,7 @@
 
 /// Takes all whole frames; how many there were.
 fn frames(
-    hub: &NodeContext,
+    context: &NodeContext,
     conn: &Rc<Connection>,
     back: &mut Ring,
 ) -> Result<usize, thrift::Flaw> {
@@ -465,9 +466,9 @@
         if let Some(tape) = &conn.recording {
             tape.said(0, &back.bytes()[..4 + len]);
         }
-        count(&hub.counts.frames);
+        count(&context.counts.frames);
         whole += 1;
-        let taken = ingress::frame(hub, conn, &back.bytes()[4..4 + len]);
+        let taken = ingress::frame(context, conn, &back.bytes()[4..4 + len]);
         back.drop_front(4 + len);
         taken?;
     }
@@ -485,7 +486,10 @@
     // Guards against spending the node's time on a message of many megabytes that nobody takes.
     while seen < LINGER_BYTES
         && stream.readable().await.is_ok()
-        && matches!(rest.fill(stream), Ok(Filled::Some | Filled::Nothing))
+        && matches!(
+            rest.fill(stream),
+            Ok(ReadOutcome::Some | ReadOutcome::Nothing)
+        )
     {
         seen += rest.len();
         rest.clear();
@@ -493,13 +497,16 @@
 }
 
 /// Ends connections that are unused for longer than wanted, stuck, or forsaken.
-pub async fn look_after(hub: Rc<NodeContext>) {
+pub async fn sweep_connections(context: Rc<NodeContext>) {
     loop {
         sleep(LOOK).await;
-        completion::end_orphans(&hub, Instant::now());
-        let (stay, idle) = (hub.core.borrow().desk.idle_limit, hub.idle_timeout.get());
+        completion::end_orphans(&context, Instant::now());
+        let (stay, idle) = (
+            context.core.borrow().table.idle_limit,
+            context.idle_timeout.get(),
+        );
         let now = Instant::now();
-        for conn in hub.connections.borrow().values() {
+        for conn in context.connections.borrow().values() {
             let quiet = now.duration_since(conn.last_activity.get());
             if !conn.is_idle() {
                 if quiet > STUCK && !conn.outgoing.borrow().is_empty() {
@@ -517,13 +524,13 @@
             }
         }
         // Calls below came into the room that connections took while there were none.
-        for _ in room_left(&hub)..0 {
-            make_room(&hub, ROOM);
+        for _ in remaining_capacity(&context)..0 {
+            evict_idle(&context, ROOM);
         }
         // Guards against many that ask and do not read: the one that is furthest behind goes.
-        let conns = hub.connections.borrow();
+        let conns = context.connections.borrow();
         let unread = |conn: &Rc<Connection>| conn.outgoing.borrow().len();
-        if conns.values().map(unread).sum::<usize>() > hub.config.memory / UNREAD_PART {
+        if conns.values().map(unread).sum::<usize>() > context.config.memory / UNREAD_PART {
             if let Some(conn) = conns.values().max_by_key(|&conn| unread(conn)) {
                 conn.close_with("unread");
             }
@@ -548,7 +555,7 @@
             (1_000, true, false, Some(2_000), Some(3_000)),
             (1_100, false, true, Some(2_000), None),
         ];
-        let mut patience = Patience::new(start);
+        let mut patience = ReadDeadlines::new(start);
         for (ms, starts, all, strange, used) in cases {
             patience.read(at(ms), starts, all);
             assert_eq!(
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -1,12 +1,12 @@
 //! Descriptors: how many there are, and how the node has one for its own needs once they have run out.
 //!
-//! What the system's limit and the configuration leave is shared out by `take_in::room`: the node's own needs and the
+//! What the system's limit and the configuration leave is shared out by `connections::connection_capacity`: the node's own needs and the
 //! calls below come first, and whoever rests makes room. Where all that was not enough, who wants a descriptor here
 //! waits, and with each look the connection that rests longest is closed at once. Connections that are owed an
 //! answer are never closed for it.
 
 use crate::counters::count;
-use crate::{connections, often, NodeContext};
+use crate::{connections, log_frequent, NodeContext};
 use rustix::process::{getrlimit, Resource};
 use std::future::Future;
 use std::io;
@@ -31,12 +31,12 @@
 /// Whether this failed for want of descriptors.
 ///
 /// ```
-/// use rainstand_node::descriptors::none_left;
+/// use rainstand_node::descriptors::is_exhausted;
 /// use std::io::Error;
-/// let kinds = [24, 23, 111].map(|code| none_left(&Error::from_raw_os_error(code)));
+/// let kinds = [24, 23, 111].map(|code| is_exhausted(&Error::from_raw_os_error(code)));
 /// assert_eq!(kinds, [true, true, false]);
 /// ```
-pub fn none_left(error: &io::Error) -> bool {
+pub fn is_exhausted(error: &io::Error) -> bool {
     error
         .raw_os_error()
         .is_some_and(|code| NONE_LEFT.contains(&code))
@@ -47,7 +47,7 @@
 /// # Errors
 /// Those of `attempt`, for want of descriptors only after [`TRIES`].
 pub async fn have<T, F>(
-    hub: &NodeContext,
+    context: &NodeContext,
     what: &'static str,
     attempt: impl Fn() -> F,
 ) -> io::Result<T>
@@ -58,14 +58,14 @@
     loop {
         let done = attempt().await;
         tries += 1;
-        if tries >= TRIES || !done.as_ref().is_err_and(none_left) {
+        if tries >= TRIES || !done.as_ref().is_err_and(is_exhausted) {
             return done;
         }
-        count(&hub.counts.descriptors_out);
+        count(&context.counts.descriptors_out);
         if tries == 1 {
-            often!("descriptors_out", "out of descriptors", wanted = what);
+            log_frequent!("descriptors_out", "out of descriptors", wanted = what);
         }
-        connections::give_way(hub);
+        connections::evict_for_descriptor(context);
         sleep(AGAIN).await;
     }
 }
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -3,8 +3,8 @@
 //! On a connection that served before, a reset does not tell whether the call ran, and what came too
 //! much behind the last reply would answer this one. A calm day shows no cost of opening one each time.
 
-use crate::recording::Record;
-use crate::socket_buffer::{Filled, OnSocket, Ring};
+use crate::recording::TrafficRecording;
+use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
 use crate::{connections, descriptors, http, NodeContext};
 use rainstand::Outcome;
 use rainstand_traffic_recorder::Tape;
@@ -17,28 +17,28 @@
 use tokio::time::timeout;
 
 /// Calls out at once, by the descriptors that are put by for them.
-pub const CALLS_MOST: usize = 192;
+pub const MAX_CALLS: usize = 192;
 /// How much longer than stated an answer is waited for: the way back of one that just made it.
-const LAST_WORD: Duration = Duration::from_millis(15);
+const REPLY_GRACE: Duration = Duration::from_millis(15);
 
-pub struct Pool {
+pub struct DownstreamPool {
     addr: Cell<Option<SocketAddr>>,
     /// Calls that are out, each with its descriptor.
     pub out: Cell<usize>,
     /// Where calls are recorded, if they are.
-    pub record: OnceCell<Rc<Record>>,
+    pub record: OnceCell<Rc<TrafficRecording>>,
 }
 
 /// One call out; gives its place back however the call ends.
-struct Place<'a>(&'a Cell<usize>);
+struct CallSlot<'a>(&'a Cell<usize>);
 
-impl Drop for Place<'_> {
+impl Drop for CallSlot<'_> {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
 }
 
-impl Pool {
+impl DownstreamPool {
     pub fn new(addr: Option<SocketAddr>) -> Self {
         Self {
             addr: Cell::new(addr),
@@ -56,20 +56,20 @@
     /// the call up.
     pub async fn call(
         &self,
-        hub: &NodeContext,
+        context: &NodeContext,
         trace: &[u8],
         left: Duration,
         body: &[u8],
     ) -> (Outcome, Vec<u8>) {
-        let Some(addr) = self.addr.get().filter(|_| self.out.get() < CALLS_MOST) else {
+        let Some(addr) = self.addr.get().filter(|_| self.out.get() < MAX_CALLS) else {
             return (Outcome::Unreachable, Vec::new());
         };
         self.out.set(self.out.get() + 1);
-        let _place = Place(&self.out);
+        let _place = CallSlot(&self.out);
         let ends = Instant::now() + left;
         // Nothing was written yet, so whatever goes wrong here nothing ran.
-        connections::room_for_call(hub).await;
-        let opening = descriptors::have(hub, "call", || TcpStream::connect(addr));
+        connections::reserve_for_call(context).await;
+        let opening = descriptors::have(context, "call", || TcpStream::connect(addr));
         let Ok(Ok(stream)) = timeout(left, opening).await else {
             return (Outcome::Unreachable, Vec::new());
         };
@@ -77,7 +77,12 @@
         let left = ends.saturating_duration_since(Instant::now());
         let tape = self.record.get().and_then(|record| record.link(&stream));
         let request = request(trace, left, addr, body);
-        match timeout(left + LAST_WORD, exchange(&stream, &request, tape.as_ref())).await {
+        match timeout(
+            left + REPLY_GRACE,
+            exchange(&stream, &request, tape.as_ref()),
+        )
+        .await
+        {
             Err(_) => (Outcome::TimedOut, Vec::new()),
             Ok(Err(_)) => (Outcome::Disconnected, Vec::new()),
             Ok(Ok((reply, body))) => (outcome(&reply), body),
@@ -116,7 +121,7 @@
     loop {
         stream.readable().await?;
         let filled = back.fill(stream)?;
-        if filled == Filled::End {
+        if filled == ReadOutcome::End {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let bytes = back.bytes();
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -1,6 +1,6 @@
 //! The notice to leave: everything read is answered, then the process ends.
 
-use crate::{note, NodeContext};
+use crate::{log_event, NodeContext};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -13,59 +13,63 @@
 /// After the socket stops listening, for what crossed it: the protocol speaks of 50 ms.
 const CROSSING: Duration = Duration::from_millis(200);
 /// For the shards that are led here to be led elsewhere.
-const HANDS_OVER: Duration = Duration::from_millis(500);
+const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Between looks at what is still owed.
 const LOOK: Duration = Duration::from_millis(10);
 
 /// From the notice on; returns when nothing is owed any more, or when the kill is near.
-pub async fn drain(hub: &Rc<NodeContext>) {
-    let (noticed, stop) = (Instant::now(), hub.config.stop);
+pub async fn drain(context: &Rc<NodeContext>) {
+    let (noticed, stop) = (Instant::now(), context.config.stop);
     let ends = noticed + stop.saturating_sub(BEFORE_KILL[1]);
-    hub.leaving.set(Some(noticed));
-    hub.report_wakeup.notify_one();
-    let owing = hub.core.borrow().desk.pending_reply_count();
-    let conns = hub.connections.borrow().len();
-    note!(
+    context.leaving.set(Some(noticed));
+    context.report_wakeup.notify_one();
+    let owing = context.core.borrow().table.pending_reply_count();
+    let conns = context.connections.borrow().len();
+    log_event!(
         "drain_begins",
         "drain begins",
         owing = owing,
         conns = conns,
         stop_ms = stop.as_millis()
     );
-    hub.connections
+    context
+        .connections
         .borrow()
         .values()
         .for_each(|conn| conn.send_shutdown());
     // Others lead the shards from here on, while what is in hand is still served.
-    let copies = hub.core.borrow().desk.group.clone();
+    let copies = context.core.borrow().table.group.clone();
     if let Some(copies) = copies {
-        tokio::task::spawn_local(async move { copies.group().leave(HANDS_OVER).await });
+        tokio::task::spawn_local(
+            async move { copies.group().leave(LEADERSHIP_TRANSFER_TIMEOUT).await },
+        );
     }
-    tell_module(hub);
+    notify_policy(context);
     // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
-    let begun = hub.core.borrow().controller.is_some();
+    let begun = context.core.borrow().controller.is_some();
     let deaf_at = noticed
         + if begun {
-            hub.drain_grace.get().min(stop.mul_f64(LISTENING))
+            context.drain_grace.get().min(stop.mul_f64(LISTENING))
         } else {
             Duration::ZERO
         };
     sleep(deaf_at.saturating_duration_since(Instant::now())).await;
-    hub.stop_listening.notify_one();
+    context.stop_listening.notify_one();
     let deaf_at = Instant::now();
     // Each connection says good-bye once nothing is owed on it, and is waited for: an end of the process beside it
     // would cut off an answer on its way, or a ticket that lies unread.
-    while Instant::now() < ends && says_goodbye(hub, deaf_at.elapsed()) {
+    while Instant::now() < ends && close_idle_connections(context, deaf_at.elapsed()) {
         sleep(LOOK).await;
     }
-    let owing = hub.core.borrow_mut().desk.fail_all();
+    let owing = context.core.borrow_mut().table.fail_all();
     sleep(LOOK).await;
-    hub.connections
+    context
+        .connections
         .borrow()
         .values()
         .for_each(|conn| conn.close_with("kill"));
     sleep(LOOK).await;
-    note!(
+    log_event!(
         "drain_ends",
         "drain ends",
         owing = owing,
@@ -74,8 +78,11 @@
 }
 
 /// Whether connections are still waited for, so long after the end of listening.
-fn says_goodbye(hub: &NodeContext, deaf_for: Duration) -> bool {
-    let (listening, conns) = (hub.listener.borrow().is_some(), hub.connections.borrow());
+fn close_idle_connections(context: &NodeContext, deaf_for: Duration) -> bool {
+    let (listening, conns) = (
+        context.listener.borrow().is_some(),
+        context.connections.borrow(),
+    );
     for conn in conns.values() {
         conn.send_shutdown();
         if conn.is_idle() && !listening && deaf_for > CROSSING {
@@ -86,16 +93,16 @@
 }
 
 /// The module hears of the notice, at once or as it begins, with the time at which the notice came.
-pub fn tell_module(hub: &NodeContext) {
-    let Some(noticed) = hub.leaving.get() else {
+pub fn notify_policy(context: &NodeContext) {
+    let Some(noticed) = context.leaving.get() else {
         return;
     };
-    hub.drive_policy(|node, _, desk| {
-        let at = noticed.saturating_duration_since(desk.started);
-        let kill = noticed + hub.config.stop.saturating_sub(BEFORE_KILL[0]);
+    context.drive_policy(|node, _, table| {
+        let at = noticed.saturating_duration_since(table.started);
+        let kill = noticed + context.config.stop.saturating_sub(BEFORE_KILL[0]);
         let kill_in = kill
-            .saturating_duration_since(desk.started)
+            .saturating_duration_since(table.started)
             .saturating_sub(at);
-        node.on_shutdown_notice(at, desk, kill_in);
+        node.on_shutdown_notice(at, table, kill_in);
     });
 }
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -1,17 +1,17 @@
 //! Keyed tickets of a node in a group: the start is agreed on before the launch, the result before the answer.
 //!
-//! What is done at each step stands in `rainstand_replicated_state::tickets`; here it is carried out. The decision module still
+//! What is done at each step stands in `rainstand_replicated_state::idempotent_request`; here it is carried out. The decision module still
 //! settles what is let in and when it runs: its order to run is where the group is asked whether the key may start. To
 //! the module a ticket that the group turns away is one that never ran.
 //!
-//! A ticket whose run is over leaves the books; what it is owed waits in `Desk::keeping` until its result is agreed on.
+//! A ticket whose run is over leaves the books; what it is owed waits in `RequestTable::awaiting_commit` until its result is agreed on.
 
 use crate::counters::count;
 use crate::pending_reply::PendingReply;
 use crate::request::{RunState, Trace};
 use crate::request_table::RequestTable;
 use crate::settings::Settings;
-use crate::{descriptors, dispatch, note, NodeContext};
+use crate::{descriptors, dispatch, log_event, NodeContext};
 use bytes::Bytes;
 use rainstand::Outcome;
 use rainstand_cluster::{ClusterMember, MemberOptions};
@@ -43,7 +43,7 @@
 }
 
 /// What makes a ticket a keyed one.
-pub struct Keyed {
+pub struct GroupClaim {
     pub key: Bytes,
     /// Over type, tenant and body: a key is never answered with the result of another.
     sum: u64,
@@ -54,19 +54,19 @@
 }
 
 /// A run of which nobody here knows, as the agent tells it again.
-struct OldRun {
+struct PriorRun {
     trace: Trace,
     end: RunEnd,
     since: Instant,
 }
 
 /// What of the group the node's books need.
-pub struct Copies {
+pub struct GroupHandle {
     group: Rc<ClusterMember>,
-    old: RefCell<VecDeque<OldRun>>,
+    old: RefCell<VecDeque<PriorRun>>,
 }
 
-impl Keyed {
+impl GroupClaim {
     /// `parts`: type, tenant and body.
     pub fn new(key: (&str, &[u8]), parts: [&[u8]; 3], window: Duration, due: Instant) -> Self {
         let (route, entity) = key;
@@ -91,34 +91,34 @@
 /// # Errors
 /// If the member cannot begin.
 pub async fn join(
-    hub: &Rc<NodeContext>,
+    context: &Rc<NodeContext>,
     group: rainstand_config::schema::Group,
 ) -> Result<(), String> {
-    hub.reserved_descriptors.set(kept(group.members.len()));
+    context.reserved_descriptors.set(kept(group.members.len()));
     let setup = MemberOptions {
-        name: hub.config.name.clone(),
+        name: context.config.name.clone(),
         group,
         log: Box::new(tell),
     };
     let group = ClusterMember::start(setup).await?;
-    let copies = Rc::new(Copies {
+    let copies = Rc::new(GroupHandle {
         group,
         old: RefCell::default(),
     });
-    hub.core.borrow_mut().desk.group = Some(copies.clone());
-    tokio::task::spawn_local(tell_old_runs(copies));
+    context.core.borrow_mut().table.group = Some(copies.clone());
+    tokio::task::spawn_local(report_prior_runs(copies));
     Ok(())
 }
 
 /// A new configuration, read again at SIGHUP: its members hold from here on.
-pub async fn reload(hub: &NodeContext) {
+pub async fn reload(context: &NodeContext) {
     let (Some(copies), Some(path)) = (
-        hub.core.borrow().desk.group.clone(),
+        context.core.borrow().table.group.clone(),
         std::env::var_os("RAINSTAND_SETTINGS"),
     ) else {
         return;
     };
-    let read = descriptors::have(hub, "configuration", || async {
+    let read = descriptors::have(context, "configuration", || async {
         std::fs::read_to_string(&path)
     })
     .await;
@@ -128,15 +128,15 @@
         .and_then(|all| all.group.ok_or("no group".into()));
     match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
         Ok(group) => {
-            hub.reserved_descriptors.set(kept(group.members.len()));
-            note!(
+            context.reserved_descriptors.set(kept(group.members.len()));
+            log_event!(
                 "group_reload",
                 "members of the group",
                 count = group.members.len()
             );
         }
         Err(why) => {
-            note!(
+            log_event!(
                 "group_reload_refused",
                 "group refused, the old members stay",
                 why = why.escape_debug()
@@ -149,23 +149,23 @@
 fn tell(news: &GroupEvent) {
     match news {
         GroupEvent::Bootstrapped { members } => {
-            note!("group_formed", "the group begins", members = members)
+            log_event!("group_formed", "the group begins", members = members)
         }
         GroupEvent::BecameLeader { shard, term } => {
-            note!("shard_leads", "leads", shard = shard, term = term)
+            log_event!("shard_leads", "leads", shard = shard, term = term)
         }
         GroupEvent::LostLeadership { shard } => {
-            note!("shard_leads_no_more", "leads no more", shard = shard)
+            log_event!("shard_leads_no_more", "leads no more", shard = shard)
         }
         GroupEvent::MembershipChanged { shard, membership } => {
-            note!(
+            log_event!(
                 "shard_members",
                 "members of a shard",
                 shard = shard,
                 what = membership
             );
         }
-        GroupEvent::Diverged { shard, divergence } => note!(
+        GroupEvent::Diverged { shard, divergence } => log_event!(
             "copy_differs",
             "this copy differs from most others: its files are set aside",
             shard = shard,
@@ -175,13 +175,13 @@
             )
         ),
         GroupEvent::StaleDisk { reason } => {
-            note!(
+            log_event!(
                 "copy_set_aside",
                 "the files are set aside, and this is a new member",
                 why = reason
             );
         }
-        GroupEvent::StalePeer { name, disk, reason } => note!(
+        GroupEvent::StalePeer { name, disk, reason } => log_event!(
             "peer_old_copy",
             "a member came with an old copy of its disk",
             name = name,
@@ -189,7 +189,7 @@
             why = reason
         ),
         GroupEvent::CaughtUp { shard, index } => {
-            note!(
+            log_event!(
                 "shard_caught_up",
                 "caught up by a snapshot",
                 shard = shard,
@@ -197,13 +197,13 @@
             );
         }
         GroupEvent::DiskStalled => {
-            note!(
+            log_event!(
                 "disk_stands_still",
                 "the disk stands still: nothing is confirmed here"
             )
         }
         GroupEvent::DiskFailed { reason } => {
-            note!(
+            log_event!(
                 "disk_failed",
                 "the disk failed: nothing is confirmed here until a new start",
                 why = reason
@@ -212,7 +212,7 @@
     }
 }
 
-impl Copies {
+impl GroupHandle {
     pub fn group(&self) -> &Rc<ClusterMember> {
         &self.group
     }
@@ -235,14 +235,18 @@
 }
 
 /// The module's order to run a keyed ticket: the group is asked first.
-pub fn start(desk: &mut RequestTable, ix: usize) {
-    let (Some(copies), hub) = (desk.group.clone(), desk.context.clone()) else {
+pub fn start(table: &mut RequestTable, index: usize) {
+    let (Some(copies), context) = (table.group.clone(), table.context.clone()) else {
         return;
     };
-    let Some(t) = desk.ticket(ix) else { return };
-    let (serial, trace) = (t.serial, t.trace);
-    let Some(keyed) = &mut t.claim else { return };
-    t.run = RunState::Claiming;
+    let Some(request) = table.request_mut(index) else {
+        return;
+    };
+    let (serial, trace) = (request.serial, request.trace);
+    let Some(keyed) = &mut request.claim else {
+        return;
+    };
+    request.run = RunState::Claiming;
     let left = keyed.due.saturating_duration_since(Instant::now());
     let most = Duration::from_nanos(copies.group.settings().start_within_ns);
     let what = Operation::Start(Start {
@@ -251,12 +255,15 @@
     });
     let command = copies.command(&trace, &keyed.key, what);
     let tell = move |told: Option<ClaimOutcome>| {
-        if let Some(hub) = hub.upgrade() {
-            hub.drive_policy(|_, _, desk| {
-                if desk.ticket(ix).is_some_and(|t| t.serial == serial) {
-                    happened(
-                        desk,
-                        ix,
+        if let Some(context) = context.upgrade() {
+            context.drive_policy(|_, _, table| {
+                if table
+                    .request_mut(index)
+                    .is_some_and(|request| request.serial == serial)
+                {
+                    apply_event(
+                        table,
+                        index,
                         told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome),
                     );
                 }
@@ -267,30 +274,32 @@
         .group
         .request(command, most.min(left / 2), Rc::new(tell));
     if keyed.question.is_none() {
-        happened(desk, ix, RequestEvent::TimedOut);
+        apply_event(table, index, RequestEvent::TimedOut);
     }
 }
 
 /// Nobody waits for the ticket any more. A run goes on: what it brings serves repeats.
-pub fn left(desk: &mut RequestTable, ix: usize) {
-    happened(desk, ix, RequestEvent::CallerLeft);
+pub fn left(table: &mut RequestTable, index: usize) {
+    apply_event(table, index, RequestEvent::CallerLeft);
 }
 
 /// The run of a keyed ticket is over; the module is told as of any other.
-pub fn ended(desk: &mut RequestTable, ix: usize, end: RunEnd) {
-    happened(desk, ix, RequestEvent::RunFinished(end));
+pub fn ended(table: &mut RequestTable, index: usize, end: RunEnd) {
+    apply_event(table, index, RequestEvent::RunFinished(end));
 }
 
-fn happened(desk: &mut RequestTable, ix: usize, event: RequestEvent) {
-    let Some(copies) = desk.group.clone() else {
+fn apply_event(table: &mut RequestTable, index: usize, event: RequestEvent) {
+    let Some(copies) = table.group.clone() else {
         return;
     };
-    let counts = desk.counts.clone();
-    let Some(t) = desk.tickets.get_mut(ix).and_then(Option::as_mut) else {
+    let counts = table.counts.clone();
+    let Some(request) = table.requests.get_mut(index).and_then(Option::as_mut) else {
         return;
     };
-    let Some(keyed) = &mut t.claim else { return };
-    let (trace, key) = (t.trace, keyed.key.clone());
+    let Some(keyed) = &mut request.claim else {
+        return;
+    };
+    let (trace, key) = (request.trace, keyed.key.clone());
     let Transition { next, action: act } = transition(keyed.stage, event);
     if let Some(next) = next {
         keyed.stage = next;
@@ -299,31 +308,31 @@
     let never_ran = match act {
         RequestAction::None => false,
         RequestAction::Launch => {
-            t.run = RunState::Launched;
+            request.run = RunState::Launched;
             count(&counts.launched);
-            dispatch::launch(&desk.agent, t, &desk.class_names);
+            dispatch::launch(&table.agent, request, &table.class_names);
             false
         }
         RequestAction::ReplicateResult(result) => {
-            let (owed, due) = (t.reply.take(), keyed.due);
-            keep(desk, &copies, trace, &key, result, owed, due);
+            let (owed, due) = (request.reply.take(), keyed.due);
+            keep(table, &copies, trace, &key, result, owed, due);
             false
         }
         RequestAction::Respond(result) => {
-            if let Some(owed) = t.reply.take() {
+            if let Some(owed) = request.reply.take() {
                 owed.serve(&counts, &result);
             }
             true
         }
         RequestAction::Reject { permanent } => {
             let come_back = Duration::from_nanos(copies.group.settings().come_back_ns);
-            if let Some(owed) = t.reply.take() {
+            if let Some(owed) = request.reply.take() {
                 owed.reject(&counts, come_back, permanent);
             }
             true
         }
         RequestAction::Fail => {
-            if let Some(owed) = t.reply.take() {
+            if let Some(owed) = request.reply.take() {
                 owed.fail(&counts);
             }
             true
@@ -335,7 +344,7 @@
             true
         }
         RequestAction::FailAndRecord | RequestAction::FailAndRelease => {
-            if let Some(owed) = t.reply.take() {
+            if let Some(owed) = request.reply.take() {
                 owed.fail(&counts);
             }
             let what = if act == RequestAction::FailAndRecord {
@@ -348,14 +357,14 @@
         }
     };
     if never_ran {
-        desk.run_ends.push_back((ix, Outcome::NeverStarted));
+        table.run_ends.push_back((index, Outcome::NeverStarted));
     }
 }
 
 /// Agrees on a result; what is owed is answered then, or given up in time.
 fn keep(
-    desk: &mut RequestTable,
-    copies: &Copies,
+    table: &mut RequestTable,
+    copies: &GroupHandle,
     trace: Trace,
     key: &Bytes,
     result: Bytes,
@@ -368,42 +377,44 @@
     } else {
         UNWATCHED
     };
-    let (hub, kept) = (desk.context.clone(), result.clone());
-    let number = desk.retain_reply(owed);
+    let (context, kept) = (table.context.clone(), result.clone());
+    let number = table.retain_reply(owed);
     let tell = move |told: Option<ClaimOutcome>| {
-        let Some(hub) = hub.upgrade() else { return };
-        let mut core = hub.core.borrow_mut();
+        let Some(context) = context.upgrade() else {
+            return;
+        };
+        let mut core = context.core.borrow_mut();
         let event = told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome);
         let Transition { next, action: act } = transition(RequestStage::Replicating, event);
         if next.is_some() {
             return;
         }
-        let Some(owed) = core.desk.awaiting_commit.remove(&number) else {
+        let Some(owed) = core.table.awaiting_commit.remove(&number) else {
             return;
         };
         match act {
-            RequestAction::Respond(_) => owed.serve(&hub.counts, &kept),
-            _ => owed.fail(&hub.counts),
+            RequestAction::Respond(_) => owed.serve(&context.counts, &kept),
+            _ => owed.fail(&context.counts),
         }
     };
     let command = copies.command(&trace, key, Operation::Done(result));
     if copies.group.request(command, left, Rc::new(tell)).is_none() {
-        if let Some(owed) = desk.awaiting_commit.remove(&number) {
-            owed.fail(&desk.counts);
+        if let Some(owed) = table.awaiting_commit.remove(&number) {
+            owed.fail(&table.counts);
         }
     }
 }
 
 /// The agent tells of a run that nobody here knows: perhaps an earlier start of this node began it.
-pub fn old_run(hub: &NodeContext, trace: Trace, end: RunEnd) {
-    let Some(copies) = hub.core.borrow().desk.group.clone() else {
+pub fn report_prior_run(context: &NodeContext, trace: Trace, end: RunEnd) {
+    let Some(copies) = context.core.borrow().table.group.clone() else {
         return;
     };
     let mut old = copies.old.borrow_mut();
     if old.len() >= OLD_RUNS {
         old.pop_front();
     }
-    old.push_back(OldRun {
+    old.push_back(PriorRun {
         trace,
         end,
         since: Instant::now(),
@@ -411,7 +422,7 @@
 }
 
 /// Once a key of such a run was read from the copies here, the group hears how it ended.
-async fn tell_old_runs(copies: Rc<Copies>) {
+async fn report_prior_runs(copies: Rc<GroupHandle>) {
     loop {
         sleep(OLD_LOOK).await;
         let all = std::mem::take(&mut *copies.old.borrow_mut());
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Connection;
 use crate::counters::count;
-use crate::idempotency::Keyed;
+use crate::idempotency::GroupClaim;
 use crate::pending_reply::PendingReply;
 use crate::request::{Request, RunState};
 use crate::result_cache::{body_checksum, CachedResult, IdempotencyKey};
@@ -29,11 +29,15 @@
 const BORN_WITHIN: Duration = Duration::from_secs(600);
 
 /// One frame. An error is the reason code for which the connection is to end.
-pub fn frame(hub: &NodeContext, conn: &Rc<Connection>, frame: &[u8]) -> Result<(), thrift::Flaw> {
+pub fn frame(
+    context: &NodeContext,
+    conn: &Rc<Connection>,
+    frame: &[u8],
+) -> Result<(), thrift::Flaw> {
     let message = thrift::message(frame)?;
     let (name, seq) = (message.name, message.seq);
     let except = |code, why: &str| {
-        count(&hub.counts.exceptions);
+        count(&context.counts.exceptions);
         count(&conn.exceptions);
         if !message.oneway {
             conn.send(&thrift::exception(name, seq, code, why));
@@ -44,25 +48,25 @@
         flaw
     };
     match name {
-        b"process" if message.oneway => count(&hub.counts.exceptions),
+        b"process" if message.oneway => count(&context.counts.exceptions),
         b"process" => {
             let (fields, body) = thrift::process_args(message.args).map_err(unreadable)?;
             if conn.open_requests.borrow().contains_key(&seq) {
                 return Err("seq_repeated");
             }
-            if let Err(why) = ticket(hub, conn, seq, fields, body) {
+            if let Err(why) = ticket(context, conn, seq, fields, body) {
                 except(thrift::INTERNAL_ERROR, why);
             }
         }
         b"giveUp" => {
             let left = thrift::give_up_args(message.args).map_err(unreadable)?;
-            left.into_iter().for_each(|seq| gone(hub, conn, seq));
+            left.into_iter().for_each(|seq| gone(context, conn, seq));
         }
         b"probe" => {
             thrift::probe_args(message.args).map_err(unreadable)?;
-            count(&hub.counts.probes);
+            count(&context.counts.probes);
             conn.is_known.set(true);
-            let good = hub.core.borrow().desk.healthy;
+            let good = context.core.borrow().table.healthy;
             if !message.oneway {
                 conn.send(&thrift::answer(b"probe", seq, &[], good));
             }
@@ -77,32 +81,32 @@
 }
 
 /// The caller no longer waits for the answer of this number.
-pub fn gone(hub: &NodeContext, conn: &Connection, seq: i32) {
-    let Some(ix) = conn.open_requests.borrow_mut().remove(&seq) else {
+pub fn gone(context: &NodeContext, conn: &Connection, seq: i32) {
+    let Some(index) = conn.open_requests.borrow_mut().remove(&seq) else {
         return;
     };
-    count(&hub.counts.left);
-    hub.drive_policy(|node, now, desk| {
-        if let Some(t) = desk.ticket(ix) {
-            t.reply = None;
-            node.on_caller_gone(now, desk, ix);
+    count(&context.counts.left);
+    context.drive_policy(|node, now, table| {
+        if let Some(request) = table.request_mut(index) {
+            request.reply = None;
+            node.on_caller_gone(now, table, index);
         }
     });
 }
 
 /// Gives up all that is open on a connection that is to end: its caller sent what cannot be read.
-pub fn cut_short(hub: &NodeContext, conn: &Connection) {
+pub fn cancel_all(context: &NodeContext, conn: &Connection) {
     let first = || conn.open_requests.borrow_mut().pop_first();
-    while let Some((_, ix)) = first() {
-        hub.drive_policy(|node, now, desk| {
-            desk.give_up(ix);
-            node.on_caller_gone(now, desk, ix);
+    while let Some((_, index)) = first() {
+        context.drive_policy(|node, now, table| {
+            table.give_up(index);
+            node.on_caller_gone(now, table, index);
         });
     }
 }
 
 fn ticket(
-    hub: &NodeContext,
+    context: &NodeContext,
     conn: &Rc<Connection>,
     seq: i32,
     fields: Option<Vec<(&[u8], &[u8])>>,
@@ -162,29 +166,29 @@
         return Err("too many open tickets on this connection");
     }
 
-    let mut core = hub.core.borrow_mut();
+    let mut core = context.core.borrow_mut();
     let begun = core.controller.is_some();
-    let desk = &mut core.desk;
+    let table = &mut core.table;
     let known = |names: &BTreeMap<String, usize>, name: &str| names.get(name).copied();
-    let traffic = known(&desk.classes, route).ok_or("route: no such traffic type")?;
-    let tenant = text("customer").and_then(|name| known(&desk.tenants, name));
-    if tenant.is_none() && (given("customer") || !desk.tenants.is_empty()) {
+    let traffic = known(&table.classes, route).ok_or("route: no such traffic type")?;
+    let tenant = text("customer").and_then(|name| known(&table.tenants, name));
+    if tenant.is_none() && (given("customer") || !table.tenants.is_empty()) {
         return Err("customer: no such tenant");
     }
-    if desk.by_trace.contains_key(&trace) {
+    if table.by_trace.contains_key(&trace) {
         return Err("trace: in hand already");
     }
     let now = Instant::now();
     // What tells a repeat: all tries of a ticketed one carry the same nonce. A name that comes without is what
     // the ticket is about, which is as much where the type is ticketed.
-    let (outer_limit, window) = desk.class_limits.get(traffic).copied().unwrap_or_default();
+    let (outer_limit, window) = table.class_limits.get(traffic).copied().unwrap_or_default();
     let name = nonce.or(entity.filter(|_| window.is_some()));
     // Where the node is in a group, it is the group that knows what a ticketed one repeats.
-    let agreed = window.filter(|_| desk.group.is_some()).zip(name);
+    let agreed = window.filter(|_| table.group.is_some()).zip(name);
     let keyed = agreed.map(|(window, name)| {
         let due = now + patience.unwrap_or(outer_limit.saturating_sub(waited));
         let tenant = text("customer").unwrap_or("").as_bytes();
-        Keyed::new(
+        GroupClaim::new(
             (route, name.as_bytes()),
             [route.as_bytes(), tenant, body],
             window,
@@ -197,7 +201,9 @@
         tenant,
         name: name.as_bytes().into(),
     });
-    let kept = key.as_ref().and_then(|key| desk.result_cache.get(now, key));
+    let kept = key
+        .as_ref()
+        .and_then(|key| table.result_cache.get(now, key));
     // Guards against the result of one ticket for another under its name, and against a second run under it.
     if kept
         .as_ref()
@@ -205,31 +211,31 @@
     {
         return Err("nonce: that of a ticket with another body");
     }
-    count(&hub.counts.tickets);
-    let open = key.as_ref().and_then(|key| desk.by_key.get(key).copied());
+    count(&context.counts.tickets);
+    let open = key.as_ref().and_then(|key| table.by_key.get(key).copied());
     let kept = kept.is_some_and(|kept| kept.0 != CachedResult::InProgress);
     let repeat = open
         .filter(|_| !kept)
         .map_or(if kept { RetryOf::Past } else { RetryOf::No }, RetryOf::Of);
     if repeat != RetryOf::No {
-        count(&hub.counts.repeats);
+        count(&context.counts.repeats);
     }
     let owed = PendingReply {
         conn: conn.clone(),
         seq,
     };
     let no_room = |key: &IdempotencyKey| {
-        repeat == RetryOf::No && window.is_some() && !desk.result_cache.has_capacity(now, key)
+        repeat == RetryOf::No && window.is_some() && !table.result_cache.has_capacity(now, key)
     };
     // The agent is not up, or bodies in hand or kept keys fill their part of the memory: nothing of it was run.
     if !begun
-        || desk.body_bytes + body.len() > hub.config.memory / BODIES_PART
+        || table.body_bytes + body.len() > context.config.memory / BODIES_PART
         || key.as_ref().is_some_and(no_room)
     {
-        owed.reject(&hub.counts, hub.max_retry_after.get(), false);
+        owed.reject(&context.counts, context.max_retry_after.get(), false);
         return Ok(());
     }
-    let ix = desk.put(Request {
+    let index = table.put(Request {
         serial: 0,
         trace,
         reply: Some(owed),
@@ -245,7 +251,7 @@
         waiters: Vec::new(),
         orphan_since: None,
     });
-    conn.open_requests.borrow_mut().insert(seq, ix);
+    conn.open_requests.borrow_mut().insert(seq, index);
     drop(core);
     let arrival = Arrival {
         traffic,
@@ -257,7 +263,7 @@
         held_kb,
         again,
     };
-    hub.drive_policy(|node, now, desk| node.on_arrival(now, desk, ix, arrival));
+    context.drive_policy(|node, now, table| node.on_arrival(now, table, index, arrival));
     Ok(())
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -74,7 +74,7 @@
 pub struct Core {
     /// None until the agent has greeted.
     pub controller: Option<AdmissionController>,
-    pub desk: RequestTable,
+    pub table: RequestTable,
 }
 
 /// What the tasks of one node share.
@@ -89,9 +89,9 @@
     pub counts: Rc<Counts>,
     /// How many connections of dispatchers ended, by reason code.
     pub ends: RefCell<BTreeMap<&'static str, u64>>,
-    pub link: Rc<agent::Link>,
+    pub link: Rc<agent::AgentLink>,
     /// Where the node's traffic is recorded, if it is.
-    pub record: OnceCell<Rc<recording::Record>>,
+    pub record: OnceCell<Rc<recording::TrafficRecording>>,
     gauge_names: RefCell<Vec<String>>,
     /// These four, and the module's settings, follow a new configuration file: see `reload::retune`.
     pub idle_timeout: Cell<Duration>,
@@ -116,7 +116,7 @@
     pub fn new(mut config: Config) -> Result<Rc<Self>, String> {
         let (configured, given) = (config.sockets, descriptors::within(config.sockets));
         if given < configured {
-            note!(
+            log_event!(
                 "descriptors_fewer",
                 "descriptors",
                 given = given,
@@ -125,28 +125,31 @@
         }
         config.sockets = given;
         let start = config.start(Duration::ZERO, false)?;
-        let (counts, link) = (Rc::new(Counts::default()), Rc::new(agent::Link::default()));
-        let pool = Rc::new(downstream::Pool::new(config.peers.below));
+        let (counts, link) = (
+            Rc::new(Counts::default()),
+            Rc::new(agent::AgentLink::default()),
+        );
+        let pool = Rc::new(downstream::DownstreamPool::new(config.peers.below));
         let mut names: Vec<(&String, &usize)> = start.types.iter().collect();
         names.sort_by_key(|name| name.1);
         let type_names = names
             .iter()
             .map(|name| serde_json::Value::from(name.0.as_str()).to_string())
             .collect();
-        Ok(Rc::new_cyclic(|hub| {
-            let mut desk = RequestTable::new(hub.clone(), counts.clone(), link.clone(), pool);
-            desk.class_names = type_names;
-            desk.result_cache = result_cache::ResultCache::within(config.memory);
-            (desk.classes, desk.tenants) = (start.types, start.tenants);
-            (desk.fresh, desk.can_pause) = (start.fresh, start.can_stop);
-            desk.class_limits = start.kinds;
+        Ok(Rc::new_cyclic(|context| {
+            let mut table = RequestTable::new(context.clone(), counts.clone(), link.clone(), pool);
+            table.class_names = type_names;
+            table.result_cache = result_cache::ResultCache::within(config.memory);
+            (table.classes, table.tenants) = (start.types, start.tenants);
+            (table.fresh, table.can_pause) = (start.fresh, start.can_stop);
+            table.class_limits = start.kinds;
             Self {
                 peer_addresses: Cell::new(config.peers),
                 reloaded_config: RefCell::new(None),
                 config,
                 core: RefCell::new(Core {
                     controller: None,
-                    desk,
+                    table,
                 }),
                 connections: RefCell::default(),
                 counts,
@@ -173,19 +176,19 @@
         call: impl FnOnce(&mut AdmissionController, Duration, &mut RequestTable),
     ) {
         let mut core = self.core.borrow_mut();
-        let Core { controller, desk } = &mut *core;
+        let Core { controller, table } = &mut *core;
         let Some(node) = controller else { return };
-        let now = desk.now();
+        let now = table.now();
         // Guards against a defect met by one ticket that would end the process, and all others with it.
         let all = AssertUnwindSafe(|| {
-            call(node, now, desk);
-            while let Some((ix, end)) = desk.run_ends.pop_front() {
-                node.ended(now, desk, ix, end);
+            call(node, now, table);
+            while let Some((index, end)) = table.run_ends.pop_front() {
+                node.ended(now, table, index, end);
             }
         });
         if catch_unwind(all).is_err() {
             count(&self.counts.panics);
-            note!(
+            log_event!(
                 "panic_caught",
                 "panic caught:",
                 count = self.counts.panics.get()
@@ -201,40 +204,42 @@
         }
         // The module's clock starts with the agent, so that warming is counted from there.
         if let Some(started) = Instant::now().checked_sub(ago) {
-            core.desk.started = started;
+            core.table.started = started;
         }
-        let Core { controller, desk } = &mut *core;
-        let now = desk.now();
+        let Core { controller, table } = &mut *core;
+        let now = table.now();
         let tuned = self.reloaded_config.borrow();
         let config = tuned.as_ref().unwrap_or(&self.config);
         let start = config
             .start(now.saturating_sub(ago), cold)
             .map_err(|_| "settings")?;
         drop(tuned);
-        note!(
+        log_event!(
             "agent_up",
             "agent up",
             since_ms = ago.as_millis(),
             cold = cold
         );
-        controller.insert(start.node).begin(now, desk);
+        controller.insert(start.node).begin(now, table);
         drop(core);
         // Guards against tickets that are run past the kill: a module that begins late hears of it too.
-        drain::tell_module(self);
-        let hub = self.clone();
-        spawn_local(supervise(self.clone(), "beat", move || tick(hub.clone())));
+        drain::notify_policy(self);
+        let context = self.clone();
+        spawn_local(supervise(self.clone(), "beat", move || {
+            tick(context.clone())
+        }));
         Ok(())
     }
 
     /// Gives up what is due and was not answered. Guards against a ticket that the module lost in a panic: whatever
     /// became of it there, the program owes its answer.
     fn fail_overdue(&self) {
-        let overdue = self.core.borrow().desk.overdue(Instant::now());
-        for ix in overdue {
+        let overdue = self.core.borrow().table.overdue(Instant::now());
+        for index in overdue {
             count(&self.counts.unsettled);
-            self.drive_policy(|node, now, desk| {
-                desk.give_up(ix);
-                node.on_caller_gone(now, desk, ix);
+            self.drive_policy(|node, now, table| {
+                table.give_up(index);
+                node.on_caller_gone(now, table, index);
             });
         }
     }
@@ -246,7 +251,7 @@
     /// One line of all counters.
     pub fn print_counts(&self) {
         let core = self.core.borrow();
-        let (books, conns) = (core.desk.state(), self.connections.borrow().len());
+        let (books, conns) = (core.table.state(), self.connections.borrow().len());
         let agent = agent::state(&self.link, &self.counts);
         let ends: String = self
             .ends
@@ -257,7 +262,7 @@
         let record = self.record.get().map_or(String::new(), |record| {
             format!(" record[{}]", record.recorder.counts().line())
         });
-        log::unheard(|| {
+        log::ignore_write_panic(|| {
             let line = format!(
                 "{books} conns={conns} agent[{agent}] ends[{}]{record}{}",
                 ends.trim(),
@@ -271,13 +276,13 @@
 /// What must go on for as long as the process lives. Guards against a watch that dies in silence: one that ends in a
 /// panic is counted, said, and begun anew; one that returns is done.
 pub async fn supervise<F: Future<Output = ()> + 'static>(
-    hub: Rc<NodeContext>,
+    context: Rc<NodeContext>,
     name: &'static str,
     begin: impl Fn() -> F,
 ) {
     while spawn_local(begin()).await.is_err() {
-        count(&hub.counts.watches_again);
-        note!(
+        count(&context.counts.watches_again);
+        log_event!(
             "watch_again",
             "panic in a watch, which begins anew:",
             name = name
@@ -287,54 +292,57 @@
 }
 
 /// Wake-ups of the decision module, never later than due: with the gauges just told, or the last known.
-async fn tick(hub: Rc<NodeContext>) {
+async fn tick(context: Rc<NodeContext>) {
     loop {
         // Guards against a module that nobody wakes any more, as it ended in a panic before it asked for that.
-        let asked = hub.core.borrow_mut().desk.wake_at.take();
+        let asked = context.core.borrow_mut().table.wake_at.take();
         let at = asked.unwrap_or_else(|| {
-            count(&hub.counts.unasked_beats);
+            count(&context.counts.unasked_beats);
             Instant::now() + DEFAULT_TICK_INTERVAL
         });
         // Guards against old gauges: set beside what runs now, they tell of reading that was none.
         sleep_until(at.checked_sub(GAUGE_LEAD_TIME).unwrap_or(at).into()).await;
-        hub.link.sample();
+        context.link.sample();
         tokio::select! {
-            () = hub.link.sampled.notified() => {}
+            () = context.link.sampled.notified() => {}
             () = sleep_until(at.into()) => {}
         }
-        count(&hub.counts.beats);
+        count(&context.counts.beats);
         if at.elapsed() > LATE_TICK {
-            count(&hub.counts.late_beats);
+            count(&context.counts.late_beats);
         }
-        hub.drive_policy(|node, now, desk| {
-            if desk.gauges_at.is_none_or(|at| at.elapsed() > MAX_GAUGE_AGE) {
-                count(&desk.counts.stale_gauges);
+        context.drive_policy(|node, now, table| {
+            if table
+                .gauges_at
+                .is_none_or(|at| at.elapsed() > MAX_GAUGE_AGE)
+            {
+                count(&table.counts.stale_gauges);
             }
-            let gauges = desk.gauges;
-            node.on_tick(now, desk, gauges);
+            let gauges = table.gauges;
+            node.on_tick(now, table, gauges);
         });
-        hub.fail_overdue();
+        context.fail_overdue();
     }
 }
 
 /// Serves on this listener until `leave` is done and everything is answered.
-pub async fn run(hub: Rc<NodeContext>, listener: TcpListener, leave: impl Future<Output = ()>) {
-    *hub.listener.borrow_mut() = Some(Rc::new(listener));
-    let of = |hub: &Rc<NodeContext>| hub.clone();
-    let [one, two, three, four] = [of(&hub), of(&hub), of(&hub), of(&hub)];
-    spawn_local(supervise(of(&hub), "accept", move || {
+pub async fn run(context: Rc<NodeContext>, listener: TcpListener, leave: impl Future<Output = ()>) {
+    *context.listener.borrow_mut() = Some(Rc::new(listener));
+    let of = |context: &Rc<NodeContext>| context.clone();
+    let [one, two, three, four] = [of(&context), of(&context), of(&context), of(&context)];
+    spawn_local(supervise(of(&context), "accept", move || {
         connections::accept(one.clone())
     }));
-    spawn_local(supervise(of(&hub), "look_after", move || {
-        connections::look_after(two.clone())
+    spawn_local(supervise(of(&context), "look_after", move || {
+        connections::sweep_connections(two.clone())
     }));
-    spawn_local(supervise(of(&hub), "agent", move || {
-        agent::keep_link(three.clone())
+    spawn_local(supervise(of(&context), "agent", move || {
+        agent::run_link(three.clone())
     }));
-    spawn_local(supervise(of(&hub), "announce", move || {
+    spawn_local(supervise(of(&context), "announce", move || {
         registration::keep_reporting(four.clone())
     }));
     leave.await;
-    drain::drain(&hub).await;
-    hub.print_counts();
+    drain::drain(&context).await;
+    context.print_counts();
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -16,13 +16,13 @@
 const KEPT_BACK: f64 = 20.0;
 
 /// How many lines may be written, and how many were not.
-pub struct Tap {
+pub struct RateLimiter {
     left: Cell<f64>,
     at: Cell<Option<Instant>>,
     held_back: Cell<u64>,
 }
 
-impl Tap {
+impl RateLimiter {
     pub const fn new() -> Self {
         Self {
             left: Cell::new(TOGETHER),
@@ -48,23 +48,23 @@
     }
 }
 
-impl Default for Tap {
+impl Default for RateLimiter {
     fn default() -> Self {
         Self::new()
     }
 }
 
 thread_local! {
-    pub static TAP: Tap = const { Tap::new() };
+    pub static LOG_LIMITER: RateLimiter = const { RateLimiter::new() };
 }
 
 /// An event with a stable code, the words of its line, and fields; past the rate none, and how many were
 /// held back is told with the next one. Fields called `what` and `why` are told without their name in a text line.
 #[macro_export]
-macro_rules! note {
+macro_rules! log_event {
     (often: $often:literal, $code:literal, $words:literal $(, $key:ident = $value:expr)* $(,)?) => {
-        if let Some(held_back) = $crate::log::TAP.with(|tap| tap.open(std::time::Instant::now(), $often)) {
-            $crate::log::unheard(|| {
+        if let Some(held_back) = $crate::log::LOG_LIMITER.with(|tap| tap.open(std::time::Instant::now(), $often)) {
+            $crate::log::ignore_write_panic(|| {
                 if held_back > 0 {
                     tracing::info!(event = "log_held_back", words = "log", held_back = held_back);
                 }
@@ -72,18 +72,18 @@
             });
         }
     };
-    ($code:literal, $($rest:tt)*) => { $crate::note!(often: false, $code, $($rest)*) };
+    ($code:literal, $($rest:tt)*) => { $crate::log_event!(often: false, $code, $($rest)*) };
 }
 
 /// An event about one connection or ticket, of which a flood brings hundreds: the first to be held back.
 #[macro_export]
-macro_rules! often {
-    ($($rest:tt)*) => { $crate::note!(often: true, $($rest)*) };
+macro_rules! log_frequent {
+    ($($rest:tt)*) => { $crate::log_event!(often: true, $($rest)*) };
 }
 
 /// How lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Form {
+pub enum LogFormat {
     #[default]
     Text,
     /// One object a line: `at_ms`, `event`, and the fields.
@@ -91,16 +91,16 @@
 }
 
 /// Writes events to standard error, a line each.
-pub struct Lines {
-    form: Form,
+pub struct LogLayer {
+    form: LogFormat,
     write: fn(&str),
 }
 
-impl Lines {
-    pub fn new(form: Form) -> Self {
+impl LogLayer {
+    pub fn new(form: LogFormat) -> Self {
         Self {
             form,
-            write: |line| unheard(|| eprintln!("{line}")),
+            write: |line| ignore_write_panic(|| eprintln!("{line}")),
         }
     }
 
@@ -114,26 +114,26 @@
     }
 }
 
-impl<S: Subscriber> Layer<S> for Lines {
+impl<S: Subscriber> Layer<S> for LogLayer {
     fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
-        let mut told = ClaimOutcome::default();
+        let mut told = EventFields::default();
         event.record(&mut told);
         match self.form {
-            Form::Text => (self.write)(&told.text()),
-            Form::Json => (self.write)(&told.json()),
+            LogFormat::Text => (self.write)(&told.text()),
+            LogFormat::Json => (self.write)(&told.json()),
         }
     }
 }
 
 /// The fields of one event.
 #[derive(Default)]
-struct ClaimOutcome {
+struct EventFields {
     event: String,
     words: String,
     fields: Vec<(&'static str, String)>,
 }
 
-impl Visit for ClaimOutcome {
+impl Visit for EventFields {
     fn record_str(&mut self, field: &Field, value: &str) {
         match field.name() {
             "event" => value.clone_into(&mut self.event),
@@ -147,7 +147,7 @@
     }
 }
 
-impl ClaimOutcome {
+impl EventFields {
     fn text(&self) -> String {
         let mut line = self.words.clone();
         for (name, value) in &self.fields {
@@ -183,7 +183,7 @@
 }
 
 /// Guards against a reader of the log that went away: `eprintln!` panics then, and the node goes on.
-pub fn unheard(line: impl FnOnce()) {
+pub fn ignore_write_panic(line: impl FnOnce()) {
     let _ = catch_unwind(AssertUnwindSafe(line));
 }
 
@@ -198,17 +198,17 @@
     #[test]
     fn events_are_told_as_text_and_as_json() {
         let write = |line: &str| HEARD.with(|heard| heard.borrow_mut().push(line.to_owned()));
-        for form in [Form::Text, Form::Json] {
-            let all = tracing_subscriber::registry().with(Lines { form, write });
+        for form in [LogFormat::Text, LogFormat::Json] {
+            let all = tracing_subscriber::registry().with(LogLayer { form, write });
             tracing::subscriber::with_default(all, || {
-                note!("connection_end", "end", conn = 7, code = "eof", open = 0);
-                note!(
+                log_event!("connection_end", "end", conn = 7, code = "eof", open = 0);
+                log_event!(
                     "agent_refused",
                     "agent refused",
                     what = "launch",
                     req = "0a\nb".escape_debug()
                 );
-                often!("announce_down", "announce down", why = "nobody there");
+                log_frequent!("announce_down", "announce down", why = "nobody there");
             });
         }
         let heard = HEARD.take();
@@ -239,7 +239,7 @@
 
     #[test]
     fn lines_past_the_rate_are_counted_not_written() {
-        let (tap, start) = (Tap::new(), Instant::now());
+        let (tap, start) = (RateLimiter::new(), Instant::now());
         let written = (0..1_000)
             .filter(|_| tap.open(start, true).is_some())
             .count();
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,9 +8,9 @@
 )]
 
 use rainstand_node::config::Config;
-use rainstand_node::log::Lines;
+use rainstand_node::log::LogLayer;
 use rainstand_node::settings::Settings;
-use rainstand_node::{idempotency, note, recording, reload, run, NodeContext};
+use rainstand_node::{idempotency, log_event, recording, reload, run, NodeContext};
 use std::process::ExitCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -71,21 +71,21 @@
             Settings::read(&text).map_err(|e| format!("{path}: {e}"))?
         }
     };
-    Lines::new(settings.form).install()?;
+    LogLayer::new(settings.form).install()?;
     for key in &config.unknown {
-        note!(
+        log_event!(
             "config_key",
             "config",
             key = key,
             what = "is not known and does nothing"
         );
     }
-    let hub = NodeContext::new(config)?;
+    let context = NodeContext::new(config)?;
     if let Some(recording) = &settings.recording {
-        recording::start(&hub, recording)?;
+        recording::start(&context, recording)?;
     }
     LocalSet::new().block_on(&runtime, async move {
-        let listen = hub.config.listen;
+        let listen = context.config.listen;
         let listener = TcpListener::bind(listen)
             .await
             .map_err(|e| format!("listen {listen}: {e}"))?;
@@ -93,18 +93,18 @@
         let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
         // Before the line that says the node is up: it has all its addresses then.
         if let Some(group) = settings.group {
-            idempotency::join(&hub, group).await?;
+            idempotency::join(&context, group).await?;
         }
-        let (name, agent) = (&hub.config.name, hub.config.peers.agent);
-        note!(
+        let (name, agent) = (&context.config.name, context.config.peers.agent);
+        log_event!(
             "start",
             "start",
             name = name,
             listen = listen,
             agent = agent
         );
-        spawn_local(reload::keep_reloading(hub.clone(), path.into(), hup?));
-        let asked = hub.clone();
+        spawn_local(reload::keep_reloading(context.clone(), path.into(), hup?));
+        let asked = context.clone();
         spawn_local(async move {
             while usr1.recv().await.is_some() {
                 asked.print_counts();
@@ -116,7 +116,7 @@
                 _ = int.recv() => {}
             }
         };
-        run(hub, listener, leave).await;
+        run(context, listener, leave).await;
         Ok(())
     })
 }
--- a/crates/node/src/recording.rs
+++ b/crates/node/src/recording.rs
@@ -10,12 +10,12 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 
-pub struct Record {
+pub struct TrafficRecording {
     pub recorder: Rc<Recorder>,
     links: bool,
 }
 
-impl Record {
+impl TrafficRecording {
     /// The tape of a link that the node opened, if links are recorded.
     pub fn link(&self, stream: &TcpStream) -> Option<Tape> {
         let (own, other) = (stream.local_addr().ok()?, stream.peer_addr().ok()?);
@@ -27,21 +27,21 @@
 ///
 /// # Errors
 /// No thread could be started for it.
-pub fn start(hub: &NodeContext, recording: &Recording) -> Result<(), String> {
+pub fn start(context: &NodeContext, recording: &Recording) -> Result<(), String> {
     let start = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
         .as_millis() as u64;
     let disk = Folder {
         folder: PathBuf::from(&recording.folder),
-        name: hub.config.name.clone(),
+        name: context.config.name.clone(),
         start,
     };
     let limits = Limits {
         file_bytes: recording.file_bytes,
         files: recording.files,
     };
-    start_on(hub, disk, limits, recording.links)
+    start_on(context, disk, limits, recording.links)
 }
 
 /// As [`start`], on any disk.
@@ -49,15 +49,21 @@
 /// # Errors
 /// No thread could be started for it.
 pub fn start_on(
-    hub: &NodeContext,
+    context: &NodeContext,
     disk: impl Disk + Send + 'static,
     limits: Limits,
     links: bool,
 ) -> Result<(), String> {
     let program = concat!("rainstand-node ", env!("CARGO_PKG_VERSION"));
     let recorder = Recorder::start(disk, limits, program).map_err(|e| format!("recording: {e}"))?;
-    let record = Rc::new(Record { recorder, links });
-    let _ = hub.core.borrow().desk.downstream.record.set(record.clone());
-    let _ = hub.record.set(record);
+    let record = Rc::new(TrafficRecording { recorder, links });
+    let _ = context
+        .core
+        .borrow()
+        .table
+        .downstream
+        .record
+        .set(record.clone());
+    let _ = context.record.set(record);
     Ok(())
 }
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -1,7 +1,7 @@
 //! Reports to the announce service: the node stays listed while it reports.
 
 use crate::counters::count;
-use crate::{descriptors, downstream, note, NodeContext};
+use crate::{descriptors, downstream, log_event, NodeContext};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,34 +19,36 @@
 
 /// Reports until the node leaves, and then falls silent, so that it is struck off. Where the list follows
 /// the state, it says `false` once before; elsewhere that would only keep it on the list for longer.
-pub async fn keep_reporting(hub: Rc<NodeContext>) {
+pub async fn keep_reporting(context: Rc<NodeContext>) {
     let (mut stream, mut down, mut last) = (None, false, None);
     let mut answered = Instant::now();
     loop {
-        let peer = hub.peer_addresses.get().announce;
+        let peer = context.peer_addresses.get().announce;
         // A connection to where the service no longer is would still be answered for a while.
         if std::mem::replace(&mut last, peer) != peer {
             stream = None;
         }
         let Some(addr) = peer else {
-            hub.report_wakeup.notified().await;
+            context.report_wakeup.notified().await;
             continue;
         };
-        let leaving = hub.leaving.get().is_some();
-        if leaving && !hub.registry_follows_health.get() {
+        let leaving = context.leaving.get().is_some();
+        if leaving && !context.registry_follows_health.get() {
             return;
         }
-        let accepting = !leaving && hub.core.borrow().desk.healthy;
+        let accepting = !leaving && context.core.borrow().table.healthy;
         let body = format!("{{\"accepting\":\"{accepting}\"}}");
         let request = format!(
             "PUT /announce/{} HTTP/1.1\r\nHost: {addr}\r\nContent-Length: {}\r\n\r\n{body}",
-            hub.config.name,
+            context.config.name,
             body.len()
         );
         let report = async {
             let open = match stream.take() {
                 Some(open) => open,
-                None => descriptors::have(&hub, "announce", || TcpStream::connect(addr)).await?,
+                None => {
+                    descriptors::have(&context, "announce", || TcpStream::connect(addr)).await?
+                }
             };
             let (reply, _) = downstream::exchange(&open, request.as_bytes(), None).await?;
             match (reply.status, reply.closes) {
@@ -62,7 +64,7 @@
         let unanswered = done
             .as_ref()
             .is_err_and(|why| why.kind() == io::ErrorKind::TimedOut);
-        let counts = &hub.counts;
+        let counts = &context.counts;
         count(match (&done, unanswered) {
             (Ok(_), _) => &counts.announced,
             (_, true) => &counts.announce_unanswered,
@@ -72,13 +74,13 @@
             Ok(_) => {
                 answered = Instant::now();
                 if std::mem::take(&mut down) {
-                    note!("announce_up", "announce up");
+                    log_event!("announce_up", "announce up");
                 }
             }
             // One line tells of a service that is down, none of an answer now and then that is missing.
             Err(why) if !down && answered.elapsed() > DOWN_AFTER => {
                 down = true;
-                note!("announce_down", "announce down", why = why);
+                log_event!("announce_down", "announce down", why = why);
             }
             Err(_) => {}
         }
@@ -94,7 +96,7 @@
         };
         tokio::select! {
             () = sleep(if sent { EVERY } else { pause }) => {}
-            () = hub.report_wakeup.notified() => {}
+            () = context.report_wakeup.notified() => {}
         }
     }
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -8,25 +8,25 @@
 
 use crate::config::{Config, Peers};
 use crate::counters::count;
-use crate::{descriptors, idempotency, note, Core, NodeContext};
+use crate::{descriptors, idempotency, log_event, Core, NodeContext};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 
 /// Reads the file again at each signal, also while draining.
-pub async fn keep_reloading(hub: Rc<NodeContext>, path: PathBuf, mut signals: Signal) {
+pub async fn keep_reloading(context: Rc<NodeContext>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
-        idempotency::reload(&hub).await;
+        idempotency::reload(&context).await;
         let read =
-            descriptors::have(&hub, "configuration", || async { std::fs::read(&path) }).await;
+            descriptors::have(&context, "configuration", || async { std::fs::read(&path) }).await;
         let read = read
             .map_err(|e| e.to_string())
             .and_then(|bytes| Config::read(&bytes));
         match read {
             Ok(config) => {
                 for key in &config.unknown {
-                    note!(
+                    log_event!(
                         "config_key",
                         "config",
                         key = key,
@@ -34,11 +34,11 @@
                     );
                 }
                 let peers = config.peers;
-                match retune(&hub, config) {
-                    Ok(()) => take(&hub, peers),
+                match apply_settings(&context, config) {
+                    Ok(()) => take(&context, peers),
                     Err(why) => {
-                        count(&hub.counts.reloads_refused);
-                        note!(
+                        count(&context.counts.reloads_refused);
+                        log_event!(
                             "retune_refused",
                             "settings refused, the old file stays",
                             why = why
@@ -48,9 +48,9 @@
             }
             // One line whatever is in the file: it may hold line ends.
             Err(why) => {
-                count(&hub.counts.reloads_refused);
+                count(&context.counts.reloads_refused);
                 let why = why.escape_debug();
-                note!(
+                log_event!(
                     "reload_refused",
                     "reload refused, the old addresses stay",
                     why = why
@@ -61,11 +61,11 @@
 }
 
 /// Whoever talks to an address that is no longer named turns to the new one at once.
-pub fn take(hub: &NodeContext, new: Peers) {
-    let old = hub.peer_addresses.replace(new);
+pub fn take(context: &NodeContext, new: Peers) {
+    let old = context.peer_addresses.replace(new);
     let shown = |peer: Option<SocketAddr>| peer.map_or("none".to_owned(), |addr| addr.to_string());
     let (below, announce) = (shown(new.below), shown(new.announce));
-    note!(
+    log_event!(
         "reload",
         "reload",
         agent = new.agent,
@@ -73,13 +73,13 @@
         announce = announce
     );
     if old.agent != new.agent {
-        hub.link.moved.notify_one();
+        context.link.moved.notify_one();
     }
     if old.below != new.below {
-        hub.core.borrow().desk.downstream.move_to(new.below);
+        context.core.borrow().table.downstream.move_to(new.below);
     }
     if old.announce != new.announce {
-        hub.report_wakeup.notify_one();
+        context.report_wakeup.notify_one();
     }
 }
 
@@ -87,27 +87,28 @@
 ///
 /// # Errors
 /// Where the new settings name other traffic types or tenants: the books are laid out by them.
-pub fn retune(hub: &NodeContext, mut config: Config) -> Result<(), String> {
-    let mut core = hub.core.borrow_mut();
-    let Core { controller, desk } = &mut *core;
-    config.settings = rainstand_settings::in_order(&config.settings, &desk.classes, &desk.tenants)?;
-    let start = config.start(desk.now(), false)?;
-    (desk.fresh, desk.can_pause, desk.class_limits) = (start.fresh, start.can_stop, start.kinds);
-    *hub.gauge_names.borrow_mut() = start.gauges;
-    hub.idle_timeout.set(start.idle);
-    hub.drain_grace.set(start.grace);
-    hub.max_retry_after.set(start.longest_pause);
-    hub.registry_follows_health.set(start.listed_by_state);
+pub fn apply_settings(context: &NodeContext, mut config: Config) -> Result<(), String> {
+    let mut core = context.core.borrow_mut();
+    let Core { controller, table } = &mut *core;
+    config.settings =
+        rainstand_settings::in_order(&config.settings, &table.classes, &table.tenants)?;
+    let start = config.start(table.now(), false)?;
+    (table.fresh, table.can_pause, table.class_limits) = (start.fresh, start.can_stop, start.kinds);
+    *context.gauge_names.borrow_mut() = start.gauges;
+    context.idle_timeout.set(start.idle);
+    context.drain_grace.set(start.grace);
+    context.max_retry_after.set(start.longest_pause);
+    context.registry_follows_health.set(start.listed_by_state);
     if let Some(node) = controller {
         node.reconfigure(start.node);
     }
-    note!(
+    log_event!(
         "retune",
         "settings taken",
         can_stop = start.can_stop,
         longest_ms = start.longest_pause.as_millis()
     );
     drop(core);
-    *hub.reloaded_config.borrow_mut() = Some(config);
+    *context.reloaded_config.borrow_mut() = Some(config);
     Ok(())
 }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,6 +1,6 @@
 //! One request in hand: its run, its call to the tier below, and who waits for its result.
 
-use crate::idempotency::Keyed;
+use crate::idempotency::GroupClaim;
 use crate::pending_reply::PendingReply;
 use crate::result_cache::IdempotencyKey;
 use std::rc::Rc;
@@ -43,7 +43,7 @@
     /// The key is kept for this one: how its run ends is what repeats get.
     pub caches_result: bool,
     /// Set where the group agrees on its start and result.
-    pub claim: Option<Keyed>,
+    pub claim: Option<GroupClaim>,
     /// The open ticket that it repeats.
     pub retry_of: Option<usize>,
     /// Tickets that wait for this one's result, by index and serial number.
@@ -59,7 +59,7 @@
     }
 
     /// Whether its run waits for a call, made or not.
-    pub fn at_call(&self) -> bool {
+    pub fn is_at_call(&self) -> bool {
         matches!(
             self.call,
             Some((_, _, CallState::Pending | CallState::InProgress(_)))
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -1,8 +1,8 @@
 //! All requests in hand, with what the policy's orders work on.
 
 use crate::counters::{count, Counts};
-use crate::downstream::Pool;
-use crate::idempotency::Copies;
+use crate::downstream::DownstreamPool;
+use crate::idempotency::GroupHandle;
 use crate::pending_reply::PendingReply;
 use crate::request::{Request, RunState, Trace};
 use crate::result_cache::{IdempotencyKey, ResultCache};
@@ -20,7 +20,7 @@
 pub struct RequestTable {
     pub started: Instant,
     pub context: Weak<NodeContext>,
-    pub tickets: Vec<Option<Request>>,
+    pub requests: Vec<Option<Request>>,
     free: Vec<usize>,
     serial: u64,
     pub by_trace: HashMap<Trace, usize>,
@@ -28,7 +28,7 @@
     pub by_key: HashMap<IdempotencyKey, usize>,
     pub result_cache: ResultCache,
     /// The group, if the node is in one.
-    pub group: Option<Rc<Copies>>,
+    pub group: Option<Rc<GroupHandle>>,
     /// What is owed once a result is agreed on.
     pub awaiting_commit: HashMap<u64, PendingReply>,
     /// Of each traffic type: its outer limit, and the window of a ticketed one.
@@ -38,8 +38,8 @@
     /// Ends that the node itself brought about, still to be told to the decision module.
     pub run_ends: VecDeque<(usize, Outcome)>,
     pub counts: Rc<Counts>,
-    pub agent: Rc<agent::Link>,
-    pub downstream: Rc<Pool>,
+    pub agent: Rc<agent::AgentLink>,
+    pub downstream: Rc<DownstreamPool>,
     pub classes: BTreeMap<String, usize>,
     /// Names of the traffic types as JSON strings.
     pub class_names: Vec<String>,
@@ -58,15 +58,15 @@
 
 impl RequestTable {
     pub fn new(
-        hub: Weak<NodeContext>,
+        context: Weak<NodeContext>,
         counts: Rc<Counts>,
-        agent: Rc<agent::Link>,
-        pool: Rc<Pool>,
+        agent: Rc<agent::AgentLink>,
+        pool: Rc<DownstreamPool>,
     ) -> Self {
         Self {
             started: Instant::now(),
-            context: hub,
-            tickets: Vec::new(),
+            context: context,
+            requests: Vec::new(),
             free: Vec::new(),
             serial: 0,
             by_trace: HashMap::new(),
@@ -98,20 +98,20 @@
         self.started.elapsed()
     }
 
-    pub fn put(&mut self, mut ticket: Request) -> usize {
+    pub fn put(&mut self, mut request: Request) -> usize {
         self.serial += 1;
-        ticket.serial = self.serial;
-        let ix = self.free.pop().unwrap_or(self.tickets.len());
-        if ix == self.tickets.len() {
-            self.tickets.push(None);
+        request.serial = self.serial;
+        let index = self.free.pop().unwrap_or(self.requests.len());
+        if index == self.requests.len() {
+            self.requests.push(None);
         }
-        self.body_bytes += ticket.body.len();
-        self.by_trace.insert(ticket.trace, ix);
-        if let Some(key) = &ticket.key {
-            self.by_key.entry(key.clone()).or_insert(ix);
+        self.body_bytes += request.body.len();
+        self.by_trace.insert(request.trace, index);
+        if let Some(key) = &request.key {
+            self.by_key.entry(key.clone()).or_insert(index);
         }
-        self.tickets[ix] = Some(ticket);
-        ix
+        self.requests[index] = Some(request);
+        index
     }
 
     /// Keeps what is owed beyond the ticket's time in the books; its number there.
@@ -128,38 +128,38 @@
         self.serial
     }
 
-    pub fn ticket(&mut self, ix: usize) -> Option<&mut Request> {
-        self.tickets.get_mut(ix).and_then(Option::as_mut)
+    pub fn request_mut(&mut self, index: usize) -> Option<&mut Request> {
+        self.requests.get_mut(index).and_then(Option::as_mut)
     }
 
     /// Takes a ticket out of the books for good; its index may serve again.
-    pub fn take(&mut self, ix: usize) -> Option<Request> {
-        let ticket = self.tickets.get_mut(ix)?.take()?;
-        self.body_bytes -= ticket.body.len();
-        self.by_trace.remove(&ticket.trace);
-        if let Some(key) = ticket
+    pub fn take(&mut self, index: usize) -> Option<Request> {
+        let request = self.requests.get_mut(index)?.take()?;
+        self.body_bytes -= request.body.len();
+        self.by_trace.remove(&request.trace);
+        if let Some(key) = request
             .key
             .as_ref()
-            .filter(|key| self.by_key.get(*key) == Some(&ix))
+            .filter(|key| self.by_key.get(*key) == Some(&index))
         {
             self.by_key.remove(key);
         }
-        self.free.push(ix);
-        Some(ticket)
+        self.free.push(index);
+        Some(request)
     }
 
     /// How the run of a ticket ended is what its repeats get from here on.
-    pub fn close_key(&mut self, ix: usize, end: Outcome, result: &[u8]) {
-        let Some(t) = self
-            .tickets
-            .get_mut(ix)
+    pub fn close_key(&mut self, index: usize, end: Outcome, result: &[u8]) {
+        let Some(request) = self
+            .requests
+            .get_mut(index)
             .and_then(Option::as_mut)
-            .filter(|t| t.caches_result)
+            .filter(|request| request.caches_result)
         else {
             return;
         };
-        t.caches_result = false;
-        match (&t.key, end) {
+        request.caches_result = false;
+        match (&request.key, end) {
             (Some(key), Outcome::Succeeded) => self.result_cache.close(key, Some(result)),
             (Some(key), Outcome::NeverStarted) => self.result_cache.drop(key),
             // Guards against a second effect: what failed or was stopped may have had its own.
@@ -170,20 +170,20 @@
 
     /// Tickets that are past their time and not answered.
     pub fn overdue(&self, now: Instant) -> Vec<usize> {
-        let late = |t: &Request| t.reply.is_some() && t.deadline <= now;
-        let all = self.tickets.iter().enumerate();
-        all.filter(|(_, t)| t.as_ref().is_some_and(late))
-            .map(|(ix, _)| ix)
+        let late = |request: &Request| request.reply.is_some() && request.deadline <= now;
+        let all = self.requests.iter().enumerate();
+        all.filter(|(_, request)| request.as_ref().is_some_and(late))
+            .map(|(index, _)| index)
             .collect()
     }
 
     /// The last resort: an error to all that is still owed an answer; how many there were.
     pub fn fail_all(&mut self) -> usize {
         let owed = self
-            .tickets
+            .requests
             .iter_mut()
             .flatten()
-            .filter_map(|t| t.reply.take());
+            .filter_map(|request| request.reply.take());
         let owed: Vec<PendingReply> = owed
             .chain(self.awaiting_commit.drain().map(|(_, owed)| owed))
             .collect();
@@ -198,14 +198,14 @@
     /// Runs whose end no notice will tell any more, of tickets answered long ago. Guards against runs that stay
     /// in the books for good, and take the place of others: their last notice was passed over as odd.
     pub fn orphans(&mut self, now: Instant) -> Vec<usize> {
-        let answered = |t: &Request| t.reply.is_none() && t.is_run();
+        let answered = |request: &Request| request.reply.is_none() && request.is_run();
         let mut found = Vec::new();
-        for (ix, t) in self.tickets.iter_mut().enumerate() {
-            let Some(t) = t.as_mut().filter(|t| answered(t)) else {
+        for (index, request) in self.requests.iter_mut().enumerate() {
+            let Some(request) = request.as_mut().filter(|request| answered(request)) else {
                 continue;
             };
-            if now.duration_since(*t.orphan_since.get_or_insert(now)) > ORPHAN_TIMEOUT {
-                found.push(ix);
+            if now.duration_since(*request.orphan_since.get_or_insert(now)) > ORPHAN_TIMEOUT {
+                found.push(index);
             }
         }
         found
@@ -214,17 +214,21 @@
     /// What the books hold just now, to be set beside what passes on the sockets.
     pub fn state(&self) -> String {
         let count = |which: fn(&Request) -> bool| {
-            self.tickets.iter().flatten().filter(|t| which(t)).count()
+            self.requests
+                .iter()
+                .flatten()
+                .filter(|request| which(request))
+                .count()
         };
         format!(
             "owing={} held={} asking={} keeping={} running={} frozen={} at_call={} calls_out={} body_bytes={} keys={} gauges_ms={} on_cores={}",
             self.pending_reply_count(),
-            count(|t| t.run == RunState::Queued),
-            count(|t| t.run == RunState::Claiming),
+            count(|request| request.run == RunState::Queued),
+            count(|request| request.run == RunState::Claiming),
             self.awaiting_commit.len(),
-            count(|t| t.run == RunState::Launched && !t.at_call()),
-            count(|t| t.run == RunState::Paused),
-            count(Request::at_call),
+            count(|request| request.run == RunState::Launched && !request.is_at_call()),
+            count(|request| request.run == RunState::Paused),
+            count(Request::is_at_call),
             self.downstream.out.get(),
             self.body_bytes,
             self.result_cache.len(),
@@ -235,10 +239,10 @@
 
     /// Tickets whose answer is still owed.
     pub fn pending_reply_count(&self) -> usize {
-        self.tickets
+        self.requests
             .iter()
             .flatten()
-            .filter(|t| t.reply.is_some())
+            .filter(|request| request.reply.is_some())
             .count()
             + self.awaiting_commit.len()
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,13 +1,13 @@
 //! What the node takes from a compiled configuration, beside the platform's JSON file: how its log is
 //! written, and whether its traffic is recorded.
 
-use crate::log::Form;
+use crate::log::LogFormat;
 use rainstand_config::schema::{self, Group, LogForm, Recording};
 
 /// The parts of a configuration that are about a node.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
-    pub form: Form,
+    pub form: LogFormat,
     pub recording: Option<Recording>,
     pub group: Option<Group>,
 }
@@ -25,9 +25,9 @@
         let all =
             schema::from_text(text).map_err(|refused| refused.to_string().replace('\n', " "))?;
         let form = match &all.logs[..] {
-            [] => Form::Text,
-            [one] if one.form() == LogForm::Json => Form::Json,
-            [_] => Form::Text,
+            [] => LogFormat::Text,
+            [one] if one.form() == LogForm::Json => LogFormat::Json,
+            [_] => LogFormat::Text,
             more => return Err(format!("{} logs; a node takes one log", more.len())),
         };
         let recording = match &all.recordings[..] {
--- a/crates/node/src/socket_buffer.rs
+++ b/crates/node/src/socket_buffer.rs
@@ -10,29 +10,29 @@
 
 /// What one read brought.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Filled {
+pub enum ReadOutcome {
     Some,
     Nothing,
     End,
 }
 
-pub trait OnSocket {
+pub trait SocketIo {
     /// One read from the socket, without waiting.
-    fn fill(&mut self, from: &TcpStream) -> io::Result<Filled>;
+    fn fill(&mut self, from: &TcpStream) -> io::Result<ReadOutcome>;
     /// The same past the runtime, which may not have heard yet of bytes that came while it was busy.
-    fn fill_now(&mut self, from: &TcpStream) -> io::Result<Filled>;
+    fn fill_now(&mut self, from: &TcpStream) -> io::Result<ReadOutcome>;
     /// Writes what the socket takes without waiting; true once it is empty.
     fn flush(&mut self, to: &TcpStream) -> io::Result<bool>;
 }
 
-impl OnSocket for Ring {
-    fn fill(&mut self, from: &TcpStream) -> io::Result<Filled> {
+impl SocketIo for Ring {
+    fn fill(&mut self, from: &TcpStream) -> io::Result<ReadOutcome> {
         let mut chunk = [0; CHUNK];
         let read = from.try_read(&mut chunk);
         filled(self, read, &chunk)
     }
 
-    fn fill_now(&mut self, from: &TcpStream) -> io::Result<Filled> {
+    fn fill_now(&mut self, from: &TcpStream) -> io::Result<ReadOutcome> {
         let mut chunk = [0; CHUNK];
         let read = (&*SockRef::from(from)).read(&mut chunk);
         filled(self, read, &chunk)
@@ -43,7 +43,7 @@
             match to.try_write(self.front()) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(n) => self.drop_front(n),
-                Err(e) if is_pause(&e) => return Ok(false),
+                Err(e) if is_retryable(&e) => return Ok(false),
                 Err(e) => return Err(e),
             }
         }
@@ -51,19 +51,19 @@
     }
 }
 
-fn filled(ring: &mut Ring, read: io::Result<usize>, chunk: &[u8]) -> io::Result<Filled> {
+fn filled(ring: &mut Ring, read: io::Result<usize>, chunk: &[u8]) -> io::Result<ReadOutcome> {
     match read {
-        Ok(0) => Ok(Filled::End),
+        Ok(0) => Ok(ReadOutcome::End),
         Ok(n) => {
             ring.put(&chunk[..n]);
-            Ok(Filled::Some)
+            Ok(ReadOutcome::Some)
         }
-        Err(e) if is_pause(&e) => Ok(Filled::Nothing),
+        Err(e) if is_retryable(&e) => Ok(ReadOutcome::Nothing),
         Err(e) => Err(e),
     }
 }
 
-fn is_pause(e: &io::Error) -> bool {
+fn is_retryable(e: &io::Error) -> bool {
     matches!(
         e.kind(),
         io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -38,7 +38,14 @@
                 let (mut agent, mut caller) = w.up().await;
                 let probe = caller.probe().await;
                 assert_eq!(caller.next().await, said(probe, "probe", "good"));
-                let conn = w.hub.connections.borrow().values().next().cloned().unwrap();
+                let conn = w
+                    .context
+                    .connections
+                    .borrow()
+                    .values()
+                    .next()
+                    .cloned()
+                    .unwrap();
                 // Written, and the close ordered, with no chance for the node to read in between.
                 let ticket = whole_ticket(2, "00000000000000aa");
                 assert_eq!(caller.stream.try_write(&ticket).unwrap(), ticket.len());
@@ -61,7 +68,7 @@
             let probe = caller.probe().await;
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
             assert!(w
-                .hub
+                .context
                 .connections
                 .borrow()
                 .values()
@@ -126,7 +133,7 @@
                     stream
                 })
                 .collect();
-            w.hub.stop_listening.notify_one();
+            w.context.stop_listening.notify_one();
             w.leave.notify_one();
             for stream in crowd {
                 let mut caller = Caller::over(TcpStream::from_std(stream).unwrap());
@@ -158,23 +165,25 @@
         |w| async move {
             let (mut agent, mut caller) = w.up().await;
             // A clock past all reckoning: sums of time overflow from here on.
-            w.hub.drive_policy(|node, _, desk| {
-                node.on_tick(Duration::MAX, desk, rainstand::Gauges::default())
+            w.context.drive_policy(|node, _, table| {
+                node.on_tick(Duration::MAX, table, rainstand::Gauges::default())
             });
-            let panics = w.hub.counts.panics.get();
+            let panics = w.context.counts.panics.get();
             assert!(panics > 0, "the module was to be broken");
             // Late, the next wake-up adds to those sums before it asks for another one.
             std::thread::sleep(Duration::from_millis(80));
             let seq = w.ask(&mut caller, "register", b"b").await;
             w.expect(&mut agent, "launch").await;
             assert_eq!(caller.next().await, said(seq, "given up", ""));
-            assert!(w.hub.counts.panics.get() > panics, "it was to stay so");
-            assert!(w.hub.counts.unasked_beats.get() > 0 && w.hub.counts.unsettled.get() == 1);
+            assert!(w.context.counts.panics.get() > panics, "it was to stay so");
+            assert!(
+                w.context.counts.unasked_beats.get() > 0 && w.context.counts.unsettled.get() == 1
+            );
         },
     );
 }
 
-#[allow(clippy::await_holding_refcell_ref)] // that others meet it held is the test
+#[allow(clippy::await_holding_refcell_ref)] // the test needs others to find it borrowed
 /// A watch and a connection that end in a panic: the one goes on, the other is closed and forgotten.
 #[test]
 fn a_panic_ends_no_watch_and_leaves_no_connection_behind() {
@@ -186,27 +195,34 @@
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
             {
                 // The look after connections meets books that are held, time and again.
-                let _held = w.hub.connections.borrow_mut();
-                while w.hub.counts.watches_again.get() < 2 {
+                let _held = w.context.connections.borrow_mut();
+                while w.context.counts.watches_again.get() < 2 {
                     yield_now().await;
                 }
             }
-            let conn = w.hub.connections.borrow().values().next().cloned().unwrap();
+            let conn = w
+                .context
+                .connections
+                .borrow()
+                .values()
+                .next()
+                .cloned()
+                .unwrap();
             {
                 let _held = conn.outgoing.borrow_mut();
                 caller.probe().await;
-                while !w.hub.ends.borrow().contains_key("panic") {
+                while !w.context.ends.borrow().contains_key("panic") {
                     yield_now().await;
                 }
             }
             drop(conn);
             assert_eq!(caller.next().await, None);
-            assert!(w.hub.connections.borrow().is_empty());
+            assert!(w.context.connections.borrow().is_empty());
             // Connections are still looked after: one that is unused for too long is told.
             let mut idle = Caller::connect(w.addr).await;
             idle.probe().await;
             assert!(idle.next().await.is_some());
-            w.hub.core.borrow_mut().desk.idle_limit = Duration::from_millis(20);
+            w.context.core.borrow_mut().table.idle_limit = Duration::from_millis(20);
             assert_eq!(idle.next().await, said(0, "shutdown", ""));
         },
     );
@@ -232,7 +248,7 @@
             assert_eq!(caller.next().await, said(0, "shutdown", ""));
             agent.greet().await;
             let noticed = born();
-            while w.hub.core.borrow().controller.is_none() || born() == noticed {
+            while w.context.core.borrow().controller.is_none() || born() == noticed {
                 yield_now().await;
             }
             // Its other half is of a ticket that was born after the notice.
@@ -240,7 +256,7 @@
                 .send(&whole_ticket(2, "00000000000000aa")[20..])
                 .await;
             assert_eq!(caller.next().await, said(2, "dismissed", "pause 1000"));
-            assert_eq!(w.hub.counts.launched.get(), 0);
+            assert_eq!(w.context.counts.launched.get(), 0);
         },
     );
 }
@@ -289,11 +305,11 @@
             agent.asks_call(1, &req, b"c").await;
             let mut http = Http::accept(&w.below).await;
             http.request().await.unwrap();
-            reload::retune(&w.hub, turned_round(&w.hub.config)).unwrap();
+            reload::apply_settings(&w.context, turned_round(&w.context.config)).unwrap();
             drop(http);
             assert_eq!(caller.next().await, said(first, "given up", ""));
             assert_eq!(
-                w.hub.counts.calls.get(),
+                w.context.counts.calls.get(),
                 1,
                 "its call may have had its effect"
             );
@@ -324,7 +340,7 @@
             http.request().await.unwrap();
             drop(http);
             assert_eq!(caller.next().await, said(third, "given up", ""));
-            assert_eq!(w.hub.counts.calls.get(), 4);
+            assert_eq!(w.context.counts.calls.get(), 4);
         },
     );
 }
@@ -341,12 +357,12 @@
         let req = w.expect(&mut agent, "launch").await;
         agent.outcome(1, &req, "fine", b"r").await;
         assert_eq!(caller.next().await, said(first, "honoured", "r"));
-        let mut exclusive = w.hub.config.clone();
+        let mut exclusive = w.context.config.clone();
         exclusive.settings["requestClasses"][0]["effect"] = json!("single_shot");
-        reload::retune(&w.hub, exclusive).unwrap();
+        reload::apply_settings(&w.context, exclusive).unwrap();
         let again = w.ask_with(&mut caller, &own, b"b").await;
         assert_eq!(caller.next().await, said(again, "honoured", "r"));
-        assert_eq!(w.hub.counts.launched.get(), 1);
+        assert_eq!(w.context.counts.launched.get(), 1);
     });
 }
 
@@ -461,23 +477,33 @@
                     assert_eq!(caller.next().await, said(7, "honoured", "r"));
                     caller.give_up(7).await;
                 } else {
-                    let left = w.hub.counts.left.get();
+                    let left = w.context.counts.left.get();
                     caller.give_up(7).await;
-                    while w.hub.counts.left.get() == left {
+                    while w.context.counts.left.get() == left {
                         yield_now().await;
                     }
                     agent.outcome(round + 1, &req, "fine", b"r").await;
                 }
                 let probe = caller.probe().await;
                 assert_eq!(caller.next().await, said(probe, "probe", "good"));
-                while w.hub.core.borrow().desk.tickets.iter().flatten().count() > 0 {
+                while w
+                    .context
+                    .core
+                    .borrow()
+                    .table
+                    .requests
+                    .iter()
+                    .flatten()
+                    .count()
+                    > 0
+                {
                     match agent.try_command() {
                         Some(command) => assert_eq!(command["cmd"], "freeze"),
                         None => yield_now().await,
                     }
                 }
             }
-            let counts = &w.hub.counts;
+            let counts = &w.context.counts;
             assert_eq!(
                 (
                     counts.unsettled.get(),
@@ -519,7 +545,7 @@
         agent.outcome(2, &req, "broken_off", b"").await;
         assert_eq!(caller.next().await, said(waits, "given up", ""));
         assert!(started.elapsed() < HANGS);
-        assert_eq!(w.hub.core.borrow().desk.pending_reply_count(), 0);
+        assert_eq!(w.context.core.borrow().table.pending_reply_count(), 0);
     });
 }
 
--- a/crates/node/tests/golden.rs
+++ b/crates/node/tests/golden.rs
@@ -132,7 +132,7 @@
         .await;
     let no_content = "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n";
     request(&w.announce, no_content, "announce", &mut log).await;
-    while w.hub.core.borrow().controller.is_none() {
+    while w.context.core.borrow().controller.is_none() {
         tokio::task::yield_now().await;
     }
     let mut caller = Caller::connect(w.addr).await;
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -57,7 +57,7 @@
             agent.outcome(3, &launch["req"], "fine", b"result").await;
             let probe = caller.probe().await;
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
-            assert_eq!(w.hub.counts.honoured.get(), 1);
+            assert_eq!(w.context.counts.honoured.get(), 1);
         },
     );
 }
@@ -131,7 +131,11 @@
                     said(seq, "given up", "")
                 };
                 assert_eq!(caller.next().await, expected, "{reply}");
-                assert_eq!(w.hub.counts.calls.get(), 1 + u64::from(again), "{reply}");
+                assert_eq!(
+                    w.context.counts.calls.get(),
+                    1 + u64::from(again),
+                    "{reply}"
+                );
             },
         );
     }
@@ -233,7 +237,7 @@
             let mut agent = Agent::accept(&w.agents).await;
             http.reply("200 OK", b"row").await;
             seqs.push(w.ask(&mut caller, "check", b"meanwhile").await);
-            while w.hub.counts.launched.get() < 4 || w.hub.counts.delivered.get() < 1 {
+            while w.context.counts.launched.get() < 4 || w.context.counts.delivered.get() < 1 {
                 tokio::task::yield_now().await;
             }
             assert_eq!(agent.greet().await, 1);
@@ -279,14 +283,24 @@
             let mut agent = Agent::accept(&w.agents).await;
             let seq = w.ask(&mut caller, "check", b"b").await;
             caller.give_up(seq).await;
-            while w.hub.counts.frozen.get() == 0 {
+            while w.context.counts.frozen.get() == 0 {
                 tokio::task::yield_now().await;
             }
             agent.greet().await;
             let req = w.expect(&mut agent, "launch").await;
             assert_eq!(w.expect(&mut agent, "freeze").await, req);
             agent.outcome(1, &req, "late", b"").await;
-            while w.hub.core.borrow().desk.tickets.iter().flatten().count() > 0 {
+            while w
+                .context
+                .core
+                .borrow()
+                .table
+                .requests
+                .iter()
+                .flatten()
+                .count()
+                > 0
+            {
                 tokio::task::yield_now().await;
             }
         },
@@ -301,10 +315,11 @@
             let (mut agent, mut caller) = w.up().await;
             let seq = w.ask(&mut caller, "check", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
-            let order = |order: fn(&mut RequestTable)| order(&mut w.hub.core.borrow_mut().desk);
-            order(|desk| desk.cancel_run(0));
+            let order =
+                |order: fn(&mut RequestTable)| order(&mut w.context.core.borrow_mut().table);
+            order(|table| table.cancel_run(0));
             assert_eq!(w.expect(&mut agent, "freeze").await, req);
-            order(|desk| desk.run(0));
+            order(|table| table.run(0));
             assert_eq!(w.expect(&mut agent, "thaw").await, req);
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
@@ -319,7 +334,7 @@
         |w| async move {
             let (_agent, _caller) = w.up().await;
             // Asked for after a wake-up instead, they would be a whole beat old at each of the next.
-            while w.hub.counts.beats.get() <= w.hub.counts.stale_gauges.get() {
+            while w.context.counts.beats.get() <= w.context.counts.stale_gauges.get() {
                 tokio::task::yield_now().await;
             }
         },
@@ -363,7 +378,7 @@
             assert_eq!(
                 (
                     w.expect(&mut agent, "launch").await,
-                    w.hub.counts.calls.get()
+                    w.context.counts.calls.get()
                 ),
                 (req.clone(), 0)
             );
@@ -400,7 +415,10 @@
             agent.outcome(3, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
             assert_eq!(
-                (w.hub.counts.agent_odd.get(), w.hub.counts.agent_links.get()),
+                (
+                    w.context.counts.agent_odd.get(),
+                    w.context.counts.agent_links.get()
+                ),
                 (1, 3)
             );
         },
@@ -486,7 +504,10 @@
             }
             // None of them reached the decision module or the agent.
             assert_eq!(
-                (w.hub.counts.tickets.get(), w.hub.counts.launched.get()),
+                (
+                    w.context.counts.tickets.get(),
+                    w.context.counts.launched.get()
+                ),
                 (0, 0)
             );
             let seq = caller.ask(&good, &[0; 2049]).await;
@@ -594,17 +615,19 @@
                 let end = ["broken_off", "broken_off", "fine", "late"][round as usize % 4];
                 agent.outcome(round + 1, &req, end, b"r").await;
             }
-            let desk = || std::cell::Ref::map(w.hub.core.borrow(), |core| &core.desk);
-            while desk().tickets.iter().flatten().count() > 0
-                || w.hub.connections.borrow().len() > 1
+            let table = || std::cell::Ref::map(w.context.core.borrow(), |core| &core.table);
+            while table().requests.iter().flatten().count() > 0
+                || w.context.connections.borrow().len() > 1
             {
                 tokio::task::yield_now().await;
             }
-            let desk = desk();
-            assert!(desk.by_trace.is_empty() && desk.by_key.is_empty() && desk.run_ends.is_empty());
-            assert!(desk.tickets.len() < 50, "{}", desk.tickets.len());
-            assert_eq!((desk.body_bytes, desk.downstream.out.get()), (0, 0));
-            assert_eq!(w.hub.ends.borrow().values().sum::<u64>(), 200);
+            let table = table();
+            assert!(
+                table.by_trace.is_empty() && table.by_key.is_empty() && table.run_ends.is_empty()
+            );
+            assert!(table.requests.len() < 50, "{}", table.requests.len());
+            assert_eq!((table.body_bytes, table.downstream.out.get()), (0, 0));
+            assert_eq!(w.context.ends.borrow().values().sum::<u64>(), 200);
         },
     );
 }
@@ -622,13 +645,22 @@
             caller.give_up(seq).await;
             w.expect(&mut agent, "freeze").await;
             let (now, later) = (std::time::Instant::now(), Duration::from_secs(61));
-            let left = || w.hub.core.borrow().desk.tickets.iter().flatten().count();
-            completion::end_orphans(&w.hub, now);
+            let left = || {
+                w.context
+                    .core
+                    .borrow()
+                    .table
+                    .requests
+                    .iter()
+                    .flatten()
+                    .count()
+            };
+            completion::end_orphans(&w.context, now);
             assert_eq!(left(), 2);
             // The one that is still waited for stays, however long it takes.
-            completion::end_orphans(&w.hub, now + later);
-            completion::end_orphans(&w.hub, now + later * 3);
-            assert_eq!((left(), w.hub.counts.orphans.get()), (1, 1));
+            completion::end_orphans(&w.context, now + later);
+            completion::end_orphans(&w.context, now + later * 3);
+            assert_eq!((left(), w.context.counts.orphans.get()), (1, 1));
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(waits, "honoured", "r"));
         },
@@ -647,7 +679,7 @@
             for _ in 0..40 {
                 crowd.push(Caller::connect(w.addr).await);
             }
-            while w.hub.counts.accepted.get() < 41 || w.hub.connections.borrow().len() > 8 {
+            while w.context.counts.accepted.get() < 41 || w.context.connections.borrow().len() > 8 {
                 tokio::task::yield_now().await;
             }
             let probe = used.probe().await;
@@ -686,7 +718,7 @@
             let req = w.expect(&mut agent, "launch").await;
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
-            assert_eq!(w.hub.counts.unsettled.get(), 0);
+            assert_eq!(w.context.counts.unsettled.get(), 0);
         },
     );
 }
@@ -710,7 +742,7 @@
             }
             let probe = caller.probe().await;
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
-            assert_eq!(w.hub.counts.left.get(), 32);
+            assert_eq!(w.context.counts.left.get(), 32);
         },
     );
     play(
@@ -745,10 +777,10 @@
             let probe = caller.probe().await;
             assert_eq!(caller.next().await, said(probe, "probe", "good"));
             assert_eq!(
-                (w.hub.counts.left.get(), w.hub.counts.given_up.get()),
+                (w.context.counts.left.get(), w.context.counts.given_up.get()),
                 (1, 0)
             );
-            assert_eq!(w.hub.core.borrow().desk.pending_reply_count(), 0);
+            assert_eq!(w.context.core.borrow().table.pending_reply_count(), 0);
         },
     );
 }
@@ -797,7 +829,7 @@
             let req = w.expect(&mut agent, "launch").await;
             caller.stream.shutdown().await.unwrap();
             while w
-                .hub
+                .context
                 .connections
                 .borrow()
                 .values()
@@ -820,7 +852,14 @@
             let (mut agent, mut caller) = w.up().await;
             let seq = w.ask(&mut caller, "register", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
-            let conn = w.hub.connections.borrow().values().next().cloned().unwrap();
+            let conn = w
+                .context
+                .connections
+                .borrow()
+                .values()
+                .next()
+                .cloned()
+                .unwrap();
             for code in ["idle", "room", "forsaken"] {
                 conn.close_with(code);
                 let probe = caller.probe().await;
@@ -854,7 +893,7 @@
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
             let unread = w
-                .hub
+                .context
                 .connections
                 .borrow()
                 .values()
@@ -881,7 +920,7 @@
                 deaf.send(&probes.repeat(100)).await;
                 deaf
             });
-            while !w.hub.ends.borrow().contains_key("unread") {
+            while !w.context.ends.borrow().contains_key("unread") {
                 tokio::task::yield_now().await;
             }
             let mut caller = Caller::connect(w.addr).await;
@@ -908,7 +947,7 @@
                 other.probe().await;
                 assert!(other.next().await.is_some());
                 others.push(other);
-                while w.hub.connections.borrow().len() > 8 {
+                while w.context.connections.borrow().len() > 8 {
                     tokio::task::yield_now().await;
                 }
             }
@@ -942,7 +981,10 @@
         assert_eq!(caller.next().await, said(other, "given up", ""));
         assert_eq!(caller.next().await, said(fourth, "given up", ""));
         assert_eq!(
-            (w.hub.counts.launched.get(), w.hub.counts.repeats.get()),
+            (
+                w.context.counts.launched.get(),
+                w.context.counts.repeats.get()
+            ),
             (2, 3)
         );
 
@@ -1013,7 +1055,7 @@
         agent.outcome(4, &req, "broken_off", b"").await;
         let again = ask("n3", "acme", b"b")(&mut caller).await;
         assert_eq!(caller.next().await, said(again, "given up", ""));
-        assert_eq!(w.hub.counts.launched.get(), 4);
+        assert_eq!(w.context.counts.launched.get(), 4);
         // One of which the agent proves that nothing ran.
         let unrun = ask("n4", "acme", b"b")(&mut caller).await;
         let req = w.expect(&mut agent, "launch").await;
@@ -1023,7 +1065,7 @@
         let req = w.expect(&mut agent, "launch").await;
         agent.outcome(6, &req, "fine", b"r4").await;
         assert_eq!(caller.next().await, said(again, "honoured", "r4"));
-        assert_eq!(w.hub.core.borrow().desk.result_cache.len(), 5);
+        assert_eq!(w.context.core.borrow().table.result_cache.len(), 5);
     });
 }
 
@@ -1049,7 +1091,7 @@
             );
             assert_eq!(w.expect(&mut agent, "freeze").await, req);
             // By the module, not by what the program does for tickets that were lost there.
-            assert_eq!(w.hub.counts.unsettled.get(), 0);
+            assert_eq!(w.context.counts.unsettled.get(), 0);
             // One that does not tell waits for as long as its type.
             let own = [("route", "register"), ("patience", "0")];
             let seq = w.ask_with(&mut caller, &own, b"b").await;
@@ -1120,8 +1162,8 @@
             w.node.await.unwrap();
             assert_eq!(
                 (
-                    w.hub.counts.unsettled.get(),
-                    w.hub.core.borrow().desk.pending_reply_count()
+                    w.context.counts.unsettled.get(),
+                    w.context.core.borrow().table.pending_reply_count()
                 ),
                 (0, 0)
             );
@@ -1201,7 +1243,7 @@
             http.request().await.unwrap();
             http.reply("204 No Content", b"").await;
             assert!(http.request().await.is_some());
-            let counts = &w.hub.counts;
+            let counts = &w.context.counts;
             assert_eq!(
                 (
                     counts.announce_unanswered.get(),
@@ -1232,7 +1274,7 @@
             let addr = |of: &TcpListener| of.local_addr().unwrap();
             let (db, announced) = (Some(addr(&below)), Some(addr(&announce)));
             reload::take(
-                &w.hub,
+                &w.context,
                 Peers {
                     agent: addr(&agents),
                     below: db,
@@ -1271,10 +1313,10 @@
             assert_eq!(caller.next().await, said(0, "shutdown", ""));
             let agents = TcpListener::bind("127.0.0.1:0").await.unwrap();
             reload::take(
-                &w.hub,
+                &w.context,
                 Peers {
                     agent: agents.local_addr().unwrap(),
-                    ..w.hub.peer_addresses.get()
+                    ..w.context.peer_addresses.get()
                 },
             );
             let mut agent = Agent::accept(&agents).await;
@@ -1283,7 +1325,7 @@
             assert_eq!(caller.next().await, said(seq, "honoured", "r"));
             drop(caller);
             w.node.await.unwrap();
-            assert_eq!(w.hub.counts.unsettled.get(), 0);
+            assert_eq!(w.context.counts.unsettled.get(), 0);
         },
     );
 }
@@ -1297,7 +1339,7 @@
             let first = w.ask(&mut caller, "check", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
             // The layout of lakes-preview: one store below for all, runs that cannot be taken off.
-            let mut moved = w.hub.config.clone();
+            let mut moved = w.context.config.clone();
             let family = moved
                 .settings
                 .get_mut("familyInfo")
@@ -1312,28 +1354,30 @@
                 .map(|(key, value)| (key.to_owned(), value)),
             );
             moved.settings["permissions"]["maxRetryAfterS"] = json!(3.0);
-            reload::retune(&w.hub, moved).unwrap();
-            assert!(!w.hub.core.borrow().desk.can_pause);
-            assert_eq!(w.hub.max_retry_after.get(), Duration::from_secs(3));
+            reload::apply_settings(&w.context, moved).unwrap();
+            assert!(!w.context.core.borrow().table.can_pause);
+            assert_eq!(w.context.max_retry_after.get(), Duration::from_secs(3));
             // What was read before goes on where it was, and is answered once.
             agent.outcome(1, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(first, "honoured", "r"));
-            reload::retune(&w.hub, w.hub.config.clone()).unwrap();
-            assert!(w.hub.core.borrow().desk.can_pause);
-            assert_eq!(w.hub.max_retry_after.get(), Duration::from_secs(1));
+            reload::apply_settings(&w.context, w.context.config.clone()).unwrap();
+            assert!(w.context.core.borrow().table.can_pause);
+            assert_eq!(w.context.max_retry_after.get(), Duration::from_secs(1));
             let second = w.ask(&mut caller, "check", b"b").await;
             let req = w.expect(&mut agent, "launch").await;
             agent.outcome(2, &req, "fine", b"r").await;
             assert_eq!(caller.next().await, said(second, "honoured", "r"));
             // The books are laid out by the traffic types: those change only at a start.
-            let mut other = w.hub.config.clone();
+            let mut other = w.context.config.clone();
             other.settings["requestClasses"][0]["name"] = json!("renamed");
-            assert!(reload::retune(&w.hub, other).is_err());
-            let mut odd = w.hub.config.clone();
+            assert!(reload::apply_settings(&w.context, other).is_err());
+            let mut odd = w.context.config.clone();
             odd.settings["familyInfo"]["halt"] = json!("sometimes");
-            assert!(reload::retune(&w.hub, odd).unwrap_err().contains("halt"));
+            assert!(reload::apply_settings(&w.context, odd)
+                .unwrap_err()
+                .contains("halt"));
             assert!(
-                w.hub.core.borrow().desk.can_pause,
+                w.context.core.borrow().table.can_pause,
                 "a refused file changes nothing"
             );
         },
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -12,7 +12,7 @@
 
 use rainstand_capture::read;
 use rainstand_capture::tickets::{Event, Ticket};
-use rainstand_node::log::Form;
+use rainstand_node::log::LogFormat;
 use rainstand_node::settings::Settings;
 use rainstand_node::{config::Config, recording, run, NodeContext};
 use rainstand_traffic_recorder::disk::Disk;
@@ -36,9 +36,9 @@
 
 /// A node that records into `folder`.
 fn play(folder: &Path) -> Vec<(usize, Said)> {
-    play_with(|hub| {
+    play_with(|context| {
         let settings = Settings::read(&settings(folder)).unwrap();
-        recording::start(hub, &settings.recording.unwrap()).unwrap();
+        recording::start(context, &settings.recording.unwrap()).unwrap();
     })
 }
 
@@ -67,14 +67,19 @@
         ] {
             config[key] = json!(of.local_addr().unwrap().to_string());
         }
-        let hub = NodeContext::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
-        start(&hub);
+        let context =
+            NodeContext::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
+        start(&context);
         let (addr, leave) = (node.local_addr().unwrap(), Rc::new(Notify::new()));
         let left = leave.clone();
-        let ended = spawn_local(run(hub.clone(), node, async move { left.notified().await }));
+        let ended = spawn_local(run(
+            context.clone(),
+            node,
+            async move { left.notified().await },
+        ));
         let mut agent = Agent::accept(&agents).await;
         agent.greet().await;
-        while hub.core.borrow().controller.is_none() {
+        while context.core.borrow().controller.is_none() {
             tokio::task::yield_now().await;
         }
         let mut callers = [Caller::connect(addr).await, Caller::connect(addr).await];
@@ -126,7 +131,7 @@
         leave.notify_one();
         drop(callers);
         ended.await.unwrap();
-        drop(hub);
+        drop(context);
     };
     let local = LocalSet::new();
     local.block_on(&runtime, async {
@@ -257,7 +262,7 @@
         },
     ] {
         // With the second one the node answers, drains and ends though no write ever returns.
-        let seen = play_with(|hub| recording::start_on(hub, bad, limits, true).unwrap());
+        let seen = play_with(|context| recording::start_on(context, bad, limits, true).unwrap());
         assert_eq!(
             seen.iter().filter(|(_, said)| said.1 == "honoured").count(),
             12
@@ -288,7 +293,7 @@
         Settings::read("version: 1 logs { form: JSON }")
             .unwrap()
             .form,
-        Form::Json
+        LogFormat::Json
     );
 }
 
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! One node on loopback sockets, and listeners for all that it talks to; each test drives them step by step.
-#![allow(dead_code)] // each file of tests uses what it needs
+#![allow(dead_code)]
+// each file of tests uses what it needs
 
 #[path = "../../../../examples/toy/stand_ins.rs"]
 pub mod stand_ins;
@@ -25,7 +26,7 @@
 
 /// One node, and listeners for all that it talks to.
 pub struct World {
-    pub hub: Rc<NodeContext>,
+    pub context: Rc<NodeContext>,
     pub addr: SocketAddr,
     pub agents: TcpListener,
     pub below: TcpListener,
@@ -66,12 +67,17 @@
             config[key] = json!(of.local_addr().unwrap().to_string());
         }
         change(&mut config);
-        let hub = NodeContext::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
+        let context =
+            NodeContext::new(Config::read(config.to_string().as_bytes()).unwrap()).unwrap();
         let (addr, leave) = (node.local_addr().unwrap(), Rc::new(Notify::new()));
         let left = leave.clone();
-        let node = spawn_local(run(hub.clone(), node, async move { left.notified().await }));
+        let node = spawn_local(run(
+            context.clone(),
+            node,
+            async move { left.notified().await },
+        ));
         test(World {
-            hub,
+            context,
             addr,
             agents,
             below,
@@ -196,7 +202,7 @@
     pub async fn up(&self) -> (Agent, Caller) {
         let mut agent = Agent::accept(&self.agents).await;
         agent.greet().await;
-        while self.hub.core.borrow().controller.is_none() {
+        while self.context.core.borrow().controller.is_none() {
             tokio::task::yield_now().await;
         }
         (agent, Caller::connect(self.addr).await)
