--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -97,7 +97,7 @@
         let link = context.link.clone();
         let opened = Instant::now();
         let agent = context.peer_addresses.get().agent;
-        let opening = descriptors::have(&context, "agent", || TcpStream::connect(agent));
+        let opening = descriptors::with_retry(&context, "agent", || TcpStream::connect(agent));
         let opening = timeout(SILENT, opening);
         let opening = tokio::select! {
             opening = opening => Some(opening),
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -1,5 +1,7 @@
-//! A dispatcher's connection: the state that all parts of the node may see of it.
+//! A dispatcher's connection: the state that all parts of the node may see of it. No I/O happens here: the task in
+//! [`crate::connections`] that serves it moves the bytes.
 
+use crate::recording::SERVER_SIDE;
 use crate::socket_buffer::Ring;
 use crate::thrift;
 use rainstand_traffic_recorder::Tape;
@@ -10,39 +12,81 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// A dispatcher's connection: what all parts of the node may see of it.
+/// Reason codes of a connection's end, as they stand in log lines and in the `ends` counters.
+pub mod close_reason {
+    /// Evicted, as connections or calls needed its place.
+    pub const CAPACITY: &str = "room";
+    /// Evicted at once, as the node itself had no descriptor left.
+    pub const DESCRIPTORS: &str = "descriptors";
+    /// Closed as it was accepted: all connections were in use.
+    pub const FULL: &str = "full";
+    /// Its dispatcher did not close it after `shutdown`.
+    pub const IDLE: &str = "idle";
+    /// Closed at the end of a drain.
+    pub const DRAIN: &str = "drain";
+    /// Still open as the process had to end.
+    pub const KILL: &str = "kill";
+    /// Its answers were not read.
+    pub const UNREAD: &str = "unread";
+    /// The task that served it panicked.
+    pub const PANIC: &str = "panic";
+    /// Reading or writing failed.
+    pub const RESET: &str = "reset";
+    /// The other side ended it between two frames.
+    pub const END_OF_STREAM: &str = "eof";
+    /// The other side ended it within a frame.
+    pub const END_IN_FRAME: &str = "eof_in_frame";
+    /// No frame was begun in time.
+    pub const SILENT: &str = "silent";
+    /// A frame was begun and not completed in time.
+    pub const HALF_A_FRAME: &str = "half_a_frame";
+
+    /// Whether a connection is closed for this reason even while answers are pending on it.
+    #[must_use]
+    pub fn is_unconditional(code: &str) -> bool {
+        code == UNREAD || code == KILL
+    }
+}
+
+/// A dispatcher's connection.
 pub struct Connection {
+    /// Its number among all connections that were accepted, from 1.
     pub id: u64,
+    /// The dispatcher's address.
     pub peer: SocketAddr,
+    /// Read and written by the task that serves it only.
     pub stream: TcpStream,
     /// Where its traffic is recorded, if it is.
     pub recording: Option<Tape>,
+    /// Answers that are not written yet.
     pub outgoing: RefCell<Ring>,
     /// Wakes the task that serves it.
     pub wakeup: Notify,
-    /// Tickets that wait for an answer on it, by sequence number.
+    /// Indices of the requests that wait for an answer on it, by sequence number.
     pub open_requests: RefCell<BTreeMap<i32, usize>>,
-    /// A probe or a ticket on it got more than an error, so it is no stranger's.
+    /// A probe or a request on it was answered with more than an error.
     pub is_known: Cell<bool>,
-    /// Messages on it that got an exception.
+    /// Messages on it that were answered with an exception.
     pub exceptions: Cell<u64>,
     /// When bytes last moved on it.
     pub last_activity: Cell<Instant>,
-    /// Told that nothing new is wanted on it, and when.
+    /// When `shutdown` was sent on it: nothing new is wanted.
     pub shutdown_sent_at: Cell<Option<Instant>>,
-    /// It is to be closed, for this reason.
+    /// It is to be closed, for this [`close_reason`].
     pub close_reason: Cell<Option<&'static str>>,
-    /// Nothing more is taken from it or owed on it: it only waits for the other side's end.
+    /// Nothing more is read from it or pending on it: it only waits for the other side's end.
     pub closing: Cell<bool>,
 }
 
 impl Connection {
-    pub fn new(id: u64, peer: SocketAddr, stream: TcpStream, tape: Option<Tape>) -> Self {
+    /// A connection that was just accepted.
+    #[must_use]
+    pub fn new(id: u64, peer: SocketAddr, stream: TcpStream, recording: Option<Tape>) -> Self {
         Self {
             id,
             peer,
             stream,
-            recording: tape,
+            recording,
             outgoing: RefCell::default(),
             wakeup: Notify::new(),
             open_requests: RefCell::default(),
@@ -55,20 +99,21 @@
         }
     }
 
+    /// Queues a frame; the task that serves the connection writes it.
     pub fn send(&self, frame: &[u8]) {
         if let Some(tape) = &self.recording {
-            tape.said(1, frame);
+            tape.said(SERVER_SIDE, frame);
         }
         self.outgoing.borrow_mut().put(frame);
         self.wakeup.notify_one();
     }
 
-    /// Whether nothing is owed on it, written or not.
+    /// Whether no answer is pending on it, written or not.
     pub fn is_idle(&self) -> bool {
         self.open_requests.borrow().is_empty() && self.outgoing.borrow().is_empty()
     }
 
-    /// Asks the dispatcher to use it no more.
+    /// Asks the dispatcher, once, to use it no more.
     pub fn send_shutdown(&self) {
         if self.shutdown_sent_at.get().is_none() && !self.closing.get() {
             self.shutdown_sent_at.set(Some(Instant::now()));
@@ -76,6 +121,7 @@
         }
     }
 
+    /// Asks the task that serves it to close it, for this [`close_reason`].
     pub fn close_with(&self, code: &'static str) {
         self.close_reason.set(Some(code));
         self.wakeup.notify_one();
--- /dev/null
+++ b/crates/node/src/connections/exchange.rs
@@ -0,0 +1,374 @@
+//! One connection's exchange: frames read, answers written, until its end.
+
+use super::capacity::{closing_count, MAX_CLOSING};
+use super::ReadDeadlines;
+use crate::connection::{close_reason, Connection};
+use crate::counters::count;
+use crate::recording::CLIENT_SIDE;
+use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
+use crate::{ingress, log_frequent, thrift, NodeContext};
+use socket2::SockRef;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, timeout};
+
+/// The length of a frame goes before it in so many bytes.
+const FRAME_HEADER_BYTES: usize = 4;
+
+/// Unread answers on a connection, in bytes, past which no more is read from it: a full set of answers.
+const MAX_UNREAD_BYTES: usize = 128 * 1024;
+
+/// Bytes that came at once, past which other connections get a turn: some ten requests.
+const MAX_BYTES_PER_TURN: usize = 4 * 1024;
+
+/// For the last bytes of the other side, so that a close does not cut off answers on their way.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes read in that time at most: all requests that can be on their way, twice over.
+const MAX_LINGER_BYTES: usize = 256 * 1024;
+
+/// How a connection is closed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Closing {
+    /// Our side ends first, and what the other side still sends is read.
+    Graceful,
+    /// At once.
+    Immediate,
+}
+
+/// Why and how an exchange ends.
+struct ExchangeEnd {
+    /// The reason code of the log line and of the `ends` counters.
+    code: &'static str,
+    closing: Closing,
+}
+
+impl ExchangeEnd {
+    fn graceful(code: &'static str) -> Self {
+        let closing = Closing::Graceful;
+        Self { code, closing }
+    }
+
+    fn immediate(code: &'static str) -> Self {
+        let closing = Closing::Immediate;
+        Self { code, closing }
+    }
+
+    fn reset(_: io::Error) -> Self {
+        Self::immediate(close_reason::RESET)
+    }
+}
+
+/// Does what is due at a connection's end, also where the task that serves it panics.
+struct ConnectionGuard {
+    context: Rc<NodeContext>,
+    conn: Rc<Connection>,
+    opened: Instant,
+    /// None until the exchange has ended.
+    code: Option<&'static str>,
+    /// Requests that were still open at the end.
+    open: usize,
+}
+
+impl ConnectionGuard {
+    /// Cancels the open requests; nothing more is read from the connection.
+    fn cancel_open_requests(&mut self) {
+        self.conn.closing.set(true);
+        let open: Vec<i32> = self.conn.open_requests.borrow().keys().copied().collect();
+        self.open += open.len();
+        for seq in open {
+            ingress::cancel(&self.context, &self.conn, seq);
+        }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let code = match self.code {
+            Some(code) => code,
+            // Dropped without an end: the process ends.
+            None if !std::thread::panicking() => return,
+            None => {
+                self.cancel_open_requests();
+                close_reason::PANIC
+            }
+        };
+        self.context.connections.borrow_mut().remove(&self.conn.id);
+        count(&self.context.counts.closed);
+        *self.context.ends.borrow_mut().entry(code).or_default() += 1;
+        log_frequent!(
+            "connection_end",
+            "end",
+            conn = self.conn.id,
+            peer = self.conn.peer,
+            code = code,
+            open = self.open,
+            after_ms = self.opened.elapsed().as_millis()
+        );
+    }
+}
+
+/// Serves a connection to its end.
+pub(super) async fn serve(context: Rc<NodeContext>, conn: Rc<Connection>) {
+    let opened = Instant::now();
+    let mut guard = ConnectionGuard {
+        context: context.clone(),
+        conn: conn.clone(),
+        opened,
+        code: None,
+        open: 0,
+    };
+    let end = run_exchange(&context, &conn).await;
+    guard.code = Some(end.code);
+    guard.cancel_open_requests();
+    if end.closing == Closing::Graceful {
+        let _ = timeout(LINGER_TIMEOUT, close_gracefully(&conn.stream)).await;
+    }
+}
+
+/// Bytes of a connection that are not consumed yet, and how long more are waited for.
+struct FrameReader {
+    incoming: Ring,
+    /// Set once nothing more is read: by the other side's end, or by a frame that cannot be read.
+    end_code: Option<&'static str>,
+    deadlines: ReadDeadlines,
+}
+
+/// How a socket is read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ReadMode {
+    /// As far as the runtime knows of bytes.
+    WhenReady,
+    /// Asking the system, as the runtime may not have heard of the last bytes yet.
+    Direct,
+}
+
+/// Whether other connections get a turn before this one is read again.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    Continue,
+    Yield,
+}
+
+impl FrameReader {
+    fn new(opened: Instant) -> Self {
+        Self {
+            incoming: Ring::default(),
+            end_code: None,
+            deadlines: ReadDeadlines::new(opened),
+        }
+    }
+
+    /// Nothing more is read, for this reason.
+    fn stop(&mut self, code: &'static str) {
+        self.deadlines.stop_reading(Instant::now());
+        self.end_code = Some(code);
+    }
+
+    /// Reads from the socket once and handles the complete frames.
+    fn read(
+        &mut self,
+        context: &NodeContext,
+        conn: &Rc<Connection>,
+        mode: ReadMode,
+    ) -> io::Result<Turn> {
+        let was_empty = self.incoming.is_empty();
+        let outcome = match mode {
+            ReadMode::Direct => self.incoming.fill_now(&conn.stream),
+            ReadMode::WhenReady => self.incoming.fill(&conn.stream),
+        };
+        match outcome? {
+            ReadOutcome::Some => conn.last_activity.set(Instant::now()),
+            ReadOutcome::Nothing => {}
+            ReadOutcome::End if self.incoming.is_empty() => {
+                self.end_code = Some(close_reason::END_OF_STREAM);
+            }
+            ReadOutcome::End => self.end_code = Some(close_reason::END_IN_FRAME),
+        }
+        let turn = if self.incoming.len() > MAX_BYTES_PER_TURN {
+            Turn::Yield
+        } else {
+            Turn::Continue
+        };
+        match handle_frames(context, conn, &mut self.incoming) {
+            Err(code) => self.stop(code),
+            Ok(frames) => {
+                let starts_frame = was_empty || frames > 0;
+                let all_consumed = self.incoming.is_empty();
+                self.deadlines
+                    .on_bytes(Instant::now(), starts_frame, all_consumed);
+            }
+        }
+        Ok(turn)
+    }
+
+    /// The deadline has passed that [`wait_for_event`] waited for.
+    fn on_deadline(&mut self, context: &NodeContext, conn: &Connection) {
+        if self.end_code.is_some() {
+            ingress::cancel_all(context, conn);
+            self.deadlines.clear_answer_deadline();
+        } else if !self.incoming.is_empty() {
+            self.stop(close_reason::HALF_A_FRAME);
+        } else if conn.open_requests.borrow().is_empty() {
+            self.stop(close_reason::SILENT);
+        } else {
+            self.deadlines.extend_first_frame(Instant::now());
+        }
+    }
+}
+
+/// Serves until the connection's end.
+async fn run_exchange(context: &Rc<NodeContext>, conn: &Rc<Connection>) -> ExchangeEnd {
+    let mut reader = FrameReader::new(Instant::now());
+    loop {
+        if let Err(error) = flush(conn) {
+            return ExchangeEnd::reset(error);
+        }
+        if let Some(code) = reader.end_code.filter(|_| conn.is_idle()) {
+            return ExchangeEnd::graceful(code);
+        }
+        if let Some(code) = conn.close_reason.take() {
+            if let Some(end) = close_requested(context, conn, &mut reader, code) {
+                return end;
+            }
+            continue;
+        }
+        if let Err(error) = wait_for_event(context, conn, &mut reader).await {
+            return ExchangeEnd::reset(error);
+        }
+    }
+}
+
+/// Writes pending answers as far as the socket takes them.
+fn flush(conn: &Connection) -> io::Result<()> {
+    let before = conn.outgoing.borrow().len();
+    if before > 0 {
+        conn.outgoing.borrow_mut().flush(&conn.stream)?;
+        if conn.outgoing.borrow().len() < before {
+            conn.last_activity.set(Instant::now());
+        }
+    }
+    Ok(())
+}
+
+/// Another part of the node asked for the close; None where the connection turns out to be in use.
+fn close_requested(
+    context: &NodeContext,
+    conn: &Rc<Connection>,
+    reader: &mut FrameReader,
+    code: &'static str,
+) -> Option<ExchangeEnd> {
+    if close_reason::is_unconditional(code) {
+        return Some(if conn.is_idle() {
+            ExchangeEnd::graceful(code)
+        } else {
+            ExchangeEnd::immediate(code)
+        });
+    }
+    // A request may have crossed the decision to close: it lies unread in the socket, for as long as the process was
+    // busy, or is here in part.
+    if reader.end_code.is_none() && conn.is_idle() {
+        if let Err(error) = reader.read(context, conn, ReadMode::Direct) {
+            return Some(ExchangeEnd::reset(error));
+        }
+    }
+    let is_unused = conn.is_idle() && reader.incoming.is_empty() && reader.end_code.is_none();
+    is_unused.then(|| close_unused(context, conn, code))
+}
+
+/// How an unused connection is closed. A graceful close keeps its descriptor for a while, which a flood of
+/// connections would use up; a caller that was served may have an answer on its way, which a reset would discard.
+fn close_unused(context: &NodeContext, conn: &Connection, code: &'static str) -> ExchangeEnd {
+    let is_crowded = || !conn.is_known.get() || closing_count(context) >= MAX_CLOSING;
+    match code {
+        close_reason::DESCRIPTORS => ExchangeEnd::immediate(code),
+        close_reason::CAPACITY if is_crowded() => ExchangeEnd::immediate(code),
+        _ => ExchangeEnd::graceful(code),
+    }
+}
+
+/// Waits for bytes, for room to write, for a wake-up from another part of the node, or for the next deadline.
+async fn wait_for_event(
+    context: &Rc<NodeContext>,
+    conn: &Rc<Connection>,
+    reader: &mut FrameReader,
+) -> io::Result<()> {
+    let unread = conn.outgoing.borrow().len();
+    let reads = reader.end_code.is_none() && unread < MAX_UNREAD_BYTES;
+    let deadline = if reads {
+        reader.deadlines.frame_deadline(conn.is_known.get())
+    } else {
+        reader.deadlines.answer_deadline()
+    };
+    // Bytes come before the deadline: a process that was suspended finds both.
+    tokio::select! {
+        biased;
+        ready = conn.stream.readable(), if reads => {
+            ready?;
+            if reader.read(context, conn, ReadMode::WhenReady)? == Turn::Yield {
+                tokio::task::yield_now().await;
+            }
+        }
+        _ = conn.stream.writable(), if unread > 0 => {}
+        () = conn.wakeup.notified() => {}
+        () = sleep_until(deadline.unwrap_or_else(Instant::now).into()), if deadline.is_some() => {
+            reader.on_deadline(context, conn);
+        }
+    }
+    Ok(())
+}
+
+/// Handles all complete frames; how many there were.
+fn handle_frames(
+    context: &NodeContext,
+    conn: &Rc<Connection>,
+    incoming: &mut Ring,
+) -> Result<usize, thrift::Flaw> {
+    let record = |bytes: &[u8]| {
+        if let Some(tape) = &conn.recording {
+            tape.said(CLIENT_SIDE, bytes);
+        }
+    };
+    let mut frames = 0;
+    loop {
+        let len = match thrift::frame(incoming.bytes()) {
+            Ok(Some(len)) => FRAME_HEADER_BYTES + len,
+            Ok(None) => return Ok(frames),
+            Err(flaw) => {
+                // Bytes that cannot be read belong in the recording, too.
+                record(incoming.bytes());
+                return Err(flaw);
+            }
+        };
+        record(&incoming.bytes()[..len]);
+        count(&context.counts.frames);
+        frames += 1;
+        let handled =
+            ingress::handle_frame(context, conn, &incoming.bytes()[FRAME_HEADER_BYTES..len]);
+        incoming.drop_front(len);
+        handled?;
+    }
+}
+
+/// Ends our side and reads on to the other's end, so that nothing on its way is cut off by a reset.
+async fn close_gracefully(stream: &TcpStream) {
+    let shutdown = SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+    if shutdown.is_err() {
+        return;
+    }
+    let mut rest = Ring::default();
+    let mut discarded = 0;
+    // Bounded, so that a message of many megabytes does not take the node's time.
+    while discarded < MAX_LINGER_BYTES
+        && stream.readable().await.is_ok()
+        && matches!(
+            rest.fill(stream),
+            Ok(ReadOutcome::Some | ReadOutcome::Nothing)
+        )
+    {
+        discarded += rest.len();
+        rest.clear();
+    }
+}
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -14,14 +14,14 @@
 use tokio::time::sleep;
 
 /// Between tries to have one: a connection that is closed for it is gone within a turn.
-pub const AGAIN: Duration = Duration::from_millis(5);
+pub const RETRY_BACKOFF: Duration = Duration::from_millis(5);
 /// Tries in a row: half a second, which no opening outlives by much.
-const TRIES: usize = 100;
+const MAX_TRIES: usize = 100;
 /// `EMFILE` and `ENFILE`: the process, or the machine, has no descriptor left.
-const NONE_LEFT: [i32; 2] = [24, 23];
+const EXHAUSTED_CODES: [i32; 2] = [24, 23];
 
 /// So many of the configured ones as the system gives to this process.
-pub fn within(configured: usize) -> usize {
+pub fn clamp_to_system_limit(configured: usize) -> usize {
     let given = getrlimit(Resource::Nofile)
         .current
         .and_then(|n| usize::try_from(n).ok());
@@ -39,14 +39,14 @@
 pub fn is_exhausted(error: &io::Error) -> bool {
     error
         .raw_os_error()
-        .is_some_and(|code| NONE_LEFT.contains(&code))
+        .is_some_and(|code| EXHAUSTED_CODES.contains(&code))
 }
 
 /// Does what takes a descriptor, again while there is none and resting connections can make room for it.
 ///
 /// # Errors
-/// Those of `attempt`, for want of descriptors only after [`TRIES`].
-pub async fn have<T, F>(
+/// Those of `attempt`, for want of descriptors only after [`MAX_TRIES`].
+pub async fn with_retry<T, F>(
     context: &NodeContext,
     what: &'static str,
     attempt: impl Fn() -> F,
@@ -58,7 +58,7 @@
     loop {
         let done = attempt().await;
         tries += 1;
-        if tries >= TRIES || !done.as_ref().is_err_and(is_exhausted) {
+        if tries >= MAX_TRIES || !done.as_ref().is_err_and(is_exhausted) {
             return done;
         }
         count(&context.counts.descriptors_out);
@@ -66,6 +66,6 @@
             log_frequent!("descriptors_out", "out of descriptors", wanted = what);
         }
         connections::evict_for_descriptor(context);
-        sleep(AGAIN).await;
+        sleep(RETRY_BACKOFF).await;
     }
 }
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -69,7 +69,7 @@
         let ends = Instant::now() + left;
         // Nothing was written yet, so whatever goes wrong here nothing ran.
         connections::reserve_for_call(context).await;
-        let opening = descriptors::have(context, "call", || TcpStream::connect(addr));
+        let opening = descriptors::with_retry(context, "call", || TcpStream::connect(addr));
         let Ok(Ok(stream)) = timeout(left, opening).await else {
             return (Outcome::Unreachable, Vec::new());
         };
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -1,5 +1,6 @@
 //! The notice to leave: everything read is answered, then the process ends.
 
+use crate::connection::close_reason;
 use crate::{log_event, NodeContext};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -7,11 +8,11 @@
 
 /// Kept free before the kill, by which the process must be gone: the module is told the kill comes this
 /// much sooner and answers all before, and at the second of these the process ends, come what may.
-const BEFORE_KILL: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(50)];
+const KILL_MARGIN: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(50)];
 /// Share of the time until the kill in which the node still listens: what comes last must also end.
 const LISTENING: f64 = 0.6;
 /// After the socket stops listening, for what crossed it: the protocol speaks of 50 ms.
-const CROSSING: Duration = Duration::from_millis(200);
+const CROSSING_REQUESTS_TIMEOUT: Duration = Duration::from_millis(200);
 /// For the shards that are led here to be led elsewhere.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Between looks at what is still owed.
@@ -20,7 +21,7 @@
 /// From the notice on; returns when nothing is owed any more, or when the kill is near.
 pub async fn drain(context: &Rc<NodeContext>) {
     let (noticed, stop) = (Instant::now(), context.config.stop);
-    let ends = noticed + stop.saturating_sub(BEFORE_KILL[1]);
+    let ends = noticed + stop.saturating_sub(KILL_MARGIN[1]);
     context.leaving.set(Some(noticed));
     context.report_wakeup.notify_one();
     let owing = context.core.borrow().table.pending_reply_count();
@@ -67,7 +68,7 @@
         .connections
         .borrow()
         .values()
-        .for_each(|conn| conn.close_with("kill"));
+        .for_each(|conn| conn.close_with(close_reason::KILL));
     sleep(LOOK).await;
     log_event!(
         "drain_ends",
@@ -85,8 +86,8 @@
     );
     for conn in conns.values() {
         conn.send_shutdown();
-        if conn.is_idle() && !listening && deaf_for > CROSSING {
-            conn.close_with("drain");
+        if conn.is_idle() && !listening && deaf_for > CROSSING_REQUESTS_TIMEOUT {
+            conn.close_with(close_reason::DRAIN);
         }
     }
     listening || !conns.is_empty()
@@ -99,7 +100,7 @@
     };
     context.drive_policy(|node, _, table| {
         let at = noticed.saturating_duration_since(table.started);
-        let kill = noticed + context.config.stop.saturating_sub(BEFORE_KILL[0]);
+        let kill = noticed + context.config.stop.saturating_sub(KILL_MARGIN[0]);
         let kill_in = kill
             .saturating_duration_since(table.started)
             .saturating_sub(at);
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -118,7 +118,7 @@
     ) else {
         return;
     };
-    let read = descriptors::have(context, "configuration", || async {
+    let read = descriptors::with_retry(context, "configuration", || async {
         std::fs::read_to_string(&path)
     })
     .await;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -29,7 +29,7 @@
 const BORN_WITHIN: Duration = Duration::from_secs(600);
 
 /// One frame. An error is the reason code for which the connection is to end.
-pub fn frame(
+pub fn handle_frame(
     context: &NodeContext,
     conn: &Rc<Connection>,
     frame: &[u8],
@@ -60,7 +60,7 @@
         }
         b"giveUp" => {
             let left = thrift::give_up_args(message.args).map_err(unreadable)?;
-            left.into_iter().for_each(|seq| gone(context, conn, seq));
+            left.into_iter().for_each(|seq| cancel(context, conn, seq));
         }
         b"probe" => {
             thrift::probe_args(message.args).map_err(unreadable)?;
@@ -81,7 +81,7 @@
 }
 
 /// The caller no longer waits for the answer of this number.
-pub fn gone(context: &NodeContext, conn: &Connection, seq: i32) {
+pub fn cancel(context: &NodeContext, conn: &Connection, seq: i32) {
     let Some(index) = conn.open_requests.borrow_mut().remove(&seq) else {
         return;
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -114,7 +114,10 @@
 
 impl NodeContext {
     pub fn new(mut config: Config) -> Result<Rc<Self>, String> {
-        let (configured, given) = (config.sockets, descriptors::within(config.sockets));
+        let (configured, given) = (
+            config.sockets,
+            descriptors::clamp_to_system_limit(config.sockets),
+        );
         if given < configured {
             log_event!(
                 "descriptors_fewer",
--- a/crates/node/src/recording.rs
+++ b/crates/node/src/recording.rs
@@ -10,6 +10,11 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 
+/// The side of a recorded connection that opened it, as [`Tape::said`] counts them.
+pub const CLIENT_SIDE: usize = 0;
+/// The side of a recorded connection that accepted it.
+pub const SERVER_SIDE: usize = 1;
+
 pub struct TrafficRecording {
     pub recorder: Rc<Recorder>,
     links: bool,
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -47,7 +47,8 @@
             let open = match stream.take() {
                 Some(open) => open,
                 None => {
-                    descriptors::have(&context, "announce", || TcpStream::connect(addr)).await?
+                    descriptors::with_retry(&context, "announce", || TcpStream::connect(addr))
+                        .await?
                 }
             };
             let (reply, _) = downstream::exchange(&open, request.as_bytes(), None).await?;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -19,7 +19,8 @@
     while signals.recv().await.is_some() {
         idempotency::reload(&context).await;
         let read =
-            descriptors::have(&context, "configuration", || async { std::fs::read(&path) }).await;
+            descriptors::with_retry(&context, "configuration", || async { std::fs::read(&path) })
+                .await;
         let read = read
             .map_err(|e| e.to_string())
             .and_then(|bytes| Config::read(&bytes));
