--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -8,7 +8,7 @@
 use rainstand_config::source::{Disk, FileId, Files, Sources, Trouble};
 use rainstand_config::{form::form, load};
 use rainstand_routing::explain::{explain, Explanation};
-use rainstand_routing::table::{By, NoWay, Table, Ticket};
+use rainstand_routing::table::{PlacementReason, Request, RoutingError, Table};
 use serde_json::json;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -444,13 +444,13 @@
         }
     }
     let (entity, again, size) = (&*asked.entity, asked.again, asked.size);
-    let ticket = Ticket {
+    let ticket = Request {
         traffic,
         tenant,
         entity,
         again,
         size,
-        ..Ticket::default()
+        ..Request::default()
     };
     let has = |list: &[String], name: &str| list.iter().any(|one| one == name);
     let pool_out = |name: &str| has(&asked.pools_out, name);
@@ -467,7 +467,7 @@
     } else {
         way_in_words(&told)?;
         if let Some(times) = times {
-            use rainstand_routing::budget::Stage;
+            use rainstand_routing::time_budget::Stage;
             let stages = [
                 Stage::Forward,
                 Stage::Queue,
@@ -489,12 +489,14 @@
     })
 }
 
-fn by_words(by: By) -> String {
+fn by_words(by: PlacementReason) -> String {
     match by {
-        By::Share => "its share".into(),
-        By::OtherShare => "the pool of its share is out; another of the split takes it".into(),
-        By::FallBack(k) => format!("fall-back {} of the route", k + 1),
-        By::PoolFallBack => "what a pool of the route falls back on".into(),
+        PlacementReason::Share => "its share".into(),
+        PlacementReason::OtherShare => {
+            "the pool of its share is out; another of the split takes it".into()
+        }
+        PlacementReason::Fallback(k) => format!("fall-back {} of the route", k + 1),
+        PlacementReason::PoolFallback => "what a pool of the route falls back on".into(),
     }
 }
 
@@ -516,8 +518,10 @@
             }
             Ok(())
         }
-        Err(NoWay::NoRoute) => out::line("  no route takes it: dismissed"),
-        Err(NoWay::NoPool(_)) => out::line("  none of the route's pools can be used: dismissed"),
+        Err(RoutingError::NoRoute) => out::line("  no route takes it: dismissed"),
+        Err(RoutingError::NoPool(_)) => {
+            out::line("  none of the route's pools can be used: dismissed")
+        }
     }
 }
 
@@ -537,8 +541,8 @@
         Ok((pool, by)) => {
             json!({"goes": true, "pool": pool, "by": by_words(*by), "member": told.member, "limits": limits})
         }
-        Err(NoWay::NoRoute) => json!({"goes": false, "why": "no route"}),
-        Err(NoWay::NoPool(_)) => json!({"goes": false, "why": "no pool can be used"}),
+        Err(RoutingError::NoRoute) => json!({"goes": false, "why": "no route"}),
+        Err(RoutingError::NoPool(_)) => json!({"goes": false, "why": "no pool can be used"}),
     })
 }
 
--- a/crates/fleet-model/src/world.rs
+++ b/crates/fleet-model/src/world.rs
@@ -19,12 +19,12 @@
 use rainstand_config::schema::{self, Configuration, Proof, RepeatKind, SplitBy};
 use rainstand_config::units::ONE;
 use rainstand_invariants::{Answer, Kind, Rules, Step as Saw};
-use rainstand_routing::attempts::START;
-use rainstand_routing::choice;
-use rainstand_routing::fleet::{Back, End, Fleet, Step, Trip};
-use rainstand_routing::split::mark;
+use rainstand_routing::fleet::{AttemptOutcome, Fleet, NextAction, RequestOutcome, RequestState};
+use rainstand_routing::member_selection;
+use rainstand_routing::retry::INITIAL_RETRIES;
 use rainstand_routing::subset::in_rounds;
-use rainstand_routing::table::Ticket as Asked;
+use rainstand_routing::table::Request as Asked;
+use rainstand_routing::weighted_split::name_hash;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -59,13 +59,13 @@
     /// Something is due at a node; stale if the node's number has changed.
     Due(u32, u32),
     /// Word of a try reaches its forwarder, or its dispatcher.
-    Word(u32, Back),
+    Word(u32, AttemptOutcome),
     /// A try's time is up.
     Cut(u32),
     /// A wait before a further try is over.
     Again(u32),
     /// A ticket's answer reaches its dispatcher.
-    Told(u32, End),
+    Told(u32, RequestOutcome),
     /// A dispatcher comes back with a job.
     Returns(u32),
     /// It sends a second copy.
@@ -125,7 +125,7 @@
     job: u32,
     front: u32,
     again: bool,
-    trip: Option<Trip>,
+    trip: Option<RequestState>,
     /// The try that is out.
     at: u32,
 }
@@ -453,14 +453,14 @@
             let seed = plan.seed.wrapping_mul(31).wrapping_add(u64::from(me));
             let mut fleet =
                 Fleet::new(&made, zone, seed, Duration::ZERO).map_err(|e| e.to_string())?;
-            fleet.pick_by(match plan.fronts.pick {
-                Pick::TwoChoices => choice::Pick::TwoChoices,
-                Pick::LeastKnown => choice::Pick::LeastKnown,
-                Pick::InTurn => choice::Pick::InTurn(me),
+            fleet.set_selection_policy(match plan.fronts.pick {
+                Pick::TwoChoices => member_selection::SelectionPolicy::TwoChoices,
+                Pick::LeastKnown => member_selection::SelectionPolicy::LeastLoaded,
+                Pick::InTurn => member_selection::SelectionPolicy::RoundRobin(me),
             });
             for (at, place) in members.iter().enumerate() {
                 places[*place as usize].known_to.push((me, at as u16));
-                fleet.connected(&address(*place), Duration::ZERO, Duration::ZERO);
+                fleet.on_connected(&address(*place), Duration::ZERO, Duration::ZERO);
             }
             fronts.push(Front {
                 fleet,
@@ -511,7 +511,11 @@
             call_of: HashMap::new(),
             next_call: 0,
             shares: known,
-            tenant_marks: plan.tenants.iter().map(|one| mark(&one.name)).collect(),
+            tenant_marks: plan
+                .tenants
+                .iter()
+                .map(|one| name_hash(&one.name))
+                .collect(),
         };
         for place in 0..count {
             world.schedule(place);
@@ -647,7 +651,7 @@
             Event::Cut(number) => {
                 if self.tries.get(&number).is_some_and(|one| !one.over) {
                     self.nobody_waits(number);
-                    self.word(now, number, Back::TimedOut);
+                    self.word(now, number, AttemptOutcome::TimedOut);
                 }
             }
             Event::Again(ticket) => {
@@ -689,7 +693,7 @@
             }
             Event::Look(me) => {
                 let at = self.clock(me);
-                let _ = self.fronts[me as usize].fleet.look(at);
+                let _ = self.fronts[me as usize].fleet.tick(at);
                 self.queue.after(LOOK, Event::Look(me));
             }
             Event::Rules => {
@@ -701,9 +705,13 @@
                     for front in &self.fronts {
                         let counts = front.fleet.counts();
                         let (first, further) = (counts.first_tries, counts.further_tries);
-                        let found =
-                            self.rules
-                                .budget(at, first, further, self.plan.fronts.budget, START);
+                        let found = self.rules.budget(
+                            at,
+                            first,
+                            further,
+                            self.plan.fronts.budget,
+                            INITIAL_RETRIES,
+                        );
                         if let Err(broken) = found {
                             self.measured.broken.get_or_insert(broken);
                         }
@@ -899,7 +907,7 @@
             ..Asked::default()
         };
         let at = Duration::from_nanos(now + self.fronts[front as usize].ahead);
-        let step = self.fronts[front as usize].fleet.arrived(at, &asked);
+        let step = self.fronts[front as usize].fleet.on_arrival(at, &asked);
         self.follow(now, ticket, step);
     }
 
@@ -922,9 +930,9 @@
     }
 
     /// Carries out a step of a forwarder.
-    fn follow(&mut self, now: u64, ticket: u32, step: Step) {
+    fn follow(&mut self, now: u64, ticket: u32, step: NextAction) {
         match step {
-            Step::Go(trip, send) => {
+            NextAction::Dispatch(trip, send) => {
                 let Some(one) = self.tickets.get_mut(&ticket) else {
                     return;
                 };
@@ -933,13 +941,13 @@
                 let number = self.send(now, ticket, place, send.again);
                 self.queue.after(ns(send.cut), Event::Cut(number));
             }
-            Step::Wait(trip, wait) => {
+            NextAction::Backoff(trip, wait) => {
                 if let Some(one) = self.tickets.get_mut(&ticket) {
                     (one.trip, one.at) = (Some(trip), NOBODY);
                     self.queue.after(ns(wait), Event::Again(ticket));
                 }
             }
-            Step::Over(over) => self.answer(ticket, over.end),
+            NextAction::Completed(over) => self.answer(ticket, over.end),
         }
     }
 
@@ -965,16 +973,18 @@
         match self.way(from, to) {
             None => self
                 .queue
-                .after(OPENING, Event::Word(number, Back::Unreachable)),
+                .after(OPENING, Event::Word(number, AttemptOutcome::Unreachable)),
             Some(way) => {
                 // Its connection may break before the node reads it, or with the ticket in it.
                 if self.plan.net.breaks > 0.0 && unit(&mut self.net_chance) < self.plan.net.breaks {
                     if unit(&mut self.net_chance) < 0.5 {
-                        self.queue.after(2 * way, Event::Word(number, Back::Broken));
+                        self.queue
+                            .after(2 * way, Event::Word(number, AttemptOutcome::Broken));
                         return number;
                     }
                     let later = way + (unit(&mut self.net_chance) * 2e7) as u64;
-                    self.queue.after(later, Event::Word(number, Back::Broken));
+                    self.queue
+                        .after(later, Event::Word(number, AttemptOutcome::Broken));
                 }
                 self.queue.after(way, Event::AtNode(number));
             }
@@ -1032,7 +1042,7 @@
         one.came = now;
         let at = &self.places[place as usize];
         if !at.alive {
-            return self.back(number, Back::Unreachable);
+            return self.back(number, AttemptOutcome::Unreachable);
         }
         self.weigh_cold(now, place);
         let at = &self.places[place as usize];
@@ -1043,7 +1053,7 @@
         if let Some(pause) = at.lies {
             return self.back(
                 number,
-                Back::Dismissed {
+                AttemptOutcome::Rejected {
                     pause,
                     nowhere_else: false,
                 },
@@ -1054,7 +1064,7 @@
             let way = self.way_back(number);
             if let Some(way) = way {
                 self.queue
-                    .after(after + way, Event::Word(number, Back::Failed));
+                    .after(after + way, Event::Word(number, AttemptOutcome::Failed));
             }
             return;
         }
@@ -1113,8 +1123,8 @@
         for said in said {
             match said {
                 Said::Runs(number) => self.runs(now, number),
-                Said::Done(number) => self.back(number, Back::Honoured),
-                Said::Failed(number) => self.back(number, Back::Failed),
+                Said::Done(number) => self.back(number, AttemptOutcome::Served),
+                Said::Failed(number) => self.back(number, AttemptOutcome::Failed),
                 Said::Calls(number, until) => self.call(now, place, number, until),
                 Said::Forgoes(number) => {
                     if let Some(call) = self.call_of.remove(&number) {
@@ -1125,7 +1135,7 @@
                 Said::Dismissed(number, pause, nowhere_else) => {
                     self.back(
                         number,
-                        Back::Dismissed {
+                        AttemptOutcome::Rejected {
                             pause,
                             nowhere_else,
                         },
@@ -1282,7 +1292,7 @@
     }
 
     /// Word of a try sets out; across a partition it is lost.
-    fn back(&mut self, number: u32, back: Back) {
+    fn back(&mut self, number: u32, back: AttemptOutcome) {
         if self.tries.get(&number).is_some_and(|one| one.over) {
             // Nobody asks for it any more.
             let one = self.tries.remove(&number);
@@ -1305,7 +1315,7 @@
     }
 
     /// Word of a try arrives.
-    fn word(&mut self, now: u64, number: u32, back: Back) {
+    fn word(&mut self, now: u64, number: u32, back: AttemptOutcome) {
         let Some(one) = self.tries.get_mut(&number).filter(|one| !one.over) else {
             // Late: it was cut, or its caller left.
             if let Some(one) = self.tries.remove(&number) {
@@ -1316,7 +1326,7 @@
         one.over = true;
         let ticket = one.ticket;
         // After these the node may still have it, and be done later.
-        if !matches!(back, Back::TimedOut | Back::Broken) {
+        if !matches!(back, AttemptOutcome::TimedOut | AttemptOutcome::Broken) {
             self.tries.remove(&number);
         }
         let Some(known) = self.tickets.get_mut(&ticket).filter(|one| one.at == number) else {
@@ -1324,24 +1334,27 @@
         };
         if known.front == NOBODY {
             let end = match back {
-                Back::Honoured => End::Honoured,
-                Back::Dismissed {
+                AttemptOutcome::Served => RequestOutcome::Served,
+                AttemptOutcome::Rejected {
                     pause,
                     nowhere_else,
-                } => End::Dismissed {
+                } => RequestOutcome::Rejected {
                     after: pause,
                     nowhere_else,
                 },
-                Back::Unreachable => End::Dismissed {
+                AttemptOutcome::Unreachable => RequestOutcome::Rejected {
                     after: Duration::ZERO,
                     nowhere_else: false,
                 },
-                Back::Failed | Back::Broken | Back::TimedOut | Back::CallerLeft => End::GivenUp,
+                AttemptOutcome::Failed
+                | AttemptOutcome::Broken
+                | AttemptOutcome::TimedOut
+                | AttemptOutcome::CallerLeft => RequestOutcome::Failed,
             };
             return self.told(now, ticket, end);
         }
         let back = match (self.plan.bug, back) {
-            (Some(Bug::BrokenIsUnreachable), Back::Broken) => Back::Unreachable,
+            (Some(Bug::BrokenIsUnreachable), AttemptOutcome::Broken) => AttemptOutcome::Unreachable,
             (_, back) => back,
         };
         let Some(trip) = known.trip.take() else {
@@ -1349,25 +1362,27 @@
         };
         let front = known.front;
         let at = self.clock(front);
-        let step = self.fronts[front as usize].fleet.came(at, trip, back);
+        let step = self.fronts[front as usize]
+            .fleet
+            .on_attempt_outcome(at, trip, back);
         self.follow(now, ticket, step);
     }
 
     /// A forwarder's one answer sets out.
-    fn answer(&mut self, ticket: u32, end: End) {
+    fn answer(&mut self, ticket: u32, end: RequestOutcome) {
         let way = self.way(0, 0).unwrap_or(0);
         self.queue.after(way, Event::Told(ticket, end));
     }
 
     /// A ticket's answer is there.
-    fn told(&mut self, now: u64, ticket: u32, end: End) {
+    fn told(&mut self, now: u64, ticket: u32, end: RequestOutcome) {
         let Some(one) = self.tickets.remove(&ticket) else {
             return;
         };
         let answer = match end {
-            End::Honoured => Answer::Honoured,
-            End::Dismissed { .. } => Answer::Dismissed,
-            End::GivenUp | End::Nobody => Answer::GivenUp,
+            RequestOutcome::Served => Answer::Honoured,
+            RequestOutcome::Rejected { .. } => Answer::Dismissed,
+            RequestOutcome::Failed | RequestOutcome::CallerGone => Answer::GivenUp,
         };
         self.saw(ticket, Saw::Answered(answer));
         let number = one.job;
@@ -1384,7 +1399,7 @@
         let took = now - job.born;
         let left = ns(kind.outer_limit).saturating_sub(took);
         match end {
-            End::Honoured => {
+            RequestOutcome::Served => {
                 let _ = self.measured.times.record((took / 1_000).max(1));
                 let end = if took <= ns(kind.goal) {
                     JobEnd::Good
@@ -1393,7 +1408,7 @@
                 };
                 self.job_over(number, end);
             }
-            End::Dismissed {
+            RequestOutcome::Rejected {
                 after,
                 nowhere_else,
             } => {
@@ -1408,7 +1423,7 @@
                     self.job_over(number, JobEnd::Dismissed);
                 }
             }
-            End::GivenUp | End::Nobody => {
+            RequestOutcome::Failed | RequestOutcome::CallerGone => {
                 // Only what may run any number of times is asked for again.
                 if kind.kind == Kind::Rerunnable && job.tries < habits.tries && AT_ONCE < left {
                     self.queue.after(AT_ONCE, Event::Returns(number));
@@ -1452,9 +1467,11 @@
             }
             if let Some(trip) = one.trip.take() {
                 let at = self.clock(one.front);
-                let _ = self.fronts[one.front as usize]
-                    .fleet
-                    .came(at, trip, Back::CallerLeft);
+                let _ = self.fronts[one.front as usize].fleet.on_attempt_outcome(
+                    at,
+                    trip,
+                    AttemptOutcome::CallerLeft,
+                );
             }
         }
     }
@@ -1580,7 +1597,7 @@
             if self.tries.get(&number).is_some_and(|one| one.over) {
                 self.tries.remove(&number);
             } else {
-                self.back(number, Back::Broken);
+                self.back(number, AttemptOutcome::Broken);
             }
         }
         self.schedule(place);
@@ -1591,7 +1608,9 @@
         let known_to = self.places[place as usize].known_to.clone();
         for (front, _) in known_to {
             let at = self.clock(front);
-            self.fronts[front as usize].fleet.lost(&address(place), at);
+            self.fronts[front as usize]
+                .fleet
+                .on_disconnected(&address(place), at);
         }
     }
 
@@ -1634,7 +1653,7 @@
         let address = address(place);
         for (front, _) in known_to {
             let at = self.clock(front);
-            self.fronts[front as usize].fleet.renewed(&address, at);
+            self.fronts[front as usize].fleet.on_restarted(&address, at);
         }
         self.schedule(place);
     }
@@ -1665,7 +1684,7 @@
         let (known_to, address) = (one.known_to.clone(), address(place));
         for (front, _) in known_to {
             let at = self.clock(front);
-            self.fronts[front as usize].fleet.leaves(&address, at);
+            self.fronts[front as usize].fleet.on_leaving(&address, at);
         }
         self.hear(place);
     }
--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -2,9 +2,9 @@
 //! decisions. Read only. Bounded: few connections, short requests, one answer each.
 
 use crate::{room, Hub};
-use rainstand_routing::decisions::{Decision, What};
-use rainstand_routing::fleet::Seen;
-use rainstand_routing::health::Standing;
+use rainstand_routing::decision_log::{Decision, DecisionOutcome};
+use rainstand_routing::fleet::MemberSnapshot;
+use rainstand_routing::health::MemberStatus;
 use serde::Serialize;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -137,7 +137,7 @@
     let (fleet, now, mut out) = (hub.fleet.borrow(), hub.now(), String::new());
     for (at, pool) in fleet.table().configuration().pools.iter().enumerate() {
         for (member, seen) in pool.members.iter().zip(fleet.members(at as u16, now)) {
-            let Seen {
+            let MemberSnapshot {
                 address,
                 open,
                 limit,
@@ -146,7 +146,7 @@
                 leaving,
             } = seen;
             let (why, back_in_ms) = match standing {
-                Standing::Out(reason, until) => {
+                MemberStatus::Ejected(reason, until) => {
                     (Some(reason.word()), Some(ms(until.saturating_sub(now))))
                 }
                 _ => (None, None),
@@ -207,7 +207,7 @@
             more_passed_over: *more,
         };
         match *what {
-            What::Went {
+            DecisionOutcome::Dispatched {
                 member,
                 how,
                 of,
@@ -217,7 +217,7 @@
                 (line.member, line.how) = (Some(name(member)), Some(how.word()));
                 (line.tried, line.of, line.in_hand) = (Some(tried), Some(of), Some(in_hand));
             }
-            What::Turned { why, after } => {
+            DecisionOutcome::Rejected { why, after } => {
                 (line.turned, line.told_ms) = (Some(why.word()), Some(ms(after)));
             }
         }
--- a/crates/forwarder/src/back.rs
+++ b/crates/forwarder/src/back.rs
@@ -6,7 +6,7 @@
 //!
 //! A member is known to be the same one as long as links to it overlap. A link that we close ourselves proves nothing
 //! against it; after one that ended otherwise it is as old as the oldest link that still stands, and with none left
-//! nothing is known ([`rainstand_routing::ramp`]). The last link is therefore not closed for its age, only when unused.
+//! nothing is known ([`rainstand_routing::warm_up`]). The last link is therefore not closed for its age, only when unused.
 //!
 //! Invariant of a [`Link`]: `left` + what is in `out` = all bytes that were put; a call whose `until` is past `left`
 //! has not left whole.
@@ -17,7 +17,7 @@
 use nanorand::{Rng, WyRand};
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift::{self, What};
-use rainstand_routing::fleet::Back;
+use rainstand_routing::fleet::AttemptOutcome;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::rc::Rc;
@@ -98,9 +98,9 @@
         self.since.set(since);
         let mut fleet = hub.fleet.borrow_mut();
         match since {
-            _ if !fleet.ramps() => {}
-            Some(since) => fleet.connected(address, since, hub.now()),
-            None => fleet.lost(address, hub.now()),
+            _ if !fleet.has_warm_up() => {}
+            Some(since) => fleet.on_connected(address, since, hub.now()),
+            None => fleet.on_disconnected(address, hub.now()),
         }
     }
 }
@@ -183,12 +183,12 @@
     /// Tells the decisions since when each member is known: those of a new version may not know it.
     pub fn tell_known(&self, hub: &Hub) {
         let (mut fleet, now) = (hub.fleet.borrow_mut(), hub.now());
-        if !fleet.ramps() {
+        if !fleet.has_warm_up() {
             return;
         }
         for (address, member) in self.members.borrow().iter() {
             if let Some(since) = member.since.get() {
-                fleet.connected(address, since, now);
+                fleet.on_connected(address, since, now);
             }
         }
     }
@@ -262,7 +262,7 @@
         // Not within this call: the caller is in the middle of a step.
         let hub = hub.clone();
         spawn_local(async move {
-            hub.came(call.number, call.attempt, Back::Unreachable);
+            hub.came(call.number, call.attempt, AttemptOutcome::Unreachable);
         });
         return;
     };
@@ -371,7 +371,7 @@
             count(&hub.counts.links);
             // It was gone and is there again: a new one, whatever its address.
             if member.away.take().is_some() | member.left.take() {
-                hub.fleet.borrow_mut().renewed(&address, hub.now());
+                hub.fleet.borrow_mut().on_restarted(&address, hub.now());
                 member.since.set(None);
             }
             let _ = link.stream.set(stream);
@@ -402,11 +402,11 @@
     for (call, until) in open {
         // What did not leave whole cannot have been read whole.
         let ran = if until <= left {
-            Back::Broken
+            AttemptOutcome::Broken
         } else {
-            Back::Unreachable
+            AttemptOutcome::Unreachable
         };
-        if ran == Back::Unreachable && link.stream.get().is_some() {
+        if ran == AttemptOutcome::Unreachable && link.stream.get().is_some() {
             count(&hub.counts.unsent);
         }
         hub.came(call.number, call.attempt, ran);
@@ -470,7 +470,7 @@
         // One link may be closed for many reasons; a member that wants none of them leaves.
         if member.links.borrow().iter().all(|link| link.retired.get()) {
             member.left.set(true);
-            hub.fleet.borrow_mut().leaves(address, hub.now());
+            hub.fleet.borrow_mut().on_leaving(address, hub.now());
         }
         return;
     }
@@ -500,13 +500,15 @@
             hub.came(
                 call.number,
                 call.attempt,
-                Back::Dismissed {
+                AttemptOutcome::Rejected {
                     pause,
                     nowhere_else,
                 },
             )
         }
-        What::Lost | What::Exception { .. } => hub.came(call.number, call.attempt, Back::Failed),
+        What::Lost | What::Exception { .. } => {
+            hub.came(call.number, call.attempt, AttemptOutcome::Failed)
+        }
     };
     if !taken {
         count(&hub.counts.late_answers);
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -34,12 +34,14 @@
 use rainstand_config::schema::Configuration;
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
-use rainstand_routing::change::Change;
-use rainstand_routing::fleet::{At, Back, End, Fleet, Step, Trip};
-use rainstand_routing::health::Standing;
-use rainstand_routing::split::mark;
-use rainstand_routing::table::Ticket;
-use rainstand_routing::Refused;
+use rainstand_routing::fleet::{
+    At, AttemptOutcome, Fleet, NextAction, RequestOutcome, RequestState,
+};
+use rainstand_routing::health::MemberStatus;
+use rainstand_routing::table::Request;
+use rainstand_routing::table_update::TableChange;
+use rainstand_routing::weighted_split::name_hash;
+use rainstand_routing::ConfigurationError;
 use seen::Metrics;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -100,7 +102,7 @@
     /// The call's arguments as they were read, to be passed on.
     pub args: Box<[u8]>,
     /// Its trip, while it waits or while nothing is decided; at a member it stands here too.
-    trip: Option<Trip>,
+    trip: Option<RequestState>,
     /// The try that is out; a word for another is late.
     pub attempt: u64,
     /// The try that is out; none while it waits for the next.
@@ -217,7 +219,10 @@
     /// # Errors
     /// As [`Hub::take`].
     pub fn replace(&self, configuration: Configuration) -> Result<u64, String> {
-        let taken = self.fleet.borrow_mut().replace(configuration, self.now());
+        let taken = self
+            .fleet
+            .borrow_mut()
+            .install_owned(configuration, self.now());
         self.is_present(taken)
     }
 
@@ -226,12 +231,12 @@
     ///
     /// # Errors
     /// Why it is refused; nothing has changed.
-    pub fn apply(&self, changes: &[Change]) -> Result<u64, String> {
+    pub fn apply(&self, changes: &[TableChange]) -> Result<u64, String> {
         let applied = self.fleet.borrow_mut().apply(changes, self.now());
         self.is_present(applied)
     }
 
-    fn is_present(&self, version: Result<u64, Refused>) -> Result<u64, String> {
+    fn is_present(&self, version: Result<u64, ConfigurationError>) -> Result<u64, String> {
         let version = version.map_err(|e| e.to_string())?;
         // Where routes, pools and members have their places, what is kept by place goes on.
         if self.fleet.borrow().places_since() == version {
@@ -276,15 +281,19 @@
                 .ok_or("route: not known")?;
             let customer = field("customer")?.unwrap_or("");
             let tenant = fleet.table().tenant(customer);
-            let ticket = Ticket {
+            let ticket = Request {
                 traffic,
                 tenant,
-                stranger: if tenant.is_none() { mark(customer) } else { 0 },
+                stranger: if tenant.is_none() {
+                    name_hash(customer)
+                } else {
+                    0
+                },
                 entity: field("entity")?.unwrap_or(""),
                 again: field("redo")? == Some("1"),
                 size: body.len() as u64,
             };
-            fleet.arrived(self.now(), &ticket)
+            fleet.on_arrival(self.now(), &ticket)
         };
         let number = self.number();
         let ticket = InHand {
@@ -302,9 +311,9 @@
     }
 
     /// Carries out a step of a ticket.
-    fn follow(self: &Rc<Self>, number: u64, step: Step) {
+    fn follow(self: &Rc<Self>, number: u64, step: NextAction) {
         match step {
-            Step::Go(trip, send) => {
+            NextAction::Dispatch(trip, send) => {
                 let attempt = self.number();
                 let (address, version) = {
                     let fleet = self.fleet.borrow();
@@ -330,7 +339,7 @@
                 };
                 back::send(self, &address, call);
             }
-            Step::Wait(trip, wait) => {
+            NextAction::Backoff(trip, wait) => {
                 let attempt = self.number();
                 if let Some(ticket) = self.tickets.borrow_mut().get_mut(&number) {
                     ticket.trip = Some(trip);
@@ -339,16 +348,16 @@
                 }
                 self.ring_after(wait, number, attempt);
             }
-            Step::Over(over) => {
+            NextAction::Completed(over) => {
                 self.metrics.ticket(&over, &self.fleet.borrow());
                 self.over(number, |ticket| match over.end {
                     // The member's own answer went out before.
-                    End::Honoured | End::Nobody => None,
-                    End::Dismissed {
+                    RequestOutcome::Served | RequestOutcome::CallerGone => None,
+                    RequestOutcome::Rejected {
                         after,
                         nowhere_else,
                     } => Some(dismissal(ticket.seq, after, nowhere_else)),
-                    End::GivenUp => Some(thrift::lost(ticket.seq)),
+                    RequestOutcome::Failed => Some(thrift::lost(ticket.seq)),
                 });
             }
         }
@@ -384,7 +393,7 @@
             .map(|t| t.at.clone());
         let Some(at) = at else { return };
         if let Some(Out { address, since, .. }) = at {
-            if self.came(number, attempt, Back::TimedOut) {
+            if self.came(number, attempt, AttemptOutcome::TimedOut) {
                 // Nobody waits for it there any more.
                 back::leave(self, &address, attempt, since);
             }
@@ -395,7 +404,7 @@
     }
 
     /// The trip of a ticket, if it is still at this try; whoever has it decides what is next.
-    fn claim(&self, number: u64, attempt: u64) -> Option<Trip> {
+    fn claim(&self, number: u64, attempt: u64) -> Option<RequestState> {
         let mut tickets = self.tickets.borrow_mut();
         let ticket = tickets
             .get_mut(&number)
@@ -404,7 +413,7 @@
     }
 
     /// A try came back: to the counters, and to the decisions.
-    fn tell(&self, number: u64, trip: Trip, back: Back) -> Step {
+    fn tell(&self, number: u64, trip: RequestState, back: AttemptOutcome) -> NextAction {
         let now = self.now();
         let out = self
             .tickets
@@ -418,11 +427,11 @@
             self.metrics
                 .tried(at, version, back, now.saturating_sub(since));
         }
-        self.fleet.borrow_mut().came(now, trip, back)
+        self.fleet.borrow_mut().on_attempt_outcome(now, trip, back)
     }
 
     /// What came of a try; false if the ticket is past it.
-    pub fn came(self: &Rc<Self>, number: u64, attempt: u64, back: Back) -> bool {
+    pub fn came(self: &Rc<Self>, number: u64, attempt: u64, back: AttemptOutcome) -> bool {
         let Some(trip) = self.claim(number, attempt) else {
             return false;
         };
@@ -441,7 +450,7 @@
                 .conn
                 .send(&thrift::answer(b"process", ticket.seq, body, true));
         }
-        let step = self.tell(number, trip, Back::Honoured);
+        let step = self.tell(number, trip, AttemptOutcome::Served);
         self.follow(number, step);
         true
     }
@@ -466,7 +475,7 @@
         else {
             return;
         };
-        if self.came(number, attempt, Back::CallerLeft) {
+        if self.came(number, attempt, AttemptOutcome::CallerLeft) {
             back::leave_everywhere(self, attempt);
         }
     }
@@ -553,12 +562,12 @@
     spawn_local(async move {
         loop {
             sleep(LOOK).await;
-            let changes = looking.fleet.borrow_mut().look(looking.now());
+            let changes = looking.fleet.borrow_mut().tick(looking.now());
             for (at, to) in changes {
                 let fleet = looking.fleet.borrow();
                 let (address, pool) = (fleet.address(at), fleet.table().pool_name(at.pool));
                 let why = match to {
-                    Standing::Out(reason, _) => reason.word(),
+                    MemberStatus::Ejected(reason, _) => reason.word(),
                     _ => "",
                 };
                 let to = to.word();
--- a/crates/forwarder/src/published.rs
+++ b/crates/forwarder/src/published.rs
@@ -6,15 +6,19 @@
 use rainstand_config_distribution::delta::{ConfigState, ResourceBody, ResourceKey};
 use rainstand_config_distribution::frames::{Delta, Resource, ResourceKind};
 use rainstand_config_distribution::UpdateError;
-use rainstand_routing::change::{Change, Kind as Of};
 use rainstand_routing::subset::reduce_pool;
+use rainstand_routing::table_update::{EntryKind as Of, TableChange};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a delta means for forwarder number `me`, from the state that it begins at.
 ///
 /// # Errors
 /// A thing that cannot be read: what is checked before it is handed over has none.
-pub fn changes(state: &ConfigState, delta: &Delta, me: usize) -> Result<Vec<Change>, UpdateError> {
+pub fn changes(
+    state: &ConfigState,
+    delta: &Delta,
+    me: usize,
+) -> Result<Vec<TableChange>, UpdateError> {
     let mut all = Vec::new();
     let (mut pools, mut put_pools) = (BTreeSet::new(), BTreeMap::new());
     // Members of the change, by pool; none: taken out.
@@ -48,18 +52,18 @@
         };
         // Two changes that were made one may take out what never came in here.
         if state.get(&key).is_some() {
-            all.push(Change::Remove(kind, named.name.clone()));
+            all.push(TableChange::Remove(kind, named.name.clone()));
         }
     }
     for thing in &delta.upserts {
         all.push(match thing.decode_body()? {
-            ResourceBody::Type(one) => Change::Type(one),
-            ResourceBody::Tenant(one) => Change::Tenant(one),
-            ResourceBody::Limits(one) => Change::Limits(one),
-            ResourceBody::RetryAfter(one) => Change::RetryAfter(one),
-            ResourceBody::Budget(one) => Change::Budget(one),
-            ResourceBody::Attempts(one) => Change::Attempts(one),
-            ResourceBody::Health(one) => Change::Health(one),
+            ResourceBody::Type(one) => TableChange::Type(one),
+            ResourceBody::Tenant(one) => TableChange::Tenant(one),
+            ResourceBody::Limits(one) => TableChange::Limits(one),
+            ResourceBody::RetryAfter(one) => TableChange::RetryAfter(one),
+            ResourceBody::Budget(one) => TableChange::Budget(one),
+            ResourceBody::Attempts(one) => TableChange::Attempts(one),
+            ResourceBody::Health(one) => TableChange::Health(one),
             ResourceBody::Pool(one) => {
                 pools.insert(&*thing.name);
                 put_pools.insert(&*thing.name, one);
@@ -118,7 +122,7 @@
             }
         }
         reduce_pool(&mut pool, me);
-        all.push(Change::Pool(pool));
+        all.push(TableChange::Pool(pool));
     }
     if !routes.is_empty() {
         let route = ResourceKind::Route as i32;
@@ -147,7 +151,7 @@
                 .range(rank + 1..)
                 .next()
                 .map(|(_, name)| (*name).to_owned());
-            all.push(Change::Route(route.clone(), next));
+            all.push(TableChange::Route(route.clone(), next));
         }
     }
     Ok(all)
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -13,23 +13,23 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
-use rainstand_routing::fleet::{At, Back, Fleet, Over, Why};
-use rainstand_routing::health::Standing;
+use rainstand_routing::fleet::{At, AttemptOutcome, Completed, Fleet, RejectReason};
+use rainstand_routing::health::MemberStatus;
 use std::cell::RefCell;
 use std::time::Duration;
 
 /// What tries may come to, in the order of the handles.
-const BACKS: [Back; 7] = [
-    Back::Honoured,
-    Back::Dismissed {
+const BACKS: [AttemptOutcome; 7] = [
+    AttemptOutcome::Served,
+    AttemptOutcome::Rejected {
         pause: Duration::ZERO,
         nowhere_else: false,
     },
-    Back::Failed,
-    Back::Unreachable,
-    Back::Broken,
-    Back::TimedOut,
-    Back::CallerLeft,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Unreachable,
+    AttemptOutcome::Broken,
+    AttemptOutcome::TimedOut,
+    AttemptOutcome::CallerLeft,
 ];
 /// Stands for a route, pool or member of a version that is no longer the present one.
 const EARLIER: &str = "(earlier version)";
@@ -73,7 +73,7 @@
 }
 
 /// A ticket's route and pool by place, its end and why.
-type EndKey = (Option<u16>, Option<u16>, &'static str, Why);
+type EndKey = (Option<u16>, Option<u16>, &'static str, RejectReason);
 
 /// What is kept by place, and the version since which the places are these.
 #[derive(Default)]
@@ -285,7 +285,7 @@
                     pool: pool.clone(),
                     member: member.clone(),
                 };
-                let counter = |back: Back| {
+                let counter = |back: AttemptOutcome| {
                     let labels = TryLabels {
                         pool: pool.clone(),
                         member: member.clone(),
@@ -322,7 +322,7 @@
 
     /// What came of a try, after this time. One that was sent under an earlier version is counted at its ticket only:
     /// its place may be another member's now.
-    pub fn tried(&self, at: At, version: u64, back: Back, took: Duration) {
+    pub fn tried(&self, at: At, version: u64, back: AttemptOutcome, took: Duration) {
         let handles = self.handles.borrow();
         if version < handles.since {
             return;
@@ -338,13 +338,13 @@
         if let Some(place) = place {
             member.came[place].inc();
         }
-        if back == Back::Honoured {
+        if back == AttemptOutcome::Served {
             member.seconds.observe(took.as_secs_f64());
         }
     }
 
     /// A ticket's end.
-    pub fn ticket(&self, over: &Over, fleet: &Fleet) {
+    pub fn ticket(&self, over: &Completed, fleet: &Fleet) {
         let mut handles = self.handles.borrow_mut();
         let same = over.version >= handles.since;
         let key = if same {
@@ -401,9 +401,9 @@
                 self.open.get_or_create(&labels).set(i64::from(seen.open));
                 self.limit.get_or_create(&labels).set(i64::from(seen.limit));
                 let out = match seen.standing {
-                    Standing::In => 0,
-                    Standing::Out(..) => 1,
-                    Standing::Trickle => 2,
+                    MemberStatus::Healthy => 0,
+                    MemberStatus::Ejected(..) => 1,
+                    MemberStatus::Probing => 2,
                 };
                 self.out.get_or_create(&labels).set(out);
             }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -12,7 +12,7 @@
 use rainstand_config::{load, source::Memory};
 use rainstand_forwarder::{run, Hub};
 use rainstand_invariants::Kind;
-use rainstand_routing::health::Standing;
+use rainstand_routing::health::MemberStatus;
 use rainstand_test_servers::caller::{Ask, Caller, Told};
 use rainstand_test_servers::node::{node, Make, Node};
 use rainstand_test_servers::script::Script;
@@ -437,7 +437,7 @@
                 .fleet
                 .borrow()
                 .members(0, w.hub.now())
-                .any(|m| matches!(m.standing, Standing::Out(..)))
+                .any(|m| matches!(m.standing, MemberStatus::Ejected(..)))
         };
         while more > 0 {
             n += 1;
--- a/crates/routing/benches/pick.rs
+++ b/crates/routing/benches/pick.rs
@@ -9,9 +9,9 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
-use rainstand_routing::change::{Change, Kind};
-use rainstand_routing::table::{Table, Ticket};
-use rainstand_routing::versions::{Router, Verdict};
+use rainstand_routing::router::{Admission, Router};
+use rainstand_routing::table::{Request, Table};
+use rainstand_routing::table_update::{EntryKind, TableChange};
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -90,13 +90,13 @@
         .bench_local(|| {
             let mut sum = 0u64;
             for (traffic, tenant, entity) in &all {
-                let ticket = Ticket {
+                let ticket = Request {
                     traffic: *traffic,
                     tenant: *tenant,
                     entity,
                     again: false,
                     size: 900,
-                    ..Ticket::default()
+                    ..Request::default()
                 };
                 sum += u64::from(
                     table
@@ -119,16 +119,16 @@
         .bench_local(|| {
             for (traffic, tenant, entity) in &all {
                 now += Duration::from_micros(1);
-                let ticket = Ticket {
+                let ticket = Request {
                     traffic: *traffic,
                     tenant: *tenant,
                     entity,
                     again: false,
                     size: 900,
-                    ..Ticket::default()
+                    ..Request::default()
                 };
-                if let Verdict::Goes(way) = router.arrived(now, &ticket, |_| true) {
-                    router.ended(way);
+                if let Admission::Admitted(way) = router.on_arrival(now, &ticket, |_| true) {
+                    router.on_completed(way);
                 }
             }
             router.counts().went
@@ -157,7 +157,7 @@
     let mut tenant = whole.tenants[7].clone();
     bencher.bench_local(|| {
         tenant.share ^= 1;
-        router.apply(&[Change::Tenant(tenant.clone())], Duration::ZERO)
+        router.apply(&[TableChange::Tenant(tenant.clone())], Duration::ZERO)
     });
 }
 
@@ -170,12 +170,15 @@
     bencher.bench_local(|| {
         router
             .apply(
-                &[Change::Route(route.clone(), before.clone())],
+                &[TableChange::Route(route.clone(), before.clone())],
                 Duration::ZERO,
             )
             .unwrap();
         router
-            .apply(&[Change::Remove(Kind::Route, "new".into())], Duration::ZERO)
+            .apply(
+                &[TableChange::Remove(EntryKind::Route, "new".into())],
+                Duration::ZERO,
+            )
             .unwrap();
     });
 }
@@ -185,5 +188,5 @@
 fn the_whole_anew(bencher: divan::Bencher<'_, '_>, routes: usize) {
     let whole = configuration(routes);
     let mut router = Router::new(&whole, 1).unwrap();
-    bencher.bench_local(|| router.take(&whole, Duration::ZERO));
+    bencher.bench_local(|| router.install(&whole, Duration::ZERO));
 }
--- a/crates/routing/src/toward.rs
+++ b/crates/routing/src/adaptive_concurrency.rs
@@ -19,11 +19,11 @@
 use std::time::Duration;
 
 /// Never fewer. Below one it is a part of the pool's places: hundreds of doors on one node have less than one each.
-pub const LEAST: f64 = 0.1;
+pub const MIN_LIMIT: f64 = 0.1;
 /// At most this for some windows: near its least.
 const NEAR: f64 = 4.0;
 /// What is assumed of a member that nobody knows.
-const FIRST: f64 = 16.0;
+const INITIAL_CAPACITY: f64 = 16.0;
 /// A window ends after this time and with this many answers.
 const WINDOW: Duration = Duration::from_millis(200);
 const ANSWERS: u32 = 8;
@@ -41,7 +41,7 @@
 
 /// The learned limit toward one member.
 #[derive(Clone, Debug)]
-pub struct Toward {
+pub struct ConcurrencyLimit {
     limit: f64,
     most: f64,
     open: u32,
@@ -56,14 +56,14 @@
     began: Duration,
 }
 
-impl Toward {
+impl ConcurrencyLimit {
     /// `most`: what the configuration allows, if it says anything.
     pub fn new(most: Option<u64>, now: Duration) -> Self {
         let most = most
             .map_or(f64::from(u16::MAX), |most| most as f64)
             .max(1.0);
         Self {
-            limit: FIRST.min(most),
+            limit: INITIAL_CAPACITY.min(most),
             most,
             open: 0,
             used: 0,
@@ -104,13 +104,13 @@
         self.open < self.limit()
     }
 
-    pub fn sent(&mut self) {
+    pub fn on_sent(&mut self) {
         self.open += 1;
         self.used = self.used.max(self.open);
     }
 
     /// One is over; `took` only if it was done, since what fails fast says nothing of the time that work takes.
-    pub fn over(&mut self, now: Duration, took: Option<Duration>, lost: bool) {
+    pub fn on_completed(&mut self, now: Duration, took: Option<Duration>, lost: bool) {
         self.open = self.open.saturating_sub(1);
         if let Some(took) = took {
             self.sum += took.as_secs_f64();
@@ -122,11 +122,11 @@
             self.limit = (self.limit * AFTER_LOSS).max(NEAR.min(self.limit));
         }
         if self.answers >= ANSWERS && now.saturating_sub(self.began) >= WINDOW {
-            self.turn(now);
+            self.end_window(now);
         }
     }
 
-    fn turn(&mut self, now: Duration) {
+    fn end_window(&mut self, now: Duration) {
         let mean = (self.sum / f64::from(self.answers)).max(1e-6);
         self.at_least = if self.limit <= 2.0 * NEAR {
             self.at_least + 1
@@ -156,7 +156,7 @@
         } else {
             wanted.min(self.limit)
         };
-        self.limit = (self.limit + (wanted - self.limit) * SMOOTH).clamp(LEAST, self.most);
+        self.limit = (self.limit + (wanted - self.limit) * SMOOTH).clamp(MIN_LIMIT, self.most);
         (self.sum, self.answers, self.lost, self.used, self.began) =
             (0.0, 0, false, self.open, now);
     }
@@ -171,9 +171,11 @@
 
     /// A member that does `cores` tickets of 20 ms at a time and queues the rest, under all the load that
     /// the limits of `doors` let through; the mean number in it over the last of `seconds`.
-    fn settle(doors: usize, cores: u32, seconds: u64) -> (Vec<Toward>, f64) {
+    fn settle(doors: usize, cores: u32, seconds: u64) -> (Vec<ConcurrencyLimit>, f64) {
         let ms = Duration::from_millis;
-        let mut limits: Vec<_> = (0..doors).map(|_| Toward::new(None, ms(0))).collect();
+        let mut limits: Vec<_> = (0..doors)
+            .map(|_| ConcurrencyLimit::new(None, ms(0)))
+            .collect();
         // Work left of each ticket in it, in ms, and whose it is, oldest first.
         let mut inside: Vec<(usize, u32, u64)> = Vec::new();
         // Tickets differ, and doors come in turn: else all would end in step and the first door fare best.
@@ -182,7 +184,7 @@
         for t in 0..seconds * 1_000 {
             for door in (0..doors).map(|k| (k + t as usize) % doors) {
                 while limits[door].has_room() {
-                    limits[door].sent();
+                    limits[door].on_sent();
                     inside.push((door, chance.generate_range(10..31), t));
                 }
             }
@@ -192,7 +194,7 @@
                 .for_each(|one| one.1 -= 1);
             inside.retain(|(door, left, since)| {
                 if *left == 0 {
-                    limits[*door].over(ms(t + 1), Some(ms(t + 1 - since)), false);
+                    limits[*door].on_completed(ms(t + 1), Some(ms(t + 1 - since)), false);
                 }
                 *left > 0
             });
@@ -220,23 +222,24 @@
 
     #[test]
     fn losses_shrink_it_once_a_window_and_rising_times_too() {
-        let mut limit = Toward::new(Some(100), Duration::ZERO);
+        let mut limit = ConcurrencyLimit::new(Some(100), Duration::ZERO);
         let before = limit.limit();
         for _ in 0..50 {
-            limit.sent();
-            limit.over(Duration::from_millis(10), None, true);
+            limit.on_sent();
+            limit.on_completed(Duration::from_millis(10), None, true);
         }
         assert_eq!(limit.limit(), (f64::from(before) * AFTER_LOSS) as u32);
         let mut now = Duration::ZERO;
-        let mut play = |limit: &mut Toward, took: u64, windows: u32| {
+        let mut play = |limit: &mut ConcurrencyLimit, took: u64, windows: u32| {
             for _ in 0..windows * 20 {
                 now += Duration::from_millis(20);
-                (0..limit.limit()).for_each(|_| limit.sent());
-                (0..limit.open())
-                    .for_each(|_| limit.over(now, Some(Duration::from_millis(took)), false));
+                (0..limit.limit()).for_each(|_| limit.on_sent());
+                (0..limit.open()).for_each(|_| {
+                    limit.on_completed(now, Some(Duration::from_millis(took)), false)
+                });
             }
         };
-        let mut limit = Toward::new(Some(100), Duration::ZERO);
+        let mut limit = ConcurrencyLimit::new(Some(100), Duration::ZERO);
         play(&mut limit, 20, 30);
         assert_eq!(
             limit.limit(),
@@ -249,14 +252,15 @@
 
     #[test]
     fn what_the_network_adds_is_no_queue() {
-        let mut limit = Toward::new(Some(100), Duration::ZERO);
+        let mut limit = ConcurrencyLimit::new(Some(100), Duration::ZERO);
         let mut now = Duration::ZERO;
-        let mut play = |limit: &mut Toward, took: u64, windows: u32| {
+        let mut play = |limit: &mut ConcurrencyLimit, took: u64, windows: u32| {
             for _ in 0..windows * 20 {
                 now += Duration::from_millis(20);
-                (0..limit.limit()).for_each(|_| limit.sent());
-                (0..limit.open())
-                    .for_each(|_| limit.over(now, Some(Duration::from_micros(took)), false));
+                (0..limit.limit()).for_each(|_| limit.on_sent());
+                (0..limit.open()).for_each(|_| {
+                    limit.on_completed(now, Some(Duration::from_micros(took)), false)
+                });
             }
         };
         play(&mut limit, 60, 10);
@@ -268,28 +272,33 @@
 
     #[test]
     fn a_quiet_night_does_not_open_the_door() {
-        let mut limit = Toward::new(None, Duration::ZERO);
+        let mut limit = ConcurrencyLimit::new(None, Duration::ZERO);
         for n in 0..100_000u64 {
-            limit.sent();
-            limit.over(
+            limit.on_sent();
+            limit.on_completed(
                 Duration::from_millis(n * 10),
                 Some(Duration::from_millis(5)),
                 false,
             );
         }
-        assert!(limit.limit() <= FIRST as u32, "{}", limit.limit());
+        assert!(
+            limit.limit() <= INITIAL_CAPACITY as u32,
+            "{}",
+            limit.limit()
+        );
     }
 
     #[test]
     fn a_member_that_stays_slower_is_learned_anew() {
-        let mut limit = Toward::new(Some(100), Duration::ZERO);
+        let mut limit = ConcurrencyLimit::new(Some(100), Duration::ZERO);
         let mut now = Duration::ZERO;
-        let mut play = |limit: &mut Toward, took: u64, windows: u32| {
+        let mut play = |limit: &mut ConcurrencyLimit, took: u64, windows: u32| {
             for _ in 0..windows * 20 {
                 now += Duration::from_millis(20);
-                (0..limit.limit()).for_each(|_| limit.sent());
-                (0..limit.open())
-                    .for_each(|_| limit.over(now, Some(Duration::from_millis(took)), false));
+                (0..limit.limit()).for_each(|_| limit.on_sent());
+                (0..limit.open()).for_each(|_| {
+                    limit.on_completed(now, Some(Duration::from_millis(took)), false)
+                });
             }
         };
         play(&mut limit, 20, 30);
@@ -307,13 +316,13 @@
             most in 1u64..500,
             steps in proptest::collection::vec((0u64..100, proptest::option::of(0u64..5_000), any::<bool>(), 1u32..40), 0..400),
         ) {
-            let mut limit = Toward::new(Some(most), Duration::ZERO);
+            let mut limit = ConcurrencyLimit::new(Some(most), Duration::ZERO);
             let mut now = Duration::ZERO;
             for (gap, took, lost, sent) in steps {
                 now += Duration::from_millis(gap);
-                (0..sent).for_each(|_| limit.sent());
-                (0..sent).for_each(|_| limit.over(now, took.map(Duration::from_millis), lost));
-                prop_assert!(limit.places() >= LEAST && limit.places() <= most as f64);
+                (0..sent).for_each(|_| limit.on_sent());
+                (0..sent).for_each(|_| limit.on_completed(now, took.map(Duration::from_millis), lost));
+                prop_assert!(limit.places() >= MIN_LIMIT && limit.places() <= most as f64);
                 prop_assert!(limit.limit() >= 1);
                 prop_assert_eq!(limit.open(), 0);
             }
--- a/crates/routing/src/decisions.rs
+++ b/crates/routing/src/decision_log.rs
@@ -3,59 +3,59 @@
 //!
 //! Indices are those of the version that decided; the fleet forgets them all when a new version is taken.
 
-use crate::choice::How;
-use crate::fleet::Why;
-use crate::health::Reason;
+use crate::fleet::RejectReason;
+use crate::health::EjectionReason;
+use crate::member_selection::SelectionReason;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Decisions that are kept, 120 bytes each.
-pub const KEPT: usize = 1_024;
+pub const MAX_DECISIONS: usize = 1_024;
 /// Members passed over that one decision names; more are counted.
-pub const NAMED: usize = 6;
+pub const MAX_SKIPPED_MEMBERS: usize = 6;
 
 /// Why a member was not even asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Passed {
+pub enum SkipReason {
     /// Left out for its health.
-    Out(Reason),
+    Ejected(EjectionReason),
     /// As many as may be are open toward it.
     Full,
     /// It told this tenant when to come back.
-    ToldToWait,
+    RetryAfter,
     /// The last try of this ticket went there.
     Tried,
     /// It says that it leaves.
     Leaving,
     /// It warms up, or may, and this forwarder's part of what all may send it is used.
-    Warming,
+    WarmingUp,
 }
 
-impl Passed {
+impl SkipReason {
     pub fn word(self) -> &'static str {
         match self {
-            Passed::Out(reason) => reason.word(),
-            Passed::Full => "full",
-            Passed::ToldToWait => "told_to_wait",
-            Passed::Tried => "tried",
-            Passed::Leaving => "leaving",
-            Passed::Warming => "warming",
+            SkipReason::Ejected(reason) => reason.word(),
+            SkipReason::Full => "full",
+            SkipReason::RetryAfter => "told_to_wait",
+            SkipReason::Tried => "tried",
+            SkipReason::Leaving => "leaving",
+            SkipReason::WarmingUp => "warming",
         }
     }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum What {
+pub enum DecisionOutcome {
     /// It went to a member of this many that could take it, which had so many in hand.
-    Went {
+    Dispatched {
         member: u16,
-        how: How,
+        how: SelectionReason,
         of: u16,
         in_hand: u32,
         tried: u32,
     },
     /// No further try; how it ended is in the counters.
-    Turned { why: Why, after: Duration },
+    Rejected { why: RejectReason, after: Duration },
 }
 
 /// One decision about one ticket.
@@ -66,14 +66,14 @@
     pub tenant: Option<u16>,
     pub route: Option<u16>,
     pub pool: Option<u16>,
-    pub what: What,
+    pub what: DecisionOutcome,
     /// The first members that were passed over; [`Decision::more`] others were too.
-    passed: [(u16, Option<Passed>); NAMED],
+    passed: [(u16, Option<SkipReason>); MAX_SKIPPED_MEMBERS],
     pub more: u16,
 }
 
 impl Decision {
-    pub fn new(at: Duration, traffic: u16, tenant: Option<u16>, what: What) -> Self {
+    pub fn new(at: Duration, traffic: u16, tenant: Option<u16>, what: DecisionOutcome) -> Self {
         Self {
             at,
             traffic,
@@ -81,19 +81,19 @@
             route: None,
             pool: None,
             what,
-            passed: [(0, None); NAMED],
+            passed: [(0, None); MAX_SKIPPED_MEMBERS],
             more: 0,
         }
     }
 
-    pub fn pass(&mut self, member: u16, why: Passed) {
+    pub fn record_skipped(&mut self, member: u16, why: SkipReason) {
         match self.passed.iter_mut().find(|one| one.1.is_none()) {
             Some(place) => *place = (member, Some(why)),
             None => self.more = self.more.saturating_add(1),
         }
     }
 
-    pub fn passed(&self) -> impl Iterator<Item = (u16, Passed)> + '_ {
+    pub fn passed(&self) -> impl Iterator<Item = (u16, SkipReason)> + '_ {
         self.passed
             .iter()
             .filter_map(|(member, why)| Some((*member, (*why)?)))
@@ -102,13 +102,13 @@
 
 /// The last [`KEPT`] of them, oldest first.
 #[derive(Debug, Default)]
-pub struct Decisions {
+pub struct DecisionLog {
     ring: VecDeque<Decision>,
 }
 
-impl Decisions {
+impl DecisionLog {
     pub fn put(&mut self, decision: Decision) {
-        if self.ring.len() >= KEPT {
+        if self.ring.len() >= MAX_DECISIONS {
             self.ring.pop_front();
         }
         self.ring.push_back(decision);
@@ -129,21 +129,21 @@
 
     #[test]
     fn the_last_ones_are_kept_and_name_some_of_the_passed_over() {
-        let mut all = Decisions::default();
+        let mut all = DecisionLog::default();
         for n in 0..3_000u64 {
-            let what = What::Turned {
-                why: Why::NoMember,
+            let what = DecisionOutcome::Rejected {
+                why: RejectReason::NoMember,
                 after: Duration::ZERO,
             };
             let mut one = Decision::new(Duration::from_millis(n), 0, None, what);
-            (0..9).for_each(|member| one.pass(member, Passed::Full));
+            (0..9).for_each(|member| one.record_skipped(member, SkipReason::Full));
             all.put(one);
         }
-        assert_eq!(all.all().count(), KEPT);
+        assert_eq!(all.all().count(), MAX_DECISIONS);
         let last = all.all().next_back().unwrap();
         assert_eq!(
             (last.at, last.passed().count(), last.more),
-            (Duration::from_millis(2_999), NAMED, 3)
+            (Duration::from_millis(2_999), MAX_SKIPPED_MEMBERS, 3)
         );
     }
 }
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -1,6 +1,6 @@
 //! Why a ticket goes where it goes: each route in order, and the part of its match that was not met.
 
-use crate::table::{By, NoWay, Table, Ticket};
+use crate::table::{PlacementReason, Request, RoutingError, Table};
 use nanorand::WyRand;
 use rainstand_config::space::Miss;
 
@@ -19,7 +19,7 @@
 pub struct Explanation {
     pub steps: Vec<Step>,
     /// The pool and how it came about; none: why not.
-    pub goes: Result<(String, By), NoWay>,
+    pub goes: Result<(String, PlacementReason), RoutingError>,
     /// The member that the entity belongs to; none without an entity, or if none can be used.
     pub member: Option<String>,
     /// Limits that count the ticket: where, and their name.
@@ -29,7 +29,7 @@
 /// `pool_out` and `member_out`: what cannot be used, by name; a member counts in every pool it is in.
 pub fn explain(
     table: &Table,
-    ticket: &Ticket<'_>,
+    ticket: &Request<'_>,
     seed: u64,
     pool_out: impl Fn(&str) -> bool,
     member_out: impl Fn(&str) -> bool,
@@ -42,8 +42,8 @@
     let place = table.place(ticket, &mut WyRand::new_seed(seed), usable);
     let last = match place {
         Ok(place) => Some(place.route),
-        Err(NoWay::NoPool(route)) => Some(route),
-        Err(NoWay::NoRoute) => None,
+        Err(RoutingError::NoPool(route)) => Some(route),
+        Err(RoutingError::NoRoute) => None,
     };
     let asked = last.map_or(table.routes.len(), |last| usize::from(last) + 1);
     let steps = (0..asked as u16).map(|at| {
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -2,24 +2,26 @@
 //! answer. Sockets are elsewhere; they carry out a [`Send`] and bring back what [`Came`](Back).
 //!
 //! Rules held here: every [`Trip`] ends in exactly one [`End`]; what may have run is never dismissed unless its
-//! type may run any number of times, and sent again only as [`crate::attempts`] allows; the cut of each try lies
+//! type may run any number of times, and sent again only as [`crate::retry`] allows; the cut of each try lies
 //! within what is left of the goal time, so an answer is there before it.
 //!
 //! Invariants: a member's `open` count, its limit's and what its health owes are the trips that are at it; a pool's
 //! [`Room`] holds the trips whose way leads to it, from their arrival to their end.
 
-use crate::attempts::{self, Budget, Came, Next, Policy, Stop, Tried};
-use crate::change::{Change as Named, Kind};
-use crate::choice::{self, How, Member, Pick};
-use crate::decisions::{Decision, Decisions, Passed, What};
-use crate::health::{Change, Health, Rules, Standing};
-use crate::ramp::{Ramp, Rule};
-use crate::room::{Room, Weights, Who};
-use crate::split::mark;
-use crate::table::{Table, Ticket};
-use crate::toward::Toward;
-use crate::versions::{self, bounded, Router, Turned, Verdict, Way};
-use crate::Refused;
+use crate::adaptive_concurrency::ConcurrencyLimit;
+use crate::decision_log::{Decision, DecisionLog, DecisionOutcome, SkipReason};
+use crate::health::{Change, Health, HealthRules, MemberStatus};
+use crate::member_selection::{self, Member, SelectionPolicy, SelectionReason};
+use crate::retry::{
+    self, AttemptResult, NoRetryReason, RetryBudget, RetryContext, RetryDecision, RetryPolicy,
+};
+use crate::router::{self, clamp_retry_after, Admission, Rejected, RouteDecision, Router};
+use crate::table::{Request, Table};
+use crate::table_update::{EntryKind, TableChange as Named};
+use crate::tenant_fairness::{FairShare, TenantKey, TenantShares};
+use crate::warm_up::{Rule, WarmUpLimiter};
+use crate::weighted_split::name_hash;
+use crate::ConfigurationError;
 use foldhash::{HashMap, HashMapExt};
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, RepeatKind};
@@ -29,22 +31,23 @@
 use std::time::Duration;
 
 /// Told where nothing else is known of when to come back.
-const COME_BACK: Duration = Duration::from_millis(500);
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Told times: at least what a caller needs to come again, at most what anybody can promise.
-const TOLD: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(60));
+const RETRY_AFTER_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(10), Duration::from_secs(60));
 /// A told time is longer by up to this part, by chance: all who are told the same must not come back at once.
-const SPREAD: f64 = 0.5;
+const RETRY_AFTER_JITTER: f64 = 0.5;
 /// A try is assumed to take so long while nobody knows.
-const USUAL: Duration = Duration::from_millis(20);
+const DEFAULT_DURATION: Duration = Duration::from_millis(20);
 /// A member that says it leaves gets nothing for this long: then it is gone, or was not leaving at all.
-const LEAVES: Duration = Duration::from_secs(2);
+const LEAVING_HOLD: Duration = Duration::from_secs(2);
 /// Against others, the weight of a member that leaves: taken where nobody else is there, and only then.
-const LAST_RESORT: f64 = 1e-6;
+const LEAVING_WEIGHT: f64 = 1e-6;
 /// Changes of standing between two looks that are told.
-const MOST_CHANGES: usize = 1_000;
+const MAX_STATUS_CHANGES: usize = 1_000;
 /// Pairs of member and tenant whose told times are kept, 24 bytes each; more members and tenants than that
 /// share them.
-const MOST_PAUSES: usize = 1 << 20;
+const MAX_PAUSES: usize = 1 << 20;
 
 /// A member of a pool of the present version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -55,7 +58,7 @@
 
 /// Where a try goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Send {
+pub struct Attempt {
     pub to: At,
     /// It takes no longer than this; what then has not come is [`Back::TimedOut`].
     pub cut: Duration,
@@ -63,15 +66,15 @@
     pub again: bool,
     /// Which try it is, from 1.
     pub tried: u32,
-    pub how: How,
+    pub how: SelectionReason,
 }
 
 /// What came of a try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Back {
-    Honoured,
+pub enum AttemptOutcome {
+    Served,
     /// With when to come back and whether elsewhere is no use.
-    Dismissed {
+    Rejected {
         pause: Duration,
         nowhere_else: bool,
     },
@@ -86,89 +89,89 @@
     CallerLeft,
 }
 
-impl Back {
+impl AttemptOutcome {
     pub fn word(self) -> &'static str {
         match self {
-            Back::Honoured => "honoured",
-            Back::Dismissed { .. } => "dismissed",
-            Back::Failed => "failed",
-            Back::Unreachable => "unreachable",
-            Back::Broken => "broken",
-            Back::TimedOut => "timed_out",
-            Back::CallerLeft => "caller_left",
+            AttemptOutcome::Served => "honoured",
+            AttemptOutcome::Rejected { .. } => "dismissed",
+            AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Unreachable => "unreachable",
+            AttemptOutcome::Broken => "broken",
+            AttemptOutcome::TimedOut => "timed_out",
+            AttemptOutcome::CallerLeft => "caller_left",
         }
     }
 }
 
 /// The one answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    Honoured,
-    Dismissed {
+pub enum RequestOutcome {
+    Served,
+    Rejected {
         after: Duration,
         nowhere_else: bool,
     },
-    GivenUp,
+    Failed,
     /// Nobody waits for one.
-    Nobody,
+    CallerGone,
 }
 
-impl End {
+impl RequestOutcome {
     pub fn word(self) -> &'static str {
         match self {
-            End::Honoured => "honoured",
-            End::Dismissed { .. } => "dismissed",
-            End::GivenUp => "given_up",
-            End::Nobody => "nobody",
+            RequestOutcome::Served => "honoured",
+            RequestOutcome::Rejected { .. } => "dismissed",
+            RequestOutcome::Failed => "given_up",
+            RequestOutcome::CallerGone => "nobody",
         }
     }
 }
 
 /// Why a ticket ended as it did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Why {
+pub enum RejectReason {
     Done,
     CallerLeft,
     /// No route, no pool, or one of the configuration's limits.
-    Router(versions::Why),
+    Router(router::RejectReason),
     /// Room is scarce, and its tenant has its part.
     Room,
     /// No member could take it.
     NoMember,
     /// No further try after a failure, a dismissal or a lost connection.
-    Stopped(Stop),
+    Stopped(NoRetryReason),
 }
 
-impl Why {
+impl RejectReason {
     pub fn word(self) -> &'static str {
-        use versions::At::*;
+        use router::LimitScope::*;
         match self {
-            Why::Done => "done",
-            Why::CallerLeft => "caller_left",
-            Why::Router(versions::Why::NoRoute) => "no_route",
-            Why::Router(versions::Why::NoPool) => "no_pool",
-            Why::Router(versions::Why::NoBucket) => "no_bucket",
-            Why::Router(versions::Why::Limit(Type)) => "limit_of_type",
-            Why::Router(versions::Why::Limit(Tenant)) => "limit_of_tenant",
-            Why::Router(versions::Why::Limit(Route)) => "limit_of_route",
-            Why::Router(versions::Why::Limit(Pool)) => "limit_of_pool",
-            Why::Room => "room_of_tenant",
-            Why::NoMember => "no_member",
-            Why::Stopped(Stop::MayHaveRun) => "may_have_run",
-            Why::Stopped(Stop::NowhereElse) => "nowhere_else",
-            Why::Stopped(Stop::FurtherTry) => "further_try",
-            Why::Stopped(Stop::Tries) => "tries",
-            Why::Stopped(Stop::Budget) => "budget",
-            Why::Stopped(Stop::Time) => "time",
+            RejectReason::Done => "done",
+            RejectReason::CallerLeft => "caller_left",
+            RejectReason::Router(router::RejectReason::NoRoute) => "no_route",
+            RejectReason::Router(router::RejectReason::NoPool) => "no_pool",
+            RejectReason::Router(router::RejectReason::NoBucket) => "no_bucket",
+            RejectReason::Router(router::RejectReason::Limit(Type)) => "limit_of_type",
+            RejectReason::Router(router::RejectReason::Limit(Tenant)) => "limit_of_tenant",
+            RejectReason::Router(router::RejectReason::Limit(Route)) => "limit_of_route",
+            RejectReason::Router(router::RejectReason::Limit(Pool)) => "limit_of_pool",
+            RejectReason::Room => "room_of_tenant",
+            RejectReason::NoMember => "no_member",
+            RejectReason::Stopped(NoRetryReason::MayHaveRun) => "may_have_run",
+            RejectReason::Stopped(NoRetryReason::NowhereElse) => "nowhere_else",
+            RejectReason::Stopped(NoRetryReason::FurtherTry) => "further_try",
+            RejectReason::Stopped(NoRetryReason::Tries) => "tries",
+            RejectReason::Stopped(NoRetryReason::Budget) => "budget",
+            RejectReason::Stopped(NoRetryReason::Time) => "time",
         }
     }
 }
 
 /// The end of a ticket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Over {
-    pub end: End,
-    pub why: Why,
+pub struct Completed {
+    pub end: RequestOutcome,
+    pub why: RejectReason,
     /// Its route and pool by their places in the version under which it came in.
     pub version: u64,
     pub route: Option<u16>,
@@ -181,15 +184,15 @@
 /// A ticket under way. Lost if it is dropped: it goes back with [`Fleet::came`] or [`Fleet::again`].
 #[must_use = "a trip that is dropped keeps its places for ever"]
 #[derive(Debug)]
-pub struct Trip {
-    way: Way,
+pub struct RequestState {
+    way: RouteDecision,
     traffic: u16,
     tenant: Option<u16>,
-    who: Who,
+    who: TenantKey,
     entity: Box<str>,
     repeat: RepeatKind,
     again: bool,
-    policy: Policy,
+    policy: RetryPolicy,
     tries: u32,
     arrived: Duration,
     goal: Duration,
@@ -204,12 +207,12 @@
 }
 
 #[derive(Debug)]
-pub enum Step {
+pub enum NextAction {
     /// Sent now.
-    Go(Trip, Send),
+    Dispatch(RequestState, Attempt),
     /// To be sent again after this wait, with [`Fleet::again`].
-    Wait(Trip, Duration),
-    Over(Over),
+    Backoff(RequestState, Duration),
+    Completed(Completed),
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -228,9 +231,9 @@
     name: Rc<str>,
     addresses: Vec<Rc<str>>,
     members: Vec<Member>,
-    toward: Vec<Toward>,
+    toward: Vec<ConcurrencyLimit>,
     health: Option<Health>,
-    room: Room,
+    room: FairShare,
     /// Places toward all members that can be used, as of the last look; and tries that are at any.
     places: u32,
     out: u32,
@@ -251,21 +254,21 @@
         self.places = (sum.ceil() as u32).max(1);
     }
 
-    fn usual(&self) -> Duration {
+    fn typical_duration(&self) -> Duration {
         self.health
             .as_ref()
-            .and_then(Health::usual)
-            .unwrap_or(USUAL)
+            .and_then(Health::typical_duration)
+            .unwrap_or(DEFAULT_DURATION)
     }
 }
 
 /// What a member is like now; for those who look.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Seen<'f> {
+pub struct MemberSnapshot<'f> {
     pub address: &'f str,
     pub open: u32,
     pub limit: u32,
-    pub standing: Standing,
+    pub standing: MemberStatus,
     pub near: bool,
     pub leaving: bool,
 }
@@ -274,26 +277,26 @@
 pub struct Fleet {
     router: Router,
     /// What routes of the present version say of further tries, and the budget's share.
-    plans: Vec<(Policy, u64)>,
+    plans: Vec<(RetryPolicy, u64)>,
     zone: String,
     pools: Vec<Pool>,
     /// What tenants have of a scarce pool.
-    shares: Weights,
+    shares: TenantShares,
     /// The version since which pools, members, routes and tenants have their places, and since which pools and tenants.
     places_since: u64,
     rooms_since: u64,
     /// Until when a member told a tenant to stay away, by member over all pools and tenant.
     pauses: HashMap<(At, u32), Duration>,
-    budget: Budget,
+    budget: RetryBudget,
     chance: WyRand,
     /// For the ramps alone, and whether any member has one.
     phases: WyRand,
     ramps: bool,
     counts: Counts,
     /// Changes of standing since the last look.
-    changes: Vec<(At, Standing)>,
-    decisions: Decisions,
-    pick: Pick,
+    changes: Vec<(At, MemberStatus)>,
+    decisions: DecisionLog,
+    pick: SelectionPolicy,
     /// Of the pool at hand, what each member may get; kept for its memory.
     weights: Vec<f64>,
 }
@@ -325,7 +328,10 @@
 }
 
 /// Limits and health of a pool as the configuration has them.
-fn settings(pool: &schema::Pool, configuration: &Configuration) -> (Option<u64>, Option<Rules>) {
+fn settings(
+    pool: &schema::Pool,
+    configuration: &Configuration,
+) -> (Option<u64>, Option<HealthRules>) {
     let health = configuration
         .health
         .iter()
@@ -336,7 +342,7 @@
         .find(|one| one.name == pool.limits);
     (
         limits.map(|one| one.at_once).filter(|most| *most > 0),
-        health.map(Rules::from),
+        health.map(HealthRules::from),
     )
 }
 
@@ -352,14 +358,14 @@
         let near = !zone.is_empty() && m.zone == zone;
         let weight = m.weight as f64 / ONE as f64;
         let mut made = Member::new(
-            mark(&m.address),
+            name_hash(&m.address),
             weight,
             near,
             Duration::from_nanos(m.warm_up_ns),
         );
         made.ramp = rule(pool, m).map(|rule| {
             let phase = f64::from(phases.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
-            Ramp::new(rule, phase, now)
+            WarmUpLimiter::new(rule, phase, now)
         });
         made
     };
@@ -374,10 +380,10 @@
         toward: pool
             .members
             .iter()
-            .map(|_| Toward::new(most, now))
+            .map(|_| ConcurrencyLimit::new(most, now))
             .collect(),
         health: health.map(|rules| Health::new(rules, pool.members.len(), now)),
-        room: Room::default(),
+        room: FairShare::default(),
         places: 0,
         out: 0,
         leaving: vec![Duration::ZERO; pool.members.len()],
@@ -405,7 +411,7 @@
     }
     // Standings go by place, so they stay only where the members are the same.
     if let (true, Some(health), Some(mut before)) = (same, &mut pool.health, before.health) {
-        before.under(health.rules());
+        before.set_rules(health.rules());
         *health = before;
     }
     pool.count_places();
@@ -418,9 +424,9 @@
 }
 
 /// What each route says of further tries: its own word, else that of its first pool.
-fn plans(table: &Table) -> impl Iterator<Item = (Policy, u64)> + '_ {
+fn plans(table: &Table) -> impl Iterator<Item = (RetryPolicy, u64)> + '_ {
     let c = table.configuration();
-    let once = Policy {
+    let once = RetryPolicy {
         tries: 1,
         wait: (Duration::ZERO, Duration::ZERO),
         proof: schema::Proof::NotRun,
@@ -440,14 +446,14 @@
             };
             let attempts = c.attempts.iter().find(|one| one.name == named);
             (
-                attempts.map_or(once, Policy::from),
+                attempts.map_or(once, RetryPolicy::from),
                 attempts.map_or(0, |one| one.budget),
             )
         })
 }
 
-fn shares(configuration: &Configuration) -> Weights {
-    Weights::new(configuration.tenants.iter().map(|tenant| tenant.share))
+fn shares(configuration: &Configuration) -> TenantShares {
+    TenantShares::new(configuration.tenants.iter().map(|tenant| tenant.share))
 }
 
 impl Fleet {
@@ -460,7 +466,7 @@
         zone: &str,
         seed: u64,
         now: Duration,
-    ) -> Result<Self, Refused> {
+    ) -> Result<Self, ConfigurationError> {
         Self::of(configuration.clone(), zone, seed, now)
     }
 
@@ -473,7 +479,7 @@
         zone: &str,
         seed: u64,
         now: Duration,
-    ) -> Result<Self, Refused> {
+    ) -> Result<Self, ConfigurationError> {
         let mut phases = WyRand::new_seed(seed ^ 0x7261_6d70);
         let router = Router::of(configuration, seed)?;
         let pools = pools(router.table().configuration(), zone, &mut phases, now);
@@ -488,18 +494,18 @@
             pools,
             phases,
             pauses: HashMap::new(),
-            budget: Budget::default(),
+            budget: RetryBudget::default(),
             chance: WyRand::new_seed(seed ^ 0x666c_6565),
             counts: Counts::default(),
             changes: Vec::new(),
-            decisions: Decisions::default(),
-            pick: Pick::default(),
+            decisions: DecisionLog::default(),
+            pick: SelectionPolicy::default(),
             weights: Vec::new(),
         })
     }
 
     /// Another rule than the least known, for those who compare them.
-    pub fn pick_by(&mut self, pick: Pick) {
+    pub fn set_selection_policy(&mut self, pick: SelectionPolicy) {
         self.pick = pick;
     }
 
@@ -523,7 +529,7 @@
         &self.router
     }
 
-    pub fn decisions(&self) -> &Decisions {
+    pub fn decisions(&self) -> &DecisionLog {
         &self.decisions
     }
 
@@ -536,16 +542,24 @@
     ///
     /// # Errors
     /// As [`Router::take`]; nothing has changed then.
-    pub fn take(&mut self, configuration: &Configuration, now: Duration) -> Result<u64, Refused> {
-        self.replace(configuration.clone(), now)
+    pub fn install(
+        &mut self,
+        configuration: &Configuration,
+        now: Duration,
+    ) -> Result<u64, ConfigurationError> {
+        self.install_owned(configuration.clone(), now)
     }
 
     /// The same, of a message that is given away.
     ///
     /// # Errors
     /// As [`Fleet::take`].
-    pub fn replace(&mut self, configuration: Configuration, now: Duration) -> Result<u64, Refused> {
-        let number = self.router.replace(configuration, now)?;
+    pub fn install_owned(
+        &mut self,
+        configuration: Configuration,
+        now: Duration,
+    ) -> Result<u64, ConfigurationError> {
+        let number = self.router.install_owned(configuration, now)?;
         let c = self.router.table().configuration();
         let made = pools(c, &self.zone, &mut self.phases, now);
         self.shares = shares(c);
@@ -569,24 +583,24 @@
     ///
     /// # Errors
     /// As [`Router::apply`]; nothing has changed then.
-    pub fn apply(&mut self, changes: &[Named], now: Duration) -> Result<u64, Refused> {
-        let names = |kind: Kind| {
+    pub fn apply(&mut self, changes: &[Named], now: Duration) -> Result<u64, ConfigurationError> {
+        let names = |kind: EntryKind| {
             changes
                 .iter()
                 .map(Named::of)
                 .filter(move |of| of.0 == kind)
                 .map(|(_, name)| name)
         };
-        let gone = |kind: Kind| {
+        let gone = |kind: EntryKind| {
             changes
                 .iter()
                 .any(|one| matches!(one, Named::Remove(of, _) if *of == kind))
         };
-        let before = self.table().route_places(names(Kind::Route));
+        let before = self.table().route_places(names(EntryKind::Route));
         let number = self.router.apply(changes, now)?;
         let table = self.router.table();
         let c = table.configuration();
-        for at in names(Kind::Tenant)
+        for at in names(EntryKind::Tenant)
             .filter_map(|name| table.tenant(name))
             .map(usize::from)
         {
@@ -595,15 +609,15 @@
                 self.shares.set(at, c.tenants[at].share);
             }
         }
-        if gone(Kind::Tenant) {
+        if gone(EntryKind::Tenant) {
             self.shares = shares(c);
         }
         let told = |pool: &schema::Pool| {
-            names(Kind::Pool).any(|name| name == pool.name)
-                || names(Kind::Limits).any(|name| name == pool.limits)
-                || names(Kind::Health).any(|name| name == pool.health)
+            names(EntryKind::Pool).any(|name| name == pool.name)
+                || names(EntryKind::Limits).any(|name| name == pool.limits)
+                || names(EntryKind::Health).any(|name| name == pool.health)
         };
-        let mut touched = gone(Kind::Pool);
+        let mut touched = gone(EntryKind::Pool);
         if touched {
             // Places of pools are others: in the order of the table.
             let mut old: HashMap<Rc<str>, Pool> = self
@@ -631,16 +645,16 @@
             }
             touched = true;
         }
-        let routes = before != self.router.table().route_places(names(Kind::Route));
+        let routes = before != self.router.table().route_places(names(EntryKind::Route));
         if routes
             || touched
-            || [Kind::Route, Kind::Attempts]
+            || [EntryKind::Route, EntryKind::Attempts]
                 .into_iter()
                 .any(|kind| names(kind).count() > 0)
         {
             self.plan();
         }
-        let gone = gone(Kind::Tenant) || gone(Kind::Pool) || gone(Kind::Type);
+        let gone = gone(EntryKind::Tenant) || gone(EntryKind::Pool) || gone(EntryKind::Type);
         if routes || touched || gone {
             self.places_are_new(number);
             self.pauses.clear();
@@ -648,7 +662,7 @@
         if gone {
             self.pools
                 .iter_mut()
-                .for_each(|pool| pool.room = Room::default());
+                .for_each(|pool| pool.room = FairShare::default());
             self.rooms_since = number;
         }
         Ok(number)
@@ -686,7 +700,7 @@
     }
 
     /// A member came back under its address: what was learned of the one before does not hold.
-    pub fn renewed(&mut self, address: &str, now: Duration) {
+    pub fn on_restarted(&mut self, address: &str, now: Duration) {
         for at in self.places_of(address) {
             let (pool, member) = (
                 &mut self.pools[usize::from(at.pool)],
@@ -694,31 +708,31 @@
             );
             pool.members[member].started = Some(now);
             if let Some(ramp) = &mut pool.members[member].ramp {
-                ramp.connected(now, now);
+                ramp.on_connected(now, now);
             }
             pool.leaving[member] = Duration::ZERO;
             if let Some(health) = &mut pool.health {
-                health.renewed(member, now);
+                health.on_restarted(member, now);
             }
         }
     }
 
     /// Whether any member has a ramp of what all may send it: then [`Fleet::connected`] and [`Fleet::lost`] are owed.
-    pub fn ramps(&self) -> bool {
+    pub fn has_warm_up(&self) -> bool {
         self.ramps
     }
 
     /// There has been a connection to a member without a gap since then: it is at least as old.
-    pub fn connected(&mut self, address: &str, since: Duration, now: Duration) {
-        self.each_ramp(address, |ramp| ramp.connected(since, now));
+    pub fn on_connected(&mut self, address: &str, since: Duration, now: Duration) {
+        self.each_ramp(address, |ramp| ramp.on_connected(since, now));
     }
 
     /// The last connection to a member is gone: who answers there next may be a new one.
-    pub fn lost(&mut self, address: &str, now: Duration) {
-        self.each_ramp(address, |ramp| ramp.lost(now));
+    pub fn on_disconnected(&mut self, address: &str, now: Duration) {
+        self.each_ramp(address, |ramp| ramp.on_disconnected(now));
     }
 
-    fn each_ramp(&mut self, address: &str, what: impl Fn(&mut Ramp)) {
+    fn each_ramp(&mut self, address: &str, what: impl Fn(&mut WarmUpLimiter)) {
         if !self.ramps {
             return;
         }
@@ -729,22 +743,22 @@
     }
 
     /// A member says that it leaves: others get what comes, as long as there are others.
-    pub fn leaves(&mut self, address: &str, now: Duration) {
+    pub fn on_leaving(&mut self, address: &str, now: Duration) {
         for at in self.places_of(address) {
-            self.pools[usize::from(at.pool)].leaving[usize::from(at.member)] = now + LEAVES;
+            self.pools[usize::from(at.pool)].leaving[usize::from(at.member)] = now + LEAVING_HOLD;
         }
     }
 
     /// Time passes; members that are left out or taken back, each worth a line.
-    pub fn look(&mut self, now: Duration) -> Vec<(At, Standing)> {
-        self.router.look(now);
+    pub fn tick(&mut self, now: Duration) -> Vec<(At, MemberStatus)> {
+        self.router.tick(now);
         self.pauses.retain(|_, until| *until > now);
         let mut all = std::mem::take(&mut self.changes);
         for (pool, one) in self.pools.iter_mut().enumerate() {
             let changes = one
                 .health
                 .as_mut()
-                .map_or(Vec::new(), |health| health.look(now));
+                .map_or(Vec::new(), |health| health.tick(now));
             all.extend(changes.into_iter().map(|Change { member, to }| {
                 (
                     At {
@@ -754,16 +768,16 @@
                     to,
                 )
             }));
-            one.room.look(&self.shares, now);
+            one.room.tick(&self.shares, now);
             one.count_places();
         }
         all
     }
 
     /// A ticket came.
-    pub fn arrived(&mut self, now: Duration, ticket: &Ticket<'_>) -> Step {
-        let who = Who::new(ticket.tenant, ticket.stranger);
-        let parts = Parts {
+    pub fn on_arrival(&mut self, now: Duration, ticket: &Request<'_>) -> NextAction {
+        let who = TenantKey::new(ticket.tenant, ticket.stranger);
+        let parts = Eligibility {
             pools: &self.pools,
             pauses: &self.pauses,
             now,
@@ -773,7 +787,7 @@
         let scarce: Cell<Option<(u16, f64)>> = Cell::new(None);
         let usable = |pool: u16| {
             let one = &parts.pools[usize::from(pool)];
-            match one.room.may(&self.shares, who, one.places) {
+            match one.room.check_share(&self.shares, who, one.places) {
                 Ok(()) => parts.any(pool, None),
                 Err(over) => {
                     scarce.set(Some((pool, over)));
@@ -781,18 +795,20 @@
                 }
             }
         };
-        let way = match self.router.arrived(now, ticket, usable) {
-            Verdict::Goes(way) => way,
-            Verdict::Turned(turned) => return self.turned(now, ticket, who, turned, scarce.get()),
+        let way = match self.router.on_arrival(now, ticket, usable) {
+            Admission::Admitted(way) => way,
+            Admission::Rejected(turned) => {
+                return self.turned(now, ticket, who, turned, scarce.get())
+            }
         };
         let place = way.place;
         let one = &mut self.pools[usize::from(place.pool)];
-        one.room.asked(&self.shares, who, now);
-        one.room.enter(who);
+        one.room.on_request(&self.shares, who, now);
+        one.room.acquire(who);
         let (policy, share) = self.plans[usize::from(place.route)];
-        self.budget.first(share);
+        self.budget.on_first_attempt(share);
         let version = way.version;
-        let trip = Trip {
+        let trip = RequestState {
             goal: way.times.goal,
             way,
             traffic: ticket.traffic,
@@ -810,25 +826,25 @@
             room: Some((place.pool, version)),
         };
         self.counts.first_tries += 1;
-        self.go(now, trip)
+        self.dispatch(now, trip)
     }
 
     /// Turned away before it had a way: the truth about when there may be one.
     fn turned(
         &mut self,
         now: Duration,
-        ticket: &Ticket<'_>,
-        who: Who,
-        turned: Turned,
+        ticket: &Request<'_>,
+        who: TenantKey,
+        turned: Rejected,
         scarce: Option<(u16, f64)>,
-    ) -> Step {
-        let Turned {
+    ) -> NextAction {
+        let Rejected {
             why,
             mut after,
             route,
         } = turned;
-        let mut told = Why::Router(why);
-        if let (versions::Why::NoPool, Some(route)) = (why, route) {
+        let mut told = RejectReason::Router(why);
+        if let (router::RejectReason::NoPool, Some(route)) = (why, route) {
             let within = self.table().routes[usize::from(route)]
                 .to
                 .iter()
@@ -837,31 +853,31 @@
             if let Some((pool, over)) = scarce {
                 // Its part is free again once as much as it is over has ended.
                 let one = &mut self.pools[usize::from(pool)];
-                one.room.asked(&self.shares, who, now);
-                after = one.usual().mul_f64(over.min(1_000.0));
-                told = Why::Room;
+                one.room.on_request(&self.shares, who, now);
+                after = one.typical_duration().mul_f64(over.min(1_000.0));
+                told = RejectReason::Room;
                 self.counts.room += 1;
             } else if let Some(soonest) = pools
                 .iter()
-                .filter_map(|pool| self.soonest(*pool, who, now))
+                .filter_map(|pool| self.earliest_retry(*pool, who, now))
                 .min()
             {
                 after = soonest;
             }
             after = self.spread(after);
-            after = bounded(self.table(), Some(route), None, after);
+            after = clamp_retry_after(self.table(), Some(route), None, after);
         }
         self.counts.dismissed += 1;
         let mut decision = Decision::new(
             now,
             ticket.traffic,
             ticket.tenant,
-            What::Turned { why: told, after },
+            DecisionOutcome::Rejected { why: told, after },
         );
         decision.route = route;
         self.decisions.put(decision);
-        Step::Over(Over {
-            end: End::Dismissed {
+        NextAction::Completed(Completed {
+            end: RequestOutcome::Rejected {
                 after,
                 nowhere_else: false,
             },
@@ -876,14 +892,18 @@
 
     /// Within the bounds of told times, and longer by chance.
     fn spread(&mut self, after: Duration) -> Duration {
-        let more = SPREAD * f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX);
-        after.clamp(TOLD.0, TOLD.1).mul_f64(1.0 + more).min(TOLD.1)
+        let more =
+            RETRY_AFTER_JITTER * f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX);
+        after
+            .clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1)
+            .mul_f64(1.0 + more)
+            .min(RETRY_AFTER_BOUNDS.1)
     }
 
     /// From now on, when the first member of a pool may take a ticket again; none for a pool without any.
-    fn soonest(&self, pool: u16, who: Who, now: Duration) -> Option<Duration> {
+    fn earliest_retry(&self, pool: u16, who: TenantKey, now: Duration) -> Option<Duration> {
         let one = &self.pools[usize::from(pool)];
-        let parts = Parts {
+        let parts = Eligibility {
             pools: &self.pools,
             pauses: &self.pauses,
             now,
@@ -891,20 +911,20 @@
         };
         let when = |member: u16| match parts.passed(At { pool, member }) {
             // A place is free again when a usual ticket has ended.
-            Some((Passed::Full, _)) | None => one.usual(),
+            Some((SkipReason::Full, _)) | None => one.typical_duration(),
             Some((_, until)) => until.saturating_sub(now),
         };
         (0..parts.count(pool)).map(when).min()
     }
 
     /// The wait before a further try is over.
-    pub fn again(&mut self, now: Duration, trip: Trip) -> Step {
+    pub fn again(&mut self, now: Duration, trip: RequestState) -> NextAction {
         self.counts.further_tries += 1;
-        self.go(now, trip)
+        self.dispatch(now, trip)
     }
 
     /// The pool of a trip in the present version.
-    fn pool_now(&self, way: &Way) -> Option<u16> {
+    fn pool_now(&self, way: &RouteDecision) -> Option<u16> {
         if way.version >= self.places_since {
             return Some(way.place.pool);
         }
@@ -913,25 +933,25 @@
     }
 
     /// Sends a try to a member of the trip's pool; another than the last one, if there is one.
-    fn go(&mut self, now: Duration, mut trip: Trip) -> Step {
+    fn dispatch(&mut self, now: Duration, mut trip: RequestState) -> NextAction {
         let Some(pool) = self.pool_now(&trip.way) else {
-            return self.end(now, trip, None, Why::NoMember);
+            return self.end(now, trip, None, RejectReason::NoMember);
         };
         let last = trip
             .at
             .take()
             .map(|(at, ..)| at)
             .filter(|at| at.pool == pool);
-        let parts = Parts {
+        let parts = Eligibility {
             pools: &self.pools,
             pauses: &self.pauses,
             now,
             who: trip.who,
         };
         let others = last.is_none() || parts.any(pool, last);
-        let what = What::Turned {
-            why: Why::NoMember,
-            after: COME_BACK,
+        let what = DecisionOutcome::Rejected {
+            why: RejectReason::NoMember,
+            after: DEFAULT_RETRY_AFTER,
         };
         let mut decision = Decision::new(now, trip.traffic, trip.tenant, what);
         decision.pool = Some(pool);
@@ -944,44 +964,45 @@
             let mut part = parts.of(at);
             if part > 0.0 && others && last == Some(at) {
                 part = 0.0;
-                decision.pass(member, Passed::Tried);
-            } else if let Some((why, _)) = parts.passed(at).filter(|_| part <= LAST_RESORT) {
-                decision.pass(member, why);
+                decision.record_skipped(member, SkipReason::Tried);
+            } else if let Some((why, _)) = parts.passed(at).filter(|_| part <= LEAVING_WEIGHT) {
+                decision.record_skipped(member, why);
             }
             of += u16::from(part > 0.0);
             weights.push(part);
         }
         // Whoever leaves is taken where nobody else is there, and only then.
-        if weights.iter().any(|weight| *weight > LAST_RESORT) {
+        if weights.iter().any(|weight| *weight > LEAVING_WEIGHT) {
             weights
                 .iter_mut()
-                .filter(|weight| **weight <= LAST_RESORT)
+                .filter(|weight| **weight <= LEAVING_WEIGHT)
                 .for_each(|weight| *weight = 0.0);
         }
         let one = &mut self.pools[usize::from(pool)];
         let (pick, members) = (&mut self.pick, &mut one.members);
-        let chosen = choice::choose(pick, members, now, &trip.entity, &mut self.chance, |k| {
-            weights[k]
-        });
+        let chosen =
+            member_selection::choose(pick, members, now, &trip.entity, &mut self.chance, |k| {
+                weights[k]
+            });
         let Some((member, how)) = chosen else {
             self.decisions.put(decision);
-            return self.end(now, trip, None, Why::NoMember);
+            return self.end(now, trip, None, RejectReason::NoMember);
         };
-        let usual = one.usual();
+        let usual = one.typical_duration();
         let left = trip.goal.saturating_sub(now.saturating_sub(trip.arrived));
         let tries_left = trip.policy.tries.saturating_sub(trip.tries);
         trip.tries += 1;
-        let tried = Tried {
+        let tried = RetryContext {
             repeat: trip.repeat,
             again: trip.again,
             tries: trip.tries,
             left,
             usual,
         };
-        let follows = attempts::may_follow(&tried, &trip.policy, &self.budget);
-        let cut = attempts::cut(left, tries_left, usual, follows);
+        let follows = retry::may_retry(&tried, &trip.policy, &self.budget);
+        let cut = retry::attempt_timeout(left, tries_left, usual, follows);
         let in_hand = one.members[member].open;
-        decision.what = What::Went {
+        decision.what = DecisionOutcome::Dispatched {
             member: member as u16,
             how,
             of,
@@ -994,9 +1015,9 @@
             ramp.take(now);
         }
         one.out += 1;
-        one.toward[member].sent();
+        one.toward[member].on_sent();
         if let Some(health) = &mut one.health {
-            health.sent(member, now);
+            health.on_sent(member, now);
         }
         let to = At {
             pool,
@@ -1006,9 +1027,9 @@
         trip.out = true;
         let again = trip.again || trip.tries > 1;
         let tried = trip.tries;
-        Step::Go(
+        NextAction::Dispatch(
             trip,
-            Send {
+            Attempt {
                 to,
                 cut,
                 again,
@@ -1019,50 +1040,68 @@
     }
 
     /// What came of a trip's try.
-    pub fn came(&mut self, now: Duration, mut trip: Trip, back: Back) -> Step {
+    pub fn on_attempt_outcome(
+        &mut self,
+        now: Duration,
+        mut trip: RequestState,
+        back: AttemptOutcome,
+    ) -> NextAction {
         let usual = self.settle(now, &mut trip, back);
         let came = match back {
-            Back::Honoured => return self.finish(now, trip, End::Honoured, Why::Done),
-            Back::CallerLeft => return self.finish(now, trip, End::Nobody, Why::CallerLeft),
-            Back::Dismissed {
+            AttemptOutcome::Served => {
+                return self.complete(now, trip, RequestOutcome::Served, RejectReason::Done)
+            }
+            AttemptOutcome::CallerLeft => {
+                return self.complete(
+                    now,
+                    trip,
+                    RequestOutcome::CallerGone,
+                    RejectReason::CallerLeft,
+                )
+            }
+            AttemptOutcome::Rejected {
                 pause,
                 nowhere_else,
-            } => Came::Dismissed {
+            } => AttemptResult::Rejected {
                 pause,
                 nowhere_else,
             },
-            Back::Unreachable => Came::NotRun,
-            Back::Failed | Back::Broken | Back::TimedOut => Came::MayHaveRun,
+            AttemptOutcome::Unreachable => AttemptResult::NotRun,
+            AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
+                AttemptResult::MayHaveRun
+            }
         };
-        trip.may_have_run |= came == Came::MayHaveRun;
+        trip.may_have_run |= came == AttemptResult::MayHaveRun;
         let left = trip.goal.saturating_sub(now.saturating_sub(trip.arrived));
-        let tried = Tried {
+        let tried = RetryContext {
             repeat: trip.repeat,
             again: trip.again,
             tries: trip.tries,
             left,
             usual,
         };
-        match attempts::next(
+        match retry::next(
             &tried,
             came,
             &trip.policy,
             &mut self.budget,
             &mut self.chance,
         ) {
-            Next::Again { wait } => Step::Wait(trip, wait),
-            Next::Stop(stop) => self.end(now, trip, Some(came), Why::Stopped(stop)),
+            RetryDecision::Retry { wait } => NextAction::Backoff(trip, wait),
+            RetryDecision::Stop(stop) => {
+                self.end(now, trip, Some(came), RejectReason::Stopped(stop))
+            }
         }
     }
 
     /// What a try's end tells of its member; the pool's usual time.
-    fn settle(&mut self, now: Duration, trip: &mut Trip, back: Back) -> Duration {
+    fn settle(&mut self, now: Duration, trip: &mut RequestState, back: AttemptOutcome) -> Duration {
         // A caller may leave while its ticket waits for a further try: no member has it then.
         if !std::mem::replace(&mut trip.out, false) {
-            return USUAL;
+            return DEFAULT_DURATION;
         }
         let Some((at, name, address, sent)) = &trip.at else {
-            return USUAL;
+            return DEFAULT_DURATION;
         };
         let mut at = *at;
         if self
@@ -1072,7 +1111,7 @@
         {
             // Another version numbers its pools anew; one that is gone has no books any more.
             let Some(moved) = self.pools.iter().position(|pool| pool.name == *name) else {
-                return USUAL;
+                return DEFAULT_DURATION;
             };
             at.pool = moved as u16;
         }
@@ -1087,26 +1126,29 @@
         } else if let Some(moved) = pool.addresses.iter().position(|one| one == address) {
             moved
         } else {
-            return USUAL;
+            return DEFAULT_DURATION;
         };
         let took = now.saturating_sub(*sent);
-        let usual = pool.usual();
+        let usual = pool.typical_duration();
         pool.members[member].open = pool.members[member].open.saturating_sub(1);
         pool.out = pool.out.saturating_sub(1);
         let (good, lost) = match back {
-            Back::Honoured => (Some(true), false),
-            Back::Dismissed { .. } => (None, true),
-            Back::CallerLeft => (None, false),
-            Back::Failed | Back::Unreachable | Back::Broken | Back::TimedOut => (Some(false), true),
+            AttemptOutcome::Served => (Some(true), false),
+            AttemptOutcome::Rejected { .. } => (None, true),
+            AttemptOutcome::CallerLeft => (None, false),
+            AttemptOutcome::Failed
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Broken
+            | AttemptOutcome::TimedOut => (Some(false), true),
         };
-        pool.toward[member].over(now, (good == Some(true)).then_some(took), lost);
+        pool.toward[member].on_completed(now, (good == Some(true)).then_some(took), lost);
         if good == Some(false) {
             pool.members[member].failed(*sent, usual);
         }
         if let Some(health) = &mut pool.health {
             match (good, back) {
                 (Some(good), _) => {
-                    let change = health.answered(member, now, took, good);
+                    let change = health.on_answer(member, now, took, good);
                     let told = change.map(|change| {
                         (
                             At {
@@ -1117,77 +1159,91 @@
                         )
                     });
                     self.changes
-                        .extend(told.filter(|_| self.changes.len() < MOST_CHANGES));
+                        .extend(told.filter(|_| self.changes.len() < MAX_STATUS_CHANGES));
                 }
                 // It spoke, and that it has enough to do is no failure.
-                (None, Back::Dismissed { .. }) => health.heard(member, now),
-                (None, _) => health.dropped(member),
+                (None, AttemptOutcome::Rejected { .. }) => health.on_signal(member, now),
+                (None, _) => health.on_abandoned(member),
             }
         }
-        if let Back::Dismissed { pause, .. } = back {
-            if !pause.is_zero() && self.pauses.len() < MOST_PAUSES {
+        if let AttemptOutcome::Rejected { pause, .. } = back {
+            if !pause.is_zero() && self.pauses.len() < MAX_PAUSES {
                 let at = At {
                     pool: at.pool,
                     member: member as u16,
                 };
-                self.pauses
-                    .insert((at, of_tenant(trip.who)), now + pause.min(TOLD.1));
+                self.pauses.insert(
+                    (at, of_tenant(trip.who)),
+                    now + pause.min(RETRY_AFTER_BOUNDS.1),
+                );
             }
         }
         usual
     }
 
     /// No further try: the truth about what there was.
-    fn end(&mut self, now: Duration, trip: Trip, came: Option<Came>, why: Why) -> Step {
+    fn end(
+        &mut self,
+        now: Duration,
+        trip: RequestState,
+        came: Option<AttemptResult>,
+        why: RejectReason,
+    ) -> NextAction {
         if trip.may_have_run
-            && (trip.repeat != RepeatKind::Rerunnable || came == Some(Came::MayHaveRun))
+            && (trip.repeat != RepeatKind::Rerunnable || came == Some(AttemptResult::MayHaveRun))
         {
-            return self.finish(now, trip, End::GivenUp, why);
+            return self.complete(now, trip, RequestOutcome::Failed, why);
         }
         let end = match came {
-            Some(Came::Dismissed {
+            Some(AttemptResult::Rejected {
                 pause,
                 nowhere_else,
-            }) => End::Dismissed {
+            }) => RequestOutcome::Rejected {
                 after: pause,
                 nowhere_else,
             },
             _ => {
                 let pool = self.pool_now(&trip.way);
                 let soonest = pool
-                    .and_then(|pool| self.soonest(pool, trip.who, now))
-                    .unwrap_or(COME_BACK);
+                    .and_then(|pool| self.earliest_retry(pool, trip.who, now))
+                    .unwrap_or(DEFAULT_RETRY_AFTER);
                 // Who could not be reached just now is not back in the time of a usual run.
                 let least = if came.is_some() {
-                    COME_BACK
+                    DEFAULT_RETRY_AFTER
                 } else {
                     Duration::ZERO
                 };
                 let after = self.spread(soonest.max(least));
-                End::Dismissed {
+                RequestOutcome::Rejected {
                     after,
                     nowhere_else: false,
                 }
             }
         };
-        self.finish(now, trip, end, why)
+        self.complete(now, trip, end, why)
     }
 
-    fn finish(&mut self, now: Duration, trip: Trip, end: End, why: Why) -> Step {
+    fn complete(
+        &mut self,
+        now: Duration,
+        trip: RequestState,
+        end: RequestOutcome,
+        why: RejectReason,
+    ) -> NextAction {
         let count = match end {
-            End::Honoured => &mut self.counts.honoured,
-            End::Dismissed { .. } => &mut self.counts.dismissed,
-            End::GivenUp => &mut self.counts.given_up,
-            End::Nobody => &mut self.counts.nobody,
+            RequestOutcome::Served => &mut self.counts.honoured,
+            RequestOutcome::Rejected { .. } => &mut self.counts.dismissed,
+            RequestOutcome::Failed => &mut self.counts.given_up,
+            RequestOutcome::CallerGone => &mut self.counts.nobody,
         };
         *count += 1;
         if let Some((pool, version)) = trip.room {
             // Rooms are made anew with each version: what is left of the one before is not counted there.
             if version >= self.rooms_since {
-                self.pools[usize::from(pool)].room.leave(trip.who);
+                self.pools[usize::from(pool)].room.release(trip.who);
             }
         }
-        let over = Over {
+        let over = Completed {
             end,
             why,
             version: trip.way.version,
@@ -1196,24 +1252,28 @@
             tries: trip.tries,
             took: now.saturating_sub(trip.arrived),
         };
-        self.router.ended(trip.way);
-        Step::Over(over)
+        self.router.on_completed(trip.way);
+        NextAction::Completed(over)
     }
 
     /// The members of a pool as this forwarder sees them.
-    pub fn members(&self, pool: u16, now: Duration) -> impl Iterator<Item = Seen<'_>> + '_ {
+    pub fn members(
+        &self,
+        pool: u16,
+        now: Duration,
+    ) -> impl Iterator<Item = MemberSnapshot<'_>> + '_ {
         let one = &self.pools[usize::from(pool)];
         one.addresses
             .iter()
             .enumerate()
-            .map(move |(k, address)| Seen {
+            .map(move |(k, address)| MemberSnapshot {
                 address,
                 open: one.members[k].open,
                 limit: one.toward[k].limit(),
                 standing: one
                     .health
                     .as_ref()
-                    .map_or(Standing::In, |health| health.standing(k)),
+                    .map_or(MemberStatus::Healthy, |health| health.status(k)),
                 near: one.members[k].near,
                 leaving: one.leaving[k] > now,
             })
@@ -1232,35 +1292,35 @@
 }
 
 /// One number for a known tenant or a stranger's cell.
-fn of_tenant(who: Who) -> u32 {
+fn of_tenant(who: TenantKey) -> u32 {
     match who {
-        Who::Known(tenant) => u32::from(tenant),
-        Who::Stranger(cell) => 0x1_0000 + u32::from(cell),
+        TenantKey::Configured(tenant) => u32::from(tenant),
+        TenantKey::Unknown(cell) => 0x1_0000 + u32::from(cell),
     }
 }
 
 /// What a ticket of a tenant may use now.
-struct Parts<'f> {
+struct Eligibility<'f> {
     pools: &'f [Pool],
     pauses: &'f HashMap<(At, u32), Duration>,
     now: Duration,
-    who: Who,
+    who: TenantKey,
 }
 
-impl Parts<'_> {
+impl Eligibility<'_> {
     fn count(&self, pool: u16) -> u16 {
         self.pools[usize::from(pool)].members.len() as u16
     }
 
     /// Why a member is passed over, and until when as far as that is known.
-    fn passed(&self, at: At) -> Option<(Passed, Duration)> {
+    fn passed(&self, at: At) -> Option<(SkipReason, Duration)> {
         let (pool, member) = (&self.pools[usize::from(at.pool)], usize::from(at.member));
         if let Some((reason, until)) = pool
             .health
             .as_ref()
-            .and_then(|health| health.left_out(member))
+            .and_then(|health| health.ejection(member))
         {
-            return Some((Passed::Out(reason), until));
+            return Some((SkipReason::Ejected(reason), until));
         }
         if !self.pauses.is_empty() {
             if let Some(until) = self
@@ -1268,26 +1328,26 @@
                 .get(&(at, of_tenant(self.who)))
                 .filter(|until| **until > self.now)
             {
-                return Some((Passed::ToldToWait, *until));
+                return Some((SkipReason::RetryAfter, *until));
             }
         }
         if pool.out >= pool.places || !pool.toward[member].has_room() {
-            return Some((Passed::Full, self.now));
+            return Some((SkipReason::Full, self.now));
         }
         if let Some(until) = pool.members[member]
             .ramp
             .as_ref()
-            .and_then(|ramp| ramp.closed(self.now))
+            .and_then(|ramp| ramp.blocked_until(self.now))
         {
-            return Some((Passed::Warming, until));
+            return Some((SkipReason::WarmingUp, until));
         }
-        (pool.leaving[member] > self.now).then_some((Passed::Leaving, pool.leaving[member]))
+        (pool.leaving[member] > self.now).then_some((SkipReason::Leaving, pool.leaving[member]))
     }
 
     /// The part of its usual traffic that a member may get; 0 if it has no room, or told the tenant to wait.
     fn of(&self, at: At) -> f64 {
         match self.passed(at) {
-            Some((Passed::Leaving, _)) => LAST_RESORT,
+            Some((SkipReason::Leaving, _)) => LEAVING_WEIGHT,
             Some(_) => 0.0,
             None => {
                 let health = self.pools[usize::from(at.pool)].health.as_ref();
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -13,49 +13,49 @@
 use std::time::Duration;
 
 /// Results before a share of failures, or a mean time, says anything.
-const ENOUGH: f64 = 20.0;
+const MIN_SAMPLES: f64 = 20.0;
 /// Over this span results fade: long enough for twenty of them, short beside an outage.
-const SPAN: Duration = Duration::from_secs(10);
+const DECAY_SPAN: Duration = Duration::from_secs(10);
 /// Good answers one after another with which a trickle ends.
-const PROVED: u32 = 10;
+const RECOVERY_SUCCESSES: u32 = 10;
 /// Members with a known time, below which there is no middle to be slow against.
-const MIDDLE: usize = 3;
+const MIN_MEMBERS_FOR_MEDIAN: usize = 3;
 
 /// Why a member is left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
-    FailuresInARow,
-    ShareOfFailures,
+pub enum EjectionReason {
+    ConsecutiveFailures,
+    FailureRate,
     Slow,
-    Silent,
+    Unresponsive,
 }
 
-impl Reason {
+impl EjectionReason {
     pub fn word(self) -> &'static str {
         match self {
-            Reason::FailuresInARow => "failures_in_a_row",
-            Reason::ShareOfFailures => "share_of_failures",
-            Reason::Slow => "slow",
-            Reason::Silent => "silent",
+            EjectionReason::ConsecutiveFailures => "failures_in_a_row",
+            EjectionReason::FailureRate => "share_of_failures",
+            EjectionReason::Slow => "slow",
+            EjectionReason::Unresponsive => "silent",
         }
     }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    In,
+pub enum MemberStatus {
+    Healthy,
     /// Until then.
-    Out(Reason, Duration),
+    Ejected(EjectionReason, Duration),
     /// Back with a part of its usual traffic.
-    Trickle,
+    Probing,
 }
 
-impl Standing {
+impl MemberStatus {
     pub fn word(self) -> &'static str {
         match self {
-            Standing::In => "in",
-            Standing::Out(..) => "out",
-            Standing::Trickle => "trickle",
+            MemberStatus::Healthy => "in",
+            MemberStatus::Ejected(..) => "out",
+            MemberStatus::Probing => "trickle",
         }
     }
 }
@@ -64,12 +64,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
     pub member: usize,
-    pub to: Standing,
+    pub to: MemberStatus,
 }
 
 /// The rules of one pool.
 #[derive(Clone, Copy, Debug)]
-pub struct Rules {
+pub struct HealthRules {
     pub out_after: u32,
     /// Shares in millionths.
     pub out_share: u64,
@@ -80,7 +80,7 @@
     pub keep: u64,
 }
 
-impl From<&schema::Health> for Rules {
+impl From<&schema::Health> for HealthRules {
     fn from(of: &schema::Health) -> Self {
         let ns = Duration::from_nanos;
         Self {
@@ -97,7 +97,7 @@
 
 #[derive(Clone, Debug)]
 struct Member {
-    standing: Standing,
+    standing: MemberStatus,
     since: Duration,
     /// How often it was left out without having proved itself in between.
     times: u32,
@@ -117,7 +117,7 @@
 impl Member {
     fn new(now: Duration) -> Self {
         Self {
-            standing: Standing::In,
+            standing: MemberStatus::Healthy,
             since: now,
             times: 0,
             failed_in_a_row: 0,
@@ -131,8 +131,8 @@
         }
     }
 
-    fn fade(&mut self, now: Duration) {
-        let past = now.saturating_sub(self.faded).as_secs_f64() / SPAN.as_secs_f64();
+    fn decay(&mut self, now: Duration) {
+        let past = now.saturating_sub(self.faded).as_secs_f64() / DECAY_SPAN.as_secs_f64();
         let left = (-past).exp();
         self.good *= left;
         self.bad *= left;
@@ -140,20 +140,20 @@
         self.faded = self.faded.max(now);
     }
 
-    fn forget(&mut self) {
+    fn reset_samples(&mut self) {
         (self.good, self.bad, self.took) = (0.0, 0.0, 0.0);
         (self.failed_in_a_row, self.good_in_a_row) = (0, 0);
     }
 
     fn mean(&self) -> Option<f64> {
-        (self.good >= ENOUGH / 4.0).then(|| self.took / self.good)
+        (self.good >= MIN_SAMPLES / 4.0).then(|| self.took / self.good)
     }
 }
 
 /// The standing of all members of one pool.
 #[derive(Clone, Debug)]
 pub struct Health {
-    rules: Rules,
+    rules: HealthRules,
     members: Vec<Member>,
     /// More would be out than may be: all are used.
     all_again: bool,
@@ -164,16 +164,16 @@
 }
 
 impl Health {
-    pub fn rules(&self) -> Rules {
+    pub fn rules(&self) -> HealthRules {
         self.rules
     }
 
     /// Other rules for the same members: standings stay until they are judged by these.
-    pub fn under(&mut self, rules: Rules) {
+    pub fn set_rules(&mut self, rules: HealthRules) {
         self.rules = rules;
     }
 
-    pub fn new(rules: Rules, members: usize, now: Duration) -> Self {
+    pub fn new(rules: HealthRules, members: usize, now: Duration) -> Self {
         let members = vec![Member::new(now); members];
         Self {
             rules,
@@ -185,7 +185,7 @@
     }
 
     /// A ticket went to a member.
-    pub fn sent(&mut self, member: usize, now: Duration) {
+    pub fn on_sent(&mut self, member: usize, now: Duration) {
         let one = &mut self.members[member];
         if one.owes == 0 {
             one.heard = one.heard.max(now);
@@ -194,7 +194,7 @@
     }
 
     /// What came back for it, and after how long; a change if it made one.
-    pub fn answered(
+    pub fn on_answer(
         &mut self,
         member: usize,
         now: Duration,
@@ -204,7 +204,7 @@
         let one = &mut self.members[member];
         one.owes = one.owes.saturating_sub(1);
         one.heard = now;
-        one.fade(now);
+        one.decay(now);
         if good {
             one.good += 1.0;
             one.took += took.as_secs_f64();
@@ -217,61 +217,63 @@
         }
         self.answers += 1;
         if self.answers >= self.members.len() {
-            self.find_middle();
+            self.update_median();
         }
-        self.judge(member, now)
+        self.evaluate(member, now)
     }
 
     /// A ticket's caller left, or its connection was closed by us: it proves nothing about the member.
-    pub fn dropped(&mut self, member: usize) {
+    pub fn on_abandoned(&mut self, member: usize) {
         let one = &mut self.members[member];
         one.owes = one.owes.saturating_sub(1);
     }
 
     /// It spoke, in a way that tells nothing of its health.
-    pub fn heard(&mut self, member: usize, now: Duration) {
+    pub fn on_signal(&mut self, member: usize, now: Duration) {
         let one = &mut self.members[member];
         one.owes = one.owes.saturating_sub(1);
         one.heard = now;
     }
 
     /// A member that came back under its address is a new one.
-    pub fn renewed(&mut self, member: usize, now: Duration) {
+    pub fn on_restarted(&mut self, member: usize, now: Duration) {
         self.members[member] = Member::new(now);
     }
 
     /// Time passes: silence, and members whose time out is over. To be called some times a second.
-    pub fn look(&mut self, now: Duration) -> Vec<Change> {
-        self.find_middle();
+    pub fn tick(&mut self, now: Duration) -> Vec<Change> {
+        self.update_median();
         let changes: Vec<_> = (0..self.members.len())
-            .filter_map(|member| self.judge(member, now))
+            .filter_map(|member| self.evaluate(member, now))
             .collect();
         let out = self
             .members
             .iter()
-            .filter(|one| matches!(one.standing, Standing::Out(..)))
+            .filter(|one| matches!(one.standing, MemberStatus::Ejected(..)))
             .count();
-        self.all_again = out > self.may_be_out();
+        self.all_again = out > self.max_ejected();
         changes
     }
 
-    fn judge(&mut self, member: usize, now: Duration) -> Option<Change> {
+    fn evaluate(&mut self, member: usize, now: Duration) -> Option<Change> {
         let reason = self.reason(member, now);
         let rules = self.rules;
         let one = &mut self.members[member];
         let to = match (one.standing, reason) {
-            (Standing::In | Standing::Trickle, Some(reason)) => {
+            (MemberStatus::Healthy | MemberStatus::Probing, Some(reason)) => {
                 let doubled = rules.back.0.saturating_mul(1 << one.times.min(20));
                 one.times += 1;
-                one.forget();
-                Standing::Out(reason, now + doubled.min(rules.back.1))
+                one.reset_samples();
+                MemberStatus::Ejected(reason, now + doubled.min(rules.back.1))
             }
-            (Standing::Out(_, until), _) if now >= until => {
-                one.forget();
-                Standing::Trickle
+            (MemberStatus::Ejected(_, until), _) if now >= until => {
+                one.reset_samples();
+                MemberStatus::Probing
             }
-            (Standing::Trickle, None) if one.good_in_a_row >= PROVED => Standing::In,
-            (Standing::In, None) => {
+            (MemberStatus::Probing, None) if one.good_in_a_row >= RECOVERY_SUCCESSES => {
+                MemberStatus::Healthy
+            }
+            (MemberStatus::Healthy, None) => {
                 // It has been good for as long as it may be left out at most: the past is past.
                 if one.times > 0 && now.saturating_sub(one.since) > rules.back.1 {
                     one.times = 0;
@@ -285,40 +287,40 @@
         let out = self
             .members
             .iter()
-            .filter(|one| matches!(one.standing, Standing::Out(..)))
+            .filter(|one| matches!(one.standing, MemberStatus::Ejected(..)))
             .count();
-        self.all_again = out > self.may_be_out();
+        self.all_again = out > self.max_ejected();
         Some(Change { member, to })
     }
 
-    fn reason(&self, member: usize, now: Duration) -> Option<Reason> {
+    fn reason(&self, member: usize, now: Duration) -> Option<EjectionReason> {
         let (one, rules) = (&self.members[member], &self.rules);
         if one.failed_in_a_row >= rules.out_after.max(1) {
-            return Some(Reason::FailuresInARow);
+            return Some(EjectionReason::ConsecutiveFailures);
         }
         let all = one.good + one.bad;
-        if all >= ENOUGH && one.bad / all >= rules.out_share as f64 / ONE as f64 {
-            return Some(Reason::ShareOfFailures);
+        if all >= MIN_SAMPLES && one.bad / all >= rules.out_share as f64 / ONE as f64 {
+            return Some(EjectionReason::FailureRate);
         }
         if one.owes > 0 && now.saturating_sub(one.heard) > rules.silent {
-            return Some(Reason::Silent);
+            return Some(EjectionReason::Unresponsive);
         }
-        let mean = one.mean().filter(|_| one.good >= ENOUGH)?;
+        let mean = one.mean().filter(|_| one.good >= MIN_SAMPLES)?;
         let middle = self.middle?;
-        (mean > middle * rules.slow as f64 / ONE as f64).then_some(Reason::Slow)
+        (mean > middle * rules.slow as f64 / ONE as f64).then_some(EjectionReason::Slow)
     }
 
-    fn find_middle(&mut self) {
+    fn update_median(&mut self) {
         self.answers = 0;
         let mut means: Vec<f64> = self.members.iter().filter_map(Member::mean).collect();
         // The lower middle: half of the members slow must not make slowness usual.
         let at = means.len().saturating_sub(1) / 2;
-        self.middle =
-            (means.len() >= MIDDLE).then(|| *means.select_nth_unstable_by(at, f64::total_cmp).1);
+        self.middle = (means.len() >= MIN_MEMBERS_FOR_MEDIAN)
+            .then(|| *means.select_nth_unstable_by(at, f64::total_cmp).1);
     }
 
     /// How many members may be left out: never all.
-    pub fn may_be_out(&self) -> usize {
+    pub fn max_ejected(&self) -> usize {
         let members = self.members.len();
         let kept = (members as u64 * self.rules.keep).div_ceil(ONE) as usize;
         members - kept.clamp(1, members.max(1)).min(members)
@@ -335,26 +337,26 @@
     pub fn usable(&self, member: usize) -> u64 {
         match self.members[member].standing {
             _ if self.all_again => ONE,
-            Standing::In => ONE,
-            Standing::Out(..) => 0,
-            Standing::Trickle => self.rules.back_share.clamp(1, ONE),
+            MemberStatus::Healthy => ONE,
+            MemberStatus::Ejected(..) => 0,
+            MemberStatus::Probing => self.rules.back_share.clamp(1, ONE),
         }
     }
 
     /// Until when a member is left out, and why, as long as that counts.
-    pub fn left_out(&self, member: usize) -> Option<(Reason, Duration)> {
+    pub fn ejection(&self, member: usize) -> Option<(EjectionReason, Duration)> {
         match self.members[member].standing {
-            Standing::Out(reason, until) if !self.all_again => Some((reason, until)),
+            MemberStatus::Ejected(reason, until) if !self.all_again => Some((reason, until)),
             _ => None,
         }
     }
 
-    pub fn standing(&self, member: usize) -> Standing {
+    pub fn status(&self, member: usize) -> MemberStatus {
         self.members[member].standing
     }
 
     /// The mean time of the pool's good answers, where it is known.
-    pub fn usual(&self) -> Option<Duration> {
+    pub fn typical_duration(&self) -> Option<Duration> {
         self.middle
             .and_then(|s| Duration::try_from_secs_f64(s).ok())
     }
@@ -366,7 +368,7 @@
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
-    const RULES: Rules = Rules {
+    const RULES: HealthRules = HealthRules {
         out_after: 5,
         out_share: 500_000,
         slow: 3 * ONE,
@@ -393,16 +395,16 @@
                 if health.usable(member) == 0 {
                     continue;
                 }
-                health.sent(member, ms(t));
+                health.on_sent(member, ms(t));
                 if let Some((took, good)) = how(member) {
                     changes.extend(
                         health
-                            .answered(member, ms(t + took.min(99)), ms(took), good)
+                            .on_answer(member, ms(t + took.min(99)), ms(took), good)
                             .map(|c| (t, c)),
                     );
                 }
             }
-            changes.extend(health.look(ms(t + 99)).into_iter().map(|c| (t, c)));
+            changes.extend(health.tick(ms(t + 99)).into_iter().map(|c| (t, c)));
         }
         changes
     }
@@ -410,16 +412,20 @@
     #[test]
     fn each_reason_leaves_the_one_out() {
         type How = fn(usize) -> Option<(u64, bool)>;
-        let table: [(How, Reason, u64); 3] = [
-            (|m| Some((20, m != 2)), Reason::FailuresInARow, 1_000),
+        let table: [(How, EjectionReason, u64); 3] = [
+            (
+                |m| Some((20, m != 2)),
+                EjectionReason::ConsecutiveFailures,
+                1_000,
+            ),
             (
                 |m| if m == 2 { None } else { Some((20, true)) },
-                Reason::Silent,
+                EjectionReason::Unresponsive,
                 3_000,
             ),
             (
                 |m| Some((if m == 2 { 70 } else { 20 }, true)),
-                Reason::Slow,
+                EjectionReason::Slow,
                 4_000,
             ),
         ];
@@ -428,7 +434,7 @@
             let changes = run(&mut health, 0, within, how);
             assert_eq!(changes.len(), 1, "{changes:?}");
             assert!(
-                matches!(changes[0].1, Change { member: 2, to: Standing::Out(told, _) } if told == reason),
+                matches!(changes[0].1, Change { member: 2, to: MemberStatus::Ejected(told, _) } if told == reason),
                 "{changes:?}"
             );
             assert_eq!(
@@ -443,15 +449,15 @@
         let mut health = Health::new(RULES, 3, ms(0));
         let mut told = None;
         for t in 0..100u64 {
-            health.sent(0, ms(t * 50));
-            told = told.or(health.answered(0, ms(t * 50 + 5), ms(5), t % 2 == 0));
+            health.on_sent(0, ms(t * 50));
+            told = told.or(health.on_answer(0, ms(t * 50 + 5), ms(5), t % 2 == 0));
         }
         assert!(
             matches!(
                 told,
                 Some(Change {
                     member: 0,
-                    to: Standing::Out(Reason::ShareOfFailures, _)
+                    to: MemberStatus::Ejected(EjectionReason::FailureRate, _)
                 })
             ),
             "{told:?}"
@@ -465,7 +471,7 @@
         let outs: Vec<u64> = changes
             .iter()
             .filter_map(|(t, c)| match c.to {
-                Standing::Out(_, until) => Some(until.as_millis() as u64 - t),
+                MemberStatus::Ejected(_, until) => Some(until.as_millis() as u64 - t),
                 _ => None,
             })
             .map(|span| (span + 500) / 1_000)
@@ -474,21 +480,21 @@
         // It mends: a trickle first, then all of its traffic.
         let changes = run(&mut health, 40_000, 80_000, |_| Some((20, true)));
         let standings: Vec<_> = changes.iter().map(|(_, c)| c.to).collect();
-        assert_eq!(standings, [Standing::Trickle, Standing::In]);
+        assert_eq!(standings, [MemberStatus::Probing, MemberStatus::Healthy]);
     }
 
     #[test]
     fn when_too_many_would_be_out_all_are_used_again() {
         let mut health = Health::new(RULES, 4, ms(0));
         run(&mut health, 0, 3_000, |m| Some((20, m > 1)));
-        assert_eq!((health.out(), health.may_be_out()), (2, 2));
+        assert_eq!((health.out(), health.max_ejected()), (2, 2));
         run(&mut health, 3_000, 5_000, |_| Some((20, false)));
         assert_eq!(health.out(), 0, "all again");
         assert!((0..4).all(|member| health.usable(member) == ONE));
         // One alone is never left out.
         let mut alone = Health::new(RULES, 1, ms(0));
         run(&mut alone, 0, 5_000, |_| Some((20, false)));
-        assert_eq!((alone.out(), alone.may_be_out()), (0, 0));
+        assert_eq!((alone.out(), alone.max_ejected()), (0, 0));
     }
 
     proptest! {
@@ -501,18 +507,18 @@
             keep in 0u64..=ONE,
             steps in proptest::collection::vec((0usize..9, 0u64..400, any::<bool>(), 0u64..3_000), 0..300),
         ) {
-            let mut health = Health::new(Rules { keep, ..RULES }, members, ms(0));
+            let mut health = Health::new(HealthRules { keep, ..RULES }, members, ms(0));
             let mut now = 0;
             for (member, took, good, gap) in steps {
                 let member = member % members;
                 now += gap / 10;
-                health.sent(member, ms(now));
+                health.on_sent(member, ms(now));
                 if took > 20 {
-                    health.answered(member, ms(now + took), ms(took), good);
+                    health.on_answer(member, ms(now + took), ms(took), good);
                 }
-                health.look(ms(now + took));
+                health.tick(ms(now + took));
                 now += took;
-                prop_assert!(health.out() <= health.may_be_out());
+                prop_assert!(health.out() <= health.max_ejected());
                 prop_assert!(health.out() < members);
             }
         }
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/member_selection.rs
@@ -9,20 +9,20 @@
 //! What failed stays counted as long as the pool's usual time: a member that fails in a millisecond would
 //! otherwise look idle and draw all traffic.
 
-use crate::ramp::{Ramp, START};
-use crate::split::score;
+use crate::warm_up::{WarmUpLimiter, START};
+use crate::weighted_split::score;
 use nanorand::{Rng, WyRand};
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Tickets in hand for its weight, against the mean, up to which a member keeps its entities.
-const BOUNDED: f64 = 1.25;
+const AFFINITY_LOAD_FACTOR: f64 = 1.25;
 /// In hand for its weight, against the pool's, up to which the near zone keeps its tickets.
-const SPILL: f64 = 1.5;
+const ZONE_SPILL_FACTOR: f64 = 1.5;
 /// Failures of one member that stay counted.
-const GHOSTS: usize = 256;
+const MAX_RECENT_FAILURES: usize = 256;
 /// Draws before a member is taken in order: with tiny weights beside large ones draws may miss.
-const DRAWS: usize = 16;
+const MAX_DRAWS: usize = 16;
 
 /// What is known of one member.
 #[derive(Clone, Debug)]
@@ -34,7 +34,7 @@
     /// When it started, if it warms up.
     pub started: Option<Duration>,
     /// What it may be sent while it is not known to be warm, where the pool says what all may send it.
-    pub ramp: Option<Ramp>,
+    pub ramp: Option<WarmUpLimiter>,
     pub open: u32,
     /// Until when each recent failure counts as open, in order.
     ghosts: VecDeque<Duration>,
@@ -57,7 +57,7 @@
     /// A ticket failed: it counts as open until the usual time since it was sent is over.
     pub fn failed(&mut self, sent: Duration, usual: Duration) {
         let until = sent + usual;
-        if self.ghosts.len() >= GHOSTS {
+        if self.ghosts.len() >= MAX_RECENT_FAILURES {
             self.ghosts.pop_front();
         }
         let place = self.ghosts.partition_point(|ghost| *ghost <= until);
@@ -85,35 +85,35 @@
 
 /// By which rule members are picked for tickets without an entity. All but the first are there to be compared with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Pick {
+pub enum SelectionPolicy {
     /// The one with least in hand for its weight, of those with as little one by chance.
     #[default]
-    LeastKnown,
+    LeastLoaded,
     /// Two drawn by weight, the one with less in hand.
     TwoChoices,
     /// One after another, whatever they have in hand.
-    InTurn(u32),
+    RoundRobin(u32),
 }
 
 /// How a member was chosen; for those who ask why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum How {
+pub enum SelectionReason {
     /// The entity's own.
-    Own,
+    Affinity,
     /// The entity's own is full; so many were passed over.
-    OwnPassedOver(u32),
+    AffinitySkipped(u32),
     /// The lesser of two, in the near zone or in any.
     Near,
     Any,
 }
 
-impl How {
+impl SelectionReason {
     pub fn word(self) -> &'static str {
         match self {
-            How::Own => "own",
-            How::OwnPassedOver(_) => "own_passed_over",
-            How::Near => "near",
-            How::Any => "any",
+            SelectionReason::Affinity => "own",
+            SelectionReason::AffinitySkipped(_) => "own_passed_over",
+            SelectionReason::Near => "near",
+            SelectionReason::Any => "any",
         }
     }
 }
@@ -123,13 +123,13 @@
 /// `part`: of its usual traffic a member may get now, 0 for none ([`crate::health::Health::usable`] as a
 /// fraction), and 0 for one without room.
 pub fn choose(
-    pick: &mut Pick,
+    pick: &mut SelectionPolicy,
     members: &mut [Member],
     now: Duration,
     entity: &str,
     chance: &mut WyRand,
     part: impl Fn(usize) -> f64,
-) -> Option<(usize, How)> {
+) -> Option<(usize, SelectionReason)> {
     // In hand for the weight, of all that can take it; with the near ones' and everybody's sums.
     let (mut near, mut all) = ((0.0, 0.0), (0.0, 0.0));
     for (k, member) in members.iter_mut().enumerate() {
@@ -147,19 +147,26 @@
         return None;
     }
     if !entity.is_empty() {
-        return own(members, now, entity, all, &part);
+        return by_affinity(members, now, entity, all, &part);
     }
     // One more ticket in each, so that an idle pool has a middle too.
-    let spills = near.1 <= 0.0 || (near.0 + 1.0) / near.1 > SPILL * (all.0 + 1.0) / all.1;
+    let spills =
+        near.1 <= 0.0 || (near.0 + 1.0) / near.1 > ZONE_SPILL_FACTOR * (all.0 + 1.0) / all.1;
     let (sum, only_near) = if spills {
         (all.1, false)
     } else {
         (near.1, true)
     };
-    let how = if only_near { How::Near } else { How::Any };
+    let how = if only_near {
+        SelectionReason::Near
+    } else {
+        SelectionReason::Any
+    };
     match pick {
-        Pick::LeastKnown => return least(members, now, chance, only_near, &part).map(|k| (k, how)),
-        Pick::InTurn(next) => {
+        SelectionPolicy::LeastLoaded => {
+            return least_loaded(members, now, chance, only_near, &part).map(|k| (k, how))
+        }
+        SelectionPolicy::RoundRobin(next) => {
             let count = members.len();
             let fits = |k: &usize| part(*k) > 0.0 && (!only_near || members[*k].near);
             let k = (0..count)
@@ -168,7 +175,7 @@
             *next = (k as u32 + 1) % count as u32;
             return Some((k, how));
         }
-        Pick::TwoChoices => {}
+        SelectionPolicy::TwoChoices => {}
     }
     let mut draw = |not: Option<usize>| {
         let mut left = sum * f64::from(chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
@@ -187,7 +194,9 @@
         last.filter(|found| Some(*found) != not)
     };
     let first = draw(None)?;
-    let second = (0..DRAWS).find_map(|_| draw(Some(first))).unwrap_or(first);
+    let second = (0..MAX_DRAWS)
+        .find_map(|_| draw(Some(first)))
+        .unwrap_or(first);
     let mut rate = |k: usize| (members[k].in_hand(now) + 1.0) / members[k].weight_at(now, part(k));
     let chosen = if rate(second) < rate(first) {
         second
@@ -198,7 +207,7 @@
 }
 
 /// The one with least in hand for its weight; of equals one by chance.
-fn least(
+fn least_loaded(
     members: &mut [Member],
     now: Duration,
     chance: &mut WyRand,
@@ -232,14 +241,14 @@
 }
 
 /// The first in the entity's own order that has at most its bounded part in hand.
-fn own(
+fn by_affinity(
     members: &mut [Member],
     now: Duration,
     entity: &str,
     all: (f64, f64),
     part: &impl Fn(usize) -> f64,
-) -> Option<(usize, How)> {
-    let bound = |weight: f64| BOUNDED * (all.0 + 1.0) * weight / all.1;
+) -> Option<(usize, SelectionReason)> {
+    let bound = |weight: f64| AFFINITY_LOAD_FACTOR * (all.0 + 1.0) * weight / all.1;
     let mut best: Option<(usize, f64)> = None;
     let (mut passed_over, mut highest) = (0, f64::NEG_INFINITY);
     // The order of all is not needed: the best of those with room, and how many stand before it.
@@ -263,9 +272,9 @@
     Some((
         chosen,
         if passed_over == 0 {
-            How::Own
+            SelectionReason::Affinity
         } else {
-            How::OwnPassedOver(passed_over)
+            SelectionReason::AffinitySkipped(passed_over)
         },
     ))
 }
@@ -273,13 +282,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::split::mark;
+    use crate::weighted_split::name_hash;
 
     fn pool(count: usize) -> Vec<Member> {
         (0..count)
             .map(|k| {
                 Member::new(
-                    mark(&format!("10.0.0.{k}:1")),
+                    name_hash(&format!("10.0.0.{k}:1")),
                     1.0,
                     k % 2 == 0,
                     Duration::ZERO,
@@ -300,7 +309,7 @@
         let mut chance = WyRand::new_seed(2);
         for _ in 0..1_100 {
             let (k, how) = choose(
-                &mut Pick::default(),
+                &mut SelectionPolicy::default(),
                 &mut members,
                 ms(0),
                 "",
@@ -308,7 +317,7 @@
                 |_| 1.0,
             )
             .unwrap();
-            assert_eq!(how, How::Near);
+            assert_eq!(how, SelectionReason::Near);
             members[k].open += 1;
         }
         for (k, member) in members.iter().enumerate() {
@@ -337,7 +346,7 @@
                 !over
             });
             let (k, _) = choose(
-                &mut Pick::default(),
+                &mut SelectionPolicy::default(),
                 &mut members,
                 ms(t),
                 "",
@@ -360,14 +369,14 @@
         members[2].open = 0;
         [0, 1, 3].into_iter().for_each(|k| members[k].open = 5);
         let mut chance = WyRand::new_seed(8);
-        let mut least = Pick::LeastKnown;
+        let mut least = SelectionPolicy::LeastLoaded;
         assert_eq!(
             choose(&mut least, &mut members, ms(0), "", &mut chance, |_| 1.0)
                 .unwrap()
                 .0,
             2
         );
-        let mut turn = Pick::InTurn(3);
+        let mut turn = SelectionPolicy::RoundRobin(3);
         let mut next = |members: &mut Vec<Member>| {
             choose(&mut turn, members, ms(0), "", &mut chance, |k| {
                 f64::from(u8::from(k != 1))
@@ -385,7 +394,7 @@
         let mut chance = WyRand::new_seed(4);
         for _ in 0..40 {
             let (k, how) = choose(
-                &mut Pick::default(),
+                &mut SelectionPolicy::default(),
                 &mut members,
                 ms(0),
                 "",
@@ -394,7 +403,7 @@
             )
             .unwrap();
             members[k].open += 1;
-            assert!(how != How::Near || members[k].near);
+            assert!(how != SelectionReason::Near || members[k].near);
         }
         let near: u32 = members
             .iter()
@@ -404,7 +413,7 @@
         assert!((28..=32).contains(&near), "three of four parts: {near}");
         // No near one can be used: the others take all.
         let (k, how) = choose(
-            &mut Pick::default(),
+            &mut SelectionPolicy::default(),
             &mut members,
             ms(0),
             "",
@@ -412,10 +421,10 @@
             |k| f64::from(k as u32 % 2),
         )
         .unwrap();
-        assert_eq!((members[k].near, how), (false, How::Any));
+        assert_eq!((members[k].near, how), (false, SelectionReason::Any));
         assert_eq!(
             choose(
-                &mut Pick::default(),
+                &mut SelectionPolicy::default(),
                 &mut members,
                 ms(0),
                 "",
@@ -431,7 +440,7 @@
         let mut members = pool(8);
         let mut chance = WyRand::new_seed(5);
         let (own, how) = choose(
-            &mut Pick::default(),
+            &mut SelectionPolicy::default(),
             &mut members,
             ms(0),
             "NO-1",
@@ -439,10 +448,10 @@
             |_| 1.0,
         )
         .unwrap();
-        assert_eq!(how, How::Own);
+        assert_eq!(how, SelectionReason::Affinity);
         for _ in 0..400 {
             let (k, _) = choose(
-                &mut Pick::default(),
+                &mut SelectionPolicy::default(),
                 &mut members,
                 ms(0),
                 "NO-1",
@@ -458,7 +467,7 @@
         members.iter_mut().for_each(|member| member.open = 0);
         assert_eq!(
             choose(
-                &mut Pick::default(),
+                &mut SelectionPolicy::default(),
                 &mut members,
                 ms(0),
                 "NO-1",
@@ -470,7 +479,7 @@
             own
         );
         let (other, _) = choose(
-            &mut Pick::default(),
+            &mut SelectionPolicy::default(),
             &mut members,
             ms(0),
             "NO-1",
@@ -494,7 +503,7 @@
             let mut got = 0;
             for _ in 0..4_000 {
                 let (k, _) = choose(
-                    &mut Pick::default(),
+                    &mut SelectionPolicy::default(),
                     &mut members,
                     ms(now),
                     "",
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/rate_limit.rs
@@ -11,14 +11,14 @@
 
 /// A rate as the schema has it: `micro` millionths of a ticket in each `per` ns; and what may come at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
+pub struct RateLimit {
     pub micro: u64,
     pub per: u64,
     /// Tickets; at least 1.
     pub burst: u64,
 }
 
-impl Pace {
+impl RateLimit {
     /// What one ticket costs, in scaled time.
     fn cost(&self) -> u128 {
         u128::from(self.per) * 1_000_000
@@ -32,18 +32,18 @@
 
 /// What limits say at one place; both may be absent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Rule {
-    pub pace: Option<Pace>,
+pub struct LimitRule {
+    pub pace: Option<RateLimit>,
     /// Tickets at once; 0: no limit.
     pub at_once: u64,
 }
 
-impl From<&Limits> for Rule {
+impl From<&Limits> for LimitRule {
     fn from(limits: &Limits) -> Self {
         let pace = limits
             .rate
             .filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0);
-        let pace = pace.map(|rate| Pace {
+        let pace = pace.map(|rate| RateLimit {
             micro: rate.micro_tickets,
             per: rate.per_ns,
             burst: limits.burst.max(1),
@@ -66,11 +66,11 @@
 
 /// Why a bucket lets nothing in now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Full {
+pub enum LimitExceeded {
     /// The rate is used up until then.
-    Until(Duration),
+    RateUntil(Duration),
     /// As many as may be are inside; when one leaves is not known here.
-    AtOnce,
+    Concurrency,
 }
 
 impl Bucket {
@@ -78,9 +78,9 @@
     ///
     /// # Errors
     /// Why not, and from when on it may, unless others use the room first.
-    pub fn look(&self, rule: &Rule, now: Duration) -> Result<(), Full> {
+    pub fn look(&self, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
         if rule.at_once > 0 && self.inside >= rule.at_once {
-            return Err(Full::AtOnce);
+            return Err(LimitExceeded::Concurrency);
         }
         let Some(pace) = rule.pace else { return Ok(()) };
         let tolerance = pace.cost() * u128::from(pace.burst.saturating_sub(1));
@@ -90,13 +90,13 @@
         }
         let ns = earliest.div_ceil(u128::from(pace.micro.max(1)));
         // 64 bits of nanoseconds are 584 years.
-        Err(Full::Until(Duration::from_nanos(
+        Err(LimitExceeded::RateUntil(Duration::from_nanos(
             u64::try_from(ns).unwrap_or(u64::MAX),
         )))
     }
 
     /// Nobody is inside and the burst is whole: it is as one that was never used.
-    pub fn is_idle(&self, rule: &Rule, now: Duration) -> bool {
+    pub fn is_idle(&self, rule: &LimitRule, now: Duration) -> bool {
         self.inside == 0
             && rule
                 .pace
@@ -104,7 +104,7 @@
     }
 
     /// Lets one in; the caller looked before.
-    pub fn enter(&mut self, rule: &Rule, now: Duration) {
+    pub fn acquire(&mut self, rule: &LimitRule, now: Duration) {
         self.inside += 1;
         if let Some(pace) = rule.pace {
             self.whole_at = self.whole_at.max(pace.scaled(now)) + pace.cost();
@@ -112,13 +112,13 @@
     }
 
     /// One that was let in is over.
-    pub fn leave(&mut self) {
+    pub fn release(&mut self) {
         debug_assert!(self.inside > 0, "more left than came in");
         self.inside = self.inside.saturating_sub(1);
     }
 
     /// The same state under another rule: tickets that are owed stay owed, in tickets, up to the new burst.
-    pub fn under(&mut self, old: &Rule, new: &Rule, now: Duration) {
+    pub fn set_rules(&mut self, old: &LimitRule, new: &LimitRule, now: Duration) {
         let (Some(from), Some(to)) = (old.pace, new.pace) else {
             self.whole_at = 0;
             return;
@@ -144,9 +144,9 @@
         Duration::from_millis(n)
     }
 
-    fn rule(micro: u64, per: u64, burst: u64) -> Rule {
-        Rule {
-            pace: Some(Pace { micro, per, burst }),
+    fn rule(micro: u64, per: u64, burst: u64) -> LimitRule {
+        LimitRule {
+            pace: Some(RateLimit { micro, per, burst }),
             at_once: 0,
         }
     }
@@ -155,15 +155,15 @@
     fn a_third_of_a_second_is_exact() {
         let rule = rule(3_000_000, 1_000_000_000, 1);
         let mut bucket = Bucket::default();
-        bucket.enter(&rule, ms(0));
+        bucket.acquire(&rule, ms(0));
         assert_eq!(
             bucket.look(&rule, ms(0)),
-            Err(Full::Until(Duration::from_nanos(333_333_334)))
+            Err(LimitExceeded::RateUntil(Duration::from_nanos(333_333_334)))
         );
         let mut in_an_hour = 1;
         for n in 1..3_600_000 {
             if bucket.look(&rule, ms(n)).is_ok() {
-                bucket.enter(&rule, ms(n));
+                bucket.acquire(&rule, ms(n));
                 in_an_hour += 1;
             }
         }
@@ -173,15 +173,15 @@
 
     #[test]
     fn at_once_counts_those_inside() {
-        let rule = Rule {
+        let rule = LimitRule {
             pace: None,
             at_once: 2,
         };
         let mut bucket = Bucket::default();
-        bucket.enter(&rule, ms(1));
-        bucket.enter(&rule, ms(1));
-        assert_eq!(bucket.look(&rule, ms(9)), Err(Full::AtOnce));
-        bucket.leave();
+        bucket.acquire(&rule, ms(1));
+        bucket.acquire(&rule, ms(1));
+        assert_eq!(bucket.look(&rule, ms(9)), Err(LimitExceeded::Concurrency));
+        bucket.release();
         assert_eq!(bucket.look(&rule, ms(9)), Ok(()));
     }
 
@@ -193,12 +193,18 @@
         );
         let mut bucket = Bucket::default();
         for _ in 0..4 {
-            bucket.enter(&slow, ms(500));
+            bucket.acquire(&slow, ms(500));
         }
-        bucket.under(&slow, &fast, ms(500));
-        assert_eq!(bucket.look(&fast, ms(500)), Err(Full::Until(ms(600))));
-        bucket.under(&fast, &slow, ms(500));
-        assert_eq!(bucket.look(&slow, ms(500)), Err(Full::Until(ms(1_500))));
+        bucket.set_rules(&slow, &fast, ms(500));
+        assert_eq!(
+            bucket.look(&fast, ms(500)),
+            Err(LimitExceeded::RateUntil(ms(600)))
+        );
+        bucket.set_rules(&fast, &slow, ms(500));
+        assert_eq!(
+            bucket.look(&slow, ms(500)),
+            Err(LimitExceeded::RateUntil(ms(1_500)))
+        );
     }
 
     proptest! {
@@ -220,15 +226,15 @@
                 now += Duration::from_nanos(gap);
                 match bucket.look(&rule, now) {
                     Ok(()) => {
-                        bucket.enter(&rule, now);
+                        bucket.acquire(&rule, now);
                         let_in.push(now.as_nanos());
                     }
-                    Err(Full::Until(then)) => {
+                    Err(LimitExceeded::RateUntil(then)) => {
                         prop_assert!(then > now);
                         prop_assert!(bucket.look(&rule, then).is_ok());
                         prop_assert!(bucket.look(&rule, then - Duration::from_nanos(1)).is_err());
                     }
-                    Err(Full::AtOnce) => prop_assert!(false),
+                    Err(LimitExceeded::Concurrency) => prop_assert!(false),
                 }
             }
             for (k, from) in let_in.iter().enumerate() {
@@ -250,11 +256,11 @@
             let (mut now, mut count) = (ms(0), 0u64);
             for micro in rates {
                 while bucket.look(&rule_now, now).is_ok() {
-                    bucket.enter(&rule_now, now);
+                    bucket.acquire(&rule_now, now);
                     count += 1;
                 }
                 let next = rule(micro, second, 3);
-                bucket.under(&rule_now, &next, now);
+                bucket.set_rules(&rule_now, &next, now);
                 rule_now = next;
                 now += ms(50);
             }
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/retry.rs
@@ -4,7 +4,7 @@
 //! asked not to, not if the ticket is a further try itself (whoever sent it repeats), not past the policy's
 //! tries, not without budget, not without the time for it.
 //!
-//! The budget holds for the whole program: further tries never exceed [`START`] and the stated share of
+//! The budget holds for the whole program: further tries never exceed [`INITIAL_RETRIES`] and the stated share of
 //! first tries, however many tickets fail at once.
 
 use nanorand::{Rng, WyRand};
@@ -13,30 +13,30 @@
 use std::time::Duration;
 
 /// Further tries that a program may make before it has seen first ones: enough for a few odd failures.
-pub const START: u64 = 10;
+pub const INITIAL_RETRIES: u64 = 10;
 /// Further tries that can be saved up in quiet times: past it a burst of failures is an outage.
-const SAVED: u64 = 100;
+const MAX_SAVED_RETRIES: u64 = 100;
 
 /// What a try came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
+pub enum AttemptResult {
     /// Proved that nothing ran: no connection, or a word that says so.
     NotRun,
     /// Dismissed, so nothing ran; when to come back, and whether elsewhere is no use.
-    Dismissed { pause: Duration, nowhere_else: bool },
+    Rejected { pause: Duration, nowhere_else: bool },
     /// It failed, ran out of time or lost its connection: it may have run.
     MayHaveRun,
 }
 
 /// A policy made ready.
 #[derive(Clone, Copy, Debug)]
-pub struct Policy {
+pub struct RetryPolicy {
     pub tries: u32,
     pub wait: (Duration, Duration),
     pub proof: Proof,
 }
 
-impl From<&schema::Attempts> for Policy {
+impl From<&schema::Attempts> for RetryPolicy {
     fn from(of: &schema::Attempts) -> Self {
         let ns = Duration::from_nanos;
         let tries = u32::try_from(of.tries).unwrap_or(u32::MAX).max(1);
@@ -50,7 +50,7 @@
 
 /// A ticket as far as repeating goes.
 #[derive(Clone, Copy, Debug)]
-pub struct Tried {
+pub struct RetryContext {
     pub repeat: RepeatKind,
     /// It came marked as a further try.
     pub again: bool,
@@ -64,7 +64,7 @@
 
 /// Why a ticket is not sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Stop {
+pub enum NoRetryReason {
     /// It may have run, and its type or policy does not allow a second run.
     MayHaveRun,
     NowhereElse,
@@ -75,30 +75,32 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Next {
+pub enum RetryDecision {
     /// After this wait, marked as a further try.
-    Again {
+    Retry {
         wait: Duration,
     },
-    Stop(Stop),
+    Stop(NoRetryReason),
 }
 
 /// Further tries that may still be made, in millionths of a try.
 #[derive(Clone, Copy, Debug)]
-pub struct Budget {
+pub struct RetryBudget {
     left: u64,
 }
 
-impl Default for Budget {
+impl Default for RetryBudget {
     fn default() -> Self {
-        Self { left: START * ONE }
+        Self {
+            left: INITIAL_RETRIES * ONE,
+        }
     }
 }
 
-impl Budget {
+impl RetryBudget {
     /// A first try: it earns its share (in millionths) of a further one.
-    pub fn first(&mut self, share: u64) {
-        self.left = (self.left + share).min(SAVED * ONE);
+    pub fn on_first_attempt(&mut self, share: u64) {
+        self.left = (self.left + share).min(MAX_SAVED_RETRIES * ONE);
     }
 
     fn spend(&mut self) -> bool {
@@ -111,22 +113,22 @@
 }
 
 /// Whether the rules allow another try after this one.
-fn allowed(ticket: &Tried, came: Came, proof: Proof) -> bool {
+fn allowed(ticket: &RetryContext, came: AttemptResult, proof: Proof) -> bool {
     match (came, ticket.repeat) {
-        (Came::NotRun | Came::Dismissed { .. }, _) => true,
-        (Came::MayHaveRun, RepeatKind::Rerunnable) => proof == Proof::None,
-        (Came::MayHaveRun, RepeatKind::Ticketed) => proof == Proof::Mark,
-        (Came::MayHaveRun, RepeatKind::Exclusive | RepeatKind::Unspecified) => false,
+        (AttemptResult::NotRun | AttemptResult::Rejected { .. }, _) => true,
+        (AttemptResult::MayHaveRun, RepeatKind::Rerunnable) => proof == Proof::None,
+        (AttemptResult::MayHaveRun, RepeatKind::Ticketed) => proof == Proof::Mark,
+        (AttemptResult::MayHaveRun, RepeatKind::Exclusive | RepeatKind::Unspecified) => false,
     }
 }
 
 /// Usual times after which a try of something that may run again is cut: of runs that differ as by chance, one in
 /// fifty lasts so long.
-const PATIENCE: u32 = 4;
+const MIN_TIMEOUT_FACTOR: u32 = 4;
 
 /// Whether a try that comes to nothing in its time may be followed by another.
-pub fn may_follow(ticket: &Tried, policy: &Policy, budget: &Budget) -> bool {
-    allowed(ticket, Came::MayHaveRun, policy.proof)
+pub fn may_retry(ticket: &RetryContext, policy: &RetryPolicy, budget: &RetryBudget) -> bool {
+    allowed(ticket, AttemptResult::MayHaveRun, policy.proof)
         && !ticket.again
         && ticket.tries < policy.tries
         && budget.left >= ONE
@@ -136,48 +138,55 @@
 /// Else an even part of what is left for the tries that may follow, but never less than some usual ones take, or
 /// long runs would be cut at one member and begun anew at the next (tried: with runs of 200 ms by chance and a goal of
 /// 1 s, a fifth of all tickets was given up on a calm day).
-pub fn cut(left: Duration, tries_left: u32, usual: Duration, may_follow: bool) -> Duration {
+pub fn attempt_timeout(
+    left: Duration,
+    tries_left: u32,
+    usual: Duration,
+    may_follow: bool,
+) -> Duration {
     if !may_follow {
         return left;
     }
-    (left / tries_left.max(1)).max(usual * PATIENCE).min(left)
+    (left / tries_left.max(1))
+        .max(usual * MIN_TIMEOUT_FACTOR)
+        .min(left)
 }
 
 /// What follows a try.
 pub fn next(
-    ticket: &Tried,
-    came: Came,
-    policy: &Policy,
-    budget: &mut Budget,
+    ticket: &RetryContext,
+    came: AttemptResult,
+    policy: &RetryPolicy,
+    budget: &mut RetryBudget,
     chance: &mut WyRand,
-) -> Next {
+) -> RetryDecision {
     if !allowed(ticket, came, policy.proof) {
-        return Next::Stop(Stop::MayHaveRun);
+        return RetryDecision::Stop(NoRetryReason::MayHaveRun);
     }
-    if let Came::Dismissed {
+    if let AttemptResult::Rejected {
         nowhere_else: true, ..
     } = came
     {
-        return Next::Stop(Stop::NowhereElse);
+        return RetryDecision::Stop(NoRetryReason::NowhereElse);
     }
     if ticket.again {
-        return Next::Stop(Stop::FurtherTry);
+        return RetryDecision::Stop(NoRetryReason::FurtherTry);
     }
     if ticket.tries >= policy.tries {
-        return Next::Stop(Stop::Tries);
+        return RetryDecision::Stop(NoRetryReason::Tries);
     }
     let (least, most) = policy.wait;
     let spread = most.saturating_sub(least);
     let wait = least + spread.mul_f64(f64::from(chance.generate::<u32>()) / f64::from(u32::MAX));
     let left = ticket.left.saturating_sub(wait);
     if left < ticket.usual || left.is_zero() {
-        return Next::Stop(Stop::Time);
+        return RetryDecision::Stop(NoRetryReason::Time);
     }
     // Last, so that nothing is spent on a try that is not made.
     if !budget.spend() {
-        return Next::Stop(Stop::Budget);
+        return RetryDecision::Stop(NoRetryReason::Budget);
     }
-    Next::Again { wait }
+    RetryDecision::Retry { wait }
 }
 
 #[cfg(test)]
@@ -186,7 +195,7 @@
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
-    const POLICY: Policy = Policy {
+    const POLICY: RetryPolicy = RetryPolicy {
         tries: 3,
         wait: (Duration::from_millis(20), Duration::from_millis(120)),
         proof: Proof::None,
@@ -196,8 +205,8 @@
         Duration::from_millis(n)
     }
 
-    fn ticket(repeat: RepeatKind) -> Tried {
-        Tried {
+    fn ticket(repeat: RepeatKind) -> RetryContext {
+        RetryContext {
             repeat,
             again: false,
             tries: 1,
@@ -209,34 +218,39 @@
     #[test]
     fn what_may_have_run_is_repeated_only_where_its_type_allows_it() {
         use {Proof::*, RepeatKind::*};
-        let gone = Came::Dismissed {
+        let gone = AttemptResult::Rejected {
             pause: ms(100),
             nowhere_else: false,
         };
         let table = [
-            (Exclusive, NotRun, Came::MayHaveRun, false),
-            (Exclusive, Mark, Came::MayHaveRun, false),
-            (Exclusive, None, Came::MayHaveRun, false),
-            (Exclusive, None, Came::NotRun, true),
+            (Exclusive, NotRun, AttemptResult::MayHaveRun, false),
+            (Exclusive, Mark, AttemptResult::MayHaveRun, false),
+            (Exclusive, None, AttemptResult::MayHaveRun, false),
+            (Exclusive, None, AttemptResult::NotRun, true),
             (Exclusive, NotRun, gone, true),
-            (Ticketed, NotRun, Came::MayHaveRun, false),
-            (Ticketed, Mark, Came::MayHaveRun, true),
-            (Ticketed, None, Came::MayHaveRun, false),
-            (Rerunnable, NotRun, Came::MayHaveRun, false),
-            (Rerunnable, None, Came::MayHaveRun, true),
-            (RepeatKind::Unspecified, None, Came::MayHaveRun, false),
+            (Ticketed, NotRun, AttemptResult::MayHaveRun, false),
+            (Ticketed, Mark, AttemptResult::MayHaveRun, true),
+            (Ticketed, None, AttemptResult::MayHaveRun, false),
+            (Rerunnable, NotRun, AttemptResult::MayHaveRun, false),
+            (Rerunnable, None, AttemptResult::MayHaveRun, true),
+            (
+                RepeatKind::Unspecified,
+                None,
+                AttemptResult::MayHaveRun,
+                false,
+            ),
         ];
         for (repeat, proof, came, again) in table {
-            let (mut budget, mut chance) = (Budget::default(), WyRand::new_seed(1));
+            let (mut budget, mut chance) = (RetryBudget::default(), WyRand::new_seed(1));
             let found = next(
                 &ticket(repeat),
                 came,
-                &Policy { proof, ..POLICY },
+                &RetryPolicy { proof, ..POLICY },
                 &mut budget,
                 &mut chance,
             );
             assert_eq!(
-                matches!(found, Next::Again { .. }),
+                matches!(found, RetryDecision::Retry { .. }),
                 again,
                 "{repeat:?} {proof:?} {came:?}: {found:?}"
             );
@@ -246,36 +260,40 @@
     #[test]
     fn each_bound_stops_it() {
         let whole = ticket(RepeatKind::Rerunnable);
-        let nowhere = Came::Dismissed {
+        let nowhere = AttemptResult::Rejected {
             pause: ms(1),
             nowhere_else: true,
         };
         let table = [
             (
-                Tried {
+                RetryContext {
                     again: true,
                     ..whole
                 },
-                Came::NotRun,
-                Stop::FurtherTry,
+                AttemptResult::NotRun,
+                NoRetryReason::FurtherTry,
+            ),
+            (
+                RetryContext { tries: 3, ..whole },
+                AttemptResult::NotRun,
+                NoRetryReason::Tries,
             ),
-            (Tried { tries: 3, ..whole }, Came::NotRun, Stop::Tries),
             (
-                Tried {
+                RetryContext {
                     left: ms(110),
                     ..whole
                 },
-                Came::NotRun,
-                Stop::Time,
+                AttemptResult::NotRun,
+                NoRetryReason::Time,
             ),
-            (whole, nowhere, Stop::NowhereElse),
+            (whole, nowhere, NoRetryReason::NowhereElse),
         ];
         for (ticket, came, stop) in table {
-            let (mut budget, mut chance) = (Budget::default(), WyRand::new_seed(1));
+            let (mut budget, mut chance) = (RetryBudget::default(), WyRand::new_seed(1));
             let before = budget.left;
             assert_eq!(
                 next(&ticket, came, &POLICY, &mut budget, &mut chance),
-                Next::Stop(stop)
+                RetryDecision::Stop(stop)
             );
             assert_eq!(budget.left, before, "a try that is not made costs nothing");
         }
@@ -283,15 +301,15 @@
 
     #[test]
     fn a_try_that_nothing_can_follow_has_all_the_time() {
-        let (full, empty) = (Budget::default(), Budget { left: 0 });
-        let once = Policy { tries: 1, ..POLICY };
+        let (full, empty) = (RetryBudget::default(), RetryBudget { left: 0 });
+        let once = RetryPolicy { tries: 1, ..POLICY };
         let table = [
             (RepeatKind::Rerunnable, POLICY, full, true),
             (RepeatKind::Rerunnable, POLICY, empty, false),
             (RepeatKind::Rerunnable, once, full, false),
             (
                 RepeatKind::Rerunnable,
-                Policy {
+                RetryPolicy {
                     proof: Proof::NotRun,
                     ..POLICY
                 },
@@ -301,7 +319,7 @@
             (RepeatKind::Exclusive, POLICY, full, false),
             (
                 RepeatKind::Ticketed,
-                Policy {
+                RetryPolicy {
                     proof: Proof::Mark,
                     ..POLICY
                 },
@@ -311,15 +329,15 @@
         ];
         for (repeat, policy, budget, wanted) in table {
             assert_eq!(
-                may_follow(&ticket(repeat), &policy, &budget),
+                may_retry(&ticket(repeat), &policy, &budget),
                 wanted,
                 "{repeat:?} {policy:?}"
             );
         }
-        assert_eq!(cut(ms(900), 3, ms(20), true), ms(300));
-        assert_eq!(cut(ms(900), 3, ms(150), true), ms(600));
-        assert_eq!(cut(ms(900), 3, ms(300), true), ms(900));
-        assert_eq!(cut(ms(900), 3, ms(20), false), ms(900));
+        assert_eq!(attempt_timeout(ms(900), 3, ms(20), true), ms(300));
+        assert_eq!(attempt_timeout(ms(900), 3, ms(150), true), ms(600));
+        assert_eq!(attempt_timeout(ms(900), 3, ms(300), true), ms(900));
+        assert_eq!(attempt_timeout(ms(900), 3, ms(20), false), ms(900));
     }
 
     proptest! {
@@ -333,29 +351,29 @@
             fails in proptest::collection::vec(any::<bool>(), 1..600),
             seed in any::<u64>(),
         ) {
-            let (mut budget, mut chance) = (Budget::default(), WyRand::new_seed(seed));
+            let (mut budget, mut chance) = (RetryBudget::default(), WyRand::new_seed(seed));
             let (mut first, mut further) = (0u64, 0u64);
             for fails in fails {
-                budget.first(share);
+                budget.on_first_attempt(share);
                 first += 1;
                 let mut one = ticket(RepeatKind::Rerunnable);
                 if !fails {
                     continue;
                 }
-                while let Next::Again { wait } =
-                    next(&one, Came::MayHaveRun, &POLICY, &mut budget, &mut chance)
+                while let RetryDecision::Retry { wait } =
+                    next(&one, AttemptResult::MayHaveRun, &POLICY, &mut budget, &mut chance)
                 {
                     prop_assert!(wait >= POLICY.wait.0 && wait <= POLICY.wait.1);
                     let left = one.left - wait;
-                    let follows = may_follow(&one, &POLICY, &budget);
-                    let cut = cut(left, POLICY.tries - one.tries, one.usual, follows);
+                    let follows = may_retry(&one, &POLICY, &budget);
+                    let cut = attempt_timeout(left, POLICY.tries - one.tries, one.usual, follows);
                     prop_assert!(cut <= left && cut >= one.usual.min(left));
                     prop_assert!(follows || cut == left, "what nothing follows has all the time");
                     further += 1;
                     one.tries += 1;
                     one.left -= wait + cut;
                 }
-                prop_assert!(further <= START + first * share / ONE);
+                prop_assert!(further <= INITIAL_RETRIES + first * share / ONE);
             }
         }
     }
--- a/crates/routing/src/versions.rs
+++ b/crates/routing/src/router.rs
@@ -2,7 +2,7 @@
 //!
 //! A ticket that came in under a version finishes under it: its route, its times and the counts that it
 //! stands in, all of which it carries, so that of versions but the present one no more is kept than how many tickets
-//! they have. Buckets of limits belong to no version: they are known by name ([`crate::buckets`]), made when first
+//! they have. Buckets of limits belong to no version: they are known by name ([`crate::token_buckets`]), made when first
 //! used, and a version that limits the same place for the same key goes on with what is there, under its own rule:
 //! what was let in stays let in. A version that has no more tickets and is not the present one is dropped with
 //! whatever only it knew.
@@ -11,12 +11,12 @@
 //! a version is the number of its [`Way`]s out there; a bucket of a limit of the present version is under that
 //! limit's rule.
 
-use crate::buckets::{Buckets, Key};
-use crate::budget::Times;
-use crate::change::{Change, Kind};
-use crate::limit::{Full, Rule};
-use crate::table::{NoWay, Place, Table, Ticket};
-use crate::Refused;
+use crate::rate_limit::{LimitExceeded, LimitRule};
+use crate::table::{Placement, Request, RoutingError, Table};
+use crate::table_update::{EntryKind, TableChange};
+use crate::time_budget::Times;
+use crate::token_buckets::{Buckets, Key};
+use crate::ConfigurationError;
 use foldhash::HashMap;
 use nanorand::WyRand;
 use rainstand_config::schema::{Configuration, Per};
@@ -27,46 +27,46 @@
 
 /// Versions with tickets in hand: a hundred changes within one outer limit and some room. Past it a new
 /// version is refused until an old one ends.
-pub const MOST_VERSIONS: usize = 128;
+pub const MAX_VERSIONS: usize = 128;
 /// Told where all places are taken and nobody knows when one leaves: a usual run.
-const WHEN_FULL: Duration = Duration::from_millis(100);
+const RETRY_AFTER_AT_CAPACITY: Duration = Duration::from_millis(100);
 /// Told where no pool can be used, or no route takes the ticket: as long as health takes to change.
-const WHEN_NOWHERE: Duration = Duration::from_secs(1);
-/// Told where all buckets are in use: by then the sweep has been around ([`crate::buckets`]).
-const WHEN_NO_BUCKET: Duration = Duration::from_secs(1);
+const RETRY_AFTER_NO_ROUTE: Duration = Duration::from_secs(1);
+/// Told where all buckets are in use: by then the sweep has been around ([`crate::token_buckets`]).
+const RETRY_AFTER_NO_BUCKET: Duration = Duration::from_secs(1);
 /// Places of a ticket at which limits may stand: its type, tenant, route and pool.
-const PLACES: usize = 4;
+const LIMIT_SCOPES: usize = 4;
 /// No bucket.
-const NONE: u32 = u32::MAX;
+const NO_BUCKET: u32 = u32::MAX;
 
 /// A ticket's way. It is given back with [`Router::ended`] exactly once, when the ticket is over.
 #[must_use = "a way that is not given back keeps its version and its places for ever"]
 #[derive(Debug)]
-pub struct Way {
+pub struct RouteDecision {
     pub version: u64,
-    pub place: Place,
+    pub place: Placement,
     /// The names of its route and pool: their places are those of its version.
     pub route: Rc<str>,
     pub pool: Rc<str>,
     pub times: Times,
-    held: [u32; PLACES],
+    held: [u32; LIMIT_SCOPES],
 }
 
 /// Why a ticket was turned away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Why {
+pub enum RejectReason {
     NoRoute,
     /// None of the route's pools can be used.
     NoPool,
     /// A limit of its type, tenant, route or pool is full.
-    Limit(At),
+    Limit(LimitScope),
     /// A limit would count it for the first time, and as many buckets as there may be are in use.
     NoBucket,
 }
 
 /// Where a limit stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum At {
+pub enum LimitScope {
     Type,
     Tenant,
     Route,
@@ -74,8 +74,8 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Turned {
-    pub why: Why,
+pub struct Rejected {
+    pub why: RejectReason,
     /// When to come back, from now on.
     pub after: Duration,
     /// The route that would have taken it.
@@ -83,14 +83,14 @@
 }
 
 #[derive(Debug)]
-pub enum Verdict {
-    Goes(Way),
-    Turned(Turned),
+pub enum Admission {
+    Admitted(RouteDecision),
+    Rejected(Rejected),
 }
 
 /// What happened since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub struct RouterCounts {
     pub went: u64,
     pub ended: u64,
     pub no_route: u64,
@@ -116,19 +116,30 @@
     versions: VecDeque<Version>,
     buckets: Buckets,
     chance: WyRand,
-    counts: Counts,
+    counts: RouterCounts,
 }
 
-const ALL_PLACES: [At; PLACES] = [At::Type, At::Tenant, At::Route, At::Pool];
+const ALL_SCOPES: [LimitScope; LIMIT_SCOPES] = [
+    LimitScope::Type,
+    LimitScope::Tenant,
+    LimitScope::Route,
+    LimitScope::Pool,
+];
 
 /// The limit at a place: its rule, and what its bucket for this ticket is known by.
-fn limit(table: &Table, at: At, of: usize, ticket: &Ticket<'_>, pool: u16) -> Option<(Rule, Key)> {
+fn limit(
+    table: &Table,
+    at: LimitScope,
+    of: usize,
+    ticket: &Request<'_>,
+    pool: u16,
+) -> Option<(LimitRule, Key)> {
     let c = &table.configuration;
     let (limits, name) = match at {
-        At::Type => (*table.type_limits.get(of)?, &c.types[of].name),
-        At::Tenant => (*table.tenant_limits.get(of)?, &c.tenants[of].name),
-        At::Route => (table.routes[of].limits, &c.routes[of].name),
-        At::Pool => (table.pools[of].limits, &c.pools[of].name),
+        LimitScope::Type => (*table.type_limits.get(of)?, &c.types[of].name),
+        LimitScope::Tenant => (*table.tenant_limits.get(of)?, &c.tenants[of].name),
+        LimitScope::Route => (table.routes[of].limits, &c.routes[of].name),
+        LimitScope::Pool => (table.pools[of].limits, &c.pools[of].name),
     };
     let (rule, per) = table.limits[usize::from(limits?)];
     let of = match per {
@@ -142,10 +153,10 @@
 
 /// Those rules at places that have limits, by what their buckets have in common.
 #[derive(Default)]
-struct Rules(HashMap<u64, Rule>);
+struct HealthRules(HashMap<u64, LimitRule>);
 
-impl Rules {
-    fn add(&mut self, table: &Table, at: At, name: &str, limits: Option<u16>) {
+impl HealthRules {
+    fn add(&mut self, table: &Table, at: LimitScope, name: &str, limits: Option<u16>) {
         if let Some(limits) = limits {
             let (rule, per) = table.limits[usize::from(limits)];
             self.0.insert(Key::new(at, name, per, None).place, rule);
@@ -155,33 +166,33 @@
     /// At all places whose limits are among these.
     fn all(table: &Table, among: impl Fn(u16) -> bool) -> Self {
         let (c, mut rules) = (&table.configuration, Self::default());
-        let mut add = |at: At, name: &str, limits: Option<u16>| {
+        let mut add = |at: LimitScope, name: &str, limits: Option<u16>| {
             rules.add(table, at, name, limits.filter(|limits| among(*limits)));
         };
         c.types
             .iter()
             .zip(&table.type_limits)
-            .for_each(|(x, limits)| add(At::Type, &x.name, *limits));
+            .for_each(|(x, limits)| add(LimitScope::Type, &x.name, *limits));
         c.tenants
             .iter()
             .zip(&table.tenant_limits)
-            .for_each(|(x, limits)| add(At::Tenant, &x.name, *limits));
+            .for_each(|(x, limits)| add(LimitScope::Tenant, &x.name, *limits));
         table
             .routes
             .iter()
-            .for_each(|x| add(At::Route, &x.name, x.limits));
+            .for_each(|x| add(LimitScope::Route, &x.name, x.limits));
         table
             .pools
             .iter()
-            .for_each(|x| add(At::Pool, &x.name, x.limits));
+            .for_each(|x| add(LimitScope::Pool, &x.name, x.limits));
         rules
     }
 
     /// At places that a change says something of.
-    fn of(table: &Table, changes: &[Change]) -> Self {
+    fn of(table: &Table, changes: &[TableChange]) -> Self {
         let c = &table.configuration;
-        let named = |change: &Change| match change {
-            Change::Limits(one) => table.index.limits.get(&c.limits, &one.name),
+        let named = |change: &TableChange| match change {
+            TableChange::Limits(one) => table.index.limits.get(&c.limits, &one.name),
             _ => None,
         };
         let limits: Vec<u16> = changes.iter().filter_map(named).collect();
@@ -193,33 +204,33 @@
             let (kind, name) = change.of();
             let of_route = || table.index.routes.get(&c.routes, name);
             match kind {
-                Kind::Type => {
+                EntryKind::Type => {
                     let at = table.traffic(name);
                     rules.add(
                         table,
-                        At::Type,
+                        LimitScope::Type,
                         name,
                         at.and_then(|at| table.type_limits[usize::from(at)]),
                     );
                 }
-                Kind::Tenant => {
+                EntryKind::Tenant => {
                     let at = table.tenant(name);
                     rules.add(
                         table,
-                        At::Tenant,
+                        LimitScope::Tenant,
                         name,
                         at.and_then(|at| table.tenant_limits[usize::from(at)]),
                     );
                 }
-                Kind::Route => {
+                EntryKind::Route => {
                     let of = of_route().and_then(|at| table.routes[usize::from(at)].limits);
-                    rules.add(table, At::Route, name, of);
+                    rules.add(table, LimitScope::Route, name, of);
                 }
-                Kind::Pool => {
+                EntryKind::Pool => {
                     let of = table
                         .pool(name)
                         .and_then(|at| table.pools[usize::from(at)].limits);
-                    rules.add(table, At::Pool, name, of);
+                    rules.add(table, LimitScope::Pool, name, of);
                 }
                 _ => {}
             }
@@ -233,7 +244,7 @@
     ///
     /// # Errors
     /// As [`Table::new`].
-    pub fn new(configuration: &Configuration, seed: u64) -> Result<Self, Refused> {
+    pub fn new(configuration: &Configuration, seed: u64) -> Result<Self, ConfigurationError> {
         Self::of(configuration.clone(), seed)
     }
 
@@ -241,15 +252,15 @@
     ///
     /// # Errors
     /// As [`Table::of`].
-    pub fn of(configuration: Configuration, seed: u64) -> Result<Self, Refused> {
+    pub fn of(configuration: Configuration, seed: u64) -> Result<Self, ConfigurationError> {
         Ok(Self {
             table: Table::of(configuration)?,
             versions: VecDeque::from([Version { number: 1, open: 0 }]),
             buckets: Buckets::default(),
             chance: WyRand::new_seed(seed),
-            counts: Counts {
+            counts: RouterCounts {
                 versions_taken: 1,
-                ..Counts::default()
+                ..RouterCounts::default()
             },
         })
     }
@@ -258,16 +269,27 @@
     ///
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
-    pub fn take(&mut self, configuration: &Configuration, now: Duration) -> Result<u64, Refused> {
-        self.replace(configuration.clone(), now)
+    pub fn install(
+        &mut self,
+        configuration: &Configuration,
+        now: Duration,
+    ) -> Result<u64, ConfigurationError> {
+        self.install_owned(configuration.clone(), now)
     }
 
     /// The same, of a message that is given away.
     ///
     /// # Errors
     /// As [`Router::take`].
-    pub fn replace(&mut self, configuration: Configuration, now: Duration) -> Result<u64, Refused> {
-        let table = match self.has_room().and_then(|()| Table::of(configuration)) {
+    pub fn install_owned(
+        &mut self,
+        configuration: Configuration,
+        now: Duration,
+    ) -> Result<u64, ConfigurationError> {
+        let table = match self
+            .check_version_capacity()
+            .and_then(|()| Table::of(configuration))
+        {
             Ok(table) => table,
             Err(refused) => {
                 self.counts.versions_refused += 1;
@@ -277,35 +299,41 @@
         self.table = table;
         if self.buckets.in_use() > 0 {
             self.buckets
-                .under(&Rules::all(&self.table, |_| true).0, now);
+                .set_rules(&HealthRules::all(&self.table, |_| true).0, now);
         }
         Ok(self.next())
     }
 
-    /// Takes a change of the present version as a new one, at the cost of what it says ([`crate::change`]).
+    /// Takes a change of the present version as a new one, at the cost of what it says ([`crate::table_update`]).
     ///
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
-    pub fn apply(&mut self, changes: &[Change], now: Duration) -> Result<u64, Refused> {
-        let applied = self.has_room().and_then(|()| self.table.apply(changes));
+    pub fn apply(
+        &mut self,
+        changes: &[TableChange],
+        now: Duration,
+    ) -> Result<u64, ConfigurationError> {
+        let applied = self
+            .check_version_capacity()
+            .and_then(|()| self.table.apply(changes));
         if let Err(refused) = applied {
             self.counts.versions_refused += 1;
             return Err(refused);
         }
         if self.buckets.in_use() > 0 {
-            let rules = Rules::of(&self.table, changes).0;
+            let rules = HealthRules::of(&self.table, changes).0;
             if !rules.is_empty() {
-                self.buckets.under(&rules, now);
+                self.buckets.set_rules(&rules, now);
             }
         }
         Ok(self.next())
     }
 
-    fn has_room(&self) -> Result<(), Refused> {
-        if self.versions.len() >= MOST_VERSIONS {
+    fn check_version_capacity(&self) -> Result<(), ConfigurationError> {
+        if self.versions.len() >= MAX_VERSIONS {
             let words =
-                format!("{MOST_VERSIONS} versions still have tickets; try again when some ended");
-            return Err(Refused(words));
+                format!("{MAX_VERSIONS} versions still have tickets; try again when some ended");
+            return Err(ConfigurationError(words));
         }
         Ok(())
     }
@@ -329,13 +357,13 @@
     }
 
     /// Time passes: some buckets that are idle are given back. Some times a second.
-    pub fn look(&mut self, now: Duration) {
+    pub fn tick(&mut self, now: Duration) {
         self.buckets.sweep(now);
     }
 
-    /// Fewer buckets than [`crate::buckets::MOST_BUCKETS`]; those that are in use stay.
+    /// Fewer buckets than [`crate::token_buckets::MAX_BUCKETS`]; those that are in use stay.
     pub fn bound_buckets(&mut self, most: usize) {
-        self.buckets.bound(most);
+        self.buckets.set_max(most);
     }
 
     /// The present version's table: indices of tickets are those of it.
@@ -357,7 +385,7 @@
             .map(|version| (version.number, version.open))
     }
 
-    pub fn counts(&self) -> Counts {
+    pub fn counts(&self) -> RouterCounts {
         self.counts
     }
 
@@ -370,12 +398,12 @@
     /// over as if it were out; what that leaves decides. Whoever is turned away has used nothing.
     ///
     /// `usable`: whether a pool, by its index in the present table, can take tickets.
-    pub fn arrived(
+    pub fn on_arrival(
         &mut self,
         now: Duration,
-        ticket: &Ticket<'_>,
+        ticket: &Request<'_>,
         usable: impl Fn(u16) -> bool,
-    ) -> Verdict {
+    ) -> Admission {
         let Self {
             table,
             versions,
@@ -385,7 +413,10 @@
         } = self;
         let last = versions.len() - 1;
         let Version { number, open } = &mut versions[last];
-        let look = |at: At, of: usize, pool: u16| -> Result<Option<(Rule, Key)>, Full> {
+        let look = |at: LimitScope,
+                    of: usize,
+                    pool: u16|
+         -> Result<Option<(LimitRule, Key)>, LimitExceeded> {
             let Some((rule, key)) = limit(table, at, of, ticket, pool) else {
                 return Ok(None);
             };
@@ -395,7 +426,7 @@
         let passed_over: Cell<Option<Duration>> = Cell::new(None);
         let open_pool = |pool: u16| {
             usable(pool)
-                && match look(At::Pool, usize::from(pool), pool) {
+                && match look(LimitScope::Pool, usize::from(pool), pool) {
                     Ok(_) => true,
                     Err(full) => {
                         let told = until(full, now);
@@ -408,26 +439,26 @@
         };
         let place = match table.place(ticket, chance, open_pool) {
             Ok(place) => place,
-            Err(NoWay::NoRoute) => {
+            Err(RoutingError::NoRoute) => {
                 counts.no_route += 1;
-                return Verdict::Turned(Turned {
-                    why: Why::NoRoute,
-                    after: WHEN_NOWHERE,
+                return Admission::Rejected(Rejected {
+                    why: RejectReason::NoRoute,
+                    after: RETRY_AFTER_NO_ROUTE,
                     route: None,
                 });
             }
-            Err(NoWay::NoPool(route)) => {
+            Err(RoutingError::NoPool(route)) => {
                 let (why, after) = match passed_over.get() {
-                    Some(after) => (Why::Limit(At::Pool), after),
-                    None => (Why::NoPool, WHEN_NOWHERE),
+                    Some(after) => (RejectReason::Limit(LimitScope::Pool), after),
+                    None => (RejectReason::NoPool, RETRY_AFTER_NO_ROUTE),
                 };
-                if why == Why::NoPool {
+                if why == RejectReason::NoPool {
                     counts.no_pool += 1;
                 } else {
                     counts.limited += 1;
                 }
-                let after = bounded(table, Some(route), None, after);
-                return Verdict::Turned(Turned {
+                let after = clamp_retry_after(table, Some(route), None, after);
+                return Admission::Rejected(Rejected {
                     why,
                     after,
                     route: Some(route),
@@ -441,9 +472,9 @@
             usize::from(place.route),
             usize::from(place.pool),
         ];
-        let mut counted = [None; PLACES];
-        let mut turned: Option<(At, Duration)> = None;
-        for (k, at) in ALL_PLACES.into_iter().enumerate() {
+        let mut counted = [None; LIMIT_SCOPES];
+        let mut turned: Option<(LimitScope, Duration)> = None;
+        for (k, at) in ALL_SCOPES.into_iter().enumerate() {
             match look(at, of[k], place.pool) {
                 Ok(limit) => counted[k] = limit,
                 // All must let it in, so the latest counts.
@@ -457,9 +488,9 @@
         }
         if let Some((at, after)) = turned {
             counts.limited += 1;
-            let after = bounded(table, Some(place.route), Some(place.pool), after);
-            return Verdict::Turned(Turned {
-                why: Why::Limit(at),
+            let after = clamp_retry_after(table, Some(place.route), Some(place.pool), after);
+            return Admission::Rejected(Rejected {
+                why: RejectReason::Limit(at),
                 after,
                 route: Some(place.route),
             });
@@ -467,15 +498,20 @@
         // Room for all that are new, or none is made: whoever is turned away has used nothing.
         if !buckets.make_room(|| counted.iter().flatten().map(|(_, key)| *key), now) {
             counts.no_bucket += 1;
-            let after = bounded(table, Some(place.route), Some(place.pool), WHEN_NO_BUCKET);
-            return Verdict::Turned(Turned {
-                why: Why::NoBucket,
+            let after = clamp_retry_after(
+                table,
+                Some(place.route),
+                Some(place.pool),
+                RETRY_AFTER_NO_BUCKET,
+            );
+            return Admission::Rejected(Rejected {
+                why: RejectReason::NoBucket,
                 after,
                 route: Some(place.route),
             });
         }
-        let held =
-            counted.map(|one| one.map_or(NONE, |(rule, key)| buckets.enter(key, &rule, now)));
+        let held = counted
+            .map(|one| one.map_or(NO_BUCKET, |(rule, key)| buckets.acquire(key, &rule, now)));
         *open += 1;
         counts.went += 1;
         let times = table.times(place.route, ticket.traffic);
@@ -484,7 +520,7 @@
             &table.pools[usize::from(place.pool)],
         );
         let (route, pool) = (route.name.clone(), pool.name.clone());
-        Verdict::Goes(Way {
+        Admission::Admitted(RouteDecision {
             version: *number,
             place,
             route,
@@ -495,9 +531,9 @@
     }
 
     /// A ticket is over, whatever came of it.
-    pub fn ended(&mut self, way: Way) {
-        for slot in way.held.into_iter().filter(|slot| *slot != NONE) {
-            self.buckets.leave(slot);
+    pub fn on_completed(&mut self, way: RouteDecision) {
+        for slot in way.held.into_iter().filter(|slot| *slot != NO_BUCKET) {
+            self.buckets.release(slot);
         }
         self.counts.ended += 1;
         let Some(at) = self.find(way.version) else {
@@ -511,15 +547,15 @@
     }
 }
 
-fn until(full: Full, now: Duration) -> Duration {
+fn until(full: LimitExceeded, now: Duration) -> Duration {
     match full {
-        Full::Until(then) => then.saturating_sub(now),
-        Full::AtOnce => WHEN_FULL,
+        LimitExceeded::RateUntil(then) => then.saturating_sub(now),
+        LimitExceeded::Concurrency => RETRY_AFTER_AT_CAPACITY,
     }
 }
 
 /// Within what the route's or the pool's retry-after says.
-pub(crate) fn bounded(
+pub(crate) fn clamp_retry_after(
     table: &Table,
     route: Option<u16>,
     pool: Option<u16>,
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -7,7 +7,7 @@
 //!
 //! Invariant: a subset holds `know` different members, or all if there are no more.
 
-use crate::split::{mark, score};
+use crate::weighted_split::{name_hash, score};
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{Configuration, Pool};
 
@@ -37,7 +37,7 @@
 /// The same for one pool with all its members, as a change names it.
 pub fn reduce_pool(pool: &mut Pool, me: usize) {
     let know = usize::try_from(pool.know).unwrap_or(usize::MAX);
-    let mine = in_rounds(pool.members.len(), know, me, mark(&pool.name));
+    let mine = in_rounds(pool.members.len(), know, me, name_hash(&pool.name));
     let all = std::mem::take(&mut pool.members);
     let mut mine = mine.into_iter().peekable();
     let known = all
@@ -75,7 +75,7 @@
 }
 
 /// The members that score highest for a forwarder's name, in order of their places. `marks`: of the members
-/// ([`crate::split::mark`]).
+/// ([`crate::weighted_split::name_hash`]).
 pub fn by_score(marks: &[u64], know: usize, me: &str) -> Vec<usize> {
     if know == 0 || know >= marks.len() {
         return (0..marks.len()).collect();
@@ -94,7 +94,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::split::mark;
+    use crate::weighted_split::name_hash;
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
@@ -112,7 +112,7 @@
             members,
         );
         assert_eq!((least, most), (10, 10));
-        let marks: Vec<u64> = (0..members).map(|k| mark(&format!("n{k}"))).collect();
+        let marks: Vec<u64> = (0..members).map(|k| name_hash(&format!("n{k}"))).collect();
         let (least, most) = known(
             (0..forwarders).map(|me| by_score(&marks, know, &format!("f{me}"))),
             members,
@@ -125,7 +125,7 @@
 
     #[test]
     fn a_member_that_leaves_changes_little_by_score() {
-        let marks: Vec<u64> = (0..200).map(|k| mark(&format!("n{k}"))).collect();
+        let marks: Vec<u64> = (0..200).map(|k| name_hash(&format!("n{k}"))).collect();
         let before = by_score(&marks, 20, "f1");
         let without: Vec<u64> = marks
             .iter()
