--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -6,16 +6,16 @@
 //! order.
 //!
 //! There is one table, that of the present version: a ticket that came in under an earlier one carries what it still
-//! needs of it ([`crate::versions::Way`]). So a change of named things alters the table where it says something
-//! ([`crate::change`]), and two versions that are open take the memory of one.
+//! needs of it ([`crate::router::RouteDecision`]). So a change of named things alters the table where it says something
+//! ([`crate::table_update`]), and two versions that are open take the memory of one.
 //!
 //! Invariants: every index in a [`Table`] is within its list; shares of a split are each above 0; the
 //! chain of fall-backs of a pool ends; bits and list entries past the last route are none.
 
-use crate::budget::Times;
-use crate::limit::Rule;
-use crate::split::{by_chance, by_entity, mark};
-use crate::Refused;
+use crate::rate_limit::LimitRule;
+use crate::time_budget::Times;
+use crate::weighted_split::{by_chance, by_entity, name_hash};
+use crate::ConfigurationError;
 use foldhash::{HashMap, HashMapExt};
 use nanorand::WyRand;
 use rainstand_config::schema::{self, Again, Configuration, Per, SplitBy};
@@ -25,17 +25,17 @@
 use std::time::Duration;
 
 /// Blocks of one kind: an index is two bytes.
-pub(crate) const MOST: usize = 65_000;
+pub(crate) const MAX_ENTRIES: usize = 65_000;
 /// Bytes that the rows of one table may take.
-const ROWS: usize = 256 << 20;
+const MAX_ROW_BYTES: usize = 256 << 20;
 
 /// A ticket as far as its way goes. Indices are those of the table it is shown to.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Ticket<'t> {
+pub struct Request<'t> {
     pub traffic: u16,
     /// None: a tenant that the configuration does not name.
     pub tenant: Option<u16>,
-    /// A hash of the name of one that it does not name ([`crate::split::mark`]).
+    /// A hash of the name of one that it does not name ([`crate::weighted_split::name_hash`]).
     pub stranger: u64,
     /// Empty if it has none.
     pub entity: &'t str,
@@ -47,27 +47,27 @@
 
 /// Where a ticket goes and how that came about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
+pub struct Placement {
     pub route: u16,
     pub pool: u16,
-    pub by: By,
+    pub by: PlacementReason,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum By {
+pub enum PlacementReason {
     /// Its share of the route's split, or the route's only pool.
     Share,
     /// The pool of its share cannot be used; another of the split takes it.
     OtherShare,
     /// One of the route's fall-backs, by its place in that list.
-    FallBack(u16),
+    Fallback(u16),
     /// What some pool of the route falls back on.
-    PoolFallBack,
+    PoolFallback,
 }
 
 /// Why a ticket has no way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoWay {
+pub enum RoutingError {
     NoRoute,
     /// This route takes it, but none of its pools can be used.
     NoPool(u16),
@@ -123,10 +123,10 @@
 
 /// Places in a list of the configuration by name. The names stand there; here are their hashes alone.
 #[derive(Debug, Default)]
-pub(crate) struct Names(pub HashMap<u64, u16>);
+pub(crate) struct NameIndex(pub HashMap<u64, u16>);
 
-impl Names {
-    fn new<T: Named>(all: &[T]) -> Result<Self, Refused> {
+impl NameIndex {
+    fn new<T: Named>(all: &[T]) -> Result<Self, ConfigurationError> {
         let mut names = Self(HashMap::with_capacity(all.len()));
         for at in 0..all.len() {
             names.put(all, at)?;
@@ -135,10 +135,12 @@
     }
 
     /// The one at this place; nothing has changed if it is refused.
-    pub fn put<T: Named>(&mut self, all: &[T], at: usize) -> Result<(), Refused> {
+    pub fn put<T: Named>(&mut self, all: &[T], at: usize) -> Result<(), ConfigurationError> {
         let (what, name) = (T::WHAT, all[at].name());
-        if at >= MOST {
-            return Err(Refused(format!("more than {MOST} of {what}")));
+        if at >= MAX_ENTRIES {
+            return Err(ConfigurationError(format!(
+                "more than {MAX_ENTRIES} of {what}"
+            )));
         }
         self.free(all, name)?;
         self.moved(name, at as u16);
@@ -147,15 +149,15 @@
 
     /// # Errors
     /// If another one stands for it already.
-    pub fn free<T: Named>(&self, all: &[T], name: &str) -> Result<(), Refused> {
-        let Some(there) = self.0.get(&mark(name)) else {
+    pub fn free<T: Named>(&self, all: &[T], name: &str) -> Result<(), ConfigurationError> {
+        let Some(there) = self.0.get(&name_hash(name)) else {
             return Ok(());
         };
         let (what, other) = (
             T::WHAT,
             all.get(usize::from(*there)).map_or("", Named::name),
         );
-        Err(Refused(match other == name {
+        Err(ConfigurationError(match other == name {
             true => format!("{what} `{name}` is there twice"),
             // One in a thousand million configurations of this size: another name will do.
             false => format!("{what} `{name}` has the hash of `{other}`; give it another name"),
@@ -163,12 +165,12 @@
     }
 
     pub fn remove(&mut self, name: &str) {
-        self.0.remove(&mark(name));
+        self.0.remove(&name_hash(name));
     }
 
     /// It stands here now.
     pub fn moved(&mut self, name: &str, to: u16) {
-        self.0.insert(mark(name), to);
+        self.0.insert(name_hash(name), to);
     }
 
     pub fn each(&mut self, what: impl FnMut(&mut u16)) {
@@ -176,17 +178,21 @@
     }
 
     pub fn get<T: Named>(&self, all: &[T], name: &str) -> Option<u16> {
-        let at = *self.0.get(&mark(name))?;
+        let at = *self.0.get(&name_hash(name))?;
         (all.get(usize::from(at))?.name() == name).then_some(at)
     }
 
-    pub fn find<T: Named>(&self, all: &[T], name: &str) -> Result<u16, Refused> {
+    pub fn find<T: Named>(&self, all: &[T], name: &str) -> Result<u16, ConfigurationError> {
         self.get(all, name)
-            .ok_or_else(|| Refused(format!("there is no {} `{name}`", T::WHAT)))
+            .ok_or_else(|| ConfigurationError(format!("there is no {} `{name}`", T::WHAT)))
     }
 
     /// An empty name refers to nothing.
-    pub fn find_any<T: Named>(&self, all: &[T], name: &str) -> Result<Option<u16>, Refused> {
+    pub fn find_any<T: Named>(
+        &self,
+        all: &[T],
+        name: &str,
+    ) -> Result<Option<u16>, ConfigurationError> {
         if name.is_empty() {
             return Ok(None);
         }
@@ -240,13 +246,13 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Index {
-    pub types: Names,
-    pub tenants: Names,
-    pub pools: Names,
-    pub limits: Names,
-    pub retry_after: Names,
-    pub budgets: Names,
-    pub routes: Names,
+    pub types: NameIndex,
+    pub tenants: NameIndex,
+    pub pools: NameIndex,
+    pub limits: NameIndex,
+    pub retry_after: NameIndex,
+    pub budgets: NameIndex,
+    pub routes: NameIndex,
 }
 
 /// See the module's head.
@@ -263,7 +269,7 @@
     pub(crate) any_tenant: Bits,
     pub(crate) by_tenant: HashMap<u16, Vec<u16>>,
     pub(crate) by_try: [Bits; 2],
-    pub(crate) limits: Vec<(Rule, Per)>,
+    pub(crate) limits: Vec<(LimitRule, Per)>,
     pub(crate) type_limits: Vec<Option<u16>>,
     pub(crate) tenant_limits: Vec<Option<u16>>,
     /// Of each budget and type.
@@ -273,37 +279,37 @@
 
 /// # Errors
 /// If rows of so many routes for so many types would take too much.
-pub(crate) fn rows_fit(types: usize, routes: usize) -> Result<(), Refused> {
-    match types.saturating_mul(routes.div_ceil(64) * 8) > ROWS {
-        true => Err(Refused(format!(
-            "routes by types would take over {ROWS} bytes"
+pub(crate) fn rows_fit(types: usize, routes: usize) -> Result<(), ConfigurationError> {
+    match types.saturating_mul(routes.div_ceil(64) * 8) > MAX_ROW_BYTES {
+        true => Err(ConfigurationError(format!(
+            "routes by types would take over {MAX_ROW_BYTES} bytes"
         ))),
         false => Ok(()),
     }
 }
 
 /// Kinds of tries, and what a match says that is not for them.
-const TRIES: [Again; 2] = [Again::FurtherTries, Again::FirstTries];
+const EXCLUDED_BY_ATTEMPT: [Again; 2] = [Again::FurtherTries, Again::FirstTries];
 
 impl Table {
     /// # Errors
     /// As [`Table::of`].
-    pub fn new(configuration: &Configuration) -> Result<Self, Refused> {
+    pub fn new(configuration: &Configuration) -> Result<Self, ConfigurationError> {
         Self::of(configuration.clone())
     }
 
     /// # Errors
     /// What in the message cannot be: a name that is not there, a split without shares, too many rows.
     /// The checker refuses all of it before, but a message may come from elsewhere.
-    pub fn of(c: Configuration) -> Result<Self, Refused> {
+    pub fn of(c: Configuration) -> Result<Self, ConfigurationError> {
         let index = Index {
-            types: Names::new(&c.types)?,
-            tenants: Names::new(&c.tenants)?,
-            pools: Names::new(&c.pools)?,
-            limits: Names::new(&c.limits)?,
-            retry_after: Names::new(&c.retry_after)?,
-            budgets: Names::new(&c.budgets)?,
-            routes: Names::new(&c.routes)?,
+            types: NameIndex::new(&c.types)?,
+            tenants: NameIndex::new(&c.tenants)?,
+            pools: NameIndex::new(&c.pools)?,
+            limits: NameIndex::new(&c.limits)?,
+            retry_after: NameIndex::new(&c.retry_after)?,
+            budgets: NameIndex::new(&c.budgets)?,
+            routes: NameIndex::new(&c.routes)?,
         };
         let find_limits = |name: &str| index.limits.find_any(&c.limits, name);
         let type_limits = c
@@ -334,7 +340,7 @@
             limits: c
                 .limits
                 .iter()
-                .map(|one| (Rule::from(one), one.per()))
+                .map(|one| (LimitRule::from(one), one.per()))
                 .collect(),
             times: c.budgets.iter().map(times).collect(),
             pools: Vec::new(),
@@ -369,24 +375,26 @@
         Ok(table)
     }
 
-    pub(crate) fn chain_ends(&self, pool: usize) -> Result<(), Refused> {
+    pub(crate) fn chain_ends(&self, pool: usize) -> Result<(), ConfigurationError> {
         let chain =
             std::iter::successors(Some(pool), |at| self.pools[*at].fall_back.map(usize::from));
         if chain.take(self.pools.len() + 1).count() > self.pools.len() {
             let name = &self.pools[pool].name;
-            return Err(Refused(format!("pool `{name}` falls back in a ring")));
+            return Err(ConfigurationError(format!(
+                "pool `{name}` falls back in a ring"
+            )));
         }
         Ok(())
     }
 
-    pub(crate) fn compile_pool(&self, pool: &schema::Pool) -> Result<Pool, Refused> {
+    pub(crate) fn compile_pool(&self, pool: &schema::Pool) -> Result<Pool, ConfigurationError> {
         let (c, index) = (&self.configuration, &self.index);
         Ok(Pool {
             name: pool.name.as_str().into(),
             members: pool
                 .members
                 .iter()
-                .map(|m| (mark(&m.address), m.weight))
+                .map(|m| (name_hash(&m.address), m.weight))
                 .collect(),
             fall_back: index.pools.find_any(&c.pools, &pool.fall_back)?,
             limits: index.limits.find_any(&c.limits, &pool.limits)?,
@@ -396,11 +404,11 @@
         })
     }
 
-    pub(crate) fn compile_route(&self, route: &schema::Route) -> Result<Route, Refused> {
+    pub(crate) fn compile_route(&self, route: &schema::Route) -> Result<Route, ConfigurationError> {
         let (c, index) = (&self.configuration, &self.index);
         let to = route.to.iter().map(|target| {
             if target.share == 0 || target.share > ONE {
-                return Err(Refused(format!(
+                return Err(ConfigurationError(format!(
                     "route `{}`: a share of {}",
                     route.name, target.share
                 )));
@@ -408,13 +416,13 @@
             let pool = index.pools.find(&c.pools, &target.pool)?;
             Ok(Target {
                 pool,
-                mark: mark(&target.pool),
+                mark: name_hash(&target.pool),
                 share: target.share,
             })
         });
-        let to: Box<[Target]> = to.collect::<Result<_, Refused>>()?;
+        let to: Box<[Target]> = to.collect::<Result<_, ConfigurationError>>()?;
         if to.iter().map(|target| target.share).sum::<u64>() != ONE {
-            return Err(Refused(format!(
+            return Err(ConfigurationError(format!(
                 "route `{}`: its shares are not 100 %",
                 route.name
             )));
@@ -447,7 +455,7 @@
             size,
             to,
             by_chance: route.split_by() == SplitBy::Chance,
-            fall_back: fall_back.collect::<Result<_, Refused>>()?,
+            fall_back: fall_back.collect::<Result<_, ConfigurationError>>()?,
             limits: index.limits.find_any(&c.limits, &route.limits)?,
             retry_after: index
                 .retry_after
@@ -505,7 +513,7 @@
                 }
             }
         }
-        for (row, not) in by_try.iter_mut().zip(TRIES) {
+        for (row, not) in by_try.iter_mut().zip(EXCLUDED_BY_ATTEMPT) {
             if matched.is_none_or(|m| m.again() != not) {
                 row.set(at, to);
             }
@@ -581,7 +589,7 @@
     }
 
     /// The route that takes a ticket: the first that matches.
-    pub fn route(&self, ticket: &Ticket<'_>) -> Option<u16> {
+    pub fn route(&self, ticket: &Request<'_>) -> Option<u16> {
         let of_type = &self.by_type.get(usize::from(ticket.traffic))?.0;
         let mut named = self.named(ticket);
         let of_try = &self.by_try[usize::from(ticket.again)].0;
@@ -612,7 +620,7 @@
     }
 
     /// The routes that name a ticket's tenant.
-    fn named(&self, ticket: &Ticket<'_>) -> &[u16] {
+    fn named(&self, ticket: &Request<'_>) -> &[u16] {
         ticket
             .tenant
             .and_then(|tenant| self.by_tenant.get(&tenant))
@@ -620,7 +628,7 @@
     }
 
     /// Whether a route takes a ticket, as far as size and entity go.
-    fn takes(&self, at: usize, ticket: &Ticket<'_>) -> bool {
+    fn takes(&self, at: usize, ticket: &Request<'_>) -> bool {
         let (least, most) = self.routes[at].size;
         let entities = self.configuration.routes[at]
             .r#match
@@ -639,13 +647,13 @@
     /// No route takes it, or none of the route's pools can be used.
     pub fn place(
         &self,
-        ticket: &Ticket<'_>,
+        ticket: &Request<'_>,
         chance: &mut WyRand,
         usable: impl Fn(u16) -> bool,
-    ) -> Result<Place, NoWay> {
-        let at = self.route(ticket).ok_or(NoWay::NoRoute)?;
+    ) -> Result<Placement, RoutingError> {
+        let at = self.route(ticket).ok_or(RoutingError::NoRoute)?;
         self.pool_of(at, ticket, chance, usable)
-            .map(|(pool, by)| Place {
+            .map(|(pool, by)| Placement {
                 route: at,
                 pool,
                 by,
@@ -655,15 +663,15 @@
     fn pool_of(
         &self,
         at: u16,
-        ticket: &Ticket<'_>,
+        ticket: &Request<'_>,
         chance: &mut WyRand,
         usable: impl Fn(u16) -> bool,
-    ) -> Result<(u16, By), NoWay> {
+    ) -> Result<(u16, PlacementReason), RoutingError> {
         let route = &self.routes[usize::from(at)];
         let to = &route.to;
         if let [only] = &to[..] {
             if usable(only.pool) {
-                return Ok((only.pool, By::Share));
+                return Ok((only.pool, PlacementReason::Share));
             }
         } else {
             // Tickets without an entity have nothing to be told apart by.
@@ -676,12 +684,19 @@
             };
             if let Some(k) = chosen {
                 let all = to.iter().all(|target| usable(target.pool));
-                return Ok((to[k].pool, if all { By::Share } else { By::OtherShare }));
+                return Ok((
+                    to[k].pool,
+                    if all {
+                        PlacementReason::Share
+                    } else {
+                        PlacementReason::OtherShare
+                    },
+                ));
             }
         }
         let mut fall_backs = route.fall_back.iter().enumerate();
         if let Some((k, pool)) = fall_backs.find(|(_, pool)| usable(**pool)) {
-            return Ok((*pool, By::FallBack(k as u16)));
+            return Ok((*pool, PlacementReason::Fallback(k as u16)));
         }
         let tried = to
             .iter()
@@ -691,10 +706,10 @@
             let chain =
                 std::iter::successors(Some(pool), |at| self.pools[usize::from(*at)].fall_back);
             if let Some(other) = chain.skip(1).find(|pool| usable(*pool)) {
-                return Ok((other, By::PoolFallBack));
+                return Ok((other, PlacementReason::PoolFallback));
             }
         }
-        Err(NoWay::NoPool(at))
+        Err(RoutingError::NoPool(at))
     }
 
     /// The member of a pool that an entity belongs to, of those that can be used.
@@ -720,7 +735,7 @@
     }
 
     /// Why a route does not take a ticket, if it does not.
-    pub fn miss(&self, route: u16, ticket: &Ticket<'_>) -> Option<Miss> {
+    pub fn miss(&self, route: u16, ticket: &Request<'_>) -> Option<Miss> {
         let at = usize::from(route);
         let (least, most) = self.routes[at].size;
         if !self
--- a/crates/routing/src/change.rs
+++ b/crates/routing/src/table_update.rs
@@ -8,17 +8,17 @@
 //! is altered, and what was put is taken back if a later one is refused. Removals come last, when all of them have
 //! been checked and no way is left to fail.
 
-use crate::budget::Times;
-use crate::limit::Rule;
-use crate::table::{rows_fit, Named, Names, Table};
-use crate::Refused;
+use crate::rate_limit::LimitRule;
+use crate::table::{rows_fit, NameIndex, Named, Table};
+use crate::time_budget::Times;
+use crate::ConfigurationError;
 use foldhash::{HashSet, HashSetExt};
 use rainstand_config::schema;
 use std::time::Duration;
 
 /// Kinds of things that decide about tickets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Kind {
+pub enum EntryKind {
     Type,
     Tenant,
     Pool,
@@ -30,25 +30,25 @@
     Route,
 }
 
-impl Kind {
+impl EntryKind {
     fn word(self) -> &'static str {
         match self {
-            Kind::Type => "type",
-            Kind::Tenant => "tenant",
-            Kind::Pool => "pool",
-            Kind::Limits => "limits",
-            Kind::RetryAfter => "retry-after",
-            Kind::Budget => "budget",
-            Kind::Attempts => "attempts",
-            Kind::Health => "health",
-            Kind::Route => "route",
+            EntryKind::Type => "type",
+            EntryKind::Tenant => "tenant",
+            EntryKind::Pool => "pool",
+            EntryKind::Limits => "limits",
+            EntryKind::RetryAfter => "retry-after",
+            EntryKind::Budget => "budget",
+            EntryKind::Attempts => "attempts",
+            EntryKind::Health => "health",
+            EntryKind::Route => "route",
         }
     }
 }
 
 /// One thing that is put or removed.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Change {
+pub enum TableChange {
     Type(schema::TrafficType),
     Tenant(schema::Tenant),
     /// With all its members.
@@ -61,36 +61,36 @@
     /// A route, and the name of the one before which it stands then; none: behind all. Of routes in one change, those
     /// in front come first.
     Route(schema::Route, Option<String>),
-    Remove(Kind, String),
+    Remove(EntryKind, String),
 }
 
-impl Change {
+impl TableChange {
     /// What it names.
-    pub fn of(&self) -> (Kind, &str) {
+    pub fn of(&self) -> (EntryKind, &str) {
         match self {
-            Change::Type(one) => (Kind::Type, &one.name),
-            Change::Tenant(one) => (Kind::Tenant, &one.name),
-            Change::Pool(one) => (Kind::Pool, &one.name),
-            Change::Limits(one) => (Kind::Limits, &one.name),
-            Change::RetryAfter(one) => (Kind::RetryAfter, &one.name),
-            Change::Budget(one) => (Kind::Budget, &one.name),
-            Change::Attempts(one) => (Kind::Attempts, &one.name),
-            Change::Health(one) => (Kind::Health, &one.name),
-            Change::Route(one, _) => (Kind::Route, &one.name),
-            Change::Remove(kind, name) => (*kind, name),
+            TableChange::Type(one) => (EntryKind::Type, &one.name),
+            TableChange::Tenant(one) => (EntryKind::Tenant, &one.name),
+            TableChange::Pool(one) => (EntryKind::Pool, &one.name),
+            TableChange::Limits(one) => (EntryKind::Limits, &one.name),
+            TableChange::RetryAfter(one) => (EntryKind::RetryAfter, &one.name),
+            TableChange::Budget(one) => (EntryKind::Budget, &one.name),
+            TableChange::Attempts(one) => (EntryKind::Attempts, &one.name),
+            TableChange::Health(one) => (EntryKind::Health, &one.name),
+            TableChange::Route(one, _) => (EntryKind::Route, &one.name),
+            TableChange::Remove(kind, name) => (*kind, name),
         }
     }
 
     /// Its turn: what others refer to comes before them.
     fn turn(&self) -> u8 {
         match self {
-            Change::Limits(_) | Change::RetryAfter(_) | Change::Budget(_) => 0,
-            Change::Attempts(_) | Change::Health(_) => 0,
-            Change::Type(_) | Change::Tenant(_) => 1,
-            Change::Pool(_) => 2,
-            Change::Remove(Kind::Route, _) => 3,
-            Change::Route(..) => 4,
-            Change::Remove(..) => 5,
+            TableChange::Limits(_) | TableChange::RetryAfter(_) | TableChange::Budget(_) => 0,
+            TableChange::Attempts(_) | TableChange::Health(_) => 0,
+            TableChange::Type(_) | TableChange::Tenant(_) => 1,
+            TableChange::Pool(_) => 2,
+            TableChange::Remove(EntryKind::Route, _) => 3,
+            TableChange::Route(..) => 4,
+            TableChange::Remove(..) => 5,
         }
     }
 }
@@ -98,9 +98,9 @@
 /// Puts a thing in its place in a list: the one that was there, or none if it is new.
 fn put<T: Named>(
     all: &mut Vec<T>,
-    names: &mut Names,
+    names: &mut NameIndex,
     thing: T,
-) -> Result<(usize, Option<T>), Refused> {
+) -> Result<(usize, Option<T>), ConfigurationError> {
     if let Some(at) = names.get(all, thing.name()).map(usize::from) {
         return Ok((at, Some(std::mem::replace(&mut all[at], thing))));
     }
@@ -124,10 +124,13 @@
     }
 }
 
-fn find_by_name<T: Named>(all: &[T], name: &str) -> Result<(), Refused> {
+fn find_by_name<T: Named>(all: &[T], name: &str) -> Result<(), ConfigurationError> {
     match all.iter().any(|one| one.name() == name) {
         true => Ok(()),
-        false => Err(Refused(format!("there is no {} `{name}`", T::WHAT))),
+        false => Err(ConfigurationError(format!(
+            "there is no {} `{name}`",
+            T::WHAT
+        ))),
     }
 }
 
@@ -136,7 +139,11 @@
 }
 
 /// Takes a thing out of its list; the last one takes its place. The place, and where that last one was.
-fn take_out<T: Named>(all: &mut Vec<T>, names: &mut Names, name: &str) -> Option<(u16, u16)> {
+fn swap_remove_named<T: Named>(
+    all: &mut Vec<T>,
+    names: &mut NameIndex,
+    name: &str,
+) -> Option<(u16, u16)> {
     let at = names.get(all, name)?;
     let last = all.len() as u16 - 1;
     names.remove(name);
@@ -160,18 +167,18 @@
 }
 
 /// Put back, or removed, in turn, to be as before.
-type Undo = Vec<Change>;
+type Undo = Vec<TableChange>;
 
 impl Table {
     /// Applies a change, whole or not at all.
     ///
     /// # Errors
     /// What cannot be, as [`Table::of`]; a thing that is named twice, or removed while something refers to it.
-    pub fn apply(&mut self, changes: &[Change]) -> Result<(), Refused> {
+    pub fn apply(&mut self, changes: &[TableChange]) -> Result<(), ConfigurationError> {
         let mut named = HashSet::with_capacity(changes.len());
         if let Some(twice) = changes.iter().find(|change| !named.insert(change.of())) {
             let (kind, name) = twice.of();
-            return Err(Refused(format!(
+            return Err(ConfigurationError(format!(
                 "{} `{name}` is named twice in one change",
                 kind.word()
             )));
@@ -189,23 +196,27 @@
             return done;
         }
         for change in changes {
-            if let Change::Remove(kind, name) = change {
+            if let TableChange::Remove(kind, name) = change {
                 self.remove(*kind, name);
             }
         }
         Ok(())
     }
 
-    fn put_all(&mut self, changes: &[Change], undo: &mut Undo) -> Result<(), Refused> {
+    fn put_all(
+        &mut self,
+        changes: &[TableChange],
+        undo: &mut Undo,
+    ) -> Result<(), ConfigurationError> {
         // Pools may fall back on each other: all are there before any says on which.
         for change in changes {
             match change {
-                Change::Pool(pool) if self.pool(&pool.name).is_none() => {
+                TableChange::Pool(pool) if self.pool(&pool.name).is_none() => {
                     let bare = schema::Pool {
                         name: pool.name.clone(),
                         ..schema::Pool::default()
                     };
-                    undo.push(self.step(Change::Pool(bare))?);
+                    undo.push(self.step(TableChange::Pool(bare))?);
                 }
                 _ => {}
             }
@@ -216,7 +227,7 @@
             of_turn.try_for_each(|change| self.step(change.clone()).map(|back| undo.push(back)))?;
         }
         for at in changes.iter().filter_map(|change| match change {
-            Change::Pool(pool) => self.pool(&pool.name),
+            TableChange::Pool(pool) => self.pool(&pool.name),
             _ => None,
         }) {
             self.chain_ends(usize::from(at))?;
@@ -226,63 +237,67 @@
             changes
                 .iter()
                 .filter(|change| change.turn() == 5)
-                .map(Change::of)
+                .map(TableChange::of)
         };
         for (kind, name) in gone() {
-            if let Some(bare) = self.bare(kind, name)? {
+            if let Some(bare) = self.without_references(kind, name)? {
                 undo.push(self.step(bare)?);
             }
         }
-        gone().try_for_each(|(kind, name)| self.may_go(kind, name))
+        gone().try_for_each(|(kind, name)| self.check_unreferenced(kind, name))
     }
 
     /// A thing without what it refers to, if it refers to anything; refused if it is not there.
-    fn bare(&self, kind: Kind, name: &str) -> Result<Option<Change>, Refused> {
+    fn without_references(
+        &self,
+        kind: EntryKind,
+        name: &str,
+    ) -> Result<Option<TableChange>, ConfigurationError> {
         let (c, index) = (&self.configuration, &self.index);
         Ok(match kind {
-            Kind::Type => {
+            EntryKind::Type => {
                 let there = &c.types[usize::from(index.types.find(&c.types, name)?)];
-                Some(Change::Type(schema::TrafficType {
+                Some(TableChange::Type(schema::TrafficType {
                     limits: String::new(),
                     ..there.clone()
                 }))
             }
-            Kind::Tenant => {
+            EntryKind::Tenant => {
                 let there = &c.tenants[usize::from(index.tenants.find(&c.tenants, name)?)];
-                Some(Change::Tenant(schema::Tenant {
+                Some(TableChange::Tenant(schema::Tenant {
                     limits: String::new(),
                     ..there.clone()
                 }))
             }
-            Kind::Pool => {
+            EntryKind::Pool => {
                 index.pools.find(&c.pools, name)?;
-                Some(Change::Pool(schema::Pool {
+                Some(TableChange::Pool(schema::Pool {
                     name: name.to_owned(),
                     ..schema::Pool::default()
                 }))
             }
-            Kind::Limits => index.limits.find(&c.limits, name).map(|_| None)?,
-            Kind::RetryAfter => index.retry_after.find(&c.retry_after, name).map(|_| None)?,
-            Kind::Budget => index.budgets.find(&c.budgets, name).map(|_| None)?,
-            Kind::Attempts => find_by_name(&c.attempts, name).map(|()| None)?,
-            Kind::Health => find_by_name(&c.health, name).map(|()| None)?,
-            Kind::Route => None,
+            EntryKind::Limits => index.limits.find(&c.limits, name).map(|_| None)?,
+            EntryKind::RetryAfter => index.retry_after.find(&c.retry_after, name).map(|_| None)?,
+            EntryKind::Budget => index.budgets.find(&c.budgets, name).map(|_| None)?,
+            EntryKind::Attempts => find_by_name(&c.attempts, name).map(|()| None)?,
+            EntryKind::Health => find_by_name(&c.health, name).map(|()| None)?,
+            EntryKind::Route => None,
         })
     }
 
     /// # Errors
     /// If something refers to it.
-    fn may_go(&self, kind: Kind, name: &str) -> Result<(), Refused> {
+    fn check_unreferenced(&self, kind: EntryKind, name: &str) -> Result<(), ConfigurationError> {
         let (c, index) = (&self.configuration, &self.index);
         let referred = match kind {
-            Kind::Type => {
+            EntryKind::Type => {
                 let at = index.types.find(&c.types, name)?;
                 self.by_type[usize::from(at)] != self.any_type
             }
-            Kind::Tenant => self
+            EntryKind::Tenant => self
                 .by_tenant
                 .contains_key(&index.tenants.find(&c.tenants, name)?),
-            Kind::Pool => {
+            EntryKind::Pool => {
                 let at = index.pools.find(&c.pools, name)?;
                 let leads = |r: &crate::table::Route| {
                     r.to.iter().any(|to| to.pool == at) || r.fall_back.contains(&at)
@@ -290,26 +305,26 @@
                 self.routes.iter().any(leads)
                     || self.pools.iter().any(|pool| pool.fall_back == Some(at))
             }
-            Kind::Limits => {
+            EntryKind::Limits => {
                 let at = Some(index.limits.find(&c.limits, name)?);
                 self.type_limits.contains(&at)
                     || self.tenant_limits.contains(&at)
                     || self.routes.iter().any(|route| route.limits == at)
                     || self.pools.iter().any(|pool| pool.limits == at)
             }
-            Kind::RetryAfter => {
+            EntryKind::RetryAfter => {
                 let at = Some(index.retry_after.find(&c.retry_after, name)?);
                 let of_pools = self.pools.iter().any(|pool| pool.retry_after == at);
                 of_pools || self.routes.iter().any(|route| route.retry_after == at)
             }
-            Kind::Budget => {
+            EntryKind::Budget => {
                 let at = Some(index.budgets.find(&c.budgets, name)?);
                 self.routes.iter().any(|route| route.budget == at)
             }
-            Kind::Attempts | Kind::Health | Kind::Route => false,
+            EntryKind::Attempts | EntryKind::Health | EntryKind::Route => false,
         };
         match referred {
-            true => Err(Refused(format!(
+            true => Err(ConfigurationError(format!(
                 "{} `{name}` cannot go: something refers to it",
                 kind.word()
             ))),
@@ -318,26 +333,26 @@
     }
 
     /// Puts or removes one thing; what makes it as before. Nothing has changed if it is refused.
-    fn step(&mut self, change: Change) -> Result<Change, Refused> {
+    fn step(&mut self, change: TableChange) -> Result<TableChange, ConfigurationError> {
         let (kind, name) = change.of();
-        let new = Change::Remove(kind, name.to_owned());
+        let new = TableChange::Remove(kind, name.to_owned());
         Ok(match change {
-            Change::Limits(one) => {
-                let compiled = (Rule::from(&one), one.per());
+            TableChange::Limits(one) => {
+                let compiled = (LimitRule::from(&one), one.per());
                 let (at, before) =
                     put(&mut self.configuration.limits, &mut self.index.limits, one)?;
                 set(&mut self.limits, at, compiled);
-                before.map_or(new, Change::Limits)
+                before.map_or(new, TableChange::Limits)
             }
-            Change::RetryAfter(one) => {
+            TableChange::RetryAfter(one) => {
                 let (_, before) = put(
                     &mut self.configuration.retry_after,
                     &mut self.index.retry_after,
                     one,
                 )?;
-                before.map_or(new, Change::RetryAfter)
+                before.map_or(new, TableChange::RetryAfter)
             }
-            Change::Budget(one) => {
+            TableChange::Budget(one) => {
                 let times = self
                     .goals
                     .iter()
@@ -349,15 +364,14 @@
                     one,
                 )?;
                 set(&mut self.times, at, times);
-                before.map_or(new, Change::Budget)
-            }
-            Change::Attempts(one) => {
-                put_by_name(&mut self.configuration.attempts, one).map_or(new, Change::Attempts)
+                before.map_or(new, TableChange::Budget)
             }
-            Change::Health(one) => {
-                put_by_name(&mut self.configuration.health, one).map_or(new, Change::Health)
+            TableChange::Attempts(one) => put_by_name(&mut self.configuration.attempts, one)
+                .map_or(new, TableChange::Attempts),
+            TableChange::Health(one) => {
+                put_by_name(&mut self.configuration.health, one).map_or(new, TableChange::Health)
             }
-            Change::Type(one) => {
+            TableChange::Type(one) => {
                 let limits = self
                     .index
                     .limits
@@ -373,9 +387,9 @@
                 if before.is_none() {
                     self.by_type.push(self.any_type.clone());
                 }
-                before.map_or(new, Change::Type)
+                before.map_or(new, TableChange::Type)
             }
-            Change::Tenant(one) => {
+            TableChange::Tenant(one) => {
                 let limits = self
                     .index
                     .limits
@@ -386,33 +400,37 @@
                     one,
                 )?;
                 set(&mut self.tenant_limits, at, limits);
-                before.map_or(new, Change::Tenant)
+                before.map_or(new, TableChange::Tenant)
             }
-            Change::Pool(one) => {
+            TableChange::Pool(one) => {
                 let compiled = self.compile_pool(&one)?;
                 let (at, before) = put(&mut self.configuration.pools, &mut self.index.pools, one)?;
                 set(&mut self.pools, at, compiled);
-                before.map_or(new, Change::Pool)
+                before.map_or(new, TableChange::Pool)
             }
-            Change::Route(one, before) => self.put_route(one, before.as_deref())?,
-            Change::Remove(Kind::Route, name) => {
+            TableChange::Route(one, before) => self.put_route(one, before.as_deref())?,
+            TableChange::Remove(EntryKind::Route, name) => {
                 let at = usize::from(self.index.routes.find(&self.configuration.routes, &name)?);
                 let next = self
                     .configuration
                     .routes
                     .get(at + 1)
                     .map(|next| next.name.clone());
-                Change::Route(self.remove_route(at), next)
+                TableChange::Route(self.remove_route(at), next)
             }
             // Only to take back what was just put: it is the last of its kind, and nothing refers to it.
-            Change::Remove(kind, name) => {
+            TableChange::Remove(kind, name) => {
                 self.remove(kind, &name);
-                Change::Remove(kind, name)
+                TableChange::Remove(kind, name)
             }
         })
     }
 
-    fn put_route(&mut self, route: schema::Route, before: Option<&str>) -> Result<Change, Refused> {
+    fn put_route(
+        &mut self,
+        route: schema::Route,
+        before: Option<&str>,
+    ) -> Result<TableChange, ConfigurationError> {
         let compiled = self.compile_route(&route)?;
         let routes = &self.configuration.routes;
         let place = match before {
@@ -421,19 +439,19 @@
         };
         let Some(there) = self.index.routes.get(routes, &route.name).map(usize::from) else {
             rows_fit(self.by_type.len(), self.routes.len() + 1)?;
-            if self.routes.len() >= crate::table::MOST {
-                return Err(Refused(format!(
+            if self.routes.len() >= crate::table::MAX_ENTRIES {
+                return Err(ConfigurationError(format!(
                     "more than {} of route",
-                    crate::table::MOST
+                    crate::table::MAX_ENTRIES
                 )));
             }
             self.index.routes.free(routes, &route.name)?;
-            let back = Change::Remove(Kind::Route, route.name.clone());
+            let back = TableChange::Remove(EntryKind::Route, route.name.clone());
             self.insert_route(place, route, compiled);
             return Ok(back);
         };
         if place == there {
-            return Err(Refused(format!(
+            return Err(ConfigurationError(format!(
                 "route `{}` cannot stand before itself",
                 route.name
             )));
@@ -450,7 +468,7 @@
             self.insert_route(place - usize::from(place > there), route, compiled);
             old
         };
-        Ok(Change::Route(old, next))
+        Ok(TableChange::Route(old, next))
     }
 
     fn insert_route(&mut self, at: usize, route: schema::Route, compiled: crate::table::Route) {
@@ -500,7 +518,7 @@
     }
 
     /// Removes a thing that nothing refers to. Routes went before.
-    fn remove(&mut self, kind: Kind, name: &str) {
+    fn remove(&mut self, kind: EntryKind, name: &str) {
         let Self {
             configuration: c,
             index,
@@ -509,11 +527,11 @@
             ..
         } = self;
         match kind {
-            Kind::Route => {}
-            Kind::Attempts => remove_by_name(&mut c.attempts, name),
-            Kind::Health => remove_by_name(&mut c.health, name),
-            Kind::Type => {
-                let Some((at, _)) = take_out(&mut c.types, &mut index.types, name) else {
+            EntryKind::Route => {}
+            EntryKind::Attempts => remove_by_name(&mut c.attempts, name),
+            EntryKind::Health => remove_by_name(&mut c.health, name),
+            EntryKind::Type => {
+                let Some((at, _)) = swap_remove_named(&mut c.types, &mut index.types, name) else {
                     return;
                 };
                 let at = usize::from(at);
@@ -524,8 +542,9 @@
                     row.swap_remove(at);
                 }
             }
-            Kind::Tenant => {
-                let Some((at, last)) = take_out(&mut c.tenants, &mut index.tenants, name) else {
+            EntryKind::Tenant => {
+                let Some((at, last)) = swap_remove_named(&mut c.tenants, &mut index.tenants, name)
+                else {
                     return;
                 };
                 self.tenant_limits.swap_remove(usize::from(at));
@@ -533,8 +552,8 @@
                     self.by_tenant.insert(at, list);
                 }
             }
-            Kind::Pool => {
-                let Some(moved) = take_out(&mut c.pools, &mut index.pools, name) else {
+            EntryKind::Pool => {
+                let Some(moved) = swap_remove_named(&mut c.pools, &mut index.pools, name) else {
                     return;
                 };
                 pools.swap_remove(usize::from(moved.0));
@@ -547,8 +566,8 @@
                     renumber(route.fall_back.iter_mut(), moved);
                 }
             }
-            Kind::Limits => {
-                let Some(moved) = take_out(&mut c.limits, &mut index.limits, name) else {
+            EntryKind::Limits => {
+                let Some(moved) = swap_remove_named(&mut c.limits, &mut index.limits, name) else {
                     return;
                 };
                 self.limits.swap_remove(usize::from(moved.0));
@@ -569,8 +588,10 @@
                     moved,
                 );
             }
-            Kind::RetryAfter => {
-                let Some(moved) = take_out(&mut c.retry_after, &mut index.retry_after, name) else {
+            EntryKind::RetryAfter => {
+                let Some(moved) =
+                    swap_remove_named(&mut c.retry_after, &mut index.retry_after, name)
+                else {
                     return;
                 };
                 renumber(
@@ -582,8 +603,9 @@
                     moved,
                 );
             }
-            Kind::Budget => {
-                let Some(moved) = take_out(&mut c.budgets, &mut index.budgets, name) else {
+            EntryKind::Budget => {
+                let Some(moved) = swap_remove_named(&mut c.budgets, &mut index.budgets, name)
+                else {
                     return;
                 };
                 self.times.swap_remove(usize::from(moved.0));
--- a/crates/routing/src/room.rs
+++ b/crates/routing/src/tenant_fairness.rs
@@ -18,39 +18,42 @@
 use std::time::Duration;
 
 /// In use from which on room is scarce: what is left is for those below their part.
-pub const SCARCE: f64 = 0.8;
+pub const SCARCITY_THRESHOLD: f64 = 0.8;
 /// Who asked within this time counts when parts are made.
-const ACTIVE: Duration = Duration::from_secs(2);
+const ACTIVE_WINDOW: Duration = Duration::from_secs(2);
 /// Cells for strangers.
-pub const CELLS: usize = 1_024;
+pub const UNKNOWN_TENANT_CELLS: usize = 1_024;
 /// What all strangers have together at least, whatever was promised to others: one of the new customers may be real.
-const STRANGERS: f64 = 0.05;
+const UNKNOWN_TENANTS_MIN_SHARE: f64 = 0.05;
 
 /// Whose ticket it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Who {
-    Known(u16),
+pub enum TenantKey {
+    Configured(u16),
     /// A cell by the hash of its name.
-    Stranger(u16),
+    Unknown(u16),
 }
 
-impl Who {
-    /// `mark`: a hash of the name ([`crate::split::mark`]), used where the tenant is not known.
+impl TenantKey {
+    /// `mark`: a hash of the name ([`crate::weighted_split::name_hash`]), used where the tenant is not known.
     pub fn new(tenant: Option<u16>, mark: u64) -> Self {
-        tenant.map_or(Who::Stranger((mark % CELLS as u64) as u16), Who::Known)
+        tenant.map_or(
+            TenantKey::Unknown((mark % UNKNOWN_TENANT_CELLS as u64) as u16),
+            TenantKey::Configured,
+        )
     }
 }
 
 /// What each tenant has of a scarce pool, the same in all pools of a version.
 #[derive(Debug, Default)]
-pub struct Weights {
+pub struct TenantShares {
     /// Promised shares, in millionths; 0 for one that was promised nothing.
     shares: Vec<u32>,
     promised: u64,
     without: usize,
 }
 
-impl Weights {
+impl TenantShares {
     /// `shares`: each tenant's, in millionths; 0 for one that was promised nothing: it has an even part of what the
     /// others leave.
     pub fn new(shares: impl Iterator<Item = u64>) -> Self {
@@ -85,7 +88,8 @@
 
     /// What one has that was promised nothing, and the strangers as one.
     fn even(&self) -> f64 {
-        (1.0 - self.promised as f64 / ONE as f64).max(STRANGERS) / (self.without + 1) as f64
+        (1.0 - self.promised as f64 / ONE as f64).max(UNKNOWN_TENANTS_MIN_SHARE)
+            / (self.without + 1) as f64
     }
 
     fn of(&self, at: u32) -> f64 {
@@ -97,15 +101,19 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct One {
+struct TenantUsage {
     open: u32,
     asked: Option<Duration>,
 }
 
-impl One {
+impl TenantUsage {
     /// Asked lately, or has something open.
-    fn is_here(&mut self, now: Duration) -> bool {
-        if self.open == 0 && self.asked.is_some_and(|at| now.saturating_sub(at) > ACTIVE) {
+    fn refresh_activity(&mut self, now: Duration) -> bool {
+        if self.open == 0
+            && self
+                .asked
+                .is_some_and(|at| now.saturating_sub(at) > ACTIVE_WINDOW)
+        {
             self.asked = None;
         }
         self.open > 0 || self.asked.is_some()
@@ -113,34 +121,34 @@
 }
 
 /// Behind all tenants.
-const ALL_STRANGERS: u32 = u32::MAX;
+const UNKNOWN_TENANTS: u32 = u32::MAX;
 
-fn place(who: Who) -> u32 {
+fn place(who: TenantKey) -> u32 {
     match who {
-        Who::Known(tenant) => u32::from(tenant),
-        Who::Stranger(_) => ALL_STRANGERS,
+        TenantKey::Configured(tenant) => u32::from(tenant),
+        TenantKey::Unknown(_) => UNKNOWN_TENANTS,
     }
 }
 
 /// See the module's head.
 #[derive(Clone, Debug, Default)]
-pub struct Room {
+pub struct FairShare {
     /// Tenants that are here by place, and behind them the strangers as one. In order, so that sums are the same.
-    all: BTreeMap<u32, One>,
-    cells: BTreeMap<u16, One>,
+    all: BTreeMap<u32, TenantUsage>,
+    cells: BTreeMap<u16, TenantUsage>,
     active_cells: u32,
     weights: f64,
     open: u32,
 }
 
-impl Room {
-    fn one(&self, at: u32) -> One {
+impl FairShare {
+    fn one(&self, at: u32) -> TenantUsage {
         self.all.get(&at).copied().unwrap_or_default()
     }
 
     /// Of this many places, the part of a tenant, as if it had asked; for a stranger that of all strangers. None if
     /// nobody else asks.
-    fn part(&self, weights: &Weights, at: u32, room: f64) -> Option<f64> {
+    fn part(&self, weights: &TenantShares, at: u32, room: f64) -> Option<f64> {
         let weight = weights.of(at);
         let others = self.weights
             - if self.one(at).asked.is_some() {
@@ -157,9 +165,14 @@
     ///
     /// # Errors
     /// As told above.
-    pub fn may(&self, weights: &Weights, who: Who, room: u32) -> Result<(), f64> {
+    pub fn check_share(
+        &self,
+        weights: &TenantShares,
+        who: TenantKey,
+        room: u32,
+    ) -> Result<(), f64> {
         let room = f64::from(room);
-        if f64::from(self.open) < room * SCARCE {
+        if f64::from(self.open) < room * SCARCITY_THRESHOLD {
             return Ok(());
         }
         let at = place(who);
@@ -169,11 +182,12 @@
         };
         let all = f64::from(self.one(at).open);
         let (held, part) = match who {
-            Who::Known(_) => (all, part),
+            TenantKey::Configured(_) => (all, part),
             // They have one part together, however many they say they are.
-            Who::Stranger(_) if all >= part => return Err((all / part).max(1.0)),
-            Who::Stranger(cell) => {
-                let One { open, asked } = self.cells.get(&cell).copied().unwrap_or_default();
+            TenantKey::Unknown(_) if all >= part => return Err((all / part).max(1.0)),
+            TenantKey::Unknown(cell) => {
+                let TenantUsage { open, asked } =
+                    self.cells.get(&cell).copied().unwrap_or_default();
                 let cells = self.active_cells + u32::from(asked.is_none());
                 (f64::from(open), (part / f64::from(cells)).max(1.0))
             }
@@ -186,12 +200,12 @@
     }
 
     /// Somebody asked, whatever came of it: from now on its part is kept for it.
-    pub fn asked(&mut self, weights: &Weights, who: Who, now: Duration) {
+    pub fn on_request(&mut self, weights: &TenantShares, who: TenantKey, now: Duration) {
         let at = place(who);
         if self.all.entry(at).or_default().asked.replace(now).is_none() {
             self.weights += weights.of(at);
         }
-        if let Who::Stranger(cell) = who {
+        if let TenantKey::Unknown(cell) = who {
             if self
                 .cells
                 .entry(cell)
@@ -205,23 +219,23 @@
         }
     }
 
-    pub fn enter(&mut self, who: Who) {
+    pub fn acquire(&mut self, who: TenantKey) {
         let at = place(who);
         self.all.entry(at).or_default().open += 1;
         self.open += 1;
-        if let Who::Stranger(cell) = who {
+        if let TenantKey::Unknown(cell) = who {
             self.cells.entry(cell).or_default().open += 1;
         }
     }
 
-    pub fn leave(&mut self, who: Who) {
+    pub fn release(&mut self, who: TenantKey) {
         let at = place(who);
         debug_assert!(self.one(at).open > 0, "more left than came in");
         if let Some(one) = self.all.get_mut(&at) {
             one.open = one.open.saturating_sub(1);
         }
         self.open = self.open.saturating_sub(1);
-        if let Who::Stranger(cell) = who {
+        if let TenantKey::Unknown(cell) = who {
             if let Some(cell) = self.cells.get_mut(&cell) {
                 cell.open = cell.open.saturating_sub(1);
             }
@@ -229,9 +243,9 @@
     }
 
     /// Time passes: who asked nothing lately has no part. Some times a second.
-    pub fn look(&mut self, weights: &Weights, now: Duration) {
-        self.all.retain(|_, one| one.is_here(now));
-        self.cells.retain(|_, cell| cell.is_here(now));
+    pub fn tick(&mut self, weights: &TenantShares, now: Duration) {
+        self.all.retain(|_, one| one.refresh_activity(now));
+        self.cells.retain(|_, cell| cell.refresh_activity(now));
         // Summed anew: sums of fractions drift.
         let asked = self.all.iter().filter(|(_, one)| one.asked.is_some());
         self.weights = asked.map(|(at, _)| weights.of(*at)).sum();
@@ -243,7 +257,7 @@
     }
 
     /// Tenants that have an entry, and strangers' cells: what memory and looks go by.
-    pub fn here(&self) -> (usize, usize) {
+    pub fn active_entries(&self) -> (usize, usize) {
         (self.all.len(), self.cells.len())
     }
 
@@ -260,21 +274,26 @@
 
     const MS: fn(u64) -> Duration = Duration::from_millis;
 
-    fn weights(shares: &[u64]) -> Weights {
-        Weights::new(shares.iter().copied())
+    fn weights(shares: &[u64]) -> TenantShares {
+        TenantShares::new(shares.iter().copied())
     }
 
-    fn asks(room: &mut (Weights, Room), who: Who, now: Duration, of: u32) -> Result<(), f64> {
-        room.1.asked(&room.0, who, now);
-        room.1.may(&room.0, who, of)
+    fn asks(
+        room: &mut (TenantShares, FairShare),
+        who: TenantKey,
+        now: Duration,
+        of: u32,
+    ) -> Result<(), f64> {
+        room.1.on_request(&room.0, who, now);
+        room.1.check_share(&room.0, who, of)
     }
 
     /// Enters as many as may, up to `wanted`.
-    fn fill(room: &mut (Weights, Room), who: Who, wanted: u32, of: u32) -> u32 {
+    fn fill(room: &mut (TenantShares, FairShare), who: TenantKey, wanted: u32, of: u32) -> u32 {
         let mut entered = 0;
         for _ in 0..wanted {
             if asks(room, who, MS(1), of).is_ok() {
-                room.1.enter(who);
+                room.1.acquire(who);
                 entered += 1;
             }
         }
@@ -283,52 +302,56 @@
 
     #[test]
     fn alone_it_may_have_all_and_beside_others_its_part() {
-        let mut room = (weights(&[500_000, 300_000]), Room::default());
-        assert_eq!(fill(&mut room, Who::Known(1), 100, 100), 100);
+        let mut room = (weights(&[500_000, 300_000]), FairShare::default());
+        assert_eq!(fill(&mut room, TenantKey::Configured(1), 100, 100), 100);
         // The other one still has its way in, past what the first took while it was alone.
-        let its = fill(&mut room, Who::Known(0), 1_000, 100);
+        let its = fill(&mut room, TenantKey::Configured(0), 1_000, 100);
         assert_eq!(its, 63, "five eighths of a hundred, rounded up");
         // The first gets nothing more before it is below its part.
-        assert!(asks(&mut room, Who::Known(1), MS(2), 100).unwrap_err() > 2.0);
-        (0..70).for_each(|_| room.1.leave(Who::Known(1)));
-        assert_eq!(fill(&mut room, Who::Known(1), 100, 100), 8);
+        assert!(asks(&mut room, TenantKey::Configured(1), MS(2), 100).unwrap_err() > 2.0);
+        (0..70).for_each(|_| room.1.release(TenantKey::Configured(1)));
+        assert_eq!(fill(&mut room, TenantKey::Configured(1), 100, 100), 8);
     }
 
     #[test]
     fn a_flood_of_made_up_names_takes_nothing_from_known_ones() {
-        let mut room = (weights(&[300_000, 600_000]), Room::default());
+        let mut room = (weights(&[300_000, 600_000]), FairShare::default());
         let mut got = 0;
         for n in 0..100_000u64 {
-            let who = Who::new(None, crate::split::mark(&format!("made up {n}")));
-            room.1.asked(&room.0, Who::Known(0), MS(n / 100));
+            let who = TenantKey::new(
+                None,
+                crate::weighted_split::name_hash(&format!("made up {n}")),
+            );
+            room.1
+                .on_request(&room.0, TenantKey::Configured(0), MS(n / 100));
             if asks(&mut room, who, MS(n / 100), 200).is_ok() {
-                room.1.enter(who);
+                room.1.acquire(who);
                 got += 1;
             }
         }
         // What nobody else uses they may have, but not what is kept.
         assert_eq!(got, 160);
         assert_eq!(
-            fill(&mut room, Who::Known(0), 60, 200),
+            fill(&mut room, TenantKey::Configured(0), 60, 200),
             60,
             "its share of 200, all of it"
         );
-        assert_eq!(fill(&mut room, Who::Known(1), 120, 200), 120);
-        assert_eq!(room.1.cells.len(), CELLS);
+        assert_eq!(fill(&mut room, TenantKey::Configured(1), 120, 200), 120);
+        assert_eq!(room.1.cells.len(), UNKNOWN_TENANT_CELLS);
         assert_eq!(room.1.open(), got + 180);
     }
 
     #[test]
     fn who_asks_no_more_frees_its_part() {
-        let mut room = (weights(&[500_000, 500_000]), Room::default());
-        room.1.asked(&room.0, Who::Known(1), MS(0));
+        let mut room = (weights(&[500_000, 500_000]), FairShare::default());
+        room.1.on_request(&room.0, TenantKey::Configured(1), MS(0));
         assert_eq!(
-            fill(&mut room, Who::Known(0), 20, 10),
+            fill(&mut room, TenantKey::Configured(0), 20, 10),
             8,
             "eight while there is room, and half is its part"
         );
-        room.1.look(&room.0, MS(2_500));
-        assert!(asks(&mut room, Who::Known(0), MS(2_500), 10).is_ok());
+        room.1.tick(&room.0, MS(2_500));
+        assert!(asks(&mut room, TenantKey::Configured(0), MS(2_500), 10).is_ok());
     }
 
     #[test]
@@ -350,17 +373,17 @@
 
     #[test]
     fn it_costs_by_who_is_there_and_not_by_all_tenants() {
-        let mut room = (weights(&[43; 23_000]), Room::default());
+        let mut room = (weights(&[43; 23_000]), FairShare::default());
         for tenant in [7, 22_999] {
-            assert!(asks(&mut room, Who::Known(tenant), MS(0), 10).is_ok());
-            room.1.enter(Who::Known(tenant));
+            assert!(asks(&mut room, TenantKey::Configured(tenant), MS(0), 10).is_ok());
+            room.1.acquire(TenantKey::Configured(tenant));
         }
-        assert!(asks(&mut room, Who::Stranger(3), MS(0), 10).is_ok());
-        assert_eq!(room.1.here(), (3, 1));
-        room.1.leave(Who::Known(7));
-        room.1.look(&room.0, MS(2_500));
+        assert!(asks(&mut room, TenantKey::Unknown(3), MS(0), 10).is_ok());
+        assert_eq!(room.1.active_entries(), (3, 1));
+        room.1.release(TenantKey::Configured(7));
+        room.1.tick(&room.0, MS(2_500));
         assert_eq!(
-            (room.1.here(), room.1.open()),
+            (room.1.active_entries(), room.1.open()),
             ((1, 0), 1),
             "who has something open stays"
         );
@@ -369,9 +392,9 @@
             Some(5.0),
             "and keeps its part"
         );
-        room.1.leave(Who::Known(22_999));
-        room.1.look(&room.0, MS(2_600));
-        assert_eq!((room.1.here(), room.1.open()), ((0, 0), 0));
+        room.1.release(TenantKey::Configured(22_999));
+        room.1.tick(&room.0, MS(2_600));
+        assert_eq!((room.1.active_entries(), room.1.open()), ((0, 0), 0));
     }
 
     proptest! {
@@ -384,19 +407,19 @@
             steps in proptest::collection::vec((0u16..6, any::<bool>(), 0u64..900, any::<u64>()), 1..400),
             of in 1u32..120,
         ) {
-            let mut room = (weights(&shares), Room::default());
-            let (mut now, mut open): (u64, Vec<Who>) = (0, Vec::new());
+            let mut room = (weights(&shares), FairShare::default());
+            let (mut now, mut open): (u64, Vec<TenantKey>) = (0, Vec::new());
             let all: f64 = (0..=shares.len() as u32).map(|at| room.0.of(at)).sum();
             for (tenant, leaves, gap, mark) in steps {
                 now += gap;
                 if leaves && !open.is_empty() {
                     let one = open.swap_remove(mark as usize % open.len());
-                    room.1.leave(one);
+                    room.1.release(one);
                     continue;
                 }
                 let known = (usize::from(tenant) < shares.len()).then_some(tenant);
-                let who = Who::new(known, mark);
-                room.1.look(&room.0, MS(now));
+                let who = TenantKey::new(known, mark);
+                room.1.tick(&room.0, MS(now));
                 let held = room.1.one(place(who)).open;
                 let verdict = asks(&mut room, who, MS(now), of);
                 if let Some(tenant) = known {
@@ -407,7 +430,7 @@
                 }
                 match verdict {
                     Ok(()) => {
-                        room.1.enter(who);
+                        room.1.acquire(who);
                         open.push(who);
                     }
                     Err(over) => prop_assert!(over >= 1.0),
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/time_budget.rs
@@ -53,7 +53,7 @@
     ///
     /// ```
     /// use rainstand_config::schema;
-    /// use rainstand_routing::budget::{Stage, Times};
+    /// use rainstand_routing::time_budget::{Stage, Times};
     /// use std::time::Duration;
     /// let ms = Duration::from_millis;
     /// let answer = Some(schema::Stage { share: 0, fixed_ns: 100_000_000 });
--- a/crates/routing/src/buckets.rs
+++ b/crates/routing/src/token_buckets.rs
@@ -13,23 +13,23 @@
 //! Invariants: `index` names each slot that is in use by its key, `free` each that is not; a slot with somebody
 //! inside stays where it is, so that a ticket can hold it by its place.
 
-use crate::limit::{Bucket, Full, Rule};
-use crate::split::mark;
-use crate::versions::At;
+use crate::rate_limit::{Bucket, LimitExceeded, LimitRule};
+use crate::router::LimitScope;
+use crate::weighted_split::name_hash;
 use foldhash::{HashMap, HashMapExt};
 use rainstand_config::schema::Per;
 use std::time::Duration;
 
 /// Buckets in use at once, some 128 bytes each with their place in the index.
-pub const MOST_BUCKETS: usize = 1 << 20;
+pub const MAX_BUCKETS: usize = 1 << 20;
 /// Room that is there from the start: with fewer in use nothing on a ticket's way allocates.
-const FIRST: usize = 512;
+const INITIAL_CAPACITY: usize = 512;
 /// Slots that the hand looks at for each new bucket: more than one, or it never gets ahead.
-const LOOKED: usize = 2;
+const SLOTS_PER_NEW_BUCKET: usize = 2;
 /// Slots looked at for a ticket that is turned away else: some microseconds.
-const SEARCHED: usize = 64;
+const MAX_SLOTS_SEARCHED: usize = 64;
 /// So many looks go round all slots. There are ten a second, and who was turned away comes back in one.
-const ALL_ROUND: usize = 8;
+const TICKS_PER_SWEEP: usize = 8;
 
 /// What a bucket is known by over versions, as hashes of names: 64 bits each, so that of 23,000 keys at a place two
 /// are taken for one with a chance of one in 70 thousand million.
@@ -42,12 +42,12 @@
 }
 
 impl Key {
-    pub fn new(at: At, name: &str, per: Per, of: Option<&str>) -> Self {
+    pub fn new(at: LimitScope, name: &str, per: Per, of: Option<&str>) -> Self {
         // Not as the hash's seed: with names of three letters another seed came to the hash of another name.
         let kind = ((at as u64) << 8 | per as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         Self {
-            place: mark(name) ^ kind,
-            of: of.map_or(0, mark),
+            place: name_hash(name) ^ kind,
+            of: of.map_or(0, name_hash),
         }
     }
 }
@@ -56,7 +56,7 @@
 struct Slot {
     key: Key,
     bucket: Bucket,
-    rule: Rule,
+    rule: LimitRule,
     used: bool,
 }
 
@@ -73,18 +73,18 @@
 impl Default for Buckets {
     fn default() -> Self {
         Self {
-            index: HashMap::with_capacity(2 * FIRST),
-            slots: Vec::with_capacity(FIRST),
-            free: Vec::with_capacity(FIRST),
+            index: HashMap::with_capacity(2 * INITIAL_CAPACITY),
+            slots: Vec::with_capacity(INITIAL_CAPACITY),
+            free: Vec::with_capacity(INITIAL_CAPACITY),
             hand: 0,
-            most: MOST_BUCKETS,
+            most: MAX_BUCKETS,
         }
     }
 }
 
 impl Buckets {
-    pub fn bound(&mut self, most: usize) {
-        self.most = most.min(MOST_BUCKETS);
+    pub fn set_max(&mut self, most: usize) {
+        self.most = most.min(MAX_BUCKETS);
     }
 
     pub fn in_use(&self) -> usize {
@@ -99,7 +99,7 @@
     ///
     /// # Errors
     /// As [`Bucket::look`].
-    pub fn look(&self, key: &Key, rule: &Rule, now: Duration) -> Result<(), Full> {
+    pub fn look(&self, key: &Key, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
         match self.index.get(key) {
             Some(slot) => self.slots[*slot as usize].bucket.look(rule, now),
             None => Ok(()),
@@ -113,24 +113,24 @@
         now: Duration,
     ) -> bool {
         let new = |all: &Self| keys().filter(|key| !all.index.contains_key(key)).count();
-        let mut looked = LOOKED * new(self);
+        let mut looked = SLOTS_PER_NEW_BUCKET * new(self);
         if looked == 0 {
             return true;
         }
-        self.go_round(looked, now);
+        self.reclaim_idle(looked, now);
         // Counted anew each time: the hand may have given back one of them.
         while self.in_use() + new(self) > self.most {
-            if looked >= SEARCHED {
+            if looked >= MAX_SLOTS_SEARCHED {
                 return false;
             }
-            self.go_round(LOOKED, now);
-            looked += LOOKED;
+            self.reclaim_idle(SLOTS_PER_NEW_BUCKET, now);
+            looked += SLOTS_PER_NEW_BUCKET;
         }
         true
     }
 
     /// Lets a ticket in; the caller looked before, and made room. The slot that it holds until it leaves.
-    pub fn enter(&mut self, key: Key, rule: &Rule, now: Duration) -> u32 {
+    pub fn acquire(&mut self, key: Key, rule: &LimitRule, now: Duration) -> u32 {
         let Self {
             index, slots, free, ..
         } = self;
@@ -148,20 +148,20 @@
             slots.push(slot);
             slots.len() as u32 - 1
         });
-        slots[at as usize].bucket.enter(rule, now);
+        slots[at as usize].bucket.acquire(rule, now);
         at
     }
 
-    pub fn leave(&mut self, slot: u32) {
-        self.slots[slot as usize].bucket.leave();
+    pub fn release(&mut self, slot: u32) {
+        self.slots[slot as usize].bucket.release();
     }
 
     /// A version's rules, by [`Key::place`]: what is there goes on under them. A bucket of a place that they do not
     /// name keeps its own until it is idle.
-    pub fn under(&mut self, rules: &HashMap<u64, Rule>, now: Duration) {
+    pub fn set_rules(&mut self, rules: &HashMap<u64, LimitRule>, now: Duration) {
         for slot in self.slots.iter_mut().filter(|slot| slot.used) {
             if let Some(rule) = rules.get(&slot.key.place) {
-                slot.bucket.under(&slot.rule, rule, now);
+                slot.bucket.set_rules(&slot.rule, rule, now);
                 slot.rule = *rule;
             }
         }
@@ -169,8 +169,8 @@
 
     /// Time passes.
     pub fn sweep(&mut self, now: Duration) {
-        self.go_round(self.slots.len().div_ceil(ALL_ROUND), now);
-        if self.in_use() == 0 && self.slots.len() > FIRST {
+        self.reclaim_idle(self.slots.len().div_ceil(TICKS_PER_SWEEP), now);
+        if self.in_use() == 0 && self.slots.len() > INITIAL_CAPACITY {
             *self = Self {
                 most: self.most,
                 ..Self::default()
@@ -179,7 +179,7 @@
     }
 
     /// Looks at the next slots, and gives back those that are idle.
-    fn go_round(&mut self, looked: usize, now: Duration) {
+    fn reclaim_idle(&mut self, looked: usize, now: Duration) {
         for _ in 0..looked.min(self.slots.len()) {
             self.hand = if self.hand + 1 < self.slots.len() {
                 self.hand + 1
--- a/crates/routing/src/ramp.rs
+++ b/crates/routing/src/warm_up.rs
@@ -21,7 +21,7 @@
 /// toward warming slowly.
 pub const SENDERS: u64 = 32;
 /// How long a turn stays open, as a part of the window: long enough to be met by the next ticket or two.
-const OPEN: f64 = 0.25;
+const TURN_LIFETIME_SECONDS: f64 = 0.25;
 
 /// The rule for one member, as far as this forwarder has to keep it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,11 +38,11 @@
     pub fn new(rate: f64, window: Duration, senders: u64, warm_up: Duration) -> Self {
         let senders = if senders == 0 { SENDERS } else { senders };
         // A window may hold the turns that came up in it and those that were still open when it began.
-        let share = rate / senders as f64 / (1.0 + OPEN);
+        let share = rate / senders as f64 / (1.0 + TURN_LIFETIME_SECONDS);
         Self {
             share,
             warm_up: warm_up.as_secs_f64(),
-            open: window.mul_f64(OPEN),
+            open: window.mul_f64(TURN_LIFETIME_SECONDS),
         }
     }
 
@@ -68,7 +68,7 @@
 
 /// See the module's head.
 #[derive(Clone, Debug)]
-pub struct Ramp {
+pub struct WarmUpLimiter {
     rule: Rule,
     /// In touch without a gap since then.
     since: Option<Duration>,
@@ -79,7 +79,7 @@
     used: f64,
 }
 
-impl Ramp {
+impl WarmUpLimiter {
     /// Nothing is known of the member. `phase`: by chance, from 0 up to 1.
     pub fn new(rule: Rule, phase: f64, now: Duration) -> Self {
         Self {
@@ -92,7 +92,7 @@
     }
 
     /// Connected without a gap since then; whatever was known before is no longer.
-    pub fn connected(&mut self, since: Duration, now: Duration) {
+    pub fn on_connected(&mut self, since: Duration, now: Duration) {
         if self.since != Some(since) {
             self.turn(now);
             self.since = Some(since);
@@ -100,7 +100,7 @@
     }
 
     /// No connection is left: who answers there next may have just started.
-    pub fn lost(&mut self, now: Duration) {
+    pub fn on_disconnected(&mut self, now: Duration) {
         if self.since.is_some() {
             self.turn(now);
             self.since = None;
@@ -108,7 +108,7 @@
     }
 
     /// What was known under another rule holds, but for turns that were open.
-    pub fn carry(&mut self, before: &Ramp, now: Duration) {
+    pub fn carry(&mut self, before: &WarmUpLimiter, now: Duration) {
         (self.since, self.from, self.used) = (before.since, now, 0.0);
         self.level = before.at(now).fract();
     }
@@ -128,7 +128,7 @@
     }
 
     /// Whether it is known to be warm.
-    pub fn warm(&self, now: Duration) -> bool {
+    pub fn is_warm(&self, now: Duration) -> bool {
         self.since
             .is_some_and(|since| now.saturating_sub(since).as_secs_f64() >= self.rule.warm_up)
     }
@@ -142,8 +142,8 @@
     }
 
     /// Until when it may get nothing, if it may get nothing now.
-    pub fn closed(&self, now: Duration) -> Option<Duration> {
-        if self.warm(now) {
+    pub fn blocked_until(&self, now: Duration) -> Option<Duration> {
+        if self.is_warm(now) {
             return None;
         }
         let (sum, used) = (self.at(now), self.used_at(now));
@@ -164,7 +164,7 @@
 
     /// A call goes to it.
     pub fn take(&mut self, now: Duration) {
-        if !self.warm(now) {
+        if !self.is_warm(now) {
             self.used = self.used_at(now) + 1.0;
         }
     }
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/weighted_split.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// What a name stands for in scores: the same in every process and version.
-pub fn mark(name: &str) -> u64 {
+pub fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
@@ -73,7 +73,7 @@
     fn targets(names: &[(&str, u64)]) -> Vec<(u64, u64)> {
         names
             .iter()
-            .map(|(name, weight)| (mark(name), *weight))
+            .map(|(name, weight)| (name_hash(name), *weight))
             .collect()
     }
 
--- a/crates/routing/tests/buckets.rs
+++ b/crates/routing/tests/buckets.rs
@@ -11,9 +11,9 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Per, Rate};
 use rainstand_config::units::ONE;
-use rainstand_routing::limit::{Bucket, Full, Rule};
-use rainstand_routing::table::Ticket;
-use rainstand_routing::versions::{At, Router, Verdict, Way, Why};
+use rainstand_routing::rate_limit::{Bucket, LimitExceeded, LimitRule};
+use rainstand_routing::router::{Admission, LimitScope, RejectReason, RouteDecision, Router};
+use rainstand_routing::table::Request;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -77,14 +77,14 @@
     }
 }
 
-fn arrives(router: &mut Router, now: Duration, tenant: usize, route: usize) -> Verdict {
+fn arrives(router: &mut Router, now: Duration, tenant: usize, route: usize) -> Admission {
     let entity = format!("r{route}");
-    let ticket = Ticket {
+    let ticket = Request {
         tenant: Some(tenant as u16),
         entity: &entity,
-        ..Ticket::default()
+        ..Request::default()
     };
-    router.arrived(now, &ticket, |_| true)
+    router.on_arrival(now, &ticket, |_| true)
 }
 
 #[test]
@@ -95,36 +95,36 @@
     let mut ways = Vec::new();
     for (tenant, route) in [(0, 0), (22_999, 0), (0, 5_399), (22_999, 5_399)] {
         match arrives(&mut router, ms(1), tenant, route) {
-            Verdict::Goes(way) => ways.push(way),
-            Verdict::Turned(turned) => panic!("{tenant} {route}: {turned:?}"),
+            Admission::Admitted(way) => ways.push(way),
+            Admission::Rejected(turned) => panic!("{tenant} {route}: {turned:?}"),
         }
         assert!(matches!(
             arrives(&mut router, ms(1), tenant, route),
-            Verdict::Turned(_)
+            Admission::Rejected(_)
         ));
     }
     assert_eq!(router.buckets(), (4, 4));
     // And a change of version keeps what was let in.
-    router.take(&all, ms(1)).unwrap();
+    router.install(&all, ms(1)).unwrap();
     assert!(matches!(
         arrives(&mut router, ms(1), 22_999, 5_399),
-        Verdict::Turned(_)
+        Admission::Rejected(_)
     ));
-    ways.into_iter().for_each(|way| router.ended(way));
+    ways.into_iter().for_each(|way| router.on_completed(way));
 }
 
 /// Every bucket, kept for ever, under the rule of the present version.
 #[derive(Default)]
 struct Plain {
-    rule: Rule,
+    rule: LimitRule,
     all: HashMap<(usize, usize), Bucket>,
 }
 
 impl Plain {
-    fn take(&mut self, rule: Rule, now: Duration) {
+    fn take(&mut self, rule: LimitRule, now: Duration) {
         self.all
             .values_mut()
-            .for_each(|bucket| bucket.under(&self.rule, &rule, now));
+            .for_each(|bucket| bucket.set_rules(&self.rule, &rule, now));
         self.rule = rule;
     }
 
@@ -132,11 +132,11 @@
         let bucket = self.all.entry(key).or_default();
         match bucket.look(&self.rule, now) {
             Ok(()) => {
-                bucket.enter(&self.rule, now);
+                bucket.acquire(&self.rule, now);
                 Ok(())
             }
-            Err(Full::Until(then)) => Err(then - now),
-            Err(Full::AtOnce) => Err(ms(100)),
+            Err(LimitExceeded::RateUntil(then)) => Err(then - now),
+            Err(LimitExceeded::Concurrency) => Err(ms(100)),
         }
     }
 }
@@ -156,25 +156,25 @@
         };
         let first = made(rules[0]);
         let mut plain = Plain {
-            rule: Rule::from(&first.limits[0]),
+            rule: LimitRule::from(&first.limits[0]),
             ..Plain::default()
         };
         let mut router = Router::new(&first, seed).unwrap();
-        let mut inside: Vec<(Way, (usize, usize))> = Vec::new();
+        let mut inside: Vec<(RouteDecision, (usize, usize))> = Vec::new();
         let (mut now, mut let_in, mut turned_away, mut most) = (ms(0), 0, 0, 0);
         for step in 0..6_000u64 {
             now += Duration::from_micros(draw(0, 2_000));
             match draw(0, 100) {
                 0 => {
                     let next = made(rules[draw(0, 4) as usize]);
-                    plain.take(Rule::from(&next.limits[0]), now);
-                    router.take(&next, now).unwrap();
+                    plain.take(LimitRule::from(&next.limits[0]), now);
+                    router.install(&next, now).unwrap();
                 }
-                1..=5 => router.look(now),
+                1..=5 => router.tick(now),
                 6..=35 if !inside.is_empty() => {
                     let (way, key) = inside.swap_remove(draw(0, inside.len() as u64) as usize);
-                    plain.all.get_mut(&key).unwrap().leave();
-                    router.ended(way);
+                    plain.all.get_mut(&key).unwrap().release();
+                    router.on_completed(way);
                 }
                 _ => {
                     // A crowd that moves on, and some of it that stays.
@@ -188,13 +188,16 @@
                         arrives(&mut router, now, key.0, key.1),
                         plain.arrives(now, key),
                     ) {
-                        (Verdict::Goes(way), Ok(())) => {
+                        (Admission::Admitted(way), Ok(())) => {
                             let_in += 1;
                             inside.push((way, key));
                         }
-                        (Verdict::Turned(turned), Err(after)) => {
+                        (Admission::Rejected(turned), Err(after)) => {
                             turned_away += 1;
-                            assert_eq!((turned.why, turned.after), (Why::Limit(At::Route), after));
+                            assert_eq!(
+                                (turned.why, turned.after),
+                                (RejectReason::Limit(LimitScope::Route), after)
+                            );
                         }
                         (found, wanted) => {
                             panic!("seed {seed} step {step}: {found:?}, kept all: {wanted:?}")
@@ -209,14 +212,16 @@
             "seed {seed}: {let_in} let in, {turned_away} turned away"
         );
         // Of those that came, most have gone again: else nothing was tried here.
-        (0..8).for_each(|_| router.look(now));
+        (0..8).for_each(|_| router.tick(now));
         assert!(
             router.buckets().0 < plain.all.len() * 9 / 10,
             "seed {seed}: {:?}",
             router.buckets()
         );
-        inside.into_iter().for_each(|(way, _)| router.ended(way));
-        (0..8).for_each(|_| router.look(now + ms(3_600_000)));
+        inside
+            .into_iter()
+            .for_each(|(way, _)| router.on_completed(way));
+        (0..8).for_each(|_| router.tick(now + ms(3_600_000)));
         assert_eq!(router.buckets().0, 0, "seed {seed}");
     }
 }
@@ -227,8 +232,8 @@
     let mut router = Router::new(&limited(1, 60_000, 10, 1, 0), 1).unwrap();
     for n in 0..60_000u64 {
         match arrives(&mut router, ms(n), n as usize, 0) {
-            Verdict::Goes(way) => router.ended(way),
-            Verdict::Turned(turned) => panic!("{n}: {turned:?}"),
+            Admission::Admitted(way) => router.on_completed(way),
+            Admission::Rejected(turned) => panic!("{n}: {turned:?}"),
         }
         assert!(
             router.buckets().1 <= 2 * 101,
@@ -255,18 +260,18 @@
     let mut ways = Vec::new();
     for tenant in 0..MOST - 1 {
         match arrives(&mut router, ms(0), tenant, 0) {
-            Verdict::Goes(way) => ways.push(way),
-            Verdict::Turned(turned) => panic!("{tenant}: {turned:?}"),
+            Admission::Admitted(way) => ways.push(way),
+            Admission::Rejected(turned) => panic!("{tenant}: {turned:?}"),
         }
     }
     assert_eq!(router.buckets(), (MOST, MOST));
-    let refused = |verdict: Verdict| match verdict {
-        Verdict::Turned(turned) => (turned.why, turned.after),
-        Verdict::Goes(way) => panic!("{way:?}"),
+    let refused = |verdict: Admission| match verdict {
+        Admission::Rejected(turned) => (turned.why, turned.after),
+        Admission::Admitted(way) => panic!("{way:?}"),
     };
     for tenant in MOST..1_000 {
         let told = refused(arrives(&mut router, ms(0), tenant, 0));
-        assert_eq!(told, (Why::NoBucket, ms(1_000)));
+        assert_eq!(told, (RejectReason::NoBucket, ms(1_000)));
     }
     let counts = router.counts();
     assert_eq!(
@@ -276,26 +281,27 @@
     // Whoever has one goes on, and nobody was pushed out: each has its one inside, and its rate.
     assert_eq!(
         refused(arrives(&mut router, ms(50), 7, 0)),
-        (Why::Limit(At::Route), ms(50))
+        (RejectReason::Limit(LimitScope::Route), ms(50))
     );
     ways.push(match arrives(&mut router, ms(100), 7, 0) {
-        Verdict::Goes(way) => way,
-        Verdict::Turned(turned) => panic!("{turned:?}"),
+        Admission::Admitted(way) => way,
+        Admission::Rejected(turned) => panic!("{turned:?}"),
     });
     // Once others have ended, owe nothing and the looks have been around, there is room within what was told.
-    ways.drain(..MOST / 2).for_each(|way| router.ended(way));
-    (1..=10).for_each(|n| router.look(ms(100 * n)));
+    ways.drain(..MOST / 2)
+        .for_each(|way| router.on_completed(way));
+    (1..=10).for_each(|n| router.tick(ms(100 * n)));
     // (Tenant 7 has its second inside, so half but one were given back.)
     for tenant in MOST..MOST + MOST / 2 - 1 {
         match arrives(&mut router, ms(1_000), tenant, 0) {
-            Verdict::Goes(way) => ways.push(way),
-            Verdict::Turned(turned) => panic!("{tenant}: {turned:?}"),
+            Admission::Admitted(way) => ways.push(way),
+            Admission::Rejected(turned) => panic!("{tenant}: {turned:?}"),
         }
     }
     assert_eq!(
         refused(arrives(&mut router, ms(1_000), 999, 0)).0,
-        Why::NoBucket
+        RejectReason::NoBucket
     );
     assert!(router.buckets().1 <= MOST, "{:?}", router.buckets());
-    ways.into_iter().for_each(|way| router.ended(way));
+    ways.into_iter().for_each(|way| router.on_completed(way));
 }
--- a/crates/routing/tests/change.rs
+++ b/crates/routing/tests/change.rs
@@ -10,9 +10,9 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration, Match, Per, Rate, SplitBy};
 use rainstand_config::units::ONE;
-use rainstand_routing::change::{Change, Kind};
-use rainstand_routing::table::{Table, Ticket};
-use rainstand_routing::versions::{Router, Verdict, Way};
+use rainstand_routing::router::{Admission, RouteDecision, Router};
+use rainstand_routing::table::{Request, Table};
+use rainstand_routing::table_update::{EntryKind, TableChange};
 use std::time::Duration;
 
 const SECOND: u64 = 1_000_000_000;
@@ -224,22 +224,22 @@
 }
 
 /// What a configuration is after some things were put and removed, and the change that says so.
-fn some_change(all: &Configuration, chance: &mut Chance) -> (Configuration, Vec<Change>) {
+fn some_change(all: &Configuration, chance: &mut Chance) -> (Configuration, Vec<TableChange>) {
     let mut all = all.clone();
-    let mut changes: Vec<Change> = Vec::new();
+    let mut changes: Vec<TableChange> = Vec::new();
     let mut routes = Vec::new();
     for _ in 0..1 + chance.below(4) {
         let removes = chance.below(4) == 0;
         let kind = [
-            (Kind::Type, "t", TYPES),
-            (Kind::Tenant, "c", TENANTS),
-            (Kind::Pool, "p", POOLS),
-            (Kind::Limits, "l", LIMITS),
-            (Kind::Budget, "b", FEW),
-            (Kind::RetryAfter, "a", FEW),
-            (Kind::Route, "r", ROUTES),
-            (Kind::Route, "r", ROUTES),
-            (Kind::Route, "r", ROUTES),
+            (EntryKind::Type, "t", TYPES),
+            (EntryKind::Tenant, "c", TENANTS),
+            (EntryKind::Pool, "p", POOLS),
+            (EntryKind::Limits, "l", LIMITS),
+            (EntryKind::Budget, "b", FEW),
+            (EntryKind::RetryAfter, "a", FEW),
+            (EntryKind::Route, "r", ROUTES),
+            (EntryKind::Route, "r", ROUTES),
+            (EntryKind::Route, "r", ROUTES),
         ][chance.below(9)];
         let name = chance.name(kind.1, kind.2);
         let kind = kind.0;
@@ -249,31 +249,31 @@
         if removes {
             let before = all.clone();
             all.types
-                .retain(|one| kind != Kind::Type || one.name != name);
+                .retain(|one| kind != EntryKind::Type || one.name != name);
             all.tenants
-                .retain(|one| kind != Kind::Tenant || one.name != name);
+                .retain(|one| kind != EntryKind::Tenant || one.name != name);
             all.pools
-                .retain(|one| kind != Kind::Pool || one.name != name);
+                .retain(|one| kind != EntryKind::Pool || one.name != name);
             all.limits
-                .retain(|one| kind != Kind::Limits || one.name != name);
+                .retain(|one| kind != EntryKind::Limits || one.name != name);
             all.budgets
-                .retain(|one| kind != Kind::Budget || one.name != name);
+                .retain(|one| kind != EntryKind::Budget || one.name != name);
             all.retry_after
-                .retain(|one| kind != Kind::RetryAfter || one.name != name);
+                .retain(|one| kind != EntryKind::RetryAfter || one.name != name);
             all.routes
-                .retain(|one| kind != Kind::Route || one.name != name);
+                .retain(|one| kind != EntryKind::Route || one.name != name);
             if all != before {
-                changes.push(Change::Remove(kind, name));
+                changes.push(TableChange::Remove(kind, name));
             }
             continue;
         }
         let change = match kind {
-            Kind::Type => Change::Type(a_type(name, chance)),
-            Kind::Tenant => Change::Tenant(a_tenant(name, chance)),
-            Kind::Pool => Change::Pool(a_pool(name, chance)),
-            Kind::Limits => Change::Limits(some_limits(name, chance)),
-            Kind::Budget => Change::Budget(a_budget(name, chance)),
-            Kind::RetryAfter => Change::RetryAfter(a_retry_after(name, chance)),
+            EntryKind::Type => TableChange::Type(a_type(name, chance)),
+            EntryKind::Tenant => TableChange::Tenant(a_tenant(name, chance)),
+            EntryKind::Pool => TableChange::Pool(a_pool(name, chance)),
+            EntryKind::Limits => TableChange::Limits(some_limits(name, chance)),
+            EntryKind::Budget => TableChange::Budget(a_budget(name, chance)),
+            EntryKind::RetryAfter => TableChange::RetryAfter(a_retry_after(name, chance)),
             _ => {
                 let route = a_route(name.clone(), chance);
                 match all.routes.iter().position(|one| one.name == name) {
@@ -289,12 +289,12 @@
             }
         };
         match change.clone() {
-            Change::Type(one) => put(&mut all.types, |one| &one.name, one),
-            Change::Tenant(one) => put(&mut all.tenants, |one| &one.name, one),
-            Change::Pool(one) => put(&mut all.pools, |one| &one.name, one),
-            Change::Limits(one) => put(&mut all.limits, |one| &one.name, one),
-            Change::Budget(one) => put(&mut all.budgets, |one| &one.name, one),
-            Change::RetryAfter(one) => put(&mut all.retry_after, |one| &one.name, one),
+            TableChange::Type(one) => put(&mut all.types, |one| &one.name, one),
+            TableChange::Tenant(one) => put(&mut all.tenants, |one| &one.name, one),
+            TableChange::Pool(one) => put(&mut all.pools, |one| &one.name, one),
+            TableChange::Limits(one) => put(&mut all.limits, |one| &one.name, one),
+            TableChange::Budget(one) => put(&mut all.budgets, |one| &one.name, one),
+            TableChange::RetryAfter(one) => put(&mut all.retry_after, |one| &one.name, one),
             _ => unreachable!(),
         }
         changes.push(change);
@@ -306,22 +306,22 @@
         .filter(|(_, route)| routes.contains(&route.name))
     {
         let before = all.routes.get(at + 1).map(|next| next.name.clone());
-        changes.push(Change::Route(route.clone(), before));
+        changes.push(TableChange::Route(route.clone(), before));
     }
     (all, changes)
 }
 
 /// What a ticket was told, in names.
-fn told(router: &Router, verdict: Verdict) -> (String, Option<Way>) {
+fn told(router: &Router, verdict: Admission) -> (String, Option<RouteDecision>) {
     match verdict {
-        Verdict::Goes(way) => {
+        Admission::Admitted(way) => {
             let told = format!(
                 "{} {} {:?} {:?}",
                 way.route, way.pool, way.place.by, way.times
             );
             (told, Some(way))
         }
-        Verdict::Turned(turned) => {
+        Admission::Rejected(turned) => {
             let route = turned.route.map(|at| router.table().route_name(at));
             (
                 format!("{:?} {:?} {route:?}", turned.why, turned.after),
@@ -362,7 +362,7 @@
         let (mut now, mut open) = (Duration::ZERO, Vec::new());
         for step in 0..40 {
             let (next, changes) = some_change(&all, &mut chance);
-            let whole = by_whole.take(&next, now);
+            let whole = by_whole.install(&next, now);
             let change = by_change.apply(&changes, now);
             match (&whole, &change) {
                 (Ok(one), Ok(other)) => {
@@ -390,15 +390,15 @@
                     let traffic = table.traffic(&traffic)?;
                     let tenant = table.tenant(&tenant);
                     let out = table.pool(&out);
-                    let ticket = Ticket {
+                    let ticket = Request {
                         traffic,
                         tenant,
                         entity,
                         again,
                         size,
-                        ..Ticket::default()
+                        ..Request::default()
                     };
-                    let verdict = router.arrived(now, &ticket, |pool| Some(pool) != out);
+                    let verdict = router.on_arrival(now, &ticket, |pool| Some(pool) != out);
                     Some(told(router, verdict))
                 });
                 let words = both
@@ -417,8 +417,8 @@
                 }
                 if open.len() > 8 || (chance.below(3) == 0 && !open.is_empty()) {
                     let (one, other) = open.swap_remove(chance.below(open.len()));
-                    by_change.ended(one);
-                    by_whole.ended(other);
+                    by_change.on_completed(one);
+                    by_whole.on_completed(other);
                 }
             }
         }
@@ -454,63 +454,66 @@
     };
     all.routes = vec![route("r0", "p0"), route("r1", "p1")];
     all.pools[0].retry_after = "a0".into();
-    let gone = |kind, name: &str| Change::Remove(kind, name.into());
+    let gone = |kind, name: &str| TableChange::Remove(kind, name.into());
     let pool = |name: &str, fall_back: &str| {
-        Change::Pool(schema::Pool {
+        TableChange::Pool(schema::Pool {
             name: name.into(),
             fall_back: fall_back.into(),
             ..Default::default()
         })
     };
-    let tenant = Change::Tenant(schema::Tenant {
+    let tenant = TableChange::Tenant(schema::Tenant {
         name: "new".into(),
         ..Default::default()
     });
-    let table: Vec<(Vec<Change>, &str)> = vec![
+    let table: Vec<(Vec<TableChange>, &str)> = vec![
         (
-            vec![tenant.clone(), gone(Kind::Tenant, "new")],
+            vec![tenant.clone(), gone(EntryKind::Tenant, "new")],
             "tenant `new` is named twice in one change",
         ),
         (
-            vec![gone(Kind::Tenant, "c3")],
+            vec![gone(EntryKind::Tenant, "c3")],
             "tenant `c3` cannot go: something refers to it",
         ),
         (
-            vec![gone(Kind::Type, "t1")],
+            vec![gone(EntryKind::Type, "t1")],
             "type `t1` cannot go: something refers to it",
         ),
         (
-            vec![gone(Kind::Pool, "p1")],
+            vec![gone(EntryKind::Pool, "p1")],
             "pool `p1` cannot go: something refers to it",
         ),
         (
-            vec![gone(Kind::Limits, "l0")],
+            vec![gone(EntryKind::Limits, "l0")],
             "limits `l0` cannot go: something refers to it",
         ),
         (
-            vec![gone(Kind::RetryAfter, "a0")],
+            vec![gone(EntryKind::RetryAfter, "a0")],
             "retry-after `a0` cannot go: something refers to it",
         ),
         (
-            vec![gone(Kind::Budget, "b0")],
+            vec![gone(EntryKind::Budget, "b0")],
             "budget `b0` cannot go: something refers to it",
         ),
-        (vec![gone(Kind::Route, "r9")], "there is no route `r9`"),
-        (vec![gone(Kind::Health, "h9")], "there is no health `h9`"),
+        (vec![gone(EntryKind::Route, "r9")], "there is no route `r9`"),
         (
-            vec![gone(Kind::Attempts, "h9")],
+            vec![gone(EntryKind::Health, "h9")],
+            "there is no health `h9`",
+        ),
+        (
+            vec![gone(EntryKind::Attempts, "h9")],
             "there is no attempts `h9`",
         ),
         (
-            vec![Change::Route(route("r2", "p2"), Some("r9".into()))],
+            vec![TableChange::Route(route("r2", "p2"), Some("r9".into()))],
             "there is no route `r9`",
         ),
         (
-            vec![Change::Route(route("r0", "p2"), Some("r0".into()))],
+            vec![TableChange::Route(route("r0", "p2"), Some("r0".into()))],
             "route `r0` cannot stand before itself",
         ),
         (
-            vec![Change::Route(route("r2", "p9"), None)],
+            vec![TableChange::Route(route("r2", "p9"), None)],
             "there is no pool `p9`",
         ),
         (
@@ -518,7 +521,7 @@
             "falls back in a ring",
         ),
         (
-            vec![tenant, gone(Kind::Route, "r0"), pool("p1", "p9")],
+            vec![tenant, gone(EntryKind::Route, "r0"), pool("p1", "p9")],
             "there is no pool `p9`",
         ),
     ];
@@ -540,10 +543,10 @@
         (15, 1)
     );
     // Together with what refers to them they may go; and pools may be told in any order.
-    let routes = [gone(Kind::Route, "r0"), gone(Kind::Route, "r1")];
+    let routes = [gone(EntryKind::Route, "r0"), gone(EntryKind::Route, "r1")];
     let others = [
-        gone(Kind::Pool, "p1"),
-        gone(Kind::Tenant, "c3"),
+        gone(EntryKind::Pool, "p1"),
+        gone(EntryKind::Tenant, "c3"),
         pool("x", "y"),
         pool("y", ""),
     ];
@@ -555,7 +558,7 @@
                     routes[0].clone(),
                     routes[1].clone(),
                     pool("z", "x"),
-                    gone(Kind::Budget, "b0"),
+                    gone(EntryKind::Budget, "b0"),
                 ],
             ]
             .concat(),
--- a/crates/routing/tests/change_cost.rs
+++ b/crates/routing/tests/change_cost.rs
@@ -9,8 +9,8 @@
 
 use rainstand_config::schema::{self, Configuration, Match, Per, Rate};
 use rainstand_config::units::ONE;
-use rainstand_routing::change::{Change, Kind};
-use rainstand_routing::versions::Router;
+use rainstand_routing::router::Router;
+use rainstand_routing::table_update::{EntryKind, TableChange};
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
 use std::time::Duration;
@@ -108,7 +108,7 @@
 /// Allocations and bytes of each kind of change, after one of each that may make room for more.
 fn costs(routes: usize, tenants: usize) -> Vec<(&'static str, usize, usize)> {
     let mut router = Router::new(&whole(routes, tenants), 1).unwrap();
-    let mut cost = |what: &'static str, change: &dyn Fn(usize) -> Change| {
+    let mut cost = |what: &'static str, change: &dyn Fn(usize) -> TableChange| {
         for n in 0..3 {
             router.apply(&[change(n)], Duration::ZERO).unwrap();
         }
@@ -119,24 +119,32 @@
         (what, after.0 - before.0, after.1 - before.1)
     };
     vec![
-        cost("tenant changed", &|n| Change::Tenant(tenant(3, n as u64))),
-        cost("tenant new", &|n| Change::Tenant(tenant(90_000 + n, 7))),
+        cost("tenant changed", &|n| {
+            TableChange::Tenant(tenant(3, n as u64))
+        }),
+        cost("tenant new", &|n| {
+            TableChange::Tenant(tenant(90_000 + n, 7))
+        }),
         cost("tenant gone", &|n| {
-            Change::Remove(Kind::Tenant, format!("t{n:05}"))
+            TableChange::Remove(EntryKind::Tenant, format!("t{n:05}"))
+        }),
+        cost("limits changed", &|n| {
+            TableChange::Limits(limits(2 + n as u64))
+        }),
+        cost("pool changed", &|n| {
+            TableChange::Pool(pool(7, 2 + n as u64))
         }),
-        cost("limits changed", &|n| Change::Limits(limits(2 + n as u64))),
-        cost("pool changed", &|n| Change::Pool(pool(7, 2 + n as u64))),
         cost("route changed", &|n| {
-            Change::Route(route(5, n), Some("r00006".into()))
+            TableChange::Route(route(5, n), Some("r00006".into()))
         }),
         cost("route new in front", &|n| {
-            Change::Route(route(90_000 + n, 1), Some("r00000".into()))
+            TableChange::Route(route(90_000 + n, 1), Some("r00000".into()))
         }),
         cost("route moved", &|n| {
-            Change::Route(route(90_000 + n, 1), Some("r00020".into()))
+            TableChange::Route(route(90_000 + n, 1), Some("r00020".into()))
         }),
         cost("route gone", &|n| {
-            Change::Remove(Kind::Route, format!("r0001{n}"))
+            TableChange::Remove(EntryKind::Route, format!("r0001{n}"))
         }),
     ]
 }
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -11,11 +11,13 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
 use rainstand_invariants::{Answer, Broken, Kind, Rules, Step as Saw};
-use rainstand_routing::attempts::START;
-use rainstand_routing::fleet::{Back, End, Fleet, Over, Step, Trip};
-use rainstand_routing::health::{Reason, Standing};
-use rainstand_routing::split::mark;
-use rainstand_routing::table::Ticket;
+use rainstand_routing::fleet::{
+    AttemptOutcome, Completed, Fleet, NextAction, RequestOutcome, RequestState,
+};
+use rainstand_routing::health::{EjectionReason, MemberStatus};
+use rainstand_routing::retry::INITIAL_RETRIES;
+use rainstand_routing::table::Request;
+use rainstand_routing::weighted_split::name_hash;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
@@ -40,11 +42,11 @@
 }
 
 /// What a member does with a try that reaches it at a time: what comes back after how long, and whether it ran.
-type Does = fn(usize, u64, &mut WyRand) -> (Back, u64, bool);
+type Does = fn(usize, u64, &mut WyRand) -> (AttemptOutcome, u64, bool);
 
 struct Played {
     /// Ends by the time of arrival, ms.
-    ends: Vec<(u64, u64, End)>,
+    ends: Vec<(u64, u64, RequestOutcome)>,
     /// Tries at each member by time.
     tries: Vec<(u64, usize)>,
     runs: BTreeMap<u64, u32>,
@@ -64,8 +66,8 @@
 
 enum Event {
     Arrives,
-    Back(Trip, Back, u64),
-    Again(Trip, u64),
+    Back(RequestState, AttemptOutcome, u64),
+    Again(RequestState, u64),
     Look,
 }
 
@@ -132,7 +134,7 @@
         };
         let (ticket, step) = match event {
             Event::Look => {
-                fleet.look(now);
+                fleet.tick(now);
                 continue;
             }
             Event::Arrives => {
@@ -154,21 +156,21 @@
                 );
                 (
                     next,
-                    fleet.arrived(
+                    fleet.on_arrival(
                         now,
-                        &Ticket {
+                        &Request {
                             traffic,
                             tenant: Some(0),
-                            ..Ticket::default()
+                            ..Request::default()
                         },
                     ),
                 )
             }
-            Event::Back(trip, back, ticket) => (ticket, fleet.came(now, trip, back)),
+            Event::Back(trip, back, ticket) => (ticket, fleet.on_attempt_outcome(now, trip, back)),
             Event::Again(trip, ticket) => (ticket, fleet.again(now, trip)),
         };
         match step {
-            Step::Go(trip, send) => {
+            NextAction::Dispatch(trip, send) => {
                 let member = usize::from(send.to.member);
                 tries.push((t, member));
                 let (back, took, ran) = does(member, t, &mut chance);
@@ -184,13 +186,15 @@
                 }
                 let cut = send.cut.as_millis() as u64;
                 let (back, took) = if took > cut {
-                    (Back::TimedOut, cut)
+                    (AttemptOutcome::TimedOut, cut)
                 } else {
                     (back, took)
                 };
                 let back = match (bug, back) {
-                    (Bug::BrokenIsUnreachable, Back::Broken) => Back::Unreachable,
-                    (Bug::LateIsDismissed, Back::TimedOut) => Back::Dismissed {
+                    (Bug::BrokenIsUnreachable, AttemptOutcome::Broken) => {
+                        AttemptOutcome::Unreachable
+                    }
+                    (Bug::LateIsDismissed, AttemptOutcome::TimedOut) => AttemptOutcome::Rejected {
                         pause: Duration::ZERO,
                         nowhere_else: true,
                     },
@@ -198,16 +202,16 @@
                 };
                 push(&mut events, t + took, Event::Back(trip, back, ticket));
             }
-            Step::Wait(trip, wait) => push(
+            NextAction::Backoff(trip, wait) => push(
                 &mut events,
                 t + wait.as_millis() as u64,
                 Event::Again(trip, ticket),
             ),
-            Step::Over(over) => {
+            NextAction::Completed(over) => {
                 let answer = match over.end {
-                    End::Honoured => Answer::Honoured,
-                    End::Dismissed { .. } => Answer::Dismissed,
-                    End::GivenUp | End::Nobody => Answer::GivenUp,
+                    RequestOutcome::Served => Answer::Honoured,
+                    RequestOutcome::Rejected { .. } => Answer::Dismissed,
+                    RequestOutcome::Failed | RequestOutcome::CallerGone => Answer::GivenUp,
                 };
                 saw(ticket, Saw::Answered(answer));
                 ends.push((born[&ticket], t, over.end));
@@ -233,7 +237,13 @@
     let (counts, now) = (played.fleet.counts(), Duration::from_secs(60));
     played
         .rules
-        .budget(now, counts.first_tries, counts.further_tries, 0.2, START)
+        .budget(
+            now,
+            counts.first_tries,
+            counts.further_tries,
+            0.2,
+            INITIAL_RETRIES,
+        )
         .unwrap();
     assert!(
         played.fleet.members(0, now).all(|member| member.open == 0),
@@ -248,14 +258,17 @@
         .iter()
         .filter(|(born, ..)| (from..upto).contains(born))
         .collect();
-    of.iter().filter(|(.., end)| *end == End::Honoured).count() as f64 / of.len() as f64
+    of.iter()
+        .filter(|(.., end)| *end == RequestOutcome::Served)
+        .count() as f64
+        / of.len() as f64
 }
 
 #[test]
 fn all_fail_at_once_and_come_back() {
     let mut played = play(fleet(5, "none"), 200, 20, |_, t, chance| match t {
-        5_000..10_000 => (Back::Failed, 2, true),
-        _ => (Back::Honoured, chance.generate_range(10..30), true),
+        5_000..10_000 => (AttemptOutcome::Failed, 2, true),
+        _ => (AttemptOutcome::Served, chance.generate_range(10..30), true),
     });
     rules(&mut played, 4_000);
     assert!(honoured(&played, 0, 4_900) > 0.99);
@@ -277,8 +290,8 @@
         200,
         10,
         |member, _, chance| match member {
-            0 => (Back::Failed, 1, true),
-            _ => (Back::Honoured, chance.generate_range(20..60), true),
+            0 => (AttemptOutcome::Failed, 1, true),
+            _ => (AttemptOutcome::Served, chance.generate_range(20..60), true),
         },
     );
     rules(&mut played, 2_000);
@@ -303,8 +316,8 @@
 fn one_that_hangs_holds_only_what_is_there() {
     let mut played = play(fleet(5, "none"), 200, 12, |member, t, chance| {
         match (member, t) {
-            (0, 3_000..) => (Back::Honoured, 100_000, true),
-            _ => (Back::Honoured, chance.generate_range(10..30), true),
+            (0, 3_000..) => (AttemptOutcome::Served, 100_000, true),
+            _ => (AttemptOutcome::Served, chance.generate_range(10..30), true),
         }
     });
     rules(&mut played, 2_400);
@@ -323,12 +336,12 @@
     // A fifth of all tries lose their connection, half of those after they ran; members are restarted in turn.
     let mut played = play(fleet(5, "none"), 200, 15, |member, t, chance| {
         if (t / 1_000) as usize % 5 == member && t % 1_000 < 300 {
-            return (Back::Unreachable, 1, false);
+            return (AttemptOutcome::Unreachable, 1, false);
         }
         match chance.generate_range(0..10u8) {
-            0 => (Back::Broken, 15, true),
-            1 => (Back::Broken, 5, false),
-            _ => (Back::Honoured, 20, true),
+            0 => (AttemptOutcome::Broken, 15, true),
+            1 => (AttemptOutcome::Broken, 5, false),
+            _ => (AttemptOutcome::Served, 20, true),
         }
     });
     rules(&mut played, 3_000);
@@ -336,7 +349,7 @@
     let dismissed = played
         .ends
         .iter()
-        .filter(|(.., end)| matches!(end, End::Dismissed { .. }))
+        .filter(|(.., end)| matches!(end, RequestOutcome::Rejected { .. }))
         .count();
     assert!(dismissed < 150, "{dismissed}");
     assert!(
@@ -349,9 +362,9 @@
 fn a_caller_that_leaves_during_a_wait_frees_nothing_twice() {
     let mut fleet = fleet(1, "none");
     let now = Duration::from_millis;
-    let ticket = Ticket {
+    let ticket = Request {
         tenant: Some(0),
-        ..Ticket::default()
+        ..Request::default()
     };
     let open = |fleet: &Fleet| {
         fleet
@@ -359,28 +372,30 @@
             .map(|member| member.open)
             .sum::<u32>()
     };
-    let Step::Go(other, _) = fleet.arrived(now(0), &ticket) else {
+    let NextAction::Dispatch(other, _) = fleet.on_arrival(now(0), &ticket) else {
         panic!("it goes")
     };
-    let Step::Go(trip, _) = fleet.arrived(now(0), &ticket) else {
+    let NextAction::Dispatch(trip, _) = fleet.on_arrival(now(0), &ticket) else {
         panic!("it goes")
     };
-    let Step::Wait(trip, _) = fleet.came(now(5), trip, Back::Failed) else {
+    let NextAction::Backoff(trip, _) =
+        fleet.on_attempt_outcome(now(5), trip, AttemptOutcome::Failed)
+    else {
         panic!("it waits")
     };
     assert_eq!(open(&fleet), 1);
     assert!(matches!(
-        fleet.came(now(6), trip, Back::CallerLeft),
-        Step::Over(Over {
-            end: End::Nobody,
+        fleet.on_attempt_outcome(now(6), trip, AttemptOutcome::CallerLeft),
+        NextAction::Completed(Completed {
+            end: RequestOutcome::CallerGone,
             ..
         })
     ));
     assert_eq!(open(&fleet), 1, "the other one is still there");
     assert!(matches!(
-        fleet.came(now(9), other, Back::Honoured),
-        Step::Over(Over {
-            end: End::Honoured,
+        fleet.on_attempt_outcome(now(9), other, AttemptOutcome::Served),
+        NextAction::Completed(Completed {
+            end: RequestOutcome::Served,
             ..
         })
     ));
@@ -393,22 +408,25 @@
     let mut told = Vec::new();
     for t in 0..200u64 {
         let now = Duration::from_millis(t * 10);
-        let ticket = Ticket {
+        let ticket = Request {
             tenant: Some(0),
-            ..Ticket::default()
+            ..Request::default()
         };
-        if let Step::Go(trip, send) = fleet.arrived(now, &ticket) {
+        if let NextAction::Dispatch(trip, send) = fleet.on_arrival(now, &ticket) {
             let back = if send.to.member == 1 {
-                Back::Failed
+                AttemptOutcome::Failed
             } else {
-                Back::Honoured
+                AttemptOutcome::Served
             };
-            let _ = fleet.came(now + Duration::from_millis(4), trip, back);
+            let _ = fleet.on_attempt_outcome(now + Duration::from_millis(4), trip, back);
         }
-        told.extend(fleet.look(now).into_iter().map(|(at, to)| {
+        told.extend(fleet.tick(now).into_iter().map(|(at, to)| {
             (
                 at.member,
-                matches!(to, Standing::Out(Reason::FailuresInARow, _)),
+                matches!(
+                    to,
+                    MemberStatus::Ejected(EjectionReason::ConsecutiveFailures, _)
+                ),
             )
         }));
     }
@@ -427,7 +445,7 @@
     let mut played = play(fleet(2, "not-run"), 100, 4, |member, t, _| {
         match (member, t) {
             (0, 1_000..2_000) => (
-                Back::Dismissed {
+                AttemptOutcome::Rejected {
                     pause: Duration::from_millis(400),
                     nowhere_else: false,
                 },
@@ -435,14 +453,14 @@
                 false,
             ),
             (1, 1_500..1_600) => (
-                Back::Dismissed {
+                AttemptOutcome::Rejected {
                     pause: Duration::from_millis(250),
                     nowhere_else: true,
                 },
                 1,
                 false,
             ),
-            _ => (Back::Honoured, 10, true),
+            _ => (AttemptOutcome::Served, 10, true),
         }
     });
     rules(&mut played, 400);
@@ -454,7 +472,7 @@
         .count();
     assert!(asked <= 20, "{asked}");
     let told = played.ends.iter().any(|(.., end)| {
-        *end == End::Dismissed {
+        *end == RequestOutcome::Rejected {
             after: Duration::from_millis(250),
             nowhere_else: true,
         }
@@ -463,12 +481,12 @@
 }
 
 /// A fifth of connections break, half of those after the ticket ran; some take for ever.
-fn breaks(_: usize, _: u64, chance: &mut WyRand) -> (Back, u64, bool) {
+fn breaks(_: usize, _: u64, chance: &mut WyRand) -> (AttemptOutcome, u64, bool) {
     match chance.generate_range(0..10u8) {
-        0 => (Back::Broken, 15, true),
-        1 => (Back::Broken, 5, false),
-        2 => (Back::Honoured, 100_000, true),
-        _ => (Back::Honoured, 20, true),
+        0 => (AttemptOutcome::Broken, 15, true),
+        1 => (AttemptOutcome::Broken, 5, false),
+        2 => (AttemptOutcome::Served, 100_000, true),
+        _ => (AttemptOutcome::Served, 20, true),
     }
 }
 
@@ -507,16 +525,16 @@
     for t in 0..10_000u64 {
         let now = Duration::from_millis(t);
         if t % 100 == 0 {
-            fleet.look(now);
+            fleet.tick(now);
         }
         while back.peek().is_some_and(|Timed(at, ..)| *at <= t) {
             let Some(Timed(_, n, Event::Back(trip, came, _))) = back.pop() else {
                 continue;
             };
-            let Step::Over(over) = fleet.came(now, trip, came) else {
+            let NextAction::Completed(over) = fleet.on_attempt_outcome(now, trip, came) else {
                 panic!("no further tries here")
             };
-            good += u32::from(n.is_multiple_of(2) && over.end == End::Honoured);
+            good += u32::from(n.is_multiple_of(2) && over.end == RequestOutcome::Served);
         }
         // One ticket a millisecond by acme, whose share is half of the pool, and forty by nobody knows whom.
         for n in 0..41u64 {
@@ -524,21 +542,25 @@
             let (tenant, stranger) = if n == 20 {
                 (Some(0), 0)
             } else {
-                (None, mark(&format!("{t} {n}")))
+                (None, name_hash(&format!("{t} {n}")))
             };
             known += u32::from(n == 20);
             strangers += u64::from(n != 20);
-            let ticket = Ticket {
+            let ticket = Request {
                 tenant,
                 stranger,
-                ..Ticket::default()
+                ..Request::default()
             };
-            if let Step::Go(trip, send) = fleet.arrived(now, &ticket) {
+            if let NextAction::Dispatch(trip, send) = fleet.on_arrival(now, &ticket) {
                 let member = &mut busy[usize::from(send.to.member)];
                 *member = (*member).max(t) + 1;
                 let order = made + u64::from(n != 20);
                 let took = *member + chance.generate_range(0..3u64);
-                back.push(Timed(took, order, Event::Back(trip, Back::Honoured, 0)));
+                back.push(Timed(
+                    took,
+                    order,
+                    Event::Back(trip, AttemptOutcome::Served, 0),
+                ));
             }
         }
     }
@@ -580,20 +602,20 @@
             .map(|member| member.open)
             .sum::<u32>()
     };
-    let trips: Vec<Trip> = (0..8)
-        .map(|_| match fleet.arrived(now(1), &Ticket::default()) {
-            Step::Go(trip, _) => trip,
+    let trips: Vec<RequestState> = (0..8)
+        .map(|_| match fleet.on_arrival(now(1), &Request::default()) {
+            NextAction::Dispatch(trip, _) => trip,
             other => panic!("{other:?}"),
         })
         .collect();
-    fleet.take(&after, now(2)).unwrap();
+    fleet.install(&after, now(2)).unwrap();
     let p = fleet.table().pool("p").unwrap();
     assert_eq!((p, open(&fleet, p), open(&fleet, 0)), (1, 8, 0));
     for trip in trips {
         assert!(matches!(
-            fleet.came(now(5), trip, Back::Honoured),
-            Step::Over(Over {
-                end: End::Honoured,
+            fleet.on_attempt_outcome(now(5), trip, AttemptOutcome::Served),
+            NextAction::Completed(Completed {
+                end: RequestOutcome::Served,
                 ..
             })
         ));
--- a/crates/routing/tests/fleet_change.rs
+++ b/crates/routing/tests/fleet_change.rs
@@ -10,10 +10,10 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema;
 use rainstand_config::units::ONE;
-use rainstand_routing::change::{Change, Kind};
-use rainstand_routing::fleet::{Back, End, Fleet, Step};
-use rainstand_routing::health::Standing;
-use rainstand_routing::table::Ticket;
+use rainstand_routing::fleet::{AttemptOutcome, Fleet, NextAction, RequestOutcome};
+use rainstand_routing::health::MemberStatus;
+use rainstand_routing::table::Request;
+use rainstand_routing::table_update::{EntryKind, TableChange};
 use std::time::Duration;
 
 /// A fleet of some pools and tenants, and changes of all that a fleet keeps by place.
@@ -102,18 +102,34 @@
                 0 => {
                     let members: Vec<usize> = (0..4).filter(|_| draw(3) > 0).collect();
                     let some = match draw(9) {
-                        0 => vec![Change::Tenant(tenant(draw(9), draw(3) as u64 * 50_000))],
-                        1 => vec![Change::Remove(Kind::Tenant, format!("t{}", draw(9)))],
-                        2 => vec![Change::Pool(pool(draw(6), &members, ["", "l"][draw(2)]))],
-                        3 => vec![Change::Remove(Kind::Pool, format!("p{}", draw(6)))],
-                        4 => vec![Change::Route(
+                        0 => vec![TableChange::Tenant(tenant(
+                            draw(9),
+                            draw(3) as u64 * 50_000,
+                        ))],
+                        1 => vec![TableChange::Remove(
+                            EntryKind::Tenant,
+                            format!("t{}", draw(9)),
+                        )],
+                        2 => vec![TableChange::Pool(pool(
+                            draw(6),
+                            &members,
+                            ["", "l"][draw(2)],
+                        ))],
+                        3 => vec![TableChange::Remove(
+                            EntryKind::Pool,
+                            format!("p{}", draw(6)),
+                        )],
+                        4 => vec![TableChange::Route(
                             route(1 + draw(5), draw(6)),
                             Some("r0".into()),
                         )],
-                        5 => vec![Change::Remove(Kind::Route, format!("r{}", 1 + draw(5)))],
-                        6 => vec![Change::Limits(limits(1 + draw(30) as u64))],
-                        7 => vec![Change::Health(health(1 + draw(9) as u64))],
-                        _ => vec![Change::Attempts(attempts.clone())],
+                        5 => vec![TableChange::Remove(
+                            EntryKind::Route,
+                            format!("r{}", 1 + draw(5)),
+                        )],
+                        6 => vec![TableChange::Limits(limits(1 + draw(30) as u64))],
+                        7 => vec![TableChange::Health(health(1 + draw(9) as u64))],
+                        _ => vec![TableChange::Attempts(attempts.clone())],
                     };
                     applied += u32::from(fleet.apply(&some, now).is_ok());
                     let c = fleet.table().configuration();
@@ -136,19 +152,19 @@
                     continue;
                 }
                 1 => {
-                    fleet.look(now);
+                    fleet.tick(now);
                     continue;
                 }
                 2..=8 if !at.is_empty() => {
                     let trip = at.swap_remove(draw(at.len()));
                     let back = [
-                        Back::Honoured,
-                        Back::Honoured,
-                        Back::Failed,
-                        Back::Broken,
-                        Back::CallerLeft,
+                        AttemptOutcome::Served,
+                        AttemptOutcome::Served,
+                        AttemptOutcome::Failed,
+                        AttemptOutcome::Broken,
+                        AttemptOutcome::CallerLeft,
                     ][draw(5)];
-                    fleet.came(now, trip, back)
+                    fleet.on_attempt_outcome(now, trip, back)
                 }
                 9..=12 if !waits.is_empty() => {
                     fleet.again(now, waits.swap_remove(draw(waits.len())))
@@ -158,36 +174,36 @@
                     let tenant = fleet.table().tenant(&format!("t{}", draw(9)));
                     let entity = format!("{}", draw(6));
                     let stranger = draw(5) as u64;
-                    fleet.arrived(
+                    fleet.on_arrival(
                         now,
-                        &Ticket {
+                        &Request {
                             tenant,
                             stranger,
                             entity: &entity,
-                            ..Ticket::default()
+                            ..Request::default()
                         },
                     )
                 }
                 _ => continue,
             };
             match next {
-                Step::Go(trip, _) => at.push(trip),
-                Step::Wait(trip, _) => waits.push(trip),
-                Step::Over(end) => {
+                NextAction::Dispatch(trip, _) => at.push(trip),
+                NextAction::Backoff(trip, _) => waits.push(trip),
+                NextAction::Completed(end) => {
                     over += 1;
-                    ends += u32::from(end.end == End::Honoured);
+                    ends += u32::from(end.end == RequestOutcome::Served);
                 }
             }
         }
         for trip in at {
-            match fleet.came(now, trip, Back::CallerLeft) {
-                Step::Over(_) => over += 1,
+            match fleet.on_attempt_outcome(now, trip, AttemptOutcome::CallerLeft) {
+                NextAction::Completed(_) => over += 1,
                 other => panic!("{other:?}"),
             }
         }
         for trip in waits {
-            match fleet.came(now, trip, Back::CallerLeft) {
-                Step::Over(_) => over += 1,
+            match fleet.on_attempt_outcome(now, trip, AttemptOutcome::CallerLeft) {
+                NextAction::Completed(_) => over += 1,
                 other => panic!("{other:?}"),
             }
         }
@@ -260,13 +276,16 @@
     };
     let now = Duration::from_millis(1);
     let fails = |fleet: &mut Fleet| {
-        let Step::Go(trip, _) = fleet.arrived(now, &Ticket::default()) else {
+        let NextAction::Dispatch(trip, _) = fleet.on_arrival(now, &Request::default()) else {
             panic!("nowhere to go")
         };
-        assert!(matches!(fleet.came(now, trip, Back::Failed), Step::Over(_)));
+        assert!(matches!(
+            fleet.on_attempt_outcome(now, trip, AttemptOutcome::Failed),
+            NextAction::Completed(_)
+        ));
         fleet
             .members(0, now)
-            .filter(|member| member.standing != Standing::In)
+            .filter(|member| member.standing != MemberStatus::Healthy)
             .count()
     };
     for by_change in [true, false] {
@@ -274,9 +293,9 @@
         assert_eq!(fails(&mut fleet), 0);
         match by_change {
             true => fleet
-                .apply(&[Change::Health(whole(1).health.remove(0))], now)
+                .apply(&[TableChange::Health(whole(1).health.remove(0))], now)
                 .unwrap(),
-            false => fleet.take(&whole(1), now).unwrap(),
+            false => fleet.install(&whole(1), now).unwrap(),
         };
         assert_eq!(fails(&mut fleet), 1, "by change: {by_change}");
     }
--- a/crates/routing/tests/no_allocation.rs
+++ b/crates/routing/tests/no_allocation.rs
@@ -8,8 +8,8 @@
 )]
 
 use rainstand_config::{load, source::Memory};
-use rainstand_routing::table::Ticket;
-use rainstand_routing::versions::{Router, Verdict};
+use rainstand_routing::router::{Admission, Router};
+use rainstand_routing::table::Request;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::cell::Cell;
 use std::time::Duration;
@@ -53,19 +53,19 @@
     let before = MADE.with(Cell::get);
     let (mut went, mut turned) = (0, 0);
     for n in 0..10_000u64 {
-        let ticket = Ticket {
+        let ticket = Request {
             tenant: [None, Some(0)][n as usize % 2],
             entity: ["NO-1", "SE-2", ""][n as usize % 3],
-            ..Ticket::default()
+            ..Request::default()
         };
-        match router.arrived(Duration::from_millis(n), &ticket, |pool| {
+        match router.on_arrival(Duration::from_millis(n), &ticket, |pool| {
             n % 5 > 0 || pool == 1
         }) {
-            Verdict::Goes(way) => {
+            Admission::Admitted(way) => {
                 went += 1;
-                router.ended(way);
+                router.on_completed(way);
             }
-            Verdict::Turned(_) => turned += 1,
+            Admission::Rejected(_) => turned += 1,
         }
     }
     assert_eq!(MADE.with(Cell::get), before);
@@ -91,13 +91,13 @@
     let mut all = |now: Duration| {
         let before = MADE.with(Cell::get);
         for tenant in 0..TENANTS {
-            let ticket = Ticket {
+            let ticket = Request {
                 tenant: Some(tenant),
-                ..Ticket::default()
+                ..Request::default()
             };
-            match router.arrived(now, &ticket, |_| true) {
-                Verdict::Goes(way) => router.ended(way),
-                Verdict::Turned(turned) => panic!("{turned:?}"),
+            match router.on_arrival(now, &ticket, |_| true) {
+                Admission::Admitted(way) => router.on_completed(way),
+                Admission::Rejected(turned) => panic!("{turned:?}"),
             }
         }
         (MADE.with(Cell::get) - before, router.buckets().0)
--- a/crates/routing/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -11,10 +11,12 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::Configuration;
 use rainstand_config::{load, source::Memory};
-use rainstand_routing::fleet::{Back, End, Fleet, Send, Step, Trip};
-use rainstand_routing::ramp::{Ramp, Rule};
-use rainstand_routing::split::{mark, score};
-use rainstand_routing::table::Ticket;
+use rainstand_routing::fleet::{
+    Attempt, AttemptOutcome, Fleet, NextAction, RequestOutcome, RequestState,
+};
+use rainstand_routing::table::Request;
+use rainstand_routing::warm_up::{Rule, WarmUpLimiter};
+use rainstand_routing::weighted_split::{name_hash, score};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -188,7 +190,7 @@
 
 /// An entity whose own member is the first one.
 fn own() -> String {
-    let score = |member: usize, name: &str| score(mark(&address(member)), 1_000, name);
+    let score = |member: usize, name: &str| score(name_hash(&address(member)), 1_000, name);
     let first = |name: &String| (1..MEMBERS).all(|k| score(0, name) > score(k, name));
     (0..).map(|n| format!("NO-{n}")).find(first).unwrap()
 }
@@ -231,13 +233,13 @@
 impl One {
     fn open(&mut self, member: usize, now: u64) {
         if !std::mem::replace(&mut self.linked[member], true) {
-            self.fleet.connected(&address(member), ms(now), ms(now));
+            self.fleet.on_connected(&address(member), ms(now), ms(now));
         }
     }
 
     fn broke(&mut self, member: usize, now: u64) {
         if std::mem::replace(&mut self.linked[member], false) {
-            self.fleet.lost(&address(member), ms(now));
+            self.fleet.on_disconnected(&address(member), ms(now));
         }
     }
 }
@@ -303,7 +305,8 @@
     let (mut played, own) = (Played::default(), own());
     let mut born = [0u64; MEMBERS];
     // What happens to a forwarder then: a try comes back, or a wait is over.
-    let mut due: BTreeMap<u64, Vec<(usize, Trip, Option<Back>)>> = BTreeMap::new();
+    let mut due: BTreeMap<u64, Vec<(usize, RequestState, Option<AttemptOutcome>)>> =
+        BTreeMap::new();
     for t in BORN..BORN + LASTS {
         if starts.contains(&(t - BORN)) {
             let cold = if case.others == Others::Cold {
@@ -341,18 +344,18 @@
         }
         if case.reloads && t % 500 == 250 {
             all.iter_mut()
-                .for_each(|one| drop(one.fleet.take(&made, ms(t))));
+                .for_each(|one| drop(one.fleet.install(&made, ms(t))));
         }
         if t % 100 == 0 {
-            all.iter_mut().for_each(|one| drop(one.fleet.look(ms(t))));
+            all.iter_mut().for_each(|one| drop(one.fleet.tick(ms(t))));
         }
-        let mut steps: Vec<(usize, Step)> = Vec::new();
+        let mut steps: Vec<(usize, NextAction)> = Vec::new();
         for (k, trip, back) in due.remove(&t).unwrap_or_default() {
             let fleet = &mut all[k].fleet;
             steps.push((
                 k,
                 match back {
-                    Some(back) => fleet.came(ms(t), trip, back),
+                    Some(back) => fleet.on_attempt_outcome(ms(t), trip, back),
                     None => fleet.again(ms(t), trip),
                 },
             ));
@@ -377,33 +380,33 @@
             }
             for _ in 0..n {
                 let entity = if case.entity { &*own } else { "" };
-                let ticket = Ticket {
+                let ticket = Request {
                     tenant: Some(0),
                     entity,
-                    ..Ticket::default()
+                    ..Request::default()
                 };
-                steps.push((k, one.fleet.arrived(ms(t), &ticket)));
+                steps.push((k, one.fleet.on_arrival(ms(t), &ticket)));
             }
         }
         for (k, step) in steps {
             match step {
-                Step::Go(trip, Send { to, .. }) => {
+                NextAction::Dispatch(trip, Attempt { to, .. }) => {
                     let member = usize::from(to.member);
                     let (back, took) = reaches(case, &mut all[k], member, t, &mut played, &born);
                     due.entry(t + took).or_default().push((k, trip, Some(back)));
                 }
-                Step::Wait(trip, wait) => {
+                NextAction::Backoff(trip, wait) => {
                     due.entry(t + (wait.as_millis() as u64).max(1))
                         .or_default()
                         .push((k, trip, None));
                 }
-                Step::Over(over) => match over.end {
-                    End::Honoured => played.honoured += 1,
-                    End::Dismissed { after, .. } => {
+                NextAction::Completed(over) => match over.end {
+                    RequestOutcome::Served => played.honoured += 1,
+                    RequestOutcome::Rejected { after, .. } => {
                         played.dismissed += 1;
                         played.told_nothing += u64::from(after < ms(10));
                     }
-                    End::GivenUp | End::Nobody => {}
+                    RequestOutcome::Failed | RequestOutcome::CallerGone => {}
                 },
             }
         }
@@ -419,12 +422,12 @@
     t: u64,
     played: &mut Played,
     born: &[u64; MEMBERS],
-) -> (Back, u64) {
+) -> (AttemptOutcome, u64) {
     if born[member] == 0 {
         return match case.others {
-            Others::Out => (Back::Unreachable, 1),
+            Others::Out => (AttemptOutcome::Unreachable, 1),
             Others::Full => (
-                Back::Dismissed {
+                AttemptOutcome::Rejected {
                     pause: ms(300),
                     nowhere_else: false,
                 },
@@ -432,13 +435,13 @@
             ),
             _ => {
                 one.open(member, t);
-                (Back::Honoured, 10)
+                (AttemptOutcome::Served, 10)
             }
         };
     }
     if one.linked[member] && one.hears > t {
         // The connection is to the one before, and nobody told yet.
-        return (Back::Broken, one.hears - t);
+        return (AttemptOutcome::Broken, one.hears - t);
     }
     one.open(member, t);
     played
@@ -447,9 +450,9 @@
         .unwrap()
         .push(t);
     if case.fails {
-        (Back::Failed, 5)
+        (AttemptOutcome::Failed, 5)
     } else {
-        (Back::Honoured, 20)
+        (AttemptOutcome::Served, 20)
     }
 }
 
@@ -550,48 +553,49 @@
     };
     let mut chance = WyRand::new_seed(12);
     let mut phase = || f64::from(chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
-    type Does = fn(&mut Ramp, u64);
+    type Does = fn(&mut WarmUpLimiter, u64);
     let table: [(&str, u64, Does); 6] = [
         ("nothing", 0, |_, _| {}),
         ("silent for five seconds", 5_000, |_, _| {}),
         ("loses touch each 70 ms", 0, |ramp, t| {
             if t % 70 == 0 {
-                ramp.lost(ms(t));
-                ramp.connected(ms(t), ms(t));
+                ramp.on_disconnected(ms(t));
+                ramp.on_connected(ms(t), ms(t));
             }
         }),
         ("loses touch for good", 0, |ramp, t| {
             if t == 300 {
-                ramp.lost(ms(t));
+                ramp.on_disconnected(ms(t));
             }
         }),
         ("is told the same again", 0, |ramp, t| {
-            ramp.connected(ms(0), ms(t))
+            ramp.on_connected(ms(0), ms(t))
         }),
         ("takes a version each 90 ms", 0, |ramp, t| {
             if t % 90 == 0 {
                 let before = ramp.clone();
                 let rule = Rule::new(RATE, Duration::from_secs(1), 30, Duration::from_secs(10));
-                *ramp = Ramp::new(rule, 0.99, ms(t));
+                *ramp = WarmUpLimiter::new(rule, 0.99, ms(t));
                 ramp.carry(&before, ms(t));
             }
         }),
     ];
     for (name, asks_from, does) in table {
-        let mut all: Vec<Ramp> = (0..30)
-            .map(|_| Ramp::new(rule(30), phase(), ms(0)))
+        let mut all: Vec<WarmUpLimiter> = (0..30)
+            .map(|_| WarmUpLimiter::new(rule(30), phase(), ms(0)))
             .collect();
-        all.iter_mut().for_each(|ramp| ramp.connected(ms(0), ms(0)));
+        all.iter_mut()
+            .for_each(|ramp| ramp.on_connected(ms(0), ms(0)));
         let mut calls = Vec::new();
         for t in 0..8_000 {
             for ramp in &mut all {
                 does(ramp, t);
-                if t >= asks_from && ramp.closed(ms(t)).is_none() {
+                if t >= asks_from && ramp.blocked_until(ms(t)).is_none() {
                     ramp.take(ms(t));
                     calls.push(t);
                     // One turn, one call.
                     assert!(
-                        ramp.closed(ms(t)).is_some_and(|until| until > ms(t)),
+                        ramp.blocked_until(ms(t)).is_some_and(|until| until > ms(t)),
                         "{name}"
                     );
                 }
@@ -607,29 +611,30 @@
 fn a_turn_comes_when_it_was_told() {
     let rule = Rule::new(RATE, Duration::from_secs(1), 20, Duration::from_secs(10));
     for known in [None, Some(0), Some(5_000)] {
-        let mut ramp = Ramp::new(rule, 0.3, ms(10_000));
+        let mut ramp = WarmUpLimiter::new(rule, 0.3, ms(10_000));
         if let Some(age) = known {
-            ramp.connected(ms(10_000 - age), ms(10_000));
+            ramp.on_connected(ms(10_000 - age), ms(10_000));
         }
-        let until = ramp.closed(ms(10_000)).expect("no turn yet");
+        let until = ramp.blocked_until(ms(10_000)).expect("no turn yet");
         assert!(
-            until > ms(10_000) && ramp.closed(until + ms(1)).is_none(),
+            until > ms(10_000) && ramp.blocked_until(until + ms(1)).is_none(),
             "{known:?}: {until:?}"
         );
         assert!(
-            ramp.closed(until.checked_sub(ms(1)).unwrap()).is_some(),
+            ramp.blocked_until(until.checked_sub(ms(1)).unwrap())
+                .is_some(),
             "{known:?}: not sooner"
         );
         // Not used, it is lost, and the next one is some time off.
         let share = RATE / 20.0 * known.map_or(START, |age| (age as f64 / 10_000.0).max(START));
         assert!(
-            share > 1.5 || ramp.closed(until + ms(251)).is_some(),
+            share > 1.5 || ramp.blocked_until(until + ms(251)).is_some(),
             "{known:?}"
         );
     }
-    let mut ramp = Ramp::new(rule, 0.3, ms(0));
-    ramp.connected(ms(0), ms(0));
-    assert!(!ramp.warm(ms(9_999)) && ramp.warm(ms(10_000)));
-    ramp.lost(ms(11_000));
-    assert!(!ramp.warm(ms(11_000)) && ramp.closed(ms(11_000)).is_some());
+    let mut ramp = WarmUpLimiter::new(rule, 0.3, ms(0));
+    ramp.on_connected(ms(0), ms(0));
+    assert!(!ramp.is_warm(ms(9_999)) && ramp.is_warm(ms(10_000)));
+    ramp.on_disconnected(ms(11_000));
+    assert!(!ramp.is_warm(ms(11_000)) && ramp.blocked_until(ms(11_000)).is_some());
 }
--- a/crates/routing/tests/ways.rs
+++ b/crates/routing/tests/ways.rs
@@ -13,8 +13,10 @@
 use rainstand_config::schema::{self, Configuration, Match, Per, Rate, SplitBy};
 use rainstand_config::space::{first_match, miss, Points};
 use rainstand_config::units::ONE;
-use rainstand_routing::table::{By, NoWay, Table, Ticket};
-use rainstand_routing::versions::{At, Router, Verdict, Way, Why, MOST_VERSIONS};
+use rainstand_routing::router::{
+    Admission, LimitScope, RejectReason, RouteDecision, Router, MAX_VERSIONS,
+};
+use rainstand_routing::table::{PlacementReason, Request, RoutingError, Table};
 use std::time::Duration;
 
 const SECOND: u64 = 1_000_000_000;
@@ -84,17 +86,17 @@
     }
 }
 
-fn goes(verdict: Verdict) -> Way {
+fn goes(verdict: Admission) -> RouteDecision {
     match verdict {
-        Verdict::Goes(way) => way,
-        Verdict::Turned(turned) => panic!("turned away: {turned:?}"),
+        Admission::Admitted(way) => way,
+        Admission::Rejected(turned) => panic!("turned away: {turned:?}"),
     }
 }
 
-fn turned(verdict: Verdict) -> (Why, Duration) {
+fn turned(verdict: Admission) -> (RejectReason, Duration) {
     match verdict {
-        Verdict::Turned(turned) => (turned.why, turned.after),
-        Verdict::Goes(way) => panic!("let in: {way:?}"),
+        Admission::Rejected(turned) => (turned.why, turned.after),
+        Admission::Admitted(way) => panic!("let in: {way:?}"),
     }
 }
 
@@ -107,19 +109,19 @@
     split.fall_back = vec!["r".into()];
     all.routes = vec![split];
     let table = Table::new(&all).unwrap();
-    let ticket = Ticket {
+    let ticket = Request {
         entity: "NO-1",
-        ..Ticket::default()
+        ..Request::default()
     };
     let mut chance = WyRand::new_seed(1);
     let first = table.place(&ticket, &mut chance, |_| true).unwrap();
-    assert_eq!(first.by, By::Share);
-    let cases: [(&[u16], Result<By, NoWay>); 5] = [
-        (&[first.pool], Ok(By::OtherShare)),
-        (&[0, 1], Ok(By::FallBack(0))),
-        (&[0, 1, 2], Ok(By::PoolFallBack)),
-        (&[0, 1, 2, 3], Err(NoWay::NoPool(0))),
-        (&[2, 3], Ok(By::Share)),
+    assert_eq!(first.by, PlacementReason::Share);
+    let cases: [(&[u16], Result<PlacementReason, RoutingError>); 5] = [
+        (&[first.pool], Ok(PlacementReason::OtherShare)),
+        (&[0, 1], Ok(PlacementReason::Fallback(0))),
+        (&[0, 1, 2], Ok(PlacementReason::PoolFallback)),
+        (&[0, 1, 2, 3], Err(RoutingError::NoPool(0))),
+        (&[2, 3], Ok(PlacementReason::Share)),
     ];
     for (out, wanted) in cases {
         let found = table.place(&ticket, &mut chance, |pool| !out.contains(&pool));
@@ -193,44 +195,47 @@
     all.routes[1].fall_back = vec!["r".into()];
     let mut router = Router::new(&all, 1).unwrap();
     let now = ms(5_000);
-    let of = |tenant: Option<u16>| Ticket {
+    let of = |tenant: Option<u16>| Request {
         tenant,
-        ..Ticket::default()
+        ..Request::default()
     };
     for tenant in [Some(0), Some(1), None] {
-        let way = goes(router.arrived(now, &of(tenant), |_| true));
+        let way = goes(router.on_arrival(now, &of(tenant), |_| true));
         assert_eq!(
-            turned(router.arrived(now, &of(tenant), |_| true)),
-            (Why::Limit(At::Route), ms(100))
+            turned(router.on_arrival(now, &of(tenant), |_| true)),
+            (RejectReason::Limit(LimitScope::Route), ms(100))
         );
-        router.ended(way);
+        router.on_completed(way);
     }
     // One a pool, then the fall-back; two of the type in all.
-    let other = Ticket {
+    let other = Request {
         traffic: 1,
-        ..Ticket::default()
+        ..Request::default()
     };
-    let one = goes(router.arrived(now, &other, |_| true));
-    let two = goes(router.arrived(now, &other, |_| true));
-    assert_eq!((one.place.pool, one.place.by), (1, By::Share));
-    assert_eq!((two.place.pool, two.place.by), (2, By::FallBack(0)));
+    let one = goes(router.on_arrival(now, &other, |_| true));
+    let two = goes(router.on_arrival(now, &other, |_| true));
+    assert_eq!((one.place.pool, one.place.by), (1, PlacementReason::Share));
     assert_eq!(
-        turned(router.arrived(now, &other, |_| true)).0,
-        Why::Limit(At::Type)
+        (two.place.pool, two.place.by),
+        (2, PlacementReason::Fallback(0))
     );
-    router.ended(one);
-    let again = goes(router.arrived(now, &other, |_| true));
+    assert_eq!(
+        turned(router.on_arrival(now, &other, |_| true)).0,
+        RejectReason::Limit(LimitScope::Type)
+    );
+    router.on_completed(one);
+    let again = goes(router.on_arrival(now, &other, |_| true));
     assert_eq!(again.place.pool, 1);
     assert_eq!(
-        turned(router.arrived(now, &other, |pool| pool == 1)).0,
-        Why::Limit(At::Pool)
+        turned(router.on_arrival(now, &other, |pool| pool == 1)).0,
+        RejectReason::Limit(LimitScope::Pool)
     );
     assert_eq!(
-        turned(router.arrived(now, &other, |_| false)).0,
-        Why::NoPool
+        turned(router.on_arrival(now, &other, |_| false)).0,
+        RejectReason::NoPool
     );
-    router.ended(two);
-    router.ended(again);
+    router.on_completed(two);
+    router.on_completed(again);
     let counts = router.counts();
     assert_eq!(
         (counts.went, counts.ended, counts.limited, counts.no_pool),
@@ -249,37 +254,37 @@
     all.tenants[0].limits = "tenant".into();
     all.routes = vec![route("r", &[("p", 100)])];
     let mut router = Router::new(&all, 1).unwrap();
-    let way = goes(router.arrived(
+    let way = goes(router.on_arrival(
         ms(0),
-        &Ticket {
+        &Request {
             tenant: Some(0),
             traffic: 1,
-            ..Ticket::default()
+            ..Request::default()
         },
         |_| true,
     ));
     // The tenant's is used up, the type's is not, and stays so.
     assert_eq!(
-        turned(router.arrived(
+        turned(router.on_arrival(
             ms(0),
-            &Ticket {
+            &Request {
                 tenant: Some(0),
-                ..Ticket::default()
+                ..Request::default()
             },
             |_| true
         )),
-        (Why::Limit(At::Tenant), ms(1_000))
+        (RejectReason::Limit(LimitScope::Tenant), ms(1_000))
     );
-    let other = goes(router.arrived(
+    let other = goes(router.on_arrival(
         ms(0),
-        &Ticket {
+        &Request {
             tenant: Some(1),
-            ..Ticket::default()
+            ..Request::default()
         },
         |_| true,
     ));
-    router.ended(way);
-    router.ended(other);
+    router.on_completed(way);
+    router.on_completed(other);
 }
 
 #[test]
@@ -296,16 +301,16 @@
     only.retry_after = "ra".into();
     all.routes = vec![only];
     let mut router = Router::new(&all, 1).unwrap();
-    let way = goes(router.arrived(ms(0), &Ticket::default(), |_| true));
+    let way = goes(router.on_arrival(ms(0), &Request::default(), |_| true));
     assert_eq!(
-        turned(router.arrived(ms(0), &Ticket::default(), |_| true)).1,
+        turned(router.on_arrival(ms(0), &Request::default(), |_| true)).1,
         ms(500)
     );
     assert_eq!(
-        turned(router.arrived(ms(990), &Ticket::default(), |_| true)).1,
+        turned(router.on_arrival(ms(990), &Request::default(), |_| true)).1,
         ms(200)
     );
-    router.ended(way);
+    router.on_completed(way);
 }
 
 /// A configuration for each number: routes, limits and pools come and go.
@@ -335,16 +340,19 @@
 fn a_hundred_changes_among_ten_thousand_open_tickets() {
     let mut chance = WyRand::new_seed(11);
     let mut router = Router::new(&turning(0), 1).unwrap();
-    let mut open: Vec<(Way, u64)> = Vec::new();
+    let mut open: Vec<(RouteDecision, u64)> = Vec::new();
     let mut present = 1;
     for change in 1..=100u64 {
         for _ in 0..200 {
-            let ticket = Ticket {
+            let ticket = Request {
                 traffic: chance.generate_range(0u16..2),
                 tenant: [None, Some(0), Some(2)][chance.generate_range(0..3usize)],
-                ..Ticket::default()
+                ..Request::default()
             };
-            open.push((goes(router.arrived(ms(change), &ticket, |_| true)), present));
+            open.push((
+                goes(router.on_arrival(ms(change), &ticket, |_| true)),
+                present,
+            ));
         }
         // Half of what is open ends, old and new alike.
         for _ in 0..100 {
@@ -361,9 +369,9 @@
                 name == "rest" || version % 2 == 1,
                 "{name} in version {version}"
             );
-            router.ended(way);
+            router.on_completed(way);
         }
-        present = router.take(&turning(change), ms(change)).unwrap();
+        present = router.install(&turning(change), ms(change)).unwrap();
         assert_eq!(present, change + 1);
         let told: u64 = router.versions().map(|(_, open)| open).sum();
         assert_eq!(told, open.len() as u64);
@@ -374,7 +382,7 @@
     }
     assert_eq!(open.len(), 10_000);
     while let Some((way, _)) = open.pop() {
-        router.ended(way);
+        router.on_completed(way);
     }
     assert_eq!(router.versions().collect::<Vec<_>>(), [(101, 0)]);
     let counts = router.counts();
@@ -386,37 +394,41 @@
         "buckets are used again: {:?}",
         router.buckets()
     );
-    (0..8).for_each(|_| router.look(ms(101)));
+    (0..8).for_each(|_| router.tick(ms(101)));
     assert_eq!(router.buckets().0, 0);
 }
 
 #[test]
 fn versions_are_bounded_and_a_refused_one_changes_nothing() {
     let mut router = Router::new(&turning(0), 1).unwrap();
-    let mut ways = vec![goes(router.arrived(ms(0), &Ticket::default(), |_| true))];
-    for number in 1..MOST_VERSIONS as u64 {
-        router.take(&turning(number), ms(0)).unwrap();
-        ways.push(goes(router.arrived(ms(0), &Ticket::default(), |_| true)));
+    let mut ways = vec![goes(
+        router.on_arrival(ms(0), &Request::default(), |_| true),
+    )];
+    for number in 1..MAX_VERSIONS as u64 {
+        router.install(&turning(number), ms(0)).unwrap();
+        ways.push(goes(
+            router.on_arrival(ms(0), &Request::default(), |_| true),
+        ));
     }
     let before: Vec<_> = router.versions().collect();
     assert!(router
-        .take(&turning(1), ms(0))
+        .install(&turning(1), ms(0))
         .unwrap_err()
         .to_string()
         .contains("still have tickets"));
     let mut bad = turning(1);
     bad.routes[0].to[0].pool = "gone".into();
-    assert!(router.take(&bad, ms(0)).is_err());
+    assert!(router.install(&bad, ms(0)).is_err());
     assert_eq!(router.versions().collect::<Vec<_>>(), before);
-    router.ended(ways.remove(3));
+    router.on_completed(ways.remove(3));
     assert!(router
-        .take(&bad, ms(0))
+        .install(&bad, ms(0))
         .unwrap_err()
         .to_string()
         .contains("no pool `gone`"));
-    assert!(router.take(&turning(1), ms(0)).is_ok());
+    assert!(router.install(&turning(1), ms(0)).is_ok());
     assert_eq!(router.counts().versions_refused, 3);
-    ways.into_iter().for_each(|way| router.ended(way));
+    ways.into_iter().for_each(|way| router.on_completed(way));
 }
 
 #[test]
@@ -430,11 +442,11 @@
         all
     };
     let mut router = Router::new(&with(2, 10), 1).unwrap();
-    let ticket = Ticket {
+    let ticket = Request {
         tenant: Some(1),
-        ..Ticket::default()
+        ..Request::default()
     };
-    let ways = [0, 1].map(|_| goes(router.arrived(ms(0), &ticket, |_| true)));
+    let ways = [0, 1].map(|_| goes(router.on_arrival(ms(0), &ticket, |_| true)));
     // Tenants in another order, one more of them, and another rate: the two are still inside, and owed.
     let mut next = with(3, 20);
     next.tenants.reverse();
@@ -442,33 +454,33 @@
         name: "d".into(),
         ..Default::default()
     });
-    router.take(&next, ms(0)).unwrap();
+    router.install(&next, ms(0)).unwrap();
     let tenant = router.table().tenant("b");
-    let ticket = Ticket {
+    let ticket = Request {
         tenant,
-        ..Ticket::default()
+        ..Request::default()
     };
     assert_eq!(
-        turned(router.arrived(ms(0), &ticket, |_| true)),
-        (Why::Limit(At::Route), ms(50))
+        turned(router.on_arrival(ms(0), &ticket, |_| true)),
+        (RejectReason::Limit(LimitScope::Route), ms(50))
     );
-    let third = goes(router.arrived(ms(50), &ticket, |_| true));
+    let third = goes(router.on_arrival(ms(50), &ticket, |_| true));
     assert_eq!(
-        turned(router.arrived(ms(9_000), &ticket, |_| true)),
-        (Why::Limit(At::Route), ms(100))
+        turned(router.on_arrival(ms(9_000), &ticket, |_| true)),
+        (RejectReason::Limit(LimitScope::Route), ms(100))
     );
-    let free = Ticket {
+    let free = Request {
         tenant: router.table().tenant("d"),
-        ..Ticket::default()
+        ..Request::default()
     };
-    let fourth = goes(router.arrived(ms(50), &free, |_| true));
+    let fourth = goes(router.on_arrival(ms(50), &free, |_| true));
     ways.into_iter()
         .chain([third, fourth])
-        .for_each(|way| router.ended(way));
+        .for_each(|way| router.on_completed(way));
     // Of five that there could be, the two that were used, which still owe; then none.
-    (0..8).for_each(|_| router.look(ms(60)));
+    (0..8).for_each(|_| router.tick(ms(60)));
     assert_eq!(router.buckets().0, 2);
-    (0..8).for_each(|_| router.look(ms(10_000)));
+    (0..8).for_each(|_| router.tick(ms(10_000)));
     assert_eq!(router.buckets().0, 0);
 }
 
@@ -510,13 +522,13 @@
             .collect();
         let table = Table::new(&all).unwrap();
         for point in Points::of(&[&all]).each() {
-            let ticket = Ticket {
+            let ticket = Request {
                 traffic: table.traffic(point.traffic).unwrap(),
                 tenant: table.tenant(point.tenant),
                 entity: point.entity,
                 again: point.again,
                 size: point.size,
-                ..Ticket::default()
+                ..Request::default()
             };
             prop_assert_eq!(table.route(&ticket).map(usize::from), first_match(&all.routes, &point));
             for (k, route) in all.routes.iter().enumerate() {
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -109,7 +109,7 @@
     Look(usize),
     Taken(usize, u64),
     Kill,
-    Back,
+    AttemptOutcome,
     Heal,
 }
 
@@ -509,7 +509,7 @@
                     }
                 }
             }
-            Operation::Back => {
+            Operation::AttemptOutcome => {
                 // From the snapshot on its disk, and the log behind it, which is its history again.
                 for k in 0..MACHINES {
                     let mut source =
@@ -584,7 +584,7 @@
         Trouble::OneKilled => world.after(lasts / 2, Operation::Kill),
         Trouble::AllKilled(away) => {
             world.after(lasts / 2, Operation::Kill);
-            world.after(lasts / 2 + away, Operation::Back);
+            world.after(lasts / 2 + away, Operation::AttemptOutcome);
         }
         Trouble::Parted => {
             world.parted = true;
--- a/crates/testbed/src/scale/decisions.rs
+++ b/crates/testbed/src/scale/decisions.rs
@@ -6,8 +6,8 @@
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::Memory;
-use rainstand_routing::fleet::{Back, Fleet, Step};
-use rainstand_routing::table::Ticket;
+use rainstand_routing::fleet::{AttemptOutcome, Fleet, NextAction};
+use rainstand_routing::table::Request;
 use rainstand_test_servers::size::{Limited, Size};
 use std::io;
 use std::time::Duration;
@@ -54,15 +54,19 @@
         for k in 0..DECISIONS {
             now += Duration::from_micros(20);
             let (tenant, entity) = &tickets[k % tickets.len()];
-            let ticket = Ticket {
+            let ticket = Request {
                 traffic,
                 tenant: *tenant,
                 entity,
                 size: 900,
-                ..Ticket::default()
+                ..Request::default()
             };
-            if let Step::Go(trip, _) = fleet.arrived(now, &ticket) {
-                fleet.came(now + Duration::from_micros(10), trip, Back::Honoured);
+            if let NextAction::Dispatch(trip, _) = fleet.on_arrival(now, &ticket) {
+                fleet.on_attempt_outcome(
+                    now + Duration::from_micros(10),
+                    trip,
+                    AttemptOutcome::Served,
+                );
             }
         }
         least = least.min(own_cpu().saturating_sub(before));
--- a/crates/testbed/src/scale/forwarders.rs
+++ b/crates/testbed/src/scale/forwarders.rs
@@ -294,7 +294,7 @@
     }
     let starts = up_to >= sizes.tenants as f64;
     let note = if starts {
-        "crates/routing/src/versions.rs".to_owned()
+        "crates/routing/src/router.rs".to_owned()
     } else {
         why
     };
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -79,7 +79,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum Step {
+enum NextAction {
     Wake {
         node: usize,
         life: u64,
@@ -139,7 +139,7 @@
 struct Event {
     at: u64,
     order: u64,
-    what: Step,
+    what: NextAction,
 }
 
 impl PartialEq for Event {
@@ -176,10 +176,10 @@
     wake: u64,
     /// Questions to tickets.
     asked: HashMap<u64, usize>,
-    waiting: VecDeque<Step>,
+    waiting: VecDeque<NextAction>,
 }
 
-struct Ticket {
+struct Request {
     key: usize,
     node: usize,
     life: u64,
@@ -215,7 +215,7 @@
     chance: WyRand,
     events: BinaryHeap<Event>,
     nodes: Vec<Node>,
-    tickets: Vec<Ticket>,
+    tickets: Vec<Request>,
     keys: Vec<usize>,
     ills: Vec<Option<Ill>>,
     /// By shard and term, whoever led: there is never a second.
@@ -277,7 +277,7 @@
         self.world.lasts.as_nanos() as u64 + AFTER
     }
 
-    fn later(&mut self, after: u64, what: Step) {
+    fn later(&mut self, after: u64, what: NextAction) {
         self.order += 1;
         self.events.push(Event {
             at: self.now + after,
@@ -308,44 +308,44 @@
                 waiting: VecDeque::new(),
             });
             let after = self.draw(300 * MS);
-            self.later(after, Step::Up { node });
+            self.later(after, NextAction::Up { node });
         }
         let lasts = self.world.lasts.as_nanos() as u64;
         for _ in 0..self.world.faults {
             let at = 1_000 * MS + self.draw(lasts * 8 / 10);
-            self.later(at, Step::Fault);
+            self.later(at, NextAction::Fault);
         }
         let mut at = 800 * MS;
         while at < lasts {
             at += 5 * MS + self.draw(40 * MS);
-            self.later(at, Step::Ask { key: None });
+            self.later(at, NextAction::Ask { key: None });
         }
     }
 
-    fn happen(&mut self, what: Step) {
+    fn happen(&mut self, what: NextAction) {
         match what {
-            Step::Up { node } => self.up(node),
-            Step::Wake { node, life } if self.lives(node, life) => {
+            NextAction::Up { node } => self.up(node),
+            NextAction::Wake { node, life } if self.lives(node, life) => {
                 if self.nodes[node].stopped {
                     self.nodes[node]
                         .waiting
-                        .push_back(Step::Wake { node, life });
+                        .push_back(NextAction::Wake { node, life });
                 } else {
                     self.nodes[node].wake = u64::MAX;
                     self.with(node, |member, now| member.tick(now));
                 }
             }
-            Step::Flushed { node, life, number } if self.lives(node, life) => {
+            NextAction::Flushed { node, life, number } if self.lives(node, life) => {
                 self.flushed(node, number)
             }
-            Step::Arrive {
+            NextAction::Arrive {
                 from,
                 to,
                 life,
                 frame,
             } if self.lives(to, life) => {
                 if self.nodes[to].stopped {
-                    self.nodes[to].waiting.push_back(Step::Arrive {
+                    self.nodes[to].waiting.push_back(NextAction::Arrive {
                         from,
                         to,
                         life,
@@ -355,16 +355,16 @@
                     self.with(to, |member, now| member.on_frame(now, &name(from), frame));
                 }
             }
-            Step::Wake { .. } | Step::Flushed { .. } | Step::Arrive { .. } => {}
-            Step::Ask { key } => self.ask(key),
-            Step::RunEnds { node, ticket } => self.run_ends(node, ticket),
-            Step::Notice { node, ticket } => self.notice(node, ticket),
-            Step::Due { ticket } => self.due(ticket),
-            Step::Fault => self.fault(),
-            Step::Heal { fault } => self.heal(fault),
-            Step::Link { from, to } => self.link(from, to),
-            Step::Retire { node } => self.retire(node),
-            Step::Apart { node } => {
+            NextAction::Wake { .. } | NextAction::Flushed { .. } | NextAction::Arrive { .. } => {}
+            NextAction::Ask { key } => self.ask(key),
+            NextAction::RunEnds { node, ticket } => self.run_ends(node, ticket),
+            NextAction::Notice { node, ticket } => self.notice(node, ticket),
+            NextAction::Due { ticket } => self.due(ticket),
+            NextAction::Fault => self.fault(),
+            NextAction::Heal { fault } => self.heal(fault),
+            NextAction::Link { from, to } => self.link(from, to),
+            NextAction::Retire { node } => self.retire(node),
+            NextAction::Apart { node } => {
                 // Without a node named: one that learns just now.
                 let learner = || {
                     let members = self.nodes.iter().filter_map(|node| node.member.as_ref());
@@ -393,13 +393,13 @@
                         seed: 1 << node | 1 << leader,
                         one_way: false,
                     }));
-                    self.later(700 * MS, Step::Heal { fault });
+                    self.later(700 * MS, NextAction::Heal { fault });
                 }
             }
-            Step::Bounce { node } => {
+            NextAction::Bounce { node } => {
                 if self.nodes[node].member.is_some() {
                     self.crash(node);
-                    self.later(2 * MS, Step::Up { node });
+                    self.later(2 * MS, NextAction::Up { node });
                 }
             }
         }
@@ -440,7 +440,7 @@
             self.with(k, |member, now| member.set_members(now, members));
         }
         let after = 50 * MS + self.draw(80 * MS);
-        self.later(after, Step::Apart { node: usize::MAX });
+        self.later(after, NextAction::Apart { node: usize::MAX });
     }
 
     fn options(&mut self, node: usize) -> MemberConfig {
@@ -491,7 +491,7 @@
                     }
                 }
             }
-            Err(OpenError::Io(_)) => return self.later(200 * MS, Step::Up { node }),
+            Err(OpenError::Io(_)) => return self.later(200 * MS, NextAction::Up { node }),
         };
         self.begin(node, store, found);
     }
@@ -524,14 +524,14 @@
         for other in (0..self.world.nodes).filter(|other| *other != node) {
             self.later(
                 2 * MS,
-                Step::Link {
+                NextAction::Link {
                     from: node,
                     to: other,
                 },
             );
             self.later(
                 2 * MS,
-                Step::Link {
+                NextAction::Link {
                     from: other,
                     to: node,
                 },
@@ -546,7 +546,7 @@
             return;
         }
         if !self.passes(from, to) || self.nodes[from].stopped {
-            return self.later(100 * MS, Step::Link { from, to });
+            return self.later(100 * MS, NextAction::Link { from, to });
         }
         self.with(from, |member, now| member.on_connected(now, &name(to)));
     }
@@ -610,7 +610,7 @@
         if self.now + after < self.nodes[node].wake {
             self.nodes[node].wake = self.now + after;
             let life = self.nodes[node].life;
-            self.later(after, Step::Wake { node, life });
+            self.later(after, NextAction::Wake { node, life });
         }
     }
 
@@ -629,7 +629,7 @@
         }
         for OutgoingFrame { to, frame } in frames {
             if votes(&frame) && self.ills.contains(&Some(Ill::Jumpy)) && self.draw(3) == 0 {
-                self.later(MS / 5, Step::Bounce { node });
+                self.later(MS / 5, NextAction::Bounce { node });
             }
             let to = to[1..].parse::<usize>().map_or(0, |n| n - 1);
             self.send(node, to, frame);
@@ -678,7 +678,7 @@
         self.out.swaps += 1;
         self.crash(node);
         let _ = rainstand_storage::Disk::quarantine(&mut self.nodes[node].disk);
-        self.later(50 * MS, Step::Up { node });
+        self.later(50 * MS, NextAction::Up { node });
     }
 
     fn flush(&mut self, node: usize) {
@@ -703,7 +703,7 @@
         let after = slow + MS / 2 + self.draw(3 * MS);
         self.later(
             after,
-            Step::Flushed {
+            NextAction::Flushed {
                 node,
                 life,
                 number: to,
@@ -722,7 +722,7 @@
             }
             return self.later(
                 1_500 * MS,
-                Step::Heal {
+                NextAction::Heal {
                     fault: usize::MAX - node,
                 },
             );
@@ -775,7 +775,7 @@
             let life = self.nodes[to].life;
             self.later(
                 delay,
-                Step::Arrive {
+                NextAction::Arrive {
                     from,
                     to,
                     life,
@@ -812,10 +812,10 @@
                 // Elections that cross each other, and voters that die in the middle of them.
                 let slow = self.ills.len();
                 self.ills.push(Some(Ill::Slow));
-                self.later(lasts, Step::Heal { fault: slow });
+                self.later(lasts, NextAction::Heal { fault: slow });
                 for node in 0..self.world.nodes {
                     if self.leads(node) {
-                        self.later(0, Step::Bounce { node });
+                        self.later(0, NextAction::Bounce { node });
                     }
                 }
                 Ill::Jumpy
@@ -824,7 +824,7 @@
                 // Whoever leads dies, and the next one too.
                 for after in [0, 400 * MS, 800 * MS] {
                     if let Some(node) = (0..self.world.nodes).find(|node| self.leads(*node)) {
-                        self.later(after, Step::Bounce { node });
+                        self.later(after, NextAction::Bounce { node });
                     }
                 }
                 return;
@@ -832,14 +832,14 @@
             14 => {
                 if self.retired.is_none() && self.world.nodes > self.world.copies {
                     self.retire(Some(node));
-                    self.later(1_500 * MS, Step::Retire { node: None });
+                    self.later(1_500 * MS, NextAction::Retire { node: None });
                 }
                 return;
             }
             13 => {
                 for node in 0..self.world.nodes {
                     let after = self.draw(5 * MS);
-                    self.later(after, Step::Bounce { node });
+                    self.later(after, NextAction::Bounce { node });
                 }
                 return;
             }
@@ -883,7 +883,7 @@
         self.trace(|| format!("{ill:?} for {} ms", lasts / MS));
         let fault = self.ills.len();
         self.ills.push(Some(ill));
-        self.later(lasts, Step::Heal { fault });
+        self.later(lasts, NextAction::Heal { fault });
     }
 
     /// Everybody is up, and every shard has all its copies on disks that are there: what an operator waits for before
@@ -956,10 +956,10 @@
             }
             None => self.nodes[node].disk = FaultyDisk::default(),
         }
-        self.later(100 * MS, Step::Up { node });
+        self.later(100 * MS, NextAction::Up { node });
         // While it learns, it may be all that a leader still reaches.
         let after = 100 * MS + self.draw(150 * MS);
-        self.later(after, Step::Apart { node });
+        self.later(after, NextAction::Apart { node });
     }
 
     fn heal(&mut self, fault: usize) {
@@ -973,7 +973,7 @@
                 .is_some_and(GroupMember::is_stopped)
             {
                 self.crash(node);
-                self.later(50 * MS, Step::Up { node });
+                self.later(50 * MS, NextAction::Up { node });
             }
             return;
         }
@@ -989,7 +989,7 @@
                 }
                 self.with(node, |member, now| member.tick(now));
             }
-            Ill::Down(node) => self.later(MS, Step::Up { node }),
+            Ill::Down(node) => self.later(MS, NextAction::Up { node }),
             Ill::DiskSlow(node) => self.nodes[node].slow = 0,
             Ill::DiskFails(node) => self.nodes[node].disk.set_faults(DiskFaults::default()),
             Ill::Clock(node) => self.set_rate(node, 1_000),
@@ -997,7 +997,7 @@
                 // Links come back: each opener says hello again.
                 for from in 0..self.world.nodes {
                     for to in (0..self.world.nodes).filter(|to| *to != from) {
-                        self.later(MS, Step::Link { from, to });
+                        self.later(MS, NextAction::Link { from, to });
                     }
                 }
             }
@@ -1041,7 +1041,7 @@
         } else if self.draw(3) == 0 {
             // The same key at several nodes at once.
             let also = self.draw(3 * MS);
-            self.later(also, Step::Ask { key: Some(key) });
+            self.later(also, NextAction::Ask { key: Some(key) });
         }
         let Some(member) = &self.nodes[node].member else {
             return;
@@ -1051,7 +1051,7 @@
         // One in many comes with another body.
         let other = repeat && self.draw(20) == 0;
         let (sum, body) = if other { (2, "other") } else { (1, "body") };
-        self.tickets.push(Ticket {
+        self.tickets.push(Request {
             key,
             node,
             life: self.nodes[node].life,
@@ -1070,7 +1070,7 @@
             due: self.now + WITHIN,
         };
         self.line("caller".into(), asked);
-        self.later(WITHIN, Step::Due { ticket });
+        self.later(WITHIN, NextAction::Due { ticket });
         if stopped {
             return;
         }
@@ -1126,7 +1126,7 @@
             RequestAction::None => {}
             RequestAction::Launch => {
                 let takes = MS + self.draw(8 * MS);
-                self.later(takes, Step::RunEnds { node, ticket });
+                self.later(takes, NextAction::RunEnds { node, ticket });
             }
             RequestAction::ReplicateResult(result) => {
                 let left = (self.tickets[ticket].asked + WITHIN).saturating_sub(self.now);
@@ -1177,18 +1177,18 @@
         };
         self.line(format!("agent-{}", name(node)), ran);
         self.tickets[ticket].result = Some(result.clone());
-        self.later(MS / 10, Step::Notice { node, ticket });
+        self.later(MS / 10, NextAction::Notice { node, ticket });
     }
 
     fn notice(&mut self, node: usize, ticket: usize) {
         if self.nodes[node].member.is_none() {
             // Told again to the next start.
-            return self.later(100 * MS, Step::Notice { node, ticket });
+            return self.later(100 * MS, NextAction::Notice { node, ticket });
         }
         if self.nodes[node].stopped {
             return self.nodes[node]
                 .waiting
-                .push_back(Step::Notice { node, ticket });
+                .push_back(NextAction::Notice { node, ticket });
         }
         let result = Bytes::from(self.tickets[ticket].result.clone().unwrap_or_default());
         if self.lives(node, self.tickets[ticket].life) {
