--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -403,7 +403,7 @@
             format!("there is no {what} `{name}`; there are: {known}"),
         )
     };
-    let Some(traffic) = table.traffic(&asked.traffic) else {
+    let Some(traffic) = table.request_class(&asked.traffic) else {
         return Ok(unknown(
             "type",
             &asked.traffic,
@@ -445,7 +445,7 @@
     }
     let (entity, again, size) = (&*asked.entity, asked.again, asked.size);
     let ticket = Request {
-        traffic,
+        request_class: traffic,
         tenant,
         entity,
         again,
@@ -457,7 +457,7 @@
     let told = explain(&table, &ticket, asked.seed, pool_out, |name| {
         has(&asked.members_out, name)
     });
-    let times = told.goes.as_ref().ok().and_then(|_| {
+    let times = told.placement.as_ref().ok().and_then(|_| {
         let route = told.steps.len() as u16 - 1;
         let pick = table.times(route, traffic);
         (made.routes[usize::from(route)].budget != *"").then_some(pick)
@@ -482,7 +482,7 @@
             out::line(&format!("  stages over: {}", ends.join(", ")))?;
         }
     }
-    Ok(if told.goes.is_ok() {
+    Ok(if told.placement.is_ok() {
         Code::Good
     } else {
         Code::Found
@@ -503,11 +503,11 @@
 fn way_in_words(told: &Explanation) -> io::Result<()> {
     for step in &told.steps {
         out::line(&match step.miss {
-            Some(miss) => format!("- {}: `{}` wants {}", step.route, miss.key(), step.wants),
+            Some(miss) => format!("- {}: `{}` wants {}", step.route, miss.key(), step.wanted),
             None => format!("* {}: takes it", step.route),
         })?;
     }
-    match &told.goes {
+    match &told.placement {
         Ok((pool, by)) => {
             out::line(&format!("  goes to the pool {pool} ({})", by_words(*by)))?;
             if let Some(member) = &told.member {
@@ -529,7 +529,7 @@
     for step in &told.steps {
         let missed = step.miss.map(|miss| miss.key());
         out::json(
-            &json!({"route": step.route, "takes": missed.is_none(), "missed": missed, "wants": step.wants}),
+            &json!({"route": step.route, "takes": missed.is_none(), "missed": missed, "wants": step.wanted}),
         )?;
     }
     let limits: Vec<_> = told
@@ -537,7 +537,7 @@
         .iter()
         .map(|(at, name)| json!({"at": at, "limits": name}))
         .collect();
-    out::json(&match &told.goes {
+    out::json(&match &told.placement {
         Ok((pool, by)) => {
             json!({"goes": true, "pool": pool, "by": by_words(*by), "member": told.member, "limits": limits})
         }
--- a/crates/fleet-model/src/world.rs
+++ b/crates/fleet-model/src/world.rs
@@ -563,8 +563,8 @@
         }
         for front in &self.fronts {
             let counts = front.fleet.counts();
-            self.measured.first_tries += counts.first_tries;
-            self.measured.further_tries += counts.further_tries;
+            self.measured.first_tries += counts.first_attempts;
+            self.measured.further_tries += counts.retries;
         }
         // Jobs that the end of the run met without an end.
         for job in self.jobs.values().filter(|job| !job.over) {
@@ -662,7 +662,7 @@
                 if let Some(trip) = trip {
                     let front = self.tickets[&ticket].front;
                     let at = self.clock(front);
-                    let step = self.fronts[front as usize].fleet.again(at, trip);
+                    let step = self.fronts[front as usize].fleet.on_retry_due(at, trip);
                     self.follow(now, ticket, step);
                 }
             }
@@ -704,7 +704,7 @@
                     }
                     for front in &self.fronts {
                         let counts = front.fleet.counts();
-                        let (first, further) = (counts.first_tries, counts.further_tries);
+                        let (first, further) = (counts.first_attempts, counts.retries);
                         let found = self.rules.budget(
                             at,
                             first,
@@ -893,16 +893,16 @@
         let tenant = &self.plan.tenants[usize::from(job.tenant)];
         let fleet = &mut self.fronts[front as usize].fleet;
         let asked = Asked {
-            traffic: fleet
+            request_class: fleet
                 .table()
-                .traffic(&self.plan.types[usize::from(job.traffic)].name)
+                .request_class(&self.plan.types[usize::from(job.traffic)].name)
                 .unwrap_or(0),
             tenant: if tenant.stranger {
                 None
             } else {
                 fleet.table().tenant(&tenant.name)
             },
-            stranger: self.tenant_marks[usize::from(job.tenant)],
+            tenant_hash: self.tenant_marks[usize::from(job.tenant)],
             again,
             ..Asked::default()
         };
@@ -939,7 +939,7 @@
                 one.trip = Some(trip);
                 let place = self.fronts[one.front as usize].members[usize::from(send.to.member)];
                 let number = self.send(now, ticket, place, send.again);
-                self.queue.after(ns(send.cut), Event::Cut(number));
+                self.queue.after(ns(send.timeout), Event::Cut(number));
             }
             NextAction::Backoff(trip, wait) => {
                 if let Some(one) = self.tickets.get_mut(&ticket) {
@@ -947,7 +947,7 @@
                     self.queue.after(ns(wait), Event::Again(ticket));
                 }
             }
-            NextAction::Completed(over) => self.answer(ticket, over.end),
+            NextAction::Completed(over) => self.answer(ticket, over.outcome),
         }
     }
 
--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -141,17 +141,17 @@
                 address,
                 open,
                 limit,
-                standing,
+                status,
                 near,
                 leaving,
             } = seen;
-            let (why, back_in_ms) = match standing {
+            let (why, back_in_ms) = match status {
                 MemberStatus::Ejected(reason, until) => {
-                    (Some(reason.word()), Some(ms(until.saturating_sub(now))))
+                    (Some(reason.as_str()), Some(ms(until.saturating_sub(now))))
                 }
                 _ => (None, None),
             };
-            let (pool, member, standing) = (&pool.name, &member.name, standing.word());
+            let (pool, member, standing) = (&pool.name, &member.name, status.as_str());
             let line = MemberLine {
                 pool,
                 member,
@@ -177,19 +177,19 @@
     for decision in fleet.decisions().all().rev().take(last) {
         let Decision {
             at,
-            traffic,
+            request_class,
             tenant,
             route,
             pool,
             what,
-            more,
+            more_skipped,
             ..
         } = decision;
         let pool = pool.map(|at| &c.pools[usize::from(at)]);
         let name = |member: u16| pool.map_or("", |pool| &pool.members[usize::from(member)].name);
         let mut line = DecisionLine {
             ago_ms: ms(now.saturating_sub(*at)),
-            traffic: &c.types[usize::from(*traffic)].name,
+            traffic: &c.types[usize::from(*request_class)].name,
             tenant: tenant.map(|at| &*c.tenants[usize::from(at)].name),
             route: route.map(|at| &*c.routes[usize::from(at)].name),
             pool: pool.map(|pool| &*pool.name),
@@ -201,10 +201,10 @@
             turned: None,
             told_ms: None,
             passed_over: decision
-                .passed()
-                .map(|(member, why)| (name(member), why.word()))
+                .skipped_members()
+                .map(|(member, why)| (name(member), why.as_str()))
                 .collect(),
-            more_passed_over: *more,
+            more_passed_over: *more_skipped,
         };
         match *what {
             DecisionOutcome::Dispatched {
@@ -214,11 +214,11 @@
                 in_hand,
                 tried,
             } => {
-                (line.member, line.how) = (Some(name(member)), Some(how.word()));
+                (line.member, line.how) = (Some(name(member)), Some(how.as_str()));
                 (line.tried, line.of, line.in_hand) = (Some(tried), Some(of), Some(in_hand));
             }
             DecisionOutcome::Rejected { why, after } => {
-                (line.turned, line.told_ms) = (Some(why.word()), Some(ms(after)));
+                (line.turned, line.told_ms) = (Some(why.as_str()), Some(ms(after)));
             }
         }
         put(&mut out, &line);
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -35,7 +35,7 @@
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
 use rainstand_routing::fleet::{
-    At, AttemptOutcome, Fleet, NextAction, RequestOutcome, RequestState,
+    AttemptOutcome, Fleet, MemberRef, NextAction, RequestOutcome, RequestState,
 };
 use rainstand_routing::health::MemberStatus;
 use rainstand_routing::table::Request;
@@ -112,7 +112,7 @@
 /// A try that is out: where, by the places of which version, and since when.
 #[derive(Clone)]
 struct Out {
-    at: At,
+    at: MemberRef,
     version: u64,
     address: Rc<str>,
     since: Duration,
@@ -239,7 +239,7 @@
     fn is_present(&self, version: Result<u64, ConfigurationError>) -> Result<u64, String> {
         let version = version.map_err(|e| e.to_string())?;
         // Where routes, pools and members have their places, what is kept by place goes on.
-        if self.fleet.borrow().places_since() == version {
+        if self.fleet.borrow().indices_since() == version {
             self.backs.tidy();
             self.backs.tell_known(self);
             self.metrics.version(&self.fleet.borrow());
@@ -277,14 +277,14 @@
             };
             let mut fleet = self.fleet.borrow_mut();
             let traffic = field("route")?
-                .and_then(|name| fleet.table().traffic(name))
+                .and_then(|name| fleet.table().request_class(name))
                 .ok_or("route: not known")?;
             let customer = field("customer")?.unwrap_or("");
             let tenant = fleet.table().tenant(customer);
             let ticket = Request {
-                traffic,
+                request_class: traffic,
                 tenant,
-                stranger: if tenant.is_none() {
+                tenant_hash: if tenant.is_none() {
                     name_hash(customer)
                 } else {
                     0
@@ -330,12 +330,12 @@
                         since,
                     });
                 }
-                self.ring_after(send.cut, number, attempt);
+                self.ring_after(send.timeout, number, attempt);
                 let call = Call {
                     number,
                     attempt,
                     again: send.again,
-                    tried: send.tried,
+                    tried: send.attempt_number,
                 };
                 back::send(self, &address, call);
             }
@@ -350,7 +350,7 @@
             }
             NextAction::Completed(over) => {
                 self.metrics.ticket(&over, &self.fleet.borrow());
-                self.over(number, |ticket| match over.end {
+                self.over(number, |ticket| match over.outcome {
                     // The member's own answer went out before.
                     RequestOutcome::Served | RequestOutcome::CallerGone => None,
                     RequestOutcome::Rejected {
@@ -398,7 +398,7 @@
                 back::leave(self, &address, attempt, since);
             }
         } else if let Some(trip) = self.claim(number, attempt) {
-            let step = self.fleet.borrow_mut().again(self.now(), trip);
+            let step = self.fleet.borrow_mut().on_retry_due(self.now(), trip);
             self.follow(number, step);
         }
     }
@@ -509,12 +509,12 @@
              accepted={} refused_connections={} made_room={} descriptors_out={} exceptions={} full={} links={} broken_links={} quiet_links={} late_answers={} unreadable={} unsent={}",
             self.tickets.borrow().len(),
             self.conns.borrow().len(),
-            fleet.first_tries,
-            fleet.further_tries,
-            fleet.honoured,
-            fleet.dismissed,
-            fleet.given_up,
-            fleet.nobody,
+            fleet.first_attempts,
+            fleet.retries,
+            fleet.served,
+            fleet.rejected,
+            fleet.failed,
+            fleet.caller_gone,
             fleet.room,
             c.accepted.get(),
             c.refused_connections.get(),
@@ -567,10 +567,10 @@
                 let fleet = looking.fleet.borrow();
                 let (address, pool) = (fleet.address(at), fleet.table().pool_name(at.pool));
                 let why = match to {
-                    MemberStatus::Ejected(reason, _) => reason.word(),
+                    MemberStatus::Ejected(reason, _) => reason.as_str(),
                     _ => "",
                 };
-                let to = to.word();
+                let to = to.as_str();
                 tracing::info!(event = "member", words = "member", pool, address = %address, to, why);
             }
         }
--- a/crates/forwarder/src/seen.rs
+++ b/crates/forwarder/src/seen.rs
@@ -13,7 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::{Registry, Unit};
-use rainstand_routing::fleet::{At, AttemptOutcome, Completed, Fleet, RejectReason};
+use rainstand_routing::fleet::{AttemptOutcome, Completed, Fleet, MemberRef, OutcomeReason};
 use rainstand_routing::health::MemberStatus;
 use std::cell::RefCell;
 use std::time::Duration;
@@ -73,7 +73,7 @@
 }
 
 /// A ticket's route and pool by place, its end and why.
-type EndKey = (Option<u16>, Option<u16>, &'static str, RejectReason);
+type EndKey = (Option<u16>, Option<u16>, &'static str, OutcomeReason);
 
 /// What is kept by place, and the version since which the places are these.
 #[derive(Default)]
@@ -263,7 +263,7 @@
     pub fn version(&self, fleet: &Fleet) {
         let c = fleet.table().configuration();
         let mut handles = Handles {
-            since: fleet.places_since(),
+            since: fleet.indices_since(),
             ..Handles::default()
         };
         let mut now = HashSet::default();
@@ -289,7 +289,7 @@
                     let labels = TryLabels {
                         pool: pool.clone(),
                         member: member.clone(),
-                        came: back.word(),
+                        came: back.as_str(),
                     };
                     self.tries.get_or_create(&labels).clone()
                 };
@@ -308,7 +308,7 @@
                 self.tries.remove(&TryLabels {
                     pool,
                     member,
-                    came: back.word(),
+                    came: back.as_str(),
                 });
             }
             self.try_seconds.remove(gone);
@@ -322,7 +322,7 @@
 
     /// What came of a try, after this time. One that was sent under an earlier version is counted at its ticket only:
     /// its place may be another member's now.
-    pub fn tried(&self, at: At, version: u64, back: AttemptOutcome, took: Duration) {
+    pub fn tried(&self, at: MemberRef, version: u64, back: AttemptOutcome, took: Duration) {
         let handles = self.handles.borrow();
         if version < handles.since {
             return;
@@ -362,9 +362,9 @@
                 self.known_routes.borrow_mut().insert(labels);
                 made
             });
-            seconds.observe(over.took.as_secs_f64());
+            seconds.observe(over.elapsed.as_secs_f64());
         }
-        let key = (key.0, key.1, over.end.word(), over.why);
+        let key = (key.0, key.1, over.outcome.as_str(), over.why);
         if let Some(counter) = handles.tickets.get(&key) {
             counter.inc();
             return;
@@ -377,8 +377,8 @@
         let labels = TicketLabels {
             route: name(over.route, &|at| table.route_name(at).to_owned()),
             pool: name(over.pool, &|at| table.pool_name(at).to_owned()),
-            end: over.end.word(),
-            reason: over.why.word(),
+            end: over.outcome.as_str(),
+            reason: over.why.as_str(),
         };
         let counter = self.tickets.get_or_create(&labels).clone();
         counter.inc();
@@ -400,7 +400,7 @@
                 };
                 self.open.get_or_create(&labels).set(i64::from(seen.open));
                 self.limit.get_or_create(&labels).set(i64::from(seen.limit));
-                let out = match seen.standing {
+                let out = match seen.status {
                     MemberStatus::Healthy => 0,
                     MemberStatus::Ejected(..) => 1,
                     MemberStatus::Probing => 2,
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -395,7 +395,7 @@
         let now = watch.now();
         watch
             .rules()
-            .budget(now, counts.first_tries, counts.further_tries, 0.5, 10)
+            .budget(now, counts.first_attempts, counts.retries, 0.5, 10)
             .unwrap();
         let tally = watch.over().unwrap_or_else(|broken| panic!("{broken}"));
         // How many of each depends on the machine; that all were asked and some honoured does not.
@@ -437,7 +437,7 @@
                 .fleet
                 .borrow()
                 .members(0, w.hub.now())
-                .any(|m| matches!(m.standing, MemberStatus::Ejected(..)))
+                .any(|m| matches!(m.status, MemberStatus::Ejected(..)))
         };
         while more > 0 {
             n += 1;
@@ -557,7 +557,7 @@
                     .unwrap(),
             );
         }
-        until(|| w.hub.fleet.borrow().counts().first_tries >= given_up + 12).await;
+        until(|| w.hub.fleet.borrow().counts().first_attempts >= given_up + 12).await;
         deaf_task.abort();
         held.borrow_mut().clear();
         let mut told = std::collections::BTreeMap::new();
--- a/crates/routing/benches/pick.rs
+++ b/crates/routing/benches/pick.rs
@@ -66,7 +66,7 @@
         .unwrap_or_else(|| panic!("{:?}", outcome.findings.first()))
 }
 
-fn tickets() -> Vec<(u16, Option<u16>, String)> {
+fn requests() -> Vec<(u16, Option<u16>, String)> {
     let mut chance = WyRand::new_seed(5);
     let one = |_| {
         let entity = format!("NO-{}", chance.generate_range(0..100_000u32));
@@ -83,15 +83,15 @@
 #[divan::bench(args = [6, 1_000])]
 fn place(bencher: divan::Bencher<'_, '_>, routes: usize) {
     let table = Table::new(&configuration(routes)).unwrap();
-    let all = tickets();
+    let all = requests();
     let mut chance = WyRand::new_seed(1);
     bencher
         .counter(divan::counter::ItemsCount::new(all.len()))
         .bench_local(|| {
             let mut sum = 0u64;
             for (traffic, tenant, entity) in &all {
-                let ticket = Request {
-                    traffic: *traffic,
+                let request = Request {
+                    request_class: *traffic,
                     tenant: *tenant,
                     entity,
                     again: false,
@@ -100,7 +100,7 @@
                 };
                 sum += u64::from(
                     table
-                        .place(&ticket, &mut chance, |_| true)
+                        .place(&request, &mut chance, |_| true)
                         .map_or(0, |place| place.pool),
                 );
             }
@@ -108,30 +108,30 @@
         });
 }
 
-/// The whole decision with limits, and the ticket's end.
+/// The whole decision with limits, and the request's end.
 #[divan::bench(args = [6, 1_000])]
 fn arrived_and_ended(bencher: divan::Bencher<'_, '_>, routes: usize) {
     let mut router = Router::new(&configuration(routes), 1).unwrap();
-    let all = tickets();
+    let all = requests();
     let mut now = Duration::ZERO;
     bencher
         .counter(divan::counter::ItemsCount::new(all.len()))
         .bench_local(|| {
             for (traffic, tenant, entity) in &all {
                 now += Duration::from_micros(1);
-                let ticket = Request {
-                    traffic: *traffic,
+                let request = Request {
+                    request_class: *traffic,
                     tenant: *tenant,
                     entity,
                     again: false,
                     size: 900,
                     ..Request::default()
                 };
-                if let Admission::Admitted(way) = router.on_arrival(now, &ticket, |_| true) {
+                if let Admission::Admitted(way) = router.on_arrival(now, &request, |_| true) {
                     router.on_completed(way);
                 }
             }
-            router.counts().went
+            router.counts().admitted
         });
 }
 
@@ -139,7 +139,7 @@
 #[divan::bench]
 fn member_of_eight(bencher: divan::Bencher<'_, '_>) {
     let table = Table::new(&configuration(6)).unwrap();
-    let all = tickets();
+    let all = requests();
     bencher
         .counter(divan::counter::ItemsCount::new(all.len()))
         .bench_local(|| {
--- a/crates/routing/src/adaptive_concurrency.rs
+++ b/crates/routing/src/adaptive_concurrency.rs
@@ -1,4 +1,4 @@
-//! How many tickets may be open toward one member, learned from its times and dismissals.
+//! How many requests may be open toward one member, learned from its times and dismissals.
 //!
 //! The gradient of times is followed: over each window the mean time is set against the least one known; while
 //! they agree and the limit is in use, it grows by its root; when times rise it shrinks in proportion, at most by
@@ -6,14 +6,14 @@
 //! by losses alone waits for losses, and a node's dismissals come late: its hold hides them; times do not.
 //!
 //! The least time does not follow the mean: a long mean in its place learns the queue that the limit itself makes,
-//! and two doors then let it grow without end (tried: 1,800 tickets in a member of 40 places after a minute).
+//! and two doors then let it grow without end (tried: 1,800 requests in a member of 40 places after a minute).
 //! It is learned anew where the limit has long been near its least: there the time is the member's own, unless
 //! so many doors share it that even their least is a queue; then the configuration's bound is what holds.
 //!
 //! Where times have risen, what shrinks is what was in use, not a limit far above it: with fifty doors on a node each has a
-//! few tickets there, and limits of sixteen that nobody reaches hold nothing back.
+//! few requests there, and limits of sixteen that nobody reaches hold nothing back.
 //!
-//! Invariant: [`LEAST`] <= limit <= the bound given, and the limit does not grow while it is not in use, so a
+//! Invariant: [`MIN_LIMIT`] <= limit <= the bound given, and the limit does not grow while it is not in use, so a
 //! quiet night does not open the door for the morning.
 
 use std::time::Duration;
@@ -32,7 +32,7 @@
 /// Times may be so much over the least before they count as risen: they vary.
 const TOLERANCE: f64 = 2.0;
 /// And so much, s: below it lie the network and the scheduler, not a queue (without it a pool that answers within
-/// microseconds was held at 7 tickets a member, and 5 of 6 tickets dismissed).
+/// microseconds was held at 7 requests a member, and 5 of 6 requests dismissed).
 const SLACK: f64 = 0.002;
 /// What a dismissal or a failure leaves of the limit.
 const AFTER_LOSS: f64 = 0.9;
@@ -86,7 +86,7 @@
         };
     }
 
-    /// Tickets that may be open; at least one, so that a member is never closed for good.
+    /// Requests that may be open; at least one, so that a member is never closed for good.
     pub fn limit(&self) -> u32 {
         (self.limit as u32).max(1)
     }
@@ -169,16 +169,16 @@
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
-    /// A member that does `cores` tickets of 20 ms at a time and queues the rest, under all the load that
+    /// A member that does `cores` requests of 20 ms at a time and queues the rest, under all the load that
     /// the limits of `doors` let through; the mean number in it over the last of `seconds`.
     fn settle(doors: usize, cores: u32, seconds: u64) -> (Vec<ConcurrencyLimit>, f64) {
         let ms = Duration::from_millis;
         let mut limits: Vec<_> = (0..doors)
             .map(|_| ConcurrencyLimit::new(None, ms(0)))
             .collect();
-        // Work left of each ticket in it, in ms, and whose it is, oldest first.
+        // Work left of each request in it, in ms, and whose it is, oldest first.
         let mut inside: Vec<(usize, u32, u64)> = Vec::new();
-        // Tickets differ, and doors come in turn: else all would end in step and the first door fare best.
+        // Requests differ, and doors come in turn: else all would end in step and the first door fare best.
         let mut chance = WyRand::new_seed(9);
         let (mut sum, mut samples) = (0u64, 0u64);
         for t in 0..seconds * 1_000 {
--- a/crates/routing/src/decision_log.rs
+++ b/crates/routing/src/decision_log.rs
@@ -1,9 +1,9 @@
-//! The last decisions, for those who ask why a ticket went where it went, or why it went nowhere. Bounded, and
-//! written without an allocation on a ticket's way.
+//! The last decisions, for those who ask why a request went where it went, or why it went nowhere. Bounded, and
+//! written without an allocation on a request's way.
 //!
 //! Indices are those of the version that decided; the fleet forgets them all when a new version is taken.
 
-use crate::fleet::RejectReason;
+use crate::fleet::OutcomeReason;
 use crate::health::EjectionReason;
 use crate::member_selection::SelectionReason;
 use std::collections::VecDeque;
@@ -23,8 +23,8 @@
     Full,
     /// It told this tenant when to come back.
     RetryAfter,
-    /// The last try of this ticket went there.
-    Tried,
+    /// The last try of this request went there.
+    AlreadyTried,
     /// It says that it leaves.
     Leaving,
     /// It warms up, or may, and this forwarder's part of what all may send it is used.
@@ -32,12 +32,12 @@
 }
 
 impl SkipReason {
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
-            SkipReason::Ejected(reason) => reason.word(),
+            SkipReason::Ejected(reason) => reason.as_str(),
             SkipReason::Full => "full",
             SkipReason::RetryAfter => "told_to_wait",
-            SkipReason::Tried => "tried",
+            SkipReason::AlreadyTried => "tried",
             SkipReason::Leaving => "leaving",
             SkipReason::WarmingUp => "warming",
         }
@@ -55,59 +55,59 @@
         tried: u32,
     },
     /// No further try; how it ended is in the counters.
-    Rejected { why: RejectReason, after: Duration },
+    Rejected { why: OutcomeReason, after: Duration },
 }
 
-/// One decision about one ticket.
+/// One decision about one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Decision {
     pub at: Duration,
-    pub traffic: u16,
+    pub request_class: u16,
     pub tenant: Option<u16>,
     pub route: Option<u16>,
     pub pool: Option<u16>,
     pub what: DecisionOutcome,
-    /// The first members that were passed over; [`Decision::more`] others were too.
+    /// The first members that were passed over; [`Decision::more_skipped`] others were too.
     passed: [(u16, Option<SkipReason>); MAX_SKIPPED_MEMBERS],
-    pub more: u16,
+    pub more_skipped: u16,
 }
 
 impl Decision {
     pub fn new(at: Duration, traffic: u16, tenant: Option<u16>, what: DecisionOutcome) -> Self {
         Self {
             at,
-            traffic,
+            request_class: traffic,
             tenant,
             route: None,
             pool: None,
             what,
             passed: [(0, None); MAX_SKIPPED_MEMBERS],
-            more: 0,
+            more_skipped: 0,
         }
     }
 
     pub fn record_skipped(&mut self, member: u16, why: SkipReason) {
         match self.passed.iter_mut().find(|one| one.1.is_none()) {
             Some(place) => *place = (member, Some(why)),
-            None => self.more = self.more.saturating_add(1),
+            None => self.more_skipped = self.more_skipped.saturating_add(1),
         }
     }
 
-    pub fn passed(&self) -> impl Iterator<Item = (u16, SkipReason)> + '_ {
+    pub fn skipped_members(&self) -> impl Iterator<Item = (u16, SkipReason)> + '_ {
         self.passed
             .iter()
             .filter_map(|(member, why)| Some((*member, (*why)?)))
     }
 }
 
-/// The last [`KEPT`] of them, oldest first.
+/// The last [`MAX_DECISIONS`] of them, oldest first.
 #[derive(Debug, Default)]
 pub struct DecisionLog {
     ring: VecDeque<Decision>,
 }
 
 impl DecisionLog {
-    pub fn put(&mut self, decision: Decision) {
+    pub fn push(&mut self, decision: Decision) {
         if self.ring.len() >= MAX_DECISIONS {
             self.ring.pop_front();
         }
@@ -132,17 +132,17 @@
         let mut all = DecisionLog::default();
         for n in 0..3_000u64 {
             let what = DecisionOutcome::Rejected {
-                why: RejectReason::NoMember,
+                why: OutcomeReason::NoMember,
                 after: Duration::ZERO,
             };
             let mut one = Decision::new(Duration::from_millis(n), 0, None, what);
             (0..9).for_each(|member| one.record_skipped(member, SkipReason::Full));
-            all.put(one);
+            all.push(one);
         }
         assert_eq!(all.all().count(), MAX_DECISIONS);
         let last = all.all().next_back().unwrap();
         assert_eq!(
-            (last.at, last.passed().count(), last.more),
+            (last.at, last.skipped_members().count(), last.more_skipped),
             (Duration::from_millis(2_999), MAX_SKIPPED_MEMBERS, 3)
         );
     }
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -1,4 +1,4 @@
-//! Why a ticket goes where it goes: each route in order, and the part of its match that was not met.
+//! Why a request goes where it goes: each route in order, and the part of its match that was not met.
 
 use crate::table::{PlacementReason, Request, RoutingError, Table};
 use nanorand::WyRand;
@@ -6,30 +6,30 @@
 
 /// One route that was asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Step {
+pub struct RouteStep {
     pub route: String,
-    /// None: it takes the ticket.
+    /// None: it takes the request.
     pub miss: Option<Miss>,
     /// What the route wants there, as the configuration says it.
-    pub wants: String,
+    pub wanted: String,
 }
 
-/// Where a ticket goes, and why.
+/// Where a request goes, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Explanation {
-    pub steps: Vec<Step>,
+    pub steps: Vec<RouteStep>,
     /// The pool and how it came about; none: why not.
-    pub goes: Result<(String, PlacementReason), RoutingError>,
+    pub placement: Result<(String, PlacementReason), RoutingError>,
     /// The member that the entity belongs to; none without an entity, or if none can be used.
     pub member: Option<String>,
-    /// Limits that count the ticket: where, and their name.
+    /// Limits that count the request: where, and their name.
     pub limits: Vec<(String, String)>,
 }
 
 /// `pool_out` and `member_out`: what cannot be used, by name; a member counts in every pool it is in.
 pub fn explain(
     table: &Table,
-    ticket: &Request<'_>,
+    request: &Request<'_>,
     seed: u64,
     pool_out: impl Fn(&str) -> bool,
     member_out: impl Fn(&str) -> bool,
@@ -39,7 +39,7 @@
         let pool = &configuration.pools[usize::from(pool)];
         !pool_out(&pool.name) && pool.members.iter().any(|member| !member_out(&member.name))
     };
-    let place = table.place(ticket, &mut WyRand::new_seed(seed), usable);
+    let place = table.place(request, &mut WyRand::new_seed(seed), usable);
     let last = match place {
         Ok(place) => Some(place.route),
         Err(RoutingError::NoPool(route)) => Some(route),
@@ -47,23 +47,23 @@
     };
     let asked = last.map_or(table.routes.len(), |last| usize::from(last) + 1);
     let steps = (0..asked as u16).map(|at| {
-        let miss = table.miss(at, ticket);
-        Step {
+        let miss = table.mismatch(at, request);
+        RouteStep {
             route: table.route_name(at).to_owned(),
             miss,
-            wants: wants(table, at, miss),
+            wanted: wants(table, at, miss),
         }
     });
     let mut limits = Vec::new();
     let mut add = |at: String, of: Option<u16>| {
         limits.extend(of.map(|of| (at, configuration.limits[usize::from(of)].name.clone())));
     };
-    let traffic = usize::from(ticket.traffic);
+    let traffic = usize::from(request.request_class);
     add(
         format!("type {}", configuration.types[traffic].name),
         table.type_limits[traffic],
     );
-    if let Some(tenant) = ticket.tenant.map(usize::from) {
+    if let Some(tenant) = request.tenant.map(usize::from) {
         add(
             format!("tenant {}", configuration.tenants[tenant].name),
             table.tenant_limits[tenant],
@@ -81,14 +81,16 @@
             table.pools[pool].limits,
         );
         let members = &configuration.pools[pool].members;
-        if !ticket.entity.is_empty() {
-            let chosen = table.member(place.pool, ticket.entity, |k| !member_out(&members[k].name));
+        if !request.entity.is_empty() {
+            let chosen = table.member(place.pool, request.entity, |k| {
+                !member_out(&members[k].name)
+            });
             member = chosen.map(|k| members[k].name.clone());
         }
     }
     Explanation {
         steps: steps.collect(),
-        goes: place.map(|place| (table.pool_name(place.pool).to_owned(), place.by)),
+        placement: place.map(|place| (table.pool_name(place.pool).to_owned(), place.by)),
         member,
         limits,
     }
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -1,16 +1,16 @@
-//! A ticket's way through a forwarder, decided: route and limits, a member, what follows each try, and the one
-//! answer. Sockets are elsewhere; they carry out a [`Send`] and bring back what [`Came`](Back).
+//! A request's way through a forwarder, decided: route and limits, a member, what follows each try, and the one
+//! answer. Sockets are elsewhere; they carry out a [`Attempt`] and bring back what [`AttemptOutcome`].
 //!
-//! Rules held here: every [`Trip`] ends in exactly one [`End`]; what may have run is never dismissed unless its
+//! Rules held here: every [`RequestState`] ends in exactly one [`RequestOutcome`]; what may have run is never dismissed unless its
 //! type may run any number of times, and sent again only as [`crate::retry`] allows; the cut of each try lies
 //! within what is left of the goal time, so an answer is there before it.
 //!
 //! Invariants: a member's `open` count, its limit's and what its health owes are the trips that are at it; a pool's
-//! [`Room`] holds the trips whose way leads to it, from their arrival to their end.
+//! [`FairShare`] holds the trips whose way leads to it, from their arrival to their end.
 
 use crate::adaptive_concurrency::ConcurrencyLimit;
 use crate::decision_log::{Decision, DecisionLog, DecisionOutcome, SkipReason};
-use crate::health::{Change, Health, HealthRules, MemberStatus};
+use crate::health::{Health, HealthRules, MemberStatus, StatusChange};
 use crate::member_selection::{self, Member, SelectionPolicy, SelectionReason};
 use crate::retry::{
     self, AttemptResult, NoRetryReason, RetryBudget, RetryContext, RetryDecision, RetryPolicy,
@@ -19,7 +19,7 @@
 use crate::table::{Request, Table};
 use crate::table_update::{EntryKind, TableChange as Named};
 use crate::tenant_fairness::{FairShare, TenantKey, TenantShares};
-use crate::warm_up::{Rule, WarmUpLimiter};
+use crate::warm_up::{WarmUpLimiter, WarmUpRule};
 use crate::weighted_split::name_hash;
 use crate::ConfigurationError;
 use foldhash::{HashMap, HashMapExt};
@@ -51,7 +51,7 @@
 
 /// A member of a pool of the present version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct At {
+pub struct MemberRef {
     pub pool: u16,
     pub member: u16,
 }
@@ -59,14 +59,14 @@
 /// Where a try goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Attempt {
-    pub to: At,
-    /// It takes no longer than this; what then has not come is [`Back::TimedOut`].
-    pub cut: Duration,
+    pub to: MemberRef,
+    /// It takes no longer than this; what then has not come is [`AttemptOutcome::TimedOut`].
+    pub timeout: Duration,
     /// It goes out marked as a further try.
     pub again: bool,
     /// Which try it is, from 1.
-    pub tried: u32,
-    pub how: SelectionReason,
+    pub attempt_number: u32,
+    pub selected_by: SelectionReason,
 }
 
 /// What came of a try.
@@ -80,9 +80,9 @@
     },
     /// Given up there, or an exception.
     Failed,
-    /// No connection, or it broke before the ticket had left: proved not run.
+    /// No connection, or it broke before the request had left: proved not run.
     Unreachable,
-    /// The connection broke with the ticket on it.
+    /// The connection broke with the request on it.
     Broken,
     TimedOut,
     /// Its own caller left; nothing is owed any more.
@@ -90,7 +90,7 @@
 }
 
 impl AttemptOutcome {
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             AttemptOutcome::Served => "honoured",
             AttemptOutcome::Rejected { .. } => "dismissed",
@@ -117,7 +117,7 @@
 }
 
 impl RequestOutcome {
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             RequestOutcome::Served => "honoured",
             RequestOutcome::Rejected { .. } => "dismissed",
@@ -127,9 +127,9 @@
     }
 }
 
-/// Why a ticket ended as it did.
+/// Why a request ended as it did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum RejectReason {
+pub enum OutcomeReason {
     Done,
     CallerLeft,
     /// No route, no pool, or one of the configuration's limits.
@@ -142,46 +142,46 @@
     Stopped(NoRetryReason),
 }
 
-impl RejectReason {
-    pub fn word(self) -> &'static str {
+impl OutcomeReason {
+    pub fn as_str(self) -> &'static str {
         use router::LimitScope::*;
         match self {
-            RejectReason::Done => "done",
-            RejectReason::CallerLeft => "caller_left",
-            RejectReason::Router(router::RejectReason::NoRoute) => "no_route",
-            RejectReason::Router(router::RejectReason::NoPool) => "no_pool",
-            RejectReason::Router(router::RejectReason::NoBucket) => "no_bucket",
-            RejectReason::Router(router::RejectReason::Limit(Type)) => "limit_of_type",
-            RejectReason::Router(router::RejectReason::Limit(Tenant)) => "limit_of_tenant",
-            RejectReason::Router(router::RejectReason::Limit(Route)) => "limit_of_route",
-            RejectReason::Router(router::RejectReason::Limit(Pool)) => "limit_of_pool",
-            RejectReason::Room => "room_of_tenant",
-            RejectReason::NoMember => "no_member",
-            RejectReason::Stopped(NoRetryReason::MayHaveRun) => "may_have_run",
-            RejectReason::Stopped(NoRetryReason::NowhereElse) => "nowhere_else",
-            RejectReason::Stopped(NoRetryReason::FurtherTry) => "further_try",
-            RejectReason::Stopped(NoRetryReason::Tries) => "tries",
-            RejectReason::Stopped(NoRetryReason::Budget) => "budget",
-            RejectReason::Stopped(NoRetryReason::Time) => "time",
+            OutcomeReason::Done => "done",
+            OutcomeReason::CallerLeft => "caller_left",
+            OutcomeReason::Router(router::RejectReason::NoRoute) => "no_route",
+            OutcomeReason::Router(router::RejectReason::NoPool) => "no_pool",
+            OutcomeReason::Router(router::RejectReason::NoBucket) => "no_bucket",
+            OutcomeReason::Router(router::RejectReason::Limit(Type)) => "limit_of_type",
+            OutcomeReason::Router(router::RejectReason::Limit(Tenant)) => "limit_of_tenant",
+            OutcomeReason::Router(router::RejectReason::Limit(Route)) => "limit_of_route",
+            OutcomeReason::Router(router::RejectReason::Limit(Pool)) => "limit_of_pool",
+            OutcomeReason::Room => "room_of_tenant",
+            OutcomeReason::NoMember => "no_member",
+            OutcomeReason::Stopped(NoRetryReason::MayHaveRun) => "may_have_run",
+            OutcomeReason::Stopped(NoRetryReason::NowhereElse) => "nowhere_else",
+            OutcomeReason::Stopped(NoRetryReason::FurtherTry) => "further_try",
+            OutcomeReason::Stopped(NoRetryReason::Tries) => "tries",
+            OutcomeReason::Stopped(NoRetryReason::Budget) => "budget",
+            OutcomeReason::Stopped(NoRetryReason::Time) => "time",
         }
     }
 }
 
-/// The end of a ticket.
+/// The end of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Completed {
-    pub end: RequestOutcome,
-    pub why: RejectReason,
+    pub outcome: RequestOutcome,
+    pub why: OutcomeReason,
     /// Its route and pool by their places in the version under which it came in.
     pub version: u64,
     pub route: Option<u16>,
     pub pool: Option<u16>,
-    pub tries: u32,
+    pub attempts: u32,
     /// Since it arrived.
-    pub took: Duration,
+    pub elapsed: Duration,
 }
 
-/// A ticket under way. Lost if it is dropped: it goes back with [`Fleet::came`] or [`Fleet::again`].
+/// A request under way. Lost if it is dropped: it goes back with [`Fleet::on_attempt_outcome`] or [`Fleet::on_retry_due`].
 #[must_use = "a trip that is dropped keeps its places for ever"]
 #[derive(Debug)]
 pub struct RequestState {
@@ -193,13 +193,13 @@
     repeat: RepeatKind,
     again: bool,
     policy: RetryPolicy,
-    tries: u32,
+    attempts: u32,
     arrived: Duration,
     goal: Duration,
     may_have_run: bool,
     /// The member of the last try, and when it was sent; with the names of pool and member, since a version taken
     /// meanwhile may have given their places to others.
-    at: Option<(At, Rc<str>, Rc<str>, Duration)>,
+    at: Option<(MemberRef, Rc<str>, Rc<str>, Duration)>,
     /// That try has not come back yet.
     out: bool,
     /// It holds a place in this pool's room; not once another version took the room away.
@@ -210,19 +210,19 @@
 pub enum NextAction {
     /// Sent now.
     Dispatch(RequestState, Attempt),
-    /// To be sent again after this wait, with [`Fleet::again`].
+    /// To be sent again after this wait, with [`Fleet::on_retry_due`].
     Backoff(RequestState, Duration),
     Completed(Completed),
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    pub first_tries: u64,
-    pub further_tries: u64,
-    pub honoured: u64,
-    pub dismissed: u64,
-    pub given_up: u64,
-    pub nobody: u64,
+pub struct FleetCounts {
+    pub first_attempts: u64,
+    pub retries: u64,
+    pub served: u64,
+    pub rejected: u64,
+    pub failed: u64,
+    pub caller_gone: u64,
     /// Dismissed since their tenant had its part of a scarce pool.
     pub room: u64,
 }
@@ -268,7 +268,7 @@
     pub address: &'f str,
     pub open: u32,
     pub limit: u32,
-    pub standing: MemberStatus,
+    pub status: MemberStatus,
     pub near: bool,
     pub leaving: bool,
 }
@@ -286,15 +286,15 @@
     places_since: u64,
     rooms_since: u64,
     /// Until when a member told a tenant to stay away, by member over all pools and tenant.
-    pauses: HashMap<(At, u32), Duration>,
+    pauses: HashMap<(MemberRef, u32), Duration>,
     budget: RetryBudget,
     chance: WyRand,
     /// For the ramps alone, and whether any member has one.
     phases: WyRand,
     ramps: bool,
-    counts: Counts,
+    counts: FleetCounts,
     /// Changes of standing since the last look.
-    changes: Vec<(At, MemberStatus)>,
+    changes: Vec<(MemberRef, MemberStatus)>,
     decisions: DecisionLog,
     pick: SelectionPolicy,
     /// Of the pool at hand, what each member may get; kept for its memory.
@@ -302,7 +302,7 @@
 }
 
 /// What all forwarders together may send to a member while it warms up, and this one's part of it.
-fn rule(pool: &schema::Pool, member: &schema::Member) -> Option<Rule> {
+fn rule(pool: &schema::Pool, member: &schema::Member) -> Option<WarmUpRule> {
     let rate = pool
         .warm_rate
         .as_ref()
@@ -311,7 +311,7 @@
     let warm_up = Duration::from_nanos(member.warm_up_ns);
     let micro = rate.micro_tickets as f64 * (member.weight as f64 / ONE as f64);
     let rate = micro / ONE as f64 / window.as_secs_f64();
-    (rate > 0.0 && !warm_up.is_zero()).then(|| Rule::new(rate, window, pool.senders, warm_up))
+    (rate > 0.0 && !warm_up.is_zero()).then(|| WarmUpRule::new(rate, window, pool.senders, warm_up))
 }
 
 fn pools(
@@ -427,7 +427,7 @@
 fn plans(table: &Table) -> impl Iterator<Item = (RetryPolicy, u64)> + '_ {
     let c = table.configuration();
     let once = RetryPolicy {
-        tries: 1,
+        attempts: 1,
         wait: (Duration::ZERO, Duration::ZERO),
         proof: schema::Proof::NotRun,
     };
@@ -496,7 +496,7 @@
             pauses: HashMap::new(),
             budget: RetryBudget::default(),
             chance: WyRand::new_seed(seed ^ 0x666c_6565),
-            counts: Counts::default(),
+            counts: FleetCounts::default(),
             changes: Vec::new(),
             decisions: DecisionLog::default(),
             pick: SelectionPolicy::default(),
@@ -521,7 +521,7 @@
             .map_or(0, |(number, _)| number)
     }
 
-    pub fn counts(&self) -> Counts {
+    pub fn counts(&self) -> FleetCounts {
         self.counts
     }
 
@@ -533,7 +533,7 @@
         &self.decisions
     }
 
-    pub fn address(&self, at: At) -> &Rc<str> {
+    pub fn address(&self, at: MemberRef) -> &Rc<str> {
         &self.pools[usize::from(at.pool)].addresses[usize::from(at.member)]
     }
 
@@ -541,7 +541,7 @@
     /// keeps it, trips at it are still counted, and those at a member that went end as they end.
     ///
     /// # Errors
-    /// As [`Router::take`]; nothing has changed then.
+    /// As [`Router::install`]; nothing has changed then.
     pub fn install(
         &mut self,
         configuration: &Configuration,
@@ -553,7 +553,7 @@
     /// The same, of a message that is given away.
     ///
     /// # Errors
-    /// As [`Fleet::take`].
+    /// As [`Fleet::install`].
     pub fn install_owned(
         &mut self,
         configuration: Configuration,
@@ -587,7 +587,7 @@
         let names = |kind: EntryKind| {
             changes
                 .iter()
-                .map(Named::of)
+                .map(Named::key)
                 .filter(move |of| of.0 == kind)
                 .map(|(_, name)| name)
         };
@@ -682,16 +682,16 @@
     }
 
     /// The version since which routes, pools, members, tenants and types have the places that they have now.
-    pub fn places_since(&self) -> u64 {
+    pub fn indices_since(&self) -> u64 {
         self.places_since
     }
 
     /// The places in all pools of the member with this address.
-    fn places_of(&self, address: &str) -> Vec<At> {
+    fn places_of(&self, address: &str) -> Vec<MemberRef> {
         let pools = self.pools.iter().enumerate();
         let at = |(pool, one): (usize, &Pool)| {
             let member = one.addresses.iter().position(|known| **known == *address)?;
-            Some(At {
+            Some(MemberRef {
                 pool: pool as u16,
                 member: member as u16,
             })
@@ -717,7 +717,7 @@
         }
     }
 
-    /// Whether any member has a ramp of what all may send it: then [`Fleet::connected`] and [`Fleet::lost`] are owed.
+    /// Whether any member has a ramp of what all may send it: then [`Fleet::on_connected`] and [`Fleet::on_disconnected`] are owed.
     pub fn has_warm_up(&self) -> bool {
         self.ramps
     }
@@ -750,7 +750,7 @@
     }
 
     /// Time passes; members that are left out or taken back, each worth a line.
-    pub fn tick(&mut self, now: Duration) -> Vec<(At, MemberStatus)> {
+    pub fn tick(&mut self, now: Duration) -> Vec<(MemberRef, MemberStatus)> {
         self.router.tick(now);
         self.pauses.retain(|_, until| *until > now);
         let mut all = std::mem::take(&mut self.changes);
@@ -759,9 +759,9 @@
                 .health
                 .as_mut()
                 .map_or(Vec::new(), |health| health.tick(now));
-            all.extend(changes.into_iter().map(|Change { member, to }| {
+            all.extend(changes.into_iter().map(|StatusChange { member, to }| {
                 (
-                    At {
+                    MemberRef {
                         pool: pool as u16,
                         member: member as u16,
                     },
@@ -774,9 +774,9 @@
         all
     }
 
-    /// A ticket came.
-    pub fn on_arrival(&mut self, now: Duration, ticket: &Request<'_>) -> NextAction {
-        let who = TenantKey::new(ticket.tenant, ticket.stranger);
+    /// A request came.
+    pub fn on_arrival(&mut self, now: Duration, request: &Request<'_>) -> NextAction {
+        let who = TenantKey::new(request.tenant, request.tenant_hash);
         let parts = Eligibility {
             pools: &self.pools,
             pauses: &self.pauses,
@@ -795,13 +795,13 @@
                 }
             }
         };
-        let way = match self.router.on_arrival(now, ticket, usable) {
+        let way = match self.router.on_arrival(now, request, usable) {
             Admission::Admitted(way) => way,
             Admission::Rejected(turned) => {
-                return self.turned(now, ticket, who, turned, scarce.get())
+                return self.turned(now, request, who, turned, scarce.get())
             }
         };
-        let place = way.place;
+        let place = way.placement;
         let one = &mut self.pools[usize::from(place.pool)];
         one.room.on_request(&self.shares, who, now);
         one.room.acquire(who);
@@ -811,21 +811,21 @@
         let trip = RequestState {
             goal: way.times.goal,
             way,
-            traffic: ticket.traffic,
-            tenant: ticket.tenant,
+            traffic: request.request_class,
+            tenant: request.tenant,
             who,
-            entity: ticket.entity.into(),
-            repeat: self.table().configuration().types[usize::from(ticket.traffic)].repeat(),
-            again: ticket.again,
+            entity: request.entity.into(),
+            repeat: self.table().configuration().types[usize::from(request.request_class)].repeat(),
+            again: request.again,
             policy,
-            tries: 0,
+            attempts: 0,
             arrived: now,
             may_have_run: false,
             at: None,
             out: false,
             room: Some((place.pool, version)),
         };
-        self.counts.first_tries += 1;
+        self.counts.first_attempts += 1;
         self.dispatch(now, trip)
     }
 
@@ -833,7 +833,7 @@
     fn turned(
         &mut self,
         now: Duration,
-        ticket: &Request<'_>,
+        request: &Request<'_>,
         who: TenantKey,
         turned: Rejected,
         scarce: Option<(u16, f64)>,
@@ -843,7 +843,7 @@
             mut after,
             route,
         } = turned;
-        let mut told = RejectReason::Router(why);
+        let mut told = OutcomeReason::Router(why);
         if let (router::RejectReason::NoPool, Some(route)) = (why, route) {
             let within = self.table().routes[usize::from(route)]
                 .to
@@ -855,7 +855,7 @@
                 let one = &mut self.pools[usize::from(pool)];
                 one.room.on_request(&self.shares, who, now);
                 after = one.typical_duration().mul_f64(over.min(1_000.0));
-                told = RejectReason::Room;
+                told = OutcomeReason::Room;
                 self.counts.room += 1;
             } else if let Some(soonest) = pools
                 .iter()
@@ -867,17 +867,17 @@
             after = self.spread(after);
             after = clamp_retry_after(self.table(), Some(route), None, after);
         }
-        self.counts.dismissed += 1;
+        self.counts.rejected += 1;
         let mut decision = Decision::new(
             now,
-            ticket.traffic,
-            ticket.tenant,
+            request.request_class,
+            request.tenant,
             DecisionOutcome::Rejected { why: told, after },
         );
         decision.route = route;
-        self.decisions.put(decision);
+        self.decisions.push(decision);
         NextAction::Completed(Completed {
-            end: RequestOutcome::Rejected {
+            outcome: RequestOutcome::Rejected {
                 after,
                 nowhere_else: false,
             },
@@ -885,8 +885,8 @@
             version: self.version(),
             route,
             pool: None,
-            tries: 0,
-            took: Duration::ZERO,
+            attempts: 0,
+            elapsed: Duration::ZERO,
         })
     }
 
@@ -900,7 +900,7 @@
             .min(RETRY_AFTER_BOUNDS.1)
     }
 
-    /// From now on, when the first member of a pool may take a ticket again; none for a pool without any.
+    /// From now on, when the first member of a pool may take a request again; none for a pool without any.
     fn earliest_retry(&self, pool: u16, who: TenantKey, now: Duration) -> Option<Duration> {
         let one = &self.pools[usize::from(pool)];
         let parts = Eligibility {
@@ -909,8 +909,8 @@
             now,
             who,
         };
-        let when = |member: u16| match parts.passed(At { pool, member }) {
-            // A place is free again when a usual ticket has ended.
+        let when = |member: u16| match parts.passed(MemberRef { pool, member }) {
+            // A place is free again when a usual request has ended.
             Some((SkipReason::Full, _)) | None => one.typical_duration(),
             Some((_, until)) => until.saturating_sub(now),
         };
@@ -918,15 +918,15 @@
     }
 
     /// The wait before a further try is over.
-    pub fn again(&mut self, now: Duration, trip: RequestState) -> NextAction {
-        self.counts.further_tries += 1;
+    pub fn on_retry_due(&mut self, now: Duration, trip: RequestState) -> NextAction {
+        self.counts.retries += 1;
         self.dispatch(now, trip)
     }
 
     /// The pool of a trip in the present version.
     fn pool_now(&self, way: &RouteDecision) -> Option<u16> {
         if way.version >= self.places_since {
-            return Some(way.place.pool);
+            return Some(way.placement.pool);
         }
         // Under a version of other places the pool is looked up by its name.
         self.table().pool(&way.pool)
@@ -935,7 +935,7 @@
     /// Sends a try to a member of the trip's pool; another than the last one, if there is one.
     fn dispatch(&mut self, now: Duration, mut trip: RequestState) -> NextAction {
         let Some(pool) = self.pool_now(&trip.way) else {
-            return self.end(now, trip, None, RejectReason::NoMember);
+            return self.end(now, trip, None, OutcomeReason::NoMember);
         };
         let last = trip
             .at
@@ -950,21 +950,22 @@
         };
         let others = last.is_none() || parts.any(pool, last);
         let what = DecisionOutcome::Rejected {
-            why: RejectReason::NoMember,
+            why: OutcomeReason::NoMember,
             after: DEFAULT_RETRY_AFTER,
         };
         let mut decision = Decision::new(now, trip.traffic, trip.tenant, what);
         decision.pool = Some(pool);
-        decision.route = (trip.way.version >= self.places_since).then_some(trip.way.place.route);
+        decision.route =
+            (trip.way.version >= self.places_since).then_some(trip.way.placement.route);
         let weights = &mut self.weights;
         weights.clear();
         let mut of = 0;
         for member in 0..parts.count(pool) {
-            let at = At { pool, member };
+            let at = MemberRef { pool, member };
             let mut part = parts.of(at);
             if part > 0.0 && others && last == Some(at) {
                 part = 0.0;
-                decision.record_skipped(member, SkipReason::Tried);
+                decision.record_skipped(member, SkipReason::AlreadyTried);
             } else if let Some((why, _)) = parts.passed(at).filter(|_| part <= LEAVING_WEIGHT) {
                 decision.record_skipped(member, why);
             }
@@ -985,19 +986,19 @@
                 weights[k]
             });
         let Some((member, how)) = chosen else {
-            self.decisions.put(decision);
-            return self.end(now, trip, None, RejectReason::NoMember);
+            self.decisions.push(decision);
+            return self.end(now, trip, None, OutcomeReason::NoMember);
         };
         let usual = one.typical_duration();
         let left = trip.goal.saturating_sub(now.saturating_sub(trip.arrived));
-        let tries_left = trip.policy.tries.saturating_sub(trip.tries);
-        trip.tries += 1;
+        let tries_left = trip.policy.attempts.saturating_sub(trip.attempts);
+        trip.attempts += 1;
         let tried = RetryContext {
             repeat: trip.repeat,
             again: trip.again,
-            tries: trip.tries,
-            left,
-            usual,
+            attempts: trip.attempts,
+            remaining: left,
+            typical_duration: usual,
         };
         let follows = retry::may_retry(&tried, &trip.policy, &self.budget);
         let cut = retry::attempt_timeout(left, tries_left, usual, follows);
@@ -1007,9 +1008,9 @@
             how,
             of,
             in_hand,
-            tried: trip.tries,
+            tried: trip.attempts,
         };
-        self.decisions.put(decision);
+        self.decisions.push(decision);
         one.members[member].open += 1;
         if let Some(ramp) = &mut one.members[member].ramp {
             ramp.take(now);
@@ -1019,22 +1020,22 @@
         if let Some(health) = &mut one.health {
             health.on_sent(member, now);
         }
-        let to = At {
+        let to = MemberRef {
             pool,
             member: member as u16,
         };
         trip.at = Some((to, one.name.clone(), one.addresses[member].clone(), now));
         trip.out = true;
-        let again = trip.again || trip.tries > 1;
-        let tried = trip.tries;
+        let again = trip.again || trip.attempts > 1;
+        let tried = trip.attempts;
         NextAction::Dispatch(
             trip,
             Attempt {
                 to,
-                cut,
+                timeout: cut,
                 again,
-                tried,
-                how,
+                attempt_number: tried,
+                selected_by: how,
             },
         )
     }
@@ -1049,14 +1050,14 @@
         let usual = self.settle(now, &mut trip, back);
         let came = match back {
             AttemptOutcome::Served => {
-                return self.complete(now, trip, RequestOutcome::Served, RejectReason::Done)
+                return self.complete(now, trip, RequestOutcome::Served, OutcomeReason::Done)
             }
             AttemptOutcome::CallerLeft => {
                 return self.complete(
                     now,
                     trip,
                     RequestOutcome::CallerGone,
-                    RejectReason::CallerLeft,
+                    OutcomeReason::CallerLeft,
                 )
             }
             AttemptOutcome::Rejected {
@@ -1076,9 +1077,9 @@
         let tried = RetryContext {
             repeat: trip.repeat,
             again: trip.again,
-            tries: trip.tries,
-            left,
-            usual,
+            attempts: trip.attempts,
+            remaining: left,
+            typical_duration: usual,
         };
         match retry::next(
             &tried,
@@ -1089,14 +1090,14 @@
         ) {
             RetryDecision::Retry { wait } => NextAction::Backoff(trip, wait),
             RetryDecision::Stop(stop) => {
-                self.end(now, trip, Some(came), RejectReason::Stopped(stop))
+                self.end(now, trip, Some(came), OutcomeReason::Stopped(stop))
             }
         }
     }
 
     /// What a try's end tells of its member; the pool's usual time.
     fn settle(&mut self, now: Duration, trip: &mut RequestState, back: AttemptOutcome) -> Duration {
-        // A caller may leave while its ticket waits for a further try: no member has it then.
+        // A caller may leave while its request waits for a further try: no member has it then.
         if !std::mem::replace(&mut trip.out, false) {
             return DEFAULT_DURATION;
         }
@@ -1151,7 +1152,7 @@
                     let change = health.on_answer(member, now, took, good);
                     let told = change.map(|change| {
                         (
-                            At {
+                            MemberRef {
                                 pool: at.pool,
                                 member: member as u16,
                             },
@@ -1168,7 +1169,7 @@
         }
         if let AttemptOutcome::Rejected { pause, .. } = back {
             if !pause.is_zero() && self.pauses.len() < MAX_PAUSES {
-                let at = At {
+                let at = MemberRef {
                     pool: at.pool,
                     member: member as u16,
                 };
@@ -1187,7 +1188,7 @@
         now: Duration,
         trip: RequestState,
         came: Option<AttemptResult>,
-        why: RejectReason,
+        why: OutcomeReason,
     ) -> NextAction {
         if trip.may_have_run
             && (trip.repeat != RepeatKind::Rerunnable || came == Some(AttemptResult::MayHaveRun))
@@ -1228,13 +1229,13 @@
         now: Duration,
         trip: RequestState,
         end: RequestOutcome,
-        why: RejectReason,
+        why: OutcomeReason,
     ) -> NextAction {
         let count = match end {
-            RequestOutcome::Served => &mut self.counts.honoured,
-            RequestOutcome::Rejected { .. } => &mut self.counts.dismissed,
-            RequestOutcome::Failed => &mut self.counts.given_up,
-            RequestOutcome::CallerGone => &mut self.counts.nobody,
+            RequestOutcome::Served => &mut self.counts.served,
+            RequestOutcome::Rejected { .. } => &mut self.counts.rejected,
+            RequestOutcome::Failed => &mut self.counts.failed,
+            RequestOutcome::CallerGone => &mut self.counts.caller_gone,
         };
         *count += 1;
         if let Some((pool, version)) = trip.room {
@@ -1244,13 +1245,13 @@
             }
         }
         let over = Completed {
-            end,
+            outcome: end,
             why,
             version: trip.way.version,
-            route: Some(trip.way.place.route),
-            pool: Some(trip.way.place.pool),
-            tries: trip.tries,
-            took: now.saturating_sub(trip.arrived),
+            route: Some(trip.way.placement.route),
+            pool: Some(trip.way.placement.pool),
+            attempts: trip.attempts,
+            elapsed: now.saturating_sub(trip.arrived),
         };
         self.router.on_completed(trip.way);
         NextAction::Completed(over)
@@ -1270,7 +1271,7 @@
                 address,
                 open: one.members[k].open,
                 limit: one.toward[k].limit(),
-                standing: one
+                status: one
                     .health
                     .as_ref()
                     .map_or(MemberStatus::Healthy, |health| health.status(k)),
@@ -1279,14 +1280,14 @@
             })
     }
 
-    /// Places toward all usable members of a pool, and tickets that hold one.
-    pub fn room(&self, pool: u16) -> (u32, u32) {
+    /// Places toward all usable members of a pool, and requests that hold one.
+    pub fn pool_occupancy(&self, pool: u16) -> (u32, u32) {
         let one = &self.pools[usize::from(pool)];
         (one.places, one.room.open())
     }
 
     /// Told times that are kept.
-    pub fn pauses(&self) -> usize {
+    pub fn pause_count(&self) -> usize {
         self.pauses.len()
     }
 }
@@ -1299,10 +1300,10 @@
     }
 }
 
-/// What a ticket of a tenant may use now.
+/// What a request of a tenant may use now.
 struct Eligibility<'f> {
     pools: &'f [Pool],
-    pauses: &'f HashMap<(At, u32), Duration>,
+    pauses: &'f HashMap<(MemberRef, u32), Duration>,
     now: Duration,
     who: TenantKey,
 }
@@ -1313,7 +1314,7 @@
     }
 
     /// Why a member is passed over, and until when as far as that is known.
-    fn passed(&self, at: At) -> Option<(SkipReason, Duration)> {
+    fn passed(&self, at: MemberRef) -> Option<(SkipReason, Duration)> {
         let (pool, member) = (&self.pools[usize::from(at.pool)], usize::from(at.member));
         if let Some((reason, until)) = pool
             .health
@@ -1345,7 +1346,7 @@
     }
 
     /// The part of its usual traffic that a member may get; 0 if it has no room, or told the tenant to wait.
-    fn of(&self, at: At) -> f64 {
+    fn of(&self, at: MemberRef) -> f64 {
         match self.passed(at) {
             Some((SkipReason::Leaving, _)) => LEAVING_WEIGHT,
             Some(_) => 0.0,
@@ -1358,10 +1359,10 @@
         }
     }
 
-    /// Whether any member of a pool can take the ticket, but one.
-    fn any(&self, pool: u16, but: Option<At>) -> bool {
+    /// Whether any member of a pool can take the request, but one.
+    fn any(&self, pool: u16, but: Option<MemberRef>) -> bool {
         (0..self.count(pool))
-            .map(|member| At { pool, member })
+            .map(|member| MemberRef { pool, member })
             .any(|at| Some(at) != but && self.of(at) > 0.0)
     }
 }
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -5,7 +5,7 @@
 //! that goes well; each time it fails anew it stays out twice as long, within bounds. If more members would
 //! be out than the configuration allows, all are used again: then it is not they who are odd.
 //!
-//! Invariants: members that are out and members in all are counted in [`Health::out`] the same way as
+//! Invariants: members that are out and members in all are counted in [`Health::ejected_count`] the same way as
 //! [`Health::usable`] tells; `since` of a member is the time of its last change of standing.
 
 use rainstand_config::schema;
@@ -31,7 +31,7 @@
 }
 
 impl EjectionReason {
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             EjectionReason::ConsecutiveFailures => "failures_in_a_row",
             EjectionReason::FailureRate => "share_of_failures",
@@ -51,7 +51,7 @@
 }
 
 impl MemberStatus {
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             MemberStatus::Healthy => "in",
             MemberStatus::Ejected(..) => "out",
@@ -62,7 +62,7 @@
 
 /// A change that is worth a line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Change {
+pub struct StatusChange {
     pub member: usize,
     pub to: MemberStatus,
 }
@@ -70,27 +70,27 @@
 /// The rules of one pool.
 #[derive(Clone, Copy, Debug)]
 pub struct HealthRules {
-    pub out_after: u32,
+    pub max_consecutive_failures: u32,
     /// Shares in millionths.
-    pub out_share: u64,
-    pub slow: u64,
-    pub silent: Duration,
+    pub max_failure_rate: u64,
+    pub slow_factor: u64,
+    pub silence_timeout: Duration,
     pub back: (Duration, Duration),
-    pub back_share: u64,
-    pub keep: u64,
+    pub probe_share: u64,
+    pub min_in_service: u64,
 }
 
 impl From<&schema::Health> for HealthRules {
     fn from(of: &schema::Health) -> Self {
         let ns = Duration::from_nanos;
         Self {
-            out_after: u32::try_from(of.out_after).unwrap_or(u32::MAX),
-            out_share: of.out_share,
-            slow: of.slow,
-            silent: ns(of.silent_ns),
+            max_consecutive_failures: u32::try_from(of.out_after).unwrap_or(u32::MAX),
+            max_failure_rate: of.out_share,
+            slow_factor: of.slow,
+            silence_timeout: ns(of.silent_ns),
             back: (ns(of.back_least_ns), ns(of.back_most_ns)),
-            back_share: of.back_share,
-            keep: of.keep,
+            probe_share: of.back_share,
+            min_in_service: of.keep,
         }
     }
 }
@@ -158,7 +158,7 @@
     /// More would be out than may be: all are used.
     all_again: bool,
     /// The middle of the members' mean times, s, as of some answers ago: a sort for each answer would be the most of
-    /// what a ticket costs in a pool of a hundred.
+    /// what a request costs in a pool of a hundred.
     middle: Option<f64>,
     answers: usize,
 }
@@ -184,7 +184,7 @@
         }
     }
 
-    /// A ticket went to a member.
+    /// A request went to a member.
     pub fn on_sent(&mut self, member: usize, now: Duration) {
         let one = &mut self.members[member];
         if one.owes == 0 {
@@ -200,7 +200,7 @@
         now: Duration,
         took: Duration,
         good: bool,
-    ) -> Option<Change> {
+    ) -> Option<StatusChange> {
         let one = &mut self.members[member];
         one.owes = one.owes.saturating_sub(1);
         one.heard = now;
@@ -222,7 +222,7 @@
         self.evaluate(member, now)
     }
 
-    /// A ticket's caller left, or its connection was closed by us: it proves nothing about the member.
+    /// A request's caller left, or its connection was closed by us: it proves nothing about the member.
     pub fn on_abandoned(&mut self, member: usize) {
         let one = &mut self.members[member];
         one.owes = one.owes.saturating_sub(1);
@@ -241,7 +241,7 @@
     }
 
     /// Time passes: silence, and members whose time out is over. To be called some times a second.
-    pub fn tick(&mut self, now: Duration) -> Vec<Change> {
+    pub fn tick(&mut self, now: Duration) -> Vec<StatusChange> {
         self.update_median();
         let changes: Vec<_> = (0..self.members.len())
             .filter_map(|member| self.evaluate(member, now))
@@ -255,7 +255,7 @@
         changes
     }
 
-    fn evaluate(&mut self, member: usize, now: Duration) -> Option<Change> {
+    fn evaluate(&mut self, member: usize, now: Duration) -> Option<StatusChange> {
         let reason = self.reason(member, now);
         let rules = self.rules;
         let one = &mut self.members[member];
@@ -290,24 +290,24 @@
             .filter(|one| matches!(one.standing, MemberStatus::Ejected(..)))
             .count();
         self.all_again = out > self.max_ejected();
-        Some(Change { member, to })
+        Some(StatusChange { member, to })
     }
 
     fn reason(&self, member: usize, now: Duration) -> Option<EjectionReason> {
         let (one, rules) = (&self.members[member], &self.rules);
-        if one.failed_in_a_row >= rules.out_after.max(1) {
+        if one.failed_in_a_row >= rules.max_consecutive_failures.max(1) {
             return Some(EjectionReason::ConsecutiveFailures);
         }
         let all = one.good + one.bad;
-        if all >= MIN_SAMPLES && one.bad / all >= rules.out_share as f64 / ONE as f64 {
+        if all >= MIN_SAMPLES && one.bad / all >= rules.max_failure_rate as f64 / ONE as f64 {
             return Some(EjectionReason::FailureRate);
         }
-        if one.owes > 0 && now.saturating_sub(one.heard) > rules.silent {
+        if one.owes > 0 && now.saturating_sub(one.heard) > rules.silence_timeout {
             return Some(EjectionReason::Unresponsive);
         }
         let mean = one.mean().filter(|_| one.good >= MIN_SAMPLES)?;
         let middle = self.middle?;
-        (mean > middle * rules.slow as f64 / ONE as f64).then_some(EjectionReason::Slow)
+        (mean > middle * rules.slow_factor as f64 / ONE as f64).then_some(EjectionReason::Slow)
     }
 
     fn update_median(&mut self) {
@@ -322,12 +322,12 @@
     /// How many members may be left out: never all.
     pub fn max_ejected(&self) -> usize {
         let members = self.members.len();
-        let kept = (members as u64 * self.rules.keep).div_ceil(ONE) as usize;
+        let kept = (members as u64 * self.rules.min_in_service).div_ceil(ONE) as usize;
         members - kept.clamp(1, members.max(1)).min(members)
     }
 
     /// How many are left out now; none while all are used again.
-    pub fn out(&self) -> usize {
+    pub fn ejected_count(&self) -> usize {
         (0..self.members.len())
             .filter(|member| self.usable(*member) == 0)
             .count()
@@ -339,7 +339,7 @@
             _ if self.all_again => ONE,
             MemberStatus::Healthy => ONE,
             MemberStatus::Ejected(..) => 0,
-            MemberStatus::Probing => self.rules.back_share.clamp(1, ONE),
+            MemberStatus::Probing => self.rules.probe_share.clamp(1, ONE),
         }
     }
 
@@ -369,13 +369,13 @@
     use proptest::test_runner::RngSeed;
 
     const RULES: HealthRules = HealthRules {
-        out_after: 5,
-        out_share: 500_000,
-        slow: 3 * ONE,
-        silent: Duration::from_secs(2),
+        max_consecutive_failures: 5,
+        max_failure_rate: 500_000,
+        slow_factor: 3 * ONE,
+        silence_timeout: Duration::from_secs(2),
         back: (Duration::from_secs(5), Duration::from_secs(60)),
-        back_share: 100_000,
-        keep: 500_000,
+        probe_share: 100_000,
+        min_in_service: 500_000,
     };
 
     fn ms(n: u64) -> Duration {
@@ -388,7 +388,7 @@
         from: u64,
         upto: u64,
         how: impl Fn(usize) -> Option<(u64, bool)>,
-    ) -> Vec<(u64, Change)> {
+    ) -> Vec<(u64, StatusChange)> {
         let mut changes = Vec::new();
         for t in (from..upto).step_by(100) {
             for member in 0..health.members.len() {
@@ -434,11 +434,11 @@
             let changes = run(&mut health, 0, within, how);
             assert_eq!(changes.len(), 1, "{changes:?}");
             assert!(
-                matches!(changes[0].1, Change { member: 2, to: MemberStatus::Ejected(told, _) } if told == reason),
+                matches!(changes[0].1, StatusChange { member: 2, to: MemberStatus::Ejected(told, _) } if told == reason),
                 "{changes:?}"
             );
             assert_eq!(
-                (health.out(), health.usable(2), health.usable(1)),
+                (health.ejected_count(), health.usable(2), health.usable(1)),
                 (1, 0, ONE)
             );
         }
@@ -455,7 +455,7 @@
         assert!(
             matches!(
                 told,
-                Some(Change {
+                Some(StatusChange {
                     member: 0,
                     to: MemberStatus::Ejected(EjectionReason::FailureRate, _)
                 })
@@ -487,14 +487,14 @@
     fn when_too_many_would_be_out_all_are_used_again() {
         let mut health = Health::new(RULES, 4, ms(0));
         run(&mut health, 0, 3_000, |m| Some((20, m > 1)));
-        assert_eq!((health.out(), health.max_ejected()), (2, 2));
+        assert_eq!((health.ejected_count(), health.max_ejected()), (2, 2));
         run(&mut health, 3_000, 5_000, |_| Some((20, false)));
-        assert_eq!(health.out(), 0, "all again");
+        assert_eq!(health.ejected_count(), 0, "all again");
         assert!((0..4).all(|member| health.usable(member) == ONE));
         // One alone is never left out.
         let mut alone = Health::new(RULES, 1, ms(0));
         run(&mut alone, 0, 5_000, |_| Some((20, false)));
-        assert_eq!((alone.out(), alone.max_ejected()), (0, 0));
+        assert_eq!((alone.ejected_count(), alone.max_ejected()), (0, 0));
     }
 
     proptest! {
@@ -507,7 +507,7 @@
             keep in 0u64..=ONE,
             steps in proptest::collection::vec((0usize..9, 0u64..400, any::<bool>(), 0u64..3_000), 0..300),
         ) {
-            let mut health = Health::new(HealthRules { keep, ..RULES }, members, ms(0));
+            let mut health = Health::new(HealthRules { min_in_service: keep, ..RULES }, members, ms(0));
             let mut now = 0;
             for (member, took, good, gap) in steps {
                 let member = member % members;
@@ -518,8 +518,8 @@
                 }
                 health.tick(ms(now + took));
                 now += took;
-                prop_assert!(health.out() <= health.max_ejected());
-                prop_assert!(health.out() < members);
+                prop_assert!(health.ejected_count() <= health.max_ejected());
+                prop_assert!(health.ejected_count() < members);
             }
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,27 +1,27 @@
-//! Which way a ticket goes under a configuration: decisions without I/O and without a clock.
+//! Which way a request goes under a configuration: decisions without I/O and without a clock.
 //!
 //! | module | decides |
 //! | --- | --- |
-//! | [`table`] | which route takes a ticket, to which pool, where it falls back |
-//! | [`weighted_split`] | parting tickets by share, with the least movement when something leaves |
-//! | [`rate_limit`] | whether a rate and a number at once let a ticket in, else when to come back |
+//! | [`table`] | which route takes a request, to which pool, where it falls back |
+//! | [`weighted_split`] | parting requests by share, with the least movement when something leaves |
+//! | [`rate_limit`] | whether a rate and a number at once let a request in, else when to come back |
 //! | [`token_buckets`] | which of a limit's counters are kept: made when first used, given back when idle, bounded |
 //! | [`time_budget`] | how much time each stage may still take |
-//! | [`router`] | all of it together while configurations change under running tickets |
+//! | [`router`] | all of it together while configurations change under running requests |
 //! | [`table_update`] | a change of named things on the present table, whole or not at all, at the cost of what it says |
 //! | [`member_selection`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
 //! | [`warm_up`] | what one forwarder may send to a member that warms up, as its part of what all may |
 //! | [`subset`] | which members of a large pool a forwarder knows |
 //! | [`health`] | who is left out, judged from answers alone, and how it comes back |
-//! | [`adaptive_concurrency`] | how many tickets at once toward a member, learned from its times |
-//! | [`retry`] | whether a ticket is sent again, under a budget of the whole program |
-//! | [`fleet`] | all of it for one ticket: from its arrival over each try to its one answer |
+//! | [`adaptive_concurrency`] | how many requests at once toward a member, learned from its times |
+//! | [`retry`] | whether a request is sent again, under a budget of the whole program |
+//! | [`fleet`] | all of it for one request: from its arrival over each try to its one answer |
 //! | [`tenant_fairness`] | a pool's places parted among tenants while they are scarce |
 //! | [`decision_log`] | the last decisions, for those who ask why |
 //! | [`explain`] | the same in words: why this route, and why not the ones before it |
 //!
 //! Times are `Duration`s since any fixed start, chance is handed in as a seed, names become small indices
-//! once ([`table::Table::traffic`]), and nothing on a ticket's way allocates.
+//! once ([`table::Table::request_class`]), and nothing on a request's way allocates.
 //!
 //! ```
 //! use rainstand_config::{load, source::Memory};
@@ -35,7 +35,7 @@
 //! route all { to: hall; limits: few }";
 //! let configuration = load(&Memory::new([("a.rain", text)]), "a.rain").configuration.unwrap();
 //! let mut router = Router::new(&configuration, 7).unwrap();
-//! let request = Request { traffic: router.table().traffic("check").unwrap(), ..Request::default() };
+//! let request = Request { request_class: router.table().request_class("check").unwrap(), ..Request::default() };
 //! let now = Duration::from_secs(5);
 //! let mut decisions = Vec::new();
 //! for _ in 0..2 {
--- a/crates/routing/src/member_selection.rs
+++ b/crates/routing/src/member_selection.rs
@@ -1,23 +1,23 @@
-//! Which member of a pool a ticket goes to.
+//! Which member of a pool a request goes to.
 //!
-//! The member with least in hand for its weight takes the ticket, as this program knows it; of those with as little one
+//! The member with least in hand for its weight takes the request, as this program knows it; of those with as little one
 //! by chance. What is known is its own, so it is never stale, and programs that know different things do not run after
 //! one number: in the lab that was as good as two drawn by weight with two hundred forwarders, and better with few.
-//! Nearer members first, until the zone has [`SPILL`] times as much in hand as the rest. An entity goes to its own member while that has at most [`BOUNDED`] times the mean
+//! Nearer members first, until the zone has `ZONE_SPILL_FACTOR` times as much in hand as the rest. An entity goes to its own member while that has at most `AFFINITY_LOAD_FACTOR` times the mean
 //! in hand, else to the next that its hash names, so affinity overloads nobody.
 //!
 //! What failed stays counted as long as the pool's usual time: a member that fails in a millisecond would
 //! otherwise look idle and draw all traffic.
 
-use crate::warm_up::{WarmUpLimiter, START};
+use crate::warm_up::{WarmUpLimiter, INITIAL_SHARE};
 use crate::weighted_split::score;
 use nanorand::{Rng, WyRand};
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Tickets in hand for its weight, against the mean, up to which a member keeps its entities.
+/// Requests in hand for its weight, against the mean, up to which a member keeps its entities.
 const AFFINITY_LOAD_FACTOR: f64 = 1.25;
-/// In hand for its weight, against the pool's, up to which the near zone keeps its tickets.
+/// In hand for its weight, against the pool's, up to which the near zone keeps its requests.
 const ZONE_SPILL_FACTOR: f64 = 1.5;
 /// Failures of one member that stay counted.
 const MAX_RECENT_FAILURES: usize = 256;
@@ -54,7 +54,7 @@
         }
     }
 
-    /// A ticket failed: it counts as open until the usual time since it was sent is over.
+    /// A request failed: it counts as open until the usual time since it was sent is over.
     pub fn failed(&mut self, sent: Duration, usual: Duration) {
         let until = sent + usual;
         if self.ghosts.len() >= MAX_RECENT_FAILURES {
@@ -69,7 +69,7 @@
         let warm = match self.started {
             Some(started) if !self.warm_up.is_zero() => (now.saturating_sub(started).as_secs_f64()
                 / self.warm_up.as_secs_f64())
-            .clamp(START, 1.0),
+            .clamp(INITIAL_SHARE, 1.0),
             _ => 1.0,
         };
         self.weight * warm * part
@@ -83,7 +83,7 @@
     }
 }
 
-/// By which rule members are picked for tickets without an entity. All but the first are there to be compared with.
+/// By which rule members are picked for requests without an entity. All but the first are there to be compared with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SelectionPolicy {
     /// The one with least in hand for its weight, of those with as little one by chance.
@@ -108,7 +108,7 @@
 }
 
 impl SelectionReason {
-    pub fn word(self) -> &'static str {
+    pub fn as_str(self) -> &'static str {
         match self {
             SelectionReason::Affinity => "own",
             SelectionReason::AffinitySkipped(_) => "own_passed_over",
@@ -118,7 +118,7 @@
     }
 }
 
-/// The member for a ticket; none if nobody can take it.
+/// The member for a request; none if nobody can take it.
 ///
 /// `part`: of its usual traffic a member may get now, 0 for none ([`crate::health::Health::usable`] as a
 /// fraction), and 0 for one without room.
@@ -149,7 +149,7 @@
     if !entity.is_empty() {
         return by_affinity(members, now, entity, all, &part);
     }
-    // One more ticket in each, so that an idle pool has a middle too.
+    // One more request in each, so that an idle pool has a middle too.
     let spills =
         near.1 <= 0.0 || (near.0 + 1.0) / near.1 > ZONE_SPILL_FACTOR * (all.0 + 1.0) / all.1;
     let (sum, only_near) = if spills {
@@ -328,7 +328,7 @@
 
     #[test]
     fn fast_failure_draws_no_traffic() {
-        // Member 0 fails in 1 ms, the others take 50 ms; 200 tickets a second for 20 s.
+        // Member 0 fails in 1 ms, the others take 50 ms; 200 requests a second for 20 s.
         let mut members = pool(5);
         members.iter_mut().for_each(|member| member.near = true);
         let mut chance = WyRand::new_seed(3);
--- a/crates/routing/src/rate_limit.rs
+++ b/crates/routing/src/rate_limit.rs
@@ -1,32 +1,32 @@
-//! Limits: a rate with a burst (the generic cell rate algorithm) and a number at once. A ticket is let in
+//! Limits: a rate with a burst (the generic cell rate algorithm) and a number at once. A request is let in
 //! at once or told an honest time to come back; nothing waits here.
 //!
 //! Arithmetic is exact: time is counted in nanoseconds times the rate's millionths, so a rate such as
 //! 3 tickets/s gains and loses nothing over a year.
 //!
-//! Invariant of a [`Bucket`]: in any window of length L it lets in at most burst + rate * L tickets.
+//! Invariant of a [`Bucket`]: in any window of length L it lets in at most burst + rate * L requests.
 
 use rainstand_config::schema::Limits;
 use std::time::Duration;
 
-/// A rate as the schema has it: `micro` millionths of a ticket in each `per` ns; and what may come at once.
+/// A rate as the schema has it: `micro` millionths of a request in each `per` ns; and what may come at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RateLimit {
-    pub micro: u64,
-    pub per: u64,
-    /// Tickets; at least 1.
+    pub micro_requests: u64,
+    pub per_ns: u64,
+    /// Requests; at least 1.
     pub burst: u64,
 }
 
 impl RateLimit {
-    /// What one ticket costs, in scaled time.
+    /// What one request costs, in scaled time.
     fn cost(&self) -> u128 {
-        u128::from(self.per) * 1_000_000
+        u128::from(self.per_ns) * 1_000_000
     }
 
     /// A time on the scale of this rate.
     fn scaled(&self, time: Duration) -> u128 {
-        time.as_nanos() * u128::from(self.micro)
+        time.as_nanos() * u128::from(self.micro_requests)
     }
 }
 
@@ -34,8 +34,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LimitRule {
     pub pace: Option<RateLimit>,
-    /// Tickets at once; 0: no limit.
-    pub at_once: u64,
+    /// Requests at once; 0: no limit.
+    pub max_concurrent: u64,
 }
 
 impl From<&Limits> for LimitRule {
@@ -44,13 +44,13 @@
             .rate
             .filter(|rate| rate.micro_tickets > 0 && rate.per_ns > 0);
         let pace = pace.map(|rate| RateLimit {
-            micro: rate.micro_tickets,
-            per: rate.per_ns,
+            micro_requests: rate.micro_tickets,
+            per_ns: rate.per_ns,
             burst: limits.burst.max(1),
         });
         Self {
             pace,
-            at_once: limits.at_once,
+            max_concurrent: limits.at_once,
         }
     }
 }
@@ -59,9 +59,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Bucket {
     /// When the burst will be whole again, in scaled time of the present pace.
-    whole_at: u128,
-    /// Tickets let in that have not ended.
-    pub inside: u64,
+    full_at: u128,
+    /// Requests let in that have not ended.
+    pub in_flight: u64,
 }
 
 /// Why a bucket lets nothing in now.
@@ -74,21 +74,21 @@
 }
 
 impl Bucket {
-    /// Whether a ticket may come in now; nothing changes.
+    /// Whether a request may come in now; nothing changes.
     ///
     /// # Errors
     /// Why not, and from when on it may, unless others use the room first.
-    pub fn look(&self, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
-        if rule.at_once > 0 && self.inside >= rule.at_once {
+    pub fn check(&self, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
+        if rule.max_concurrent > 0 && self.in_flight >= rule.max_concurrent {
             return Err(LimitExceeded::Concurrency);
         }
         let Some(pace) = rule.pace else { return Ok(()) };
         let tolerance = pace.cost() * u128::from(pace.burst.saturating_sub(1));
-        let earliest = self.whole_at.saturating_sub(tolerance);
+        let earliest = self.full_at.saturating_sub(tolerance);
         if earliest <= pace.scaled(now) {
             return Ok(());
         }
-        let ns = earliest.div_ceil(u128::from(pace.micro.max(1)));
+        let ns = earliest.div_ceil(u128::from(pace.micro_requests.max(1)));
         // 64 bits of nanoseconds are 584 years.
         Err(LimitExceeded::RateUntil(Duration::from_nanos(
             u64::try_from(ns).unwrap_or(u64::MAX),
@@ -97,40 +97,40 @@
 
     /// Nobody is inside and the burst is whole: it is as one that was never used.
     pub fn is_idle(&self, rule: &LimitRule, now: Duration) -> bool {
-        self.inside == 0
+        self.in_flight == 0
             && rule
                 .pace
-                .is_none_or(|pace| self.whole_at <= pace.scaled(now))
+                .is_none_or(|pace| self.full_at <= pace.scaled(now))
     }
 
     /// Lets one in; the caller looked before.
     pub fn acquire(&mut self, rule: &LimitRule, now: Duration) {
-        self.inside += 1;
+        self.in_flight += 1;
         if let Some(pace) = rule.pace {
-            self.whole_at = self.whole_at.max(pace.scaled(now)) + pace.cost();
+            self.full_at = self.full_at.max(pace.scaled(now)) + pace.cost();
         }
     }
 
     /// One that was let in is over.
     pub fn release(&mut self) {
-        debug_assert!(self.inside > 0, "more left than came in");
-        self.inside = self.inside.saturating_sub(1);
+        debug_assert!(self.in_flight > 0, "more left than came in");
+        self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// The same state under another rule: tickets that are owed stay owed, in tickets, up to the new burst.
+    /// The same state under another rule: requests that are owed stay owed, in requests, up to the new burst.
     pub fn set_rules(&mut self, old: &LimitRule, new: &LimitRule, now: Duration) {
         let (Some(from), Some(to)) = (old.pace, new.pace) else {
-            self.whole_at = 0;
+            self.full_at = 0;
             return;
         };
         if from == to {
             return;
         }
-        let owed = self.whole_at.saturating_sub(from.scaled(now));
+        let owed = self.full_at.saturating_sub(from.scaled(now));
         // Rounded up: a change must not let more through.
         let owed = (owed.saturating_mul(to.cost())).div_ceil(from.cost().max(1));
         let most = to.cost() * u128::from(to.burst);
-        self.whole_at = to.scaled(now) + owed.min(most);
+        self.full_at = to.scaled(now) + owed.min(most);
     }
 }
 
@@ -146,8 +146,12 @@
 
     fn rule(micro: u64, per: u64, burst: u64) -> LimitRule {
         LimitRule {
-            pace: Some(RateLimit { micro, per, burst }),
-            at_once: 0,
+            pace: Some(RateLimit {
+                micro_requests: micro,
+                per_ns: per,
+                burst,
+            }),
+            max_concurrent: 0,
         }
     }
 
@@ -157,12 +161,12 @@
         let mut bucket = Bucket::default();
         bucket.acquire(&rule, ms(0));
         assert_eq!(
-            bucket.look(&rule, ms(0)),
+            bucket.check(&rule, ms(0)),
             Err(LimitExceeded::RateUntil(Duration::from_nanos(333_333_334)))
         );
         let mut in_an_hour = 1;
         for n in 1..3_600_000 {
-            if bucket.look(&rule, ms(n)).is_ok() {
+            if bucket.check(&rule, ms(n)).is_ok() {
                 bucket.acquire(&rule, ms(n));
                 in_an_hour += 1;
             }
@@ -175,14 +179,14 @@
     fn at_once_counts_those_inside() {
         let rule = LimitRule {
             pace: None,
-            at_once: 2,
+            max_concurrent: 2,
         };
         let mut bucket = Bucket::default();
         bucket.acquire(&rule, ms(1));
         bucket.acquire(&rule, ms(1));
-        assert_eq!(bucket.look(&rule, ms(9)), Err(LimitExceeded::Concurrency));
+        assert_eq!(bucket.check(&rule, ms(9)), Err(LimitExceeded::Concurrency));
         bucket.release();
-        assert_eq!(bucket.look(&rule, ms(9)), Ok(()));
+        assert_eq!(bucket.check(&rule, ms(9)), Ok(()));
     }
 
     #[test]
@@ -197,12 +201,12 @@
         }
         bucket.set_rules(&slow, &fast, ms(500));
         assert_eq!(
-            bucket.look(&fast, ms(500)),
+            bucket.check(&fast, ms(500)),
             Err(LimitExceeded::RateUntil(ms(600)))
         );
         bucket.set_rules(&fast, &slow, ms(500));
         assert_eq!(
-            bucket.look(&slow, ms(500)),
+            bucket.check(&slow, ms(500)),
             Err(LimitExceeded::RateUntil(ms(1_500)))
         );
     }
@@ -224,15 +228,15 @@
             let mut let_in: Vec<u128> = Vec::new();
             for gap in gaps {
                 now += Duration::from_nanos(gap);
-                match bucket.look(&rule, now) {
+                match bucket.check(&rule, now) {
                     Ok(()) => {
                         bucket.acquire(&rule, now);
                         let_in.push(now.as_nanos());
                     }
                     Err(LimitExceeded::RateUntil(then)) => {
                         prop_assert!(then > now);
-                        prop_assert!(bucket.look(&rule, then).is_ok());
-                        prop_assert!(bucket.look(&rule, then - Duration::from_nanos(1)).is_err());
+                        prop_assert!(bucket.check(&rule, then).is_ok());
+                        prop_assert!(bucket.check(&rule, then - Duration::from_nanos(1)).is_err());
                     }
                     Err(LimitExceeded::Concurrency) => prop_assert!(false),
                 }
@@ -255,7 +259,7 @@
             let mut bucket = Bucket::default();
             let (mut now, mut count) = (ms(0), 0u64);
             for micro in rates {
-                while bucket.look(&rule_now, now).is_ok() {
+                while bucket.check(&rule_now, now).is_ok() {
                     bucket.acquire(&rule_now, now);
                     count += 1;
                 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -1,11 +1,11 @@
-//! Whether a ticket is sent again, when, and with how much time.
+//! Whether a request is sent again, when, and with how much time.
 //!
 //! Rule 2 first: what may have run is repeated only if its type allows it. Then the rest: not if it was
-//! asked not to, not if the ticket is a further try itself (whoever sent it repeats), not past the policy's
+//! asked not to, not if the request is a further try itself (whoever sent it repeats), not past the policy's
 //! tries, not without budget, not without the time for it.
 //!
 //! The budget holds for the whole program: further tries never exceed [`INITIAL_RETRIES`] and the stated share of
-//! first tries, however many tickets fail at once.
+//! first tries, however many requests fail at once.
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::schema::{self, Proof, RepeatKind};
@@ -31,7 +31,7 @@
 /// A policy made ready.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
-    pub tries: u32,
+    pub attempts: u32,
     pub wait: (Duration, Duration),
     pub proof: Proof,
 }
@@ -41,28 +41,28 @@
         let ns = Duration::from_nanos;
         let tries = u32::try_from(of.tries).unwrap_or(u32::MAX).max(1);
         Self {
-            tries,
+            attempts: tries,
             wait: (ns(of.wait_least_ns), ns(of.wait_most_ns)),
             proof: of.proof(),
         }
     }
 }
 
-/// A ticket as far as repeating goes.
+/// A request as far as repeating goes.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryContext {
     pub repeat: RepeatKind,
     /// It came marked as a further try.
     pub again: bool,
     /// Tries made so far, the first one counted.
-    pub tries: u32,
+    pub attempts: u32,
     /// What is left of its goal time.
-    pub left: Duration,
+    pub remaining: Duration,
     /// How long a usual try takes.
-    pub usual: Duration,
+    pub typical_duration: Duration,
 }
 
-/// Why a ticket is not sent again.
+/// Why a request is not sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum NoRetryReason {
     /// It may have run, and its type or policy does not allow a second run.
@@ -86,13 +86,13 @@
 /// Further tries that may still be made, in millionths of a try.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
-    left: u64,
+    remaining: u64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
         Self {
-            left: INITIAL_RETRIES * ONE,
+            remaining: INITIAL_RETRIES * ONE,
         }
     }
 }
@@ -100,21 +100,21 @@
 impl RetryBudget {
     /// A first try: it earns its share (in millionths) of a further one.
     pub fn on_first_attempt(&mut self, share: u64) {
-        self.left = (self.left + share).min(MAX_SAVED_RETRIES * ONE);
+        self.remaining = (self.remaining + share).min(MAX_SAVED_RETRIES * ONE);
     }
 
     fn spend(&mut self) -> bool {
-        let enough = self.left >= ONE;
+        let enough = self.remaining >= ONE;
         if enough {
-            self.left -= ONE;
+            self.remaining -= ONE;
         }
         enough
     }
 }
 
 /// Whether the rules allow another try after this one.
-fn allowed(ticket: &RetryContext, came: AttemptResult, proof: Proof) -> bool {
-    match (came, ticket.repeat) {
+fn allowed(request: &RetryContext, came: AttemptResult, proof: Proof) -> bool {
+    match (came, request.repeat) {
         (AttemptResult::NotRun | AttemptResult::Rejected { .. }, _) => true,
         (AttemptResult::MayHaveRun, RepeatKind::Rerunnable) => proof == Proof::None,
         (AttemptResult::MayHaveRun, RepeatKind::Ticketed) => proof == Proof::Mark,
@@ -127,40 +127,40 @@
 const MIN_TIMEOUT_FACTOR: u32 = 4;
 
 /// Whether a try that comes to nothing in its time may be followed by another.
-pub fn may_retry(ticket: &RetryContext, policy: &RetryPolicy, budget: &RetryBudget) -> bool {
-    allowed(ticket, AttemptResult::MayHaveRun, policy.proof)
-        && !ticket.again
-        && ticket.tries < policy.tries
-        && budget.left >= ONE
+pub fn may_retry(request: &RetryContext, policy: &RetryPolicy, budget: &RetryBudget) -> bool {
+    allowed(request, AttemptResult::MayHaveRun, policy.proof)
+        && !request.again
+        && request.attempts < policy.attempts
+        && budget.remaining >= ONE
 }
 
 /// The time that one try may take. If no other can follow it, all there is: to cut it would only lose what it does.
 /// Else an even part of what is left for the tries that may follow, but never less than some usual ones take, or
 /// long runs would be cut at one member and begun anew at the next (tried: with runs of 200 ms by chance and a goal of
-/// 1 s, a fifth of all tickets was given up on a calm day).
+/// 1 s, a fifth of all requests was given up on a calm day).
 pub fn attempt_timeout(
-    left: Duration,
+    remaining: Duration,
     tries_left: u32,
-    usual: Duration,
+    typical_duration: Duration,
     may_follow: bool,
 ) -> Duration {
     if !may_follow {
-        return left;
+        return remaining;
     }
-    (left / tries_left.max(1))
-        .max(usual * MIN_TIMEOUT_FACTOR)
-        .min(left)
+    (remaining / tries_left.max(1))
+        .max(typical_duration * MIN_TIMEOUT_FACTOR)
+        .min(remaining)
 }
 
 /// What follows a try.
 pub fn next(
-    ticket: &RetryContext,
+    request: &RetryContext,
     came: AttemptResult,
     policy: &RetryPolicy,
     budget: &mut RetryBudget,
     chance: &mut WyRand,
 ) -> RetryDecision {
-    if !allowed(ticket, came, policy.proof) {
+    if !allowed(request, came, policy.proof) {
         return RetryDecision::Stop(NoRetryReason::MayHaveRun);
     }
     if let AttemptResult::Rejected {
@@ -169,17 +169,17 @@
     {
         return RetryDecision::Stop(NoRetryReason::NowhereElse);
     }
-    if ticket.again {
+    if request.again {
         return RetryDecision::Stop(NoRetryReason::FurtherTry);
     }
-    if ticket.tries >= policy.tries {
+    if request.attempts >= policy.attempts {
         return RetryDecision::Stop(NoRetryReason::Tries);
     }
     let (least, most) = policy.wait;
     let spread = most.saturating_sub(least);
     let wait = least + spread.mul_f64(f64::from(chance.generate::<u32>()) / f64::from(u32::MAX));
-    let left = ticket.left.saturating_sub(wait);
-    if left < ticket.usual || left.is_zero() {
+    let left = request.remaining.saturating_sub(wait);
+    if left < request.typical_duration || left.is_zero() {
         return RetryDecision::Stop(NoRetryReason::Time);
     }
     // Last, so that nothing is spent on a try that is not made.
@@ -196,7 +196,7 @@
     use proptest::test_runner::RngSeed;
 
     const POLICY: RetryPolicy = RetryPolicy {
-        tries: 3,
+        attempts: 3,
         wait: (Duration::from_millis(20), Duration::from_millis(120)),
         proof: Proof::None,
     };
@@ -205,13 +205,13 @@
         Duration::from_millis(n)
     }
 
-    fn ticket(repeat: RepeatKind) -> RetryContext {
+    fn request(repeat: RepeatKind) -> RetryContext {
         RetryContext {
             repeat,
             again: false,
-            tries: 1,
-            left: ms(2_000),
-            usual: ms(100),
+            attempts: 1,
+            remaining: ms(2_000),
+            typical_duration: ms(100),
         }
     }
 
@@ -243,7 +243,7 @@
         for (repeat, proof, came, again) in table {
             let (mut budget, mut chance) = (RetryBudget::default(), WyRand::new_seed(1));
             let found = next(
-                &ticket(repeat),
+                &request(repeat),
                 came,
                 &RetryPolicy { proof, ..POLICY },
                 &mut budget,
@@ -259,7 +259,7 @@
 
     #[test]
     fn each_bound_stops_it() {
-        let whole = ticket(RepeatKind::Rerunnable);
+        let whole = request(RepeatKind::Rerunnable);
         let nowhere = AttemptResult::Rejected {
             pause: ms(1),
             nowhere_else: true,
@@ -274,13 +274,16 @@
                 NoRetryReason::FurtherTry,
             ),
             (
-                RetryContext { tries: 3, ..whole },
+                RetryContext {
+                    attempts: 3,
+                    ..whole
+                },
                 AttemptResult::NotRun,
                 NoRetryReason::Tries,
             ),
             (
                 RetryContext {
-                    left: ms(110),
+                    remaining: ms(110),
                     ..whole
                 },
                 AttemptResult::NotRun,
@@ -288,21 +291,27 @@
             ),
             (whole, nowhere, NoRetryReason::NowhereElse),
         ];
-        for (ticket, came, stop) in table {
+        for (request, came, stop) in table {
             let (mut budget, mut chance) = (RetryBudget::default(), WyRand::new_seed(1));
-            let before = budget.left;
+            let before = budget.remaining;
             assert_eq!(
-                next(&ticket, came, &POLICY, &mut budget, &mut chance),
+                next(&request, came, &POLICY, &mut budget, &mut chance),
                 RetryDecision::Stop(stop)
             );
-            assert_eq!(budget.left, before, "a try that is not made costs nothing");
+            assert_eq!(
+                budget.remaining, before,
+                "a try that is not made costs nothing"
+            );
         }
     }
 
     #[test]
     fn a_try_that_nothing_can_follow_has_all_the_time() {
-        let (full, empty) = (RetryBudget::default(), RetryBudget { left: 0 });
-        let once = RetryPolicy { tries: 1, ..POLICY };
+        let (full, empty) = (RetryBudget::default(), RetryBudget { remaining: 0 });
+        let once = RetryPolicy {
+            attempts: 1,
+            ..POLICY
+        };
         let table = [
             (RepeatKind::Rerunnable, POLICY, full, true),
             (RepeatKind::Rerunnable, POLICY, empty, false),
@@ -329,7 +338,7 @@
         ];
         for (repeat, policy, budget, wanted) in table {
             assert_eq!(
-                may_retry(&ticket(repeat), &policy, &budget),
+                may_retry(&request(repeat), &policy, &budget),
                 wanted,
                 "{repeat:?} {policy:?}"
             );
@@ -343,7 +352,7 @@
     proptest! {
         #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(18), failure_persistence: None, ..ProptestConfig::default() })]
 
-        /// However tickets fail, tries stay within first ones * (1 + share) and what the start allows; waits
+        /// However requests fail, tries stay within first ones * (1 + share) and what the start allows; waits
         /// and cuts stay within what is left.
         #[test]
         fn tries_stay_within_the_budget(
@@ -356,7 +365,7 @@
             for fails in fails {
                 budget.on_first_attempt(share);
                 first += 1;
-                let mut one = ticket(RepeatKind::Rerunnable);
+                let mut one = request(RepeatKind::Rerunnable);
                 if !fails {
                     continue;
                 }
@@ -364,14 +373,14 @@
                     next(&one, AttemptResult::MayHaveRun, &POLICY, &mut budget, &mut chance)
                 {
                     prop_assert!(wait >= POLICY.wait.0 && wait <= POLICY.wait.1);
-                    let left = one.left - wait;
+                    let left = one.remaining - wait;
                     let follows = may_retry(&one, &POLICY, &budget);
-                    let cut = attempt_timeout(left, POLICY.tries - one.tries, one.usual, follows);
-                    prop_assert!(cut <= left && cut >= one.usual.min(left));
+                    let cut = attempt_timeout(left, POLICY.attempts - one.attempts, one.typical_duration, follows);
+                    prop_assert!(cut <= left && cut >= one.typical_duration.min(left));
                     prop_assert!(follows || cut == left, "what nothing follows has all the time");
                     further += 1;
-                    one.tries += 1;
-                    one.left -= wait + cut;
+                    one.attempts += 1;
+                    one.remaining -= wait + cut;
                 }
                 prop_assert!(further <= INITIAL_RETRIES + first * share / ONE);
             }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -1,14 +1,14 @@
-//! Routes and limits together, while configurations change under running tickets.
+//! Routes and limits together, while configurations change under running requests.
 //!
-//! A ticket that came in under a version finishes under it: its route, its times and the counts that it
-//! stands in, all of which it carries, so that of versions but the present one no more is kept than how many tickets
+//! A request that came in under a version finishes under it: its route, its times and the counts that it
+//! stands in, all of which it carries, so that of versions but the present one no more is kept than how many requests
 //! they have. Buckets of limits belong to no version: they are known by name ([`crate::token_buckets`]), made when first
 //! used, and a version that limits the same place for the same key goes on with what is there, under its own rule:
-//! what was let in stays let in. A version that has no more tickets and is not the present one is dropped with
+//! what was let in stays let in. A version that has no more requests and is not the present one is dropped with
 //! whatever only it knew.
 //!
 //! Invariants: versions stand in order of number, the last is the present one and always there; `open` of
-//! a version is the number of its [`Way`]s out there; a bucket of a limit of the present version is under that
+//! a version is the number of its [`RouteDecision`]s out there; a bucket of a limit of the present version is under that
 //! limit's rule.
 
 use crate::rate_limit::{LimitExceeded, LimitRule};
@@ -25,34 +25,34 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Versions with tickets in hand: a hundred changes within one outer limit and some room. Past it a new
+/// Versions with requests in hand: a hundred changes within one outer limit and some room. Past it a new
 /// version is refused until an old one ends.
 pub const MAX_VERSIONS: usize = 128;
 /// Told where all places are taken and nobody knows when one leaves: a usual run.
 const RETRY_AFTER_AT_CAPACITY: Duration = Duration::from_millis(100);
-/// Told where no pool can be used, or no route takes the ticket: as long as health takes to change.
+/// Told where no pool can be used, or no route takes the request: as long as health takes to change.
 const RETRY_AFTER_NO_ROUTE: Duration = Duration::from_secs(1);
 /// Told where all buckets are in use: by then the sweep has been around ([`crate::token_buckets`]).
 const RETRY_AFTER_NO_BUCKET: Duration = Duration::from_secs(1);
-/// Places of a ticket at which limits may stand: its type, tenant, route and pool.
+/// Places of a request at which limits may stand: its type, tenant, route and pool.
 const LIMIT_SCOPES: usize = 4;
 /// No bucket.
 const NO_BUCKET: u32 = u32::MAX;
 
-/// A ticket's way. It is given back with [`Router::ended`] exactly once, when the ticket is over.
+/// A request's way. It is given back with [`Router::on_completed`] exactly once, when the request is over.
 #[must_use = "a way that is not given back keeps its version and its places for ever"]
 #[derive(Debug)]
 pub struct RouteDecision {
     pub version: u64,
-    pub place: Placement,
+    pub placement: Placement,
     /// The names of its route and pool: their places are those of its version.
     pub route: Rc<str>,
     pub pool: Rc<str>,
     pub times: Times,
-    held: [u32; LIMIT_SCOPES],
+    held_buckets: [u32; LIMIT_SCOPES],
 }
 
-/// Why a ticket was turned away.
+/// Why a request was turned away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RejectReason {
     NoRoute,
@@ -91,14 +91,14 @@
 /// What happened since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RouterCounts {
-    pub went: u64,
-    pub ended: u64,
+    pub admitted: u64,
+    pub completed: u64,
     pub no_route: u64,
     pub no_pool: u64,
     pub limited: u64,
     pub no_bucket: u64,
-    pub versions_taken: u64,
-    pub versions_refused: u64,
+    pub versions_installed: u64,
+    pub versions_rejected: u64,
     pub versions_dropped: u64,
 }
 
@@ -126,12 +126,12 @@
     LimitScope::Pool,
 ];
 
-/// The limit at a place: its rule, and what its bucket for this ticket is known by.
+/// The limit at a place: its rule, and what its bucket for this request is known by.
 fn limit(
     table: &Table,
     at: LimitScope,
     of: usize,
-    ticket: &Request<'_>,
+    request: &Request<'_>,
     pool: u16,
 ) -> Option<(LimitRule, Key)> {
     let c = &table.configuration;
@@ -143,8 +143,8 @@
     };
     let (rule, per) = table.limits[usize::from(limits?)];
     let of = match per {
-        Per::Tenant => ticket.tenant.map(|at| &c.tenants[usize::from(at)].name),
-        Per::Type => Some(&c.types[usize::from(ticket.traffic)].name),
+        Per::Tenant => request.tenant.map(|at| &c.tenants[usize::from(at)].name),
+        Per::Type => Some(&c.types[usize::from(request.request_class)].name),
         Per::Pool => Some(&c.pools[usize::from(pool)].name),
         Per::All | Per::Unspecified => None,
     };
@@ -201,11 +201,11 @@
             false => Self::all(table, |at| limits.contains(&at)),
         };
         for change in changes {
-            let (kind, name) = change.of();
+            let (kind, name) = change.key();
             let of_route = || table.index.routes.get(&c.routes, name);
             match kind {
                 EntryKind::Type => {
-                    let at = table.traffic(name);
+                    let at = table.request_class(name);
                     rules.add(
                         table,
                         LimitScope::Type,
@@ -240,7 +240,7 @@
 }
 
 impl Router {
-    /// `seed`: for tickets that are parted by chance.
+    /// `seed`: for requests that are parted by chance.
     ///
     /// # Errors
     /// As [`Table::new`].
@@ -259,13 +259,13 @@
             buckets: Buckets::default(),
             chance: WyRand::new_seed(seed),
             counts: RouterCounts {
-                versions_taken: 1,
+                versions_installed: 1,
                 ..RouterCounts::default()
             },
         })
     }
 
-    /// Takes a new version; tickets from now on go by it. Its number is told.
+    /// Takes a new version; requests from now on go by it. Its number is told.
     ///
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
@@ -280,7 +280,7 @@
     /// The same, of a message that is given away.
     ///
     /// # Errors
-    /// As [`Router::take`].
+    /// As [`Router::install`].
     pub fn install_owned(
         &mut self,
         configuration: Configuration,
@@ -292,7 +292,7 @@
         {
             Ok(table) => table,
             Err(refused) => {
-                self.counts.versions_refused += 1;
+                self.counts.versions_rejected += 1;
                 return Err(refused);
             }
         };
@@ -317,7 +317,7 @@
             .check_version_capacity()
             .and_then(|()| self.table.apply(changes));
         if let Err(refused) = applied {
-            self.counts.versions_refused += 1;
+            self.counts.versions_rejected += 1;
             return Err(refused);
         }
         if self.buckets.in_use() > 0 {
@@ -342,7 +342,7 @@
     fn next(&mut self) -> u64 {
         let number = self.versions.back().map_or(1, |last| last.number + 1);
         self.versions.push_back(Version { number, open: 0 });
-        self.counts.versions_taken += 1;
+        self.counts.versions_installed += 1;
         let before = self.versions.len() - 2;
         if self.versions[before].open == 0 {
             self.drop_version(before);
@@ -366,7 +366,7 @@
         self.buckets.set_max(most);
     }
 
-    /// The present version's table: indices of tickets are those of it.
+    /// The present version's table: indices of requests are those of it.
     pub fn table(&self) -> &Table {
         &self.table
     }
@@ -378,7 +378,7 @@
         (self.versions.get(at)?.number == number).then_some(at)
     }
 
-    /// The number of the present version, of all that live, and of the tickets that each has.
+    /// The number of the present version, of all that live, and of the requests that each has.
     pub fn versions(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         self.versions
             .iter()
@@ -394,14 +394,14 @@
         (self.buckets.in_use(), self.buckets.room())
     }
 
-    /// Decides about a ticket: its way, or when to come back. A pool whose own limits are full is passed
+    /// Decides about a request: its way, or when to come back. A pool whose own limits are full is passed
     /// over as if it were out; what that leaves decides. Whoever is turned away has used nothing.
     ///
-    /// `usable`: whether a pool, by its index in the present table, can take tickets.
+    /// `usable`: whether a pool, by its index in the present table, can take requests.
     pub fn on_arrival(
         &mut self,
         now: Duration,
-        ticket: &Request<'_>,
+        request: &Request<'_>,
         usable: impl Fn(u16) -> bool,
     ) -> Admission {
         let Self {
@@ -417,10 +417,10 @@
                     of: usize,
                     pool: u16|
          -> Result<Option<(LimitRule, Key)>, LimitExceeded> {
-            let Some((rule, key)) = limit(table, at, of, ticket, pool) else {
+            let Some((rule, key)) = limit(table, at, of, request, pool) else {
                 return Ok(None);
             };
-            buckets.look(&key, &rule, now).map(|()| Some((rule, key)))
+            buckets.check(&key, &rule, now).map(|()| Some((rule, key)))
         };
         // The soonest that a pool passed over for its limits told.
         let passed_over: Cell<Option<Duration>> = Cell::new(None);
@@ -437,7 +437,7 @@
                     }
                 }
         };
-        let place = match table.place(ticket, chance, open_pool) {
+        let place = match table.place(request, chance, open_pool) {
             Ok(place) => place,
             Err(RoutingError::NoRoute) => {
                 counts.no_route += 1;
@@ -465,9 +465,9 @@
                 });
             }
         };
-        let tenant = ticket.tenant.map_or(usize::MAX, usize::from);
+        let tenant = request.tenant.map_or(usize::MAX, usize::from);
         let of = [
-            usize::from(ticket.traffic),
+            usize::from(request.request_class),
             tenant,
             usize::from(place.route),
             usize::from(place.pool),
@@ -513,8 +513,8 @@
         let held = counted
             .map(|one| one.map_or(NO_BUCKET, |(rule, key)| buckets.acquire(key, &rule, now)));
         *open += 1;
-        counts.went += 1;
-        let times = table.times(place.route, ticket.traffic);
+        counts.admitted += 1;
+        let times = table.times(place.route, request.request_class);
         let (route, pool) = (
             &table.routes[usize::from(place.route)],
             &table.pools[usize::from(place.pool)],
@@ -522,20 +522,24 @@
         let (route, pool) = (route.name.clone(), pool.name.clone());
         Admission::Admitted(RouteDecision {
             version: *number,
-            place,
+            placement: place,
             route,
             pool,
             times,
-            held,
+            held_buckets: held,
         })
     }
 
-    /// A ticket is over, whatever came of it.
+    /// A request is over, whatever came of it.
     pub fn on_completed(&mut self, way: RouteDecision) {
-        for slot in way.held.into_iter().filter(|slot| *slot != NO_BUCKET) {
+        for slot in way
+            .held_buckets
+            .into_iter()
+            .filter(|slot| *slot != NO_BUCKET)
+        {
             self.buckets.release(slot);
         }
-        self.counts.ended += 1;
+        self.counts.completed += 1;
         let Some(at) = self.find(way.version) else {
             debug_assert!(false, "a way without its version");
             return;
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,11 +1,11 @@
-//! A configuration made ready for tickets: names are indices, matches are rows of bits.
+//! A configuration made ready for requests: names are indices, matches are rows of bits.
 //!
 //! For each type, for all tenants and for each kind of try there is a row with one bit a route: the routes that such
-//! tickets can match. Routes that name tenants are not in the row of all but in a list of each tenant that they name. A
-//! ticket's routes are the bits that stand in all three, and only those are asked about its entity and size, in
+//! requests can match. Routes that name tenants are not in the row of all but in a list of each tenant that they name. A
+//! request's routes are the bits that stand in all three, and only those are asked about its entity and size, in
 //! order.
 //!
-//! There is one table, that of the present version: a ticket that came in under an earlier one carries what it still
+//! There is one table, that of the present version: a request that came in under an earlier one carries what it still
 //! needs of it ([`crate::router::RouteDecision`]). So a change of named things alters the table where it says something
 //! ([`crate::table_update`]), and two versions that are open take the memory of one.
 //!
@@ -29,14 +29,14 @@
 /// Bytes that the rows of one table may take.
 const MAX_ROW_BYTES: usize = 256 << 20;
 
-/// A ticket as far as its way goes. Indices are those of the table it is shown to.
+/// A request as far as its way goes. Indices are those of the table it is shown to.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Request<'t> {
-    pub traffic: u16,
+    pub request_class: u16,
     /// None: a tenant that the configuration does not name.
     pub tenant: Option<u16>,
     /// A hash of the name of one that it does not name ([`crate::weighted_split::name_hash`]).
-    pub stranger: u64,
+    pub tenant_hash: u64,
     /// Empty if it has none.
     pub entity: &'t str,
     /// A further try.
@@ -45,7 +45,7 @@
     pub size: u64,
 }
 
-/// Where a ticket goes and how that came about.
+/// Where a request goes and how that came about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Placement {
     pub route: u16,
@@ -65,7 +65,7 @@
     PoolFallback,
 }
 
-/// Why a ticket has no way.
+/// Why a request has no way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoutingError {
     NoRoute,
@@ -520,7 +520,7 @@
         }
     }
 
-    pub fn traffic(&self, name: &str) -> Option<u16> {
+    pub fn request_class(&self, name: &str) -> Option<u16> {
         self.index.types.get(&self.configuration.types, name)
     }
 
@@ -588,11 +588,11 @@
         fixed + routes + pools + times + 4 * to_binary(&self.configuration).len()
     }
 
-    /// The route that takes a ticket: the first that matches.
-    pub fn route(&self, ticket: &Request<'_>) -> Option<u16> {
-        let of_type = &self.by_type.get(usize::from(ticket.traffic))?.0;
-        let mut named = self.named(ticket);
-        let of_try = &self.by_try[usize::from(ticket.again)].0;
+    /// The route that takes a request: the first that matches.
+    pub fn route(&self, request: &Request<'_>) -> Option<u16> {
+        let of_type = &self.by_type.get(usize::from(request.request_class))?.0;
+        let mut named = self.named(request);
+        let of_try = &self.by_try[usize::from(request.again)].0;
         for (word, ((a, b), c)) in of_type
             .iter()
             .zip(&self.any_tenant.0)
@@ -611,7 +611,7 @@
             while left != 0 {
                 let at = word * 64 + left.trailing_zeros() as usize;
                 left &= left - 1;
-                if self.takes(at, ticket) {
+                if self.takes(at, request) {
                     return Some(at as u16);
                 }
             }
@@ -619,40 +619,41 @@
         None
     }
 
-    /// The routes that name a ticket's tenant.
-    fn named(&self, ticket: &Request<'_>) -> &[u16] {
-        ticket
+    /// The routes that name a request's tenant.
+    fn named(&self, request: &Request<'_>) -> &[u16] {
+        request
             .tenant
             .and_then(|tenant| self.by_tenant.get(&tenant))
             .map_or(&[], |list| list)
     }
 
-    /// Whether a route takes a ticket, as far as size and entity go.
-    fn takes(&self, at: usize, ticket: &Request<'_>) -> bool {
+    /// Whether a route takes a request, as far as size and entity go.
+    fn takes(&self, at: usize, request: &Request<'_>) -> bool {
         let (least, most) = self.routes[at].size;
         let entities = self.configuration.routes[at]
             .r#match
             .as_ref()
             .map_or(&[][..], |m| &m.entities);
         let takes = |pattern: &String| match pattern.strip_suffix('*') {
-            Some(beginning) => ticket.entity.starts_with(beginning),
-            None => *pattern == ticket.entity,
+            Some(beginning) => request.entity.starts_with(beginning),
+            None => *pattern == request.entity,
         };
-        (least..=most).contains(&ticket.size) && (entities.is_empty() || entities.iter().any(takes))
+        (least..=most).contains(&request.size)
+            && (entities.is_empty() || entities.iter().any(takes))
     }
 
-    /// Where a ticket goes, given which pools can be used now.
+    /// Where a request goes, given which pools can be used now.
     ///
     /// # Errors
     /// No route takes it, or none of the route's pools can be used.
     pub fn place(
         &self,
-        ticket: &Request<'_>,
+        request: &Request<'_>,
         chance: &mut WyRand,
         usable: impl Fn(u16) -> bool,
     ) -> Result<Placement, RoutingError> {
-        let at = self.route(ticket).ok_or(RoutingError::NoRoute)?;
-        self.pool_of(at, ticket, chance, usable)
+        let at = self.route(request).ok_or(RoutingError::NoRoute)?;
+        self.pool_of(at, request, chance, usable)
             .map(|(pool, by)| Placement {
                 route: at,
                 pool,
@@ -663,7 +664,7 @@
     fn pool_of(
         &self,
         at: u16,
-        ticket: &Request<'_>,
+        request: &Request<'_>,
         chance: &mut WyRand,
         usable: impl Fn(u16) -> bool,
     ) -> Result<(u16, PlacementReason), RoutingError> {
@@ -674,11 +675,11 @@
                 return Ok((only.pool, PlacementReason::Share));
             }
         } else {
-            // Tickets without an entity have nothing to be told apart by.
-            let chosen = if route.by_chance || ticket.entity.is_empty() {
+            // Requests without an entity have nothing to be told apart by.
+            let chosen = if route.by_chance || request.entity.is_empty() {
                 by_chance(to.iter().map(|t| t.share), chance, |k| usable(to[k].pool))
             } else {
-                by_entity(to.iter().map(|t| (t.mark, t.share)), ticket.entity, |k| {
+                by_entity(to.iter().map(|t| (t.mark, t.share)), request.entity, |k| {
                     usable(to[k].pool)
                 })
             };
@@ -721,7 +722,7 @@
         )
     }
 
-    /// The times of a ticket's stages on a route.
+    /// The times of a request's stages on a route.
     pub fn times(&self, route: u16, traffic: u16) -> Times {
         let goal = self
             .goals
@@ -734,30 +735,30 @@
             .unwrap_or_else(|| Times::new(goal, None))
     }
 
-    /// Why a route does not take a ticket, if it does not.
-    pub fn miss(&self, route: u16, ticket: &Request<'_>) -> Option<Miss> {
+    /// Why a route does not take a request, if it does not.
+    pub fn mismatch(&self, route: u16, request: &Request<'_>) -> Option<Miss> {
         let at = usize::from(route);
         let (least, most) = self.routes[at].size;
         if !self
             .by_type
-            .get(usize::from(ticket.traffic))
+            .get(usize::from(request.request_class))
             .is_some_and(|row| row.has(at))
         {
             Some(Miss::Type)
-        } else if !self.any_tenant.has(at) && !self.named(ticket).contains(&route) {
+        } else if !self.any_tenant.has(at) && !self.named(request).contains(&route) {
             Some(Miss::Tenant)
-        } else if !self.by_try[usize::from(ticket.again)].has(at) {
+        } else if !self.by_try[usize::from(request.again)].has(at) {
             Some(Miss::Again)
-        } else if !(least..=most).contains(&ticket.size) {
+        } else if !(least..=most).contains(&request.size) {
             Some(Miss::Size)
-        } else if !self.takes(at, ticket) {
+        } else if !self.takes(at, request) {
             Some(Miss::Entity)
         } else {
             None
         }
     }
 
-    /// The retry-after bounds that hold for a ticket: the route's, else the pool's.
+    /// The retry-after bounds that hold for a request: the route's, else the pool's.
     pub(crate) fn bounds(
         &self,
         route: Option<u16>,
--- a/crates/routing/src/table_update.rs
+++ b/crates/routing/src/table_update.rs
@@ -16,7 +16,7 @@
 use rainstand_config::schema;
 use std::time::Duration;
 
-/// Kinds of things that decide about tickets.
+/// Kinds of things that decide about requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EntryKind {
     Type,
@@ -31,7 +31,7 @@
 }
 
 impl EntryKind {
-    fn word(self) -> &'static str {
+    fn as_str(self) -> &'static str {
         match self {
             EntryKind::Type => "type",
             EntryKind::Tenant => "tenant",
@@ -66,7 +66,7 @@
 
 impl TableChange {
     /// What it names.
-    pub fn of(&self) -> (EntryKind, &str) {
+    pub fn key(&self) -> (EntryKind, &str) {
         match self {
             TableChange::Type(one) => (EntryKind::Type, &one.name),
             TableChange::Tenant(one) => (EntryKind::Tenant, &one.name),
@@ -176,11 +176,11 @@
     /// What cannot be, as [`Table::of`]; a thing that is named twice, or removed while something refers to it.
     pub fn apply(&mut self, changes: &[TableChange]) -> Result<(), ConfigurationError> {
         let mut named = HashSet::with_capacity(changes.len());
-        if let Some(twice) = changes.iter().find(|change| !named.insert(change.of())) {
-            let (kind, name) = twice.of();
+        if let Some(twice) = changes.iter().find(|change| !named.insert(change.key())) {
+            let (kind, name) = twice.key();
             return Err(ConfigurationError(format!(
                 "{} `{name}` is named twice in one change",
-                kind.word()
+                kind.as_str()
             )));
         }
         let mut undo = Undo::new();
@@ -237,7 +237,7 @@
             changes
                 .iter()
                 .filter(|change| change.turn() == 5)
-                .map(TableChange::of)
+                .map(TableChange::key)
         };
         for (kind, name) in gone() {
             if let Some(bare) = self.without_references(kind, name)? {
@@ -326,7 +326,7 @@
         match referred {
             true => Err(ConfigurationError(format!(
                 "{} `{name}` cannot go: something refers to it",
-                kind.word()
+                kind.as_str()
             ))),
             false => Ok(()),
         }
@@ -334,7 +334,7 @@
 
     /// Puts or removes one thing; what makes it as before. Nothing has changed if it is refused.
     fn step(&mut self, change: TableChange) -> Result<TableChange, ConfigurationError> {
-        let (kind, name) = change.of();
+        let (kind, name) = change.key();
         let new = TableChange::Remove(kind, name.to_owned());
         Ok(match change {
             TableChange::Limits(one) => {
--- a/crates/routing/src/tenant_fairness.rs
+++ b/crates/routing/src/tenant_fairness.rs
@@ -1,6 +1,6 @@
 //! A pool's room parted among tenants while it is scarce.
 //!
-//! While there is room anybody may have it. Once more than [`SCARCE`] of it is in use, a tenant goes on only while
+//! While there is room anybody may have it. Once more than [`SCARCITY_THRESHOLD`] of it is in use, a tenant goes on only while
 //! it has less in the pool than its part: its share against the shares of all that asked lately. So a tenant that is
 //! alone may fill the pool, and one that floods it cannot keep the others out. Nobody is kept waiting.
 //!
@@ -26,7 +26,7 @@
 /// What all strangers have together at least, whatever was promised to others: one of the new customers may be real.
 const UNKNOWN_TENANTS_MIN_SHARE: f64 = 0.05;
 
-/// Whose ticket it is.
+/// Whose request it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TenantKey {
     Configured(u16),
@@ -160,7 +160,7 @@
         (others > 1e-9).then(|| (room * weight / (others + weight)).max(1.0))
     }
 
-    /// Whether a ticket may go now, of `room` places in all. If not: how far its tenant is over its part, at least
+    /// Whether a request may go now, of `room` places in all. If not: how far its tenant is over its part, at least
     /// 1, for a time to come back.
     ///
     /// # Errors
--- a/crates/routing/src/time_budget.rs
+++ b/crates/routing/src/time_budget.rs
@@ -1,4 +1,4 @@
-//! How much time each stage of a ticket may still take, of its goal time.
+//! How much time each stage of a request may still take, of its goal time.
 //!
 //! A stage ends when what the stages behind it are promised is all that is left. Time that an earlier
 //! stage did not need is there for the later ones; time that it took too long is lost by the stage that
@@ -8,7 +8,7 @@
 use rainstand_config::units::ONE;
 use std::time::Duration;
 
-/// The stages in the order in which a ticket passes them.
+/// The stages in the order in which a request passes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     Forward,
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Times {
     pub goal: Duration,
-    /// When each stage must be over, counted from the ticket's arrival.
+    /// When each stage must be over, counted from the request's arrival.
     ends: [Duration; 5],
 }
 
@@ -49,7 +49,7 @@
         Self { goal, ends }
     }
 
-    /// What is left for a stage, `spent` after the ticket's arrival.
+    /// What is left for a stage, `spent` after the request's arrival.
     ///
     /// ```
     /// use rainstand_config::schema;
@@ -86,7 +86,7 @@
         #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(16), failure_persistence: None, ..ProptestConfig::default() })]
 
         /// If each stage keeps to what it is told, every stage gets at least what it was promised, and the
-        /// ticket is over by its goal time.
+        /// request is over by its goal time.
         #[test]
         fn promises_hold_while_all_keep_to_them(
             stages in proptest::array::uniform5(any_stage()),
--- a/crates/routing/src/token_buckets.rs
+++ b/crates/routing/src/token_buckets.rs
@@ -1,17 +1,17 @@
 //! The buckets of limits: made when first used, known by name over versions, bounded in number.
 //!
 //! A limit by key has as many buckets as there are keys, and 5,400 routes that limit each of 23,000 tenants would
-//! have 124 million, of which few are ever used. So one is made when a ticket enters it, and given back when it is
+//! have 124 million, of which few are ever used. So one is made when a request enters it, and given back when it is
 //! idle: nobody is inside and its burst is whole again. Such a bucket is as good as one that was never used, to the
 //! nanosecond, so giving it back lets nobody gain a burst; one that still owes, or has somebody inside, is kept.
 //!
-//! Idle ones are found by a hand that goes round, as a clock's: each new bucket moves it on by [`LOOKED`], so of all
+//! Idle ones are found by a hand that goes round, as a clock's: each new bucket moves it on by `SLOTS_PER_NEW_BUCKET`, so of all
 //! there are at most half are idle ones that were left lying while others came; and each look at the time by an
-//! [`ALL_ROUND`]th of all. At the bound a ticket that needs one more looks at [`SEARCHED`] of them, then it is turned
+//! `TICKS_PER_SWEEP`th of all. At the bound a request that needs one more looks at `MAX_SLOTS_SEARCHED` of them, then it is turned
 //! away with a reason of its own, to come back when the looks have been around.
 //!
 //! Invariants: `index` names each slot that is in use by its key, `free` each that is not; a slot with somebody
-//! inside stays where it is, so that a ticket can hold it by its place.
+//! inside stays where it is, so that a request can hold it by its place.
 
 use crate::rate_limit::{Bucket, LimitExceeded, LimitRule};
 use crate::router::LimitScope;
@@ -22,11 +22,11 @@
 
 /// Buckets in use at once, some 128 bytes each with their place in the index.
 pub const MAX_BUCKETS: usize = 1 << 20;
-/// Room that is there from the start: with fewer in use nothing on a ticket's way allocates.
+/// Room that is there from the start: with fewer in use nothing on a request's way allocates.
 const INITIAL_CAPACITY: usize = 512;
 /// Slots that the hand looks at for each new bucket: more than one, or it never gets ahead.
 const SLOTS_PER_NEW_BUCKET: usize = 2;
-/// Slots looked at for a ticket that is turned away else: some microseconds.
+/// Slots looked at for a request that is turned away else: some microseconds.
 const MAX_SLOTS_SEARCHED: usize = 64;
 /// So many looks go round all slots. There are ten a second, and who was turned away comes back in one.
 const TICKS_PER_SWEEP: usize = 8;
@@ -95,13 +95,13 @@
         self.slots.len()
     }
 
-    /// Whether a ticket may come in now; nothing changes. A bucket that is not there is whole.
+    /// Whether a request may come in now; nothing changes. A bucket that is not there is whole.
     ///
     /// # Errors
-    /// As [`Bucket::look`].
-    pub fn look(&self, key: &Key, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
+    /// As [`Bucket::check`].
+    pub fn check(&self, key: &Key, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
         match self.index.get(key) {
-            Some(slot) => self.slots[*slot as usize].bucket.look(rule, now),
+            Some(slot) => self.slots[*slot as usize].bucket.check(rule, now),
             None => Ok(()),
         }
     }
@@ -129,7 +129,7 @@
         true
     }
 
-    /// Lets a ticket in; the caller looked before, and made room. The slot that it holds until it leaves.
+    /// Lets a request in; the caller looked before, and made room. The slot that it holds until it leaves.
     pub fn acquire(&mut self, key: Key, rule: &LimitRule, now: Duration) -> u32 {
         let Self {
             index, slots, free, ..
@@ -156,7 +156,7 @@
         self.slots[slot as usize].bucket.release();
     }
 
-    /// A version's rules, by [`Key::place`]: what is there goes on under them. A bucket of a place that they do not
+    /// A version's rules, by `Key::place`: what is there goes on under them. A bucket of a place that they do not
     /// name keeps its own until it is idle.
     pub fn set_rules(&mut self, rules: &HashMap<u64, LimitRule>, now: Duration) {
         for slot in self.slots.iter_mut().filter(|slot| slot.used) {
--- a/crates/routing/src/warm_up.rs
+++ b/crates/routing/src/warm_up.rs
@@ -16,27 +16,31 @@
 use std::time::Duration;
 
 /// A member that just started gets this part of a warm one's calls: never nothing, or it would not warm at all.
-pub const START: f64 = 0.05;
+pub const INITIAL_SHARE: f64 = 0.05;
 /// Senders that are assumed where the configuration names no number: more than most fleets have, so that it errs
 /// toward warming slowly.
-pub const SENDERS: u64 = 32;
-/// How long a turn stays open, as a part of the window: long enough to be met by the next ticket or two.
+pub const DEFAULT_SENDERS: u64 = 32;
+/// How long a turn stays open, as a part of the window: long enough to be met by the next request or two.
 const TURN_LIFETIME_SECONDS: f64 = 0.25;
 
 /// The rule for one member, as far as this forwarder has to keep it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Rule {
+pub struct WarmUpRule {
     /// Turns a second once it is warm.
     share: f64,
     warm_up: f64,
     open: Duration,
 }
 
-impl Rule {
+impl WarmUpRule {
     /// `rate`: calls a second that a warm member may be sent by all; `window`: over which it bears them; `senders`:
     /// forwarders that send to it, 0 where nobody said.
     pub fn new(rate: f64, window: Duration, senders: u64, warm_up: Duration) -> Self {
-        let senders = if senders == 0 { SENDERS } else { senders };
+        let senders = if senders == 0 {
+            DEFAULT_SENDERS
+        } else {
+            senders
+        };
         // A window may hold the turns that came up in it and those that were still open when it began.
         let share = rate / senders as f64 / (1.0 + TURN_LIFETIME_SECONDS);
         Self {
@@ -48,20 +52,20 @@
 
     /// Turns since its start for one of this age, s.
     fn sum(&self, age: f64) -> f64 {
-        let flat = age.min(START * self.warm_up);
+        let flat = age.min(INITIAL_SHARE * self.warm_up);
         let rising = age.clamp(flat, self.warm_up.max(flat));
         let over = age - rising;
         let rise = (rising * rising - flat * flat) / (2.0 * self.warm_up);
-        self.share * (START * flat + rise + over)
+        self.share * (INITIAL_SHARE * flat + rise + over)
     }
 
     /// The age at which there have been so many, s.
     fn age(&self, sum: f64) -> f64 {
-        let (of_full, flat) = (sum / self.share, START * self.warm_up);
-        if of_full <= START * flat {
-            return of_full / START;
+        let (of_full, flat) = (sum / self.share, INITIAL_SHARE * self.warm_up);
+        if of_full <= INITIAL_SHARE * flat {
+            return of_full / INITIAL_SHARE;
         }
-        let rising = (2.0 * self.warm_up * (of_full - START * flat) + flat * flat).sqrt();
+        let rising = (2.0 * self.warm_up * (of_full - INITIAL_SHARE * flat) + flat * flat).sqrt();
         rising.min(self.warm_up)
     }
 }
@@ -69,7 +73,7 @@
 /// See the module's head.
 #[derive(Clone, Debug)]
 pub struct WarmUpLimiter {
-    rule: Rule,
+    rule: WarmUpRule,
     /// In touch without a gap since then.
     since: Option<Duration>,
     /// The sum is `level` at `from`, when something was last learned.
@@ -81,7 +85,7 @@
 
 impl WarmUpLimiter {
     /// Nothing is known of the member. `phase`: by chance, from 0 up to 1.
-    pub fn new(rule: Rule, phase: f64, now: Duration) -> Self {
+    pub fn new(rule: WarmUpRule, phase: f64, now: Duration) -> Self {
         Self {
             rule,
             since: None,
@@ -121,7 +125,8 @@
     fn at(&self, now: Duration) -> f64 {
         let rule = &self.rule;
         let Some(since) = self.since else {
-            return self.level + rule.share * START * now.saturating_sub(self.from).as_secs_f64();
+            return self.level
+                + rule.share * INITIAL_SHARE * now.saturating_sub(self.from).as_secs_f64();
         };
         let age = |at: Duration| at.saturating_sub(since).as_secs_f64();
         self.level + rule.sum(age(now.max(self.from))) - rule.sum(age(self.from))
@@ -152,7 +157,7 @@
         }
         let (rule, missing) = (&self.rule, used + 1.0 - sum);
         let wait = match self.since {
-            None => missing / (rule.share * START),
+            None => missing / (rule.share * INITIAL_SHARE),
             Some(since) => {
                 let age = now.saturating_sub(since).as_secs_f64();
                 rule.age(rule.sum(age) + missing) - age
--- a/crates/routing/src/weighted_split.rs
+++ b/crates/routing/src/weighted_split.rs
@@ -1,4 +1,4 @@
-//! Parting tickets by share. By entity with weighted rendezvous hashing: each target's score for an entity
+//! Parting requests by share. By entity with weighted rendezvous hashing: each target's score for an entity
 //! depends on the two alone, so when a target leaves only its own entities move, and when it comes back
 //! they return. By chance otherwise.
 
--- a/crates/routing/tests/buckets.rs
+++ b/crates/routing/tests/buckets.rs
@@ -79,12 +79,12 @@
 
 fn arrives(router: &mut Router, now: Duration, tenant: usize, route: usize) -> Admission {
     let entity = format!("r{route}");
-    let ticket = Request {
+    let request = Request {
         tenant: Some(tenant as u16),
         entity: &entity,
         ..Request::default()
     };
-    router.on_arrival(now, &ticket, |_| true)
+    router.on_arrival(now, &request, |_| true)
 }
 
 #[test]
@@ -130,7 +130,7 @@
 
     fn arrives(&mut self, now: Duration, key: (usize, usize)) -> Result<(), Duration> {
         let bucket = self.all.entry(key).or_default();
-        match bucket.look(&self.rule, now) {
+        match bucket.check(&self.rule, now) {
             Ok(()) => {
                 bucket.acquire(&self.rule, now);
                 Ok(())
@@ -275,7 +275,7 @@
     }
     let counts = router.counts();
     assert_eq!(
-        (counts.no_bucket, counts.limited, counts.went),
+        (counts.no_bucket, counts.limited, counts.admitted),
         (700, 0, MOST as u64 - 1)
     );
     // Whoever has one goes on, and nobody was pushed out: each has its one inside, and its rate.
--- a/crates/routing/tests/change.rs
+++ b/crates/routing/tests/change.rs
@@ -243,7 +243,7 @@
         ][chance.below(9)];
         let name = chance.name(kind.1, kind.2);
         let kind = kind.0;
-        if changes.iter().any(|change| change.of() == (kind, &name)) || routes.contains(&name) {
+        if changes.iter().any(|change| change.key() == (kind, &name)) || routes.contains(&name) {
             continue;
         }
         if removes {
@@ -311,13 +311,13 @@
     (all, changes)
 }
 
-/// What a ticket was told, in names.
+/// What a request was told, in names.
 fn told(router: &Router, verdict: Admission) -> (String, Option<RouteDecision>) {
     match verdict {
         Admission::Admitted(way) => {
             let told = format!(
                 "{} {} {:?} {:?}",
-                way.route, way.pool, way.place.by, way.times
+                way.route, way.pool, way.placement.by, way.times
             );
             (told, Some(way))
         }
@@ -334,7 +334,7 @@
 fn names_lead_home(table: &Table) {
     let c = table.configuration();
     for (at, one) in c.types.iter().enumerate() {
-        assert_eq!(table.traffic(&one.name), Some(at as u16));
+        assert_eq!(table.request_class(&one.name), Some(at as u16));
     }
     for (at, one) in c.tenants.iter().enumerate() {
         assert_eq!(table.tenant(&one.name), Some(at as u16));
@@ -387,18 +387,18 @@
                 let size = chance.below(4) as u64;
                 let mut both = [&mut by_change, &mut by_whole].map(|router| {
                     let table = router.table();
-                    let traffic = table.traffic(&traffic)?;
+                    let traffic = table.request_class(&traffic)?;
                     let tenant = table.tenant(&tenant);
                     let out = table.pool(&out);
-                    let ticket = Request {
-                        traffic,
+                    let request = Request {
+                        request_class: traffic,
                         tenant,
                         entity,
                         again,
                         size,
                         ..Request::default()
                     };
-                    let verdict = router.on_arrival(now, &ticket, |pool| Some(pool) != out);
+                    let verdict = router.on_arrival(now, &request, |pool| Some(pool) != out);
                     Some(told(router, verdict))
                 });
                 let words = both
@@ -537,8 +537,8 @@
     }
     assert_eq!(
         (
-            router.counts().versions_refused,
-            router.counts().versions_taken
+            router.counts().versions_rejected,
+            router.counts().versions_installed
         ),
         (15, 1)
     );
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -1,5 +1,5 @@
 //! A forwarder's decisions against members that fail, on a clock of its own: one answer each, no exclusive
-//! ticket run twice, further tries within their budget, service back soon after the members are.
+//! request run twice, further tries within their budget, service back soon after the members are.
 
 #![allow(
     missing_docs,
@@ -58,7 +58,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Bug {
     None,
-    /// A connection that broke with a ticket on it is taken for none at all.
+    /// A connection that broke with a request on it is taken for none at all.
     BrokenIsUnreachable,
     /// What came too late is taken for a dismissal.
     LateIsDismissed,
@@ -90,10 +90,10 @@
     }
 }
 
-/// An answer is due so long after a ticket came: its goal time, and a hundred milliseconds.
+/// An answer is due so long after a request came: its goal time, and a hundred milliseconds.
 const DUE: Duration = Duration::from_millis(3_100);
 
-/// Tickets at `rate` a second for `seconds`, one in five exclusive.
+/// Requests at `rate` a second for `seconds`, one in five exclusive.
 fn play(fleet: Fleet, rate: u64, seconds: u64, does: Does) -> Played {
     let (played, broken) = play_with(fleet, rate, seconds, does, Bug::None);
     broken.unwrap_or_else(|broken| panic!("{broken}"));
@@ -126,13 +126,13 @@
     let mut first_broken = Ok(());
     while let Some(Timed(t, _, event)) = events.pop() {
         let now = Duration::from_millis(t);
-        let mut saw = |ticket: u64, step: Saw| {
-            let found = rules.saw(now, ticket, step);
+        let mut saw = |request: u64, step: Saw| {
+            let found = rules.saw(now, request, step);
             if first_broken.is_ok() {
                 first_broken = found;
             }
         };
-        let (ticket, step) = match event {
+        let (request, step) = match event {
             Event::Look => {
                 fleet.tick(now);
                 continue;
@@ -159,15 +159,17 @@
                     fleet.on_arrival(
                         now,
                         &Request {
-                            traffic,
+                            request_class: traffic,
                             tenant: Some(0),
                             ..Request::default()
                         },
                     ),
                 )
             }
-            Event::Back(trip, back, ticket) => (ticket, fleet.on_attempt_outcome(now, trip, back)),
-            Event::Again(trip, ticket) => (ticket, fleet.again(now, trip)),
+            Event::Back(trip, back, request) => {
+                (request, fleet.on_attempt_outcome(now, trip, back))
+            }
+            Event::Again(trip, request) => (request, fleet.on_retry_due(now, trip)),
         };
         match step {
             NextAction::Dispatch(trip, send) => {
@@ -175,16 +177,16 @@
                 tries.push((t, member));
                 let (back, took, ran) = does(member, t, &mut chance);
                 if ran {
-                    *runs.entry(ticket).or_default() += 1;
+                    *runs.entry(request).or_default() += 1;
                     saw(
-                        ticket,
+                        request,
                         Saw::Ran {
                             on: member as u32,
                             marked: send.again,
                         },
                     );
                 }
-                let cut = send.cut.as_millis() as u64;
+                let cut = send.timeout.as_millis() as u64;
                 let (back, took) = if took > cut {
                     (AttemptOutcome::TimedOut, cut)
                 } else {
@@ -200,21 +202,21 @@
                     },
                     (_, back) => back,
                 };
-                push(&mut events, t + took, Event::Back(trip, back, ticket));
+                push(&mut events, t + took, Event::Back(trip, back, request));
             }
             NextAction::Backoff(trip, wait) => push(
                 &mut events,
                 t + wait.as_millis() as u64,
-                Event::Again(trip, ticket),
+                Event::Again(trip, request),
             ),
             NextAction::Completed(over) => {
-                let answer = match over.end {
+                let answer = match over.outcome {
                     RequestOutcome::Served => Answer::Honoured,
                     RequestOutcome::Rejected { .. } => Answer::Dismissed,
                     RequestOutcome::Failed | RequestOutcome::CallerGone => Answer::GivenUp,
                 };
-                saw(ticket, Saw::Answered(answer));
-                ends.push((born[&ticket], t, over.end));
+                saw(request, Saw::Answered(answer));
+                ends.push((born[&request], t, over.outcome));
             }
         }
     }
@@ -232,15 +234,15 @@
 }
 
 /// What must hold beside the rules, whatever the members do.
-fn rules(played: &mut Played, tickets: u64) {
-    assert_eq!(played.ends.len() as u64, tickets);
+fn rules(played: &mut Played, requests: u64) {
+    assert_eq!(played.ends.len() as u64, requests);
     let (counts, now) = (played.fleet.counts(), Duration::from_secs(60));
     played
         .rules
         .budget(
             now,
-            counts.first_tries,
-            counts.further_tries,
+            counts.first_attempts,
+            counts.retries,
             0.2,
             INITIAL_RETRIES,
         )
@@ -249,7 +251,11 @@
         played.fleet.members(0, now).all(|member| member.open == 0),
         "places that nobody gave back"
     );
-    assert_eq!(played.fleet.room(0).1, 0, "room that nobody gave back");
+    assert_eq!(
+        played.fleet.pool_occupancy(0).1,
+        0,
+        "room that nobody gave back"
+    );
 }
 
 fn honoured(played: &Played, from: u64, upto: u64) -> f64 {
@@ -345,7 +351,7 @@
         }
     });
     rules(&mut played, 3_000);
-    // Exclusive tickets whose connection broke are given up, never dismissed: they may have run.
+    // Exclusive requests whose connection broke are given up, never dismissed: they may have run.
     let dismissed = played
         .ends
         .iter()
@@ -362,7 +368,7 @@
 fn a_caller_that_leaves_during_a_wait_frees_nothing_twice() {
     let mut fleet = fleet(1, "none");
     let now = Duration::from_millis;
-    let ticket = Request {
+    let request = Request {
         tenant: Some(0),
         ..Request::default()
     };
@@ -372,10 +378,10 @@
             .map(|member| member.open)
             .sum::<u32>()
     };
-    let NextAction::Dispatch(other, _) = fleet.on_arrival(now(0), &ticket) else {
+    let NextAction::Dispatch(other, _) = fleet.on_arrival(now(0), &request) else {
         panic!("it goes")
     };
-    let NextAction::Dispatch(trip, _) = fleet.on_arrival(now(0), &ticket) else {
+    let NextAction::Dispatch(trip, _) = fleet.on_arrival(now(0), &request) else {
         panic!("it goes")
     };
     let NextAction::Backoff(trip, _) =
@@ -387,7 +393,7 @@
     assert!(matches!(
         fleet.on_attempt_outcome(now(6), trip, AttemptOutcome::CallerLeft),
         NextAction::Completed(Completed {
-            end: RequestOutcome::CallerGone,
+            outcome: RequestOutcome::CallerGone,
             ..
         })
     ));
@@ -395,7 +401,7 @@
     assert!(matches!(
         fleet.on_attempt_outcome(now(9), other, AttemptOutcome::Served),
         NextAction::Completed(Completed {
-            end: RequestOutcome::Served,
+            outcome: RequestOutcome::Served,
             ..
         })
     ));
@@ -408,11 +414,11 @@
     let mut told = Vec::new();
     for t in 0..200u64 {
         let now = Duration::from_millis(t * 10);
-        let ticket = Request {
+        let request = Request {
             tenant: Some(0),
             ..Request::default()
         };
-        if let NextAction::Dispatch(trip, send) = fleet.on_arrival(now, &ticket) {
+        if let NextAction::Dispatch(trip, send) = fleet.on_arrival(now, &request) {
             let back = if send.to.member == 1 {
                 AttemptOutcome::Failed
             } else {
@@ -480,7 +486,7 @@
     assert!(told, "the other's word is passed on");
 }
 
-/// A fifth of connections break, half of those after the ticket ran; some take for ever.
+/// A fifth of connections break, half of those after the request ran; some take for ever.
 fn breaks(_: usize, _: u64, chance: &mut WyRand) -> (AttemptOutcome, u64, bool) {
     match chance.generate_range(0..10u8) {
         0 => (AttemptOutcome::Broken, 15, true),
@@ -517,7 +523,7 @@
 #[test]
 fn a_flood_of_made_up_tenants_leaves_known_ones_their_room() {
     let mut fleet = fleet(4, "none");
-    // Each member does one ticket a millisecond, in order; 4,000 a second in all.
+    // Each member does one request a millisecond, in order; 4,000 a second in all.
     let mut busy = [0u64; 4];
     let mut chance = WyRand::new_seed(5);
     let mut back: BinaryHeap<Timed> = BinaryHeap::new();
@@ -534,9 +540,9 @@
             let NextAction::Completed(over) = fleet.on_attempt_outcome(now, trip, came) else {
                 panic!("no further tries here")
             };
-            good += u32::from(n.is_multiple_of(2) && over.end == RequestOutcome::Served);
+            good += u32::from(n.is_multiple_of(2) && over.outcome == RequestOutcome::Served);
         }
-        // One ticket a millisecond by acme, whose share is half of the pool, and forty by nobody knows whom.
+        // One request a millisecond by acme, whose share is half of the pool, and forty by nobody knows whom.
         for n in 0..41u64 {
             made += 2;
             let (tenant, stranger) = if n == 20 {
@@ -546,12 +552,12 @@
             };
             known += u32::from(n == 20);
             strangers += u64::from(n != 20);
-            let ticket = Request {
+            let request = Request {
                 tenant,
-                stranger,
+                tenant_hash: stranger,
                 ..Request::default()
             };
-            if let NextAction::Dispatch(trip, send) = fleet.on_arrival(now, &ticket) {
+            if let NextAction::Dispatch(trip, send) = fleet.on_arrival(now, &request) {
                 let member = &mut busy[usize::from(send.to.member)];
                 *member = (*member).max(t) + 1;
                 let order = made + u64::from(n != 20);
@@ -568,12 +574,12 @@
     let share = f64::from(good) / f64::from(known);
     assert!(share > 0.95, "{good} of {known}: {:?}", fleet.counts());
     // Who nobody knows still gets what is left.
-    let others = fleet.counts().honoured - u64::from(good);
+    let others = fleet.counts().served - u64::from(good);
     assert!(others > 10_000, "{others}");
-    assert!(fleet.pauses() == 0 && fleet.counts().room > 100_000);
+    assert!(fleet.pause_count() == 0 && fleet.counts().room > 100_000);
 }
 
-/// A version that numbers pools anew must not keep the places of tickets that are out.
+/// A version that numbers pools anew must not keep the places of requests that are out.
 #[test]
 fn places_are_given_back_when_pools_get_other_numbers() {
     let text = |first: &str| {
@@ -615,7 +621,7 @@
         assert!(matches!(
             fleet.on_attempt_outcome(now(5), trip, AttemptOutcome::Served),
             NextAction::Completed(Completed {
-                end: RequestOutcome::Served,
+                outcome: RequestOutcome::Served,
                 ..
             })
         ));
--- a/crates/routing/tests/fleet_change.rs
+++ b/crates/routing/tests/fleet_change.rs
@@ -167,7 +167,7 @@
                     fleet.on_attempt_outcome(now, trip, back)
                 }
                 9..=12 if !waits.is_empty() => {
-                    fleet.again(now, waits.swap_remove(draw(waits.len())))
+                    fleet.on_retry_due(now, waits.swap_remove(draw(waits.len())))
                 }
                 _ if step < 2_500 => {
                     asked += 1;
@@ -178,7 +178,7 @@
                         now,
                         &Request {
                             tenant,
-                            stranger,
+                            tenant_hash: stranger,
                             entity: &entity,
                             ..Request::default()
                         },
@@ -191,7 +191,7 @@
                 NextAction::Backoff(trip, _) => waits.push(trip),
                 NextAction::Completed(end) => {
                     over += 1;
-                    ends += u32::from(end.end == RequestOutcome::Served);
+                    ends += u32::from(end.outcome == RequestOutcome::Served);
                 }
             }
         }
@@ -217,7 +217,7 @@
                 fleet.members(pool, now).all(|member| member.open == 0),
                 "seed {seed}"
             );
-            assert_eq!(fleet.room(pool).1, 0, "seed {seed}");
+            assert_eq!(fleet.pool_occupancy(pool).1, 0, "seed {seed}");
         }
         assert_eq!(
             fleet
@@ -285,7 +285,7 @@
         ));
         fleet
             .members(0, now)
-            .filter(|member| member.standing != MemberStatus::Healthy)
+            .filter(|member| member.status != MemberStatus::Healthy)
             .count()
     };
     for by_change in [true, false] {
--- a/crates/routing/tests/no_allocation.rs
+++ b/crates/routing/tests/no_allocation.rs
@@ -1,4 +1,4 @@
-//! Nothing on a ticket's way allocates: counted by an allocator of this test's own.
+//! Nothing on a request's way allocates: counted by an allocator of this test's own.
 
 #![allow(
     missing_docs,
@@ -53,12 +53,12 @@
     let before = MADE.with(Cell::get);
     let (mut went, mut turned) = (0, 0);
     for n in 0..10_000u64 {
-        let ticket = Request {
+        let request = Request {
             tenant: [None, Some(0)][n as usize % 2],
             entity: ["NO-1", "SE-2", ""][n as usize % 3],
             ..Request::default()
         };
-        match router.on_arrival(Duration::from_millis(n), &ticket, |pool| {
+        match router.on_arrival(Duration::from_millis(n), &request, |pool| {
             n % 5 > 0 || pool == 1
         }) {
             Admission::Admitted(way) => {
@@ -91,11 +91,11 @@
     let mut all = |now: Duration| {
         let before = MADE.with(Cell::get);
         for tenant in 0..TENANTS {
-            let ticket = Request {
+            let request = Request {
                 tenant: Some(tenant),
                 ..Request::default()
             };
-            match router.on_arrival(now, &ticket, |_| true) {
+            match router.on_arrival(now, &request, |_| true) {
                 Admission::Admitted(way) => router.on_completed(way),
                 Admission::Rejected(turned) => panic!("{turned:?}"),
             }
--- a/crates/routing/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -15,7 +15,7 @@
     Attempt, AttemptOutcome, Fleet, NextAction, RequestOutcome, RequestState,
 };
 use rainstand_routing::table::Request;
-use rainstand_routing::warm_up::{Rule, WarmUpLimiter};
+use rainstand_routing::warm_up::{WarmUpLimiter, WarmUpRule};
 use rainstand_routing::weighted_split::{name_hash, score};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -49,7 +49,7 @@
 struct Case {
     name: &'static str,
     senders: usize,
-    /// Tickets a second that come to all of them together.
+    /// Requests a second that come to all of them together.
     asked: f64,
     others: Others,
     /// Half of the forwarders start anew in the middle.
@@ -60,7 +60,7 @@
     flaps: bool,
     /// All that comes to a member fails, and is sent again.
     fails: bool,
-    /// Tickets come for 150 ms in each 3.9 s, and nothing between.
+    /// Requests come for 150 ms in each 3.9 s, and nothing between.
     bursts: bool,
     /// All of them are of the entity whose own member is the cold one.
     entity: bool,
@@ -85,7 +85,7 @@
     told: true,
 };
 
-/// One of each trouble; each is played with 1, 20 and 30 forwarders, with few tickets and with far too many.
+/// One of each trouble; each is played with 1, 20 and 30 forwarders, with few requests and with far too many.
 const CASES: [Case; 14] = [
     PLAIN,
     Case {
@@ -356,7 +356,7 @@
                 k,
                 match back {
                     Some(back) => fleet.on_attempt_outcome(ms(t), trip, back),
-                    None => fleet.again(ms(t), trip),
+                    None => fleet.on_retry_due(ms(t), trip),
                 },
             ));
         }
@@ -380,12 +380,12 @@
             }
             for _ in 0..n {
                 let entity = if case.entity { &*own } else { "" };
-                let ticket = Request {
+                let request = Request {
                     tenant: Some(0),
                     entity,
                     ..Request::default()
                 };
-                steps.push((k, one.fleet.on_arrival(ms(t), &ticket)));
+                steps.push((k, one.fleet.on_arrival(ms(t), &request)));
             }
         }
         for (k, step) in steps {
@@ -400,7 +400,7 @@
                         .or_default()
                         .push((k, trip, None));
                 }
-                NextAction::Completed(over) => match over.end {
+                NextAction::Completed(over) => match over.outcome {
                     RequestOutcome::Served => played.honoured += 1,
                     RequestOutcome::Rejected { after, .. } => {
                         played.dismissed += 1;
@@ -456,7 +456,7 @@
     }
 }
 
-/// Each case with each number of forwarders, with few tickets for each and with far more than all members bear.
+/// Each case with each number of forwarders, with few requests for each and with far more than all members bear.
 fn each(mut what: impl FnMut(&Case, &str)) {
     for senders in [1, 20, 30] {
         for asked in [30.0, 300.0, 2_000.0] {
@@ -544,7 +544,7 @@
 #[test]
 fn turns_add_up_whoever_joins_forgets_or_reloads() {
     let rule = |senders| {
-        Rule::new(
+        WarmUpRule::new(
             RATE,
             Duration::from_secs(1),
             senders,
@@ -574,7 +574,8 @@
         ("takes a version each 90 ms", 0, |ramp, t| {
             if t % 90 == 0 {
                 let before = ramp.clone();
-                let rule = Rule::new(RATE, Duration::from_secs(1), 30, Duration::from_secs(10));
+                let rule =
+                    WarmUpRule::new(RATE, Duration::from_secs(1), 30, Duration::from_secs(10));
                 *ramp = WarmUpLimiter::new(rule, 0.99, ms(t));
                 ramp.carry(&before, ms(t));
             }
@@ -609,7 +610,7 @@
 
 #[test]
 fn a_turn_comes_when_it_was_told() {
-    let rule = Rule::new(RATE, Duration::from_secs(1), 20, Duration::from_secs(10));
+    let rule = WarmUpRule::new(RATE, Duration::from_secs(1), 20, Duration::from_secs(10));
     for known in [None, Some(0), Some(5_000)] {
         let mut ramp = WarmUpLimiter::new(rule, 0.3, ms(10_000));
         if let Some(age) = known {
--- a/crates/routing/tests/ways.rs
+++ b/crates/routing/tests/ways.rs
@@ -109,12 +109,12 @@
     split.fall_back = vec!["r".into()];
     all.routes = vec![split];
     let table = Table::new(&all).unwrap();
-    let ticket = Request {
+    let request = Request {
         entity: "NO-1",
         ..Request::default()
     };
     let mut chance = WyRand::new_seed(1);
-    let first = table.place(&ticket, &mut chance, |_| true).unwrap();
+    let first = table.place(&request, &mut chance, |_| true).unwrap();
     assert_eq!(first.by, PlacementReason::Share);
     let cases: [(&[u16], Result<PlacementReason, RoutingError>); 5] = [
         (&[first.pool], Ok(PlacementReason::OtherShare)),
@@ -124,7 +124,7 @@
         (&[2, 3], Ok(PlacementReason::Share)),
     ];
     for (out, wanted) in cases {
-        let found = table.place(&ticket, &mut chance, |pool| !out.contains(&pool));
+        let found = table.place(&request, &mut chance, |pool| !out.contains(&pool));
         assert_eq!(found.map(|place| place.by), wanted, "{out:?}");
         assert!(found.map_or(true, |place| !out.contains(&place.pool)));
     }
@@ -209,14 +209,17 @@
     }
     // One a pool, then the fall-back; two of the type in all.
     let other = Request {
-        traffic: 1,
+        request_class: 1,
         ..Request::default()
     };
     let one = goes(router.on_arrival(now, &other, |_| true));
     let two = goes(router.on_arrival(now, &other, |_| true));
-    assert_eq!((one.place.pool, one.place.by), (1, PlacementReason::Share));
     assert_eq!(
-        (two.place.pool, two.place.by),
+        (one.placement.pool, one.placement.by),
+        (1, PlacementReason::Share)
+    );
+    assert_eq!(
+        (two.placement.pool, two.placement.by),
         (2, PlacementReason::Fallback(0))
     );
     assert_eq!(
@@ -225,7 +228,7 @@
     );
     router.on_completed(one);
     let again = goes(router.on_arrival(now, &other, |_| true));
-    assert_eq!(again.place.pool, 1);
+    assert_eq!(again.placement.pool, 1);
     assert_eq!(
         turned(router.on_arrival(now, &other, |pool| pool == 1)).0,
         RejectReason::Limit(LimitScope::Pool)
@@ -238,7 +241,12 @@
     router.on_completed(again);
     let counts = router.counts();
     assert_eq!(
-        (counts.went, counts.ended, counts.limited, counts.no_pool),
+        (
+            counts.admitted,
+            counts.completed,
+            counts.limited,
+            counts.no_pool
+        ),
         (6, 6, 5, 1)
     );
 }
@@ -258,7 +266,7 @@
         ms(0),
         &Request {
             tenant: Some(0),
-            traffic: 1,
+            request_class: 1,
             ..Request::default()
         },
         |_| true,
@@ -344,13 +352,13 @@
     let mut present = 1;
     for change in 1..=100u64 {
         for _ in 0..200 {
-            let ticket = Request {
-                traffic: chance.generate_range(0u16..2),
+            let request = Request {
+                request_class: chance.generate_range(0u16..2),
                 tenant: [None, Some(0), Some(2)][chance.generate_range(0..3usize)],
                 ..Request::default()
             };
             open.push((
-                goes(router.on_arrival(ms(change), &ticket, |_| true)),
+                goes(router.on_arrival(ms(change), &request, |_| true)),
                 present,
             ));
         }
@@ -375,7 +383,7 @@
         assert_eq!(present, change + 1);
         let told: u64 = router.versions().map(|(_, open)| open).sum();
         assert_eq!(told, open.len() as u64);
-        // No version without a ticket but the present one.
+        // No version without a request but the present one.
         assert!(router
             .versions()
             .all(|(number, open)| open > 0 || number == present));
@@ -386,7 +394,10 @@
     }
     assert_eq!(router.versions().collect::<Vec<_>>(), [(101, 0)]);
     let counts = router.counts();
-    assert_eq!((counts.versions_taken, counts.versions_dropped), (101, 100));
+    assert_eq!(
+        (counts.versions_installed, counts.versions_dropped),
+        (101, 100)
+    );
     // Those that were ever used: a limit by tenant for two tenants and the unknown, and one for all. With nobody
     // inside they are given back.
     assert!(
@@ -427,7 +438,7 @@
         .to_string()
         .contains("no pool `gone`"));
     assert!(router.install(&turning(1), ms(0)).is_ok());
-    assert_eq!(router.counts().versions_refused, 3);
+    assert_eq!(router.counts().versions_rejected, 3);
     ways.into_iter().for_each(|way| router.on_completed(way));
 }
 
@@ -442,11 +453,11 @@
         all
     };
     let mut router = Router::new(&with(2, 10), 1).unwrap();
-    let ticket = Request {
+    let request = Request {
         tenant: Some(1),
         ..Request::default()
     };
-    let ways = [0, 1].map(|_| goes(router.on_arrival(ms(0), &ticket, |_| true)));
+    let ways = [0, 1].map(|_| goes(router.on_arrival(ms(0), &request, |_| true)));
     // Tenants in another order, one more of them, and another rate: the two are still inside, and owed.
     let mut next = with(3, 20);
     next.tenants.reverse();
@@ -456,17 +467,17 @@
     });
     router.install(&next, ms(0)).unwrap();
     let tenant = router.table().tenant("b");
-    let ticket = Request {
+    let request = Request {
         tenant,
         ..Request::default()
     };
     assert_eq!(
-        turned(router.on_arrival(ms(0), &ticket, |_| true)),
+        turned(router.on_arrival(ms(0), &request, |_| true)),
         (RejectReason::Limit(LimitScope::Route), ms(50))
     );
-    let third = goes(router.on_arrival(ms(50), &ticket, |_| true));
+    let third = goes(router.on_arrival(ms(50), &request, |_| true));
     assert_eq!(
-        turned(router.on_arrival(ms(9_000), &ticket, |_| true)),
+        turned(router.on_arrival(ms(9_000), &request, |_| true)),
         (RejectReason::Limit(LimitScope::Route), ms(100))
     );
     let free = Request {
@@ -522,18 +533,18 @@
             .collect();
         let table = Table::new(&all).unwrap();
         for point in Points::of(&[&all]).each() {
-            let ticket = Request {
-                traffic: table.traffic(point.traffic).unwrap(),
+            let request = Request {
+                request_class: table.request_class(point.traffic).unwrap(),
                 tenant: table.tenant(point.tenant),
                 entity: point.entity,
                 again: point.again,
                 size: point.size,
                 ..Request::default()
             };
-            prop_assert_eq!(table.route(&ticket).map(usize::from), first_match(&all.routes, &point));
+            prop_assert_eq!(table.route(&request).map(usize::from), first_match(&all.routes, &point));
             for (k, route) in all.routes.iter().enumerate() {
                 let plain = miss(route.r#match.as_ref(), &point);
-                prop_assert_eq!(table.miss(k as u16, &ticket).is_some(), plain.is_some());
+                prop_assert_eq!(table.mismatch(k as u16, &request).is_some(), plain.is_some());
             }
         }
     }
--- a/crates/testbed/src/scale/decisions.rs
+++ b/crates/testbed/src/scale/decisions.rs
@@ -46,7 +46,7 @@
         .collect();
     let traffic = fleet
         .table()
-        .traffic("check")
+        .request_class("check")
         .ok_or_else(|| io::Error::other("no type"))?;
     let (mut least, mut now) = (Duration::MAX, Duration::ZERO);
     for _ in 0..TURNS {
@@ -55,7 +55,7 @@
             now += Duration::from_micros(20);
             let (tenant, entity) = &tickets[k % tickets.len()];
             let ticket = Request {
-                traffic,
+                request_class: traffic,
                 tenant: *tenant,
                 entity,
                 size: 900,
