--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -8,7 +8,7 @@
 use rainstand_config::source::{Disk, FileId, Files, Sources, Trouble};
 use rainstand_config::{form::form, load};
 use rainstand_routing::explain::{explain, Explanation};
-use rainstand_routing::table::{By, NoWay, Table, Ticket};
+use rainstand_routing::table::{PlacementReason, Request, RoutingError, Table};
 use serde_json::json;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -403,7 +403,7 @@
             format!("there is no {what} `{name}`; there are: {known}"),
         )
     };
-    let Some(traffic) = table.traffic(&asked.traffic) else {
+    let Some(traffic) = table.request_class(&asked.traffic) else {
         return Ok(unknown(
             "type",
             &asked.traffic,
@@ -444,20 +444,20 @@
         }
     }
     let (entity, again, size) = (&*asked.entity, asked.again, asked.size);
-    let ticket = Ticket {
-        traffic,
+    let ticket = Request {
+        request_class: traffic,
         tenant,
         entity,
         again,
         size,
-        ..Ticket::default()
+        ..Request::default()
     };
     let has = |list: &[String], name: &str| list.iter().any(|one| one == name);
     let pool_out = |name: &str| has(&asked.pools_out, name);
     let told = explain(&table, &ticket, asked.seed, pool_out, |name| {
         has(&asked.members_out, name)
     });
-    let times = told.goes.as_ref().ok().and_then(|_| {
+    let times = told.placement.as_ref().ok().and_then(|_| {
         let route = told.steps.len() as u16 - 1;
         let pick = table.times(route, traffic);
         (made.routes[usize::from(route)].budget != *"").then_some(pick)
@@ -467,7 +467,7 @@
     } else {
         way_in_words(&told)?;
         if let Some(times) = times {
-            use rainstand_routing::budget::Stage;
+            use rainstand_routing::time_budget::Stage;
             let stages = [
                 Stage::Forward,
                 Stage::Queue,
@@ -482,30 +482,32 @@
             out::line(&format!("  stages over: {}", ends.join(", ")))?;
         }
     }
-    Ok(if told.goes.is_ok() {
+    Ok(if told.placement.is_ok() {
         Code::Good
     } else {
         Code::Found
     })
 }
 
-fn by_words(by: By) -> String {
+fn by_words(by: PlacementReason) -> String {
     match by {
-        By::Share => "its share".into(),
-        By::OtherShare => "the pool of its share is out; another of the split takes it".into(),
-        By::FallBack(k) => format!("fall-back {} of the route", k + 1),
-        By::PoolFallBack => "what a pool of the route falls back on".into(),
+        PlacementReason::Share => "its share".into(),
+        PlacementReason::OtherShare => {
+            "the pool of its share is out; another of the split takes it".into()
+        }
+        PlacementReason::Fallback(k) => format!("fall-back {} of the route", k + 1),
+        PlacementReason::PoolFallback => "what a pool of the route falls back on".into(),
     }
 }
 
 fn way_in_words(told: &Explanation) -> io::Result<()> {
     for step in &told.steps {
         out::line(&match step.miss {
-            Some(miss) => format!("- {}: `{}` wants {}", step.route, miss.key(), step.wants),
+            Some(miss) => format!("- {}: `{}` wants {}", step.route, miss.key(), step.wanted),
             None => format!("* {}: takes it", step.route),
         })?;
     }
-    match &told.goes {
+    match &told.placement {
         Ok((pool, by)) => {
             out::line(&format!("  goes to the pool {pool} ({})", by_words(*by)))?;
             if let Some(member) = &told.member {
@@ -516,8 +518,10 @@
             }
             Ok(())
         }
-        Err(NoWay::NoRoute) => out::line("  no route takes it: dismissed"),
-        Err(NoWay::NoPool(_)) => out::line("  none of the route's pools can be used: dismissed"),
+        Err(RoutingError::NoRoute) => out::line("  no route takes it: dismissed"),
+        Err(RoutingError::NoPool(_)) => {
+            out::line("  none of the route's pools can be used: dismissed")
+        }
     }
 }
 
@@ -525,7 +529,7 @@
     for step in &told.steps {
         let missed = step.miss.map(|miss| miss.key());
         out::json(
-            &json!({"route": step.route, "takes": missed.is_none(), "missed": missed, "wants": step.wants}),
+            &json!({"route": step.route, "takes": missed.is_none(), "missed": missed, "wants": step.wanted}),
         )?;
     }
     let limits: Vec<_> = told
@@ -533,12 +537,12 @@
         .iter()
         .map(|(at, name)| json!({"at": at, "limits": name}))
         .collect();
-    out::json(&match &told.goes {
+    out::json(&match &told.placement {
         Ok((pool, by)) => {
             json!({"goes": true, "pool": pool, "by": by_words(*by), "member": told.member, "limits": limits})
         }
-        Err(NoWay::NoRoute) => json!({"goes": false, "why": "no route"}),
-        Err(NoWay::NoPool(_)) => json!({"goes": false, "why": "no pool can be used"}),
+        Err(RoutingError::NoRoute) => json!({"goes": false, "why": "no route"}),
+        Err(RoutingError::NoPool(_)) => json!({"goes": false, "why": "no pool can be used"}),
     })
 }
 
--- a/crates/forwarder/src/admin.rs
+++ b/crates/forwarder/src/admin.rs
@@ -2,9 +2,9 @@
 //! decisions. Read only. Bounded: few connections, short requests, one answer each.
 
 use crate::{room, Hub};
-use rainstand_routing::decisions::{Decision, What};
-use rainstand_routing::fleet::Seen;
-use rainstand_routing::health::Standing;
+use rainstand_routing::decision_log::{Decision, DecisionOutcome};
+use rainstand_routing::fleet::MemberSnapshot;
+use rainstand_routing::health::MemberStatus;
 use serde::Serialize;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -137,21 +137,21 @@
     let (fleet, now, mut out) = (hub.fleet.borrow(), hub.now(), String::new());
     for (at, pool) in fleet.table().configuration().pools.iter().enumerate() {
         for (member, seen) in pool.members.iter().zip(fleet.members(at as u16, now)) {
-            let Seen {
+            let MemberSnapshot {
                 address,
                 open,
                 limit,
-                standing,
+                status,
                 near,
                 leaving,
             } = seen;
-            let (why, back_in_ms) = match standing {
-                Standing::Out(reason, until) => {
-                    (Some(reason.word()), Some(ms(until.saturating_sub(now))))
+            let (why, back_in_ms) = match status {
+                MemberStatus::Ejected(reason, until) => {
+                    (Some(reason.as_str()), Some(ms(until.saturating_sub(now))))
                 }
                 _ => (None, None),
             };
-            let (pool, member, standing) = (&pool.name, &member.name, standing.word());
+            let (pool, member, standing) = (&pool.name, &member.name, status.as_str());
             let line = MemberLine {
                 pool,
                 member,
@@ -177,19 +177,19 @@
     for decision in fleet.decisions().all().rev().take(last) {
         let Decision {
             at,
-            traffic,
+            request_class,
             tenant,
             route,
             pool,
             what,
-            more,
+            more_skipped,
             ..
         } = decision;
         let pool = pool.map(|at| &c.pools[usize::from(at)]);
         let name = |member: u16| pool.map_or("", |pool| &pool.members[usize::from(member)].name);
         let mut line = DecisionLine {
             ago_ms: ms(now.saturating_sub(*at)),
-            traffic: &c.types[usize::from(*traffic)].name,
+            traffic: &c.types[usize::from(*request_class)].name,
             tenant: tenant.map(|at| &*c.tenants[usize::from(at)].name),
             route: route.map(|at| &*c.routes[usize::from(at)].name),
             pool: pool.map(|pool| &*pool.name),
@@ -201,24 +201,24 @@
             turned: None,
             told_ms: None,
             passed_over: decision
-                .passed()
-                .map(|(member, why)| (name(member), why.word()))
+                .skipped_members()
+                .map(|(member, why)| (name(member), why.as_str()))
                 .collect(),
-            more_passed_over: *more,
+            more_passed_over: *more_skipped,
         };
         match *what {
-            What::Went {
+            DecisionOutcome::Dispatched {
                 member,
                 how,
                 of,
                 in_hand,
                 tried,
             } => {
-                (line.member, line.how) = (Some(name(member)), Some(how.word()));
+                (line.member, line.how) = (Some(name(member)), Some(how.as_str()));
                 (line.tried, line.of, line.in_hand) = (Some(tried), Some(of), Some(in_hand));
             }
-            What::Turned { why, after } => {
-                (line.turned, line.told_ms) = (Some(why.word()), Some(ms(after)));
+            DecisionOutcome::Rejected { why, after } => {
+                (line.turned, line.told_ms) = (Some(why.as_str()), Some(ms(after)));
             }
         }
         put(&mut out, &line);
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -65,7 +65,7 @@
     ) -> Self {
         Self {
             started: Instant::now(),
-            context: context,
+            context,
             requests: Vec::new(),
             free: Vec::new(),
             serial: 0,
--- a/crates/testbed/src/scale/control.rs
+++ b/crates/testbed/src/scale/control.rs
@@ -109,7 +109,7 @@
     Look(usize),
     Taken(usize, u64),
     Kill,
-    Back,
+    Restart,
     Heal,
 }
 
@@ -509,7 +509,7 @@
                     }
                 }
             }
-            Event::Back => {
+            Event::Restart => {
                 // From the snapshot on its disk, and the log behind it, which is its history again.
                 for k in 0..MACHINES {
                     let mut source =
@@ -584,7 +584,7 @@
         Trouble::OneKilled => world.after(lasts / 2, Event::Kill),
         Trouble::AllKilled(away) => {
             world.after(lasts / 2, Event::Kill);
-            world.after(lasts / 2 + away, Event::Back);
+            world.after(lasts / 2 + away, Event::Restart);
         }
         Trouble::Parted => {
             world.parted = true;
