--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -81,7 +81,7 @@
         ("request", ..) | ("outcome", "fine", None) if !again => return Err("agent_nonsense"),
         ("request", ..) => {
             context.drive_policy(|node, now, table| {
-                table.give_up(index);
+                table.fail(index);
                 node.on_caller_gone(now, table, index);
             });
         }
@@ -179,7 +179,7 @@
         } else if end != Outcome::Cancelled {
             table.finish(index, end, result);
         }
-        node.ended(now, table, index, end);
+        node.on_run_finished(now, table, index, end);
     });
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -99,7 +99,7 @@
     let first = || conn.open_requests.borrow_mut().pop_first();
     while let Some((_, index)) = first() {
         context.drive_policy(|node, now, table| {
-            table.give_up(index);
+            table.fail(index);
             node.on_caller_gone(now, table, index);
         });
     }
@@ -254,16 +254,16 @@
     conn.open_requests.borrow_mut().insert(seq, index);
     drop(core);
     let arrival = Arrival {
-        traffic,
+        class: traffic,
         tenant,
         waited,
-        patience,
-        repeat,
-        hint: None,
+        caller_timeout: patience,
+        retry_of: repeat,
+        size_hint: None,
         held_kb,
-        again,
+        is_retry: again,
     };
-    context.drive_policy(|node, now, table| node.on_arrival(now, table, index, arrival));
+    context.drive_policy(|node, now, table| node.on_arrival(now, table, index, &arrival));
     Ok(())
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -186,7 +186,7 @@
         let all = AssertUnwindSafe(|| {
             call(node, now, table);
             while let Some((index, end)) = table.run_ends.pop_front() {
-                node.ended(now, table, index, end);
+                node.on_run_finished(now, table, index, end);
             }
         });
         if catch_unwind(all).is_err() {
@@ -241,7 +241,7 @@
         for index in overdue {
             count(&self.counts.unsettled);
             self.drive_policy(|node, now, table| {
-                table.give_up(index);
+                table.fail(index);
                 node.on_caller_gone(now, table, index);
             });
         }
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -69,7 +69,7 @@
     }
 
     /// There is room for it: that was looked at before the module heard of the ticket.
-    fn keep(&mut self, index: usize, span: Duration) {
+    fn cache_result(&mut self, index: usize, span: Duration) {
         let now = Instant::now();
         if let Some(request) = self.requests.get_mut(index).and_then(Option::as_mut) {
             request.caches_result = request.key.as_ref().is_some_and(|key| {
@@ -79,7 +79,7 @@
         }
     }
 
-    fn forget(&mut self, index: usize) {
+    fn discard_result(&mut self, index: usize) {
         self.close_key(index, Outcome::NeverStarted, &[]);
     }
 
@@ -92,7 +92,7 @@
         }
     }
 
-    fn give_up(&mut self, index: usize) {
+    fn fail(&mut self, index: usize) {
         let Some(request) = self.request_mut(index) else {
             return;
         };
@@ -106,7 +106,7 @@
         }
     }
 
-    fn call(&mut self, index: usize, until: Duration) {
+    fn call_downstream(&mut self, index: usize, until: Duration) {
         let left = until.saturating_sub(self.now());
         dispatch::call(self, index, left);
     }
