--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,304 +1,278 @@
-//! The link to the render farm agent: one JSON object a line, notices numbered, replayed after a break.
+//! The task that keeps the link to the render farm agent: one JSON object a line, notices numbered and replayed after
+//! a reconnect.
 
-use crate::counters::{count, Counts};
+use crate::agent_link::AgentLink;
+use crate::context::NodeContext;
+use crate::counters::count;
 use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
-use crate::{completion, descriptors, dispatch, log_event, NodeContext};
-use rainstand::Gauges;
-use rainstand_traffic_recorder::Tape;
+use crate::ticker::start_policy;
+use crate::traffic_recording::SERVER_SIDE;
+use crate::{completion, descriptors, dispatch, log_event};
 use serde_json::Value;
-use std::cell::{Cell, RefCell};
-use std::fmt;
-use std::io::Write;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout};
 
-/// The longest line taken, in bytes: a result of 4 KiB in base64, ten times over.
+/// The longest line accepted, in bytes: a result of 4 KiB in base64, ten times over.
 const MAX_LINE_BYTES: usize = 64 * 1024;
-/// Commands not yet taken by the agent, in bytes: past some hundred launches the link is of no use.
-const MAX_OUTGOING_BYTES: usize = 1024 * 1024;
-/// Pause before the next try to connect, at first and at most.
-const AGAIN: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(500)];
-/// No gauges for so long on a link that was greeted, or no greeting by an agent known to be up: it is dead,
-/// however open it looks.
-const SILENT: Duration = Duration::from_secs(3);
-/// No greeting yet by an agent that was never up: it may take as long to start, but a link that was lost without a word
-/// looks the same. A new link takes the place of the one before, so asking again costs nothing.
-const FIRST: Duration = Duration::from_secs(10);
 
-/// Reason codes where there was nothing to connect to, and where a new configuration names another address.
-const UNREACHABLE: &str = "agent_unreachable";
-const MOVED: &str = "agent_moved";
+/// Commands that the agent has not read yet, in bytes: past some hundred launches the link is of no use.
+const MAX_OUTGOING_BYTES: usize = 1024 * 1024;
 
-/// What the rest of the node sees of the link.
-#[derive(Default)]
-pub struct AgentLink {
-    out: RefCell<Ring>,
-    /// Where this link is recorded, if it is.
-    tape: RefCell<Option<Tape>>,
-    stir: Notify,
-    /// The replay was read: commands go out as they come. Before, they are only noted in the books.
-    ready: Cell<bool>,
-    /// The number of the last notice that was read, and that behind which a line could not be read.
-    last: Cell<u64>,
-    odd: Cell<Option<u64>>,
-    /// Samples asked for, and when the one that is out was; the first of a link marks the replay's end.
-    asked: Cell<u64>,
-    waiting: Cell<Option<Instant>>,
-    /// How long for.
-    patience: Cell<Duration>,
-    /// Tells who waits just then that gauges came in.
-    pub sampled: Notify,
-    /// The agent has another address: the link is opened anew there.
-    pub moved: Notify,
-}
+/// Pause before the first reconnect; doubles with each that fails.
+const MIN_RETRY_BACKOFF: Duration = Duration::from_millis(20);
 
-impl AgentLink {
-    pub fn command(&self, line: fmt::Arguments) {
-        if self.ready.get() {
-            self.write(line);
-        }
-    }
+/// The longest pause between two reconnects; a link that held for longer starts again with the shortest.
+const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(500);
 
-    fn write(&self, line: fmt::Arguments) {
-        let mut text = Vec::with_capacity(128);
-        if text.write_fmt(line).is_ok() {
-            self.out.borrow_mut().put(&text);
-            if let Some(tape) = &*self.tape.borrow() {
-                tape.said(0, &text);
-            }
-            self.stir.notify_one();
-        }
-    }
+/// For a connection to open, for a sample on a link that was greeted, and for the greeting of an agent that was up
+/// before: past it the link is dead, however open it looks.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
-    /// Asks for the gauges, unless the last question is still out.
-    pub fn sample(&self) {
-        if self.ready.get() && self.waiting.get().is_none() {
-            self.ask();
-        }
-    }
+/// For the greeting of an agent that was never up: it may take as long to start. A link that broke without a notice
+/// looks the same, but a new link takes its place, so a reconnect costs nothing.
+const FIRST_GREETING_TIMEOUT: Duration = Duration::from_secs(10);
 
-    fn ask(&self) {
-        self.asked.set(self.asked.get() + 1);
-        self.waiting.set(Some(Instant::now()));
-        self.write(format_args!(
-            "{{\"cmd\":\"sample\",\"token\":\"{}\"}}\n",
-            self.asked.get()
-        ));
-    }
+/// Reason codes of a link's end, as they stand in log lines.
+mod end_reason {
+    /// There was nothing to connect to.
+    pub(super) const UNREACHABLE: &str = "agent_unreachable";
+    /// A new configuration names another address.
+    pub(super) const MOVED: &str = "agent_moved";
+    /// Reading or writing failed.
+    pub(super) const RESET: &str = "agent_reset";
+    /// The agent ended it.
+    pub(super) const CLOSED: &str = "agent_closed";
+    /// The agent does not read its commands.
+    pub(super) const UNREAD: &str = "agent_unread";
+    /// What was awaited did not come in time.
+    pub(super) const SILENT: &str = "agent_silent";
+    /// A line could not be read.
+    pub(super) const UNREADABLE: &str = "agent_nonsense";
 }
 
-/// Connects, and again whenever the link ends; each end leaves a line with its reason.
+/// Connects to the agent, and reconnects whenever the link ends; each end leaves a log line with its reason.
 pub async fn run_link(context: Rc<NodeContext>) {
-    let (mut pause, mut before) = (AGAIN[0], "");
+    let link = context.link.clone();
+    let mut backoff = MIN_RETRY_BACKOFF;
+    let mut previous_code = "";
     loop {
-        let link = context.link.clone();
         let opened = Instant::now();
-        let agent = context.peer_addresses.get().agent;
-        let opening = descriptors::with_retry(&context, "agent", || TcpStream::connect(agent));
-        let opening = timeout(SILENT, opening);
-        let opening = tokio::select! {
-            opening = opening => Some(opening),
-            () = link.moved.notified() => None,
-        };
-        let why = match opening {
-            None => MOVED,
-            Some(Ok(Ok(stream))) => {
-                count(&context.counts.agent_links);
-                let _ = stream.set_nodelay(true);
-                link.out.borrow_mut().clear();
-                let tape = context.record.get().and_then(|record| record.link(&stream));
-                *link.tape.borrow_mut() = tape;
-                link.write(format_args!(
-                    "{{\"cmd\":\"subscribe\",\"offset\":{}}}\n",
-                    link.last.get()
-                ));
-                // Only the first greeting may take as long as the agent takes to start.
-                let begun = context.core.borrow().controller.is_some();
-                link.patience.set(if begun { SILENT } else { FIRST });
-                link.waiting.set(Some(Instant::now()));
-                serve(&context, &link, &stream).await
-            }
-            Some(Ok(Err(_)) | Err(_)) => UNREACHABLE,
-        };
-        link.ready.set(false);
-        link.tape.take();
-        link.waiting.set(None);
-        // One line tells that nobody listens, not one for each try.
-        if why != UNREACHABLE || before != UNREACHABLE {
-            let after = opened.elapsed().as_millis();
+        let code = connect_and_serve(&context, &link).await;
+        link.on_disconnected();
+        // One line says that nobody listens, not one for each try.
+        if code != end_reason::UNREACHABLE || previous_code != end_reason::UNREACHABLE {
             log_event!(
                 "link_end",
                 "end",
                 link = "agent",
-                code = why,
-                after_ms = after
+                code = code,
+                after_ms = opened.elapsed().as_millis()
             );
         }
-        before = why;
-        // Guards against a link that breaks as often as it is opened: only one that held starts afresh.
-        pause = if opened.elapsed() > AGAIN[1] {
-            AGAIN[0]
-        } else {
-            pause
-        };
-        if why != MOVED {
-            let moved = timeout(pause, link.moved.notified()).await.is_ok();
-            pause = if moved {
-                AGAIN[0]
+        previous_code = code;
+        if opened.elapsed() > MAX_RETRY_BACKOFF {
+            backoff = MIN_RETRY_BACKOFF;
+        }
+        if code != end_reason::MOVED {
+            let has_moved = timeout(backoff, link.moved.notified()).await.is_ok();
+            backoff = if has_moved {
+                MIN_RETRY_BACKOFF
             } else {
-                (pause * 2).min(AGAIN[1])
+                (backoff * 2).min(MAX_RETRY_BACKOFF)
             };
         }
     }
 }
 
+/// One link, from its connect to its end; the reason code of the end.
+async fn connect_and_serve(context: &Rc<NodeContext>, link: &AgentLink) -> &'static str {
+    let address = context.peer_addresses.get().agent;
+    let connect = descriptors::with_retry(context, "agent", || TcpStream::connect(address));
+    let connected = tokio::select! {
+        connected = timeout(REPLY_TIMEOUT, connect) => connected,
+        () = link.moved.notified() => return end_reason::MOVED,
+    };
+    let Ok(Ok(stream)) = connected else {
+        return end_reason::UNREACHABLE;
+    };
+    count(&context.counts.agent_links);
+    let _ = stream.set_nodelay(true);
+    let recording = context.record.get().and_then(|record| record.link(&stream));
+    let was_up_before = context.core.borrow().controller.is_some();
+    let greeting_timeout = if was_up_before {
+        REPLY_TIMEOUT
+    } else {
+        FIRST_GREETING_TIMEOUT
+    };
+    link.on_connected(recording, greeting_timeout);
+    serve(context, link, &stream).await
+}
+
+/// Moves commands and notices over an open connection to its end; the reason code of the end.
 async fn serve(context: &Rc<NodeContext>, link: &AgentLink, stream: &TcpStream) -> &'static str {
-    let mut back = Ring::default();
+    let mut incoming = Ring::default();
     loop {
-        match link.out.borrow_mut().flush(stream) {
-            Err(_) => return "agent_reset",
-            Ok(false) if link.out.borrow().len() > MAX_OUTGOING_BYTES => return "agent_unread",
+        match link.outgoing.borrow_mut().flush(stream) {
+            Err(_) => return end_reason::RESET,
+            Ok(false) if link.outgoing.borrow().len() > MAX_OUTGOING_BYTES => {
+                return end_reason::UNREAD;
+            }
             Ok(_) => {}
         }
-        let blocked = !link.out.borrow().is_empty();
-        let dead = link.waiting.get().map(|asked| asked + link.patience.get());
-        // What was read counts before the clock: a process that stood still finds both.
+        let is_blocked = !link.outgoing.borrow().is_empty();
+        let deadline = link.reply_deadline();
+        // Bytes come before the deadline: a process that was suspended finds both.
         tokio::select! {
             biased;
             ready = stream.readable() => {
-                match ready.and_then(|()| back.fill(stream)) {
-                    Ok(ReadOutcome::End) => return "agent_closed",
+                match ready.and_then(|()| incoming.fill(stream)) {
+                    Ok(ReadOutcome::End) => return end_reason::CLOSED,
                     Ok(_) => {}
-                    Err(_) => return "agent_reset",
+                    Err(_) => return end_reason::RESET,
                 }
-                if let Err(code) = lines(context, link, &mut back) {
+                if let Err(code) = handle_lines(context, link, &mut incoming) {
                     return code;
                 }
             }
-            _ = stream.writable(), if blocked => {}
-            () = link.stir.notified() => {}
-            () = link.moved.notified() => return MOVED,
-            () = sleep_until(dead.unwrap_or_else(Instant::now).into()), if dead.is_some() => return "agent_silent",
+            _ = stream.writable(), if is_blocked => {}
+            () = link.wakeup.notified() => {}
+            () = link.moved.notified() => return end_reason::MOVED,
+            () = sleep_until(deadline.unwrap_or_else(Instant::now).into()), if deadline.is_some() => {
+                return end_reason::SILENT;
+            }
         }
     }
 }
 
-/// Takes all whole lines.
-fn lines(context: &Rc<NodeContext>, link: &AgentLink, back: &mut Ring) -> Result<(), &'static str> {
+/// Handles all complete lines.
+fn handle_lines(
+    context: &Rc<NodeContext>,
+    link: &AgentLink,
+    incoming: &mut Ring,
+) -> Result<(), &'static str> {
     let mut used = 0;
-    let bytes = back.bytes();
-    while let Some(len) = bytes[used..].iter().position(|&b| b == b'\n') {
+    let bytes = incoming.bytes();
+    while let Some(len) = bytes[used..].iter().position(|&byte| byte == b'\n') {
         let line = &bytes[used..used + len];
-        if let Some(tape) = &*link.tape.borrow() {
-            tape.said(1, &bytes[used..=used + len]);
+        if let Some(tape) = &*link.recording.borrow() {
+            tape.said(SERVER_SIDE, &bytes[used..=used + len]);
         }
         used += len + 1;
-        if !line.trim_ascii().is_empty() {
-            let value = serde_json::from_slice(line).map_err(|_| "agent_nonsense");
-            if let Err(code) = value.and_then(|value| take(context, link, &value)) {
-                // Guards against a link that one odd notice breaks for ever: asked for once more, it is
-                // passed over when it comes as odd again.
-                let at = Some(link.last.get());
-                if link.odd.replace(at) != at {
-                    return Err(code);
-                }
-                count(&context.counts.agent_odd);
-                log_event!(
-                    "agent_line_passed_over",
-                    "agent line passed over behind notice",
-                    what = link.last.get()
-                );
-            }
+        if line.trim_ascii().is_empty() {
+            continue;
+        }
+        let message = serde_json::from_slice(line).map_err(|_| end_reason::UNREADABLE);
+        if let Err(code) = message.and_then(|message| handle_message(context, link, &message)) {
+            skip_if_repeated(context, link, code)?;
         }
     }
     let rest = bytes.len() - used;
-    back.drop_front(used);
+    incoming.drop_front(used);
     if rest > MAX_LINE_BYTES {
-        return Err("agent_nonsense");
+        return Err(end_reason::UNREADABLE);
+    }
+    Ok(())
+}
+
+/// A line could not be handled. The first time the link ends, so that the notice is replayed; one that comes as
+/// unreadable again is skipped, as it would break each link there is.
+fn skip_if_repeated(
+    context: &NodeContext,
+    link: &AgentLink,
+    code: &'static str,
+) -> Result<(), &'static str> {
+    let position = Some(link.last_offset.get());
+    if link.unreadable_after.replace(position) != position {
+        return Err(code);
     }
+    count(&context.counts.agent_odd);
+    log_event!(
+        "agent_line_passed_over",
+        "agent line passed over behind notice",
+        what = link.last_offset.get()
+    );
     Ok(())
 }
 
-fn take(context: &Rc<NodeContext>, link: &AgentLink, message: &Value) -> Result<(), &'static str> {
-    let cmd = message
+/// Handles one message; kinds that are not known are skipped.
+fn handle_message(
+    context: &Rc<NodeContext>,
+    link: &AgentLink,
+    message: &Value,
+) -> Result<(), &'static str> {
+    let kind = message
         .get("cmd")
         .and_then(Value::as_str)
-        .ok_or("agent_nonsense")?;
-    match cmd {
-        "greeting" => {
-            let ms = message
-                .get("elapsed_ms")
-                .and_then(Value::as_f64)
-                .unwrap_or(0.0);
-            let ago = Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default();
-            context.start_policy(
-                ago,
-                message.get("result").and_then(Value::as_str) == Some("starting"),
-            )?;
-            link.patience.set(SILENT);
-            link.ask();
-        }
-        "sampled" => {
-            let token = message.get("token").and_then(Value::as_str);
-            if token == Some(link.asked.get().to_string().as_str()) {
-                link.waiting.set(None);
-                if !link.ready.replace(true) {
-                    dispatch::resend(&mut context.core.borrow_mut().table);
-                }
-            }
-            let load = message
-                .get("load")
-                .and_then(Value::as_array)
-                .ok_or("agent_nonsense")?;
-            let table = &mut context.core.borrow_mut().table;
-            (table.gauges, table.gauges_at) = (context.gauges(load), Some(Instant::now()));
-            link.sampled.notify_waiters();
-        }
-        "outcome" | "request" | "aside" => {
-            let offset = message
-                .get("offset")
-                .and_then(Value::as_u64)
-                .ok_or("agent_nonsense")?;
-            count(&context.counts.notices);
-            // What was read on an earlier link is not taken twice.
-            if offset > link.last.get() {
-                let again = link.odd.get() == Some(link.last.get());
-                completion::notice(context, cmd, offset, message, again)?;
-                link.last.set(offset);
-            }
-        }
+        .ok_or(end_reason::UNREADABLE)?;
+    match kind {
+        "greeting" => on_greeting(context, link, message),
+        "sampled" => on_sampled(context, link, message),
+        "outcome" | "request" | "aside" => on_notice(context, link, kind, message),
         "refusal" => {
             count(&context.counts.refusals);
-            completion::notice(context, cmd, 0, message, true)?;
+            completion::notice(context, kind, 0, message, true)
         }
-        _ => {}
+        _ => Ok(()),
     }
+}
+
+/// The agent is up; the policy starts with the first greeting.
+fn on_greeting(
+    context: &Rc<NodeContext>,
+    link: &AgentLink,
+    message: &Value,
+) -> Result<(), &'static str> {
+    let elapsed_ms = message.get("elapsed_ms").and_then(Value::as_f64);
+    let elapsed = Duration::try_from_secs_f64(elapsed_ms.unwrap_or(0.0) / 1e3);
+    let is_cold = message.get("result").and_then(Value::as_str) == Some("starting");
+    start_policy(context, elapsed.unwrap_or_default(), is_cold)?;
+    link.reply_timeout.set(REPLY_TIMEOUT);
+    link.request_sample();
     Ok(())
 }
 
-/// Values in the order of the settings' gauges, by name.
-pub fn gauges(names: &[String], load: &[Value]) -> Gauges {
-    let value = |name: &str| {
-        let at = names.iter().position(|known| known == name)?;
-        load.get(at).and_then(Value::as_f64)
-    };
-    Gauges {
-        cores_busy: value("core_use"),
-        on_cores: value("on_cores"),
-        memory: value("heap_share"),
-        links: value("links"),
+/// The gauges came; with the first sample of a link its replay has been read.
+fn on_sampled(
+    context: &Rc<NodeContext>,
+    link: &AgentLink,
+    message: &Value,
+) -> Result<(), &'static str> {
+    let token = message.get("token").and_then(Value::as_str);
+    if token == Some(link.samples_requested.get().to_string().as_str()) {
+        link.awaiting_since.set(None);
+        if !link.is_ready.replace(true) {
+            dispatch::resend(&mut context.core.borrow_mut().table);
+        }
     }
+    let load = message
+        .get("load")
+        .and_then(Value::as_array)
+        .ok_or(end_reason::UNREADABLE)?;
+    let table = &mut context.core.borrow_mut().table;
+    table.gauges = context.gauges(load);
+    table.gauges_at = Some(Instant::now());
+    link.sampled.notify_waiters();
+    Ok(())
 }
 
-/// Printed with the counters.
-pub fn state(link: &AgentLink, counts: &Counts) -> String {
-    format!(
-        "ready={} last={} links={}",
-        link.ready.get(),
-        link.last.get(),
-        counts.agent_links.get()
-    )
+/// A numbered notice; what was read on an earlier link is not handled twice.
+fn on_notice(
+    context: &NodeContext,
+    link: &AgentLink,
+    kind: &str,
+    message: &Value,
+) -> Result<(), &'static str> {
+    let offset = message
+        .get("offset")
+        .and_then(Value::as_u64)
+        .ok_or(end_reason::UNREADABLE)?;
+    count(&context.counts.notices);
+    if offset > link.last_offset.get() {
+        let is_replayed = link.unreadable_after.get() == Some(link.last_offset.get());
+        completion::notice(context, kind, offset, message, is_replayed)?;
+        link.last_offset.set(offset);
+    }
+    Ok(())
 }
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -1,9 +1,9 @@
-//! Outcomes: of runs to the one answer, of calls back to the run that waits.
+//! Outcomes: of runs, from the agent's notices to the one answer; of calls, back to the run that waits.
 
+use crate::context::NodeContext;
 use crate::counters::count;
-use crate::request::CallState;
-use crate::request_table::RequestTable;
-use crate::{dispatch, idempotency, log_event, log_frequent, NodeContext};
+use crate::request::{CallState, DownstreamCall};
+use crate::{dispatch, idempotency, log_event, log_frequent};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use rainstand::{Host, Outcome};
@@ -11,113 +11,76 @@
 use serde_json::Value;
 use std::time::Instant;
 
-impl RequestTable {
-    /// Gives a ticket, and those that wait for it, what its run or reuse brought.
-    pub fn finish(&mut self, index: usize, end: Outcome, result: &[u8]) {
-        let counts = self.counts.clone();
-        let Some(request) = self.request_mut(index) else {
-            return;
-        };
-        let (owed, waiters) = (request.reply.take(), std::mem::take(&mut request.waiters));
-        match (owed, end) {
-            (Some(owed), Outcome::Succeeded) => owed.serve(&counts, result),
-            (Some(owed), _) => {
-                log_frequent!(
-                    "ticket_given_up",
-                    "ticket given up",
-                    trace = request.trace.escape_ascii()
-                );
-                owed.fail(&counts);
-            }
-            _ => {}
-        }
-        for waiter in waiters {
-            self.finish_waiter(waiter, end, result);
-        }
-    }
-
-    /// The same for one that waits on another, unless it left: its index may be another's by now.
-    pub fn finish_waiter(&mut self, (index, serial): (usize, u64), end: Outcome, result: &[u8]) {
-        if self
-            .request_mut(index)
-            .is_some_and(|request| request.serial == serial)
-        {
-            self.finish(index, end, result);
-            self.run_ends.push_back((index, end));
-        }
-    }
-}
+/// Why a notice cannot be handled: the reason code of the link's end.
+const UNREADABLE: &str = "agent_nonsense";
 
-/// A notice that names a ticket. What it names and is no longer in the books is passed over; `again`: it
+/// Handles a notice that names a request. One that is no longer in the table is skipped; `is_replayed`: the notice
 /// could not be read before, and is not asked for once more.
+///
+/// # Errors
+/// The reason code for which the link is to end, where the notice cannot be read.
 pub fn notice(
     context: &NodeContext,
-    cmd: &str,
+    kind: &str,
     offset: u64,
     notice: &Value,
-    again: bool,
+    is_replayed: bool,
 ) -> Result<(), &'static str> {
     let text = |key: &str| notice.get(key).and_then(Value::as_str).unwrap_or_default();
-    let index = {
-        let core = context.core.borrow();
-        text("req")
-            .as_bytes()
-            .try_into()
-            .ok()
-            .and_then(|trace: [u8; 16]| core.table.by_trace.get(&trace).copied())
-    };
-    let Some(index) = index else {
-        report_prior_run(context, cmd, text("result"), text("req"), text("payload"));
+    let Some(index) = index_of(context, text("req")) else {
+        report_prior_run(context, kind, text("result"), text("req"), text("payload"));
         return Ok(());
     };
     let payload = notice
         .get("payload")
         .and_then(Value::as_str)
-        .and_then(|p| BASE64_STANDARD.decode(p).ok());
-    match (cmd, text("result"), payload) {
-        // Guards against a call with another body than the run gave: the notice is asked for again, and
-        // the run given up if it is no better then.
+        .and_then(|payload| BASE64_STANDARD.decode(payload).ok());
+    match (kind, text("result"), payload) {
         ("request", _, Some(body)) => on_call_requested(context, index, offset, body),
-        ("request", ..) | ("outcome", "fine", None) if !again => return Err("agent_nonsense"),
-        ("request", ..) => {
-            context.drive_policy(|node, now, table| {
-                table.give_up(index);
-                node.on_caller_gone(now, table, index);
-            });
-        }
-        ("outcome", "fine", Some(result)) => run_ended(context, index, Outcome::Succeeded, &result),
-        ("outcome", "broken_off", _) => run_ended(context, index, Outcome::Cancelled, &[]),
-        ("outcome", "late", _) => run_ended(context, index, Outcome::NeverStarted, &[]),
-        ("outcome", ..) => run_ended(context, index, Outcome::Failed, &[]),
-        ("refusal", "launch", _) => {
-            // Nothing ran: no run failed, and no tenant is charged.
-            log_frequent!(
-                "agent_refused",
-                "agent refused",
-                what = "launch",
-                req = text("req")
-            );
-            run_ended(context, index, Outcome::NeverStarted, &[]);
-        }
-        ("refusal", what, _) => {
-            log_frequent!(
-                "agent_refused",
-                "agent refused",
-                what = format_args!("{what:.20}"),
-                req = text("req")
-            );
+        // Not read as an empty body, which would make another call than the run asked for: the notice is replayed, and
+        // the run given up if it is no better then.
+        ("request", ..) | ("outcome", "fine", None) if !is_replayed => return Err(UNREADABLE),
+        ("request", ..) => context.drive_policy(|policy, now, table| {
+            table.give_up(index);
+            policy.on_caller_gone(now, table, index);
+        }),
+        ("outcome", "fine", Some(result)) => {
+            on_run_ended(context, index, Outcome::Succeeded, &result);
         }
+        ("outcome", "broken_off", _) => on_run_ended(context, index, Outcome::Cancelled, &[]),
+        ("outcome", "late", _) => on_run_ended(context, index, Outcome::NeverStarted, &[]),
+        ("outcome", ..) => on_run_ended(context, index, Outcome::Failed, &[]),
+        ("refusal", command, _) => on_refusal(context, index, command, text("req")),
         _ => {}
     }
     Ok(())
 }
 
-/// An outcome of a run that nobody here knows.
-fn report_prior_run(context: &NodeContext, cmd: &str, result: &str, req: &str, payload: &str) {
-    let Ok(trace) = req.as_bytes().try_into() else {
+/// The index of the request that a notice names.
+fn index_of(context: &NodeContext, trace: &str) -> Option<usize> {
+    let trace: [u8; 16] = trace.as_bytes().try_into().ok()?;
+    context.core.borrow().table.by_trace.get(&trace).copied()
+}
+
+/// The agent refused a command. Where it was the launch nothing ran: no run failed, and no tenant is charged.
+fn on_refusal(context: &NodeContext, index: usize, command: &str, trace: &str) {
+    log_frequent!(
+        "agent_refused",
+        "agent refused",
+        what = format_args!("{command:.20}"),
+        req = trace
+    );
+    if command == "launch" {
+        on_run_ended(context, index, Outcome::NeverStarted, &[]);
+    }
+}
+
+/// The outcome of a run that this process did not launch.
+fn report_prior_run(context: &NodeContext, kind: &str, result: &str, trace: &str, payload: &str) {
+    let Ok(trace) = trace.as_bytes().try_into() else {
         return;
     };
-    let end = match (cmd, result) {
+    let end = match (kind, result) {
         ("outcome", "fine") => match BASE64_STANDARD.decode(payload) {
             Ok(result) => RunEnd::Result(result.into()),
             Err(_) => RunEnd::Failed,
@@ -126,10 +89,13 @@
         ("outcome", _) => RunEnd::Failed,
         _ => return,
     };
-    idempotency::report_prior_run(context, trace, end);
+    let group = context.core.borrow().table.group.clone();
+    if let Some(group) = group {
+        group.remember_prior_run(trace, end);
+    }
 }
 
-/// Ends in the books what nothing will tell the end of.
+/// Ends runs in the table whose end nothing will report.
 pub fn end_orphans(context: &NodeContext, now: Instant) {
     let orphans = context.core.borrow_mut().table.orphans(now);
     for index in orphans {
@@ -140,87 +106,95 @@
             .table
             .request_mut(index)
             .map(|request| String::from_utf8_lossy(&request.trace).into_owned());
-        let trace = trace.unwrap_or_default();
         log_event!(
             "run_without_end",
             "run without an end taken out of the books",
             ticket = index,
-            trace = trace
+            trace = trace.unwrap_or_default()
         );
-        // Whether it ran is not known: a key says so.
+        // Whether it ran is not known, and its key records just that.
         context.drive_policy(|_, _, table| {
-            idempotency::ended(table, index, RunEnd::Failed);
+            idempotency::on_run_finished(table, index, RunEnd::Failed);
             table.close_key(index, Outcome::Cancelled, &[]);
         });
-        // As if it had never run: a minute of waiting is no run time, and is charged to nobody.
-        run_ended(context, index, Outcome::NeverStarted, &[]);
+        // To the policy it never ran: a minute of waiting is no run time, and is charged to nobody.
+        on_run_ended(context, index, Outcome::NeverStarted, &[]);
     }
 }
 
-fn run_ended(context: &NodeContext, index: usize, end: Outcome, result: &[u8]) {
-    context.drive_policy(|node, now, table| {
+/// A run ended: its request is answered, and the policy hears of it.
+fn on_run_ended(context: &NodeContext, index: usize, outcome: Outcome, result: &[u8]) {
+    context.drive_policy(|policy, now, table| {
         let Some(request) = table.request_mut(index).filter(|request| request.is_run()) else {
             return;
         };
-        if let Some((_, _, CallState::InProgress(task))) = request.call.take() {
-            task.abort();
+        if let Some(call) = request.call.take() {
+            call.abort();
         }
-        table.close_key(index, end, result);
-        let Some(request) = table.request_mut(index) else {
-            return;
-        };
-        if request.claim.is_some() {
-            let how = match end {
-                Outcome::Succeeded => RunEnd::Result(Bytes::copy_from_slice(result)),
-                Outcome::NeverStarted => RunEnd::NeverRan,
-                _ => RunEnd::Failed,
-            };
-            idempotency::ended(table, index, how);
-        } else if end != Outcome::Cancelled {
-            table.finish(index, end, result);
+        let has_claim = request.claim.is_some();
+        table.close_key(index, outcome, result);
+        if has_claim {
+            idempotency::on_run_finished(table, index, run_end(outcome, result));
+        } else if outcome != Outcome::Cancelled {
+            table.finish(index, outcome, result);
         }
-        node.ended(now, table, index, end);
+        policy.ended(now, table, index, outcome);
     });
 }
 
+/// A run's end as the group records it.
+fn run_end(outcome: Outcome, result: &[u8]) -> RunEnd {
+    match outcome {
+        Outcome::Succeeded => RunEnd::Result(Bytes::copy_from_slice(result)),
+        Outcome::NeverStarted => RunEnd::NeverRan,
+        _ => RunEnd::Failed,
+    }
+}
+
+/// A run asks for a call to the tier below; the policy decides whether it is made.
 fn on_call_requested(context: &NodeContext, index: usize, offset: u64, body: Vec<u8>) {
-    context.drive_policy(|node, now, table| {
+    context.drive_policy(|policy, now, table| {
         let Some(request) = table.request_mut(index).filter(|request| request.is_run()) else {
             return;
         };
-        if let Some((_, _, CallState::InProgress(task))) =
-            request
-                .call
-                .replace((offset, body.into(), CallState::Pending))
-        {
-            task.abort();
+        let call = DownstreamCall {
+            offset,
+            body: body.into(),
+            state: CallState::Pending,
+        };
+        if let Some(before) = request.call.replace(call) {
+            before.abort();
         }
-        node.on_downstream_call(now, table, index);
+        policy.on_downstream_call(now, table, index);
     });
 }
 
-/// `serial` tells whether the ticket is still the one that the call was made for.
-pub fn call_ended(context: &NodeContext, index: usize, serial: u64, end: Outcome, reply: Vec<u8>) {
-    context.drive_policy(|node, now, table| {
-        let (agent, counts) = (table.agent.clone(), table.counts.clone());
-        let Some(request) = table
-            .request_mut(index)
-            .filter(|request| request.serial == serial)
-        else {
+/// A call to the tier below ended. `serial` tells whether the request is still the one that the call was made for.
+pub fn call_ended(
+    context: &NodeContext,
+    index: usize,
+    serial: u64,
+    outcome: Outcome,
+    reply: Vec<u8>,
+) {
+    context.drive_policy(|policy, now, table| {
+        let slot = table.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot.filter(|request| request.serial == serial) else {
             return;
         };
-        let Some((_, _, call @ CallState::InProgress(_))) = &mut request.call else {
+        let Some(call) = &mut request.call else {
             return;
         };
-        *call = if end == Outcome::Succeeded {
-            CallState::Delivered(reply)
+        if !matches!(call.state, CallState::InProgress(_)) {
+            return;
+        }
+        if outcome == Outcome::Succeeded {
+            call.state = CallState::Delivered(reply);
+            count(&table.counts.delivered);
+            dispatch::call_result(&table.agent, request);
         } else {
-            CallState::Pending
-        };
-        if end == Outcome::Succeeded {
-            count(&counts.delivered);
-            dispatch::call_result(&agent, request);
+            call.state = CallState::Pending;
         }
-        node.on_call_finished(now, table, index, end);
+        policy.on_call_finished(now, table, index, outcome);
     });
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,114 +1,214 @@
-//! The configuration of one node; what is wrong with it is said in one line.
+//! The configuration file of one node; what is wrong with it is said in one line.
 
+use crate::log_event;
 use rainstand_settings::fields::{list, number, object, text_of, Fields};
 use rainstand_settings::Start;
 use serde_json::Value;
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
+use std::num::ParseIntError;
+use std::time::{Duration, TryFromFloatSecsError};
 
-/// Whom the node talks to by itself: all that a new file changes while it runs.
+/// Bytes in a megabyte, as the file counts memory.
+const MEGABYTE: u32 = 1 << 20;
+
+/// All keys of the file.
+const KEYS: [&str; 9] = [
+    "name", "listen", "agent", "announce", "db", "seed", "stop_ms", "limits", "settings",
+];
+
+/// Unknown keys that are logged: in a file of nothing else, the missing keys tell.
+const MAX_UNKNOWN_KEYS: usize = 8;
+
+/// Characters of an unknown key that are logged.
+const MAX_UNKNOWN_KEY_CHARS: usize = 40;
+
+/// The addresses of those that the node connects to: all that a new file changes of them while it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peers {
+    /// The render farm agent.
     pub agent: SocketAddr,
+    /// The announce service, if there is one.
     pub announce: Option<SocketAddr>,
     /// The tier below; the last tier has none.
     pub below: Option<SocketAddr>,
 }
 
+/// A configuration file.
 #[derive(Clone)]
 pub struct Config {
+    /// The node's name.
     pub name: String,
+    /// Where dispatchers connect.
     pub listen: SocketAddr,
+    /// Where the node connects.
     pub peers: Peers,
+    /// Of the policy's random draws.
     pub seed: u64,
+    /// From the shutdown notice to the kill.
     pub stop: Duration,
+    /// Descriptors that the node may have open.
     pub sockets: usize,
-    /// In bytes; what the books keep stays within parts of it.
+    /// In bytes; what the node retains stays within parts of it.
     pub memory: usize,
+    /// The policy's settings.
     pub settings: Fields,
-    /// Keys of the file that mean nothing here, such as a slip; a line names each.
+    /// Keys of the file that mean nothing here, such as a misspelt one.
     pub unknown: Vec<String>,
 }
 
-/// All keys of the file.
-const KEYS: [&str; 9] = [
-    "name", "listen", "agent", "announce", "db", "seed", "stop_ms", "limits", "settings",
-];
-/// Unknown keys that are named: a file of nothing else is told by those that are missing.
-const MAX_UNKNOWN_KEYS: usize = 8;
+/// What is wrong with a configuration file, in one line.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file is no JSON.
+    #[error("not JSON: {0}")]
+    NotJson(#[from] serde_json::Error),
+    /// The file is JSON, but no object.
+    #[error("not a JSON object")]
+    NotAnObject,
+    /// A key is missing, or its value has another type.
+    #[error("{0}")]
+    Field(String),
+    /// The same under `limits`.
+    #[error("limits: {0}")]
+    Limits(String),
+    /// The node's name holds other characters.
+    #[error("name: letters, digits, '-', '_' and '.' only")]
+    Name,
+    /// The seed is no hexadecimal number of 64 bits.
+    #[error("seed: {0}")]
+    Seed(ParseIntError),
+    /// The time until the kill is none.
+    #[error("stop_ms: {0}")]
+    Stop(TryFromFloatSecsError),
+    /// A text is no address with a port.
+    #[error("{key}: {text} is no address and port")]
+    Address {
+        /// The address's key.
+        key: &'static str,
+        /// What stands there.
+        text: String,
+    },
+    /// An address is the unspecified one.
+    #[error("{key}: one address only, not all of them")]
+    UnspecifiedAddress {
+        /// The address's key.
+        key: &'static str,
+    },
+    /// The settings list no classes.
+    #[error("settings: requestClasses: no list there")]
+    NoClasses,
+    /// The policy cannot use the settings.
+    #[error("settings: {0}")]
+    Settings(String),
+}
 
 impl Config {
+    /// Reads a file, and checks that the policy can use its settings.
+    ///
+    /// # Errors
+    /// The first thing that is wrong with it.
+    ///
     /// ```
     /// use rainstand_node::config::Config;
-    /// assert_eq!(Config::read(b"{}").err().unwrap(), "seed: no text there");
-    /// assert!(Config::read(b"{").err().unwrap().starts_with("not JSON: "));
+    /// let error = |bytes| Config::read(bytes).err().unwrap().to_string();
+    /// assert_eq!(error(b"{}"), "seed: no text there");
+    /// assert!(error(b"{").starts_with("not JSON: "));
     /// ```
-    pub fn read(bytes: &[u8]) -> Result<Self, String> {
-        let value: Value = serde_json::from_slice(bytes).map_err(|e| format!("not JSON: {e}"))?;
-        let all = value.as_object().ok_or("not a JSON object")?;
-        let seed = text_of(all, "seed")?;
-        let name = text_of(all, "name")?.to_owned();
-        if name.is_empty()
-            || !name
-                .bytes()
-                .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
-        {
-            return Err("name: letters, digits, '-', '_' and '.' only".into());
+    pub fn read(bytes: &[u8]) -> Result<Self, ConfigError> {
+        let value: Value = serde_json::from_slice(bytes)?;
+        let fields = value.as_object().ok_or(ConfigError::NotAnObject)?;
+        let seed = text(fields, "seed")?;
+        let name = text(fields, "name")?;
+        if !is_valid_name(name) {
+            return Err(ConfigError::Name);
         }
-        let limits = object(all, "limits").map_err(|e| format!("limits: {e}"))?;
-        let limit = |key| number(limits, key).map_err(|e| format!("limits: {e}"));
+        let limits = object(fields, "limits").map_err(ConfigError::Limits)?;
+        let limit = |key| number(limits, key).map_err(ConfigError::Limits);
         let config = Self {
-            listen: address(all, "listen")?,
+            name: name.to_owned(),
+            listen: address(fields, "listen")?,
             peers: Peers {
-                agent: address(all, "agent")?,
-                announce: optional_address(all, "announce")?,
-                below: optional_address(all, "db")?,
+                agent: address(fields, "agent")?,
+                announce: optional_address(fields, "announce")?,
+                below: optional_address(fields, "db")?,
             },
-            seed: u64::from_str_radix(seed, 16).map_err(|e| format!("seed: {e}"))?,
-            stop: Duration::try_from_secs_f64(number(all, "stop_ms")? / 1e3)
-                .map_err(|e| format!("stop_ms: {e}"))?,
+            seed: u64::from_str_radix(seed, 16).map_err(ConfigError::Seed)?,
+            stop: milliseconds(fields, "stop_ms")?,
             sockets: limit("sockets")? as usize,
-            memory: (limit("memory_mb")? * f64::from(1 << 20)) as usize,
-            settings: object(all, "settings")?.clone(),
-            unknown: unknown(all),
-            name,
+            memory: (limit("memory_mb")? * f64::from(MEGABYTE)) as usize,
+            settings: object(fields, "settings")
+                .map_err(ConfigError::Field)?
+                .clone(),
+            unknown: unknown_keys(fields),
         };
         if list(&config.settings, "requestClasses").is_empty() {
-            return Err("settings: requestClasses: no list there".into());
+            return Err(ConfigError::NoClasses);
         }
         config.start(Duration::ZERO, false)?;
         Ok(config)
     }
 
-    /// The node's parts, made from the settings.
-    pub fn start(&self, born: Duration, cold: bool) -> Result<Start, String> {
-        Start::read(&self.settings, self.seed, born, cold).map_err(|e| format!("settings: {e}"))
+    /// The policy and the node's parameters, made from the settings. `born`: when the agent started, on the policy's
+    /// clock; `is_cold`: whether it was cold then.
+    ///
+    /// # Errors
+    /// Where the settings cannot be used.
+    pub fn start(&self, born: Duration, is_cold: bool) -> Result<Start, ConfigError> {
+        Start::read(&self.settings, self.seed, born, is_cold).map_err(ConfigError::Settings)
+    }
+
+    /// Logs the keys that mean nothing here, a line each.
+    pub fn log_unknown_keys(&self) {
+        for key in &self.unknown {
+            log_event!(
+                "config_key",
+                "config",
+                key = key,
+                what = "is not known and does nothing"
+            );
+        }
     }
 }
 
-fn unknown(all: &Fields) -> Vec<String> {
-    let odd = all.keys().filter(|key| !KEYS.contains(&key.as_str()));
-    odd.take(MAX_UNKNOWN_KEYS)
-        .map(|key| key.escape_debug().take(40).collect())
+fn is_valid_name(name: &str) -> bool {
+    let is_valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    !name.is_empty() && name.bytes().all(is_valid)
+}
+
+fn text<'a>(fields: &'a Fields, key: &str) -> Result<&'a str, ConfigError> {
+    text_of(fields, key).map_err(ConfigError::Field)
+}
+
+fn milliseconds(fields: &Fields, key: &str) -> Result<Duration, ConfigError> {
+    let ms = number(fields, key).map_err(ConfigError::Field)?;
+    Duration::try_from_secs_f64(ms / 1e3).map_err(ConfigError::Stop)
+}
+
+fn unknown_keys(fields: &Fields) -> Vec<String> {
+    fields
+        .keys()
+        .filter(|key| !KEYS.contains(&key.as_str()))
+        .take(MAX_UNKNOWN_KEYS)
+        .map(|key| key.escape_debug().take(MAX_UNKNOWN_KEY_CHARS).collect())
         .collect()
 }
 
-fn optional_address(all: &Fields, key: &str) -> Result<Option<SocketAddr>, String> {
-    all.get(key)
+fn optional_address(fields: &Fields, key: &'static str) -> Result<Option<SocketAddr>, ConfigError> {
+    fields
+        .get(key)
         .filter(|value| !value.is_null())
-        .map(|_| address(all, key))
+        .map(|_| address(fields, key))
         .transpose()
 }
 
-fn address(all: &Fields, key: &str) -> Result<SocketAddr, String> {
-    let text = text_of(all, key)?;
-    let found: SocketAddr = text
-        .parse()
-        .map_err(|_| format!("{key}: {text} is no address and port"))?;
-    match found.ip() {
-        IpAddr::V4(ip) if ip.is_unspecified() => {
-            Err(format!("{key}: one address only, not all of them"))
-        }
-        _ => Ok(found),
+fn address(fields: &Fields, key: &'static str) -> Result<SocketAddr, ConfigError> {
+    let text = text(fields, key)?;
+    let address: SocketAddr = text.parse().map_err(|_| ConfigError::Address {
+        key,
+        text: text.to_owned(),
+    })?;
+    match address.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => Err(ConfigError::UnspecifiedAddress { key }),
+        _ => Ok(address),
     }
 }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -1,9 +1,9 @@
 //! A dispatcher's connection: the state that all parts of the node may see of it. No I/O happens here: the task in
 //! [`crate::connections`] that serves it moves the bytes.
 
-use crate::recording::SERVER_SIDE;
 use crate::socket_buffer::Ring;
 use crate::thrift;
+use crate::traffic_recording::SERVER_SIDE;
 use rainstand_traffic_recorder::Tape;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/node/src/connections/accept.rs
+++ b/crates/node/src/connections/accept.rs
@@ -3,8 +3,10 @@
 use super::capacity::{evict_for_descriptor, evict_idle, remaining_capacity};
 use super::exchange::serve;
 use crate::connection::{close_reason, Connection};
+use crate::context::NodeContext;
 use crate::counters::count;
-use crate::{descriptors, log_event, log_frequent, NodeContext};
+use crate::descriptor_limit::{is_exhausted, RETRY_BACKOFF};
+use crate::{log_event, log_frequent};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -87,8 +89,8 @@
     if !std::mem::replace(failing, true) {
         log_event!("accept_fails", "accept fails", why = error);
     }
-    if descriptors::is_exhausted(error) && evict_for_descriptor(context) {
-        sleep(descriptors::RETRY_BACKOFF).await;
+    if is_exhausted(error) && evict_for_descriptor(context) {
+        sleep(RETRY_BACKOFF).await;
         AcceptRetry::Evicted
     } else {
         sleep(ACCEPT_RETRY_BACKOFF).await;
--- a/crates/node/src/connections/capacity.rs
+++ b/crates/node/src/connections/capacity.rs
@@ -1,7 +1,7 @@
 //! How many connections may stand beside calls to the tier below, and eviction of idle ones.
 
 use crate::connection::{close_reason, Connection};
-use crate::NodeContext;
+use crate::context::NodeContext;
 use std::rc::Rc;
 
 /// Descriptors reserved for the agent, the announce service, the listener, the runtime's own, standard streams, and
--- a/crates/node/src/connections/exchange.rs
+++ b/crates/node/src/connections/exchange.rs
@@ -3,10 +3,11 @@
 use super::capacity::{closing_count, MAX_CLOSING};
 use super::ReadDeadlines;
 use crate::connection::{close_reason, Connection};
+use crate::context::NodeContext;
 use crate::counters::count;
-use crate::recording::CLIENT_SIDE;
 use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
-use crate::{ingress, log_frequent, thrift, NodeContext};
+use crate::traffic_recording::CLIENT_SIDE;
+use crate::{ingress, log_frequent, thrift};
 use socket2::SockRef;
 use std::io;
 use std::rc::Rc;
--- a/crates/node/src/connections/read_deadlines.rs
+++ b/crates/node/src/connections/read_deadlines.rs
@@ -4,7 +4,7 @@
 
 /// For the first whole frame from the connection's opening on, and for each later one from its first bytes on. Who
 /// sends bad input must hear so within 3 s of connecting; a caller's frame comes in one piece.
-const FRAME_TIMEOUT: Duration = Duration::from_millis(2_000);
+const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// After bytes that cannot be read, for the answers that are still pending on the connection.
 const PENDING_ANSWERS_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/node/src/connections/sweep.rs
+++ b/crates/node/src/connections/sweep.rs
@@ -1,8 +1,9 @@
 //! The periodic check for connections to close: unused, stuck, forgotten by their callers, or too far behind.
 
 use super::capacity::{evict_idle, remaining_capacity};
+use crate::completion;
 use crate::connection::{close_reason, Connection};
-use crate::{completion, NodeContext};
+use crate::context::NodeContext;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
--- /dev/null
+++ b/crates/node/src/context.rs
@@ -0,0 +1,200 @@
+//! What the tasks of one node share: its configuration, the policy with its table, connections, links and counters.
+//!
+//! All tasks run on one thread. Invariant: nothing in a [`std::cell::RefCell`] here is borrowed across an await.
+
+use crate::agent_link::{self, AgentLink};
+use crate::config::{Config, ConfigError, Peers};
+use crate::connection::Connection;
+use crate::counters::{count, Counts};
+use crate::descriptor_limit::clamp_to_system_limit;
+use crate::downstream_pool::DownstreamPool;
+use crate::request_table::{ClassLimits, FinishedRun, NodeTasks, RequestTable};
+use crate::result_cache::ResultCache;
+use crate::traffic_recording::TrafficRecording;
+use crate::{log, log_event};
+use rainstand::{AdmissionController, Gauges};
+use rainstand_settings::Start;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// The policy and the table that it works on.
+pub struct Core {
+    /// None until the agent has greeted.
+    pub controller: Option<AdmissionController>,
+    /// The requests in hand.
+    pub table: RequestTable,
+}
+
+/// What the tasks of one node share.
+pub struct NodeContext {
+    /// The file that the node started with.
+    pub config: Config,
+    /// The newest file whose settings were applied, for a policy that starts after it.
+    pub reloaded_config: RefCell<Option<Config>>,
+    /// Those of the newest configuration file.
+    pub peer_addresses: Cell<Peers>,
+    /// The policy and its table.
+    pub core: RefCell<Core>,
+    /// Connections of dispatchers by their numbers.
+    pub connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    /// The node's counters.
+    pub counts: Rc<Counts>,
+    /// How many connections of dispatchers ended, by reason code.
+    pub ends: RefCell<BTreeMap<&'static str, u64>>,
+    /// The link to the agent.
+    pub link: Rc<AgentLink>,
+    /// Where the node's traffic is recorded, if it is.
+    pub record: OnceCell<Rc<TrafficRecording>>,
+    /// Names of the gauges, in the order of a sample's values.
+    pub(crate) gauge_names: RefCell<Vec<String>>,
+    /// For how long callers cache an unused connection. Follows a new configuration file, as do the next three and the
+    /// policy's settings: see [`crate::reload::apply_settings`].
+    pub idle_timeout: Cell<Duration>,
+    /// How long the node still listens after the shutdown notice.
+    pub drain_grace: Cell<Duration>,
+    /// The longest wait that callers are asked for.
+    pub max_retry_after: Cell<Duration>,
+    /// The list of nodes follows what is reported, not only that something is.
+    pub registry_follows_health: Cell<bool>,
+    /// When the shutdown notice came.
+    pub leaving: Cell<Option<Instant>>,
+    /// None once everything that came in before the end of listening is accepted.
+    pub listener: RefCell<Option<Rc<TcpListener>>>,
+    /// Wakes the reports: at the shutdown notice, and when the announce service moved.
+    pub report_wakeup: Notify,
+    /// Ends the listening.
+    pub stop_listening: Notify,
+    /// Descriptors that the group's links and store take, out of all.
+    pub reserved_descriptors: Cell<usize>,
+}
+
+impl NodeContext {
+    /// The shared state of a node that does not run yet.
+    ///
+    /// # Errors
+    /// Where the configuration's settings cannot be used.
+    pub fn new(mut config: Config) -> Result<Rc<Self>, ConfigError> {
+        let configured = config.sockets;
+        config.sockets = clamp_to_system_limit(configured);
+        if config.sockets < configured {
+            log_event!(
+                "descriptors_fewer",
+                "descriptors",
+                given = config.sockets,
+                configured = configured
+            );
+        }
+        let start = config.start(Duration::ZERO, false)?;
+        Ok(Rc::new_cyclic(|context: &Weak<Self>| {
+            Self::with_settings(config, start, context.clone())
+        }))
+    }
+
+    fn with_settings(config: Config, start: Start, tasks: Weak<dyn NodeTasks>) -> Self {
+        let counts = Rc::new(Counts::default());
+        let link = Rc::new(AgentLink::default());
+        let pool = Rc::new(DownstreamPool::new(config.peers.below));
+        let mut table = RequestTable::new(tasks, counts.clone(), link.clone(), pool);
+        table.class_names = json_names(&start.types);
+        table.result_cache = ResultCache::with_memory(config.memory);
+        table.classes = start.types;
+        table.tenants = start.tenants;
+        table.max_result_age = start.fresh;
+        table.can_pause = start.can_stop;
+        table.class_limits = start.kinds.into_iter().map(ClassLimits::from).collect();
+        let core = Core {
+            controller: None,
+            table,
+        };
+        Self {
+            peer_addresses: Cell::new(config.peers),
+            reloaded_config: RefCell::new(None),
+            config,
+            core: RefCell::new(core),
+            connections: RefCell::default(),
+            counts,
+            ends: RefCell::default(),
+            link,
+            record: OnceCell::new(),
+            gauge_names: RefCell::new(start.gauges),
+            idle_timeout: Cell::new(start.idle),
+            drain_grace: Cell::new(start.grace),
+            max_retry_after: Cell::new(start.longest_pause),
+            registry_follows_health: Cell::new(start.listed_by_state),
+            leaving: Cell::new(None),
+            listener: RefCell::new(None),
+            report_wakeup: Notify::new(),
+            stop_listening: Notify::new(),
+            reserved_descriptors: Cell::new(0),
+        }
+    }
+
+    /// One call into the policy, with all that follows from it; nothing before the policy has started.
+    pub fn drive_policy(
+        &self,
+        call: impl FnOnce(&mut AdmissionController, Duration, &mut RequestTable),
+    ) {
+        let mut core = self.core.borrow_mut();
+        let Core { controller, table } = &mut *core;
+        let Some(policy) = controller else { return };
+        let now = table.now();
+        // A defect that one request triggers must not end the process, and all other requests with it.
+        let drive = AssertUnwindSafe(|| {
+            call(policy, now, table);
+            while let Some(FinishedRun { index, outcome }) = table.run_ends.pop_front() {
+                policy.ended(now, table, index, outcome);
+            }
+        });
+        if catch_unwind(drive).is_err() {
+            count(&self.counts.panics);
+            log_event!(
+                "panic_caught",
+                "panic caught:",
+                count = self.counts.panics.get()
+            );
+        }
+    }
+
+    /// The gauges in a sample of the agent.
+    pub fn gauges(&self, load: &[serde_json::Value]) -> Gauges {
+        agent_link::gauges(&self.gauge_names.borrow(), load)
+    }
+
+    /// Logs all counters in one line, whatever the log's rate.
+    pub fn print_counts(&self) {
+        let table = self.core.borrow().table.state();
+        let connections = self.connections.borrow().len();
+        let agent = self.link.state(&self.counts);
+        let mut ends = String::new();
+        for (code, count) in &*self.ends.borrow() {
+            let _ = write!(ends, " {code}={count}");
+        }
+        let record = self.record.get().map_or(String::new(), |record| {
+            format!(" record[{}]", record.recorder.counts().line())
+        });
+        log::ignore_write_panic(|| {
+            let line = format!(
+                "{table} conns={connections} agent[{agent}] ends[{}]{record}{}",
+                ends.trim(),
+                self.counts
+            );
+            tracing::info!(event = "counts", words = "counts", what = %line);
+        });
+    }
+}
+
+/// Names as JSON strings, in the order of their indices.
+fn json_names(indices: &BTreeMap<String, usize>) -> Vec<String> {
+    let mut names: Vec<(&String, &usize)> = indices.iter().collect();
+    names.sort_by_key(|(_, index)| **index);
+    names
+        .iter()
+        .map(|(name, _)| serde_json::Value::from(name.as_str()).to_string())
+        .collect()
+}
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -1,13 +1,15 @@
 //! Counters of everything a node read, sent and answered since its start.
+//!
+//! The names are those of the `counts` line of the log, which scripts read: they stay as they are.
 
 use std::cell::Cell;
 use std::fmt;
 
-macro_rules! counts {
-    ($($name:ident)*) => {
-        /// What was taken in, sent and answered since the start.
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident)*) => {
+        /// What was read, sent and answered since the start.
         #[derive(Default)]
-        pub struct Counts { $(pub $name: Cell<u64>,)* }
+        pub struct Counts { $($(#[$doc])* pub $name: Cell<u64>,)* }
 
         impl fmt::Display for Counts {
             fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
@@ -18,15 +20,82 @@
     };
 }
 
-counts! {
-    accepted accept_errors descriptors_out closed frames tickets repeats probes left exceptions
-    launched resent frozen thawed delivered forgone notices refusals calls
-    honoured dismissed given_up unsettled orphans
-    agent_links agent_odd reloads_refused announced announce_unanswered announce_errors beats late_beats unasked_beats stale_gauges
-    panics watches_again
+counters! {
+    /// Connections of dispatchers that were accepted.
+    accepted
+    /// Accepts that failed.
+    accept_errors
+    /// Tries that failed for want of descriptors.
+    descriptors_out
+    /// Connections of dispatchers that ended.
+    closed
+    /// Frames that were read.
+    frames
+    /// Requests with complete fields.
+    tickets
+    /// Those of them that repeat an earlier one.
+    repeats
+    /// Health checks.
+    probes
+    /// Requests whose caller cancelled, or disconnected.
+    left
+    /// Messages that were answered with an exception.
+    exceptions
+    /// Launches.
+    launched
+    /// Runs whose commands were sent again after a reconnect.
+    resent
+    /// Runs that were paused.
+    frozen
+    /// Runs that were resumed.
+    thawed
+    /// Replies to calls that were passed to their runs.
+    delivered
+    /// Runs that were told to go on without their call.
+    forgone
+    /// Numbered notices of the agent.
+    notices
+    /// Commands that the agent refused.
+    refusals
+    /// Calls to the tier below.
+    calls
+    /// Requests that were answered with a result.
+    honoured
+    /// Requests that were rejected.
+    dismissed
+    /// Requests that were answered with a failure.
+    given_up
+    /// Requests that the node itself had to answer, as the policy did not.
+    unsettled
+    /// Runs whose end no notice reported.
+    orphans
+    /// Links to the agent that were opened.
+    agent_links
+    /// Lines of the agent that were skipped as unreadable.
+    agent_odd
+    /// Configuration files that were refused at a reload.
+    reloads_refused
+    /// Reports that the announce service took.
+    announced
+    /// Reports that it did not answer in time.
+    announce_unanswered
+    /// Reports that failed otherwise.
+    announce_errors
+    /// Ticks of the policy.
+    beats
+    /// Ticks that came late.
+    late_beats
+    /// Ticks that the policy had not requested.
+    unasked_beats
+    /// Ticks with old gauges.
+    stale_gauges
+    /// Panics that were caught in a call into the policy.
+    panics
+    /// Restarts of tasks that panicked.
+    watches_again
 }
 
-/// One more of something.
-pub fn count(what: &Cell<u64>) {
-    what.set(what.get() + 1);
+/// Adds one to a counter.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,100 +1,97 @@
-//! What goes out: commands to the agent, and calls to the tier below.
+//! What the table sends: commands to the agent, and calls to the tier below.
 
-use crate::agent::AgentLink;
-use crate::completion;
+use crate::agent_link::AgentLink;
 use crate::counters::count;
 use crate::request::{CallState, Request, RunState};
-use crate::request_table::RequestTable;
+use crate::request_table::{CallOrder, FinishedRun, RequestTable};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::Outcome;
 use std::time::Duration;
 
-pub fn launch(agent: &AgentLink, request: &Request, type_names: &[String]) {
-    let (trace, method) = (
-        String::from_utf8_lossy(&request.trace),
-        &type_names[request.class],
-    );
+/// Launches a request's run. `class_names`: the classes' names as JSON strings, by their indices.
+pub fn launch(agent: &AgentLink, request: &Request, class_names: &[String]) {
+    let trace = String::from_utf8_lossy(&request.trace);
+    let method = &class_names[request.class];
     let payload = BASE64_STANDARD.encode(&request.body);
     agent.command(format_args!(
         "{{\"cmd\":\"launch\",\"req\":\"{trace}\",\"method\":{method},\"payload\":\"{payload}\"}}\n"
     ));
 }
 
-/// A command that needs no more than the ticket's name.
-pub fn about(agent: &AgentLink, cmd: &str, request: &Request) {
+/// A command that needs no more than the request's name.
+pub fn command(agent: &AgentLink, name: &str, request: &Request) {
     let trace = String::from_utf8_lossy(&request.trace);
-    agent.command(format_args!("{{\"cmd\":\"{cmd}\",\"req\":\"{trace}\"}}\n"));
+    agent.command(format_args!("{{\"cmd\":\"{name}\",\"req\":\"{trace}\"}}\n"));
 }
 
-/// What became of the call, to the run that waits for it.
+/// Sends what became of the call to the run that waits for it, if that is settled.
 pub fn call_result(agent: &AgentLink, request: &Request) {
     let trace = String::from_utf8_lossy(&request.trace);
-    match &request.call {
-        Some((_, _, CallState::Delivered(body))) => {
+    let Some(call) = &request.call else { return };
+    match &call.state {
+        CallState::Delivered(body) => {
             let payload = BASE64_STANDARD.encode(body);
             agent.command(format_args!(
                 "{{\"cmd\":\"deliver\",\"req\":\"{trace}\",\"payload\":\"{payload}\"}}\n"
             ));
         }
-        Some((offset, _, CallState::Skipped)) => agent.command(format_args!(
-            "{{\"cmd\":\"forgo\",\"req\":\"{trace}\",\"offset\":{offset}}}\n"
-        )),
-        _ => {}
+        CallState::Skipped => {
+            let offset = call.offset;
+            agent.command(format_args!(
+                "{{\"cmd\":\"forgo\",\"req\":\"{trace}\",\"offset\":{offset}}}\n"
+            ));
+        }
+        CallState::Pending | CallState::InProgress(_) => {}
     }
 }
 
-/// After a link came back and its replay was read: all commands of which no notice tells that they
-/// came through. A run that the replay told to be over is no longer in the books.
+/// After a reconnect whose replay was read: sends all commands again of which no notice says that they came through.
+/// A run that the replay reported to be over is no longer in the table.
 pub fn resend(table: &mut RequestTable) {
-    let (agent, counts) = (table.agent.clone(), table.counts.clone());
-    let mut running: Vec<&Request> = table
-        .requests
-        .iter()
-        .flatten()
-        .filter(|request| request.is_run())
-        .collect();
+    let (agent, counts) = (&table.agent, &table.counts);
+    let requests = table.requests.iter().flatten();
+    let mut running: Vec<&Request> = requests.filter(|request| request.is_run()).collect();
     running.sort_by_key(|request| request.serial);
     for request in running {
         count(&counts.resent);
+        // Also for a run that was cancelled: where nothing ran, the launch brings the notice that it came too late.
         if request.call.is_none() {
-            launch(&agent, request, &table.class_names);
+            launch(agent, request, &table.class_names);
         }
-        // Guards against a run that is waited for and was never begun: the launch above goes out for one
-        // taken off too, and brings `late` where nothing ran.
         match request.run {
-            RunState::Paused => about(&agent, "freeze", request),
-            _ => call_result(&agent, request),
+            RunState::Paused => command(agent, "freeze", request),
+            _ => call_result(agent, request),
         }
     }
 }
 
-/// Makes the call that a run waits for; the task leaves its outcome to the relay.
-pub fn call(table: &mut RequestTable, index: usize, left: Duration) {
-    let (pool, context, counts) = (
-        table.downstream.clone(),
-        table.context.clone(),
-        table.counts.clone(),
-    );
-    let Some(request) = table.request_mut(index) else {
+/// Makes the call that a run waits for; the policy hears of its outcome.
+pub fn call(table: &mut RequestTable, index: usize, time_left: Duration) {
+    let tasks = table.tasks.clone();
+    let slot = table.requests.get_mut(index).and_then(Option::as_mut);
+    let Some(request) = slot else { return };
+    let Some(call) = &mut request.call else {
+        table.run_ends.push_back(FinishedRun {
+            index,
+            outcome: Outcome::NeverStarted,
+        });
         return;
     };
-    let (serial, trace) = (request.serial, request.trace);
-    let Some((_, body, made)) = &mut request.call else {
-        table.run_ends.push_back((index, Outcome::NeverStarted));
-        return;
+    count(&table.counts.calls);
+    let order = CallOrder {
+        index,
+        serial: request.serial,
+        trace: request.trace,
+        time_left,
+        body: call.body.clone(),
     };
-    count(&counts.calls);
-    let body = body.clone();
     let task = tokio::task::spawn_local(async move {
-        let Some(context) = context.upgrade() else {
-            return;
-        };
-        let (outcome, reply) = pool.call(&context, &trace, left, &body).await;
-        completion::call_ended(&context, index, serial, outcome, reply);
+        if let Some(tasks) = tasks.upgrade() {
+            tasks.make_call(order).await;
+        }
     });
-    if let CallState::InProgress(before) =
-        std::mem::replace(made, CallState::InProgress(task.abort_handle()))
-    {
+    let before = std::mem::replace(&mut call.state, CallState::InProgress(task.abort_handle()));
+    if let CallState::InProgress(before) = before {
         before.abort();
     }
 }
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -1,103 +1,74 @@
 //! Calls to the tier below over HTTP/1.1, each on a connection of its own.
 //!
-//! On a connection that served before, a reset does not tell whether the call ran, and what came too
-//! much behind the last reply would answer this one. A calm day shows no cost of opening one each time.
+//! On a connection that served before, a reset does not tell whether the call ran, and surplus bytes behind the last
+//! reply would answer this call. Under normal load the cost of opening a connection for each call does not show.
 
-use crate::recording::TrafficRecording;
+use crate::context::NodeContext;
+use crate::request_table::CallOrder;
 use crate::socket_buffer::{ReadOutcome, Ring, SocketIo};
-use crate::{connections, descriptors, http, NodeContext};
+use crate::traffic_recording::{CLIENT_SIDE, SERVER_SIDE};
+use crate::{connections, descriptors, http};
 use rainstand::Outcome;
 use rainstand_traffic_recorder::Tape;
-use std::cell::{Cell, OnceCell};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Calls out at once, by the descriptors that are put by for them.
-pub const MAX_CALLS: usize = 192;
-/// How much longer than stated an answer is waited for: the way back of one that just made it.
+/// How much longer than stated an answer is waited for: the way back of one that was just in time.
 const REPLY_GRACE: Duration = Duration::from_millis(15);
 
-pub struct DownstreamPool {
-    addr: Cell<Option<SocketAddr>>,
-    /// Calls that are out, each with its descriptor.
-    pub out: Cell<usize>,
-    /// Where calls are recorded, if they are.
-    pub record: OnceCell<Rc<TrafficRecording>>,
+/// What a call brought.
+pub struct CallReply {
+    /// How it ended, with what that proves.
+    pub outcome: Outcome,
+    /// The body of the reply, if there was one.
+    pub body: Vec<u8>,
 }
 
-/// One call out; gives its place back however the call ends.
-struct CallSlot<'a>(&'a Cell<usize>);
-
-impl Drop for CallSlot<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+impl CallReply {
+    fn without_body(outcome: Outcome) -> Self {
+        let body = Vec::new();
+        Self { outcome, body }
     }
 }
 
-impl DownstreamPool {
-    pub fn new(addr: Option<SocketAddr>) -> Self {
-        Self {
-            addr: Cell::new(addr),
-            out: Cell::new(0),
-            record: OnceCell::new(),
-        }
-    }
-
-    /// From now on calls go there; those that are out end where they are.
-    pub fn move_to(&self, addr: Option<SocketAddr>) {
-        self.addr.set(addr);
-    }
-
-    /// One call, with what it proves: whoever drops this future closes the connection, which gives
-    /// the call up.
-    pub async fn call(
-        &self,
-        context: &NodeContext,
-        trace: &[u8],
-        left: Duration,
-        body: &[u8],
-    ) -> (Outcome, Vec<u8>) {
-        let Some(addr) = self.addr.get().filter(|_| self.out.get() < MAX_CALLS) else {
-            return (Outcome::Unreachable, Vec::new());
-        };
-        self.out.set(self.out.get() + 1);
-        let _place = CallSlot(&self.out);
-        let ends = Instant::now() + left;
-        // Nothing was written yet, so whatever goes wrong here nothing ran.
-        connections::reserve_for_call(context).await;
-        let opening = descriptors::with_retry(context, "call", || TcpStream::connect(addr));
-        let Ok(Ok(stream)) = timeout(left, opening).await else {
-            return (Outcome::Unreachable, Vec::new());
-        };
-        let _ = stream.set_nodelay(true);
-        let left = ends.saturating_duration_since(Instant::now());
-        let tape = self.record.get().and_then(|record| record.link(&stream));
-        let request = request(trace, left, addr, body);
-        match timeout(
-            left + REPLY_GRACE,
-            exchange(&stream, &request, tape.as_ref()),
-        )
-        .await
-        {
-            Err(_) => (Outcome::TimedOut, Vec::new()),
-            Ok(Err(_)) => (Outcome::Disconnected, Vec::new()),
-            Ok(Ok((reply, body))) => (outcome(&reply), body),
-        }
+/// Makes one call. Dropping the future closes the connection, which gives the call up.
+pub async fn call(context: &NodeContext, order: &CallOrder) -> CallReply {
+    let pool = context.core.borrow().table.downstream.clone();
+    let Some(slot) = pool.acquire() else {
+        return CallReply::without_body(Outcome::Unreachable);
+    };
+    let deadline = Instant::now() + order.time_left;
+    // Nothing is written until the connection is open, so whatever goes wrong before, nothing ran.
+    connections::reserve_for_call(context).await;
+    let address = slot.address;
+    let connect = descriptors::with_retry(context, "call", || TcpStream::connect(address));
+    let Ok(Ok(stream)) = timeout(order.time_left, connect).await else {
+        return CallReply::without_body(Outcome::Unreachable);
+    };
+    let _ = stream.set_nodelay(true);
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let tape = pool.record.get().and_then(|record| record.link(&stream));
+    let request = encode_request(&order.trace, time_left, address, &order.body);
+    let exchange = exchange(&stream, &request, tape.as_ref());
+    match timeout(time_left + REPLY_GRACE, exchange).await {
+        Err(_) => CallReply::without_body(Outcome::TimedOut),
+        Ok(Err(_)) => CallReply::without_body(Outcome::Disconnected),
+        Ok(Ok((reply, body))) => CallReply {
+            outcome: outcome(&reply),
+            body,
+        },
     }
 }
 
-fn request(trace: &[u8], left: Duration, addr: SocketAddr, body: &[u8]) -> Vec<u8> {
-    let (trace, ms, len) = (
-        String::from_utf8_lossy(trace),
-        left.as_millis().max(1),
-        body.len(),
-    );
+fn encode_request(trace: &[u8], time_left: Duration, address: SocketAddr, body: &[u8]) -> Vec<u8> {
+    let trace = String::from_utf8_lossy(trace);
+    let ms = time_left.as_millis().max(1);
+    let len = body.len();
     let mut bytes = format!(
-        "POST /v1/exec HTTP/1.1\r\nHost: {addr}\r\nRequest-Ref: {trace}\r\nStatement-Timeout-Ms: {ms}\r\n\
+        "POST /v1/exec HTTP/1.1\r\nHost: {address}\r\nRequest-Ref: {trace}\r\nStatement-Timeout-Ms: {ms}\r\n\
          Content-Length: {len}\r\n\r\n"
     )
     .into_bytes();
@@ -105,37 +76,46 @@
     bytes
 }
 
-/// Writes a request and reads one whole reply with its body.
+/// Writes a request and reads one complete reply with its body.
+///
+/// # Errors
+/// Where the socket fails or ends before the reply does, or the reply is no HTTP.
 pub async fn exchange(
     stream: &TcpStream,
     request: &[u8],
     tape: Option<&Tape>,
 ) -> io::Result<(http::Reply, Vec<u8>)> {
-    let said = |side, bytes: &[u8]| tape.iter().for_each(|tape| tape.said(side, bytes));
-    said(0, request);
-    let (mut out, mut back) = (Ring::default(), Ring::default());
-    out.put(request);
-    while !out.flush(stream)? {
+    let record = |side, bytes: &[u8]| {
+        if let Some(tape) = tape {
+            tape.said(side, bytes);
+        }
+    };
+    record(CLIENT_SIDE, request);
+    let mut outgoing = Ring::default();
+    outgoing.put(request);
+    while !outgoing.flush(stream)? {
         stream.writable().await?;
     }
+    let mut incoming = Ring::default();
     loop {
         stream.readable().await?;
-        let filled = back.fill(stream)?;
-        if filled == ReadOutcome::End {
+        if incoming.fill(stream)? == ReadOutcome::End {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        let bytes = back.bytes();
+        let bytes = incoming.bytes();
         if let Some(mut reply) = http::reply(bytes).map_err(io::Error::other)? {
-            let (from, to) = reply.body;
-            said(1, bytes);
-            let body = bytes[from..to].to_vec();
-            reply.closes |= bytes.len() > to;
+            let (start, end) = reply.body;
+            record(SERVER_SIDE, bytes);
+            let body = bytes[start..end].to_vec();
+            // Surplus bytes would answer the next request.
+            reply.closes |= bytes.len() > end;
             return Ok((reply, body));
         }
     }
 }
 
-fn outcome(reply: &http::Reply) -> Outcome {
+/// What a reply proves of the call. Only a status that agrees with the header proves that nothing ran.
+pub fn outcome(reply: &http::Reply) -> Outcome {
     match (reply.status, reply.never_started) {
         (200, _) => Outcome::Succeeded,
         (503, true) => Outcome::Rejected,
@@ -144,34 +124,3 @@
         _ => Outcome::Failed,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_a_word_that_it_never_started_proves_it() {
-        let cases = [
-            (200, false, Outcome::Succeeded),
-            (503, true, Outcome::Rejected),
-            (409, true, Outcome::NeverStarted),
-            (503, false, Outcome::Failed),
-            (500, false, Outcome::Failed),
-            (504, false, Outcome::TimedOut),
-            (302, false, Outcome::Failed),
-            // Where the state speaks against the word, nothing is proved.
-            (500, true, Outcome::Failed),
-            (504, true, Outcome::TimedOut),
-        ];
-        for (status, never_started, expected) in cases {
-            let reply = http::Reply {
-                status,
-                never_started,
-                closes: false,
-                body: (0, 0),
-            };
-            assert_eq!(outcome(&reply), expected, "{status}");
-            assert!(never_started || !outcome(&reply).never_ran(), "{status}");
-        }
-    }
-}
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -1,109 +1,124 @@
-//! The notice to leave: everything read is answered, then the process ends.
+//! The drain after the shutdown notice: everything that was read is answered, then the process ends.
 
 use crate::connection::close_reason;
-use crate::{log_event, NodeContext};
+use crate::context::NodeContext;
+use crate::log_event;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// Kept free before the kill, by which the process must be gone: the module is told the kill comes this
-/// much sooner and answers all before, and at the second of these the process ends, come what may.
-const KILL_MARGIN: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(50)];
+/// The policy is told that the kill comes this much sooner than it does, and answers everything before.
+const POLICY_KILL_MARGIN: Duration = Duration::from_millis(150);
+
+/// At this time before the kill the process ends, whatever is still open.
+const PROCESS_KILL_MARGIN: Duration = Duration::from_millis(50);
+
 /// Share of the time until the kill in which the node still listens: what comes last must also end.
-const LISTENING: f64 = 0.6;
-/// After the socket stops listening, for what crossed it: the protocol speaks of 50 ms.
-const CROSSING_REQUESTS_TIMEOUT: Duration = Duration::from_millis(200);
-/// For the shards that are led here to be led elsewhere.
+const LISTENING_SHARE: f64 = 0.6;
+
+/// After the end of listening, for frames that crossed it: the protocol speaks of 50 ms.
+const CROSSING_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// For the leadership of shards to be transferred to other members.
 const LEADERSHIP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Between looks at what is still owed.
-const LOOK: Duration = Duration::from_millis(10);
 
-/// From the notice on; returns when nothing is owed any more, or when the kill is near.
+/// Between checks of what is still open.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Drains the node; returns when no answer is pending any more, or when the kill is near.
 pub async fn drain(context: &Rc<NodeContext>) {
-    let (noticed, stop) = (Instant::now(), context.config.stop);
-    let ends = noticed + stop.saturating_sub(KILL_MARGIN[1]);
-    context.leaving.set(Some(noticed));
-    context.report_wakeup.notify_one();
-    let owing = context.core.borrow().table.pending_reply_count();
-    let conns = context.connections.borrow().len();
-    log_event!(
-        "drain_begins",
-        "drain begins",
-        owing = owing,
-        conns = conns,
-        stop_ms = stop.as_millis()
-    );
-    context
-        .connections
-        .borrow()
-        .values()
-        .for_each(|conn| conn.send_shutdown());
-    // Others lead the shards from here on, while what is in hand is still served.
-    let copies = context.core.borrow().table.group.clone();
-    if let Some(copies) = copies {
-        tokio::task::spawn_local(
-            async move { copies.group().leave(LEADERSHIP_TRANSFER_TIMEOUT).await },
-        );
-    }
+    let noticed = Instant::now();
+    let until_kill = context.config.stop;
+    let deadline = noticed + until_kill.saturating_sub(PROCESS_KILL_MARGIN);
+    start_drain(context, noticed);
+    transfer_leadership(context);
     notify_policy(context);
-    // Callers learn late that the node leaves: as long as what they bring may still be run, it is taken.
-    let begun = context.core.borrow().controller.is_some();
-    let deaf_at = noticed
-        + if begun {
-            context.drain_grace.get().min(stop.mul_f64(LISTENING))
-        } else {
-            Duration::ZERO
-        };
-    sleep(deaf_at.saturating_duration_since(Instant::now())).await;
+    let stop_listening_at = noticed + listening_time(context, until_kill);
+    sleep(stop_listening_at.saturating_duration_since(Instant::now())).await;
     context.stop_listening.notify_one();
-    let deaf_at = Instant::now();
-    // Each connection says good-bye once nothing is owed on it, and is waited for: an end of the process beside it
-    // would cut off an answer on its way, or a ticket that lies unread.
-    while Instant::now() < ends && close_idle_connections(context, deaf_at.elapsed()) {
-        sleep(LOOK).await;
+    let stopped = Instant::now();
+    // Each connection is closed gracefully once no answer is pending on it, and is waited for: the end of the process
+    // would cut off an answer on its way, or a request that lies unread.
+    while Instant::now() < deadline && close_idle_connections(context, stopped.elapsed()) {
+        sleep(POLL_INTERVAL).await;
+    }
+    let unanswered = context.core.borrow_mut().table.fail_all();
+    sleep(POLL_INTERVAL).await;
+    for conn in context.connections.borrow().values() {
+        conn.close_with(close_reason::KILL);
     }
-    let owing = context.core.borrow_mut().table.fail_all();
-    sleep(LOOK).await;
-    context
-        .connections
-        .borrow()
-        .values()
-        .for_each(|conn| conn.close_with(close_reason::KILL));
-    sleep(LOOK).await;
+    sleep(POLL_INTERVAL).await;
     log_event!(
         "drain_ends",
         "drain ends",
-        owing = owing,
+        owing = unanswered,
         after_ms = noticed.elapsed().as_millis()
     );
 }
 
-/// Whether connections are still waited for, so long after the end of listening.
-fn close_idle_connections(context: &NodeContext, deaf_for: Duration) -> bool {
-    let (listening, conns) = (
-        context.listener.borrow().is_some(),
-        context.connections.borrow(),
+/// Notes and logs the shutdown notice, and asks the dispatchers to use their connections no more.
+fn start_drain(context: &NodeContext, noticed: Instant) {
+    context.leaving.set(Some(noticed));
+    context.report_wakeup.notify_one();
+    let pending = context.core.borrow().table.pending_reply_count();
+    let connections = context.connections.borrow().len();
+    log_event!(
+        "drain_begins",
+        "drain begins",
+        owing = pending,
+        conns = connections,
+        stop_ms = context.config.stop.as_millis()
     );
-    for conn in conns.values() {
+    for conn in context.connections.borrow().values() {
+        conn.send_shutdown();
+    }
+}
+
+/// Other members lead the shards from here on, while requests in hand are still served.
+fn transfer_leadership(context: &NodeContext) {
+    let group = context.core.borrow().table.group.clone();
+    if let Some(group) = group {
+        tokio::task::spawn_local(async move {
+            group.member().leave(LEADERSHIP_TRANSFER_TIMEOUT).await;
+        });
+    }
+}
+
+/// How long after the notice the node still listens. Callers learn late that the node leaves: as long as what they send
+/// may still be run, it is accepted.
+fn listening_time(context: &NodeContext, until_kill: Duration) -> Duration {
+    if context.core.borrow().controller.is_some() {
+        let grace = context.drain_grace.get();
+        grace.min(until_kill.mul_f64(LISTENING_SHARE))
+    } else {
+        Duration::ZERO
+    }
+}
+
+/// Closes connections on which nothing is pending, so long after the end of listening; whether any are left.
+fn close_idle_connections(context: &NodeContext, since_stopped: Duration) -> bool {
+    let is_listening = context.listener.borrow().is_some();
+    let connections = context.connections.borrow();
+    for conn in connections.values() {
         conn.send_shutdown();
-        if conn.is_idle() && !listening && deaf_for > CROSSING_REQUESTS_TIMEOUT {
+        if conn.is_idle() && !is_listening && since_stopped > CROSSING_TIMEOUT {
             conn.close_with(close_reason::DRAIN);
         }
     }
-    listening || !conns.is_empty()
+    is_listening || !connections.is_empty()
 }
 
-/// The module hears of the notice, at once or as it begins, with the time at which the notice came.
+/// Tells the policy of the shutdown notice, if there was one, with the time at which it came.
 pub fn notify_policy(context: &NodeContext) {
     let Some(noticed) = context.leaving.get() else {
         return;
     };
-    context.drive_policy(|node, _, table| {
+    context.drive_policy(|policy, _, table| {
         let at = noticed.saturating_duration_since(table.started);
-        let kill = noticed + context.config.stop.saturating_sub(KILL_MARGIN[0]);
+        let kill = noticed + context.config.stop.saturating_sub(POLICY_KILL_MARGIN);
         let kill_in = kill
             .saturating_duration_since(table.started)
             .saturating_sub(at);
-        node.on_shutdown_notice(at, table, kill_in);
+        policy.on_shutdown_notice(at, table, kill_in);
     });
 }
--- /dev/null
+++ b/crates/node/src/group_membership.rs
@@ -0,0 +1,137 @@
+//! Joining the group that a configuration names, following its members, and its events in the log.
+
+use crate::context::NodeContext;
+use crate::group_handle::GroupHandle;
+use crate::settings::Settings;
+use crate::{descriptors, log_event};
+use rainstand_cluster::{ClusterMember, MemberOptions};
+use rainstand_config::schema::Group;
+use rainstand_replicated_state::member::GroupEvent;
+use std::rc::Rc;
+
+/// The environment variable with the path of the compiled configuration.
+const SETTINGS_VARIABLE: &str = "RAINSTAND_SETTINGS";
+
+/// Descriptors that a member's store takes: its folder, the log's two files, a snapshot, and as many to spare.
+const STORE_DESCRIPTORS: usize = 8;
+
+/// Descriptors that a member takes: a link to each other member and one from it, and its store.
+fn member_descriptors(members: usize) -> usize {
+    2 * members.saturating_sub(1) + STORE_DESCRIPTORS
+}
+
+/// The member could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct JoinError(String);
+
+/// Joins the group that a configuration names.
+///
+/// # Errors
+/// If the member cannot start.
+pub async fn join(context: &Rc<NodeContext>, group: Group) -> Result<(), JoinError> {
+    let descriptors = member_descriptors(group.members.len());
+    context.reserved_descriptors.set(descriptors);
+    let options = MemberOptions {
+        name: context.config.name.clone(),
+        group,
+        log: Box::new(log_group_event),
+    };
+    let member = ClusterMember::start(options).await.map_err(JoinError)?;
+    let handle = Rc::new(GroupHandle::new(member));
+    context.core.borrow_mut().table.group = Some(handle.clone());
+    tokio::task::spawn_local(handle.report_prior_runs());
+    Ok(())
+}
+
+/// Reads the configuration again, at SIGHUP: its members hold from here on, or the old ones where it is refused.
+pub async fn reload(context: &NodeContext) {
+    let handle = context.core.borrow().table.group.clone();
+    let path = std::env::var_os(SETTINGS_VARIABLE);
+    let (Some(handle), Some(path)) = (handle, path) else {
+        return;
+    };
+    let read = || async { std::fs::read_to_string(&path) };
+    let text = descriptors::with_retry(context, "configuration", read).await;
+    let applied = text
+        .map_err(|error| error.to_string())
+        .and_then(|text| set_members(&handle, &text));
+    match applied {
+        Ok(count) => {
+            context.reserved_descriptors.set(member_descriptors(count));
+            log_event!("group_reload", "members of the group", count = count);
+        }
+        Err(reason) => {
+            log_event!(
+                "group_reload_refused",
+                "group refused, the old members stay",
+                why = reason.escape_debug()
+            );
+        }
+    }
+}
+
+/// Takes the members from the text of a configuration; how many they are, or the text of the log line.
+fn set_members(handle: &GroupHandle, text: &str) -> Result<usize, String> {
+    let settings = Settings::read(text).map_err(|error| error.to_string())?;
+    let group = settings.group.ok_or("no group")?;
+    handle.member().set_members(&group)?;
+    Ok(group.members.len())
+}
+
+/// Logs an event of the group, each with its own code.
+fn log_group_event(event: &GroupEvent) {
+    match event {
+        GroupEvent::Bootstrapped { members } => {
+            log_event!("group_formed", "the group begins", members = members);
+        }
+        GroupEvent::BecameLeader { shard, term } => {
+            log_event!("shard_leads", "leads", shard = shard, term = term);
+        }
+        GroupEvent::LostLeadership { shard } => {
+            log_event!("shard_leads_no_more", "leads no more", shard = shard);
+        }
+        GroupEvent::MembershipChanged { shard, membership } => log_event!(
+            "shard_members",
+            "members of a shard",
+            shard = shard,
+            what = membership
+        ),
+        GroupEvent::Diverged { shard, divergence } => log_event!(
+            "copy_differs",
+            "this copy differs from most others: its files are set aside",
+            shard = shard,
+            what = format_args!(
+                "entry {}: {:016x} here, {:016x} there",
+                divergence.index, divergence.own_checksum, divergence.majority_checksum
+            )
+        ),
+        GroupEvent::StaleDisk { reason } => log_event!(
+            "copy_set_aside",
+            "the files are set aside, and this is a new member",
+            why = reason
+        ),
+        GroupEvent::StalePeer { name, disk, reason } => log_event!(
+            "peer_old_copy",
+            "a member came with an old copy of its disk",
+            name = name,
+            disk = format_args!("{disk:016x}"),
+            why = reason
+        ),
+        GroupEvent::CaughtUp { shard, index } => log_event!(
+            "shard_caught_up",
+            "caught up by a snapshot",
+            shard = shard,
+            index = index
+        ),
+        GroupEvent::DiskStalled => log_event!(
+            "disk_stands_still",
+            "the disk stands still: nothing is confirmed here"
+        ),
+        GroupEvent::DiskFailed { reason } => log_event!(
+            "disk_failed",
+            "the disk failed: nothing is confirmed here until a new start",
+            why = reason
+        ),
+    }
+}
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -1,447 +1,260 @@
-//! Keyed tickets of a node in a group: the start is agreed on before the launch, the result before the answer.
+//! Requests of a node in a group that have an idempotency key: the group agrees on the start before the launch, and on
+//! the result before the answer.
 //!
-//! What is done at each step stands in `rainstand_replicated_state::idempotent_request`; here it is carried out. The decision module still
-//! settles what is let in and when it runs: its order to run is where the group is asked whether the key may start. To
-//! the module a ticket that the group turns away is one that never ran.
+//! The steps are those of `rainstand_replicated_state::idempotent_request`; here they are carried out. The policy still
+//! decides what is admitted and when it runs: at its order to run, the key is claimed. To the policy, a request that
+//! the group turns away is one that never ran.
 //!
-//! A ticket whose run is over leaves the books; what it is owed waits in `RequestTable::awaiting_commit` until its result is agreed on.
+//! A request whose run is over leaves the table; its reply waits in `RequestTable::awaiting_commit` until the group has
+//! agreed on the result.
 
 use crate::counters::count;
-use crate::pending_reply::PendingReply;
+use crate::dispatch;
+use crate::group_handle::{GroupHandle, UNWATCHED_TIMEOUT};
 use crate::request::{RunState, Trace};
-use crate::request_table::RequestTable;
-use crate::settings::Settings;
-use crate::{descriptors, dispatch, log_event, NodeContext};
+use crate::request_table::{FinishedRun, RequestTable};
 use bytes::Bytes;
 use rainstand::Outcome;
-use rainstand_cluster::{ClusterMember, MemberOptions};
-use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation, Start};
+use rainstand_replicated_state::idempotency::{ClaimOutcome, Operation, Start};
 use rainstand_replicated_state::idempotent_request::{
     transition, RequestAction, RequestEvent, RequestStage, RunEnd, Transition,
 };
-use rainstand_replicated_state::member::GroupEvent;
-use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::sleep;
 
-/// Kept between an answer and its due time: a few of the module's beats.
-const MARGIN: Duration = Duration::from_millis(80);
-/// For a result that nobody waits for any more, and for a withdrawal.
-const UNWATCHED: Duration = Duration::from_secs(1);
-/// Runs of an earlier start of this node, told again by the agent: kept until their keys were read from the disk.
-const OLD_RUNS: usize = 4_000;
-const OLD_FOR: Duration = Duration::from_secs(30);
-const OLD_LOOK: Duration = Duration::from_millis(50);
-/// Descriptors that a member's store keeps: its folder, the log's two files, a snapshot, and as many to spare.
-const STORE: usize = 8;
+/// Between the answer that the group agrees on and the caller's deadline: a few of the policy's ticks.
+const REPLY_MARGIN: Duration = Duration::from_millis(80);
 
-/// Descriptors that a member keeps: a link to each other and one from it, and its store.
-fn kept(members: usize) -> usize {
-    2 * members.saturating_sub(1) + STORE
-}
-
-/// What makes a ticket a keyed one.
-pub struct GroupClaim {
-    pub key: Bytes,
-    /// Over type, tenant and body: a key is never answered with the result of another.
-    sum: u64,
-    window: Duration,
-    due: Instant,
-    stage: RequestStage,
-    question: Option<u64>,
-}
-
-/// A run of which nobody here knows, as the agent tells it again.
-struct PriorRun {
-    trace: Trace,
-    end: RunEnd,
-    since: Instant,
-}
-
-/// What of the group the node's books need.
-pub struct GroupHandle {
-    group: Rc<ClusterMember>,
-    old: RefCell<VecDeque<PriorRun>>,
-}
-
-impl GroupClaim {
-    /// `parts`: type, tenant and body.
-    pub fn new(key: (&str, &[u8]), parts: [&[u8]; 3], window: Duration, due: Instant) -> Self {
-        let (route, entity) = key;
-        let mut all = Vec::new();
-        for part in parts {
-            all.extend_from_slice(&(part.len() as u32).to_le_bytes());
-            all.extend_from_slice(part);
-        }
-        Self {
-            key: [route.as_bytes(), b"\0", entity].concat().into(),
-            sum: twox_hash::XxHash3_64::oneshot(&all),
-            window,
-            due,
-            stage: RequestStage::Claiming,
-            question: None,
-        }
-    }
-}
-
-/// Joins the group that a configuration names.
-///
-/// # Errors
-/// If the member cannot begin.
-pub async fn join(
-    context: &Rc<NodeContext>,
-    group: rainstand_config::schema::Group,
-) -> Result<(), String> {
-    context.reserved_descriptors.set(kept(group.members.len()));
-    let setup = MemberOptions {
-        name: context.config.name.clone(),
-        group,
-        log: Box::new(tell),
-    };
-    let group = ClusterMember::start(setup).await?;
-    let copies = Rc::new(GroupHandle {
-        group,
-        old: RefCell::default(),
-    });
-    context.core.borrow_mut().table.group = Some(copies.clone());
-    tokio::task::spawn_local(report_prior_runs(copies));
-    Ok(())
-}
-
-/// A new configuration, read again at SIGHUP: its members hold from here on.
-pub async fn reload(context: &NodeContext) {
-    let (Some(copies), Some(path)) = (
-        context.core.borrow().table.group.clone(),
-        std::env::var_os("RAINSTAND_SETTINGS"),
-    ) else {
-        return;
-    };
-    let read = descriptors::with_retry(context, "configuration", || async {
-        std::fs::read_to_string(&path)
-    })
-    .await;
-    let read = read.map_err(|why| why.to_string());
-    let group = read
-        .and_then(|text| Settings::read(&text))
-        .and_then(|all| all.group.ok_or("no group".into()));
-    match group.and_then(|group| copies.group.set_members(&group).map(|()| group)) {
-        Ok(group) => {
-            context.reserved_descriptors.set(kept(group.members.len()));
-            log_event!(
-                "group_reload",
-                "members of the group",
-                count = group.members.len()
-            );
-        }
-        Err(why) => {
-            log_event!(
-                "group_reload_refused",
-                "group refused, the old members stay",
-                why = why.escape_debug()
-            )
-        }
-    }
-}
-
-/// Lines of the log: each has its code.
-fn tell(news: &GroupEvent) {
-    match news {
-        GroupEvent::Bootstrapped { members } => {
-            log_event!("group_formed", "the group begins", members = members)
-        }
-        GroupEvent::BecameLeader { shard, term } => {
-            log_event!("shard_leads", "leads", shard = shard, term = term)
-        }
-        GroupEvent::LostLeadership { shard } => {
-            log_event!("shard_leads_no_more", "leads no more", shard = shard)
-        }
-        GroupEvent::MembershipChanged { shard, membership } => {
-            log_event!(
-                "shard_members",
-                "members of a shard",
-                shard = shard,
-                what = membership
-            );
-        }
-        GroupEvent::Diverged { shard, divergence } => log_event!(
-            "copy_differs",
-            "this copy differs from most others: its files are set aside",
-            shard = shard,
-            what = format_args!(
-                "entry {}: {:016x} here, {:016x} there",
-                divergence.index, divergence.own_checksum, divergence.majority_checksum
-            )
-        ),
-        GroupEvent::StaleDisk { reason } => {
-            log_event!(
-                "copy_set_aside",
-                "the files are set aside, and this is a new member",
-                why = reason
-            );
-        }
-        GroupEvent::StalePeer { name, disk, reason } => log_event!(
-            "peer_old_copy",
-            "a member came with an old copy of its disk",
-            name = name,
-            disk = format_args!("{disk:016x}"),
-            why = reason
-        ),
-        GroupEvent::CaughtUp { shard, index } => {
-            log_event!(
-                "shard_caught_up",
-                "caught up by a snapshot",
-                shard = shard,
-                index = index
-            );
-        }
-        GroupEvent::DiskStalled => {
-            log_event!(
-                "disk_stands_still",
-                "the disk stands still: nothing is confirmed here"
-            )
-        }
-        GroupEvent::DiskFailed { reason } => {
-            log_event!(
-                "disk_failed",
-                "the disk failed: nothing is confirmed here until a new start",
-                why = reason
-            );
-        }
-    }
-}
-
-impl GroupHandle {
-    pub fn group(&self) -> &Rc<ClusterMember> {
-        &self.group
-    }
-
-    fn command(&self, trace: &Trace, key: &Bytes, what: Operation) -> Command {
-        let claim = self.group.inspect(|member| member.claim(trace));
-        Command {
-            key: key.clone(),
-            claim,
-            operation: Some(what),
-        }
-    }
-
-    /// Something that the group should know and nobody waits for.
-    fn ask_unwatched(&self, trace: &Trace, key: &Bytes, what: Operation) {
-        let command = self.command(trace, key, what);
-        // Without room the key stays started until its window is over: repeats are told that it may have run.
-        let _ = self.group.request(command, UNWATCHED, Rc::new(|_| {}));
-    }
-}
-
-/// The module's order to run a keyed ticket: the group is asked first.
-pub fn start(table: &mut RequestTable, index: usize) {
-    let (Some(copies), context) = (table.group.clone(), table.context.clone()) else {
+/// The policy's order to run a request with a claim: the group is asked first.
+pub fn claim(table: &mut RequestTable, index: usize) {
+    let (Some(group), tasks) = (table.group.clone(), table.tasks.clone()) else {
         return;
     };
     let Some(request) = table.request_mut(index) else {
         return;
     };
     let (serial, trace) = (request.serial, request.trace);
-    let Some(keyed) = &mut request.claim else {
+    let Some(claim) = &mut request.claim else {
         return;
     };
     request.run = RunState::Claiming;
-    let left = keyed.due.saturating_duration_since(Instant::now());
-    let most = Duration::from_nanos(copies.group.settings().start_within_ns);
-    let what = Operation::Start(Start {
-        fingerprint: keyed.sum,
-        window_ns: keyed.window.as_nanos() as u64,
+    let time_left = claim.deadline.saturating_duration_since(Instant::now());
+    let max_wait = Duration::from_nanos(group.member().settings().start_within_ns);
+    let operation = Operation::Start(Start {
+        fingerprint: claim.fingerprint,
+        window_ns: claim.window.as_nanos() as u64,
     });
-    let command = copies.command(&trace, &keyed.key, what);
-    let tell = move |told: Option<ClaimOutcome>| {
-        if let Some(context) = context.upgrade() {
-            context.drive_policy(|_, _, table| {
-                if table
-                    .request_mut(index)
-                    .is_some_and(|request| request.serial == serial)
-                {
-                    apply_event(
-                        table,
-                        index,
-                        told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome),
-                    );
-                }
-            });
+    let command = group.command(&trace, &claim.key, operation);
+    let on_outcome = move |outcome: Option<ClaimOutcome>| {
+        if let Some(tasks) = tasks.upgrade() {
+            tasks.on_claim_outcome(index, serial, outcome);
         }
     };
-    keyed.question = copies
-        .group
-        .request(command, most.min(left / 2), Rc::new(tell));
-    if keyed.question.is_none() {
+    let timeout = max_wait.min(time_left / 2);
+    claim.pending_command = group
+        .member()
+        .request(command, timeout, Rc::new(on_outcome));
+    if claim.pending_command.is_none() {
         apply_event(table, index, RequestEvent::TimedOut);
     }
 }
 
-/// Nobody waits for the ticket any more. A run goes on: what it brings serves repeats.
-pub fn left(table: &mut RequestTable, index: usize) {
+/// The group answered a claim, or did not in time; `serial` tells whether its request is still the one at `index`.
+pub fn on_claim_outcome(
+    table: &mut RequestTable,
+    index: usize,
+    serial: u64,
+    outcome: Option<ClaimOutcome>,
+) {
+    let request = table.request_mut(index);
+    if request.is_some_and(|request| request.serial == serial) {
+        apply_event(table, index, event_of(outcome));
+    }
+}
+
+fn event_of(outcome: Option<ClaimOutcome>) -> RequestEvent {
+    outcome.map_or(RequestEvent::TimedOut, RequestEvent::Outcome)
+}
+
+/// Nobody waits for the request any more. A run goes on: its result serves retries.
+pub fn on_caller_left(table: &mut RequestTable, index: usize) {
     apply_event(table, index, RequestEvent::CallerLeft);
 }
 
-/// The run of a keyed ticket is over; the module is told as of any other.
-pub fn ended(table: &mut RequestTable, index: usize, end: RunEnd) {
+/// The run of a request with a claim is over; the policy hears of it as of any other.
+pub fn on_run_finished(table: &mut RequestTable, index: usize, end: RunEnd) {
     apply_event(table, index, RequestEvent::RunFinished(end));
 }
 
+/// What an action means to the policy.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum PolicyView {
+    /// It hears of the run's end, if there is one, as of any other.
+    Unchanged,
+    /// Turned away before anything was launched.
+    NeverRan,
+}
+
+/// Moves a request's stage and carries out the action that follows.
 fn apply_event(table: &mut RequestTable, index: usize, event: RequestEvent) {
-    let Some(copies) = table.group.clone() else {
+    let Some(group) = table.group.clone() else {
         return;
     };
-    let counts = table.counts.clone();
-    let Some(request) = table.requests.get_mut(index).and_then(Option::as_mut) else {
+    let Some(claim) = table
+        .request_mut(index)
+        .and_then(|request| request.claim.as_mut())
+    else {
         return;
     };
-    let Some(keyed) = &mut request.claim else {
-        return;
-    };
-    let (trace, key) = (request.trace, keyed.key.clone());
-    let Transition { next, action: act } = transition(keyed.stage, event);
+    let Transition { next, action } = transition(claim.stage, event);
     if let Some(next) = next {
-        keyed.stage = next;
+        claim.stage = next;
+    }
+    if perform(table, &group, index, action) == PolicyView::NeverRan {
+        table.run_ends.push_back(FinishedRun {
+            index,
+            outcome: Outcome::NeverStarted,
+        });
     }
-    // Turned away before anything was launched: to the module it never ran.
-    let never_ran = match act {
-        RequestAction::None => false,
+}
+
+/// Carries out the action of a transition.
+fn perform(
+    table: &mut RequestTable,
+    group: &GroupHandle,
+    index: usize,
+    action: RequestAction,
+) -> PolicyView {
+    match action {
+        RequestAction::None => PolicyView::Unchanged,
         RequestAction::Launch => {
-            request.run = RunState::Launched;
-            count(&counts.launched);
-            dispatch::launch(&table.agent, request, &table.class_names);
-            false
+            launch(table, index);
+            PolicyView::Unchanged
         }
         RequestAction::ReplicateResult(result) => {
-            let (owed, due) = (request.reply.take(), keyed.due);
-            keep(table, &copies, trace, &key, result, owed, due);
-            false
+            replicate_result(table, group, index, result);
+            PolicyView::Unchanged
         }
         RequestAction::Respond(result) => {
-            if let Some(owed) = request.reply.take() {
-                owed.serve(&counts, &result);
+            if let Some(reply) = table.take_reply(index) {
+                reply.serve(&table.counts, &result);
             }
-            true
+            PolicyView::NeverRan
         }
         RequestAction::Reject { permanent } => {
-            let come_back = Duration::from_nanos(copies.group.settings().come_back_ns);
-            if let Some(owed) = request.reply.take() {
-                owed.reject(&counts, come_back, permanent);
+            let retry_after = Duration::from_nanos(group.member().settings().come_back_ns);
+            if let Some(reply) = table.take_reply(index) {
+                reply.reject(&table.counts, retry_after, permanent);
             }
-            true
+            PolicyView::NeverRan
         }
         RequestAction::Fail => {
-            if let Some(owed) = request.reply.take() {
-                owed.fail(&counts);
-            }
-            true
+            fail(table, index);
+            PolicyView::NeverRan
         }
         RequestAction::Withdraw => {
-            if let Some(question) = keyed.question.take() {
-                copies.group.forget(question);
-            }
-            true
+            forget_claim(table, group, index);
+            PolicyView::NeverRan
         }
-        RequestAction::FailAndRecord | RequestAction::FailAndRelease => {
-            if let Some(owed) = request.reply.take() {
-                owed.fail(&counts);
-            }
-            let what = if act == RequestAction::FailAndRecord {
-                Operation::Failed(true)
-            } else {
-                Operation::Withdraw(true)
-            };
-            copies.ask_unwatched(&trace, &key, what);
-            false
+        RequestAction::FailAndRecord => {
+            fail(table, index);
+            send_end(table, group, index, Operation::Failed(true));
+            PolicyView::Unchanged
         }
+        RequestAction::FailAndRelease => {
+            fail(table, index);
+            send_end(table, group, index, Operation::Withdraw(true));
+            PolicyView::Unchanged
+        }
+    }
+}
+
+/// The key is claimed: the agent may run the request.
+fn launch(table: &mut RequestTable, index: usize) {
+    let slot = table.requests.get_mut(index).and_then(Option::as_mut);
+    if let Some(request) = slot {
+        request.run = RunState::Launched;
+        count(&table.counts.launched);
+        dispatch::launch(&table.agent, request, &table.class_names);
+    }
+}
+
+fn fail(table: &mut RequestTable, index: usize) {
+    if let Some(reply) = table.take_reply(index) {
+        reply.fail(&table.counts);
+    }
+}
+
+/// The group's answer to a pending claim no longer matters.
+fn forget_claim(table: &mut RequestTable, group: &GroupHandle, index: usize) {
+    let claim = table
+        .request_mut(index)
+        .and_then(|request| request.claim.as_mut());
+    if let Some(number) = claim.and_then(|claim| claim.pending_command.take()) {
+        group.member().forget(number);
+    }
+}
+
+/// Tells the group how a run without a result ended.
+fn send_end(table: &mut RequestTable, group: &GroupHandle, index: usize, operation: Operation) {
+    let Some(request) = table.request_mut(index) else {
+        return;
     };
-    if never_ran {
-        table.run_ends.push_back((index, Outcome::NeverStarted));
+    if let Some(claim) = &request.claim {
+        group.send_unwatched(&request.trace, &claim.key, operation);
     }
 }
 
-/// Agrees on a result; what is owed is answered then, or given up in time.
-fn keep(
-    table: &mut RequestTable,
-    copies: &GroupHandle,
-    trace: Trace,
-    key: &Bytes,
-    result: Bytes,
-    owed: Option<PendingReply>,
-    due: Instant,
-) {
-    let left = due.saturating_duration_since(Instant::now());
-    let left = if owed.is_some() {
-        left.saturating_sub(MARGIN)
+/// Has the group agree on a result; the caller is answered then, or failed in time.
+fn replicate_result(table: &mut RequestTable, group: &GroupHandle, index: usize, result: Bytes) {
+    let Some(request) = table.request_mut(index) else {
+        return;
+    };
+    let trace: Trace = request.trace;
+    let Some(claim) = &request.claim else { return };
+    let key = claim.key.clone();
+    let time_left = claim.deadline.saturating_duration_since(Instant::now());
+    let reply = request.reply.take();
+    let timeout = if reply.is_some() {
+        time_left.saturating_sub(REPLY_MARGIN)
     } else {
-        UNWATCHED
+        UNWATCHED_TIMEOUT
     };
-    let (context, kept) = (table.context.clone(), result.clone());
-    let number = table.retain_reply(owed);
-    let tell = move |told: Option<ClaimOutcome>| {
-        let Some(context) = context.upgrade() else {
-            return;
-        };
-        let mut core = context.core.borrow_mut();
-        let event = told.map_or(RequestEvent::TimedOut, RequestEvent::Outcome);
-        let Transition { next, action: act } = transition(RequestStage::Replicating, event);
-        if next.is_some() {
-            return;
-        }
-        let Some(owed) = core.table.awaiting_commit.remove(&number) else {
-            return;
-        };
-        match act {
-            RequestAction::Respond(_) => owed.serve(&context.counts, &kept),
-            _ => owed.fail(&context.counts),
+    let tasks = table.tasks.clone();
+    let number = table.retain_reply(reply);
+    let agreed = result.clone();
+    let on_outcome = move |outcome: Option<ClaimOutcome>| {
+        if let Some(tasks) = tasks.upgrade() {
+            tasks.on_result_outcome(number, &agreed, outcome);
         }
     };
-    let command = copies.command(&trace, key, Operation::Done(result));
-    if copies.group.request(command, left, Rc::new(tell)).is_none() {
-        if let Some(owed) = table.awaiting_commit.remove(&number) {
-            owed.fail(&table.counts);
+    let command = group.command(&trace, &key, Operation::Done(result));
+    let pending = group
+        .member()
+        .request(command, timeout, Rc::new(on_outcome));
+    if pending.is_none() {
+        if let Some(reply) = table.awaiting_commit.remove(&number) {
+            reply.fail(&table.counts);
         }
     }
 }
 
-/// The agent tells of a run that nobody here knows: perhaps an earlier start of this node began it.
-pub fn report_prior_run(context: &NodeContext, trace: Trace, end: RunEnd) {
-    let Some(copies) = context.core.borrow().table.group.clone() else {
+/// The group agreed on a result, or did not in time: the reply with this number is given.
+pub fn on_result_outcome(
+    table: &mut RequestTable,
+    number: u64,
+    result: &Bytes,
+    outcome: Option<ClaimOutcome>,
+) {
+    let Transition { next, action } = transition(RequestStage::Replicating, event_of(outcome));
+    if next.is_some() {
         return;
-    };
-    let mut old = copies.old.borrow_mut();
-    if old.len() >= OLD_RUNS {
-        old.pop_front();
     }
-    old.push_back(PriorRun {
-        trace,
-        end,
-        since: Instant::now(),
-    });
-}
-
-/// Once a key of such a run was read from the copies here, the group hears how it ended.
-async fn report_prior_runs(copies: Rc<GroupHandle>) {
-    loop {
-        sleep(OLD_LOOK).await;
-        let all = std::mem::take(&mut *copies.old.borrow_mut());
-        for run in all {
-            match copies
-                .group
-                .inspect(|member| member.key_claimed_here(&run.trace))
-            {
-                Some(key) => {
-                    let what = match run.end {
-                        RunEnd::Result(result) => Operation::Done(result),
-                        RunEnd::Failed => Operation::Failed(true),
-                        RunEnd::NeverRan => Operation::Withdraw(true),
-                    };
-                    copies.ask_unwatched(&run.trace, &key, what);
-                }
-                None if run.since.elapsed() < OLD_FOR => copies.old.borrow_mut().push_back(run),
-                None => {}
-            }
-        }
+    let Some(reply) = table.awaiting_commit.remove(&number) else {
+        return;
+    };
+    match action {
+        RequestAction::Respond(_) => reply.serve(&table.counts, result),
+        _ => reply.fail(&table.counts),
     }
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,34 +1,51 @@
-//! From a frame to the decision module: names to indices, repeats, what bad input gets.
+//! Frames of the dispatchers: requests, cancellations and probes, from bytes to the policy's arrival.
+//!
+//! A request is parsed, looked up in the table, and either rejected or inserted; the policy hears of it only once it
+//! is in the table. Texts of exceptions go to the caller as they are.
 
 use crate::connection::Connection;
+use crate::context::NodeContext;
 use crate::counters::count;
-use crate::idempotency::GroupClaim;
+use crate::group_claim::GroupClaim;
 use crate::pending_reply::PendingReply;
-use crate::request::{Request, RunState};
+use crate::request::{Request, RunState, Trace};
+use crate::request_table::RequestTable;
 use crate::result_cache::{body_checksum, CachedResult, IdempotencyKey};
-use crate::{thrift, NodeContext};
+use crate::thrift;
 use rainstand::{Arrival, Host, RetryOf};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-/// Tickets open on one connection, by the protocol.
-const OPEN_MOST: usize = 32;
+/// Requests open on one connection, by the protocol.
+const MAX_OPEN_REQUESTS: usize = 32;
+
 /// The longest body, in bytes, by the protocol.
-const BODY_MOST: usize = 2 * 1024;
-/// The longest name of what a ticket is about, in bytes: past any id, and cheap to keep.
-const NAME_MOST: usize = 256;
-/// Exceptions on a connection that was of no use yet, past which it ends: two full sets of open tickets.
-const EXCEPTIONS_MOST: u64 = 64;
-/// Bodies of tickets in hand may take this part of the memory: an eighth.
-const BODIES_PART: usize = 8;
-/// Memory booked for a held ticket, in KB, by the protocol.
-const SIZE_MOST: f64 = 2_000.0;
-/// How far from now a ticket may be born, either way, and how long its caller may wait: past any standstill and outer limit, and past what
-/// clocks of two machines are apart, so that one that is off does not turn every ticket away.
-const BORN_WITHIN: Duration = Duration::from_secs(600);
+const MAX_BODY_BYTES: usize = 2 * 1024;
+
+/// The longest nonce or entity, in bytes: longer than any identifier, and cheap to cache.
+const MAX_NAME_BYTES: usize = 256;
+
+/// Exceptions on a connection on which nothing was served yet, past which it ends: two full sets of open requests.
+const MAX_EXCEPTIONS: u64 = 64;
+
+/// Bodies of requests in hand may take this part of the memory: an eighth.
+const BODY_MEMORY_FRACTION: usize = 8;
+
+/// Memory booked for a held request, in KB, by the protocol; exclusive.
+const MAX_HELD_KB: f64 = 2_000.0;
+
+/// How far from now a request may be born, either way, and how long its caller may wait: longer than any suspension
+/// and any deadline, and more than the clocks of two machines differ, so that one wrong clock does not get every
+/// request refused.
+const MAX_CLOCK_DISTANCE: Duration = Duration::from_mins(10);
 
-/// One frame. An error is the reason code for which the connection is to end.
+/// Why a request is refused: the text of the exception that its caller gets.
+type Refusal = &'static str;
+
+/// Handles one frame.
+///
+/// # Errors
+/// The reason code for which the connection is to end.
 pub fn handle_frame(
     context: &NodeContext,
     conn: &Rc<Connection>,
@@ -36,15 +53,15 @@
 ) -> Result<(), thrift::Flaw> {
     let message = thrift::message(frame)?;
     let (name, seq) = (message.name, message.seq);
-    let except = |code, why: &str| {
+    let send_exception = |code, text: &str| {
         count(&context.counts.exceptions);
         count(&conn.exceptions);
         if !message.oneway {
-            conn.send(&thrift::exception(name, seq, code, why));
+            conn.send(&thrift::exception(name, seq, code, text));
         }
     };
     let unreadable = |flaw| {
-        except(thrift::PROTOCOL_ERROR, "arguments cannot be read");
+        send_exception(thrift::PROTOCOL_ERROR, "arguments cannot be read");
         flaw
     };
     match name {
@@ -54,224 +71,360 @@
             if conn.open_requests.borrow().contains_key(&seq) {
                 return Err("seq_repeated");
             }
-            if let Err(why) = ticket(context, conn, seq, fields, body) {
-                except(thrift::INTERNAL_ERROR, why);
+            if let Err(refusal) = handle_request(context, conn, seq, fields, body) {
+                send_exception(thrift::INTERNAL_ERROR, refusal);
             }
         }
         b"giveUp" => {
-            let left = thrift::give_up_args(message.args).map_err(unreadable)?;
-            left.into_iter().for_each(|seq| cancel(context, conn, seq));
+            let cancelled = thrift::give_up_args(message.args).map_err(unreadable)?;
+            if let Some(seq) = cancelled {
+                cancel(context, conn, seq);
+            }
         }
         b"probe" => {
             thrift::probe_args(message.args).map_err(unreadable)?;
-            count(&context.counts.probes);
-            conn.is_known.set(true);
-            let good = context.core.borrow().table.healthy;
-            if !message.oneway {
-                conn.send(&thrift::answer(b"probe", seq, &[], good));
-            }
+            answer_probe(context, conn, &message);
         }
-        _ => except(thrift::UNKNOWN_METHOD, "no such method"),
+        _ => send_exception(thrift::UNKNOWN_METHOD, "no such method"),
     }
-    // Guards against one that sends the same nonsense again as soon as it is told so.
-    if !conn.is_known.get() && conn.exceptions.get() >= EXCEPTIONS_MOST {
+    // A caller that repeats the same bad message at once would keep the node busy.
+    if !conn.is_known.get() && conn.exceptions.get() >= MAX_EXCEPTIONS {
         return Err("bad_input");
     }
     Ok(())
 }
 
-/// The caller no longer waits for the answer of this number.
+/// Answers a health check.
+fn answer_probe(context: &NodeContext, conn: &Connection, message: &thrift::Message) {
+    count(&context.counts.probes);
+    conn.is_known.set(true);
+    let healthy = context.core.borrow().table.healthy;
+    if !message.oneway {
+        conn.send(&thrift::answer(b"probe", message.seq, &[], healthy));
+    }
+}
+
+/// The caller no longer waits for the answer with this sequence number.
 pub fn cancel(context: &NodeContext, conn: &Connection, seq: i32) {
     let Some(index) = conn.open_requests.borrow_mut().remove(&seq) else {
         return;
     };
     count(&context.counts.left);
-    context.drive_policy(|node, now, table| {
+    context.drive_policy(|policy, now, table| {
         if let Some(request) = table.request_mut(index) {
             request.reply = None;
-            node.on_caller_gone(now, table, index);
+            policy.on_caller_gone(now, table, index);
         }
     });
 }
 
-/// Gives up all that is open on a connection that is to end: its caller sent what cannot be read.
+/// Fails all that is open on a connection that is to end: its caller sent what cannot be read.
 pub fn cancel_all(context: &NodeContext, conn: &Connection) {
-    let first = || conn.open_requests.borrow_mut().pop_first();
-    while let Some((_, index)) = first() {
-        context.drive_policy(|node, now, table| {
+    let pop_first = || conn.open_requests.borrow_mut().pop_first();
+    while let Some((_, index)) = pop_first() {
+        context.drive_policy(|policy, now, table| {
             table.give_up(index);
-            node.on_caller_gone(now, table, index);
+            policy.on_caller_gone(now, table, index);
         });
     }
 }
 
-fn ticket(
+/// The fields of a request's message, as bytes.
+struct Fields<'a>(Vec<(&'a [u8], &'a [u8])>);
+
+impl<'a> Fields<'a> {
+    fn bytes(&self, name: &str) -> Option<&'a [u8]> {
+        let field = self.0.iter().find(|field| field.0 == name.as_bytes());
+        field.map(|field| field.1)
+    }
+
+    fn text(&self, name: &str) -> Option<&'a str> {
+        std::str::from_utf8(self.bytes(name)?).ok()
+    }
+
+    fn number<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.text(name)?.parse().ok()
+    }
+
+    /// None where the field is absent.
+    fn name(&self, field: &str, refusal: Refusal) -> Result<Option<&'a str>, Refusal> {
+        if self.bytes(field).is_none() {
+            return Ok(None);
+        }
+        self.text(field)
+            .filter(|name| !name.is_empty() && name.len() <= MAX_NAME_BYTES)
+            .map(Some)
+            .ok_or(refusal)
+    }
+}
+
+/// A request's message, parsed and within its bounds.
+struct ParsedRequest<'a> {
+    trace: Trace,
+    /// Since it was born at its caller.
+    waited: Duration,
+    /// How much longer its caller waits; None where it does not say.
+    patience: Option<Duration>,
+    held_kb: f64,
+    route: &'a str,
+    /// As it came: it may be no text, and is unknown then.
+    customer: Option<&'a [u8]>,
+    nonce: Option<&'a str>,
+    entity: Option<&'a str>,
+    /// The caller says that an earlier try may have run.
+    is_redo: bool,
+    body: &'a [u8],
+}
+
+impl<'a> ParsedRequest<'a> {
+    fn parse(
+        fields: Option<Vec<(&'a [u8], &'a [u8])>>,
+        body: Option<&'a [u8]>,
+    ) -> Result<Self, Refusal> {
+        let fields = Fields(fields.ok_or("fields: missing")?);
+        let body = body
+            .filter(|body| body.len() <= MAX_BODY_BYTES)
+            .ok_or("body: missing or too long")?;
+        let trace = parse_trace(&fields).ok_or("trace: no 16 hex digits")?;
+        let born: u64 = fields.number("born").ok_or("born: no milliseconds")?;
+        let waited = elapsed_since(born).ok_or("born: not within minutes of now")?;
+        let patience = parse_patience(&fields, waited)?;
+        let held_kb = fields
+            .number("size")
+            .filter(|kb| *kb > 0.0 && *kb < MAX_HELD_KB)
+            .ok_or("size: no kilobytes")?;
+        fields
+            .number::<f64>("order")
+            .filter(|rank| (0.0..1.0).contains(rank))
+            .ok_or("order: no rank")?;
+        fields.number::<u32>("client").ok_or("client: no number")?;
+        let route = fields.text("route").ok_or("route: missing")?;
+        let nonce = fields.name("nonce", "nonce: empty or too long")?;
+        let entity = fields.name("entity", "entity: empty or too long")?;
+        let is_redo = match fields.bytes("redo") {
+            None => false,
+            Some(b"1") => true,
+            Some(_) => return Err("redo: neither 1 nor absent"),
+        };
+        Ok(Self {
+            trace,
+            waited,
+            patience,
+            held_kb,
+            route,
+            customer: fields.bytes("customer"),
+            nonce,
+            entity,
+            is_redo,
+            body,
+        })
+    }
+
+    /// The customer's name, where it is a text.
+    fn customer_name(&self) -> Option<&'a str> {
+        std::str::from_utf8(self.customer?).ok()
+    }
+}
+
+fn parse_trace(fields: &Fields) -> Option<Trace> {
+    let text = fields.text("trace")?;
+    let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    text.as_bytes().try_into().ok().filter(|_| is_hex)
+}
+
+/// How much longer the caller waits. Counted from its birth: however long a request lay unread, its caller waits no
+/// longer for it.
+fn parse_patience(fields: &Fields, waited: Duration) -> Result<Option<Duration>, Refusal> {
+    if fields.bytes("patience").is_none() {
+        return Ok(None);
+    }
+    let text = fields.text("patience").ok_or("patience: no text")?;
+    match text.parse().map(Duration::from_millis) {
+        // As in the settings: 0 stands for a caller that does not say.
+        Ok(Duration::ZERO) => Ok(None),
+        Ok(patience) if patience <= MAX_CLOCK_DISTANCE => Ok(Some(patience.saturating_sub(waited))),
+        _ => Err("patience: no milliseconds within minutes"),
+    }
+}
+
+/// What a request is to this node: its class, and which earlier request it repeats.
+struct Identity {
+    class: usize,
+    tenant: Option<usize>,
+    deadline: Instant,
+    /// Its class distinguishes retries, by their key.
+    has_retry_window: bool,
+    /// Where the group agrees on its start.
+    claim: Option<GroupClaim>,
+    /// Where this node alone remembers its result.
+    key: Option<IdempotencyKey>,
+    retry: RetryOf,
+    /// The open request with the same key.
+    open_request: Option<usize>,
+}
+
+impl Identity {
+    fn look_up(
+        table: &RequestTable,
+        request: &ParsedRequest,
+        now: Instant,
+    ) -> Result<Self, Refusal> {
+        let class = table.classes.get(request.route).copied();
+        let class = class.ok_or("route: no such traffic type")?;
+        let customer = request.customer_name();
+        let tenant = customer.and_then(|name| table.tenants.get(name).copied());
+        if tenant.is_none() && (request.customer.is_some() || !table.tenants.is_empty()) {
+            return Err("customer: no such tenant");
+        }
+        if table.by_trace.contains_key(&request.trace) {
+            return Err("trace: in hand already");
+        }
+        let limits = table.class_limits.get(class).copied().unwrap_or_default();
+        let time_left = request
+            .patience
+            .unwrap_or(limits.deadline.saturating_sub(request.waited));
+        let deadline = now + time_left;
+        // All tries of a request carry the same nonce. Without one, the entity names it where retries are told apart.
+        let name = request
+            .nonce
+            .or(request.entity.filter(|_| limits.retry_window.is_some()));
+        // In a group it is the group that knows what a request repeats.
+        let window = limits.retry_window.filter(|_| table.group.is_some());
+        let claim = window.zip(name).map(|(window, name)| {
+            let tenant = customer.unwrap_or("").as_bytes();
+            let parts = [request.route.as_bytes(), tenant, request.body];
+            GroupClaim::new((request.route, name.as_bytes()), parts, window, deadline)
+        });
+        let key = name.filter(|_| claim.is_none()).map(|name| IdempotencyKey {
+            traffic: class,
+            tenant,
+            name: name.as_bytes().into(),
+        });
+        let mut identity = Self {
+            class,
+            tenant,
+            deadline,
+            has_retry_window: limits.retry_window.is_some(),
+            claim,
+            key,
+            retry: RetryOf::No,
+            open_request: None,
+        };
+        identity.look_up_retry(table, request.body, now)?;
+        Ok(identity)
+    }
+
+    /// Finds what the request repeats.
+    fn look_up_retry(
+        &mut self,
+        table: &RequestTable,
+        body: &[u8],
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        let Some(key) = &self.key else { return Ok(()) };
+        let cached = table.result_cache.get(now, key);
+        // Another body under the same key is another request: it must neither get this one's result nor run.
+        if cached
+            .as_ref()
+            .is_some_and(|cached| cached.body_checksum != body_checksum(body))
+        {
+            return Err("nonce: that of a ticket with another body");
+        }
+        let has_ended = cached.is_some_and(|cached| cached.result != CachedResult::InProgress);
+        self.open_request = table.by_key.get(key).copied();
+        self.retry = match self.open_request {
+            _ if has_ended => RetryOf::Past,
+            Some(index) => RetryOf::Of(index),
+            None => RetryOf::No,
+        };
+        Ok(())
+    }
+
+    /// Whether the memory has room for the request, and for its key where its result is to be cached.
+    fn fits(&self, table: &mut RequestTable, body: &[u8], memory: usize, now: Instant) -> bool {
+        if table.body_bytes + body.len() > memory / BODY_MEMORY_FRACTION {
+            return false;
+        }
+        match &self.key {
+            Some(key) if self.retry == RetryOf::No && self.has_retry_window => {
+                table.result_cache.has_capacity(now, key)
+            }
+            _ => true,
+        }
+    }
+}
+
+/// Takes a request into the table and hands it to the policy, or rejects it where the node cannot run it.
+fn handle_request(
     context: &NodeContext,
     conn: &Rc<Connection>,
     seq: i32,
     fields: Option<Vec<(&[u8], &[u8])>>,
     body: Option<&[u8]>,
-) -> Result<(), &'static str> {
-    let fields = fields.ok_or("fields: missing")?;
-    let body = body
-        .filter(|body| body.len() <= BODY_MOST)
-        .ok_or("body: missing or too long")?;
-    let text = |name: &str| {
-        let found = fields.iter().find(|field| field.0 == name.as_bytes());
-        found.and_then(|field| std::str::from_utf8(field.1).ok())
-    };
-    let given = |name: &str| fields.iter().any(|field| field.0 == name.as_bytes());
-    let hex = |text: &str| text.bytes().all(|b| b.is_ascii_hexdigit());
-    let trace = text("trace")
-        .filter(|text| hex(text))
-        .and_then(|text| text.as_bytes().try_into().ok());
-    let trace: [u8; 16] = trace.ok_or("trace: no 16 hex digits")?;
-    let born: u64 = text("born")
-        .and_then(|ms| ms.parse().ok())
-        .ok_or("born: no milliseconds")?;
-    let waited = since(born).ok_or("born: not within minutes of now")?;
-    // Counted from where it was born: however long it lay unread, its caller waits no longer for it.
-    let patience = match text("patience").map(|ms| ms.parse().map(Duration::from_millis)) {
-        None if given("patience") => return Err("patience: no text"),
-        None => None,
-        // As in the settings' own form: 0 is that of a caller who does not tell.
-        Some(Ok(Duration::ZERO)) => None,
-        Some(Ok(whole)) if whole <= BORN_WITHIN => Some(whole.saturating_sub(waited)),
-        Some(_) => return Err("patience: no milliseconds within minutes"),
-    };
-    let number = |name: &str| text(name).and_then(|text| text.parse::<f64>().ok());
-    let held_kb = number("size")
-        .filter(|kb| *kb > 0.0 && *kb < SIZE_MOST)
-        .ok_or("size: no kilobytes")?;
-    number("order")
-        .filter(|rank| (0.0..1.0).contains(rank))
-        .ok_or("order: no rank")?;
-    text("client")
-        .and_then(|text| text.parse::<u32>().ok())
-        .ok_or("client: no number")?;
-    let route = text("route").ok_or("route: missing")?;
-    let name = |field: &str| text(field).filter(|name| !name.is_empty() && name.len() <= NAME_MOST);
-    let (nonce, entity) = (name("nonce"), name("entity"));
-    if given("nonce") && nonce.is_none() {
-        return Err("nonce: empty or too long");
-    }
-    if given("entity") && entity.is_none() {
-        return Err("entity: empty or too long");
-    }
-    let again = given("redo");
-    if again && text("redo") != Some("1") {
-        return Err("redo: neither 1 nor absent");
-    }
-    if conn.open_requests.borrow().len() >= OPEN_MOST {
+) -> Result<(), Refusal> {
+    let parsed = ParsedRequest::parse(fields, body)?;
+    if conn.open_requests.borrow().len() >= MAX_OPEN_REQUESTS {
         return Err("too many open tickets on this connection");
     }
-
     let mut core = context.core.borrow_mut();
-    let begun = core.controller.is_some();
+    let is_started = core.controller.is_some();
     let table = &mut core.table;
-    let known = |names: &BTreeMap<String, usize>, name: &str| names.get(name).copied();
-    let traffic = known(&table.classes, route).ok_or("route: no such traffic type")?;
-    let tenant = text("customer").and_then(|name| known(&table.tenants, name));
-    if tenant.is_none() && (given("customer") || !table.tenants.is_empty()) {
-        return Err("customer: no such tenant");
-    }
-    if table.by_trace.contains_key(&trace) {
-        return Err("trace: in hand already");
-    }
     let now = Instant::now();
-    // What tells a repeat: all tries of a ticketed one carry the same nonce. A name that comes without is what
-    // the ticket is about, which is as much where the type is ticketed.
-    let (outer_limit, window) = table.class_limits.get(traffic).copied().unwrap_or_default();
-    let name = nonce.or(entity.filter(|_| window.is_some()));
-    // Where the node is in a group, it is the group that knows what a ticketed one repeats.
-    let agreed = window.filter(|_| table.group.is_some()).zip(name);
-    let keyed = agreed.map(|(window, name)| {
-        let due = now + patience.unwrap_or(outer_limit.saturating_sub(waited));
-        let tenant = text("customer").unwrap_or("").as_bytes();
-        GroupClaim::new(
-            (route, name.as_bytes()),
-            [route.as_bytes(), tenant, body],
-            window,
-            due,
-        )
-    });
-    let name = name.filter(|_| keyed.is_none());
-    let key = name.map(|name| IdempotencyKey {
-        traffic,
-        tenant,
-        name: name.as_bytes().into(),
-    });
-    let kept = key
-        .as_ref()
-        .and_then(|key| table.result_cache.get(now, key));
-    // Guards against the result of one ticket for another under its name, and against a second run under it.
-    if kept
-        .as_ref()
-        .is_some_and(|kept| kept.1 != body_checksum(body))
-    {
-        return Err("nonce: that of a ticket with another body");
-    }
+    let identity = Identity::look_up(table, &parsed, now)?;
     count(&context.counts.tickets);
-    let open = key.as_ref().and_then(|key| table.by_key.get(key).copied());
-    let kept = kept.is_some_and(|kept| kept.0 != CachedResult::InProgress);
-    let repeat = open
-        .filter(|_| !kept)
-        .map_or(if kept { RetryOf::Past } else { RetryOf::No }, RetryOf::Of);
-    if repeat != RetryOf::No {
+    if identity.retry != RetryOf::No {
         count(&context.counts.repeats);
     }
-    let owed = PendingReply {
+    let reply = PendingReply {
         conn: conn.clone(),
         seq,
     };
-    let no_room = |key: &IdempotencyKey| {
-        repeat == RetryOf::No && window.is_some() && !table.result_cache.has_capacity(now, key)
-    };
-    // The agent is not up, or bodies in hand or kept keys fill their part of the memory: nothing of it was run.
-    if !begun
-        || table.body_bytes + body.len() > context.config.memory / BODIES_PART
-        || key.as_ref().is_some_and(no_room)
-    {
-        owed.reject(&context.counts, context.max_retry_after.get(), false);
+    // Nothing of it was run: the caller may try elsewhere.
+    if !is_started || !identity.fits(table, parsed.body, context.config.memory, now) {
+        reply.reject(&context.counts, context.max_retry_after.get(), false);
         return Ok(());
     }
-    let index = table.put(Request {
+    let arrival = Arrival {
+        traffic: identity.class,
+        tenant: identity.tenant,
+        waited: parsed.waited,
+        patience: parsed.patience,
+        repeat: identity.retry,
+        hint: None,
+        held_kb: parsed.held_kb,
+        again: parsed.is_redo,
+    };
+    let index = table.insert(new_request(&parsed, identity, reply));
+    conn.open_requests.borrow_mut().insert(seq, index);
+    drop(core);
+    context.drive_policy(|policy, now, table| policy.on_arrival(now, table, index, arrival));
+    Ok(())
+}
+
+fn new_request(parsed: &ParsedRequest, identity: Identity, reply: PendingReply) -> Request {
+    Request {
         serial: 0,
-        trace,
-        reply: Some(owed),
-        deadline: now + patience.unwrap_or(outer_limit.saturating_sub(waited)),
-        class: traffic,
-        body: body.into(),
+        trace: parsed.trace,
+        reply: Some(reply),
+        deadline: identity.deadline,
+        class: identity.class,
+        body: parsed.body.into(),
         run: RunState::Queued,
         call: None,
-        key,
+        key: identity.key,
         caches_result: false,
-        claim: keyed,
-        retry_of: open,
+        claim: identity.claim,
+        retry_of: identity.open_request,
         waiters: Vec::new(),
         orphan_since: None,
-    });
-    conn.open_requests.borrow_mut().insert(seq, index);
-    drop(core);
-    let arrival = Arrival {
-        traffic,
-        tenant,
-        waited,
-        patience,
-        repeat,
-        hint: None,
-        held_kb,
-        again,
-    };
-    context.drive_policy(|node, now, table| node.on_arrival(now, table, index, arrival));
-    Ok(())
+    }
 }
 
-/// How long ago a Unix time was, by the system's clock; none where that cannot be.
-fn since(born_ms: u64) -> Option<Duration> {
+/// How long ago a Unix time was, by the system's clock; None if further than [`MAX_CLOCK_DISTANCE`].
+fn elapsed_since(born_ms: u64) -> Option<Duration> {
     let unix = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default();
     let born = Duration::from_millis(born_ms);
-    (unix.abs_diff(born) <= BORN_WITHIN).then(|| unix.saturating_sub(born))
+    (unix.abs_diff(born) <= MAX_CLOCK_DISTANCE).then(|| unix.saturating_sub(born))
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,19 +1,18 @@
-//! `rainstand-node`: one node, told by `ROUTER_CONFIG` where its configuration lies.
+//! `rainstand-node`: one node; `ROUTER_CONFIG` is the path of its configuration.
 
-#![allow(
-    missing_docs,
-    unreachable_pub,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
-)]
-
-use rainstand_node::config::Config;
-use rainstand_node::log::LogLayer;
-use rainstand_node::settings::Settings;
-use rainstand_node::{idempotency, log_event, recording, reload, run, NodeContext};
+use rainstand_node::config::{Config, ConfigError};
+use rainstand_node::group_membership::JoinError;
+use rainstand_node::log::{InstallError, LogLayer};
+use rainstand_node::recording::RecordingError;
+use rainstand_node::settings::{Settings, SettingsError};
+use rainstand_node::{group_membership, log_event, recording, reload, run, NodeContext};
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
 const HELP: &str = "\
@@ -26,8 +25,60 @@
 Signals: TERM and INT drain, HUP reads the addresses anew, USR1 prints the counters.
 Options: --help, --version";
 
+/// Why the node did not start, in one line.
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("runtime: {0}")]
+    Runtime(io::Error),
+    #[error("signals: {0}")]
+    Signals(io::Error),
+    #[error("ROUTER_CONFIG: not set")]
+    NoConfig,
+    #[error("{path}: {cause}")]
+    Read { path: String, cause: io::Error },
+    #[error("{path}: {cause}")]
+    Config { path: String, cause: ConfigError },
+    #[error("{path}: {cause}")]
+    Settings { path: String, cause: SettingsError },
+    #[error(transparent)]
+    Log(#[from] InstallError),
+    #[error(transparent)]
+    Context(#[from] ConfigError),
+    #[error(transparent)]
+    Recording(#[from] RecordingError),
+    #[error("listen {address}: {cause}")]
+    Listen {
+        address: SocketAddr,
+        cause: io::Error,
+    },
+    #[error(transparent)]
+    Join(#[from] JoinError),
+}
+
+/// The signals that the node handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    print_counts: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    /// Handles the signals from here on.
+    fn install(runtime: &Runtime) -> Result<Self, StartError> {
+        let _guard = runtime.enter();
+        let handle = |kind| signal(kind).map_err(StartError::Signals);
+        Ok(Self {
+            terminate: handle(SignalKind::terminate())?,
+            interrupt: handle(SignalKind::interrupt())?,
+            print_counts: handle(SignalKind::user_defined1())?,
+            reload: handle(SignalKind::hangup())?,
+        })
+    }
+}
+
 fn main() -> ExitCode {
-    // Whatever else is written behind the name is left alone: a deployment may pass what it likes.
+    // Further arguments are ignored: a deployment may pass what it likes.
     match std::env::args().nth(1).as_deref() {
         Some("--help" | "-h") => {
             println!("{HELP}");
@@ -41,82 +92,93 @@
     }
     match start() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("rainstand-node: {why}");
+        Err(error) => {
+            eprintln!("rainstand-node: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
+/// Reads the configuration, and serves until the drain is done.
+fn start() -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    // Before all else: until then a signal ends the process, and a file that is replaced once it was read, with a
-    // signal that says so, would never be taken.
-    let signals = {
-        let _within = runtime.enter();
-        let [usr1, hup] = [SignalKind::user_defined1(), SignalKind::hangup()];
-        let signals = [SignalKind::terminate(), SignalKind::interrupt(), usr1, hup];
-        signals.map(|kind| signal(kind).map_err(|e| format!("signals: {e}")))
-    };
-    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG: not set")?;
-    let bytes = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config = Config::read(&bytes).map_err(|e| format!("{path}: {e}"))?;
-    let settings = match std::env::var("RAINSTAND_SETTINGS") {
-        Err(_) => Settings::default(),
-        Ok(path) => {
-            let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-            Settings::read(&text).map_err(|e| format!("{path}: {e}"))?
-        }
-    };
+        .build()
+        .map_err(StartError::Runtime)?;
+    // Before all else: until then a signal ends the process, and a reload of a file that was replaced just after it was
+    // read would be lost.
+    let signals = Signals::install(&runtime);
+    let path = std::env::var("ROUTER_CONFIG").map_err(|_| StartError::NoConfig)?;
+    let config = read_config(&path)?;
+    let settings = read_settings()?;
     LogLayer::new(settings.form).install()?;
-    for key in &config.unknown {
-        log_event!(
-            "config_key",
-            "config",
-            key = key,
-            what = "is not known and does nothing"
-        );
-    }
+    config.log_unknown_keys();
     let context = NodeContext::new(config)?;
     if let Some(recording) = &settings.recording {
         recording::start(&context, recording)?;
     }
-    LocalSet::new().block_on(&runtime, async move {
-        let listen = context.config.listen;
-        let listener = TcpListener::bind(listen)
-            .await
-            .map_err(|e| format!("listen {listen}: {e}"))?;
-        let [term, int, usr1, hup] = signals;
-        let (mut term, mut int, mut usr1) = (term?, int?, usr1?);
-        // Before the line that says the node is up: it has all its addresses then.
-        if let Some(group) = settings.group {
-            idempotency::join(&context, group).await?;
-        }
-        let (name, agent) = (&context.config.name, context.config.peers.agent);
-        log_event!(
-            "start",
-            "start",
-            name = name,
-            listen = listen,
-            agent = agent
-        );
-        spawn_local(reload::keep_reloading(context.clone(), path.into(), hup?));
-        let asked = context.clone();
-        spawn_local(async move {
-            while usr1.recv().await.is_some() {
-                asked.print_counts();
-            }
-        });
-        let leave = async move {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
-            }
-        };
-        run(context, listener, leave).await;
-        Ok(())
+    LocalSet::new().block_on(&runtime, serve(context, settings, path, signals))
+}
+
+fn read_config(path: &str) -> Result<Config, StartError> {
+    let bytes = std::fs::read(path).map_err(|cause| StartError::Read {
+        path: path.to_owned(),
+        cause,
+    })?;
+    Config::read(&bytes).map_err(|cause| StartError::Config {
+        path: path.to_owned(),
+        cause,
     })
 }
+
+/// The compiled configuration that `RAINSTAND_SETTINGS` names, or the default.
+fn read_settings() -> Result<Settings, StartError> {
+    let Ok(path) = std::env::var("RAINSTAND_SETTINGS") else {
+        return Ok(Settings::default());
+    };
+    match std::fs::read_to_string(&path) {
+        Ok(text) => Settings::read(&text).map_err(|cause| StartError::Settings { path, cause }),
+        Err(cause) => Err(StartError::Read { path, cause }),
+    }
+}
+
+/// Listens, joins the group if there is one, and serves until a signal to drain and the drain's end.
+async fn serve(
+    context: Rc<NodeContext>,
+    settings: Settings,
+    path: String,
+    signals: Result<Signals, StartError>,
+) -> Result<(), StartError> {
+    let address = context.config.listen;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|cause| StartError::Listen { address, cause })?;
+    let mut signals = signals?;
+    // Before the line that says that the node is up: it has all its addresses then.
+    if let Some(group) = settings.group {
+        group_membership::join(&context, group).await?;
+    }
+    log_event!(
+        "start",
+        "start",
+        name = context.config.name,
+        listen = address,
+        agent = context.config.peers.agent
+    );
+    let reloading = reload::keep_reloading(context.clone(), path.into(), signals.reload);
+    spawn_local(reloading);
+    let printing = context.clone();
+    spawn_local(async move {
+        while signals.print_counts.recv().await.is_some() {
+            printing.print_counts();
+        }
+    });
+    let shutdown = async move {
+        tokio::select! {
+            _ = signals.terminate.recv() => {}
+            _ = signals.interrupt.recv() => {}
+        }
+    };
+    run(context, listener, shutdown).await;
+    Ok(())
+}
--- a/crates/node/src/pending_reply.rs
+++ b/crates/node/src/pending_reply.rs
@@ -6,13 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The one answer that a ticket is owed; giving it uses this up, so there is never a second.
+/// The one answer that a request is owed; giving it consumes this, so there is never a second.
 pub struct PendingReply {
+    /// Where the answer goes.
     pub conn: Rc<Connection>,
+    /// The sequence number of its call.
     pub seq: i32,
 }
 
 impl PendingReply {
+    /// Answers with a result.
     pub fn serve(self, counts: &Counts, body: &[u8]) {
         count(&counts.honoured);
         self.conn.is_known.set(true);
@@ -20,16 +23,19 @@
         self.send_final(&frame);
     }
 
-    pub fn reject(self, counts: &Counts, come_back: Duration, nowhere_else: bool) {
+    /// Answers that nothing was run. `retry_after`: when the caller may try again; `permanent`: no other node will run
+    /// it either.
+    pub fn reject(self, counts: &Counts, retry_after: Duration, permanent: bool) {
         count(&counts.dismissed);
         self.conn.is_known.set(true);
-        let pause = come_back.as_millis().to_string();
+        let pause = retry_after.as_millis().to_string();
         let mut texts = vec![("pause", pause.as_str())];
-        texts.extend(nowhere_else.then_some(("terminal", "1")));
+        texts.extend(permanent.then_some(("terminal", "1")));
         let frame = thrift::backoff(self.seq, &texts);
         self.send_final(&frame);
     }
 
+    /// Answers that there is no result: it may have run.
     pub fn fail(self, counts: &Counts) {
         count(&counts.given_up);
         let frame = thrift::lost(self.seq);
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -1,8 +1,8 @@
-//! Orders of the decision module, carried out: commands to the agent, calls below, answers.
+//! Orders of the policy, carried out: commands to the agent, calls to the tier below, answers.
 
 use crate::counters::count;
-use crate::request::{CallState, RunState};
-use crate::request_table::RequestTable;
+use crate::request::{CallState, RunState, Waiter};
+use crate::request_table::{FinishedRun, RequestTable};
 use crate::result_cache::{body_checksum, CachedResult};
 use crate::{dispatch, idempotency, log_event, log_frequent};
 use rainstand::{Host, Outcome};
@@ -10,71 +10,69 @@
 
 impl Host for RequestTable {
     fn run(&mut self, index: usize) {
-        let (agent, counts) = (self.agent.clone(), self.counts.clone());
-        let Some(request) = self.requests.get_mut(index).and_then(Option::as_mut) else {
-            return;
-        };
+        let slot = self.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot else { return };
         match request.run {
-            RunState::Queued if request.claim.is_some() => idempotency::start(self, index),
+            RunState::Queued if request.claim.is_some() => idempotency::claim(self, index),
             RunState::Queued => {
                 request.run = RunState::Launched;
-                count(&counts.launched);
-                dispatch::launch(&agent, request, &self.class_names);
+                count(&self.counts.launched);
+                dispatch::launch(&self.agent, request, &self.class_names);
             }
             RunState::Paused => {
                 request.run = RunState::Launched;
-                count(&counts.thawed);
-                dispatch::about(&agent, "thaw", request);
+                count(&self.counts.thawed);
+                dispatch::command(&self.agent, "thaw", request);
             }
             RunState::Launched | RunState::Claiming => {}
         }
     }
 
     fn cancel_run(&mut self, index: usize) {
-        let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_pause);
-        if self
-            .request_mut(index)
-            .is_some_and(|request| request.claim.is_some())
-        {
-            return idempotency::left(self, index);
-        }
-        if let Some(request) = self
-            .request_mut(index)
-            .filter(|request| can_stop && request.run == RunState::Launched)
-        {
+        let slot = self.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot else { return };
+        if request.claim.is_some() {
+            idempotency::on_caller_left(self, index);
+        } else if self.can_pause && request.run == RunState::Launched {
             request.run = RunState::Paused;
-            count(&counts.frozen);
-            dispatch::about(&agent, "freeze", request);
+            count(&self.counts.frozen);
+            dispatch::command(&self.agent, "freeze", request);
         }
     }
 
-    /// From what is kept at once, or from the open ticket once its run is over.
+    /// From the cache at once, or from the open request once its run is over.
     fn reply_from_cache(&mut self, index: usize) {
         let Some(request) = self.request_mut(index) else {
             return;
         };
-        let (key, prior, serial) = (request.key.clone(), request.retry_of, request.serial);
-        let kept = key
+        let (key, prior) = (request.key.clone(), request.retry_of);
+        let waiter = Waiter {
+            index,
+            serial: request.serial,
+        };
+        let cached = key
             .and_then(|key| self.result_cache.get(Instant::now(), &key))
-            .map(|kept| kept.0);
-        if let Some(CachedResult::Result(result)) = kept {
+            .map(|cached| cached.result);
+        let outcome = if let Some(CachedResult::Result(result)) = cached {
             self.finish(index, Outcome::Succeeded, &result);
-            self.run_ends.push_back((index, Outcome::Succeeded));
+            Outcome::Succeeded
         } else if let Some(prior) = prior.and_then(|prior| self.request_mut(prior)) {
-            prior.waiters.push((index, serial));
+            prior.waiters.push(waiter);
+            return;
         } else {
             self.finish(index, Outcome::Failed, &[]);
-            self.run_ends.push_back((index, Outcome::Failed));
-        }
+            Outcome::Failed
+        };
+        self.run_ends.push_back(FinishedRun { index, outcome });
     }
 
-    /// There is room for it: that was looked at before the module heard of the ticket.
+    /// The cache has capacity for it: that was checked before the policy heard of the request.
     fn keep(&mut self, index: usize, span: Duration) {
         let now = Instant::now();
         if let Some(request) = self.requests.get_mut(index).and_then(Option::as_mut) {
             request.caches_result = request.key.as_ref().is_some_and(|key| {
-                self.result_cache
-                    .open(now, key, now + span, body_checksum(&request.body))
+                let checksum = body_checksum(&request.body);
+                self.result_cache.open(now, key, now + span, checksum)
             });
         }
     }
@@ -84,11 +82,8 @@
     }
 
     fn reject(&mut self, index: usize, come_back: Duration, nowhere_else: bool) {
-        if let Some(owed) = self
-            .request_mut(index)
-            .and_then(|request| request.reply.take())
-        {
-            owed.reject(&self.counts, come_back, nowhere_else);
+        if let Some(reply) = self.take_reply(index) {
+            reply.reject(&self.counts, come_back, nowhere_else);
         }
     }
 
@@ -96,32 +91,32 @@
         let Some(request) = self.request_mut(index) else {
             return;
         };
-        if let Some(owed) = request.reply.take() {
+        let trace = request.trace;
+        if let Some(reply) = request.reply.take() {
             log_frequent!(
                 "ticket_given_up",
                 "ticket given up",
-                trace = request.trace.escape_ascii()
+                trace = trace.escape_ascii()
             );
-            owed.fail(&self.counts);
+            reply.fail(&self.counts);
         }
     }
 
     fn call(&mut self, index: usize, until: Duration) {
-        let left = until.saturating_sub(self.now());
-        dispatch::call(self, index, left);
+        let time_left = until.saturating_sub(self.now());
+        dispatch::call(self, index, time_left);
     }
 
     fn reply_degraded(&mut self, index: usize) {
-        let (agent, counts) = (self.agent.clone(), self.counts.clone());
-        let Some(request) = self.request_mut(index) else {
-            return;
-        };
-        if let Some((_, _, call)) = &mut request.call {
-            count(&counts.forgone);
-            if let CallState::InProgress(task) = std::mem::replace(call, CallState::Skipped) {
+        let slot = self.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot else { return };
+        if let Some(call) = &mut request.call {
+            count(&self.counts.forgone);
+            let before = std::mem::replace(&mut call.state, CallState::Skipped);
+            if let CallState::InProgress(task) = before {
                 task.abort();
             }
-            dispatch::call_result(&agent, request);
+            dispatch::call_result(&self.agent, request);
         }
     }
 
@@ -145,16 +140,16 @@
     fn release(&mut self, index: usize) {
         // One that leaves with its key still open never ran.
         self.close_key(index, Outcome::NeverStarted, &[]);
-        let Some(mut request) = self.take(index) else {
+        let Some(mut request) = self.remove(index) else {
             return;
         };
-        if let Some((_, _, CallState::InProgress(task))) = request.call.take() {
-            task.abort();
+        if let Some(call) = request.call.take() {
+            call.abort();
         }
-        // Guards against a ticket that leaves the books unanswered: an error is better than silence.
-        if let Some(owed) = request.reply.take() {
+        // A request must not leave the table unanswered: an error is better than silence.
+        if let Some(reply) = request.reply.take() {
             count(&self.counts.unsettled);
-            owed.fail(&self.counts);
+            reply.fail(&self.counts);
         }
         for waiter in request.waiters {
             self.finish_waiter(waiter, Outcome::Failed, &[]);
--- a/crates/node/src/recording.rs
+++ b/crates/node/src/recording.rs
@@ -1,38 +1,28 @@
-//! Recording of the node's own traffic, if its settings ask for it: dispatchers' connections, and the links
+//! Starting a recording of the node's own traffic, if its settings ask for one: dispatchers' connections, and the links
 //! to the agent and to the tier below.
 
-use crate::NodeContext;
+use crate::context::NodeContext;
+use crate::traffic_recording::TrafficRecording;
 use rainstand_config::schema::Recording;
 use rainstand_traffic_recorder::disk::{Disk, Folder};
-use rainstand_traffic_recorder::{Limits, Recorder, Tape};
+use rainstand_traffic_recorder::{Limits, Recorder};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::net::TcpStream;
 
-/// The side of a recorded connection that opened it, as [`Tape::said`] counts them.
-pub const CLIENT_SIDE: usize = 0;
-/// The side of a recorded connection that accepted it.
-pub const SERVER_SIDE: usize = 1;
+/// The program's name and version, as a recording's files carry them.
+const PROGRAM: &str = concat!("rainstand-node ", env!("CARGO_PKG_VERSION"));
 
-pub struct TrafficRecording {
-    pub recorder: Rc<Recorder>,
-    links: bool,
-}
-
-impl TrafficRecording {
-    /// The tape of a link that the node opened, if links are recorded.
-    pub fn link(&self, stream: &TcpStream) -> Option<Tape> {
-        let (own, other) = (stream.local_addr().ok()?, stream.peer_addr().ok()?);
-        self.links.then(|| self.recorder.tape(own, other))
-    }
-}
+/// No thread could be started for a recording.
+#[derive(Debug, thiserror::Error)]
+#[error("recording: {0}")]
+pub struct RecordingError(#[from] std::io::Error);
 
 /// Starts a recording.
 ///
 /// # Errors
 /// No thread could be started for it.
-pub fn start(context: &NodeContext, recording: &Recording) -> Result<(), String> {
+pub fn start(context: &NodeContext, recording: &Recording) -> Result<(), RecordingError> {
     let start = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
@@ -49,7 +39,7 @@
     start_on(context, disk, limits, recording.links)
 }
 
-/// As [`start`], on any disk.
+/// As [`start`], on any disk. `includes_links`: whether the links to the agent and to the tier below are recorded, too.
 ///
 /// # Errors
 /// No thread could be started for it.
@@ -57,18 +47,15 @@
     context: &NodeContext,
     disk: impl Disk + Send + 'static,
     limits: Limits,
-    links: bool,
-) -> Result<(), String> {
-    let program = concat!("rainstand-node ", env!("CARGO_PKG_VERSION"));
-    let recorder = Recorder::start(disk, limits, program).map_err(|e| format!("recording: {e}"))?;
-    let record = Rc::new(TrafficRecording { recorder, links });
-    let _ = context
-        .core
-        .borrow()
-        .table
-        .downstream
-        .record
-        .set(record.clone());
+    includes_links: bool,
+) -> Result<(), RecordingError> {
+    let recorder = Recorder::start(disk, limits, PROGRAM)?;
+    let record = Rc::new(TrafficRecording {
+        recorder,
+        includes_links,
+    });
+    let pool = context.core.borrow().table.downstream.clone();
+    let _ = pool.record.set(record.clone());
     let _ = context.record.set(record);
     Ok(())
 }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -1,77 +1,94 @@
-//! A new configuration file under load: at SIGHUP the node reads it anew and takes its addresses and its
-//! settings, or nothing of it: half a file would send one customer's tickets by another's settings.
+//! A new configuration file under load: at SIGHUP the node reads it again and applies its addresses and its settings,
+//! or nothing of it: half a file would send one customer's requests by another's settings.
 //!
-//! Which traffic types and tenants there are, the memory and the cores hold until the next start; the file may
-//! list types and tenants in another order. Runs and notice numbers go on over the move, and what is in hand stays
-//! in hand, under the terms it came under; what cannot be taken leaves the old file in force. The way back is the
-//! same step with the old file.
+//! Which classes and tenants there are, the memory and the cores hold until the next start; the file may list classes
+//! and tenants in another order. Runs and notice numbers go on over the reload, and requests in hand stay in hand, under
+//! the terms that they came under; what cannot be applied leaves the old file in force. A rollback is the same step with
+//! the old file.
 
-use crate::config::{Config, Peers};
+use crate::config::{Config, ConfigError, Peers};
+use crate::context::{Core, NodeContext};
 use crate::counters::count;
-use crate::{descriptors, idempotency, log_event, Core, NodeContext};
+use crate::request_table::ClassLimits;
+use crate::{descriptors, group_membership, log_event};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 
+/// Why a file could not be read again.
+#[derive(Debug, thiserror::Error)]
+enum ReadError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+}
+
+/// Why the settings of a file could not be applied.
+#[derive(Debug, thiserror::Error)]
+pub enum ApplyError {
+    /// They name other classes or tenants than the node started with.
+    #[error("{0}")]
+    OtherNames(String),
+    /// The policy cannot use them.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+}
+
 /// Reads the file again at each signal, also while draining.
 pub async fn keep_reloading(context: Rc<NodeContext>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
-        idempotency::reload(&context).await;
-        let read =
-            descriptors::with_retry(&context, "configuration", || async { std::fs::read(&path) })
-                .await;
-        let read = read
-            .map_err(|e| e.to_string())
-            .and_then(|bytes| Config::read(&bytes));
-        match read {
-            Ok(config) => {
-                for key in &config.unknown {
-                    log_event!(
-                        "config_key",
-                        "config",
-                        key = key,
-                        what = "is not known and does nothing"
-                    );
-                }
-                let peers = config.peers;
-                match apply_settings(&context, config) {
-                    Ok(()) => take(&context, peers),
-                    Err(why) => {
-                        count(&context.counts.reloads_refused);
-                        log_event!(
-                            "retune_refused",
-                            "settings refused, the old file stays",
-                            why = why
-                        );
-                    }
-                }
-            }
-            // One line whatever is in the file: it may hold line ends.
-            Err(why) => {
+        group_membership::reload(&context).await;
+        match read(&context, &path).await {
+            Ok(config) => apply(&context, config),
+            Err(error) => {
                 count(&context.counts.reloads_refused);
-                let why = why.escape_debug();
+                // One line whatever is in the file: it may hold line ends.
                 log_event!(
                     "reload_refused",
                     "reload refused, the old addresses stay",
-                    why = why
+                    why = error.to_string().escape_debug()
                 );
             }
         }
     }
 }
 
-/// Whoever talks to an address that is no longer named turns to the new one at once.
-pub fn take(context: &NodeContext, new: Peers) {
+async fn read(context: &NodeContext, path: &PathBuf) -> Result<Config, ReadError> {
+    let read = || async { std::fs::read(path) };
+    let bytes = descriptors::with_retry(context, "configuration", read).await?;
+    Ok(Config::read(&bytes)?)
+}
+
+/// Applies all of a file, or nothing.
+fn apply(context: &NodeContext, config: Config) {
+    config.log_unknown_keys();
+    let peers = config.peers;
+    match apply_settings(context, config) {
+        Ok(()) => apply_peers(context, peers),
+        Err(error) => {
+            count(&context.counts.reloads_refused);
+            log_event!(
+                "retune_refused",
+                "settings refused, the old file stays",
+                why = error
+            );
+        }
+    }
+}
+
+/// Follows the peers to new addresses: links and calls to one that moved go to the new address at once.
+pub fn apply_peers(context: &NodeContext, new: Peers) {
     let old = context.peer_addresses.replace(new);
-    let shown = |peer: Option<SocketAddr>| peer.map_or("none".to_owned(), |addr| addr.to_string());
-    let (below, announce) = (shown(new.below), shown(new.announce));
+    let text = |peer: Option<SocketAddr>| peer.map_or("none".to_owned(), |peer| peer.to_string());
     log_event!(
         "reload",
         "reload",
         agent = new.agent,
-        db = below,
-        announce = announce
+        db = text(new.below),
+        announce = text(new.announce)
     );
     if old.agent != new.agent {
         context.link.moved.notify_one();
@@ -84,24 +101,27 @@
     }
 }
 
-/// The module's settings of a new file, with those that the program reads beside it.
+/// Applies the policy's settings of a new file, with those that the node reads beside it.
 ///
 /// # Errors
-/// Where the new settings name other traffic types or tenants: the books are laid out by them.
-pub fn apply_settings(context: &NodeContext, mut config: Config) -> Result<(), String> {
+/// Where the new settings name other classes or tenants, as the table is laid out by them, or cannot be used.
+pub fn apply_settings(context: &NodeContext, mut config: Config) -> Result<(), ApplyError> {
     let mut core = context.core.borrow_mut();
     let Core { controller, table } = &mut *core;
     config.settings =
-        rainstand_settings::in_order(&config.settings, &table.classes, &table.tenants)?;
+        rainstand_settings::in_order(&config.settings, &table.classes, &table.tenants)
+            .map_err(ApplyError::OtherNames)?;
     let start = config.start(table.now(), false)?;
-    (table.fresh, table.can_pause, table.class_limits) = (start.fresh, start.can_stop, start.kinds);
+    table.max_result_age = start.fresh;
+    table.can_pause = start.can_stop;
+    table.class_limits = start.kinds.into_iter().map(ClassLimits::from).collect();
     *context.gauge_names.borrow_mut() = start.gauges;
     context.idle_timeout.set(start.idle);
     context.drain_grace.set(start.grace);
     context.max_retry_after.set(start.longest_pause);
     context.registry_follows_health.set(start.listed_by_state);
-    if let Some(node) = controller {
-        node.reconfigure(start.node);
+    if let Some(policy) = controller {
+        policy.reconfigure(start.node);
     }
     log_event!(
         "retune",
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -1,71 +1,149 @@
 //! All requests in hand, with what the policy's orders work on.
+//!
+//! The table knows neither sockets nor the node's tasks: what it starts beyond itself goes through [`NodeTasks`], and
+//! comes back as a call into the policy. Invariants: a request's trace and key lead to its index for as long as it is
+//! in the table, and `body_bytes` is the sum of the bodies.
 
+use crate::agent_link::AgentLink;
 use crate::counters::{count, Counts};
-use crate::downstream::DownstreamPool;
-use crate::idempotency::GroupHandle;
+use crate::downstream_pool::DownstreamPool;
+use crate::group_handle::GroupHandle;
+use crate::log_frequent;
 use crate::pending_reply::PendingReply;
-use crate::request::{Request, RunState, Trace};
+use crate::request::{Request, RunState, Trace, Waiter};
 use crate::result_cache::{IdempotencyKey, ResultCache};
-use crate::{agent, NodeContext};
+use bytes::Bytes;
 use rainstand::{Gauges, Outcome};
+use rainstand_replicated_state::idempotency::ClaimOutcome;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-/// An answered ticket's run that was told to stop has ended by then, if its end is ever told: several times
-/// the longest outer limit.
-const ORPHAN_TIMEOUT: Duration = Duration::from_secs(60);
+/// By then the run of an answered request that was cancelled has ended, if its end is ever reported: several times the
+/// longest deadline.
+const ORPHAN_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// All that the node's own side keeps; orders of the decision module work on it.
+/// A call to the tier below that is to be made.
+pub struct CallOrder {
+    /// The index of the request whose run waits for it.
+    pub index: usize,
+    /// The serial number of that request.
+    pub serial: u64,
+    /// Names the try to the tier below.
+    pub trace: Trace,
+    /// How long its answer is of use.
+    pub time_left: Duration,
+    /// The body to send.
+    pub body: Rc<[u8]>,
+}
+
+/// What the table starts beyond itself. Each outcome is a call into the policy, once it is there.
+pub trait NodeTasks {
+    /// Makes a call to the tier below. Dropping the future closes its connection.
+    fn make_call(self: Rc<Self>, order: CallOrder) -> Pin<Box<dyn Future<Output = ()>>>;
+
+    /// The group answered a claim, or did not in time (None). `serial`: of the request that was at `index`.
+    fn on_claim_outcome(&self, index: usize, serial: u64, outcome: Option<ClaimOutcome>);
+
+    /// The group agreed on a result, or did not in time (None). `number`: of the reply in
+    /// [`RequestTable::awaiting_commit`].
+    fn on_result_outcome(&self, number: u64, result: &Bytes, outcome: Option<ClaimOutcome>);
+}
+
+/// Limits of the requests of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassLimits {
+    /// How long after its birth a request is of use, where its caller does not say.
+    pub deadline: Duration,
+    /// How long retries are told apart by their key; None where they are not.
+    pub retry_window: Option<Duration>,
+}
+
+impl From<(Duration, Option<Duration>)> for ClassLimits {
+    fn from((deadline, retry_window): (Duration, Option<Duration>)) -> Self {
+        Self {
+            deadline,
+            retry_window,
+        }
+    }
+}
+
+/// The end of a run that the node itself brought about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FinishedRun {
+    /// The index of its request.
+    pub index: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// All that the node's own side remembers; the policy's orders work on it.
 pub struct RequestTable {
+    /// The origin of the policy's clock.
     pub started: Instant,
-    pub context: Weak<NodeContext>,
+    /// Starts what goes on beyond the table.
+    pub tasks: Weak<dyn NodeTasks>,
+    /// Requests by their indices.
     pub requests: Vec<Option<Request>>,
     free: Vec<usize>,
     serial: u64,
+    /// Indices of requests by the names of their tries.
     pub by_trace: HashMap<Trace, usize>,
-    /// Ticketed tickets in hand by their keys.
+    /// Indices of requests by their keys.
     pub by_key: HashMap<IdempotencyKey, usize>,
+    /// Results for retries.
     pub result_cache: ResultCache,
     /// The group, if the node is in one.
     pub group: Option<Rc<GroupHandle>>,
-    /// What is owed once a result is agreed on.
+    /// Replies that wait until the group has agreed on a result, by their numbers.
     pub awaiting_commit: HashMap<u64, PendingReply>,
-    /// Of each traffic type: its outer limit, and the window of a ticketed one.
-    pub class_limits: Vec<(Duration, Option<Duration>)>,
-    /// What the bodies of all tickets in hand take.
+    /// The limits of each class, by its index.
+    pub class_limits: Vec<ClassLimits>,
+    /// What the bodies of all requests in hand take.
     pub body_bytes: usize,
-    /// Ends that the node itself brought about, still to be told to the decision module.
-    pub run_ends: VecDeque<(usize, Outcome)>,
+    /// Ends that the node itself brought about, which the policy has not heard of yet.
+    pub run_ends: VecDeque<FinishedRun>,
+    /// The node's counters.
     pub counts: Rc<Counts>,
-    pub agent: Rc<agent::AgentLink>,
+    /// Takes commands to the agent.
+    pub agent: Rc<AgentLink>,
+    /// Calls to the tier below.
     pub downstream: Rc<DownstreamPool>,
+    /// Indices of the classes by their names.
     pub classes: BTreeMap<String, usize>,
-    /// Names of the traffic types as JSON strings.
+    /// Names of the classes as JSON strings, by their indices.
     pub class_names: Vec<String>,
+    /// Indices of the tenants by their names.
     pub tenants: BTreeMap<String, usize>,
-    pub fresh: Duration,
+    /// How long the answer to a read may serve others.
+    pub max_result_age: Duration,
+    /// Whether a run can be taken off the cores.
     pub can_pause: bool,
-    /// What health checks are told.
+    /// What health checks are answered.
     pub healthy: bool,
     /// How long an unused connection may stay.
     pub idle_limit: Duration,
+    /// When the policy asked to be woken.
     pub wake_at: Option<Instant>,
+    /// The last gauges that the agent sent.
     pub gauges: Gauges,
-    /// When they were told.
+    /// When they came.
     pub gauges_at: Option<Instant>,
 }
 
 impl RequestTable {
+    /// An empty table.
     pub fn new(
-        context: Weak<NodeContext>,
+        tasks: Weak<dyn NodeTasks>,
         counts: Rc<Counts>,
-        agent: Rc<agent::AgentLink>,
-        pool: Rc<DownstreamPool>,
+        agent: Rc<AgentLink>,
+        downstream: Rc<DownstreamPool>,
     ) -> Self {
         Self {
             started: Instant::now(),
-            context: context,
+            tasks,
             requests: Vec::new(),
             free: Vec::new(),
             serial: 0,
@@ -79,11 +157,11 @@
             run_ends: VecDeque::new(),
             counts,
             agent,
-            downstream: pool,
+            downstream,
             classes: BTreeMap::new(),
             class_names: Vec::new(),
             tenants: BTreeMap::new(),
-            fresh: Duration::ZERO,
+            max_result_age: Duration::ZERO,
             can_pause: true,
             healthy: true,
             idle_limit: Duration::MAX,
@@ -93,12 +171,13 @@
         }
     }
 
-    /// The time as the decision module is told it.
+    /// The time on the policy's clock.
     pub fn now(&self) -> Duration {
         self.started.elapsed()
     }
 
-    pub fn put(&mut self, mut request: Request) -> usize {
+    /// Inserts a request and gives it its serial number; its index.
+    pub fn insert(&mut self, mut request: Request) -> usize {
         self.serial += 1;
         request.serial = self.serial;
         let index = self.free.pop().unwrap_or(self.requests.len());
@@ -114,26 +193,33 @@
         index
     }
 
-    /// Keeps what is owed beyond the ticket's time in the books; its number there.
-    pub fn retain_reply(&mut self, owed: Option<PendingReply>) -> u64 {
+    /// Retains a reply beyond its request's time in the table; its number in `awaiting_commit`.
+    pub fn retain_reply(&mut self, reply: Option<PendingReply>) -> u64 {
         self.serial += 1;
-        if let Some(owed) = owed {
-            // Still open on its connection, under no ticket's index.
-            owed.conn
+        if let Some(reply) = reply {
+            // Still open on its connection, under no request's index.
+            reply
+                .conn
                 .open_requests
                 .borrow_mut()
-                .insert(owed.seq, usize::MAX);
-            self.awaiting_commit.insert(self.serial, owed);
+                .insert(reply.seq, usize::MAX);
+            self.awaiting_commit.insert(self.serial, reply);
         }
         self.serial
     }
 
+    /// The request at an index.
     pub fn request_mut(&mut self, index: usize) -> Option<&mut Request> {
         self.requests.get_mut(index).and_then(Option::as_mut)
     }
 
-    /// Takes a ticket out of the books for good; its index may serve again.
-    pub fn take(&mut self, index: usize) -> Option<Request> {
+    /// Takes the pending reply of a request, to give it.
+    pub fn take_reply(&mut self, index: usize) -> Option<PendingReply> {
+        self.request_mut(index)?.reply.take()
+    }
+
+    /// Removes a request for good; its index may serve again.
+    pub fn remove(&mut self, index: usize) -> Option<Request> {
         let request = self.requests.get_mut(index)?.take()?;
         self.body_bytes -= request.body.len();
         self.by_trace.remove(&request.trace);
@@ -148,8 +234,45 @@
         Some(request)
     }
 
-    /// How the run of a ticket ended is what its repeats get from here on.
-    pub fn close_key(&mut self, index: usize, end: Outcome, result: &[u8]) {
+    /// Gives a request, and those that wait for it, what its run or the cache brought.
+    pub fn finish(&mut self, index: usize, outcome: Outcome, result: &[u8]) {
+        let Some(request) = self.request_mut(index) else {
+            return;
+        };
+        let trace = request.trace;
+        let reply = request.reply.take();
+        let waiters = std::mem::take(&mut request.waiters);
+        match (reply, outcome) {
+            (Some(reply), Outcome::Succeeded) => reply.serve(&self.counts, result),
+            (Some(reply), _) => {
+                log_frequent!(
+                    "ticket_given_up",
+                    "ticket given up",
+                    trace = trace.escape_ascii()
+                );
+                reply.fail(&self.counts);
+            }
+            _ => {}
+        }
+        for waiter in waiters {
+            self.finish_waiter(waiter, outcome, result);
+        }
+    }
+
+    /// The same for a request that waits for another one, unless it left.
+    pub fn finish_waiter(&mut self, waiter: Waiter, outcome: Outcome, result: &[u8]) {
+        let index = waiter.index;
+        if self
+            .request_mut(index)
+            .is_some_and(|request| request.serial == waiter.serial)
+        {
+            self.finish(index, outcome, result);
+            self.run_ends.push_back(FinishedRun { index, outcome });
+        }
+    }
+
+    /// A request's run is over, or never was: its key is closed in the cache, if it was opened for this one.
+    pub fn close_key(&mut self, index: usize, outcome: Outcome, result: &[u8]) {
         let Some(request) = self
             .requests
             .get_mut(index)
@@ -159,59 +282,62 @@
             return;
         };
         request.caches_result = false;
-        match (&request.key, end) {
+        match (&request.key, outcome) {
             (Some(key), Outcome::Succeeded) => self.result_cache.close(key, Some(result)),
-            (Some(key), Outcome::NeverStarted) => self.result_cache.drop(key),
-            // Guards against a second effect: what failed or was stopped may have had its own.
+            (Some(key), Outcome::NeverStarted) => self.result_cache.remove(key),
+            // What failed or was stopped may have had its effect: it must not run a second time.
             (Some(key), _) => self.result_cache.close(key, None),
             (None, _) => {}
         }
     }
 
-    /// Tickets that are past their time and not answered.
+    /// Indices of the requests that are past their deadline and not answered.
     pub fn overdue(&self, now: Instant) -> Vec<usize> {
-        let late = |request: &Request| request.reply.is_some() && request.deadline <= now;
-        let all = self.requests.iter().enumerate();
-        all.filter(|(_, request)| request.as_ref().is_some_and(late))
+        let is_overdue = |request: &Request| request.reply.is_some() && request.deadline <= now;
+        self.requests
+            .iter()
+            .enumerate()
+            .filter(|(_, request)| request.as_ref().is_some_and(is_overdue))
             .map(|(index, _)| index)
             .collect()
     }
 
-    /// The last resort: an error to all that is still owed an answer; how many there were.
+    /// The last resort: an error to all that wait for an answer; how many there were.
     pub fn fail_all(&mut self) -> usize {
-        let owed = self
+        let open = self
             .requests
             .iter_mut()
             .flatten()
             .filter_map(|request| request.reply.take());
-        let owed: Vec<PendingReply> = owed
-            .chain(self.awaiting_commit.drain().map(|(_, owed)| owed))
+        let replies: Vec<PendingReply> = open
+            .chain(self.awaiting_commit.drain().map(|(_, reply)| reply))
             .collect();
-        let left = owed.len();
-        for owed in owed {
+        let unanswered = replies.len();
+        for reply in replies {
             count(&self.counts.unsettled);
-            owed.fail(&self.counts);
+            reply.fail(&self.counts);
         }
-        left
+        unanswered
     }
 
-    /// Runs whose end no notice will tell any more, of tickets answered long ago. Guards against runs that stay
-    /// in the books for good, and take the place of others: their last notice was passed over as odd.
+    /// Indices of answered requests whose run's end no notice will report any more, as the last notice was skipped as
+    /// unreadable. Without this they would stay in the table for good.
     pub fn orphans(&mut self, now: Instant) -> Vec<usize> {
-        let answered = |request: &Request| request.reply.is_none() && request.is_run();
+        let is_answered_run = |request: &Request| request.reply.is_none() && request.is_run();
         let mut found = Vec::new();
         for (index, request) in self.requests.iter_mut().enumerate() {
-            let Some(request) = request.as_mut().filter(|request| answered(request)) else {
+            let Some(request) = request.as_mut().filter(|request| is_answered_run(request)) else {
                 continue;
             };
-            if now.duration_since(*request.orphan_since.get_or_insert(now)) > ORPHAN_TIMEOUT {
+            let since = *request.orphan_since.get_or_insert(now);
+            if now.duration_since(since) > ORPHAN_TIMEOUT {
                 found.push(index);
             }
         }
         found
     }
 
-    /// What the books hold just now, to be set beside what passes on the sockets.
+    /// The table's part of the counters' line.
     pub fn state(&self) -> String {
         let count = |which: fn(&Request) -> bool| {
             self.requests
@@ -237,13 +363,9 @@
         )
     }
 
-    /// Tickets whose answer is still owed.
+    /// How many replies are pending.
     pub fn pending_reply_count(&self) -> usize {
-        self.requests
-            .iter()
-            .flatten()
-            .filter(|request| request.reply.is_some())
-            .count()
-            + self.awaiting_commit.len()
+        let open = self.requests.iter().flatten();
+        open.filter(|request| request.reply.is_some()).count() + self.awaiting_commit.len()
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,5 +1,5 @@
-//! What the node takes from a compiled configuration, beside the platform's JSON file: how its log is
-//! written, and whether its traffic is recorded.
+//! What the node takes from a compiled configuration, beside the platform's JSON file: how its log is written, whether
+//! its traffic is recorded, and which group it is in.
 
 use crate::log::LogFormat;
 use rainstand_config::schema::{self, Group, LogForm, Recording};
@@ -7,44 +7,69 @@
 /// The parts of a configuration that are about a node.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
+    /// How lines of the log are written.
     pub form: LogFormat,
+    /// The recording of the node's traffic, if there is to be one.
     pub recording: Option<Recording>,
+    /// The group that the node is in, if any.
     pub group: Option<Group>,
 }
 
+/// Why a configuration cannot be used, in one line.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// The text cannot be read.
+    #[error("{0}")]
+    Unreadable(String),
+    /// There are so many logs.
+    #[error("{0} logs; a node takes one log")]
+    Logs(usize),
+    /// There are so many recordings.
+    #[error("{0} recordings; a node takes one")]
+    Recordings(usize),
+    /// The recording with this name lacks something.
+    #[error("recording {0}: no folder, size or number of files")]
+    IncompleteRecording(String),
+    /// There are so many groups.
+    #[error("{0} groups; a node is in one")]
+    Groups(usize),
+}
+
 impl Settings {
+    /// Reads the text of a compiled configuration.
+    ///
     /// # Errors
-    /// In one line: a text that cannot be read, or more than one log or recording, or one without its folder.
+    /// A text that cannot be read, more than one log, recording or group, or a recording without its folder.
     ///
     /// ```
     /// use rainstand_node::settings::Settings;
     /// assert_eq!(Settings::read("version: 1"), Ok(Settings::default()));
-    /// assert!(Settings::read("version: 1 logs { form: JSON } logs { }").unwrap_err().contains("one log"));
+    /// let error = Settings::read("version: 1 logs { form: JSON } logs { }").unwrap_err();
+    /// assert!(error.to_string().contains("one log"));
     /// ```
-    pub fn read(text: &str) -> Result<Self, String> {
-        let all =
-            schema::from_text(text).map_err(|refused| refused.to_string().replace('\n', " "))?;
+    pub fn read(text: &str) -> Result<Self, SettingsError> {
+        let all = schema::from_text(text).map_err(|error| {
+            let text = error.to_string().replace('\n', " ");
+            SettingsError::Unreadable(text)
+        })?;
         let form = match &all.logs[..] {
-            [] => LogFormat::Text,
-            [one] if one.form() == LogForm::Json => LogFormat::Json,
-            [_] => LogFormat::Text,
-            more => return Err(format!("{} logs; a node takes one log", more.len())),
+            [log] if log.form() == LogForm::Json => LogFormat::Json,
+            [] | [_] => LogFormat::Text,
+            logs => return Err(SettingsError::Logs(logs.len())),
         };
         let recording = match &all.recordings[..] {
             [] => None,
-            [one] if one.folder.is_empty() || one.file_bytes == 0 || one.files == 0 => {
-                return Err(format!(
-                    "recording {}: no folder, size or number of files",
-                    one.name
-                ));
+            [recording] if is_incomplete(recording) => {
+                let name = recording.name.clone();
+                return Err(SettingsError::IncompleteRecording(name));
             }
-            [one] => Some(one.clone()),
-            more => return Err(format!("{} recordings; a node takes one", more.len())),
+            [recording] => Some(recording.clone()),
+            recordings => return Err(SettingsError::Recordings(recordings.len())),
         };
         let group = match &all.groups[..] {
             [] => None,
-            [one] => Some(one.clone()),
-            more => return Err(format!("{} groups; a node is in one", more.len())),
+            [group] => Some(group.clone()),
+            groups => return Err(SettingsError::Groups(groups.len())),
         };
         Ok(Self {
             form,
@@ -53,3 +78,7 @@
         })
     }
 }
+
+fn is_incomplete(recording: &Recording) -> bool {
+    recording.folder.is_empty() || recording.file_bytes == 0 || recording.files == 0
+}
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -1273,7 +1273,7 @@
             let (agents, below, announce) = (listen().await, listen().await, listen().await);
             let addr = |of: &TcpListener| of.local_addr().unwrap();
             let (db, announced) = (Some(addr(&below)), Some(addr(&announce)));
-            reload::take(
+            reload::apply_peers(
                 &w.context,
                 Peers {
                     agent: addr(&agents),
@@ -1312,7 +1312,7 @@
             w.leave.notify_one();
             assert_eq!(caller.next().await, said(0, "shutdown", ""));
             let agents = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            reload::take(
+            reload::apply_peers(
                 &w.context,
                 Peers {
                     agent: agents.local_addr().unwrap(),
@@ -1375,6 +1375,7 @@
             odd.settings["familyInfo"]["halt"] = json!("sometimes");
             assert!(reload::apply_settings(&w.context, odd)
                 .unwrap_err()
+                .to_string()
                 .contains("halt"));
             assert!(
                 w.context.core.borrow().table.can_pause,
@@ -1468,7 +1469,10 @@
     for (change, expected) in cases {
         let mut config = example();
         change(&mut config);
-        let why = Config::read(config.to_string().as_bytes()).err().unwrap();
+        let why = Config::read(config.to_string().as_bytes())
+            .err()
+            .unwrap()
+            .to_string();
         assert!(why.starts_with(expected) && !why.contains('\n'), "{why}");
     }
     let ended = std::process::Command::new(env!("CARGO_BIN_EXE_rainstand-node"))
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -286,7 +286,7 @@
         ("version: 7", "knows version 1"),
     ];
     for (text, wanted) in table {
-        let why = Settings::read(text).unwrap_err();
+        let why = Settings::read(text).unwrap_err().to_string();
         assert!(why.contains(wanted) && !why.contains('\n'), "{why}");
     }
     assert_eq!(
