--- a/crates/node/src/group_membership.rs
+++ b/crates/node/src/group_membership.rs
@@ -2,11 +2,12 @@
 
 use crate::context::NodeContext;
 use crate::group_handle::GroupHandle;
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsError};
 use crate::{descriptors, log_event};
-use rainstand_cluster::{ClusterMember, MemberOptions};
+use rainstand_cluster::{ClusterError, MemberOptions};
 use rainstand_config::schema::Group;
 use rainstand_replicated_state::member::GroupEvent;
+use std::io;
 use std::rc::Rc;
 
 /// The environment variable with the path of the compiled configuration.
@@ -20,16 +21,24 @@
     2 * members.saturating_sub(1) + STORE_DESCRIPTORS
 }
 
-/// The member could not start.
+/// Why the members of a configuration cannot be applied.
 #[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-pub struct JoinError(String);
+enum MembersError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("no group")]
+    NoGroup,
+    #[error(transparent)]
+    Refused(#[from] ClusterError),
+}
 
 /// Joins the group that a configuration names.
 ///
 /// # Errors
 /// If the member cannot start.
-pub async fn join(context: &Rc<NodeContext>, group: Group) -> Result<(), JoinError> {
+pub async fn join(context: &Rc<NodeContext>, group: Group) -> Result<(), ClusterError> {
     let descriptors = member_descriptors(group.members.len());
     context.reserved_descriptors.set(descriptors);
     let options = MemberOptions {
@@ -37,7 +46,7 @@
         group,
         log: Box::new(log_group_event),
     };
-    let member = ClusterMember::start(options).await.map_err(JoinError)?;
+    let member = rainstand_cluster::start(options).await?;
     let handle = Rc::new(GroupHandle::new(member));
     context.core.borrow_mut().table.group = Some(handle.clone());
     tokio::task::spawn_local(handle.report_prior_runs());
@@ -54,27 +63,27 @@
     let read = || async { std::fs::read_to_string(&path) };
     let text = descriptors::with_retry(context, "configuration", read).await;
     let applied = text
-        .map_err(|error| error.to_string())
+        .map_err(MembersError::from)
         .and_then(|text| set_members(&handle, &text));
     match applied {
         Ok(count) => {
             context.reserved_descriptors.set(member_descriptors(count));
             log_event!("group_reload", "members of the group", count = count);
         }
-        Err(reason) => {
+        Err(error) => {
             log_event!(
                 "group_reload_refused",
                 "group refused, the old members stay",
-                why = reason.escape_debug()
+                why = error.to_string().escape_debug()
             );
         }
     }
 }
 
-/// Takes the members from the text of a configuration; how many they are, or the text of the log line.
-fn set_members(handle: &GroupHandle, text: &str) -> Result<usize, String> {
-    let settings = Settings::read(text).map_err(|error| error.to_string())?;
-    let group = settings.group.ok_or("no group")?;
+/// Applies the members in the text of a configuration; how many they are.
+fn set_members(handle: &GroupHandle, text: &str) -> Result<usize, MembersError> {
+    let settings = Settings::read(text)?;
+    let group = settings.group.ok_or(MembersError::NoGroup)?;
     handle.member().set_members(&group)?;
     Ok(group.members.len())
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,7 @@
 //! `rainstand-node`: one node; `ROUTER_CONFIG` is the path of its configuration.
 
+use rainstand_cluster::ClusterError;
 use rainstand_node::config::{Config, ConfigError};
-use rainstand_node::group_membership::JoinError;
 use rainstand_node::log::{InstallError, LogLayer};
 use rainstand_node::recording::RecordingError;
 use rainstand_node::settings::{Settings, SettingsError};
@@ -52,7 +52,7 @@
         cause: io::Error,
     },
     #[error(transparent)]
-    Join(#[from] JoinError),
+    Join(#[from] ClusterError),
 }
 
 /// The signals that the node handles.
