--- a/crates/forwarder/src/config_updates.rs
+++ b/crates/forwarder/src/config_updates.rs
@@ -8,8 +8,8 @@
 use rainstand_config_distribution::delta::{ConfigState, ResourceBody, ResourceKey};
 use rainstand_config_distribution::frames::{Delta, Resource, ResourceKind};
 use rainstand_config_distribution::UpdateError;
-use rainstand_routing::change::{Change, Kind};
 use rainstand_routing::subset::reduce_pool;
+use rainstand_routing::table_update::{EntryKind, TableChange};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The changes that `delta`, applied to `state`, makes to the table of the forwarder with this number.
@@ -20,7 +20,7 @@
     state: &ConfigState,
     delta: &Delta,
     forwarder_number: usize,
-) -> Result<Vec<Change>, UpdateError> {
+) -> Result<Vec<TableChange>, UpdateError> {
     let mut translation = Translation {
         state,
         delta,
@@ -69,7 +69,7 @@
     state: &'delta ConfigState,
     delta: &'delta Delta,
     forwarder_number: usize,
-    changes: Vec<Change>,
+    changes: Vec<TableChange>,
 }
 
 impl<'delta> Translation<'delta> {
@@ -87,7 +87,7 @@
             let key = ResourceKey::new(kind, &removal.name);
             if self.state.get(&key).is_some() {
                 self.changes
-                    .push(Change::Remove(table_kind, removal.name.clone()));
+                    .push(TableChange::Remove(table_kind, removal.name.clone()));
             }
         }
     }
@@ -100,13 +100,13 @@
     ) -> Result<(), UpdateError> {
         for resource in &self.delta.upserts {
             let change = match resource.decode_body()? {
-                ResourceBody::Type(request_class) => Change::Type(request_class),
-                ResourceBody::Tenant(tenant) => Change::Tenant(tenant),
-                ResourceBody::Limits(limits) => Change::Limits(limits),
-                ResourceBody::RetryAfter(retry_after) => Change::RetryAfter(retry_after),
-                ResourceBody::Budget(budget) => Change::Budget(budget),
-                ResourceBody::Attempts(attempts) => Change::Attempts(attempts),
-                ResourceBody::Health(health) => Change::Health(health),
+                ResourceBody::Type(request_class) => TableChange::Type(request_class),
+                ResourceBody::Tenant(tenant) => TableChange::Tenant(tenant),
+                ResourceBody::Limits(limits) => TableChange::Limits(limits),
+                ResourceBody::RetryAfter(retry_after) => TableChange::RetryAfter(retry_after),
+                ResourceBody::Budget(budget) => TableChange::Budget(budget),
+                ResourceBody::Attempts(attempts) => TableChange::Attempts(attempts),
+                ResourceBody::Health(health) => TableChange::Health(health),
                 ResourceBody::Pool(pool) => {
                     pools.add_pool(&resource.name, pool);
                     continue;
@@ -136,7 +136,7 @@
             let changed_members = updates.members.remove(name).unwrap_or_default();
             self.add_members(&mut pool, name, changed_members)?;
             reduce_pool(&mut pool, self.forwarder_number);
-            self.changes.push(Change::Pool(pool));
+            self.changes.push(TableChange::Pool(pool));
         }
         Ok(())
     }
@@ -204,7 +204,7 @@
                 .range(rank + 1..)
                 .next()
                 .map(|(_, name)| (*name).to_owned());
-            self.changes.push(Change::Route(route.clone(), next));
+            self.changes.push(TableChange::Route(route.clone(), next));
         }
     }
 
@@ -225,17 +225,17 @@
 
 /// The table's kind of a resource that can be removed by its name alone; `None` for members, and for resources that do
 /// not affect routing.
-fn table_kind(kind: ResourceKind) -> Option<Kind> {
+fn table_kind(kind: ResourceKind) -> Option<EntryKind> {
     match kind {
-        ResourceKind::Type => Some(Kind::Type),
-        ResourceKind::Tenant => Some(Kind::Tenant),
-        ResourceKind::Pool => Some(Kind::Pool),
-        ResourceKind::Limits => Some(Kind::Limits),
-        ResourceKind::RetryAfter => Some(Kind::RetryAfter),
-        ResourceKind::Budget => Some(Kind::Budget),
-        ResourceKind::Attempts => Some(Kind::Attempts),
-        ResourceKind::Health => Some(Kind::Health),
-        ResourceKind::Route => Some(Kind::Route),
+        ResourceKind::Type => Some(EntryKind::Type),
+        ResourceKind::Tenant => Some(EntryKind::Tenant),
+        ResourceKind::Pool => Some(EntryKind::Pool),
+        ResourceKind::Limits => Some(EntryKind::Limits),
+        ResourceKind::RetryAfter => Some(EntryKind::RetryAfter),
+        ResourceKind::Budget => Some(EntryKind::Budget),
+        ResourceKind::Attempts => Some(EntryKind::Attempts),
+        ResourceKind::Health => Some(EntryKind::Health),
+        ResourceKind::Route => Some(EntryKind::Route),
         _ => None,
     }
 }
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -73,10 +73,3 @@
     #[error("traffic types and tenants change only at a start")]
     NamesChanged,
 }
-
-/// For callers whose own errors are still text.
-impl From<SettingsError> for String {
-    fn from(error: SettingsError) -> Self {
-        error.to_string()
-    }
-}
