--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -1,6 +1,6 @@
 //! Connections of the dispatchers: accepting them, reading frames, writing answers, closing them.
 //!
-//! Each connection is served by one task ([`exchange`](self)); the state that others may see of it is
+//! Each connection is served by one task; the state that others may see of it is
 //! [`crate::connection::Connection`]. Connections share the process's descriptors with the calls to the tier below:
 //! [`connection_capacity`] says how many may stand, and an idle one is evicted where more are needed.
 
--- a/crates/node/src/connections/sweep.rs
+++ b/crates/node/src/connections/sweep.rs
@@ -23,7 +23,7 @@
 /// Unread answers on all connections together may take this part of the memory: an eighth.
 const UNREAD_MEMORY_FRACTION: usize = 8;
 
-/// Sweeps at each [`SWEEP_INTERVAL`], for as long as the process lives.
+/// Sweeps ten times a second, for as long as the process lives.
 pub async fn sweep_connections(context: Rc<NodeContext>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -22,7 +22,7 @@
 /// name in the log.
 ///
 /// # Errors
-/// Those of `attempt`; for want of descriptors only after [`MAX_TRIES`].
+/// Those of `attempt`; for want of descriptors only after half a second of tries.
 pub async fn with_retry<T, F>(
     context: &NodeContext,
     purpose: &'static str,
--- a/crates/node/tests/descriptors.rs
+++ b/crates/node/tests/descriptors.rs
@@ -239,7 +239,7 @@
 }
 
 /// One that is worth nothing without its call.
-fn dear_ticket(seq: i32, n: usize) -> Vec<u8> {
+fn register_request(seq: i32, n: usize) -> Vec<u8> {
     let (trace, born) = (format!("{n:016x}"), born());
     let fields = [
         ("route", "register"),
@@ -273,7 +273,7 @@
 
 /// More was configured than the system gives: the fewer hold.
 #[test]
-fn who_rests_at_the_limit_leaves_the_node_its_own() {
+fn idle_clients_at_the_limit_leave_the_node_its_reserved_descriptors() {
     for announce in [Announce::Dead, Announce::Silent, Announce::Resets] {
         alone(async move {
             let mut s = Squeezed::start("rests", [LIMIT, 4_096], announce).await;
@@ -306,7 +306,7 @@
 /// As many as come at once, beside as many that rest as there may be: who rests makes room in that instant, whether the
 /// system gives no more or only the configuration says so.
 #[test]
-fn a_bunch_of_calls_is_made_though_clients_rest_at_the_limit() {
+fn concurrent_calls_are_made_with_idle_clients_at_the_descriptor_limit() {
     const BUNCH: usize = 80;
     // Tickets whose calls end well one after the other, until the node dares to make so many at once.
     const CALM: usize = 60;
@@ -326,7 +326,7 @@
         });
         let mut caller = s.caller().await;
         for n in 0..CALM {
-            caller.send(&dear_ticket(n as i32, n)).await;
+            caller.send(&register_request(n as i32, n)).await;
             let mut http = Http::accept(&s.below).await;
             http.request().await.unwrap();
             http.reply("200 OK", b"row").await;
@@ -338,7 +338,9 @@
             if n % 25 == 0 {
                 callers.push(s.caller().await);
             }
-            callers[n / 25].send(&dear_ticket(n as i32, CALM + n)).await;
+            callers[n / 25]
+                .send(&register_request(n as i32, CALM + n))
+                .await;
         }
         let mut calls = Vec::new();
         for _ in 0..BUNCH {
@@ -370,7 +372,7 @@
 
 /// The system takes descriptors back from a node that runs: what the node needs itself, it has by closing who rests.
 #[test]
-fn where_none_is_left_a_crowd_a_call_and_a_file_have_theirs_from_who_rests() {
+fn exhausted_descriptors_are_freed_from_idle_clients_for_connections_calls_and_files() {
     const CROWD: usize = 20;
     alone(async {
         let mut s = Squeezed::start("none-left", [LIMIT; 2], Announce::Resets).await;
@@ -409,7 +411,7 @@
 
 /// They were gone while clients took all that was left.
 #[test]
-fn where_none_is_left_an_agent_and_an_announce_service_that_come_back_are_reached() {
+fn exhausted_descriptors_are_freed_for_reconnects_to_agent_and_announce_service() {
     alone(async {
         let mut s = Squeezed::start("agent-back", [LIMIT; 2], Announce::None).await;
         s.fill().await;
@@ -445,7 +447,7 @@
 
 /// Accepting fails in the very moment in which the listening ends: what the system accepted before is served all the same.
 #[test]
-fn what_waits_with_the_system_at_the_end_of_listening_is_served_though_accepting_fails() {
+fn accept_backlog_is_served_after_end_of_listening_despite_accept_errors() {
     const CROWD: usize = 32;
     alone(async {
         let mut s = Squeezed::start("deaf", [LIMIT; 2], Announce::Dead).await;
@@ -494,7 +496,7 @@
 
 /// A member of a group beside many that are down: links to them, from them, and the store's files are put by.
 #[test]
-fn who_rests_at_the_limit_leaves_a_member_the_descriptors_of_its_group() {
+fn idle_clients_at_the_limit_leave_a_member_the_descriptors_of_its_group() {
     const MEMBERS: usize = 40;
     alone(async {
         let folder = tempfile::tempdir().unwrap();
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -30,7 +30,7 @@
 
 /// Each code for which an unused connection is closed, with a ticket that came before the close and was not read yet.
 #[test]
-fn a_ticket_that_lies_unread_at_a_close_is_answered() {
+fn request_unread_in_the_socket_at_a_close_is_answered() {
     for code in ["idle", "room", "drain"] {
         play(
             |_| {},
@@ -60,7 +60,7 @@
 
 /// The system holds no small answer back until the one before it is confirmed: a reset in between would take it along.
 #[test]
-fn no_answer_is_held_back_to_be_sent_with_a_later_one() {
+fn answers_are_not_delayed_by_nagle() {
     play(
         |_| {},
         |w| async move {
@@ -79,7 +79,7 @@
 
 /// A frame that is half here when the node has nothing else to wait for.
 #[test]
-fn a_drain_waits_for_a_frame_that_is_half_read() {
+fn drain_waits_for_a_partially_read_frame() {
     play(
         |config| {
             config["stop_ms"] = json!(600_000);
@@ -109,7 +109,7 @@
 
 /// A crowd lies with the system, as many as it takes, when the listening ends.
 #[test]
-fn what_the_system_accepted_before_the_end_of_listening_is_served() {
+fn accept_backlog_is_served_after_end_of_listening() {
     const CROWD: usize = 100;
     play(
         |config| {
@@ -155,7 +155,7 @@
 
 /// A wake-up that ends in a panic before the module asks for the next one.
 #[test]
-fn a_ticket_is_answered_in_time_though_the_module_panics_at_each_wake_up() {
+fn request_is_answered_by_its_deadline_when_the_policy_panics_at_each_tick() {
     play(
         |config| {
             for kind in config["settings"]["requestClasses"].as_array_mut().unwrap() {
@@ -186,7 +186,7 @@
 #[allow(clippy::await_holding_refcell_ref)] // the test needs others to find it borrowed
 /// A watch and a connection that end in a panic: the one goes on, the other is closed and forgotten.
 #[test]
-fn a_panic_ends_no_watch_and_leaves_no_connection_behind() {
+fn panic_restarts_supervised_tasks_and_removes_the_connection() {
     play(
         |_| {},
         |w| async move {
@@ -230,7 +230,7 @@
 
 /// The agent greets while the node leaves already: what comes late is not run.
 #[test]
-fn a_module_that_begins_after_the_notice_knows_of_it() {
+fn policy_started_after_the_shutdown_notice_is_notified() {
     play(
         |config| {
             config["stop_ms"] = json!(600_000);
@@ -263,7 +263,7 @@
 
 /// An agent that was never up may take its time; a link that was lost without a word must not be waited on for good.
 #[test]
-fn a_first_greeting_that_never_comes_is_asked_for_anew() {
+fn missing_first_greeting_leads_to_a_reconnect() {
     play(
         |_| {},
         |w| async move {
@@ -279,7 +279,7 @@
 }
 
 /// A file that lists types and tenants the other way round, and gives the types each other's effect and worth.
-fn turned_round(config: &Config) -> Config {
+fn reversed_settings(config: &Config) -> Config {
     let mut config = config.clone();
     let all = &mut config.settings;
     all["requestClasses"].as_array_mut().unwrap().reverse();
@@ -294,7 +294,7 @@
 }
 
 #[test]
-fn new_settings_in_another_order_are_taken_by_name_and_not_for_what_is_in_hand() {
+fn reordered_settings_are_applied_by_name_and_not_to_requests_in_hand() {
     play(
         |_| {},
         |w| async move {
@@ -305,7 +305,7 @@
             agent.asks_call(1, &req, b"c").await;
             let mut http = Http::accept(&w.below).await;
             http.request().await.unwrap();
-            reload::apply_settings(&w.context, turned_round(&w.context.config)).unwrap();
+            reload::apply_settings(&w.context, reversed_settings(&w.context.config)).unwrap();
             drop(http);
             assert_eq!(caller.next().await, said(first, "given up", ""));
             assert_eq!(
@@ -347,7 +347,7 @@
 
 /// What a ticketed type was taken in under holds for its repeats too, though the type is exclusive by now.
 #[test]
-fn a_kept_result_serves_tries_that_come_after_its_type_was_changed() {
+fn cached_result_serves_retries_after_its_class_was_reconfigured() {
     let ticketed =
         |config: &mut Value| config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
     play(ticketed, |w| async move {
@@ -368,7 +368,7 @@
 
 /// SIGHUP with a file of which a part cannot be taken: nothing of it is, the addresses neither.
 #[test]
-fn a_file_is_taken_whole_or_not_at_all() {
+fn reload_applies_all_of_a_file_or_nothing() {
     alone(async {
         let listen = || async { TcpListener::bind("127.0.0.1:0").await.unwrap() };
         let (first, second) = (listen().await, listen().await);
@@ -408,7 +408,7 @@
 
 /// Signals that come while the configuration is still read: the process lives, takes the file anew, and ends well.
 #[test]
-fn a_signal_before_the_node_listens_is_not_the_end_of_it() {
+fn signal_before_listening_does_not_end_the_process() {
     alone(async {
         let listen = || async { TcpListener::bind("127.0.0.1:0").await.unwrap() };
         let (first, second) = (listen().await, listen().await);
@@ -456,7 +456,7 @@
 /// The answer of a run, and the caller's word that it no longer waits, cross: one answer or none, and the number may be
 /// used again.
 #[test]
-fn a_give_up_that_crosses_its_answer_harms_no_later_ticket() {
+fn cancellation_that_crosses_its_answer_affects_no_later_request() {
     play(
         |_| {},
         |w| async move {
@@ -518,7 +518,7 @@
 
 /// Within the caller's time, however the waits of a ticket are spread over its repeats.
 #[test]
-fn a_repeat_that_waits_is_answered_when_due_and_when_its_first_try_leaves_or_is_stopped() {
+fn waiting_retry_is_answered_at_its_deadline_and_when_the_first_try_is_cancelled() {
     let ticketed =
         |config: &mut Value| config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
     play(ticketed, |w| async move {
--- a/crates/node/tests/golden.rs
+++ b/crates/node/tests/golden.rs
@@ -185,12 +185,12 @@
 }
 
 #[test]
-fn a_conversation_is_held_as_before() {
+fn recorded_conversation_is_unchanged() {
     play(|_| {}, converse);
 }
 
 #[test]
-fn answers_are_those_of_the_protocol_s_own_file() {
+fn answers_match_the_protocol_definition() {
     let frames = concat!(
         env!("CARGO_MANIFEST_DIR"),
         "/../protocol/tests/golden/thrift.hex"
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -23,7 +23,7 @@
 use world::{born, example, play, said, HANGS};
 
 #[test]
-fn a_ticket_goes_through_run_and_call_to_its_one_answer_with_bodies_unchanged() {
+fn request_passes_run_and_call_to_one_answer_with_bodies_unchanged() {
     play(
         |_| {},
         |w| async move {
@@ -63,7 +63,7 @@
 }
 
 #[test]
-fn each_end_of_a_run_gets_its_answer() {
+fn each_run_outcome_gets_its_answer() {
     play(
         |_| {},
         |w| async move {
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn only_a_call_proved_not_run_is_made_again_for_exclusive_tickets() {
+fn non_idempotent_request_repeats_only_a_call_proved_not_run() {
     // Reply, and whether the exclusive ticket's call is made again.
     let cases = [
         ("503 Full\r\nNever-Started: 1", true),
@@ -142,7 +142,7 @@
 }
 
 #[test]
-fn what_cannot_be_reached_below_is_left_out_where_that_earns_something() {
+fn unreachable_call_is_skipped_where_a_degraded_answer_has_value() {
     play(
         |config| config["db"] = Value::Null,
         |w| async move {
@@ -162,7 +162,7 @@
 }
 
 #[test]
-fn what_a_reply_brings_beside_itself_answers_no_other_call() {
+fn surplus_bytes_of_a_reply_answer_no_other_call() {
     play(
         |_| {},
         |w| async move {
@@ -200,7 +200,7 @@
 }
 
 #[test]
-fn a_call_ends_with_its_run_and_its_connection_is_closed() {
+fn call_is_aborted_with_its_run_and_its_connection_is_closed() {
     play(
         |_| {},
         |w| async move {
@@ -218,7 +218,7 @@
 }
 
 #[test]
-fn after_a_broken_link_the_replay_counts_and_only_what_is_unconfirmed_is_sent_again() {
+fn reconnect_applies_the_replay_and_resends_only_unconfirmed_commands() {
     play(
         |_| {},
         |w| async move {
@@ -255,7 +255,7 @@
 }
 
 #[test]
-fn an_agent_that_was_up_and_does_not_greet_is_connected_to_anew() {
+fn agent_that_was_up_and_does_not_greet_is_reconnected() {
     play(
         |_| {},
         |w| async move {
@@ -274,7 +274,7 @@
 }
 
 #[test]
-fn what_was_launched_and_left_without_a_link_does_not_stay_in_hand() {
+fn request_cancelled_while_the_link_is_down_is_removed() {
     play(
         |_| {},
         |w| async move {
@@ -308,7 +308,7 @@
 }
 
 #[test]
-fn a_run_taken_off_the_cores_is_taken_up_with_thaw() {
+fn paused_run_is_resumed_with_thaw() {
     play(
         |_| {},
         |w| async move {
@@ -328,7 +328,7 @@
 }
 
 #[test]
-fn wake_ups_see_gauges_that_were_asked_for_just_before() {
+fn ticks_use_gauges_sampled_just_before() {
     play(
         |_| {},
         |w| async move {
@@ -342,7 +342,7 @@
 }
 
 #[test]
-fn nonsense_from_the_agent_costs_its_link_alone() {
+fn unreadable_agent_input_ends_only_its_link() {
     let long = vec![b'x'; 80 * 1024];
     let cases: [&[u8]; 7] = [
         b"nonsense\n",
@@ -391,7 +391,7 @@
 }
 
 #[test]
-fn what_comes_as_odd_again_is_passed_over_and_the_link_stays() {
+fn notice_unreadable_again_is_skipped_and_the_link_stays() {
     play(
         |_| {},
         |w| async move {
@@ -426,7 +426,7 @@
 }
 
 #[test]
-fn bad_input_gets_an_exception_or_ends_its_connection_after_its_tickets() {
+fn invalid_input_gets_an_exception_or_ends_its_connection_after_pending_answers() {
     let trace = "00000000000000ff";
     let born = born();
     let good = [
@@ -541,7 +541,7 @@
 }
 
 #[test]
-fn who_says_nothing_or_half_a_frame_is_sent_away_and_who_waits_for_an_answer_is_not() {
+fn silent_or_half_frame_connection_is_closed_unless_an_answer_is_pending() {
     play(
         |_| {},
         |w| async move {
@@ -589,7 +589,7 @@
 }
 
 #[test]
-fn nothing_is_left_in_the_books_of_tickets_and_connections_that_are_over() {
+fn finished_requests_and_connections_leave_no_state_behind() {
     play(
         |_| {},
         |w| async move {
@@ -633,7 +633,7 @@
 }
 
 #[test]
-fn a_run_whose_end_is_never_told_leaves_the_books_in_the_end() {
+fn run_whose_end_is_never_reported_is_removed_as_an_orphan() {
     play(
         |_| {},
         |w| async move {
@@ -668,7 +668,7 @@
 }
 
 #[test]
-fn a_crowd_that_says_nothing_takes_no_used_connection() {
+fn silent_connections_evict_no_used_connection() {
     play(
         |config| config["limits"]["sockets"] = json!(16),
         |w| async move {
@@ -689,7 +689,7 @@
 }
 
 #[test]
-fn bodies_in_hand_stay_within_their_part_of_the_memory() {
+fn request_bodies_stay_within_their_memory_fraction() {
     play(
         |config| config["limits"]["memory_mb"] = json!(0.01),
         |w| async move {
@@ -701,7 +701,7 @@
 }
 
 #[test]
-fn a_launch_that_the_agent_refuses_is_answered_and_charged_to_nobody() {
+fn refused_launch_is_answered_and_charged_to_no_tenant() {
     play(
         |_| {},
         |w| async move {
@@ -724,7 +724,7 @@
 }
 
 #[test]
-fn a_number_already_open_ends_its_connection_and_a_33rd_ticket_gets_an_exception() {
+fn duplicate_sequence_number_ends_the_connection_and_33rd_open_request_gets_an_exception() {
     play(
         |_| {},
         |w| async move {
@@ -762,7 +762,7 @@
 }
 
 #[test]
-fn who_gives_up_gets_no_answer_and_frees_the_core() {
+fn cancelled_request_gets_no_answer_and_frees_the_core() {
     play(
         |_| {},
         |w| async move {
@@ -786,7 +786,7 @@
 }
 
 #[test]
-fn a_reset_connection_takes_its_tickets_with_it_and_no_other() {
+fn reset_connection_cancels_only_its_own_requests() {
     play(
         |_| {},
         |w| async move {
@@ -809,7 +809,7 @@
 }
 
 #[test]
-fn answers_still_go_out_after_the_callers_eof_and_bytes_may_come_one_by_one() {
+fn answers_are_sent_after_the_callers_eof_and_bytes_may_come_one_by_one() {
     play(
         |_| {},
         |w| async move {
@@ -845,7 +845,7 @@
 }
 
 #[test]
-fn a_close_that_a_ticket_crosses_waits_for_another_time() {
+fn close_crossed_by_a_request_is_postponed() {
     play(
         |_| {},
         |w| async move {
@@ -874,7 +874,7 @@
 }
 
 #[test]
-fn a_caller_that_reads_nothing_harms_no_other() {
+fn caller_that_never_reads_affects_no_other() {
     play(
         |_| {},
         |w| async move {
@@ -905,7 +905,7 @@
 }
 
 #[test]
-fn unread_answers_stay_within_their_part_of_the_memory() {
+fn unread_answers_stay_within_their_memory_fraction() {
     play(
         |config| config["limits"]["memory_mb"] = json!(0.5),
         |w| async move {
@@ -934,7 +934,7 @@
 }
 
 #[test]
-fn connections_past_the_room_take_the_place_of_unused_ones() {
+fn connections_past_the_capacity_evict_unused_ones() {
     play(
         |config| config["limits"]["sockets"] = json!(16),
         |w| async move {
@@ -958,7 +958,7 @@
 }
 
 #[test]
-fn a_read_of_like_entity_takes_the_result_of_the_one_that_is_open_or_kept() {
+fn read_of_the_same_entity_shares_the_open_or_cached_result() {
     let ticketed = |config: &mut Value| {
         config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
     };
@@ -1005,7 +1005,7 @@
 /// The tries of a ticketed ticket carry the same nonce. Whatever became of the run, none of them runs again, unless nothing
 /// ran; and a name serves no other tenant and no other body.
 #[test]
-fn tries_under_one_nonce_run_once_however_the_first_one_ended() {
+fn tries_with_one_nonce_run_once_whatever_the_first_outcome() {
     let ticketed = |config: &mut Value| {
         config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
     };
@@ -1071,7 +1071,7 @@
 
 /// Where a ticket tells how long its caller waits, that is when its answer is due, before its type's outer limit.
 #[test]
-fn a_ticket_is_answered_before_its_caller_stops_waiting() {
+fn request_is_answered_before_its_caller_stops_waiting() {
     play(
         |config| {
             for kind in config["settings"]["requestClasses"].as_array_mut().unwrap() {
@@ -1104,7 +1104,7 @@
 
 /// Without room to remember that it ran, a ticketed ticket does not run.
 #[test]
-fn a_ticketed_ticket_runs_only_where_its_name_can_be_kept() {
+fn idempotent_request_runs_only_if_its_key_fits_the_cache() {
     let ticketed = |config: &mut Value| {
         config["settings"]["requestClasses"][0]["effect"] = json!("guarded");
         config["limits"]["memory_mb"] = json!(0.002);
@@ -1123,7 +1123,7 @@
 }
 
 #[test]
-fn before_the_agent_is_up_probes_are_answered_and_tickets_dismissed() {
+fn before_the_agent_is_up_probes_are_answered_and_requests_rejected() {
     play(
         |_| {},
         |w| async move {
@@ -1137,7 +1137,7 @@
 }
 
 #[test]
-fn at_the_notice_everything_read_is_answered_before_the_end() {
+fn drain_answers_every_request_that_was_read() {
     play(
         |config| config["stop_ms"] = json!(600_000),
         |w| async move {
@@ -1172,7 +1172,7 @@
 }
 
 #[test]
-fn once_nothing_new_may_run_connections_are_refused() {
+fn connections_are_refused_after_the_drain_grace() {
     play(
         |config| config["settings"]["obligations"]["drainGraceS"] = json!(0),
         |w| async move {
@@ -1189,7 +1189,7 @@
 }
 
 #[test]
-fn runs_that_do_not_end_are_given_up_before_the_kill() {
+fn unfinished_runs_are_failed_before_the_kill() {
     play(
         |config| config["stop_ms"] = json!(1_000),
         |w| async move {
@@ -1205,7 +1205,8 @@
 }
 
 #[test]
-fn reports_go_on_while_the_announce_service_fails_and_end_with_a_no_where_that_counts() {
+fn reports_continue_while_the_announce_service_fails_and_end_with_not_accepting_where_the_list_follows_it(
+) {
     play(
         |config| config["settings"]["familyInfo"]["readiness"] = json!(true),
         |w| async move {
@@ -1233,7 +1234,7 @@
 }
 
 #[test]
-fn a_report_without_an_answer_counts_and_the_next_one_follows() {
+fn unanswered_report_is_counted_and_the_next_one_follows() {
     play(
         |_| {},
         |w| async move {
@@ -1256,7 +1257,7 @@
 }
 
 #[test]
-fn new_addresses_are_taken_with_all_that_is_in_hand() {
+fn new_addresses_are_applied_with_requests_in_hand() {
     play(
         |_| {},
         |w| async move {
@@ -1302,7 +1303,7 @@
 }
 
 #[test]
-fn new_addresses_are_taken_by_a_node_that_leaves_too() {
+fn new_addresses_are_applied_while_draining() {
     play(
         |config| config["stop_ms"] = json!(600_000),
         |w| async move {
@@ -1331,7 +1332,7 @@
 }
 
 #[test]
-fn new_settings_are_taken_with_all_that_is_in_hand_and_the_way_back_is_the_same_step() {
+fn new_settings_are_applied_with_requests_in_hand_and_rolled_back_the_same_way() {
     play(
         |_| {},
         |w| async move {
@@ -1386,7 +1387,7 @@
 }
 
 #[test]
-fn a_hangup_reads_the_file_anew_and_a_bad_file_leaves_the_old_addresses() {
+fn sighup_reloads_the_file_and_an_invalid_file_leaves_the_old_addresses() {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -1442,7 +1443,7 @@
 }
 
 #[test]
-fn a_bad_configuration_is_named_in_one_line() {
+fn invalid_configuration_is_reported_in_one_line() {
     type Change = fn(&mut Value);
     let cases: [(Change, &str); 8] = [
         (
@@ -1488,7 +1489,7 @@
 }
 
 #[test]
-fn unknown_keys_are_named_and_help_answers() {
+fn unknown_keys_are_logged_and_help_is_printed() {
     let mut config = example();
     config["sede"] = json!("8c1f");
     config["two\nlines"] = json!(1);
@@ -1512,7 +1513,7 @@
 }
 
 #[test]
-fn no_bytes_whatever_make_a_parser_panic_or_read_past_the_end() {
+fn arbitrary_bytes_make_no_parser_panic_or_read_past_the_end() {
     let mut chance = WyRand::new_seed(7);
     let good: [&[u8]; 3] = [
         b"\x80\x01\0\x01\0\0\0\x07process\0\0\0\x01\x0d\0\x01\x0b\x0b\0\0\0\x01\0\0\0\x01k\0\0\0\x01v\x0b\0\x02\0\0\0\x01b\0",
--- a/crates/node/tests/recording.rs
+++ b/crates/node/tests/recording.rs
@@ -173,7 +173,7 @@
 }
 
 #[test]
-fn what_callers_saw_is_in_the_files() {
+fn recording_holds_what_callers_saw() {
     let folder = tempfile::tempdir().unwrap();
     let seen = play(folder.path());
     let (mut tickets, others) = recorded(folder.path());
@@ -205,7 +205,7 @@
 }
 
 #[test]
-fn a_folder_that_is_not_there_costs_no_ticket() {
+fn missing_recording_folder_costs_no_request() {
     let folder = tempfile::tempdir().unwrap();
     let seen = play(&folder.path().join("gone"));
     assert_eq!(
@@ -249,7 +249,7 @@
 }
 
 #[test]
-fn a_full_disk_and_one_that_hangs_cost_no_ticket() {
+fn full_or_hanging_recording_disk_costs_no_request() {
     let limits = Limits {
         file_bytes: 1 << 30,
         files: 2,
@@ -272,7 +272,7 @@
 }
 
 #[test]
-fn settings_that_cannot_be_are_refused_in_one_line() {
+fn invalid_settings_are_refused_in_one_line() {
     let table = [
         (
             "version: 1 recordings { name: \"a\" folder: \"/x\" }",
@@ -298,7 +298,7 @@
 }
 
 #[test]
-fn the_program_tells_json_if_asked_and_refuses_bad_settings() {
+fn program_logs_json_if_configured_and_refuses_invalid_settings() {
     let folder = tempfile::tempdir().unwrap();
     let at = |name: &str| folder.path().join(name);
     let mut config: Value =
