Node: log events and their words by the field's terms

Events of a node and of its group's member had the house's names. Fields, counters and reason codes stay.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -189,8 +189,8 @@
     }
     count(&context.counts.agent_odd);
     log_event!(
-        "agent_line_passed_over",
-        "agent line passed over behind notice",
+        "agent_line_skipped",
+        "agent line skipped after notice",
         what = link.last_offset.get()
     );
     Ok(())
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -107,8 +107,8 @@
             .request_mut(index)
             .map(|request| String::from_utf8_lossy(&request.trace).into_owned());
         log_event!(
-            "run_without_end",
-            "run without an end taken out of the books",
+            "run_orphaned",
+            "run without an end removed",
             ticket = index,
             trace = trace.unwrap_or_default()
         );
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -84,7 +84,7 @@
         config.sockets = clamp_to_system_limit(configured);
         if config.sockets < configured {
             log_event!(
-                "descriptors_fewer",
+                "descriptors_limited",
                 "descriptors",
                 given = config.sockets,
                 configured = configured
--- a/crates/node/src/group_membership.rs
+++ b/crates/node/src/group_membership.rs
@@ -92,13 +92,22 @@
 fn log_group_event(event: &GroupEvent) {
     match event {
         GroupEvent::Bootstrapped { members } => {
-            log_event!("group_formed", "the group begins", members = members);
+            log_event!(
+                "group_bootstrapped",
+                "the group is bootstrapped",
+                members = members
+            );
         }
         GroupEvent::BecameLeader { shard, term } => {
-            log_event!("shard_leads", "leads", shard = shard, term = term);
+            log_event!(
+                "shard_leadership_gained",
+                "became leader",
+                shard = shard,
+                term = term
+            );
         }
         GroupEvent::LostLeadership { shard } => {
-            log_event!("shard_leads_no_more", "leads no more", shard = shard);
+            log_event!("shard_leadership_lost", "lost leadership", shard = shard);
         }
         GroupEvent::MembershipChanged { shard, membership } => log_event!(
             "shard_members",
@@ -106,23 +115,18 @@
             shard = shard,
             what = membership
         ),
-        GroupEvent::Diverged { shard, divergence } => log_event!(
-            "copy_differs",
-            "this copy differs from most others: its files are set aside",
-            shard = shard,
-            what = format_args!(
-                "entry {}: {:016x} here, {:016x} there",
-                divergence.index, divergence.own_checksum, divergence.majority_checksum
-            )
-        ),
+        GroupEvent::Diverged { shard, divergence } => {
+            let (index, own) = (divergence.index, divergence.own_checksum);
+            log_divergence(*shard, index, own, divergence.majority_checksum);
+        }
         GroupEvent::StaleDisk { reason } => log_event!(
-            "copy_set_aside",
-            "the files are set aside, and this is a new member",
+            "replica_quarantined",
+            "the files are quarantined, and this is a new member",
             why = reason
         ),
         GroupEvent::StalePeer { name, disk, reason } => log_event!(
-            "peer_old_copy",
-            "a member came with an old copy of its disk",
+            "peer_stale_disk",
+            "a member connected with a stale disk",
             name = name,
             disk = format_args!("{disk:016x}"),
             why = reason
@@ -134,13 +138,24 @@
             index = index
         ),
         GroupEvent::DiskStalled => log_event!(
-            "disk_stands_still",
-            "the disk stands still: nothing is confirmed here"
+            "disk_stalled",
+            "the disk stalled: nothing is confirmed here"
         ),
         GroupEvent::DiskFailed { reason } => log_event!(
             "disk_failed",
-            "the disk failed: nothing is confirmed here until a new start",
+            "the disk failed: nothing is confirmed here until a restart",
             why = reason
         ),
     }
 }
+
+/// Logs that this replica's entries up to `index` have another checksum than the majority's.
+fn log_divergence(shard: u16, index: u64, own_checksum: u64, majority_checksum: u64) {
+    log_event!(
+        "replica_diverged",
+        "this replica diverged from the majority: its files are quarantined",
+        shard = shard,
+        what =
+            format_args!("entry {index}: {own_checksum:016x} here, {majority_checksum:016x} there")
+    );
+}
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -87,7 +87,7 @@
         }) {
             $crate::log::ignore_write_panic(|| {
                 if suppressed > 0 {
-                    tracing::info!(event = "log_held_back", words = "log", held_back = suppressed);
+                    tracing::info!(event = "log_suppressed", words = "log", held_back = suppressed);
                 }
                 tracing::info!(event = $code, words = $words $(, $key = %$value)*);
             });
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -94,8 +94,8 @@
         let trace = request.trace;
         if let Some(reply) = request.reply.take() {
             log_frequent!(
-                "ticket_given_up",
-                "ticket given up",
+                "request_failed",
+                "request failed",
                 trace = trace.escape_ascii()
             );
             reply.fail(&self.counts);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -71,7 +71,7 @@
         Err(error) => {
             count(&context.counts.reloads_refused);
             log_event!(
-                "retune_refused",
+                "settings_refused",
                 "settings refused, the old file stays",
                 why = error
             );
@@ -124,8 +124,8 @@
         policy.reconfigure(start.node);
     }
     log_event!(
-        "retune",
-        "settings taken",
+        "settings_applied",
+        "settings applied",
         can_stop = start.can_stop,
         longest_ms = start.longest_pause.as_millis()
     );
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -246,8 +246,8 @@
             (Some(reply), Outcome::Succeeded) => reply.serve(&self.counts, result),
             (Some(reply), _) => {
                 log_frequent!(
-                    "ticket_given_up",
-                    "ticket given up",
+                    "request_failed",
+                    "request failed",
                     trace = trace.escape_ascii()
                 );
                 reply.fail(&self.counts);
--- a/crates/node/src/supervisor.rs
+++ b/crates/node/src/supervisor.rs
@@ -20,11 +20,7 @@
 ) {
     while spawn_local(start()).await.is_err() {
         count(&context.counts.watches_again);
-        log_event!(
-            "watch_again",
-            "panic in a watch, which begins anew:",
-            name = name
-        );
+        log_event!("task_restarted", "panic in a task, restarted:", name = name);
         sleep(RESTART_BACKOFF).await;
     }
 }
