--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -70,7 +70,7 @@
         Err(error) => {
             count(&context.counts.reloads_refused);
             log_event!(
-                "retune_refused",
+                "settings_refused",
                 "settings refused, the old file stays",
                 why = error
             );
@@ -125,8 +125,8 @@
         policy.reconfigure(start.controller);
     }
     log_event!(
-        "retune",
-        "settings taken",
+        "settings_applied",
+        "settings applied",
         can_stop = start.can_cancel_runs,
         longest_ms = start.max_retry_after.as_millis()
     );
