Routing: the fleet is split by concern, its long functions into steps

Types, pool state, eligibility, updates, membership and attempts are private modules of it; the public paths are the same. Tuples of private state are structs. Orders of effects and of random draws are as before.

--- /dev/null
+++ b/crates/routing/src/fleet/attempts.rs
@@ -0,0 +1,418 @@
+//! The attempts of an admitted request: dispatch to a member, the outcome, and the one answer.
+
+use super::eligibility::{pause_key, Eligibility};
+use super::pool::{Pool, DEFAULT_DURATION};
+use super::types::{
+    Attempt, AttemptOutcome, Completed, MemberRef, NextAction, OutcomeReason, RequestOutcome,
+};
+use super::{
+    Fleet, RequestState, SentAttempt, DEFAULT_RETRY_AFTER, LEAVING_WEIGHT, MAX_RETRY_AFTER,
+};
+use crate::decision_log::{Decision, DecisionOutcome, SkipReason};
+use crate::member_selection;
+use crate::retry::{self, AttemptResult, RetryContext, RetryDecision};
+use crate::router::RouteDecision;
+use rainstand_config::schema::RepeatKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Changes of status that are held between two ticks.
+const MAX_STATUS_CHANGES: usize = 1_000;
+/// Pauses that are held, 24 bytes each; beyond it members' wishes to be left alone are not recorded.
+const MAX_PAUSES: usize = 1 << 20;
+
+/// What the outcome of an attempt says about its member.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum MemberVerdict {
+    Good,
+    Bad,
+    /// It answered, but not in a way that counts for or against it.
+    Alive,
+    /// Nothing.
+    None,
+}
+
+fn verdict(outcome: AttemptOutcome) -> MemberVerdict {
+    match outcome {
+        AttemptOutcome::Served => MemberVerdict::Good,
+        AttemptOutcome::Rejected { .. } => MemberVerdict::Alive,
+        AttemptOutcome::CallerLeft => MemberVerdict::None,
+        AttemptOutcome::Failed
+        | AttemptOutcome::Unreachable
+        | AttemptOutcome::Broken
+        | AttemptOutcome::TimedOut => MemberVerdict::Bad,
+    }
+}
+
+impl RequestState {
+    fn retry_context(&self, now: Duration, typical_duration: Duration) -> RetryContext {
+        RetryContext {
+            repeat: self.repeat,
+            again: self.again,
+            attempts: self.attempts,
+            remaining: self.remaining(now),
+            typical_duration,
+        }
+    }
+
+    /// What is left of its latency objective.
+    fn remaining(&self, now: Duration) -> Duration {
+        self.objective
+            .saturating_sub(now.saturating_sub(self.arrived))
+    }
+}
+
+impl Fleet {
+    /// Sends the next attempt of a request whose backoff is over.
+    pub fn on_retry_due(&mut self, now: Duration, request: RequestState) -> NextAction {
+        self.counts.retries += 1;
+        self.dispatch(now, request)
+    }
+
+    /// The pool of a request in the current version.
+    fn current_pool(&self, decision: &RouteDecision) -> Option<u16> {
+        if decision.version >= self.indices_since {
+            return Some(decision.placement.pool);
+        }
+        // Its indices are those of an earlier version.
+        self.table().pool(&decision.pool)
+    }
+
+    /// Sends an attempt to a member of the request's pool; to another than the last one, if there is one.
+    pub(super) fn dispatch(&mut self, now: Duration, mut request: RequestState) -> NextAction {
+        let Some(pool) = self.current_pool(&request.decision) else {
+            return self.conclude(now, request, None, OutcomeReason::NoMember);
+        };
+        let last = request.last_attempt.take().map(|attempt| attempt.member);
+        let last = last.filter(|member| member.pool == pool);
+        let mut decision = self.new_decision(now, &request, pool);
+        let candidates = self.weigh_members(&request, pool, last, &mut decision);
+        let weights = &self.weights;
+        let selected = member_selection::choose(
+            &mut self.pick,
+            &mut self.pools[usize::from(pool)].members,
+            now,
+            &request.entity,
+            &mut self.chance,
+            |member| weights[member],
+        );
+        let Some((member, selected_by)) = selected else {
+            self.decisions.push(decision);
+            return self.conclude(now, request, None, OutcomeReason::NoMember);
+        };
+        let timeout = self.next_timeout(now, pool, &mut request);
+        decision.what = DecisionOutcome::Dispatched {
+            member: member as u16,
+            how: selected_by,
+            of: candidates,
+            in_hand: self.pools[usize::from(pool)].members[member].open,
+            tried: request.attempts,
+        };
+        self.decisions.push(decision);
+        let to = MemberRef {
+            pool,
+            member: member as u16,
+        };
+        self.record_sent(now, to, &mut request);
+        let attempt = Attempt {
+            to,
+            timeout,
+            again: request.again || request.attempts > 1,
+            attempt_number: request.attempts,
+            selected_by,
+        };
+        NextAction::Dispatch(request, attempt)
+    }
+
+    fn new_decision(&self, now: Duration, request: &RequestState, pool: u16) -> Decision {
+        let rejected = DecisionOutcome::Rejected {
+            why: OutcomeReason::NoMember,
+            after: DEFAULT_RETRY_AFTER,
+        };
+        let mut decision = Decision::new(now, request.request_class, request.tenant, rejected);
+        decision.pool = Some(pool);
+        decision.route = (request.decision.version >= self.indices_since)
+            .then_some(request.decision.placement.route);
+        decision
+    }
+
+    /// Fills `weights` with what each member may get, and the decision with those that are skipped; the number of
+    /// members that could take the attempt.
+    fn weigh_members(
+        &mut self,
+        request: &RequestState,
+        pool: u16,
+        last: Option<MemberRef>,
+        decision: &mut Decision,
+    ) -> u16 {
+        let eligibility = Eligibility {
+            pools: &self.pools,
+            pauses: &self.pauses,
+            now: decision.at,
+            tenant: request.tenant_key,
+        };
+        let avoid_last = last.is_none() || eligibility.any(pool, last);
+        let weights = &mut self.weights;
+        weights.clear();
+        let mut candidates = 0;
+        for member in 0..eligibility.member_count(pool) {
+            let at = MemberRef { pool, member };
+            let mut weight = eligibility.weight(at);
+            if weight > 0.0 && avoid_last && last == Some(at) {
+                weight = 0.0;
+                decision.record_skipped(member, SkipReason::AlreadyTried);
+            } else if let Some(skip) = eligibility.skip(at).filter(|_| weight <= LEAVING_WEIGHT) {
+                decision.record_skipped(member, skip.reason);
+            }
+            candidates += u16::from(weight > 0.0);
+            weights.push(weight);
+        }
+        // Members that shut down are used only if there is no other.
+        if weights.iter().any(|weight| *weight > LEAVING_WEIGHT) {
+            for weight in weights
+                .iter_mut()
+                .filter(|weight| **weight <= LEAVING_WEIGHT)
+            {
+                *weight = 0.0;
+            }
+        }
+        candidates
+    }
+
+    /// Counts the next attempt; the time that it may take.
+    fn next_timeout(&self, now: Duration, pool: u16, request: &mut RequestState) -> Duration {
+        let typical_duration = self.pools[usize::from(pool)].typical_duration();
+        let attempts_left = request.policy.attempts.saturating_sub(request.attempts);
+        request.attempts += 1;
+        let context = request.retry_context(now, typical_duration);
+        let may_retry = retry::may_retry(&context, &request.policy, &self.budget);
+        retry::attempt_timeout(
+            context.remaining,
+            attempts_left,
+            typical_duration,
+            may_retry,
+        )
+    }
+
+    fn record_sent(&mut self, now: Duration, to: MemberRef, request: &mut RequestState) {
+        let pool = &mut self.pools[usize::from(to.pool)];
+        let index = usize::from(to.member);
+        let member = &mut pool.members[index];
+        member.open += 1;
+        if let Some(ramp) = &mut member.ramp {
+            ramp.take(now);
+        }
+        pool.in_flight += 1;
+        pool.limits[index].on_sent();
+        if let Some(health) = &mut pool.health {
+            health.on_sent(index, now);
+        }
+        request.last_attempt = Some(SentAttempt {
+            member: to,
+            pool_name: pool.name.clone(),
+            address: pool.addresses[index].clone(),
+            sent_at: now,
+        });
+        request.in_flight = true;
+    }
+
+    /// Records how the attempt of a request ended; what follows.
+    pub fn on_attempt_outcome(
+        &mut self,
+        now: Duration,
+        mut request: RequestState,
+        outcome: AttemptOutcome,
+    ) -> NextAction {
+        let typical_duration = self.settle(now, &mut request, outcome);
+        let result = match outcome {
+            AttemptOutcome::Served => {
+                return self.complete(now, request, RequestOutcome::Served, OutcomeReason::Done);
+            }
+            AttemptOutcome::CallerLeft => {
+                let reason = OutcomeReason::CallerLeft;
+                return self.complete(now, request, RequestOutcome::CallerGone, reason);
+            }
+            AttemptOutcome::Rejected {
+                pause,
+                nowhere_else,
+            } => AttemptResult::Rejected {
+                pause,
+                nowhere_else,
+            },
+            AttemptOutcome::Unreachable => AttemptResult::NotRun,
+            AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
+                AttemptResult::MayHaveRun
+            }
+        };
+        request.may_have_run |= result == AttemptResult::MayHaveRun;
+        let context = request.retry_context(now, typical_duration);
+        let (budget, chance) = (&mut self.budget, &mut self.chance);
+        match retry::next(&context, result, &request.policy, budget, chance) {
+            RetryDecision::Retry { wait } => NextAction::Backoff(request, wait),
+            RetryDecision::Stop(reason) => {
+                self.conclude(now, request, Some(result), OutcomeReason::Stopped(reason))
+            }
+        }
+    }
+
+    /// Records what an outcome says about its member; the typical duration of an attempt in its pool.
+    fn settle(
+        &mut self,
+        now: Duration,
+        request: &mut RequestState,
+        outcome: AttemptOutcome,
+    ) -> Duration {
+        // A caller may leave during a backoff: no member has the request then.
+        if !std::mem::replace(&mut request.in_flight, false) {
+            return DEFAULT_DURATION;
+        }
+        let Some(attempt) = &request.last_attempt else {
+            return DEFAULT_DURATION;
+        };
+        let Some(at) = self.locate(attempt) else {
+            return DEFAULT_DURATION;
+        };
+        let elapsed = now.saturating_sub(attempt.sent_at);
+        let verdict = verdict(outcome);
+        let pool = &mut self.pools[usize::from(at.pool)];
+        let typical_duration = pool.typical_duration();
+        let index = usize::from(at.member);
+        let member = &mut pool.members[index];
+        member.open = member.open.saturating_sub(1);
+        pool.in_flight = pool.in_flight.saturating_sub(1);
+        let lost = matches!(verdict, MemberVerdict::Bad | MemberVerdict::Alive);
+        let duration = (verdict == MemberVerdict::Good).then_some(elapsed);
+        pool.limits[index].on_completed(now, duration, lost);
+        if verdict == MemberVerdict::Bad {
+            member.failed(attempt.sent_at, typical_duration);
+        }
+        self.record_health(now, at, elapsed, verdict);
+        if let AttemptOutcome::Rejected { pause, .. } = outcome {
+            if !pause.is_zero() && self.pauses.len() < MAX_PAUSES {
+                let until = now + pause.min(MAX_RETRY_AFTER);
+                self.pauses
+                    .insert((at, pause_key(request.tenant_key)), until);
+            }
+        }
+        typical_duration
+    }
+
+    /// The member of an attempt in the current version, in which pools and members may have other indices.
+    fn locate(&self, attempt: &SentAttempt) -> Option<MemberRef> {
+        let mut at = attempt.member;
+        let pool = self.pools.get(usize::from(at.pool));
+        if pool.is_none_or(|pool| pool.name != attempt.pool_name) {
+            let moved = |pool: &Pool| pool.name == attempt.pool_name;
+            at.pool = self.pools.iter().position(moved)? as u16;
+        }
+        let addresses = &self.pools[usize::from(at.pool)].addresses;
+        let same = |address| Rc::ptr_eq(address, &attempt.address);
+        if !addresses.get(usize::from(at.member)).is_some_and(same) {
+            let moved = |address: &Rc<str>| *address == attempt.address;
+            at.member = addresses.iter().position(moved)? as u16;
+        }
+        Some(at)
+    }
+
+    fn record_health(
+        &mut self,
+        now: Duration,
+        at: MemberRef,
+        elapsed: Duration,
+        verdict: MemberVerdict,
+    ) {
+        let Some(health) = &mut self.pools[usize::from(at.pool)].health else {
+            return;
+        };
+        let member = usize::from(at.member);
+        let good = match verdict {
+            MemberVerdict::Good => true,
+            MemberVerdict::Bad => false,
+            // A rejection proves that it is alive, and to be busy is no failure.
+            MemberVerdict::Alive => return health.on_signal(member, now),
+            MemberVerdict::None => return health.on_abandoned(member),
+        };
+        let change = health.on_answer(member, now, elapsed, good);
+        if let Some(change) = change.filter(|_| self.status_changes.len() < MAX_STATUS_CHANGES) {
+            self.status_changes.push((at, change.to));
+        }
+    }
+
+    /// Ends a request that gets no further attempt: failed if it may have run, else rejected.
+    fn conclude(
+        &mut self,
+        now: Duration,
+        request: RequestState,
+        result: Option<AttemptResult>,
+        reason: OutcomeReason,
+    ) -> NextAction {
+        let rerunnable = request.repeat == RepeatKind::Rerunnable;
+        if request.may_have_run && (!rerunnable || result == Some(AttemptResult::MayHaveRun)) {
+            return self.complete(now, request, RequestOutcome::Failed, reason);
+        }
+        let outcome = if let Some(AttemptResult::Rejected {
+            pause,
+            nowhere_else,
+        }) = result
+        {
+            RequestOutcome::Rejected {
+                after: pause,
+                nowhere_else,
+            }
+        } else {
+            RequestOutcome::Rejected {
+                after: self.retry_after(now, &request, result.is_some()),
+                nowhere_else: false,
+            }
+        };
+        self.complete(now, request, outcome, reason)
+    }
+
+    /// When a request that found no member may come back.
+    fn retry_after(&mut self, now: Duration, request: &RequestState, attempted: bool) -> Duration {
+        let earliest = self
+            .current_pool(&request.decision)
+            .and_then(|pool| self.earliest_retry(pool, request.tenant_key, now))
+            .unwrap_or(DEFAULT_RETRY_AFTER);
+        // A member that was just unreachable is not back within a typical duration.
+        let min = if attempted {
+            DEFAULT_RETRY_AFTER
+        } else {
+            Duration::ZERO
+        };
+        self.jitter_retry_after(earliest.max(min))
+    }
+
+    fn complete(
+        &mut self,
+        now: Duration,
+        request: RequestState,
+        outcome: RequestOutcome,
+        why: OutcomeReason,
+    ) -> NextAction {
+        let count = match outcome {
+            RequestOutcome::Served => &mut self.counts.served,
+            RequestOutcome::Rejected { .. } => &mut self.counts.rejected,
+            RequestOutcome::Failed => &mut self.counts.failed,
+            RequestOutcome::CallerGone => &mut self.counts.caller_gone,
+        };
+        *count += 1;
+        let decision = request.decision;
+        // Fair shares restart when indices change; requests from before are not counted in them.
+        if decision.version >= self.fair_shares_since {
+            let pool = &mut self.pools[usize::from(decision.placement.pool)];
+            pool.fair_share.release(request.tenant_key);
+        }
+        let completed = Completed {
+            outcome,
+            why,
+            version: decision.version,
+            route: Some(decision.placement.route),
+            pool: Some(decision.placement.pool),
+            attempts: request.attempts,
+            elapsed: now.saturating_sub(request.arrived),
+        };
+        self.router.on_completed(decision);
+        NextAction::Completed(completed)
+    }
+}
