Routing: errors of a configuration are an enum; table updates have one step an entry kind

Name index, bit rows and the change types are modules of their own, and what moved on a removal is a struct.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -58,6 +58,8 @@
     reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
 )]
 
+mod error;
+
 pub mod adaptive_concurrency;
 pub mod decision_log;
 pub mod explain;
@@ -76,14 +78,4 @@
 pub mod warm_up;
 pub mod weighted_split;
 
-/// Why a configuration that comes as a message cannot be used. One that came through the checker can.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConfigurationError(pub String);
-
-impl std::fmt::Display for ConfigurationError {
-    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        out.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for ConfigurationError {}
+pub use error::ConfigurationError;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -331,9 +331,7 @@
 
     fn check_version_capacity(&self) -> Result<(), ConfigurationError> {
         if self.versions.len() >= MAX_VERSIONS {
-            let words =
-                format!("{MAX_VERSIONS} versions still have tickets; try again when some ended");
-            return Err(ConfigurationError(words));
+            return Err(ConfigurationError::TooManyVersions { max: MAX_VERSIONS });
         }
         Ok(())
     }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -12,6 +12,12 @@
 //! Invariants: every index in a [`Table`] is within its list; shares of a split are each above 0; the
 //! chain of fall-backs of a pool ends; bits and list entries past the last route are none.
 
+mod bits;
+mod name_index;
+
+pub(crate) use bits::Bits;
+pub(crate) use name_index::{NameIndex, Named};
+
 use crate::rate_limit::LimitRule;
 use crate::time_budget::Times;
 use crate::weighted_split::{by_chance, by_entity, name_hash};
@@ -102,148 +108,6 @@
     pub retry_after: Option<u16>,
 }
 
-/// What has a name in a configuration.
-pub(crate) trait Named {
-    const WHAT: &'static str;
-    fn name(&self) -> &str;
-}
-
-macro_rules! named {
-    ($($thing:ident $what:literal),*) => {
-        $(impl Named for schema::$thing {
-            const WHAT: &'static str = $what;
-            fn name(&self) -> &str {
-                &self.name
-            }
-        })*
-    };
-}
-named!(TrafficType "type", Tenant "tenant", Pool "pool", Limits "limits", RetryAfter "retry-after", Budget "budget",
-    Route "route", Attempts "attempts", Health "health");
-
-/// Places in a list of the configuration by name. The names stand there; here are their hashes alone.
-#[derive(Debug, Default)]
-pub(crate) struct NameIndex(pub HashMap<u64, u16>);
-
-impl NameIndex {
-    fn new<T: Named>(all: &[T]) -> Result<Self, ConfigurationError> {
-        let mut names = Self(HashMap::with_capacity(all.len()));
-        for at in 0..all.len() {
-            names.put(all, at)?;
-        }
-        Ok(names)
-    }
-
-    /// The one at this place; nothing has changed if it is refused.
-    pub fn put<T: Named>(&mut self, all: &[T], at: usize) -> Result<(), ConfigurationError> {
-        let (what, name) = (T::WHAT, all[at].name());
-        if at >= MAX_ENTRIES {
-            return Err(ConfigurationError(format!(
-                "more than {MAX_ENTRIES} of {what}"
-            )));
-        }
-        self.free(all, name)?;
-        self.moved(name, at as u16);
-        Ok(())
-    }
-
-    /// # Errors
-    /// If another one stands for it already.
-    pub fn free<T: Named>(&self, all: &[T], name: &str) -> Result<(), ConfigurationError> {
-        let Some(there) = self.0.get(&name_hash(name)) else {
-            return Ok(());
-        };
-        let (what, other) = (
-            T::WHAT,
-            all.get(usize::from(*there)).map_or("", Named::name),
-        );
-        Err(ConfigurationError(match other == name {
-            true => format!("{what} `{name}` is there twice"),
-            // One in a thousand million configurations of this size: another name will do.
-            false => format!("{what} `{name}` has the hash of `{other}`; give it another name"),
-        }))
-    }
-
-    pub fn remove(&mut self, name: &str) {
-        self.0.remove(&name_hash(name));
-    }
-
-    /// It stands here now.
-    pub fn moved(&mut self, name: &str, to: u16) {
-        self.0.insert(name_hash(name), to);
-    }
-
-    pub fn each(&mut self, what: impl FnMut(&mut u16)) {
-        self.0.values_mut().for_each(what);
-    }
-
-    pub fn get<T: Named>(&self, all: &[T], name: &str) -> Option<u16> {
-        let at = *self.0.get(&name_hash(name))?;
-        (all.get(usize::from(at))?.name() == name).then_some(at)
-    }
-
-    pub fn find<T: Named>(&self, all: &[T], name: &str) -> Result<u16, ConfigurationError> {
-        self.get(all, name)
-            .ok_or_else(|| ConfigurationError(format!("there is no {} `{name}`", T::WHAT)))
-    }
-
-    /// An empty name refers to nothing.
-    pub fn find_any<T: Named>(
-        &self,
-        all: &[T],
-        name: &str,
-    ) -> Result<Option<u16>, ConfigurationError> {
-        if name.is_empty() {
-            return Ok(None);
-        }
-        self.find(all, name).map(Some)
-    }
-}
-
-/// A row with one bit a route.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Bits(Vec<u64>);
-
-impl Bits {
-    pub fn has(&self, at: usize) -> bool {
-        self.0[at / 64] >> (at % 64) & 1 == 1
-    }
-
-    pub fn set(&mut self, at: usize, to: bool) {
-        let bit = 1 << (at % 64);
-        match to {
-            true => self.0[at / 64] |= bit,
-            false => self.0[at / 64] &= !bit,
-        }
-    }
-
-    /// What stands at this place and behind moves on by one.
-    pub fn open(&mut self, at: usize) {
-        let below = (1u64 << (at % 64)) - 1;
-        for word in (at / 64 + 1..self.0.len()).rev() {
-            self.0[word] = self.0[word] << 1 | self.0[word - 1] >> 63;
-        }
-        let word = &mut self.0[at / 64];
-        *word = (*word & below) | (*word & !below) << 1;
-    }
-
-    /// What stands behind this place moves back by one.
-    pub fn close(&mut self, at: usize) {
-        let below = (1u64 << (at % 64)) - 1;
-        let last = self.0.len() - 1;
-        let word = &mut self.0[at / 64];
-        *word = (*word & below) | (*word >> 1 & !below);
-        for word in at / 64..last {
-            self.0[word] = self.0[word] & !(1 << 63) | self.0[word + 1] << 63;
-            self.0[word + 1] >>= 1;
-        }
-    }
-
-    pub fn resize(&mut self, words: usize) {
-        self.0.resize(words, 0);
-    }
-}
-
 #[derive(Debug, Default)]
 pub(crate) struct Index {
     pub types: NameIndex,
@@ -280,12 +144,12 @@
 /// # Errors
 /// If rows of so many routes for so many types would take too much.
 pub(crate) fn rows_fit(types: usize, routes: usize) -> Result<(), ConfigurationError> {
-    match types.saturating_mul(routes.div_ceil(64) * 8) > MAX_ROW_BYTES {
-        true => Err(ConfigurationError(format!(
-            "routes by types would take over {MAX_ROW_BYTES} bytes"
-        ))),
-        false => Ok(()),
+    if types.saturating_mul(routes.div_ceil(64) * 8) > MAX_ROW_BYTES {
+        return Err(ConfigurationError::TableTooLarge {
+            max_bytes: MAX_ROW_BYTES,
+        });
     }
+    Ok(())
 }
 
 /// Kinds of tries, and what a match says that is not for them.
@@ -311,7 +175,7 @@
             budgets: NameIndex::new(&c.budgets)?,
             routes: NameIndex::new(&c.routes)?,
         };
-        let find_limits = |name: &str| index.limits.find_any(&c.limits, name);
+        let find_limits = |name: &str| index.limits.find_optional(&c.limits, name);
         let type_limits = c
             .types
             .iter()
@@ -379,10 +243,9 @@
         let chain =
             std::iter::successors(Some(pool), |at| self.pools[*at].fall_back.map(usize::from));
         if chain.take(self.pools.len() + 1).count() > self.pools.len() {
-            let name = &self.pools[pool].name;
-            return Err(ConfigurationError(format!(
-                "pool `{name}` falls back in a ring"
-            )));
+            return Err(ConfigurationError::FallbackCycle {
+                pool: self.pools[pool].name.to_string(),
+            });
         }
         Ok(())
     }
@@ -396,11 +259,11 @@
                 .iter()
                 .map(|m| (name_hash(&m.address), m.weight))
                 .collect(),
-            fall_back: index.pools.find_any(&c.pools, &pool.fall_back)?,
-            limits: index.limits.find_any(&c.limits, &pool.limits)?,
+            fall_back: index.pools.find_optional(&c.pools, &pool.fall_back)?,
+            limits: index.limits.find_optional(&c.limits, &pool.limits)?,
             retry_after: index
                 .retry_after
-                .find_any(&c.retry_after, &pool.retry_after)?,
+                .find_optional(&c.retry_after, &pool.retry_after)?,
         })
     }
 
@@ -408,10 +271,10 @@
         let (c, index) = (&self.configuration, &self.index);
         let to = route.to.iter().map(|target| {
             if target.share == 0 || target.share > ONE {
-                return Err(ConfigurationError(format!(
-                    "route `{}`: a share of {}",
-                    route.name, target.share
-                )));
+                return Err(ConfigurationError::InvalidShare {
+                    route: route.name.clone(),
+                    share: target.share,
+                });
             }
             let pool = index.pools.find(&c.pools, &target.pool)?;
             Ok(Target {
@@ -422,10 +285,9 @@
         });
         let to: Box<[Target]> = to.collect::<Result<_, ConfigurationError>>()?;
         if to.iter().map(|target| target.share).sum::<u64>() != ONE {
-            return Err(ConfigurationError(format!(
-                "route `{}`: its shares are not 100 %",
-                route.name
-            )));
+            return Err(ConfigurationError::IncompleteShares {
+                route: route.name.clone(),
+            });
         }
         let mut size = (0, u64::MAX);
         if let Some(matched) = &route.r#match {
@@ -456,11 +318,11 @@
             to,
             by_chance: route.split_by() == SplitBy::Chance,
             fall_back: fall_back.collect::<Result<_, ConfigurationError>>()?,
-            limits: index.limits.find_any(&c.limits, &route.limits)?,
+            limits: index.limits.find_optional(&c.limits, &route.limits)?,
             retry_after: index
                 .retry_after
-                .find_any(&c.retry_after, &route.retry_after)?,
-            budget: index.budgets.find_any(&c.budgets, &route.budget)?,
+                .find_optional(&c.retry_after, &route.retry_after)?,
+            budget: index.budgets.find_optional(&c.budgets, &route.budget)?,
         })
     }
 
@@ -561,7 +423,7 @@
     /// Bytes that this table holds, nearly: what an open version costs.
     pub fn size(&self) -> usize {
         use rainstand_config::schema::to_binary;
-        let row = self.any_type.0.len() * 8;
+        let row = self.any_type.words().len() * 8;
         let entries: usize = self
             .by_tenant
             .values()
@@ -590,12 +452,15 @@
 
     /// The route that takes a request: the first that matches.
     pub fn route(&self, request: &Request<'_>) -> Option<u16> {
-        let of_type = &self.by_type.get(usize::from(request.request_class))?.0;
+        let of_type = &self
+            .by_type
+            .get(usize::from(request.request_class))?
+            .words();
         let mut named = self.named(request);
-        let of_try = &self.by_try[usize::from(request.again)].0;
+        let of_try = self.by_try[usize::from(request.again)].words();
         for (word, ((a, b), c)) in of_type
             .iter()
-            .zip(&self.any_tenant.0)
+            .zip(self.any_tenant.words())
             .zip(of_try)
             .enumerate()
         {
--- a/crates/routing/src/table_update.rs
+++ b/crates/routing/src/table_update.rs
@@ -8,6 +8,10 @@
 //! is altered, and what was put is taken back if a later one is refused. Removals come last, when all of them have
 //! been checked and no way is left to fail.
 
+mod change;
+
+pub use change::{EntryKind, TableChange};
+
 use crate::rate_limit::LimitRule;
 use crate::table::{rows_fit, NameIndex, Named, Table};
 use crate::time_budget::Times;
@@ -16,85 +20,6 @@
 use rainstand_config::schema;
 use std::time::Duration;
 
-/// Kinds of things that decide about requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum EntryKind {
-    Type,
-    Tenant,
-    Pool,
-    Limits,
-    RetryAfter,
-    Budget,
-    Attempts,
-    Health,
-    Route,
-}
-
-impl EntryKind {
-    fn as_str(self) -> &'static str {
-        match self {
-            EntryKind::Type => "type",
-            EntryKind::Tenant => "tenant",
-            EntryKind::Pool => "pool",
-            EntryKind::Limits => "limits",
-            EntryKind::RetryAfter => "retry-after",
-            EntryKind::Budget => "budget",
-            EntryKind::Attempts => "attempts",
-            EntryKind::Health => "health",
-            EntryKind::Route => "route",
-        }
-    }
-}
-
-/// One thing that is put or removed.
-#[derive(Clone, Debug, PartialEq)]
-pub enum TableChange {
-    Type(schema::TrafficType),
-    Tenant(schema::Tenant),
-    /// With all its members.
-    Pool(schema::Pool),
-    Limits(schema::Limits),
-    RetryAfter(schema::RetryAfter),
-    Budget(schema::Budget),
-    Attempts(schema::Attempts),
-    Health(schema::Health),
-    /// A route, and the name of the one before which it stands then; none: behind all. Of routes in one change, those
-    /// in front come first.
-    Route(schema::Route, Option<String>),
-    Remove(EntryKind, String),
-}
-
-impl TableChange {
-    /// What it names.
-    pub fn key(&self) -> (EntryKind, &str) {
-        match self {
-            TableChange::Type(one) => (EntryKind::Type, &one.name),
-            TableChange::Tenant(one) => (EntryKind::Tenant, &one.name),
-            TableChange::Pool(one) => (EntryKind::Pool, &one.name),
-            TableChange::Limits(one) => (EntryKind::Limits, &one.name),
-            TableChange::RetryAfter(one) => (EntryKind::RetryAfter, &one.name),
-            TableChange::Budget(one) => (EntryKind::Budget, &one.name),
-            TableChange::Attempts(one) => (EntryKind::Attempts, &one.name),
-            TableChange::Health(one) => (EntryKind::Health, &one.name),
-            TableChange::Route(one, _) => (EntryKind::Route, &one.name),
-            TableChange::Remove(kind, name) => (*kind, name),
-        }
-    }
-
-    /// Its turn: what others refer to comes before them.
-    fn turn(&self) -> u8 {
-        match self {
-            TableChange::Limits(_) | TableChange::RetryAfter(_) | TableChange::Budget(_) => 0,
-            TableChange::Attempts(_) | TableChange::Health(_) => 0,
-            TableChange::Type(_) | TableChange::Tenant(_) => 1,
-            TableChange::Pool(_) => 2,
-            TableChange::Remove(EntryKind::Route, _) => 3,
-            TableChange::Route(..) => 4,
-            TableChange::Remove(..) => 5,
-        }
-    }
-}
-
 /// Puts a thing in its place in a list: the one that was there, or none if it is new.
 fn put<T: Named>(
     all: &mut Vec<T>,
@@ -127,10 +52,10 @@
 fn find_by_name<T: Named>(all: &[T], name: &str) -> Result<(), ConfigurationError> {
     match all.iter().any(|one| one.name() == name) {
         true => Ok(()),
-        false => Err(ConfigurationError(format!(
-            "there is no {} `{name}`",
-            T::WHAT
-        ))),
+        false => Err(ConfigurationError::NotFound {
+            kind: T::KIND,
+            name: name.to_owned(),
+        }),
     }
 }
 
@@ -138,22 +63,30 @@
     all.retain(|one| one.name() != name);
 }
 
-/// Takes a thing out of its list; the last one takes its place. The place, and where that last one was.
+/// An entry that got another index.
+#[derive(Clone, Copy)]
+struct Moved {
+    to: u16,
+    from: u16,
+}
+
+/// Removes an entry from its list; the last one takes its index, which may be the removed one itself.
 fn swap_remove_named<T: Named>(
     all: &mut Vec<T>,
     names: &mut NameIndex,
     name: &str,
-) -> Option<(u16, u16)> {
-    let at = names.get(all, name)?;
-    let last = all.len() as u16 - 1;
+) -> Option<Moved> {
+    let to = names.get(all, name)?;
+    let from = all.len() as u16 - 1;
     names.remove(name);
-    all.swap_remove(usize::from(at));
-    if at != last {
-        names.moved(all[usize::from(at)].name(), at);
+    all.swap_remove(usize::from(to));
+    if to != from {
+        names.set(all[usize::from(to)].name(), to);
     }
-    Some((at, last))
+    Some(Moved { to, from })
 }
 
+/// Replaces the element at an index, or appends it.
 fn set<T>(all: &mut Vec<T>, at: usize, one: T) {
     match all.get_mut(at) {
         Some(there) => *there = one,
@@ -161,12 +94,19 @@
     }
 }
 
-/// What referred to the last of a kind refers to the place that it was given.
-fn renumber<'a>(all: impl Iterator<Item = &'a mut u16>, (to, from): (u16, u16)) {
-    all.filter(|at| **at == from).for_each(|at| *at = to);
+/// Updates references to an entry that got another index.
+fn renumber<'a>(references: impl Iterator<Item = &'a mut u16>, moved: Moved) {
+    references
+        .filter(|at| **at == moved.from)
+        .for_each(|at| *at = moved.to);
 }
 
-/// Put back, or removed, in turn, to be as before.
+/// The last phase in which entries are put ([`TableChange::phase`]).
+const LAST_PUT_PHASE: u8 = 4;
+/// The phase of removals of entries other than routes ([`TableChange::phase`]).
+const REMOVAL_PHASE: u8 = 5;
+
+/// Changes that restore the table, to be applied last to first.
 type Undo = Vec<TableChange>;
 
 impl Table {
@@ -178,10 +118,10 @@
         let mut named = HashSet::with_capacity(changes.len());
         if let Some(twice) = changes.iter().find(|change| !named.insert(change.key())) {
             let (kind, name) = twice.key();
-            return Err(ConfigurationError(format!(
-                "{} `{name}` is named twice in one change",
-                kind.as_str()
-            )));
+            return Err(ConfigurationError::ChangedTwice {
+                kind: kind.as_str(),
+                name: name.to_owned(),
+            });
         }
         let mut undo = Undo::new();
         let done = self.put_all(changes, &mut undo);
@@ -221,10 +161,14 @@
                 _ => {}
             }
         }
-        for turn in 0..=4 {
+        for phase in 0..=LAST_PUT_PHASE {
             // From behind: a route may stand before another one of the same change.
-            let mut of_turn = changes.iter().rev().filter(|change| change.turn() == turn);
-            of_turn.try_for_each(|change| self.step(change.clone()).map(|back| undo.push(back)))?;
+            let mut of_phase = changes
+                .iter()
+                .rev()
+                .filter(|change| change.phase() == phase);
+            of_phase
+                .try_for_each(|change| self.step(change.clone()).map(|back| undo.push(back)))?;
         }
         for at in changes.iter().filter_map(|change| match change {
             TableChange::Pool(pool) => self.pool(&pool.name),
@@ -236,7 +180,7 @@
         let gone = || {
             changes
                 .iter()
-                .filter(|change| change.turn() == 5)
+                .filter(|change| change.phase() == REMOVAL_PHASE)
                 .map(TableChange::key)
         };
         for (kind, name) in gone() {
@@ -324,101 +268,51 @@
             EntryKind::Attempts | EntryKind::Health | EntryKind::Route => false,
         };
         match referred {
-            true => Err(ConfigurationError(format!(
-                "{} `{name}` cannot go: something refers to it",
-                kind.as_str()
-            ))),
+            true => Err(ConfigurationError::StillReferenced {
+                kind: kind.as_str(),
+                name: name.to_owned(),
+            }),
             false => Ok(()),
         }
     }
 
-    /// Puts or removes one thing; what makes it as before. Nothing has changed if it is refused.
+    /// Puts or removes one entry; returns the change that undoes it. Nothing has changed if it is refused.
     fn step(&mut self, change: TableChange) -> Result<TableChange, ConfigurationError> {
         let (kind, name) = change.key();
-        let new = TableChange::Remove(kind, name.to_owned());
+        let undo_new = TableChange::Remove(kind, name.to_owned());
+        let configuration = &mut self.configuration;
         Ok(match change {
-            TableChange::Limits(one) => {
-                let compiled = (LimitRule::from(&one), one.per());
-                let (at, before) =
-                    put(&mut self.configuration.limits, &mut self.index.limits, one)?;
-                set(&mut self.limits, at, compiled);
-                before.map_or(new, TableChange::Limits)
-            }
-            TableChange::RetryAfter(one) => {
-                let (_, before) = put(
-                    &mut self.configuration.retry_after,
-                    &mut self.index.retry_after,
-                    one,
-                )?;
-                before.map_or(new, TableChange::RetryAfter)
+            TableChange::Limits(limits) => self
+                .put_limits(limits)?
+                .map_or(undo_new, TableChange::Limits),
+            TableChange::RetryAfter(bounds) => {
+                let names = &mut self.index.retry_after;
+                let (_, before) = put(&mut configuration.retry_after, names, bounds)?;
+                before.map_or(undo_new, TableChange::RetryAfter)
             }
-            TableChange::Budget(one) => {
-                let times = self
-                    .goals
-                    .iter()
-                    .map(|goal| Times::new(*goal, Some(&one)))
-                    .collect();
-                let (at, before) = put(
-                    &mut self.configuration.budgets,
-                    &mut self.index.budgets,
-                    one,
-                )?;
-                set(&mut self.times, at, times);
-                before.map_or(new, TableChange::Budget)
+            TableChange::Budget(budget) => self
+                .put_budget(budget)?
+                .map_or(undo_new, TableChange::Budget),
+            TableChange::Attempts(attempts) => put_by_name(&mut configuration.attempts, attempts)
+                .map_or(undo_new, TableChange::Attempts),
+            TableChange::Health(health) => {
+                put_by_name(&mut configuration.health, health).map_or(undo_new, TableChange::Health)
             }
-            TableChange::Attempts(one) => put_by_name(&mut self.configuration.attempts, one)
-                .map_or(new, TableChange::Attempts),
-            TableChange::Health(one) => {
-                put_by_name(&mut self.configuration.health, one).map_or(new, TableChange::Health)
-            }
-            TableChange::Type(one) => {
-                let limits = self
-                    .index
-                    .limits
-                    .find_any(&self.configuration.limits, &one.limits)?;
-                let goal = Duration::from_nanos(one.goal_ns);
-                rows_fit(self.configuration.types.len() + 1, self.routes.len())?;
-                let (at, before) = put(&mut self.configuration.types, &mut self.index.types, one)?;
-                set(&mut self.type_limits, at, limits);
-                set(&mut self.goals, at, goal);
-                for (row, budget) in self.times.iter_mut().zip(&self.configuration.budgets) {
-                    set(row, at, Times::new(goal, Some(budget)));
-                }
-                if before.is_none() {
-                    self.by_type.push(self.any_type.clone());
-                }
-                before.map_or(new, TableChange::Type)
-            }
-            TableChange::Tenant(one) => {
-                let limits = self
-                    .index
-                    .limits
-                    .find_any(&self.configuration.limits, &one.limits)?;
-                let (at, before) = put(
-                    &mut self.configuration.tenants,
-                    &mut self.index.tenants,
-                    one,
-                )?;
-                set(&mut self.tenant_limits, at, limits);
-                before.map_or(new, TableChange::Tenant)
-            }
-            TableChange::Pool(one) => {
-                let compiled = self.compile_pool(&one)?;
-                let (at, before) = put(&mut self.configuration.pools, &mut self.index.pools, one)?;
-                set(&mut self.pools, at, compiled);
-                before.map_or(new, TableChange::Pool)
-            }
-            TableChange::Route(one, before) => self.put_route(one, before.as_deref())?,
+            TableChange::Type(class) => self
+                .put_request_class(class)?
+                .map_or(undo_new, TableChange::Type),
+            TableChange::Tenant(tenant) => self
+                .put_tenant(tenant)?
+                .map_or(undo_new, TableChange::Tenant),
+            TableChange::Pool(pool) => self.put_pool(pool)?.map_or(undo_new, TableChange::Pool),
+            TableChange::Route(route, before) => self.put_route(route, before.as_deref())?,
             TableChange::Remove(EntryKind::Route, name) => {
-                let at = usize::from(self.index.routes.find(&self.configuration.routes, &name)?);
-                let next = self
-                    .configuration
-                    .routes
-                    .get(at + 1)
-                    .map(|next| next.name.clone());
+                let routes = &configuration.routes;
+                let at = usize::from(self.index.routes.find(routes, &name)?);
+                let next = routes.get(at + 1).map(|next| next.name.clone());
                 TableChange::Route(self.remove_route(at), next)
             }
-            // Only to take back what was just put: it is the last of its kind, and nothing refers to it.
+            // Only to undo an entry that was just put: it is the last of its kind, and nothing refers to it.
             TableChange::Remove(kind, name) => {
                 self.remove(kind, &name);
                 TableChange::Remove(kind, name)
@@ -426,6 +320,74 @@
         })
     }
 
+    fn put_limits(
+        &mut self,
+        limits: schema::Limits,
+    ) -> Result<Option<schema::Limits>, ConfigurationError> {
+        let compiled = (LimitRule::from(&limits), limits.per());
+        let names = &mut self.index.limits;
+        let (at, before) = put(&mut self.configuration.limits, names, limits)?;
+        set(&mut self.limits, at, compiled);
+        Ok(before)
+    }
+
+    fn put_budget(
+        &mut self,
+        budget: schema::Budget,
+    ) -> Result<Option<schema::Budget>, ConfigurationError> {
+        let times = self
+            .goals
+            .iter()
+            .map(|goal| Times::new(*goal, Some(&budget)))
+            .collect();
+        let names = &mut self.index.budgets;
+        let (at, before) = put(&mut self.configuration.budgets, names, budget)?;
+        set(&mut self.times, at, times);
+        Ok(before)
+    }
+
+    fn put_request_class(
+        &mut self,
+        class: schema::TrafficType,
+    ) -> Result<Option<schema::TrafficType>, ConfigurationError> {
+        let limits = &self.configuration.limits;
+        let limits = self.index.limits.find_optional(limits, &class.limits)?;
+        let goal = Duration::from_nanos(class.goal_ns);
+        rows_fit(self.configuration.types.len() + 1, self.routes.len())?;
+        let names = &mut self.index.types;
+        let (at, before) = put(&mut self.configuration.types, names, class)?;
+        set(&mut self.type_limits, at, limits);
+        set(&mut self.goals, at, goal);
+        for (row, budget) in self.times.iter_mut().zip(&self.configuration.budgets) {
+            set(row, at, Times::new(goal, Some(budget)));
+        }
+        if before.is_none() {
+            self.by_type.push(self.any_type.clone());
+        }
+        Ok(before)
+    }
+
+    fn put_tenant(
+        &mut self,
+        tenant: schema::Tenant,
+    ) -> Result<Option<schema::Tenant>, ConfigurationError> {
+        let limits = &self.configuration.limits;
+        let limits = self.index.limits.find_optional(limits, &tenant.limits)?;
+        let names = &mut self.index.tenants;
+        let (at, before) = put(&mut self.configuration.tenants, names, tenant)?;
+        set(&mut self.tenant_limits, at, limits);
+        Ok(before)
+    }
+
+    fn put_pool(&mut self, pool: schema::Pool) -> Result<Option<schema::Pool>, ConfigurationError> {
+        let compiled = self.compile_pool(&pool)?;
+        let names = &mut self.index.pools;
+        let (at, before) = put(&mut self.configuration.pools, names, pool)?;
+        set(&mut self.pools, at, compiled);
+        Ok(before)
+    }
+
+    /// Puts a route in front of another, or behind all; returns the change that undoes it.
     fn put_route(
         &mut self,
         route: schema::Route,
@@ -440,21 +402,18 @@
         let Some(there) = self.index.routes.get(routes, &route.name).map(usize::from) else {
             rows_fit(self.by_type.len(), self.routes.len() + 1)?;
             if self.routes.len() >= crate::table::MAX_ENTRIES {
-                return Err(ConfigurationError(format!(
-                    "more than {} of route",
-                    crate::table::MAX_ENTRIES
-                )));
+                return Err(ConfigurationError::TooManyEntries {
+                    max: crate::table::MAX_ENTRIES,
+                    kind: schema::Route::KIND,
+                });
             }
-            self.index.routes.free(routes, &route.name)?;
+            self.index.routes.check_free(routes, &route.name)?;
             let back = TableChange::Remove(EntryKind::Route, route.name.clone());
             self.insert_route(place, route, compiled);
             return Ok(back);
         };
         if place == there {
-            return Err(ConfigurationError(format!(
-                "route `{}` cannot stand before itself",
-                route.name
-            )));
+            return Err(ConfigurationError::BeforeItself { route: route.name });
         }
         let next = routes.get(there + 1).map(|next| next.name.clone());
         let old = if place == there + 1 {
@@ -475,12 +434,12 @@
         let words = (self.routes.len() + 1).div_ceil(64);
         self.each_row(|row| {
             row.resize(words);
-            row.open(at);
+            row.insert_gap(at);
         });
         let moved = |place: &mut u16| *place += u16::from(usize::from(*place) >= at);
         self.by_tenant.values_mut().flatten().for_each(moved);
-        self.index.routes.each(moved);
-        self.index.routes.moved(&route.name, at as u16);
+        self.index.routes.for_each(moved);
+        self.index.routes.set(&route.name, at as u16);
         self.configuration.routes.insert(at, route);
         self.routes.insert(at, compiled);
         self.mark_route(at, true);
@@ -493,10 +452,10 @@
         self.index.routes.remove(&route.name);
         let moved = |place: &mut u16| *place -= u16::from(usize::from(*place) > at);
         self.by_tenant.values_mut().flatten().for_each(moved);
-        self.index.routes.each(moved);
+        self.index.routes.for_each(moved);
         let words = self.routes.len().div_ceil(64);
         self.each_row(|row| {
-            row.close(at);
+            row.remove_bit(at);
             row.resize(words);
         });
         route
@@ -517,103 +476,100 @@
             .for_each(&mut what);
     }
 
-    /// Removes a thing that nothing refers to. Routes went before.
+    /// Removes an entry that nothing refers to. Routes are removed before, by [`Table::remove_route`].
     fn remove(&mut self, kind: EntryKind, name: &str) {
-        let Self {
-            configuration: c,
-            index,
-            pools,
-            routes,
-            ..
-        } = self;
+        let configuration = &mut self.configuration;
         match kind {
             EntryKind::Route => {}
-            EntryKind::Attempts => remove_by_name(&mut c.attempts, name),
-            EntryKind::Health => remove_by_name(&mut c.health, name),
-            EntryKind::Type => {
-                let Some((at, _)) = swap_remove_named(&mut c.types, &mut index.types, name) else {
-                    return;
-                };
-                let at = usize::from(at);
-                self.type_limits.swap_remove(at);
-                self.goals.swap_remove(at);
-                self.by_type.swap_remove(at);
-                for row in &mut self.times {
-                    row.swap_remove(at);
-                }
-            }
-            EntryKind::Tenant => {
-                let Some((at, last)) = swap_remove_named(&mut c.tenants, &mut index.tenants, name)
-                else {
-                    return;
-                };
-                self.tenant_limits.swap_remove(usize::from(at));
-                if let Some(list) = self.by_tenant.remove(&last) {
-                    self.by_tenant.insert(at, list);
-                }
-            }
-            EntryKind::Pool => {
-                let Some(moved) = swap_remove_named(&mut c.pools, &mut index.pools, name) else {
-                    return;
-                };
-                pools.swap_remove(usize::from(moved.0));
-                renumber(
-                    pools.iter_mut().filter_map(|pool| pool.fall_back.as_mut()),
-                    moved,
-                );
-                for route in routes {
-                    renumber(route.to.iter_mut().map(|to| &mut to.pool), moved);
-                    renumber(route.fall_back.iter_mut(), moved);
-                }
-            }
-            EntryKind::Limits => {
-                let Some(moved) = swap_remove_named(&mut c.limits, &mut index.limits, name) else {
-                    return;
-                };
-                self.limits.swap_remove(usize::from(moved.0));
-                renumber(
-                    self.type_limits.iter_mut().filter_map(Option::as_mut),
-                    moved,
-                );
-                renumber(
-                    self.tenant_limits.iter_mut().filter_map(Option::as_mut),
-                    moved,
-                );
-                renumber(
-                    routes.iter_mut().filter_map(|one| one.limits.as_mut()),
-                    moved,
-                );
-                renumber(
-                    pools.iter_mut().filter_map(|one| one.limits.as_mut()),
-                    moved,
-                );
-            }
-            EntryKind::RetryAfter => {
-                let Some(moved) =
-                    swap_remove_named(&mut c.retry_after, &mut index.retry_after, name)
-                else {
-                    return;
-                };
-                renumber(
-                    routes.iter_mut().filter_map(|one| one.retry_after.as_mut()),
-                    moved,
-                );
-                renumber(
-                    pools.iter_mut().filter_map(|one| one.retry_after.as_mut()),
-                    moved,
-                );
-            }
-            EntryKind::Budget => {
-                let Some(moved) = swap_remove_named(&mut c.budgets, &mut index.budgets, name)
-                else {
-                    return;
-                };
-                self.times.swap_remove(usize::from(moved.0));
-                renumber(
-                    routes.iter_mut().filter_map(|one| one.budget.as_mut()),
-                    moved,
-                );
-            }
+            EntryKind::Attempts => remove_by_name(&mut configuration.attempts, name),
+            EntryKind::Health => remove_by_name(&mut configuration.health, name),
+            EntryKind::Type => self.remove_request_class(name),
+            EntryKind::Tenant => self.remove_tenant(name),
+            EntryKind::Pool => self.remove_pool(name),
+            EntryKind::Limits => self.remove_limits(name),
+            EntryKind::RetryAfter => self.remove_retry_after(name),
+            EntryKind::Budget => self.remove_budget(name),
+        }
+    }
+
+    fn remove_request_class(&mut self, name: &str) {
+        let all = &mut self.configuration.types;
+        let Some(moved) = swap_remove_named(all, &mut self.index.types, name) else {
+            return;
+        };
+        let at = usize::from(moved.to);
+        self.type_limits.swap_remove(at);
+        self.goals.swap_remove(at);
+        self.by_type.swap_remove(at);
+        for row in &mut self.times {
+            row.swap_remove(at);
+        }
+    }
+
+    fn remove_tenant(&mut self, name: &str) {
+        let all = &mut self.configuration.tenants;
+        let Some(moved) = swap_remove_named(all, &mut self.index.tenants, name) else {
+            return;
+        };
+        self.tenant_limits.swap_remove(usize::from(moved.to));
+        if let Some(routes) = self.by_tenant.remove(&moved.from) {
+            self.by_tenant.insert(moved.to, routes);
+        }
+    }
+
+    fn remove_pool(&mut self, name: &str) {
+        let all = &mut self.configuration.pools;
+        let Some(moved) = swap_remove_named(all, &mut self.index.pools, name) else {
+            return;
+        };
+        self.pools.swap_remove(usize::from(moved.to));
+        renumber(
+            self.pools.iter_mut().filter_map(|p| p.fall_back.as_mut()),
+            moved,
+        );
+        for route in &mut self.routes {
+            renumber(route.to.iter_mut().map(|to| &mut to.pool), moved);
+            renumber(route.fall_back.iter_mut(), moved);
         }
     }
+
+    fn remove_limits(&mut self, name: &str) {
+        let all = &mut self.configuration.limits;
+        let Some(moved) = swap_remove_named(all, &mut self.index.limits, name) else {
+            return;
+        };
+        self.limits.swap_remove(usize::from(moved.to));
+        let of_types = self.type_limits.iter_mut().filter_map(Option::as_mut);
+        renumber(of_types, moved);
+        let of_tenants = self.tenant_limits.iter_mut().filter_map(Option::as_mut);
+        renumber(of_tenants, moved);
+        let of_routes = self.routes.iter_mut().filter_map(|r| r.limits.as_mut());
+        renumber(of_routes, moved);
+        let of_pools = self.pools.iter_mut().filter_map(|p| p.limits.as_mut());
+        renumber(of_pools, moved);
+    }
+
+    fn remove_retry_after(&mut self, name: &str) {
+        let all = &mut self.configuration.retry_after;
+        let Some(moved) = swap_remove_named(all, &mut self.index.retry_after, name) else {
+            return;
+        };
+        let of_routes = self
+            .routes
+            .iter_mut()
+            .filter_map(|r| r.retry_after.as_mut());
+        renumber(of_routes, moved);
+        let of_pools = self.pools.iter_mut().filter_map(|p| p.retry_after.as_mut());
+        renumber(of_pools, moved);
+    }
+
+    fn remove_budget(&mut self, name: &str) {
+        let all = &mut self.configuration.budgets;
+        let Some(moved) = swap_remove_named(all, &mut self.index.budgets, name) else {
+            return;
+        };
+        self.times.swap_remove(usize::from(moved.to));
+        let of_routes = self.routes.iter_mut().filter_map(|r| r.budget.as_mut());
+        renumber(of_routes, moved);
+    }
 }
