Policy: its parts are put together in a module below it, which opens a circle

choice took Parts from parts, which took its parts' types from choice. The constructor moved to choice::parts; nothing in the policy depends on it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,12 +17,13 @@
 use crate::host::{Arrival, Gauges, Host, Outcome, Repeatability, RequestClass, RetryOf};
 use crate::in_flight::{DownstreamCall, InFlightRequests, Request, Stage};
 use crate::options::{AdvertiserOptions, ColdStart, DownstreamShare};
-use crate::parts::Parts;
 use crate::state::{ClassQueue, CoreUse, LearningRound, RunStart, Shutdown, TargetScale, TenantUsage};
 use nanorand::{Rng, WyRand};
 use std::collections::VecDeque;
 use std::time::Duration;
 
+pub mod parts;
+
 /// Window of the quotas: shows the rate of a tenant of one request a second, yet is short beside a surge.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Mean charges beyond its quota that a tenant may spend in a window: one run alone proves no habit.
@@ -193,6 +194,7 @@
         ((self.cores as f64 * (1.0 + (self.overload_factor - 1.0) * warm) * SAFETY_SHARE) as usize).max(1)
     }
 
+    /// How many requests may run now: reading takes cores from runs, disk waits leave cores to them.
     fn limit(&self, now: Duration) -> usize {
         let learned = (self.cores as f64 * LIMIT_STEPS[self.step]).round() as usize;
         let guaranteed = self.cores.div_ceil(CORES_PER_GUARANTEED_RUN);
@@ -233,6 +235,7 @@
         self.round = LearningRound { started: now, completions: 0, saturated: true };
     }
 
+    /// Explores a neighbouring step now and then, else takes the one with the highest throughput.
     fn choose_step(&mut self, now: Duration, highest: usize) {
         if self.rng.generate_range(0..EXPLORE_ONE_IN) == 0 {
             let up = self.rng.generate_range(0..2u32) == 1;
@@ -320,6 +323,7 @@
         }
     }
 
+    /// Raises or lowers the rate of calls after one whose outcome shows how the tier does.
     fn adapt_rate(&mut self, now: Duration, outcome: Outcome, usual_time: f64) {
         let slowed = self.recent_time.read().unwrap_or(0.0) > SLOWDOWN_RATIO * usual_time;
         let good = outcome == Outcome::Succeeded && !slowed;
@@ -426,19 +430,6 @@
 }
 
 impl AdmissionController {
-    /// `by_work`: value is counted for each unit of work, not for each request.
-    pub fn new(classes: Vec<RequestClass>, by_work: bool, parts: Parts) -> Self {
-        let Parts { quotas, limit: limiter, in_flight, downstream, advertiser } = parts;
-        let by_account = vec![VecDeque::new(); quotas.spent.len()];
-        let queues = vec![ClassQueue { by_account, ..ClassQueue::default() }; classes.len()];
-        let (health, awaiting_call) = (HealthMonitor::default(), VecDeque::new());
-        #[rustfmt::skip]
-        return Self {
-            classes, by_work, quotas, limiter, in_flight, downstream, advertiser, health, queues,
-            awaiting_call, cores_busy: false, stalled: Duration::ZERO, next_tick: Duration::MAX,
-        };
-    }
-
     /// New settings under load, from a controller made of them; requests in flight and all that was learned
     /// stay, so nothing is lost or run twice. The classes and tenants must be the same ones in the same
     /// order, which who reads the settings checks: other counts leave classes and quotas as they were.
@@ -778,6 +769,7 @@
         self.awaiting_call.push_back(ix);
     }
 
+    /// Makes the calls that the rate and the share allow.
     fn make_calls(&mut self, now: Duration, host: &mut dyn Host) {
         while let Some(limit) = self.downstream.time_limit(now) {
             // Guards against an overloaded tier: first where most value is lost without, then the newest.
@@ -829,6 +821,7 @@
         }
     }
 
+    /// Lets a run go on without its call.
     fn skip_call(&mut self, now: Duration, host: &mut dyn Host, ix: usize) {
         self.awaiting_call.retain(|&other| other != ix);
         self.in_flight.set_stage(ix, Stage::Running);
--- a/src/host.rs
+++ b/src/host.rs
@@ -24,7 +24,7 @@
     pub value: f64,
     /// Share of the value that an answer later than the objective still has.
     pub late_share: f64,
-    /// Share of the value that an answer without its downstream call still has; zero where the call is required.
+    /// Share of the value that an answer without its downstream call still has; zero if the call is required.
     pub degraded_share: f64,
     /// Whether a request may run again.
     pub repeatability: Repeatability,
@@ -148,7 +148,8 @@
 }
 
 /// Orders to the program around the policy. A `request` is the index under which it was passed to
-/// [`AdmissionController::on_arrival`](crate::AdmissionController::on_arrival); [`Host::release`] hands an index back.
+/// [`AdmissionController::on_arrival`](crate::AdmissionController::on_arrival), in use until
+/// [`Host::release`].
 pub trait Host {
     /// Start a request's run.
     fn run(&mut self, request: usize);
