Routing: admission, table compilation and member selection in short steps

Placement, limit checks and bucket acquisition are steps of an admission; compilation and limits are modules of their own. Checks, draws and counters come in the same order.

--- a/crates/routing/src/member_selection.rs
+++ b/crates/routing/src/member_selection.rs
@@ -118,10 +118,24 @@
     }
 }
 
-/// The member for a request; none if nobody can take it.
+/// Load and weight of a set of members.
+#[derive(Clone, Copy, Default)]
+struct Totals {
+    load: f64,
+    weight: f64,
+}
+
+impl Totals {
+    fn add(&mut self, load: f64, weight: f64) {
+        self.load += load;
+        self.weight += weight;
+    }
+}
+
+/// Selects the member for a request; `None` if no member can take it.
 ///
-/// `part`: of its usual traffic a member may get now, 0 for none ([`crate::health::Health::usable`] as a
-/// fraction), and 0 for one without room.
+/// `part`: the part of its usual traffic that a member may get now, as a fraction
+/// ([`crate::health::Health::usable`]); 0 for none.
 pub fn choose(
     pick: &mut SelectionPolicy,
     members: &mut [Member],
@@ -130,55 +144,70 @@
     chance: &mut WyRand,
     part: impl Fn(usize) -> f64,
 ) -> Option<(usize, SelectionReason)> {
-    // In hand for the weight, of all that can take it; with the near ones' and everybody's sums.
-    let (mut near, mut all) = ((0.0, 0.0), (0.0, 0.0));
+    let (mut near, mut all) = (Totals::default(), Totals::default());
     for (k, member) in members.iter_mut().enumerate() {
         let weight = member.weight_at(now, part(k));
         if weight <= 0.0 {
             continue;
         }
-        let in_hand = member.in_hand(now);
-        all = (all.0 + in_hand, all.1 + weight);
+        let load = member.in_hand(now);
+        all.add(load, weight);
         if member.near {
-            near = (near.0 + in_hand, near.1 + weight);
+            near.add(load, weight);
         }
     }
-    if all.1 <= 0.0 {
+    if all.weight <= 0.0 {
         return None;
     }
     if !entity.is_empty() {
         return by_affinity(members, now, entity, all, &part);
     }
-    // One more request in each, so that an idle pool has a middle too.
-    let spills =
-        near.1 <= 0.0 || (near.0 + 1.0) / near.1 > ZONE_SPILL_FACTOR * (all.0 + 1.0) / all.1;
-    let (sum, only_near) = if spills {
-        (all.1, false)
-    } else {
-        (near.1, true)
-    };
-    let how = if only_near {
-        SelectionReason::Near
+    // One more request in each set, so that an idle pool has a mean too.
+    let spills = near.weight <= 0.0
+        || (near.load + 1.0) / near.weight > ZONE_SPILL_FACTOR * (all.load + 1.0) / all.weight;
+    let (total_weight, only_near, reason) = if spills {
+        (all.weight, false, SelectionReason::Any)
     } else {
-        SelectionReason::Any
+        (near.weight, true, SelectionReason::Near)
     };
-    match pick {
-        SelectionPolicy::LeastLoaded => {
-            return least_loaded(members, now, chance, only_near, &part).map(|k| (k, how))
-        }
-        SelectionPolicy::RoundRobin(next) => {
-            let count = members.len();
-            let fits = |k: &usize| part(*k) > 0.0 && (!only_near || members[*k].near);
-            let k = (0..count)
-                .map(|k| (k + *next as usize) % count)
-                .find(fits)?;
-            *next = (k as u32 + 1) % count as u32;
-            return Some((k, how));
+    let selected = match pick {
+        SelectionPolicy::LeastLoaded => least_loaded(members, now, chance, only_near, &part),
+        SelectionPolicy::RoundRobin(next) => round_robin(members, next, only_near, &part),
+        SelectionPolicy::TwoChoices => {
+            two_choices(members, now, chance, only_near, total_weight, &part)
         }
-        SelectionPolicy::TwoChoices => {}
-    }
-    let mut draw = |not: Option<usize>| {
-        let mut left = sum * f64::from(chance.generate::<u32>()) / (f64::from(u32::MAX) + 1.0);
+    };
+    selected.map(|member| (member, reason))
+}
+
+/// The next member in turn.
+fn round_robin(
+    members: &[Member],
+    next: &mut u32,
+    only_near: bool,
+    part: &impl Fn(usize) -> f64,
+) -> Option<usize> {
+    let count = members.len();
+    let fits = |k: &usize| part(*k) > 0.0 && (!only_near || members[*k].near);
+    let selected = (0..count)
+        .map(|k| (k + *next as usize) % count)
+        .find(fits)?;
+    *next = (selected as u32 + 1) % count as u32;
+    Some(selected)
+}
+
+/// Of two members drawn by weight, the one with the lower load for its weight.
+fn two_choices(
+    members: &mut [Member],
+    now: Duration,
+    chance: &mut WyRand,
+    only_near: bool,
+    total_weight: f64,
+    part: &impl Fn(usize) -> f64,
+) -> Option<usize> {
+    let mut draw = |except: Option<usize>| {
+        let fraction = f64::from(chance.generate::<u32>());
+        let mut left = total_weight * fraction / (f64::from(u32::MAX) + 1.0);
         let mut last = None;
         for (k, member) in members.iter().enumerate() {
             let weight = member.weight_at(now, part(k));
@@ -191,19 +220,18 @@
             }
             left -= weight;
         }
-        last.filter(|found| Some(*found) != not)
+        last.filter(|found| Some(*found) != except)
     };
     let first = draw(None)?;
     let second = (0..MAX_DRAWS)
         .find_map(|_| draw(Some(first)))
         .unwrap_or(first);
     let mut rate = |k: usize| (members[k].in_hand(now) + 1.0) / members[k].weight_at(now, part(k));
-    let chosen = if rate(second) < rate(first) {
+    Some(if rate(second) < rate(first) {
         second
     } else {
         first
-    };
-    Some((chosen, how))
+    })
 }
 
 /// The one with least in hand for its weight; of equals one by chance.
@@ -245,10 +273,10 @@
     members: &mut [Member],
     now: Duration,
     entity: &str,
-    all: (f64, f64),
+    all: Totals,
     part: &impl Fn(usize) -> f64,
 ) -> Option<(usize, SelectionReason)> {
-    let bound = |weight: f64| AFFINITY_LOAD_FACTOR * (all.0 + 1.0) * weight / all.1;
+    let bound = |weight: f64| AFFINITY_LOAD_FACTOR * (all.load + 1.0) * weight / all.weight;
     let mut best: Option<(usize, f64)> = None;
     let (mut passed_over, mut highest) = (0, f64::NEG_INFINITY);
     // The order of all is not needed: the best of those with room, and how many stand before it.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -1,4 +1,4 @@
-//! Routes and limits together, while configurations change under running requests.
+//! Routing and limits together, while configurations change under running requests.
 //!
 //! A request that came in under a version finishes under it: its route, its times and the counts that it
 //! stands in, all of which it carries, so that of versions but the present one no more is kept than how many requests
@@ -11,15 +11,17 @@
 //! a version is the number of its [`RouteDecision`]s out there; a bucket of a limit of the present version is under that
 //! limit's rule.
 
-use crate::rate_limit::{LimitExceeded, LimitRule};
+mod limits;
+
+use crate::rate_limit::LimitExceeded;
 use crate::table::{Placement, Request, RoutingError, Table};
-use crate::table_update::{EntryKind, TableChange};
+use crate::table_update::TableChange;
 use crate::time_budget::Times;
-use crate::token_buckets::{Buckets, Key};
+use crate::token_buckets::Buckets;
 use crate::ConfigurationError;
-use foldhash::HashMap;
+use limits::{check_limit, AppliedLimit, ScopeRules};
 use nanorand::WyRand;
-use rainstand_config::schema::{Configuration, Per};
+use rainstand_config::schema::Configuration;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -28,33 +30,38 @@
 /// Versions with requests in hand: a hundred changes within one outer limit and some room. Past it a new
 /// version is refused until an old one ends.
 pub const MAX_VERSIONS: usize = 128;
-/// Told where all places are taken and nobody knows when one leaves: a usual run.
+/// Retry-after at a concurrency limit, where nobody knows when a request ends: a typical run.
 const RETRY_AFTER_AT_CAPACITY: Duration = Duration::from_millis(100);
-/// Told where no pool can be used, or no route takes the request: as long as health takes to change.
+/// Retry-after without a usable pool or a route: as long as health takes to change.
 const RETRY_AFTER_NO_ROUTE: Duration = Duration::from_secs(1);
-/// Told where all buckets are in use: by then the sweep has been around ([`crate::token_buckets`]).
+/// Retry-after where all buckets are in use: by then the sweep has visited all ([`crate::token_buckets`]).
 const RETRY_AFTER_NO_BUCKET: Duration = Duration::from_secs(1);
-/// Places of a request at which limits may stand: its type, tenant, route and pool.
+/// Scopes at which limits may count a request: its class, tenant, route and pool.
 const LIMIT_SCOPES: usize = 4;
-/// No bucket.
+/// Sentinel for a scope without a limit.
 const NO_BUCKET: u32 = u32::MAX;
 
-/// A request's way. It is given back with [`Router::on_completed`] exactly once, when the request is over.
+/// An admitted request's route. It must be handed back with [`Router::on_completed`] exactly once.
 #[must_use = "a way that is not given back keeps its version and its places for ever"]
 #[derive(Debug)]
 pub struct RouteDecision {
+    /// The version under which it was admitted.
     pub version: u64,
+    /// Its route and pool, by indices of that version.
     pub placement: Placement,
-    /// The names of its route and pool: their places are those of its version.
+    /// The name of the route.
     pub route: Rc<str>,
+    /// The name of the pool.
     pub pool: Rc<str>,
+    /// The time budget of its stages.
     pub times: Times,
     held_buckets: [u32; LIMIT_SCOPES],
 }
 
-/// Why a request was turned away.
+/// Why a request was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RejectReason {
+    /// No route takes it.
     NoRoute,
     /// None of the route's pools can be used.
     NoPool,
@@ -64,17 +71,23 @@
     NoBucket,
 }
 
-/// Where a limit stands.
+/// What a limit applies to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LimitScope {
+    /// A request class.
     Type,
+    /// A tenant.
     Tenant,
+    /// A route.
     Route,
+    /// A pool.
     Pool,
 }
 
+/// The rejection of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rejected {
+    /// Why it was rejected.
     pub why: RejectReason,
     /// When to come back, from now on.
     pub after: Duration,
@@ -82,23 +95,35 @@
     pub route: Option<u16>,
 }
 
+/// The decision about a request.
 #[derive(Debug)]
 pub enum Admission {
+    /// It may be sent.
     Admitted(RouteDecision),
+    /// It may not.
     Rejected(Rejected),
 }
 
 /// What happened since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RouterCounts {
+    /// Requests admitted.
     pub admitted: u64,
+    /// Admitted requests that have ended.
     pub completed: u64,
+    /// Requests rejected as [`RejectReason::NoRoute`].
     pub no_route: u64,
+    /// Requests rejected as [`RejectReason::NoPool`].
     pub no_pool: u64,
+    /// Requests rejected as [`RejectReason::Limit`].
     pub limited: u64,
+    /// Requests rejected as [`RejectReason::NoBucket`].
     pub no_bucket: u64,
+    /// Versions installed, the first one included.
     pub versions_installed: u64,
+    /// Versions that could not be installed.
     pub versions_rejected: u64,
+    /// Versions dropped after their last request.
     pub versions_dropped: u64,
 }
 
@@ -108,7 +133,7 @@
     open: u64,
 }
 
-/// See the module's head.
+/// Routing and limits of the current version. See the module's documentation.
 #[derive(Debug)]
 pub struct Router {
     /// Of the present version.
@@ -119,6 +144,9 @@
     counts: RouterCounts,
 }
 
+/// The limits that count a request, by scope.
+type AppliedLimits = [Option<AppliedLimit>; LIMIT_SCOPES];
+
 const ALL_SCOPES: [LimitScope; LIMIT_SCOPES] = [
     LimitScope::Type,
     LimitScope::Tenant,
@@ -126,121 +154,8 @@
     LimitScope::Pool,
 ];
 
-/// The limit at a place: its rule, and what its bucket for this request is known by.
-fn limit(
-    table: &Table,
-    at: LimitScope,
-    of: usize,
-    request: &Request<'_>,
-    pool: u16,
-) -> Option<(LimitRule, Key)> {
-    let c = &table.configuration;
-    let (limits, name) = match at {
-        LimitScope::Type => (*table.type_limits.get(of)?, &c.types[of].name),
-        LimitScope::Tenant => (*table.tenant_limits.get(of)?, &c.tenants[of].name),
-        LimitScope::Route => (table.routes[of].limits, &c.routes[of].name),
-        LimitScope::Pool => (table.pools[of].limits, &c.pools[of].name),
-    };
-    let (rule, per) = table.limits[usize::from(limits?)];
-    let of = match per {
-        Per::Tenant => request.tenant.map(|at| &c.tenants[usize::from(at)].name),
-        Per::Type => Some(&c.types[usize::from(request.request_class)].name),
-        Per::Pool => Some(&c.pools[usize::from(pool)].name),
-        Per::All | Per::Unspecified => None,
-    };
-    Some((rule, Key::new(at, name, per, of.map(String::as_str))))
-}
-
-/// Those rules at places that have limits, by what their buckets have in common.
-#[derive(Default)]
-struct HealthRules(HashMap<u64, LimitRule>);
-
-impl HealthRules {
-    fn add(&mut self, table: &Table, at: LimitScope, name: &str, limits: Option<u16>) {
-        if let Some(limits) = limits {
-            let (rule, per) = table.limits[usize::from(limits)];
-            self.0.insert(Key::new(at, name, per, None).place, rule);
-        }
-    }
-
-    /// At all places whose limits are among these.
-    fn all(table: &Table, among: impl Fn(u16) -> bool) -> Self {
-        let (c, mut rules) = (&table.configuration, Self::default());
-        let mut add = |at: LimitScope, name: &str, limits: Option<u16>| {
-            rules.add(table, at, name, limits.filter(|limits| among(*limits)));
-        };
-        c.types
-            .iter()
-            .zip(&table.type_limits)
-            .for_each(|(x, limits)| add(LimitScope::Type, &x.name, *limits));
-        c.tenants
-            .iter()
-            .zip(&table.tenant_limits)
-            .for_each(|(x, limits)| add(LimitScope::Tenant, &x.name, *limits));
-        table
-            .routes
-            .iter()
-            .for_each(|x| add(LimitScope::Route, &x.name, x.limits));
-        table
-            .pools
-            .iter()
-            .for_each(|x| add(LimitScope::Pool, &x.name, x.limits));
-        rules
-    }
-
-    /// At places that a change says something of.
-    fn of(table: &Table, changes: &[TableChange]) -> Self {
-        let c = &table.configuration;
-        let named = |change: &TableChange| match change {
-            TableChange::Limits(one) => table.index.limits.get(&c.limits, &one.name),
-            _ => None,
-        };
-        let limits: Vec<u16> = changes.iter().filter_map(named).collect();
-        let mut rules = match limits.is_empty() {
-            true => Self::default(),
-            false => Self::all(table, |at| limits.contains(&at)),
-        };
-        for change in changes {
-            let (kind, name) = change.key();
-            let of_route = || table.index.routes.get(&c.routes, name);
-            match kind {
-                EntryKind::Type => {
-                    let at = table.request_class(name);
-                    rules.add(
-                        table,
-                        LimitScope::Type,
-                        name,
-                        at.and_then(|at| table.type_limits[usize::from(at)]),
-                    );
-                }
-                EntryKind::Tenant => {
-                    let at = table.tenant(name);
-                    rules.add(
-                        table,
-                        LimitScope::Tenant,
-                        name,
-                        at.and_then(|at| table.tenant_limits[usize::from(at)]),
-                    );
-                }
-                EntryKind::Route => {
-                    let of = of_route().and_then(|at| table.routes[usize::from(at)].limits);
-                    rules.add(table, LimitScope::Route, name, of);
-                }
-                EntryKind::Pool => {
-                    let of = table
-                        .pool(name)
-                        .and_then(|at| table.pools[usize::from(at)].limits);
-                    rules.add(table, LimitScope::Pool, name, of);
-                }
-                _ => {}
-            }
-        }
-        rules
-    }
-}
-
 impl Router {
-    /// `seed`: for requests that are parted by chance.
+    /// `seed`: for splits by chance.
     ///
     /// # Errors
     /// As [`Table::new`].
@@ -248,7 +163,7 @@
         Self::of(configuration.clone(), seed)
     }
 
-    /// The same, of a message that is given away.
+    /// As above, without a copy of the configuration.
     ///
     /// # Errors
     /// As [`Table::of`].
@@ -265,7 +180,7 @@
         })
     }
 
-    /// Takes a new version; requests from now on go by it. Its number is told.
+    /// Installs a new version for requests from now on; returns its number.
     ///
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
@@ -277,7 +192,7 @@
         self.install_owned(configuration.clone(), now)
     }
 
-    /// The same, of a message that is given away.
+    /// As above, without a copy of the configuration.
     ///
     /// # Errors
     /// As [`Router::install`].
@@ -299,12 +214,12 @@
         self.table = table;
         if self.buckets.in_use() > 0 {
             self.buckets
-                .set_rules(&HealthRules::all(&self.table, |_| true).0, now);
+                .set_rules(&ScopeRules::all(&self.table, |_| true).0, now);
         }
         Ok(self.next())
     }
 
-    /// Takes a change of the present version as a new one, at the cost of what it says ([`crate::table_update`]).
+    /// Installs an update of the current version as a new one, at the cost of what it changes ([`crate::table_update`]).
     ///
     /// # Errors
     /// The reason; the present version stays and nothing has changed.
@@ -321,7 +236,7 @@
             return Err(refused);
         }
         if self.buckets.in_use() > 0 {
-            let rules = HealthRules::of(&self.table, changes).0;
+            let rules = ScopeRules::of(&self.table, changes).0;
             if !rules.is_empty() {
                 self.buckets.set_rules(&rules, now);
             }
@@ -336,7 +251,7 @@
         Ok(())
     }
 
-    /// What the table says now is a version.
+    /// Numbers the table as a new version.
     fn next(&mut self) -> u64 {
         let number = self.versions.back().map_or(1, |last| last.number + 1);
         self.versions.push_back(Version { number, open: 0 });
@@ -354,7 +269,7 @@
         }
     }
 
-    /// Time passes: some buckets that are idle are given back. Some times a second.
+    /// Frees some of the idle buckets. To be called several times a second.
     pub fn tick(&mut self, now: Duration) {
         self.buckets.sweep(now);
     }
@@ -383,6 +298,7 @@
             .map(|version| (version.number, version.open))
     }
 
+    /// What happened since the start.
     pub fn counts(&self) -> RouterCounts {
         self.counts
     }
@@ -392,143 +308,162 @@
         (self.buckets.in_use(), self.buckets.room())
     }
 
-    /// Decides about a request: its way, or when to come back. A pool whose own limits are full is passed
-    /// over as if it were out; what that leaves decides. Whoever is turned away has used nothing.
+    /// Decides about a request: its route, or when to come back. A pool whose own limits are exceeded is passed over as
+    /// if it were unusable. A rejected request takes nothing from any limit.
     ///
-    /// `usable`: whether a pool, by its index in the present table, can take requests.
+    /// `usable`: whether a pool, by its index in the current table, can take requests.
     pub fn on_arrival(
         &mut self,
         now: Duration,
         request: &Request<'_>,
         usable: impl Fn(u16) -> bool,
     ) -> Admission {
+        match self.try_admit(now, request, usable) {
+            Ok(decision) => Admission::Admitted(decision),
+            Err(rejected) => Admission::Rejected(rejected),
+        }
+    }
+
+    fn try_admit(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        usable: impl Fn(u16) -> bool,
+    ) -> Result<RouteDecision, Rejected> {
+        let placement = self.place(now, request, usable)?;
+        let limits = self.check_limits(now, request, placement)?;
+        let held_buckets = self.acquire_buckets(now, placement, limits)?;
+        let last = self.versions.len() - 1;
+        let version = &mut self.versions[last];
+        version.open += 1;
+        self.counts.admitted += 1;
+        let route = &self.table.routes[usize::from(placement.route)];
+        let pool = &self.table.pools[usize::from(placement.pool)];
+        Ok(RouteDecision {
+            version: version.number,
+            placement,
+            route: route.name.clone(),
+            pool: pool.name.clone(),
+            times: self.table.times(placement.route, request.request_class),
+            held_buckets,
+        })
+    }
+
+    /// The route and pool of a request, over pools that are usable and within their own limits.
+    fn place(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        usable: impl Fn(u16) -> bool,
+    ) -> Result<Placement, Rejected> {
         let Self {
             table,
-            versions,
             buckets,
             chance,
             counts,
+            ..
         } = self;
-        let last = versions.len() - 1;
-        let Version { number, open } = &mut versions[last];
-        let look = |at: LimitScope,
-                    of: usize,
-                    pool: u16|
-         -> Result<Option<(LimitRule, Key)>, LimitExceeded> {
-            let Some((rule, key)) = limit(table, at, of, request, pool) else {
-                return Ok(None);
-            };
-            buckets.check(&key, &rule, now).map(|()| Some((rule, key)))
-        };
-        // The soonest that a pool passed over for its limits told.
+        // The earliest time at which a pool that was passed over for its limits has capacity.
         let passed_over: Cell<Option<Duration>> = Cell::new(None);
-        let open_pool = |pool: u16| {
-            usable(pool)
-                && match look(LimitScope::Pool, usize::from(pool), pool) {
-                    Ok(_) => true,
-                    Err(full) => {
-                        let told = until(full, now);
-                        passed_over.set(Some(
-                            passed_over.get().map_or(told, |before| before.min(told)),
-                        ));
-                        false
-                    }
-                }
+        let has_capacity = |pool: u16| {
+            if !usable(pool) {
+                return false;
+            }
+            let scope = LimitScope::Pool;
+            let checked = check_limit(table, buckets, scope, usize::from(pool), request, pool, now);
+            let Err(exceeded) = checked else { return true };
+            let after = retry_after(exceeded, now);
+            let earliest = passed_over.get().map_or(after, |before| before.min(after));
+            passed_over.set(Some(earliest));
+            false
+        };
+        let error = match table.place(request, chance, has_capacity) {
+            Ok(placement) => return Ok(placement),
+            Err(error) => error,
         };
-        let place = match table.place(request, chance, open_pool) {
-            Ok(place) => place,
-            Err(RoutingError::NoRoute) => {
+        let (why, after, route) = match (error, passed_over.get()) {
+            (RoutingError::NoRoute, _) => {
                 counts.no_route += 1;
-                return Admission::Rejected(Rejected {
-                    why: RejectReason::NoRoute,
-                    after: RETRY_AFTER_NO_ROUTE,
-                    route: None,
-                });
+                (RejectReason::NoRoute, RETRY_AFTER_NO_ROUTE, None)
             }
-            Err(RoutingError::NoPool(route)) => {
-                let (why, after) = match passed_over.get() {
-                    Some(after) => (RejectReason::Limit(LimitScope::Pool), after),
-                    None => (RejectReason::NoPool, RETRY_AFTER_NO_ROUTE),
-                };
-                if why == RejectReason::NoPool {
-                    counts.no_pool += 1;
-                } else {
-                    counts.limited += 1;
-                }
+            (RoutingError::NoPool(route), Some(after)) => {
+                counts.limited += 1;
                 let after = clamp_retry_after(table, Some(route), None, after);
-                return Admission::Rejected(Rejected {
-                    why,
-                    after,
-                    route: Some(route),
-                });
+                (RejectReason::Limit(LimitScope::Pool), after, Some(route))
+            }
+            (RoutingError::NoPool(route), None) => {
+                counts.no_pool += 1;
+                let after = clamp_retry_after(table, Some(route), None, RETRY_AFTER_NO_ROUTE);
+                (RejectReason::NoPool, after, Some(route))
             }
         };
-        let tenant = request.tenant.map_or(usize::MAX, usize::from);
-        let of = [
+        Err(Rejected { why, after, route })
+    }
+
+    /// The limits that count a request at each scope; all must admit it.
+    fn check_limits(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        placement: Placement,
+    ) -> Result<AppliedLimits, Rejected> {
+        let indices = [
             usize::from(request.request_class),
-            tenant,
-            usize::from(place.route),
-            usize::from(place.pool),
+            request.tenant.map_or(usize::MAX, usize::from),
+            usize::from(placement.route),
+            usize::from(placement.pool),
         ];
-        let mut counted = [None; LIMIT_SCOPES];
-        let mut turned: Option<(LimitScope, Duration)> = None;
-        for (k, at) in ALL_SCOPES.into_iter().enumerate() {
-            match look(at, of[k], place.pool) {
-                Ok(limit) => counted[k] = limit,
-                // All must let it in, so the latest counts.
+        let mut limits: AppliedLimits = [None; LIMIT_SCOPES];
+        let mut exceeded: Option<(LimitScope, Duration)> = None;
+        for (k, scope) in ALL_SCOPES.into_iter().enumerate() {
+            let (table, buckets, pool) = (&self.table, &self.buckets, placement.pool);
+            match check_limit(table, buckets, scope, indices[k], request, pool, now) {
+                Ok(limit) => limits[k] = limit,
+                // All must admit it, so the latest time counts.
                 Err(full) => {
-                    let told = until(full, now);
-                    if turned.is_none_or(|(_, before)| told > before) {
-                        turned = Some((at, told));
+                    let after = retry_after(full, now);
+                    if exceeded.is_none_or(|(_, before)| after > before) {
+                        exceeded = Some((scope, after));
                     }
                 }
             }
         }
-        if let Some((at, after)) = turned {
-            counts.limited += 1;
-            let after = clamp_retry_after(table, Some(place.route), Some(place.pool), after);
-            return Admission::Rejected(Rejected {
-                why: RejectReason::Limit(at),
-                after,
-                route: Some(place.route),
-            });
-        }
-        // Room for all that are new, or none is made: whoever is turned away has used nothing.
-        if !buckets.make_room(|| counted.iter().flatten().map(|(_, key)| *key), now) {
-            counts.no_bucket += 1;
-            let after = clamp_retry_after(
-                table,
-                Some(place.route),
-                Some(place.pool),
-                RETRY_AFTER_NO_BUCKET,
-            );
-            return Admission::Rejected(Rejected {
-                why: RejectReason::NoBucket,
-                after,
-                route: Some(place.route),
-            });
+        let Some((scope, after)) = exceeded else {
+            return Ok(limits);
+        };
+        self.counts.limited += 1;
+        Err(self.rejected(placement, RejectReason::Limit(scope), after))
+    }
+
+    /// Takes the request into the buckets of its limits. New buckets are made for all of them or for none.
+    fn acquire_buckets(
+        &mut self,
+        now: Duration,
+        placement: Placement,
+        limits: AppliedLimits,
+    ) -> Result<[u32; LIMIT_SCOPES], Rejected> {
+        let keys = || limits.iter().flatten().map(|limit| limit.key);
+        if !self.buckets.make_room(keys, now) {
+            self.counts.no_bucket += 1;
+            return Err(self.rejected(placement, RejectReason::NoBucket, RETRY_AFTER_NO_BUCKET));
         }
-        let held = counted
-            .map(|one| one.map_or(NO_BUCKET, |(rule, key)| buckets.acquire(key, &rule, now)));
-        *open += 1;
-        counts.admitted += 1;
-        let times = table.times(place.route, request.request_class);
-        let (route, pool) = (
-            &table.routes[usize::from(place.route)],
-            &table.pools[usize::from(place.pool)],
-        );
-        let (route, pool) = (route.name.clone(), pool.name.clone());
-        Admission::Admitted(RouteDecision {
-            version: *number,
-            placement: place,
+        Ok(limits.map(|limit| {
+            limit.map_or(NO_BUCKET, |limit| {
+                self.buckets.acquire(limit.key, &limit.rule, now)
+            })
+        }))
+    }
+
+    fn rejected(&self, placement: Placement, why: RejectReason, after: Duration) -> Rejected {
+        let (route, pool) = (Some(placement.route), Some(placement.pool));
+        Rejected {
+            why,
+            after: clamp_retry_after(&self.table, route, pool, after),
             route,
-            pool,
-            times,
-            held_buckets: held,
-        })
+        }
     }
 
-    /// A request is over, whatever came of it.
+    /// Records the end of an admitted request, whatever came of it.
     pub fn on_completed(&mut self, way: RouteDecision) {
         for slot in way
             .held_buckets
@@ -549,14 +484,15 @@
     }
 }
 
-fn until(full: LimitExceeded, now: Duration) -> Duration {
-    match full {
+/// When to come back after an exceeded limit, from now on.
+fn retry_after(exceeded: LimitExceeded, now: Duration) -> Duration {
+    match exceeded {
         LimitExceeded::RateUntil(then) => then.saturating_sub(now),
         LimitExceeded::Concurrency => RETRY_AFTER_AT_CAPACITY,
     }
 }
 
-/// Within what the route's or the pool's retry-after says.
+/// Clamps a retry-after to the bounds of the route, else of the pool.
 pub(crate) fn clamp_retry_after(
     table: &Table,
     route: Option<u16>,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,81 +1,85 @@
-//! A configuration made ready for requests: names are indices, matches are rows of bits.
+//! A compiled configuration: names are indices, and matches are rows of bits.
 //!
-//! For each type, for all tenants and for each kind of try there is a row with one bit a route: the routes that such
-//! requests can match. Routes that name tenants are not in the row of all but in a list of each tenant that they name. A
-//! request's routes are the bits that stand in all three, and only those are asked about its entity and size, in
-//! order.
+//! For each request class, for all tenants, and for first attempts and retries there is a row with one bit for each
+//! route: the routes that such requests can match. Routes that name tenants are not in the row of all tenants but in a
+//! list of each tenant that they name. The candidates of a request are the bits set in all three, and only those are
+//! checked for its entity and size, in order.
 //!
-//! There is one table, that of the present version: a request that came in under an earlier one carries what it still
-//! needs of it ([`crate::router::RouteDecision`]). So a change of named things alters the table where it says something
-//! ([`crate::table_update`]), and two versions that are open take the memory of one.
+//! There is one table, that of the current version: a request that arrived under an earlier one carries what it still
+//! needs of it ([`crate::router::RouteDecision`]). An update of single entries therefore alters the table in place
+//! ([`crate::table_update`]), and two open versions take the memory of one.
 //!
-//! Invariants: every index in a [`Table`] is within its list; shares of a split are each above 0; the
-//! chain of fall-backs of a pool ends; bits and list entries past the last route are none.
+//! Invariants: every index in a [`Table`] is within its list; each share of a split is above 0; the chain of fallbacks
+//! of a pool ends; no bits and list entries are set past the last route.
 
 mod bits;
+mod compile;
 mod name_index;
 
 pub(crate) use bits::Bits;
+pub(crate) use compile::rows_fit;
 pub(crate) use name_index::{NameIndex, Named};
 
 use crate::rate_limit::LimitRule;
 use crate::time_budget::Times;
-use crate::weighted_split::{by_chance, by_entity, name_hash};
-use crate::ConfigurationError;
-use foldhash::{HashMap, HashMapExt};
+use crate::weighted_split::{by_chance, by_entity};
+use foldhash::HashMap;
 use nanorand::WyRand;
-use rainstand_config::schema::{self, Again, Configuration, Per, SplitBy};
+use rainstand_config::schema::{self, Configuration, Per};
 use rainstand_config::space::Miss;
-use rainstand_config::units::ONE;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Blocks of one kind: an index is two bytes.
+/// Entries of one kind: an index has two bytes, and the highest values are free for sentinels.
 pub(crate) const MAX_ENTRIES: usize = 65_000;
-/// Bytes that the rows of one table may take.
-const MAX_ROW_BYTES: usize = 256 << 20;
 
-/// A request as far as its way goes. Indices are those of the table it is shown to.
+/// A request as far as routing depends on it. Indices are those of the table that it is given to.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Request<'t> {
+    /// Index of its class.
     pub request_class: u16,
-    /// None: a tenant that the configuration does not name.
+    /// Index of its tenant; `None` if the configuration does not name it.
     pub tenant: Option<u16>,
-    /// A hash of the name of one that it does not name ([`crate::weighted_split::name_hash`]).
+    /// Hash of the name of a tenant that the configuration does not name ([`crate::weighted_split::name_hash`]).
     pub tenant_hash: u64,
-    /// Empty if it has none.
+    /// The entity for affinity; empty if it has none.
     pub entity: &'t str,
-    /// A further try.
+    /// It is marked as a retry.
     pub again: bool,
-    /// Bytes.
+    /// Its size in bytes.
     pub size: u64,
 }
 
-/// Where a request goes and how that came about.
+/// Where a request is routed to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Placement {
+    /// Index of the route that takes it.
     pub route: u16,
+    /// Index of the pool.
     pub pool: u16,
+    /// Why this pool.
     pub by: PlacementReason,
 }
 
+/// Why a request goes to a pool of its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementReason {
     /// Its share of the route's split, or the route's only pool.
     Share,
     /// The pool of its share cannot be used; another of the split takes it.
     OtherShare,
-    /// One of the route's fall-backs, by its place in that list.
+    /// One of the route's fallbacks, by its index in that list.
     Fallback(u16),
-    /// What some pool of the route falls back on.
+    /// A fallback of a pool of the route.
     PoolFallback,
 }
 
-/// Why a request has no way.
+/// Why a request cannot be routed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoutingError {
+    /// No route takes it.
     NoRoute,
-    /// This route takes it, but none of its pools can be used.
+    /// The route with this index takes it, but none of its pools can be used.
     NoPool(u16),
 }
 
@@ -119,7 +123,7 @@
     pub routes: NameIndex,
 }
 
-/// See the module's head.
+/// A compiled configuration. See the module's documentation.
 #[derive(Debug)]
 pub struct Table {
     pub(crate) configuration: Configuration,
@@ -141,255 +145,18 @@
     pub(crate) goals: Vec<Duration>,
 }
 
-/// # Errors
-/// If rows of so many routes for so many types would take too much.
-pub(crate) fn rows_fit(types: usize, routes: usize) -> Result<(), ConfigurationError> {
-    if types.saturating_mul(routes.div_ceil(64) * 8) > MAX_ROW_BYTES {
-        return Err(ConfigurationError::TableTooLarge {
-            max_bytes: MAX_ROW_BYTES,
-        });
-    }
-    Ok(())
-}
-
-/// Kinds of tries, and what a match says that is not for them.
-const EXCLUDED_BY_ATTEMPT: [Again; 2] = [Again::FurtherTries, Again::FirstTries];
-
 impl Table {
-    /// # Errors
-    /// As [`Table::of`].
-    pub fn new(configuration: &Configuration) -> Result<Self, ConfigurationError> {
-        Self::of(configuration.clone())
-    }
-
-    /// # Errors
-    /// What in the message cannot be: a name that is not there, a split without shares, too many rows.
-    /// The checker refuses all of it before, but a message may come from elsewhere.
-    pub fn of(c: Configuration) -> Result<Self, ConfigurationError> {
-        let index = Index {
-            types: NameIndex::new(&c.types)?,
-            tenants: NameIndex::new(&c.tenants)?,
-            pools: NameIndex::new(&c.pools)?,
-            limits: NameIndex::new(&c.limits)?,
-            retry_after: NameIndex::new(&c.retry_after)?,
-            budgets: NameIndex::new(&c.budgets)?,
-            routes: NameIndex::new(&c.routes)?,
-        };
-        let find_limits = |name: &str| index.limits.find_optional(&c.limits, name);
-        let type_limits = c
-            .types
-            .iter()
-            .map(|one| find_limits(&one.limits))
-            .collect::<Result<_, _>>()?;
-        let tenant_limits = c
-            .tenants
-            .iter()
-            .map(|one| find_limits(&one.limits))
-            .collect::<Result<_, _>>()?;
-        let goals: Vec<Duration> = c
-            .types
-            .iter()
-            .map(|one| Duration::from_nanos(one.goal_ns))
-            .collect();
-        let times = |budget| {
-            goals
-                .iter()
-                .map(|goal| Times::new(*goal, Some(budget)))
-                .collect()
-        };
-        let mut row = Bits::default();
-        row.resize(c.routes.len().div_ceil(64));
-        rows_fit(c.types.len(), c.routes.len())?;
-        let mut table = Self {
-            limits: c
-                .limits
-                .iter()
-                .map(|one| (LimitRule::from(one), one.per()))
-                .collect(),
-            times: c.budgets.iter().map(times).collect(),
-            pools: Vec::new(),
-            routes: Vec::new(),
-            by_type: vec![row.clone(); c.types.len()],
-            by_tenant: HashMap::new(),
-            by_try: [row.clone(), row.clone()],
-            any_type: row.clone(),
-            any_tenant: row,
-            configuration: c,
-            index,
-            type_limits,
-            tenant_limits,
-            goals,
-        };
-        let c = &table.configuration;
-        table.pools = c
-            .pools
-            .iter()
-            .map(|pool| table.compile_pool(pool))
-            .collect::<Result<_, _>>()?;
-        (0..table.pools.len()).try_for_each(|at| table.chain_ends(at))?;
-        let c = &table.configuration;
-        table.routes = c
-            .routes
-            .iter()
-            .map(|route| table.compile_route(route))
-            .collect::<Result<_, _>>()?;
-        for at in 0..table.routes.len() {
-            table.mark_route(at, true);
-        }
-        Ok(table)
-    }
-
-    pub(crate) fn chain_ends(&self, pool: usize) -> Result<(), ConfigurationError> {
-        let chain =
-            std::iter::successors(Some(pool), |at| self.pools[*at].fall_back.map(usize::from));
-        if chain.take(self.pools.len() + 1).count() > self.pools.len() {
-            return Err(ConfigurationError::FallbackCycle {
-                pool: self.pools[pool].name.to_string(),
-            });
-        }
-        Ok(())
-    }
-
-    pub(crate) fn compile_pool(&self, pool: &schema::Pool) -> Result<Pool, ConfigurationError> {
-        let (c, index) = (&self.configuration, &self.index);
-        Ok(Pool {
-            name: pool.name.as_str().into(),
-            members: pool
-                .members
-                .iter()
-                .map(|m| (name_hash(&m.address), m.weight))
-                .collect(),
-            fall_back: index.pools.find_optional(&c.pools, &pool.fall_back)?,
-            limits: index.limits.find_optional(&c.limits, &pool.limits)?,
-            retry_after: index
-                .retry_after
-                .find_optional(&c.retry_after, &pool.retry_after)?,
-        })
-    }
-
-    pub(crate) fn compile_route(&self, route: &schema::Route) -> Result<Route, ConfigurationError> {
-        let (c, index) = (&self.configuration, &self.index);
-        let to = route.to.iter().map(|target| {
-            if target.share == 0 || target.share > ONE {
-                return Err(ConfigurationError::InvalidShare {
-                    route: route.name.clone(),
-                    share: target.share,
-                });
-            }
-            let pool = index.pools.find(&c.pools, &target.pool)?;
-            Ok(Target {
-                pool,
-                mark: name_hash(&target.pool),
-                share: target.share,
-            })
-        });
-        let to: Box<[Target]> = to.collect::<Result<_, ConfigurationError>>()?;
-        if to.iter().map(|target| target.share).sum::<u64>() != ONE {
-            return Err(ConfigurationError::IncompleteShares {
-                route: route.name.clone(),
-            });
-        }
-        let mut size = (0, u64::MAX);
-        if let Some(matched) = &route.r#match {
-            matched
-                .types
-                .iter()
-                .try_for_each(|name| index.types.find(&c.types, name).map(drop))?;
-            matched
-                .tenants
-                .iter()
-                .try_for_each(|name| index.tenants.find(&c.tenants, name).map(drop))?;
-            size = (
-                matched.size_least,
-                if matched.size_most == 0 {
-                    u64::MAX
-                } else {
-                    matched.size_most
-                },
-            );
-        }
-        let fall_back = route
-            .fall_back
-            .iter()
-            .map(|name| index.pools.find(&c.pools, name));
-        Ok(Route {
-            name: route.name.as_str().into(),
-            size,
-            to,
-            by_chance: route.split_by() == SplitBy::Chance,
-            fall_back: fall_back.collect::<Result<_, ConfigurationError>>()?,
-            limits: index.limits.find_optional(&c.limits, &route.limits)?,
-            retry_after: index
-                .retry_after
-                .find_optional(&c.retry_after, &route.retry_after)?,
-            budget: index.budgets.find_optional(&c.budgets, &route.budget)?,
-        })
-    }
-
-    /// Sets a route's bits and entries, by its match in the configuration, or takes them away.
-    pub(crate) fn mark_route(&mut self, at: usize, to: bool) {
-        let Self {
-            configuration: c,
-            index,
-            any_type,
-            by_type,
-            any_tenant,
-            by_tenant,
-            by_try,
-            ..
-        } = self;
-        let matched = c.routes[at].r#match.as_ref();
-        match matched.map(|m| &m.types).filter(|names| !names.is_empty()) {
-            None => {
-                any_type.set(at, to);
-                by_type.iter_mut().for_each(|row| row.set(at, to));
-            }
-            Some(names) => {
-                for of in names
-                    .iter()
-                    .filter_map(|name| index.types.get(&c.types, name))
-                {
-                    by_type[usize::from(of)].set(at, to);
-                }
-            }
-        }
-        match matched
-            .map(|m| &m.tenants)
-            .filter(|names| !names.is_empty())
-        {
-            None => any_tenant.set(at, to),
-            Some(names) => {
-                for of in names
-                    .iter()
-                    .filter_map(|name| index.tenants.get(&c.tenants, name))
-                {
-                    let list = by_tenant.entry(of).or_default();
-                    match (list.binary_search(&(at as u16)), to) {
-                        (Err(place), true) => list.insert(place, at as u16),
-                        (Ok(place), false) => drop(list.remove(place)),
-                        _ => {}
-                    }
-                    if list.is_empty() {
-                        by_tenant.remove(&of);
-                    }
-                }
-            }
-        }
-        for (row, not) in by_try.iter_mut().zip(EXCLUDED_BY_ATTEMPT) {
-            if matched.is_none_or(|m| m.again() != not) {
-                row.set(at, to);
-            }
-        }
-    }
-
+    /// The index of a request class by name.
     pub fn request_class(&self, name: &str) -> Option<u16> {
         self.index.types.get(&self.configuration.types, name)
     }
 
+    /// The index of a tenant by name.
     pub fn tenant(&self, name: &str) -> Option<u16> {
         self.index.tenants.get(&self.configuration.tenants, name)
     }
 
+    /// The index of a pool by name.
     pub fn pool(&self, name: &str) -> Option<u16> {
         self.index.pools.get(&self.configuration.pools, name)
     }
@@ -408,19 +175,28 @@
         )
     }
 
+    /// The name of a pool.
+    ///
+    /// # Panics
+    /// If there is no such index.
     pub fn pool_name(&self, pool: u16) -> &str {
         &self.pools[usize::from(pool)].name
     }
 
+    /// The name of a route.
+    ///
+    /// # Panics
+    /// If there is no such index.
     pub fn route_name(&self, route: u16) -> &str {
         &self.routes[usize::from(route)].name
     }
 
+    /// The configuration that was compiled.
     pub fn configuration(&self) -> &Configuration {
         &self.configuration
     }
 
-    /// Bytes that this table holds, nearly: what an open version costs.
+    /// Approximate size of this table in memory, in bytes.
     pub fn size(&self) -> usize {
         use rainstand_config::schema::to_binary;
         let row = self.any_type.words().len() * 8;
