--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -41,7 +41,7 @@
         // the run given up if it is no better then.
         ("request", ..) | ("outcome", "fine", None) if !is_replayed => return Err(UNREADABLE),
         ("request", ..) => context.drive_policy(|policy, now, table| {
-            table.give_up(index);
+            table.fail(index);
             policy.on_caller_gone(now, table, index);
         }),
         ("outcome", "fine", Some(result)) => {
@@ -138,7 +138,7 @@
         } else if outcome != Outcome::Cancelled {
             table.finish(index, outcome, result);
         }
-        policy.ended(now, table, index, outcome);
+        policy.on_run_finished(now, table, index, outcome);
     });
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -148,7 +148,7 @@
         let drive = AssertUnwindSafe(|| {
             call(policy, now, table);
             while let Some(FinishedRun { index, outcome }) = table.run_ends.pop_front() {
-                policy.ended(now, table, index, outcome);
+                policy.on_run_finished(now, table, index, outcome);
             }
         });
         if catch_unwind(drive).is_err() {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -123,7 +123,7 @@
     let pop_first = || conn.open_requests.borrow_mut().pop_first();
     while let Some((_, index)) = pop_first() {
         context.drive_policy(|policy, now, table| {
-            table.give_up(index);
+            table.fail(index);
             policy.on_caller_gone(now, table, index);
         });
     }
@@ -385,19 +385,19 @@
         return Ok(());
     }
     let arrival = Arrival {
-        traffic: identity.class,
+        class: identity.class,
         tenant: identity.tenant,
         waited: parsed.waited,
-        patience: parsed.patience,
-        repeat: identity.retry,
-        hint: None,
+        caller_timeout: parsed.patience,
+        retry_of: identity.retry,
+        size_hint: None,
         held_kb: parsed.held_kb,
-        again: parsed.is_redo,
+        is_retry: parsed.is_redo,
     };
     let index = table.insert(new_request(&parsed, identity, reply));
     conn.open_requests.borrow_mut().insert(seq, index);
     drop(core);
-    context.drive_policy(|policy, now, table| policy.on_arrival(now, table, index, arrival));
+    context.drive_policy(|policy, now, table| policy.on_arrival(now, table, index, &arrival));
     Ok(())
 }
 
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -67,7 +67,7 @@
     }
 
     /// The cache has capacity for it: that was checked before the policy heard of the request.
-    fn keep(&mut self, index: usize, span: Duration) {
+    fn cache_result(&mut self, index: usize, span: Duration) {
         let now = Instant::now();
         if let Some(request) = self.requests.get_mut(index).and_then(Option::as_mut) {
             request.caches_result = request.key.as_ref().is_some_and(|key| {
@@ -77,7 +77,7 @@
         }
     }
 
-    fn forget(&mut self, index: usize) {
+    fn discard_result(&mut self, index: usize) {
         self.close_key(index, Outcome::NeverStarted, &[]);
     }
 
@@ -87,7 +87,7 @@
         }
     }
 
-    fn give_up(&mut self, index: usize) {
+    fn fail(&mut self, index: usize) {
         let Some(request) = self.request_mut(index) else {
             return;
         };
@@ -102,7 +102,7 @@
         }
     }
 
-    fn call(&mut self, index: usize, until: Duration) {
+    fn call_downstream(&mut self, index: usize, until: Duration) {
         let time_left = until.saturating_sub(self.now());
         dispatch::call(self, index, time_left);
     }
--- a/crates/node/src/ticker.rs
+++ b/crates/node/src/ticker.rs
@@ -108,7 +108,7 @@
     for index in overdue {
         count(&context.counts.unsettled);
         context.drive_policy(|policy, now, table| {
-            table.give_up(index);
+            table.fail(index);
             policy.on_caller_gone(now, table, index);
         });
     }
--- a/crates/routing/benches/pick.rs
+++ b/crates/routing/benches/pick.rs
@@ -9,9 +9,9 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
-use rainstand_routing::change::{Change, Kind};
-use rainstand_routing::table::{Table, Ticket};
-use rainstand_routing::versions::{Router, Verdict};
+use rainstand_routing::router::{Admission, Router};
+use rainstand_routing::table::{Request, Table};
+use rainstand_routing::table_update::{EntryKind, TableChange};
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -66,7 +66,7 @@
         .unwrap_or_else(|| panic!("{:?}", outcome.findings.first()))
 }
 
-fn tickets() -> Vec<(u16, Option<u16>, String)> {
+fn requests() -> Vec<(u16, Option<u16>, String)> {
     let mut chance = WyRand::new_seed(5);
     let one = |_| {
         let entity = format!("NO-{}", chance.generate_range(0..100_000u32));
@@ -83,24 +83,24 @@
 #[divan::bench(args = [6, 1_000])]
 fn place(bencher: divan::Bencher<'_, '_>, routes: usize) {
     let table = Table::new(&configuration(routes)).unwrap();
-    let all = tickets();
+    let all = requests();
     let mut chance = WyRand::new_seed(1);
     bencher
         .counter(divan::counter::ItemsCount::new(all.len()))
         .bench_local(|| {
             let mut sum = 0u64;
             for (traffic, tenant, entity) in &all {
-                let ticket = Ticket {
-                    traffic: *traffic,
+                let request = Request {
+                    request_class: *traffic,
                     tenant: *tenant,
                     entity,
                     again: false,
                     size: 900,
-                    ..Ticket::default()
+                    ..Request::default()
                 };
                 sum += u64::from(
                     table
-                        .place(&ticket, &mut chance, |_| true)
+                        .place(&request, &mut chance, |_| true)
                         .map_or(0, |place| place.pool),
                 );
             }
@@ -108,30 +108,30 @@
         });
 }
 
-/// The whole decision with limits, and the ticket's end.
+/// The whole decision with limits, and the request's end.
 #[divan::bench(args = [6, 1_000])]
 fn arrived_and_ended(bencher: divan::Bencher<'_, '_>, routes: usize) {
     let mut router = Router::new(&configuration(routes), 1).unwrap();
-    let all = tickets();
+    let all = requests();
     let mut now = Duration::ZERO;
     bencher
         .counter(divan::counter::ItemsCount::new(all.len()))
         .bench_local(|| {
             for (traffic, tenant, entity) in &all {
                 now += Duration::from_micros(1);
-                let ticket = Ticket {
-                    traffic: *traffic,
+                let request = Request {
+                    request_class: *traffic,
                     tenant: *tenant,
                     entity,
                     again: false,
                     size: 900,
-                    ..Ticket::default()
+                    ..Request::default()
                 };
-                if let Verdict::Goes(way) = router.arrived(now, &ticket, |_| true) {
-                    router.ended(way);
+                if let Admission::Admitted(way) = router.on_arrival(now, &request, |_| true) {
+                    router.on_completed(way);
                 }
             }
-            router.counts().went
+            router.counts().admitted
         });
 }
 
@@ -139,7 +139,7 @@
 #[divan::bench]
 fn member_of_eight(bencher: divan::Bencher<'_, '_>) {
     let table = Table::new(&configuration(6)).unwrap();
-    let all = tickets();
+    let all = requests();
     bencher
         .counter(divan::counter::ItemsCount::new(all.len()))
         .bench_local(|| {
@@ -157,7 +157,7 @@
     let mut tenant = whole.tenants[7].clone();
     bencher.bench_local(|| {
         tenant.share ^= 1;
-        router.apply(&[Change::Tenant(tenant.clone())], Duration::ZERO)
+        router.apply(&[TableChange::Tenant(tenant.clone())], Duration::ZERO)
     });
 }
 
@@ -170,12 +170,15 @@
     bencher.bench_local(|| {
         router
             .apply(
-                &[Change::Route(route.clone(), before.clone())],
+                &[TableChange::Route(route.clone(), before.clone())],
                 Duration::ZERO,
             )
             .unwrap();
         router
-            .apply(&[Change::Remove(Kind::Route, "new".into())], Duration::ZERO)
+            .apply(
+                &[TableChange::Remove(EntryKind::Route, "new".into())],
+                Duration::ZERO,
+            )
             .unwrap();
     });
 }
@@ -185,5 +188,5 @@
 fn the_whole_anew(bencher: divan::Bencher<'_, '_>, routes: usize) {
     let whole = configuration(routes);
     let mut router = Router::new(&whole, 1).unwrap();
-    bencher.bench_local(|| router.take(&whole, Duration::ZERO));
+    bencher.bench_local(|| router.install(&whole, Duration::ZERO));
 }
--- a/crates/testbed/src/scale/forwarders.rs
+++ b/crates/testbed/src/scale/forwarders.rs
@@ -154,7 +154,7 @@
             unit,
             by,
             limit,
-            note: "crates/routing/src/table.rs, versions.rs; the process compiles the text, crates/config",
+            note: "crates/routing/src/table.rs, router.rs; the process compiles the text, crates/config",
             counted: false,
         }
         };
@@ -294,7 +294,7 @@
     }
     let starts = up_to >= sizes.tenants as f64;
     let note = if starts {
-        "crates/routing/src/versions.rs".to_owned()
+        "crates/routing/src/router.rs".to_owned()
     } else {
         why
     };
