--- a/crates/routing/src/decision_log.rs
+++ b/crates/routing/src/decision_log.rs
@@ -1,7 +1,7 @@
-//! The last decisions, for those who ask why a request went where it went, or why it went nowhere. Bounded, and
-//! written without an allocation on a request's way.
+//! A bounded log of the last decisions, to explain where requests were sent and why others were rejected. Writing to it
+//! does not allocate once it is full.
 //!
-//! Indices are those of the version that decided; the fleet forgets them all when a new version is taken.
+//! Indices are those of the version that decided; the fleet clears the log when indices change.
 
 use crate::fleet::OutcomeReason;
 use crate::health::EjectionReason;
@@ -9,29 +9,30 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Decisions that are kept, 120 bytes each.
+/// Decisions that the log holds, 120 bytes each.
 pub const MAX_DECISIONS: usize = 1_024;
-/// Members passed over that one decision names; more are counted.
+/// Skipped members that one decision names; further ones are only counted.
 pub const MAX_SKIPPED_MEMBERS: usize = 6;
 
-/// Why a member was not even asked.
+/// Why a member was not considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SkipReason {
-    /// Left out for its health.
+    /// It is ejected.
     Ejected(EjectionReason),
-    /// As many as may be are open toward it.
+    /// It, or its pool, is at its concurrency limit.
     Full,
-    /// It told this tenant when to come back.
+    /// It asked this tenant to come back later.
     RetryAfter,
-    /// The last try of this request went there.
+    /// The last attempt of this request went there.
     AlreadyTried,
-    /// It says that it leaves.
+    /// It announced its shutdown.
     Leaving,
-    /// It warms up, or may, and this forwarder's part of what all may send it is used.
+    /// It warms up, or may, and this forwarder's share of what it may get is used up.
     WarmingUp,
 }
 
 impl SkipReason {
+    /// The name in JSON and logs.
     pub fn as_str(self) -> &'static str {
         match self {
             SkipReason::Ejected(reason) => reason.as_str(),
@@ -44,35 +45,54 @@
     }
 }
 
+/// What was decided.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum DecisionOutcome {
-    /// It went to a member of this many that could take it, which had so many in hand.
+    /// An attempt was sent to a member.
     Dispatched {
+        /// Index of the member.
         member: u16,
+        /// How it was selected.
         how: SelectionReason,
+        /// Members that could take it.
         of: u16,
+        /// Attempts that the member had already.
         in_hand: u32,
+        /// Number of the attempt, from 1.
         tried: u32,
     },
-    /// No further try; how it ended is in the counters.
-    Rejected { why: OutcomeReason, after: Duration },
+    /// There was no further attempt.
+    Rejected {
+        /// Why.
+        why: OutcomeReason,
+        /// When the caller was asked to come back, from then on.
+        after: Duration,
+    },
 }
 
 /// One decision about one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Decision {
+    /// When it was made.
     pub at: Duration,
+    /// Index of the request class.
     pub request_class: u16,
+    /// Index of the tenant, if it is configured.
     pub tenant: Option<u16>,
+    /// Index of the route, if one took the request.
     pub route: Option<u16>,
+    /// Index of the pool, if there was one.
     pub pool: Option<u16>,
+    /// What was decided.
     pub what: DecisionOutcome,
-    /// The first members that were passed over; [`Decision::more_skipped`] others were too.
+    /// The first members that were skipped.
     passed: [(u16, Option<SkipReason>); MAX_SKIPPED_MEMBERS],
+    /// How many further members were skipped.
     pub more_skipped: u16,
 }
 
 impl Decision {
+    /// A decision without route, pool and skipped members.
     pub fn new(at: Duration, traffic: u16, tenant: Option<u16>, what: DecisionOutcome) -> Self {
         Self {
             at,
@@ -86,6 +106,7 @@
         }
     }
 
+    /// Records that a member was skipped.
     pub fn record_skipped(&mut self, member: u16, why: SkipReason) {
         match self.passed.iter_mut().find(|one| one.1.is_none()) {
             Some(place) => *place = (member, Some(why)),
@@ -93,6 +114,7 @@
         }
     }
 
+    /// The skipped members that are named, in order.
     pub fn skipped_members(&self) -> impl Iterator<Item = (u16, SkipReason)> + '_ {
         self.passed
             .iter()
@@ -100,13 +122,14 @@
     }
 }
 
-/// The last [`MAX_DECISIONS`] of them, oldest first.
+/// The last [`MAX_DECISIONS`] decisions, oldest first.
 #[derive(Debug, Default)]
 pub struct DecisionLog {
     ring: VecDeque<Decision>,
 }
 
 impl DecisionLog {
+    /// Appends a decision; drops the oldest one if the log is full.
     pub fn push(&mut self, decision: Decision) {
         if self.ring.len() >= MAX_DECISIONS {
             self.ring.pop_front();
@@ -114,10 +137,12 @@
         self.ring.push_back(decision);
     }
 
+    /// All decisions, oldest first.
     pub fn all(&self) -> impl DoubleEndedIterator<Item = &Decision> {
         self.ring.iter()
     }
 
+    /// Drops all decisions.
     pub fn clear(&mut self) {
         self.ring.clear();
     }
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -1,24 +1,26 @@
-//! Why a request goes where it goes: each route in order, and the part of its match that was not met.
+//! Explains the routing of a request: each route in order, and the part of its match that excluded the request.
 
 use crate::table::{PlacementReason, Request, RoutingError, Table};
 use nanorand::WyRand;
 use rainstand_config::space::Miss;
 
-/// One route that was asked.
+/// One route that was considered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteStep {
+    /// Its name.
     pub route: String,
-    /// None: it takes the request.
+    /// What excludes the request; `None`: the route takes it.
     pub miss: Option<Miss>,
-    /// What the route wants there, as the configuration says it.
+    /// What the route requires there, in the words of the configuration.
     pub wanted: String,
 }
 
-/// Where a request goes, and why.
+/// Where a request is routed to, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Explanation {
+    /// The routes up to the one that takes the request.
     pub steps: Vec<RouteStep>,
-    /// The pool and how it came about; none: why not.
+    /// The name of the pool and why it was chosen, or why there is none.
     pub placement: Result<(String, PlacementReason), RoutingError>,
     /// The member that the entity belongs to; none without an entity, or if none can be used.
     pub member: Option<String>,
@@ -26,7 +28,8 @@
     pub limits: Vec<(String, String)>,
 }
 
-/// `pool_out` and `member_out`: what cannot be used, by name; a member counts in every pool it is in.
+/// Explains the routing of a request. `pool_out` and `member_out`: what cannot be used, by name; a member counts in
+/// every pool that has it.
 pub fn explain(
     table: &Table,
     request: &Request<'_>,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,27 +1,27 @@
-//! Which way a request goes under a configuration: decisions without I/O and without a clock.
+//! Routing decisions of a forwarder, without I/O and without a clock.
 //!
 //! | module | decides |
 //! | --- | --- |
-//! | [`table`] | which route takes a request, to which pool, where it falls back |
-//! | [`weighted_split`] | parting requests by share, with the least movement when something leaves |
-//! | [`rate_limit`] | whether a rate and a number at once let a request in, else when to come back |
-//! | [`token_buckets`] | which of a limit's counters are kept: made when first used, given back when idle, bounded |
-//! | [`time_budget`] | how much time each stage may still take |
-//! | [`router`] | all of it together while configurations change under running requests |
-//! | [`table_update`] | a change of named things on the present table, whole or not at all, at the cost of what it says |
-//! | [`member_selection`] | which member of a pool: two choices by load, zones, warm-up, entities with bounded load |
-//! | [`warm_up`] | what one forwarder may send to a member that warms up, as its part of what all may |
-//! | [`subset`] | which members of a large pool a forwarder knows |
-//! | [`health`] | who is left out, judged from answers alone, and how it comes back |
-//! | [`adaptive_concurrency`] | how many requests at once toward a member, learned from its times |
-//! | [`retry`] | whether a request is sent again, under a budget of the whole program |
-//! | [`fleet`] | all of it for one request: from its arrival over each try to its one answer |
-//! | [`tenant_fairness`] | a pool's places parted among tenants while they are scarce |
-//! | [`decision_log`] | the last decisions, for those who ask why |
-//! | [`explain`] | the same in words: why this route, and why not the ones before it |
+//! | [`table`] | which route takes a request, to which pool, and where it falls back |
+//! | [`weighted_split`] | how requests are split by share, with the least movement when a target leaves |
+//! | [`rate_limit`] | whether a rate and a concurrency limit admit a request, else when to come back |
+//! | [`token_buckets`] | which buckets of limits exist: created on first use, freed when idle, bounded |
+//! | [`time_budget`] | how much time each stage of a request may take |
+//! | [`router`] | routes and limits together, while configurations change under running requests |
+//! | [`table_update`] | atomic updates of single entries of the current table |
+//! | [`member_selection`] | which member of a pool: by load, zone, weight, warm-up and entity |
+//! | [`warm_up`] | what one forwarder may send to a member that warms up, as its share of what all may |
+//! | [`subset`] | which members of a large pool a forwarder uses |
+//! | [`health`] | which members are ejected, judged from answers alone, and how they come back |
+//! | [`adaptive_concurrency`] | how many requests may be open at a member, learned from its response times |
+//! | [`retry`] | whether a request is retried, under a budget of the whole process |
+//! | [`fleet`] | all of it for one request: from its arrival over each attempt to its one answer |
+//! | [`tenant_fairness`] | how a pool's places are divided among tenants while they are scarce |
+//! | [`decision_log`] | the last decisions, for display |
+//! | [`explain`] | why a request takes a route, and not the ones before it |
 //!
-//! Times are `Duration`s since any fixed start, chance is handed in as a seed, names become small indices
-//! once ([`table::Table::request_class`]), and nothing on a request's way allocates.
+//! Times are `Duration`s since any fixed start, randomness comes from a seed, names are resolved to small indices once
+//! ([`table::Table::request_class`]), and nothing on the path of a request allocates.
 //!
 //! ```
 //! use rainstand_config::{load, source::Memory};
@@ -51,13 +51,6 @@
 //! decisions.into_iter().for_each(|decision| router.on_completed(decision));
 //! ```
 
-#![allow(
-    missing_docs,
-    unreachable_pub,
-    clippy::pedantic,
-    reason = "not yet brought to the workspace's lints, see docs/ROADMAP.md"
-)]
-
 mod error;
 
 pub mod adaptive_concurrency;
--- a/crates/routing/src/member_selection.rs
+++ b/crates/routing/src/member_selection.rs
@@ -1,13 +1,14 @@
-//! Which member of a pool a request goes to.
+//! Selects the member of a pool for a request.
 //!
-//! The member with least in hand for its weight takes the request, as this program knows it; of those with as little one
-//! by chance. What is known is its own, so it is never stale, and programs that know different things do not run after
-//! one number: in the lab that was as good as two drawn by weight with two hundred forwarders, and better with few.
-//! Nearer members first, until the zone has `ZONE_SPILL_FACTOR` times as much in hand as the rest. An entity goes to its own member while that has at most `AFFINITY_LOAD_FACTOR` times the mean
-//! in hand, else to the next that its hash names, so affinity overloads nobody.
+//! The member with the lowest load for its weight takes the request, as far as this process knows; ties are broken at
+//! random. Each process knows only its own load, so that knowledge is never stale and processes do not all run after one
+//! number: in simulations this was as good as two choices by weight with two hundred forwarders, and better with few.
+//! Members in the near zone come first, until the zone has `ZONE_SPILL_FACTOR` times the load of the pool. An entity
+//! goes to its own member while that has at most `AFFINITY_LOAD_FACTOR` times the mean load, else to the next one that
+//! its hash ranks, so that affinity overloads no member.
 //!
-//! What failed stays counted as long as the pool's usual time: a member that fails in a millisecond would
-//! otherwise look idle and draw all traffic.
+//! A failed attempt counts as load for the pool's typical duration: a member that fails within a millisecond would
+//! otherwise look idle and attract all requests.
 
 use crate::warm_up::{WarmUpLimiter, INITIAL_SHARE};
 use crate::weighted_split::score;
@@ -15,32 +16,38 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Requests in hand for its weight, against the mean, up to which a member keeps its entities.
+/// Load for its weight, relative to the mean, up to which a member keeps its entities.
 const AFFINITY_LOAD_FACTOR: f64 = 1.25;
-/// In hand for its weight, against the pool's, up to which the near zone keeps its requests.
+/// Load for its weight, relative to the pool's, up to which the near zone keeps its requests.
 const ZONE_SPILL_FACTOR: f64 = 1.5;
-/// Failures of one member that stay counted.
+/// Recent failures that are counted for one member.
 const MAX_RECENT_FAILURES: usize = 256;
-/// Draws before a member is taken in order: with tiny weights beside large ones draws may miss.
+/// Draws for a second member before the first is taken: with tiny weights beside large ones draws may miss.
 const MAX_DRAWS: usize = 16;
 
 /// What is known of one member.
 #[derive(Clone, Debug)]
 pub struct Member {
+    /// Hash of its address ([`crate::weighted_split::name_hash`]).
     pub mark: u64,
+    /// Its configured weight; 1 is usual.
     pub weight: f64,
+    /// It is in the zone of this forwarder.
     pub near: bool,
+    /// How long it warms up after a start; zero if it does not.
     pub warm_up: Duration,
     /// When it started, if it warms up.
     pub started: Option<Duration>,
-    /// What it may be sent while it is not known to be warm, where the pool says what all may send it.
+    /// What it may be sent while it is not known to be warm, if the pool limits that.
     pub ramp: Option<WarmUpLimiter>,
+    /// Attempts that are at it.
     pub open: u32,
     /// Until when each recent failure counts as open, in order.
-    ghosts: VecDeque<Duration>,
+    recent_failures: VecDeque<Duration>,
 }
 
 impl Member {
+    /// A member of which nothing is known.
     pub fn new(mark: u64, weight: f64, near: bool, warm_up: Duration) -> Self {
         Self {
             mark,
@@ -50,18 +57,18 @@
             started: None,
             ramp: None,
             open: 0,
-            ghosts: VecDeque::new(),
+            recent_failures: VecDeque::new(),
         }
     }
 
     /// A request failed: it counts as open until the usual time since it was sent is over.
     pub fn failed(&mut self, sent: Duration, usual: Duration) {
         let until = sent + usual;
-        if self.ghosts.len() >= MAX_RECENT_FAILURES {
-            self.ghosts.pop_front();
+        if self.recent_failures.len() >= MAX_RECENT_FAILURES {
+            self.recent_failures.pop_front();
         }
-        let place = self.ghosts.partition_point(|ghost| *ghost <= until);
-        self.ghosts.insert(place, until);
+        let place = self.recent_failures.partition_point(|end| *end <= until);
+        self.recent_failures.insert(place, until);
     }
 
     /// Its weight now: a member that just started gets its part by and by.
@@ -75,39 +82,45 @@
         self.weight * warm * part
     }
 
-    fn in_hand(&mut self, now: Duration) -> f64 {
-        while self.ghosts.front().is_some_and(|until| *until <= now) {
-            self.ghosts.pop_front();
+    fn load(&mut self, now: Duration) -> f64 {
+        while self
+            .recent_failures
+            .front()
+            .is_some_and(|until| *until <= now)
+        {
+            self.recent_failures.pop_front();
         }
-        f64::from(self.open) + self.ghosts.len() as f64
+        f64::from(self.open) + self.recent_failures.len() as f64
     }
 }
 
-/// By which rule members are picked for requests without an entity. All but the first are there to be compared with.
+/// How members are selected for requests without an entity. All but the first are for comparisons.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SelectionPolicy {
-    /// The one with least in hand for its weight, of those with as little one by chance.
+    /// The one with the lowest load for its weight; ties are broken at random.
     #[default]
     LeastLoaded,
-    /// Two drawn by weight, the one with less in hand.
+    /// The less loaded of two that are drawn by weight.
     TwoChoices,
-    /// One after another, whatever they have in hand.
+    /// One after another, whatever their load.
     RoundRobin(u32),
 }
 
-/// How a member was chosen; for those who ask why.
+/// How a member was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SelectionReason {
-    /// The entity's own.
+    /// It is the entity's own.
     Affinity,
-    /// The entity's own is full; so many were passed over.
+    /// The entity's own is overloaded; so many were skipped.
     AffinitySkipped(u32),
-    /// The lesser of two, in the near zone or in any.
+    /// By load, in the near zone.
     Near,
+    /// By load, in any zone.
     Any,
 }
 
 impl SelectionReason {
+    /// The name in JSON and logs.
     pub fn as_str(self) -> &'static str {
         match self {
             SelectionReason::Affinity => "own",
@@ -150,7 +163,7 @@
         if weight <= 0.0 {
             continue;
         }
-        let load = member.in_hand(now);
+        let load = member.load(now);
         all.add(load, weight);
         if member.near {
             near.add(load, weight);
@@ -226,7 +239,7 @@
     let second = (0..MAX_DRAWS)
         .find_map(|_| draw(Some(first)))
         .unwrap_or(first);
-    let mut rate = |k: usize| (members[k].in_hand(now) + 1.0) / members[k].weight_at(now, part(k));
+    let mut rate = |k: usize| (members[k].load(now) + 1.0) / members[k].weight_at(now, part(k));
     Some(if rate(second) < rate(first) {
         second
     } else {
@@ -234,7 +247,7 @@
     })
 }
 
-/// The one with least in hand for its weight; of equals one by chance.
+/// The one with the lowest load for its weight; ties are broken at random.
 fn least_loaded(
     members: &mut [Member],
     now: Duration,
@@ -252,9 +265,13 @@
         if weight <= 0.0 {
             continue;
         }
-        let rate = (member.in_hand(now) + 1.0) / weight;
+        let rate = (member.load(now) + 1.0) / weight;
         match best {
             Some((least, _)) if rate > least => {}
+            #[expect(
+                clippy::float_cmp,
+                reason = "only exact ties are drawn; near ones are ordered"
+            )]
             Some((least, _)) if rate == least => {
                 // Each of those that are alike is taken with the same chance.
                 equals += 1;
@@ -268,7 +285,7 @@
     best.map(|(_, k)| k)
 }
 
-/// The first in the entity's own order that has at most its bounded part in hand.
+/// The first in the entity's order of preference whose load is within its bound.
 fn by_affinity(
     members: &mut [Member],
     now: Duration,
@@ -288,7 +305,7 @@
         }
         // By its lasting weight: warming up must not move everybody's entities twice.
         let score = score(member.mark, (member.weight * 1_000.0) as u64, entity);
-        if member.in_hand(now) + 1.0 > bound(weight).ceil().max(1.0) {
+        if member.load(now) + 1.0 > bound(weight).ceil().max(1.0) {
             full.push(score);
         } else if score > highest {
             highest = score;
--- a/crates/routing/src/rate_limit.rs
+++ b/crates/routing/src/rate_limit.rs
@@ -1,20 +1,22 @@
-//! Limits: a rate with a burst (the generic cell rate algorithm) and a number at once. A request is let in
-//! at once or told an honest time to come back; nothing waits here.
+//! Limits: a rate with a burst (the generic cell rate algorithm) and a concurrency limit. A request is admitted at once
+//! or told when to come back; nothing is queued here.
 //!
 //! Arithmetic is exact: time is counted in nanoseconds times the rate's millionths, so a rate such as
 //! 3 tickets/s gains and loses nothing over a year.
 //!
-//! Invariant of a [`Bucket`]: in any window of length L it lets in at most burst + rate * L requests.
+//! Invariant of a [`Bucket`]: in any window of length L it admits at most burst + rate * L requests.
 
 use rainstand_config::schema::Limits;
 use std::time::Duration;
 
-/// A rate as the schema has it: `micro` millionths of a request in each `per` ns; and what may come at once.
+/// A rate as in the schema, and its burst.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RateLimit {
+    /// Millionths of a request in each period.
     pub micro_requests: u64,
+    /// The period, in ns.
     pub per_ns: u64,
-    /// Requests; at least 1.
+    /// Requests that may arrive at once; at least 1.
     pub burst: u64,
 }
 
@@ -30,11 +32,12 @@
     }
 }
 
-/// What limits say at one place; both may be absent.
+/// The rule of one limit; both parts may be absent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LimitRule {
+    /// The rate, if there is one.
     pub pace: Option<RateLimit>,
-    /// Requests at once; 0: no limit.
+    /// Requests in flight; 0: no limit.
     pub max_concurrent: u64,
 }
 
@@ -55,29 +58,29 @@
     }
 }
 
-/// The state of one limit at one place for one key.
+/// The state of one limit at one scope for one key.
 #[derive(Clone, Debug, Default)]
 pub struct Bucket {
-    /// When the burst will be whole again, in scaled time of the present pace.
+    /// When the full burst will be available again, in scaled time of the current rate.
     full_at: u128,
-    /// Requests let in that have not ended.
+    /// Admitted requests that have not ended.
     pub in_flight: u64,
 }
 
-/// Why a bucket lets nothing in now.
+/// Why a bucket admits no request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitExceeded {
     /// The rate is used up until then.
     RateUntil(Duration),
-    /// As many as may be are inside; when one leaves is not known here.
+    /// The concurrency limit is reached; when a request ends is not known here.
     Concurrency,
 }
 
 impl Bucket {
-    /// Whether a request may come in now; nothing changes.
+    /// Checks whether a request may be admitted now; nothing changes.
     ///
     /// # Errors
-    /// Why not, and from when on it may, unless others use the room first.
+    /// Why not, and from when on it may, unless others are admitted first.
     pub fn check(&self, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
         if rule.max_concurrent > 0 && self.in_flight >= rule.max_concurrent {
             return Err(LimitExceeded::Concurrency);
@@ -95,7 +98,7 @@
         )))
     }
 
-    /// Nobody is inside and the burst is whole: it is as one that was never used.
+    /// Whether no request is in flight and the full burst is available, as in a new bucket.
     pub fn is_idle(&self, rule: &LimitRule, now: Duration) -> bool {
         self.in_flight == 0
             && rule
@@ -103,7 +106,7 @@
                 .is_none_or(|pace| self.full_at <= pace.scaled(now))
     }
 
-    /// Lets one in; the caller looked before.
+    /// Admits a request; the caller checked before.
     pub fn acquire(&mut self, rule: &LimitRule, now: Duration) {
         self.in_flight += 1;
         if let Some(pace) = rule.pace {
@@ -111,13 +114,13 @@
         }
     }
 
-    /// One that was let in is over.
+    /// Records the end of an admitted request.
     pub fn release(&mut self) {
         debug_assert!(self.in_flight > 0, "more left than came in");
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// The same state under another rule: requests that are owed stay owed, in requests, up to the new burst.
+    /// Converts the state to another rule: the debt stays the same in requests, up to the new burst.
     pub fn set_rules(&mut self, old: &LimitRule, new: &LimitRule, now: Duration) {
         let (Some(from), Some(to)) = (old.pace, new.pace) else {
             self.full_at = 0;
@@ -127,7 +130,7 @@
             return;
         }
         let owed = self.full_at.saturating_sub(from.scaled(now));
-        // Rounded up: a change must not let more through.
+        // Rounded up: a change must not admit more.
         let owed = (owed.saturating_mul(to.cost())).div_ceil(from.cost().max(1));
         let most = to.cost() * u128::from(to.burst);
         self.full_at = to.scaled(now) + owed.min(most);
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -305,7 +305,7 @@
 
     /// Buckets that are in use, and for how many there is room already.
     pub fn buckets(&self) -> (usize, usize) {
-        (self.buckets.in_use(), self.buckets.room())
+        (self.buckets.in_use(), self.buckets.capacity())
     }
 
     /// Decides about a request: its route, or when to come back. A pool whose own limits are exceeded is passed over as
@@ -464,16 +464,21 @@
     }
 
     /// Records the end of an admitted request, whatever came of it.
-    pub fn on_completed(&mut self, way: RouteDecision) {
-        for slot in way
-            .held_buckets
-            .into_iter()
-            .filter(|slot| *slot != NO_BUCKET)
-        {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a decision is handed back exactly once"
+    )]
+    pub fn on_completed(&mut self, decision: RouteDecision) {
+        let RouteDecision {
+            version,
+            held_buckets,
+            ..
+        } = decision;
+        for slot in held_buckets.into_iter().filter(|slot| *slot != NO_BUCKET) {
             self.buckets.release(slot);
         }
         self.counts.completed += 1;
-        let Some(at) = self.find(way.version) else {
+        let Some(at) = self.find(version) else {
             debug_assert!(false, "a way without its version");
             return;
         };
--- a/crates/routing/src/table/compile.rs
+++ b/crates/routing/src/table/compile.rs
@@ -230,7 +230,9 @@
         match matched.map(|m| &m.types).filter(|names| !names.is_empty()) {
             None => {
                 any_type.set(at, to);
-                by_type.iter_mut().for_each(|row| row.set(at, to));
+                for row in by_type.iter_mut() {
+                    row.set(at, to);
+                }
             }
             Some(names) => {
                 for of in names
--- a/crates/routing/src/table_update.rs
+++ b/crates/routing/src/table_update.rs
@@ -1,12 +1,11 @@
-//! A change of named things, applied to the present version: what it costs goes by what it says.
+//! Updates of single entries, applied to the table in place: the cost depends on what is changed.
 //!
-//! Nothing is rebuilt. A thing that is put replaces the one of its name, or is new; a new route shifts the bits behind
-//! its place; one that is removed leaves its place to the last of its kind, and what refers to that one is told.
-//! What a change touches of the table beside that is counted in words that are moved, not in things made anew.
+//! Nothing is rebuilt. An entry that is put replaces the one of its name, or is appended; a new route shifts the bits
+//! behind it; a removed entry leaves its index to the last of its kind, and references to that one are updated.
 //!
-//! Whole or not at all: things are put in the order in which they refer to each other, each is checked before anything
-//! is altered, and what was put is taken back if a later one is refused. Removals come last, when all of them have
-//! been checked and no way is left to fail.
+//! Updates are atomic. Entries are put in the order in which they refer to each other, each is checked before anything
+//! is altered, and what was put is undone if a later one is refused. Removals come last, once all of them have been
+//! checked and nothing can fail any more.
 
 mod change;
 
@@ -20,7 +19,7 @@
 use rainstand_config::schema;
 use std::time::Duration;
 
-/// Puts a thing in its place in a list: the one that was there, or none if it is new.
+/// Replaces the entry of this name in a list, or appends it; its index, and the entry that it replaced.
 fn put<T: Named>(
     all: &mut Vec<T>,
     names: &mut NameIndex,
@@ -38,25 +37,23 @@
     Ok((at, None))
 }
 
-/// The same where nothing but their names leads to things of a kind.
+/// As [`put`], for kinds of entries that are referred to by name alone.
 fn put_by_name<T: Named>(all: &mut Vec<T>, thing: T) -> Option<T> {
-    match all.iter_mut().find(|one| one.name() == thing.name()) {
-        Some(there) => Some(std::mem::replace(there, thing)),
-        None => {
-            all.push(thing);
-            None
-        }
+    if let Some(entry) = all.iter_mut().find(|one| one.name() == thing.name()) {
+        return Some(std::mem::replace(entry, thing));
     }
+    all.push(thing);
+    None
 }
 
 fn find_by_name<T: Named>(all: &[T], name: &str) -> Result<(), ConfigurationError> {
-    match all.iter().any(|one| one.name() == name) {
-        true => Ok(()),
-        false => Err(ConfigurationError::NotFound {
-            kind: T::KIND,
-            name: name.to_owned(),
-        }),
+    if all.iter().any(|one| one.name() == name) {
+        return Ok(());
     }
+    Err(ConfigurationError::NotFound {
+        kind: T::KIND,
+        name: name.to_owned(),
+    })
 }
 
 fn remove_by_name<T: Named>(all: &mut Vec<T>, name: &str) {
@@ -110,10 +107,10 @@
 type Undo = Vec<TableChange>;
 
 impl Table {
-    /// Applies a change, whole or not at all.
+    /// Applies all changes, or none of them.
     ///
     /// # Errors
-    /// What cannot be, as [`Table::of`]; a thing that is named twice, or removed while something refers to it.
+    /// As [`Table::of`]; also if an entry is named twice, or is removed while another refers to it.
     pub fn apply(&mut self, changes: &[TableChange]) -> Result<(), ConfigurationError> {
         let mut named = HashSet::with_capacity(changes.len());
         if let Some(twice) = changes.iter().find(|change| !named.insert(change.key())) {
@@ -191,7 +188,10 @@
         gone().try_for_each(|(kind, name)| self.check_unreferenced(kind, name))
     }
 
-    /// A thing without what it refers to, if it refers to anything; refused if it is not there.
+    /// The change that drops all references of an entry, if it has any.
+    ///
+    /// # Errors
+    /// If there is no such entry.
     fn without_references(
         &self,
         kind: EntryKind,
@@ -229,8 +229,10 @@
         })
     }
 
+    /// Checks that no entry refers to this one.
+    ///
     /// # Errors
-    /// If something refers to it.
+    /// If one does, or if there is no such entry.
     fn check_unreferenced(&self, kind: EntryKind, name: &str) -> Result<(), ConfigurationError> {
         let (c, index) = (&self.configuration, &self.index);
         let referred = match kind {
@@ -267,13 +269,13 @@
             }
             EntryKind::Attempts | EntryKind::Health | EntryKind::Route => false,
         };
-        match referred {
-            true => Err(ConfigurationError::StillReferenced {
+        if referred {
+            return Err(ConfigurationError::StillReferenced {
                 kind: kind.as_str(),
                 name: name.to_owned(),
-            }),
-            false => Ok(()),
+            });
         }
+        Ok(())
     }
 
     /// Puts or removes one entry; returns the change that undoes it. Nothing has changed if it is refused.
--- a/crates/routing/src/time_budget.rs
+++ b/crates/routing/src/time_budget.rs
@@ -1,8 +1,8 @@
-//! How much time each stage of a request may still take, of its goal time.
+//! Divides the latency objective of a request among its stages.
 //!
-//! A stage ends when what the stages behind it are promised is all that is left. Time that an earlier
-//! stage did not need is there for the later ones; time that it took too long is lost by the stage that
-//! follows first, so that the answer still goes out in time.
+//! The deadline of a stage leaves the time that the later stages are promised. Time that a stage does not need is left
+//! to the later ones; time by which it overruns is taken from the next stage first, so that the answer still goes out
+//! in time.
 
 use rainstand_config::schema;
 use rainstand_config::units::ONE;
@@ -11,29 +11,35 @@
 /// The stages in the order in which a request passes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
+    /// In the forwarder.
     Forward,
+    /// In the queue of a node.
     Queue,
+    /// Running.
     Run,
+    /// Calls to other servers.
     Call,
+    /// The way of the answer.
     Answer,
 }
 
-/// What each stage is promised of one goal time.
+/// The deadlines of the stages within one latency objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Times {
+    /// The latency objective.
     pub goal: Duration,
-    /// When each stage must be over, counted from the request's arrival.
+    /// The deadline of each stage, since the request's arrival.
     ends: [Duration; 5],
 }
 
-/// A part of a time, in millionths, rounded down.
+/// A part of a time, rounded down. `share`: in millionths.
 pub fn part(of: Duration, share: u64) -> Duration {
     let ns = of.as_nanos() * u128::from(share) / u128::from(ONE);
     Duration::from_nanos(u64::try_from(ns).unwrap_or(u64::MAX))
 }
 
 impl Times {
-    /// Without a budget every stage may take all there is.
+    /// Without a budget every stage may take the whole objective.
     pub fn new(goal: Duration, budget: Option<&schema::Budget>) -> Self {
         let stages = budget.map_or([None; 5], |b| [b.forward, b.queue, b.run, b.call, b.answer]);
         let promised = stages.map(|stage| {
--- a/crates/routing/src/token_buckets.rs
+++ b/crates/routing/src/token_buckets.rs
@@ -1,9 +1,9 @@
-//! The buckets of limits: made when first used, known by name over versions, bounded in number.
+//! The buckets of limits: created on first use, known by name across versions, bounded in number.
 //!
-//! A limit by key has as many buckets as there are keys, and 5,400 routes that limit each of 23,000 tenants would
-//! have 124 million, of which few are ever used. So one is made when a request enters it, and given back when it is
-//! idle: nobody is inside and its burst is whole again. Such a bucket is as good as one that was never used, to the
-//! nanosecond, so giving it back lets nobody gain a burst; one that still owes, or has somebody inside, is kept.
+//! A limit by key has as many buckets as there are keys, and 5,400 routes that limit each of 23,000 tenants would have
+//! 124 million, of which few are ever used. A bucket is therefore created when a request acquires it, and freed when it
+//! is idle: no request is in flight and its full burst is available. It then equals a new one to the nanosecond, so
+//! freeing it lets nobody gain a burst.
 //!
 //! Idle ones are found by a hand that goes round, as a clock's: each new bucket moves it on by `SLOTS_PER_NEW_BUCKET`, so of all
 //! there are at most half are idle ones that were left lying while others came; and each look at the time by an
@@ -36,13 +36,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Key {
     /// The kind and name of the place where the limit stands, and what it is kept by.
-    pub place: u64,
+    pub(crate) place: u64,
     /// The name of that; 0 where it is not kept by anything, or by a tenant that nobody knows.
     of: u64,
 }
 
 impl Key {
-    pub fn new(at: LimitScope, name: &str, per: Per, of: Option<&str>) -> Self {
+    /// `of`: the name of what the limit is kept by.
+    pub(crate) fn new(at: LimitScope, name: &str, per: Per, of: Option<&str>) -> Self {
         // Not as the hash's seed: with names of three letters another seed came to the hash of another name.
         let kind = ((at as u64) << 8 | per as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         Self {
@@ -60,7 +61,7 @@
     used: bool,
 }
 
-/// See the module's head.
+/// All buckets. See the module's documentation.
 #[derive(Debug)]
 pub(crate) struct Buckets {
     index: HashMap<Key, u32>,
@@ -83,15 +84,18 @@
 }
 
 impl Buckets {
-    pub fn set_max(&mut self, most: usize) {
+    /// Sets the number of buckets; at most [`MAX_BUCKETS`].
+    pub(crate) fn set_max(&mut self, most: usize) {
         self.most = most.min(MAX_BUCKETS);
     }
 
-    pub fn in_use(&self) -> usize {
+    /// Buckets in use.
+    pub(crate) fn in_use(&self) -> usize {
         self.slots.len() - self.free.len()
     }
 
-    pub fn room(&self) -> usize {
+    /// Buckets for which memory is allocated.
+    pub(crate) fn capacity(&self) -> usize {
         self.slots.len()
     }
 
@@ -99,7 +103,12 @@
     ///
     /// # Errors
     /// As [`Bucket::check`].
-    pub fn check(&self, key: &Key, rule: &LimitRule, now: Duration) -> Result<(), LimitExceeded> {
+    pub(crate) fn check(
+        &self,
+        key: &Key,
+        rule: &LimitRule,
+        now: Duration,
+    ) -> Result<(), LimitExceeded> {
         match self.index.get(key) {
             Some(slot) => self.slots[*slot as usize].bucket.check(rule, now),
             None => Ok(()),
@@ -107,7 +116,7 @@
     }
 
     /// Whether there is room for all of these, after idle ones have been looked for where some are new.
-    pub fn make_room<K: Iterator<Item = Key>>(
+    pub(crate) fn make_room<K: Iterator<Item = Key>>(
         &mut self,
         keys: impl Fn() -> K,
         now: Duration,
@@ -130,7 +139,7 @@
     }
 
     /// Lets a request in; the caller looked before, and made room. The slot that it holds until it leaves.
-    pub fn acquire(&mut self, key: Key, rule: &LimitRule, now: Duration) -> u32 {
+    pub(crate) fn acquire(&mut self, key: Key, rule: &LimitRule, now: Duration) -> u32 {
         let Self {
             index, slots, free, ..
         } = self;
@@ -152,13 +161,14 @@
         at
     }
 
-    pub fn release(&mut self, slot: u32) {
+    /// Records the end of a request in the bucket of a slot.
+    pub(crate) fn release(&mut self, slot: u32) {
         self.slots[slot as usize].bucket.release();
     }
 
     /// A version's rules, by `Key::place`: what is there goes on under them. A bucket of a place that they do not
     /// name keeps its own until it is idle.
-    pub fn set_rules(&mut self, rules: &HashMap<u64, LimitRule>, now: Duration) {
+    pub(crate) fn set_rules(&mut self, rules: &HashMap<u64, LimitRule>, now: Duration) {
         for slot in self.slots.iter_mut().filter(|slot| slot.used) {
             if let Some(rule) = rules.get(&slot.key.place) {
                 slot.bucket.set_rules(&slot.rule, rule, now);
@@ -167,8 +177,8 @@
         }
     }
 
-    /// Time passes.
-    pub fn sweep(&mut self, now: Duration) {
+    /// Frees idle buckets among the next part of the slots.
+    pub(crate) fn sweep(&mut self, now: Duration) {
         self.reclaim_idle(self.slots.len().div_ceil(TICKS_PER_SWEEP), now);
         if self.in_use() == 0 && self.slots.len() > INITIAL_CAPACITY {
             *self = Self {
--- a/crates/routing/src/weighted_split.rs
+++ b/crates/routing/src/weighted_split.rs
@@ -1,17 +1,17 @@
-//! Parting requests by share. By entity with weighted rendezvous hashing: each target's score for an entity
-//! depends on the two alone, so when a target leaves only its own entities move, and when it comes back
-//! they return. By chance otherwise.
+//! Splits requests by share. By entity, with weighted rendezvous hashing: a target's score for an entity depends on the
+//! two alone, so when a target leaves only its own entities move, and when it comes back they return. At random
+//! otherwise.
 
 use nanorand::{Rng, WyRand};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// What a name stands for in scores: the same in every process and version.
+/// The hash of a name: the same in every process and version.
 pub fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
-/// How much a target wants an entity; the highest wins. Weighted rendezvous hashing: -w / ln(u), where u
-/// is uniform in (0, 1) over entities, gives each target its weight's part of them.
+/// The score of a target for an entity; the highest wins. Weighted rendezvous hashing: -w / ln(u), where u is uniform in
+/// (0, 1) over entities, gives each target its weight's part of them.
 pub fn score(mark: u64, weight: u64, entity: &str) -> f64 {
     let hash = xxh3_64_with_seed(entity.as_bytes(), mark);
     // 53 bits, kept off both ends: 0 has no logarithm, and that of 1 is 0.
@@ -19,9 +19,9 @@
     weight as f64 / -uniform.ln()
 }
 
-/// The target that an entity goes to, of those that can be used; ties go to the first.
+/// Selects the target of an entity, of those that can be used; ties go to the first.
 ///
-/// `targets`: mark and weight of each; a weight of 0 is never taken.
+/// `targets`: hash and weight of each; a weight of 0 is never selected.
 pub fn by_entity(
     targets: impl Iterator<Item = (u64, u64)>,
     entity: &str,
@@ -40,24 +40,20 @@
     best.map(|(k, _)| k)
 }
 
-/// A target by chance, in proportion to the weights of those that can be used.
+/// Selects a target at random, in proportion to the weights of those that can be used.
 pub fn by_chance(
     weights: impl Iterator<Item = u64> + Clone,
     chance: &mut WyRand,
     usable: impl Fn(usize) -> bool,
 ) -> Option<usize> {
-    let open = || {
-        weights
-            .clone()
-            .enumerate()
-            .filter(|(k, weight)| *weight > 0 && usable(*k))
-    };
-    let all: u64 = open().map(|(_, weight)| weight).sum();
-    if all == 0 {
+    let usable = |(k, weight): &(usize, u64)| *weight > 0 && usable(*k);
+    let candidates = weights.enumerate().filter(usable);
+    let total: u64 = candidates.clone().map(|(_, weight)| weight).sum();
+    if total == 0 {
         return None;
     }
-    let mut left = chance.generate_range(0..all);
-    for (k, weight) in open() {
+    let mut left = chance.generate_range(0..total);
+    for (k, weight) in candidates {
         if left < weight {
             return Some(k);
         }
