--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -1,115 +1,122 @@
-//! Orders of the decision module, carried out: commands to the agent, calls below, answers.
+//! Orders of the policy, carried out: commands to the agent, calls to the tier below, answers.
 
 use crate::counters::count;
-use crate::request::{CallState, RunState};
-use crate::request_table::RequestTable;
+use crate::request::{CallState, RunState, Waiter};
+use crate::request_table::{FinishedRun, RequestTable};
 use crate::result_cache::{body_checksum, CachedResult};
-use crate::{dispatch, idempotency, note, often};
+use crate::{dispatch, idempotency, log_event, log_frequent};
 use rainstand::{Host, Outcome};
 use std::time::{Duration, Instant};
 
 impl Host for RequestTable {
-    fn run(&mut self, ix: usize) {
-        let (agent, counts) = (self.agent.clone(), self.counts.clone());
-        let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) else {
-            return;
-        };
-        match t.run {
-            RunState::Queued if t.claim.is_some() => idempotency::start(self, ix),
+    fn run(&mut self, index: usize) {
+        let slot = self.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot else { return };
+        match request.run {
+            RunState::Queued if request.claim.is_some() => idempotency::claim(self, index),
             RunState::Queued => {
-                t.run = RunState::Launched;
-                count(&counts.launched);
-                dispatch::launch(&agent, t, &self.class_names);
+                request.run = RunState::Launched;
+                count(&self.counts.launched);
+                dispatch::launch(&self.agent, request, &self.class_names);
             }
             RunState::Paused => {
-                t.run = RunState::Launched;
-                count(&counts.thawed);
-                dispatch::about(&agent, "thaw", t);
+                request.run = RunState::Launched;
+                count(&self.counts.thawed);
+                dispatch::command(&self.agent, "thaw", request);
             }
             RunState::Launched | RunState::Claiming => {}
         }
     }
 
-    fn cancel_run(&mut self, ix: usize) {
-        let (agent, counts, can_stop) = (self.agent.clone(), self.counts.clone(), self.can_pause);
-        if self.ticket(ix).is_some_and(|t| t.claim.is_some()) {
-            return idempotency::left(self, ix);
-        }
-        if let Some(t) = self
-            .ticket(ix)
-            .filter(|t| can_stop && t.run == RunState::Launched)
-        {
-            t.run = RunState::Paused;
-            count(&counts.frozen);
-            dispatch::about(&agent, "freeze", t);
+    fn cancel_run(&mut self, index: usize) {
+        let slot = self.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot else { return };
+        if request.claim.is_some() {
+            idempotency::on_caller_left(self, index);
+        } else if self.can_pause && request.run == RunState::Launched {
+            request.run = RunState::Paused;
+            count(&self.counts.frozen);
+            dispatch::command(&self.agent, "freeze", request);
         }
     }
 
-    /// From what is kept at once, or from the open ticket once its run is over.
-    fn reply_from_cache(&mut self, ix: usize) {
-        let Some(t) = self.ticket(ix) else { return };
-        let (key, prior, serial) = (t.key.clone(), t.retry_of, t.serial);
-        let kept = key
+    /// From the cache at once, or from the open request once its run is over.
+    fn reply_from_cache(&mut self, index: usize) {
+        let Some(request) = self.request_mut(index) else {
+            return;
+        };
+        let (key, prior) = (request.key.clone(), request.retry_of);
+        let waiter = Waiter {
+            index,
+            serial: request.serial,
+        };
+        let cached = key
             .and_then(|key| self.result_cache.get(Instant::now(), &key))
-            .map(|kept| kept.0);
-        if let Some(CachedResult::Result(result)) = kept {
-            self.finish(ix, Outcome::Succeeded, &result);
-            self.run_ends.push_back((ix, Outcome::Succeeded));
-        } else if let Some(prior) = prior.and_then(|prior| self.ticket(prior)) {
-            prior.waiters.push((ix, serial));
+            .map(|cached| cached.result);
+        let outcome = if let Some(CachedResult::Result(result)) = cached {
+            self.finish(index, Outcome::Succeeded, &result);
+            Outcome::Succeeded
+        } else if let Some(prior) = prior.and_then(|prior| self.request_mut(prior)) {
+            prior.waiters.push(waiter);
+            return;
         } else {
-            self.finish(ix, Outcome::Failed, &[]);
-            self.run_ends.push_back((ix, Outcome::Failed));
-        }
+            self.finish(index, Outcome::Failed, &[]);
+            Outcome::Failed
+        };
+        self.run_ends.push_back(FinishedRun { index, outcome });
     }
 
-    /// There is room for it: that was looked at before the module heard of the ticket.
-    fn keep(&mut self, ix: usize, span: Duration) {
+    /// The cache has capacity for it: that was checked before the policy heard of the request.
+    fn cache_result(&mut self, index: usize, span: Duration) {
         let now = Instant::now();
-        if let Some(t) = self.tickets.get_mut(ix).and_then(Option::as_mut) {
-            t.caches_result = t.key.as_ref().is_some_and(|key| {
-                self.result_cache
-                    .open(now, key, now + span, body_checksum(&t.body))
+        if let Some(request) = self.requests.get_mut(index).and_then(Option::as_mut) {
+            request.caches_result = request.key.as_ref().is_some_and(|key| {
+                let checksum = body_checksum(&request.body);
+                self.result_cache.open(now, key, now + span, checksum)
             });
         }
     }
 
-    fn forget(&mut self, ix: usize) {
-        self.close_key(ix, Outcome::NeverStarted, &[]);
+    fn discard_result(&mut self, index: usize) {
+        self.close_key(index, Outcome::NeverStarted, &[]);
     }
 
-    fn reject(&mut self, ix: usize, come_back: Duration, nowhere_else: bool) {
-        if let Some(owed) = self.ticket(ix).and_then(|t| t.reply.take()) {
-            owed.reject(&self.counts, come_back, nowhere_else);
+    fn reject(&mut self, index: usize, come_back: Duration, nowhere_else: bool) {
+        if let Some(reply) = self.take_reply(index) {
+            reply.reject(&self.counts, come_back, nowhere_else);
         }
     }
 
-    fn give_up(&mut self, ix: usize) {
-        let Some(t) = self.ticket(ix) else { return };
-        if let Some(owed) = t.reply.take() {
-            often!(
+    fn fail(&mut self, index: usize) {
+        let Some(request) = self.request_mut(index) else {
+            return;
+        };
+        let trace = request.trace;
+        if let Some(reply) = request.reply.take() {
+            log_frequent!(
                 "ticket_given_up",
                 "ticket given up",
-                trace = t.trace.escape_ascii()
+                trace = trace.escape_ascii()
             );
-            owed.fail(&self.counts);
+            reply.fail(&self.counts);
         }
     }
 
-    fn call(&mut self, ix: usize, until: Duration) {
-        let left = until.saturating_sub(self.now());
-        dispatch::call(self, ix, left);
+    fn call_downstream(&mut self, index: usize, until: Duration) {
+        let time_left = until.saturating_sub(self.now());
+        dispatch::call(self, index, time_left);
     }
 
-    fn reply_degraded(&mut self, ix: usize) {
-        let (agent, counts) = (self.agent.clone(), self.counts.clone());
-        let Some(t) = self.ticket(ix) else { return };
-        if let Some((_, _, call)) = &mut t.call {
-            count(&counts.forgone);
-            if let CallState::InProgress(task) = std::mem::replace(call, CallState::Skipped) {
+    fn reply_degraded(&mut self, index: usize) {
+        let slot = self.requests.get_mut(index).and_then(Option::as_mut);
+        let Some(request) = slot else { return };
+        if let Some(call) = &mut request.call {
+            count(&self.counts.forgone);
+            let before = std::mem::replace(&mut call.state, CallState::Skipped);
+            if let CallState::InProgress(task) = before {
                 task.abort();
             }
-            dispatch::call_result(&agent, t);
+            dispatch::call_result(&self.agent, request);
         }
     }
 
@@ -118,7 +125,7 @@
 
     fn set_health(&mut self, good: bool) {
         self.healthy = good;
-        note!("checks", "checks", good = good);
+        log_event!("checks", "checks", good = good);
     }
 
     fn close_idle_after(&mut self, span: Duration) {
@@ -130,21 +137,21 @@
         self.wake_at = Some(self.wake_at.map_or(at, |before| before.min(at)));
     }
 
-    fn release(&mut self, ix: usize) {
+    fn release(&mut self, index: usize) {
         // One that leaves with its key still open never ran.
-        self.close_key(ix, Outcome::NeverStarted, &[]);
-        let Some(mut ticket) = self.take(ix) else {
+        self.close_key(index, Outcome::NeverStarted, &[]);
+        let Some(mut request) = self.remove(index) else {
             return;
         };
-        if let Some((_, _, CallState::InProgress(task))) = ticket.call.take() {
-            task.abort();
+        if let Some(call) = request.call.take() {
+            call.abort();
         }
-        // Guards against a ticket that leaves the books unanswered: an error is better than silence.
-        if let Some(owed) = ticket.reply.take() {
+        // A request must not leave the table unanswered: an error is better than silence.
+        if let Some(reply) = request.reply.take() {
             count(&self.counts.unsettled);
-            owed.fail(&self.counts);
+            reply.fail(&self.counts);
         }
-        for waiter in ticket.waiters {
+        for waiter in request.waiters {
             self.finish_waiter(waiter, Outcome::Failed, &[]);
         }
     }
--- a/crates/testbed/src/scale/forwarders.rs
+++ b/crates/testbed/src/scale/forwarders.rs
@@ -154,7 +154,7 @@
             unit,
             by,
             limit,
-            note: "crates/routing/src/table.rs, versions.rs; the process compiles the text, crates/config",
+            note: "crates/routing/src/table.rs, router.rs; the process compiles the text, crates/config",
             counted: false,
         }
         };
--- a/crates/testbed/src/scale/groups.rs
+++ b/crates/testbed/src/scale/groups.rs
@@ -7,7 +7,8 @@
 use super::{limits, settings, Effort, Named, Place, Row, Sizes};
 use crate::process::{free_port, program};
 use crate::proxy::Proxy;
-use rainstand_cluster::{status, transport::with_length_prefix};
+use rainstand_cluster::framing::with_length_prefix;
+use rainstand_cluster::status;
 use rainstand_config::schema::{self, Configuration};
 use rainstand_config::source::Memory;
 use std::collections::BTreeMap;
@@ -340,7 +341,7 @@
         .iter()
         .map(|(n, seen)| (*n, seen.own - first))
         .collect();
-    let links = "crates/cluster/src/links.rs, each linked to each";
+    let links = "crates/cluster/src/transport.rs, each linked to each";
     let mut rows = vec![
         Row::fitted(
             &named(
