--- a/crates/routing/tests/buckets.rs
+++ b/crates/routing/tests/buckets.rs
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn limits_by_tenant_on_each_of_5_400_routes_for_23_000_tenants_are_taken() {
+fn limits_by_tenant_on_5_400_routes_for_23_000_tenants_are_accepted() {
     let all = limited(5_400, 23_000, 100, 1, 0);
     let mut router = Router::new(&all, 1).expect("it starts");
     assert_eq!(router.buckets(), (0, 0));
@@ -142,7 +142,7 @@
 }
 
 #[test]
-fn giving_idle_buckets_back_changes_no_decision() {
+fn freeing_idle_buckets_changes_no_decision() {
     const ROUTES: usize = 3;
     const TENANTS: usize = 400;
     for seed in 0..24 {
@@ -227,7 +227,7 @@
 }
 
 #[test]
-fn a_crowd_that_moves_on_leaves_nothing_behind() {
+fn buckets_of_past_tenants_are_freed() {
     // Each comes once, at 1,000 a second, and owes for 100 ms: a hundred are in use at a time.
     let mut router = Router::new(&limited(1, 60_000, 10, 1, 0), 1).unwrap();
     for n in 0..60_000u64 {
@@ -244,7 +244,7 @@
 }
 
 #[test]
-fn past_the_bound_a_ticket_is_told_to_come_back_and_has_used_nothing() {
+fn past_the_bound_a_request_is_rejected_and_takes_nothing() {
     const MOST: usize = 300;
     let mut all = limited(1, 1_000, 10, 1, 0);
     // A second limit, for the type, of which one dismissed by the bound must use nothing.
--- a/crates/routing/tests/change.rs
+++ b/crates/routing/tests/change.rs
@@ -351,7 +351,7 @@
 }
 
 #[test]
-fn a_change_decides_as_the_whole_taken_anew() {
+fn an_update_decides_as_a_full_reload() {
     let (mut taken, mut refused, mut went, mut turned) = (0, 0, 0, 0);
     for seed in 0..60 {
         let mut chance = Chance(WyRand::new_seed(seed));
@@ -434,7 +434,7 @@
 }
 
 #[test]
-fn a_change_that_cannot_be_is_told_and_leaves_all_as_it_was() {
+fn an_invalid_update_is_refused_and_changes_nothing() {
     let mut chance = Chance(WyRand::new_seed(3));
     let mut all = whole(0, &mut chance);
     let route = |name: &str, pool: &str| schema::Route {
--- a/crates/routing/tests/change_cost.rs
+++ b/crates/routing/tests/change_cost.rs
@@ -150,7 +150,7 @@
 }
 
 #[test]
-fn a_change_costs_by_what_it_says_and_not_by_the_table() {
+fn the_cost_of_an_update_does_not_depend_on_the_table() {
     // Both just under a power of two, so that no list has to grow where it is counted.
     let (small, large) = (costs(54, 230), costs(5_400, 23_000));
     assert_eq!(small, large);
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -271,7 +271,7 @@
 }
 
 #[test]
-fn all_fail_at_once_and_come_back() {
+fn service_recovers_after_all_members_fail_at_once() {
     let mut played = play(fleet(5, "none"), 200, 20, |_, t, chance| match t {
         5_000..10_000 => (AttemptOutcome::Failed, 2, true),
         _ => (AttemptOutcome::Served, chance.generate_range(10..30), true),
@@ -290,7 +290,7 @@
 }
 
 #[test]
-fn one_that_fails_fast_gets_no_more_than_its_part() {
+fn a_member_that_fails_fast_attracts_no_extra_load() {
     let mut played = play(
         fleet(5, "none"),
         200,
@@ -319,7 +319,7 @@
 }
 
 #[test]
-fn one_that_hangs_holds_only_what_is_there() {
+fn a_hanging_member_holds_only_its_open_requests() {
     let mut played = play(fleet(5, "none"), 200, 12, |member, t, chance| {
         match (member, t) {
             (0, 3_000..) => (AttemptOutcome::Served, 100_000, true),
@@ -338,7 +338,7 @@
 }
 
 #[test]
-fn broken_connections_run_nothing_exclusive_twice() {
+fn broken_connections_run_no_exclusive_request_twice() {
     // A fifth of all tries lose their connection, half of those after they ran; members are restarted in turn.
     let mut played = play(fleet(5, "none"), 200, 15, |member, t, chance| {
         if (t / 1_000) as usize % 5 == member && t % 1_000 < 300 {
@@ -365,7 +365,7 @@
 }
 
 #[test]
-fn a_caller_that_leaves_during_a_wait_frees_nothing_twice() {
+fn a_caller_that_leaves_during_a_backoff_releases_nothing_twice() {
     let mut fleet = fleet(1, "none");
     let now = Duration::from_millis;
     let request = Request {
@@ -409,7 +409,7 @@
 }
 
 #[test]
-fn a_member_that_is_left_out_is_told_once() {
+fn an_ejection_is_reported_once() {
     let mut fleet = fleet(3, "not-run");
     let mut told = Vec::new();
     for t in 0..200u64 {
@@ -450,7 +450,7 @@
 }
 
 #[test]
-fn a_told_pause_is_kept_and_passed_on() {
+fn a_pause_is_kept_and_passed_on() {
     let mut played = play(fleet(2, "not-run"), 100, 4, |member, t, _| {
         match (member, t) {
             (0, 1_000..2_000) => (
@@ -500,7 +500,7 @@
 }
 
 #[test]
-fn bugs_planted_on_purpose_are_caught() {
+fn seeded_bugs_are_caught() {
     let (_, found) = play_with(fleet(5, "none"), 100, 10, breaks, Bug::None);
     assert_eq!(found, Ok(()));
     let (_, found) = play_with(fleet(5, "none"), 100, 10, breaks, Bug::BrokenIsUnreachable);
@@ -524,7 +524,7 @@
 
 /// Tenants with a part of the pool, and a flood of made-up ones at ten times what the pool can do.
 #[test]
-fn a_flood_of_made_up_tenants_leaves_known_ones_their_room() {
+fn a_flood_of_unknown_tenants_leaves_configured_ones_their_share() {
     let mut fleet = fleet(4, "none");
     // Each member does one request a millisecond, in order; 4,000 a second in all.
     let mut busy = [0u64; 4];
@@ -584,7 +584,7 @@
 
 /// A version that numbers pools anew must not keep the places of requests that are out.
 #[test]
-fn places_are_given_back_when_pools_get_other_numbers() {
+fn places_are_released_when_pools_get_other_indices() {
     let text = |first: &str| {
         format!(
             "rain 1
--- a/crates/routing/tests/fleet_change.rs
+++ b/crates/routing/tests/fleet_change.rs
@@ -18,7 +18,7 @@
 
 /// A fleet of some pools and tenants, and changes of all that a fleet keeps by place.
 #[test]
-fn changes_among_trips_leave_no_count_behind() {
+fn updates_among_open_requests_leak_no_count() {
     let pool = |name: usize, members: &[usize], limits: &str| {
         let member = |n: &usize| schema::Member {
             name: format!("n{n}"),
@@ -233,7 +233,7 @@
 
 /// Both ways of taking a version, with the same members: what the configuration says of health is in force.
 #[test]
-fn health_is_judged_by_the_rules_of_the_present_version() {
+fn health_is_evaluated_by_the_rules_of_the_current_version() {
     let whole = |out_after| {
         let member = |n| schema::Member {
             address: format!("10.0.0.{n}:1"),
--- a/crates/routing/tests/no_allocation.rs
+++ b/crates/routing/tests/no_allocation.rs
@@ -36,7 +36,7 @@
 static ALL: Counting = Counting;
 
 #[test]
-fn a_ticket_goes_is_turned_away_and_ends_without_allocating() {
+fn admission_rejection_and_completion_do_not_allocate() {
     let text = "rain 1
 type check { repeat: rerunnable; goal: 3 s; outer-limit: 7 s; limits: few }
 tenant acme { share: 10 % }
@@ -73,7 +73,7 @@
 }
 
 #[test]
-fn a_bucket_is_made_by_its_first_ticket_and_costs_the_next_ones_nothing() {
+fn a_bucket_allocates_only_for_its_first_request() {
     const TENANTS: u16 = 4_000;
     let mut text = String::from(
         "rain 1
--- a/crates/routing/tests/ramp.rs
+++ b/crates/routing/tests/ramp.rs
@@ -479,7 +479,7 @@
 }
 
 #[test]
-fn the_sum_of_all_stays_within_what_a_cold_member_may_get() {
+fn all_senders_together_stay_within_the_limit_of_a_cold_member() {
     for seed in 1..=3 {
         each(|case, name| {
             let played = play(case, seed, KNOB);
@@ -494,7 +494,7 @@
 
 /// A bound that lets nothing through would hold too.
 #[test]
-fn a_cold_member_gets_most_of_what_it_may_and_all_once_it_is_warm() {
+fn a_cold_member_gets_most_of_its_limit_and_everything_once_warm() {
     for senders in [1, 20, 30] {
         let case = Case {
             senders,
@@ -525,7 +525,7 @@
 }
 
 #[test]
-fn without_a_rate_nothing_is_bounded() {
+fn without_a_rate_there_is_no_warm_up_limit() {
     let case = Case {
         senders: 1,
         asked: 2_000.0,
@@ -542,7 +542,7 @@
 
 /// What a sum of senders may send, by the decision alone: those who ask at each moment.
 #[test]
-fn turns_add_up_whoever_joins_forgets_or_reloads() {
+fn turns_add_up_across_joins_restarts_and_reloads() {
     let rule = |senders| {
         WarmUpRule::new(
             RATE,
@@ -609,7 +609,7 @@
 }
 
 #[test]
-fn a_turn_comes_when_it_was_told() {
+fn a_turn_comes_at_the_announced_time() {
     let rule = WarmUpRule::new(RATE, Duration::from_secs(1), 20, Duration::from_secs(10));
     for known in [None, Some(0), Some(5_000)] {
         let mut ramp = WarmUpLimiter::new(rule, 0.3, ms(10_000));
--- a/crates/routing/tests/ways.rs
+++ b/crates/routing/tests/ways.rs
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn fall_backs_come_in_order_and_then_those_of_the_pools() {
+fn route_fallbacks_precede_pool_fallbacks() {
     let mut all = ground();
     all.pools.push(pool("s"));
     all.pools[1].fall_back = "s".into();
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn messages_that_cannot_be_are_refused() {
+fn invalid_configurations_are_refused() {
     type Bend = fn(&mut Configuration);
     let table: [(Bend, &str); 8] = [
         (
@@ -176,7 +176,7 @@
 }
 
 #[test]
-fn limits_count_at_each_place_and_by_key() {
+fn limits_count_at_each_scope_and_by_key() {
     let mut all = ground();
     all.limits = vec![
         limits("by-tenant", 10, 1, 0, Per::Tenant),
@@ -252,7 +252,7 @@
 }
 
 #[test]
-fn whoever_is_turned_away_has_used_nothing() {
+fn a_rejected_request_takes_nothing_from_any_limit() {
     let mut all = ground();
     all.limits = vec![
         limits("type", 1, 1, 0, Per::All),
@@ -296,7 +296,7 @@
 }
 
 #[test]
-fn told_times_stay_within_the_stated_bounds() {
+fn retry_after_stays_within_the_configured_bounds() {
     let mut all = ground();
     all.limits = vec![limits("slow", 1, 1, 0, Per::All)];
     all.retry_after = vec![schema::RetryAfter {
@@ -345,7 +345,7 @@
 }
 
 #[test]
-fn a_hundred_changes_among_ten_thousand_open_tickets() {
+fn a_hundred_versions_among_ten_thousand_open_requests() {
     let mut chance = WyRand::new_seed(11);
     let mut router = Router::new(&turning(0), 1).unwrap();
     let mut open: Vec<(RouteDecision, u64)> = Vec::new();
@@ -443,7 +443,7 @@
 }
 
 #[test]
-fn counts_of_what_stays_carry_over() {
+fn counts_carry_over_to_a_new_version() {
     let with = |at_once: u64, rate: u64| {
         let mut all = ground();
         all.limits = vec![limits("l", rate, 2, at_once, Per::Tenant)];
@@ -524,7 +524,7 @@
 
     /// The rows find the route that the plain meaning finds, and miss for a reason that holds.
     #[test]
-    fn rows_mean_what_matches_mean(matches in proptest::collection::vec(any_route(), 0..90)) {
+    fn bit_rows_equal_the_matches(matches in proptest::collection::vec(any_route(), 0..90)) {
         let mut all = ground();
         all.routes = matches
             .into_iter()
