--- a/crates/forwarder/tests/ramp.rs
+++ b/crates/forwarder/tests/ramp.rs
@@ -1,6 +1,6 @@
 //! Twenty forwarders on sockets before one member that starts anew and counts what comes: with N what its settings
 //! allow in a second of its life, at most 2√N + 2 more may be chance. The decisions have their own table
-//! (`crates/routing/tests/ramp.rs`); here the links tell them what they know of the member.
+//! (`crates/routing/tests/warm_up.rs`); here the links tell them what they know of the member.
 
 #![allow(
     missing_docs,
