Invariants: the checker, its violation and its checks by their plain names

Rules, Broken, saw, look, gone, within, budget and over become InvariantChecker, Violation, record, check_deadlines, check_drained, check_bound, check_retry_budget and finish; texts and step names in outputs stay.

--- a/crates/fleet-model/src/measure.rs
+++ b/crates/fleet-model/src/measure.rs
@@ -1,7 +1,7 @@
 //! What a run came to. Times are microseconds where nothing else is said.
 
 use hdrhistogram::Histogram;
-use rainstand_invariants::Broken;
+use rainstand_invariants::Violation;
 
 /// Times are told apart to three digits, up to an hour.
 const LONGEST_US: u64 = 3_600_000_000;
@@ -90,7 +90,7 @@
     pub cold_tries: u64,
     pub cold_over: f64,
     /// The first rule that broke.
-    pub broken: Option<Broken>,
+    pub broken: Option<Violation>,
 }
 
 impl Measured {
--- a/crates/fleet-model/src/shrink.rs
+++ b/crates/fleet-model/src/shrink.rs
@@ -3,7 +3,7 @@
 
 use crate::plan::Plan;
 use crate::world;
-use rainstand_invariants::Broken;
+use rainstand_invariants::Violation;
 use std::time::Duration;
 
 /// Runs that a search may take: each is shorter than the last.
@@ -15,11 +15,11 @@
 #[derive(Clone, Debug)]
 pub struct Shrunk {
     pub plan: Plan,
-    pub broken: Broken,
+    pub broken: Violation,
     pub runs: u32,
 }
 
-fn breaks(plan: &Plan, rule: u8) -> Option<Broken> {
+fn breaks(plan: &Plan, rule: u8) -> Option<Violation> {
     world::run(plan)
         .ok()?
         .broken
--- a/crates/fleet-model/src/world.rs
+++ b/crates/fleet-model/src/world.rs
@@ -18,7 +18,7 @@
 use rainstand::Outcome;
 use rainstand_config::schema::{self, Configuration, Proof, RepeatKind, SplitBy};
 use rainstand_config::units::ONE;
-use rainstand_invariants::{Answer, Kind, Rules, Step as Saw};
+use rainstand_invariants::{Answer, InvariantChecker, Kind, Step as Saw};
 use rainstand_routing::fleet::{AttemptOutcome, Fleet, NextAction, RequestOutcome, RequestState};
 use rainstand_routing::member_selection;
 use rainstand_routing::retry::INITIAL_RETRIES;
@@ -198,7 +198,7 @@
     turns: Vec<u32>,
     /// Nodes that each fault meets.
     met: Vec<Vec<u32>>,
-    rules: Rules,
+    rules: InvariantChecker,
     measured: Measured,
     under: Vec<Under>,
     calls: HashMap<u32, Call>,
@@ -497,7 +497,7 @@
             turns: (0..plan.dispatchers).collect(),
             met: meets(plan),
             // A run may come as late as the longest hang; then nobody asks for it.
-            rules: Rules::forgetting(longest * 2),
+            rules: InvariantChecker::with_retention(longest * 2),
             measured: Measured::new(
                 plan.seed,
                 plan.types.len(),
@@ -556,7 +556,7 @@
     fn end(mut self) -> Measured {
         let now = self.queue.now();
         if self.plan.check && self.measured.broken.is_none() {
-            self.measured.broken = self.rules.over(Duration::from_nanos(now)).err();
+            self.measured.broken = self.rules.finish(Duration::from_nanos(now)).err();
         }
         for (k, place) in self.places.iter_mut().enumerate() {
             self.measured.node_busy_ms[k] += place.node.used_ms(now);
@@ -578,7 +578,7 @@
     fn saw(&mut self, ticket: u32, step: Saw) {
         if self.plan.check {
             let at = Duration::from_nanos(self.queue.now());
-            if let Err(broken) = self.rules.saw(at, u64::from(ticket), step) {
+            if let Err(broken) = self.rules.record(at, u64::from(ticket), step) {
                 self.measured.broken.get_or_insert(broken);
             }
         }
@@ -699,13 +699,13 @@
             Event::Rules => {
                 if self.plan.check {
                     let at = Duration::from_nanos(now);
-                    if let Err(broken) = self.rules.look(at) {
+                    if let Err(broken) = self.rules.check_deadlines(at) {
                         self.measured.broken.get_or_insert(broken);
                     }
                     for front in &self.fronts {
                         let counts = front.fleet.counts();
                         let (first, further) = (counts.first_attempts, counts.retries);
-                        let found = self.rules.budget(
+                        let found = self.rules.check_retry_budget(
                             at,
                             first,
                             further,
--- a/crates/forwarder/benches/days.rs
+++ b/crates/forwarder/benches/days.rs
@@ -215,7 +215,7 @@
     let now = watch.now();
     let _ = watch
         .rules()
-        .budget(now, counts.first_attempts, counts.retries, 0.2, 10);
+        .check_retry_budget(now, counts.first_attempts, counts.retries, 0.2, 10);
     if let Err(broken) = watch.over() {
         println!("BROKEN: {broken}");
     }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -310,7 +310,7 @@
         w.done.await.unwrap();
         assert_eq!(nodes[0].all_runs(), 1);
         let now = watch.now();
-        watch.rules().gone(now, 0).unwrap();
+        watch.rules().check_drained(now, 0).unwrap();
         watch.over().unwrap();
     });
 }
@@ -395,7 +395,7 @@
         let now = watch.now();
         watch
             .rules()
-            .budget(now, counts.first_attempts, counts.retries, 0.5, 10)
+            .check_retry_budget(now, counts.first_attempts, counts.retries, 0.5, 10)
             .unwrap();
         let tally = watch.over().unwrap_or_else(|broken| panic!("{broken}"));
         // How many of each depends on the machine; that all were asked and some honoured does not.
--- a/crates/invariants/src/checker.rs
+++ b/crates/invariants/src/checker.rs
@@ -1,11 +1,11 @@
 //! The checker: the state of each request, and the rules over it.
 
-use crate::{Answer, Broken, Kind, Step};
+use crate::{Answer, Kind, Step, Violation};
 use foldhash::HashMap;
 use std::time::Duration;
 
 /// Steps stored of one request: its arrival, and a run and an answer for each of some attempts.
-pub const STEPS: usize = 24;
+pub const MAX_STEPS: usize = 24;
 
 /// Rule 1: no request is lost.
 const NO_REQUEST_LOST: u8 = 1;
@@ -68,21 +68,21 @@
 
 /// The checker of the four rules, see the crate's documentation.
 #[derive(Debug, Default)]
-pub struct Rules {
+pub struct InvariantChecker {
     requests: HashMap<u64, RequestState>,
     open: u64,
     tally: Tally,
     /// Open requests of each front.
     open_by_front: HashMap<u32, u64>,
-    first_violation: Option<Broken>,
+    first_violation: Option<Violation>,
     /// Requests that are over are dropped so long after their deadline; none: never.
     retention: Option<Duration>,
 }
 
-impl Rules {
+impl InvariantChecker {
     /// For long runs: requests that are over are dropped `after` their deadline, so a run that comes even later
     /// would not be seen. It should be the longest that anything may take.
-    pub fn forgetting(after: Duration) -> Self {
+    pub fn with_retention(after: Duration) -> Self {
         Self {
             retention: Some(after),
             ..Self::default()
@@ -100,18 +100,18 @@
     }
 
     /// Requests whose state is stored.
-    pub fn known(&self) -> usize {
+    pub fn stored_requests(&self) -> usize {
         self.requests.len()
     }
 
     /// The first violation.
-    pub fn broken(&self) -> Option<&Broken> {
+    pub fn first_violation(&self) -> Option<&Violation> {
         self.first_violation.as_ref()
     }
 
     /// The answer to a request, if it has one.
-    pub fn answer(&self, ticket: u64) -> Option<Answer> {
-        self.requests.get(&ticket)?.answer
+    pub fn answer(&self, request: u64) -> Option<Answer> {
+        self.requests.get(&request)?.answer
     }
 
     fn violation(
@@ -120,39 +120,39 @@
         at: Duration,
         request: Option<u64>,
         why: impl Into<String>,
-    ) -> Result<(), Broken> {
+    ) -> Result<(), Violation> {
         let state = request.and_then(|request| self.requests.get(&request));
         let steps = state.map(|state| state.steps.clone()).unwrap_or_default();
-        let broken = Broken {
+        let violation = Violation {
             rule,
             at,
-            ticket: request,
-            why: why.into(),
+            request,
+            reason: why.into(),
             steps,
         };
-        self.first_violation.get_or_insert(broken.clone());
-        Err(broken)
+        self.first_violation.get_or_insert(violation.clone());
+        Err(violation)
     }
 
     /// One step of one request.
     ///
     /// # Errors
     /// The rule that it violates.
-    pub fn saw(&mut self, at: Duration, ticket: u64, step: Step) -> Result<(), Broken> {
+    pub fn record(&mut self, at: Duration, request: u64, step: Step) -> Result<(), Violation> {
         if let Step::Asked { kind, due, front } = step {
-            return self.on_asked(at, ticket, kind, due, front);
+            return self.on_asked(at, request, kind, due, front);
         }
-        let Some(state) = self.requests.get_mut(&ticket) else {
+        let Some(state) = self.requests.get_mut(&request) else {
             // A request that was dropped may still be tried or run: late, and known to be over.
             return match step {
                 Step::Answered(_) => {
                     let why = "an answer to nothing that was asked";
-                    self.violation(NO_REQUEST_LOST, at, Some(ticket), why)
+                    self.violation(NO_REQUEST_LOST, at, Some(request), why)
                 }
                 _ => Ok(()),
             };
         };
-        if state.steps.len() < STEPS {
+        if state.steps.len() < MAX_STEPS {
             state.steps.push((at, step));
         }
         match step {
@@ -161,7 +161,7 @@
                 self.tally.tried += 1;
                 Ok(())
             }
-            Step::Ran { marked, .. } => self.on_ran(at, ticket, marked),
+            Step::Ran { marked, .. } => self.on_ran(at, request, marked),
             Step::Shared => {
                 state.shared = true;
                 Ok(())
@@ -170,11 +170,11 @@
                 if state.is_open() {
                     state.caller_left = true;
                     self.tally.left += 1;
-                    self.close(ticket);
+                    self.close(request);
                 }
                 Ok(())
             }
-            Step::Answered(answer) => self.on_answered(at, ticket, answer),
+            Step::Answered(answer) => self.on_answered(at, request, answer),
         }
     }
 
@@ -185,7 +185,7 @@
         kind: Kind,
         deadline: Duration,
         front: u32,
-    ) -> Result<(), Broken> {
+    ) -> Result<(), Violation> {
         if self.requests.contains_key(&request) {
             return self.violation(
                 NO_REQUEST_LOST,
@@ -219,7 +219,7 @@
         Ok(())
     }
 
-    fn on_ran(&mut self, at: Duration, request: u64, marked: bool) -> Result<(), Broken> {
+    fn on_ran(&mut self, at: Duration, request: u64, marked: bool) -> Result<(), Violation> {
         let Some(state) = self.requests.get_mut(&request) else {
             return Ok(());
         };
@@ -240,7 +240,7 @@
         self.violation(NO_EFFECT_TWICE, at, Some(request), why)
     }
 
-    fn on_answered(&mut self, at: Duration, request: u64, answer: Answer) -> Result<(), Broken> {
+    fn on_answered(&mut self, at: Duration, request: u64, answer: Answer) -> Result<(), Violation> {
         let Some(state) = self.requests.get_mut(&request) else {
             return Ok(());
         };
@@ -308,7 +308,7 @@
     ///
     /// # Errors
     /// The first that is lost.
-    pub fn look(&mut self, now: Duration) -> Result<(), Broken> {
+    pub fn check_deadlines(&mut self, now: Duration) -> Result<(), Violation> {
         if let Some(lost) = self.lowest(|state| state.is_open() && state.deadline < now) {
             return self.violation(
                 NO_REQUEST_LOST,
@@ -328,7 +328,7 @@
     ///
     /// # Errors
     /// How many requests are open there.
-    pub fn gone(&mut self, at: Duration, front: u32) -> Result<(), Broken> {
+    pub fn check_drained(&mut self, at: Duration, front: u32) -> Result<(), Violation> {
         let open = self.open_by_front.get(&front).copied().unwrap_or(0);
         if open == 0 {
             return Ok(());
@@ -342,13 +342,13 @@
     ///
     /// # Errors
     /// If it is past its bound.
-    pub fn within(
+    pub fn check_bound(
         &mut self,
         at: Duration,
         what: &str,
         size: u64,
         bound: u64,
-    ) -> Result<(), Broken> {
+    ) -> Result<(), Violation> {
         if size <= bound {
             return Ok(());
         }
@@ -360,23 +360,23 @@
     ///
     /// # Errors
     /// If there were more.
-    pub fn budget(
+    pub fn check_retry_budget(
         &mut self,
         at: Duration,
         first: u64,
         further: u64,
         share: f64,
         start: u64,
-    ) -> Result<(), Broken> {
+    ) -> Result<(), Violation> {
         let bound = start + (first as f64 * share) as u64;
-        self.within(at, "further tries", further, bound)
+        self.check_bound(at, "further tries", further, bound)
     }
 
     /// The run is over: every request has its answer, or its caller left.
     ///
     /// # Errors
     /// The first violation of the whole run, or a request without an answer.
-    pub fn over(&mut self, at: Duration) -> Result<Tally, Broken> {
+    pub fn finish(&mut self, at: Duration) -> Result<Tally, Violation> {
         if self.open > 0 {
             let first = self.lowest(RequestState::is_open);
             let why = format!("{} tickets without an answer at the end", self.open);
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -11,24 +11,24 @@
 //! The first violation is returned at once and stored, with the steps of the request that led to it.
 //!
 //! Invariant: `open` is the number of requests that have neither an answer nor a caller that left; the steps stored
-//! of one request are at most [`STEPS`], so the memory of a long run grows with its requests alone.
+//! of one request are at most [`MAX_STEPS`], so the memory of a long run grows with its requests alone.
 //!
 //! ```
-//! use rainstand_invariants::{Answer, Kind, Rules, Step};
+//! use rainstand_invariants::{Answer, InvariantChecker, Kind, Step};
 //! use std::time::Duration;
 //! let ms = Duration::from_millis;
-//! let mut rules = Rules::default();
-//! rules.saw(ms(0), 7, Step::Asked { kind: Kind::Exclusive, due: ms(900), front: 0 }).unwrap();
-//! rules.saw(ms(1), 7, Step::Ran { on: 3, marked: false }).unwrap();
-//! let broken = rules.saw(ms(2), 7, Step::Answered(Answer::Dismissed)).unwrap_err();
-//! assert_eq!(broken.rule, 2);
-//! assert!(broken.to_string().contains("dismissed though it ran"), "{broken}");
+//! let mut checker = InvariantChecker::default();
+//! checker.record(ms(0), 7, Step::Asked { kind: Kind::Exclusive, due: ms(900), front: 0 }).unwrap();
+//! checker.record(ms(1), 7, Step::Ran { on: 3, marked: false }).unwrap();
+//! let violation = checker.record(ms(2), 7, Step::Answered(Answer::Dismissed)).unwrap_err();
+//! assert_eq!(violation.rule, 2);
+//! assert!(violation.to_string().contains("dismissed though it ran"), "{violation}");
 //! ```
 
 mod checker;
 mod step;
 mod violation;
 
-pub use checker::{Rules, Tally, STEPS};
+pub use checker::{InvariantChecker, Tally, MAX_STEPS};
 pub use step::{Answer, Kind, Step};
-pub use violation::Broken;
+pub use violation::Violation;
--- a/crates/invariants/tests/checker.rs
+++ b/crates/invariants/tests/checker.rs
@@ -9,7 +9,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rainstand_invariants::{Answer, Kind, Rules, Step};
+use rainstand_invariants::{Answer, InvariantChecker, Kind, Step};
 use std::time::Duration;
 
 fn ms(n: u64) -> Duration {
@@ -65,55 +65,61 @@
         (&[Answered(Dismissed)], 1),
     ];
     for (steps, rule) in table {
-        let mut rules = Rules::default();
+        let mut rules = InvariantChecker::default();
         let (last, before) = steps.split_last().unwrap();
         for (k, step) in before.iter().enumerate() {
             rules
-                .saw(ms(k as u64), 5, *step)
+                .record(ms(k as u64), 5, *step)
                 .unwrap_or_else(|broken| panic!("{steps:?}: {broken}"));
         }
         let found = rules
-            .saw(ms(9), 5, *last)
+            .record(ms(9), 5, *last)
             .err()
             .map_or(0, |broken| broken.rule);
         assert_eq!(found, *rule, "{steps:?}");
-        assert_eq!(rules.broken().is_some(), *rule > 0);
+        assert_eq!(rules.first_violation().is_some(), *rule > 0);
     }
 }
 
 #[test]
 fn unanswered_late_and_undrained_requests_are_detected() {
-    let mut rules = Rules::default();
-    rules.saw(ms(0), 1, asked(Kind::Rerunnable)).unwrap();
-    rules.look(ms(1_000)).unwrap();
-    assert_eq!(rules.look(ms(1_001)).unwrap_err().ticket, Some(1));
-    assert_eq!(rules.gone(ms(1_001), 1).unwrap_err().rule, 3);
-    assert_eq!(rules.gone(ms(1_001), 2), Ok(()));
+    let mut rules = InvariantChecker::default();
+    rules.record(ms(0), 1, asked(Kind::Rerunnable)).unwrap();
+    rules.check_deadlines(ms(1_000)).unwrap();
+    assert_eq!(
+        rules.check_deadlines(ms(1_001)).unwrap_err().request,
+        Some(1)
+    );
+    assert_eq!(rules.check_drained(ms(1_001), 1).unwrap_err().rule, 3);
+    assert_eq!(rules.check_drained(ms(1_001), 2), Ok(()));
     assert_eq!(
         rules
-            .saw(ms(1_002), 1, Step::Answered(Answer::GivenUp))
+            .record(ms(1_002), 1, Step::Answered(Answer::GivenUp))
             .unwrap_err()
             .rule,
         1
     );
-    assert_eq!(rules.gone(ms(1_003), 1), Ok(()));
+    assert_eq!(rules.check_drained(ms(1_003), 1), Ok(()));
     // The first one stays what it was.
-    assert_eq!(rules.over(ms(1_003)).unwrap_err().at, ms(1_001));
-    let mut rules = Rules::default();
-    assert_eq!(rules.within(ms(1), "links", 65, 64).unwrap_err().rule, 4);
-    assert!(rules.budget(ms(1), 100, 30, 0.2, 10).is_ok());
-    assert!(rules.budget(ms(1), 100, 31, 0.2, 10).is_err());
-    let mut rules = Rules::default();
-    rules.saw(ms(0), 1, asked(Kind::Rerunnable)).unwrap();
-    assert_eq!(rules.over(ms(5)).unwrap_err().rule, 1);
+    assert_eq!(rules.finish(ms(1_003)).unwrap_err().at, ms(1_001));
+    let mut rules = InvariantChecker::default();
+    assert_eq!(
+        rules.check_bound(ms(1), "links", 65, 64).unwrap_err().rule,
+        4
+    );
+    assert!(rules.check_retry_budget(ms(1), 100, 30, 0.2, 10).is_ok());
+    assert!(rules.check_retry_budget(ms(1), 100, 31, 0.2, 10).is_err());
+    let mut rules = InvariantChecker::default();
+    rules.record(ms(0), 1, asked(Kind::Rerunnable)).unwrap();
+    assert_eq!(rules.finish(ms(5)).unwrap_err().rule, 1);
 }
 
 #[test]
 fn a_long_run_drops_requests_that_are_over() {
-    let mut rules = Rules::forgetting(ms(500));
+    let mut rules = InvariantChecker::with_retention(ms(500));
     for n in 0..10_000u64 {
         rules
-            .saw(
+            .record(
                 ms(n),
                 n,
                 Step::Asked {
@@ -124,14 +130,14 @@
             )
             .unwrap();
         rules
-            .saw(ms(n), n, Step::Answered(Answer::Dismissed))
+            .record(ms(n), n, Step::Answered(Answer::Dismissed))
             .unwrap();
         if n % 100 == 0 {
-            rules.look(ms(n)).unwrap();
+            rules.check_deadlines(ms(n)).unwrap();
         }
     }
-    assert!(rules.known() < 800, "{}", rules.known());
-    assert_eq!(rules.over(ms(20_000)).unwrap().dismissed, 10_000);
+    assert!(rules.stored_requests() < 800, "{}", rules.stored_requests());
+    assert_eq!(rules.finish(ms(20_000)).unwrap().dismissed, 10_000);
 }
 
 proptest! {
@@ -144,8 +150,8 @@
         exclusive in any::<bool>(),
     ) {
         let kind = if exclusive { Kind::Exclusive } else { Kind::Rerunnable };
-        let mut rules = Rules::default();
-        (0..3).for_each(|ticket| rules.saw(ms(0), ticket, asked(kind)).unwrap());
+        let mut rules = InvariantChecker::default();
+        (0..3).for_each(|ticket| rules.record(ms(0), ticket, asked(kind)).unwrap());
         let (mut runs, mut answers) = ([0u32; 3], [None::<Answer>; 3]);
         let mut left = [false; 3];
         for (k, (ticket, what, marked)) in steps.into_iter().enumerate() {
@@ -175,7 +181,7 @@
                     (Step::Answered(answer), heard && (second || wrong))
                 }
             };
-            let found = rules.saw(ms(k as u64), ticket, step);
+            let found = rules.record(ms(k as u64), ticket, step);
             prop_assert_eq!(found.is_err(), breaks, "{:?}", step);
             let open = (0..3).filter(|t| answers[*t].is_none() && !left[*t]).count() as u64;
             prop_assert_eq!(rules.open(), open);
--- a/crates/routing/tests/fleet.rs
+++ b/crates/routing/tests/fleet.rs
@@ -10,7 +10,7 @@
 
 use nanorand::{Rng, WyRand};
 use rainstand_config::{load, source::Memory};
-use rainstand_invariants::{Answer, Broken, Kind, Rules, Step as Saw};
+use rainstand_invariants::{Answer, InvariantChecker, Kind, Step as Saw, Violation};
 use rainstand_routing::fleet::{
     AttemptOutcome, Completed, Fleet, NextAction, RequestOutcome, RequestState,
 };
@@ -50,7 +50,7 @@
     /// Tries at each member by time.
     tries: Vec<(u64, usize)>,
     runs: BTreeMap<u64, u32>,
-    rules: Rules,
+    rules: InvariantChecker,
     fleet: Fleet,
 }
 
@@ -106,7 +106,7 @@
     seconds: u64,
     does: Does,
     bug: Bug,
-) -> (Played, Result<(), Broken>) {
+) -> (Played, Result<(), Violation>) {
     let mut chance = WyRand::new_seed(21);
     let mut events = BinaryHeap::new();
     let mut made = 0u64;
@@ -121,13 +121,13 @@
         push(&mut events, n * 200, Event::Look);
     }
     let (mut ends, mut tries, mut runs, mut rules) =
-        (vec![], vec![], BTreeMap::new(), Rules::default());
+        (vec![], vec![], BTreeMap::new(), InvariantChecker::default());
     let (mut next, mut born) = (0u64, BTreeMap::new());
     let mut first_broken = Ok(());
     while let Some(Timed(t, _, event)) = events.pop() {
         let now = Duration::from_millis(t);
         let mut saw = |request: u64, step: Saw| {
-            let found = rules.saw(now, request, step);
+            let found = rules.record(now, request, step);
             if first_broken.is_ok() {
                 first_broken = found;
             }
@@ -220,7 +220,7 @@
             }
         }
     }
-    let all = first_broken.and_then(|()| rules.over(Duration::from_secs(seconds + 10)).map(drop));
+    let all = first_broken.and_then(|()| rules.finish(Duration::from_secs(seconds + 10)).map(drop));
     (
         Played {
             ends,
@@ -239,7 +239,7 @@
     let (counts, now) = (played.fleet.counts(), Duration::from_secs(60));
     played
         .rules
-        .budget(
+        .check_retry_budget(
             now,
             counts.first_attempts,
             counts.retries,
@@ -507,13 +507,14 @@
     let broken = found.unwrap_err();
     assert_eq!(broken.rule, 2, "{broken}");
     assert!(
-        broken.why.contains("exclusive ticket ran 2 times") || broken.why.contains("dismissed"),
+        broken.reason.contains("exclusive ticket ran 2 times")
+            || broken.reason.contains("dismissed"),
         "{broken}"
     );
     let (_, found) = play_with(fleet(5, "none"), 100, 10, breaks, Bug::LateIsDismissed);
     let broken = found.unwrap_err();
     assert!(
-        broken.rule == 2 && broken.why.contains("dismissed"),
+        broken.rule == 2 && broken.reason.contains("dismissed"),
         "{broken}"
     );
     // The steps that led to it are told, and the same seed finds the same.
--- a/crates/test-servers/src/watch.rs
+++ b/crates/test-servers/src/watch.rs
@@ -1,13 +1,13 @@
 //! The checker of the rules, shared by the peers of one run: nodes tell it what ran, callers what they asked and
 //! what they were told. Tickets are known by their `trace`, sixteen hexadecimal digits.
 
-use rainstand_invariants::{Answer, Broken, Kind, Rules, Step, Tally};
+use rainstand_invariants::{Answer, InvariantChecker, Kind, Step, Tally, Violation};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 #[derive(Clone)]
 pub struct Watch {
-    rules: Arc<Mutex<Rules>>,
+    rules: Arc<Mutex<InvariantChecker>>,
     start: Instant,
 }
 
@@ -36,14 +36,14 @@
     }
 
     /// The rules as they stand, for what only some runs check.
-    pub fn rules(&self) -> MutexGuard<'_, Rules> {
+    pub fn rules(&self) -> MutexGuard<'_, InvariantChecker> {
         self.rules.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A break is kept and told at the end: the peer that saw it is in the middle of a conversation.
     fn saw(&self, ticket: u64, step: Step) {
         let at = self.now();
-        let _ = self.rules().saw(at, ticket, step);
+        let _ = self.rules().record(at, ticket, step);
     }
 
     pub fn asked(&self, ticket: u64, kind: Kind, within: Duration) {
@@ -73,8 +73,8 @@
 
     /// # Errors
     /// The first rule that broke.
-    pub fn over(&self) -> Result<Tally, Broken> {
+    pub fn over(&self) -> Result<Tally, Violation> {
         let at = self.now();
-        self.rules().over(at)
+        self.rules().finish(at)
     }
 }
--- a/crates/testbed/src/check.rs
+++ b/crates/testbed/src/check.rs
@@ -26,7 +26,7 @@
 
 use crate::history::{End, Event, Seen};
 use foldhash::{HashMap, HashMapExt};
-use rainstand_invariants::{Answer, Kind, Rules, Step};
+use rainstand_invariants::{Answer, InvariantChecker, Kind, Step};
 use serde::Serialize;
 use std::fmt;
 use std::time::Duration;
@@ -482,18 +482,18 @@
         steps.push((at, 2, n, step));
     }
     steps.sort_by_key(|step| (step.0, step.1, step.2));
-    let mut rules = Rules::default();
+    let mut rules = InvariantChecker::default();
     for (at, _, n, step) in &steps {
         if rules
-            .saw(Duration::from_nanos(*at), *n as u64, *step)
+            .record(Duration::from_nanos(*at), *n as u64, *step)
             .is_err()
         {
             break;
         }
     }
     let end = steps.last().map_or(0, |step| step.0);
-    if let Err(broken) = rules.over(Duration::from_nanos(end)) {
-        let asked = broken.ticket.and_then(|n| tickets.get(n as usize));
+    if let Err(broken) = rules.finish(Duration::from_nanos(end)) {
+        let asked = broken.request.and_then(|n| tickets.get(n as usize));
         let lines = asked.map_or(Vec::new(), |asked| {
             [Some(asked.line), asked.end.map(|end| end.1)]
                 .into_iter()
@@ -509,7 +509,7 @@
             (broken.rule, check),
             broken.at.as_nanos() as u64,
             of,
-            broken.why,
+            broken.reason,
             lines,
         );
     }
