--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -56,9 +56,9 @@
     match timeout(time_left + REPLY_GRACE, exchange).await {
         Err(_) => CallReply::without_body(Outcome::TimedOut),
         Ok(Err(_)) => CallReply::without_body(Outcome::Disconnected),
-        Ok(Ok((reply, body))) => CallReply {
-            outcome: outcome(&reply),
-            body,
+        Ok(Ok(reply)) => CallReply {
+            outcome: outcome(&reply.head),
+            body: reply.body,
         },
     }
 }
@@ -76,6 +76,14 @@
     bytes
 }
 
+/// A complete reply of an HTTP server.
+pub struct HttpReply {
+    /// Its status line and headers.
+    pub head: http::Reply,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
 /// Writes a request and reads one complete reply with its body.
 ///
 /// # Errors
@@ -84,7 +92,7 @@
     stream: &TcpStream,
     request: &[u8],
     tape: Option<&Tape>,
-) -> io::Result<(http::Reply, Vec<u8>)> {
+) -> io::Result<HttpReply> {
     let record = |side, bytes: &[u8]| {
         if let Some(tape) = tape {
             tape.said(side, bytes);
@@ -103,13 +111,13 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let bytes = incoming.bytes();
-        if let Some(mut reply) = http::reply(bytes).map_err(io::Error::other)? {
-            let (start, end) = reply.body;
+        if let Some(mut head) = http::reply(bytes).map_err(io::Error::other)? {
+            let (start, end) = head.body;
             record(SERVER_SIDE, bytes);
             let body = bytes[start..end].to_vec();
             // Surplus bytes would answer the next request.
-            reply.closes |= bytes.len() > end;
-            return Ok((reply, body));
+            head.closes |= bytes.len() > end;
+            return Ok(HttpReply { head, body });
         }
     }
 }
--- a/crates/node/src/group_claim.rs
+++ b/crates/node/src/group_claim.rs
@@ -19,19 +19,44 @@
     pub(crate) pending_command: Option<u64>,
 }
 
-impl GroupClaim {
-    /// A claim that the group was not asked for yet. `key`: the names of class and request; `parts`: what the
-    /// fingerprint is over, as class, tenant and body.
-    pub fn new(key: (&str, &[u8]), parts: [&[u8]; 3], window: Duration, deadline: Instant) -> Self {
-        let (class, name) = key;
-        let mut fingerprinted = Vec::new();
-        for part in parts {
-            fingerprinted.extend_from_slice(&(part.len() as u32).to_le_bytes());
-            fingerprinted.extend_from_slice(part);
+/// The request that a claim is made for.
+pub struct ClaimedRequest<'a> {
+    /// The name of its class.
+    pub class: &'a str,
+    /// The name of its tenant; empty where there is none.
+    pub tenant: &'a str,
+    /// What all tries of it carry alike: its nonce, or the entity that it is about.
+    pub name: &'a str,
+    /// Its body.
+    pub body: &'a [u8],
+}
+
+impl ClaimedRequest<'_> {
+    /// Its class and name.
+    fn key(&self) -> Bytes {
+        [self.class.as_bytes(), b"\0", self.name.as_bytes()]
+            .concat()
+            .into()
+    }
+
+    /// Over class, tenant and body, each behind its length.
+    fn fingerprint(&self) -> u64 {
+        let mut bytes = Vec::new();
+        for part in [self.class.as_bytes(), self.tenant.as_bytes(), self.body] {
+            bytes.extend_from_slice(&(part.len() as u32).to_le_bytes());
+            bytes.extend_from_slice(part);
         }
+        twox_hash::XxHash3_64::oneshot(&bytes)
+    }
+}
+
+impl GroupClaim {
+    /// A claim that was not sent to the group yet. `window`: how long retries are told apart; `deadline`: when the
+    /// caller stops waiting.
+    pub fn new(request: &ClaimedRequest, window: Duration, deadline: Instant) -> Self {
         Self {
-            key: [class.as_bytes(), b"\0", name].concat().into(),
-            fingerprint: twox_hash::XxHash3_64::oneshot(&fingerprinted),
+            key: request.key(),
+            fingerprint: request.fingerprint(),
             window,
             deadline,
             stage: RequestStage::Claiming,
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -6,7 +6,7 @@
 use crate::connection::Connection;
 use crate::context::NodeContext;
 use crate::counters::count;
-use crate::group_claim::GroupClaim;
+use crate::group_claim::{ClaimedRequest, GroupClaim};
 use crate::pending_reply::PendingReply;
 use crate::request::{Request, RunState, Trace};
 use crate::request_table::RequestTable;
@@ -291,9 +291,13 @@
         // In a group it is the group that knows what a request repeats.
         let window = limits.retry_window.filter(|_| table.group.is_some());
         let claim = window.zip(name).map(|(window, name)| {
-            let tenant = customer.unwrap_or("").as_bytes();
-            let parts = [request.route.as_bytes(), tenant, request.body];
-            GroupClaim::new((request.route, name.as_bytes()), parts, window, deadline)
+            let claimed = ClaimedRequest {
+                class: request.route,
+                tenant: customer.unwrap_or(""),
+                name,
+                body: request.body,
+            };
+            GroupClaim::new(&claimed, window, deadline)
         });
         let key = name.filter(|_| claim.is_none()).map(|name| IdempotencyKey {
             traffic: class,
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -146,7 +146,8 @@
             let connect = || TcpStream::connect(address);
             descriptors::with_retry(context, "announce", connect).await?
         };
-        let (reply, _) = downstream::exchange(&stream, request.as_bytes(), None).await?;
+        let reply = downstream::exchange(&stream, request.as_bytes(), None).await?;
+        let reply = reply.head;
         if reply.status != STATUS_ACCEPTED {
             return Err(io::Error::other(format!("status {}", reply.status)));
         }
