--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::log_event;
 use rainstand_settings::fields::{list, number, object, text_of, Fields};
-use rainstand_settings::Start;
+use rainstand_settings::{SettingsError, Start};
 use serde_json::Value;
 use std::net::{IpAddr, SocketAddr};
 use std::num::ParseIntError;
@@ -67,10 +67,10 @@
     NotAnObject,
     /// A key is missing, or its value has another type.
     #[error("{0}")]
-    Field(String),
+    Field(SettingsError),
     /// The same under `limits`.
     #[error("limits: {0}")]
-    Limits(String),
+    Limits(SettingsError),
     /// The node's name holds other characters.
     #[error("name: letters, digits, '-', '_' and '.' only")]
     Name,
@@ -99,7 +99,7 @@
     NoClasses,
     /// The policy cannot use the settings.
     #[error("settings: {0}")]
-    Settings(String),
+    Settings(SettingsError),
 }
 
 impl Config {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,7 +8,7 @@
 use crate::counters::{count, Counts};
 use crate::descriptor_limit::clamp_to_system_limit;
 use crate::downstream_pool::DownstreamPool;
-use crate::request_table::{ClassLimits, FinishedRun, NodeTasks, RequestTable};
+use crate::request_table::{FinishedRun, NodeTasks, RequestTable};
 use crate::result_cache::ResultCache;
 use crate::traffic_recording::TrafficRecording;
 use crate::{log, log_event};
@@ -101,13 +101,13 @@
         let link = Rc::new(AgentLink::default());
         let pool = Rc::new(DownstreamPool::new(config.peers.below));
         let mut table = RequestTable::new(tasks, counts.clone(), link.clone(), pool);
-        table.class_names = json_names(&start.types);
+        table.class_names = json_names(&start.classes);
         table.result_cache = ResultCache::with_memory(config.memory);
-        table.classes = start.types;
+        table.classes = start.classes;
         table.tenants = start.tenants;
-        table.max_result_age = start.fresh;
-        table.can_pause = start.can_stop;
-        table.class_limits = start.kinds.into_iter().map(ClassLimits::from).collect();
+        table.max_result_age = start.max_result_age;
+        table.can_pause = start.can_cancel_runs;
+        table.class_limits = start.class_limits;
         let core = Core {
             controller: None,
             table,
@@ -123,10 +123,10 @@
             link,
             record: OnceCell::new(),
             gauge_names: RefCell::new(start.gauges),
-            idle_timeout: Cell::new(start.idle),
-            drain_grace: Cell::new(start.grace),
-            max_retry_after: Cell::new(start.longest_pause),
-            registry_follows_health: Cell::new(start.listed_by_state),
+            idle_timeout: Cell::new(start.idle_timeout),
+            drain_grace: Cell::new(start.drain_grace),
+            max_retry_after: Cell::new(start.max_retry_after),
+            registry_follows_health: Cell::new(start.registry_follows_health),
             leaving: Cell::new(None),
             listener: RefCell::new(None),
             report_wakeup: Notify::new(),
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -287,9 +287,9 @@
         // All tries of a request carry the same nonce. Without one, the entity names it where retries are told apart.
         let name = request
             .nonce
-            .or(request.entity.filter(|_| limits.retry_window.is_some()));
+            .or(request.entity.filter(|_| limits.key_window.is_some()));
         // In a group it is the group that knows what a request repeats.
-        let window = limits.retry_window.filter(|_| table.group.is_some());
+        let window = limits.key_window.filter(|_| table.group.is_some());
         let claim = window.zip(name).map(|(window, name)| {
             let claimed = ClaimedRequest {
                 class: request.route,
@@ -308,7 +308,7 @@
             class,
             tenant,
             deadline,
-            has_retry_window: limits.retry_window.is_some(),
+            has_retry_window: limits.key_window.is_some(),
             claim,
             key,
             retry: RetryOf::No,
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -9,7 +9,6 @@
 use crate::config::{Config, ConfigError, Peers};
 use crate::context::{Core, NodeContext};
 use crate::counters::count;
-use crate::request_table::ClassLimits;
 use crate::{descriptors, group_membership, log_event};
 use std::io;
 use std::net::SocketAddr;
@@ -31,7 +30,7 @@
 pub enum ApplyError {
     /// They name other classes or tenants than the node started with.
     #[error("{0}")]
-    OtherNames(String),
+    OtherNames(rainstand_settings::SettingsError),
     /// The policy cannot use them.
     #[error(transparent)]
     Config(#[from] ConfigError),
@@ -109,25 +108,27 @@
     let mut core = context.core.borrow_mut();
     let Core { controller, table } = &mut *core;
     config.settings =
-        rainstand_settings::in_order(&config.settings, &table.classes, &table.tenants)
+        rainstand_settings::align_names(&config.settings, &table.classes, &table.tenants)
             .map_err(ApplyError::OtherNames)?;
     let start = config.start(table.now(), false)?;
-    table.max_result_age = start.fresh;
-    table.can_pause = start.can_stop;
-    table.class_limits = start.kinds.into_iter().map(ClassLimits::from).collect();
+    table.max_result_age = start.max_result_age;
+    table.can_pause = start.can_cancel_runs;
+    table.class_limits = start.class_limits;
     *context.gauge_names.borrow_mut() = start.gauges;
-    context.idle_timeout.set(start.idle);
-    context.drain_grace.set(start.grace);
-    context.max_retry_after.set(start.longest_pause);
-    context.registry_follows_health.set(start.listed_by_state);
+    context.idle_timeout.set(start.idle_timeout);
+    context.drain_grace.set(start.drain_grace);
+    context.max_retry_after.set(start.max_retry_after);
+    context
+        .registry_follows_health
+        .set(start.registry_follows_health);
     if let Some(policy) = controller {
-        policy.reconfigure(start.node);
+        policy.reconfigure(start.controller);
     }
     log_event!(
         "settings_applied",
         "settings applied",
-        can_stop = start.can_stop,
-        longest_ms = start.longest_pause.as_millis()
+        can_stop = start.can_cancel_runs,
+        longest_ms = start.max_retry_after.as_millis()
     );
     drop(core);
     *context.reloaded_config.borrow_mut() = Some(config);
--- a/crates/node/src/request_table.rs
+++ b/crates/node/src/request_table.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use rainstand::{Gauges, Outcome};
 use rainstand_replicated_state::idempotency::ClaimOutcome;
+use rainstand_settings::ClassLimits;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::future::Future;
 use std::pin::Pin;
@@ -52,24 +53,6 @@
     fn on_result_outcome(&self, number: u64, result: &Bytes, outcome: Option<ClaimOutcome>);
 }
 
-/// Limits of the requests of one class.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClassLimits {
-    /// How long after its birth a request is of use, where its caller does not say.
-    pub deadline: Duration,
-    /// How long retries are told apart by their key; None where they are not.
-    pub retry_window: Option<Duration>,
-}
-
-impl From<(Duration, Option<Duration>)> for ClassLimits {
-    fn from((deadline, retry_window): (Duration, Option<Duration>)) -> Self {
-        Self {
-            deadline,
-            retry_window,
-        }
-    }
-}
-
 /// The end of a run that the node itself brought about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FinishedRun {
--- a/crates/node/src/ticker.rs
+++ b/crates/node/src/ticker.rs
@@ -54,7 +54,7 @@
         since_ms = ago.as_millis(),
         cold = is_cold
     );
-    controller.insert(start.node).begin(now, table);
+    controller.insert(start.controller).begin(now, table);
     drop(core);
     // A policy that starts after the shutdown notice must not run requests past the kill.
     drain::notify_policy(context);
