--- a/crates/fleet-model/src/lib.rs
+++ b/crates/fleet-model/src/lib.rs
@@ -10,8 +10,8 @@
 //! | [`measure`] | what a run came to |
 //! | [`shrink`] | a smaller plan that still breaks a rule |
 //!
-//! Forwarders decide with [`rainstand_routing::fleet::Fleet`], nodes of the project's kind with [`rainstand::Node`]: the
-//! very code that serves. The rules are checked after each step by [`rainstand_invariants`].
+//! Forwarders decide with [`rainstand_routing::fleet::Fleet`], nodes of the project's kind with
+//! [`rainstand::AdmissionController`]: the very code that serves. The rules are checked after each step by [`rainstand_invariants`].
 //!
 //! ```
 //! use rainstand_fleet_model::{plan::Plan, world};
