Publish: what is said of the newest version is confirmed by a majority

Callers saw: of 40 real changes that were published one after the other about 15 became versions; a dozen commands said "nothing changes: version K says the same" with exit code 0 below the newest version, also at a machine that was alone. A lost roll-back looked like a success.

Cause: the command compared the file with what the machine that it asked had applied; a machine that follows is one heartbeat behind the answer "committed", one that was cut off or stopped any amount.

Mend: reads of a member are confirmed by the leader's read index, which raft had and no program used (new frames 10 and 11), and wait until that index is applied. "versions" and "why" say whether they are confirmed; otherwise the command says "not known" with its own exit code 3. It holds because a confirmed index is never below what any answer "committed" was given for, and the contents are compared with the confirmed number after they came. Also: an answer without a known key counts as not known; a forwarder is told that its version is the newest only while the leader was in contact within an election timeout of now; trimming the history cannot fail a publish that was applied.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -85,12 +85,12 @@
     },
     /// Check a configuration, show what it changes, and have the control machines commit it
     #[command(
-        after_help = "Examples:\n  rainstand config publish main.rain --at 10.0.0.1:7001\n  rainstand config publish main.rain --at 10.0.0.1:7001 --from 41 --dry-run\n\nExit codes: 0 committed or nothing to change, 1 errors, a conflict or a refusal, 2 nobody answers or the end is not known."
+        after_help = "Examples:\n  rainstand config publish main.rain --at 10.0.0.1:7001\n  rainstand config publish main.rain --at 10.0.0.1:7001 --from 41 --dry-run\n\nExit codes: 0 committed or nothing to change, 1 errors, a conflict or a refusal, 2 nobody answers, 3 not known what is committed."
     )]
     Publish(crate::control::Publishing),
     /// Each published version: when, how many confirmed it, refused it, are behind, and the slowest
     #[command(
-        after_help = "Example:\n  rainstand config versions --at 10.0.0.1:7001\n\nExit codes: 0 all machines answered and nobody refuses, 1 otherwise, 2 nobody answers there."
+        after_help = "Example:\n  rainstand config versions --at 10.0.0.1:7001\n\nExit codes: 0 all machines answered and nobody refuses, 1 otherwise, 2 nobody answers there, 3 no majority confirms which version is the newest."
     )]
     Versions(crate::control::Versions),
     /// Print the protobuf schema of compiled configurations
--- a/crates/cli/src/control/client.rs
+++ b/crates/cli/src/control/client.rs
@@ -19,6 +19,13 @@
     Json(#[from] serde_json::Error),
     #[error(transparent)]
     Snapshot(#[from] UpdateError),
+    /// The server's replica may be behind: no leader confirmed it with a majority.
+    #[error(
+        "no majority confirms which version is the newest; ask another machine, or again later"
+    )]
+    Unconfirmed,
+    #[error("this machine holds no copy of the versions; ask another one")]
+    NoReplica,
     /// The server's own words.
     #[error("{0}")]
     Server(String),
@@ -34,7 +41,7 @@
     /// Whether the server holds a copy of the versions.
     #[serde(rename = "here")]
     pub(super) has_copy: Option<bool>,
-    /// Whether the server knows that no other has a newer version.
+    /// Whether a leader confirmed with a majority that the version was the newest when the server was asked.
     pub(super) current: Option<bool>,
     /// Newest version.
     pub(super) version: Option<u64>,
@@ -91,8 +98,31 @@
     Ok(serde_json::from_value(response)?)
 }
 
-/// The newest version on a server; version 0, which is empty, if there is none.
+/// The newest committed version, from a server's replica; version 0, which is empty, if there is none.
+///
+/// The contents are never older than the version that was confirmed just before: "nothing changes" and "made from
+/// another version" are said of what the group has committed, not of what one machine has applied.
+///
+/// # Errors
+/// [`QueryError::Unconfirmed`] if the server cannot say which version is the newest.
 pub(super) fn fetch_newest(server: SocketAddr) -> Result<DecodedSnapshot, QueryError> {
+    let response = query_versions(server, 1)?;
+    if response.has_copy == Some(false) {
+        return Err(QueryError::NoReplica);
+    }
+    if response.current != Some(true) {
+        return Err(QueryError::Unconfirmed);
+    }
+    let newest = fetch_replica(server)?;
+    // The machine may have started over with an empty disk since it answered.
+    if Some(newest.version) < response.version {
+        return Err(QueryError::Unconfirmed);
+    }
+    Ok(newest)
+}
+
+/// What a server's replica holds.
+fn fetch_replica(server: SocketAddr) -> Result<DecodedSnapshot, QueryError> {
     let compressed = exchange(server, &status::encode_question("whole"))?;
     if compressed.is_empty() {
         return Ok(DecodedSnapshot::default());
--- a/crates/cli/src/control/publish.rs
+++ b/crates/cli/src/control/publish.rs
@@ -1,6 +1,6 @@
 //! `rainstand config publish`: commits a configuration as the next version.
 
-use super::client::{fetch_newest, query_versions, QueryError};
+use super::client::{fetch_newest, QueryError};
 use crate::cluster_client::exchange;
 use crate::config::{read, tell_changes};
 use crate::out::{json as json_line, line, Code};
@@ -41,7 +41,7 @@
 enum PublishOutcome {
     /// Committed as this version.
     Committed(u64),
-    /// Equal to this version, which is the newest.
+    /// Equal to this version, which the group confirmed as the newest.
     Unchanged(u64),
     /// A dry run: it would become this version.
     #[serde(rename = "would")]
@@ -50,9 +50,9 @@
     Conflict(String),
     #[serde(rename = "refused")]
     Rejected(String),
-    /// It was sent, and whether it is committed is not known.
+    /// Which version is the newest, or whether this one is committed, is not known.
     Unknown(String),
-    /// Another answer of the server, printed as it is.
+    /// An answer of another release of the server, printed as it is: what became of the version is not known.
     #[serde(untagged)]
     Other(Value),
 }
@@ -68,20 +68,16 @@
         eprintln!("rainstand: {}: {error}", options.file);
         return Ok(Code::Found);
     }
-    let newest = match newest_version(options.at) {
-        Ok(newest) => newest,
+    let outcome = match fetch_newest(options.at) {
+        Ok(newest) => publish_onto(options, &newest, &configuration)?,
+        Err(error @ QueryError::Unconfirmed) => {
+            PublishOutcome::Unknown(format!("nothing was sent: {error}"))
+        }
         Err(error) => return Ok(trouble(&options.at.to_string(), error)),
     };
-    let outcome = publish_onto(options, &newest, &configuration)?;
     print_outcome(&outcome, options.json)
 }
 
-/// The newest version of a server that holds a copy of the versions.
-fn newest_version(server: SocketAddr) -> Result<DecodedSnapshot, QueryError> {
-    query_versions(server, 1)?;
-    fetch_newest(server)
-}
-
 fn publish_onto(
     options: &Publishing,
     newest: &DecodedSnapshot,
@@ -123,9 +119,11 @@
 
 fn print_outcome(outcome: &PublishOutcome, json: bool) -> io::Result<Code> {
     let code = match outcome {
-        PublishOutcome::Unknown(_) => Code::Use,
+        PublishOutcome::Unknown(_) | PublishOutcome::Other(_) => Code::Unknown,
         PublishOutcome::Conflict(_) | PublishOutcome::Rejected(_) => Code::Found,
-        _ => Code::Good,
+        PublishOutcome::Committed(_)
+        | PublishOutcome::Unchanged(_)
+        | PublishOutcome::WouldCommit(_) => Code::Good,
     };
     if json {
         json_line(outcome)?;
@@ -142,7 +140,7 @@
         PublishOutcome::Conflict(reason) => eprintln!("rainstand: conflict: {reason}"),
         PublishOutcome::Rejected(reason) => eprintln!("rainstand: refused: {reason}"),
         PublishOutcome::Unknown(error) => print_unknown(error),
-        PublishOutcome::Other(_) => print_unknown(""),
+        PublishOutcome::Other(answer) => print_unknown(&format!("another answer came: {answer}")),
     }
     Ok(code)
 }
--- a/crates/cli/src/control/versions.rs
+++ b/crates/cli/src/control/versions.rs
@@ -62,12 +62,18 @@
         print_versions(&summaries)?;
         print_rejections(&rejections)?;
     }
+    Ok(exit_code(&reports, rejections.is_empty()))
+}
+
+/// One confirmed answer is enough to know the newest version.
+fn exit_code(reports: &[ServerReport], nobody_rejects: bool) -> Code {
+    let newest_is_known = responses(reports).any(|response| response.current == Some(true));
     let all_answered = reports.iter().all(|report| report.response.is_ok());
-    Ok(if all_answered && rejections.is_empty() {
-        Code::Good
-    } else {
-        Code::Found
-    })
+    match (newest_is_known, all_answered && nobody_rejects) {
+        (false, _) => Code::Unknown,
+        (true, true) => Code::Good,
+        (true, false) => Code::Found,
+    }
 }
 
 /// Queries the other members that `first` names.
@@ -184,7 +190,7 @@
                 let suffix = if response.current == Some(true) {
                     ""
                 } else {
-                    ", out of touch with the others"
+                    ", not confirmed by a majority"
                 };
                 line(&format!(
                     "{name}: version {version}, {attached} attached{suffix}"
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -32,7 +32,7 @@
   rainstand config explain deploy/main.rain --type register --tenant acme --entity NO-1138
   rainstand config why M402
 
-Exit codes: 0 good, 1 something was found, 2 wrong use or a file that cannot be read.";
+Exit codes: 0 good, 1 something was found, 2 wrong use or a file that cannot be read, 3 not known.";
 
 #[derive(Parser)]
 #[command(
--- a/crates/cli/src/out.rs
+++ b/crates/cli/src/out.rs
@@ -16,6 +16,8 @@
     Found,
     /// Wrong use, or a file that cannot be read.
     Use,
+    /// A machine answered, but cannot say what its group has committed.
+    Unknown,
 }
 
 impl From<Code> for ExitCode {
--- a/crates/cli/src/replica.rs
+++ b/crates/cli/src/replica.rs
@@ -29,7 +29,8 @@
   rainstand replica why register/K-17 --at 10.0.0.1:7001
   rainstand replica recover /var/lib/rainstand/n1 --name n1 --accept-loss
 
-Exit codes: 0 answered, 1 a shard has no leader or a member confirms nothing, 2 nobody answers there.")]
+Exit codes: 0 answered, 1 a shard has no leader or a member confirms nothing, 2 nobody answers there,
+3 `why` only: no majority confirms the copy that was asked.")]
 pub(crate) enum Command {
     /// Each shard here: who leads it, how far it is, how far behind the others are
     Status(Target),
@@ -133,10 +134,14 @@
     let Some(response) = query(target, &format!("why {key}")) else {
         return Ok(Code::Use);
     };
-    show(target, &response, |value| {
+    let report = show(target, &response, |value| {
         line(&serde_json::to_string_pretty(value)?)
     })?;
-    Ok(Code::Good)
+    Ok(if report["confirmed"] == false {
+        Code::Unknown
+    } else {
+        Code::Good
+    })
 }
 
 fn show_metrics(target: &Target) -> io::Result<Code> {
--- a/crates/cli/tests/publish.rs
+++ b/crates/cli/tests/publish.rs
@@ -3,6 +3,12 @@
 //! What happened: of 40 real changes that were published at one machine after the other, only about 15 became versions,
 //! and a dozen commands answered "nothing changes: version K says the same" with exit code 0, where K was not the
 //! newest version. A machine that was alone, both others stopped, gave the same answer.
+//!
+//! Why: the command compared the file with what the machine that it asked had applied. A machine that follows applies a
+//! version a heartbeat after the leader has answered "committed", so it was one version behind in each turn, and by turns
+//! that version said the same as the file. What showed it: the version in each
+//! false answer was the one before the newest, or 0, at a machine that follows.
+//! Now the machine has its leader confirm the read with a majority and waits until it has applied what was committed.
 
 #![allow(
     missing_docs,
@@ -14,7 +20,10 @@
 mod control_world;
 
 use control_world::{run, Process, World, HANGS};
+use rainstand_cluster::framing::with_length_prefix;
 use rustix::process::{kill_process, Pid, Signal};
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::Instant;
 
 /// Exit code of a command that cannot say what is committed.
@@ -101,6 +110,54 @@
     resume(&world, 1);
 }
 
+/// Answers one message on each connection, in turn.
+fn stand_in<const N: usize>(answers: [&'static [u8]; N]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut length_prefix = [0; 4];
+            stream.read_exact(&mut length_prefix).unwrap();
+            let mut message = vec![0; u32::from_be_bytes(length_prefix) as usize];
+            stream.read_exact(&mut message).unwrap();
+            stream.write_all(&with_length_prefix(answer)).unwrap();
+        }
+    });
+    address
+}
+
+#[test]
+fn an_answer_of_another_release_is_not_taken_for_success() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = "rain 1\ntype check { repeat: rerunnable; goal: 3 s; outer-limit: 7 s }\n";
+    std::fs::write(folder.path().join("file.rain"), file).unwrap();
+    let versions: &[u8] = br#"{"name":"c1","here":true,"current":true,"version":0}"#;
+    let at = stand_in([versions, b"", br#"{"postponed":1}"#]);
+    let publish = ["config", "publish", "file.rain", "--at", &at];
+    let (code, _, told) = run(folder.path(), &publish);
+    assert!(
+        code == NOT_KNOWN && told.contains("postponed"),
+        "exit code {code}: {told}"
+    );
+    // One that does not say that its version was confirmed does not know.
+    let unconfirmed: &[u8] = br#"{"name":"c1","here":true,"version":0}"#;
+    let at = stand_in([unconfirmed]);
+    let (code, ..) = run(
+        folder.path(),
+        &["config", "publish", "file.rain", "--at", &at],
+    );
+    assert_eq!(code, NOT_KNOWN);
+    // Nor does one that started over with less in between.
+    let ahead: &[u8] = br#"{"name":"c1","here":true,"current":true,"version":4}"#;
+    let at = stand_in([ahead, b""]);
+    let (code, ..) = run(
+        folder.path(),
+        &["config", "publish", "file.rain", "--at", &at],
+    );
+    assert_eq!(code, NOT_KNOWN);
+}
+
 #[test]
 fn a_machine_that_was_stopped_does_not_answer_from_before() {
     let world = World::new();
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -22,7 +22,8 @@
 use rainstand_replicated_state::frames::Frame;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command};
 use rainstand_replicated_state::member::{
-    Effects, GroupEvent, GroupMember, OutgoingFrame, RequestOutcome, WriteBatch,
+    Effects, FinishedRead, GroupEvent, GroupMember, OutgoingFrame, ReadOutcome, RequestOutcome,
+    WriteBatch,
 };
 use rainstand_storage::writer::{WriteOutcome, Writer};
 use rainstand_storage::{Disk, FolderDisk, Store};
@@ -32,7 +33,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -94,6 +95,8 @@
     store_number: Cell<u64>,
     outboxes: RefCell<HashMap<String, Rc<Outbox>>>,
     requesters: RefCell<HashMap<u64, Requester>>,
+    /// Who waits for the confirmation of a read.
+    readers: RefCell<HashMap<u64, oneshot::Sender<ReadOutcome>>>,
     replies: RefCell<VecDeque<Reply>>,
     replies_queued: Notify,
     deadline_moved: Notify,
@@ -183,7 +186,7 @@
 
     fn synchronize(&self, server: &ConfigServer) {
         let state = self.state.borrow();
-        if let Some(published) = state.published() {
+        if let Some(published) = state.published(self.clock.now()) {
             server.synchronize(&published);
         }
     }
@@ -247,6 +250,7 @@
             write,
             outcomes,
             timed_out,
+            reads,
             events,
             published_changed,
         } = effects;
@@ -264,6 +268,12 @@
                 self.queue_reply(requester.reply, None);
             }
         }
+        for FinishedRead { id, outcome } in reads {
+            if let Some(reader) = self.readers.borrow_mut().remove(&id) {
+                // The reader may have left.
+                let _ = reader.send(outcome);
+            }
+        }
         self.replies_queued.notify_one();
         if let Some(server) = self.config_server().filter(|_| published_changed) {
             self.synchronize(&server);
@@ -386,6 +396,8 @@
             let mut open = self.requesters.borrow_mut();
             open.drain().map(|(_, requester)| requester).collect()
         };
+        // A reader that gets no outcome has no confirmation.
+        self.readers.borrow_mut().clear();
         for requester in requesters {
             self.queue_reply(requester.reply, None);
         }
@@ -419,6 +431,30 @@
         Some(id)
     }
 
+    /// Waits until the shard's replica here holds everything that was committed before the call, as its leader confirms
+    /// with a majority; at most for `timeout`.
+    pub async fn confirm_read(&self, shard: u16, timeout: Duration) -> ReadOutcome {
+        let now = self.clock.now();
+        let (sender, receiver) = oneshot::channel();
+        let effects = {
+            let mut state = self.state.borrow_mut();
+            let Some(id) = state.confirm_read(now, shard, now + timeout) else {
+                return ReadOutcome::Unconfirmed;
+            };
+            // Known before the effects are carried out: its outcome may be among them.
+            self.readers.borrow_mut().insert(id, sender);
+            state.take_effects()
+        };
+        self.carry_out(effects);
+        self.deadline_moved.notify_one();
+        receiver.await.unwrap_or(ReadOutcome::Unconfirmed)
+    }
+
+    /// Brings the member's time up to date, and what follows from it: a process that was stopped learns how long.
+    pub(crate) fn catch_up_time(&self) {
+        self.drive(GroupMember::tick);
+    }
+
     fn is_overloaded(&self) -> bool {
         let writer = self.writer.borrow();
         writer
--- a/crates/cluster/src/driver/startup.rs
+++ b/crates/cluster/src/driver/startup.rs
@@ -66,6 +66,7 @@
             store_number: Cell::new(0),
             outboxes: RefCell::new(HashMap::new()),
             requesters: RefCell::new(HashMap::new()),
+            readers: RefCell::default(),
             replies: RefCell::default(),
             replies_queued: Notify::new(),
             deadline_moved: Notify::new(),
--- a/crates/cluster/src/listener.rs
+++ b/crates/cluster/src/listener.rs
@@ -64,7 +64,7 @@
     let Some(server) = member.config_server() else {
         return;
     };
-    if member.inspect(|state| state.published().is_none()) {
+    if member.inspect(|state| state.published(state.now()).is_none()) {
         server.reject_without_replica();
         return;
     }
@@ -122,7 +122,7 @@
 /// The answer to an operator, if the message is a question or a version to be published.
 async fn answer(member: &Rc<ClusterMember>, message: &[u8]) -> Option<Vec<u8>> {
     if let Some(question) = status::decode_question(message) {
-        return Some(status::answer_question(member, question));
+        return Some(status::answer_question(member, question).await);
     }
     let publish = status::decode_publish(message)?;
     Some(status::commit_version(member, publish).await)
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -26,6 +26,10 @@
 const MAX_QUESTION_BYTES: usize = 4_096;
 /// For a version to be committed: a few elections.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
+/// For a read to be confirmed: a few elections, and less than an operator's command waits for an answer.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
+/// The shard of the published versions.
+const SHARD_OF_VERSIONS: u16 = 0;
 /// Versions that are listed where the question names no number.
 const DEFAULT_LISTED_VERSIONS: usize = 16;
 
@@ -95,11 +99,17 @@
     {
         return rejected("this member takes no questions now");
     }
-    receiver
+    let outcome = receiver
         .await
         .ok()
         .flatten()
-        .ok_or("no majority answered in time: it may be committed yet, see the versions")
+        .ok_or("no majority answered in time: it may be committed yet, see the versions")?;
+    // The leader applies a version before its followers do: who is told of it finds it here. If nobody confirms that in
+    // time, the version is committed all the same, and the next read here waits for it.
+    member
+        .confirm_read(SHARD_OF_VERSIONS, CONFIRM_TIMEOUT)
+        .await;
+    Ok(outcome)
 }
 
 /// An outcome as the JSON output names it.
@@ -120,16 +130,30 @@
 }
 
 /// The answer to a question: JSON, `OpenMetrics` text, or the packed snapshot.
-pub(crate) fn answer_question(member: &ClusterMember, question: &str) -> Vec<u8> {
+///
+/// What operators act on is confirmed by the shard's leader first, and the answer says whether it was: the replica here
+/// may be behind by any amount after a partition or a stop of the process.
+pub(crate) async fn answer_question(member: &ClusterMember, question: &str) -> Vec<u8> {
     let (name, argument) = question.split_once(' ').unwrap_or((question, ""));
+    member.catch_up_time();
     match name {
         "whole" if question == "whole" => packed_snapshot(member),
         "status" => json_bytes(&report::member(member)),
         "members" => json_bytes(&report::peers(member)),
-        "why" => json_bytes(&report::key(member, argument)),
+        "why" => {
+            let key = report::key_bytes(argument);
+            let shard = member.inspect(|state| state.key_state(&key).shard);
+            let outcome = member.confirm_read(shard, CONFIRM_TIMEOUT).await;
+            json_bytes(&report::key(member, &key, outcome))
+        }
         "versions" => {
             let max_versions = argument.parse().unwrap_or(DEFAULT_LISTED_VERSIONS);
-            rollout::answer(member, max_versions).to_string().into()
+            let outcome = member
+                .confirm_read(SHARD_OF_VERSIONS, CONFIRM_TIMEOUT)
+                .await;
+            rollout::answer(member, max_versions, outcome)
+                .to_string()
+                .into()
         }
         "metrics" => metrics::text(member).into_bytes(),
         _ => unknown_question(name).to_string().into(),
@@ -153,7 +177,9 @@
 /// The newest published version, packed; empty if there is none, or no replica of it here.
 fn packed_snapshot(member: &ClusterMember) -> Vec<u8> {
     member.inspect(|state| {
-        let versions = state.published().map(|published| published.versions);
+        let versions = state
+            .published(state.now())
+            .map(|published| published.versions);
         let versions = versions.filter(|versions| versions.version() > 0);
         versions
             .and_then(|all| snapshot::encode(all.version(), all.state()).ok())
--- a/crates/cluster/src/status/report.rs
+++ b/crates/cluster/src/status/report.rs
@@ -4,7 +4,7 @@
 use crate::driver::ClusterMember;
 use rainstand_raft::{ReplicaId, Role};
 use rainstand_replicated_state::idempotency::KeyState;
-use rainstand_replicated_state::member::{GroupMember, KeyLookup, ShardView};
+use rainstand_replicated_state::member::{GroupMember, KeyLookup, ReadOutcome, ShardView};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -109,6 +109,8 @@
     key: Option<KeyStateReport>,
     #[serde(rename = "asked")]
     member: String,
+    /// Whether the replica here was known to hold everything that was committed.
+    confirmed: bool,
     #[serde(rename = "says")]
     explanation: &'static str,
 }
@@ -239,18 +241,23 @@
     })
 }
 
-/// `key` is written as its type and its name with a slash between.
-pub(super) fn key(member: &ClusterMember, key: &str) -> KeyReport {
-    let key = key.replacen('/', "\0", 1);
+/// A key, which is written as its type and its name with a slash between.
+pub(super) fn key_bytes(key: &str) -> Vec<u8> {
+    key.replacen('/', "\0", 1).into_bytes()
+}
+
+/// `outcome` is that of a read of the key's shard just before.
+pub(super) fn key(member: &ClusterMember, key: &[u8], outcome: ReadOutcome) -> KeyReport {
     member.inspect(|state| {
         let KeyLookup {
             shard,
             state: found,
-        } = state.key_state(key.as_bytes());
+        } = state.key_state(key);
         let view = state.shards().find(|view| view.shard == shard);
         KeyReport {
             shard,
-            explanation: explanation(view.is_some(), found.is_some()),
+            confirmed: outcome == ReadOutcome::Confirmed,
+            explanation: explanation(view.is_some(), found.is_some(), outcome),
             replica: view.map(|view| ReplicaReport {
                 applied: view.replica.applied(),
                 commit: view.replica.commit(),
@@ -272,10 +279,13 @@
     }
 }
 
-fn explanation(has_replica: bool, has_key: bool) -> &'static str {
-    match (has_replica, has_key) {
-        (false, _) => "this member holds no copy of the shard",
-        (true, false) => "not there: never asked, or aged out",
-        (true, true) => "as of the entry applied here",
+fn explanation(has_replica: bool, has_key: bool, outcome: ReadOutcome) -> &'static str {
+    match (has_replica, outcome, has_key) {
+        (false, ..) => "this member holds no copy of the shard",
+        (true, ReadOutcome::Unconfirmed, _) => {
+            "not known: no majority confirms the copy here, it may be behind"
+        }
+        (true, ReadOutcome::Confirmed, false) => "not there: never asked, or aged out",
+        (true, ReadOutcome::Confirmed, true) => "as of the entry applied here",
     }
 }
--- a/crates/cluster/src/status/rollout.rs
+++ b/crates/cluster/src/status/rollout.rs
@@ -4,10 +4,12 @@
 use crate::config_server::{ConfigServer, MAX_LISTED_VERSIONS};
 use crate::driver::ClusterMember;
 use rainstand_config_distribution::publisher::{RolloutProgress, SubscriberStatus};
+use rainstand_replicated_state::member::ReadOutcome;
 use rainstand_replicated_state::versions::Versions;
 use serde_json::{json, Value};
 
-pub(super) fn answer(member: &ClusterMember, max_versions: usize) -> Value {
+/// `outcome` is that of a read of the versions just before.
+pub(super) fn answer(member: &ClusterMember, max_versions: usize, outcome: ReadOutcome) -> Value {
     let Some(server) = member.config_server() else {
         return json!({"error": "this member is no control machine"});
     };
@@ -20,7 +22,7 @@
     let rejections = subscribers.iter().filter_map(rejection);
     let rejections: Vec<Value> = rejections.take(MAX_LISTED_VERSIONS).collect();
     member.inspect(|state| {
-        let Some(published) = state.published() else {
+        let Some(published) = state.published(state.now()) else {
             return json!({"name": state.name(), "members": members, "here": false});
         };
         let versions = published.versions;
@@ -28,7 +30,7 @@
             "name": state.name(),
             "members": members,
             "here": true,
-            "current": published.is_current,
+            "current": outcome == ReadOutcome::Confirmed,
             "version": versions.version(),
             "digest": disk_text(versions.state().digest()),
             "things": versions.state().len(),
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members.rs
@@ -12,6 +12,7 @@
 
 use rainstand_cluster::{recovery, ClusterMember};
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Operation};
+use rainstand_replicated_state::member::ReadOutcome;
 use rainstand_replicated_state::placement::{holders, MemberPlacement};
 use std::time::{Duration, Instant};
 use world::{known, start, world, HANGS};
@@ -268,3 +269,46 @@
         "{disks:?}"
     );
 }
+
+/// How a read of a key's shard at a member ended, and whether its replica has the key's result after it.
+fn confirmed_read(member: &world::Running, key: &str) -> (ReadOutcome, bool) {
+    let key = key.to_owned();
+    let told = member.on(move |group, answer| {
+        tokio::task::spawn_local(async move {
+            let shard = group.inspect(|member| member.key_state(key.as_bytes()).shard);
+            let outcome = group.confirm_read(shard, Duration::from_secs(2)).await;
+            let is_completed = group.inspect(|member| {
+                let state = member.key_state(key.as_bytes()).state;
+                state.is_some_and(|state| state.state_name() == "known")
+            });
+            answer.send((outcome, is_completed)).unwrap();
+        });
+    });
+    told.recv_timeout(HANGS).expect("an outcome")
+}
+
+#[test]
+fn a_confirmed_read_sees_what_was_recorded_before_it_at_any_member() {
+    let w = world(3);
+    let [n1, n2, n3] = ["n1", "n2", "n3"].map(|name| w.up(name));
+    w.all_led(&[&n1, &n2, &n3]);
+    let members = [&n1, &n2, &n3];
+    for n in 0..60 {
+        let key = format!("k{n}");
+        assert_eq!(n1.ask_until_told(1, &key, &start()), ClaimOutcome::Granted);
+        assert_eq!(
+            n1.ask_until_told(1, &key, &Operation::Done("R".into())),
+            ClaimOutcome::Recorded
+        );
+        // At a member that follows the replica is behind until the read has waited for it.
+        assert_eq!(
+            confirmed_read(members[n % 3], &key),
+            (ReadOutcome::Confirmed, true),
+            "{key}"
+        );
+    }
+    // Alone, a member that has it all cannot know that.
+    drop((n1, n2));
+    let (outcome, _) = confirmed_read(&n3, "k0");
+    assert_eq!(outcome, ReadOutcome::Unconfirmed);
+}
--- a/crates/raft/src/replica/elections.rs
+++ b/crates/raft/src/replica/elections.rs
@@ -134,7 +134,7 @@
     pub(super) fn tick_leader(&mut self) {
         self.expire_leadership_transfer();
         if self.now >= self.election_deadline {
-            if !self.has_quorum_contact() {
+            if !self.has_quorum_contact(self.now) {
                 self.become_follower(self.term, None);
                 return;
             }
@@ -148,8 +148,8 @@
 
     /// Whether a majority was in contact within the longest election timeout. A leader that is cut off steps down, so
     /// that its clients look for another one.
-    fn has_quorum_contact(&self) -> bool {
-        let oldest_contact = self.now.saturating_sub(self.timeouts.max_election_timeout);
+    fn has_quorum_contact(&self, now: Duration) -> bool {
+        let oldest_contact = now.saturating_sub(self.timeouts.max_election_timeout);
         self.has_majority(|id| {
             id == self.id
                 || self
@@ -159,6 +159,19 @@
         })
     }
 
+    /// Whether this replica leads with a majority in contact, or follows a leader that was in contact, within the longest
+    /// election timeout before `now`: that may be later than the last call, if the process was stopped meanwhile.
+    pub fn has_current_leader(&self, now: Duration) -> bool {
+        if self.is_leader() {
+            return self.has_committed_in_term() && self.has_quorum_contact(now);
+        }
+        let oldest_contact = now.saturating_sub(self.timeouts.max_election_timeout);
+        self.leader.is_some()
+            && self
+                .last_leader_contact
+                .is_some_and(|contact| contact >= oldest_contact)
+    }
+
     /// Whether a leader was in contact so recently that no election is due.
     fn has_recent_leader(&self) -> bool {
         self.is_leader()
--- a/crates/replicated-state/src/frames.rs
+++ b/crates/replicated-state/src/frames.rs
@@ -214,6 +214,34 @@
     }
 }
 
+/// Asks a shard's leader to confirm a read: which index has to be applied to see everything that is committed now.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ReadRequest {
+    /// Number of the read at its sender.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The shard.
+    #[prost(uint32, tag = "2")]
+    pub shard: u32,
+}
+
+/// The response to a [`ReadRequest`].
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ReadResponse {
+    /// Number of the read at its sender.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The shard.
+    #[prost(uint32, tag = "2")]
+    pub shard: u32,
+    /// Confirmed by a majority: a replica that has applied this index may serve the read. None: not confirmed here.
+    #[prost(uint64, optional, tag = "3")]
+    pub index: Option<u64>,
+    /// Without an index: disk of the leader, if that is known; otherwise 0.
+    #[prost(uint64, tag = "4")]
+    pub leader: ReplicaId,
+}
+
 /// What a member records of the others, to recognize an old copy of a disk after its own restart too.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct PeerIncarnations {
@@ -286,13 +314,19 @@
     /// To a subscriber of the configuration.
     #[prost(bytes = "bytes", tag = "9")]
     ToSubscriber(Bytes),
+    /// Asks a leader to confirm a read.
+    #[prost(message, tag = "10")]
+    ReadRequest(ReadRequest),
+    /// The response to that.
+    #[prost(message, tag = "11")]
+    ReadResponse(ReadResponse),
 }
 
 /// One frame of a connection.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Frame {
     /// Its contents; none if a later version sent it.
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<FrameBody>,
 }
 
--- a/crates/replicated-state/src/member.rs
+++ b/crates/replicated-state/src/member.rs
@@ -1,8 +1,8 @@
 //! One member of a replicated group, as a state machine without I/O.
 //!
 //! The driver reports what happens with [`GroupMember::tick`], [`GroupMember::on_frame`],
-//! [`GroupMember::on_connected`], [`GroupMember::on_disconnected`], [`GroupMember::request`] and
-//! [`GroupMember::on_persisted`], and after each call carries out the [`Effects`] that [`GroupMember::take_effects`]
+//! [`GroupMember::on_connected`], [`GroupMember::on_disconnected`], [`GroupMember::request`],
+//! [`GroupMember::confirm_read`] and [`GroupMember::on_persisted`], and after each call carries out the [`Effects`] that [`GroupMember::take_effects`]
 //! returns. Time, randomness and finished writes are passed in: the same calls give the same effects.
 //!
 //! Invariants: write batches are numbered without gaps and become durable in that order; a frame that promises
@@ -17,6 +17,7 @@
 mod peers;
 mod persistence;
 mod queries;
+mod reads;
 mod requests;
 mod shards;
 
@@ -25,7 +26,8 @@
     METADATA_GENERATION, METADATA_MEMBER_NAME, METADATA_PEER_INCARNATIONS,
 };
 pub use effects::{
-    Effects, GroupEvent, OutgoingFrame, PersistentWrite, RequestOutcome, WriteBatch,
+    Effects, FinishedRead, GroupEvent, OutgoingFrame, PersistentWrite, ReadOutcome, RequestOutcome,
+    WriteBatch,
 };
 pub use queries::{KeyLookup, LeaderCoverage, PeerStatus, PublishedVersions, ShardView};
 
@@ -37,6 +39,7 @@
 use peers::Peer;
 use persistence::{AwaitingPersist, PendingEntry};
 use rainstand_raft::ReplicaId;
+use reads::PendingRead;
 use requests::PendingRequest;
 use shards::{Proposal, Shard};
 use std::collections::{BTreeMap, VecDeque};
@@ -64,6 +67,7 @@
     shards: BTreeMap<u16, Shard>,
     peers: BTreeMap<String, Peer>,
     requests: BTreeMap<u64, PendingRequest>,
+    pending_reads: BTreeMap<u64, PendingRead>,
     last_request_id: u64,
     /// Leaders of shards, from responses of other members.
     leader_hints: BTreeMap<u16, ReplicaId>,
@@ -111,6 +115,7 @@
             shards: BTreeMap::new(),
             peers: initial_peers(&config, recovered.peer_incarnations.as_ref()),
             requests: BTreeMap::new(),
+            pending_reads: BTreeMap::new(),
             // A response to a request of an earlier start may still arrive: its number must not be used again.
             last_request_id: recovered.nonce << REQUEST_ID_BITS,
             leader_hints: BTreeMap::new(),
@@ -201,6 +206,8 @@
             FrameBody::Raft(raft) => self.on_raft(name, raft),
             FrameBody::Request(request) => self.on_request(name, &request),
             FrameBody::Response(response) => self.on_response(&response),
+            FrameBody::ReadRequest(request) => self.on_read_request(name, request),
+            FrameBody::ReadResponse(response) => self.on_read_response(response),
             FrameBody::StaleDisk(notice) if notice.disk == self.disk => {
                 self.stop_with(GroupEvent::StaleDisk {
                     reason: notice.reason,
@@ -224,6 +231,7 @@
         self.advance_time(now);
         if self.stopped {
             self.expire_requests();
+            self.expire_reads();
             return;
         }
         for state in self.shards.values_mut() {
@@ -264,7 +272,7 @@
         } else {
             replicas.min(self.membership_check_at).min(self.gossip_at)
         };
-        let requests = if self.requests.is_empty() {
+        let requests = if self.requests.is_empty() && self.pending_reads.is_empty() {
             Duration::MAX
         } else {
             self.requests_due_at
--- a/crates/replicated-state/src/member/effects.rs
+++ b/crates/replicated-state/src/member/effects.rs
@@ -133,6 +133,24 @@
     pub outcome: ClaimOutcome,
 }
 
+/// How a read of a replica here ended; see [`GroupMember::confirm_read`](super::GroupMember::confirm_read).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// The replica here holds everything that was committed when the read began.
+    Confirmed,
+    /// No leader confirmed it with a majority in time: the replica here may be behind by any amount.
+    Unconfirmed,
+}
+
+/// A read that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FinishedRead {
+    /// Number of the read, as [`GroupMember::confirm_read`](super::GroupMember::confirm_read) returned it.
+    pub id: u64,
+    /// How it ended.
+    pub outcome: ReadOutcome,
+}
+
 /// Everything that follows from the calls since the last
 /// [`GroupMember::take_effects`](super::GroupMember::take_effects).
 #[derive(Debug, Default)]
@@ -145,6 +163,8 @@
     pub outcomes: Vec<RequestOutcome>,
     /// Numbers of the requests that timed out. A start that timed out was not granted and never will be.
     pub timed_out: Vec<u64>,
+    /// Reads that ended.
+    pub reads: Vec<FinishedRead>,
     /// Events for operators.
     pub events: Vec<GroupEvent>,
     /// Whether the newest published version may have changed.
--- a/crates/replicated-state/src/member/queries.rs
+++ b/crates/replicated-state/src/member/queries.rs
@@ -47,8 +47,8 @@
 pub struct PublishedVersions<'a> {
     /// The versions.
     pub versions: &'a Versions,
-    /// Whether a leader is known and all that is known to be committed is applied: a newer version can have been
-    /// committed elsewhere for no longer than an election takes.
+    /// Whether a leader was in contact within an election timeout, a majority if it leads itself, and all that is known
+    /// to be committed is applied: a newer version can have been committed elsewhere for no longer than that.
     pub is_current: bool,
 }
 
@@ -104,16 +104,15 @@
             .and_then(|state| state.table.register(name))
     }
 
-    /// The published versions; none where shard 0 has no replica here.
-    pub fn published(&self) -> Option<PublishedVersions<'_>> {
+    /// The published versions; none where shard 0 has no replica here. `now` is the time of the caller's clock: after
+    /// the process was stopped, that of the last call is long past.
+    pub fn published(&self, now: Duration) -> Option<PublishedVersions<'_>> {
         let state = self.shards.get(&0)?;
         let replica = &state.replica;
-        let knows_leader =
-            replica.has_committed_in_term() || !replica.is_leader() && replica.leader().is_some();
         let has_applied_all = replica.applied() == replica.commit();
         Some(PublishedVersions {
             versions: state.table.versions(),
-            is_current: knows_leader && has_applied_all && !self.stopped,
+            is_current: replica.has_current_leader(now) && has_applied_all && !self.stopped,
         })
     }
 
@@ -136,9 +135,9 @@
         })
     }
 
-    /// Number of requests without a final outcome, those in the background included.
+    /// Number of requests and reads without a final outcome, requests in the background included.
     pub fn pending_request_count(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.pending_reads.len()
     }
 
     /// Number of requests that were rejected because too many were pending.
--- a/crates/replicated-state/src/member/requests.rs
+++ b/crates/replicated-state/src/member/requests.rs
@@ -3,12 +3,14 @@
 //! A request that timed out or was abandoned goes on in the background: a start is withdrawn, so that nothing is
 //! granted to a caller that left, and any other command is retried until it is recorded.
 
+use super::reads::PendingRead;
 use super::shards::Proposal;
 use super::GroupMember;
 use crate::frames::{CommandRequest, CommandResponse, FrameBody};
 use crate::idempotency::{ClaimOutcome, Command, Operation};
 use crate::placement::shard_of;
 use prost::Message as _;
+use rainstand_raft::ReplicaId;
 use std::time::Duration;
 
 /// Requests without a final outcome, those in the background included.
@@ -16,9 +18,9 @@
 /// Commands that one shard's leader has proposed and not applied yet.
 const MAX_WAITING_PROPOSALS: usize = 32_768;
 /// Between two attempts of a request whose leader is known: several round trips and flushes.
-const LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Between two attempts of a request while no leader is known: part of an election.
-const NO_LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(25);
+pub(super) const NO_LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 /// How long a request is retried in the background.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_mins(1);
 /// The shard of registers and published versions.
@@ -61,8 +63,7 @@
             Some(Operation::Set(_) | Operation::Publish(_)) => SHARD_OF_REGISTERS,
             _ => shard_of(&command.key, self.config.shards),
         };
-        self.last_request_id += 1;
-        let id = self.last_request_id;
+        let id = self.next_request_id();
         let request = PendingRequest {
             shard,
             command,
@@ -78,6 +79,12 @@
         Some(id)
     }
 
+    /// A number that no earlier request or read of this member has.
+    pub(super) fn next_request_id(&mut self) -> u64 {
+        self.last_request_id += 1;
+        self.last_request_id
+    }
+
     /// Nobody waits for the outcome of a request any more: a start is withdrawn.
     pub fn abandon_request(&mut self, now: Duration, id: u64) {
         self.advance_time(now);
@@ -124,6 +131,8 @@
     /// Times out and retries what is due, and sets when to look next.
     pub(super) fn process_due_requests(&mut self) {
         self.expire_requests();
+        self.expire_reads();
+        self.retry_due_reads();
         let due: Vec<u64> = self
             .requests
             .iter()
@@ -137,6 +146,7 @@
             .requests
             .values()
             .map(|request| request.retry_at.min(request.deadline))
+            .chain(self.pending_reads.values().map(PendingRead::due_at))
             .min();
         self.requests_due_at = next_due.unwrap_or(Duration::MAX);
     }
@@ -156,10 +166,7 @@
             return;
         }
         self.retry_within(id, NO_LEADER_RETRY_INTERVAL);
-        let target = self
-            .request_target(shard, attempts)
-            .filter(|name| self.peers.get(name).is_some_and(|peer| peer.connected));
-        let Some(target) = target else {
+        let Some(target) = self.connected_request_target(shard, attempts) else {
             self.leader_hints.remove(&shard);
             return;
         };
@@ -174,7 +181,13 @@
         self.send_to(&target, FrameBody::Request(request));
     }
 
-    fn leads(&self, shard: u16) -> bool {
+    /// The member to send a request to, if the connection to it is open.
+    pub(super) fn connected_request_target(&self, shard: u16, attempts: u32) -> Option<String> {
+        let is_connected = |name: &String| self.peers.get(name).is_some_and(|peer| peer.connected);
+        self.request_target(shard, attempts).filter(is_connected)
+    }
+
+    pub(super) fn leads(&self, shard: u16) -> bool {
         let state = self.shards.get(&shard);
         state.is_some_and(|state| state.replica.is_leader())
     }
@@ -250,12 +263,7 @@
     }
 
     fn on_redirect(&mut self, response: &CommandResponse) {
-        let shard = response.shard as u16;
-        if response.leader == 0 {
-            self.leader_hints.remove(&shard);
-        } else {
-            self.leader_hints.insert(shard, response.leader);
-        }
+        self.note_leader_hint(response.shard as u16, response.leader);
         let retry_at = self.now + NO_LEADER_RETRY_INTERVAL;
         if let Some(request) = self.requests.get_mut(&response.id) {
             request.retry_at = request.retry_at.min(retry_at);
@@ -263,6 +271,21 @@
         }
     }
 
+    /// Another member named the leader of a shard; 0: it knows none.
+    pub(super) fn note_leader_hint(&mut self, shard: u16, leader: ReplicaId) {
+        if leader == 0 {
+            self.leader_hints.remove(&shard);
+        } else {
+            self.leader_hints.insert(shard, leader);
+        }
+    }
+
+    /// The leader of a shard as the replica here knows it, if that is another one.
+    pub(super) fn other_leader(&self, shard: u16) -> Option<ReplicaId> {
+        let state = self.shards.get(&shard)?;
+        state.replica.leader().filter(|leader| *leader != self.disk)
+    }
+
     /// The outcome of a request of this member.
     fn deliver_outcome(&mut self, id: u64, outcome: ClaimOutcome) {
         let Some(request) = self.requests.get_mut(&id) else {
@@ -302,11 +325,7 @@
         match requester {
             Requester::Local(id) => self.retry_within(*id, NO_LEADER_RETRY_INTERVAL),
             Requester::Remote { member, id } => {
-                let state = self.shards.get(&shard);
-                let leader = state
-                    .and_then(|state| state.replica.leader())
-                    .filter(|leader| *leader != self.disk);
-                let response = CommandResponse::redirect(*id, shard, leader);
+                let response = CommandResponse::redirect(*id, shard, self.other_leader(shard));
                 self.send_to(member, FrameBody::Response(response));
             }
         }
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -34,6 +34,8 @@
     pub proposals: BTreeMap<u64, Proposal>,
     /// By key: requesters that wait for the end of another claim's run.
     pub watchers: BTreeMap<Bytes, Vec<Requester>>,
+    /// Of a leader: who waits for the confirmation of a read, by its token.
+    pub reads: BTreeMap<u64, Requester>,
     /// Whether the replica was the leader when it was last settled.
     pub was_leader: bool,
 }
@@ -64,6 +66,7 @@
             table,
             proposals: BTreeMap::new(),
             watchers: BTreeMap::new(),
+            reads: BTreeMap::new(),
             was_leader: false,
         };
         self.shards.insert(shard, state);
@@ -108,6 +111,7 @@
                 return;
             }
         }
+        self.finish_applied_reads();
     }
 
     fn settle_shard(&mut self, shard: u16) {
@@ -116,7 +120,8 @@
         };
         let ready = state.replica.take_ready();
         let is_leader = state.replica.is_leader();
-        let has_requesters = !state.proposals.is_empty() || !state.watchers.is_empty();
+        let has_requesters =
+            !state.proposals.is_empty() || !state.watchers.is_empty() || !state.reads.is_empty();
         self.report_leadership(shard, is_leader);
         if ready.is_empty() && (is_leader || !has_requesters) {
             return;
@@ -144,10 +149,14 @@
         for entry in ready.committed {
             self.apply(shard, &entry);
         }
+        for read in ready.reads {
+            self.on_read_confirmed(shard, read);
+        }
         if is_leader {
             self.record_follower_progress(shard);
         } else {
             self.redirect_requesters(shard);
+            self.redirect_reads(shard);
         }
     }
 
--- a/crates/replicated-state/src/versions.rs
+++ b/crates/replicated-state/src/versions.rs
@@ -196,7 +196,8 @@
             published_at_ms: publish.published_at_ms,
             fingerprint: publish.fingerprint(),
         });
-        self.trim_history()
+        self.trim_history();
+        Ok(())
     }
 
     /// Whether a command that was not made from the newest version is in the history.
@@ -228,17 +229,20 @@
         self.history.push_back(change);
     }
 
-    /// Moves the base forward until the history is within its bounds.
-    fn trim_history(&mut self) -> Result<(), UpdateError> {
+    /// Moves the base forward until the history is within its bounds. The version is published by then, so that this
+    /// cannot fail: if a change that was applied to the same state once before does not apply again, the history goes.
+    fn trim_history(&mut self) {
         while self.history.len() > MAX_HISTORY_CHANGES || self.history_bytes > MAX_HISTORY_BYTES {
             let Some(oldest) = self.history.pop_front() else {
                 break;
             };
             self.history_bytes -= oldest.delta.encoded_len();
-            // It was applied to the same state once before.
-            self.base.apply(&oldest.delta)?;
+            if self.base.apply(&oldest.delta).is_err() {
+                self.base = self.head.clone();
+                self.history.clear();
+                self.history_bytes = 0;
+            }
         }
-        Ok(())
     }
 
     /// As a snapshot of the log holds them; none if nothing was published. Equal versions give equal bytes.
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -620,6 +620,7 @@
             write,
             outcomes,
             timed_out,
+            reads: _,
             events,
             published_changed: _,
         } = effects;
