Downstream share: what a restarted node may hold grows with its age

Callers of a server below that all nodes share saw it hold 1.55 N when the nodes restarted within one window, where the rule allows 2 x root of N + 2 beyond N: a node that starts knows nothing of what the one before held and had its whole budget at once. Now it begins with what the budget leaves free of the node's part and grows to the whole with the node's age, as what the node before held leaves the window; both lives together hold one part. The first node on a machine that began warm has no life before it, and nothing is held back there.

The companion whose bound 1.6 was the measured figure has the rule's bound and more cases now. Three tests of failures.rs play a node that has just started as if it had its whole share: they let a window pass first, assertions unchanged.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::log_event;
 use rainstand_settings::fields::{list, number, object, text_of, Fields};
-use rainstand_settings::{SettingsError, Start};
+use rainstand_settings::{Machine, SettingsError, Start};
 use serde_json::Value;
 use std::net::{IpAddr, SocketAddr};
 use std::num::ParseIntError;
@@ -144,17 +144,16 @@
         if list(&config.settings, "requestClasses").is_empty() {
             return Err(ConfigError::NoClasses);
         }
-        config.start(Duration::ZERO, false)?;
+        config.start(Machine::default())?;
         Ok(config)
     }
 
-    /// The policy and the node's parameters, made from the settings. `born`: when the agent started, on the policy's
-    /// clock; `is_cold`: whether it was cold then.
+    /// The policy and the node's parameters, made from the settings. The machine begins with its agent.
     ///
     /// # Errors
     /// Where the settings cannot be used.
-    pub fn start(&self, born: Duration, is_cold: bool) -> Result<Start, ConfigError> {
-        Start::read(&self.settings, self.seed, born, is_cold).map_err(ConfigError::Settings)
+    pub fn start(&self, machine: Machine) -> Result<Start, ConfigError> {
+        Start::read(&self.settings, self.seed, machine).map_err(ConfigError::Settings)
     }
 
     /// Logs the keys that mean nothing here, a line each.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -13,7 +13,7 @@
 use crate::traffic_recording::TrafficRecording;
 use crate::{log, log_event};
 use rainstand::{AdmissionController, Gauges};
-use rainstand_settings::Start;
+use rainstand_settings::{Machine, Start};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -90,7 +90,7 @@
                 configured = configured
             );
         }
-        let start = config.start(Duration::ZERO, false)?;
+        let start = config.start(Machine::default())?;
         Ok(Rc::new_cyclic(|context: &Weak<Self>| {
             Self::with_settings(config, start, context.clone())
         }))
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -10,6 +10,7 @@
 use crate::context::{Core, NodeContext};
 use crate::counters::count;
 use crate::{descriptors, group_membership, log_event};
+use rainstand_settings::Machine;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -110,7 +111,10 @@
     config.settings =
         rainstand_settings::align_names(&config.settings, &table.classes, &table.tenants)
             .map_err(ApplyError::OtherNames)?;
-    let start = config.start(table.now(), false)?;
+    let start = config.start(Machine {
+        began: table.now(),
+        ..Machine::default()
+    })?;
     table.max_result_age = start.max_result_age;
     table.can_pause = start.can_cancel_runs;
     table.class_limits = start.class_limits;
--- a/crates/node/src/ticker.rs
+++ b/crates/node/src/ticker.rs
@@ -5,6 +5,7 @@
 use crate::supervisor::supervise;
 use crate::{drain, log_event};
 use rainstand::Host;
+use rainstand_settings::Machine;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -20,6 +21,10 @@
 /// Older gauges are counted: half of the time between two ticks.
 const MAX_GAUGE_AGE: Duration = Duration::from_millis(10);
 
+/// With an agent that has been up for longer an earlier process of this node may have worked: one that did so for less
+/// has held next to nothing downstream.
+const FIRST_START_MAX_AGE: Duration = Duration::from_secs(1);
+
 /// To the next tick where the policy requested none: as often as it does by itself.
 const DEFAULT_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -44,9 +49,12 @@
     let now = table.now();
     let reloaded = context.reloaded_config.borrow();
     let config = reloaded.as_ref().unwrap_or(&context.config);
-    let start = config
-        .start(now.saturating_sub(ago), is_cold)
-        .map_err(|_| "settings")?;
+    let machine = Machine {
+        began: now.saturating_sub(ago),
+        is_cold,
+        had_node: ago > FIRST_START_MAX_AGE,
+    };
+    let start = config.start(machine).map_err(|_| "settings")?;
     drop(reloaded);
     log_event!(
         "agent_up",
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use alignment::align_names;
 pub use error::SettingsError;
-pub use start::{ClassLimits, Start};
+pub use start::{ClassLimits, Machine, Start};
--- a/crates/settings/src/start.rs
+++ b/crates/settings/src/start.rs
@@ -61,6 +61,17 @@
     }
 }
 
+/// What is known of the machine that a node starts on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Machine {
+    /// When its work began, on the clock that the controller is called with.
+    pub began: Duration,
+    /// It was cold then, whatever the settings say.
+    pub is_cold: bool,
+    /// An earlier process of this node may have worked on it.
+    pub had_node: bool,
+}
+
 /// Request classes or tenants, with their indices by name.
 struct Named<T> {
     indices: BTreeMap<String, usize>,
@@ -70,17 +81,11 @@
 impl Start {
     /// Reads the settings.
     ///
-    /// `seed`: of the controller's random draws; `began`: when the machine's work began, on the clock that the
-    /// controller is called with; `is_cold`: it was cold then, whatever the settings say.
+    /// `seed`: of the controller's random draws.
     ///
     /// # Errors
     /// The first field that is missing or wrong.
-    pub fn read(
-        settings: &Fields,
-        seed: u64,
-        began: Duration,
-        is_cold: bool,
-    ) -> Result<Self, SettingsError> {
+    pub fn read(settings: &Fields, seed: u64, machine: Machine) -> Result<Self, SettingsError> {
         let family = object(settings, "familyInfo")?;
         let duties = object(settings, "obligations")?;
         let permissions = object(settings, "permissions")?;
@@ -88,7 +93,7 @@
         let class_limits = classes.entries.iter().map(ClassLimits::of).collect();
         let tenants = tenant_quotas(settings)?;
         let servers = unsigned(settings, "groupSize")? as usize;
-        let cold_start = cold_start(family, duties, began, is_cold)?;
+        let cold_start = cold_start(family, duties, machine)?;
         let share = downstream_share(family)?;
         let signal = load_signal(family)?;
         let max_retry_after = max_retry_after(permissions)?;
@@ -107,11 +112,17 @@
             retries_marked,
             clients,
         };
+        // A machine that comes up cold does so in the place of one that worked until then.
+        let downstream = if machine.had_node || cold_start.is_some() {
+            DownstreamLimiter::new(share)
+        } else {
+            DownstreamLimiter::without_predecessor(share)
+        };
         let parts = Parts {
             quotas: TenantQuotas::new(&tenants.entries, servers),
             limit: ConcurrencyLimiter::new(seed, cores, overload_factor, cold_start),
             in_flight,
-            downstream: DownstreamLimiter::new(share),
+            downstream,
             advertiser: LoadAdvertiser::new(advertiser),
         };
         Ok(Self {
@@ -184,14 +195,13 @@
 fn cold_start(
     family: &Fields,
     duties: &Fields,
-    began: Duration,
-    is_cold: bool,
+    machine: Machine,
 ) -> Result<Option<ColdStart>, SettingsError> {
-    if !is_cold && !flag(family, "cold") {
+    if !machine.is_cold && !flag(family, "cold") {
         return Ok(None);
     }
     Ok(Some(ColdStart {
-        began,
+        began: machine.began,
         initial_speed: number(duties, "coldShare")?,
         warm_up: duration(duties, "rampTimeS")?,
     }))
--- a/crates/simhost/src/node.rs
+++ b/crates/simhost/src/node.rs
@@ -6,7 +6,7 @@
 use rainstand_settings::fields::{
     duration, flag, object, optional, seconds, text_of, unsigned, Fields,
 };
-use rainstand_settings::{SettingsError, Start};
+use rainstand_settings::{Machine, SettingsError, Start};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -28,7 +28,11 @@
     ) -> Result<Self, MessageError> {
         let seed = unsigned(fields, "entropy")?;
         let settings = object(fields, "facts")?;
-        let start = Start::read(settings, seed, now, false)?;
+        let machine = Machine {
+            began: now,
+            ..Machine::default()
+        };
+        let start = Start::read(settings, seed, machine)?;
         let mut node = Self {
             controller: start.controller,
             host: PolicyHost::new(name, start.can_cancel_runs),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -255,6 +255,8 @@
     rate: f64,
     tokens: f64,
     refilled: Duration,
+    began: Option<Duration>,
+    head_start: f64,
     recent_time: Mean,
     usual_time: Mean,
     successes: Decaying,
@@ -266,13 +268,13 @@
 impl DownstreamLimiter {
     /// `share`: this node's share of the tier, where nodes share it.
     pub fn new(share: Option<DownstreamShare>) -> Self {
-        Self { share, rate: INITIAL_CALL_RATE, tokens: MIN_CALL_RATE, ..Self::default() }
+        let head_start = (1.0 - SAFETY_SHARE) / SAFETY_SHARE;
+        Self { share, rate: INITIAL_CALL_RATE, tokens: MIN_CALL_RATE, head_start, ..Self::default() }
     }
 
-    /// How long a call made now may take, if one may be made. Guards against nodes that together load what
-    /// they share past what it survives, be it slow, cold, dead or crowded: what calls held there in the
-    /// window, and the most that those in progress may still hold, stay under this node's share of the mean.
-    /// No window that ends later can hold more, as each call ends by its deadline.
+    /// How long a call made now may take, if one may. Guards against nodes that together load what they share
+    /// past what it survives, be it slow, cold, dead or crowded: what calls held there in the window, and the
+    /// most that those in progress may still hold, stay under this node's share of the mean, now and later.
     fn time_limit(&mut self, now: Duration) -> Option<Duration> {
         let since = now.saturating_sub(self.refilled).as_secs_f64();
         self.tokens = (self.tokens + since * self.rate).min((self.rate * CALL_BURST_S).max(1.0));
@@ -280,11 +282,17 @@
         let longest = self.share.map_or(Some(Duration::MAX), |share| {
             self.used.expire(now, share.window);
             let budget = share.window.mul_f64(share.concurrency * SAFETY_SHARE);
-            let left = budget.saturating_sub(self.used.read() + self.reserved).checked_sub(share.linger)?;
+            // A restarted node knows nothing of what the one before held; that leaves the window as it ages.
+            let age = now.saturating_sub(*self.began.get_or_insert(now)).as_secs_f64();
+            let grown = (self.head_start + age / share.window.as_secs_f64()).min(1.0);
+            let held = self.used.read() + self.reserved;
+            let left = budget.mul_f64(grown).saturating_sub(held).checked_sub(share.linger)?;
             // One call takes no more than half of the budget, unless calls are that slow.
             let likely = Duration::from_secs_f64(self.recent_time.read().unwrap_or(0.0) * SLOWDOWN_RATIO);
             let most = likely.max(budget / 2).min(budget).saturating_sub(share.linger);
-            (left >= likely.min(most)).then_some(left.min(most)).filter(|limit| !limit.is_zero())
+            // Until one succeeds while the node is young, a call that its age cuts short would only fail.
+            let least = if grown < 1.0 && likely.is_zero() { most / 2 } else { likely.min(most) };
+            (left >= least).then_some(left.min(most)).filter(|limit| !limit.is_zero())
         });
         longest.filter(|_| self.tokens >= 1.0 && (self.reserved.is_zero() || self.is_uncontended()))
     }
@@ -431,8 +439,7 @@
 
 impl AdmissionController {
     /// New settings under load, from a controller made of them; requests in flight and all that was learned
-    /// stay, so nothing is lost or run twice. The classes and tenants must be the same ones in the same
-    /// order, which who reads the settings checks: other counts leave classes and quotas as they were.
+    /// stay. Other counts of classes or tenants, which the reader of settings refuses, change neither.
     pub fn reconfigure(&mut self, new: AdmissionController) {
         let same_classes = new.classes.len() == self.classes.len();
         if same_classes && new.quotas.rates.len() == self.quotas.rates.len() {
--- a/src/choice/parts.rs
+++ b/src/choice/parts.rs
@@ -6,6 +6,7 @@
 };
 use crate::host::RequestClass;
 use crate::in_flight::InFlightRequests;
+use crate::options::DownstreamShare;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -23,6 +24,14 @@
     pub advertiser: LoadAdvertiser,
 }
 
+impl DownstreamLimiter {
+    /// Of the first node on its machine: nothing that this one does not know of is held downstream, so it has its whole
+    /// share at once. `share` as in [`DownstreamLimiter::new`].
+    pub fn without_predecessor(share: Option<DownstreamShare>) -> Self {
+        Self { head_start: 1.0, ..Self::new(share) }
+    }
+}
+
 impl AdmissionController {
     /// A controller that has not begun. `by_work`: value is counted for each unit of work, not for each
     /// request.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -11,6 +11,10 @@
 
 use common::{ms, shared, Rig, Settings};
 use rainstand::{Arrival, Gauges, Outcome, Parts, Repeatability};
+use std::time::Duration;
+
+/// The window of the shares here. A node uses the whole of its share once it is as old.
+const SHARE_WINDOW: Duration = Duration::from_secs(5);
 
 #[test]
 fn an_unhealthy_node_rejects_all_but_probe_requests() {
@@ -324,6 +328,7 @@
         ..Settings::default()
     })
     .at(0.0);
+    rig.pass(SHARE_WINDOW);
     rig.calling(0, 0);
     rig.pass(ms(400));
     rig.call_ended(0, Outcome::Succeeded);
@@ -376,6 +381,7 @@
             ..Settings::default()
         })
         .at(0.0);
+        rig.pass(SHARE_WINDOW);
         (0..2).for_each(|ix| rig.calling(ix, 0));
         assert_eq!(rig.count("call_downstream "), at_once);
         rig.call_ended(0, Outcome::Succeeded);
@@ -405,6 +411,7 @@
             ..Settings::default()
         };
         let mut rig = Rig::new(settings).at(0.0);
+        rig.pass(SHARE_WINDOW);
         let dear = Arrival {
             class: 1,
             ..Arrival::default()
--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -1,6 +1,12 @@
 //! Twenty and thirty nodes call one server below that all of them share and that just started. Their settings give
 //! each a part of the calls that it may hold at once, in the mean of a window. With N the calls of mean length that the
 //! parts add up to in a window, at most 2√N + 2 more may be chance.
+//!
+//! What happened: nodes that all restarted within one window held 1.55 N, where calls are long. Why: a node that starts
+//! knows nothing of what the one before it held and had its whole budget, 0.8 of its part, from its first moment on; the
+//! window still held as much of the one before. What showed it: the worst window of the play began before the restart
+//! and ended in the new lives' first window, with 0.77 N from each side; windows within one life held 0.77 N at most.
+//! Now what a node may hold in its first window grows with its own age.
 
 #![allow(
     missing_docs,
@@ -184,7 +190,7 @@
     }
 }
 
-/// The rule holds for a fleet that starts anew within one window as well. It does not yet: KNOWN-RED.txt.
+/// The rule holds for a fleet that starts anew within one window as well.
 #[test]
 fn a_fleet_that_starts_anew_at_once_stays_within_its_parts() {
     for nodes in [20, 30] {
@@ -194,13 +200,27 @@
     }
 }
 
-/// A node that starts anew knows nothing of what the one before it held, so a fleet that does so within one window may
-/// hold two lives' parts in it. That is past the rule above (1.55 times N where calls are long), and no more.
+/// The same for short calls and long ones, whether or not they fail, at a server that warms up fast or slowly.
 #[test]
 fn a_fleet_that_starts_anew_at_once_holds_no_more_than_two_lives_may() {
     for nodes in [20, 30] {
-        let case = all_start_anew(nodes);
-        let (_, times) = over(&case);
-        assert!(times <= 1.6, "{case:?}: {times:.2} times what may be held");
+        for share in [0.3, 0.54, 3.0] {
+            for (takes, warm_up, fails) in [
+                (50, 100, 0),
+                (150, 8_000, 2),
+                (150, 100, 0),
+                (1_500, 3_000, 0),
+            ] {
+                let case = Case {
+                    share,
+                    takes,
+                    warm_up,
+                    fails,
+                    ..all_start_anew(nodes)
+                };
+                let (over, times) = over(&case);
+                assert!(over <= 1.0, "{case:?}: {times:.2} times what may be held");
+            }
+        }
     }
 }
