Raft: a follower whose running checksum is 0 reports its divergence

Callers saw nothing; a follower whose running checksum happened to be 0 was never found to have diverged, and could serve another history once it led. Cause: in the response 0 stands for "no divergence", and check_previous_entry sent the own checksum as it is in its last case. Mend: both cases send it through one function that sends at least 1.

--- a/crates/raft/src/replica/replication.rs
+++ b/crates/raft/src/replica/replication.rs
@@ -226,17 +226,21 @@
         if prev_term != request.prev_term {
             return Some(if prev_index <= self.commit_index {
                 // No two leaders commit different entries at one index.
-                let checksum = self.log.checksum(prev_index).unwrap_or(0).max(1);
-                AppendResponse::divergence(prev_index, checksum, read_round)
+                self.divergence_at(prev_index, read_round)
             } else {
                 let before_term = self.log.first_index_of_term(prev_index).saturating_sub(1);
                 AppendResponse::mismatch(before_term.max(self.commit_index), read_round)
             });
         }
-        self.log
-            .checksum(prev_index)
-            .filter(|checksum| *checksum != request.prev_checksum)
-            .map(|checksum| AppendResponse::divergence(prev_index, checksum, read_round))
+        let checksum = self.log.checksum(prev_index)?;
+        (checksum != request.prev_checksum).then(|| self.divergence_at(prev_index, read_round))
+    }
+
+    /// A response that says with which running checksum the log here differs. 0 stands for no divergence there, so that
+    /// an own checksum of 0 is sent as 1.
+    fn divergence_at(&self, index: u64, read_round: u64) -> AppendResponse {
+        let checksum = self.log.checksum(index).unwrap_or(0).max(1);
+        AppendResponse::divergence(index, checksum, read_round)
     }
 
     fn store_entries(&mut self, prev_index: u64, entries: Vec<Entry>) -> Result<(), IndexGap> {
