Raft: a leader that is quarantined no longer reports a transfer of leadership

Cause: a transfer ends by the leader's clock or as the role goes back to follower; a quarantined replica has neither, so that the shard's membership waited on it for ever. Mend: the change of role ends it.

--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -356,6 +356,8 @@
             Role::Quarantined => {
                 self.peers.clear();
                 self.pending_reads.clear();
+                self.leadership_transfer = None;
+                self.uncommitted_bytes = 0;
             }
             Role::Follower | Role::PreCandidate | Role::Candidate => {}
         }
--- a/crates/raft/tests/quarantine.rs
+++ b/crates/raft/tests/quarantine.rs
@@ -7,8 +7,12 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
-use rainstand_raft::wire::{AppendRequest, Body, HardState, Member, Membership, Snapshot};
-use rainstand_raft::{Message, PersistentState, Replica, ReplicaId, SnapshotMetadata, Timeouts};
+use rainstand_raft::wire::{
+    AppendRequest, AppendResponse, Body, HardState, Member, Membership, Snapshot, VoteResponse,
+};
+use rainstand_raft::{
+    CampaignKind, Message, PersistentState, Replica, ReplicaId, Role, SnapshotMetadata, Timeouts,
+};
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(1);
@@ -77,3 +81,31 @@
     });
     assert!(reported, "{sent:?}");
 }
+
+/// What happened: a leader that was quarantined while it handed over its leadership went on reporting a transfer for
+/// ever, as the transfer ends by the leader's clock or with its role as a follower. Seen in the code of the role change.
+#[test]
+fn a_quarantined_leader_transfers_nothing() {
+    let mut leader = replica(1, 7);
+    leader.campaign(NOW, CampaignKind::Election);
+    let vote = VoteResponse {
+        pre_vote: false,
+        granted: true,
+    };
+    leader.step(NOW, message(2, 1, 2, Body::VoteResponse(vote)));
+    assert_eq!(leader.role(), Role::Leader);
+    leader.transfer_leadership(NOW, 2).unwrap();
+    assert!(leader.is_transferring_leadership());
+    // A majority has another history than the leader.
+    for from in [2, 3] {
+        let response = AppendResponse {
+            success: false,
+            index: BASE_INDEX,
+            read_round: 0,
+            divergent_checksum: 9,
+        };
+        leader.step(NOW, message(from, 1, 2, Body::AppendResponse(response)));
+    }
+    assert_eq!(leader.role(), Role::Quarantined);
+    assert!(!leader.is_transferring_leadership());
+}
