--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -81,17 +81,29 @@
 /// If the disk fails or a file is damaged.
 pub fn recover(disk: &mut impl Disk) -> Result<StoreContents, OpenError> {
     let names = disk.list()?;
-    let identity = Identity::read(disk, &names)?;
-    let recovered = read_log(disk, &names)?.recovered;
-    if identity.is_none() && recovered.segments > 0 {
-        return Err(Identity::missing().into());
-    }
+    let StoreFiles { identity, log } = read_files(disk, &names)?;
     Ok(StoreContents {
         identity,
-        recovered,
+        recovered: log.recovered,
     })
 }
 
+/// What all files of a store hold, each read once.
+pub(crate) struct StoreFiles {
+    pub(crate) identity: Option<Identity>,
+    pub(crate) log: LogContents,
+}
+
+/// Reads all files and changes nothing. `names`: all files, in order.
+pub(crate) fn read_files(disk: &mut impl Disk, names: &[String]) -> Result<StoreFiles, OpenError> {
+    let identity = Identity::read(disk, names)?;
+    let log = read_log(disk, names)?;
+    if identity.is_none() && log.recovered.segments > 0 {
+        return Err(Identity::missing().into());
+    }
+    Ok(StoreFiles { identity, log })
+}
+
 /// The log as a store needs it to go on.
 pub(crate) struct LogContents {
     pub(crate) recovered: Recovered,
@@ -107,7 +119,7 @@
 }
 
 /// Reads all segments, and the snapshots that they name. `names`: all files, in order.
-pub(crate) fn read_log(disk: &mut impl Disk, names: &[String]) -> Result<LogContents, OpenError> {
+fn read_log(disk: &mut impl Disk, names: &[String]) -> Result<LogContents, OpenError> {
     let mut recovered = Recovered::default();
     let mut segments: Vec<Segment> = Vec::new();
     let mut records_by_segment = Vec::new();
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -9,7 +9,7 @@
 use crate::error::OpenError;
 use crate::identity::{Identity, IdentitySeed};
 use crate::record::{LogSuffix, Record};
-use crate::recovery::{read_log, recover, Recovered};
+use crate::recovery::{read_files, Recovered, StoreFiles};
 use crate::segment::{encode_header, Segment};
 use crate::snapshot_file::{write_snapshot, SnapshotName};
 use std::collections::BTreeMap;
@@ -64,13 +64,12 @@
         limits: StoreLimits,
         seed: IdentitySeed,
     ) -> Result<(Self, Recovered), OpenError> {
-        let contents = recover(&mut disk)?;
-        let recovered = contents.recovered;
         let names = disk.list()?;
+        let StoreFiles { identity, log } = read_files(&mut disk, &names)?;
         for name in names.iter().filter(|name| is_temporary(name)) {
             disk.remove(name)?;
         }
-        let log = read_log(&mut disk, &names)?;
+        let recovered = log.recovered;
         remove_stale_snapshots(&mut disk, &names, &log.snapshot_indexes)?;
         if let Some(tail) = &recovered.truncated_tail {
             disk.truncate(&tail.file, tail.offset)?;
@@ -88,7 +87,7 @@
         let mut store = Self {
             disk,
             limits,
-            identity: Identity::next(contents.identity.as_ref(), seed),
+            identity: Identity::next(identity.as_ref(), seed),
             segments: log.segments,
             hard_states,
             metadata: recovered.metadata.clone(),
