Group: a frame for a shard past all numbers is refused, not cut to 16 bits

A request or a raft message for shard 65,536 + k was taken as one for shard k: the number, 32 bits in a frame, was cut.

--- a/crates/replicated-state/src/member/peers.rs
+++ b/crates/replicated-state/src/member/peers.rs
@@ -69,9 +69,10 @@
         self.replaced_disks = recorded.replaced_disks.iter().copied().collect();
         let durable = |progress: &ShardProgress| {
             let ShardProgress { shard, term, index } = *progress;
-            (shard as u16, DurableProgress { term, index })
+            let shard = u16::try_from(shard).ok()?;
+            Some((shard, DurableProgress { term, index }))
         };
-        self.durable = recorded.shard_progress.iter().map(durable).collect();
+        self.durable = recorded.shard_progress.iter().filter_map(durable).collect();
     }
 
     /// What is to be recorded of this peer; none if it was never accepted.
--- a/crates/replicated-state/src/member/requests.rs
+++ b/crates/replicated-state/src/member/requests.rs
@@ -251,7 +251,11 @@
             member: name.to_owned(),
             id: request.id,
         };
-        self.propose(request.shard as u16, &request.command, &requester);
+        // A number past those of shards names none of them, least of all the one that its lower bits are.
+        let Ok(shard) = u16::try_from(request.shard) else {
+            return;
+        };
+        self.propose(shard, &request.command, &requester);
     }
 
     /// Another member answered a request.
@@ -263,7 +267,10 @@
     }
 
     fn on_redirect(&mut self, response: &CommandResponse) {
-        self.note_leader_hint(response.shard as u16, response.leader);
+        let Ok(shard) = u16::try_from(response.shard) else {
+            return;
+        };
+        self.note_leader_hint(shard, response.leader);
         let retry_at = self.now + NO_LEADER_RETRY_INTERVAL;
         if let Some(request) = self.requests.get_mut(&response.id) {
             request.retry_at = request.retry_at.min(retry_at);
--- a/crates/replicated-state/src/member/shards.rs
+++ b/crates/replicated-state/src/member/shards.rs
@@ -82,7 +82,9 @@
         let Some(peer) = self.peers.get_mut(name) else {
             return;
         };
-        let shard = shard as u16;
+        let Ok(shard) = u16::try_from(shard) else {
+            return;
+        };
         // Only the disk that introduced itself counts: a stale one has no accepted greeting.
         if !peer.has_disk(message.from)
             || message.to != self.disk
