Group: who proposed at an index that another entry takes is redirected at once

apply() dropped the proposal of an index that a no-op or an unreadable entry took, and its requester waited for the next retry.

--- a/crates/replicated-state/src/member/apply.rs
+++ b/crates/replicated-state/src/member/apply.rs
@@ -17,11 +17,16 @@
             return;
         };
         let proposal = state.proposals.remove(&entry.index);
-        if entry.kind() != EntryKind::Data {
-            return;
-        }
         // A command that cannot be decoded was proposed by a later version: every replica skips it alike.
-        let Ok(command) = Command::decode(entry.data.clone()) else {
+        let command = match entry.kind() {
+            EntryKind::Data => Command::decode(entry.data.clone()).ok(),
+            _ => None,
+        };
+        let Some(command) = command else {
+            // Another entry took the index of a proposal: whoever waits for that tries again at once.
+            if let Some(proposal) = proposal {
+                self.redirect(&proposal.requester, shard);
+            }
             return;
         };
         let outcome = state.table.apply(entry.stamp, &command);
--- a/crates/replicated-state/src/member/gossip.rs
+++ b/crates/replicated-state/src/member/gossip.rs
@@ -14,11 +14,6 @@
             .or_default() += charged_us;
     }
 
-    /// Sets the spare capacity that this node reports, in thousandths of a concurrent request.
-    pub fn set_spare_capacity(&mut self, spare_capacity: u64) {
-        self.own_report.spare_capacity = spare_capacity;
-    }
-
     /// Drops the reports of replaced disks, and sends this member's own one if there is anything in it.
     pub(super) fn send_gossip(&mut self) {
         let known: Vec<ReplicaId> = self
