Fleet model: a cold node's warm-up begins with its own start

Experiments saw nodes of our kind that started cold slow for one span and holding back for a second one: the span itself was given as the time when the warm-up began. Nodes that started warm were told of it as well.

--- a/crates/fleet-model/src/node.rs
+++ b/crates/fleet-model/src/node.rs
@@ -171,7 +171,14 @@
     pub drains: bool,
 }
 
-fn ours(plan: &NodePlan, types: &[TypePlan], shares: &[f64], rate: f64, seed: u64) -> Box<Ours> {
+fn ours(
+    plan: &NodePlan,
+    types: &[TypePlan],
+    shares: &[f64],
+    rate: f64,
+    seed: u64,
+    cold: Option<rainstand::ColdStart>,
+) -> Box<Ours> {
     let kinds = types.iter().map(|one| rainstand::RequestClass {
         latency_objective: one.goal,
         deadline: one.outer_limit,
@@ -185,11 +192,6 @@
         },
     });
     let quotas: Vec<f64> = shares.iter().map(|share| share * rate).collect();
-    let cold = plan.cold.map(|(span, slower)| rainstand::ColdStart {
-        began: span,
-        initial_speed: 1.0 / slower.max(1.0),
-        warm_up: span,
-    });
     let parts = Parts {
         quotas: TenantQuotas::new(&quotas, plan.count as usize),
         limit: ConcurrencyLimiter::new(seed, plan.cores as usize, 4.0, cold),
@@ -228,7 +230,10 @@
                 at_once: at_once.max(1) as usize,
                 hold: hold as usize,
             },
-            NodeKind::Ours => Mind::Ours(ours(plan, types, shares, rate, seed)),
+            NodeKind::Ours => {
+                let cold = cold.then(|| plan.cold_start(now)).flatten();
+                Mind::Ours(ours(plan, types, shares, rate, seed, cold))
+            }
         };
         let slow = plan
             .cold
--- a/crates/fleet-model/src/plan.rs
+++ b/crates/fleet-model/src/plan.rs
@@ -111,6 +111,17 @@
     pub halls: u32,
 }
 
+impl NodePlan {
+    /// What a node that starts cold at `now`, in nanoseconds, is told of its warm-up; none where the plan has none.
+    pub fn cold_start(&self, now: u64) -> Option<rainstand::ColdStart> {
+        self.cold.map(|(span, slower)| rainstand::ColdStart {
+            began: Duration::from_nanos(now),
+            initial_speed: 1.0 / slower.max(1.0),
+            warm_up: span,
+        })
+    }
+}
+
 /// How a forwarder picks a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pick {
