Testbed: a caller's late timer no longer makes an answer of a cut-off node late

The rig had held them back during the cut and delivered them when it ended, just past their due time; the caller leaves disturbed tickets then, but its timer fired later than it read. Now the reading decides by the times, as the timer would have. An answer that nothing disturbed is written with its time, late or not: it was called missing before. The check and its bounds are unchanged.

--- a/crates/testbed/src/peers/caller.rs
+++ b/crates/testbed/src/peers/caller.rs
@@ -68,6 +68,13 @@
     calm_since: Cell<u64>,
 }
 
+impl Node {
+    /// Whether the rig told of a disturbance that went on at this time or later.
+    fn disturbed_since(&self, at: u64) -> bool {
+        self.disturbed.get() > 0 || self.calm_since.get() >= at
+    }
+}
+
 struct Caller {
     options: Options,
     book: RefCell<Book>,
@@ -252,12 +259,15 @@
         true
     }
 
-    /// Its due time is here. One that was disturbed is left; of any other nothing is written, which breaks the rule.
+    /// Its due time is here. One that was disturbed is left; any other stays open, and an answer that comes yet is
+    /// written with its time, which breaks the rule.
     fn overdue(&self, node: &Node, of: (u32, i32)) {
-        let Some(open) = node.open.borrow_mut().remove(&of) else {
-            return;
-        };
-        if node.disturbed.get() > 0 || node.calm_since.get() >= open.asked {
+        let mut all_open = node.open.borrow_mut();
+        let asked = all_open.get(&of).map(|open| open.asked);
+        let is_left = asked.is_some_and(|asked| node.disturbed_since(asked));
+        let left = is_left.then(|| all_open.remove(&of)).flatten();
+        drop(all_open);
+        if let Some(open) = left {
             self.end("gone", open.ticket, None, self.due(open.asked));
             if let Some(write) = node
                 .write
@@ -298,6 +308,11 @@
             let Some(open) = node.open.borrow_mut().remove(&of) else {
                 continue;
             };
+            let (at, due) = (now(), self.due(open.asked));
+            if is_left_when_due(at, due, node.disturbed_since(open.asked)) {
+                self.end("gone", open.ticket, None, due);
+                continue;
+            }
             let (op, result) = match answered.what {
                 What::Answer { body, .. } => {
                     ("answer", Some(String::from_utf8_lossy(body).into_owned()))
@@ -305,12 +320,18 @@
                 What::Backoff(_) => ("dismissed", None),
                 What::Lost | What::Exception { .. } => ("given-up", None),
             };
-            self.end(op, open.ticket, result, now());
+            self.end(op, open.ticket, result, at);
         }
         Ok(())
     }
 }
 
+/// Whether a ticket whose answer was read counts as left by its caller all the same: a caller leaves one that was
+/// disturbed when it is due. Its timer may fire after an answer is read that the disturbance held back until then.
+pub fn is_left_when_due(read_at: u64, due: u64, was_disturbed: bool) -> bool {
+    was_disturbed && read_at > due
+}
+
 /// Keeps a connection to one node.
 async fn keep(caller: Rc<Caller>, node: Rc<Node>) {
     loop {
