--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod history;
 pub mod peers;
 pub mod plan;
+pub mod play_identity;
 pub mod process;
 pub mod proxy;
 pub mod ready;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -16,6 +16,7 @@
 use rainstand_testbed::history::{self, Unreadable};
 use rainstand_testbed::peers::{agent, caller};
 use rainstand_testbed::plan::{schedule, Step};
+use rainstand_testbed::play_identity::PlayIdentity;
 use rainstand_testbed::ready;
 use rainstand_testbed::scale;
 use rainstand_testbed::shrink::shrink;
@@ -71,6 +72,15 @@
     plant: Option<String>,
 }
 
+impl Play {
+    /// What the results of this play are of.
+    fn identity(&self) -> io::Result<PlayIdentity> {
+        let plant = self.plant.iter().map(|bug| format!("planted {bug}"));
+        let options: Vec<String> = plant.collect();
+        PlayIdentity::new(&read(self)?, self.programs.as_deref(), options.join(", "))
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Play one run
--- a/crates/testbed/src/sweep.rs
+++ b/crates/testbed/src/sweep.rs
@@ -4,9 +4,10 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use rainstand_testbed::check::check;
 use rainstand_testbed::history::{End, Event, Line, Seen};
+use rainstand_testbed::play_identity::PlayIdentity;
 use rainstand_testbed::sim::{self, Outcome, World};
 use serde_json::Value;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
 use std::path::Path;
@@ -57,21 +58,54 @@
     }
 }
 
-pub fn sweep(play: &Play, seeds: &str, jobs: usize, out: &Path) -> io::Result<bool> {
-    let seeds = range(seeds)?;
-    fs::create_dir_all(out)?;
-    let results = out.join("results.jsonl");
-    let mut all = All::default();
-    let mut done = BTreeSet::new();
-    for line in lines_of(&results)? {
+/// What a file of results says already.
+struct Earlier {
+    /// Results of the same play.
+    all: All,
+    done: BTreeSet<u64>,
+    /// How many results of these seeds there are of each other play.
+    others: BTreeMap<String, usize>,
+}
+
+/// Seeds of another rig, build or set of options are played: their results say nothing of this one.
+fn earlier(
+    results: &Path,
+    seeds: &std::ops::Range<u64>,
+    identity: &PlayIdentity,
+) -> io::Result<Earlier> {
+    let mut earlier = Earlier {
+        all: All::default(),
+        done: BTreeSet::new(),
+        others: BTreeMap::new(),
+    };
+    for line in lines_of(results)? {
         // The last line may have been cut by an interrupt: its seed is played again.
         let Ok(line) = serde_json::from_str::<Value>(&line) else {
             continue;
         };
         let seed = line["seed"].as_u64().unwrap_or(0);
-        if seeds.contains(&seed) && done.insert(seed) {
-            all.add(&line);
+        if !seeds.contains(&seed) {
+            continue;
         }
+        let of = serde_json::from_value::<PlayIdentity>(line["of"].clone()).ok();
+        if of.as_ref() != Some(identity) {
+            let name = of.map_or("no named play".to_owned(), |of| of.to_string());
+            *earlier.others.entry(name).or_default() += 1;
+        } else if earlier.done.insert(seed) {
+            earlier.all.add(&line);
+        }
+    }
+    Ok(earlier)
+}
+
+pub fn sweep(play: &Play, seeds: &str, jobs: usize, out: &Path) -> io::Result<bool> {
+    let seeds = range(seeds)?;
+    fs::create_dir_all(out)?;
+    let results = out.join("results.jsonl");
+    let identity = play.identity()?;
+    let Earlier { all, done, others } = earlier(&results, &seeds, &identity)?;
+    for (other, count) in &others {
+        println!("not counted: {count} results of {other}");
     }
     let left: Vec<u64> = seeds.clone().filter(|seed| !done.contains(seed)).collect();
     let bar = ProgressBar::new(left.len() as u64);
@@ -90,7 +124,7 @@
         for _ in 0..jobs.clamp(1, 64) {
             scope.spawn(|| {
                 while let Some(seed) = left.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let line = one(&me, play, *seed, out);
+                    let line = one(&me, play, &identity, *seed, out);
                     let text = format!("{line}\n");
                     let wrote = file
                         .lock()
@@ -129,7 +163,7 @@
 }
 
 /// One seed in a process of its own; its folder is kept if it failed.
-fn one(me: &Path, play: &Play, seed: u64, out: &Path) -> Value {
+fn one(me: &Path, play: &Play, identity: &PlayIdentity, seed: u64, out: &Path) -> Value {
     let folder = out.join(format!("seed-{seed}"));
     let _ = fs::remove_dir_all(&folder);
     let mut command = Command::new(me);
@@ -151,7 +185,7 @@
         command.arg("--programs").arg(programs);
     }
     let output = command.stdin(Stdio::null()).output();
-    let line = match &output {
+    let mut line = match &output {
         Ok(output) => serde_json::from_slice(&output.stdout).unwrap_or_else(|_| {
             let why = String::from_utf8_lossy(&output.stderr);
             serde_json::json!({"seed": seed, "good": false, "why": why.trim()})
@@ -161,6 +195,7 @@
     if line["good"] == Value::Bool(true) {
         let _ = fs::remove_dir_all(&folder);
     }
+    line["of"] = serde_json::to_value(identity).unwrap_or_default();
     line
 }
 
