Testbed: a soak uses a node, a forwarder and control machines until their kill

Clients keep sending on open connections after the signal to drain, SIGKILL comes at stop_ms exactly, signals come in series, some seeds have a crowd past the descriptor limit, control machines are stopped, drained two at once and restarted while changes are published. What cannot be proved counts as broken: a request without an answer is allowed only where the server's own counters say that it read no more than were answered.

Looked like a fault and was the soak's own client: it dropped a connection at a failed write with answers still to be read.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -48,3 +48,7 @@
     member.drive(|_, _| {});
     Ok(member)
 }
+
+/// Whether a bug is planted by its name, see `rainstand_raft::plant`: never without the feature `planted`.
+#[doc(hidden)]
+pub use rainstand_raft::plant::planted;
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use prost::Message as _;
 use rainstand_config_distribution::snapshot;
+use rainstand_raft::plant::planted;
 use rainstand_replicated_state::idempotency::{ClaimOutcome, Command, Operation};
+use rainstand_replicated_state::member::ReadOutcome;
 use rainstand_replicated_state::versions::Publish;
 use serde::Serialize;
 use serde_json::{json, Value};
@@ -106,9 +108,11 @@
         .ok_or("no majority answered in time: it may be committed yet, see the versions")?;
     // The leader applies a version before its followers do: who is told of it finds it here. If nobody confirms that in
     // time, the version is committed all the same, and the next read here waits for it.
-    member
-        .confirm_read(SHARD_OF_VERSIONS, CONFIRM_TIMEOUT)
-        .await;
+    if !planted("stale-publish") {
+        member
+            .confirm_read(SHARD_OF_VERSIONS, CONFIRM_TIMEOUT)
+            .await;
+    }
     Ok(outcome)
 }
 
@@ -148,9 +152,13 @@
         }
         "versions" => {
             let max_versions = argument.parse().unwrap_or(DEFAULT_LISTED_VERSIONS);
-            let outcome = member
-                .confirm_read(SHARD_OF_VERSIONS, CONFIRM_TIMEOUT)
-                .await;
+            let outcome = if planted("stale-publish") {
+                ReadOutcome::Confirmed
+            } else {
+                member
+                    .confirm_read(SHARD_OF_VERSIONS, CONFIRM_TIMEOUT)
+                    .await
+            };
             rollout::answer(member, max_versions, outcome)
                 .to_string()
                 .into()
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -3,6 +3,7 @@
 use crate::connection::close_reason;
 use crate::context::NodeContext;
 use crate::log_event;
+use rainstand_cluster::planted;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -29,7 +30,12 @@
 pub async fn drain(context: &Rc<NodeContext>) {
     let noticed = Instant::now();
     let until_kill = context.config.stop;
-    let deadline = noticed + until_kill.saturating_sub(PROCESS_KILL_MARGIN);
+    let margin = if planted("answers-dropped-at-kill") {
+        POLICY_KILL_MARGIN * 3
+    } else {
+        PROCESS_KILL_MARGIN
+    };
+    let deadline = noticed + until_kill.saturating_sub(margin);
     start_drain(context, noticed);
     transfer_leadership(context);
     notify_policy(context);
@@ -42,7 +48,11 @@
     while Instant::now() < deadline && close_idle_connections(context, stopped.elapsed()) {
         sleep(POLL_INTERVAL).await;
     }
-    let unanswered = context.core.borrow_mut().table.fail_all();
+    let unanswered = if planted("answers-dropped-at-kill") {
+        0
+    } else {
+        context.core.borrow_mut().table.fail_all()
+    };
     sleep(POLL_INTERVAL).await;
     for conn in context.connections.borrow().values() {
         conn.close_with(close_reason::KILL);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,6 @@
 //! `rainstand-node`: one node; `ROUTER_CONFIG` is the path of its configuration.
 
+use rainstand_cluster::planted;
 use rainstand_cluster::ClusterError;
 use rainstand_node::config::{Config, ConfigError};
 use rainstand_node::log::{InstallError, LogLayer};
@@ -178,6 +179,12 @@
             _ = signals.terminate.recv() => {}
             _ = signals.interrupt.recv() => {}
         }
+        if planted("second-signal-cuts-drain") {
+            spawn_local(async move {
+                signals.terminate.recv().await;
+                std::process::exit(0);
+            });
+        }
     };
     run(context, listener, shutdown).await;
     Ok(())
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -10,12 +10,15 @@
 use crate::context::{Core, NodeContext};
 use crate::counters::count;
 use crate::{descriptors, group_membership, log_event};
+use rainstand_cluster::planted;
 use rainstand_settings::Machine;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::Signal;
+use tokio::time::timeout;
 
 /// Why a file could not be read again.
 #[derive(Debug, thiserror::Error)]
@@ -40,9 +43,18 @@
 /// Reads the file again at each signal, also while draining.
 pub async fn keep_reloading(context: Rc<NodeContext>, path: PathBuf, mut signals: Signal) {
     while signals.recv().await.is_some() {
+        if planted("descriptor-leak") {
+            std::mem::forget(std::fs::File::open(&path));
+        }
         group_membership::reload(&context).await;
         match read(&context, &path).await {
-            Ok(config) => apply(&context, config),
+            Ok(config) => {
+                apply(&context, config);
+                if planted("reload-forgotten") {
+                    // A signal of the next milliseconds is taken for the one that was just handled.
+                    let _ = timeout(Duration::from_millis(3), signals.recv()).await;
+                }
+            }
             Err(error) => {
                 count(&context.counts.reloads_refused);
                 // One line whatever is in the file: it may hold line ends.
--- a/crates/raft/src/plant.rs
+++ b/crates/raft/src/plant.rs
@@ -41,6 +41,26 @@
         name: "early-launch",
         effect: "a request is dispatched before its claim is durable on a majority",
     },
+    PlantedBug {
+        name: "answers-dropped-at-kill",
+        effect: "a node that drains ends its connections before the last answers are written",
+    },
+    PlantedBug {
+        name: "reload-forgotten",
+        effect: "a signal to reload that comes within milliseconds of the one before is dropped",
+    },
+    PlantedBug {
+        name: "second-signal-cuts-drain",
+        effect: "a second signal to drain ends the node at once",
+    },
+    PlantedBug {
+        name: "descriptor-leak",
+        effect: "each reload leaves a descriptor open",
+    },
+    PlantedBug {
+        name: "stale-publish",
+        effect: "the published versions are said to be the newest without asking the leader",
+    },
     PlantedBug {
         name: "sums-twice",
         effect: "gossiped counters are added instead of merged",
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`process`] | child processes: started, stopped, killed | processes |
 //! | [`peers`] | stand-in agent and caller, each a process of its own | sockets |
 //! | [`sim`] | members of a group on a virtual clock, with faulty disks and links; a seed replays to the byte | none |
+//! | [`soak`] | processes used until their kill, with signals in series, crowds and publishes | all of it |
 //! | [`ready`] | many processes restarted at once, and how long each takes until it is ready | all of it |
 //! | [`scale`] | what the program costs by size, measured here and worked out at a size | processes, sockets |
 //! | [`stage`] | one run: all of it started, the schedule played, the history gathered | all of it |
@@ -33,4 +34,5 @@
 pub mod scale;
 pub mod shrink;
 pub mod sim;
+pub mod soak;
 pub mod stage;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -21,6 +21,7 @@
 use rainstand_testbed::scale;
 use rainstand_testbed::shrink::shrink;
 use rainstand_testbed::sim::World;
+use rainstand_testbed::soak::{self, SoakOptions};
 use rainstand_testbed::stage::{play, Place, Report};
 use serde::{de::DeserializeOwned, Serialize};
 use serde_json::{json, Value};
@@ -56,7 +57,7 @@
 /// What plays a run.
 #[derive(Args, Clone)]
 pub struct Play {
-    /// A `.rain` file with a `rig` block
+    /// A `.rain` file with a `rig` block; for `sweep` also `soak`
     file: PathBuf,
     /// The block's name, where the file has several
     #[arg(long)]
@@ -73,11 +74,21 @@
 }
 
 impl Play {
+    /// Whether soaks are played in place of a file.
+    fn is_soak(&self) -> bool {
+        self.file == Path::new("soak")
+    }
+
     /// What the results of this play are of.
     fn identity(&self) -> io::Result<PlayIdentity> {
         let plant = self.plant.iter().map(|bug| format!("planted {bug}"));
         let options: Vec<String> = plant.collect();
-        PlayIdentity::new(&read(self)?, self.programs.as_deref(), options.join(", "))
+        let options = options.join(", ");
+        let programs = self.programs.as_deref();
+        if self.is_soak() {
+            return PlayIdentity::of_soak(self.seconds, programs, options);
+        }
+        PlayIdentity::new(&read(self)?, programs, options)
     }
 }
 
@@ -119,6 +130,26 @@
         #[arg(long, default_value = "rig-sweep")]
         out: PathBuf,
     },
+    /// Use a node and control machines until their kill, with signals in series; `sweep soak` plays a range of seeds
+    Soak {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long the node serves before its drain, in seconds
+        #[arg(long, default_value_t = 2)]
+        seconds: u64,
+        /// Where the programs lie, if not beside this one
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        /// A bug by name, in programs that were built with the feature `planted`
+        #[arg(long)]
+        plant: Option<String>,
+        /// Keep the run's folder here: configurations, logs, histories
+        #[arg(long)]
+        keep: Option<PathBuf>,
+        /// The report as one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// Make the schedule of a failing seed smaller
     Shrink {
         #[command(flatten)]
@@ -195,6 +226,23 @@
             jobs,
             out,
         } => sweep::sweep(&play, &seeds, jobs, &out),
+        Command::Soak {
+            seed,
+            seconds,
+            programs,
+            plant,
+            keep,
+            json,
+        } => {
+            let options = SoakOptions {
+                seed,
+                programs,
+                folder: PathBuf::new(),
+                bug: plant,
+                seconds,
+            };
+            play_soak(options, keep, json)
+        }
         Command::Shrink {
             play,
             seed,
@@ -259,6 +307,35 @@
     wait(serve(options)).map(|()| true)
 }
 
+/// Plays one soak in a folder that is kept if it is named.
+fn play_soak(mut options: SoakOptions, keep: Option<PathBuf>, as_json: bool) -> io::Result<bool> {
+    let known = |bug: &String| soak::BUGS.contains(&bug.as_str());
+    if options.bug.as_ref().is_some_and(|bug| !known(bug)) {
+        let bugs = soak::BUGS.join(", ");
+        return Err(io::Error::other(format!("no such bug; there are {bugs}")));
+    }
+    let temporary = tempfile::tempdir()?;
+    options.folder = keep.unwrap_or(temporary.path().to_owned());
+    fs::create_dir_all(&options.folder)?;
+    if fs::read_dir(&options.folder)?.next().is_some() {
+        let folder = options.folder.display();
+        return Err(io::Error::other(format!(
+            "{folder}: holds another run's files"
+        )));
+    }
+    options.folder = options.folder.canonicalize()?;
+    let report = wait(soak::soak(&options))?;
+    let mut out = io::stdout().lock();
+    if as_json {
+        let tally = json!({"asked": report.asked, "answered": report.finals});
+        let line = json!({"seed": report.seed, "good": report.good(), "report": {"soak": report, "tally": tally}});
+        writeln!(out, "{line}")?;
+    } else {
+        writeln!(out, "{}", serde_json::to_string_pretty(&report)?)?;
+    }
+    Ok(report.good())
+}
+
 /// The rig of a file.
 fn read(play: &Play) -> io::Result<Rig> {
     let path = play.file.display().to_string();
--- a/crates/testbed/src/play_identity.rs
+++ b/crates/testbed/src/play_identity.rs
@@ -28,20 +28,44 @@
     /// # Errors
     /// If this program cannot be read. A node's program that is missing has the digest of no bytes.
     pub fn new(rig: &Rig, programs: Option<&Path>, options: String) -> io::Result<Self> {
-        let own: PathBuf = std::env::current_exe()?;
-        let mut contents = fs::read(own)?;
-        if let Ok(node) = program("rainstand-node", programs) {
-            contents.extend(fs::read(node).unwrap_or_default());
-        }
         Ok(Self {
             rig: rig.name.clone(),
             schedule: hash(format!("{rig:?}").as_bytes()),
-            programs: hash(&contents),
+            programs: digest(&["rainstand-node"], programs)?,
+            options,
+        })
+    }
+
+    /// Of soaks, which have no rig: a seed alone makes what is played.
+    ///
+    /// # Errors
+    /// If this program cannot be read.
+    pub fn of_soak(
+        seconds: Option<u64>,
+        programs: Option<&Path>,
+        options: String,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            rig: "soak".to_owned(),
+            schedule: format!("{} s", seconds.unwrap_or_default()),
+            programs: digest(&["rainstand-node", "rainstand"], programs)?,
             options,
         })
     }
 }
 
+/// Digest of this program and of others.
+fn digest(names: &[&str], folder: Option<&Path>) -> io::Result<String> {
+    let own: PathBuf = std::env::current_exe()?;
+    let mut contents = fs::read(own)?;
+    for name in names {
+        if let Ok(path) = program(name, folder) {
+            contents.extend(fs::read(path).unwrap_or_default());
+        }
+    }
+    Ok(hash(&contents))
+}
+
 impl fmt::Display for PlayIdentity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -84,6 +84,11 @@
         })
     }
 
+    /// Its number in the system.
+    pub fn id(&self) -> i32 {
+        self.pid.as_raw_nonzero().get()
+    }
+
     pub fn child(&mut self) -> &mut Child {
         &mut self.child
     }
--- /dev/null
+++ b/crates/testbed/src/soak/verdict.rs
@@ -0,0 +1,140 @@
+//! The drain of a server that clients go on using, its kill, and what has to hold then.
+
+use super::client::ClientLog;
+use super::{signals, SoakReport};
+use crate::check::check;
+use crate::history::{self, Event, Seen};
+use crate::process::Process;
+use nanorand::{Rng, WyRand};
+use rustix::process::Signal;
+use std::fs;
+use std::io::{self, BufReader};
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// How a server ended after a signal to drain.
+pub struct Drain {
+    /// Its exit code; none if it was killed.
+    pub exit: Option<i32>,
+    /// From the first signal to the end.
+    pub took: Duration,
+    /// Signals that were sent.
+    pub signals: u64,
+}
+
+/// Signals to drain, in series and around a stop, and the kill exactly `stop` after the first one.
+pub async fn drain_until_kill(process: &mut Process, chance: &mut WyRand, stop: Duration) -> Drain {
+    let is_paused = chance.generate_range(0..4u32) == 0;
+    if is_paused {
+        process.signal(Signal::STOP);
+    }
+    let first = [Signal::TERM, Signal::INT][chance.generate_range(0..2usize)];
+    let noticed = Instant::now();
+    process.signal(first);
+    let mut signals = 1;
+    if is_paused {
+        sleep(Duration::from_millis(chance.generate_range(5..100))).await;
+        process.signal(Signal::CONT);
+        signals += 2;
+    }
+    let kinds = [Signal::TERM, Signal::INT, Signal::HUP, Signal::USR1];
+    let kill_at = noticed + stop;
+    let mut status = None;
+    while status.is_none() && Instant::now() < kill_at {
+        let wait = Duration::from_millis(chance.generate_range(1..400));
+        let until = (Instant::now() + wait).min(kill_at);
+        let left = until.saturating_duration_since(Instant::now());
+        let ended = timeout(left, process.child().wait()).await;
+        status = ended.ok().and_then(Result::ok);
+        if status.is_none() && until < kill_at {
+            let count = chance.generate_range(1..5);
+            signals += signals::series(process, chance, &kinds, count).await;
+        }
+    }
+    if status.is_none() {
+        sleep_until(kill_at).await;
+        process.signal(Signal::KILL);
+    }
+    Drain {
+        exit: status.and_then(|status| status.code()),
+        took: noticed.elapsed(),
+        signals,
+    }
+}
+
+/// A server that clients used until its end.
+pub struct Used<'a> {
+    /// What it is.
+    pub name: &'static str,
+    /// What its clients saw.
+    pub log: &'a ClientLog,
+    /// How it ended.
+    pub drain: Drain,
+    /// Requests that it read, by its own counters; none if it printed none.
+    pub read: Option<u64>,
+    /// What the agent behind it saw.
+    pub agent_history: &'a Path,
+}
+
+impl Used<'_> {
+    /// Adds to a report what was seen, and what did not hold.
+    ///
+    /// # Errors
+    /// If the agent's history cannot be read.
+    pub fn judge(self, report: &mut SoakReport) -> io::Result<()> {
+        let (log, name) = (self.log, self.name);
+        let unfinished = log.unfinished.borrow().clone();
+        let finals = log.finals.get();
+        report.asked += log.asked.get();
+        report.finals += finals;
+        report.never_read += unfinished.len() as u64;
+        report.signals += self.drain.signals;
+        let drain_ms = self.drain.took.as_millis() as u64;
+        report.drain_ms = report.drain_ms.max(drain_ms);
+        if self.drain.exit != Some(0) {
+            let detail = format!(
+                "{name}: exit code {:?} after {drain_ms} ms",
+                self.drain.exit
+            );
+            report.violate("drain-not-ended", detail);
+        }
+        match self.read {
+            Some(read) => {
+                report.read += read;
+                if read != finals {
+                    let detail = format!("{name}: {read} requests read, {finals} answered");
+                    report.violate("answer-lost", detail);
+                }
+            }
+            None if unfinished.is_empty() => {}
+            None => {
+                let detail = format!(
+                    "{name}: {} without an answer, no counters",
+                    unfinished.len()
+                );
+                report.violate("answer-lost", detail);
+            }
+        }
+        let mut seen = log.seen.borrow().clone();
+        // Proved by the counters to be unread, or told above.
+        let is_unread = |event: &Event| matches!(event, Event::Ask { ticket, .. } if unfinished.contains(ticket));
+        seen.retain(|one| !is_unread(&one.event));
+        let agent = fs::read(self.agent_history)?;
+        let (runs, _) = history::read(BufReader::new(&agent[..]))
+            .map_err(|error| io::Error::other(error.why))?;
+        report.runs += runs.len() as u64;
+        number_lines(&mut seen, runs);
+        for broken in check(&seen).broken.iter().take(3) {
+            report.violate("rules", format!("{name}: {broken}"));
+        }
+        Ok(())
+    }
+}
+
+fn number_lines(seen: &mut Vec<Seen>, more: Vec<Seen>) {
+    seen.extend(more);
+    for (at, one) in seen.iter_mut().enumerate() {
+        one.line = at + 1;
+    }
+}
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -30,7 +30,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// From the notice to leave to the kill, as the nodes are told.
-const STOP: Duration = Duration::from_millis(3_000);
+pub(crate) const STOP: Duration = Duration::from_millis(3_000);
 /// For a node to tell how it stands: one that is stopped does not.
 const TELLS: Duration = Duration::from_millis(300);
 /// Tries at a port that another process took meanwhile.
--- a/crates/testbed/src/sweep.rs
+++ b/crates/testbed/src/sweep.rs
@@ -167,9 +167,12 @@
     let folder = out.join(format!("seed-{seed}"));
     let _ = fs::remove_dir_all(&folder);
     let mut command = Command::new(me);
+    if play.is_soak() {
+        command.arg("soak");
+    } else {
+        command.arg("run").arg(&play.file);
+    }
     command
-        .arg("run")
-        .arg(&play.file)
         .args(["--seed", &seed.to_string(), "--json"])
         .arg("--keep")
         .arg(&folder);
--- /dev/null
+++ b/crates/testbed/tests/soak.rs
@@ -0,0 +1,36 @@
+//! A soak of each kind: requests that are open until the kill, a crowd, and signals before the node is ready.
+
+#![allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::pedantic,
+    reason = "a test target: clippy's default lints hold"
+)]
+
+use rainstand_testbed::soak::{soak, SoakOptions};
+use std::path::Path;
+use tokio::task::LocalSet;
+
+#[test]
+fn processes_that_are_used_until_their_kill_keep_the_rules() {
+    for seed in 1..4 {
+        let folder = tempfile::tempdir().unwrap();
+        let programs = Path::new(env!("CARGO_BIN_EXE_rainstand-testbed")).parent();
+        let options = SoakOptions {
+            seed,
+            programs: programs.map(Path::to_owned),
+            folder: folder.path().to_owned(),
+            bug: None,
+            seconds: 2,
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let report = LocalSet::new().block_on(&runtime, soak(&options)).unwrap();
+        assert!(report.good(), "{report:#?}");
+        // It has to have seen something.
+        assert!(report.finals > 100 && report.committed > 2, "{report:#?}");
+        assert!(report.crowd > 0 || seed % 3 != 0, "{report:#?}");
+    }
+}
