--- a/crates/replicated-state/tests/shard_numbers.rs
+++ b/crates/replicated-state/tests/shard_numbers.rs
@@ -7,13 +7,12 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
-use rainstand_raft::Timeouts;
+mod group;
+
+use group::name;
 use rainstand_replicated_state::frames::{CommandRequest, Frame, FrameBody};
 use rainstand_replicated_state::idempotency::{Command, Operation, Start};
-use rainstand_replicated_state::member::{
-    GroupMember, MemberConfig, RecoveredState, DEFAULT_COMPACTION_ENTRIES,
-};
-use rainstand_replicated_state::placement::MemberPlacement;
+use rainstand_replicated_state::member::GroupMember;
 use std::time::Duration;
 
 const SHARDS: u16 = 2;
@@ -24,43 +23,12 @@
     now: Duration,
 }
 
-fn name(position: usize) -> String {
-    format!("n{}", position + 1)
-}
-
 impl Group {
     fn new() -> Self {
-        let placement = |position| MemberPlacement {
-            name: name(position),
-            site: String::new(),
-        };
-        let member = |position: usize| {
-            let config = MemberConfig {
-                group: "test".into(),
-                name: name(position),
-                members: (0..3).map(placement).collect(),
-                shards: SHARDS,
-                replicas_per_shard: 3,
-                timeouts: Timeouts {
-                    heartbeat_interval: Duration::from_millis(30),
-                    min_election_timeout: Duration::from_millis(150),
-                    max_election_timeout: Duration::from_millis(300),
-                },
-                max_concurrent_learners: 1,
-                max_keys_per_shard: 100,
-                compaction_entries: DEFAULT_COMPACTION_ENTRIES,
-                seed: position as u64,
-            };
-            let recovered = RecoveredState {
-                disk: position as u64 + 1,
-                incarnation: 1,
-                nonce: position as u64 + 1,
-                ..RecoveredState::default()
-            };
-            GroupMember::new(config, recovered, Duration::ZERO)
-        };
         let mut group = Self {
-            members: (0..3).map(member).collect(),
+            members: (0..3)
+                .map(|position| group::member(position, SHARDS))
+                .collect(),
             now: Duration::ZERO,
         };
         for at in 0..3 {
--- a/tests/shared_below.rs
+++ b/tests/shared_below.rs
@@ -18,6 +18,7 @@
 mod common;
 
 use common::{ms, shared, Rig, Settings};
+use nanorand::{Rng, WyRand};
 use rainstand::{Outcome, Repeatability};
 
 /// The window of that mean, and how long a call given up stays below, ms.
@@ -224,3 +225,20 @@
         }
     }
 }
+
+/// Drawn cases: fleets of 20 to 30 nodes, all of which start anew within one window.
+#[test]
+fn a_hundred_drawn_fleets_that_start_anew_at_once_stay_within_their_parts() {
+    let mut chance = WyRand::new_seed(46);
+    for _ in 0..100 {
+        let case = Case {
+            share: chance.generate_range(10..100u32) as f64 / 100.0,
+            takes: chance.generate_range(20..2_000),
+            warm_up: chance.generate_range(100..8_000),
+            fails: [0, 2, 5][chance.generate_range(0..3usize)],
+            ..all_start_anew(chance.generate_range(20..31usize))
+        };
+        let (over, times) = over(&case);
+        assert!(over <= 1.0, "{case:?}: {times:.2} times what may be held");
+    }
+}
