Command line: configuration files in a module below config and control, which opens their circle

config, control and control::publish imported each other: reading a file, replacing one and telling changes stand in config_file now.

--- a/crates/cli/src/attach.rs
+++ b/crates/cli/src/attach.rs
@@ -1,6 +1,6 @@
 //! A forwarder's attachment to config servers: its options, how a version is applied, and how it is stored on disk.
 
-use crate::config::replace;
+use crate::config_file::replace;
 use clap::Args;
 use rainstand_cluster::attachment::{
     run_attachment, ApplyCallback, ApplyError, AttachmentEvent, AttachmentOptions, AttachmentPhase,
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -1,16 +1,17 @@
 //! `rainstand config …`: each subcommand reads files, asks the libraries, and prints.
 
+use crate::config_file::{read, replace, tell_changes, unreadable};
 use crate::out::{self, Code};
 use clap::{Args, Subcommand};
 use rainstand_config::codes::Code as Finds;
-use rainstand_config::diff::{diff, Change};
-use rainstand_config::schema::{self, Configuration};
-use rainstand_config::source::{Disk, FileId, Files, Sources, Trouble};
-use rainstand_config::{form::form, load};
+use rainstand_config::diff::diff;
+use rainstand_config::form::form;
+use rainstand_config::schema;
+use rainstand_config::source::{Disk, Files, Sources, Trouble};
 use rainstand_routing::explain::{explain, Explanation};
 use rainstand_routing::table::{PlacementReason, Request, RoutingError, Table};
 use serde_json::json;
-use std::io::{self, Write};
+use std::io;
 use std::path::{Path, PathBuf};
 
 #[derive(Subcommand)]
@@ -158,11 +159,6 @@
         .try_fold(Code::Good, |worst, file| Ok(worst.max(one(file)?)))
 }
 
-fn unreadable(path: &str, why: impl std::fmt::Display) -> Code {
-    eprintln!("rainstand: {path}: {why}");
-    Code::Use
-}
-
 fn check(file: &str, json: bool, strict: bool) -> io::Result<Code> {
     match read(file, json)? {
         Ok((_, sources, warnings)) => {
@@ -186,70 +182,6 @@
     }
 }
 
-pub type Read = Result<(Configuration, Sources, usize), Code>;
-
-/// A configuration in any of its three forms, with its sources and the number of warnings. What is wrong
-/// is told here.
-pub fn read(file: &str, json: bool) -> io::Result<Read> {
-    let ending = Path::new(file).extension().and_then(|e| e.to_str());
-    if file != "-" && ending != Some("rain") {
-        return Ok(
-            read_compiled(file, ending == Some("pb")).map(|made| (made, Sources::default(), 0))
-        );
-    }
-    let outcome = load(&Disk, file);
-    out::findings(&outcome.sources, &outcome.findings, json)?;
-    let cannot_be_read = outcome.findings.iter().any(|finding| {
-        matches!(
-            finding.code,
-            Finds::Missing | Finds::Unreadable | Finds::TooLarge | Finds::NotUtf8
-        ) && finding.at.file == FileId(0)
-            && finding.at.end == 0
-    });
-    if cannot_be_read {
-        return Ok(Err(Code::Use));
-    }
-    match outcome.configuration {
-        Some(configuration) => Ok(Ok((configuration, outcome.sources, outcome.findings.len()))),
-        None => {
-            let errors = outcome
-                .findings
-                .iter()
-                .filter(|finding| finding.is_error())
-                .count();
-            if !json {
-                eprintln!(
-                    "{file}: {errors} error{}",
-                    if errors == 1 { "" } else { "s" }
-                );
-            }
-            Ok(Err(Code::Found))
-        }
-    }
-}
-
-fn read_compiled(file: &str, binary: bool) -> Result<Configuration, Code> {
-    let bytes = std::fs::read(file).map_err(|e| unreadable(file, e))?;
-    let made = if binary {
-        schema::from_binary(&bytes)
-    } else {
-        let text = std::str::from_utf8(&bytes).map_err(|e| unreadable(file, e))?;
-        schema::from_text(text)
-    };
-    let made = made.and_then(|made| match Table::new(&made) {
-        Ok(_) => Ok(made),
-        Err(refused) => Err(schema::Refused {
-            line: 0,
-            column: 0,
-            why: refused.to_string(),
-        }),
-    });
-    made.map_err(|refused| {
-        eprintln!("rainstand: {file}:{refused}");
-        Code::Found
-    })
-}
-
 fn write_form(file: &str, check_only: bool) -> io::Result<Code> {
     let text = match Disk.read(Path::new(file)) {
         Ok(text) => text,
@@ -287,31 +219,6 @@
     Ok(Code::Good)
 }
 
-/// Writes a file in one step: a reader sees the old one or the new one, whole. Links stay links, and the
-/// permissions stay.
-pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    let path = std::fs::canonicalize(path).unwrap_or_else(|_| path.to_owned());
-    let folder = path
-        .parent()
-        .filter(|folder| !folder.as_os_str().is_empty())
-        .unwrap_or(Path::new("."));
-    let mut fresh = tempfile::NamedTempFile::new_in(folder)?;
-    fresh.write_all(bytes)?;
-    match std::fs::metadata(&path) {
-        Ok(before) => fresh.as_file().set_permissions(before.permissions())?,
-        Err(_) => {
-            // A new file is for whoever may read the folder, not for its writer alone.
-            use std::os::unix::fs::PermissionsExt;
-            fresh
-                .as_file()
-                .set_permissions(std::fs::Permissions::from_mode(0o644))?;
-        }
-    }
-    fresh.as_file().sync_all()?;
-    fresh.persist(&path).map_err(|e| e.error)?;
-    Ok(())
-}
-
 fn build(file: &str, binary: bool, to: Option<&Path>) -> io::Result<Code> {
     let made = match read(file, false)? {
         Ok((made, ..)) => made,
@@ -348,41 +255,6 @@
     })
 }
 
-/// What changed in meaning, a line each.
-pub fn tell_changes(changes: &[Change], json: bool) -> io::Result<()> {
-    for change in changes {
-        if !json {
-            out::line(&change.to_string())?;
-            continue;
-        }
-        out::json(&match change {
-            Change::Added { what } => json!({"change": "added", "what": what}),
-            Change::Removed { what } => json!({"change": "removed", "what": what}),
-            Change::Otherwise {
-                what,
-                key,
-                before,
-                after,
-            } => {
-                json!({"change": "otherwise", "what": what, "key": key, "before": before, "after": after})
-            }
-            Change::Elsewhere {
-                tickets,
-                before,
-                after,
-                pools,
-            } => json!({
-                "change": "elsewhere", "tickets": tickets, "before": before, "after": after,
-                "pools_before": pools.0, "pools_after": pools.1,
-            }),
-            Change::Order { before, after } => {
-                json!({"change": "order", "before": before, "after": after})
-            }
-        })?;
-    }
-    Ok(())
-}
-
 fn tell_way(asked: &Explain) -> io::Result<Code> {
     let (made, ..) = match read(&asked.file, asked.json)? {
         Ok(made) => made,
--- a/crates/cli/src/control/mod.rs
+++ b/crates/cli/src/control/mod.rs
@@ -8,7 +8,7 @@
 pub(crate) use publish::{publish, Publishing};
 pub(crate) use versions::{versions, Versions};
 
-use crate::config::read;
+use crate::config_file::read;
 use crate::out::Code;
 use crate::pcap::trouble;
 use crate::signals::Signals;
--- a/crates/cli/src/forward.rs
+++ b/crates/cli/src/forward.rs
@@ -1,7 +1,7 @@
 //! `rainstand forward`: a forwarder by a configuration, until it is told to leave.
 
 use crate::attach;
-use crate::config::read;
+use crate::config_file::read;
 use crate::out::Code;
 use crate::pcap::trouble;
 use crate::signals::Signals;
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,6 +1,6 @@
 //! `rainstand lab`: experiments with the model, their comparison and their pictures.
 
-use crate::config::read;
+use crate::config_file::read;
 use crate::out::{json, line, Code};
 use crate::pcap::trouble;
 use clap::Subcommand;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod attach;
 mod cluster_client;
 mod config;
+mod config_file;
 mod control;
 mod export;
 mod forward;
