Soak: an answer to no open request is told apart from final answers

A second final answer counted as one more answer, so that it could make up for a lost one where answers are held against the requests that the server read. It is a violation of its own now, answer-twice.

--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -28,6 +28,8 @@
     pub asked: Cell<u64>,
     /// Final answers that were read.
     pub finals: Cell<u64>,
+    /// Answers to no open request of their connection.
+    pub unasked: Cell<u64>,
     /// Names of requests whose connection ended without an answer.
     pub unfinished: RefCell<Vec<String>>,
     /// No new connection is opened any more.
@@ -179,8 +181,8 @@
             }
             let answered = thrift::answered(&frame).map_err(io::Error::other)?;
             let Some(ticket) = open.remove(&answered.seq) else {
-                // A second final answer: the checker says so, as the ticket has no name any more.
-                self.log.finals.set(self.log.finals.get() + 1);
+                // A second final answer, or one to no request. Counted apart: it must not make up for a lost one.
+                self.log.unasked.set(self.log.unasked.get() + 1);
                 continue;
             };
             let (end, result) = match answered.what {
--- a/crates/testbed/src/soak/verdict.rs
+++ b/crates/testbed/src/soak/verdict.rs
@@ -92,6 +92,11 @@
         report.signals += self.drain.signals;
         let drain_ms = self.drain.took.as_millis() as u64;
         report.drain_ms = report.drain_ms.max(drain_ms);
+        let unasked = log.unasked.get();
+        if unasked > 0 {
+            let detail = format!("{name}: {unasked} answers to no open request");
+            report.violate("answer-twice", detail);
+        }
         if self.drain.exit != Some(0) {
             let detail = format!(
                 "{name}: exit code {:?} after {drain_ms} ms",
