Forwarder: a flood on a connection gives timers their turn

What callers saw: nothing yet; the tests of the drain found it. With four clients that keep 1,000 calls open each, a drain of 500 ms took 10.5 s, and in other plays it had not ended after 60 s (debug build): past the kill, with answers owed.

Cause: a connection's task read on up to the runtime's budget of 128 operations of 16 KB each before another task ran, and the runtime looks at its timers only after a number of such tasks; each step of a drain waits for one.

Change: after more than 4 KB at once, of a client or of a member, the task gives the runtime a turn, as a node's does.

Evidence: a_drain_ends_in_time_while_clients_flood hung in two of three plays on the untouched text and passes since.

a_ticket_whose_bytes_never_left_goes_elsewhere counted on buffers being full as soon as 64 KB waited once; with more turns of the runtime the system took more later, and 17 of 40 plays found answers of requests that had left. It now waits until 256 KB stay unwritten for 20 looks, before a member with a receive buffer of fixed size: what it asserts is the same.

--- a/crates/forwarder/src/listener/session.rs
+++ b/crates/forwarder/src/listener/session.rs
@@ -9,6 +9,7 @@
 use super::ClientConnection;
 use crate::drain::CloseDeadlines;
 use crate::observability::add;
+use crate::socket::end_turn;
 use crate::ForwarderContext;
 use rainstand_lingering_close::{lingering_close, unacknowledged_bytes, Discard, LingerEnd};
 use rainstand_protocol::ring::Ring;
@@ -242,7 +243,10 @@
     tokio::select! {
         ready = timeout(FRAME_READ_TIMEOUT, stream.readable()), if unwritten < MAX_WRITE_BUFFER_BYTES => {
             match ready {
-                Ok(ready) => on_readable(context, client, stream, ready, inbound)?,
+                Ok(ready) => {
+                    let length = on_readable(context, client, stream, ready, inbound)?;
+                    end_turn(length).await;
+                }
                 Err(_) if is_timed && !client.has_open_requests() => {
                     return Err(timeout_reason(inbound));
                 }
@@ -263,23 +267,24 @@
     }
 }
 
-/// Reads what there is, and takes the complete frames of it.
+/// Reads what there is, and takes the complete frames of it; how many bytes it was.
 fn on_readable(
     context: &Rc<ForwarderContext>,
     client: &Rc<ClientConnection>,
     stream: &TcpStream,
     ready: io::Result<()>,
     inbound: &mut Ring,
-) -> Result<(), CloseReason> {
-    match ready.and_then(|()| context.read_buffer.read(stream, inbound)) {
+) -> Result<usize, CloseReason> {
+    let length = match ready.and_then(|()| context.read_buffer.read(stream, inbound)) {
         Ok(0) if inbound.is_empty() => return Err(CloseReason::EndOfStream),
         Ok(0) => return Err(CloseReason::EndInFrame),
-        Ok(_) => {}
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+        Ok(length) => length,
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(0),
         Err(_) => return Err(CloseReason::Reset),
-    }
+    };
     client.on_bytes_read();
-    take_frames(context, client, inbound).map_err(CloseReason::Protocol)
+    take_frames(context, client, inbound).map_err(CloseReason::Protocol)?;
+    Ok(length)
 }
 
 /// Closes an evicted connection, unless something is owed on it or a call lies in the socket that nobody read yet: such
--- a/crates/forwarder/src/socket.rs
+++ b/crates/forwarder/src/socket.rs
@@ -6,11 +6,14 @@
 use std::cell::RefCell;
 use std::io::{self, Read};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 
 /// Requests that the protocol allows open on one connection, of a client or to a member.
 pub(crate) const MAX_PIPELINED_REQUESTS: usize = 32;
 /// Bytes of a frame's length, before the frame.
 pub(crate) const FRAME_HEADER_BYTES: usize = 4;
+/// Bytes that came at once, past which timers and other connections get a turn: some ten requests.
+const MAX_BYTES_PER_TURN: usize = 4 << 10;
 /// Read from a socket at once, bytes: two frames of the longest.
 const READ_CHUNK_BYTES: usize = 16 << 10;
 
@@ -50,6 +53,13 @@
     }
 }
 
+/// Gives timers and other connections a turn after many bytes, which a flood would otherwise hold up.
+pub(crate) async fn end_turn(bytes_read: usize) {
+    if bytes_read > MAX_BYTES_PER_TURN {
+        yield_now().await;
+    }
+}
+
 /// Writes what the socket takes without waiting.
 pub(crate) fn flush(outbound: &RefCell<Ring>, stream: &TcpStream) -> io::Result<()> {
     let mut outbound = outbound.borrow_mut();
--- a/crates/forwarder/src/upstream/connection.rs
+++ b/crates/forwarder/src/upstream/connection.rs
@@ -8,7 +8,7 @@
 use crate::connection_limits;
 use crate::observability::increment;
 use crate::request_table::AttemptId;
-use crate::socket::{flush, FRAME_HEADER_BYTES, MAX_PIPELINED_REQUESTS};
+use crate::socket::{end_turn, flush, FRAME_HEADER_BYTES, MAX_PIPELINED_REQUESTS};
 use crate::ForwarderContext;
 use foldhash::{HashMap, HashMapExt};
 use rainstand_protocol::ring::Ring;
@@ -304,17 +304,19 @@
                     }
                     Err(_) => continue,
                 };
-                match read {
+                let length = match read {
                     Ok(0) if connection.open_attempts() == 0 => return ConnectionEnd::ClosedByUpstream,
                     Ok(0) => return ConnectionEnd::Broken,
-                    Ok(_) => connection.last_read_at.set(context.now()),
+                    Ok(length) => length,
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                     Err(_) => return ConnectionEnd::Broken,
-                }
+                };
+                connection.last_read_at.set(context.now());
                 if take_frames(context, upstream, connection, address, &mut inbound).is_err() {
                     increment(&context.counters.unreadable_replies);
                     return ConnectionEnd::Broken;
                 }
+                end_turn(length).await;
             }
             _ = stream.writable(), if has_unwritten => {}
             () = connection.wake.notified() => {}
--- a/crates/forwarder/tests/drain.rs
+++ b/crates/forwarder/tests/drain.rs
@@ -379,3 +379,14 @@
     assert!(seen.answers.get() > 0);
     assert_eq!(seen.answers.get(), counted.answers, "{counted:?}");
 }
+
+// Guards against a flood that holds up the drain's timers past the kill.
+#[test]
+fn a_drain_ends_in_time_while_clients_flood() {
+    let open = OpenRequests {
+        prompt: MANY_OPEN_REQUESTS,
+        ..FEW_OPEN_REQUESTS
+    };
+    let (counted, _) = drain_before_slow_readers(SHORT_TIME, open, OnNotice::GoOn);
+    assert!(counted.drain < SHORT_TIME, "{counted:?}");
+}
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
@@ -139,6 +139,19 @@
     }
 }
 
+/// Whether so many bytes wait to be written to members and the system takes none of them, look after look.
+async fn stays_unwritten(world: &World, least: usize) -> bool {
+    let unwritten = || world.context.upstreams.unwritten_bytes();
+    let at_first = unwritten();
+    for _ in 0..20 {
+        if unwritten() < least || unwritten() != at_first {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    true
+}
+
 async fn until(what: impl Fn() -> bool) {
     while !what() {
         tokio::time::sleep(Duration::from_millis(1)).await;
@@ -535,7 +548,11 @@
 fn a_ticket_whose_bytes_never_left_goes_elsewhere() {
     play(async {
         // A member that takes connections and reads nothing: once its buffers are full, tickets stay here.
-        let deaf = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        // Of a fixed size, as the system would make a larger one as bytes come, and take tickets that waited here.
+        let deaf = TcpSocket::new_v4().unwrap();
+        deaf.set_recv_buffer_size(8 << 10).unwrap();
+        deaf.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let deaf = deaf.listen(8).unwrap();
         let (deaf_addr, held) = (
             deaf.local_addr().unwrap(),
             Rc::new(std::cell::RefCell::new(Vec::new())),
@@ -567,7 +584,7 @@
         let body = "x".repeat(2_000);
         // Given up again and again, so that the link's buffers fill and its places stay free.
         let mut given_up = 0;
-        while w.context.upstreams.unwritten_bytes() < 64 << 10 {
+        while !stays_unwritten(&w, 256 << 10).await {
             let seq = caller.send(&asks("register", &body)).await.unwrap();
             caller.cancel(seq).await.unwrap();
             given_up += 1;
