Health: a forwarder's own pause, or single answers, eject no member as slow

What callers saw: on a busy machine a forwarder took a healthy member out for 5 s, doubling from there, while the others got its load. tickets_are_spread_and_answered_once_with_their_own_results was red for it: 21 to 59 runs at a member that should have 60.

Cause: 20 answers of a fraction of a millisecond make a mean. A few that lay unread while the process had no processor, or took two turns of the scheduler, lifted it over three times the median, though no caller feels 5 ms in place of 1.5.

Change: the forwarder takes a turn each 5 ms while requests are in flight; a gap of over 10 ms is a stall (routing/stall_clock). It comes off response times for health and learned limit and off silence, and a timeout in it is no failure of the member. A member is slow by its mean as before, but only with five answers that are over the factor and 20 ms over the median.

Why it works: what the process did not read is not measured, one answer cannot be five, and a few turns of the scheduler are less than 20 ms.

--- a/crates/forwarder/src/observability/counters.rs
+++ b/crates/forwarder/src/observability/counters.rs
@@ -71,6 +71,10 @@
             ("quiet_links", sockets.silent_upstream_connections.get()),
             ("late_answers", sockets.late_answers.get()),
             ("unreadable", sockets.unreadable_replies.get()),
+            (
+                "stalled_ms",
+                self.fleet.borrow().stalled().as_millis() as u64,
+            ),
             ("unsent", sockets.unsent_attempts.get()),
         ];
         let fields = counters.map(|(name, value)| format!("{name}={value}"));
--- a/crates/forwarder/src/request_table.rs
+++ b/crates/forwarder/src/request_table.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timers::AttemptTimers;
+use tokio::sync::Notify;
 
 /// Requests in flight, some KB each; past it a request is rejected at once.
 pub const MAX_IN_FLIGHT_REQUESTS: usize = 20_000;
@@ -69,6 +70,8 @@
 #[derive(Default)]
 pub struct RequestTable {
     by_id: RefCell<HashMap<u64, InFlightRequest>>,
+    /// The first request came in flight.
+    filled: Notify,
     timers: AttemptTimers,
 }
 
@@ -102,7 +105,16 @@
             current_attempt: 0,
             phase: RequestPhase::Waiting,
         };
-        self.by_id.borrow_mut().insert(request_id, request);
+        let mut requests = self.by_id.borrow_mut();
+        if requests.is_empty() {
+            self.filled.notify_one();
+        }
+        requests.insert(request_id, request);
+    }
+
+    /// Completes when a request came in flight and there was none.
+    pub(crate) async fn filled(&self) {
+        self.filled.notified().await;
     }
 
     fn remove(&self, request_id: u64) -> Option<InFlightRequest> {
--- a/crates/forwarder/src/server.rs
+++ b/crates/forwarder/src/server.rs
@@ -15,6 +15,9 @@
 /// Between two evaluations of the members' health.
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Between two turns of the process, as far as it gets the processor, while requests are in flight.
+const TURN_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Serves until `shutdown` completes, then drains: requests in flight have `drain_timeout` to end, and their answers a
 /// little longer to be written, see [`crate::drain`].
 ///
@@ -29,11 +32,25 @@
     spawn_local(listener::accept(context.clone(), listener));
     spawn_local(run_timers(context.clone()));
     spawn_local(evaluate_health(context.clone()));
+    context.fleet.borrow_mut().expect_turns(TURN_INTERVAL);
+    spawn_local(take_turns(context.clone()));
     shutdown.await;
     drain(&context, drain_timeout).await;
     tracing::info!(event = "counts", words = "counts", what = %context.counters_line());
 }
 
+/// Reports turns while requests are in flight, so that a time without the processor shows as a gap.
+async fn take_turns(context: Rc<ForwarderContext>) {
+    loop {
+        if context.requests.is_empty() {
+            context.fleet.borrow_mut().on_idle();
+            context.requests.filled().await;
+        }
+        sleep(TURN_INTERVAL).await;
+        context.fleet.borrow_mut().on_turn(context.now());
+    }
+}
+
 /// Evaluates the members' health for as long as the forwarder runs.
 async fn evaluate_health(context: Rc<ForwarderContext>) {
     loop {
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -27,6 +27,7 @@
 use crate::retry::{RetryBudget, RetryPolicy};
 use crate::retry_after::{clamp_to_configuration, with_jitter};
 use crate::router::{Admission, RejectReason, Rejected, RouteDecision, Router};
+use crate::stall_clock::StallClock;
 use crate::table::{Request, Table};
 use crate::tenant_fairness::{TenantKey, TenantShares};
 use crate::ConfigurationError;
@@ -59,6 +60,8 @@
     pool_name: Rc<str>,
     address: Rc<str>,
     sent_at: Duration,
+    /// How long this process had stood still by then, since its start.
+    stalled_before: Duration,
 }
 
 /// An admitted request. It must be handed back with [`Fleet::on_attempt_outcome`] or [`Fleet::on_retry_due`]: if it is
@@ -120,6 +123,7 @@
     phases: WyRand,
     has_warm_up: bool,
     counts: FleetCounts,
+    stalls: StallClock,
     /// Changes of status since the last tick.
     status_changes: Vec<MemberStatusChange>,
     decisions: DecisionLog,
@@ -203,6 +207,7 @@
             budget: RetryBudget::default(),
             chance: WyRand::new_seed(seed ^ CHANCE_SEED),
             counts: FleetCounts::default(),
+            stalls: StallClock::default(),
             status_changes: Vec::new(),
             decisions: DecisionLog::default(),
             selection_policy: SelectionPolicy::default(),
@@ -215,6 +220,34 @@
         self.selection_policy = policy;
     }
 
+    /// Has time for which this process stands still count for no member. [`Fleet::on_turn`] is to be called at least each
+    /// `interval` from now on while requests are in flight.
+    pub fn expect_turns(&mut self, interval: Duration) {
+        self.stalls.expect_turns(interval);
+    }
+
+    /// Nothing is in flight; the next request ends that.
+    pub fn on_idle(&mut self) {
+        self.stalls.on_idle();
+    }
+
+    /// The process has a turn. All that happens to a request is one too.
+    pub fn on_turn(&mut self, now: Duration) {
+        let Some(stall) = self.stalls.on_turn(now) else {
+            return;
+        };
+        let healths = self
+            .pools
+            .iter_mut()
+            .filter_map(|pool| pool.health.as_mut());
+        healths.for_each(|health| health.on_stall(now, stall));
+    }
+
+    /// How long this process has stood still since its start, as far as turns are expected of it.
+    pub fn stalled(&self) -> Duration {
+        self.stalls.total()
+    }
+
     /// The table of the current version.
     pub fn table(&self) -> &Table {
         self.router.table()
@@ -273,6 +306,7 @@
 
     /// Decides about a request that arrived: its first attempt, or its rejection.
     pub fn on_arrival(&mut self, now: Duration, request: &Request<'_>) -> NextAction {
+        self.on_turn(now);
         let tenant_key = TenantKey::new(request.tenant, request.tenant_hash);
         let eligibility = Eligibility {
             pools: &self.pools,
--- a/crates/routing/src/fleet/attempts.rs
+++ b/crates/routing/src/fleet/attempts.rs
@@ -65,6 +65,7 @@
 impl Fleet {
     /// Sends the next attempt of a request whose backoff is over.
     pub fn on_retry_due(&mut self, now: Duration, request: RequestState) -> NextAction {
+        self.on_turn(now);
         self.counts.retries += 1;
         self.dispatch(now, request)
     }
@@ -212,6 +213,7 @@
             pool_name: pool.name.clone(),
             address: pool.addresses[index].clone(),
             sent_at: now,
+            stalled_before: self.stalls.total(),
         });
         request.in_flight = true;
     }
@@ -223,6 +225,7 @@
         mut request: RequestState,
         outcome: AttemptOutcome,
     ) -> NextAction {
+        self.on_turn(now);
         let typical_duration = self.settle(now, &mut request, outcome);
         let result = match outcome {
             AttemptOutcome::Served => {
@@ -279,8 +282,15 @@
         let Some(at) = self.locate(attempt) else {
             return DEFAULT_DURATION;
         };
-        let elapsed = now.saturating_sub(attempt.sent_at);
-        let verdict = verdict(outcome);
+        let stalled = self.stalls.total().saturating_sub(attempt.stalled_before);
+        let elapsed = now.saturating_sub(attempt.sent_at).saturating_sub(stalled);
+        let verdict = match verdict(outcome) {
+            // Its answer may lie unread.
+            MemberVerdict::Bad if outcome == AttemptOutcome::TimedOut && !stalled.is_zero() => {
+                MemberVerdict::None
+            }
+            verdict => verdict,
+        };
         let pool = &mut self.pools[usize::from(at.pool)];
         let typical_duration = pool.typical_duration();
         let index = usize::from(at.member);
--- a/crates/routing/src/fleet/membership.rs
+++ b/crates/routing/src/fleet/membership.rs
@@ -79,6 +79,7 @@
     ///
     /// Returns the changes of status since the last call.
     pub fn tick(&mut self, now: Duration) -> Vec<MemberStatusChange> {
+        self.on_turn(now);
         self.router.tick(now);
         self.pauses.retain(|_, until| *until > now);
         let mut all = std::mem::take(&mut self.status_changes);
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -2,7 +2,8 @@
 //! are sent.
 //!
 //! A member is ejected for consecutive failures, for its failure rate, for being slow compared with the pool's median,
-//! or for silence while it owes answers. After its ejection time it is probed with a part of its usual traffic, and
+//! or for silence while it owes answers. It is slow by its mean response time, if several answers were slow, each by a
+//! difference that a caller would feel. Time for which this process itself stood still counts for none of these. After its ejection time it is probed with a part of its usual traffic, and
 //! is in service again once it has answered well often enough; each further ejection doubles the ejection time,
 //! within bounds. If more members would be ejected than the configuration allows, all are used again: the fault is
 //! then not with the members.
@@ -16,6 +17,11 @@
 
 /// Results, decayed, before a failure rate or a mean response time is significant.
 const MIN_SAMPLES: f64 = 20.0;
+/// Difference to the pool's median up to which an answer is not slow, in seconds: callers do not feel it, and beside other
+/// processes it is a few turns of the system's scheduler.
+const MIN_SLOWNESS: f64 = 0.020;
+/// Slow answers, decayed, before a member is slow: a mean alone may be due to one of them.
+const MIN_SLOW_SAMPLES: f64 = 4.5;
 /// Time constant with which results decay: long enough for twenty of them, short compared with an outage.
 const DECAY_SPAN: Duration = Duration::from_secs(10);
 /// Consecutive good answers after which a probed member is healthy again.
@@ -139,6 +145,8 @@
     failed: f64,
     /// Decayed sum of the response times of good answers, in seconds.
     duration_sum: f64,
+    /// Decayed number of slow answers.
+    slow: f64,
     /// When the decayed values were last brought up to date.
     decayed_at: Duration,
     /// Answers that are outstanding.
@@ -158,6 +166,7 @@
             good: 0.0,
             failed: 0.0,
             duration_sum: 0.0,
+            slow: 0.0,
             decayed_at: now,
             outstanding: 0,
             last_signal: now,
@@ -170,11 +179,13 @@
         self.good *= left;
         self.failed *= left;
         self.duration_sum *= left;
+        self.slow *= left;
         self.decayed_at = self.decayed_at.max(now);
     }
 
     fn reset_samples(&mut self) {
-        (self.good, self.failed, self.duration_sum) = (0.0, 0.0, 0.0);
+        (self.good, self.failed) = (0.0, 0.0);
+        (self.duration_sum, self.slow) = (0.0, 0.0);
         (self.consecutive_failures, self.consecutive_successes) = (0, 0);
     }
 
@@ -237,6 +248,7 @@
         took: Duration,
         good: bool,
     ) -> Option<StatusChange> {
+        let is_slow = self.is_slow(took);
         let one = &mut self.members[member];
         one.outstanding = one.outstanding.saturating_sub(1);
         one.last_signal = now;
@@ -244,6 +256,7 @@
         if good {
             one.good += 1.0;
             one.duration_sum += took.as_secs_f64();
+            one.slow += f64::from(u8::from(is_slow));
             one.consecutive_failures = 0;
             one.consecutive_successes = one.consecutive_successes.saturating_add(1);
         } else {
@@ -276,6 +289,13 @@
         self.members[member] = Member::new(now);
     }
 
+    /// This process stood still for so long, until now: nobody can have been heard meanwhile.
+    pub fn on_stall(&mut self, now: Duration, stall: Duration) {
+        for one in &mut self.members {
+            one.last_signal = (one.last_signal + stall).min(now);
+        }
+    }
+
     /// Finds silent members and ends ejections that are over. To be called several times a second.
     pub fn tick(&mut self, now: Duration) -> Vec<StatusChange> {
         self.update_median();
@@ -347,8 +367,20 @@
             return Some(EjectionReason::Unresponsive);
         }
         let mean = one.mean().filter(|_| one.good >= MIN_SAMPLES)?;
+        let is_slow = mean > self.slow_limit()? && one.slow >= MIN_SLOW_SAMPLES;
+        is_slow.then_some(EjectionReason::Slow)
+    }
+
+    /// The response time above which a mean is too far above the median, in seconds.
+    fn slow_limit(&self) -> Option<f64> {
         let median = self.median?;
-        (mean > median * rules.slow_factor as f64 / ONE as f64).then_some(EjectionReason::Slow)
+        Some(median * self.rules.slow_factor as f64 / ONE as f64)
+    }
+
+    /// Whether one answer is too far above the median, and a caller feels it.
+    fn is_slow(&self, took: Duration) -> bool {
+        let limits = self.slow_limit().zip(self.median);
+        limits.is_some_and(|(limit, median)| took.as_secs_f64() > limit.max(median + MIN_SLOWNESS))
     }
 
     fn update_median(&mut self) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`warm_up`] | what one forwarder may send to a member that warms up, as its share of what all may |
 //! | [`subset`] | which members of a large pool a forwarder uses |
 //! | [`health`] | which members are ejected, judged from answers alone, and how they come back |
+//! | [`stall_clock`] | how long this process itself stood still, which no member is blamed for |
 //! | [`adaptive_concurrency`] | how many requests may be open at a member, learned from its response times |
 //! | [`retry`] | whether a request is retried, under a budget of the whole process |
 //! | [`retry_after`] | when a rejected caller is asked to come back |
@@ -66,6 +67,7 @@
 pub mod retry;
 pub mod retry_after;
 pub mod router;
+pub mod stall_clock;
 pub mod subset;
 pub mod table;
 pub mod table_update;
--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -146,6 +146,54 @@
     assert_eq!((alone.ejected_count(), alone.max_ejected()), (0, 0));
 }
 
+/// Answers of a member that it takes to eject it, at most `max`: all answer in `usual` milliseconds, and after `before` such
+/// answers of each one member takes `then`.
+fn answers_to_ejection(usual: u64, before: u64, then: u64, max: u64) -> Option<u64> {
+    const MEMBERS: usize = 5;
+    let mut health = Health::new(RULES, MEMBERS, ms(0));
+    for turn in 0..before + max {
+        for member in 0..MEMBERS {
+            let took = if member == 2 && turn >= before {
+                then
+            } else {
+                usual
+            };
+            health.on_sent(member, ms(turn * 10));
+            if let Some(change) = health.on_answer(member, ms(turn * 10), ms(took), true) {
+                assert_eq!(change.member, 2);
+                return Some(turn + 1 - before);
+            }
+        }
+    }
+    None
+}
+
+// Guards against slower ejection of members that are slow: as many answers as ever, but not fewer than five.
+#[test]
+fn a_member_that_turns_slow_is_ejected_as_soon_as_ever() {
+    let table = [
+        (20, 0, 70, 21),
+        (20, 0, 200, 21),
+        (20, 100, 70, 323),
+        (20, 100, 200, 27),
+        (20, 400, 2_000, 7),
+        (20, 100, 2_000, 5),
+        (5, 100, 50, 27),
+    ];
+    for (usual, before, then, answers) in table {
+        let ejected = answers_to_ejection(usual, before, then, 1_000);
+        assert_eq!(ejected, Some(answers), "{usual} {before} {then}");
+    }
+}
+
+// Guards against an ejection for single answers, and for a difference that no caller feels.
+#[test]
+fn a_few_late_answers_or_a_small_difference_eject_nobody() {
+    assert_eq!(answers_to_ejection(1, 100, 60_000, 4), None);
+    assert_eq!(answers_to_ejection(1, 100, 15, 1_000), None);
+    assert_eq!(answers_to_ejection(0, 0, 15, 1_000), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(18), failure_persistence: None, ..ProptestConfig::default() })]
 
