Replay: a broken connection is not waited for as if it were blocked

What callers saw: pcap replay to a peer that resets its connections used a full core and never ended.

Cause: flush took every error of a write for "the socket takes no more now", kept the bytes and woke its own task, which wrote again, failed again and never gave the runtime the turn in which the reset would have shown on the reading side.

Change: FlushOutcome is AllSent, Blocked, Broken or NotConnected. A broken connection drops what was queued and is ended by its reader; only a blocked one waits to write on.

a_replay_to_a_peer_that_resets_at_once_ends failed in its first play before and passes.

--- a/crates/cli/src/pcap/replay/client.rs
+++ b/crates/cli/src/pcap/replay/client.rs
@@ -190,8 +190,10 @@
     }
 
     fn flush(&self, connection: &ReplayConnection) {
-        if connection.flush() == FlushOutcome::AllSent {
-            self.on_sent(&connection.take_sent_calls());
+        match connection.flush() {
+            FlushOutcome::AllSent => self.on_sent(&connection.take_sent_calls()),
+            FlushOutcome::Blocked => connection.wake(),
+            FlushOutcome::Broken | FlushOutcome::NotConnected => {}
         }
     }
 
--- a/crates/cli/src/pcap/replay/connection.rs
+++ b/crates/cli/src/pcap/replay/connection.rs
@@ -3,6 +3,7 @@
 use rainstand_protocol::ring::Ring;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -20,7 +21,7 @@
     next_sequence_number: Cell<i32>,
     /// The other side wants nothing new here, or it is broken.
     retired: Cell<bool>,
-    /// There are bytes to send.
+    /// There are bytes that the socket did not take.
     wake: Notify,
 }
 
@@ -28,7 +29,10 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum FlushOutcome {
     AllSent,
-    BytesLeft,
+    /// The socket takes no more now.
+    Blocked,
+    /// The connection is broken, and what was queued is dropped: its reader ends it.
+    Broken,
     NotConnected,
 }
 
@@ -74,18 +78,24 @@
         while !unsent.is_empty() {
             match stream.try_write(unsent.front()) {
                 Ok(written) => unsent.drop_front(written),
-                // A broken one is noticed by its reader.
-                Err(_) => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return FlushOutcome::Blocked;
+                }
+                Err(_) => {
+                    unsent.clear();
+                    return FlushOutcome::Broken;
+                }
             }
         }
-        if unsent.is_empty() {
-            return FlushOutcome::AllSent;
-        }
+        FlushOutcome::AllSent
+    }
+
+    /// Has its task wait until the socket takes the bytes that it did not take now.
+    pub(super) fn wake(&self) {
         self.wake.notify_one();
-        FlushOutcome::BytesLeft
     }
 
-    /// Returns when there are bytes to send.
+    /// Returns when there are bytes that the socket did not take.
     pub(super) async fn woken(&self) {
         self.wake.notified().await;
     }
--- a/crates/cli/tests/program/mod.rs
+++ b/crates/cli/tests/program/mod.rs
@@ -43,7 +43,7 @@
     (code, lines, stderr)
 }
 
-fn command(folder: &Path, arguments: &[&str]) -> Command {
+pub fn command(folder: &Path, arguments: &[&str]) -> Command {
     let mut command = Command::new(PROGRAM);
     command.args(arguments).current_dir(folder);
     command
--- a/crates/cli/tests/traffic.rs
+++ b/crates/cli/tests/traffic.rs
@@ -12,10 +12,16 @@
 
 use parquet::file::reader::{FileReader, SerializedFileReader};
 use parquet::record::RowAccessor;
-use program::run_lines as run;
+use program::{command, run_lines as run};
 use serde_json::Value;
 use stand_ins::{capture, node, Manners};
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::process::{Child, Stdio};
+use std::time::{Duration, Instant};
+
+/// Only what hangs is caught by this.
+const HANGS: Duration = Duration::from_secs(20);
 
 /// Every kind of answer, on three connections within 60 ms.
 const CALLS: [(u64, usize, &str, &str); 12] = [
@@ -339,6 +345,55 @@
     );
 }
 
+/// A peer that accepts connections and resets each at once, or up to a millisecond later; it ends with the process.
+fn resetting_peer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for (number, stream) in (0..).zip(listener.incoming().flatten()) {
+            std::thread::sleep(Duration::from_micros(100) * (number % 11));
+            // Closing without lingering sends a reset.
+            socket2::SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .unwrap();
+        }
+    });
+    address
+}
+
+/// Whether a program ends within [`HANGS`]; it is killed if not.
+fn ends(mut child: Child) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < HANGS {
+        if child.try_wait().unwrap().is_some() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    false
+}
+
+// Guards against a replay that spins on a connection which broke while a frame was not written, and never ends.
+#[test]
+fn a_replay_to_a_peer_that_resets_at_once_ends() {
+    let calls: Vec<_> = (0..400)
+        .map(|n| (n / 20, (n % 20) as usize, "body", "e"))
+        .collect();
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("a.pcapng"), capture(&calls)).unwrap();
+    let to = resetting_peer().to_string();
+    let arguments = [
+        "pcap", "replay", "a.pcapng", "--to", &to, "--wait", "1", "--json",
+    ];
+    for play in 0..5 {
+        let mut command = command(folder.path(), &arguments);
+        let child = command.stdout(Stdio::null()).spawn().unwrap();
+        assert!(ends(child), "play {play} does not end");
+    }
+}
+
 #[test]
 fn wrong_words_are_told() {
     let folder = folder();
