Soak: two clients read slowly, and counted answers are held against those that were read

Cause: the soak passed on a text whose forwarder lost answers at each drain before slow readers, as all its clients were prompt and all answers small.

Change: before node and forwarder two clients with 31 open requests read an answer of 7,800 bytes each 30 ms into a receive buffer of 4 KB, until the kill. A stream that ends within a frame is a finding unless answers are counted as cut off, and so are answers that are counted, not cut off and not read.

Not done: planted bugs for an ejection by the process's own pause and for a spin on a broken connection.

--- a/crates/testbed/src/peers/agent.rs
+++ b/crates/testbed/src/peers/agent.rs
@@ -23,6 +23,9 @@
 /// Outcomes that are retained for a node that comes back, by the protocol.
 const MAX_RETAINED_OUTCOMES: usize = 4_000;
 
+/// A result is padded to as many bytes as its request asks for, so that it fits into an answer of the protocol.
+const MAX_RESULT_BYTES: usize = 7_900;
+
 /// What an agent is started with.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Options {
@@ -171,8 +174,12 @@
     /// The effect of a run, in the history before anybody hears of it.
     fn on_run_finished(&mut self, request: &str, body: &[u8]) {
         self.runs += 1;
-        let result = format!("{}-{}", self.options.name, self.runs);
         let text = String::from_utf8_lossy(body);
+        let mut result = format!("{}-{}", self.options.name, self.runs);
+        if let Some(bytes) = body_field(&text, "result-bytes").and_then(|text| text.parse().ok()) {
+            let padding = MAX_RESULT_BYTES.min(bytes).saturating_sub(result.len());
+            result.extend(std::iter::repeat_n('.', padding));
+        }
         if let Some(key) = body_field(&text, "key") {
             let line = HistoryLine {
                 at: now(),
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
@@ -19,6 +19,17 @@
 /// Between an answer and the next request, so that the clients do not take all of the machine.
 const THINK_TIME: Duration = Duration::from_millis(4);
 
+/// Open requests of a slow client.
+const SLOW_CLIENT_DEPTH: usize = 31;
+/// For a slow client to have read its answer: all answers before it take a second, and its system may be slower still.
+const SLOW_CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Between two answers that a slow client reads.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(30);
+/// Of a slow client.
+const SLOW_RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+/// Of each result that a slow client asks for.
+const SLOW_RESULT_BYTES: usize = 7_800;
+
 /// What all clients of one node saw.
 #[derive(Default)]
 pub struct ClientLog {
@@ -30,6 +41,8 @@
     pub finals: Cell<u64>,
     /// Answers to no open request of their connection.
     pub unasked: Cell<u64>,
+    /// Connections that ended within a frame.
+    pub cut_in_frame: Cell<u64>,
     /// Names of requests whose connection ended without an answer.
     pub unfinished: RefCell<Vec<String>>,
     /// No new connection is opened any more.
@@ -54,6 +67,15 @@
 /// For a client to note that its last connection ended.
 const END_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How a client reads its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadPace {
+    /// As they come.
+    Prompt,
+    /// An answer each [`SLOW_READ_PAUSE`], into a small receive buffer; it asks for large ones.
+    Slow,
+}
+
 /// Starts a client; `within`: for an answer.
 pub fn start_client(
     address: SocketAddr,
@@ -65,6 +87,19 @@
         address,
         depth,
         within,
+        pace: ReadPace::Prompt,
+        log: log.clone(),
+    };
+    spawn_local(client.run())
+}
+
+/// Starts a client that reads slowly and has as many requests open as the protocol allows.
+pub fn start_slow_client(address: SocketAddr, log: &Rc<ClientLog>) -> JoinHandle<()> {
+    let client = Client {
+        address,
+        depth: SLOW_CLIENT_DEPTH,
+        within: SLOW_CLIENT_TIMEOUT,
+        pace: ReadPace::Slow,
         log: log.clone(),
     };
     spawn_local(client.run())
@@ -86,6 +121,8 @@
     pub depth: usize,
     /// For an answer.
     pub within: Duration,
+    /// How it reads.
+    pub pace: ReadPace,
     /// Shared by all clients.
     pub log: Rc<ClientLog>,
 }
@@ -94,24 +131,41 @@
     /// Asks until the log says that the node is gone and the last connection has ended.
     pub async fn run(self) {
         while !self.log.stopping.get() {
-            if let Ok(stream) = TcpStream::connect(self.address).await {
+            if let Ok(stream) = self.connect().await {
                 let mut open = BTreeMap::new();
+                let mut received = Vec::new();
                 // However the connection ends, what is open on it has no answer.
-                let _ = self.serve(stream, &mut open).await;
+                let _ = self.serve(stream, &mut open, &mut received).await;
+                let cut_in_frame = u64::from(!received.is_empty());
+                let counter = &self.log.cut_in_frame;
+                counter.set(counter.get() + cut_in_frame);
                 self.log.unfinished.borrow_mut().extend(open.into_values());
             }
             sleep(RECONNECT_DELAY).await;
         }
     }
 
+    async fn connect(&self) -> io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        if self.pace == ReadPace::Slow {
+            socket.set_recv_buffer_size(SLOW_RECEIVE_BUFFER_BYTES)?;
+        }
+        socket.connect(self.address).await
+    }
+
     async fn serve(
         &self,
         mut stream: TcpStream,
         open: &mut BTreeMap<i32, String>,
+        received: &mut Vec<u8>,
     ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut sequence = 0;
-        let (mut received, mut chunk) = (Vec::new(), vec![0; 16 << 10]);
+        let (chunk_bytes, pause) = match self.pace {
+            ReadPace::Prompt => (16 << 10, THINK_TIME),
+            ReadPace::Slow => (SLOW_RESULT_BYTES, SLOW_READ_PAUSE),
+        };
+        let mut chunk = vec![0; chunk_bytes];
         let mut takes_requests = true;
         loop {
             while takes_requests && open.len() < self.depth {
@@ -125,8 +179,8 @@
                 return Ok(());
             }
             received.extend_from_slice(&chunk[..length]);
-            self.read_answers(&mut received, open)?;
-            sleep(THINK_TIME).await;
+            self.read_answers(received, open)?;
+            sleep(pause).await;
         }
     }
 
@@ -141,6 +195,10 @@
             Some(key) => ("register", format!("key={key};v={number}")),
             None => ("check", "v=0".to_owned()),
         };
+        let body = match self.pace {
+            ReadPace::Prompt => body,
+            ReadPace::Slow => format!("{body};result-bytes={SLOW_RESULT_BYTES}"),
+        };
         let trace = hash(format!("soak/{number}").as_bytes());
         let unix = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
--- a/crates/testbed/src/soak/forwarder.rs
+++ b/crates/testbed/src/soak/forwarder.rs
@@ -1,7 +1,7 @@
 //! A forwarder before one node under a soak: reloads in series, a crowd, and clients that go on until its kill.
 
-use super::client::{end_clients, start_client, ClientLog};
-use super::node::{start_agent, LONGEST_RUN, SLACK, WITHIN};
+use super::client::{end_clients, start_client, start_slow_client, ClientLog};
+use super::node::{start_agent, LONGEST_RUN, SLACK, SLOW_CLIENTS, WITHIN};
 use super::verdict::{drain_until_kill, Used};
 use super::{crowd, signals, SoakOptions, SoakReport};
 use crate::process::{count_starts, free_port, program, Process};
@@ -49,7 +49,9 @@
     let mut process = start_forwarder(&behind, address, &path, &log_path)?;
     wait_for_start(&mut process, &log_path).await?;
     let log = Rc::new(ClientLog::default());
-    let clients = DEPTHS.map(|depth| start_client(address, depth, WITHIN + SLACK, &log));
+    let start = |depth| start_client(address, depth, WITHIN + SLACK, &log);
+    let mut clients: Vec<_> = DEPTHS.map(start).into();
+    clients.extend((0..SLOW_CLIENTS).map(|_| start_slow_client(address, &log)));
     let mut random = WyRand::new_seed(options.seed ^ 0xf0);
     sleep(ROUND_PAUSE).await;
     let settled = signals::descriptors(&process);
@@ -71,6 +73,7 @@
         log: &log,
         drain,
         read: answered_requests(&log_path),
+        cut_off: counter(&log_path, "cut_off=").unwrap_or(0),
         agent_history: &folder.join("agent.part"),
     };
     used.judge(report)
@@ -180,15 +183,18 @@
 
 /// Requests that the forwarder answered, by the counters that it printed at its end.
 fn answered_requests(log_path: &Path) -> Option<u64> {
+    // What comes while it leaves is dismissed as past its bounds.
+    let names = ["honoured=", "dismissed=", "given_up=", "full="];
+    names.iter().map(|name| counter(log_path, name)).sum()
+}
+
+/// A counter of the last line of them; `name` with its equals sign.
+fn counter(log_path: &Path, name: &str) -> Option<u64> {
     let text = fs::read_to_string(log_path).ok()?;
     let counts = text
         .lines()
         .rev()
         .find(|line| line.contains("event=\"counts\""))?;
-    let value = |name: &str| -> Option<u64> {
-        let word = counts.split(' ').find_map(|word| word.strip_prefix(name))?;
-        word.parse().ok()
-    };
-    // What comes while it leaves is dismissed as past its bounds.
-    Some(value("honoured=")? + value("dismissed=")? + value("given_up=")? + value("full=")?)
+    let word = counts.split(' ').find_map(|word| word.strip_prefix(name))?;
+    word.parse().ok()
 }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -65,6 +65,8 @@
     pub read: u64,
     /// Requests that were written and never read.
     pub never_read: u64,
+    /// Answers that a server counts as cut off by the end of its drain.
+    pub cut_off: u64,
     /// Runs that the agent saw.
     pub runs: u64,
     /// Most connections of a crowd at once; 0 without one.
--- a/crates/testbed/src/soak/node.rs
+++ b/crates/testbed/src/soak/node.rs
@@ -1,6 +1,6 @@
 //! One node under a soak: clients go on until the kill, which comes at the protocol's earliest moment.
 
-use super::client::{end_clients, start_client, ClientLog};
+use super::client::{end_clients, start_client, start_slow_client, ClientLog};
 use super::verdict::{drain_until_kill, Used};
 use super::{crowd, signals, SoakOptions, SoakReport};
 use crate::peers::agent;
@@ -38,6 +38,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Open requests of each client.
 const DEPTHS: [usize; 5] = [1, 1, 1, 4, 8];
+/// Clients that read slowly beside them.
+pub(super) const SLOW_CLIENTS: usize = 2;
 /// Memory that a node may have, in kilobytes, as its file says.
 const MEMORY_KB: u64 = 192 << 10;
 
@@ -101,7 +103,9 @@
     fs::write(&path, file.to_string())?;
     let process = start_node(options, &path, &log_path, report).await?;
     let log = Rc::new(ClientLog::default());
-    let clients = DEPTHS.map(|depth| start_client(address, depth, spans.within + SLACK, &log));
+    let start = |depth| start_client(address, depth, spans.within + SLACK, &log);
+    let mut clients: Vec<_> = DEPTHS.map(start).into();
+    clients.extend((0..SLOW_CLIENTS).map(|_| start_slow_client(address, &log)));
     let mut soaked = Soaked {
         options,
         report,
@@ -128,6 +132,7 @@
         log: &log,
         drain,
         read: read_requests(&log_path),
+        cut_off: 0,
         agent_history: &options.folder.join("agent.part"),
     };
     used.judge(report)
--- a/crates/testbed/src/soak/verdict.rs
+++ b/crates/testbed/src/soak/verdict.rs
@@ -3,7 +3,8 @@
 use super::client::ClientLog;
 use super::{signals, SoakReport};
 use crate::check::check;
-use crate::history::{self, Event, Observation};
+use crate::history::{self, Event, Observation, RequestEnd};
+use crate::peers::now;
 use crate::process::Process;
 use nanorand::{Rng, WyRand};
 use rustix::process::Signal;
@@ -73,6 +74,8 @@
     pub drain: Drain,
     /// Requests that it read, by its own counters; none if it printed none.
     pub read: Option<u64>,
+    /// Of their answers, those that it counts as cut off by the end of its drain.
+    pub cut_off: u64,
     /// What the agent behind it saw.
     pub agent_history: &'a Path,
 }
@@ -104,11 +107,20 @@
             );
             report.violate("drain-not-ended", detail);
         }
+        let cut_in_frame = log.cut_in_frame.get();
+        if cut_in_frame > 0 && self.cut_off == 0 {
+            let detail = format!("{name}: {cut_in_frame} streams");
+            report.violate("stream-cut-in-frame", detail);
+        }
         match self.read {
             Some(read) => {
                 report.read += read;
-                if read != finals {
-                    let detail = format!("{name}: {read} requests read, {finals} answered");
+                report.cut_off += self.cut_off;
+                if finals > read || finals + self.cut_off < read {
+                    let detail = format!(
+                        "{name}: {read} requests read, {finals} answered, {} counted as cut off",
+                        self.cut_off
+                    );
                     report.violate("answer-lost", detail);
                 }
             }
@@ -122,9 +134,12 @@
             }
         }
         let mut seen = log.seen.borrow().clone();
-        // Proved by the counters to be unread, or told above.
+        // Proved by the counters to be unread, or told above; some may have run if answers are counted as cut off.
+        if self.cut_off > 0 {
+            abandon(&mut seen, &unfinished);
+        }
         let is_unread = |event: &Event| matches!(event, Event::Requested { request, .. } if unfinished.contains(request));
-        seen.retain(|one| !is_unread(&one.event));
+        seen.retain(|one| self.cut_off > 0 || !is_unread(&one.event));
         let agent = fs::read(self.agent_history)?;
         let (runs, _) = history::read_history(BufReader::new(&agent[..]))
             .map_err(|error| io::Error::other(error.reason))?;
@@ -137,6 +152,21 @@
     }
 }
 
+/// Ends requests of which nothing is known.
+fn abandon(seen: &mut Vec<Observation>, requests: &[String]) {
+    let ends = requests.iter().map(|request| Observation {
+        at: now(),
+        observer: "client".to_owned(),
+        line: 0,
+        event: Event::Ended {
+            request: request.clone(),
+            end: RequestEnd::Abandoned,
+            result: None,
+        },
+    });
+    seen.extend(ends);
+}
+
 fn number_lines(seen: &mut Vec<Observation>, more: Vec<Observation>) {
     seen.extend(more);
     for (at, one) in seen.iter_mut().enumerate() {
