Health: a request that is rejected over its quota is no probe of an unhealthy node

What callers saw: an unhealthy node lets in one request each 500 ms to show whether it has recovered. A tenant over its quota could use that up with a request that was then rejected, so nothing was shown and requests of others were rejected for 500 ms more.

Cause: Decision::passed_health_check counted OverQuota, which is decided after the check of health, as let in.

Change: only what is queued moves the time of the last probe. a_request_over_its_quota_is_no_probe failed before (0 runs where 1 was expected) and passes.

--- a/src/choice/admission.rs
+++ b/src/choice/admission.rs
@@ -57,16 +57,6 @@
     },
 }
 
-impl Decision {
-    /// Whether the request passed the check of the node's health, whatever became of it then.
-    fn passed_health_check(self) -> bool {
-        matches!(
-            self,
-            Self::Enqueue { .. } | Self::Reject(RejectReason::OverQuota { .. })
-        )
-    }
-}
-
 /// Decides on a request that was read.
 pub(super) fn decide(inputs: &AdmissionInputs) -> Decision {
     let now = inputs.now;
@@ -104,7 +94,8 @@
     ) -> Decision {
         let inputs = self.admission_inputs(now, index, arrival);
         let decision = decide(&inputs);
-        if decision.passed_health_check() {
+        // On an unhealthy node only what is queued is a probe.
+        if let Decision::Enqueue { .. } = decision {
             self.health.on_admitted(now);
         }
         decision
--- a/src/choice/health.rs
+++ b/src/choice/health.rs
@@ -30,7 +30,7 @@
     failures: Mean,
     last_completion: Duration,
     unhealthy: bool,
-    /// When a request last passed the check of health; while unhealthy, that was a probe.
+    /// When a request was last queued; while unhealthy, that was a probe.
     last_admitted: Duration,
 }
 
@@ -81,7 +81,7 @@
         !self.unhealthy || now >= self.last_admitted + PROBE_INTERVAL
     }
 
-    /// A request passed the check of health.
+    /// A request was queued.
     pub(super) fn on_admitted(&mut self, now: Duration) {
         self.last_admitted = now;
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -57,6 +57,37 @@
     );
 }
 
+// Guards against a probe of an unhealthy node that is spent on a request which is then rejected over its quota.
+#[test]
+fn a_request_over_its_quota_is_no_probe() {
+    let mut rig = Rig::new(Settings::default());
+    for (tenant, spans) in [(0, [300; 3]), (1, [40; 3])] {
+        for span in spans {
+            let arrival = Arrival {
+                tenant: Some(tenant),
+                ..Arrival::default()
+            };
+            rig.serve(arrival, span);
+        }
+    }
+    for _ in 0..6 {
+        rig.tenant(0, 0);
+        rig.pass(ms(20));
+        rig.end(0, Outcome::Failed);
+    }
+    rig.pass(ms(600));
+    assert!(rig.take().contains(&"set_health false".to_owned()));
+    let over_quota = Arrival {
+        waited: ms(400),
+        tenant: Some(0),
+        ..Arrival::default()
+    };
+    rig.arrive(5, over_quota);
+    assert_eq!(rig.count("reject 5"), 1);
+    rig.tenant(6, 1);
+    assert_eq!(rig.count("run 6"), 1);
+}
+
 #[test]
 fn requests_that_never_start_use_no_quota_and_no_run_time_sample() {
     // The flood would put the tenant whose name it bears far over its quota.
