--- a/crates/testbed/src/soak/verdict.rs
+++ b/crates/testbed/src/soak/verdict.rs
@@ -107,6 +107,28 @@
             );
             report.violate("drain-not-ended", detail);
         }
+        self.judge_answers(unfinished.len(), report);
+        let mut seen = log.seen.borrow().clone();
+        // Proved by the counters to be unread, or told above; some may have run if answers are counted as cut off.
+        if self.cut_off > 0 {
+            abandon(&mut seen, &unfinished);
+        }
+        let is_unread = |event: &Event| matches!(event, Event::Requested { request, .. } if unfinished.contains(request));
+        seen.retain(|one| self.cut_off > 0 || !is_unread(&one.event));
+        let agent = fs::read(self.agent_history)?;
+        let (runs, _) = history::read_history(BufReader::new(&agent[..]))
+            .map_err(|error| io::Error::other(error.reason))?;
+        report.runs += runs.len() as u64;
+        number_lines(&mut seen, runs);
+        for violation in check(&seen).violations.iter().take(3) {
+            report.violate("rules", format!("{name}: {violation}"));
+        }
+        Ok(())
+    }
+
+    /// Holds the answers that the server counts against those that its clients read, `unfinished` requests without one.
+    fn judge_answers(&self, unfinished: usize, report: &mut SoakReport) {
+        let (log, name, finals) = (self.log, self.name, self.log.finals.get());
         let cut_in_frame = log.cut_in_frame.get();
         if cut_in_frame > 0 && self.cut_off == 0 {
             let detail = format!("{name}: {cut_in_frame} streams");
@@ -124,31 +146,12 @@
                     report.violate("answer-lost", detail);
                 }
             }
-            None if unfinished.is_empty() => {}
+            None if unfinished == 0 => {}
             None => {
-                let detail = format!(
-                    "{name}: {} without an answer, no counters",
-                    unfinished.len()
-                );
+                let detail = format!("{name}: {unfinished} without an answer, no counters");
                 report.violate("answer-lost", detail);
             }
         }
-        let mut seen = log.seen.borrow().clone();
-        // Proved by the counters to be unread, or told above; some may have run if answers are counted as cut off.
-        if self.cut_off > 0 {
-            abandon(&mut seen, &unfinished);
-        }
-        let is_unread = |event: &Event| matches!(event, Event::Requested { request, .. } if unfinished.contains(request));
-        seen.retain(|one| self.cut_off > 0 || !is_unread(&one.event));
-        let agent = fs::read(self.agent_history)?;
-        let (runs, _) = history::read_history(BufReader::new(&agent[..]))
-            .map_err(|error| io::Error::other(error.reason))?;
-        report.runs += runs.len() as u64;
-        number_lines(&mut seen, runs);
-        for violation in check(&seen).violations.iter().take(3) {
-            report.violate("rules", format!("{name}: {violation}"));
-        }
-        Ok(())
     }
 }
 
