--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -248,8 +248,11 @@
     let token = message.get("token").and_then(Value::as_str);
     if token == Some(link.samples_requested.get().to_string().as_str()) {
         link.awaiting_since.set(None);
+        let previously_answered = link
+            .last_sample_answered
+            .replace(link.samples_requested.get());
         if !link.is_ready.replace(true) {
-            dispatch::resend(&mut context.core.borrow_mut().table);
+            resend(context, previously_answered);
         }
     }
     let load = message
@@ -263,6 +266,19 @@
     Ok(())
 }
 
+/// Resends commands after a replay. The policy decides about the runs that may still wait for the reply to a call.
+fn resend(context: &NodeContext, answered: u64) {
+    let unconfirmed = dispatch::resend(&mut context.core.borrow_mut().table, answered);
+    if unconfirmed.is_empty() {
+        return;
+    }
+    context.drive_policy(|policy, now, table| {
+        for index in unconfirmed {
+            policy.on_reply_unconfirmed(now, table, index);
+        }
+    });
+}
+
 /// Handles a numbered notice, unless it was already handled on an earlier link.
 fn on_notice(
     context: &NodeContext,
--- a/crates/node/src/agent_link.rs
+++ b/crates/node/src/agent_link.rs
@@ -16,6 +16,37 @@
 /// Initial buffer size for a command, in bytes: enough for a launch with a short body.
 const COMMAND_CAPACITY: usize = 128;
 
+/// What the node knows about whether the agent has read a command.
+///
+/// The agent reads the commands of one link in order, so its answer to a sample proves that it has read every command
+/// that was sent before the sample on the same link. After a link has ended, nothing more is learned about its commands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommandStatus {
+    /// It was not sent, as the link was not ready.
+    Unsent,
+    /// It was sent; `sample` is the number of the last sample that was requested before it.
+    Sent {
+        /// Counts the samples of all links.
+        sample: u64,
+    },
+    /// The agent has read it.
+    Confirmed,
+    /// Its link ended before a later sample was answered: the agent may have read it or not.
+    Unknown,
+}
+
+impl CommandStatus {
+    /// The status once the command's link has ended; `answered` is the number of the last sample answered until then.
+    #[must_use]
+    pub fn after_disconnect(self, answered: u64) -> Self {
+        match self {
+            Self::Sent { sample } if sample < answered => Self::Confirmed,
+            Self::Sent { .. } => Self::Unknown,
+            Self::Unsent | Self::Confirmed | Self::Unknown => self,
+        }
+    }
+}
+
 /// The link to the agent.
 #[derive(Default)]
 pub struct AgentLink {
@@ -33,6 +64,8 @@
     pub(crate) unreadable_after: Cell<Option<u64>>,
     /// Samples requested so far; the first sample on a link marks the end of its replay.
     pub(crate) samples_requested: Cell<u64>,
+    /// The number of the last sample that was answered.
+    pub(crate) last_sample_answered: Cell<u64>,
     /// When the wait for a greeting or a sample began.
     pub(crate) awaiting_since: Cell<Option<Instant>>,
     /// How long a greeting or a sample is awaited before the link counts as dead.
@@ -45,9 +78,13 @@
 
 impl AgentLink {
     /// Sends a command. Until the replay was read it is dropped, as [`crate::dispatch::resend`] sends it then.
-    pub fn command(&self, line: fmt::Arguments) {
-        if self.is_ready.get() {
-            self.write(line);
+    pub fn command(&self, line: fmt::Arguments) -> CommandStatus {
+        if !self.is_ready.get() {
+            return CommandStatus::Unsent;
+        }
+        self.write(line);
+        CommandStatus::Sent {
+            sample: self.samples_requested.get(),
         }
     }
 
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -1,6 +1,7 @@
 //! Outcomes: turns the end of a run, as reported by the agent, into the request's answer, and passes the outcome of a
 //! downstream call to the run that waits for it.
 
+use crate::agent_link::CommandStatus;
 use crate::context::NodeContext;
 use crate::counters::count;
 use crate::request::{CallState, DownstreamCall};
@@ -171,6 +172,7 @@
             offset,
             body: body.into(),
             state: CallState::Pending,
+            outcome_command: CommandStatus::Unsent,
         };
         if let Some(previous) = request.call.replace(call) {
             previous.abort();
@@ -199,9 +201,9 @@
             return;
         }
         if outcome == Outcome::Succeeded {
-            call.state = CallState::Delivered(reply);
+            call.state = CallState::Succeeded(reply);
             count(&table.counts.delivered);
-            dispatch::call_result(&table.agent, request);
+            dispatch::send_call_outcome(&table.agent, request.trace, call);
         } else {
             call.state = CallState::Pending;
         }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -45,6 +45,8 @@
     launched
     /// Runs whose commands were resent after a reconnect.
     resent
+    /// Replies to calls of which it is not known, after a reconnect, whether their runs have received them.
+    unconfirmed_replies
     /// Runs that were paused.
     frozen
     /// Runs that were resumed.
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,8 +1,9 @@
 //! Commands that the table sends to the agent, and downstream calls that it starts.
 
-use crate::agent_link::AgentLink;
+use crate::agent_link::{AgentLink, CommandStatus};
 use crate::counters::count;
-use crate::request::{CallState, Request, RunState};
+use crate::log_frequent;
+use crate::request::{CallState, DownstreamCall, Request, RunState, Trace};
 use crate::request_table::{CallOrder, FinishedRun, RequestTable};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use rainstand::Outcome;
@@ -19,25 +20,24 @@
 }
 
 /// Sends a command whose only argument is the request's trace.
-pub fn command(agent: &AgentLink, name: &str, request: &Request) {
-    let trace = String::from_utf8_lossy(&request.trace);
-    agent.command(format_args!("{{\"cmd\":\"{name}\",\"req\":\"{trace}\"}}\n"));
+pub fn command(agent: &AgentLink, name: &str, trace: Trace) -> CommandStatus {
+    let trace = String::from_utf8_lossy(&trace);
+    agent.command(format_args!("{{\"cmd\":\"{name}\",\"req\":\"{trace}\"}}\n"))
 }
 
 /// Sends the outcome of a call to the run that waits for it, if the call was answered or skipped.
-pub fn call_result(agent: &AgentLink, request: &Request) {
-    let trace = String::from_utf8_lossy(&request.trace);
-    let Some(call) = &request.call else { return };
+pub fn send_call_outcome(agent: &AgentLink, trace: Trace, call: &mut DownstreamCall) {
+    let trace = String::from_utf8_lossy(&trace);
     match &call.state {
-        CallState::Delivered(body) => {
+        CallState::Succeeded(body) => {
             let payload = BASE64_STANDARD.encode(body);
-            agent.command(format_args!(
+            call.outcome_command = agent.command(format_args!(
                 "{{\"cmd\":\"deliver\",\"req\":\"{trace}\",\"payload\":\"{payload}\"}}\n"
             ));
         }
         CallState::Skipped => {
             let offset = call.offset;
-            agent.command(format_args!(
+            call.outcome_command = agent.command(format_args!(
                 "{{\"cmd\":\"forgo\",\"req\":\"{trace}\",\"offset\":{offset}}}\n"
             ));
         }
@@ -45,22 +45,78 @@
     }
 }
 
-/// After a reconnect and its replay: resends all commands that no notice has confirmed. Runs that the replay reported
-/// as ended are no longer in the table.
-pub fn resend(table: &mut RequestTable) {
+/// After a reconnect and its replay: resends the commands that may not have been read, where a second copy has no
+/// effect. Runs that the replay reported as ended are no longer in the table.
+///
+/// `answered` is the number of the last sample answered on an earlier link. Returns the requests, by their indices,
+/// whose run may still wait for the reply to a call: that command names no call, so it is not sent twice.
+#[must_use]
+pub fn resend(table: &mut RequestTable, answered: u64) -> Vec<usize> {
     let (agent, counts) = (&table.agent, &table.counts);
-    let requests = table.requests.iter().flatten();
-    let mut running: Vec<&Request> = requests.filter(|request| request.is_launched()).collect();
-    running.sort_by_key(|request| request.serial);
-    for request in running {
+    let requests = table.requests.iter_mut().enumerate();
+    let mut running: Vec<(usize, &mut Request)> = requests
+        .filter_map(|(index, request)| Some((index, request.as_mut()?)))
+        .filter(|(_, request)| request.is_launched())
+        .collect();
+    running.sort_by_key(|(_, request)| request.serial);
+    let mut unconfirmed = Vec::new();
+    for (index, request) in running {
         count(&counts.resent);
         // Also for a cancelled run: if nothing ran, the agent answers the launch with the notice that it is too late.
         if request.call.is_none() {
             launch(agent, request, &table.class_names);
         }
-        match request.run {
-            RunState::Paused => command(agent, "freeze", request),
-            _ => call_result(agent, request),
+        if request.run == RunState::Paused {
+            command(agent, "freeze", request.trace);
+            continue;
+        }
+        resend_thaw(agent, request, answered);
+        if resend_call_outcome(agent, request, answered) == Resent::Unsafe {
+            count(&counts.unconfirmed_replies);
+            log_frequent!(
+                "reply_unconfirmed",
+                "reply to a call may be lost",
+                trace = request.trace.escape_ascii()
+            );
+            unconfirmed.push(index);
+        }
+    }
+    unconfirmed
+}
+
+/// Whether a command could be sent once more.
+#[derive(PartialEq, Eq)]
+enum Resent {
+    /// It was sent, or needs no second copy.
+    Done,
+    /// It may have been read, and a second copy could have another effect.
+    Unsafe,
+}
+
+/// `thaw` has no effect on a run that is not paused.
+fn resend_thaw(agent: &AgentLink, request: &mut Request, answered: u64) {
+    let Some(status) = request.thaw_command else {
+        return;
+    };
+    request.thaw_command = match status.after_disconnect(answered) {
+        CommandStatus::Confirmed => None,
+        _ => Some(command(agent, "thaw", request.trace)),
+    };
+}
+
+fn resend_call_outcome(agent: &AgentLink, request: &mut Request, answered: u64) -> Resent {
+    let Some(call) = &mut request.call else {
+        return Resent::Done;
+    };
+    call.outcome_command = call.outcome_command.after_disconnect(answered);
+    match (&call.state, call.outcome_command) {
+        (_, CommandStatus::Confirmed) => Resent::Done,
+        // The run may have read it, and wait for its next call when it reads the second copy.
+        (CallState::Succeeded(_), CommandStatus::Unknown) => Resent::Unsafe,
+        // Never sent, or `forgo`, which names its call.
+        _ => {
+            send_call_outcome(agent, request.trace, call);
+            Resent::Done
         }
     }
 }
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -1,5 +1,6 @@
 //! Carries out the policy's orders: commands to the agent, downstream calls, answers.
 
+use crate::agent_link::CommandStatus;
 use crate::counters::count;
 use crate::request::{CallState, RunState, Waiter};
 use crate::request_table::{FinishedRun, RequestTable};
@@ -22,7 +23,13 @@
             RunState::Paused => {
                 request.run = RunState::Launched;
                 count(&self.counts.thawed);
-                dispatch::command(&self.agent, "thaw", request);
+                request.thaw_command = Some(dispatch::command(&self.agent, "thaw", request.trace));
+                if let Some(call) = &mut request.call {
+                    // A run is not told the outcome of its call while it is to stay paused.
+                    if call.outcome_command == CommandStatus::Unsent {
+                        dispatch::send_call_outcome(&self.agent, request.trace, call);
+                    }
+                }
             }
             RunState::Launched | RunState::Claiming => {}
         }
@@ -38,7 +45,7 @@
         } else if self.can_pause && request.run == RunState::Launched {
             request.run = RunState::Paused;
             count(&self.counts.frozen);
-            dispatch::command(&self.agent, "freeze", request);
+            dispatch::command(&self.agent, "freeze", request.trace);
         }
     }
 
@@ -121,7 +128,7 @@
             if let CallState::InProgress(task) = previous {
                 task.abort();
             }
-            dispatch::call_result(&self.agent, request);
+            dispatch::send_call_outcome(&self.agent, request.trace, call);
         }
     }
 
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,5 +1,6 @@
 //! One request in flight: its run, its downstream call, and the requests that wait for its result.
 
+use crate::agent_link::CommandStatus;
 use crate::group_claim::GroupClaim;
 use crate::pending_reply::PendingReply;
 use crate::result_cache::IdempotencyKey;
@@ -30,7 +31,7 @@
     /// In flight; the handle aborts its task when the reply is no longer needed.
     InProgress(AbortHandle),
     /// Succeeded; holds the reply body, which was or will be sent to the agent.
-    Delivered(Vec<u8>),
+    Succeeded(Vec<u8>),
     /// The run continues without the call's reply.
     Skipped,
 }
@@ -43,6 +44,8 @@
     pub body: Rc<[u8]>,
     /// Its state.
     pub state: CallState,
+    /// Whether the agent has read the command that passes the call's outcome to the run.
+    pub outcome_command: CommandStatus,
 }
 
 impl DownstreamCall {
@@ -79,6 +82,8 @@
     pub body: Box<[u8]>,
     /// The state of its run.
     pub run: RunState,
+    /// Set if its paused run was resumed, until the agent has read that command.
+    pub thaw_command: Option<CommandStatus>,
     /// The call that its run waits for, or the last one that it waited for.
     pub call: Option<DownstreamCall>,
     /// Its key, if this node alone caches its result.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -167,6 +167,12 @@
         self.dispatch(now, host);
     }
 
+    /// It is not known whether a run has received the reply to its last call: it may wait for it, or continue.
+    pub fn on_reply_unconfirmed(&mut self, now: Duration, host: &mut dyn Host, index: usize) {
+        self.settle_unconfirmed_reply(host, index);
+        self.dispatch(now, host);
+    }
+
     /// A run or a reply from the cache has ended.
     pub fn on_run_finished(
         &mut self,
--- a/src/choice/downstream_calls.rs
+++ b/src/choice/downstream_calls.rs
@@ -15,6 +15,9 @@
 //! no second effect downstream. There are at most [`MAX_CALL_ATTEMPTS`] attempts, except for a required call that did
 //! not run. Without a retry, the request continues without its call if such an answer has a value, else it fails.
 //!
+//! **Unconfirmed replies.** If it is not known whether a run has received the reply to its call, it is told to continue
+//! without that call where a degraded answer has a value: this has no effect on a run that has received it.
+//!
 //! Values are those of the classes in the settings; times are on the controller's clock. Not in KIP-124.
 
 use super::scheduling::ClassQueue;
@@ -186,6 +189,19 @@
         }
     }
 
+    /// Lets a run that may still wait for the reply to its call continue without it, if such an answer has a value.
+    /// Otherwise the request waits for the end of its run or for its deadline: a run that received the reply ends as
+    /// usual, and one that did not cannot answer.
+    pub(super) fn settle_unconfirmed_reply(&mut self, host: &mut dyn Host, index: usize) {
+        let Some(request) = self.in_flight.get(index) else {
+            return;
+        };
+        let is_needed = request.stage == Stage::Running && !request.answered;
+        if is_needed && request.class.is_degradable() {
+            host.reply_degraded(index);
+        }
+    }
+
     /// Continues a run without its call.
     pub(super) fn skip_call(&mut self, now: Duration, host: &mut dyn Host, index: usize) {
         self.awaiting_call.retain(|&other| other != index);
--- a/src/host.rs
+++ b/src/host.rs
@@ -175,7 +175,7 @@
     fn fail(&mut self, request: usize);
     /// Make the request's downstream call, and cancel it at `deadline` on the controller's clock.
     fn call_downstream(&mut self, request: usize, deadline: Duration);
-    /// Continue the run without its downstream call.
+    /// Continue the run without its downstream call; no effect if the run has received that call's reply.
     fn reply_degraded(&mut self, request: usize);
     /// From now on, send this value with answers; see [`LoadSignal`].
     fn advertise_load(&mut self, amount: f64);
