--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -34,6 +34,7 @@
         budgets: by_name(all.budgets.iter().map(|one| &one.name)),
         limits: by_name(all.limits.iter().map(|one| &one.name)),
         exhausted_types: vec![false; all.types.len()],
+        ticketed_pools: vec![false; all.pools.len()],
         findings,
     };
     checker.check_types();
@@ -73,6 +74,8 @@
     limits: HashMap<&'k str, usize>,
     /// By traffic type: the routes before the one being checked take all of its requests.
     exhausted_types: Vec<bool>,
+    /// By pool: it was checked as one that ticketed requests are routed to.
+    ticketed_pools: Vec<bool>,
     findings: &'k mut Findings,
 }
 
--- a/crates/config/src/check/routes.rs
+++ b/crates/config/src/check/routes.rs
@@ -27,6 +27,7 @@
             self.check_fall_back(route, block);
             self.check_chance(route, block);
             self.check_attempts(route, block);
+            self.check_ticketed_pools(route);
             if let Some(goal) = self.shortest_goal(route) {
                 self.check_budget_time(route, block, &goal);
                 self.check_wait_time(route, block, &goal);
--- a/crates/config/src/resolve/pool.rs
+++ b/crates/config/src/resolve/pool.rs
@@ -1,7 +1,7 @@
 //! `pool` blocks and their members.
 
 use super::bounds::optional;
-use super::reader::{BlockReader, DuplicateLabel};
+use super::reader::{BlockReader, DuplicateLabel, Keyword};
 use super::{BlockKind, MAX_BLOCKS_PER_KIND, MAX_DURATION_NS, MAX_FACTOR};
 use crate::codes::Code;
 use crate::finding::shorten;
@@ -15,6 +15,9 @@
 /// The addresses of the members of one block, each with where it is written.
 pub(super) type Addresses = HashMap<SocketAddr, Span>;
 
+/// Whether any member recognizes a repeat, or only the one that ran the first attempt.
+const SHARED_KEYS: [Keyword<bool>; 2] = [("own", false), ("shared", true)];
+
 pub(super) fn pool(r: &mut BlockReader<'_, '_, '_, '_>) -> schema::Pool {
     r.allowed_blocks = &["member"];
     let zone = r.optional_name("zone", "a zone's name");
@@ -32,6 +35,7 @@
         know: r.integer("know", count),
         warm_rate: r.rate("warm-rate"),
         senders: r.integer("senders", count),
+        shared_keys: r.keyword_or("keys", &SHARED_KEYS, false),
     }
 }
 
--- a/crates/forwarder/src/context.rs
+++ b/crates/forwarder/src/context.rs
@@ -118,7 +118,7 @@
     /// Updates all state that is stored by index, if this version changed indices.
     fn on_version_installed(&self, version: u64) {
         if self.fleet.borrow().indices_since() == version {
-            self.upstreams.remove_unconnected_members();
+            self.upstreams.remove_former_members(self);
             self.upstreams.report_connected_members(self);
             self.metrics.on_indices_changed(&self.fleet.borrow());
         }
--- a/crates/forwarder/src/observability/counters.rs
+++ b/crates/forwarder/src/observability/counters.rs
@@ -59,6 +59,7 @@
             ("given_up", fleet.failed),
             ("nobody", fleet.caller_gone),
             ("room", fleet.over_tenant_share),
+            ("key_moved", fleet.held_keys),
             ("accepted", sockets.accepted_connections.get()),
             ("refused_connections", sockets.refused_connections.get()),
             ("made_room", sockets.evicted_connections.get()),
--- a/crates/forwarder/src/request_table.rs
+++ b/crates/forwarder/src/request_table.rs
@@ -40,6 +40,8 @@
     pub(crate) address: Rc<str>,
     /// Send time, on the context's clock.
     pub(crate) sent_at: Duration,
+    /// The member is the home of the request's key, so a further attempt goes there, too.
+    pub(crate) is_at_key_home: bool,
 }
 
 /// Whether a request is at a member.
@@ -63,6 +65,8 @@
     /// Number of the current attempt or wait; events for any other are late.
     current_attempt: u64,
     phase: RequestPhase,
+    /// Attempts that timed out and go on at their member, as many as the retry policy allows.
+    continued_attempts: Vec<AttemptId>,
 }
 
 /// Requests in flight by id, and their timers.
@@ -103,6 +107,7 @@
             state: None,
             current_attempt: 0,
             phase: RequestPhase::Waiting,
+            continued_attempts: Vec::new(),
         };
         let mut requests = self.by_id.borrow_mut();
         if requests.is_empty() {
@@ -129,6 +134,16 @@
         }
     }
 
+    /// Records that an attempt that timed out goes on at its member. Returns whether its request is still in flight.
+    fn continue_attempt(&self, id: AttemptId) -> bool {
+        let mut requests = self.by_id.borrow_mut();
+        let Some(request) = requests.get_mut(&id.request) else {
+            return false;
+        };
+        request.continued_attempts.push(id);
+        true
+    }
+
     /// Takes the state out of a request that is still at this attempt; the holder of the state decides the next step.
     fn claim(&self, id: AttemptId) -> Option<RequestState> {
         let mut requests = self.by_id.borrow_mut();
--- a/crates/forwarder/src/request_table/lifecycle.rs
+++ b/crates/forwarder/src/request_table/lifecycle.rs
@@ -13,12 +13,13 @@
 use super::{AttemptId, InFlightAttempt, RequestPhase, MAX_IN_FLIGHT_REQUESTS};
 use crate::listener::ClientConnection;
 use crate::observability::increment;
-use crate::upstream::{self, OutgoingAttempt};
+use crate::upstream::{self, OutgoingAttempt, TimedOutAttempt};
 use crate::{ForwarderContext, RequestError};
 use rainstand_protocol::thrift::{self, ProcessArgs};
 use rainstand_routing::fleet::{
     Attempt, AttemptOutcome, Completed, Fleet, NextAction, RequestOutcome, RequestState,
 };
+use rainstand_routing::member_selection::SelectionReason;
 use rainstand_routing::table::Request;
 use rainstand_routing::weighted_split::name_hash;
 use std::rc::Rc;
@@ -111,11 +112,14 @@
         Some(_) => 0,
         None => name_hash(customer),
     };
+    let entity = field("entity")?.unwrap_or("");
     let request = Request {
         request_class,
         tenant,
         tenant_hash,
-        entity: field("entity")?.unwrap_or(""),
+        entity,
+        // As a node names the key of a request.
+        key: field("nonce")?.unwrap_or(entity),
         is_retry: field("redo")? == Some("1"),
         size: body_bytes,
     };
@@ -182,6 +186,7 @@
             version,
             address: address.clone(),
             sent_at: self.now(),
+            is_at_key_home: attempt.selected_by == SelectionReason::KeyHome,
         };
         self.requests
             .begin(id, state, RequestPhase::AtMember(in_flight));
@@ -214,6 +219,9 @@
             return;
         };
         let sequence_number = request.sequence_number;
+        for id in request.continued_attempts {
+            upstream::cancel_anywhere(self, id);
+        }
         request
             .client
             .open_requests
@@ -243,7 +251,8 @@
             Some(RequestPhase::AtMember(attempt)) => {
                 let receipt = self.on_attempt_outcome(id, AttemptOutcome::TimedOut);
                 if receipt == OutcomeReceipt::Accepted {
-                    upstream::cancel_timed_out(self, &attempt.address, id, attempt.sent_at);
+                    let follow_up = self.follow_up(id, &attempt);
+                    upstream::on_timed_out(self, &attempt.address, id, attempt.sent_at, follow_up);
                 }
             }
             Some(RequestPhase::Waiting) => {
@@ -255,6 +264,16 @@
         }
     }
 
+    /// Whether an attempt that timed out goes on at its member. It does if the request is retried there: the retry gets
+    /// the result of the run that the attempt started.
+    fn follow_up(&self, id: AttemptId, attempt: &InFlightAttempt) -> TimedOutAttempt {
+        if attempt.is_at_key_home && self.requests.continue_attempt(id) {
+            TimedOutAttempt::Continued
+        } else {
+            TimedOutAttempt::Cancelled
+        }
+    }
+
     /// Handles the end of an attempt that has no result.
     pub(crate) fn on_attempt_outcome(
         self: &Rc<Self>,
--- a/crates/forwarder/src/upstream.rs
+++ b/crates/forwarder/src/upstream.rs
@@ -63,6 +63,8 @@
     connections: RefCell<Vec<Rc<UpstreamConnection>>>,
     /// Time of the last failed connect; `None` after a successful one.
     connect_failed_at: Cell<Option<Instant>>,
+    /// It was reported to the routing that its process may have ended.
+    is_lost: Cell<bool>,
     /// It announced its shutdown, and all its connections were retired.
     is_draining: Cell<bool>,
     /// Since when it has had a connection without interruption, on the context's clock; `None` if it has none.
@@ -100,6 +102,9 @@
             .filter(|connection| connection.is_connected())
             .map(|connection| connection.connected_at())
             .min();
+        if oldest.is_none() && end == ConnectionEnd::Broken {
+            self.on_process_lost(context, address);
+        }
         match (oldest, self.connected_since.get()) {
             (Some(oldest), Some(since)) if end == ConnectionEnd::ClosedByUs || oldest <= since => {}
             (oldest, since) if oldest != since => {
@@ -109,6 +114,15 @@
         }
     }
 
+    /// Handles the first sign, since it was connected, that the member's process may have ended. What it ran is not
+    /// recognized by the next process.
+    fn on_process_lost(&self, context: &ForwarderContext, address: &str) {
+        if !self.is_lost.replace(true) {
+            let now = context.now();
+            context.fleet.borrow_mut().on_process_lost(address, now);
+        }
+    }
+
     fn set_connected_since(
         &self,
         context: &ForwarderContext,
@@ -149,6 +163,15 @@
             .cloned()
     }
 
+    /// The connection on which an attempt is open.
+    fn connection_of(&self, id: AttemptId) -> Option<Rc<UpstreamConnection>> {
+        let connections = self.connections.borrow();
+        connections
+            .iter()
+            .find(|connection| connection.has_open(id))
+            .cloned()
+    }
+
     /// Cancels an attempt at the member, and returns the connection on which it was open.
     fn cancel(&self, id: AttemptId) -> Option<Rc<UpstreamConnection>> {
         let connections = self.connections.borrow();
@@ -201,11 +224,12 @@
         }
     }
 
-    /// Removes members without a connection, such as those of earlier configuration versions.
-    pub(crate) fn remove_unconnected_members(&self) {
-        self.upstreams
-            .borrow_mut()
-            .retain(|_, upstream| !upstream.connections.borrow().is_empty());
+    /// Removes members of earlier configuration versions that have no connection.
+    pub(crate) fn remove_former_members(&self, context: &ForwarderContext) {
+        let fleet = context.fleet.borrow();
+        self.upstreams.borrow_mut().retain(|address, upstream| {
+            !upstream.connections.borrow().is_empty() || fleet.has_member(address)
+        });
     }
 
     fn get(&self, address: &str) -> Option<Rc<Upstream>> {
@@ -287,15 +311,29 @@
     });
 }
 
-/// Cancels an attempt that timed out, and retires its connection if nothing was received on it since the attempt.
-pub(crate) fn cancel_timed_out(
+/// Whether the member is notified that an attempt timed out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TimedOutAttempt {
+    /// It is cancelled.
+    Cancelled,
+    /// It goes on; its answer will be late.
+    Continued,
+}
+
+/// Handles an attempt that timed out, and retires its connection if nothing was received on it since the attempt.
+pub(crate) fn on_timed_out(
     context: &ForwarderContext,
     address: &str,
     id: AttemptId,
     sent_at: Duration,
+    follow_up: TimedOutAttempt,
 ) {
     let upstream = context.upstreams.get(address);
-    let Some(connection) = upstream.and_then(|upstream| upstream.cancel(id)) else {
+    let connection = upstream.and_then(|upstream| match follow_up {
+        TimedOutAttempt::Cancelled => upstream.cancel(id),
+        TimedOutAttempt::Continued => upstream.connection_of(id),
+    });
+    let Some(connection) = connection else {
         return;
     };
     // A connection that was lost without a reset would otherwise time out every attempt while it stays open.
--- a/crates/forwarder/src/upstream/connection.rs
+++ b/crates/forwarder/src/upstream/connection.rs
@@ -157,6 +157,12 @@
         true
     }
 
+    /// Whether an attempt is open on this connection.
+    pub(super) fn has_open(&self, id: AttemptId) -> bool {
+        let open = self.open_attempts.borrow();
+        open.values().any(|open| open.id.attempt == id.attempt)
+    }
+
     /// Removes and returns the attempt that was answered.
     pub(super) fn take_answered(&self, sequence_number: i32) -> Option<AttemptId> {
         let answered = self.open_attempts.borrow_mut().remove(&sequence_number)?;
@@ -228,7 +234,15 @@
         }
         // A lack of file descriptors is local and says nothing about the member.
         Ok(Err(error)) if connection_limits::is_descriptor_exhaustion(&error) => false,
-        Ok(Err(_)) | Err(_) => {
+        Ok(Err(error)) => {
+            // Nothing listens there, so the process that was there has ended, or accepts nothing more.
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                upstream.on_process_lost(context, address);
+            }
+            upstream.connect_failed_at.set(Some(Instant::now()));
+            false
+        }
+        Err(_) => {
             upstream.connect_failed_at.set(Some(Instant::now()));
             false
         }
@@ -250,8 +264,10 @@
     if was_unreachable || was_draining {
         let now = context.now();
         context.fleet.borrow_mut().on_restarted(address, now);
+        upstream.on_process_lost(context, address);
         upstream.connected_since.set(None);
     }
+    upstream.is_lost.set(false);
     let _ = connection.stream.set(stream);
     upstream.on_connected(context, connection, address);
 }
--- /dev/null
+++ b/crates/forwarder/tests/keyed_requests.rs
@@ -0,0 +1,379 @@
+//! Requests with an idempotency key behind forwarders: within the key's window only one member runs them, whatever
+//! happens to forwarders, members and the configuration meanwhile. The test servers run each attempt that they are sent,
+//! so an attempt at a second server shows as a second run.
+
+#![allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::pedantic,
+    reason = "a test target: clippy's default lints hold"
+)]
+
+use rainstand_config::schema::Configuration;
+use rainstand_config::{load, source::Memory};
+use rainstand_forwarder::{run, ForwarderContext};
+use rainstand_invariants::Kind;
+use rainstand_test_servers::caller::{Call, Caller, Reply};
+use rainstand_test_servers::script::Script;
+use rainstand_test_servers::server::{test_server, TestServer, TestServerOptions};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Ends a test that hangs; no test measures time with it.
+const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+/// A window that no test outlives.
+const LONG_WINDOW: &str = "60 s";
+/// A window that tests wait for.
+const SHORT_WINDOW: Duration = Duration::from_millis(1_500);
+/// Enough keys that each of a few servers is the home of some.
+const KEYS: usize = 40;
+
+/// One pool of these members. A request may be retried twice, under its key.
+fn configuration(members: &[SocketAddr], window: &str, pool_settings: &str) -> Configuration {
+    let members: String = members
+        .iter()
+        .map(|addr| format!("member n{} {{ address: \"{addr}\" }}\n", addr.port()))
+        .collect();
+    let text = format!(
+        "rain 1
+type book {{ repeat: ticketed {window}; goal: 1 s; outer-limit: 1.2 s }}
+tenant acme {{ share: 50 % }}
+attempts marked {{ tries: 3; budget: 100 %; wait: 1 ms .. 5 ms; proof: mark }}
+pool p {{ {pool_settings}\n{members} }}
+route r {{ to: p; attempts: marked }}"
+    );
+    let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
+    outcome
+        .configuration
+        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
+}
+
+fn addresses(servers: &[TestServer]) -> Vec<SocketAddr> {
+    servers.iter().map(|server| server.addr).collect()
+}
+
+fn start_servers(count: usize) -> Vec<TestServer> {
+    (0..count).map(|_| test_server("honour")).collect()
+}
+
+/// Starts a server at the address of one that was killed.
+async fn restart(address: SocketAddr) -> TestServer {
+    while std::net::TcpListener::bind(address).is_err() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    TestServerOptions {
+        script: Script::read("honour").unwrap(),
+        address: Some(address),
+        ..TestServerOptions::default()
+    }
+    .start()
+}
+
+struct RunningForwarder {
+    context: Rc<ForwarderContext>,
+    caller: Caller,
+}
+
+impl RunningForwarder {
+    async fn start(configuration: &Configuration, seed: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let context = ForwarderContext::new(configuration.clone(), "", seed).unwrap();
+        let shutdown = std::future::pending();
+        spawn_local(run(
+            context.clone(),
+            listener,
+            Duration::from_secs(5),
+            shutdown,
+        ));
+        Self {
+            context,
+            caller: Caller::new(address).await.unwrap(),
+        }
+    }
+
+    /// Sends one attempt of the request with this key, and returns its answer.
+    async fn request(&mut self, key: &str) -> Reply {
+        let call = Call {
+            request_class: "book",
+            nonce: key,
+            body: key.as_bytes(),
+            kind: Kind::Ticketed,
+            ..Call::default()
+        };
+        let sent = self.caller.send(&call).await.unwrap();
+        let (answered, reply) = self.caller.next_reply().await.unwrap();
+        assert_eq!(answered, sent);
+        reply
+    }
+}
+
+fn served(key: &str) -> Reply {
+    Reply::Served(key.as_bytes().to_vec())
+}
+
+fn keys() -> Vec<String> {
+    (0..KEYS).map(|number| format!("key-{number}")).collect()
+}
+
+/// Indices of the servers that ran a key.
+fn servers_of(servers: &[TestServer], key: &str) -> Vec<usize> {
+    let ran = |index: &usize| servers[*index].runs_of(key.as_bytes()) > 0;
+    (0..servers.len()).filter(ran).collect()
+}
+
+/// The keys that a server ran.
+fn keys_of(server: &TestServer) -> Vec<String> {
+    keys()
+        .into_iter()
+        .filter(|key| server.runs_of(key.as_bytes()) > 0)
+        .collect()
+}
+
+fn is_rejected(reply: &Reply) -> bool {
+    matches!(reply, Reply::Rejected { retry_after, .. } if !retry_after.is_zero())
+}
+
+fn run_test<T: Future<Output = ()>>(test: T) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let finished = LocalSet::new().block_on(&runtime, async {
+        tokio::time::timeout(HANG_TIMEOUT, test).await
+    });
+    finished.expect("the test hangs");
+}
+
+/// Guards against a second run of a request by another member, when its repeat comes through the same forwarder, another
+/// one, or one that started after the first attempt.
+#[test]
+fn repeats_go_to_the_member_that_ran_the_first_attempt() {
+    run_test(async {
+        let servers = start_servers(3);
+        let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
+        let mut first = RunningForwarder::start(&configuration, 1).await;
+        let mut second = RunningForwarder::start(&configuration, 2).await;
+        for key in keys() {
+            assert_eq!(first.request(&key).await, served(&key));
+            assert_eq!(second.request(&key).await, served(&key));
+            assert_eq!(first.request(&key).await, served(&key));
+        }
+        let mut restarted = RunningForwarder::start(&configuration, 3).await;
+        for key in keys() {
+            assert_eq!(restarted.request(&key).await, served(&key));
+            assert_eq!(servers_of(&servers, &key).len(), 1, "{key}");
+        }
+        assert!(servers.iter().all(|server| server.total_runs() > 0));
+    });
+}
+
+/// Guards against the forwarder's own further attempts at another member, after each way in which one can fail.
+#[test]
+fn further_attempts_of_the_forwarder_stay_at_the_home() {
+    run_test(async {
+        for script in ["fail", "reset", "cut", "silent", "dismiss"] {
+            let servers = start_servers(3);
+            let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
+            let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+            let key = "key-0";
+            assert_eq!(forwarder.request(key).await, served(key));
+            let home = servers_of(&servers, key);
+            let calls_before = servers[home[0]].observations().calls;
+            servers[home[0]].set_script(script);
+            let reply = forwarder.request(key).await;
+            assert_ne!(reply, served(key), "{script}");
+            assert_eq!(servers_of(&servers, key), home, "{script}");
+            let calls = servers[home[0]].observations().calls - calls_before;
+            assert!(calls > 1, "{script}: the request was not retried");
+        }
+    });
+}
+
+/// An attempt that timed out goes on at the member while the request is retried there: the retry gets its result. Once
+/// the request is answered, the member is told.
+#[test]
+fn timed_out_attempt_is_cancelled_only_with_its_request() {
+    run_test(async {
+        let server = test_server("silent");
+        let configuration = configuration(&[server.addr], LONG_WINDOW, "");
+        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        let wait_for_retry = async {
+            while server.observations().calls < 2 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            server.observations().cancellations
+        };
+        let (reply, cancelled_before_retry) =
+            tokio::join!(forwarder.request("key-0"), wait_for_retry);
+        assert_eq!((reply, cancelled_before_retry), (Reply::Failed, 0));
+        let calls = server.observations().calls;
+        while server.observations().cancellations < calls {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+/// A home that is away is not replaced by another member; requests with other homes are served.
+#[test]
+fn requests_of_an_unavailable_home_are_rejected() {
+    run_test(async {
+        let servers = start_servers(3);
+        let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
+        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        for key in keys() {
+            assert_eq!(forwarder.request(&key).await, served(&key));
+        }
+        servers[0].kill();
+        let lost = keys_of(&servers[0]);
+        for key in keys() {
+            let reply = forwarder.request(&key).await;
+            if lost.contains(&key) {
+                // The first one may break the connection that it is sent on.
+                assert!(is_rejected(&reply) || reply == Reply::Failed, "{reply:?}");
+            } else {
+                assert_eq!(reply, served(&key));
+            }
+            assert_eq!(servers_of(&servers, &key).len(), 1, "{key}");
+        }
+    });
+}
+
+/// Guards against a second run by the next process at a member's address, which does not know what the first one ran.
+#[test]
+fn restarted_member_gets_no_repeats_within_their_window() {
+    run_test(async {
+        // A process that is seen to be away, and one whose restart only shows by its broken connection.
+        for is_seen_away in [true, false] {
+            let server = test_server("honour");
+            let address = server.addr;
+            let configuration = configuration(&[address], "1500 ms", "");
+            let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+            let first_attempt = Instant::now();
+            assert_eq!(forwarder.request("key-0").await, served("key-0"));
+            if is_seen_away {
+                server.kill();
+                while !is_rejected(&forwarder.request("key-1").await) {}
+            } else {
+                server.set_script("reset");
+                let reply = forwarder.request("key-1").await;
+                assert!(is_rejected(&reply) || reply == Reply::Failed, "{reply:?}");
+                server.kill();
+            }
+            let restarted = restart(address).await;
+            let mut rejections = 0;
+            while restarted.runs_of(b"key-0") == 0 {
+                let sent = Instant::now();
+                let reply = forwarder.request("key-0").await;
+                if reply == served("key-0") {
+                    assert!(sent > first_attempt + SHORT_WINDOW);
+                } else {
+                    assert!(is_rejected(&reply), "{reply:?}");
+                    rejections += 1;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            assert!(rejections > 0);
+        }
+    });
+}
+
+/// A member that announces its shutdown keeps its keys: they go to it, or are rejected.
+#[test]
+fn draining_member_is_not_replaced() {
+    run_test(async {
+        let servers = start_servers(3);
+        let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
+        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        for key in keys() {
+            assert_eq!(forwarder.request(&key).await, served(&key));
+        }
+        servers[0].set_script("leave");
+        for _ in 0..2 {
+            for key in keys() {
+                let reply = forwarder.request(&key).await;
+                assert!(reply == served(&key) || is_rejected(&reply), "{reply:?}");
+                assert_eq!(servers_of(&servers, &key).len(), 1, "{key}");
+            }
+        }
+    });
+}
+
+/// Guards against a second run by the member to which a new configuration moves a key: within the window the request is
+/// rejected, by a forwarder that knows the key and by one that does not; then it is served. Keys that do not move are
+/// served all the time.
+#[test]
+fn key_moved_by_a_new_configuration_is_held_for_its_window() {
+    run_test(async {
+        let servers = start_servers(4);
+        let all = addresses(&servers);
+        // A member leaves, one comes, and one comes back at once.
+        let changes = [
+            (vec![&all[..3], &all[..2]], 1),
+            (vec![&all[..3], &all[..]], 1),
+            (vec![&all[..3], &all[..2], &all[..3]], 1),
+        ];
+        for (number, (versions, min_held)) in changes.into_iter().enumerate() {
+            let version = |members: &&[SocketAddr]| configuration(members, "1500 ms", "");
+            let mut forwarders = [
+                RunningForwarder::start(&version(&versions[0]), 1).await,
+                RunningForwarder::start(&version(&versions[0]), 2).await,
+            ];
+            let keys: Vec<String> = keys().iter().map(|key| format!("{number}-{key}")).collect();
+            let mut first_attempts = Vec::new();
+            for key in &keys {
+                first_attempts.push(Instant::now());
+                assert_eq!(forwarders[0].request(key).await, served(key));
+            }
+            for members in &versions[1..] {
+                for forwarder in &forwarders {
+                    let installed = forwarder.context.install_configuration(version(members));
+                    installed.unwrap();
+                }
+            }
+            let homes: Vec<Vec<usize>> = keys.iter().map(|key| servers_of(&servers, key)).collect();
+            let mut held = vec![true; keys.len()];
+            let mut rejections = 0;
+            while held.contains(&true) {
+                for (index, key) in keys.iter().enumerate() {
+                    for forwarder in &mut forwarders {
+                        let sent = Instant::now();
+                        let reply = forwarder.request(key).await;
+                        if is_rejected(&reply) {
+                            rejections += 1;
+                            continue;
+                        }
+                        assert_eq!(reply, served(key));
+                        held[index] = false;
+                        let has_moved = servers_of(&servers, key) != homes[index];
+                        assert!(!has_moved || sent > first_attempts[index] + SHORT_WINDOW);
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            assert!(rejections >= min_held, "change {number} moved no key");
+        }
+    });
+}
+
+/// Members that are nodes of one group recognize each other's repeats: another one takes those of a member that is away.
+#[test]
+fn members_that_share_their_keys_replace_each_other() {
+    run_test(async {
+        let servers = start_servers(2);
+        let configuration = configuration(&addresses(&servers), LONG_WINDOW, "keys: shared");
+        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        for key in keys() {
+            assert_eq!(forwarder.request(&key).await, served(&key));
+        }
+        assert!(servers.iter().all(|server| server.total_runs() > 0));
+        servers[0].kill();
+        for key in keys() {
+            assert_eq!(forwarder.request(&key).await, served(&key));
+        }
+    });
+}
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -11,6 +11,7 @@
 
 mod attempts;
 mod eligibility;
+mod keyed;
 mod membership;
 mod pool;
 mod types;
@@ -22,6 +23,7 @@
 };
 
 use crate::decision_log::{Decision, DecisionLog, DecisionOutcome, SkipReason};
+use crate::key_placement::PlacementHistory;
 use crate::member_selection::SelectionPolicy;
 use crate::outcome_reason::OutcomeReason;
 use crate::retry::{RetryBudget, RetryPolicy};
@@ -74,6 +76,10 @@
     tenant: Option<u16>,
     tenant_key: TenantKey,
     entity: Box<str>,
+    /// Its idempotency key; empty if repeats are not recognized by a key.
+    key: Box<str>,
+    /// The address of the member that its attempts go to, once one was sent to the home of its key.
+    home: Option<Rc<str>>,
     repeat: RepeatKind,
     /// Whether it arrived marked as a retry.
     is_retry: bool,
@@ -131,6 +137,9 @@
     selection_policy: SelectionPolicy,
     /// Selection weights of the members of one pool; a field only to reuse its memory.
     weights: Vec<f64>,
+    key_history: PlacementHistory,
+    /// The longest window of any class of any version so far.
+    longest_window: Duration,
 }
 
 /// The retry plan of each route: from the route's own policy, else from that of its first pool.
@@ -197,6 +206,7 @@
         let mut phases = WyRand::new_seed(seed ^ PHASES_SEED);
         let router = Router::from_owned(configuration, seed)?;
         let pools = new_pools(router.table().configuration(), zone, &mut phases, now);
+        let longest_window = keyed::longest_window(router.table().configuration());
         Ok(Self {
             retry_plans: retry_plans(router.table()).collect(),
             shares: tenant_shares(router.table().configuration()),
@@ -216,6 +226,8 @@
             decisions: DecisionLog::default(),
             selection_policy: SelectionPolicy::default(),
             weights: Vec::new(),
+            key_history: PlacementHistory::default(),
+            longest_window,
         })
     }
 
@@ -311,6 +323,7 @@
     /// Admits or rejects a new request; an admitted one gets its first attempt.
     pub fn on_arrival(&mut self, now: Duration, request: &Request<'_>) -> NextAction {
         self.on_turn(now);
+        let request = &self.with_recognized_key(request);
         let tenant_key = TenantKey::new(request.tenant, request.tenant_hash);
         let eligibility = Eligibility {
             pools: &self.pools,
@@ -353,6 +366,7 @@
         let plan = self.retry_plans[usize::from(placement.route)];
         self.budget.on_first_attempt(plan.budget_share);
         let class = usize::from(request.request_class);
+        let held_until = self.held_until(now, request, &decision);
         let state = RequestState {
             objective: decision.times.objective,
             decision,
@@ -360,6 +374,8 @@
             tenant: request.tenant,
             tenant_key,
             entity: request.entity.into(),
+            key: request.key.into(),
+            home: None,
             repeat: self.table().configuration().types[class].repeat(),
             is_retry: request.is_retry,
             policy: plan.policy,
@@ -370,7 +386,10 @@
             in_flight: false,
         };
         self.counts.first_attempts += 1;
-        self.dispatch(now, state)
+        match held_until {
+            Some(until) => self.reject_held(now, state, until),
+            None => self.dispatch(now, state),
+        }
     }
 
     /// Rejects a request that the router did not admit.
--- a/crates/routing/src/fleet/attempts.rs
+++ b/crates/routing/src/fleet/attempts.rs
@@ -1,13 +1,15 @@
 //! The attempts of an admitted request: dispatch to a member, outcome, and completion of the request.
 
 use super::eligibility::{pause_key, Eligibility};
+use super::keyed::EligibleMembers;
 use super::pool::{Pool, DEFAULT_DURATION};
 use super::types::{
     Attempt, AttemptOutcome, Completed, MemberRef, MemberStatusChange, NextAction, RequestOutcome,
 };
 use super::{Fleet, RequestState, SentAttempt, DRAINING_WEIGHT};
 use crate::decision_log::{Decision, DecisionOutcome, SkipReason};
-use crate::member_selection;
+use crate::key_placement::KeyHomes;
+use crate::member_selection::{self, SelectionReason};
 use crate::outcome_reason::OutcomeReason;
 use crate::retry::{self, AttemptResult, NoRetryReason, RetryContext, RetryDecision};
 use crate::retry_after::{self, with_jitter, MAX_RETRY_AFTER};
@@ -44,6 +46,14 @@
     }
 }
 
+/// The member that was selected for an attempt.
+struct Selection {
+    member: usize,
+    selected_by: SelectionReason,
+    /// Number of members that could take it.
+    candidates: u16,
+}
+
 impl RequestState {
     fn retry_context(&self, now: Duration, typical_duration: Duration) -> RetryContext {
         RetryContext {
@@ -79,7 +89,8 @@
         self.table().pool(&decision.pool)
     }
 
-    /// Sends an attempt to a member of the request's pool, if possible to another one than the last attempt.
+    /// Sends an attempt to a member of the request's pool: to the home of its key, or else if possible to another member
+    /// than the last attempt.
     pub(super) fn dispatch(&mut self, now: Duration, mut request: RequestState) -> NextAction {
         let Some(pool) = self.current_pool(&request.decision) else {
             return self.conclude(now, request, None, OutcomeReason::NoMember);
@@ -87,20 +98,15 @@
         let last = request.last_attempt.take().map(|attempt| attempt.member);
         let last = last.filter(|member| member.pool == pool);
         let mut decision = self.new_decision(now, &request, pool);
-        let candidates = self.weigh_members(&request, pool, last, &mut decision);
-        let weights = &self.weights;
-        let selected = member_selection::select_member(
-            &mut self.selection_policy,
-            &mut self.pools[usize::from(pool)].members,
-            now,
-            &request.entity,
-            &mut self.random,
-            |member| weights[member],
-        );
-        let Some((member, selected_by)) = selected else {
+        let Some(selection) = self.select(now, &request, pool, last, &mut decision) else {
             self.decisions.push(decision);
             return self.conclude(now, request, None, OutcomeReason::NoMember);
         };
+        let Selection {
+            member,
+            selected_by,
+            candidates,
+        } = selection;
         let timeout = self.next_timeout(now, pool, &mut request);
         decision.outcome = DecisionOutcome::Dispatched {
             member: member as u16,
@@ -125,7 +131,51 @@
         NextAction::Dispatch(request, attempt)
     }
 
-    fn new_decision(&self, now: Duration, request: &RequestState, pool: u16) -> Decision {
+    /// Selects the member for the next attempt; `None` if no member can take it.
+    fn select(
+        &mut self,
+        now: Duration,
+        request: &RequestState,
+        pool: u16,
+        last: Option<MemberRef>,
+        decision: &mut Decision,
+    ) -> Option<Selection> {
+        match self.eligible_members(pool, request) {
+            EligibleMembers::Any => {}
+            EligibleMembers::None => return None,
+            EligibleMembers::Home(home) => {
+                let selection = Selection {
+                    member: usize::from(home.member),
+                    selected_by: SelectionReason::KeyHome,
+                    candidates: 1,
+                };
+                let is_usable = self.is_home_usable(request, home, decision);
+                return is_usable.then_some(selection);
+            }
+        }
+        let candidates = self.weigh_members(request, pool, last, decision);
+        let weights = &self.weights;
+        let (member, selected_by) = member_selection::select_member(
+            &mut self.selection_policy,
+            &mut self.pools[usize::from(pool)].members,
+            now,
+            &request.entity,
+            &mut self.random,
+            |member| weights[member],
+        )?;
+        Some(Selection {
+            member,
+            selected_by,
+            candidates,
+        })
+    }
+
+    pub(super) fn new_decision(
+        &self,
+        now: Duration,
+        request: &RequestState,
+        pool: u16,
+    ) -> Decision {
         let rejected = DecisionOutcome::Rejected {
             reason: OutcomeReason::NoMember,
             after: retry_after::DEFAULT,
@@ -211,10 +261,14 @@
         if let Some(health) = &mut pool.health {
             health.on_sent(index, now);
         }
+        let address = pool.addresses[index].clone();
+        if !request.key.is_empty() && pool.key_homes != KeyHomes::Shared {
+            request.home = Some(address.clone());
+        }
         request.last_attempt = Some(SentAttempt {
             member: to,
             pool_name: pool.name.clone(),
-            address: pool.addresses[index].clone(),
+            address,
             sent_at: now,
             stalled_before: self.stalls.total(),
         });
@@ -405,7 +459,10 @@
     ) -> Duration {
         let earliest = self
             .current_pool(&request.decision)
-            .and_then(|pool| self.earliest_retry(pool, request.tenant_key, now))
+            .and_then(|pool| {
+                self.earliest_retry_at_home(now, pool, request)
+                    .or_else(|| self.earliest_retry(pool, request.tenant_key, now))
+            })
             .unwrap_or(retry_after::DEFAULT);
         // A member that was just unreachable does not recover within a typical duration.
         let min = if last_attempt_failed {
@@ -416,7 +473,7 @@
         with_jitter(earliest.max(min), &mut self.random)
     }
 
-    fn complete(
+    pub(super) fn complete(
         &mut self,
         now: Duration,
         request: RequestState,
--- a/crates/routing/src/fleet/membership.rs
+++ b/crates/routing/src/fleet/membership.rs
@@ -26,6 +26,11 @@
         self.pools.iter().enumerate().filter_map(find).collect()
     }
 
+    /// Whether a pool of the current version has a member with this address.
+    pub fn has_member(&self, address: &str) -> bool {
+        !self.members_at(address).is_empty()
+    }
+
     /// Records that the member at an address restarted: its learned state is reset.
     pub fn on_restarted(&mut self, address: &str, now: Duration) {
         for member_ref in self.members_at(address) {
@@ -86,6 +91,7 @@
         self.on_turn(now);
         self.router.tick(now);
         self.pauses.retain(|_, until| *until > now);
+        self.key_history.expire(now, self.longest_window);
         let mut all = std::mem::take(&mut self.status_changes);
         for (index, pool) in self.pools.iter_mut().enumerate() {
             let changes = pool
--- a/crates/routing/src/fleet/pool.rs
+++ b/crates/routing/src/fleet/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::adaptive_concurrency::ConcurrencyLimit;
 use crate::health::{Health, OutlierDetectionSettings};
+use crate::key_placement::{HomeCandidate, KeyHomes};
 use crate::member_selection::Member;
 use crate::tenant_fairness::FairShare;
 use crate::warm_up::{WarmUpLimiter, WarmUpRule};
@@ -20,6 +21,8 @@
     pub(super) name: Rc<str>,
     pub(super) addresses: Vec<Rc<str>>,
     pub(super) members: Vec<Member>,
+    /// Which members recognize the repeats of requests with a key.
+    pub(super) key_homes: KeyHomes,
     pub(super) limits: Vec<ConcurrencyLimit>,
     pub(super) health: Option<Health>,
     pub(super) fair_share: FairShare,
@@ -49,6 +52,7 @@
                 .iter()
                 .map(|member| new_member(pool, member, zone, phases, now))
                 .collect(),
+            key_homes: key_homes(pool),
             limits: members
                 .iter()
                 .map(|_| ConcurrencyLimit::new(max_concurrent, now))
@@ -116,6 +120,16 @@
     }
 }
 
+fn key_homes(pool: &schema::Pool) -> KeyHomes {
+    if pool.shared_keys {
+        return KeyHomes::Shared;
+    }
+    KeyHomes::of_members(pool.members.iter().map(|member| HomeCandidate {
+        address_hash: name_hash(&member.address),
+        weight: member.weight,
+    }))
+}
+
 /// All pools of a configuration.
 pub(super) fn new_pools(
     configuration: &Configuration,
--- a/crates/routing/src/fleet/types.rs
+++ b/crates/routing/src/fleet/types.rs
@@ -162,6 +162,8 @@
     pub failed: u64,
     /// Requests that ended as [`RequestOutcome::CallerGone`].
     pub caller_gone: u64,
+    /// Requests rejected because their key had another home within its window.
+    pub held_keys: u64,
     /// Requests rejected because their tenant had used its share of a scarce pool.
     pub over_tenant_share: u64,
 }
--- a/crates/routing/src/fleet/updates.rs
+++ b/crates/routing/src/fleet/updates.rs
@@ -56,14 +56,22 @@
         configuration: Configuration,
         now: Duration,
     ) -> Result<u64, ConfigurationError> {
+        let key_moves = self.key_moves(&configuration);
         let number = self.router.install_owned(configuration, now)?;
+        self.record_key_moves(key_moves, now);
         let configuration = self.router.table().configuration();
         let pools = new_pools(configuration, &self.zone, &mut self.phases, now);
         self.shares = tenant_shares(configuration);
         let old = std::mem::replace(&mut self.pools, pools);
         for before in old {
-            if let Some(index) = self.table().pool(&before.name) {
-                self.pools[usize::from(index)].carry(before, now);
+            let index = self.table().pool(&before.name).map(usize::from);
+            let homes = index.map(|index| &self.pools[index].key_homes);
+            if homes != Some(&before.key_homes) {
+                let former = before.key_homes.clone();
+                self.key_history.on_pool_changed(&before.name, former, now);
+            }
+            if let Some(index) = index {
+                self.pools[index].carry(before, now);
             }
         }
         self.rebuild_retry_plans();
@@ -85,7 +93,9 @@
         now: Duration,
     ) -> Result<u64, ConfigurationError> {
         let routes_before = self.table().route_indices(names(changes, EntryKind::Route));
+        let key_moves = self.key_moves_by(changes);
         let number = self.router.apply(changes, now)?;
+        self.record_key_moves(key_moves, now);
         self.update_shares(changes);
         let pools_changed = self.update_pools(changes, now);
         let routes = self.table().route_indices(names(changes, EntryKind::Route));
@@ -144,6 +154,10 @@
             let new = Pool::new(pool, configuration, &self.zone, &mut self.phases, now);
             if let Some(current) = self.pools.get_mut(index) {
                 let mut before = std::mem::replace(current, new);
+                if current.key_homes != before.key_homes {
+                    let former = before.key_homes.clone();
+                    self.key_history.on_pool_changed(&before.name, former, now);
+                }
                 current.fair_share = std::mem::take(&mut before.fair_share);
                 current.carry(before, now);
             } else {
@@ -167,6 +181,10 @@
             .iter()
             .map(|pool| by_name.remove(pool.name.as_str()))
             .collect();
+        for (name, removed) in by_name {
+            self.key_history
+                .on_pool_changed(&name, removed.key_homes, now);
+        }
         let (zone, phases) = (&self.zone, &mut self.phases);
         self.pools = kept
             .into_iter()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`time_budget`] | how much time each stage of a request may take |
 //! | [`router`] | routes and limits together, while the configuration changes with requests in flight |
 //! | [`table_update`] | atomic updates of single entries of the current table |
+//! | [`key_placement`] | which member all attempts with one idempotency key go to, and when it may not take them |
 //! | [`member_selection`] | which member of a pool takes a request: by load, zone, weight, warm-up and entity |
 //! | [`warm_up`] | how much one forwarder may send to a warming member: its share of the limit for all forwarders |
 //! | [`subset`] | which members of a large pool a forwarder uses |
@@ -61,6 +62,7 @@
 pub mod explain;
 pub mod fleet;
 pub mod health;
+pub mod key_placement;
 pub mod member_selection;
 pub mod outcome_reason;
 pub mod rate_limit;
--- a/crates/routing/src/member_selection.rs
+++ b/crates/routing/src/member_selection.rs
@@ -111,6 +111,8 @@
 /// How a member was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SelectionReason {
+    /// It is the home of the request's key.
+    KeyHome,
     /// It is the entity's preferred member.
     Affinity,
     /// The entity's preferred member is overloaded; holds the number of members that were skipped.
@@ -125,6 +127,7 @@
     /// The name in JSON and logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            SelectionReason::KeyHome => "key",
             SelectionReason::Affinity => "own",
             SelectionReason::AffinitySkipped(_) => "own_passed_over",
             SelectionReason::Near => "near",
--- a/crates/routing/src/outcome_reason.rs
+++ b/crates/routing/src/outcome_reason.rs
@@ -17,6 +17,8 @@
     TenantOverShare,
     /// No member could take it.
     NoMember,
+    /// Its key had another home recently, which may have run it.
+    KeyHeld,
     /// No retry after a failure, a rejection or a lost connection.
     Stopped(NoRetryReason),
 }
@@ -36,6 +38,7 @@
             OutcomeReason::Router(RejectReason::Limit(LimitScope::Pool)) => "limit_of_pool",
             OutcomeReason::TenantOverShare => "room_of_tenant",
             OutcomeReason::NoMember => "no_member",
+            OutcomeReason::KeyHeld => "key_moved",
             OutcomeReason::Stopped(NoRetryReason::MayHaveRun) => "may_have_run",
             OutcomeReason::Stopped(NoRetryReason::NowhereElse) => "nowhere_else",
             OutcomeReason::Stopped(NoRetryReason::IsRetry) => "further_try",
--- a/crates/routing/src/retry_after.rs
+++ b/crates/routing/src/retry_after.rs
@@ -9,6 +9,8 @@
 //! | no bucket for a limit | [`NO_BUCKET`] | no | yes |
 //! | no usable pool | until the first member of the route's pools may take a request, else [`NO_ROUTE`] | yes | yes |
 //! | the tenant is over its share of a scarce pool | until its excess requests have probably ended | yes | yes |
+//! | its key had another home within its window | until the window has passed since | yes | no |
+//! | the home of its key cannot take it | until it may, as far as known | yes | no |
 //! | no member could take it | until the first member of the pool may, else [`DEFAULT`] | yes | no |
 //! | its last attempt did not reach a member, and there is no retry | as above, but at least [`DEFAULT`] | yes | no |
 //! | a member rejected it, and it is not retried | the member's own, at most [`MAX_RETRY_AFTER`] | no | no |
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -44,6 +44,9 @@
     pub tenant_hash: u64,
     /// The entity for affinity; empty if the request has none.
     pub entity: &'t str,
+    /// The idempotency key by which a member recognizes its repeats; empty if it has none. All requests with one key go
+    /// to the same pool, whatever their retry mark.
+    pub key: &'t str,
     /// Whether it is marked as a retry.
     pub is_retry: bool,
     /// Its size in bytes.
@@ -167,6 +170,11 @@
         self.index.pools.get(&self.configuration.pools, name)
     }
 
+    /// The index of a route by name.
+    pub(crate) fn route_index(&self, name: &str) -> Option<u16> {
+        self.index.routes.get(&self.configuration.routes, name)
+    }
+
     /// The number of routes, and the index of each of the named routes.
     pub(crate) fn route_indices<'n>(
         &self,
@@ -235,12 +243,21 @@
 
     /// The first route that matches a request.
     pub fn route(&self, request: &Request<'_>) -> Option<u16> {
+        self.route_where(request, |_| true)
+    }
+
+    /// The first route that matches a request and is `accepted`, by its index.
+    pub(crate) fn route_where(
+        &self,
+        request: &Request<'_>,
+        accepted: impl Fn(u16) -> bool,
+    ) -> Option<u16> {
         let class_row = &self
             .by_type
             .get(usize::from(request.request_class))?
             .words();
         let mut tenant_routes = self.routes_naming_tenant(request);
-        let attempt_row = self.by_attempt_kind[usize::from(request.is_retry)].words();
+        let attempt_row = self.attempt_row(request).words();
         for (word, ((class_bits, any_tenant_bits), attempt_bits)) in class_row
             .iter()
             .zip(self.any_tenant.words())
@@ -259,7 +276,7 @@
             while candidates != 0 {
                 let index = word * 64 + candidates.trailing_zeros() as usize;
                 candidates &= candidates - 1;
-                if self.matches_size_and_entity(index, request) {
+                if self.matches_size_and_entity(index, request) && accepted(index as u16) {
                     return Some(index as u16);
                 }
             }
@@ -267,6 +284,12 @@
         None
     }
 
+    /// The row of routes that a request can match by its retry mark. One with a key is routed as a first attempt.
+    fn attempt_row(&self, request: &Request<'_>) -> &Bits {
+        let is_retry = request.is_retry && request.key.is_empty();
+        &self.by_attempt_kind[usize::from(is_retry)]
+    }
+
     /// The routes that name a request's tenant, in order.
     fn routes_naming_tenant(&self, request: &Request<'_>) -> &[u16] {
         request
@@ -290,7 +313,8 @@
             && (entities.is_empty() || entities.iter().any(matches_entity))
     }
 
-    /// Selects the route and pool of a request, given which pools are usable now.
+    /// Selects the route and pool of a request, given which pools are usable now. A request with a key has no fallback:
+    /// its pool may have run an earlier attempt.
     ///
     /// # Errors
     /// If no route matches, or none of the route's pools is usable.
@@ -312,6 +336,13 @@
         rng: &mut WyRand,
         usable: impl Fn(u16) -> bool,
     ) -> Result<(u16, PlacementReason), RoutingError> {
+        if !request.key.is_empty() {
+            let pool = self.pool_of_key(route_index, request.key);
+            return pool
+                .filter(|pool| usable(*pool))
+                .map(|pool| (pool, PlacementReason::Share))
+                .ok_or(RoutingError::NoPool(route_index));
+        }
         let route = &self.routes[usize::from(route_index)];
         let to = &route.to;
         if let [only] = &to[..] {
@@ -357,6 +388,16 @@
         Err(RoutingError::NoPool(route_index))
     }
 
+    /// The pool of a route to which all requests with a key go, whether or not it is usable.
+    pub(crate) fn pool_of_key(&self, route: u16, key: &str) -> Option<u16> {
+        let to = &self.routes[usize::from(route)].to;
+        if let [only] = &to[..] {
+            return Some(only.pool);
+        }
+        let targets = to.iter().map(|target| (target.hash, target.share));
+        select_by_entity(targets, key, |_| true).map(|index| to[index].pool)
+    }
+
     /// The member of a pool that an entity is assigned to, among the usable ones.
     pub fn member(&self, pool: u16, entity: &str, usable: impl Fn(usize) -> bool) -> Option<usize> {
         select_by_entity(
@@ -393,7 +434,7 @@
             && !self.routes_naming_tenant(request).contains(&route)
         {
             Some(Mismatch::Tenant)
-        } else if !self.by_attempt_kind[usize::from(request.is_retry)].has(index) {
+        } else if !self.attempt_row(request).has(index) {
             Some(Mismatch::Again)
         } else if !(min_bytes..=max_bytes).contains(&request.size) {
             Some(Mismatch::Size)
--- a/crates/test-servers/src/caller.rs
+++ b/crates/test-servers/src/caller.rs
@@ -77,6 +77,8 @@
     pub tenant: &'a str,
     /// The entity that the request concerns; empty for none.
     pub entity: &'a str,
+    /// The idempotency key; empty for none.
+    pub nonce: &'a str,
     /// The body.
     pub body: &'a [u8],
     /// The kind recorded for the invariant checker.
@@ -91,6 +93,7 @@
             request_class: "check",
             tenant: "acme",
             entity: "",
+            nonce: "",
             body: b"body",
             kind: Kind::Rerunnable,
             timeout: Duration::from_mins(1),
@@ -165,6 +168,9 @@
         if !call.entity.is_empty() {
             fields.push(("entity", call.entity));
         }
+        if !call.nonce.is_empty() {
+            fields.push(("nonce", call.nonce));
+        }
         if let Some(recorder) = &self.recorder {
             recorder.on_request(request, call.kind, call.timeout);
         }
