--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -48,8 +48,9 @@
 /// After a reconnect and its replay: resends the commands that may not have been read, where a second copy has no
 /// effect. Runs that the replay reported as ended are no longer in the table.
 ///
-/// `answered` is the number of the last sample answered on an earlier link. Returns the requests, by their indices,
-/// whose run may still wait for the reply to a call: that command names no call, so it is not sent twice.
+/// `answered` is the number of the last sample answered on an earlier link. Returns the requests, by their indices, of
+/// which it became unknown whether their run still waits for the reply to a call: that command names no call, so it is
+/// not sent twice.
 #[must_use]
 pub fn resend(table: &mut RequestTable, answered: u64) -> Vec<usize> {
     let (agent, counts) = (&table.agent, &table.counts);
@@ -71,7 +72,7 @@
             continue;
         }
         resend_thaw(agent, request, answered);
-        if resend_call_outcome(agent, request, answered) == Resent::Unsafe {
+        if resend_call_outcome(agent, request, answered) == Resent::NewlyUnknown {
             count(&counts.unconfirmed_replies);
             log_frequent!(
                 "reply_unconfirmed",
@@ -84,13 +85,13 @@
     unconfirmed
 }
 
-/// Whether a command could be sent once more.
+/// What came of the command that passes a call's outcome to its run.
 #[derive(PartialEq, Eq)]
 enum Resent {
-    /// It was sent, or needs no second copy.
+    /// It was sent again, needs no second copy, or was already unknown after an earlier break.
     Done,
     /// It may have been read, and a second copy could have another effect.
-    Unsafe,
+    NewlyUnknown,
 }
 
 /// `thaw` has no effect on a run that is not paused.
@@ -108,11 +109,13 @@
     let Some(call) = &mut request.call else {
         return Resent::Done;
     };
+    let was_unknown = call.outcome_command == CommandStatus::Unknown;
     call.outcome_command = call.outcome_command.after_disconnect(answered);
     match (&call.state, call.outcome_command) {
         (_, CommandStatus::Confirmed) => Resent::Done,
         // The run may have read it, and wait for its next call when it reads the second copy.
-        (CallState::Succeeded(_), CommandStatus::Unknown) => Resent::Unsafe,
+        (CallState::Succeeded(_), CommandStatus::Unknown) if was_unknown => Resent::Done,
+        (CallState::Succeeded(_), CommandStatus::Unknown) => Resent::NewlyUnknown,
         // Never sent, or `forgo`, which names its call.
         _ => {
             send_call_outcome(agent, request.trace, call);
--- a/crates/node/tests/agent_reconnect.rs
+++ b/crates/node/tests/agent_reconnect.rs
@@ -382,6 +382,7 @@
             assert_eq!(scenario.agent.end_replay().await, [] as [Value; 0]);
             scenario.agent.confirm().await;
         }
+        assert_eq!(scenario.unconfirmed_replies(), 1);
         scenario.second_call_gets_its_own_reply().await;
     });
     run(DEGRADABLE, async |world, class| {
