--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -84,6 +84,10 @@
 
 /// The run of a request with a claim ended; the policy is notified as for any other run.
 pub fn on_run_finished(table: &mut RequestTable, index: usize, end: RunEnd) {
+    let trace = table.request_mut(index).map(|request| request.trace);
+    if let (Some(group), Some(trace)) = (&table.group, trace) {
+        group.on_own_run_ended(trace);
+    }
     apply_event(table, index, RequestEvent::RunFinished(end));
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod node_tasks;
 pub mod pending_reply;
 mod policy_host;
+pub mod prior_runs;
 pub mod recording;
 pub mod registration;
 pub mod reload;
