--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -194,6 +194,7 @@
         return Err(code);
     }
     count(&context.counts.agent_odd);
+    link.on_notice_skipped();
     log_event!(
         "agent_line_skipped",
         "agent line skipped after notice",
@@ -294,7 +295,7 @@
     if offset > link.last_offset.get() {
         let is_replayed = link.unreadable_after.get() == Some(link.last_offset.get());
         completion::handle_notice(context, kind, offset, message, is_replayed)?;
-        link.last_offset.set(offset);
+        link.on_notice_handled(offset);
     }
     Ok(())
 }
--- a/crates/node/src/agent_link.rs
+++ b/crates/node/src/agent_link.rs
@@ -60,6 +60,8 @@
     pub(crate) is_ready: Cell<bool>,
     /// The number of the last notice that was read.
     pub(crate) last_offset: Cell<u64>,
+    /// The number of the last notice before which another one was lost: not kept by the agent, or skipped as unreadable.
+    pub(crate) last_gap: Cell<u64>,
     /// The number of the last notice before the line that could not be read.
     pub(crate) unreadable_after: Cell<Option<u64>>,
     /// Samples requested so far; the first sample on a link marks the end of its replay.
@@ -100,6 +102,24 @@
         }
     }
 
+    /// Records a numbered notice that was handled.
+    pub(crate) fn on_notice_handled(&self, offset: u64) {
+        if offset > self.last_offset.get() + 1 {
+            self.last_gap.set(offset);
+        }
+        self.last_offset.set(offset);
+    }
+
+    /// Records that a line was skipped as unreadable: it may have been the next notice.
+    pub(crate) fn on_notice_skipped(&self) {
+        self.last_gap.set(self.last_offset.get() + 1);
+    }
+
+    /// Whether a notice may have been lost since the one with this number.
+    pub(crate) fn has_lost_notices_since(&self, offset: u64) -> bool {
+        self.last_gap.get() > offset
+    }
+
     /// Requests the gauges, unless the last request is still pending.
     pub fn sample(&self) {
         if self.is_ready.get() && self.awaiting_since.get().is_none() {
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -52,7 +52,7 @@
             on_run_ended(context, index, Outcome::Succeeded, &result);
         }
         ("outcome", "broken_off", _) => on_run_ended(context, index, Outcome::Cancelled, &[]),
-        ("outcome", "late", _) => on_run_ended(context, index, Outcome::NeverStarted, &[]),
+        ("outcome", "late", _) => on_launched_late(context, index),
         ("outcome", ..) => on_run_ended(context, index, Outcome::Failed, &[]),
         ("refusal", command, _) => on_refusal(context, index, command, text("req")),
         _ => {}
@@ -79,6 +79,32 @@
     }
 }
 
+/// The agent started nothing at a launch, as the request was over. If that launch was sent again after a break, the first
+/// copy may have been carried out: then its end was notified before, unless that notice was lost.
+fn on_launched_late(context: &NodeContext, index: usize) {
+    let launched_after = context
+        .core
+        .borrow_mut()
+        .table
+        .request_mut(index)
+        .map_or(0, |request| request.launched_after);
+    if context.link.has_lost_notices_since(launched_after) {
+        end_unknown_run(context, index);
+    } else {
+        on_run_ended(context, index, Outcome::NeverStarted, &[]);
+    }
+}
+
+/// Ends a run of which it is unknown whether it ran: its key records that. It is reported to the policy as never started,
+/// as waiting for a notice is no run time, and is charged to no tenant.
+fn end_unknown_run(context: &NodeContext, index: usize) {
+    let end = EndedRun {
+        for_key: Outcome::Cancelled,
+        for_policy: Outcome::NeverStarted,
+    };
+    end_run(context, index, end, &[]);
+}
+
 /// Remembers the outcome of a run that this process did not launch, to report it to the group.
 fn report_prior_run(context: &NodeContext, kind: &str, result: &str, trace: &str, payload: &str) {
     let Ok(trace) = trace.as_bytes().try_into() else {
@@ -116,18 +142,29 @@
             ticket = index,
             trace = trace.unwrap_or_default()
         );
-        // Whether it ran is unknown, and its key records that.
-        context.drive_policy(|_, _, table| {
-            idempotency::on_run_finished(table, index, RunEnd::Failed);
-            table.complete_key(index, Outcome::Cancelled, &[]);
-        });
-        // Reported to the policy as never started: a minute of waiting is no run time, and is charged to no tenant.
-        on_run_ended(context, index, Outcome::NeverStarted, &[]);
+        end_unknown_run(context, index);
     }
 }
 
+/// How a run ended, for those that act on it.
+#[derive(Clone, Copy)]
+struct EndedRun {
+    /// For the key by which repeats are recognized.
+    for_key: Outcome,
+    /// For the answer and the policy.
+    for_policy: Outcome,
+}
+
 /// A run ended: answers its request, and notifies the policy.
 fn on_run_ended(context: &NodeContext, index: usize, outcome: Outcome, result: &[u8]) {
+    let end = EndedRun {
+        for_key: outcome,
+        for_policy: outcome,
+    };
+    end_run(context, index, end, result);
+}
+
+fn end_run(context: &NodeContext, index: usize, end: EndedRun, result: &[u8]) {
     context.drive_policy(|policy, now, table| {
         let Some(request) = table
             .request_mut(index)
@@ -139,14 +176,14 @@
             call.abort();
         }
         let has_claim = request.claim.is_some();
-        table.complete_key(index, outcome, result);
+        table.complete_key(index, end.for_key, result);
         if has_claim {
-            idempotency::on_run_finished(table, index, run_end(outcome, result));
-        } else if outcome != Outcome::Cancelled {
+            idempotency::on_run_finished(table, index, run_end(end.for_key, result));
+        } else if end.for_policy != Outcome::Cancelled {
             // A cancelled run is answered by the policy, which knows whether it ordered the cancellation.
-            table.finish(index, outcome, result);
+            table.finish(index, end.for_policy, result);
         }
-        policy.on_run_finished(now, table, index, outcome);
+        policy.on_run_finished(now, table, index, end.for_policy);
     });
 }
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -9,7 +9,14 @@
 use rainstand::Outcome;
 use std::time::Duration;
 
-/// Launches a request's run. `class_names` holds the class names as JSON strings, by class index.
+/// Launches the run of a request that was not launched yet. `class_names`: see [`launch`].
+pub fn launch_first(agent: &AgentLink, request: &mut Request, class_names: &[String]) {
+    request.run = RunState::Launched;
+    request.launched_after = agent.last_offset.get();
+    launch(agent, request, class_names);
+}
+
+/// Sends the launch of a request's run. `class_names` holds the class names as JSON strings, by class index.
 pub fn launch(agent: &AgentLink, request: &Request, class_names: &[String]) {
     let trace = String::from_utf8_lossy(&request.trace);
     let method = &class_names[request.class];
--- a/crates/node/src/idempotency.rs
+++ b/crates/node/src/idempotency.rs
@@ -185,9 +185,8 @@
 fn launch(table: &mut RequestTable, index: usize) {
     let slot = table.requests.get_mut(index).and_then(Option::as_mut);
     if let Some(request) = slot {
-        request.run = RunState::Launched;
         count(&table.counts.launched);
-        dispatch::launch(&table.agent, request, &table.class_names);
+        dispatch::launch_first(&table.agent, request, &table.class_names);
     }
 }
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -424,6 +424,7 @@
         retry_of: identity.open_request,
         waiters: Vec::new(),
         orphan_since: None,
+        launched_after: 0,
         thaw_command: None,
     }
 }
--- a/crates/node/src/policy_host.rs
+++ b/crates/node/src/policy_host.rs
@@ -16,9 +16,8 @@
         match request.run {
             RunState::Queued if request.claim.is_some() => idempotency::claim(self, index),
             RunState::Queued => {
-                request.run = RunState::Launched;
                 count(&self.counts.launched);
-                dispatch::launch(&self.agent, request, &self.class_names);
+                dispatch::launch_first(&self.agent, request, &self.class_names);
             }
             RunState::Paused => {
                 request.run = RunState::Launched;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -82,6 +82,8 @@
     pub body: Box<[u8]>,
     /// The state of its run.
     pub run: RunState,
+    /// The number of the last notice before its run was launched.
+    pub launched_after: u64,
     /// Set if its paused run was resumed, until the agent has read that command.
     pub thaw_command: Option<CommandStatus>,
     /// The call that its run waits for, or the last one that it waited for.
--- a/crates/node/tests/agent_reconnect.rs
+++ b/crates/node/tests/agent_reconnect.rs
@@ -495,3 +495,53 @@
         scenario.until_table_is_empty().await;
     });
 }
+
+/// Guards against a second run: the first copy of a launch ran, the notice of its end was lost, and the agent answers the
+/// second copy with `late`. Without a lost notice, `late` proves that nothing ran.
+#[test]
+fn late_answer_to_a_second_launch_proves_nothing_after_a_lost_notice() {
+    for is_notice_lost in [true, false] {
+        run_with_node(
+            |config| config["settings"]["requestClasses"][0]["effect"] = json!("guarded"),
+            |world| async move {
+                let mut agent = AgentLink::accept(&world.agents).await;
+                agent.greet().await;
+                agent.end_replay().await;
+                let mut caller = Caller::connect(world.addr).await;
+                let fields = [("route", DEGRADABLE), ("nonce", "n")];
+                let first = world.send_request_with(&mut caller, &fields, b"b").await;
+                let req = agent.command().await["req"].clone();
+                let mut scenario = Scenario {
+                    world,
+                    agent,
+                    caller,
+                    req,
+                    seq: first,
+                };
+                scenario.reconnect().await;
+                if is_notice_lost {
+                    // The replay begins past the notices that the agent has kept.
+                    let remark = json!({"cmd": "aside", "offset": 2, "result": "remark"});
+                    scenario.agent.send(remark).await;
+                }
+                let resent = scenario.agent.end_replay().await;
+                assert_eq!(resent.len(), 1);
+                assert_eq!(resent[0]["cmd"], "launch");
+                let req = scenario.req.clone();
+                let offset = if is_notice_lost { 3 } else { 1 };
+                scenario.agent.end_run(offset, &req, "late", b"").await;
+                let answer = scenario.caller.next().await;
+                assert_eq!(answer, reply(first, "given up", ""));
+                let Scenario { world, caller, .. } = &mut scenario;
+                let second = world.send_request_with(caller, &fields, b"b").await;
+                if is_notice_lost {
+                    let answer = scenario.caller.next().await;
+                    assert_eq!(answer, reply(second, "given up", ""));
+                    assert_eq!(scenario.world.context.counts.launched.get(), 1);
+                } else {
+                    assert_eq!(scenario.agent.command().await["cmd"], "launch");
+                }
+            },
+        );
+    }
+}
