--- a/crates/forwarder/tests/keyed_requests.rs
+++ b/crates/forwarder/tests/keyed_requests.rs
@@ -9,22 +9,19 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
+mod world;
+
 use rainstand_config::schema::Configuration;
-use rainstand_config::{load, source::Memory};
-use rainstand_forwarder::{run, ForwarderContext};
+use rainstand_forwarder::ForwarderContext;
 use rainstand_invariants::Kind;
 use rainstand_test_servers::caller::{Call, Caller, Reply};
 use rainstand_test_servers::script::Script;
 use rainstand_test_servers::server::{test_server, TestServer, TestServerOptions};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
-use tokio::task::{spawn_local, LocalSet};
+use world::{parse_configuration, run_test, start_forwarder, RunningForwarder};
 
-/// Ends a test that hangs; no test measures time with it.
-const HANG_TIMEOUT: Duration = Duration::from_secs(60);
 /// A window that no test outlives.
 const LONG_WINDOW: &str = "60 s";
 /// A window that tests wait for.
@@ -46,10 +43,7 @@
 pool p {{ {pool_settings}\n{members} }}
 route r {{ to: p; attempts: marked }}"
     );
-    let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome
-        .configuration
-        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    parse_configuration(text)
 }
 
 fn addresses(servers: &[TestServer]) -> Vec<SocketAddr> {
@@ -73,27 +67,17 @@
     .start()
 }
 
-struct RunningForwarder {
+/// A forwarder and a caller of it.
+struct Forwarder {
     context: Rc<ForwarderContext>,
     caller: Caller,
 }
 
-impl RunningForwarder {
+impl Forwarder {
     async fn start(configuration: &Configuration, seed: u64) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let context = ForwarderContext::new(configuration.clone(), "", seed).unwrap();
-        let shutdown = std::future::pending();
-        spawn_local(run(
-            context.clone(),
-            listener,
-            Duration::from_secs(5),
-            shutdown,
-        ));
-        Self {
-            context,
-            caller: Caller::new(address).await.unwrap(),
-        }
+        let RunningForwarder { context, addr, .. } = start_forwarder(configuration, seed).await;
+        let caller = Caller::new(addr).await.unwrap();
+        Self { context, caller }
     }
 
     /// Sends one attempt of the request with this key, and returns its answer.
@@ -138,17 +122,6 @@
     matches!(reply, Reply::Rejected { retry_after, .. } if !retry_after.is_zero())
 }
 
-fn run_test<T: Future<Output = ()>>(test: T) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let finished = LocalSet::new().block_on(&runtime, async {
-        tokio::time::timeout(HANG_TIMEOUT, test).await
-    });
-    finished.expect("the test hangs");
-}
-
 /// Guards against a second run of a request by another member, when its repeat comes through the same forwarder, another
 /// one, or one that started after the first attempt.
 #[test]
@@ -156,14 +129,14 @@
     run_test(async {
         let servers = start_servers(3);
         let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
-        let mut first = RunningForwarder::start(&configuration, 1).await;
-        let mut second = RunningForwarder::start(&configuration, 2).await;
+        let mut first = Forwarder::start(&configuration, 1).await;
+        let mut second = Forwarder::start(&configuration, 2).await;
         for key in keys() {
             assert_eq!(first.request(&key).await, served(&key));
             assert_eq!(second.request(&key).await, served(&key));
             assert_eq!(first.request(&key).await, served(&key));
         }
-        let mut restarted = RunningForwarder::start(&configuration, 3).await;
+        let mut restarted = Forwarder::start(&configuration, 3).await;
         for key in keys() {
             assert_eq!(restarted.request(&key).await, served(&key));
             assert_eq!(servers_of(&servers, &key).len(), 1, "{key}");
@@ -179,7 +152,7 @@
         for script in ["fail", "reset", "cut", "silent", "dismiss"] {
             let servers = start_servers(3);
             let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
-            let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+            let mut forwarder = Forwarder::start(&configuration, 1).await;
             let key = "key-0";
             assert_eq!(forwarder.request(key).await, served(key));
             let home = servers_of(&servers, key);
@@ -201,7 +174,7 @@
     run_test(async {
         let server = test_server("silent");
         let configuration = configuration(&[server.addr], LONG_WINDOW, "");
-        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        let mut forwarder = Forwarder::start(&configuration, 1).await;
         let wait_for_retry = async {
             while server.observations().calls < 2 {
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -224,7 +197,7 @@
     run_test(async {
         let servers = start_servers(3);
         let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
-        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        let mut forwarder = Forwarder::start(&configuration, 1).await;
         for key in keys() {
             assert_eq!(forwarder.request(&key).await, served(&key));
         }
@@ -252,7 +225,7 @@
             let server = test_server("honour");
             let address = server.addr;
             let configuration = configuration(&[address], "1500 ms", "");
-            let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+            let mut forwarder = Forwarder::start(&configuration, 1).await;
             let first_attempt = Instant::now();
             assert_eq!(forwarder.request("key-0").await, served("key-0"));
             if is_seen_away {
@@ -288,7 +261,7 @@
     run_test(async {
         let servers = start_servers(3);
         let configuration = configuration(&addresses(&servers), LONG_WINDOW, "");
-        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        let mut forwarder = Forwarder::start(&configuration, 1).await;
         for key in keys() {
             assert_eq!(forwarder.request(&key).await, served(&key));
         }
@@ -320,8 +293,8 @@
         for (number, (versions, min_held)) in changes.into_iter().enumerate() {
             let version = |members: &&[SocketAddr]| configuration(members, "1500 ms", "");
             let mut forwarders = [
-                RunningForwarder::start(&version(&versions[0]), 1).await,
-                RunningForwarder::start(&version(&versions[0]), 2).await,
+                Forwarder::start(&version(&versions[0]), 1).await,
+                Forwarder::start(&version(&versions[0]), 2).await,
             ];
             let keys: Vec<String> = keys().iter().map(|key| format!("{number}-{key}")).collect();
             let mut first_attempts = Vec::new();
@@ -366,7 +339,7 @@
     run_test(async {
         let servers = start_servers(2);
         let configuration = configuration(&addresses(&servers), LONG_WINDOW, "keys: shared");
-        let mut forwarder = RunningForwarder::start(&configuration, 1).await;
+        let mut forwarder = Forwarder::start(&configuration, 1).await;
         for key in keys() {
             assert_eq!(forwarder.request(&key).await, served(&key));
         }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -9,25 +9,22 @@
     reason = "a test target: clippy's default lints hold"
 )]
 
+mod world;
+
 use rainstand_config::schema::Configuration;
 use rainstand_config::{load, source::Memory};
-use rainstand_forwarder::{run, ForwarderContext};
 use rainstand_invariants::Kind;
 use rainstand_routing::health::MemberStatus;
 use rainstand_test_servers::caller::{Call, Caller, Reply};
 use rainstand_test_servers::recorder::InvariantRecorder;
 use rainstand_test_servers::script::Script;
 use rainstand_test_servers::server::{test_server, ServerRecorder, TestServer, TestServerOptions};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::Notify;
-use tokio::task::{spawn_local, JoinHandle, LocalSet};
-
-/// Ends a test that hangs; no test measures time with it.
-const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+use tokio::task::spawn_local;
+use world::{parse_configuration, run_test, start_forwarder, RunningForwarder};
 
 fn configuration(nodes: &[&TestServer], goal: &str) -> Configuration {
     let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.addr).collect();
@@ -52,51 +49,11 @@
 route x {{ match {{ type: register }}; to: p; attempts: proved }}
 route r {{ to: p; attempts: any }}"
     );
-    let outcome = load(&Memory::new([("a.rain", text)]), "a.rain");
-    outcome
-        .configuration
-        .unwrap_or_else(|| panic!("{:?}", outcome.findings))
+    parse_configuration(text)
 }
 
-struct RunningForwarder {
-    context: Rc<ForwarderContext>,
-    addr: SocketAddr,
-    shutdown: Rc<Notify>,
-    task: JoinHandle<()>,
-}
-
-async fn start_forwarder(configuration: &Configuration) -> RunningForwarder {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (addr, context) = (
-        listener.local_addr().unwrap(),
-        ForwarderContext::new(configuration.clone(), "", 3).unwrap(),
-    );
-    let shutdown = Rc::new(Notify::new());
-    let shutdown_requested = shutdown.clone();
-    let task = spawn_local(run(
-        context.clone(),
-        listener,
-        Duration::from_secs(5),
-        async move { shutdown_requested.notified().await },
-    ));
-    RunningForwarder {
-        context,
-        addr,
-        shutdown,
-        task,
-    }
-}
-
-fn run_test<T: Future<Output = ()>>(test: T) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let finished = LocalSet::new().block_on(&runtime, async {
-        tokio::time::timeout(HANG_TIMEOUT, test).await
-    });
-    finished.expect("the test hangs");
-}
+/// Determines the random choices of all forwarders here.
+const SEED: u64 = 3;
 
 /// Starts a test server for each script; all report to the recorder.
 fn start_nodes(recorder: &InvariantRecorder, scripts: &[&str]) -> Vec<TestServer> {
@@ -169,8 +126,11 @@
     run_test(async {
         let recorder = InvariantRecorder::default();
         let nodes = start_nodes(&recorder, &["honour", "twice", "honour"]);
-        let forwarder =
-            start_forwarder(&configuration(&nodes.iter().collect::<Vec<_>>(), "10 s")).await;
+        let forwarder = start_forwarder(
+            &configuration(&nodes.iter().collect::<Vec<_>>(), "10 s"),
+            SEED,
+        )
+        .await;
         let mut caller = Caller::new(forwarder.addr)
             .await
             .unwrap()
@@ -213,7 +173,7 @@
             let recorder = InvariantRecorder::default();
             let nodes = start_nodes(&recorder, &[script, "honour"]);
             let (faulty, healthy) = (&nodes[0], &nodes[1]);
-            let forwarder = start_forwarder(&configuration(&[faulty, healthy], "10 s")).await;
+            let forwarder = start_forwarder(&configuration(&[faulty, healthy], "10 s"), SEED).await;
             let mut caller = Caller::new(forwarder.addr)
                 .await
                 .unwrap()
@@ -265,7 +225,7 @@
         // The forwarder's own retry-after has jitter of up to 50 %; that of a member is passed on.
         for (addr, max_ms, is_terminal) in [(unreachable, 750, false), (rejecting.addr, 300, true)]
         {
-            let forwarder = start_forwarder(&configuration_for(&[addr], "10 s")).await;
+            let forwarder = start_forwarder(&configuration_for(&[addr], "10 s"), SEED).await;
             let mut caller = Caller::new(forwarder.addr).await.unwrap();
             let seq = caller.send(&call_to("register", "one")).await.unwrap();
             let (answered, reply) = caller.next_reply().await.unwrap();
@@ -290,7 +250,7 @@
 fn attempt_at_a_silent_member_times_out_and_is_cancelled() {
     run_test(async {
         let silent = test_server("silent");
-        let forwarder = start_forwarder(&configuration(&[&silent], "300 ms")).await;
+        let forwarder = start_forwarder(&configuration(&[&silent], "300 ms"), SEED).await;
         let mut caller = Caller::new(forwarder.addr).await.unwrap();
         let seq = caller.send(&call_to("register", "one")).await.unwrap();
         assert_eq!(caller.next_reply().await.unwrap(), (seq, Reply::Failed));
@@ -304,7 +264,7 @@
 fn cancelled_request_frees_its_capacity() {
     run_test(async {
         let holding = test_server("hold");
-        let forwarder = start_forwarder(&configuration(&[&holding], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&holding], "10 s"), SEED).await;
         let mut caller = Caller::new(forwarder.addr).await.unwrap();
         let seq = caller.send(&call_to("check", "one")).await.unwrap();
         wait_until(|| holding.total_runs() > 0).await;
@@ -328,7 +288,7 @@
     run_test(async {
         let recorder = InvariantRecorder::default();
         let nodes = start_nodes(&recorder, &["hold"]);
-        let forwarder = start_forwarder(&configuration(&[&nodes[0]], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&nodes[0]], "10 s"), SEED).await;
         let mut caller = Caller::new(forwarder.addr)
             .await
             .unwrap()
@@ -357,7 +317,7 @@
 fn new_configuration_applies_to_new_requests_and_not_to_those_in_flight() {
     run_test(async {
         let (old, new) = (test_server("hold"), test_server("honour"));
-        let forwarder = start_forwarder(&configuration(&[&old], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&old], "10 s"), SEED).await;
         let mut caller = Caller::new(forwarder.addr).await.unwrap();
         let first = caller.send(&call_to("register", "one")).await.unwrap();
         wait_until(|| old.total_runs() > 0).await;
@@ -403,8 +363,11 @@
             "honour after 1ms\nevery 6 silent\nevery 4 dismiss pause 5ms nowhere-else",
         ];
         let nodes = start_nodes(&recorder, &scripts);
-        let forwarder =
-            start_forwarder(&configuration(&nodes.iter().collect::<Vec<_>>(), "400 ms")).await;
+        let forwarder = start_forwarder(
+            &configuration(&nodes.iter().collect::<Vec<_>>(), "400 ms"),
+            SEED,
+        )
+        .await;
         let callers: Vec<_> = (0..6u64)
             .map(|k| {
                 let (recorder, addr) = (recorder.clone(), forwarder.addr);
@@ -480,7 +443,7 @@
 fn admin_endpoint_reports_members_decisions_and_counters() {
     run_test(async {
         let (faulty, healthy) = (test_server("fail"), test_server("honour"));
-        let forwarder = start_forwarder(&configuration(&[&faulty, &healthy], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&faulty, &healthy], "10 s"), SEED).await;
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let admin = listener.local_addr().unwrap();
         spawn_local(rainstand_forwarder::admin::serve(
@@ -599,6 +562,7 @@
             &outcome
                 .configuration
                 .unwrap_or_else(|| panic!("{:?}", outcome.findings)),
+            SEED,
         )
         .await;
         let mut caller = Caller::new(forwarder.addr).await.unwrap();
@@ -660,7 +624,7 @@
 fn draining_member_gets_no_new_requests() {
     run_test(async {
         let (draining, other) = (test_server("leave after 1ms"), test_server("honour"));
-        let forwarder = start_forwarder(&configuration(&[&draining, &other], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&draining, &other], "10 s"), SEED).await;
         let mut caller = Caller::new(forwarder.addr).await.unwrap();
         let mut n = 0;
         while draining.total_runs() == 0 {
@@ -706,10 +670,10 @@
 fn silent_connection_gets_no_attempts_after_a_timeout() {
     run_test(async {
         let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let forwarder = start_forwarder(&configuration_for(
-            &[silent.local_addr().unwrap()],
-            "300 ms",
-        ))
+        let forwarder = start_forwarder(
+            &configuration_for(&[silent.local_addr().unwrap()], "300 ms"),
+            SEED,
+        )
         .await;
         let mut caller = Caller::new(forwarder.addr).await.unwrap();
         let first = caller.send(&call_to("register", "one")).await.unwrap();
@@ -726,7 +690,7 @@
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     run_test(async {
         let holding = test_server("hold");
-        let forwarder = start_forwarder(&configuration(&[&holding], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&holding], "10 s"), SEED).await;
         let mut stream = tokio::net::TcpStream::connect(forwarder.addr)
             .await
             .unwrap();
@@ -759,7 +723,7 @@
     use tokio::io::AsyncReadExt;
     run_test(async {
         let holding = test_server("hold");
-        let forwarder = start_forwarder(&configuration(&[&holding], "10 s")).await;
+        let forwarder = start_forwarder(&configuration(&[&holding], "10 s"), SEED).await;
         let fields = [
             ("route", "check"),
             ("trace", "00000000000000aa"),
--- a/crates/node/tests/agent_reconnect.rs
+++ b/crates/node/tests/agent_reconnect.rs
@@ -157,6 +157,21 @@
         scenario
     }
 
+    /// Launches a request; its run makes a call, whose reply arrives after a break and before the end of the replay.
+    async fn reply_without_link(world: World, class: &str) -> Self {
+        let mut scenario = Self::launch(world, class).await;
+        let req = scenario.req.clone();
+        scenario.agent.request_call(1, &req, b"call 1").await;
+        let mut call = Http::accept(&scenario.world.downstream).await;
+        call.request().await.unwrap();
+        scenario.reconnect().await;
+        call.reply("200 OK", b"reply 1").await;
+        while scenario.world.context.counts.delivered.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        scenario
+    }
+
     /// The run makes its call with this number, by a notice with the same number, and the call is answered.
     async fn make_call(&mut self, number: u64) {
         let body = format!("call {number}");
@@ -346,16 +361,7 @@
 fn reply_that_came_without_a_link_is_delivered_once() {
     for class in [DEGRADABLE, REQUIRED] {
         run(class, async |world, class| {
-            let mut scenario = Scenario::launch(world, class).await;
-            let req = scenario.req.clone();
-            scenario.agent.request_call(1, &req, b"call 1").await;
-            let mut call = Http::accept(&scenario.world.downstream).await;
-            call.request().await.unwrap();
-            scenario.reconnect().await;
-            call.reply("200 OK", b"reply 1").await;
-            while scenario.world.context.counts.delivered.get() == 0 {
-                tokio::task::yield_now().await;
-            }
+            let mut scenario = Scenario::reply_without_link(world, class).await;
             // The link breaks once more within the replay: still nothing was sent.
             scenario.reconnect().await;
             let delivery = scenario.delivery(1);
@@ -455,16 +461,8 @@
 #[test]
 fn unsent_reply_of_a_paused_run_follows_thaw() {
     run(REQUIRED, async |world, class| {
-        let mut scenario = Scenario::launch(world, class).await;
+        let mut scenario = Scenario::reply_without_link(world, class).await;
         let req = scenario.req.clone();
-        scenario.agent.request_call(1, &req, b"call 1").await;
-        let mut call = Http::accept(&scenario.world.downstream).await;
-        call.request().await.unwrap();
-        scenario.reconnect().await;
-        call.reply("200 OK", b"reply 1").await;
-        while scenario.world.context.counts.delivered.get() == 0 {
-            tokio::task::yield_now().await;
-        }
         scenario.order(|table| table.cancel_run(0));
         let resent = scenario.agent.end_replay().await;
         assert_eq!(resent, [json!({"cmd": "freeze", "req": req})]);
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -468,14 +468,19 @@
             .min()
     }
 
-    /// Time until the first member of a pool may take a request; `None` for a pool without members.
-    fn earliest_retry(&self, pool: u16, tenant_key: TenantKey, now: Duration) -> Option<Duration> {
-        let eligibility = Eligibility {
+    /// Which members requests of a tenant may use now.
+    fn eligibility(&self, now: Duration, tenant: TenantKey) -> Eligibility<'_> {
+        Eligibility {
             pools: &self.pools,
             pauses: &self.pauses,
             now,
-            tenant: tenant_key,
-        };
+            tenant,
+        }
+    }
+
+    /// Time until the first member of a pool may take a request; `None` for a pool without members.
+    fn earliest_retry(&self, pool: u16, tenant_key: TenantKey, now: Duration) -> Option<Duration> {
+        let eligibility = self.eligibility(now, tenant_key);
         let typical_duration = self.pools[usize::from(pool)].typical_duration();
         let wait = |member: u16| match eligibility.skip(MemberRef { pool, member }) {
             Some(skip) if skip.reason != SkipReason::Full => skip.until.saturating_sub(now),
--- a/crates/routing/src/fleet/keyed.rs
+++ b/crates/routing/src/fleet/keyed.rs
@@ -1,6 +1,5 @@
 //! Requests with an idempotency key: which member may take them, and when none may.
 
-use super::eligibility::Eligibility;
 use super::types::{MemberRef, NextAction, RequestOutcome};
 use super::{Fleet, RequestState};
 use crate::decision_log::{Decision, DecisionOutcome, SkipReason};
@@ -106,12 +105,7 @@
         home: MemberRef,
         decision: &mut Decision,
     ) -> bool {
-        let eligibility = Eligibility {
-            pools: &self.pools,
-            pauses: &self.pauses,
-            now: decision.time,
-            tenant: request.tenant_key,
-        };
+        let eligibility = self.eligibility(decision.time, request.tenant_key);
         if let Some(skip) = eligibility.skip(home) {
             decision.record_skipped(home.member, skip.reason);
         }
@@ -128,12 +122,7 @@
         let EligibleMembers::Home(home) = self.eligible_members(pool, request) else {
             return None;
         };
-        let eligibility = Eligibility {
-            pools: &self.pools,
-            pauses: &self.pauses,
-            now,
-            tenant: request.tenant_key,
-        };
+        let eligibility = self.eligibility(now, request.tenant_key);
         let skip = eligibility.skip(home);
         let known = skip.filter(|skip| skip.reason != SkipReason::Full);
         Some(known.map_or_else(
