--- a/crates/config/src/codes.rs
+++ b/crates/config/src/codes.rs
@@ -335,9 +335,6 @@
         "A repeat goes to the member that may have run the ticket. With `know` another forwarder may not know that member, and would have it run twice."
         wrong "type t { repeat: ticketed 9 s; goal: 3 s; outer-limit: 7 s }\npool p { keys: own; know: 1; member a { address: \"10.0.0.1:1\" }; member b { address: \"10.0.0.2:1\" } }\nroute r { to: p }\n", right "type t { repeat: ticketed 9 s; goal: 3 s; outer-limit: 7 s }\npool p { keys: shared; know: 1; member a { address: \"10.0.0.1:1\" }; member b { address: \"10.0.0.2:1\" } }\nroute r { to: p }\n";
 
-    OwnMember "W507" "ticketed tickets that only one member may take"
-        "Each ticketed ticket goes to one member of the pool, by its mark, and so do its repeats: only that member knows what it ran. While it is away they are dismissed, for the window after it left, too. `keys: own` says that this is meant, `keys: shared` that the members are nodes of one group."
-        wrong "type t { repeat: ticketed 9 s; goal: 3 s; outer-limit: 7 s }\npool p { member a { address: \"10.0.0.1:1\" }; member b { address: \"10.0.0.2:1\" } }\nroute r { to: p }\n", right "type t { repeat: ticketed 9 s; goal: 3 s; outer-limit: 7 s }\npool p { keys: own; member a { address: \"10.0.0.1:1\" }; member b { address: \"10.0.0.2:1\" } }\nroute r { to: p }\n";
     SiteMajority "W506" "the loss of one site takes a majority"
         "A site with half of the members or more holds the majority of some shard, whatever the layout: with it the group loses its keyed tickets."
         wrong "group g { member n1 { site: a; address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { site: a; address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { site: b; address: \"10.0.0.3:1\"; folder: \"/a\" } }\n", right "group g { member n1 { site: a; address: \"10.0.0.1:1\"; folder: \"/a\" }; member n2 { site: b; address: \"10.0.0.2:1\"; folder: \"/a\" }; member n3 { site: c; address: \"10.0.0.3:1\"; folder: \"/a\" } }\n";
@@ -356,4 +353,7 @@
     TooManyRoutes "W505" "not all routes were compared"
         "Looking for hidden routes is bounded in time; past the bound a route may be hidden and nobody told."
         wrong "", right "";
+    OwnMember "W507" "ticketed tickets that only one member may take"
+        "Each ticketed ticket goes to one member of the pool, by its mark, and so do its repeats: only that member knows what it ran. While it is away they are dismissed, for the window after it left, too. `keys: own` says that this is meant, `keys: shared` that the members are nodes of one group."
+        wrong "type t { repeat: ticketed 9 s; goal: 3 s; outer-limit: 7 s }\npool p { member a { address: \"10.0.0.1:1\" }; member b { address: \"10.0.0.2:1\" } }\nroute r { to: p }\n", right "type t { repeat: ticketed 9 s; goal: 3 s; outer-limit: 7 s }\npool p { keys: own; member a { address: \"10.0.0.1:1\" }; member b { address: \"10.0.0.2:1\" } }\nroute r { to: p }\n";
 }
