--- a/crates/forwarder/src/upstream.rs
+++ b/crates/forwarder/src/upstream.rs
@@ -102,7 +102,11 @@
             .filter(|connection| connection.is_connected())
             .map(|connection| connection.connected_at())
             .min();
-        if oldest.is_none() && end == ConnectionEnd::Broken {
+        let is_ended_by_member =
+            matches!(end, ConnectionEnd::Broken | ConnectionEnd::ClosedByUpstream);
+        // No connection overlaps with the time before: another process may listen there now.
+        let is_overlapping = oldest.is_some() && oldest <= self.connected_since.get();
+        if is_ended_by_member && !is_overlapping {
             self.on_process_lost(context, address);
         }
         match (oldest, self.connected_since.get()) {
--- a/crates/forwarder/tests/keyed_requests.rs
+++ b/crates/forwarder/tests/keyed_requests.rs
@@ -216,26 +216,49 @@
     });
 }
 
+/// By what a forwarder learns that a member's process has ended.
+#[derive(Clone, Copy)]
+enum RestartShows {
+    /// Nothing listened there for a while.
+    RefusedConnection,
+    /// Its connection broke during an attempt.
+    BrokenConnection,
+    /// Its connection ended while no attempt was open.
+    ClosedConnection,
+}
+
 /// Guards against a second run by the next process at a member's address, which does not know what the first one ran.
 #[test]
 fn restarted_member_gets_no_repeats_within_their_window() {
     run_test(async {
-        // A process that is seen to be away, and one whose restart only shows by its broken connection.
-        for is_seen_away in [true, false] {
+        for restart_shows in [
+            RestartShows::RefusedConnection,
+            RestartShows::BrokenConnection,
+            RestartShows::ClosedConnection,
+        ] {
             let server = test_server("honour");
             let address = server.addr;
             let configuration = configuration(&[address], "1500 ms", "");
             let mut forwarder = Forwarder::start(&configuration, 1).await;
             let first_attempt = Instant::now();
             assert_eq!(forwarder.request("key-0").await, served("key-0"));
-            if is_seen_away {
-                server.kill();
-                while !is_rejected(&forwarder.request("key-1").await) {}
-            } else {
-                server.set_script("reset");
-                let reply = forwarder.request("key-1").await;
-                assert!(is_rejected(&reply) || reply == Reply::Failed, "{reply:?}");
-                server.kill();
+            match restart_shows {
+                RestartShows::RefusedConnection => {
+                    server.kill();
+                    while !is_rejected(&forwarder.request("key-1").await) {}
+                }
+                RestartShows::BrokenConnection => {
+                    server.set_script("reset");
+                    let reply = forwarder.request("key-1").await;
+                    assert!(is_rejected(&reply) || reply == Reply::Failed, "{reply:?}");
+                    server.kill();
+                }
+                RestartShows::ClosedConnection => {
+                    server.kill();
+                    while forwarder.context.upstreams.connection_count() > 0 {
+                        tokio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                }
             }
             let restarted = restart(address).await;
             let mut rejections = 0;
