--- a/crates/forwarder/tests/keyed_requests.rs
+++ b/crates/forwarder/tests/keyed_requests.rs
@@ -220,11 +220,11 @@
 #[derive(Clone, Copy)]
 enum RestartShows {
     /// Nothing listened there for a while.
-    RefusedConnection,
+    Refusal,
     /// Its connection broke during an attempt.
-    BrokenConnection,
+    Break,
     /// Its connection ended while no attempt was open.
-    ClosedConnection,
+    Close,
 }
 
 /// Guards against a second run by the next process at a member's address, which does not know what the first one ran.
@@ -232,9 +232,9 @@
 fn restarted_member_gets_no_repeats_within_their_window() {
     run_test(async {
         for restart_shows in [
-            RestartShows::RefusedConnection,
-            RestartShows::BrokenConnection,
-            RestartShows::ClosedConnection,
+            RestartShows::Refusal,
+            RestartShows::Break,
+            RestartShows::Close,
         ] {
             let server = test_server("honour");
             let address = server.addr;
@@ -243,17 +243,17 @@
             let first_attempt = Instant::now();
             assert_eq!(forwarder.request("key-0").await, served("key-0"));
             match restart_shows {
-                RestartShows::RefusedConnection => {
+                RestartShows::Refusal => {
                     server.kill();
                     while !is_rejected(&forwarder.request("key-1").await) {}
                 }
-                RestartShows::BrokenConnection => {
+                RestartShows::Break => {
                     server.set_script("reset");
                     let reply = forwarder.request("key-1").await;
                     assert!(is_rejected(&reply) || reply == Reply::Failed, "{reply:?}");
                     server.kill();
                 }
-                RestartShows::ClosedConnection => {
+                RestartShows::Close => {
                     server.kill();
                     while forwarder.context.upstreams.connection_count() > 0 {
                         tokio::time::sleep(Duration::from_millis(1)).await;
