--- a/crates/cli/src/forward/attachment.rs
+++ b/crates/cli/src/forward/attachment.rs
@@ -1,33 +1,29 @@
 //! A forwarder's attachment to config servers: its options, how versions are applied, and how the last one is stored.
 
-use crate::config_file::replace;
 use clap::Args;
 use rainstand_cluster::attachment::{
-    run_attachment, ApplyCallback, ApplyError, AttachmentEvent, AttachmentOptions, AttachmentPhase,
-    AttachmentStatus, StatusCallback,
+    run_attachment, ApplyCallback, ApplyError, AttachmentEvent, AttachmentOptions,
+    AttachmentStatus, StatusCallback, StoreCallback,
+};
+use rainstand_cluster::version_store::{
+    recover_folder, RecoveredVersions, StoreError, VersionWriter,
 };
 use rainstand_config::schema::{Configuration, Control, ControlMember};
 use rainstand_config_distribution::attachment::NodeIdentity;
-use rainstand_config_distribution::delta::ConfigState;
-use rainstand_config_distribution::snapshot::{self, DecodedSnapshot};
+use rainstand_config_distribution::snapshot::DecodedSnapshot;
 use rainstand_config_distribution::subscriber::{Event, PendingUpdate, Subscriber};
 use rainstand_config_distribution::UpdateError;
 use rainstand_forwarder::admin::{ConfigSourceLine, RejectedVersion};
 use rainstand_forwarder::config_updates::table_changes;
 use rainstand_forwarder::ForwarderContext;
 use rainstand_routing::subset::reduce;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::task::{spawn_blocking, spawn_local, JoinError};
-
-/// File in the control folder that holds the last version.
-const SNAPSHOT_FILE: &str = "version.packed";
-/// Minimum time between two writes of that file: each compresses the full version on a background thread.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(10);
+use tokio::task::spawn_local;
 
 #[derive(Args, Clone, Default)]
 #[group(id = "attachment")]
@@ -77,16 +73,10 @@
     Update(#[from] UpdateError),
 }
 
-/// Why a version cannot be stored.
+/// Why a version that could not be stored is rejected, for operators of the config servers.
 #[derive(Debug, thiserror::Error)]
-enum StoreError {
-    #[error(transparent)]
-    Encode(#[from] UpdateError),
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    #[error(transparent)]
-    Thread(#[from] JoinError),
-}
+#[error("cannot be stored: {0}")]
+struct StoreFailure(#[source] StoreError);
 
 impl Options {
     /// The attachment that the options and the `control` block specify; `None` if neither names a config server.
@@ -135,35 +125,44 @@
 }
 
 impl AttachmentPlan {
-    /// The version in force before this start. If it cannot be read, the error is logged and `None` returned.
-    pub(crate) fn stored_version(&self) -> Option<StoredVersion> {
-        let path = self.folder.as_ref()?.join(SNAPSHOT_FILE);
-        let bytes = match std::fs::read(&path) {
-            Ok(bytes) => bytes,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
-            Err(error) => {
-                tracing::warn!(event = "version_unreadable", file = %path.display(), why = %error);
-                return None;
-            }
+    /// The versions to begin with, in the order in which they are tried. What cannot be read is logged.
+    pub(crate) fn stored_versions(&self) -> Vec<StoredVersion> {
+        let Some(folder) = &self.folder else {
+            tracing::warn!(event = "versions_not_stored", why = "no control folder");
+            return Vec::new();
         };
-        match decode_stored(&bytes) {
-            Ok(stored) => Some(stored),
-            Err(error) => {
-                tracing::warn!(event = "version_unreadable", file = %path.display(), why = %error);
-                None
-            }
+        let RecoveredVersions {
+            newest,
+            previous,
+            errors,
+        } = recover_folder(folder);
+        for error in errors {
+            tracing::warn!(event = "version_unreadable", folder = %folder.display(), why = %error);
         }
+        let candidates = newest.into_iter().chain(previous);
+        candidates
+            .filter_map(StoredVersion::from_snapshot)
+            .collect()
     }
 
     /// Starts the attachment in the background, from the `stored` version if there is one.
-    pub(crate) fn start(self, context: &Rc<ForwarderContext>, stored: Option<DecodedSnapshot>) {
+    ///
+    /// # Errors
+    /// If the thread that stores versions cannot be started.
+    pub(crate) fn start(
+        self,
+        context: &Rc<ForwarderContext>,
+        stored: Option<DecodedSnapshot>,
+    ) -> io::Result<()> {
         let identity = self.identity.clone();
-        let subscriber = match stored {
-            Some(DecodedSnapshot { version, state }) => {
-                Subscriber::with_version(Duration::ZERO, identity, version, state)
-            }
-            None => Subscriber::new(Duration::ZERO, identity),
-        };
+        let DecodedSnapshot { version, state } = stored.unwrap_or_default();
+        let mut subscriber = Subscriber::with_version(Duration::ZERO, identity, version, state);
+        let mut writer = None;
+        if let Some(folder) = self.folder {
+            subscriber = subscriber.with_durable_storage();
+            let started = VersionWriter::start(folder, version)?;
+            writer = Some(Rc::new(RefCell::new(started)));
+        }
         let status = Rc::new(RefCell::new(AttachmentStatus {
             version: subscriber.version(),
             digest: subscriber.state().digest(),
@@ -177,23 +176,33 @@
             identity: self.identity,
             machines: self.servers,
             seed: self.seed,
+            store: store_callback(writer.clone()),
             apply: apply_callback(context.clone(), self.forwarder_number),
             on_event: Box::new(log_event),
-            on_status: store_callback(self.folder, subscriber.version()),
+            on_status: checkpoint_callback(writer),
             status,
             subscriber,
         };
         spawn_local(run_attachment(options));
+        Ok(())
     }
 }
 
-fn decode_stored(bytes: &[u8]) -> Result<StoredVersion, UpdateError> {
-    let snapshot = snapshot::decode(bytes)?;
-    let configuration = snapshot.state.configuration()?;
-    Ok(StoredVersion {
-        snapshot,
-        configuration,
-    })
+impl StoredVersion {
+    /// If the snapshot is no configuration, the error is logged and `None` returned.
+    fn from_snapshot(snapshot: DecodedSnapshot) -> Option<Self> {
+        match snapshot.state.configuration() {
+            Ok(configuration) => Some(Self {
+                snapshot,
+                configuration,
+            }),
+            Err(error) => {
+                let version = snapshot.version;
+                tracing::warn!(event = "version_unreadable", version, why = %error);
+                None
+            }
+        }
+    }
 }
 
 /// Applies the pending update to the forwarder: as a delta if possible, at a cost proportional to its size, or else as a
@@ -235,44 +244,37 @@
     Ok(configuration?)
 }
 
-/// Writes the version in force to `folder`, at most once per [`SNAPSHOT_INTERVAL`] and when the attachment ends. One
-/// write runs at a time.
-fn store_callback(folder: Option<PathBuf>, stored_version: u64) -> StatusCallback {
-    let mut stored_version = stored_version;
-    let mut stored_at = None::<Instant>;
-    let is_writing = Rc::new(Cell::new(false));
+/// Stores the pending version. Without a writer nothing is stored.
+fn store_callback(writer: Option<Rc<RefCell<VersionWriter>>>) -> StoreCallback {
+    Box::new(move |subscriber| {
+        let written = writer
+            .as_ref()
+            .map(|writer| writer.borrow_mut().store(subscriber));
+        Box::pin(async move {
+            match written {
+                Some(written) => written.await.map_err(StoreFailure).map_err(ApplyError::new),
+                None => Ok(()),
+            }
+        })
+    })
+}
+
+/// Makes checkpoints of the version in force in the background.
+fn checkpoint_callback(writer: Option<Rc<RefCell<VersionWriter>>>) -> StatusCallback {
     Box::new(move |subscriber, phase| {
-        let Some(folder) = &folder else { return };
+        let Some(writer) = &writer else { return };
         let version = subscriber.version();
-        let is_early = stored_at.is_some_and(|at| at.elapsed() < SNAPSHOT_INTERVAL);
-        if version == stored_version
-            || is_early && phase == AttachmentPhase::Linked
-            || is_writing.get()
-        {
-            return;
-        }
-        stored_version = version;
-        stored_at = Some(Instant::now());
-        is_writing.set(true);
-        let state = subscriber.state().clone();
-        let path = folder.join(SNAPSHOT_FILE);
-        let is_writing = is_writing.clone();
+        let begun = writer.borrow_mut().checkpoint_if_due(subscriber, phase);
+        let Some(written) = begun else { return };
         spawn_local(async move {
-            let written = spawn_blocking(move || write_snapshot(&path, version, &state)).await;
-            is_writing.set(false);
-            if let Err(error) = written.unwrap_or_else(|error| Err(error.into())) {
+            if let Err(error) = written.await {
+                // The version itself is in the log already.
                 tracing::warn!(event = "version_write_failed", version, why = %error);
             }
         });
     })
 }
 
-fn write_snapshot(path: &Path, version: u64, state: &ConfigState) -> Result<(), StoreError> {
-    let bytes = snapshot::encode(version, state)?;
-    replace(path, &bytes)?;
-    Ok(())
-}
-
 fn status_line(status: &AttachmentStatus, started: Instant) -> ConfigSourceLine {
     let age = status.known_newest_at.unwrap_or(started).elapsed();
     ConfigSourceLine {
@@ -289,6 +291,7 @@
         connection_attempts: status.connection_attempts,
         applied_versions: status.counters.applied,
         rejected_versions: status.counters.nacks,
+        failed_writes: status.counters.failed_writes,
         divergences: status.counters.divergences,
         bytes_in: status.counters.bytes_in,
         bytes_out: status.counters.bytes_out,
@@ -313,6 +316,10 @@
 fn log_version_event(event: &Event, subscriber: &Subscriber) {
     let holds = subscriber.version();
     match event {
+        Event::Stored { version } => tracing::info!(event = "version_stored", version),
+        Event::StoreFailed { version, reason } => {
+            tracing::warn!(event = "version_write_failed", version, why = reason, holds);
+        }
         Event::Applied { version } => {
             let digest = format!("{:016x}", subscriber.state().digest());
             tracing::info!(event = "version_applied", version, digest);
--- a/crates/cli/src/forward/mod.rs
+++ b/crates/cli/src/forward/mod.rs
@@ -110,33 +110,37 @@
         .attachment
         .plan(block, &options.zone, options.number, seed)
         .map_err(|error| CommandError::unusable(&options.config, error))?;
-    let restored = attachment.as_ref().and_then(AttachmentPlan::stored_version);
-    let (configuration, stored) = match restored {
-        Some(restored) => {
-            let (configuration, snapshot) = restore(restored, options.number);
-            (configuration, Some(snapshot))
+    let stored_versions = attachment
+        .as_ref()
+        .map_or_else(Vec::new, AttachmentPlan::stored_versions);
+    for stored in stored_versions {
+        let StoredVersion {
+            snapshot,
+            mut configuration,
+        } = stored;
+        let version = snapshot.version;
+        reduce(&mut configuration, options.number);
+        match ForwarderContext::new(configuration, &options.zone, seed) {
+            Ok(context) => {
+                tracing::info!(event = "version_restored", version);
+                return Ok(InitialState {
+                    context,
+                    attachment,
+                    stored: Some(snapshot),
+                });
+            }
+            Err(error) => tracing::warn!(event = "version_rejected", version, why = %error),
         }
-        None => (configuration, None),
-    };
+    }
     let context = ForwarderContext::new(configuration, &options.zone, seed)
         .map_err(|error| CommandError::unusable(&options.config, error))?;
     Ok(InitialState {
         context,
         attachment,
-        stored,
+        stored: None,
     })
 }
 
-fn restore(stored: StoredVersion, forwarder_number: usize) -> (Configuration, DecodedSnapshot) {
-    let StoredVersion {
-        snapshot,
-        mut configuration,
-    } = stored;
-    tracing::info!(event = "version_restored", version = snapshot.version);
-    reduce(&mut configuration, forwarder_number);
-    (configuration, snapshot)
-}
-
 /// A different seed at each start: [`RandomState`] takes its keys from the operating system's random numbers.
 fn random_seed() -> u64 {
     RandomState::new().build_hasher().finish()
@@ -153,7 +157,7 @@
     tracing::info!(event = "start", listen = %listener.local_addr()?, config = %options.config);
     let is_attached = state.attachment.is_some();
     if let Some(attachment) = state.attachment {
-        attachment.start(&context, state.stored);
+        attachment.start(&context, state.stored)?;
     }
     let reload = Reload {
         context: context.clone(),
--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -1,7 +1,8 @@
 //! The subscriber's side of an attachment: maintains one link at a time to a config server, and applies versions.
 //!
 //! `rainstand-config-distribution` decides which server is connected to, when, and which versions are accepted; this
-//! module provides the sockets and the clock. While no server can be reached, the process keeps its current version.
+//! module provides the sockets and the clock. While no server can be reached, the process keeps its current version. A
+//! version that is being stored delays neither pings nor the search for a server.
 
 use crate::framing::{subscriber_frame, FrameBuffer, OPEN_TIMEOUT, WRITE_TIMEOUT};
 use prost::Message as _;
@@ -10,7 +11,9 @@
 use rainstand_config_distribution::subscriber::{Counters, Effect, Event, Subscriber};
 use rainstand_replicated_state::frames::{Frame, FrameBody};
 use std::cell::RefCell;
+use std::future::{pending, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -117,7 +120,7 @@
     Lost,
 }
 
-/// Why a version cannot be applied.
+/// Why a version cannot be stored or applied.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{reason}")]
 pub struct ApplyError {
@@ -136,10 +139,14 @@
 
 /// Applies the subscriber's pending version, or returns why it cannot be applied.
 pub type ApplyCallback = Box<dyn FnMut(&Subscriber) -> Result<(), ApplyError>>;
+/// The completion of a write: without an error once the version is durable.
+pub type StoreFuture = Pin<Box<dyn Future<Output = Result<(), ApplyError>>>>;
+/// Begins to store the subscriber's pending version durably.
+pub type StoreCallback = Box<dyn FnMut(&Subscriber) -> StoreFuture>;
 /// Receives events, to log them.
 pub type EventCallback = Box<dyn Fn(&AttachmentEvent, &Subscriber)>;
-/// Called at least every 500 ms while a link is open, and when an attachment is lost: for example to store the version
-/// in force.
+/// Called at least every 500 ms while a link is open, and when an attachment is lost: for example to make a checkpoint
+/// of the version in force.
 pub type StatusCallback = Box<dyn FnMut(&Subscriber, AttachmentPhase)>;
 
 /// The options of an attachment.
@@ -152,6 +159,8 @@
     pub subscriber: Subscriber,
     /// Seed of the random delays.
     pub seed: u64,
+    /// Stores versions before they are applied; called only for a subscriber with durable storage.
+    pub store: StoreCallback,
     /// Applies versions.
     pub apply: ApplyCallback,
     /// Receives events.
@@ -173,11 +182,25 @@
     Failback,
 }
 
+/// A version that is being stored.
+struct PendingWrite {
+    version: u64,
+    done: StoreFuture,
+}
+
+/// The end of a write.
+struct FinishedWrite {
+    version: u64,
+    result: Result<(), ApplyError>,
+}
+
 struct Attachment {
     subscriber: Subscriber,
     policy: AttachmentPolicy,
     servers: Vec<schema::ControlMember>,
     started: Instant,
+    store: StoreCallback,
+    write: Option<PendingWrite>,
     apply: ApplyCallback,
     on_event: EventCallback,
     on_status: StatusCallback,
@@ -188,7 +211,7 @@
 pub async fn run_attachment(options: AttachmentOptions) {
     let mut attachment = Attachment::new(options);
     while let Some(deadline) = attachment.policy.next_deadline() {
-        sleep(deadline.saturating_sub(attachment.now())).await;
+        attachment.wait_until(deadline).await;
         let now = attachment.now();
         if let Some(server) = attachment.policy.next_server(now) {
             attachment.run_link(server).await;
@@ -214,6 +237,8 @@
             policy,
             servers: options.machines,
             started: Instant::now(),
+            store: options.store,
+            write: None,
             apply: options.apply,
             on_event: options.on_event,
             on_status: options.on_status,
@@ -225,6 +250,37 @@
         self.started.elapsed()
     }
 
+    /// Waits without a link. Versions that were received before are stored and applied meanwhile.
+    async fn wait_until(&mut self, deadline: Duration) {
+        loop {
+            let now = self.now();
+            if now >= deadline {
+                return;
+            }
+            let retry_at = self.subscriber.store_retry_at();
+            let wake_at = retry_at.map_or(deadline, |retry_at| retry_at.min(deadline));
+            tokio::select! {
+                () = sleep(wake_at.saturating_sub(now)) => {}
+                finished = finished_write(&mut self.write) => self.on_write_finished(finished),
+            }
+            let now = self.now();
+            self.subscriber.on_tick(now);
+            // Without a link there are no frames to send.
+            let _ = self.carry_out_effects(&mut Vec::new());
+        }
+    }
+
+    fn on_write_finished(&mut self, finished: FinishedWrite) {
+        let FinishedWrite { version, result } = finished;
+        match result {
+            Ok(()) => self.subscriber.on_stored(version),
+            Err(error) => {
+                let now = self.now();
+                self.subscriber.on_store_failed(now, version, &error.reason);
+            }
+        }
+    }
+
     /// Opens a link, serves it until it ends, and reports its end.
     async fn run_link(&mut self, server: usize) {
         let name = self.servers[server].name.clone();
@@ -265,6 +321,8 @@
         let mut frames = FrameBuffer::new(MAX_SERVER_FRAME_BYTES);
         self.subscriber.on_connected(self.started.elapsed());
         loop {
+            let now = self.now();
+            self.subscriber.on_tick(now);
             if let Err(end) = self.send_effects(&mut write).await {
                 return end;
             }
@@ -277,8 +335,13 @@
             if deadline.is_some_and(|deadline| deadline <= now) {
                 return LinkEnd::Failback;
             }
-            if let Err(reason) = read_some(&mut read, &mut frames).await {
-                return LinkEnd::Lost(reason);
+            tokio::select! {
+                read = read_some(&mut read, &mut frames) => {
+                    if let Err(reason) = read {
+                        return LinkEnd::Lost(reason);
+                    }
+                }
+                finished = finished_write(&mut self.write) => self.on_write_finished(finished),
             }
             if let Err(reason) = self.handle_frames(&mut frames) {
                 return LinkEnd::Lost(reason);
@@ -324,6 +387,10 @@
             for effect in effects {
                 match effect {
                     Effect::Send(frame) => bytes.extend(subscriber_frame(frame)),
+                    Effect::Store(version) => {
+                        let done = (self.store)(&self.subscriber);
+                        self.write = Some(PendingWrite { version, done });
+                    }
                     Effect::Apply(version) => match (self.apply)(&self.subscriber) {
                         Ok(()) => self.subscriber.on_applied(version),
                         Err(error) => self.subscriber.on_rejected(version, &error.reason),
@@ -340,7 +407,7 @@
 
     fn report(&self, event: Event) {
         match &event {
-            Event::Rejected { version, reason } => {
+            Event::Rejected { version, reason } | Event::StoreFailed { version, reason } => {
                 self.status.borrow_mut().rejected = Some(RejectedVersion {
                     version: *version,
                     reason: reason.clone(),
@@ -387,6 +454,17 @@
     }
 }
 
+/// Waits for the end of a write; forever if there is none.
+async fn finished_write(write: &mut Option<PendingWrite>) -> FinishedWrite {
+    let Some(PendingWrite { version, done }) = write else {
+        return pending().await;
+    };
+    let version = *version;
+    let result = done.await;
+    *write = None;
+    FinishedWrite { version, result }
+}
+
 async fn connect(address: &str) -> Result<TcpStream, DisconnectReason> {
     let address: SocketAddr = address
         .parse()
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`framing`] | framing of messages on links |
 //! | [`config_server`] | serves the published configuration to subscribers |
 //! | [`attachment`] | a subscriber's side of its attachment |
+//! | [`version_store`] | a subscriber's versions on disk |
 //! | [`persistence`] | encodes a member's writes as store records, and decodes them |
 //! | [`status`] | answers operators' questions |
 //! | [`recovery`] | recovery from the loss of a majority |
@@ -30,6 +31,7 @@
 pub mod recovery;
 pub mod status;
 pub mod transport;
+pub mod version_store;
 
 pub use driver::{ClusterMember, MemberOptions};
 pub use error::ClusterError;
--- a/crates/config-distribution/src/planted_bugs.rs
+++ b/crates/config-distribution/src/planted_bugs.rs
@@ -15,16 +15,19 @@
     HistoryOffByOne,
     /// A process that lost its config server reconnects without jitter.
     NoJitter,
+    /// A version is applied and acknowledged before it is stored.
+    UnstoredAck,
 }
 
 impl PlantedBug {
     /// Every bug.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::DeltaOverGap,
         Self::DigestIgnored,
         Self::EarlyAck,
         Self::HistoryOffByOne,
         Self::NoJitter,
+        Self::UnstoredAck,
     ];
 }
 
--- a/crates/config-distribution/src/publisher/session.rs
+++ b/crates/config-distribution/src/publisher/session.rs
@@ -162,6 +162,9 @@
             self.diverged = false;
         }
         (self.version, self.digest) = (ack.version, ack.digest);
+        // It could apply later what it rejected at first.
+        self.rejected
+            .take_if(|rejected| rejected.version == ack.version);
         if self.is_delivered() {
             self.in_flight = InFlight::Nothing;
         }
--- a/crates/config-distribution/src/subscriber/download.rs
+++ b/crates/config-distribution/src/subscriber/download.rs
@@ -57,6 +57,10 @@
         &self.bytes
     }
 
+    pub(super) fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+
     pub(super) fn is_complete(&self) -> bool {
         self.bytes.len() >= self.length
     }
--- a/crates/config-distribution/src/subscriber/mod.rs
+++ b/crates/config-distribution/src/subscriber/mod.rs
@@ -2,18 +2,25 @@
 //!
 //! | received | action |
 //! | --- | --- |
-//! | a delta from the version in force | validated, then passed to the driver; acknowledged once it is in force |
+//! | a delta from the version in force | validated, stored, then applied by the driver; acknowledged once it is in force |
 //! | a delta to the version in force or an older one | acknowledged again, otherwise ignored |
 //! | a delta from another version | a delta from the version in force is requested |
 //! | a delta that is invalid or leads to another digest | reported, and a snapshot is requested |
 //! | a chunk of a snapshot | kept across links; its progress is reported; an older version is ignored |
-//! | anything while the driver applies a version | ignored: the server retransmits what is not acknowledged |
+//! | anything while the driver stores or applies a version | ignored: the server retransmits what is not acknowledged |
 //! | the driver cannot apply a version | rejected with the reason; the last good one stays in force |
+//! | the driver cannot store a version | rejected with the reason; storing is retried until it succeeds or another update arrives |
 //!
 //! Invariants: the version never decreases; the version in force is the last one that the driver reported as applied;
-//! an [`Ack`] names only a version that is in force.
+//! an [`Ack`] names only a version that is in force. With durable storage, a version is applied only after the driver
+//! reported it as stored, so no decision and no [`Ack`] is based on a version that a crash could undo.
 
 mod download;
+mod pending;
+mod report;
+
+pub use pending::PendingUpdate;
+pub use report::{Counters, Effect, Event};
 
 use crate::attachment::{NodeIdentity, RetryTarget};
 use crate::delta::ConfigState;
@@ -26,6 +33,7 @@
 use crate::UpdateError;
 use bytes::Bytes;
 use download::{ChunkOutcome, SnapshotDownload};
+use pending::{Pending, Stage};
 use rainstand_config::schema;
 use std::time::Duration;
 
@@ -36,118 +44,6 @@
 /// The reason of a rejection is truncated to this many bytes.
 pub const MAX_REASON_BYTES: usize = 256;
 
-/// What the driver has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Send this frame on the link.
-    Send(Bytes),
-    /// Apply [`Subscriber::pending`], which leads to this version, and call [`Subscriber::on_applied`] or
-    /// [`Subscriber::on_rejected`].
-    Apply(u64),
-    /// Close the link and call [`crate::attachment::AttachmentPolicy::on_retry_after`].
-    RetryAfter {
-        /// Delay before the next attempt.
-        after: Duration,
-        /// Where to retry.
-        target: RetryTarget,
-    },
-    /// Close the link and call [`crate::attachment::AttachmentPolicy::on_disconnected`]: a malformed frame arrived.
-    Close,
-    /// Log the event.
-    Event(Event),
-}
-
-/// Events for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// A version came into force.
-    Applied {
-        /// That version.
-        version: u64,
-    },
-    /// The driver could not apply a version.
-    Rejected {
-        /// That version.
-        version: u64,
-        /// The driver's reason, truncated.
-        reason: String,
-    },
-    /// A delta or snapshot was invalid or led to another digest; a snapshot was requested.
-    Diverged {
-        /// Version that it leads to.
-        version: u64,
-        /// What was wrong.
-        reason: UpdateError,
-    },
-    /// A delta begins at another version than the one in force.
-    Gap {
-        /// Version in force.
-        current: u64,
-        /// Version that the delta begins at.
-        from: u64,
-    },
-    /// A frame could not be decoded.
-    Malformed,
-}
-
-/// An update that the driver is applying.
-#[derive(Debug)]
-pub enum PendingUpdate {
-    /// A delta from the version in force, validated.
-    Delta(Delta),
-    /// A full state.
-    Snapshot {
-        /// Number of the version.
-        version: u64,
-        /// All of its resources.
-        state: ConfigState,
-    },
-}
-
-impl PendingUpdate {
-    /// The version that it leads to.
-    #[must_use]
-    pub fn version(&self) -> u64 {
-        match self {
-            Self::Delta(delta) => delta.to,
-            Self::Snapshot { version, .. } => *version,
-        }
-    }
-
-    /// The digest that it leads to.
-    fn digest(&self) -> u64 {
-        match self {
-            Self::Delta(delta) => delta.digest,
-            Self::Snapshot { state, .. } => state.digest(),
-        }
-    }
-}
-
-/// Counters since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Versions that came into force.
-    pub applied: u64,
-    /// Versions that the driver rejected.
-    pub nacks: u64,
-    /// Deltas and chunks that were outdated or repeated.
-    pub stale: u64,
-    /// Deltas from another version than the one in force.
-    pub gaps: u64,
-    /// Updates that were invalid or led to another digest.
-    pub divergences: u64,
-    /// Updates that arrived while another one was pending.
-    pub busy: u64,
-    /// Snapshot chunks.
-    pub chunks: u64,
-    /// Bytes of received frames.
-    pub bytes_in: u64,
-    /// Bytes of sent frames.
-    pub bytes_out: u64,
-    /// Frames that could not be decoded.
-    pub malformed: u64,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LinkState {
     Disconnected,
@@ -163,7 +59,9 @@
     identity: NodeIdentity,
     version: u64,
     state: ConfigState,
-    pending: Option<PendingUpdate>,
+    /// Whether versions are stored before they are applied.
+    has_storage: bool,
+    pending: Option<Pending>,
     download: Option<SnapshotDownload>,
     link: LinkState,
     /// When the last frame arrived, or the link opened.
@@ -197,6 +95,7 @@
             identity,
             version,
             state,
+            has_storage: false,
             pending: None,
             download: None,
             link: LinkState::Disconnected,
@@ -209,6 +108,14 @@
         }
     }
 
+    /// Requires the driver to store each version durably before it is applied ([`Effect::Store`]). Without it, versions
+    /// are lost when the process ends.
+    #[must_use]
+    pub fn with_durable_storage(mut self) -> Self {
+        self.has_storage = true;
+        self
+    }
+
     /// The version in force; 0 for none.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -233,10 +140,35 @@
         matches!(self.link, LinkState::Attached { .. })
     }
 
-    /// The update that the driver is applying.
+    /// The update that is being stored or applied, or waits to be stored again.
     #[must_use]
     pub fn pending(&self) -> Option<&PendingUpdate> {
-        self.pending.as_ref()
+        self.pending.as_ref().map(|pending| &pending.update)
+    }
+
+    /// When [`Self::on_tick`] is due; `None` if no write is to be retried.
+    #[must_use]
+    pub fn store_retry_at(&self) -> Option<Duration> {
+        match self.pending.as_ref()?.stage {
+            Stage::StoreFailed { retry_at } => Some(retry_at),
+            Stage::Storing | Stage::Applying => None,
+        }
+    }
+
+    /// Retries a failed write once [`Self::store_retry_at`] is reached.
+    pub fn on_tick(&mut self, now: Duration) {
+        if self.store_retry_at().is_none_or(|retry_at| now < retry_at) {
+            return;
+        }
+        if let Some(pending) = &mut self.pending {
+            pending.stage = Stage::Storing;
+            let version = pending.update.version();
+            self.effects.push(Effect::Store(version));
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.pending.as_ref().is_some_and(Pending::is_in_progress)
     }
 
     /// Time since the version in force was last known to be the newest.
@@ -339,7 +271,7 @@
     }
 
     fn on_delta(&mut self, delta: Delta) {
-        if self.pending.is_some() {
+        if self.is_busy() {
             self.counters.busy += 1;
         } else if delta.to <= self.version {
             self.counters.stale += 1;
@@ -354,12 +286,12 @@
         } else if let Err(reason) = self.state.validate(&delta) {
             self.on_divergence(delta.to, reason);
         } else {
-            self.begin_apply(PendingUpdate::Delta(delta));
+            self.begin_update(PendingUpdate::Delta(delta));
         }
     }
 
     fn on_snapshot_chunk(&mut self, chunk: &SnapshotChunk) {
-        if self.pending.is_some() {
+        if self.is_busy() {
             self.counters.busy += 1;
             return;
         }
@@ -384,7 +316,7 @@
             self.counters.stale += 1;
         }
         if download.is_complete() {
-            self.finish_download(&download);
+            self.finish_download(download);
             return;
         }
         let progress = download.progress();
@@ -414,13 +346,18 @@
         Some(SnapshotDownload::new(chunk, length))
     }
 
-    fn finish_download(&mut self, download: &SnapshotDownload) {
+    fn finish_download(&mut self, download: SnapshotDownload) {
         match snapshot::decode(download.bytes()) {
             Ok(DecodedSnapshot { version, state })
                 if (version, state.digest()) == (download.version(), download.digest()) =>
             {
                 self.send(ClientMessage::SnapshotProgress(download.progress()));
-                self.begin_apply(PendingUpdate::Snapshot { version, state });
+                let compressed = download.into_bytes().into();
+                self.begin_update(PendingUpdate::Snapshot {
+                    version,
+                    state,
+                    compressed,
+                });
             }
             Ok(_) => self.on_divergence(download.version(), UpdateError::DigestMismatch),
             Err(reason) => self.on_divergence(download.version(), reason),
@@ -442,20 +379,54 @@
         }));
     }
 
-    fn begin_apply(&mut self, update: PendingUpdate) {
-        let version = update.version();
-        self.effects.push(Effect::Apply(version));
+    fn begin_update(&mut self, update: PendingUpdate) {
+        let (version, digest) = (update.version(), update.digest());
+        let (effect, stage) = if self.has_storage && !is_planted(PlantedBug::UnstoredAck) {
+            (Effect::Store(version), Stage::Storing)
+        } else {
+            (Effect::Apply(version), Stage::Applying)
+        };
+        self.effects.push(effect);
         if is_planted(PlantedBug::EarlyAck) {
-            let digest = update.digest();
             self.send(ClientMessage::Ack(Ack { version, digest }));
         }
-        self.pending = Some(update);
+        self.pending = Some(Pending::new(update, stage));
     }
 
-    /// The driver applied the pending update to `version`: decisions are based on it from now on. Does nothing if
+    /// The pending update to `version` is durable, and is applied next. Does nothing if another update is pending, or
+    /// none.
+    pub fn on_stored(&mut self, version: u64) {
+        let pending = self.pending.as_mut();
+        let Some(pending) = pending.filter(|pending| pending.is_at(version, Stage::Storing)) else {
+            return;
+        };
+        pending.stage = Stage::Applying;
+        self.effects.push(Effect::Event(Event::Stored { version }));
+        self.effects.push(Effect::Apply(version));
+    }
+
+    /// The driver could not write the pending update to `version`. It is not applied: after a crash it could be lost.
+    /// The server is told once; the write is retried. `reason` is truncated to [`MAX_REASON_BYTES`]. Does nothing if
     /// another update is pending, or none.
+    pub fn on_store_failed(&mut self, now: Duration, version: u64, reason: &str) {
+        let pending = self.pending.as_mut();
+        let Some(pending) = pending.filter(|pending| pending.is_at(version, Stage::Storing)) else {
+            return;
+        };
+        let is_first_failure = pending.on_store_failed(now);
+        self.counters.failed_writes += 1;
+        let reason = truncated(reason);
+        if is_first_failure {
+            self.send_nack(version, reason.clone());
+        }
+        let event = Event::StoreFailed { version, reason };
+        self.effects.push(Effect::Event(event));
+    }
+
+    /// The driver applied the pending update to `version`: decisions are based on it from now on. Does nothing if
+    /// another update is being applied, or none.
     pub fn on_applied(&mut self, version: u64) {
-        let Some(update) = self.take_pending(version) else {
+        let Some(update) = self.take_applied(version) else {
             return;
         };
         match update {
@@ -481,24 +452,24 @@
     /// The driver could not apply the pending update to `version`; the version before stays in force. `reason` is
     /// truncated to [`MAX_REASON_BYTES`]. Does nothing if another update is pending, or none.
     pub fn on_rejected(&mut self, version: u64, reason: &str) {
-        if self.take_pending(version).is_none() {
+        if self.take_applied(version).is_none() {
             return;
         }
         self.counters.nacks += 1;
-        let reason = reason[..reason.floor_char_boundary(MAX_REASON_BYTES)].to_owned();
+        let reason = truncated(reason);
         self.effects.push(Effect::Event(Event::Rejected {
             version,
             reason: reason.clone(),
         }));
-        self.send(ClientMessage::Nack(Nack {
-            version,
-            reason,
-            current_version: self.version,
-        }));
+        self.send_nack(version, reason);
     }
 
-    fn take_pending(&mut self, version: u64) -> Option<PendingUpdate> {
-        self.pending.take_if(|update| update.version() == version)
+    /// Removes and returns the update to `version` if the driver is applying it.
+    fn take_applied(&mut self, version: u64) -> Option<PendingUpdate> {
+        let pending = self
+            .pending
+            .take_if(|pending| pending.is_at(version, Stage::Applying))?;
+        Some(pending.update)
     }
 
     /// Sends on the open link; without one, nothing is sent.
@@ -511,6 +482,14 @@
         self.effects.push(Effect::Send(frame));
     }
 
+    fn send_nack(&mut self, version: u64, reason: String) {
+        self.send(ClientMessage::Nack(Nack {
+            version,
+            reason,
+            current_version: self.version,
+        }));
+    }
+
     fn send_ack(&mut self) {
         self.send(ClientMessage::Ack(Ack {
             version: self.version,
@@ -518,3 +497,8 @@
         }));
     }
 }
+
+/// The reason of a rejection, as far as it is sent.
+fn truncated(reason: &str) -> String {
+    reason[..reason.floor_char_boundary(MAX_REASON_BYTES)].to_owned()
+}
--- a/crates/config-distribution/tests/subscriber.rs
+++ b/crates/config-distribution/tests/subscriber.rs
@@ -13,7 +13,7 @@
 use rainstand_config_distribution::delta::{merge, ConfigState};
 use rainstand_config_distribution::frames::{
     Ack, Attach, Attached, ClientMessage, Delta, Nack, Ping, ResyncReason, ResyncRequest,
-    ServerMessage,
+    ServerMessage, SnapshotChunk,
 };
 use rainstand_config_distribution::subscriber::{
     Effect, PendingUpdate, Subscriber, SERVER_STALE_AFTER, SERVER_TIMEOUT,
@@ -201,3 +201,186 @@
         );
     }
 }
+
+/// A subscriber at version 3 that stores versions, on an open link, and the deltas to the versions 1 to 6.
+fn storing_subscriber_at_version_3() -> (Subscriber, Vec<Delta>) {
+    let (plain, deltas) = subscriber_at_version_3();
+    let state = plain.state().clone();
+    let mut subscriber =
+        Subscriber::with_version(NOW, identity("n", "r", "z"), 3, state).with_durable_storage();
+    subscriber.on_connected(NOW);
+    sent_messages(&mut subscriber);
+    (subscriber, deltas)
+}
+
+/// The versions that the subscriber acknowledged, and what it asked the driver to do, since the last call.
+fn acks_and_work(subscriber: &mut Subscriber) -> (Vec<u64>, Vec<Effect>) {
+    let (mut acks, mut work) = (Vec::new(), Vec::new());
+    for effect in subscriber.take_effects().collect::<Vec<_>>() {
+        match effect {
+            Effect::Send(frame) => match ClientMessage::from_frame(frame).unwrap() {
+                ClientMessage::Ack(ack) => acks.push(ack.version),
+                ClientMessage::Nack(_) => {}
+                other => panic!("{other:?}"),
+            },
+            Effect::Store(_) | Effect::Apply(_) => work.push(effect),
+            _ => {}
+        }
+    }
+    (acks, work)
+}
+
+fn ping() -> bytes::Bytes {
+    ServerMessage::Ping(Ping {
+        version: 6,
+        age_ms: 0,
+    })
+    .into_frame()
+}
+
+/// Guards against an acknowledgement of a version that a crash could still undo: nothing that happens while a version is
+/// being written lets it be applied or acknowledged.
+#[test]
+fn version_is_applied_and_acknowledged_only_after_it_is_stored() {
+    type Meanwhile = fn(&mut Subscriber, &[Delta]);
+    let cases: [(&str, Meanwhile); 6] = [
+        ("nothing", |_, _| {}),
+        ("a ping", |subscriber, _| subscriber.on_frame(NOW, ping())),
+        ("the same delta again", |subscriber, deltas| {
+            subscriber.on_frame(NOW, ServerMessage::Delta(deltas[3].clone()).into_frame());
+        }),
+        ("a delta to a newer version", |subscriber, deltas| {
+            let newer = merge(&deltas[3], &deltas[4]).unwrap();
+            subscriber.on_frame(NOW, ServerMessage::Delta(newer).into_frame());
+        }),
+        ("a new link", |subscriber, _| {
+            subscriber.on_link_closed();
+            subscriber.on_connected(NOW);
+            let attach = sent_messages(subscriber);
+            assert!(matches!(
+                &attach[..],
+                [ClientMessage::Attach(Attach { version: 3, .. })]
+            ));
+        }),
+        ("a report that it was applied", |subscriber, _| {
+            subscriber.on_applied(4);
+        }),
+    ];
+    for (meanwhile, play) in cases {
+        let (mut subscriber, deltas) = storing_subscriber_at_version_3();
+        subscriber.on_frame(NOW, ServerMessage::Delta(deltas[3].clone()).into_frame());
+        assert_eq!(
+            acks_and_work(&mut subscriber),
+            (vec![], vec![Effect::Store(4)]),
+            "{meanwhile}"
+        );
+        play(&mut subscriber, &deltas);
+        let (acks, work) = acks_and_work(&mut subscriber);
+        assert!(acks.iter().all(|version| *version == 3), "{meanwhile}");
+        assert_eq!((work, subscriber.version()), (vec![], 3), "{meanwhile}");
+        subscriber.on_stored(4);
+        assert_eq!(
+            acks_and_work(&mut subscriber),
+            (vec![], vec![Effect::Apply(4)]),
+            "{meanwhile}"
+        );
+        subscriber.on_applied(4);
+        let (acks, _) = acks_and_work(&mut subscriber);
+        assert_eq!((acks, subscriber.version()), (vec![4], 4), "{meanwhile}");
+    }
+}
+
+/// Guards against a version in force that is not on disk because the disk was full: the last good version stays in force,
+/// the server is told why, and the version is applied without further messages once it can be stored.
+#[test]
+fn version_that_cannot_be_stored_is_rejected_and_stored_later() {
+    let (mut subscriber, deltas) = storing_subscriber_at_version_3();
+    subscriber.on_frame(NOW, ServerMessage::Delta(deltas[3].clone()).into_frame());
+    sent_messages(&mut subscriber);
+    subscriber.on_store_failed(NOW, 4, "no space");
+    assert_eq!(
+        sent_messages(&mut subscriber),
+        [ClientMessage::Nack(Nack {
+            version: 4,
+            reason: "no space".into(),
+            current_version: 3
+        })]
+    );
+    // Later failures are not reported again, and the delays between the attempts grow to an upper bound.
+    let mut now = NOW;
+    let mut delays = Vec::new();
+    for _ in 0..7 {
+        let retry_at = subscriber.store_retry_at().unwrap();
+        delays.push((retry_at - now).as_secs());
+        subscriber.on_tick(retry_at - Duration::from_nanos(1));
+        assert_eq!(acks_and_work(&mut subscriber), (vec![], vec![]));
+        subscriber.on_tick(retry_at);
+        assert_eq!(
+            acks_and_work(&mut subscriber),
+            (vec![], vec![Effect::Store(4)])
+        );
+        now = retry_at;
+        subscriber.on_store_failed(now, 4, "no space");
+        assert!(sent_messages(&mut subscriber).is_empty());
+    }
+    assert_eq!(delays, [1, 2, 4, 8, 16, 16, 16]);
+    assert_eq!(subscriber.version(), 3);
+    subscriber.on_tick(subscriber.store_retry_at().unwrap());
+    subscriber.on_stored(4);
+    subscriber.on_applied(4);
+    let (acks, _) = acks_and_work(&mut subscriber);
+    assert_eq!((acks, subscriber.version()), (vec![4], 4));
+    assert_eq!(subscriber.counters().failed_writes, 8);
+
+    // A newer version replaces one that could not be stored.
+    subscriber.on_frame(NOW, ServerMessage::Delta(deltas[4].clone()).into_frame());
+    subscriber.on_store_failed(now, 5, "no space");
+    let newer = merge(&deltas[4], &deltas[5]).unwrap();
+    subscriber.on_frame(now, ServerMessage::Delta(newer).into_frame());
+    subscriber.on_stored(5);
+    assert_eq!(
+        acks_and_work(&mut subscriber).1,
+        [Effect::Store(5), Effect::Store(6)],
+        "the write of version 5 has failed"
+    );
+    subscriber.on_stored(6);
+    subscriber.on_applied(6);
+    let (acks, _) = acks_and_work(&mut subscriber);
+    assert_eq!((acks, subscriber.version()), (vec![6], 6));
+}
+
+/// A config server that is behind leads no subscriber back, whatever it sends.
+#[test]
+fn server_that_is_behind_does_not_change_the_version_in_force() {
+    let (mut subscriber, deltas) = storing_subscriber_at_version_3();
+    let mut older = ConfigState::default();
+    deltas[..2]
+        .iter()
+        .for_each(|delta| older.apply(delta).unwrap());
+    let compressed = rainstand_config_distribution::snapshot::encode(2, &older).unwrap();
+    let chunk = SnapshotChunk {
+        version: 2,
+        digest: older.digest(),
+        offset: 0,
+        length: compressed.len() as u64,
+        bytes: compressed.into(),
+    };
+    let attached = Attached {
+        version: 2,
+        age_ms: 0,
+    };
+    for message in [
+        ServerMessage::Attached(attached),
+        ServerMessage::Delta(deltas[1].clone()),
+        ServerMessage::SnapshotChunk(chunk),
+        ServerMessage::Ping(Ping {
+            version: 2,
+            age_ms: 0,
+        }),
+    ] {
+        subscriber.on_frame(NOW, message.into_frame());
+        let (acks, work) = acks_and_work(&mut subscriber);
+        assert!(acks.iter().all(|version| *version == 3));
+        assert_eq!((work, subscriber.version()), (vec![], 3));
+    }
+}
--- a/crates/config-distribution/tests/virtual_clock/main.rs
+++ b/crates/config-distribution/tests/virtual_clock/main.rs
@@ -2,8 +2,9 @@
 //! of an earlier link, restarts of both sides, partitioned regions, and the failure of all servers. `SEEDS` is the number
 //! of seeds that are run, `FIRST` the first of them.
 //!
-//! Invariants that hold at each step: no version goes back, none is applied in part, none is acknowledged before it is in
-//! force, and the bytes in flight to one subscriber and the attachments to one server stay within their limits. After
+//! Invariants that hold at each step: no version goes back, also at a restart of a process with a disk; none is applied in
+//! part; none is acknowledged before it is in force and stored; and the bytes in flight to one subscriber and the
+//! attachments to one server stay within their limits. After
 //! the faults, all processes hold the newest version with its digest within a bounded time.
 
 #![allow(
@@ -35,6 +36,7 @@
         all.divergences += summary.divergences;
         all.gaps += summary.gaps;
         all.rejections += summary.rejections;
+        all.failed_writes += summary.failed_writes;
         all.resumed_transfers += summary.resumed_transfers;
         all.max_excess_bytes = all.max_excess_bytes.max(summary.max_excess_bytes);
         all.max_dials = all.max_dials.max(summary.max_dials);
@@ -47,6 +49,7 @@
             && all.divergences > 0
             && all.gaps > 0
             && all.rejections > 0
+            && all.failed_writes > 0
             && all.resumed_transfers > 0,
         "{all:?}"
     );
@@ -62,6 +65,7 @@
         PlantedBug::DigestIgnored => "in force in part",
         PlantedBug::EarlyAck => "confirmed before it was in force",
         PlantedBug::NoJitter => "came to one server",
+        PlantedBug::UnstoredAck => "confirmed before it was stored",
     };
     for bug in PlantedBug::ALL {
         let mut found = None;
--- a/crates/config-distribution/tests/virtual_clock/world/mod.rs
+++ b/crates/config-distribution/tests/virtual_clock/world/mod.rs
@@ -62,6 +62,13 @@
     /// Both ends notice that the link ended.
     LinkEnded(usize),
     CheckServer(usize, u32),
+    /// The write of a version ended.
+    Written {
+        process: usize,
+        incarnation: u32,
+        version: u64,
+    },
+    CheckWrites(usize, u32),
     Applied {
         process: usize,
         incarnation: u32,
@@ -116,7 +123,11 @@
     attached: bool,
     /// The last update that arrived on a link.
     previous_update: Option<Bytes>,
+    /// The version on its disk, which a restart begins with.
     disk: Option<Vec<u8>>,
+    disk_version: u64,
+    /// The version on its disk before, which a rejection of the newest brings back.
+    previous_disk: Option<Vec<u8>>,
     has_disk: bool,
     slow: bool,
 }
@@ -139,6 +150,7 @@
     pub divergences: u64,
     pub gaps: u64,
     pub rejections: u64,
+    pub failed_writes: u64,
     pub resumed_transfers: u64,
     pub max_excess_bytes: usize,
     pub max_dials: usize,
@@ -177,6 +189,22 @@
     }
 }
 
+/// A subscriber with a version that is in force already; one with a disk stores each version there.
+fn new_subscriber(
+    now: Duration,
+    identity: &NodeIdentity,
+    in_force: DecodedSnapshot,
+    has_disk: bool,
+) -> Subscriber {
+    let DecodedSnapshot { version, state } = in_force;
+    let subscriber = Subscriber::with_version(now, identity.clone(), version, state);
+    if has_disk {
+        subscriber.with_durable_storage()
+    } else {
+        subscriber
+    }
+}
+
 fn first_configuration() -> Configuration {
     let tenant = |k: u64| schema::Tenant {
         name: format!("t{k}"),
@@ -264,8 +292,14 @@
             let identity = identity(format!("node-{k}"), k);
             let policy =
                 AttachmentPolicy::new(world.now, &identity, &world.names, seed ^ (k as u64) << 20);
+            let has_disk = k % 3 > 0;
             world.processes.push(Process {
-                subscriber: Subscriber::new(world.now, identity.clone()),
+                subscriber: new_subscriber(
+                    world.now,
+                    &identity,
+                    DecodedSnapshot::default(),
+                    has_disk,
+                ),
                 identity,
                 policy,
                 incarnation: 0,
@@ -274,10 +308,13 @@
                 attached: false,
                 previous_update: None,
                 disk: None,
-                has_disk: k % 3 > 0,
+                disk_version: 0,
+                previous_disk: None,
+                has_disk,
                 slow: k % 13 == 5,
             });
             world.schedule(ms(0), Operation::CheckServer(k, 0));
+            world.schedule(ms(0), Operation::CheckWrites(k, 0));
             world.dial_when_due(k);
         }
         world.plan();
--- a/crates/config-distribution/tests/virtual_clock/world/operations.rs
+++ b/crates/config-distribution/tests/virtual_clock/world/operations.rs
@@ -49,6 +49,20 @@
             } if self.processes[process].incarnation == incarnation => {
                 self.applied(process, version);
             }
+            Operation::Written {
+                process,
+                incarnation,
+                version,
+            } if self.processes[process].incarnation == incarnation => {
+                self.written(process, version);
+            }
+            Operation::CheckWrites(k, incarnation)
+                if self.processes[k].incarnation == incarnation =>
+            {
+                self.processes[k].subscriber.on_tick(self.now);
+                self.run_subscriber_effects(k);
+                self.schedule(ms(500), Operation::CheckWrites(k, incarnation));
+            }
             Operation::StopServer(k) => self.stop_server(k),
             Operation::StartServer(k) => self.start_server(k),
             Operation::RestartProcess(k) => self.restart(k),
--- a/crates/config-distribution/tests/virtual_clock/world/processes.rs
+++ b/crates/config-distribution/tests/virtual_clock/world/processes.rs
@@ -105,11 +105,29 @@
                     let holds = self.processes[k].subscriber.version();
                     if let Ok(ClientMessage::Ack(ack)) = ClientMessage::from_frame(frame.clone()) {
                         assert_eq!(ack.version, holds, "confirmed before it was in force");
+                        let process = &self.processes[k];
+                        assert!(
+                            !process.has_disk || ack.version <= process.disk_version,
+                            "confirmed before it was stored"
+                        );
                     }
                     if let Some(link) = self.processes[k].link {
                         self.transmit(link, frame, false);
                     }
                 }
+                Effect::Store(version) => {
+                    let slow = self.processes[k].slow && !self.faults_over;
+                    let wait = ms(self.rng.generate_range(1..if slow { 8_000 } else { 40 }));
+                    let incarnation = self.processes[k].incarnation;
+                    self.schedule(
+                        wait,
+                        Operation::Written {
+                            process: k,
+                            incarnation,
+                            version,
+                        },
+                    );
+                }
                 Effect::Apply(version) => {
                     let slow = self.processes[k].slow && !self.faults_over;
                     let wait = ms(self.rng.generate_range(1..if slow { 8_000 } else { 40 }));
@@ -136,12 +154,38 @@
                     Event::Gap { .. } => self.summary.gaps += 1,
                     Event::Rejected { .. } => self.summary.rejections += 1,
                     Event::Malformed => panic!("a frame that was sent could not be read"),
-                    Event::Applied { .. } => {}
+                    Event::StoreFailed { .. } => self.summary.failed_writes += 1,
+                    Event::Applied { .. } | Event::Stored { .. } => {}
                 },
             }
         }
     }
 
+    /// The driver wrote a version to the disk, or could not.
+    pub(super) fn written(&mut self, k: usize, version: u64) {
+        let fails = self.occurs_one_in(20);
+        let now = self.now;
+        let process = &mut self.processes[k];
+        let state = match process.subscriber.pending() {
+            Some(PendingUpdate::Snapshot { state, .. }) => state.clone(),
+            Some(PendingUpdate::Delta(delta)) => {
+                let mut state = process.subscriber.state().clone();
+                state.apply(delta).expect("validated");
+                state
+            }
+            None => panic!("nothing was to be written"),
+        };
+        if fails {
+            process.subscriber.on_store_failed(now, version, "no space");
+        } else {
+            process.previous_disk = process.disk.take();
+            process.disk = Some(snapshot::encode(version, &state).expect("small"));
+            process.disk_version = version;
+            process.subscriber.on_stored(version);
+        }
+        self.run_subscriber_effects(k);
+    }
+
     /// The driver applied a version, or rejects it.
     pub(super) fn applied(&mut self, k: usize, version: u64) {
         let process = &mut self.processes[k];
@@ -152,6 +196,9 @@
         if self.rejected_versions.contains(&version) && k.is_multiple_of(3) {
             process.subscriber.on_rejected(version, "not here");
             assert_eq!(process.subscriber.version(), version_before);
+            // A restart cannot apply it either, and begins with the version before.
+            process.disk = process.previous_disk.take();
+            process.disk_version = version_before;
         } else {
             process.subscriber.on_applied(version);
             let (version_after, state) = (process.subscriber.version(), process.subscriber.state());
@@ -165,9 +212,6 @@
             if self.rng.generate_range(0..4) == 0 {
                 assert!(state.verify_digest(), "in force in part: version {version}");
             }
-            if process.has_disk {
-                process.disk = Some(snapshot::encode(version_after, state).expect("small"));
-            }
         }
         self.run_subscriber_effects(k);
     }
@@ -181,7 +225,7 @@
         process.incarnation += 1;
         process.dialled = false;
         process.policy = AttachmentPolicy::new(now, &process.identity, &self.names, seed);
-        process.subscriber = match &process.disk {
+        let in_force = match &process.disk {
             Some(disk) => {
                 let DecodedSnapshot { version, state } = snapshot::decode(disk).expect("its own");
                 let state = if corrupt {
@@ -189,12 +233,18 @@
                 } else {
                     state
                 };
-                Subscriber::with_version(now, process.identity.clone(), version, state)
+                DecodedSnapshot { version, state }
             }
-            None => Subscriber::new(now, process.identity.clone()),
+            None => DecodedSnapshot::default(),
         };
+        assert!(
+            !process.has_disk || in_force.version >= process.subscriber.version(),
+            "a version that was in force is lost at a restart"
+        );
+        process.subscriber = new_subscriber(now, &process.identity, in_force, process.has_disk);
         let incarnation = process.incarnation;
         self.schedule(ms(0), Operation::CheckServer(k, incarnation));
+        self.schedule(ms(0), Operation::CheckWrites(k, incarnation));
         self.dial_when_due(k);
     }
 }
--- a/crates/forwarder/src/admin/reports.rs
+++ b/crates/forwarder/src/admin/reports.rs
@@ -83,6 +83,8 @@
     /// Versions that were rejected.
     #[serde(rename = "refusals")]
     pub rejected_versions: u64,
+    /// Failed attempts to store a version.
+    pub failed_writes: u64,
     /// Versions whose local state differed from the published one.
     #[serde(rename = "differs")]
     pub divergences: u64,
--- a/crates/forwarder/src/observability/totals.rs
+++ b/crates/forwarder/src/observability/totals.rs
@@ -20,7 +20,7 @@
 }
 
 /// All metrics without labels, in output order.
-pub(super) const TOTALS: [Total; 19] = [
+pub(super) const TOTALS: [Total; 20] = [
     total(
         "tickets_in_hand",
         "Tickets without an answer yet",
@@ -106,6 +106,11 @@
     total("control_refused", "Versions refused here", |context| {
         read_config_source(context, |source| source.rejected_versions)
     }),
+    total(
+        "control_write_failures",
+        "Failed attempts to store a version",
+        |context| read_config_source(context, |source| source.failed_writes),
+    ),
 ];
 
 /// A value of the subscription to the config servers; 0 if there is none.
--- a/crates/storage/src/faulty_disk.rs
+++ b/crates/storage/src/faulty_disk.rs
@@ -212,6 +212,13 @@
         state.ensure_available()?;
         let file = state.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
         state.files.insert(to.to_owned(), file);
+        // The name is durable, the bytes are not unless they were flushed.
+        state.unflushed.retain(|unflushed| unflushed != to);
+        for unflushed in &mut state.unflushed {
+            if unflushed == from {
+                to.clone_into(unflushed);
+            }
+        }
         Ok(())
     }
 
--- a/crates/testbed/src/scale/control/links.rs
+++ b/crates/testbed/src/scale/control/links.rs
@@ -175,7 +175,8 @@
                     self.dial_when_due(node);
                 }
                 subscriber::Effect::Close => self.on_link_lost(node),
-                subscriber::Effect::Event(_) => {}
+                // These subscribers have no storage, so that there is nothing to store.
+                subscriber::Effect::Store(_) | subscriber::Effect::Event(_) => {}
             }
         }
     }
