Routing: no further attempt at a member whose process has ended since the first

Cause: the home of a key was an address. That a process ended there was recorded, but only new requests were checked against it; a retry went to the address.

Change: a request remembers its home and when it was first sent there. As soon as the outcome of an attempt is known, and again before each retry, process_hold asks whether a process ended there. A request that may have run is failed at once; one that did not is rejected until its window is over. What is recorded is kept for the longest latency objective too, as a retry may come after the window.

Why it works: no attempt is sent to an address where a process is known to have ended since the first one, in whatever order end, outcome and retry are seen.

--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -66,6 +66,14 @@
     stalled_before: Duration,
 }
 
+/// The member that is the home of a request's key.
+#[derive(Debug)]
+struct KeyHome {
+    address: Rc<str>,
+    /// When the first attempt was sent there.
+    first_sent_at: Duration,
+}
+
 /// An admitted request. It must be passed back to [`Fleet::on_attempt_outcome`] or [`Fleet::on_retry_due`]: if it is
 /// dropped, its places are never released.
 #[must_use = "a dropped request state never releases its places"]
@@ -78,8 +86,10 @@
     entity: Box<str>,
     /// Its idempotency key; empty if repeats are not recognized by a key.
     key: Box<str>,
-    /// The address of the member that its attempts go to, once one was sent to the home of its key.
-    home: Option<Rc<str>>,
+    /// The home of its key, once an attempt was sent there: all attempts go to it.
+    home: Option<KeyHome>,
+    /// How long after an attempt a repeat of it may come.
+    window: Duration,
     repeat: RepeatKind,
     /// Whether it arrived marked as a retry.
     is_retry: bool,
@@ -138,8 +148,8 @@
     /// Selection weights of the members of one pool; a field only to reuse its memory.
     weights: Vec<f64>,
     key_history: PlacementHistory,
-    /// The longest window of any class of any version so far.
-    longest_window: Duration,
+    /// How long moves of keys matter to any class of any version so far.
+    key_retention: Duration,
 }
 
 /// The retry plan of each route: from the route's own policy, else from that of its first pool.
@@ -206,7 +216,7 @@
         let mut phases = WyRand::new_seed(seed ^ PHASES_SEED);
         let router = Router::from_owned(configuration, seed)?;
         let pools = new_pools(router.table().configuration(), zone, &mut phases, now);
-        let longest_window = keyed::longest_window(router.table().configuration());
+        let key_retention = keyed::key_retention(router.table().configuration());
         Ok(Self {
             retry_plans: retry_plans(router.table()).collect(),
             shares: tenant_shares(router.table().configuration()),
@@ -227,7 +237,7 @@
             selection_policy: SelectionPolicy::default(),
             weights: Vec::new(),
             key_history: PlacementHistory::default(),
-            longest_window,
+            key_retention,
         })
     }
 
@@ -376,6 +386,7 @@
             entity: request.entity.into(),
             key: request.key.into(),
             home: None,
+            window: Duration::from_nanos(self.table().configuration().types[class].window_ns),
             repeat: self.table().configuration().types[class].repeat(),
             is_retry: request.is_retry,
             policy: plan.policy,
--- a/crates/routing/src/fleet/attempts.rs
+++ b/crates/routing/src/fleet/attempts.rs
@@ -6,7 +6,7 @@
 use super::types::{
     Attempt, AttemptOutcome, Completed, MemberRef, MemberStatusChange, NextAction, RequestOutcome,
 };
-use super::{Fleet, RequestState, SentAttempt, DRAINING_WEIGHT};
+use super::{Fleet, KeyHome, RequestState, SentAttempt, DRAINING_WEIGHT};
 use crate::decision_log::{Decision, DecisionOutcome, SkipReason};
 use crate::key_placement::KeyHomes;
 use crate::member_selection::{self, SelectionReason};
@@ -77,7 +77,10 @@
     pub fn on_retry_due(&mut self, now: Duration, request: RequestState) -> NextAction {
         self.on_turn(now);
         self.counts.retries += 1;
-        self.dispatch(now, request)
+        match self.process_hold(now, &request) {
+            Some(hold) => self.end_held(now, request, hold),
+            None => self.dispatch(now, request),
+        }
     }
 
     /// Index of the request's pool in the current version.
@@ -263,7 +266,10 @@
         }
         let address = pool.addresses[index].clone();
         if !request.key.is_empty() && pool.key_homes != KeyHomes::Shared {
-            request.home = Some(address.clone());
+            request.home.get_or_insert(KeyHome {
+                address: address.clone(),
+                first_sent_at: now,
+            });
         }
         request.last_attempt = Some(SentAttempt {
             member: to,
@@ -305,6 +311,9 @@
             }
         };
         request.may_have_run |= result == AttemptResult::MayHaveRun;
+        if let Some(hold) = self.process_hold(now, &request) {
+            return self.end_held(now, request, hold);
+        }
         let context = request.retry_context(now, typical_duration);
         let (budget, random) = (&mut self.budget, &mut self.random);
         match retry::next(&context, result, &request.policy, budget, random) {
--- a/crates/routing/src/fleet/keyed.rs
+++ b/crates/routing/src/fleet/keyed.rs
@@ -3,8 +3,9 @@
 use super::types::{MemberRef, NextAction, RequestOutcome};
 use super::{Fleet, RequestState};
 use crate::decision_log::{Decision, DecisionOutcome, SkipReason};
-use crate::key_placement::{KeyHomes, KeyedRequest};
+use crate::key_placement::{hold_end, KeyHomes, KeyedRequest};
 use crate::outcome_reason::OutcomeReason;
+use crate::retry::NoRetryReason;
 use crate::retry_after::with_jitter;
 use crate::router::RouteDecision;
 use crate::table::Request;
@@ -56,10 +57,21 @@
     old.repeat() != RepeatKind::Ticketed && new.repeat() == RepeatKind::Ticketed
 }
 
-/// The longest window of all classes.
-pub(super) fn longest_window(configuration: &Configuration) -> Duration {
-    let windows = configuration.types.iter().map(|class| class.window_ns);
-    Duration::from_nanos(windows.max().unwrap_or_default())
+/// How long a move of keys matters: for the longest window of any class, and for the latency objective of a request that
+/// may have run before.
+pub(super) fn key_retention(configuration: &Configuration) -> Duration {
+    let retention = |class: &TrafficType| class.window_ns.max(class.goal_ns);
+    let longest = configuration.types.iter().map(retention).max();
+    Duration::from_nanos(longest.unwrap_or_default())
+}
+
+/// Why a request gets no further attempt at the home of its key: another process may be there now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProcessHold {
+    /// The request may have run at a process that has ended.
+    MayHaveRun,
+    /// It did not run itself, but it may be the repeat of one that did, until this time.
+    Until(Duration),
 }
 
 impl Fleet {
@@ -83,7 +95,10 @@
         }
         let of_pool = &self.pools[usize::from(pool)];
         let position = match (&request.home, &of_pool.key_homes) {
-            (Some(home), _) => of_pool.addresses.iter().position(|at| at == home),
+            (Some(home), _) => {
+                let mut addresses = of_pool.addresses.iter();
+                addresses.position(|address| *address == home.address)
+            }
             (None, KeyHomes::Shared) => return EligibleMembers::Any,
             (None, homes) => homes.home(&request.key).and_then(|hash| {
                 let mut members = of_pool.members.iter();
@@ -163,7 +178,39 @@
         self.key_history.held_until(now, &keyed, unchanged_pool)
     }
 
-    /// Rejects an admitted request until its key is no longer held.
+    /// Whether a request must get no further attempt, as the process that it was sent to, or one before, has ended.
+    pub(super) fn process_hold(
+        &self,
+        now: Duration,
+        request: &RequestState,
+    ) -> Option<ProcessHold> {
+        let home = request.home.as_ref()?;
+        let lost_at = self.key_history.process_lost_at(name_hash(&home.address))?;
+        let until = hold_end(lost_at, request.window);
+        if request.may_have_run && (lost_at >= home.first_sent_at || until > now) {
+            return Some(ProcessHold::MayHaveRun);
+        }
+        (until > now).then_some(ProcessHold::Until(until))
+    }
+
+    /// Ends a request that gets no further attempt.
+    pub(super) fn end_held(
+        &mut self,
+        now: Duration,
+        request: RequestState,
+        hold: ProcessHold,
+    ) -> NextAction {
+        match hold {
+            ProcessHold::Until(until) => self.reject_held(now, request, until),
+            ProcessHold::MayHaveRun => {
+                self.counts.held_keys += 1;
+                let reason = OutcomeReason::Stopped(NoRetryReason::MayHaveRun);
+                self.complete(now, request, RequestOutcome::Failed, reason)
+            }
+        }
+    }
+
+    /// Rejects a request until its key is no longer held.
     pub(super) fn reject_held(
         &mut self,
         now: Duration,
@@ -241,7 +288,7 @@
     /// Records moves of keys by a version that was installed now.
     pub(super) fn record_key_moves(&mut self, moves: Vec<KeyMove>, now: Duration) {
         let configuration = self.router.table().configuration();
-        self.longest_window = self.longest_window.max(longest_window(configuration));
+        self.key_retention = self.key_retention.max(key_retention(configuration));
         for key_move in moves {
             match key_move {
                 KeyMove::Route { name, former } => {
--- a/crates/routing/src/fleet/membership.rs
+++ b/crates/routing/src/fleet/membership.rs
@@ -4,7 +4,10 @@
 use super::types::{MemberRef, MemberSnapshot, MemberStatusChange};
 use super::Fleet;
 use crate::health::{Health, MemberStatus, StatusChange};
+use crate::key_placement::KeyHomes;
 use crate::warm_up::WarmUpLimiter;
+use rainstand_config::schema::RepeatKind;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// How long a member that announced its shutdown gets no requests; by then it has stopped, or did not shut down.
@@ -31,6 +34,27 @@
         !self.members_at(address).is_empty()
     }
 
+    /// Whether the member at an address is the home of keys, so that it matters which process is there.
+    pub fn is_key_home(&self, address: &str) -> bool {
+        self.key_home_pools()
+            .any(|pool| pool.addresses.iter().any(|known| **known == *address))
+    }
+
+    /// The addresses of all members that are homes of keys; one that is in two pools comes twice.
+    pub fn key_home_addresses(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.key_home_pools().flat_map(|pool| &pool.addresses)
+    }
+
+    fn key_home_pools(&self) -> impl Iterator<Item = &Pool> {
+        let types = &self.table().configuration().types;
+        let has_keys = types
+            .iter()
+            .any(|class| class.repeat() == RepeatKind::Ticketed);
+        self.pools
+            .iter()
+            .filter(move |pool| has_keys && pool.key_homes != KeyHomes::Shared)
+    }
+
     /// Records that the member at an address restarted: its learned state is reset.
     pub fn on_restarted(&mut self, address: &str, now: Duration) {
         for member_ref in self.members_at(address) {
@@ -91,7 +115,7 @@
         self.on_turn(now);
         self.router.tick(now);
         self.pauses.retain(|_, until| *until > now);
-        self.key_history.expire(now, self.longest_window);
+        self.key_history.expire(now, self.key_retention);
         let mut all = std::mem::take(&mut self.status_changes);
         for (index, pool) in self.pools.iter_mut().enumerate() {
             let changes = pool
--- a/crates/routing/src/key_placement.rs
+++ b/crates/routing/src/key_placement.rs
@@ -14,6 +14,8 @@
 
 pub use history::{KeyedRequest, PlacementHistory};
 
+pub(crate) use history::hold_end;
+
 use crate::weighted_split::select_by_entity;
 
 /// A member that can be the home of keys.
--- a/crates/routing/src/key_placement/history.rs
+++ b/crates/routing/src/key_placement/history.rs
@@ -22,6 +22,11 @@
 /// Extends each window: attempts wait in sockets on their way to a member, which counts its window from their arrival.
 const WINDOW_MARGIN: Duration = Duration::from_millis(100);
 
+/// Until when keys that moved at `moved_at` are held.
+pub(crate) fn hold_end(moved_at: Duration, window: Duration) -> Duration {
+    moved_at + window + WINDOW_MARGIN
+}
+
 /// A value that was in force until `replaced_at`.
 #[derive(Clone, Debug)]
 struct Former<T> {
@@ -165,9 +170,9 @@
         let moved_at = self
             .pool_moved_at(request)
             .max(self.route_moved_at(request, unchanged_pool))
-            .max(self.process_lost_at(request))
+            .max(self.home_lost_at(request))
             .max(self.discarded_at);
-        let until = moved_at? + request.window + WINDOW_MARGIN;
+        let until = hold_end(moved_at?, request.window);
         (until > now).then_some(until)
     }
 
@@ -194,14 +199,20 @@
         by_former.map(|former| former.replaced_at).max(by_unchanged)
     }
 
-    fn process_lost_at(&self, request: &KeyedRequest<'_>) -> Option<Duration> {
+    fn home_lost_at(&self, request: &KeyedRequest<'_>) -> Option<Duration> {
         let home = request.homes.home(request.key)?;
         self.lost_processes.get(&home).copied()
     }
 
-    /// Drops what is older than `longest_window`, the longest window of any class.
-    pub fn expire(&mut self, now: Duration, longest_window: Duration) {
-        let is_recent = |at: Duration| at + longest_window + WINDOW_MARGIN > now;
+    /// When the process at an address, given by its hash, last ended; `None` if it did not end recently.
+    pub fn process_lost_at(&self, address_hash: u64) -> Option<Duration> {
+        let lost_at = self.lost_processes.get(&address_hash).copied();
+        lost_at.max(self.discarded_at)
+    }
+
+    /// Drops what happened longer ago than `retention`, the longest window of any class or more.
+    pub fn expire(&mut self, now: Duration, retention: Duration) {
+        let is_recent = |at: Duration| hold_end(at, retention) > now;
         self.pools.retain(|_, history| {
             history
                 .former
--- a/crates/routing/tests/key_placement.rs
+++ b/crates/routing/tests/key_placement.rs
@@ -215,6 +215,190 @@
     assert!(kept > 0 && removed > 0);
 }
 
+/// When the member's process ends, relative to an attempt that is sent at [`SENT_AT`] and retried at [`RETRY_AT`].
+#[derive(Clone, Copy, Debug)]
+enum ProcessEnds {
+    Never,
+    /// Before the outcome of the attempt is known.
+    BeforeOutcome,
+    /// During the backoff.
+    InBackoff,
+    /// The process of another member, at both times.
+    Elsewhere,
+}
+
+/// What the request comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// It is sent again to its home.
+    SentAgain,
+    Failed,
+    /// With the time from which its key is no longer held, at least.
+    RejectedUntil(Duration),
+}
+
+const SENT_AT: Duration = Duration::from_secs(1);
+const OUTCOME_AT: Duration = Duration::from_millis(1_100);
+const RETRY_AT: Duration = Duration::from_millis(1_600);
+
+/// Plays a request whose first attempt ends in this way and whose retry is due at `retry_at`.
+fn play_retry(outcome: AttemptOutcome, ends: ProcessEnds, retry_at: Duration) -> (Ending, u64) {
+    let marked = "attempts a { tries: 3; budget: 100 %; wait: 500 ms .. 500 ms; proof: mark }";
+    let members: String = [0, 1, 2].iter().map(|index| member(*index, 1)).collect();
+    let configuration = parse(&format!(
+        "{marked}\npool p {{ {members} }}\nroute r {{ to: p; attempts: a }}"
+    ));
+    let mut fleet = new_fleet(&configuration, 1);
+    let NextAction::Dispatch(state, attempt) =
+        fleet.on_arrival(SENT_AT, &request(&fleet, "key-0", false))
+    else {
+        panic!("not sent")
+    };
+    let home = fleet.address(attempt.to).to_string();
+    let other = (0..3).map(address).find(|other| *other != home).unwrap();
+    let lose = |fleet: &mut Fleet, lost: &str, at: Duration| {
+        fleet.on_process_lost(lost, at);
+        fleet.tick(at);
+    };
+    match ends {
+        ProcessEnds::BeforeOutcome => lose(&mut fleet, &home, OUTCOME_AT),
+        ProcessEnds::Elsewhere => lose(&mut fleet, &other, OUTCOME_AT),
+        ProcessEnds::Never | ProcessEnds::InBackoff => {}
+    }
+    let mut next = fleet.on_attempt_outcome(OUTCOME_AT, state, outcome);
+    if let NextAction::Backoff(state, _) = next {
+        match ends {
+            ProcessEnds::InBackoff => lose(&mut fleet, &home, RETRY_AT),
+            ProcessEnds::Elsewhere => lose(&mut fleet, &other, RETRY_AT),
+            ProcessEnds::Never | ProcessEnds::BeforeOutcome => {}
+        }
+        fleet.tick(retry_at);
+        next = fleet.on_retry_due(retry_at, state);
+    }
+    let now = if matches!(ends, ProcessEnds::BeforeOutcome) {
+        OUTCOME_AT
+    } else {
+        retry_at
+    };
+    let ending = match next {
+        NextAction::Dispatch(state, attempt) => {
+            assert_eq!(*home, **fleet.address(attempt.to));
+            let _ = fleet.on_attempt_outcome(retry_at, state, AttemptOutcome::Served);
+            Ending::SentAgain
+        }
+        NextAction::Completed(completed) => match completed.outcome {
+            RequestOutcome::Failed => Ending::Failed,
+            RequestOutcome::Rejected { after, .. } => Ending::RejectedUntil(now + after),
+            other => panic!("{other:?}"),
+        },
+        NextAction::Backoff(..) => panic!("a second backoff"),
+    };
+    (ending, fleet.counts().held_keys)
+}
+
+/// Guards against a further attempt of the forwarder's own at the next process of the home, which does not know what the
+/// one before ran: for each outcome of an attempt and each time at which the process can end.
+#[test]
+fn further_attempt_goes_to_no_later_process_of_the_home() {
+    let not_run = [
+        AttemptOutcome::Unreachable,
+        AttemptOutcome::Rejected {
+            pause: Duration::ZERO,
+            nowhere_else: false,
+        },
+    ];
+    let may_have_run = [
+        AttemptOutcome::Broken,
+        AttemptOutcome::TimedOut,
+        AttemptOutcome::Failed,
+    ];
+    let outcomes = not_run.iter().chain(&may_have_run);
+    for outcome in outcomes {
+        for ends in [ProcessEnds::Never, ProcessEnds::Elsewhere] {
+            let played = play_retry(*outcome, ends, RETRY_AT);
+            assert_eq!(played, (Ending::SentAgain, 0), "{outcome:?}, {ends:?}");
+        }
+        for (ends, lost_at) in [
+            (ProcessEnds::BeforeOutcome, OUTCOME_AT),
+            (ProcessEnds::InBackoff, RETRY_AT),
+        ] {
+            let (ending, held) = play_retry(*outcome, ends, RETRY_AT);
+            assert_eq!(held, 1, "{outcome:?}, {ends:?}");
+            match ending {
+                // It did not run, but it may be the repeat of one that did.
+                Ending::RejectedUntil(until) => {
+                    assert!(not_run.contains(outcome), "{outcome:?}, {ends:?}");
+                    assert!(until > lost_at + WINDOW, "{outcome:?}, {ends:?}");
+                }
+                ending => {
+                    assert_eq!(ending, Ending::Failed, "{outcome:?}, {ends:?}");
+                    assert!(may_have_run.contains(outcome), "{outcome:?}, {ends:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against a second run by a retry that comes after the class's window: one that may have run is bound to its
+/// process for as long as it is in flight, one that did not is free once no repeat can come.
+#[test]
+fn late_further_attempt_is_bound_to_its_process_if_it_may_have_run() {
+    let marked = "attempts a { tries: 3; budget: 100 %; wait: 1 ms .. 1 ms; proof: mark }";
+    for (outcome, is_sent_again) in [
+        (AttemptOutcome::TimedOut, false),
+        (AttemptOutcome::Unreachable, true),
+    ] {
+        let mut configuration = parse(&format!(
+            "{marked}\npool p {{ {} }}\nroute r {{ to: p; attempts: a }}",
+            member(0, 1)
+        ));
+        for class in &mut configuration.types {
+            class.window_ns = Duration::from_secs(1).as_nanos() as u64;
+            class.goal_ns = Duration::from_secs(30).as_nanos() as u64;
+        }
+        let mut fleet = new_fleet(&configuration, 1);
+        let arrived = Duration::from_secs(1);
+        let NextAction::Dispatch(state, _) =
+            fleet.on_arrival(arrived, &request(&fleet, "key-0", false))
+        else {
+            panic!("not sent")
+        };
+        let NextAction::Backoff(state, _) = fleet.on_attempt_outcome(arrived, state, outcome)
+        else {
+            panic!("not retried")
+        };
+        fleet.on_process_lost(&address(0), arrived);
+        let late = arrived + Duration::from_secs(8);
+        fleet.tick(late);
+        let next = fleet.on_retry_due(late, state);
+        let was_sent_again = match next {
+            NextAction::Dispatch(state, _) => {
+                let _ = fleet.on_attempt_outcome(late, state, AttemptOutcome::Served);
+                true
+            }
+            NextAction::Completed(completed) => {
+                assert_eq!(completed.outcome, RequestOutcome::Failed);
+                false
+            }
+            NextAction::Backoff(..) => panic!("a second backoff"),
+        };
+        assert_eq!(was_sent_again, is_sent_again, "{outcome:?}");
+    }
+}
+
+/// Which process is at an address matters only to members that recognize the repeats of their own requests alone.
+#[test]
+fn key_homes_are_members_that_do_not_share_their_keys() {
+    let [own, shared] = ["keys: own", "keys: shared"].map(|keys| {
+        let pool = format!("pool p {{ {keys}\n{} }}\nroute r {{ to: p }}", member(0, 1));
+        new_fleet(&parse(&pool), 1)
+    });
+    assert!(own.is_key_home(&address(0)) && !own.is_key_home(&address(1)));
+    assert_eq!(own.key_home_addresses().count(), 1);
+    assert!(!shared.is_key_home(&address(0)));
+    assert_eq!(shared.key_home_addresses().count(), 0);
+}
+
 #[test]
 fn lost_process_holds_only_the_keys_of_its_member() {
     let mut fleet = new_fleet(&one_pool(&[0, 1, 2]), 1);
