Forwarder: homes of keys are watched, and queued attempts keep to their process

Cause: which process is at an address followed from the connections that requests happened to use. With none open, another process was taken for the one before.

Evidence: forwarder_without_requests_sees_that_a_member_restarted and queued_attempt_does_not_reach_a_process_that_came_later failed on, the first as there was no connection to wait for, the second by a second run.

Change: one connection without requests is kept open to each member that is the home of keys, and probed. Connected again with no other connection alive, a process is new from then on. An attempt at the home of its key is written only to the process that was there when it was queued. Whether a connection is alive is asked of the kernel, as the event loop learns of several ends one by one. Event process_lost, counter lost_processes.

Why it works: from its start on a forwarder has a connection that overlaps with each process, so that the next one cannot be taken for it. Tests force both orders in which a request and the end of the process can be seen.

--- a/crates/forwarder/src/observability/counters.rs
+++ b/crates/forwarder/src/observability/counters.rs
@@ -32,6 +32,8 @@
     pub unreadable_replies: Cell<u64>,
     /// Attempts that were not completely sent when their connection broke, and so certainly did not run.
     pub unsent_attempts: Cell<u64>,
+    /// Times at which another process may have come to be at a member's address.
+    pub lost_processes: Cell<u64>,
 }
 
 /// Increments a counter.
@@ -77,6 +79,7 @@
                 self.fleet.borrow().stalled().as_millis() as u64,
             ),
             ("unsent", sockets.unsent_attempts.get()),
+            ("lost_processes", sockets.lost_processes.get()),
         ];
         let fields = counters.map(|(name, value)| format!("{name}={value}"));
         fields.join(" ")
--- a/crates/forwarder/src/request_table/lifecycle.rs
+++ b/crates/forwarder/src/request_table/lifecycle.rs
@@ -195,6 +195,7 @@
             id,
             is_retry: attempt.is_retry,
             attempt_number: attempt.attempt_number,
+            is_at_key_home: attempt.selected_by == SelectionReason::KeyHome,
         };
         upstream::send_attempt(self, &address, outgoing);
     }
--- a/crates/forwarder/src/server.rs
+++ b/crates/forwarder/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::drain::drain;
 use crate::request_table::run_timers;
+use crate::upstream::watch_key_homes;
 use crate::{listener, ForwarderContext};
 use rainstand_routing::fleet::MemberStatusChange;
 use rainstand_routing::health::MemberStatus;
@@ -32,6 +33,7 @@
     spawn_local(listener::accept(context.clone(), listener));
     spawn_local(run_timers(context.clone()));
     spawn_local(evaluate_health(context.clone()));
+    spawn_local(watch_key_homes(context.clone()));
     context.fleet.borrow_mut().expect_turns(TURN_INTERVAL);
     spawn_local(report_turns(context.clone()));
     shutdown.await;
--- a/crates/forwarder/src/upstream.rs
+++ b/crates/forwarder/src/upstream.rs
@@ -8,17 +8,23 @@
 //! not affect this; after any other end, the process counts as no older than the oldest connection still open, and with
 //! none left its age is unknown ([`rainstand_routing::warm_up`]). Therefore the last connection is closed only when
 //! idle, not for its age.
+//!
+//! To a member that is the home of keys, one more connection is kept open ([`watch`]), so that the end of its process is
+//! seen whatever requests are sent. An attempt for the home of its key is written only to the process that was there when
+//! the attempt was queued.
 
 mod connection;
 mod frames;
 mod replies;
+mod watch;
 
 pub use frames::retry_trace;
+pub(crate) use watch::watch_key_homes;
 
 use crate::observability::increment;
 use crate::request_table::AttemptId;
 use crate::ForwarderContext;
-use connection::{run_connection, ConnectionEnd, UpstreamConnection};
+use connection::{run_connection, ConnectionEnd, ConnectionPurpose, UpstreamConnection};
 use foldhash::{HashMap, HashMapExt};
 use nanorand::{Rng, WyRand};
 use rainstand_protocol::thrift;
@@ -49,6 +55,8 @@
     pub(crate) is_retry: bool,
     /// Number of the attempt within its request, from 1.
     pub(crate) attempt_number: u32,
+    /// The member is the home of the request's key: the attempt is for the process that is there now, and no other.
+    pub(crate) is_at_key_home: bool,
 }
 
 /// Connections to all members, by address of the member.
@@ -65,6 +73,10 @@
     connect_failed_at: Cell<Option<Instant>>,
     /// It was reported to the routing that its process may have ended.
     is_lost: Cell<bool>,
+    /// Number of the process, as far as this forwarder can tell; a new one for each that may be there.
+    process: Cell<u64>,
+    /// Whether it has been connected before.
+    was_connected: Cell<bool>,
     /// It announced its shutdown, and all its connections were retired.
     is_draining: Cell<bool>,
     /// Since when it has had a connection without interruption, on the context's clock; `None` if it has none.
@@ -76,7 +88,7 @@
         let connections = self.connections.borrow();
         connections
             .iter()
-            .any(|other| !Rc::ptr_eq(other, connection) && other.is_connected())
+            .any(|other| !Rc::ptr_eq(other, connection) && other.is_alive())
     }
 
     /// Handles an established connection; the first one may be to a new process.
@@ -99,7 +111,7 @@
             .connections
             .borrow()
             .iter()
-            .filter(|connection| connection.is_connected())
+            .filter(|connection| connection.is_alive())
             .map(|connection| connection.connected_at())
             .min();
         let is_ended_by_member =
@@ -118,15 +130,29 @@
         }
     }
 
-    /// Handles the first sign, since it was connected, that the member's process may have ended. What it ran is not
-    /// recognized by the next process.
+    /// Handles the first sign, since it was connected, that the member's process may have ended.
     fn on_process_lost(&self, context: &ForwarderContext, address: &str) {
         if !self.is_lost.replace(true) {
-            let now = context.now();
-            context.fleet.borrow_mut().on_process_lost(address, now);
+            self.record_process_lost(context, address);
+        }
+    }
+
+    /// From now on another process may be there. What the one before ran is not recognized by the next.
+    fn record_process_lost(&self, context: &ForwarderContext, address: &str) {
+        self.process.set(self.process.get() + 1);
+        let now = context.now();
+        context.fleet.borrow_mut().on_process_lost(address, now);
+        increment(&context.counters.lost_processes);
+        if context.fleet.borrow().is_key_home(address) {
+            tracing::info!(event = "process_lost", member = address);
         }
     }
 
+    fn has_watch(&self) -> bool {
+        let connections = self.connections.borrow();
+        connections.iter().any(|connection| connection.is_watch())
+    }
+
     fn set_connected_since(
         &self,
         context: &ForwarderContext,
@@ -265,7 +291,9 @@
     let upstream = context.upstreams.get_or_insert(address);
     let connection = match upstream.connection_with_capacity() {
         Some(connection) => connection,
-        None if upstream.may_connect() => open_connection(context, &upstream, address),
+        None if upstream.may_connect() => {
+            open_connection(context, &upstream, address, ConnectionPurpose::Requests)
+        }
         None => {
             report_unreachable(context, attempt.id);
             return;
@@ -286,7 +314,8 @@
             }
         });
     if let Some(frame) = frame {
-        connection.send(sequence_number, attempt.id, &frame);
+        let process = attempt.is_at_key_home.then(|| upstream.process.get());
+        connection.send(sequence_number, attempt.id, process, &frame);
     }
 }
 
@@ -294,9 +323,10 @@
     context: &Rc<ForwarderContext>,
     upstream: &Rc<Upstream>,
     address: &Rc<str>,
+    purpose: ConnectionPurpose,
 ) -> Rc<UpstreamConnection> {
     let retire_at = context.upstreams.random_retire_at();
-    let connection = Rc::new(UpstreamConnection::new(retire_at));
+    let connection = Rc::new(UpstreamConnection::new(purpose, retire_at));
     upstream.connections.borrow_mut().push(connection.clone());
     spawn_local(run_connection(
         context.clone(),
--- a/crates/forwarder/src/upstream/connection.rs
+++ b/crates/forwarder/src/upstream/connection.rs
@@ -4,6 +4,7 @@
 //! was not sent completely, so it cannot have run.
 
 use super::replies::on_frame;
+use super::watch::{PROBE_INTERVAL, PROBE_TIMEOUT};
 use super::Upstream;
 use crate::connection_limits;
 use crate::observability::increment;
@@ -14,6 +15,7 @@
 use rainstand_protocol::ring::Ring;
 use rainstand_protocol::thrift;
 use rainstand_routing::fleet::AttemptOutcome;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::rc::Rc;
@@ -29,6 +31,15 @@
 /// Connecting takes no longer than this on a working network.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What a connection is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionPurpose {
+    /// Attempts are sent on it.
+    Requests,
+    /// It shows whether the member's process lives; only probes are sent on it.
+    Watch,
+}
+
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ConnectionEnd {
@@ -45,12 +56,15 @@
 /// An attempt that is queued or sent, and not answered.
 struct OpenAttempt {
     id: AttemptId,
+    /// The process that it is for; `None` if any may get it.
+    process: Option<u64>,
     /// End offset of its bytes among those queued on the connection, exclusive.
     end: u64,
 }
 
 /// A connection to a member. Its task does the writing, so that attempts queued together are sent together.
 pub(super) struct UpstreamConnection {
+    purpose: ConnectionPurpose,
     /// Unset while the connection is being opened.
     stream: OnceCell<TcpStream>,
     outbound: RefCell<Ring>,
@@ -73,8 +87,9 @@
 }
 
 impl UpstreamConnection {
-    pub(super) fn new(retire_at: Instant) -> Self {
+    pub(super) fn new(purpose: ConnectionPurpose, retire_at: Instant) -> Self {
         Self {
+            purpose,
             stream: OnceCell::new(),
             outbound: RefCell::default(),
             bytes_queued: Cell::new(0),
@@ -93,6 +108,15 @@
         self.stream.get().is_some()
     }
 
+    pub(super) fn is_watch(&self) -> bool {
+        self.purpose == ConnectionPurpose::Watch
+    }
+
+    /// Whether it is connected and the kernel has not received its end, which its task may not have handled yet.
+    pub(super) fn is_alive(&self) -> bool {
+        self.stream.get().is_some_and(|stream| !has_ended(stream))
+    }
+
     pub(super) fn connected_at(&self) -> Duration {
         self.connected_at.get()
     }
@@ -114,7 +138,8 @@
     }
 
     pub(super) fn has_capacity(&self) -> bool {
-        !self.is_retired()
+        !self.is_watch()
+            && !self.is_retired()
             && self.open_attempts() < MAX_PIPELINED_REQUESTS
             && Instant::now() < self.retire_at
     }
@@ -133,12 +158,31 @@
         self.next_sequence_number.replace(next + 1)
     }
 
-    /// Queues the call of an attempt.
-    pub(super) fn send(&self, sequence_number: i32, id: AttemptId, frame: &[u8]) {
+    /// Queues the call of an attempt; `process` is the one that it is for, if it must be one.
+    pub(super) fn send(
+        &self,
+        sequence_number: i32,
+        id: AttemptId,
+        process: Option<u64>,
+        frame: &[u8],
+    ) {
         let end = self.queue(frame);
         self.open_attempts
             .borrow_mut()
-            .insert(sequence_number, OpenAttempt { id, end });
+            .insert(sequence_number, OpenAttempt { id, process, end });
+    }
+
+    /// Whether an attempt is queued that is for another process than this one.
+    fn has_attempt_for_other_process(&self, process: u64) -> bool {
+        let open = self.open_attempts.borrow();
+        open.values()
+            .any(|attempt| attempt.process.is_some_and(|other| other != process))
+    }
+
+    /// Queues a probe. Its answer is recognized by the time at which bytes were last received.
+    fn send_probe(&self) {
+        let sequence_number = self.next_sequence_number();
+        self.queue(&thrift::probe(sequence_number, false));
     }
 
     /// Queues a cancellation if the attempt is open on this connection, and returns whether it is. A cancelled attempt
@@ -202,10 +246,14 @@
     connection: Rc<UpstreamConnection>,
     address: Rc<str>,
 ) {
-    let end = if connect(&context, &upstream, &connection, &address).await {
-        serve(&context, &upstream, &connection, &address).await
-    } else {
+    let is_connected = connect(&context, &upstream, &connection, &address).await;
+    let end = if !is_connected {
         ConnectionEnd::NotConnected
+    } else if connection.has_attempt_for_other_process(upstream.process.get()) {
+        // Nothing was written, so the attempts are reported as not sent.
+        ConnectionEnd::ClosedByUs
+    } else {
+        serve(&context, &upstream, &connection, &address).await
     };
     if end == ConnectionEnd::Broken {
         increment(&context.counters.broken_upstream_connections);
@@ -261,12 +309,18 @@
     let was_unreachable = upstream.connect_failed_at.take().is_some();
     let was_draining = upstream.is_draining.take();
     // A member that was unreachable or draining and can be reached again is a new process, even at the same address.
-    if was_unreachable || was_draining {
+    let has_restarted = was_unreachable || was_draining;
+    if has_restarted {
         let now = context.now();
         context.fleet.borrow_mut().on_restarted(address, now);
-        upstream.on_process_lost(context, address);
         upstream.connected_since.set(None);
     }
+    // Without another connection nothing is known of the time until now: processes may have come and gone.
+    let was_connected = upstream.was_connected.replace(true);
+    let is_unknown = was_connected && !upstream.has_other_connections(connection);
+    if has_restarted || is_unknown {
+        upstream.record_process_lost(context, address);
+    }
     upstream.is_lost.set(false);
     let _ = connection.stream.set(stream);
     upstream.on_connected(context, connection, address);
@@ -311,10 +365,19 @@
             return ConnectionEnd::ClosedByUs;
         }
         let has_unwritten = connection.unwritten_bytes() > 0;
+        let idle_timeout = if connection.is_watch() {
+            PROBE_INTERVAL
+        } else {
+            IDLE_TIMEOUT
+        };
         tokio::select! {
-            ready = timeout(IDLE_TIMEOUT, stream.readable()) => {
+            ready = timeout(idle_timeout, stream.readable()) => {
                 let read = match ready {
                     Ok(ready) => ready.and_then(|()| context.read_buffer.read(stream, &mut inbound)),
+                    Err(_) if connection.is_watch() => match probe(context, connection, address) {
+                        Some(end) => return end,
+                        None => continue,
+                    },
                     Err(_) if was_idle && connection.open_attempts() == 0 => {
                         return ConnectionEnd::ClosedByUs;
                     }
@@ -340,8 +403,39 @@
     }
 }
 
+/// Probes the member of a watch connection; returns how the connection ends if it does.
+fn probe(
+    context: &ForwarderContext,
+    connection: &UpstreamConnection,
+    address: &str,
+) -> Option<ConnectionEnd> {
+    if !context.fleet.borrow().is_key_home(address) {
+        return Some(ConnectionEnd::ClosedByUs);
+    }
+    let last_sign = connection.last_read_at().max(connection.connected_at());
+    if context.now().saturating_sub(last_sign) >= PROBE_TIMEOUT {
+        return Some(ConnectionEnd::Broken);
+    }
+    connection.send_probe();
+    None
+}
+
+/// Whether the kernel has received the end of a connection, also behind bytes that are not read yet. The runtime may learn
+/// of it later.
+fn has_ended(stream: &TcpStream) -> bool {
+    let end = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream, end)];
+    match poll(&mut polled, Some(&Timespec::default())) {
+        Ok(_) => polled[0].revents().intersects(end),
+        Err(_) => false,
+    }
+}
+
 /// Whether a connection without open attempts is to be closed: it is retired, or old and not the last one.
 fn should_close_when_idle(upstream: &Upstream, connection: &Rc<UpstreamConnection>) -> bool {
+    if connection.is_watch() {
+        return connection.is_retired();
+    }
     let is_old = Instant::now() >= connection.retire_at;
     connection.is_retired() || (is_old && upstream.has_other_connections(connection))
 }
--- a/crates/forwarder/src/upstream/replies.rs
+++ b/crates/forwarder/src/upstream/replies.rs
@@ -26,6 +26,10 @@
         increment(&context.counters.unreadable_replies);
         return;
     };
+    if connection.is_watch() {
+        // That the member answers is all that a probe asks.
+        return;
+    }
     let Some(id) = connection.take_answered(answer.seq) else {
         // A duplicate answer, or one to a cancelled or unknown attempt.
         increment(&context.counters.late_answers);
