Forwarder: probes are counted, and a watch ends with its member; status without a link

- A stall of the forwarder for 8 s between two probes counted against all members that it watches.
Unanswered probes are counted now, and none is sent in a stall.
- A watch was closed at a shutdown notice and opened again at once, which would have ended the draining of a node that still accepts.
It stays open until the member closes it, as nodes do at the end of their drain.
- Missing watches are opened in turn, so that 32 members that cannot be reached do not keep later ones from being watched.
- A version that is applied while no config server is attached shows in the status at once.

member_that_answers_no_probe_counts_as_ended holds as before (8 s); the other three have no test of their own. All tests of the forwarder, of config restarts and of the version store pass.

--- a/crates/cluster/src/attachment.rs
+++ b/crates/cluster/src/attachment.rs
@@ -267,6 +267,7 @@
             self.subscriber.on_tick(now);
             // Without a link there are no frames to send.
             let _ = self.carry_out_effects(&mut Vec::new());
+            self.copy_status();
         }
     }
 
@@ -419,16 +420,22 @@
         (self.on_event)(&AttachmentEvent::Version(event), &self.subscriber);
     }
 
+    /// Copies what the subscriber holds to the status.
+    fn copy_status(&self) {
+        let mut status = self.status.borrow_mut();
+        status.version = self.subscriber.version();
+        status.digest = self.subscriber.state().digest();
+        status.counters = self.subscriber.counters();
+    }
+
     /// Updates the status; reports when this process becomes attached.
     fn update_status(&mut self, server: &str) {
         (self.on_status)(&self.subscriber, AttachmentPhase::Linked);
         let now = self.now();
         let is_attached = self.subscriber.is_attached();
+        self.copy_status();
         let is_newly_attached = {
             let mut status = self.status.borrow_mut();
-            status.version = self.subscriber.version();
-            status.digest = self.subscriber.state().digest();
-            status.counters = self.subscriber.counters();
             if is_attached {
                 let staleness = self.subscriber.staleness(now);
                 status.known_newest_at = Instant::now().checked_sub(staleness);
--- a/crates/forwarder/src/upstream/connection.rs
+++ b/crates/forwarder/src/upstream/connection.rs
@@ -4,7 +4,7 @@
 //! was not sent completely, so it cannot have run.
 
 use super::replies::on_frame;
-use super::watch::{PROBE_INTERVAL, PROBE_TIMEOUT};
+use super::watch::{MAX_UNANSWERED_PROBES, PROBE_INTERVAL};
 use super::Upstream;
 use crate::connection_limits;
 use crate::observability::increment;
@@ -83,6 +83,8 @@
     last_read_at: Cell<Duration>,
     /// On the context's clock.
     connected_at: Cell<Duration>,
+    /// Probes since bytes were last received.
+    unanswered_probes: Cell<u32>,
     wake: Notify,
 }
 
@@ -100,6 +102,7 @@
             is_retired: Cell::new(false),
             last_read_at: Cell::new(Duration::ZERO),
             connected_at: Cell::new(Duration::ZERO),
+            unanswered_probes: Cell::new(0),
             wake: Notify::new(),
         }
     }
@@ -179,10 +182,11 @@
             .any(|attempt| attempt.process.is_some_and(|other| other != process))
     }
 
-    /// Queues a probe. Its answer is recognized by the time at which bytes were last received.
+    /// Queues a probe. Any received bytes count as its answer.
     fn send_probe(&self) {
         let sequence_number = self.next_sequence_number();
         self.queue(&thrift::probe(sequence_number, false));
+        self.unanswered_probes.set(self.unanswered_probes.get() + 1);
     }
 
     /// Queues a cancellation if the attempt is open on this connection, and returns whether it is. A cancelled attempt
@@ -391,6 +395,7 @@
                     Err(_) => return ConnectionEnd::Broken,
                 };
                 connection.last_read_at.set(context.now());
+                connection.unanswered_probes.set(0);
                 if handle_frames(context, upstream, connection, address, &mut inbound).is_err() {
                     increment(&context.counters.unreadable_replies);
                     return ConnectionEnd::Broken;
@@ -412,8 +417,8 @@
     if !context.fleet.borrow().is_key_home(address) {
         return Some(ConnectionEnd::ClosedByUs);
     }
-    let last_sign = connection.last_read_at().max(connection.connected_at());
-    if context.now().saturating_sub(last_sign) >= PROBE_TIMEOUT {
+    // Probes are counted, not the time: a stall of this process does not count against the member.
+    if connection.unanswered_probes.get() >= MAX_UNANSWERED_PROBES {
         return Some(ConnectionEnd::Broken);
     }
     connection.send_probe();
@@ -431,10 +436,11 @@
     }
 }
 
-/// Whether a connection without open attempts is to be closed: it is retired, or old and not the last one.
+/// Whether a connection without open attempts is to be closed: it is retired, or old and not the last one. One that watches
+/// a member is not: the member ends it when its process ends.
 fn should_close_when_idle(upstream: &Upstream, connection: &Rc<UpstreamConnection>) -> bool {
     if connection.is_watch() {
-        return connection.is_retired();
+        return false;
     }
     let is_old = Instant::now() >= connection.retire_at;
     connection.is_retired() || (is_old && upstream.has_other_connections(connection))
--- a/crates/forwarder/src/upstream/watch.rs
+++ b/crates/forwarder/src/upstream/watch.rs
@@ -18,32 +18,42 @@
 const MAX_STARTED_AT_ONCE: usize = 32;
 /// Interval of probes; shorter than the idle timeout of nodes.
 pub(super) const PROBE_INTERVAL: Duration = Duration::from_secs(2);
-/// A member that has sent nothing for this long despite probes counts as gone.
-pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(8);
+/// A member that has sent nothing since so many probes counts as gone.
+pub(super) const MAX_UNANSWERED_PROBES: u32 = 3;
 
 /// Keeps a connection open to each member that is the home of keys, for as long as the forwarder runs.
 pub(crate) async fn watch_key_homes(context: Rc<ForwarderContext>) {
+    let mut first = 0;
     loop {
-        open_missing(&context);
+        first = open_missing(&context, first);
         sleep(WATCH_INTERVAL).await;
     }
 }
 
-fn open_missing(context: &Rc<ForwarderContext>) {
+/// Opens missing connections, beginning with the member at position `first`. Returns the position to begin with next
+/// time, so that members that cannot be reached do not keep others from their turn.
+fn open_missing(context: &Rc<ForwarderContext>, first: usize) -> usize {
     let addresses: Vec<Rc<str>> = {
         let fleet = context.fleet.borrow();
         fleet.key_home_addresses().cloned().collect()
     };
     let mut started = 0;
-    for address in addresses {
-        let upstream = context.upstreams.get_or_insert(&address);
+    for offset in 0..addresses.len() {
+        let position = (first + offset) % addresses.len();
+        let upstream = context.upstreams.get_or_insert(&addresses[position]);
         if upstream.has_watch() || !upstream.may_connect() {
             continue;
         }
-        open_connection(context, &upstream, &address, ConnectionPurpose::Watch);
-        started += 1;
         if started == MAX_STARTED_AT_ONCE {
-            return;
+            return position;
         }
+        open_connection(
+            context,
+            &upstream,
+            &addresses[position],
+            ConnectionPurpose::Watch,
+        );
+        started += 1;
     }
+    0
 }
